--- /dev/null
+++ b/src/cluster/core.rs
@@ -0,0 +1,606 @@
+//! Pure core of membership and spread: events in, actions out.
+//!
+//! Each daemon probes the few that follow it on a ring of hashed incarnations, so each
+//! is watched by a few. A daemon that does not answer is asked through helpers, then
+//! suspected, and removed only if it does not refute in time (after SWIM; a daemon
+//! that was paused itself distrusts its own probes, after Lifeguard). New items go to
+//! ring successors and to a few far ones; summaries with one peer a second repair what
+//! was lost. Cost per daemon does not depend on the number of daemons.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
+
+use rand::{RngExt, rngs::SmallRng};
+use tokio::time::Instant;
+
+use super::{
+    items::{ItemKey, ItemKind, ItemStore, SpreadItem},
+    members::{MemberList, MemberRecord, MemberStatus, MemberView, member_version, split_version},
+};
+use crate::{
+    decide::subset::daemon_position,
+    ids::{IncarnationId, SharedName, hash_parts},
+};
+
+/// Ring successors that a daemon probes and sends news to.
+const SUCCESSORS: usize = 3;
+/// Far daemons that it sends news to.
+const FAR_LINKS: usize = 3;
+/// Time between probes of one neighbour.
+const PROBE_EVERY: Duration = Duration::from_secs(1);
+/// Time between exchanges of summaries.
+const SYNC_EVERY: Duration = Duration::from_secs(1);
+/// Time between greetings of an address that is not a member yet.
+const GREET_EVERY: Duration = Duration::from_secs(1);
+/// Time a suspect has to refute.
+const SUSPICION: Duration = Duration::from_secs(5);
+/// Time a suspect has whose address refuses connections.
+const SUSPICION_REFUSED: Duration = Duration::from_secs(2);
+/// A tick this late means that this process was paused.
+const PAUSE: Duration = Duration::from_millis(800);
+/// How long probes' failures are distrusted after a pause.
+const DISTRUST: Duration = Duration::from_secs(2);
+/// How long removed members, gone VMs and old notices are remembered.
+const TOMBSTONE_KEEP: Duration = Duration::from_secs(3_600);
+/// Time between looks for stale items.
+const FORGET_EVERY: Duration = Duration::from_secs(60);
+/// Most items in one message.
+const PUSH_LIMIT: usize = 256;
+/// Helpers asked about a neighbour that does not answer.
+const HELPERS: usize = 2;
+
+/// Whom an action is for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct PeerTarget {
+    /// Expected incarnation; an address that answers with another one is an error.
+    pub incarnation: IncarnationId,
+    /// Where its gate listens.
+    pub address: SharedName,
+}
+
+/// What has happened.
+#[derive(Clone, Debug)]
+pub enum ClusterEvent {
+    /// Time has passed; expected every 50 ms or so.
+    Tick,
+    /// An address that may be a daemon of this deployment.
+    Seed(SharedName),
+    /// A daemon answered a greeting or greeted this one.
+    Greeted(IncarnationId, MemberRecord),
+    /// A neighbour answered its probe.
+    ProbeAnswered(IncarnationId),
+    /// A neighbour did not answer; `refused` if its address takes no connections.
+    ProbeFailed(IncarnationId, bool),
+    /// Helpers could not reach it either.
+    HelpersFailed(IncarnationId, bool),
+    /// Another incarnation answers at its address: it is gone for certain.
+    Replaced(IncarnationId),
+    /// Items from a peer (`None`: from this process).
+    Items(Option<IncarnationId>, Vec<SpreadItem>),
+    /// This daemon takes no new work from now on.
+    Leave,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ClusterAction {
+    /// Say hello to an address; report `Greeted`.
+    Greet(SharedName),
+    /// Probe; report `ProbeAnswered`, `ProbeFailed` or `Replaced`.
+    Probe(PeerTarget),
+    /// Ask the helpers to probe the target; report `HelpersFailed` or `ProbeAnswered`.
+    ProbeVia(Vec<PeerTarget>, PeerTarget),
+    /// Send items.
+    Push(PeerTarget, Vec<SpreadItem>),
+    /// Exchange summaries and what is missing; report `Items`.
+    Sync(PeerTarget),
+    /// Items that are new here, for the other services.
+    Changed(Vec<SpreadItem>),
+    /// The member list has changed.
+    MembersChanged,
+}
+
+/// Counters for metrics.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ClusterCounters {
+    /// Members that this daemon suspected.
+    pub suspected: u64,
+    /// Members that this daemon removed.
+    pub removed: u64,
+    /// Suspicions of itself that it refuted.
+    pub refuted: u64,
+    /// Items received that were not newer.
+    pub stale_items: u64,
+    /// Items received that were newer.
+    pub fresh_items: u64,
+}
+
+/// Membership and spread of one daemon.
+#[derive(Debug)]
+pub struct ClusterCore {
+    own: IncarnationId,
+    record: MemberRecord,
+    refutation: u64,
+    members: MemberList,
+    items: ItemStore,
+    outboxes: HashMap<IncarnationId, BTreeSet<ItemKey>>,
+    seeds: BTreeSet<SharedName>,
+    links: Vec<IncarnationId>,
+    probe_at: HashMap<IncarnationId, Instant>,
+    refused: BTreeSet<IncarnationId>,
+    sync_at: Instant,
+    greet_at: Instant,
+    forget_at: Instant,
+    last_tick: Instant,
+    distrust_until: Instant,
+    counters: ClusterCounters,
+    rng: SmallRng,
+}
+
+impl ClusterCore {
+    /// Core of a daemon that knows only itself.
+    pub fn new(own: IncarnationId, record: MemberRecord, now: Instant, rng: SmallRng) -> Self {
+        let mut core = Self {
+            own,
+            record,
+            refutation: 0,
+            members: MemberList::default(),
+            items: ItemStore::default(),
+            outboxes: HashMap::new(),
+            seeds: BTreeSet::new(),
+            links: Vec::new(),
+            probe_at: HashMap::new(),
+            refused: BTreeSet::new(),
+            sync_at: now,
+            greet_at: now,
+            forget_at: now + FORGET_EVERY,
+            last_tick: now,
+            distrust_until: now,
+            counters: ClusterCounters::default(),
+            rng,
+        };
+        core.announce_self(now, &mut Vec::new());
+        core
+    }
+
+    /// Handles one event.
+    pub fn on(&mut self, now: Instant, event: ClusterEvent) -> Vec<ClusterAction> {
+        let mut actions = Vec::new();
+        match event {
+            ClusterEvent::Tick => self.tick(now, &mut actions),
+            ClusterEvent::Seed(address) => {
+                if address != self.record.address {
+                    self.seeds.insert(address);
+                }
+            }
+            ClusterEvent::Greeted(incarnation, record) => {
+                self.greeted(incarnation, record, now, &mut actions);
+            }
+            ClusterEvent::ProbeAnswered(incarnation) => {
+                self.refused.remove(&incarnation);
+            }
+            ClusterEvent::ProbeFailed(incarnation, refused) => {
+                self.probe_failed(incarnation, refused, now, &mut actions);
+            }
+            ClusterEvent::HelpersFailed(incarnation, refused) => {
+                self.suspect(incarnation, refused, now, &mut actions);
+            }
+            ClusterEvent::Replaced(incarnation) => {
+                self.judge(incarnation, MemberStatus::Dead, now, &mut actions);
+            }
+            ClusterEvent::Items(from, items) => self.receive(from, items, now, &mut actions),
+            ClusterEvent::Leave => {
+                self.record.leaving = true;
+                self.refutation += 1;
+                self.announce_self(now, &mut actions);
+            }
+        }
+        actions
+    }
+
+    /// Members as known here.
+    pub fn members(&self) -> &MemberList {
+        &self.members
+    }
+
+    /// Items as known here.
+    pub fn items(&self) -> &ItemStore {
+        &self.items
+    }
+
+    /// Own incarnation.
+    pub fn own(&self) -> IncarnationId {
+        self.own
+    }
+
+    /// Counters for metrics.
+    pub fn counters(&self) -> ClusterCounters {
+        self.counters
+    }
+
+    /// Peer to exchange averages with.
+    pub fn random_member(&mut self) -> Option<PeerTarget> {
+        let point: u64 = self.rng.random();
+        let found = self.members.successors(point, 1, self.own);
+        self.target(*found.first()?)
+    }
+
+    /// Target of a member that has not been removed.
+    pub fn target(&self, incarnation: IncarnationId) -> Option<PeerTarget> {
+        let view = self
+            .members
+            .get(incarnation)
+            .filter(|view| view.is_present())?;
+        Some(PeerTarget {
+            incarnation,
+            address: view.record.address.clone(),
+        })
+    }
+
+    fn tick(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
+        if now.saturating_duration_since(self.last_tick) > PAUSE {
+            self.distrust_until = now + DISTRUST;
+        }
+        self.last_tick = now;
+        self.greet_seeds(now, actions);
+        self.probe_neighbours(now, actions);
+        self.remove_suspects(now, actions);
+        self.flush(actions);
+        if now >= self.sync_at {
+            self.sync_at = now + SYNC_EVERY.mul_f64(self.rng.random_range(0.8..1.2));
+            actions.extend(self.random_member().map(ClusterAction::Sync));
+        }
+        if now >= self.forget_at {
+            self.forget_at = now + FORGET_EVERY;
+            self.forget(now, actions);
+        }
+    }
+
+    fn greet_seeds(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
+        if now < self.greet_at || self.seeds.is_empty() {
+            return;
+        }
+        self.greet_at = now + GREET_EVERY;
+        let known: BTreeSet<&SharedName> = self
+            .members
+            .present()
+            .map(|(_, view)| &view.record.address)
+            .collect();
+        let unknown: Vec<&SharedName> = self
+            .seeds
+            .iter()
+            .filter(|address| !known.contains(address))
+            .collect();
+        // NOTE: a few a second, whatever the number of seeds; the peers met first tell
+        // of the others.
+        for _ in 0..SUCCESSORS.min(unknown.len()) {
+            let index = self.rng.random_range(0..unknown.len());
+            actions.push(ClusterAction::Greet(unknown[index].clone()));
+        }
+    }
+
+    fn probe_neighbours(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
+        for incarnation in self
+            .links
+            .iter()
+            .take(SUCCESSORS)
+            .copied()
+            .collect::<Vec<_>>()
+        {
+            let due = *self.probe_at.entry(incarnation).or_insert(now);
+            if now >= due {
+                self.probe_at.insert(incarnation, now + PROBE_EVERY);
+                actions.extend(self.target(incarnation).map(ClusterAction::Probe));
+            }
+        }
+    }
+
+    fn probe_failed(
+        &mut self,
+        incarnation: IncarnationId,
+        refused: bool,
+        now: Instant,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        if now < self.distrust_until {
+            return;
+        }
+        let Some(target) = self.target(incarnation) else {
+            return;
+        };
+        let point: u64 = self.rng.random();
+        let helpers = self.members.successors(point, HELPERS + 1, self.own);
+        let helpers: Vec<PeerTarget> = helpers
+            .into_iter()
+            .filter(|helper| *helper != incarnation)
+            .take(HELPERS)
+            .filter_map(|helper| self.target(helper))
+            .collect();
+        if helpers.is_empty() {
+            self.suspect(incarnation, refused, now, actions);
+        } else {
+            actions.push(ClusterAction::ProbeVia(helpers, target));
+        }
+        if refused {
+            self.refused.insert(incarnation);
+        }
+    }
+
+    fn suspect(
+        &mut self,
+        incarnation: IncarnationId,
+        refused: bool,
+        now: Instant,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        if now < self.distrust_until {
+            return;
+        }
+        if refused {
+            self.refused.insert(incarnation);
+        }
+        let alive = self
+            .members
+            .get(incarnation)
+            .is_some_and(|view| view.status == MemberStatus::Alive);
+        if alive {
+            self.counters.suspected += 1;
+            self.judge(incarnation, MemberStatus::Suspect, now, actions);
+        }
+    }
+
+    /// Monitors remove the suspects among their neighbours once their time is over.
+    fn remove_suspects(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
+        if now < self.distrust_until {
+            return;
+        }
+        for incarnation in self
+            .links
+            .iter()
+            .take(SUCCESSORS)
+            .copied()
+            .collect::<Vec<_>>()
+        {
+            let Some(view) = self.members.get(incarnation) else {
+                continue;
+            };
+            let refused = self.refused.contains(&incarnation);
+            let allowed = if refused {
+                SUSPICION_REFUSED
+            } else {
+                SUSPICION
+            };
+            let over = now.saturating_duration_since(view.since) > allowed;
+            if view.status == MemberStatus::Suspect && over {
+                self.counters.removed += 1;
+                self.judge(incarnation, MemberStatus::Dead, now, actions);
+            }
+        }
+    }
+
+    /// Says of another daemon what its monitors found.
+    fn judge(
+        &mut self,
+        incarnation: IncarnationId,
+        status: MemberStatus,
+        now: Instant,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        let Some(view) = self.members.get(incarnation) else {
+            return;
+        };
+        let version = member_version(view.refutation, status);
+        let name = incarnation.to_string().into();
+        let item = SpreadItem::new(ItemKind::Member, name, version, &view.record);
+        self.receive(None, vec![item], now, actions);
+    }
+
+    fn announce_self(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
+        let version = member_version(self.refutation, MemberStatus::Alive);
+        let name = self.own.to_string().into();
+        let item = SpreadItem::new(ItemKind::Member, name, version, &self.record);
+        self.receive(None, vec![item], now, actions);
+    }
+
+    fn greeted(
+        &mut self,
+        incarnation: IncarnationId,
+        record: MemberRecord,
+        now: Instant,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        if incarnation == self.own {
+            return;
+        }
+        // NOTE: an address has one process; whoever was there before is gone.
+        let before = self.members.at_address(&record.address);
+        if let Some(before) = before.filter(|before| *before < incarnation) {
+            self.judge(before, MemberStatus::Dead, now, actions);
+        }
+        if self.members.get(incarnation).is_none() {
+            let name = incarnation.to_string().into();
+            let item = SpreadItem::new(ItemKind::Member, name, 0, &record);
+            self.receive(None, vec![item], now, actions);
+            let target = PeerTarget {
+                incarnation,
+                address: record.address,
+            };
+            actions.push(ClusterAction::Sync(target));
+        }
+    }
+
+    fn receive(
+        &mut self,
+        from: Option<IncarnationId>,
+        items: Vec<SpreadItem>,
+        now: Instant,
+        actions: &mut Vec<ClusterAction>,
+    ) {
+        let mut fresh = Vec::new();
+        let mut members_changed = false;
+        for item in items {
+            if !self.is_sound(&item) || !self.items.offer(item.clone(), now) {
+                self.counters.stale_items += 1;
+                continue;
+            }
+            self.counters.fresh_items += 1;
+            if item.key.kind == ItemKind::Member {
+                members_changed = true;
+                self.take_member(&item, now, actions);
+            }
+            self.enqueue(&item.key, from);
+            fresh.push(item);
+        }
+        if members_changed {
+            self.relink();
+            actions.push(ClusterAction::MembersChanged);
+        }
+        if !fresh.is_empty() {
+            actions.push(ClusterAction::Changed(fresh));
+        }
+    }
+
+    /// A corrupt item must not take a good one's place.
+    fn is_sound(&self, item: &SpreadItem) -> bool {
+        match item.key.kind {
+            ItemKind::Member => {
+                parse_incarnation(&item.key.name).is_some()
+                    && item.decode::<MemberRecord>().is_some()
+            }
+            ItemKind::Row => {
+                item.value.is_none()
+                    || item.decode::<serde_json::Value>().is_some_and(|value| {
+                        crate::options::rows::TableRow::parse(&value, "row").is_ok()
+                    })
+            }
+            ItemKind::Vm => {
+                item.value.is_none()
+                    || item
+                        .decode::<crate::platform::messages::VmEntry>()
+                        .is_some()
+            }
+            ItemKind::Notice => item
+                .decode::<crate::platform::messages::ReclaimNotice>()
+                .is_some(),
+        }
+    }
+
+    fn take_member(&mut self, item: &SpreadItem, now: Instant, actions: &mut Vec<ClusterAction>) {
+        let Some(incarnation) = parse_incarnation(&item.key.name) else {
+            return;
+        };
+        let Some(record) = item.decode::<MemberRecord>() else {
+            return;
+        };
+        let (refutation, status) = split_version(item.version);
+        if incarnation == self.own && status != MemberStatus::Alive {
+            self.counters.refuted += 1;
+            self.refutation = refutation + 1;
+            self.members.set(
+                incarnation,
+                MemberView {
+                    record: self.record.clone(),
+                    status: MemberStatus::Alive,
+                    refutation,
+                    since: now,
+                },
+            );
+            self.announce_self(now, actions);
+            return;
+        }
+        let known = self.members.get(incarnation);
+        let unchanged = known
+            .filter(|view| view.status == status)
+            .map(|view| view.since);
+        let since = unchanged.unwrap_or(now);
+        self.members.set(
+            incarnation,
+            MemberView {
+                record,
+                status,
+                refutation,
+                since,
+            },
+        );
+    }
+
+    /// Marks an item to be sent on all links but the one it came from.
+    fn enqueue(&mut self, key: &ItemKey, from: Option<IncarnationId>) {
+        for link in &self.links {
+            if Some(*link) != from {
+                self.outboxes.entry(*link).or_default().insert(key.clone());
+            }
+        }
+    }
+
+    fn relink(&mut self) {
+        let position = daemon_position(self.own).wrapping_add(1);
+        let mut links = self.members.successors(position, SUCCESSORS, self.own);
+        for index in 0..FAR_LINKS as u64 {
+            let point = hash_parts(&[b"far", &self.own.0.to_le_bytes(), &index.to_le_bytes()]);
+            let found = self.members.successors(point, SUCCESSORS + 1, self.own);
+            links.extend(
+                found
+                    .into_iter()
+                    .find(|candidate| !links.contains(candidate)),
+            );
+        }
+        self.outboxes.retain(|link, _| links.contains(link));
+        self.probe_at.retain(|link, _| links.contains(link));
+        self.refused.retain(|link| links.contains(link));
+        self.links = links;
+    }
+
+    fn flush(&mut self, actions: &mut Vec<ClusterAction>) {
+        for link in self.links.clone() {
+            let Some(outbox) = self.outboxes.get_mut(&link) else {
+                continue;
+            };
+            if outbox.is_empty() {
+                continue;
+            }
+            let keys: Vec<ItemKey> = outbox.iter().take(PUSH_LIMIT).cloned().collect();
+            for key in &keys {
+                outbox.remove(key);
+            }
+            let items = keys
+                .iter()
+                .filter_map(|key| self.items.get(key).cloned())
+                .collect();
+            actions.extend(
+                self.target(link)
+                    .map(|target| ClusterAction::Push(target, items)),
+            );
+        }
+    }
+
+    fn forget(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
+        let mut gone = Vec::new();
+        self.items.forget(|item, since| {
+            let ended = match item.key.kind {
+                ItemKind::Row => false,
+                ItemKind::Vm => item.value.is_none(),
+                ItemKind::Notice => true,
+                ItemKind::Member => split_version(item.version).1 == MemberStatus::Dead,
+            };
+            let stale = ended && now.saturating_duration_since(since) > TOMBSTONE_KEEP;
+            if stale && item.key.kind == ItemKind::Member {
+                gone.extend(parse_incarnation(&item.key.name));
+            }
+            stale
+        });
+        if !gone.is_empty() {
+            for incarnation in gone {
+                self.members.remove(incarnation);
+            }
+            actions.push(ClusterAction::MembersChanged);
+        }
+    }
+}
+
+/// Incarnation named by a member item.
+pub fn parse_incarnation(name: &str) -> Option<IncarnationId> {
+    u64::from_str_radix(name, 16).ok().map(IncarnationId)
+}
--- /dev/null
+++ b/src/control.rs
@@ -0,0 +1,7 @@
+//! What `willowctl` does: table edits, declarations, status, time line.
+
+pub mod calls;
+pub mod declaration;
+pub mod spreadsheet;
+pub mod table;
+pub mod views;
--- /dev/null
+++ b/src/control/calls.rs
@@ -0,0 +1,139 @@
+//! Blocking calls to the object API and to daemons' operators' ports.
+
+use std::{net::SocketAddr, time::Duration};
+
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use crate::{
+    errors::{FailureCause, StepError},
+    platform::messages::{ObjectEntry, ObjectList, WriteReceipt},
+};
+
+/// Longest wait for an answer.
+const CALL_LIMIT: Duration = Duration::from_secs(5);
+/// Status of a conditional write that lost.
+const PRECONDITION_FAILED: u16 = 412;
+
+/// Client for the tool's calls.
+#[derive(Clone, Debug)]
+pub struct ControlClient {
+    agent: ureq::Agent,
+}
+
+impl Default for ControlClient {
+    fn default() -> Self {
+        let config = ureq::Agent::config_builder()
+            .http_status_as_error(false)
+            .timeout_global(Some(CALL_LIMIT))
+            .build();
+        Self {
+            agent: config.into(),
+        }
+    }
+}
+
+type CallResult = Result<ureq::http::Response<ureq::Body>, ureq::Error>;
+
+fn decode<T: DeserializeOwned>(
+    step: &'static str,
+    peer: SocketAddr,
+    answer: CallResult,
+) -> Result<T, StepError> {
+    let error = |cause| StepError::new(step, peer.to_string(), cause);
+    let mut answer = answer.map_err(|cause| error(to_cause(&cause)))?;
+    let status = answer.status().as_u16();
+    if status == PRECONDITION_FAILED {
+        return Err(error(FailureCause::Conflict));
+    }
+    if !answer.status().is_success() {
+        return Err(error(FailureCause::Status(status)));
+    }
+    let body = answer.body_mut().read_to_vec();
+    let body = body.map_err(|cause| error(FailureCause::Broken(cause.to_string())))?;
+    serde_json::from_slice(&body).map_err(|cause| error(FailureCause::Malformed(cause.to_string())))
+}
+
+fn to_cause(error: &ureq::Error) -> FailureCause {
+    match error {
+        ureq::Error::Timeout(_) => FailureCause::TimedOut(CALL_LIMIT.as_millis() as u64),
+        ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => {
+            FailureCause::Unreachable(error.to_string())
+        }
+        ureq::Error::Io(cause) if cause.kind() == std::io::ErrorKind::ConnectionRefused => {
+            FailureCause::Unreachable(cause.to_string())
+        }
+        _ => FailureCause::Broken(error.to_string()),
+    }
+}
+
+impl ControlClient {
+    /// Reads JSON from a daemon's operators' port.
+    pub fn get<T: DeserializeOwned>(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        path: &str,
+    ) -> Result<T, StepError> {
+        decode(
+            step,
+            peer,
+            self.agent.get(format!("http://{peer}{path}")).call(),
+        )
+    }
+
+    /// Posts to a daemon's operators' port.
+    pub fn post(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        path: &str,
+    ) -> Result<Value, StepError> {
+        decode(
+            step,
+            peer,
+            self.agent.post(format!("http://{peer}{path}")).send_empty(),
+        )
+    }
+
+    /// Reads one object.
+    pub fn read(&self, api: SocketAddr, kind: &str, name: &str) -> Result<ObjectEntry, StepError> {
+        self.get("read object", api, &format!("/objects/{kind}/{name}"))
+    }
+
+    /// Lists the objects of a kind.
+    pub fn list(&self, api: SocketAddr, kind: &str) -> Result<ObjectList, StepError> {
+        self.get("list objects", api, &format!("/objects/{kind}"))
+    }
+
+    /// Writes (`Some`) or deletes an object that is at `version`; 0 means absent.
+    pub fn write(
+        &self,
+        api: SocketAddr,
+        kind: &str,
+        name: &str,
+        value: Option<&Value>,
+        version: u64,
+    ) -> Result<WriteReceipt, StepError> {
+        let url = format!("http://{api}/objects/{kind}/{name}");
+        let answer = match value {
+            None => self
+                .agent
+                .delete(url)
+                .header("if-match", version.to_string())
+                .call(),
+            Some(value) => {
+                let request = self
+                    .agent
+                    .put(url)
+                    .header("content-type", "application/json");
+                let request = match version {
+                    0 => request.header("if-none-match", "*"),
+                    version => request.header("if-match", version.to_string()),
+                };
+                request.send(value.to_string())
+            }
+        };
+        decode("write object", api, answer)
+    }
+}
--- /dev/null
+++ b/src/decide/fair_queue.rs
@@ -0,0 +1,136 @@
+//! Fair queue: when endpoints are full, accounts take turns by weighted tokens.
+//!
+//! Start-time fair queueing: each request is tagged with the virtual time at which its
+//! account could start it; the lowest tag goes next. A burst of one account moves only
+//! its own tags ahead.
+
+use std::collections::{BTreeMap, HashMap};
+
+use tokio::time::Instant;
+
+use crate::ids::SharedName;
+
+/// Order of waiting requests: virtual start, then arrival.
+type QueueTag = (u64, u64);
+
+/// Virtual time per weighted token, in units of the tag.
+const TAG_SCALE: f64 = 1_000.0;
+
+#[derive(Debug)]
+struct WaitingEntry<T> {
+    account: SharedName,
+    deadline: Instant,
+    item: T,
+}
+
+/// Queue of requests that wait for an endpoint of one service.
+#[derive(Debug)]
+pub struct FairQueue<T> {
+    waiting: BTreeMap<QueueTag, WaitingEntry<T>>,
+    /// Virtual time at which each account's next request may start.
+    next_start: HashMap<SharedName, u64>,
+    virtual_time: u64,
+    arrivals: u64,
+    limit: usize,
+}
+
+impl<T> FairQueue<T> {
+    /// Queue of at most `limit` requests.
+    pub fn new(limit: usize) -> Self {
+        Self {
+            waiting: BTreeMap::new(),
+            next_start: HashMap::new(),
+            virtual_time: 0,
+            arrivals: 0,
+            limit,
+        }
+    }
+
+    /// Adds a request; one that does not fit is given back. When the queue is full, the
+    /// request with the highest tag has to go, which may be another account's.
+    pub fn push(
+        &mut self,
+        account: &SharedName,
+        weight: f64,
+        tokens: f64,
+        deadline: Instant,
+        item: T,
+    ) -> Option<T> {
+        if self.waiting.is_empty() {
+            self.next_start.clear();
+            self.virtual_time = 0;
+        }
+        let start = self
+            .next_start
+            .get(account)
+            .copied()
+            .unwrap_or(0)
+            .max(self.virtual_time);
+        let length = (tokens / weight * TAG_SCALE) as u64;
+        self.arrivals += 1;
+        let tag = (start, self.arrivals);
+        let entry = WaitingEntry {
+            account: account.clone(),
+            deadline,
+            item,
+        };
+        self.next_start.insert(account.clone(), start + length);
+        self.waiting.insert(tag, entry);
+        if self.waiting.len() <= self.limit {
+            return None;
+        }
+        let (_, dropped) = self.waiting.pop_last()?;
+        Some(dropped.item)
+    }
+
+    /// Gives back a request that was just taken: it keeps its turn.
+    pub fn push_front(&mut self, account: &SharedName, deadline: Instant, item: T) {
+        self.arrivals += 1;
+        let tag = (0, self.arrivals);
+        self.waiting.insert(
+            tag,
+            WaitingEntry {
+                account: account.clone(),
+                deadline,
+                item,
+            },
+        );
+    }
+
+    /// Takes the request whose turn it is.
+    pub fn pop(&mut self) -> Option<T> {
+        let ((start, _), entry) = self.waiting.pop_first()?;
+        self.virtual_time = self.virtual_time.max(start);
+        Some(entry.item)
+    }
+
+    /// Takes all requests whose deadline has passed.
+    pub fn expire(&mut self, now: Instant) -> Vec<T> {
+        let due: Vec<QueueTag> = self
+            .waiting
+            .iter()
+            .filter(|(_, entry)| entry.deadline <= now)
+            .map(|(tag, _)| *tag)
+            .collect();
+        let entries = due.iter().filter_map(|tag| self.waiting.remove(tag));
+        entries.map(|entry| entry.item).collect()
+    }
+
+    /// Waiting requests of one account.
+    pub fn waiting_of(&self, account: &str) -> usize {
+        self.waiting
+            .values()
+            .filter(|entry| &*entry.account == account)
+            .count()
+    }
+
+    /// Number of waiting requests.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/src/decide/limits.rs
@@ -0,0 +1,137 @@
+//! Limits of client accounts, held over all daemons together.
+//!
+//! Each daemon admits a share of an account's limit that is its share of the account's
+//! demand. The demand over all daemons is this daemon's view of an average that the
+//! daemons keep by pairwise exchanges (`crate::spread::averaging`), times their number.
+
+use std::{collections::HashMap, time::Duration};
+
+use tokio::time::Instant;
+
+use crate::ids::SharedName;
+
+/// Time constant of the demand estimate, in seconds.
+const DEMAND_WINDOW_S: f64 = 2.0;
+/// Burst that a quiet account may spend at once, in seconds of its local rate.
+const BURST_S: f64 = 1.0;
+/// Longest and shortest time told to a refused caller.
+const COME_BACK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(30));
+
+#[derive(Debug)]
+struct AccountBucket {
+    /// Tokens a second asked for here, smoothed.
+    demand: f64,
+    level: f64,
+    rate: f64,
+    filled_at: Instant,
+}
+
+/// Limiter of all accounts at one daemon.
+#[derive(Debug, Default)]
+pub struct AccountLimiter {
+    accounts: HashMap<SharedName, AccountBucket>,
+    /// Average demand per daemon, and number of daemons, as last exchanged.
+    averages: HashMap<SharedName, f64>,
+    daemons: f64,
+}
+
+/// What the limiter says of a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitVerdict {
+    /// Within the limit.
+    Admitted,
+    /// Over it; there will be room after this time.
+    Refused(Duration),
+}
+
+impl AccountLimiter {
+    /// Takes a new view of the average demand per daemon and of their number.
+    pub fn set_averages(&mut self, averages: HashMap<SharedName, f64>, daemons: usize) {
+        self.averages = averages;
+        self.daemons = daemons as f64;
+    }
+
+    /// Asks for `tokens` of an account whose limit over all daemons is `limit` a second.
+    pub fn admit(
+        &mut self,
+        account: &SharedName,
+        tokens: f64,
+        limit: f64,
+        now: Instant,
+    ) -> LimitVerdict {
+        let daemons = self.daemons.max(1.0);
+        let average = self.averages.get(account).copied();
+        let bucket = self
+            .accounts
+            .entry(account.clone())
+            .or_insert(AccountBucket {
+                demand: 0.0,
+                level: limit / daemons * BURST_S,
+                rate: limit / daemons,
+                filled_at: now,
+            });
+        bucket.fill(now);
+        bucket.demand += tokens / DEMAND_WINDOW_S;
+        bucket.rate = local_rate(bucket.demand, average, daemons, limit);
+        // NOTE: a request larger than the burst is let in when the bucket is full, and
+        // leaves it in debt; else it could never run.
+        let needed = tokens.min(bucket.rate * BURST_S);
+        if bucket.level >= needed {
+            bucket.level -= tokens;
+            return LimitVerdict::Admitted;
+        }
+        let missing = needed - bucket.level;
+        let wait = if bucket.rate > 0.0 {
+            missing / bucket.rate
+        } else {
+            f64::INFINITY
+        };
+        let longest = COME_BACK.1.as_secs_f64();
+        let wait = Duration::from_secs_f64(wait.min(longest));
+        LimitVerdict::Refused(wait.max(COME_BACK.0))
+    }
+
+    /// Gives back tokens that were admitted but not used.
+    pub fn refund(&mut self, account: &SharedName, tokens: f64) {
+        if let Some(bucket) = self.accounts.get_mut(account) {
+            bucket.level += tokens;
+        }
+    }
+
+    /// Demand of each account here, for the exchange with the others.
+    pub fn demand(&mut self, now: Instant) -> HashMap<SharedName, f64> {
+        const QUIET: f64 = 0.01;
+        for bucket in self.accounts.values_mut() {
+            bucket.fill(now);
+        }
+        self.accounts.retain(|_, bucket| bucket.demand > QUIET);
+        let demands = self.accounts.iter();
+        demands
+            .map(|(account, bucket)| (account.clone(), bucket.demand))
+            .collect()
+    }
+}
+
+impl AccountBucket {
+    fn fill(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        self.demand *= (-elapsed / DEMAND_WINDOW_S).exp();
+        self.level = (self.level + elapsed * self.rate).min(self.rate * BURST_S);
+    }
+}
+
+/// Rate of one daemon: the limit divided by demand. Where the demand of all is below
+/// the limit, the unused part is lent out evenly.
+fn local_rate(own: f64, average: Option<f64>, daemons: f64, limit: f64) -> f64 {
+    let Some(average) = average else {
+        return limit / daemons;
+    };
+    // NOTE: the average lags behind a burst; own demand is a lower bound of the total.
+    let total = (average * daemons).max(own);
+    if total > limit {
+        limit * own / total
+    } else {
+        own + (limit - total) / daemons
+    }
+}
--- /dev/null
+++ b/src/decide/reclaim.rs
@@ -0,0 +1,121 @@
+//! What to do with a stream whose endpoint is being reclaimed.
+//!
+//! Four ways: let it finish, move its KV cache to another endpoint, resume elsewhere
+//! from prompt and tokens (which computes them again, less what is cached there), or,
+//! where nothing was produced yet, start again. Each way has a cost in tokens computed
+//! again and in delay; the cheapest that fits into the notice is taken. Moves share
+//! the leaving VM's bandwidth, so streams are planned together.
+
+use crate::ids::RequestName;
+
+/// What the two deployments weigh, and the speeds that decide what fits.
+#[derive(Clone, Copy, Debug)]
+pub struct ReclaimWeights {
+    /// Cost of a token computed again.
+    pub recompute: f64,
+    /// Cost of a millisecond of delay to one stream.
+    pub delay: f64,
+    /// Time between tokens, in milliseconds.
+    pub token_ms: f64,
+    /// Time to compute one prompt token, in milliseconds.
+    pub prefill_ms: f64,
+    /// Time to move the KV cache of one token, in milliseconds, alone on the link.
+    pub move_ms: f64,
+}
+
+/// One stream on the leaving endpoint.
+#[derive(Clone, Debug)]
+pub struct LeavingStream {
+    /// Its request.
+    pub name: RequestName,
+    /// Tokens of the prompt.
+    pub prompt_tokens: usize,
+    /// Tokens produced so far.
+    pub produced: usize,
+    /// Tokens still to come.
+    pub remaining: usize,
+    /// Tokens of prompt and answer cached at the endpoint it would go to.
+    pub cached_elsewhere: usize,
+}
+
+/// Way chosen for a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum ReclaimWay {
+    /// Stay until the answer is complete.
+    Finish,
+    /// Move the KV cache, then go on there.
+    Move,
+    /// Go on elsewhere from prompt and tokens.
+    Resume,
+}
+
+/// Part of the notice kept free: for clocks, and for streams slower than expected.
+const NOTICE_MARGIN: f64 = 0.15;
+
+impl LeavingStream {
+    fn context(&self) -> usize {
+        self.prompt_tokens + self.produced
+    }
+
+    fn recomputed(&self) -> usize {
+        self.context().saturating_sub(self.cached_elsewhere)
+    }
+
+    fn finish_ms(&self, weights: &ReclaimWeights) -> f64 {
+        self.remaining as f64 * weights.token_ms
+    }
+
+    fn move_ms(&self, weights: &ReclaimWeights) -> f64 {
+        self.recomputed() as f64 * weights.move_ms
+    }
+
+    fn resume_cost(&self, weights: &ReclaimWeights) -> f64 {
+        let tokens = self.recomputed() as f64;
+        tokens * weights.recompute + tokens * weights.prefill_ms * weights.delay
+    }
+
+    /// Cost of a move while `queued_ms` of other moves go before it: the stream keeps
+    /// producing while it waits, and stands still only while it moves itself.
+    fn move_cost(&self, weights: &ReclaimWeights) -> f64 {
+        self.move_ms(weights) * weights.delay
+    }
+}
+
+/// Plans all streams of one endpoint that goes in `notice_ms`.
+///
+/// Streams that can finish do. The others compete for the link: those that save the
+/// most cost for each millisecond of it go first, until the notice is filled.
+pub fn plan_reclaim(
+    streams: &[LeavingStream],
+    notice_ms: f64,
+    weights: &ReclaimWeights,
+) -> Vec<(RequestName, ReclaimWay)> {
+    let usable_ms = notice_ms * (1.0 - NOTICE_MARGIN);
+    let mut ways = vec![ReclaimWay::Resume; streams.len()];
+    let mut movers: Vec<(f64, usize)> = Vec::new();
+    for (index, stream) in streams.iter().enumerate() {
+        if stream.finish_ms(weights) <= usable_ms {
+            ways[index] = ReclaimWay::Finish;
+            continue;
+        }
+        let saved = stream.resume_cost(weights) - stream.move_cost(weights);
+        let link_ms = stream.move_ms(weights);
+        if saved > 0.0 && link_ms > 0.0 {
+            movers.push((saved / link_ms, index));
+        }
+    }
+    movers.sort_by(|left, right| right.0.total_cmp(&left.0).then(left.1.cmp(&right.1)));
+    let mut link_left_ms = usable_ms;
+    for (_, index) in movers {
+        let link_ms = streams[index].move_ms(weights);
+        if link_ms <= link_left_ms {
+            link_left_ms -= link_ms;
+            ways[index] = ReclaimWay::Move;
+        }
+    }
+    streams
+        .iter()
+        .zip(ways)
+        .map(|(stream, way)| (stream.name.clone(), way))
+        .collect()
+}
--- /dev/null
+++ b/src/errors.rs
@@ -0,0 +1,56 @@
+//! Errors carry the step and the peer at which they arose.
+
+use derive_more::{Display, Error};
+
+use crate::ids::SharedName;
+
+/// What went wrong, apart from where.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum FailureCause {
+    /// No connection could be made: nothing was sent.
+    #[display("connection refused: {_0}")]
+    Unreachable(#[error(not(source))] String),
+    /// The peer did not answer in time; it may have acted.
+    #[display("no answer within {_0} ms")]
+    TimedOut(#[error(not(source))] u64),
+    /// The connection broke after the request was begun.
+    #[display("connection broke: {_0}")]
+    Broken(#[error(not(source))] String),
+    /// The peer answered with a status that means failure.
+    #[display("answered status {_0}")]
+    Status(#[error(not(source))] u16),
+    /// The peer's answer could not be decoded.
+    #[display("malformed answer: {_0}")]
+    Malformed(#[error(not(source))] String),
+    /// A conditional write lost against another.
+    #[display("version conflict")]
+    Conflict,
+    /// The peer is of another deployment or an unknown protocol version.
+    #[display("peer refused: {_0}")]
+    Refused(#[error(not(source))] String),
+}
+
+/// A failed step: what was being done, with whom, and why it failed.
+#[derive(Clone, Debug, Display, Error)]
+#[display("{step} at {peer}: {cause}")]
+pub struct StepError {
+    /// What was being done, as a short verb phrase.
+    pub step: &'static str,
+    /// Address or name of the other side.
+    #[error(not(source))]
+    pub peer: SharedName,
+    /// Why it failed.
+    #[error(source)]
+    pub cause: FailureCause,
+}
+
+impl StepError {
+    /// Error of `step` at `peer`.
+    pub fn new(step: &'static str, peer: impl Into<SharedName>, cause: FailureCause) -> Self {
+        Self {
+            step,
+            peer: peer.into(),
+            cause,
+        }
+    }
+}
--- /dev/null
+++ b/src/http/server.rs
@@ -0,0 +1,116 @@
+//! Server loop: accepts connections and answers each request with a handler.
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+
+use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net::TcpListener, sync::watch};
+
+use super::AnswerBody;
+use crate::{
+    errors::{FailureCause, StepError},
+    kernel::LifePhase,
+};
+
+/// Longest time a caller may take to send a request head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
+/// Largest request head, in bytes.
+const HEAD_LIMIT: usize = 32 * 1024;
+/// Most connections open at once; more wait in the listen queue.
+const CONNECTION_LIMIT: usize = 8_192;
+
+/// Marker on an answer: close the connection instead of sending it.
+#[derive(Clone, Copy, Debug)]
+pub struct CloseConnection;
+
+/// Binds `address`.
+pub async fn bind(address: SocketAddr) -> Result<TcpListener, StepError> {
+    TcpListener::bind(address).await.map_err(|error| {
+        let cause = FailureCause::Unreachable(error.to_string());
+        StepError::new("bind", address.to_string(), cause)
+    })
+}
+
+/// Serves `listener` until the phase is `Stopping`; while draining, connections close
+/// after the answer in progress.
+pub async fn serve<H, F>(listener: TcpListener, mut phase: watch::Receiver<LifePhase>, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            // NOTE: out of descriptors; accepting again at once would spin.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        if open.get() >= CONNECTION_LIMIT {
+            drop(stream);
+            continue;
+        }
+        let _ = stream.set_nodelay(true);
+        let guard = OpenGuard::new(open.clone());
+        let connection = serve_connection(stream, phase.clone(), handler.clone());
+        tokio::task::spawn_local(async move {
+            let _guard = guard;
+            connection.await;
+        });
+    }
+}
+
+async fn serve_connection<H, F>(
+    stream: tokio::net::TcpStream,
+    mut phase: watch::Receiver<LifePhase>,
+    handler: H,
+) where
+    H: Fn(Request<Incoming>) -> F + Clone + 'static,
+    F: Future<Output = Response<AnswerBody>> + 'static,
+{
+    let service = service_fn(move |request| {
+        let answer = handler(request);
+        async move {
+            let answer = answer.await;
+            match answer.extensions().get::<CloseConnection>() {
+                Some(_) => Err(std::io::Error::other("closed instead of answering")),
+                None => Ok(answer),
+            }
+        }
+    });
+    let mut builder = http1::Builder::new();
+    builder
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_LIMIT);
+    let connection = builder.serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = phase.wait_for(|phase| *phase >= LifePhase::Draining) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    tokio::select! {
+        _ = connection.as_mut() => {}
+        _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => {}
+    }
+}
+
+/// Counts one open connection for as long as it lives.
+struct OpenGuard(Rc<Cell<usize>>);
+
+impl OpenGuard {
+    fn new(open: Rc<Cell<usize>>) -> Self {
+        open.set(open.get() + 1);
+        Self(open)
+    }
+}
+
+impl Drop for OpenGuard {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/src/kernel.rs
@@ -0,0 +1,240 @@
+//! Micro-kernel: starts services, lets them find each other by name, drains and
+//! stops them.
+//!
+//! A service is a task on the process's one runtime thread that owns its state and
+//! reads typed messages from its inbox. A service that ends before the kernel has
+//! told it to stop, by return or by panic, ends the whole daemon: it is never left
+//! half alive.
+
+use std::{any::Any, cell::RefCell, collections::HashMap, future::Future, rc::Rc};
+
+use derive_more::{Display, Error};
+use tokio::{
+    sync::{mpsc, watch},
+    task::{JoinError, JoinSet},
+};
+
+/// Messages that may wait in one inbox before senders are told it is full.
+const INBOX_CAPACITY: usize = 16_384;
+
+/// Name under which a service is found.
+pub type ServiceName = &'static str;
+
+/// Receiving end of a service's mailbox.
+pub type ServiceInbox<M> = mpsc::Receiver<M>;
+
+/// Where the daemon stands on its way out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum LifePhase {
+    /// Serves.
+    Running,
+    /// Takes nothing new, finishes what it has.
+    Draining,
+    /// Everything ends now.
+    Stopping,
+}
+
+/// A message could not be delivered.
+#[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
+pub enum SendError {
+    /// The inbox is full: the service is overloaded.
+    #[display("service {_0} is overloaded")]
+    Full(#[error(not(source))] ServiceName),
+    /// The service has ended.
+    #[display("service {_0} has ended")]
+    Ended(#[error(not(source))] ServiceName),
+    /// No service of that name takes messages of this type.
+    #[display("no service {_0} for this message type")]
+    Missing(#[error(not(source))] ServiceName),
+}
+
+/// Sending end of a service's mailbox.
+#[derive(Debug)]
+pub struct ServiceAddress<M> {
+    name: ServiceName,
+    sender: mpsc::Sender<M>,
+}
+
+impl<M> Clone for ServiceAddress<M> {
+    fn clone(&self) -> Self {
+        Self {
+            name: self.name,
+            sender: self.sender.clone(),
+        }
+    }
+}
+
+impl<M> ServiceAddress<M> {
+    /// Delivers `message` without waiting.
+    pub fn send(&self, message: M) -> Result<(), SendError> {
+        self.sender.try_send(message).map_err(|error| match error {
+            mpsc::error::TrySendError::Full(_) => SendError::Full(self.name),
+            mpsc::error::TrySendError::Closed(_) => SendError::Ended(self.name),
+        })
+    }
+
+    /// Delivers the message made from a reply channel and waits for the reply.
+    pub async fn ask<R>(
+        &self,
+        make: impl FnOnce(tokio::sync::oneshot::Sender<R>) -> M,
+    ) -> Result<R, SendError> {
+        let (reply, answer) = tokio::sync::oneshot::channel();
+        self.send(make(reply))?;
+        answer.await.map_err(|_| SendError::Ended(self.name))
+    }
+}
+
+/// Why the kernel ended.
+#[derive(Debug, Display, PartialEq, Eq)]
+pub enum KernelExit {
+    /// The daemon was told to stop and did.
+    #[display("stopped")]
+    Stopped,
+    /// A service panicked.
+    #[display("service {_0} panicked")]
+    Panicked(String),
+    /// A service returned while the daemon was running.
+    #[display("service {_0} ended early")]
+    EndedEarly(ServiceName),
+}
+
+type Directory = HashMap<ServiceName, Box<dyn Any>>;
+
+/// Handle through which services find each other and see the life phase.
+#[derive(Clone)]
+pub struct KernelHandle {
+    directory: Rc<RefCell<Directory>>,
+    phase: watch::Sender<LifePhase>,
+    failures: mpsc::UnboundedSender<String>,
+}
+
+impl KernelHandle {
+    /// Address of the service `name`, which must take messages of type `M`.
+    pub fn find<M: 'static>(&self, name: ServiceName) -> Result<ServiceAddress<M>, SendError> {
+        let directory = self.directory.borrow();
+        let entry = directory.get(name).ok_or(SendError::Missing(name))?;
+        let address = entry.downcast_ref::<ServiceAddress<M>>();
+        address.cloned().ok_or(SendError::Missing(name))
+    }
+
+    /// Watches the life phase.
+    pub fn phase(&self) -> watch::Receiver<LifePhase> {
+        self.phase.subscribe()
+    }
+
+    /// Moves the daemon to `phase`; phases only go forward.
+    pub fn enter(&self, phase: LifePhase) {
+        self.phase.send_if_modified(|current| {
+            let forward = phase > *current;
+            if forward {
+                *current = phase;
+            }
+            forward
+        });
+    }
+
+    /// Runs a child task of a service; its panic ends the daemon.
+    pub fn spawn(&self, name: ServiceName, task: impl Future<Output = ()> + 'static) {
+        let failures = self.failures.clone();
+        let handle = tokio::task::spawn_local(task);
+        tokio::task::spawn_local(async move {
+            if handle.await.is_err_and(|error| error.is_panic()) {
+                // NOTE: the kernel may already be gone; then there is nobody to tell.
+                let _ = failures.send(format!("{name} (child task)"));
+            }
+        });
+    }
+}
+
+/// Owner of all services of one daemon.
+pub struct ServiceKernel {
+    handle: KernelHandle,
+    tasks: JoinSet<ServiceName>,
+    names: HashMap<tokio::task::Id, ServiceName>,
+    failures: mpsc::UnboundedReceiver<String>,
+}
+
+impl Default for ServiceKernel {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl ServiceKernel {
+    /// Kernel without services. Must be driven inside a `tokio::task::LocalSet`.
+    pub fn new() -> Self {
+        let (failure_sender, failures) = mpsc::unbounded_channel();
+        let handle = KernelHandle {
+            directory: Rc::default(),
+            phase: watch::Sender::new(LifePhase::Running),
+            failures: failure_sender,
+        };
+        Self {
+            handle,
+            tasks: JoinSet::new(),
+            names: HashMap::new(),
+            failures,
+        }
+    }
+
+    /// Handle to pass to services.
+    pub fn handle(&self) -> KernelHandle {
+        self.handle.clone()
+    }
+
+    /// Registers the mailbox of `name` before its task starts, so that services may
+    /// find each other in any order.
+    pub fn register<M: 'static>(&mut self, name: ServiceName) -> ServiceInbox<M> {
+        let (sender, inbox) = mpsc::channel(INBOX_CAPACITY);
+        let address = ServiceAddress { name, sender };
+        self.handle
+            .directory
+            .borrow_mut()
+            .insert(name, Box::new(address));
+        inbox
+    }
+
+    /// Starts the task of the service `name`.
+    pub fn start(&mut self, name: ServiceName, task: impl Future<Output = ()> + 'static) {
+        let started = self.tasks.spawn_local(async move {
+            task.await;
+            name
+        });
+        self.names.insert(started.id(), name);
+    }
+
+    /// Runs until the daemon has stopped or a service has failed.
+    pub async fn run(mut self) -> KernelExit {
+        let mut phase = self.handle.phase();
+        loop {
+            tokio::select! {
+                ended = self.tasks.join_next_with_id() => match ended {
+                    None => return KernelExit::Stopped,
+                    Some(result) => if let Some(exit) = self.judge(result) { return exit },
+                },
+                Some(name) = self.failures.recv() => return KernelExit::Panicked(name),
+                _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => {
+                    self.tasks.shutdown().await;
+                    return KernelExit::Stopped;
+                }
+            }
+        }
+    }
+
+    fn judge(
+        &self,
+        result: Result<(tokio::task::Id, ServiceName), JoinError>,
+    ) -> Option<KernelExit> {
+        match result {
+            Ok((_, name)) => {
+                let running = *self.handle.phase.borrow() == LifePhase::Running;
+                running.then_some(KernelExit::EndedEarly(name))
+            }
+            Err(error) if error.is_panic() => {
+                let name = self.names.get(&error.id()).copied().unwrap_or("unnamed");
+                Some(KernelExit::Panicked(name.to_owned()))
+            }
+            Err(_) => None,
+        }
+    }
+}
--- /dev/null
+++ b/src/options.rs
@@ -0,0 +1,8 @@
+//! Settings and table rows: parsed, checked and merged with defaults in one place.
+//!
+//! Every problem of a file is reported at once, each naming the offending key, its
+//! value and what is allowed there.
+
+pub mod check;
+pub mod rows;
+pub mod settings;
--- /dev/null
+++ b/src/options/rows.rs
@@ -0,0 +1,209 @@
+//! Rows of the operators' table: one per client account or service.
+
+use std::{collections::HashMap, sync::Arc};
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use super::check::{FieldReader, OptionError};
+use crate::ids::SharedName;
+
+/// Fields of a row's object that mark who wrote it last; they are not part of the row.
+pub const EDIT_FIELDS: [&str; 2] = ["edit_id", "applied"];
+/// Largest weight, share or limit that a row may hold.
+const LARGEST_LIMIT: f64 = 1e9;
+
+/// What a service's endpoints speak.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum ServiceType {
+    /// Model engines: completions, streamed token by token.
+    Model,
+    /// Plain HTTP.
+    Plain,
+}
+
+/// Row of a client account.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AccountRow {
+    /// Name of the account.
+    pub name: SharedName,
+    /// Bearer key that its callers present.
+    pub api_key: SharedName,
+    /// Relative weight when capacity is short.
+    pub weight: f64,
+    /// Most tokens a second over all daemons; plain calls count as one token.
+    pub tokens_per_s: f64,
+}
+
+/// Row of a service.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ServiceRow {
+    /// Name of the service; callers give it as the model or in the path.
+    pub name: SharedName,
+    /// What its endpoints speak.
+    pub service_type: ServiceType,
+    /// Whether its calls may be repeated.
+    pub repeatable: bool,
+    /// Most requests one endpoint is given at a time.
+    pub concurrency: u32,
+    /// Fewest VMs to hold.
+    pub min_vms: u32,
+    /// Most VMs to hold.
+    pub max_vms: u32,
+    /// Target for the first token or the answer, in milliseconds.
+    pub target_ms: f64,
+    /// What a recomputed token weighs, in thousandths of a cost unit.
+    pub recompute_weight: f64,
+}
+
+/// One row of the table.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "lowercase")]
+pub enum TableRow {
+    /// Client account.
+    Account(AccountRow),
+    /// Service.
+    Service(ServiceRow),
+}
+
+impl TableRow {
+    /// Name of the row's object, unique over both kinds.
+    pub fn object_name(&self) -> String {
+        match self {
+            Self::Account(row) => format!("account.{}", row.name),
+            Self::Service(row) => format!("service.{}", row.name),
+        }
+    }
+
+    /// Checks `value` as a row; `prefix` heads the keys in errors.
+    pub fn parse(value: &Value, prefix: &str) -> Result<Self, Vec<OptionError>> {
+        let mut reader = FieldReader::new(value, prefix).map_err(|error| vec![error])?;
+        let is_account = reader.choice("kind", &[("service", false), ("account", true)]);
+        for field in EDIT_FIELDS {
+            reader.ignore(field);
+        }
+        let row = if is_account {
+            Self::Account(read_account(&mut reader))
+        } else {
+            Self::Service(read_service(&mut reader))
+        };
+        let errors = reader.finish();
+        if errors.is_empty() {
+            Ok(row)
+        } else {
+            Err(errors)
+        }
+    }
+}
+
+fn read_account(reader: &mut FieldReader<'_>) -> AccountRow {
+    AccountRow {
+        name: reader.name("name"),
+        api_key: reader.name("api_key"),
+        weight: reader.number("weight", 0.001..=LARGEST_LIMIT, 1.0),
+        tokens_per_s: reader.number("tokens_per_s", 0.0..=LARGEST_LIMIT, LARGEST_LIMIT),
+    }
+}
+
+fn read_service(reader: &mut FieldReader<'_>) -> ServiceRow {
+    let types = [("model", ServiceType::Model), ("plain", ServiceType::Plain)];
+    let row = ServiceRow {
+        name: reader.name("name"),
+        service_type: reader.choice("service_type", &types),
+        repeatable: reader.flag("repeatable", true),
+        concurrency: reader.count("concurrency", 1..=100_000, 32) as u32,
+        min_vms: reader.count("min_vms", 0..=100_000, 0) as u32,
+        max_vms: reader.count("max_vms", 0..=100_000, 100_000) as u32,
+        target_ms: reader.number("target_ms", 1.0..=3_600_000.0, 560.0),
+        recompute_weight: reader.number("recompute_weight", 0.0..=1e6, 1.0),
+    };
+    if row.service_type == ServiceType::Model && !row.repeatable {
+        reader.reject(
+            "repeatable",
+            "true for a model service: its streams are resumed",
+        );
+    }
+    if row.max_vms < row.min_vms {
+        reader.reject("max_vms", format!("at least min_vms ({})", row.min_vms));
+    }
+    row
+}
+
+/// Checks a whole table given as a JSON list of rows.
+pub fn parse_table(value: &Value) -> Result<Vec<TableRow>, Vec<OptionError>> {
+    let Some(items) = value.as_array() else {
+        let shown = value.to_string();
+        let allowed = "a JSON list of rows".into();
+        return Err(vec![OptionError {
+            key: "(whole file)".into(),
+            value: shown,
+            allowed,
+        }]);
+    };
+    let mut rows = Vec::new();
+    let mut errors = Vec::new();
+    for (index, item) in items.iter().enumerate() {
+        match TableRow::parse(item, &format!("rows[{index}]")) {
+            Ok(row) => rows.push(row),
+            Err(found) => errors.extend(found),
+        }
+    }
+    if errors.is_empty() {
+        Ok(rows)
+    } else {
+        Err(errors)
+    }
+}
+
+/// The table as requests see it: immutable, replaced whole when a row changes.
+#[derive(Clone, Debug, Default)]
+pub struct TableSnapshot {
+    accounts_by_key: HashMap<SharedName, Arc<AccountRow>>,
+    services: HashMap<SharedName, Arc<ServiceRow>>,
+}
+
+impl TableSnapshot {
+    /// Snapshot of `rows`.
+    pub fn new(rows: impl IntoIterator<Item = TableRow>) -> Self {
+        let mut snapshot = Self::default();
+        for row in rows {
+            match row {
+                TableRow::Account(row) => {
+                    snapshot
+                        .accounts_by_key
+                        .insert(row.api_key.clone(), Arc::new(row));
+                }
+                TableRow::Service(row) => {
+                    snapshot.services.insert(row.name.clone(), Arc::new(row));
+                }
+            }
+        }
+        snapshot
+    }
+
+    /// Account that presents `api_key`.
+    pub fn account(&self, api_key: &str) -> Option<Arc<AccountRow>> {
+        self.accounts_by_key.get(api_key).cloned()
+    }
+
+    /// Service of that name.
+    pub fn service(&self, name: &str) -> Option<Arc<ServiceRow>> {
+        self.services.get(name).cloned()
+    }
+
+    /// All client accounts, in no particular order.
+    pub fn accounts(&self) -> impl Iterator<Item = &Arc<AccountRow>> {
+        self.accounts_by_key.values()
+    }
+
+    /// All services, in no particular order.
+    pub fn services(&self) -> impl Iterator<Item = &Arc<ServiceRow>> {
+        self.services.values()
+    }
+
+    /// Whether no row is known: then nothing can be served.
+    pub fn is_empty(&self) -> bool {
+        self.accounts_by_key.is_empty() && self.services.is_empty()
+    }
+}
--- /dev/null
+++ b/src/peer/server.rs
@@ -0,0 +1,452 @@
+//! The gate at which other daemons knock, and what they may ask for.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use capnp::Error;
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::timeout,
+};
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+use super::{PROTOCOL_VERSION, client::LocalIdentity, codec, is_compatible};
+use crate::{
+    cluster::{
+        averaging::AccountValues,
+        core::{ClusterEvent, PeerTarget},
+        members::MemberRecord,
+        service::ClusterMessage,
+    },
+    ids::IncarnationId,
+    kernel::{LifePhase, SendError},
+    peer_capnp::{ConsentVerdict as WireVerdict, gate, hello, peer},
+    request::{
+        call::CallerCall,
+        store::OfferVerdict,
+        tickets::{ConsentVerdict, SealVerdict, TicketId},
+    },
+    serve::{
+        context::ServeContext, limit_service::LimitMessage, once, store_service::RequestMessage,
+        ticket_service::TicketMessage,
+    },
+};
+
+/// Longest time that a peer may have an attach call wait.
+const ATTACH_LIMIT: Duration = Duration::from_secs(5);
+
+/// Writes the hello of `identity`.
+pub fn write_hello(mut builder: hello::Builder<'_>, identity: &LocalIdentity) {
+    builder.set_deployment(&*identity.deployment);
+    builder.set_version(PROTOCOL_VERSION);
+    builder.set_incarnation(identity.incarnation.0);
+    builder.set_address(&*identity.address);
+    builder.set_zone(&*identity.zone);
+}
+
+/// Reads what a peer says of itself.
+pub fn read_record(hello: hello::Reader<'_>) -> Result<MemberRecord, Error> {
+    Ok(MemberRecord {
+        address: codec::read_name(hello.get_address()?)?,
+        zone: codec::read_name(hello.get_zone()?)?,
+        leaving: false,
+    })
+}
+
+/// Reads a verdict on consent.
+pub fn read_verdict(verdict: WireVerdict) -> ConsentVerdict {
+    match verdict {
+        WireVerdict::Granted => ConsentVerdict::Granted,
+        WireVerdict::Sealed => ConsentVerdict::Sealed,
+        WireVerdict::AlreadyGranted => ConsentVerdict::AlreadyGranted,
+    }
+}
+
+fn write_verdict(verdict: ConsentVerdict) -> WireVerdict {
+    match verdict {
+        ConsentVerdict::Granted => WireVerdict::Granted,
+        ConsentVerdict::Sealed => WireVerdict::Sealed,
+        ConsentVerdict::AlreadyGranted => WireVerdict::AlreadyGranted,
+    }
+}
+
+/// Reads values by account.
+pub fn read_values(
+    accounts: capnp::text_list::Reader<'_>,
+    values: capnp::primitive_list::Reader<'_, f64>,
+) -> Result<AccountValues, Error> {
+    let pairs = accounts.iter().zip(values.iter());
+    pairs
+        .map(|(account, value)| {
+            let sound = value.is_finite() && value >= 0.0;
+            let account = codec::read_name(account?)?;
+            if sound {
+                Ok((account, value))
+            } else {
+                Err(Error::failed("malformed value".into()))
+            }
+        })
+        .collect()
+}
+
+fn overloaded(error: SendError) -> Error {
+    Error::overloaded(error.to_string())
+}
+
+fn read_ticket(text: capnp::text::Reader<'_>) -> Result<TicketId, Error> {
+    let text = text
+        .to_str()
+        .map_err(|_| Error::failed("malformed ticket".into()))?;
+    text.parse()
+        .map_err(|_| Error::failed("malformed ticket".into()))
+}
+
+/// Serves the gate on `listener` until the daemon stops.
+pub async fn serve(listener: TcpListener, context: Rc<ServeContext>) {
+    let mut phase = context.kernel.phase();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let connection = serve_connection(stream, context.clone());
+                tokio::task::spawn_local(connection);
+            }
+            // NOTE: out of descriptors; accepting again at once would spin.
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
+async fn serve_connection(stream: TcpStream, context: Rc<ServeContext>) {
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let network = twoparty::VatNetwork::new(
+        futures::io::BufReader::new(reader.compat()),
+        futures::io::BufWriter::new(writer.compat_write()),
+        Side::Server,
+        Default::default(),
+    );
+    let door: gate::Client = capnp_rpc::new_client(GateServer { context });
+    // NOTE: a peer that breaks off or sends garbage ends only its own connection.
+    let _ = RpcSystem::new(Box::new(network), Some(door.client)).await;
+}
+
+struct GateServer {
+    context: Rc<ServeContext>,
+}
+
+impl gate::Server for GateServer {
+    async fn hello(
+        self: Rc<Self>,
+        params: gate::HelloParams,
+        mut results: gate::HelloResults,
+    ) -> Result<(), Error> {
+        let hello = params.get()?.get_hello()?;
+        let identity = &self.context.identity;
+        let deployment = hello
+            .get_deployment()?
+            .to_str()
+            .unwrap_or("(not text)")
+            .to_owned();
+        if deployment != *identity.deployment {
+            self.context
+                .refused_peer(&format!("deployment {deployment}"));
+            return Err(Error::failed(format!(
+                "this is deployment {}",
+                identity.deployment
+            )));
+        }
+        let version = hello.get_version();
+        if !is_compatible(version) {
+            self.context
+                .refused_peer(&format!("protocol version {version}"));
+            let message = format!("protocol version {version} is unknown; {PROTOCOL_VERSION} here");
+            return Err(Error::failed(message));
+        }
+        let incarnation = IncarnationId(hello.get_incarnation());
+        let record = read_record(hello)?;
+        let event = ClusterEvent::Greeted(incarnation, record);
+        self.context
+            .cluster
+            .send(ClusterMessage::Event(event))
+            .map_err(overloaded)?;
+        write_hello(results.get().init_hello(), identity);
+        let server = PeerServer {
+            from: incarnation,
+            context: self.context.clone(),
+        };
+        results.get().set_peer(capnp_rpc::new_client(server));
+        Ok(())
+    }
+}
+
+struct PeerServer {
+    from: IncarnationId,
+    context: Rc<ServeContext>,
+}
+
+impl peer::Server for PeerServer {
+    async fn probe(
+        self: Rc<Self>,
+        _params: peer::ProbeParams,
+        mut results: peer::ProbeResults,
+    ) -> Result<(), Error> {
+        results
+            .get()
+            .set_incarnation(self.context.identity.incarnation.0);
+        Ok(())
+    }
+
+    async fn probe_via(
+        self: Rc<Self>,
+        params: peer::ProbeViaParams,
+        mut results: peer::ProbeViaResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let target = PeerTarget {
+            incarnation: IncarnationId(params.get_incarnation()),
+            address: codec::read_name(params.get_address()?)?,
+        };
+        let alive = self.context.pool.probe(&target).await.is_ok();
+        results.get().set_alive(alive);
+        Ok(())
+    }
+
+    async fn push(
+        self: Rc<Self>,
+        params: peer::PushParams,
+        _results: peer::PushResults,
+    ) -> Result<(), Error> {
+        let items = codec::read_items(params.get()?.get_items()?)?;
+        let event = ClusterEvent::Items(Some(self.from), items);
+        self.context
+            .cluster
+            .send(ClusterMessage::Event(event))
+            .map_err(overloaded)
+    }
+
+    async fn summary(
+        self: Rc<Self>,
+        params: peer::SummaryParams,
+        mut results: peer::SummaryResults,
+    ) -> Result<(), Error> {
+        let theirs: Vec<u64> = params.get()?.get_buckets()?.iter().collect();
+        let answer = self
+            .context
+            .cluster
+            .ask(|reply| ClusterMessage::Summary { theirs, reply })
+            .await;
+        let (differing, versions) = answer.map_err(overloaded)?;
+        let mut list = results.get().init_differing(differing.len() as u32);
+        for (index, bucket) in differing.iter().enumerate() {
+            list.set(index as u32, *bucket as u16);
+        }
+        let list = results.get().init_versions(versions.len() as u32);
+        codec::write_versions(list, &versions);
+        Ok(())
+    }
+
+    async fn fetch(
+        self: Rc<Self>,
+        params: peer::FetchParams,
+        mut results: peer::FetchResults,
+    ) -> Result<(), Error> {
+        let wanted = codec::read_versions(params.get()?.get_wanted()?)?;
+        let keys = wanted.into_iter().map(|(key, _)| key).collect();
+        let answer = self
+            .context
+            .cluster
+            .ask(|reply| ClusterMessage::Fetch { keys, reply })
+            .await;
+        let items = answer.map_err(overloaded)?;
+        codec::write_items(results.get().init_items(items.len() as u32), &items);
+        Ok(())
+    }
+
+    async fn offer(
+        self: Rc<Self>,
+        params: peer::OfferParams,
+        mut results: peer::OfferResults,
+    ) -> Result<(), Error> {
+        let copy = codec::read_copy(params.get()?.get_copy()?)?;
+        let answer = self
+            .context
+            .requests
+            .ask(|reply| RequestMessage::Offer { copy, reply })
+            .await;
+        match answer.map_err(overloaded)? {
+            OfferVerdict::Stored => results.get().set_accepted(true),
+            OfferVerdict::Known(known) => {
+                codec::write_copy(results.get().init_known(), &known);
+            }
+        }
+        Ok(())
+    }
+
+    async fn append(
+        self: Rc<Self>,
+        params: peer::AppendParams,
+        mut results: peer::AppendResults,
+    ) -> Result<(), Error> {
+        let copies = params.get()?.get_copies()?;
+        let mut refused = Vec::new();
+        for copy in copies.iter() {
+            let copy = codec::read_copy(copy)?;
+            let name = copy.name.clone();
+            let answer = self
+                .context
+                .requests
+                .ask(|reply| RequestMessage::Offer { copy, reply })
+                .await;
+            if matches!(answer.map_err(overloaded)?, OfferVerdict::Known(_)) {
+                refused.push(name);
+            }
+        }
+        let mut list = results.get().init_superseded(refused.len() as u32);
+        for (index, name) in refused.iter().enumerate() {
+            codec::write_request_name(list.reborrow().get(index as u32), name);
+        }
+        Ok(())
+    }
+
+    async fn attach(
+        self: Rc<Self>,
+        params: peer::AttachParams,
+        mut results: peer::AttachResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let name = codec::read_request_name(params.get_name()?)?;
+        let first_token = params.get_first_token() as usize;
+        let wait = Duration::from_millis(u64::from(params.get_wait_ms())).min(ATTACH_LIMIT);
+        let watch = self.context.requests.ask(|reply| RequestMessage::Watch {
+            name: name.clone(),
+            reply,
+        });
+        let Some(mut progress) = watch.await.map_err(overloaded)? else {
+            return Ok(());
+        };
+        let news = progress.wait_for(|progress| progress.ended || progress.tokens > first_token);
+        let _ = timeout(wait, news).await;
+        let read = self.context.requests.ask(|reply| RequestMessage::Read {
+            name,
+            first_token,
+            reply,
+        });
+        if let Some(copy) = read.await.map_err(overloaded)? {
+            results.get().set_found(true);
+            codec::write_copy(results.get().init_copy(), &copy);
+        }
+        Ok(())
+    }
+
+    async fn run_once(
+        self: Rc<Self>,
+        params: peer::RunOnceParams,
+        mut results: peer::RunOnceResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let ticket = read_ticket(params.get_ticket()?)?;
+        let call: Option<CallerCall> = codec::read_json(params.get_call()?, "call")?;
+        let call = call.ok_or_else(|| Error::failed("no call".into()))?;
+        let settled = once::run_as_holder(&self.context, ticket, Arc::new(call)).await;
+        results.get().set_settled(&codec::to_json(&settled));
+        Ok(())
+    }
+
+    async fn consent(
+        self: Rc<Self>,
+        params: peer::ConsentParams,
+        mut results: peer::ConsentResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let ticket = read_ticket(params.get_ticket()?)?;
+        let own = self.context.identity.incarnation;
+        if ticket.holder != self.from || ticket.witness != own {
+            return Err(Error::failed("not the witness of this ticket".into()));
+        }
+        let answer = self
+            .context
+            .tickets
+            .ask(|reply| TicketMessage::Consent { ticket, reply })
+            .await;
+        results
+            .get()
+            .set_verdict(write_verdict(answer.map_err(overloaded)?));
+        Ok(())
+    }
+
+    async fn seal(
+        self: Rc<Self>,
+        params: peer::SealParams,
+        mut results: peer::SealResults,
+    ) -> Result<(), Error> {
+        let ticket = read_ticket(params.get()?.get_ticket()?)?;
+        if ticket.witness != self.context.identity.incarnation {
+            return Err(Error::failed("not the witness of this ticket".into()));
+        }
+        let answer = self
+            .context
+            .tickets
+            .ask(|reply| TicketMessage::Seal { ticket, reply })
+            .await;
+        match answer.map_err(overloaded)? {
+            SealVerdict::NotDispatched => {}
+            SealVerdict::MayHaveRun => results.get().set_dispatched(true),
+            SealVerdict::Ended(settled) => {
+                results.get().set_dispatched(true);
+                results.get().set_settled(&codec::to_json(&settled));
+            }
+        }
+        Ok(())
+    }
+
+    async fn settle(
+        self: Rc<Self>,
+        params: peer::SettleParams,
+        _results: peer::SettleResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let ticket = read_ticket(params.get_ticket()?)?;
+        let settled = codec::read_json(params.get_settled()?, "settled answer")?;
+        if let Some(settled) = settled.filter(|_| ticket.holder == self.from) {
+            let message = TicketMessage::Settle { ticket, settled };
+            self.context.tickets.send(message).map_err(overloaded)?;
+        }
+        Ok(())
+    }
+
+    async fn average(
+        self: Rc<Self>,
+        params: peer::AverageParams,
+        mut results: peer::AverageResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let epoch = params.get_epoch();
+        let theirs = read_values(params.get_accounts()?, params.get_values()?)?;
+        let answer = self
+            .context
+            .limits
+            .ask(|reply| LimitMessage::Average {
+                epoch,
+                theirs,
+                reply,
+            })
+            .await;
+        let Some(values) = answer.map_err(overloaded)? else {
+            return Ok(());
+        };
+        results.get().set_accepted(true);
+        let mut accounts = results.get().init_accounts(values.len() as u32);
+        for (index, account) in values.keys().enumerate() {
+            accounts.set(index as u32, &**account);
+        }
+        let mut numbers = results.get().init_values(values.len() as u32);
+        for (index, value) in values.values().enumerate() {
+            numbers.set(index as u32, *value);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/platform/messages.rs
@@ -0,0 +1,126 @@
+//! What the platform's services send and take, as JSON.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::ids::SharedName;
+
+/// One object of the object API.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ObjectEntry {
+    /// Name within its kind.
+    pub name: SharedName,
+    /// Revision of the store at which this value was written.
+    pub version: u64,
+    /// Value; absent when the object was deleted.
+    pub value: Option<Value>,
+}
+
+/// Answer to a list or a watch.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ObjectList {
+    /// Revision up to which the entries are complete.
+    pub revision: u64,
+    /// Entries; of a watch, the changes after the revision that was asked from.
+    pub entries: Vec<ObjectEntry>,
+}
+
+/// Version given to an accepted write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WriteReceipt {
+    /// New version of the object.
+    pub version: u64,
+}
+
+/// How a VM is paid for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PriceClass {
+    /// Cheaper, may be reclaimed on seconds of notice.
+    Reclaimable,
+    /// Dearer, stays.
+    OnDemand,
+}
+
+/// State of a VM as the lagging VM list shows it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum VmState {
+    /// Runs.
+    Live,
+    /// Has a notice.
+    Leaving,
+}
+
+/// One line of the VM list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VmEntry {
+    /// Identity of the VM; never used again for another one.
+    pub id: SharedName,
+    /// Name the VM was started under.
+    pub name: SharedName,
+    /// Address its endpoint listens on; may return as another VM's.
+    pub address: SharedName,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// How it is paid for.
+    pub class: PriceClass,
+    /// Service it is an endpoint of; `entry` for an entry VM.
+    pub service: SharedName,
+    /// State, late by the list's lag.
+    pub state: VmState,
+}
+
+/// Name of the service under which the VM list shows entry VMs.
+pub const ENTRY_SERVICE: &str = "entry";
+
+/// Answer of the VM list.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VmList {
+    /// Grows with every change of the list.
+    pub revision: u64,
+    /// All VMs that the list knows.
+    pub vms: Vec<VmEntry>,
+}
+
+/// Notice that a VM will be taken back.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ReclaimNotice {
+    /// Running number of the notice.
+    pub sequence: u64,
+    /// Identity of the VM.
+    pub vm: SharedName,
+    /// Wall-clock time at which the VM goes, in milliseconds since 1970.
+    pub gone_at_ms: u64,
+}
+
+/// Answer to a request for notices.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct NoticeList {
+    /// Notices after the sequence asked from.
+    pub notices: Vec<ReclaimNotice>,
+}
+
+/// Order to start a VM; starting the same name twice starts one VM.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StartOrder {
+    /// Name of the VM.
+    pub name: SharedName,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// How it is paid for.
+    pub class: PriceClass,
+    /// Service it is to be an endpoint of.
+    pub service: SharedName,
+}
+
+/// Price of one VM hour.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct PriceEntry {
+    /// Availability zone.
+    pub zone: SharedName,
+    /// Price class.
+    pub class: PriceClass,
+    /// Cost units for an hour.
+    pub per_hour: f64,
+}
--- /dev/null
+++ b/src/serve/admin.rs
@@ -0,0 +1,249 @@
+//! The operators' port: status, metrics, time line, drain, notices.
+
+use std::rc::Rc;
+
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue};
+use serde::Serialize;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use super::{
+    context::ServeContext,
+    limit_service::LimitMessage,
+    problem::Problem,
+    router::{RouterMessage, RouterStatus},
+    store_service::{RequestMessage, StoreGauge},
+    ticket_service::TicketMessage,
+};
+use crate::{
+    cluster::{
+        core::ClusterEvent,
+        items::{ItemKind, SpreadItem},
+        members::MemberStatus,
+        service::ClusterMessage,
+    },
+    http::{AnswerBody, server, whole_body},
+    ids::{IncarnationId, SharedName},
+    kernel::LifePhase,
+    platform::messages::ReclaimNotice,
+};
+
+/// Name of the service.
+pub const NAME: &str = "admin";
+
+/// One member, as operators see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemberLine {
+    /// Incarnation.
+    pub incarnation: IncarnationId,
+    /// Address of its gate.
+    pub address: SharedName,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// Status.
+    pub status: MemberStatus,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
+/// State of one daemon, as operators see it.
+#[derive(Clone, Debug, Serialize)]
+pub struct DaemonStatus {
+    /// Deployment.
+    pub deployment: SharedName,
+    /// Incarnation.
+    pub incarnation: IncarnationId,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// Life phase.
+    pub phase: String,
+    /// Requests in progress.
+    pub active: usize,
+    /// Request records and copies.
+    pub records: usize,
+    /// Their bytes.
+    pub record_bytes: usize,
+    /// Versions of the table's rows in force here.
+    pub rows: Vec<(SharedName, u64)>,
+    /// Members known.
+    pub members: Vec<MemberLine>,
+    /// Router.
+    pub router: RouterStatus,
+}
+
+/// Serves operators on `listener` until the daemon stops.
+pub async fn run(listener: TcpListener, context: Rc<ServeContext>) {
+    // NOTE: operators are served while the daemon drains; only `Stopping` ends this.
+    let phase = stopping_only(&context);
+    server::serve(listener, phase, move |request| {
+        let context = context.clone();
+        async move { answer(context, request).await }
+    })
+    .await;
+}
+
+fn stopping_only(context: &Rc<ServeContext>) -> tokio::sync::watch::Receiver<LifePhase> {
+    let (sender, receiver) = tokio::sync::watch::channel(LifePhase::Running);
+    let mut phase = context.kernel.phase();
+    context.kernel.spawn(NAME, async move {
+        if phase
+            .wait_for(|phase| *phase == LifePhase::Stopping)
+            .await
+            .is_ok()
+        {
+            sender.send_replace(LifePhase::Stopping);
+        }
+    });
+    receiver
+}
+
+fn json_answer(value: &impl Serialize) -> Response<AnswerBody> {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    let mut response = Response::new(whole_body(body));
+    let kind = HeaderValue::from_static("application/json");
+    response
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
+
+async fn answer(context: Rc<ServeContext>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let path = request.uri().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (&Method::GET, "/status") => json_answer(&status(&context).await),
+        (&Method::GET, "/metrics") => {
+            set_gauges(&context).await;
+            Response::new(whole_body(context.metrics.render()))
+        }
+        (&Method::GET, "/timeline") => {
+            let query = request.uri().query().unwrap_or_default();
+            let subject = query.strip_prefix("subject=").unwrap_or_default();
+            json_answer(&context.timeline.read(subject))
+        }
+        (&Method::POST, "/drain") => {
+            context.kernel.enter(LifePhase::Draining);
+            json_answer(&json!({ "draining": true }))
+        }
+        (&Method::POST, "/notices") => take_notice(&context, request).await,
+        _ => Problem::new(StatusCode::NOT_FOUND, "(path)", "is not served here").into_response(),
+    }
+}
+
+/// Takes a notice that reached only this daemon; it spreads from here.
+async fn take_notice(
+    context: &Rc<ServeContext>,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    use http_body_util::{BodyExt, Limited};
+    const LIMIT: usize = 4_096;
+    let body = Limited::new(request.into_body(), LIMIT).collect().await;
+    let notice = body
+        .ok()
+        .and_then(|body| serde_json::from_slice::<ReclaimNotice>(&body.to_bytes()).ok());
+    let Some(notice) = notice else {
+        return Problem::bad_request("(body)", "must be a notice").into_response();
+    };
+    let item = SpreadItem::new(ItemKind::Notice, notice.vm.clone(), 1, &notice);
+    let event = ClusterEvent::Items(None, vec![item]);
+    match context.cluster.send(ClusterMessage::Event(event)) {
+        Ok(()) => json_answer(&notice),
+        Err(error) => Problem::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "(daemon)",
+            error.to_string(),
+        )
+        .into_response(),
+    }
+}
+
+async fn store_gauge(context: &ServeContext) -> StoreGauge {
+    context
+        .requests
+        .ask(|reply| RequestMessage::Gauge { reply })
+        .await
+        .unwrap_or_default()
+}
+
+async fn status(context: &Rc<ServeContext>) -> DaemonStatus {
+    let gauge = store_gauge(context).await;
+    let rows = context
+        .cluster
+        .ask(|reply| ClusterMessage::List {
+            kind: ItemKind::Row,
+            reply,
+        })
+        .await
+        .unwrap_or_default();
+    let mut rows: Vec<(SharedName, u64)> = rows
+        .into_iter()
+        .map(|item| (item.key.name, item.version))
+        .collect();
+    rows.sort();
+    let members = context.members();
+    let lines = members.iter().map(|(incarnation, view)| MemberLine {
+        incarnation,
+        address: view.record.address.clone(),
+        zone: view.record.zone.clone(),
+        status: view.status,
+        leaving: view.record.leaving,
+    });
+    let mut lines: Vec<MemberLine> = lines.collect();
+    lines.sort_by(|left, right| left.address.cmp(&right.address));
+    let router = context.router.ask(RouterMessage::Status).await;
+    DaemonStatus {
+        deployment: context.identity.deployment.clone(),
+        incarnation: context.identity.incarnation,
+        zone: context.identity.zone.clone(),
+        phase: format!("{:?}", *context.kernel.phase().borrow()).to_lowercase(),
+        active: context.active.get(),
+        records: gauge.records,
+        record_bytes: gauge.bytes,
+        rows,
+        members: lines,
+        router: router.unwrap_or_default(),
+    }
+}
+
+async fn set_gauges(context: &Rc<ServeContext>) {
+    let metrics = &context.metrics;
+    let gauge = store_gauge(context).await;
+    metrics.gauge("requests_active", context.active.get() as f64);
+    metrics.gauge("request_records", gauge.records as f64);
+    metrics.gauge("request_record_bytes", gauge.bytes as f64);
+    metrics.gauge("platform_calls", context.platform.calls() as f64);
+    metrics.gauge("peer_connections", context.pool.open_count() as f64);
+    let members = context.members();
+    metrics.gauge("members_present", members.present_count() as f64);
+    if let Ok((held, witnessed)) = context
+        .tickets
+        .ask(|reply| TicketMessage::Gauge { reply })
+        .await
+    {
+        metrics.gauge("tickets_held", held as f64);
+        metrics.gauge("tickets_witnessed", witnessed as f64);
+    }
+    let gauge = context
+        .cluster
+        .ask(|reply| ClusterMessage::Gauge { reply })
+        .await;
+    if let Ok((counters, items, bytes)) = gauge {
+        metrics.gauge("spread_items", items as f64);
+        metrics.gauge("spread_item_bytes", bytes as f64);
+        metrics.gauge("members_suspected", counters.suspected as f64);
+        metrics.gauge("members_removed", counters.removed as f64);
+        metrics.gauge("suspicions_refuted", counters.refuted as f64);
+        metrics.gauge("items_stale", counters.stale_items as f64);
+        metrics.gauge("items_fresh", counters.fresh_items as f64);
+    }
+    if let Ok(averages) = context
+        .limits
+        .ask(|reply| LimitMessage::Read { reply })
+        .await
+    {
+        let daemons = members.present_count() as f64;
+        for (account, average) in averages {
+            let name = format!("account_demand_tokens_per_s{{account=\"{account}\"}}");
+            metrics.gauge(&name, average * daemons);
+        }
+    }
+}
--- /dev/null
+++ b/src/serve/attempt.rs
@@ -0,0 +1,303 @@
+//! One attempt at an endpoint: sends the call, takes tokens or the answer, and leaves
+//! when a notice says so.
+
+use std::{rc::Rc, sync::Arc};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::{HeaderMap, Method, Response, body::Incoming};
+use tokio::time::{Duration, timeout};
+
+use super::{
+    context::ServeContext, copies::CopyMessage, router::EndpointSlot, store_service::RequestMessage,
+};
+use crate::{
+    decide::{health::AttemptResult, reclaim::ReclaimWay},
+    endpoint::{EngineOrder, EngineToken, STREAM_END, sse::EventDecoder},
+    errors::{FailureCause, StepError},
+    headers,
+    http::client::OutgoingCall,
+    ids::{AttemptId, RequestName},
+    request::{
+        call::{CallContent, CallerCall, CompletionCall, PlainCall},
+        outcome::{FinalAnswer, NotStartedEvidence, PlainAnswer},
+        store::AnswerToken,
+    },
+};
+
+/// How an attempt ended.
+#[derive(Debug)]
+pub enum AttemptEnd {
+    /// The endpoint's answer is complete.
+    Answered(FinalAnswer),
+    /// The endpoint did not start it.
+    NotStarted(NotStartedEvidence, StepError),
+    /// It failed and may have run.
+    Failed(StepError),
+    /// The endpoint is leaving and the stream goes elsewhere.
+    Leaving(ReclaimWay),
+    /// The request is no longer run here.
+    Superseded,
+}
+
+/// What an attempt works on.
+pub struct AttemptTask<'a> {
+    /// Context.
+    pub context: &'a Rc<ServeContext>,
+    /// Request.
+    pub name: &'a RequestName,
+    /// Term under which it runs here.
+    pub term: u32,
+    /// Call.
+    pub call: &'a Arc<CallerCall>,
+    /// This attempt.
+    pub attempt: AttemptId,
+    /// Endpoint.
+    pub slot: &'a EndpointSlot,
+}
+
+impl AttemptTask<'_> {
+    /// Runs the attempt of a stream that goes on after `tokens`, and adds to them.
+    pub async fn stream(
+        &self,
+        completion: &CompletionCall,
+        tokens: &mut Vec<AnswerToken>,
+    ) -> AttemptEnd {
+        let order = EngineOrder {
+            prompt: completion.prompt.to_string(),
+            max_tokens: completion.max_tokens as usize,
+            seed: completion.seed,
+            resume_tokens: tokens.iter().map(ToString::to_string).collect(),
+        };
+        let body = serde_json::to_vec(&order).unwrap_or_default();
+        let call = self.outgoing(
+            "stream completion",
+            "/v1/completions",
+            "application/json",
+            body,
+        );
+        let end = match self.open(&call).await {
+            Ok(response) => self.take_tokens(response, tokens).await,
+            Err(end) => end,
+        };
+        self.slot.result.set(health_of(&end));
+        end
+    }
+
+    /// Runs the attempt of a plain call.
+    pub async fn plain(&self, plain: &PlainCall) -> AttemptEnd {
+        let body = plain.body.as_bytes().to_vec();
+        let call = self.outgoing("call service", &plain.path, &plain.content_type, body);
+        let end = match self.open(&call).await {
+            Ok(response) => self.take_answer(response).await,
+            Err(end) => end,
+        };
+        self.slot.result.set(health_of(&end));
+        end
+    }
+
+    fn outgoing(
+        &self,
+        step: &'static str,
+        path: &str,
+        content_type: &str,
+        body: Vec<u8>,
+    ) -> OutgoingCall {
+        let mut call = OutgoingCall::get(step, &self.slot.pick.address, path)
+            .with_header("content-type", content_type)
+            .with_header(headers::REQUEST_ID, self.name)
+            .with_header(headers::ATTEMPT_ID, self.attempt);
+        if let Some(trace) = &self.call.traceparent {
+            call = call.with_header(headers::TRACEPARENT, trace);
+        }
+        call.method = Method::POST;
+        call.body = Bytes::from(body);
+        call
+    }
+
+    async fn open(&self, call: &OutgoingCall) -> Result<Response<Incoming>, AttemptEnd> {
+        let limit = self.context.settings.first_token_timeout;
+        let response = self.context.http.open(call, limit).await.map_err(|error| {
+            match NotStartedEvidence::from_error(&error) {
+                Some(evidence) => AttemptEnd::NotStarted(evidence, error),
+                None => AttemptEnd::Failed(error),
+            }
+        })?;
+        if let Some(evidence) = NotStartedEvidence::from_headers(response.headers()) {
+            let cause = FailureCause::Status(response.status().as_u16());
+            return Err(AttemptEnd::NotStarted(
+                evidence,
+                self.error(call.step, cause),
+            ));
+        }
+        if !self.is_own(response.headers()) && response.status().is_success() {
+            self.context.metrics.count("answers_of_other_attempts", 1);
+            let cause = FailureCause::Malformed("answer of another attempt".into());
+            return Err(AttemptEnd::Failed(self.error(call.step, cause)));
+        }
+        Ok(response)
+    }
+
+    fn is_own(&self, answer: &HeaderMap) -> bool {
+        let echoed = answer
+            .get(headers::ATTEMPT_ID)
+            .and_then(|value| value.to_str().ok());
+        echoed == Some(&self.attempt.to_string())
+    }
+
+    fn error(&self, step: &'static str, cause: FailureCause) -> StepError {
+        StepError::new(step, self.slot.pick.address.clone(), cause)
+    }
+
+    async fn take_answer(&self, response: Response<Incoming>) -> AttemptEnd {
+        let step = "read answer";
+        let (head, body) = response.into_parts();
+        let limit = self.context.settings.first_token_timeout;
+        let collected = match timeout(limit, body.collect()).await {
+            Ok(Ok(collected)) => collected,
+            Ok(Err(error)) => {
+                let cause = FailureCause::Broken(error.to_string());
+                return AttemptEnd::Failed(self.error(step, cause));
+            }
+            Err(_) => {
+                let cause = FailureCause::TimedOut(limit.as_millis() as u64);
+                return AttemptEnd::Failed(self.error(step, cause));
+            }
+        };
+        let status = head.status.as_u16();
+        if head.status.is_server_error() && self.call.repeatable {
+            return AttemptEnd::Failed(self.error(step, FailureCause::Status(status)));
+        }
+        let content_type = head.headers.get(hyper::header::CONTENT_TYPE);
+        let content_type = content_type.and_then(|value| value.to_str().ok());
+        AttemptEnd::Answered(FinalAnswer::Plain(PlainAnswer {
+            status,
+            content_type: content_type.unwrap_or("application/octet-stream").into(),
+            body: collected.to_bytes().to_vec(),
+        }))
+    }
+
+    async fn take_tokens(
+        &self,
+        response: Response<Incoming>,
+        tokens: &mut Vec<AnswerToken>,
+    ) -> AttemptEnd {
+        let step = "read stream";
+        if !response.status().is_success() {
+            let cause = FailureCause::Status(response.status().as_u16());
+            return AttemptEnd::Failed(self.error(step, cause));
+        }
+        let mut body = response.into_body();
+        let mut decoder = EventDecoder::default();
+        let mut way = self.slot.way.clone();
+        let mut limit = self.context.settings.first_token_timeout;
+        loop {
+            let frame = tokio::select! {
+                frame = timeout(limit, body.frame()) => frame,
+                way = leave_order(&mut way) => return AttemptEnd::Leaving(way),
+            };
+            let bytes = match self.frame_bytes(frame, limit) {
+                Ok(bytes) => bytes,
+                Err(error) => return AttemptEnd::Failed(error),
+            };
+            let events = match decoder.feed(&bytes) {
+                Ok(events) => events,
+                Err(error) => {
+                    let cause = FailureCause::Malformed(error.to_string());
+                    return AttemptEnd::Failed(self.error(step, cause));
+                }
+            };
+            for event in events {
+                if let Some(end) = self.take_event(&event, tokens).await {
+                    return end;
+                }
+            }
+            if !tokens.is_empty() {
+                limit = self.context.settings.token_timeout;
+            }
+        }
+    }
+
+    fn frame_bytes(
+        &self,
+        frame: Result<
+            Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>,
+            tokio::time::error::Elapsed,
+        >,
+        limit: Duration,
+    ) -> Result<Bytes, StepError> {
+        let step = "read stream";
+        match frame {
+            Err(_) => Err(self.error(step, FailureCause::TimedOut(limit.as_millis() as u64))),
+            Ok(None) => Err(self.error(step, FailureCause::Broken("stream ended early".into()))),
+            Ok(Some(Err(error))) => Err(self.error(step, FailureCause::Broken(error.to_string()))),
+            Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
+        }
+    }
+
+    /// Takes one event of the stream; `Some` if the attempt has ended with it.
+    async fn take_event(&self, event: &str, tokens: &mut Vec<AnswerToken>) -> Option<AttemptEnd> {
+        let step = "read stream";
+        if event == STREAM_END {
+            return Some(AttemptEnd::Answered(FinalAnswer::Streamed));
+        }
+        let Ok(token) = serde_json::from_str::<EngineToken>(event) else {
+            let cause = FailureCause::Malformed("not a token".into());
+            return Some(AttemptEnd::Failed(self.error(step, cause)));
+        };
+        if token.index != tokens.len() {
+            let cause = FailureCause::Malformed(format!("token {} out of order", token.index));
+            return Some(AttemptEnd::Failed(self.error(step, cause)));
+        }
+        let text: AnswerToken = token.text.into();
+        tokens.push(text.clone());
+        self.slot.produced.set(tokens.len());
+        let kept = self.context.requests.ask(|reply| RequestMessage::Append {
+            name: self.name.clone(),
+            term: self.term,
+            token: text,
+            reply,
+        });
+        // NOTE: the copier finds what is new itself; it only has to know where to look.
+        let _ = self
+            .context
+            .copies
+            .send(CopyMessage::Changed(self.name.clone()));
+        match kept.await {
+            Ok(true) => None,
+            Ok(false) | Err(_) => Some(AttemptEnd::Superseded),
+        }
+    }
+}
+
+/// Waits for an order to leave; an order to finish here is none.
+async fn leave_order(way: &mut tokio::sync::watch::Receiver<Option<ReclaimWay>>) -> ReclaimWay {
+    let leaves =
+        |way: &Option<ReclaimWay>| matches!(way, Some(ReclaimWay::Move | ReclaimWay::Resume));
+    match way.wait_for(leaves).await {
+        Ok(found) => found.unwrap_or(ReclaimWay::Resume),
+        Err(_) => std::future::pending().await,
+    }
+}
+
+fn health_of(end: &AttemptEnd) -> AttemptResult {
+    match end {
+        AttemptEnd::Answered(_) => AttemptResult::Succeeded,
+        AttemptEnd::Failed(_) => AttemptResult::Failed,
+        // NOTE: a refused connection counts: nothing listens there.
+        AttemptEnd::NotStarted(_, error) if matches!(error.cause, FailureCause::Unreachable(_)) => {
+            AttemptResult::Failed
+        }
+        AttemptEnd::NotStarted(..) | AttemptEnd::Leaving(_) | AttemptEnd::Superseded => {
+            AttemptResult::Neutral
+        }
+    }
+}
+
+/// Content of a call as a completion, if it is one.
+pub fn as_completion(call: &CallerCall) -> Option<&CompletionCall> {
+    match &call.content {
+        CallContent::Completion(completion) => Some(completion),
+        CallContent::Plain(_) => None,
+    }
+}
--- /dev/null
+++ b/src/serve/context.rs
@@ -0,0 +1,207 @@
+//! What the tasks of one daemon share: addresses of its services, views they publish.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    rc::Rc,
+    sync::Arc,
+};
+
+use tokio::sync::watch;
+
+use super::{
+    copies::CopyMessage,
+    limit_service::LimitMessage,
+    metrics::MetricsHandle,
+    router::RouterMessage,
+    store_service::RequestMessage,
+    ticket_service::TicketMessage,
+    timeline::{EventKind, TimelineHandle},
+};
+use crate::{
+    cluster::{core::PeerTarget, members::MemberList, service::ClusterMessage},
+    decide::retries::RetryBudget,
+    http::client::HttpClient,
+    ids::{AttemptId, IncarnationId, RequestName, SharedName},
+    kernel::{KernelHandle, LifePhase, ServiceAddress},
+    options::{rows::TableSnapshot, settings::DaemonSettings},
+    peer::client::{LocalIdentity, PeerPool},
+    platform::client::PlatformClient,
+    request::store::RequestHolder,
+};
+
+/// Everything a request's task needs.
+pub struct ServeContext {
+    /// Kernel, for the life phase and child tasks.
+    pub kernel: KernelHandle,
+    /// Settings.
+    pub settings: DaemonSettings,
+    /// Who this daemon is.
+    pub identity: Rc<LocalIdentity>,
+    /// Connections to peers.
+    pub pool: PeerPool,
+    /// Connections to endpoints.
+    pub http: HttpClient,
+    /// The platform.
+    pub platform: PlatformClient,
+    /// Cluster service.
+    pub cluster: ServiceAddress<ClusterMessage>,
+    /// Request store.
+    pub requests: ServiceAddress<RequestMessage>,
+    /// Ticket ledgers.
+    pub tickets: ServiceAddress<TicketMessage>,
+    /// Router.
+    pub router: ServiceAddress<RouterMessage>,
+    /// Copier.
+    pub copies: ServiceAddress<CopyMessage>,
+    /// Limiter.
+    pub limits: ServiceAddress<LimitMessage>,
+    /// Table in force.
+    pub table: watch::Receiver<Arc<TableSnapshot>>,
+    /// Member list in force.
+    pub members: watch::Receiver<Rc<MemberList>>,
+    /// Counters and histograms.
+    pub metrics: MetricsHandle,
+    /// Time line.
+    pub timeline: TimelineHandle,
+    /// Requests in progress.
+    pub active: Cell<usize>,
+    /// Requests whose state is being mirrored from their holder.
+    pub mirrors: RefCell<HashSet<RequestName>>,
+    /// Attempts begun so far.
+    pub attempts: Cell<u64>,
+    /// Retry budgets by service.
+    pub budgets: RefCell<HashMap<SharedName, RetryBudget>>,
+}
+
+impl ServeContext {
+    /// Table as it is now.
+    pub fn table(&self) -> Arc<TableSnapshot> {
+        self.table.borrow().clone()
+    }
+
+    /// Members as known now.
+    pub fn members(&self) -> Rc<MemberList> {
+        self.members.borrow().clone()
+    }
+
+    /// This daemon as a holder of requests.
+    pub fn holder(&self) -> RequestHolder {
+        RequestHolder {
+            incarnation: self.identity.incarnation,
+            address: self.identity.address.clone(),
+        }
+    }
+
+    /// Number for a new attempt.
+    pub fn next_attempt(&self) -> AttemptId {
+        let sequence = self.attempts.get() + 1;
+        self.attempts.set(sequence);
+        AttemptId {
+            incarnation: self.identity.incarnation,
+            sequence,
+        }
+    }
+
+    /// Uses the retry budget of a service.
+    pub fn budget(&self, service: &SharedName, act: impl FnOnce(&mut RetryBudget) -> bool) -> bool {
+        act(self
+            .budgets
+            .borrow_mut()
+            .entry(service.clone())
+            .or_default())
+    }
+
+    /// Target of a member that has not been removed.
+    pub fn target(&self, incarnation: IncarnationId) -> Option<PeerTarget> {
+        let members = self.members.borrow();
+        let view = members.get(incarnation).filter(|view| view.is_present())?;
+        Some(PeerTarget {
+            incarnation,
+            address: view.record.address.clone(),
+        })
+    }
+
+    /// Whether this daemon takes no new work.
+    pub fn is_leaving(&self) -> bool {
+        *self.kernel.phase().borrow() >= LifePhase::Draining
+    }
+
+    /// Daemons that keep copies of the request `name` beside this one: the first of its
+    /// placement, in other availability zones as far as there are any.
+    ///
+    /// One more is placed than copied to, so that two daemons which each skip
+    /// themselves still have a copy holder in common.
+    pub fn copy_targets(&self, name: &RequestName) -> Vec<PeerTarget> {
+        let key = name.to_string();
+        let placed = self
+            .members
+            .borrow()
+            .placed_for(key.as_bytes(), self.settings.copies + 1);
+        let others = placed
+            .into_iter()
+            .filter(|placed| *placed != self.identity.incarnation);
+        others
+            .take(self.settings.copies)
+            .filter_map(|placed| self.target(placed))
+            .collect()
+    }
+
+    /// Witness for a new ticket: a daemon in another availability zone if there is one,
+    /// this daemon itself where it is alone.
+    pub fn choose_witness(&self) -> IncarnationId {
+        let own = self.identity.incarnation;
+        let members = self.members.borrow();
+        let point = crate::ids::hash_parts(&[&self.attempts.get().to_le_bytes()]);
+        let mut fallback = None;
+        for incarnation in members.successors(point, members.present_count(), own) {
+            let Some(view) = members.get(incarnation).filter(|view| view.takes_work()) else {
+                continue;
+            };
+            if view.record.zone != self.identity.zone {
+                return incarnation;
+            }
+            fallback = fallback.or(Some(incarnation));
+        }
+        fallback.unwrap_or(own)
+    }
+
+    /// Notes that a peer was refused at the gate.
+    pub fn refused_peer(&self, what: &str) {
+        self.metrics.count("peers_refused", 1);
+        spdlog::warn!("peer refused: {}", what, kv: { service = "gate" });
+    }
+
+    /// Notes an event of a request.
+    pub fn note(&self, kind: EventKind, name: &RequestName, detail: impl Into<String>) {
+        self.timeline
+            .record(kind, Some(name.to_string().into()), detail.into());
+    }
+
+    /// Notes an event of something other than a request.
+    pub fn note_subject(&self, kind: EventKind, subject: &SharedName, detail: impl Into<String>) {
+        self.timeline
+            .record(kind, Some(subject.clone()), detail.into());
+    }
+}
+
+/// Counts one request in progress for as long as it lives.
+pub struct ActiveRequest {
+    context: Rc<ServeContext>,
+}
+
+impl ActiveRequest {
+    /// Counts one more.
+    pub fn new(context: &Rc<ServeContext>) -> Self {
+        context.active.set(context.active.get() + 1);
+        Self {
+            context: context.clone(),
+        }
+    }
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.context.active.set(self.context.active.get() - 1);
+    }
+}
--- /dev/null
+++ b/src/serve/driver.rs
@@ -0,0 +1,307 @@
+//! Runs a request that may be repeated: attempts, retries, moves, until it has ended.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use hyper::Method;
+use tokio::time::{Instant, sleep};
+
+use super::{
+    attempt::{AttemptEnd, AttemptTask, as_completion},
+    context::ServeContext,
+    copies::CopyMessage,
+    router::{EndpointSlot, PickOrder, PickReply, RouterMessage, StreamShape},
+    store_service::RequestMessage,
+    timeline::EventKind,
+};
+use crate::{
+    decide::{
+        prefix::{count_tokens, prefix_chain},
+        reclaim::ReclaimWay,
+        retries::retry_pause,
+    },
+    endpoint::ImportOrder,
+    http::client::OutgoingCall,
+    ids::{RequestName, SharedName},
+    request::{
+        call::{CallContent, CallerCall},
+        outcome::{CallStage, DispatchedCall, FinalAnswer, NotRunReason, UnknownReason},
+        store::AnswerToken,
+    },
+};
+
+/// Most attempts at one request, moves apart.
+const ATTEMPT_LIMIT: u32 = 6;
+/// Longest wait in the queue for an endpoint.
+const QUEUE_WAIT: Duration = Duration::from_secs(20);
+/// Longest wait for the move of a KV cache.
+const MOVE_LIMIT: Duration = Duration::from_secs(20);
+/// When a caller may come back after attempts have failed.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// A request to run under one term.
+pub struct RequestDriver {
+    context: Rc<ServeContext>,
+    name: RequestName,
+    term: u32,
+    call: Arc<CallerCall>,
+    tokens: Vec<AnswerToken>,
+    weight: f64,
+    exclude: Vec<SharedName>,
+    attempts: u32,
+    moves: u32,
+    started_at: Instant,
+}
+
+/// What to do after an attempt.
+enum NextStep {
+    End(FinalAnswer),
+    Again(CallStage),
+    Stop,
+}
+
+impl RequestDriver {
+    /// Driver of a request that goes on after `tokens`.
+    pub fn new(
+        context: Rc<ServeContext>,
+        name: RequestName,
+        term: u32,
+        call: Arc<CallerCall>,
+        tokens: Vec<AnswerToken>,
+    ) -> Self {
+        let table = context.table();
+        let row = table
+            .accounts()
+            .find(|row| row.name == call.account)
+            .cloned();
+        Self {
+            weight: row.map_or(1.0, |row| row.weight),
+            context,
+            name,
+            term,
+            call,
+            tokens,
+            exclude: Vec::new(),
+            attempts: 0,
+            moves: 0,
+            started_at: Instant::now(),
+        }
+    }
+
+    /// Runs the request to its end, unless it is cancelled or superseded.
+    pub async fn run(mut self, stage: CallStage) {
+        let watch = self.context.requests.ask(|reply| RequestMessage::Watch {
+            name: self.name.clone(),
+            reply,
+        });
+        let Ok(Some(mut progress)) = watch.await else {
+            return;
+        };
+        let cancelled = async move {
+            // NOTE: an error means that the record was removed: cancelled too.
+            let _ = progress.wait_for(|progress| progress.ended).await;
+        };
+        let answer = tokio::select! {
+            answer = self.run_attempts(stage) => answer,
+            () = cancelled => None,
+        };
+        if let Some(answer) = answer {
+            self.end(answer);
+        }
+    }
+
+    fn end(&self, answer: FinalAnswer) {
+        let label = answer.label();
+        self.context
+            .metrics
+            .count_labelled("requests_ended", "outcome", label);
+        let took = self.started_at.elapsed().as_millis();
+        let detail = format!(
+            "{label}; {} attempts, {} moves, {} tokens, {took} ms",
+            self.attempts,
+            self.moves,
+            self.tokens.len()
+        );
+        self.context.note(EventKind::Ended, &self.name, detail);
+        let message = RequestMessage::End {
+            name: self.name.clone(),
+            term: self.term,
+            answer: Arc::new(answer),
+        };
+        if let Err(error) = self.context.requests.send(message) {
+            spdlog::error!("end lost: {}", error, kv: { service = "driver" });
+        }
+        let _ = self
+            .context
+            .copies
+            .send(CopyMessage::Changed(self.name.clone()));
+    }
+
+    async fn run_attempts(&mut self, mut stage: CallStage) -> Option<FinalAnswer> {
+        loop {
+            let slot = match self.pick().await {
+                PickReply::Slot(slot) => slot,
+                PickReply::Busy(wait) => {
+                    return Some(self.give_up(stage, NotRunReason::Overloaded, wait));
+                }
+                PickReply::Nowhere if self.exclude.is_empty() => {
+                    return Some(self.give_up(stage, NotRunReason::NoEndpoint, COME_BACK));
+                }
+                PickReply::Nowhere => {
+                    // NOTE: every endpoint was tried; those tried first may work by now.
+                    self.exclude.clear();
+                    if self.attempts >= ATTEMPT_LIMIT {
+                        return Some(self.give_up(stage, NotRunReason::EndpointRefused, COME_BACK));
+                    }
+                    sleep(retry_pause(self.attempts, &mut rand::rng())).await;
+                    continue;
+                }
+            };
+            self.earn();
+            let dispatched = stage.begin();
+            let end = self.attempt(&slot).await;
+            match self.judge(end, dispatched, slot).await {
+                NextStep::End(answer) => return Some(answer),
+                NextStep::Again(next) => stage = next,
+                NextStep::Stop => return None,
+            }
+        }
+    }
+
+    fn give_up(&self, stage: CallStage, reason: NotRunReason, wait: Duration) -> FinalAnswer {
+        stage.give_up(reason, wait, UnknownReason::AttemptsFailed)
+    }
+
+    fn earn(&mut self) {
+        self.attempts += 1;
+        self.context.metrics.count("attempts", 1);
+        if self.attempts == 1 {
+            self.context.budget(&self.call.service, |budget| {
+                budget.earn();
+                true
+            });
+        }
+    }
+
+    async fn pick(&self) -> PickReply {
+        let completion = as_completion(&self.call);
+        let text = completion.map(|call| format!("{} {}", call.prompt, self.tokens.concat()));
+        let order = PickOrder {
+            service: self.call.service.clone(),
+            account: self.call.account.clone(),
+            weight: self.weight,
+            tokens: self.call.expected_tokens(),
+            chain: text
+                .map(|text| prefix_chain(&text))
+                .unwrap_or_default()
+                .into(),
+            exclude: self.exclude.clone(),
+            deadline: Instant::now() + QUEUE_WAIT,
+            attempt: self.context.next_attempt(),
+            stream: completion.map(|call| StreamShape {
+                name: self.name.clone(),
+                prompt_tokens: count_tokens(&call.prompt),
+                max_tokens: call.max_tokens as usize,
+            }),
+        };
+        let router = &self.context.router;
+        let reply = router
+            .ask(|reply| RouterMessage::Pick(Box::new(order), reply))
+            .await;
+        reply.unwrap_or(PickReply::Busy(COME_BACK))
+    }
+
+    async fn attempt(&mut self, slot: &EndpointSlot) -> AttemptEnd {
+        let detail = format!("attempt {} at VM {}", self.attempts, slot.pick.id);
+        self.context.note(EventKind::Dispatched, &self.name, detail);
+        let call = self.call.clone();
+        let task = AttemptTask {
+            context: &self.context,
+            name: &self.name,
+            term: self.term,
+            call: &call,
+            attempt: slot.attempt(),
+            slot,
+        };
+        match &call.content {
+            CallContent::Completion(completion) => task.stream(completion, &mut self.tokens).await,
+            CallContent::Plain(plain) => task.plain(plain).await,
+        }
+    }
+
+    async fn judge(
+        &mut self,
+        end: AttemptEnd,
+        call: DispatchedCall,
+        slot: EndpointSlot,
+    ) -> NextStep {
+        match end {
+            AttemptEnd::Answered(answer) => NextStep::End(answer),
+            AttemptEnd::Superseded => NextStep::Stop,
+            AttemptEnd::Leaving(way) => {
+                self.leave(way, slot).await;
+                NextStep::Again(CallStage::Dispatched(call.begin_again()))
+            }
+            AttemptEnd::NotStarted(evidence, error) => {
+                self.note_failure(&slot, &error);
+                let stage = call.not_started(evidence);
+                if self.attempts >= ATTEMPT_LIMIT {
+                    let reason = NotRunReason::EndpointRefused;
+                    return NextStep::End(self.give_up(stage, reason, COME_BACK));
+                }
+                NextStep::Again(stage)
+            }
+            AttemptEnd::Failed(error) => {
+                self.note_failure(&slot, &error);
+                let allowed = self
+                    .context
+                    .budget(&self.call.service, |budget| budget.spend());
+                let stage = CallStage::Dispatched(call.begin_again());
+                if !allowed || self.attempts >= ATTEMPT_LIMIT {
+                    return NextStep::End(self.give_up(stage, NotRunReason::NoEndpoint, COME_BACK));
+                }
+                self.context.metrics.count("retries", 1);
+                sleep(retry_pause(self.attempts - 1, &mut rand::rng())).await;
+                NextStep::Again(stage)
+            }
+        }
+    }
+
+    fn note_failure(&mut self, slot: &EndpointSlot, error: &crate::errors::StepError) {
+        self.exclude.push(slot.pick.id.clone());
+        self.context.metrics.count("attempts_failed", 1);
+        self.context
+            .note(EventKind::AttemptFailed, &self.name, error.to_string());
+    }
+
+    /// Leaves an endpoint that is being reclaimed. For a move, the old endpoint's cache
+    /// is imported where the stream will probably go on.
+    async fn leave(&mut self, way: ReclaimWay, slot: EndpointSlot) {
+        self.moves += 1;
+        self.attempts -= 1;
+        let from = slot.pick.address.clone();
+        drop(slot);
+        if way != ReclaimWay::Move {
+            return;
+        }
+        let PickReply::Slot(next) = self.pick().await else {
+            return;
+        };
+        let Some(completion) = as_completion(&self.call) else {
+            return;
+        };
+        let text = format!("{} {}", completion.prompt, self.tokens.concat());
+        let order = ImportOrder {
+            from: from.to_string(),
+            text,
+        };
+        let body = serde_json::to_vec(&order).unwrap_or_default();
+        let call = OutgoingCall::get("move KV cache", &next.pick.address, "/kv/import")
+            .with_json(Method::POST, body);
+        let moved = self.context.http.fetch(&call, MOVE_LIMIT).await;
+        let moved = moved.is_ok_and(|answer| answer.status.is_success());
+        let outcome = if moved { "moved" } else { "failed" };
+        self.context
+            .metrics
+            .count_labelled("cache_moves", "outcome", outcome);
+    }
+}
--- /dev/null
+++ b/src/serve/limit_service.rs
@@ -0,0 +1,193 @@
+//! Service that holds the limits of client accounts together with all other daemons.
+
+use std::{rc::Rc, time::Duration};
+
+use rand::{RngExt, rngs::SmallRng};
+use tokio::{
+    sync::{oneshot, watch},
+    time::{Instant, MissedTickBehavior, interval},
+};
+
+use crate::{
+    cluster::{
+        averaging::{AccountValues, DemandAveraging, EXCHANGE_MS},
+        core::PeerTarget,
+        members::MemberList,
+    },
+    decide::limits::{AccountLimiter, LimitVerdict},
+    ids::{IncarnationId, SharedName},
+    kernel::{ServiceAddress, ServiceInbox},
+    peer::client::PeerPool,
+};
+
+/// Name of the service.
+pub const NAME: &str = "limits";
+
+/// What the service is asked.
+#[derive(Debug)]
+pub enum LimitMessage {
+    /// May `tokens` of an account be used?
+    Admit {
+        /// Account.
+        account: SharedName,
+        /// Tokens expected.
+        tokens: f64,
+        /// Limit over all daemons, in tokens a second.
+        limit: f64,
+        /// Verdict.
+        reply: oneshot::Sender<LimitVerdict>,
+    },
+    /// Tokens that were admitted but not used.
+    Refund {
+        /// Account.
+        account: SharedName,
+        /// Tokens.
+        tokens: f64,
+    },
+    /// A peer begins an exchange of averages.
+    Average {
+        /// Its epoch.
+        epoch: u64,
+        /// Its values.
+        theirs: AccountValues,
+        /// Own values from before, if of the same epoch.
+        reply: oneshot::Sender<Option<AccountValues>>,
+    },
+    /// A peer has answered an exchange.
+    Answered {
+        /// Epoch.
+        epoch: u64,
+        /// Values that were sent.
+        sent: AccountValues,
+        /// Its values.
+        theirs: AccountValues,
+    },
+    /// Averages in force, for operators.
+    Read {
+        /// Averages.
+        reply: oneshot::Sender<AccountValues>,
+    },
+}
+
+struct LimitService {
+    limiter: AccountLimiter,
+    averaging: DemandAveraging,
+    own: IncarnationId,
+    members: watch::Receiver<Rc<MemberList>>,
+    pool: PeerPool,
+    address: ServiceAddress<LimitMessage>,
+    rng: SmallRng,
+}
+
+/// Runs the service of the daemon `own`.
+pub async fn run(
+    mut inbox: ServiceInbox<LimitMessage>,
+    address: ServiceAddress<LimitMessage>,
+    own: IncarnationId,
+    members: watch::Receiver<Rc<MemberList>>,
+    pool: PeerPool,
+) {
+    let mut service = LimitService {
+        limiter: AccountLimiter::default(),
+        averaging: DemandAveraging::default(),
+        own,
+        members,
+        pool,
+        address,
+        rng: rand::make_rng(),
+    };
+    let mut exchange = interval(Duration::from_millis(EXCHANGE_MS));
+    exchange.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            message = inbox.recv() => match message {
+                Some(message) => service.handle(message),
+                None => return,
+            },
+            _ = exchange.tick() => service.exchange(),
+        }
+    }
+}
+
+impl LimitService {
+    // NOTE: whoever asked may have gone meanwhile; then the reply is not wanted any more.
+    fn handle(&mut self, message: LimitMessage) {
+        match message {
+            LimitMessage::Admit {
+                account,
+                tokens,
+                limit,
+                reply,
+            } => {
+                let _ = reply.send(self.limiter.admit(&account, tokens, limit, Instant::now()));
+            }
+            LimitMessage::Refund { account, tokens } => self.limiter.refund(&account, tokens),
+            LimitMessage::Average {
+                epoch,
+                theirs,
+                reply,
+            } => {
+                self.enter_epoch();
+                let _ = reply.send(self.averaging.answer(epoch, &theirs));
+            }
+            LimitMessage::Answered {
+                epoch,
+                sent,
+                theirs,
+            } => {
+                self.averaging.finish(epoch, &sent, &theirs);
+            }
+            LimitMessage::Read { reply } => {
+                let _ = reply.send(self.averaging.result().clone());
+            }
+        }
+    }
+
+    fn enter_epoch(&mut self) {
+        let now = Instant::now();
+        let limiter = &mut self.limiter;
+        if self
+            .averaging
+            .enter(crate::wall_clock_ms(), || limiter.demand(now))
+        {
+            let daemons = self.members.borrow().present_count();
+            self.limiter
+                .set_averages(self.averaging.result().clone(), daemons);
+        }
+    }
+
+    fn exchange(&mut self) {
+        self.enter_epoch();
+        let (epoch, sent) = self.averaging.offer();
+        let Some(target) = self.random_member() else {
+            return;
+        };
+        let (pool, address) = (self.pool.clone(), self.address.clone());
+        tokio::task::spawn_local(async move {
+            // NOTE: a lost exchange is forgotten with its epoch.
+            if let Ok(Some(theirs)) = pool.average(&target, epoch, &sent).await {
+                let _ = address.send(LimitMessage::Answered {
+                    epoch,
+                    sent,
+                    theirs,
+                });
+            }
+        });
+    }
+
+    /// Partners are drawn from a few that stay the same, so that connections can too:
+    /// the ring successors of fixed points make an expanding graph.
+    fn random_member(&mut self) -> Option<PeerTarget> {
+        const PARTNERS: u64 = 6;
+        let index = self.rng.random_range(0..PARTNERS);
+        let point =
+            crate::ids::hash_parts(&[b"partner", &self.own.0.to_le_bytes(), &index.to_le_bytes()]);
+        let members = self.members.borrow();
+        let incarnation = *members.successors(point, 1, self.own).first()?;
+        let view = members.get(incarnation)?;
+        Some(PeerTarget {
+            incarnation,
+            address: view.record.address.clone(),
+        })
+    }
+}
--- /dev/null
+++ b/src/serve/metrics.rs
@@ -0,0 +1,91 @@
+//! Counters, gauges and histograms, shown in the usual text format.
+
+use std::{cell::RefCell, collections::BTreeMap, fmt::Write, rc::Rc, time::Duration};
+
+use hdrhistogram::Histogram;
+
+/// Quantiles shown of each histogram.
+const QUANTILES: [f64; 4] = [0.5, 0.95, 0.99, 0.999];
+/// Significant digits kept.
+const PRECISION: u8 = 2;
+
+#[derive(Debug, Default)]
+struct MetricsState {
+    counters: BTreeMap<String, u64>,
+    gauges: BTreeMap<String, f64>,
+    histograms: BTreeMap<&'static str, Histogram<u64>>,
+}
+
+/// Handle to the daemon's metrics.
+#[derive(Clone, Debug, Default)]
+pub struct MetricsHandle {
+    state: Rc<RefCell<MetricsState>>,
+}
+
+impl MetricsHandle {
+    /// Adds to a counter.
+    pub fn count(&self, name: &str, amount: u64) {
+        let mut state = self.state.borrow_mut();
+        match state.counters.get_mut(name) {
+            Some(counter) => *counter += amount,
+            None => {
+                state.counters.insert(name.to_owned(), amount);
+            }
+        }
+    }
+
+    /// Adds to a counter with one label.
+    pub fn count_labelled(&self, name: &str, label: &str, value: &str) {
+        self.count(&format!("{name}{{{label}=\"{value}\"}}"), 1);
+    }
+
+    /// Sets a gauge.
+    pub fn gauge(&self, name: &str, value: f64) {
+        self.state
+            .borrow_mut()
+            .gauges
+            .insert(name.to_owned(), value);
+    }
+
+    /// Records a duration, in microseconds.
+    pub fn duration(&self, name: &'static str, value: Duration) {
+        let mut state = self.state.borrow_mut();
+        let histogram = state.histograms.entry(name).or_insert_with(new_histogram);
+        histogram.saturating_record(value.as_micros() as u64);
+    }
+
+    /// Value of a counter.
+    pub fn counter(&self, name: &str) -> u64 {
+        self.state.borrow().counters.get(name).copied().unwrap_or(0)
+    }
+
+    /// All metrics as text.
+    pub fn render(&self) -> String {
+        let state = self.state.borrow();
+        let mut text = String::new();
+        // NOTE: writing to a string cannot fail.
+        for (name, value) in &state.counters {
+            let _ = writeln!(text, "willowarch_{name} {value}");
+        }
+        for (name, value) in &state.gauges {
+            let _ = writeln!(text, "willowarch_{name} {value}");
+        }
+        for (name, histogram) in &state.histograms {
+            for quantile in QUANTILES {
+                let micros = histogram.value_at_quantile(quantile);
+                let _ = writeln!(
+                    text,
+                    "willowarch_{name}_us{{quantile=\"{quantile}\"}} {micros}"
+                );
+            }
+            let _ = writeln!(text, "willowarch_{name}_us_count {}", histogram.len());
+        }
+        text
+    }
+}
+
+fn new_histogram() -> Histogram<u64> {
+    const HIGHEST_US: u64 = 3_600_000_000;
+    // NOTE: the arguments are constants within the allowed bounds.
+    Histogram::new_with_max(HIGHEST_US, PRECISION).expect("constant histogram bounds")
+}
--- /dev/null
+++ b/src/serve/once.rs
@@ -0,0 +1,540 @@
+//! Requests that may not be repeated: finds the one daemon that may dispatch them.
+//!
+//! docs/design/at-most-once.md weighs the ways. The right to dispatch is a ticket
+//! (`crate::request::tickets`). A caller may take one beforehand; one that brings its
+//! own key instead costs a conditional create in the object API, which binds the key
+//! to a ticket; one without a key gets a ticket that nobody else knows of.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, sleep, timeout};
+
+use super::{
+    attempt::{AttemptEnd, AttemptTask},
+    context::{ActiveRequest, ServeContext},
+    resume::admit,
+    router::{EndpointSlot, PickOrder, PickReply, RouterMessage},
+    ticket_service::TicketMessage,
+    timeline::EventKind,
+};
+use crate::{
+    errors::FailureCause,
+    ids::{RequestName, SharedName, hash_parts},
+    platform::client::WriteCondition,
+    request::{
+        call::{CallContent, CallerCall},
+        outcome::{CallStage, FinalAnswer, NotRunReason, UndispatchedCall, UnknownReason},
+        tickets::{ConsentVerdict, SealVerdict, SettledAnswer, TicketId, TicketUse},
+    },
+};
+
+/// Kind of the objects that bind a caller's key to a ticket.
+const CLAIM_KIND: &str = "claims";
+/// Longest wait in the queue for an endpoint.
+const QUEUE_WAIT: Duration = Duration::from_secs(10);
+/// Longest time that a holder is waited for.
+const HOLDER_LIMIT: Duration = Duration::from_secs(30);
+/// Time between tries to reach a holder that may have dispatched.
+const HOLDER_RETRY: Duration = Duration::from_millis(200);
+/// Tries to settle a claim whose write's answer was lost.
+const CLAIM_TRIES: u32 = 4;
+/// When a caller may come back.
+const COME_BACK: Duration = Duration::from_secs(1);
+/// Endpoints that may refuse before starting, for one request.
+const REFUSAL_LIMIT: usize = 4;
+
+/// What a request that may not be repeated came to.
+#[derive(Debug)]
+pub enum OnceOutcome {
+    /// Its final answer.
+    Final(FinalAnswer),
+    /// The key was used for another request of the account.
+    KeyReused,
+    /// The key is a ticket of another client account.
+    ForeignTicket,
+}
+
+/// Value of a claim.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ClaimRecord {
+    ticket: String,
+}
+
+/// Issues a ticket to `account`.
+pub async fn issue(context: &Rc<ServeContext>, account: &str) -> Option<TicketId> {
+    let witness = context.choose_witness();
+    context.attempts.set(context.attempts.get() + 1);
+    let scope = TicketId::scope_of(account);
+    context
+        .tickets
+        .ask(|reply| TicketMessage::Issue {
+            witness,
+            scope,
+            reply,
+        })
+        .await
+        .ok()
+}
+
+/// Serves a request under the caller's key, if it gave one.
+pub async fn serve(
+    context: &Rc<ServeContext>,
+    key: Option<&str>,
+    call: Arc<CallerCall>,
+) -> OnceOutcome {
+    let scope = TicketId::scope_of(&call.account);
+    let ticket = match key.map(str::parse::<TicketId>) {
+        Some(Ok(ticket)) if ticket.scope != scope => return OnceOutcome::ForeignTicket,
+        Some(Ok(ticket)) => ticket,
+        Some(Err(_)) => return serve_claimed(context, key.unwrap_or_default(), call).await,
+        None => match issue(context, &call.account).await {
+            Some(ticket) => ticket,
+            None => return refuse(call, NotRunReason::Overloaded),
+        },
+    };
+    resolve(context, ticket, call).await
+}
+
+fn refuse(call: Arc<CallerCall>, reason: NotRunReason) -> OnceOutcome {
+    OnceOutcome::Final(UndispatchedCall::new(call).refuse(reason, COME_BACK))
+}
+
+/// Serves a request under a key of the caller's own, bound to a ticket by a claim.
+async fn serve_claimed(
+    context: &Rc<ServeContext>,
+    key: &str,
+    call: Arc<CallerCall>,
+) -> OnceOutcome {
+    let object = claim_name(&call.account, key);
+    let Some(own) = issue(context, &call.account).await else {
+        return refuse(call, NotRunReason::Overloaded);
+    };
+    let (bound, version) = match claim(context, &object, own, WriteCondition::Absent).await {
+        Ok(found) => found,
+        Err(()) => {
+            // NOTE: the write may still take effect; the ticket is spent so that whoever
+            // finds the claim later is told the truth.
+            abandon(context, own, &call).await;
+            return refuse(call, NotRunReason::ClaimFailed);
+        }
+    };
+    let outcome = resolve(context, bound, call.clone()).await;
+    if bound == own || !matches!(outcome, OnceOutcome::Final(FinalAnswer::NotRun(_))) {
+        return outcome;
+    }
+    // The earlier try did not run, and its ticket never will: bind the key anew.
+    match claim(context, &object, own, WriteCondition::Version(version)).await {
+        Ok((rebound, _)) => resolve(context, rebound, call).await,
+        Err(()) => {
+            abandon(context, own, &call).await;
+            refuse(call, NotRunReason::ClaimFailed)
+        }
+    }
+}
+
+/// Name of the claim on a key; keys may hold characters that object names may not.
+fn claim_name(account: &SharedName, key: &str) -> String {
+    let hash = |salt: &[u8]| hash_parts(&[salt, account.as_bytes(), key.as_bytes()]);
+    format!("{:016x}{:016x}", hash(b"claim-high"), hash(b"claim-low"))
+}
+
+/// Binds a claim to `own`, or finds what it is bound to, with its version. A write
+/// whose answer was lost is settled by reading back.
+async fn claim(
+    context: &Rc<ServeContext>,
+    object: &str,
+    own: TicketId,
+    condition: WriteCondition,
+) -> Result<(TicketId, u64), ()> {
+    let record = ClaimRecord {
+        ticket: own.to_string(),
+    };
+    let value = serde_json::to_value(&record).unwrap_or_default();
+    context.metrics.count("claims", 1);
+    match context
+        .platform
+        .write_object(CLAIM_KIND, object, &value, condition)
+        .await
+    {
+        Ok(receipt) => return Ok((own, receipt.version)),
+        // NOTE: what was refused by the platform's rate limit or outage did not take
+        // effect, but a proxy on the way may say so too; only reading back can tell.
+        Err(error) if matches!(error.cause, FailureCause::Unreachable(_)) => return Err(()),
+        Err(_) => {}
+    }
+    for retry in 0..CLAIM_TRIES {
+        sleep(HOLDER_RETRY * retry / 4).await;
+        let Ok(entry) = context.platform.read_object(CLAIM_KIND, object).await else {
+            continue;
+        };
+        let Some(value) = entry.value else {
+            return Err(());
+        };
+        let Ok(found) = serde_json::from_value::<ClaimRecord>(value) else {
+            return Err(());
+        };
+        return found
+            .ticket
+            .parse()
+            .map(|ticket| (ticket, entry.version))
+            .map_err(|_| ());
+    }
+    Err(())
+}
+
+/// Spends a ticket that was not used.
+async fn abandon(context: &Rc<ServeContext>, ticket: TicketId, call: &Arc<CallerCall>) {
+    let digest = call.digest();
+    let begin = context.tickets.ask(|reply| TicketMessage::Begin {
+        ticket,
+        digest,
+        reply,
+    });
+    if matches!(begin.await, Ok(TicketUse::Granted)) {
+        let undispatched = UndispatchedCall::new(call.clone());
+        let answer = undispatched.refuse(NotRunReason::ClaimFailed, COME_BACK);
+        let _ = context.tickets.send(TicketMessage::End { ticket, answer });
+    }
+}
+
+/// Has the holder of `ticket` run the call, or finds out what became of it.
+async fn resolve(
+    context: &Rc<ServeContext>,
+    ticket: TicketId,
+    call: Arc<CallerCall>,
+) -> OnceOutcome {
+    let digest = call.digest();
+    let settled = if ticket.holder == context.identity.incarnation {
+        run_as_holder(context, ticket, call).await
+    } else {
+        ask_holder(context, ticket, call).await
+    };
+    if settled.digest == digest {
+        OnceOutcome::Final(settled.answer)
+    } else {
+        OnceOutcome::KeyReused
+    }
+}
+
+async fn ask_holder(
+    context: &Rc<ServeContext>,
+    ticket: TicketId,
+    call: Arc<CallerCall>,
+) -> SettledAnswer {
+    let digest = call.digest();
+    let deadline = Instant::now() + HOLDER_LIMIT;
+    loop {
+        let holder = context.target(ticket.holder);
+        if let Some(holder) = &holder {
+            let left = deadline.saturating_duration_since(Instant::now());
+            if let Ok(settled) = context.pool.run_once(holder, ticket, &call, left).await {
+                return settled;
+            }
+        }
+        match seal(context, ticket).await {
+            Some(SealVerdict::Ended(settled)) => return settled,
+            Some(SealVerdict::NotDispatched) => {
+                let name = RequestName::new(call.account.clone(), ticket.to_string());
+                context.note(
+                    EventKind::TicketSealed,
+                    &name,
+                    "its holder could not be reached",
+                );
+                let undispatched = UndispatchedCall::new(call);
+                let answer = undispatched.refuse(NotRunReason::HolderGone, Duration::ZERO);
+                return SettledAnswer { digest, answer };
+            }
+            Some(SealVerdict::MayHaveRun) | None => {}
+        }
+        // NOTE: while the holder is a member it may come back with the answer; once it
+        // has been removed, nobody else ever learns it.
+        if context.target(ticket.holder).is_none() || Instant::now() >= deadline {
+            let answer = FinalAnswer::Unknown(UnknownReason::HolderLost);
+            return SettledAnswer { digest, answer };
+        }
+        sleep(HOLDER_RETRY).await;
+    }
+}
+
+/// Has the witness seal the ticket; `None` if it cannot be reached.
+async fn seal(context: &Rc<ServeContext>, ticket: TicketId) -> Option<SealVerdict> {
+    if ticket.witness == context.identity.incarnation {
+        return context
+            .tickets
+            .ask(|reply| TicketMessage::Seal { ticket, reply })
+            .await
+            .ok();
+    }
+    let witness = context.target(ticket.witness)?;
+    context.pool.seal(&witness, ticket).await.ok()
+}
+
+/// Runs the call as the holder of `ticket`: once, whoever and however often it is asked.
+pub async fn run_as_holder(
+    context: &Rc<ServeContext>,
+    ticket: TicketId,
+    call: Arc<CallerCall>,
+) -> SettledAnswer {
+    let digest = call.digest();
+    let unknown = |reason| SettledAnswer {
+        digest,
+        answer: FinalAnswer::Unknown(reason),
+    };
+    if ticket.holder != context.identity.incarnation {
+        return unknown(UnknownReason::HolderLost);
+    }
+    let begin = context.tickets.ask(|reply| TicketMessage::Begin {
+        ticket,
+        digest,
+        reply,
+    });
+    match begin.await {
+        Ok(TicketUse::Granted) => spawn_run(context, ticket, call, digest),
+        Ok(TicketUse::InProgress) => {}
+        Ok(TicketUse::Ended(answer)) => return SettledAnswer { digest, answer },
+        Ok(TicketUse::KeyReused) => {
+            let answer = FinalAnswer::Unknown(UnknownReason::TicketExpired);
+            return SettledAnswer {
+                digest: [0; 32],
+                answer,
+            };
+        }
+        Ok(TicketUse::Forgotten) => return unknown(UnknownReason::TicketExpired),
+        Err(_) => return unknown(UnknownReason::HolderLost),
+    }
+    match context
+        .tickets
+        .ask(|reply| TicketMessage::Wait { ticket, reply })
+        .await
+    {
+        Ok(answer) => SettledAnswer { digest, answer },
+        Err(_) => unknown(UnknownReason::HolderLost),
+    }
+}
+
+/// Runs in a task of its own, so that a caller that leaves does not end it.
+fn spawn_run(
+    context: &Rc<ServeContext>,
+    ticket: TicketId,
+    call: Arc<CallerCall>,
+    digest: [u8; 32],
+) {
+    let active = ActiveRequest::new(context);
+    let context = context.clone();
+    context.clone().kernel.spawn("once", async move {
+        let _active = active;
+        let mut run = OnceRun::new(context.clone(), ticket, call);
+        let answer = run.run().await;
+        run.note_end(&answer);
+        let _ = context.tickets.send(TicketMessage::End {
+            ticket,
+            answer: answer.clone(),
+        });
+        settle(&context, ticket, SettledAnswer { digest, answer }).await;
+    });
+}
+
+async fn settle(context: &Rc<ServeContext>, ticket: TicketId, settled: SettledAnswer) {
+    if ticket.witness == ticket.holder {
+        return;
+    }
+    let Some(witness) = context.target(ticket.witness) else {
+        return;
+    };
+    if context
+        .pool
+        .settle(&witness, ticket, &settled)
+        .await
+        .is_err()
+    {
+        context.metrics.count("settles_lost", 1);
+    }
+}
+
+/// One run of a ticket at its holder.
+struct OnceRun {
+    context: Rc<ServeContext>,
+    ticket: TicketId,
+    call: Arc<CallerCall>,
+    name: RequestName,
+    refused_by: Vec<SharedName>,
+    started_at: Instant,
+}
+
+impl OnceRun {
+    fn new(context: Rc<ServeContext>, ticket: TicketId, call: Arc<CallerCall>) -> Self {
+        let name = RequestName::new(call.account.clone(), ticket.to_string());
+        let started_at = Instant::now();
+        Self {
+            context,
+            ticket,
+            call,
+            name,
+            refused_by: Vec::new(),
+            started_at,
+        }
+    }
+
+    fn note_end(&self, answer: &FinalAnswer) {
+        let label = answer.label();
+        self.context
+            .metrics
+            .count_labelled("requests_ended", "outcome", label);
+        let reason = match answer {
+            FinalAnswer::NotRun(proof) => format!(" ({})", proof.reason()),
+            FinalAnswer::Unknown(reason) => format!(" ({reason})"),
+            FinalAnswer::Streamed | FinalAnswer::Plain(_) => String::new(),
+        };
+        let refusals = self.refused_by.len();
+        let took = self.started_at.elapsed().as_millis();
+        let detail = format!("{label}{reason}; {refusals} refusals, {took} ms");
+        self.context.note(EventKind::Ended, &self.name, detail);
+    }
+
+    async fn run(&mut self) -> FinalAnswer {
+        let undispatched = UndispatchedCall::new(self.call.clone());
+        match admit(&self.context, &self.call).await {
+            Ok(None) => {}
+            Ok(Some((reason, wait))) => return undispatched.refuse(reason, wait),
+            Err(_) => return undispatched.refuse(NotRunReason::Overloaded, COME_BACK),
+        }
+        self.context.note(
+            EventKind::Accepted,
+            &self.name,
+            format!("service {}", self.call.service),
+        );
+        let mut stage = undispatched;
+        let mut consented = false;
+        loop {
+            let slot = match self.pick().await {
+                PickReply::Slot(slot) => slot,
+                PickReply::Busy(wait) => return stage.refuse(NotRunReason::Overloaded, wait),
+                PickReply::Nowhere => return stage.refuse(NotRunReason::NoEndpoint, COME_BACK),
+            };
+            if !consented {
+                if let Err(reason) = self.obtain_consent().await {
+                    return stage.refuse(reason, Duration::ZERO);
+                }
+                consented = true;
+            }
+            match self.dispatch(stage, &slot).await {
+                Ok(answer) => return answer,
+                Err(undispatched) => stage = undispatched,
+            }
+            if self.refused_by.len() >= REFUSAL_LIMIT {
+                return stage.refuse(NotRunReason::EndpointRefused, COME_BACK);
+            }
+        }
+    }
+
+    async fn pick(&self) -> PickReply {
+        let order = PickOrder {
+            service: self.call.service.clone(),
+            account: self.call.account.clone(),
+            weight: self.weight(),
+            tokens: self.call.expected_tokens(),
+            chain: Arc::from([]),
+            exclude: self.refused_by.clone(),
+            deadline: Instant::now() + QUEUE_WAIT,
+            attempt: self.context.next_attempt(),
+            stream: None,
+        };
+        let router = &self.context.router;
+        let reply = router
+            .ask(|reply| RouterMessage::Pick(Box::new(order), reply))
+            .await;
+        reply.unwrap_or(PickReply::Busy(COME_BACK))
+    }
+
+    fn weight(&self) -> f64 {
+        let table = self.context.table();
+        let row = table
+            .accounts()
+            .find(|row| row.name == self.call.account)
+            .cloned();
+        row.map_or(1.0, |row| row.weight)
+    }
+
+    /// Has the witness write down that this holder may have dispatched from now on.
+    async fn obtain_consent(&self) -> Result<(), NotRunReason> {
+        if self.ticket.witness == self.ticket.holder {
+            return Ok(());
+        }
+        let witness = self
+            .context
+            .target(self.ticket.witness)
+            .ok_or(NotRunReason::NoWitness)?;
+        match self.context.pool.consent(&witness, self.ticket).await {
+            Ok(ConsentVerdict::Granted) => Ok(()),
+            Ok(ConsentVerdict::Sealed | ConsentVerdict::AlreadyGranted) => {
+                self.context
+                    .note(EventKind::TicketSealed, &self.name, "the witness refused");
+                Err(NotRunReason::HolderGone)
+            }
+            // NOTE: the witness may have written its consent down; that does no harm,
+            // since this holder ends the ticket without dispatching.
+            Err(_) => Err(NotRunReason::NoWitness),
+        }
+    }
+
+    /// Dispatches once. Gives the call back only if the endpoint did not start it.
+    async fn dispatch(
+        &mut self,
+        stage: UndispatchedCall,
+        slot: &EndpointSlot,
+    ) -> Result<FinalAnswer, UndispatchedCall> {
+        self.context.note(
+            EventKind::Dispatched,
+            &self.name,
+            format!("VM {}", slot.pick.id),
+        );
+        let call = self.call.clone();
+        let dispatched = stage.begin();
+        let task = AttemptTask {
+            context: &self.context,
+            name: &self.name,
+            term: 0,
+            call: &call,
+            attempt: slot.attempt(),
+            slot,
+        };
+        let end = match &call.content {
+            CallContent::Plain(plain) => task.plain(plain).await,
+            CallContent::Completion(_) => return Ok(dispatched.give_up(UnknownReason::AnswerLost)),
+        };
+        match end {
+            AttemptEnd::Answered(answer) => Ok(answer),
+            AttemptEnd::NotStarted(evidence, error) => {
+                self.refused_by.push(slot.pick.id.clone());
+                self.context
+                    .note(EventKind::AttemptFailed, &self.name, error.to_string());
+                match dispatched.not_started(evidence) {
+                    CallStage::Undispatched(undispatched) => Err(undispatched),
+                    CallStage::Dispatched(call) => Ok(call.give_up(UnknownReason::AnswerLost)),
+                }
+            }
+            AttemptEnd::Failed(error) => {
+                self.context
+                    .note(EventKind::AttemptFailed, &self.name, error.to_string());
+                Ok(dispatched.give_up(UnknownReason::AnswerLost))
+            }
+            AttemptEnd::Leaving(_) | AttemptEnd::Superseded => {
+                Ok(dispatched.give_up(UnknownReason::AnswerLost))
+            }
+        }
+    }
+}
+
+/// Runs `serve` within the time that a caller is kept waiting.
+pub async fn serve_within(
+    context: &Rc<ServeContext>,
+    key: Option<&str>,
+    call: Arc<CallerCall>,
+    limit: Duration,
+) -> OnceOutcome {
+    let served = timeout(limit, serve(context, key, call)).await;
+    served.unwrap_or(OnceOutcome::Final(FinalAnswer::Unknown(
+        UnknownReason::AnswerLost,
+    )))
+}
--- /dev/null
+++ b/src/serve/platform_watch.rs
@@ -0,0 +1,240 @@
+//! Brings what the platform knows to the daemons: rows, VMs, notices.
+//!
+//! Only the first few daemons of each availability zone, by hash, ask the platform;
+//! the others learn from them. Nobody agrees on who that is: one daemon too many costs
+//! a few calls, one too few is noticed by its successor in the ranking.
+
+use std::{collections::HashMap, rc::Rc, time::Duration};
+
+use tokio::time::{Instant, sleep};
+
+use super::context::ServeContext;
+use crate::{
+    cluster::{
+        core::ClusterEvent,
+        items::{ItemKind, SpreadItem},
+        service::ClusterMessage,
+    },
+    errors::StepError,
+    ids::SharedName,
+    platform::messages::{ENTRY_SERVICE, ObjectEntry, VmEntry, VmList},
+};
+
+/// Name of the service.
+pub const NAME: &str = "platform-watch";
+/// Kind of the objects that hold the table's rows.
+pub const ROW_KIND: &str = "rows";
+/// Daemons of each availability zone that ask the platform.
+const WATCHERS: usize = 2;
+/// Time between looks at who asks.
+const ROLE_EVERY: Duration = Duration::from_millis(500);
+/// Time between reads of the VM list.
+const VMS_EVERY: Duration = Duration::from_secs(2);
+/// Time a daemon that has just started waits for its peers to tell it the table.
+const PEERS_FIRST: Duration = Duration::from_millis(1_500);
+/// Pause after a failed call; each further failure doubles it.
+const PAUSE_FIRST: Duration = Duration::from_millis(200);
+const PAUSE_LONGEST: Duration = Duration::from_secs(5);
+
+/// Runs the service.
+pub async fn run(context: Rc<ServeContext>) {
+    let rows = watch_rows(context.clone());
+    let vms = watch_vms(context.clone());
+    let notices = watch_notices(context);
+    tokio::join!(rows, vms, notices);
+}
+
+/// Pause that grows with failures in a row.
+struct FailurePause {
+    next: Duration,
+}
+
+impl FailurePause {
+    fn new() -> Self {
+        Self { next: PAUSE_FIRST }
+    }
+
+    fn reset(&mut self) {
+        self.next = PAUSE_FIRST;
+    }
+
+    async fn wait(&mut self, error: &StepError) {
+        spdlog::warn!("platform call failed: {}", error, kv: { service = NAME });
+        sleep(self.next).await;
+        self.next = (self.next * 2).min(PAUSE_LONGEST);
+    }
+}
+
+fn has_role(context: &ServeContext, role: &[u8]) -> bool {
+    context
+        .members()
+        .has_role(context.identity.incarnation, role, WATCHERS)
+}
+
+fn spread(context: &ServeContext, items: Vec<SpreadItem>) {
+    if items.is_empty() {
+        return;
+    }
+    let event = ClusterEvent::Items(None, items);
+    if let Err(error) = context.cluster.send(ClusterMessage::Event(event)) {
+        spdlog::error!("items lost: {}", error, kv: { service = NAME });
+    }
+}
+
+async fn watch_rows(context: Rc<ServeContext>) {
+    let started_at = Instant::now();
+    let mut pause = FailurePause::new();
+    let mut revision = None;
+    loop {
+        let alone = context.members().present_count() <= 1;
+        let new = started_at.elapsed() < PEERS_FIRST && !context.settings.seeds.is_empty();
+        if !has_role(&context, b"rows") || (alone && new) {
+            revision = None;
+            sleep(ROLE_EVERY.min(PEERS_FIRST / 5)).await;
+            continue;
+        }
+        let read = match revision {
+            None => list_rows(&context).await,
+            Some(after) => watch_once(&context, after).await,
+        };
+        match read {
+            Ok(next) => {
+                pause.reset();
+                // NOTE: a store that goes back shows less than is known; list it anew,
+                // newer versions stay in force meanwhile.
+                revision = if revision.is_some_and(|before| next < before) {
+                    None
+                } else {
+                    Some(next)
+                };
+            }
+            Err(error) => {
+                revision = None;
+                pause.wait(&error).await;
+            }
+        }
+    }
+}
+
+fn row_item(entry: ObjectEntry) -> SpreadItem {
+    match entry.value {
+        Some(value) => SpreadItem::new(ItemKind::Row, entry.name, entry.version, &value),
+        None => SpreadItem::deleted(ItemKind::Row, entry.name, entry.version),
+    }
+}
+
+async fn known_versions(context: &ServeContext, kind: ItemKind) -> HashMap<SharedName, SpreadItem> {
+    let items = context
+        .cluster
+        .ask(|reply| ClusterMessage::List { kind, reply })
+        .await;
+    let items = items.unwrap_or_default();
+    items
+        .into_iter()
+        .map(|item| (item.key.name.clone(), item))
+        .collect()
+}
+
+async fn list_rows(context: &ServeContext) -> Result<u64, StepError> {
+    let list = context.platform.list_objects(ROW_KIND).await?;
+    let mut known = known_versions(context, ItemKind::Row).await;
+    let mut items = Vec::new();
+    for entry in list.entries {
+        known.remove(&entry.name);
+        items.push(row_item(entry));
+    }
+    // Rows that are known but not listed were deleted, unless they are newer than the list.
+    for (name, item) in known {
+        if item.value.is_some() && item.version <= list.revision {
+            items.push(SpreadItem::deleted(ItemKind::Row, name, list.revision));
+        }
+    }
+    spread(context, items);
+    Ok(list.revision)
+}
+
+async fn watch_once(context: &ServeContext, after: u64) -> Result<u64, StepError> {
+    let changes = context.platform.watch_objects(ROW_KIND, after).await?;
+    spread(context, changes.entries.into_iter().map(row_item).collect());
+    Ok(changes.revision)
+}
+
+async fn watch_vms(context: Rc<ServeContext>) {
+    let mut pause = FailurePause::new();
+    let mut newest = 0;
+    loop {
+        if !has_role(&context, b"vms") {
+            sleep(ROLE_EVERY).await;
+            continue;
+        }
+        match context.platform.list_vms().await {
+            Ok(list) => {
+                pause.reset();
+                if list.revision >= newest {
+                    newest = list.revision;
+                    take_vms(&context, list).await;
+                }
+                sleep(VMS_EVERY).await;
+            }
+            Err(error) => pause.wait(&error).await,
+        }
+    }
+}
+
+/// Spreads the entries that differ from what is known, whoever read them first.
+async fn take_vms(context: &ServeContext, list: VmList) {
+    let mut known = known_versions(context, ItemKind::Vm).await;
+    let mut items = Vec::new();
+    for vm in list.vms {
+        if &*vm.service == ENTRY_SERVICE {
+            let seed = ClusterEvent::Seed(vm.address.clone());
+            let _ = context.cluster.send(ClusterMessage::Event(seed));
+        }
+        let before = known.remove(&vm.id);
+        let same = before
+            .and_then(|item| item.decode::<VmEntry>())
+            .is_some_and(|old| old == vm);
+        if !same {
+            items.push(SpreadItem::new(
+                ItemKind::Vm,
+                vm.id.clone(),
+                list.revision,
+                &vm,
+            ));
+        }
+    }
+    for (id, item) in known {
+        if item.value.is_some() && item.version < list.revision {
+            items.push(SpreadItem::deleted(ItemKind::Vm, id, list.revision));
+        }
+    }
+    spread(context, items);
+}
+
+async fn watch_notices(context: Rc<ServeContext>) {
+    let mut pause = FailurePause::new();
+    let mut sequence = 0;
+    loop {
+        if !has_role(&context, b"notices") {
+            sleep(ROLE_EVERY).await;
+            continue;
+        }
+        match context.platform.watch_notices(sequence).await {
+            Ok(list) => {
+                pause.reset();
+                let mut items = Vec::new();
+                for notice in list.notices {
+                    sequence = sequence.max(notice.sequence);
+                    items.push(SpreadItem::new(
+                        ItemKind::Notice,
+                        notice.vm.clone(),
+                        1,
+                        &notice,
+                    ));
+                }
+                spread(&context, items);
+            }
+            Err(error) => pause.wait(&error).await,
+        }
+    }
+}
--- /dev/null
+++ b/src/serve/resume.rs
@@ -0,0 +1,335 @@
+//! Finds or starts the request that a caller names, wherever it runs.
+//!
+//! The daemon that accepts a request keeps copies at peers that anyone can work out
+//! from its name. A caller whose connection broke asks any daemon: that one offers a
+//! copy to the same peers, is told that the request is known, and follows its holder;
+//! if the holder cannot be reached, it takes the request over and goes on after the
+//! tokens that were copied.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use tokio::time::{Instant, timeout};
+
+use super::{
+    context::{ActiveRequest, ServeContext},
+    copies::{CopyMessage, supersede},
+    driver::RequestDriver,
+    limit_service::LimitMessage,
+    store_service::RequestMessage,
+    timeline::EventKind,
+};
+use crate::{
+    cluster::core::PeerTarget,
+    decide::limits::LimitVerdict,
+    ids::RequestName,
+    kernel::SendError,
+    request::{
+        call::CallerCall,
+        outcome::{CallStage, DispatchedCall, FinalAnswer, NotRunReason, UndispatchedCall},
+        store::{ClaimVerdict, RequestCopy},
+    },
+};
+
+/// Longest wait for a peer to take a copy before the request goes on without it.
+const OFFER_LIMIT: Duration = Duration::from_millis(150);
+/// How long one look at a remote holder waits for news.
+const ATTACH_WAIT: Duration = Duration::from_millis(1_000);
+/// When a caller may come back to another daemon.
+const ELSEWHERE: Duration = Duration::ZERO;
+/// When a caller may come back after an overload.
+const COME_BACK: Duration = Duration::from_secs(1);
+
+/// What was found.
+#[derive(Debug)]
+pub enum ObtainedRequest {
+    /// Its state can be read from the store as it grows.
+    Ready,
+    /// The key names another request.
+    KeyReused,
+    /// It was refused.
+    Refused(FinalAnswer),
+}
+
+/// Finds the request `name`, or starts it with `call`.
+pub async fn obtain(
+    context: &Rc<ServeContext>,
+    name: &RequestName,
+    call: Arc<CallerCall>,
+) -> Result<ObtainedRequest, SendError> {
+    let claim = context.requests.ask(|reply| RequestMessage::Claim {
+        name: name.clone(),
+        call: call.clone(),
+        reply,
+    });
+    match claim.await? {
+        ClaimVerdict::KeyReused => Ok(ObtainedRequest::KeyReused),
+        ClaimVerdict::Here => Ok(ObtainedRequest::Ready),
+        ClaimVerdict::Copied(copy) => follow(context, copy).await,
+        ClaimVerdict::New => start_new(context, name, call).await,
+    }
+}
+
+async fn start_new(
+    context: &Rc<ServeContext>,
+    name: &RequestName,
+    call: Arc<CallerCall>,
+) -> Result<ObtainedRequest, SendError> {
+    let undispatched = UndispatchedCall::new(call.clone());
+    let copy = RequestCopy {
+        name: name.clone(),
+        term: 0,
+        holder: context.holder(),
+        call: Some(call.clone()),
+        first_token: 0,
+        tokens: Vec::new(),
+        answer: None,
+    };
+    let (targets, known) = place(context, &copy).await;
+    if let Some(known) = known {
+        context
+            .requests
+            .send(RequestMessage::Remove { name: name.clone() })?;
+        let same = known
+            .call
+            .as_ref()
+            .is_none_or(|other| other.digest() == call.digest());
+        if !same {
+            return Ok(ObtainedRequest::KeyReused);
+        }
+        supersede(context, known.clone()).await;
+        return follow(context, known).await;
+    }
+    if let Some((reason, wait)) = admit(context, &call).await? {
+        context
+            .requests
+            .send(RequestMessage::Remove { name: name.clone() })?;
+        return Ok(ObtainedRequest::Refused(undispatched.refuse(reason, wait)));
+    }
+    if targets.is_empty() {
+        context.metrics.count("accepted_without_copy", 1);
+    }
+    context.copies.send(CopyMessage::Track {
+        name: name.clone(),
+        targets,
+        tokens: 0,
+    })?;
+    context.note(
+        EventKind::Accepted,
+        name,
+        format!("service {}", call.service),
+    );
+    let driver = RequestDriver::new(context.clone(), name.clone(), 0, call, Vec::new());
+    spawn_driver(context, driver, CallStage::Undispatched(undispatched));
+    Ok(ObtainedRequest::Ready)
+}
+
+fn spawn_driver(context: &Rc<ServeContext>, driver: RequestDriver, stage: CallStage) {
+    let active = ActiveRequest::new(context);
+    context.kernel.spawn("driver", async move {
+        driver.run(stage).await;
+        drop(active);
+    });
+}
+
+/// Why a new request may not start here and now, and when it may come back.
+pub async fn admit(
+    context: &Rc<ServeContext>,
+    call: &CallerCall,
+) -> Result<Option<(NotRunReason, Duration)>, SendError> {
+    if context.is_leaving() {
+        return Ok(Some((NotRunReason::Draining, ELSEWHERE)));
+    }
+    if context.active.get() >= context.settings.request_limit {
+        return Ok(Some((NotRunReason::Overloaded, COME_BACK)));
+    }
+    let table = context.table();
+    let Some(row) = table
+        .accounts()
+        .find(|row| row.name == call.account)
+        .cloned()
+    else {
+        return Ok(Some((NotRunReason::NoTable, COME_BACK)));
+    };
+    let verdict = context.limits.ask(|reply| LimitMessage::Admit {
+        account: call.account.clone(),
+        tokens: call.expected_tokens(),
+        limit: row.tokens_per_s,
+        reply,
+    });
+    Ok(match verdict.await? {
+        LimitVerdict::Admitted => None,
+        LimitVerdict::Refused(wait) => Some((NotRunReason::AccountLimit, wait)),
+    })
+}
+
+/// Offers a request whole to the peers of its placement. Returns those that took it,
+/// and the state that one of them knows to go before it.
+async fn place(
+    context: &Rc<ServeContext>,
+    copy: &RequestCopy,
+) -> (Vec<PeerTarget>, Option<RequestCopy>) {
+    let targets = context.copy_targets(&copy.name);
+    let offers = targets
+        .iter()
+        .map(|target| timeout(OFFER_LIMIT, context.pool.offer(target, copy)));
+    let answers = futures::future::join_all(offers).await;
+    let mut taken = Vec::new();
+    let mut known: Option<RequestCopy> = None;
+    for (target, answer) in targets.into_iter().zip(answers) {
+        match answer {
+            Ok(Ok(None)) => taken.push(target),
+            Ok(Ok(Some(state))) if state.call.is_some() => {
+                let goes_before = known
+                    .as_ref()
+                    .is_none_or(|known| rank(&state) > rank(known));
+                if goes_before {
+                    known = Some(state);
+                }
+            }
+            Ok(Ok(Some(_)) | Err(_)) | Err(_) => {
+                context.metrics.count("copy_offers_failed", 1);
+            }
+        }
+    }
+    (taken, known)
+}
+
+/// Which of several known states goes first: an answer, then term, then tokens.
+fn rank(copy: &RequestCopy) -> (bool, u32, usize) {
+    let answered = copy
+        .answer
+        .as_ref()
+        .is_some_and(|answer| answer.is_answered());
+    (answered, copy.term, copy.tokens.len())
+}
+
+/// Goes on with a request that is known as a copy.
+async fn follow(
+    context: &Rc<ServeContext>,
+    copy: RequestCopy,
+) -> Result<ObtainedRequest, SendError> {
+    if copy
+        .answer
+        .as_ref()
+        .is_some_and(|answer| answer.is_answered())
+    {
+        return Ok(ObtainedRequest::Ready);
+    }
+    let name = copy.name.clone();
+    let holder = context.target(copy.holder.incarnation);
+    let ended = copy.answer.is_some();
+    match holder.filter(|_| !ended && copy.holder != context.holder()) {
+        Some(holder) => {
+            if context.mirrors.borrow_mut().insert(name.clone()) {
+                let mirror = mirror(context.clone(), name, holder);
+                context.kernel.spawn("mirror", mirror);
+            }
+            Ok(ObtainedRequest::Ready)
+        }
+        None => take_over(context, &name).await,
+    }
+}
+
+/// Keeps the local copy up to date from its holder; takes over when that fails.
+async fn mirror(context: Rc<ServeContext>, name: RequestName, holder: PeerTarget) {
+    let finished = follow_holder(&context, &name, &holder).await;
+    context.mirrors.borrow_mut().remove(&name);
+    if !finished {
+        // NOTE: a daemon that is leaving has closed its callers' connections; they ask
+        // another daemon, which takes over instead.
+        if !context.is_leaving() {
+            let _ = take_over(&context, &name).await;
+        }
+    }
+}
+
+/// Follows the holder until the request has ended (`true`) or it is lost (`false`).
+async fn follow_holder(
+    context: &Rc<ServeContext>,
+    name: &RequestName,
+    holder: &PeerTarget,
+) -> bool {
+    loop {
+        let read = context.requests.ask(|reply| RequestMessage::Read {
+            name: name.clone(),
+            first_token: usize::MAX,
+            reply,
+        });
+        let Ok(Some(own)) = read.await else {
+            return true;
+        };
+        if own.answer.is_some() || own.holder.incarnation != holder.incarnation {
+            return true;
+        }
+        let attached = context
+            .pool
+            .attach(holder, name, own.first_token, ATTACH_WAIT)
+            .await;
+        let Ok(Some(news)) = attached else {
+            return false;
+        };
+        if news.holder.incarnation != holder.incarnation {
+            // NOTE: the holder was itself superseded; its copy names the next one.
+            supersede(context, news).await;
+            return true;
+        }
+        let ended = news.answer.is_some();
+        supersede_quietly(context, news).await;
+        if ended {
+            return true;
+        }
+    }
+}
+
+async fn supersede_quietly(context: &Rc<ServeContext>, news: RequestCopy) {
+    let offer = context
+        .requests
+        .ask(|reply| RequestMessage::Offer { copy: news, reply });
+    // NOTE: news that are not newer change nothing.
+    let _ = offer.await;
+}
+
+/// Makes this daemon the holder, and goes on after the tokens known here.
+async fn take_over(
+    context: &Rc<ServeContext>,
+    name: &RequestName,
+) -> Result<ObtainedRequest, SendError> {
+    let taken = context.requests.ask(|reply| RequestMessage::TakeOver {
+        name: name.clone(),
+        reply,
+    });
+    let Some(copy) = taken.await? else {
+        return Ok(ObtainedRequest::Refused(gone()));
+    };
+    let Some(call) = copy.call.clone() else {
+        return Ok(ObtainedRequest::Refused(gone()));
+    };
+    let begun_at = Instant::now();
+    let (targets, known) = place(context, &copy).await;
+    if let Some(known) = known.filter(|known| rank(known) > rank(&copy)) {
+        supersede(context, known).await;
+        return Ok(ObtainedRequest::Ready);
+    }
+    context.metrics.count("requests_taken_over", 1);
+    let tokens = copy.tokens.len();
+    let detail = format!(
+        "term {}, {tokens} tokens, {} ms",
+        copy.term,
+        begun_at.elapsed().as_millis()
+    );
+    context.note(EventKind::TakenOver, name, detail);
+    context.copies.send(CopyMessage::Track {
+        name: name.clone(),
+        targets,
+        tokens,
+    })?;
+    let stage = CallStage::Dispatched(DispatchedCall::taken_over(call.clone()));
+    let driver = RequestDriver::new(context.clone(), name.clone(), copy.term, call, copy.tokens);
+    spawn_driver(context, driver, stage);
+    Ok(ObtainedRequest::Ready)
+}
+
+/// The record expired between two steps: nothing is known of the request any more.
+fn gone() -> FinalAnswer {
+    FinalAnswer::Unknown(crate::request::outcome::UnknownReason::HolderLost)
+}
--- /dev/null
+++ b/src/serve/store_service.rs
@@ -0,0 +1,184 @@
+//! Service that owns the request store.
+
+use std::{sync::Arc, time::Duration};
+
+use tokio::{
+    sync::{oneshot, watch},
+    time::{Instant, MissedTickBehavior, interval},
+};
+
+use crate::{
+    ids::RequestName,
+    kernel::ServiceInbox,
+    request::{
+        call::CallerCall,
+        outcome::FinalAnswer,
+        store::{
+            AnswerToken, ClaimVerdict, OfferVerdict, RequestCopy, RequestProgress, RequestStore,
+        },
+    },
+};
+
+/// Name of the service.
+pub const NAME: &str = "requests";
+const EXPIRE_EVERY: Duration = Duration::from_millis(500);
+
+/// Size of the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreGauge {
+    /// Records.
+    pub records: usize,
+    /// Bytes.
+    pub bytes: usize,
+}
+
+/// What the service is asked.
+#[derive(Debug)]
+pub enum RequestMessage {
+    /// A caller asks for `call` under `name`.
+    Claim {
+        /// Name.
+        name: RequestName,
+        /// Call.
+        call: Arc<CallerCall>,
+        /// Verdict.
+        reply: oneshot::Sender<ClaimVerdict>,
+    },
+    /// This daemon takes the request over.
+    TakeOver {
+        /// Name.
+        name: RequestName,
+        /// State to go on from.
+        reply: oneshot::Sender<Option<RequestCopy>>,
+    },
+    /// A token has been produced here.
+    Append {
+        /// Name.
+        name: RequestName,
+        /// Term under which it was produced.
+        term: u32,
+        /// Token.
+        token: AnswerToken,
+        /// `false` if the term is over.
+        reply: oneshot::Sender<bool>,
+    },
+    /// A request that ran here has ended.
+    End {
+        /// Name.
+        name: RequestName,
+        /// Term under which it ran.
+        term: u32,
+        /// Outcome.
+        answer: Arc<FinalAnswer>,
+    },
+    /// A peer's copy, whole or news.
+    Offer {
+        /// Copy.
+        copy: RequestCopy,
+        /// Verdict.
+        reply: oneshot::Sender<OfferVerdict>,
+    },
+    /// State from a token on.
+    Read {
+        /// Name.
+        name: RequestName,
+        /// First token wanted.
+        first_token: usize,
+        /// State, if known.
+        reply: oneshot::Sender<Option<RequestCopy>>,
+    },
+    /// Progress to wait on.
+    Watch {
+        /// Name.
+        name: RequestName,
+        /// Progress, if known.
+        reply: oneshot::Sender<Option<watch::Receiver<RequestProgress>>>,
+    },
+    /// Number of those who wait on a request.
+    Watchers {
+        /// Name.
+        name: RequestName,
+        /// Number.
+        reply: oneshot::Sender<usize>,
+    },
+    /// Forget a request that was refused before it ran.
+    Remove {
+        /// Name.
+        name: RequestName,
+    },
+    /// Whole state of all requests that run here.
+    Running {
+        /// States.
+        reply: oneshot::Sender<Vec<RequestCopy>>,
+    },
+    /// Size of the store.
+    Gauge {
+        /// Size.
+        reply: oneshot::Sender<StoreGauge>,
+    },
+}
+
+/// Runs the service.
+pub async fn run(mut inbox: ServiceInbox<RequestMessage>, mut store: RequestStore) {
+    let mut expiry = interval(EXPIRE_EVERY);
+    expiry.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            message = inbox.recv() => match message {
+                Some(message) => handle(&mut store, message),
+                None => return,
+            },
+            _ = expiry.tick() => store.expire(Instant::now()),
+        }
+    }
+}
+
+// NOTE: whoever asked may have gone meanwhile; then the reply is not wanted any more.
+fn handle(store: &mut RequestStore, message: RequestMessage) {
+    let now = Instant::now();
+    match message {
+        RequestMessage::Claim { name, call, reply } => {
+            let _ = reply.send(store.claim(&name, &call, now));
+        }
+        RequestMessage::TakeOver { name, reply } => {
+            let _ = reply.send(store.take_over(&name, now));
+        }
+        RequestMessage::Append {
+            name,
+            term,
+            token,
+            reply,
+        } => {
+            let _ = reply.send(store.append(&name, term, token));
+        }
+        RequestMessage::End { name, term, answer } => {
+            store.end(&name, term, answer, now);
+        }
+        RequestMessage::Offer { copy, reply } => {
+            let _ = reply.send(store.offer(copy, now));
+        }
+        RequestMessage::Read {
+            name,
+            first_token,
+            reply,
+        } => {
+            let _ = reply.send(store.read(&name, first_token));
+        }
+        RequestMessage::Watch { name, reply } => {
+            let _ = reply.send(store.watch(&name));
+        }
+        RequestMessage::Watchers { name, reply } => {
+            let _ = reply.send(store.watchers(&name));
+        }
+        RequestMessage::Remove { name } => store.remove(&name),
+        RequestMessage::Running { reply } => {
+            let _ = reply.send(store.running());
+        }
+        RequestMessage::Gauge { reply } => {
+            let _ = reply.send(StoreGauge {
+                records: store.len(),
+                bytes: store.bytes(),
+            });
+        }
+    }
+}
--- /dev/null
+++ b/src/standin/engine.rs
@@ -0,0 +1,196 @@
+//! Streams of the engine stand-in: waits for a slot, computes the prompt, then sends
+//! one token a step as server-sent events.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, channel::Channel, channel::Sender};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use serde_json::json;
+use tokio::time::{Instant, sleep, sleep_until};
+
+use super::{endpoint::EndpointStandin, engine_model::answer_token, reply};
+use crate::{
+    decide::prefix::count_tokens,
+    endpoint::{EngineOrder, EngineToken, ImportOrder, STREAM_END},
+    headers,
+    http::{
+        AnswerBody, BodyError,
+        client::{HttpClient, OutgoingCall},
+    },
+};
+
+/// Time to move one block of KV cache, in milliseconds.
+const MOVE_BLOCK_MS: u64 = 2;
+
+/// A stream was cut by its fault switch.
+#[derive(Debug, derive_more::Display, derive_more::Error)]
+#[display("stream cut")]
+pub struct CutError;
+
+/// One running stream; ends its slot when dropped, also when the caller left.
+struct StreamSlot {
+    endpoint: EndpointStandin,
+}
+
+impl Drop for StreamSlot {
+    fn drop(&mut self) {
+        let mut state = self.endpoint.state.borrow_mut();
+        state.model.end();
+        state.record_load();
+    }
+}
+
+/// One stream waiting for its slot.
+struct WaitingPlace {
+    endpoint: EndpointStandin,
+}
+
+impl Drop for WaitingPlace {
+    fn drop(&mut self) {
+        self.endpoint.state.borrow_mut().waiting -= 1;
+    }
+}
+
+/// Answers `POST /v1/completions`.
+pub async fn complete(
+    endpoint: &EndpointStandin,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let id = reply::header(&request, headers::REQUEST_ID)
+        .unwrap_or("none")
+        .to_owned();
+    let attempt = reply::header(&request, headers::ATTEMPT_ID)
+        .unwrap_or("none")
+        .to_owned();
+    let Some(order) = reply::read_json::<EngineOrder>(request).await else {
+        return reply::empty(StatusCode::BAD_REQUEST);
+    };
+    {
+        let mut state = endpoint.state.borrow_mut();
+        *state.counts.runs.entry(id).or_default() += 1;
+        state.counts.begun += 1;
+    }
+    let (sender, body) = Channel::<Bytes, CutError>::new(16);
+    let endpoint = endpoint.clone();
+    tokio::task::spawn_local(async move { stream(endpoint, order, sender).await });
+    let mut answer = Response::new(body.map_err(BodyError::from).boxed_unsync());
+    let kind = hyper::header::HeaderValue::from_static("text/event-stream");
+    answer
+        .headers_mut()
+        .insert(hyper::header::CONTENT_TYPE, kind);
+    if let Ok(value) = attempt.parse() {
+        answer.headers_mut().insert(headers::ATTEMPT_ID, value);
+    }
+    answer
+}
+
+async fn wait_for_slot(endpoint: &EndpointStandin) {
+    const POLL: Duration = Duration::from_millis(2);
+    endpoint.state.borrow_mut().waiting += 1;
+    let _place = WaitingPlace {
+        endpoint: endpoint.clone(),
+    };
+    while !endpoint.state.borrow().model.has_slot() {
+        sleep(POLL).await;
+    }
+}
+
+fn start(endpoint: &EndpointStandin, order: &EngineOrder) -> (StreamSlot, Duration) {
+    let text = format!("{} {}", order.prompt, order.resume_tokens.concat());
+    let mut state = endpoint.state.borrow_mut();
+    let (cost, stored, forgotten) = state.model.start(&text);
+    state.counts.prefill_tokens += cost.computed_tokens as u64;
+    state.counts.cached_tokens += cost.cached_tokens as u64;
+    if !order.resume_tokens.is_empty() {
+        state.counts.resumed_tokens += cost.computed_tokens as u64;
+    }
+    state.record_cache(stored, forgotten);
+    state.record_load();
+    let wait = Duration::from_secs_f64(cost.millis / 1e3).mul_f64(state.faults.slowdown());
+    (
+        StreamSlot {
+            endpoint: endpoint.clone(),
+        },
+        wait,
+    )
+}
+
+async fn stream(
+    endpoint: EndpointStandin,
+    order: EngineOrder,
+    mut sender: Sender<Bytes, CutError>,
+) {
+    wait_for_slot(&endpoint).await;
+    let (_slot, prefill) = start(&endpoint, &order);
+    let mut next_at = Instant::now() + prefill;
+    let first = order.resume_tokens.len();
+    for index in first..order.max_tokens {
+        next_at += step(&endpoint);
+        sleep_until(next_at).await;
+        endpoint.thaw().await;
+        next_at = next_at.max(Instant::now() - Duration::from_millis(50));
+        let cut_after = endpoint.state.borrow().faults.cut_after;
+        if cut_after > 0 && index - first >= cut_after {
+            sender.abort(CutError);
+            return;
+        }
+        let text = answer_token(&order.prompt, order.seed, index);
+        let token = json!(EngineToken { index, text });
+        let event = format!("data: {token}\n\n");
+        endpoint.state.borrow_mut().counts.generated_tokens += 1;
+        if sender.send_data(Bytes::from(event)).await.is_err() {
+            return;
+        }
+    }
+    let _ = sender
+        .send_data(Bytes::from(format!("data: {STREAM_END}\n\n")))
+        .await;
+}
+
+fn step(endpoint: &EndpointStandin) -> Duration {
+    let state = endpoint.state.borrow();
+    Duration::from_secs_f64(state.model.step_ms() / 1e3).mul_f64(state.faults.slowdown())
+}
+
+/// Answers `POST /kv/import`: takes cache blocks from another engine.
+pub async fn import_cache(
+    endpoint: &EndpointStandin,
+    request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    const IMPORT_LIMIT: Duration = Duration::from_secs(30);
+    let Some(order) = reply::read_json::<ImportOrder>(request).await else {
+        return reply::empty(StatusCode::BAD_REQUEST);
+    };
+    let tokens = count_tokens(&order.text);
+    let path = format!("/kv/export?tokens={tokens}");
+    let call = OutgoingCall {
+        method: Method::GET,
+        ..OutgoingCall::get("export", &order.from, path)
+    };
+    match HttpClient::new().fetch(&call, IMPORT_LIMIT).await {
+        Ok(answer) if answer.status.is_success() => {
+            let mut state = endpoint.state.borrow_mut();
+            let (_, stored, forgotten) = state.model.start(&order.text);
+            state.model.end();
+            state.record_cache(stored, forgotten);
+            reply::json(StatusCode::OK, &json!({ "tokens": tokens }))
+        }
+        _ => reply::empty(StatusCode::BAD_GATEWAY),
+    }
+}
+
+/// Answers `GET /kv/export`: takes the time that moving the blocks takes.
+pub async fn export_cache(
+    endpoint: &EndpointStandin,
+    request: &Request<Incoming>,
+) -> Response<AnswerBody> {
+    let tokens = reply::query(request).get("tokens").copied().unwrap_or(0);
+    let blocks = tokens / crate::decide::prefix::BLOCK_TOKENS as u64;
+    sleep(Duration::from_millis(blocks * MOVE_BLOCK_MS)).await;
+    endpoint.thaw().await;
+    reply::json(
+        StatusCode::OK,
+        &json!({ "address": endpoint.address.to_string() }),
+    )
+}
--- /dev/null
+++ b/tests/integration/main.rs
@@ -0,0 +1,20 @@
+//! Integration tests: real processes on loopback where the fault is a kill, a freeze,
+//! a cut or an outage; the pure parts on the paused clock elsewhere.
+
+mod harness;
+
+mod edges;
+mod whole_path;
+
+/// Names each case of a test that is run over a table of them.
+#[macro_export]
+macro_rules! cases {
+    ($check:path: $($name:ident($($argument:expr),* $(,)?)),+ $(,)?) => {
+        $(
+            #[googletest::test]
+            fn $name() {
+                $check($($argument),*);
+            }
+        )+
+    };
+}
