--- a/src/bin/willow_standin.rs
+++ b/src/bin/willow_standin.rs
@@ -64,9 +64,7 @@
 
 fn main() -> ExitCode {
     let flags = flags::WillowStandin::from_env_or_exit();
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build();
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let local = tokio::task::LocalSet::new();
     let result = match runtime {
         Ok(runtime) => local.block_on(&runtime, run(flags.subcommand)),
@@ -106,9 +104,7 @@
     speed: Option<EngineSpeed>,
     phase: watch::Receiver<LifePhase>,
 ) -> Result<(), StepError> {
-    let running = addresses
-        .into_iter()
-        .map(|address| endpoint::run(address, speed, phase.clone()));
+    let running = addresses.into_iter().map(|address| endpoint::run(address, speed, phase.clone()));
     futures::future::try_join_all(running).await.map(|_| ())
 }
 
--- a/src/bin/willowarchd.rs
+++ b/src/bin/willowarchd.rs
@@ -65,9 +65,7 @@
 }
 
 fn run(settings: DaemonSettings) -> Result<KernelExit, Box<dyn std::error::Error>> {
-    let runtime = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()?;
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
     Ok(local.block_on(&runtime, daemon::run(settings))?)
 }
--- a/src/bin/willowctl.rs
+++ b/src/bin/willowctl.rs
@@ -115,10 +115,7 @@
 
 impl CommandFailure {
     fn new(code: u8, message: impl ToString) -> Self {
-        Self {
-            code,
-            message: message.to_string(),
-        }
+        Self { code, message: message.to_string() }
     }
 }
 
@@ -148,10 +145,7 @@
         Ok(code) => code,
         Err(failure) => {
             if json {
-                println!(
-                    "{}",
-                    json!({ "error": failure.message, "code": failure.code })
-                );
+                println!("{}", json!({ "error": failure.message, "code": failure.code }));
             } else {
                 eprintln!("willowctl: {}", failure.message);
             }
@@ -164,10 +158,7 @@
     let json = flags.json;
     let table = || match flags.api {
         Some(api) => Ok(TableClient::new(api)),
-        None => Err(CommandFailure::new(
-            EXIT_INVALID,
-            "--api: (missing); allowed: an address",
-        )),
+        None => Err(CommandFailure::new(EXIT_INVALID, "--api: (missing); allowed: an address")),
     };
     match flags.subcommand {
         flags::WillowctlCmd::Table(command) => match command.subcommand {
@@ -175,11 +166,7 @@
             flags::TableCmd::Set(set) => set_fields(&table()?, &set.name, &set.field, json),
             flags::TableCmd::Out(out) => {
                 let rows = spreadsheet::write_out(&table()?, &out.file)?;
-                report(
-                    json,
-                    &json!({ "rows": rows }),
-                    &format!("{rows} rows written out"),
-                )
+                report(json, &json!({ "rows": rows }), &format!("{rows} rows written out"))
             }
             flags::TableCmd::Edit(edit) => {
                 let names = spreadsheet::read_in(&table()?, &edit.file)?;
@@ -189,10 +176,7 @@
         },
         flags::WillowctlCmd::Diff(diff) => show_difference(&table()?, &diff.file, json),
         flags::WillowctlCmd::Apply(apply) => {
-            let scope = ApplyScope {
-                overwrite: apply.overwrite,
-                prune: apply.prune,
-            };
+            let scope = ApplyScope { overwrite: apply.overwrite, prune: apply.prune };
             apply_file(&table()?, &apply.file, scope, json)
         }
         flags::WillowctlCmd::Status(status) => show_status(&status.daemon, json),
@@ -224,17 +208,9 @@
             return Err(EditError::Missing(row.name.to_string()).into());
         };
         if json {
-            println!(
-                "{}",
-                json!({ "name": row.name, "version": row.version, "row": value })
-            );
+            println!("{}", json!({ "name": row.name, "version": row.version, "row": value }));
         } else {
-            println!(
-                "{} (version {}) {}",
-                row.name,
-                row.version,
-                plain_row(value)
-            );
+            println!("{} (version {}) {}", row.name, row.version, plain_row(value));
         }
     }
     Ok(ExitCode::SUCCESS)
@@ -253,15 +229,9 @@
         value[key] = serde_json::from_str(text).unwrap_or_else(|_| json!(text));
     }
     // NOTE: a declaration's mark stays as it was, so that `apply` sees this edit.
-    let marks = value
-        .get("applied")
-        .map_or(json!({}), |mark| json!({ "applied": mark }));
+    let marks = value.get("applied").map_or(json!({}), |mark| json!({ "applied": mark }));
     let version = table.write(&value, entry.version, &marks)?;
-    report(
-        json,
-        &json!({ "version": version }),
-        &format!("{name} is now version {version}"),
-    )
+    report(json, &json!({ "version": version }), &format!("{name} is now version {version}"))
 }
 
 fn read_file(path: &Path) -> Result<String, CommandFailure> {
@@ -273,18 +243,8 @@
     match change {
         RowChange::Same { name } => format!("  {name}"),
         RowChange::Create { name, to } => format!("+ {name} {to}"),
-        RowChange::Update {
-            name,
-            from,
-            to,
-            changed_since,
-            ..
-        } => {
-            let warning = if *changed_since {
-                " (changed by somebody else since)"
-            } else {
-                ""
-            };
+        RowChange::Update { name, from, to, changed_since, .. } => {
+            let warning = if *changed_since { " (changed by somebody else since)" } else { "" };
             format!("~ {name}{warning}\n    is:       {from}\n    declared: {to}")
         }
         RowChange::Undeclared { name, .. } => format!("? {name} is not declared"),
@@ -300,24 +260,14 @@
             println!("{}", render_change(change));
         }
     }
-    let same = changes
-        .iter()
-        .all(|change| matches!(change, RowChange::Same { .. }));
-    Ok(if same {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(EXIT_DIFFERENT)
-    })
+    let same = changes.iter().all(|change| matches!(change, RowChange::Same { .. }));
+    Ok(if same { ExitCode::SUCCESS } else { ExitCode::from(EXIT_DIFFERENT) })
 }
 
 fn apply_file(table: &TableClient, path: &Path, scope: ApplyScope, json: bool) -> CommandResult {
     let changes = declaration::compare(table, &read_file(path)?)?;
     let written = declaration::apply(table, &changes, scope)?;
-    report(
-        json,
-        &json!({ "written": written }),
-        &format!("{written} rows written"),
-    )
+    report(json, &json!({ "written": written }), &format!("{written} rows written"))
 }
 
 fn show_status(daemons: &[SocketAddr], json: bool) -> CommandResult {
@@ -337,11 +287,7 @@
     let client = ControlClient::default();
     for daemon in daemons {
         client.post("drain", *daemon, "/drain")?;
-        report(
-            json,
-            &json!({ "draining": daemon }),
-            &format!("{daemon} is draining"),
-        )?;
+        report(json, &json!({ "draining": daemon }), &format!("{daemon} is draining"))?;
     }
     Ok(ExitCode::SUCCESS)
 }
@@ -359,11 +305,7 @@
         eprintln!("willowctl: {error}");
     }
     let whole = merged.missing.is_empty();
-    Ok(if whole {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::from(EXIT_UNAVAILABLE)
-    })
+    Ok(if whole { ExitCode::SUCCESS } else { ExitCode::from(EXIT_UNAVAILABLE) })
 }
 
 fn check_settings(path: &Path, json: bool) -> CommandResult {
--- a/src/cluster/core.rs
+++ b/src/cluster/core.rs
@@ -32,8 +32,10 @@
 const PROBE_EVERY: Duration = Duration::from_secs(1);
 /// Time between exchanges of summaries.
 const SYNC_EVERY: Duration = Duration::from_secs(1);
-/// Time between greetings of an address that is not a member yet.
+/// Time between greetings of addresses that are not members yet.
 const GREET_EVERY: Duration = Duration::from_secs(1);
+/// Time between greetings of a removed member, in case it was only cut off.
+const RECALL_EVERY: Duration = Duration::from_secs(5);
 /// Time a suspect has to refute.
 const SUSPICION: Duration = Duration::from_secs(5);
 /// Time a suspect has whose address refuses connections.
@@ -43,7 +45,7 @@
 /// How long probes' failures are distrusted after a pause.
 const DISTRUST: Duration = Duration::from_secs(2);
 /// How long removed members, gone VMs and old notices are remembered.
-const TOMBSTONE_KEEP: Duration = Duration::from_secs(3_600);
+const TOMBSTONE_KEEP: Duration = Duration::from_secs(6 * 3_600);
 /// Time between looks for stale items.
 const FORGET_EVERY: Duration = Duration::from_secs(60);
 /// Most items in one message.
@@ -132,6 +134,7 @@
     refused: BTreeSet<IncarnationId>,
     sync_at: Instant,
     greet_at: Instant,
+    recall_at: Instant,
     forget_at: Instant,
     last_tick: Instant,
     distrust_until: Instant,
@@ -155,6 +158,7 @@
             refused: BTreeSet::new(),
             sync_at: now,
             greet_at: now,
+            recall_at: now + RECALL_EVERY,
             forget_at: now + FORGET_EVERY,
             last_tick: now,
             distrust_until: now,
@@ -220,7 +224,12 @@
         self.counters
     }
 
-    /// Peer to exchange averages with.
+    /// Forgets what was still to be sent; the next exchanges of summaries make up for it.
+    pub fn drop_outboxes(&mut self) {
+        self.outboxes.clear();
+    }
+
+    /// Some member that has not been removed.
     pub fn random_member(&mut self) -> Option<PeerTarget> {
         let point: u64 = self.rng.random();
         let found = self.members.successors(point, 1, self.own);
@@ -229,14 +238,8 @@
 
     /// Target of a member that has not been removed.
     pub fn target(&self, incarnation: IncarnationId) -> Option<PeerTarget> {
-        let view = self
-            .members
-            .get(incarnation)
-            .filter(|view| view.is_present())?;
-        Some(PeerTarget {
-            incarnation,
-            address: view.record.address.clone(),
-        })
+        let view = self.members.get(incarnation).filter(|view| view.is_present())?;
+        Some(PeerTarget { incarnation, address: view.record.address.clone() })
     }
 
     fn tick(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
@@ -245,6 +248,7 @@
         }
         self.last_tick = now;
         self.greet_seeds(now, actions);
+        self.recall_removed(now, actions);
         self.probe_neighbours(now, actions);
         self.remove_suspects(now, actions);
         self.flush(actions);
@@ -263,16 +267,10 @@
             return;
         }
         self.greet_at = now + GREET_EVERY;
-        let known: BTreeSet<&SharedName> = self
-            .members
-            .present()
-            .map(|(_, view)| &view.record.address)
-            .collect();
-        let unknown: Vec<&SharedName> = self
-            .seeds
-            .iter()
-            .filter(|address| !known.contains(address))
-            .collect();
+        let known: BTreeSet<&SharedName> =
+            self.members.present().map(|(_, view)| &view.record.address).collect();
+        let unknown: Vec<&SharedName> =
+            self.seeds.iter().filter(|address| !known.contains(address)).collect();
         // NOTE: a few a second, whatever the number of seeds; the peers met first tell
         // of the others.
         for _ in 0..SUCCESSORS.min(unknown.len()) {
@@ -281,14 +279,27 @@
         }
     }
 
-    fn probe_neighbours(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
-        for incarnation in self
-            .links
+    /// Greets a removed member now and then. After a cut, both sides have removed each
+    /// other; the first greeting that gets through lets them learn of it and refute.
+    fn recall_removed(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
+        if now < self.recall_at {
+            return;
+        }
+        self.recall_at = now + RECALL_EVERY.mul_f64(self.rng.random_range(0.8..1.2));
+        let removed: Vec<&SharedName> = self
+            .members
             .iter()
-            .take(SUCCESSORS)
-            .copied()
-            .collect::<Vec<_>>()
-        {
+            .filter(|(_, view)| !view.is_present() && !view.record.leaving)
+            .map(|(_, view)| &view.record.address)
+            .collect();
+        if !removed.is_empty() {
+            let index = self.rng.random_range(0..removed.len());
+            actions.push(ClusterAction::Greet(removed[index].clone()));
+        }
+    }
+
+    fn probe_neighbours(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
+        for incarnation in self.links.iter().take(SUCCESSORS).copied().collect::<Vec<_>>() {
             let due = *self.probe_at.entry(incarnation).or_insert(now);
             if now >= due {
                 self.probe_at.insert(incarnation, now + PROBE_EVERY);
@@ -341,10 +352,8 @@
         if refused {
             self.refused.insert(incarnation);
         }
-        let alive = self
-            .members
-            .get(incarnation)
-            .is_some_and(|view| view.status == MemberStatus::Alive);
+        let alive =
+            self.members.get(incarnation).is_some_and(|view| view.status == MemberStatus::Alive);
         if alive {
             self.counters.suspected += 1;
             self.judge(incarnation, MemberStatus::Suspect, now, actions);
@@ -356,22 +365,12 @@
         if now < self.distrust_until {
             return;
         }
-        for incarnation in self
-            .links
-            .iter()
-            .take(SUCCESSORS)
-            .copied()
-            .collect::<Vec<_>>()
-        {
+        for incarnation in self.links.iter().take(SUCCESSORS).copied().collect::<Vec<_>>() {
             let Some(view) = self.members.get(incarnation) else {
                 continue;
             };
             let refused = self.refused.contains(&incarnation);
-            let allowed = if refused {
-                SUSPICION_REFUSED
-            } else {
-                SUSPICION
-            };
+            let allowed = if refused { SUSPICION_REFUSED } else { SUSPICION };
             let over = now.saturating_duration_since(view.since) > allowed;
             if view.status == MemberStatus::Suspect && over {
                 self.counters.removed += 1;
@@ -419,16 +418,18 @@
         if let Some(before) = before.filter(|before| *before < incarnation) {
             self.judge(before, MemberStatus::Dead, now, actions);
         }
-        if self.members.get(incarnation).is_none() {
+        let known = self.members.get(incarnation).map(MemberView::is_present);
+        if known == Some(true) {
+            return;
+        }
+        if known.is_none() {
             let name = incarnation.to_string().into();
             let item = SpreadItem::new(ItemKind::Member, name, 0, &record);
             self.receive(None, vec![item], now, actions);
-            let target = PeerTarget {
-                incarnation,
-                address: record.address,
-            };
-            actions.push(ClusterAction::Sync(target));
         }
+        // NOTE: one that was removed learns of it by this exchange, and refutes.
+        let target = PeerTarget { incarnation, address: record.address };
+        actions.push(ClusterAction::Sync(target));
     }
 
     fn receive(
@@ -477,13 +478,9 @@
             }
             ItemKind::Vm => {
                 item.value.is_none()
-                    || item
-                        .decode::<crate::platform::messages::VmEntry>()
-                        .is_some()
+                    || item.decode::<crate::platform::messages::VmEntry>().is_some()
             }
-            ItemKind::Notice => item
-                .decode::<crate::platform::messages::ReclaimNotice>()
-                .is_some(),
+            ItemKind::Notice => item.decode::<crate::platform::messages::ReclaimNotice>().is_some(),
         }
     }
 
@@ -511,19 +508,9 @@
             return;
         }
         let known = self.members.get(incarnation);
-        let unchanged = known
-            .filter(|view| view.status == status)
-            .map(|view| view.since);
+        let unchanged = known.filter(|view| view.status == status).map(|view| view.since);
         let since = unchanged.unwrap_or(now);
-        self.members.set(
-            incarnation,
-            MemberView {
-                record,
-                status,
-                refutation,
-                since,
-            },
-        );
+        self.members.set(incarnation, MemberView { record, status, refutation, since });
     }
 
     /// Marks an item to be sent on all links but the one it came from.
@@ -541,11 +528,7 @@
         for index in 0..FAR_LINKS as u64 {
             let point = hash_parts(&[b"far", &self.own.0.to_le_bytes(), &index.to_le_bytes()]);
             let found = self.members.successors(point, SUCCESSORS + 1, self.own);
-            links.extend(
-                found
-                    .into_iter()
-                    .find(|candidate| !links.contains(candidate)),
-            );
+            links.extend(found.into_iter().find(|candidate| !links.contains(candidate)));
         }
         self.outboxes.retain(|link, _| links.contains(link));
         self.probe_at.retain(|link, _| links.contains(link));
@@ -565,14 +548,8 @@
             for key in &keys {
                 outbox.remove(key);
             }
-            let items = keys
-                .iter()
-                .filter_map(|key| self.items.get(key).cloned())
-                .collect();
-            actions.extend(
-                self.target(link)
-                    .map(|target| ClusterAction::Push(target, items)),
-            );
+            let items = keys.iter().filter_map(|key| self.items.get(key).cloned()).collect();
+            actions.extend(self.target(link).map(|target| ClusterAction::Push(target, items)));
         }
     }
 
--- a/src/cluster/items.rs
+++ b/src/cluster/items.rs
@@ -53,20 +53,12 @@
     /// Item of a value that serializes to JSON.
     pub fn new(kind: ItemKind, name: SharedName, version: u64, value: &impl Serialize) -> Self {
         let json = serde_json::to_vec(value).unwrap_or_default();
-        Self {
-            key: ItemKey { kind, name },
-            version,
-            value: Some(json.into()),
-        }
+        Self { key: ItemKey { kind, name }, version, value: Some(json.into()) }
     }
 
     /// Tombstone of an item.
     pub fn deleted(kind: ItemKind, name: SharedName, version: u64) -> Self {
-        Self {
-            key: ItemKey { kind, name },
-            version,
-            value: None,
-        }
+        Self { key: ItemKey { kind, name }, version, value: None }
     }
 
     /// Value decoded from JSON.
@@ -104,11 +96,7 @@
 }
 
 fn version_hash(key: &ItemKey, version: u64) -> u64 {
-    hash_parts(&[
-        &[key.kind as u8],
-        key.name.as_bytes(),
-        &version.to_le_bytes(),
-    ])
+    hash_parts(&[&[key.kind as u8], key.name.as_bytes(), &version.to_le_bytes()])
 }
 
 impl ItemStore {
@@ -140,10 +128,7 @@
 
     /// All items of a kind, tombstones included.
     pub fn of_kind(&self, kind: ItemKind) -> impl Iterator<Item = &SpreadItem> {
-        self.items
-            .values()
-            .map(|(item, _)| item)
-            .filter(move |item| item.key.kind == kind)
+        self.items.values().map(|(item, _)| item).filter(move |item| item.key.kind == kind)
     }
 
     /// Hash of each bucket.
@@ -154,22 +139,13 @@
     /// Buckets in which another daemon's summary differs.
     pub fn differing(&self, theirs: &[u64]) -> Vec<usize> {
         let pairs = self.summary.iter().zip(theirs);
-        pairs
-            .enumerate()
-            .filter(|(_, (own, their))| own != their)
-            .map(|(index, _)| index)
-            .collect()
+        pairs.enumerate().filter(|(_, (own, their))| own != their).map(|(index, _)| index).collect()
     }
 
     /// Names and versions of the items in `buckets`.
     pub fn versions_in(&self, buckets: &[usize]) -> Vec<(ItemKey, u64)> {
-        let chosen = buckets
-            .iter()
-            .filter_map(|bucket| self.by_bucket.get(*bucket));
-        chosen
-            .flatten()
-            .map(|(key, version)| (key.clone(), *version))
-            .collect()
+        let chosen = buckets.iter().filter_map(|bucket| self.by_bucket.get(*bucket));
+        chosen.flatten().map(|(key, version)| (key.clone(), *version)).collect()
     }
 
     /// Forgets items that `is_stale` picks out by their age.
--- a/src/cluster/members.rs
+++ b/src/cluster/members.rs
@@ -108,9 +108,7 @@
 
     /// All incarnations, removed ones included.
     pub fn iter(&self) -> impl Iterator<Item = (IncarnationId, &MemberView)> {
-        self.views
-            .iter()
-            .map(|(incarnation, view)| (*incarnation, view))
+        self.views.iter().map(|(incarnation, view)| (*incarnation, view))
     }
 
     /// Incarnations that have not been removed, in ring order.
@@ -137,10 +135,7 @@
         count: usize,
         own: IncarnationId,
     ) -> Vec<IncarnationId> {
-        let after = self
-            .ring
-            .range(position..)
-            .chain(self.ring.range(..position));
+        let after = self.ring.range(position..).chain(self.ring.range(..position));
         after
             .map(|(_, incarnation)| *incarnation)
             .filter(|found| *found != own)
@@ -151,9 +146,7 @@
     /// Incarnation at `address` that has not been removed.
     pub fn at_address(&self, address: &str) -> Option<IncarnationId> {
         let mut present = self.present();
-        present
-            .find(|(_, view)| &*view.record.address == address)
-            .map(|(found, _)| found)
+        present.find(|(_, view)| &*view.record.address == address).map(|(found, _)| found)
     }
 
     /// Members that take work, best first for `name` by rendezvous hashing, one per
--- a/src/cluster/service.rs
+++ b/src/cluster/service.rs
@@ -107,11 +107,7 @@
     own_address: crate::ids::SharedName,
     outputs: ClusterOutputs,
 ) {
-    let mut service = ClusterService {
-        core,
-        outputs,
-        own_address,
-    };
+    let mut service = ClusterService { core, outputs, own_address };
     service.publish_members();
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -143,10 +139,7 @@
                 let _ = reply.send(items.versions_in(&buckets));
             }
             ClusterMessage::Fetch { keys, reply } => {
-                let found = keys
-                    .iter()
-                    .filter_map(|key| items.get(key).cloned())
-                    .collect();
+                let found = keys.iter().filter_map(|key| items.get(key).cloned()).collect();
                 let _ = reply.send(found);
             }
             ClusterMessage::List { kind, reply } => {
@@ -198,9 +191,7 @@
                 ItemKind::Row => {
                     let detail = format!("version {}", item.version);
                     let subject = Some(item.key.name.clone());
-                    self.outputs
-                        .timeline
-                        .record(EventKind::RowInForce, subject, detail);
+                    self.outputs.timeline.record(EventKind::RowInForce, subject, detail);
                 }
                 ItemKind::Vm => self.publish_vm(item),
                 ItemKind::Notice => self.publish_notice(item),
@@ -208,9 +199,7 @@
                     let (refutation, status) = super::members::split_version(item.version);
                     let detail = format!("{status:?} after {refutation} refutations");
                     let subject = Some(item.key.name.clone());
-                    self.outputs
-                        .timeline
-                        .record(EventKind::Member, subject, detail);
+                    self.outputs.timeline.record(EventKind::Member, subject, detail);
                 }
             }
         }
@@ -222,9 +211,7 @@
     fn publish_table(&self) {
         let rows = self.core.items().of_kind(ItemKind::Row);
         let rows = rows.filter_map(SpreadItem::decode::<TableRow>);
-        self.outputs
-            .table
-            .send_replace(Arc::new(TableSnapshot::new(rows)));
+        self.outputs.table.send_replace(Arc::new(TableSnapshot::new(rows)));
     }
 
     fn publish_vm(&self, item: &SpreadItem) {
@@ -238,9 +225,7 @@
             return;
         };
         let detail = format!("gone at {}", notice.gone_at_ms);
-        self.outputs
-            .timeline
-            .record(EventKind::Notice, Some(notice.vm.clone()), detail);
+        self.outputs.timeline.record(EventKind::Notice, Some(notice.vm.clone()), detail);
         if self.is_own_vm(&notice) {
             self.outputs.own_notice.send_replace(Some(notice.clone()));
         }
@@ -248,15 +233,8 @@
     }
 
     fn is_own_vm(&self, notice: &ReclaimNotice) -> bool {
-        let key = ItemKey {
-            kind: ItemKind::Vm,
-            name: notice.vm.clone(),
-        };
-        let entry = self
-            .core
-            .items()
-            .get(&key)
-            .and_then(SpreadItem::decode::<VmEntry>);
+        let key = ItemKey { kind: ItemKind::Vm, name: notice.vm.clone() };
+        let entry = self.core.items().get(&key).and_then(SpreadItem::decode::<VmEntry>);
         entry.is_some_and(|entry| {
             &*entry.service == crate::platform::messages::ENTRY_SERVICE
                 && entry.address == self.own_address
@@ -286,10 +264,7 @@
 ) {
     match pool.greet(&peer).await {
         Ok(greeted) => {
-            report(
-                &address,
-                ClusterEvent::Greeted(greeted.incarnation, greeted.record),
-            );
+            report(&address, ClusterEvent::Greeted(greeted.incarnation, greeted.record));
         }
         Err(error) => {
             spdlog::debug!("greeting failed: {}", error, kv: { service = NAME, peer: = peer });
@@ -326,14 +301,8 @@
         report(&address, ClusterEvent::ProbeAnswered(target.incarnation));
         return;
     }
-    let refused = pool
-        .probe(&target)
-        .await
-        .is_err_and(|error| is_refused(&error));
-    report(
-        &address,
-        ClusterEvent::HelpersFailed(target.incarnation, refused),
-    );
+    let refused = pool.probe(&target).await.is_err_and(|error| is_refused(&error));
+    report(&address, ClusterEvent::HelpersFailed(target.incarnation, refused));
 }
 
 /// Exchanges summaries, then fetches what is newer there and sends what is newer here.
@@ -349,31 +318,18 @@
     if buckets.is_empty() {
         return;
     }
-    let own = address
-        .ask(|reply| ClusterMessage::Versions { buckets, reply })
-        .await;
+    let own = address.ask(|reply| ClusterMessage::Versions { buckets, reply }).await;
     let Ok(own) = own else { return };
     let wanted = newer_than(&theirs, &own);
     if !wanted.is_empty() {
         let Ok(items) = pool.fetch(&target, wanted).await else {
             return;
         };
-        report(
-            &address,
-            ClusterEvent::Items(Some(target.incarnation), items),
-        );
+        report(&address, ClusterEvent::Items(Some(target.incarnation), items));
     }
-    let surplus: Vec<ItemKey> = newer_than(&own, &theirs)
-        .into_iter()
-        .map(|(key, _)| key)
-        .collect();
+    let surplus: Vec<ItemKey> = newer_than(&own, &theirs).into_iter().map(|(key, _)| key).collect();
     if !surplus.is_empty() {
-        let items = address
-            .ask(|reply| ClusterMessage::Fetch {
-                keys: surplus,
-                reply,
-            })
-            .await;
+        let items = address.ask(|reply| ClusterMessage::Fetch { keys: surplus, reply }).await;
         let Ok(items) = items else { return };
         let _ = pool.push(&target, &items).await;
     }
@@ -383,8 +339,7 @@
 pub fn newer_than(left: &ItemVersions, right: &ItemVersions) -> ItemVersions {
     let known: std::collections::HashMap<&ItemKey, u64> =
         right.iter().map(|(key, version)| (key, *version)).collect();
-    let newer = left
-        .iter()
-        .filter(|(key, version)| known.get(key).is_none_or(|known| known < version));
+    let newer =
+        left.iter().filter(|(key, version)| known.get(key).is_none_or(|known| known < version));
     newer.cloned().collect()
 }
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -27,9 +27,7 @@
             .http_status_as_error(false)
             .timeout_global(Some(CALL_LIMIT))
             .build();
-        Self {
-            agent: config.into(),
-        }
+        Self { agent: config.into() }
     }
 }
 
@@ -75,11 +73,7 @@
         peer: SocketAddr,
         path: &str,
     ) -> Result<T, StepError> {
-        decode(
-            step,
-            peer,
-            self.agent.get(format!("http://{peer}{path}")).call(),
-        )
+        decode(step, peer, self.agent.get(format!("http://{peer}{path}")).call())
     }
 
     /// Posts to a daemon's operators' port.
@@ -89,11 +83,7 @@
         peer: SocketAddr,
         path: &str,
     ) -> Result<Value, StepError> {
-        decode(
-            step,
-            peer,
-            self.agent.post(format!("http://{peer}{path}")).send_empty(),
-        )
+        decode(step, peer, self.agent.post(format!("http://{peer}{path}")).send_empty())
     }
 
     /// Reads one object.
@@ -117,16 +107,9 @@
     ) -> Result<WriteReceipt, StepError> {
         let url = format!("http://{api}/objects/{kind}/{name}");
         let answer = match value {
-            None => self
-                .agent
-                .delete(url)
-                .header("if-match", version.to_string())
-                .call(),
+            None => self.agent.delete(url).header("if-match", version.to_string()).call(),
             Some(value) => {
-                let request = self
-                    .agent
-                    .put(url)
-                    .header("content-type", "application/json");
+                let request = self.agent.put(url).header("content-type", "application/json");
                 let request = match version {
                     0 => request.header("if-none-match", "*"),
                     version => request.header("if-match", version.to_string()),
--- a/src/control/declaration.rs
+++ b/src/control/declaration.rs
@@ -82,13 +82,7 @@
                     RowChange::Same { name }
                 } else {
                     let changed_since = value[MARK].as_str() != Some(&digest(&from));
-                    RowChange::Update {
-                        name,
-                        from,
-                        to,
-                        version: entry.version,
-                        changed_since,
-                    }
+                    RowChange::Update { name, from, to, version: entry.version, changed_since }
                 }
             }
         };
@@ -125,13 +119,7 @@
                 table.write(to, 0, &json!({ MARK: digest(to) }))?;
                 written += 1;
             }
-            RowChange::Update {
-                name,
-                from,
-                to,
-                version,
-                changed_since,
-            } => {
+            RowChange::Update { name, from, to, version, changed_since } => {
                 if *changed_since && !scope.overwrite {
                     return Err(EditError::Conflict(Box::new(RowConflict {
                         name: name.clone(),
--- a/src/control/spreadsheet.rs
+++ b/src/control/spreadsheet.rs
@@ -43,18 +43,14 @@
 pub fn write_out(table: &TableClient, path: &Path) -> Result<usize, EditError> {
     let rows = table.list()?;
     let mut writer = csv::Writer::from_path(path).map_err(|error| file_error(path, error))?;
-    writer
-        .write_record(COLUMNS)
-        .map_err(|error| file_error(path, error))?;
+    writer.write_record(COLUMNS).map_err(|error| file_error(path, error))?;
     for row in &rows {
         let value = row.value.clone().unwrap_or_default();
         let cells = COLUMNS.map(|column| match column {
             VERSION => row.version.to_string(),
             column => cell(&value[column]),
         });
-        writer
-            .write_record(&cells)
-            .map_err(|error| file_error(path, error))?;
+        writer.write_record(&cells).map_err(|error| file_error(path, error))?;
     }
     writer.flush().map_err(|error| file_error(path, error))?;
     Ok(rows.len())
@@ -82,10 +78,7 @@
 
 fn read_sheet(path: &Path) -> Result<Vec<SheetRow>, EditError> {
     let mut reader = csv::Reader::from_path(path).map_err(|error| file_error(path, error))?;
-    let columns = reader
-        .headers()
-        .map_err(|error| file_error(path, error))?
-        .clone();
+    let columns = reader.headers().map_err(|error| file_error(path, error))?.clone();
     let mut rows = Vec::new();
     for record in reader.records() {
         let record = record.map_err(|error| file_error(path, error))?;
@@ -96,17 +89,13 @@
                 version = if text.is_empty() {
                     0
                 } else {
-                    text.parse()
-                        .map_err(|_| file_error(path, format!("version: {text}")))?
+                    text.parse().map_err(|_| file_error(path, format!("version: {text}")))?
                 };
             } else if let Some(value) = read_cell(column, text).filter(|_| column != "note") {
                 object.insert(column.to_owned(), value);
             }
         }
-        rows.push(SheetRow {
-            version,
-            value: Value::Object(object),
-        });
+        rows.push(SheetRow { version, value: Value::Object(object) });
     }
     Ok(rows)
 }
--- a/src/control/table.rs
+++ b/src/control/table.rs
@@ -82,10 +82,7 @@
 impl TableClient {
     /// Table at `api`.
     pub fn new(api: SocketAddr) -> Self {
-        Self {
-            client: ControlClient::default(),
-            api,
-        }
+        Self { client: ControlClient::default(), api }
     }
 
     /// All rows.
@@ -110,9 +107,7 @@
         for (key, mark) in marks.as_object().into_iter().flatten() {
             value[key] = mark.clone();
         }
-        let written = self
-            .client
-            .write(self.api, ROW_KIND, &name, Some(&value), version);
+        let written = self.client.write(self.api, ROW_KIND, &name, Some(&value), version);
         match written {
             Ok(receipt) => Ok(receipt.version),
             Err(error) if is_settled(&error) => Err(error.into()),
@@ -143,10 +138,7 @@
     ) -> Result<u64, EditError> {
         for _ in 0..READ_BACK_TRIES {
             if let Ok(current) = self.read(name) {
-                let found = current
-                    .value
-                    .as_ref()
-                    .and_then(|value| value["edit_id"].as_u64());
+                let found = current.value.as_ref().and_then(|value| value["edit_id"].as_u64());
                 if found == Some(edit_id) {
                     return Ok(current.version);
                 }
--- a/src/control/views.rs
+++ b/src/control/views.rs
@@ -46,10 +46,7 @@
     let subject = event.subject.as_deref().unwrap_or("-");
     let kind = serde_json::to_value(event.kind).unwrap_or_default();
     let kind = kind.as_str().unwrap_or("?");
-    format!(
-        "{} {} {kind:<15} {subject}  {}",
-        event.at_ms, event.daemon, event.detail
-    )
+    format!("{} {} {kind:<15} {subject}  {}", event.at_ms, event.daemon, event.detail)
 }
 
 /// Status of one daemon, as text.
@@ -65,11 +62,7 @@
             member["address"],
             member["zone"],
             member["status"],
-            if member["leaving"] == true {
-                " leaving"
-            } else {
-                ""
-            },
+            if member["leaving"] == true { " leaving" } else { "" },
         ));
     }
     for row in status["rows"].as_array().into_iter().flatten() {
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -97,11 +97,7 @@
     let context = Rc::new(assemble(settings, kernel.handle(), &views).expect("registered"));
     start(&mut kernel, &context, inboxes, listeners, views);
     let detail = format!("zone {}", context.identity.zone);
-    context.note_subject(
-        EventKind::Phase,
-        &context.identity.address,
-        format!("running, {detail}"),
-    );
+    context.note_subject(EventKind::Phase, &context.identity.address, format!("running, {detail}"));
     spdlog::info!("running", kv: {
         service = "kernel", incarnation: = context.identity.incarnation, zone: = context.identity.zone
     });
@@ -165,19 +161,10 @@
     let own = context.identity.incarnation;
     let own_notice = views.own_notice.subscribe();
     start_cluster(kernel, context, inboxes.cluster, views);
-    let holder = RequestHolder {
-        incarnation: own,
-        address: context.identity.address.clone(),
-    };
+    let holder = RequestHolder { incarnation: own, address: context.identity.address.clone() };
     let store = RequestStore::new(holder, context.settings.answer_keep, RECORD_BYTES_LIMIT);
-    kernel.start(
-        store_service::NAME,
-        store_service::run(inboxes.requests, store),
-    );
-    kernel.start(
-        ticket_service::NAME,
-        ticket_service::run(inboxes.tickets, own),
-    );
+    kernel.start(store_service::NAME, store_service::run(inboxes.requests, store));
+    kernel.start(ticket_service::NAME, ticket_service::run(inboxes.tickets, own));
     let inputs = RouterInputs {
         own,
         zone: context.identity.zone.clone(),
@@ -189,11 +176,7 @@
         timeline: context.timeline.clone(),
     };
     kernel.start(router::NAME, router::run(inboxes.router, inputs));
-    let copier = copies::run(
-        inboxes.copies,
-        context.copies.clone(),
-        Rc::downgrade(context),
-    );
+    let copier = copies::run(inboxes.copies, context.copies.clone(), Rc::downgrade(context));
     kernel.start(copies::NAME, copier);
     let limits = limit_service::run(
         inboxes.limits,
@@ -206,10 +189,7 @@
     kernel.start(GATE, peer::server::serve(listeners.peers, context.clone()));
     kernel.start(platform_watch::NAME, platform_watch::run(context.clone()));
     kernel.start(admin::NAME, admin::run(listeners.admin, context.clone()));
-    kernel.start(
-        caller_edge::NAME,
-        caller_edge::run(listeners.callers, context.clone()),
-    );
+    kernel.start(caller_edge::NAME, caller_edge::run(listeners.callers, context.clone()));
     kernel.start(LEAVER, leave_when_told(context.clone(), own_notice));
 }
 
@@ -264,9 +244,7 @@
         address,
         format!("draining, {} active", context.active.get()),
     );
-    let _ = context
-        .cluster
-        .send(ClusterMessage::Event(ClusterEvent::Leave));
+    let _ = context.cluster.send(ClusterMessage::Event(ClusterEvent::Leave));
     let deadline = tokio::select! {
         () = wait_until_idle(&context, deadline) => deadline,
         // NOTE: a notice may come while a planned stop waits for its requests.
@@ -330,8 +308,6 @@
             .into_iter()
             .map(move |target| async move { context.pool.offer(&target, copy).await.is_ok() })
     });
-    let limit = deadline
-        .saturating_duration_since(Instant::now())
-        .max(FAREWELL);
+    let limit = deadline.saturating_duration_since(Instant::now()).max(FAREWELL);
     let _ = tokio::time::timeout(limit, futures::future::join_all(offers)).await;
 }
--- a/src/decide/fair_queue.rs
+++ b/src/decide/fair_queue.rs
@@ -60,20 +60,11 @@
             self.next_start.clear();
             self.virtual_time = 0;
         }
-        let start = self
-            .next_start
-            .get(account)
-            .copied()
-            .unwrap_or(0)
-            .max(self.virtual_time);
+        let start = self.next_start.get(account).copied().unwrap_or(0).max(self.virtual_time);
         let length = (tokens / weight * TAG_SCALE) as u64;
         self.arrivals += 1;
         let tag = (start, self.arrivals);
-        let entry = WaitingEntry {
-            account: account.clone(),
-            deadline,
-            item,
-        };
+        let entry = WaitingEntry { account: account.clone(), deadline, item };
         self.next_start.insert(account.clone(), start + length);
         self.waiting.insert(tag, entry);
         if self.waiting.len() <= self.limit {
@@ -87,14 +78,7 @@
     pub fn push_front(&mut self, account: &SharedName, deadline: Instant, item: T) {
         self.arrivals += 1;
         let tag = (0, self.arrivals);
-        self.waiting.insert(
-            tag,
-            WaitingEntry {
-                account: account.clone(),
-                deadline,
-                item,
-            },
-        );
+        self.waiting.insert(tag, WaitingEntry { account: account.clone(), deadline, item });
     }
 
     /// Takes the request whose turn it is.
@@ -118,10 +102,7 @@
 
     /// Waiting requests of one account.
     pub fn waiting_of(&self, account: &str) -> usize {
-        self.waiting
-            .values()
-            .filter(|entry| &*entry.account == account)
-            .count()
+        self.waiting.values().filter(|entry| &*entry.account == account).count()
     }
 
     /// Number of waiting requests.
--- a/src/decide/limits.rs
+++ b/src/decide/limits.rs
@@ -61,15 +61,12 @@
     ) -> LimitVerdict {
         let daemons = self.daemons.max(1.0);
         let average = self.averages.get(account).copied();
-        let bucket = self
-            .accounts
-            .entry(account.clone())
-            .or_insert(AccountBucket {
-                demand: 0.0,
-                level: limit / daemons * BURST_S,
-                rate: limit / daemons,
-                filled_at: now,
-            });
+        let bucket = self.accounts.entry(account.clone()).or_insert(AccountBucket {
+            demand: 0.0,
+            level: limit / daemons * BURST_S,
+            rate: limit / daemons,
+            filled_at: now,
+        });
         bucket.fill(now);
         bucket.demand += tokens / DEMAND_WINDOW_S;
         bucket.rate = local_rate(bucket.demand, average, daemons, limit);
@@ -81,11 +78,7 @@
             return LimitVerdict::Admitted;
         }
         let missing = needed - bucket.level;
-        let wait = if bucket.rate > 0.0 {
-            missing / bucket.rate
-        } else {
-            f64::INFINITY
-        };
+        let wait = if bucket.rate > 0.0 { missing / bucket.rate } else { f64::INFINITY };
         let longest = COME_BACK.1.as_secs_f64();
         let wait = Duration::from_secs_f64(wait.min(longest));
         LimitVerdict::Refused(wait.max(COME_BACK.0))
@@ -106,9 +99,7 @@
         }
         self.accounts.retain(|_, bucket| bucket.demand > QUIET);
         let demands = self.accounts.iter();
-        demands
-            .map(|(account, bucket)| (account.clone(), bucket.demand))
-            .collect()
+        demands.map(|(account, bucket)| (account.clone(), bucket.demand)).collect()
     }
 }
 
@@ -129,9 +120,5 @@
     };
     // NOTE: the average lags behind a burst; own demand is a lower bound of the total.
     let total = (average * daemons).max(own);
-    if total > limit {
-        limit * own / total
-    } else {
-        own + (limit - total) / daemons
-    }
+    if total > limit { limit * own / total } else { own + (limit - total) / daemons }
 }
--- a/src/decide/prefix.rs
+++ b/src/decide/prefix.rs
@@ -35,19 +35,12 @@
 impl PrefixCache {
     /// Cache of at most `capacity` blocks.
     pub fn new(capacity: usize) -> Self {
-        Self {
-            capacity,
-            tick: 0,
-            blocks: HashMap::new(),
-        }
+        Self { capacity, tick: 0, blocks: HashMap::new() }
     }
 
     /// Number of leading blocks of `chain` that are cached.
     pub fn overlap(&self, chain: &[u64]) -> usize {
-        chain
-            .iter()
-            .take_while(|block| self.blocks.contains_key(block))
-            .count()
+        chain.iter().take_while(|block| self.blocks.contains_key(block)).count()
     }
 
     /// Marks the blocks of `chain` as cached and just used; returns those forgotten.
@@ -79,11 +72,8 @@
         if self.blocks.len() <= self.capacity {
             return Vec::new();
         }
-        let mut by_age: Vec<(u64, u64)> = self
-            .blocks
-            .iter()
-            .map(|(block, tick)| (*tick, *block))
-            .collect();
+        let mut by_age: Vec<(u64, u64)> =
+            self.blocks.iter().map(|(block, tick)| (*tick, *block)).collect();
         by_age.sort_unstable();
         let excess = self.blocks.len() - self.capacity;
         let evicted: Vec<u64> = by_age
--- a/src/decide/reclaim.rs
+++ b/src/decide/reclaim.rs
@@ -113,9 +113,5 @@
             ways[index] = ReclaimWay::Move;
         }
     }
-    streams
-        .iter()
-        .zip(ways)
-        .map(|(stream, way)| (stream.name.clone(), way))
-        .collect()
+    streams.iter().zip(ways).map(|(stream, way)| (stream.name.clone(), way)).collect()
 }
--- a/src/decide/retries.rs
+++ b/src/decide/retries.rs
@@ -25,9 +25,7 @@
 
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self {
-            level: RETRY_RESERVE,
-        }
+        Self { level: RETRY_RESERVE }
     }
 }
 
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -110,11 +110,7 @@
 impl RouteTable {
     /// Empty table of a daemon in `zone`.
     pub fn new(zone: SharedName) -> Self {
-        Self {
-            zone,
-            services: HashMap::new(),
-            leaving: HashSet::new(),
-        }
+        Self { zone, services: HashMap::new(), leaving: HashSet::new() }
     }
 
     /// Replaces the endpoints of a service; those that stay keep what is known of them.
@@ -150,10 +146,7 @@
     /// Endpoints of a service that are in use, with their addresses.
     pub fn endpoints(&self) -> impl Iterator<Item = (&SharedName, &EndpointInfo)> {
         self.services.iter().flat_map(|(service, routes)| {
-            routes
-                .endpoints
-                .values()
-                .map(move |route| (service, &route.info))
+            routes.endpoints.values().map(move |route| (service, &route.info))
         })
     }
 
@@ -179,10 +172,7 @@
 
     /// Newest cache event taken from an endpoint.
     pub fn cache_sequence(&self, service: &str, id: &str) -> u64 {
-        let route = self
-            .services
-            .get(service)
-            .and_then(|routes| routes.endpoints.get(id));
+        let route = self.services.get(service).and_then(|routes| routes.endpoints.get(id));
         route.map_or(0, |route| route.cache_sequence)
     }
 
@@ -234,11 +224,7 @@
         let prefill = (missing * BLOCK_TOKENS) as f64 * PREFILL_MS;
         let batch = load / concurrency * BATCH_MS;
         let queue = (load + 1.0 - concurrency).max(0.0) * QUEUE_MS;
-        let zone = if route.info.zone == self.zone {
-            0.0
-        } else {
-            ZONE_MS
-        };
+        let zone = if route.info.zone == self.zone { 0.0 } else { ZONE_MS };
         prefill + batch + queue + zone
     }
 
--- a/src/errors.rs
+++ b/src/errors.rs
@@ -47,10 +47,6 @@
 impl StepError {
     /// Error of `step` at `peer`.
     pub fn new(step: &'static str, peer: impl Into<SharedName>, cause: FailureCause) -> Self {
-        Self {
-            step,
-            peer: peer.into(),
-            cause,
-        }
+        Self { step, peer: peer.into(), cause }
     }
 }
--- a/src/http.rs
+++ b/src/http.rs
@@ -20,9 +20,7 @@
 
 /// Body that holds `bytes` whole.
 pub fn whole_body(bytes: impl Into<Bytes>) -> AnswerBody {
-    Full::new(bytes.into())
-        .map_err(BodyError::from)
-        .boxed_unsync()
+    Full::new(bytes.into()).map_err(BodyError::from).boxed_unsync()
 }
 
 /// Body that is sent piece by piece as `sender` gives them. The sender is told when
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -47,11 +47,7 @@
         peer: &str,
     ) -> Result<T, StepError> {
         if !self.status.is_success() {
-            return Err(StepError::new(
-                step,
-                peer,
-                FailureCause::Status(self.status.as_u16()),
-            ));
+            return Err(StepError::new(step, peer, FailureCause::Status(self.status.as_u16())));
         }
         serde_json::from_slice(&self.body)
             .map_err(|error| StepError::new(step, peer, FailureCause::Malformed(error.to_string())))
@@ -92,8 +88,7 @@
     pub fn with_json(mut self, method: Method, body: impl Into<Bytes>) -> Self {
         self.method = method;
         self.body = body.into();
-        self.headers
-            .push(("content-type", "application/json".into()));
+        self.headers.push(("content-type", "application/json".into()));
         self
     }
 
@@ -116,9 +111,7 @@
         for (name, value) in &self.headers {
             builder = builder.header(*name, value);
         }
-        builder
-            .body(Full::new(self.body.clone()))
-            .map_err(|error| malformed(error.to_string()))
+        builder.body(Full::new(self.body.clone())).map_err(|error| malformed(error.to_string()))
     }
 }
 
@@ -180,15 +173,9 @@
             let collected =
                 collected.map_err(|error| call.error(FailureCause::Broken(error.to_string())))?;
             let body = collected.to_bytes();
-            Ok(WholeAnswer {
-                status: head.status,
-                headers: head.headers,
-                body,
-            })
+            Ok(WholeAnswer { status: head.status, headers: head.headers, body })
         };
         let timed_out = FailureCause::TimedOut(limit.as_millis() as u64);
-        wait_at_most(limit, whole)
-            .await
-            .unwrap_or_else(|_| Err(call.error(timed_out)))
+        wait_at_most(limit, whole).await.unwrap_or_else(|_| Err(call.error(timed_out)))
     }
 }
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -82,10 +82,7 @@
         }
     });
     let mut builder = http1::Builder::new();
-    builder
-        .timer(TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .max_buf_size(HEAD_LIMIT);
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIMEOUT).max_buf_size(HEAD_LIMIT);
     let connection = builder.serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     tokio::select! {
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -25,9 +25,7 @@
 
     /// New number from the wall clock (milliseconds) and random low bits.
     pub fn generate() -> Self {
-        let elapsed = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         let millis = elapsed.as_millis() as u64;
         let noise: u64 = rand::random();
         Self(millis << Self::RANDOM_BITS | noise >> (u64::BITS - Self::RANDOM_BITS))
@@ -52,10 +50,7 @@
 impl RequestName {
     /// Name of `key` within `account`.
     pub fn new(account: impl Into<SharedName>, key: impl Into<SharedName>) -> Self {
-        Self {
-            account: account.into(),
-            key: key.into(),
-        }
+        Self { account: account.into(), key: key.into() }
     }
 }
 
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -57,10 +57,7 @@
 
 impl<M> Clone for ServiceAddress<M> {
     fn clone(&self) -> Self {
-        Self {
-            name: self.name,
-            sender: self.sender.clone(),
-        }
+        Self { name: self.name, sender: self.sender.clone() }
     }
 }
 
@@ -169,12 +166,7 @@
             phase: watch::Sender::new(LifePhase::Running),
             failures: failure_sender,
         };
-        Self {
-            handle,
-            tasks: JoinSet::new(),
-            names: HashMap::new(),
-            failures,
-        }
+        Self { handle, tasks: JoinSet::new(), names: HashMap::new(), failures }
     }
 
     /// Handle to pass to services.
@@ -187,10 +179,7 @@
     pub fn register<M: 'static>(&mut self, name: ServiceName) -> ServiceInbox<M> {
         let (sender, inbox) = mpsc::channel(INBOX_CAPACITY);
         let address = ServiceAddress { name, sender };
-        self.handle
-            .directory
-            .borrow_mut()
-            .insert(name, Box::new(address));
+        self.handle.directory.borrow_mut().insert(name, Box::new(address));
         inbox
     }
 
--- a/src/options/check.rs
+++ b/src/options/check.rs
@@ -35,28 +35,15 @@
     /// Reader of `value`, whose keys are reported under `prefix`.
     pub fn new(value: &'a Value, prefix: &str) -> Result<Self, OptionError> {
         let object = value.as_object().ok_or_else(|| OptionError {
-            key: if prefix.is_empty() {
-                "(whole file)".into()
-            } else {
-                prefix.into()
-            },
+            key: if prefix.is_empty() { "(whole file)".into() } else { prefix.into() },
             value: value.to_string(),
             allowed: "a JSON object".into(),
         })?;
-        Ok(Self {
-            object,
-            prefix: prefix.into(),
-            seen: BTreeSet::new(),
-            errors: Vec::new(),
-        })
+        Ok(Self { object, prefix: prefix.into(), seen: BTreeSet::new(), errors: Vec::new() })
     }
 
     fn path(&self, key: &str) -> String {
-        if self.prefix.is_empty() {
-            key.into()
-        } else {
-            format!("{}.{key}", self.prefix)
-        }
+        if self.prefix.is_empty() { key.into() } else { format!("{}.{key}", self.prefix) }
     }
 
     fn get(&mut self, key: &'static str) -> Option<&'a Value> {
@@ -71,15 +58,8 @@
 
     /// Records that `key` holds something that is not allowed.
     pub fn reject(&mut self, key: &'static str, allowed: impl Into<String>) {
-        let value = self
-            .object
-            .get(key)
-            .map_or("(missing)".into(), Value::to_string);
-        let error = OptionError {
-            key: self.path(key),
-            value,
-            allowed: allowed.into(),
-        };
+        let value = self.object.get(key).map_or("(missing)".into(), Value::to_string);
+        let error = OptionError { key: self.path(key), value, allowed: allowed.into() };
         self.errors.push(error);
     }
 
@@ -88,10 +68,7 @@
         match self.get(key).and_then(Value::as_str) {
             Some(text) if is_name(text) => text.into(),
             _ => {
-                self.reject(
-                    key,
-                    "1 to 128 printable characters without spaces or slashes",
-                );
+                self.reject(key, "1 to 128 printable characters without spaces or slashes");
                 "".into()
             }
         }
@@ -104,10 +81,7 @@
             Some(value) => match value.as_f64().filter(|number| range.contains(number)) {
                 Some(number) => number,
                 None => {
-                    self.reject(
-                        key,
-                        format!("a number from {} to {}", range.start(), range.end()),
-                    );
+                    self.reject(key, format!("a number from {} to {}", range.start(), range.end()));
                     default
                 }
             },
@@ -148,10 +122,7 @@
         allowed: &str,
         fallback: T,
     ) -> T {
-        let parsed = self
-            .get(key)
-            .and_then(Value::as_str)
-            .and_then(|text| text.parse().ok());
+        let parsed = self.get(key).and_then(Value::as_str).and_then(|text| text.parse().ok());
         parsed.unwrap_or_else(|| {
             self.reject(key, allowed);
             fallback
@@ -164,10 +135,7 @@
             return Vec::new();
         };
         let parsed = value.as_array().and_then(|items| {
-            items
-                .iter()
-                .map(|item| item.as_str()?.parse().ok())
-                .collect::<Option<Vec<T>>>()
+            items.iter().map(|item| item.as_str()?.parse().ok()).collect::<Option<Vec<T>>>()
         });
         parsed.unwrap_or_else(|| {
             self.reject(key, allowed);
@@ -181,9 +149,7 @@
         let Some(value) = self.get(key) else {
             return default;
         };
-        let found = choices
-            .iter()
-            .find(|(name, _)| value.as_str() == Some(name));
+        let found = choices.iter().find(|(name, _)| value.as_str() == Some(name));
         match found {
             Some((_, choice)) => *choice,
             None => {
@@ -212,8 +178,6 @@
 
 /// Whether `text` may name an account, a service, a key or a zone.
 pub fn is_name(text: &str) -> bool {
-    let printable = text
-        .bytes()
-        .all(|byte| byte.is_ascii_graphic() && byte != b'/');
+    let printable = text.bytes().all(|byte| byte.is_ascii_graphic() && byte != b'/');
     !text.is_empty() && text.len() <= NAME_LIMIT && printable
 }
--- a/src/options/rows.rs
+++ b/src/options/rows.rs
@@ -89,11 +89,7 @@
             Self::Service(read_service(&mut reader))
         };
         let errors = reader.finish();
-        if errors.is_empty() {
-            Ok(row)
-        } else {
-            Err(errors)
-        }
+        if errors.is_empty() { Ok(row) } else { Err(errors) }
     }
 }
 
@@ -119,10 +115,7 @@
         recompute_weight: reader.number("recompute_weight", 0.0..=1e6, 1.0),
     };
     if row.service_type == ServiceType::Model && !row.repeatable {
-        reader.reject(
-            "repeatable",
-            "true for a model service: its streams are resumed",
-        );
+        reader.reject("repeatable", "true for a model service: its streams are resumed");
     }
     if row.max_vms < row.min_vms {
         reader.reject("max_vms", format!("at least min_vms ({})", row.min_vms));
@@ -135,11 +128,7 @@
     let Some(items) = value.as_array() else {
         let shown = value.to_string();
         let allowed = "a JSON list of rows".into();
-        return Err(vec![OptionError {
-            key: "(whole file)".into(),
-            value: shown,
-            allowed,
-        }]);
+        return Err(vec![OptionError { key: "(whole file)".into(), value: shown, allowed }]);
     };
     let mut rows = Vec::new();
     let mut errors = Vec::new();
@@ -149,11 +138,7 @@
             Err(found) => errors.extend(found),
         }
     }
-    if errors.is_empty() {
-        Ok(rows)
-    } else {
-        Err(errors)
-    }
+    if errors.is_empty() { Ok(rows) } else { Err(errors) }
 }
 
 /// The table as requests see it: immutable, replaced whole when a row changes.
@@ -170,9 +155,7 @@
         for row in rows {
             match row {
                 TableRow::Account(row) => {
-                    snapshot
-                        .accounts_by_key
-                        .insert(row.api_key.clone(), Arc::new(row));
+                    snapshot.accounts_by_key.insert(row.api_key.clone(), Arc::new(row));
                 }
                 TableRow::Service(row) => {
                     snapshot.services.insert(row.name.clone(), Arc::new(row));
--- a/src/options/settings.rs
+++ b/src/options/settings.rs
@@ -60,31 +60,20 @@
 
 const UNSET: SocketAddr = SocketAddr::V4(SocketAddrV4::new(Ipv4Addr::UNSPECIFIED, 0));
 const ADDRESS: &str = "an IP address and port such as 127.0.0.1:8080";
-const LEVELS: [(&str, LogLevel); 3] = [
-    ("info", LogLevel::Info),
-    ("debug", LogLevel::Debug),
-    ("warn", LogLevel::Warn),
-];
+const LEVELS: [(&str, LogLevel); 3] =
+    [("info", LogLevel::Info), ("debug", LogLevel::Debug), ("warn", LogLevel::Warn)];
 
 impl DaemonSettings {
     /// Checks the text of a settings file.
     pub fn parse(text: &str) -> Result<Self, Vec<OptionError>> {
         let value: Value = serde_json::from_str(text).map_err(|error| {
             let allowed = "well-formed JSON".into();
-            vec![OptionError {
-                key: "(whole file)".into(),
-                value: error.to_string(),
-                allowed,
-            }]
+            vec![OptionError { key: "(whole file)".into(), value: error.to_string(), allowed }]
         })?;
         let mut reader = FieldReader::new(&value, "").map_err(|error| vec![error])?;
         let settings = Self::read(&mut reader);
         let errors = reader.finish();
-        if errors.is_empty() {
-            Ok(settings)
-        } else {
-            Err(errors)
-        }
+        if errors.is_empty() { Ok(settings) } else { Err(errors) }
     }
 
     fn read(reader: &mut FieldReader<'_>) -> Self {
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -75,17 +75,12 @@
 impl PeerPool {
     /// Pool of the daemon `identity`.
     pub fn new(identity: LocalIdentity) -> Self {
-        Self {
-            identity: Rc::new(identity),
-            open: Rc::default(),
-        }
+        Self { identity: Rc::new(identity), open: Rc::default() }
     }
 
     /// Closes connections that have not been used for `idle`.
     pub fn close_idle(&self, idle: Duration) {
-        self.open
-            .borrow_mut()
-            .retain(|_, open| open.used.get().elapsed() < idle);
+        self.open.borrow_mut().retain(|_, open| open.used.get().elapsed() < idle);
     }
 
     /// Number of open connections.
@@ -96,9 +91,7 @@
     /// Connects to `address`, whoever is there.
     pub async fn greet(&self, address: &SharedName) -> Result<GreetedPeer, StepError> {
         let (greeted, open) = self.connect(address).await?;
-        self.open
-            .borrow_mut()
-            .insert(address.clone(), Rc::new(open));
+        self.open.borrow_mut().insert(address.clone(), Rc::new(open));
         Ok(greeted)
     }
 
@@ -107,9 +100,7 @@
         let connecting = timeout(CONNECT_LIMIT, TcpStream::connect(&**address)).await;
         let stream = match connecting {
             Err(_) => {
-                return Err(error(FailureCause::TimedOut(
-                    CONNECT_LIMIT.as_millis() as u64
-                )));
+                return Err(error(FailureCause::TimedOut(CONNECT_LIMIT.as_millis() as u64)));
             }
             Ok(Err(cause)) => return Err(error(FailureCause::Unreachable(cause.to_string()))),
             Ok(Ok(stream)) => stream,
@@ -131,19 +122,12 @@
         let hello = self.say_hello(&door);
         let answered = timeout(CONNECT_LIMIT, hello).await;
         let result = match answered {
-            Err(_) => Err(error(FailureCause::TimedOut(
-                CONNECT_LIMIT.as_millis() as u64
-            ))),
+            Err(_) => Err(error(FailureCause::TimedOut(CONNECT_LIMIT.as_millis() as u64))),
             Ok(Err(cause)) => Err(error(to_cause(&cause))),
             Ok(Ok((greeted, client))) => {
                 let used = std::cell::Cell::new(tokio::time::Instant::now());
                 let incarnation = greeted.incarnation;
-                let open = OpenPeer {
-                    incarnation,
-                    client,
-                    task: task.clone(),
-                    used,
-                };
+                let open = OpenPeer { incarnation, client, task: task.clone(), used };
                 Ok((greeted, open))
             }
         };
@@ -167,19 +151,11 @@
         }
         if !is_compatible(hello.get_version()) {
             let version = hello.get_version();
-            return Err(capnp::Error::failed(format!(
-                "unknown protocol version {version}"
-            )));
+            return Err(capnp::Error::failed(format!("unknown protocol version {version}")));
         }
         let record = super::server::read_record(hello)?;
         let incarnation = IncarnationId(hello.get_incarnation());
-        Ok((
-            GreetedPeer {
-                incarnation,
-                record,
-            },
-            results.get_peer()?,
-        ))
+        Ok((GreetedPeer { incarnation, record }, results.get_peer()?))
     }
 
     /// Connection to exactly the incarnation of `target`.
@@ -194,9 +170,7 @@
             None => {
                 let (_, open) = self.connect(&target.address).await?;
                 let open = Rc::new(open);
-                self.open
-                    .borrow_mut()
-                    .insert(target.address.clone(), open.clone());
+                self.open.borrow_mut().insert(target.address.clone(), open.clone());
                 open
             }
         };
@@ -228,10 +202,7 @@
         };
         if matches!(cause, FailureCause::Broken(_) | FailureCause::TimedOut(_)) {
             let mut pool = self.open.borrow_mut();
-            if pool
-                .get(&target.address)
-                .is_some_and(|other| Rc::ptr_eq(other, &open))
-            {
+            if pool.get(&target.address).is_some_and(|other| Rc::ptr_eq(other, &open)) {
                 pool.remove(&target.address);
             }
         }
@@ -257,17 +228,12 @@
         target: &PeerTarget,
     ) -> Result<bool, StepError> {
         let target = target.clone();
-        self.call(
-            "probe via helper",
-            helper,
-            CALL_LIMIT * 2,
-            |client| async move {
-                let mut request = client.probe_via_request();
-                request.get().set_address(&*target.address);
-                request.get().set_incarnation(target.incarnation.0);
-                Ok(request.send().promise.await?.get()?.get_alive())
-            },
-        )
+        self.call("probe via helper", helper, CALL_LIMIT * 2, |client| async move {
+            let mut request = client.probe_via_request();
+            request.get().set_address(&*target.address);
+            request.get().set_incarnation(target.incarnation.0);
+            Ok(request.send().promise.await?.get()?.get_alive())
+        })
         .await
     }
 
@@ -289,22 +255,17 @@
         target: &PeerTarget,
         buckets: Vec<u64>,
     ) -> Result<(Vec<usize>, Vec<(ItemKey, u64)>), StepError> {
-        self.call(
-            "exchange summaries",
-            target,
-            CALL_LIMIT,
-            |client| async move {
-                let mut request = client.summary_request();
-                let mut list = request.get().init_buckets(buckets.len() as u32);
-                for (index, bucket) in buckets.iter().enumerate() {
-                    list.set(index as u32, *bucket);
-                }
-                let response = request.send().promise.await?;
-                let results = response.get()?;
-                let differing = results.get_differing()?.iter().map(usize::from).collect();
-                Ok((differing, codec::read_versions(results.get_versions()?)?))
-            },
-        )
+        self.call("exchange summaries", target, CALL_LIMIT, |client| async move {
+            let mut request = client.summary_request();
+            let mut list = request.get().init_buckets(buckets.len() as u32);
+            for (index, bucket) in buckets.iter().enumerate() {
+                list.set(index as u32, *bucket);
+            }
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            let differing = results.get_differing()?.iter().map(usize::from).collect();
+            Ok((differing, codec::read_versions(results.get_versions()?)?))
+        })
         .await
     }
 
@@ -350,21 +311,16 @@
         copies: &[RequestCopy],
     ) -> Result<Vec<RequestName>, StepError> {
         let copies = copies.to_vec();
-        self.call(
-            "append to copies",
-            target,
-            CALL_LIMIT * 2,
-            |client| async move {
-                let mut request = client.append_request();
-                let mut list = request.get().init_copies(copies.len() as u32);
-                for (index, copy) in copies.iter().enumerate() {
-                    codec::write_copy(list.reborrow().get(index as u32), copy);
-                }
-                let response = request.send().promise.await?;
-                let refused = response.get()?.get_superseded()?;
-                refused.iter().map(codec::read_request_name).collect()
-            },
-        )
+        self.call("append to copies", target, CALL_LIMIT * 2, |client| async move {
+            let mut request = client.append_request();
+            let mut list = request.get().init_copies(copies.len() as u32);
+            for (index, copy) in copies.iter().enumerate() {
+                codec::write_copy(list.reborrow().get(index as u32), copy);
+            }
+            let response = request.send().promise.await?;
+            let refused = response.get()?.get_superseded()?;
+            refused.iter().map(codec::read_request_name).collect()
+        })
         .await
     }
 
@@ -378,23 +334,18 @@
         wait: Duration,
     ) -> Result<Option<RequestCopy>, StepError> {
         let name = name.clone();
-        self.call(
-            "attach to request",
-            target,
-            CALL_LIMIT + wait,
-            |client| async move {
-                let mut request = client.attach_request();
-                codec::write_request_name(request.get().init_name(), &name);
-                request.get().set_first_token(first_token as u32);
-                request.get().set_wait_ms(wait.as_millis() as u32);
-                let response = request.send().promise.await?;
-                let results = response.get()?;
-                if !results.get_found() {
-                    return Ok(None);
-                }
-                codec::read_copy(results.get_copy()?).map(Some)
-            },
-        )
+        self.call("attach to request", target, CALL_LIMIT + wait, |client| async move {
+            let mut request = client.attach_request();
+            codec::write_request_name(request.get().init_name(), &name);
+            request.get().set_first_token(first_token as u32);
+            request.get().set_wait_ms(wait.as_millis() as u32);
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            if !results.get_found() {
+                return Ok(None);
+            }
+            codec::read_copy(results.get_copy()?).map(Some)
+        })
         .await
     }
 
@@ -481,32 +432,27 @@
         values: &AccountValues,
     ) -> Result<Option<AccountValues>, StepError> {
         let values = values.clone();
-        self.call(
-            "exchange averages",
-            target,
-            CALL_LIMIT,
-            |client| async move {
-                let names: Vec<&SharedName> = values.keys().collect();
-                let mut request = client.average_request();
-                request.get().set_epoch(epoch);
-                let mut accounts = request.get().init_accounts(names.len() as u32);
-                for (index, name) in names.iter().enumerate() {
-                    accounts.set(index as u32, &***name);
-                }
-                let mut numbers = request.get().init_values(names.len() as u32);
-                for (index, name) in names.iter().enumerate() {
-                    numbers.set(index as u32, values[*name]);
-                }
-                let response = request.send().promise.await?;
-                let results = response.get()?;
-                if !results.get_accepted() {
-                    return Ok(None);
-                }
-                let theirs =
-                    super::server::read_values(results.get_accounts()?, results.get_values()?)?;
-                Ok(Some(theirs))
-            },
-        )
+        self.call("exchange averages", target, CALL_LIMIT, |client| async move {
+            let names: Vec<&SharedName> = values.keys().collect();
+            let mut request = client.average_request();
+            request.get().set_epoch(epoch);
+            let mut accounts = request.get().init_accounts(names.len() as u32);
+            for (index, name) in names.iter().enumerate() {
+                accounts.set(index as u32, &***name);
+            }
+            let mut numbers = request.get().init_values(names.len() as u32);
+            for (index, name) in names.iter().enumerate() {
+                numbers.set(index as u32, values[*name]);
+            }
+            let response = request.send().promise.await?;
+            let results = response.get()?;
+            if !results.get_accepted() {
+                return Ok(None);
+            }
+            let theirs =
+                super::server::read_values(results.get_accounts()?, results.get_values()?)?;
+            Ok(Some(theirs))
+        })
         .await
     }
 }
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -22,11 +22,7 @@
 /// Text of a name, checked.
 pub fn read_name(text: capnp::text::Reader<'_>) -> Result<SharedName, Error> {
     let text = text.to_str().map_err(|_| failed("name"))?;
-    if is_name(text) {
-        Ok(text.into())
-    } else {
-        Err(failed("name"))
-    }
+    if is_name(text) { Ok(text.into()) } else { Err(failed("name")) }
 }
 
 fn read_kind(kind: peer_capnp::ItemKind) -> ItemKind {
@@ -55,20 +51,9 @@
         return Err(failed("item list"));
     }
     let read = |item: peer_capnp::item::Reader<'_>| {
-        let key = ItemKey {
-            kind: read_kind(item.get_kind()?),
-            name: read_name(item.get_name()?)?,
-        };
-        let value = if item.get_deleted() {
-            None
-        } else {
-            Some(item.get_value()?.into())
-        };
-        Ok(SpreadItem {
-            key,
-            version: item.get_version(),
-            value,
-        })
+        let key = ItemKey { kind: read_kind(item.get_kind()?), name: read_name(item.get_name()?)? };
+        let value = if item.get_deleted() { None } else { Some(item.get_value()?.into()) };
+        Ok(SpreadItem { key, version: item.get_version(), value })
     };
     list.iter().map(read).collect()
 }
@@ -99,10 +84,7 @@
     }
     let read = |entry: peer_capnp::item_version::Reader<'_>| {
         let name = read_name(entry.get_name()?)?;
-        let key = ItemKey {
-            kind: read_kind(entry.get_kind()?),
-            name,
-        };
+        let key = ItemKey { kind: read_kind(entry.get_kind()?), name };
         Ok((key, entry.get_version()))
     };
     list.iter().map(read).collect()
@@ -123,10 +105,7 @@
 
 /// Reads a request's name.
 pub fn read_request_name(name: peer_capnp::request_name::Reader<'_>) -> Result<RequestName, Error> {
-    Ok(RequestName::new(
-        read_name(name.get_account()?)?,
-        read_name(name.get_key()?)?,
-    ))
+    Ok(RequestName::new(read_name(name.get_account()?)?, read_name(name.get_key()?)?))
 }
 
 /// Writes a request's name.
@@ -143,9 +122,7 @@
     if data.is_empty() {
         return Ok(None);
     }
-    serde_json::from_slice(data)
-        .map(Some)
-        .map_err(|_| failed(what))
+    serde_json::from_slice(data).map(Some).map_err(|_| failed(what))
 }
 
 /// JSON of a value.
@@ -162,10 +139,7 @@
     let read_token = |token: Result<capnp::text::Reader<'_>, Error>| {
         Ok::<Arc<str>, Error>(token?.to_str().map_err(|_| failed("token"))?.into())
     };
-    let holder_address = copy
-        .get_holder_address()?
-        .to_str()
-        .map_err(|_| failed("address"))?;
+    let holder_address = copy.get_holder_address()?.to_str().map_err(|_| failed("address"))?;
     Ok(RequestCopy {
         name: read_request_name(copy.get_name()?)?,
         term: copy.get_term(),
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -80,11 +80,7 @@
         .map(|(account, value)| {
             let sound = value.is_finite() && value >= 0.0;
             let account = codec::read_name(account?)?;
-            if sound {
-                Ok((account, value))
-            } else {
-                Err(Error::failed("malformed value".into()))
-            }
+            if sound { Ok((account, value)) } else { Err(Error::failed("malformed value".into())) }
         })
         .collect()
 }
@@ -94,11 +90,8 @@
 }
 
 fn read_ticket(text: capnp::text::Reader<'_>) -> Result<TicketId, Error> {
-    let text = text
-        .to_str()
-        .map_err(|_| Error::failed("malformed ticket".into()))?;
-    text.parse()
-        .map_err(|_| Error::failed("malformed ticket".into()))
+    let text = text.to_str().map_err(|_| Error::failed("malformed ticket".into()))?;
+    text.parse().map_err(|_| Error::failed("malformed ticket".into()))
 }
 
 /// Serves the gate on `listener` until the daemon stops.
@@ -146,38 +139,23 @@
     ) -> Result<(), Error> {
         let hello = params.get()?.get_hello()?;
         let identity = &self.context.identity;
-        let deployment = hello
-            .get_deployment()?
-            .to_str()
-            .unwrap_or("(not text)")
-            .to_owned();
+        let deployment = hello.get_deployment()?.to_str().unwrap_or("(not text)").to_owned();
         if deployment != *identity.deployment {
-            self.context
-                .refused_peer(&format!("deployment {deployment}"));
-            return Err(Error::failed(format!(
-                "this is deployment {}",
-                identity.deployment
-            )));
+            self.context.refused_peer(&format!("deployment {deployment}"));
+            return Err(Error::failed(format!("this is deployment {}", identity.deployment)));
         }
         let version = hello.get_version();
         if !is_compatible(version) {
-            self.context
-                .refused_peer(&format!("protocol version {version}"));
+            self.context.refused_peer(&format!("protocol version {version}"));
             let message = format!("protocol version {version} is unknown; {PROTOCOL_VERSION} here");
             return Err(Error::failed(message));
         }
         let incarnation = IncarnationId(hello.get_incarnation());
         let record = read_record(hello)?;
         let event = ClusterEvent::Greeted(incarnation, record);
-        self.context
-            .cluster
-            .send(ClusterMessage::Event(event))
-            .map_err(overloaded)?;
+        self.context.cluster.send(ClusterMessage::Event(event)).map_err(overloaded)?;
         write_hello(results.get().init_hello(), identity);
-        let server = PeerServer {
-            from: incarnation,
-            context: self.context.clone(),
-        };
+        let server = PeerServer { from: incarnation, context: self.context.clone() };
         results.get().set_peer(capnp_rpc::new_client(server));
         Ok(())
     }
@@ -194,9 +172,7 @@
         _params: peer::ProbeParams,
         mut results: peer::ProbeResults,
     ) -> Result<(), Error> {
-        results
-            .get()
-            .set_incarnation(self.context.identity.incarnation.0);
+        results.get().set_incarnation(self.context.identity.incarnation.0);
         Ok(())
     }
 
@@ -222,10 +198,7 @@
     ) -> Result<(), Error> {
         let items = codec::read_items(params.get()?.get_items()?)?;
         let event = ClusterEvent::Items(Some(self.from), items);
-        self.context
-            .cluster
-            .send(ClusterMessage::Event(event))
-            .map_err(overloaded)
+        self.context.cluster.send(ClusterMessage::Event(event)).map_err(overloaded)
     }
 
     async fn summary(
@@ -234,11 +207,8 @@
         mut results: peer::SummaryResults,
     ) -> Result<(), Error> {
         let theirs: Vec<u64> = params.get()?.get_buckets()?.iter().collect();
-        let answer = self
-            .context
-            .cluster
-            .ask(|reply| ClusterMessage::Summary { theirs, reply })
-            .await;
+        let answer =
+            self.context.cluster.ask(|reply| ClusterMessage::Summary { theirs, reply }).await;
         let (differing, versions) = answer.map_err(overloaded)?;
         let mut list = results.get().init_differing(differing.len() as u32);
         for (index, bucket) in differing.iter().enumerate() {
@@ -256,11 +226,7 @@
     ) -> Result<(), Error> {
         let wanted = codec::read_versions(params.get()?.get_wanted()?)?;
         let keys = wanted.into_iter().map(|(key, _)| key).collect();
-        let answer = self
-            .context
-            .cluster
-            .ask(|reply| ClusterMessage::Fetch { keys, reply })
-            .await;
+        let answer = self.context.cluster.ask(|reply| ClusterMessage::Fetch { keys, reply }).await;
         let items = answer.map_err(overloaded)?;
         codec::write_items(results.get().init_items(items.len() as u32), &items);
         Ok(())
@@ -272,11 +238,7 @@
         mut results: peer::OfferResults,
     ) -> Result<(), Error> {
         let copy = codec::read_copy(params.get()?.get_copy()?)?;
-        let answer = self
-            .context
-            .requests
-            .ask(|reply| RequestMessage::Offer { copy, reply })
-            .await;
+        let answer = self.context.requests.ask(|reply| RequestMessage::Offer { copy, reply }).await;
         match answer.map_err(overloaded)? {
             OfferVerdict::Stored => results.get().set_accepted(true),
             OfferVerdict::Known(known) => {
@@ -296,11 +258,8 @@
         for copy in copies.iter() {
             let copy = codec::read_copy(copy)?;
             let name = copy.name.clone();
-            let answer = self
-                .context
-                .requests
-                .ask(|reply| RequestMessage::Offer { copy, reply })
-                .await;
+            let answer =
+                self.context.requests.ask(|reply| RequestMessage::Offer { copy, reply }).await;
             if matches!(answer.map_err(overloaded)?, OfferVerdict::Known(_)) {
                 refused.push(name);
             }
@@ -321,20 +280,15 @@
         let name = codec::read_request_name(params.get_name()?)?;
         let first_token = params.get_first_token() as usize;
         let wait = Duration::from_millis(u64::from(params.get_wait_ms())).min(ATTACH_LIMIT);
-        let watch = self.context.requests.ask(|reply| RequestMessage::Watch {
-            name: name.clone(),
-            reply,
-        });
+        let watch =
+            self.context.requests.ask(|reply| RequestMessage::Watch { name: name.clone(), reply });
         let Some(mut progress) = watch.await.map_err(overloaded)? else {
             return Ok(());
         };
         let news = progress.wait_for(|progress| progress.ended || progress.tokens > first_token);
         let _ = timeout(wait, news).await;
-        let read = self.context.requests.ask(|reply| RequestMessage::Read {
-            name,
-            first_token,
-            reply,
-        });
+        let read =
+            self.context.requests.ask(|reply| RequestMessage::Read { name, first_token, reply });
         if let Some(copy) = read.await.map_err(overloaded)? {
             results.get().set_found(true);
             codec::write_copy(results.get().init_copy(), &copy);
@@ -367,14 +321,9 @@
         if ticket.holder != self.from || ticket.witness != own {
             return Err(Error::failed("not the witness of this ticket".into()));
         }
-        let answer = self
-            .context
-            .tickets
-            .ask(|reply| TicketMessage::Consent { ticket, reply })
-            .await;
-        results
-            .get()
-            .set_verdict(write_verdict(answer.map_err(overloaded)?));
+        let answer =
+            self.context.tickets.ask(|reply| TicketMessage::Consent { ticket, reply }).await;
+        results.get().set_verdict(write_verdict(answer.map_err(overloaded)?));
         Ok(())
     }
 
@@ -387,11 +336,7 @@
         if ticket.witness != self.context.identity.incarnation {
             return Err(Error::failed("not the witness of this ticket".into()));
         }
-        let answer = self
-            .context
-            .tickets
-            .ask(|reply| TicketMessage::Seal { ticket, reply })
-            .await;
+        let answer = self.context.tickets.ask(|reply| TicketMessage::Seal { ticket, reply }).await;
         match answer.map_err(overloaded)? {
             SealVerdict::NotDispatched => {}
             SealVerdict::MayHaveRun => results.get().set_dispatched(true),
@@ -426,15 +371,8 @@
         let params = params.get()?;
         let epoch = params.get_epoch();
         let theirs = read_values(params.get_accounts()?, params.get_values()?)?;
-        let answer = self
-            .context
-            .limits
-            .ask(|reply| LimitMessage::Average {
-                epoch,
-                theirs,
-                reply,
-            })
-            .await;
+        let answer =
+            self.context.limits.ask(|reply| LimitMessage::Average { epoch, theirs, reply }).await;
         let Some(values) = answer.map_err(overloaded)? else {
             return Ok(());
         };
--- a/src/platform/client.rs
+++ b/src/platform/client.rs
@@ -69,21 +69,13 @@
     /// Reads one object; a missing one has no value.
     pub async fn read_object(&self, kind: &str, name: &str) -> Result<ObjectEntry, StepError> {
         let path = format!("/objects/{kind}/{name}");
-        self.call(
-            OutgoingCall::get("read object", &self.object_api, path),
-            CALL_LIMIT,
-        )
-        .await
+        self.call(OutgoingCall::get("read object", &self.object_api, path), CALL_LIMIT).await
     }
 
     /// Lists all objects of a kind.
     pub async fn list_objects(&self, kind: &str) -> Result<ObjectList, StepError> {
         let path = format!("/objects/{kind}");
-        self.call(
-            OutgoingCall::get("list objects", &self.object_api, path),
-            CALL_LIMIT,
-        )
-        .await
+        self.call(OutgoingCall::get("list objects", &self.object_api, path), CALL_LIMIT).await
     }
 
     /// Waits for changes of a kind after `revision`.
@@ -114,19 +106,12 @@
 
     /// Reads the lagging VM list.
     pub async fn list_vms(&self) -> Result<VmList, StepError> {
-        self.call(
-            OutgoingCall::get("list VMs", &self.cloud_api, "/vms"),
-            CALL_LIMIT,
-        )
-        .await
+        self.call(OutgoingCall::get("list VMs", &self.cloud_api, "/vms"), CALL_LIMIT).await
     }
 
     /// Waits for reclaim notices after `sequence`.
     pub async fn watch_notices(&self, sequence: u64) -> Result<NoticeList, StepError> {
-        let path = format!(
-            "/notices?after={sequence}&wait_ms={}",
-            WATCH_WAIT.as_millis()
-        );
+        let path = format!("/notices?after={sequence}&wait_ms={}", WATCH_WAIT.as_millis());
         let call = OutgoingCall::get("watch notices", &self.cloud_api, path);
         self.call(call, WATCH_WAIT + CALL_LIMIT).await
     }
@@ -135,8 +120,7 @@
     pub async fn start_vm(&self, order: &StartOrder) -> Result<VmEntry, StepError> {
         let body = serde_json::to_vec(order).unwrap_or_default();
         let call = OutgoingCall::get("start VM", &self.cloud_api, "/vms");
-        self.call(call.with_json(Method::POST, body), CALL_LIMIT)
-            .await
+        self.call(call.with_json(Method::POST, body), CALL_LIMIT).await
     }
 
     /// Releases the VM of this identity.
@@ -148,10 +132,6 @@
 
     /// Reads the prices of all zones and classes.
     pub async fn list_prices(&self) -> Result<Vec<PriceEntry>, StepError> {
-        self.call(
-            OutgoingCall::get("list prices", &self.cloud_api, "/prices"),
-            CALL_LIMIT,
-        )
-        .await
+        self.call(OutgoingCall::get("list prices", &self.cloud_api, "/prices"), CALL_LIMIT).await
     }
 }
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -160,9 +160,7 @@
 
     /// Evidence in an answer: the endpoint says that it refused before starting.
     pub fn from_headers(answer: &hyper::HeaderMap) -> Option<Self> {
-        let marked = answer
-            .get(headers::NOT_STARTED)
-            .is_some_and(|value| value == "true");
+        let marked = answer.get(headers::NOT_STARTED).is_some_and(|value| value == "true");
         marked.then_some(Self(()))
     }
 }
@@ -187,18 +185,12 @@
 
     /// Ends it as "not run".
     pub fn refuse(self, reason: NotRunReason, retry_after: Duration) -> FinalAnswer {
-        FinalAnswer::NotRun(NotRunProof {
-            reason,
-            retry_after,
-        })
+        FinalAnswer::NotRun(NotRunProof { reason, retry_after })
     }
 
     /// Begins the first attempt; from here on "not run" needs evidence.
     pub fn begin(self) -> DispatchedCall {
-        DispatchedCall {
-            call: self.call,
-            begun_before: false,
-        }
+        DispatchedCall { call: self.call, begun_before: false }
     }
 }
 
@@ -221,10 +213,7 @@
 impl DispatchedCall {
     /// A call that another process may have dispatched already.
     pub fn taken_over(call: Arc<CallerCall>) -> Self {
-        Self {
-            call,
-            begun_before: true,
-        }
+        Self { call, begun_before: true }
     }
 
     /// The call.
@@ -243,10 +232,7 @@
 
     /// The attempt under way failed, and may have run; the next one is begun.
     pub fn begin_again(self) -> Self {
-        Self {
-            call: self.call,
-            begun_before: true,
-        }
+        Self { call: self.call, begun_before: true }
     }
 
     /// Ends it as "unknown".
--- a/src/request/store.rs
+++ b/src/request/store.rs
@@ -108,14 +108,7 @@
     /// Empty store of the daemon `own`; records are kept for `keep` after their last
     /// change, while they fit into `byte_limit`.
     pub fn new(own: RequestHolder, keep: Duration, byte_limit: usize) -> Self {
-        Self {
-            own,
-            keep,
-            byte_limit,
-            records: HashMap::new(),
-            expiry: BTreeSet::new(),
-            bytes: 0,
-        }
+        Self { own, keep, byte_limit, records: HashMap::new(), expiry: BTreeSet::new(), bytes: 0 }
     }
 
     /// Claims `name` for a caller that asks for `call`.
@@ -200,10 +193,7 @@
         let same_holder = record.holder == copy.holder;
         let ended = record.is_answered();
         let newer = copy.term > record.term || (copy.term == record.term && same_holder);
-        let same_call = copy
-            .call
-            .as_ref()
-            .is_none_or(|call| call.digest() == record.digest);
+        let same_call = copy.call.as_ref().is_none_or(|call| call.digest() == record.digest);
         if ended || !newer || !same_call || copy.first_token > record.tokens.len() {
             let known = record.copy_from(&name, 0);
             return OfferVerdict::Known(known);
@@ -216,11 +206,7 @@
         let Some(call) = copy.call.clone().filter(|_| copy.first_token == 0) else {
             // NOTE: news of a request that expired here; without its call and its
             // beginning there is nothing to keep. The sender offers it whole again.
-            return OfferVerdict::Known(RequestCopy {
-                tokens: Vec::new(),
-                call: None,
-                ..copy
-            });
+            return OfferVerdict::Known(RequestCopy { tokens: Vec::new(), call: None, ..copy });
         };
         self.insert(&copy.name, call, copy.term, copy.holder.clone(), now);
         self.merge(copy, now);
@@ -265,9 +251,7 @@
 
     /// Number of callers and peers that wait on a request.
     pub fn watchers(&self, name: &RequestName) -> usize {
-        self.records
-            .get(name)
-            .map_or(0, |record| record.progress.receiver_count())
+        self.records.get(name).map_or(0, |record| record.progress.receiver_count())
     }
 
     /// Drops a request that nobody was promised an answer to.
@@ -284,8 +268,7 @@
             .records
             .iter()
             .filter(|(_, record)| record.holder == self.own && record.answer.is_none());
-        own.map(|(name, record)| record.copy_from(name, 0))
-            .collect()
+        own.map(|(name, record)| record.copy_from(name, 0)).collect()
     }
 
     /// Forgets what has expired, and the oldest ended records while memory is short.
@@ -365,9 +348,7 @@
     /// Whether the endpoint's answer is complete; other ends may be followed by another
     /// try, since only requests that may be repeated are stored.
     fn is_answered(&self) -> bool {
-        self.answer
-            .as_ref()
-            .is_some_and(|answer| answer.is_answered())
+        self.answer.as_ref().is_some_and(|answer| answer.is_answered())
     }
 
     fn copy_from(&self, name: &RequestName, first_token: usize) -> RequestCopy {
@@ -384,10 +365,7 @@
     }
 
     fn announce(&self) {
-        let progress = RequestProgress {
-            tokens: self.tokens.len(),
-            ended: self.answer.is_some(),
-        };
+        let progress = RequestProgress { tokens: self.tokens.len(), ended: self.answer.is_some() };
         self.progress.send_replace(progress);
     }
 }
--- a/src/request/tickets.rs
+++ b/src/request/tickets.rs
@@ -75,13 +75,8 @@
 #[derive(Clone, Debug, PartialEq)]
 enum HeldState {
     Issued,
-    Begun {
-        digest: [u8; 32],
-    },
-    Ended {
-        digest: Option<[u8; 32]>,
-        answer: FinalAnswer,
-    },
+    Begun { digest: [u8; 32] },
+    Ended { digest: Option<[u8; 32]>, answer: FinalAnswer },
 }
 
 /// Answer to a holder's attempt to use a ticket.
@@ -117,30 +112,17 @@
 impl TicketLedger {
     /// Empty ledger of `incarnation`.
     pub fn new(incarnation: IncarnationId) -> Self {
-        Self {
-            incarnation,
-            next_sequence: 1,
-            held: BTreeMap::new(),
-        }
+        Self { incarnation, next_sequence: 1, held: BTreeMap::new() }
     }
 
     /// Issues a ticket of `scope` whose consent `witness` gives.
     pub fn issue(&mut self, witness: IncarnationId, scope: u64, now: Instant) -> TicketId {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        let ticket = HeldTicket {
-            scope,
-            issued_at: now,
-            state: HeldState::Issued,
-        };
+        let ticket = HeldTicket { scope, issued_at: now, state: HeldState::Issued };
         self.held.insert(sequence, ticket);
         self.forget_old(now);
-        TicketId {
-            holder: self.incarnation,
-            witness,
-            sequence,
-            scope,
-        }
+        TicketId { holder: self.incarnation, witness, sequence, scope }
     }
 
     /// Uses a ticket for the call of this digest.
@@ -157,10 +139,9 @@
             }
             HeldState::Begun { digest: other } if *other != digest => TicketUse::KeyReused,
             HeldState::Begun { .. } => TicketUse::InProgress,
-            HeldState::Ended {
-                digest: Some(other),
-                ..
-            } if *other != digest => TicketUse::KeyReused,
+            HeldState::Ended { digest: Some(other), .. } if *other != digest => {
+                TicketUse::KeyReused
+            }
             HeldState::Ended { answer, .. } => TicketUse::Ended(answer.clone()),
         }
     }
@@ -304,18 +285,13 @@
         let holder = self.holders.entry(ticket.holder).or_default();
         if ticket.sequence > holder.forgotten_up_to {
             let key = (ticket.sequence, ticket.scope);
-            holder
-                .tickets
-                .insert(key, (now, WitnessedState::Settled(answer)));
+            holder.tickets.insert(key, (now, WitnessedState::Settled(answer)));
         }
     }
 
     /// Number of remembered tickets.
     pub fn len(&self) -> usize {
-        self.holders
-            .values()
-            .map(|holder| holder.tickets.len())
-            .sum()
+        self.holders.values().map(|holder| holder.tickets.len()).sum()
     }
 
     /// Whether no ticket is remembered.
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -86,11 +86,7 @@
     let (sender, receiver) = tokio::sync::watch::channel(LifePhase::Running);
     let mut phase = context.kernel.phase();
     context.kernel.spawn(NAME, async move {
-        if phase
-            .wait_for(|phase| *phase == LifePhase::Stopping)
-            .await
-            .is_ok()
-        {
+        if phase.wait_for(|phase| *phase == LifePhase::Stopping).await.is_ok() {
             sender.send_replace(LifePhase::Stopping);
         }
     });
@@ -101,9 +97,7 @@
     let body = serde_json::to_vec(value).unwrap_or_default();
     let mut response = Response::new(whole_body(body));
     let kind = HeaderValue::from_static("application/json");
-    response
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, kind);
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
     response
 }
 
@@ -137,9 +131,8 @@
     use http_body_util::{BodyExt, Limited};
     const LIMIT: usize = 4_096;
     let body = Limited::new(request.into_body(), LIMIT).collect().await;
-    let notice = body
-        .ok()
-        .and_then(|body| serde_json::from_slice::<ReclaimNotice>(&body.to_bytes()).ok());
+    let notice =
+        body.ok().and_then(|body| serde_json::from_slice::<ReclaimNotice>(&body.to_bytes()).ok());
     let Some(notice) = notice else {
         return Problem::bad_request("(body)", "must be a notice").into_response();
     };
@@ -147,37 +140,24 @@
     let event = ClusterEvent::Items(None, vec![item]);
     match context.cluster.send(ClusterMessage::Event(event)) {
         Ok(()) => json_answer(&notice),
-        Err(error) => Problem::new(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "(daemon)",
-            error.to_string(),
-        )
-        .into_response(),
+        Err(error) => Problem::new(StatusCode::SERVICE_UNAVAILABLE, "(daemon)", error.to_string())
+            .into_response(),
     }
 }
 
 async fn store_gauge(context: &ServeContext) -> StoreGauge {
-    context
-        .requests
-        .ask(|reply| RequestMessage::Gauge { reply })
-        .await
-        .unwrap_or_default()
+    context.requests.ask(|reply| RequestMessage::Gauge { reply }).await.unwrap_or_default()
 }
 
 async fn status(context: &Rc<ServeContext>) -> DaemonStatus {
     let gauge = store_gauge(context).await;
     let rows = context
         .cluster
-        .ask(|reply| ClusterMessage::List {
-            kind: ItemKind::Row,
-            reply,
-        })
+        .ask(|reply| ClusterMessage::List { kind: ItemKind::Row, reply })
         .await
         .unwrap_or_default();
-    let mut rows: Vec<(SharedName, u64)> = rows
-        .into_iter()
-        .map(|item| (item.key.name, item.version))
-        .collect();
+    let mut rows: Vec<(SharedName, u64)> =
+        rows.into_iter().map(|item| (item.key.name, item.version)).collect();
     rows.sort();
     let members = context.members();
     let lines = members.iter().map(|(incarnation, view)| MemberLine {
@@ -214,18 +194,12 @@
     metrics.gauge("peer_connections", context.pool.open_count() as f64);
     let members = context.members();
     metrics.gauge("members_present", members.present_count() as f64);
-    if let Ok((held, witnessed)) = context
-        .tickets
-        .ask(|reply| TicketMessage::Gauge { reply })
-        .await
+    if let Ok((held, witnessed)) = context.tickets.ask(|reply| TicketMessage::Gauge { reply }).await
     {
         metrics.gauge("tickets_held", held as f64);
         metrics.gauge("tickets_witnessed", witnessed as f64);
     }
-    let gauge = context
-        .cluster
-        .ask(|reply| ClusterMessage::Gauge { reply })
-        .await;
+    let gauge = context.cluster.ask(|reply| ClusterMessage::Gauge { reply }).await;
     if let Ok((counters, items, bytes)) = gauge {
         metrics.gauge("spread_items", items as f64);
         metrics.gauge("spread_item_bytes", bytes as f64);
@@ -235,11 +209,7 @@
         metrics.gauge("items_stale", counters.stale_items as f64);
         metrics.gauge("items_fresh", counters.fresh_items as f64);
     }
-    if let Ok(averages) = context
-        .limits
-        .ask(|reply| LimitMessage::Read { reply })
-        .await
-    {
+    if let Ok(averages) = context.limits.ask(|reply| LimitMessage::Read { reply }).await {
         let daemons = members.present_count() as f64;
         for (account, average) in averages {
             let name = format!("account_demand_tokens_per_s{{account=\"{account}\"}}");
--- a/src/serve/attempt.rs
+++ b/src/serve/attempt.rs
@@ -71,12 +71,7 @@
             resume_tokens: tokens.iter().map(ToString::to_string).collect(),
         };
         let body = serde_json::to_vec(&order).unwrap_or_default();
-        let call = self.outgoing(
-            "stream completion",
-            "/v1/completions",
-            "application/json",
-            body,
-        );
+        let call = self.outgoing("stream completion", "/v1/completions", "application/json", body);
         let end = match self.open(&call).await {
             Ok(response) => self.take_tokens(response, tokens).await,
             Err(end) => end,
@@ -126,10 +121,7 @@
         })?;
         if let Some(evidence) = NotStartedEvidence::from_headers(response.headers()) {
             let cause = FailureCause::Status(response.status().as_u16());
-            return Err(AttemptEnd::NotStarted(
-                evidence,
-                self.error(call.step, cause),
-            ));
+            return Err(AttemptEnd::NotStarted(evidence, self.error(call.step, cause)));
         }
         if !self.is_own(response.headers()) && response.status().is_success() {
             self.context.metrics.count("answers_of_other_attempts", 1);
@@ -140,9 +132,7 @@
     }
 
     fn is_own(&self, answer: &HeaderMap) -> bool {
-        let echoed = answer
-            .get(headers::ATTEMPT_ID)
-            .and_then(|value| value.to_str().ok());
+        let echoed = answer.get(headers::ATTEMPT_ID).and_then(|value| value.to_str().ok());
         echoed == Some(&self.attempt.to_string())
     }
 
@@ -257,10 +247,7 @@
             reply,
         });
         // NOTE: the copier finds what is new itself; it only has to know where to look.
-        let _ = self
-            .context
-            .copies
-            .send(CopyMessage::Changed(self.name.clone()));
+        let _ = self.context.copies.send(CopyMessage::Changed(self.name.clone()));
         match kept.await {
             Ok(true) => None,
             Ok(false) | Err(_) => Some(AttemptEnd::Superseded),
--- a/src/serve/caller_edge.rs
+++ b/src/serve/caller_edge.rs
@@ -55,21 +55,13 @@
     let started_at = Instant::now();
     let result = route(&context, request).await;
     let response = result.unwrap_or_else(Problem::into_response);
-    context
-        .metrics
-        .duration("answer_head", started_at.elapsed());
-    context
-        .metrics
-        .count_labelled("answers", "status", response.status().as_str());
+    context.metrics.duration("answer_head", started_at.elapsed());
+    context.metrics.count_labelled("answers", "status", response.status().as_str());
     response
 }
 
 fn overloaded(error: SendError) -> Problem {
-    let mut problem = Problem::new(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "(daemon)",
-        error.to_string(),
-    );
+    let mut problem = Problem::new(StatusCode::SERVICE_UNAVAILABLE, "(daemon)", error.to_string());
     problem.outcome = "unknown";
     problem.field = None;
     problem
@@ -95,16 +87,8 @@
         (
             _,
             ["v1", "completions" | "tickets"] | ["v1", "chat", "completions"] | ["services", ..],
-        ) => Err(Problem::new(
-            StatusCode::METHOD_NOT_ALLOWED,
-            "(method)",
-            "must be POST",
-        )),
-        _ => Err(Problem::new(
-            StatusCode::NOT_FOUND,
-            "(path)",
-            "is not served here",
-        )),
+        ) => Err(Problem::new(StatusCode::METHOD_NOT_ALLOWED, "(method)", "must be POST")),
+        _ => Err(Problem::new(StatusCode::NOT_FOUND, "(path)", "is not served here")),
     }
 }
 
@@ -121,9 +105,7 @@
 fn json_response(value: &Value) -> Response<AnswerBody> {
     let mut response = Response::new(whole_body(value.to_string()));
     let kind = HeaderValue::from_static("application/json");
-    response
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, kind);
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
     response
 }
 
@@ -133,9 +115,7 @@
 ) -> Result<Response<AnswerBody>, Problem> {
     let table = context.table();
     parse::account(request.headers(), &table)?;
-    let services = table
-        .services()
-        .map(|row| json!({ "id": row.name, "object": "model" }));
+    let services = table.services().map(|row| json!({ "id": row.name, "object": "model" }));
     let list: Vec<Value> = services.collect();
     Ok(json_response(&json!({ "object": "list", "data": list })))
 }
@@ -143,11 +123,7 @@
 async fn read_body(request: Request<Incoming>) -> Result<Bytes, Problem> {
     let limited = Limited::new(request.into_body(), parse::BODY_LIMIT);
     let collected = timeout(BODY_TIME, limited.collect()).await.map_err(|_| {
-        Problem::new(
-            StatusCode::REQUEST_TIMEOUT,
-            "(body)",
-            "did not arrive in time",
-        )
+        Problem::new(StatusCode::REQUEST_TIMEOUT, "(body)", "did not arrive in time")
     })?;
     let collected = collected.map_err(|error| {
         if error.is::<LengthLimitError>() {
@@ -194,11 +170,8 @@
 ) -> Result<std::sync::Arc<crate::options::rows::TableSnapshot>, Problem> {
     let table = context.table();
     if table.is_empty() {
-        let mut problem = Problem::new(
-            StatusCode::SERVICE_UNAVAILABLE,
-            "(daemon)",
-            "the table is not known yet",
-        );
+        let mut problem =
+            Problem::new(StatusCode::SERVICE_UNAVAILABLE, "(daemon)", "the table is not known yet");
         problem.field = None;
         problem.retry_after = Some(0.0);
         return Err(problem);
@@ -236,11 +209,8 @@
 }
 
 fn leaving() -> Problem {
-    let mut problem = Problem::new(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "(daemon)",
-        "this daemon is leaving",
-    );
+    let mut problem =
+        Problem::new(StatusCode::SERVICE_UNAVAILABLE, "(daemon)", "this daemon is leaving");
     problem.field = None;
     problem.retry_after = Some(0.0);
     problem
@@ -255,10 +225,7 @@
     let account = parse::account(request.headers(), &context.table())?;
     let name = RequestName::new(account.name.clone(), key);
     context.note(EventKind::CallerLeft, &name, "cancelled by its caller");
-    context
-        .requests
-        .send(RequestMessage::Remove { name })
-        .map_err(overloaded)?;
+    context.requests.send(RequestMessage::Remove { name }).map_err(overloaded)?;
     Ok(json_response(&json!({ "cancelled": key })))
 }
 
@@ -285,9 +252,7 @@
     let mut response = Response::new(whole_body(plain.body.clone()));
     *response.status_mut() = StatusCode::from_u16(plain.status).unwrap_or(StatusCode::BAD_GATEWAY);
     if let Ok(kind) = HeaderValue::from_str(&plain.content_type) {
-        response
-            .headers_mut()
-            .insert(hyper::header::CONTENT_TYPE, kind);
+        response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
     }
     response
 }
@@ -299,10 +264,7 @@
     let name = checked.name(&context.next_attempt().to_string());
     let keyed = checked.key.is_some();
     let call = std::sync::Arc::new(checked.call);
-    match resume::obtain(context, &name, call)
-        .await
-        .map_err(overloaded)?
-    {
+    match resume::obtain(context, &name, call).await.map_err(overloaded)? {
         ObtainedRequest::KeyReused => return Err(Problem::key_reused()),
         ObtainedRequest::Refused(answer) => {
             let problem = Problem::of(&answer, true);
@@ -310,10 +272,7 @@
         }
         ObtainedRequest::Ready => {}
     }
-    let watch = context.requests.ask(|reply| RequestMessage::Watch {
-        name: name.clone(),
-        reply,
-    });
+    let watch = context.requests.ask(|reply| RequestMessage::Watch { name: name.clone(), reply });
     let Some(progress) = watch.await.map_err(overloaded)? else {
         return Err(vanished());
     };
@@ -322,12 +281,7 @@
         name: name.clone(),
         progress,
         sent: checked.have_tokens,
-        _guard: CallerGuard {
-            context: context.clone(),
-            name: name.clone(),
-            keyed,
-            done: false,
-        },
+        _guard: CallerGuard { context: context.clone(), name: name.clone(), keyed, done: false },
     };
     let response = match checked.form {
         AnswerForm::Events { chat } => reader.events(chat).await?,
@@ -339,9 +293,7 @@
 
 fn with_key(mut response: Response<AnswerBody>, name: &RequestName) -> Response<AnswerBody> {
     if let Ok(value) = HeaderValue::from_str(&name.key) {
-        response
-            .headers_mut()
-            .insert(headers::IDEMPOTENCY_KEY, value.clone());
+        response.headers_mut().insert(headers::IDEMPOTENCY_KEY, value.clone());
         response.headers_mut().insert(headers::REQUEST_ID, value);
     }
     response
@@ -369,11 +321,7 @@
         let context = self.context.clone();
         let name = self.name.clone();
         // NOTE: a caller without a key of its own cannot come back.
-        let grace = if self.keyed {
-            context.settings.resume_grace
-        } else {
-            Duration::ZERO
-        };
+        let grace = if self.keyed { context.settings.resume_grace } else { Duration::ZERO };
         tokio::task::spawn_local(async move {
             context.note(EventKind::CallerLeft, &name, "its connection broke");
             tokio::time::sleep(grace).await;
@@ -392,10 +340,8 @@
     if copy.answer.is_some() || copy.holder != context.holder() {
         return;
     }
-    let watchers = context.requests.ask(|reply| RequestMessage::Watchers {
-        name: name.clone(),
-        reply,
-    });
+    let watchers =
+        context.requests.ask(|reply| RequestMessage::Watchers { name: name.clone(), reply });
     // NOTE: one watcher is the request's own driver.
     if watchers.await.is_ok_and(|watchers| watchers <= 1) {
         context.metrics.count("requests_cancelled", 1);
@@ -415,20 +361,15 @@
 impl AnswerReader {
     async fn read(&self, first_token: usize) -> Option<RequestCopy> {
         let name = self.name.clone();
-        let read = self.context.requests.ask(|reply| RequestMessage::Read {
-            name,
-            first_token,
-            reply,
-        });
+        let read =
+            self.context.requests.ask(|reply| RequestMessage::Read { name, first_token, reply });
         read.await.ok().flatten()
     }
 
     /// Waits until there is more than has been sent, or the end.
     async fn news(&mut self) -> Option<RequestCopy> {
         let sent = self.sent;
-        let news = self
-            .progress
-            .wait_for(|progress| progress.ended || progress.tokens > sent);
+        let news = self.progress.wait_for(|progress| progress.ended || progress.tokens > sent);
         if news.await.is_err() {
             return None;
         }
@@ -459,11 +400,7 @@
 
     async fn document(mut self, chat: bool) -> Result<Response<AnswerBody>, Problem> {
         let copy = self.whole().await.ok_or_else(vanished)?;
-        if let Some(problem) = copy
-            .answer
-            .as_deref()
-            .and_then(|end| Problem::of(end, true))
-        {
+        if let Some(problem) = copy.answer.as_deref().and_then(|end| Problem::of(end, true)) {
             return Err(problem);
         }
         let text = copy.tokens.concat();
@@ -489,28 +426,18 @@
     async fn events(mut self, chat: bool) -> Result<Response<AnswerBody>, Problem> {
         let first = self.news().await.ok_or_else(vanished)?;
         if first.tokens.is_empty()
-            && let Some(problem) = first
-                .answer
-                .as_deref()
-                .and_then(|end| Problem::of(end, true))
+            && let Some(problem) = first.answer.as_deref().and_then(|end| Problem::of(end, true))
         {
             return Err(problem);
         }
         let (sender, body) = stream_body(STREAM_CHUNKS);
         let context = self.context.clone();
-        context.kernel.spawn(
-            NAME,
-            async move { self.send_events(chat, first, sender).await },
-        );
+        context.kernel.spawn(NAME, async move { self.send_events(chat, first, sender).await });
         let mut response = Response::new(body);
         let kind = HeaderValue::from_static("text/event-stream");
-        response
-            .headers_mut()
-            .insert(hyper::header::CONTENT_TYPE, kind);
+        response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
         let fresh = HeaderValue::from_static("no-store");
-        response
-            .headers_mut()
-            .insert(hyper::header::CACHE_CONTROL, fresh);
+        response.headers_mut().insert(hyper::header::CACHE_CONTROL, fresh);
         Ok(response)
     }
 
@@ -558,16 +485,10 @@
 fn render_chunk(name: &RequestName, token: Option<&str>, chat: bool, finish: Value) -> Value {
     let (object, choice) = if chat {
         let delta = token.map_or(json!({}), |token| json!({ "content": token }));
-        (
-            "chat.completion.chunk",
-            json!({ "index": 0, "delta": delta, "finish_reason": finish }),
-        )
+        ("chat.completion.chunk", json!({ "index": 0, "delta": delta, "finish_reason": finish }))
     } else {
         let text = token.unwrap_or("");
-        (
-            "text_completion",
-            json!({ "index": 0, "text": text, "finish_reason": finish }),
-        )
+        ("text_completion", json!({ "index": 0, "text": text, "finish_reason": finish }))
     };
     json!({ "id": name.key, "object": object, "choices": [choice] })
 }
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -97,29 +97,19 @@
     pub fn next_attempt(&self) -> AttemptId {
         let sequence = self.attempts.get() + 1;
         self.attempts.set(sequence);
-        AttemptId {
-            incarnation: self.identity.incarnation,
-            sequence,
-        }
+        AttemptId { incarnation: self.identity.incarnation, sequence }
     }
 
     /// Uses the retry budget of a service.
     pub fn budget(&self, service: &SharedName, act: impl FnOnce(&mut RetryBudget) -> bool) -> bool {
-        act(self
-            .budgets
-            .borrow_mut()
-            .entry(service.clone())
-            .or_default())
+        act(self.budgets.borrow_mut().entry(service.clone()).or_default())
     }
 
     /// Target of a member that has not been removed.
     pub fn target(&self, incarnation: IncarnationId) -> Option<PeerTarget> {
         let members = self.members.borrow();
         let view = members.get(incarnation).filter(|view| view.is_present())?;
-        Some(PeerTarget {
-            incarnation,
-            address: view.record.address.clone(),
-        })
+        Some(PeerTarget { incarnation, address: view.record.address.clone() })
     }
 
     /// Whether this daemon takes no new work.
@@ -134,17 +124,9 @@
     /// themselves still have a copy holder in common.
     pub fn copy_targets(&self, name: &RequestName) -> Vec<PeerTarget> {
         let key = name.to_string();
-        let placed = self
-            .members
-            .borrow()
-            .placed_for(key.as_bytes(), self.settings.copies + 1);
-        let others = placed
-            .into_iter()
-            .filter(|placed| *placed != self.identity.incarnation);
-        others
-            .take(self.settings.copies)
-            .filter_map(|placed| self.target(placed))
-            .collect()
+        let placed = self.members.borrow().placed_for(key.as_bytes(), self.settings.copies + 1);
+        let others = placed.into_iter().filter(|placed| *placed != self.identity.incarnation);
+        others.take(self.settings.copies).filter_map(|placed| self.target(placed)).collect()
     }
 
     /// Witness for a new ticket: a daemon in another availability zone if there is one,
@@ -174,14 +156,12 @@
 
     /// Notes an event of a request.
     pub fn note(&self, kind: EventKind, name: &RequestName, detail: impl Into<String>) {
-        self.timeline
-            .record(kind, Some(name.to_string().into()), detail.into());
+        self.timeline.record(kind, Some(name.to_string().into()), detail.into());
     }
 
     /// Notes an event of something other than a request.
     pub fn note_subject(&self, kind: EventKind, subject: &SharedName, detail: impl Into<String>) {
-        self.timeline
-            .record(kind, Some(subject.clone()), detail.into());
+        self.timeline.record(kind, Some(subject.clone()), detail.into());
     }
 }
 
@@ -194,9 +174,7 @@
     /// Counts one more.
     pub fn new(context: &Rc<ServeContext>) -> Self {
         context.active.set(context.active.get() + 1);
-        Self {
-            context: context.clone(),
-        }
+        Self { context: context.clone() }
     }
 }
 
--- a/src/serve/copies.rs
+++ b/src/serve/copies.rs
@@ -62,12 +62,8 @@
     address: ServiceAddress<CopyMessage>,
     context: Weak<ServeContext>,
 ) {
-    let mut service = CopyService {
-        context,
-        address,
-        tracked: HashMap::new(),
-        changed: BTreeSet::new(),
-    };
+    let mut service =
+        CopyService { context, address, tracked: HashMap::new(), changed: BTreeSet::new() };
     let mut flush = interval(FLUSH_EVERY);
     flush.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -84,11 +80,7 @@
 impl CopyService {
     fn handle(&mut self, message: CopyMessage) {
         match message {
-            CopyMessage::Track {
-                name,
-                targets,
-                tokens,
-            } => {
+            CopyMessage::Track { name, targets, tokens } => {
                 let targets = targets.into_iter().map(|target| (target, tokens)).collect();
                 self.tracked.insert(name.clone(), TrackedCopy { targets });
                 self.changed.insert(name);
@@ -122,11 +114,8 @@
             let before = copy.targets.len();
             copy.targets.retain(|(held, _)| held != target);
             if copy.targets.len() < before {
-                let kept: Vec<PeerTarget> = copy
-                    .targets
-                    .iter()
-                    .map(|(target, _)| target.clone())
-                    .collect();
+                let kept: Vec<PeerTarget> =
+                    copy.targets.iter().map(|(target, _)| target.clone()).collect();
                 let failed = target.clone();
                 let address = self.address.clone();
                 let place = place_again(context.clone(), address, name.clone(), kept, failed);
@@ -145,12 +134,7 @@
             let Some(tracked) = self.tracked.get_mut(&name) else {
                 continue;
             };
-            let oldest = tracked
-                .targets
-                .iter()
-                .map(|(_, sent)| *sent)
-                .min()
-                .unwrap_or(0);
+            let oldest = tracked.targets.iter().map(|(_, sent)| *sent).min().unwrap_or(0);
             let read = context.requests.ask(|reply| RequestMessage::Read {
                 name: name.clone(),
                 first_token: oldest,
@@ -191,11 +175,7 @@
 
 fn news_bytes(copy: &RequestCopy) -> usize {
     const FIELDS: usize = 64;
-    let tokens: usize = copy
-        .tokens
-        .iter()
-        .map(|token| token.len() + size_of::<u64>())
-        .sum();
+    let tokens: usize = copy.tokens.iter().map(|token| token.len() + size_of::<u64>()).sum();
     FIELDS + copy.name.key.len() + copy.name.account.len() + tokens
 }
 
@@ -216,11 +196,7 @@
 
 /// Offers a request whole; if the peer knows a later term, this daemon is superseded.
 async fn offer_again(context: Rc<ServeContext>, target: PeerTarget, name: RequestName) {
-    let read = context.requests.ask(|reply| RequestMessage::Read {
-        name,
-        first_token: 0,
-        reply,
-    });
+    let read = context.requests.ask(|reply| RequestMessage::Read { name, first_token: 0, reply });
     let Ok(Some(copy)) = read.await else { return };
     if let Ok(Some(known)) = context.pool.offer(&target, &copy).await {
         supersede(&context, known).await;
@@ -230,9 +206,7 @@
 /// Takes over what a peer knows, if that goes before what is known here.
 pub async fn supersede(context: &Rc<ServeContext>, known: RequestCopy) {
     let name = known.name.clone();
-    let offer = context
-        .requests
-        .ask(|reply| RequestMessage::Offer { copy: known, reply });
+    let offer = context.requests.ask(|reply| RequestMessage::Offer { copy: known, reply });
     if matches!(offer.await, Ok(OfferVerdict::Stored)) {
         context.metrics.count("requests_superseded", 1);
         spdlog::info!("superseded", kv: { service = NAME, request: = name });
@@ -253,9 +227,7 @@
     });
     let Ok(Some(copy)) = read.await else { return };
     let placed = context.copy_targets(&name);
-    let fresh = placed
-        .into_iter()
-        .find(|target| !kept.contains(target) && *target != failed);
+    let fresh = placed.into_iter().find(|target| !kept.contains(target) && *target != failed);
     let mut targets = kept;
     if let Some(fresh) = fresh
         && let Ok(None) = context.pool.offer(&fresh, &copy).await
@@ -265,9 +237,5 @@
     let tokens = copy.tokens.len();
     // NOTE: those that were kept may have a few tokens more (they skip what they know)
     // or fewer (they refuse the news and are offered the whole).
-    let _ = address.send(CopyMessage::Track {
-        name,
-        targets,
-        tokens,
-    });
+    let _ = address.send(CopyMessage::Track { name, targets, tokens });
 }
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -69,10 +69,7 @@
         tokens: Vec<AnswerToken>,
     ) -> Self {
         let table = context.table();
-        let row = table
-            .accounts()
-            .find(|row| row.name == call.account)
-            .cloned();
+        let row = table.accounts().find(|row| row.name == call.account).cloned();
         Self {
             weight: row.map_or(1.0, |row| row.weight),
             context,
@@ -89,10 +86,10 @@
 
     /// Runs the request to its end, unless it is cancelled or superseded.
     pub async fn run(mut self, stage: CallStage) {
-        let watch = self.context.requests.ask(|reply| RequestMessage::Watch {
-            name: self.name.clone(),
-            reply,
-        });
+        let watch = self
+            .context
+            .requests
+            .ask(|reply| RequestMessage::Watch { name: self.name.clone(), reply });
         let Ok(Some(mut progress)) = watch.await else {
             return;
         };
@@ -111,9 +108,7 @@
 
     fn end(&self, answer: FinalAnswer) {
         let label = answer.label();
-        self.context
-            .metrics
-            .count_labelled("requests_ended", "outcome", label);
+        self.context.metrics.count_labelled("requests_ended", "outcome", label);
         let took = self.started_at.elapsed().as_millis();
         let detail = format!(
             "{label}; {} attempts, {} moves, {} tokens, {took} ms",
@@ -130,10 +125,7 @@
         if let Err(error) = self.context.requests.send(message) {
             spdlog::error!("end lost: {}", error, kv: { service = "driver" });
         }
-        let _ = self
-            .context
-            .copies
-            .send(CopyMessage::Changed(self.name.clone()));
+        let _ = self.context.copies.send(CopyMessage::Changed(self.name.clone()));
     }
 
     async fn run_attempts(&mut self, mut stage: CallStage) -> Option<FinalAnswer> {
@@ -190,10 +182,7 @@
             account: self.call.account.clone(),
             weight: self.weight,
             tokens: self.call.expected_tokens(),
-            chain: text
-                .map(|text| prefix_chain(&text))
-                .unwrap_or_default()
-                .into(),
+            chain: text.map(|text| prefix_chain(&text)).unwrap_or_default().into(),
             exclude: self.exclude.clone(),
             deadline: Instant::now() + QUEUE_WAIT,
             attempt: self.context.next_attempt(),
@@ -204,9 +193,7 @@
             }),
         };
         let router = &self.context.router;
-        let reply = router
-            .ask(|reply| RouterMessage::Pick(Box::new(order), reply))
-            .await;
+        let reply = router.ask(|reply| RouterMessage::Pick(Box::new(order), reply)).await;
         reply.unwrap_or(PickReply::Busy(COME_BACK))
     }
 
@@ -252,9 +239,7 @@
             }
             AttemptEnd::Failed(error) => {
                 self.note_failure(&slot, &error);
-                let allowed = self
-                    .context
-                    .budget(&self.call.service, |budget| budget.spend());
+                let allowed = self.context.budget(&self.call.service, |budget| budget.spend());
                 let stage = CallStage::Dispatched(call.begin_again());
                 if !allowed || self.attempts >= ATTEMPT_LIMIT {
                     return NextStep::End(self.give_up(stage, NotRunReason::NoEndpoint, COME_BACK));
@@ -269,8 +254,7 @@
     fn note_failure(&mut self, slot: &EndpointSlot, error: &crate::errors::StepError) {
         self.exclude.push(slot.pick.id.clone());
         self.context.metrics.count("attempts_failed", 1);
-        self.context
-            .note(EventKind::AttemptFailed, &self.name, error.to_string());
+        self.context.note(EventKind::AttemptFailed, &self.name, error.to_string());
     }
 
     /// Leaves an endpoint that is being reclaimed. For a move, the old endpoint's cache
@@ -290,18 +274,13 @@
             return;
         };
         let text = format!("{} {}", completion.prompt, self.tokens.concat());
-        let order = ImportOrder {
-            from: from.to_string(),
-            text,
-        };
+        let order = ImportOrder { from: from.to_string(), text };
         let body = serde_json::to_vec(&order).unwrap_or_default();
         let call = OutgoingCall::get("move KV cache", &next.pick.address, "/kv/import")
             .with_json(Method::POST, body);
         let moved = self.context.http.fetch(&call, MOVE_LIMIT).await;
         let moved = moved.is_ok_and(|answer| answer.status.is_success());
         let outcome = if moved { "moved" } else { "failed" };
-        self.context
-            .metrics
-            .count_labelled("cache_moves", "outcome", outcome);
+        self.context.metrics.count_labelled("cache_moves", "outcome", outcome);
     }
 }
--- a/src/serve/limit_service.rs
+++ b/src/serve/limit_service.rs
@@ -113,28 +113,15 @@
     // NOTE: whoever asked may have gone meanwhile; then the reply is not wanted any more.
     fn handle(&mut self, message: LimitMessage) {
         match message {
-            LimitMessage::Admit {
-                account,
-                tokens,
-                limit,
-                reply,
-            } => {
+            LimitMessage::Admit { account, tokens, limit, reply } => {
                 let _ = reply.send(self.limiter.admit(&account, tokens, limit, Instant::now()));
             }
             LimitMessage::Refund { account, tokens } => self.limiter.refund(&account, tokens),
-            LimitMessage::Average {
-                epoch,
-                theirs,
-                reply,
-            } => {
+            LimitMessage::Average { epoch, theirs, reply } => {
                 self.enter_epoch();
                 let _ = reply.send(self.averaging.answer(epoch, &theirs));
             }
-            LimitMessage::Answered {
-                epoch,
-                sent,
-                theirs,
-            } => {
+            LimitMessage::Answered { epoch, sent, theirs } => {
                 self.averaging.finish(epoch, &sent, &theirs);
             }
             LimitMessage::Read { reply } => {
@@ -146,13 +133,9 @@
     fn enter_epoch(&mut self) {
         let now = Instant::now();
         let limiter = &mut self.limiter;
-        if self
-            .averaging
-            .enter(crate::wall_clock_ms(), || limiter.demand(now))
-        {
+        if self.averaging.enter(crate::wall_clock_ms(), || limiter.demand(now)) {
             let daemons = self.members.borrow().present_count();
-            self.limiter
-                .set_averages(self.averaging.result().clone(), daemons);
+            self.limiter.set_averages(self.averaging.result().clone(), daemons);
         }
     }
 
@@ -166,11 +149,7 @@
         tokio::task::spawn_local(async move {
             // NOTE: a lost exchange is forgotten with its epoch.
             if let Ok(Some(theirs)) = pool.average(&target, epoch, &sent).await {
-                let _ = address.send(LimitMessage::Answered {
-                    epoch,
-                    sent,
-                    theirs,
-                });
+                let _ = address.send(LimitMessage::Answered { epoch, sent, theirs });
             }
         });
     }
@@ -185,9 +164,6 @@
         let members = self.members.borrow();
         let incarnation = *members.successors(point, 1, self.own).first()?;
         let view = members.get(incarnation)?;
-        Some(PeerTarget {
-            incarnation,
-            address: view.record.address.clone(),
-        })
+        Some(PeerTarget { incarnation, address: view.record.address.clone() })
     }
 }
--- a/src/serve/metrics.rs
+++ b/src/serve/metrics.rs
@@ -41,10 +41,7 @@
 
     /// Sets a gauge.
     pub fn gauge(&self, name: &str, value: f64) {
-        self.state
-            .borrow_mut()
-            .gauges
-            .insert(name.to_owned(), value);
+        self.state.borrow_mut().gauges.insert(name.to_owned(), value);
     }
 
     /// Records a duration, in microseconds.
@@ -73,10 +70,7 @@
         for (name, histogram) in &state.histograms {
             for quantile in QUANTILES {
                 let micros = histogram.value_at_quantile(quantile);
-                let _ = writeln!(
-                    text,
-                    "willowarch_{name}_us{{quantile=\"{quantile}\"}} {micros}"
-                );
+                let _ = writeln!(text, "willowarch_{name}_us{{quantile=\"{quantile}\"}} {micros}");
             }
             let _ = writeln!(text, "willowarch_{name}_us_count {}", histogram.len());
         }
--- a/src/serve/once.rs
+++ b/src/serve/once.rs
@@ -66,15 +66,7 @@
     let witness = context.choose_witness();
     context.attempts.set(context.attempts.get() + 1);
     let scope = TicketId::scope_of(account);
-    context
-        .tickets
-        .ask(|reply| TicketMessage::Issue {
-            witness,
-            scope,
-            reply,
-        })
-        .await
-        .ok()
+    context.tickets.ask(|reply| TicketMessage::Issue { witness, scope, reply }).await.ok()
 }
 
 /// Serves a request under the caller's key, if it gave one.
@@ -147,16 +139,10 @@
     own: TicketId,
     condition: WriteCondition,
 ) -> Result<(TicketId, u64), ()> {
-    let record = ClaimRecord {
-        ticket: own.to_string(),
-    };
+    let record = ClaimRecord { ticket: own.to_string() };
     let value = serde_json::to_value(&record).unwrap_or_default();
     context.metrics.count("claims", 1);
-    match context
-        .platform
-        .write_object(CLAIM_KIND, object, &value, condition)
-        .await
-    {
+    match context.platform.write_object(CLAIM_KIND, object, &value, condition).await {
         Ok(receipt) => return Ok((own, receipt.version)),
         // NOTE: what was refused by the platform's rate limit or outage did not take
         // effect, but a proxy on the way may say so too; only reading back can tell.
@@ -174,11 +160,7 @@
         let Ok(found) = serde_json::from_value::<ClaimRecord>(value) else {
             return Err(());
         };
-        return found
-            .ticket
-            .parse()
-            .map(|ticket| (ticket, entry.version))
-            .map_err(|_| ());
+        return found.ticket.parse().map(|ticket| (ticket, entry.version)).map_err(|_| ());
     }
     Err(())
 }
@@ -186,11 +168,7 @@
 /// Spends a ticket that was not used.
 async fn abandon(context: &Rc<ServeContext>, ticket: TicketId, call: &Arc<CallerCall>) {
     let digest = call.digest();
-    let begin = context.tickets.ask(|reply| TicketMessage::Begin {
-        ticket,
-        digest,
-        reply,
-    });
+    let begin = context.tickets.ask(|reply| TicketMessage::Begin { ticket, digest, reply });
     if matches!(begin.await, Ok(TicketUse::Granted)) {
         let undispatched = UndispatchedCall::new(call.clone());
         let answer = undispatched.refuse(NotRunReason::ClaimFailed, COME_BACK);
@@ -236,11 +214,7 @@
             Some(SealVerdict::Ended(settled)) => return settled,
             Some(SealVerdict::NotDispatched) => {
                 let name = RequestName::new(call.account.clone(), ticket.to_string());
-                context.note(
-                    EventKind::TicketSealed,
-                    &name,
-                    "its holder could not be reached",
-                );
+                context.note(EventKind::TicketSealed, &name, "its holder could not be reached");
                 let undispatched = UndispatchedCall::new(call);
                 let answer = undispatched.refuse(NotRunReason::HolderGone, Duration::ZERO);
                 return SettledAnswer { digest, answer };
@@ -260,11 +234,7 @@
 /// Has the witness seal the ticket; `None` if it cannot be reached.
 async fn seal(context: &Rc<ServeContext>, ticket: TicketId) -> Option<SealVerdict> {
     if ticket.witness == context.identity.incarnation {
-        return context
-            .tickets
-            .ask(|reply| TicketMessage::Seal { ticket, reply })
-            .await
-            .ok();
+        return context.tickets.ask(|reply| TicketMessage::Seal { ticket, reply }).await.ok();
     }
     let witness = context.target(ticket.witness)?;
     context.pool.seal(&witness, ticket).await.ok()
@@ -277,37 +247,23 @@
     call: Arc<CallerCall>,
 ) -> SettledAnswer {
     let digest = call.digest();
-    let unknown = |reason| SettledAnswer {
-        digest,
-        answer: FinalAnswer::Unknown(reason),
-    };
+    let unknown = |reason| SettledAnswer { digest, answer: FinalAnswer::Unknown(reason) };
     if ticket.holder != context.identity.incarnation {
         return unknown(UnknownReason::HolderLost);
     }
-    let begin = context.tickets.ask(|reply| TicketMessage::Begin {
-        ticket,
-        digest,
-        reply,
-    });
+    let begin = context.tickets.ask(|reply| TicketMessage::Begin { ticket, digest, reply });
     match begin.await {
         Ok(TicketUse::Granted) => spawn_run(context, ticket, call, digest),
         Ok(TicketUse::InProgress) => {}
         Ok(TicketUse::Ended(answer)) => return SettledAnswer { digest, answer },
         Ok(TicketUse::KeyReused) => {
             let answer = FinalAnswer::Unknown(UnknownReason::TicketExpired);
-            return SettledAnswer {
-                digest: [0; 32],
-                answer,
-            };
+            return SettledAnswer { digest: [0; 32], answer };
         }
         Ok(TicketUse::Forgotten) => return unknown(UnknownReason::TicketExpired),
         Err(_) => return unknown(UnknownReason::HolderLost),
     }
-    match context
-        .tickets
-        .ask(|reply| TicketMessage::Wait { ticket, reply })
-        .await
-    {
+    match context.tickets.ask(|reply| TicketMessage::Wait { ticket, reply }).await {
         Ok(answer) => SettledAnswer { digest, answer },
         Err(_) => unknown(UnknownReason::HolderLost),
     }
@@ -327,10 +283,7 @@
         let mut run = OnceRun::new(context.clone(), ticket, call);
         let answer = run.run().await;
         run.note_end(&answer);
-        let _ = context.tickets.send(TicketMessage::End {
-            ticket,
-            answer: answer.clone(),
-        });
+        let _ = context.tickets.send(TicketMessage::End { ticket, answer: answer.clone() });
         settle(&context, ticket, SettledAnswer { digest, answer }).await;
     });
 }
@@ -342,12 +295,7 @@
     let Some(witness) = context.target(ticket.witness) else {
         return;
     };
-    if context
-        .pool
-        .settle(&witness, ticket, &settled)
-        .await
-        .is_err()
-    {
+    if context.pool.settle(&witness, ticket, &settled).await.is_err() {
         context.metrics.count("settles_lost", 1);
     }
 }
@@ -366,21 +314,12 @@
     fn new(context: Rc<ServeContext>, ticket: TicketId, call: Arc<CallerCall>) -> Self {
         let name = RequestName::new(call.account.clone(), ticket.to_string());
         let started_at = Instant::now();
-        Self {
-            context,
-            ticket,
-            call,
-            name,
-            refused_by: Vec::new(),
-            started_at,
-        }
+        Self { context, ticket, call, name, refused_by: Vec::new(), started_at }
     }
 
     fn note_end(&self, answer: &FinalAnswer) {
         let label = answer.label();
-        self.context
-            .metrics
-            .count_labelled("requests_ended", "outcome", label);
+        self.context.metrics.count_labelled("requests_ended", "outcome", label);
         let reason = match answer {
             FinalAnswer::NotRun(proof) => format!(" ({})", proof.reason()),
             FinalAnswer::Unknown(reason) => format!(" ({reason})"),
@@ -441,18 +380,13 @@
             stream: None,
         };
         let router = &self.context.router;
-        let reply = router
-            .ask(|reply| RouterMessage::Pick(Box::new(order), reply))
-            .await;
+        let reply = router.ask(|reply| RouterMessage::Pick(Box::new(order), reply)).await;
         reply.unwrap_or(PickReply::Busy(COME_BACK))
     }
 
     fn weight(&self) -> f64 {
         let table = self.context.table();
-        let row = table
-            .accounts()
-            .find(|row| row.name == self.call.account)
-            .cloned();
+        let row = table.accounts().find(|row| row.name == self.call.account).cloned();
         row.map_or(1.0, |row| row.weight)
     }
 
@@ -461,15 +395,11 @@
         if self.ticket.witness == self.ticket.holder {
             return Ok(());
         }
-        let witness = self
-            .context
-            .target(self.ticket.witness)
-            .ok_or(NotRunReason::NoWitness)?;
+        let witness = self.context.target(self.ticket.witness).ok_or(NotRunReason::NoWitness)?;
         match self.context.pool.consent(&witness, self.ticket).await {
             Ok(ConsentVerdict::Granted) => Ok(()),
             Ok(ConsentVerdict::Sealed | ConsentVerdict::AlreadyGranted) => {
-                self.context
-                    .note(EventKind::TicketSealed, &self.name, "the witness refused");
+                self.context.note(EventKind::TicketSealed, &self.name, "the witness refused");
                 Err(NotRunReason::HolderGone)
             }
             // NOTE: the witness may have written its consent down; that does no harm,
@@ -484,11 +414,7 @@
         stage: UndispatchedCall,
         slot: &EndpointSlot,
     ) -> Result<FinalAnswer, UndispatchedCall> {
-        self.context.note(
-            EventKind::Dispatched,
-            &self.name,
-            format!("VM {}", slot.pick.id),
-        );
+        self.context.note(EventKind::Dispatched, &self.name, format!("VM {}", slot.pick.id));
         let call = self.call.clone();
         let dispatched = stage.begin();
         let task = AttemptTask {
@@ -507,16 +433,14 @@
             AttemptEnd::Answered(answer) => Ok(answer),
             AttemptEnd::NotStarted(evidence, error) => {
                 self.refused_by.push(slot.pick.id.clone());
-                self.context
-                    .note(EventKind::AttemptFailed, &self.name, error.to_string());
+                self.context.note(EventKind::AttemptFailed, &self.name, error.to_string());
                 match dispatched.not_started(evidence) {
                     CallStage::Undispatched(undispatched) => Err(undispatched),
                     CallStage::Dispatched(call) => Ok(call.give_up(UnknownReason::AnswerLost)),
                 }
             }
             AttemptEnd::Failed(error) => {
-                self.context
-                    .note(EventKind::AttemptFailed, &self.name, error.to_string());
+                self.context.note(EventKind::AttemptFailed, &self.name, error.to_string());
                 Ok(dispatched.give_up(UnknownReason::AnswerLost))
             }
             AttemptEnd::Leaving(_) | AttemptEnd::Superseded => {
@@ -534,7 +458,5 @@
     limit: Duration,
 ) -> OnceOutcome {
     let served = timeout(limit, serve(context, key, call)).await;
-    served.unwrap_or(OnceOutcome::Final(FinalAnswer::Unknown(
-        UnknownReason::AnswerLost,
-    )))
+    served.unwrap_or(OnceOutcome::Final(FinalAnswer::Unknown(UnknownReason::AnswerLost)))
 }
--- a/src/serve/parse.rs
+++ b/src/serve/parse.rs
@@ -75,10 +75,7 @@
 impl CheckedRequest {
     /// Name of the request: by the caller's key, or by `made` where it gave none.
     pub fn name(&self, made: &str) -> RequestName {
-        let key = self
-            .key
-            .clone()
-            .unwrap_or_else(|| format!("{OWN_KEY_PREFIX}{made}").into());
+        let key = self.key.clone().unwrap_or_else(|| format!("{OWN_KEY_PREFIX}{made}").into());
         RequestName::new(self.call.account.clone(), key)
     }
 }
@@ -99,10 +96,7 @@
     let value = header(headers, "authorization")?;
     let key = value.and_then(|value| value.strip_prefix("Bearer "));
     let Some(key) = key else {
-        return Err(Problem::unauthorized(
-            "authorization",
-            "must be `Bearer` with a key",
-        ));
+        return Err(Problem::unauthorized("authorization", "must be `Bearer` with a key"));
     };
     let row = table.account(key.trim());
     row.ok_or_else(|| Problem::unauthorized("authorization", "names no client account"))
@@ -118,10 +112,7 @@
     if is_name(key) {
         Ok(Some(key.into()))
     } else {
-        Err(Problem::bad_request(
-            name,
-            "must be 1 to 128 printable characters without `/`",
-        ))
+        Err(Problem::bad_request(name, "must be 1 to 128 printable characters without `/`"))
     }
 }
 
@@ -144,9 +135,7 @@
     };
     let parts: Vec<&str> = text.split('-').collect();
     let lengths: Vec<usize> = parts.iter().map(|part| part.len()).collect();
-    let hex = parts
-        .iter()
-        .all(|part| part.bytes().all(|byte| byte.is_ascii_hexdigit()));
+    let hex = parts.iter().all(|part| part.bytes().all(|byte| byte.is_ascii_hexdigit()));
     if hex && lengths == [2, 32, 16, 2] {
         Ok(Some(text.into()))
     } else {
@@ -169,26 +158,17 @@
     };
     check_fields(object, chat)?;
     let service = model_service(object, table)?;
-    let prompt = if chat {
-        chat_prompt(object)?
-    } else {
-        text_prompt(object)?
-    };
+    let prompt = if chat { chat_prompt(object)? } else { text_prompt(object)? };
     let key = idempotency_key(headers)?;
     let max_tokens = max_tokens(object)?;
     let seed = match object.get("seed") {
         None | Some(Value::Null) => derived_seed(&account.name, key.as_deref()),
-        Some(value) => value
-            .as_u64()
-            .ok_or_else(|| Problem::bad_request("seed", "must be a whole number"))?,
+        Some(value) => {
+            value.as_u64().ok_or_else(|| Problem::bad_request("seed", "must be a whole number"))?
+        }
     };
     let stream = flag(object, "stream")?;
-    let content = CompletionCall {
-        prompt: prompt.into(),
-        max_tokens,
-        seed,
-        chat,
-    };
+    let content = CompletionCall { prompt: prompt.into(), max_tokens, seed, chat };
     let call = CallerCall {
         account: account.name.clone(),
         service: service.name.clone(),
@@ -196,36 +176,17 @@
         content: CallContent::Completion(content),
         traceparent: traceparent(headers)?,
     };
-    let form = if stream {
-        AnswerForm::Events { chat }
-    } else {
-        AnswerForm::Document { chat }
-    };
+    let form = if stream { AnswerForm::Events { chat } } else { AnswerForm::Document { chat } };
     let have_tokens = have_tokens(headers)?;
-    Ok(CheckedRequest {
-        call,
-        key,
-        form,
-        have_tokens,
-    })
+    Ok(CheckedRequest { call, key, form, have_tokens })
 }
 
 fn check_fields(object: &Map<String, Value>, chat: bool) -> Result<(), Problem> {
     let text = if chat { "messages" } else { "prompt" };
-    let known = [
-        "model",
-        text,
-        "max_tokens",
-        "max_completion_tokens",
-        "stream",
-        "seed",
-    ];
+    let known = ["model", text, "max_tokens", "max_completion_tokens", "stream", "seed"];
     for field in object.keys() {
         if !known.contains(&field.as_str()) && !IGNORED_FIELDS.contains(&field.as_str()) {
-            return Err(Problem::bad_request(
-                field,
-                "is not a field of this request",
-            ));
+            return Err(Problem::bad_request(field, "is not a field of this request"));
         }
     }
     if object.get("n").is_some_and(|n| n.as_u64() != Some(1)) {
@@ -239,24 +200,16 @@
     table: &TableSnapshot,
 ) -> Result<Arc<ServiceRow>, Problem> {
     let Some(name) = object.get("model").and_then(Value::as_str) else {
-        return Err(Problem::bad_request(
-            "model",
-            "must be the name of a service",
-        ));
+        return Err(Problem::bad_request("model", "must be the name of a service"));
     };
-    let row = table
-        .service(name)
-        .filter(|row| row.service_type == ServiceType::Model);
+    let row = table.service(name).filter(|row| row.service_type == ServiceType::Model);
     row.ok_or_else(|| Problem::new(StatusCode::NOT_FOUND, "model", "names no model service"))
 }
 
 fn text_prompt(object: &Map<String, Value>) -> Result<String, Problem> {
     match object.get("prompt") {
         Some(Value::String(text)) if !text.is_empty() => Ok(text.clone()),
-        _ => Err(Problem::bad_request(
-            "prompt",
-            "must be a text that is not empty",
-        )),
+        _ => Err(Problem::bad_request("prompt", "must be a text that is not empty")),
     }
 }
 
@@ -270,9 +223,7 @@
         let role = message.get("role").and_then(Value::as_str);
         let content = message.get("content").and_then(Value::as_str);
         let (Some(role), Some(content)) = (role, content) else {
-            return Err(problem(
-                "must hold objects with the texts `role` and `content`",
-            ));
+            return Err(problem("must hold objects with the texts `role` and `content`"));
         };
         prompt.push_str(role);
         prompt.push_str(": ");
@@ -290,14 +241,10 @@
     };
     let tokens = match object.get(field) {
         None | Some(Value::Null) => Some(DEFAULT_TOKENS),
-        Some(value) => value
-            .as_u64()
-            .filter(|tokens| (1..=MAX_TOKENS).contains(tokens)),
+        Some(value) => value.as_u64().filter(|tokens| (1..=MAX_TOKENS).contains(tokens)),
     };
     let rule = || format!("must be a whole number from 1 to {MAX_TOKENS}");
-    tokens
-        .map(|tokens| tokens as u32)
-        .ok_or_else(|| Problem::bad_request(field, rule()))
+    tokens.map(|tokens| tokens as u32).ok_or_else(|| Problem::bad_request(field, rule()))
 }
 
 fn flag(object: &Map<String, Value>, field: &str) -> Result<bool, Problem> {
@@ -326,25 +273,16 @@
     table: &TableSnapshot,
 ) -> Result<CheckedRequest, Problem> {
     let account = account(headers, table)?;
-    let row = table
-        .service(service)
-        .filter(|row| row.service_type == ServiceType::Plain);
+    let row = table.service(service).filter(|row| row.service_type == ServiceType::Plain);
     let Some(row) = row else {
-        return Err(Problem::new(
-            StatusCode::NOT_FOUND,
-            "(path)",
-            "names no plain service",
-        ));
+        return Err(Problem::new(StatusCode::NOT_FOUND, "(path)", "names no plain service"));
     };
     let content_type = header(headers, "content-type")?.unwrap_or("application/json");
     let body =
         String::from_utf8(body).map_err(|_| Problem::bad_request("(body)", "must be UTF-8"))?;
     let is_json = content_type.starts_with("application/json");
     if is_json && !body.is_empty() && serde_json::from_str::<Value>(&body).is_err() {
-        return Err(Problem::bad_request(
-            "(body)",
-            "must be JSON, as its content type says",
-        ));
+        return Err(Problem::bad_request("(body)", "must be JSON, as its content type says"));
     }
     let call = CallerCall {
         account: account.name.clone(),
@@ -358,10 +296,5 @@
         traceparent: traceparent(headers)?,
     };
     let key = idempotency_key(headers)?;
-    Ok(CheckedRequest {
-        call,
-        key,
-        form: AnswerForm::Plain,
-        have_tokens: 0,
-    })
+    Ok(CheckedRequest { call, key, form: AnswerForm::Plain, have_tokens: 0 })
 }
--- a/src/serve/platform_watch.rs
+++ b/src/serve/platform_watch.rs
@@ -66,9 +66,7 @@
 }
 
 fn has_role(context: &ServeContext, role: &[u8]) -> bool {
-    context
-        .members()
-        .has_role(context.identity.incarnation, role, WATCHERS)
+    context.members().has_role(context.identity.incarnation, role, WATCHERS)
 }
 
 fn spread(context: &ServeContext, items: Vec<SpreadItem>) {
@@ -102,11 +100,8 @@
                 pause.reset();
                 // NOTE: a store that goes back shows less than is known; list it anew,
                 // newer versions stay in force meanwhile.
-                revision = if revision.is_some_and(|before| next < before) {
-                    None
-                } else {
-                    Some(next)
-                };
+                revision =
+                    if revision.is_some_and(|before| next < before) { None } else { Some(next) };
             }
             Err(error) => {
                 revision = None;
@@ -124,15 +119,9 @@
 }
 
 async fn known_versions(context: &ServeContext, kind: ItemKind) -> HashMap<SharedName, SpreadItem> {
-    let items = context
-        .cluster
-        .ask(|reply| ClusterMessage::List { kind, reply })
-        .await;
+    let items = context.cluster.ask(|reply| ClusterMessage::List { kind, reply }).await;
     let items = items.unwrap_or_default();
-    items
-        .into_iter()
-        .map(|item| (item.key.name.clone(), item))
-        .collect()
+    items.into_iter().map(|item| (item.key.name.clone(), item)).collect()
 }
 
 async fn list_rows(context: &ServeContext) -> Result<u64, StepError> {
@@ -191,16 +180,9 @@
             let _ = context.cluster.send(ClusterMessage::Event(seed));
         }
         let before = known.remove(&vm.id);
-        let same = before
-            .and_then(|item| item.decode::<VmEntry>())
-            .is_some_and(|old| old == vm);
+        let same = before.and_then(|item| item.decode::<VmEntry>()).is_some_and(|old| old == vm);
         if !same {
-            items.push(SpreadItem::new(
-                ItemKind::Vm,
-                vm.id.clone(),
-                list.revision,
-                &vm,
-            ));
+            items.push(SpreadItem::new(ItemKind::Vm, vm.id.clone(), list.revision, &vm));
         }
     }
     for (id, item) in known {
@@ -225,12 +207,7 @@
                 let mut items = Vec::new();
                 for notice in list.notices {
                     sequence = sequence.max(notice.sequence);
-                    items.push(SpreadItem::new(
-                        ItemKind::Notice,
-                        notice.vm.clone(),
-                        1,
-                        &notice,
-                    ));
+                    items.push(SpreadItem::new(ItemKind::Notice, notice.vm.clone(), 1, &notice));
                 }
                 spread(&context, items);
             }
--- a/src/serve/problem.rs
+++ b/src/serve/problem.rs
@@ -61,21 +61,13 @@
     /// The key was used for another request.
     pub fn key_reused() -> Self {
         let rule = "was used for a different request of this account";
-        Self::new(
-            StatusCode::UNPROCESSABLE_ENTITY,
-            headers::IDEMPOTENCY_KEY,
-            rule,
-        )
+        Self::new(StatusCode::UNPROCESSABLE_ENTITY, headers::IDEMPOTENCY_KEY, rule)
     }
 
     /// The ticket belongs to another account.
     pub fn foreign_ticket() -> Self {
         let rule = "is a ticket of another client account";
-        Self::new(
-            StatusCode::UNPROCESSABLE_ENTITY,
-            headers::IDEMPOTENCY_KEY,
-            rule,
-        )
+        Self::new(StatusCode::UNPROCESSABLE_ENTITY, headers::IDEMPOTENCY_KEY, rule)
     }
 
     /// The request was refused before it ran.
@@ -126,9 +118,7 @@
         let status = StatusCode::from_u16(self.status);
         *response.status_mut() = status.unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
         let kind = HeaderValue::from_static("application/problem+json");
-        response
-            .headers_mut()
-            .insert(hyper::header::CONTENT_TYPE, kind);
+        response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
         if let Some(seconds) = self.retry_after {
             // NOTE: the header takes whole seconds; the document has the exact time.
             let value = HeaderValue::from(seconds.ceil() as u64);
--- a/src/serve/resume.rs
+++ b/src/serve/resume.rs
@@ -86,13 +86,8 @@
     };
     let (targets, known) = place(context, &copy).await;
     if let Some(known) = known {
-        context
-            .requests
-            .send(RequestMessage::Remove { name: name.clone() })?;
-        let same = known
-            .call
-            .as_ref()
-            .is_none_or(|other| other.digest() == call.digest());
+        context.requests.send(RequestMessage::Remove { name: name.clone() })?;
+        let same = known.call.as_ref().is_none_or(|other| other.digest() == call.digest());
         if !same {
             return Ok(ObtainedRequest::KeyReused);
         }
@@ -100,24 +95,14 @@
         return follow(context, known).await;
     }
     if let Some((reason, wait)) = admit(context, &call).await? {
-        context
-            .requests
-            .send(RequestMessage::Remove { name: name.clone() })?;
+        context.requests.send(RequestMessage::Remove { name: name.clone() })?;
         return Ok(ObtainedRequest::Refused(undispatched.refuse(reason, wait)));
     }
     if targets.is_empty() {
         context.metrics.count("accepted_without_copy", 1);
     }
-    context.copies.send(CopyMessage::Track {
-        name: name.clone(),
-        targets,
-        tokens: 0,
-    })?;
-    context.note(
-        EventKind::Accepted,
-        name,
-        format!("service {}", call.service),
-    );
+    context.copies.send(CopyMessage::Track { name: name.clone(), targets, tokens: 0 })?;
+    context.note(EventKind::Accepted, name, format!("service {}", call.service));
     let driver = RequestDriver::new(context.clone(), name.clone(), 0, call, Vec::new());
     spawn_driver(context, driver, CallStage::Undispatched(undispatched));
     Ok(ObtainedRequest::Ready)
@@ -143,11 +128,7 @@
         return Ok(Some((NotRunReason::Overloaded, COME_BACK)));
     }
     let table = context.table();
-    let Some(row) = table
-        .accounts()
-        .find(|row| row.name == call.account)
-        .cloned()
-    else {
+    let Some(row) = table.accounts().find(|row| row.name == call.account).cloned() else {
         return Ok(Some((NotRunReason::NoTable, COME_BACK)));
     };
     let verdict = context.limits.ask(|reply| LimitMessage::Admit {
@@ -169,9 +150,8 @@
     copy: &RequestCopy,
 ) -> (Vec<PeerTarget>, Option<RequestCopy>) {
     let targets = context.copy_targets(&copy.name);
-    let offers = targets
-        .iter()
-        .map(|target| timeout(OFFER_LIMIT, context.pool.offer(target, copy)));
+    let offers =
+        targets.iter().map(|target| timeout(OFFER_LIMIT, context.pool.offer(target, copy)));
     let answers = futures::future::join_all(offers).await;
     let mut taken = Vec::new();
     let mut known: Option<RequestCopy> = None;
@@ -179,9 +159,7 @@
         match answer {
             Ok(Ok(None)) => taken.push(target),
             Ok(Ok(Some(state))) if state.call.is_some() => {
-                let goes_before = known
-                    .as_ref()
-                    .is_none_or(|known| rank(&state) > rank(known));
+                let goes_before = known.as_ref().is_none_or(|known| rank(&state) > rank(known));
                 if goes_before {
                     known = Some(state);
                 }
@@ -196,10 +174,7 @@
 
 /// Which of several known states goes first: an answer, then term, then tokens.
 fn rank(copy: &RequestCopy) -> (bool, u32, usize) {
-    let answered = copy
-        .answer
-        .as_ref()
-        .is_some_and(|answer| answer.is_answered());
+    let answered = copy.answer.as_ref().is_some_and(|answer| answer.is_answered());
     (answered, copy.term, copy.tokens.len())
 }
 
@@ -208,11 +183,7 @@
     context: &Rc<ServeContext>,
     copy: RequestCopy,
 ) -> Result<ObtainedRequest, SendError> {
-    if copy
-        .answer
-        .as_ref()
-        .is_some_and(|answer| answer.is_answered())
-    {
+    if copy.answer.as_ref().is_some_and(|answer| answer.is_answered()) {
         return Ok(ObtainedRequest::Ready);
     }
     let name = copy.name.clone();
@@ -261,10 +232,7 @@
         if own.answer.is_some() || own.holder.incarnation != holder.incarnation {
             return true;
         }
-        let attached = context
-            .pool
-            .attach(holder, name, own.first_token, ATTACH_WAIT)
-            .await;
+        let attached = context.pool.attach(holder, name, own.first_token, ATTACH_WAIT).await;
         let Ok(Some(news)) = attached else {
             return false;
         };
@@ -282,9 +250,7 @@
 }
 
 async fn supersede_quietly(context: &Rc<ServeContext>, news: RequestCopy) {
-    let offer = context
-        .requests
-        .ask(|reply| RequestMessage::Offer { copy: news, reply });
+    let offer = context.requests.ask(|reply| RequestMessage::Offer { copy: news, reply });
     // NOTE: news that are not newer change nothing.
     let _ = offer.await;
 }
@@ -294,10 +260,8 @@
     context: &Rc<ServeContext>,
     name: &RequestName,
 ) -> Result<ObtainedRequest, SendError> {
-    let taken = context.requests.ask(|reply| RequestMessage::TakeOver {
-        name: name.clone(),
-        reply,
-    });
+    let taken =
+        context.requests.ask(|reply| RequestMessage::TakeOver { name: name.clone(), reply });
     let Some(copy) = taken.await? else {
         return Ok(ObtainedRequest::Refused(gone()));
     };
@@ -312,17 +276,10 @@
     }
     context.metrics.count("requests_taken_over", 1);
     let tokens = copy.tokens.len();
-    let detail = format!(
-        "term {}, {tokens} tokens, {} ms",
-        copy.term,
-        begun_at.elapsed().as_millis()
-    );
+    let detail =
+        format!("term {}, {tokens} tokens, {} ms", copy.term, begun_at.elapsed().as_millis());
     context.note(EventKind::TakenOver, name, detail);
-    context.copies.send(CopyMessage::Track {
-        name: name.clone(),
-        targets,
-        tokens,
-    })?;
+    context.copies.send(CopyMessage::Track { name: name.clone(), targets, tokens })?;
     let stage = CallStage::Dispatched(DispatchedCall::taken_over(call.clone()));
     let driver = RequestDriver::new(context.clone(), name.clone(), copy.term, call, copy.tokens);
     spawn_driver(context, driver, stage);
--- a/src/serve/router.rs
+++ b/src/serve/router.rs
@@ -293,17 +293,9 @@
             RouterMessage::Vm { id, entry } => self.set_vm(id, entry),
             RouterMessage::Notice(notice) => self.take_notice(&notice),
             RouterMessage::Pick(order, reply) => self.pick(order, reply),
-            RouterMessage::Ended {
-                service,
-                id,
-                attempt,
-                result,
-                chain,
-                took,
-            } => {
+            RouterMessage::Ended { service, id, attempt, result, chain, took } => {
                 self.streams.remove(&attempt);
-                self.routes
-                    .ended(&service, &id, result, &chain, Instant::now());
+                self.routes.ended(&service, &id, result, &chain, Instant::now());
                 self.learn_duration(&service, took);
                 self.serve_queue(&service);
             }
@@ -311,11 +303,7 @@
                 self.routes.report_load(&service, &id, load);
                 self.serve_queue(&service);
             }
-            RouterMessage::Cache {
-                service,
-                id,
-                changes,
-            } => {
+            RouterMessage::Cache { service, id, changes } => {
                 for change in &changes {
                     self.routes.report_cache(&service, &id, change);
                 }
@@ -359,8 +347,7 @@
             let infos: Vec<EndpointInfo> = chosen.collect();
             let used = (window_size(daemons, vms.len()) * daemons) as f64;
             self.sharing = used / vms.len().max(1) as f64;
-            self.routes
-                .set_endpoints(&row.name, infos, row.concurrency, self.sharing);
+            self.routes.set_endpoints(&row.name, infos, row.concurrency, self.sharing);
         }
     }
 
@@ -386,10 +373,7 @@
         if self.dirty {
             self.rebuild();
         }
-        let waiting = self
-            .queues
-            .get(&service)
-            .is_some_and(|queue| !queue.is_empty());
+        let waiting = self.queues.get(&service).is_some_and(|queue| !queue.is_empty());
         let pending = PendingPick { order, reply };
         if waiting {
             self.enqueue(pending);
@@ -401,11 +385,8 @@
     /// Serves a pick, or gives it back if endpoints are full.
     fn try_pick(&mut self, pending: PendingPick) -> Option<PendingPick> {
         let order = &pending.order;
-        let query = RouteQuery {
-            service: &order.service,
-            chain: &order.chain,
-            exclude: &order.exclude,
-        };
+        let query =
+            RouteQuery { service: &order.service, chain: &order.chain, exclude: &order.exclude };
         match self.routes.pick(query, Instant::now(), &mut self.rng) {
             RouteChoice::Endpoint(pick) => {
                 self.assign(pending, pick);
@@ -421,8 +402,7 @@
 
     fn assign(&mut self, pending: PendingPick, pick: EndpointPick) {
         let PendingPick { order, reply } = pending;
-        self.routes
-            .started(&order.service, &pick.id, &order.chain, Instant::now());
+        self.routes.started(&order.service, &pick.id, &order.chain, Instant::now());
         let (way_sender, way) = watch::channel(None);
         let produced = Rc::new(Cell::new(0));
         let slot = EndpointSlot {
@@ -455,10 +435,8 @@
         let order = &pending.order;
         let (account, weight, tokens) = (order.account.clone(), order.weight, order.tokens);
         let deadline = order.deadline;
-        let queue = self
-            .queues
-            .entry(order.service.clone())
-            .or_insert_with(|| FairQueue::new(QUEUE_LIMIT));
+        let queue =
+            self.queues.entry(order.service.clone()).or_insert_with(|| FairQueue::new(QUEUE_LIMIT));
         self.metrics.count("picks_queued", 1);
         if let Some(dropped) = queue.push(&account, weight, tokens, deadline, pending) {
             let _ = dropped.reply.send(PickReply::Busy(wait));
@@ -497,11 +475,7 @@
         let attempt_s = self.attempt_s.get(service).copied().unwrap_or(1.0);
         let row = self.table.borrow().service(service);
         let concurrency = row.map_or(1.0, |row| f64::from(row.concurrency));
-        let endpoints = self
-            .routes
-            .endpoints()
-            .filter(|(name, _)| *name == service)
-            .count();
+        let endpoints = self.routes.endpoints().filter(|(name, _)| *name == service).count();
         let slots = (endpoints as f64 * concurrency / self.sharing).max(1.0);
         let wait = attempt_s * (waiting + 1.0) / slots;
         Duration::from_secs_f64(wait.clamp(0.1, LONGEST_S))
@@ -518,27 +492,20 @@
     fn take_notice(&mut self, notice: &ReclaimNotice) {
         self.routes.mark_leaving(&notice.vm);
         let left_ms = notice.gone_at_ms.saturating_sub(crate::wall_clock_ms()) as f64;
-        let affected: Vec<(&AttemptId, &RunningStream)> = self
-            .streams
-            .iter()
-            .filter(|(_, stream)| stream.vm == notice.vm)
-            .collect();
+        let affected: Vec<(&AttemptId, &RunningStream)> =
+            self.streams.iter().filter(|(_, stream)| stream.vm == notice.vm).collect();
         let Some((_, first)) = affected.first() else {
             return;
         };
         let weights = self.reclaim_weights(&first.service);
-        let shapes: Vec<LeavingStream> = affected
-            .iter()
-            .map(|(_, stream)| stream.leaving())
-            .collect();
+        let shapes: Vec<LeavingStream> =
+            affected.iter().map(|(_, stream)| stream.leaving()).collect();
         let ways = plan_reclaim(&shapes, left_ms, &weights);
         for ((_, stream), (name, way)) in affected.iter().zip(ways) {
             stream.way.send_replace(Some(way));
             let detail = format!("{way:?} off VM {} in {left_ms} ms", notice.vm);
-            self.timeline
-                .record(EventKind::Moved, Some(name.to_string().into()), detail);
-            self.metrics
-                .count_labelled("reclaim_ways", "way", &format!("{way:?}"));
+            self.timeline.record(EventKind::Moved, Some(name.to_string().into()), detail);
+            self.metrics.count_labelled("reclaim_ways", "way", &format!("{way:?}"));
         }
     }
 
@@ -561,9 +528,8 @@
             if self.routes.is_leaving(&info.id) {
                 continue;
             }
-            let streams = table
-                .service(service)
-                .is_some_and(|row| row.service_type == ServiceType::Model);
+            let streams =
+                table.service(service).is_some_and(|row| row.service_type == ServiceType::Model);
             let after = streams.then(|| self.routes.cache_sequence(service, &info.id));
             let poll = poll_endpoint(
                 self.http.clone(),
@@ -577,15 +543,8 @@
     }
 
     fn status(&self) -> RouterStatus {
-        let mut status = RouterStatus {
-            vms: self.vms.len(),
-            ..RouterStatus::default()
-        };
-        status.leaving = self
-            .vms
-            .keys()
-            .filter(|id| self.routes.is_leaving(id))
-            .count();
+        let mut status = RouterStatus { vms: self.vms.len(), ..RouterStatus::default() };
+        status.leaving = self.vms.keys().filter(|id| self.routes.is_leaving(id)).count();
         for (service, _) in self.routes.endpoints() {
             *status.endpoints.entry(service.clone()).or_default() += 1;
         }
@@ -633,11 +592,7 @@
     // dispatches; attempts show whether it works.
     let Ok(report) = report else { return };
     let load = report.running + report.waiting;
-    let message = RouterMessage::Load {
-        service: service.clone(),
-        id: info.id.clone(),
-        load,
-    };
+    let message = RouterMessage::Load { service: service.clone(), id: info.id.clone(), load };
     let _ = router.send(message);
     let Some(after) = after else { return };
     let call = OutgoingCall::get(
@@ -653,10 +608,6 @@
     };
     let changes: Vec<CacheChange> = events.into_iter().map(CacheEvent::into_change).collect();
     if !changes.is_empty() {
-        let _ = router.send(RouterMessage::Cache {
-            service,
-            id: info.id,
-            changes,
-        });
+        let _ = router.send(RouterMessage::Cache { service, id: info.id, changes });
     }
 }
--- a/src/serve/store_service.rs
+++ b/src/serve/store_service.rs
@@ -143,12 +143,7 @@
         RequestMessage::TakeOver { name, reply } => {
             let _ = reply.send(store.take_over(&name, now));
         }
-        RequestMessage::Append {
-            name,
-            term,
-            token,
-            reply,
-        } => {
+        RequestMessage::Append { name, term, token, reply } => {
             let _ = reply.send(store.append(&name, term, token));
         }
         RequestMessage::End { name, term, answer } => {
@@ -157,11 +152,7 @@
         RequestMessage::Offer { copy, reply } => {
             let _ = reply.send(store.offer(copy, now));
         }
-        RequestMessage::Read {
-            name,
-            first_token,
-            reply,
-        } => {
+        RequestMessage::Read { name, first_token, reply } => {
             let _ = reply.send(store.read(&name, first_token));
         }
         RequestMessage::Watch { name, reply } => {
@@ -175,10 +166,7 @@
             let _ = reply.send(store.running());
         }
         RequestMessage::Gauge { reply } => {
-            let _ = reply.send(StoreGauge {
-                records: store.len(),
-                bytes: store.bytes(),
-            });
+            let _ = reply.send(StoreGauge { records: store.len(), bytes: store.bytes() });
         }
     }
 }
--- a/src/serve/ticket_service.rs
+++ b/src/serve/ticket_service.rs
@@ -104,18 +104,10 @@
     // NOTE: whoever asked may have gone meanwhile; then the reply is not wanted any more.
     fn handle(&mut self, message: TicketMessage, now: Instant) {
         match message {
-            TicketMessage::Issue {
-                witness,
-                scope,
-                reply,
-            } => {
+            TicketMessage::Issue { witness, scope, reply } => {
                 let _ = reply.send(self.held.issue(witness, scope, now));
             }
-            TicketMessage::Begin {
-                ticket,
-                digest,
-                reply,
-            } => {
+            TicketMessage::Begin { ticket, digest, reply } => {
                 let _ = reply.send(self.held.begin(ticket, digest));
             }
             TicketMessage::End { ticket, answer } => {
--- a/src/serve/timeline.rs
+++ b/src/serve/timeline.rs
@@ -76,14 +76,8 @@
 impl TimelineHandle {
     /// Empty ring of the daemon named `daemon`.
     pub fn new(daemon: SharedName) -> Self {
-        let ring = EventRing {
-            daemon,
-            next_sequence: 1,
-            events: VecDeque::new(),
-        };
-        Self {
-            ring: Rc::new(RefCell::new(ring)),
-        }
+        let ring = EventRing { daemon, next_sequence: 1, events: VecDeque::new() };
+        Self { ring: Rc::new(RefCell::new(ring)) }
     }
 
     /// Records an event.
@@ -112,10 +106,7 @@
         let ring = self.ring.borrow();
         let matches = |event: &&TimelineEvent| {
             subject.is_empty()
-                || event
-                    .subject
-                    .as_ref()
-                    .is_some_and(|found| found.contains(subject))
+                || event.subject.as_ref().is_some_and(|found| found.contains(subject))
         };
         ring.events.iter().filter(matches).cloned().collect()
     }
--- a/src/standin/callers.rs
+++ b/src/standin/callers.rs
@@ -168,12 +168,7 @@
             first: micros_histogram(),
             gaps: micros_histogram(),
         };
-        Self {
-            http: HttpClient::new(),
-            daemons,
-            mix,
-            state: Rc::new(RefCell::new(state)),
-        }
+        Self { http: HttpClient::new(), daemons, mix, state: Rc::new(RefCell::new(state)) }
     }
 
     /// Sends requests for `length` at the mix's pace, waits for all of them, reports.
@@ -266,19 +261,13 @@
         }
         if report.failures.len() < KEPT {
             let key = request.key.as_deref().unwrap_or("no key");
-            report.failures.push(format!(
-                "{} ({key}): {outcome}: {detail}",
-                request.entry.name
-            ));
+            report.failures.push(format!("{} ({key}): {outcome}: {detail}", request.entry.name));
         }
     }
 
     async fn try_once(&self, request: &mut CallerRequest) -> TryEnd {
         // NOTE: a balancer gives each connection to any daemon.
-        let daemon = *self
-            .daemons
-            .choose(&mut request.rng)
-            .expect("there are daemons");
+        let daemon = *self.daemons.choose(&mut request.rng).expect("there are daemons");
         if request.entry.kind == MixKind::Once && request.key.is_none() {
             match self.take_ticket(request, daemon).await {
                 Some(ticket) => request.key = Some(ticket),
@@ -419,11 +408,7 @@
         if received == expected {
             TryEnd::Done
         } else {
-            let counts = format!(
-                "{} tokens of {}",
-                self.received.len(),
-                self.entry.max_tokens
-            );
+            let counts = format!("{} tokens of {}", self.received.len(), self.entry.max_tokens);
             TryEnd::Final("wrong", counts)
         }
     }
@@ -476,14 +461,9 @@
     let list = OutgoingCall::get("list VMs", cloud, "/vms");
     let list: VmList = http.fetch(&list, LIMIT).await?.json("list VMs", "cloud")?;
     let prices = OutgoingCall::get("list prices", cloud, "/prices");
-    let prices: Vec<PriceEntry> = http
-        .fetch(&prices, LIMIT)
-        .await?
-        .json("list prices", "cloud")?;
+    let prices: Vec<PriceEntry> = http.fetch(&prices, LIMIT).await?.json("list prices", "cloud")?;
     for vm in list.vms {
-        let price = prices
-            .iter()
-            .find(|price| price.zone == vm.zone && price.class == vm.class);
+        let price = prices.iter().find(|price| price.zone == vm.zone && price.class == vm.class);
         let per_hour = price.map_or(0.0, |price| price.per_hour);
         report.cost += per_hour * length.as_secs_f64() / HOUR_S;
         let counts = OutgoingCall::get("read counts", &vm.address, "/runs");
--- a/src/standin/endpoint.rs
+++ b/src/standin/endpoint.rs
@@ -94,10 +94,7 @@
     pub(super) fn record_load(&mut self) {
         const KEPT: usize = 4_096;
         let running = self.model.running() as u32;
-        let report = LoadReport {
-            running,
-            waiting: self.waiting as u32,
-        };
+        let report = LoadReport { running, waiting: self.waiting as u32 };
         self.loads.push_back((Instant::now(), report));
         if self.loads.len() > KEPT {
             self.loads.pop_front();
@@ -111,11 +108,7 @@
         if gap > 0 && self.cache_sequence.is_multiple_of(gap) {
             return;
         }
-        let event = CacheEvent {
-            sequence: self.cache_sequence,
-            stored,
-            forgotten,
-        };
+        let event = CacheEvent { sequence: self.cache_sequence, stored, forgotten };
         self.cache_events.push_back((Instant::now(), event));
         if self.cache_events.len() > KEPT {
             self.cache_events.pop_front();
@@ -124,11 +117,7 @@
 
     fn reported_load(&self) -> LoadReport {
         let lag = Duration::from_millis(self.faults.load_lag_ms);
-        let seen = self
-            .loads
-            .iter()
-            .rev()
-            .find(|(since, _)| since.elapsed() >= lag);
+        let seen = self.loads.iter().rev().find(|(since, _)| since.elapsed() >= lag);
         seen.map(|(_, report)| *report).unwrap_or_default()
     }
 
@@ -266,12 +255,8 @@
         if let Some(refusal) = self.refusal() {
             return refusal;
         }
-        let id = reply::header(&request, headers::REQUEST_ID)
-            .unwrap_or("none")
-            .to_owned();
-        let attempt = reply::header(&request, headers::ATTEMPT_ID)
-            .unwrap_or("none")
-            .to_owned();
+        let id = reply::header(&request, headers::REQUEST_ID).unwrap_or("none").to_owned();
+        let attempt = reply::header(&request, headers::ATTEMPT_ID).unwrap_or("none").to_owned();
         let path = request.uri().path().to_owned();
         let Some(body) = reply::read_body(request).await else {
             return reply::empty(StatusCode::BAD_REQUEST);
@@ -299,11 +284,7 @@
         state.counts.begun += 1;
         state.model.start("");
         state.record_load();
-        let base = if state.faults.answer_ms > 0 {
-            state.faults.answer_ms
-        } else {
-            ANSWER_MS
-        };
+        let base = if state.faults.answer_ms > 0 { state.faults.answer_ms } else { ANSWER_MS };
         let wait = Duration::from_millis(base).mul_f64(state.faults.slowdown());
         (wait, state.faults.fail)
     }
@@ -321,8 +302,5 @@
 /// Answer of a plain service to `body`, against which tests compare.
 pub fn plain_answer(path: &str, body: &[u8]) -> BTreeMap<&'static str, String> {
     let digest = crate::ids::hash_parts(&[path.as_bytes(), body]);
-    BTreeMap::from([
-        ("path", path.to_owned()),
-        ("digest", format!("{digest:016x}")),
-    ])
+    BTreeMap::from([("path", path.to_owned()), ("digest", format!("{digest:016x}"))])
 }
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -57,12 +57,8 @@
     endpoint: &EndpointStandin,
     request: Request<Incoming>,
 ) -> Response<AnswerBody> {
-    let id = reply::header(&request, headers::REQUEST_ID)
-        .unwrap_or("none")
-        .to_owned();
-    let attempt = reply::header(&request, headers::ATTEMPT_ID)
-        .unwrap_or("none")
-        .to_owned();
+    let id = reply::header(&request, headers::REQUEST_ID).unwrap_or("none").to_owned();
+    let attempt = reply::header(&request, headers::ATTEMPT_ID).unwrap_or("none").to_owned();
     let Some(order) = reply::read_json::<EngineOrder>(request).await else {
         return reply::empty(StatusCode::BAD_REQUEST);
     };
@@ -76,9 +72,7 @@
     tokio::task::spawn_local(async move { stream(endpoint, order, sender).await });
     let mut answer = Response::new(body.map_err(BodyError::from).boxed_unsync());
     let kind = hyper::header::HeaderValue::from_static("text/event-stream");
-    answer
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, kind);
+    answer.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
     if let Ok(value) = attempt.parse() {
         answer.headers_mut().insert(headers::ATTEMPT_ID, value);
     }
@@ -88,9 +82,7 @@
 async fn wait_for_slot(endpoint: &EndpointStandin) {
     const POLL: Duration = Duration::from_millis(2);
     endpoint.state.borrow_mut().waiting += 1;
-    let _place = WaitingPlace {
-        endpoint: endpoint.clone(),
-    };
+    let _place = WaitingPlace { endpoint: endpoint.clone() };
     while !endpoint.state.borrow().model.has_slot() {
         sleep(POLL).await;
     }
@@ -108,12 +100,7 @@
     state.record_cache(stored, forgotten);
     state.record_load();
     let wait = Duration::from_secs_f64(cost.millis / 1e3).mul_f64(state.faults.slowdown());
-    (
-        StreamSlot {
-            endpoint: endpoint.clone(),
-        },
-        wait,
-    )
+    (StreamSlot { endpoint: endpoint.clone() }, wait)
 }
 
 async fn stream(
@@ -143,9 +130,7 @@
             return;
         }
     }
-    let _ = sender
-        .send_data(Bytes::from(format!("data: {STREAM_END}\n\n")))
-        .await;
+    let _ = sender.send_data(Bytes::from(format!("data: {STREAM_END}\n\n"))).await;
 }
 
 fn step(endpoint: &EndpointStandin) -> Duration {
@@ -164,10 +149,8 @@
     };
     let tokens = count_tokens(&order.text);
     let path = format!("/kv/export?tokens={tokens}");
-    let call = OutgoingCall {
-        method: Method::GET,
-        ..OutgoingCall::get("export", &order.from, path)
-    };
+    let call =
+        OutgoingCall { method: Method::GET, ..OutgoingCall::get("export", &order.from, path) };
     match HttpClient::new().fetch(&call, IMPORT_LIMIT).await {
         Ok(answer) if answer.status.is_success() => {
             let mut state = endpoint.state.borrow_mut();
@@ -189,8 +172,5 @@
     let blocks = tokens / crate::decide::prefix::BLOCK_TOKENS as u64;
     sleep(Duration::from_millis(blocks * MOVE_BLOCK_MS)).await;
     endpoint.thaw().await;
-    reply::json(
-        StatusCode::OK,
-        &json!({ "address": endpoint.address.to_string() }),
-    )
+    reply::json(StatusCode::OK, &json!({ "address": endpoint.address.to_string() }))
 }
--- a/src/standin/engine_model.rs
+++ b/src/standin/engine_model.rs
@@ -55,11 +55,7 @@
 impl EngineModel {
     /// Idle engine with an empty cache.
     pub fn new(speed: EngineSpeed) -> Self {
-        Self {
-            speed,
-            cache: PrefixCache::new(speed.cache_blocks),
-            running: 0,
-        }
+        Self { speed, cache: PrefixCache::new(speed.cache_blocks), running: 0 }
     }
 
     /// Streams being computed.
@@ -81,15 +77,7 @@
         let computed_tokens = count_tokens(text).saturating_sub(cached_tokens);
         let forgotten = self.cache.insert(&chain);
         let millis = computed_tokens as f64 * self.speed.prefill_ms;
-        (
-            PrefillCost {
-                computed_tokens,
-                cached_tokens,
-                millis,
-            },
-            chain,
-            forgotten,
-        )
+        (PrefillCost { computed_tokens, cached_tokens, millis }, chain, forgotten)
     }
 
     /// Time of the next decoding step, in milliseconds.
@@ -113,7 +101,5 @@
 
 /// The whole answer to `prompt`, against which tests compare byte for byte.
 pub fn whole_answer(prompt: &str, seed: u64, tokens: usize) -> String {
-    (0..tokens)
-        .map(|index| answer_token(prompt, seed, index))
-        .collect()
+    (0..tokens).map(|index| answer_token(prompt, seed, index)).collect()
 }
--- a/src/standin/object_store.rs
+++ b/src/standin/object_store.rs
@@ -40,16 +40,10 @@
     pub fn read(&self, kind: &str, name: &str) -> ObjectEntry {
         let name: SharedName = name.into();
         match self.objects.get(&(kind.to_owned(), name.clone())) {
-            Some((version, value)) => ObjectEntry {
-                name,
-                version: *version,
-                value: Some(value.clone()),
-            },
-            None => ObjectEntry {
-                name,
-                version: 0,
-                value: None,
-            },
+            Some((version, value)) => {
+                ObjectEntry { name, version: *version, value: Some(value.clone()) }
+            }
+            None => ObjectEntry { name, version: 0, value: None },
         }
     }
 
@@ -63,26 +57,16 @@
                 value: Some(value.clone()),
             })
             .collect();
-        ObjectList {
-            revision: self.revision,
-            entries,
-        }
+        ObjectList { revision: self.revision, entries }
     }
 
     /// Changes of a kind after `revision`.
     pub fn changes(&self, kind: &str, revision: u64) -> ObjectList {
-        let newer = self
-            .log
-            .iter()
-            .rev()
-            .take_while(|(_, entry)| entry.version > revision);
+        let newer = self.log.iter().rev().take_while(|(_, entry)| entry.version > revision);
         let of_kind = newer.filter(|(other, _)| other == kind);
         let mut entries: Vec<ObjectEntry> = of_kind.map(|(_, entry)| entry.clone()).collect();
         entries.reverse();
-        ObjectList {
-            revision: self.revision,
-            entries,
-        }
+        ObjectList { revision: self.revision, entries }
     }
 
     /// Writes (`Some`) or deletes (`None`) if `condition` holds; else the current entry.
@@ -110,11 +94,7 @@
             Some(value) => self.objects.insert(key, (self.revision, value.clone())),
             None => self.objects.remove(&key),
         };
-        let entry = ObjectEntry {
-            name: current.name,
-            version: self.revision,
-            value,
-        };
+        let entry = ObjectEntry { name: current.name, version: self.revision, value };
         self.log.push((kind.to_owned(), entry));
         Ok(self.revision)
     }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -77,11 +77,7 @@
 
 impl RateGate {
     fn new(per_second: f64) -> Self {
-        Self {
-            per_second,
-            level: per_second,
-            filled_at: Instant::now(),
-        }
+        Self { per_second, level: per_second, filled_at: Instant::now() }
     }
 
     fn admit(&mut self) -> bool {
@@ -161,10 +157,7 @@
             started: 0,
         };
         state.record_list();
-        Self {
-            state: Rc::new(RefCell::new(state)),
-            changed: watch::Sender::new(0),
-        }
+        Self { state: Rc::new(RefCell::new(state)), changed: watch::Sender::new(0) }
     }
 
     fn notify(&self) {
@@ -334,11 +327,7 @@
         let mut state = self.state.borrow_mut();
         state.counts.cloud += 1;
         let lag = Duration::from_millis(state.faults.list_lag_ms);
-        let seen = state
-            .history
-            .iter()
-            .rev()
-            .find(|(since, _)| since.elapsed() >= lag);
+        let seen = state.history.iter().rev().find(|(since, _)| since.elapsed() >= lag);
         let list = seen.or(state.history.front()).map(|(_, list)| list.clone());
         reply::json(StatusCode::OK, &list)
     }
@@ -380,11 +369,7 @@
         let mut state = self.state.borrow_mut();
         if let Some(index) = state.vms.iter().position(|vm| &*vm.id == id) {
             let vm = state.vms.remove(index);
-            state
-                .free_addresses
-                .entry(vm.zone)
-                .or_default()
-                .push(vm.address);
+            state.free_addresses.entry(vm.zone).or_default().push(vm.address);
             state.record_list();
         }
         drop(state);
@@ -409,11 +394,7 @@
         let gone_at_ms = crate::wall_clock_ms() + (order.seconds * 1000.0) as u64;
         for vm in &leaving {
             let sequence = state.notices.len() as u64 + 1;
-            state.notices.push(ReclaimNotice {
-                sequence,
-                vm: vm.clone(),
-                gone_at_ms,
-            });
+            state.notices.push(ReclaimNotice { sequence, vm: vm.clone(), gone_at_ms });
         }
         state.record_list();
         drop(state);
@@ -437,11 +418,7 @@
 
     fn load_weights(&self) -> Response<AnswerBody> {
         let admitted = self.state.borrow_mut().weights.admit();
-        let status = if admitted {
-            StatusCode::OK
-        } else {
-            StatusCode::TOO_MANY_REQUESTS
-        };
+        let status = if admitted { StatusCode::OK } else { StatusCode::TOO_MANY_REQUESTS };
         reply::json(status, &json!({ "admitted": admitted }))
     }
 }
@@ -450,10 +427,7 @@
     fn record_list(&mut self) {
         const HISTORY: usize = 256;
         self.list_revision += 1;
-        let list = VmList {
-            revision: self.list_revision,
-            vms: self.vms.clone(),
-        };
+        let list = VmList { revision: self.list_revision, vms: self.vms.clone() };
         self.history.push_back((Instant::now(), list));
         if self.history.len() > HISTORY {
             self.history.pop_front();
@@ -479,16 +453,8 @@
     zones.dedup();
     let both = |zone: SharedName| {
         [
-            PriceEntry {
-                zone: zone.clone(),
-                class: PriceClass::OnDemand,
-                per_hour: ON_DEMAND,
-            },
-            PriceEntry {
-                zone,
-                class: PriceClass::Reclaimable,
-                per_hour: RECLAIMABLE,
-            },
+            PriceEntry { zone: zone.clone(), class: PriceClass::OnDemand, per_hour: ON_DEMAND },
+            PriceEntry { zone, class: PriceClass::Reclaimable, per_hour: RECLAIMABLE },
         ]
     };
     zones.into_iter().flat_map(both).collect()
--- a/src/standin/reply.rs
+++ b/src/standin/reply.rs
@@ -17,9 +17,7 @@
     let mut answer = Response::new(whole_body(body));
     *answer.status_mut() = status;
     let json = hyper::header::HeaderValue::from_static("application/json");
-    answer
-        .headers_mut()
-        .insert(hyper::header::CONTENT_TYPE, json);
+    answer.headers_mut().insert(hyper::header::CONTENT_TYPE, json);
     answer
 }
 
--- /dev/null
+++ b/tests/integration/cluster_model.rs
@@ -0,0 +1,214 @@
+//! Membership and spread of many cores in one process, under loss, cuts, freezes.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use willowarch::{
+    cluster::{
+        core::ClusterEvent,
+        items::{ItemKey, ItemKind, ItemStore, SpreadItem},
+    },
+    standin::fleet::InMemoryFleet,
+};
+
+use crate::cases;
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn row(name: &str, weight: f64, version: u64) -> SpreadItem {
+    let row = serde_json::json!({
+        "kind": "account", "name": name, "api_key": format!("key-{name}"), "weight": weight,
+        "tokens_per_s": 100.0,
+    });
+    SpreadItem::new(ItemKind::Row, format!("account.{name}").into(), version, &row)
+}
+
+fn version_at(fleet: &InMemoryFleet, node: usize, name: &str) -> Option<u64> {
+    let key = ItemKey { kind: ItemKind::Row, name: format!("account.{name}").into() };
+    fleet.nodes[node].core.items().version(&key)
+}
+
+fn in_force(fleet: &InMemoryFleet, name: &str, version: u64) -> bool {
+    (0..fleet.nodes.len()).all(|node| version_at(fleet, node, name) == Some(version))
+}
+
+fn cold_start_agrees(count: usize, loss: f64, seed: u64) {
+    let mut fleet = InMemoryFleet::new(count, 4, seed);
+    fleet.loss = loss;
+    let agreed = fleet.run_until_holds(seconds(60), InMemoryFleet::agrees);
+    expect_that!(agreed, some(lt(seconds(30))), "{count} nodes, loss {loss}");
+}
+
+cases!(cold_start_agrees:
+    cold_start_of_8(8, 0.0, 1),
+    cold_start_of_8_with_loss(8, 0.1, 2),
+    cold_start_of_64(64, 0.0, 3),
+    cold_start_of_64_with_loss(64, 0.05, 4),
+);
+
+fn edit_reaches_all(count: usize, loss: f64, seed: u64) {
+    let mut fleet = InMemoryFleet::new(count, 4, seed);
+    fleet.introduce_all();
+    fleet.loss = loss;
+    fleet.run_until(seconds(3));
+    fleet.inject(count / 2, row("reader", 2.0, 9));
+    let found = fleet.run_until_holds(seconds(20), |fleet| in_force(fleet, "reader", 9));
+    expect_that!(found, some(lt(seconds(10))));
+}
+
+cases!(edit_reaches_all:
+    edit_reaches_all_8(8, 0.0, 1),
+    edit_reaches_all_64_with_loss(64, 0.2, 2),
+    edit_reaches_all_200(200, 0.0, 3),
+);
+
+/// A frozen daemon is suspected, refutes when thawed, and is not removed.
+fn freeze_does_not_remove(millis: u64, seed: u64) {
+    let mut fleet = InMemoryFleet::new(16, 4, seed);
+    fleet.introduce_all();
+    fleet.run_until(seconds(3));
+    fleet.freeze(5, Duration::from_millis(millis));
+    fleet.run_until(seconds(20));
+    expect_that!(fleet.removals(), eq(0));
+    expect_true!(fleet.agrees());
+}
+
+cases!(freeze_does_not_remove:
+    freeze_of_one_second(1_000, 1),
+    freeze_of_three_seconds(3_000, 2),
+);
+
+#[googletest::test]
+fn long_freeze_removes_and_thaw_brings_back() {
+    let mut fleet = InMemoryFleet::new(16, 4, 3);
+    fleet.introduce_all();
+    fleet.run_until(seconds(3));
+    fleet.freeze(5, seconds(20));
+    fleet.run_until(seconds(15));
+    let frozen = fleet.nodes[5].core.own();
+    let present = fleet.nodes[0].core.members().get(frozen).is_some_and(|view| view.is_present());
+    expect_false!(present);
+    expect_that!(fleet.run_until_holds(seconds(60), InMemoryFleet::agrees), some(anything()));
+}
+
+#[googletest::test]
+fn killed_node_is_removed_and_its_successor_known() {
+    let mut fleet = InMemoryFleet::new(24, 4, 5);
+    fleet.introduce_all();
+    fleet.run_until(seconds(3));
+    fleet.kill(7);
+    expect_that!(fleet.run_until_holds(seconds(15), InMemoryFleet::agrees), some(anything()));
+    fleet.restart(7);
+    expect_that!(fleet.run_until_holds(seconds(30), InMemoryFleet::agrees), some(anything()));
+}
+
+#[googletest::test]
+fn all_replaced_one_after_another_keep_the_rows() {
+    let mut fleet = InMemoryFleet::new(8, 4, 6);
+    fleet.introduce_all();
+    fleet.inject(0, row("reader", 2.0, 9));
+    fleet.run_until(seconds(2));
+    for node in 0..8 {
+        fleet.restart(node);
+        let until = fleet.now() + seconds(20);
+        let known = fleet.run_until_holds(until, |fleet| {
+            fleet.agrees() && version_at(fleet, node, "reader") == Some(9)
+        });
+        expect_that!(known, some(anything()), "node {node}");
+    }
+}
+
+/// Two sides edit apart, heal, and converge on the newest versions; nothing goes back.
+fn cut_zone_converges_after_healing(cut_seconds: u64, seed: u64) {
+    let mut fleet = InMemoryFleet::new(16, 4, seed);
+    fleet.introduce_all();
+    fleet.inject(0, row("reader", 1.0, 5));
+    fleet.run_until(seconds(3));
+    fleet.cut_zone = Some(1);
+    fleet.inject(0, row("reader", 2.0, 7));
+    fleet.inject(1, row("press", 3.0, 6));
+    fleet.run_until(seconds(3 + cut_seconds));
+    expect_that!(version_at(&fleet, 1, "reader"), some(eq(5)));
+    expect_that!(version_at(&fleet, 2, "reader"), some(eq(7)));
+    expect_that!(version_at(&fleet, 5, "press"), some(eq(6)));
+    fleet.cut_zone = None;
+    let until = fleet.now() + seconds(60);
+    let healed = fleet.run_until_holds(until, |fleet| {
+        fleet.agrees() && in_force(fleet, "reader", 7) && in_force(fleet, "press", 6)
+    });
+    expect_that!(healed, some(anything()));
+}
+
+cases!(cut_zone_converges_after_healing:
+    cut_of_three_seconds(3, 1),
+    cut_of_sixty_seconds(60, 2),
+);
+
+/// Stale and corrupt items change nothing.
+#[googletest::test]
+fn stale_and_corrupt_items_do_not_take_a_rows_place() {
+    let mut fleet = InMemoryFleet::new(8, 4, 8);
+    fleet.introduce_all();
+    fleet.inject(0, row("reader", 2.0, 9));
+    fleet.run_until(seconds(2));
+    let key = ItemKey { kind: ItemKind::Row, name: "account.reader".into() };
+    let corrupt =
+        SpreadItem { key, version: 99, value: Some(b"{\"kind\":\"acc".as_slice().into()) };
+    fleet.inject(3, row("reader", 1.0, 4));
+    fleet.inject(3, corrupt);
+    fleet.run_until(seconds(5));
+    expect_true!(in_force(&fleet, "reader", 9));
+}
+
+#[googletest::test]
+fn leaving_member_is_known_as_leaving() {
+    let mut fleet = InMemoryFleet::new(8, 4, 9);
+    fleet.introduce_all();
+    fleet.run_until(seconds(1));
+    let own = fleet.nodes[2].core.own();
+    let now = tokio::time::Instant::now();
+    fleet.nodes[2].core.on(now, ClusterEvent::Leave);
+    let known = fleet.run_until_holds(seconds(10), |fleet| {
+        fleet
+            .nodes
+            .iter()
+            .all(|node| node.core.members().get(own).is_some_and(|view| view.record.leaving))
+    });
+    expect_that!(known, some(anything()));
+}
+
+proptest::proptest! {
+    /// However offers are ordered and repeated, the newest version is kept, and two
+    /// stores that saw the same items have the same summary.
+    #[test]
+    fn item_store_keeps_the_newest(
+        offers in proptest::collection::vec((0_u8..6, 0_u64..20), 1..60),
+        order in proptest::collection::vec(proptest::num::usize::ANY, 1..60),
+    ) {
+        let now = tokio::time::Instant::now();
+        let mut naive = std::collections::BTreeMap::<u8, u64>::new();
+        let (mut first, mut second) = (ItemStore::default(), ItemStore::default());
+        for (name, version) in &offers {
+            let newest = naive.entry(*name).or_insert(*version);
+            *newest = (*newest).max(*version);
+            first.offer(row(&name.to_string(), 1.0, *version), now);
+        }
+        let mut shuffled = offers.clone();
+        for (index, draw) in order.iter().enumerate() {
+            let left = index % shuffled.len();
+            let right = draw % shuffled.len();
+            shuffled.swap(left, right);
+        }
+        for (name, version) in shuffled {
+            second.offer(row(&name.to_string(), 1.0, version), now);
+        }
+        for (name, version) in &naive {
+            let key = ItemKey { kind: ItemKind::Row, name: format!("account.{name}").into() };
+            proptest::prop_assert_eq!(first.version(&key), Some(*version));
+        }
+        proptest::prop_assert_eq!(first.summary(), second.summary());
+        proptest::prop_assert!(first.differing(second.summary()).is_empty());
+    }
+}
