--- a/tests/integration/edges.rs
+++ b/tests/integration/edges.rs
@@ -17,55 +17,21 @@
 
 #[googletest::test]
 fn bad_requests_name_the_field() {
-    let deployment = Deployment::start(Layout {
-        daemons: 1,
-        engines: 1,
-        plain: 1,
-        ..Layout::default()
-    });
+    let deployment =
+        Deployment::start(Layout { daemons: 1, engines: 1, plain: 1, ..Layout::default() });
     let daemon = deployment.caller(0);
     let long_key = "k".repeat(200);
     let huge = "x".repeat(1_100_000);
     let completions = "/v1/completions";
     let table: Vec<BadRequest> = vec![
         (completions, vec![], "{}".into(), 401, "authorization"),
-        (
-            completions,
-            vec![("authorization", "Bearer nobody")],
-            "{}".into(),
-            401,
-            "authorization",
-        ),
+        (completions, vec![("authorization", "Bearer nobody")], "{}".into(), 401, "authorization"),
         (completions, vec![READER], "{".into(), 400, "(body)"),
         (completions, vec![READER], "[]".into(), 400, "(body)"),
-        (
-            completions,
-            vec![READER],
-            "{\"model\":1}".into(),
-            400,
-            "model",
-        ),
-        (
-            completions,
-            vec![READER],
-            "{\"model\":\"none\",\"prompt\":\"p\"}".into(),
-            404,
-            "model",
-        ),
-        (
-            completions,
-            vec![READER],
-            "{\"model\":\"model\"}".into(),
-            400,
-            "prompt",
-        ),
-        (
-            completions,
-            vec![READER],
-            "{\"model\":\"model\",\"prompt\":[]}".into(),
-            400,
-            "prompt",
-        ),
+        (completions, vec![READER], "{\"model\":1}".into(), 400, "model"),
+        (completions, vec![READER], "{\"model\":\"none\",\"prompt\":\"p\"}".into(), 404, "model"),
+        (completions, vec![READER], "{\"model\":\"model\"}".into(), 400, "prompt"),
+        (completions, vec![READER], "{\"model\":\"model\",\"prompt\":[]}".into(), 400, "prompt"),
         (
             completions,
             vec![READER],
@@ -124,32 +90,15 @@
             "messages",
         ),
         ("/services/none/x", vec![READER], "{}".into(), 404, "(path)"),
-        (
-            "/services/tagging/x",
-            vec![READER],
-            "{".into(),
-            400,
-            "(body)",
-        ),
-        (
-            "/v1/tickets",
-            vec![READER],
-            "{\"count\":0}".into(),
-            400,
-            "count",
-        ),
+        ("/services/tagging/x", vec![READER], "{".into(), 400, "(body)"),
+        ("/v1/tickets", vec![READER], "{\"count\":0}".into(), 400, "count"),
         ("/nowhere", vec![READER], "{}".into(), 404, "(path)"),
     ];
     for (path, headers, body, status, field) in table {
         let answer = post(daemon, path, &headers, &body);
         let shown: String = body.chars().take(80).collect();
         expect_that!(answer.status, eq(status), "{path} {shown}: {}", answer.text);
-        expect_that!(
-            answer.body["field"],
-            eq(&json!(field)),
-            "{path} {shown}: {}",
-            answer.text
-        );
+        expect_that!(answer.body["field"], eq(&json!(field)), "{path} {shown}: {}", answer.text);
         expect_that!(answer.body["outcome"], eq(&json!("not-run")));
     }
 }
@@ -157,67 +106,31 @@
 #[googletest::test]
 fn key_reused_with_another_body_is_refused() {
     let deployment = Deployment::start(Layout::default());
-    let first = stream(
-        deployment.caller(0),
-        "k-same",
-        &completion("one", 3),
-        0,
-        |_| {},
-    );
+    let first = stream(deployment.caller(0), "k-same", &completion("one", 3), 0, |_| {});
     expect_true!(first.whole);
     for daemon in 0..3 {
-        let other = stream(
-            deployment.caller(daemon),
-            "k-same",
-            &completion("two", 3),
-            0,
-            |_| {},
-        );
+        let other = stream(deployment.caller(daemon), "k-same", &completion("two", 3), 0, |_| {});
         expect_that!(other.status, eq(422), "daemon {daemon}");
     }
     // The same key of another account is another request.
-    let press = [
-        ("authorization", "Bearer key-press"),
-        ("idempotency-key", "k-same"),
-    ];
+    let press = [("authorization", "Bearer key-press"), ("idempotency-key", "k-same")];
     let mut body = completion("two", 3);
     body["stream"] = json!(false);
-    let answer = post(
-        deployment.caller(1),
-        "/v1/completions",
-        &press,
-        &body.to_string(),
-    );
+    let answer = post(deployment.caller(1), "/v1/completions", &press, &body.to_string());
     expect_that!(answer.status, eq(200));
 }
 
 fn garbage_leaves_the_port_working(bytes: &[u8]) {
-    let deployment = Deployment::start(Layout {
-        daemons: 1,
-        engines: 1,
-        plain: 1,
-        ..Layout::default()
-    });
-    for address in [
-        deployment.caller(0),
-        deployment.admin(0),
-        deployment.peer(0),
-    ] {
+    let deployment =
+        Deployment::start(Layout { daemons: 1, engines: 1, plain: 1, ..Layout::default() });
+    for address in [deployment.caller(0), deployment.admin(0), deployment.peer(0)] {
         let mut socket = std::net::TcpStream::connect(address).expect("the port is open");
-        socket
-            .set_read_timeout(Some(std::time::Duration::from_millis(500)))
-            .expect("a timeout");
+        socket.set_read_timeout(Some(std::time::Duration::from_millis(500))).expect("a timeout");
         let _ = socket.write_all(bytes);
         let mut answer = Vec::new();
         let _ = socket.read_to_end(&mut answer);
     }
-    let after = stream(
-        deployment.caller(0),
-        "k-after",
-        &completion("still", 3),
-        0,
-        |_| {},
-    );
+    let after = stream(deployment.caller(0), "k-after", &completion("still", 3), 0, |_| {});
     expect_true!(after.whole);
 }
 
@@ -231,10 +144,7 @@
 
 #[googletest::test]
 fn peer_of_another_deployment_is_refused() {
-    let mut stranger = Deployment::start(Layout {
-        daemons: 2,
-        ..Layout::default()
-    });
+    let mut stranger = Deployment::start(Layout { daemons: 2, ..Layout::default() });
     stranger.layout.settings = json!({ "deployment": "another" });
     let _process = stranger.spawn_daemon(5);
     crate::harness::eventually("the stranger is refused", || {
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -44,9 +44,8 @@
 
     /// Sends it a signal by name.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("kill")
-            .args([format!("-{name}"), self.child.id().to_string()])
-            .status();
+        let status =
+            Command::new("kill").args([format!("-{name}"), self.child.id().to_string()]).status();
         assert!(status.is_ok_and(|status| status.success()), "kill -{name}");
     }
 
@@ -88,13 +87,7 @@
 
 impl Default for Layout {
     fn default() -> Self {
-        Self {
-            daemons: 3,
-            engines: 3,
-            plain: 2,
-            step_ms: 10.0,
-            settings: json!({}),
-        }
+        Self { daemons: 3, engines: 3, plain: 2, step_ms: 10.0, settings: json!({}) }
     }
 }
 
@@ -144,12 +137,7 @@
     fn start_stand_ins(&mut self) {
         let vms = self.folder.join("vms.json");
         fs::write(&vms, self.vm_list().to_string()).expect("the VM list is written");
-        let arguments = [
-            "platform",
-            "--listen",
-            &self.platform_address().to_string(),
-            "--vms",
-        ];
+        let arguments = ["platform", "--listen", &self.platform_address().to_string(), "--vms"];
         let mut arguments: Vec<String> = arguments.map(String::from).to_vec();
         arguments.push(vms.display().to_string());
         self.platform = TestProcess::start(env!("CARGO_BIN_EXE_willow-standin"), &arguments);
@@ -179,11 +167,7 @@
 
     fn vm_list(&self) -> Value {
         let endpoints = (0..self.layout.engines + self.layout.plain).map(|index| {
-            let service = if index < self.layout.engines {
-                "model"
-            } else {
-                "tagging"
-            };
+            let service = if index < self.layout.engines { "model" } else { "tagging" };
             self.vm(&format!("vm-{index}"), self.endpoint(index), service, index)
         });
         let entries = (0..self.layout.daemons)
@@ -280,10 +264,7 @@
             let used = status["router"]["endpoints"].as_object()?;
             let used: u64 = used.values().filter_map(Value::as_u64).sum();
             let members = status["members"].as_array()?;
-            let alive = members
-                .iter()
-                .filter(|member| member["status"] == "Alive")
-                .count();
+            let alive = members.iter().filter(|member| member["status"] == "Alive").count();
             let ready = rows >= 4 && used as usize >= endpoints && alive >= self.layout.daemons;
             ready.then_some(())
         });
@@ -297,9 +278,7 @@
     /// Value of one metric of a daemon.
     pub fn metric(&self, index: usize, name: &str) -> f64 {
         let text = get_text(self.admin(index), "/metrics").unwrap_or_default();
-        let line = text
-            .lines()
-            .find_map(|line| line.strip_prefix(&format!("willowarch_{name} ")));
+        let line = text.lines().find_map(|line| line.strip_prefix(&format!("willowarch_{name} ")));
         line.and_then(|value| value.parse().ok()).unwrap_or(0.0)
     }
 
@@ -368,17 +347,10 @@
     }
     let mut answer = request.send(body).ok()?;
     let retry_after = answer.headers().get("retry-after");
-    let retry_after = retry_after
-        .and_then(|value| value.to_str().ok())
-        .map(String::from);
+    let retry_after = retry_after.and_then(|value| value.to_str().ok()).map(String::from);
     let text = answer.body_mut().read_to_string().ok()?;
     let body = serde_json::from_str(&text).unwrap_or_default();
-    Some(Answer {
-        status: answer.status().as_u16(),
-        retry_after,
-        body,
-        text,
-    })
+    Some(Answer { status: answer.status().as_u16(), retry_after, body, text })
 }
 
 pub fn post(address: SocketAddr, path: &str, headers: &[(&str, &str)], body: &str) -> Answer {
@@ -427,9 +399,7 @@
         let value: Value = serde_json::from_str(data).unwrap_or_default();
         let choice = &value["choices"][0];
         if choice["finish_reason"].is_null() && choice["text"].is_string() {
-            stream
-                .tokens
-                .push(choice["text"].as_str().unwrap_or_default().to_owned());
+            stream.tokens.push(choice["text"].as_str().unwrap_or_default().to_owned());
             on_token(have + stream.tokens.len());
         }
     }
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Integration tests: real processes on loopback where the fault is a kill, a freeze,
 //! a cut or an outage; the pure parts on the paused clock elsewhere.
 
+mod cluster_model;
 mod harness;
 
 mod edges;
--- a/tests/integration/promises.rs
+++ b/tests/integration/promises.rs
@@ -25,17 +25,11 @@
 fn start_caller(daemon: SocketAddr, key: &'static str, tokens: usize) -> JoinHandle<Stream> {
     let (sender, receiver) = mpsc::channel();
     let caller = std::thread::spawn(move || {
-        stream(
-            daemon,
-            key,
-            &completion("moon over the mill", tokens),
-            0,
-            |count| {
-                if count == 10 {
-                    sender.send(()).expect("the test waits");
-                }
-            },
-        )
+        stream(daemon, key, &completion("moon over the mill", tokens), 0, |count| {
+            if count == 10 {
+                sender.send(()).expect("the test waits");
+            }
+        })
     });
     receiver.recv().expect("ten tokens arrive");
     caller
@@ -67,10 +61,7 @@
 /// back elsewhere and gets the rest, no token twice or missing.
 fn stream_survives_its_daemon(blow: Blow, both_ask_elsewhere: bool) {
     const TOKENS: usize = 150;
-    let mut deployment = Deployment::start(Layout {
-        daemons: 4,
-        ..Layout::default()
-    });
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
     let caller = start_caller(deployment.caller(0), "k-lost", TOKENS);
     match blow {
         Blow::Kill => deployment.daemons[0].kill(),
@@ -88,16 +79,10 @@
     });
     let whole = resume(&others, "k-lost", TOKENS, taken);
     expect_true!(whole.whole);
-    expect_that!(
-        whole.tokens.concat(),
-        eq(&expected("moon over the mill", TOKENS))
-    );
+    expect_that!(whole.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
     if let Some(second) = second {
         let second = second.join().expect("the second caller ends");
-        expect_that!(
-            second.tokens.concat(),
-            eq(&expected("moon over the mill", TOKENS))
-        );
+        expect_that!(second.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
     }
     if matches!(blow, Blow::Freeze) {
         deployment.daemons[0].signal("CONT");
@@ -114,10 +99,7 @@
 /// Promise 1: tokens already copied are not computed again after a take-over.
 #[googletest::test]
 fn take_over_goes_on_from_copied_tokens() {
-    let mut deployment = Deployment::start(Layout {
-        daemons: 4,
-        ..Layout::default()
-    });
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
     let caller = start_caller(deployment.caller(0), "k-goes-on", 150);
     std::thread::sleep(Duration::from_millis(400));
     deployment.daemons[0].kill();
@@ -126,9 +108,7 @@
     let others: Vec<SocketAddr> = (1..4).map(|index| deployment.caller(index)).collect();
     let whole = resume(&others, "k-goes-on", 150, taken);
     expect_true!(whole.whole);
-    let generated: u64 = (0..3)
-        .map(|index| deployment.counts(index).generated_tokens)
-        .sum();
+    let generated: u64 = (0..3).map(|index| deployment.counts(index).generated_tokens).sum();
     // Copies lag by a few tokens; those, and those in flight, are made twice.
     expect_that!(generated, lt(150 + before as u64 / 2 + 15));
 }
@@ -137,11 +117,7 @@
 #[googletest::test]
 fn stream_survives_two_zones_one_after_another() {
     const TOKENS: usize = 200;
-    let layout = Layout {
-        daemons: 8,
-        engines: 8,
-        ..Layout::default()
-    };
+    let layout = Layout { daemons: 8, engines: 8, ..Layout::default() };
     let mut deployment = Deployment::start(layout);
     let caller = start_caller(deployment.caller(0), "k-zones", TOKENS);
     let mut taken = Stream::default();
@@ -184,40 +160,28 @@
     let others: Vec<SocketAddr> = [2, 3, 6, 7].map(|index| deployment.caller(index)).to_vec();
     let whole = resume(&others, "k-zones", TOKENS, taken);
     expect_true!(whole.whole);
-    expect_that!(
-        whole.tokens.concat(),
-        eq(&expected("moon over the mill", TOKENS))
-    );
+    expect_that!(whole.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
 }
 
 /// Promise 1: the daemon's own VM gets a notice of two seconds; the platform is down.
 #[googletest::test]
 fn stream_survives_reclaim_of_its_daemon_during_outage() {
     const TOKENS: usize = 600;
-    let mut deployment = Deployment::start(Layout {
-        daemons: 4,
-        ..Layout::default()
-    });
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
     let caller = start_caller(deployment.caller(0), "k-reclaim", TOKENS);
     deployment.fault(deployment.platform_address(), json!({ "outage": true }));
     let notice = json!({
         "sequence": 1, "vm": "entry-0", "gone_at_ms": willowarch::wall_clock_ms() + 2_500,
     });
     // The notice reaches only another daemon.
-    expect_that!(
-        post(deployment.admin(2), "/notices", &[], &notice.to_string()).status,
-        eq(200)
-    );
+    expect_that!(post(deployment.admin(2), "/notices", &[], &notice.to_string()).status, eq(200));
     expect_that!(deployment.daemons[0].wait(), some(eq(0)));
     let taken = caller.join().expect("the caller ends");
     expect_false!(taken.whole);
     let others: Vec<SocketAddr> = (1..4).map(|index| deployment.caller(index)).collect();
     let whole = resume(&others, "k-reclaim", TOKENS, taken);
     expect_true!(whole.whole);
-    expect_that!(
-        whole.tokens.concat(),
-        eq(&expected("moon over the mill", TOKENS))
-    );
+    expect_that!(whole.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
 }
 
 /// Promise 2: two accounts use the same key at once, at different daemons.
@@ -236,23 +200,14 @@
     let mine = ask(0, READER, "my page");
     let theirs = ask(1, PRESS, "their page");
     let text = |answer: &Answer| answer.body["choices"][0]["text"].clone();
-    expect_that!(
-        text(&mine.join().expect("an answer")),
-        eq(&json!(expected("my page", 30)))
-    );
-    expect_that!(
-        text(&theirs.join().expect("an answer")),
-        eq(&json!(expected("their page", 30)))
-    );
+    expect_that!(text(&mine.join().expect("an answer")), eq(&json!(expected("my page", 30))));
+    expect_that!(text(&theirs.join().expect("an answer")), eq(&json!(expected("their page", 30))));
 }
 
 /// Promise 4: one ticket is asked for at every daemon at once; it runs once.
 #[googletest::test]
 fn ticket_at_every_daemon_at_once_runs_once() {
-    let deployment = Deployment::start(Layout {
-        daemons: 4,
-        ..Layout::default()
-    });
+    let deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
     let ticket = take_ticket(&deployment, 0);
     let answers = ask_everywhere(&deployment, &[0, 1, 2, 3], &ticket);
     for answer in &answers {
@@ -265,10 +220,7 @@
 
 fn take_ticket(deployment: &Deployment, daemon: usize) -> String {
     let answer = post(deployment.caller(daemon), "/v1/tickets", &[PRESS], "");
-    answer.body["tickets"][0]
-        .as_str()
-        .expect("a ticket")
-        .to_owned()
+    answer.body["tickets"][0].as_str().expect("a ticket").to_owned()
 }
 
 fn ask_once(daemon: SocketAddr, key: &str) -> Option<Answer> {
@@ -284,19 +236,14 @@
             std::thread::spawn(move || ask_once(daemon, &key))
         })
         .collect();
-    let answers = asked
-        .into_iter()
-        .map(|asked| asked.join().expect("the caller ends"));
+    let answers = asked.into_iter().map(|asked| asked.join().expect("the caller ends"));
     answers.flatten().collect()
 }
 
 /// Promise 4: the holder is killed or frozen while the endpoint works; callers ask the
 /// others meanwhile, and the thawed holder afterwards. The endpoint counts one run.
 fn holder_lost_while_running_runs_once(blow: Blow) {
-    let mut deployment = Deployment::start(Layout {
-        daemons: 4,
-        ..Layout::default()
-    });
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
     for index in 3..5 {
         deployment.fault(deployment.endpoint(index), json!({ "answer_ms": 600 }));
     }
@@ -334,19 +281,11 @@
 /// knows that it did not run, and says so.
 #[googletest::test]
 fn holder_killed_before_dispatch_is_not_run() {
-    let mut deployment = Deployment::start(Layout {
-        daemons: 4,
-        ..Layout::default()
-    });
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
     let ticket = take_ticket(&deployment, 0);
     deployment.daemons[0].kill();
     let answer = ask_once(deployment.caller(1), &ticket).expect("an answer");
-    expect_that!(
-        answer.body["outcome"],
-        eq(&json!("not-run")),
-        "{}",
-        answer.text
-    );
+    expect_that!(answer.body["outcome"], eq(&json!("not-run")), "{}", answer.text);
     expect_that!(answer.retry_after, some(eq("0")));
     expect_that!(deployment.most_runs(), eq(0));
 }
@@ -355,10 +294,7 @@
 /// thawed, it must not run the ticket after all.
 #[googletest::test]
 fn thawed_holder_does_not_run_what_was_called_not_run() {
-    let deployment = Deployment::start(Layout {
-        daemons: 4,
-        ..Layout::default()
-    });
+    let deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
     let ticket = take_ticket(&deployment, 0);
     deployment.daemons[0].signal("STOP");
     // A request that waits in the frozen daemon's socket is read when it thaws.
@@ -369,10 +305,7 @@
         let answer = ask_once(deployment.caller(1), &ticket)?;
         (answer.body["outcome"] == "not-run").then_some(answer)
     });
-    expect_that!(
-        answer.body["detail"].as_str(),
-        some(contains_substring("before dispatching"))
-    );
+    expect_that!(answer.body["detail"].as_str(), some(contains_substring("before dispatching")));
     deployment.daemons[0].signal("CONT");
     let late = waiting.join().expect("the caller ends").expect("an answer");
     expect_that!(late.body["outcome"], eq(&json!("not-run")), "{}", late.text);
@@ -382,10 +315,7 @@
 /// Promise 4: a daemon replaced at the same address does not take the old one's ticket.
 #[googletest::test]
 fn replaced_daemon_does_not_run_old_tickets() {
-    let mut deployment = Deployment::start(Layout {
-        daemons: 3,
-        ..Layout::default()
-    });
+    let mut deployment = Deployment::start(Layout { daemons: 3, ..Layout::default() });
     let ticket = take_ticket(&deployment, 0);
     expect_that!(
         ask_once(deployment.caller(0), &ticket).map(|answer| answer.status),
@@ -404,10 +334,7 @@
 /// lost, and the key is asked for everywhere.
 #[googletest::test]
 fn own_key_runs_once_though_the_claims_answer_is_lost() {
-    let deployment = Deployment::start(Layout {
-        daemons: 4,
-        ..Layout::default()
-    });
+    let deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
     deployment.fault(deployment.platform_address(), json!({ "lose_answers": 1 }));
     let answers = ask_everywhere(&deployment, &[0, 1, 2, 3], "own-key-1");
     for answer in &answers {
@@ -441,20 +368,12 @@
 /// again anywhere does not run it again.
 #[googletest::test]
 fn lost_endpoint_answer_is_unknown_and_not_repeated() {
-    let deployment = Deployment::start(Layout {
-        plain: 1,
-        ..Layout::default()
-    });
+    let deployment = Deployment::start(Layout { plain: 1, ..Layout::default() });
     deployment.fault(deployment.endpoint(3), json!({ "lose_answers": 1 }));
     let ticket = take_ticket(&deployment, 0);
     for daemon in 0..3 {
         let answer = ask_once(deployment.caller(daemon), &ticket).expect("an answer");
-        expect_that!(
-            answer.body["outcome"],
-            eq(&json!("unknown")),
-            "{}",
-            answer.text
-        );
+        expect_that!(answer.body["outcome"], eq(&json!("unknown")), "{}", answer.text);
     }
     expect_that!(deployment.most_runs(), eq(1));
 }
@@ -478,12 +397,7 @@
     let deployment = Deployment::start(Layout::default());
     let ticket = take_ticket(&deployment, 0);
     let headers = [READER, ("idempotency-key", ticket.as_str())];
-    let answer = post(
-        deployment.caller(1),
-        "/services/tagging/tags",
-        &headers,
-        "{}",
-    );
+    let answer = post(deployment.caller(1), "/services/tagging/tags", &headers, "{}");
     expect_that!(answer.status, eq(422));
     expect_that!(
         ask_once(deployment.caller(2), &ticket).map(|answer| answer.status),
@@ -495,11 +409,7 @@
 /// two seconds later nobody sends the VM anything new.
 #[googletest::test]
 fn leaving_endpoint_gets_nothing_new() {
-    let deployment = Deployment::start(Layout {
-        daemons: 4,
-        engines: 3,
-        ..Layout::default()
-    });
+    let deployment = Deployment::start(Layout { daemons: 4, engines: 3, ..Layout::default() });
     let faults = json!({ "outage": true, "list_lag_ms": 30_000 });
     deployment.fault(deployment.platform_address(), faults);
     let notice = json!({
@@ -521,10 +431,7 @@
 #[googletest::test]
 fn streams_leave_a_reclaimed_engine_whole() {
     const TOKENS: usize = 300;
-    let mut deployment = Deployment::start(Layout {
-        engines: 2,
-        ..Layout::default()
-    });
+    let mut deployment = Deployment::start(Layout { engines: 2, ..Layout::default() });
     let caller = start_caller(deployment.caller(0), "k-moved", TOKENS);
     let busy = (0..2).find(|index| {
         let load = try_get(deployment.endpoint(*index), "/load").unwrap_or_default();
@@ -532,20 +439,12 @@
     });
     let busy = busy.expect("one engine is busy");
     let order = json!({ "vm": format!("vm-{busy}"), "seconds": 1.5 });
-    post(
-        deployment.platform_address(),
-        "/reclaim",
-        &[],
-        &order.to_string(),
-    );
+    post(deployment.platform_address(), "/reclaim", &[], &order.to_string());
     std::thread::sleep(Duration::from_millis(1_500));
     deployment.endpoints[busy].kill();
     let taken = caller.join().expect("the caller ends");
     expect_true!(taken.whole);
-    expect_that!(
-        taken.tokens.concat(),
-        eq(&expected("moon over the mill", TOKENS))
-    );
+    expect_that!(taken.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
 }
 
 /// Promise 6: a planned stop waits for what it has; new callers are sent elsewhere.
@@ -561,10 +460,7 @@
     });
     let taken = caller.join().expect("the caller ends");
     expect_true!(taken.whole);
-    expect_that!(
-        taken.tokens.concat(),
-        eq(&expected("moon over the mill", TOKENS))
-    );
+    expect_that!(taken.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
     expect_that!(deployment.daemons[0].wait(), some(eq(0)));
 }
 
@@ -583,10 +479,7 @@
 /// lost, and a daemon that starts during an outage has it from its peers.
 #[googletest::test]
 fn edit_is_in_force_everywhere_and_stays() {
-    let mut deployment = Deployment::start(Layout {
-        daemons: 4,
-        ..Layout::default()
-    });
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
     deployment.fault(deployment.platform_address(), json!({ "lose_answers": 1 }));
     let edit = deployment.control(&["--json", "table", "set", "account.reader", "weight=3"]);
     expect_that!(edit.0, eq(0), "{}", edit.1);
@@ -604,10 +497,7 @@
         deployment.daemons[daemon].kill();
         deployment.daemons[daemon] = deployment.spawn_daemon(daemon);
         deployment.wait_ready(daemon);
-        expect_that!(
-            row_version(&deployment, daemon, "account.reader"),
-            some(eq(version))
-        );
+        expect_that!(row_version(&deployment, daemon, "account.reader"), some(eq(version)));
     }
 }
 
--- a/tests/integration/whole_path.rs
+++ b/tests/integration/whole_path.rs
@@ -20,10 +20,7 @@
     whole["stream"] = json!(false);
     let document = post(daemon, "/v1/completions", &[READER], &whole.to_string());
     expect_that!(document.status, eq(200));
-    expect_that!(
-        document.body["choices"][0]["text"],
-        eq(&json!(expected("two words", 5)))
-    );
+    expect_that!(document.body["choices"][0]["text"], eq(&json!(expected("two words", 5))));
 
     let chat = json!({
         "model": "model", "max_tokens": 3, "seed": 7,
@@ -42,26 +39,15 @@
 #[googletest::test]
 fn time_line_has_one_terminal_event_per_request() {
     let deployment = Deployment::start(Layout::default());
-    let streamed = stream(
-        deployment.caller(1),
-        "k-line",
-        &completion("a b c", 4),
-        0,
-        |_| {},
-    );
+    let streamed = stream(deployment.caller(1), "k-line", &completion("a b c", 4), 0, |_| {});
     expect_true!(streamed.whole);
-    let daemons: Vec<String> = (0..3)
-        .map(|index| deployment.admin(index).to_string())
-        .collect();
+    let daemons: Vec<String> = (0..3).map(|index| deployment.admin(index).to_string()).collect();
     let mut arguments = vec!["--json", "timeline"];
     arguments.extend(daemons.iter().map(String::as_str));
     arguments.extend(["--subject", "reader/k-line"]);
     let (code, text) = deployment.control(&arguments);
     expect_that!(code, eq(0));
-    let ended = text
-        .lines()
-        .filter(|line| line.contains("\"ended\""))
-        .count();
+    let ended = text.lines().filter(|line| line.contains("\"ended\"")).count();
     expect_that!(ended, eq(1), "{text}");
     expect_that!(text, contains_substring("1 attempts"));
 }
@@ -72,13 +58,7 @@
     for index in 0..2 {
         deployment.fault(deployment.endpoint(index), json!({ "cut_after": 5 }));
     }
-    let streamed = stream(
-        deployment.caller(0),
-        "k-cut",
-        &completion("p q r", 40),
-        0,
-        |_| {},
-    );
+    let streamed = stream(deployment.caller(0), "k-cut", &completion("p q r", 40), 0, |_| {});
     expect_true!(streamed.whole);
     expect_that!(streamed.tokens.concat(), eq(&expected("p q r", 40)));
 }
