--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -6,6 +6,7 @@
 
 mod edges;
 mod promises;
+mod request_model;
 mod whole_path;
 
 /// Names each case of a test that is run over a table of them.
