Tokens pass the daemon in fewer task switches

Cause: a token took six wake-ups on its way (attempt to store and back, store to reader, reader to store and back, copier), and a JSON tree to render. perf showed no one hot function, only wake-ups, allocation and the kernel's share.

Ruled out: the copier's messages (none with one daemon), the routing (per request, not per token).

Change: the store hands out a reading end (`AnswerView`) that tasks of the same thread follow without messages; appends want no reply; the copier looks at its views once a flush; chunks are serialized from typed structs.

--- a/benches/http_libraries.rs
+++ b/benches/http_libraries.rs
@@ -232,9 +232,8 @@
     let after = cpu_and_memory();
     println!("    CPU with server {:.2} s, RSS {} MB", after.0 - before.0, after.1 / 1_024);
     let before = cpu_and_memory();
-    let threads: Vec<_> = (0..STREAMS)
-        .map(|_| std::thread::spawn(move || read_with_ureq(address)))
-        .collect();
+    let threads: Vec<_> =
+        (0..STREAMS).map(|_| std::thread::spawn(move || read_with_ureq(address))).collect();
     std::thread::sleep(STEP * TOKENS as u32 / 2);
     let middle = cpu_and_memory();
     let mut times = StreamTimes::new();
@@ -304,8 +303,7 @@
 fn measure_daemon() {
     println!("== whole path: {STREAMS} streams opened at once, 200 idle and 20 slow callers open");
     let settings = json!({ "request_limit": 2_000 });
-    let layout =
-        Layout { daemons: 1, engines: 8, plain: 1, step_ms: 20.0, settings };
+    let layout = Layout { daemons: 1, engines: 8, plain: 1, step_ms: 20.0, settings };
     let deployment = Deployment::start(layout);
     let set = deployment.control(&["table", "set", "service.model", "concurrency=200"]);
     assert_eq!(set.0, 0, "{}", set.1);
@@ -314,7 +312,8 @@
         "model": "model", "prompt": "a few words", "max_tokens": TOKENS, "seed": 7, "stream": true,
     });
     let body = body.to_string();
-    let mut call = OutgoingCall::get("ask", "x", "/v1/completions").with_json(Method::POST, body.clone());
+    let mut call =
+        OutgoingCall::get("ask", "x", "/v1/completions").with_json(Method::POST, body.clone());
     call = call.with_header("authorization", "Bearer key-reader");
     let stop = hold_slow_callers(deployment.caller(0), &body);
     for round in 0..ROUNDS {
--- a/src/bin/willowarchd.rs
+++ b/src/bin/willowarchd.rs
@@ -25,9 +25,7 @@
 
 fn main() -> ExitCode {
     let flags = flags::Willowarchd::from_env_or_exit();
-    let Some(settings) = read_settings(&flags.settings) else {
-        return ExitCode::from(EXIT_USAGE);
-    };
+    let Some(settings) = read_settings(&flags.settings) else { return ExitCode::from(EXIT_USAGE) };
     if let Err(error) = logs::set_up(settings.log_level) {
         eprintln!("willowarchd: logs: {error}");
         return ExitCode::from(EXIT_UNAVAILABLE);
--- a/src/cluster/core.rs
+++ b/src/cluster/core.rs
@@ -318,9 +318,7 @@
         if now < self.distrust_until {
             return;
         }
-        let Some(target) = self.target(incarnation) else {
-            return;
-        };
+        let Some(target) = self.target(incarnation) else { return };
         let point: u64 = self.rng.random();
         let helpers = self.members.successors(point, HELPERS + 1, self.own);
         let helpers: Vec<PeerTarget> = helpers
@@ -366,9 +364,7 @@
             return;
         }
         for incarnation in self.links.iter().take(SUCCESSORS).copied().collect::<Vec<_>>() {
-            let Some(view) = self.members.get(incarnation) else {
-                continue;
-            };
+            let Some(view) = self.members.get(incarnation) else { continue };
             let refused = self.refused.contains(&incarnation);
             let allowed = if refused { SUSPICION_REFUSED } else { SUSPICION };
             let over = now.saturating_duration_since(view.since) > allowed;
@@ -387,9 +383,7 @@
         now: Instant,
         actions: &mut Vec<ClusterAction>,
     ) {
-        let Some(view) = self.members.get(incarnation) else {
-            return;
-        };
+        let Some(view) = self.members.get(incarnation) else { return };
         let version = member_version(view.refutation, status);
         let name = incarnation.to_string().into();
         let item = SpreadItem::new(ItemKind::Member, name, version, &view.record);
@@ -485,12 +479,8 @@
     }
 
     fn take_member(&mut self, item: &SpreadItem, now: Instant, actions: &mut Vec<ClusterAction>) {
-        let Some(incarnation) = parse_incarnation(&item.key.name) else {
-            return;
-        };
-        let Some(record) = item.decode::<MemberRecord>() else {
-            return;
-        };
+        let Some(incarnation) = parse_incarnation(&item.key.name) else { return };
+        let Some(record) = item.decode::<MemberRecord>() else { return };
         let (refutation, status) = split_version(item.version);
         if incarnation == self.own && status != MemberStatus::Alive {
             self.counters.refuted += 1;
@@ -538,9 +528,7 @@
 
     fn flush(&mut self, actions: &mut Vec<ClusterAction>) {
         for link in self.links.clone() {
-            let Some(outbox) = self.outboxes.get_mut(&link) else {
-                continue;
-            };
+            let Some(outbox) = self.outboxes.get_mut(&link) else { continue };
             if outbox.is_empty() {
                 continue;
             }
--- a/src/cluster/items.rs
+++ b/src/cluster/items.rs
@@ -157,9 +157,7 @@
             .map(|(item, _)| item.key.clone())
             .collect();
         for key in stale {
-            let Some((item, _)) = self.items.remove(&key) else {
-                continue;
-            };
+            let Some((item, _)) = self.items.remove(&key) else { continue };
             let bucket = bucket_of(&key);
             self.summary[bucket] ^= version_hash(&key, item.version);
             self.by_bucket[bucket].remove(&key);
--- a/src/cluster/members.rs
+++ b/src/cluster/members.rs
@@ -166,9 +166,7 @@
 
     /// Whether `own` is among the first `count` of its zone for the role `name`.
     pub fn has_role(&self, own: IncarnationId, name: &[u8], count: usize) -> bool {
-        let Some(view) = self.get(own) else {
-            return false;
-        };
+        let Some(view) = self.get(own) else { return false };
         let weight_of =
             |incarnation: IncarnationId| hash_parts(&[name, &incarnation.0.to_le_bytes()]);
         let mine = weight_of(own);
--- a/src/cluster/service.rs
+++ b/src/cluster/service.rs
@@ -221,9 +221,7 @@
     }
 
     fn publish_notice(&self, item: &SpreadItem) {
-        let Some(notice) = item.decode::<ReclaimNotice>() else {
-            return;
-        };
+        let Some(notice) = item.decode::<ReclaimNotice>() else { return };
         let detail = format!("gone at {}", notice.gone_at_ms);
         self.outputs.timeline.record(EventKind::Notice, Some(notice.vm.clone()), detail);
         if self.is_own_vm(&notice) {
@@ -312,9 +310,7 @@
     target: PeerTarget,
     summary: Vec<u64>,
 ) {
-    let Ok((buckets, theirs)) = pool.summary(&target, summary).await else {
-        return;
-    };
+    let Ok((buckets, theirs)) = pool.summary(&target, summary).await else { return };
     if buckets.is_empty() {
         return;
     }
@@ -322,9 +318,7 @@
     let Ok(own) = own else { return };
     let wanted = newer_than(&theirs, &own);
     if !wanted.is_empty() {
-        let Ok(items) = pool.fetch(&target, wanted).await else {
-            return;
-        };
+        let Ok(items) = pool.fetch(&target, wanted).await else { return };
         report(&address, ClusterEvent::Items(Some(target.incarnation), items));
     }
     let surplus: Vec<ItemKey> = newer_than(&own, &theirs).into_iter().map(|(key, _)| key).collect();
--- a/src/decide/limits.rs
+++ b/src/decide/limits.rs
@@ -115,9 +115,7 @@
 /// Rate of one daemon: the limit divided by demand. Where the demand of all is below
 /// the limit, the unused part is lent out evenly.
 fn local_rate(own: f64, average: Option<f64>, daemons: f64, limit: f64) -> f64 {
-    let Some(average) = average else {
-        return limit / daemons;
-    };
+    let Some(average) = average else { return limit / daemons };
     // NOTE: the average lags behind a burst; own demand is a lower bound of the total.
     let total = (average * daemons).max(own);
     if total > limit { limit * own / total } else { own + (limit - total) / daemons }
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -179,9 +179,7 @@
     /// Chooses an endpoint; constant in the number of replicas, since a daemon uses
     /// only its subset.
     pub fn pick(&self, query: RouteQuery<'_>, now: Instant, rng: &mut impl Rng) -> RouteChoice {
-        let Some(routes) = self.services.get(query.service) else {
-            return RouteChoice::Nowhere;
-        };
+        let Some(routes) = self.services.get(query.service) else { return RouteChoice::Nowhere };
         let usable = |route: &&EndpointRoute| {
             !self.leaving.contains(&route.info.id) && !query.exclude.contains(&route.info.id)
         };
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -70,6 +70,11 @@
         })
     }
 
+    /// Delivers `message`, waiting for room if the inbox is full.
+    pub async fn deliver(&self, message: M) -> Result<(), SendError> {
+        self.sender.send(message).await.map_err(|_| SendError::Ended(self.name))
+    }
+
     /// Delivers the message made from a reply channel and waits for the reply.
     pub async fn ask<R>(
         &self,
--- a/src/options/check.rs
+++ b/src/options/check.rs
@@ -131,9 +131,7 @@
 
     /// List of values that parse from text; absent means empty.
     pub fn parsed_list<T: FromStr>(&mut self, key: &'static str, allowed: &str) -> Vec<T> {
-        let Some(value) = self.get(key) else {
-            return Vec::new();
-        };
+        let Some(value) = self.get(key) else { return Vec::new() };
         let parsed = value.as_array().and_then(|items| {
             items.iter().map(|item| item.as_str()?.parse().ok()).collect::<Option<Vec<T>>>()
         });
@@ -146,9 +144,7 @@
     /// One of `choices`, or the first when absent.
     pub fn choice<T: Copy>(&mut self, key: &'static str, choices: &[(&str, T)]) -> T {
         let default = choices[0].1;
-        let Some(value) = self.get(key) else {
-            return default;
-        };
+        let Some(value) = self.get(key) else { return default };
         let found = choices.iter().find(|(name, _)| value.as_str() == Some(name));
         match found {
             Some((_, choice)) => *choice,
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -280,12 +280,10 @@
         let name = codec::read_request_name(params.get_name()?)?;
         let first_token = params.get_first_token() as usize;
         let wait = Duration::from_millis(u64::from(params.get_wait_ms())).min(ATTACH_LIMIT);
-        let watch =
-            self.context.requests.ask(|reply| RequestMessage::Watch { name: name.clone(), reply });
-        let Some(mut progress) = watch.await.map_err(overloaded)? else {
-            return Ok(());
-        };
-        let news = progress.wait_for(|progress| progress.ended || progress.tokens > first_token);
+        let view =
+            self.context.requests.ask(|reply| RequestMessage::View { name: name.clone(), reply });
+        let Some(mut view) = view.await.map_err(overloaded)? else { return Ok(()) };
+        let news = view.wait_for(|progress| progress.ended || progress.tokens > first_token);
         let _ = timeout(wait, news).await;
         let read =
             self.context.requests.ask(|reply| RequestMessage::Read { name, first_token, reply });
@@ -373,9 +371,7 @@
         let theirs = read_values(params.get_accounts()?, params.get_values()?)?;
         let answer =
             self.context.limits.ask(|reply| LimitMessage::Average { epoch, theirs, reply }).await;
-        let Some(values) = answer.map_err(overloaded)? else {
-            return Ok(());
-        };
+        let Some(values) = answer.map_err(overloaded)? else { return Ok(()) };
         results.get().set_accepted(true);
         let mut accounts = results.get().init_accounts(values.len() as u32);
         for (index, account) in values.keys().enumerate() {
--- a/src/request/store.rs
+++ b/src/request/store.rs
@@ -5,7 +5,9 @@
 //! nothing that it sends changes what callers are given.
 
 use std::{
+    cell::RefCell,
     collections::{BTreeSet, HashMap},
+    rc::Rc,
     sync::Arc,
     time::Duration,
 };
@@ -56,16 +58,70 @@
     pub tokens: usize,
     /// Whether it has ended.
     pub ended: bool,
+    /// Number of take-overs.
+    pub term: u32,
 }
 
+/// What grows while a request runs.
 #[derive(Debug)]
-struct StoredRequest {
-    call: Arc<CallerCall>,
-    digest: [u8; 32],
+struct AnswerLog {
     term: u32,
     holder: RequestHolder,
     tokens: Vec<AnswerToken>,
     answer: Option<Arc<FinalAnswer>>,
+}
+
+impl AnswerLog {
+    fn copy_from(&self, name: &RequestName, first_token: usize) -> RequestCopy {
+        let first_token = first_token.min(self.tokens.len());
+        RequestCopy {
+            name: name.clone(),
+            term: self.term,
+            holder: self.holder.clone(),
+            call: None,
+            first_token,
+            tokens: self.tokens[first_token..].to_vec(),
+            answer: self.answer.clone(),
+        }
+    }
+
+    fn progress(&self) -> RequestProgress {
+        let ended = self.answer.is_some();
+        RequestProgress { tokens: self.tokens.len(), ended, term: self.term }
+    }
+}
+
+/// Reading end of a request's state, for tasks of the same thread: following an answer
+/// token by token through the store's mailbox would cost two task switches a token.
+#[derive(Debug)]
+pub struct AnswerView {
+    name: RequestName,
+    log: Rc<RefCell<AnswerLog>>,
+    progress: watch::Receiver<RequestProgress>,
+}
+
+impl AnswerView {
+    /// How far the request has come.
+    pub fn progress(&self) -> RequestProgress {
+        self.log.borrow().progress()
+    }
+
+    /// State from a token on, without the call.
+    pub fn copy_from(&self, first_token: usize) -> RequestCopy {
+        self.log.borrow().copy_from(&self.name, first_token)
+    }
+
+    /// Waits until `holds` says so of the progress; `false` if the record was removed.
+    pub async fn wait_for(&mut self, holds: impl Fn(&RequestProgress) -> bool) -> bool {
+        self.progress.wait_for(holds).await.is_ok()
+    }
+}
+
+#[derive(Debug)]
+struct StoredRequest {
+    call: Arc<CallerCall>,
+    digest: [u8; 32],
+    log: Rc<RefCell<AnswerLog>>,
     progress: watch::Sender<RequestProgress>,
     expires_at: Instant,
     bytes: usize,
@@ -123,8 +179,7 @@
             if record.digest != digest {
                 return ClaimVerdict::KeyReused;
             }
-            let running_here = record.answer.is_none() && record.holder == self.own;
-            if record.is_answered() || running_here {
+            if record.is_answered() || record.is_running_at(&self.own) {
                 return ClaimVerdict::Here;
             }
             return ClaimVerdict::Copied(record.copy_from(name, 0));
@@ -138,10 +193,11 @@
     pub fn take_over(&mut self, name: &RequestName, now: Instant) -> Option<RequestCopy> {
         let own = self.own.clone();
         let record = self.records.get_mut(name)?;
-        record.term += 1;
-        record.holder = own;
-        record.answer = None;
-        record.announce();
+        record.change(|log| {
+            log.term += 1;
+            log.holder = own;
+            log.answer = None;
+        });
         let copy = record.copy_from(name, 0);
         self.touch(name, now);
         Some(copy)
@@ -150,17 +206,14 @@
     /// Adds a token to a request that this daemon holds under `term`. `false` if it
     /// was superseded meanwhile.
     pub fn append(&mut self, name: &RequestName, term: u32, token: AnswerToken) -> bool {
-        let Some(record) = self.records.get_mut(name) else {
-            return false;
-        };
-        if record.term != term || record.holder != self.own || record.answer.is_some() {
+        let Some(record) = self.records.get_mut(name) else { return false };
+        if !record.is_running_under(&self.own, term) {
             return false;
         }
-        let added = token.len() + size_of::<AnswerToken>();
-        record.tokens.push(token);
+        let added = token_bytes(&token);
+        record.change(|log| log.tokens.push(token));
         record.bytes += added;
         self.bytes += added;
-        record.announce();
         true
     }
 
@@ -172,14 +225,11 @@
         answer: Arc<FinalAnswer>,
         now: Instant,
     ) -> bool {
-        let Some(record) = self.records.get_mut(name) else {
-            return false;
-        };
-        if record.term != term || record.holder != self.own || record.answer.is_some() {
+        let Some(record) = self.records.get_mut(name) else { return false };
+        if !record.is_running_under(&self.own, term) {
             return false;
         }
-        record.answer = Some(answer);
-        record.announce();
+        record.change(|log| log.answer = Some(answer));
         self.touch(name, now);
         true
     }
@@ -187,14 +237,15 @@
     /// Takes a peer's copy, whole or news, unless a state that goes before is known.
     pub fn offer(&mut self, copy: RequestCopy, now: Instant) -> OfferVerdict {
         let name = copy.name.clone();
-        let Some(record) = self.records.get(&name) else {
-            return self.offer_unknown(copy, now);
+        let Some(record) = self.records.get(&name) else { return self.offer_unknown(copy, now) };
+        let goes_before = {
+            let log = record.log.borrow();
+            let same_holder = log.holder == copy.holder;
+            let newer = copy.term > log.term || (copy.term == log.term && same_holder);
+            newer && copy.first_token <= log.tokens.len()
         };
-        let same_holder = record.holder == copy.holder;
-        let ended = record.is_answered();
-        let newer = copy.term > record.term || (copy.term == record.term && same_holder);
         let same_call = copy.call.as_ref().is_none_or(|call| call.digest() == record.digest);
-        if ended || !newer || !same_call || copy.first_token > record.tokens.len() {
+        if record.is_answered() || !goes_before || !same_call {
             let known = record.copy_from(&name, 0);
             return OfferVerdict::Known(known);
         }
@@ -214,28 +265,27 @@
     }
 
     fn merge(&mut self, copy: RequestCopy, now: Instant) {
-        let Some(record) = self.records.get_mut(&copy.name) else {
-            return;
-        };
-        if copy.term > record.term {
-            // NOTE: a new holder may know fewer tokens; its own are the answer from here.
-            record.tokens.truncate(copy.first_token);
-            record.answer = None;
-        }
-        record.term = copy.term;
-        record.holder = copy.holder;
-        let known = record.tokens.len() - copy.first_token;
+        let Some(record) = self.records.get_mut(&copy.name) else { return };
         let mut added = 0;
-        for token in copy.tokens.into_iter().skip(known) {
-            added += token.len() + size_of::<AnswerToken>();
-            record.tokens.push(token);
-        }
-        if let Some(answer) = copy.answer {
-            record.answer = Some(answer);
-        }
+        record.change(|log| {
+            if copy.term > log.term {
+                // NOTE: a new holder may know fewer tokens; its own are the answer from here.
+                log.tokens.truncate(copy.first_token);
+                log.answer = None;
+            }
+            log.term = copy.term;
+            log.holder = copy.holder;
+            let known = log.tokens.len() - copy.first_token;
+            for token in copy.tokens.into_iter().skip(known) {
+                added += token_bytes(&token);
+                log.tokens.push(token);
+            }
+            if copy.answer.is_some() {
+                log.answer = copy.answer;
+            }
+        });
         record.bytes += added;
         self.bytes += added;
-        record.announce();
         self.touch(&copy.name, now);
     }
 
@@ -244,9 +294,11 @@
         Some(self.records.get(name)?.copy_from(name, first_token))
     }
 
-    /// Watches how far a request comes.
-    pub fn watch(&self, name: &RequestName) -> Option<watch::Receiver<RequestProgress>> {
-        Some(self.records.get(name)?.progress.subscribe())
+    /// Reading end of a request's state.
+    pub fn view(&self, name: &RequestName) -> Option<AnswerView> {
+        let record = self.records.get(name)?;
+        let progress = record.progress.subscribe();
+        Some(AnswerView { name: name.clone(), log: record.log.clone(), progress })
     }
 
     /// Number of callers and peers that wait on a request.
@@ -264,10 +316,7 @@
 
     /// Whole state of each request that this daemon holds and that has not ended.
     pub fn running(&self) -> Vec<RequestCopy> {
-        let own = self
-            .records
-            .iter()
-            .filter(|(_, record)| record.holder == self.own && record.answer.is_none());
+        let own = self.records.iter().filter(|(_, record)| record.is_running_at(&self.own));
         own.map(|(name, record)| record.copy_from(name, 0)).collect()
     }
 
@@ -277,8 +326,7 @@
         let mut excess = self.bytes.saturating_sub(self.byte_limit);
         for (expires_at, name) in &self.expiry {
             let record = &self.records[name];
-            let running_here = record.holder == self.own && record.answer.is_none();
-            if running_here {
+            if record.is_running_at(&self.own) {
                 continue;
             }
             if *expires_at > now && excess == 0 {
@@ -318,14 +366,12 @@
         let bytes = RECORD_BYTES + content_bytes(&call);
         let expires_at = now + self.keep;
         let digest = call.digest();
+        let log = AnswerLog { term, holder, tokens: Vec::new(), answer: None };
         let record = StoredRequest {
             call,
             digest,
-            term,
-            holder,
-            tokens: Vec::new(),
-            answer: None,
-            progress: watch::Sender::new(RequestProgress::default()),
+            progress: watch::Sender::new(log.progress()),
+            log: Rc::new(RefCell::new(log)),
             expires_at,
             bytes,
         };
@@ -335,9 +381,7 @@
     }
 
     fn touch(&mut self, name: &RequestName, now: Instant) {
-        let Some(record) = self.records.get_mut(name) else {
-            return;
-        };
+        let Some(record) = self.records.get_mut(name) else { return };
         self.expiry.remove(&(record.expires_at, name.clone()));
         record.expires_at = now + self.keep;
         self.expiry.insert((record.expires_at, name.clone()));
@@ -348,28 +392,34 @@
     /// Whether the endpoint's answer is complete; other ends may be followed by another
     /// try, since only requests that may be repeated are stored.
     fn is_answered(&self) -> bool {
-        self.answer.as_ref().is_some_and(|answer| answer.is_answered())
+        self.log.borrow().answer.as_ref().is_some_and(|answer| answer.is_answered())
+    }
+
+    fn is_running_at(&self, holder: &RequestHolder) -> bool {
+        let log = self.log.borrow();
+        log.answer.is_none() && log.holder == *holder
+    }
+
+    fn is_running_under(&self, holder: &RequestHolder, term: u32) -> bool {
+        self.is_running_at(holder) && self.log.borrow().term == term
     }
 
     fn copy_from(&self, name: &RequestName, first_token: usize) -> RequestCopy {
-        let first_token = first_token.min(self.tokens.len());
-        RequestCopy {
-            name: name.clone(),
-            term: self.term,
-            holder: self.holder.clone(),
-            call: Some(self.call.clone()),
-            first_token,
-            tokens: self.tokens[first_token..].to_vec(),
-            answer: self.answer.clone(),
-        }
+        let copy = self.log.borrow().copy_from(name, first_token);
+        RequestCopy { call: Some(self.call.clone()), ..copy }
     }
 
-    fn announce(&self) {
-        let progress = RequestProgress { tokens: self.tokens.len(), ended: self.answer.is_some() };
-        self.progress.send_replace(progress);
+    /// Changes the state and tells those who wait on it.
+    fn change(&self, change: impl FnOnce(&mut AnswerLog)) {
+        change(&mut self.log.borrow_mut());
+        self.progress.send_replace(self.log.borrow().progress());
     }
 }
 
+fn token_bytes(token: &AnswerToken) -> usize {
+    token.len() + size_of::<AnswerToken>()
+}
+
 fn content_bytes(call: &CallerCall) -> usize {
     match &call.content {
         super::call::CallContent::Completion(completion) => completion.prompt.len(),
--- a/src/request/tickets.rs
+++ b/src/request/tickets.rs
@@ -179,9 +179,7 @@
     fn forget_old(&mut self, now: Instant) {
         loop {
             let crowded = self.held.len() > LEDGER_LIMIT;
-            let Some(entry) = self.held.first_entry() else {
-                return;
-            };
+            let Some(entry) = self.held.first_entry() else { return };
             let held = entry.get();
             let expired = now.saturating_duration_since(held.issued_at) > TICKET_KEEP;
             let running = matches!(held.state, HeldState::Begun { .. });
@@ -304,9 +302,7 @@
     fn forget_old(&mut self, now: Instant) {
         loop {
             let crowded = self.tickets.len() > LEDGER_LIMIT;
-            let Some(entry) = self.tickets.first_entry() else {
-                return;
-            };
+            let Some(entry) = self.tickets.first_entry() else { return };
             let (written_at, _) = entry.get();
             let expired = now.saturating_duration_since(*written_at) > TICKET_KEEP;
             if !expired && !crowded {
--- a/src/serve/attempt.rs
+++ b/src/serve/attempt.rs
@@ -8,9 +8,7 @@
 use hyper::{HeaderMap, Method, Response, body::Incoming};
 use tokio::time::Duration;
 
-use super::{
-    context::ServeContext, copies::CopyMessage, router::EndpointSlot, store_service::RequestMessage,
-};
+use super::{context::ServeContext, router::EndpointSlot, store_service::RequestMessage};
 use crate::{
     clock::{WaitOver, wait_at_most},
     decide::{health::AttemptResult, reclaim::ReclaimWay},
@@ -240,17 +238,11 @@
         let text: AnswerToken = token.text.into();
         tokens.push(text.clone());
         self.slot.produced.set(tokens.len());
-        let kept = self.context.requests.ask(|reply| RequestMessage::Append {
-            name: self.name.clone(),
-            term: self.term,
-            token: text,
-            reply,
-        });
-        // NOTE: the copier finds what is new itself; it only has to know where to look.
-        let _ = self.context.copies.send(CopyMessage::Changed(self.name.clone()));
-        match kept.await {
-            Ok(true) => None,
-            Ok(false) | Err(_) => Some(AttemptEnd::Superseded),
+        let append =
+            RequestMessage::Append { name: self.name.clone(), term: self.term, token: text };
+        match self.context.requests.deliver(append).await {
+            Ok(()) => None,
+            Err(_) => Some(AttemptEnd::Superseded),
         }
     }
 }
--- a/src/serve/caller_edge.rs
+++ b/src/serve/caller_edge.rs
@@ -5,10 +5,11 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue};
+use serde::Serialize;
 use serde_json::{Value, json};
 use tokio::{
     net::TcpListener,
-    sync::{mpsc, watch},
+    sync::mpsc,
     time::{Instant, timeout},
 };
 
@@ -28,7 +29,7 @@
     kernel::SendError,
     request::{
         outcome::{FinalAnswer, PlainAnswer},
-        store::{RequestCopy, RequestProgress},
+        store::{AnswerView, RequestCopy},
     },
 };
 
@@ -272,14 +273,12 @@
         }
         ObtainedRequest::Ready => {}
     }
-    let watch = context.requests.ask(|reply| RequestMessage::Watch { name: name.clone(), reply });
-    let Some(progress) = watch.await.map_err(overloaded)? else {
-        return Err(vanished());
-    };
+    let view = context.requests.ask(|reply| RequestMessage::View { name: name.clone(), reply });
+    let Some(view) = view.await.map_err(overloaded)? else { return Err(vanished()) };
     let reader = AnswerReader {
         context: context.clone(),
         name: name.clone(),
-        progress,
+        view,
         sent: checked.have_tokens,
         _guard: CallerGuard { context: context.clone(), name: name.clone(), keyed, done: false },
     };
@@ -353,27 +352,19 @@
 struct AnswerReader {
     context: Rc<ServeContext>,
     name: RequestName,
-    progress: watch::Receiver<RequestProgress>,
+    view: AnswerView,
     sent: usize,
     _guard: CallerGuard,
 }
 
 impl AnswerReader {
-    async fn read(&self, first_token: usize) -> Option<RequestCopy> {
-        let name = self.name.clone();
-        let read =
-            self.context.requests.ask(|reply| RequestMessage::Read { name, first_token, reply });
-        read.await.ok().flatten()
-    }
-
     /// Waits until there is more than has been sent, or the end.
     async fn news(&mut self) -> Option<RequestCopy> {
         let sent = self.sent;
-        let news = self.progress.wait_for(|progress| progress.ended || progress.tokens > sent);
-        if news.await.is_err() {
+        if !self.view.wait_for(|progress| progress.ended || progress.tokens > sent).await {
             return None;
         }
-        let copy = self.read(sent).await?;
+        let copy = self.view.copy_from(sent);
         if copy.answer.is_some() {
             self._guard.done = true;
         }
@@ -381,12 +372,11 @@
     }
 
     async fn whole(&mut self) -> Option<RequestCopy> {
-        let ended = self.progress.wait_for(|progress| progress.ended);
-        if ended.await.is_err() {
+        if !self.view.wait_for(|progress| progress.ended).await {
             return None;
         }
         self._guard.done = true;
-        self.read(0).await
+        Some(self.view.copy_from(0))
     }
 
     async fn plain(mut self) -> Result<Response<AnswerBody>, Problem> {
@@ -474,7 +464,7 @@
         // NOTE: after a take-over the store may know fewer tokens than were sent.
         let known = self.sent.saturating_sub(copy.first_token);
         for token in copy.tokens.iter().skip(known) {
-            let chunk = render_chunk(&self.name, Some(token), chat, Value::Null);
+            let chunk = render_chunk(&self.name, Some(token), chat, None);
             text.push_str(&format!("id: {}\ndata: {chunk}\n\n", self.sent));
             self.sent += 1;
         }
@@ -482,15 +472,43 @@
     }
 }
 
-fn render_chunk(name: &RequestName, token: Option<&str>, chat: bool, finish: Value) -> Value {
-    let (object, choice) = if chat {
-        let delta = token.map_or(json!({}), |token| json!({ "content": token }));
-        ("chat.completion.chunk", json!({ "index": 0, "delta": delta, "finish_reason": finish }))
-    } else {
-        let text = token.unwrap_or("");
-        ("text_completion", json!({ "index": 0, "text": text, "finish_reason": finish }))
-    };
-    json!({ "id": name.key, "object": object, "choices": [choice] })
+/// Chunk of a stream, in the usual form.
+#[derive(Serialize)]
+struct StreamChunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    choices: [ChunkChoice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct ChunkChoice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<ChunkDelta<'a>>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct ChunkDelta<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+fn render_chunk(
+    name: &RequestName,
+    token: Option<&str>,
+    chat: bool,
+    finish_reason: Option<&'static str>,
+) -> String {
+    let object = if chat { "chat.completion.chunk" } else { "text_completion" };
+    let text = (!chat).then_some(token.unwrap_or(""));
+    let delta = chat.then_some(ChunkDelta { content: token });
+    let choice = ChunkChoice { index: 0, text, delta, finish_reason };
+    let chunk = StreamChunk { id: &name.key, object, choices: [choice] };
+    // NOTE: these types always serialize.
+    serde_json::to_string(&chunk).unwrap_or_default()
 }
 
 /// Last events of a stream. One that failed midway ends with its problem as an error
@@ -498,7 +516,7 @@
 fn render_end(name: &RequestName, answer: &FinalAnswer, chat: bool) -> Bytes {
     match Problem::of(answer, true) {
         None => {
-            let chunk = render_chunk(name, None, chat, json!("stop"));
+            let chunk = render_chunk(name, None, chat, Some("stop"));
             Bytes::from(format!("data: {chunk}\n\ndata: [DONE]\n\n"))
         }
         Some(problem) => {
--- a/src/serve/copies.rs
+++ b/src/serve/copies.rs
@@ -4,7 +4,7 @@
 //! copying costs tokens' bytes and a constant number of messages a second.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::HashMap,
     rc::{Rc, Weak},
     time::Duration,
 };
@@ -16,7 +16,7 @@
     cluster::core::PeerTarget,
     ids::RequestName,
     kernel::{ServiceAddress, ServiceInbox},
-    request::store::{OfferVerdict, RequestCopy},
+    request::store::{AnswerView, OfferVerdict, RequestCopy, RequestProgress},
 };
 
 /// Name of the service.
@@ -36,8 +36,6 @@
         /// Tokens they have.
         tokens: usize,
     },
-    /// The request has news.
-    Changed(RequestName),
     /// A peer could not take news of these requests: it needs them whole, or knows better.
     Refused(PeerTarget, Vec<RequestName>),
     /// A peer did not answer.
@@ -46,14 +44,17 @@
 
 #[derive(Debug)]
 struct TrackedCopy {
+    view: AnswerView,
+    /// Peers, with the number of tokens that each has been sent.
     targets: Vec<(PeerTarget, usize)>,
+    /// Progress when the peers were last sent news.
+    sent: RequestProgress,
 }
 
 struct CopyService {
     context: Weak<ServeContext>,
     address: ServiceAddress<CopyMessage>,
     tracked: HashMap<RequestName, TrackedCopy>,
-    changed: BTreeSet<RequestName>,
 }
 
 /// Runs the service; `context` is set once the daemon is assembled.
@@ -62,38 +63,28 @@
     address: ServiceAddress<CopyMessage>,
     context: Weak<ServeContext>,
 ) {
-    let mut service =
-        CopyService { context, address, tracked: HashMap::new(), changed: BTreeSet::new() };
+    let mut service = CopyService { context, address, tracked: HashMap::new() };
     let mut flush = interval(FLUSH_EVERY);
     flush.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         tokio::select! {
             message = inbox.recv() => match message {
-                Some(message) => service.handle(message),
+                Some(message) => service.handle(message).await,
                 None => return,
             },
-            _ = flush.tick() => service.flush().await,
+            _ = flush.tick() => service.flush(),
         }
     }
 }
 
 impl CopyService {
-    fn handle(&mut self, message: CopyMessage) {
+    async fn handle(&mut self, message: CopyMessage) {
         match message {
             CopyMessage::Track { name, targets, tokens } => {
-                let targets = targets.into_iter().map(|target| (target, tokens)).collect();
-                self.tracked.insert(name.clone(), TrackedCopy { targets });
-                self.changed.insert(name);
-            }
-            CopyMessage::Changed(name) => {
-                if self.tracked.contains_key(&name) {
-                    self.changed.insert(name);
-                }
+                self.track(name, targets, tokens).await;
             }
             CopyMessage::Refused(target, names) => {
-                let Some(context) = self.context.upgrade() else {
-                    return;
-                };
+                let Some(context) = self.context.upgrade() else { return };
                 for name in names {
                     if self.tracked.contains_key(&name) {
                         let repair = offer_again(context.clone(), target.clone(), name);
@@ -105,11 +96,18 @@
         }
     }
 
+    async fn track(&mut self, name: RequestName, targets: Vec<PeerTarget>, tokens: usize) {
+        let Some(context) = self.context.upgrade() else { return };
+        let view = context.requests.ask(|reply| RequestMessage::View { name: name.clone(), reply });
+        let Ok(Some(view)) = view.await else { return };
+        let targets = targets.into_iter().map(|target| (target, tokens)).collect();
+        let sent = RequestProgress::default();
+        self.tracked.insert(name, TrackedCopy { view, targets, sent });
+    }
+
     /// Requests whose copy was at `target` get another copy holder.
     fn replace(&mut self, target: &PeerTarget) {
-        let Some(context) = self.context.upgrade() else {
-            return;
-        };
+        let Some(context) = self.context.upgrade() else { return };
         for (name, copy) in &mut self.tracked {
             let before = copy.targets.len();
             copy.targets.retain(|(held, _)| held != target);
@@ -124,35 +122,22 @@
         }
     }
 
-    async fn flush(&mut self) {
-        let Some(context) = self.context.upgrade() else {
-            return;
-        };
-        let changed = std::mem::take(&mut self.changed);
+    fn flush(&mut self) {
+        let Some(context) = self.context.upgrade() else { return };
         let mut by_target: HashMap<PeerTarget, Vec<RequestCopy>> = HashMap::new();
-        for name in changed {
-            let Some(tracked) = self.tracked.get_mut(&name) else {
+        for copy in self.tracked.values_mut() {
+            let progress = copy.view.progress();
+            if progress == copy.sent {
                 continue;
-            };
-            let oldest = tracked.targets.iter().map(|(_, sent)| *sent).min().unwrap_or(0);
-            let read = context.requests.ask(|reply| RequestMessage::Read {
-                name: name.clone(),
-                first_token: oldest,
-                reply,
-            });
-            let Ok(Some(news)) = read.await else {
-                self.tracked.remove(&name);
-                continue;
-            };
-            for (target, sent) in &mut tracked.targets {
-                let copy = news_after(&news, *sent);
-                *sent = copy.first_token + copy.tokens.len();
-                by_target.entry(target.clone()).or_default().push(copy);
             }
-            if news.answer.is_some() {
-                self.tracked.remove(&name);
+            copy.sent = progress;
+            for (target, sent) in &mut copy.targets {
+                let news = copy.view.copy_from(*sent);
+                *sent = news.first_token + news.tokens.len();
+                by_target.entry(target.clone()).or_default().push(news);
             }
         }
+        self.tracked.retain(|_, copy| !copy.sent.ended);
         for (target, copies) in by_target {
             let bytes: usize = copies.iter().map(news_bytes).sum();
             context.metrics.count("copy_bytes", bytes as u64);
@@ -163,16 +148,6 @@
     }
 }
 
-fn news_after(news: &RequestCopy, sent: usize) -> RequestCopy {
-    let skipped = sent - news.first_token;
-    RequestCopy {
-        call: None,
-        first_token: sent,
-        tokens: news.tokens[skipped..].to_vec(),
-        ..news.clone()
-    }
-}
-
 fn news_bytes(copy: &RequestCopy) -> usize {
     const FIELDS: usize = 64;
     let tokens: usize = copy.tokens.iter().map(|token| token.len() + size_of::<u64>()).sum();
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -8,7 +8,6 @@
 use super::{
     attempt::{AttemptEnd, AttemptTask, as_completion},
     context::ServeContext,
-    copies::CopyMessage,
     router::{EndpointSlot, PickOrder, PickReply, RouterMessage, StreamShape},
     store_service::RequestMessage,
     timeline::EventKind,
@@ -86,16 +85,15 @@
 
     /// Runs the request to its end, unless it is cancelled or superseded.
     pub async fn run(mut self, stage: CallStage) {
-        let watch = self
+        let view = self
             .context
             .requests
-            .ask(|reply| RequestMessage::Watch { name: self.name.clone(), reply });
-        let Ok(Some(mut progress)) = watch.await else {
-            return;
-        };
+            .ask(|reply| RequestMessage::View { name: self.name.clone(), reply });
+        let Ok(Some(mut view)) = view.await else { return };
+        let term = self.term;
+        // NOTE: the wait also ends when the record is removed: cancelled.
         let cancelled = async move {
-            // NOTE: an error means that the record was removed: cancelled too.
-            let _ = progress.wait_for(|progress| progress.ended).await;
+            view.wait_for(|progress| progress.ended || progress.term > term).await;
         };
         let answer = tokio::select! {
             answer = self.run_attempts(stage) => answer,
@@ -125,7 +123,6 @@
         if let Err(error) = self.context.requests.send(message) {
             spdlog::error!("end lost: {}", error, kv: { service = "driver" });
         }
-        let _ = self.context.copies.send(CopyMessage::Changed(self.name.clone()));
     }
 
     async fn run_attempts(&mut self, mut stage: CallStage) -> Option<FinalAnswer> {
@@ -267,12 +264,8 @@
         if way != ReclaimWay::Move {
             return;
         }
-        let PickReply::Slot(next) = self.pick().await else {
-            return;
-        };
-        let Some(completion) = as_completion(&self.call) else {
-            return;
-        };
+        let PickReply::Slot(next) = self.pick().await else { return };
+        let Some(completion) = as_completion(&self.call) else { return };
         let text = format!("{} {}", completion.prompt, self.tokens.concat());
         let order = ImportOrder { from: from.to_string(), text };
         let body = serde_json::to_vec(&order).unwrap_or_default();
--- a/src/serve/limit_service.rs
+++ b/src/serve/limit_service.rs
@@ -142,9 +142,7 @@
     fn exchange(&mut self) {
         self.enter_epoch();
         let (epoch, sent) = self.averaging.offer();
-        let Some(target) = self.random_member() else {
-            return;
-        };
+        let Some(target) = self.random_member() else { return };
         let (pool, address) = (self.pool.clone(), self.address.clone());
         tokio::task::spawn_local(async move {
             // NOTE: a lost exchange is forgotten with its epoch.
--- a/src/serve/once.rs
+++ b/src/serve/once.rs
@@ -151,15 +151,9 @@
     }
     for retry in 0..CLAIM_TRIES {
         sleep(HOLDER_RETRY * retry / 4).await;
-        let Ok(entry) = context.platform.read_object(CLAIM_KIND, object).await else {
-            continue;
-        };
-        let Some(value) = entry.value else {
-            return Err(());
-        };
-        let Ok(found) = serde_json::from_value::<ClaimRecord>(value) else {
-            return Err(());
-        };
+        let Ok(entry) = context.platform.read_object(CLAIM_KIND, object).await else { continue };
+        let Some(value) = entry.value else { return Err(()) };
+        let Ok(found) = serde_json::from_value::<ClaimRecord>(value) else { return Err(()) };
         return found.ticket.parse().map(|ticket| (ticket, entry.version)).map_err(|_| ());
     }
     Err(())
@@ -292,9 +286,7 @@
     if ticket.witness == ticket.holder {
         return;
     }
-    let Some(witness) = context.target(ticket.witness) else {
-        return;
-    };
+    let Some(witness) = context.target(ticket.witness) else { return };
     if context.pool.settle(&witness, ticket, &settled).await.is_err() {
         context.metrics.count("settles_lost", 1);
     }
--- a/src/serve/parse.rs
+++ b/src/serve/parse.rs
@@ -104,9 +104,7 @@
 
 fn idempotency_key(headers: &HeaderMap) -> Result<Option<SharedName>, Problem> {
     let name = headers::IDEMPOTENCY_KEY;
-    let Some(text) = header(headers, name)? else {
-        return Ok(None);
-    };
+    let Some(text) = header(headers, name)? else { return Ok(None) };
     // NOTE: the draft for this header quotes the key as a structured string.
     let key = text.trim().trim_matches('"');
     if is_name(key) {
@@ -118,9 +116,7 @@
 
 fn have_tokens(headers: &HeaderMap) -> Result<usize, Problem> {
     let name = headers::LAST_EVENT_ID;
-    let Some(text) = header(headers, name)? else {
-        return Ok(0);
-    };
+    let Some(text) = header(headers, name)? else { return Ok(0) };
     let index: usize = text
         .trim()
         .parse()
@@ -130,9 +126,7 @@
 
 fn traceparent(headers: &HeaderMap) -> Result<Option<SharedName>, Problem> {
     let name = headers::TRACEPARENT;
-    let Some(text) = header(headers, name)? else {
-        return Ok(None);
-    };
+    let Some(text) = header(headers, name)? else { return Ok(None) };
     let parts: Vec<&str> = text.split('-').collect();
     let lengths: Vec<usize> = parts.iter().map(|part| part.len()).collect();
     let hex = parts.iter().all(|part| part.bytes().all(|byte| byte.is_ascii_hexdigit()));
--- a/src/serve/resume.rs
+++ b/src/serve/resume.rs
@@ -226,16 +226,12 @@
             first_token: usize::MAX,
             reply,
         });
-        let Ok(Some(own)) = read.await else {
-            return true;
-        };
+        let Ok(Some(own)) = read.await else { return true };
         if own.answer.is_some() || own.holder.incarnation != holder.incarnation {
             return true;
         }
         let attached = context.pool.attach(holder, name, own.first_token, ATTACH_WAIT).await;
-        let Ok(Some(news)) = attached else {
-            return false;
-        };
+        let Ok(Some(news)) = attached else { return false };
         if news.holder.incarnation != holder.incarnation {
             // NOTE: the holder was itself superseded; its copy names the next one.
             supersede(context, news).await;
@@ -262,12 +258,8 @@
 ) -> Result<ObtainedRequest, SendError> {
     let taken =
         context.requests.ask(|reply| RequestMessage::TakeOver { name: name.clone(), reply });
-    let Some(copy) = taken.await? else {
-        return Ok(ObtainedRequest::Refused(gone()));
-    };
-    let Some(call) = copy.call.clone() else {
-        return Ok(ObtainedRequest::Refused(gone()));
-    };
+    let Some(copy) = taken.await? else { return Ok(ObtainedRequest::Refused(gone())) };
+    let Some(call) = copy.call.clone() else { return Ok(ObtainedRequest::Refused(gone())) };
     let begun_at = Instant::now();
     let (targets, known) = place(context, &copy).await;
     if let Some(known) = known.filter(|known| rank(known) > rank(&copy)) {
--- a/src/serve/router.rs
+++ b/src/serve/router.rs
@@ -494,9 +494,7 @@
         let left_ms = notice.gone_at_ms.saturating_sub(crate::wall_clock_ms()) as f64;
         let affected: Vec<(&AttemptId, &RunningStream)> =
             self.streams.iter().filter(|(_, stream)| stream.vm == notice.vm).collect();
-        let Some((_, first)) = affected.first() else {
-            return;
-        };
+        let Some((_, first)) = affected.first() else { return };
         let weights = self.reclaim_weights(&first.service);
         let shapes: Vec<LeavingStream> =
             affected.iter().map(|(_, stream)| stream.leaving()).collect();
@@ -600,9 +598,7 @@
         &info.address,
         format!("/cache_events?after={after}"),
     );
-    let Ok(answer) = http.fetch(&call, POLL_LIMIT).await else {
-        return;
-    };
+    let Ok(answer) = http.fetch(&call, POLL_LIMIT).await else { return };
     let Ok(events) = answer.json::<Vec<CacheEvent>>("read cache events", &info.address) else {
         return;
     };
--- a/src/serve/store_service.rs
+++ b/src/serve/store_service.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use tokio::{
-    sync::{oneshot, watch},
+    sync::oneshot,
     time::{Instant, MissedTickBehavior, interval},
 };
 
@@ -13,9 +13,7 @@
     request::{
         call::CallerCall,
         outcome::FinalAnswer,
-        store::{
-            AnswerToken, ClaimVerdict, OfferVerdict, RequestCopy, RequestProgress, RequestStore,
-        },
+        store::{AnswerToken, AnswerView, ClaimVerdict, OfferVerdict, RequestCopy, RequestStore},
     },
 };
 
@@ -59,8 +57,6 @@
         term: u32,
         /// Token.
         token: AnswerToken,
-        /// `false` if the term is over.
-        reply: oneshot::Sender<bool>,
     },
     /// A request that ran here has ended.
     End {
@@ -87,12 +83,12 @@
         /// State, if known.
         reply: oneshot::Sender<Option<RequestCopy>>,
     },
-    /// Progress to wait on.
-    Watch {
+    /// Reading end of a request's state.
+    View {
         /// Name.
         name: RequestName,
-        /// Progress, if known.
-        reply: oneshot::Sender<Option<watch::Receiver<RequestProgress>>>,
+        /// Reading end, if known.
+        reply: oneshot::Sender<Option<AnswerView>>,
     },
     /// Number of those who wait on a request.
     Watchers {
@@ -143,8 +139,10 @@
         RequestMessage::TakeOver { name, reply } => {
             let _ = reply.send(store.take_over(&name, now));
         }
-        RequestMessage::Append { name, term, token, reply } => {
-            let _ = reply.send(store.append(&name, term, token));
+        RequestMessage::Append { name, term, token } => {
+            // NOTE: under a term that is over, the token is dropped; its driver is told
+            // by the progress.
+            store.append(&name, term, token);
         }
         RequestMessage::End { name, term, answer } => {
             store.end(&name, term, answer, now);
@@ -155,8 +153,8 @@
         RequestMessage::Read { name, first_token, reply } => {
             let _ = reply.send(store.read(&name, first_token));
         }
-        RequestMessage::Watch { name, reply } => {
-            let _ = reply.send(store.watch(&name));
+        RequestMessage::View { name, reply } => {
+            let _ = reply.send(store.view(&name));
         }
         RequestMessage::Watchers { name, reply } => {
             let _ = reply.send(store.watchers(&name));
--- a/src/standin/callers.rs
+++ b/src/standin/callers.rs
@@ -286,9 +286,7 @@
         match request.entry.kind {
             MixKind::Completion => self.take_stream(request, response.into_body()).await,
             MixKind::Plain | MixKind::Once => {
-                let Ok(body) = response.into_body().collect().await else {
-                    return TryEnd::Resume;
-                };
+                let Ok(body) = response.into_body().collect().await else { return TryEnd::Resume };
                 self.note_first(request);
                 request.check_plain(&body.to_bytes())
             }
@@ -310,9 +308,7 @@
         status: StatusCode,
         response: hyper::Response<hyper::body::Incoming>,
     ) -> TryEnd {
-        let Ok(body) = response.into_body().collect().await else {
-            return TryEnd::Resume;
-        };
+        let Ok(body) = response.into_body().collect().await else { return TryEnd::Resume };
         let problem: Value = serde_json::from_slice(&body.to_bytes()).unwrap_or_default();
         let outcome = problem["outcome"].as_str().unwrap_or("failed").to_owned();
         let wait = problem["retry_after"].as_f64().map(Duration::from_secs_f64);
@@ -342,9 +338,7 @@
                 Ok(Some(Ok(frame))) => frame,
                 _ => return TryEnd::Resume,
             };
-            let Ok(bytes) = frame.into_data() else {
-                continue;
-            };
+            let Ok(bytes) = frame.into_data() else { continue };
             let Ok(events) = decoder.feed(&bytes) else {
                 return TryEnd::Final("wrong", "malformed events".into());
             };
@@ -467,12 +461,8 @@
         let per_hour = price.map_or(0.0, |price| price.per_hour);
         report.cost += per_hour * length.as_secs_f64() / HOUR_S;
         let counts = OutgoingCall::get("read counts", &vm.address, "/runs");
-        let Ok(answer) = http.fetch(&counts, LIMIT).await else {
-            continue;
-        };
-        let Ok(counts) = answer.json::<WorkCounts>("read counts", &vm.address) else {
-            continue;
-        };
+        let Ok(answer) = http.fetch(&counts, LIMIT).await else { continue };
+        let Ok(counts) = answer.json::<WorkCounts>("read counts", &vm.address) else { continue };
         report.tokens_recomputed += counts.resumed_tokens;
         report.tokens_generated += counts.generated_tokens;
     }
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -213,13 +213,9 @@
     }
 
     fn step(&mut self) {
-        let Some(Reverse((at, id, index))) = self.queue.pop() else {
-            return;
-        };
+        let Some(Reverse((at, id, index))) = self.queue.pop() else { return };
         self.now = self.now.max(at);
-        let Some(event) = self.events.remove(&id) else {
-            return;
-        };
+        let Some(event) = self.events.remove(&id) else { return };
         let node = &self.nodes[index];
         if !node.up {
             return;
@@ -280,9 +276,7 @@
     }
 
     fn greet(&mut self, from: usize, address: &SharedName) {
-        let Some(to) = self.by_address.get(address).copied() else {
-            return;
-        };
+        let Some(to) = self.by_address.get(address).copied() else { return };
         if !self.reaches(from, to) || self.nodes[to].frozen_until > self.now {
             return;
         }
@@ -301,9 +295,7 @@
     }
 
     fn probe(&mut self, from: usize, target: &PeerTarget) {
-        let Some((to, same)) = self.find(target) else {
-            return;
-        };
+        let Some((to, same)) = self.find(target) else { return };
         let refused = !self.nodes[to].up;
         self.count(from, to, 16);
         let answers = self.reaches(from, to) && self.nodes[to].frozen_until <= self.now;
@@ -320,14 +312,10 @@
     }
 
     fn probe_via(&mut self, from: usize, helpers: &[PeerTarget], target: &PeerTarget) {
-        let Some((to, same)) = self.find(target) else {
-            return;
-        };
+        let Some((to, same)) = self.find(target) else { return };
         let mut alive = false;
         for helper in helpers {
-            let Some((helper, _)) = self.find(helper) else {
-                continue;
-            };
+            let Some((helper, _)) = self.find(helper) else { continue };
             self.count(from, helper, 40);
             let there = self.reaches(from, helper) && self.nodes[helper].frozen_until <= self.now;
             if there {
@@ -347,9 +335,7 @@
     }
 
     fn push(&mut self, from: usize, target: &PeerTarget, items: Vec<SpreadItem>) {
-        let Some((to, same)) = self.find(target) else {
-            return;
-        };
+        let Some((to, same)) = self.find(target) else { return };
         let bytes: usize = items.iter().map(SpreadItem::bytes).sum();
         self.count(from, to, bytes as u64);
         if same && self.reaches(from, to) {
@@ -361,9 +347,7 @@
 
     fn synchronize(&mut self, from: usize, target: &PeerTarget) {
         const VERSION_BYTES: u64 = 40;
-        let Some((to, same)) = self.find(target) else {
-            return;
-        };
+        let Some((to, same)) = self.find(target) else { return };
         self.count(from, to, BUCKETS as u64 * 8);
         if !same || !self.reaches(from, to) || self.nodes[to].frozen_until > self.now {
             return;
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -345,9 +345,7 @@
             return reply::empty(StatusCode::CONFLICT);
         }
         let free = state.free_addresses.get_mut(&order.zone).and_then(Vec::pop);
-        let Some(address) = free else {
-            return reply::empty(StatusCode::CONFLICT);
-        };
+        let Some(address) = free else { return reply::empty(StatusCode::CONFLICT) };
         state.started += 1;
         let vm = VmEntry {
             id: format!("vm-s{}", state.started).into(),
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -382,16 +382,12 @@
         request = request.header("last-event-id", (have - 1).to_string());
     }
     let mut stream = Stream::default();
-    let Ok(mut answer) = request.send(body.to_string()) else {
-        return stream;
-    };
+    let Ok(mut answer) = request.send(body.to_string()) else { return stream };
     stream.status = answer.status().as_u16();
     let reader = BufReader::new(answer.body_mut().as_reader());
     for line in reader.lines() {
         let Ok(line) = line else { return stream };
-        let Some(data) = line.strip_prefix("data: ") else {
-            continue;
-        };
+        let Some(data) = line.strip_prefix("data: ") else { continue };
         if data == "[DONE]" {
             stream.whole = true;
             return stream;
