--- a/src/peer.rs
+++ b/src/peer.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod codec;
 pub mod server;
+pub mod transport;
 
 /// Protocol version that this build speaks.
 pub const PROTOCOL_VERSION: u32 = 1;
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -2,11 +2,13 @@
 
 use std::{cell::RefCell, collections::HashMap, rc::Rc, time::Duration};
 
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use capnp_rpc::rpc_twoparty_capnp::Side;
 use tokio::{net::TcpStream, time::timeout};
-use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
-use super::{codec, is_compatible};
+use super::{
+    codec, is_compatible,
+    transport::{TrafficCounter, rpc_system},
+};
 use crate::{
     clock::wait_at_most,
     cluster::{
@@ -61,6 +63,7 @@
 pub struct PeerPool {
     identity: Rc<LocalIdentity>,
     open: Rc<RefCell<HashMap<SharedName, Rc<OpenPeer>>>>,
+    traffic: TrafficCounter,
 }
 
 /// Answer to a greeting.
@@ -75,7 +78,11 @@
 impl PeerPool {
     /// Pool of the daemon `identity`.
     pub fn new(identity: LocalIdentity) -> Self {
-        Self { identity: Rc::new(identity), open: Rc::default() }
+        Self {
+            identity: Rc::new(identity),
+            open: Rc::default(),
+            traffic: TrafficCounter::default(),
+        }
     }
 
     /// Closes connections that have not been used for `idle`.
@@ -83,6 +90,11 @@
         self.open.borrow_mut().retain(|_, open| open.used.get().elapsed() < idle);
     }
 
+    /// Bytes over all connections to peers, also those that they opened.
+    pub fn traffic(&self) -> &TrafficCounter {
+        &self.traffic
+    }
+
     /// Number of open connections.
     pub fn open_count(&self) -> usize {
         self.open.borrow().len()
@@ -105,15 +117,7 @@
             Ok(Err(cause)) => return Err(error(FailureCause::Unreachable(cause.to_string()))),
             Ok(Ok(stream)) => stream,
         };
-        let _ = stream.set_nodelay(true);
-        let (reader, writer) = stream.into_split();
-        let network = twoparty::VatNetwork::new(
-            futures::io::BufReader::new(reader.compat()),
-            futures::io::BufWriter::new(writer.compat_write()),
-            Side::Client,
-            Default::default(),
-        );
-        let mut rpc = RpcSystem::new(Box::new(network), None);
+        let mut rpc = rpc_system(stream, Side::Client, None, &self.traffic);
         let door: gate::Client = rpc.bootstrap(Side::Server);
         let task = tokio::task::spawn_local(async move {
             let _ = rpc.await;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -3,14 +3,13 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use capnp::Error;
-use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use capnp_rpc::rpc_twoparty_capnp::Side;
 use tokio::{
     net::{TcpListener, TcpStream},
     time::timeout,
 };
-use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
-use super::{PROTOCOL_VERSION, client::LocalIdentity, codec, is_compatible};
+use super::{PROTOCOL_VERSION, client::LocalIdentity, codec, is_compatible, transport::rpc_system};
 use crate::{
     cluster::{
         averaging::AccountValues,
@@ -114,17 +113,10 @@
 }
 
 async fn serve_connection(stream: TcpStream, context: Rc<ServeContext>) {
-    let _ = stream.set_nodelay(true);
-    let (reader, writer) = stream.into_split();
-    let network = twoparty::VatNetwork::new(
-        futures::io::BufReader::new(reader.compat()),
-        futures::io::BufWriter::new(writer.compat_write()),
-        Side::Server,
-        Default::default(),
-    );
+    let traffic = context.pool.traffic().clone();
     let door: gate::Client = capnp_rpc::new_client(GateServer { context });
     // NOTE: a peer that breaks off or sends garbage ends only its own connection.
-    let _ = RpcSystem::new(Box::new(network), Some(door.client)).await;
+    let _ = rpc_system(stream, Side::Server, Some(door.client), &traffic).await;
 }
 
 struct GateServer {
--- /dev/null
+++ b/src/peer/transport.rs
@@ -0,0 +1,87 @@
+//! Cap'n Proto RPC over one TCP connection, with its bytes counted.
+
+use std::{
+    cell::Cell,
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use capnp_rpc::{RpcSystem, rpc_twoparty_capnp::Side, twoparty};
+use futures::io::{AsyncRead, AsyncWrite, BufReader, BufWriter};
+use tokio::net::TcpStream;
+use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
+
+/// Bytes sent and received over all connections to peers.
+#[derive(Clone, Debug, Default)]
+pub struct TrafficCounter {
+    bytes: Rc<Cell<u64>>,
+}
+
+impl TrafficCounter {
+    /// Bytes so far.
+    pub fn bytes(&self) -> u64 {
+        self.bytes.get()
+    }
+
+    fn add(&self, polled: &Poll<std::io::Result<usize>>) {
+        if let Poll::Ready(Ok(count)) = polled {
+            self.bytes.set(self.bytes.get() + *count as u64);
+        }
+    }
+}
+
+/// One half of a connection.
+struct CountedHalf<T> {
+    inner: T,
+    counter: TrafficCounter,
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for CountedHalf<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        task: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_read(task, buffer);
+        self.counter.add(&polled);
+        polled
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for CountedHalf<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        task: &mut Context<'_>,
+        buffer: &[u8],
+    ) -> Poll<std::io::Result<usize>> {
+        let polled = Pin::new(&mut self.inner).poll_write(task, buffer);
+        self.counter.add(&polled);
+        polled
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, task: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_flush(task)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, task: &mut Context<'_>) -> Poll<std::io::Result<()>> {
+        Pin::new(&mut self.inner).poll_close(task)
+    }
+}
+
+/// RPC system over `stream`; a server gives its bootstrap capability.
+pub fn rpc_system(
+    stream: TcpStream,
+    side: Side,
+    bootstrap: Option<capnp::capability::Client>,
+    counter: &TrafficCounter,
+) -> RpcSystem<Side> {
+    // NOTE: fails only on a socket that is already broken, which the RPC system sees.
+    let _ = stream.set_nodelay(true);
+    let (reader, writer) = stream.into_split();
+    let reader = CountedHalf { inner: reader.compat(), counter: counter.clone() };
+    let writer = CountedHalf { inner: writer.compat_write(), counter: counter.clone() };
+    let (reader, writer) = (BufReader::new(reader), BufWriter::new(writer));
+    let network = twoparty::VatNetwork::new(reader, writer, side, Default::default());
+    RpcSystem::new(Box::new(network), bootstrap)
+}
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -191,6 +191,7 @@
     metrics.gauge("request_records", gauge.records as f64);
     metrics.gauge("request_record_bytes", gauge.bytes as f64);
     metrics.gauge("platform_calls", context.platform.calls() as f64);
+    metrics.gauge("peer_bytes", context.pool.traffic().bytes() as f64);
     metrics.gauge("peer_connections", context.pool.open_count() as f64);
     let members = context.members();
     metrics.gauge("members_present", members.present_count() as f64);
--- a/tests/integration/request_model.rs
+++ b/tests/integration/request_model.rs
@@ -222,10 +222,10 @@
     let mut play = TicketPlay::default();
     for event in events {
         match event {
-            TicketEvent::CallerAsksHolder if !play.dead => {
-                if held.begin(ticket, digest) == TicketUse::Granted {
-                    play.asks_consent = true;
-                }
+            TicketEvent::CallerAsksHolder
+                if !play.dead && held.begin(ticket, digest) == TicketUse::Granted =>
+            {
+                play.asks_consent = true;
             }
             TicketEvent::ConsentArrives if play.asks_consent => {
                 // The witness writes it down even if the holder is dead by now.
@@ -236,10 +236,8 @@
                     play.running = true;
                 }
             }
-            TicketEvent::OtherSeals => {
-                if witness.seal(ticket, now) == SealVerdict::NotDispatched {
-                    play.said_not_run = true;
-                }
+            TicketEvent::OtherSeals if witness.seal(ticket, now) == SealVerdict::NotDispatched => {
+                play.said_not_run = true;
             }
             TicketEvent::HolderEnds if play.running && !play.dead => {
                 held.end(ticket, FinalAnswer::Streamed);
