--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -5,13 +5,14 @@
 
 use std::{
     collections::HashMap,
+    rc::Rc,
     time::{Duration, Instant},
 };
 
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use willowarch::{
     cluster::{
-        averaging::{AccountValues, DemandAveraging, EPOCH_MS, EXCHANGE_MS},
+        averaging::{AccountOrder, DemandAveraging, EPOCH_MS, EXCHANGE_MS},
         items::{ItemKey, ItemKind, ItemStore, SpreadItem},
         members::{MemberList, MemberRecord, MemberStatus, MemberView},
     },
@@ -127,14 +128,15 @@
     const ACCOUNTS: usize = 100;
     let mut rng = SmallRng::seed_from_u64(size as u64);
     let account = |index: usize| -> SharedName { format!("account-{index}").into() };
-    let demands: Vec<AccountValues> = (0..size)
+    let order = Rc::new(AccountOrder::new((0..ACCOUNTS).map(account)));
+    let demands: Vec<HashMap<SharedName, f64>> = (0..size)
         .map(|_| {
             (0..ACCOUNTS).map(|index| (account(index), rng.random_range(0.0..100.0))).collect()
         })
         .collect();
     let mut nodes: Vec<DemandAveraging> = (0..size).map(|_| DemandAveraging::default()).collect();
     for (node, demand) in nodes.iter_mut().zip(&demands) {
-        node.enter(EPOCH_MS, || demand.clone());
+        node.enter(EPOCH_MS, &order, || demand.clone());
     }
     let started_at = Instant::now();
     let rounds = (EPOCH_MS / EXCHANGE_MS) as usize;
@@ -144,15 +146,15 @@
             if to == from {
                 continue;
             }
-            let (epoch, sent) = nodes[from].offer();
-            if let Some(theirs) = nodes[to].answer(epoch, &sent) {
-                nodes[from].finish(epoch, &sent, &theirs);
+            let sent = nodes[from].offer();
+            if let Some(theirs) = nodes[to].answer(&sent) {
+                nodes[from].finish(&sent, &theirs);
             }
         }
     }
     let cpu_us = started_at.elapsed().as_secs_f64() * 1e6 / (size as f64 * EPOCH_MS as f64 / 1e3);
     for node in &mut nodes {
-        node.enter(2 * EPOCH_MS, HashMap::new);
+        node.enter(2 * EPOCH_MS, &order, HashMap::new);
     }
     let mut worst: f64 = 0.0;
     for index in 0..ACCOUNTS {
@@ -162,7 +164,8 @@
             worst = worst.max((node.result()[&name] / mean - 1.0).abs());
         }
     }
-    let bytes_s = ACCOUNTS as f64 * 2.0 * (11.0 + 16.0) * 2.0 * 1e3 / EXCHANGE_MS as f64;
+    // Values there and back, for the exchanges begun and those answered.
+    let bytes_s = (ACCOUNTS as f64 * 4.0 + 100.0) * 4.0 * 1e3 / EXCHANGE_MS as f64;
     println!(
         "{size:>5} nodes: averages of {ACCOUNTS} accounts after {rounds} rounds: worst error \
          {:.3}%, {cpu_us:.0} us CPU/s a node, {bytes_s:.0} B/s a node",
--- a/benches/http_libraries.rs
+++ b/benches/http_libraries.rs
@@ -303,7 +303,8 @@
 fn measure_daemon() {
     println!("== whole path: {STREAMS} streams opened at once, 200 idle and 20 slow callers open");
     let settings = json!({ "request_limit": 2_000 });
-    let layout = Layout { daemons: 1, engines: 8, plain: 1, step_ms: 20.0, settings };
+    let layout =
+        Layout { daemons: 1, engines: 8, plain: 1, step_ms: 20.0, settings, ..Layout::default() };
     let deployment = Deployment::start(layout);
     let set = deployment.control(&["table", "set", "service.model", "concurrency=200"]);
     assert_eq!(set.0, 0, "{}", set.1);
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -69,7 +69,8 @@
   seal @10 (ticket :Text) -> (dispatched :Bool, settled :Data);
   settle @11 (ticket :Text, settled :Data) -> ();
 
-  # Usage of client accounts, averaged pairwise over all daemons.
-  average @12 (epoch :UInt64, accounts :List(Text), values :List(Float64))
-      -> (accepted :Bool, accounts :List(Text), values :List(Float64));
+  # Demand of client accounts, averaged pairwise over all daemons. The values stand in
+  # the order of the accounts' names in the table; `order` is a hash of those names.
+  average @12 (epoch :UInt64, order :UInt64, values :List(Float32))
+      -> (accepted :Bool, values :List(Float32));
 }
--- a/src/cluster/averaging.rs
+++ b/src/cluster/averaging.rs
@@ -7,95 +7,131 @@
 //! large dynamic networks", 2005). At the end of the epoch each has the average, and
 //! an exchange that was lost is forgotten with the epoch.
 
-use std::collections::{BTreeSet, HashMap};
+use std::{collections::HashMap, rc::Rc};
 
-use crate::ids::SharedName;
+use crate::ids::{SharedName, hash_parts};
 
 /// Length of an epoch in milliseconds of wall-clock time.
-pub const EPOCH_MS: u64 = 1_600;
+pub const EPOCH_MS: u64 = 2_000;
 /// Time between the exchanges that one daemon begins, in milliseconds.
-pub const EXCHANGE_MS: u64 = 160;
+pub const EXCHANGE_MS: u64 = 250;
+/// With fewer exchanges than this in an epoch the values have not met.
+const ENOUGH_EXCHANGES: u32 = 3;
 
-/// Values by account.
-pub type AccountValues = HashMap<SharedName, f64>;
+/// The accounts in the order in which their values are sent. Names would cost ten
+/// times the bytes of the values; two daemons whose tables differ for a moment skip
+/// their exchange.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct AccountOrder {
+    hash: u64,
+    names: Vec<SharedName>,
+}
+
+impl AccountOrder {
+    /// Order of `names`.
+    pub fn new(names: impl IntoIterator<Item = SharedName>) -> Self {
+        let mut names: Vec<SharedName> = names.into_iter().collect();
+        names.sort();
+        let parts: Vec<&[u8]> = names.iter().map(|name| name.as_bytes()).collect();
+        Self { hash: hash_parts(&parts), names }
+    }
+
+    /// Hash of the names.
+    pub fn hash(&self) -> u64 {
+        self.hash
+    }
+}
+
+/// Values of one daemon at one moment, to be exchanged.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DemandOffer {
+    /// Epoch.
+    pub epoch: u64,
+    /// Hash of the order.
+    pub order: u64,
+    /// Values in that order.
+    pub values: Vec<f32>,
+}
 
 /// One daemon's part in the averaging.
 #[derive(Debug, Default)]
 pub struct DemandAveraging {
     epoch: u64,
-    values: AccountValues,
+    order: Rc<AccountOrder>,
+    values: Vec<f32>,
     exchanges: u32,
-    result: AccountValues,
+    result: HashMap<SharedName, f64>,
 }
 
 impl DemandAveraging {
     /// Enters the epoch of this time; from `demand`, which is asked for only if the
     /// epoch is new. Returns whether it was.
-    pub fn enter(&mut self, wall_clock_ms: u64, demand: impl FnOnce() -> AccountValues) -> bool {
+    pub fn enter(
+        &mut self,
+        wall_clock_ms: u64,
+        order: &Rc<AccountOrder>,
+        demand: impl FnOnce() -> HashMap<SharedName, f64>,
+    ) -> bool {
         let epoch = wall_clock_ms / EPOCH_MS;
         if epoch <= self.epoch {
             return false;
         }
-        // NOTE: with fewer exchanges than this the values have not met; the result of
-        // the epoch before is the better guess.
-        const ENOUGH: u32 = 3;
-        let finished = std::mem::replace(&mut self.values, demand());
-        if self.exchanges >= ENOUGH {
-            self.result = finished;
+        let demand = demand();
+        // NOTE: values that have not met say no more than this daemon's own demand.
+        self.result = if self.exchanges >= ENOUGH_EXCHANGES {
+            let pairs = self.order.names.iter().zip(&self.values);
+            pairs.map(|(name, value)| (name.clone(), f64::from(*value))).collect()
         } else {
-            self.result = self.values.clone();
-        }
+            demand.clone()
+        };
+        let own = |name: &SharedName| demand.get(name).copied().unwrap_or(0.0) as f32;
+        self.values = order.names.iter().map(own).collect();
+        self.order = order.clone();
         self.epoch = epoch;
         self.exchanges = 0;
         true
     }
 
     /// Values to send to a peer.
-    pub fn offer(&self) -> (u64, AccountValues) {
-        (self.epoch, self.values.clone())
+    pub fn offer(&self) -> DemandOffer {
+        DemandOffer { epoch: self.epoch, order: self.order.hash, values: self.values.clone() }
+    }
+
+    fn fits(&self, theirs: &DemandOffer) -> bool {
+        theirs.epoch == self.epoch
+            && theirs.order == self.order.hash
+            && theirs.values.len() == self.values.len()
     }
 
     /// Takes part in an exchange that a peer began: returns the values from before,
-    /// which the peer averages with its own; `None` if it is of another epoch.
-    pub fn answer(&mut self, epoch: u64, theirs: &AccountValues) -> Option<AccountValues> {
-        if epoch != self.epoch {
+    /// which the peer averages with its own; `None` if it is of another epoch or order.
+    pub fn answer(&mut self, theirs: &DemandOffer) -> Option<Vec<f32>> {
+        if !self.fits(theirs) {
             return None;
         }
         let before = self.values.clone();
-        self.meet(theirs);
+        for (own, their) in self.values.iter_mut().zip(&theirs.values) {
+            *own = f32::midpoint(*own, *their);
+        }
+        self.exchanges += 1;
         Some(before)
     }
 
     /// Finishes an exchange that this daemon began with the values `sent`. What has
     /// changed here meanwhile by other exchanges is kept: only the difference to what
     /// was sent is moved.
-    pub fn finish(&mut self, epoch: u64, sent: &AccountValues, theirs: &AccountValues) {
-        if epoch != self.epoch {
+    pub fn finish(&mut self, sent: &DemandOffer, theirs: &[f32]) {
+        if !self.fits(sent) || theirs.len() != sent.values.len() {
             return;
         }
-        for account in names(sent, theirs) {
-            let own = sent.get(&account).copied().unwrap_or(0.0);
-            let their = theirs.get(&account).copied().unwrap_or(0.0);
-            *self.values.entry(account).or_default() += (their - own) / 2.0;
+        for (own, (sent, their)) in self.values.iter_mut().zip(sent.values.iter().zip(theirs)) {
+            *own += (their - sent) / 2.0;
         }
         self.exchanges += 1;
     }
 
-    fn meet(&mut self, theirs: &AccountValues) {
-        for account in names(&self.values, theirs) {
-            let own = self.values.get(&account).copied().unwrap_or(0.0);
-            let their = theirs.get(&account).copied().unwrap_or(0.0);
-            self.values.insert(account, f64::midpoint(own, their));
-        }
-        self.exchanges += 1;
-    }
-
-    /// Average of the last finished epoch.
-    pub fn result(&self) -> &AccountValues {
+    /// Average of the last finished epoch, by account.
+    pub fn result(&self) -> &HashMap<SharedName, f64> {
         &self.result
     }
 }
-
-fn names(left: &AccountValues, right: &AccountValues) -> BTreeSet<SharedName> {
-    left.keys().chain(right.keys()).cloned().collect()
-}
--- a/src/cluster/members.rs
+++ b/src/cluster/members.rs
@@ -22,6 +22,8 @@
     Dead,
 }
 
+/// Members looked at from each point of a placement.
+const PLACEMENT_WINDOW: usize = 16;
 /// Number of statuses, for packing a status into a version.
 const STATUSES: u64 = 4;
 
@@ -149,19 +151,36 @@
         present.find(|(_, view)| &*view.record.address == address).map(|(found, _)| found)
     }
 
-    /// Members that take work, best first for `name` by rendezvous hashing, one per
-    /// availability zone until all zones are used, `count` at most.
+    /// Members that take work and are placed for `name`, `count` at most: one for each of
+    /// `count` points on the ring, in availability zones that differ as far as they can.
+    ///
+    /// From each point the best of the next few by rendezvous hashing is taken. A single
+    /// successor would carry very uneven shares; all members would cost time in their
+    /// number. With few members every window holds all of them.
     pub fn placed_for(&self, name: &[u8], count: usize) -> Vec<IncarnationId> {
-        let mut ranked: Vec<(u64, IncarnationId, &SharedName)> = self
-            .present()
-            .filter(|(_, view)| view.takes_work())
-            .map(|(incarnation, view)| {
-                let weight = hash_parts(&[name, &incarnation.0.to_le_bytes()]);
-                (weight, incarnation, &view.record.zone)
-            })
-            .collect();
-        ranked.sort_unstable_by_key(|(weight, _, _)| std::cmp::Reverse(*weight));
-        spread_over_zones(&ranked, count)
+        let mut chosen: Vec<IncarnationId> = Vec::with_capacity(count);
+        let mut zones: Vec<&SharedName> = Vec::with_capacity(count);
+        for index in 0..count as u64 {
+            let point = hash_parts(&[b"place", name, &index.to_le_bytes()]);
+            let best = self
+                .working_from(point)
+                .filter(|(incarnation, _)| !chosen.contains(incarnation))
+                .take(PLACEMENT_WINDOW)
+                .max_by_key(|(incarnation, view)| {
+                    let fresh_zone = !zones.contains(&&view.record.zone);
+                    (fresh_zone, hash_parts(&[name, &incarnation.0.to_le_bytes()]))
+                });
+            let Some((incarnation, view)) = best else { break };
+            chosen.push(incarnation);
+            zones.push(&view.record.zone);
+        }
+        chosen
+    }
+
+    fn working_from(&self, point: u64) -> impl Iterator<Item = (IncarnationId, &MemberView)> {
+        let around = self.ring.range(point..).chain(self.ring.range(..point));
+        let views = around.filter_map(|(_, found)| Some((*found, self.views.get(found)?)));
+        views.filter(|(_, view)| view.takes_work())
     }
 
     /// Whether `own` is among the first `count` of its zone for the role `name`.
@@ -178,23 +197,3 @@
         better.take(count).count() < count
     }
 }
-
-fn spread_over_zones(
-    ranked: &[(u64, IncarnationId, &SharedName)],
-    count: usize,
-) -> Vec<IncarnationId> {
-    let mut zones: Vec<&SharedName> = Vec::new();
-    let mut chosen: Vec<IncarnationId> = Vec::new();
-    let mut rest: Vec<IncarnationId> = Vec::new();
-    for (_, incarnation, zone) in ranked {
-        if zones.contains(zone) {
-            rest.push(*incarnation);
-        } else {
-            zones.push(zone);
-            chosen.push(*incarnation);
-        }
-    }
-    chosen.extend(rest);
-    chosen.truncate(count);
-    chosen
-}
--- a/src/control/spreadsheet.rs
+++ b/src/control/spreadsheet.rs
@@ -10,7 +10,7 @@
 /// Column that holds the version a row had when it was written out; 0 for new rows.
 const VERSION: &str = "version";
 /// Columns, in the order in which operators want them.
-const COLUMNS: [&str; 14] = [
+const COLUMNS: [&str; 16] = [
     VERSION,
     "kind",
     "name",
@@ -24,6 +24,8 @@
     "max_vms",
     "target_ms",
     "recompute_weight",
+    "shortage_cost",
+    "zone_loss_per_hour",
     "note",
 ];
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -35,9 +35,10 @@
     serve::{
         admin, caller_edge,
         context::ServeContext,
-        copies, limit_service,
+        copies,
+        limit_service::{self, LimitViews},
         metrics::MetricsHandle,
-        platform_watch,
+        planner, platform_watch,
         router::{self, RouterInputs},
         store_service, ticket_service,
         timeline::{EventKind, TimelineHandle},
@@ -165,6 +166,7 @@
     let store = RequestStore::new(holder, context.settings.answer_keep, RECORD_BYTES_LIMIT);
     kernel.start(store_service::NAME, store_service::run(inboxes.requests, store));
     kernel.start(ticket_service::NAME, ticket_service::run(inboxes.tickets, own));
+    let (load_sender, loads) = watch::channel(Rc::default());
     let inputs = RouterInputs {
         own,
         zone: context.identity.zone.clone(),
@@ -174,20 +176,24 @@
         http: context.http.clone(),
         metrics: context.metrics.clone(),
         timeline: context.timeline.clone(),
+        loads: load_sender,
     };
     kernel.start(router::NAME, router::run(inboxes.router, inputs));
     let copier = copies::run(inboxes.copies, context.copies.clone(), Rc::downgrade(context));
     kernel.start(copies::NAME, copier);
+    let views =
+        LimitViews { members: context.members.clone(), table: context.table.clone(), loads };
     let limits = limit_service::run(
         inboxes.limits,
         context.limits.clone(),
         own,
-        context.members.clone(),
+        views,
         context.pool.clone(),
     );
     kernel.start(limit_service::NAME, limits);
     kernel.start(GATE, peer::server::serve(listeners.peers, context.clone()));
     kernel.start(platform_watch::NAME, platform_watch::run(context.clone()));
+    kernel.start(planner::NAME, planner::run(context.clone()));
     kernel.start(admin::NAME, admin::run(listeners.admin, context.clone()));
     kernel.start(caller_edge::NAME, caller_edge::run(listeners.callers, context.clone()));
     kernel.start(LEAVER, leave_when_told(context.clone(), own_notice));
--- a/src/decide.rs
+++ b/src/decide.rs
@@ -2,6 +2,7 @@
 //! from a source that is handed in. Nothing here reads a clock or does I/O.
 
 pub mod fair_queue;
+pub mod fleet;
 pub mod health;
 pub mod limits;
 pub mod prefix;
--- /dev/null
+++ b/src/decide/fleet.rs
@@ -0,0 +1,406 @@
+//! Which VMs to hold, in which availability zone and price class.
+//!
+//! The state of the world an hour ahead is one of a few: nothing happens, or one zone's
+//! reclaimable VMs go. A VM more is worth what it saves in expected shortage over these
+//! states; it costs its price, and what its own reclaim would cost in tokens computed
+//! again. Counts per place are improved by moving chunks of VMs, first large then small,
+//! while that lowers the expected cost. VMs that are held already count as a little
+//! cheaper than new ones, so that small changes of price move nothing.
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{
+    ids::SharedName,
+    platform::messages::{PriceClass, PriceEntry},
+};
+
+/// Share by which a VM that is held counts as cheaper than a new one.
+const HELD_DISCOUNT: f64 = 0.15;
+/// How long fewer VMs must have been enough before one is released.
+const RELEASE_AFTER: Duration = Duration::from_secs(300);
+/// After a notice or a refused start nothing is released for this time.
+const WAVE_HOLD: Duration = Duration::from_secs(600);
+/// Pause before a refused place is tried again; each further refusal doubles it.
+const REFUSED_FIRST: Duration = Duration::from_secs(10);
+const REFUSED_LONGEST: Duration = Duration::from_secs(600);
+/// Most VMs started in one round.
+const STARTS_PER_ROUND: usize = 16;
+
+/// Where and how a VM is held.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FleetPlace {
+    /// Availability zone.
+    pub zone: SharedName,
+    /// Price class.
+    pub class: PriceClass,
+}
+
+/// What the planner weighs for one service, from its row and from what was measured.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetWeights {
+    /// Cost of one VM missing for an hour while there is demand for it, in cost units.
+    pub shortage: f64,
+    /// Chance that a given zone's reclaimable VMs go within an hour.
+    pub zone_loss: f64,
+    /// Cost of one reclaim of one VM: its streams' tokens computed again, in cost units.
+    pub reclaim: f64,
+}
+
+/// Counts by place, in the order of the prices.
+type PlaceCounts = Vec<usize>;
+
+/// What the choice is made from.
+struct FleetProblem<'a> {
+    need: f64,
+    most: usize,
+    prices: &'a [PriceEntry],
+    /// VMs held at each place.
+    held: PlaceCounts,
+    /// Distinct zones, and for each the index of its reclaimable place.
+    reclaimable_of_zone: Vec<Option<usize>>,
+    weights: &'a FleetWeights,
+}
+
+fn place_of(price: &PriceEntry) -> FleetPlace {
+    FleetPlace { zone: price.zone.clone(), class: price.class }
+}
+
+impl<'a> FleetProblem<'a> {
+    fn new(
+        need: f64,
+        most: usize,
+        prices: &'a [PriceEntry],
+        held: &HashMap<FleetPlace, usize>,
+        weights: &'a FleetWeights,
+    ) -> Self {
+        let held = prices.iter().map(|price| held.get(&place_of(price)).copied().unwrap_or(0));
+        let mut zones: Vec<&SharedName> = prices.iter().map(|price| &price.zone).collect();
+        zones.sort();
+        zones.dedup();
+        let reclaimable = |zone: &&SharedName| {
+            prices
+                .iter()
+                .position(|price| price.zone == **zone && price.class == PriceClass::Reclaimable)
+        };
+        Self {
+            need,
+            most,
+            prices,
+            held: held.collect(),
+            reclaimable_of_zone: zones.iter().map(reclaimable).collect(),
+            weights,
+        }
+    }
+
+    /// Expected cost of an hour: prices, reclaims and shortage.
+    fn cost(&self, counts: &[usize]) -> f64 {
+        let total: usize = counts.iter().sum();
+        let shortage = |left: usize| (self.need - left as f64).max(0.0) * self.weights.shortage;
+        let zones = self.reclaimable_of_zone.len() as f64;
+        let quiet = (1.0 - self.weights.zone_loss * zones).max(0.0);
+        let mut cost = quiet * shortage(total);
+        for place in &self.reclaimable_of_zone {
+            let lost = place.map_or(0, |place| counts[place]);
+            cost += self.weights.zone_loss * shortage(total - lost);
+        }
+        for (index, price) in self.prices.iter().enumerate() {
+            let kept = counts[index].min(self.held[index]) as f64;
+            cost += counts[index] as f64 * self.unit_cost(price);
+            cost -= kept * price.per_hour * HELD_DISCOUNT;
+        }
+        cost
+    }
+
+    /// Cost of holding a new VM for an hour.
+    fn unit_cost(&self, price: &PriceEntry) -> f64 {
+        match price.class {
+            PriceClass::Reclaimable => {
+                price.per_hour + self.weights.zone_loss * self.weights.reclaim
+            }
+            PriceClass::OnDemand => price.per_hour,
+        }
+    }
+
+    /// Improves `counts` until no move of a chunk lowers the cost; larger chunks first.
+    fn improve(&self, mut counts: PlaceCounts) -> PlaceCounts {
+        let mut chunk = (self.need / 4.0).ceil().max(1.0) as usize;
+        let mut cost = self.cost(&counts);
+        loop {
+            match self.best_move(&counts, chunk, cost) {
+                Some((better, next)) => (cost, counts) = (better, next),
+                None if chunk == 1 => return counts,
+                None => chunk /= 2,
+            }
+        }
+    }
+
+    /// The best of: a chunk removed or not, and none, one or two chunks added elsewhere.
+    fn best_move(&self, counts: &[usize], chunk: usize, cost: f64) -> Option<(f64, PlaceCounts)> {
+        const LEAST_GAIN: f64 = 1e-9;
+        let places = counts.len();
+        let mut best: Option<(f64, PlaceCounts)> = None;
+        let removals = (0..places).map(Some).chain([None]);
+        for removal in removals {
+            let mut base = counts.to_vec();
+            match removal {
+                Some(place) if base[place] >= chunk => base[place] -= chunk,
+                Some(_) => continue,
+                None => {}
+            }
+            for first in (0..places).map(Some).chain([None]) {
+                for second in
+                    first.into_iter().flat_map(|first| first..places).map(Some).chain([None])
+                {
+                    let mut next = base.clone();
+                    for place in [first, second].into_iter().flatten() {
+                        next[place] += chunk;
+                    }
+                    if next.iter().sum::<usize>() > self.most {
+                        continue;
+                    }
+                    let least = best.as_ref().map_or(cost, |(least, _)| *least);
+                    let found = self.cost(&next);
+                    if found < least - LEAST_GAIN {
+                        best = Some((found, next));
+                    }
+                }
+            }
+        }
+        best
+    }
+}
+
+/// Chooses counts per place for `need` VMs (a fraction counts as part of one).
+pub fn choose_counts(
+    need: f64,
+    prices: &[PriceEntry],
+    held: &HashMap<FleetPlace, usize>,
+    weights: &FleetWeights,
+    most: usize,
+) -> BTreeMap<FleetPlace, usize> {
+    let problem = FleetProblem::new(need, most, prices, held, weights);
+    let counts = problem.improve(vec![0; prices.len()]);
+    let pairs = prices.iter().map(place_of).zip(counts);
+    pairs.filter(|(_, count)| *count > 0).collect()
+}
+
+/// Expected cost of an hour with these counts: prices, reclaims and shortage.
+pub fn expected_cost(
+    need: f64,
+    counts: &BTreeMap<FleetPlace, usize>,
+    prices: &[PriceEntry],
+    weights: &FleetWeights,
+) -> f64 {
+    let problem = FleetProblem::new(need, usize::MAX, prices, &HashMap::new(), weights);
+    let counts = prices.iter().map(|price| counts.get(&place_of(price)).copied().unwrap_or(0));
+    problem.cost(&counts.collect::<Vec<usize>>())
+}
+
+/// One VM that is held.
+#[derive(Clone, Debug, PartialEq)]
+pub struct HeldVm {
+    /// Identity.
+    pub id: SharedName,
+    /// Name it was started under.
+    pub name: SharedName,
+    /// Where and how.
+    pub place: FleetPlace,
+    /// Whether it has a notice.
+    pub leaving: bool,
+}
+
+/// What the planner sees of one service.
+#[derive(Clone, Debug)]
+pub struct ServiceFleet {
+    /// Service.
+    pub service: SharedName,
+    /// VMs that its demand needs now.
+    pub need: f64,
+    /// Fewest and most VMs, from its row.
+    pub bounds: (usize, usize),
+    /// VMs that are held.
+    pub held: Vec<HeldVm>,
+    /// Names that were planned but are not held yet.
+    pub pending: Vec<SharedName>,
+    /// Weights.
+    pub weights: FleetWeights,
+}
+
+/// What to do about the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FleetAction {
+    /// Start a VM under this name.
+    Start {
+        /// Name; starting it twice starts one.
+        name: SharedName,
+        /// Where and how.
+        place: FleetPlace,
+    },
+    /// Release a VM.
+    Release {
+        /// Identity.
+        id: SharedName,
+    },
+}
+
+#[derive(Debug)]
+struct RefusedPlace {
+    until: Instant,
+    pause: Duration,
+}
+
+/// Memory of the planner between rounds.
+#[derive(Debug, Default)]
+pub struct FleetPlanner {
+    refused: HashMap<FleetPlace, RefusedPlace>,
+    /// Since when fewer VMs would have been enough, by service.
+    surplus_since: HashMap<SharedName, Instant>,
+    wave_until: Option<Instant>,
+    leaving_seen: HashSet<SharedName>,
+}
+
+impl FleetPlanner {
+    /// A start was refused: the place is left alone for a while.
+    pub fn refused(&mut self, place: &FleetPlace, now: Instant) {
+        let pause = match self.refused.get(place) {
+            Some(before) => (before.pause * 2).min(REFUSED_LONGEST),
+            None => REFUSED_FIRST,
+        };
+        self.refused.insert(place.clone(), RefusedPlace { until: now + pause, pause });
+        self.wave_until = Some(now + WAVE_HOLD);
+    }
+
+    /// Whether a place is left alone because it refused a start.
+    pub fn is_refused(&self, place: &FleetPlace, now: Instant) -> bool {
+        self.refused.get(place).is_some_and(|refused| now < refused.until)
+    }
+
+    /// A start was carried out.
+    pub fn started(&mut self, place: &FleetPlace) {
+        self.refused.remove(place);
+    }
+
+    /// Whether capacity is held on to because a wave is under way.
+    pub fn is_wave(&self, now: Instant) -> bool {
+        self.wave_until.is_some_and(|until| now < until)
+    }
+
+    fn note_leaving(&mut self, fleet: &ServiceFleet, now: Instant) {
+        for vm in fleet.held.iter().filter(|vm| vm.leaving) {
+            if self.leaving_seen.insert(vm.id.clone()) {
+                self.wave_until = Some(now + WAVE_HOLD);
+            }
+        }
+    }
+
+    /// Decides one round for one service.
+    pub fn decide(
+        &mut self,
+        fleet: &ServiceFleet,
+        prices: &[PriceEntry],
+        now: Instant,
+    ) -> Vec<FleetAction> {
+        self.note_leaving(fleet, now);
+        let open: Vec<PriceEntry> = prices
+            .iter()
+            .filter(|price| {
+                let place = FleetPlace { zone: price.zone.clone(), class: price.class };
+                !self.is_refused(&place, now)
+            })
+            .cloned()
+            .collect();
+        let staying: Vec<&HeldVm> = fleet.held.iter().filter(|vm| !vm.leaving).collect();
+        let mut held: HashMap<FleetPlace, usize> = HashMap::new();
+        for vm in &staying {
+            *held.entry(vm.place.clone()).or_default() += 1;
+        }
+        let need = fleet.need.max(fleet.bounds.0 as f64);
+        // NOTE: a place that refuses starts may still be held, so all prices count here.
+        let target = choose_counts(need, prices, &held, &fleet.weights, fleet.bounds.1);
+        let wanted: usize = target.values().sum();
+        let have = staying.len() + fleet.pending.len();
+        if wanted > have {
+            self.surplus_since.remove(&fleet.service);
+            return self.starts(fleet, &held, &open, wanted - have);
+        }
+        if wanted < staying.len() && fleet.pending.is_empty() {
+            return self.releases(fleet, &staying, &target, now).into_iter().collect();
+        }
+        self.surplus_since.remove(&fleet.service);
+        Vec::new()
+    }
+
+    /// Starts the best VMs among the places that take starts, beside what is held.
+    fn starts(
+        &self,
+        fleet: &ServiceFleet,
+        held: &HashMap<FleetPlace, usize>,
+        open: &[PriceEntry],
+        missing: usize,
+    ) -> Vec<FleetAction> {
+        let need = fleet.need.max(fleet.bounds.0 as f64);
+        let problem = FleetProblem::new(need, usize::MAX, open, held, &fleet.weights);
+        let mut counts = problem.held.clone();
+        let mut names: HashSet<SharedName> =
+            fleet.held.iter().map(|vm| vm.name.clone()).chain(fleet.pending.clone()).collect();
+        let mut actions = Vec::new();
+        for _ in 0..missing.min(STARTS_PER_ROUND) {
+            let cost_with = |place: usize| {
+                let mut next = counts.clone();
+                next[place] += 1;
+                problem.cost(&next)
+            };
+            let best = (0..open.len())
+                .min_by(|left, right| cost_with(*left).total_cmp(&cost_with(*right)));
+            let Some(best) = best else { break };
+            counts[best] += 1;
+            let place = place_of(&open[best]);
+            let name = free_name(&fleet.service, &place, &names);
+            names.insert(name.clone());
+            actions.push(FleetAction::Start { name, place });
+        }
+        actions
+    }
+
+    /// Releases one VM where more are held than wanted, the dearest first, once that has
+    /// been so for a while and no wave is under way.
+    fn releases(
+        &mut self,
+        fleet: &ServiceFleet,
+        staying: &[&HeldVm],
+        target: &BTreeMap<FleetPlace, usize>,
+        now: Instant,
+    ) -> Option<FleetAction> {
+        let since = *self.surplus_since.entry(fleet.service.clone()).or_insert(now);
+        if self.is_wave(now) || now.saturating_duration_since(since) < RELEASE_AFTER {
+            return None;
+        }
+        let mut counts: HashMap<&FleetPlace, usize> = HashMap::new();
+        for vm in staying {
+            *counts.entry(&vm.place).or_default() += 1;
+        }
+        let over = |vm: &&&HeldVm| counts[&vm.place] > target.get(&vm.place).copied().unwrap_or(0);
+        let mut candidates: Vec<&&HeldVm> = staying.iter().filter(over).collect();
+        candidates.sort_by_key(|vm| (vm.place.class != PriceClass::OnDemand, vm.name.clone()));
+        let vm = candidates.first()?;
+        Some(FleetAction::Release { id: vm.id.clone() })
+    }
+}
+
+/// Lowest free name at a place. Two planners that do not know of each other choose the
+/// same name, and the cloud starts it once.
+fn free_name(service: &SharedName, place: &FleetPlace, taken: &HashSet<SharedName>) -> SharedName {
+    let class = match place.class {
+        PriceClass::Reclaimable => "r",
+        PriceClass::OnDemand => "d",
+    };
+    let names = (1_usize..).map(|number| format!("{service}-{}-{class}-{number}", place.zone));
+    let mut free = names.map(SharedName::from).filter(|name| !taken.contains(name));
+    // NOTE: the numbers do not end, so there is a free one.
+    free.next().unwrap_or_default()
+}
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -150,6 +150,14 @@
         })
     }
 
+    /// This daemon's requests in progress, by service.
+    pub fn in_flight(&self) -> HashMap<SharedName, f64> {
+        let total = |routes: &ServiceRoutes| {
+            routes.endpoints.values().map(|route| f64::from(route.in_flight)).sum::<f64>()
+        };
+        self.services.iter().map(|(service, routes)| (service.clone(), total(routes))).collect()
+    }
+
     /// Takes a load report (running and waiting requests).
     pub fn report_load(&mut self, service: &str, id: &str, load: u32) {
         if let Some(route) = self.route(service, id) {
--- a/src/options/rows.rs
+++ b/src/options/rows.rs
@@ -53,8 +53,12 @@
     pub max_vms: u32,
     /// Target for the first token or the answer, in milliseconds.
     pub target_ms: f64,
-    /// What a recomputed token weighs, in thousandths of a cost unit.
+    /// What a recomputed token weighs; 1 is 50,000 tokens to a cost unit.
     pub recompute_weight: f64,
+    /// Cost of one VM missing for an hour while there is demand for it, in cost units.
+    pub shortage_cost: f64,
+    /// Chance that a given zone's reclaimable VMs go within an hour.
+    pub zone_loss_per_hour: f64,
 }
 
 /// One row of the table.
@@ -113,6 +117,8 @@
         max_vms: reader.count("max_vms", 0..=100_000, 100_000) as u32,
         target_ms: reader.number("target_ms", 1.0..=3_600_000.0, 560.0),
         recompute_weight: reader.number("recompute_weight", 0.0..=1e6, 1.0),
+        shortage_cost: reader.number("shortage_cost", 0.0..=1e6, 20.0),
+        zone_loss_per_hour: reader.number("zone_loss_per_hour", 0.0..=0.25, 0.02),
     };
     if row.service_type == ServiceType::Model && !row.repeatable {
         reader.reject("repeatable", "true for a model service: its streams are resumed");
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -12,7 +12,7 @@
 use crate::{
     clock::wait_at_most,
     cluster::{
-        averaging::AccountValues,
+        averaging::DemandOffer,
         core::PeerTarget,
         items::{ItemKey, SpreadItem},
         members::MemberRecord,
@@ -428,34 +428,24 @@
         .await
     }
 
-    /// Exchanges averages; `None` if the target is in another epoch.
+    /// Exchanges averages; `None` if the target is in another epoch or order.
     pub async fn average(
         &self,
         target: &PeerTarget,
-        epoch: u64,
-        values: &AccountValues,
-    ) -> Result<Option<AccountValues>, StepError> {
-        let values = values.clone();
+        offer: &DemandOffer,
+    ) -> Result<Option<Vec<f32>>, StepError> {
+        let offer = offer.clone();
         self.call("exchange averages", target, CALL_LIMIT, |client| async move {
-            let names: Vec<&SharedName> = values.keys().collect();
             let mut request = client.average_request();
-            request.get().set_epoch(epoch);
-            let mut accounts = request.get().init_accounts(names.len() as u32);
-            for (index, name) in names.iter().enumerate() {
-                accounts.set(index as u32, &***name);
-            }
-            let mut numbers = request.get().init_values(names.len() as u32);
-            for (index, name) in names.iter().enumerate() {
-                numbers.set(index as u32, values[*name]);
-            }
+            request.get().set_epoch(offer.epoch);
+            request.get().set_order(offer.order);
+            request.get().set_values(offer.values.as_slice())?;
             let response = request.send().promise.await?;
             let results = response.get()?;
             if !results.get_accepted() {
                 return Ok(None);
             }
-            let theirs =
-                super::server::read_values(results.get_accounts()?, results.get_values()?)?;
-            Ok(Some(theirs))
+            super::server::read_values(results.get_values()?).map(Some)
         })
         .await
     }
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -7807,26 +7807,22 @@
                 self.reader.get_data_field::<u64>(0)
             }
             #[inline]
-            pub fn get_accounts(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn has_accounts(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
+            pub fn get_order(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn get_values(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,f64>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            pub fn get_values(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,f32>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
             pub fn has_values(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7885,36 +7881,28 @@
                 self.builder.set_data_field::<u64>(0, value);
             }
             #[inline]
-            pub fn get_accounts(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_accounts(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
-            }
-            #[inline]
-            pub fn init_accounts(self, size: u32) -> ::capnp::text_list::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            pub fn get_order(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
             }
             #[inline]
-            pub fn has_accounts(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
+            pub fn set_order(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
             }
             #[inline]
-            pub fn get_values(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,f64>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            pub fn get_values(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,f32>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_values(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<f64>>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+            pub fn set_values(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<f32>>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_values(self, size: u32) -> ::capnp::primitive_list::Builder<'a,f64> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+            pub fn init_values(self, size: u32) -> ::capnp::primitive_list::Builder<'a,f32> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
             pub fn has_values(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -7927,12 +7915,12 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 71] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(63, 43, 165, 6, 76, 165, 14, 238),
-                ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 1, 0, 2, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7952,20 +7940,20 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(77, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(100, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(101, 112, 111, 99, 104, 0, 0, 0),
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -7974,17 +7962,12 @@
                 ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 99, 99, 111, 117, 110, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(111, 114, 100, 101, 114, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(118, 97, 108, 117, 101, 115, 0, 0),
@@ -7992,7 +7975,7 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8003,8 +7986,8 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::primitive_list::Owned<f64> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::primitive_list::Owned<f32> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8020,7 +8003,7 @@
             );
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
             pub(crate) const TYPE_ID: u64 = 0xee0e_a54c_06a5_2b3f;
         }
     }
@@ -8091,26 +8074,18 @@
                 self.reader.get_bool_field(0)
             }
             #[inline]
-            pub fn get_accounts(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            pub fn get_values(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,f32>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_accounts(&self) -> bool {
-                !self.reader.get_pointer_field(0).is_null()
-            }
-            #[inline]
-            pub fn get_values(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,f64>> {
-                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
             pub fn has_values(&self) -> bool {
-                !self.reader.get_pointer_field(1).is_null()
+                !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8169,36 +8144,20 @@
                 self.builder.set_bool_field(0, value);
             }
             #[inline]
-            pub fn get_accounts(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            pub fn get_values(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,f32>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_accounts(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            pub fn set_values(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<f32>>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_accounts(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            pub fn init_values(self, size: u32) -> ::capnp::primitive_list::Builder<'a,f32> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
             }
             #[inline]
-            pub fn has_accounts(&self) -> bool {
-                !self.builder.is_pointer_field_null(0)
-            }
-            #[inline]
-            pub fn get_values(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,f64>> {
-                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
-            }
-            #[inline]
-            pub fn set_values(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<f64>>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
-            }
-            #[inline]
-            pub fn init_values(self, size: u32) -> ::capnp::primitive_list::Builder<'a,f64> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
-            }
-            #[inline]
             pub fn has_values(&self) -> bool {
-                !self.builder.is_pointer_field_null(1)
+                !self.builder.is_pointer_field_null(0)
             }
         }
 
@@ -8211,45 +8170,38 @@
         impl Pipeline  {
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 72] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(17, 228, 199, 47, 252, 187, 233, 254),
                 ::capnp::word(16, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+                ::capnp::word(25, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
                 ::capnp::word(110, 112, 58, 80, 101, 101, 114, 46),
                 ::capnp::word(97, 118, 101, 114, 97, 103, 101, 36),
                 ::capnp::word(82, 101, 115, 117, 108, 116, 115, 0),
-                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(49, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(97, 99, 99, 101, 112, 116, 101, 100),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -8259,25 +8211,12 @@
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 99, 99, 111, 117, 110, 116, 115),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(118, 97, 108, 117, 101, 115, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(10, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -8288,8 +8227,7 @@
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                    1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <::capnp::primitive_list::Owned<f64> as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::primitive_list::Owned<f32> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8303,9 +8241,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1,2];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
             pub(crate) const TYPE_ID: u64 = 0xfee9_bbfc_2fc7_e411;
         }
     }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -12,7 +12,7 @@
 use super::{PROTOCOL_VERSION, client::LocalIdentity, codec, is_compatible, transport::rpc_system};
 use crate::{
     cluster::{
-        averaging::AccountValues,
+        averaging::DemandOffer,
         core::{ClusterEvent, PeerTarget},
         members::MemberRecord,
         service::ClusterMessage,
@@ -69,19 +69,11 @@
     }
 }
 
-/// Reads values by account.
-pub fn read_values(
-    accounts: capnp::text_list::Reader<'_>,
-    values: capnp::primitive_list::Reader<'_, f64>,
-) -> Result<AccountValues, Error> {
-    let pairs = accounts.iter().zip(values.iter());
-    pairs
-        .map(|(account, value)| {
-            let sound = value.is_finite() && value >= 0.0;
-            let account = codec::read_name(account?)?;
-            if sound { Ok((account, value)) } else { Err(Error::failed("malformed value".into())) }
-        })
-        .collect()
+/// Reads values, which must be numbers of a demand.
+pub fn read_values(values: capnp::primitive_list::Reader<'_, f32>) -> Result<Vec<f32>, Error> {
+    let sound = |value: &f32| value.is_finite() && *value >= 0.0;
+    let values: Vec<f32> = values.iter().collect();
+    if values.iter().all(sound) { Ok(values) } else { Err(Error::failed("malformed value".into())) }
 }
 
 fn overloaded(error: SendError) -> Error {
@@ -359,20 +351,15 @@
         mut results: peer::AverageResults,
     ) -> Result<(), Error> {
         let params = params.get()?;
-        let epoch = params.get_epoch();
-        let theirs = read_values(params.get_accounts()?, params.get_values()?)?;
-        let answer =
-            self.context.limits.ask(|reply| LimitMessage::Average { epoch, theirs, reply }).await;
+        let theirs = DemandOffer {
+            epoch: params.get_epoch(),
+            order: params.get_order(),
+            values: read_values(params.get_values()?)?,
+        };
+        let answer = self.context.limits.ask(|reply| LimitMessage::Average { theirs, reply }).await;
         let Some(values) = answer.map_err(overloaded)? else { return Ok(()) };
         results.get().set_accepted(true);
-        let mut accounts = results.get().init_accounts(values.len() as u32);
-        for (index, account) in values.keys().enumerate() {
-            accounts.set(index as u32, &**account);
-        }
-        let mut numbers = results.get().init_values(values.len() as u32);
-        for (index, value) in values.values().enumerate() {
-            numbers.set(index as u32, *value);
-        }
+        results.get().set_values(values.as_slice())?;
         Ok(())
     }
 }
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -10,6 +10,7 @@
 pub mod metrics;
 pub mod once;
 pub mod parse;
+pub mod planner;
 pub mod platform_watch;
 pub mod problem;
 pub mod resume;
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -213,7 +213,10 @@
     if let Ok(averages) = context.limits.ask(|reply| LimitMessage::Read { reply }).await {
         let daemons = members.present_count() as f64;
         for (account, average) in averages {
-            let name = format!("account_demand_tokens_per_s{{account=\"{account}\"}}");
+            let name = match account.strip_prefix("service/") {
+                Some(service) => format!("service_load{{service=\"{service}\"}}"),
+                None => format!("account_demand_tokens_per_s{{account=\"{account}\"}}"),
+            };
             metrics.gauge(&name, average * daemons);
         }
     }
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -124,9 +124,15 @@
     /// themselves still have a copy holder in common.
     pub fn copy_targets(&self, name: &RequestName) -> Vec<PeerTarget> {
         let key = name.to_string();
-        let placed = self.members.borrow().placed_for(key.as_bytes(), self.settings.copies + 1);
-        let others = placed.into_iter().filter(|placed| *placed != self.identity.incarnation);
-        others.take(self.settings.copies).filter_map(|placed| self.target(placed)).collect()
+        let members = self.members.borrow();
+        let mut placed = members.placed_for(key.as_bytes(), self.settings.copies + 1);
+        placed.retain(|placed| *placed != self.identity.incarnation);
+        let own_zone = |placed: &IncarnationId| {
+            members.get(*placed).is_some_and(|view| view.record.zone == self.identity.zone)
+        };
+        placed.sort_by_key(own_zone);
+        placed.truncate(self.settings.copies);
+        placed.into_iter().filter_map(|placed| self.target(placed)).collect()
     }
 
     /// Witness for a new ticket: a daemon in another availability zone if there is one,
--- a/src/serve/limit_service.rs
+++ b/src/serve/limit_service.rs
@@ -1,6 +1,6 @@
 //! Service that holds the limits of client accounts together with all other daemons.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use rand::{RngExt, rngs::SmallRng};
 use tokio::{
@@ -10,13 +10,14 @@
 
 use crate::{
     cluster::{
-        averaging::{AccountValues, DemandAveraging, EXCHANGE_MS},
+        averaging::{AccountOrder, DemandAveraging, DemandOffer, EXCHANGE_MS},
         core::PeerTarget,
         members::MemberList,
     },
     decide::limits::{AccountLimiter, LimitVerdict},
     ids::{IncarnationId, SharedName},
     kernel::{ServiceAddress, ServiceInbox},
+    options::rows::TableSnapshot,
     peer::client::PeerPool,
 };
 
@@ -46,32 +47,37 @@
     },
     /// A peer begins an exchange of averages.
     Average {
-        /// Its epoch.
-        epoch: u64,
         /// Its values.
-        theirs: AccountValues,
-        /// Own values from before, if of the same epoch.
-        reply: oneshot::Sender<Option<AccountValues>>,
+        theirs: DemandOffer,
+        /// Own values from before, if of the same epoch and order.
+        reply: oneshot::Sender<Option<Vec<f32>>>,
     },
     /// A peer has answered an exchange.
     Answered {
-        /// Epoch.
-        epoch: u64,
         /// Values that were sent.
-        sent: AccountValues,
+        sent: DemandOffer,
         /// Its values.
-        theirs: AccountValues,
+        theirs: Vec<f32>,
     },
     /// Averages in force, for operators.
     Read {
         /// Averages.
-        reply: oneshot::Sender<AccountValues>,
+        reply: oneshot::Sender<HashMap<SharedName, f64>>,
     },
 }
 
+/// Name under which a service's demand is averaged beside the accounts'. Rows cannot
+/// have it: their names hold no slash.
+pub fn service_demand_name(service: &str) -> SharedName {
+    format!("service/{service}").into()
+}
+
 struct LimitService {
     limiter: AccountLimiter,
     averaging: DemandAveraging,
+    order: Rc<AccountOrder>,
+    loads: watch::Receiver<ServiceLoads>,
+    table: watch::Receiver<Arc<TableSnapshot>>,
     own: IncarnationId,
     members: watch::Receiver<Rc<MemberList>>,
     pool: PeerPool,
@@ -79,19 +85,35 @@
     rng: SmallRng,
 }
 
+/// Requests in progress and waiting at this daemon, by service.
+pub type ServiceLoads = Rc<HashMap<SharedName, f64>>;
+
+/// What the service watches.
+pub struct LimitViews {
+    /// Members in force.
+    pub members: watch::Receiver<Rc<MemberList>>,
+    /// Table in force.
+    pub table: watch::Receiver<Arc<TableSnapshot>>,
+    /// This daemon's load, by service.
+    pub loads: watch::Receiver<ServiceLoads>,
+}
+
 /// Runs the service of the daemon `own`.
 pub async fn run(
     mut inbox: ServiceInbox<LimitMessage>,
     address: ServiceAddress<LimitMessage>,
     own: IncarnationId,
-    members: watch::Receiver<Rc<MemberList>>,
+    views: LimitViews,
     pool: PeerPool,
 ) {
     let mut service = LimitService {
         limiter: AccountLimiter::default(),
         averaging: DemandAveraging::default(),
+        order: Rc::default(),
+        loads: views.loads,
+        table: views.table,
         own,
-        members,
+        members: views.members,
         pool,
         address,
         rng: rand::make_rng(),
@@ -117,13 +139,11 @@
                 let _ = reply.send(self.limiter.admit(&account, tokens, limit, Instant::now()));
             }
             LimitMessage::Refund { account, tokens } => self.limiter.refund(&account, tokens),
-            LimitMessage::Average { epoch, theirs, reply } => {
+            LimitMessage::Average { theirs, reply } => {
                 self.enter_epoch();
-                let _ = reply.send(self.averaging.answer(epoch, &theirs));
-            }
-            LimitMessage::Answered { epoch, sent, theirs } => {
-                self.averaging.finish(epoch, &sent, &theirs);
+                let _ = reply.send(self.averaging.answer(&theirs));
             }
+            LimitMessage::Answered { sent, theirs } => self.averaging.finish(&sent, &theirs),
             LimitMessage::Read { reply } => {
                 let _ = reply.send(self.averaging.result().clone());
             }
@@ -132,8 +152,22 @@
 
     fn enter_epoch(&mut self) {
         let now = Instant::now();
+        if self.table.has_changed().unwrap_or(false) {
+            let table = self.table.borrow_and_update();
+            let accounts = table.accounts().map(|row| row.name.clone());
+            let services = table.services().map(|row| service_demand_name(&row.name));
+            self.order = Rc::new(AccountOrder::new(accounts.chain(services)));
+        }
         let limiter = &mut self.limiter;
-        if self.averaging.enter(crate::wall_clock_ms(), || limiter.demand(now)) {
+        let wall_clock_ms = crate::wall_clock_ms();
+        let loads = &self.loads;
+        let demand = || {
+            let mut demand = limiter.demand(now);
+            let loads = loads.borrow();
+            demand.extend(loads.iter().map(|(name, load)| (service_demand_name(name), *load)));
+            demand
+        };
+        if self.averaging.enter(wall_clock_ms, &self.order, demand) {
             let daemons = self.members.borrow().present_count();
             self.limiter.set_averages(self.averaging.result().clone(), daemons);
         }
@@ -141,13 +175,13 @@
 
     fn exchange(&mut self) {
         self.enter_epoch();
-        let (epoch, sent) = self.averaging.offer();
+        let sent = self.averaging.offer();
         let Some(target) = self.random_member() else { return };
         let (pool, address) = (self.pool.clone(), self.address.clone());
         tokio::task::spawn_local(async move {
             // NOTE: a lost exchange is forgotten with its epoch.
-            if let Ok(Some(theirs)) = pool.average(&target, epoch, &sent).await {
-                let _ = address.send(LimitMessage::Answered { epoch, sent, theirs });
+            if let Ok(Some(theirs)) = pool.average(&target, &sent).await {
+                let _ = address.send(LimitMessage::Answered { sent, theirs });
             }
         });
     }
--- a/src/serve/router.rs
+++ b/src/serve/router.rs
@@ -17,6 +17,7 @@
 };
 
 use super::{
+    limit_service::ServiceLoads,
     metrics::MetricsHandle,
     timeline::{EventKind, TimelineHandle},
 };
@@ -42,7 +43,7 @@
 /// Time between looks at queues and changed inputs.
 const TICK: Duration = Duration::from_millis(20);
 /// Time between polls of the endpoints' load and cache events.
-const POLL_EVERY: Duration = Duration::from_millis(1_000);
+const POLL_EVERY: Duration = Duration::from_millis(2_000);
 /// Longest wait for a polled endpoint.
 const POLL_LIMIT: Duration = Duration::from_millis(500);
 /// Most requests that wait for endpoints of one service.
@@ -229,6 +230,7 @@
     attempt_s: HashMap<SharedName, f64>,
     sharing: f64,
     dirty: bool,
+    loads: watch::Sender<ServiceLoads>,
     rng: SmallRng,
 }
 
@@ -250,6 +252,8 @@
     pub metrics: MetricsHandle,
     /// Time line.
     pub timeline: TimelineHandle,
+    /// Where the load by service is published.
+    pub loads: watch::Sender<ServiceLoads>,
 }
 
 /// Runs the service.
@@ -269,6 +273,7 @@
         attempt_s: HashMap::new(),
         sharing: 1.0,
         dirty: true,
+        loads: inputs.loads,
         rng: rand::make_rng(),
     };
     let mut tick = interval(TICK);
@@ -356,6 +361,7 @@
         if self.dirty || changed(self.table.has_changed()) || changed(self.members.has_changed()) {
             self.rebuild();
         }
+        self.publish_loads();
         let now = Instant::now();
         let services: Vec<SharedName> = self.queues.keys().cloned().collect();
         for service in services {
@@ -368,6 +374,20 @@
         }
     }
 
+    fn publish_loads(&self) {
+        let mut loads: HashMap<SharedName, f64> = self.routes.in_flight();
+        for (service, queue) in &self.queues {
+            *loads.entry(service.clone()).or_default() += queue.len() as f64;
+        }
+        self.loads.send_if_modified(|known| {
+            let changed = **known != loads;
+            if changed {
+                *known = Rc::new(loads);
+            }
+            changed
+        });
+    }
+
     fn pick(&mut self, order: Box<PickOrder>, reply: oneshot::Sender<PickReply>) {
         let service = order.service.clone();
         if self.dirty {
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -38,6 +38,9 @@
 /// Loads a second that the weight store takes.
 const WEIGHTS_PER_S: f64 = 2.0;
 
+/// Service of VMs in the starting list that are not held yet, but can be started.
+const SPARE_SERVICE: &str = "spare";
+
 /// Fault switches of the platform.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -141,6 +144,13 @@
 
 impl Platform {
     fn new(vms: Vec<VmEntry>) -> Self {
+        let prices = default_prices(&vms);
+        let (spare, vms): (Vec<VmEntry>, Vec<VmEntry>) =
+            vms.into_iter().partition(|vm| &*vm.service == SPARE_SERVICE);
+        let mut free_addresses: HashMap<SharedName, Vec<SharedName>> = HashMap::new();
+        for vm in spare {
+            free_addresses.entry(vm.zone).or_default().push(vm.address);
+        }
         let mut state = PlatformState {
             store: ObjectStore::default(),
             faults: PlatformFaults::default(),
@@ -148,12 +158,12 @@
             writes: RateGate::new(WRITES_PER_S),
             reads: RateGate::new(READS_PER_S),
             weights: RateGate::new(WEIGHTS_PER_S),
-            prices: default_prices(&vms),
+            prices,
             vms,
             history: VecDeque::new(),
             list_revision: 0,
             notices: Vec::new(),
-            free_addresses: HashMap::new(),
+            free_addresses,
             started: 0,
         };
         state.record_list();
--- a/tests/integration/cluster_model.rs
+++ b/tests/integration/cluster_model.rs
@@ -7,7 +7,9 @@
     cluster::{
         core::ClusterEvent,
         items::{ItemKey, ItemKind, ItemStore, SpreadItem},
+        members::{MemberList, MemberRecord, MemberStatus, MemberView},
     },
+    ids::IncarnationId,
     standin::fleet::InMemoryFleet,
 };
 
@@ -179,6 +181,57 @@
     expect_that!(known, some(anything()));
 }
 
+fn member_list(count: u64) -> MemberList {
+    let mut members = MemberList::default();
+    for number in 0..count {
+        let record = MemberRecord {
+            address: format!("127.0.0.1:{number}").into(),
+            zone: format!("z{}", number % 4).into(),
+            leaving: false,
+        };
+        let since = tokio::time::Instant::now();
+        let status = MemberStatus::Alive;
+        let view = MemberView { record, status, refutation: 0, since };
+        members.set(IncarnationId(number * 7_919 + 3), view);
+    }
+    members
+}
+
+/// Copies are spread evenly, over zones that differ, and move little when one leaves.
+fn placement_is_even_and_steady(count: u64) {
+    const NAMES: usize = 4_000;
+    let mut members = member_list(count);
+    let placed = |members: &MemberList| -> Vec<Vec<IncarnationId>> {
+        (0..NAMES).map(|name| members.placed_for(format!("k{name}").as_bytes(), 3)).collect()
+    };
+    let before = placed(&members);
+    let mut loads = std::collections::HashMap::<IncarnationId, usize>::new();
+    for copies in &before {
+        let zones: std::collections::BTreeSet<_> =
+            copies.iter().filter_map(|copy| Some(&members.get(*copy)?.record.zone)).collect();
+        expect_that!(zones.len(), eq(3));
+        for copy in copies {
+            *loads.entry(*copy).or_default() += 1;
+        }
+    }
+    let mean = NAMES * 3 / count as usize;
+    expect_that!(loads.values().max(), some(lt(&(mean * 5 / 2))));
+    let gone = IncarnationId(7_919 + 3);
+    members.remove(gone);
+    let after = placed(&members);
+    let moved = before.iter().zip(&after).filter(|(before, after)| before != after).count();
+    let affected = before.iter().filter(|copies| copies.contains(&gone)).count();
+    // Those that had a copy there must move; windows that the member was in without
+    // being chosen may choose its neighbour instead.
+    expect_that!(moved, le(affected * 3));
+}
+
+cases!(placement_is_even_and_steady:
+    placement_over_8(8),
+    placement_over_64(64),
+    placement_over_500(500),
+);
+
 proptest::proptest! {
     /// However offers are ordered and repeated, the newest version is kept, and two
     /// stores that saw the same items have the same summary.
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -96,13 +96,15 @@
     pub daemons: usize,
     pub engines: usize,
     pub plain: usize,
+    /// How many of the engines (the last ones) are not held at first but can be started.
+    pub spare: usize,
     pub step_ms: f64,
     pub settings: Value,
 }
 
 impl Default for Layout {
     fn default() -> Self {
-        Self { daemons: 3, engines: 3, plain: 2, step_ms: 10.0, settings: json!({}) }
+        Self { daemons: 3, engines: 3, plain: 2, spare: 0, step_ms: 10.0, settings: json!({}) }
     }
 }
 
@@ -182,7 +184,12 @@
 
     fn vm_list(&self) -> Value {
         let endpoints = (0..self.layout.engines + self.layout.plain).map(|index| {
-            let service = if index < self.layout.engines { "model" } else { "tagging" };
+            let held = self.layout.engines - self.layout.spare;
+            let service = match index {
+                index if index < held => "model",
+                index if index < self.layout.engines => "spare",
+                _ => "tagging",
+            };
             self.vm(&format!("vm-{index}"), self.endpoint(index), service, index)
         });
         let entries = (0..self.layout.daemons)
@@ -272,7 +279,7 @@
     /// Waits until the daemon knows the table, its endpoints and all other daemons.
     pub fn wait_ready(&self, index: usize) {
         let admin = self.admin(index);
-        let endpoints = self.layout.engines + self.layout.plain;
+        let endpoints = self.layout.engines + self.layout.plain - self.layout.spare;
         eventually("a daemon is ready", || {
             let status = try_get(admin, "/status")?;
             let rows = status["rows"].as_array()?.len();
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,7 +4,9 @@
 mod cluster_model;
 mod harness;
 
+mod decisions;
 mod edges;
+mod fleet_planning;
 mod promises;
 mod request_model;
 mod whole_path;
