Experiments on the decisions, over seeds, with tables and plots

Cause: the decisions had tests, and no measure against naive ways.

Change: benches/decisions: routing, retries, limits, reclaim, fleet; the real pure decisions on a clock of numbers, 12 seeds each, tables and plots in docs/measurements.

--- /dev/null
+++ b/benches/decisions/fleet.rs
@@ -0,0 +1,260 @@
+//! Cost of holding VMs through a burst with waves of reclaims: the real planner, minute
+//! by minute, against simple fleets and a bound that knows the future.
+
+use std::{collections::HashMap, time::Duration};
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+use willowarch::{
+    decide::fleet::{FleetAction, FleetPlace, FleetPlanner, FleetWeights, HeldVm, ServiceFleet},
+    ids::SharedName,
+    platform::messages::{PriceClass, PriceEntry},
+};
+
+use crate::{
+    SEEDS,
+    report::{WayResults, plot_seeds, write_table},
+};
+
+const MINUTES: usize = 720;
+const START_MINUTES: usize = 2;
+const ZONES: usize = 4;
+const SHORTAGE: f64 = 20.0;
+const ZONE_LOSS_PER_HOUR: f64 = 0.02;
+
+#[derive(Clone, Copy, PartialEq)]
+enum Way {
+    Ours { recompute: f64 },
+    OnDemandOnly,
+    CheapestOnly,
+}
+
+/// What happens, the same for all ways of one seed.
+struct World {
+    /// VMs needed, by minute.
+    need: Vec<f64>,
+    /// Prices, by minute.
+    prices: Vec<Vec<PriceEntry>>,
+    /// Zones whose reclaimable VMs go in this minute.
+    waves: HashMap<usize, usize>,
+    /// Minute until which a zone refuses reclaimable starts, by zone and start.
+    refusals: Vec<(usize, usize, usize)>,
+}
+
+fn zone(index: usize) -> SharedName {
+    format!("z{index}").into()
+}
+
+fn make_world(seed: u64, burst: f64) -> World {
+    let mut rng = SmallRng::seed_from_u64(seed);
+    let need = (0..MINUTES)
+        .map(|minute| {
+            let peak = (-((minute as f64 - 330.0) / 110.0).powi(2)).exp() * burst;
+            (4.0 + peak) * rng.random_range(0.95..1.05)
+        })
+        .collect();
+    let mut reclaimable: Vec<f64> = (0..ZONES).map(|_| rng.random_range(0.25..0.4)).collect();
+    let prices = (0..MINUTES)
+        .map(|_| {
+            let mut entries = Vec::new();
+            for (index, price) in reclaimable.iter_mut().enumerate() {
+                *price = (*price * rng.random_range(0.99..1.01)).clamp(0.2, 0.6);
+                let entry = |class, per_hour| PriceEntry { zone: zone(index), class, per_hour };
+                entries.push(entry(PriceClass::OnDemand, 1.0));
+                entries.push(entry(PriceClass::Reclaimable, *price));
+            }
+            entries
+        })
+        .collect();
+    let mut waves = HashMap::new();
+    let mut refusals = Vec::new();
+    // One wave during the burst: two zones, one after another.
+    let first = rng.random_range(240..400);
+    let zones = [rng.random_range(0..ZONES), rng.random_range(0..ZONES)];
+    for (number, zone) in zones.into_iter().enumerate() {
+        let minute = first + number * rng.random_range(3..12);
+        waves.insert(minute, zone);
+        refusals.push((zone, minute.saturating_sub(2), minute + 40));
+    }
+    World { need, prices, waves, refusals }
+}
+
+#[derive(Clone)]
+struct Vm {
+    number: usize,
+    name: SharedName,
+    place: FleetPlace,
+    ready_at: usize,
+}
+
+struct Outcome {
+    vm_cost: f64,
+    missing: f64,
+    needed: f64,
+    reclaimed: f64,
+}
+
+/// Starts asked for by one of the simple ways: it follows the need as it is.
+fn simple_actions(
+    way: Way,
+    need: f64,
+    vms: &[Vm],
+    prices: &[PriceEntry],
+) -> (usize, FleetPlace, usize) {
+    let class =
+        if way == Way::OnDemandOnly { PriceClass::OnDemand } else { PriceClass::Reclaimable };
+    let of_class = prices.iter().filter(|price| price.class == class);
+    let cheapest = of_class.min_by(|left, right| left.per_hour.total_cmp(&right.per_hour));
+    let place = FleetPlace { zone: cheapest.map_or(zone(0), |price| price.zone.clone()), class };
+    let wanted = need.ceil() as usize;
+    (wanted.saturating_sub(vms.len()), place, vms.len().saturating_sub(wanted))
+}
+
+fn play(world: &World, way: Way) -> Outcome {
+    let base = Instant::now();
+    let mut planner = FleetPlanner::default();
+    let mut vms: Vec<Vm> = Vec::new();
+    let mut number = 0;
+    let mut outcome = Outcome { vm_cost: 0.0, missing: 0.0, needed: 0.0, reclaimed: 0.0 };
+    let mut low_since = 0;
+    for minute in 0..MINUTES {
+        let now = base + Duration::from_secs(60 * minute as u64);
+        let prices = &world.prices[minute];
+        let need = world.need[minute];
+        if let Some(lost) = world.waves.get(&minute) {
+            let lost = FleetPlace { zone: zone(*lost), class: PriceClass::Reclaimable };
+            // Seen with its notice first, gone in the next minute.
+            if let Way::Ours { recompute } = way {
+                let view = service_view(&vms, need, recompute, Some(&lost));
+                planner.decide(&view, prices, now);
+            }
+            outcome.reclaimed += vms.iter().filter(|vm| vm.place == lost).count() as f64;
+            vms.retain(|vm| vm.place != lost);
+        }
+        let refuses = |place: &FleetPlace| {
+            place.class == PriceClass::Reclaimable
+                && world.refusals.iter().any(|(refused, from, until)| {
+                    zone(*refused) == place.zone && (*from..*until).contains(&minute)
+                })
+        };
+        let mut start = |vms: &mut Vec<Vm>, place: &FleetPlace, name: Option<SharedName>| {
+            if refuses(place) {
+                return false;
+            }
+            number += 1;
+            let name = name.unwrap_or_else(|| format!("n{number}").into());
+            let ready_at = if minute == 0 { 0 } else { minute + START_MINUTES };
+            vms.push(Vm { number, name, place: place.clone(), ready_at });
+            true
+        };
+        match way {
+            Way::Ours { recompute } => {
+                // Several rounds fit into a minute.
+                for _ in 0..4 {
+                    let view = service_view(&vms, need, recompute, None);
+                    for action in planner.decide(&view, prices, now) {
+                        match action {
+                            FleetAction::Start { name, place } => {
+                                if !start(&mut vms, &place, Some(name)) {
+                                    planner.refused(&place, now);
+                                }
+                            }
+                            FleetAction::Release { id } => {
+                                vms.retain(|vm| vm_id(vm) != id);
+                            }
+                        }
+                    }
+                }
+            }
+            Way::OnDemandOnly | Way::CheapestOnly => {
+                let (starts, place, surplus) = simple_actions(way, need, &vms, prices);
+                for _ in 0..starts {
+                    start(&mut vms, &place, None);
+                }
+                // Like ours, it waits some minutes before it releases.
+                low_since = if surplus == 0 { minute } else { low_since };
+                if minute - low_since >= 5 {
+                    vms.truncate(vms.len() - surplus.min(1));
+                }
+            }
+        }
+        let ready = vms.iter().filter(|vm| vm.ready_at <= minute).count() as f64;
+        outcome.missing += (need - ready).max(0.0);
+        outcome.needed += need;
+        let price_of = |vm: &Vm| {
+            let same =
+                |price: &&PriceEntry| price.zone == vm.place.zone && price.class == vm.place.class;
+            prices.iter().find(same).map_or(0.0, |price| price.per_hour)
+        };
+        outcome.vm_cost += vms.iter().map(price_of).sum::<f64>() / 60.0;
+    }
+    outcome
+}
+
+fn vm_id(vm: &Vm) -> SharedName {
+    format!("vm-{}", vm.number).into()
+}
+
+fn service_view(vms: &[Vm], need: f64, recompute: f64, lost: Option<&FleetPlace>) -> ServiceFleet {
+    let held = vms
+        .iter()
+        .map(|vm| HeldVm {
+            id: vm_id(vm),
+            name: vm.name.clone(),
+            place: vm.place.clone(),
+            leaving: Some(&vm.place) == lost,
+        })
+        .collect();
+    let weights =
+        FleetWeights { shortage: SHORTAGE, zone_loss: ZONE_LOSS_PER_HOUR, reclaim: recompute };
+    ServiceFleet {
+        service: "m".into(),
+        need,
+        bounds: (0, 1_000),
+        held,
+        pending: Vec::new(),
+        weights,
+    }
+}
+
+/// Cost that no fleet can be under: each minute the need at the cheapest price there is.
+fn bound(world: &World) -> f64 {
+    let minutes = world.need.iter().zip(&world.prices);
+    let cost = minutes.map(|(need, prices)| {
+        let cheapest = prices.iter().map(|price| price.per_hour).fold(f64::INFINITY, f64::min);
+        need * cheapest / 60.0
+    });
+    cost.sum()
+}
+
+pub fn fleet() {
+    let ways = [
+        ("ours, bakery (reclaim 0.1)", Way::Ours { recompute: 0.1 }),
+        ("ours, Inkbridge (reclaim 3)", Way::Ours { recompute: 3.0 }),
+        ("on-demand only", Way::OnDemandOnly),
+        ("cheapest only", Way::CheapestOnly),
+    ];
+    let mut results = Vec::new();
+    for (name, way) in ways {
+        let values = SEEDS.map(|seed| {
+            let world = make_world(seed, 24.0);
+            let outcome = play(&world, way);
+            let missing = outcome.missing / outcome.needed * 100.0;
+            let total = outcome.vm_cost + outcome.missing / 60.0 * SHORTAGE;
+            vec![outcome.vm_cost, missing, total, total / bound(&world), outcome.reclaimed]
+        });
+        results.push(WayResults { way: name, values: values.collect() });
+    }
+    let about = format!(
+        "{} hours with a burst to seven times the base; during it two zones' reclaimable VMs go \
+         one after another and those zones refuse starts for 40 minutes; a start takes \
+         {START_MINUTES} minutes; prices drift. Missing: share of the needed VM minutes. With \
+         shortage: a missing VM hour at {SHORTAGE} units. Bound: the need of each minute at its \
+         cheapest price, no loss, no start-up, fractions of VMs allowed.",
+        MINUTES / 60
+    );
+    let measures =
+        ["VM cost", "missing, %", "cost with shortage", "over the bound, times", "VMs reclaimed"];
+    write_table("fleet", &about, &measures, &results);
+    plot_seeds("fleet", "cost with shortage", 2, &results);
+}
--- /dev/null
+++ b/benches/decisions/main.rs
@@ -0,0 +1,30 @@
+//! Experiments on the decisions: ours against naive ones and against bounds that know
+//! the future, over seeds. Each writes a table and a plot into docs/measurements.
+//!
+//!     cargo bench --bench decisions [-- routing|limits|retries|reclaim|fleet]
+
+mod fleet;
+mod limits;
+mod reclaim;
+mod report;
+mod serving;
+
+/// Seeds of every experiment.
+const SEEDS: std::ops::Range<u64> = 1..13;
+
+fn main() {
+    let wanted: Vec<String> =
+        std::env::args().skip(1).filter(|text| !text.starts_with("--")).collect();
+    let experiments: [(&str, fn()); 5] = [
+        ("routing", serving::routing),
+        ("retries", serving::retries),
+        ("limits", limits::limits),
+        ("reclaim", reclaim::reclaim),
+        ("fleet", fleet::fleet),
+    ];
+    for (name, run) in experiments {
+        if wanted.is_empty() || wanted.iter().any(|text| text == name) {
+            run();
+        }
+    }
+}
