Limits: shares from the demand that was averaged

Cause: a daemon worked out its share from its demand at the moment when a request arrived, which is a moment of high demand; such shares add up to more than the limit.

Ruled out: the averages' error (0.6 to 3%), the burst (one second of the local rate), the number of daemons (known to all).

Change: the share is the daemon's part in the average itself, with a least share of a twentieth of an even part, so that a quiet daemon can begin.

--- a/src/decide/limits.rs
+++ b/src/decide/limits.rs
@@ -12,6 +12,8 @@
 
 /// Time constant of the demand estimate, in seconds.
 const DEMAND_WINDOW_S: f64 = 2.0;
+/// Least share of a daemon, as a part of an even share.
+const LEAST_SHARE: f64 = 0.05;
 /// Burst that a quiet account may spend at once, in seconds of its local rate.
 const BURST_S: f64 = 1.0;
 /// Longest and shortest time told to a refused caller.
@@ -21,6 +23,8 @@
 struct AccountBucket {
     /// Tokens a second asked for here, smoothed.
     demand: f64,
+    /// The demand that went into the average in force, and into the one being made.
+    published: [f64; 2],
     level: f64,
     rate: f64,
     filled_at: Instant,
@@ -63,13 +67,14 @@
         let average = self.averages.get(account).copied();
         let bucket = self.accounts.entry(account.clone()).or_insert(AccountBucket {
             demand: 0.0,
+            published: [0.0; 2],
             level: limit / daemons * BURST_S,
             rate: limit / daemons,
             filled_at: now,
         });
         bucket.fill(now);
         bucket.demand += tokens / DEMAND_WINDOW_S;
-        bucket.rate = local_rate(bucket.demand, average, daemons, limit);
+        bucket.rate = local_rate(bucket, average, daemons, limit);
         // NOTE: a request larger than the burst is let in when the bucket is full, and
         // leaves it in debt; else it could never run.
         let needed = tokens.min(bucket.rate * BURST_S);
@@ -91,13 +96,17 @@
         }
     }
 
-    /// Demand of each account here, for the exchange with the others.
+    /// Demand of each account here, for the exchange with the others; asked for once an
+    /// epoch, when the average of the epoch before comes into force.
     pub fn demand(&mut self, now: Instant) -> HashMap<SharedName, f64> {
         const QUIET: f64 = 0.01;
         for bucket in self.accounts.values_mut() {
             bucket.fill(now);
         }
         self.accounts.retain(|_, bucket| bucket.demand > QUIET);
+        for bucket in self.accounts.values_mut() {
+            bucket.published = [bucket.published[1], bucket.demand];
+        }
         let demands = self.accounts.iter();
         demands.map(|(account, bucket)| (account.clone(), bucket.demand)).collect()
     }
@@ -114,9 +123,19 @@
 
 /// Rate of one daemon: the limit divided by demand. Where the demand of all is below
 /// the limit, the unused part is lent out evenly.
-fn local_rate(own: f64, average: Option<f64>, daemons: f64, limit: f64) -> f64 {
-    let Some(average) = average else { return limit / daemons };
-    // NOTE: the average lags behind a burst; own demand is a lower bound of the total.
+///
+/// The share is worked out from the demand that went into the average, not from the
+/// demand of this moment: a moment at which a request arrives is one of high demand, and
+/// shares of such moments add up to more than the whole.
+fn local_rate(bucket: &AccountBucket, average: Option<f64>, daemons: f64, limit: f64) -> f64 {
+    let even = limit / daemons;
+    let Some(average) = average else { return even };
+    let own = bucket.published[0];
     let total = (average * daemons).max(own);
-    if total > limit { limit * own / total } else { own + (limit - total) / daemons }
+    if total > limit {
+        // NOTE: the least share lets a daemon that was quiet until now begin.
+        (limit * own / total).max(even * LEAST_SHARE)
+    } else {
+        own.max(bucket.demand) + (limit - total) / daemons
+    }
 }
