Retries: an endpoint that has just failed comes last, and probes are rare

Cause: of 175 requests in a brownout of half the engines, most were spent on finding out again what was known: three failures at each of five engines by each of eight daemons, and then a probe, which is a caller's request, at each end of each short ejection.

Change: each failure in a row adds 400 ms to the expected wait, so others are taken first; a daemon probes a service's ejected endpoints at most twice a second.

--- a/src/decide/health.rs
+++ b/src/decide/health.rs
@@ -53,6 +53,11 @@
         }
     }
 
+    /// Failures in a row, up to the ejection.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
     /// A request was sent to an ejected endpoint.
     pub fn begin_probe(&mut self) {
         self.probing = true;
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -9,6 +9,7 @@
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
+    time::Duration,
 };
 
 use rand::{Rng, RngExt};
@@ -26,6 +27,12 @@
 const BATCH_MS: f64 = 60.0;
 /// Wait for each request beyond the endpoint's concurrency, in milliseconds.
 const QUEUE_MS: f64 = 40.0;
+/// Wait assumed for each failure in a row: an endpoint that has just failed comes last
+/// well before it is ejected.
+const FAILURE_MS: f64 = 400.0;
+/// Time between probes of a service's ejected endpoints by one daemon: each probe is a
+/// caller's request that will probably fail.
+const PROBE_EVERY: Duration = Duration::from_millis(500);
 /// Cost of crossing to another availability zone, in milliseconds.
 const ZONE_MS: f64 = 2.0;
 /// Blocks remembered for each endpoint.
@@ -86,6 +93,7 @@
     concurrency: u32,
     /// Daemons that share each endpoint.
     sharing: f64,
+    probe_at: Option<Instant>,
 }
 
 /// Routes of all services that this daemon uses.
@@ -192,7 +200,8 @@
             !self.leaving.contains(&route.info.id) && !query.exclude.contains(&route.info.id)
         };
         let present: Vec<&EndpointRoute> = routes.endpoints.values().filter(usable).collect();
-        let admitted = admit_by_health(&present, now);
+        let may_probe = routes.probe_at.is_none_or(|at| now >= at);
+        let admitted = admit_by_health(&present, may_probe, now);
         let concurrency = f64::from(routes.concurrency);
         let mut best: Option<(f64, &EndpointRoute)> = None;
         let mut busy = false;
@@ -231,18 +240,20 @@
         let batch = load / concurrency * BATCH_MS;
         let queue = (load + 1.0 - concurrency).max(0.0) * QUEUE_MS;
         let zone = if route.info.zone == self.zone { 0.0 } else { ZONE_MS };
-        prefill + batch + queue + zone
+        let failures = f64::from(route.health.failures()) * FAILURE_MS;
+        prefill + batch + queue + zone + failures
     }
 
     /// An attempt was started at an endpoint.
     pub fn started(&mut self, service: &str, id: &str, chain: &[u64], now: Instant) {
-        if let Some(route) = self.route(service, id) {
-            route.in_flight += 1;
-            route.drift += 1;
-            route.cache.insert(chain);
-            if route.health.state(now) == HealthState::Probing {
-                route.health.begin_probe();
-            }
+        let Some(routes) = self.services.get_mut(service) else { return };
+        let Some(route) = routes.endpoints.get_mut(id) else { return };
+        route.in_flight += 1;
+        route.drift += 1;
+        route.cache.insert(chain);
+        if route.health.state(now) == HealthState::Probing {
+            route.health.begin_probe();
+            routes.probe_at = Some(now + PROBE_EVERY);
         }
     }
 
@@ -306,14 +317,18 @@
 
 /// Candidates after ejection. If more than the allowed share is ejected, or nothing
 /// is left, all are taken: many failing at once says more about the load than about them.
-fn admit_by_health<'a>(present: &[&'a EndpointRoute], now: Instant) -> Vec<&'a EndpointRoute> {
+fn admit_by_health<'a>(
+    present: &[&'a EndpointRoute],
+    may_probe: bool,
+    now: Instant,
+) -> Vec<&'a EndpointRoute> {
     let mut admitted = Vec::with_capacity(present.len());
     for route in present {
         match route.health.state(now) {
             HealthState::Healthy => admitted.push(*route),
             // NOTE: the first probe that is due goes alone, before the healthy ones.
-            HealthState::Probing => return vec![*route],
-            HealthState::Ejected => {}
+            HealthState::Probing if may_probe => return vec![*route],
+            HealthState::Probing | HealthState::Ejected => {}
         }
     }
     let ejected = present.len() - admitted.len();
