Fleet: spares priced by how long lost VMs are missing

Ruled out: the release pause (5 minutes in the simple fleets too), the discount of held VMs (no effect on the totals when taken away, a trial).

Change: a loss counts for the time until lost VMs are replaced, a setting of the row (6 minutes; longer where starts are refused often).

--- a/benches/decisions/fleet.rs
+++ b/benches/decisions/fleet.rs
@@ -21,6 +21,7 @@
 const ZONES: usize = 4;
 const SHORTAGE: f64 = 20.0;
 const ZONE_LOSS_PER_HOUR: f64 = 0.02;
+const REPLACE_HOURS: f64 = 0.1;
 
 #[derive(Clone, Copy, PartialEq)]
 enum Way {
@@ -205,8 +206,12 @@
             leaving: Some(&vm.place) == lost,
         })
         .collect();
-    let weights =
-        FleetWeights { shortage: SHORTAGE, zone_loss: ZONE_LOSS_PER_HOUR, reclaim: recompute };
+    let weights = FleetWeights {
+        shortage: SHORTAGE,
+        zone_loss: ZONE_LOSS_PER_HOUR,
+        replace_hours: REPLACE_HOURS,
+        reclaim: recompute,
+    };
     ServiceFleet {
         service: "m".into(),
         need,
--- a/src/control/spreadsheet.rs
+++ b/src/control/spreadsheet.rs
@@ -10,7 +10,7 @@
 /// Column that holds the version a row had when it was written out; 0 for new rows.
 const VERSION: &str = "version";
 /// Columns, in the order in which operators want them.
-const COLUMNS: [&str; 16] = [
+const COLUMNS: [&str; 17] = [
     VERSION,
     "kind",
     "name",
@@ -26,6 +26,7 @@
     "recompute_weight",
     "shortage_cost",
     "zone_loss_per_hour",
+    "replace_minutes",
     "note",
 ];
 
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -1,7 +1,7 @@
 //! Which VMs to hold, in which availability zone and price class.
 //!
-//! The state of the world an hour ahead is one of a few: nothing happens, or one zone's
-//! reclaimable VMs go. A VM more is worth what it saves in expected shortage over these
+//! At any time the world is in one of a few states: nothing is wrong, or one zone's
+//! reclaimable VMs are gone and not yet replaced. A VM more is worth what it saves in expected shortage over these
 //! states; it costs its price, and what its own reclaim would cost in tokens computed
 //! again. Counts per place are improved by moving chunks of VMs, first large then small,
 //! while that lowers the expected cost. VMs that are held already count as a little
@@ -47,6 +47,8 @@
     pub shortage: f64,
     /// Chance that a given zone's reclaimable VMs go within an hour.
     pub zone_loss: f64,
+    /// Time until lost VMs are replaced, in hours; longer where starts are refused.
+    pub replace_hours: f64,
     /// Cost of one reclaim of one VM: its streams' tokens computed again, in cost units.
     pub reclaim: f64,
 }
@@ -102,11 +104,12 @@
         let total: usize = counts.iter().sum();
         let shortage = |left: usize| (self.need - left as f64).max(0.0) * self.weights.shortage;
         let zones = self.reclaimable_of_zone.len() as f64;
-        let quiet = (1.0 - self.weights.zone_loss * zones).max(0.0);
-        let mut cost = quiet * shortage(total);
+        // Part of an hour in which a given zone's reclaimable VMs are missing.
+        let missing = self.weights.zone_loss * self.weights.replace_hours;
+        let mut cost = (1.0 - missing * zones).max(0.0) * shortage(total);
         for place in &self.reclaimable_of_zone {
             let lost = place.map_or(0, |place| counts[place]);
-            cost += self.weights.zone_loss * shortage(total - lost);
+            cost += missing * shortage(total - lost);
         }
         for (index, price) in self.prices.iter().enumerate() {
             let kept = counts[index].min(self.held[index]) as f64;
--- a/src/options/rows.rs
+++ b/src/options/rows.rs
@@ -59,6 +59,8 @@
     pub shortage_cost: f64,
     /// Chance that a given zone's reclaimable VMs go within an hour.
     pub zone_loss_per_hour: f64,
+    /// Minutes until lost VMs are replaced; longer where starts are often refused.
+    pub replace_minutes: f64,
 }
 
 /// One row of the table.
@@ -119,6 +121,7 @@
         recompute_weight: reader.number("recompute_weight", 0.0..=1e6, 1.0),
         shortage_cost: reader.number("shortage_cost", 0.0..=1e6, 20.0),
         zone_loss_per_hour: reader.number("zone_loss_per_hour", 0.0..=0.25, 0.02),
+        replace_minutes: reader.number("replace_minutes", 0.1..=1_440.0, 6.0),
     };
     if row.service_type == ServiceType::Model && !row.repeatable {
         reader.reject("repeatable", "true for a model service: its streams are resumed");
--- a/src/serve/planner.rs
+++ b/src/serve/planner.rs
@@ -353,6 +353,7 @@
     FleetWeights {
         shortage: row.shortage_cost,
         zone_loss: row.zone_loss_per_hour,
+        replace_hours: row.replace_minutes / 60.0,
         reclaim: row.recompute_weight * lost_tokens / TOKENS_PER_UNIT,
     }
 }
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -430,7 +430,7 @@
 }
 
 fn fleet_weights(shortage: f64, zone_loss: f64, reclaim: f64) -> FleetWeights {
-    FleetWeights { shortage, zone_loss, reclaim }
+    FleetWeights { shortage, zone_loss, replace_hours: 1.0, reclaim }
 }
 
 fn count_of(counts: &BTreeMap<FleetPlace, usize>, class: PriceClass) -> usize {
