Copies: a directory by name, tokens at partners in one message

Cause: whole copies went to peers placed by each request's name, so nothing could be batched: worked out for the two-year target, 22,800 messages a second a daemon.

Ruled out: longer pauses alone (still linear in streams), partners alone (a daemon that is asked for a name cannot know whose partners to ask).

Change: peers placed by the name are told once who runs the request; tokens go to the daemon's two partners, all requests in one message, ten times a second instead of 25; calls are never copied (who resumes brings the call), news carry neither digest nor address. Entries of long requests are told again before they expire.

--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -35,7 +35,7 @@
   term @1 :UInt32;          # counts take-overs; a higher one wins
   holder @2 :UInt64;        # incarnation that runs the request
   holderAddress @3 :Text;
-  call @4 :Data;            # JSON of the checked call, empty in news
+  digest @4 :Data;          # SHA-256 of the checked call; whoever resumes brings the call
   firstToken @5 :UInt32;    # index of tokens[0] in the answer
   tokens @6 :List(Text);
   final @7 :Data;           # JSON of the final answer, empty while running
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -308,12 +308,9 @@
     context.metrics.count("requests_handed_off", count as u64);
     let detail = format!("handing off {count} requests");
     context.note_subject(EventKind::Phase, &context.identity.address, detail);
-    let offers = running.iter().flat_map(|copy| {
-        context
-            .copy_targets(&copy.name)
-            .into_iter()
-            .map(move |target| async move { context.pool.offer(&target, copy).await.is_ok() })
-    });
+    let own = context.identity.incarnation;
+    let partners = context.partner_targets(own, context.settings.copies);
+    let offers = partners.iter().map(|partner| context.pool.append(partner, &running));
     let limit = deadline.saturating_duration_since(Instant::now()).max(FAREWELL);
     let _ = tokio::time::timeout(limit, futures::future::join_all(offers)).await;
 }
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -130,6 +130,14 @@
     serde_json::to_vec(value).unwrap_or_default()
 }
 
+/// Reads a digest; news have none.
+fn read_digest(data: capnp::data::Reader<'_>) -> Result<Option<[u8; 32]>, Error> {
+    if data.is_empty() {
+        return Ok(None);
+    }
+    data.try_into().map(Some).map_err(|_| failed("digest"))
+}
+
 /// Reads a request copy.
 pub fn read_copy(copy: peer_capnp::request_copy::Reader<'_>) -> Result<RequestCopy, Error> {
     let tokens = copy.get_tokens()?;
@@ -147,7 +155,8 @@
             incarnation: IncarnationId(copy.get_holder()),
             address: holder_address.into(),
         },
-        call: read_json(copy.get_call()?, "call")?,
+        digest: read_digest(copy.get_digest()?)?,
+        call: None,
         first_token: copy.get_first_token() as usize,
         tokens: tokens.iter().map(read_token).collect::<Result<_, _>>()?,
         answer: read_json(copy.get_final()?, "final answer")?,
@@ -159,10 +168,13 @@
     write_request_name(builder.reborrow().init_name(), &copy.name);
     builder.set_term(copy.term);
     builder.set_holder(copy.holder.incarnation.0);
-    builder.set_holder_address(&*copy.holder.address);
     builder.set_first_token(copy.first_token as u32);
-    if let Some(call) = &copy.call {
-        builder.set_call(&to_json(call));
+    // NOTE: news go to a peer that knows the request; it needs neither again.
+    if copy.first_token == 0 {
+        builder.set_holder_address(&*copy.holder.address);
+        if let Some(digest) = &copy.digest {
+            builder.set_digest(digest);
+        }
     }
     if let Some(answer) = &copy.answer {
         builder.set_final(&to_json(answer));
--- a/src/peer/peer_capnp.rs
+++ b/src/peer/peer_capnp.rs
@@ -1351,11 +1351,11 @@
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_call(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+        pub fn get_digest(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_call(&self) -> bool {
+        pub fn has_digest(&self) -> bool {
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
@@ -1481,19 +1481,19 @@
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_call(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+        pub fn get_digest(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_call(&mut self, value: ::capnp::data::Reader<'_>)  {
+        pub fn set_digest(&mut self, value: ::capnp::data::Reader<'_>)  {
             self.builder.reborrow().get_pointer_field(2).set_data(value);
         }
         #[inline]
-        pub fn init_call(self, size: u32) -> ::capnp::data::Builder<'a> {
+        pub fn init_digest(self, size: u32) -> ::capnp::data::Builder<'a> {
             self.builder.get_pointer_field(2).init_data(size)
         }
         #[inline]
-        pub fn has_call(&self) -> bool {
+        pub fn has_digest(&self) -> bool {
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
@@ -1599,7 +1599,7 @@
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(229, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(224, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(236, 0, 0, 0, 2, 0, 1, 0),
@@ -1657,7 +1657,7 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(99, 97, 108, 108, 0, 0, 0, 0),
+            ::capnp::word(100, 105, 103, 101, 115, 116, 0, 0),
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
--- a/src/request/store.rs
+++ b/src/request/store.rs
@@ -41,7 +41,10 @@
     pub term: u32,
     /// Who runs it.
     pub holder: RequestHolder,
-    /// The call; only needed where the receiver may not know it.
+    /// Digest of the call; news have none.
+    pub digest: Option<[u8; 32]>,
+    /// The call, where it is known. Peers are not sent it: whoever takes a request over
+    /// does so for a caller, who brings it.
     pub call: Option<Arc<CallerCall>>,
     /// Index in the answer of the first of `tokens`.
     pub first_token: usize,
@@ -65,6 +68,7 @@
 /// What grows while a request runs.
 #[derive(Debug)]
 struct AnswerLog {
+    digest: [u8; 32],
     term: u32,
     holder: RequestHolder,
     tokens: Vec<AnswerToken>,
@@ -78,6 +82,7 @@
             name: name.clone(),
             term: self.term,
             holder: self.holder.clone(),
+            digest: Some(self.digest),
             call: None,
             first_token,
             tokens: self.tokens[first_token..].to_vec(),
@@ -119,8 +124,7 @@
 
 #[derive(Debug)]
 struct StoredRequest {
-    call: Arc<CallerCall>,
-    digest: [u8; 32],
+    call: Option<Arc<CallerCall>>,
     log: Rc<RefCell<AnswerLog>>,
     progress: watch::Sender<RequestProgress>,
     expires_at: Instant,
@@ -175,17 +179,18 @@
         now: Instant,
     ) -> ClaimVerdict {
         let digest = call.digest();
-        if let Some(record) = self.records.get(name) {
-            if record.digest != digest {
+        if let Some(record) = self.records.get_mut(name) {
+            if record.digest() != digest {
                 return ClaimVerdict::KeyReused;
             }
+            record.call.get_or_insert_with(|| call.clone());
             if record.is_answered() || record.is_running_at(&self.own) {
                 return ClaimVerdict::Here;
             }
             return ClaimVerdict::Copied(record.copy_from(name, 0));
         }
         let holder = self.own.clone();
-        self.insert(name, call.clone(), 0, holder, now);
+        self.insert(name, Some(call.clone()), digest, 0, holder, now);
         ClaimVerdict::New
     }
 
@@ -240,11 +245,11 @@
         let Some(record) = self.records.get(&name) else { return self.offer_unknown(copy, now) };
         let goes_before = {
             let log = record.log.borrow();
-            let same_holder = log.holder == copy.holder;
+            let same_holder = log.holder.incarnation == copy.holder.incarnation;
             let newer = copy.term > log.term || (copy.term == log.term && same_holder);
             newer && copy.first_token <= log.tokens.len()
         };
-        let same_call = copy.call.as_ref().is_none_or(|call| call.digest() == record.digest);
+        let same_call = copy.digest.is_none_or(|digest| digest == record.digest());
         if record.is_answered() || !goes_before || !same_call {
             let known = record.copy_from(&name, 0);
             return OfferVerdict::Known(known);
@@ -254,12 +259,12 @@
     }
 
     fn offer_unknown(&mut self, copy: RequestCopy, now: Instant) -> OfferVerdict {
-        let Some(call) = copy.call.clone().filter(|_| copy.first_token == 0) else {
-            // NOTE: news of a request that expired here; without its call and its
-            // beginning there is nothing to keep. The sender offers it whole again.
-            return OfferVerdict::Known(RequestCopy { tokens: Vec::new(), call: None, ..copy });
+        let Some(digest) = copy.digest.filter(|_| copy.first_token == 0) else {
+            // NOTE: news of a request that expired here; without its beginning there is
+            // nothing to keep. The sender offers it whole again.
+            return OfferVerdict::Known(RequestCopy { tokens: Vec::new(), ..copy });
         };
-        self.insert(&copy.name, call, copy.term, copy.holder.clone(), now);
+        self.insert(&copy.name, None, digest, copy.term, copy.holder.clone(), now);
         self.merge(copy, now);
         OfferVerdict::Stored
     }
@@ -274,7 +279,9 @@
                 log.answer = None;
             }
             log.term = copy.term;
-            log.holder = copy.holder;
+            if log.holder.incarnation != copy.holder.incarnation {
+                log.holder = copy.holder;
+            }
             let known = log.tokens.len() - copy.first_token;
             for token in copy.tokens.into_iter().skip(known) {
                 added += token_bytes(&token);
@@ -358,18 +365,17 @@
     fn insert(
         &mut self,
         name: &RequestName,
-        call: Arc<CallerCall>,
+        call: Option<Arc<CallerCall>>,
+        digest: [u8; 32],
         term: u32,
         holder: RequestHolder,
         now: Instant,
     ) {
-        let bytes = RECORD_BYTES + content_bytes(&call);
+        let bytes = RECORD_BYTES + call.as_deref().map_or(0, content_bytes);
         let expires_at = now + self.keep;
-        let digest = call.digest();
-        let log = AnswerLog { term, holder, tokens: Vec::new(), answer: None };
+        let log = AnswerLog { digest, term, holder, tokens: Vec::new(), answer: None };
         let record = StoredRequest {
             call,
-            digest,
             progress: watch::Sender::new(log.progress()),
             log: Rc::new(RefCell::new(log)),
             expires_at,
@@ -395,6 +401,10 @@
         self.log.borrow().answer.as_ref().is_some_and(|answer| answer.is_answered())
     }
 
+    fn digest(&self) -> [u8; 32] {
+        self.log.borrow().digest
+    }
+
     fn is_running_at(&self, holder: &RequestHolder) -> bool {
         let log = self.log.borrow();
         log.answer.is_none() && log.holder == *holder
@@ -406,7 +416,7 @@
 
     fn copy_from(&self, name: &RequestName, first_token: usize) -> RequestCopy {
         let copy = self.log.borrow().copy_from(name, first_token);
-        RequestCopy { call: Some(self.call.clone()), ..copy }
+        RequestCopy { call: self.call.clone(), ..copy }
     }
 
     /// Changes the state and tells those who wait on it.
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -117,21 +117,33 @@
         *self.kernel.phase().borrow() >= LifePhase::Draining
     }
 
-    /// Daemons that keep copies of the request `name` beside this one: the first of its
-    /// placement, in other availability zones as far as there are any.
+    /// Daemons that know who runs the request `name`: anyone can work them out from it.
     ///
-    /// One more is placed than copied to, so that two daemons which each skip
-    /// themselves still have a copy holder in common.
-    pub fn copy_targets(&self, name: &RequestName) -> Vec<PeerTarget> {
+    /// One more is placed than asked, so that two daemons which each skip themselves
+    /// still have one in common.
+    pub fn directory_targets(&self, name: &RequestName) -> Vec<PeerTarget> {
         let key = name.to_string();
+        self.placed_targets(key.as_bytes(), self.identity.incarnation, self.settings.copies)
+    }
+
+    /// Daemons that keep the tokens of all requests that `holder` runs. They are the same
+    /// for all its requests, so that news of many go in one message.
+    pub fn partner_targets(&self, holder: IncarnationId, count: usize) -> Vec<PeerTarget> {
+        let key = [b"partners".as_slice(), &holder.0.to_le_bytes()].concat();
+        self.placed_targets(&key, holder, count)
+    }
+
+    /// Members placed for `key` without `skipped`, those of other availability zones than
+    /// this daemon's first.
+    fn placed_targets(&self, key: &[u8], skipped: IncarnationId, count: usize) -> Vec<PeerTarget> {
         let members = self.members.borrow();
-        let mut placed = members.placed_for(key.as_bytes(), self.settings.copies + 1);
-        placed.retain(|placed| *placed != self.identity.incarnation);
+        let mut placed = members.placed_for(key, self.settings.copies + 1);
+        placed.retain(|placed| *placed != skipped);
         let own_zone = |placed: &IncarnationId| {
             members.get(*placed).is_some_and(|view| view.record.zone == self.identity.zone)
         };
         placed.sort_by_key(own_zone);
-        placed.truncate(self.settings.copies);
+        placed.truncate(count);
         placed.into_iter().filter_map(|placed| self.target(placed)).collect()
     }
 
--- a/src/serve/copies.rs
+++ b/src/serve/copies.rs
@@ -1,7 +1,9 @@
-//! Service that keeps the copies of running requests at peers up to date.
+//! Service that keeps the tokens of running requests at this daemon's partners.
 //!
-//! News of all requests for one peer go in one message every few milliseconds, so
-//! copying costs tokens' bytes and a constant number of messages a second.
+//! News of all requests go in one message to each partner ten times a second, so
+//! copying costs the tokens' bytes and a constant number of messages a second, however
+//! many requests run and however many daemons there are. docs/design/copies.md weighs
+//! the ways.
 
 use std::{
     collections::HashMap,
@@ -9,7 +11,7 @@
     time::Duration,
 };
 
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use super::{context::ServeContext, store_service::RequestMessage};
 use crate::{
@@ -22,20 +24,13 @@
 /// Name of the service.
 pub const NAME: &str = "copies";
 /// Time between messages to one peer.
-const FLUSH_EVERY: Duration = Duration::from_millis(40);
+const FLUSH_EVERY: Duration = Duration::from_millis(100);
 
 /// What the service is told.
 #[derive(Debug)]
 pub enum CopyMessage {
-    /// The peers have the request whole, up to `tokens`.
-    Track {
-        /// Request.
-        name: RequestName,
-        /// Peers that keep it.
-        targets: Vec<PeerTarget>,
-        /// Tokens they have.
-        tokens: usize,
-    },
+    /// A request runs here from now on.
+    Track(RequestName),
     /// A peer could not take news of these requests: it needs them whole, or knows better.
     Refused(PeerTarget, Vec<RequestName>),
     /// A peer did not answer.
@@ -45,10 +40,12 @@
 #[derive(Debug)]
 struct TrackedCopy {
     view: AnswerView,
-    /// Peers, with the number of tokens that each has been sent.
-    targets: Vec<(PeerTarget, usize)>,
-    /// Progress when the peers were last sent news.
-    sent: RequestProgress,
+    /// Tokens that each partner has been sent; a partner that is not here has nothing.
+    sent: HashMap<PeerTarget, usize>,
+    /// Progress when the partners were last sent news.
+    progress: Option<RequestProgress>,
+    /// When the directory was last told.
+    told_at: Instant,
 }
 
 struct CopyService {
@@ -80,64 +77,62 @@
 impl CopyService {
     async fn handle(&mut self, message: CopyMessage) {
         match message {
-            CopyMessage::Track { name, targets, tokens } => {
-                self.track(name, targets, tokens).await;
-            }
+            CopyMessage::Track(name) => self.track(name).await,
             CopyMessage::Refused(target, names) => {
                 let Some(context) = self.context.upgrade() else { return };
                 for name in names {
-                    if self.tracked.contains_key(&name) {
-                        let repair = offer_again(context.clone(), target.clone(), name);
-                        tokio::task::spawn_local(repair);
+                    if let Some(copy) = self.tracked.get_mut(&name) {
+                        copy.sent.remove(&target);
+                        copy.progress = None;
+                        let check = check_superseded(context.clone(), target.clone(), name);
+                        tokio::task::spawn_local(check);
                     }
                 }
             }
-            CopyMessage::Failed(target) => self.replace(&target),
+            CopyMessage::Failed(target) => {
+                // NOTE: it is sent everything again, if it is still a partner by then.
+                for copy in self.tracked.values_mut() {
+                    copy.sent.remove(&target);
+                    copy.progress = None;
+                }
+            }
         }
     }
 
-    async fn track(&mut self, name: RequestName, targets: Vec<PeerTarget>, tokens: usize) {
+    async fn track(&mut self, name: RequestName) {
         let Some(context) = self.context.upgrade() else { return };
         let view = context.requests.ask(|reply| RequestMessage::View { name: name.clone(), reply });
         let Ok(Some(view)) = view.await else { return };
-        let targets = targets.into_iter().map(|target| (target, tokens)).collect();
-        let sent = RequestProgress::default();
-        self.tracked.insert(name, TrackedCopy { view, targets, sent });
-    }
-
-    /// Requests whose copy was at `target` get another copy holder.
-    fn replace(&mut self, target: &PeerTarget) {
-        let Some(context) = self.context.upgrade() else { return };
-        for (name, copy) in &mut self.tracked {
-            let before = copy.targets.len();
-            copy.targets.retain(|(held, _)| held != target);
-            if copy.targets.len() < before {
-                let kept: Vec<PeerTarget> =
-                    copy.targets.iter().map(|(target, _)| target.clone()).collect();
-                let failed = target.clone();
-                let address = self.address.clone();
-                let place = place_again(context.clone(), address, name.clone(), kept, failed);
-                tokio::task::spawn_local(place);
-            }
-        }
+        let told_at = Instant::now();
+        let copy = TrackedCopy { view, sent: HashMap::new(), progress: None, told_at };
+        self.tracked.insert(name, copy);
     }
 
     fn flush(&mut self) {
         let Some(context) = self.context.upgrade() else { return };
+        let own = context.identity.incarnation;
+        let partners = context.partner_targets(own, context.settings.copies);
         let mut by_target: HashMap<PeerTarget, Vec<RequestCopy>> = HashMap::new();
-        for copy in self.tracked.values_mut() {
+        for (name, copy) in &mut self.tracked {
             let progress = copy.view.progress();
-            if progress == copy.sent {
+            let known = partners.iter().all(|partner| copy.sent.contains_key(partner));
+            if copy.progress == Some(progress) && known {
                 continue;
             }
-            copy.sent = progress;
-            for (target, sent) in &mut copy.targets {
+            copy.progress = Some(progress);
+            for partner in &partners {
+                let sent = copy.sent.entry(partner.clone()).or_default();
                 let news = copy.view.copy_from(*sent);
                 *sent = news.first_token + news.tokens.len();
-                by_target.entry(target.clone()).or_default().push(news);
+                by_target.entry(partner.clone()).or_default().push(news);
+            }
+            if copy.told_at.elapsed() > context.settings.answer_keep / 3 {
+                copy.told_at = Instant::now();
+                let entry = copy.view.copy_from(usize::MAX);
+                tokio::task::spawn_local(tell_directory(context.clone(), name.clone(), entry));
             }
         }
-        self.tracked.retain(|_, copy| !copy.sent.ended);
+        self.tracked.retain(|_, copy| !copy.progress.is_some_and(|progress| progress.ended));
         for (target, copies) in by_target {
             let bytes: usize = copies.iter().map(news_bytes).sum();
             context.metrics.count("copy_bytes", bytes as u64);
@@ -169,15 +164,23 @@
     let _ = address.send(message);
 }
 
-/// Offers a request whole; if the peer knows a later term, this daemon is superseded.
-async fn offer_again(context: Rc<ServeContext>, target: PeerTarget, name: RequestName) {
-    let read = context.requests.ask(|reply| RequestMessage::Read { name, first_token: 0, reply });
-    let Ok(Some(copy)) = read.await else { return };
-    if let Ok(Some(known)) = context.pool.offer(&target, &copy).await {
+/// A partner refused news: if it knows a later term, this daemon is superseded.
+async fn check_superseded(context: Rc<ServeContext>, target: PeerTarget, name: RequestName) {
+    if let Ok(Some(known)) = context.pool.attach(&target, &name, 0, Duration::ZERO).await {
         supersede(&context, known).await;
     }
 }
 
+/// Tells the directory again, so that its entry of a long request does not expire.
+async fn tell_directory(context: Rc<ServeContext>, name: RequestName, entry: RequestCopy) {
+    let entry = RequestCopy { first_token: 0, tokens: Vec::new(), ..entry };
+    for target in context.directory_targets(&name) {
+        if let Ok(Some(known)) = context.pool.offer(&target, &entry).await {
+            supersede(&context, known).await;
+        }
+    }
+}
+
 /// Takes over what a peer knows, if that goes before what is known here.
 pub async fn supersede(context: &Rc<ServeContext>, known: RequestCopy) {
     let name = known.name.clone();
@@ -187,30 +190,3 @@
         spdlog::info!("superseded", kv: { service = NAME, request: = name });
     }
 }
-
-async fn place_again(
-    context: Rc<ServeContext>,
-    address: ServiceAddress<CopyMessage>,
-    name: RequestName,
-    kept: Vec<PeerTarget>,
-    failed: PeerTarget,
-) {
-    let read = context.requests.ask(|reply| RequestMessage::Read {
-        name: name.clone(),
-        first_token: 0,
-        reply,
-    });
-    let Ok(Some(copy)) = read.await else { return };
-    let placed = context.copy_targets(&name);
-    let fresh = placed.into_iter().find(|target| !kept.contains(target) && *target != failed);
-    let mut targets = kept;
-    if let Some(fresh) = fresh
-        && let Ok(None) = context.pool.offer(&fresh, &copy).await
-    {
-        targets.push(fresh);
-    }
-    let tokens = copy.tokens.len();
-    // NOTE: those that were kept may have a few tokens more (they skip what they know)
-    // or fewer (they refuse the news and are offered the whole).
-    let _ = address.send(CopyMessage::Track { name, targets, tokens });
-}
--- a/src/serve/resume.rs
+++ b/src/serve/resume.rs
@@ -1,10 +1,11 @@
 //! Finds or starts the request that a caller names, wherever it runs.
 //!
-//! The daemon that accepts a request keeps copies at peers that anyone can work out
-//! from its name. A caller whose connection broke asks any daemon: that one offers a
-//! copy to the same peers, is told that the request is known, and follows its holder;
-//! if the holder cannot be reached, it takes the request over and goes on after the
-//! tokens that were copied.
+//! The daemon that accepts a request tells a few peers, which anyone can work out from
+//! the request's name, that it runs it; its tokens go to its partners, which anyone can
+//! work out from the daemon. A caller whose connection broke asks any daemon: that one
+//! offers itself to the same peers, is told who runs the request, and follows that
+//! holder; if the holder cannot be reached, it gets the tokens from the holder's partners
+//! and takes the request over.
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
@@ -32,6 +33,11 @@
 
 /// Longest wait for a peer to take a copy before the request goes on without it.
 const OFFER_LIMIT: Duration = Duration::from_millis(150);
+/// Longest wait for a partner of a lost holder to tell what it knows.
+const RECOVER_LIMIT: Duration = Duration::from_millis(300);
+/// Partners of a lost holder that are asked: one more than it sends to, since members
+/// may have changed meanwhile.
+const PARTNERS_ASKED: usize = 3;
 /// How long one look at a remote holder waits for news.
 const ATTACH_WAIT: Duration = Duration::from_millis(1_000);
 /// When a caller may come back to another daemon.
@@ -79,6 +85,7 @@
         name: name.clone(),
         term: 0,
         holder: context.holder(),
+        digest: Some(call.digest()),
         call: Some(call.clone()),
         first_token: 0,
         tokens: Vec::new(),
@@ -87,12 +94,10 @@
     let (targets, known) = place(context, &copy).await;
     if let Some(known) = known {
         context.requests.send(RequestMessage::Remove { name: name.clone() })?;
-        let same = known.call.as_ref().is_none_or(|other| other.digest() == call.digest());
-        if !same {
+        if known.digest.is_some_and(|digest| digest != call.digest()) {
             return Ok(ObtainedRequest::KeyReused);
         }
-        supersede(context, known.clone()).await;
-        return follow(context, known).await;
+        return adopt(context, known, call).await;
     }
     if let Some((reason, wait)) = admit(context, &call).await? {
         context.requests.send(RequestMessage::Remove { name: name.clone() })?;
@@ -101,7 +106,7 @@
     if targets.is_empty() {
         context.metrics.count("accepted_without_copy", 1);
     }
-    context.copies.send(CopyMessage::Track { name: name.clone(), targets, tokens: 0 })?;
+    context.copies.send(CopyMessage::Track(name.clone()))?;
     context.note(EventKind::Accepted, name, format!("service {}", call.service));
     let driver = RequestDriver::new(context.clone(), name.clone(), 0, call, Vec::new());
     spawn_driver(context, driver, CallStage::Undispatched(undispatched));
@@ -143,28 +148,29 @@
     })
 }
 
-/// Offers a request whole to the peers of its placement. Returns those that took it,
-/// and the state that one of them knows to go before it.
+/// Tells the peers of a request's placement that this daemon runs it. Returns those that
+/// took note, and the state that one of them knows to go before it.
 async fn place(
     context: &Rc<ServeContext>,
     copy: &RequestCopy,
 ) -> (Vec<PeerTarget>, Option<RequestCopy>) {
-    let targets = context.copy_targets(&copy.name);
+    let entry = RequestCopy { tokens: Vec::new(), first_token: 0, ..copy.clone() };
+    let targets = context.directory_targets(&copy.name);
     let offers =
-        targets.iter().map(|target| timeout(OFFER_LIMIT, context.pool.offer(target, copy)));
+        targets.iter().map(|target| timeout(OFFER_LIMIT, context.pool.offer(target, &entry)));
     let answers = futures::future::join_all(offers).await;
     let mut taken = Vec::new();
     let mut known: Option<RequestCopy> = None;
     for (target, answer) in targets.into_iter().zip(answers) {
         match answer {
             Ok(Ok(None)) => taken.push(target),
-            Ok(Ok(Some(state))) if state.call.is_some() => {
+            Ok(Ok(Some(state))) => {
                 let goes_before = known.as_ref().is_none_or(|known| rank(&state) > rank(known));
                 if goes_before {
                     known = Some(state);
                 }
             }
-            Ok(Ok(Some(_)) | Err(_)) | Err(_) => {
+            Ok(Err(_)) | Err(_) => {
                 context.metrics.count("copy_offers_failed", 1);
             }
         }
@@ -172,10 +178,43 @@
     (taken, known)
 }
 
-/// Which of several known states goes first: an answer, then term, then tokens.
-fn rank(copy: &RequestCopy) -> (bool, u32, usize) {
+/// Which of several known states goes first: an answer, then the later term.
+fn rank(copy: &RequestCopy) -> (bool, u32) {
     let answered = copy.answer.as_ref().is_some_and(|answer| answer.is_answered());
-    (answered, copy.term, copy.tokens.len())
+    (answered, copy.term)
+}
+
+/// Gets what the partners of a lost holder know, before this daemon takes its place.
+async fn recover(context: &Rc<ServeContext>, name: &RequestName) {
+    let read = context.requests.ask(|reply| RequestMessage::Read {
+        name: name.clone(),
+        first_token: usize::MAX,
+        reply,
+    });
+    let Ok(Some(own)) = read.await else { return };
+    let partners = context.partner_targets(own.holder.incarnation, PARTNERS_ASKED);
+    let asked = partners.iter().map(|partner| {
+        timeout(RECOVER_LIMIT, context.pool.attach(partner, name, own.first_token, Duration::ZERO))
+    });
+    for answer in futures::future::join_all(asked).await {
+        if let Ok(Ok(Some(copy))) = answer {
+            supersede_quietly(context, copy).await;
+        }
+    }
+}
+
+/// Takes a request that peers know to be run elsewhere, for a caller that asks here.
+async fn adopt(
+    context: &Rc<ServeContext>,
+    known: RequestCopy,
+    call: Arc<CallerCall>,
+) -> Result<ObtainedRequest, SendError> {
+    supersede(context, known.clone()).await;
+    // NOTE: the second claim gives the record its call, which peers do not keep.
+    let name = known.name.clone();
+    let claim = context.requests.ask(|reply| RequestMessage::Claim { name, call, reply });
+    claim.await?;
+    follow(context, known).await
 }
 
 /// Goes on with a request that is known as a copy.
@@ -256,6 +295,7 @@
     context: &Rc<ServeContext>,
     name: &RequestName,
 ) -> Result<ObtainedRequest, SendError> {
+    recover(context, name).await;
     let taken =
         context.requests.ask(|reply| RequestMessage::TakeOver { name: name.clone(), reply });
     let Some(copy) = taken.await? else { return Ok(ObtainedRequest::Refused(gone())) };
@@ -263,15 +303,19 @@
     let begun_at = Instant::now();
     let (targets, known) = place(context, &copy).await;
     if let Some(known) = known.filter(|known| rank(known) > rank(&copy)) {
-        supersede(context, known).await;
-        return Ok(ObtainedRequest::Ready);
+        // Another daemon was faster.
+        supersede(context, known.clone()).await;
+        return Box::pin(follow(context, known)).await;
     }
     context.metrics.count("requests_taken_over", 1);
     let tokens = copy.tokens.len();
     let detail =
         format!("term {}, {tokens} tokens, {} ms", copy.term, begun_at.elapsed().as_millis());
     context.note(EventKind::TakenOver, name, detail);
-    context.copies.send(CopyMessage::Track { name: name.clone(), targets, tokens })?;
+    if targets.is_empty() {
+        context.metrics.count("accepted_without_copy", 1);
+    }
+    context.copies.send(CopyMessage::Track(name.clone()))?;
     let stage = CallStage::Dispatched(DispatchedCall::taken_over(call.clone()));
     let driver = RequestDriver::new(context.clone(), name.clone(), copy.term, call, copy.tokens);
     spawn_driver(context, driver, stage);
--- a/tests/integration/promises.rs
+++ b/tests/integration/promises.rs
@@ -524,3 +524,103 @@
     let row = deployment.control(&["table", "get", "account.reader"]);
     expect_that!(row.1, contains_substring("\"weight\":5"));
 }
+
+/// Promise 7: two writes over the same version: the object API lets one through, and the
+/// other is shown both rows.
+#[googletest::test]
+fn racing_writes_over_one_version_have_one_winner() {
+    use willowarch::control::table::{EditError, TableClient};
+    let deployment = Deployment::prepare(Layout { engines: 1, plain: 1, ..Layout::default() });
+    let table = TableClient::new(deployment.platform_address());
+    let entry = table.read("account.reader").expect("the row");
+    let row = |weight: f64| {
+        let mut row = entry.value.clone().expect("a value");
+        row["weight"] = json!(weight);
+        row
+    };
+    let racing: Vec<_> = (1..=4)
+        .map(|weight| {
+            let (table, row) = (table.clone(), row(f64::from(weight) + 1.0));
+            let version = entry.version;
+            std::thread::spawn(move || table.write(&row, version, &json!({})))
+        })
+        .collect();
+    let results: Vec<_> =
+        racing.into_iter().map(|racing| racing.join().expect("it ends")).collect();
+    expect_that!(results.iter().filter(|result| result.is_ok()).count(), eq(1));
+    for result in results.into_iter().filter_map(std::result::Result::err) {
+        expect_that!(result, pat!(EditError::Conflict(anything())));
+    }
+}
+
+/// A mix of streams and tickets, as the callers' stand-in plays it.
+fn mix(pace: f64) -> willowarch::standin::callers::RequestMix {
+    let entry = |name: &str, kind: &str, service: &str, account: &str| {
+        json!({
+            "name": name, "weight": 1.0, "kind": kind, "service": service, "path": "tags",
+            "api_key": format!("key-{account}"), "account": account,
+            "shared_words": 30, "series": 4, "own_words": 8, "max_tokens": 60,
+        })
+    };
+    let entries = [
+        entry("stream", "completion", "model", "reader"),
+        entry("tag", "once", "tagging", "press"),
+    ];
+    serde_json::from_value(json!({ "requests_per_s": pace, "entries": entries })).expect("a mix")
+}
+
+/// Plays the mix in a thread of its own.
+fn play(
+    deployment: &Deployment,
+    seconds: u64,
+) -> JoinHandle<willowarch::standin::callers::CallerReport> {
+    let daemons: Vec<SocketAddr> =
+        (0..deployment.layout.daemons).map(|index| deployment.caller(index)).collect();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+        let player = willowarch::standin::callers::CallerPlayer::new(daemons, mix(20.0));
+        let playing = player.play(Duration::from_secs(seconds), 3);
+        tokio::task::LocalSet::new().block_on(&runtime.expect("a runtime"), playing)
+    })
+}
+
+/// Promise 6: all daemons are replaced one after another under load. A caller that
+/// follows the protocol sees every request answered, and nothing runs twice.
+#[googletest::test]
+fn rolling_replacement_fails_no_request() {
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
+    let callers = play(&deployment, 14);
+    for index in 0..4 {
+        std::thread::sleep(Duration::from_millis(1_000));
+        deployment.daemons[index].signal("TERM");
+        expect_that!(deployment.daemons[index].wait(), some(eq(0)));
+        deployment.daemons[index] = deployment.spawn_daemon(index);
+        deployment.wait_ready(index);
+    }
+    let report = callers.join().expect("the callers end");
+    expect_that!(report.answered, eq(report.requests), "{report:?}");
+    expect_that!(deployment.most_runs(), eq(1));
+}
+
+/// Promises 1, 2 and 4 together: daemons are killed and frozen one after another under
+/// load. Streams are all answered, whole; what may not be repeated runs at most once, and
+/// each request has an outcome.
+#[googletest::test]
+fn kills_and_freezes_under_load_lose_no_stream() {
+    let mut deployment = Deployment::start(Layout { daemons: 5, ..Layout::default() });
+    let callers = play(&deployment, 12);
+    for index in [1, 3] {
+        std::thread::sleep(Duration::from_millis(1_500));
+        deployment.daemons[index].kill();
+        deployment.daemons[index + 1].signal("STOP");
+        std::thread::sleep(Duration::from_millis(2_000));
+        deployment.daemons[index + 1].signal("CONT");
+        deployment.daemons[index] = deployment.spawn_daemon(index);
+    }
+    let report = callers.join().expect("the callers end");
+    expect_that!(report.wrong, eq(0), "{report:?}");
+    expect_that!(report.not_run, eq(0), "{report:?}");
+    expect_that!(report.failed, eq(0), "{report:?}");
+    expect_that!(report.answered + report.unknown, eq(report.requests), "{report:?}");
+    expect_that!(deployment.most_runs(), eq(1));
+}
