Request records: tokens in one text

Cause: each token was a shared string of its own. A record of 244 tokens (the mean answer at the two-year target) took 12.8 KB and was counted as 5.0 KB, so the bound on records held less than it said, and 128 MB would not have lasted for two minutes of answers.

Ruled out: the names and holders (400 B a record).

Change: tokens of a record stand in one text with their ends; they become strings when they are read.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::HashMap,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 
@@ -22,9 +23,12 @@
         routing::{EndpointInfo, RouteQuery, RouteTable},
         subset::{window, window_size},
     },
-    ids::{IncarnationId, SharedName},
+    ids::{IncarnationId, RequestName, SharedName},
     platform::messages::PriceClass,
-    request::tickets::{TicketId, TicketLedger, WitnessLedger},
+    request::{
+        store::{RequestCopy, RequestHolder, RequestStore},
+        tickets::{TicketId, TicketLedger, WitnessLedger},
+    },
     serve::timeline::{EventKind, TimelineHandle},
     standin::fleet::InMemoryFleet,
 };
@@ -251,6 +255,9 @@
         println!("{count:>7} tickets: {bytes:5.0} B and {cpu:4.2} us each, held and witnessed");
         drop((held, witness));
     }
+    for count in [2_000, 5_000, 10_000] {
+        measure_records(count);
+    }
     let timeline = TimelineHandle::new("daemon".into());
     let cpu = per_call(60_000, |index| {
         timeline.record(EventKind::Ended, Some("reader/k".into()), format!("answered; {index}"));
@@ -278,6 +285,37 @@
     }
 }
 
+/// Memory of ended request records as partners keep them: 244 tokens each, as the mean
+/// answer at the two-year target.
+fn measure_records(count: usize) {
+    const TOKENS: usize = 244;
+    let now = tokio::time::Instant::now();
+    let holder = |number| RequestHolder {
+        incarnation: IncarnationId(number),
+        address: "127.0.0.1:1".into(),
+    };
+    let before = rss_mb();
+    let mut store = RequestStore::new(holder(1), Duration::from_secs(120), usize::MAX);
+    for number in 0..count {
+        let copy = |first_token: usize, tokens: usize| RequestCopy {
+            name: RequestName::new("reader", format!("request-number-{number}")),
+            term: 0,
+            holder: holder(2),
+            digest: Some([1; 32]),
+            call: None,
+            first_token,
+            tokens: (0..tokens).map(|token| Arc::from(format!("w{token:x} "))).collect(),
+            answer: None,
+        };
+        for first_token in (0..TOKENS).step_by(4) {
+            store.offer(copy(first_token, 4), now);
+        }
+    }
+    let bytes = (rss_mb() - before) * 1_048_576.0 / count as f64;
+    let counted = store.bytes() / count;
+    println!("{count:>7} records of {TOKENS} tokens: {bytes:.0} B each ({counted} as counted)");
+}
+
 fn main() {
     let sizes: Vec<usize> = std::env::args().filter_map(|text| text.parse().ok()).collect();
     let sizes = if sizes.is_empty() { vec![8, 64, 512, 2_100] } else { sizes };
--- a/src/request/store.rs
+++ b/src/request/store.rs
@@ -65,13 +65,53 @@
     pub term: u32,
 }
 
+/// Tokens of an answer, in one text: a shared string for each took five times the memory.
+#[derive(Debug, Default)]
+struct TokenText {
+    text: String,
+    /// Where each token ends.
+    ends: Vec<u32>,
+}
+
+impl TokenText {
+    fn len(&self) -> usize {
+        self.ends.len()
+    }
+
+    fn push(&mut self, token: &str) {
+        self.text.push_str(token);
+        self.ends.push(self.text.len() as u32);
+    }
+
+    fn start_of(&self, index: usize) -> usize {
+        index.checked_sub(1).map_or(0, |before| self.ends[before] as usize)
+    }
+
+    fn truncate(&mut self, length: usize) {
+        if length < self.len() {
+            self.text.truncate(self.start_of(length));
+            self.ends.truncate(length);
+        }
+    }
+
+    fn from(&self, first: usize) -> Vec<AnswerToken> {
+        let mut start = self.start_of(first);
+        let tokens = self.ends[first..].iter().map(|end| {
+            let token = &self.text[start..*end as usize];
+            start = *end as usize;
+            AnswerToken::from(token)
+        });
+        tokens.collect()
+    }
+}
+
 /// What grows while a request runs.
 #[derive(Debug)]
 struct AnswerLog {
     digest: [u8; 32],
     term: u32,
     holder: RequestHolder,
-    tokens: Vec<AnswerToken>,
+    tokens: TokenText,
     answer: Option<Arc<FinalAnswer>>,
 }
 
@@ -85,7 +125,7 @@
             digest: Some(self.digest),
             call: None,
             first_token,
-            tokens: self.tokens[first_token..].to_vec(),
+            tokens: self.tokens.from(first_token),
             answer: self.answer.clone(),
         }
     }
@@ -216,7 +256,7 @@
             return false;
         }
         let added = token_bytes(&token);
-        record.change(|log| log.tokens.push(token));
+        record.change(|log| log.tokens.push(&token));
         record.bytes += added;
         self.bytes += added;
         true
@@ -285,7 +325,7 @@
             let known = log.tokens.len() - copy.first_token;
             for token in copy.tokens.into_iter().skip(known) {
                 added += token_bytes(&token);
-                log.tokens.push(token);
+                log.tokens.push(&token);
             }
             if copy.answer.is_some() {
                 log.answer = copy.answer;
@@ -373,7 +413,7 @@
     ) {
         let bytes = RECORD_BYTES + call.as_deref().map_or(0, content_bytes);
         let expires_at = now + self.keep;
-        let log = AnswerLog { digest, term, holder, tokens: Vec::new(), answer: None };
+        let log = AnswerLog { digest, term, holder, tokens: TokenText::default(), answer: None };
         let record = StoredRequest {
             call,
             progress: watch::Sender::new(log.progress()),
@@ -427,7 +467,7 @@
 }
 
 fn token_bytes(token: &AnswerToken) -> usize {
-    token.len() + size_of::<AnswerToken>()
+    token.len() + size_of::<u32>()
 }
 
 fn content_bytes(call: &CallerCall) -> usize {
