Tests of kernel, settings and samples; doubled logic of faults, neighbours, weights mended

Cause: the kernel's promise (a panic ends the daemon visibly) and the checks of settings had no tests; reading as a newcomer found fault switches merged twice, neighbours listed twice, an account's row searched for by scanning all rows in three places.

--- a/src/cluster/core.rs
+++ b/src/cluster/core.rs
@@ -298,8 +298,13 @@
         }
     }
 
+    /// Members that this daemon probes: its ring successors, which come first in the links.
+    fn neighbours(&self) -> Vec<IncarnationId> {
+        self.links.iter().take(SUCCESSORS).copied().collect()
+    }
+
     fn probe_neighbours(&mut self, now: Instant, actions: &mut Vec<ClusterAction>) {
-        for incarnation in self.links.iter().take(SUCCESSORS).copied().collect::<Vec<_>>() {
+        for incarnation in self.neighbours() {
             let due = *self.probe_at.entry(incarnation).or_insert(now);
             if now >= due {
                 self.probe_at.insert(incarnation, now + PROBE_EVERY);
@@ -363,7 +368,7 @@
         if now < self.distrust_until {
             return;
         }
-        for incarnation in self.links.iter().take(SUCCESSORS).copied().collect::<Vec<_>>() {
+        for incarnation in self.neighbours() {
             let Some(view) = self.members.get(incarnation) else { continue };
             let refused = self.refused.contains(&incarnation);
             let allowed = if refused { SUSPICION_REFUSED } else { SUSPICION };
--- a/src/options/rows.rs
+++ b/src/options/rows.rs
@@ -153,6 +153,7 @@
 /// The table as requests see it: immutable, replaced whole when a row changes.
 #[derive(Clone, Debug, Default)]
 pub struct TableSnapshot {
+    accounts: HashMap<SharedName, Arc<AccountRow>>,
     accounts_by_key: HashMap<SharedName, Arc<AccountRow>>,
     services: HashMap<SharedName, Arc<ServiceRow>>,
 }
@@ -164,7 +165,9 @@
         for row in rows {
             match row {
                 TableRow::Account(row) => {
-                    snapshot.accounts_by_key.insert(row.api_key.clone(), Arc::new(row));
+                    let row = Arc::new(row);
+                    snapshot.accounts_by_key.insert(row.api_key.clone(), row.clone());
+                    snapshot.accounts.insert(row.name.clone(), row);
                 }
                 TableRow::Service(row) => {
                     snapshot.services.insert(row.name.clone(), Arc::new(row));
@@ -174,8 +177,13 @@
         snapshot
     }
 
+    /// Account of that name.
+    pub fn account(&self, name: &str) -> Option<Arc<AccountRow>> {
+        self.accounts.get(name).cloned()
+    }
+
     /// Account that presents `api_key`.
-    pub fn account(&self, api_key: &str) -> Option<Arc<AccountRow>> {
+    pub fn account_by_key(&self, api_key: &str) -> Option<Arc<AccountRow>> {
         self.accounts_by_key.get(api_key).cloned()
     }
 
@@ -186,7 +194,7 @@
 
     /// All client accounts, in no particular order.
     pub fn accounts(&self) -> impl Iterator<Item = &Arc<AccountRow>> {
-        self.accounts_by_key.values()
+        self.accounts.values()
     }
 
     /// All services, in no particular order.
@@ -196,6 +204,6 @@
 
     /// Whether no row is known: then nothing can be served.
     pub fn is_empty(&self) -> bool {
-        self.accounts_by_key.is_empty() && self.services.is_empty()
+        self.accounts.is_empty() && self.services.is_empty()
     }
 }
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -80,6 +80,11 @@
         self.table.borrow().clone()
     }
 
+    /// Weight of an account; one that was deleted meanwhile has the least usual one.
+    pub fn weight_of(&self, account: &str) -> f64 {
+        self.table.borrow().account(account).map_or(1.0, |row| row.weight)
+    }
+
     /// Members as known now.
     pub fn members(&self) -> Rc<MemberList> {
         self.members.borrow().clone()
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -67,10 +67,8 @@
         call: Arc<CallerCall>,
         tokens: Vec<AnswerToken>,
     ) -> Self {
-        let table = context.table();
-        let row = table.accounts().find(|row| row.name == call.account).cloned();
         Self {
-            weight: row.map_or(1.0, |row| row.weight),
+            weight: context.weight_of(&call.account),
             context,
             name,
             term,
--- a/src/serve/once.rs
+++ b/src/serve/once.rs
@@ -363,7 +363,7 @@
         let order = PickOrder {
             service: self.call.service.clone(),
             account: self.call.account.clone(),
-            weight: self.weight(),
+            weight: self.context.weight_of(&self.call.account),
             tokens: self.call.expected_tokens(),
             chain: Arc::from([]),
             exclude: self.refused_by.clone(),
@@ -376,12 +376,6 @@
         reply.unwrap_or(PickReply::Busy(COME_BACK))
     }
 
-    fn weight(&self) -> f64 {
-        let table = self.context.table();
-        let row = table.accounts().find(|row| row.name == self.call.account).cloned();
-        row.map_or(1.0, |row| row.weight)
-    }
-
     /// Has the witness write down that this holder may have dispatched from now on.
     async fn obtain_consent(&self) -> Result<(), NotRunReason> {
         if self.ticket.witness == self.ticket.holder {
--- a/src/serve/parse.rs
+++ b/src/serve/parse.rs
@@ -98,7 +98,7 @@
     let Some(key) = key else {
         return Err(Problem::unauthorized("authorization", "must be `Bearer` with a key"));
     };
-    let row = table.account(key.trim());
+    let row = table.account_by_key(key.trim());
     row.ok_or_else(|| Problem::unauthorized("authorization", "names no client account"))
 }
 
--- a/src/serve/resume.rs
+++ b/src/serve/resume.rs
@@ -132,8 +132,7 @@
     if context.active.get() >= context.settings.request_limit {
         return Ok(Some((NotRunReason::Overloaded, COME_BACK)));
     }
-    let table = context.table();
-    let Some(row) = table.accounts().find(|row| row.name == call.account).cloned() else {
+    let Some(row) = context.table().account(&call.account) else {
         return Ok(Some((NotRunReason::NoTable, COME_BACK)));
     };
     let verdict = context.limits.ask(|reply| LimitMessage::Admit {
--- a/src/standin/endpoint.rs
+++ b/src/standin/endpoint.rs
@@ -17,7 +17,6 @@
 use super::{
     engine,
     engine_model::{EngineModel, EngineSpeed},
-    platform::merge,
     reply,
 };
 use crate::{
@@ -225,16 +224,16 @@
     }
 
     async fn set_faults(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let Some(change) = reply::read_json::<Value>(request).await else {
-            return reply::empty(StatusCode::BAD_REQUEST);
-        };
-        let mut state = self.state.borrow_mut();
-        let Some(faults) = merge(&state.faults, change) else {
-            return reply::empty(StatusCode::BAD_REQUEST);
-        };
-        state.faults = faults;
-        self.thawed.send_replace(!state.faults.frozen);
-        reply::json(StatusCode::OK, &state.faults)
+        let current = self.state.borrow().faults.clone();
+        match reply::change_faults(request, &current).await {
+            Ok(faults) => {
+                let answer = reply::json(StatusCode::OK, &faults);
+                self.thawed.send_replace(!faults.frozen);
+                self.state.borrow_mut().faults = faults;
+                answer
+            }
+            Err(refusal) => refusal,
+        }
     }
 
     /// Obeys a fenced order; refuses one whose epoch is older than the newest seen.
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -210,15 +210,15 @@
     }
 
     async fn set_faults(&self, request: Request<Incoming>) -> Response<AnswerBody> {
-        let Some(change) = reply::read_json::<Value>(request).await else {
-            return reply::empty(StatusCode::BAD_REQUEST);
-        };
-        let mut state = self.state.borrow_mut();
-        let Some(faults) = merge(&state.faults, change) else {
-            return reply::empty(StatusCode::BAD_REQUEST);
-        };
-        state.faults = faults;
-        reply::json(StatusCode::OK, &state.faults)
+        let current = self.state.borrow().faults.clone();
+        match reply::change_faults(request, &current).await {
+            Ok(faults) => {
+                let answer = reply::json(StatusCode::OK, &faults);
+                self.state.borrow_mut().faults = faults;
+                answer
+            }
+            Err(refusal) => refusal,
+        }
     }
 
     fn admit_read(&self) -> bool {
@@ -443,16 +443,6 @@
     }
 }
 
-/// `current` with the keys of `change` replaced.
-pub fn merge<T: Serialize + serde::de::DeserializeOwned>(current: &T, change: Value) -> Option<T> {
-    let mut merged = serde_json::to_value(current).ok()?;
-    let target = merged.as_object_mut()?;
-    for (key, value) in change.as_object()? {
-        target.insert(key.clone(), value.clone());
-    }
-    serde_json::from_value(merged).ok()
-}
-
 fn default_prices(vms: &[VmEntry]) -> Vec<PriceEntry> {
     const ON_DEMAND: f64 = 1.0;
     const RECLAIMABLE: f64 = 0.3;
--- a/src/standin/reply.rs
+++ b/src/standin/reply.rs
@@ -6,6 +6,7 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use serde::{Serialize, de::DeserializeOwned};
+use serde_json::Value;
 
 use crate::http::{AnswerBody, server::CloseConnection, whole_body};
 
@@ -46,6 +47,26 @@
     serde_json::from_slice(&read_body(request).await?).ok()
 }
 
+/// Merges the keys of a `POST /faults` body into `faults`, and answers with the result.
+pub async fn change_faults<T: Serialize + DeserializeOwned>(
+    request: Request<Incoming>,
+    faults: &T,
+) -> Result<T, Response<AnswerBody>> {
+    let change = read_json::<Value>(request).await;
+    let merged = change.and_then(|change| merge(faults, &change));
+    merged.ok_or_else(|| empty(StatusCode::BAD_REQUEST))
+}
+
+/// `current` with the keys of `change` replaced.
+fn merge<T: Serialize + DeserializeOwned>(current: &T, change: &Value) -> Option<T> {
+    let mut merged = serde_json::to_value(current).ok()?;
+    let target = merged.as_object_mut()?;
+    for (key, value) in change.as_object()? {
+        target.insert(key.clone(), value.clone());
+    }
+    serde_json::from_value(merged).ok()
+}
+
 /// Numbers in the query of `request`.
 pub fn query(request: &Request<Incoming>) -> HashMap<String, u64> {
     let pairs = request.uri().query().unwrap_or_default().split('&');
--- /dev/null
+++ b/tests/integration/daemon_parts.rs
@@ -0,0 +1,179 @@
+//! The micro-kernel, settings, shipped samples, the tool's exit codes.
+
+use std::{fs, path::Path, time::Duration};
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+use tokio::task::LocalSet;
+use willowarch::{
+    clock::wait_at_most,
+    kernel::{KernelExit, LifePhase, SendError, ServiceKernel},
+    options::{rows::parse_table, settings::DaemonSettings},
+    platform::messages::VmEntry,
+    standin::callers::RequestMix,
+};
+
+use crate::cases;
+
+/// Runs a task on the paused clock.
+fn paused<T>(task: impl Future<Output = T>) -> T {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().start_paused(true).build();
+    LocalSet::new().block_on(&runtime.expect("a runtime"), task)
+}
+
+#[googletest::test]
+fn services_find_each_other_by_name_and_type() {
+    paused(async {
+        let mut kernel = ServiceKernel::new();
+        let mut inbox = kernel.register::<u32>("numbers");
+        let handle = kernel.handle();
+        let address = handle.find::<u32>("numbers").expect("registered");
+        expect_that!(address.send(7), ok(anything()));
+        expect_that!(inbox.recv().await, some(eq(7)));
+        expect_that!(handle.find::<u32>("texts").err(), some(eq(&SendError::Missing("texts"))));
+        expect_that!(handle.find::<String>("numbers").err(), some(anything()));
+        drop(inbox);
+        expect_that!(address.send(8), err(eq(&SendError::Ended("numbers"))));
+    });
+}
+
+#[googletest::test]
+fn panicking_service_ends_the_kernel() {
+    let exit = paused(async {
+        let mut kernel = ServiceKernel::new();
+        kernel.start("quiet", std::future::pending());
+        kernel.start("loud", async { panic!("on purpose") });
+        kernel.run().await
+    });
+    expect_that!(exit, eq(&KernelExit::Panicked("loud".into())));
+}
+
+#[googletest::test]
+fn panicking_child_task_ends_the_kernel() {
+    let exit = paused(async {
+        let mut kernel = ServiceKernel::new();
+        kernel.start("quiet", std::future::pending());
+        kernel.handle().spawn("quiet", async { panic!("on purpose") });
+        kernel.run().await
+    });
+    expect_that!(exit, pat!(KernelExit::Panicked(starts_with("quiet"))));
+}
+
+#[googletest::test]
+fn service_that_returns_early_ends_the_kernel_unless_draining() {
+    let early = paused(async {
+        let mut kernel = ServiceKernel::new();
+        kernel.start("quiet", std::future::pending());
+        kernel.start("short", async {});
+        kernel.run().await
+    });
+    expect_that!(early, eq(&KernelExit::EndedEarly("short")));
+    let draining = paused(async {
+        let mut kernel = ServiceKernel::new();
+        let handle = kernel.handle();
+        handle.enter(LifePhase::Draining);
+        kernel.start("short", async {});
+        kernel.run().await
+    });
+    expect_that!(draining, eq(&KernelExit::Stopped));
+}
+
+#[googletest::test]
+fn phases_only_go_forward() {
+    paused(async {
+        let kernel = ServiceKernel::new();
+        let handle = kernel.handle();
+        handle.enter(LifePhase::Stopping);
+        handle.enter(LifePhase::Running);
+        expect_that!(*handle.phase().borrow(), eq(LifePhase::Stopping));
+    });
+}
+
+#[googletest::test]
+fn wait_ends_at_its_limit_on_the_paused_clock() {
+    paused(async {
+        let limit = Duration::from_secs(5);
+        let from = tokio::time::Instant::now();
+        let waited = wait_at_most(limit, std::future::pending::<()>()).await;
+        expect_that!(waited, err(anything()));
+        expect_that!(from.elapsed(), all!(ge(limit), lt(limit * 2)));
+        expect_that!(wait_at_most(limit, async { 3 }).await, ok(eq(3)));
+    });
+}
+
+fn settings(change: impl FnOnce(&mut Value)) -> std::result::Result<DaemonSettings, Vec<String>> {
+    let mut value = json!({
+        "deployment": "d", "zone": "z", "caller_address": "127.0.0.1:1",
+        "admin_address": "127.0.0.1:2", "peer_address": "127.0.0.1:3",
+        "object_api": "127.0.0.1:4", "cloud_api": "127.0.0.1:4",
+    });
+    change(&mut value);
+    let parsed = DaemonSettings::parse(&value.to_string());
+    parsed.map_err(|errors| errors.iter().map(ToString::to_string).collect())
+}
+
+/// One wrong value is reported with key, value and what is allowed.
+fn wrong_setting_is_named(key: &str, value: Value, allowed: &str) {
+    let errors = settings(|settings| settings[key] = value.clone()).expect_err("not allowed");
+    expect_that!(errors.len(), eq(1), "{errors:?}");
+    expect_that!(errors[0], starts_with(format!("{key}: {value}")));
+    expect_that!(errors[0], contains_substring(allowed));
+}
+
+cases!(wrong_setting_is_named:
+    setting_zone_with_space("zone", json!("a b"), "printable"),
+    setting_address_without_port("caller_address", json!("127.0.0.1"), "IP address and port"),
+    setting_copies_too_many("copies", json!(9), "from 0 to 3"),
+    setting_drain_negative("drain_ms", json!(-1), "whole number"),
+    setting_seeds_not_a_list("seeds", json!("x"), "a list"),
+    setting_level_unknown("log_level", json!("loud"), "info, debug, warn"),
+    setting_unknown_key("colour", json!(1), "only the keys"),
+);
+
+#[googletest::test]
+fn all_wrong_settings_are_reported_at_once() {
+    let errors = settings(|settings| {
+        settings["zone"] = json!("");
+        settings["copies"] = json!("two");
+        settings["odd"] = json!(1);
+    });
+    expect_that!(errors.expect_err("not allowed").len(), eq(3));
+}
+
+fn read(path: &Path) -> Value {
+    let text = fs::read_to_string(path).expect("a sample");
+    serde_json::from_str(&text).expect("JSON")
+}
+
+/// What is shipped is allowed.
+fn sample_is_allowed(name: &str) {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("examples").join(name);
+    for number in 1..=8 {
+        let path = folder.join(format!("settings/{number}.json"));
+        let text = fs::read_to_string(path).expect("a sample");
+        expect_that!(DaemonSettings::parse(&text), ok(anything()));
+    }
+    expect_that!(parse_table(&read(&folder.join("table.json"))), ok(len(eq(7))));
+    let vms: Vec<VmEntry> = serde_json::from_value(read(&folder.join("vms.json"))).expect("VMs");
+    expect_that!(vms.len(), gt(20));
+    let mix: RequestMix = serde_json::from_value(read(&folder.join("mix.json"))).expect("a mix");
+    expect_that!(mix.entries.len(), ge(3));
+}
+
+cases!(sample_is_allowed:
+    sample_inkbridge_is_allowed("inkbridge"),
+    sample_bakery_is_allowed("bakery"),
+);
+
+#[googletest::test]
+fn rows_report_their_keys() {
+    let table = json!([
+        { "kind": "account", "name": "a", "api_key": "k", "weight": 0 },
+        { "kind": "service", "name": "s", "service_type": "model", "repeatable": false },
+        { "kind": "service", "name": "t", "min_vms": 5, "max_vms": 2 },
+    ]);
+    let errors = parse_table(&table).expect_err("not allowed");
+    let keys: Vec<&str> = errors.iter().map(|error| error.key.as_str()).collect();
+    expect_that!(keys, eq(&["rows[0].weight", "rows[1].repeatable", "rows[2].max_vms"]));
+}
--- a/tests/integration/main.rs
+++ b/tests/integration/main.rs
@@ -4,6 +4,7 @@
 mod cluster_model;
 mod harness;
 
+mod daemon_parts;
 mod decisions;
 mod edges;
 mod fleet_planning;
