--- a/benches/decisions/main.rs
+++ b/benches/decisions/main.rs
@@ -1,7 +1,7 @@
 //! Experiments on the decisions: ours against naive ones and against bounds that know
 //! the future, over seeds. Each writes a table and a plot into docs/measurements.
 //!
-//!     cargo bench --bench decisions [-- routing|limits|retries|reclaim|fleet]
+//!     cargo bench --bench decisions [-- routing|fairness|limits|retries|reclaim|fleet]
 
 mod fleet;
 mod limits;
@@ -15,8 +15,9 @@
 fn main() {
     let wanted: Vec<String> =
         std::env::args().skip(1).filter(|text| !text.starts_with("--")).collect();
-    let experiments: [(&str, fn()); 5] = [
+    let experiments: [(&str, fn()); 6] = [
         ("routing", serving::routing),
+        ("fairness", serving::fairness),
         ("retries", serving::retries),
         ("limits", limits::limits),
         ("reclaim", reclaim::reclaim),
--- a/benches/decisions/serving.rs
+++ b/benches/decisions/serving.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 use willowarch::{
     decide::{
+        fair_queue::FairQueue,
         health::AttemptResult,
         prefix::prefix_chain,
         retries::{RetryBudget, retry_pause},
@@ -34,6 +35,7 @@
 const REPORT_LAG_S: f64 = 1.0;
 const FAIL_AFTER_S: f64 = 0.05;
 const SERVICE: &str = "model";
+const QUIET: &str = "kiosks";
 
 #[derive(Clone, Copy, PartialEq)]
 pub enum RoutingWay {
@@ -51,6 +53,14 @@
     FixedThree,
 }
 
+#[derive(Clone, Copy, PartialEq)]
+enum QueueWay {
+    /// Requests wait at the engines, first come first served.
+    AtEngines,
+    /// Requests wait at the daemons, and accounts take turns.
+    Fair,
+}
+
 #[derive(Clone)]
 struct Arrival {
     at: f64,
@@ -58,6 +68,7 @@
     prompt: String,
     chain: Vec<u64>,
     tokens: usize,
+    account: &'static str,
 }
 
 #[derive(Clone, Copy)]
@@ -80,6 +91,8 @@
 #[derive(Default)]
 pub struct RunResult {
     first_ms: Vec<f64>,
+    /// First tokens of the quiet account, by arrival.
+    quiet_first: Vec<(f64, f64)>,
     prefill_tokens: f64,
     /// Largest load of an engine over the mean, averaged over samples.
     imbalance: f64,
@@ -104,6 +117,9 @@
     samples: Vec<Vec<u32>>,
     reported: Vec<u32>,
     turn: usize,
+    /// Requests waiting at each daemon, where endpoints are as full as their row allows.
+    waiting: Vec<FairQueue<usize>>,
+    queueing: QueueWay,
     routing: RoutingWay,
     retry: RetryWay,
     brownout: Option<(f64, f64)>,
@@ -140,7 +156,14 @@
             .collect();
         let prompt = words.join(" ");
         let chain = prefix_chain(&prompt);
-        arrivals.push(Arrival { at, daemon: rng.random_range(0..DAEMONS), prompt, chain, tokens });
+        arrivals.push(Arrival {
+            at,
+            daemon: rng.random_range(0..DAEMONS),
+            prompt,
+            chain,
+            tokens,
+            account: "reader",
+        });
     }
     arrivals
 }
@@ -171,6 +194,8 @@
             samples: Vec::new(),
             reported: vec![0; ENGINES],
             turn: 0,
+            waiting: (0..DAEMONS).map(|_| FairQueue::new(100_000)).collect(),
+            queueing: QueueWay::AtEngines,
             routing,
             retry,
             brownout: None,
@@ -209,9 +234,11 @@
                     self.result.requests += 1.0;
                     let daemon = self.arrivals[request].daemon;
                     self.budgets[daemon].earn();
+                    self.admit(request);
+                }
+                Event::Attempt(request) => {
                     self.attempt(request);
                 }
-                Event::Attempt(request) => self.attempt(request),
                 Event::Begin(engine, request) => self.begin(engine, request),
                 Event::Finish(engine, request) => self.finish(engine, request),
                 Event::Fail(engine, request) => self.fail(engine, request),
@@ -223,16 +250,14 @@
         self.result
     }
 
-    fn choose(&mut self, request: usize) -> usize {
+    fn choose(&mut self, request: usize) -> Option<usize> {
         let daemon = self.arrivals[request].daemon;
         match self.routing {
             RoutingWay::RoundRobin => {
                 self.turn += 1;
-                self.turn % ENGINES
-            }
-            RoutingWay::LeastReported => {
-                (0..ENGINES).min_by_key(|engine| self.reported[*engine]).unwrap_or(0)
+                Some(self.turn % ENGINES)
             }
+            RoutingWay::LeastReported => (0..ENGINES).min_by_key(|engine| self.reported[*engine]),
             RoutingWay::Ours | RoutingWay::WithoutSharing => {
                 let query = RouteQuery {
                     service: SERVICE,
@@ -243,16 +268,45 @@
                 let choice = self.routes[daemon].pick(query, now, &mut self.rng);
                 match choice {
                     RouteChoice::Endpoint(pick) => {
-                        pick.id.strip_prefix("vm-").and_then(|text| text.parse().ok()).unwrap_or(0)
+                        pick.id.strip_prefix("vm-").and_then(|text| text.parse().ok())
+                    }
+                    RouteChoice::Busy if self.queueing == QueueWay::Fair => None,
+                    RouteChoice::Busy | RouteChoice::Nowhere => {
+                        Some(self.rng.random_range(0..ENGINES))
                     }
-                    RouteChoice::Busy | RouteChoice::Nowhere => self.rng.random_range(0..ENGINES),
                 }
             }
         }
     }
 
-    fn attempt(&mut self, request: usize) {
-        let engine = self.choose(request);
+    /// Sends a request on, or has it wait for its account's turn.
+    fn admit(&mut self, request: usize) {
+        let daemon = self.arrivals[request].daemon;
+        if self.queueing == QueueWay::AtEngines {
+            self.attempt(request);
+            return;
+        }
+        let arrival = &self.arrivals[request];
+        let tokens = (arrival.chain.len() * 16 + arrival.tokens) as f64;
+        let far = self.instant() + Duration::from_secs(3_600);
+        self.waiting[daemon].push(&arrival.account.into(), 1.0, tokens, far, request);
+        self.serve_waiting(daemon);
+    }
+
+    fn serve_waiting(&mut self, daemon: usize) {
+        while let Some(request) = self.waiting[daemon].pop() {
+            if !self.attempt(request) {
+                let account = self.arrivals[request].account.into();
+                let far = self.instant() + Duration::from_secs(3_600);
+                self.waiting[daemon].push_front(&account, far, request);
+                return;
+            }
+        }
+    }
+
+    /// `false` if all endpoints are full.
+    fn attempt(&mut self, request: usize) -> bool {
+        let Some(engine) = self.choose(request) else { return false };
         self.attempts[request] += 1;
         self.result.attempts += 1.0;
         let arrival = &self.arrivals[request];
@@ -269,6 +323,7 @@
         } else {
             self.engines[engine].queue.push_back(request);
         }
+        true
     }
 
     fn begin(&mut self, engine: usize, request: usize) {
@@ -278,7 +333,11 @@
         let step_s = model.step_ms() / 1e3;
         let first_at = self.now + cost.millis / 1e3 + step_s;
         self.result.prefill_tokens += cost.computed_tokens as f64;
-        self.result.first_ms.push((first_at - arrival.at) * 1e3);
+        let first_ms = (first_at - arrival.at) * 1e3;
+        self.result.first_ms.push(first_ms);
+        if arrival.account == QUIET {
+            self.result.quiet_first.push((arrival.at, first_ms));
+        }
         let finish_at = first_at + step_s * arrival.tokens as f64;
         self.schedule(finish_at, Event::Finish(engine, request));
     }
@@ -303,6 +362,8 @@
         if let Some(next) = self.engines[engine].queue.pop_front() {
             self.schedule(self.now, Event::Begin(engine, next));
         }
+        let daemon = self.arrivals[request].daemon;
+        self.serve_waiting(daemon);
     }
 
     fn fail(&mut self, engine: usize, request: usize) {
@@ -348,6 +409,9 @@
                 routes.report_load(SERVICE, &format!("vm-{engine}"), *load);
             }
         }
+        for daemon in 0..DAEMONS {
+            self.serve_waiting(daemon);
+        }
     }
 }
 
@@ -439,3 +503,54 @@
     write_table("retries", &about, &measures, &results);
     plot_lines("retries", "s", "answers a second (last seed)", &lines);
 }
+
+/// One account's burst beside another that goes on as before.
+pub fn fairness() {
+    const LENGTH_S: f64 = 50.0;
+    const BURST: (f64, f64) = (20.0, 35.0);
+    const BURST_PACE: f64 = 500.0;
+    let ways = [
+        ("ours: accounts take turns", QueueWay::Fair),
+        ("first come first served", QueueWay::AtEngines),
+    ];
+    let mut results: Vec<WayResults> = Vec::new();
+    for (name, queueing) in ways {
+        let values =
+            SEEDS.map(|seed| {
+                let mut arrivals = make_arrivals(seed, 40.0, LENGTH_S);
+                for arrival in &mut arrivals {
+                    arrival.account = QUIET;
+                }
+                let burst = make_arrivals(seed ^ 0xb0, BURST_PACE, BURST.1 - BURST.0);
+                arrivals.extend(burst.into_iter().filter(|arrival| arrival.tokens < 100).map(
+                    |arrival| Arrival { at: arrival.at + BURST.0, account: "press", ..arrival },
+                ));
+                arrivals.sort_by(|left, right| left.at.total_cmp(&right.at));
+                let mut run = Run::new(seed, arrivals, RoutingWay::Ours, RetryWay::Budgeted);
+                run.queueing = queueing;
+                for routes in &mut run.routes {
+                    let infos = (0..ENGINES).map(engine_info).collect();
+                    routes.set_endpoints(&SERVICE.into(), infos, CONCURRENCY, DAEMONS as f64);
+                }
+                let run = run.run();
+                let within = |from: f64, until: f64| {
+                    let inside =
+                        run.quiet_first.iter().filter(|(at, _)| (from..until).contains(at));
+                    inside.map(|(_, first_ms)| *first_ms).collect::<Vec<f64>>()
+                };
+                let quiet = quantile(&within(8.0, BURST.0), 0.95);
+                let during = quantile(&within(BURST.0, BURST.1), 0.95);
+                vec![quiet, during, (during / quiet - 1.0) * 100.0]
+            });
+        results.push(WayResults { way: name, values: values.collect() });
+    }
+    let about = format!(
+        "One account goes on with 40 requests a second, a quarter of them long arcs, while \
+         another bursts with {BURST_PACE} short requests a second from second {} to second {}, \
+         more than the engines carry. First token p95 of the account that goes on.",
+        BURST.0, BURST.1
+    );
+    let measures = ["before, ms", "in the burst, ms", "longer by, %"];
+    write_table("fairness", &about, &measures, &results);
+    plot_seeds("fairness", "first token p95 in the burst, ms", 1, &results);
+}
