Fairness: accounts over their share go last, and leave room

Change: the limiter tells which accounts ask for more than their share at this daemon; their requests take turns after the others', go to engines with a lower priority, and fill endpoints to four fifths only. A daemon keeps its even part of an endpoint, and for a time what it had at the last report.

What is left: the first second, until the burst is seen, and loads reported every 2 s and 1 s late, which let the free part be filled.

--- a/benches/decisions/limits.rs
+++ b/benches/decisions/limits.rs
@@ -94,8 +94,8 @@
             while owed[daemon] >= REQUEST {
                 owed[daemon] -= REQUEST;
                 let part = if way == LimitWay::Ours { limit } else { limit / DAEMONS as f64 };
-                let verdict = limiters[daemon].admit(&account, REQUEST, part, now);
-                if verdict == LimitVerdict::Admitted {
+                let verdict = limiters[daemon].admit(&account, 1.0, REQUEST, part, now);
+                if matches!(verdict, LimitVerdict::Admitted(_)) {
                     admitted += REQUEST;
                 }
             }
--- a/benches/decisions/serving.rs
+++ b/benches/decisions/serving.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cmp::Reverse,
-    collections::{BinaryHeap, VecDeque},
+    collections::{BTreeMap, BinaryHeap},
     time::Duration,
 };
 
@@ -11,8 +11,9 @@
 use tokio::time::Instant;
 use willowarch::{
     decide::{
-        fair_queue::FairQueue,
+        fair_queue::{FairQueue, QueueTurn},
         health::AttemptResult,
+        limits::{AccountLimiter, LimitVerdict, RequestPriority},
         prefix::prefix_chain,
         retries::{RetryBudget, retry_pause},
         routing::{EndpointInfo, RouteChoice, RouteQuery, RouteTable},
@@ -59,6 +60,8 @@
     AtEngines,
     /// Requests wait at the daemons, and accounts take turns.
     Fair,
+    /// So, and engines take requests of accounts over their share last.
+    FairWithPriorities,
 }
 
 #[derive(Clone)]
@@ -84,7 +87,8 @@
 
 struct Engine {
     model: EngineModel,
-    queue: VecDeque<usize>,
+    /// Waiting requests: priority, then arrival.
+    queue: BTreeMap<(u8, u64), usize>,
 }
 
 /// What one run came to.
@@ -120,6 +124,9 @@
     /// Requests waiting at each daemon, where endpoints are as full as their row allows.
     waiting: Vec<FairQueue<usize>>,
     queueing: QueueWay,
+    priorities: Vec<u8>,
+    places: u64,
+    limiters: Vec<AccountLimiter>,
     routing: RoutingWay,
     retry: RetryWay,
     brownout: Option<(f64, f64)>,
@@ -172,7 +179,7 @@
     fn new(seed: u64, arrivals: Vec<Arrival>, routing: RoutingWay, retry: RetryWay) -> Self {
         let speed = EngineSpeed { slots: SLOTS, cache_blocks: 400, ..EngineSpeed::default() };
         let engines =
-            (0..ENGINES).map(|_| Engine { model: EngineModel::new(speed), queue: VecDeque::new() });
+            (0..ENGINES).map(|_| Engine { model: EngineModel::new(speed), queue: BTreeMap::new() });
         let sharing = if routing == RoutingWay::WithoutSharing { 1.0 } else { DAEMONS as f64 };
         let routes = (0..DAEMONS).map(|daemon| {
             let mut routes = RouteTable::new(format!("z{}", daemon % 4).into());
@@ -196,6 +203,9 @@
             turn: 0,
             waiting: (0..DAEMONS).map(|_| FairQueue::new(100_000)).collect(),
             queueing: QueueWay::AtEngines,
+            priorities: vec![0; count],
+            places: 0,
+            limiters: (0..DAEMONS).map(|_| AccountLimiter::default()).collect(),
             routing,
             retry,
             brownout: None,
@@ -263,6 +273,10 @@
                     service: SERVICE,
                     chain: &self.arrivals[request].chain,
                     exclude: &self.tried[request],
+                    priority: match self.priorities[request] {
+                        0 => RequestPriority::Normal,
+                        _ => RequestPriority::Low,
+                    },
                 };
                 let now = self.base + Duration::from_secs_f64(self.now);
                 let choice = self.routes[daemon].pick(query, now, &mut self.rng);
@@ -270,7 +284,7 @@
                     RouteChoice::Endpoint(pick) => {
                         pick.id.strip_prefix("vm-").and_then(|text| text.parse().ok())
                     }
-                    RouteChoice::Busy if self.queueing == QueueWay::Fair => None,
+                    RouteChoice::Busy if self.queueing != QueueWay::AtEngines => None,
                     RouteChoice::Busy | RouteChoice::Nowhere => {
                         Some(self.rng.random_range(0..ENGINES))
                     }
@@ -288,8 +302,22 @@
         }
         let arrival = &self.arrivals[request];
         let tokens = (arrival.chain.len() * 16 + arrival.tokens) as f64;
+        if self.queueing == QueueWay::FairWithPriorities {
+            let now = self.instant();
+            let limiter = &mut self.limiters[daemon];
+            let verdict = limiter.admit(&arrival.account.into(), 1.0, tokens, 1e12, now);
+            if let LimitVerdict::Admitted(priority) = verdict {
+                self.priorities[request] = priority.number();
+            }
+        }
         let far = self.instant() + Duration::from_secs(3_600);
-        self.waiting[daemon].push(&arrival.account.into(), 1.0, tokens, far, request);
+        let priority = match self.priorities[request] {
+            0 => RequestPriority::Normal,
+            _ => RequestPriority::Low,
+        };
+        let account = arrival.account.into();
+        let turn = QueueTurn { account, weight: 1.0, priority, tokens };
+        self.waiting[daemon].push(&turn, far, request);
         self.serve_waiting(daemon);
     }
 
@@ -321,7 +349,9 @@
         } else if self.engines[engine].model.has_slot() {
             self.begin(engine, request);
         } else {
-            self.engines[engine].queue.push_back(request);
+            self.places += 1;
+            let place = (self.priorities[request], self.places);
+            self.engines[engine].queue.insert(place, request);
         }
         true
     }
@@ -359,7 +389,7 @@
             self.result.goodput.resize(second + 1, 0.0);
         }
         self.result.goodput[second] += 1.0;
-        if let Some(next) = self.engines[engine].queue.pop_front() {
+        if let Some((_, next)) = self.engines[engine].queue.pop_first() {
             self.schedule(self.now, Event::Begin(engine, next));
         }
         let daemon = self.arrivals[request].daemon;
@@ -510,7 +540,8 @@
     const BURST: (f64, f64) = (20.0, 35.0);
     const BURST_PACE: f64 = 500.0;
     let ways = [
-        ("ours: accounts take turns", QueueWay::Fair),
+        ("ours: turns, and priorities at engines", QueueWay::FairWithPriorities),
+        ("turns at daemons only", QueueWay::Fair),
         ("first come first served", QueueWay::AtEngines),
     ];
     let mut results: Vec<WayResults> = Vec::new();
--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -18,7 +18,7 @@
         members::{MemberList, MemberRecord, MemberStatus, MemberView},
     },
     decide::{
-        limits::AccountLimiter,
+        limits::{AccountLimiter, RequestPriority},
         prefix::prefix_chain,
         routing::{EndpointInfo, RouteQuery, RouteTable},
         subset::{window, window_size},
@@ -228,7 +228,12 @@
         let chain = prefix_chain(&"word ".repeat(800));
         let mut rng = SmallRng::seed_from_u64(1);
         let picked = per_call(20_000, |_| {
-            let query = RouteQuery { service: "model", chain: &chain, exclude: &[] };
+            let query = RouteQuery {
+                service: "model",
+                chain: &chain,
+                exclude: &[],
+                priority: RequestPriority::Normal,
+            };
             std::hint::black_box(routes.pick(query, tokio::time::Instant::now(), &mut rng));
         });
         println!(
@@ -266,7 +271,7 @@
     let mut limiter = AccountLimiter::default();
     let account: SharedName = "reader".into();
     let cpu = per_call(200_000, |_| {
-        std::hint::black_box(limiter.admit(&account, 10.0, 1e9, tokio::time::Instant::now()));
+        std::hint::black_box(limiter.admit(&account, 1.0, 10.0, 1e9, tokio::time::Instant::now()));
     });
     println!("limiter: {cpu:.2} us a request");
     for count in [1_000, 5_000, 10_000] {
--- a/src/decide/fair_queue.rs
+++ b/src/decide/fair_queue.rs
@@ -2,20 +2,35 @@
 //!
 //! Start-time fair queueing: each request is tagged with the virtual time at which its
 //! account could start it; the lowest tag goes next. A burst of one account moves only
-//! its own tags ahead.
+//! its own tags ahead. Accounts within their share go before those over it: their own long
+//! requests would otherwise hold up their short ones for as long as the burst lasts.
 
 use std::collections::{BTreeMap, HashMap};
 
 use tokio::time::Instant;
 
+use super::limits::RequestPriority;
 use crate::ids::SharedName;
 
-/// Order of waiting requests: virtual start, then arrival.
-type QueueTag = (u64, u64);
+/// Order of waiting requests: priority, virtual start, arrival.
+type QueueTag = (RequestPriority, u64, u64);
 
 /// Virtual time per weighted token, in units of the tag.
 const TAG_SCALE: f64 = 1_000.0;
 
+/// What a request's turn depends on.
+#[derive(Clone, Debug)]
+pub struct QueueTurn {
+    /// Account.
+    pub account: SharedName,
+    /// Its weight.
+    pub weight: f64,
+    /// Whether the account is over its share.
+    pub priority: RequestPriority,
+    /// Tokens expected.
+    pub tokens: f64,
+}
+
 #[derive(Debug)]
 struct WaitingEntry<T> {
     account: SharedName,
@@ -48,22 +63,16 @@
 
     /// Adds a request; one that does not fit is given back. When the queue is full, the
     /// request with the highest tag has to go, which may be another account's.
-    pub fn push(
-        &mut self,
-        account: &SharedName,
-        weight: f64,
-        tokens: f64,
-        deadline: Instant,
-        item: T,
-    ) -> Option<T> {
+    pub fn push(&mut self, turn: &QueueTurn, deadline: Instant, item: T) -> Option<T> {
+        let account = &turn.account;
         if self.waiting.is_empty() {
             self.next_start.clear();
             self.virtual_time = 0;
         }
         let start = self.next_start.get(account).copied().unwrap_or(0).max(self.virtual_time);
-        let length = (tokens / weight * TAG_SCALE) as u64;
+        let length = (turn.tokens / turn.weight * TAG_SCALE) as u64;
         self.arrivals += 1;
-        let tag = (start, self.arrivals);
+        let tag = (turn.priority, start, self.arrivals);
         let entry = WaitingEntry { account: account.clone(), deadline, item };
         self.next_start.insert(account.clone(), start + length);
         self.waiting.insert(tag, entry);
@@ -77,13 +86,13 @@
     /// Gives back a request that was just taken: it keeps its turn.
     pub fn push_front(&mut self, account: &SharedName, deadline: Instant, item: T) {
         self.arrivals += 1;
-        let tag = (0, self.arrivals);
+        let tag = (RequestPriority::Normal, 0, self.arrivals);
         self.waiting.insert(tag, WaitingEntry { account: account.clone(), deadline, item });
     }
 
     /// Takes the request whose turn it is.
     pub fn pop(&mut self) -> Option<T> {
-        let ((start, _), entry) = self.waiting.pop_first()?;
+        let ((_, start, _), entry) = self.waiting.pop_first()?;
         self.virtual_time = self.virtual_time.max(start);
         Some(entry.item)
     }
--- a/src/decide/limits.rs
+++ b/src/decide/limits.rs
@@ -16,6 +16,10 @@
 const LEAST_SHARE: f64 = 0.05;
 /// Burst that a quiet account may spend at once, in seconds of its local rate.
 const BURST_S: f64 = 1.0;
+/// Demand below which an account counts as quiet, in tokens a second.
+const QUIET: f64 = 0.01;
+/// How far over the mean demand for its weight an account is taken to be over its share.
+const OVER_SHARE: f64 = 1.2;
 /// Longest and shortest time told to a refused caller.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(30));
 
@@ -23,6 +27,7 @@
 struct AccountBucket {
     /// Tokens a second asked for here, smoothed.
     demand: f64,
+    weight: f64,
     /// The demand that went into the average in force, and into the one being made.
     published: [f64; 2],
     level: f64,
@@ -39,11 +44,31 @@
     daemons: f64,
 }
 
+/// Order in which engines take requests that wait for them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum RequestPriority {
+    /// Of an account within its share.
+    #[default]
+    Normal,
+    /// Of an account that asks for more than its share: waits for the others.
+    Low,
+}
+
+impl RequestPriority {
+    /// The number that engines are given; lower goes first.
+    pub fn number(self) -> u8 {
+        match self {
+            Self::Normal => 0,
+            Self::Low => 1,
+        }
+    }
+}
+
 /// What the limiter says of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitVerdict {
     /// Within the limit.
-    Admitted,
+    Admitted(RequestPriority),
     /// Over it; there will be room after this time.
     Refused(Duration),
 }
@@ -55,10 +80,12 @@
         self.daemons = daemons as f64;
     }
 
-    /// Asks for `tokens` of an account whose limit over all daemons is `limit` a second.
+    /// Asks for `tokens` of an account of this weight, whose limit over all daemons is
+    /// `limit` a second.
     pub fn admit(
         &mut self,
         account: &SharedName,
+        weight: f64,
         tokens: f64,
         limit: f64,
         now: Instant,
@@ -67,12 +94,14 @@
         let average = self.averages.get(account).copied();
         let bucket = self.accounts.entry(account.clone()).or_insert(AccountBucket {
             demand: 0.0,
+            weight,
             published: [0.0; 2],
             level: limit / daemons * BURST_S,
             rate: limit / daemons,
             filled_at: now,
         });
         bucket.fill(now);
+        bucket.weight = weight;
         bucket.demand += tokens / DEMAND_WINDOW_S;
         bucket.rate = local_rate(bucket, average, daemons, limit);
         // NOTE: a request larger than the burst is let in when the bucket is full, and
@@ -80,7 +109,7 @@
         let needed = tokens.min(bucket.rate * BURST_S);
         if bucket.level >= needed {
             bucket.level -= tokens;
-            return LimitVerdict::Admitted;
+            return LimitVerdict::Admitted(self.priority(account, now));
         }
         let missing = needed - bucket.level;
         let wait = if bucket.rate > 0.0 { missing / bucket.rate } else { f64::INFINITY };
@@ -89,6 +118,22 @@
         LimitVerdict::Refused(wait.max(COME_BACK.0))
     }
 
+    /// Priority by this daemon's own view of demand: it is fresh, where the averages over
+    /// all daemons are seconds old, and callers come to daemons at random.
+    fn priority(&self, account: &SharedName, now: Instant) -> RequestPriority {
+        let Some(own) = self.accounts.get(account) else { return RequestPriority::Normal };
+        let (mut demand, mut weight) = (0.0, 0.0);
+        for bucket in self.accounts.values() {
+            let current = bucket.demand_at(now);
+            if current > QUIET {
+                demand += current;
+                weight += bucket.weight;
+            }
+        }
+        let over = own.demand / own.weight > demand / weight * OVER_SHARE;
+        if over { RequestPriority::Low } else { RequestPriority::Normal }
+    }
+
     /// Gives back tokens that were admitted but not used.
     pub fn refund(&mut self, account: &SharedName, tokens: f64) {
         if let Some(bucket) = self.accounts.get_mut(account) {
@@ -99,7 +144,6 @@
     /// Demand of each account here, for the exchange with the others; asked for once an
     /// epoch, when the average of the epoch before comes into force.
     pub fn demand(&mut self, now: Instant) -> HashMap<SharedName, f64> {
-        const QUIET: f64 = 0.01;
         for bucket in self.accounts.values_mut() {
             bucket.fill(now);
         }
@@ -113,10 +157,15 @@
 }
 
 impl AccountBucket {
+    fn demand_at(&self, now: Instant) -> f64 {
+        let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.demand * (-elapsed / DEMAND_WINDOW_S).exp()
+    }
+
     fn fill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.demand = self.demand_at(now);
         self.filled_at = now;
-        self.demand *= (-elapsed / DEMAND_WINDOW_S).exp();
         self.level = (self.level + elapsed * self.rate).min(self.rate * BURST_S);
     }
 }
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -17,6 +17,7 @@
 
 use super::{
     health::{AttemptResult, EndpointHealth, HealthState},
+    limits::RequestPriority,
     prefix::{BLOCK_TOKENS, PrefixCache},
 };
 use crate::{ids::SharedName, platform::messages::PriceClass};
@@ -33,6 +34,9 @@
 /// Time between probes of a service's ejected endpoints by one daemon: each probe is a
 /// caller's request that will probably fail.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
+/// Share of its own requests that a daemon keeps to, from one report to the next, while
+/// an endpoint has more than it should.
+const KEPT_WHEN_OVER: f64 = 0.8;
 /// Cost of crossing to another availability zone, in milliseconds.
 const ZONE_MS: f64 = 2.0;
 /// Blocks remembered for each endpoint.
@@ -82,6 +86,8 @@
     reported: u32,
     /// Starts less ends of this daemon since the report.
     drift: i64,
+    /// Requests of its own that this daemon may have there though it is full.
+    allowance: f64,
     health: EndpointHealth,
     cache: PrefixCache,
     cache_sequence: u64,
@@ -104,6 +110,16 @@
     leaving: HashSet<SharedName>,
 }
 
+/// Part of an endpoint that requests of a priority may fill. What accounts over their
+/// share leave free is there at once when another account asks.
+fn open_share(priority: RequestPriority) -> f64 {
+    const LEFT_FREE: f64 = 0.2;
+    match priority {
+        RequestPriority::Normal => 1.0,
+        RequestPriority::Low => 1.0 - LEFT_FREE,
+    }
+}
+
 /// What a request asks of its route.
 #[derive(Clone, Copy, Debug)]
 pub struct RouteQuery<'a> {
@@ -113,6 +129,8 @@
     pub chain: &'a [u64],
     /// Endpoints that were tried already.
     pub exclude: &'a [SharedName],
+    /// Whether the account is over its share.
+    pub priority: RequestPriority,
 }
 
 impl RouteTable {
@@ -168,10 +186,13 @@
 
     /// Takes a load report (running and waiting requests).
     pub fn report_load(&mut self, service: &str, id: &str, load: u32) {
-        if let Some(route) = self.route(service, id) {
-            route.reported = load;
-            route.drift = 0;
-        }
+        let Some(routes) = self.services.get_mut(service) else { return };
+        let concurrency = routes.concurrency;
+        let Some(route) = routes.endpoints.get_mut(id) else { return };
+        route.reported = load;
+        route.drift = 0;
+        let kept = if load > concurrency { KEPT_WHEN_OVER } else { 1.0 };
+        route.allowance = f64::from(route.in_flight) * kept;
     }
 
     /// Takes a cache event; after a gap, what was stored before is doubted but kept:
@@ -202,12 +223,19 @@
         let present: Vec<&EndpointRoute> = routes.endpoints.values().filter(usable).collect();
         let may_probe = routes.probe_at.is_none_or(|at| now >= at);
         let admitted = admit_by_health(&present, may_probe, now);
-        let concurrency = f64::from(routes.concurrency);
+        let concurrency = f64::from(routes.concurrency) * open_share(query.priority);
+        // NOTE: a daemon may always use its even part and, for a time, what it used when the
+        // last report came, whatever that says of all together; else its own ended requests
+        // would free nothing for it until the next report.
+        let open = open_share(query.priority);
+        let own_part = (concurrency / routes.sharing).floor().max(1.0);
         let mut best: Option<(f64, &EndpointRoute)> = None;
         let mut busy = false;
         for route in admitted {
             let load = route.load(routes.sharing);
-            if load >= concurrency {
+            if load >= concurrency
+                && f64::from(route.in_flight) >= (route.allowance * open).max(own_part)
+            {
                 busy = true;
                 continue;
             }
@@ -297,6 +325,7 @@
             in_flight: 0,
             reported: 0,
             drift: 0,
+            allowance: 0.0,
             health: EndpointHealth::default(),
             cache: PrefixCache::new(CACHE_BLOCKS),
             cache_sequence: 0,
--- a/src/endpoint.rs
+++ b/src/endpoint.rs
@@ -16,6 +16,9 @@
     /// Seed of the sampling, so that a resumed answer goes on alike.
     #[serde(default)]
     pub seed: u64,
+    /// Order among those that wait: lower goes first.
+    #[serde(default)]
+    pub priority: u8,
     /// Tokens already produced elsewhere; the stream goes on after them.
     #[serde(default)]
     pub resume_tokens: Vec<String>,
--- a/src/serve/attempt.rs
+++ b/src/serve/attempt.rs
@@ -11,7 +11,7 @@
 use super::{context::ServeContext, router::EndpointSlot, store_service::RequestMessage};
 use crate::{
     clock::{WaitOver, wait_at_most},
-    decide::{health::AttemptResult, reclaim::ReclaimWay},
+    decide::{health::AttemptResult, limits::RequestPriority, reclaim::ReclaimWay},
     endpoint::{EngineOrder, EngineToken, STREAM_END, sse::EventDecoder},
     errors::{FailureCause, StepError},
     headers,
@@ -49,6 +49,8 @@
     pub term: u32,
     /// Call.
     pub call: &'a Arc<CallerCall>,
+    /// Order in which engines take it.
+    pub priority: RequestPriority,
     /// This attempt.
     pub attempt: AttemptId,
     /// Endpoint.
@@ -66,6 +68,7 @@
             prompt: completion.prompt.to_string(),
             max_tokens: completion.max_tokens as usize,
             seed: completion.seed,
+            priority: self.priority.number(),
             resume_tokens: tokens.iter().map(ToString::to_string).collect(),
         };
         let body = serde_json::to_vec(&order).unwrap_or_default();
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -14,6 +14,8 @@
 };
 use crate::{
     decide::{
+        fair_queue::QueueTurn,
+        limits::RequestPriority,
         prefix::{count_tokens, prefix_chain},
         reclaim::ReclaimWay,
         retries::retry_pause,
@@ -39,6 +41,8 @@
 
 /// A request to run under one term.
 pub struct RequestDriver {
+    /// Order in which engines take it.
+    pub priority: RequestPriority,
     context: Rc<ServeContext>,
     name: RequestName,
     term: u32,
@@ -68,6 +72,8 @@
         tokens: Vec<AnswerToken>,
     ) -> Self {
         Self {
+            // NOTE: one that was taken over has waited already.
+            priority: RequestPriority::Normal,
             weight: context.weight_of(&call.account),
             context,
             name,
@@ -174,9 +180,12 @@
         let text = completion.map(|call| format!("{} {}", call.prompt, self.tokens.concat()));
         let order = PickOrder {
             service: self.call.service.clone(),
-            account: self.call.account.clone(),
-            weight: self.weight,
-            tokens: self.call.expected_tokens(),
+            turn: QueueTurn {
+                account: self.call.account.clone(),
+                weight: self.weight,
+                priority: self.priority,
+                tokens: self.call.expected_tokens(),
+            },
             chain: text.map(|text| prefix_chain(&text)).unwrap_or_default().into(),
             exclude: self.exclude.clone(),
             deadline: Instant::now() + QUEUE_WAIT,
@@ -201,6 +210,7 @@
             name: &self.name,
             term: self.term,
             call: &call,
+            priority: self.priority,
             attempt: slot.attempt(),
             slot,
         };
--- a/src/serve/limit_service.rs
+++ b/src/serve/limit_service.rs
@@ -31,6 +31,8 @@
     Admit {
         /// Account.
         account: SharedName,
+        /// Weight of the account.
+        weight: f64,
         /// Tokens expected.
         tokens: f64,
         /// Limit over all daemons, in tokens a second.
@@ -135,8 +137,9 @@
     // NOTE: whoever asked may have gone meanwhile; then the reply is not wanted any more.
     fn handle(&mut self, message: LimitMessage) {
         match message {
-            LimitMessage::Admit { account, tokens, limit, reply } => {
-                let _ = reply.send(self.limiter.admit(&account, tokens, limit, Instant::now()));
+            LimitMessage::Admit { account, weight, tokens, limit, reply } => {
+                let _ =
+                    reply.send(self.limiter.admit(&account, weight, tokens, limit, Instant::now()));
             }
             LimitMessage::Refund { account, tokens } => self.limiter.refund(&account, tokens),
             LimitMessage::Average { theirs, reply } => {
--- a/src/serve/once.rs
+++ b/src/serve/once.rs
@@ -19,6 +19,7 @@
     timeline::EventKind,
 };
 use crate::{
+    decide::{fair_queue::QueueTurn, limits::RequestPriority},
     errors::FailureCause,
     ids::{RequestName, SharedName, hash_parts},
     platform::client::WriteCondition,
@@ -300,13 +301,14 @@
     name: RequestName,
     refused_by: Vec<SharedName>,
     started_at: Instant,
+    priority: RequestPriority,
 }
 
 impl OnceRun {
     fn new(context: Rc<ServeContext>, ticket: TicketId, call: Arc<CallerCall>) -> Self {
         let name = RequestName::new(call.account.clone(), ticket.to_string());
-        let started_at = Instant::now();
-        Self { context, ticket, call, name, refused_by: Vec::new(), started_at }
+        let (started_at, priority) = (Instant::now(), RequestPriority::Normal);
+        Self { context, ticket, call, name, refused_by: Vec::new(), started_at, priority }
     }
 
     fn note_end(&self, answer: &FinalAnswer) {
@@ -326,8 +328,8 @@
     async fn run(&mut self) -> FinalAnswer {
         let undispatched = UndispatchedCall::new(self.call.clone());
         match admit(&self.context, &self.call).await {
-            Ok(None) => {}
-            Ok(Some((reason, wait))) => return undispatched.refuse(reason, wait),
+            Ok(Ok(priority)) => self.priority = priority,
+            Ok(Err((reason, wait))) => return undispatched.refuse(reason, wait),
             Err(_) => return undispatched.refuse(NotRunReason::Overloaded, COME_BACK),
         }
         self.context.note(
@@ -362,9 +364,12 @@
     async fn pick(&self) -> PickReply {
         let order = PickOrder {
             service: self.call.service.clone(),
-            account: self.call.account.clone(),
-            weight: self.context.weight_of(&self.call.account),
-            tokens: self.call.expected_tokens(),
+            turn: QueueTurn {
+                account: self.call.account.clone(),
+                weight: self.context.weight_of(&self.call.account),
+                priority: self.priority,
+                tokens: self.call.expected_tokens(),
+            },
             chain: Arc::from([]),
             exclude: self.refused_by.clone(),
             deadline: Instant::now() + QUEUE_WAIT,
@@ -408,6 +413,7 @@
             name: &self.name,
             term: 0,
             call: &call,
+            priority: self.priority,
             attempt: slot.attempt(),
             slot,
         };
--- a/src/serve/resume.rs
+++ b/src/serve/resume.rs
@@ -21,7 +21,7 @@
 };
 use crate::{
     cluster::core::PeerTarget,
-    decide::limits::LimitVerdict,
+    decide::limits::{LimitVerdict, RequestPriority},
     ids::RequestName,
     kernel::SendError,
     request::{
@@ -99,16 +99,20 @@
         }
         return adopt(context, known, call).await;
     }
-    if let Some((reason, wait)) = admit(context, &call).await? {
-        context.requests.send(RequestMessage::Remove { name: name.clone() })?;
-        return Ok(ObtainedRequest::Refused(undispatched.refuse(reason, wait)));
-    }
+    let priority = match admit(context, &call).await? {
+        Ok(priority) => priority,
+        Err((reason, wait)) => {
+            context.requests.send(RequestMessage::Remove { name: name.clone() })?;
+            return Ok(ObtainedRequest::Refused(undispatched.refuse(reason, wait)));
+        }
+    };
     if targets.is_empty() {
         context.metrics.count("accepted_without_copy", 1);
     }
     context.copies.send(CopyMessage::Track(name.clone()))?;
     context.note(EventKind::Accepted, name, format!("service {}", call.service));
-    let driver = RequestDriver::new(context.clone(), name.clone(), 0, call, Vec::new());
+    let mut driver = RequestDriver::new(context.clone(), name.clone(), 0, call, Vec::new());
+    driver.priority = priority;
     spawn_driver(context, driver, CallStage::Undispatched(undispatched));
     Ok(ObtainedRequest::Ready)
 }
@@ -121,29 +125,31 @@
     });
 }
 
-/// Why a new request may not start here and now, and when it may come back.
+/// Priority of a new request; or why it may not start here and now, and when it may come
+/// back.
 pub async fn admit(
     context: &Rc<ServeContext>,
     call: &CallerCall,
-) -> Result<Option<(NotRunReason, Duration)>, SendError> {
+) -> Result<Result<RequestPriority, (NotRunReason, Duration)>, SendError> {
     if context.is_leaving() {
-        return Ok(Some((NotRunReason::Draining, ELSEWHERE)));
+        return Ok(Err((NotRunReason::Draining, ELSEWHERE)));
     }
     if context.active.get() >= context.settings.request_limit {
-        return Ok(Some((NotRunReason::Overloaded, COME_BACK)));
+        return Ok(Err((NotRunReason::Overloaded, COME_BACK)));
     }
     let Some(row) = context.table().account(&call.account) else {
-        return Ok(Some((NotRunReason::NoTable, COME_BACK)));
+        return Ok(Err((NotRunReason::NoTable, COME_BACK)));
     };
     let verdict = context.limits.ask(|reply| LimitMessage::Admit {
         account: call.account.clone(),
+        weight: row.weight,
         tokens: call.expected_tokens(),
         limit: row.tokens_per_s,
         reply,
     });
     Ok(match verdict.await? {
-        LimitVerdict::Admitted => None,
-        LimitVerdict::Refused(wait) => Some((NotRunReason::AccountLimit, wait)),
+        LimitVerdict::Admitted(priority) => Ok(priority),
+        LimitVerdict::Refused(wait) => Err((NotRunReason::AccountLimit, wait)),
     })
 }
 
--- a/src/serve/router.rs
+++ b/src/serve/router.rs
@@ -24,7 +24,7 @@
 use crate::{
     cluster::members::MemberList,
     decide::{
-        fair_queue::FairQueue,
+        fair_queue::{FairQueue, QueueTurn},
         health::AttemptResult,
         reclaim::{LeavingStream, ReclaimWay, ReclaimWeights, plan_reclaim},
         routing::{CacheChange, EndpointInfo, EndpointPick, RouteChoice, RouteQuery, RouteTable},
@@ -69,12 +69,8 @@
 pub struct PickOrder {
     /// Service.
     pub service: SharedName,
-    /// Account whose turn it takes.
-    pub account: SharedName,
-    /// Weight of the account.
-    pub weight: f64,
-    /// Tokens expected.
-    pub tokens: f64,
+    /// Turn it takes when endpoints are full.
+    pub turn: QueueTurn,
     /// Block hashes of the prompt.
     pub chain: Arc<[u64]>,
     /// Endpoints tried already.
@@ -405,8 +401,12 @@
     /// Serves a pick, or gives it back if endpoints are full.
     fn try_pick(&mut self, pending: PendingPick) -> Option<PendingPick> {
         let order = &pending.order;
-        let query =
-            RouteQuery { service: &order.service, chain: &order.chain, exclude: &order.exclude };
+        let query = RouteQuery {
+            service: &order.service,
+            chain: &order.chain,
+            exclude: &order.exclude,
+            priority: order.turn.priority,
+        };
         match self.routes.pick(query, Instant::now(), &mut self.rng) {
             RouteChoice::Endpoint(pick) => {
                 self.assign(pending, pick);
@@ -453,12 +453,12 @@
     fn enqueue(&mut self, pending: PendingPick) {
         let wait = self.expected_wait(&pending.order.service);
         let order = &pending.order;
-        let (account, weight, tokens) = (order.account.clone(), order.weight, order.tokens);
+        let turn = order.turn.clone();
         let deadline = order.deadline;
         let queue =
             self.queues.entry(order.service.clone()).or_insert_with(|| FairQueue::new(QUEUE_LIMIT));
         self.metrics.count("picks_queued", 1);
-        if let Some(dropped) = queue.push(&account, weight, tokens, deadline, pending) {
+        if let Some(dropped) = queue.push(&turn, deadline, pending) {
             let _ = dropped.reply.send(PickReply::Busy(wait));
         }
     }
@@ -481,7 +481,7 @@
 
     fn put_back(&mut self, pending: PendingPick) {
         let order = &pending.order;
-        let (account, deadline) = (order.account.clone(), order.deadline);
+        let (account, deadline) = (order.turn.account.clone(), order.deadline);
         if let Some(queue) = self.queues.get_mut(&order.service) {
             queue.push_front(&account, deadline, pending);
         }
--- a/src/standin/endpoint.rs
+++ b/src/standin/endpoint.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::RefCell,
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::Duration,
@@ -82,7 +82,9 @@
     pub(super) model: EngineModel,
     pub(super) faults: EndpointFaults,
     pub(super) counts: WorkCounts,
-    pub(super) waiting: usize,
+    /// Streams that wait for a slot: priority, then arrival.
+    pub(super) waiting: BTreeSet<(u8, u64)>,
+    pub(super) arrivals: u64,
     loads: VecDeque<(Instant, LoadReport)>,
     cache_events: VecDeque<(Instant, CacheEvent)>,
     cache_sequence: u64,
@@ -93,7 +95,7 @@
     pub(super) fn record_load(&mut self) {
         const KEPT: usize = 4_096;
         let running = self.model.running() as u32;
-        let report = LoadReport { running, waiting: self.waiting as u32 };
+        let report = LoadReport { running, waiting: self.waiting.len() as u32 };
         self.loads.push_back((Instant::now(), report));
         if self.loads.len() > KEPT {
             self.loads.pop_front();
@@ -161,7 +163,8 @@
             model: EngineModel::new(speed.unwrap_or_default()),
             faults: EndpointFaults::default(),
             counts: WorkCounts::default(),
-            waiting: 0,
+            waiting: BTreeSet::new(),
+            arrivals: 0,
             loads: VecDeque::new(),
             cache_events: VecDeque::new(),
             cache_sequence: 0,
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -44,11 +44,12 @@
 /// One stream waiting for its slot.
 struct WaitingPlace {
     endpoint: EndpointStandin,
+    place: (u8, u64),
 }
 
 impl Drop for WaitingPlace {
     fn drop(&mut self) {
-        self.endpoint.state.borrow_mut().waiting -= 1;
+        self.endpoint.state.borrow_mut().waiting.remove(&self.place);
     }
 }
 
@@ -79,11 +80,26 @@
     answer
 }
 
-async fn wait_for_slot(endpoint: &EndpointStandin) {
+impl WaitingPlace {
+    fn new(endpoint: &EndpointStandin, priority: u8) -> Self {
+        let mut state = endpoint.state.borrow_mut();
+        state.arrivals += 1;
+        let place = (priority, state.arrivals);
+        state.waiting.insert(place);
+        Self { endpoint: endpoint.clone(), place }
+    }
+
+    fn has_turn(&self) -> bool {
+        let state = self.endpoint.state.borrow();
+        state.model.has_slot() && state.waiting.first() == Some(&self.place)
+    }
+}
+
+/// Waits for a slot, those of a lower priority number first.
+async fn wait_for_slot(endpoint: &EndpointStandin, priority: u8) {
     const POLL: Duration = Duration::from_millis(2);
-    endpoint.state.borrow_mut().waiting += 1;
-    let _place = WaitingPlace { endpoint: endpoint.clone() };
-    while !endpoint.state.borrow().model.has_slot() {
+    let place = WaitingPlace::new(endpoint, priority);
+    while !place.has_turn() {
         sleep(POLL).await;
     }
 }
@@ -108,7 +124,7 @@
     order: EngineOrder,
     mut sender: Sender<Bytes, CutError>,
 ) {
-    wait_for_slot(&endpoint).await;
+    wait_for_slot(&endpoint, order.priority).await;
     let (_slot, prefill) = start(&endpoint, &order);
     let mut next_at = Instant::now() + prefill;
     let first = order.resume_tokens.len();
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -13,13 +13,13 @@
 use willowarch::{
     cluster::averaging::{AccountOrder, DemandAveraging, EPOCH_MS},
     decide::{
-        fair_queue::FairQueue,
+        fair_queue::{FairQueue, QueueTurn},
         fleet::{
             FleetAction, FleetPlace, FleetPlanner, FleetWeights, HeldVm, ServiceFleet,
             choose_counts, expected_cost,
         },
         health::{AttemptResult, EndpointHealth, HealthState},
-        limits::{AccountLimiter, LimitVerdict},
+        limits::{AccountLimiter, LimitVerdict, RequestPriority},
         prefix::{PrefixCache, prefix_chain},
         reclaim::{LeavingStream, ReclaimWay, ReclaimWeights, plan_reclaim},
         retries::RetryBudget,
@@ -57,7 +57,7 @@
     exclude: &[willowarch::ids::SharedName],
 ) -> RouteChoice {
     let mut rng = SmallRng::seed_from_u64(5);
-    let query = RouteQuery { service: "model", chain, exclude };
+    let query = RouteQuery { service: "model", chain, exclude, priority: RequestPriority::Normal };
     routes.pick(query, Instant::now(), &mut rng)
 }
 
@@ -242,8 +242,8 @@
                 owed[index] += offered(index) / 100.0;
                 while owed[index] >= REQUEST {
                     owed[index] -= REQUEST;
-                    let verdict = limiter.admit(&"reader".into(), REQUEST, limit, now);
-                    if verdict == LimitVerdict::Admitted {
+                    let verdict = limiter.admit(&"reader".into(), 1.0, REQUEST, limit, now);
+                    if matches!(verdict, LimitVerdict::Admitted(_)) {
                         admitted += REQUEST;
                     }
                 }
@@ -288,25 +288,62 @@
     let now = Instant::now();
     let account = "reader".into();
     let wait = loop {
-        match limiter.admit(&account, 10.0, 100.0, now) {
-            LimitVerdict::Admitted => {}
+        match limiter.admit(&account, 1.0, 10.0, 100.0, now) {
+            LimitVerdict::Admitted(_) => {}
             LimitVerdict::Refused(wait) => break wait,
         }
     };
-    let verdict = limiter.admit(&account, 10.0, 100.0, now + wait);
-    expect_that!(verdict, eq(LimitVerdict::Admitted));
+    let verdict = limiter.admit(&account, 1.0, 10.0, 100.0, now + wait);
+    expect_that!(verdict, pat!(LimitVerdict::Admitted(anything())));
+}
+
+#[googletest::test]
+fn account_over_its_share_waits_for_the_others() {
+    let mut limiter = AccountLimiter::default();
+    let now = Instant::now();
+    let mut ask = |account: &str, weight: f64, tokens: f64| {
+        limiter.admit(&account.into(), weight, tokens, 1e9, now)
+    };
+    let alone = ask("press", 1.0, 500.0);
+    expect_that!(alone, eq(LimitVerdict::Admitted(RequestPriority::Normal)));
+    let quiet = ask("reader", 1.0, 100.0);
+    expect_that!(quiet, eq(LimitVerdict::Admitted(RequestPriority::Normal)));
+    let burst = ask("press", 1.0, 500.0);
+    expect_that!(burst, eq(LimitVerdict::Admitted(RequestPriority::Low)));
+    // The same demand is within the share of an account of more weight.
+    let heavy = ask("press", 20.0, 500.0);
+    expect_that!(heavy, eq(LimitVerdict::Admitted(RequestPriority::Normal)));
 }
 
 // Fair queue
 
+fn turn(account: &str, weight: f64, tokens: f64) -> QueueTurn {
+    QueueTurn { account: account.into(), weight, priority: RequestPriority::Normal, tokens }
+}
+
+/// An account within its share is not held up by a long request of its own.
+#[googletest::test]
+fn accounts_within_their_share_go_before_those_over_it() {
+    let mut queue = FairQueue::new(100);
+    let deadline = Instant::now() + millis(60_000);
+    for number in 0..10 {
+        let low = QueueTurn { priority: RequestPriority::Low, ..turn("press", 1.0, 10.0) };
+        queue.push(&low, deadline, ("press", number));
+    }
+    queue.push(&turn("reader", 1.0, 5_000.0), deadline, ("reader", 0));
+    queue.push(&turn("reader", 1.0, 10.0), deadline, ("reader", 1));
+    let first: Vec<_> = std::iter::from_fn(|| queue.pop()).take(2).collect();
+    expect_that!(first, eq(&[("reader", 0), ("reader", 1)]));
+}
+
 #[googletest::test]
 fn burst_of_one_account_does_not_delay_another() {
     let mut queue = FairQueue::new(1_000);
     let deadline = Instant::now() + millis(60_000);
     for number in 0..100 {
-        queue.push(&"press".into(), 1.0, 100.0, deadline, ("press", number));
+        queue.push(&turn("press", 1.0, 100.0), deadline, ("press", number));
     }
-    queue.push(&"reader".into(), 1.0, 100.0, deadline, ("reader", 0));
+    queue.push(&turn("reader", 1.0, 100.0), deadline, ("reader", 0));
     let order: Vec<&str> = std::iter::from_fn(|| queue.pop()).map(|(name, _)| name).collect();
     let place = order.iter().position(|name| *name == "reader");
     expect_that!(place, some(le(1)));
@@ -320,8 +357,8 @@
         let deadline = Instant::now() + millis(60_000);
         for size in sizes.iter().cycle().take(600) {
             let tokens = f64::from(*size);
-            queue.push(&"heavy".into(), f64::from(weight), tokens, deadline, (true, tokens));
-            queue.push(&"light".into(), 1.0, tokens, deadline, (false, tokens));
+            queue.push(&turn("heavy", f64::from(weight), tokens), deadline, (true, tokens));
+            queue.push(&turn("light", 1.0, tokens), deadline, (false, tokens));
         }
         let (mut heavy, mut light) = (0.0, 0.0);
         for _ in 0..400 {
@@ -536,3 +573,16 @@
     let released = planner.decide(&quiet, &prices, now + millis(1_100_000));
     expect_that!(released, elements_are![pat!(FleetAction::Release { id: anything() })]);
 }
+
+/// Two planners that do not know of each other ask for the same names, so that the cloud
+/// starts each VM once.
+#[googletest::test]
+fn two_planners_choose_the_same_names() {
+    let prices = prices(1.0, [0.3, 0.4]);
+    let now = Instant::now();
+    let view = || service_fleet(5.0, vec![held_vm(1, "b", false)]);
+    let first = FleetPlanner::default().decide(&view(), &prices, now);
+    let second = FleetPlanner::default().decide(&view(), &prices, now);
+    expect_that!(first.len(), ge(3));
+    expect_that!(second, eq(&first));
+}
