Large files split by job

Change, without a change of behaviour: the router's messages and its polls; the cluster's events and the soundness of items; answers apart from the callers' port; the answer log apart from the store; typed calls apart from the pool; a ticket's run apart from finding its holder; the fleet's cost problem apart from the planner.

--- a/src/cluster.rs
+++ b/src/cluster.rs
@@ -6,6 +6,8 @@
 
 pub mod averaging;
 pub mod core;
+pub mod events;
 pub mod items;
 pub mod members;
 pub mod service;
+pub mod soundness;
--- a/src/cluster/core.rs
+++ b/src/cluster/core.rs
@@ -16,8 +16,10 @@
 use tokio::time::Instant;
 
 use super::{
+    events::{ClusterAction, ClusterCounters, ClusterEvent, PeerTarget},
     items::{ItemKey, ItemKind, ItemStore, SpreadItem},
     members::{MemberList, MemberRecord, MemberStatus, MemberView, member_version, split_version},
+    soundness::{is_sound, parse_incarnation},
 };
 use crate::{
     decide::subset::daemon_position,
@@ -53,72 +55,6 @@
 /// Helpers asked about a neighbour that does not answer.
 const HELPERS: usize = 2;
 
-/// Whom an action is for.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct PeerTarget {
-    /// Expected incarnation; an address that answers with another one is an error.
-    pub incarnation: IncarnationId,
-    /// Where its gate listens.
-    pub address: SharedName,
-}
-
-/// What has happened.
-#[derive(Clone, Debug)]
-pub enum ClusterEvent {
-    /// Time has passed; expected every 50 ms or so.
-    Tick,
-    /// An address that may be a daemon of this deployment.
-    Seed(SharedName),
-    /// A daemon answered a greeting or greeted this one.
-    Greeted(IncarnationId, MemberRecord),
-    /// A neighbour answered its probe.
-    ProbeAnswered(IncarnationId),
-    /// A neighbour did not answer; `refused` if its address takes no connections.
-    ProbeFailed(IncarnationId, bool),
-    /// Helpers could not reach it either.
-    HelpersFailed(IncarnationId, bool),
-    /// Another incarnation answers at its address: it is gone for certain.
-    Replaced(IncarnationId),
-    /// Items from a peer (`None`: from this process).
-    Items(Option<IncarnationId>, Vec<SpreadItem>),
-    /// This daemon takes no new work from now on.
-    Leave,
-}
-
-/// What is to be done.
-#[derive(Clone, Debug, PartialEq)]
-pub enum ClusterAction {
-    /// Say hello to an address; report `Greeted`.
-    Greet(SharedName),
-    /// Probe; report `ProbeAnswered`, `ProbeFailed` or `Replaced`.
-    Probe(PeerTarget),
-    /// Ask the helpers to probe the target; report `HelpersFailed` or `ProbeAnswered`.
-    ProbeVia(Vec<PeerTarget>, PeerTarget),
-    /// Send items.
-    Push(PeerTarget, Vec<SpreadItem>),
-    /// Exchange summaries and what is missing; report `Items`.
-    Sync(PeerTarget),
-    /// Items that are new here, for the other services.
-    Changed(Vec<SpreadItem>),
-    /// The member list has changed.
-    MembersChanged,
-}
-
-/// Counters for metrics.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ClusterCounters {
-    /// Members that this daemon suspected.
-    pub suspected: u64,
-    /// Members that this daemon removed.
-    pub removed: u64,
-    /// Suspicions of itself that it refuted.
-    pub refuted: u64,
-    /// Items received that were not newer.
-    pub stale_items: u64,
-    /// Items received that were newer.
-    pub fresh_items: u64,
-}
-
 /// Membership and spread of one daemon.
 #[derive(Debug)]
 pub struct ClusterCore {
@@ -441,7 +377,7 @@
         let mut fresh = Vec::new();
         let mut members_changed = false;
         for item in items {
-            if !self.is_sound(&item) || !self.items.offer(item.clone(), now) {
+            if !is_sound(&item) || !self.items.offer(item.clone(), now) {
                 self.counters.stale_items += 1;
                 continue;
             }
@@ -462,27 +398,6 @@
         }
     }
 
-    /// A corrupt item must not take a good one's place.
-    fn is_sound(&self, item: &SpreadItem) -> bool {
-        match item.key.kind {
-            ItemKind::Member => {
-                parse_incarnation(&item.key.name).is_some()
-                    && item.decode::<MemberRecord>().is_some()
-            }
-            ItemKind::Row => {
-                item.value.is_none()
-                    || item.decode::<serde_json::Value>().is_some_and(|value| {
-                        crate::options::rows::TableRow::parse(&value, "row").is_ok()
-                    })
-            }
-            ItemKind::Vm => {
-                item.value.is_none()
-                    || item.decode::<crate::platform::messages::VmEntry>().is_some()
-            }
-            ItemKind::Notice => item.decode::<crate::platform::messages::ReclaimNotice>().is_some(),
-        }
-    }
-
     fn take_member(&mut self, item: &SpreadItem, now: Instant, actions: &mut Vec<ClusterAction>) {
         let Some(incarnation) = parse_incarnation(&item.key.name) else { return };
         let Some(record) = item.decode::<MemberRecord>() else { return };
@@ -569,8 +484,3 @@
         }
     }
 }
-
-/// Incarnation named by a member item.
-pub fn parse_incarnation(name: &str) -> Option<IncarnationId> {
-    u64::from_str_radix(name, 16).ok().map(IncarnationId)
-}
--- a/src/cluster/service.rs
+++ b/src/cluster/service.rs
@@ -9,7 +9,8 @@
 };
 
 use super::{
-    core::{ClusterAction, ClusterCore, ClusterCounters, ClusterEvent, PeerTarget},
+    core::ClusterCore,
+    events::{ClusterAction, ClusterCounters, ClusterEvent, PeerTarget},
     items::{ItemKey, ItemKind, SpreadItem},
     members::MemberList,
 };
@@ -20,7 +21,7 @@
     peer::client::PeerPool,
     platform::messages::{ReclaimNotice, VmEntry},
     serve::{
-        router::RouterMessage,
+        router::messages::RouterMessage,
         timeline::{EventKind, TimelineHandle},
     },
 };
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -17,7 +17,8 @@
 use crate::{
     cluster::{
         self,
-        core::{ClusterCore, ClusterEvent},
+        core::ClusterCore,
+        events::ClusterEvent,
         members::{MemberList, MemberRecord},
         service::{ClusterMessage, ClusterOutputs},
     },
@@ -68,7 +69,7 @@
     cluster: ServiceInbox<ClusterMessage>,
     requests: ServiceInbox<store_service::RequestMessage>,
     tickets: ServiceInbox<ticket_service::TicketMessage>,
-    router: ServiceInbox<router::RouterMessage>,
+    router: ServiceInbox<router::messages::RouterMessage>,
     copies: ServiceInbox<copies::CopyMessage>,
     limits: ServiceInbox<limit_service::LimitMessage>,
 }
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -7,6 +7,8 @@
 //! while that lowers the expected cost. VMs that are held already count as a little
 //! cheaper than new ones, so that small changes of price move nothing.
 
+mod problem;
+
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
     time::Duration,
@@ -14,13 +16,12 @@
 
 use tokio::time::Instant;
 
+use self::problem::{FleetProblem, place_of};
 use crate::{
     ids::SharedName,
     platform::messages::{PriceClass, PriceEntry},
 };
 
-/// Share by which a VM that is held counts as cheaper than a new one.
-const HELD_DISCOUNT: f64 = 0.15;
 /// How long fewer VMs must have been enough before one is released.
 const RELEASE_AFTER: Duration = Duration::from_secs(300);
 /// After a notice or a refused start nothing is released for this time.
@@ -53,131 +54,6 @@
     pub reclaim: f64,
 }
 
-/// Counts by place, in the order of the prices.
-type PlaceCounts = Vec<usize>;
-
-/// What the choice is made from.
-struct FleetProblem<'a> {
-    need: f64,
-    most: usize,
-    prices: &'a [PriceEntry],
-    /// VMs held at each place.
-    held: PlaceCounts,
-    /// Distinct zones, and for each the index of its reclaimable place.
-    reclaimable_of_zone: Vec<Option<usize>>,
-    weights: &'a FleetWeights,
-}
-
-fn place_of(price: &PriceEntry) -> FleetPlace {
-    FleetPlace { zone: price.zone.clone(), class: price.class }
-}
-
-impl<'a> FleetProblem<'a> {
-    fn new(
-        need: f64,
-        most: usize,
-        prices: &'a [PriceEntry],
-        held: &HashMap<FleetPlace, usize>,
-        weights: &'a FleetWeights,
-    ) -> Self {
-        let held = prices.iter().map(|price| held.get(&place_of(price)).copied().unwrap_or(0));
-        let mut zones: Vec<&SharedName> = prices.iter().map(|price| &price.zone).collect();
-        zones.sort();
-        zones.dedup();
-        let reclaimable = |zone: &&SharedName| {
-            prices
-                .iter()
-                .position(|price| price.zone == **zone && price.class == PriceClass::Reclaimable)
-        };
-        Self {
-            need,
-            most,
-            prices,
-            held: held.collect(),
-            reclaimable_of_zone: zones.iter().map(reclaimable).collect(),
-            weights,
-        }
-    }
-
-    /// Expected cost of an hour: prices, reclaims and shortage.
-    fn cost(&self, counts: &[usize]) -> f64 {
-        let total: usize = counts.iter().sum();
-        let shortage = |left: usize| (self.need - left as f64).max(0.0) * self.weights.shortage;
-        let zones = self.reclaimable_of_zone.len() as f64;
-        // Part of an hour in which a given zone's reclaimable VMs are missing.
-        let missing = self.weights.zone_loss * self.weights.replace_hours;
-        let mut cost = (1.0 - missing * zones).max(0.0) * shortage(total);
-        for place in &self.reclaimable_of_zone {
-            let lost = place.map_or(0, |place| counts[place]);
-            cost += missing * shortage(total - lost);
-        }
-        for (index, price) in self.prices.iter().enumerate() {
-            let kept = counts[index].min(self.held[index]) as f64;
-            cost += counts[index] as f64 * self.unit_cost(price);
-            cost -= kept * price.per_hour * HELD_DISCOUNT;
-        }
-        cost
-    }
-
-    /// Cost of holding a new VM for an hour.
-    fn unit_cost(&self, price: &PriceEntry) -> f64 {
-        match price.class {
-            PriceClass::Reclaimable => {
-                price.per_hour + self.weights.zone_loss * self.weights.reclaim
-            }
-            PriceClass::OnDemand => price.per_hour,
-        }
-    }
-
-    /// Improves `counts` until no move of a chunk lowers the cost; larger chunks first.
-    fn improve(&self, mut counts: PlaceCounts) -> PlaceCounts {
-        let mut chunk = (self.need / 4.0).ceil().max(1.0) as usize;
-        let mut cost = self.cost(&counts);
-        loop {
-            match self.best_move(&counts, chunk, cost) {
-                Some((better, next)) => (cost, counts) = (better, next),
-                None if chunk == 1 => return counts,
-                None => chunk /= 2,
-            }
-        }
-    }
-
-    /// The best of: a chunk removed or not, and none, one or two chunks added elsewhere.
-    fn best_move(&self, counts: &[usize], chunk: usize, cost: f64) -> Option<(f64, PlaceCounts)> {
-        const LEAST_GAIN: f64 = 1e-9;
-        let places = counts.len();
-        let mut best: Option<(f64, PlaceCounts)> = None;
-        let removals = (0..places).map(Some).chain([None]);
-        for removal in removals {
-            let mut base = counts.to_vec();
-            match removal {
-                Some(place) if base[place] >= chunk => base[place] -= chunk,
-                Some(_) => continue,
-                None => {}
-            }
-            for first in (0..places).map(Some).chain([None]) {
-                for second in
-                    first.into_iter().flat_map(|first| first..places).map(Some).chain([None])
-                {
-                    let mut next = base.clone();
-                    for place in [first, second].into_iter().flatten() {
-                        next[place] += chunk;
-                    }
-                    if next.iter().sum::<usize>() > self.most {
-                        continue;
-                    }
-                    let least = best.as_ref().map_or(cost, |(least, _)| *least);
-                    let found = self.cost(&next);
-                    if found < least - LEAST_GAIN {
-                        best = Some((found, next));
-                    }
-                }
-            }
-        }
-        best
-    }
-}
-
 /// Chooses counts per place for `need` VMs (a fraction counts as part of one).
 pub fn choose_counts(
     need: f64,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -1,5 +1,6 @@
 //! The protocol between daemons: Cap'n Proto RPC over TCP (schema/peer.capnp).
 
+pub mod calls;
 pub mod client;
 pub mod codec;
 pub mod server;
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -13,7 +13,7 @@
 use crate::{
     cluster::{
         averaging::DemandOffer,
-        core::{ClusterEvent, PeerTarget},
+        events::{ClusterEvent, PeerTarget},
         members::MemberRecord,
         service::ClusterMessage,
     },
--- /dev/null
+++ b/src/request/answer_log.rs
@@ -0,0 +1,119 @@
+//! What grows while a request runs: its tokens, its holder, its end.
+
+use std::{cell::RefCell, rc::Rc, sync::Arc};
+
+use tokio::sync::watch;
+
+use super::{
+    outcome::FinalAnswer,
+    store::{AnswerToken, RequestCopy, RequestHolder},
+};
+use crate::ids::RequestName;
+
+/// How far a request has come, for those who wait on it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RequestProgress {
+    /// Tokens known.
+    pub tokens: usize,
+    /// Whether it has ended.
+    pub ended: bool,
+    /// Number of take-overs.
+    pub term: u32,
+}
+
+/// Tokens of an answer, in one text: a shared string for each took five times the memory.
+#[derive(Debug, Default)]
+pub(super) struct TokenText {
+    text: String,
+    /// Where each token ends.
+    ends: Vec<u32>,
+}
+
+impl TokenText {
+    pub(super) fn len(&self) -> usize {
+        self.ends.len()
+    }
+
+    pub(super) fn push(&mut self, token: &str) {
+        self.text.push_str(token);
+        self.ends.push(self.text.len() as u32);
+    }
+
+    fn start_of(&self, index: usize) -> usize {
+        index.checked_sub(1).map_or(0, |before| self.ends[before] as usize)
+    }
+
+    pub(super) fn truncate(&mut self, length: usize) {
+        if length < self.len() {
+            self.text.truncate(self.start_of(length));
+            self.ends.truncate(length);
+        }
+    }
+
+    fn from(&self, first: usize) -> Vec<AnswerToken> {
+        let mut start = self.start_of(first);
+        let tokens = self.ends[first..].iter().map(|end| {
+            let token = &self.text[start..*end as usize];
+            start = *end as usize;
+            AnswerToken::from(token)
+        });
+        tokens.collect()
+    }
+}
+
+/// What grows while a request runs.
+#[derive(Debug)]
+pub(super) struct AnswerLog {
+    pub(super) digest: [u8; 32],
+    pub(super) term: u32,
+    pub(super) holder: RequestHolder,
+    pub(super) tokens: TokenText,
+    pub(super) answer: Option<Arc<FinalAnswer>>,
+}
+
+impl AnswerLog {
+    pub(super) fn copy_from(&self, name: &RequestName, first_token: usize) -> RequestCopy {
+        let first_token = first_token.min(self.tokens.len());
+        RequestCopy {
+            name: name.clone(),
+            term: self.term,
+            holder: self.holder.clone(),
+            digest: Some(self.digest),
+            call: None,
+            first_token,
+            tokens: self.tokens.from(first_token),
+            answer: self.answer.clone(),
+        }
+    }
+
+    pub(super) fn progress(&self) -> RequestProgress {
+        let ended = self.answer.is_some();
+        RequestProgress { tokens: self.tokens.len(), ended, term: self.term }
+    }
+}
+
+/// Reading end of a request's state, for tasks of the same thread: following an answer
+/// token by token through the store's mailbox would cost two task switches a token.
+#[derive(Debug)]
+pub struct AnswerView {
+    pub(super) name: RequestName,
+    pub(super) log: Rc<RefCell<AnswerLog>>,
+    pub(super) progress: watch::Receiver<RequestProgress>,
+}
+
+impl AnswerView {
+    /// How far the request has come.
+    pub fn progress(&self) -> RequestProgress {
+        self.log.borrow().progress()
+    }
+
+    /// State from a token on, without the call.
+    pub fn copy_from(&self, first_token: usize) -> RequestCopy {
+        self.log.borrow().copy_from(&self.name, first_token)
+    }
+
+    /// Waits until `holds` says so of the progress; `false` if the record was removed.
+    pub async fn wait_for(&mut self, holds: impl Fn(&RequestProgress) -> bool) -> bool {
+        self.progress.wait_for(holds).await.is_ok()
+    }
+}
--- a/src/request/store.rs
+++ b/src/request/store.rs
@@ -14,7 +14,11 @@
 
 use tokio::{sync::watch, time::Instant};
 
-use super::{call::CallerCall, outcome::FinalAnswer};
+use super::{
+    answer_log::{AnswerLog, AnswerView, RequestProgress, TokenText},
+    call::CallerCall,
+    outcome::FinalAnswer,
+};
 use crate::ids::{IncarnationId, RequestName, SharedName};
 
 /// Token of an answer.
@@ -54,114 +58,6 @@
     pub answer: Option<Arc<FinalAnswer>>,
 }
 
-/// How far a request has come, for those who wait on it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RequestProgress {
-    /// Tokens known.
-    pub tokens: usize,
-    /// Whether it has ended.
-    pub ended: bool,
-    /// Number of take-overs.
-    pub term: u32,
-}
-
-/// Tokens of an answer, in one text: a shared string for each took five times the memory.
-#[derive(Debug, Default)]
-struct TokenText {
-    text: String,
-    /// Where each token ends.
-    ends: Vec<u32>,
-}
-
-impl TokenText {
-    fn len(&self) -> usize {
-        self.ends.len()
-    }
-
-    fn push(&mut self, token: &str) {
-        self.text.push_str(token);
-        self.ends.push(self.text.len() as u32);
-    }
-
-    fn start_of(&self, index: usize) -> usize {
-        index.checked_sub(1).map_or(0, |before| self.ends[before] as usize)
-    }
-
-    fn truncate(&mut self, length: usize) {
-        if length < self.len() {
-            self.text.truncate(self.start_of(length));
-            self.ends.truncate(length);
-        }
-    }
-
-    fn from(&self, first: usize) -> Vec<AnswerToken> {
-        let mut start = self.start_of(first);
-        let tokens = self.ends[first..].iter().map(|end| {
-            let token = &self.text[start..*end as usize];
-            start = *end as usize;
-            AnswerToken::from(token)
-        });
-        tokens.collect()
-    }
-}
-
-/// What grows while a request runs.
-#[derive(Debug)]
-struct AnswerLog {
-    digest: [u8; 32],
-    term: u32,
-    holder: RequestHolder,
-    tokens: TokenText,
-    answer: Option<Arc<FinalAnswer>>,
-}
-
-impl AnswerLog {
-    fn copy_from(&self, name: &RequestName, first_token: usize) -> RequestCopy {
-        let first_token = first_token.min(self.tokens.len());
-        RequestCopy {
-            name: name.clone(),
-            term: self.term,
-            holder: self.holder.clone(),
-            digest: Some(self.digest),
-            call: None,
-            first_token,
-            tokens: self.tokens.from(first_token),
-            answer: self.answer.clone(),
-        }
-    }
-
-    fn progress(&self) -> RequestProgress {
-        let ended = self.answer.is_some();
-        RequestProgress { tokens: self.tokens.len(), ended, term: self.term }
-    }
-}
-
-/// Reading end of a request's state, for tasks of the same thread: following an answer
-/// token by token through the store's mailbox would cost two task switches a token.
-#[derive(Debug)]
-pub struct AnswerView {
-    name: RequestName,
-    log: Rc<RefCell<AnswerLog>>,
-    progress: watch::Receiver<RequestProgress>,
-}
-
-impl AnswerView {
-    /// How far the request has come.
-    pub fn progress(&self) -> RequestProgress {
-        self.log.borrow().progress()
-    }
-
-    /// State from a token on, without the call.
-    pub fn copy_from(&self, first_token: usize) -> RequestCopy {
-        self.log.borrow().copy_from(&self.name, first_token)
-    }
-
-    /// Waits until `holds` says so of the progress; `false` if the record was removed.
-    pub async fn wait_for(&mut self, holds: impl Fn(&RequestProgress) -> bool) -> bool {
-        self.progress.wait_for(holds).await.is_ok()
-    }
-}
-
 #[derive(Debug)]
 struct StoredRequest {
     call: Option<Arc<CallerCall>>,
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -1,6 +1,7 @@
 //! From a caller's request to its answer.
 
 pub mod admin;
+pub mod answer;
 pub mod attempt;
 pub mod caller_edge;
 pub mod context;
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -11,13 +11,13 @@
     context::ServeContext,
     limit_service::LimitMessage,
     problem::Problem,
-    router::{RouterMessage, RouterStatus},
+    router::messages::{RouterMessage, RouterStatus},
     store_service::{RequestMessage, StoreGauge},
     ticket_service::TicketMessage,
 };
 use crate::{
     cluster::{
-        core::ClusterEvent,
+        events::ClusterEvent,
         items::{ItemKind, SpreadItem},
         members::MemberStatus,
         service::ClusterMessage,
--- /dev/null
+++ b/src/serve/answer.rs
@@ -0,0 +1,288 @@
+//! Answers as callers get them: read from the request store as they grow, streamed as
+//! events or given whole.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use hyper::{Response, StatusCode, header::HeaderValue};
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+
+use super::{
+    context::ServeContext, problem::Problem, store_service::RequestMessage, timeline::EventKind,
+};
+use crate::{
+    http::{AnswerBody, BodyError, stream_body, whole_body},
+    ids::RequestName,
+    kernel::LifePhase,
+    request::{
+        answer_log::AnswerView,
+        outcome::{FinalAnswer, PlainAnswer, UnknownReason},
+        store::RequestCopy,
+    },
+};
+
+/// Chunks that wait for a slow caller before its stream waits too.
+const STREAM_CHUNKS: usize = 32;
+
+/// JSON answer.
+pub fn json_response(value: &Value) -> Response<AnswerBody> {
+    let mut response = Response::new(whole_body(value.to_string()));
+    let kind = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    response
+}
+
+/// Answer of a plain endpoint.
+pub fn plain_response(plain: &PlainAnswer) -> Response<AnswerBody> {
+    let mut response = Response::new(whole_body(plain.body.clone()));
+    *response.status_mut() = StatusCode::from_u16(plain.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    if let Ok(kind) = HeaderValue::from_str(&plain.content_type) {
+        response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+    }
+    response
+}
+
+/// The record was removed while its caller waited: it was cancelled, or refused in the
+/// same moment for another caller of the same key.
+pub fn vanished() -> Problem {
+    Problem::unknown(UnknownReason::Cancelled, true)
+}
+
+/// Cancels a request when its last caller has left for good.
+struct CallerGuard {
+    context: Rc<ServeContext>,
+    name: RequestName,
+    keyed: bool,
+    done: bool,
+}
+
+impl Drop for CallerGuard {
+    fn drop(&mut self) {
+        if self.done || self.context.is_leaving() {
+            return;
+        }
+        let context = self.context.clone();
+        let name = self.name.clone();
+        // NOTE: a caller without a key of its own cannot come back.
+        let grace = if self.keyed { context.settings.resume_grace } else { Duration::ZERO };
+        tokio::task::spawn_local(async move {
+            context.note(EventKind::CallerLeft, &name, "its connection broke");
+            tokio::time::sleep(grace).await;
+            cancel_if_alone(&context, name).await;
+        });
+    }
+}
+
+async fn cancel_if_alone(context: &Rc<ServeContext>, name: RequestName) {
+    let read = context.requests.ask(|reply| RequestMessage::Read {
+        name: name.clone(),
+        first_token: usize::MAX,
+        reply,
+    });
+    let Ok(Some(copy)) = read.await else { return };
+    if copy.answer.is_some() || copy.holder != context.holder() {
+        return;
+    }
+    let watchers =
+        context.requests.ask(|reply| RequestMessage::Watchers { name: name.clone(), reply });
+    // NOTE: one watcher is the request's own driver.
+    if watchers.await.is_ok_and(|watchers| watchers <= 1) {
+        context.metrics.count("requests_cancelled", 1);
+        let _ = context.requests.send(RequestMessage::Remove { name });
+    }
+}
+
+/// Reads a request's answer from the store as it grows.
+pub struct AnswerReader {
+    context: Rc<ServeContext>,
+    name: RequestName,
+    view: AnswerView,
+    sent: usize,
+    guard: CallerGuard,
+}
+
+impl AnswerReader {
+    /// Reader for a caller that has `have_tokens` already; `keyed` if it can come back.
+    pub fn new(
+        context: &Rc<ServeContext>,
+        name: &RequestName,
+        view: AnswerView,
+        have_tokens: usize,
+        keyed: bool,
+    ) -> Self {
+        let guard =
+            CallerGuard { context: context.clone(), name: name.clone(), keyed, done: false };
+        Self { context: context.clone(), name: name.clone(), view, sent: have_tokens, guard }
+    }
+
+    /// Waits until there is more than has been sent, or the end.
+    async fn news(&mut self) -> Option<RequestCopy> {
+        let sent = self.sent;
+        if !self.view.wait_for(|progress| progress.ended || progress.tokens > sent).await {
+            return None;
+        }
+        let copy = self.view.copy_from(sent);
+        if copy.answer.is_some() {
+            self.guard.done = true;
+        }
+        Some(copy)
+    }
+
+    async fn whole(&mut self) -> Option<RequestCopy> {
+        if !self.view.wait_for(|progress| progress.ended).await {
+            return None;
+        }
+        self.guard.done = true;
+        Some(self.view.copy_from(0))
+    }
+
+    /// A plain endpoint's answer.
+    pub async fn plain(mut self) -> Result<Response<AnswerBody>, Problem> {
+        let copy = self.whole().await.ok_or_else(vanished)?;
+        match copy.answer.as_deref() {
+            Some(FinalAnswer::Plain(plain)) => Ok(plain_response(plain)),
+            Some(answer) => Err(Problem::of(answer, true).unwrap_or_else(vanished)),
+            None => Err(vanished()),
+        }
+    }
+
+    /// The whole answer in one document.
+    pub async fn document(mut self, chat: bool) -> Result<Response<AnswerBody>, Problem> {
+        let copy = self.whole().await.ok_or_else(vanished)?;
+        if let Some(problem) = copy.answer.as_deref().and_then(|end| Problem::of(end, true)) {
+            return Err(problem);
+        }
+        let text = copy.tokens.concat();
+        let (object, part) = if chat {
+            let message = json!({ "role": "assistant", "content": text });
+            ("chat.completion", ("message", message))
+        } else {
+            ("text_completion", ("text", json!(text)))
+        };
+        let mut choice = json!({ "index": 0, "finish_reason": "stop" });
+        choice[part.0] = part.1;
+        let usage = json!({ "completion_tokens": copy.tokens.len() });
+        Ok(json_response(&json!({
+            "id": self.name.key,
+            "object": object,
+            "choices": [choice],
+            "usage": usage,
+        })))
+    }
+
+    /// Streams events. The head waits for the first token, so that a request that comes
+    /// to nothing is answered with a status that says so.
+    pub async fn events(mut self, chat: bool) -> Result<Response<AnswerBody>, Problem> {
+        let first = self.news().await.ok_or_else(vanished)?;
+        if first.tokens.is_empty()
+            && let Some(problem) = first.answer.as_deref().and_then(|end| Problem::of(end, true))
+        {
+            return Err(problem);
+        }
+        let (sender, body) = stream_body(STREAM_CHUNKS);
+        let context = self.context.clone();
+        context.kernel.spawn("answer", async move { self.send_events(chat, first, sender).await });
+        let mut response = Response::new(body);
+        let kind = HeaderValue::from_static("text/event-stream");
+        response.headers_mut().insert(hyper::header::CONTENT_TYPE, kind);
+        let fresh = HeaderValue::from_static("no-store");
+        response.headers_mut().insert(hyper::header::CACHE_CONTROL, fresh);
+        Ok(response)
+    }
+
+    async fn send_events(
+        mut self,
+        chat: bool,
+        first: RequestCopy,
+        sender: mpsc::Sender<Result<Bytes, BodyError>>,
+    ) {
+        let mut news = Some(first);
+        let mut phase = self.context.kernel.phase();
+        loop {
+            let Some(copy) = news else { return };
+            let events = self.render(&copy, chat);
+            if !events.is_empty() && sender.send(Ok(events)).await.is_err() {
+                return;
+            }
+            if let Some(answer) = &copy.answer {
+                let end = render_end(&self.name, answer, chat);
+                let _ = sender.send(Ok(end)).await;
+                return;
+            }
+            news = tokio::select! {
+                news = self.news() => news,
+                () = sender.closed() => return,
+                _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => None,
+            };
+        }
+    }
+
+    /// Events of the tokens that have not been sent yet.
+    fn render(&mut self, copy: &RequestCopy, chat: bool) -> Bytes {
+        let mut text = String::new();
+        // NOTE: after a take-over the store may know fewer tokens than were sent.
+        let known = self.sent.saturating_sub(copy.first_token);
+        for token in copy.tokens.iter().skip(known) {
+            let chunk = render_chunk(&self.name, Some(token), chat, None);
+            text.push_str(&format!("id: {}\ndata: {chunk}\n\n", self.sent));
+            self.sent += 1;
+        }
+        Bytes::from(text)
+    }
+}
+
+/// Chunk of a stream, in the usual form.
+#[derive(Serialize)]
+struct StreamChunk<'a> {
+    id: &'a str,
+    object: &'static str,
+    choices: [ChunkChoice<'a>; 1],
+}
+
+#[derive(Serialize)]
+struct ChunkChoice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<ChunkDelta<'a>>,
+    finish_reason: Option<&'static str>,
+}
+
+#[derive(Serialize)]
+struct ChunkDelta<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+fn render_chunk(
+    name: &RequestName,
+    token: Option<&str>,
+    chat: bool,
+    finish_reason: Option<&'static str>,
+) -> String {
+    let object = if chat { "chat.completion.chunk" } else { "text_completion" };
+    let text = (!chat).then_some(token.unwrap_or(""));
+    let delta = chat.then_some(ChunkDelta { content: token });
+    let choice = ChunkChoice { index: 0, text, delta, finish_reason };
+    let chunk = StreamChunk { id: &name.key, object, choices: [choice] };
+    // NOTE: these types always serialize.
+    serde_json::to_string(&chunk).unwrap_or_default()
+}
+
+/// Last events of a stream. One that failed midway ends with its problem as an error
+/// event and without the usual end, so that no caller takes it for whole.
+fn render_end(name: &RequestName, answer: &FinalAnswer, chat: bool) -> Bytes {
+    match Problem::of(answer, true) {
+        None => {
+            let chunk = render_chunk(name, None, chat, Some("stop"));
+            Bytes::from(format!("data: {chunk}\n\ndata: [DONE]\n\n"))
+        }
+        Some(problem) => {
+            let problem = json!({ "error": problem });
+            Bytes::from(format!("event: error\ndata: {problem}\n\n"))
+        }
+    }
+}
--- a/src/serve/attempt.rs
+++ b/src/serve/attempt.rs
@@ -8,7 +8,7 @@
 use hyper::{HeaderMap, Method, Response, body::Incoming};
 use tokio::time::Duration;
 
-use super::{context::ServeContext, router::EndpointSlot, store_service::RequestMessage};
+use super::{context::ServeContext, router::messages::EndpointSlot, store_service::RequestMessage};
 use crate::{
     clock::{WaitOver, wait_at_most},
     decide::{health::AttemptResult, limits::RequestPriority, reclaim::ReclaimWay},
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -13,13 +13,13 @@
     copies::CopyMessage,
     limit_service::LimitMessage,
     metrics::MetricsHandle,
-    router::RouterMessage,
+    router::messages::RouterMessage,
     store_service::RequestMessage,
     ticket_service::TicketMessage,
     timeline::{EventKind, TimelineHandle},
 };
 use crate::{
-    cluster::{core::PeerTarget, members::MemberList, service::ClusterMessage},
+    cluster::{events::PeerTarget, members::MemberList, service::ClusterMessage},
     decide::retries::RetryBudget,
     http::client::HttpClient,
     ids::{AttemptId, IncarnationId, RequestName, SharedName},
--- a/src/serve/copies.rs
+++ b/src/serve/copies.rs
@@ -15,10 +15,13 @@
 
 use super::{context::ServeContext, store_service::RequestMessage};
 use crate::{
-    cluster::core::PeerTarget,
+    cluster::events::PeerTarget,
     ids::RequestName,
     kernel::{ServiceAddress, ServiceInbox},
-    request::store::{AnswerView, OfferVerdict, RequestCopy, RequestProgress},
+    request::{
+        answer_log::{AnswerView, RequestProgress},
+        store::{OfferVerdict, RequestCopy},
+    },
 };
 
 /// Name of the service.
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -8,7 +8,7 @@
 use super::{
     attempt::{AttemptEnd, AttemptTask, as_completion},
     context::ServeContext,
-    router::{EndpointSlot, PickOrder, PickReply, RouterMessage, StreamShape},
+    router::messages::{EndpointSlot, PickOrder, PickReply, RouterMessage, StreamShape},
     store_service::RequestMessage,
     timeline::EventKind,
 };
--- a/src/serve/limit_service.rs
+++ b/src/serve/limit_service.rs
@@ -11,7 +11,7 @@
 use crate::{
     cluster::{
         averaging::{AccountOrder, DemandAveraging, DemandOffer, EXCHANGE_MS},
-        core::PeerTarget,
+        events::PeerTarget,
         members::MemberList,
     },
     decide::limits::{AccountLimiter, LimitVerdict},
--- /dev/null
+++ b/src/serve/once/run.rs
@@ -0,0 +1,180 @@
+//! One run of a ticket at its holder: admit, pick, obtain consent, dispatch once.
+
+use std::{rc::Rc, sync::Arc, time::Duration};
+
+use tokio::time::Instant;
+
+use super::COME_BACK;
+use crate::{
+    decide::{fair_queue::QueueTurn, limits::RequestPriority},
+    ids::{RequestName, SharedName},
+    request::{
+        call::{CallContent, CallerCall},
+        outcome::{CallStage, FinalAnswer, NotRunReason, UndispatchedCall, UnknownReason},
+        tickets::{ConsentVerdict, TicketId},
+    },
+    serve::{
+        attempt::{AttemptEnd, AttemptTask},
+        context::ServeContext,
+        resume::admit,
+        router::messages::{EndpointSlot, PickOrder, PickReply, RouterMessage},
+        timeline::EventKind,
+    },
+};
+
+/// Longest wait in the queue for an endpoint.
+const QUEUE_WAIT: Duration = Duration::from_secs(10);
+/// Endpoints that may refuse before starting, for one request.
+const REFUSAL_LIMIT: usize = 4;
+
+/// One run of a ticket at its holder.
+pub struct OnceRun {
+    context: Rc<ServeContext>,
+    ticket: TicketId,
+    call: Arc<CallerCall>,
+    name: RequestName,
+    refused_by: Vec<SharedName>,
+    started_at: Instant,
+    priority: RequestPriority,
+}
+
+impl OnceRun {
+    /// Run of `ticket` for `call`.
+    pub fn new(context: Rc<ServeContext>, ticket: TicketId, call: Arc<CallerCall>) -> Self {
+        let name = RequestName::new(call.account.clone(), ticket.to_string());
+        let (started_at, priority) = (Instant::now(), RequestPriority::Normal);
+        Self { context, ticket, call, name, refused_by: Vec::new(), started_at, priority }
+    }
+
+    /// Notes the one terminal event.
+    pub fn note_end(&self, answer: &FinalAnswer) {
+        let label = answer.label();
+        self.context.metrics.count_labelled("requests_ended", "outcome", label);
+        let reason = match answer {
+            FinalAnswer::NotRun(proof) => format!(" ({})", proof.reason()),
+            FinalAnswer::Unknown(reason) => format!(" ({reason})"),
+            FinalAnswer::Streamed | FinalAnswer::Plain(_) => String::new(),
+        };
+        let refusals = self.refused_by.len();
+        let took = self.started_at.elapsed().as_millis();
+        let detail = format!("{label}{reason}; {refusals} refusals, {took} ms");
+        self.context.note(EventKind::Ended, &self.name, detail);
+    }
+
+    /// Runs to the final answer.
+    pub async fn run(&mut self) -> FinalAnswer {
+        let undispatched = UndispatchedCall::new(self.call.clone());
+        match admit(&self.context, &self.call).await {
+            Ok(Ok(priority)) => self.priority = priority,
+            Ok(Err((reason, wait))) => return undispatched.refuse(reason, wait),
+            Err(_) => return undispatched.refuse(NotRunReason::Overloaded, COME_BACK),
+        }
+        self.context.note(
+            EventKind::Accepted,
+            &self.name,
+            format!("service {}", self.call.service),
+        );
+        let mut stage = undispatched;
+        let mut consented = false;
+        loop {
+            let slot = match self.pick().await {
+                PickReply::Slot(slot) => slot,
+                PickReply::Busy(wait) => return stage.refuse(NotRunReason::Overloaded, wait),
+                PickReply::Nowhere => return stage.refuse(NotRunReason::NoEndpoint, COME_BACK),
+            };
+            if !consented {
+                if let Err(reason) = self.obtain_consent().await {
+                    return stage.refuse(reason, Duration::ZERO);
+                }
+                consented = true;
+            }
+            match self.dispatch(stage, &slot).await {
+                Ok(answer) => return answer,
+                Err(undispatched) => stage = undispatched,
+            }
+            if self.refused_by.len() >= REFUSAL_LIMIT {
+                return stage.refuse(NotRunReason::EndpointRefused, COME_BACK);
+            }
+        }
+    }
+
+    async fn pick(&self) -> PickReply {
+        let order = PickOrder {
+            service: self.call.service.clone(),
+            turn: QueueTurn {
+                account: self.call.account.clone(),
+                weight: self.context.weight_of(&self.call.account),
+                priority: self.priority,
+                tokens: self.call.expected_tokens(),
+            },
+            chain: Arc::from([]),
+            exclude: self.refused_by.clone(),
+            deadline: Instant::now() + QUEUE_WAIT,
+            attempt: self.context.next_attempt(),
+            stream: None,
+        };
+        let router = &self.context.router;
+        let reply = router.ask(|reply| RouterMessage::Pick(Box::new(order), reply)).await;
+        reply.unwrap_or(PickReply::Busy(COME_BACK))
+    }
+
+    /// Has the witness write down that this holder may have dispatched from now on.
+    async fn obtain_consent(&self) -> Result<(), NotRunReason> {
+        if self.ticket.witness == self.ticket.holder {
+            return Ok(());
+        }
+        let witness = self.context.target(self.ticket.witness).ok_or(NotRunReason::NoWitness)?;
+        match self.context.pool.consent(&witness, self.ticket).await {
+            Ok(ConsentVerdict::Granted) => Ok(()),
+            Ok(ConsentVerdict::Sealed | ConsentVerdict::AlreadyGranted) => {
+                self.context.note(EventKind::TicketSealed, &self.name, "the witness refused");
+                Err(NotRunReason::HolderGone)
+            }
+            // NOTE: the witness may have written its consent down; that does no harm,
+            // since this holder ends the ticket without dispatching.
+            Err(_) => Err(NotRunReason::NoWitness),
+        }
+    }
+
+    /// Dispatches once. Gives the call back only if the endpoint did not start it.
+    async fn dispatch(
+        &mut self,
+        stage: UndispatchedCall,
+        slot: &EndpointSlot,
+    ) -> Result<FinalAnswer, UndispatchedCall> {
+        self.context.note(EventKind::Dispatched, &self.name, format!("VM {}", slot.pick.id));
+        let call = self.call.clone();
+        let dispatched = stage.begin();
+        let task = AttemptTask {
+            context: &self.context,
+            name: &self.name,
+            term: 0,
+            call: &call,
+            priority: self.priority,
+            attempt: slot.attempt(),
+            slot,
+        };
+        let end = match &call.content {
+            CallContent::Plain(plain) => task.plain(plain).await,
+            CallContent::Completion(_) => return Ok(dispatched.give_up(UnknownReason::AnswerLost)),
+        };
+        match end {
+            AttemptEnd::Answered(answer) => Ok(answer),
+            AttemptEnd::NotStarted(evidence, error) => {
+                self.refused_by.push(slot.pick.id.clone());
+                self.context.note(EventKind::AttemptFailed, &self.name, error.to_string());
+                match dispatched.not_started(evidence) {
+                    CallStage::Undispatched(undispatched) => Err(undispatched),
+                    CallStage::Dispatched(call) => Ok(call.give_up(UnknownReason::AnswerLost)),
+                }
+            }
+            AttemptEnd::Failed(error) => {
+                self.context.note(EventKind::AttemptFailed, &self.name, error.to_string());
+                Ok(dispatched.give_up(UnknownReason::AnswerLost))
+            }
+            AttemptEnd::Leaving(_) | AttemptEnd::Superseded => {
+                Ok(dispatched.give_up(UnknownReason::AnswerLost))
+            }
+        }
+    }
+}
--- a/src/serve/planner.rs
+++ b/src/serve/planner.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     cluster::{
-        core::ClusterEvent,
+        events::ClusterEvent,
         items::{ItemKind, SpreadItem},
         service::ClusterMessage,
     },
--- a/src/serve/platform_watch.rs
+++ b/src/serve/platform_watch.rs
@@ -11,7 +11,7 @@
 use super::context::ServeContext;
 use crate::{
     cluster::{
-        core::ClusterEvent,
+        events::ClusterEvent,
         items::{ItemKind, SpreadItem},
         service::ClusterMessage,
     },
--- a/src/serve/resume.rs
+++ b/src/serve/resume.rs
@@ -20,7 +20,7 @@
     timeline::EventKind,
 };
 use crate::{
-    cluster::core::PeerTarget,
+    cluster::events::PeerTarget,
     decide::limits::{LimitVerdict, RequestPriority},
     ids::RequestName,
     kernel::SendError,
--- a/src/serve/router.rs
+++ b/src/serve/router.rs
@@ -1,21 +1,21 @@
 //! Service that owns the routes: gives each attempt its endpoint, lets accounts take
 //! turns when endpoints are full, and moves streams off endpoints that are leaving.
 
-use std::{
-    cell::Cell,
-    collections::{BTreeMap, HashMap},
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+pub mod messages;
+mod poll;
+
+use std::{cell::Cell, collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use rand::rngs::SmallRng;
-use serde::Serialize;
 use tokio::{
     sync::{oneshot, watch},
     time::{Instant, MissedTickBehavior, interval},
 };
 
+use self::{
+    messages::{EndpointSlot, PickOrder, PickReply, RouterMessage, RouterStatus, StreamShape},
+    poll::poll_endpoint,
+};
 use super::{
     limit_service::ServiceLoads,
     metrics::MetricsHandle,
@@ -24,15 +24,14 @@
 use crate::{
     cluster::members::MemberList,
     decide::{
-        fair_queue::{FairQueue, QueueTurn},
+        fair_queue::FairQueue,
         health::AttemptResult,
         reclaim::{LeavingStream, ReclaimWay, ReclaimWeights, plan_reclaim},
-        routing::{CacheChange, EndpointInfo, EndpointPick, RouteChoice, RouteQuery, RouteTable},
+        routing::{EndpointInfo, EndpointPick, RouteChoice, RouteQuery, RouteTable},
         subset::{ring_position, window, window_size},
     },
-    endpoint::{CacheEvent, LoadReport},
-    http::client::{HttpClient, OutgoingCall},
-    ids::{AttemptId, IncarnationId, RequestName, SharedName},
+    http::client::HttpClient,
+    ids::{AttemptId, IncarnationId, SharedName},
     kernel::{ServiceAddress, ServiceInbox},
     options::rows::{ServiceType, TableSnapshot},
     platform::messages::{ENTRY_SERVICE, ReclaimNotice, VmEntry, VmState},
@@ -44,8 +43,6 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between polls of the endpoints' load and cache events.
 const POLL_EVERY: Duration = Duration::from_millis(2_000);
-/// Longest wait for a polled endpoint.
-const POLL_LIMIT: Duration = Duration::from_millis(500);
 /// Most requests that wait for endpoints of one service.
 const QUEUE_LIMIT: usize = 2_000;
 /// Speeds assumed until measured: token, prompt token, and move of a token's cache.
@@ -53,150 +50,6 @@
 const PREFILL_MS: f64 = 0.25;
 const MOVE_MS: f64 = 0.125;
 
-/// A stream, as far as moving it matters.
-#[derive(Clone, Debug)]
-pub struct StreamShape {
-    /// Request.
-    pub name: RequestName,
-    /// Tokens of its prompt.
-    pub prompt_tokens: usize,
-    /// Tokens of its whole answer.
-    pub max_tokens: usize,
-}
-
-/// What an attempt asks of the router.
-#[derive(Debug)]
-pub struct PickOrder {
-    /// Service.
-    pub service: SharedName,
-    /// Turn it takes when endpoints are full.
-    pub turn: QueueTurn,
-    /// Block hashes of the prompt.
-    pub chain: Arc<[u64]>,
-    /// Endpoints tried already.
-    pub exclude: Vec<SharedName>,
-    /// Latest time at which an endpoint is of use.
-    pub deadline: Instant,
-    /// Attempt.
-    pub attempt: AttemptId,
-    /// Stream, if the service streams.
-    pub stream: Option<StreamShape>,
-}
-
-/// Endpoint given to an attempt; the attempt ends when this is dropped.
-#[derive(Debug)]
-pub struct EndpointSlot {
-    /// Endpoint.
-    pub pick: EndpointPick,
-    /// What to do about a notice, once there is one.
-    pub way: watch::Receiver<Option<ReclaimWay>>,
-    /// Tokens produced so far, kept up to date by the attempt.
-    pub produced: Rc<Cell<usize>>,
-    /// How it ended; set before the drop.
-    pub result: Cell<AttemptResult>,
-    service: SharedName,
-    attempt: AttemptId,
-    chain: Arc<[u64]>,
-    started_at: Instant,
-    router: ServiceAddress<RouterMessage>,
-}
-
-impl EndpointSlot {
-    /// Attempt it was given to.
-    pub fn attempt(&self) -> AttemptId {
-        self.attempt
-    }
-}
-
-impl Drop for EndpointSlot {
-    fn drop(&mut self) {
-        // NOTE: fails only when the router is gone, and the daemon with it.
-        let _ = self.router.send(RouterMessage::Ended {
-            service: self.service.clone(),
-            id: self.pick.id.clone(),
-            attempt: self.attempt,
-            result: self.result.get(),
-            chain: self.chain.clone(),
-            took: self.started_at.elapsed(),
-        });
-    }
-}
-
-/// Answer to a pick.
-#[derive(Debug)]
-pub enum PickReply {
-    /// An endpoint.
-    Slot(EndpointSlot),
-    /// None in time; come back after this.
-    Busy(Duration),
-    /// The service has no usable endpoint.
-    Nowhere,
-}
-
-/// What the service is told and asked.
-#[derive(Debug)]
-pub enum RouterMessage {
-    /// A VM is in the list (`Some`) or no longer (`None`).
-    Vm {
-        /// Identity.
-        id: SharedName,
-        /// Entry.
-        entry: Option<VmEntry>,
-    },
-    /// A VM has a notice.
-    Notice(ReclaimNotice),
-    /// An attempt needs an endpoint.
-    Pick(Box<PickOrder>, oneshot::Sender<PickReply>),
-    /// An attempt has ended.
-    Ended {
-        /// Service.
-        service: SharedName,
-        /// VM.
-        id: SharedName,
-        /// Attempt.
-        attempt: AttemptId,
-        /// Result.
-        result: AttemptResult,
-        /// Block hashes now cached there.
-        chain: Arc<[u64]>,
-        /// How long it took.
-        took: Duration,
-    },
-    /// An endpoint has reported its load.
-    Load {
-        /// Service.
-        service: SharedName,
-        /// VM.
-        id: SharedName,
-        /// Running and waiting requests.
-        load: u32,
-    },
-    /// An endpoint has reported changes of its cache.
-    Cache {
-        /// Service.
-        service: SharedName,
-        /// VM.
-        id: SharedName,
-        /// Changes.
-        changes: Vec<CacheChange>,
-    },
-    /// State, for operators.
-    Status(oneshot::Sender<RouterStatus>),
-}
-
-/// State of the router, for operators.
-#[derive(Clone, Debug, Default, Serialize)]
-pub struct RouterStatus {
-    /// VMs known.
-    pub vms: usize,
-    /// VMs leaving.
-    pub leaving: usize,
-    /// Endpoints used by this daemon, by service.
-    pub endpoints: BTreeMap<SharedName, usize>,
-    /// Requests waiting, by service.
-    pub waiting: BTreeMap<SharedName, usize>,
-}
-
 struct PendingPick {
     order: Box<PickOrder>,
     reply: oneshot::Sender<PickReply>,
@@ -594,36 +447,3 @@
         class: vm.class,
     }
 }
-
-/// Asks an endpoint for its load and, after the event `after`, for cache events.
-async fn poll_endpoint(
-    http: HttpClient,
-    router: ServiceAddress<RouterMessage>,
-    service: SharedName,
-    info: EndpointInfo,
-    after: Option<u64>,
-) {
-    let call = OutgoingCall::get("read load", &info.address, "/load");
-    let report = http.fetch(&call, POLL_LIMIT).await;
-    let report = report.and_then(|answer| answer.json::<LoadReport>("read load", &info.address));
-    // NOTE: an endpoint that does not report keeps its last load, corrected by our own
-    // dispatches; attempts show whether it works.
-    let Ok(report) = report else { return };
-    let load = report.running + report.waiting;
-    let message = RouterMessage::Load { service: service.clone(), id: info.id.clone(), load };
-    let _ = router.send(message);
-    let Some(after) = after else { return };
-    let call = OutgoingCall::get(
-        "read cache events",
-        &info.address,
-        format!("/cache_events?after={after}"),
-    );
-    let Ok(answer) = http.fetch(&call, POLL_LIMIT).await else { return };
-    let Ok(events) = answer.json::<Vec<CacheEvent>>("read cache events", &info.address) else {
-        return;
-    };
-    let changes: Vec<CacheChange> = events.into_iter().map(CacheEvent::into_change).collect();
-    if !changes.is_empty() {
-        let _ = router.send(RouterMessage::Cache { service, id: info.id, changes });
-    }
-}
--- /dev/null
+++ b/src/serve/router/poll.rs
@@ -0,0 +1,48 @@
+//! Asks endpoints for their load and their cache events.
+
+use std::time::Duration;
+
+use super::messages::RouterMessage;
+use crate::{
+    decide::routing::{CacheChange, EndpointInfo},
+    endpoint::{CacheEvent, LoadReport},
+    http::client::{HttpClient, OutgoingCall},
+    ids::SharedName,
+    kernel::ServiceAddress,
+};
+
+/// Longest wait for a polled endpoint.
+const POLL_LIMIT: Duration = Duration::from_millis(500);
+
+/// Asks an endpoint for its load and, after the event `after`, for cache events.
+pub async fn poll_endpoint(
+    http: HttpClient,
+    router: ServiceAddress<RouterMessage>,
+    service: SharedName,
+    info: EndpointInfo,
+    after: Option<u64>,
+) {
+    let call = OutgoingCall::get("read load", &info.address, "/load");
+    let report = http.fetch(&call, POLL_LIMIT).await;
+    let report = report.and_then(|answer| answer.json::<LoadReport>("read load", &info.address));
+    // NOTE: an endpoint that does not report keeps its last load, corrected by our own
+    // dispatches; attempts show whether it works.
+    let Ok(report) = report else { return };
+    let load = report.running + report.waiting;
+    let message = RouterMessage::Load { service: service.clone(), id: info.id.clone(), load };
+    let _ = router.send(message);
+    let Some(after) = after else { return };
+    let call = OutgoingCall::get(
+        "read cache events",
+        &info.address,
+        format!("/cache_events?after={after}"),
+    );
+    let Ok(answer) = http.fetch(&call, POLL_LIMIT).await else { return };
+    let Ok(events) = answer.json::<Vec<CacheEvent>>("read cache events", &info.address) else {
+        return;
+    };
+    let changes: Vec<CacheChange> = events.into_iter().map(CacheEvent::into_change).collect();
+    if !changes.is_empty() {
+        let _ = router.send(RouterMessage::Cache { service, id: info.id, changes });
+    }
+}
--- a/src/serve/store_service.rs
+++ b/src/serve/store_service.rs
@@ -11,9 +11,10 @@
     ids::RequestName,
     kernel::ServiceInbox,
     request::{
+        answer_log::AnswerView,
         call::CallerCall,
         outcome::FinalAnswer,
-        store::{AnswerToken, AnswerView, ClaimVerdict, OfferVerdict, RequestCopy, RequestStore},
+        store::{AnswerToken, ClaimVerdict, OfferVerdict, RequestCopy, RequestStore},
     },
 };
 
--- a/src/standin/fleet.rs
+++ b/src/standin/fleet.rs
@@ -13,7 +13,8 @@
 
 use crate::{
     cluster::{
-        core::{ClusterAction, ClusterCore, ClusterEvent, PeerTarget},
+        core::ClusterCore,
+        events::{ClusterAction, ClusterEvent, PeerTarget},
         items::{BUCKETS, SpreadItem},
         members::{MemberRecord, MemberStatus},
         service::newer_than,
--- a/tests/integration/cluster_model.rs
+++ b/tests/integration/cluster_model.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use willowarch::{
     cluster::{
-        core::ClusterEvent,
+        events::ClusterEvent,
         items::{ItemKey, ItemKind, ItemStore, SpreadItem},
         members::{MemberList, MemberRecord, MemberStatus, MemberView},
     },
