Planned stop: callers that are answered count, not only requests that run

Cause: a daemon that drains waited for the requests that it runs. A caller whose request runs elsewhere and is only followed here was cut off.

Ruled out: the holder (it went on, as it should).

Change: callers being answered are counted, and a planned stop waits for them too.

Before: the new test planned_stop_of_a_follower_cuts_nothing_off failed (63 of 250 tokens). After: it passes, with the other tests of stops and reclaims.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -144,6 +144,7 @@
         metrics: MetricsHandle::default(),
         timeline: TimelineHandle::new(address),
         active: Cell::new(0),
+        callers: Cell::new(0),
         mirrors: RefCell::new(HashSet::new()),
         attempts: Cell::new(0),
         budgets: RefCell::new(HashMap::new()),
@@ -289,7 +290,8 @@
 
 async fn wait_until_idle(context: &Rc<ServeContext>, deadline: Instant) {
     const LOOK_EVERY: Duration = Duration::from_millis(20);
-    while context.active.get() > 0 && Instant::now() < deadline {
+    let busy = || context.active.get() > 0 || context.callers.get() > 0;
+    while busy() && Instant::now() < deadline {
         sleep(LOOK_EVERY).await;
     }
 }
--- a/src/serve/answer.rs
+++ b/src/serve/answer.rs
@@ -10,7 +10,10 @@
 use tokio::sync::mpsc;
 
 use super::{
-    context::ServeContext, problem::Problem, store_service::RequestMessage, timeline::EventKind,
+    context::{ActiveCaller, ServeContext},
+    problem::Problem,
+    store_service::RequestMessage,
+    timeline::EventKind,
 };
 use crate::{
     http::{AnswerBody, BodyError, stream_body, whole_body},
@@ -101,6 +104,7 @@
     view: AnswerView,
     sent: usize,
     guard: CallerGuard,
+    _caller: ActiveCaller,
 }
 
 impl AnswerReader {
@@ -114,7 +118,15 @@
     ) -> Self {
         let guard =
             CallerGuard { context: context.clone(), name: name.clone(), keyed, done: false };
-        Self { context: context.clone(), name: name.clone(), view, sent: have_tokens, guard }
+        let _caller = ActiveCaller::new(context);
+        Self {
+            context: context.clone(),
+            name: name.clone(),
+            view,
+            sent: have_tokens,
+            guard,
+            _caller,
+        }
     }
 
     /// Waits until there is more than has been sent, or the end.
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -64,8 +64,10 @@
     pub metrics: MetricsHandle,
     /// Time line.
     pub timeline: TimelineHandle,
-    /// Requests in progress.
+    /// Requests that run here.
     pub active: Cell<usize>,
+    /// Callers that are being answered, also with what runs elsewhere.
+    pub callers: Cell<usize>,
     /// Requests whose state is being mirrored from their holder.
     pub mirrors: RefCell<HashSet<RequestName>>,
     /// Attempts begun so far.
@@ -188,6 +190,25 @@
     }
 }
 
+/// Counts one caller that is being answered for as long as it lives.
+pub struct ActiveCaller {
+    context: Rc<ServeContext>,
+}
+
+impl ActiveCaller {
+    /// Counts one more.
+    pub fn new(context: &Rc<ServeContext>) -> Self {
+        context.callers.set(context.callers.get() + 1);
+        Self { context: context.clone() }
+    }
+}
+
+impl Drop for ActiveCaller {
+    fn drop(&mut self) {
+        self.context.callers.set(self.context.callers.get() - 1);
+    }
+}
+
 /// Counts one request in progress for as long as it lives.
 pub struct ActiveRequest {
     context: Rc<ServeContext>,
--- a/tests/integration/promises.rs
+++ b/tests/integration/promises.rs
@@ -624,3 +624,27 @@
     expect_that!(report.answered + report.unknown, eq(report.requests), "{report:?}");
     expect_that!(deployment.most_runs(), eq(1));
 }
+
+/// Promise 6: the daemon that stops only follows the request, which another one holds.
+#[googletest::test]
+fn planned_stop_of_a_follower_cuts_nothing_off() {
+    const TOKENS: usize = 250;
+    let mut deployment = Deployment::start(Layout::default());
+    let caller = start_caller(deployment.caller(0), "k-follow", TOKENS);
+    let daemon = deployment.caller(1);
+    let (sender, receiver) = mpsc::channel();
+    let follower = std::thread::spawn(move || {
+        stream(daemon, "k-follow", &completion("moon over the mill", TOKENS), 0, |count| {
+            if count == 20 {
+                sender.send(()).expect("the test waits");
+            }
+        })
+    });
+    receiver.recv().expect("twenty tokens arrive");
+    deployment.daemons[1].signal("TERM");
+    for taken in [follower, caller].map(|caller| caller.join().expect("the caller ends")) {
+        expect_true!(taken.whole);
+        expect_that!(taken.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
+    }
+    expect_that!(deployment.daemons[1].wait(), some(eq(0)));
+}
