A slow platform that shows old lists reverts nothing

Cause: promise 7 names stale reads and watches that go back; only the model had them.

Change: the stand-in's lists can be stale too, and its waiting watches see an outage at once; a test makes all watchers list what is old, and reads from the time line that no version in force ever went back.

Seen failing: with older versions taken, the time line shows 1, 5, 1, 5. It passes as the code is. Two first drafts of the test passed without the mechanism (the watch heals a setback within a second); hence the time line.

--- a/src/standin/object_store.rs
+++ b/src/standin/object_store.rs
@@ -60,6 +60,19 @@
         ObjectList { revision: self.revision, entries }
     }
 
+    /// All objects of a kind as they were at `revision`, from the log.
+    pub fn list_as_of(&self, kind: &str, revision: u64) -> ObjectList {
+        let mut entries: BTreeMap<SharedName, ObjectEntry> = BTreeMap::new();
+        let past = self.log.iter().filter(|(other, _)| other == kind).map(|(_, entry)| entry);
+        for entry in past.take_while(|entry| entry.version <= revision) {
+            match entry.value {
+                Some(_) => entries.insert(entry.name.clone(), entry.clone()),
+                None => entries.remove(&entry.name),
+            };
+        }
+        ObjectList { revision, entries: entries.into_values().collect() }
+    }
+
     /// Changes of a kind after `revision`.
     pub fn changes(&self, kind: &str, revision: u64) -> ObjectList {
         let newer = self.log.iter().rev().take_while(|(_, entry)| entry.version > revision);
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -26,8 +26,8 @@
     ids::SharedName,
     kernel::LifePhase,
     platform::messages::{
-        NoticeList, PriceClass, PriceEntry, ReclaimNotice, StartOrder, VmEntry, VmList, VmState,
-        WriteReceipt,
+        NoticeList, ObjectEntry, PriceClass, PriceEntry, ReclaimNotice, StartOrder, VmEntry,
+        VmList, VmState, WriteReceipt,
     },
 };
 
@@ -215,6 +215,8 @@
             Ok(faults) => {
                 let answer = reply::json(StatusCode::OK, &faults);
                 self.state.borrow_mut().faults = faults;
+                // Watches that wait see an outage at once.
+                self.notify();
                 answer
             }
             Err(refusal) => refusal,
@@ -233,7 +235,11 @@
         if !self.admit_read() {
             return reply::empty(StatusCode::TOO_MANY_REQUESTS);
         }
-        reply::json(StatusCode::OK, &self.state.borrow().store.list(kind))
+        let mut state = self.state.borrow_mut();
+        if let Some(horizon) = state.stale_horizon() {
+            return reply::json(StatusCode::OK, &state.store.list_as_of(kind, horizon));
+        }
+        reply::json(StatusCode::OK, &state.store.list(kind))
     }
 
     fn read(&self, kind: &str, name: &str) -> Response<AnswerBody> {
@@ -241,18 +247,11 @@
             return reply::empty(StatusCode::TOO_MANY_REQUESTS);
         }
         let mut state = self.state.borrow_mut();
-        if state.faults.stale_reads > 0 {
-            state.faults.stale_reads -= 1;
-            let horizon = state.store.revision().saturating_sub(state.faults.stale_by);
-            let old = state.store.changes(kind, 0);
-            let entry = old
-                .entries
-                .into_iter()
-                .rev()
-                .find(|entry| &*entry.name == name && entry.version <= horizon);
-            if let Some(entry) = entry {
-                return reply::json(StatusCode::OK, &entry);
-            }
+        if let Some(horizon) = state.stale_horizon() {
+            let old = state.store.list_as_of(kind, horizon);
+            let entry = old.entries.into_iter().find(|entry| &*entry.name == name);
+            let absent = ObjectEntry { name: name.into(), version: 0, value: None };
+            return reply::json(StatusCode::OK, &entry.unwrap_or(absent));
         }
         reply::json(StatusCode::OK, &state.store.read(kind, name))
     }
@@ -306,8 +305,9 @@
         let query = reply::query(request);
         let after = query.get("after").copied().unwrap_or(0);
         let found = || {
-            let changes = self.state.borrow().store.changes(kind, after);
-            (!changes.entries.is_empty()).then_some(changes)
+            let state = self.state.borrow();
+            let changes = state.store.changes(kind, after);
+            (!changes.entries.is_empty() || state.faults.outage).then_some(changes)
         };
         let wait = Duration::from_millis(query.get("wait_ms").copied().unwrap_or(0));
         let changes = self.wait_for(found, wait).await;
@@ -432,6 +432,15 @@
 }
 
 impl PlatformState {
+    /// Revision that the next read shows, if it is to be a stale one.
+    fn stale_horizon(&mut self) -> Option<u64> {
+        if self.faults.stale_reads == 0 {
+            return None;
+        }
+        self.faults.stale_reads -= 1;
+        Some(self.store.revision().saturating_sub(self.faults.stale_by))
+    }
+
     fn record_list(&mut self) {
         const HISTORY: usize = 256;
         self.list_revision += 1;
--- a/tests/integration/promises.rs
+++ b/tests/integration/promises.rs
@@ -648,3 +648,52 @@
     }
     expect_that!(deployment.daemons[1].wait(), some(eq(0)));
 }
+
+/// Promise 7: the platform answers slowly, then shows its objects as they were before the
+/// edits, to daemons that list them anew. Nothing goes back, and nothing vanishes.
+#[googletest::test]
+fn stale_lists_of_a_slow_platform_revert_nothing() {
+    let deployment = Deployment::start(Layout::default());
+    let created = json!([
+        { "kind": "account", "name": "reader", "api_key": "key-reader", "weight": 4.0 },
+        { "kind": "account", "name": "press", "api_key": "key-press" },
+        { "kind": "account", "name": "kiosks", "api_key": "key-kiosks" },
+        { "kind": "service", "name": "model", "service_type": "model" },
+        { "kind": "service", "name": "tagging", "service_type": "plain", "repeatable": false },
+    ]);
+    let file = deployment.folder.join("more.json");
+    std::fs::write(&file, created.to_string()).expect("a declaration");
+    deployment.fault(deployment.platform_address(), json!({ "delay_ms": 300 }));
+    let applied = deployment.control(&["apply", &file.display().to_string()]);
+    expect_that!(applied.0, eq(0), "{}", applied.1);
+    let versions = |daemon| {
+        ["account.reader", "account.kiosks"].map(|row| row_version(&deployment, daemon, row))
+    };
+    let newest = eventually("the rows are in force", || {
+        let first = versions(0);
+        let everywhere = (0..3).all(|daemon| versions(daemon) == first);
+        (everywhere && first[1].is_some()).then_some(first)
+    });
+    // An outage makes the watchers list anew; what they are shown is old.
+    deployment.fault(deployment.platform_address(), json!({ "outage": true }));
+    std::thread::sleep(Duration::from_millis(800));
+    let stale = json!({ "outage": false, "delay_ms": 0, "stale_reads": 12, "stale_by": 3 });
+    deployment.fault(deployment.platform_address(), stale);
+    eventually("the watchers have listed what is old", || {
+        let faults = post(deployment.platform_address(), "/faults", &[], "{}").body;
+        (faults["stale_reads"].as_u64() < Some(10)).then_some(())
+    });
+    std::thread::sleep(Duration::from_secs(2));
+    for daemon in 0..3 {
+        expect_that!(versions(daemon), eq(newest));
+        // The time line shows that nothing went back in between either.
+        let events = try_get(deployment.admin(daemon), "/timeline?subject=account.reader");
+        let events = events.expect("a time line").as_array().cloned().unwrap_or_default();
+        let in_force: Vec<u64> = events
+            .iter()
+            .filter_map(|event| event["detail"].as_str()?.strip_prefix("version ")?.parse().ok())
+            .collect();
+        expect_that!(in_force.len(), ge(2));
+        expect_true!(in_force.is_sorted(), "{in_force:?}");
+    }
+}
