Planner frozen over its lease, adjacent protocol versions, watchers at every size

Cause: three claims of the docs had no run behind them.

Change: the planner's test also with a freeze past the lease and a thaw; peers' versions are part of a daemon's identity, so that a test greets as a neighbour version; the fleet bench counts who watches the platform.

Watchers: see docs/CAPACITY.md.

--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -220,6 +220,9 @@
         let placed = per_call(2_000, |index| {
             std::hint::black_box(members.placed_for(&index.to_le_bytes(), 3));
         });
+        let watchers =
+            members.present().filter(|(own, _)| members.has_role(*own, b"rows", 2)).count();
+        println!("{daemons:>5} daemons in {ZONES} zones: {watchers} of them watch the platform");
         let size = window_size(daemons, replicas);
         let mut routes = RouteTable::new("zone-0".into());
         let infos = window(daemons / 2, daemons, replicas).map(endpoint).collect();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -128,6 +128,7 @@
         incarnation: IncarnationId::generate(),
         address: address.clone(),
         zone: settings.zone.clone(),
+        version: peer::PROTOCOL_VERSION,
     });
     Ok(ServeContext {
         cluster: kernel.find(cluster::service::NAME)?,
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -9,8 +9,8 @@
 /// Protocol version that this build speaks.
 pub const PROTOCOL_VERSION: u32 = 1;
 
-/// Whether a peer of protocol version `theirs` can be worked with: rolling upgrades
-/// need adjacent versions to understand each other.
-pub fn is_compatible(theirs: u32) -> bool {
-    theirs.abs_diff(PROTOCOL_VERSION) <= 1
+/// Whether peers of these protocol versions work together: rolling upgrades need adjacent
+/// versions to understand each other.
+pub fn is_compatible(own: u32, theirs: u32) -> bool {
+    theirs.abs_diff(own) <= 1
 }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -33,6 +33,8 @@
     pub address: SharedName,
     /// Availability zone.
     pub zone: SharedName,
+    /// Protocol version that it speaks.
+    pub version: u32,
 }
 
 struct OpenPeer {
@@ -143,7 +145,7 @@
         if hello.get_deployment()?.to_str() != Ok(&self.identity.deployment) {
             return Err(capnp::Error::failed("other deployment".into()));
         }
-        if !is_compatible(hello.get_version()) {
+        if !is_compatible(self.identity.version, hello.get_version()) {
             let version = hello.get_version();
             return Err(capnp::Error::failed(format!("unknown protocol version {version}")));
         }
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -9,7 +9,7 @@
     time::timeout,
 };
 
-use super::{PROTOCOL_VERSION, client::LocalIdentity, codec, is_compatible, transport::rpc_system};
+use super::{client::LocalIdentity, codec, is_compatible, transport::rpc_system};
 use crate::{
     cluster::{
         averaging::DemandOffer,
@@ -37,7 +37,7 @@
 /// Writes the hello of `identity`.
 pub fn write_hello(mut builder: hello::Builder<'_>, identity: &LocalIdentity) {
     builder.set_deployment(&*identity.deployment);
-    builder.set_version(PROTOCOL_VERSION);
+    builder.set_version(identity.version);
     builder.set_incarnation(identity.incarnation.0);
     builder.set_address(&*identity.address);
     builder.set_zone(&*identity.zone);
@@ -129,9 +129,10 @@
             return Err(Error::failed(format!("this is deployment {}", identity.deployment)));
         }
         let version = hello.get_version();
-        if !is_compatible(version) {
+        if !is_compatible(identity.version, version) {
             self.context.refused_peer(&format!("protocol version {version}"));
-            let message = format!("protocol version {version} is unknown; {PROTOCOL_VERSION} here");
+            let message =
+                format!("protocol version {version} is unknown; {} here", identity.version);
             return Err(Error::failed(message));
         }
         let incarnation = IncarnationId(hello.get_incarnation());
--- a/tests/integration/fleet_planning.rs
+++ b/tests/integration/fleet_planning.rs
@@ -3,7 +3,10 @@
 use googletest::prelude::*;
 use serde_json::json;
 
-use crate::harness::{Deployment, Layout, eventually, try_get};
+use crate::{
+    cases,
+    harness::{Deployment, Layout, eventually, try_get},
+};
 
 fn listed(deployment: &Deployment, service: &str) -> usize {
     let list = try_get(deployment.platform_address(), "/vms").unwrap_or_default();
@@ -23,9 +26,9 @@
 }
 
 /// More VMs are wanted than held: starts are refused in most zones and tried elsewhere.
-/// The planner is killed; another one takes the lease and starts the next VM, once.
-#[googletest::test]
-fn planner_starts_vms_elsewhere_and_its_successor_goes_on() {
+/// The planner is killed, or frozen over its lease and thawed; another one takes the lease
+/// and starts the next VM, once.
+fn planner_is_lost_and_its_successor_goes_on(frozen: bool) {
     let layout = Layout { daemons: 4, engines: 4, spare: 2, ..Layout::default() };
     let mut deployment = Deployment::start(layout);
     let set = deployment.control(&["table", "set", "service.model", "min_vms=3", "max_vms=3"]);
@@ -35,7 +38,11 @@
         eventually("it is used", || (used(&deployment, daemon) == 3).then_some(()));
     }
     let planner = planner_of(&deployment, &[0, 1, 2, 3]);
-    deployment.daemons[planner].kill();
+    if frozen {
+        deployment.daemons[planner].signal("STOP");
+    } else {
+        deployment.daemons[planner].kill();
+    }
     let set = deployment.control(&["table", "set", "service.model", "min_vms=4", "max_vms=4"]);
     expect_that!(set.0, eq(0), "{}", set.1);
     let others: Vec<usize> = (0..4).filter(|daemon| *daemon != planner).collect();
@@ -50,8 +57,18 @@
     }
     expect_that!(listed(&deployment, "model"), eq(4));
     planner_of(&deployment, &others);
+    if frozen {
+        deployment.daemons[planner].signal("CONT");
+        std::thread::sleep(std::time::Duration::from_secs(6));
+        expect_that!(listed(&deployment, "model"), eq(4));
+    }
 }
 
+cases!(planner_is_lost_and_its_successor_goes_on:
+    killed_planner_is_followed(false),
+    planner_frozen_over_its_lease_is_followed(true),
+);
+
 /// A reclaimed VM is replaced while the wave goes on, and no name is started twice.
 #[googletest::test]
 fn reclaimed_vm_is_replaced_once() {
