Rival take-overs: the loser's callers follow the winner

Cause: a test run in a fresh clone, on a busy machine, hung in stream_survives_frozen_daemon_with_two_callers. The time line of its daemons, still running, showed it: one daemon took the request over with term 1 and waited 151 ms for a frozen directory peer; meanwhile another took it over with term 2 and answered. The first one's driver saw that it was superseded and stopped, and nobody there followed the winner: its caller waited for ever. A follower whose holder was superseded ended the same way.

Ruled out: lost answers (the winner had all 150 tokens), the frozen daemon (removed by then).

Change: a driver that stops, and a follower whose holder has changed, look once more and follow whoever holds the request by now; a follower takes over only if the holder that it lost is still the one on record.

Also: hello and verdicts are coded with the other messages, and who a daemon is stands apart from its connections (peer::client and peer::server named each other).

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -27,10 +27,7 @@
     ids::{IncarnationId, SharedName},
     kernel::{KernelExit, KernelHandle, LifePhase, ServiceInbox, ServiceKernel},
     options::{rows::TableSnapshot, settings::DaemonSettings},
-    peer::{
-        self,
-        client::{LocalIdentity, PeerPool},
-    },
+    peer::{self, LocalIdentity, client::PeerPool},
     platform::{client::PlatformClient, messages::ReclaimNotice},
     request::store::{RequestHolder, RequestStore},
     serve::{
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -6,6 +6,8 @@
 pub mod server;
 pub mod transport;
 
+use crate::ids::{IncarnationId, SharedName};
+
 /// Protocol version that this build speaks.
 pub const PROTOCOL_VERSION: u32 = 1;
 
@@ -14,3 +16,18 @@
 pub fn is_compatible(own: u32, theirs: u32) -> bool {
     theirs.abs_diff(own) <= 1
 }
+
+/// What this daemon says in its hello.
+#[derive(Clone, Debug)]
+pub struct LocalIdentity {
+    /// Deployment.
+    pub deployment: SharedName,
+    /// Incarnation.
+    pub incarnation: IncarnationId,
+    /// Address of its own gate.
+    pub address: SharedName,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// Protocol version that it speaks.
+    pub version: u32,
+}
--- a/src/peer/calls.rs
+++ b/src/peer/calls.rs
@@ -193,7 +193,7 @@
             request.get().set_ticket(ticket.to_string());
             request.get().set_holder(ticket.holder.0);
             let response = request.send().promise.await?;
-            Ok(super::server::read_verdict(response.get()?.get_verdict()?))
+            Ok(codec::read_verdict(response.get()?.get_verdict()?))
         })
         .await
     }
@@ -254,7 +254,7 @@
             if !results.get_accepted() {
                 return Ok(None);
             }
-            super::server::read_values(results.get_values()?).map(Some)
+            codec::read_values(results.get_values()?).map(Some)
         })
         .await
     }
--- a/src/peer/client.rs
+++ b/src/peer/client.rs
@@ -6,7 +6,7 @@
 use tokio::{net::TcpStream, time::timeout};
 
 use super::{
-    is_compatible,
+    LocalIdentity, codec, is_compatible,
     transport::{TrafficCounter, rpc_system},
 };
 use crate::{
@@ -22,21 +22,6 @@
 /// Longest wait for an answer that a peer gives at once.
 pub(super) const CALL_LIMIT: Duration = Duration::from_millis(500);
 
-/// What this daemon says in its hello.
-#[derive(Clone, Debug)]
-pub struct LocalIdentity {
-    /// Deployment.
-    pub deployment: SharedName,
-    /// Incarnation.
-    pub incarnation: IncarnationId,
-    /// Address of its own gate.
-    pub address: SharedName,
-    /// Availability zone.
-    pub zone: SharedName,
-    /// Protocol version that it speaks.
-    pub version: u32,
-}
-
 struct OpenPeer {
     incarnation: IncarnationId,
     client: peer::Client,
@@ -138,7 +123,7 @@
         door: &gate::Client,
     ) -> Result<(GreetedPeer, peer::Client), capnp::Error> {
         let mut request = door.hello_request();
-        super::server::write_hello(request.get().init_hello(), &self.identity);
+        codec::write_hello(request.get().init_hello(), &self.identity);
         let response = request.send().promise.await?;
         let results = response.get()?;
         let hello = results.get_hello()?;
@@ -149,7 +134,7 @@
             let version = hello.get_version();
             return Err(capnp::Error::failed(format!("unknown protocol version {version}")));
         }
-        let record = super::server::read_record(hello)?;
+        let record = codec::read_record(hello)?;
         let incarnation = IncarnationId(hello.get_incarnation());
         Ok((GreetedPeer { incarnation, record }, results.get_peer()?))
     }
--- a/src/peer/codec.rs
+++ b/src/peer/codec.rs
@@ -4,12 +4,19 @@
 
 use capnp::Error;
 
+use super::LocalIdentity;
 use crate::{
-    cluster::items::{ItemKey, ItemKind, SpreadItem},
+    cluster::{
+        items::{ItemKey, ItemKind, SpreadItem},
+        members::MemberRecord,
+    },
     ids::{IncarnationId, RequestName, SharedName},
     options::check::is_name,
-    peer_capnp,
-    request::store::{RequestCopy, RequestHolder},
+    peer_capnp::{self, ConsentVerdict as WireVerdict, hello},
+    request::{
+        store::{RequestCopy, RequestHolder},
+        tickets::ConsentVerdict,
+    },
 };
 
 /// Most items, versions or copies taken in one message.
@@ -184,3 +191,46 @@
         tokens.set(index as u32, &**token);
     }
 }
+
+/// Writes the hello of `identity`.
+pub fn write_hello(mut builder: hello::Builder<'_>, identity: &LocalIdentity) {
+    builder.set_deployment(&*identity.deployment);
+    builder.set_version(identity.version);
+    builder.set_incarnation(identity.incarnation.0);
+    builder.set_address(&*identity.address);
+    builder.set_zone(&*identity.zone);
+}
+
+/// Reads what a peer says of itself.
+pub fn read_record(hello: hello::Reader<'_>) -> Result<MemberRecord, Error> {
+    Ok(MemberRecord {
+        address: read_name(hello.get_address()?)?,
+        zone: read_name(hello.get_zone()?)?,
+        leaving: false,
+    })
+}
+
+/// Reads a verdict on consent.
+pub fn read_verdict(verdict: WireVerdict) -> ConsentVerdict {
+    match verdict {
+        WireVerdict::Granted => ConsentVerdict::Granted,
+        WireVerdict::Sealed => ConsentVerdict::Sealed,
+        WireVerdict::AlreadyGranted => ConsentVerdict::AlreadyGranted,
+    }
+}
+
+/// Writes a verdict on consent.
+pub fn write_verdict(verdict: ConsentVerdict) -> WireVerdict {
+    match verdict {
+        ConsentVerdict::Granted => WireVerdict::Granted,
+        ConsentVerdict::Sealed => WireVerdict::Sealed,
+        ConsentVerdict::AlreadyGranted => WireVerdict::AlreadyGranted,
+    }
+}
+
+/// Reads values, which must be numbers of a demand.
+pub fn read_values(values: capnp::primitive_list::Reader<'_, f32>) -> Result<Vec<f32>, Error> {
+    let sound = |value: &f32| value.is_finite() && *value >= 0.0;
+    let values: Vec<f32> = values.iter().collect();
+    if values.iter().all(sound) { Ok(values) } else { Err(Error::failed("malformed value".into())) }
+}
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -9,21 +9,20 @@
     time::timeout,
 };
 
-use super::{client::LocalIdentity, codec, is_compatible, transport::rpc_system};
+use super::{codec, is_compatible, transport::rpc_system};
 use crate::{
     cluster::{
         averaging::DemandOffer,
         events::{ClusterEvent, PeerTarget},
-        members::MemberRecord,
         service::ClusterMessage,
     },
     ids::IncarnationId,
     kernel::{LifePhase, SendError},
-    peer_capnp::{ConsentVerdict as WireVerdict, gate, hello, peer},
+    peer_capnp::{gate, peer},
     request::{
         call::CallerCall,
         store::OfferVerdict,
-        tickets::{ConsentVerdict, SealVerdict, TicketId},
+        tickets::{SealVerdict, TicketId},
     },
     serve::{
         context::ServeContext, limit_service::LimitMessage, once, store_service::RequestMessage,
@@ -34,48 +33,6 @@
 /// Longest time that a peer may have an attach call wait.
 const ATTACH_LIMIT: Duration = Duration::from_secs(5);
 
-/// Writes the hello of `identity`.
-pub fn write_hello(mut builder: hello::Builder<'_>, identity: &LocalIdentity) {
-    builder.set_deployment(&*identity.deployment);
-    builder.set_version(identity.version);
-    builder.set_incarnation(identity.incarnation.0);
-    builder.set_address(&*identity.address);
-    builder.set_zone(&*identity.zone);
-}
-
-/// Reads what a peer says of itself.
-pub fn read_record(hello: hello::Reader<'_>) -> Result<MemberRecord, Error> {
-    Ok(MemberRecord {
-        address: codec::read_name(hello.get_address()?)?,
-        zone: codec::read_name(hello.get_zone()?)?,
-        leaving: false,
-    })
-}
-
-/// Reads a verdict on consent.
-pub fn read_verdict(verdict: WireVerdict) -> ConsentVerdict {
-    match verdict {
-        WireVerdict::Granted => ConsentVerdict::Granted,
-        WireVerdict::Sealed => ConsentVerdict::Sealed,
-        WireVerdict::AlreadyGranted => ConsentVerdict::AlreadyGranted,
-    }
-}
-
-fn write_verdict(verdict: ConsentVerdict) -> WireVerdict {
-    match verdict {
-        ConsentVerdict::Granted => WireVerdict::Granted,
-        ConsentVerdict::Sealed => WireVerdict::Sealed,
-        ConsentVerdict::AlreadyGranted => WireVerdict::AlreadyGranted,
-    }
-}
-
-/// Reads values, which must be numbers of a demand.
-pub fn read_values(values: capnp::primitive_list::Reader<'_, f32>) -> Result<Vec<f32>, Error> {
-    let sound = |value: &f32| value.is_finite() && *value >= 0.0;
-    let values: Vec<f32> = values.iter().collect();
-    if values.iter().all(sound) { Ok(values) } else { Err(Error::failed("malformed value".into())) }
-}
-
 fn overloaded(error: SendError) -> Error {
     Error::overloaded(error.to_string())
 }
@@ -136,10 +93,10 @@
             return Err(Error::failed(message));
         }
         let incarnation = IncarnationId(hello.get_incarnation());
-        let record = read_record(hello)?;
+        let record = codec::read_record(hello)?;
         let event = ClusterEvent::Greeted(incarnation, record);
         self.context.cluster.send(ClusterMessage::Event(event)).map_err(overloaded)?;
-        write_hello(results.get().init_hello(), identity);
+        codec::write_hello(results.get().init_hello(), identity);
         let server = PeerServer { from: incarnation, context: self.context.clone() };
         results.get().set_peer(capnp_rpc::new_client(server));
         Ok(())
@@ -306,7 +263,7 @@
         }
         let answer =
             self.context.tickets.ask(|reply| TicketMessage::Consent { ticket, reply }).await;
-        results.get().set_verdict(write_verdict(answer.map_err(overloaded)?));
+        results.get().set_verdict(codec::write_verdict(answer.map_err(overloaded)?));
         Ok(())
     }
 
@@ -355,7 +312,7 @@
         let theirs = DemandOffer {
             epoch: params.get_epoch(),
             order: params.get_order(),
-            values: read_values(params.get_values()?)?,
+            values: codec::read_values(params.get_values()?)?,
         };
         let answer = self.context.limits.ask(|reply| LimitMessage::Average { theirs, reply }).await;
         let Some(values) = answer.map_err(overloaded)? else { return Ok(()) };
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -25,7 +25,7 @@
     ids::{AttemptId, IncarnationId, RequestName, SharedName},
     kernel::{KernelHandle, LifePhase, ServiceAddress},
     options::{rows::TableSnapshot, settings::DaemonSettings},
-    peer::client::{LocalIdentity, PeerPool},
+    peer::{LocalIdentity, client::PeerPool},
     platform::client::PlatformClient,
     request::store::RequestHolder,
 };
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -88,12 +88,14 @@
     }
 
     /// Runs the request to its end, unless it is cancelled or superseded.
-    pub async fn run(mut self, stage: CallStage) {
+    ///
+    /// Gives back what is needed to look at the request once more.
+    pub async fn run(mut self, stage: CallStage) -> (Rc<ServeContext>, RequestName) {
         let view = self
             .context
             .requests
             .ask(|reply| RequestMessage::View { name: self.name.clone(), reply });
-        let Ok(Some(mut view)) = view.await else { return };
+        let Ok(Some(mut view)) = view.await else { return (self.context, self.name) };
         let term = self.term;
         // NOTE: the wait also ends when the record is removed: cancelled.
         let cancelled = async move {
@@ -106,6 +108,7 @@
         if let Some(answer) = answer {
             self.end(answer);
         }
+        (self.context, self.name)
     }
 
     fn end(&self, answer: FinalAnswer) {
--- a/src/serve/resume.rs
+++ b/src/serve/resume.rs
@@ -9,6 +9,7 @@
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
+use futures::future::LocalBoxFuture;
 use tokio::time::{Instant, timeout};
 
 use super::{
@@ -120,8 +121,11 @@
 fn spawn_driver(context: &Rc<ServeContext>, driver: RequestDriver, stage: CallStage) {
     let active = ActiveRequest::new(context);
     context.kernel.spawn("driver", async move {
-        driver.run(stage).await;
+        let (context, name) = driver.run(stage).await;
         drop(active);
+        // NOTE: a driver also stops when another daemon has taken its request over; then
+        // callers here must get the answer from there.
+        follow_again(context, name).await;
     });
 }
 
@@ -191,12 +195,7 @@
 
 /// Gets what the partners of a lost holder know, before this daemon takes its place.
 async fn recover(context: &Rc<ServeContext>, name: &RequestName) {
-    let read = context.requests.ask(|reply| RequestMessage::Read {
-        name: name.clone(),
-        first_token: usize::MAX,
-        reply,
-    });
-    let Ok(Some(own)) = read.await else { return };
+    let Some(own) = read_state(context, name).await else { return };
     let partners = context.partner_targets(own.holder.incarnation, PARTNERS_ASKED);
     let asked = partners.iter().map(|partner| {
         timeout(RECOVER_LIMIT, context.pool.attach(partner, name, own.first_token, Duration::ZERO))
@@ -247,30 +246,54 @@
 
 /// Keeps the local copy up to date from its holder; takes over when that fails.
 async fn mirror(context: Rc<ServeContext>, name: RequestName, holder: PeerTarget) {
-    let finished = follow_holder(&context, &name, &holder).await;
+    let lost = !follow_holder(&context, &name, &holder).await;
     context.mirrors.borrow_mut().remove(&name);
-    if !finished {
+    let still_holder = match read_state(&context, &name).await {
+        Some(own) => own.holder.incarnation == holder.incarnation,
+        None => return,
+    };
+    if lost && still_holder {
         // NOTE: a daemon that is leaving has closed its callers' connections; they ask
         // another daemon, which takes over instead.
         if !context.is_leaving() {
             let _ = take_over(&context, &name).await;
         }
+    } else {
+        follow_again(context, name).await;
     }
 }
 
-/// Follows the holder until the request has ended (`true`) or it is lost (`false`).
+/// State of a request without its tokens.
+async fn read_state(context: &Rc<ServeContext>, name: &RequestName) -> Option<RequestCopy> {
+    let read = context.requests.ask(|reply| RequestMessage::Read {
+        name: name.clone(),
+        first_token: usize::MAX,
+        reply,
+    });
+    read.await.ok().flatten()
+}
+
+/// Follows whoever holds a request by now, unless it has ended or is held here. Boxed,
+/// since following may lead to following again.
+fn follow_again(context: Rc<ServeContext>, name: RequestName) -> LocalBoxFuture<'static, ()> {
+    Box::pin(async move {
+        let Some(copy) = read_state(&context, &name).await else { return };
+        if copy.answer.is_none() && copy.holder != context.holder() {
+            // NOTE: fails only while the daemon stops.
+            let _ = follow(&context, copy).await;
+        }
+    })
+}
+
+/// Follows the holder until the request has ended or another one holds it (`true`), or
+/// the holder is lost (`false`).
 async fn follow_holder(
     context: &Rc<ServeContext>,
     name: &RequestName,
     holder: &PeerTarget,
 ) -> bool {
     loop {
-        let read = context.requests.ask(|reply| RequestMessage::Read {
-            name: name.clone(),
-            first_token: usize::MAX,
-            reply,
-        });
-        let Ok(Some(own)) = read.await else { return true };
+        let Some(own) = read_state(context, name).await else { return true };
         if own.answer.is_some() || own.holder.incarnation != holder.incarnation {
             return true;
         }
@@ -281,6 +304,10 @@
             supersede(context, news).await;
             return true;
         }
+        if news.term < own.term {
+            // It does not know that it was superseded; nothing more comes from it.
+            return false;
+        }
         let ended = news.answer.is_some();
         supersede_quietly(context, news).await;
         if ended {
--- a/tests/integration/edges.rs
+++ b/tests/integration/edges.rs
@@ -159,7 +159,7 @@
 fn greet(deployment: &Deployment, name: &str, version: u32) -> std::result::Result<(), String> {
     use willowarch::{
         ids::IncarnationId,
-        peer::client::{LocalIdentity, PeerPool},
+        peer::{LocalIdentity, client::PeerPool},
     };
     let identity = LocalIdentity {
         deployment: name.into(),
--- a/tests/integration/promises.rs
+++ b/tests/integration/promises.rs
@@ -697,3 +697,41 @@
         expect_true!(in_force.is_sorted(), "{in_force:?}");
     }
 }
+
+/// Promises 1 and 2: a daemon freezes with several streams; callers of each ask all the
+/// other daemons at once, which take over from each other. Every caller gets its answer.
+#[googletest::test]
+fn rival_take_overs_leave_no_caller_waiting() {
+    const TOKENS: usize = 60;
+    const KEYS: usize = 12;
+    let deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
+    let _holders: Vec<_> = (0..KEYS)
+        .map(|number| {
+            let daemon = deployment.caller(0);
+            std::thread::spawn(move || {
+                let body = completion("moon over the mill", TOKENS);
+                stream(daemon, &format!("k-rival-{number}"), &body, 0, |_| {})
+            })
+        })
+        .collect();
+    eventually("the streams run", || (deployment.metric(0, "attempts") >= 12.0).then_some(()));
+    deployment.daemons[0].signal("STOP");
+    let (sender, receiver) = mpsc::channel();
+    for number in 0..KEYS {
+        for index in 1..4 {
+            let (daemon, sender) = (deployment.caller(index), sender.clone());
+            std::thread::spawn(move || {
+                let key = format!("k-rival-{number}");
+                let taken = resume(&[daemon], &key, TOKENS, Stream::default());
+                let _ = sender.send(taken.tokens.concat());
+            });
+        }
+    }
+    for _ in 0..KEYS * 3 {
+        let text = receiver.recv_timeout(crate::harness::PATIENCE);
+        expect_that!(text, ok(eq(&expected("moon over the mill", TOKENS))));
+        if text.is_err() {
+            break;
+        }
+    }
+}
