One count guard, one reader of process usage, dead pieces removed

Cause: reading the whole change once more. Counting what is open stood three times (callers, requests, connections); reading CPU and memory from the system three times (harness and two benches); asking the router for an endpoint twice. Nothing used: refunds of admitted tokens, a queue's requests by account, the list of all refusal reasons and one that nothing gives, a counter's value. The copier worked out its partners ten times a second with nothing to copy; a route's open share was worked out twice a pick.

Change: counting::OpenCount; process_usage::cpu_and_rss; ServeContext::pick; the unused pieces removed; the copier returns at once when nothing runs. Behaviour and tests' assertions stay.

Left: the play of limits stands in a test and a bench, with different phases; the benches' constants look alike and mean different things.

--- a/benches/decisions/serving.rs
+++ b/benches/decisions/serving.rs
@@ -324,9 +324,8 @@
     fn serve_waiting(&mut self, daemon: usize) {
         while let Some(request) = self.waiting[daemon].pop() {
             if !self.attempt(request) {
-                let account = self.arrivals[request].account.into();
                 let far = self.instant() + Duration::from_secs(3_600);
-                self.waiting[daemon].push_front(&account, far, request);
+                self.waiting[daemon].push_front(far, request);
                 return;
             }
         }
--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -3,6 +3,9 @@
 //!
 //!     cargo bench --bench fleet [-- SIZE...]
 
+#[path = "../tests/integration/process_usage.rs"]
+mod process_usage;
+
 use std::{
     collections::HashMap,
     rc::Rc,
@@ -10,6 +13,7 @@
     time::{Duration, Instant},
 };
 
+use process_usage::cpu_and_rss;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use willowarch::{
     cluster::{
@@ -48,17 +52,11 @@
 }
 
 fn rss_mb() -> f64 {
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let rss: Option<f64> = rss.and_then(|text| text.trim().split(' ').next()?.parse().ok());
-    rss.unwrap_or(0.0) / 1_024.0
+    cpu_and_rss("self").1 / 1_024.0
 }
 
 fn cpu_s() -> f64 {
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
-    let ticks = |index: usize| fields.get(index).and_then(|text| text.parse::<f64>().ok());
-    (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / 100.0
+    cpu_and_rss("self").0
 }
 
 /// Quiet traffic, an edit, an edit under loss, an edit across a healed cut, freezes.
--- a/benches/http_libraries.rs
+++ b/benches/http_libraries.rs
@@ -36,7 +36,7 @@
     kernel::LifePhase,
 };
 
-use harness::{Deployment, Layout};
+use harness::{Deployment, Layout, process_usage::cpu_and_rss};
 
 const STREAMS: usize = 500;
 const TOKENS: usize = 50;
@@ -208,34 +208,22 @@
     }
 }
 
-fn cpu_and_memory() -> (f64, u64) {
-    const TICKS_PER_S: f64 = 100.0;
-    let stat = std::fs::read_to_string("/proc/self/stat").unwrap_or_default();
-    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
-    let ticks = |index: usize| fields.get(index).and_then(|text| text.parse::<f64>().ok());
-    let cpu = (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS_PER_S;
-    let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
-    let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-    let rss = rss.and_then(|text| text.trim().split(' ').next()?.parse().ok());
-    (cpu, rss.unwrap_or(0))
-}
-
 /// Readers of engines' streams: `ureq` with a thread for each, against `hyper`.
 fn compare_clients() {
     println!("== engines' streams: {STREAMS} read at once");
     let address = SocketAddr::from(([127, 0, 3, 2], 7_500));
     let stop = serve_hyper(address);
     std::thread::sleep(Duration::from_millis(300));
-    let before = cpu_and_memory();
+    let before = cpu_and_rss("self");
     let call = OutgoingCall::get("read stream", address, "/");
     on_runtime(read_streams(address, call, STREAMS)).show("hyper, one runtime thread");
-    let after = cpu_and_memory();
-    println!("    CPU with server {:.2} s, RSS {} MB", after.0 - before.0, after.1 / 1_024);
-    let before = cpu_and_memory();
+    let after = cpu_and_rss("self");
+    println!("    CPU with server {:.2} s, RSS {:.0} MB", after.0 - before.0, after.1 / 1_024.0);
+    let before = cpu_and_rss("self");
     let threads: Vec<_> =
         (0..STREAMS).map(|_| std::thread::spawn(move || read_with_ureq(address))).collect();
     std::thread::sleep(STEP * TOKENS as u32 / 2);
-    let middle = cpu_and_memory();
+    let middle = cpu_and_rss("self");
     let mut times = StreamTimes::new();
     for thread in threads {
         let (started_at, tokens) = thread.join().expect("a reader ends");
@@ -246,8 +234,8 @@
         }
     }
     times.show("ureq, a thread a stream");
-    let after = cpu_and_memory();
-    println!("    CPU with server {:.2} s, RSS {} MB", after.0 - before.0, middle.1 / 1_024);
+    let after = cpu_and_rss("self");
+    println!("    CPU with server {:.2} s, RSS {:.0} MB", after.0 - before.0, middle.1 / 1_024.0);
     stop.store(true, Ordering::Relaxed);
 }
 
--- a/src/decide/fair_queue.rs
+++ b/src/decide/fair_queue.rs
@@ -33,7 +33,6 @@
 
 #[derive(Debug)]
 struct WaitingEntry<T> {
-    account: SharedName,
     deadline: Instant,
     item: T,
 }
@@ -73,7 +72,7 @@
         let length = (turn.tokens / turn.weight * TAG_SCALE) as u64;
         self.arrivals += 1;
         let tag = (turn.priority, start, self.arrivals);
-        let entry = WaitingEntry { account: account.clone(), deadline, item };
+        let entry = WaitingEntry { deadline, item };
         self.next_start.insert(account.clone(), start + length);
         self.waiting.insert(tag, entry);
         if self.waiting.len() <= self.limit {
@@ -84,10 +83,10 @@
     }
 
     /// Gives back a request that was just taken: it keeps its turn.
-    pub fn push_front(&mut self, account: &SharedName, deadline: Instant, item: T) {
+    pub fn push_front(&mut self, deadline: Instant, item: T) {
         self.arrivals += 1;
         let tag = (RequestPriority::Normal, 0, self.arrivals);
-        self.waiting.insert(tag, WaitingEntry { account: account.clone(), deadline, item });
+        self.waiting.insert(tag, WaitingEntry { deadline, item });
     }
 
     /// Takes the request whose turn it is.
@@ -109,11 +108,6 @@
         entries.map(|entry| entry.item).collect()
     }
 
-    /// Waiting requests of one account.
-    pub fn waiting_of(&self, account: &str) -> usize {
-        self.waiting.values().filter(|entry| &*entry.account == account).count()
-    }
-
     /// Number of waiting requests.
     pub fn len(&self) -> usize {
         self.waiting.len()
--- a/src/decide/limits.rs
+++ b/src/decide/limits.rs
@@ -134,13 +134,6 @@
         if over { RequestPriority::Low } else { RequestPriority::Normal }
     }
 
-    /// Gives back tokens that were admitted but not used.
-    pub fn refund(&mut self, account: &SharedName, tokens: f64) {
-        if let Some(bucket) = self.accounts.get_mut(account) {
-            bucket.level += tokens;
-        }
-    }
-
     /// Demand of each account here, for the exchange with the others; asked for once an
     /// epoch, when the average of the epoch before comes into force.
     pub fn demand(&mut self, now: Instant) -> HashMap<SharedName, f64> {
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -223,11 +223,11 @@
         let present: Vec<&EndpointRoute> = routes.endpoints.values().filter(usable).collect();
         let may_probe = routes.probe_at.is_none_or(|at| now >= at);
         let admitted = admit_by_health(&present, may_probe, now);
-        let concurrency = f64::from(routes.concurrency) * open_share(query.priority);
+        let open = open_share(query.priority);
+        let concurrency = f64::from(routes.concurrency) * open;
         // NOTE: a daemon may always use its even part and, for a time, what it used when the
         // last report came, whatever that says of all together; else its own ended requests
         // would free nothing for it until the next report.
-        let open = open_share(query.priority);
         let own_part = (concurrency / routes.sharing).floor().max(1.0);
         let mut best: Option<(f64, &EndpointRoute)> = None;
         let mut busy = false;
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -1,6 +1,6 @@
 //! Server loop: accepts connections and answers each request with a handler.
 
-use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -8,6 +8,7 @@
 
 use super::AnswerBody;
 use crate::{
+    counting::OpenCount,
     errors::{FailureCause, StepError},
     kernel::LifePhase,
 };
@@ -38,7 +39,7 @@
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
-    let open = Rc::new(Cell::new(0_usize));
+    let open = OpenCount::default();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
@@ -54,7 +55,7 @@
             continue;
         }
         let _ = stream.set_nodelay(true);
-        let guard = OpenGuard::new(open.clone());
+        let guard = open.enter();
         let connection = serve_connection(stream, phase.clone(), handler.clone());
         tokio::task::spawn_local(async move {
             let _guard = guard;
@@ -95,19 +96,3 @@
         _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => {}
     }
 }
-
-/// Counts one open connection for as long as it lives.
-struct OpenGuard(Rc<Cell<usize>>);
-
-impl OpenGuard {
-    fn new(open: Rc<Cell<usize>>) -> Self {
-        open.set(open.get() + 1);
-        Self(open)
-    }
-}
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod cluster;
 pub mod control;
+pub mod counting;
 pub mod daemon;
 pub mod decide;
 pub mod endpoint;
--- a/src/request/outcome.rs
+++ b/src/request/outcome.rs
@@ -46,25 +46,6 @@
     /// The ticket's holder is gone and had not dispatched.
     #[display("the ticket's holder left before dispatching")]
     HolderGone,
-    /// The caller cancelled before dispatch.
-    #[display("cancelled before dispatch")]
-    Cancelled,
-}
-
-impl NotRunReason {
-    /// Every reason, for tests and metrics.
-    pub const ALL: [Self; 10] = [
-        Self::Draining,
-        Self::NoTable,
-        Self::NoEndpoint,
-        Self::Overloaded,
-        Self::AccountLimit,
-        Self::EndpointRefused,
-        Self::ClaimFailed,
-        Self::NoWitness,
-        Self::HolderGone,
-        Self::Cancelled,
-    ];
 }
 
 /// Why it cannot be said whether a request ran.
--- a/src/serve/answer.rs
+++ b/src/serve/answer.rs
@@ -10,12 +10,10 @@
 use tokio::sync::mpsc;
 
 use super::{
-    context::{ActiveCaller, ServeContext},
-    problem::Problem,
-    store_service::RequestMessage,
-    timeline::EventKind,
+    context::ServeContext, problem::Problem, store_service::RequestMessage, timeline::EventKind,
 };
 use crate::{
+    counting::CountGuard,
     http::{AnswerBody, BodyError, stream_body, whole_body},
     ids::RequestName,
     kernel::LifePhase,
@@ -104,7 +102,7 @@
     view: AnswerView,
     sent: usize,
     guard: CallerGuard,
-    _caller: ActiveCaller,
+    _caller: CountGuard,
 }
 
 impl AnswerReader {
@@ -118,7 +116,7 @@
     ) -> Self {
         let guard =
             CallerGuard { context: context.clone(), name: name.clone(), keyed, done: false };
-        let _caller = ActiveCaller::new(context);
+        let _caller = context.callers.enter();
         Self {
             context: context.clone(),
             name: name.clone(),
--- a/src/serve/caller_edge.rs
+++ b/src/serve/caller_edge.rs
@@ -13,7 +13,7 @@
 
 use super::{
     answer::{AnswerReader, json_response, plain_response, vanished},
-    context::{ActiveCaller, ServeContext},
+    context::ServeContext,
     once::{self, OnceOutcome},
     parse::{self, AnswerForm, CheckedRequest},
     problem::Problem,
@@ -48,7 +48,7 @@
 
 async fn answer(context: Rc<ServeContext>, request: Request<Incoming>) -> Response<AnswerBody> {
     let started_at = Instant::now();
-    let _caller = ActiveCaller::new(&context);
+    let _caller = context.callers.enter();
     let result = route(&context, request).await;
     let response = result.unwrap_or_else(Problem::into_response);
     context.metrics.duration("answer_head", started_at.elapsed());
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -5,6 +5,7 @@
     collections::{HashMap, HashSet},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 
 use tokio::sync::watch;
@@ -13,13 +14,14 @@
     copies::CopyMessage,
     limit_service::LimitMessage,
     metrics::MetricsHandle,
-    router::messages::RouterMessage,
+    router::messages::{PickOrder, PickReply, RouterMessage},
     store_service::RequestMessage,
     ticket_service::TicketMessage,
     timeline::{EventKind, TimelineHandle},
 };
 use crate::{
     cluster::{events::PeerTarget, members::MemberList, service::ClusterMessage},
+    counting::OpenCount,
     decide::retries::RetryBudget,
     http::client::HttpClient,
     ids::{AttemptId, IncarnationId, RequestName, SharedName},
@@ -65,9 +67,9 @@
     /// Time line.
     pub timeline: TimelineHandle,
     /// Requests that run here.
-    pub active: Cell<usize>,
+    pub active: OpenCount,
     /// Callers that are being answered, also with what runs elsewhere.
-    pub callers: Cell<usize>,
+    pub callers: OpenCount,
     /// Requests whose state is being mirrored from their holder.
     pub mirrors: RefCell<HashSet<RequestName>>,
     /// Attempts begun so far.
@@ -119,6 +121,13 @@
         Some(PeerTarget { incarnation, address: view.record.address.clone() })
     }
 
+    /// Asks the router for an endpoint.
+    pub async fn pick(&self, order: PickOrder) -> PickReply {
+        const COME_BACK: Duration = Duration::from_secs(1);
+        let reply = self.router.ask(|reply| RouterMessage::Pick(Box::new(order), reply)).await;
+        reply.unwrap_or(PickReply::Busy(COME_BACK))
+    }
+
     /// Whether this daemon takes no new work.
     pub fn is_leaving(&self) -> bool {
         *self.kernel.phase().borrow() >= LifePhase::Draining
@@ -189,41 +198,3 @@
         self.timeline.record(kind, Some(subject.clone()), detail.into());
     }
 }
-
-/// Counts one caller that is being answered for as long as it lives.
-pub struct ActiveCaller {
-    context: Rc<ServeContext>,
-}
-
-impl ActiveCaller {
-    /// Counts one more.
-    pub fn new(context: &Rc<ServeContext>) -> Self {
-        context.callers.set(context.callers.get() + 1);
-        Self { context: context.clone() }
-    }
-}
-
-impl Drop for ActiveCaller {
-    fn drop(&mut self) {
-        self.context.callers.set(self.context.callers.get() - 1);
-    }
-}
-
-/// Counts one request in progress for as long as it lives.
-pub struct ActiveRequest {
-    context: Rc<ServeContext>,
-}
-
-impl ActiveRequest {
-    /// Counts one more.
-    pub fn new(context: &Rc<ServeContext>) -> Self {
-        context.active.set(context.active.get() + 1);
-        Self { context: context.clone() }
-    }
-}
-
-impl Drop for ActiveRequest {
-    fn drop(&mut self) {
-        self.context.active.set(self.context.active.get() - 1);
-    }
-}
--- a/src/serve/copies.rs
+++ b/src/serve/copies.rs
@@ -112,6 +112,9 @@
     }
 
     fn flush(&mut self) {
+        if self.tracked.is_empty() {
+            return;
+        }
         let Some(context) = self.context.upgrade() else { return };
         let own = context.identity.incarnation;
         let partners = context.partner_targets(own, context.settings.copies);
--- a/src/serve/driver.rs
+++ b/src/serve/driver.rs
@@ -8,7 +8,7 @@
 use super::{
     attempt::{AttemptEnd, AttemptTask, as_completion},
     context::ServeContext,
-    router::messages::{EndpointSlot, PickOrder, PickReply, RouterMessage, StreamShape},
+    router::messages::{EndpointSlot, PickOrder, PickReply, StreamShape},
     store_service::RequestMessage,
     timeline::EventKind,
 };
@@ -199,9 +199,7 @@
                 max_tokens: call.max_tokens as usize,
             }),
         };
-        let router = &self.context.router;
-        let reply = router.ask(|reply| RouterMessage::Pick(Box::new(order), reply)).await;
-        reply.unwrap_or(PickReply::Busy(COME_BACK))
+        self.context.pick(order).await
     }
 
     async fn attempt(&mut self, slot: &EndpointSlot) -> AttemptEnd {
--- a/src/serve/limit_service.rs
+++ b/src/serve/limit_service.rs
@@ -40,13 +40,6 @@
         /// Verdict.
         reply: oneshot::Sender<LimitVerdict>,
     },
-    /// Tokens that were admitted but not used.
-    Refund {
-        /// Account.
-        account: SharedName,
-        /// Tokens.
-        tokens: f64,
-    },
     /// A peer begins an exchange of averages.
     Average {
         /// Its values.
@@ -141,7 +134,6 @@
                 let _ =
                     reply.send(self.limiter.admit(&account, weight, tokens, limit, Instant::now()));
             }
-            LimitMessage::Refund { account, tokens } => self.limiter.refund(&account, tokens),
             LimitMessage::Average { theirs, reply } => {
                 self.enter_epoch();
                 let _ = reply.send(self.averaging.answer(&theirs));
--- a/src/serve/metrics.rs
+++ b/src/serve/metrics.rs
@@ -51,11 +51,6 @@
         histogram.saturating_record(value.as_micros() as u64);
     }
 
-    /// Value of a counter.
-    pub fn counter(&self, name: &str) -> u64 {
-        self.state.borrow().counters.get(name).copied().unwrap_or(0)
-    }
-
     /// All metrics as text.
     pub fn render(&self) -> String {
         let state = self.state.borrow();
--- a/src/serve/once.rs
+++ b/src/serve/once.rs
@@ -13,11 +13,7 @@
 use tokio::time::{Instant, sleep, timeout};
 
 use self::run::OnceRun;
-use super::{
-    context::{ActiveRequest, ServeContext},
-    ticket_service::TicketMessage,
-    timeline::EventKind,
-};
+use super::{context::ServeContext, ticket_service::TicketMessage, timeline::EventKind};
 use crate::{
     errors::FailureCause,
     ids::{RequestName, SharedName, hash_parts},
@@ -265,7 +261,7 @@
     call: Arc<CallerCall>,
     digest: [u8; 32],
 ) {
-    let active = ActiveRequest::new(context);
+    let active = context.active.enter();
     let context = context.clone();
     context.clone().kernel.spawn("once", async move {
         let _active = active;
--- a/src/serve/once/run.rs
+++ b/src/serve/once/run.rs
@@ -17,7 +17,7 @@
         attempt::{AttemptEnd, AttemptTask},
         context::ServeContext,
         resume::admit,
-        router::messages::{EndpointSlot, PickOrder, PickReply, RouterMessage},
+        router::messages::{EndpointSlot, PickOrder, PickReply},
         timeline::EventKind,
     },
 };
@@ -113,9 +113,7 @@
             attempt: self.context.next_attempt(),
             stream: None,
         };
-        let router = &self.context.router;
-        let reply = router.ask(|reply| RouterMessage::Pick(Box::new(order), reply)).await;
-        reply.unwrap_or(PickReply::Busy(COME_BACK))
+        self.context.pick(order).await
     }
 
     /// Has the witness write down that this holder may have dispatched from now on.
--- a/src/serve/resume.rs
+++ b/src/serve/resume.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, timeout};
 
 use super::{
-    context::{ActiveRequest, ServeContext},
+    context::ServeContext,
     copies::{CopyMessage, supersede},
     driver::RequestDriver,
     limit_service::LimitMessage,
@@ -119,7 +119,7 @@
 }
 
 fn spawn_driver(context: &Rc<ServeContext>, driver: RequestDriver, stage: CallStage) {
-    let active = ActiveRequest::new(context);
+    let active = context.active.enter();
     context.kernel.spawn("driver", async move {
         let (context, name) = driver.run(stage).await;
         drop(active);
--- a/src/serve/router.rs
+++ b/src/serve/router.rs
@@ -334,9 +334,9 @@
 
     fn put_back(&mut self, pending: PendingPick) {
         let order = &pending.order;
-        let (account, deadline) = (order.turn.account.clone(), order.deadline);
+        let deadline = order.deadline;
         if let Some(queue) = self.queues.get_mut(&order.service) {
-            queue.push_front(&account, deadline, pending);
+            queue.push_front(deadline, pending);
         }
     }
 
--- a/tests/integration/harness.rs
+++ b/tests/integration/harness.rs
@@ -1,5 +1,8 @@
 //! Starts stand-ins and daemons as processes of their own, on addresses of their own.
 
+#[path = "process_usage.rs"]
+pub mod process_usage;
+
 use std::{
     fs,
     io::{BufRead, BufReader},
@@ -45,16 +48,7 @@
     /// CPU seconds so far and resident kilobytes.
     #[allow(dead_code, reason = "the benches use it")]
     pub fn cpu_and_rss(&self) -> (f64, f64) {
-        const TICKS_PER_S: f64 = 100.0;
-        let folder = PathBuf::from(format!("/proc/{}", self.child.id()));
-        let stat = fs::read_to_string(folder.join("stat")).unwrap_or_default();
-        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
-        let ticks = |index: usize| fields.get(index).and_then(|text| text.parse::<f64>().ok());
-        let cpu_s = (ticks(11).unwrap_or(0.0) + ticks(12).unwrap_or(0.0)) / TICKS_PER_S;
-        let status = fs::read_to_string(folder.join("status")).unwrap_or_default();
-        let rss = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
-        let rss_kb = rss.and_then(|text| text.trim().split(' ').next()?.parse().ok());
-        (cpu_s, rss_kb.unwrap_or(0.0))
+        process_usage::cpu_and_rss(&self.child.id().to_string())
     }
 
     /// Sends it a signal by name.
