Client of the stand-in's cloud moves to src/cloud_api

Cause: src/platform is to hold only the adapter to the users' platform; the client that the product's own stand-ins speak with is something else.

--- a/benches/decisions/fleet.rs
+++ b/benches/decisions/fleet.rs
@@ -8,7 +8,7 @@
 use willowarch::{
     decide::fleet::{FleetAction, FleetPlace, FleetPlanner, FleetWeights, HeldVm, ServiceFleet},
     ids::SharedName,
-    platform::messages::{PriceClass, PriceEntry},
+    cloud_api::messages::{PriceClass, PriceEntry},
 };
 
 use crate::{
--- a/benches/decisions/serving.rs
+++ b/benches/decisions/serving.rs
@@ -19,7 +19,7 @@
         routing::{EndpointInfo, RouteChoice, RouteQuery, RouteTable},
     },
     ids::SharedName,
-    platform::messages::PriceClass,
+    cloud_api::messages::PriceClass,
     standin::engine_model::{EngineModel, EngineSpeed},
 };
 
--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -28,7 +28,7 @@
         subset::{window, window_size},
     },
     ids::{IncarnationId, RequestName, SharedName},
-    platform::messages::PriceClass,
+    cloud_api::messages::PriceClass,
     request::{
         store::{RequestCopy, RequestHolder, RequestStore},
         tickets::{TicketId, TicketLedger, WitnessLedger},
--- a/src/bin/willow_standin.rs
+++ b/src/bin/willow_standin.rs
@@ -6,7 +6,7 @@
 use willowarch::{
     errors::StepError,
     kernel::LifePhase,
-    platform::messages::VmEntry,
+    cloud_api::messages::VmEntry,
     standin::{
         callers::{CallerPlayer, RequestMix, complete_report},
         endpoint,
--- a/src/cluster/service.rs
+++ b/src/cluster/service.rs
@@ -19,7 +19,7 @@
     kernel::{ServiceAddress, ServiceInbox},
     options::rows::{TableRow, TableSnapshot},
     peer::client::PeerPool,
-    platform::messages::{ReclaimNotice, VmEntry},
+    cloud_api::messages::{ReclaimNotice, VmEntry},
     serve::{
         router::messages::RouterMessage,
         timeline::{EventKind, TimelineHandle},
@@ -235,7 +235,7 @@
         let key = ItemKey { kind: ItemKind::Vm, name: notice.vm.clone() };
         let entry = self.core.items().get(&key).and_then(SpreadItem::decode::<VmEntry>);
         entry.is_some_and(|entry| {
-            &*entry.service == crate::platform::messages::ENTRY_SERVICE
+            &*entry.service == crate::cloud_api::messages::ENTRY_SERVICE
                 && entry.address == self.own_address
         })
     }
--- a/src/cluster/soundness.rs
+++ b/src/cluster/soundness.rs
@@ -7,7 +7,7 @@
 use crate::{
     ids::IncarnationId,
     options::rows::TableRow,
-    platform::messages::{ReclaimNotice, VmEntry},
+    cloud_api::messages::{ReclaimNotice, VmEntry},
 };
 
 /// A corrupt item must not take a good one's place.
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     errors::{FailureCause, StepError},
-    platform::messages::{ObjectEntry, ObjectList, WriteReceipt},
+    cloud_api::messages::{ObjectEntry, ObjectList, WriteReceipt},
 };
 
 /// Longest wait for an answer.
--- a/src/control/spreadsheet.rs
+++ b/src/control/spreadsheet.rs
@@ -5,7 +5,7 @@
 use serde_json::{Map, Value, json};
 
 use super::table::{EditError, RowConflict, TableClient, plain_row};
-use crate::{options::rows::TableRow, platform::messages::ObjectEntry};
+use crate::{options::rows::TableRow, cloud_api::messages::ObjectEntry};
 
 /// Column that holds the version a row had when it was written out; 0 for new rows.
 const VERSION: &str = "version";
--- a/src/control/table.rs
+++ b/src/control/table.rs
@@ -12,7 +12,7 @@
         check::OptionError,
         rows::{EDIT_FIELDS, TableRow},
     },
-    platform::messages::ObjectEntry,
+    cloud_api::messages::ObjectEntry,
     serve::platform_watch::ROW_KIND,
 };
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -29,7 +29,7 @@
     kernel::{KernelExit, KernelHandle, LifePhase, ServiceInbox, ServiceKernel},
     options::{rows::TableSnapshot, settings::DaemonSettings},
     peer::{self, LocalIdentity, client::PeerPool},
-    platform::{client::PlatformClient, messages::ReclaimNotice},
+    cloud_api::{client::PlatformClient, messages::ReclaimNotice},
     request::store::{RequestHolder, RequestStore},
     serve::{
         admin, caller_edge,
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -19,7 +19,7 @@
 use self::problem::{FleetProblem, place_of};
 use crate::{
     ids::SharedName,
-    platform::messages::{PriceClass, PriceEntry},
+    cloud_api::messages::{PriceClass, PriceEntry},
 };
 
 /// How long fewer VMs must have been enough before one is released.
--- a/src/decide/fleet/problem.rs
+++ b/src/decide/fleet/problem.rs
@@ -5,7 +5,7 @@
 use super::{FleetPlace, FleetWeights};
 use crate::{
     ids::SharedName,
-    platform::messages::{PriceClass, PriceEntry},
+    cloud_api::messages::{PriceClass, PriceEntry},
 };
 
 /// Share by which a VM that is held counts as cheaper than a new one.
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -20,7 +20,7 @@
     limits::RequestPriority,
     prefix::{BLOCK_TOKENS, PrefixCache},
 };
-use crate::{ids::SharedName, platform::messages::PriceClass};
+use crate::{ids::SharedName, cloud_api::messages::PriceClass};
 
 /// Time to compute a prompt token that is not cached, in milliseconds.
 const PREFILL_MS: f64 = 0.25;
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod logs;
 pub mod options;
 pub mod peer;
-pub mod platform;
+pub mod cloud_api;
 pub mod request;
 pub mod serve;
 pub mod standin;
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -25,7 +25,7 @@
     http::{AnswerBody, server, whole_body},
     ids::{IncarnationId, SharedName},
     kernel::LifePhase,
-    platform::messages::ReclaimNotice,
+    cloud_api::messages::ReclaimNotice,
 };
 
 /// Name of the service.
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -28,7 +28,7 @@
     kernel::{KernelHandle, LifePhase, ServiceAddress},
     options::{rows::TableSnapshot, settings::DaemonSettings},
     peer::{LocalIdentity, client::PeerPool},
-    platform::client::PlatformClient,
+    cloud_api::client::PlatformClient,
     request::store::RequestHolder,
 };
 
--- a/src/serve/once.rs
+++ b/src/serve/once.rs
@@ -17,7 +17,7 @@
 use crate::{
     errors::FailureCause,
     ids::{RequestName, SharedName, hash_parts},
-    platform::client::WriteCondition,
+    cloud_api::client::WriteCondition,
     request::{
         call::CallerCall,
         outcome::{FinalAnswer, NotRunReason, UndispatchedCall, UnknownReason},
--- a/src/serve/planner.rs
+++ b/src/serve/planner.rs
@@ -27,7 +27,7 @@
     errors::{FailureCause, StepError},
     ids::SharedName,
     options::rows::ServiceRow,
-    platform::{
+    cloud_api::{
         client::WriteCondition,
         messages::{PriceClass, PriceEntry, ReclaimNotice, StartOrder, VmEntry, VmState},
     },
--- a/src/serve/platform_watch.rs
+++ b/src/serve/platform_watch.rs
@@ -17,7 +17,7 @@
     },
     errors::StepError,
     ids::SharedName,
-    platform::messages::{ENTRY_SERVICE, ObjectEntry, VmEntry, VmList},
+    cloud_api::messages::{ENTRY_SERVICE, ObjectEntry, VmEntry, VmList},
 };
 
 /// Name of the service.
--- a/src/serve/router.rs
+++ b/src/serve/router.rs
@@ -34,7 +34,7 @@
     ids::{AttemptId, IncarnationId, SharedName},
     kernel::{ServiceAddress, ServiceInbox},
     options::rows::{ServiceType, TableSnapshot},
-    platform::messages::{ENTRY_SERVICE, ReclaimNotice, VmEntry, VmState},
+    cloud_api::messages::{ENTRY_SERVICE, ReclaimNotice, VmEntry, VmState},
 };
 
 /// Name of the service.
--- a/src/serve/router/messages.rs
+++ b/src/serve/router/messages.rs
@@ -17,7 +17,7 @@
     },
     ids::{AttemptId, RequestName, SharedName},
     kernel::ServiceAddress,
-    platform::messages::{ReclaimNotice, VmEntry},
+    cloud_api::messages::{ReclaimNotice, VmEntry},
 };
 
 /// A stream, as far as moving it matters.
--- a/src/standin/callers.rs
+++ b/src/standin/callers.rs
@@ -20,7 +20,7 @@
     errors::StepError,
     headers,
     http::client::{HttpClient, OutgoingCall},
-    platform::messages::{PriceEntry, VmList},
+    cloud_api::messages::{PriceEntry, VmList},
 };
 
 /// Longest wait for the head of an answer, and for each piece of it.
--- a/src/standin/object_store.rs
+++ b/src/standin/object_store.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     ids::SharedName,
-    platform::messages::{ObjectEntry, ObjectList},
+    cloud_api::messages::{ObjectEntry, ObjectList},
 };
 
 /// Condition of a write, as its headers give it.
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -25,7 +25,7 @@
     http::{AnswerBody, server},
     ids::SharedName,
     kernel::LifePhase,
-    platform::messages::{
+    cloud_api::messages::{
         NoticeList, ObjectEntry, PriceClass, PriceEntry, ReclaimNotice, StartOrder, VmEntry,
         VmList, VmState, WriteReceipt,
     },
--- a/tests/integration/daemon_parts.rs
+++ b/tests/integration/daemon_parts.rs
@@ -9,7 +9,7 @@
     clock::wait_at_most,
     kernel::{KernelExit, LifePhase, SendError, ServiceKernel},
     options::{rows::parse_table, settings::DaemonSettings},
-    platform::messages::VmEntry,
+    cloud_api::messages::VmEntry,
     standin::callers::RequestMix,
 };
 
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -27,7 +27,7 @@
         subset::{window, window_size},
     },
     ids::RequestName,
-    platform::messages::{PriceClass, PriceEntry},
+    cloud_api::messages::{PriceClass, PriceEntry},
 };
 
 fn millis(count: u64) -> Duration {
