Gateway: whole path on the users' platform, kept thin

Cause: nothing ran on the platform. Change: src/gateway (pass-through requests, routes by host and longest prefix, account keys, quotas, attempts, resume inside a stream) and src/platform (names, formats, calls).

--- /dev/null
+++ b/schema/exchange.capnp
@@ -0,0 +1,60 @@
+@0xd41f7a60b2c8e935;
+# What gateway daemons tell each other. One call carries the news of both sides.
+
+struct ReplicaLoad {
+  replica @0 :UInt64;        # hash of the replica's id
+  running @1 :UInt32;        # requests of this daemon there
+  promptTokens @2 :UInt32;   # prompt tokens that have not been read yet
+  memoryTokens @3 :UInt32;   # memory that its requests take
+}
+
+struct WindowUse {
+  window @0 :UInt64;
+  counts @1 :List(UInt32);   # in the order of `accounts`
+}
+
+struct DaemonState {
+  incarnation @0 :UInt64;
+  name @1 :Text;
+  address @2 :Text;
+  sequence @3 :UInt64;       # of this state, rising
+  leaving @4 :Bool;
+  accounts @5 :List(Text);
+  spent @6 :List(UInt64);    # quota units admitted since the daemon started
+  windows @7 :List(WindowUse);
+  loads @8 :List(ReplicaLoad);
+  zone @9 :Text;
+}
+
+struct ReplicaEntry {
+  id @0 :Text;
+  service @1 :Text;
+  address @2 :Text;
+  zone @3 :Text;
+  slots @4 :UInt32;
+  draining @5 :Bool;
+  reclaimable @6 :Bool;
+}
+
+struct LeaseNews {
+  fence @0 :UInt64;
+  holder @1 :Text;
+  ageMs @2 :UInt32;          # since the renewal was begun
+}
+
+struct News {
+  state @0 :DaemonState;
+  known @1 :List(Text);          # addresses of other daemons
+  configuration @2 :UInt64;      # revision held; 0: none
+  configurationText @3 :Data;    # where the other side's is older
+  proven @4 :Bool;               # whether `proofAgeMs` means anything
+  proofAgeMs @5 :UInt32;         # since the store was asked, with an answer of this revision
+  replicas @6 :UInt64;           # revision of the list of replicas held
+  replicaEntries @7 :List(ReplicaEntry);
+  hasReplicas @8 :Bool;          # whether `replicaEntries` is the whole list
+  lease @9 :LeaseNews;
+}
+
+interface Exchange {
+  swap @0 (news :News) -> (news :News);
+}
--- a/src/bin/willowarchd.rs
+++ b/src/bin/willowarchd.rs
@@ -1,8 +1,13 @@
 //! Entry daemon.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
-use willowarch::{daemon, kernel::KernelExit, logs, options::settings::DaemonSettings};
+use willowarch::{
+    daemon, gateway, kernel::KernelExit, logs, options::settings::DaemonSettings, platform,
+};
 
 /// Exit code for settings or arguments that are not allowed.
 const EXIT_USAGE: u8 = 64;
@@ -18,52 +23,93 @@
         /// Entry daemon of willowarch: accepts requests and passes them to endpoints.
         cmd willowarchd {
             /// Settings file, in JSON (docs/settings.md).
-            required --settings path: PathBuf
+            optional --settings path: PathBuf
+            /// Serve on the users' platform, with its settings file.
+            optional --gateway
         }
     }
 }
 
+type RunResult = Result<KernelExit, Box<dyn std::error::Error>>;
+
 fn main() -> ExitCode {
     let flags = flags::Willowarchd::from_env_or_exit();
-    let Some(settings) = read_settings(&flags.settings) else { return ExitCode::from(EXIT_USAGE) };
-    if let Err(error) = logs::set_up(settings.log_level) {
-        eprintln!("willowarchd: logs: {error}");
-        return ExitCode::from(EXIT_UNAVAILABLE);
-    }
-    match run(settings) {
-        Ok(KernelExit::Stopped) => ExitCode::SUCCESS,
-        Ok(exit) => {
+    let result = match (flags.gateway, &flags.settings) {
+        (true, settings) => start_gateway(settings.clone()),
+        (false, Some(settings)) => start_daemon(settings),
+        (false, None) => {
+            eprintln!("willowarchd: flag is required: --settings");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match result {
+        None => ExitCode::from(EXIT_USAGE),
+        Some(Ok(KernelExit::Stopped)) => ExitCode::SUCCESS,
+        Some(Ok(exit)) => {
             spdlog::critical!("ended: {}", exit, kv: { service = "kernel" });
             ExitCode::from(EXIT_FAILED)
         }
-        Err(error) => {
+        Some(Err(error)) => {
             spdlog::critical!("cannot start: {}", error, kv: { service = "kernel" });
             ExitCode::from(EXIT_UNAVAILABLE)
         }
     }
 }
 
-fn read_settings(path: &PathBuf) -> Option<DaemonSettings> {
-    let text = match std::fs::read_to_string(path) {
-        Ok(text) => text,
+fn start_gateway(settings: Option<PathBuf>) -> Option<RunResult> {
+    let named = std::env::var_os(platform::settings::SETTINGS_VARIABLE).map(PathBuf::from);
+    let Some(path) = settings.or(named) else {
+        eprintln!(
+            "willowarchd: --settings or {} must name the settings file",
+            platform::settings::SETTINGS_VARIABLE
+        );
+        return None;
+    };
+    let text = read_file(&path)?;
+    let settings = match platform::settings::parse(&text) {
+        Ok(settings) => settings,
         Err(error) => {
             eprintln!("willowarchd: {}: {error}", path.display());
             return None;
         }
     };
-    match DaemonSettings::parse(&text) {
-        Ok(settings) => Some(settings),
+    if let Err(error) = logs::set_up_stdout() {
+        return Some(Err(error.into()));
+    }
+    Some(run_local(gateway::daemon::run(settings)))
+}
+
+fn start_daemon(path: &Path) -> Option<RunResult> {
+    let text = read_file(path)?;
+    let settings = match DaemonSettings::parse(&text) {
+        Ok(settings) => settings,
         Err(errors) => {
             for error in errors {
                 eprintln!("willowarchd: {}: {error}", path.display());
             }
+            return None;
+        }
+    };
+    if let Err(error) = logs::set_up(settings.log_level) {
+        return Some(Err(error.into()));
+    }
+    Some(run_local(daemon::run(settings)))
+}
+
+fn read_file(path: &Path) -> Option<String> {
+    match std::fs::read_to_string(path) {
+        Ok(text) => Some(text),
+        Err(error) => {
+            eprintln!("willowarchd: {}: {error}", path.display());
             None
         }
     }
 }
 
-fn run(settings: DaemonSettings) -> Result<KernelExit, Box<dyn std::error::Error>> {
+fn run_local<E: std::error::Error + 'static>(
+    service: impl Future<Output = Result<KernelExit, E>>,
+) -> RunResult {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
     let local = tokio::task::LocalSet::new();
-    Ok(local.block_on(&runtime, daemon::run(settings))?)
+    Ok(local.block_on(&runtime, service)?)
 }
--- /dev/null
+++ b/src/gateway.rs
@@ -0,0 +1,29 @@
+//! The gateway: passes clients' requests through to replicas, with their streams, under
+//! the operators' configuration, and carries out the duties of its deployment.
+//!
+//! docs/design/platform.md tells how its parts work together.
+
+pub mod call;
+pub mod choice;
+pub mod client_edge;
+pub mod configuration;
+pub mod connections;
+pub mod context;
+pub mod daemon;
+pub mod dispatch;
+pub mod events;
+pub mod lease;
+pub mod peers;
+pub mod prompt_memory;
+pub mod quota;
+pub mod readiness;
+pub mod refusal;
+pub mod relay;
+pub mod replica;
+pub mod request_log;
+pub mod retry_budget;
+pub mod run_guard;
+pub mod settings;
+pub mod store_watch;
+pub mod usage;
+pub mod wall_clock;
--- /dev/null
+++ b/src/gateway/context.rs
@@ -0,0 +1,177 @@
+//! What the services of a gateway daemon share.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    rc::Rc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use tokio::time::Instant;
+
+use super::{
+    choice::ReplicaTable,
+    configuration::Configuration,
+    connections::ConnectionPool,
+    lease::LeaseView,
+    peers::PeerTable,
+    quota::{QuotaLedger, QuotaSharing},
+    replica::ReplicaList,
+    retry_budget::RepeatBudget,
+    settings::GatewaySettings,
+    usage::UsageCounts,
+    wall_clock::SteadyWallClock,
+};
+use crate::{
+    counting::OpenCount,
+    ids::{IncarnationId, SharedName},
+    kernel::{KernelHandle, LifePhase},
+    platform,
+    serve::metrics::MetricsHandle,
+};
+
+/// Part of the allowed age of a proof that is left as a margin.
+const FRESHNESS_MARGIN: Duration = Duration::from_millis(300);
+
+/// The configuration in force, and how well it is known to be the newest.
+#[derive(Debug, Default)]
+pub struct ConfigurationState {
+    /// The configuration, once one is known.
+    pub current: Option<Rc<Configuration>>,
+    /// Its revision in the store.
+    pub revision: u64,
+    /// Its text, as it is passed on to other daemons.
+    pub text: Bytes,
+    /// When the store was asked that answered with this revision.
+    pub proof: Option<Instant>,
+}
+
+/// State shared by all tasks of one daemon, which run on one thread.
+pub struct GatewayContext {
+    /// Settings.
+    pub settings: GatewaySettings,
+    /// This start of this daemon.
+    pub incarnation: IncarnationId,
+    /// The store.
+    pub store: platform::store::StoreClient,
+    /// Configuration in force.
+    pub configuration: RefCell<ConfigurationState>,
+    /// Replicas as listed.
+    pub replica_list: RefCell<ReplicaList>,
+    /// What is known of the replicas.
+    pub replicas: RefCell<ReplicaTable>,
+    /// Quotas of accounts.
+    pub quotas: RefCell<QuotaLedger>,
+    /// Budgets of repeats, by service.
+    pub budgets: RefCell<HashMap<SharedName, RepeatBudget>>,
+    /// Counts of requests that began to run.
+    pub usage: RefCell<UsageCounts>,
+    /// Other daemons.
+    pub peers: RefCell<PeerTable>,
+    /// What is known of the lease of the duties.
+    pub lease: RefCell<LeaseView>,
+    /// Connections to replicas.
+    pub connections: ConnectionPool,
+    /// Wall clock for usage windows.
+    pub wall_clock: RefCell<SteadyWallClock>,
+    /// Counters and histograms.
+    pub metrics: MetricsHandle,
+    /// The kernel.
+    pub kernel: KernelHandle,
+    /// Requests in progress.
+    pub active: OpenCount,
+    /// When the store last failed to answer.
+    pub store_failed: Cell<Option<Instant>>,
+}
+
+impl GatewayContext {
+    /// The configuration in force.
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().current.clone()
+    }
+
+    /// Takes a configuration that was read at `proof` or, without one, passed on. Versions
+    /// and revisions only rise.
+    pub fn take_configuration(&self, revision: u64, text: &[u8], proof: Option<Instant>) {
+        let mut state = self.configuration.borrow_mut();
+        if revision > state.revision {
+            let decoded = match platform::configuration::decode(text) {
+                Ok(decoded) => decoded,
+                Err(error) => {
+                    spdlog::error!("configuration not understood: {}", error, kv: { revision });
+                    return;
+                }
+            };
+            let known = state.current.as_ref().map_or(0, |current| current.version);
+            spdlog::info!("configuration", kv: {
+                version: = decoded.version, revision, before = known, outcome = "in force"
+            });
+            state.revision = revision;
+            if state.current.is_none() || decoded.version > known {
+                state.current = Some(Rc::new(decoded));
+                state.text = Bytes::copy_from_slice(text);
+            }
+        }
+        if revision == state.revision && state.proof < proof {
+            state.proof = proof;
+        }
+    }
+
+    /// Whether keys may be used: the configuration was the newest one not long ago.
+    pub fn keys_are_fresh(&self, now: Instant) -> bool {
+        let Some(longest) = self.settings.bounds.key_freshness else { return true };
+        let longest = longest.saturating_sub(FRESHNESS_MARGIN);
+        let proof = self.configuration.borrow().proof;
+        proof.is_some_and(|proof| now.saturating_duration_since(proof) < longest)
+    }
+
+    /// Takes a list of replicas, if it is newer than the one held.
+    pub fn take_replicas(&self, list: ReplicaList) -> bool {
+        if list.revision <= self.replica_list.borrow().revision {
+            return false;
+        }
+        self.replicas.borrow_mut().set_list(&list);
+        *self.replica_list.borrow_mut() = list;
+        true
+    }
+
+    /// How many daemons share quotas and budgets.
+    pub fn sharing(&self, now: Instant) -> QuotaSharing {
+        self.peers.borrow().sharing(now)
+    }
+
+    /// Draws one repeat of a service's budget.
+    pub fn draw_repeat(&self, service: &SharedName, now: Instant) -> bool {
+        let bounds = &self.settings.bounds;
+        let reserve = bounds.retry_reserve / self.sharing(now).known as f64;
+        let mut budgets = self.budgets.borrow_mut();
+        let window = bounds.retry_window;
+        let budget = budgets.entry(service.clone()).or_insert_with(|| RepeatBudget::new(window));
+        budget.draw(bounds.retry_share, reserve, now)
+    }
+
+    /// Counts a client's request for a service.
+    pub fn note_request(&self, service: &SharedName, now: Instant) {
+        let window = self.settings.bounds.retry_window;
+        let mut budgets = self.budgets.borrow_mut();
+        budgets.entry(service.clone()).or_insert_with(|| RepeatBudget::new(window)).request(now);
+    }
+
+    /// Counts a request of an account that began to run now.
+    pub fn note_run(&self, account: &SharedName) {
+        let window = self.wall_clock.borrow().window(self.settings.bounds.usage_window);
+        self.usage.borrow_mut().count(account, window);
+    }
+
+    /// Whether the daemon is on its way out.
+    pub fn is_leaving(&self) -> bool {
+        *self.kernel.phase().borrow() >= LifePhase::Draining
+    }
+
+    /// Whether the daemon can serve: it takes new connections.
+    pub fn is_ready(&self, now: Instant) -> bool {
+        let listed = self.replica_list.borrow().revision > 0;
+        !self.is_leaving() && listed && self.configuration().is_some() && self.keys_are_fresh(now)
+    }
+}
--- /dev/null
+++ b/src/gateway/quota.rs
@@ -0,0 +1,137 @@
+//! Quotas of accounts, held over all daemons together.
+//!
+//! Every daemon keeps the same bucket for each account: what it admits itself leaves the
+//! bucket at once, what others admit leaves it when they say so, at most a few hundred
+//! milliseconds later. What is overdrawn meanwhile has to be refilled before anything more
+//! is admitted, so that only one such span is ever overdrawn. A daemon that is not heard may
+//! spend an even part of the rate; the others leave it that part, and take no more than
+//! their own even parts together.
+
+use std::{collections::HashMap, time::Duration};
+
+use tokio::time::Instant;
+
+use super::configuration::AccountQuota;
+use crate::ids::{IncarnationId, SharedName};
+
+/// Part of the burst that a daemon may spend that has just started: what was spent before
+/// it started is not known to it.
+const START_LEVEL: f64 = 0.4;
+/// Shortest and longest time told to a refused client.
+const COME_BACK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
+/// Part of the promised tolerance is left alone: this much of the quota is given out.
+const GIVEN_SHARE: f64 = 1.0;
+
+#[derive(Debug)]
+struct AccountBucket {
+    level: f64,
+    filled_at: Instant,
+    /// Units admitted here since the daemon started.
+    spent: u64,
+    /// Units that others have told of, by the start of their processes.
+    heard: HashMap<IncarnationId, u64>,
+}
+
+/// Verdict on a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum QuotaVerdict {
+    /// Within the quota.
+    Admitted,
+    /// Beyond it; there will be room after this time.
+    Refused {
+        /// When to come back.
+        come_back: Duration,
+        /// Units in the bucket.
+        level: f64,
+    },
+}
+
+/// How many daemons share the quotas.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct QuotaSharing {
+    /// Daemons that are known to run, this one included.
+    pub known: usize,
+    /// Those of them that were heard just now, this one included.
+    pub heard: usize,
+}
+
+impl QuotaSharing {
+    fn share(self) -> f64 {
+        self.heard.max(1) as f64 / self.known.max(self.heard).max(1) as f64
+    }
+}
+
+/// Buckets of all accounts at one daemon.
+#[derive(Debug, Default)]
+pub struct QuotaLedger {
+    accounts: HashMap<SharedName, AccountBucket>,
+}
+
+impl QuotaLedger {
+    /// Asks for `units` of an account.
+    pub fn admit(
+        &mut self,
+        account: &SharedName,
+        quota: &AccountQuota,
+        units: u64,
+        sharing: QuotaSharing,
+        now: Instant,
+    ) -> QuotaVerdict {
+        let Some(rate) = quota.rate else { return QuotaVerdict::Admitted };
+        let (rate, burst) = (rate * GIVEN_SHARE, quota.burst.max(rate * 0.1));
+        let bucket = self.accounts.entry(account.clone()).or_insert_with(|| AccountBucket {
+            level: burst * START_LEVEL,
+            filled_at: now,
+            spent: 0,
+            heard: HashMap::new(),
+        });
+        bucket.fill(rate * sharing.share(), burst, now);
+        // NOTE: a request larger than the burst is let in when the bucket is full.
+        let needed = (units as f64).min(burst);
+        if bucket.level >= needed {
+            bucket.level -= units as f64;
+            bucket.spent += units;
+            return QuotaVerdict::Admitted;
+        }
+        let wait = (needed - bucket.level) / (rate * sharing.share());
+        let wait = Duration::from_secs_f64(wait.min(COME_BACK.1.as_secs_f64()));
+        QuotaVerdict::Refused { come_back: wait.max(COME_BACK.0), level: bucket.level }
+    }
+
+    /// Gives back what a request was admitted for that never ran.
+    pub fn give_back(&mut self, account: &str, units: u64) {
+        if let Some(bucket) = self.accounts.get_mut(account) {
+            let units = units.min(bucket.spent);
+            bucket.level += units as f64;
+            bucket.spent -= units;
+        }
+    }
+
+    /// Another daemon has admitted `spent` units since it started.
+    pub fn hear(&mut self, account: &SharedName, from: IncarnationId, spent: u64) {
+        let Some(bucket) = self.accounts.get_mut(account) else { return };
+        // NOTE: what a daemon spent before it was first heard may be long refilled.
+        let before = bucket.heard.insert(from, spent).unwrap_or(spent);
+        bucket.level -= spent as f64 - before as f64;
+    }
+
+    /// Forgets daemons that are gone.
+    pub fn keep_daemons(&mut self, is_known: impl Fn(IncarnationId) -> bool) {
+        for bucket in self.accounts.values_mut() {
+            bucket.heard.retain(|from, _| is_known(*from));
+        }
+    }
+
+    /// Units admitted here since the daemon started.
+    pub fn spent(&self) -> impl Iterator<Item = (&SharedName, u64)> {
+        self.accounts.iter().map(|(account, bucket)| (account, bucket.spent))
+    }
+}
+
+impl AccountBucket {
+    fn fill(&mut self, rate: f64, burst: f64, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
+        self.filled_at = now;
+        self.level = (self.level + elapsed * rate).min(burst);
+    }
+}
--- /dev/null
+++ b/src/gateway/refusal.rs
@@ -0,0 +1,88 @@
+//! Answers that the gateway gives itself.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use hyper::{Response, StatusCode};
+
+use crate::{
+    http::{LocalBody, whole_body},
+    platform::ingress,
+};
+
+/// Why a request gets an answer of the gateway's own.
+#[derive(Clone, Debug, Display, PartialEq)]
+pub enum Refusal {
+    /// Its head cannot be used.
+    #[display("bad request: {_0}")]
+    BadHead(ingress::HeadError),
+    /// Its body is too long.
+    #[display("body too long")]
+    BodyTooLong,
+    /// Its body did not arrive whole.
+    #[display("body not whole")]
+    BodyBroken,
+    /// No configuration is known yet.
+    #[display("no configuration")]
+    NoConfiguration,
+    /// The configuration may be out of date: keys cannot be checked.
+    #[display("configuration not known to be current")]
+    NotFresh,
+    /// No route matches.
+    #[display("no route")]
+    NoRoute,
+    /// The key is not known.
+    #[display("unknown key")]
+    UnknownKey,
+    /// The account's quota is spent.
+    #[display("quota spent")]
+    QuotaSpent(Duration),
+    /// All replicas are full; it has not run.
+    #[display("all replicas full")]
+    Full(Duration),
+    /// There is no replica to send it to; it has not run.
+    #[display("no replica")]
+    NoReplica(Duration),
+    /// It may have run and must not be repeated, or all attempts have failed.
+    #[display("outcome unknown")]
+    Unknown,
+    /// Its time is over; it may have run.
+    #[display("out of time")]
+    OutOfTime,
+}
+
+/// Time after which a daemon that is starting may be asked again.
+const STARTING: Duration = Duration::from_millis(500);
+
+impl Refusal {
+    /// Status of the answer. 429 and 503 promise that the request has not run.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::BadHead(_) | Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::UnknownKey => StatusCode::UNAUTHORIZED,
+            Self::QuotaSpent(_) => StatusCode::TOO_MANY_REQUESTS,
+            Self::NoConfiguration | Self::NotFresh | Self::Full(_) | Self::NoReplica(_) => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+
+    /// When the client may come back, where the request has not run.
+    pub fn come_back(&self) -> Option<Duration> {
+        match self {
+            Self::QuotaSpent(wait) | Self::Full(wait) | Self::NoReplica(wait) => Some(*wait),
+            Self::NoConfiguration | Self::NotFresh => Some(STARTING),
+            _ => None,
+        }
+    }
+
+    /// The answer to the request `id`.
+    pub fn answer(&self, id: Option<&str>) -> Response<LocalBody> {
+        let head = ingress::own_answer(id, self.status(), self.come_back());
+        head.map(|()| Box::pin(whole_body(self.to_string())) as LocalBody)
+    }
+}
--- /dev/null
+++ b/src/gateway/relay.rs
@@ -0,0 +1,283 @@
+//! Passes a replica's answer on to the client as it comes; a stream that breaks is
+//! continued at another replica within the same answer where the route allows it.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use futures::stream;
+use http_body_util::{BodyExt, StreamBody};
+use hyper::{
+    Response,
+    body::{Body, Frame, Incoming},
+};
+use tokio::time::{Instant, timeout, timeout_at};
+
+use super::{
+    connections::ReplicaConnection,
+    context::GatewayContext,
+    dispatch::{self, Admitted, AttemptEnd, Attempts, ReplicaAnswer},
+    events::EventCutter,
+    request_log::RequestTrace,
+    run_guard::RunGuard,
+};
+use crate::{
+    counting::CountGuard,
+    decide::health::AttemptResult,
+    http::{BodyError, LocalBody},
+    platform::ingress::{self, AnswerSigns},
+};
+
+/// Longest wait for the rest of an answer that is not passed on.
+const DRAIN_LIMIT: Duration = Duration::from_millis(200);
+/// A stream is continued elsewhere after a silence of this many times its longest good pause.
+const SILENCE_PATIENCE: f64 = 2.0;
+/// Longest silence of a stream whose route names no pause.
+const DEFAULT_SILENCE: Duration = Duration::from_millis(2_000);
+
+/// Why an answer ends before its end.
+#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error, PartialEq, Eq)]
+enum RelayError {
+    #[display("replica broke off")]
+    BrokenOff,
+    #[display("out of time")]
+    OutOfTime,
+}
+
+/// An answer on its way to the client.
+struct Relay {
+    context: Rc<GatewayContext>,
+    admitted: Rc<Admitted>,
+    attempts: Attempts,
+    trace: RequestTrace,
+    upstream: Option<Upstream>,
+    cutter: Option<EventCutter>,
+    last_event: Option<u64>,
+    events: u64,
+    ended: bool,
+    _active: CountGuard,
+}
+
+/// Where the answer comes from.
+struct Upstream {
+    body: Incoming,
+    signs: AnswerSigns,
+    connection: ReplicaConnection,
+    guard: RunGuard,
+}
+
+/// What came next of an answer.
+enum NextPiece {
+    Bytes(Bytes),
+    End,
+    Broken(RelayError),
+}
+
+/// Passes `answer` on.
+pub fn pass_on(
+    context: &Rc<GatewayContext>,
+    admitted: Rc<Admitted>,
+    attempts: Attempts,
+    answer: ReplicaAnswer,
+    trace: RequestTrace,
+) -> Response<LocalBody> {
+    let ReplicaAnswer { response, signs, connection, guard } = answer;
+    let success = response.status().is_success();
+    if success && !admitted.route.kind.is_stream() {
+        count_run(context, &admitted);
+    }
+    let (head, body) = ingress::client_answer(response);
+    let whole_length = body.size_hint().exact();
+    let streams = success && admitted.route.kind.is_stream();
+    let relay = Relay {
+        context: context.clone(),
+        last_event: admitted.call.head.last_event,
+        admitted,
+        attempts,
+        trace,
+        upstream: Some(Upstream { body, signs, connection, guard }),
+        cutter: streams.then(EventCutter::default),
+        events: 0,
+        ended: false,
+        _active: context.active.enter(),
+    };
+    let frames = stream::unfold(relay, |mut relay| async move {
+        let piece = relay.next().await?;
+        Some((piece.map(Frame::data), relay))
+    });
+    let body = StreamBody::new(frames);
+    head.map(|()| match whole_length {
+        Some(left) if !streams => Box::pin(SizedBody { body: Box::pin(body), left }) as LocalBody,
+        _ => Box::pin(body),
+    })
+}
+
+/// Counts a run for its account, once for each request.
+fn count_run(context: &GatewayContext, admitted: &Admitted) {
+    if let Some(account) = &admitted.account
+        && !admitted.counted.replace(true)
+    {
+        context.note_run(&account.name);
+    }
+}
+
+impl Relay {
+    async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
+        if self.ended {
+            return None;
+        }
+        loop {
+            let piece = self.next_piece().await;
+            let error = match piece {
+                NextPiece::Bytes(bytes) => {
+                    if bytes.is_empty() {
+                        continue;
+                    }
+                    return Some(Ok(bytes));
+                }
+                NextPiece::End => {
+                    self.ended = true;
+                    self.finish_cleanly();
+                    let rest = self.cutter.as_mut().map(EventCutter::rest).unwrap_or_default();
+                    return (!rest.is_empty()).then_some(Ok(rest));
+                }
+                NextPiece::Broken(error) => error,
+            };
+            if error == RelayError::OutOfTime || !self.resume().await {
+                self.ended = true;
+                self.trace.broken_off(error.to_string(), self.events);
+                return Some(Err(error.into()));
+            }
+        }
+    }
+
+    /// The next piece from the replica; whole events only, where the answer is a stream.
+    async fn next_piece(&mut self) -> NextPiece {
+        let until = self.wait_until();
+        let deadline = self.admitted.deadline;
+        let Some(upstream) = &mut self.upstream else {
+            return NextPiece::Broken(RelayError::BrokenOff);
+        };
+        let frame = match timeout_at(until, upstream.body.frame()).await {
+            Err(_) if until >= deadline => return NextPiece::Broken(RelayError::OutOfTime),
+            Err(_) => return NextPiece::Broken(RelayError::BrokenOff),
+            Ok(None) => return NextPiece::End,
+            Ok(Some(Err(_))) => return NextPiece::Broken(RelayError::BrokenOff),
+            Ok(Some(Ok(frame))) => frame,
+        };
+        let Ok(bytes) = frame.into_data() else { return NextPiece::Bytes(Bytes::new()) };
+        let Some(cutter) = &mut self.cutter else { return NextPiece::Bytes(bytes) };
+        let Ok(batch) = cutter.feed(&bytes, self.last_event) else {
+            return NextPiece::Broken(RelayError::BrokenOff);
+        };
+        if batch.count > 0 {
+            if self.events == 0 {
+                count_run(&self.context, &self.admitted);
+                self.trace.first_event();
+            }
+            upstream.guard.prompt_read();
+            self.events += batch.count as u64;
+            self.last_event = batch.last_id.or(self.last_event);
+        }
+        NextPiece::Bytes(batch.bytes)
+    }
+
+    fn wait_until(&self) -> Instant {
+        let deadline = self.admitted.deadline;
+        let route = &self.admitted.route;
+        let resumable = route.kind.is_stream() && route.kind.may_repeat();
+        if self.cutter.is_none() || !resumable || self.attempts.sent >= route.attempts {
+            return deadline;
+        }
+        let silence = match self.events {
+            0 => route.target.mul_f64(SILENCE_PATIENCE),
+            _ => route.gap_target.map_or(DEFAULT_SILENCE, |gap| gap.mul_f64(SILENCE_PATIENCE)),
+        };
+        deadline.min(Instant::now() + silence)
+    }
+
+    /// Continues a broken stream at another replica, if it may.
+    async fn resume(&mut self) -> bool {
+        if let Some(upstream) = self.upstream.take() {
+            self.context.connections.distrust(upstream.guard.replica());
+            upstream.guard.finish(AttemptResult::Failed);
+        }
+        let resumable = self.cutter.is_some() && self.admitted.route.kind.may_repeat();
+        while resumable {
+            if !dispatch::may_try_again(&self.context, &self.admitted, &self.attempts) {
+                return false;
+            }
+            let (last, trace) = (self.last_event, &mut self.trace);
+            let attempt =
+                dispatch::attempt(&self.context, &self.admitted, &mut self.attempts, last, trace);
+            let Ok(AttemptEnd::Answer(answer)) = attempt.await else { continue };
+            if !answer.response.status().is_success() {
+                continue;
+            }
+            let ReplicaAnswer { response, signs, connection, guard } = answer;
+            let body = response.into_body();
+            self.cutter = Some(EventCutter::default());
+            self.upstream = Some(Upstream { body, signs, connection, guard });
+            return true;
+        }
+        false
+    }
+
+    fn finish_cleanly(&mut self) {
+        self.trace.finished(self.events);
+        let Some(upstream) = self.upstream.take() else { return };
+        upstream.guard.finish(AttemptResult::Succeeded);
+        if !upstream.signs.closes {
+            self.context.connections.give_back(upstream.connection, upstream.signs.keep);
+        }
+    }
+}
+
+/// Reads the rest of an answer that is not passed on, so that its connection can be kept.
+pub fn drain(
+    context: &Rc<GatewayContext>,
+    response: Response<Incoming>,
+    connection: ReplicaConnection,
+    signs: AnswerSigns,
+) {
+    if signs.closes {
+        return;
+    }
+    let pool = context.connections.clone();
+    tokio::task::spawn_local(async move {
+        let whole = timeout(DRAIN_LIMIT, response.into_body().collect()).await;
+        if matches!(whole, Ok(Ok(_))) {
+            pool.give_back(connection, signs.keep);
+        }
+    });
+}
+
+/// Body whose length is known, so that it goes back with the length that it came with.
+struct SizedBody<B> {
+    body: std::pin::Pin<Box<B>>,
+    left: u64,
+}
+
+impl<B> Body for SizedBody<B>
+where
+    B: Body<Data = Bytes, Error = BodyError>,
+{
+    type Data = Bytes;
+    type Error = BodyError;
+
+    fn poll_frame(
+        mut self: std::pin::Pin<&mut Self>,
+        task: &mut std::task::Context<'_>,
+    ) -> std::task::Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let polled = self.body.as_mut().poll_frame(task);
+        if let std::task::Poll::Ready(Some(Ok(frame))) = &polled
+            && let Some(bytes) = frame.data_ref()
+        {
+            self.left = self.left.saturating_sub(bytes.len() as u64);
+        }
+        polled
+    }
+
+    fn size_hint(&self) -> hyper::body::SizeHint {
+        hyper::body::SizeHint::with_exact(self.left)
+    }
+}
--- /dev/null
+++ b/src/gateway/request_log.rs
@@ -0,0 +1,120 @@
+//! What became of a request, as one structured line and in the metrics.
+
+use std::{fmt::Write, rc::Rc, time::Duration};
+
+use hyper::StatusCode;
+use tokio::time::Instant;
+
+use super::{
+    choice::ReplicaChoice, connections::SendFailure, context::GatewayContext, dispatch::Admitted,
+    refusal::Refusal,
+};
+use crate::{ids::SharedName, platform::ingress::AnswerMeaning};
+
+/// Trace of one request; writes its line when it ends, at the latest when it is dropped.
+pub struct RequestTrace {
+    context: Rc<GatewayContext>,
+    id: Option<SharedName>,
+    route: Option<SharedName>,
+    account: Option<SharedName>,
+    /// Steps of the attempts, in order.
+    steps: String,
+    begun: Instant,
+    first_after: Option<Duration>,
+    ended: bool,
+}
+
+impl RequestTrace {
+    /// Trace of a request that was just read.
+    pub fn new(context: &Rc<GatewayContext>, id: Option<SharedName>) -> Self {
+        Self {
+            context: context.clone(),
+            id,
+            route: None,
+            account: None,
+            steps: String::new(),
+            begun: Instant::now(),
+            first_after: None,
+            ended: false,
+        }
+    }
+
+    /// The request was admitted.
+    pub fn admitted(&mut self, admitted: &Admitted) {
+        self.route = Some(admitted.route.name.clone());
+        self.account = admitted.account.as_ref().map(|account| account.name.clone());
+    }
+
+    /// A replica was chosen.
+    pub fn attempt(&mut self, choice: &ReplicaChoice) {
+        let (replica, unread, wait) = (&choice.replica.id, choice.unread, choice.wait_ms);
+        // NOTE: writing to a string cannot fail.
+        let _ = write!(self.steps, "{replica} unread {unread} wait {wait:.0};");
+        self.context.metrics.count("attempts", 1);
+    }
+
+    /// An attempt failed.
+    pub fn failed(&mut self, failure: &SendFailure) {
+        let after = self.begun.elapsed().as_millis();
+        let _ = write!(self.steps, " {failure} after {after};");
+        self.context.metrics.count("attempts_failed", 1);
+    }
+
+    /// A replica answered.
+    pub fn answered(&mut self, status: StatusCode, meaning: AnswerMeaning) {
+        let after = self.begun.elapsed().as_millis();
+        let _ = write!(self.steps, " {} {meaning:?} after {after};", status.as_u16());
+    }
+
+    /// The first event of a stream went on.
+    pub fn first_event(&mut self) {
+        let after = self.begun.elapsed();
+        self.first_after = Some(after);
+        self.context.metrics.duration("first_event", after);
+    }
+
+    /// The gateway answered itself.
+    pub fn refused(&mut self, refusal: &Refusal) {
+        let status = refusal.status().as_str().to_owned();
+        self.context.metrics.count_labelled("refused", "status", &status);
+        self.end(&refusal.to_string(), 0);
+    }
+
+    /// The answer went on whole.
+    pub fn finished(&mut self, events: u64) {
+        self.context.metrics.count("answered", 1);
+        self.context.metrics.duration("answer", self.begun.elapsed());
+        self.end("answered", events);
+    }
+
+    /// The answer was broken off.
+    pub fn broken_off(&mut self, reason: String, events: u64) {
+        self.context.metrics.count("broken_off", 1);
+        self.end(&reason, events);
+    }
+
+    fn end(&mut self, outcome: &str, events: u64) {
+        self.ended = true;
+        let configuration = self.context.configuration.borrow();
+        let version = configuration.current.as_ref().map_or(0, |current| current.version);
+        let proof = configuration.proof.map_or(-1, |at| at.elapsed().as_millis() as i64);
+        let id = self.id.as_deref().unwrap_or("-");
+        let route = self.route.as_deref().unwrap_or("-");
+        let account = self.account.as_deref().unwrap_or("-");
+        let total_ms = self.begun.elapsed().as_millis() as u64;
+        let first_ms = self.first_after.map_or(-1, |after| after.as_millis() as i64);
+        spdlog::info!("request", kv: {
+            id, outcome, route, account, steps: = self.steps, events, first_ms, total_ms,
+            version, proof_age_ms = proof
+        });
+    }
+}
+
+impl Drop for RequestTrace {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.context.metrics.count("client_left", 1);
+            self.end("client left", 0);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/run_guard.rs
@@ -0,0 +1,54 @@
+//! One request at one replica, counted there until it ends.
+
+use std::rc::Rc;
+
+use tokio::time::Instant;
+
+use super::{
+    call::PromptPart, choice::RunLoad, context::GatewayContext, replica::ReplicaRecord,
+};
+use crate::decide::health::AttemptResult;
+
+/// Counts a run at its replica; dropped, the run has ended by this daemon's own choice.
+pub struct RunGuard {
+    context: Rc<GatewayContext>,
+    replica: Rc<ReplicaRecord>,
+    load: RunLoad,
+    result: AttemptResult,
+}
+
+impl RunGuard {
+    /// Begins a run.
+    pub fn begin(
+        context: Rc<GatewayContext>,
+        replica: &Rc<ReplicaRecord>,
+        parts: &[PromptPart],
+        load: RunLoad,
+    ) -> Self {
+        context.replicas.borrow_mut().begin(&replica.id, parts, load, Instant::now());
+        Self { context, replica: replica.clone(), load, result: AttemptResult::Neutral }
+    }
+
+    /// Id of the replica.
+    pub fn replica(&self) -> &str {
+        &self.replica.id
+    }
+
+    /// The first part of the answer has come: the prompt has been read.
+    pub fn prompt_read(&mut self) {
+        let unread = std::mem::take(&mut self.load.unread);
+        self.context.replicas.borrow_mut().prompt_read(&self.replica.id, unread);
+    }
+
+    /// Ends the run with what it says of the replica's health.
+    pub fn finish(mut self, result: AttemptResult) {
+        self.result = result;
+    }
+}
+
+impl Drop for RunGuard {
+    fn drop(&mut self) {
+        let mut replicas = self.context.replicas.borrow_mut();
+        replicas.end(&self.replica.id, self.load, self.result, Instant::now());
+    }
+}
--- /dev/null
+++ b/src/gateway/store_watch.rs
@@ -0,0 +1,200 @@
+//! Keeps configuration and replicas up to date from the store.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use rand::RngExt;
+use tokio::time::{Instant, sleep};
+
+use super::{
+    context::GatewayContext,
+    replica::{ReplicaList, ReplicaRecord},
+};
+use crate::{
+    errors::StepError,
+    ids::SharedName,
+    platform::{
+        configuration::{CONFIGURATION_KIND, CONFIGURATION_NAME},
+        replicas::{self, REPLICA_KIND},
+        store::{ObjectChange, ObjectListing, StoredObject, WatchResult},
+    },
+};
+
+/// Name of the service that keeps the configuration.
+pub const CONFIGURATION_SERVICE: &str = "configuration-watch";
+/// Name of the service that keeps the replicas.
+pub const REPLICA_SERVICE: &str = "replica-watch";
+/// How long a watch waits for a change.
+const WATCH_WAIT: Duration = Duration::from_millis(1_800);
+/// First pause after a failed call; each further one is twice as long.
+const PAUSE_FIRST: Duration = Duration::from_millis(50);
+/// Longest pause after failed calls.
+const PAUSE_LONGEST: Duration = Duration::from_millis(800);
+
+/// Pauses between calls to a store that fails.
+#[derive(Debug, Default)]
+struct StorePauses {
+    failures: u32,
+}
+
+impl StorePauses {
+    fn succeeded(&mut self, context: &GatewayContext) {
+        if self.failures > 0 {
+            spdlog::info!("store", kv: { outcome = "regained", failures = self.failures });
+        }
+        self.failures = 0;
+        context.metrics.gauge("store_calls", context.store.calls() as f64);
+    }
+
+    async fn failed(&mut self, context: &GatewayContext, error: &StepError) {
+        if self.failures == 0 {
+            spdlog::warn!("store", kv: { outcome = "lost", error: = error });
+        }
+        context.store_failed.set(Some(Instant::now()));
+        context.metrics.count("store_failures", 1);
+        let doublings = self.failures.min(6);
+        self.failures += 1;
+        let pause = (PAUSE_FIRST * 2_u32.pow(doublings)).min(PAUSE_LONGEST);
+        let spread = rand::rng().random_range(0.5..1.0);
+        sleep(pause.mul_f64(spread)).await;
+    }
+}
+
+/// Keeps the configuration up to date until the daemon stops.
+pub async fn keep_configuration(context: Rc<GatewayContext>) {
+    let mut pauses = StorePauses::default();
+    let mut cursor = None;
+    loop {
+        match configuration_step(&context, cursor).await {
+            Ok(next) => {
+                pauses.succeeded(&context);
+                cursor = next;
+            }
+            Err(error) => {
+                cursor = None;
+                pauses.failed(&context, &error).await;
+            }
+        }
+    }
+}
+
+/// One call about the configuration; returns the revision to watch from, if one is known.
+async fn configuration_step(
+    context: &GatewayContext,
+    cursor: Option<u64>,
+) -> Result<Option<u64>, StepError> {
+    let asked = Instant::now();
+    let Some(revision) = cursor else {
+        let listing = context.store.list(CONFIGURATION_KIND).await?;
+        let object = listing.objects.iter().find(|object| &*object.name == CONFIGURATION_NAME);
+        if let Some(object) = object {
+            take_configuration(context, object, asked);
+        }
+        return Ok(Some(listing.revision));
+    };
+    match context.store.watch(CONFIGURATION_KIND, revision, WATCH_WAIT).await? {
+        WatchResult::HistoryGone => Ok(None),
+        WatchResult::Changes(changes, next) => {
+            let written = changes.iter().rev().find_map(|change| match change {
+                ObjectChange::Written(object) if &*object.name == CONFIGURATION_NAME => Some(object),
+                _ => None,
+            });
+            match written {
+                Some(object) => take_configuration(context, object, asked),
+                None => prove_unchanged(context, asked),
+            }
+            Ok(Some(next))
+        }
+    }
+}
+
+fn take_configuration(context: &GatewayContext, object: &StoredObject, asked: Instant) {
+    context.take_configuration(object.revision, object.value.as_bytes(), Some(asked));
+}
+
+/// The store has said that nothing changed up to a moment after `asked`.
+fn prove_unchanged(context: &GatewayContext, asked: Instant) {
+    let mut state = context.configuration.borrow_mut();
+    if state.current.is_some() && state.proof < Some(asked) {
+        state.proof = Some(asked);
+    }
+}
+
+/// Keeps the list of replicas up to date until the daemon stops.
+pub async fn keep_replicas(context: Rc<GatewayContext>) {
+    let mut pauses = StorePauses::default();
+    let mut known = None;
+    loop {
+        match replica_step(&context, known.take()).await {
+            Ok(next) => {
+                pauses.succeeded(&context);
+                known = next;
+            }
+            Err(error) => pauses.failed(&context, &error).await,
+        }
+    }
+}
+
+/// Replicas as this daemon's own calls have shown them.
+struct KnownReplicas {
+    revision: u64,
+    by_id: BTreeMap<SharedName, Rc<ReplicaRecord>>,
+}
+
+impl KnownReplicas {
+    fn from_listing(listing: &ObjectListing) -> Self {
+        let by_id = listing.objects.iter().filter_map(decode_replica).collect();
+        Self { revision: listing.revision, by_id }
+    }
+
+    fn apply(&mut self, changes: &[ObjectChange], revision: u64) {
+        for change in changes {
+            match change {
+                ObjectChange::Written(object) => self.by_id.extend(decode_replica(object)),
+                ObjectChange::Gone(name) => {
+                    self.by_id.remove(name);
+                }
+            }
+        }
+        self.revision = revision;
+    }
+
+    fn publish(&self, context: &GatewayContext) {
+        let replicas = self.by_id.values().cloned().collect();
+        let list = ReplicaList { revision: self.revision, replicas };
+        let count = list.replicas.len();
+        if context.take_replicas(list) {
+            spdlog::info!("replicas", kv: { revision: = self.revision, count, source = "store" });
+        }
+    }
+}
+
+fn decode_replica(object: &StoredObject) -> Option<(SharedName, Rc<ReplicaRecord>)> {
+    match replicas::decode(object.name.clone(), object.value.as_bytes()) {
+        Ok(record) => Some((object.name.clone(), Rc::new(record))),
+        Err(error) => {
+            spdlog::warn!("replica not understood: {}", error, kv: { replica: = object.name });
+            None
+        }
+    }
+}
+
+async fn replica_step(
+    context: &GatewayContext,
+    known: Option<KnownReplicas>,
+) -> Result<Option<KnownReplicas>, StepError> {
+    let Some(mut known) = known else {
+        let known = KnownReplicas::from_listing(&context.store.list(REPLICA_KIND).await?);
+        known.publish(context);
+        return Ok(Some(known));
+    };
+    match context.store.watch(REPLICA_KIND, known.revision, WATCH_WAIT).await? {
+        WatchResult::HistoryGone => Ok(None),
+        WatchResult::Changes(changes, revision) => {
+            known.apply(&changes, revision);
+            if !changes.is_empty() {
+                known.publish(context);
+            }
+            Ok(Some(known))
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/usage.rs
@@ -0,0 +1,54 @@
+//! Counts of the requests that began to run, by account and window of the wall clock.
+
+use std::collections::{BTreeMap, HashMap};
+
+use crate::ids::{IncarnationId, SharedName};
+
+/// Windows kept: reports are due well before so many have passed.
+const WINDOWS_KEPT: u64 = 8;
+
+/// Counts of one window by account.
+pub type WindowCounts = BTreeMap<SharedName, u64>;
+
+/// Counts of this daemon and, as far as heard, of the others.
+#[derive(Debug, Default)]
+pub struct UsageCounts {
+    own: BTreeMap<u64, WindowCounts>,
+    heard: HashMap<IncarnationId, BTreeMap<u64, WindowCounts>>,
+}
+
+impl UsageCounts {
+    /// A request of `account` began to run in `window`.
+    pub fn count(&mut self, account: &SharedName, window: u64) {
+        let counts = self.own.entry(window).or_default();
+        *counts.entry(account.clone()).or_default() += 1;
+        let oldest = window.saturating_sub(WINDOWS_KEPT);
+        self.own.retain(|window, _| *window >= oldest);
+    }
+
+    /// Counts of this daemon.
+    pub fn own(&self) -> &BTreeMap<u64, WindowCounts> {
+        &self.own
+    }
+
+    /// Another daemon's counts; those of a window only rise within one life.
+    pub fn hear(&mut self, from: IncarnationId, window: u64, counts: WindowCounts) {
+        let windows = self.heard.entry(from).or_default();
+        windows.insert(window, counts);
+        while windows.len() as u64 > WINDOWS_KEPT {
+            windows.pop_first();
+        }
+    }
+
+    /// Counts of `window` over all daemons.
+    pub fn total(&self, window: u64) -> WindowCounts {
+        let heard = self.heard.values().filter_map(|windows| windows.get(&window));
+        let mut total = WindowCounts::new();
+        for counts in self.own.get(&window).into_iter().chain(heard) {
+            for (account, count) in counts {
+                *total.entry(account.clone()).or_default() += count;
+            }
+        }
+        total
+    }
+}
--- a/src/http.rs
+++ b/src/http.rs
@@ -18,6 +18,9 @@
 /// Body of every answer that a server here sends.
 pub type AnswerBody = UnsyncBoxBody<Bytes, BodyError>;
 
+/// Body of an answer that stays on the thread of its daemon.
+pub type LocalBody = std::pin::Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = BodyError>>>;
+
 /// Body that holds `bytes` whole.
 pub fn whole_body(bytes: impl Into<Bytes>) -> AnswerBody {
     Full::new(bytes.into()).map_err(BodyError::from).boxed_unsync()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod decide;
 pub mod endpoint;
 pub mod errors;
+pub mod gateway;
 pub mod headers;
 pub mod http;
 pub mod ids;
@@ -19,6 +20,7 @@
 pub mod logs;
 pub mod options;
 pub mod peer;
+pub mod platform;
 pub mod cloud_api;
 pub mod request;
 pub mod serve;
@@ -30,6 +32,12 @@
 #[path = "peer/peer_capnp.rs"]
 pub mod peer_capnp;
 
+/// Code generated from schema/exchange.capnp by schema/generate.sh.
+#[rustfmt::skip]
+#[allow(missing_docs, clippy::all, clippy::pedantic, clippy::restriction)]
+#[path = "peer/exchange_capnp.rs"]
+pub mod exchange_capnp;
+
 /// Wall-clock time in milliseconds since 1970; for what people read and for what the
 /// platform dates, never for ordering.
 pub fn wall_clock_ms() -> u64 {
--- /dev/null
+++ b/src/platform.rs
@@ -0,0 +1,11 @@
+//! The users' platform: its names, formats and calls, translated to the gateway's types.
+//!
+//! Nothing here decides, and nothing outside knows the platform's names.
+
+pub mod cloud;
+pub mod configuration;
+pub mod engine;
+pub mod ingress;
+pub mod replicas;
+pub mod settings;
+pub mod store;
