--- a/benches/decisions/serving.rs
+++ b/benches/decisions/serving.rs
@@ -10,6 +10,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 use willowarch::{
+    cloud_api::messages::PriceClass,
     decide::{
         fair_queue::{FairQueue, QueueTurn},
         health::AttemptResult,
@@ -19,7 +20,6 @@
         routing::{EndpointInfo, RouteChoice, RouteQuery, RouteTable},
     },
     ids::SharedName,
-    cloud_api::messages::PriceClass,
     standin::engine_model::{EngineModel, EngineSpeed},
 };
 
--- a/benches/fleet.rs
+++ b/benches/fleet.rs
@@ -16,6 +16,7 @@
 use process_usage::cpu_and_rss;
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use willowarch::{
+    cloud_api::messages::PriceClass,
     cluster::{
         averaging::{AccountOrder, DemandAveraging, EPOCH_MS, EXCHANGE_MS},
         items::{ItemKey, ItemKind, ItemStore, SpreadItem},
@@ -28,7 +29,6 @@
         subset::{window, window_size},
     },
     ids::{IncarnationId, RequestName, SharedName},
-    cloud_api::messages::PriceClass,
     request::{
         store::{RequestCopy, RequestHolder, RequestStore},
         tickets::{TicketId, TicketLedger, WitnessLedger},
--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -13,6 +13,11 @@
   counts @1 :List(UInt32);   # in the order of `accounts`
 }
 
+struct ServiceTokens {
+  service @0 :Text;
+  tokens @1 :UInt64;         # prompt tokens sent to be read since the daemon started
+}
+
 struct DaemonState {
   incarnation @0 :UInt64;
   name @1 :Text;
@@ -24,6 +29,7 @@
   windows @7 :List(WindowUse);
   loads @8 :List(ReplicaLoad);
   zone @9 :Text;
+  sent @10 :List(ServiceTokens);
 }
 
 struct ReplicaEntry {
--- a/src/cluster/service.rs
+++ b/src/cluster/service.rs
@@ -15,11 +15,11 @@
     members::MemberList,
 };
 use crate::{
+    cloud_api::messages::{ReclaimNotice, VmEntry},
     errors::{FailureCause, StepError},
     kernel::{ServiceAddress, ServiceInbox},
     options::rows::{TableRow, TableSnapshot},
     peer::client::PeerPool,
-    cloud_api::messages::{ReclaimNotice, VmEntry},
     serve::{
         router::messages::RouterMessage,
         timeline::{EventKind, TimelineHandle},
--- a/src/cluster/soundness.rs
+++ b/src/cluster/soundness.rs
@@ -5,9 +5,9 @@
     members::MemberRecord,
 };
 use crate::{
+    cloud_api::messages::{ReclaimNotice, VmEntry},
     ids::IncarnationId,
     options::rows::TableRow,
-    cloud_api::messages::{ReclaimNotice, VmEntry},
 };
 
 /// A corrupt item must not take a good one's place.
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -6,8 +6,8 @@
 use serde_json::Value;
 
 use crate::{
-    errors::{FailureCause, StepError},
     cloud_api::messages::{ObjectEntry, ObjectList, WriteReceipt},
+    errors::{FailureCause, StepError},
 };
 
 /// Longest wait for an answer.
--- a/src/control/table.rs
+++ b/src/control/table.rs
@@ -7,12 +7,12 @@
 
 use super::calls::ControlClient;
 use crate::{
+    cloud_api::messages::ObjectEntry,
     errors::{FailureCause, StepError},
     options::{
         check::OptionError,
         rows::{EDIT_FIELDS, TableRow},
     },
-    cloud_api::messages::ObjectEntry,
     serve::platform_watch::ROW_KIND,
 };
 
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    cloud_api::{client::PlatformClient, messages::ReclaimNotice},
     cluster::{
         self,
         core::ClusterCore,
@@ -29,7 +30,6 @@
     kernel::{KernelExit, KernelHandle, LifePhase, ServiceInbox, ServiceKernel},
     options::{rows::TableSnapshot, settings::DaemonSettings},
     peer::{self, LocalIdentity, client::PeerPool},
-    cloud_api::{client::PlatformClient, messages::ReclaimNotice},
     request::store::{RequestHolder, RequestStore},
     serve::{
         admin, caller_edge,
--- a/src/decide/fleet.rs
+++ b/src/decide/fleet.rs
@@ -18,8 +18,8 @@
 
 use self::problem::{FleetProblem, place_of};
 use crate::{
-    ids::SharedName,
     cloud_api::messages::{PriceClass, PriceEntry},
+    ids::SharedName,
 };
 
 /// How long fewer VMs must have been enough before one is released.
--- a/src/decide/fleet/problem.rs
+++ b/src/decide/fleet/problem.rs
@@ -4,8 +4,8 @@
 
 use super::{FleetPlace, FleetWeights};
 use crate::{
-    ids::SharedName,
     cloud_api::messages::{PriceClass, PriceEntry},
+    ids::SharedName,
 };
 
 /// Share by which a VM that is held counts as cheaper than a new one.
--- a/src/decide/routing.rs
+++ b/src/decide/routing.rs
@@ -20,7 +20,7 @@
     limits::RequestPriority,
     prefix::{BLOCK_TOKENS, PrefixCache},
 };
-use crate::{ids::SharedName, cloud_api::messages::PriceClass};
+use crate::{cloud_api::messages::PriceClass, ids::SharedName};
 
 /// Time to compute a prompt token that is not cached, in milliseconds.
 const PREFILL_MS: f64 = 0.25;
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -18,6 +18,7 @@
 use super::{
     call::PromptPart,
     prompt_memory::{PromptMemory, part_chain},
+    read_rate::{READ_RATE, ReadRate},
     replica::{ReplicaList, ReplicaRecord, ReplicaState},
 };
 use crate::{
@@ -25,8 +26,6 @@
     ids::{IncarnationId, SharedName, hash_parts},
 };
 
-/// Prompt tokens that an engine reads in a millisecond, until it is known better.
-const READ_RATE: f64 = 40.0;
 /// How much a full batch counts, in milliseconds of wait.
 const FULL_BATCH_MS: f64 = 80.0;
 /// Wait for each request beyond a replica's slots, in milliseconds.
@@ -41,6 +40,8 @@
 const NOISE_MS: f64 = 3.0;
 /// Other daemons' loads are forgotten after this time.
 const LOAD_KEPT: Duration = Duration::from_millis(1_500);
+/// What a daemon told of itself is forgotten after this time.
+const STATE_KEPT: Duration = Duration::from_secs(20);
 /// After a replica turned a request away as full, it counts as full for this time.
 const FULL_FOR: Duration = Duration::from_millis(60);
 /// Requests that a replica without an engine may have waiting for each slot.
@@ -122,10 +123,15 @@
     full_until: Option<Instant>,
 }
 
+/// What another daemon has told of its requests.
 #[derive(Debug)]
-struct HeardLoads {
-    at: Instant,
-    loads: HashMap<u64, LoadSum>,
+pub struct HeardState {
+    /// When it was heard.
+    pub at: Instant,
+    /// Its loads, by the numbers of the replicas.
+    pub loads: HashMap<u64, LoadSum>,
+    /// Prompt tokens that it has sent to be read since it started, by service.
+    pub sent: BTreeMap<SharedName, u64>,
 }
 
 /// What this daemon knows of all replicas.
@@ -133,7 +139,9 @@
 pub struct ReplicaTable {
     zone: SharedName,
     replicas: BTreeMap<SharedName, ReplicaStatus>,
-    heard: HashMap<IncarnationId, HeardLoads>,
+    heard: HashMap<IncarnationId, HeardState>,
+    sent: BTreeMap<SharedName, u64>,
+    rates: HashMap<SharedName, ReadRate>,
 }
 
 /// Number that stands for a replica between daemons.
@@ -144,7 +152,13 @@
 impl ReplicaTable {
     /// Empty table of a daemon in `zone`.
     pub fn new(zone: SharedName) -> Self {
-        Self { zone, replicas: BTreeMap::new(), heard: HashMap::new() }
+        Self {
+            zone,
+            replicas: BTreeMap::new(),
+            heard: HashMap::new(),
+            sent: BTreeMap::new(),
+            rates: HashMap::new(),
+        }
     }
 
     /// Takes a new list; replicas that stay keep what is known of them.
@@ -160,16 +174,36 @@
         // NOTE: requests may still run at replicas that have left the list.
         for (id, mut status) in previous {
             if status.own.running > 0 {
-                let gone = ReplicaRecord { state: ReplicaState::Draining, ..(*status.record).clone() };
+                let gone =
+                    ReplicaRecord { state: ReplicaState::Draining, ..(*status.record).clone() };
                 status.record = Rc::new(gone);
                 self.replicas.insert(id, status);
             }
         }
     }
 
-    /// Takes another daemon's loads, by the numbers of the replicas.
-    pub fn hear(&mut self, from: IncarnationId, loads: HashMap<u64, LoadSum>, now: Instant) {
-        self.heard.insert(from, HeardLoads { at: now, loads });
+    /// Takes what another daemon has told.
+    pub fn hear(&mut self, from: IncarnationId, state: HeardState) {
+        let now = state.at;
+        self.heard.insert(from, state);
+        self.heard.retain(|_, other| now.saturating_duration_since(other.at) < STATE_KEPT);
+    }
+
+    /// Prompt tokens that this daemon has sent to be read since it started, by service.
+    pub fn own_sent(&self) -> &BTreeMap<SharedName, u64> {
+        &self.sent
+    }
+
+    /// Prompt tokens that all daemons have sent to be read; sinks when one is forgotten.
+    pub fn tokens_sent(&self, service: &str) -> u64 {
+        let own = self.sent.get(service).copied().unwrap_or(0);
+        let heard = self.heard.values().filter_map(|state| state.sent.get(service));
+        own + heard.sum::<u64>()
+    }
+
+    /// Prompt tokens that a replica of a service reads in a millisecond.
+    pub fn read_rate(&self, service: &str) -> f64 {
+        self.rates.get(service).map_or(READ_RATE, |rate| rate.tokens_per_ms)
     }
 
     /// This daemon's loads.
@@ -249,9 +283,10 @@
     }
 
     fn wait(&self, status: &ReplicaStatus, load: &LoadSum, unread: u64) -> f64 {
+        let rate = self.read_rate(&status.record.service);
         let slots = f64::from(status.record.slots);
         let running = f64::from(load.running);
-        let read = (load.unread + unread) as f64 / READ_RATE;
+        let read = (load.unread + unread) as f64 / rate;
         let batch = running / slots * FULL_BATCH_MS;
         let queue = (running + 1.0 - slots).max(0.0) * BEYOND_SLOTS_MS;
         let zone = if status.record.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
@@ -262,6 +297,9 @@
     /// An attempt begins at a replica.
     pub fn begin(&mut self, id: &str, parts: &[PromptPart], load: RunLoad, now: Instant) {
         let Some(status) = self.replicas.get_mut(id) else { return };
+        if load.unread > 0 {
+            *self.sent.entry(status.record.service.clone()).or_default() += load.unread;
+        }
         status.own.running += 1;
         status.own.unread += load.unread;
         status.own.memory += load.memory;
@@ -271,13 +309,21 @@
         }
     }
 
-    /// The prompt of an attempt has been read.
-    pub fn prompt_read(&mut self, id: &str, unread: u64) {
-        if let Some(status) = self.replicas.get_mut(id) {
-            status.own.unread = status.own.unread.saturating_sub(unread);
+    /// The prompt of an attempt has been read, `taken` after it was sent. `alone` says that
+    /// no other prompt was known to wait there when it was sent.
+    pub fn prompt_read(&mut self, id: &str, unread: u64, taken: Duration, alone: bool) {
+        let Some(status) = self.replicas.get_mut(id) else { return };
+        status.own.unread = status.own.unread.saturating_sub(unread);
+        if alone {
+            self.rates.entry(status.record.service.clone()).or_default().learn(unread, taken);
         }
     }
 
+    /// Whether no prompt is known to wait at a replica.
+    pub fn is_idle(&self, id: &str, now: Instant) -> bool {
+        self.replicas.get(id).is_some_and(|status| self.load_at(status, now).unread == 0)
+    }
+
     /// An attempt has ended; `load` is what it still counted as.
     pub fn end(&mut self, id: &str, load: RunLoad, result: AttemptResult, now: Instant) {
         let Some(status) = self.replicas.get_mut(id) else { return };
--- a/src/gateway/client_edge.rs
+++ b/src/gateway/client_edge.rs
@@ -58,10 +58,8 @@
 async fn serve_connection(stream: TcpStream, context: Rc<GatewayContext>) {
     // NOTE: fails only on a socket that is already broken, which reading finds out.
     let _ = stream.set_nodelay(true);
-    let usage = Rc::new(ConnectionUse {
-        busy: Cell::new(false),
-        rested_since: Cell::new(Instant::now()),
-    });
+    let usage =
+        Rc::new(ConnectionUse { busy: Cell::new(false), rested_since: Cell::new(Instant::now()) });
     let limits = context.configuration().map(|current| current.limits).unwrap_or_default();
     let service = service_fn({
         let (context, usage) = (context.clone(), usage.clone());
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -139,9 +139,8 @@
         // NOTE: fails only on a socket that is already broken, which sending finds out.
         let _ = stream.set_nodelay(true);
         self.metrics.count("replica_connections", 1);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|_| SendFailure::ClosedBefore)?;
+        let (sender, connection) =
+            http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendFailure::ClosedBefore)?;
         tokio::task::spawn_local(async move {
             // NOTE: what goes wrong here the request that uses the connection is told.
             let _ = connection.await;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -83,6 +83,8 @@
     pub active: OpenCount,
     /// When the store last failed to answer.
     pub store_failed: Cell<Option<Instant>>,
+    /// Number of the newest state told to others.
+    pub sequence: Cell<u64>,
 }
 
 impl GatewayContext {
@@ -164,6 +166,12 @@
         self.usage.borrow_mut().count(account, window);
     }
 
+    /// Number of the next state to tell.
+    pub fn next_sequence(&self) -> u64 {
+        self.sequence.set(self.sequence.get() + 1);
+        self.sequence.get()
+    }
+
     /// Whether the daemon is on its way out.
     pub fn is_leaving(&self) -> bool {
         *self.kernel.phase().borrow() >= LifePhase::Draining
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -14,6 +14,7 @@
     client_edge,
     connections::ConnectionPool,
     context::{ConfigurationState, GatewayContext},
+    duties, exchange,
     lease::LeaseView,
     peers::PeerTable,
     quota::QuotaLedger,
@@ -46,6 +47,7 @@
     let clients = server::bind(settings.client_address).await?;
     let readiness = server::bind(settings.readiness_address).await?;
     let metrics = server::bind(settings.metrics_address).await?;
+    let gate = server::bind(settings.peer_address).await?;
     let mut kernel = ServiceKernel::new();
     let context = Rc::new(assemble(settings, kernel.handle()));
     let (name, zone) = (&context.settings.name, &context.settings.zone);
@@ -55,6 +57,9 @@
     let configuration = store_watch::keep_configuration(context.clone());
     kernel.start(store_watch::CONFIGURATION_SERVICE, configuration);
     kernel.start(store_watch::REPLICA_SERVICE, store_watch::keep_replicas(context.clone()));
+    kernel.start(exchange::GATE_SERVICE, exchange::serve(gate, context.clone()));
+    kernel.start(exchange::CALLER_SERVICE, exchange::run(context.clone()));
+    kernel.start(duties::NAME, duties::run(context.clone()));
     kernel.start(client_edge::NAME, client_edge::run(clients, context.clone()));
     kernel.start(LEAVER, leave_when_told(context.clone()));
     let exit = kernel.run().await;
@@ -82,6 +87,7 @@
         kernel,
         active: crate::counting::OpenCount::default(),
         store_failed: Cell::new(None),
+        sequence: Cell::new(0),
         settings,
     }
 }
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -126,7 +126,8 @@
     let held = [head.deadline, route.limit].into_iter().flatten().min();
     let deadline = received + held.unwrap_or(DEFAULT_DEADLINE);
     let body = read_body(body, configuration.limits.body_bytes, deadline).await?;
-    let service = pick_service(&configuration, &route).ok_or(Refusal::NoReplica(NO_REPLICA_WAIT))?;
+    let service =
+        pick_service(&configuration, &route).ok_or(Refusal::NoReplica(NO_REPLICA_WAIT))?;
     let now = Instant::now();
     if let Some(account) = &account {
         spend_quota(context, account, &head, now)?;
@@ -249,9 +250,8 @@
         match end {
             AttemptEnd::Answer(answer) => {
                 let failed = answer.response.status().is_server_error();
-                let again = failed
-                    && admitted.route.kind == RouteKind::Idempotent
-                    && may_go_on(attempts);
+                let again =
+                    failed && admitted.route.kind == RouteKind::Idempotent && may_go_on(attempts);
                 if !again {
                     return Ok(answer);
                 }
@@ -281,11 +281,7 @@
 }
 
 /// Whether another replica may be sent the request; draws on the budget.
-pub fn may_try_again(
-    context: &GatewayContext,
-    admitted: &Admitted,
-    attempts: &Attempts,
-) -> bool {
+pub fn may_try_again(context: &GatewayContext, admitted: &Admitted, attempts: &Attempts) -> bool {
     let now = Instant::now();
     attempts.sent < admitted.route.attempts
         && now < admitted.deadline
@@ -396,7 +392,11 @@
     let head = &admitted.call.head;
     let now = Instant::now();
     if now >= admitted.deadline {
-        return Err(if attempts.maybe_run { Refusal::OutOfTime } else { Refusal::Full(NO_REPLICA_WAIT) });
+        return Err(if attempts.maybe_run {
+            Refusal::OutOfTime
+        } else {
+            Refusal::Full(NO_REPLICA_WAIT)
+        });
     }
     let query = ChoiceQuery {
         service: &admitted.service.name,
--- /dev/null
+++ b/src/gateway/duties.rs
@@ -0,0 +1,324 @@
+//! The duties of the daemon that holds the lease: reports of usage, orders of replicas.
+
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+use super::{
+    context::GatewayContext, fleet_orders::FleetOrders, lease, settings::DutyKind,
+    usage::WindowCounts,
+};
+use crate::{
+    errors::StepError,
+    ids::SharedName,
+    platform::{
+        cloud::{CloudAnswer, CloudClient, DutyHolder},
+        store::{StoredObject, WriteResult},
+    },
+};
+
+/// Name of the service.
+pub const NAME: &str = "duties";
+/// Kind of the lease's object.
+const LEASE_KIND: &str = "gateway-leases";
+/// Name of the lease's object.
+const LEASE_NAME: &str = "duties";
+/// Time between looks at what is due.
+const TICK: Duration = Duration::from_millis(100);
+/// Part of the lease after which it is renewed.
+const RENEW_PART: f64 = 0.35;
+/// A window is reported this long after its end, when the others have told their counts.
+const REPORT_AFTER: Duration = Duration::from_millis(1_500);
+/// Windows that are still worth a report.
+const REPORTABLE_WINDOWS: u64 = 3;
+/// Pause after a call that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
+
+/// A usage report; written down before it is sent, so that it is only ever repeated exactly.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageReport {
+    /// Number of the window.
+    pub window: u64,
+    /// Requests by account.
+    pub counts: WindowCounts,
+}
+
+/// The lease as it lies in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeaseRecord {
+    /// Name of the holder's VM.
+    pub holder: SharedName,
+    /// Start of the holder's process.
+    pub incarnation: u64,
+    /// Rises with every holder.
+    pub fence: u64,
+    /// Renewals by this holder; a renewal always changes the object.
+    pub renewals: u64,
+    /// The newest report.
+    pub report: Option<UsageReport>,
+}
+
+/// The lease object as last read, and since when it has not changed.
+#[derive(Clone, Debug)]
+struct SeenLease {
+    revision: u64,
+    record: LeaseRecord,
+    since: Instant,
+}
+
+/// Work of one daemon on the duties.
+pub struct DutyService {
+    context: Rc<GatewayContext>,
+    cloud: CloudClient,
+    seen: Option<SeenLease>,
+    reported: bool,
+    next_try: Instant,
+    orders: FleetOrders,
+}
+
+/// Takes part in the duties until the daemon stops.
+pub async fn run(context: Rc<GatewayContext>) {
+    let Some(address) = context.settings.cloud_address else {
+        return std::future::pending().await;
+    };
+    let mut service = DutyService {
+        cloud: CloudClient::new(address),
+        seen: None,
+        reported: false,
+        next_try: Instant::now(),
+        orders: FleetOrders::default(),
+        context,
+    };
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        service.tick().await;
+    }
+}
+
+impl DutyService {
+    async fn tick(&mut self) {
+        let now = Instant::now();
+        if now < self.next_try {
+            return;
+        }
+        let own = self.context.lease.borrow().own;
+        let result = match own {
+            true => self.hold().await,
+            false => self.apply().await,
+        };
+        if let Err(error) = result {
+            spdlog::warn!("duty", kv: { outcome = "failed", error: = error });
+            let spread = rand::rng().random_range(0.8..1.5);
+            self.next_try = Instant::now() + RETRY_PAUSE.mul_f64(spread);
+        }
+    }
+
+    fn lease(&self) -> Duration {
+        self.context.settings.bounds.lease
+    }
+
+    fn may_act(&self) -> bool {
+        self.context.lease.borrow().may_act(self.lease(), Instant::now())
+    }
+
+    /// Looks whether the lease is free, and takes it.
+    async fn apply(&mut self) -> Result<(), StepError> {
+        let now = Instant::now();
+        if self.context.is_leaving() || self.context.configuration().is_none() {
+            return Ok(());
+        }
+        let silent = self.context.lease.borrow().is_silent(self.lease(), now);
+        if !silent {
+            self.seen = None;
+            return Ok(());
+        }
+        let object = self.context.store.read(LEASE_KIND, LEASE_NAME).await?;
+        let Some(seen) = self.see(object, now) else {
+            return self.take(0, 1, None).await;
+        };
+        let wait = self.lease() + lease::TAKE_MARGIN;
+        let unchanged = now.saturating_duration_since(seen.since);
+        if unchanged < wait {
+            let spread = rand::rng().random_range(0..300);
+            self.next_try = now + (wait - unchanged) + Duration::from_millis(spread);
+            return Ok(());
+        }
+        let report = seen.record.report.clone();
+        self.take(seen.revision, seen.record.fence + 1, report).await
+    }
+
+    /// Takes note of the lease object; none if there is none.
+    fn see(&mut self, object: Option<StoredObject>, asked: Instant) -> Option<SeenLease> {
+        let object = object?;
+        let record: LeaseRecord = match serde_json::from_str(&object.value) {
+            Ok(record) => record,
+            Err(error) => {
+                spdlog::error!("lease not understood: {}", error);
+                return None;
+            }
+        };
+        let since = match &self.seen {
+            Some(seen) if seen.revision == object.revision => seen.since,
+            _ => asked,
+        };
+        let seen = SeenLease { revision: object.revision, record, since };
+        self.seen = Some(seen.clone());
+        Some(seen)
+    }
+
+    /// Writes the lease as this daemon's, if the object is still at `revision`.
+    async fn take(
+        &mut self,
+        revision: u64,
+        fence: u64,
+        report: Option<UsageReport>,
+    ) -> Result<(), StepError> {
+        let record = LeaseRecord {
+            holder: self.context.settings.name.clone(),
+            incarnation: self.context.incarnation.0,
+            fence,
+            renewals: 0,
+            report,
+        };
+        if self.write(revision, record).await? {
+            spdlog::info!("lease", kv: { outcome = "taken", fence });
+            self.context.metrics.count("lease_taken", 1);
+            self.reported = false;
+            self.orders = FleetOrders::default();
+        }
+        Ok(())
+    }
+
+    /// Writes the lease; on success this daemon holds it from when the call was made.
+    async fn write(&mut self, revision: u64, record: LeaseRecord) -> Result<bool, StepError> {
+        let asked = Instant::now();
+        let written = self.context.store.write(LEASE_KIND, LEASE_NAME, revision, &record).await;
+        let revision = match written {
+            Ok(WriteResult::Written(revision)) => revision,
+            Ok(WriteResult::Conflict) => {
+                self.lose("conflict");
+                return Ok(false);
+            }
+            Err(error) => return Err(error),
+        };
+        let mut lease = self.context.lease.borrow_mut();
+        lease.fence = record.fence;
+        lease.holder = Some(record.holder.clone());
+        lease.renewed_at = Some(asked);
+        lease.own = true;
+        self.seen = Some(SeenLease { revision, record, since: asked });
+        Ok(true)
+    }
+
+    fn lose(&mut self, reason: &str) {
+        let mut lease = self.context.lease.borrow_mut();
+        if lease.own {
+            spdlog::warn!("lease", kv: { outcome = "lost", reason, fence = lease.fence });
+            self.context.metrics.count("lease_lost", 1);
+        }
+        lease.own = false;
+        self.seen = None;
+    }
+
+    /// Renews the lease, reports, and orders.
+    async fn hold(&mut self) -> Result<(), StepError> {
+        let now = Instant::now();
+        let Some(seen) = self.seen.clone() else {
+            self.lose("unknown");
+            return Ok(());
+        };
+        let renewed_at = self.context.lease.borrow().renewed_at.unwrap_or(now);
+        let age = now.saturating_duration_since(renewed_at);
+        if age > self.lease() {
+            // NOTE: another may hold it by now; from here on it has to be taken anew.
+            self.lose("not renewed in time");
+            return Ok(());
+        }
+        let due = self.due_report(&seen.record);
+        if due.is_some() || age > self.lease().mul_f64(RENEW_PART) {
+            let report = due.clone().or(seen.record.report.clone());
+            let renewals = seen.record.renewals + 1;
+            let record = LeaseRecord { renewals, report, ..seen.record };
+            if !self.write(seen.revision, record).await? {
+                return Ok(());
+            }
+            if due.is_some() {
+                self.reported = false;
+            }
+        }
+        self.send_report().await?;
+        self.order_replicas().await
+    }
+
+    fn holder(&self) -> DutyHolder {
+        let fence = self.context.lease.borrow().fence;
+        DutyHolder { name: self.context.settings.name.clone(), fence }
+    }
+
+    /// The next report that is due, once the one before has been sent.
+    fn due_report(&self, record: &LeaseRecord) -> Option<UsageReport> {
+        if !self.context.settings.duties.contains(&DutyKind::UsageReports) {
+            return None;
+        }
+        if record.report.is_some() && !self.reported {
+            return None;
+        }
+        let length = self.context.settings.bounds.usage_window.as_millis() as u64;
+        let now_ms = self.context.wall_clock.borrow().now_ms(Instant::now());
+        let newest =
+            (now_ms.saturating_sub(REPORT_AFTER.as_millis() as u64) / length).checked_sub(1)?;
+        let after_last = record.report.as_ref().map_or(newest, |report| report.window + 1);
+        let window = after_last.max(newest.saturating_sub(REPORTABLE_WINDOWS - 1));
+        if window > newest {
+            return None;
+        }
+        Some(UsageReport { window, counts: self.context.usage.borrow().total(window) })
+    }
+
+    async fn send_report(&mut self) -> Result<(), StepError> {
+        let Some(report) = self.seen.as_ref().and_then(|seen| seen.record.report.clone()) else {
+            return Ok(());
+        };
+        if self.reported || !self.may_act() {
+            return Ok(());
+        }
+        let answer = self.cloud.report(&self.holder(), report.window, &report.counts).await?;
+        let total: u64 = report.counts.values().sum();
+        spdlog::info!("usage report", kv: {
+            window = report.window, total, outcome:? = answer, fence = self.holder().fence
+        });
+        match answer {
+            CloudAnswer::Fenced => self.lose("fenced"),
+            _ => self.reported = true,
+        }
+        Ok(())
+    }
+
+    async fn order_replicas(&mut self) -> Result<(), StepError> {
+        if !self.context.settings.duties.contains(&DutyKind::FleetOrders) {
+            return Ok(());
+        }
+        let now = Instant::now();
+        let due: BTreeMap<_, _> = self.orders.due(&self.context, now);
+        for order in due.into_values() {
+            if !self.may_act() {
+                return Ok(());
+            }
+            let answer = self.cloud.order(&self.holder(), &order).await;
+            let outcome = match &answer {
+                Ok(answer) => format!("{answer:?}"),
+                Err(error) => error.to_string(),
+            };
+            spdlog::info!("order", kv: {
+                service: = order.service, zone: = order.zone, reclaimable = order.reclaimable,
+                count = order.count, need = self.orders.need(&order.service), outcome: = outcome
+            });
+            self.orders.answered(&order, answer.ok(), Instant::now());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/gateway/exchange.rs
@@ -0,0 +1,287 @@
+//! Exchange of news between daemons: each calls a few others in turn, many times a second,
+//! and every call carries the news of both sides.
+//!
+//! What an exchange costs a daemon does not grow with their number; what it tells is as old
+//! as the turns are long.
+
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use capnp::Error;
+use capnp_rpc::rpc_twoparty_capnp::Side;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    time::{Instant, MissedTickBehavior, interval, timeout},
+};
+
+use super::{
+    choice::{HeardState, replica_number},
+    context::GatewayContext,
+    news::{ConfigurationNews, DaemonNews, DaemonState, LeaseNews, read_news, write_news},
+    peers::PeerRecord,
+};
+use crate::{
+    exchange_capnp::exchange,
+    kernel::LifePhase,
+    peer::transport::{TrafficCounter, rpc_system},
+    wall_clock_ms,
+};
+
+/// Name of the service that calls other daemons.
+pub const CALLER_SERVICE: &str = "exchange";
+/// Name of the service that other daemons call.
+pub const GATE_SERVICE: &str = "exchange-gate";
+/// Time between turns.
+const TURN: Duration = Duration::from_millis(100);
+/// Daemons called in a turn.
+const CALLS_IN_TURN: usize = 2;
+/// Longest wait for a connection, and for an answer.
+const CALL_LIMIT: Duration = Duration::from_millis(400);
+/// Gates named to others in one message.
+const NAMED_GATES: usize = 32;
+
+struct OpenConnection {
+    client: exchange::Client,
+    task: tokio::task::AbortHandle,
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// State of the exchange at one daemon.
+#[derive(Default)]
+struct ExchangeState {
+    open: RefCell<HashMap<SocketAddr, Rc<OpenConnection>>>,
+    /// Revisions of configuration and replicas that each daemon was last known to hold.
+    held: RefCell<HashMap<SocketAddr, HeldRevisions>>,
+    traffic: TrafficCounter,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct HeldRevisions {
+    configuration: u64,
+    replicas: u64,
+}
+
+/// Serves other daemons' calls until the daemon stops.
+pub async fn serve(listener: TcpListener, context: Rc<GatewayContext>) {
+    let mut phase = context.kernel.phase();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
+        };
+        let Ok((stream, _)) = accepted else {
+            // NOTE: out of descriptors; accepting again at once would spin.
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        };
+        let gate: exchange::Client =
+            capnp_rpc::new_client(ExchangeGate { context: context.clone() });
+        tokio::task::spawn_local(async move {
+            // NOTE: a peer that breaks off or sends garbage ends only its own connection.
+            let counter = TrafficCounter::default();
+            let _ = rpc_system(stream, Side::Server, Some(gate.client), &counter).await;
+        });
+    }
+}
+
+struct ExchangeGate {
+    context: Rc<GatewayContext>,
+}
+
+impl exchange::Server for ExchangeGate {
+    async fn swap(
+        self: Rc<Self>,
+        params: exchange::SwapParams,
+        mut results: exchange::SwapResults,
+    ) -> Result<(), Error> {
+        let news = read_news(params.get()?.get_news()?)?;
+        let held = HeldRevisions {
+            configuration: news.configuration.revision,
+            replicas: news.replica_revision,
+        };
+        // NOTE: how long the call took to arrive is not known, so it proves no freshness.
+        hear(&self.context, news, None);
+        let own = own_news(&self.context, held);
+        write_news(results.get().init_news(), &own);
+        Ok(())
+    }
+}
+
+/// Calls other daemons in turn until the daemon stops.
+pub async fn run(context: Rc<GatewayContext>) {
+    let state = Rc::new(ExchangeState::default());
+    let mut turns = interval(TURN);
+    turns.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        turns.tick().await;
+        let now = Instant::now();
+        context.wall_clock.borrow_mut().compare(wall_clock_ms(), now);
+        let due = context.peers.borrow_mut().due(CALLS_IN_TURN, now);
+        for address in due {
+            let (context, state) = (context.clone(), state.clone());
+            tokio::task::spawn_local(async move { call(&context, &state, address).await });
+        }
+        context.metrics.gauge("peer_bytes", state.traffic.bytes() as f64);
+    }
+}
+
+async fn call(context: &Rc<GatewayContext>, state: &ExchangeState, address: SocketAddr) {
+    let asked = Instant::now();
+    match timeout(CALL_LIMIT, swap(context, state, address)).await {
+        Ok(Ok(news)) => {
+            let held = HeldRevisions {
+                configuration: news.configuration.revision,
+                replicas: news.replica_revision,
+            };
+            state.held.borrow_mut().insert(address, held);
+            hear(context, news, Some(asked));
+        }
+        Ok(Err(_)) | Err(_) => {
+            state.open.borrow_mut().remove(&address);
+            state.held.borrow_mut().remove(&address);
+            context.peers.borrow_mut().failed(address);
+            context.metrics.count("exchange_failures", 1);
+        }
+    }
+}
+
+async fn swap(
+    context: &Rc<GatewayContext>,
+    state: &ExchangeState,
+    address: SocketAddr,
+) -> Result<DaemonNews, Error> {
+    let open = state.open.borrow().get(&address).cloned();
+    let open = match open {
+        Some(open) => open,
+        None => {
+            let stream = TcpStream::connect(address).await?;
+            let mut rpc = rpc_system(stream, Side::Client, None, &state.traffic);
+            let client = rpc.bootstrap(Side::Server);
+            let task = tokio::task::spawn_local(async move {
+                let _ = rpc.await;
+            });
+            let open = Rc::new(OpenConnection { client, task: task.abort_handle() });
+            state.open.borrow_mut().insert(address, open.clone());
+            open
+        }
+    };
+    let mut request = open.client.swap_request();
+    let held = state.held.borrow().get(&address).copied().unwrap_or_default();
+    write_news(request.get().init_news(), &own_news(context, held));
+    let response = request.send().promise.await?;
+    read_news(response.get()?.get_news()?)
+}
+
+/// This daemon's news for one that holds these revisions.
+fn own_news(context: &GatewayContext, held: HeldRevisions) -> DaemonNews {
+    let now = Instant::now();
+    let configuration = context.configuration.borrow();
+    let list = context.replica_list.borrow();
+    let lease = context.lease.borrow();
+    let age_ms = |at: Instant| {
+        u32::try_from(now.saturating_duration_since(at).as_millis()).unwrap_or(u32::MAX)
+    };
+    DaemonNews {
+        state: own_state(context),
+        known: context.peers.borrow().known().take(NAMED_GATES).collect(),
+        configuration: ConfigurationNews {
+            revision: configuration.revision,
+            text: (configuration.revision > held.configuration)
+                .then(|| configuration.text.to_vec()),
+            proof_age_ms: configuration.proof.map(age_ms),
+        },
+        replica_revision: list.revision,
+        replicas: (list.revision > held.replicas).then(|| list.clone()),
+        lease: lease.holder.clone().zip(lease.renewed_at).map(|(holder, at)| LeaseNews {
+            fence: lease.fence,
+            holder,
+            age_ms: age_ms(at),
+        }),
+    }
+}
+
+fn own_state(context: &GatewayContext) -> DaemonState {
+    let settings = &context.settings;
+    let sequence = context.next_sequence();
+    let quotas = context.quotas.borrow();
+    let replicas = context.replicas.borrow();
+    let windows = context.usage.borrow().own().clone();
+    DaemonState {
+        incarnation: context.incarnation,
+        name: settings.name.clone(),
+        zone: settings.zone.clone(),
+        address: settings.peer_address,
+        sequence,
+        leaving: context.is_leaving(),
+        spent: quotas.spent().map(|(account, units)| (account.clone(), units)).collect(),
+        windows,
+        sent: replicas.own_sent().clone(),
+        loads: replicas.own_loads().map(|(id, load)| (replica_number(id), load)).collect(),
+    }
+}
+
+/// Takes a daemon's news; `asked` is when this daemon asked for them, if it did.
+fn hear(context: &GatewayContext, news: DaemonNews, asked: Option<Instant>) {
+    let now = Instant::now();
+    let DaemonNews { state, known, configuration, replicas, lease, .. } = news;
+    if state.incarnation == context.incarnation {
+        return;
+    }
+    let record = PeerRecord {
+        name: state.name,
+        incarnation: state.incarnation,
+        sequence: state.sequence,
+        heard_at: now,
+        leaving: state.leaving,
+    };
+    let newer = {
+        let mut peers = context.peers.borrow_mut();
+        for address in known.into_iter().take(NAMED_GATES) {
+            peers.learn(address);
+        }
+        peers.hear(state.address, record)
+    };
+    if newer {
+        let mut quotas = context.quotas.borrow_mut();
+        for (account, spent) in &state.spent {
+            quotas.hear(account, state.incarnation, *spent);
+        }
+        let mut usage = context.usage.borrow_mut();
+        for (window, counts) in state.windows {
+            usage.hear(state.incarnation, window, counts);
+        }
+        let heard = HeardState { at: now, loads: state.loads, sent: state.sent };
+        context.replicas.borrow_mut().hear(state.incarnation, heard);
+    }
+    hear_configuration(context, &configuration, asked);
+    if let Some(list) = replicas {
+        let revision = list.revision;
+        if context.take_replicas(list) {
+            spdlog::info!("replicas", kv: { revision, source = "peer" });
+        }
+    }
+    if let Some(lease) = lease {
+        let age = Duration::from_millis(u64::from(lease.age_ms));
+        // NOTE: the word is at least this old; taken for younger it only delays a take-over.
+        if let Some(renewed_at) = now.checked_sub(age) {
+            context.lease.borrow_mut().hear(lease.fence, &lease.holder, renewed_at);
+        }
+    }
+}
+
+fn hear_configuration(context: &GatewayContext, news: &ConfigurationNews, asked: Option<Instant>) {
+    let age = news.proof_age_ms.map(|age| Duration::from_millis(u64::from(age)));
+    let proof = asked.zip(age).and_then(|(asked, age)| asked.checked_sub(age));
+    let known = context.configuration.borrow().revision;
+    match &news.text {
+        Some(text) => context.take_configuration(news.revision, text, proof),
+        None if news.revision == known && known > 0 => {
+            context.take_configuration(news.revision, &[], proof);
+        }
+        None => {}
+    }
+}
--- /dev/null
+++ b/src/gateway/fleet_orders.rs
@@ -0,0 +1,228 @@
+//! Orders of replicas: what the plan asks for and has not been ordered yet.
+
+use std::{collections::BTreeMap, collections::HashMap, time::Duration};
+
+use tokio::time::Instant;
+
+use super::{
+    configuration::Service,
+    context::GatewayContext,
+    fleet_plan::{FleetPlanner, FleetTargets, ReplicaClass, ServiceDemand, ZoneHolding},
+    replica::ReplicaState,
+};
+use crate::{
+    ids::SharedName,
+    platform::cloud::{CloudAnswer, FleetOrder},
+};
+
+/// Time between looks at the demand.
+const LOOK_EVERY: Duration = Duration::from_millis(500);
+/// An order that was answered is given again if the list still shows another number after
+/// the replicas' start-up time and this.
+const SHOWN_AFTER: Duration = Duration::from_millis(2_500);
+/// An order for fewer replicas waits until it has been wanted for this long.
+const FEWER_AFTER: Duration = Duration::from_secs(4);
+/// Weight of the newest look in the smoothed demand.
+const SMOOTHING: f64 = 0.3;
+
+type OrderKey = (SharedName, SharedName, ReplicaClass);
+
+#[derive(Debug)]
+struct ServiceFleet {
+    planner: FleetPlanner,
+    looked_at: Option<Instant>,
+    read_before: u64,
+    demand: ServiceDemand,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct GivenOrder {
+    count: u32,
+    at: Instant,
+    answered: bool,
+}
+
+/// Orders of all services at the daemon that holds the lease.
+#[derive(Debug, Default)]
+pub struct FleetOrders {
+    services: HashMap<SharedName, ServiceFleet>,
+    given: BTreeMap<OrderKey, GivenOrder>,
+    fewer_since: BTreeMap<OrderKey, Instant>,
+}
+
+impl FleetOrders {
+    /// Replicas needed of a service.
+    pub fn need(&self, service: &str) -> f64 {
+        self.services.get(service).map_or(0.0, |fleet| fleet.planner.need())
+    }
+
+    /// Orders to give now.
+    pub fn due(
+        &mut self,
+        context: &GatewayContext,
+        now: Instant,
+    ) -> BTreeMap<OrderKey, FleetOrder> {
+        let mut due = BTreeMap::new();
+        let Some(configuration) = context.configuration() else { return due };
+        for service in configuration.services.values() {
+            if service.fleet.is_some() {
+                self.service_orders(context, service, now, &mut due);
+            }
+        }
+        due
+    }
+
+    fn service_orders(
+        &mut self,
+        context: &GatewayContext,
+        service: &Service,
+        now: Instant,
+        due: &mut BTreeMap<OrderKey, FleetOrder>,
+    ) {
+        let Some(spec) = &service.fleet else { return };
+        let held = holdings(context, service);
+        let count = held.values().map(|zone| zone.reclaimable + zone.on_demand).sum();
+        let fleet = self.services.entry(service.name.clone()).or_insert_with(|| ServiceFleet {
+            planner: FleetPlanner::new(count, now),
+            looked_at: None,
+            read_before: 0,
+            demand: ServiceDemand::default(),
+        });
+        if !fleet.look(context, service, now) {
+            return;
+        }
+        let targets = fleet.planner.plan(spec, &held);
+        let turned_down = fleet.planner.turned_down_zones(now);
+        let wait = spec.start_time + SHOWN_AFTER;
+        for ((zone, class), wanted) in targets_by_growth(targets, &held) {
+            if class == ReplicaClass::Reclaimable && turned_down.contains(&zone) {
+                continue;
+            }
+            let key = (service.name.clone(), zone.clone(), class);
+            let shown = held.get(&zone).map_or(0, |holding| number_of(*holding, class));
+            if self.is_due(&key, wanted, shown, wait, now) {
+                let reclaimable = class == ReplicaClass::Reclaimable;
+                let service = service.name.clone();
+                due.insert(key, FleetOrder { service, zone, reclaimable, count: wanted });
+            }
+        }
+    }
+
+    fn is_due(
+        &mut self,
+        key: &OrderKey,
+        wanted: u32,
+        shown: u32,
+        wait: Duration,
+        now: Instant,
+    ) -> bool {
+        let standing = self.given.get(key).filter(|order| order.answered);
+        let current = standing.map_or(shown, |order| order.count);
+        if wanted < current.max(shown) && wanted <= current {
+            let since = *self.fewer_since.entry(key.clone()).or_insert(now);
+            if now.saturating_duration_since(since) < FEWER_AFTER {
+                return false;
+            }
+        } else {
+            self.fewer_since.remove(key);
+        }
+        match self.given.get(key) {
+            None => wanted != shown,
+            Some(order) if !order.answered => true,
+            Some(order) if order.count != wanted => true,
+            Some(order) => shown != wanted && now.saturating_duration_since(order.at) > wait,
+        }
+    }
+
+    /// The cloud has answered an order, or has not.
+    pub fn answered(&mut self, order: &FleetOrder, answer: Option<CloudAnswer>, now: Instant) {
+        let class = match order.reclaimable {
+            true => ReplicaClass::Reclaimable,
+            false => ReplicaClass::OnDemand,
+        };
+        let key = (order.service.clone(), order.zone.clone(), class);
+        let answered = answer.is_some();
+        self.given.insert(key.clone(), GivenOrder { count: order.count, at: now, answered });
+        if answer == Some(CloudAnswer::NoneToBeHad) {
+            self.given.remove(&key);
+            if let Some(fleet) = self.services.get_mut(&order.service) {
+                fleet.planner.turned_down(&order.zone, now);
+            }
+        }
+    }
+}
+
+impl ServiceFleet {
+    /// Takes the demand of this moment; whether a look was due.
+    fn look(&mut self, context: &GatewayContext, service: &Service, now: Instant) -> bool {
+        let elapsed = self.looked_at.map(|at| now.saturating_duration_since(at));
+        if elapsed.is_some_and(|elapsed| elapsed < LOOK_EVERY) {
+            return false;
+        }
+        self.looked_at = Some(now);
+        let replicas = context.replicas.borrow();
+        let read = replicas.tokens_sent(&service.name);
+        let running = f64::from(replicas.service_load(&service.name, now).running);
+        let newest = ServiceDemand {
+            read_rate: match elapsed {
+                Some(elapsed) if read >= self.read_before => {
+                    (read - self.read_before) as f64 / elapsed.as_secs_f64()
+                }
+                _ => self.demand.read_rate,
+            },
+            replica_read_rate: replicas.read_rate(&service.name) * 1e3,
+            running,
+            slots: service.engine.as_ref().map_or(1.0, |engine| f64::from(engine.slots)),
+        };
+        self.read_before = read;
+        let smooth = |before: f64, now: f64| before + (now - before) * SMOOTHING;
+        self.demand = ServiceDemand {
+            read_rate: smooth(self.demand.read_rate, newest.read_rate),
+            running: smooth(self.demand.running, newest.running),
+            ..newest
+        };
+        self.planner.observe(&self.demand, now);
+        true
+    }
+}
+
+fn number_of(holding: ZoneHolding, class: ReplicaClass) -> u32 {
+    match class {
+        ReplicaClass::Reclaimable => holding.reclaimable,
+        ReplicaClass::OnDemand => holding.on_demand,
+    }
+}
+
+/// Targets that ask for more come first, so that nothing is given up before it is replaced.
+fn targets_by_growth(
+    targets: FleetTargets,
+    held: &BTreeMap<SharedName, ZoneHolding>,
+) -> Vec<((SharedName, ReplicaClass), u32)> {
+    let mut list: Vec<_> = targets.into_iter().collect();
+    list.sort_by_key(|((zone, class), wanted)| {
+        let shown = held.get(zone).map_or(0, |holding| number_of(*holding, *class));
+        i64::from(shown) - i64::from(*wanted)
+    });
+    list
+}
+
+/// Replicas of a service that are not leaving, in every zone where it may run.
+fn holdings(context: &GatewayContext, service: &Service) -> BTreeMap<SharedName, ZoneHolding> {
+    let mut held = BTreeMap::new();
+    if let Some(spec) = &service.fleet {
+        for (zone, _) in &spec.zone_prices {
+            held.insert(zone.clone(), ZoneHolding::default());
+        }
+    }
+    for record in &context.replica_list.borrow().replicas {
+        if record.service != service.name || record.state == ReplicaState::Draining {
+            continue;
+        }
+        let holding: &mut ZoneHolding = held.entry(record.zone.clone()).or_default();
+        match record.reclaimable {
+            true => holding.reclaimable += 1,
+            false => holding.on_demand += 1,
+        }
+    }
+    held
+}
--- /dev/null
+++ b/src/gateway/fleet_plan.rs
@@ -0,0 +1,185 @@
+//! How many replicas of which price class to hold in which zone.
+//!
+//! Reclaimable replicas cost a fraction of the others, but a whole zone of them can go at
+//! once and may then not be had again for a while. So they are spread evenly over the
+//! zones, enough that what is needed is still there when the largest zone has gone; others
+//! are held only where reclaimable ones cannot be had and something would be missing.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use super::configuration::FleetSpec;
+use crate::ids::SharedName;
+
+/// Busy part of a replica's reading at which it is full enough.
+const READ_BUSY: f64 = 0.5;
+/// Taken part of a replica's slots at which it is full enough.
+const SLOTS_TAKEN: f64 = 0.6;
+/// The need sinks by this part in a second, so that bursts find what the last one needed.
+const NEED_DECAY: f64 = 0.03;
+/// Part of the need without which callers are refused.
+const CRITICAL_PART: f64 = 0.6;
+/// A zone whose order for reclaimable replicas was turned down is not asked again sooner.
+const TURNED_DOWN_FOR: Duration = Duration::from_secs(2);
+
+/// Price class of a replica.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub enum ReplicaClass {
+    /// Cheap; the cloud may take it back.
+    Reclaimable,
+    /// Stays until it is given up.
+    OnDemand,
+}
+
+/// What the replicas of a service are asked for now.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ServiceDemand {
+    /// Prompt tokens to be read in a second.
+    pub read_rate: f64,
+    /// Prompt tokens that one replica reads in a second.
+    pub replica_read_rate: f64,
+    /// Requests that run.
+    pub running: f64,
+    /// Requests that a replica works on at once.
+    pub slots: f64,
+}
+
+impl ServiceDemand {
+    /// Replicas that serve this demand within the targets.
+    pub fn replicas(&self) -> f64 {
+        let reading = self.read_rate / (self.replica_read_rate * READ_BUSY).max(1.0);
+        let running = self.running / (self.slots * SLOTS_TAKEN).max(1.0);
+        reading + running
+    }
+}
+
+/// Replicas of one service in one zone that are not leaving.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ZoneHolding {
+    /// Reclaimable ones.
+    pub reclaimable: u32,
+    /// Others.
+    pub on_demand: u32,
+}
+
+/// Numbers to order, by zone and class.
+pub type FleetTargets = BTreeMap<(SharedName, ReplicaClass), u32>;
+
+/// Planner of one service's replicas.
+#[derive(Debug)]
+pub struct FleetPlanner {
+    need: f64,
+    updated_at: Instant,
+    turned_down: BTreeMap<SharedName, Instant>,
+}
+
+impl FleetPlanner {
+    /// Planner that takes what it finds for what is needed, until it knows better.
+    pub fn new(found: u32, now: Instant) -> Self {
+        Self {
+            need: f64::from(found) * CRITICAL_PART,
+            updated_at: now,
+            turned_down: BTreeMap::new(),
+        }
+    }
+
+    /// Replicas needed now.
+    pub fn need(&self) -> f64 {
+        self.need
+    }
+
+    /// Takes the demand of this moment. Without any demand yet the need does not sink.
+    pub fn observe(&mut self, demand: &ServiceDemand, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.updated_at).as_secs_f64();
+        self.updated_at = now;
+        let wanted = demand.replicas();
+        if wanted > 0.0 {
+            let sunk = self.need * (1.0 - NEED_DECAY).powf(elapsed);
+            self.need = sunk.max(wanted);
+        }
+    }
+
+    /// The cloud has no reclaimable replicas in this zone now.
+    pub fn turned_down(&mut self, zone: &SharedName, now: Instant) {
+        self.turned_down.insert(zone.clone(), now);
+    }
+
+    /// Zones in which reclaimable replicas were just not to be had.
+    pub fn turned_down_zones(&self, now: Instant) -> BTreeSet<SharedName> {
+        let lately = |at: &Instant| now.saturating_duration_since(*at) < TURNED_DOWN_FOR;
+        let zones = self.turned_down.iter().filter(|(_, at)| lately(at));
+        zones.map(|(zone, _)| zone.clone()).collect()
+    }
+
+    /// What to hold, given what is held.
+    pub fn plan(&self, spec: &FleetSpec, held: &BTreeMap<SharedName, ZoneHolding>) -> FleetTargets {
+        match spec.reclaimable_price {
+            Some(price) if price < 1.0 => self.plan_mixed(spec, held),
+            _ => self.plan_on_demand(spec, held),
+        }
+    }
+
+    fn plan_mixed(
+        &self,
+        spec: &FleetSpec,
+        held: &BTreeMap<SharedName, ZoneHolding>,
+    ) -> FleetTargets {
+        let zones = held.len().max(1);
+        let others = (zones - 1).max(1) as f64;
+        let least = spec.least.max(1);
+        let wanted = (self.need / others).ceil() as u32;
+        let wanted = wanted.clamp(least, spec.most);
+        let mut targets = FleetTargets::new();
+        for zone in held.keys() {
+            targets.insert((zone.clone(), ReplicaClass::Reclaimable), wanted);
+        }
+        let mut missing = self.missing(held);
+        let mut by_price: Vec<&SharedName> = held.keys().collect();
+        by_price.sort_by(|one, other| price_of(spec, one).total_cmp(&price_of(spec, other)));
+        // NOTE: what is held stays until enough reclaimable ones serve in its place.
+        for (place, zone) in by_price.iter().enumerate() {
+            let holding = held[*zone];
+            let zones_left = (by_price.len() - place) as u32;
+            let share = missing.div_ceil(zones_left);
+            let room = spec.most.saturating_sub(holding.reclaimable.max(wanted));
+            // NOTE: both classes together must leave the zone its least number.
+            let floor = least.saturating_sub(holding.reclaimable);
+            let count = share.max(floor).min(room.max(floor));
+            missing = missing.saturating_sub(count);
+            targets.insert(((*zone).clone(), ReplicaClass::OnDemand), count);
+        }
+        targets
+    }
+
+    /// Others that are needed because reclaimable ones are missing: enough for the critical
+    /// part when the largest zone of reclaimable ones goes next.
+    fn missing(&self, held: &BTreeMap<SharedName, ZoneHolding>) -> u32 {
+        let reclaimable: u32 = held.values().map(|holding| holding.reclaimable).sum();
+        let largest = held.values().map(|holding| holding.reclaimable).max().unwrap_or(0);
+        let safe = f64::from(reclaimable - largest);
+        let critical = self.need * CRITICAL_PART;
+        let short_of_all = self.need - f64::from(reclaimable);
+        (critical - safe).max(short_of_all).max(0.0).ceil() as u32
+    }
+
+    fn plan_on_demand(
+        &self,
+        spec: &FleetSpec,
+        held: &BTreeMap<SharedName, ZoneHolding>,
+    ) -> FleetTargets {
+        let zones = held.len().max(1) as f64;
+        let wanted = (self.need / zones).ceil() as u32;
+        let wanted = wanted.clamp(spec.least, spec.most);
+        let class = ReplicaClass::OnDemand;
+        held.keys().map(|zone| ((zone.clone(), class), wanted)).collect()
+    }
+}
+
+fn price_of(spec: &FleetSpec, zone: &str) -> f64 {
+    let named = spec.zone_prices.iter().find(|(name, _)| &**name == zone);
+    named.map_or(1.0, |(_, price)| *price)
+}
--- /dev/null
+++ b/src/gateway/news.rs
@@ -0,0 +1,280 @@
+//! News between daemons, translated from and to the schema.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+
+use capnp::Error;
+
+use super::{
+    choice::LoadSum,
+    replica::{ReplicaList, ReplicaRecord, ReplicaState},
+    usage::WindowCounts,
+};
+use crate::{
+    exchange_capnp::{daemon_state, news},
+    ids::{IncarnationId, SharedName},
+};
+
+/// Most entries of a list that are taken from a peer.
+const LIST_LIMIT: u32 = 65_536;
+
+/// State of a daemon, as it tells the others.
+#[derive(Clone, Debug, PartialEq)]
+pub struct DaemonState {
+    /// This start of it.
+    pub incarnation: IncarnationId,
+    /// Name of its VM.
+    pub name: SharedName,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// Where its gate listens.
+    pub address: SocketAddr,
+    /// Rises with every state.
+    pub sequence: u64,
+    /// Whether it is on its way out.
+    pub leaving: bool,
+    /// Quota units that it has admitted since it started, by account.
+    pub spent: BTreeMap<SharedName, u64>,
+    /// Requests that began to run, by window and account.
+    pub windows: BTreeMap<u64, WindowCounts>,
+    /// Its loads, by the numbers of the replicas.
+    pub loads: HashMap<u64, LoadSum>,
+    /// Prompt tokens that it has sent to be read since it started, by service.
+    pub sent: BTreeMap<SharedName, u64>,
+}
+
+/// Word of the lease of the duties.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LeaseNews {
+    /// Fence of the holder.
+    pub fence: u64,
+    /// Name of the holder.
+    pub holder: SharedName,
+    /// Milliseconds since its newest renewal was begun.
+    pub age_ms: u32,
+}
+
+/// Word of the configuration.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigurationNews {
+    /// Revision held; 0 if none.
+    pub revision: u64,
+    /// Its text, where the other side's is older.
+    pub text: Option<Vec<u8>>,
+    /// Milliseconds since the store was asked that answered with this revision.
+    pub proof_age_ms: Option<u32>,
+}
+
+/// All that one side of an exchange tells.
+#[derive(Clone, Debug)]
+pub struct DaemonNews {
+    /// Its state.
+    pub state: DaemonState,
+    /// Gates of other daemons.
+    pub known: Vec<SocketAddr>,
+    /// The configuration.
+    pub configuration: ConfigurationNews,
+    /// Revision of its list of replicas.
+    pub replica_revision: u64,
+    /// The list, where the other side's is older.
+    pub replicas: Option<ReplicaList>,
+    /// The lease, if any is known.
+    pub lease: Option<LeaseNews>,
+}
+
+fn text(reader: capnp::text::Reader<'_>) -> Result<SharedName, Error> {
+    let text = reader.to_str().map_err(|_| Error::failed("malformed text".into()))?;
+    Ok(text.into())
+}
+
+fn address(reader: capnp::text::Reader<'_>) -> Result<SocketAddr, Error> {
+    let text = reader.to_str().map_err(|_| Error::failed("malformed text".into()))?;
+    text.parse().map_err(|_| Error::failed("malformed address".into()))
+}
+
+fn bounded(length: u32) -> Result<u32, Error> {
+    match length <= LIST_LIMIT {
+        true => Ok(length),
+        false => Err(Error::failed("list too long".into())),
+    }
+}
+
+/// Writes a daemon's news.
+pub fn write_news(mut target: news::Builder<'_>, source: &DaemonNews) {
+    write_state(target.reborrow().init_state(), &source.state);
+    let mut known = target.reborrow().init_known(source.known.len() as u32);
+    for (index, address) in source.known.iter().enumerate() {
+        known.set(index as u32, address.to_string());
+    }
+    target.set_configuration(source.configuration.revision);
+    if let Some(text) = &source.configuration.text {
+        target.set_configuration_text(text);
+    }
+    if let Some(age) = source.configuration.proof_age_ms {
+        target.set_proven(true);
+        target.set_proof_age_ms(age);
+    }
+    target.set_replicas(source.replica_revision);
+    if let Some(list) = &source.replicas {
+        target.set_has_replicas(true);
+        let mut entries = target.reborrow().init_replica_entries(list.replicas.len() as u32);
+        for (index, record) in list.replicas.iter().enumerate() {
+            let mut entry = entries.reborrow().get(index as u32);
+            entry.set_id(&*record.id);
+            entry.set_service(&*record.service);
+            entry.set_address(record.address.to_string());
+            entry.set_zone(&*record.zone);
+            entry.set_slots(record.slots);
+            entry.set_draining(record.state == ReplicaState::Draining);
+            entry.set_reclaimable(record.reclaimable);
+        }
+    }
+    if let Some(lease) = &source.lease {
+        let mut target = target.init_lease();
+        target.set_fence(lease.fence);
+        target.set_holder(&*lease.holder);
+        target.set_age_ms(lease.age_ms);
+    }
+}
+
+fn write_state(mut target: daemon_state::Builder<'_>, source: &DaemonState) {
+    target.set_incarnation(source.incarnation.0);
+    target.set_name(&*source.name);
+    target.set_zone(&*source.zone);
+    target.set_address(source.address.to_string());
+    target.set_sequence(source.sequence);
+    target.set_leaving(source.leaving);
+    let mut accounts: Vec<&SharedName> = source.spent.keys().collect();
+    accounts.extend(source.windows.values().flat_map(BTreeMap::keys));
+    accounts.sort_unstable();
+    accounts.dedup();
+    let mut names = target.reborrow().init_accounts(accounts.len() as u32);
+    for (index, name) in accounts.iter().enumerate() {
+        names.set(index as u32, &***name);
+    }
+    let mut spent = target.reborrow().init_spent(accounts.len() as u32);
+    for (index, name) in accounts.iter().enumerate() {
+        spent.set(index as u32, source.spent.get(*name).copied().unwrap_or(0));
+    }
+    let mut windows = target.reborrow().init_windows(source.windows.len() as u32);
+    for (place, (window, counts)) in source.windows.iter().enumerate() {
+        let mut entry = windows.reborrow().get(place as u32);
+        entry.set_window(*window);
+        let mut list = entry.init_counts(accounts.len() as u32);
+        for (index, name) in accounts.iter().enumerate() {
+            list.set(index as u32, counts.get(*name).copied().unwrap_or(0) as u32);
+        }
+    }
+    let mut sent = target.reborrow().init_sent(source.sent.len() as u32);
+    for (index, (service, tokens)) in source.sent.iter().enumerate() {
+        let mut entry = sent.reborrow().get(index as u32);
+        entry.set_service(&**service);
+        entry.set_tokens(*tokens);
+    }
+    let mut loads = target.init_loads(source.loads.len() as u32);
+    for (index, (replica, load)) in source.loads.iter().enumerate() {
+        let mut entry = loads.reborrow().get(index as u32);
+        entry.set_replica(*replica);
+        entry.set_running(load.running);
+        entry.set_prompt_tokens(u32::try_from(load.unread).unwrap_or(u32::MAX));
+        entry.set_memory_tokens(u32::try_from(load.memory).unwrap_or(u32::MAX));
+    }
+}
+
+/// Reads a daemon's news.
+pub fn read_news(source: news::Reader<'_>) -> Result<DaemonNews, Error> {
+    let known = source.get_known()?;
+    bounded(known.len())?;
+    let known = known.iter().map(|text| address(text?)).collect::<Result<_, Error>>()?;
+    let replica_revision = source.get_replicas();
+    let replicas = match source.get_has_replicas() {
+        true => Some(read_replicas(source, replica_revision)?),
+        false => None,
+    };
+    let text_bytes = source.get_configuration_text()?;
+    let lease = source.get_lease()?;
+    let lease = match lease.get_fence() {
+        0 => None,
+        fence => Some(LeaseNews {
+            fence,
+            holder: text(lease.get_holder()?)?,
+            age_ms: lease.get_age_ms(),
+        }),
+    };
+    Ok(DaemonNews {
+        state: read_state(source.get_state()?)?,
+        known,
+        configuration: ConfigurationNews {
+            revision: source.get_configuration(),
+            text: (!text_bytes.is_empty()).then(|| text_bytes.to_vec()),
+            proof_age_ms: source.get_proven().then(|| source.get_proof_age_ms()),
+        },
+        replica_revision,
+        replicas,
+        lease,
+    })
+}
+
+fn read_replicas(source: news::Reader<'_>, revision: u64) -> Result<ReplicaList, Error> {
+    let entries = source.get_replica_entries()?;
+    bounded(entries.len())?;
+    let mut replicas = Vec::with_capacity(entries.len() as usize);
+    for entry in entries {
+        let state = match entry.get_draining() {
+            true => ReplicaState::Draining,
+            false => ReplicaState::Ready,
+        };
+        replicas.push(Rc::new(ReplicaRecord {
+            id: text(entry.get_id()?)?,
+            service: text(entry.get_service()?)?,
+            address: address(entry.get_address()?)?,
+            zone: text(entry.get_zone()?)?,
+            slots: entry.get_slots(),
+            state,
+            reclaimable: entry.get_reclaimable(),
+        }));
+    }
+    Ok(ReplicaList { revision, replicas })
+}
+
+fn read_state(source: daemon_state::Reader<'_>) -> Result<DaemonState, Error> {
+    let accounts = source.get_accounts()?;
+    bounded(accounts.len())?;
+    let accounts: Vec<Arc<str>> =
+        accounts.iter().map(|name| text(name?)).collect::<Result<_, Error>>()?;
+    let spent = accounts.iter().cloned().zip(source.get_spent()?.iter()).collect();
+    let mut windows = BTreeMap::new();
+    for window in source.get_windows()? {
+        let counts = accounts.iter().cloned().zip(window.get_counts()?.iter().map(u64::from));
+        windows.insert(window.get_window(), counts.filter(|(_, count)| *count > 0).collect());
+    }
+    let mut loads = HashMap::new();
+    for load in source.get_loads()? {
+        let sum = LoadSum {
+            running: load.get_running(),
+            unread: u64::from(load.get_prompt_tokens()),
+            memory: u64::from(load.get_memory_tokens()),
+        };
+        loads.insert(load.get_replica(), sum);
+    }
+    let mut sent = BTreeMap::new();
+    for entry in source.get_sent()? {
+        sent.insert(text(entry.get_service()?)?, entry.get_tokens());
+    }
+    Ok(DaemonState {
+        incarnation: IncarnationId(source.get_incarnation()),
+        name: text(source.get_name()?)?,
+        zone: text(source.get_zone()?)?,
+        address: address(source.get_address()?)?,
+        sequence: source.get_sequence(),
+        leaving: source.get_leaving(),
+        spent,
+        windows,
+        loads,
+        sent,
+    })
+}
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -51,7 +51,8 @@
 impl PeerTable {
     /// Table of the daemon at `own` that knows only seeds.
     pub fn new(own: SocketAddr, seeds: &[SocketAddr]) -> Self {
-        let seeds: BTreeSet<SocketAddr> = seeds.iter().filter(|seed| **seed != own).copied().collect();
+        let seeds: BTreeSet<SocketAddr> =
+            seeds.iter().filter(|seed| **seed != own).copied().collect();
         let addresses = seeds.iter().map(|seed| (*seed, AddressState::default())).collect();
         Self { own, peers: HashMap::new(), addresses, seeds }
     }
--- a/src/gateway/run_guard.rs
+++ b/src/gateway/run_guard.rs
@@ -4,9 +4,7 @@
 
 use tokio::time::Instant;
 
-use super::{
-    call::PromptPart, choice::RunLoad, context::GatewayContext, replica::ReplicaRecord,
-};
+use super::{call::PromptPart, choice::RunLoad, context::GatewayContext, replica::ReplicaRecord};
 use crate::decide::health::AttemptResult;
 
 /// Counts a run at its replica; dropped, the run has ended by this daemon's own choice.
@@ -14,6 +12,9 @@
     context: Rc<GatewayContext>,
     replica: Rc<ReplicaRecord>,
     load: RunLoad,
+    begun: Instant,
+    /// Whether no other prompt was known to wait at the replica.
+    alone: bool,
     result: AttemptResult,
 }
 
@@ -25,8 +26,13 @@
         parts: &[PromptPart],
         load: RunLoad,
     ) -> Self {
-        context.replicas.borrow_mut().begin(&replica.id, parts, load, Instant::now());
-        Self { context, replica: replica.clone(), load, result: AttemptResult::Neutral }
+        let begun = Instant::now();
+        let mut replicas = context.replicas.borrow_mut();
+        let alone = replicas.is_idle(&replica.id, begun);
+        replicas.begin(&replica.id, parts, load, begun);
+        drop(replicas);
+        let result = AttemptResult::Neutral;
+        Self { context, replica: replica.clone(), load, begun, alone, result }
     }
 
     /// Id of the replica.
@@ -37,7 +43,10 @@
     /// The first part of the answer has come: the prompt has been read.
     pub fn prompt_read(&mut self) {
         let unread = std::mem::take(&mut self.load.unread);
-        self.context.replicas.borrow_mut().prompt_read(&self.replica.id, unread);
+        if unread > 0 {
+            let mut replicas = self.context.replicas.borrow_mut();
+            replicas.prompt_read(&self.replica.id, unread, self.begun.elapsed(), self.alone);
+        }
     }
 
     /// Ends the run with what it says of the replica's health.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -95,7 +95,9 @@
         WatchResult::HistoryGone => Ok(None),
         WatchResult::Changes(changes, next) => {
             let written = changes.iter().rev().find_map(|change| match change {
-                ObjectChange::Written(object) if &*object.name == CONFIGURATION_NAME => Some(object),
+                ObjectChange::Written(object) if &*object.name == CONFIGURATION_NAME => {
+                    Some(object)
+                }
                 _ => None,
             });
             match written {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,6 +5,7 @@
 //! has the picture.
 
 pub mod clock;
+pub mod cloud_api;
 pub mod cluster;
 pub mod control;
 pub mod counting;
@@ -21,7 +22,6 @@
 pub mod options;
 pub mod peer;
 pub mod platform;
-pub mod cloud_api;
 pub mod request;
 pub mod serve;
 pub mod standin;
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -26,10 +26,8 @@
 }
 
 fn set_up_stream(stream: StdStream, filter: LevelFilter) -> Result<(), spdlog::Error> {
-    let sink = StdStreamSink::builder()
-        .std_stream(stream)
-        .formatter(JsonFormatter::new())
-        .build_arc()?;
+    let sink =
+        StdStreamSink::builder().std_stream(stream).formatter(JsonFormatter::new()).build_arc()?;
     let logger = Logger::builder().sink(sink).level_filter(filter).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -526,6 +526,242 @@
     }
 }
 
+pub mod service_tokens {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_tokens(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_tokens(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(32, 78, 11, 189, 234, 243, 0, 242),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
+            ::capnp::word(101, 114, 118, 105, 99, 101, 84, 111),
+            ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 111, 107, 101, 110, 115, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0xf200_f3ea_bd0b_4e20;
+    }
+}
+
 pub mod daemon_state {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -655,11 +891,19 @@
         pub fn has_zone(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
+        #[inline]
+        pub fn get_sent(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::service_tokens::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_sent(&self) -> bool {
+            !self.reader.get_pointer_field(7).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 7 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 8 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -845,6 +1089,22 @@
         pub fn has_zone(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
+        #[inline]
+        pub fn get_sent(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::service_tokens::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_sent(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::service_tokens::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
+        }
+        #[inline]
+        pub fn init_sent(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::service_tokens::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
+        }
+        #[inline]
+        pub fn has_sent(&self) -> bool {
+            !self.builder.is_pointer_field_null(7)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -856,17 +1116,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 187] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 206] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
-            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 111, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -874,77 +1134,84 @@
             ::capnp::word(97, 101, 109, 111, 110, 83, 116, 97),
             ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(37, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(45, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(53, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(81, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(109, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(129, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(10, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(153, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
             ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1044,6 +1311,18 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 110, 116, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(32, 78, 11, 189, 234, 243, 0, 242),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1057,6 +1336,7 @@
                 7 => <::capnp::struct_list::Owned<crate::exchange_capnp::window_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::exchange_capnp::replica_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::exchange_capnp::service_tokens::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1070,9 +1350,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,0,4,8,1,3,6,7,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,0,4,8,1,10,3,6,7,9];
         pub(crate) const TYPE_ID: u64 = 0xa7cc_19ac_f1b2_2d2c;
     }
 }
--- a/src/platform/cloud.rs
+++ b/src/platform/cloud.rs
@@ -113,7 +113,11 @@
         body: &impl Serialize,
     ) -> Result<StatusCode, StepError> {
         let body = serde_json::to_vec(body).map_err(|error| {
-            StepError::new(step, self.address.to_string(), FailureCause::Malformed(error.to_string()))
+            StepError::new(
+                step,
+                self.address.to_string(),
+                FailureCause::Malformed(error.to_string()),
+            )
         })?;
         let call = OutgoingCall::get(step, self.address, path)
             .with_json(Method::POST, body)
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -307,8 +307,9 @@
         _ if headers.contains_key(&NOT_EXECUTED) => AnswerMeaning::NotRun,
         _ => AnswerMeaning::Ran,
     };
-    let closes = text(headers, &header::CONNECTION)
-        .is_some_and(|value| value.split(',').any(|part| part.trim().eq_ignore_ascii_case("close")));
+    let closes = text(headers, &header::CONNECTION).is_some_and(|value| {
+        value.split(',').any(|part| part.trim().eq_ignore_ascii_case("close"))
+    });
     AnswerSigns { meaning, load: read_load(headers), keep: read_keep(headers), closes }
 }
 
@@ -334,7 +335,11 @@
 }
 
 /// Head of an answer of the gateway's own to the request `id`.
-pub fn own_answer(id: Option<&str>, status: StatusCode, come_back: Option<Duration>) -> Response<()> {
+pub fn own_answer(
+    id: Option<&str>,
+    status: StatusCode,
+    come_back: Option<Duration>,
+) -> Response<()> {
     let mut head = Response::new(());
     *head.status_mut() = status;
     let headers = head.headers_mut();
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -183,7 +183,8 @@
         loop {
             let after = listing.objects.last().map(|object| format!("?after-rev={}", object.name));
             let path = format!("/-/objects/{kind}{}", after.unwrap_or_default());
-            let answer = self.fetch(OutgoingCall::get(STEP, self.address, path), CALL_LIMIT).await?;
+            let answer =
+                self.fetch(OutgoingCall::get(STEP, self.address, path), CALL_LIMIT).await?;
             let (page, more) = decode(STEP, self.address, &answer, decode_page)?;
             // NOTE: a watch from the first page's revision sees all that changed since.
             if listing.revision == 0 {
--- a/src/serve/admin.rs
+++ b/src/serve/admin.rs
@@ -16,6 +16,7 @@
     ticket_service::TicketMessage,
 };
 use crate::{
+    cloud_api::messages::ReclaimNotice,
     cluster::{
         events::ClusterEvent,
         items::{ItemKind, SpreadItem},
@@ -25,7 +26,6 @@
     http::{AnswerBody, server, whole_body},
     ids::{IncarnationId, SharedName},
     kernel::LifePhase,
-    cloud_api::messages::ReclaimNotice,
 };
 
 /// Name of the service.
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -20,6 +20,7 @@
     timeline::{EventKind, TimelineHandle},
 };
 use crate::{
+    cloud_api::client::PlatformClient,
     cluster::{events::PeerTarget, members::MemberList, service::ClusterMessage},
     counting::OpenCount,
     decide::retries::RetryBudget,
@@ -28,7 +29,6 @@
     kernel::{KernelHandle, LifePhase, ServiceAddress},
     options::{rows::TableSnapshot, settings::DaemonSettings},
     peer::{LocalIdentity, client::PeerPool},
-    cloud_api::client::PlatformClient,
     request::store::RequestHolder,
 };
 
--- a/src/serve/once.rs
+++ b/src/serve/once.rs
@@ -15,9 +15,9 @@
 use self::run::OnceRun;
 use super::{context::ServeContext, ticket_service::TicketMessage, timeline::EventKind};
 use crate::{
+    cloud_api::client::WriteCondition,
     errors::FailureCause,
     ids::{RequestName, SharedName, hash_parts},
-    cloud_api::client::WriteCondition,
     request::{
         call::CallerCall,
         outcome::{FinalAnswer, NotRunReason, UndispatchedCall, UnknownReason},
--- a/src/serve/planner.rs
+++ b/src/serve/planner.rs
@@ -18,6 +18,10 @@
     timeline::EventKind,
 };
 use crate::{
+    cloud_api::{
+        client::WriteCondition,
+        messages::{PriceClass, PriceEntry, ReclaimNotice, StartOrder, VmEntry, VmState},
+    },
     cluster::{
         events::ClusterEvent,
         items::{ItemKind, SpreadItem},
@@ -27,10 +31,6 @@
     errors::{FailureCause, StepError},
     ids::SharedName,
     options::rows::ServiceRow,
-    cloud_api::{
-        client::WriteCondition,
-        messages::{PriceClass, PriceEntry, ReclaimNotice, StartOrder, VmEntry, VmState},
-    },
 };
 
 /// Name of the service.
--- a/src/serve/platform_watch.rs
+++ b/src/serve/platform_watch.rs
@@ -10,6 +10,7 @@
 
 use super::context::ServeContext;
 use crate::{
+    cloud_api::messages::{ENTRY_SERVICE, ObjectEntry, VmEntry, VmList},
     cluster::{
         events::ClusterEvent,
         items::{ItemKind, SpreadItem},
@@ -17,7 +18,6 @@
     },
     errors::StepError,
     ids::SharedName,
-    cloud_api::messages::{ENTRY_SERVICE, ObjectEntry, VmEntry, VmList},
 };
 
 /// Name of the service.
--- a/src/serve/router.rs
+++ b/src/serve/router.rs
@@ -22,6 +22,7 @@
     timeline::{EventKind, TimelineHandle},
 };
 use crate::{
+    cloud_api::messages::{ENTRY_SERVICE, ReclaimNotice, VmEntry, VmState},
     cluster::members::MemberList,
     decide::{
         fair_queue::FairQueue,
@@ -34,7 +35,6 @@
     ids::{AttemptId, IncarnationId, SharedName},
     kernel::{ServiceAddress, ServiceInbox},
     options::rows::{ServiceType, TableSnapshot},
-    cloud_api::messages::{ENTRY_SERVICE, ReclaimNotice, VmEntry, VmState},
 };
 
 /// Name of the service.
--- a/src/serve/router/messages.rs
+++ b/src/serve/router/messages.rs
@@ -9,6 +9,7 @@
 };
 
 use crate::{
+    cloud_api::messages::{ReclaimNotice, VmEntry},
     decide::{
         fair_queue::QueueTurn,
         health::AttemptResult,
@@ -17,7 +18,6 @@
     },
     ids::{AttemptId, RequestName, SharedName},
     kernel::ServiceAddress,
-    cloud_api::messages::{ReclaimNotice, VmEntry},
 };
 
 /// A stream, as far as moving it matters.
--- a/src/standin/callers.rs
+++ b/src/standin/callers.rs
@@ -16,11 +16,11 @@
     engine_model::whole_answer,
 };
 use crate::{
+    cloud_api::messages::{PriceEntry, VmList},
     endpoint::sse::EventDecoder,
     errors::StepError,
     headers,
     http::client::{HttpClient, OutgoingCall},
-    cloud_api::messages::{PriceEntry, VmList},
 };
 
 /// Longest wait for the head of an answer, and for each piece of it.
--- a/tests/integration/decisions.rs
+++ b/tests/integration/decisions.rs
@@ -11,6 +11,7 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 use willowarch::{
+    cloud_api::messages::{PriceClass, PriceEntry},
     cluster::averaging::{AccountOrder, DemandAveraging, EPOCH_MS},
     decide::{
         fair_queue::{FairQueue, QueueTurn},
@@ -27,7 +28,6 @@
         subset::{window, window_size},
     },
     ids::RequestName,
-    cloud_api::messages::{PriceClass, PriceEntry},
 };
 
 fn millis(count: u64) -> Duration {
