Gateway: planned stops end every request, SIGHUP no longer ends the process

Change: a leaving daemon answers once on each new connection, turns requests away from 2.8 s on, accepts nothing from 3.5 s on and waits for what runs.

--- a/src/gateway/client_edge.rs
+++ b/src/gateway/client_edge.rs
@@ -6,10 +6,13 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::{Instant, sleep, sleep_until},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
-use super::{context::GatewayContext, dispatch};
+use super::{
+    context::{GatewayContext, Intake},
+    dispatch,
+};
 use crate::kernel::LifePhase;
 
 /// Name of the service.
@@ -19,6 +22,8 @@
 /// A connection is closed this much later than it may rest, so that a request that was sent
 /// just in time does not cross the close.
 const REST_MARGIN: Duration = Duration::from_millis(500);
+/// Longest life of a connection that was accepted by a daemon on its way out.
+const LEAVING_LIMIT: Duration = Duration::from_secs(30);
 /// Smallest buffer for a head that the HTTP library takes.
 const LEAST_BUFFER: usize = 8 * 1024;
 
@@ -34,13 +39,16 @@
 /// Serves clients until the daemon stops.
 pub async fn run(listener: TcpListener, context: Rc<GatewayContext>) {
     let mut phase = context.kernel.phase();
-    let open = crate::counting::OpenCount::default();
+    let open = context.client_connections.clone();
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept(), if open.get() < CONNECTION_LIMIT => accepted,
             () = sleep(Duration::from_millis(20)), if open.get() >= CONNECTION_LIMIT => continue,
             _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
         };
+        if context.intake.get() == Intake::Closed {
+            return std::future::pending().await;
+        }
         let Ok((stream, _)) = accepted else {
             // NOTE: out of descriptors; accepting again at once would spin.
             sleep(Duration::from_millis(20)).await;
@@ -79,9 +87,15 @@
         .header_read_timeout(None)
         .max_buf_size(limits.head_bytes.max(LEAST_BUFFER))
         .auto_date_header(false)
+        .keep_alive(!context.is_leaving())
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let mut phase = context.kernel.phase();
+    if context.is_leaving() {
+        // NOTE: it ends by itself after one answer; closed now, its request would be lost.
+        let _ = timeout(LEAVING_LIMIT, connection).await;
+        return;
+    }
     loop {
         let limits = context.configuration().map(|current| current.limits).unwrap_or_default();
         let close_at = usage.rested_since.get() + limits.idle_time + REST_MARGIN;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -85,6 +85,21 @@
     pub store_failed: Cell<Option<Instant>>,
     /// Number of the newest state told to others.
     pub sequence: Cell<u64>,
+    /// Whether requests and connections are taken.
+    pub intake: Cell<Intake>,
+    /// Clients' connections that are open.
+    pub client_connections: OpenCount,
+}
+
+/// Whether a daemon takes requests and connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Intake {
+    /// Takes both.
+    Open,
+    /// Accepts connections, and turns requests away.
+    Refusing,
+    /// Accepts no connections.
+    Closed,
 }
 
 impl GatewayContext {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -13,7 +13,7 @@
     choice::ReplicaTable,
     client_edge,
     connections::ConnectionPool,
-    context::{ConfigurationState, GatewayContext},
+    context::{ConfigurationState, GatewayContext, Intake},
     duties, exchange,
     lease::LeaseView,
     peers::PeerTable,
@@ -37,8 +37,13 @@
 
 /// Name of the service that takes the daemon down.
 const LEAVER: &str = "leaver";
-/// The balancer needs this long to see that the daemon takes no new connections.
-const UNLISTED_AFTER: Duration = Duration::from_millis(3_500);
+/// Name of the service that listens for changes of the settings.
+const RELOADER: &str = "reloader";
+/// Requests that come this long after the signal are turned away: by then the balancer has
+/// seen that the daemon takes no new connections, and what runs long might be cut off.
+const REFUSE_AFTER: Duration = Duration::from_millis(2_800);
+/// New connections are accepted for this long after the signal.
+const ACCEPT_FOR: Duration = Duration::from_millis(3_500);
 /// Part of the grace time that is left as a margin.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -61,6 +66,7 @@
     kernel.start(exchange::CALLER_SERVICE, exchange::run(context.clone()));
     kernel.start(duties::NAME, duties::run(context.clone()));
     kernel.start(client_edge::NAME, client_edge::run(clients, context.clone()));
+    kernel.start(RELOADER, note_reloads(context.clone()));
     kernel.start(LEAVER, leave_when_told(context.clone()));
     let exit = kernel.run().await;
     spdlog::info!("stopped", kv: { outcome: = exit });
@@ -88,6 +94,8 @@
         active: crate::counting::OpenCount::default(),
         store_failed: Cell::new(None),
         sequence: Cell::new(0),
+        intake: Cell::new(Intake::Open),
+        client_connections: crate::counting::OpenCount::default(),
         settings,
     }
 }
@@ -100,14 +108,32 @@
     context.kernel.enter(LifePhase::Draining);
     spdlog::info!("stopping", kv: { active: = context.active.get() });
     let latest = begun + context.settings.bounds.stop_grace.saturating_sub(GRACE_MARGIN);
-    sleep(UNLISTED_AFTER).await;
-    while context.active.get() > 0 && Instant::now() < latest {
+    sleep(REFUSE_AFTER).await;
+    context.intake.set(Intake::Refusing);
+    sleep(ACCEPT_FOR - REFUSE_AFTER).await;
+    context.intake.set(Intake::Closed);
+    let busy = || context.active.get() + context.client_connections.get() > 0;
+    while busy() && Instant::now() < latest {
         sleep(Duration::from_millis(20)).await;
     }
     spdlog::info!("stopping", kv: { cut_off: = context.active.get() });
     context.kernel.enter(LifePhase::Stopping);
 }
 
+/// Tells of signals that say that the settings file has changed. Its values hold for the
+/// life of the process; a changed file is read at the next start.
+async fn note_reloads(context: Rc<GatewayContext>) {
+    use tokio::signal::unix::{SignalKind, signal};
+    let Ok(mut signal) = signal(SignalKind::hangup()) else {
+        return std::future::pending().await;
+    };
+    while signal.recv().await.is_some() {
+        context.metrics.count("reload_signals", 1);
+        spdlog::info!("settings", kv: { outcome = "kept until the next start" });
+    }
+    std::future::pending().await
+}
+
 async fn terminated() {
     use tokio::signal::unix::{SignalKind, signal};
     match signal(SignalKind::terminate()) {
--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -13,7 +13,7 @@
     choice::{ChoiceQuery, ChoiceResult, ReplicaChoice, RunLoad},
     configuration::{Account, Configuration, Route, RouteKind, Service},
     connections::{ReplicaConnection, SendFailure},
-    context::GatewayContext,
+    context::{GatewayContext, Intake},
     quota::QuotaVerdict,
     refusal::Refusal,
     relay,
@@ -120,6 +120,9 @@
     body: Incoming,
     received: Instant,
 ) -> Result<Admitted, Refusal> {
+    if context.intake.get() != Intake::Open {
+        return Err(Refusal::Leaving);
+    }
     let configuration = context.configuration().ok_or(Refusal::NoConfiguration)?;
     let route = configuration.route(&head.host, head.path()).ok_or(Refusal::NoRoute)?.clone();
     let account = find_account(context, &configuration, &route, &head, received)?;
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -25,6 +25,9 @@
     /// No configuration is known yet.
     #[display("no configuration")]
     NoConfiguration,
+    /// The daemon is on its way out; another takes the request.
+    #[display("daemon is leaving")]
+    Leaving,
     /// The configuration may be out of date: keys cannot be checked.
     #[display("configuration not known to be current")]
     NotFresh,
@@ -54,6 +57,9 @@
 /// Time after which a daemon that is starting may be asked again.
 const STARTING: Duration = Duration::from_millis(500);
 
+/// Time after which another daemon may be asked.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
 impl Refusal {
     /// Status of the answer. 429 and 503 promise that the request has not run.
     pub fn status(&self) -> StatusCode {
@@ -63,9 +69,11 @@
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::QuotaSpent(_) => StatusCode::TOO_MANY_REQUESTS,
-            Self::NoConfiguration | Self::NotFresh | Self::Full(_) | Self::NoReplica(_) => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfiguration
+            | Self::Leaving
+            | Self::NotFresh
+            | Self::Full(_)
+            | Self::NoReplica(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -76,6 +84,7 @@
         match self {
             Self::QuotaSpent(wait) | Self::Full(wait) | Self::NoReplica(wait) => Some(*wait),
             Self::NoConfiguration | Self::NotFresh => Some(STARTING),
+            Self::Leaving => Some(ELSEWHERE),
             _ => None,
         }
     }
