Gateway: quotas hold over kills of all daemons

Change: what daemons may spend that have just started is divided by how many there were (kept with the lease); others are taken to go on spending as they did until they are heard again.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -31,6 +31,10 @@
     serve::metrics::MetricsHandle,
 };
 
+/// A daemon has met the others after this time.
+const MEETING_TIME: Duration = Duration::from_millis(2_500);
+/// Daemons that a daemon expects to meet before it has read how many there were.
+pub const EXPECTED_DAEMONS: usize = 10;
 /// Part of the allowed age of a proof that is left as a margin.
 const FRESHNESS_MARGIN: Duration = Duration::from_millis(300);
 
@@ -85,6 +89,10 @@
     pub store_failed: Cell<Option<Instant>>,
     /// Number of the newest state told to others.
     pub sequence: Cell<u64>,
+    /// When this daemon started.
+    pub started_at: Instant,
+    /// Daemons that there were when the lease was last renewed.
+    pub fleet_size: Cell<usize>,
     /// Whether requests and connections are taken.
     pub intake: Cell<Intake>,
     /// Clients' connections that are open.
@@ -155,7 +163,12 @@
 
     /// How many daemons share quotas and budgets.
     pub fn sharing(&self, now: Instant) -> QuotaSharing {
-        self.peers.borrow().sharing(now)
+        let mut sharing = self.peers.borrow().sharing(now);
+        let age = now.saturating_duration_since(self.started_at);
+        if age < MEETING_TIME {
+            sharing.known = sharing.known.max(self.fleet_size.get());
+        }
+        sharing
     }
 
     /// Draws one repeat of a service's budget.
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -56,6 +56,9 @@
     pub fence: u64,
     /// Renewals by this holder; a renewal always changes the object.
     pub renewals: u64,
+    /// Daemons that the holder knew of.
+    #[serde(default)]
+    pub daemons: usize,
     /// The newest report.
     pub report: Option<UsageReport>,
 }
@@ -161,6 +164,7 @@
                 return None;
             }
         };
+        self.context.fleet_size.set(record.daemons.max(1));
         let since = match &self.seen {
             Some(seen) if seen.revision == object.revision => seen.since,
             _ => asked,
@@ -182,6 +186,7 @@
             incarnation: self.context.incarnation.0,
             fence,
             renewals: 0,
+            daemons: self.daemons(),
             report,
         };
         if self.write(revision, record).await? {
@@ -242,7 +247,8 @@
         if due.is_some() || age > self.lease().mul_f64(RENEW_PART) {
             let report = due.clone().or(seen.record.report.clone());
             let renewals = seen.record.renewals + 1;
-            let record = LeaseRecord { renewals, report, ..seen.record };
+            let daemons = self.daemons();
+            let record = LeaseRecord { renewals, report, daemons, ..seen.record };
             if !self.write(seen.revision, record).await? {
                 return Ok(());
             }
@@ -254,6 +260,10 @@
         self.order_replicas().await
     }
 
+    fn daemons(&self) -> usize {
+        self.context.peers.borrow().sharing(Instant::now()).known
+    }
+
     fn holder(&self) -> DutyHolder {
         let fence = self.context.lease.borrow().fence;
         DutyHolder { name: self.context.settings.name.clone(), fence }
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -248,7 +248,7 @@
     if newer {
         let mut quotas = context.quotas.borrow_mut();
         for (account, spent) in &state.spent {
-            quotas.hear(account, state.incarnation, *spent);
+            quotas.hear(account, state.incarnation, *spent, now);
         }
         let mut usage = context.usage.borrow_mut();
         for (window, counts) in state.windows {
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -2,8 +2,8 @@
 //!
 //! Every daemon keeps the same bucket for each account: what it admits itself leaves the
 //! bucket at once, what others admit leaves it when they say so, at most a few hundred
-//! milliseconds later. What is overdrawn meanwhile has to be refilled before anything more
-//! is admitted, so that only one such span is ever overdrawn. A daemon that is not heard may
+//! milliseconds later; until then they are taken to go on as they did. What is overdrawn all
+//! the same has to be refilled before anything more is admitted. A daemon that is not heard may
 //! spend an even part of the rate; the others leave it that part, and take no more than
 //! their own even parts together.
 
@@ -14,13 +14,17 @@
 use super::configuration::AccountQuota;
 use crate::ids::{IncarnationId, SharedName};
 
-/// Part of the burst that a daemon may spend that has just started: what was spent before
-/// it started is not known to it.
-const START_LEVEL: f64 = 0.4;
+/// Part of the burst that all daemons that have just started may spend together: what was
+/// spent before they started is not known to them.
+const START_LEVEL: f64 = 0.5;
+/// Burst of a quota that names none, in seconds of its rate.
+const LEAST_BURST_S: f64 = 0.1;
+/// Others are taken to go on as they did for at most this long.
+const GUESS_LIMIT: Duration = Duration::from_millis(600);
+/// Weight of the newest word in another daemon's rate.
+const RATE_WEIGHT: f64 = 0.5;
 /// Shortest and longest time told to a refused client.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
-/// Part of the promised tolerance is left alone: this much of the quota is given out.
-const GIVEN_SHARE: f64 = 1.0;
 
 #[derive(Debug)]
 struct AccountBucket {
@@ -28,8 +32,24 @@
     filled_at: Instant,
     /// Units admitted here since the daemon started.
     spent: u64,
-    /// Units that others have told of, by the start of their processes.
-    heard: HashMap<IncarnationId, u64>,
+    /// What others have told of, by the start of their processes.
+    heard: HashMap<IncarnationId, HeardSpending>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct HeardSpending {
+    units: u64,
+    at: Instant,
+    /// Units a second.
+    rate: f64,
+}
+
+impl HeardSpending {
+    /// Units that have probably been spent since the last word.
+    fn guess(&self, now: Instant) -> f64 {
+        let silence = now.saturating_duration_since(self.at).min(GUESS_LIMIT);
+        self.rate * silence.as_secs_f64()
+    }
 }
 
 /// Verdict on a request.
@@ -78,9 +98,9 @@
         now: Instant,
     ) -> QuotaVerdict {
         let Some(rate) = quota.rate else { return QuotaVerdict::Admitted };
-        let (rate, burst) = (rate * GIVEN_SHARE, quota.burst.max(rate * 0.1));
+        let burst = quota.burst.max(rate * LEAST_BURST_S);
         let bucket = self.accounts.entry(account.clone()).or_insert_with(|| AccountBucket {
-            level: burst * START_LEVEL,
+            level: burst * START_LEVEL / sharing.known.max(1) as f64,
             filled_at: now,
             spent: 0,
             heard: HashMap::new(),
@@ -88,14 +108,15 @@
         bucket.fill(rate * sharing.share(), burst, now);
         // NOTE: a request larger than the burst is let in when the bucket is full.
         let needed = (units as f64).min(burst);
-        if bucket.level >= needed {
+        let level = bucket.level - bucket.guess(now);
+        if level >= needed {
             bucket.level -= units as f64;
             bucket.spent += units;
             return QuotaVerdict::Admitted;
         }
-        let wait = (needed - bucket.level) / (rate * sharing.share());
+        let wait = (needed - level) / (rate * sharing.share());
         let wait = Duration::from_secs_f64(wait.min(COME_BACK.1.as_secs_f64()));
-        QuotaVerdict::Refused { come_back: wait.max(COME_BACK.0), level: bucket.level }
+        QuotaVerdict::Refused { come_back: wait.max(COME_BACK.0), level }
     }
 
     /// Gives back what a request was admitted for that never ran.
@@ -108,11 +129,20 @@
     }
 
     /// Another daemon has admitted `spent` units since it started.
-    pub fn hear(&mut self, account: &SharedName, from: IncarnationId, spent: u64) {
+    pub fn hear(&mut self, account: &SharedName, from: IncarnationId, units: u64, now: Instant) {
         let Some(bucket) = self.accounts.get_mut(account) else { return };
-        // NOTE: what a daemon spent before it was first heard may be long refilled.
-        let before = bucket.heard.insert(from, spent).unwrap_or(spent);
-        bucket.level -= spent as f64 - before as f64;
+        let Some(before) = bucket.heard.get(&from).copied() else {
+            // NOTE: what a daemon spent before it was first heard may be long refilled.
+            bucket.heard.insert(from, HeardSpending { units, at: now, rate: 0.0 });
+            return;
+        };
+        // NOTE: units that were given back make the count sink.
+        let spent = units as f64 - before.units as f64;
+        bucket.level -= spent;
+        let elapsed = now.saturating_duration_since(before.at).as_secs_f64().max(0.02);
+        let newest = (spent / elapsed).max(0.0);
+        let rate = before.rate + (newest - before.rate) * RATE_WEIGHT;
+        bucket.heard.insert(from, HeardSpending { units, at: now, rate });
     }
 
     /// Forgets daemons that are gone.
@@ -129,6 +159,10 @@
 }
 
 impl AccountBucket {
+    fn guess(&self, now: Instant) -> f64 {
+        self.heard.values().map(|heard| heard.guess(now)).sum()
+    }
+
     fn fill(&mut self, rate: f64, burst: f64, now: Instant) {
         let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
         self.filled_at = now;
