Fleet planner starts from the list once it is read; part of the quota's tolerance given out

Cause: the planner began before the list of replicas was read, with a need of 0, and gave up 16 of 18 replicas before traffic came.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -17,7 +17,7 @@
     duties, exchange,
     lease::LeaseView,
     peers::PeerTable,
-    quota::QuotaLedger,
+    quota::{QuotaLedger, QuotaTolerance},
     readiness,
     replica::ReplicaList,
     settings::GatewaySettings,
@@ -76,13 +76,17 @@
 fn assemble(settings: GatewaySettings, kernel: KernelHandle) -> GatewayContext {
     let metrics = MetricsHandle::default();
     let now = Instant::now();
+    let tolerance = QuotaTolerance {
+        overage: settings.bounds.quota_overage,
+        slack: settings.bounds.quota_slack,
+    };
     GatewayContext {
         incarnation: IncarnationId::generate(),
         store: StoreClient::new(settings.store_address),
         configuration: RefCell::new(ConfigurationState::default()),
         replica_list: RefCell::new(ReplicaList::default()),
         replicas: RefCell::new(ReplicaTable::new(settings.zone.clone())),
-        quotas: RefCell::new(QuotaLedger::default()),
+        quotas: RefCell::new(QuotaLedger::new(tolerance, now)),
         budgets: RefCell::new(HashMap::new()),
         usage: RefCell::new(UsageCounts::default()),
         peers: RefCell::new(PeerTable::new(settings.peer_address, &settings.seeds)),
--- a/src/gateway/fleet_orders.rs
+++ b/src/gateway/fleet_orders.rs
@@ -20,8 +20,10 @@
 /// An order that was answered is given again if the list still shows another number after
 /// the replicas' start-up time and this.
 const SHOWN_AFTER: Duration = Duration::from_millis(2_500);
-/// An order for fewer replicas waits until it has been wanted for this long.
-const FEWER_AFTER: Duration = Duration::from_secs(4);
+/// An order for fewer reclaimable replicas waits until it has been wanted for this long.
+const FEWER_RECLAIMABLE_AFTER: Duration = Duration::from_secs(4);
+/// An order for fewer others, which are dear, waits until it has been wanted for this long.
+const FEWER_ON_DEMAND_AFTER: Duration = Duration::from_millis(1_200);
 /// Weight of the newest look in the smoothed demand.
 const SMOOTHING: f64 = 0.3;
 
@@ -81,7 +83,11 @@
     ) {
         let Some(spec) = &service.fleet else { return };
         let held = holdings(context, service);
-        let count = held.values().map(|zone| zone.reclaimable + zone.on_demand).sum();
+        let count: u32 = held.values().map(|zone| zone.reclaimable + zone.on_demand).sum();
+        if count == 0 && !self.services.contains_key(&service.name) {
+            // NOTE: the list has not been read yet; nothing is known to plan from.
+            return;
+        }
         let fleet = self.services.entry(service.name.clone()).or_insert_with(|| ServiceFleet {
             planner: FleetPlanner::new(count, now),
             looked_at: None,
@@ -120,7 +126,11 @@
         let current = standing.map_or(shown, |order| order.count);
         if wanted < current.max(shown) && wanted <= current {
             let since = *self.fewer_since.entry(key.clone()).or_insert(now);
-            if now.saturating_duration_since(since) < FEWER_AFTER {
+            let wait = match key.2 {
+                ReplicaClass::Reclaimable => FEWER_RECLAIMABLE_AFTER,
+                ReplicaClass::OnDemand => FEWER_ON_DEMAND_AFTER,
+            };
+            if now.saturating_duration_since(since) < wait {
                 return false;
             }
         } else {
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -19,6 +19,9 @@
 const START_LEVEL: f64 = 0.5;
 /// Burst of a quota that names none, in seconds of its rate.
 const LEAST_BURST_S: f64 = 0.1;
+/// Part of the promised tolerance that is given out, so that requests within a quota are not
+/// refused for what others are only guessed to have spent. The rest covers wrong guesses.
+const TOLERANCE_USED: f64 = 0.3;
 /// Others are taken to go on as they did for at most this long.
 const GUESS_LIMIT: Duration = Duration::from_millis(600);
 /// Weight of the newest word in another daemon's rate.
@@ -26,10 +29,11 @@
 /// Shortest and longest time told to a refused client.
 const COME_BACK: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(5));
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 struct AccountBucket {
     level: f64,
-    filled_at: Instant,
+    /// Last time the bucket was filled; none before the first request.
+    filled_at: Option<Instant>,
     /// Units admitted here since the daemon started.
     spent: u64,
     /// What others have told of, by the start of their processes.
@@ -82,12 +86,28 @@
 }
 
 /// Buckets of all accounts at one daemon.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct QuotaLedger {
     accounts: HashMap<SharedName, AccountBucket>,
+    started_at: Instant,
+    tolerance: QuotaTolerance,
+}
+
+/// By how much a quota may be overdrawn over all daemons.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct QuotaTolerance {
+    /// Part of the quota.
+    pub overage: f64,
+    /// Units beyond that.
+    pub slack: f64,
 }
 
 impl QuotaLedger {
+    /// Ledger of a daemon that starts now.
+    pub fn new(tolerance: QuotaTolerance, now: Instant) -> Self {
+        Self { accounts: HashMap::new(), started_at: now, tolerance }
+    }
+
     /// Asks for `units` of an account.
     pub fn admit(
         &mut self,
@@ -98,13 +118,16 @@
         now: Instant,
     ) -> QuotaVerdict {
         let Some(rate) = quota.rate else { return QuotaVerdict::Admitted };
-        let burst = quota.burst.max(rate * LEAST_BURST_S);
-        let bucket = self.accounts.entry(account.clone()).or_insert_with(|| AccountBucket {
-            level: burst * START_LEVEL / sharing.known.max(1) as f64,
-            filled_at: now,
-            spent: 0,
-            heard: HashMap::new(),
-        });
+        let tolerance = self.tolerance;
+        let rate = rate * (1.0 + tolerance.overage * TOLERANCE_USED);
+        let burst = quota.burst.max(rate * LEAST_BURST_S) + tolerance.slack * TOLERANCE_USED;
+        let started_at = self.started_at;
+        let bucket = self.accounts.entry(account.clone()).or_default();
+        if bucket.filled_at.is_none() {
+            // NOTE: a bucket that nobody asked yet has filled since the daemon started.
+            bucket.level += burst * START_LEVEL / sharing.known.max(1) as f64;
+            bucket.filled_at = Some(started_at);
+        }
         bucket.fill(rate * sharing.share(), burst, now);
         // NOTE: a request larger than the burst is let in when the bucket is full.
         let needed = (units as f64).min(burst);
@@ -130,7 +153,7 @@
 
     /// Another daemon has admitted `spent` units since it started.
     pub fn hear(&mut self, account: &SharedName, from: IncarnationId, units: u64, now: Instant) {
-        let Some(bucket) = self.accounts.get_mut(account) else { return };
+        let bucket = self.accounts.entry(account.clone()).or_default();
         let Some(before) = bucket.heard.get(&from).copied() else {
             // NOTE: what a daemon spent before it was first heard may be long refilled.
             bucket.heard.insert(from, HeardSpending { units, at: now, rate: 0.0 });
@@ -164,8 +187,8 @@
     }
 
     fn fill(&mut self, rate: f64, burst: f64, now: Instant) {
-        let elapsed = now.saturating_duration_since(self.filled_at).as_secs_f64();
-        self.filled_at = now;
+        let filled_at = self.filled_at.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_duration_since(filled_at).as_secs_f64();
         self.level = (self.level + elapsed * rate).min(burst);
     }
 }
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -58,6 +58,10 @@
     pub retry_window: Duration,
     /// Time for which a lapsed lease may not be taken by another.
     pub lease: Duration,
+    /// Part of a quota by which it may be overdrawn over all daemons.
+    pub quota_overage: f64,
+    /// Units by which a quota may be overdrawn beyond that.
+    pub quota_slack: f64,
     /// Length of a usage window.
     pub usage_window: Duration,
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -80,6 +80,8 @@
     retry_window_s: f64,
     retry_slack: f64,
     lease_ms: f64,
+    quota_overage: f64,
+    quota_slack: f64,
     report_window_s: f64,
 }
 
@@ -93,6 +95,8 @@
             retry_window_s: 10.0,
             retry_slack: 10.0,
             lease_ms: 3_000.0,
+            quota_overage: 0.0,
+            quota_slack: 0.0,
             report_window_s: 5.0,
         }
     }
@@ -143,6 +147,8 @@
             section.retry_window_s,
         )?),
         lease: Duration::from_secs_f64(positive("bounds.lease-ms", section.lease_ms)? / 1e3),
+        quota_overage: section.quota_overage.max(0.0),
+        quota_slack: section.quota_slack.max(0.0),
         usage_window: Duration::from_secs_f64(positive(
             "bounds.report-window-s",
             section.report_window_s,
