Fleet planner: settles before it orders, and takes what it finds for what is needed

Cause: the first list showed one replica of eighteen (entries appear over a heartbeat), so the need was taken for 0.6 of one.

--- a/src/gateway/fleet_orders.rs
+++ b/src/gateway/fleet_orders.rs
@@ -83,13 +83,8 @@
     ) {
         let Some(spec) = &service.fleet else { return };
         let held = holdings(context, service);
-        let count: u32 = held.values().map(|zone| zone.reclaimable + zone.on_demand).sum();
-        if count == 0 && !self.services.contains_key(&service.name) {
-            // NOTE: the list has not been read yet; nothing is known to plan from.
-            return;
-        }
         let fleet = self.services.entry(service.name.clone()).or_insert_with(|| ServiceFleet {
-            planner: FleetPlanner::new(count, now),
+            planner: FleetPlanner::new(now),
             looked_at: None,
             read_before: 0,
             demand: ServiceDemand::default(),
@@ -97,6 +92,10 @@
         if !fleet.look(context, service, now) {
             return;
         }
+        fleet.planner.find(&held);
+        if !fleet.planner.is_settled(now) {
+            return;
+        }
         let targets = fleet.planner.plan(spec, &held);
         let turned_down = fleet.planner.turned_down_zones(now);
         let wait = spec.start_time + SHOWN_AFTER;
--- a/src/gateway/fleet_plan.rs
+++ b/src/gateway/fleet_plan.rs
@@ -23,6 +23,9 @@
 const NEED_DECAY: f64 = 0.03;
 /// Part of the need without which callers are refused.
 const CRITICAL_PART: f64 = 0.6;
+/// A planner that has just begun watches this long before it orders: replicas that have just
+/// started, or whose entries were lost, are not listed at once.
+const SETTLE_TIME: Duration = Duration::from_millis(2_000);
 /// A zone whose order for reclaimable replicas was turned down is not asked again sooner.
 const TURNED_DOWN_FOR: Duration = Duration::from_secs(2);
 
@@ -73,18 +76,35 @@
 #[derive(Debug)]
 pub struct FleetPlanner {
     need: f64,
+    begun_at: Instant,
     updated_at: Instant,
+    /// Whether any demand has been seen.
+    in_use: bool,
     turned_down: BTreeMap<SharedName, Instant>,
 }
 
 impl FleetPlanner {
-    /// Planner that takes what it finds for what is needed, until it knows better.
-    pub fn new(found: u32, now: Instant) -> Self {
-        Self {
-            need: f64::from(found) * CRITICAL_PART,
-            updated_at: now,
-            turned_down: BTreeMap::new(),
+    /// Planner that knows nothing of the need yet.
+    pub fn new(now: Instant) -> Self {
+        let turned_down = BTreeMap::new();
+        Self { need: 0.0, begun_at: now, updated_at: now, in_use: false, turned_down }
+    }
+
+    /// Takes what is held for a sign of what is needed, while no demand has been seen.
+    pub fn find(&mut self, held: &BTreeMap<SharedName, ZoneHolding>) {
+        if self.in_use {
+            return;
         }
+        let on_demand: u32 = held.values().map(|holding| holding.on_demand).sum();
+        let reclaimable: u32 = held.values().map(|holding| holding.reclaimable).sum();
+        // NOTE: reclaimable ones were held with some to spare.
+        let found = if on_demand > 0 { on_demand } else { reclaimable };
+        self.need = self.need.max(f64::from(found) * CRITICAL_PART);
+    }
+
+    /// Whether the planner has seen enough to give orders.
+    pub fn is_settled(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.begun_at) >= SETTLE_TIME
     }
 
     /// Replicas needed now.
@@ -98,6 +118,7 @@
         self.updated_at = now;
         let wanted = demand.replicas();
         if wanted > 0.0 {
+            self.in_use = true;
             let sunk = self.need * (1.0 - NEED_DECAY).powf(elapsed);
             self.need = sunk.max(wanted);
         }
