--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -270,7 +270,7 @@
                 let again =
                     failed && admitted.route.kind == RouteKind::Idempotent && may_go_on(attempts);
                 if !again {
-                    return Ok(answer);
+                    return Ok(*answer);
                 }
                 answer.guard.finish(AttemptResult::Neutral);
             }
@@ -308,7 +308,7 @@
 /// How one attempt ended.
 pub enum AttemptEnd {
     /// A replica has answered, and the answer says that the request ran.
-    Answer(ReplicaAnswer),
+    Answer(Box<ReplicaAnswer>),
     /// Nothing was sent.
     NotSent,
     /// The replica has not run it and never will.
@@ -381,7 +381,7 @@
     trace.answered(response.status(), signs.meaning);
     match signs.meaning {
         AnswerMeaning::Ran => {
-            AttemptEnd::Answer(ReplicaAnswer { response, signs, connection, guard })
+            AttemptEnd::Answer(Box::new(ReplicaAnswer { response, signs, connection, guard }))
         }
         AnswerMeaning::NotRun => {
             context.replicas.borrow_mut().mark_full(guard.replica(), Instant::now());
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -201,19 +201,19 @@
             self.context.connections.distrust(upstream.guard.replica());
             upstream.guard.finish(AttemptResult::Failed);
         }
-        let resumable = self.cutter.is_some() && self.admitted.route.kind.may_repeat();
-        while resumable {
-            if !dispatch::may_try_again(&self.context, &self.admitted, &self.attempts) {
-                return false;
-            }
+        if self.cutter.is_none() || !self.admitted.route.kind.may_repeat() {
+            return false;
+        }
+        while dispatch::may_try_again(&self.context, &self.admitted, &self.attempts) {
             let (last, trace) = (self.last_event, &mut self.trace);
             let attempt =
                 dispatch::attempt(&self.context, &self.admitted, &mut self.attempts, last, trace);
-            let Ok(AttemptEnd::Answer(answer)) = attempt.await else { continue };
-            if !answer.response.status().is_success() {
-                continue;
-            }
-            let ReplicaAnswer { response, signs, connection, guard } = answer;
+            let answer = match attempt.await {
+                Err(_) => return false,
+                Ok(AttemptEnd::Answer(answer)) if answer.response.status().is_success() => answer,
+                Ok(_) => continue,
+            };
+            let ReplicaAnswer { response, signs, connection, guard } = *answer;
             let body = response.into_body();
             self.cutter = Some(EventCutter::default());
             self.upstream = Some(Upstream { body, signs, connection, guard });
--- a/tests/gateway/platform_standin.rs
+++ b/tests/gateway/platform_standin.rs
@@ -90,11 +90,6 @@
         self.state.1.notify_all();
     }
 
-    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
-        let state = self.state.0.lock().expect("lock");
-        state.objects.get(&(kind.into(), name.into())).map(|entry| entry.spec.clone())
-    }
-
     pub fn set_down(&self, down: bool) {
         self.state.0.lock().expect("lock").down = down;
         self.state.1.notify_all();
--- a/tests/gateway/serving.rs
+++ b/tests/gateway/serving.rs
@@ -451,6 +451,29 @@
     expect_that!(site.replicas[0].seen().len(), eq(before));
 }
 
+#[googletest::test]
+fn replica_that_is_gone_gets_no_more_requests() {
+    let site = Site::start(&[ReplicaManner::Answer, ReplicaManner::Answer]);
+    site.platform.remove("servers", "i-0");
+    std::thread::sleep(Duration::from_millis(800));
+    let before = site.replicas[0].seen().len();
+    for number in 0..10 {
+        expect_that!(site.ask("/plain/one", &format!("request-{number}")).status, eq(200));
+    }
+    expect_that!(site.replicas[0].seen().len(), eq(before));
+}
+
+#[googletest::test]
+fn address_that_another_replica_has_taken_is_left() {
+    let site = Site::start(&[ReplicaManner::Other, ReplicaManner::Answer]);
+    for number in 0..4 {
+        expect_that!(site.ask("/plain/one", &format!("request-{number}")).status, eq(200));
+    }
+    let alone = Site::start(&[ReplicaManner::Other]);
+    let answer = alone.ask("/once/book", "once-1");
+    expect_that!(answer.status, eq(503));
+}
+
 #[googletest::test]
 fn configuration_changes_are_in_force_and_survive_a_dropped_history() {
     let site = Site::start(&[ReplicaManner::Answer]);
