Lease goes on from its own lost writes; others ordered only when reclaimable ones are scarce

Change: after an unknown outcome the holder reads the lease, and goes on if it is its own; on-demand replicas are ordered only after the cloud has turned an order for reclaimable ones down, which is asked again as soon as some are lost.

--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -4,14 +4,14 @@
 
 use rand::RngExt;
 use serde::{Deserialize, Serialize};
-use tokio::time::{Instant, MissedTickBehavior, interval};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
 use super::{
     context::GatewayContext, fleet_orders::FleetOrders, lease, settings::DutyKind,
     usage::WindowCounts,
 };
 use crate::{
-    errors::StepError,
+    errors::{FailureCause, StepError},
     ids::SharedName,
     platform::{
         cloud::{CloudAnswer, CloudClient, DutyHolder},
@@ -34,7 +34,9 @@
 /// Windows that are still worth a report.
 const REPORTABLE_WINDOWS: u64 = 3;
 /// Pause after a call that failed.
-const RETRY_PAUSE: Duration = Duration::from_millis(300);
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+/// Longest wait for a write or a read of the lease.
+const WRITE_LIMIT: Duration = Duration::from_millis(650);
 
 /// A usage report; written down before it is sent, so that it is only ever repeated exactly.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,6 +78,8 @@
     context: Rc<GatewayContext>,
     cloud: CloudClient,
     seen: Option<SeenLease>,
+    /// Whether the outcome of the last write is not known.
+    unsure: bool,
     reported: bool,
     next_try: Instant,
     orders: FleetOrders,
@@ -89,6 +93,7 @@
     let mut service = DutyService {
         cloud: CloudClient::new(address),
         seen: None,
+        unsure: false,
         reported: false,
         next_try: Instant::now(),
         orders: FleetOrders::default(),
@@ -143,6 +148,11 @@
         let Some(seen) = self.see(object, now) else {
             return self.take(0, 1, None).await;
         };
+        if seen.record.incarnation == self.context.incarnation.0 {
+            // NOTE: a write of this daemon's own whose answer was lost.
+            let LeaseRecord { fence, report, .. } = seen.record;
+            return self.take(seen.revision, fence, report).await;
+        }
         let wait = self.lease() + lease::TAKE_MARGIN;
         let unchanged = now.saturating_duration_since(seen.since);
         if unchanged < wait {
@@ -201,15 +211,15 @@
     /// Writes the lease; on success this daemon holds it from when the call was made.
     async fn write(&mut self, revision: u64, record: LeaseRecord) -> Result<bool, StepError> {
         let asked = Instant::now();
-        let written = self.context.store.write(LEASE_KIND, LEASE_NAME, revision, &record).await;
-        let revision = match written {
-            Ok(WriteResult::Written(revision)) => revision,
-            Ok(WriteResult::Conflict) => {
-                self.lose("conflict");
-                return Ok(false);
-            }
-            Err(error) => return Err(error),
+        self.unsure = true;
+        let writing = self.context.store.write(LEASE_KIND, LEASE_NAME, revision, &record);
+        let revision = match timeout(WRITE_LIMIT, writing).await {
+            Ok(Ok(WriteResult::Written(revision))) => revision,
+            Ok(Ok(WriteResult::Conflict)) => return Ok(false),
+            Ok(Err(error)) => return Err(error),
+            Err(_) => return Err(self.late("write lease")),
         };
+        self.unsure = false;
         let mut lease = self.context.lease.borrow_mut();
         lease.fence = record.fence;
         lease.holder = Some(record.holder.clone());
@@ -219,6 +229,31 @@
         Ok(true)
     }
 
+    fn late(&self, step: &'static str) -> StepError {
+        let cause = FailureCause::TimedOut(WRITE_LIMIT.as_millis() as u64);
+        StepError::new(step, self.context.settings.store_address.to_string(), cause)
+    }
+
+    /// After a write whose outcome is not known: reads what the lease is now. Where the write
+    /// was done, this daemon goes on from it; it acts again only after a write that is answered.
+    async fn reconcile(&mut self) -> Result<(), StepError> {
+        let now = Instant::now();
+        let reading = self.context.store.read(LEASE_KIND, LEASE_NAME);
+        let Ok(object) = timeout(WRITE_LIMIT, reading).await else {
+            return Err(self.late("read lease"));
+        };
+        self.unsure = false;
+        let seen = self.see(object?, now);
+        let own = seen.is_some_and(|seen| {
+            seen.record.incarnation == self.context.incarnation.0
+                && seen.record.fence == self.context.lease.borrow().fence
+        });
+        if !own {
+            self.lose("another holds it");
+        }
+        Ok(())
+    }
+
     fn lose(&mut self, reason: &str) {
         let mut lease = self.context.lease.borrow_mut();
         if lease.own {
@@ -227,10 +262,14 @@
         }
         lease.own = false;
         self.seen = None;
+        self.unsure = false;
     }
 
     /// Renews the lease, reports, and orders.
     async fn hold(&mut self) -> Result<(), StepError> {
+        if self.unsure {
+            self.reconcile().await?;
+        }
         let now = Instant::now();
         let Some(seen) = self.seen.clone() else {
             self.lose("unknown");
--- a/src/gateway/fleet_orders.rs
+++ b/src/gateway/fleet_orders.rs
@@ -50,6 +50,7 @@
     services: HashMap<SharedName, ServiceFleet>,
     given: BTreeMap<OrderKey, GivenOrder>,
     fewer_since: BTreeMap<OrderKey, Instant>,
+    shown_before: BTreeMap<OrderKey, u32>,
 }
 
 impl FleetOrders {
@@ -135,6 +136,12 @@
         } else {
             self.fewer_since.remove(key);
         }
+        let before = self.shown_before.insert(key.clone(), shown).unwrap_or(shown);
+        if shown < before && shown < wanted {
+            // NOTE: some were taken back; asked again at once, the cloud says whether there are
+            // others to be had.
+            return true;
+        }
         match self.given.get(key) {
             None => wanted != shown,
             Some(order) if !order.answered => true,
--- a/src/gateway/fleet_plan.rs
+++ b/src/gateway/fleet_plan.rs
@@ -26,6 +26,8 @@
 /// A planner that has just begun watches this long before it orders: replicas that have just
 /// started, or whose entries were lost, are not listed at once.
 const SETTLE_TIME: Duration = Duration::from_millis(2_000);
+/// Reclaimable replicas count as scarce for this long after an order was turned down.
+const SCARCE_FOR: Duration = Duration::from_secs(6);
 /// A zone whose order for reclaimable replicas was turned down is not asked again sooner.
 const TURNED_DOWN_FOR: Duration = Duration::from_secs(2);
 
@@ -114,6 +116,8 @@
 
     /// Takes the demand of this moment. Without any demand yet the need does not sink.
     pub fn observe(&mut self, demand: &ServiceDemand, now: Instant) {
+        let lately = |at: &Instant| now.saturating_duration_since(*at) < SCARCE_FOR;
+        self.turned_down.retain(|_, at| lately(at));
         let elapsed = now.saturating_duration_since(self.updated_at).as_secs_f64();
         self.updated_at = now;
         let wanted = demand.replicas();
@@ -158,7 +162,12 @@
         for zone in held.keys() {
             targets.insert((zone.clone(), ReplicaClass::Reclaimable), wanted);
         }
+        let on_demand: u32 = held.values().map(|holding| holding.on_demand).sum();
         let mut missing = self.missing(held);
+        if self.turned_down.is_empty() && wanted < spec.most {
+            // NOTE: reclaimable ones can be had, and start as fast; others only stay until then.
+            missing = missing.min(on_demand);
+        }
         let mut by_price: Vec<&SharedName> = held.keys().collect();
         by_price.sort_by(|one, other| price_of(spec, one).total_cmp(&price_of(spec, other)));
         // NOTE: what is held stays until enough reclaimable ones serve in its place.
