Logs by a thread and bounded; lease given up on the way out; dear replicas given up sooner

Causes: a reader of standard output that stops could hold a daemon up; after a planned stop of the holder the duties rested for seven seconds; 18 on-demand replicas were kept 6 s longer than needed. Change: a writing thread with a bounded queue, 400 request lines a second at most (the rest counted and told); the lease is written as released on SIGTERM; the planner settles in 1.5 s and gives on-demand replicas up after 0.5 s.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -27,6 +27,7 @@
     counting::OpenCount,
     ids::{IncarnationId, SharedName},
     kernel::{KernelHandle, LifePhase},
+    logs::LineBudget,
     platform,
     serve::metrics::MetricsHandle,
 };
@@ -93,6 +94,8 @@
     pub started_at: Instant,
     /// Daemons that there were when the lease was last renewed.
     pub fleet_size: Cell<usize>,
+    /// Lines about requests that may be written.
+    pub request_lines: RefCell<LineBudget>,
     /// Whether requests and connections are taken.
     pub intake: Cell<Intake>,
     /// Clients' connections that are open.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -30,6 +30,7 @@
     http::server,
     ids::IncarnationId,
     kernel::{KernelExit, KernelHandle, LifePhase, ServiceKernel},
+    logs::{self, LineBudget},
     platform::store::StoreClient,
     serve::metrics::MetricsHandle,
     wall_clock_ms,
@@ -44,6 +45,8 @@
 const REFUSE_AFTER: Duration = Duration::from_millis(2_800);
 /// New connections are accepted for this long after the signal.
 const ACCEPT_FOR: Duration = Duration::from_millis(3_500);
+/// Lines about requests written in a second at most.
+const REQUEST_LINES: u32 = 400;
 /// Part of the grace time that is left as a margin.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -70,6 +73,7 @@
     kernel.start(LEAVER, leave_when_told(context.clone()));
     let exit = kernel.run().await;
     spdlog::info!("stopped", kv: { outcome: = exit });
+    logs::flush();
     Ok(exit)
 }
 
@@ -100,6 +104,7 @@
         sequence: Cell::new(0),
         started_at: now,
         fleet_size: Cell::new(EXPECTED_DAEMONS),
+        request_lines: RefCell::new(LineBudget::new(REQUEST_LINES, now)),
         intake: Cell::new(Intake::Open),
         client_connections: crate::counting::OpenCount::default(),
         settings,
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -58,6 +58,9 @@
     pub fence: u64,
     /// Renewals by this holder; a renewal always changes the object.
     pub renewals: u64,
+    /// Whether the holder has given it up: another may take it at once.
+    #[serde(default)]
+    pub released: bool,
     /// Daemons that the holder knew of.
     #[serde(default)]
     pub daemons: usize,
@@ -153,7 +156,10 @@
             let LeaseRecord { fence, report, .. } = seen.record;
             return self.take(seen.revision, fence, report).await;
         }
-        let wait = self.lease() + lease::TAKE_MARGIN;
+        let wait = match seen.record.released {
+            true => Duration::ZERO,
+            false => self.lease() + lease::TAKE_MARGIN,
+        };
         let unchanged = now.saturating_duration_since(seen.since);
         if unchanged < wait {
             let spread = rand::rng().random_range(0..300);
@@ -196,6 +202,7 @@
             incarnation: self.context.incarnation.0,
             fence,
             renewals: 0,
+            released: false,
             daemons: self.daemons(),
             report,
         };
@@ -282,6 +289,9 @@
             self.lose("not renewed in time");
             return Ok(());
         }
+        if self.context.is_leaving() {
+            return self.release(seen).await;
+        }
         let due = self.due_report(&seen.record);
         if due.is_some() || age > self.lease().mul_f64(RENEW_PART) {
             let report = due.clone().or(seen.record.report.clone());
@@ -303,6 +313,19 @@
         self.context.peers.borrow().sharing(Instant::now()).known
     }
 
+    /// Gives the lease up on the way out. From here on this daemon acts no more, whatever
+    /// becomes of the write.
+    async fn release(&mut self, seen: SeenLease) -> Result<(), StepError> {
+        self.lose("leaving");
+        let record = LeaseRecord { released: true, ..seen.record };
+        let store = &self.context.store;
+        let writing = store.write(LEASE_KIND, LEASE_NAME, seen.revision, &record);
+        match timeout(WRITE_LIMIT, writing).await {
+            Ok(written) => written.map(drop),
+            Err(_) => Err(self.late("release lease")),
+        }
+    }
+
     fn holder(&self) -> DutyHolder {
         let fence = self.context.lease.borrow().fence;
         DutyHolder { name: self.context.settings.name.clone(), fence }
--- a/src/gateway/fleet_orders.rs
+++ b/src/gateway/fleet_orders.rs
@@ -23,7 +23,7 @@
 /// An order for fewer reclaimable replicas waits until it has been wanted for this long.
 const FEWER_RECLAIMABLE_AFTER: Duration = Duration::from_secs(4);
 /// An order for fewer others, which are dear, waits until it has been wanted for this long.
-const FEWER_ON_DEMAND_AFTER: Duration = Duration::from_millis(1_200);
+const FEWER_ON_DEMAND_AFTER: Duration = Duration::from_millis(500);
 /// Weight of the newest look in the smoothed demand.
 const SMOOTHING: f64 = 0.3;
 
--- a/src/gateway/fleet_plan.rs
+++ b/src/gateway/fleet_plan.rs
@@ -25,7 +25,7 @@
 const CRITICAL_PART: f64 = 0.6;
 /// A planner that has just begun watches this long before it orders: replicas that have just
 /// started, or whose entries were lost, are not listed at once.
-const SETTLE_TIME: Duration = Duration::from_millis(2_000);
+const SETTLE_TIME: Duration = Duration::from_millis(1_500);
 /// Reclaimable replicas count as scarce for this long after an order was turned down.
 const SCARCE_FOR: Duration = Duration::from_secs(6);
 /// A zone whose order for reclaimable replicas was turned down is not asked again sooner.
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -95,6 +95,16 @@
 
     fn end(&mut self, outcome: &str, events: u64) {
         self.ended = true;
+        let mut lines = self.context.request_lines.borrow_mut();
+        if !lines.allows(Instant::now()) {
+            self.context.metrics.count("request_lines_dropped", 1);
+            return;
+        }
+        let dropped = lines.take_dropped();
+        if dropped > 0 {
+            spdlog::warn!("request lines dropped", kv: { dropped });
+        }
+        drop(lines);
         let configuration = self.context.configuration.borrow();
         let version = configuration.current.as_ref().map_or(0, |current| current.version);
         let proof = configuration.proof.map_or(-1, |at| at.elapsed().as_millis() as i64);
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,18 +1,78 @@
 //! Structured logs: one JSON object a line.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use spdlog::{
-    Level, LevelFilter, Logger,
+    Level, LevelFilter, Logger, ThreadPool,
     formatter::JsonFormatter,
-    sink::{StdStream, StdStreamSink},
+    sink::{AsyncPoolSink, OverflowPolicy, StdStream, StdStreamSink},
 };
+use tokio::time::Instant;
 
 use crate::options::settings::LogLevel;
 
-/// Sends the process's logs to standard output as JSON lines.
+/// Lines that wait to be written; more are dropped.
+const WAITING_LINES: usize = 4_096;
+
+/// Sends the process's logs to standard output as JSON lines. A thread of its own writes
+/// them, so that a reader who stops reading holds nothing up; lines beyond those that may
+/// wait are dropped.
 pub fn set_up_stdout() -> Result<(), spdlog::Error> {
-    set_up_stream(StdStream::Stdout, LevelFilter::MoreSevereEqual(Level::Info))
+    let stream = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .formatter(JsonFormatter::new())
+        .build_arc()?;
+    let capacity = WAITING_LINES.try_into().expect("a constant above 0");
+    let pool = ThreadPool::builder().capacity(capacity).build_arc()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(stream)
+        .thread_pool(pool)
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .build_arc()?;
+    let filter = LevelFilter::MoreSevereEqual(Level::Info);
+    let logger = Logger::builder().sink(sink).level_filter(filter).build()?;
+    spdlog::set_default_logger(Arc::new(logger));
+    Ok(())
+}
+
+/// Writes out what still waits, before the process ends.
+pub fn flush() {
+    spdlog::default_logger().flush();
+}
+
+/// Number of lines of a kind that may be written in a second; the rest is counted.
+#[derive(Debug)]
+pub struct LineBudget {
+    a_second: u32,
+    second_began: Instant,
+    written: u32,
+    dropped: u64,
+}
+
+impl LineBudget {
+    /// Budget of so many lines a second.
+    pub fn new(a_second: u32, now: Instant) -> Self {
+        Self { a_second, second_began: now, written: 0, dropped: 0 }
+    }
+
+    /// Whether a line may be written now.
+    pub fn allows(&mut self, now: Instant) -> bool {
+        if now.saturating_duration_since(self.second_began) >= Duration::from_secs(1) {
+            self.second_began = now;
+            self.written = 0;
+        }
+        let allowed = self.written < self.a_second;
+        match allowed {
+            true => self.written += 1,
+            false => self.dropped += 1,
+        }
+        allowed
+    }
+
+    /// Lines dropped since this was last asked.
+    pub fn take_dropped(&mut self) -> u64 {
+        std::mem::take(&mut self.dropped)
+    }
 }
 
 /// Sends the process's logs to standard error as JSON lines.
@@ -22,12 +82,10 @@
         LogLevel::Info => LevelFilter::MoreSevereEqual(Level::Info),
         LogLevel::Warn => LevelFilter::MoreSevereEqual(Level::Warn),
     };
-    set_up_stream(StdStream::Stderr, filter)
-}
-
-fn set_up_stream(stream: StdStream, filter: LevelFilter) -> Result<(), spdlog::Error> {
-    let sink =
-        StdStreamSink::builder().std_stream(stream).formatter(JsonFormatter::new()).build_arc()?;
+    let sink = StdStreamSink::builder()
+        .std_stream(StdStream::Stderr)
+        .formatter(JsonFormatter::new())
+        .build_arc()?;
     let logger = Logger::builder().sink(sink).level_filter(filter).build()?;
     spdlog::set_default_logger(Arc::new(logger));
     Ok(())
