willowctl gateway: state of daemons, trace of a request, checks of files

Cause: operators could not see what a daemon believes, nor check a configuration before it is written.

--- a/src/bin/willowctl.rs
+++ b/src/bin/willowctl.rs
@@ -7,7 +7,7 @@
     control::{
         calls::ControlClient,
         declaration::{self, ApplyScope, RowChange},
-        spreadsheet,
+        gateway, spreadsheet,
         table::{EditError, TableClient, plain_row},
         views,
     },
@@ -37,6 +37,9 @@
         ///   willowctl --api 127.0.0.1:9000 table set account.reader weight=2
         ///   willowctl --api 127.0.0.1:9000 apply table.json
         ///   willowctl timeline 127.0.0.1:8201 127.0.0.1:8202 --subject reader/k1
+        ///   willowctl gateway state 10.1.0.14:7600 10.2.0.4:7600
+        ///   willowctl gateway trace 9c41d07be2a35f68 edge-1.log edge-2.log
+        ///   willowctl gateway check-configuration main.json
         cmd willowctl {
             /// Address of the object API, for table commands.
             optional --api address: SocketAddr
@@ -98,6 +101,31 @@
                 /// Only events of this request, VM or row.
                 optional --subject subject: String
             }
+            /// Look at gateway daemons and check their files.
+            cmd gateway {
+                /// Show what daemons believe, with versions and ages.
+                cmd state {
+                    /// Metrics addresses of daemons.
+                    repeated daemon: SocketAddr
+                }
+                /// Show the lines of logs about one request, in order.
+                cmd trace {
+                    /// Id of the request.
+                    required id: String
+                    /// Log files of daemons.
+                    repeated file: PathBuf
+                }
+                /// Check a gateway daemon's settings file.
+                cmd check-daemon {
+                    /// File.
+                    required file: PathBuf
+                }
+                /// Check a configuration before it is written to the store.
+                cmd check-configuration {
+                    /// File: the object's spec, in JSON.
+                    required file: PathBuf
+                }
+            }
             /// Check a settings file and report every error.
             cmd check-settings {
                 /// File.
@@ -186,9 +214,52 @@
             show_timeline(&timeline.daemon, &subject, json)
         }
         flags::WillowctlCmd::CheckSettings(check) => check_settings(&check.file, json),
+        flags::WillowctlCmd::Gateway(command) => run_gateway(command.subcommand, json),
     }
 }
 
+fn run_gateway(command: flags::GatewayCmd, json: bool) -> CommandResult {
+    let invalid = |error: gateway::FileProblem| CommandFailure::new(EXIT_INVALID, error);
+    match command {
+        flags::GatewayCmd::State(state) => show_gateways(&state.daemon, json),
+        flags::GatewayCmd::Trace(trace) => show_trace(&trace.id, &trace.file, json),
+        flags::GatewayCmd::CheckDaemon(check) => {
+            gateway::check_settings(&read_file(&check.file)?).map_err(invalid)?;
+            report(json, &json!({ "errors": [] }), "settings are allowed")
+        }
+        flags::GatewayCmd::CheckConfiguration(check) => {
+            let problems =
+                gateway::check_configuration(&read_file(&check.file)?).map_err(invalid)?;
+            if !problems.is_empty() {
+                return Err(CommandFailure::new(EXIT_INVALID, problems.join("\n")));
+            }
+            report(json, &json!({ "errors": [] }), "the configuration is sound")
+        }
+    }
+}
+
+fn show_gateways(daemons: &[SocketAddr], json: bool) -> CommandResult {
+    let client = ControlClient::default();
+    for daemon in daemons {
+        let state = gateway::read_state(&client, *daemon)?;
+        report(json, &json!(state), &gateway::render_state(&state))?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+fn show_trace(id: &str, files: &[std::path::PathBuf], json: bool) -> CommandResult {
+    let logs: Result<Vec<String>, _> = files.iter().map(|file| read_file(file)).collect();
+    let lines = gateway::trace_request(id, &logs?);
+    if lines.is_empty() {
+        let message = format!("{id}: in none of these logs");
+        return Err(CommandFailure::new(EXIT_INVALID, message));
+    }
+    for line in &lines {
+        report(json, line, &gateway::render_line(line))?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 fn report(json: bool, value: &Value, text: &str) -> CommandResult {
     if json {
         println!("{value}");
--- a/src/control.rs
+++ b/src/control.rs
@@ -2,6 +2,7 @@
 
 pub mod calls;
 pub mod declaration;
+pub mod gateway;
 pub mod spreadsheet;
 pub mod table;
 pub mod views;
--- /dev/null
+++ b/src/control/gateway.rs
@@ -0,0 +1,83 @@
+//! What `willowctl gateway` does: state of daemons, checks of files, traces from logs.
+
+use std::net::SocketAddr;
+
+use derive_more::{Display, Error};
+use serde_json::Value;
+
+use super::calls::ControlClient;
+use crate::{
+    errors::StepError,
+    gateway::{configuration_check, state::GatewayState},
+    platform,
+};
+
+/// A file that cannot be used.
+#[derive(Clone, Debug, Display, Error)]
+#[display("{_0}")]
+pub struct FileProblem(#[error(not(source))] String);
+
+/// Reads the state of a daemon from its metrics address.
+pub fn read_state(client: &ControlClient, daemon: SocketAddr) -> Result<GatewayState, StepError> {
+    client.get("read state", daemon, "/state")
+}
+
+/// One line about a daemon's state.
+pub fn render_state(state: &GatewayState) -> String {
+    let age = |age: Option<u64>| age.map_or("never".to_owned(), |age| format!("{age} ms"));
+    let ready = if state.ready { "ready" } else { "not ready" };
+    let replicas: Vec<String> =
+        state.replicas_ready.iter().map(|(service, count)| format!("{service} {count}")).collect();
+    format!(
+        "{} ({}) {ready}, {} active; configuration {} (revision {}, proven {} ago); \
+         replicas at revision {}: {}, {} draining; daemons {} of {}; lease {} fence {} ({} ago)",
+        state.name,
+        state.zone,
+        state.active,
+        state.configuration_version,
+        state.configuration_revision,
+        age(state.proof_age_ms),
+        state.replica_revision,
+        replicas.join(", "),
+        state.replicas_draining,
+        state.daemons_heard,
+        state.daemons_known,
+        state.lease_holder.as_deref().unwrap_or("(none known)"),
+        state.lease_fence,
+        age(state.lease_age_ms),
+    )
+}
+
+/// Checks the text of a settings file.
+pub fn check_settings(text: &str) -> Result<(), FileProblem> {
+    platform::settings::parse(text).map(drop).map_err(|error| FileProblem(error.to_string()))
+}
+
+/// Checks the text of a configuration; returns what operators hardly mean.
+pub fn check_configuration(text: &str) -> Result<Vec<String>, FileProblem> {
+    let decoded = platform::configuration::decode(text.as_bytes());
+    let configuration = decoded.map_err(|error| FileProblem(error.to_string()))?;
+    let problems = configuration_check::problems(&configuration);
+    Ok(problems.iter().map(ToString::to_string).collect())
+}
+
+/// Lines of logs about one request, in the order of their times.
+pub fn trace_request(id: &str, logs: &[String]) -> Vec<Value> {
+    let lines = logs.iter().flat_map(|text| text.lines());
+    let mut found: Vec<Value> = lines
+        .filter(|line| line.contains(id))
+        // NOTE: whatever stands before the object (a host, a time) is the collector's.
+        .filter_map(|line| serde_json::from_str(&line[line.find('{')?..]).ok())
+        .filter(|line: &Value| line["kv"]["id"] == id)
+        .collect();
+    found.sort_by_key(|line| line["timestamp"].as_u64());
+    found
+}
+
+/// One line of a trace, for reading.
+pub fn render_line(line: &Value) -> String {
+    let fields = line["kv"].as_object().into_iter().flatten();
+    let shown: Vec<String> = fields.map(|(key, value)| format!("{key}={value}")).collect();
+    let payload = line["payload"].as_str().unwrap_or("(no text)");
+    format!("{} {payload} {}", line["timestamp"], shown.join(" "))
+}
--- /dev/null
+++ b/src/gateway/configuration_check.rs
@@ -0,0 +1,80 @@
+//! Checks of a configuration before it is written: what the store takes, but operators
+//! hardly mean.
+
+use derive_more::Display;
+
+use super::configuration::{Configuration, Route, RouteKind};
+use crate::ids::SharedName;
+
+/// Something that operators hardly mean.
+#[derive(Clone, Debug, Display, PartialEq, Eq)]
+pub enum ConfigurationProblem {
+    /// A route names a service that does not exist.
+    #[display("route {route}: service {service} does not exist")]
+    UnknownService {
+        /// Route.
+        route: SharedName,
+        /// Service.
+        service: SharedName,
+    },
+    /// A route has no service that gets any of its requests.
+    #[display("route {_0}: no service has a weight above 0")]
+    NoService(SharedName),
+    /// A prefix does not begin and end with a slash.
+    #[display("route {_0}: path-prefix must begin and end with a slash")]
+    OpenPrefix(SharedName),
+    /// Two routes have the same host and prefix.
+    #[display("routes {_0} and {_1}: same host and path-prefix")]
+    SamePrefix(SharedName, SharedName),
+    /// A request that may run once only is given several attempts.
+    #[display("route {_0}: attempts above 1 have no effect on non_idempotent routes")]
+    UselessAttempts(SharedName),
+    /// A fleet can never hold a replica.
+    #[display("service {_0}: autoscale.max is 0")]
+    EmptyFleet(SharedName),
+}
+
+/// All problems of a configuration.
+pub fn problems(configuration: &Configuration) -> Vec<ConfigurationProblem> {
+    let mut found = Vec::new();
+    let mut routes: Vec<&Route> = configuration.routes().map(|route| &**route).collect();
+    routes.sort_by(|one, other| (&one.host, &one.prefix).cmp(&(&other.host, &other.prefix)));
+    for route in &routes {
+        check_route(configuration, route, &mut found);
+    }
+    for pair in routes.windows(2) {
+        if (&pair[0].host, &pair[0].prefix) == (&pair[1].host, &pair[1].prefix) {
+            let (one, other) = (pair[0].name.clone(), pair[1].name.clone());
+            found.push(ConfigurationProblem::SamePrefix(one, other));
+        }
+    }
+    for service in configuration.services.values() {
+        if service.fleet.as_ref().is_some_and(|fleet| fleet.most == 0) {
+            found.push(ConfigurationProblem::EmptyFleet(service.name.clone()));
+        }
+    }
+    found
+}
+
+fn check_route(
+    configuration: &Configuration,
+    route: &Route,
+    found: &mut Vec<ConfigurationProblem>,
+) {
+    let name = &route.name;
+    for (service, _) in &route.split {
+        if !configuration.services.contains_key(service) {
+            let (route, service) = (name.clone(), service.clone());
+            found.push(ConfigurationProblem::UnknownService { route, service });
+        }
+    }
+    if route.split.iter().all(|(_, weight)| *weight == 0) {
+        found.push(ConfigurationProblem::NoService(name.clone()));
+    }
+    if !(route.prefix.starts_with('/') && route.prefix.ends_with('/')) {
+        found.push(ConfigurationProblem::OpenPrefix(name.clone()));
+    }
+    if route.kind == RouteKind::Once && route.attempts > 1 {
+        found.push(ConfigurationProblem::UselessAttempts(name.clone()));
+    }
+}
--- a/src/gateway/readiness.rs
+++ b/src/gateway/readiness.rs
@@ -5,7 +5,7 @@
 use hyper::{Request, Response, StatusCode, body::Incoming};
 use tokio::{net::TcpListener, time::Instant};
 
-use super::context::GatewayContext;
+use super::{context::GatewayContext, state::GatewayState};
 use crate::{
     http::{AnswerBody, server, whole_body},
     platform::ingress,
@@ -16,6 +16,9 @@
 /// Name of the metrics service.
 pub const METRICS_SERVICE: &str = "metrics";
 
+/// Path of the daemon's beliefs on the metrics address.
+const STATE_PATH: &str = "/state";
+
 fn answer(status: StatusCode, text: String) -> Response<AnswerBody> {
     let mut response = Response::new(whole_body(text));
     *response.status_mut() = status;
@@ -37,11 +40,15 @@
     server::serve(listener, phase, handler).await;
 }
 
-/// Shows the metrics until the daemon stops.
+/// Shows the metrics and, at `/state`, what the daemon believes, until it stops.
 pub async fn show_metrics(listener: TcpListener, context: Rc<GatewayContext>) {
     let phase = context.kernel.phase();
-    let handler = move |_: Request<Incoming>| {
-        let text = context.metrics.render();
+    let handler = move |request: Request<Incoming>| {
+        let text = match request.uri().path() {
+            // NOTE: numbers, names and options always encode.
+            STATE_PATH => serde_json::to_string(&GatewayState::of(&context)).unwrap_or_default(),
+            _ => context.metrics.render(),
+        };
         async move { answer(StatusCode::OK, text) }
     };
     server::serve(listener, phase, handler).await;
--- /dev/null
+++ b/src/gateway/state.rs
@@ -0,0 +1,86 @@
+//! What a daemon believes, as operators see it: everything with its version or age.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use tokio::time::Instant;
+
+use super::{context::GatewayContext, replica::ReplicaState};
+use crate::ids::SharedName;
+
+/// Beliefs of one daemon. Ages are in milliseconds.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct GatewayState {
+    /// Name of the daemon's VM.
+    pub name: SharedName,
+    /// Availability zone.
+    pub zone: SharedName,
+    /// This start of it.
+    pub incarnation: SharedName,
+    /// Whether it takes new connections.
+    pub ready: bool,
+    /// Requests in progress.
+    pub active: usize,
+    /// Version of the configuration in force; 0 if there is none.
+    pub configuration_version: u64,
+    /// Its revision in the store.
+    pub configuration_revision: u64,
+    /// Age of the newest proof that it is the newest; none if there never was one.
+    pub proof_age_ms: Option<u64>,
+    /// Revision of the list of replicas.
+    pub replica_revision: u64,
+    /// Replicas that take requests, by service.
+    pub replicas_ready: BTreeMap<SharedName, usize>,
+    /// Replicas that are leaving.
+    pub replicas_draining: usize,
+    /// Daemons that were heard just now, this one included.
+    pub daemons_heard: usize,
+    /// Daemons that are taken to run.
+    pub daemons_known: usize,
+    /// Holder of the duties' lease, as far as known.
+    pub lease_holder: Option<SharedName>,
+    /// Its fence.
+    pub lease_fence: u64,
+    /// Age of the newest renewal heard of.
+    pub lease_age_ms: Option<u64>,
+}
+
+impl GatewayState {
+    /// What the daemon believes now.
+    pub fn of(context: &GatewayContext) -> Self {
+        let now = Instant::now();
+        let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        let configuration = context.configuration.borrow();
+        let lease = context.lease.borrow();
+        let list = context.replica_list.borrow();
+        let sharing = context.sharing(now);
+        let mut replicas_ready: BTreeMap<SharedName, usize> = BTreeMap::new();
+        let mut replicas_draining = 0;
+        for record in &list.replicas {
+            match record.state {
+                ReplicaState::Ready => {
+                    *replicas_ready.entry(record.service.clone()).or_default() += 1;
+                }
+                ReplicaState::Draining => replicas_draining += 1,
+            }
+        }
+        Self {
+            name: context.settings.name.clone(),
+            zone: context.settings.zone.clone(),
+            incarnation: context.incarnation.to_string().into(),
+            ready: context.is_ready(now),
+            active: context.active.get(),
+            configuration_version: configuration.current.as_ref().map_or(0, |one| one.version),
+            configuration_revision: configuration.revision,
+            proof_age_ms: configuration.proof.map(age_ms),
+            replica_revision: list.revision,
+            replicas_ready,
+            replicas_draining,
+            daemons_heard: sharing.heard,
+            daemons_known: sharing.known,
+            lease_holder: lease.holder.clone(),
+            lease_fence: lease.fence,
+            lease_age_ms: lease.renewed_at.map(age_ms),
+        }
+    }
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod decoders;
 mod duties;
 mod exchange;
+mod operations;
 mod platform_standin;
 mod pure_parts;
 mod replica_standin;
--- a/tests/gateway/serving.rs
+++ b/tests/gateway/serving.rs
@@ -3,7 +3,7 @@
 use std::{
     io::{Read, Write},
     net::{IpAddr, SocketAddr, TcpStream},
-    process::{Child, Command, Stdio},
+    process::{Child, Command},
     sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
 };
@@ -42,6 +42,9 @@
     pub clients: SocketAddr,
     pub readiness: SocketAddr,
     pub peers: SocketAddr,
+    pub metrics: SocketAddr,
+    /// What it has written to standard output.
+    pub log: std::path::PathBuf,
     settings: std::path::PathBuf,
 }
 
@@ -76,13 +79,15 @@
         let file = format!("gateway-{name}-{ip}.json");
         let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
         std::fs::write(&path, settings.to_string()).expect("settings");
+        let log = path.with_extension("log");
         let process = Command::new(env!("CARGO_BIN_EXE_willowarchd"))
             .args(["--gateway", "--settings"])
             .arg(&path)
-            .stdout(Stdio::null())
+            .stdout(std::fs::File::create(&log).expect("log"))
             .spawn()
             .expect("daemon");
-        Self { process, clients, readiness, peers, settings: path }
+        let metrics = at_port(8004);
+        Self { process, clients, readiness, peers, metrics, log, settings: path }
     }
 
     pub fn is_ready(&self) -> bool {
@@ -110,6 +115,7 @@
         let _ = self.process.kill();
         let _ = self.process.wait();
         let _ = std::fs::remove_file(&self.settings);
+        let _ = std::fs::remove_file(&self.log);
     }
 }
 
