--- a/src/gateway/dispatch.rs
+++ b/src/gateway/dispatch.rs
@@ -15,7 +15,7 @@
     connections::{ReplicaConnection, SendFailure},
     context::{GatewayContext, Intake},
     quota::QuotaVerdict,
-    refusal::Refusal,
+    refusal::{Refusal, SpentQuota},
     relay,
     request_log::RequestTrace,
     run_guard::RunGuard,
@@ -223,7 +223,14 @@
     let mut quotas = context.quotas.borrow_mut();
     match quotas.admit(&account.name, &account.quota, units, sharing, now) {
         QuotaVerdict::Admitted => Ok(()),
-        QuotaVerdict::Refused { come_back, .. } => Err(Refusal::QuotaSpent(come_back)),
+        QuotaVerdict::Refused { come_back, level } => Err(Refusal::QuotaSpent(SpentQuota {
+            account: account.name.clone(),
+            units,
+            level,
+            heard: sharing.heard,
+            known: sharing.known,
+            come_back,
+        })),
     }
 }
 
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     http::{LocalBody, whole_body},
+    ids::SharedName,
     platform::ingress,
 };
 
@@ -39,7 +40,7 @@
     UnknownKey,
     /// The account's quota is spent.
     #[display("quota spent")]
-    QuotaSpent(Duration),
+    QuotaSpent(SpentQuota),
     /// All replicas are full; it has not run.
     #[display("all replicas full")]
     Full(Duration),
@@ -54,6 +55,24 @@
     OutOfTime,
 }
 
+/// What decided that a quota is spent.
+#[derive(Clone, Debug, Display, PartialEq)]
+#[display("{account} asked for {units}, {level:.0} left, {heard} of {known} daemons heard")]
+pub struct SpentQuota {
+    /// Account.
+    pub account: SharedName,
+    /// Units that the request takes.
+    pub units: u64,
+    /// Units that were left.
+    pub level: f64,
+    /// Daemons that were heard just now.
+    pub heard: usize,
+    /// Daemons that are known.
+    pub known: usize,
+    /// When there will be room.
+    pub come_back: Duration,
+}
+
 /// Time after which a daemon that is starting may be asked again.
 const STARTING: Duration = Duration::from_millis(500);
 
@@ -82,13 +101,22 @@
     /// When the client may come back, where the request has not run.
     pub fn come_back(&self) -> Option<Duration> {
         match self {
-            Self::QuotaSpent(wait) | Self::Full(wait) | Self::NoReplica(wait) => Some(*wait),
+            Self::QuotaSpent(spent) => Some(spent.come_back),
+            Self::Full(wait) | Self::NoReplica(wait) => Some(*wait),
             Self::NoConfiguration | Self::NotFresh => Some(STARTING),
             Self::Leaving => Some(ELSEWHERE),
             _ => None,
         }
     }
 
+    /// What decided it, for logs.
+    pub fn inputs(&self) -> String {
+        match self {
+            Self::QuotaSpent(spent) => spent.to_string(),
+            _ => String::new(),
+        }
+    }
+
     /// The answer to the request `id`.
     pub fn answer(&self, id: Option<&str>) -> Response<LocalBody> {
         let head = ingress::own_answer(id, self.status(), self.come_back());
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -77,6 +77,7 @@
     pub fn refused(&mut self, refusal: &Refusal) {
         let status = refusal.status().as_str().to_owned();
         self.context.metrics.count_labelled("refused", "status", &status);
+        self.steps.push_str(&refusal.inputs());
         self.end(&refusal.to_string(), 0);
     }
 
