Three daemons of a row watch the store for the others; changes of replicas are gathered

Change: in fleets of several rows three of each row watch, the others hear from them and watch again where that gets old; after a change of replicas the next call waits 150 ms.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -36,6 +36,8 @@
 const MEETING_TIME: Duration = Duration::from_millis(2_500);
 /// Daemons that a daemon expects to meet before it has read how many there were.
 pub const EXPECTED_DAEMONS: usize = 10;
+/// A proof that is passed on is younger than this, as long as those who watch reach the store.
+const FED_WITHIN: Duration = Duration::from_millis(3_200);
 /// Part of the allowed age of a proof that is left as a margin.
 const FRESHNESS_MARGIN: Duration = Duration::from_millis(300);
 
@@ -154,6 +156,14 @@
         proof.is_some_and(|proof| now.saturating_duration_since(proof) < longest)
     }
 
+    /// Whether this daemon asks the store itself: it is one of those that do so for its row, or
+    /// what it hears from them is old.
+    pub fn watches_store(&self, now: Instant) -> bool {
+        let proof = self.configuration.borrow().proof;
+        let is_fed = proof.is_some_and(|at| now.saturating_duration_since(at) < FED_WITHIN);
+        !is_fed || self.peers.borrow().is_watcher(now)
+    }
+
     /// Takes a list of replicas, if it is newer than the one held.
     pub fn take_replicas(&self, list: ReplicaList) -> bool {
         if list.revision <= self.replica_list.borrow().revision {
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,6 +18,8 @@
 const HEARD_ROUNDS: u32 = 3;
 /// A daemon that nobody has heard for this long is taken to be gone.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
+/// Daemons of a row that watch the store for the others.
+const ROW_WATCHERS: usize = 3;
 /// Time between tries of an address that does not answer.
 const RETRY_EVERY: Duration = Duration::from_millis(500);
 /// Time between exchanges with somebody who is no neighbour: so parts of a fleet that have
@@ -212,6 +214,21 @@
         some.into_iter().map(word).collect()
     }
 
+    /// Whether this daemon is one of those of its row that watch the store for the others.
+    /// In a fleet of one row all do.
+    pub fn is_watcher(&self, now: Instant) -> bool {
+        if self.neighbours.rows <= 1 {
+            return true;
+        }
+        let limit = self.heard_within();
+        let met = |address: &&SocketAddr| {
+            let met_at = self.peers.get(*address).and_then(|peer| peer.met_at);
+            met_at.is_some_and(|at| now.saturating_duration_since(at) < limit)
+        };
+        let before = |address: &&SocketAddr| **address < self.own;
+        self.neighbours.row.iter().filter(met).filter(before).count() < ROW_WATCHERS
+    }
+
     /// How many daemons share quotas and budgets. A row counts as heard when its delegate is.
     pub fn sharing(&self, now: Instant) -> QuotaSharing {
         let limit = self.heard_within();
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -25,6 +25,10 @@
 pub const REPLICA_SERVICE: &str = "replica-watch";
 /// How long a watch waits for a change.
 const WATCH_WAIT: Duration = Duration::from_millis(1_800);
+/// Time between looks whether others still tell what the store holds.
+const FED_LOOK: Duration = Duration::from_millis(200);
+/// Time for further changes of replicas to gather before the next call.
+const GATHER_TIME: Duration = Duration::from_millis(150);
 /// First pause after a failed call; each further one is twice as long.
 const PAUSE_FIRST: Duration = Duration::from_millis(50);
 /// Longest pause after failed calls.
@@ -59,11 +63,19 @@
     }
 }
 
+/// Waits until this daemon has to ask the store itself.
+async fn wait_for_turn(context: &GatewayContext) {
+    while !context.watches_store(Instant::now()) {
+        sleep(FED_LOOK).await;
+    }
+}
+
 /// Keeps the configuration up to date until the daemon stops.
 pub async fn keep_configuration(context: Rc<GatewayContext>) {
     let mut pauses = StorePauses::default();
     let mut cursor = None;
     loop {
+        wait_for_turn(&context).await;
         match configuration_step(&context, cursor).await {
             Ok(next) => {
                 pauses.succeeded(&context);
@@ -126,6 +138,7 @@
     let mut pauses = StorePauses::default();
     let mut known = None;
     loop {
+        wait_for_turn(&context).await;
         match replica_step(&context, known.take()).await {
             Ok(next) => {
                 pauses.succeeded(&context);
@@ -195,6 +208,8 @@
             known.apply(&changes, revision);
             if !changes.is_empty() {
                 known.publish(context);
+                // NOTE: replicas often change together; one call then brings several changes.
+                sleep(GATHER_TIME).await;
             }
             Ok(Some(known))
         }
