--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -3,6 +3,8 @@
 //!
 //! docs/design/platform.md tells how its parts work together.
 
+pub mod admission;
+pub mod attempt;
 pub mod call;
 pub mod choice;
 pub mod client_edge;
--- /dev/null
+++ b/src/gateway/attempt.rs
@@ -0,0 +1,233 @@
+//! One attempt at a request: a replica is chosen, connected to and asked.
+
+use std::{rc::Rc, time::Duration};
+
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    body::{Bytes, Incoming},
+};
+use tokio::time::Instant;
+
+use super::{
+    admission::Admitted,
+    call::CallHead,
+    choice::{ChoiceQuery, ChoiceResult, ReplicaChoice, RunLoad},
+    connections::{ReplicaConnection, SendFailure},
+    context::GatewayContext,
+    refusal::{NO_REPLICA_WAIT, Refusal},
+    relay,
+    request_log::RequestTrace,
+    run_guard::RunGuard,
+};
+use crate::{
+    decide::health::AttemptResult,
+    ids::SharedName,
+    platform::ingress::{self, AnswerMeaning, AnswerSigns, AttemptHead},
+};
+
+/// A plain request that may be repeated is sent elsewhere after this many times its target.
+const PLAIN_PATIENCE: f64 = 3.0;
+/// A stream that may be continued is sent elsewhere after this many times its target.
+const STREAM_PATIENCE: f64 = 1.6;
+
+/// An answer of a replica, with all that is needed to relay it.
+pub struct ReplicaAnswer {
+    /// Head and body.
+    pub response: Response<Incoming>,
+    /// What it says.
+    pub signs: AnswerSigns,
+    /// Connection that it comes over.
+    pub connection: ReplicaConnection,
+    /// The run at the replica.
+    pub guard: RunGuard,
+}
+
+/// State of the attempts at one request.
+pub struct Attempts {
+    /// Replicas that were tried.
+    pub tried: Vec<SharedName>,
+    /// Attempts that reached a replica.
+    pub sent: u32,
+    /// Whether an attempt ended in a way that leaves open whether the request has run.
+    pub maybe_run: bool,
+}
+
+/// Whether another replica may be sent the request; draws on the budget.
+pub fn may_try_again(context: &GatewayContext, admitted: &Admitted, attempts: &Attempts) -> bool {
+    let now = Instant::now();
+    attempts.sent < admitted.route.attempts
+        && now < admitted.deadline
+        && context.draw_repeat(&admitted.service.name, now)
+}
+
+/// How one attempt ended.
+pub enum AttemptEnd {
+    /// A replica has answered, and the answer says that the request ran.
+    Answer(Box<ReplicaAnswer>),
+    /// Nothing was sent.
+    NotSent,
+    /// The replica has not run it and never will.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// One attempt: chooses a replica, connects, sends, and reads the head of the answer.
+/// `continued` is the last event that the client has of a stream that goes on.
+pub async fn attempt(
+    context: &Rc<GatewayContext>,
+    admitted: &Admitted,
+    attempts: &mut Attempts,
+    continued: Option<u64>,
+    trace: &mut RequestTrace,
+) -> Result<AttemptEnd, Refusal> {
+    let choice = choose(context, admitted, attempts)?;
+    let replica = choice.replica.clone();
+    attempts.tried.push(replica.id.clone());
+    trace.attempt(&choice);
+    let load = RunLoad { unread: choice.unread, memory: memory_tokens(&admitted.call.head) };
+    let guard = RunGuard::begin(context.clone(), &replica, &admitted.call.head.parts, load);
+    let mut connection = match context.connections.take(&replica, admitted.deadline).await {
+        Ok(connection) => connection,
+        Err(failure) => {
+            trace.failed(&failure);
+            guard.finish(AttemptResult::Failed);
+            return Ok(AttemptEnd::NotSent);
+        }
+    };
+    let now = Instant::now();
+    let request = replica_request(admitted, &replica.id, continued, now);
+    let until = patience(admitted, attempts, now);
+    match connection.send(request, until).await {
+        Err(failure) => {
+            trace.failed(&failure);
+            let end = match failure.is_unsent() {
+                true => AttemptEnd::NotSent,
+                false => {
+                    attempts.sent += 1;
+                    context.connections.distrust(&replica.id);
+                    AttemptEnd::Unknown
+                }
+            };
+            // NOTE: a kept connection that its replica has closed says nothing of its health.
+            let closed = matches!(failure, SendFailure::ClosedBefore);
+            guard.finish(if closed { AttemptResult::Neutral } else { AttemptResult::Failed });
+            if closed {
+                attempts.tried.pop();
+            }
+            Ok(end)
+        }
+        Ok(response) => {
+            attempts.sent += 1;
+            Ok(judge(context, admitted, response, connection, guard, trace))
+        }
+    }
+}
+
+fn judge(
+    context: &Rc<GatewayContext>,
+    admitted: &Admitted,
+    response: Response<Incoming>,
+    connection: ReplicaConnection,
+    guard: RunGuard,
+    trace: &mut RequestTrace,
+) -> AttemptEnd {
+    let signs = ingress::read_answer(&admitted.call.head.id, &response);
+    trace.answered(response.status(), signs.meaning);
+    match signs.meaning {
+        AnswerMeaning::Ran => {
+            AttemptEnd::Answer(Box::new(ReplicaAnswer { response, signs, connection, guard }))
+        }
+        AnswerMeaning::NotRun => {
+            context.replicas.borrow_mut().mark_full(guard.replica(), Instant::now());
+            guard.finish(AttemptResult::Neutral);
+            relay::drain(context, response, connection, signs);
+            AttemptEnd::NotRun
+        }
+        AnswerMeaning::OtherReplica => {
+            guard.finish(AttemptResult::Failed);
+            AttemptEnd::NotRun
+        }
+        AnswerMeaning::Foreign => {
+            context.connections.distrust(guard.replica());
+            guard.finish(AttemptResult::Failed);
+            AttemptEnd::Unknown
+        }
+    }
+}
+
+fn choose(
+    context: &GatewayContext,
+    admitted: &Admitted,
+    attempts: &Attempts,
+) -> Result<ReplicaChoice, Refusal> {
+    let head = &admitted.call.head;
+    let now = Instant::now();
+    if now >= admitted.deadline {
+        return Err(if attempts.maybe_run {
+            Refusal::OutOfTime
+        } else {
+            Refusal::Full(NO_REPLICA_WAIT)
+        });
+    }
+    let query = ChoiceQuery {
+        service: &admitted.service.name,
+        parts: &head.parts,
+        prompt_tokens: head.tokens.map_or(0, |tokens| tokens.prompt),
+        memory_tokens: memory_tokens(head),
+        tried: &attempts.tried,
+        memory_capacity: admitted.service.engine.as_ref().map(|engine| engine.memory_tokens),
+    };
+    match context.replicas.borrow().choose(&query, now, &mut rand::rng()) {
+        ChoiceResult::Replica(choice) => Ok(choice),
+        _ if attempts.maybe_run => Err(Refusal::Unknown),
+        ChoiceResult::Full(_) => Err(Refusal::Full(come_back(admitted))),
+        ChoiceResult::None => Err(Refusal::NoReplica(NO_REPLICA_WAIT)),
+    }
+}
+
+/// When a client that found all replicas full may come back: soon enough to be in time.
+pub fn come_back(admitted: &Admitted) -> Duration {
+    const PART_OF_TARGET: f64 = 0.5;
+    admitted.route.target.mul_f64(PART_OF_TARGET)
+}
+
+fn memory_tokens(head: &CallHead) -> u64 {
+    let Some(tokens) = head.tokens else { return 0 };
+    let answer = head.answer_guess.map_or(tokens.answer, |guess| guess.min(tokens.answer));
+    tokens.prompt + answer
+}
+
+fn replica_request(
+    admitted: &Admitted,
+    replica: &str,
+    continued: Option<u64>,
+    now: Instant,
+) -> Request<Full<Bytes>> {
+    const LOWEST: u8 = 9;
+    const ROUTE_RANKS: u8 = 3;
+    let account = admitted.account.as_ref();
+    let rank = account.map_or(0, |account| account.priority).saturating_mul(ROUTE_RANKS);
+    let priority = rank.saturating_add(admitted.route.priority).min(LOWEST);
+    let attempt = AttemptHead {
+        replica,
+        account: account.map(|account| &*account.name),
+        left: Some(admitted.deadline.saturating_duration_since(now)),
+        priority: admitted.service.engine.is_some().then_some(priority),
+        last_event: continued,
+        copied_from: None,
+    };
+    ingress::replica_request(&admitted.call, &attempt, Full::new(admitted.call.body.clone()))
+}
+
+/// How long the head of an answer is waited for.
+fn patience(admitted: &Admitted, attempts: &Attempts, now: Instant) -> Instant {
+    let route = &admitted.route;
+    let last = attempts.sent + 1 >= route.attempts;
+    if last || !route.kind.may_repeat() {
+        return admitted.deadline;
+    }
+    let times = if route.kind.is_stream() { STREAM_PATIENCE } else { PLAIN_PATIENCE };
+    admitted.deadline.min(now + route.target.mul_f64(times))
+}
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -30,7 +30,7 @@
 };
 use crate::{
     exchange_capnp::exchange,
-    kernel::LifePhase,
+    http::server,
     peer::transport::{TrafficCounter, rpc_system},
     wall_clock_ms,
 };
@@ -78,25 +78,17 @@
 
 /// Serves other daemons' calls until the daemon stops.
 pub async fn serve(listener: TcpListener, context: Rc<GatewayContext>) {
-    let mut phase = context.kernel.phase();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            // NOTE: out of descriptors; accepting again at once would spin.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
-        let gate: exchange::Client =
-            capnp_rpc::new_client(ExchangeGate { context: context.clone() });
+    let phase = context.kernel.phase();
+    server::accept_each(listener, phase, |stream| {
+        let gate = ExchangeGate { context: context.clone() };
+        let gate: exchange::Client = capnp_rpc::new_client(gate);
         tokio::task::spawn_local(async move {
             // NOTE: a peer that breaks off or sends garbage ends only its own connection.
             let counter = TrafficCounter::default();
             let _ = rpc_system(stream, Side::Server, Some(gate.client), &counter).await;
         });
-    }
+    })
+    .await;
 }
 
 struct ExchangeGate {
--- a/src/gateway/refusal.rs
+++ b/src/gateway/refusal.rs
@@ -55,6 +55,9 @@
     OutOfTime,
 }
 
+/// When a client may come back whose service has no replica now.
+pub const NO_REPLICA_WAIT: Duration = Duration::from_millis(400);
+
 /// What decided that a quota is spent.
 #[derive(Clone, Debug, Display, PartialEq)]
 #[display("{account} asked for {units}, {level:.0} left, {heard} of {known} daemons heard")]
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -13,9 +13,10 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::{
+    admission::Admitted,
+    attempt::{AttemptEnd, Attempts, ReplicaAnswer, attempt, may_try_again},
     connections::ReplicaConnection,
     context::GatewayContext,
-    dispatch::{self, Admitted, AttemptEnd, Attempts, ReplicaAnswer},
     events::EventCutter,
     request_log::RequestTrace,
     run_guard::RunGuard,
@@ -204,10 +205,9 @@
         if self.cutter.is_none() || !self.admitted.route.kind.may_repeat() {
             return false;
         }
-        while dispatch::may_try_again(&self.context, &self.admitted, &self.attempts) {
+        while may_try_again(&self.context, &self.admitted, &self.attempts) {
             let (last, trace) = (self.last_event, &mut self.trace);
-            let attempt =
-                dispatch::attempt(&self.context, &self.admitted, &mut self.attempts, last, trace);
+            let attempt = attempt(&self.context, &self.admitted, &mut self.attempts, last, trace);
             let answer = match attempt.await {
                 Err(_) => return false,
                 Ok(AttemptEnd::Answer(answer)) if answer.response.status().is_success() => answer,
--- a/src/gateway/request_log.rs
+++ b/src/gateway/request_log.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::{
-    choice::ReplicaChoice, connections::SendFailure, context::GatewayContext, dispatch::Admitted,
+    admission::Admitted, choice::ReplicaChoice, connections::SendFailure, context::GatewayContext,
     refusal::Refusal,
 };
 use crate::{ids::SharedName, platform::ingress::AnswerMeaning};
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -4,7 +4,10 @@
 
 use hyper::{Request, Response, body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use tokio::{net::TcpListener, sync::watch};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::watch,
+};
 
 use super::AnswerBody;
 use crate::{
@@ -32,40 +35,51 @@
     })
 }
 
+/// Accepts connections and hands each to `take`, until the phase is `Stopping`.
+pub async fn accept_each(
+    listener: TcpListener,
+    mut phase: watch::Receiver<LifePhase>,
+    mut take: impl FnMut(TcpStream),
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => take(stream),
+            // NOTE: out of descriptors; accepting again at once would spin.
+            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
+        }
+    }
+}
+
 /// Serves `listener` until the phase is `Stopping`; while draining, connections close
 /// after the answer in progress.
-pub async fn serve<H, F>(listener: TcpListener, mut phase: watch::Receiver<LifePhase>, handler: H)
+pub async fn serve<H, F>(listener: TcpListener, phase: watch::Receiver<LifePhase>, handler: H)
 where
     H: Fn(Request<Incoming>) -> F + Clone + 'static,
     F: Future<Output = Response<AnswerBody>> + 'static,
 {
     let open = OpenCount::default();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
-        };
-        let Ok((stream, _)) = accepted else {
-            // NOTE: out of descriptors; accepting again at once would spin.
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
-        };
+    let connections = phase.clone();
+    accept_each(listener, phase, |stream| {
         if open.get() >= CONNECTION_LIMIT {
-            drop(stream);
-            continue;
+            return;
         }
         let _ = stream.set_nodelay(true);
         let guard = open.enter();
-        let connection = serve_connection(stream, phase.clone(), handler.clone());
+        let connection = serve_connection(stream, connections.clone(), handler.clone());
         tokio::task::spawn_local(async move {
             let _guard = guard;
             connection.await;
         });
-    }
+    })
+    .await;
 }
 
 async fn serve_connection<H, F>(
-    stream: tokio::net::TcpStream,
+    stream: TcpStream,
     mut phase: watch::Receiver<LifePhase>,
     handler: H,
 ) where
--- a/src/peer/server.rs
+++ b/src/peer/server.rs
@@ -16,8 +16,9 @@
         events::{ClusterEvent, PeerTarget},
         service::ClusterMessage,
     },
+    http::server,
     ids::IncarnationId,
-    kernel::{LifePhase, SendError},
+    kernel::SendError,
     peer_capnp::{gate, peer},
     request::{
         call::CallerCall,
@@ -44,21 +45,11 @@
 
 /// Serves the gate on `listener` until the daemon stops.
 pub async fn serve(listener: TcpListener, context: Rc<ServeContext>) {
-    let mut phase = context.kernel.phase();
-    loop {
-        let accepted = tokio::select! {
-            accepted = listener.accept() => accepted,
-            _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
-        };
-        match accepted {
-            Ok((stream, _)) => {
-                let connection = serve_connection(stream, context.clone());
-                tokio::task::spawn_local(connection);
-            }
-            // NOTE: out of descriptors; accepting again at once would spin.
-            Err(_) => tokio::time::sleep(Duration::from_millis(20)).await,
-        }
-    }
+    let phase = context.kernel.phase();
+    server::accept_each(listener, phase, |stream| {
+        tokio::task::spawn_local(serve_connection(stream, context.clone()));
+    })
+    .await;
 }
 
 async fn serve_connection(stream: TcpStream, context: Rc<ServeContext>) {
