--- /dev/null
+++ b/tests/integration/promises/edits.rs
@@ -0,0 +1,146 @@
+//! Edits of the table: in force everywhere, never reverted.
+
+use std::time::{Duration, Instant};
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+
+use crate::harness::{Deployment, Layout, eventually, post, try_get};
+
+fn row_version(deployment: &Deployment, daemon: usize, row: &str) -> Option<u64> {
+    let status = try_get(deployment.admin(daemon), "/status")?;
+    let rows = status["rows"].as_array()?.clone();
+    rows.iter().find(|entry| entry[0] == row)?[1].as_u64()
+}
+
+fn edited_version(output: &(i32, String)) -> u64 {
+    let value: Value = serde_json::from_str(&output.1).expect("JSON");
+    value["version"].as_u64().expect("a version")
+}
+
+/// Promise 7: an edit is in force everywhere within seconds, also when its answer was
+/// lost, and a daemon that starts during an outage has it from its peers.
+#[googletest::test]
+fn edit_is_in_force_everywhere_and_stays() {
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
+    deployment.fault(deployment.platform_address(), json!({ "lose_answers": 1 }));
+    let edit = deployment.control(&["--json", "table", "set", "account.reader", "weight=3"]);
+    expect_that!(edit.0, eq(0), "{}", edit.1);
+    let version = edited_version(&edit);
+    let edited_at = Instant::now();
+    for daemon in 0..4 {
+        eventually("the edit is in force", || {
+            (row_version(&deployment, daemon, "account.reader") == Some(version)).then_some(())
+        });
+    }
+    expect_that!(edited_at.elapsed(), lt(Duration::from_secs(7)));
+    let outage = json!({ "outage": true });
+    deployment.fault(deployment.platform_address(), outage);
+    for daemon in 0..4 {
+        deployment.daemons[daemon].kill();
+        deployment.daemons[daemon] = deployment.spawn_daemon(daemon);
+        deployment.wait_ready(daemon);
+        expect_that!(row_version(&deployment, daemon, "account.reader"), some(eq(version)));
+    }
+}
+
+/// Promise 7: two operators edit the same row; exactly one wins, the other is shown both.
+#[googletest::test]
+fn concurrent_edits_have_one_winner() {
+    let deployment = Deployment::start(Layout::default());
+    let sheet = deployment.folder.join("table.csv").display().to_string();
+    expect_that!(deployment.control(&["table", "out", &sheet]).0, eq(0));
+    let edit = deployment.control(&["table", "set", "account.reader", "weight=5"]);
+    expect_that!(edit.0, eq(0), "{}", edit.1);
+    let text = std::fs::read_to_string(&sheet).expect("the sheet");
+    let changed = text.replace("reader,key-reader,1.0", "reader,key-reader,9.0");
+    expect_that!(changed, not(eq(&text)));
+    std::fs::write(&sheet, changed).expect("the sheet");
+    let late = deployment.control(&["table", "edit", &sheet]);
+    expect_that!(late.0, eq(3), "{}", late.1);
+    expect_that!(late.1, contains_substring("\"weight\":9.0"));
+    expect_that!(late.1, contains_substring("\"weight\":5"));
+    // The declaration does not overwrite it either.
+    let declaration = deployment.folder.join("table.json").display().to_string();
+    let applied = deployment.control(&["apply", &declaration]);
+    expect_that!(applied.0, eq(3), "{}", applied.1);
+    let row = deployment.control(&["table", "get", "account.reader"]);
+    expect_that!(row.1, contains_substring("\"weight\":5"));
+}
+
+/// Promise 7: two writes over the same version: the object API lets one through, and the
+/// other is shown both rows.
+#[googletest::test]
+fn racing_writes_over_one_version_have_one_winner() {
+    use willowarch::control::table::{EditError, TableClient};
+    let deployment = Deployment::prepare(Layout { engines: 1, plain: 1, ..Layout::default() });
+    let table = TableClient::new(deployment.platform_address());
+    let entry = table.read("account.reader").expect("the row");
+    let row = |weight: f64| {
+        let mut row = entry.value.clone().expect("a value");
+        row["weight"] = json!(weight);
+        row
+    };
+    let racing: Vec<_> = (1..=4)
+        .map(|weight| {
+            let (table, row) = (table.clone(), row(f64::from(weight) + 1.0));
+            let version = entry.version;
+            std::thread::spawn(move || table.write(&row, version, &json!({})))
+        })
+        .collect();
+    let results: Vec<_> =
+        racing.into_iter().map(|racing| racing.join().expect("it ends")).collect();
+    expect_that!(results.iter().filter(|result| result.is_ok()).count(), eq(1));
+    for result in results.into_iter().filter_map(std::result::Result::err) {
+        expect_that!(result, pat!(EditError::Conflict(anything())));
+    }
+}
+
+/// Promise 7: the platform answers slowly, then shows its objects as they were before the
+/// edits, to daemons that list them anew. Nothing goes back, and nothing vanishes.
+#[googletest::test]
+fn stale_lists_of_a_slow_platform_revert_nothing() {
+    let deployment = Deployment::start(Layout::default());
+    let created = json!([
+        { "kind": "account", "name": "reader", "api_key": "key-reader", "weight": 4.0 },
+        { "kind": "account", "name": "press", "api_key": "key-press" },
+        { "kind": "account", "name": "kiosks", "api_key": "key-kiosks" },
+        { "kind": "service", "name": "model", "service_type": "model" },
+        { "kind": "service", "name": "tagging", "service_type": "plain", "repeatable": false },
+    ]);
+    let file = deployment.folder.join("more.json");
+    std::fs::write(&file, created.to_string()).expect("a declaration");
+    deployment.fault(deployment.platform_address(), json!({ "delay_ms": 300 }));
+    let applied = deployment.control(&["apply", &file.display().to_string()]);
+    expect_that!(applied.0, eq(0), "{}", applied.1);
+    let versions = |daemon| {
+        ["account.reader", "account.kiosks"].map(|row| row_version(&deployment, daemon, row))
+    };
+    let newest = eventually("the rows are in force", || {
+        let first = versions(0);
+        let everywhere = (0..3).all(|daemon| versions(daemon) == first);
+        (everywhere && first[1].is_some()).then_some(first)
+    });
+    // An outage makes the watchers list anew; what they are shown is old.
+    deployment.fault(deployment.platform_address(), json!({ "outage": true }));
+    std::thread::sleep(Duration::from_millis(800));
+    let stale = json!({ "outage": false, "delay_ms": 0, "stale_reads": 12, "stale_by": 3 });
+    deployment.fault(deployment.platform_address(), stale);
+    eventually("the watchers have listed what is old", || {
+        let faults = post(deployment.platform_address(), "/faults", &[], "{}").body;
+        (faults["stale_reads"].as_u64() < Some(10)).then_some(())
+    });
+    std::thread::sleep(Duration::from_secs(2));
+    for daemon in 0..3 {
+        expect_that!(versions(daemon), eq(newest));
+        // The time line shows that nothing went back in between either.
+        let events = try_get(deployment.admin(daemon), "/timeline?subject=account.reader");
+        let events = events.expect("a time line").as_array().cloned().unwrap_or_default();
+        let in_force: Vec<u64> = events
+            .iter()
+            .filter_map(|event| event["detail"].as_str()?.strip_prefix("version ")?.parse().ok())
+            .collect();
+        expect_that!(in_force.len(), ge(2));
+        expect_true!(in_force.is_sorted(), "{in_force:?}");
+    }
+}
--- /dev/null
+++ b/tests/integration/promises/streams.rs
@@ -0,0 +1,222 @@
+//! Streams survive daemons, zones and engines that go.
+
+use std::{net::SocketAddr, sync::mpsc, time::Duration};
+
+use googletest::prelude::*;
+use serde_json::json;
+
+use crate::{
+    cases,
+    harness::{
+        Deployment, Layout, Stream, completion, eventually, expected, post, stream, try_get,
+    },
+};
+
+use super::{Blow, resume, start_caller};
+
+/// Promises 1 and 2: the daemon of a stream is lost without notice; the caller comes
+/// back elsewhere and gets the rest, no token twice or missing.
+fn stream_survives_its_daemon(blow: Blow, both_ask_elsewhere: bool) {
+    const TOKENS: usize = 150;
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
+    let caller = start_caller(deployment.caller(0), "k-lost", TOKENS);
+    match blow {
+        Blow::Kill => deployment.daemons[0].kill(),
+        Blow::Freeze => deployment.daemons[0].signal("STOP"),
+    }
+    let others: Vec<SocketAddr> = (1..4).map(|index| deployment.caller(index)).collect();
+    let taken = match blow {
+        Blow::Kill => caller.join().expect("the caller ends"),
+        // A caller of a frozen daemon gives up by itself and asks from the beginning.
+        Blow::Freeze => Stream::default(),
+    };
+    let second = both_ask_elsewhere.then(|| {
+        let other = others[1];
+        std::thread::spawn(move || resume(&[other], "k-lost", TOKENS, Stream::default()))
+    });
+    let whole = resume(&others, "k-lost", TOKENS, taken);
+    expect_true!(whole.whole);
+    expect_that!(whole.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
+    if let Some(second) = second {
+        let second = second.join().expect("the second caller ends");
+        expect_that!(second.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
+    }
+    if matches!(blow, Blow::Freeze) {
+        deployment.daemons[0].signal("CONT");
+    }
+}
+
+cases!(stream_survives_its_daemon:
+    stream_survives_killed_daemon(Blow::Kill, false),
+    stream_survives_killed_daemon_with_two_callers(Blow::Kill, true),
+    stream_survives_frozen_daemon(Blow::Freeze, false),
+    stream_survives_frozen_daemon_with_two_callers(Blow::Freeze, true),
+);
+
+/// Promise 1: tokens already copied are not computed again after a take-over.
+#[googletest::test]
+fn take_over_goes_on_from_copied_tokens() {
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
+    let caller = start_caller(deployment.caller(0), "k-goes-on", 150);
+    std::thread::sleep(Duration::from_millis(400));
+    deployment.daemons[0].kill();
+    let taken = caller.join().expect("the caller ends");
+    let before = taken.tokens.len();
+    let others: Vec<SocketAddr> = (1..4).map(|index| deployment.caller(index)).collect();
+    let whole = resume(&others, "k-goes-on", 150, taken);
+    expect_true!(whole.whole);
+    let generated: u64 = (0..3).map(|index| deployment.counts(index).generated_tokens).sum();
+    // Copies lag by a few tokens; those, and those in flight, are made twice.
+    expect_that!(generated, lt(150 + before as u64 / 2 + 15));
+}
+
+/// Promise 1: a zone goes, daemons and engines at once, and the next one after it.
+#[googletest::test]
+fn stream_survives_two_zones_one_after_another() {
+    const TOKENS: usize = 200;
+    let layout = Layout { daemons: 8, engines: 8, ..Layout::default() };
+    let mut deployment = Deployment::start(layout);
+    let caller = start_caller(deployment.caller(0), "k-zones", TOKENS);
+    let mut taken = Stream::default();
+    let mut caller = Some(caller);
+    for zone in [0, 1] {
+        for index in [zone, zone + 4] {
+            deployment.daemons[index].kill();
+            deployment.endpoints[index].kill();
+        }
+        if let Some(first) = caller.take() {
+            taken = first.join().expect("the caller ends");
+        }
+        let daemon = deployment.caller(zone + 1);
+        let more = {
+            let body = completion("moon over the mill", TOKENS);
+            let have = taken.tokens.len();
+            let limit = if zone == 0 { 60 } else { usize::MAX };
+            let mut seen = 0;
+            let (sender, receiver) = mpsc::channel();
+            let running = std::thread::spawn(move || {
+                stream(daemon, "k-zones", &body, have, |_| {
+                    seen += 1;
+                    if seen == limit {
+                        let _ = sender.send(());
+                    }
+                })
+            });
+            if zone == 0 {
+                let _ = receiver.recv();
+                for index in [1, 5] {
+                    deployment.daemons[index].kill();
+                    deployment.endpoints[index].kill();
+                }
+            }
+            running.join().expect("the caller ends")
+        };
+        taken.tokens.extend(more.tokens);
+        taken.whole = more.whole;
+    }
+    let others: Vec<SocketAddr> = [2, 3, 6, 7].map(|index| deployment.caller(index)).to_vec();
+    let whole = resume(&others, "k-zones", TOKENS, taken);
+    expect_true!(whole.whole);
+    expect_that!(whole.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
+}
+
+/// Promise 1: the daemon's own VM gets a notice of two seconds; the platform is down.
+#[googletest::test]
+fn stream_survives_reclaim_of_its_daemon_during_outage() {
+    const TOKENS: usize = 600;
+    let mut deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
+    let caller = start_caller(deployment.caller(0), "k-reclaim", TOKENS);
+    deployment.fault(deployment.platform_address(), json!({ "outage": true }));
+    let notice = json!({
+        "sequence": 1, "vm": "entry-0", "gone_at_ms": willowarch::wall_clock_ms() + 2_500,
+    });
+    // The notice reaches only another daemon.
+    expect_that!(post(deployment.admin(2), "/notices", &[], &notice.to_string()).status, eq(200));
+    expect_that!(deployment.daemons[0].wait(), some(eq(0)));
+    let taken = caller.join().expect("the caller ends");
+    expect_false!(taken.whole);
+    let others: Vec<SocketAddr> = (1..4).map(|index| deployment.caller(index)).collect();
+    let whole = resume(&others, "k-reclaim", TOKENS, taken);
+    expect_true!(whole.whole);
+    expect_that!(whole.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
+}
+
+/// Promise 5: the notice reaches one daemon, the VM list lags, the platform is down;
+/// two seconds later nobody sends the VM anything new.
+#[googletest::test]
+fn leaving_endpoint_gets_nothing_new() {
+    let deployment = Deployment::start(Layout { daemons: 4, engines: 3, ..Layout::default() });
+    let faults = json!({ "outage": true, "list_lag_ms": 30_000 });
+    deployment.fault(deployment.platform_address(), faults);
+    let notice = json!({
+        "sequence": 1, "vm": "vm-1", "gone_at_ms": willowarch::wall_clock_ms() + 60_000,
+    });
+    post(deployment.admin(3), "/notices", &[], &notice.to_string());
+    std::thread::sleep(Duration::from_secs(2));
+    let before = deployment.counts(1).begun;
+    for number in 0..40 {
+        let daemon = deployment.caller(number % 4);
+        let key = format!("k-leaving-{number}");
+        let answer = stream(daemon, &key, &completion("quiet", 2), 0, |_| {});
+        expect_true!(answer.whole);
+    }
+    expect_that!(deployment.counts(1).begun, eq(before));
+}
+
+/// Promises 1 and 5: streams on an engine with a notice are moved off it, whole.
+#[googletest::test]
+fn streams_leave_a_reclaimed_engine_whole() {
+    const TOKENS: usize = 300;
+    let mut deployment = Deployment::start(Layout { engines: 2, ..Layout::default() });
+    let caller = start_caller(deployment.caller(0), "k-moved", TOKENS);
+    let busy = (0..2).find(|index| {
+        let load = try_get(deployment.endpoint(*index), "/load").unwrap_or_default();
+        load["running"].as_u64() > Some(0)
+    });
+    let busy = busy.expect("one engine is busy");
+    let order = json!({ "vm": format!("vm-{busy}"), "seconds": 1.5 });
+    post(deployment.platform_address(), "/reclaim", &[], &order.to_string());
+    std::thread::sleep(Duration::from_millis(1_500));
+    deployment.endpoints[busy].kill();
+    let taken = caller.join().expect("the caller ends");
+    expect_true!(taken.whole);
+    expect_that!(taken.tokens.concat(), eq(&expected("moon over the mill", TOKENS)));
+}
+
+/// Promises 1 and 2: a daemon freezes with several streams; callers of each ask all the
+/// other daemons at once, which take over from each other. Every caller gets its answer.
+#[googletest::test]
+fn rival_take_overs_leave_no_caller_waiting() {
+    const TOKENS: usize = 60;
+    const KEYS: usize = 12;
+    let deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
+    let _holders: Vec<_> = (0..KEYS)
+        .map(|number| {
+            let daemon = deployment.caller(0);
+            std::thread::spawn(move || {
+                let body = completion("moon over the mill", TOKENS);
+                stream(daemon, &format!("k-rival-{number}"), &body, 0, |_| {})
+            })
+        })
+        .collect();
+    eventually("the streams run", || (deployment.metric(0, "attempts") >= 12.0).then_some(()));
+    deployment.daemons[0].signal("STOP");
+    let (sender, receiver) = mpsc::channel();
+    for number in 0..KEYS {
+        for index in 1..4 {
+            let (daemon, sender) = (deployment.caller(index), sender.clone());
+            std::thread::spawn(move || {
+                let key = format!("k-rival-{number}");
+                let taken = resume(&[daemon], &key, TOKENS, Stream::default());
+                let _ = sender.send(taken.tokens.concat());
+            });
+        }
+    }
+    for _ in 0..KEYS * 3 {
+        let text = receiver.recv_timeout(crate::harness::PATIENCE);
+        expect_that!(text, ok(eq(&expected("moon over the mill", TOKENS))));
+        if text.is_err() {
+            break;
+        }
+    }
+}
