Long texts are asked of one daemon at a time

Change: news tell revisions only; a daemon that is behind asks one that is ahead, and one that watches the store asks only after 300 ms.

--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -76,6 +76,8 @@
   wantsRow @10 :Bool;            # whether the answer should hold the sums of its row
   row @11 :RowSums;
   hasRow @12 :Bool;
+  wantsConfiguration @13 :Bool;  # whether the answer should hold the configuration's text
+  wantsReplicas @14 :Bool;       # whether it should hold the list of replicas
 }
 
 interface Exchange {
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -5,6 +5,7 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod behind;
 pub mod call;
 pub mod choice;
 pub mod client_edge;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -11,6 +11,7 @@
 use tokio::time::Instant;
 
 use super::{
+    behind::BehindTable,
     choice::ReplicaTable,
     configuration::Configuration,
     connections::ConnectionPool,
@@ -38,6 +39,8 @@
 pub const EXPECTED_DAEMONS: usize = 10;
 /// A proof that is passed on is younger than this, as long as those who watch reach the store.
 const FED_WITHIN: Duration = Duration::from_millis(3_200);
+/// The store is doubted for this long after a failure.
+const STORE_DOUBTED_FOR: Duration = Duration::from_secs(2);
 /// Part of the allowed age of a proof that is left as a margin.
 const FRESHNESS_MARGIN: Duration = Duration::from_millis(300);
 
@@ -76,6 +79,8 @@
     pub usage: RefCell<UsageCounts>,
     /// Other daemons.
     pub peers: RefCell<PeerTable>,
+    /// What others hold that is newer.
+    pub behind: RefCell<BehindTable>,
     /// What is known of the lease of the duties.
     pub lease: RefCell<LeaseView>,
     /// Connections to replicas.
@@ -156,6 +161,12 @@
         proof.is_some_and(|proof| now.saturating_duration_since(proof) < longest)
     }
 
+    /// Whether the store has failed to answer lately.
+    pub fn store_fails(&self, now: Instant) -> bool {
+        let failed = self.store_failed.get();
+        failed.is_some_and(|at| now.saturating_duration_since(at) < STORE_DOUBTED_FOR)
+    }
+
     /// Whether this daemon asks the store itself: it is one of those that do so for its row, or
     /// what it hears from them is old.
     pub fn watches_store(&self, now: Instant) -> bool {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -10,6 +10,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
+    behind::BehindTable,
     choice::ReplicaTable,
     client_edge,
     connections::ConnectionPool,
@@ -99,6 +100,7 @@
             exchange::TURN,
             exchange::CALLS_IN_TURN,
         )),
+        behind: RefCell::new(BehindTable::default()),
         lease: RefCell::new(LeaseView::default()),
         connections: ConnectionPool::new(metrics.clone()),
         wall_clock: RefCell::new(SteadyWallClock::new(wall_clock_ms(), now)),
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -20,10 +20,12 @@
 };
 
 use super::{
+    behind::HeldRevisions,
     choice::{HeardState, replica_number},
     context::GatewayContext,
     news::{
-        ConfigurationNews, DaemonNews, DaemonState, DaemonTally, LeaseNews, read_news, write_news,
+        ConfigurationNews, DaemonNews, DaemonState, DaemonTally, LeaseNews, NewsWants, read_news,
+        write_news,
     },
     tally_source::TallySource,
     usage::WindowCounts,
@@ -47,6 +49,8 @@
 const CALL_LIMIT: Duration = Duration::from_millis(400);
 /// Daemons that one message brings word of.
 const WORDS: usize = 8;
+/// A daemon that watches the store asks others only when it has been behind for this long.
+const WATCHER_PATIENCE: Duration = Duration::from_millis(300);
 /// Windows of usage that are told: older ones have been reported.
 const WINDOWS_TOLD: usize = 4;
 
@@ -65,17 +69,9 @@
 #[derive(Default)]
 struct ExchangeState {
     open: RefCell<HashMap<SocketAddr, Rc<OpenConnection>>>,
-    /// Revisions of configuration and replicas that each daemon was last known to hold.
-    held: RefCell<HashMap<SocketAddr, HeldRevisions>>,
     traffic: TrafficCounter,
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct HeldRevisions {
-    configuration: u64,
-    replicas: u64,
-}
-
 /// Serves other daemons' calls until the daemon stops.
 pub async fn serve(listener: TcpListener, context: Rc<GatewayContext>) {
     let phase = context.kernel.phase();
@@ -102,17 +98,10 @@
         mut results: exchange::SwapResults,
     ) -> Result<(), Error> {
         let news = read_news(params.get()?.get_news()?)?;
-        let held = HeldRevisions {
-            configuration: news.configuration.revision,
-            replicas: news.replica_revision,
-        };
+        let wants = news.wants;
         // NOTE: how long the call took to arrive is not known, so it proves no freshness.
-        let wants_row = news.wants_row;
         hear(&self.context, news, None);
-        let mut own = own_news(&self.context, held);
-        if wants_row {
-            own.row = Some(row_sums(&self.context));
-        }
+        let own = own_news(&self.context, wants);
         write_news(results.get().init_news(), &own);
         Ok(())
     }
@@ -127,7 +116,10 @@
         turns.tick().await;
         let now = Instant::now();
         context.wall_clock.borrow_mut().compare(wall_clock_ms(), now);
-        let due = context.peers.borrow_mut().due(now, &mut rand::rng());
+        let mut due = context.peers.borrow_mut().due(now, &mut rand::rng());
+        let ahead = context.behind.borrow().ahead(&context);
+        let extra: Vec<SocketAddr> = ahead.filter(|address| !due.contains(address)).collect();
+        due.extend(extra);
         for address in due {
             let (context, state) = (context.clone(), state.clone());
             tokio::task::spawn_local(async move { call(&context, &state, address).await });
@@ -140,16 +132,10 @@
     let asked = Instant::now();
     match timeout(CALL_LIMIT, swap(context, state, address)).await {
         Ok(Ok(news)) => {
-            let held = HeldRevisions {
-                configuration: news.configuration.revision,
-                replicas: news.replica_revision,
-            };
-            state.held.borrow_mut().insert(address, held);
             hear(context, news, Some(asked));
         }
         Ok(Err(_)) | Err(_) => {
             state.open.borrow_mut().remove(&address);
-            state.held.borrow_mut().remove(&address);
             context.peers.borrow_mut().failed(address);
             context.metrics.count("exchange_failures", 1);
         }
@@ -177,16 +163,32 @@
         }
     };
     let mut request = open.client.swap_request();
-    let held = state.held.borrow().get(&address).copied().unwrap_or_default();
-    let mut own = own_news(context, held);
-    own.wants_row = context.peers.borrow().neighbours().delegate_row(&address).is_some();
+    let mut own = own_news(context, NewsWants::default());
+    own.wants = wants(context, &address);
     write_news(request.get().init_news(), &own);
     let response = request.send().promise.await?;
     read_news(response.get()?.get_news()?)
 }
 
-/// This daemon's news for one that holds these revisions.
-fn own_news(context: &GatewayContext, held: HeldRevisions) -> DaemonNews {
+/// What to ask of the daemon at `address`.
+fn wants(context: &GatewayContext, address: &SocketAddr) -> NewsWants {
+    let now = Instant::now();
+    let own = HeldRevisions {
+        configuration: context.configuration.borrow().revision,
+        replicas: context.replica_list.borrow().revision,
+    };
+    // NOTE: who watches the store has most changes from there, without asking anybody.
+    let patience = match context.watches_store(now) && !context.store_fails(now) {
+        true => WATCHER_PATIENCE,
+        false => Duration::ZERO,
+    };
+    let behind = context.behind.borrow_mut().lag(*address, own, patience, now);
+    let row = context.peers.borrow().neighbours().delegate_row(address).is_some();
+    NewsWants { row, ..behind }
+}
+
+/// This daemon's news, with what the other side wants.
+fn own_news(context: &GatewayContext, wants: NewsWants) -> DaemonNews {
     let now = Instant::now();
     let configuration = context.configuration.borrow();
     let list = context.replica_list.borrow();
@@ -199,19 +201,18 @@
         known: context.peers.borrow().words(WORDS, now, &mut rand::rng()),
         configuration: ConfigurationNews {
             revision: configuration.revision,
-            text: (configuration.revision > held.configuration)
-                .then(|| configuration.text.to_vec()),
+            text: wants.configuration.then(|| configuration.text.to_vec()),
             proof_age_ms: configuration.proof.map(age_ms),
         },
         replica_revision: list.revision,
-        replicas: (list.revision > held.replicas).then(|| list.clone()),
+        replicas: wants.replicas.then(|| list.clone()),
         lease: lease.holder.clone().zip(lease.renewed_at).map(|(holder, at)| LeaseNews {
             fence: lease.fence,
             holder,
             age_ms: age_ms(at),
         }),
-        wants_row: false,
-        row: None,
+        wants: NewsWants::default(),
+        row: wants.row.then(|| row_sums(context)),
     }
 }
 
@@ -258,7 +259,8 @@
 /// Takes a daemon's news; `asked` is when this daemon asked for them, if it did.
 fn hear(context: &GatewayContext, news: DaemonNews, asked: Option<Instant>) {
     let now = Instant::now();
-    let DaemonNews { state, known, configuration, replicas, lease, row, .. } = news;
+    let DaemonNews { state, known, configuration, replica_revision, replicas, lease, row, .. } =
+        news;
     if state.incarnation == context.incarnation {
         return;
     }
@@ -282,6 +284,8 @@
         let delegate = state.incarnation;
         hear_tally(context, TallySource::Row { number, delegate }, row, now);
     }
+    let told = HeldRevisions { configuration: configuration.revision, replicas: replica_revision };
+    context.behind.borrow_mut().hear(state.address, told, now);
     hear_configuration(context, &configuration, asked);
     if let Some(list) = replicas {
         let revision = list.revision;
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -72,12 +72,23 @@
 pub struct ConfigurationNews {
     /// Revision held; 0 if none.
     pub revision: u64,
-    /// Its text, where the other side's is older.
+    /// Its text, where the other side has asked for it.
     pub text: Option<Vec<u8>>,
     /// Milliseconds since the store was asked that answered with this revision.
     pub proof_age_ms: Option<u32>,
 }
 
+/// What an answer should hold beside the usual. Long texts are only sent to who asks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct NewsWants {
+    /// Sums of the row of the daemon that answers.
+    pub row: bool,
+    /// Text of its configuration.
+    pub configuration: bool,
+    /// Its list of replicas.
+    pub replicas: bool,
+}
+
 /// All that one side of an exchange tells.
 #[derive(Clone, Debug)]
 pub struct DaemonNews {
@@ -89,12 +100,12 @@
     pub configuration: ConfigurationNews,
     /// Revision of its list of replicas.
     pub replica_revision: u64,
-    /// The list, where the other side's is older.
+    /// The list, where the other side has asked for it.
     pub replicas: Option<ReplicaList>,
     /// The lease, if any is known.
     pub lease: Option<LeaseNews>,
-    /// Whether the answer should hold the sums of its row.
-    pub wants_row: bool,
+    /// What the answer should hold beside the usual.
+    pub wants: NewsWants,
     /// Sums of the row of the daemon that answers.
     pub row: Option<DaemonTally>,
 }
@@ -199,7 +210,9 @@
         entry.set_incarnation(word.incarnation.0);
         entry.set_age_ms(u32::try_from(word.age.as_millis()).unwrap_or(u32::MAX));
     }
-    target.set_wants_row(source.wants_row);
+    target.set_wants_row(source.wants.row);
+    target.set_wants_configuration(source.wants.configuration);
+    target.set_wants_replicas(source.wants.replicas);
     if let Some(row) = &source.row {
         target.set_has_row(true);
         write_tally!(target.reborrow().init_row(), row);
@@ -276,7 +289,11 @@
         replica_revision,
         replicas,
         lease,
-        wants_row: source.get_wants_row(),
+        wants: NewsWants {
+            row: source.get_wants_row(),
+            configuration: source.get_wants_configuration(),
+            replicas: source.get_wants_replicas(),
+        },
         row: match source.get_has_row() {
             true => Some(read_tally!(source.get_row()?)),
             false => None,
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -2824,6 +2824,14 @@
         pub fn get_has_row(self) -> bool {
             self.reader.get_bool_field(67)
         }
+        #[inline]
+        pub fn get_wants_configuration(self) -> bool {
+            self.reader.get_bool_field(68)
+        }
+        #[inline]
+        pub fn get_wants_replicas(self) -> bool {
+            self.reader.get_bool_field(69)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -3030,6 +3038,22 @@
         pub fn set_has_row(&mut self, value: bool)  {
             self.builder.set_bool_field(67, value);
         }
+        #[inline]
+        pub fn get_wants_configuration(self) -> bool {
+            self.builder.get_bool_field(68)
+        }
+        #[inline]
+        pub fn set_wants_configuration(&mut self, value: bool)  {
+            self.builder.set_bool_field(68, value);
+        }
+        #[inline]
+        pub fn get_wants_replicas(self) -> bool {
+            self.builder.get_bool_field(69)
+        }
+        #[inline]
+        pub fn set_wants_replicas(&mut self, value: bool)  {
+            self.builder.set_bool_field(69, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3050,7 +3074,7 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 228] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 261] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(68, 121, 185, 223, 99, 123, 121, 169),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
@@ -3060,105 +3084,119 @@
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(173, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(128, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 1, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(197, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 67, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 68, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 2, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 69, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
@@ -3279,6 +3317,25 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 67, 111, 110),
+            ::capnp::word(102, 105, 103, 117, 114, 97, 116, 105),
+            ::capnp::word(111, 110, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 82, 101, 112),
+            ::capnp::word(108, 105, 99, 97, 115, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3295,6 +3352,8 @@
                 10 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 11 => <crate::exchange_capnp::row_sums::Owned as ::capnp::introspect::Introspect>::introspect(),
                 12 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                13 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                14 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3308,9 +3367,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,8,12,1,9,5,4,7,6,11,0,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,8,12,1,9,5,4,7,6,11,0,13,14,10];
         pub(crate) const TYPE_ID: u64 = 0xa979_7b63_dfb9_7944;
     }
 }
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -9,8 +9,8 @@
     gateway::{
         choice::LoadSum,
         news::{
-            ConfigurationNews, DaemonNews, DaemonState, DaemonTally, LeaseNews, read_news,
-            write_news,
+            ConfigurationNews, DaemonNews, DaemonState, DaemonTally, LeaseNews, NewsWants,
+            read_news, write_news,
         },
         peers::PeerWord,
     },
@@ -79,7 +79,7 @@
         replica_revision: 3,
         replicas: None,
         lease: Some(LeaseNews { fence: 2, holder: "edge-2".into(), age_ms: 40 }),
-        wants_row: true,
+        wants: NewsWants { row: true, configuration: false, replicas: true },
         row: Some(sample_tally()),
     }
 }
@@ -106,7 +106,7 @@
     expect_that!(news.configuration, eq(&sample.configuration));
     expect_that!(news.lease, eq(&sample.lease));
     expect_that!(news.row, eq(&sample.row));
-    expect_that!(news.wants_row, eq(true));
+    expect_that!(news.wants, eq(sample.wants));
 }
 
 proptest! {
--- a/tests/gateway/pure_parts.rs
+++ b/tests/gateway/pure_parts.rs
@@ -1,6 +1,6 @@
 //! Pure parts of the gateway, against naive versions where there is one.
 
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use googletest::prelude::*;
 use proptest::prelude::*;
@@ -9,6 +9,7 @@
 use willowarch::{
     decide::health::AttemptResult,
     gateway::{
+        behind::{BehindTable, HeldRevisions},
         call::PromptPart,
         choice::{
             ChoiceQuery, ChoiceResult, HeardState, LoadSum, ReplicaTable, RunLoad, replica_number,
@@ -499,3 +500,29 @@
     expect_that!(usage.total(7), eq(&BTreeMap::from([(reader, 7), (kiosk.clone(), 1)])));
     expect_that!(usage.total(8), eq(&BTreeMap::from([(kiosk, 1)])));
 }
+
+// ---- who is asked for long texts
+
+#[googletest::test]
+fn a_newer_text_is_asked_of_one_daemon_at_a_time() {
+    let start = Instant::now();
+    let mut table = BehindTable::default();
+    let gate = |port: u16| SocketAddr::from(([127, 0, 0, 1], port));
+    let newer = HeldRevisions { configuration: 9, replicas: 0 };
+    let own = HeldRevisions { configuration: 8, replicas: 0 };
+    table.hear(gate(1), newer, start);
+    table.hear(gate(2), newer, start);
+    let asks = |table: &mut BehindTable, port, patience, now| {
+        table.lag(gate(port), own, patience, now).configuration
+    };
+    let patience = millis(300);
+    expect_that!(asks(&mut table, 1, patience, start + millis(100)), eq(false));
+    expect_that!(asks(&mut table, 1, patience, start + millis(300)), eq(true));
+    expect_that!(asks(&mut table, 1, patience, start + millis(400)), eq(false));
+    expect_that!(asks(&mut table, 2, patience, start + millis(400)), eq(false));
+    // The one that was asked does not answer: the next who tells of it is asked instead.
+    table.hear(gate(2), newer, start + millis(900));
+    expect_that!(asks(&mut table, 2, patience, start + millis(900)), eq(true));
+    let caught_up = table.lag(gate(2), newer, patience, start + millis(2_000));
+    expect_that!(caught_up.configuration, eq(false));
+}
