Gateway: dead pieces removed, a stale comment put right

Cause: a reread of the whole change found three pieces that nothing calls (whether a connection was reused, bytes of an unfinished event, the name of a copy) and a comment on orders that told of an argument that is not there.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -71,16 +71,9 @@
 pub struct ReplicaConnection {
     replica: SharedName,
     sender: RequestSender,
-    /// Whether it has carried a request before.
-    reused: bool,
 }
 
 impl ReplicaConnection {
-    /// Whether it has carried a request before.
-    pub fn is_reused(&self) -> bool {
-        self.reused
-    }
-
     /// Sends a request and waits for the head of the answer.
     pub async fn send(
         &mut self,
@@ -123,7 +116,7 @@
         while let Some(mut sender) = self.take_resting(&replica.id) {
             let ready = timeout(READY_LIMIT, sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                return Ok(ReplicaConnection { replica: replica.id.clone(), sender, reused: true });
+                return Ok(ReplicaConnection { replica: replica.id.clone(), sender });
             }
         }
         let limit = deadline.min(Instant::now() + CONNECT_LIMIT);
@@ -145,7 +138,7 @@
             // NOTE: what goes wrong here the request that uses the connection is told.
             let _ = connection.await;
         });
-        Ok(ReplicaConnection { replica: replica.id.clone(), sender, reused: false })
+        Ok(ReplicaConnection { replica: replica.id.clone(), sender })
     }
 
     fn take_resting(&self, replica: &SharedName) -> Option<RequestSender> {
--- a/src/gateway/events.rs
+++ b/src/gateway/events.rs
@@ -55,11 +55,6 @@
         }
     }
 
-    /// Bytes of an event that has not ended.
-    pub fn unfinished(&self) -> usize {
-        self.pending.len()
-    }
-
     /// Takes what is left when the stream has ended.
     pub fn rest(&mut self) -> Bytes {
         self.searched = 0;
--- a/src/platform/cloud.rs
+++ b/src/platform/cloud.rs
@@ -88,8 +88,8 @@
         self.read_status("report usage", status, CloudAnswer::Fenced)
     }
 
-    /// Orders a number of replicas. A refused order may be fenced or not to be had: where
-    /// `fenced`, the cloud compares fences and a conflict may be either.
+    /// Orders a number of replicas. A conflict may mean a low fence or that there are none to
+    /// be had; it is read as the latter (docs/questions.md).
     pub async fn order(
         &self,
         holder: &DutyHolder,
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -1,6 +1,6 @@
 //! Heads of requests and answers, as clients and replicas of the platform write them.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use derive_more::{Display, Error};
 use hyper::{
@@ -365,11 +365,6 @@
     head
 }
 
-/// Name of a replica's copy of the run `id` or of a move's `handle`.
-pub fn copy_name(source: SocketAddr, handle: &str) -> String {
-    format!("{source}/{handle}")
-}
-
 /// Whether `path` asks for readiness.
 pub fn is_readiness(path: &str) -> bool {
     path == "/-/readiness"
