Fleet: zones without reclaimable replicas hold no room for them; need bounded; fewer watchers

The need itself ran away, since full replicas show their own slowness as demand. The first orders were given while 17 of 90 replicas were listed. Change: a dry zone reserves only what it holds; the need is at most 1.5 times what serves; orders wait until the list has stopped growing; 0.85 of what is found counts as needed. Also: one watcher a row instead of three, changes of replicas gathered for 400 ms; a plain answer of known length now ends its request (it was logged as 'client left', and its connection was not kept); a request that must not be repeated takes no connection that has rested for over 250 ms.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -88,7 +88,9 @@
     trace.attempt(&choice);
     let load = RunLoad { unread: choice.unread, memory: memory_tokens(&admitted.call.head) };
     let guard = RunGuard::begin(context.clone(), &replica, &admitted.call.head.parts, load);
-    let mut connection = match context.connections.take(&replica, admitted.deadline).await {
+    let repeatable = admitted.route.kind.may_repeat();
+    let taking = context.connections.take(&replica, repeatable, admitted.deadline);
+    let mut connection = match taking.await {
         Ok(connection) => connection,
         Err(failure) => {
             trace.failed(&failure);
--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -24,6 +24,9 @@
 const REST_LIMIT: Duration = Duration::from_secs(4);
 /// A connection is not used in the last part of the time that its replica keeps it.
 const REST_MARGIN: Duration = Duration::from_millis(900);
+/// Longest rest before a request that must not be repeated: its replica may have dropped the
+/// connection without a word, or send a surplus answer late.
+const REST_BEFORE_UNREPEATABLE: Duration = Duration::from_millis(250);
 /// Connections kept for each replica.
 const KEPT_LIMIT: usize = 16;
 /// Longest wait until a connection that was just given back is ready.
@@ -63,9 +66,18 @@
 #[derive(Debug)]
 struct RestingConnection {
     sender: RequestSender,
+    since: Instant,
     until: Instant,
 }
 
+impl RestingConnection {
+    fn may_serve(&self, repeatable: bool, now: Instant) -> bool {
+        let rested = now.saturating_duration_since(self.since);
+        let short = rested <= REST_BEFORE_UNREPEATABLE;
+        self.until > now && !self.sender.is_closed() && (repeatable || short)
+    }
+}
+
 /// A connection in use.
 #[derive(Debug)]
 pub struct ReplicaConnection {
@@ -107,13 +119,15 @@
         Self { resting: Rc::default(), pruned_at, metrics }
     }
 
-    /// A connection to the replica: a resting one, or, where there is none, a new one.
+    /// A connection to the replica: a resting one, or, where there is none that will do, a new
+    /// one. `repeatable` says whether the request may run more than once.
     pub async fn take(
         &self,
         replica: &ReplicaRecord,
+        repeatable: bool,
         deadline: Instant,
     ) -> Result<ReplicaConnection, SendFailure> {
-        while let Some(mut sender) = self.take_resting(&replica.id) {
+        while let Some(mut sender) = self.take_resting(&replica.id, repeatable) {
             let ready = timeout(READY_LIMIT, sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 return Ok(ReplicaConnection { replica: replica.id.clone(), sender });
@@ -141,12 +155,14 @@
         Ok(ReplicaConnection { replica: replica.id.clone(), sender })
     }
 
-    fn take_resting(&self, replica: &SharedName) -> Option<RequestSender> {
+    /// The connection that rested shortest, if it will do.
+    fn take_resting(&self, replica: &SharedName, repeatable: bool) -> Option<RequestSender> {
         let now = Instant::now();
         let mut resting = self.resting.borrow_mut();
         let list = resting.get_mut(replica)?;
         list.retain(|connection| connection.until > now && !connection.sender.is_closed());
-        list.pop().map(|connection| connection.sender)
+        let newest = list.pop_if(|connection| connection.may_serve(repeatable, now));
+        newest.map(|connection| connection.sender)
     }
 
     /// Keeps a connection whose exchange ended cleanly; `keep` is the time that its replica
@@ -160,7 +176,8 @@
         let mut resting = self.resting.borrow_mut();
         let list = resting.entry(connection.replica).or_default();
         if list.len() < KEPT_LIMIT {
-            list.push(RestingConnection { sender: connection.sender, until: now + rest });
+            let sender = connection.sender;
+            list.push(RestingConnection { sender, since: now, until: now + rest });
         }
         if now.saturating_duration_since(self.pruned_at.get()) > PRUNE_EVERY {
             self.pruned_at.set(now);
--- a/src/gateway/fleet_orders.rs
+++ b/src/gateway/fleet_orders.rs
@@ -93,7 +93,7 @@
         if !fleet.look(context, service, now) {
             return;
         }
-        fleet.planner.find(&held);
+        fleet.planner.find(&held, now);
         if !fleet.planner.is_settled(now) {
             return;
         }
@@ -197,7 +197,8 @@
             running: smooth(self.demand.running, newest.running),
             ..newest
         };
-        self.planner.observe(&self.demand, now);
+        let serving = replicas.ready(&service.name).count();
+        self.planner.observe(&self.demand, serving, now);
         true
     }
 }
--- a/src/gateway/fleet_plan.rs
+++ b/src/gateway/fleet_plan.rs
@@ -21,11 +21,19 @@
 const SLOTS_TAKEN: f64 = 0.6;
 /// The need sinks by this part in a second, so that bursts find what the last one needed.
 const NEED_DECAY: f64 = 0.03;
-/// Part of the need without which callers are refused.
-const CRITICAL_PART: f64 = 0.6;
-/// A planner that has just begun watches this long before it orders: replicas that have just
-/// started, or whose entries were lost, are not listed at once.
+/// Part of the need that must still be there when the next zone is reclaimed.
+const CRITICAL_PART: f64 = 0.75;
+/// Part of the replicas found at the start that is taken to be needed, until demand is seen.
+const FOUND_PART: f64 = 0.85;
+/// The need is never put at more than this many times the replicas that serve: what full
+/// replicas show of the demand is their own slowness as well.
+const GROWTH_LIMIT: f64 = 1.5;
+/// A planner that has just begun orders nothing until the list of replicas has not grown for
+/// this long: replicas that have just started, or whose entries were lost, are not listed at
+/// once.
 const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+/// A planner that has just begun orders after this time, however the list grows.
+const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 /// Reclaimable replicas count as scarce for this long after an order was turned down.
 const SCARCE_FOR: Duration = Duration::from_secs(6);
 /// A zone whose order for reclaimable replicas was turned down is not asked again sooner.
@@ -79,6 +87,8 @@
 pub struct FleetPlanner {
     need: f64,
     begun_at: Instant,
+    /// Most replicas that were listed, and since when.
+    found: (u32, Instant),
     updated_at: Instant,
     /// Whether any demand has been seen.
     in_use: bool,
@@ -89,24 +99,36 @@
     /// Planner that knows nothing of the need yet.
     pub fn new(now: Instant) -> Self {
         let turned_down = BTreeMap::new();
-        Self { need: 0.0, begun_at: now, updated_at: now, in_use: false, turned_down }
+        Self {
+            need: 0.0,
+            begun_at: now,
+            found: (0, now),
+            updated_at: now,
+            in_use: false,
+            turned_down,
+        }
     }
 
     /// Takes what is held for a sign of what is needed, while no demand has been seen.
-    pub fn find(&mut self, held: &BTreeMap<SharedName, ZoneHolding>) {
+    pub fn find(&mut self, held: &BTreeMap<SharedName, ZoneHolding>, now: Instant) {
+        let on_demand: u32 = held.values().map(|holding| holding.on_demand).sum();
+        let reclaimable: u32 = held.values().map(|holding| holding.reclaimable).sum();
+        if on_demand + reclaimable > self.found.0 {
+            self.found = (on_demand + reclaimable, now);
+        }
         if self.in_use {
             return;
         }
-        let on_demand: u32 = held.values().map(|holding| holding.on_demand).sum();
-        let reclaimable: u32 = held.values().map(|holding| holding.reclaimable).sum();
         // NOTE: reclaimable ones were held with some to spare.
         let found = if on_demand > 0 { on_demand } else { reclaimable };
-        self.need = self.need.max(f64::from(found) * CRITICAL_PART);
+        self.need = self.need.max(f64::from(found) * FOUND_PART);
     }
 
     /// Whether the planner has seen enough to give orders.
     pub fn is_settled(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.begun_at) >= SETTLE_TIME
+        let begun = now.saturating_duration_since(self.begun_at);
+        let unchanged = now.saturating_duration_since(self.found.1);
+        unchanged >= SETTLE_TIME || begun >= SETTLE_LIMIT
     }
 
     /// Replicas needed now.
@@ -114,13 +136,14 @@
         self.need
     }
 
-    /// Takes the demand of this moment. Without any demand yet the need does not sink.
-    pub fn observe(&mut self, demand: &ServiceDemand, now: Instant) {
+    /// Takes the demand of this moment, with `serving` replicas ready. Without any demand yet
+    /// the need does not sink.
+    pub fn observe(&mut self, demand: &ServiceDemand, serving: usize, now: Instant) {
         let lately = |at: &Instant| now.saturating_duration_since(*at) < SCARCE_FOR;
         self.turned_down.retain(|_, at| lately(at));
         let elapsed = now.saturating_duration_since(self.updated_at).as_secs_f64();
         self.updated_at = now;
-        let wanted = demand.replicas();
+        let wanted = demand.replicas().min(serving.max(1) as f64 * GROWTH_LIMIT);
         if wanted > 0.0 {
             self.in_use = true;
             let sunk = self.need * (1.0 - NEED_DECAY).powf(elapsed);
@@ -175,12 +198,21 @@
             let holding = held[*zone];
             let zones_left = (by_price.len() - place) as u32;
             let share = missing.div_ceil(zones_left);
-            let room = spec.most.saturating_sub(holding.reclaimable.max(wanted));
+            let reserved = match self.turned_down.contains_key(*zone) {
+                // NOTE: none are to be had here; room kept for them would stay empty.
+                true => holding.reclaimable,
+                false => holding.reclaimable.max(wanted),
+            };
+            let room = spec.most.saturating_sub(reserved);
             // NOTE: both classes together must leave the zone its least number.
             let floor = least.saturating_sub(holding.reclaimable);
             let count = share.max(floor).min(room.max(floor));
             missing = missing.saturating_sub(count);
             targets.insert(((*zone).clone(), ReplicaClass::OnDemand), count);
+            let left = spec.most.saturating_sub(count).max(least);
+            if wanted > left {
+                targets.insert(((*zone).clone(), ReplicaClass::Reclaimable), left);
+            }
         }
         targets
     }
--- a/src/gateway/peers.rs
+++ b/src/gateway/peers.rs
@@ -18,8 +18,9 @@
 const HEARD_ROUNDS: u32 = 3;
 /// A daemon that nobody has heard for this long is taken to be gone.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
-/// Daemons of a row that watch the store for the others.
-const ROW_WATCHERS: usize = 3;
+/// Daemons of a row that watch the store for the others. Rows feed each other, so that a row
+/// whose watcher is cut off from the store still has its news.
+const ROW_WATCHERS: usize = 1;
 /// Time between tries of an address that does not answer.
 const RETRY_EVERY: Duration = Duration::from_millis(500);
 /// Time between exchanges with somebody who is no neighbour: so parts of a fleet that have
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -89,7 +89,7 @@
     let (head, body) = ingress::client_answer(response);
     let whole_length = body.size_hint().exact();
     let streams = success && admitted.route.kind.is_stream();
-    let relay = Relay {
+    let mut relay = Relay {
         context: context.clone(),
         last_event: admitted.call.head.last_event,
         admitted,
@@ -101,6 +101,10 @@
         ended: false,
         _active: context.active.enter(),
     };
+    if relay.has_whole_plain_answer() {
+        relay.ended = true;
+        relay.finish_cleanly();
+    }
     let frames = stream::unfold(relay, |mut relay| async move {
         let piece = relay.next().await?;
         Some((piece.map(Frame::data), relay))
@@ -130,7 +134,12 @@
             let piece = self.next_piece().await;
             let error = match piece {
                 NextPiece::Bytes(bytes) => {
-                    if bytes.is_empty() {
+                    if self.has_whole_plain_answer() {
+                        // NOTE: nobody asks for more of a body whose length is reached.
+                        self.ended = true;
+                        self.finish_cleanly();
+                    }
+                    if bytes.is_empty() && !self.ended {
                         continue;
                     }
                     return Some(Ok(bytes));
@@ -151,6 +160,12 @@
         }
     }
 
+    /// Whether an answer that is no stream has arrived to its end.
+    fn has_whole_plain_answer(&self) -> bool {
+        let at_end = |upstream: &Upstream| upstream.body.is_end_stream();
+        self.cutter.is_none() && self.upstream.as_ref().is_some_and(at_end)
+    }
+
     /// The next piece from the replica; whole events only, where the answer is a stream.
     async fn next_piece(&mut self) -> NextPiece {
         let until = self.wait_until();
@@ -277,6 +292,10 @@
         polled
     }
 
+    fn is_end_stream(&self) -> bool {
+        self.left == 0
+    }
+
     fn size_hint(&self) -> hyper::body::SizeHint {
         hyper::body::SizeHint::with_exact(self.left)
     }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -28,7 +28,7 @@
 /// Time between looks whether others still tell what the store holds.
 const FED_LOOK: Duration = Duration::from_millis(200);
 /// Time for further changes of replicas to gather before the next call.
-const GATHER_TIME: Duration = Duration::from_millis(150);
+const GATHER_TIME: Duration = Duration::from_millis(400);
 /// First pause after a failed call; each further one is twice as long.
 const PAUSE_FIRST: Duration = Duration::from_millis(50);
 /// Longest pause after failed calls.
--- /dev/null
+++ b/tests/gateway/fleet.rs
@@ -0,0 +1,134 @@
+//! Plan of the replicas to hold.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use googletest::prelude::*;
+use tokio::time::Instant;
+use willowarch::{
+    gateway::{
+        configuration::FleetSpec,
+        fleet_plan::{FleetPlanner, ReplicaClass, ServiceDemand, ZoneHolding},
+    },
+    ids::SharedName,
+};
+
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+
+fn spec() -> FleetSpec {
+    FleetSpec {
+        least: 1,
+        most: 10,
+        start_time: Duration::from_secs(4),
+        reclaimable_price: Some(0.15),
+        zone_prices: ZONES.iter().map(|zone| ((*zone).into(), 1.0)).collect(),
+    }
+}
+
+fn held(reclaimable: [u32; 4], on_demand: [u32; 4]) -> BTreeMap<SharedName, ZoneHolding> {
+    let holding =
+        |place: usize| ZoneHolding { reclaimable: reclaimable[place], on_demand: on_demand[place] };
+    ZONES.iter().enumerate().map(|(place, zone)| ((*zone).into(), holding(place))).collect()
+}
+
+fn planner(running: f64) -> FleetPlanner {
+    let mut planner = FleetPlanner::new(Instant::now());
+    let demand =
+        ServiceDemand { read_rate: 0.0, replica_read_rate: 40_000.0, running, slots: 10.0 };
+    planner.observe(&demand, 20, Instant::now());
+    planner
+}
+
+fn total(
+    planner: &FleetPlanner,
+    held: &BTreeMap<SharedName, ZoneHolding>,
+    class: ReplicaClass,
+) -> u32 {
+    let targets = planner.plan(&spec(), held);
+    targets.iter().filter(|((_, of), _)| *of == class).map(|(_, count)| count).sum()
+}
+
+#[googletest::test]
+fn reclaimable_replicas_suffice_when_a_zone_goes() {
+    for running in [6.0, 30.0, 72.0, 100.0] {
+        let planner = planner(running);
+        let targets = planner.plan(&spec(), &held([0; 4], [5; 4]));
+        for zone in ZONES {
+            let others: u32 = targets
+                .iter()
+                .filter(|((of, class), _)| &**of != zone && *class == ReplicaClass::Reclaimable)
+                .map(|(_, count)| count)
+                .sum();
+            expect_that!(f64::from(others), ge(planner.need()), "{running} running, {zone} gone");
+        }
+    }
+}
+
+#[googletest::test]
+fn others_stay_until_reclaimable_ones_serve_and_come_back_when_these_are_missing() {
+    let planner = planner(72.0);
+    let before = total(&planner, &held([0; 4], [5; 4]), ReplicaClass::OnDemand);
+    expect_that!(f64::from(before), ge(planner.need()));
+    let calm = total(&planner, &held([4; 4], [0; 4]), ReplicaClass::OnDemand);
+    expect_that!(calm, eq(0));
+    let zones_gone = total(&planner, &held([4, 4, 0, 0], [0; 4]), ReplicaClass::OnDemand);
+    expect_that!(zones_gone, gt(0));
+}
+
+#[googletest::test]
+fn need_sinks_slowly_and_not_without_demand() {
+    let start = Instant::now();
+    let mut planner = FleetPlanner::new(start);
+    planner.find(&held([0; 4], [5; 4]), start);
+    expect_that!(planner.need(), near(17.0, 0.1));
+    let later = start + Duration::from_secs(60);
+    planner.observe(&ServiceDemand::default(), 20, later);
+    expect_that!(planner.need(), near(17.0, 0.1));
+    let little =
+        ServiceDemand { read_rate: 0.0, replica_read_rate: 1.0, running: 3.0, slots: 10.0 };
+    planner.observe(&little, 20, later + Duration::from_secs(10));
+    expect_that!(planner.need(), all!(lt(13.0), gt(11.0)));
+}
+
+#[googletest::test]
+fn zones_without_reclaimable_replicas_hold_no_room_for_them() {
+    let mut planner = planner(120.0);
+    let gone = held([0; 4], [5; 4]);
+    let before = total(&planner, &gone, ReplicaClass::OnDemand);
+    for zone in ZONES {
+        planner.turned_down(&zone.into(), Instant::now());
+    }
+    let dry = total(&planner, &gone, ReplicaClass::OnDemand);
+    expect_that!(f64::from(dry), ge(planner.need()));
+    expect_that!(dry, gt(before));
+    for count in planner.plan(&spec(), &gone).into_values() {
+        expect_that!(count, le(10));
+    }
+}
+
+#[googletest::test]
+fn full_replicas_do_not_make_the_need_run_away() {
+    let start = Instant::now();
+    let mut planner = FleetPlanner::new(start);
+    // Few replicas, slow because they are full: more requests run than they can serve.
+    let overloaded =
+        ServiceDemand { read_rate: 4e6, replica_read_rate: 20_000.0, running: 400.0, slots: 10.0 };
+    planner.observe(&overloaded, 10, start);
+    expect_that!(planner.need(), le(15.0));
+    planner.observe(&overloaded, 14, start + Duration::from_secs(4));
+    expect_that!(planner.need(), le(21.0));
+}
+
+#[googletest::test]
+fn orders_wait_until_the_list_has_stopped_growing() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut planner = FleetPlanner::new(start);
+    for (ms, count) in [(0, 1), (500, 2), (1_000, 4), (1_500, 5), (2_000, 5)] {
+        planner.find(&held([0; 4], [count; 4]), at(ms));
+        expect_that!(planner.is_settled(at(ms)), eq(false), "after {ms} ms");
+    }
+    expect_that!(planner.is_settled(at(3_000)), eq(true));
+    planner.find(&held([0; 4], [6; 4]), at(4_000));
+    expect_that!(planner.is_settled(at(4_100)), eq(false));
+    expect_that!(planner.is_settled(at(5_000)), eq(true));
+}
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod decoders;
 mod duties;
 mod exchange;
+mod fleet;
 mod operations;
 mod platform_standin;
 mod pure_parts;
--- a/tests/gateway/pure_parts.rs
+++ b/tests/gateway/pure_parts.rs
@@ -14,9 +14,8 @@
         choice::{
             ChoiceQuery, ChoiceResult, HeardState, LoadSum, ReplicaTable, RunLoad, replica_number,
         },
-        configuration::{AccountQuota, Configuration, FleetSpec, Route, RouteKind},
+        configuration::{AccountQuota, Configuration, Route, RouteKind},
         events::EventCutter,
-        fleet_plan::{FleetPlanner, ReplicaClass, ServiceDemand, ZoneHolding},
         lease::LeaseView,
         quota::{QuotaLedger, QuotaSharing, QuotaTolerance, QuotaVerdict},
         read_rate::ReadRate,
@@ -376,85 +375,6 @@
     expect_that!(name("three", "/"), none());
 }
 
-// ---- fleet
-
-const ZONES: [&str; 4] = ["a", "b", "c", "d"];
-
-fn spec() -> FleetSpec {
-    FleetSpec {
-        least: 1,
-        most: 10,
-        start_time: Duration::from_secs(4),
-        reclaimable_price: Some(0.15),
-        zone_prices: ZONES.iter().map(|zone| ((*zone).into(), 1.0)).collect(),
-    }
-}
-
-fn held(reclaimable: [u32; 4], on_demand: [u32; 4]) -> BTreeMap<SharedName, ZoneHolding> {
-    let holding =
-        |place: usize| ZoneHolding { reclaimable: reclaimable[place], on_demand: on_demand[place] };
-    ZONES.iter().enumerate().map(|(place, zone)| ((*zone).into(), holding(place))).collect()
-}
-
-fn planner(running: f64) -> FleetPlanner {
-    let mut planner = FleetPlanner::new(Instant::now());
-    let demand =
-        ServiceDemand { read_rate: 0.0, replica_read_rate: 40_000.0, running, slots: 10.0 };
-    planner.observe(&demand, Instant::now());
-    planner
-}
-
-fn total(
-    planner: &FleetPlanner,
-    held: &BTreeMap<SharedName, ZoneHolding>,
-    class: ReplicaClass,
-) -> u32 {
-    let targets = planner.plan(&spec(), held);
-    targets.iter().filter(|((_, of), _)| *of == class).map(|(_, count)| count).sum()
-}
-
-#[googletest::test]
-fn reclaimable_replicas_suffice_when_a_zone_goes() {
-    for running in [6.0, 30.0, 72.0, 100.0] {
-        let planner = planner(running);
-        let targets = planner.plan(&spec(), &held([0; 4], [5; 4]));
-        for zone in ZONES {
-            let others: u32 = targets
-                .iter()
-                .filter(|((of, class), _)| &**of != zone && *class == ReplicaClass::Reclaimable)
-                .map(|(_, count)| count)
-                .sum();
-            expect_that!(f64::from(others), ge(planner.need()), "{running} running, {zone} gone");
-        }
-    }
-}
-
-#[googletest::test]
-fn others_stay_until_reclaimable_ones_serve_and_come_back_when_these_are_missing() {
-    let planner = planner(72.0);
-    let before = total(&planner, &held([0; 4], [5; 4]), ReplicaClass::OnDemand);
-    expect_that!(f64::from(before), ge(planner.need()));
-    let calm = total(&planner, &held([4; 4], [0; 4]), ReplicaClass::OnDemand);
-    expect_that!(calm, eq(0));
-    let zones_gone = total(&planner, &held([4, 4, 0, 0], [0; 4]), ReplicaClass::OnDemand);
-    expect_that!(zones_gone, gt(0));
-}
-
-#[googletest::test]
-fn need_sinks_slowly_and_not_without_demand() {
-    let start = Instant::now();
-    let mut planner = FleetPlanner::new(start);
-    planner.find(&held([0; 4], [5; 4]));
-    expect_that!(planner.need(), near(12.0, 0.1));
-    let later = start + Duration::from_secs(60);
-    planner.observe(&ServiceDemand::default(), later);
-    expect_that!(planner.need(), near(12.0, 0.1));
-    let little =
-        ServiceDemand { read_rate: 0.0, replica_read_rate: 1.0, running: 3.0, slots: 10.0 };
-    planner.observe(&little, later + Duration::from_secs(10));
-    expect_that!(planner.need(), all!(lt(10.0), gt(8.0)));
-}
-
 // ---- lease, clock, usage
 
 #[googletest::test]
