--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -64,6 +64,9 @@
     /// Daemons that the holder knew of.
     #[serde(default)]
     pub daemons: usize,
+    /// Accounts that were crowded at the last renewal.
+    #[serde(default)]
+    pub crowded: Vec<SharedName>,
     /// The newest report.
     pub report: Option<UsageReport>,
 }
@@ -104,6 +107,7 @@
     };
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    service.look_first().await;
     loop {
         ticks.tick().await;
         service.tick().await;
@@ -111,6 +115,19 @@
 }
 
 impl DutyService {
+    /// Reads what the last holder wrote of the fleet: quotas depend on it from the start.
+    async fn look_first(&mut self) {
+        let asked = Instant::now();
+        let reading = self.context.store.read(LEASE_KIND, LEASE_NAME);
+        match timeout(WRITE_LIMIT, reading).await {
+            Ok(Ok(object)) => {
+                self.see(object, asked);
+            }
+            Ok(Err(error)) => spdlog::warn!("duty", kv: { outcome = "failed", error: = error }),
+            Err(_) => spdlog::warn!("duty", kv: { outcome = "late", step = "first read" }),
+        }
+    }
+
     async fn tick(&mut self) {
         let now = Instant::now();
         if now < self.next_try {
@@ -176,6 +193,7 @@
             // NOTE: there never was a holder: all daemons are just starting.
             let known = self.daemons();
             self.context.fleet_size.set(self.context.fleet_size.get().or(Some(known)));
+            self.context.quotas.borrow_mut().set_crowded_before([]);
             return None;
         };
         let record: LeaseRecord = match serde_json::from_str(&object.value) {
@@ -186,6 +204,7 @@
             }
         };
         self.context.fleet_size.set(Some(record.daemons.max(1)));
+        self.context.quotas.borrow_mut().set_crowded_before(record.crowded.iter().cloned());
         let since = match &self.seen {
             Some(seen) if seen.revision == object.revision => seen.since,
             _ => asked,
@@ -209,6 +228,7 @@
             renewals: 0,
             released: false,
             daemons: self.daemons(),
+            crowded: self.crowded(),
             report,
         };
         if self.write(revision, record).await? {
@@ -301,8 +321,8 @@
         if due.is_some() || age > self.lease().mul_f64(RENEW_PART) {
             let report = due.clone().or(seen.record.report.clone());
             let renewals = seen.record.renewals + 1;
-            let daemons = self.daemons();
-            let record = LeaseRecord { renewals, report, daemons, ..seen.record };
+            let (daemons, crowded) = (self.daemons(), self.crowded());
+            let record = LeaseRecord { renewals, report, daemons, crowded, ..seen.record };
             if !self.write(seen.revision, record).await? {
                 return Ok(());
             }
@@ -314,6 +334,10 @@
         self.order_replicas().await
     }
 
+    fn crowded(&self) -> Vec<SharedName> {
+        self.context.quotas.borrow().crowded(Instant::now())
+    }
+
     fn daemons(&self) -> usize {
         self.context.peers.borrow().sharing(Instant::now()).known
     }
--- a/src/gateway/fleet_plan.rs
+++ b/src/gateway/fleet_plan.rs
@@ -20,7 +20,7 @@
 /// Taken part of a replica's slots at which it is full enough.
 const SLOTS_TAKEN: f64 = 0.6;
 /// The need sinks by this part in a second, so that bursts find what the last one needed.
-const NEED_DECAY: f64 = 0.03;
+const NEED_DECAY: f64 = 0.05;
 /// Part of the need that must still be there when the next zone is reclaimed.
 const CRITICAL_PART: f64 = 0.75;
 /// Part of the replicas found at the start that is taken to be needed, until demand is seen.
@@ -192,13 +192,15 @@
             // NOTE: reclaimable ones can be had, and start as fast; others only stay until then.
             missing = missing.min(on_demand);
         }
+        let half = missing.div_ceil(2);
         let mut by_price: Vec<&SharedName> = held.keys().collect();
         by_price.sort_by(|one, other| price_of(spec, one).total_cmp(&price_of(spec, other)));
         // NOTE: what is held stays until enough reclaimable ones serve in its place.
         for (place, zone) in by_price.iter().enumerate() {
             let holding = held[*zone];
             let zones_left = (by_price.len() - place) as u32;
-            let share = missing.div_ceil(zones_left);
+            // NOTE: cheap zones first, but never all in one.
+            let share = missing.div_ceil(zones_left).max(half.min(missing));
             let reserved = match self.turned_down.contains_key(*zone) {
                 // NOTE: none are to be had here; room kept for them would stay empty.
                 true => holding.reclaimable,
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -12,7 +12,10 @@
 //! for more than the rate, each admits the same part of what it is asked for, whatever the
 //! size of a request.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    time::Duration,
+};
 
 use rand::{Rng, RngExt};
 use tokio::time::Instant;
@@ -20,8 +23,8 @@
 use super::{configuration::AccountQuota, tally_source::TallySource};
 use crate::ids::SharedName;
 
-/// Part of the burst that all daemons that have just started may spend together: what was
-/// spent before they started is not known to them.
+/// Part of the burst that all daemons that have just started may spend together of an account
+/// that was crowded before: what was spent before they started is not known to them.
 const START_LEVEL: f64 = 0.25;
 /// Burst of a quota that names none, in seconds of its rate.
 const LEAST_BURST_S: f64 = 0.1;
@@ -40,12 +43,14 @@
 const CALM_LEVEL: f64 = 0.6;
 /// Shortest time between two words that a rate is taken over, in seconds.
 const LEAST_ELAPSED_S: f64 = 0.3;
+/// Time over which the first word of a daemon that has just started is averaged.
+const FIRST_ELAPSED: Duration = Duration::from_millis(1_500);
 /// Those who have told are looked through when there are more than this.
 const SOURCES_KEPT: usize = 64;
 /// Askings of others count for this long after their last word.
 const ASKED_KEPT: Duration = Duration::from_secs(3);
 /// Part of the burst at which the bucket is held while more is asked for than the rate.
-const HELD_LEVEL: f64 = 0.3;
+const HELD_LEVEL: f64 = 0.2;
 /// Time in which the bucket is brought back to that level, in times of the age of others'
 /// word: a faster correction would overshoot before its effect is heard of.
 const CORRECTION_LAGS: f64 = 1.5;
@@ -68,6 +73,9 @@
 #[derive(Debug, Default)]
 struct AccountBucket {
     level: f64,
+    /// Rate and burst under which it was last asked.
+    rate: f64,
+    burst: f64,
     /// Last time the bucket was filled; none before the first request.
     filled_at: Option<Instant>,
     own: AccountTally,
@@ -108,6 +116,10 @@
 }
 
 impl HeardSpending {
+    fn new(tally: AccountTally, at: Instant) -> Self {
+        Self { tally, at, rate: 0.0, asked_rate: 0.0 }
+    }
+
     /// Units that have probably been spent since the last word.
     fn guess(&self, now: Instant) -> f64 {
         let silence = now.saturating_duration_since(self.at).min(GUESS_LIMIT);
@@ -161,6 +173,8 @@
     /// Number of sources above which old ones are dropped.
     sources_pruned_at: usize,
     started_at: Instant,
+    /// Accounts that were crowded before this daemon started, once that is known.
+    crowded_before: Option<BTreeSet<SharedName>>,
     tolerance: QuotaTolerance,
 }
 
@@ -181,10 +195,26 @@
             sources: HashMap::new(),
             sources_pruned_at: SOURCES_KEPT,
             started_at: now,
+            crowded_before: None,
             tolerance,
         }
     }
 
+    /// These accounts were crowded not long before this daemon started. Of others all of the
+    /// burst may be taken for there.
+    pub fn set_crowded_before(&mut self, accounts: impl IntoIterator<Item = SharedName>) {
+        self.crowded_before.get_or_insert_with(|| accounts.into_iter().collect());
+    }
+
+    /// Accounts of which much is asked, or little is left.
+    pub fn crowded(&self, now: Instant) -> Vec<SharedName> {
+        let buckets = self.accounts.iter();
+        let crowded = buckets.filter(|(_, bucket)| bucket.is_crowded(now));
+        let mut names: Vec<SharedName> = crowded.map(|(name, _)| name.clone()).collect();
+        names.sort_unstable();
+        names
+    }
+
     /// Asks for `units` of an account.
     pub fn admit(
         &mut self,
@@ -203,10 +233,15 @@
         let bucket = self.accounts.entry(account.clone()).or_default();
         if bucket.filled_at.is_none() {
             // NOTE: a bucket that nobody asked yet has filled since the daemon started.
-            bucket.level += burst * START_LEVEL / sharing.known.max(1) as f64;
+            let calm = self.crowded_before.as_ref().is_some_and(|list| !list.contains(account));
+            bucket.level += match calm {
+                true => burst,
+                false => burst * START_LEVEL / sharing.known.max(1) as f64,
+            };
             bucket.filled_at = Some(started_at);
         }
         let rate = rate * sharing.share();
+        (bucket.rate, bucket.burst) = (rate, burst);
         bucket.fill(rate, burst, now);
         bucket.own.asked += units;
         bucket.own_asked.add(units, now);
@@ -249,10 +284,12 @@
         recent: bool,
         now: Instant,
     ) {
-        let known = self.sources.insert(from, now).is_some();
+        let before = self.sources.insert(from, now);
+        let just_started = recent.then(|| now.checked_sub(FIRST_ELAPSED)).flatten();
+        let since = before.or(just_started);
         for (account, tally) in tallies {
             let bucket = self.accounts.entry(account.clone()).or_default();
-            bucket.hear(from, *tally, recent || known, now);
+            bucket.hear(from, *tally, since, now);
         }
         let kept = |at: &mut Instant| now.saturating_duration_since(*at) < HEARD_KEPT;
         if self.sources.len() > self.sources_pruned_at {
@@ -277,6 +314,12 @@
 }
 
 impl AccountBucket {
+    fn is_crowded(&self, now: Instant) -> bool {
+        let Some(filled_at) = self.filled_at else { return false };
+        let elapsed = now.saturating_duration_since(filled_at).as_secs_f64();
+        self.level + elapsed * self.rate < self.burst * CALM_LEVEL
+    }
+
     /// Part of what is asked for that may be admitted so that `rate` is kept to; the same at
     /// all daemons.
     fn admitted_part(&self, rate: f64, now: Instant) -> f64 {
@@ -289,21 +332,23 @@
         (rate / asked.max(1.0)).clamp(0.0, 1.0)
     }
 
-    /// Takes what another daemon, or a row, tells. `whole` says that what it tells first counts
-    /// as spent just now.
-    fn hear(&mut self, from: TallySource, tally: AccountTally, whole: bool, now: Instant) {
-        let before = self.heard.get(&from).copied();
-        if before.is_none() && !whole {
+    /// Takes what another daemon, or a row, tells. What it tells first is taken for spent
+    /// after `since`.
+    fn hear(
+        &mut self,
+        from: TallySource,
+        tally: AccountTally,
+        since: Option<Instant>,
+        now: Instant,
+    ) {
+        let nothing = |at| HeardSpending::new(AccountTally::default(), at);
+        let before = self.heard.get(&from).copied().or(since.map(nothing));
+        let Some(before) = before else {
             // NOTE: what a daemon spent before it was first heard may be long refilled.
-            let first = HeardSpending { tally, at: now, rate: 0.0, asked_rate: 0.0 };
-            self.heard.insert(from, first);
-            return;
-        }
-        let before = before.unwrap_or_else(|| {
+            self.heard.insert(from, HeardSpending::new(tally, now));
             self.heard.retain(|_, heard| now.saturating_duration_since(heard.at) < HEARD_KEPT);
-            let tally = AccountTally::default();
-            HeardSpending { tally, at: now, rate: 0.0, asked_rate: 0.0 }
-        });
+            return;
+        };
         // NOTE: units that were given back make the count sink.
         let spent = tally.spent as f64 - before.tally.spent as f64;
         self.level -= spent;
@@ -313,7 +358,8 @@
         };
         self.note_row(from, rise);
         let elapsed = now.saturating_duration_since(before.at).as_secs_f64().max(LEAST_ELAPSED_S);
-        let smooth = |before: f64, newest: f64| before + (newest - before) * RATE_WEIGHT;
+        let weight = if self.heard.contains_key(&from) { RATE_WEIGHT } else { 1.0 };
+        let smooth = |before: f64, newest: f64| before + (newest - before) * weight;
         let rate = smooth(before.rate, (spent / elapsed).max(0.0));
         let asked_rate = smooth(before.asked_rate, rise.asked as f64 / elapsed);
         self.heard.insert(from, HeardSpending { tally, at: now, rate, asked_rate });
--- a/tests/gateway/quotas.rs
+++ b/tests/gateway/quotas.rs
@@ -227,3 +227,25 @@
         expect_that!(after.0, eq(after.1), "{count} daemons, usual again");
     }
 }
+
+#[googletest::test]
+fn accounts_that_were_calm_are_served_at_once_after_a_restart() {
+    let start = Instant::now();
+    let (calm, crowded): (SharedName, SharedName) = ("calm".into(), "crowded".into());
+    let alone = sharing(10, 1);
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut before = QuotaLedger::new(QuotaTolerance::default(), start);
+    let now = start + millis(2_000);
+    for _ in 0..100 {
+        before.admit(&crowded, &QUOTA, 100, sharing(1, 1), now, &mut rng);
+    }
+    before.admit(&calm, &QUOTA, 100, sharing(1, 1), now, &mut rng);
+    let told = before.crowded(now);
+    expect_that!(told, elements_are![eq(&crowded)]);
+    let mut after = QuotaLedger::new(QuotaTolerance::default(), now);
+    after.set_crowded_before(told);
+    let first = after.admit(&calm, &QUOTA, 300, alone, now, &mut rng);
+    expect_that!(first, eq(QuotaVerdict::Admitted));
+    let first = after.admit(&crowded, &QUOTA, 300, alone, now, &mut rng);
+    expect_that!(first, not(eq(QuotaVerdict::Admitted)));
+}
