Small fleets keep the bucket alone; ended replicas are not chosen again

Change: parts only where word is older than 0.9 s; an answer 'other replica' ends the old start for good; critical part of the need 0.65; the list counts as settled after 1 s.

--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -148,6 +148,8 @@
             AttemptEnd::NotRun
         }
         AnswerMeaning::OtherReplica => {
+            context.replicas.borrow_mut().mark_ended(guard.replica());
+            context.connections.distrust(guard.replica());
             guard.finish(AttemptResult::Failed);
             AttemptEnd::NotRun
         }
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -122,6 +122,8 @@
     health: EndpointHealth,
     memory: PromptMemory,
     full_until: Option<Instant>,
+    /// Whether another start of a replica was met at its address: this one has ended.
+    ended: bool,
 }
 
 /// What another daemon has told of its requests.
@@ -261,7 +263,8 @@
 
     fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a ReplicaStatus> {
         self.replicas.values().filter(move |status| {
-            &*status.record.service == service && status.record.state == ReplicaState::Ready
+            let takes = status.record.state == ReplicaState::Ready && !status.ended;
+            takes && &*status.record.service == service
         })
     }
 
@@ -366,6 +369,13 @@
         status.health.record(result, now);
     }
 
+    /// Another start of a replica answers at this one's address: it will never serve again.
+    pub fn mark_ended(&mut self, id: &str) {
+        if let Some(status) = self.replicas.get_mut(id) {
+            status.ended = true;
+        }
+    }
+
     /// The replica turned a request away because it is full.
     pub fn mark_full(&mut self, id: &str, now: Instant) {
         if let Some(status) = self.replicas.get_mut(id) {
@@ -382,6 +392,7 @@
             health: EndpointHealth::default(),
             memory: PromptMemory::default(),
             full_until: None,
+            ended: false,
         }
     }
 
--- a/src/gateway/fleet_plan.rs
+++ b/src/gateway/fleet_plan.rs
@@ -22,7 +22,7 @@
 /// The need sinks by this part in a second, so that bursts find what the last one needed.
 const NEED_DECAY: f64 = 0.05;
 /// Part of the need that must still be there when the next zone is reclaimed.
-const CRITICAL_PART: f64 = 0.75;
+const CRITICAL_PART: f64 = 0.65;
 /// Part of the replicas found at the start that is taken to be needed, until demand is seen.
 const FOUND_PART: f64 = 0.85;
 /// The need is never put at more than this many times the replicas that serve: what full
@@ -31,7 +31,7 @@
 /// A planner that has just begun orders nothing until the list of replicas has not grown for
 /// this long: replicas that have just started, or whose entries were lost, are not listed at
 /// once.
-const SETTLE_TIME: Duration = Duration::from_millis(1_500);
+const SETTLE_TIME: Duration = Duration::from_millis(1_000);
 /// A planner that has just begun orders after this time, however the list grows.
 const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 /// Reclaimable replicas count as scarce for this long after an order was turned down.
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -7,8 +7,8 @@
 //! spend an even part of the rate; the others leave it that part, and take no more than
 //! their own even parts together.
 //!
-//! Word of others is late, so that the bucket alone would swing between admitting all and
-//! admitting nothing. Daemons therefore also tell what they were asked for. Where all are asked
+//! In a large fleet word of others is so late that the bucket alone would swing between
+//! admitting all and admitting nothing. Daemons therefore also tell what they were asked for. Where all are asked
 //! for more than the rate, each admits the same part of what it is asked for, whatever the
 //! size of a request.
 
@@ -37,6 +37,9 @@
 const HEARD_KEPT: Duration = Duration::from_secs(60);
 /// Weight of the newest word in another daemon's rate.
 const RATE_WEIGHT: f64 = 0.5;
+/// While word of the others is newer than this, the bucket alone decides: it hardly swings, and
+/// serves who comes first.
+const SHORT_LAG: Duration = Duration::from_millis(900);
 /// Time over which the own askings are averaged, in seconds.
 const ASKED_TIME_S: f64 = 1.5;
 /// Above this part of the burst everything is admitted, whatever is asked for.
@@ -250,7 +253,8 @@
         let level = bucket.level - bucket.guess(now);
         let correction_s = (sharing.lag.as_secs_f64() * CORRECTION_LAGS).max(LEAST_CORRECTION_S);
         let correction = (level - burst * HELD_LEVEL) / correction_s;
-        let admitted_part = match level >= burst * CALM_LEVEL {
+        let exact = sharing.lag < SHORT_LAG || level >= burst * CALM_LEVEL;
+        let admitted_part = match exact {
             true => 1.0,
             false => bucket.admitted_part(rate + correction, now),
         };
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -123,7 +123,7 @@
     let start = Instant::now();
     let at = |ms: u64| start + Duration::from_millis(ms);
     let mut planner = FleetPlanner::new(start);
-    for (ms, count) in [(0, 1), (500, 2), (1_000, 4), (1_500, 5), (2_000, 5)] {
+    for (ms, count) in [(0, 1), (500, 2), (1_000, 4), (1_500, 5), (2_000, 5), (2_400, 5)] {
         planner.find(&held([0; 4], [count; 4]), at(ms));
         expect_that!(planner.is_settled(at(ms)), eq(false), "after {ms} ms");
     }
--- a/tests/gateway/pure_parts.rs
+++ b/tests/gateway/pure_parts.rs
@@ -204,6 +204,19 @@
     expect_that!(matches!(result, ChoiceResult::Full(_)), eq(true));
 }
 
+#[googletest::test]
+fn replica_at_whose_address_another_answers_is_not_chosen_again() {
+    let mut table = table(vec![record("i-0", "a"), record("i-1", "b")]);
+    let now = Instant::now();
+    table.mark_ended("i-0");
+    for seed in 0..20 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let result = table.choose(&query(&[], &[]), now, &mut rng);
+        let ChoiceResult::Replica(choice) = result else { panic!("no replica") };
+        expect_that!(&*choice.replica.id, eq("i-1"));
+    }
+}
+
 #[googletest::test]
 fn failing_replica_is_ejected_and_probed_again() {
     let mut table = table(vec![record("i-0", "a"), record("i-1", "b"), record("i-2", "b")]);
