--- a/tests/gateway/duties.rs
+++ b/tests/gateway/duties.rs
@@ -11,13 +11,13 @@
     serving::{Gateway, ask, configuration, replica_entry, wait_for},
 };
 
-fn reports(platform: &PlatformStandin) -> Vec<CloudCall> {
+pub fn reports(platform: &PlatformStandin) -> Vec<CloudCall> {
     let calls = platform.cloud_calls().into_iter();
     calls.filter(|call| call.path == "/reports").collect()
 }
 
 /// Every window has one content, whoever reported it, and fences only rise.
-fn check_reports(reports: &[CloudCall]) {
+pub fn check_reports(reports: &[CloudCall]) {
     let mut contents: BTreeMap<u64, Value> = BTreeMap::new();
     let mut fence = 0;
     for report in reports {
--- a/tests/gateway/replica_standin.rs
+++ b/tests/gateway/replica_standin.rs
@@ -13,6 +13,8 @@
 /// What a replica does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReplicaManner {
+    /// Streams five events on streaming routes, answers on others.
+    Serve,
     /// Answers with its id and the request's path.
     Answer,
     /// Streams so many events and ends.
@@ -41,6 +43,14 @@
     pub line: String,
     pub headers: Vec<(String, String)>,
     pub body: Vec<u8>,
+    /// Whether the replica began to work on it.
+    pub ran: bool,
+}
+
+impl ReplicaManner {
+    fn runs(self) -> bool {
+        !matches!(self, Self::Full | Self::Other)
+    }
 }
 
 impl SeenRequest {
@@ -49,6 +59,10 @@
         headers.find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
     }
 
+    fn is_streaming(&self) -> bool {
+        self.line.contains(" /stream/") || self.line.contains(" /rigid/")
+    }
+
     pub fn id(&self) -> &str {
         self.header("x-request-id").unwrap_or_default()
     }
@@ -121,8 +135,9 @@
     fn serve(&self, stream: TcpStream) {
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
-            self.seen.lock().expect("lock").push(request.clone());
             let manner = *self.manner.lock().expect("lock");
+            let seen = SeenRequest { ran: manner.runs(), ..request.clone() };
+            self.seen.lock().expect("lock").push(seen);
             if !self.answer(reader.get_mut(), &request, manner) {
                 let _ = reader.get_mut().shutdown(Shutdown::Both);
                 return;
@@ -135,7 +150,10 @@
         let id = request.id();
         let body = format!("{} {}", self.id, request.line);
         match manner {
-            ReplicaManner::Answer => self.write_whole(out, "200 OK", id, &body),
+            ReplicaManner::Serve if request.is_streaming() => self.stream(out, request, 5, false),
+            ReplicaManner::Serve | ReplicaManner::Answer => {
+                self.write_whole(out, "200 OK", id, &body)
+            }
             ReplicaManner::Surplus => {
                 self.write_whole(out, "200 OK", id, &body)
                     && self.write_whole(out, "200 OK", id, "surplus")
@@ -226,7 +244,8 @@
         let (name, value) = header.split_once(':')?;
         headers.push((name.to_owned(), value.trim().to_owned()));
     }
-    let mut request = SeenRequest { line: line.trim_end().to_owned(), headers, body: Vec::new() };
+    let line = line.trim_end().to_owned();
+    let mut request = SeenRequest { line, headers, body: Vec::new(), ran: false };
     let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     request.body = vec![0; length];
     reader.read_exact(&mut request.body).ok()?;
--- a/tests/gateway/serving.rs
+++ b/tests/gateway/serving.rs
@@ -3,6 +3,7 @@
 use std::{
     io::{Read, Write},
     net::{IpAddr, SocketAddr, TcpStream},
+    path::Path,
     process::{Child, Command},
     sync::atomic::{AtomicU32, Ordering},
     time::{Duration, Instant},
@@ -36,6 +37,13 @@
     IpAddr::from([127, high.max(1), low, next])
 }
 
+fn spawn(settings: &Path, log: &Path) -> Child {
+    let log = std::fs::File::options().create(true).append(true).open(log).expect("log");
+    let mut command = Command::new(env!("CARGO_BIN_EXE_willowarchd"));
+    command.args(["--gateway", "--settings"]).arg(settings).stdout(log);
+    command.spawn().expect("daemon")
+}
+
 /// One daemon as a real process.
 pub struct Gateway {
     process: Child,
@@ -59,6 +67,11 @@
         seeds: &[SocketAddr],
         bounds: Value,
     ) -> Self {
+        Self::start_at(name, platform.address, seeds, bounds)
+    }
+
+    /// Starts a daemon that reaches the platform at `platform`.
+    pub fn start_at(name: &str, platform: SocketAddr, seeds: &[SocketAddr], bounds: Value) -> Self {
         let ip = own_address();
         let at_port = |port| SocketAddr::new(ip, port);
         let (clients, readiness, peers) = (at_port(8001), at_port(8002), at_port(8003));
@@ -73,23 +86,25 @@
             "listen": {"front": clients, "readiness": readiness, "control": peers},
             "port-range": [8004, 8010],
             "seeds": seeds, "bounds": all, "unknown-field": [1, 2],
-            "platform": {"address": platform.address},
-            "cloud-api": {"address": platform.address, "duties": ["metering", "autoscale"]},
+            "platform": {"address": platform},
+            "cloud-api": {"address": platform, "duties": ["metering", "autoscale"]},
         });
         let file = format!("gateway-{name}-{ip}.json");
-        let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
+        let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
         std::fs::write(&path, settings.to_string()).expect("settings");
         let log = path.with_extension("log");
-        let process = Command::new(env!("CARGO_BIN_EXE_willowarchd"))
-            .args(["--gateway", "--settings"])
-            .arg(&path)
-            .stdout(std::fs::File::create(&log).expect("log"))
-            .spawn()
-            .expect("daemon");
+        let process = spawn(&path, &log);
         let metrics = at_port(8004);
         Self { process, clients, readiness, peers, metrics, log, settings: path }
     }
 
+    /// Kills the process and starts it again at the same addresses.
+    pub fn kill_and_restart(&mut self) {
+        let _ = self.process.kill();
+        let _ = self.process.wait();
+        self.process = spawn(&self.settings, &self.log);
+    }
+
     pub fn is_ready(&self) -> bool {
         let url = format!("http://{}/-/readiness", self.readiness);
         ureq::get(&url).call().is_ok()
@@ -215,6 +230,11 @@
     headers: &[&str],
     body: &[u8],
 ) -> RawAnswer {
+    send_raw(address, &request_bytes(path, id, key, headers, body))
+}
+
+/// Bytes of one request over a connection of its own.
+pub fn request_bytes(path: &str, id: &str, key: &str, headers: &[&str], body: &[u8]) -> Vec<u8> {
     let method = if body.is_empty() { "GET" } else { "POST" };
     let mut head = format!(
         "{method} {path} HTTP/1.1\r\nHost: site.example\r\nX-Request-Id: {id}\r\n\
@@ -230,16 +250,21 @@
     head.push_str("\r\n");
     let mut bytes = head.into_bytes();
     bytes.extend_from_slice(body);
-    send_raw(address, &bytes)
+    bytes
 }
 
 pub fn send_raw(address: SocketAddr, bytes: &[u8]) -> RawAnswer {
-    let mut stream = TcpStream::connect(address).expect("connect");
-    stream.set_read_timeout(Some(PATIENCE)).expect("timeout");
-    stream.write_all(bytes).expect("send");
+    try_send_raw(address, bytes).expect("connect and send")
+}
+
+/// Sends bytes over a new connection and reads all that comes back, if it takes them.
+pub fn try_send_raw(address: SocketAddr, bytes: &[u8]) -> std::io::Result<RawAnswer> {
+    let mut stream = TcpStream::connect(address)?;
+    stream.set_read_timeout(Some(PATIENCE))?;
+    stream.write_all(bytes)?;
     let mut all = Vec::new();
     let _ = stream.read_to_end(&mut all);
-    parse_answer(&all)
+    Ok(parse_answer(&all))
 }
 
 fn parse_answer(all: &[u8]) -> RawAnswer {
