--- a/src/gateway/attempt.rs
+++ b/src/gateway/attempt.rs
@@ -12,11 +12,12 @@
 use super::{
     admission::Admitted,
     call::CallHead,
-    choice::{ChoiceQuery, ChoiceResult, ReplicaChoice, RunLoad},
+    choice::{ChoiceQuery, ChoiceResult, ReplicaChoice},
     connections::{ReplicaConnection, SendFailure},
     context::GatewayContext,
     refusal::{NO_REPLICA_WAIT, Refusal},
     relay,
+    replica_load::RunLoad,
     request_log::RequestTrace,
     run_guard::RunGuard,
 };
--- a/src/gateway/choice.rs
+++ b/src/gateway/choice.rs
@@ -20,6 +20,7 @@
     prompt_memory::{PromptMemory, part_chain},
     read_rate::{READ_RATE, ReadRate},
     replica::{ReplicaList, ReplicaRecord, ReplicaState},
+    replica_load::{HeardState, LoadSum, RunLoad},
     tally_source::TallySource,
 };
 use crate::{
@@ -87,34 +88,6 @@
     None,
 }
 
-/// One of this daemon's requests at a replica.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct RunLoad {
-    /// Prompt tokens that have not been read yet.
-    pub unread: u64,
-    /// Memory that the run takes.
-    pub memory: u64,
-}
-
-/// Loads of a daemon at one replica.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct LoadSum {
-    /// Requests.
-    pub running: u32,
-    /// Prompt tokens that have not been read yet.
-    pub unread: u64,
-    /// Memory that the runs take.
-    pub memory: u64,
-}
-
-impl LoadSum {
-    fn add(&mut self, other: &Self) {
-        self.running += other.running;
-        self.unread += other.unread;
-        self.memory += other.memory;
-    }
-}
-
 #[derive(Debug)]
 struct ReplicaStatus {
     record: Rc<ReplicaRecord>,
@@ -126,17 +99,6 @@
     ended: bool,
 }
 
-/// What another daemon has told of its requests.
-#[derive(Debug)]
-pub struct HeardState {
-    /// When it was heard.
-    pub at: Instant,
-    /// Its loads, by the numbers of the replicas.
-    pub loads: HashMap<u64, LoadSum>,
-    /// Prompt tokens that it has sent to be read since it started, by service.
-    pub sent: BTreeMap<SharedName, u64>,
-}
-
 /// What this daemon knows of all replicas.
 #[derive(Debug)]
 pub struct ReplicaTable {
--- a/src/gateway/duties.rs
+++ b/src/gateway/duties.rs
@@ -1,14 +1,16 @@
 //! The duties of the daemon that holds the lease: reports of usage, orders of replicas.
 
-use std::{collections::BTreeMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use rand::RngExt;
-use serde::{Deserialize, Serialize};
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
 use super::{
-    context::GatewayContext, fleet_orders::FleetOrders, lease, settings::DutyKind,
-    usage::WindowCounts,
+    context::GatewayContext,
+    fleet_orders::FleetOrders,
+    lease,
+    lease_record::{LeaseRecord, UsageReport},
+    settings::DutyKind,
 };
 use crate::{
     errors::{FailureCause, StepError},
@@ -38,45 +40,6 @@
 /// Longest wait for a write or a read of the lease.
 const WRITE_LIMIT: Duration = Duration::from_millis(650);
 
-/// A usage report; written down before it is sent, so that it is only ever repeated exactly.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct UsageReport {
-    /// Number of the window.
-    pub window: u64,
-    /// Requests by account.
-    pub counts: WindowCounts,
-}
-
-/// The lease as it lies in the store.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct LeaseRecord {
-    /// Name of the holder's VM.
-    pub holder: SharedName,
-    /// Where the holder's gate listens.
-    #[serde(default)]
-    pub address: Option<SocketAddr>,
-    /// Start of the holder's process.
-    pub incarnation: u64,
-    /// Rises with every holder.
-    pub fence: u64,
-    /// Renewals by this holder; a renewal always changes the object.
-    pub renewals: u64,
-    /// Whether the holder has given it up: another may take it at once.
-    #[serde(default)]
-    pub released: bool,
-    /// Daemons that the holder knew of.
-    #[serde(default)]
-    pub daemons: usize,
-    /// Accounts that were crowded at the last renewal.
-    #[serde(default)]
-    pub crowded: Vec<SharedName>,
-    /// Replicas that are needed, by service.
-    #[serde(default)]
-    pub needs: BTreeMap<SharedName, f64>,
-    /// The newest report.
-    pub report: Option<UsageReport>,
-}
-
 /// The lease object as last read, and since when it has not changed.
 #[derive(Clone, Debug)]
 struct SeenLease {
--- a/src/gateway/exchange.rs
+++ b/src/gateway/exchange.rs
@@ -21,12 +21,13 @@
 
 use super::{
     behind::HeldRevisions,
-    choice::{HeardState, replica_number},
+    choice::replica_number,
     context::GatewayContext,
     news::{
         ConfigurationNews, DaemonNews, DaemonState, DaemonTally, LeaseNews, NewsWants, read_news,
         write_news,
     },
+    replica_load::HeardState,
     tally_source::TallySource,
     usage::WindowCounts,
 };
--- a/src/gateway/news.rs
+++ b/src/gateway/news.rs
@@ -11,10 +11,10 @@
 use capnp::Error;
 
 use super::{
-    choice::LoadSum,
     peers::PeerWord,
     quota::AccountTally,
     replica::{ReplicaList, ReplicaRecord, ReplicaState},
+    replica_load::LoadSum,
     usage::WindowCounts,
 };
 use crate::{
--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -45,7 +45,7 @@
 /// Above this part of the burst everything is admitted, whatever is asked for.
 const CALM_LEVEL: f64 = 0.6;
 /// Shortest time between two words that a rate is taken over, in seconds.
-const LEAST_ELAPSED_S: f64 = 0.3;
+const LEAST_ELAPSED_S: f64 = 0.1;
 /// Time over which the first word of a daemon that has just started is averaged.
 const FIRST_ELAPSED: Duration = Duration::from_millis(1_500);
 /// Those who have told are looked through when there are more than this.
--- a/src/gateway/run_guard.rs
+++ b/src/gateway/run_guard.rs
@@ -4,7 +4,9 @@
 
 use tokio::time::Instant;
 
-use super::{call::PromptPart, choice::RunLoad, context::GatewayContext, replica::ReplicaRecord};
+use super::{
+    call::PromptPart, context::GatewayContext, replica::ReplicaRecord, replica_load::RunLoad,
+};
 use crate::decide::health::AttemptResult;
 
 /// Counts a run at its replica; dropped, the run has ended by this daemon's own choice.
--- a/tests/gateway/operations.rs
+++ b/tests/gateway/operations.rs
@@ -88,3 +88,20 @@
     expect_that!(problems, contains_substring("same host and path-prefix"));
     expect_that!(gateway::check_configuration("{}").is_err(), eq(true));
 }
+
+#[googletest::test]
+fn plain_answer_of_known_length_counts_as_answered() {
+    let site = Site::start(&[ReplicaManner::Answer]);
+    expect_that!(site.ask("/plain/a", "plain-1").status, eq(200));
+    expect_that!(site.ask("/plain/b", "plain-2").status, eq(200));
+    let line_of = |id: &str| {
+        let log = std::fs::read_to_string(&site.gateway.log).unwrap_or_default();
+        log.lines().find(|line| line.contains(id)).map(str::to_owned)
+    };
+    wait_for("lines of both requests", || {
+        line_of("plain-1").is_some() && line_of("plain-2").is_some()
+    });
+    for id in ["plain-1", "plain-2"] {
+        expect_that!(line_of(id), some(contains_substring(r#""outcome":"answered""#)));
+    }
+}
