--- a/tests/gateway/replica_standin.rs
+++ b/tests/gateway/replica_standin.rs
@@ -154,6 +154,10 @@
             ReplicaManner::Serve | ReplicaManner::Answer => {
                 self.write_whole(out, "200 OK", id, &body)
             }
+            ReplicaManner::Surplus if request.is_streaming() => {
+                self.stream(out, request, 5, false)
+                    && self.write_whole(out, "200 OK", id, "surplus")
+            }
             ReplicaManner::Surplus => {
                 self.write_whole(out, "200 OK", id, &body)
                     && self.write_whole(out, "200 OK", id, "surplus")
