--- a/src/gateway/lease.rs
+++ b/src/gateway/lease.rs
@@ -11,7 +11,7 @@
 
 use crate::ids::SharedName;
 
-/// Margin beyond the lease that others wait. The holder begins nothing after [`HOLD_PART`] of
+/// Margin beyond the lease that others wait. The holder begins nothing after 0.7 of
 /// the lease, and gives a call up after a second: it is silent well before.
 pub const TAKE_MARGIN: Duration = Duration::from_millis(400);
 /// Part of the lease after which its holder acts no more without a renewal.
