Quotas: spending of daemons that are long gone is forgotten again

Cause: since first words of known daemons count whole, stale entries were dropped only on the path of a first word that does not count, which is seldom taken. What a gone daemon last spent in a second went on being guessed at, and accounts were refused for it. Test seen failing (level -917 after two minutes), now passing; the nine quota tests pass.

--- a/src/gateway/quota.rs
+++ b/src/gateway/quota.rs
@@ -346,11 +346,13 @@
         now: Instant,
     ) {
         let nothing = |at| HeardSpending::new(AccountTally::default(), at);
-        let before = self.heard.get(&from).copied().or(since.map(nothing));
-        let Some(before) = before else {
+        let known = self.heard.get(&from).copied();
+        if known.is_none() {
+            self.heard.retain(|_, heard| now.saturating_duration_since(heard.at) < HEARD_KEPT);
+        }
+        let Some(before) = known.or(since.map(nothing)) else {
             // NOTE: what a daemon spent before it was first heard may be long refilled.
             self.heard.insert(from, HeardSpending::new(tally, now));
-            self.heard.retain(|_, heard| now.saturating_duration_since(heard.at) < HEARD_KEPT);
             return;
         };
         // NOTE: units that were given back make the count sink.
@@ -362,7 +364,7 @@
         };
         self.note_row(from, rise);
         let elapsed = now.saturating_duration_since(before.at).as_secs_f64().max(LEAST_ELAPSED_S);
-        let weight = if self.heard.contains_key(&from) { RATE_WEIGHT } else { 1.0 };
+        let weight = if known.is_some() { RATE_WEIGHT } else { 1.0 };
         let smooth = |before: f64, newest: f64| before + (newest - before) * weight;
         let rate = smooth(before.rate, (spent / elapsed).max(0.0));
         let asked_rate = smooth(before.asked_rate, rise.asked as f64 / elapsed);
--- a/tests/gateway/quotas.rs
+++ b/tests/gateway/quotas.rs
@@ -249,3 +249,23 @@
     let first = after.admit(&crowded, &QUOTA, 300, alone, now, &mut rng);
     expect_that!(first, not(eq(QuotaVerdict::Admitted)));
 }
+
+#[googletest::test]
+fn daemons_that_are_long_gone_are_no_longer_guessed_at() {
+    let start = Instant::now();
+    let account: SharedName = "reader".into();
+    let shared = sharing(2, 2);
+    let mut rng = SmallRng::seed_from_u64(5);
+    let mut ledger = QuotaLedger::new(QuotaTolerance::default(), start);
+    for second in 1..5 {
+        // Far beyond the quota, and then never heard again.
+        let units = second * 2_000;
+        let tally = AccountTally { spent: units, asked: units };
+        ledger.hear(daemon(1), [(&account, &tally)], true, start + millis(second * 1_000));
+    }
+    let later = start + millis(120_000);
+    let nothing = AccountTally::default();
+    ledger.hear(daemon(2), [(&account, &nothing)], true, later);
+    let verdict = ledger.admit(&account, &QUOTA, 100, shared, later, &mut rng);
+    expect_that!(verdict, eq(QuotaVerdict::Admitted));
+}
