Gateway: one flag for a guessed need, one end of an answer, one check of a resting connection

Cause: the planner kept two flags of which only 'neither' was read; the end of an answer was noted in three places; a resting connection was checked for its age and closing twice. Behaviour is the same.

--- a/src/gateway/connections.rs
+++ b/src/gateway/connections.rs
@@ -71,10 +71,8 @@
 }
 
 impl RestingConnection {
-    fn may_serve(&self, repeatable: bool, now: Instant) -> bool {
-        let rested = now.saturating_duration_since(self.since);
-        let short = rested <= REST_BEFORE_UNREPEATABLE;
-        self.until > now && !self.sender.is_closed() && (repeatable || short)
+    fn has_rested_shortly(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.since) <= REST_BEFORE_UNREPEATABLE
     }
 }
 
@@ -161,7 +159,7 @@
         let mut resting = self.resting.borrow_mut();
         let list = resting.get_mut(replica)?;
         list.retain(|connection| connection.until > now && !connection.sender.is_closed());
-        let newest = list.pop_if(|connection| connection.may_serve(repeatable, now));
+        let newest = list.pop_if(|connection| repeatable || connection.has_rested_shortly(now));
         newest.map(|connection| connection.sender)
     }
 
--- a/src/gateway/fleet_plan.rs
+++ b/src/gateway/fleet_plan.rs
@@ -87,14 +87,12 @@
 #[derive(Debug)]
 pub struct FleetPlanner {
     need: f64,
-    /// Whether the need is guessed from the replicas that are held.
-    is_found: bool,
+    /// Whether the need is guessed from the replicas that are held, until any demand is seen.
+    is_guessed: bool,
     begun_at: Instant,
     /// Most replicas that were listed, and since when.
     found: (u32, Instant),
     updated_at: Instant,
-    /// Whether any demand has been seen.
-    in_use: bool,
     turned_down: BTreeMap<SharedName, Instant>,
 }
 
@@ -104,11 +102,10 @@
         let turned_down = BTreeMap::new();
         Self {
             need: need_before.unwrap_or(0.0),
-            is_found: need_before.is_none_or(|need| need <= 0.0),
+            is_guessed: need_before.is_none_or(|need| need <= 0.0),
             begun_at: now,
             found: (0, now),
             updated_at: now,
-            in_use: false,
             turned_down,
         }
     }
@@ -120,7 +117,7 @@
         if on_demand + reclaimable > self.found.0 {
             self.found = (on_demand + reclaimable, now);
         }
-        if self.in_use || !self.is_found {
+        if !self.is_guessed {
             return;
         }
         // NOTE: reclaimable ones were held with some to spare.
@@ -149,7 +146,7 @@
         self.updated_at = now;
         let wanted = demand.replicas().min(serving.max(1) as f64 * GROWTH_LIMIT);
         if wanted > 0.0 {
-            self.in_use = true;
+            self.is_guessed = false;
             let sunk = self.need * (1.0 - NEED_DECAY).powf(elapsed);
             self.need = sunk.max(wanted);
         }
--- a/src/gateway/relay.rs
+++ b/src/gateway/relay.rs
@@ -102,7 +102,6 @@
         _active: context.active.enter(),
     };
     if relay.has_whole_plain_answer() {
-        relay.ended = true;
         relay.finish_cleanly();
     }
     let frames = stream::unfold(relay, |mut relay| async move {
@@ -136,7 +135,6 @@
                 NextPiece::Bytes(bytes) => {
                     if self.has_whole_plain_answer() {
                         // NOTE: nobody asks for more of a body whose length is reached.
-                        self.ended = true;
                         self.finish_cleanly();
                     }
                     if bytes.is_empty() && !self.ended {
@@ -145,7 +143,6 @@
                     return Some(Ok(bytes));
                 }
                 NextPiece::End => {
-                    self.ended = true;
                     self.finish_cleanly();
                     let rest = self.cutter.as_mut().map(EventCutter::rest).unwrap_or_default();
                     return (!rest.is_empty()).then_some(Ok(rest));
@@ -238,6 +235,7 @@
     }
 
     fn finish_cleanly(&mut self) {
+        self.ended = true;
         self.trace.finished(self.events);
         let Some(upstream) = self.upstream.take() else { return };
         upstream.guard.finish(AttemptResult::Succeeded);
