Endpoint orders: the first zone lost is a warning for the others

Change: a zone whose reclaimable endpoints have all gone marks a wave for 2.5 start times; meanwhile on-demand endpoints are held for all of the load.

Quota ledger: with 300 daemons reports are over two seconds old, while peers were assumed to go on for one second. They now are for the age of reports.

--- a/src/gateway/policy/leader.rs
+++ b/src/gateway/policy/leader.rs
@@ -3,6 +3,7 @@
 pub mod endpoint_orders;
 pub mod fleet_size;
 pub mod leader_lease;
+pub mod reclaim_wave;
 pub mod usage_counts;
 pub mod usage_reports;
 pub mod wall_clock;
--- a/src/gateway/policy/leader/endpoint_orders.rs
+++ b/src/gateway/policy/leader/endpoint_orders.rs
@@ -170,7 +170,7 @@
         if !fleet.planner.is_settled(now) {
             return Vec::new();
         }
-        let targets = fleet.planner.plan(spec, &observed.held);
+        let targets = fleet.planner.plan(spec, &observed.held, now);
         let refused = fleet.planner.refused_zones(now);
         let mut due = Vec::new();
         for ((zone, class), planned) in targets {
--- a/src/gateway/policy/leader/fleet_size.rs
+++ b/src/gateway/policy/leader/fleet_size.rs
@@ -15,7 +15,10 @@
 
 use tokio::time::Instant;
 
-use super::zone_plan::{EndpointTargets, ZoneHolding, ZonePlan};
+use super::{
+    reclaim_wave::ReclaimWave,
+    zone_plan::{EndpointTargets, ReclaimRisk, ZoneHolding, ZonePlan},
+};
 use crate::{gateway::configuration::FleetSpec, ids::SharedName};
 
 /// Fraction of an endpoint's prefill rate at which it is full enough.
@@ -105,6 +108,7 @@
     updated_at: Instant,
     /// When each zone last refused reclaimable capacity.
     refused_at: BTreeMap<SharedName, Instant>,
+    wave: ReclaimWave,
 }
 
 impl EndpointPlanner {
@@ -117,12 +121,14 @@
             largest_list: LargestList { count: 0, since: now },
             updated_at: now,
             refused_at: BTreeMap::new(),
+            wave: ReclaimWave::default(),
         }
     }
 
     /// Notes what is held. While no load has been seen, the required number is raised to a
     /// fraction of it.
     pub fn estimate_from_held(&mut self, held: &BTreeMap<SharedName, ZoneHolding>, now: Instant) {
+        self.wave.observe(held, now);
         let on_demand: u32 = held.values().map(|holding| holding.on_demand).sum();
         let reclaimable: u32 = held.values().map(|holding| holding.reclaimable).sum();
         if on_demand + reclaimable > self.largest_list.count {
@@ -179,8 +185,13 @@
         &self,
         spec: &FleetSpec,
         held: &BTreeMap<SharedName, ZoneHolding>,
+        now: Instant,
     ) -> EndpointTargets {
         let scarce = self.refused_at.keys().collect();
-        ZonePlan { required: self.required, scarce, spec, held }.targets()
+        let risk = match self.wave.is_under_way(spec.start_time, now) {
+            true => ReclaimRisk::AllZones,
+            false => ReclaimRisk::OneZone,
+        };
+        ZonePlan { required: self.required, scarce, risk, spec, held }.targets()
     }
 }
--- /dev/null
+++ b/src/gateway/policy/leader/reclaim_wave.rs
@@ -0,0 +1,50 @@
+//! Notices when the cloud reclaims a whole zone of endpoints, as a warning for the other zones.
+//!
+//! Reclaims come in waves, one zone after another within seconds, and replacements take a start
+//! time to serve. Waiting for the next zone's notice is therefore too late: from the first zone
+//! on, reclaimable endpoints anywhere count as endangered for a while.
+//!
+//! Inputs are the endpoints held in each zone at every look, up to a second old. The first look
+//! of a new leader has nothing to compare with, so a zone lost before it goes unnoticed.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use super::zone_plan::ZoneHolding;
+use crate::ids::SharedName;
+
+/// A wave is over when no zone was lost for this multiple of the endpoints' start time.
+///
+/// Basis: chosen, not measured: longer than an order takes to serve.
+const WAVE_START_TIMES: f64 = 2.5;
+
+/// Zones lost lately.
+#[derive(Debug, Default)]
+pub struct ReclaimWave {
+    /// Zones that held reclaimable endpoints at the last look.
+    occupied: BTreeSet<SharedName>,
+    /// When the last zone was lost.
+    lost_at: Option<Instant>,
+}
+
+impl ReclaimWave {
+    /// Notes what is held now.
+    pub fn observe(&mut self, held: &BTreeMap<SharedName, ZoneHolding>, now: Instant) {
+        let occupied = held.iter().filter(|(_, holding)| holding.reclaimable > 0);
+        let occupied: BTreeSet<SharedName> = occupied.map(|(zone, _)| zone.clone()).collect();
+        if !self.occupied.is_subset(&occupied) {
+            self.lost_at = Some(now);
+        }
+        self.occupied = occupied;
+    }
+
+    /// Whether further zones have to be expected to go, where endpoints take `start_time`.
+    pub fn is_under_way(&self, start_time: Duration, now: Instant) -> bool {
+        let lasts = start_time.mul_f64(WAVE_START_TIMES);
+        self.lost_at.is_some_and(|at| now.saturating_duration_since(at) < lasts)
+    }
+}
--- a/src/gateway/policy/leader/zone_plan.rs
+++ b/src/gateway/policy/leader/zone_plan.rs
@@ -51,6 +51,15 @@
     }
 }
 
+/// Which reclaimable endpoints are expected to be reclaimed soon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReclaimRisk {
+    /// Those of one zone, perhaps.
+    OneZone,
+    /// Those of all zones, one after another.
+    AllZones,
+}
+
 /// Numbers to hold, by zone and class.
 pub type EndpointTargets = BTreeMap<(SharedName, PriceClass), u32>;
 
@@ -61,6 +70,8 @@
     pub required: f64,
     /// Zones where reclaimable capacity is scarce.
     pub scarce: BTreeSet<&'a SharedName>,
+    /// Which reclaimable endpoints may go.
+    pub risk: ReclaimRisk,
     /// Fleet settings.
     pub spec: &'a FleetSpec,
     /// What is held in each zone where the service may run.
@@ -82,7 +93,8 @@
     fn mixed_targets(&self) -> EndpointTargets {
         let per_zone = self.reclaimable_per_zone();
         let mut missing = self.missing();
-        if self.scarce.is_empty() && per_zone < self.spec.max {
+        let is_calm = self.scarce.is_empty() && self.risk == ReclaimRisk::OneZone;
+        if is_calm && per_zone < self.spec.max {
             // Reclaimable capacity is available and starts as fast: no more on-demand ones.
             missing = missing.min(self.held.values().map(|holding| holding.on_demand).sum());
         }
@@ -126,8 +138,11 @@
 
     /// On-demand endpoints that are required because reclaimable ones are missing: enough for
     /// all of the load now, and for its critical part when the zone with most reclaimable ones
-    /// goes next.
+    /// goes next. While all zones may go, for all of the load without any reclaimable ones.
     fn missing(&self) -> u32 {
+        if self.risk == ReclaimRisk::AllZones {
+            return self.required.ceil() as u32;
+        }
         let reclaimable: u32 = self.held.values().map(|holding| holding.reclaimable).sum();
         let largest = self.held.values().map(|holding| holding.reclaimable).max().unwrap_or(0);
         let remaining = f64::from(reclaimable - largest);
--- a/src/gateway/policy/request/quota.rs
+++ b/src/gateway/policy/request/quota.rs
@@ -8,7 +8,7 @@
 //! Every daemon keeps a token bucket for the whole quota of each account. Units that it admits
 //! leave the bucket at once; units that peers admit leave it when their reports arrive, a few
 //! hundred milliseconds later in a fleet of one gossip group. Until the next report a peer is
-//! assumed to go on at its last rate, for a second at most. If the account was overdrawn all
+//! assumed to go on at its last rate, for a second or as long as reports may be underway. If the account was overdrawn all
 //! the same, the level is negative, and nothing is admitted until it has been refilled.
 //!
 //! A peer that has stopped reporting may still be admitting requests. Its even share of the
@@ -191,7 +191,7 @@
         bucket.count_requested(units, now);
         // A request larger than the burst is admitted when the bucket is full.
         let needed = (units as f64).min(limits.burst);
-        let level = bucket.estimated_level(now);
+        let level = bucket.estimated_level(sharing.report_age, now);
         let fraction = bucket.admitted_fraction(level, sharing.report_age, now);
         if level >= needed && (fraction >= 1.0 || rng.random_bool(fraction)) {
             bucket.spend(units);
--- a/src/gateway/policy/request/quota/account_bucket.rs
+++ b/src/gateway/policy/request/quota/account_bucket.rs
@@ -125,10 +125,11 @@
         self.own.spent -= units;
     }
 
-    /// Units left, less what peers have probably admitted since their last reports.
-    pub fn estimated_level(&self, now: Instant) -> f64 {
-        let extrapolated: f64 = self.peers.values().map(|peer| peer.extrapolated(now)).sum();
-        self.level - extrapolated
+    /// Units left, less what peers have probably admitted since their last reports, which may
+    /// be `report_age` old.
+    pub fn estimated_level(&self, report_age: Duration, now: Instant) -> f64 {
+        let extrapolated = self.peers.values().map(|peer| peer.extrapolated(report_age, now));
+        self.level - extrapolated.sum::<f64>()
     }
 
     /// Fraction of the requested units to admit at the estimated `level`; the same at all
--- a/src/gateway/policy/request/quota/peer_spending.rs
+++ b/src/gateway/policy/request/quota/peer_spending.rs
@@ -7,11 +7,12 @@
 
 use super::AccountCounters;
 
-/// A peer is assumed to go on admitting at its last rate for at most this long.
+/// A peer is assumed to go on admitting at its last rate for this long, or for the age that
+/// reports may have where that is more.
 ///
 /// Basis: chosen, not measured: commit 3c1b516 raised it from 0.6 s when reports of a large
 /// fleet became up to a second old.
-const EXTRAPOLATION_LIMIT: Duration = Duration::from_millis(1_000);
+const MIN_EXTRAPOLATION: Duration = Duration::from_millis(1_000);
 /// The offered load of a peer counts for this long after its last report.
 ///
 /// Basis: chosen, not measured: longer than two gossip rounds of a fleet of 87 (1.8 s).
@@ -56,9 +57,11 @@
         self.reported_at
     }
 
-    /// Units that the peer has probably admitted since its last report.
-    pub fn extrapolated(&self, now: Instant) -> f64 {
-        let elapsed = now.saturating_duration_since(self.reported_at).min(EXTRAPOLATION_LIMIT);
+    /// Units that the peer has probably admitted since its last report, where reports may be
+    /// `report_age` old.
+    pub fn extrapolated(&self, report_age: Duration, now: Instant) -> f64 {
+        let limit = report_age.max(MIN_EXTRAPOLATION);
+        let elapsed = now.saturating_duration_since(self.reported_at).min(limit);
         self.admitted_rate * elapsed.as_secs_f64()
     }
 
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -46,7 +46,7 @@
     held: &BTreeMap<SharedName, ZoneHolding>,
     class: PriceClass,
 ) -> u32 {
-    let targets = planner.plan(&spec(), held);
+    let targets = planner.plan(&spec(), held, Instant::now());
     targets.iter().filter(|((_, of), _)| *of == class).map(|(_, count)| count).sum()
 }
 
@@ -54,7 +54,7 @@
 fn reclaimable_endpoints_suffice_when_a_zone_goes() {
     for running in [6.0, 30.0, 72.0, 100.0] {
         let planner = planner(running);
-        let targets = planner.plan(&spec(), &held([0; 4], [5; 4]));
+        let targets = planner.plan(&spec(), &held([0; 4], [5; 4]), Instant::now());
         for zone in ZONES {
             let others: u32 = targets
                 .iter()
@@ -107,7 +107,7 @@
     let dry = total(&planner, &gone, PriceClass::OnDemand);
     expect_that!(f64::from(dry), ge(planner.required()));
     expect_that!(dry, gt(before));
-    for count in planner.plan(&spec(), &gone).into_values() {
+    for count in planner.plan(&spec(), &gone, Instant::now()).into_values() {
         expect_that!(count, le(10));
     }
 }
@@ -152,3 +152,34 @@
     planner.estimate_from_held(&held([2, 2, 2, 0], [0; 4]), start);
     expect_that!(planner.required(), near(24.0, 0.1));
 }
+
+#[googletest::test]
+fn first_zone_lost_brings_on_demand_ones_for_all_of_the_load_until_the_wave_is_over() {
+    let start = Instant::now();
+    let at = |ms: u64| start + Duration::from_millis(ms);
+    let mut planner = planner(72.0);
+    let on_demand = |planner: &EndpointPlanner, held: &BTreeMap<_, _>, now| {
+        let targets = planner.plan(&spec(), held, now);
+        let counts = targets.iter().filter(|((_, class), _)| *class == PriceClass::OnDemand);
+        f64::from(counts.map(|(_, count)| count).sum::<u32>())
+    };
+    let all_zones = held([5; 4], [0; 4]);
+    planner.estimate_from_held(&all_zones, at(0));
+    expect_that!(on_demand(&planner, &all_zones, at(0)), eq(0.0));
+    let one_gone = held([5, 5, 5, 0], [0; 4]);
+    planner.estimate_from_held(&one_gone, at(500));
+    expect_that!(on_demand(&planner, &one_gone, at(500)), ge(planner.required()));
+    planner.estimate_from_held(&all_zones, at(6_000));
+    expect_that!(on_demand(&planner, &all_zones, at(6_000)), ge(planner.required()));
+    expect_that!(on_demand(&planner, &all_zones, at(11_000)), eq(0.0));
+}
+
+#[googletest::test]
+fn fewer_endpoints_in_a_zone_are_no_wave() {
+    let start = Instant::now();
+    let mut planner = planner(72.0);
+    planner.estimate_from_held(&held([5; 4], [0; 4]), start);
+    let fewer = held([5, 5, 5, 3], [0; 4]);
+    planner.estimate_from_held(&fewer, start + Duration::from_millis(500));
+    expect_that!(total(&planner, &fewer, PriceClass::OnDemand), eq(0));
+}
