Leader: earlier take-over, earlier and better informed orders

A new leader ordered nothing until the list had been still for a second. Change: gossip carries the number of the renewal; if the store still shows that one, the lease has been unchanged since it began, and the wait counts from there. All daemons watch for lost zones.

--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -63,6 +63,7 @@
   holder @1 :Text;
   ageMs @2 :UInt32;          # since the renewal was begun
   daemons @3 :UInt32;        # that the holder knew of; 0: not known
+  renewals @4 :UInt64;       # by this holder, up to that one
 }
 
 struct News {
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -98,6 +98,7 @@
 fn write_lease(mut target: lease_news::Builder<'_>, source: &LeaseSummary) {
     target.set_fence(source.fence);
     target.set_holder(&*source.holder);
+    target.set_renewals(source.renewals);
     target.set_age_ms(source.age_ms);
     target.set_daemons(u32::try_from(source.daemons).unwrap_or(u32::MAX));
 }
@@ -195,6 +196,7 @@
         fence => Ok(Some(LeaseSummary {
             fence,
             holder: read_text(source.get_holder()?)?,
+            renewals: source.get_renewals(),
             age_ms: source.get_age_ms(),
             daemons: source.get_daemons() as usize,
         })),
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -19,7 +19,10 @@
 use crate::gateway::{
     context::GatewayContext,
     endpoint::EndpointList,
-    policy::{daemon::catch_up::HeldRevisions, endpoint::endpoint_load::ReportedLoads},
+    policy::{
+        daemon::catch_up::HeldRevisions, endpoint::endpoint_load::ReportedLoads,
+        leader::leader_lease::LeaseRenewal,
+    },
 };
 
 /// A daemon that has reported fewer states than this has started a few seconds ago, so that all
@@ -132,6 +135,9 @@
     let age = Duration::from_millis(u64::from(lease.age_ms));
     // A renewal from before the start of the clock says nothing of the present holder.
     if let Some(renewed_at) = now.checked_sub(age) {
-        context.lease.borrow_mut().observe(lease.fence, &lease.holder, renewed_at);
+        let LeaseSummary { fence, renewals, .. } = *lease;
+        let holder = lease.holder.clone();
+        let renewal = LeaseRenewal { fence, renewals, holder, renewed_at };
+        context.lease.borrow_mut().observe(renewal);
     }
 }
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -68,7 +68,9 @@
     pub fence: u64,
     /// Name of the holder.
     pub holder: SharedName,
-    /// Milliseconds since its newest renewal began.
+    /// Number of its newest renewal.
+    pub renewals: u64,
+    /// Milliseconds since that renewal began.
     pub age_ms: u32,
     /// Daemons that the holder knew of; 0 if not known.
     pub daemons: usize,
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -60,6 +60,7 @@
     Some(LeaseSummary {
         fence: lease.fence,
         holder,
+        renewals: lease.renewals,
         age_ms: age_ms(renewed_at, now),
         daemons: context.fleet_size.get().unwrap_or(0),
     })
--- a/src/gateway/leader/endpoint_orders.rs
+++ b/src/gateway/leader/endpoint_orders.rs
@@ -42,7 +42,7 @@
 }
 
 /// Endpoints of a service that are not leaving, in every zone where it may run.
-fn holdings(context: &GatewayContext, service: &Service) -> BTreeMap<SharedName, ZoneHolding> {
+pub fn holdings(context: &GatewayContext, service: &Service) -> BTreeMap<SharedName, ZoneHolding> {
     let mut held = BTreeMap::new();
     if let Some(spec) = &service.fleet {
         for (zone, _) in &spec.zone_prices {
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -12,7 +12,7 @@
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
 use super::{
-    endpoint_orders::{cloud_order, observe_service},
+    endpoint_orders::{cloud_order, holdings, observe_service},
     lease_acquire::AcquireResult,
     lease_keeper::LeaseKeeper,
     lease_record::{LeaseRecord, UsageReport},
@@ -84,7 +84,11 @@
 
 impl LeaderTasks {
     async fn tick(&mut self) {
-        if Instant::now() < self.next_try {
+        let now = Instant::now();
+        if !self.lease.is_holder() {
+            self.watch_reclaims(now);
+        }
+        if now < self.next_try {
             return;
         }
         let result = match self.lease.is_holder() {
@@ -98,11 +102,21 @@
         }
     }
 
+    /// Looks at what is held, so that this daemon knows of reclaims if it becomes the leader.
+    fn watch_reclaims(&mut self, now: Instant) {
+        let Some(configuration) = self.context.configuration() else { return };
+        for service in configuration.services.values() {
+            if service.fleet.is_some() && self.orders.is_watch_due(&service.name, now) {
+                self.orders.watch(&service.name, &holdings(&self.context, service), now);
+            }
+        }
+    }
+
     async fn try_acquire(&mut self) -> Result<(), StepError> {
         match self.lease.try_acquire().await? {
             AcquireResult::Acquired { required_endpoints } => {
                 self.is_report_sent = false;
-                self.orders = EndpointOrders::after(required_endpoints);
+                self.orders.start_after(required_endpoints);
             }
             AcquireResult::RetryAt(at) => self.next_try = at,
             AcquireResult::NotAcquired => {}
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -16,7 +16,7 @@
     errors::StepError,
     gateway::{
         context::GatewayContext,
-        policy::leader::leader_lease::{HoldDecision, LossReason, decide_hold},
+        policy::leader::leader_lease::{HoldDecision, LeaseRenewal, LossReason, decide_hold},
     },
     ids::SharedName,
     platform::{
@@ -32,7 +32,8 @@
     pub revision: u64,
     /// What it holds.
     pub record: LeaseRecord,
-    /// When the store was asked that first showed this revision.
+    /// When the store was asked that first showed this revision, or when gossip says that its
+    /// write began.
     pub since: Instant,
 }
 
@@ -114,13 +115,18 @@
         self.context.quotas.borrow_mut().set_throttled_before(record.throttled.iter().cloned());
         let since = match &self.seen {
             Some(seen) if seen.revision == object.revision => seen.since,
-            _ => asked_at,
+            _ => self.renewal_start(&record).unwrap_or(asked_at).min(asked_at),
         };
         let seen = SeenLease { revision: object.revision, record, since };
         self.seen = Some(seen.clone());
         Some(seen)
     }
 
+    /// When gossip says that the renewal in `record` began, if it knows of no later one.
+    fn renewal_start(&self, record: &LeaseRecord) -> Option<Instant> {
+        self.context.lease.borrow().renewal_start(record.fence, record.renewals)
+    }
+
     /// What to do with the lease that this daemon holds; a lost or released one is dealt with.
     ///
     /// # Errors
@@ -183,7 +189,12 @@
         };
         self.is_write_unconfirmed = false;
         let mut lease = self.context.lease.borrow_mut();
-        lease.acquire_or_renew(record.fence, record.holder.clone(), started_at);
+        lease.acquire_or_renew(LeaseRenewal {
+            fence: record.fence,
+            renewals: record.renewals,
+            holder: record.holder.clone(),
+            renewed_at: started_at,
+        });
         self.seen = Some(SeenLease { revision, record, since: started_at });
         Ok(true)
     }
--- a/src/gateway/policy/leader/fleet_size.rs
+++ b/src/gateway/policy/leader/fleet_size.rs
@@ -15,10 +15,7 @@
 
 use tokio::time::Instant;
 
-use super::{
-    reclaim_wave::ReclaimWave,
-    zone_plan::{EndpointTargets, ReclaimRisk, ZoneHolding, ZonePlan},
-};
+use super::zone_plan::{EndpointTargets, ReclaimRisk, ZoneHolding, ZonePlan};
 use crate::{gateway::configuration::FleetSpec, ids::SharedName};
 
 /// Fraction of an endpoint's prefill rate at which it is full enough.
@@ -45,14 +42,14 @@
 /// Basis: commit 7044e2a (journal 20261202T131510): with it and the other changes of that
 /// commit inkbridge-grown scale-2 0.018 -> 0.333.
 const GROWTH_LIMIT: f64 = 1.5;
-/// A planner that has just started orders nothing until the list of endpoints has not grown for
-/// this long: endpoints that have just started, or whose entries were lost, are listed over
+/// A planner that has just started orders only more reclaimable endpoints, which are cheap,
+/// until the list of endpoints has not grown for this long: endpoints that have just started, or whose entries were lost, are listed over
 /// about a heartbeat.
 ///
 /// Basis: commit 8a180c6 (journal 20261202T114524), 2 s: inkbridge quiet-1 0.73 -> 0.99; commit
 /// 67bc14d (journal 20261202T134209), 1 s: still 1.000.
 const SETTLE_TIME: Duration = Duration::from_millis(1_000);
-/// A planner that has just started orders after this time, however the list grows.
+/// A planner that has just started gives all orders after this time, however the list grows.
 ///
 /// Basis: chosen, not measured (commit 7044e2a): five times `SETTLE_TIME`.
 const SETTLE_LIMIT: Duration = Duration::from_secs(5);
@@ -104,11 +101,12 @@
     /// Whether the required number is estimated from held endpoints, until load is seen.
     is_estimated: bool,
     started_at: Instant,
+    /// Whether the list of endpoints has stopped growing since the start.
+    is_settled: bool,
     largest_list: LargestList,
     updated_at: Instant,
     /// When each zone last refused reclaimable capacity.
     refused_at: BTreeMap<SharedName, Instant>,
-    wave: ReclaimWave,
 }
 
 impl EndpointPlanner {
@@ -118,17 +116,16 @@
             required: required_before.unwrap_or(0.0),
             is_estimated: required_before.is_none_or(|required| required <= 0.0),
             started_at: now,
+            is_settled: false,
             largest_list: LargestList { count: 0, since: now },
             updated_at: now,
             refused_at: BTreeMap::new(),
-            wave: ReclaimWave::default(),
         }
     }
 
     /// Notes what is held. While no load has been seen, the required number is raised to a
     /// fraction of it.
     pub fn estimate_from_held(&mut self, held: &BTreeMap<SharedName, ZoneHolding>, now: Instant) {
-        self.wave.observe(held, now);
         let on_demand: u32 = held.values().map(|holding| holding.on_demand).sum();
         let reclaimable: u32 = held.values().map(|holding| holding.reclaimable).sum();
         if on_demand + reclaimable > self.largest_list.count {
@@ -142,11 +139,12 @@
         self.required = self.required.max(f64::from(held) * INITIAL_FRACTION);
     }
 
-    /// Whether the planner has seen enough to give orders.
-    pub fn is_settled(&self, now: Instant) -> bool {
+    /// Whether the planner has seen enough to give orders of any kind; it then stays so.
+    pub fn is_settled(&mut self, now: Instant) -> bool {
         let running = now.saturating_duration_since(self.started_at);
         let unchanged = now.saturating_duration_since(self.largest_list.since);
-        unchanged >= SETTLE_TIME || running >= SETTLE_LIMIT
+        self.is_settled |= unchanged >= SETTLE_TIME || running >= SETTLE_LIMIT;
+        self.is_settled
     }
 
     /// Required endpoints.
@@ -180,18 +178,14 @@
         zones.map(|(zone, _)| zone.clone()).collect()
     }
 
-    /// What to hold, given what is held.
+    /// What to hold, given what is held and which of it may be reclaimed.
     pub fn plan(
         &self,
         spec: &FleetSpec,
         held: &BTreeMap<SharedName, ZoneHolding>,
-        now: Instant,
+        risk: ReclaimRisk,
     ) -> EndpointTargets {
         let scarce = self.refused_at.keys().collect();
-        let risk = match self.wave.is_under_way(spec.start_time, now) {
-            true => ReclaimRisk::AllZones,
-            false => ReclaimRisk::OneZone,
-        };
         ZonePlan { required: self.required, scarce, risk, spec, held }.targets()
     }
 }
--- a/src/gateway/policy/leader/leader_lease.rs
+++ b/src/gateway/policy/leader/leader_lease.rs
@@ -10,7 +10,9 @@
 //! unchanged for a whole lease and [`ACQUIRE_MARGIN`], so the two can't overlap.
 //!
 //! Renewals are also reported by gossip, so that daemons other than the holder read the store
-//! only when these reports stop. Gossip never makes a daemon the holder.
+//! only when these reports stop. If the object then still holds the renewal that was reported
+//! last, it has been unchanged since that renewal began: a successor need not wait a lease more.
+//! Gossip never makes a daemon the holder.
 
 use std::{fmt, time::Duration};
 
@@ -45,12 +47,27 @@
     pub fence: u64,
     /// Name of that holder.
     pub holder: Option<SharedName>,
-    /// Start of its newest renewal known, at the latest.
+    /// Number of its newest renewal known.
+    pub renewals: u64,
+    /// Start of that renewal, at the latest.
     pub renewed_at: Option<Instant>,
     /// Whether this daemon is the holder.
     pub own: bool,
 }
 
+/// A renewal of the lease.
+#[derive(Clone, Debug)]
+pub struct LeaseRenewal {
+    /// Fence of the holder.
+    pub fence: u64,
+    /// Number of the renewal among those of this holder.
+    pub renewals: u64,
+    /// Name of the holder.
+    pub holder: SharedName,
+    /// Start of the renewal, at the latest.
+    pub renewed_at: Instant,
+}
+
 impl LeaderLease {
     /// Whether this daemon may act as the leader now.
     pub fn may_act(&self, lease: Duration, now: Instant) -> bool {
@@ -59,31 +76,41 @@
         self.own && self.renewed_at.is_some_and(is_active)
     }
 
-    /// Applies a peer's report of a renewal that began at `renewed_at` or earlier.
-    pub fn observe(&mut self, fence: u64, holder: &SharedName, renewed_at: Instant) {
-        let newer = fence > self.fence
-            || (fence == self.fence && self.renewed_at.is_none_or(|known| known < renewed_at));
-        if !newer {
-            return;
-        }
-        if fence > self.fence {
+    /// Applies a peer's report of a renewal. Messages that were late make a renewal look
+    /// younger, so of two reports of the same renewal the earlier start is the better one.
+    pub fn observe(&mut self, renewal: LeaseRenewal) {
+        let known = (self.fence, self.renewals);
+        let reported = (renewal.fence, renewal.renewals);
+        if renewal.fence > self.fence {
             self.own = false;
         }
-        self.fence = fence;
-        self.holder = Some(holder.clone());
-        if !self.own {
-            self.renewed_at = Some(renewed_at);
+        if self.own || reported < known {
+            return;
         }
+        let known_start = self.renewed_at.filter(|_| reported == known);
+        let renewed_at = known_start.map_or(renewal.renewed_at, |at| at.min(renewal.renewed_at));
+        self.set(LeaseRenewal { renewed_at, ..renewal });
     }
 
-    /// Records a write of this daemon that the store has confirmed.
-    pub fn acquire_or_renew(&mut self, fence: u64, holder: SharedName, started_at: Instant) {
-        self.fence = fence;
-        self.holder = Some(holder);
-        self.renewed_at = Some(started_at);
+    /// Records a renewal of this daemon that the store has confirmed.
+    pub fn acquire_or_renew(&mut self, renewal: LeaseRenewal) {
+        self.set(renewal);
         self.own = true;
     }
 
+    fn set(&mut self, renewal: LeaseRenewal) {
+        self.fence = renewal.fence;
+        self.renewals = renewal.renewals;
+        self.holder = Some(renewal.holder);
+        self.renewed_at = Some(renewal.renewed_at);
+    }
+
+    /// When another's renewal began, at the latest, if it is the newest one known.
+    pub fn renewal_start(&self, fence: u64, renewals: u64) -> Option<Instant> {
+        let is_newest = !self.own && fence == self.fence && renewals == self.renewals;
+        self.renewed_at.filter(|_| is_newest)
+    }
+
     /// Whether no renewal has been reported for so long that the store has to be read.
     pub fn is_silent(&self, lease: Duration, now: Instant) -> bool {
         let is_recent = |at: Instant| now.saturating_duration_since(at) < lease;
--- a/src/gateway/policy/leader/reclaim_wave.rs
+++ b/src/gateway/policy/leader/reclaim_wave.rs
@@ -4,8 +4,9 @@
 //! time to serve. Waiting for the next zone's notice is therefore too late: from the first zone
 //! on, reclaimable endpoints anywhere count as endangered for a while.
 //!
-//! Inputs are the endpoints held in each zone at every look, up to a second old. The first look
-//! of a new leader has nothing to compare with, so a zone lost before it goes unnoticed.
+//! Inputs are the endpoints held in each zone at every look, up to a second old. All daemons
+//! look, so that a leader that takes over within a wave knows of it. The first look after a start
+//! has nothing to compare with, so a zone lost before it goes unnoticed.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -14,7 +15,7 @@
 
 use tokio::time::Instant;
 
-use super::zone_plan::ZoneHolding;
+use super::zone_plan::{ReclaimRisk, ZoneHolding};
 use crate::ids::SharedName;
 
 /// A wave is over when no zone was lost for this multiple of the endpoints' start time.
@@ -42,9 +43,13 @@
         self.occupied = occupied;
     }
 
-    /// Whether further zones have to be expected to go, where endpoints take `start_time`.
-    pub fn is_under_way(&self, start_time: Duration, now: Instant) -> bool {
+    /// Which zones have to be expected to go, where new endpoints serve after `start_time`.
+    pub fn risk(&self, start_time: Duration, now: Instant) -> ReclaimRisk {
         let lasts = start_time.mul_f64(WAVE_START_TIMES);
-        self.lost_at.is_some_and(|at| now.saturating_duration_since(at) < lasts)
+        let is_under_way = |at| now.saturating_duration_since(at) < lasts;
+        match self.lost_at.is_some_and(is_under_way) {
+            true => ReclaimRisk::AllZones,
+            false => ReclaimRisk::OneZone,
+        }
     }
 }
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -2592,11 +2592,15 @@
         pub fn get_daemons(self) -> u32 {
             self.reader.get_data_field::<u32>(3)
         }
+        #[inline]
+        pub fn get_renewals(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -2686,6 +2690,14 @@
         pub fn set_daemons(&mut self, value: u32)  {
             self.builder.set_data_field::<u32>(3, value);
         }
+        #[inline]
+        pub fn get_renewals(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_renewals(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -2697,17 +2709,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 78] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(94, 127, 203, 148, 88, 221, 166, 135),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -2715,35 +2727,42 @@
             ::capnp::word(101, 97, 115, 101, 78, 101, 119, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 101, 110, 99, 101, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2776,6 +2795,15 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 110, 101, 119, 97, 108, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -2783,6 +2811,7 @@
                 1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2796,9 +2825,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1,4];
         pub(crate) const TYPE_ID: u64 = 0x87a6_dd58_94cb_7f5e;
     }
 }
