Leader: orders are sent together and before the usage report

Change: the orders of one look are sent at the same time; reports, which have seconds, come after them.

--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -8,6 +8,7 @@
 
 use std::{ops::Range, rc::Rc, time::Duration};
 
+use futures::future::join_all;
 use rand::RngExt;
 use tokio::time::{Instant, MissedTickBehavior, interval};
 
@@ -25,10 +26,11 @@
             endpoint_orders::{EndpointOrders, OrderResult, ZoneOrder},
             leader_lease::{HoldDecision, LossReason},
             usage_reports::due_window,
+            zone_plan::PriceClass,
         },
         settings::LeaderTask,
     },
-    platform::cloud::{CloudClient, CloudOutcome},
+    platform::cloud::{CloudClient, CloudOutcome, EndpointOrder},
 };
 
 /// Name of the service.
@@ -124,7 +126,7 @@
         Ok(())
     }
 
-    /// Renews the lease, reports, and orders.
+    /// Renews the lease, orders, and reports.
     async fn lead(&mut self) -> Result<(), StepError> {
         let is_renewal_due = match self.lease.check_hold().await? {
             HoldDecision::Lose(_) | HoldDecision::Release => return Ok(()),
@@ -143,8 +145,9 @@
                 self.is_report_sent = false;
             }
         }
-        self.send_report().await?;
-        self.order_endpoints().await
+        // Orders first: a report has seconds until it is late.
+        self.order_endpoints().await?;
+        self.send_report().await
     }
 
     /// The next report that is due, once the one before has been sent.
@@ -184,11 +187,18 @@
         if !self.context.settings.leader_tasks.contains(&LeaderTask::EndpointOrders) {
             return Ok(());
         }
-        for order in self.due_orders(Instant::now()) {
-            if !self.lease.may_act() {
-                return Ok(());
-            }
-            self.send_order(&order).await;
+        let due = self.due_orders(Instant::now());
+        if due.is_empty() || !self.lease.may_act() {
+            return Ok(());
+        }
+        let holder = self.lease.holder();
+        let cloud_orders: Vec<EndpointOrder> = due.iter().map(cloud_order).collect();
+        // All at once: one that gets no response must hold up neither the others nor the
+        // renewal of the lease.
+        let calls = cloud_orders.iter().map(|order| self.cloud.order(&holder, order));
+        let responses = join_all(calls).await;
+        for (order, response) in due.iter().zip(responses) {
+            self.finish_order(order, response);
         }
         Ok(())
     }
@@ -209,17 +219,17 @@
         due
     }
 
-    /// Sends one order. A failed one is not an error of the lease: it stays due.
-    async fn send_order(&mut self, order: &ZoneOrder) {
-        let response = self.cloud.order(&self.lease.holder(), &cloud_order(order)).await;
+    /// Records what became of an order. A failed one is not an error of the lease: it stays
+    /// due.
+    fn finish_order(&mut self, order: &ZoneOrder, response: Result<CloudOutcome, StepError>) {
         let outcome = match &response {
             Ok(outcome) => format!("{outcome:?}"),
             Err(error) => error.to_string(),
         };
         let required = self.orders.required(&order.service);
-        let cloud_order = cloud_order(order);
+        let reclaimable = order.class == PriceClass::Reclaimable;
         spdlog::info!("order", kv: {
-            service: = order.service, zone: = order.zone, reclaimable = cloud_order.reclaimable,
+            service: = order.service, zone: = order.zone, reclaimable,
             count = order.count, required, outcome: = outcome
         });
         let result = match response {
