--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -231,7 +231,8 @@
         })
     }
 
-    fn age(&self, now: Instant) -> Duration {
+    /// How long this daemon has been running.
+    pub fn age(&self, now: Instant) -> Duration {
         now.saturating_duration_since(self.started_at)
     }
 }
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -25,7 +25,7 @@
         policy::leader::{
             endpoint_orders::{EndpointOrders, OrderResult, ZoneOrder},
             leader_lease::{HoldDecision, LossReason},
-            usage_reports::due_window,
+            usage_reports::{due_window, has_heard_counts},
             zone_plan::PriceClass,
         },
         settings::LeaderTask,
@@ -158,8 +158,13 @@
         if record.report.is_some() && !self.is_report_sent {
             return None;
         }
+        let now = Instant::now();
+        let report_age = self.context.sharing(now).report_age;
+        if !has_heard_counts(self.context.age(now), report_age) {
+            return None;
+        }
         let last_reported = record.report.as_ref().map(|report| report.window);
-        let now_ms = self.context.wall_clock.borrow().now_ms(Instant::now());
+        let now_ms = self.context.wall_clock.borrow().now_ms(now);
         let window = due_window(last_reported, now_ms, self.context.settings.bounds.usage_window)?;
         Some(UsageReport { window, counts: self.context.usage.borrow().total(window) })
     }
--- a/src/gateway/policy/leader/usage_reports.rs
+++ b/src/gateway/policy/leader/usage_reports.rs
@@ -2,8 +2,9 @@
 //!
 //! Windows have equal lengths and are numbered from 1970 by the wall clock. A window is
 //! reported once, in order, some time after its end, so that all daemons' counts have arrived
-//! by gossip. If there was no leader for longer than a few windows, the oldest ones are left
-//! out. Without an earlier report the newest complete window is the first.
+//! by gossip. A leader that has just started waits until it has heard them. If there was no
+//! leader for longer than a few windows, the oldest ones are left out. Without an earlier report
+//! the newest complete window is the first.
 
 use std::time::Duration;
 
@@ -15,6 +16,16 @@
 ///
 /// Basis: chosen, not measured (commit 827f7c7): less than the windows of which counts are kept.
 const REPORTABLE_WINDOWS: u64 = 3;
+/// A daemon that has just started reports nothing for this multiple of the age that reports of
+/// other daemons may have: counts of the windows before its start are only with them.
+///
+/// Basis: chosen, not measured: one report of every daemon, and one more.
+const HEARD_REPORT_AGES: u32 = 2;
+/// The same at the least.
+///
+/// Basis: chosen, not measured: ten gossip intervals, since daemons that are not known yet are
+/// met first.
+const MIN_HEARD_AGE: Duration = Duration::from_secs(1);
 
 /// Number of the window to report at `now_ms` (milliseconds since 1970), if one is due.
 pub fn due_window(last_reported: Option<u64>, now_ms: u64, length: Duration) -> Option<u64> {
@@ -25,3 +36,9 @@
     let window = next.max(newest.saturating_sub(REPORTABLE_WINDOWS - 1));
     (window <= newest).then_some(window)
 }
+
+/// Whether a daemon of this age has heard what all others have counted, where their reports may
+/// be `report_age` old.
+pub fn has_heard_counts(age: Duration, report_age: Duration) -> bool {
+    age >= (report_age * HEARD_REPORT_AGES).max(MIN_HEARD_AGE)
+}
--- a/tests/gateway/leader_rules.rs
+++ b/tests/gateway/leader_rules.rs
@@ -14,7 +14,7 @@
                 ACQUIRE_MARGIN, AcquireDecision, HoldDecision, LeaseOwner, LossReason,
                 ObservedLease, decide_acquire, decide_hold,
             },
-            usage_reports::due_window,
+            usage_reports::{due_window, has_heard_counts},
             zone_plan::{PriceClass, ZoneHolding},
         },
     },
@@ -80,6 +80,20 @@
     }
 }
 
+#[googletest::test]
+fn leader_that_has_just_started_reports_only_what_all_have_counted() {
+    for (age_ms, report_age_ms, heard) in [
+        (100, 300, false),
+        (999, 300, false),
+        (1_000, 300, true),
+        (1_000, 1_800, false),
+        (3_600, 1_800, true),
+    ] {
+        let has_heard = has_heard_counts(millis(age_ms), millis(report_age_ms));
+        expect_that!(has_heard, eq(heard), "{age_ms} ms, reports {report_age_ms} ms old");
+    }
+}
+
 fn spec() -> FleetSpec {
     FleetSpec {
         min: 1,
