Reclaim waves: watched by one small type at every daemon

Change: ReclaimWaves is owned by the loop of leader tasks and gives the risk to what is observed of a service.

--- a/src/gateway/leader/endpoint_orders.rs
+++ b/src/gateway/leader/endpoint_orders.rs
@@ -12,7 +12,7 @@
         endpoint::EndpointState,
         policy::leader::{
             endpoint_orders::{ObservedService, ZoneOrder},
-            zone_plan::{PriceClass, ZoneHolding},
+            zone_plan::{PriceClass, ReclaimRisk, ZoneHolding},
         },
     },
     ids::SharedName,
@@ -24,15 +24,17 @@
 /// Basis: a conversion of units.
 const MS_PER_S: f64 = 1e3;
 
-/// What this daemon knows of a service's endpoints and load.
+/// What this daemon knows of a service's endpoints and load, and which of them are at risk.
 pub fn observe_service(
     context: &GatewayContext,
     service: &Service,
+    risk: ReclaimRisk,
     now: Instant,
 ) -> ObservedService {
     let endpoints = context.endpoints.borrow();
     ObservedService {
         held: holdings(context, service),
+        risk,
         serving: endpoints.ready(&service.name).count(),
         prompt_tokens_sent: endpoints.tokens_sent(&service.name),
         running: f64::from(endpoints.service_load(&service.name, now).running),
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -25,6 +25,7 @@
         policy::leader::{
             endpoint_orders::{EndpointOrders, OrderResult, ZoneOrder},
             leader_lease::{HoldDecision, LossReason},
+            reclaim_wave::ReclaimWaves,
             usage_reports::{due_window, has_heard_counts},
             zone_plan::PriceClass,
         },
@@ -58,6 +59,7 @@
     is_report_sent: bool,
     next_try: Instant,
     orders: EndpointOrders,
+    waves: ReclaimWaves,
 }
 
 /// Carries out the leader tasks, or waits for the lease, until the daemon stops.
@@ -71,6 +73,7 @@
         is_report_sent: false,
         next_try: Instant::now(),
         orders: EndpointOrders::default(),
+        waves: ReclaimWaves::default(),
         context,
     };
     let mut ticks = interval(TICK);
@@ -87,7 +90,7 @@
 impl LeaderTasks {
     async fn tick(&mut self) {
         let now = Instant::now();
-        if !self.lease.is_holder() {
+        if self.waves.is_watch_due(now) {
             self.watch_reclaims(now);
         }
         if now < self.next_try {
@@ -104,12 +107,13 @@
         }
     }
 
-    /// Looks at what is held, so that this daemon knows of reclaims if it becomes the leader.
+    /// Looks at what is held, also at daemons that do not hold the lease: whoever acquires it
+    /// has to know of reclaims.
     fn watch_reclaims(&mut self, now: Instant) {
         let Some(configuration) = self.context.configuration() else { return };
         for service in configuration.services.values() {
-            if service.fleet.is_some() && self.orders.is_watch_due(&service.name, now) {
-                self.orders.watch(&service.name, &holdings(&self.context, service), now);
+            if service.fleet.is_some() {
+                self.waves.observe(&service.name, &holdings(&self.context, service), now);
             }
         }
     }
@@ -118,7 +122,7 @@
         match self.lease.try_acquire().await? {
             AcquireResult::Acquired { required_endpoints } => {
                 self.is_report_sent = false;
-                self.orders.start_after(required_endpoints);
+                self.orders = EndpointOrders::after(required_endpoints);
             }
             AcquireResult::RetryAt(at) => self.next_try = at,
             AcquireResult::NotAcquired => {}
@@ -217,7 +221,8 @@
             if !self.orders.is_look_due(&service.name, now) {
                 continue;
             }
-            let observed = observe_service(&self.context, service, now);
+            let risk = self.waves.risk(&service.name, spec.start_time, now);
+            let observed = observe_service(&self.context, service, risk, now);
             due.extend(self.orders.due(&service.name, spec, &observed, now));
         }
         due.sort_unstable();
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -56,6 +56,9 @@
 /// Basis: chosen, not measured: keeps daemons that see equal loads from all choosing alike.
 const NOISE_MS: f64 = 3.0;
 
+/// Longest expected wait that is reckoned with, in milliseconds.
+/// Basis: chosen, not measured: longer than any request may take.
+const MAX_WAIT_MS: f64 = 600_000.0;
 /// Milliseconds in a second.
 /// Basis: a conversion of units.
 const MS_PER_S: f64 = 1e3;
@@ -101,7 +104,8 @@
 impl EndpointChoice {
     /// Expected wait for the first token.
     pub fn estimated_wait(&self) -> Duration {
-        Duration::try_from_secs_f64(self.estimated_wait_ms / MS_PER_S).unwrap_or_default()
+        let wait_ms = self.estimated_wait_ms.clamp(0.0, MAX_WAIT_MS);
+        Duration::from_secs_f64(wait_ms / MS_PER_S)
     }
 }
 
--- a/src/gateway/policy/leader/endpoint_orders.rs
+++ b/src/gateway/policy/leader/endpoint_orders.rs
@@ -19,8 +19,7 @@
 
 use super::{
     fleet_size::{EndpointPlanner, ServiceDemand},
-    reclaim_wave::ReclaimWave,
-    zone_plan::{PriceClass, ZoneHolding},
+    zone_plan::{PriceClass, ReclaimRisk, ZoneHolding},
 };
 use crate::{gateway::configuration::FleetSpec, ids::SharedName};
 
@@ -53,6 +52,8 @@
 pub struct ObservedService {
     /// Endpoints that are not leaving, for every zone where the service may run.
     pub held: BTreeMap<SharedName, ZoneHolding>,
+    /// Which of them may be reclaimed.
+    pub risk: ReclaimRisk,
     /// Endpoints that take requests.
     pub serving: usize,
     /// Prompt tokens sent to endpoints so far, over all daemons; lower after a daemon was lost.
@@ -118,8 +119,7 @@
     demand: ServiceDemand,
 }
 
-/// Orders of all services at the daemon that holds the lease; at the others only what a leader
-/// that takes over needs to have seen.
+/// Orders of all services at the daemon that holds the lease.
 #[derive(Debug, Default)]
 pub struct EndpointOrders {
     services: HashMap<SharedName, ServiceFleet>,
@@ -128,41 +128,12 @@
     listed_before: BTreeMap<OrderKey, u32>,
     /// Required endpoints as the former holder found them, by service.
     required_before: BTreeMap<SharedName, f64>,
-    waves: HashMap<SharedName, WatchedWave>,
-}
-
-/// Reclaims of a service as seen by this daemon, holder of the lease or not.
-#[derive(Debug)]
-struct WatchedWave {
-    wave: ReclaimWave,
-    observed_at: Instant,
 }
 
 impl EndpointOrders {
-    /// Begins the orders of a new holder, which starts from the required endpoints of the
-    /// former one. Reclaims that this daemon has seen still count.
-    pub fn start_after(&mut self, required_before: BTreeMap<SharedName, f64>) {
-        let waves = std::mem::take(&mut self.waves);
-        *self = Self { required_before, waves, ..Self::default() };
-    }
-
-    /// Whether what is held of a service has to be looked at now by a daemon that only watches.
-    pub fn is_watch_due(&self, service: &str, now: Instant) -> bool {
-        let observed_at = self.waves.get(service).map(|watched| watched.observed_at);
-        observed_at.is_none_or(|at| now.saturating_duration_since(at) >= OBSERVE_INTERVAL)
-    }
-
-    /// Notes what is held of a service.
-    pub fn watch(
-        &mut self,
-        service: &SharedName,
-        held: &BTreeMap<SharedName, ZoneHolding>,
-        now: Instant,
-    ) {
-        let new_wave = || WatchedWave { wave: ReclaimWave::default(), observed_at: now };
-        let watched = self.waves.entry(service.clone()).or_insert_with(new_wave);
-        watched.wave.observe(held, now);
-        watched.observed_at = now;
+    /// Orders of a new holder, which starts from the required endpoints of the former one.
+    pub fn after(required_before: BTreeMap<SharedName, f64>) -> Self {
+        Self { required_before, ..Self::default() }
     }
 
     /// Required endpoints by service.
@@ -193,8 +164,6 @@
         observed: &ObservedService,
         now: Instant,
     ) -> Vec<ZoneOrder> {
-        self.watch(service, &observed.held, now);
-        let risk = self.waves[service].wave.risk(spec.start_time, now);
         let before = self.required_before.get(service).copied();
         let new_fleet = || ServiceFleet::new(before, now);
         let fleet = self.services.entry(service.clone()).or_insert_with(new_fleet);
@@ -202,7 +171,7 @@
         fleet.planner.estimate_from_held(&observed.held, now);
         let is_settled = fleet.planner.is_settled(now);
         let is_required = fleet.planner.required() > 0.0;
-        let targets = fleet.planner.plan(spec, &observed.held, risk);
+        let targets = fleet.planner.plan(spec, &observed.held, observed.risk);
         let refused = fleet.planner.refused_zones(now);
         let mut due = Vec::new();
         for ((zone, class), planned) in targets {
--- a/src/gateway/policy/leader/reclaim_wave.rs
+++ b/src/gateway/policy/leader/reclaim_wave.rs
@@ -9,7 +9,7 @@
 //! has nothing to compare with, so a zone lost before it goes unnoticed.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
 };
 
@@ -23,7 +23,44 @@
 /// Basis: chosen, not measured: longer than an order takes to serve.
 const WAVE_START_TIMES: f64 = 2.5;
 
-/// Zones lost lately.
+/// Time between two looks at what is held.
+///
+/// Basis: chosen, not measured: short beside the seconds between two zones of a wave.
+const WATCH_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Waves of all services, as this daemon has seen them.
+#[derive(Debug, Default)]
+pub struct ReclaimWaves {
+    by_service: HashMap<SharedName, ReclaimWave>,
+    watched_at: Option<Instant>,
+}
+
+impl ReclaimWaves {
+    /// Whether what is held has to be looked at now.
+    pub fn is_watch_due(&self, now: Instant) -> bool {
+        let is_recent = |at| now.saturating_duration_since(at) < WATCH_INTERVAL;
+        !self.watched_at.is_some_and(is_recent)
+    }
+
+    /// Notes what is held of a service now.
+    pub fn observe(
+        &mut self,
+        service: &SharedName,
+        held: &BTreeMap<SharedName, ZoneHolding>,
+        now: Instant,
+    ) {
+        self.by_service.entry(service.clone()).or_default().observe(held, now);
+        self.watched_at = Some(now);
+    }
+
+    /// Which zones of a service have to be expected to go; see [`ReclaimWave::risk`].
+    pub fn risk(&self, service: &str, start_time: Duration, now: Instant) -> ReclaimRisk {
+        let wave = self.by_service.get(service);
+        wave.map_or_else(ReclaimRisk::default, |wave| wave.risk(start_time, now))
+    }
+}
+
+/// Zones of one service lost lately.
 #[derive(Debug, Default)]
 pub struct ReclaimWave {
     /// Zones that held reclaimable endpoints at the last look.
--- a/src/gateway/policy/leader/zone_plan.rs
+++ b/src/gateway/policy/leader/zone_plan.rs
@@ -52,9 +52,10 @@
 }
 
 /// Which reclaimable endpoints are expected to be reclaimed soon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum ReclaimRisk {
     /// Those of one zone, perhaps.
+    #[default]
     OneZone,
     /// Those of all zones, one after another.
     AllZones,
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -112,13 +112,7 @@
     };
     let now = Instant::now();
     let request = endpoint_request(admitted, &endpoint.id, resume_after, now);
-    let until = time_limits::attempt_deadline(
-        &admitted.route,
-        attempts.sent,
-        choice.estimated_wait(),
-        admitted.deadline,
-        now,
-    );
+    let until = awaited_until(admitted, attempts, &choice, now);
     match connection.send(request, until).await {
         Err(failure) => {
             trace.failed(&failure);
@@ -131,6 +125,16 @@
     }
 }
 
+fn awaited_until(
+    admitted: &Admitted,
+    attempts: &Attempts,
+    choice: &EndpointChoice,
+    now: Instant,
+) -> Instant {
+    let Admitted { route, deadline, .. } = admitted;
+    time_limits::attempt_deadline(route, attempts.sent, choice.estimated_wait(), *deadline, now)
+}
+
 fn after_send_failure(
     context: &GatewayContext,
     attempts: &mut Attempts,
--- a/tests/gateway/leader_rules.rs
+++ b/tests/gateway/leader_rules.rs
@@ -14,8 +14,9 @@
                 ACQUIRE_MARGIN, AcquireDecision, HoldDecision, LeaseOwner, LossReason,
                 ObservedLease, decide_acquire, decide_hold,
             },
+            reclaim_wave::ReclaimWaves,
             usage_reports::{due_window, has_heard_counts},
-            zone_plan::{PriceClass, ZoneHolding},
+            zone_plan::{PriceClass, ReclaimRisk, ZoneHolding},
         },
     },
     ids::SharedName,
@@ -126,8 +127,7 @@
     /// Orders of a holder that knows that two endpoints are required.
     fn new() -> Self {
         let service: SharedName = "pool".into();
-        let mut orders = EndpointOrders::default();
-        orders.start_after([(service.clone(), 2.0)].into());
+        let orders = EndpointOrders::after([(service.clone(), 2.0)].into());
         Self { orders, start: Instant::now(), service }
     }
 
@@ -202,17 +202,23 @@
 fn leader_that_takes_over_within_a_wave_knows_of_it() {
     let start = Instant::now();
     let service_name: SharedName = "pool".into();
-    let mut orders = EndpointOrders::default();
-    orders.watch(&service_name, &service(2).held, start);
+    let mut waves = ReclaimWaves::default();
+    expect_that!(waves.is_watch_due(start), eq(true));
+    waves.observe(&service_name, &service(2).held, start);
+    expect_that!(waves.is_watch_due(start + millis(100)), eq(false));
     let mut lost = service(2);
     lost.held.insert("b".into(), ZoneHolding::default());
-    orders.watch(&service_name, &lost.held, start + millis(500));
-    orders.start_after([(service_name.clone(), 2.0)].into());
+    waves.observe(&service_name, &lost.held, start + millis(500));
+    let mut orders = EndpointOrders::after([(service_name.clone(), 2.0)].into());
     let mut on_demand = 0;
     for at_ms in [3_000, 4_500] {
-        let due = orders.due(&service_name, &spec(), &lost, start + millis(at_ms));
+        let now = start + millis(at_ms);
+        let risk = waves.risk(&service_name, spec().start_time, now);
+        let observed = ObservedService { risk, ..lost.clone() };
+        let due = orders.due(&service_name, &spec(), &observed, now);
         let ordered = due.iter().filter(|order| order.class == PriceClass::OnDemand);
         on_demand += ordered.map(|order| order.count).sum::<u32>();
     }
     expect_that!(on_demand, eq(2));
+    expect_that!(waves.risk("other", spec().start_time, start), eq(ReclaimRisk::OneZone));
 }
