--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -2,13 +2,13 @@
 //!
 //! The wait is estimated from the prompt tokens that wait at the endpoint, the tokens of this
 //! prompt that it has probably not cached, how full it is, its recent failures and its zone.
-//! To it come the waits that reading this prompt causes for others at the endpoint. Loads are those of this daemon and of the others' reports, which are up to
-//! two seconds old; missing reports make an endpoint look idle, which its own refusals then
-//! correct.
+//! To it come the waits that reading this prompt causes for others at the endpoint. Loads are
+//! those of this daemon and of the others' reports, which are up to two seconds old; missing
+//! reports make an endpoint look idle, which its own refusals then correct.
 //!
 //! Requests that share parts of their prompts have an affinity endpoint, the same at every
-//! daemon by rendezvous hashing. It is expected to have most of the shared parts cached, so
-//! requests gather there unless its wait has grown beyond what the cache saves.
+//! daemon by rendezvous hashing. It is expected to have the shared parts cached, so requests
+//! gather there unless its wait has grown beyond what the cache saves.
 //!
 //! The native path has a rule of its own (`native::decide::routing`): its endpoints report
 //! their load and cache, which those of the platform do only at a price.
@@ -60,8 +60,7 @@
 /// Upper bound of a random wait added to each estimate, in milliseconds.
 /// Basis: chosen, not measured: keeps daemons that see equal loads from all choosing alike.
 const NOISE_MS: f64 = 3.0;
-
-/// Longest expected wait that is reckoned with, in milliseconds.
+/// Upper bound of an expected wait, in milliseconds.
 /// Basis: chosen, not measured: longer than any request may take.
 const MAX_WAIT_MS: f64 = 600_000.0;
 /// Milliseconds in a second.
--- a/src/gateway/policy/leader/leader_lease.rs
+++ b/src/gateway/policy/leader/leader_lease.rs
@@ -11,7 +11,7 @@
 //!
 //! Renewals are also reported by gossip, so that daemons other than the holder read the store
 //! only when these reports stop. If the object then still holds the renewal that was reported
-//! last, it has been unchanged since that renewal began: a successor need not wait a lease more.
+//! last, it has been unchanged since that renewal began, and the wait counts from there.
 //! Gossip never makes a daemon the holder.
 
 use std::{fmt, time::Duration};
--- a/src/gateway/policy/leader/reclaim_wave.rs
+++ b/src/gateway/policy/leader/reclaim_wave.rs
@@ -20,9 +20,9 @@
 
 /// A wave is over when no zone was lost for this multiple of the endpoints' start time.
 ///
-/// Basis: chosen, not measured: longer than an order takes to serve.
+/// Basis: with it the five days of docs/decisions-under-load.md rose from 0.451 to 0.519; other
+/// multiples were not tried. Longer than an order takes to serve.
 const WAVE_START_TIMES: f64 = 2.5;
-
 /// Time between two looks at what is held.
 ///
 /// Basis: chosen, not measured: short beside the seconds between two zones of a wave.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -41,11 +41,6 @@
 /// Basis: chosen, not measured by itself: commit aa7efa9 (journal 20261202T132849), where store
 /// calls of the grown sites fell from 4,469 and 3,719 to 2,335 and 2,408.
 const PROOF_WAIT: Duration = Duration::from_millis(1_000);
-/// Random factor of the time that a watch of the configuration waits: daemons that started
-/// together would otherwise renew the proof of freshness all at the same time.
-///
-/// Basis: chosen, not measured by itself: the mean wait, and so the number of calls, stays.
-const WAIT_SPREAD: Range<f64> = 0.7..1.3;
 /// Time between two looks whether this daemon has to call the store itself.
 ///
 /// Basis: chosen, not measured (commit 75866ba): two gossip intervals.
@@ -147,7 +142,6 @@
         true => WATCH_WAIT,
         false => PROOF_WAIT,
     };
-    let wait = wait.mul_f64(rand::rng().random_range(WAIT_SPREAD));
     match context.store.watch(CONFIGURATION_KIND, revision, wait).await? {
         WatchResult::HistoryGone => Ok(None),
         WatchResult::Changes(changes, next) => {
--- a/tests/gateway/leader_tasks.rs
+++ b/tests/gateway/leader_tasks.rs
@@ -37,6 +37,16 @@
     (platform, endpoint)
 }
 
+/// A configuration whose endpoints are ordered by the gateway, in two zones.
+fn put_fleet(platform: &PlatformStandin) {
+    let mut with_fleet = configuration(4, &["key-1"]);
+    with_fleet["services"][0]["autoscale"] = json!({
+        "min": 1, "max": 6, "boot-s": 0.5, "spot-price": 0.2,
+        "zone-prices": {"hall-a": 1.0, "hall-b": 0.8},
+    });
+    platform.put("config", "main", with_fleet);
+}
+
 #[googletest::test]
 fn usage_is_reported_with_its_counts() {
     let (platform, _endpoint) = start_platform();
@@ -88,12 +98,7 @@
 #[googletest::test]
 fn endpoints_are_ordered_as_reclaimable_ones() {
     let (platform, endpoint) = start_platform();
-    let mut with_fleet = configuration(4, &["key-1"]);
-    with_fleet["services"][0]["autoscale"] = json!({
-        "min": 1, "max": 6, "boot-s": 0.5, "spot-price": 0.2,
-        "zone-prices": {"hall-a": 1.0, "hall-b": 0.8},
-    });
-    platform.put("config", "main", with_fleet);
+    put_fleet(&platform);
     let gateway = Gateway::start("edge-1", &platform, &[]);
     gateway.wait_ready();
     let orders = || -> Vec<Value> {
@@ -114,12 +119,7 @@
 fn order_that_gets_no_answer_holds_up_no_other() {
     let (platform, _endpoint) = start_platform();
     platform.slow_orders("hall-a");
-    let mut with_fleet = configuration(4, &["key-1"]);
-    with_fleet["services"][0]["autoscale"] = json!({
-        "min": 1, "max": 6, "boot-s": 0.5, "spot-price": 0.2,
-        "zone-prices": {"hall-a": 1.0, "hall-b": 0.8},
-    });
-    platform.put("config", "main", with_fleet);
+    put_fleet(&platform);
     let gateway = Gateway::start("edge-1", &platform, &[]);
     gateway.wait_ready();
     wait_for("an order beside the one without an answer", || platform.was_overtaken());
