Retries: over a new connection, since an idle one may hold a late surplus response

Both endpoints had an idle connection whose surplus response was still to come; the first attempt was spoiled by one of them, and the retry, taken a moment later over the other endpoint's idle connection, by the second. Both endpoints worked. Change: an attempt after the first one always gets a new connection; the rule stands in policy::request::retries (ConnectionReuse) in place of a bool.

--- a/src/gateway/policy/request/retries.rs
+++ b/src/gateway/policy/request/retries.rs
@@ -15,6 +15,10 @@
 //! retry at all. The next endpoint after an unsent attempt is free, since no endpoint has
 //! seen the request.
 //!
+//! A retry always goes over a new connection. An idle one may hold a surplus response that its
+//! endpoint sends late, which spoils the attempt; two attempts spoiled that way would fail a
+//! request although both endpoints work.
+//!
 //! Once an attempt may have run, every refusal has a status that promises nothing (502, 504).
 
 use std::time::Duration;
@@ -56,6 +60,27 @@
     LastMayHaveRun,
 }
 
+/// Which idle connections an attempt may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectionReuse {
+    /// Any that is open.
+    Any,
+    /// One that was in use a moment ago.
+    Recent,
+    /// None: a new connection is made.
+    Never,
+}
+
+/// Which idle connections an attempt may use, after `sent_before` attempts that reached an
+/// endpoint.
+pub fn connection_reuse(kind: RouteKind, sent_before: u32) -> ConnectionReuse {
+    match (sent_before, kind.may_run_again()) {
+        (0, true) => ConnectionReuse::Any,
+        (0, false) => ConnectionReuse::Recent,
+        _ => ConnectionReuse::Never,
+    }
+}
+
 /// Whether a response of an endpoint that has run the request may be dropped for a retry;
 /// otherwise it is passed on.
 pub fn may_retry_response(kind: RouteKind, is_server_error: bool) -> bool {
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -34,7 +34,7 @@
             request::{
                 endpoint_priority::endpoint_priority,
                 refusal::Refusal,
-                retries::{AttemptFailure, NoAttempt},
+                retries::{AttemptFailure, NoAttempt, connection_reuse},
                 time_limits,
             },
         },
@@ -100,8 +100,8 @@
     let load =
         RunLoad { uncached_tokens: choice.uncached_tokens, memory_tokens: memory_tokens(admitted) };
     let guard = RunGuard::begin(context.clone(), &endpoint, &head.parts, load);
-    let may_run_again = admitted.route.kind.may_run_again();
-    let taking = context.connections.take(&endpoint, may_run_again, admitted.deadline);
+    let reuse = connection_reuse(admitted.route.kind, attempts.sent);
+    let taking = context.connections.take(&endpoint, reuse, admitted.deadline);
     let mut connection = match taking.await {
         Ok(connection) => connection,
         Err(failure) => {
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -25,7 +25,11 @@
     time::{Instant, timeout, timeout_at},
 };
 
-use crate::{gateway::endpoint::EndpointRecord, ids::SharedName, metrics::MetricsHandle};
+use crate::{
+    gateway::{endpoint::EndpointRecord, policy::request::retries::ConnectionReuse},
+    ids::SharedName,
+    metrics::MetricsHandle,
+};
 
 /// Longest wait for a new connection.
 /// Basis: chosen, not measured: several round trips; another endpoint is tried after it.
@@ -91,8 +95,14 @@
         self.until > now && !self.sender.is_closed()
     }
 
-    fn is_safe_to_run_once(&self, now: Instant) -> bool {
-        now.saturating_duration_since(self.since) <= IDLE_LIMIT_RUN_ONCE
+    fn is_usable(&self, reuse: ConnectionReuse, now: Instant) -> bool {
+        match reuse {
+            ConnectionReuse::Any => true,
+            ConnectionReuse::Recent => {
+                now.saturating_duration_since(self.since) <= IDLE_LIMIT_RUN_ONCE
+            }
+            ConnectionReuse::Never => false,
+        }
     }
 }
 
@@ -139,14 +149,14 @@
     }
 
     /// A connection to the endpoint: an idle one, or a new one where none is usable.
-    /// `may_run_again` says whether the request may run more than once.
+    /// `reuse` says which idle ones the attempt may use.
     pub async fn take(
         &self,
         endpoint: &EndpointRecord,
-        may_run_again: bool,
+        reuse: ConnectionReuse,
         deadline: Instant,
     ) -> Result<EndpointConnection, SendFailure> {
-        while let Some(mut sender) = self.take_idle(&endpoint.id, may_run_again) {
+        while let Some(mut sender) = self.take_idle(&endpoint.id, reuse) {
             let ready = timeout(READY_LIMIT, sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 return Ok(EndpointConnection { endpoint: endpoint.id.clone(), sender });
@@ -183,12 +193,12 @@
     }
 
     /// The connection that was idle for the shortest time, if it is usable.
-    fn take_idle(&self, endpoint: &SharedName, may_run_again: bool) -> Option<RequestSender> {
+    fn take_idle(&self, endpoint: &SharedName, reuse: ConnectionReuse) -> Option<RequestSender> {
         let now = Instant::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(endpoint)?;
         list.retain(|connection| connection.is_open(now));
-        let newest = list.pop_if(|connection| may_run_again || connection.is_safe_to_run_once(now));
+        let newest = list.pop_if(|connection| connection.is_usable(reuse, now));
         newest.map(|connection| connection.sender)
     }
 
--- a/tests/gateway/endpoint_standin.rs
+++ b/tests/gateway/endpoint_standin.rs
@@ -42,6 +42,8 @@
     Surplus,
     /// The same, but the second answer comes late: the next request may be on its way by then.
     LateSurplus,
+    /// Takes a while, and sends the second answer only when the next request has come.
+    SurplusBeforeNext,
 }
 
 /// A request as the endpoint has read it.
@@ -131,6 +133,10 @@
     closed_early: Arc<AtomicBool>,
 }
 
+/// Time that an endpoint takes for a request where it takes a while: longer than a second
+/// client on loopback takes to send its request.
+const SLOW_ANSWER: Duration = Duration::from_millis(50);
+
 /// Pause between events.
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -141,8 +147,13 @@
 impl Connection {
     fn serve(&self, stream: TcpStream) {
         let mut reader = BufReader::new(stream);
+        let mut previous: Option<String> = None;
         while let Some(request) = read_request(&mut reader) {
             let manner = *self.manner.lock().expect("lock");
+            let previous = previous.replace(request.id().to_owned());
+            if let (EndpointManner::SurplusBeforeNext, Some(id)) = (manner, previous) {
+                self.write_whole(reader.get_mut(), "200 OK", &id, "surplus");
+            }
             let seen = SeenRequest { ran: manner.runs(), ..request.clone() };
             self.seen.lock().expect("lock").push(seen);
             if !self.answer(reader.get_mut(), &request, manner) {
@@ -174,6 +185,10 @@
                 std::thread::sleep(SURPLUS_DELAY);
                 first && self.write_whole(out, "200 OK", id, "surplus")
             }
+            EndpointManner::SurplusBeforeNext => {
+                std::thread::sleep(SLOW_ANSWER);
+                self.write_whole(out, "200 OK", id, &body)
+            }
             EndpointManner::Foreign => {
                 self.write_whole(out, "200 OK", "another-request", "foreign")
             }
--- a/tests/gateway/request_rules.rs
+++ b/tests/gateway/request_rules.rs
@@ -21,8 +21,8 @@
             quota::QuotaSharing,
             refusal::Refusal,
             retries::{
-                AttemptFailure, FailureStep, GiveUpReason, NoAttempt, after_failure, may_resume,
-                may_retry_response,
+                AttemptFailure, ConnectionReuse, FailureStep, GiveUpReason, NoAttempt,
+                after_failure, connection_reuse, may_resume, may_retry_response,
             },
             time_limits,
         },
@@ -68,6 +68,19 @@
 mod retries {
     use super::*;
 
+    cases! {
+        first_attempt_may_use_any_idle_connection:
+            &connection_reuse(RouteKind::Idempotent, 0) => ConnectionReuse::Any;
+        first_attempt_at_most_once_uses_a_recent_connection:
+            &connection_reuse(RouteKind::Once, 0) => ConnectionReuse::Recent;
+        first_attempt_of_a_stream_that_cannot_resume_uses_a_recent_connection:
+            &connection_reuse(NOT_RESUMABLE, 0) => ConnectionReuse::Recent;
+        retry_uses_a_new_connection:
+            &connection_reuse(RouteKind::Idempotent, 1) => ConnectionReuse::Never;
+        resumed_stream_uses_a_new_connection:
+            &connection_reuse(RESUMABLE, 1) => ConnectionReuse::Never;
+    }
+
     cases! {
         unsent_goes_on_free:
             &after_failure(AttemptFailure::NotSent, RouteKind::Once, false)
--- a/tests/gateway/serving.rs
+++ b/tests/gateway/serving.rs
@@ -106,6 +106,20 @@
     }
 }
 
+#[googletest::test]
+fn retry_meets_no_surplus_answer_of_another_connection() {
+    // Both endpoints have an idle connection, and a surplus response for whoever uses it next.
+    let site = Site::start(&[EndpointManner::SurplusBeforeNext; 2]);
+    let address = site.gateway.clients;
+    let other = std::thread::spawn(move || ask(address, "/plain/one", "first", "key-1", &[], b""));
+    expect_that!(site.ask("/plain/one", "second").status, eq(200));
+    expect_that!(other.join().expect("client").status, eq(200));
+    expect_that!(site.runs(), elements_are![eq(&1), eq(&1)]);
+    let answer = site.ask("/plain/one", "third");
+    expect_that!(answer.status, eq(200));
+    expect_that!(answer.text(), not(contains_substring("surplus")));
+}
+
 #[googletest::test]
 fn repeatable_request_goes_to_another_endpoint() {
     for manner in [EndpointManner::Fail, EndpointManner::Lose, EndpointManner::Full] {
