Endpoint choice: failures are forgotten, reported backlogs are read on; errors are runs

Reported backlog. Cause: the prompt tokens that a peer reports as unread count in full until the next report, 0.4 s later, though an endpoint reads 100 tokens a millisecond: the affinity endpoint looked busy, and prompts were read again elsewhere. Change: what a report shows as unread is counted down while it ages.

Usage of errors. Change: every response of a run counts at its head; a stream's at its first event.

Change: a failure counts half after 2 s.

--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -1,10 +1,11 @@
 //! Chooses the endpoint for an attempt: the one where it costs least, in milliseconds of waiting.
 //!
 //! The wait is estimated from the prompt tokens that wait at the endpoint, the tokens of this
-//! prompt that it has probably not cached, how full it is, its recent failures and its zone.
-//! To it come the waits that reading this prompt causes for others at the endpoint. Loads are
-//! those of this daemon and of the others' reports, which are up to two seconds old; missing
-//! reports make an endpoint look idle, which its own refusals then correct.
+//! prompt that it has probably not cached, how full it is and its zone. To it come the waits
+//! that reading this prompt causes for others at the endpoint, and a cost for its recent
+//! failures. Loads are those of this daemon and of the others' reports, which are up to two
+//! seconds old; what they show of prompts to be read is counted down meanwhile. Missing reports
+//! make an endpoint look idle, which its own refusals then correct.
 //!
 //! Requests that share parts of their prompts have an affinity endpoint, the same at every
 //! daemon by rendezvous hashing. It is expected to have the shared parts cached, so requests
@@ -39,7 +40,7 @@
 /// Wait added for an endpoint in another zone, in milliseconds.
 /// Basis: chosen, not measured: decides among endpoints that are otherwise alike.
 const OTHER_ZONE_MS: f64 = 4.0;
-/// Wait added for each failure in a row, in milliseconds.
+/// Cost of each recent failure in a row, in milliseconds.
 /// Basis: chosen, not measured: outweighs a full batch, so that an endpoint that has just
 /// failed comes last among those without a backlog.
 const FAILURE_MS: f64 = 400.0;
@@ -157,8 +158,9 @@
         let is_affinity = affinity.as_ref() == Some(&status.record.id);
         let uncached_tokens = uncached_tokens(status, query, &chain, is_affinity);
         let estimated_wait_ms = site.estimated_wait_ms(status, &load, uncached_tokens);
+        let failure_ms = status.health.recent_failures(now) * FAILURE_MS;
         let delay_ms = site.prefill_ms(uncached_tokens) * query.delay_to_others();
-        let cost_ms = estimated_wait_ms + delay_ms + rng.random_range(0.0..NOISE_MS);
+        let cost_ms = estimated_wait_ms + delay_ms + failure_ms + rng.random_range(0.0..NOISE_MS);
         if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
             let endpoint = status.record.clone();
             let choice = EndpointChoice { endpoint, uncached_tokens, estimated_wait_ms };
@@ -196,8 +198,7 @@
         let batch = running / slots * FULL_BATCH_MS;
         let queue = (running + 1.0 - slots).max(0.0) * BEYOND_SLOTS_MS;
         let zone = if &*status.record.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
-        let failures = f64::from(status.health.failures()) * FAILURE_MS;
-        prefill + batch + queue + zone + failures
+        prefill + batch + queue + zone
     }
 }
 
--- a/src/gateway/policy/endpoint/endpoint_load.rs
+++ b/src/gateway/policy/endpoint/endpoint_load.rs
@@ -1,6 +1,9 @@
 //! Loads of endpoints, as daemons count them and report them to each other.
 
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use tokio::time::Instant;
 
@@ -9,6 +12,10 @@
     ids::{SharedName, hash_parts},
 };
 
+/// Milliseconds in a second.
+/// Basis: a conversion of units.
+const MS_PER_S: f64 = 1e3;
+
 /// Number that stands for an endpoint between daemons.
 pub fn endpoint_number(id: &str) -> u64 {
     hash_parts(&[id.as_bytes()])
@@ -50,6 +57,13 @@
         self.uncached_tokens += other.uncached_tokens;
         self.memory_tokens += other.memory_tokens;
     }
+
+    /// What is left of a reported load after this time, at an endpoint that reads
+    /// `prefill_rate` tokens a millisecond: it goes on reading. Runs last longer than reports.
+    pub fn after(&self, age: Duration, prefill_rate: f64) -> Self {
+        let read = (age.as_secs_f64() * MS_PER_S * prefill_rate) as u64;
+        Self { uncached_tokens: self.uncached_tokens.saturating_sub(read), ..*self }
+    }
 }
 
 /// Loads that another daemon has reported.
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -168,13 +168,15 @@
 
     fn load_at(&self, status: &EndpointStatus, now: Instant) -> EndpointLoad {
         let number = endpoint_number(&status.record.id);
+        let rate = self.prefill_rate(&status.record.service);
         let mut sum = status.own;
         for report in self.reports.values() {
-            if now.saturating_duration_since(report.at) > LOAD_KEPT {
+            let report_age = now.saturating_duration_since(report.at);
+            if report_age > LOAD_KEPT {
                 continue;
             }
             if let Some(load) = report.loads.get(&number) {
-                sum.add(load);
+                sum.add(&load.after(report_age, rate));
             }
         }
         sum
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -37,6 +37,17 @@
     pub counted: Cell<bool>,
 }
 
+impl Admitted {
+    /// Counts a run for the account, once for each request.
+    pub fn count_run(&self, context: &GatewayContext) {
+        if let Some(account) = &self.account
+            && !self.counted.replace(true)
+        {
+            context.record_run(&account.name);
+        }
+    }
+}
+
 /// Checks a request and admits it.
 pub async fn admit(
     context: &Rc<GatewayContext>,
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -173,6 +173,12 @@
     trace.responded(response.status(), signs.meaning);
     match signs.meaning {
         ResponseMeaning::Ran => {
+            let is_stream = admitted.route.kind.is_stream() && response.status().is_success();
+            if !is_stream {
+                // An error is a run too, also if it is dropped for a retry. A stream's run
+                // begins with its first event.
+                admitted.count_run(context);
+            }
             let response = EndpointResponse { response, signs, connection, guard };
             AttemptEnd::Responded(Box::new(response))
         }
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -89,9 +89,6 @@
 ) -> Response<LocalBody> {
     let EndpointResponse { response, signs, connection, guard } = response;
     let success = response.status().is_success();
-    if success && !admitted.route.kind.is_stream() {
-        count_run(context, &admitted);
-    }
     let (head, body) = ingress::client_response(response);
     let whole_length = body.size_hint().exact();
     let streams = success && admitted.route.kind.is_stream();
@@ -121,15 +118,6 @@
     })
 }
 
-/// Counts a run for its account, once for each request.
-fn count_run(context: &GatewayContext, admitted: &Admitted) {
-    if let Some(account) = &admitted.account
-        && !admitted.counted.replace(true)
-    {
-        context.record_run(&account.name);
-    }
-}
-
 impl Relay {
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         if self.ended {
@@ -192,7 +180,7 @@
         };
         if batch.count > 0 {
             if self.events == 0 {
-                count_run(&self.context, &self.admitted);
+                self.admitted.count_run(&self.context);
                 self.trace.first_event();
             }
             upstream.guard.prefill_done();
--- a/tests/gateway/endpoint_choice.rs
+++ b/tests/gateway/endpoint_choice.rs
@@ -109,6 +109,20 @@
     expect_that!(chosen(&table, &query(&PARTS, &[]), later), eq(&Some(affinity)));
 }
 
+#[googletest::test]
+fn backlog_that_another_daemon_reported_is_read_on() {
+    let mut table = table(vec![record("i-0", "a"), record("i-1", "a")]);
+    let now = Instant::now();
+    let affinity = chosen(&table, &query(&PARTS, &[]), now).expect("an endpoint");
+    // Read in a second at the rate that is assumed at first.
+    let load = EndpointLoad { running: 1, uncached_tokens: 40_000, memory_tokens: 0 };
+    let loads = [(endpoint_number(&affinity), load)].into();
+    table.apply_report(daemon(5), ReportedLoads { at: now, loads, sent: BTreeMap::new() });
+    expect_that!(chosen(&table, &query(&PARTS, &[]), now), not(eq(&Some(affinity.clone()))));
+    let later = now + millis(900);
+    expect_that!(chosen(&table, &query(&PARTS, &[]), later), eq(&Some(affinity)));
+}
+
 #[googletest::test]
 fn requests_gather_less_where_loads_of_others_are_old() {
     let mut table = table(vec![record("i-0", "a"), record("i-1", "a")]);
@@ -179,6 +193,33 @@
     }
 }
 
+#[googletest::test]
+fn a_failure_is_forgotten_though_nothing_succeeds() {
+    let mut table = table(vec![record("i-0", "a"), record("i-1", "a")]);
+    let now = Instant::now();
+    let affinity = chosen(&table, &query(&PARTS, &[]), now).expect("an endpoint");
+    table.begin(&affinity, &[], RunLoad::default(), now);
+    table.end(&affinity, RunLoad::default(), AttemptResult::Failed, now);
+    expect_that!(chosen(&table, &query(&PARTS, &[]), now), not(eq(&Some(affinity.clone()))));
+    let later = now + Duration::from_secs(10);
+    expect_that!(chosen(&table, &query(&PARTS, &[]), later), eq(&Some(affinity)));
+}
+
+#[googletest::test]
+fn expected_wait_holds_no_penalty_for_failures() {
+    let mut table = table(vec![record("i-0", "a")]);
+    let now = Instant::now();
+    let waits = [AttemptResult::Succeeded, AttemptResult::Failed].map(|result| {
+        table.begin("i-0", &[], RunLoad::default(), now);
+        table.end("i-0", RunLoad::default(), result, now);
+        match table.choose(&query(&PARTS, &[]), now, &mut SmallRng::seed_from_u64(1)) {
+            ChoiceResult::Endpoint(choice) => choice.estimated_wait(),
+            other => panic!("no endpoint: {other:?}"),
+        }
+    });
+    expect_that!(waits[1], eq(waits[0]));
+}
+
 #[googletest::test]
 fn prefill_rate_is_learnt() {
     let mut rate = PrefillRate::default();
--- a/tests/gateway/leader_tasks.rs
+++ b/tests/gateway/leader_tasks.rs
@@ -64,6 +64,27 @@
     check_reports(&reports(&platform));
 }
 
+#[googletest::test]
+fn runs_that_end_with_an_error_are_reported_once() {
+    let (platform, endpoint) = start_platform();
+    endpoint.set(EndpointManner::Fail);
+    let other = EndpointStandin::start("i-1", EndpointManner::Fail);
+    platform.put("servers", "i-1", endpoint_entry(&other, "ready"));
+    let gateway = Gateway::start("edge-1", &platform, &[]);
+    gateway.wait_ready();
+    for (number, path) in ["/plain/", "/once/", "/stream/"].into_iter().enumerate() {
+        let answer = ask(gateway.clients, path, &format!("r-{number}"), "key-1", &[], b"");
+        expect_that!(answer.status, eq(500), "{path}");
+    }
+    let total = || -> u64 {
+        let counts = reports(&platform).into_iter();
+        counts.filter_map(|report| report.body["counts"]["reader"].as_u64()).sum()
+    };
+    wait_for("all counts", || total() >= 3);
+    // The plain request ran twice, but is one request.
+    expect_that!(total(), eq(3));
+}
+
 #[googletest::test]
 fn successor_repeats_reports_exactly_and_raises_the_fence() {
     let (platform, _endpoint) = start_platform();
