--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -42,6 +42,12 @@
   asked @5 :List(UInt64);    # in the order of `accounts`, since that daemon started
 }
 
+struct DaemonUse {           # usage of one daemon, running or not, as the sender was told it
+  incarnation @0 :UInt64;
+  accounts @1 :List(Text);
+  windows @2 :List(WindowUse);
+}
+
 struct PeerWord {
   address @0 :Text;
   incarnation @1 :UInt64;
@@ -82,6 +88,8 @@
   hasRow @12 :Bool;
   wantsConfiguration @13 :Bool;  # whether the answer should hold the configuration's text
   wantsReplicas @14 :Bool;       # whether it should hold the list of replicas
+  wantsUses @15 :Bool;           # whether it should hold the usage of other daemons
+  uses @16 :List(DaemonUse);     # usage of other daemons of the sender's row
 }
 
 interface Exchange {
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -21,7 +21,10 @@
 };
 use crate::{
     exchange_capnp::exchange,
-    gateway::{context::GatewayContext, policy::daemon::catch_up::wait_for_store},
+    gateway::{
+        context::GatewayContext,
+        policy::{daemon::catch_up::wait_for_store, leader::usage_reports::lacks_former_usage},
+    },
     rpc_transport::{TrafficCounter, rpc_system},
     wall_clock_ms,
 };
@@ -158,5 +161,7 @@
     let held = held_revisions(context);
     let fetch = context.catch_up.borrow_mut().revisions_to_fetch(*address, held, wait, now);
     let group = context.peers.borrow().neighbours().represented_group(address).is_some();
-    RequestedParts { group, configuration: fetch.configuration, endpoints: fetch.endpoints }
+    let usage = lacks_former_usage(context.age(now));
+    let (configuration, endpoints) = (fetch.configuration, fetch.endpoints);
+    RequestedParts { group, configuration, endpoints, usage }
 }
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -1,7 +1,7 @@
 //! Gossip messages, written to and read from the schema.
 //!
 //! The schema keeps earlier names: `news` is a message, `peer_word` a peer summary, `row` a
-//! gossip group, `replica` an endpoint, `asked` requested units. They end in this module and
+//! gossip group, `replica` an endpoint, `asked` requested units, `uses` relayed usage. They end in this module and
 //! `counters_codec`. A message that is malformed or whose lists are too long is an error.
 
 use std::{rc::Rc, time::Duration};
@@ -13,11 +13,11 @@
     counters_codec::{self, read_counters, write_counters},
     messages::{
         ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary,
-        PeerSummary, RequestedParts,
+        PeerSummary, RelayedUsage, RequestedParts,
     },
 };
 use crate::{
-    exchange_capnp::{daemon_state, lease_news, news, peer_word, replica_entry},
+    exchange_capnp::{daemon_state, daemon_use, lease_news, news, peer_word, replica_entry},
     gateway::endpoint::{EndpointList, EndpointRecord, EndpointState},
     ids::IncarnationId,
 };
@@ -30,6 +30,9 @@
     target.set_wants_row(source.wants.group);
     target.set_wants_configuration(source.wants.configuration);
     target.set_wants_replicas(source.wants.endpoints);
+    target.set_wants_uses(source.wants.usage);
+    let uses = target.reborrow().init_uses(source.usage.len() as u32);
+    write_relayed_usage(uses, &source.usage);
     if let Some(group) = &source.group {
         target.set_has_row(true);
         write_counters!(target.reborrow().init_row(), group);
@@ -68,6 +71,20 @@
     }
 }
 
+fn write_relayed_usage(
+    mut target: struct_list::Builder<'_, daemon_use::Owned>,
+    usage: &[RelayedUsage],
+) {
+    for (index, relayed) in usage.iter().enumerate() {
+        let mut entry = target.reborrow().get(index as u32);
+        entry.set_incarnation(relayed.incarnation.0);
+        let names = counters_codec::window_names(&relayed.windows);
+        counters_codec::write_names(entry.reborrow().init_accounts(names.len() as u32), &names);
+        let windows = entry.init_windows(relayed.windows.len() as u32);
+        counters_codec::write_windows(windows, &names, &relayed.windows);
+    }
+}
+
 fn write_configuration(mut target: news::Builder<'_>, source: &ConfigurationSummary) {
     target.set_configuration(source.revision);
     if let Some(text) = &source.text {
@@ -132,8 +149,10 @@
             group: source.get_wants_row(),
             configuration: source.get_wants_configuration(),
             endpoints: source.get_wants_replicas(),
+            usage: source.get_wants_uses(),
         },
         group,
+        usage: read_relayed_usage(source)?,
     })
 }
 
@@ -157,6 +176,17 @@
     })
 }
 
+fn read_relayed_usage(source: news::Reader<'_>) -> Result<Vec<RelayedUsage>, Error> {
+    let uses = source.get_uses()?;
+    check_length(uses.len())?;
+    let read = |entry: daemon_use::Reader<'_>| -> Result<RelayedUsage, Error> {
+        let names = counters_codec::read_names(entry.get_accounts()?)?;
+        let windows = counters_codec::read_windows(&names, entry.get_windows()?)?;
+        Ok(RelayedUsage { incarnation: IncarnationId(entry.get_incarnation()), windows })
+    };
+    uses.iter().map(read).collect()
+}
+
 fn read_configuration(source: news::Reader<'_>) -> Result<ConfigurationSummary, Error> {
     let text = source.get_configuration_text()?;
     Ok(ConfigurationSummary {
--- a/src/gateway/gossip/counters_codec.rs
+++ b/src/gateway/gossip/counters_codec.rs
@@ -3,7 +3,7 @@
 //! The schema has the same fields in two structures (`DaemonState` and `RowSums`), whose
 //! generated types have nothing in common; the two macros at the end serve both.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use capnp::{Error, primitive_list, struct_list, text_list};
 
@@ -29,6 +29,12 @@
     names
 }
 
+/// Accounts in any of these windows.
+pub fn window_names(windows: &BTreeMap<u64, WindowCounts>) -> Vec<&SharedName> {
+    let names: BTreeSet<&SharedName> = windows.values().flat_map(BTreeMap::keys).collect();
+    names.into_iter().collect()
+}
+
 pub fn write_names(mut target: text_list::Builder<'_>, names: &[&SharedName]) {
     for (index, name) in names.iter().enumerate() {
         target.set(index as u32, &***name);
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -39,6 +39,7 @@
         return;
     }
     let now = Instant::now();
+    apply_relayed_usage(context, &message);
     let GossipMessage { state, configuration, endpoint_revision, endpoints, lease, .. } = message;
     let address = state.address;
     let is_newer = {
@@ -86,6 +87,21 @@
     }
 }
 
+/// Applies the usage of other daemons of the own group that one of them passes on: this daemon
+/// had not started when those that have ended since reported it.
+fn apply_relayed_usage(context: &GatewayContext, message: &GossipMessage) {
+    let in_own_group = context.peers.borrow().neighbours().in_own_group(&message.state.address);
+    if !in_own_group {
+        return;
+    }
+    let mut usage = context.usage.borrow_mut();
+    for relayed in message.usage.iter().filter(|one| one.incarnation != context.incarnation) {
+        for (window, counts) in &relayed.windows {
+            usage.receive_relayed(relayed.incarnation, *window, counts);
+        }
+    }
+}
+
 fn receive_counters(
     context: &GatewayContext,
     source: ReportSource,
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -50,6 +50,15 @@
     pub sent: BTreeMap<SharedName, u64>,
 }
 
+/// Usage that another daemon of the group, which may have ended since, has reported.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RelayedUsage {
+    /// The start of the daemon that counted it.
+    pub incarnation: IncarnationId,
+    /// Requests that began to run, by window and account.
+    pub windows: BTreeMap<u64, WindowCounts>,
+}
+
 /// What a daemon knows of another one, passed on.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PeerSummary {
@@ -96,6 +105,8 @@
     pub configuration: bool,
     /// Its list of endpoints.
     pub endpoints: bool,
+    /// Usage that others have reported to it.
+    pub usage: bool,
 }
 
 /// One direction of a gossip exchange.
@@ -117,4 +128,6 @@
     pub wants: RequestedParts,
     /// Sums over the sender's group, if the other side has requested them.
     pub group: Option<DaemonCounters>,
+    /// Usage that others have reported to the sender, if the other side has requested it.
+    pub usage: Vec<RelayedUsage>,
 }
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -5,7 +5,8 @@
 use tokio::time::Instant;
 
 use super::messages::{
-    ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary, RequestedParts,
+    ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary, RelayedUsage,
+    RequestedParts,
 };
 use crate::gateway::{
     context::GatewayContext,
@@ -51,6 +52,7 @@
         lease: lease_summary(context, now),
         wants: RequestedParts::default(),
         group: wants.group.then(|| group_sums(context)),
+        usage: if wants.usage { relayed_usage(context) } else { Vec::new() },
     }
 }
 
@@ -107,6 +109,15 @@
     }
 }
 
+fn relayed_usage(context: &GatewayContext) -> Vec<RelayedUsage> {
+    let usage = context.usage.borrow();
+    let reported = usage.reported_in_group().map(|(incarnation, windows)| RelayedUsage {
+        incarnation,
+        windows: newest_windows(windows.clone()),
+    });
+    reported.collect()
+}
+
 fn newest_windows(mut windows: BTreeMap<u64, WindowCounts>) -> BTreeMap<u64, WindowCounts> {
     while windows.len() > REPORTED_WINDOWS {
         windows.pop_first();
--- a/src/gateway/policy/leader/usage_counts.rs
+++ b/src/gateway/policy/leader/usage_counts.rs
@@ -2,12 +2,16 @@
 //!
 //! Own counts are exact. Those of other daemons are as of their last gossip message: within the
 //! own gossip group each daemon reports for itself, other groups report sums through their
-//! representatives. Which window is complete enough to be reported to the cloud is decided by
+//! representatives. A daemon that has just started hears from the others of its group what those
+//! that have ended since had counted. Which window is complete enough to be reported to the cloud is decided by
 //! `usage_reports`.
 
 use std::collections::{BTreeMap, HashMap};
 
-use crate::{gateway::gossip::report_source::ReportSource, ids::SharedName};
+use crate::{
+    gateway::gossip::report_source::ReportSource,
+    ids::{IncarnationId, SharedName},
+};
 
 /// Windows kept.
 ///
@@ -15,6 +19,11 @@
 /// (`REPORTABLE_WINDOWS` of `usage_reports`).
 const WINDOWS_KEPT: u64 = 8;
 
+/// Sources of reports kept; each start of a daemon is one.
+///
+/// Basis: chosen, not measured: several times the daemons and groups that one daemon hears.
+const SOURCES_KEPT: usize = 128;
+
 /// Counts of one window by account.
 pub type WindowCounts = BTreeMap<SharedName, u64>;
 
@@ -48,6 +57,47 @@
         while windows.len() as u64 > WINDOWS_KEPT {
             windows.pop_first();
         }
+        self.drop_old_sources();
+    }
+
+    /// Receives what a third daemon has passed on of a daemon of the own group. Counts only rise,
+    /// so the highest of each account is the newest.
+    pub fn receive_relayed(
+        &mut self,
+        incarnation: IncarnationId,
+        window: u64,
+        counts: &WindowCounts,
+    ) {
+        let source = ReportSource::Daemon(incarnation);
+        let known = self.reported.get(&source).and_then(|windows| windows.get(&window));
+        let mut merged = known.cloned().unwrap_or_default();
+        for (account, count) in counts {
+            let highest = merged.entry(account.clone()).or_default();
+            *highest = (*highest).max(*count);
+        }
+        self.receive(source, window, merged);
+    }
+
+    /// Counts that daemons of the own group have reported, by window.
+    pub fn reported_in_group(
+        &self,
+    ) -> impl Iterator<Item = (IncarnationId, &BTreeMap<u64, WindowCounts>)> {
+        self.reported.iter().filter_map(|(source, windows)| match source {
+            ReportSource::Daemon(incarnation) => Some((*incarnation, windows)),
+            ReportSource::Group { .. } => None,
+        })
+    }
+
+    /// Drops the sources whose newest counts are the oldest, if there are too many.
+    fn drop_old_sources(&mut self) {
+        while self.reported.len() > SOURCES_KEPT {
+            let newest_window =
+                |source: &ReportSource| self.reported[source].keys().next_back().copied();
+            let Some(oldest) = self.reported.keys().copied().min_by_key(newest_window) else {
+                return;
+            };
+            self.reported.remove(&oldest);
+        }
     }
 
     /// Drops what a group's former representative reported, which would count the group twice.
--- a/src/gateway/policy/leader/usage_reports.rs
+++ b/src/gateway/policy/leader/usage_reports.rs
@@ -2,7 +2,8 @@
 //!
 //! Windows have equal lengths and are numbered from 1970 by the wall clock. A window is
 //! reported once, in order, some time after its end, so that all daemons' counts have arrived
-//! by gossip. A leader that has just started waits until it has heard them. If there was no
+//! by gossip. A leader that has just started waits until it has heard them, and also those of
+//! daemons that have ended, which the others pass on to it. If there was no
 //! leader for longer than a few windows, the oldest ones are left out. Without an earlier report
 //! the newest complete window is the first.
 
@@ -27,6 +28,11 @@
 /// met first.
 const MIN_HEARD_AGE: Duration = Duration::from_secs(1);
 
+/// For this long after its start a daemon requests what others were told of usage before it.
+///
+/// Basis: chosen, not measured: three times `MIN_HEARD_AGE`; all neighbours are called within it.
+const FORMER_USAGE_REQUESTED: Duration = Duration::from_secs(3);
+
 /// Number of the window to report at `now_ms` (milliseconds since 1970), if one is due.
 pub fn due_window(last_reported: Option<u64>, now_ms: u64, length: Duration) -> Option<u64> {
     let delay_ms = REPORT_DELAY.as_millis() as u64;
@@ -42,3 +48,8 @@
 pub fn has_heard_counts(age: Duration, report_age: Duration) -> bool {
     age >= (report_age * HEARD_REPORT_AGES).max(MIN_HEARD_AGE)
 }
+
+/// Whether a daemon of this age may lack usage that others reported before it started.
+pub fn lacks_former_usage(age: Duration) -> bool {
+    age < FORMER_USAGE_REQUESTED
+}
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -116,7 +116,12 @@
     match connection.send(request, until).await {
         Err(failure) => {
             trace.failed(&failure);
-            Ok(AttemptEnd::Failed(after_send_failure(context, attempts, &failure, guard)))
+            let ended = after_send_failure(context, attempts, &failure, guard);
+            if ended == AttemptFailure::MayHaveRun {
+                // An endpoint that has not run a request says so: most of these have run.
+                admitted.count_run(context);
+            }
+            Ok(AttemptEnd::Failed(ended))
         }
         Ok(response) => {
             attempts.sent += 1;
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -1833,6 +1833,292 @@
     }
 }
 
+pub mod daemon_use {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_accounts(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_accounts(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::window_use::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_windows(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_incarnation(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_incarnation(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_accounts(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_accounts(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_accounts(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_accounts(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_use::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_windows(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::window_use::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
+        }
+        #[inline]
+        pub fn init_windows(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_use::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
+        }
+        #[inline]
+        pub fn has_windows(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 73] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(71, 157, 96, 204, 122, 225, 121, 202),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 68),
+            ::capnp::word(97, 101, 109, 111, 110, 85, 115, 101),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 99, 99, 111, 117, 110, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 105, 110, 100, 111, 119, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(228, 52, 213, 32, 26, 56, 127, 232),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::exchange_capnp::window_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xca79_e17a_cc60_9d47;
+    }
+}
+
 pub mod peer_word {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -2977,11 +3263,23 @@
         pub fn get_wants_replicas(self) -> bool {
             self.reader.get_bool_field(69)
         }
+        #[inline]
+        pub fn get_wants_uses(self) -> bool {
+            self.reader.get_bool_field(70)
+        }
+        #[inline]
+        pub fn get_uses(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::daemon_use::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_uses(&self) -> bool {
+            !self.reader.get_pointer_field(6).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 6 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 7 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3199,6 +3497,30 @@
         pub fn set_wants_replicas(&mut self, value: bool)  {
             self.builder.set_bool_field(69, value);
         }
+        #[inline]
+        pub fn get_wants_uses(self) -> bool {
+            self.builder.get_bool_field(70)
+        }
+        #[inline]
+        pub fn set_wants_uses(&mut self, value: bool)  {
+            self.builder.set_bool_field(70, value);
+        }
+        #[inline]
+        pub fn get_uses(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::daemon_use::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_uses(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::daemon_use::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
+        }
+        #[inline]
+        pub fn init_uses(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::daemon_use::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
+        }
+        #[inline]
+        pub fn has_uses(&self) -> bool {
+            !self.builder.is_pointer_field_null(6)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3219,129 +3541,143 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 261] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 296] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(68, 121, 185, 223, 99, 123, 121, 169),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
-            ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 79, 3, 0, 0),
+            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 78),
             ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(60, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(209, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(237, 1, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(253, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(213, 1, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(13, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(37, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 34, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 67, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 68, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 2, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 69, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 70, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(85, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
@@ -3481,6 +3817,27 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 85, 115, 101),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(117, 115, 101, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(71, 157, 96, 204, 122, 225, 121, 202),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3499,6 +3856,8 @@
                 12 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 14 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                15 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::struct_list::Owned<crate::exchange_capnp::daemon_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3512,9 +3871,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,8,12,1,9,5,4,7,6,11,0,13,14,10];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,8,12,1,9,5,4,7,6,11,0,16,13,14,10,15];
         pub(crate) const TYPE_ID: u64 = 0xa979_7b63_dfb9_7944;
     }
 }
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -11,7 +11,7 @@
             codec::{read_message, write_message},
             messages::{
                 ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary,
-                PeerSummary, RequestedParts,
+                PeerSummary, RelayedUsage, RequestedParts,
             },
         },
         policy::{endpoint::endpoint_load::EndpointLoad, request::quota::AccountCounters},
@@ -91,8 +91,12 @@
             age_ms: 40,
             daemons: 9,
         }),
-        wants: RequestedParts { group: true, configuration: false, endpoints: true },
+        wants: RequestedParts { group: true, configuration: false, endpoints: true, usage: true },
         group: Some(sample_counters()),
+        usage: vec![RelayedUsage {
+            incarnation: IncarnationId(5),
+            windows: sample_counters().windows,
+        }],
     }
 }
 
@@ -119,6 +123,7 @@
     expect_that!(news.lease, eq(&sample.lease));
     expect_that!(news.group, eq(&sample.group));
     expect_that!(news.wants, eq(sample.wants));
+    expect_that!(news.usage, eq(&sample.usage));
 }
 
 proptest! {
--- a/tests/gateway/leader_state.rs
+++ b/tests/gateway/leader_state.rs
@@ -95,3 +95,29 @@
     expect_that!(usage.total(7), eq(&BTreeMap::from([(reader, 7), (kiosk.clone(), 1)])));
     expect_that!(usage.total(8), eq(&BTreeMap::from([(kiosk, 1)])));
 }
+
+#[googletest::test]
+fn usage_that_others_pass_on_counts_once() {
+    let mut usage = UsageCounts::default();
+    let reader: SharedName = "reader".into();
+    let counts = |count: u64| -> BTreeMap<SharedName, u64> { [(reader.clone(), count)].into() };
+    usage.receive_relayed(IncarnationId(1), 7, &counts(3));
+    expect_that!(usage.total(7), eq(&counts(3)));
+    // Another has heard it later, and a third one earlier; then it reports for itself.
+    usage.receive_relayed(IncarnationId(1), 7, &counts(5));
+    usage.receive_relayed(IncarnationId(1), 7, &counts(4));
+    expect_that!(usage.total(7), eq(&counts(5)));
+    usage.receive(daemon(1), 7, counts(6));
+    expect_that!(usage.total(7), eq(&counts(6)));
+}
+
+#[googletest::test]
+fn usage_of_long_gone_daemons_is_dropped() {
+    let mut usage = UsageCounts::default();
+    for number in 0..1_000 {
+        usage.receive(daemon(number), number, [("reader".into(), 1)].into());
+    }
+    expect_that!(usage.reported_in_group().count(), lt(200));
+    expect_that!(usage.total(0), is_empty());
+    expect_that!(usage.total(999), not(is_empty()));
+}
--- a/tests/gateway/leader_tasks.rs
+++ b/tests/gateway/leader_tasks.rs
@@ -1,6 +1,6 @@
 //! Tasks of the daemon that holds the leader lease, and what happens to them when it goes.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, time::Duration};
 
 use googletest::prelude::*;
 use serde_json::{Value, json};
@@ -16,6 +16,18 @@
     calls.filter(|call| call.path == "/reports").collect()
 }
 
+/// Requests reported so far, over all windows; reports that are repeated count once.
+fn reported_total(platform: &PlatformStandin) -> u64 {
+    let by_window: BTreeMap<u64, u64> = reports(platform)
+        .into_iter()
+        .filter_map(|report| {
+            let count = report.body["counts"]["reader"].as_u64()?;
+            Some((report.body["window"].as_u64()?, count))
+        })
+        .collect();
+    by_window.values().sum()
+}
+
 /// Every window has one content, whoever reported it, and fences only rise.
 pub fn check_reports(reports: &[CloudCall]) {
     let mut contents: BTreeMap<u64, Value> = BTreeMap::new();
@@ -56,11 +68,7 @@
         let answer = ask(gateway.clients, "/plain/", &format!("r-{number}"), "key-1", &[], b"");
         expect_that!(answer.status, eq(200));
     }
-    let total = || -> u64 {
-        let counts = reports(&platform).into_iter();
-        counts.filter_map(|report| report.body["counts"]["reader"].as_u64()).sum()
-    };
-    wait_for("all counts", || total() == 7);
+    wait_for("all counts", || reported_total(&platform) == 7);
     check_reports(&reports(&platform));
 }
 
@@ -76,13 +84,44 @@
         let answer = ask(gateway.clients, path, &format!("r-{number}"), "key-1", &[], b"");
         expect_that!(answer.status, eq(500), "{path}");
     }
-    let total = || -> u64 {
-        let counts = reports(&platform).into_iter();
-        counts.filter_map(|report| report.body["counts"]["reader"].as_u64()).sum()
-    };
-    wait_for("all counts", || total() >= 3);
+    wait_for("all counts", || reported_total(&platform) >= 3);
     // The plain request ran twice, but is one request.
-    expect_that!(total(), eq(3));
+    expect_that!(reported_total(&platform), eq(3));
+}
+
+#[googletest::test]
+fn run_whose_answer_is_lost_is_reported() {
+    let (platform, endpoint) = start_platform();
+    endpoint.set(EndpointManner::Lose);
+    let gateway = Gateway::start("edge-1", &platform, &[]);
+    gateway.wait_ready();
+    expect_that!(ask(gateway.clients, "/once/", "r-1", "key-1", &[], b"").status, eq(502));
+    wait_for("the count", || reported_total(&platform) == 1);
+}
+
+#[googletest::test]
+fn restarted_leader_reports_what_an_ended_daemon_had_counted() {
+    let (platform, _endpoint) = start_platform();
+    // Nobody but the restarted holder can get the lease, and the window is over after the kills.
+    let bounds = json!({ "lease-ms": 60_000, "report-window-s": 4 });
+    let mut leader = Gateway::start_with("edge-1", &platform, &[], bounds.clone());
+    leader.wait_ready();
+    wait_for("a report", || !reports(&platform).is_empty());
+    let seeds = [leader.peers];
+    let ending = Gateway::start_with("edge-2", &platform, &seeds, bounds.clone());
+    let staying = Gateway::start_with("edge-3", &platform, &[leader.peers, ending.peers], bounds);
+    ending.wait_ready();
+    staying.wait_ready();
+    for number in 0..7 {
+        let answer = ask(ending.clients, "/plain/", &format!("r-{number}"), "key-1", &[], b"");
+        expect_that!(answer.status, eq(200));
+    }
+    // Several gossip rounds of three daemons.
+    std::thread::sleep(Duration::from_millis(800));
+    drop(ending);
+    leader.kill_and_restart();
+    wait_for("all counts", || reported_total(&platform) == 7);
+    check_reports(&reports(&platform));
 }
 
 #[googletest::test]
