--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -1,14 +1,14 @@
 @0xd41f7a60b2c8e935;
-# What gateway daemons tell each other. One call carries the news of both sides.
+# Gossip between gateway daemons. One call carries a message of each side.
 
-struct ReplicaLoad {
-  replica @0 :UInt64;        # hash of the replica's id
+struct EndpointLoad {
+  endpoint @0 :UInt64;        # hash of the endpoint's id
   running @1 :UInt32;        # requests of this daemon there
   promptTokens @2 :UInt32;   # prompt tokens that have not been read yet
   memoryTokens @3 :UInt32;   # memory that its requests take
 }
 
-struct WindowUse {
+struct WindowCounts {
   window @0 :UInt64;
   counts @1 :List(UInt32);   # in the order of `accounts`
 }
@@ -26,35 +26,35 @@
   leaving @4 :Bool;
   accounts @5 :List(Text);
   spent @6 :List(UInt64);    # quota units admitted since the daemon started
-  windows @7 :List(WindowUse);
-  loads @8 :List(ReplicaLoad);
+  windows @7 :List(WindowCounts);
+  loads @8 :List(EndpointLoad);
   zone @9 :Text;
   sent @10 :List(ServiceTokens);
-  asked @11 :List(UInt64);   # quota units asked for, admitted or not
+  requested @11 :List(UInt64);   # quota units requested, admitted or not
 }
 
-struct RowSums {             # sums over the row of the daemon that answers
+struct GroupCounters {             # sums over the gossip group of the daemon that responds
   accounts @0 :List(Text);
   spent @1 :List(UInt64);    # in the order of `accounts`, since that daemon started
-  windows @2 :List(WindowUse);
-  loads @3 :List(ReplicaLoad);
+  windows @2 :List(WindowCounts);
+  loads @3 :List(EndpointLoad);
   sent @4 :List(ServiceTokens);
-  asked @5 :List(UInt64);    # in the order of `accounts`, since that daemon started
+  requested @5 :List(UInt64);    # in the order of `accounts`, since that daemon started
 }
 
-struct DaemonUse {           # usage of one daemon, running or not, as the sender was told it
+struct RelayedUsage {           # usage that one daemon reported, which may have ended since
   incarnation @0 :UInt64;
   accounts @1 :List(Text);
-  windows @2 :List(WindowUse);
+  windows @2 :List(WindowCounts);
 }
 
-struct PeerWord {
+struct PeerSummary {
   address @0 :Text;
   incarnation @1 :UInt64;
-  ageMs @2 :UInt32;          # since somebody heard it
+  ageMs @2 :UInt32;          # since any daemon last received a report of it
 }
 
-struct ReplicaEntry {
+struct EndpointEntry {
   id @0 :Text;
   service @1 :Text;
   address @2 :Text;
@@ -64,7 +64,7 @@
   reclaimable @6 :Bool;
 }
 
-struct LeaseNews {
+struct LeaseSummary {
   fence @0 :UInt64;
   holder @1 :Text;
   ageMs @2 :UInt32;          # since the renewal was begun
@@ -72,26 +72,26 @@
   renewals @4 :UInt64;       # by this holder, up to that one
 }
 
-struct News {
+struct GossipMessage {
   state @0 :DaemonState;
-  known @1 :List(PeerWord);      # some other daemons
+  known @1 :List(PeerSummary);      # some other daemons
   configuration @2 :UInt64;      # revision held; 0: none
   configurationText @3 :Data;    # where the other side's is older
-  proven @4 :Bool;               # whether `proofAgeMs` means anything
-  proofAgeMs @5 :UInt32;         # since the store was asked, with an answer of this revision
-  replicas @6 :UInt64;           # revision of the list of replicas held
-  replicaEntries @7 :List(ReplicaEntry);
-  hasReplicas @8 :Bool;          # whether `replicaEntries` is the whole list
-  lease @9 :LeaseNews;
-  wantsRow @10 :Bool;            # whether the answer should hold the sums of its row
-  row @11 :RowSums;
-  hasRow @12 :Bool;
-  wantsConfiguration @13 :Bool;  # whether the answer should hold the configuration's text
-  wantsReplicas @14 :Bool;       # whether it should hold the list of replicas
-  wantsUses @15 :Bool;           # whether it should hold the usage of other daemons
-  uses @16 :List(DaemonUse);     # usage of other daemons of the sender's row
+  hasProof @4 :Bool;               # whether `proofAgeMs` means anything
+  proofAgeMs @5 :UInt32;         # since the store was read at this revision
+  endpointRevision @6 :UInt64;           # revision of the list of endpoints held
+  endpoints @7 :List(EndpointEntry);
+  hasEndpoints @8 :Bool;          # whether `endpoints` is the whole list
+  lease @9 :LeaseSummary;
+  wantsGroup @10 :Bool;            # whether the response should hold the sums of its group
+  group @11 :GroupCounters;
+  hasGroup @12 :Bool;
+  wantsConfiguration @13 :Bool;  # whether the response should hold the configuration's text
+  wantsEndpoints @14 :Bool;       # whether it should hold the list of endpoints
+  wantsUsage @15 :Bool;           # whether it should hold the usage of other daemons
+  usage @16 :List(RelayedUsage);     # usage that other daemons of its group reported to the sender
 }
 
 interface Exchange {
-  swap @0 (news :News) -> (news :News);
+  swap @0 (message :GossipMessage) -> (message :GossipMessage);
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -144,11 +144,13 @@
                 }
             };
             let known = state.current.as_ref().map_or(0, |current| current.version);
+            let is_newer = state.current.is_none() || decoded.version > known;
+            let outcome = if is_newer { "applied" } else { "version not newer" };
             spdlog::info!("configuration", kv: {
-                version: = decoded.version, revision, before = known, outcome = "applied"
+                version: = decoded.version, revision, before = known, outcome
             });
             state.revision = revision;
-            if state.current.is_none() || decoded.version > known {
+            if is_newer {
                 state.current = Some(Rc::new(decoded));
                 state.text = Bytes::copy_from_slice(text);
             }
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -149,9 +149,9 @@
     let mut request = connection.client.swap_request();
     let mut message = own_message(context, RequestedParts::default());
     message.wants = parts;
-    write_message(request.get().init_news(), &message);
+    write_message(request.get().init_message(), &message);
     let response = request.send().promise.await?;
-    read_message(response.get()?.get_news()?)
+    read_message(response.get()?.get_message()?)
 }
 
 /// What to request from the daemon at `address`.
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -1,8 +1,6 @@
 //! Gossip messages, written to and read from the schema.
 //!
-//! The schema keeps earlier names: `news` is a message, `peer_word` a peer summary, `row` a
-//! gossip group, `replica` an endpoint, `asked` requested units, `uses` relayed usage. They end in this module and
-//! `counters_codec`. A message that is malformed or whose lists are too long is an error.
+//! A message that is malformed or whose lists are too long is an error.
 
 use std::{rc::Rc, time::Duration};
 
@@ -17,31 +15,33 @@
     },
 };
 use crate::{
-    exchange_capnp::{daemon_state, daemon_use, lease_news, news, peer_word, replica_entry},
+    exchange_capnp::{
+        daemon_state, endpoint_entry, gossip_message, lease_summary, peer_summary, relayed_usage,
+    },
     gateway::endpoint::{EndpointList, EndpointRecord, EndpointState},
     ids::IncarnationId,
 };
 
 /// Writes a message.
-pub fn write_message(mut target: news::Builder<'_>, source: &GossipMessage) {
+pub fn write_message(mut target: gossip_message::Builder<'_>, source: &GossipMessage) {
     write_state(target.reborrow().init_state(), &source.state);
     let known = target.reborrow().init_known(source.known.len() as u32);
     write_summaries(known, &source.known);
-    target.set_wants_row(source.wants.group);
+    target.set_wants_group(source.wants.group);
     target.set_wants_configuration(source.wants.configuration);
-    target.set_wants_replicas(source.wants.endpoints);
-    target.set_wants_uses(source.wants.usage);
-    let uses = target.reborrow().init_uses(source.usage.len() as u32);
+    target.set_wants_endpoints(source.wants.endpoints);
+    target.set_wants_usage(source.wants.usage);
+    let uses = target.reborrow().init_usage(source.usage.len() as u32);
     write_relayed_usage(uses, &source.usage);
     if let Some(group) = &source.group {
-        target.set_has_row(true);
-        write_counters!(target.reborrow().init_row(), group);
+        target.set_has_group(true);
+        write_counters!(target.reborrow().init_group(), group);
     }
     write_configuration(target.reborrow(), &source.configuration);
-    target.set_replicas(source.endpoint_revision);
+    target.set_endpoint_revision(source.endpoint_revision);
     if let Some(list) = &source.endpoints {
-        target.set_has_replicas(true);
-        let entries = target.reborrow().init_replica_entries(list.endpoints.len() as u32);
+        target.set_has_endpoints(true);
+        let entries = target.reborrow().init_endpoints(list.endpoints.len() as u32);
         write_endpoints(entries, list);
     }
     if let Some(lease) = &source.lease {
@@ -60,7 +60,7 @@
 }
 
 fn write_summaries(
-    mut target: struct_list::Builder<'_, peer_word::Owned>,
+    mut target: struct_list::Builder<'_, peer_summary::Owned>,
     summaries: &[PeerSummary],
 ) {
     for (index, summary) in summaries.iter().enumerate() {
@@ -72,7 +72,7 @@
 }
 
 fn write_relayed_usage(
-    mut target: struct_list::Builder<'_, daemon_use::Owned>,
+    mut target: struct_list::Builder<'_, relayed_usage::Owned>,
     usage: &[RelayedUsage],
 ) {
     for (index, relayed) in usage.iter().enumerate() {
@@ -85,19 +85,19 @@
     }
 }
 
-fn write_configuration(mut target: news::Builder<'_>, source: &ConfigurationSummary) {
+fn write_configuration(mut target: gossip_message::Builder<'_>, source: &ConfigurationSummary) {
     target.set_configuration(source.revision);
     if let Some(text) = &source.text {
         target.set_configuration_text(text);
     }
     if let Some(age) = source.proof_age_ms {
-        target.set_proven(true);
+        target.set_has_proof(true);
         target.set_proof_age_ms(age);
     }
 }
 
 fn write_endpoints(
-    mut target: struct_list::Builder<'_, replica_entry::Owned>,
+    mut target: struct_list::Builder<'_, endpoint_entry::Owned>,
     list: &EndpointList,
 ) {
     for (index, record) in list.endpoints.iter().enumerate() {
@@ -112,7 +112,7 @@
     }
 }
 
-fn write_lease(mut target: lease_news::Builder<'_>, source: &LeaseSummary) {
+fn write_lease(mut target: lease_summary::Builder<'_>, source: &LeaseSummary) {
     target.set_fence(source.fence);
     target.set_holder(&*source.holder);
     target.set_renewals(source.renewals);
@@ -125,17 +125,17 @@
 /// # Errors
 ///
 /// The message is malformed or one of its lists is too long.
-pub fn read_message(source: news::Reader<'_>) -> Result<GossipMessage, Error> {
+pub fn read_message(source: gossip_message::Reader<'_>) -> Result<GossipMessage, Error> {
     let known = source.get_known()?;
     check_length(known.len())?;
     let known = known.iter().map(read_summary).collect::<Result<_, Error>>()?;
-    let endpoint_revision = source.get_replicas();
-    let endpoints = match source.get_has_replicas() {
+    let endpoint_revision = source.get_endpoint_revision();
+    let endpoints = match source.get_has_endpoints() {
         true => Some(read_endpoints(source, endpoint_revision)?),
         false => None,
     };
-    let group = match source.get_has_row() {
-        true => Some(read_counters!(source.get_row()?)),
+    let group = match source.get_has_group() {
+        true => Some(read_counters!(source.get_group()?)),
         false => None,
     };
     Ok(GossipMessage {
@@ -146,10 +146,10 @@
         endpoints,
         lease: read_lease(source.get_lease()?)?,
         wants: RequestedParts {
-            group: source.get_wants_row(),
+            group: source.get_wants_group(),
             configuration: source.get_wants_configuration(),
-            endpoints: source.get_wants_replicas(),
-            usage: source.get_wants_uses(),
+            endpoints: source.get_wants_endpoints(),
+            usage: source.get_wants_usage(),
         },
         group,
         usage: read_relayed_usage(source)?,
@@ -168,7 +168,7 @@
     })
 }
 
-fn read_summary(source: peer_word::Reader<'_>) -> Result<PeerSummary, Error> {
+fn read_summary(source: peer_summary::Reader<'_>) -> Result<PeerSummary, Error> {
     Ok(PeerSummary {
         address: read_address(source.get_address()?)?,
         incarnation: IncarnationId(source.get_incarnation()),
@@ -176,10 +176,10 @@
     })
 }
 
-fn read_relayed_usage(source: news::Reader<'_>) -> Result<Vec<RelayedUsage>, Error> {
-    let uses = source.get_uses()?;
+fn read_relayed_usage(source: gossip_message::Reader<'_>) -> Result<Vec<RelayedUsage>, Error> {
+    let uses = source.get_usage()?;
     check_length(uses.len())?;
-    let read = |entry: daemon_use::Reader<'_>| -> Result<RelayedUsage, Error> {
+    let read = |entry: relayed_usage::Reader<'_>| -> Result<RelayedUsage, Error> {
         let names = counters_codec::read_names(entry.get_accounts()?)?;
         let windows = counters_codec::read_windows(&names, entry.get_windows()?)?;
         Ok(RelayedUsage { incarnation: IncarnationId(entry.get_incarnation()), windows })
@@ -187,23 +187,26 @@
     uses.iter().map(read).collect()
 }
 
-fn read_configuration(source: news::Reader<'_>) -> Result<ConfigurationSummary, Error> {
+fn read_configuration(source: gossip_message::Reader<'_>) -> Result<ConfigurationSummary, Error> {
     let text = source.get_configuration_text()?;
     Ok(ConfigurationSummary {
         revision: source.get_configuration(),
         text: (!text.is_empty()).then(|| text.to_vec()),
-        proof_age_ms: source.get_proven().then(|| source.get_proof_age_ms()),
+        proof_age_ms: source.get_has_proof().then(|| source.get_proof_age_ms()),
     })
 }
 
-fn read_endpoints(source: news::Reader<'_>, revision: u64) -> Result<EndpointList, Error> {
-    let entries = source.get_replica_entries()?;
+fn read_endpoints(
+    source: gossip_message::Reader<'_>,
+    revision: u64,
+) -> Result<EndpointList, Error> {
+    let entries = source.get_endpoints()?;
     check_length(entries.len())?;
     let endpoints = entries.iter().map(read_endpoint).collect::<Result<_, Error>>()?;
     Ok(EndpointList { revision, endpoints })
 }
 
-fn read_endpoint(source: replica_entry::Reader<'_>) -> Result<Rc<EndpointRecord>, Error> {
+fn read_endpoint(source: endpoint_entry::Reader<'_>) -> Result<Rc<EndpointRecord>, Error> {
     let state = match source.get_draining() {
         true => EndpointState::Draining,
         false => EndpointState::Ready,
@@ -220,7 +223,7 @@
 }
 
 /// Fences begin at 1; a fence of 0 means that no lease is known.
-fn read_lease(source: lease_news::Reader<'_>) -> Result<Option<LeaseSummary>, Error> {
+fn read_lease(source: lease_summary::Reader<'_>) -> Result<Option<LeaseSummary>, Error> {
     match source.get_fence() {
         0 => Ok(None),
         fence => Ok(Some(LeaseSummary {
--- a/src/gateway/gossip/counters_codec.rs
+++ b/src/gateway/gossip/counters_codec.rs
@@ -1,6 +1,6 @@
 //! Counters of a daemon or a gossip group, written to and read from the schema.
 //!
-//! The schema has the same fields in two structures (`DaemonState` and `RowSums`), whose
+//! The schema has the same fields in two structures (`DaemonState` and `GroupCounters`), whose
 //! generated types have nothing in common; the two macros at the end serve both.
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -12,7 +12,7 @@
     messages::DaemonCounters,
 };
 use crate::{
-    exchange_capnp::{replica_load, service_tokens, window_use},
+    exchange_capnp::{endpoint_load, service_tokens, window_counts},
     gateway::policy::{
         endpoint::endpoint_load::EndpointLoad, leader::usage_counts::WindowCounts,
         request::quota::AccountCounters,
@@ -53,7 +53,7 @@
 }
 
 pub fn write_windows(
-    mut target: struct_list::Builder<'_, window_use::Owned>,
+    mut target: struct_list::Builder<'_, window_counts::Owned>,
     names: &[&SharedName],
     windows: &BTreeMap<u64, WindowCounts>,
 ) {
@@ -79,12 +79,12 @@
 }
 
 pub fn write_loads(
-    mut target: struct_list::Builder<'_, replica_load::Owned>,
+    mut target: struct_list::Builder<'_, endpoint_load::Owned>,
     loads: &HashMap<u64, EndpointLoad>,
 ) {
     for (index, (endpoint, load)) in loads.iter().enumerate() {
         let mut entry = target.reborrow().get(index as u32);
-        entry.set_replica(*endpoint);
+        entry.set_endpoint(*endpoint);
         entry.set_running(load.running);
         entry.set_prompt_tokens(u32::try_from(load.uncached_tokens).unwrap_or(u32::MAX));
         entry.set_memory_tokens(u32::try_from(load.memory_tokens).unwrap_or(u32::MAX));
@@ -108,7 +108,7 @@
 
 pub fn read_windows(
     names: &[SharedName],
-    source: struct_list::Reader<'_, window_use::Owned>,
+    source: struct_list::Reader<'_, window_counts::Owned>,
 ) -> Result<BTreeMap<u64, WindowCounts>, Error> {
     let mut windows = BTreeMap::new();
     for window in source {
@@ -129,14 +129,14 @@
 }
 
 pub fn read_loads(
-    source: struct_list::Reader<'_, replica_load::Owned>,
+    source: struct_list::Reader<'_, endpoint_load::Owned>,
 ) -> HashMap<u64, EndpointLoad> {
-    let load_sum = |load: replica_load::Reader<'_>| EndpointLoad {
+    let load_sum = |load: endpoint_load::Reader<'_>| EndpointLoad {
         running: load.get_running(),
         uncached_tokens: u64::from(load.get_prompt_tokens()),
         memory_tokens: u64::from(load.get_memory_tokens()),
     };
-    source.iter().map(|load| (load.get_replica(), load_sum(load))).collect()
+    source.iter().map(|load| (load.get_endpoint(), load_sum(load))).collect()
 }
 
 /// Writes [`DaemonCounters`] into a builder of either structure.
@@ -149,7 +149,7 @@
         counters_codec::write_names(target.reborrow().init_accounts(length), &names);
         let spent = target.reborrow().init_spent(length);
         counters_codec::write_units(spent, &names, counters, |one| one.spent);
-        let requested = target.reborrow().init_asked(length);
+        let requested = target.reborrow().init_requested(length);
         counters_codec::write_units(requested, &names, counters, |one| one.requested);
         let windows = target.reborrow().init_windows(counters.windows.len() as u32);
         counters_codec::write_windows(windows, &names, &counters.windows);
@@ -169,7 +169,11 @@
             windows: counters_codec::read_windows(&names, source.get_windows()?)?,
             loads: counters_codec::read_loads(source.get_loads()?),
             sent: counters_codec::read_sent(source.get_sent()?)?,
-            accounts: counters_codec::read_units(&names, source.get_spent()?, source.get_asked()?),
+            accounts: counters_codec::read_units(
+                &names,
+                source.get_spent()?,
+                source.get_requested()?,
+            ),
         }
     }};
 }
--- a/src/gateway/gossip/listener.rs
+++ b/src/gateway/gossip/listener.rs
@@ -51,13 +51,13 @@
         params: exchange::SwapParams,
         mut results: exchange::SwapResults,
     ) -> Result<(), Error> {
-        let message = read_message(params.get()?.get_news()?)?;
+        let message = read_message(params.get()?.get_message()?)?;
         let mut wants = message.wants;
         // How long the call took to arrive is not known, so it proves no freshness.
         apply_message(&self.context, message, None);
         wants.configuration = wants.configuration && may_send_configuration(&self.context);
         let own = own_message(&self.context, wants);
-        write_message(results.get().init_news(), &own);
+        write_message(results.get().init_message(), &own);
         Ok(())
     }
 }
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -11,6 +11,7 @@
     time::Duration,
 };
 
+use derive_more::Display;
 use rand::Rng;
 use tokio::time::Instant;
 
@@ -39,6 +40,23 @@
 /// report is forgotten.
 const REPORT_KEPT: Duration = Duration::from_secs(20);
 
+/// Room of a service's endpoints, for the log of a request that found none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+#[display(
+    "{endpoints} endpoints, {running} running of {slots} slots, reports up to {} ms old",
+    report_age.as_millis()
+)]
+pub struct ServiceRoom {
+    /// Endpoints that take requests.
+    pub endpoints: u32,
+    /// Requests that they run at once.
+    pub slots: u32,
+    /// Requests of all daemons there.
+    pub running: u32,
+    /// Age of the oldest load that counts.
+    pub report_age: Duration,
+}
+
 /// What this daemon knows of all endpoints.
 #[derive(Debug)]
 pub struct EndpointTable {
@@ -159,6 +177,19 @@
         sum
     }
 
+    /// How much room the endpoints of a service have, as far as known.
+    pub fn room(&self, service: &str, now: Instant) -> ServiceRoom {
+        let mut room = ServiceRoom::default();
+        for status in self.of_service(service) {
+            room.endpoints += 1;
+            room.slots += status.record.slots;
+            room.running += self.load_at(status, now).running;
+        }
+        let ages = self.reports.values().map(|report| now.saturating_duration_since(report.at));
+        room.report_age = ages.filter(|age| *age <= LOAD_KEPT).max().unwrap_or(Duration::ZERO);
+        room
+    }
+
     fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a EndpointStatus> {
         self.endpoints.values().filter(move |status| {
             let takes = status.record.state == EndpointState::Ready && !status.has_ended;
--- a/src/gateway/policy/leader/usage_counts.rs
+++ b/src/gateway/policy/leader/usage_counts.rs
@@ -70,7 +70,7 @@
     ) {
         let source = ReportSource::Daemon(incarnation);
         let known = self.reported.get(&source).and_then(|windows| windows.get(&window));
-        let mut merged = known.cloned().unwrap_or_default();
+        let mut merged = known.map_or_else(WindowCounts::new, WindowCounts::clone);
         for (account, count) in counts {
             let highest = merged.entry(account.clone()).or_default();
             *highest = (*highest).max(*count);
--- a/src/gateway/policy/leader/usage_reports.rs
+++ b/src/gateway/policy/leader/usage_reports.rs
@@ -28,7 +28,7 @@
 /// met first.
 const MIN_HEARD_AGE: Duration = Duration::from_secs(1);
 
-/// For this long after its start a daemon requests what others were told of usage before it.
+/// For this long after its start a daemon requests the usage that others received before it.
 ///
 /// Basis: chosen, not measured: three times `MIN_HEARD_AGE`; all neighbours are called within it.
 const FORMER_USAGE_REQUESTED: Duration = Duration::from_secs(3);
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -9,6 +9,7 @@
 use rand::RngExt;
 use tokio::time::{Instant, timeout_at};
 
+use super::request_log::RequestTrace;
 use crate::gateway::{
     call::{Call, CallHead},
     configuration::{Account, Configuration, Route, Service},
@@ -54,13 +55,16 @@
     head: CallHead,
     body: Incoming,
     received: Instant,
+    trace: &mut RequestTrace,
 ) -> Result<Admitted, Refusal> {
     if context.intake.get() != Intake::Open {
         return Err(Refusal::Leaving);
     }
     let configuration = context.configuration().ok_or(Refusal::NoConfiguration)?;
     let keys = context.key_freshness(received);
-    let MatchedHead { route, account } = match_head(&configuration, &head, keys)?;
+    let matched = match_head(&configuration, &head, keys)?;
+    trace.matched(&matched);
+    let MatchedHead { route, account } = matched;
     let deadline = time_limits::request_deadline(received, head.deadline, &route);
     let body = read_body(body, configuration.limits.body_bytes, deadline).await?;
     let service = draw_service(&configuration, &route)
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -24,7 +24,7 @@
 use crate::{
     endpoint_health::AttemptResult,
     gateway::{
-        call::AttemptHead,
+        call::{AttemptHead, CallHead},
         context::GatewayContext,
         policy::{
             endpoint::{
@@ -92,14 +92,11 @@
     resume_after: Option<u64>,
     trace: &mut RequestTrace,
 ) -> Result<AttemptEnd, Refusal> {
-    let choice = choose(context, admitted, attempts)?;
+    let choice = choose(context, admitted, attempts, trace)?;
     let endpoint = choice.endpoint.clone();
     attempts.tried.push(endpoint.id.clone());
-    trace.attempt(&choice);
-    let head = &admitted.call.head;
-    let load =
-        RunLoad { uncached_tokens: choice.uncached_tokens, memory_tokens: memory_tokens(admitted) };
-    let guard = RunGuard::begin(context.clone(), &endpoint, &head.parts, load);
+    trace.attempt(&choice, prompt_tokens(&admitted.call.head));
+    let guard = begin_run(context, admitted, &choice);
     let reuse = connection_reuse(admitted.route.kind, attempts.sent);
     let taking = context.connections.take(&endpoint, reuse, admitted.deadline);
     let mut connection = match taking.await {
@@ -116,11 +113,7 @@
     match connection.send(request, until).await {
         Err(failure) => {
             trace.failed(&failure);
-            let ended = after_send_failure(context, attempts, &failure, guard);
-            if ended == AttemptFailure::MayHaveRun {
-                // An endpoint that has not run a request says so: most of these have run.
-                admitted.count_run(context);
-            }
+            let ended = after_send_failure(context, admitted, attempts, &failure, guard);
             Ok(AttemptEnd::Failed(ended))
         }
         Ok(response) => {
@@ -130,6 +123,17 @@
     }
 }
 
+fn begin_run(
+    context: &Rc<GatewayContext>,
+    admitted: &Admitted,
+    choice: &EndpointChoice,
+) -> RunGuard {
+    let load =
+        RunLoad { uncached_tokens: choice.uncached_tokens, memory_tokens: memory_tokens(admitted) };
+    let parts = &admitted.call.head.parts;
+    RunGuard::begin(context.clone(), &choice.endpoint, parts, load)
+}
+
 fn awaited_until(
     admitted: &Admitted,
     attempts: &Attempts,
@@ -142,6 +146,7 @@
 
 fn after_send_failure(
     context: &GatewayContext,
+    admitted: &Admitted,
     attempts: &mut Attempts,
     failure: &SendFailure,
     guard: RunGuard,
@@ -151,6 +156,8 @@
         false => {
             attempts.sent += 1;
             context.connections.discard_connections(guard.endpoint());
+            // An endpoint that has not run a request says so: most of these have run.
+            admitted.count_run(context);
             AttemptFailure::MayHaveRun
         }
     };
@@ -211,6 +218,7 @@
     context: &GatewayContext,
     admitted: &Admitted,
     attempts: &Attempts,
+    trace: &mut RequestTrace,
 ) -> Result<EndpointChoice, Refusal> {
     let refusal = |reason: NoAttempt| reason.refusal(attempts.may_have_run, admitted.route.target);
     let now = Instant::now();
@@ -221,17 +229,24 @@
     let query = ChoiceQuery {
         service: &admitted.service.name,
         parts: &head.parts,
-        prompt_tokens: head.tokens.map_or(0, |tokens| tokens.prompt),
+        prompt_tokens: prompt_tokens(head),
         memory_tokens: memory_tokens(admitted),
         tried: &attempts.tried,
         memory_capacity: admitted.service.engine.as_ref().map(|engine| engine.memory_tokens),
         load_age: context.peers.borrow().report_age(),
     };
-    match context.endpoints.borrow().choose(&query, now, &mut rand::rng()) {
-        ChoiceResult::Endpoint(choice) => Ok(choice),
-        ChoiceResult::Full => Err(refusal(NoAttempt::AllFull)),
-        ChoiceResult::None => Err(refusal(NoAttempt::NoEndpoint)),
-    }
+    let endpoints = context.endpoints.borrow();
+    let reason = match endpoints.choose(&query, now, &mut rand::rng()) {
+        ChoiceResult::Endpoint(choice) => return Ok(choice),
+        ChoiceResult::Full => NoAttempt::AllFull,
+        ChoiceResult::None => NoAttempt::NoEndpoint,
+    };
+    trace.found_no_endpoint(&endpoints.room(&admitted.service.name, now));
+    Err(refusal(reason))
+}
+
+fn prompt_tokens(head: &CallHead) -> u64 {
+    head.tokens.map_or(0, |tokens| tokens.prompt)
 }
 
 fn memory_tokens(admitted: &Admitted) -> u64 {
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -62,7 +62,7 @@
     };
     let id = head.id.clone();
     let mut trace = RequestTrace::new(context, Some(id.clone()));
-    match admit(context, head, body, received).await {
+    match admit(context, head, body, received, &mut trace).await {
         Err(Refusal::BodyBroken) => {
             trace.refused(&Refusal::BodyBroken);
             Err(std::io::Error::other(CLIENT_BROKE_OFF))
@@ -71,10 +71,7 @@
             trace.refused(&refusal);
             Ok(refusal_response(&refusal, Some(&id)))
         }
-        Ok(admitted) => {
-            trace.admitted(&admitted);
-            Ok(run(context, admitted, trace).await)
-        }
+        Ok(admitted) => Ok(run(context, admitted, trace).await),
     }
 }
 
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -8,11 +8,14 @@
 use hyper::StatusCode;
 use tokio::time::Instant;
 
-use super::{admission::Admitted, connection_pool::SendFailure, response_meaning::ResponseMeaning};
+use super::{connection_pool::SendFailure, response_meaning::ResponseMeaning};
 use crate::{
     gateway::{
         context::GatewayContext,
-        policy::{endpoint::endpoint_choice::EndpointChoice, request::refusal::Refusal},
+        policy::{
+            endpoint::{endpoint_choice::EndpointChoice, endpoint_table::ServiceRoom},
+            request::{admission::MatchedHead, refusal::Refusal},
+        },
     },
     ids::SharedName,
 };
@@ -45,21 +48,28 @@
         }
     }
 
-    /// The request was admitted.
-    pub fn admitted(&mut self, admitted: &Admitted) {
-        self.route = Some(admitted.route.name.clone());
-        self.account = admitted.account.as_ref().map(|account| account.name.clone());
+    /// The request's head was matched to a route and an account.
+    pub fn matched(&mut self, matched: &MatchedHead) {
+        self.route = Some(matched.route.name.clone());
+        self.account = matched.account.as_ref().map(|account| account.name.clone());
     }
 
     /// An endpoint was chosen.
-    pub fn attempt(&mut self, choice: &EndpointChoice) {
+    pub fn attempt(&mut self, choice: &EndpointChoice, prompt_tokens: u64) {
         let (endpoint, uncached) = (&choice.endpoint.id, choice.uncached_tokens);
         let wait = choice.estimated_wait_ms;
         // Writing to a string cannot fail.
-        let _ = write!(self.steps, "{endpoint} uncached {uncached} wait {wait:.0};");
+        let _ =
+            write!(self.steps, "{endpoint} uncached {uncached} of {prompt_tokens} wait {wait:.0};");
         self.context.metrics.count("attempts", 1);
     }
 
+    /// No endpoint could be chosen.
+    pub fn found_no_endpoint(&mut self, room: &ServiceRoom) {
+        // Writing to a string cannot fail.
+        let _ = write!(self.steps, " {room};");
+    }
+
     /// An attempt failed.
     pub fn failed(&mut self, failure: &SendFailure) {
         let after = self.begun.elapsed().as_millis();
@@ -87,6 +97,10 @@
         let status = refusal.status().as_str().to_owned();
         self.context.metrics.count_labelled("refused", "status", &status);
         self.steps.push_str(&refusal.inputs());
+        if let Some(wait) = refusal.retry_after() {
+            // Writing to a string cannot fail.
+            let _ = write!(self.steps, " retry after {} ms", wait.as_millis());
+        }
         self.end(&refusal.to_string(), 0);
     }
 
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -4,7 +4,7 @@
 // capnpc crate version: 0.27.0
 
 
-pub mod replica_load {
+pub mod endpoint_load {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -66,7 +66,7 @@
             self.reader.total_size()
         }
         #[inline]
-        pub fn get_replica(self) -> u64 {
+        pub fn get_endpoint(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
         #[inline]
@@ -136,11 +136,11 @@
             self.builder.as_reader().total_size()
         }
         #[inline]
-        pub fn get_replica(self) -> u64 {
+        pub fn get_endpoint(self) -> u64 {
             self.builder.get_data_field::<u64>(0)
         }
         #[inline]
-        pub fn set_replica(&mut self, value: u64)  {
+        pub fn set_endpoint(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
         #[inline]
@@ -178,54 +178,55 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 81] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(116, 36, 239, 57, 59, 41, 104, 248),
+            ::capnp::word(202, 149, 203, 156, 136, 227, 118, 198),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
-            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 82),
-            ::capnp::word(101, 112, 108, 105, 99, 97, 76, 111),
-            ::capnp::word(97, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
+            ::capnp::word(110, 100, 112, 111, 105, 110, 116, 76),
+            ::capnp::word(111, 97, 100, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(117, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(114, 101, 112, 108, 105, 99, 97, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -281,12 +282,12 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,2,0,1];
-        pub(crate) const TYPE_ID: u64 = 0xf868_293b_39ef_2474;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,2,1];
+        pub(crate) const TYPE_ID: u64 = 0xc676_e388_9ccb_95ca;
     }
 }
 
-pub mod window_use {
+pub mod window_counts {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -450,12 +451,12 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 52] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(228, 52, 213, 32, 26, 56, 127, 232),
+            ::capnp::word(68, 3, 169, 239, 5, 34, 209, 138),
             ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
@@ -463,8 +464,8 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 87),
-            ::capnp::word(105, 110, 100, 111, 119, 85, 115, 101),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 110, 100, 111, 119, 67, 111, 117),
+            ::capnp::word(110, 116, 115, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -522,7 +523,7 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
-        pub(crate) const TYPE_ID: u64 = 0xe87f_381a_20d5_34e4;
+        pub(crate) const TYPE_ID: u64 = 0x8ad1_2205_efa9_0344;
     }
 }
 
@@ -868,7 +869,7 @@
             !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
-        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::window_use::Owned>> {
+        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::window_counts::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
@@ -876,7 +877,7 @@
             !self.reader.get_pointer_field(4).is_null()
         }
         #[inline]
-        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::replica_load::Owned>> {
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::endpoint_load::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
@@ -900,11 +901,11 @@
             !self.reader.get_pointer_field(7).is_null()
         }
         #[inline]
-        pub fn get_asked(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+        pub fn get_requested(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_asked(&self) -> bool {
+        pub fn has_requested(&self) -> bool {
             !self.reader.get_pointer_field(8).is_null()
         }
     }
@@ -1050,15 +1051,15 @@
             !self.builder.is_pointer_field_null(3)
         }
         #[inline]
-        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_use::Owned>> {
+        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_counts::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_windows(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::window_use::Owned>) -> ::capnp::Result<()> {
+        pub fn set_windows(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::window_counts::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
         }
         #[inline]
-        pub fn init_windows(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_use::Owned> {
+        pub fn init_windows(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_counts::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
         }
         #[inline]
@@ -1066,15 +1067,15 @@
             !self.builder.is_pointer_field_null(4)
         }
         #[inline]
-        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::replica_load::Owned>> {
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::endpoint_load::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::replica_load::Owned>) -> ::capnp::Result<()> {
+        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::endpoint_load::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
         }
         #[inline]
-        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::replica_load::Owned> {
+        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::endpoint_load::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
         }
         #[inline]
@@ -1114,19 +1115,19 @@
             !self.builder.is_pointer_field_null(7)
         }
         #[inline]
-        pub fn get_asked(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+        pub fn get_requested(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_asked(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+        pub fn set_requested(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
         }
         #[inline]
-        pub fn init_asked(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+        pub fn init_requested(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), size)
         }
         #[inline]
-        pub fn has_asked(&self) -> bool {
+        pub fn has_requested(&self) -> bool {
             !self.builder.is_pointer_field_null(8)
         }
     }
@@ -1140,7 +1141,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 225] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 226] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
@@ -1239,10 +1240,10 @@
             ::capnp::word(11, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(201, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
             ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1316,7 +1317,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 52, 213, 32, 26, 56, 127, 232),
+            ::capnp::word(68, 3, 169, 239, 5, 34, 209, 138),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -1328,7 +1329,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 36, 239, 57, 59, 41, 104, 248),
+            ::capnp::word(202, 149, 203, 156, 136, 227, 118, 198),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -1354,7 +1355,8 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 115, 107, 101, 100, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1376,8 +1378,8 @@
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 6 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::struct_list::Owned<crate::exchange_capnp::window_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                8 => <::capnp::struct_list::Owned<crate::exchange_capnp::replica_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::exchange_capnp::window_counts::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                8 => <::capnp::struct_list::Owned<crate::exchange_capnp::endpoint_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <::capnp::struct_list::Owned<crate::exchange_capnp::service_tokens::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
@@ -1396,12 +1398,12 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,11,0,4,8,1,10,3,6,7,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,0,4,8,1,11,10,3,6,7,9];
         pub(crate) const TYPE_ID: u64 = 0xa7cc_19ac_f1b2_2d2c;
     }
 }
 
-pub mod row_sums {
+pub mod group_counters {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1479,7 +1481,7 @@
             !self.reader.get_pointer_field(1).is_null()
         }
         #[inline]
-        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::window_use::Owned>> {
+        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::window_counts::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
@@ -1487,7 +1489,7 @@
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::replica_load::Owned>> {
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::endpoint_load::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
@@ -1503,11 +1505,11 @@
             !self.reader.get_pointer_field(4).is_null()
         }
         #[inline]
-        pub fn get_asked(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+        pub fn get_requested(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_asked(&self) -> bool {
+        pub fn has_requested(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
     }
@@ -1597,15 +1599,15 @@
             !self.builder.is_pointer_field_null(1)
         }
         #[inline]
-        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_use::Owned>> {
+        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_counts::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_windows(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::window_use::Owned>) -> ::capnp::Result<()> {
+        pub fn set_windows(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::window_counts::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
         }
         #[inline]
-        pub fn init_windows(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_use::Owned> {
+        pub fn init_windows(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_counts::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
         }
         #[inline]
@@ -1613,15 +1615,15 @@
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::replica_load::Owned>> {
+        pub fn get_loads(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::endpoint_load::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::replica_load::Owned>) -> ::capnp::Result<()> {
+        pub fn set_loads(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::endpoint_load::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
         }
         #[inline]
-        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::replica_load::Owned> {
+        pub fn init_loads(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::endpoint_load::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
         }
         #[inline]
@@ -1645,19 +1647,19 @@
             !self.builder.is_pointer_field_null(4)
         }
         #[inline]
-        pub fn get_asked(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+        pub fn get_requested(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_asked(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+        pub fn set_requested(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
         }
         #[inline]
-        pub fn init_asked(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+        pub fn init_requested(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), size)
         }
         #[inline]
-        pub fn has_asked(&self) -> bool {
+        pub fn has_requested(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
     }
@@ -1671,22 +1673,23 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 132] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 134] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(48, 94, 207, 97, 194, 72, 10, 172),
+            ::capnp::word(149, 180, 67, 94, 216, 159, 210, 130),
             ::capnp::word(15, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(6, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 186, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 87, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
-            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 82),
-            ::capnp::word(111, 119, 83, 117, 109, 115, 0, 0),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 71),
+            ::capnp::word(114, 111, 117, 112, 67, 111, 117, 110),
+            ::capnp::word(116, 101, 114, 115, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1727,10 +1730,10 @@
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(1, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 99, 99, 111, 117, 110, 116, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -1762,7 +1765,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 52, 213, 32, 26, 56, 127, 232),
+            ::capnp::word(68, 3, 169, 239, 5, 34, 209, 138),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -1774,7 +1777,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 36, 239, 57, 59, 41, 104, 248),
+            ::capnp::word(202, 149, 203, 156, 136, 227, 118, 198),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -1792,7 +1795,8 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 115, 107, 101, 100, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -1809,8 +1813,8 @@
             match index {
                 0 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::struct_list::Owned<crate::exchange_capnp::window_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                3 => <::capnp::struct_list::Owned<crate::exchange_capnp::replica_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::exchange_capnp::window_counts::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::exchange_capnp::endpoint_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 4 => <::capnp::struct_list::Owned<crate::exchange_capnp::service_tokens::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
@@ -1828,12 +1832,12 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,5,3,4,1,2];
-        pub(crate) const TYPE_ID: u64 = 0xac0a_48c2_61cf_5e30;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,3,5,4,1,2];
+        pub(crate) const TYPE_ID: u64 = 0x82d2_9fd8_5e43_b495;
     }
 }
 
-pub mod daemon_use {
+pub mod relayed_usage {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -1907,7 +1911,7 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::window_use::Owned>> {
+        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::window_counts::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
@@ -1993,15 +1997,15 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_use::Owned>> {
+        pub fn get_windows(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_counts::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_windows(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::window_use::Owned>) -> ::capnp::Result<()> {
+        pub fn set_windows(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::window_counts::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn init_windows(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_use::Owned> {
+        pub fn init_windows(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::window_counts::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
         }
         #[inline]
@@ -2021,21 +2025,21 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 73] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(71, 157, 96, 204, 122, 225, 121, 202),
+            ::capnp::word(5, 131, 178, 8, 6, 227, 225, 250),
             ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
-            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 68),
-            ::capnp::word(97, 101, 109, 111, 110, 85, 115, 101),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 82),
+            ::capnp::word(101, 108, 97, 121, 101, 100, 85, 115),
+            ::capnp::word(97, 103, 101, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2087,7 +2091,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 52, 213, 32, 26, 56, 127, 232),
+            ::capnp::word(68, 3, 169, 239, 5, 34, 209, 138),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -2098,7 +2102,7 @@
             match index {
                 0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 1 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
-                2 => <::capnp::struct_list::Owned<crate::exchange_capnp::window_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::struct_list::Owned<crate::exchange_capnp::window_counts::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -2115,11 +2119,11 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
-        pub(crate) const TYPE_ID: u64 = 0xca79_e17a_cc60_9d47;
+        pub(crate) const TYPE_ID: u64 = 0xfae1_e306_08b2_8305;
     }
 }
 
-pub mod peer_word {
+pub mod peer_summary {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2293,22 +2297,23 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(190, 200, 15, 105, 230, 254, 113, 165),
+            ::capnp::word(231, 159, 38, 58, 171, 101, 100, 142),
             ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 194, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 80),
-            ::capnp::word(101, 101, 114, 87, 111, 114, 100, 0),
+            ::capnp::word(101, 101, 114, 83, 117, 109, 109, 97),
+            ::capnp::word(114, 121, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2379,11 +2384,11 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,2,1];
-        pub(crate) const TYPE_ID: u64 = 0xa571_fee6_690f_c8be;
+        pub(crate) const TYPE_ID: u64 = 0x8e64_65ab_3a26_9fe7;
     }
 }
 
-pub mod replica_entry {
+pub mod endpoint_entry {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2643,21 +2648,21 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 125] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(208, 247, 93, 233, 5, 184, 38, 200),
+            ::capnp::word(144, 70, 74, 103, 66, 147, 96, 178),
             ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(4, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 143, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
-            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 82),
-            ::capnp::word(101, 112, 108, 105, 99, 97, 69, 110),
-            ::capnp::word(116, 114, 121, 0, 0, 0, 0, 0),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
+            ::capnp::word(110, 100, 112, 111, 105, 110, 116, 69),
+            ::capnp::word(110, 116, 114, 121, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(28, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -2793,11 +2798,11 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,5,0,6,1,4,3];
-        pub(crate) const TYPE_ID: u64 = 0xc826_b805_e95d_f7d0;
+        pub(crate) const TYPE_ID: u64 = 0xb260_9342_674a_4690;
     }
 }
 
-pub mod lease_news {
+pub mod lease_summary {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -2997,12 +3002,12 @@
     mod _private {
         pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(94, 127, 203, 148, 88, 221, 166, 135),
+            ::capnp::word(126, 96, 17, 68, 114, 215, 228, 186),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 202, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
@@ -3010,8 +3015,8 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 76),
-            ::capnp::word(101, 97, 115, 101, 78, 101, 119, 115),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 97, 115, 101, 83, 117, 109, 109),
+            ::capnp::word(97, 114, 121, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3114,11 +3119,11 @@
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
         pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1,4];
-        pub(crate) const TYPE_ID: u64 = 0x87a6_dd58_94cb_7f5e;
+        pub(crate) const TYPE_ID: u64 = 0xbae4_d772_4411_607e;
     }
 }
 
-pub mod news {
+pub mod gossip_message {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -3188,7 +3193,7 @@
             !self.reader.get_pointer_field(0).is_null()
         }
         #[inline]
-        pub fn get_known(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::peer_word::Owned>> {
+        pub fn get_known(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::peer_summary::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
@@ -3208,7 +3213,7 @@
             !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
-        pub fn get_proven(self) -> bool {
+        pub fn get_has_proof(self) -> bool {
             self.reader.get_bool_field(64)
         }
         #[inline]
@@ -3216,23 +3221,23 @@
             self.reader.get_data_field::<u32>(3)
         }
         #[inline]
-        pub fn get_replicas(self) -> u64 {
+        pub fn get_endpoint_revision(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn get_replica_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::replica_entry::Owned>> {
+        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::endpoint_entry::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_replica_entries(&self) -> bool {
+        pub fn has_endpoints(&self) -> bool {
             !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
-        pub fn get_has_replicas(self) -> bool {
+        pub fn get_has_endpoints(self) -> bool {
             self.reader.get_bool_field(65)
         }
         #[inline]
-        pub fn get_lease(self) -> ::capnp::Result<crate::exchange_capnp::lease_news::Reader<'a>> {
+        pub fn get_lease(self) -> ::capnp::Result<crate::exchange_capnp::lease_summary::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
@@ -3240,19 +3245,19 @@
             !self.reader.get_pointer_field(4).is_null()
         }
         #[inline]
-        pub fn get_wants_row(self) -> bool {
+        pub fn get_wants_group(self) -> bool {
             self.reader.get_bool_field(66)
         }
         #[inline]
-        pub fn get_row(self) -> ::capnp::Result<crate::exchange_capnp::row_sums::Reader<'a>> {
+        pub fn get_group(self) -> ::capnp::Result<crate::exchange_capnp::group_counters::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_row(&self) -> bool {
+        pub fn has_group(&self) -> bool {
             !self.reader.get_pointer_field(5).is_null()
         }
         #[inline]
-        pub fn get_has_row(self) -> bool {
+        pub fn get_has_group(self) -> bool {
             self.reader.get_bool_field(67)
         }
         #[inline]
@@ -3260,19 +3265,19 @@
             self.reader.get_bool_field(68)
         }
         #[inline]
-        pub fn get_wants_replicas(self) -> bool {
+        pub fn get_wants_endpoints(self) -> bool {
             self.reader.get_bool_field(69)
         }
         #[inline]
-        pub fn get_wants_uses(self) -> bool {
+        pub fn get_wants_usage(self) -> bool {
             self.reader.get_bool_field(70)
         }
         #[inline]
-        pub fn get_uses(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::daemon_use::Owned>> {
+        pub fn get_usage(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::relayed_usage::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(6), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_uses(&self) -> bool {
+        pub fn has_usage(&self) -> bool {
             !self.reader.get_pointer_field(6).is_null()
         }
     }
@@ -3346,15 +3351,15 @@
             !self.builder.is_pointer_field_null(0)
         }
         #[inline]
-        pub fn get_known(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::peer_word::Owned>> {
+        pub fn get_known(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::peer_summary::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_known(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::peer_word::Owned>) -> ::capnp::Result<()> {
+        pub fn set_known(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::peer_summary::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false)
         }
         #[inline]
-        pub fn init_known(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::peer_word::Owned> {
+        pub fn init_known(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::peer_summary::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(1), size)
         }
         #[inline]
@@ -3386,11 +3391,11 @@
             !self.builder.is_pointer_field_null(2)
         }
         #[inline]
-        pub fn get_proven(self) -> bool {
+        pub fn get_has_proof(self) -> bool {
             self.builder.get_bool_field(64)
         }
         #[inline]
-        pub fn set_proven(&mut self, value: bool)  {
+        pub fn set_has_proof(&mut self, value: bool)  {
             self.builder.set_bool_field(64, value);
         }
         #[inline]
@@ -3402,47 +3407,47 @@
             self.builder.set_data_field::<u32>(3, value);
         }
         #[inline]
-        pub fn get_replicas(self) -> u64 {
+        pub fn get_endpoint_revision(self) -> u64 {
             self.builder.get_data_field::<u64>(2)
         }
         #[inline]
-        pub fn set_replicas(&mut self, value: u64)  {
+        pub fn set_endpoint_revision(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(2, value);
         }
         #[inline]
-        pub fn get_replica_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::replica_entry::Owned>> {
+        pub fn get_endpoints(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::endpoint_entry::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(3), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_replica_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::replica_entry::Owned>) -> ::capnp::Result<()> {
+        pub fn set_endpoints(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::endpoint_entry::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(3), value, false)
         }
         #[inline]
-        pub fn init_replica_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::replica_entry::Owned> {
+        pub fn init_endpoints(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::endpoint_entry::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(3), size)
         }
         #[inline]
-        pub fn has_replica_entries(&self) -> bool {
+        pub fn has_endpoints(&self) -> bool {
             !self.builder.is_pointer_field_null(3)
         }
         #[inline]
-        pub fn get_has_replicas(self) -> bool {
+        pub fn get_has_endpoints(self) -> bool {
             self.builder.get_bool_field(65)
         }
         #[inline]
-        pub fn set_has_replicas(&mut self, value: bool)  {
+        pub fn set_has_endpoints(&mut self, value: bool)  {
             self.builder.set_bool_field(65, value);
         }
         #[inline]
-        pub fn get_lease(self) -> ::capnp::Result<crate::exchange_capnp::lease_news::Builder<'a>> {
+        pub fn get_lease(self) -> ::capnp::Result<crate::exchange_capnp::lease_summary::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_lease(&mut self, value: crate::exchange_capnp::lease_news::Reader<'_>) -> ::capnp::Result<()> {
+        pub fn set_lease(&mut self, value: crate::exchange_capnp::lease_summary::Reader<'_>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
         }
         #[inline]
-        pub fn init_lease(self, ) -> crate::exchange_capnp::lease_news::Builder<'a> {
+        pub fn init_lease(self, ) -> crate::exchange_capnp::lease_summary::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), 0)
         }
         #[inline]
@@ -3450,35 +3455,35 @@
             !self.builder.is_pointer_field_null(4)
         }
         #[inline]
-        pub fn get_wants_row(self) -> bool {
+        pub fn get_wants_group(self) -> bool {
             self.builder.get_bool_field(66)
         }
         #[inline]
-        pub fn set_wants_row(&mut self, value: bool)  {
+        pub fn set_wants_group(&mut self, value: bool)  {
             self.builder.set_bool_field(66, value);
         }
         #[inline]
-        pub fn get_row(self) -> ::capnp::Result<crate::exchange_capnp::row_sums::Builder<'a>> {
+        pub fn get_group(self) -> ::capnp::Result<crate::exchange_capnp::group_counters::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(5), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_row(&mut self, value: crate::exchange_capnp::row_sums::Reader<'_>) -> ::capnp::Result<()> {
+        pub fn set_group(&mut self, value: crate::exchange_capnp::group_counters::Reader<'_>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(5), value, false)
         }
         #[inline]
-        pub fn init_row(self, ) -> crate::exchange_capnp::row_sums::Builder<'a> {
+        pub fn init_group(self, ) -> crate::exchange_capnp::group_counters::Builder<'a> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(5), 0)
         }
         #[inline]
-        pub fn has_row(&self) -> bool {
+        pub fn has_group(&self) -> bool {
             !self.builder.is_pointer_field_null(5)
         }
         #[inline]
-        pub fn get_has_row(self) -> bool {
+        pub fn get_has_group(self) -> bool {
             self.builder.get_bool_field(67)
         }
         #[inline]
-        pub fn set_has_row(&mut self, value: bool)  {
+        pub fn set_has_group(&mut self, value: bool)  {
             self.builder.set_bool_field(67, value);
         }
         #[inline]
@@ -3490,35 +3495,35 @@
             self.builder.set_bool_field(68, value);
         }
         #[inline]
-        pub fn get_wants_replicas(self) -> bool {
+        pub fn get_wants_endpoints(self) -> bool {
             self.builder.get_bool_field(69)
         }
         #[inline]
-        pub fn set_wants_replicas(&mut self, value: bool)  {
+        pub fn set_wants_endpoints(&mut self, value: bool)  {
             self.builder.set_bool_field(69, value);
         }
         #[inline]
-        pub fn get_wants_uses(self) -> bool {
+        pub fn get_wants_usage(self) -> bool {
             self.builder.get_bool_field(70)
         }
         #[inline]
-        pub fn set_wants_uses(&mut self, value: bool)  {
+        pub fn set_wants_usage(&mut self, value: bool)  {
             self.builder.set_bool_field(70, value);
         }
         #[inline]
-        pub fn get_uses(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::daemon_use::Owned>> {
+        pub fn get_usage(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::relayed_usage::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(6), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_uses(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::daemon_use::Owned>) -> ::capnp::Result<()> {
+        pub fn set_usage(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::relayed_usage::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(6), value, false)
         }
         #[inline]
-        pub fn init_uses(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::daemon_use::Owned> {
+        pub fn init_usage(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::relayed_usage::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(6), size)
         }
         #[inline]
-        pub fn has_uses(&self) -> bool {
+        pub fn has_usage(&self) -> bool {
             !self.builder.is_pointer_field_null(6)
         }
     }
@@ -3533,30 +3538,31 @@
         pub fn get_state(&self) -> crate::exchange_capnp::daemon_state::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
         }
-        pub fn get_lease(&self) -> crate::exchange_capnp::lease_news::Pipeline {
+        pub fn get_lease(&self) -> crate::exchange_capnp::lease_summary::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(4))
         }
-        pub fn get_row(&self) -> crate::exchange_capnp::row_sums::Pipeline {
+        pub fn get_group(&self) -> crate::exchange_capnp::group_counters::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(5))
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 296] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 300] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(68, 121, 185, 223, 99, 123, 121, 169),
+            ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(7, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 162, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 0, 0, 0, 191, 3, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
-            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 78),
-            ::capnp::word(101, 119, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 71),
+            ::capnp::word(111, 115, 115, 105, 112, 77, 101, 115),
+            ::capnp::word(115, 97, 103, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
             ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3590,94 +3596,94 @@
             ::capnp::word(4, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(9, 2, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(45, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(53, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(57, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 2, 0, 0, 34, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 67, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 68, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(77, 2, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 69, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 70, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(97, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(105, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(100, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
@@ -3692,7 +3698,7 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(190, 200, 15, 105, 230, 254, 113, 165),
+            ::capnp::word(231, 159, 38, 58, 171, 101, 100, 142),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -3717,7 +3723,8 @@
             ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 114, 111, 118, 101, 110, 0, 0),
+            ::capnp::word(104, 97, 115, 80, 114, 111, 111, 102),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3734,7 +3741,8 @@
             ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 112, 108, 105, 99, 97, 115),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(82, 101, 118, 105, 115, 105, 111, 110),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3743,21 +3751,21 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 101, 112, 108, 105, 99, 97, 69),
-            ::capnp::word(110, 116, 114, 105, 101, 115, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 247, 93, 233, 5, 184, 38, 200),
+            ::capnp::word(144, 70, 74, 103, 66, 147, 96, 178),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 97, 115, 82, 101, 112, 108, 105),
-            ::capnp::word(99, 97, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 69, 110, 100, 112, 111),
+            ::capnp::word(105, 110, 116, 115, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3767,14 +3775,14 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(108, 101, 97, 115, 101, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(94, 127, 203, 148, 88, 221, 166, 135),
+            ::capnp::word(126, 96, 17, 68, 114, 215, 228, 186),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 110, 116, 115, 82, 111, 119),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 71, 114, 111),
+            ::capnp::word(117, 112, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3782,15 +3790,16 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(114, 111, 119, 0, 0, 0, 0, 0),
+            ::capnp::word(103, 114, 111, 117, 112, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 94, 207, 97, 194, 72, 10, 172),
+            ::capnp::word(149, 180, 67, 94, 216, 159, 210, 130),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 97, 115, 82, 111, 119, 0, 0),
+            ::capnp::word(104, 97, 115, 71, 114, 111, 117, 112),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3808,8 +3817,8 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 110, 116, 115, 82, 101, 112),
-            ::capnp::word(108, 105, 99, 97, 115, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 69, 110, 100),
+            ::capnp::word(112, 111, 105, 110, 116, 115, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3817,8 +3826,8 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(119, 97, 110, 116, 115, 85, 115, 101),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 110, 116, 115, 85, 115, 97),
+            ::capnp::word(103, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3826,13 +3835,13 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 115, 101, 115, 0, 0, 0, 0),
+            ::capnp::word(117, 115, 97, 103, 101, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(71, 157, 96, 204, 122, 225, 121, 202),
+            ::capnp::word(5, 131, 178, 8, 6, 227, 225, 250),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -3842,22 +3851,22 @@
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <crate::exchange_capnp::daemon_state::Owned as ::capnp::introspect::Introspect>::introspect(),
-                1 => <::capnp::struct_list::Owned<crate::exchange_capnp::peer_word::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::struct_list::Owned<crate::exchange_capnp::peer_summary::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
                 4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 6 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                7 => <::capnp::struct_list::Owned<crate::exchange_capnp::replica_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                7 => <::capnp::struct_list::Owned<crate::exchange_capnp::endpoint_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                9 => <crate::exchange_capnp::lease_news::Owned as ::capnp::introspect::Introspect>::introspect(),
+                9 => <crate::exchange_capnp::lease_summary::Owned as ::capnp::introspect::Introspect>::introspect(),
                 10 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                11 => <crate::exchange_capnp::row_sums::Owned as ::capnp::introspect::Introspect>::introspect(),
+                11 => <crate::exchange_capnp::group_counters::Owned as ::capnp::introspect::Introspect>::introspect(),
                 12 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 13 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 14 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 15 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                16 => <::capnp::struct_list::Owned<crate::exchange_capnp::daemon_use::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                16 => <::capnp::struct_list::Owned<crate::exchange_capnp::relayed_usage::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3873,8 +3882,8 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,8,12,1,9,5,4,7,6,11,0,16,13,14,10,15];
-        pub(crate) const TYPE_ID: u64 = 0xa979_7b63_dfb9_7944;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,6,7,11,8,12,4,1,9,5,0,16,13,14,10,15];
+        pub(crate) const TYPE_ID: u64 = 0x8015_4fb0_3d05_b743;
     }
 }
 
@@ -4038,11 +4047,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_news(self) -> ::capnp::Result<crate::exchange_capnp::news::Reader<'a>> {
+            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_news(&self) -> bool {
+            pub fn has_message(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -4100,19 +4109,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_news(self) -> ::capnp::Result<crate::exchange_capnp::news::Builder<'a>> {
+            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_news(&mut self, value: crate::exchange_capnp::news::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_message(&mut self, value: crate::exchange_capnp::gossip_message::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_news(self, ) -> crate::exchange_capnp::news::Builder<'a> {
+            pub fn init_message(self, ) -> crate::exchange_capnp::gossip_message::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_news(&self) -> bool {
+            pub fn has_message(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -4124,7 +4133,7 @@
             }
         }
         impl Pipeline  {
-            pub fn get_news(&self) -> crate::exchange_capnp::news::Pipeline {
+            pub fn get_message(&self) -> crate::exchange_capnp::gossip_message::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
@@ -4151,13 +4160,13 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 121, 185, 223, 99, 123, 121, 169),
+                ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -4166,7 +4175,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::exchange_capnp::news::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::exchange_capnp::gossip_message::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -4249,11 +4258,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_news(self) -> ::capnp::Result<crate::exchange_capnp::news::Reader<'a>> {
+            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_news(&self) -> bool {
+            pub fn has_message(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -4311,19 +4320,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_news(self) -> ::capnp::Result<crate::exchange_capnp::news::Builder<'a>> {
+            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_news(&mut self, value: crate::exchange_capnp::news::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_message(&mut self, value: crate::exchange_capnp::gossip_message::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_news(self, ) -> crate::exchange_capnp::news::Builder<'a> {
+            pub fn init_message(self, ) -> crate::exchange_capnp::gossip_message::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_news(&self) -> bool {
+            pub fn has_message(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -4335,7 +4344,7 @@
             }
         }
         impl Pipeline  {
-            pub fn get_news(&self) -> crate::exchange_capnp::news::Pipeline {
+            pub fn get_message(&self) -> crate::exchange_capnp::gossip_message::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
@@ -4362,13 +4371,13 @@
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(110, 101, 119, 115, 0, 0, 0, 0),
+                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(68, 121, 185, 223, 99, 123, 121, 169),
+                ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -4377,7 +4386,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::exchange_capnp::news::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::exchange_capnp::gossip_message::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -5,7 +5,7 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 use willowarch::{
-    exchange_capnp::news,
+    exchange_capnp::gossip_message,
     gateway::{
         gossip::{
             codec::{read_message, write_message},
@@ -110,7 +110,7 @@
     let mut rest = bytes;
     let options = capnp::message::ReaderOptions::new();
     let message = capnp::serialize::read_message(&mut rest, options)?;
-    read_message(message.get_root::<news::Reader<'_>>()?)
+    read_message(message.get_root::<gossip_message::Reader<'_>>()?)
 }
 
 #[googletest::test]
--- a/tests/gateway/operations.rs
+++ b/tests/gateway/operations.rs
@@ -61,6 +61,29 @@
     expect_that!(String::from_utf8_lossy(&tool.stdout), contains_substring("outcome unknown"));
 }
 
+#[googletest::test]
+fn a_refusal_names_its_inputs() {
+    let site = Site::start(&[EndpointManner::Full]);
+    site.ask("/plain/one", "refused-request");
+    let log = || std::fs::read_to_string(&site.gateway.log).unwrap_or_default();
+    wait_for("the line", || log().contains("refused-request"));
+    let lines = gateway::trace_request("refused-request", &[log()]);
+    let kv = &lines[0]["kv"];
+    expect_that!(kv["account"], eq(&json!("reader")));
+    let steps = kv["steps"].as_str().expect("steps");
+    expect_that!(steps, contains_substring("1 endpoints, 0 running of 4 slots"));
+    expect_that!(steps, contains_substring("retry after"));
+}
+
+#[googletest::test]
+fn a_configuration_that_is_not_newer_is_not_called_applied() {
+    let site = Site::start(&[EndpointManner::Answer]);
+    site.platform.put("config", "main", configuration(2, &["key-1"]));
+    let log = || std::fs::read_to_string(&site.gateway.log).unwrap_or_default();
+    wait_for("the line", || log().contains("version not newer"));
+    expect_that!(log().matches("\"outcome\":\"applied\"").count(), eq(1));
+}
+
 #[googletest::test]
 fn lines_are_bounded_and_the_rest_is_told() {
     let start = Instant::now();
