Refusals and orders say their true reason; three constants fewer

Found on reading the whole change as an engineer on call: - A request whose deadline had passed, and one that an endpoint had turned away, were both logged and answered as "all endpoints full". They now say "deadline over before an attempt" and "no endpoint took it"; statuses and times to retry after are as before. - The line of an order did not say why on-demand endpoints were ordered: it now has the risk. - Reclaims are watched when the list of endpoints changes, not every 300 ms; usage of ended daemons goes with its windows, not by a number of sources; an expected wait needs no bound.

--- a/src/endpoint_health.rs
+++ b/src/endpoint_health.rs
@@ -75,7 +75,8 @@
         }
     }
 
-    /// Failures in a row, up to the ejection.
+    /// Failures in a row, up to the ejection, however long ago; the native path counts these,
+    /// since it was not measured with a penalty that fades.
     pub fn failures(&self) -> u32 {
         self.failures
     }
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -60,6 +60,8 @@
     next_try: Instant,
     orders: EndpointOrders,
     waves: ReclaimWaves,
+    /// Revision of the endpoint list that `waves` has seen; 0 if none.
+    watched_revision: u64,
 }
 
 /// Carries out the leader tasks, or waits for the lease, until the daemon stops.
@@ -74,6 +76,7 @@
         next_try: Instant::now(),
         orders: EndpointOrders::default(),
         waves: ReclaimWaves::default(),
+        watched_revision: 0,
         context,
     };
     let mut ticks = interval(TICK);
@@ -90,9 +93,7 @@
 impl LeaderTasks {
     async fn tick(&mut self) {
         let now = Instant::now();
-        if self.waves.is_watch_due(now) {
-            self.watch_reclaims(now);
-        }
+        self.watch_reclaims(now);
         if now < self.next_try {
             return;
         }
@@ -107,15 +108,20 @@
         }
     }
 
-    /// Looks at what is held, also at daemons that do not hold the lease: whoever acquires it
-    /// has to know of reclaims.
+    /// Looks at what is held when the list of endpoints has changed, also at daemons that do not
+    /// hold the lease: whoever acquires it has to know of reclaims.
     fn watch_reclaims(&mut self, now: Instant) {
+        let revision = self.context.endpoint_list.borrow().revision;
+        if revision == self.watched_revision {
+            return;
+        }
         let Some(configuration) = self.context.configuration() else { return };
         for service in configuration.services.values() {
             if service.fleet.is_some() {
                 self.waves.observe(&service.name, &holdings(&self.context, service), now);
             }
         }
+        self.watched_revision = revision;
     }
 
     async fn try_acquire(&mut self) -> Result<(), StepError> {
@@ -237,10 +243,11 @@
             Err(error) => error.to_string(),
         };
         let required = self.orders.required(&order.service);
+        let risk = self.orders.risk(&order.service);
         let reclaimable = order.class == PriceClass::Reclaimable;
         spdlog::info!("order", kv: {
             service: = order.service, zone: = order.zone, reclaimable,
-            count = order.count, required, outcome: = outcome
+            count = order.count, required, risk:? = risk, outcome: = outcome
         });
         let result = match response {
             Ok(CloudOutcome::CapacityRefused) => OrderResult::CapacityRefused,
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -61,9 +61,6 @@
 /// Upper bound of a random wait added to each estimate, in milliseconds.
 /// Basis: chosen, not measured: keeps daemons that see equal loads from all choosing alike.
 const NOISE_MS: f64 = 3.0;
-/// Upper bound of an expected wait, in milliseconds.
-/// Basis: chosen, not measured: longer than any request may take.
-const MAX_WAIT_MS: f64 = 600_000.0;
 /// Milliseconds in a second.
 /// Basis: a conversion of units.
 const MS_PER_S: f64 = 1e3;
@@ -118,10 +115,10 @@
 }
 
 impl EndpointChoice {
-    /// Expected wait for the first token.
+    /// Expected wait for the first token; the longest that there is where a client names more
+    /// prompt tokens than could ever be read.
     pub fn estimated_wait(&self) -> Duration {
-        let wait_ms = self.estimated_wait_ms.clamp(0.0, MAX_WAIT_MS);
-        Duration::from_secs_f64(wait_ms / MS_PER_S)
+        Duration::try_from_secs_f64(self.estimated_wait_ms / MS_PER_S).unwrap_or(Duration::MAX)
     }
 }
 
--- a/src/gateway/policy/leader/endpoint_orders.rs
+++ b/src/gateway/policy/leader/endpoint_orders.rs
@@ -117,6 +117,8 @@
     observed_at: Option<Instant>,
     prompt_tokens_sent: u64,
     demand: ServiceDemand,
+    /// Which endpoints were at risk at the last look.
+    risk: ReclaimRisk,
 }
 
 /// Orders of all services at the daemon that holds the lease.
@@ -150,6 +152,11 @@
         self.services.get(service).map_or(0.0, |fleet| fleet.planner.required())
     }
 
+    /// Which endpoints of a service were at risk at the last look.
+    pub fn risk(&self, service: &str) -> ReclaimRisk {
+        self.services.get(service).map_or_else(ReclaimRisk::default, |fleet| fleet.risk)
+    }
+
     /// Whether the load of a service has to be looked at now.
     pub fn is_look_due(&self, service: &str, now: Instant) -> bool {
         let observed_at = self.services.get(service).and_then(|fleet| fleet.observed_at);
@@ -264,6 +271,7 @@
             observed_at: None,
             prompt_tokens_sent: 0,
             demand: ServiceDemand::default(),
+            risk: ReclaimRisk::default(),
         }
     }
 
@@ -271,6 +279,7 @@
     fn observe(&mut self, observed: &ObservedService, now: Instant) {
         let elapsed = self.observed_at.map(|at| now.saturating_duration_since(at));
         self.observed_at = Some(now);
+        self.risk = observed.risk;
         let sent = observed.prompt_tokens_sent;
         let prefill_rate = match elapsed {
             Some(elapsed) if sent >= self.prompt_tokens_sent => {
--- a/src/gateway/policy/leader/reclaim_wave.rs
+++ b/src/gateway/policy/leader/reclaim_wave.rs
@@ -4,8 +4,8 @@
 //! time to serve. Waiting for the next zone's notice is therefore too late: from the first zone
 //! on, reclaimable endpoints anywhere count as endangered for a while.
 //!
-//! Inputs are the endpoints held in each zone at every look, up to a second old. All daemons
-//! look, so that a leader that takes over within a wave knows of it. The first look after a start
+//! Inputs are the endpoints held in each zone whenever their list changes, up to a second old.
+//! All daemons look, so that a leader that takes over within a wave knows of it. The first look after a start
 //! has nothing to compare with, so a zone lost before it goes unnoticed.
 
 use std::{
@@ -23,25 +23,13 @@
 /// Basis: with it the five days of docs/decisions-under-load.md rose from 0.451 to 0.519; other
 /// multiples were not tried. Longer than an order takes to serve.
 const WAVE_START_TIMES: f64 = 2.5;
-/// Time between two looks at what is held.
-///
-/// Basis: chosen, not measured: short beside the seconds between two zones of a wave.
-const WATCH_INTERVAL: Duration = Duration::from_millis(300);
-
 /// Waves of all services, as this daemon has seen them.
 #[derive(Debug, Default)]
 pub struct ReclaimWaves {
     by_service: HashMap<SharedName, ReclaimWave>,
-    watched_at: Option<Instant>,
 }
 
 impl ReclaimWaves {
-    /// Whether what is held has to be looked at now.
-    pub fn is_watch_due(&self, now: Instant) -> bool {
-        let is_recent = |at| now.saturating_duration_since(at) < WATCH_INTERVAL;
-        !self.watched_at.is_some_and(is_recent)
-    }
-
     /// Notes what is held of a service now.
     pub fn observe(
         &mut self,
@@ -50,7 +38,6 @@
         now: Instant,
     ) {
         self.by_service.entry(service.clone()).or_default().observe(held, now);
-        self.watched_at = Some(now);
     }
 
     /// Which zones of a service have to be expected to go; see [`ReclaimWave::risk`].
--- a/src/gateway/policy/leader/usage_counts.rs
+++ b/src/gateway/policy/leader/usage_counts.rs
@@ -19,12 +19,6 @@
 /// (`REPORTABLE_WINDOWS` of `usage_reports`).
 const WINDOWS_KEPT: u64 = 8;
 
-/// Sources of reports kept; each start of a daemon is one.
-///
-/// Basis: chosen, not measured: more than twice the 92 daemons and groups that one daemon hears
-/// in a fleet of 2,100.
-const SOURCES_KEPT: usize = 256;
-
 /// Counts of one window by account.
 pub type WindowCounts = BTreeMap<SharedName, u64>;
 
@@ -38,10 +32,19 @@
 impl UsageCounts {
     /// Counts a request of `account` that began to run in `window`.
     pub fn count(&mut self, account: &SharedName, window: u64) {
+        if !self.own.contains_key(&window) {
+            self.drop_before(window.saturating_sub(WINDOWS_KEPT));
+        }
         let counts = self.own.entry(window).or_default();
         *counts.entry(account.clone()).or_default() += 1;
-        let oldest = window.saturating_sub(WINDOWS_KEPT);
-        self.own.retain(|window, _| *window >= oldest);
+    }
+
+    /// Drops own windows before `oldest`, and the daemons that have reported none since: they
+    /// have ended.
+    fn drop_before(&mut self, oldest: u64) {
+        let is_kept = |window: &u64| *window >= oldest;
+        self.own.retain(|window, _| is_kept(window));
+        self.reported.retain(|_, windows| windows.keys().next_back().is_some_and(is_kept));
     }
 
     /// Counts of this daemon, by window.
@@ -58,7 +61,6 @@
         while windows.len() as u64 > WINDOWS_KEPT {
             windows.pop_first();
         }
-        self.drop_old_sources();
     }
 
     /// Receives what a third daemon has passed on of a daemon of the own group. Counts only rise,
@@ -89,18 +91,6 @@
         })
     }
 
-    /// Drops the sources whose newest counts are the oldest, if there are too many.
-    fn drop_old_sources(&mut self) {
-        while self.reported.len() > SOURCES_KEPT {
-            let newest_window =
-                |source: &ReportSource| self.reported[source].keys().next_back().copied();
-            let Some(oldest) = self.reported.keys().copied().min_by_key(newest_window) else {
-                return;
-            };
-            self.reported.remove(&oldest);
-        }
-    }
-
     /// Drops what a group's former representative reported, which would count the group twice.
     fn drop_former_representatives(&mut self, from: ReportSource) {
         let ReportSource::Group { number, representative } = from else { return };
--- a/src/gateway/policy/request/refusal.rs
+++ b/src/gateway/policy/request/refusal.rs
@@ -49,6 +49,14 @@
     /// All endpoints are full; the request has not run. Holds the time to retry after.
     #[display("all endpoints full")]
     Full(Duration),
+    /// An endpoint was sent the request and has not run it, and no other may be tried. Holds the
+    /// time to retry after.
+    #[display("no endpoint took it")]
+    NotTaken(Duration),
+    /// Its deadline passed before an endpoint was chosen; it has not run. Holds the time to retry
+    /// after.
+    #[display("deadline over before an attempt")]
+    DeadlineOver(Duration),
     /// There is no endpoint to send it to; it has not run. Holds the time to retry after.
     #[display("no endpoint")]
     NoEndpoint(Duration),
@@ -96,6 +104,8 @@
             | Self::Leaving
             | Self::NotFresh
             | Self::Full(_)
+            | Self::NotTaken(_)
+            | Self::DeadlineOver(_)
             | Self::NoEndpoint(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
@@ -111,7 +121,10 @@
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Self::QuotaSpent(spent) => Some(spent.retry_after),
-            Self::Full(wait) | Self::NoEndpoint(wait) => Some(*wait),
+            Self::Full(wait)
+            | Self::NotTaken(wait)
+            | Self::DeadlineOver(wait)
+            | Self::NoEndpoint(wait) => Some(*wait),
             Self::NoConfiguration | Self::FleetUnknown | Self::NotFresh => {
                 Some(retry_after::DAEMON_STARTING)
             }
--- a/src/gateway/policy/request/retries.rs
+++ b/src/gateway/policy/request/retries.rs
@@ -106,7 +106,7 @@
     /// The refusal; `target` is the route's target for the first part of a response.
     pub fn refusal(self, is_deadline_over: bool, target: Duration) -> Refusal {
         match self {
-            Self::NotRun => Refusal::Full(retry_after::all_full(target)),
+            Self::NotRun => Refusal::NotTaken(retry_after::all_full(target)),
             Self::EarlierMayHaveRun => Refusal::Unknown,
             Self::LastMayHaveRun if is_deadline_over => Refusal::OutOfTime,
             Self::LastMayHaveRun => Refusal::Unknown,
@@ -131,7 +131,7 @@
         match (self, may_have_run) {
             (Self::DeadlineOver, true) => Refusal::OutOfTime,
             (Self::AllFull | Self::NoEndpoint, true) => Refusal::Unknown,
-            (Self::DeadlineOver, false) => Refusal::Full(retry_after::NO_ENDPOINT),
+            (Self::DeadlineOver, false) => Refusal::DeadlineOver(retry_after::NO_ENDPOINT),
             (Self::AllFull, false) => Refusal::Full(retry_after::all_full(target)),
             (Self::NoEndpoint, false) => Refusal::NoEndpoint(retry_after::NO_ENDPOINT),
         }
--- a/src/gateway/policy/request/time_limits.rs
+++ b/src/gateway/policy/request/time_limits.rs
@@ -55,7 +55,8 @@
     }
     let multiple =
         if route.kind.is_stream() { STREAM_TARGET_MULTIPLE } else { PLAIN_TARGET_MULTIPLE };
-    deadline.min(now + route.target.mul_f64(multiple) + expected_wait)
+    let timeout = route.target.mul_f64(multiple).saturating_add(expected_wait);
+    now.checked_add(timeout).map_or(deadline, |until| until.min(deadline))
 }
 
 /// Until when the next piece of a stream is awaited, after `sent` attempts and `events`
--- a/tests/gateway/endpoint_choice.rs
+++ b/tests/gateway/endpoint_choice.rs
@@ -66,6 +66,12 @@
     }
 }
 
+/// Lets another daemon report this load of an endpoint.
+fn report(table: &mut EndpointTable, endpoint: &str, load: EndpointLoad, now: Instant) {
+    let loads = [(endpoint_number(endpoint), load)].into();
+    table.apply_report(daemon(5), ReportedLoads { at: now, loads, sent: BTreeMap::new() });
+}
+
 fn chosen(table: &EndpointTable, query: &ChoiceQuery<'_>, now: Instant) -> Option<SharedName> {
     match table.choose(query, now, &mut SmallRng::seed_from_u64(1)) {
         ChoiceResult::Endpoint(choice) => Some(choice.endpoint.id.clone()),
@@ -101,9 +107,7 @@
     let now = Instant::now();
     let affinity = chosen(&table, &query(&PARTS, &[]), now).expect("a replica");
     let load = EndpointLoad { running: 4, uncached_tokens: 0, memory_tokens: 0 };
-    let loads = [(endpoint_number(&affinity), load)].into();
-    let state = ReportedLoads { at: now, loads, sent: BTreeMap::new() };
-    table.apply_report(daemon(5), state);
+    report(&mut table, &affinity, load, now);
     expect_that!(chosen(&table, &query(&PARTS, &[]), now), not(eq(&Some(affinity.clone()))));
     let later = now + Duration::from_secs(3);
     expect_that!(chosen(&table, &query(&PARTS, &[]), later), eq(&Some(affinity)));
@@ -116,8 +120,7 @@
     let affinity = chosen(&table, &query(&PARTS, &[]), now).expect("an endpoint");
     // Read in a second at the rate that is assumed at first.
     let load = EndpointLoad { running: 1, uncached_tokens: 40_000, memory_tokens: 0 };
-    let loads = [(endpoint_number(&affinity), load)].into();
-    table.apply_report(daemon(5), ReportedLoads { at: now, loads, sent: BTreeMap::new() });
+    report(&mut table, &affinity, load, now);
     expect_that!(chosen(&table, &query(&PARTS, &[]), now), not(eq(&Some(affinity.clone()))));
     let later = now + millis(900);
     expect_that!(chosen(&table, &query(&PARTS, &[]), later), eq(&Some(affinity)));
@@ -131,8 +134,7 @@
     // The affinity endpoint has a queue: more than reading the prompt takes elsewhere, but less
     // than that and the delay it would cause there.
     let load = EndpointLoad { running: 1, uncached_tokens: 8_000, memory_tokens: 0 };
-    let loads = [(endpoint_number(&affinity), load)].into();
-    table.apply_report(daemon(5), ReportedLoads { at: now, loads, sent: BTreeMap::new() });
+    report(&mut table, &affinity, load, now);
     expect_that!(chosen(&table, &query(&PARTS, &[]), now), eq(&Some(affinity.clone())));
     let old_loads = ChoiceQuery { load_age: millis(4_000), ..query(&PARTS, &[]) };
     expect_that!(chosen(&table, &old_loads, now), not(eq(&Some(affinity))));
--- a/tests/gateway/leader_rules.rs
+++ b/tests/gateway/leader_rules.rs
@@ -203,9 +203,7 @@
     let start = Instant::now();
     let service_name: SharedName = "pool".into();
     let mut waves = ReclaimWaves::default();
-    expect_that!(waves.is_watch_due(start), eq(true));
     waves.observe(&service_name, &service(2).held, start);
-    expect_that!(waves.is_watch_due(start + millis(100)), eq(false));
     let mut lost = service(2);
     lost.held.insert("b".into(), ZoneHolding::default());
     waves.observe(&service_name, &lost.held, start + millis(500));
--- a/tests/gateway/leader_state.rs
+++ b/tests/gateway/leader_state.rs
@@ -114,10 +114,14 @@
 #[googletest::test]
 fn usage_of_long_gone_daemons_is_dropped() {
     let mut usage = UsageCounts::default();
+    let reader: SharedName = "reader".into();
     for number in 0..1_000 {
-        usage.receive(daemon(number), number, [("reader".into(), 1)].into());
+        usage.receive(daemon(number), number, [(reader.clone(), 1)].into());
     }
-    expect_that!(usage.reported_in_group().count(), lt(300));
-    expect_that!(usage.total(0), is_empty());
-    expect_that!(usage.total(999), not(is_empty()));
+    usage.count(&reader, 999);
+    // The newest nine windows: eight behind the own one, and that.
+    expect_that!(usage.reported_in_group().count(), eq(9));
+    expect_that!(usage.total(990), is_empty());
+    expect_that!(usage.total(991), eq(&BTreeMap::from([(reader.clone(), 1)])));
+    expect_that!(usage.total(999), eq(&BTreeMap::from([(reader, 2)])));
 }
--- a/tests/gateway/operations.rs
+++ b/tests/gateway/operations.rs
@@ -18,6 +18,16 @@
     answer.body_mut().read_to_string().expect("text")
 }
 
+fn log(site: &Site) -> String {
+    std::fs::read_to_string(&site.gateway.log).unwrap_or_default()
+}
+
+/// The lines of a request's trace, once it has ended.
+fn traced(site: &Site, id: &str) -> Vec<Value> {
+    wait_for("the line", || log(site).contains(id));
+    gateway::trace_request(id, &[log(site)])
+}
+
 #[googletest::test]
 fn state_tells_versions_and_ages() {
     let site = Site::start(&[EndpointManner::Answer]);
@@ -44,9 +54,7 @@
 fn a_request_is_traced_from_its_id_to_its_cause() {
     let site = Site::start(&[EndpointManner::Lose]);
     site.ask("/once/book", "lost-request");
-    let log = || std::fs::read_to_string(&site.gateway.log).unwrap_or_default();
-    wait_for("the line", || log().contains("lost-request"));
-    let lines = gateway::trace_request("lost-request", &[log()]);
+    let lines = traced(&site, "lost-request");
     assert_eq!(lines.len(), 1);
     expect_that!(lines[0]["kv"]["outcome"], eq(&json!("outcome unknown")));
     let steps = lines[0]["kv"]["steps"].as_str().expect("steps");
@@ -65,9 +73,7 @@
 fn a_refusal_names_its_inputs() {
     let site = Site::start(&[EndpointManner::Full]);
     site.ask("/plain/one", "refused-request");
-    let log = || std::fs::read_to_string(&site.gateway.log).unwrap_or_default();
-    wait_for("the line", || log().contains("refused-request"));
-    let lines = gateway::trace_request("refused-request", &[log()]);
+    let lines = traced(&site, "refused-request");
     let kv = &lines[0]["kv"];
     expect_that!(kv["account"], eq(&json!("reader")));
     let steps = kv["steps"].as_str().expect("steps");
@@ -79,9 +85,8 @@
 fn a_configuration_that_is_not_newer_is_not_called_applied() {
     let site = Site::start(&[EndpointManner::Answer]);
     site.platform.put("config", "main", configuration(2, &["key-1"]));
-    let log = || std::fs::read_to_string(&site.gateway.log).unwrap_or_default();
-    wait_for("the line", || log().contains("version not newer"));
-    expect_that!(log().matches("\"outcome\":\"applied\"").count(), eq(1));
+    wait_for("the line", || log(&site).contains("version not newer"));
+    expect_that!(log(&site).matches("\"outcome\":\"applied\"").count(), eq(1));
 }
 
 #[googletest::test]
--- a/tests/gateway/request_rules.rs
+++ b/tests/gateway/request_rules.rs
@@ -118,7 +118,7 @@
             ]
             => [true, false, false, false];
         given_up_not_run:
-            &GiveUpReason::NotRun.refusal(false, TARGET) => Refusal::Full(millis(200));
+            &GiveUpReason::NotRun.refusal(false, TARGET) => Refusal::NotTaken(millis(200));
         given_up_earlier_may_have_run:
             &GiveUpReason::EarlierMayHaveRun.refusal(true, TARGET) => Refusal::Unknown;
         given_up_in_time:
@@ -129,7 +129,7 @@
             &[NoAttempt::DeadlineOver, NoAttempt::AllFull, NoAttempt::NoEndpoint]
                 .map(|reason| reason.refusal(false, TARGET))
             => [
-                Refusal::Full(millis(400)),
+                Refusal::DeadlineOver(millis(400)),
                 Refusal::Full(millis(200)),
                 Refusal::NoEndpoint(millis(400)),
             ];
@@ -140,6 +140,8 @@
         only_refusals_with_a_retry_time_promise_not_run:
             &[
                 Refusal::Full(millis(1)),
+                Refusal::NotTaken(millis(1)),
+                Refusal::DeadlineOver(millis(1)),
                 Refusal::Leaving,
                 Refusal::NotFresh,
                 Refusal::Unknown,
@@ -147,7 +149,7 @@
                 Refusal::BodyBroken,
             ]
             .map(|refusal| refusal.promises_not_run())
-            => [true, true, true, false, false, false];
+            => [true, true, true, true, true, false, false, false];
     }
 }
 
@@ -177,6 +179,7 @@
     expect_that!(limit(RouteKind::Idempotent, 0), eq(millis(1_200)));
     expect_that!(limit(RESUMABLE, 0), eq(millis(640)));
     expect_that!(limit_with(RESUMABLE, 0, millis(300)), eq(millis(940)));
+    expect_that!(limit_with(RESUMABLE, 0, Duration::MAX), eq(millis(9_000)));
     expect_that!(limit(RESUMABLE, 1), eq(millis(9_000)));
     expect_that!(limit(RouteKind::Once, 0), eq(millis(9_000)));
     expect_that!(limit(NOT_RESUMABLE, 0), eq(millis(9_000)));
