Sight: where a configuration came from, how late, and what was tried before

Cause: logs could not tell whether a late daemon asked in vain, was turned away or its calls failed. Proofs are noted apart from texts (`prove_configuration`). No decision changes.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -6,11 +6,13 @@
 
 use std::{
     cell::{Cell, RefCell},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
+use derive_more::Display;
 use tokio::time::Instant;
 
 use super::{
@@ -19,7 +21,7 @@
     gossip::peer_table::PeerTable,
     policy::{
         daemon::{
-            catch_up::CatchUpState,
+            catch_up::{CatchUpState, ConfigurationLag},
             daemon_count,
             readiness::{Readiness, ReadinessInputs},
             store_watchers::{StoreWatch, is_store_failing},
@@ -60,6 +62,17 @@
     pub proof: Option<Instant>,
 }
 
+/// Where a configuration came from.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum ConfigurationSource {
+    /// The store.
+    #[display("store")]
+    Store,
+    /// The daemon that listens for peers there.
+    #[display("{_0}")]
+    Peer(SocketAddr),
+}
+
 /// State shared by all tasks of one daemon, which run on one thread.
 pub struct GatewayContext {
     /// Settings.
@@ -131,31 +144,46 @@
         self.configuration.borrow().current.clone()
     }
 
-    /// Applies a configuration read at `proof`, or passed on by a daemon if there is none.
-    /// Versions and revisions only rise.
-    pub fn apply_configuration(&self, revision: u64, text: &[u8], proof: Option<Instant>) {
+    /// Applies a configuration if it is newer than the one held. Versions and revisions only
+    /// rise.
+    pub fn apply_configuration(&self, source: ConfigurationSource, revision: u64, text: &[u8]) {
         let mut state = self.configuration.borrow_mut();
-        if revision > state.revision {
-            let decoded = match platform::configuration::decode(text) {
-                Ok(decoded) => decoded,
-                Err(error) => {
-                    spdlog::error!("configuration not decoded: {}", error, kv: { revision });
-                    return;
-                }
-            };
-            let known = state.current.as_ref().map_or(0, |current| current.version);
-            let is_newer = state.current.is_none() || decoded.version > known;
-            let outcome = if is_newer { "applied" } else { "version not newer" };
-            spdlog::info!("configuration", kv: {
-                version: = decoded.version, revision, before = known, outcome
-            });
-            state.revision = revision;
-            if is_newer {
-                state.current = Some(Rc::new(decoded));
-                state.text = Bytes::copy_from_slice(text);
+        if revision <= state.revision {
+            return;
+        }
+        let decoded = match platform::configuration::decode(text) {
+            Ok(decoded) => decoded,
+            Err(error) => {
+                spdlog::error!("configuration not decoded: {}", error, kv: { revision });
+                return;
             }
+        };
+        let known = state.current.as_ref().map_or(0, |current| current.version);
+        let is_newer = state.current.is_none() || decoded.version > known;
+        let outcome = if is_newer { "applied" } else { "version not newer" };
+        let lag = self.end_configuration_lag();
+        spdlog::info!("configuration", kv: {
+            version: = decoded.version, revision, before = known, outcome, source: = source,
+            bytes = text.len(), lag_ms = lag.duration_ms, withheld = lag.withheld,
+            failed = lag.failed
+        });
+        state.revision = revision;
+        if is_newer {
+            state.current = Some(Rc::new(decoded));
+            state.text = Bytes::copy_from_slice(text);
         }
-        if revision == state.revision && state.proof < proof {
+    }
+
+    fn end_configuration_lag(&self) -> ConfigurationLag {
+        let lag = self.catch_up.borrow_mut().take_configuration_lag(Instant::now());
+        self.metrics.duration("configuration_lag_us", Duration::from_millis(lag.duration_ms));
+        lag
+    }
+
+    /// Notes that the store, asked at `proof`, held the configuration of this revision.
+    pub fn prove_configuration(&self, revision: u64, proof: Option<Instant>) {
+        let mut state = self.configuration.borrow_mut();
+        if revision > 0 && revision == state.revision && state.proof < proof {
             state.proof = proof;
         }
     }
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -23,7 +23,10 @@
     exchange_capnp::exchange,
     gateway::{
         context::GatewayContext,
-        policy::{daemon::catch_up::wait_for_store, leader::usage_reports::requests_former_usage},
+        policy::{
+            daemon::catch_up::{FetchOutcome, wait_for_store},
+            leader::usage_reports::requests_former_usage,
+        },
     },
     rpc_transport::{TrafficCounter, rpc_system},
     wall_clock_ms,
@@ -125,13 +128,16 @@
     let limit = if parts.configuration { FETCH_LIMIT } else { CALL_LIMIT };
     match timeout(limit, swap_messages(context, connections, address, parts)).await {
         Ok(Ok(response)) => {
-            if parts.configuration && response.configuration.text.is_none() {
-                context.catch_up.borrow_mut().configuration_withheld();
+            if parts.configuration {
+                note_fetch(context, fetch_outcome(&response));
             }
             apply_message(context, response, Some(called_at));
         }
         // Counted, not logged: calls to a daemon that is gone fail twice a second.
         Ok(Err(_)) | Err(_) => {
+            if parts.configuration {
+                note_fetch(context, FetchOutcome::Failed);
+            }
             connections.close(address);
             context.peers.borrow_mut().call_failed(address);
             context.metrics.count("exchange_failures", 1);
@@ -139,6 +145,18 @@
     }
 }
 
+fn fetch_outcome(response: &GossipMessage) -> FetchOutcome {
+    match response.configuration.text {
+        Some(_) => FetchOutcome::Received,
+        None => FetchOutcome::Withheld,
+    }
+}
+
+fn note_fetch(context: &GatewayContext, outcome: FetchOutcome) {
+    context.catch_up.borrow_mut().configuration_fetched(outcome);
+    context.metrics.count_labelled("configuration_fetches", "outcome", outcome.name());
+}
+
 async fn swap_messages(
     context: &GatewayContext,
     connections: &PeerConnections,
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -6,7 +6,7 @@
 //! response to a call proves that keys are fresh: it was sent after the call was made. A
 //! message in a call of another daemon may have been on its way for any time and proves nothing.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use tokio::time::Instant;
 
@@ -17,7 +17,7 @@
     report_source::ReportSource,
 };
 use crate::gateway::{
-    context::GatewayContext,
+    context::{ConfigurationSource, GatewayContext},
     endpoint::EndpointList,
     policy::{
         daemon::catch_up::HeldRevisions, endpoint::endpoint_load::ReportedLoads,
@@ -53,7 +53,7 @@
     let held =
         HeldRevisions { configuration: configuration.revision, endpoints: endpoint_revision };
     context.catch_up.borrow_mut().receive(address, held, now);
-    apply_configuration(context, &configuration, called_at);
+    apply_configuration(context, address, &configuration, called_at);
     if let Some(list) = endpoints {
         apply_endpoints(context, list);
     }
@@ -120,19 +120,17 @@
 
 fn apply_configuration(
     context: &GatewayContext,
+    sender: SocketAddr,
     summary: &ConfigurationSummary,
     called_at: Option<Instant>,
 ) {
     let proof_age = summary.proof_age_ms.map(|age| Duration::from_millis(u64::from(age)));
     let proof = called_at.zip(proof_age).and_then(|(at, age)| at.checked_sub(age));
-    let held = context.configuration.borrow().revision;
-    match &summary.text {
-        Some(text) => context.apply_configuration(summary.revision, text, proof),
-        None if summary.revision == held && held > 0 => {
-            context.apply_configuration(summary.revision, &[], proof);
-        }
-        None => {}
+    if let Some(text) = &summary.text {
+        let source = ConfigurationSource::Peer(sender);
+        context.apply_configuration(source, summary.revision, text);
     }
+    context.prove_configuration(summary.revision, proof);
 }
 
 fn apply_endpoints(context: &GatewayContext, list: EndpointList) {
--- a/src/gateway/policy/daemon/catch_up.rs
+++ b/src/gateway/policy/daemon/catch_up.rs
@@ -41,6 +41,47 @@
     pub endpoints: bool,
 }
 
+/// How a request for a text ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FetchOutcome {
+    /// The text has arrived.
+    Received,
+    /// The daemon asked is sending it to another one first.
+    Withheld,
+    /// No response in time, or the connection broke.
+    Failed,
+}
+
+impl FetchOutcome {
+    /// Name in metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Received => "received",
+            Self::Withheld => "withheld",
+            Self::Failed => "failed",
+        }
+    }
+}
+
+/// How long a daemon was known to hold an older configuration, and what it tried meanwhile.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConfigurationLag {
+    /// Milliseconds since a newer revision was reported; 0 if none was.
+    pub duration_ms: u64,
+    /// Requests for the text that were withheld.
+    pub withheld: u32,
+    /// Requests for the text that failed.
+    pub failed: u32,
+}
+
+/// Requests for one text that did not bring it, since the text held was applied.
+#[derive(Clone, Copy, Debug, Default)]
+struct FetchRecord {
+    lagging_since: Option<Instant>,
+    withheld: u32,
+    failed: u32,
+}
+
 /// Time for which a lagging daemon waits for the store before it asks peers.
 pub fn wait_for_store(watches_store: bool, store_fails: bool) -> Duration {
     match watches_store && !store_fails {
@@ -54,8 +95,9 @@
 struct NewestRevision {
     revision: u64,
     holder: Option<SocketAddr>,
-    /// When this daemon was first seen to hold an older one.
+    /// Since when this daemon was known to hold an older one, for the wait for the store.
     lagging_since: Option<Instant>,
+    fetches: FetchRecord,
     requested_at: Option<Instant>,
     /// Whether the holder was asked and is sending it to another daemon first.
     is_withheld: bool,
@@ -71,6 +113,7 @@
             self.holder = Some(holder);
             self.is_withheld = false;
             self.lagging_since = self.lagging_since.or(Some(now));
+            self.fetches.lagging_since = self.fetches.lagging_since.or(Some(now));
         }
     }
 
@@ -127,10 +170,30 @@
         RevisionsToFetch { configuration, endpoints }
     }
 
-    /// The daemon that was asked for its configuration has not sent it: another may be asked.
-    pub fn configuration_withheld(&mut self) {
-        self.configuration.requested_at = None;
-        self.configuration.is_withheld = true;
+    /// Notes how a request for a configuration ended. One that was withheld may be sent to
+    /// another daemon at once.
+    pub fn configuration_fetched(&mut self, outcome: FetchOutcome) {
+        let newest = &mut self.configuration;
+        match outcome {
+            FetchOutcome::Received => {}
+            FetchOutcome::Failed => newest.fetches.failed += 1,
+            FetchOutcome::Withheld => {
+                newest.fetches.withheld += 1;
+                newest.requested_at = None;
+                newest.is_withheld = true;
+            }
+        }
+    }
+
+    /// The lag that ends now, because a newer configuration is applied.
+    pub fn take_configuration_lag(&mut self, now: Instant) -> ConfigurationLag {
+        let record = std::mem::take(&mut self.configuration.fetches);
+        let elapsed = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
+        ConfigurationLag {
+            duration_ms: record.lagging_since.map_or(0, elapsed),
+            withheld: record.withheld,
+            failed: record.failed,
+        }
     }
 
     /// Daemons that hold something newer than `held`, each once.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -13,7 +13,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    context::GatewayContext,
+    context::{ConfigurationSource, GatewayContext},
     endpoint::{EndpointList, EndpointRecord},
 };
 use crate::{
@@ -161,15 +161,15 @@
 }
 
 fn apply_configuration(context: &GatewayContext, object: &StoredObject, asked_at: Instant) {
-    context.apply_configuration(object.revision, object.value.as_bytes(), Some(asked_at));
+    let text = object.value.as_bytes();
+    context.apply_configuration(ConfigurationSource::Store, object.revision, text);
+    context.prove_configuration(object.revision, Some(asked_at));
 }
 
 /// Notes that the store has shown no change up to a moment after `asked_at`.
 fn prove_unchanged(context: &GatewayContext, asked_at: Instant) {
-    let mut state = context.configuration.borrow_mut();
-    if state.current.is_some() && state.proof < Some(asked_at) {
-        state.proof = Some(asked_at);
-    }
+    let revision = context.configuration.borrow().revision;
+    context.prove_configuration(revision, Some(asked_at));
 }
 
 /// Keeps the list of endpoints up to date until the daemon stops.
--- a/tests/gateway/long_configuration.rs
+++ b/tests/gateway/long_configuration.rs
@@ -14,7 +14,7 @@
             peer_table::PeerTable,
         },
         policy::daemon::{
-            catch_up::{CatchUpState, HeldRevisions},
+            catch_up::{CatchUpState, FetchOutcome, HeldRevisions},
             text_pacing::TextPacer,
         },
     },
@@ -113,7 +113,9 @@
                     left: TEXT_BYTES,
                     started_at: now,
                 }),
-                false => self.daemons[caller].catch_up.configuration_withheld(),
+                false => {
+                    self.daemons[caller].catch_up.configuration_fetched(FetchOutcome::Withheld)
+                }
             }
         }
         self.daemons[caller].catch_up.receive(address(callee), callee_held, now);
