--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -64,6 +64,15 @@
   reclaimable @6 :Bool;
 }
 
+struct EndpointListText {        # what is compressed of a list of endpoints
+  entries @0 :List(EndpointEntry);
+}
+
+struct CompressedText {
+  base @0 :UInt64;               # revision of the text that is the prefix; 0: none
+  data @1 :Data;                 # Zstandard with that prefix
+}
+
 struct LeaseSummary {
   fence @0 :UInt64;
   holder @1 :Text;
@@ -91,9 +100,10 @@
   wantsUsage @15 :Bool;          # whether it should hold the usage of other daemons
   usage @16 :List(RelayedUsage); # usage that other daemons of its group reported to the sender
   acceptsCompressed @17 :Bool;   # whether texts in the response may be compressed
-  textBases @18 :List(UInt64);   # revisions whose texts of the configuration the sender keeps
-  compressedText @19 :Data;      # in place of `configurationText`: Zstandard with a prefix
-  textBase @20 :UInt64;          # revision of the text that is the prefix; 0: none
+  configurationBases @18 :List(UInt64);  # revisions whose texts the sender keeps
+  compressedConfiguration @19 :CompressedText;  # in place of `configurationText`
+  endpointBases @20 :List(UInt64);  # revisions whose texts the sender keeps
+  compressedEndpoints @21 :CompressedText;  # in place of `endpoints`: an `EndpointListText`
 }
 
 interface Exchange {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -18,12 +18,11 @@
 use super::{
     configuration::Configuration,
     endpoint::EndpointList,
-    gossip::{peer_table::PeerTable, text_sender::TextSender},
+    gossip::{codec::endpoint_list, peer_table::PeerTable, text_exchange::TextExchange},
     policy::{
         daemon::{
             catch_up::{CatchUpState, ConfigurationLag},
             daemon_count,
-            held_texts::HeldTexts,
             readiness::{Readiness, ReadinessInputs},
             store_watchers::{StoreWatch, is_store_failing},
         },
@@ -56,8 +55,6 @@
     pub current: Option<Rc<Configuration>>,
     /// Its revision in the store.
     pub revision: u64,
-    /// Its text as stored and former ones, for other daemons.
-    pub texts: HeldTexts,
     /// Freshness proof: when the store was asked that answered with this revision.
     pub proof: Option<Instant>,
 }
@@ -97,8 +94,10 @@
     pub peers: RefCell<PeerTable>,
     /// Newer configurations and endpoint lists that other daemons hold.
     pub catch_up: RefCell<CatchUpState>,
-    /// Sends the configuration to peers.
-    pub text_sender: RefCell<TextSender>,
+    /// Texts of the configuration as stored, for other daemons.
+    pub configuration_texts: RefCell<TextExchange>,
+    /// Texts of the list of endpoints, for other daemons.
+    pub endpoint_texts: RefCell<TextExchange>,
     /// What is known of the leader lease.
     pub lease: RefCell<LeaderLease>,
     /// Connections to endpoints.
@@ -171,7 +170,7 @@
         if is_newer {
             state.current = Some(Rc::new(decoded));
         }
-        state.texts.push(revision, text);
+        self.configuration_texts.borrow_mut().push(revision, text);
     }
 
     fn end_configuration_lag(&self) -> ConfigurationLag {
@@ -211,6 +210,8 @@
         if list.revision <= self.endpoint_list.borrow().revision {
             return false;
         }
+        let text = endpoint_list::write_text(&list);
+        self.endpoint_texts.borrow_mut().push(list.revision, text);
         self.endpoints.borrow_mut().set_list(&list);
         *self.endpoint_list.borrow_mut() = list;
         true
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -16,7 +16,7 @@
 use super::{
     context::{ConfigurationState, GatewayContext, Intake},
     endpoint::EndpointList,
-    gossip::{caller, listener, peer_table::PeerTable, text_sender::TextSender},
+    gossip::{caller, listener, peer_table::PeerTable, text_exchange::TextExchange},
     leader::leader_tasks,
     policy::{
         daemon::catch_up::CatchUpState,
@@ -116,14 +116,10 @@
         quotas: RefCell::new(QuotaLedger::new(tolerance, now)),
         retry_budgets: RefCell::new(retry_budgets),
         usage: RefCell::new(UsageCounts::default()),
-        peers: RefCell::new(PeerTable::new(
-            settings.peer_address,
-            &settings.seeds,
-            caller::GOSSIP_INTERVAL,
-            caller::CALLS_PER_INTERVAL,
-        )),
+        peers: RefCell::new(seeded_peers(&settings)),
         catch_up: RefCell::new(CatchUpState::default()),
-        text_sender: RefCell::new(TextSender::default()),
+        configuration_texts: RefCell::new(TextExchange::default()),
+        endpoint_texts: RefCell::new(TextExchange::default()),
         lease: RefCell::new(LeaderLease::default()),
         connections: ConnectionPool::new(metrics.clone()),
         wall_clock: RefCell::new(SteadyWallClock::new(wall_clock_ms(), now)),
@@ -141,6 +137,12 @@
     }
 }
 
+/// Knows only the seeds.
+fn seeded_peers(settings: &GatewaySettings) -> PeerTable {
+    let GatewaySettings { peer_address, seeds, .. } = settings;
+    PeerTable::new(*peer_address, seeds, caller::GOSSIP_INTERVAL, caller::CALLS_PER_INTERVAL)
+}
+
 /// Stops the daemon after SIGTERM, in the order that the module's head gives.
 async fn stop_on_signal(context: Rc<GatewayContext>) {
     terminated().await;
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -9,8 +9,6 @@
 mod call_schedule;
 pub mod caller;
 pub mod codec;
-mod codec_values;
-mod counters_codec;
 pub mod groups;
 mod incoming;
 pub mod listener;
@@ -20,4 +18,4 @@
 pub mod peer_table;
 pub mod report_source;
 pub mod text_codec;
-pub mod text_sender;
+pub mod text_exchange;
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -17,7 +17,7 @@
     codec::{read_message, write_message},
     incoming::apply_message,
     messages::{GossipMessage, RequestedParts},
-    outgoing::{configuration_request, held_revisions, own_message},
+    outgoing::{held_revisions, own_message},
 };
 use crate::{
     exchange_capnp::exchange,
@@ -143,8 +143,9 @@
 ) {
     let called_at = Instant::now();
     let parts = parts_to_request(context, address, fetches);
-    let (configuration, endpoints) = (parts.configuration.is_some(), parts.endpoints);
-    let limit = if configuration || endpoints { FETCH_LIMIT } else { CALL_LIMIT };
+    let fetches_configuration = parts.configuration.is_some();
+    let fetches_text = fetches_configuration || parts.endpoints.is_some();
+    let limit = if fetches_text { FETCH_LIMIT } else { CALL_LIMIT };
     let called = timeout(limit, swap_messages(context, connections, address, parts)).await;
     let outcomes = match called {
         Ok(Ok(response)) => {
@@ -160,7 +161,7 @@
             FetchOutcomes::FAILED
         }
     };
-    if configuration {
+    if fetches_configuration {
         let name = outcomes.configuration.name();
         context.metrics.count_labelled("configuration_fetches", "outcome", name);
     }
@@ -170,10 +171,10 @@
 
 /// Revisions of the texts that a response holds; 0 of those that it doesn't.
 fn sent_revisions(response: &GossipMessage) -> HeldRevisions {
-    let GossipMessage { configuration, endpoints, .. } = response;
+    let GossipMessage { configuration, endpoints, endpoint_revision, .. } = response;
     HeldRevisions {
         configuration: configuration.text.as_ref().map_or(0, |_| configuration.revision),
-        endpoints: endpoints.as_ref().map_or(0, |list| list.revision),
+        endpoints: endpoints.as_ref().map_or(0, |_| *endpoint_revision),
     }
 }
 
@@ -199,10 +200,12 @@
     fetches: TextFetches,
 ) -> RequestedParts {
     let fetches_configuration = fetches.configuration == Some(address);
+    let fetches_endpoints = fetches.endpoints == Some(address);
     RequestedParts {
         group: context.peers.borrow().neighbours().represented_group(&address).is_some(),
-        configuration: fetches_configuration.then(|| configuration_request(context)),
-        endpoints: fetches.endpoints == Some(address),
+        configuration: fetches_configuration
+            .then(|| context.configuration_texts.borrow().request()),
+        endpoints: fetches_endpoints.then(|| context.endpoint_texts.borrow().request()),
         usage: requests_former_usage(context.age(Instant::now())),
     }
 }
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -2,24 +2,27 @@
 //!
 //! A message that is malformed or whose lists are too long is an error.
 
-use std::{rc::Rc, time::Duration};
+mod counters;
+pub mod endpoint_list;
+mod values;
+
+use std::time::Duration;
 
 use bytes::Bytes;
-use capnp::{Error, struct_list};
+use capnp::{Error, primitive_list, struct_list};
 
-use super::{
-    codec_values::{check_length, read_address, read_text},
-    counters_codec::{self, read_counters, write_counters},
-    messages::{
-        ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary,
-        PeerSummary, RelayedUsage, RequestedParts, SentText, TextRequest,
-    },
+use self::{
+    counters::{read_counters, write_counters},
+    values::{check_length, read_address, read_text},
+};
+use super::messages::{
+    CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary,
+    PeerSummary, RelayedUsage, RequestedParts, SentEndpoints, SentText, TextRequest,
 };
 use crate::{
     exchange_capnp::{
-        daemon_state, endpoint_entry, gossip_message, lease_summary, peer_summary, relayed_usage,
+        compressed_text, daemon_state, gossip_message, lease_summary, peer_summary, relayed_usage,
     },
-    gateway::endpoint::{EndpointList, EndpointRecord, EndpointState},
     ids::IncarnationId,
 };
 
@@ -29,8 +32,7 @@
     let known = target.reborrow().init_known(source.known.len() as u32);
     write_summaries(known, &source.known);
     target.set_wants_group(source.wants.group);
-    write_text_request(target.reborrow(), source.wants.configuration.as_ref());
-    target.set_wants_endpoints(source.wants.endpoints);
+    write_text_requests(target.reborrow(), &source.wants);
     target.set_wants_usage(source.wants.usage);
     let usage = target.reborrow().init_usage(source.usage.len() as u32);
     write_relayed_usage(usage, &source.usage);
@@ -40,26 +42,48 @@
     }
     write_configuration(target.reborrow(), &source.configuration);
     target.set_endpoint_revision(source.endpoint_revision);
-    if let Some(list) = &source.endpoints {
-        target.set_has_endpoints(true);
-        let entries = target.reborrow().init_endpoints(list.endpoints.len() as u32);
-        write_endpoints(entries, list);
+    match &source.endpoints {
+        None => {}
+        Some(SentEndpoints::Listed(list)) => {
+            target.set_has_endpoints(true);
+            let entries = target.reborrow().init_endpoints(list.endpoints.len() as u32);
+            endpoint_list::write_entries(entries, list);
+        }
+        Some(SentEndpoints::Compressed(text)) => {
+            write_compressed(target.reborrow().init_compressed_endpoints(), text);
+        }
     }
     if let Some(lease) = &source.lease {
         write_lease(target.init_lease(), lease);
     }
 }
 
-fn write_text_request(mut target: gossip_message::Builder<'_>, request: Option<&TextRequest>) {
-    let Some(request) = request else { return };
-    target.set_wants_configuration(true);
-    target.set_accepts_compressed(request.accepts_compressed);
-    let mut bases = target.init_text_bases(request.bases.len() as u32);
-    for (index, revision) in request.bases.iter().enumerate() {
-        bases.set(index as u32, *revision);
+fn write_text_requests(mut target: gossip_message::Builder<'_>, wants: &RequestedParts) {
+    let requests = wants.configuration.iter().chain(&wants.endpoints);
+    target.set_accepts_compressed(requests.clone().any(|request| request.accepts_compressed));
+    if let Some(request) = &wants.configuration {
+        target.set_wants_configuration(true);
+        let bases = target.reborrow().init_configuration_bases(request.bases.len() as u32);
+        write_revisions(bases, &request.bases);
+    }
+    if let Some(request) = &wants.endpoints {
+        target.set_wants_endpoints(true);
+        let bases = target.reborrow().init_endpoint_bases(request.bases.len() as u32);
+        write_revisions(bases, &request.bases);
+    }
+}
+
+fn write_revisions(mut target: primitive_list::Builder<'_, u64>, revisions: &[u64]) {
+    for (index, revision) in revisions.iter().enumerate() {
+        target.set(index as u32, *revision);
     }
 }
 
+fn write_compressed(mut target: compressed_text::Builder<'_>, text: &CompressedText) {
+    target.set_base(text.base);
+    target.set_data(&text.data);
+}
+
 fn write_state(mut target: daemon_state::Builder<'_>, source: &DaemonState) {
     target.set_incarnation(source.incarnation.0);
     target.set_name(&*source.name);
@@ -89,10 +113,10 @@
     for (index, relayed) in usage.iter().enumerate() {
         let mut entry = target.reborrow().get(index as u32);
         entry.set_incarnation(relayed.incarnation.0);
-        let names = counters_codec::window_names(&relayed.windows);
-        counters_codec::write_names(entry.reborrow().init_accounts(names.len() as u32), &names);
+        let names = counters::window_names(&relayed.windows);
+        counters::write_names(entry.reborrow().init_accounts(names.len() as u32), &names);
         let windows = entry.init_windows(relayed.windows.len() as u32);
-        counters_codec::write_windows(windows, &names, &relayed.windows);
+        counters::write_windows(windows, &names, &relayed.windows);
     }
 }
 
@@ -101,9 +125,8 @@
     match &source.text {
         None => {}
         Some(SentText::Plain(text)) => target.set_configuration_text(text),
-        Some(SentText::Compressed { base, data }) => {
-            target.set_compressed_text(data);
-            target.set_text_base(*base);
+        Some(SentText::Compressed(text)) => {
+            write_compressed(target.reborrow().init_compressed_configuration(), text);
         }
     }
     if let Some(age) = source.proof_age_ms {
@@ -112,22 +135,6 @@
     }
 }
 
-fn write_endpoints(
-    mut target: struct_list::Builder<'_, endpoint_entry::Owned>,
-    list: &EndpointList,
-) {
-    for (index, record) in list.endpoints.iter().enumerate() {
-        let mut entry = target.reborrow().get(index as u32);
-        entry.set_id(&*record.id);
-        entry.set_service(&*record.service);
-        entry.set_address(record.address.to_string());
-        entry.set_zone(&*record.zone);
-        entry.set_slots(record.slots);
-        entry.set_draining(record.state == EndpointState::Draining);
-        entry.set_reclaimable(record.reclaimable);
-    }
-}
-
 fn write_lease(mut target: lease_summary::Builder<'_>, source: &LeaseSummary) {
     target.set_fence(source.fence);
     target.set_holder(&*source.holder);
@@ -145,11 +152,6 @@
     let known = source.get_known()?;
     check_length(known.len())?;
     let known = known.iter().map(read_summary).collect::<Result<_, Error>>()?;
-    let endpoint_revision = source.get_endpoint_revision();
-    let endpoints = match source.get_has_endpoints() {
-        true => Some(read_endpoints(source, endpoint_revision)?),
-        false => None,
-    };
     let group = match source.get_has_group() {
         true => Some(read_counters!(source.get_group()?)),
         false => None,
@@ -158,15 +160,10 @@
         state: read_state(source.get_state()?)?,
         known,
         configuration: read_configuration(source)?,
-        endpoint_revision,
-        endpoints,
+        endpoint_revision: source.get_endpoint_revision(),
+        endpoints: read_endpoints(source)?,
         lease: read_lease(source.get_lease()?)?,
-        wants: RequestedParts {
-            group: source.get_wants_group(),
-            configuration: read_text_request(source)?,
-            endpoints: source.get_wants_endpoints(),
-            usage: source.get_wants_usage(),
-        },
+        wants: read_wants(source)?,
         group,
         usage: read_relayed_usage(source)?,
     })
@@ -196,32 +193,58 @@
     let uses = source.get_usage()?;
     check_length(uses.len())?;
     let read = |entry: relayed_usage::Reader<'_>| -> Result<RelayedUsage, Error> {
-        let names = counters_codec::read_names(entry.get_accounts()?)?;
-        let windows = counters_codec::read_windows(&names, entry.get_windows()?)?;
+        let names = counters::read_names(entry.get_accounts()?)?;
+        let windows = counters::read_windows(&names, entry.get_windows()?)?;
         Ok(RelayedUsage { incarnation: IncarnationId(entry.get_incarnation()), windows })
     };
     uses.iter().map(read).collect()
 }
 
-fn read_text_request(source: gossip_message::Reader<'_>) -> Result<Option<TextRequest>, Error> {
-    if !source.get_wants_configuration() {
-        return Ok(None);
-    }
-    let bases = source.get_text_bases()?;
-    check_length(bases.len())?;
+fn read_wants(source: gossip_message::Reader<'_>) -> Result<RequestedParts, Error> {
     let accepts_compressed = source.get_accepts_compressed();
-    Ok(Some(TextRequest { accepts_compressed, bases: bases.iter().collect() }))
+    let request = |bases: primitive_list::Reader<'_, u64>| -> Result<TextRequest, Error> {
+        check_length(bases.len())?;
+        Ok(TextRequest { accepts_compressed, bases: bases.iter().collect() })
+    };
+    let configuration = match source.get_wants_configuration() {
+        true => Some(request(source.get_configuration_bases()?)?),
+        false => None,
+    };
+    let endpoints = match source.get_wants_endpoints() {
+        true => Some(request(source.get_endpoint_bases()?)?),
+        false => None,
+    };
+    let (group, usage) = (source.get_wants_group(), source.get_wants_usage());
+    Ok(RequestedParts { group, configuration, endpoints, usage })
+}
+
+fn read_compressed(source: compressed_text::Reader<'_>) -> Result<CompressedText, Error> {
+    let data = Bytes::copy_from_slice(source.get_data()?);
+    Ok(CompressedText { base: source.get_base(), data })
 }
 
 fn read_sent_text(source: gossip_message::Reader<'_>) -> Result<Option<SentText>, Error> {
-    let (text, data) = (source.get_configuration_text()?, source.get_compressed_text()?);
-    if !data.is_empty() {
-        let (base, data) = (source.get_text_base(), Bytes::copy_from_slice(data));
-        return Ok(Some(SentText::Compressed { base, data }));
+    if source.has_compressed_configuration() {
+        let text = read_compressed(source.get_compressed_configuration()?)?;
+        return Ok(Some(SentText::Compressed(text)));
     }
+    let text = source.get_configuration_text()?;
     Ok((!text.is_empty()).then(|| SentText::Plain(Bytes::copy_from_slice(text))))
 }
 
+fn read_endpoints(source: gossip_message::Reader<'_>) -> Result<Option<SentEndpoints>, Error> {
+    if source.has_compressed_endpoints() {
+        let text = read_compressed(source.get_compressed_endpoints()?)?;
+        return Ok(Some(SentEndpoints::Compressed(text)));
+    }
+    if !source.get_has_endpoints() {
+        return Ok(None);
+    }
+    let revision = source.get_endpoint_revision();
+    let list = endpoint_list::read_entries(revision, source.get_endpoints()?)?;
+    Ok(Some(SentEndpoints::Listed(list)))
+}
+
 fn read_configuration(source: gossip_message::Reader<'_>) -> Result<ConfigurationSummary, Error> {
     Ok(ConfigurationSummary {
         revision: source.get_configuration(),
@@ -230,32 +253,6 @@
     })
 }
 
-fn read_endpoints(
-    source: gossip_message::Reader<'_>,
-    revision: u64,
-) -> Result<EndpointList, Error> {
-    let entries = source.get_endpoints()?;
-    check_length(entries.len())?;
-    let endpoints = entries.iter().map(read_endpoint).collect::<Result<_, Error>>()?;
-    Ok(EndpointList { revision, endpoints })
-}
-
-fn read_endpoint(source: endpoint_entry::Reader<'_>) -> Result<Rc<EndpointRecord>, Error> {
-    let state = match source.get_draining() {
-        true => EndpointState::Draining,
-        false => EndpointState::Ready,
-    };
-    Ok(Rc::new(EndpointRecord {
-        id: read_text(source.get_id()?)?,
-        service: read_text(source.get_service()?)?,
-        address: read_address(source.get_address()?)?,
-        zone: read_text(source.get_zone()?)?,
-        slots: source.get_slots(),
-        state,
-        reclaimable: source.get_reclaimable(),
-    }))
-}
-
 /// Fences begin at 1; a fence of 0 means that no lease is known.
 fn read_lease(source: lease_summary::Reader<'_>) -> Result<Option<LeaseSummary>, Error> {
     match source.get_fence() {
--- a/src/gateway/gossip/counters_codec.rs
+++ b/src/gateway/gossip/codec/counters.rs
@@ -7,15 +7,15 @@
 
 use capnp::{Error, primitive_list, struct_list, text_list};
 
-use super::{
-    codec_values::{check_length, read_text},
-    messages::DaemonCounters,
-};
+use super::values::{check_length, read_text};
 use crate::{
     exchange_capnp::{endpoint_load, service_tokens, window_counts},
-    gateway::policy::{
-        endpoint::endpoint_load::EndpointLoad, leader::usage_counts::WindowCounts,
-        request::quota::AccountCounters,
+    gateway::{
+        gossip::messages::DaemonCounters,
+        policy::{
+            endpoint::endpoint_load::EndpointLoad, leader::usage_counts::WindowCounts,
+            request::quota::AccountCounters,
+        },
     },
     ids::SharedName,
 };
@@ -144,19 +144,19 @@
     ($target:expr, $counters:expr) => {{
         let mut target = $target;
         let counters: &DaemonCounters = $counters;
-        let names = counters_codec::account_names(counters);
+        let names = counters::account_names(counters);
         let length = names.len() as u32;
-        counters_codec::write_names(target.reborrow().init_accounts(length), &names);
+        counters::write_names(target.reborrow().init_accounts(length), &names);
         let spent = target.reborrow().init_spent(length);
-        counters_codec::write_units(spent, &names, counters, |one| one.spent);
+        counters::write_units(spent, &names, counters, |one| one.spent);
         let requested = target.reborrow().init_requested(length);
-        counters_codec::write_units(requested, &names, counters, |one| one.requested);
+        counters::write_units(requested, &names, counters, |one| one.requested);
         let windows = target.reborrow().init_windows(counters.windows.len() as u32);
-        counters_codec::write_windows(windows, &names, &counters.windows);
+        counters::write_windows(windows, &names, &counters.windows);
         let sent = target.reborrow().init_sent(counters.sent.len() as u32);
-        counters_codec::write_sent(sent, &counters.sent);
+        counters::write_sent(sent, &counters.sent);
         let loads = target.init_loads(counters.loads.len() as u32);
-        counters_codec::write_loads(loads, &counters.loads);
+        counters::write_loads(loads, &counters.loads);
     }};
 }
 
@@ -164,16 +164,12 @@
 macro_rules! read_counters {
     ($source:expr) => {{
         let source = $source;
-        let names = counters_codec::read_names(source.get_accounts()?)?;
+        let names = counters::read_names(source.get_accounts()?)?;
         DaemonCounters {
-            windows: counters_codec::read_windows(&names, source.get_windows()?)?,
-            loads: counters_codec::read_loads(source.get_loads()?),
-            sent: counters_codec::read_sent(source.get_sent()?)?,
-            accounts: counters_codec::read_units(
-                &names,
-                source.get_spent()?,
-                source.get_requested()?,
-            ),
+            windows: counters::read_windows(&names, source.get_windows()?)?,
+            loads: counters::read_loads(source.get_loads()?),
+            sent: counters::read_sent(source.get_sent()?)?,
+            accounts: counters::read_units(&names, source.get_spent()?, source.get_requested()?),
         }
     }};
 }
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -6,19 +6,20 @@
 //! response to a call proves that keys are fresh: it was sent after the call was made. A
 //! message in a call of another daemon may have been on its way for any time and proves nothing.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fmt::Display, net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use tokio::time::Instant;
 
 use super::{
+    codec::endpoint_list,
     messages::{
-        ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary, SentText,
+        CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage,
+        LeaseSummary, SentEndpoints, SentText,
     },
     outgoing::{PEER_SUMMARIES, held_revisions},
     peer_record::PeerReport,
     report_source::ReportSource,
-    text_codec,
 };
 use crate::gateway::{
     context::{ConfigurationSource, GatewayContext},
@@ -57,8 +58,8 @@
     let reported =
         HeldRevisions { configuration: configuration.revision, endpoints: endpoint_revision };
     apply_configuration(context, address, &configuration, called_at);
-    if let Some(list) = endpoints {
-        apply_endpoints(context, list);
+    if let Some(sent) = endpoints {
+        apply_endpoints(context, address, endpoint_revision, sent);
     }
     let held = held_revisions(context);
     context.catch_up.borrow_mut().receive(address, reported, held, now);
@@ -139,38 +140,61 @@
 }
 
 /// The text of a configuration as the operators wrote it; none if it was not sent or can't be
-/// decompressed.
+/// read.
 fn read_text(
     context: &GatewayContext,
     sender: SocketAddr,
     summary: &ConfigurationSummary,
 ) -> Option<Bytes> {
-    let (base, data) = match summary.text.as_ref()? {
+    let sent = match summary.text.as_ref()? {
         SentText::Plain(text) => return Some(text.clone()),
-        SentText::Compressed { base, data } => (*base, data),
+        SentText::Compressed(text) => text,
     };
-    let mut configuration = context.configuration.borrow_mut();
-    let former = configuration.texts.get(base).map(AsRef::as_ref);
-    match text_codec::decompress(data, former) {
-        Ok(text) => Some(text.into()),
+    match context.configuration_texts.borrow_mut().read(sent) {
+        Ok(text) => Some(text),
         Err(error) => {
-            let revision = summary.revision;
-            spdlog::warn!("configuration not decompressed: {}", error, kv: {
-                revision, base, peer: = sender
-            });
-            configuration.texts.reject_bases();
+            log_unreadable("configuration", &error, sent, sender);
             None
         }
     }
 }
 
-fn apply_endpoints(context: &GatewayContext, list: EndpointList) {
-    let revision = list.revision;
-    if context.apply_endpoints(list) {
+fn log_unreadable(what: &str, error: &impl Display, text: &CompressedText, sender: SocketAddr) {
+    spdlog::warn!("text not read: {}", error, kv: { what, base = text.base, peer: = sender });
+}
+
+fn apply_endpoints(
+    context: &GatewayContext,
+    sender: SocketAddr,
+    revision: u64,
+    sent: SentEndpoints,
+) {
+    let list = match sent {
+        SentEndpoints::Listed(list) => Some(list),
+        SentEndpoints::Compressed(text) => read_endpoints(context, sender, revision, &text),
+    };
+    if list.is_some_and(|list| context.apply_endpoints(list)) {
         spdlog::info!("endpoints", kv: { revision, source = "peer" });
     }
 }
 
+fn read_endpoints(
+    context: &GatewayContext,
+    sender: SocketAddr,
+    revision: u64,
+    text: &CompressedText,
+) -> Option<EndpointList> {
+    let read = context.endpoint_texts.borrow_mut().read(text);
+    let list = read.map_err(capnp::Error::from);
+    match list.and_then(|list| endpoint_list::read_list(revision, &list)) {
+        Ok(list) => Some(list),
+        Err(error) => {
+            log_unreadable("endpoints", &error, text, sender);
+            None
+        }
+    }
+}
+
 /// The renewal is at least as old as reported; a late message makes it look younger than
 /// it is, and a successor only waits longer.
 fn apply_lease(context: &GatewayContext, lease: &LeaseSummary, now: Instant) {
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -98,18 +98,22 @@
     pub proof_age_ms: Option<u32>,
 }
 
+/// A text, compressed by `text_codec`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CompressedText {
+    /// Revision of the text that it was compressed against, or `held_texts::NO_BASE`.
+    pub base: u64,
+    /// What the codec wrote.
+    pub data: Bytes,
+}
+
 /// A text as it is sent.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum SentText {
     /// As it is.
     Plain(Bytes),
-    /// Compressed by `text_codec`.
-    Compressed {
-        /// Revision of the text that it was compressed against; 0 if none.
-        base: u64,
-        /// What the codec wrote.
-        data: Bytes,
-    },
+    /// Compressed.
+    Compressed(CompressedText),
 }
 
 impl SentText {
@@ -117,7 +121,7 @@
     pub fn len(&self) -> usize {
         match self {
             Self::Plain(text) => text.len(),
-            Self::Compressed { data, .. } => data.len(),
+            Self::Compressed(text) => text.data.len(),
         }
     }
 
@@ -127,6 +131,15 @@
     }
 }
 
+/// The list of endpoints as it is sent.
+#[derive(Clone, Debug)]
+pub enum SentEndpoints {
+    /// Entry by entry, for daemons of earlier releases.
+    Listed(EndpointList),
+    /// As a text (`codec::endpoint_list`).
+    Compressed(CompressedText),
+}
+
 /// Request for a text.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct TextRequest {
@@ -144,7 +157,7 @@
     /// Text of its configuration.
     pub configuration: Option<TextRequest>,
     /// Its list of endpoints.
-    pub endpoints: bool,
+    pub endpoints: Option<TextRequest>,
     /// Usage that others have reported to it.
     pub usage: bool,
 }
@@ -161,7 +174,7 @@
     /// Revision of its list of endpoints.
     pub endpoint_revision: u64,
     /// The list, if the other side has requested it.
-    pub endpoints: Option<EndpointList>,
+    pub endpoints: Option<SentEndpoints>,
     /// The lease, if any is known.
     pub lease: Option<LeaseSummary>,
     /// Parts that the response should hold.
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -6,7 +6,7 @@
 
 use super::messages::{
     ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary, RelayedUsage,
-    RequestedParts, TextRequest,
+    RequestedParts, SentEndpoints, SentText, TextRequest,
 };
 use crate::gateway::{
     context::GatewayContext,
@@ -34,12 +34,6 @@
     }
 }
 
-/// Request for the text of the configuration, which names the texts that this daemon keeps.
-pub fn configuration_request(context: &GatewayContext) -> TextRequest {
-    let bases = context.configuration.borrow().texts.bases();
-    TextRequest { accepts_compressed: true, bases }
-}
-
 /// This daemon's message, with the parts that the other side wants.
 pub fn own_message(context: &GatewayContext, wants: RequestedParts) -> GossipMessage {
     let now = Instant::now();
@@ -50,13 +44,11 @@
         known: context.peers.borrow().summaries(PEER_SUMMARIES, now, &mut rand::rng()),
         configuration: ConfigurationSummary {
             revision: configuration.revision,
-            text: wants.configuration.and_then(|request| {
-                context.text_sender.borrow_mut().try_send(&configuration.texts, &request, now)
-            }),
+            text: wants.configuration.and_then(|request| sent_text(context, &request, now)),
             proof_age_ms: configuration.proof.map(|at| age_ms(at, now)),
         },
         endpoint_revision: list.revision,
-        endpoints: wants.endpoints.then(|| list.clone()),
+        endpoints: wants.endpoints.and_then(|request| sent_endpoints(context, &request, now)),
         lease: lease_summary(context, now),
         wants: RequestedParts::default(),
         group: wants.group.then(|| group_sums(context)),
@@ -64,6 +56,22 @@
     }
 }
 
+fn sent_text(context: &GatewayContext, request: &TextRequest, now: Instant) -> Option<SentText> {
+    context.configuration_texts.borrow_mut().try_send(request, now)
+}
+
+/// The list of endpoints, in a form that the requesting daemon can read.
+fn sent_endpoints(
+    context: &GatewayContext,
+    request: &TextRequest,
+    now: Instant,
+) -> Option<SentEndpoints> {
+    match context.endpoint_texts.borrow_mut().try_send(request, now)? {
+        SentText::Compressed(text) => Some(SentEndpoints::Compressed(text)),
+        SentText::Plain(_) => Some(SentEndpoints::Listed(context.endpoint_list.borrow().clone())),
+    }
+}
+
 fn lease_summary(context: &GatewayContext, now: Instant) -> Option<LeaseSummary> {
     let lease = context.lease.borrow();
     let (holder, renewed_at) = lease.holder.clone().zip(lease.renewed_at)?;
--- a/src/gateway/gossip/text_codec.rs
+++ b/src/gateway/gossip/text_codec.rs
@@ -24,13 +24,12 @@
 /// this daemon allocate.
 const MAX_TEXT_BYTES: u64 = 4 << 20;
 
-/// Compresses `text`, against `base` if there is one.
+/// Compresses `text` against `base`, which is empty if there is none.
 ///
 /// # Errors
 ///
 /// The library has no memory.
-pub fn compress(text: &[u8], base: Option<&[u8]>) -> io::Result<Vec<u8>> {
-    let base = base.unwrap_or_default();
+pub fn compress(text: &[u8], base: &[u8]) -> io::Result<Vec<u8>> {
     let mut encoder = Encoder::with_ref_prefix(Vec::new(), LEVEL, base)?;
     encoder.set_pledged_src_size(Some(text.len() as u64))?;
     encoder.include_checksum(true)?;
@@ -50,8 +49,8 @@
 /// # Errors
 ///
 /// The data is damaged or too long, or `base` is not the text it was compressed against.
-pub fn decompress(data: &[u8], base: Option<&[u8]>) -> io::Result<Vec<u8>> {
-    let decoder = Decoder::with_ref_prefix(data, base.unwrap_or_default())?;
+pub fn decompress(data: &[u8], base: &[u8]) -> io::Result<Vec<u8>> {
+    let decoder = Decoder::with_ref_prefix(data, base)?;
     let mut text = Vec::new();
     decoder.take(MAX_TEXT_BYTES + 1).read_to_end(&mut text)?;
     if text.len() as u64 > MAX_TEXT_BYTES {
--- a/src/gateway/policy/daemon/held_texts.rs
+++ b/src/gateway/policy/daemon/held_texts.rs
@@ -12,14 +12,19 @@
 /// Most bytes of former texts that are kept.
 ///
 /// Basis: three former texts of 287 KB (1,400 routes); with a change every 1.2 s each of 87
-/// daemons applied nearly every one. With 2 MB all daemons together took 86 GB x s of memory in
-/// 69 s, without former texts 71.
+/// daemons applied nearly every one. All daemons together took 76 GB x s of memory in a day of
+/// 69 s, 86 with 2 MB, 71 without former texts.
 const MAX_FORMER_BYTES: usize = 1_000_000;
 /// Most former texts that are kept, however short.
 ///
 /// Basis: chosen, not measured: their revisions add 128 bytes to a request.
 const MAX_FORMER_TEXTS: usize = 16;
 
+/// In place of a base's revision: the whole text is sent.
+///
+/// Basis: revisions of the store begin at 1.
+pub const NO_BASE: u64 = 0;
+
 #[derive(Clone, Debug)]
 struct HeldText {
     revision: u64,
@@ -49,20 +54,18 @@
         self.texts.iter().skip(1).map(|held| held.text.len()).sum()
     }
 
-    /// The newest text; empty if there is none.
-    pub fn newest(&self) -> Bytes {
-        self.texts.front().map(|held| held.text.clone()).unwrap_or_default()
+    /// The newest text, if there is one.
+    pub fn newest(&self) -> Option<Bytes> {
+        self.texts.front().map(|held| held.text.clone())
     }
 
-    /// The text of a revision, if it is kept.
-    pub fn get(&self, revision: u64) -> Option<&Bytes> {
+    /// The text that another was compressed against: empty for `NO_BASE`, none if it is not kept.
+    pub fn base(&self, revision: u64) -> Option<Bytes> {
+        if revision == NO_BASE {
+            return Some(Bytes::new());
+        }
         let held = self.texts.iter().find(|held| held.revision == revision)?;
-        Some(&held.text)
-    }
-
-    /// Revision of the newest text, if there is one.
-    pub fn newest_revision(&self) -> Option<u64> {
-        self.revisions().next()
+        Some(held.text.clone())
     }
 
     fn revisions(&self) -> impl Iterator<Item = u64> {
@@ -83,8 +86,9 @@
         self.are_rejected = true;
     }
 
-    /// The newest revision that is kept here and among the bases that a peer has named.
-    pub fn newest_common(&self, bases: &[u64]) -> Option<u64> {
-        self.revisions().find(|revision| bases.contains(revision))
+    /// The newest revision that is kept here and among the bases that a peer has named, or
+    /// `NO_BASE`.
+    pub fn newest_common(&self, bases: &[u64]) -> u64 {
+        self.revisions().find(|revision| bases.contains(revision)).unwrap_or(NO_BASE)
     }
 }
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -2802,6 +2802,454 @@
     }
 }
 
+pub mod endpoint_list_text {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::endpoint_entry::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_entries(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_entries(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::endpoint_entry::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_entries(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::endpoint_entry::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_entries(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::endpoint_entry::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_entries(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 37] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(30, 73, 56, 130, 92, 57, 221, 211),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
+            ::capnp::word(110, 100, 112, 111, 105, 110, 116, 76),
+            ::capnp::word(105, 115, 116, 84, 101, 120, 116, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 116, 114, 105, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 70, 74, 103, 66, 147, 96, 178),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::struct_list::Owned<crate::exchange_capnp::endpoint_entry::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+        pub(crate) const TYPE_ID: u64 = 0xd3dd_395c_8238_491e;
+    }
+}
+
+pub mod compressed_text {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_base(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_data(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_data(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_base(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_base(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_data(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_data(&mut self, value: ::capnp::data::Reader<'_>)  {
+            self.builder.reborrow().get_pointer_field(0).set_data(value);
+        }
+        #[inline]
+        pub fn init_data(self, size: u32) -> ::capnp::data::Builder<'a> {
+            self.builder.get_pointer_field(0).init_data(size)
+        }
+        #[inline]
+        pub fn has_data(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(84, 42, 127, 19, 124, 180, 177, 150),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 67),
+            ::capnp::word(111, 109, 112, 114, 101, 115, 115, 101),
+            ::capnp::word(100, 84, 101, 120, 116, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(98, 97, 115, 101, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 97, 116, 97, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
+        pub(crate) const TYPE_ID: u64 = 0x96b1_b47c_137f_2a54;
+    }
+}
+
 pub mod lease_summary {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -3285,30 +3733,42 @@
             self.reader.get_bool_field(71)
         }
         #[inline]
-        pub fn get_text_bases(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+        pub fn get_configuration_bases(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_text_bases(&self) -> bool {
+        pub fn has_configuration_bases(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
         #[inline]
-        pub fn get_compressed_text(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+        pub fn get_compressed_configuration(self) -> ::capnp::Result<crate::exchange_capnp::compressed_text::Reader<'a>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(8), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_compressed_text(&self) -> bool {
+        pub fn has_compressed_configuration(&self) -> bool {
             !self.reader.get_pointer_field(8).is_null()
         }
         #[inline]
-        pub fn get_text_base(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
+        pub fn get_endpoint_bases(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a,u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint_bases(&self) -> bool {
+            !self.reader.get_pointer_field(9).is_null()
+        }
+        #[inline]
+        pub fn get_compressed_endpoints(self) -> ::capnp::Result<crate::exchange_capnp::compressed_text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(10), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_compressed_endpoints(&self) -> bool {
+            !self.reader.get_pointer_field(10).is_null()
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 9 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 11 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3559,44 +4019,68 @@
             self.builder.set_bool_field(71, value);
         }
         #[inline]
-        pub fn get_text_bases(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+        pub fn get_configuration_bases(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_text_bases(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+        pub fn set_configuration_bases(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
         }
         #[inline]
-        pub fn init_text_bases(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+        pub fn init_configuration_bases(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
         }
         #[inline]
-        pub fn has_text_bases(&self) -> bool {
+        pub fn has_configuration_bases(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
         #[inline]
-        pub fn get_compressed_text(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+        pub fn get_compressed_configuration(self) -> ::capnp::Result<crate::exchange_capnp::compressed_text::Builder<'a>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(8), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_compressed_text(&mut self, value: ::capnp::data::Reader<'_>)  {
-            self.builder.reborrow().get_pointer_field(8).set_data(value);
+        pub fn set_compressed_configuration(&mut self, value: crate::exchange_capnp::compressed_text::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(8), value, false)
         }
         #[inline]
-        pub fn init_compressed_text(self, size: u32) -> ::capnp::data::Builder<'a> {
-            self.builder.get_pointer_field(8).init_data(size)
+        pub fn init_compressed_configuration(self, ) -> crate::exchange_capnp::compressed_text::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(8), 0)
         }
         #[inline]
-        pub fn has_compressed_text(&self) -> bool {
+        pub fn has_compressed_configuration(&self) -> bool {
             !self.builder.is_pointer_field_null(8)
         }
         #[inline]
-        pub fn get_text_base(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
+        pub fn get_endpoint_bases(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a,u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(9), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint_bases(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(9), value, false)
+        }
+        #[inline]
+        pub fn init_endpoint_bases(self, size: u32) -> ::capnp::primitive_list::Builder<'a,u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(9), size)
+        }
+        #[inline]
+        pub fn has_endpoint_bases(&self) -> bool {
+            !self.builder.is_pointer_field_null(9)
+        }
+        #[inline]
+        pub fn get_compressed_endpoints(self) -> ::capnp::Result<crate::exchange_capnp::compressed_text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(10), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_compressed_endpoints(&mut self, value: crate::exchange_capnp::compressed_text::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(10), value, false)
+        }
+        #[inline]
+        pub fn init_compressed_endpoints(self, ) -> crate::exchange_capnp::compressed_text::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(10), 0)
         }
         #[inline]
-        pub fn set_text_base(&mut self, value: u64)  {
-            self.builder.set_data_field::<u64>(3, value);
+        pub fn has_compressed_endpoints(&self) -> bool {
+            !self.builder.is_pointer_field_null(10)
         }
     }
 
@@ -3616,19 +4100,25 @@
         pub fn get_group(&self) -> crate::exchange_capnp::group_counters::Pipeline {
             ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(5))
         }
+        pub fn get_compressed_configuration(&self) -> crate::exchange_capnp::compressed_text::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(8))
+        }
+        pub fn get_compressed_endpoints(&self) -> crate::exchange_capnp::compressed_text::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(10))
+        }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 369] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 392] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
-            ::capnp::word(9, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 159, 4, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 215, 4, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -3636,154 +4126,161 @@
             ::capnp::word(111, 115, 115, 105, 112, 77, 101, 115),
             ::capnp::word(115, 97, 103, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(84, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(88, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(133, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(161, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(193, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 67, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(209, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 68, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 2, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(217, 2, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 69, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(229, 2, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 70, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(237, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 71, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 2, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(9, 3, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(21, 3, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(49, 3, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 3, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(52, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(25, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(61, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(60, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(21, 0, 0, 0, 10, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 3, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(88, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
@@ -3957,8 +4454,9 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 101, 120, 116, 66, 97, 115, 101),
-            ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 102, 105, 103, 117, 114),
+            ::capnp::word(97, 116, 105, 111, 110, 66, 97, 115),
+            ::capnp::word(101, 115, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3971,21 +4469,36 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(99, 111, 109, 112, 114, 101, 115, 115),
-            ::capnp::word(101, 100, 84, 101, 120, 116, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 100, 67, 111, 110, 102, 105, 103),
+            ::capnp::word(117, 114, 97, 116, 105, 111, 110, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 42, 127, 19, 124, 180, 177, 150),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(66, 97, 115, 101, 115, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 101, 120, 116, 66, 97, 115, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 109, 112, 114, 101, 115, 115),
+            ::capnp::word(101, 100, 69, 110, 100, 112, 111, 105),
+            ::capnp::word(110, 116, 115, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 42, 127, 19, 124, 180, 177, 150),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
@@ -4010,8 +4523,9 @@
                 16 => <::capnp::struct_list::Owned<crate::exchange_capnp::relayed_usage::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 17 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 18 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
-                19 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
-                20 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                19 => <crate::exchange_capnp::compressed_text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                20 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
+                21 => <crate::exchange_capnp::compressed_text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4025,9 +4539,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,19,2,3,6,7,11,8,12,4,1,9,5,0,20,18,16,13,14,10,15];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,19,21,2,18,3,20,6,7,11,8,12,4,1,9,5,0,16,13,14,10,15];
         pub(crate) const TYPE_ID: u64 = 0x8015_4fb0_3d05_b743;
     }
 }
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -11,8 +11,8 @@
         gossip::{
             codec::{read_message, write_message},
             messages::{
-                ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary,
-                PeerSummary, RelayedUsage, RequestedParts, SentText, TextRequest,
+                CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage,
+                LeaseSummary, PeerSummary, RelayedUsage, RequestedParts, SentText, TextRequest,
             },
         },
         policy::{endpoint::endpoint_load::EndpointLoad, request::quota::AccountCounters},
@@ -62,6 +62,10 @@
     }
 }
 
+fn sample_text() -> CompressedText {
+    CompressedText { base: 7, data: Bytes::from_static(b"{}") }
+}
+
 fn sample_message() -> GossipMessage {
     GossipMessage {
         state: DaemonState {
@@ -80,7 +84,7 @@
         }],
         configuration: ConfigurationSummary {
             revision: 8,
-            text: Some(SentText::Compressed { base: 7, data: Bytes::from_static(b"{}") }),
+            text: Some(SentText::Compressed(sample_text())),
             proof_age_ms: Some(12),
         },
         endpoint_revision: 3,
@@ -95,7 +99,7 @@
         wants: RequestedParts {
             group: true,
             configuration: Some(TextRequest { accepts_compressed: true, bases: vec![8, 7] }),
-            endpoints: true,
+            endpoints: Some(TextRequest { accepts_compressed: true, bases: vec![3, 1] }),
             usage: true,
         },
         group: Some(sample_counters()),
--- a/tests/gateway/sent_texts.rs
+++ b/tests/gateway/sent_texts.rs
@@ -1,14 +1,18 @@
 //! Texts as they are sent to peers: compressed against a former text, whole, or as they are.
 
+use std::{net::SocketAddr, rc::Rc};
+
 use bytes::Bytes;
 use googletest::prelude::*;
 use proptest::prelude::*;
 use tokio::time::Instant;
 use willowarch::gateway::{
+    endpoint::{EndpointList, EndpointRecord, EndpointState},
     gossip::{
-        messages::{SentText, TextRequest},
+        codec::endpoint_list::{read_list, write_text},
+        messages::{CompressedText, SentText, TextRequest},
         text_codec::{compress, decompress},
-        text_sender::TextSender,
+        text_exchange::TextExchange,
     },
     policy::daemon::held_texts::HeldTexts,
 };
@@ -23,6 +27,23 @@
     (0..routes).map(|number| route(number, timeout(number))).collect::<String>().into()
 }
 
+/// A list of so many endpoints, of which one is in this state.
+fn endpoint_list(count: usize, state: EndpointState) -> EndpointList {
+    let endpoint = |number: usize| {
+        let is_changed = number == count / 3;
+        Rc::new(EndpointRecord {
+            id: format!("i-{:08x}", number * 2_654_435_761 % (1 << 32)).as_str().into(),
+            service: "pool".into(),
+            address: SocketAddr::from(([10, 1, (number / 250) as u8, (number % 250) as u8], 8406)),
+            zone: "hall-a".into(),
+            slots: 16,
+            state: if is_changed { state } else { EndpointState::Ready },
+            reclaimable: true,
+        })
+    };
+    EndpointList { revision: 9, endpoints: (0..count).map(endpoint).collect() }
+}
+
 fn held(texts: &[(u64, Bytes)]) -> HeldTexts {
     let mut held = HeldTexts::default();
     for (revision, text) in texts {
@@ -31,46 +52,68 @@
     held
 }
 
+/// A daemon that has applied `texts`.
+fn exchange(texts: &[(u64, Bytes)]) -> TextExchange {
+    let mut exchange = TextExchange::default();
+    for (revision, text) in texts {
+        exchange.push(*revision, text.clone());
+    }
+    exchange
+}
+
 fn request(bases: &[u64]) -> TextRequest {
     TextRequest { accepts_compressed: true, bases: bases.to_vec() }
 }
 
-/// What a daemon that holds `texts` sends for a request.
-fn sent(texts: &HeldTexts, request: &TextRequest) -> SentText {
-    TextSender::default().try_send(texts, request, Instant::now()).expect("a text")
+/// What a daemon that has applied `texts` sends for a request.
+fn sent(texts: &[(u64, Bytes)], request: &TextRequest) -> SentText {
+    exchange(texts).try_send(request, Instant::now()).expect("a text")
 }
 
 #[googletest::test]
 fn a_change_is_sent_in_a_few_bytes_whatever_the_length_of_the_text() {
     for routes in [20, 1_400, 12_000] {
         let (former, newer) = (text(routes, 600), text(routes, 700));
-        let change = compress(&newer, Some(&former)).expect("compressed");
+        let change = compress(&newer, &former).expect("compressed");
         expect_that!(change.len(), lt(300), "{routes} routes, {} bytes", newer.len());
-        expect_that!(decompress(&change, Some(&former)).expect("text"), eq(newer.as_ref()));
+        expect_that!(decompress(&change, &former).expect("text"), eq(newer.as_ref()));
     }
 }
 
+/// A list of 10,000 endpoints has over 1 MB, a second of a link of 10 Mbit/s.
+#[googletest::test]
+fn a_change_of_one_endpoint_is_sent_in_a_few_bytes() {
+    let former = write_text(&endpoint_list(10_000, EndpointState::Ready));
+    let newer = endpoint_list(10_000, EndpointState::Draining);
+    let change = compress(&write_text(&newer), &former).expect("compressed");
+    expect_that!(change.len(), lt(300), "of {} bytes", former.len());
+    let text = decompress(&change, &former).expect("text");
+    let list = read_list(9, &text).expect("list");
+    expect_that!(list.endpoints, eq(&newer.endpoints));
+    expect_that!(list.revision, eq(9));
+}
+
 #[googletest::test]
 fn another_text_than_the_base_is_found() {
     let (former, newer) = (text(1_400, 600), text(1_400, 700));
-    let change = compress(&newer, Some(&former)).expect("compressed");
+    let change = compress(&newer, &former).expect("compressed");
     let other = text(1_399, 600);
-    expect_that!(decompress(&change, Some(&other)), err(anything()));
-    expect_that!(decompress(&change, None), err(anything()));
+    expect_that!(decompress(&change, &other), err(anything()));
+    expect_that!(decompress(&change, &[]), err(anything()));
 }
 
 #[googletest::test]
 fn a_text_beyond_the_limit_is_not_decoded() {
     let endless = vec![b' '; (4 << 20) + 1];
-    let data = compress(&endless, None).expect("compressed");
-    expect_that!(decompress(&data, None), err(anything()));
+    let data = compress(&endless, &[]).expect("compressed");
+    expect_that!(decompress(&data, &[]), err(anything()));
 }
 
 #[googletest::test]
 fn the_newest_text_in_common_is_the_base() {
-    let texts = held(&[(3, text(50, 600)), (5, text(50, 700)), (8, text(50, 800))]);
+    let texts = [(3, text(50, 600)), (5, text(50, 700)), (8, text(50, 800))];
     let base = |bases: &[u64]| match sent(&texts, &request(bases)) {
-        SentText::Compressed { base, .. } => base,
+        SentText::Compressed(text) => text.base,
         SentText::Plain(_) => panic!("plain"),
     };
     expect_that!(base(&[6, 5, 3]), eq(5));
@@ -81,22 +124,21 @@
 /// A daemon of an earlier release, which doesn't say that it accepts compressed texts.
 #[googletest::test]
 fn a_text_is_sent_as_it_is_to_those_that_cannot_read_another() {
-    let texts = held(&[(3, text(50, 600)), (5, text(50, 700))]);
+    let texts = [(3, text(50, 600)), (5, text(50, 700))];
     let request = TextRequest { accepts_compressed: false, bases: Vec::new() };
     expect_that!(sent(&texts, &request), eq(&SentText::Plain(text(50, 700))));
 }
 
 #[googletest::test]
 fn changes_are_sent_to_many_at_once_and_long_texts_one_after_the_other() {
-    let texts = held(&[(3, text(12_000, 600)), (5, text(12_000, 700))]);
-    let (mut sender, now) = (TextSender::default(), Instant::now());
-    let first = sender.try_send(&texts, &request(&[]), now);
-    expect_that!(first, some(anything()));
-    expect_that!(sender.try_send(&texts, &request(&[]), now), none());
-    let mut sender = TextSender::default();
+    let texts = [(3, text(12_000, 600)), (5, text(12_000, 700))];
+    let (mut sender, now) = (exchange(&texts), Instant::now());
+    expect_that!(sender.try_send(&request(&[]), now), some(anything()));
+    expect_that!(sender.try_send(&request(&[]), now), none());
+    let mut sender = exchange(&texts);
     let step = std::time::Duration::from_millis(1);
     for number in 0..20 {
-        let change = sender.try_send(&texts, &request(&[3]), now + step * number);
+        let change = sender.try_send(&request(&[3]), now + step * number);
         expect_that!(change, some(anything()), "{number}");
     }
 }
@@ -113,30 +155,48 @@
     expect_that!(texts.bases(), eq(&vec![1]));
 }
 
+/// Two daemons that hold different texts under the same revision.
 #[googletest::test]
 fn whole_texts_are_requested_after_one_that_could_not_be_read() {
-    let mut texts = held(&[(3, text(50, 600)), (5, text(50, 700))]);
-    texts.reject_bases();
-    expect_that!(texts.bases(), eq(&Vec::<u64>::new()));
-    texts.push(8, text(50, 800));
-    expect_that!(texts.bases(), eq(&vec![8, 5, 3]));
+    let (older, newer) = (text(50, 700), text(50, 800));
+    let mut sender = exchange(&[(5, older.clone()), (8, newer.clone())]);
+    let mut receiver = exchange(&[(5, text(49, 700))]);
+    let mut fetch = |receiver: &mut TextExchange, wait_s| {
+        let now = Instant::now() + std::time::Duration::from_secs(wait_s);
+        match sender.try_send(&receiver.request(), now) {
+            Some(SentText::Compressed(text)) => receiver.read(&text),
+            _ => panic!("nothing compressed was sent"),
+        }
+    };
+    expect_that!(fetch(&mut receiver, 0), err(anything()));
+    expect_that!(receiver.request().bases, eq(&Vec::<u64>::new()));
+    expect_that!(fetch(&mut receiver, 1), ok(eq(&newer)));
+    receiver.push(8, newer);
+    expect_that!(receiver.request().bases, eq(&vec![8, 5]));
+}
+
+#[googletest::test]
+fn a_text_whose_base_is_not_kept_is_an_error() {
+    let mut receiver = exchange(&[(5, text(50, 700))]);
+    let sent = CompressedText { base: 4, data: Bytes::from_static(b"x") };
+    expect_that!(receiver.read(&sent), err(anything()));
 }
 
 proptest! {
     #[test]
     fn any_text_is_read_as_it_was_written(text: Vec<u8>, base: Vec<u8>) {
-        let data = compress(&text, Some(&base)).expect("compressed");
-        prop_assert_eq!(decompress(&data, Some(&base)).expect("text"), text);
+        let data = compress(&text, &base).expect("compressed");
+        prop_assert_eq!(decompress(&data, &base).expect("text"), text);
     }
 
     #[test]
     fn damaged_data_does_no_harm(place in 0_usize..200, byte: u8, length in 0_usize..200) {
         let former = text(30, 600);
-        let mut data = compress(&text(30, 700), Some(&former)).expect("compressed");
+        let mut data = compress(&text(30, 700), &former).expect("compressed");
         let place = place % data.len();
         data[place] = byte;
-        let _ = decompress(&data, Some(&former));
+        let _ = decompress(&data, &former);
         data.truncate(length);
-        let _ = decompress(&data, Some(&former));
+        let _ = decompress(&data, &former);
     }
 }
--- a/tests/gateway/text_model.rs
+++ b/tests/gateway/text_model.rs
@@ -22,7 +22,7 @@
         },
         policy::daemon::{
             catch_up::{CatchUpState, FetchOutcome, FetchOutcomes, HeldRevisions, TextFetches},
-            held_texts::HeldTexts,
+            held_texts::{HeldTexts, NO_BASE},
             text_pacing::TextPacer,
         },
     },
@@ -71,8 +71,8 @@
     fn of(length: usize) -> Self {
         let former = sample_text(length, 3_000);
         let text = sample_text(length, 3_001);
-        let sent = |base| text_codec::compress(&text, base).expect("compressed").len();
-        Self { whole: sent(None), change: sent(Some(&former)) }
+        let sent = |base: &[u8]| text_codec::compress(&text, base).expect("compressed").len();
+        Self { whole: sent(&[]), change: sent(&former) }
     }
 }
 
@@ -286,8 +286,8 @@
         let bases: Vec<u64> = self.daemons[caller].texts.bases();
         let sender = &mut self.daemons[holder];
         let bytes = match sender.texts.newest_common(&bases) {
-            Some(_) => self.sent_bytes.change,
-            None => self.sent_bytes.whole,
+            NO_BASE => self.sent_bytes.whole,
+            _ => self.sent_bytes.change,
         };
         if !sender.pacer.try_send(bytes, self.now) {
             self.end_fetch(caller, holder, FetchOutcome::Withheld);
