Catching up and the client listener: split by job

Change: the requests and their outcomes stand in text_fetches.rs, one request's response in a function of its own; no decision changes.

--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -24,7 +24,10 @@
     gateway::{
         context::GatewayContext,
         policy::{
-            daemon::catch_up::{FetchOutcomes, HeldRevisions, TextFetches, wait_for_store},
+            daemon::{
+                catch_up::{HeldRevisions, wait_for_store},
+                text_fetches::{FetchOutcomes, TextFetches},
+            },
             leader::usage_reports::requests_former_usage,
         },
     },
--- a/src/gateway/policy/daemon.rs
+++ b/src/gateway/policy/daemon.rs
@@ -6,4 +6,5 @@
 pub mod held_texts;
 pub mod readiness;
 pub mod store_watchers;
+pub mod text_fetches;
 pub mod text_pacing;
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -16,7 +16,8 @@
 
 use bytes::Bytes;
 use hyper::{
-    body::{Body, Frame, SizeHint},
+    Request, Response,
+    body::{Body, Frame, Incoming, SizeHint},
     server::conn::http1,
     service::service_fn,
 };
@@ -152,15 +153,7 @@
     let usage = Rc::new(ConnectionUse::new());
     let service = service_fn({
         let (context, usage) = (context.clone(), usage.clone());
-        move |request| {
-            usage.begin_request();
-            let (context, usage) = (context.clone(), usage.clone());
-            async move {
-                let end = RequestEnd(usage);
-                let response = dispatch::respond(&context, request).await?;
-                Ok::<_, io::Error>(response.map(|body| RequestBody { body, _end: end }))
-            }
-        }
+        move |request| respond(context.clone(), usage.clone(), request)
     });
     let stream = ClientStream::new(stream);
     let io = TokioIo::new(stream.clone());
@@ -201,6 +194,18 @@
     .await;
 }
 
+/// Responds to one request; it ends with the response's body.
+async fn respond(
+    context: Rc<GatewayContext>,
+    usage: Rc<ConnectionUse>,
+    request: Request<Incoming>,
+) -> Result<Response<RequestBody>, io::Error> {
+    usage.begin_request();
+    let end = RequestEnd(usage);
+    let response = dispatch::respond(&context, request).await?;
+    Ok(response.map(|body| RequestBody { body, _end: end }))
+}
+
 fn http1_builder(context: &GatewayContext) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
--- a/tests/gateway/catch_up.rs
+++ b/tests/gateway/catch_up.rs
@@ -5,8 +5,9 @@
 use googletest::prelude::*;
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
-use willowarch::gateway::policy::daemon::catch_up::{
-    CatchUpState, FetchOutcome, FetchOutcomes, HeldRevisions, TextFetches,
+use willowarch::gateway::policy::daemon::{
+    catch_up::{CatchUpState, HeldRevisions},
+    text_fetches::{FetchOutcome, FetchOutcomes, TextFetches},
 };
 
 const OWN: HeldRevisions = HeldRevisions { configuration: 8, endpoints: 0 };
--- a/tests/gateway/text_model.rs
+++ b/tests/gateway/text_model.rs
@@ -21,8 +21,9 @@
             text_codec,
         },
         policy::daemon::{
-            catch_up::{CatchUpState, FetchOutcome, FetchOutcomes, HeldRevisions, TextFetches},
+            catch_up::{CatchUpState, HeldRevisions},
             held_texts::{HeldTexts, NO_BASE},
+            text_fetches::{FetchOutcome, FetchOutcomes, TextFetches},
             text_pacing::TextPacer,
         },
     },
