Readiness: a daemon with as many connections as it accepts is not ready

Cause: found by reading for the rule that a ready daemon accepts: above 2,500 clients' connections new ones waited in the listen queue while readiness still said 200. Change: the limit stands with readiness, which names it as its last reason. Result: the rule's test; no run with 2,500 connections.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -258,6 +258,7 @@
             has_endpoint_list: self.endpoint_list.borrow().revision > 0,
             has_configuration: self.configuration.borrow().current.is_some(),
             knows_daemon_count: self.knows_fleet(now),
+            client_connections: self.client_connections.get(),
             keys: self.key_freshness(now),
         })
     }
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -32,6 +32,7 @@
     gateway::{
         configuration::ClientLimits,
         context::{GatewayContext, Intake},
+        policy::daemon::readiness::MAX_CLIENT_CONNECTIONS,
     },
     http::{BodyError, LocalBody},
     kernel::LifePhase,
@@ -39,9 +40,6 @@
 
 /// Name of the service.
 pub const NAME: &str = "client-edge";
-/// Most connections open at once; more wait in the listen queue.
-/// Basis: chosen, not measured: bounds the memory of a daemon under a flood of connections.
-const CONNECTION_LIMIT: usize = 2_500;
 /// A connection is closed this much later than the configured idle time, so that a request
 /// sent just in time doesn't meet the close.
 /// Basis: chosen, not measured: far above a round trip.
@@ -121,8 +119,8 @@
     let open = context.client_connections.clone();
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept(), if open.get() < CONNECTION_LIMIT => accepted,
-            () = sleep(ACCEPT_PAUSE), if open.get() >= CONNECTION_LIMIT => continue,
+            accepted = listener.accept(), if open.get() < MAX_CLIENT_CONNECTIONS => accepted,
+            () = sleep(ACCEPT_PAUSE), if open.get() >= MAX_CLIENT_CONNECTIONS => continue,
             _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
         };
         if context.intake.get() == Intake::Closed {
--- a/tests/gateway/request_rules.rs
+++ b/tests/gateway/request_rules.rs
@@ -10,7 +10,7 @@
     policy::{
         daemon::{
             daemon_count,
-            readiness::{Readiness, ReadinessInputs},
+            readiness::{MAX_CLIENT_CONNECTIONS, Readiness, ReadinessInputs},
             store_watchers::{StoreWatch, is_store_failing},
         },
         endpoint::endpoint_load::estimated_memory,
@@ -219,6 +219,7 @@
         has_endpoint_list: false,
         has_configuration: false,
         knows_daemon_count: false,
+        client_connections: MAX_CLIENT_CONNECTIONS,
         keys: KeyFreshness::Stale,
     };
     expect_that!(Readiness::decide(inputs), eq(Readiness::Stopping));
@@ -231,6 +232,8 @@
     inputs.knows_daemon_count = true;
     expect_that!(Readiness::decide(inputs), eq(Readiness::KeysNotFresh));
     inputs.keys = KeyFreshness::NotRequired;
+    expect_that!(Readiness::decide(inputs), eq(Readiness::ConnectionsFull));
+    inputs.client_connections = MAX_CLIENT_CONNECTIONS - 1;
     expect_that!(Readiness::decide(inputs), eq(Readiness::Ready));
 }
 
