--- a/tests/gateway/long_configuration.rs
+++ b/tests/gateway/long_configuration.rs
@@ -41,8 +41,8 @@
 }
 
 /// The same with 1,400 routes more, where the store took a change in 1.2 s: a route was refused
-/// 4.1 s after that. A text of 287 KB takes 0.23 s of a link of 10 Mbit/s, and each transfer sent all of it,
-/// though a change is a few hundred bytes long.
+/// 4.1 s after that. A text of 287 KB takes 0.23 s of a link of 10 Mbit/s, and each transfer
+/// sent all of it, though a change is a few hundred bytes long.
 ///
 ///     configuration version=15 before=8 source=store bytes=286334 lag_ms=2429 withheld=16
 ///     failed=0
