--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -112,6 +112,8 @@
     pub active: OpenCount,
     /// When a call to the store last failed.
     pub store_failed: Cell<Option<Instant>>,
+    /// Whether this daemon watched the store when that was last decided, and why.
+    pub store_watch: Cell<Option<StoreWatch>>,
     /// Number of the newest report sent to other daemons.
     pub sequence: Cell<u64>,
     /// When this daemon started.
@@ -198,11 +200,29 @@
         is_store_failing(self.store_failed.get(), now)
     }
 
-    /// Whether this daemon watches the store itself.
+    /// Whether this daemon watches the store itself; logs when that changes.
     pub fn watches_store(&self, now: Instant) -> bool {
         let proof = self.configuration.borrow().proof;
         let is_elected = || self.peers.borrow().is_watcher(now);
-        StoreWatch::decide(proof, is_elected, now).watches()
+        let watch = StoreWatch::decide(proof, is_elected, now);
+        if self.store_watch.replace(Some(watch)) != Some(watch) {
+            let proof_age_ms = self.proof_age_ms(now);
+            spdlog::info!("store watch", kv: { reason: = watch, proof_age_ms });
+        }
+        watch.watches()
+    }
+
+    /// Age of the freshness proof in milliseconds; -1 if there is none.
+    pub fn proof_age_ms(&self, now: Instant) -> i64 {
+        let proof = self.configuration.borrow().proof;
+        proof.map_or(-1, |at| now.saturating_duration_since(at).as_millis() as i64)
+    }
+
+    /// Milliseconds since a peer first reported a newer configuration than the one held; -1 if
+    /// none did.
+    pub fn configuration_lag_ms(&self, now: Instant) -> i64 {
+        let lag = self.catch_up.borrow().configuration_lag(now);
+        lag.map_or(-1, |lag| lag.as_millis() as i64)
     }
 
     /// Applies a list of endpoints if it is newer than the one held; says whether it was.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -127,6 +127,7 @@
         kernel,
         active: OpenCount::default(),
         store_failed: Cell::new(None),
+        store_watch: Cell::new(None),
         sequence: Cell::new(0),
         started_at: now,
         fleet_size: Cell::new(None),
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -115,6 +115,7 @@
             });
         }
         context.metrics.gauge("peer_bytes", connections.traffic.bytes() as f64);
+        context.metrics.gauge("configuration_proof_age_ms", context.proof_age_ms(now) as f64);
     }
 }
 
--- a/src/gateway/policy/daemon/catch_up.rs
+++ b/src/gateway/policy/daemon/catch_up.rs
@@ -216,6 +216,11 @@
         }
     }
 
+    /// How long a newer configuration than the one held has been known; none if there is none.
+    pub fn configuration_lag(&self, now: Instant) -> Option<Duration> {
+        self.configuration.lagging_since.map(|since| now.saturating_duration_since(since))
+    }
+
     /// The lag that ends now, because a newer configuration is applied.
     pub fn take_configuration_lag(&mut self, now: Instant) -> ConfigurationLag {
         let catch_up = &mut self.configuration;
--- a/src/gateway/policy/daemon/store_watchers.rs
+++ b/src/gateway/policy/daemon/store_watchers.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use derive_more::Display;
 use tokio::time::Instant;
 
 /// Proofs younger than this show that the watchers still report.
@@ -18,13 +19,16 @@
 const FAILURE_MEMORY: Duration = Duration::from_secs(2);
 
 /// Whether a daemon watches the store itself, and why.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum StoreWatch {
     /// It does: nobody has passed on a recent proof.
+    #[display("not informed")]
     NotInformed,
     /// It does: it is a watcher of its group.
+    #[display("elected")]
     Elected,
     /// It doesn't: others pass on what they read.
+    #[display("informed")]
     Informed,
 }
 
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -129,9 +129,11 @@
             spdlog::warn!("request lines dropped", kv: { dropped });
         }
         drop(lines);
-        let configuration = self.context.configuration.borrow();
-        let version = configuration.current.as_ref().map_or(0, |current| current.version);
-        let proof = configuration.proof.map_or(-1, |at| at.elapsed().as_millis() as i64);
+        let now = Instant::now();
+        let configuration = self.context.configuration();
+        let version = configuration.map_or(0, |current| current.version);
+        let proof_age_ms = self.context.proof_age_ms(now);
+        let lag_ms = self.context.configuration_lag_ms(now);
         let id = self.id.as_deref().unwrap_or("-");
         let route = self.route.as_deref().unwrap_or("-");
         let account = self.account.as_deref().unwrap_or("-");
@@ -139,7 +141,7 @@
         let first_ms = self.first_after.map_or(-1, |after| after.as_millis() as i64);
         spdlog::info!("request", kv: {
             id, outcome, route, account, steps: = self.steps, events, first_ms, total_ms,
-            version, proof_age_ms = proof
+            version, proof_age_ms, lag_ms
         });
     }
 }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -73,12 +73,15 @@
 #[derive(Debug, Default)]
 struct RetryPauses {
     failures: u32,
+    /// When the first call failed.
+    lost_at: Option<Instant>,
 }
 
 impl RetryPauses {
     fn succeeded(&mut self, context: &GatewayContext) {
-        if self.failures > 0 {
-            spdlog::info!("store", kv: { outcome = "regained", failures = self.failures });
+        if let Some(lost_at) = self.lost_at.take() {
+            let (failures, lost_ms) = (self.failures, lost_at.elapsed().as_millis() as u64);
+            spdlog::info!("store", kv: { outcome = "regained", failures, lost_ms });
         }
         self.failures = 0;
         context.metrics.gauge("store_calls", context.store.calls() as f64);
@@ -87,6 +90,7 @@
     async fn failed(&mut self, context: &GatewayContext, error: &StepError) {
         if self.failures == 0 {
             spdlog::warn!("store", kv: { outcome = "lost", error: = error });
+            self.lost_at = Some(Instant::now());
         }
         context.store_failed.set(Some(Instant::now()));
         context.metrics.count("store_failures", 1);
