Failing tests: added routes at all daemons of a real fleet while nobody reads the store

Cause: 30 real daemons, five changes a second that add a route each, clients at every daemon. Change: a fleet of real daemons with growing configuration, proxies with thin links, series of faults of watchers, store connections and daemons drawn from a seed; other releases' programs can be run. The platform's stand-in writes a value to text once, and answers as many calls as are asked for.

--- a/tests/gateway/gateway_site.rs
+++ b/tests/gateway/gateway_site.rs
@@ -19,6 +19,9 @@
 /// Longest wait for something that comes by itself.
 pub const PATIENCE: Duration = Duration::from_secs(15);
 
+/// Environment variable under which settings and logs stay in the tests' temporary folder.
+const KEEP_LOGS: &str = "SOAK_KEEP_LOGS";
+
 /// Waits until `holds`; fails with `what` if it does not in time.
 pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
     let until = Instant::now() + PATIENCE;
@@ -36,9 +39,9 @@
     IpAddr::from([127, high.max(1), low, next])
 }
 
-fn spawn(settings: &Path, log: &Path) -> Child {
+fn spawn(program: &Path, settings: &Path, log: &Path) -> Child {
     let log = std::fs::File::options().create(true).append(true).open(log).expect("log");
-    let mut command = Command::new(env!("CARGO_BIN_EXE_willowarchd"));
+    let mut command = Command::new(program);
     command.args(["--gateway", "--settings"]).arg(settings).stdout(log);
     command.spawn().expect("daemon")
 }
@@ -46,6 +49,8 @@
 /// One daemon as a real process.
 pub struct Gateway {
     process: Child,
+    /// The daemon's executable file.
+    program: std::path::PathBuf,
     pub clients: SocketAddr,
     pub readiness: SocketAddr,
     pub peers: SocketAddr,
@@ -71,6 +76,18 @@
 
     /// Starts a daemon that reaches the platform at `platform`.
     pub fn start_at(name: &str, platform: SocketAddr, seeds: &[SocketAddr], bounds: Value) -> Self {
+        let program = Path::new(env!("CARGO_BIN_EXE_willowarchd"));
+        Self::start_program(program, name, platform, seeds, bounds)
+    }
+
+    /// The same with another release's program.
+    pub fn start_program(
+        program: &Path,
+        name: &str,
+        platform: SocketAddr,
+        seeds: &[SocketAddr],
+        bounds: Value,
+    ) -> Self {
         let ip = own_address();
         let at_port = |port| SocketAddr::new(ip, port);
         let (clients, readiness, peers) = (at_port(8001), at_port(8002), at_port(8003));
@@ -92,16 +109,16 @@
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
         std::fs::write(&path, settings.to_string()).expect("settings");
         let log = path.with_extension("log");
-        let process = spawn(&path, &log);
-        let metrics = at_port(8004);
-        Self { process, clients, readiness, peers, metrics, log, settings: path }
+        let process = spawn(program, &path, &log);
+        let (program, metrics) = (program.to_owned(), at_port(8004));
+        Self { process, program, clients, readiness, peers, metrics, log, settings: path }
     }
 
     /// Kills the process and starts it again at the same addresses.
     pub fn kill_and_restart(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
-        self.process = spawn(&self.settings, &self.log);
+        self.process = spawn(&self.program, &self.settings, &self.log);
     }
 
     pub fn is_ready(&self) -> bool {
@@ -128,6 +145,9 @@
     fn drop(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
+        if std::env::var_os(KEEP_LOGS).is_some() {
+            return;
+        }
         let _ = std::fs::remove_file(&self.settings);
         let _ = std::fs::remove_file(&self.log);
     }
--- a/tests/gateway/loopback_proxy.rs
+++ b/tests/gateway/loopback_proxy.rs
@@ -1,5 +1,5 @@
-//! TCP proxy on loopback whose link can go silent or be closed, for faults between processes.
-//! Open connections can go silent for good while new ones work.
+//! TCP proxy on loopback whose link can go silent, be closed or carry little, for faults between
+//! processes. Open connections can go silent for good while new ones work.
 
 use std::{
     io::{ErrorKind, Read, Write},
@@ -9,7 +9,7 @@
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 /// Time after which a copying thread checks the state of its link again.
@@ -24,6 +24,8 @@
     Silent,
     /// Closes connections, old and new.
     Closed,
+    /// Carries so many bytes a second, over all connections and both ways.
+    Thin(u32),
 }
 
 /// What the threads of one proxy share.
@@ -33,6 +35,8 @@
     /// Connections that were opened before this many silences are silent.
     silences: AtomicU64,
     ended: AtomicBool,
+    /// Until when a thin link is taken.
+    taken_until: Mutex<Instant>,
 }
 
 impl ProxyLink {
@@ -48,6 +52,17 @@
         }
     }
 
+    /// Waits as long as the link takes to carry so many bytes.
+    fn carry(&self, bytes: usize) {
+        let LinkState::Thin(bytes_per_s) = self.state() else { return };
+        let time = Duration::from_secs_f64(bytes as f64 / f64::from(bytes_per_s));
+        let mut taken_until = self.taken_until.lock().expect("lock");
+        *taken_until = (*taken_until).max(Instant::now()) + time;
+        let until = *taken_until;
+        drop(taken_until);
+        thread::sleep(until.saturating_duration_since(Instant::now()));
+    }
+
     fn is_closed(&self) -> bool {
         self.state() == LinkState::Closed || self.ended.load(Ordering::SeqCst)
     }
@@ -68,6 +83,7 @@
             state: Mutex::new(LinkState::Open),
             silences: AtomicU64::new(0),
             ended: AtomicBool::new(false),
+            taken_until: Mutex::new(Instant::now()),
         });
         let proxy = Self { address, link: link.clone() };
         thread::spawn(move || {
@@ -122,8 +138,12 @@
             }
             match from.read(&mut buffer) {
                 Ok(0) => break,
-                Ok(length) if to.write_all(&buffer[..length]).is_err() => break,
-                Ok(_) => {}
+                Ok(length) => {
+                    link.carry(length);
+                    if to.write_all(&buffer[..length]).is_err() {
+                        break;
+                    }
+                }
                 Err(error) if is_pause(error.kind()) => {}
                 Err(_) => break,
             }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,8 @@
 mod quotas;
 mod request_rules;
 mod retry_budget;
+mod route_changes;
+mod route_fleet;
 mod routes;
 mod sent_texts;
 mod serving;
--- a/tests/gateway/platform_standin.rs
+++ b/tests/gateway/platform_standin.rs
@@ -13,13 +13,14 @@
 use serde_json::{Value, json};
 use tiny_http::{Method, Request, Response, Server};
 
-/// Threads that answer calls; waiting watches hold one each.
+/// Threads that answer calls, for a few daemons; waiting watches hold one each.
 const THREADS: usize = 24;
 
 #[derive(Clone, Debug)]
 struct StoredEntry {
     revision: u64,
-    spec: Value,
+    /// Written to text once: long values are sent often.
+    spec: Arc<str>,
 }
 
 #[derive(Clone, Debug)]
@@ -70,10 +71,15 @@
 
 impl PlatformStandin {
     pub fn start() -> Self {
+        Self::start_with(THREADS)
+    }
+
+    /// Answers so many calls at once.
+    pub fn start_with(threads: usize) -> Self {
         let server = Arc::new(Server::http("127.0.0.1:0").expect("bind"));
         let address = server.server_addr().to_ip().expect("an IP address");
         let state: Arc<(Mutex<PlatformState>, Condvar)> = Arc::default();
-        let threads = (0..THREADS)
+        let threads = (0..threads)
             .map(|_| {
                 let (server, state) = (server.clone(), state.clone());
                 std::thread::spawn(move || {
@@ -89,7 +95,7 @@
     /// Writes an object as the operator or an endpoint would.
     pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
         let mut state = self.state.0.lock().expect("lock");
-        let revision = state.write(kind, name, spec);
+        let revision = state.write(kind, name, &spec);
         self.state.1.notify_all();
         revision
     }
@@ -136,7 +142,7 @@
 impl Drop for PlatformStandin {
     fn drop(&mut self) {
         self.set_down(true);
-        for _ in 0..THREADS {
+        for _ in 0..self.threads.len() {
             self.server.unblock();
         }
         for thread in self.threads.drain(..) {
@@ -146,7 +152,8 @@
 }
 
 impl PlatformState {
-    fn write(&mut self, kind: &str, name: &str, spec: Value) -> u64 {
+    fn write(&mut self, kind: &str, name: &str, spec: &Value) -> u64 {
+        let spec: Arc<str> = spec.to_string().into();
         self.revision += 1;
         let revision = self.revision;
         self.objects.insert((kind.into(), name.into()), StoredEntry { revision, spec });
@@ -165,35 +172,44 @@
         self.events.push(StoredEvent { revision: self.revision, kind, name, gone });
     }
 
-    fn object(&self, kind: &str, name: &str) -> Option<Value> {
+    fn revision_of(&self, kind: &str, name: &str) -> Option<u64> {
         let entry = self.objects.get(&(kind.to_owned(), name.to_owned()))?;
-        Some(json!({
-            "metadata": {"name": name, "revision": entry.revision, "made": 1, "finalizers": [],
-                "deleting": false},
-            "spec": entry.spec, "status": null,
-        }))
+        Some(entry.revision)
     }
 
-    fn list(&self, kind: &str) -> Value {
+    /// An object as JSON text.
+    fn object(&self, kind: &str, name: &str) -> Option<String> {
+        let StoredEntry { revision, spec } =
+            self.objects.get(&(kind.to_owned(), name.to_owned()))?;
+        let metadata = json!({"name": name, "revision": revision, "made": 1, "finalizers": [],
+            "deleting": false});
+        Some(format!(r#"{{"metadata":{metadata},"spec":{spec},"status":null}}"#))
+    }
+
+    fn list(&self, kind: &str) -> String {
         let names = self.objects.keys().filter(|(of, _)| of == kind);
-        let items: Vec<Value> = names.filter_map(|(_, name)| self.object(kind, name)).collect();
-        json!({"items": items, "more": false, "at": self.revision})
+        let items: Vec<String> = names.filter_map(|(_, name)| self.object(kind, name)).collect();
+        let (items, at) = (items.join(","), self.revision);
+        format!(r#"{{"items":[{items}],"more":false,"at":{at}}}"#)
     }
 
-    fn events_after(&self, kind: &str, revision: u64) -> Vec<Value> {
+    fn events_after(&self, kind: &str, revision: u64) -> Vec<String> {
         let fresh = |event: &&StoredEvent| event.kind == kind && event.revision > revision;
         let show = |event: &StoredEvent| {
             let gone = json!({"metadata": {"name": event.name, "revision": event.revision}});
-            let object = self.object(kind, &event.name).unwrap_or(gone);
-            json!({"gone": event.gone, "object": object})
+            let object = self.object(kind, &event.name).unwrap_or(gone.to_string());
+            format!(r#"{{"gone":{},"object":{object}}}"#, event.gone)
         };
         self.events.iter().filter(fresh).map(show).collect()
     }
 }
 
-fn respond(request: Request, status: u16, body: &Value) {
+/// Body of answers that say nothing but their status.
+const NO_BODY: &str = "null";
+
+fn respond(request: Request, status: u16, body: &str) {
     let header = "content-type: application/json".parse::<tiny_http::Header>().expect("header");
-    let response = Response::from_string(body.to_string()).with_status_code(status);
+    let response = Response::from_string(body).with_status_code(status);
     let _ = request.respond(response.with_header(header));
 }
 
@@ -209,14 +225,14 @@
     let _ = request.as_reader().read_to_string(&mut text);
     let body: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
     if shared.0.lock().expect("lock").down {
-        return respond(request, 503, &Value::Null);
+        return respond(request, 503, NO_BODY);
     }
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     match parts.as_slice() {
         ["-", "objects", kind] => answer_kind(shared, request, kind, query, &body),
         ["-", "objects", kind, name] => answer_object(shared, request, kind, name, &body),
         ["reports" | "scale"] => answer_cloud(shared, request, path, body),
-        _ => respond(request, 404, &Value::Null),
+        _ => respond(request, 404, NO_BODY),
     }
 }
 
@@ -234,7 +250,7 @@
             drop(state);
             return respond(request, 409, &object);
         }
-        state.write(kind, &name, body["spec"].clone());
+        state.write(kind, &name, &body["spec"]);
         return written(shared, state, request, kind, &name);
     }
     let Some(after) = query_number(query, "watch") else {
@@ -247,16 +263,17 @@
     loop {
         if state.down {
             drop(state);
-            return respond(request, 503, &Value::Null);
+            return respond(request, 503, NO_BODY);
         }
         if after < state.forgotten {
             drop(state);
-            return respond(request, 410, &Value::Null);
+            return respond(request, 410, NO_BODY);
         }
         let events = state.events_after(kind, after);
         let left = until.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
-            let answer = json!({"events": events, "at": state.revision});
+            let (events, at) = (events.join(","), state.revision);
+            let answer = format!(r#"{{"events":[{events}],"at":{at}}}"#);
             drop(state);
             return respond(request, 200, &answer);
         }
@@ -274,18 +291,18 @@
     let mut state = shared.0.lock().expect("lock");
     let Some(object) = state.object(kind, name) else {
         drop(state);
-        return respond(request, 404, &Value::Null);
+        return respond(request, 404, NO_BODY);
     };
     if *request.method() == Method::Get {
         drop(state);
         return respond(request, 200, &object);
     }
     let expected = body["metadata"]["revision"].as_u64();
-    if expected.is_some() && expected != object["metadata"]["revision"].as_u64() {
+    if expected.is_some() && expected != state.revision_of(kind, name) {
         drop(state);
         return respond(request, 409, &object);
     }
-    state.write(kind, name, body["spec"].clone());
+    state.write(kind, name, &body["spec"]);
     written(shared, state, request, kind, name);
 }
 
@@ -340,7 +357,7 @@
         state.overtaken |= state.cloud_calls[before..].iter().any(is_other);
     }
     drop(state);
-    respond(request, 200, &Value::Null);
+    respond(request, 200, NO_BODY);
 }
 
 fn name_of(name: &str) -> &'static str {
