--- a/tests/gateway/loopback_proxy.rs
+++ b/tests/gateway/loopback_proxy.rs
@@ -52,6 +52,13 @@
         }
     }
 
+    /// Holds bytes that were read as the link went silent, until it is open or closed.
+    fn wait_while_silent(&self, opened_after: u64) {
+        while self.state_for(opened_after) == LinkState::Silent && !self.is_closed() {
+            thread::sleep(LOOK_EVERY);
+        }
+    }
+
     /// Waits as long as the link takes to carry so many bytes.
     fn carry(&self, bytes: usize) {
         let LinkState::Thin(bytes_per_s) = self.state() else { return };
@@ -132,13 +139,10 @@
                 let _ = to.shutdown(Shutdown::Both);
                 return;
             }
-            if link.state_for(opened_after) == LinkState::Silent {
-                thread::sleep(LOOK_EVERY);
-                continue;
-            }
             match from.read(&mut buffer) {
                 Ok(0) => break,
                 Ok(length) => {
+                    link.wait_while_silent(opened_after);
                     link.carry(length);
                     if to.write_all(&buffer[..length]).is_err() {
                         break;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,4 +28,6 @@
 mod serving;
 mod soak;
 mod soak_clients;
+mod store_connections;
 mod text_model;
+mod unknown_routes;
