API client: after a call that was not answered, further calls go over new connections

Cause: open connections to the store went silent together; a call that ended at its limit was followed by one over another connection of the pool, as silent: 1.2 s more without the store. A daemon that stands in as a watcher may hold such a connection from its last turn. Change: the pool is replaced after a call that timed out, and before the first call of a daemon that begins to read the store; calls in progress keep theirs. The cloud's API and the native interface's platform share the client. Peers' connections are closed by a failed call already, those to endpoints are discarded (gateway::request::attempt).

--- a/src/errors.rs
+++ b/src/errors.rs
@@ -59,4 +59,9 @@
     pub fn new(step: &'static str, peer: impl Into<SharedName>, cause: FailureCause) -> Self {
         Self { step, peer: peer.into(), cause }
     }
+
+    /// Whether no response came in time.
+    pub fn is_time_out(&self) -> bool {
+        matches!(self.cause, FailureCause::TimedOut(_))
+    }
 }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -3,8 +3,8 @@
 //!
 //! In a fleet of several gossip groups only the watchers of each group call the store, and others
 //! that stand in for them (`policy::daemon::store_watchers`). A daemon that has not called for a
-//! while lists everything again: a watch from where it left off would bring every change since, each
-//! with the whole configuration.
+//! while lists everything again, over a new connection: a watch from where it left off would bring
+//! every change since, each with the whole configuration, and the old connection may be silent.
 //! While the store fails, each loop retries with growing pauses, and the daemon goes on with
 //! what it has and what peers report. An endpoint entry that can't be decoded is logged and left
 //! out; a configuration that can't be decoded is logged and the former one kept.
@@ -101,6 +101,9 @@
         has_waited = true;
         sleep(WATCHER_CHECK_INTERVAL).await;
     }
+    if has_waited {
+        context.store.discard_connections();
+    }
     has_waited
 }
 
--- a/src/http/api_client.rs
+++ b/src/http/api_client.rs
@@ -1,11 +1,18 @@
 //! Client of one JSON API: counts its calls, bounds each, and turns what went wrong into a
 //! [`StepError`] in one place.
 //!
+//! After a call that was not answered in time, further calls go over new connections: the others
+//! that are open may have gone silent with the one that it used.
+//!
 //! Both paths use it for the platform: the gateway through `platform::{store, cloud}`, the
 //! native interface through `native::cloud_api`. Their wires differ, so paths, bodies and
 //! the meaning of a status stay with them.
 
-use std::{cell::Cell, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
 
 use hyper::{Method, StatusCode};
 use serde::{Serialize, de::DeserializeOwned};
@@ -16,7 +23,7 @@
 /// Client of the API at one address; clones share connections and the count of calls.
 #[derive(Clone, Debug)]
 pub struct ApiClient {
-    http: HttpClient,
+    http: Rc<RefCell<HttpClient>>,
     address: Rc<str>,
     calls: Rc<Cell<u64>>,
 }
@@ -24,7 +31,7 @@
 impl ApiClient {
     /// Client of the API at `address`.
     pub fn new(address: impl ToString) -> Self {
-        Self { http: HttpClient::new(), address: address.to_string().into(), calls: Rc::default() }
+        Self { http: Rc::default(), address: address.to_string().into(), calls: Rc::default() }
     }
 
     /// Client of a further address that shares connections and the count of calls.
@@ -64,8 +71,18 @@
         limit: Duration,
     ) -> Result<ApiResponse, StepError> {
         self.calls.set(self.calls.get() + 1);
-        let response = self.http.fetch(&call, limit).await?;
-        Ok(ApiResponse { call, response })
+        // Calls in progress keep their connections, whatever becomes of the others.
+        let http = self.http.borrow().clone();
+        let fetched = http.fetch(&call, limit).await;
+        if fetched.as_ref().is_err_and(StepError::is_time_out) {
+            self.discard_connections();
+        }
+        Ok(ApiResponse { call, response: fetched? })
+    }
+
+    /// Opens new connections for further calls: those that are open may carry nothing any more.
+    pub fn discard_connections(&self) {
+        *self.http.borrow_mut() = HttpClient::new();
     }
 }
 
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -165,6 +165,11 @@
         Self { api: ApiClient::new(address) }
     }
 
+    /// Opens new connections for further calls: those that are open may carry nothing any more.
+    pub fn discard_connections(&self) {
+        self.api.discard_connections();
+    }
+
     /// Calls made since the start.
     pub fn calls(&self) -> u64 {
         self.api.calls()
