Store watch split by what is kept; two circles of files opened; the leader's inputs in a file

Change: store_watch::{configuration_watch, endpoint_watch}; configuration_state; observed_service; MAX_CLIENT_CONNECTIONS in policy::daemon::readiness, HeldRevisions in held_texts. No logic changed.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -6,24 +6,23 @@
 
 use std::{
     cell::{Cell, RefCell},
-    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
-use derive_more::Display;
 use tokio::time::Instant;
 
 use super::{
     configuration::Configuration,
+    configuration_state::{ConfigurationSource, ConfigurationState},
     endpoint::EndpointList,
     gossip::{codec::endpoint_list, peer_table::PeerTable, text_exchange::TextExchange},
     policy::{
         daemon::{
             catch_up::{CatchUpState, ConfigurationLag},
             daemon_count,
-            readiness::{Readiness, ReadinessInputs},
+            readiness::{MAX_CLIENT_CONNECTIONS, Readiness, ReadinessInputs},
             store_watchers::{StoreWatch, StoreWatcher, is_store_failing},
         },
         endpoint::endpoint_table::EndpointTable,
@@ -37,7 +36,7 @@
             retry_budget::RetryBudgets,
         },
     },
-    request::{client_listener::MAX_CLIENT_CONNECTIONS, connection_pool::ConnectionPool},
+    request::connection_pool::ConnectionPool,
     settings::GatewaySettings,
 };
 use crate::{
@@ -49,28 +48,6 @@
     platform,
 };
 
-/// Newest configuration held, with the proof that it is the newest one.
-#[derive(Debug, Default)]
-pub struct ConfigurationState {
-    /// The configuration, once one is known.
-    pub current: Option<Rc<Configuration>>,
-    /// Its revision in the store.
-    pub revision: u64,
-    /// Freshness proof: when the store was asked that answered with this revision.
-    pub proof: Option<Instant>,
-}
-
-/// Where a configuration came from.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum ConfigurationSource {
-    /// The store.
-    #[display("store")]
-    Store,
-    /// The daemon that listens for peers there.
-    #[display("{_0}")]
-    Peer(SocketAddr),
-}
-
 /// State shared by all tasks of one daemon, which run on one thread.
 pub struct GatewayContext {
     /// Settings.
@@ -186,10 +163,7 @@
 
     /// Notes that the store, asked at `proof`, held the configuration of this revision.
     pub fn prove_configuration(&self, revision: u64, proof: Option<Instant>) {
-        let mut state = self.configuration.borrow_mut();
-        if revision > 0 && revision == state.revision && state.proof < proof {
-            state.proof = proof;
-        }
+        self.configuration.borrow_mut().prove(revision, proof);
     }
 
     /// Whether keys of the configuration may be used.
@@ -216,18 +190,12 @@
         let rank = || self.peers.borrow().watcher_rank(now);
         let watch = self.store_watcher.borrow_mut().decide(proof, rank, now);
         if self.store_watch.replace(Some(watch)) != Some(watch) {
-            let proof_age_ms = self.proof_age_ms(now);
+            let proof_age_ms = self.configuration.borrow().proof_age_ms(now);
             spdlog::info!("store watch", kv: { reason: = watch, proof_age_ms });
         }
         watch.watches()
     }
 
-    /// Age of the freshness proof in milliseconds; -1 if there is none.
-    pub fn proof_age_ms(&self, now: Instant) -> i64 {
-        let proof = self.configuration.borrow().proof;
-        proof.map_or(-1, |at| now.saturating_duration_since(at).as_millis() as i64)
-    }
-
     /// Milliseconds since a peer first reported a newer configuration than the one held; -1 if
     /// none did.
     pub fn configuration_lag_ms(&self, now: Instant) -> i64 {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -14,7 +14,8 @@
 use tokio::time::{Instant, sleep};
 
 use super::{
-    context::{ConfigurationState, GatewayContext, Intake},
+    configuration_state::ConfigurationState,
+    context::{GatewayContext, Intake},
     endpoint::EndpointList,
     gossip::{caller, listener, peer_table::PeerTable, text_exchange::TextExchange},
     leader::leader_tasks,
@@ -31,7 +32,8 @@
     },
     request::{client_listener, connection_pool::ConnectionPool},
     settings::GatewaySettings,
-    status_listeners, store_watch,
+    status_listeners,
+    store_watch::{configuration_watch, endpoint_watch},
 };
 use crate::{
     counting::OpenCount,
@@ -85,9 +87,8 @@
         status_listeners::METRICS_SERVICE,
         status_listeners::serve_metrics(metrics, context.clone()),
     );
-    let configuration = store_watch::keep_configuration(context.clone());
-    kernel.start(store_watch::CONFIGURATION_SERVICE, configuration);
-    kernel.start(store_watch::ENDPOINT_SERVICE, store_watch::keep_endpoints(context.clone()));
+    kernel.start(configuration_watch::NAME, configuration_watch::run(context.clone()));
+    kernel.start(endpoint_watch::NAME, endpoint_watch::run(context.clone()));
     kernel.start(listener::NAME, listener::run(peer_listener, context.clone()));
     kernel.start(caller::NAME, caller::run(context.clone()));
     kernel.start(leader_tasks::NAME, leader_tasks::run(context.clone()));
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -25,7 +25,8 @@
         context::GatewayContext,
         policy::{
             daemon::{
-                catch_up::{HeldRevisions, wait_for_store},
+                catch_up::wait_for_store,
+                held_texts::HeldRevisions,
                 text_fetches::{FetchOutcomes, TextFetches},
             },
             leader::usage_reports::requests_former_usage,
@@ -115,7 +116,10 @@
             });
         }
         context.metrics.gauge("peer_bytes", connections.traffic.bytes() as f64);
-        context.metrics.gauge("configuration_proof_age_ms", context.proof_age_ms(now) as f64);
+        context.metrics.gauge(
+            "configuration_proof_age_ms",
+            context.configuration.borrow().proof_age_ms(now) as f64,
+        );
     }
 }
 
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -22,10 +22,11 @@
     report_source::ReportSource,
 };
 use crate::gateway::{
-    context::{ConfigurationSource, GatewayContext},
+    configuration_state::ConfigurationSource,
+    context::GatewayContext,
     endpoint::EndpointList,
     policy::{
-        daemon::catch_up::HeldRevisions, endpoint::endpoint_load::ReportedLoads,
+        daemon::held_texts::HeldRevisions, endpoint::endpoint_load::ReportedLoads,
         leader::leader_lease::LeaseRenewal,
     },
 };
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -11,7 +11,7 @@
 use crate::gateway::{
     context::GatewayContext,
     policy::{
-        daemon::catch_up::HeldRevisions, endpoint::endpoint_load::endpoint_number,
+        daemon::held_texts::HeldRevisions, endpoint::endpoint_load::endpoint_number,
         leader::usage_counts::WindowCounts,
     },
 };
--- a/src/gateway/leader/endpoint_orders.rs
+++ b/src/gateway/leader/endpoint_orders.rs
@@ -11,7 +11,8 @@
         context::GatewayContext,
         endpoint::EndpointState,
         policy::leader::{
-            endpoint_orders::{ObservedService, ZoneOrder},
+            endpoint_orders::ZoneOrder,
+            observed_service::ObservedService,
             zone_plan::{PriceClass, ReclaimRisk, ZoneHolding},
         },
     },
--- a/src/gateway/policy/daemon/catch_up.rs
+++ b/src/gateway/policy/daemon/catch_up.rs
@@ -17,7 +17,10 @@
 use rand::{Rng, seq::IteratorRandom};
 use tokio::time::Instant;
 
-use super::text_fetches::{FetchOutcome, FetchOutcomes, TextFetches};
+use super::{
+    held_texts::HeldRevisions,
+    text_fetches::{FetchOutcome, FetchOutcomes, TextFetches},
+};
 
 /// Time after which a text that was requested and not received is requested again.
 ///
@@ -31,15 +34,6 @@
 /// at 1.000.
 const STORE_HEAD_START: Duration = Duration::from_millis(300);
 
-/// Revisions that a daemon holds; 0 is none.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct HeldRevisions {
-    /// Of the configuration.
-    pub configuration: u64,
-    /// Of the list of endpoints.
-    pub endpoints: u64,
-}
-
 /// How long a daemon was known to hold an older configuration, and what it tried meanwhile.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConfigurationLag {
--- a/src/gateway/policy/daemon/held_texts.rs
+++ b/src/gateway/policy/daemon/held_texts.rs
@@ -26,6 +26,15 @@
 /// Basis: revisions of the store begin at 1.
 pub const NO_BASE: u64 = 0;
 
+/// Revisions that a daemon holds; 0 is none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct HeldRevisions {
+    /// Of the configuration.
+    pub configuration: u64,
+    /// Of the list of endpoints.
+    pub endpoints: u64,
+}
+
 #[derive(Clone, Debug)]
 struct HeldText {
     revision: u64,
--- a/src/gateway/policy/daemon/text_fetches.rs
+++ b/src/gateway/policy/daemon/text_fetches.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::catch_up::HeldRevisions;
+use super::held_texts::HeldRevisions;
 
 /// Daemons to request texts from now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/src/gateway/policy/leader.rs
+++ b/src/gateway/policy/leader.rs
@@ -3,6 +3,7 @@
 pub mod endpoint_orders;
 pub mod fleet_size;
 pub mod leader_lease;
+pub mod observed_service;
 pub mod reclaim_wave;
 pub mod usage_counts;
 pub mod usage_reports;
--- a/src/gateway/policy/leader/endpoint_orders.rs
+++ b/src/gateway/policy/leader/endpoint_orders.rs
@@ -19,7 +19,8 @@
 
 use super::{
     fleet_size::{EndpointPlanner, ServiceDemand},
-    zone_plan::{PriceClass, ReclaimRisk, ZoneHolding},
+    observed_service::ObservedService,
+    zone_plan::{PriceClass, ReclaimRisk},
 };
 use crate::{gateway::configuration::FleetSpec, ids::SharedName};
 
@@ -47,25 +48,6 @@
 /// Basis: chosen, not measured (commit 827f7c7): about 1 s until half of a change shows.
 const NEWEST_LOAD_WEIGHT: f64 = 0.3;
 
-/// What is known of a service's endpoints and load.
-#[derive(Clone, Debug, Default)]
-pub struct ObservedService {
-    /// Endpoints that are not leaving, for every zone where the service may run.
-    pub held: BTreeMap<SharedName, ZoneHolding>,
-    /// Which of them may be reclaimed.
-    pub risk: ReclaimRisk,
-    /// Endpoints that take requests.
-    pub serving: usize,
-    /// Prompt tokens sent to endpoints so far, over all daemons; lower after a daemon was lost.
-    pub prompt_tokens_sent: u64,
-    /// Requests that run.
-    pub running: f64,
-    /// Prompt tokens that one endpoint reads in a second.
-    pub endpoint_prefill_rate: f64,
-    /// Requests that an endpoint runs at once.
-    pub slots: f64,
-}
-
 /// Endpoints of one price class that one zone should hold.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct ZoneOrder {
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -32,6 +32,7 @@
     gateway::{
         configuration::ClientLimits,
         context::{GatewayContext, Intake},
+        policy::daemon::readiness::MAX_CLIENT_CONNECTIONS,
     },
     http::{BodyError, LocalBody},
     kernel::LifePhase,
@@ -39,9 +40,6 @@
 
 /// Name of the service.
 pub const NAME: &str = "client-edge";
-/// Most connections open at once; more wait in the listen queue, and the daemon is not ready.
-/// Basis: chosen, not measured: bounds the memory of a daemon under a flood of connections.
-pub const MAX_CLIENT_CONNECTIONS: usize = 2_500;
 /// A connection is closed this much later than the configured idle time, so that a request
 /// sent just in time doesn't meet the close.
 /// Basis: chosen, not measured: far above a round trip.
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -132,7 +132,7 @@
         let now = Instant::now();
         let configuration = self.context.configuration();
         let version = configuration.map_or(0, |current| current.version);
-        let proof_age_ms = self.context.proof_age_ms(now);
+        let proof_age_ms = self.context.configuration.borrow().proof_age_ms(now);
         let lag_ms = self.context.configuration_lag_ms(now);
         let id = self.id.as_deref().unwrap_or("-");
         let route = self.route.as_deref().unwrap_or("-");
--- a/tests/gateway/catch_up.rs
+++ b/tests/gateway/catch_up.rs
@@ -6,7 +6,8 @@
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 use willowarch::gateway::policy::daemon::{
-    catch_up::{CatchUpState, HeldRevisions},
+    catch_up::CatchUpState,
+    held_texts::HeldRevisions,
     text_fetches::{FetchOutcome, FetchOutcomes, TextFetches},
 };
 
--- a/tests/gateway/leader_rules.rs
+++ b/tests/gateway/leader_rules.rs
@@ -9,11 +9,12 @@
     gateway::{
         configuration::FleetSpec,
         policy::leader::{
-            endpoint_orders::{EndpointOrders, ObservedService, OrderResult, ZoneOrder},
+            endpoint_orders::{EndpointOrders, OrderResult, ZoneOrder},
             leader_lease::{
                 ACQUIRE_MARGIN, AcquireDecision, HoldDecision, LeaseOwner, LossReason,
                 ObservedLease, decide_acquire, decide_hold,
             },
+            observed_service::ObservedService,
             reclaim_wave::ReclaimWaves,
             usage_reports::{due_window, has_heard_counts},
             zone_plan::{PriceClass, ReclaimRisk, ZoneHolding},
--- a/tests/gateway/text_model.rs
+++ b/tests/gateway/text_model.rs
@@ -21,8 +21,8 @@
             text_codec,
         },
         policy::daemon::{
-            catch_up::{CatchUpState, HeldRevisions},
-            held_texts::{HeldTexts, NO_BASE},
+            catch_up::CatchUpState,
+            held_texts::{HeldRevisions, HeldTexts, NO_BASE},
             text_fetches::{FetchOutcome, FetchOutcomes, TextFetches},
             text_pacing::TextPacer,
         },
