--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,6 +23,7 @@
 mod retry_budget;
 mod route_changes;
 mod route_fleet;
+mod route_requests;
 mod routes;
 mod sent_texts;
 mod serving;
--- a/tests/gateway/route_changes.rs
+++ b/tests/gateway/route_changes.rs
@@ -19,7 +19,8 @@
 use crate::{
     loopback_proxy::LinkState,
     loopback_proxy::LoopbackProxy,
-    route_fleet::{RouteChanges, RouteFleet, RouteOutcome, wait_settled},
+    route_fleet::{RouteChanges, RouteFleet},
+    route_requests::RouteOutcome,
 };
 
 /// Daemons where the environment names no number: two gossip groups.
@@ -137,7 +138,7 @@
     let fleet = RouteFleet::start(daemons);
     let outcome = RouteOutcome::of(&fleet.play(changes, faults));
     println!("{what}: {outcome:?}");
-    wait_settled(&fleet);
+    fleet.wait_settled();
     outcome
 }
 
--- a/tests/gateway/route_fleet.rs
+++ b/tests/gateway/route_fleet.rs
@@ -29,13 +29,12 @@
 
 use crate::{
     endpoint_standin::{EndpointManner, EndpointStandin},
-    gateway_site::{Gateway, KeptConnection, configuration, kept_request_bytes, wait_for},
+    gateway_site::{Gateway, configuration, kept_request_bytes, wait_for},
     loopback_proxy::{LinkState, LoopbackProxy},
     platform_standin::PlatformStandin,
+    route_requests::{APPLY_LIMIT, RouteRequest, ask},
 };
 
-/// Time in which a change has to be in force at every daemon.
-pub const APPLY_BOUND: Duration = Duration::from_secs(3);
 /// Nothing is asked of a daemon for this long after it was killed or frozen.
 const RECOVERY_TIME: Duration = Duration::from_secs(4);
 /// Ages of the routes that a client asks for in turn, in milliseconds; the newest of that age or
@@ -61,23 +60,12 @@
     pub time: Duration,
 }
 
-/// A request for a route that was added.
-#[derive(Clone, Copy, Debug)]
-pub struct RouteRequest {
-    /// Place of the daemon.
-    pub place: usize,
-    /// Since the store took the route's change, when the request was sent.
-    pub age: Duration,
-    /// Status of the answer; 0 if there was none.
-    pub status: u16,
-}
-
 /// Daemons, and what happens to them.
 pub struct RouteFleet {
     pub daemons: Vec<Mutex<Gateway>>,
     pub store_links: Vec<LoopbackProxy>,
     pub platform: PlatformStandin,
-    _endpoint: EndpointStandin,
+    endpoint: EndpointStandin,
     addresses: Vec<SocketAddr>,
     peers: Vec<SocketAddr>,
     routes: Mutex<Vec<Value>>,
@@ -120,11 +108,11 @@
             taken_at: Mutex::default(),
             disturbed_until: (0..daemon_count).map(|_| Mutex::new(None)).collect(),
             platform,
-            _endpoint: endpoint,
+            endpoint,
         };
         fleet.write(1);
         let entry = json!({
-            "service": "pool", "address": fleet._endpoint.address, "zone": "hall-a",
+            "service": "pool", "address": fleet.endpoint.address, "zone": "hall-a",
             "version": "v1", "slots": 2000, "state": "ready", "cold-left-ms": 0, "seq": 1,
         });
         fleet.platform.put("servers", "i-0", entry);
@@ -133,7 +121,7 @@
     }
 
     fn start_daemons(&mut self, count: usize) {
-        let bounds = json!({"strict-revoke": false, "config-apply-ms": APPLY_BOUND.as_millis()});
+        let bounds = json!({"strict-revoke": false, "config-apply-ms": APPLY_LIMIT.as_millis()});
         for place in 0..count {
             let link = LoopbackProxy::start(self.platform.address);
             let seeds: Vec<SocketAddr> = self.peers.iter().take(3).copied().collect();
@@ -237,7 +225,7 @@
             for place in 0..self.addresses.len() {
                 let (requests, asked) = (&requests, &asked);
                 scope.spawn(move || {
-                    let asked = self.ask_until(place, until + APPLY_BOUND, asked);
+                    let asked = self.ask_until(place, until + APPLY_LIMIT, asked);
                     requests.lock().expect("lock").extend(asked);
                 });
             }
@@ -299,69 +287,15 @@
         // The first configuration has no route of its own.
         (*number > 1).then_some((*number, *at))
     }
-}
-
-/// Status of the answer over the kept connection, or a new one.
-fn ask(address: SocketAddr, kept: &mut Option<KeptConnection>, bytes: &[u8]) -> u16 {
-    let opened = kept.take().or_else(|| KeptConnection::open(address).ok());
-    let Some(mut connection) = opened else { return 0 };
-    let Ok(answer) = connection.ask(bytes) else { return 0 };
-    let closes = answer.header("connection").is_some_and(|value| value == "close");
-    if answer.whole && !closes {
-        *kept = Some(connection);
-    }
-    answer.status
-}
-
-/// What was asked, by status, for routes over a certain age.
-#[derive(Clone, Debug, Default)]
-pub struct RouteOutcome {
-    /// Requests for routes older than the bound, by status.
-    pub late: BTreeMap<u16, usize>,
-    /// Daemons that did not serve such a route.
-    pub daemons: usize,
-    /// Age of the oldest route that was not served, by status.
-    pub oldest: BTreeMap<u16, Duration>,
-    /// All requests, by status.
-    pub all: BTreeMap<u16, usize>,
-}
 
-impl RouteOutcome {
-    /// Sums up requests.
-    pub fn of(requests: &[RouteRequest]) -> Self {
-        let mut outcome = Self::default();
-        let mut places = std::collections::BTreeSet::new();
-        for RouteRequest { place, age, status } in requests.iter().copied() {
-            *outcome.all.entry(status).or_default() += 1;
-            if status != 200 {
-                let oldest = outcome.oldest.entry(status).or_default();
-                *oldest = (*oldest).max(age);
-            }
-            if age > APPLY_BOUND {
-                *outcome.late.entry(status).or_default() += 1;
-                if status != 200 {
-                    places.insert(place);
-                }
-            }
+    /// Waits until every daemon serves by the newest configuration.
+    pub fn wait_settled(&self) {
+        let Some((route, _)) = self.newest_route(Duration::ZERO) else { return };
+        let path = format!("/added-{route}/s/");
+        let bytes = kept_request_bytes(&path, "s", "key-1", &[], b"");
+        for address in &self.addresses {
+            let mut connection = None;
+            wait_for("the newest route", || ask(*address, &mut connection, &bytes) == 200);
         }
-        outcome.daemons = places.len();
-        outcome
-    }
-
-    /// Requests for routes older than the bound that got any other status than 200.
-    pub fn not_served(&self) -> usize {
-        self.late.iter().filter(|(status, _)| **status != 200).map(|(_, count)| count).sum()
-    }
-}
-
-/// Waits until every daemon serves by the newest configuration.
-pub fn wait_settled(fleet: &RouteFleet) {
-    let Some((route, _)) = fleet.newest_route(Duration::ZERO) else { return };
-    for address in &fleet.addresses {
-        let mut connection = None;
-        wait_for("the newest route", || {
-            let bytes = kept_request_bytes(&format!("/added-{route}/s/"), "s", "key-1", &[], b"");
-            ask(*address, &mut connection, &bytes) == 200
-        });
     }
 }
