--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -91,13 +91,15 @@
     let error = settings::parse("{}").expect_err("refused").to_string();
     expect_that!(error, contains_substring("node"));
     let address = "127.0.0.1:80";
-    let whole = json!({
-        "node": "n", "zone": "a", "zones": {"a": "r"}, "port-range": [7600, 7615],
-        "listen": {"front": address, "readiness": address, "control": address},
-        "bounds": {"revoke-ms": -1}, "platform": {"address": address}, "new": [],
-    });
-    let error = settings::parse(&whole.to_string()).expect_err("refused").to_string();
-    expect_that!(error, contains_substring("bounds.revoke-ms"));
+    for key in ["revoke-ms", "config-apply-ms"] {
+        let whole = json!({
+            "node": "n", "zone": "a", "zones": {"a": "r"}, "port-range": [7600, 7615],
+            "listen": {"front": address, "readiness": address, "control": address},
+            "bounds": {key: -1}, "platform": {"address": address}, "new": [],
+        });
+        let error = settings::parse(&whole.to_string()).expect_err("refused").to_string();
+        expect_that!(error, contains_substring(format!("bounds.{key}")));
+    }
 }
 
 fn head(headers: &[(&str, &str)]) -> std::result::Result<(), HeadError> {
