Configuration watch: one call and the one that follows in a function of their own

Cause: read as a newcomer, the loop that keeps the configuration held a decision in a closure. Change: make_call returns the call that follows; no logic changed.

--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -7,6 +7,7 @@
 //! every change since, each with the whole configuration, and the old connection may be silent.
 //! While the store fails, each loop retries with growing pauses, and the daemon goes on with
 //! what it has and what peers report.
+
 use std::{ops::Range, time::Duration};
 
 use rand::RngExt;
@@ -72,7 +73,8 @@
     }
 }
 
-/// Waits until this daemon has to call the store itself; says whether it had to wait.
+/// Waits until this daemon has to call the store itself; says whether it had to wait. Calls then go
+/// over new connections.
 async fn wait_until_watcher(context: &GatewayContext) -> bool {
     let mut has_waited = false;
     while !context.watches_store(Instant::now()) {
--- a/src/gateway/store_watch/configuration_watch.rs
+++ b/src/gateway/store_watch/configuration_watch.rs
@@ -42,22 +42,10 @@
         if wait_until_watcher(&context).await {
             next = NextCall::List;
         }
-        let result = match next {
-            NextCall::List => list_configuration(&context, NextCall::Watch).await,
-            NextCall::ListOften => {
-                let held = context.configuration.borrow().revision;
-                let after = |revision| match context.configuration.borrow().revision > held {
-                    true => NextCall::ListOften,
-                    false => NextCall::Watch(revision),
-                };
-                list_configuration(&context, after).await
-            }
-            NextCall::Watch(revision) => watch_configuration(&context, revision).await,
-        };
-        match result {
-            Ok(call) => {
+        match make_call(&context, next).await {
+            Ok(following) => {
                 pauses.succeeded(&context);
-                next = call;
+                next = following;
             }
             Err(error) => {
                 next = NextCall::List;
@@ -67,18 +55,29 @@
     }
 }
 
-/// Lists the configuration; `after` makes the next call of the store's revision.
-async fn list_configuration(
-    context: &GatewayContext,
-    after: impl FnOnce(u64) -> NextCall,
-) -> Result<NextCall, StepError> {
+/// Makes a call; returns the one that follows.
+async fn make_call(context: &GatewayContext, call: NextCall) -> Result<NextCall, StepError> {
+    match call {
+        NextCall::List => Ok(NextCall::Watch(list_configuration(context).await?)),
+        NextCall::ListOften => {
+            let held = context.configuration.borrow().revision;
+            let listed = list_configuration(context).await?;
+            let has_newer = context.configuration.borrow().revision > held;
+            Ok(if has_newer { NextCall::ListOften } else { NextCall::Watch(listed) })
+        }
+        NextCall::Watch(revision) => watch_configuration(context, revision).await,
+    }
+}
+
+/// Lists the configuration; returns the store's revision.
+async fn list_configuration(context: &GatewayContext) -> Result<u64, StepError> {
     let asked_at = Instant::now();
     let listing = context.store.list(CONFIGURATION_KIND).await?;
     let object = listing.objects.iter().find(|object| &*object.name == CONFIGURATION_NAME);
     if let Some(object) = object {
         apply_configuration(context, object, asked_at);
     }
-    Ok(after(listing.revision))
+    Ok(listing.revision)
 }
 
 /// Watches the configuration from `revision`.
--- a/tests/gateway/route_changes.rs
+++ b/tests/gateway/route_changes.rs
@@ -17,8 +17,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 
 use crate::{
-    loopback_proxy::LinkState,
-    loopback_proxy::LoopbackProxy,
+    loopback_proxy::{LinkState, LoopbackProxy},
     route_fleet::{RouteChanges, RouteFleet},
     route_requests::RouteOutcome,
 };
@@ -32,7 +31,7 @@
 /// Seeds played where the environment names no number.
 const USUAL_SEEDS: u64 = 1;
 const CHANGE_INTERVAL: Duration = Duration::from_millis(200);
-/// How long a fault lasts: longer than it may take until a change is in force.
+/// How long a fault lasts: longer than it may take until a change is applied.
 const FAULT_TIME: Duration = Duration::from_secs(5);
 /// Time before the first fault, and between two.
 const FAULT_PAUSE: Duration = Duration::from_secs(3);
