--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -23,7 +23,7 @@
             catch_up::{CatchUpState, ConfigurationLag},
             daemon_count,
             readiness::{MAX_CLIENT_CONNECTIONS, Readiness, ReadinessInputs},
-            store_watchers::{StoreWatch, StoreWatcher, is_store_failing},
+            store_watchers::{StoreWatch, WatcherElection, is_store_failing},
         },
         endpoint::endpoint_table::EndpointTable,
         leader::{
@@ -91,7 +91,7 @@
     /// When a call to the store last failed.
     pub store_failed: Cell<Option<Instant>>,
     /// Decides whether this daemon watches the store.
-    pub store_watcher: RefCell<StoreWatcher>,
+    pub watcher_election: RefCell<WatcherElection>,
     /// What it decided last.
     pub store_watch: Cell<Option<StoreWatch>>,
     /// Number of the newest report sent to other daemons.
@@ -189,7 +189,7 @@
         let proof = self.configuration.borrow().proof;
         let rank = || self.peers.borrow().watcher_rank(now);
         let store_fails = self.store_fails(now);
-        let watch = self.store_watcher.borrow_mut().decide(proof, rank, store_fails, now);
+        let watch = self.watcher_election.borrow_mut().decide(proof, rank, store_fails, now);
         if self.store_watch.replace(Some(watch)) != Some(watch) {
             let proof_age_ms = self.configuration.borrow().proof_age_ms(now);
             spdlog::info!("store watch", kv: { reason: = watch, proof_age_ms });
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -20,7 +20,7 @@
     gossip::{caller, listener, peer_table::PeerTable, text_exchange::TextExchange},
     leader::leader_tasks,
     policy::{
-        daemon::{catch_up::CatchUpState, store_watchers::StoreWatcher},
+        daemon::{catch_up::CatchUpState, store_watchers::WatcherElection},
         endpoint::endpoint_table::EndpointTable,
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
@@ -128,7 +128,7 @@
         kernel,
         active: OpenCount::default(),
         store_failed: Cell::new(None),
-        store_watcher: RefCell::new(StoreWatcher::new(bounds.apply_limit)),
+        watcher_election: RefCell::new(WatcherElection::new(bounds.apply_limit)),
         store_watch: Cell::new(None),
         sequence: Cell::new(0),
         started_at: now,
--- a/src/gateway/policy/daemon/store_watchers.rs
+++ b/src/gateway/policy/daemon/store_watchers.rs
@@ -89,15 +89,16 @@
     }
 }
 
-/// Decides again and again whether a daemon watches the store.
+/// Decides again and again whether this daemon watches the store, and remembers until when it
+/// stands in.
 #[derive(Clone, Copy, Debug)]
-pub struct StoreWatcher {
+pub struct WatcherElection {
     apply_limit: Duration,
     stands_in_until: Option<Instant>,
 }
 
-impl StoreWatcher {
-    /// Watcher of a fleet whose daemons have to apply a change within `apply_limit`.
+impl WatcherElection {
+    /// Election in a fleet whose daemons have to apply a change within `apply_limit`.
     pub fn new(apply_limit: Duration) -> Self {
         Self { apply_limit, stands_in_until: None }
     }
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -225,8 +225,8 @@
         }
         let close_at = usage.idle_since.get() + idle_timeout + IDLE_MARGIN;
         sleep_until(close_at).await;
-        // A request may have begun meanwhile. If the connection were closed behind its response, the
-        // client's next request would get none: each time in `serving`, with a pause of 100 ms.
+        // A request may have begun meanwhile. A connection closed behind its response loses the
+        // client's next request: each time in the test that sends the first one after 100 ms.
         let has_passed = usage.idle_since.get() + idle_timeout + IDLE_MARGIN <= Instant::now();
         if has_passed && !usage.is_busy.get() {
             return;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -19,7 +19,8 @@
 const CALL_LIMIT: Duration = Duration::from_millis(1_200);
 /// How much later than asked a waiting watch may respond; its connection then counts as silent.
 ///
-/// Basis: a store fifty times as slow as usual (4 ms) responds within 0.2 s.
+/// Basis: by calculation, not measured by itself: a store fifty times as slow as usual (4 ms)
+/// responds within 0.2 s.
 const WATCH_MARGIN: Duration = Duration::from_millis(300);
 
 /// One object with its revision.
--- a/tests/gateway/request_rules.rs
+++ b/tests/gateway/request_rules.rs
@@ -12,7 +12,7 @@
             daemon_count,
             readiness::{Readiness, ReadinessInputs},
             store_watchers::{
-                MAX_WATCH_WAIT, StoreWatch, StoreWatcher, is_store_failing, watch_wait,
+                MAX_WATCH_WAIT, StoreWatch, WatcherElection, is_store_failing, watch_wait,
             },
         },
         endpoint::endpoint_load::estimated_memory,
@@ -244,7 +244,7 @@
 fn store_is_watched_by_the_first_of_a_group_and_by_those_without_proofs() {
     let start = Instant::now();
     let decide = |proof, rank, age| {
-        let mut watcher = StoreWatcher::new(millis(3_000));
+        let mut watcher = WatcherElection::new(millis(3_000));
         watcher.decide(proof, || rank, false, start + millis(age))
     };
     expect_that!(decide(None, 5, 0), eq(StoreWatch::NotInformed));
@@ -256,7 +256,7 @@
         expect_that!(decide(Some(start), rank, age), eq(StoreWatch::StandsIn), "rank {rank}");
     }
     let asked = Cell::new(0);
-    StoreWatcher::new(millis(3_000)).decide(None, || asked.replace(1), false, start);
+    WatcherElection::new(millis(3_000)).decide(None, || asked.replace(1), false, start);
     expect_that!(asked.get(), eq(0));
 }
 
@@ -285,7 +285,7 @@
 #[googletest::test]
 fn daemon_that_stands_in_watches_the_store_for_a_while() {
     let start = Instant::now();
-    let mut watcher = StoreWatcher::new(millis(3_000));
+    let mut watcher = WatcherElection::new(millis(3_000));
     let mut decide = |proof_at, at| {
         let proof = Some(start + millis(proof_at));
         watcher.decide(proof, || 1, false, start + millis(at))
@@ -302,7 +302,7 @@
 #[googletest::test]
 fn daemon_that_was_cut_off_too_stands_in_no_longer_than_needed() {
     let start = Instant::now();
-    let mut watcher = StoreWatcher::new(millis(3_000));
+    let mut watcher = WatcherElection::new(millis(3_000));
     let mut decide = |proof_at, store_fails, at| {
         let proof = Some(start + millis(proof_at));
         watcher.decide(proof, || 1, store_fails, start + millis(at))
@@ -314,7 +314,7 @@
     expect_that!(decide(6_100, false, 6_200), eq(StoreWatch::StandsIn));
 }
 
-/// A change has to be in force in 2 s in a small fleet, and in 7 s in one of thousands.
+/// A change has to be applied within 2 s in a small fleet, and within 7 s in one of thousands.
 #[googletest::test]
 fn watch_of_the_configuration_waits_a_fraction_of_the_apply_limit() {
     expect_that!(watch_wait(millis(2_000), true), eq(millis(1_000)));
--- a/tests/gateway/route_changes.rs
+++ b/tests/gateway/route_changes.rs
@@ -39,6 +39,8 @@
 const DRAWN_PAUSE_MS: Range<u64> = 500..3_000;
 /// What the smallest VMs' links carry, in bytes a second.
 const THIN_LINK: u32 = 1_250_000;
+/// A link, in bytes a second, that carries a text of 250 routes (52 KB) in 0.2 s.
+const TEXT_IN_200_MS: u32 = 260_000;
 
 /// Fleets are played one after another: each takes most of the machine.
 static ONE_FLEET: Mutex<()> = Mutex::new(());
@@ -175,7 +177,7 @@
     added_routes_are_served_in_time: FleetFault::None;
     /// Eight of 77 daemons read the store for all. While their links to it were cut, the others
     /// served the configuration that they had until its proof of freshness was 4 s old, and
-    /// only then called the store themselves; a change has to be in force within 3 s.
+    /// only then called the store themselves; a change has to be applied within 3 s.
     ///
     /// With the watchers' links silent for 5 s at a time, 5,538 of 31,438 requests for routes over
     /// 3 s old were refused with 404, at all 77 daemons; with their connections refused 6,708 of
@@ -214,12 +216,12 @@
 /// a second it was 2.1 s in two runs, and 1.2 s in one.
 #[googletest::test]
 fn changes_faster_than_the_link_to_the_store_are_not_late() {
+    // Half of the time that the link takes for a text.
     let interval = Duration::from_millis(100);
     let changes = RouteChanges { first_routes: 250, interval, time: Duration::from_secs(8) };
     let outcome = play("thin link", 1, changes, |fleet, until| {
         let time = until.saturating_duration_since(Instant::now());
-        // A text of 52 KB takes 0.2 s, twice the time between two changes.
-        fleet.set_store_links(&[0], LinkState::Thin(260_000), time);
+        fleet.set_store_links(&[0], LinkState::Thin(TEXT_IN_200_MS), time);
     });
     let oldest = outcome.oldest.values().max().copied().unwrap_or_default();
     expect_that!(oldest, lt(Duration::from_millis(1_200)), "{outcome:?}");
--- a/tests/gateway/unknown_routes.rs
+++ b/tests/gateway/unknown_routes.rs
@@ -14,7 +14,7 @@
     platform_standin::PlatformStandin,
 };
 
-/// Time in which changes are in force, in milliseconds.
+/// Time within which changes have to be applied, in milliseconds.
 const APPLY_LIMIT_MS: u64 = 1_000;
 
 /// Daemons that had lost the store refused routes that an operator had added meanwhile with 404 and
