Sight: fingerprints of requests whose runs broke, and whether their endpoint had ended

Cause: logs and metrics could not tell whether two requests ask for the same, nor whether an endpoint had ended or only a connection. Which requests go where is unchanged.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -36,7 +36,7 @@
             retry_budget::RetryBudgets,
         },
     },
-    request::connection_pool::ConnectionPool,
+    request::{connection_pool::ConnectionPool, crash_check::CrashChecks},
     settings::GatewaySettings,
 };
 use crate::{
@@ -80,6 +80,8 @@
     pub lease: RefCell<LeaderLease>,
     /// Connections to endpoints.
     pub connections: ConnectionPool,
+    /// Endpoints at which runs broke, while they are checked.
+    pub crash_checks: CrashChecks,
     /// Wall clock for usage windows.
     pub wall_clock: RefCell<SteadyWallClock>,
     /// Counters and histograms.
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -163,6 +163,11 @@
         used.map(|status| (&status.record.id, status.own))
     }
 
+    /// Whether the list names an endpoint as one that takes requests.
+    pub fn is_ready(&self, id: &str) -> bool {
+        self.endpoints.get(id).is_some_and(|status| status.record.state == EndpointState::Ready)
+    }
+
     /// Endpoints of a service that take new requests.
     pub fn ready<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a Rc<EndpointRecord>> {
         self.of_service(service).map(|status| &status.record)
--- a/src/gateway/policy/request.rs
+++ b/src/gateway/policy/request.rs
@@ -5,6 +5,7 @@
 pub mod admission;
 pub mod configuration_doubt;
 pub mod endpoint_priority;
+pub mod fingerprint;
 pub mod key_freshness;
 pub mod quota;
 pub mod refusal;
--- /dev/null
+++ b/src/gateway/policy/request/fingerprint.rs
@@ -0,0 +1,60 @@
+//! Which requests are the same one: those of one account with the same method, host, path, query
+//! and body. Their ids and other headers differ from one attempt of a client to the next.
+
+use std::fmt;
+
+use sha2::{Digest, Sha256};
+
+use crate::{
+    gateway::call::{Call, CallHead},
+    ids::hash_parts,
+};
+
+/// Account in fingerprints of requests without one; accounts' names are not empty.
+const NO_ACCOUNT: &str = "";
+
+/// Identifies a request by what its client asks for, in all attempts and at all daemons.
+///
+/// The content's hash is a cryptographic one: nobody can make a request that is taken for
+/// another account's. The head's hash is cheap and tells most requests apart without reading
+/// their bodies; it comes first in the order, so that all fingerprints of a head lie together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestFingerprint {
+    /// Hash of all but the body.
+    pub head: u64,
+    /// First 128 bits of the SHA-256 hash of the whole.
+    pub content: u128,
+}
+
+impl RequestFingerprint {
+    /// Fingerprint of a whole request.
+    pub fn of(account: Option<&str>, call: &Call) -> Self {
+        let parts = head_parts(account, &call.head);
+        let mut hasher = Sha256::new();
+        for part in parts.iter().chain([&&*call.body]) {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let mut content = [0; size_of::<u128>()];
+        let whole = hasher.finalize();
+        content.copy_from_slice(&whole[..size_of::<u128>()]);
+        Self { head: hash_parts(&parts), content: u128::from_le_bytes(content) }
+    }
+
+    /// The part `head` of a request's fingerprint.
+    pub fn head_of(account: Option<&str>, head: &CallHead) -> u64 {
+        hash_parts(&head_parts(account, head))
+    }
+}
+
+fn head_parts<'a>(account: Option<&'a str>, head: &'a CallHead) -> [&'a [u8]; 4] {
+    let account = account.unwrap_or(NO_ACCOUNT);
+    let method = head.method.as_str();
+    [account.as_bytes(), method.as_bytes(), head.host.as_bytes(), head.target.as_bytes()]
+}
+
+impl fmt::Display for RequestFingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}{:032x}", self.head, self.content)
+    }
+}
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -1,7 +1,10 @@
 //! Admits a client's request: reads its body and charges its quota, by the rules of
 //! `policy::request::admission`, `policy::request::key_freshness` and `policy::request::quota`.
 
-use std::{cell::Cell, rc::Rc};
+use std::{
+    cell::{Cell, OnceCell},
+    rc::Rc,
+};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -16,6 +19,7 @@
     context::{GatewayContext, Intake},
     policy::request::{
         admission::{MatchedHead, match_head, quota_units, service_at, total_weight},
+        fingerprint::RequestFingerprint,
         quota::QuotaVerdict,
         refusal::{Refusal, SpentQuota},
         retry_after, time_limits,
@@ -35,7 +39,8 @@
     /// When it has to be over.
     pub deadline: Instant,
     /// Whether its run has been counted for the account.
-    pub counted: Cell<bool>,
+    counted: Cell<bool>,
+    fingerprint: OnceCell<RequestFingerprint>,
 }
 
 impl Admitted {
@@ -47,6 +52,16 @@
             context.record_run(&account.name);
         }
     }
+
+    /// The request's fingerprint; made when it is first needed, since it reads the whole body.
+    pub fn fingerprint(&self) -> RequestFingerprint {
+        *self.fingerprint.get_or_init(|| RequestFingerprint::of(self.account_name(), &self.call))
+    }
+
+    /// Name of the account, if the request has one.
+    pub fn account_name(&self) -> Option<&str> {
+        self.account.as_ref().map(|account| &*account.name)
+    }
 }
 
 /// Checks a request and admits it.
@@ -76,7 +91,15 @@
     }
     context.retry_budgets.borrow_mut().record_request(&service.name, now);
     let call = Call { head, body };
-    Ok(Admitted { call, route, service, account, deadline, counted: Cell::new(false) })
+    Ok(Admitted {
+        call,
+        route,
+        service,
+        account,
+        deadline,
+        counted: Cell::new(false),
+        fingerprint: OnceCell::new(),
+    })
 }
 
 async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -16,6 +16,7 @@
 use super::{
     admission::Admitted,
     connection_pool::{EndpointConnection, SendFailure},
+    crash_check::{BrokenRun, check_endpoint},
     drain::drain,
     request_log::RequestTrace,
     response_meaning::{ResponseMeaning, ResponseSigns},
@@ -26,6 +27,7 @@
     gateway::{
         call::{AttemptHead, CallHead},
         context::GatewayContext,
+        endpoint::EndpointRecord,
         policy::{
             endpoint::{
                 endpoint_choice::{ChoiceQuery, ChoiceResult, EndpointChoice},
@@ -113,7 +115,7 @@
     match connection.send(request, until).await {
         Err(failure) => {
             trace.failed(&failure);
-            let ended = after_send_failure(context, admitted, attempts, &failure, guard);
+            let ended = after_send_failure(context, admitted, attempts, &failure, guard, trace);
             Ok(AttemptEnd::Failed(ended))
         }
         Ok(response) => {
@@ -145,11 +147,12 @@
 }
 
 fn after_send_failure(
-    context: &GatewayContext,
+    context: &Rc<GatewayContext>,
     admitted: &Admitted,
     attempts: &mut Attempts,
     failure: &SendFailure,
     guard: RunGuard,
+    trace: &mut RequestTrace,
 ) -> AttemptFailure {
     let ended = match failure.is_unsent() {
         true => AttemptFailure::NotSent,
@@ -161,6 +164,9 @@
             AttemptFailure::MayHaveRun
         }
     };
+    if matches!(failure, SendFailure::Broken(_)) {
+        run_broke(context, admitted, guard.record(), guard.begun(), trace);
+    }
     match failure {
         // That an endpoint has closed an idle connection says nothing of its health: it may
         // be chosen again.
@@ -173,6 +179,19 @@
     ended
 }
 
+/// Notes that a run has broken, and has its endpoint checked.
+pub fn run_broke(
+    context: &Rc<GatewayContext>,
+    admitted: &Admitted,
+    endpoint: &Rc<EndpointRecord>,
+    begun: Instant,
+    trace: &mut RequestTrace,
+) {
+    let request = admitted.fingerprint();
+    trace.run_broke(request);
+    check_endpoint(context, endpoint, BrokenRun { request, begun, broken: Instant::now() });
+}
+
 fn judge(
     context: &Rc<GatewayContext>,
     admitted: &Admitted,
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -18,7 +18,7 @@
 
 use super::{
     admission::Admitted,
-    attempt::{AttemptEnd, Attempts, EndpointResponse, attempt, may_try_again},
+    attempt::{AttemptEnd, Attempts, EndpointResponse, attempt, may_try_again, run_broke},
     connection_pool::EndpointConnection,
     event_cutter::EventCutter,
     request_log::RequestTrace,
@@ -70,6 +70,17 @@
     signs: ResponseSigns,
     connection: EndpointConnection,
     guard: RunGuard,
+    /// When its head came: the endpoint runs the request since then, or a little longer.
+    since: Instant,
+}
+
+impl Upstream {
+    /// Splits a response into its head, and body with all that belongs to it.
+    fn of(response: EndpointResponse) -> (Response<()>, Self) {
+        let EndpointResponse { response, signs, connection, guard } = response;
+        let (head, body) = ingress::client_response(response);
+        (head, Self { body, signs, connection, guard, since: Instant::now() })
+    }
 }
 
 /// What came next of a response.
@@ -87,18 +98,16 @@
     response: EndpointResponse,
     trace: RequestTrace,
 ) -> Response<LocalBody> {
-    let EndpointResponse { response, signs, connection, guard } = response;
-    let success = response.status().is_success();
-    let (head, body) = ingress::client_response(response);
-    let whole_length = body.size_hint().exact();
-    let streams = success && admitted.route.kind.is_stream();
+    let (head, upstream) = Upstream::of(response);
+    let whole_length = upstream.body.size_hint().exact();
+    let streams = head.status().is_success() && admitted.route.kind.is_stream();
     let mut relay = Relay {
         context: context.clone(),
         last_event: admitted.call.head.last_event,
         admitted,
         attempts,
         trace,
-        upstream: Some(Upstream { body, signs, connection, guard }),
+        upstream: Some(upstream),
         cutter: streams.then(EventCutter::default),
         events: 0,
         ended: false,
@@ -170,7 +179,11 @@
             // Silent for too long.
             Err(_) => return NextPiece::Broken(RelayError::BrokenOff),
             Ok(None) => return NextPiece::End,
-            Ok(Some(Err(_))) => return NextPiece::Broken(RelayError::BrokenOff),
+            Ok(Some(Err(_))) => {
+                let (endpoint, since) = (upstream.guard.record(), upstream.since);
+                run_broke(&self.context, &self.admitted, endpoint, since, &mut self.trace);
+                return NextPiece::Broken(RelayError::BrokenOff);
+            }
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(bytes) = frame.into_data() else { return NextPiece::Bytes(Bytes::new()) };
@@ -226,10 +239,8 @@
                 }
                 Ok(_) => continue,
             };
-            let EndpointResponse { response, signs, connection, guard } = *resumed;
-            let body = response.into_body();
             self.cutter = Some(EventCutter::default());
-            self.upstream = Some(Upstream { body, signs, connection, guard });
+            self.upstream = Some(Upstream::of(*resumed).1);
             return true;
         }
         false
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -14,7 +14,7 @@
         context::GatewayContext,
         policy::{
             endpoint::{endpoint_choice::EndpointChoice, endpoint_table::ServiceRoom},
-            request::{admission::MatchedHead, refusal::Refusal},
+            request::{admission::MatchedHead, fingerprint::RequestFingerprint, refusal::Refusal},
         },
     },
     ids::SharedName,
@@ -30,6 +30,8 @@
     steps: String,
     begun: Instant,
     first_after: Option<Duration>,
+    /// Known only of requests of which a run broke.
+    fingerprint: Option<RequestFingerprint>,
     ended: bool,
 }
 
@@ -44,6 +46,7 @@
             steps: String::new(),
             begun: Instant::now(),
             first_after: None,
+            fingerprint: None,
             ended: false,
         }
     }
@@ -78,6 +81,11 @@
         self.context.metrics.count("attempts_failed", 1);
     }
 
+    /// A run of it broke. Its fingerprint shows which other requests asked for the same.
+    pub fn run_broke(&mut self, request: RequestFingerprint) {
+        self.fingerprint = Some(request);
+    }
+
     /// An endpoint responded.
     pub fn responded(&mut self, status: StatusCode, meaning: ResponseMeaning) {
         let after = self.begun.elapsed().as_millis();
@@ -138,10 +146,11 @@
         let route = self.route.as_deref().unwrap_or("-");
         let account = self.account.as_deref().unwrap_or("-");
         let total_ms = self.begun.elapsed().as_millis() as u64;
+        let fingerprint = self.fingerprint.map_or("-".to_owned(), |one| one.to_string());
         let first_ms = self.first_after.map_or(-1, |after| after.as_millis() as i64);
         spdlog::info!("request", kv: {
             id, outcome, route, account, steps: = self.steps, events, first_ms, total_ms,
-            version, proof_age_ms, lag_ms
+            version, proof_age_ms, lag_ms, fingerprint
         });
     }
 }
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -47,6 +47,16 @@
         &self.endpoint.id
     }
 
+    /// The endpoint.
+    pub fn record(&self) -> &Rc<EndpointRecord> {
+        &self.endpoint
+    }
+
+    /// When the attempt began.
+    pub fn begun(&self) -> Instant {
+        self.begun
+    }
+
     /// The first event has come, so the endpoint has read the prompt.
     pub fn prefill_done(&mut self) {
         let uncached = std::mem::take(&mut self.load.uncached_tokens);
