--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -81,6 +81,25 @@
   renewals @4 :UInt64;           # by this holder, up to that one
 }
 
+struct CrashedRun {
+  endpoint @0 :UInt64;           # hash of the endpoint's id
+  begunAgeMs @1 :UInt32;
+  crashedAgeMs @2 :UInt32;
+}
+
+struct CrashReport {             # what is known of a request whose runs have crashed endpoints
+  head @0 :UInt64;               # fingerprint: hash of all but the body
+  contentLow @1 :UInt64;         # fingerprint: 128 bits of the hash of the whole
+  contentHigh @2 :UInt64;
+  runs @3 :List(CrashedRun);
+  quarantined @4 :Bool;          # whether the request is refused
+  trials @5 :UInt32;             # since it is
+  hasTrial @6 :Bool;             # whether `trialAgeMs` means anything
+  trialAgeMs @7 :UInt32;
+  wasCleared @8 :Bool;           # whether `clearedAgeMs` means anything
+  clearedAgeMs @9 :UInt32;
+}
+
 struct GossipMessage {
   state @0 :DaemonState;
   known @1 :List(PeerSummary);   # some other daemons
@@ -104,6 +123,7 @@
   compressedConfiguration @19 :CompressedText;  # in place of `configurationText`
   endpointBases @20 :List(UInt64);  # revisions whose texts the sender keeps
   compressedEndpoints @21 :CompressedText;  # in place of `endpoints`: an `EndpointListText`
+  crashes @22 :List(CrashReport);
 }
 
 interface Exchange {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -31,12 +31,13 @@
         },
         request::{
             configuration_doubt::ConfigurationDoubt,
+            crash_ledger::CrashLedger,
             key_freshness::KeyFreshness,
             quota::{QuotaLedger, QuotaSharing},
             retry_budget::RetryBudgets,
         },
     },
-    request::{connection_pool::ConnectionPool, crash_check::CrashChecks},
+    request::{connection_pool::ConnectionPool, crash_watch::CrashChecks},
     settings::GatewaySettings,
 };
 use crate::{
@@ -80,6 +81,8 @@
     pub lease: RefCell<LeaderLease>,
     /// Connections to endpoints.
     pub connections: ConnectionPool,
+    /// Requests whose runs have crashed endpoints.
+    pub crashes: RefCell<CrashLedger>,
     /// Endpoints at which runs broke, while they are checked.
     pub crash_checks: CrashChecks,
     /// Wall clock for usage windows.
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -9,6 +9,7 @@
 mod call_schedule;
 pub mod caller;
 pub mod codec;
+mod crash_reports;
 pub mod groups;
 mod incoming;
 pub mod listener;
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -4,7 +4,13 @@
 //! connection and is counted (`exchange_failures`); the peer table decides when the address is
 //! tried again.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use capnp::Error;
 use capnp_rpc::rpc_twoparty_capnp::Side;
@@ -108,6 +114,7 @@
         ticks.tick().await;
         let now = Instant::now();
         context.wall_clock.borrow_mut().compare(wall_clock_ms(), now);
+        context.crashes.borrow_mut().forget_old(now);
         let fetches = start_fetches(&context, now);
         for address in addresses_to_call(&context, &fetches, now) {
             let (context, connections) = (context.clone(), connections.clone());
@@ -135,11 +142,14 @@
     context: &GatewayContext,
     fetches: &TextFetches,
     now: Instant,
-) -> Vec<SocketAddr> {
-    let mut addresses = context.peers.borrow_mut().next_calls(now, &mut rand::rng());
-    let extra: Vec<SocketAddr> =
-        fetches.addresses().filter(|address| !addresses.contains(address)).collect();
-    addresses.extend(extra);
+) -> BTreeSet<SocketAddr> {
+    let rng = &mut rand::rng();
+    let mut addresses: BTreeSet<SocketAddr> =
+        context.peers.borrow_mut().next_calls(now, rng).into_iter().collect();
+    if context.crashes.borrow().is_urgent(now) {
+        addresses.extend(context.peers.borrow().urgent_calls(rng));
+    }
+    addresses.extend(fetches.addresses());
     addresses
 }
 
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -3,6 +3,7 @@
 //! A message that is malformed or whose lists are too long is an error.
 
 mod counters;
+mod crashes;
 pub mod endpoint_list;
 mod values;
 
@@ -13,6 +14,7 @@
 
 use self::{
     counters::{read_counters, write_counters},
+    crashes::{read_crashes, write_crashes},
     values::{check_length, read_address, read_text},
 };
 use super::messages::{
@@ -36,6 +38,8 @@
     target.set_wants_usage(source.wants.usage);
     let usage = target.reborrow().init_usage(source.usage.len() as u32);
     write_relayed_usage(usage, &source.usage);
+    let crashes = target.reborrow().init_crashes(source.crashes.len() as u32);
+    write_crashes(crashes, &source.crashes);
     if let Some(group) = &source.group {
         target.set_has_group(true);
         write_counters!(target.reborrow().init_group(), group);
@@ -166,6 +170,7 @@
         wants: read_wants(source)?,
         group,
         usage: read_relayed_usage(source)?,
+        crashes: read_crashes(source.get_crashes()?)?,
     })
 }
 
--- /dev/null
+++ b/src/gateway/gossip/codec/crashes.rs
@@ -0,0 +1,91 @@
+//! Reports of requests that crash endpoints, written to and read from the schema.
+
+use std::time::Duration;
+
+use capnp::{Error, struct_list};
+
+use super::values::check_length;
+use crate::{
+    exchange_capnp::{crash_report, crashed_run},
+    gateway::{
+        gossip::messages::{CrashReport, ReportedRun},
+        policy::request::fingerprint::RequestFingerprint,
+    },
+};
+
+/// Writes reports into a list of their number.
+pub fn write_crashes(
+    mut target: struct_list::Builder<'_, crash_report::Owned>,
+    crashes: &[CrashReport],
+) {
+    for (index, report) in crashes.iter().enumerate() {
+        write_crash(target.reborrow().get(index as u32), report);
+    }
+}
+
+fn write_crash(mut target: crash_report::Builder<'_>, report: &CrashReport) {
+    let RequestFingerprint { head, content } = report.request;
+    target.set_head(head);
+    target.set_content_low(content as u64);
+    target.set_content_high((content >> u64::BITS) as u64);
+    target.set_quarantined(report.is_quarantined);
+    target.set_trials(report.trials);
+    if let Some(age) = report.trial_age {
+        target.set_has_trial(true);
+        target.set_trial_age_ms(to_ms(age));
+    }
+    if let Some(age) = report.cleared_age {
+        target.set_was_cleared(true);
+        target.set_cleared_age_ms(to_ms(age));
+    }
+    let mut runs = target.init_runs(report.runs.len() as u32);
+    for (index, run) in report.runs.iter().enumerate() {
+        let mut entry = runs.reborrow().get(index as u32);
+        entry.set_endpoint(run.endpoint);
+        entry.set_begun_age_ms(to_ms(run.begun_age));
+        entry.set_crashed_age_ms(to_ms(run.crashed_age));
+    }
+}
+
+/// Reads a list of reports.
+///
+/// # Errors
+///
+/// A list is malformed or too long.
+pub fn read_crashes(
+    source: struct_list::Reader<'_, crash_report::Owned>,
+) -> Result<Vec<CrashReport>, Error> {
+    check_length(source.len())?;
+    source.iter().map(read_crash).collect()
+}
+
+fn read_crash(source: crash_report::Reader<'_>) -> Result<CrashReport, Error> {
+    let runs = source.get_runs()?;
+    check_length(runs.len())?;
+    let content =
+        u128::from(source.get_content_high()) << u64::BITS | u128::from(source.get_content_low());
+    Ok(CrashReport {
+        request: RequestFingerprint { head: source.get_head(), content },
+        runs: runs.iter().map(read_run).collect(),
+        is_quarantined: source.get_quarantined(),
+        trials: source.get_trials(),
+        trial_age: source.get_has_trial().then(|| from_ms(source.get_trial_age_ms())),
+        cleared_age: source.get_was_cleared().then(|| from_ms(source.get_cleared_age_ms())),
+    })
+}
+
+fn read_run(source: crashed_run::Reader<'_>) -> ReportedRun {
+    ReportedRun {
+        endpoint: source.get_endpoint(),
+        begun_age: from_ms(source.get_begun_age_ms()),
+        crashed_age: from_ms(source.get_crashed_age_ms()),
+    }
+}
+
+fn to_ms(age: Duration) -> u32 {
+    u32::try_from(age.as_millis()).unwrap_or(u32::MAX)
+}
+
+fn from_ms(age: u32) -> Duration {
+    Duration::from_millis(u64::from(age))
+}
--- /dev/null
+++ b/src/gateway/gossip/crash_reports.rs
@@ -0,0 +1,71 @@
+//! Records of requests that crash endpoints, as ages for other daemons and back: no clock of
+//! another daemon is compared with the own one.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::messages::{CrashReport, ReportedRun};
+use crate::gateway::{
+    context::GatewayContext,
+    policy::request::{
+        crash_record::{CrashRecord, CrashedRun},
+        fingerprint::RequestFingerprint,
+    },
+    request::crash_watch::log_quarantine,
+};
+
+/// Reports for another daemon.
+pub fn own_reports(context: &GatewayContext, now: Instant) -> Vec<CrashReport> {
+    let ledger = context.crashes.borrow();
+    if ledger.is_empty() {
+        return Vec::new();
+    }
+    let records = ledger.report(now, &mut rand::rng()).into_iter();
+    records.map(|(request, record)| report_of(request, &record, now)).collect()
+}
+
+/// Applies the reports of another daemon.
+pub fn apply_reports(context: &GatewayContext, reports: &[CrashReport], now: Instant) {
+    let mut ledger = context.crashes.borrow_mut();
+    for report in reports {
+        if ledger.receive(report.request, &record_of(report, now), now) {
+            log_quarantine(context, report.request, "reported");
+        }
+    }
+}
+
+fn report_of(request: RequestFingerprint, record: &CrashRecord, now: Instant) -> CrashReport {
+    let age = |at: Instant| now.saturating_duration_since(at);
+    let runs = record.runs.iter().map(|run| ReportedRun {
+        endpoint: run.endpoint,
+        begun_age: age(run.begun),
+        crashed_age: age(run.crashed),
+    });
+    CrashReport {
+        request,
+        runs: runs.collect(),
+        is_quarantined: record.is_quarantined,
+        trials: record.trials,
+        trial_age: record.trial_at.map(age),
+        cleared_age: record.cleared_at.map(age),
+    }
+}
+
+/// Times from before the start of the clock are left out: nothing that old counts any more.
+fn record_of(report: &CrashReport, now: Instant) -> CrashRecord {
+    let time = |age: Duration| now.checked_sub(age);
+    let runs = report.runs.iter().filter_map(|run| {
+        let (begun, crashed) = (time(run.begun_age)?, time(run.crashed_age)?);
+        Some(CrashedRun { endpoint: run.endpoint, begun, crashed })
+    });
+    let mut record = CrashRecord::default();
+    for run in runs {
+        record.add(run);
+    }
+    record.is_quarantined = report.is_quarantined;
+    record.trials = report.trials;
+    record.trial_at = report.trial_age.and_then(time);
+    record.cleared_at = report.cleared_age.and_then(time);
+    record
+}
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -13,6 +13,7 @@
 
 use super::{
     codec::endpoint_list,
+    crash_reports::apply_reports,
     messages::{
         CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage,
         LeaseSummary, SentEndpoints, SentText,
@@ -46,6 +47,7 @@
     }
     let now = Instant::now();
     apply_relayed_usage(context, &message);
+    apply_reports(context, &message.crashes, now);
     let GossipMessage { state, configuration, endpoint_revision, endpoints, lease, .. } = message;
     let address = state.address;
     let is_newer = {
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -13,8 +13,9 @@
     gateway::{
         endpoint::EndpointList,
         policy::{
-            endpoint::endpoint_load::EndpointLoad, leader::usage_counts::WindowCounts,
-            request::quota::AccountCounters,
+            endpoint::endpoint_load::EndpointLoad,
+            leader::usage_counts::WindowCounts,
+            request::{fingerprint::RequestFingerprint, quota::AccountCounters},
         },
     },
     ids::{IncarnationId, SharedName},
@@ -72,6 +73,34 @@
     pub age: Duration,
 }
 
+/// A run of a request under which its endpoint ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportedRun {
+    /// Number of the endpoint.
+    pub endpoint: u64,
+    /// How long ago it began.
+    pub begun_age: Duration,
+    /// How long ago it broke.
+    pub crashed_age: Duration,
+}
+
+/// What a daemon knows of a request whose runs have crashed endpoints.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct CrashReport {
+    /// The request.
+    pub request: RequestFingerprint,
+    /// Runs that count against it.
+    pub runs: Vec<ReportedRun>,
+    /// Whether it is refused.
+    pub is_quarantined: bool,
+    /// Trials since then.
+    pub trials: u32,
+    /// How long ago the newest trial began.
+    pub trial_age: Option<Duration>,
+    /// How long ago it was last cleared.
+    pub cleared_age: Option<Duration>,
+}
+
 /// What a daemon knows of the leader lease.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LeaseSummary {
@@ -183,4 +212,6 @@
     pub group: Option<DaemonCounters>,
     /// Usage that others have reported to the sender, if the other side has requested it.
     pub usage: Vec<RelayedUsage>,
+    /// Requests whose runs have crashed endpoints.
+    pub crashes: Vec<CrashReport>,
 }
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -4,9 +4,12 @@
 
 use tokio::time::Instant;
 
-use super::messages::{
-    ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary, RelayedUsage,
-    RequestedParts, SentEndpoints, SentText, TextRequest,
+use super::{
+    crash_reports::own_reports,
+    messages::{
+        ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary,
+        RelayedUsage, RequestedParts, SentEndpoints, SentText, TextRequest,
+    },
 };
 use crate::gateway::{
     context::GatewayContext,
@@ -53,6 +56,7 @@
         wants: RequestedParts::default(),
         group: wants.group.then(|| group_sums(context)),
         usage: if wants.usage { relayed_usage(context) } else { Vec::new() },
+        crashes: own_reports(context, now),
     }
 }
 
--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -37,6 +37,11 @@
 /// Basis: chosen, not measured (commit c834c29): until then its share of quotas is reserved, so
 /// short partitions must not end it.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
+/// Random daemons called in an interval while there are urgent reports.
+///
+/// Basis: by calculation: with the usual two calls, each daemon that knows of a report makes four
+/// more know it in each interval; 2,100 do after six.
+const URGENT_CALLS: usize = 2;
 /// Exchanges that a report passes in a fleet of several groups.
 ///
 /// Basis: the way of a report: to the representative, and from there to this daemon.
@@ -147,6 +152,22 @@
         self.schedule.next(&self.neighbours, &self.peers, now, rng)
     }
 
+    /// Further addresses to call in an interval while there is an urgent report.
+    pub fn urgent_calls(&self, rng: &mut impl Rng) -> Vec<SocketAddr> {
+        self.peers.keys().copied().sample(rng, URGENT_CALLS)
+    }
+
+    /// Whether this daemon comes first, by hashes with `key`, of all that are known and not
+    /// leaving. Daemons that know the same others agree on the first one.
+    pub fn is_first_for(&self, key: u64) -> bool {
+        let rank = |address: &SocketAddr| {
+            (hash_parts(&[&key.to_le_bytes(), address.to_string().as_bytes()]), *address)
+        };
+        let own = rank(&self.own);
+        let mut others = self.peers.iter().filter(|(_, peer)| !peer.leaving);
+        others.all(|(address, _)| own < rank(address))
+    }
+
     fn forget(&mut self, now: Instant) {
         let before = self.peers.len();
         self.peers.retain(|_, peer| now.saturating_duration_since(peer.heard_at) < FORGET_AFTER);
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -10,3 +10,4 @@
 pub mod lease_keeper;
 pub mod lease_record;
 pub mod lease_store;
+mod quarantine;
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -8,6 +8,7 @@
 use super::{
     lease_keeper::{LeaseKeeper, SeenLease},
     lease_record::LeaseRecord,
+    quarantine,
 };
 use crate::{
     errors::StepError,
@@ -112,6 +113,7 @@
             released: false,
             daemons: self.known_daemons(),
             throttled: self.throttled_accounts(),
+            quarantined: quarantine::stored_requests(&self.context),
             required_endpoints: required_endpoints.clone(),
             report,
         };
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -11,6 +11,7 @@
 use super::{
     lease_record::{LeaseRecord, UsageReport},
     lease_store::{LeaseStore, STORE_LIMIT},
+    quarantine,
 };
 use crate::{
     errors::StepError,
@@ -112,6 +113,7 @@
             }
         };
         self.context.fleet_size.set(Some(record.daemons.max(1)));
+        quarantine::restore_requests(&self.context, &record.quarantined);
         self.context.quotas.borrow_mut().set_throttled_before(record.throttled.iter().cloned());
         let since = match &self.seen {
             Some(seen) if seen.revision == object.revision => seen.since,
@@ -169,6 +171,7 @@
             report,
             daemons: self.known_daemons(),
             throttled: self.throttled_accounts(),
+            quarantined: quarantine::stored_requests(&self.context),
             required_endpoints,
             ..seen.record
         };
--- a/src/gateway/leader/lease_record.rs
+++ b/src/gateway/leader/lease_record.rs
@@ -18,6 +18,17 @@
     pub counts: WindowCounts,
 }
 
+/// A request that crashes endpoints.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedRequest {
+    /// Its fingerprint, as text.
+    pub fingerprint: String,
+    /// Trials since it is refused.
+    pub trials: u32,
+    /// Milliseconds from its newest crash to the write of this record.
+    pub crash_age_ms: u64,
+}
+
 /// The lease as stored.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeaseRecord {
@@ -44,6 +55,9 @@
     /// Required endpoints by service.
     #[serde(default, rename = "needs")]
     pub required_endpoints: BTreeMap<SharedName, f64>,
+    /// Requests that crash endpoints: daemons that start after all have ended know them from here.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub quarantined: Vec<QuarantinedRequest>,
     /// The newest report.
     pub report: Option<UsageReport>,
 }
--- a/src/gateway/policy/request.rs
+++ b/src/gateway/policy/request.rs
@@ -4,6 +4,8 @@
 
 pub mod admission;
 pub mod configuration_doubt;
+pub mod crash_ledger;
+pub mod crash_record;
 pub mod endpoint_priority;
 pub mod fingerprint;
 pub mod key_freshness;
--- /dev/null
+++ b/src/gateway/policy/request/crash_ledger.rs
@@ -0,0 +1,298 @@
+//! Which requests may not be run because they crash the endpoints that run them.
+//!
+//! Inputs: runs of this daemon's requests under which an endpoint has ended, whole responses to
+//! requests that are on record, and the records of other daemons, which gossip brings within
+//! about a second. A request with enough evidence (`crash_record`) is quarantined: refused until
+//! a trial, a whole response or an operator clears it. Where several requests ran at the same
+//! crashes, the one with the most evidence has the blame. Without records from others a daemon
+//! goes by its own runs alone.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use rand::{Rng, seq::IteratorRandom};
+use tokio::time::Instant;
+
+use super::{
+    crash_record::{CrashRecord, CrashedRun, RUNS_TO_QUARANTINE},
+    fingerprint::RequestFingerprint,
+};
+
+/// Records that are kept.
+///
+/// Basis: chosen, not measured: about 600 bytes each; a crash leaves as many as runs were at the
+/// endpoint.
+pub const MAX_RECORDS: usize = 1_024;
+/// Records in one report to another daemon.
+///
+/// Basis: chosen, not measured: below 10 KB, 20 times a second, and only after crashes.
+pub const MAX_REPORTED: usize = 64;
+/// A request that is not quarantined is forgotten this long after its newest crash.
+///
+/// Basis: chosen, not measured: clients that come again do so within their deadlines.
+const SUSPECTED_FOR: Duration = Duration::from_secs(60);
+/// A quarantined request is forgotten this long after its newest crash.
+///
+/// Basis: chosen, not measured: after the second of the longest waits between trials.
+const QUARANTINED_FOR: Duration = Duration::from_secs(60 * 60);
+/// Records that have changed within this time are reported before all others.
+///
+/// Basis: chosen, not measured: some rounds of gossip in a fleet of many groups.
+const FRESH_FOR: Duration = Duration::from_secs(5);
+/// After a change, other daemons than the usual ones are called for this long.
+///
+/// Basis: chosen, not measured: five gossip intervals.
+const URGENT_FOR: Duration = Duration::from_millis(500);
+/// Shortest time that a client is told to wait.
+///
+/// Basis: chosen, not measured: a trial that is due is made by one daemon only.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Number in place of an endpoint's, for runs of which only the time is known.
+const UNKNOWN_ENDPOINT: u64 = 0;
+
+/// Whether a request may be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunVerdict {
+    /// Yes.
+    Allowed,
+    /// Yes, as the only one for now, to see whether it still crashes endpoints.
+    Trial,
+    /// No; the next trial is due after this time.
+    Refused(Duration),
+}
+
+#[derive(Clone, Debug, Default)]
+struct LedgerEntry {
+    record: CrashRecord,
+    changed_at: Option<Instant>,
+}
+
+/// Records of all requests whose runs have crashed endpoints.
+#[derive(Debug, Default)]
+pub struct CrashLedger {
+    entries: BTreeMap<RequestFingerprint, LedgerEntry>,
+    /// When this daemon last learnt something that others may not know.
+    changed_at: Option<Instant>,
+}
+
+impl CrashLedger {
+    /// Whether a request with this head is on record; its body needs to be read only then.
+    pub fn has_head(&self, head: u64) -> bool {
+        let all = RequestFingerprint { head, content: 0 }..=RequestFingerprint {
+            head,
+            content: u128::MAX,
+        };
+        self.entries.range(all).next().is_some()
+    }
+
+    /// Whether a request may be run now. `makes_trial` says whether this daemon is the one to
+    /// make the trial of this number.
+    pub fn judge(
+        &mut self,
+        request: RequestFingerprint,
+        makes_trial: impl FnOnce(u32) -> bool,
+        now: Instant,
+    ) -> RunVerdict {
+        let Some(entry) = self.entries.get_mut(&request) else { return RunVerdict::Allowed };
+        let record = &mut entry.record;
+        let Some(trial_at) = record.next_trial().filter(|_| record.is_quarantined) else {
+            return RunVerdict::Allowed;
+        };
+        if now < trial_at || !makes_trial(record.trials) {
+            let wait = trial_at.saturating_duration_since(now);
+            return RunVerdict::Refused(wait.max(MIN_RETRY_AFTER));
+        }
+        record.trials += 1;
+        record.trial_at = Some(now);
+        self.mark_changed(request, now);
+        RunVerdict::Trial
+    }
+
+    /// Records that an endpoint has ended under a run; returns whether the request is quarantined
+    /// for it.
+    pub fn record_crash(
+        &mut self,
+        request: RequestFingerprint,
+        run: CrashedRun,
+        now: Instant,
+    ) -> bool {
+        self.forget_old(now);
+        if !self.entries.entry(request).or_default().record.add(run) {
+            return false;
+        }
+        self.mark_changed(request, now);
+        self.evict();
+        self.try_quarantine(request, now)
+    }
+
+    /// Clears a request that is on record: an endpoint gave a whole response to it, or an
+    /// operator asks for it. Returns whether it was quarantined.
+    pub fn clear(&mut self, request: RequestFingerprint, now: Instant) -> bool {
+        let Some(entry) = self.entries.get_mut(&request) else { return false };
+        let was_quarantined = entry.record.is_quarantined;
+        // Popular requests are cleared many times a second; only the first one is news.
+        let is_news = !entry.record.runs.is_empty();
+        entry.record.clear(now);
+        if is_news {
+            self.mark_changed(request, now);
+        }
+        was_quarantined
+    }
+
+    /// Receives another daemon's record; returns whether the request is quarantined for it.
+    pub fn receive(
+        &mut self,
+        request: RequestFingerprint,
+        received: &CrashRecord,
+        now: Instant,
+    ) -> bool {
+        if is_old(received, now) {
+            return false;
+        }
+        let entry = self.entries.entry(request).or_default();
+        let before = entry.record.clone();
+        entry.record.merge(received);
+        let is_changed = entry.record != before || entry.record.is_ahead_of(received);
+        let is_adopted = entry.record.is_quarantined && !before.is_quarantined;
+        if is_changed {
+            self.mark_changed(request, now);
+            self.evict();
+        }
+        is_adopted || self.try_quarantine(request, now)
+    }
+
+    /// Quarantines a request that was refused before all daemons ended, if nothing is known of it.
+    pub fn restore(
+        &mut self,
+        request: RequestFingerprint,
+        trials: u32,
+        crashed: Instant,
+        now: Instant,
+    ) {
+        if self.entries.contains_key(&request) {
+            return;
+        }
+        let run = CrashedRun { endpoint: UNKNOWN_ENDPOINT, begun: crashed, crashed };
+        let record =
+            CrashRecord { runs: vec![run], is_quarantined: true, trials, ..CrashRecord::default() };
+        if !is_old(&record, now) {
+            self.entries.insert(request, LedgerEntry { record, changed_at: Some(now) });
+            self.evict();
+        }
+    }
+
+    /// Quarantines a request if there is enough evidence that no other one explains.
+    fn try_quarantine(&mut self, request: RequestFingerprint, now: Instant) -> bool {
+        let Some(entry) = self.entries.get(&request) else { return false };
+        let record = &entry.record;
+        let evidence = record.evidence();
+        if record.is_quarantined || evidence < RUNS_TO_QUARANTINE {
+            return false;
+        }
+        let blamed = self.blamed(|other| other.evidence() >= evidence);
+        if record.evidence_beside(&blamed) < RUNS_TO_QUARANTINE {
+            return false;
+        }
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.record.is_quarantined = true;
+        }
+        self.mark_changed(request, now);
+        self.clear_explained(now);
+        true
+    }
+
+    /// Clears quarantined requests of which all runs are explained by others with more evidence.
+    fn clear_explained(&mut self, now: Instant) {
+        let is_explained = |record: &CrashRecord| {
+            let evidence = record.evidence();
+            let blamed = self.blamed(|other| other.evidence() > evidence);
+            evidence >= RUNS_TO_QUARANTINE && record.evidence_beside(&blamed) == 0
+        };
+        let explained = self.quarantined().filter(|(_, record)| is_explained(record));
+        let explained: Vec<RequestFingerprint> = explained.map(|(request, _)| *request).collect();
+        for request in explained {
+            self.clear(request, now);
+        }
+    }
+
+    /// Quarantined requests that may have the blame for others' runs.
+    fn blamed(&self, may_explain: impl Fn(&CrashRecord) -> bool) -> Vec<&CrashRecord> {
+        let records = self.quarantined().map(|(_, record)| record);
+        records.filter(|record| may_explain(record)).collect()
+    }
+
+    fn mark_changed(&mut self, request: RequestFingerprint, now: Instant) {
+        self.changed_at = Some(now);
+        if let Some(entry) = self.entries.get_mut(&request) {
+            entry.changed_at = Some(now);
+        }
+    }
+
+    /// Whether this daemon has learnt something a moment ago that all others should know soon.
+    pub fn is_urgent(&self, now: Instant) -> bool {
+        self.changed_at.is_some_and(|at| now.saturating_duration_since(at) < URGENT_FOR)
+    }
+
+    /// Records for another daemon: those that have just changed, and of the quarantined ones as
+    /// many as there is room for, chosen at random.
+    pub fn report(
+        &self,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Vec<(RequestFingerprint, CrashRecord)> {
+        let is_fresh = |entry: &LedgerEntry| {
+            entry.changed_at.is_some_and(|at| now.saturating_duration_since(at) < FRESH_FOR)
+        };
+        let all = self.entries.iter();
+        let (mut reported, others): (Vec<_>, Vec<_>) = all.partition(|(_, entry)| is_fresh(entry));
+        reported.sort_by_key(|(_, entry)| std::cmp::Reverse(rank(&entry.record)));
+        reported.truncate(MAX_REPORTED);
+        let quarantined = others.into_iter().filter(|(_, entry)| entry.record.is_quarantined);
+        reported.extend(quarantined.sample(rng, MAX_REPORTED - reported.len()));
+        let copied = reported.into_iter();
+        copied.map(|(request, entry)| (*request, entry.record.clone())).collect()
+    }
+
+    /// Quarantined requests.
+    pub fn quarantined(&self) -> impl Iterator<Item = (&RequestFingerprint, &CrashRecord)> {
+        let records = self.entries.iter().map(|(request, entry)| (request, &entry.record));
+        records.filter(|(_, record)| record.is_quarantined)
+    }
+
+    /// Number of records.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether nothing is on record.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    /// Forgets what is too old to matter.
+    pub fn forget_old(&mut self, now: Instant) {
+        self.entries.retain(|_, entry| !is_old(&entry.record, now));
+    }
+
+    /// Drops the least important record if there are too many.
+    fn evict(&mut self) {
+        if self.entries.len() <= MAX_RECORDS {
+            return;
+        }
+        let least = self.entries.iter().min_by_key(|(_, entry)| rank(&entry.record));
+        if let Some(request) = least.map(|(request, _)| *request) {
+            self.entries.remove(&request);
+        }
+    }
+}
+
+/// Importance of a record: quarantined ones first, then by evidence, then the newest.
+fn rank(record: &CrashRecord) -> (bool, usize, Option<Instant>) {
+    (record.is_quarantined, record.evidence(), record.last_crash().max(record.cleared_at))
+}
+
+fn is_old(record: &CrashRecord, now: Instant) -> bool {
+    let kept = if record.is_quarantined { QUARANTINED_FOR } else { SUSPECTED_FOR };
+    let newest = record.last_crash().max(record.cleared_at);
+    newest.is_none_or(|at| now.saturating_duration_since(at) >= kept)
+}
--- a/src/gateway/policy/request/fingerprint.rs
+++ b/src/gateway/policy/request/fingerprint.rs
@@ -1,8 +1,9 @@
 //! Which requests are the same one: those of one account with the same method, host, path, query
 //! and body. Their ids and other headers differ from one attempt of a client to the next.
 
-use std::fmt;
+use std::{fmt, str::FromStr};
 
+use derive_more::{Display, Error};
 use sha2::{Digest, Sha256};
 
 use crate::{
@@ -15,7 +16,7 @@
 
 /// Identifies a request by what its client asks for, in all attempts and at all daemons.
 ///
-/// The content's hash is a cryptographic one: nobody can make a request that is taken for
+/// The content's hash is a cryptographic one: nobody can make a request with the fingerprint of
 /// another account's. The head's hash is cheap and tells most requests apart without reading
 /// their bodies; it comes first in the order, so that all fingerprints of a head lie together.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -53,6 +54,33 @@
     [account.as_bytes(), method.as_bytes(), head.host.as_bytes(), head.target.as_bytes()]
 }
 
+/// Hexadecimal digits of a fingerprint's head and content.
+/// Basis: four bits a digit.
+const HEAD_DIGITS: usize = 16;
+/// Hexadecimal digits of a whole fingerprint.
+/// Basis: four bits a digit.
+const DIGITS: usize = HEAD_DIGITS + 32;
+
+/// A text that is no fingerprint.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("not a fingerprint of {DIGITS} hexadecimal digits")]
+pub struct BadFingerprint;
+
+impl FromStr for RequestFingerprint {
+    type Err = BadFingerprint;
+
+    fn from_str(text: &str) -> Result<Self, BadFingerprint> {
+        if text.len() != DIGITS || !text.bytes().all(|byte| byte.is_ascii_hexdigit()) {
+            return Err(BadFingerprint);
+        }
+        let (head, content) = text.split_at(HEAD_DIGITS);
+        // Cannot fail: as many digits as the numbers have.
+        let head = u64::from_str_radix(head, 16).map_err(|_| BadFingerprint)?;
+        let content = u128::from_str_radix(content, 16).map_err(|_| BadFingerprint)?;
+        Ok(Self { head, content })
+    }
+}
+
 impl fmt::Display for RequestFingerprint {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}{:032x}", self.head, self.content)
--- a/src/gateway/policy/request/refusal.rs
+++ b/src/gateway/policy/request/refusal.rs
@@ -63,6 +63,10 @@
     /// There is no endpoint to send it to; it has not run. Holds the time to retry after.
     #[display("no endpoint")]
     NoEndpoint(Duration),
+    /// Runs of the same request have crashed their endpoints; this one has not run. Holds the
+    /// time to the next trial.
+    #[display("the same request has crashed endpoints")]
+    Quarantined(Duration),
     /// It may have run and must not be retried, or all attempts have failed.
     #[display("outcome unknown")]
     Unknown,
@@ -110,7 +114,8 @@
             | Self::Full(_)
             | Self::NotTaken(_)
             | Self::DeadlineOver(_)
-            | Self::NoEndpoint(_) => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::NoEndpoint(_)
+            | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -128,7 +133,8 @@
             Self::Full(wait)
             | Self::NotTaken(wait)
             | Self::DeadlineOver(wait)
-            | Self::NoEndpoint(wait) => Some(*wait),
+            | Self::NoEndpoint(wait)
+            | Self::Quarantined(wait) => Some(*wait),
             Self::NoConfiguration | Self::FleetUnknown | Self::NotFresh => {
                 Some(retry_after::DAEMON_STARTING)
             }
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -8,7 +8,7 @@
 pub mod client_listener;
 mod client_stream;
 pub mod connection_pool;
-pub mod crash_check;
+pub mod crash_watch;
 pub mod dispatch;
 pub mod drain;
 pub mod event_cutter;
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -58,8 +58,13 @@
         *self.fingerprint.get_or_init(|| RequestFingerprint::of(self.account_name(), &self.call))
     }
 
+    /// The part of it that needs no body.
+    pub fn fingerprint_head(&self) -> u64 {
+        RequestFingerprint::head_of(self.account_name(), &self.call.head)
+    }
+
     /// Name of the account, if the request has one.
-    pub fn account_name(&self) -> Option<&str> {
+    fn account_name(&self) -> Option<&str> {
         self.account.as_ref().map(|account| &*account.name)
     }
 }
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -16,7 +16,7 @@
 use super::{
     admission::Admitted,
     connection_pool::{EndpointConnection, SendFailure},
-    crash_check::{BrokenRun, check_endpoint},
+    crash_watch::{self, BrokenRun},
     drain::drain,
     request_log::RequestTrace,
     response_meaning::{ResponseMeaning, ResponseSigns},
@@ -34,6 +34,7 @@
                 endpoint_load::{RunLoad, estimated_memory},
             },
             request::{
+                crash_ledger::RunVerdict,
                 endpoint_priority::endpoint_priority,
                 refusal::Refusal,
                 retries::{AttemptFailure, NoAttempt, connection_reuse},
@@ -66,6 +67,8 @@
     pub sent: u32,
     /// Whether the request may have run in one of them.
     pub may_have_run: bool,
+    /// Whether they are the trial of a quarantined request; one of them may reach an endpoint.
+    is_trial: bool,
 }
 
 /// Whether a retry is possible: attempts and time are left, and the service's retry budget
@@ -94,6 +97,7 @@
     resume_after: Option<u64>,
     trace: &mut RequestTrace,
 ) -> Result<AttemptEnd, Refusal> {
+    check_quarantine(context, admitted, attempts)?;
     let choice = choose(context, admitted, attempts, trace)?;
     let endpoint = choice.endpoint.clone();
     attempts.tried.push(endpoint.id.clone());
@@ -189,7 +193,8 @@
 ) {
     let request = admitted.fingerprint();
     trace.run_broke(request);
-    check_endpoint(context, endpoint, BrokenRun { request, begun, broken: Instant::now() });
+    let run = BrokenRun { request, begun, broken: Instant::now() };
+    crash_watch::run_broke(context, endpoint, run);
 }
 
 fn judge(
@@ -233,6 +238,28 @@
     }
 }
 
+/// Refuses a request that crashes endpoints, at its first attempt and at each retry.
+fn check_quarantine(
+    context: &GatewayContext,
+    admitted: &Admitted,
+    attempts: &mut Attempts,
+) -> Result<(), Refusal> {
+    if attempts.is_trial && attempts.sent == 0 {
+        return Ok(());
+    }
+    match crash_watch::judge(context, admitted) {
+        RunVerdict::Allowed => Ok(()),
+        RunVerdict::Trial => {
+            attempts.is_trial = true;
+            Ok(())
+        }
+        RunVerdict::Refused(wait) => {
+            let reason = NoAttempt::Quarantined(wait);
+            Err(reason.refusal(attempts.may_have_run, admitted.route.target))
+        }
+    }
+}
+
 fn choose(
     context: &GatewayContext,
     admitted: &Admitted,
--- /dev/null
+++ b/src/gateway/request/crash_watch.rs
@@ -0,0 +1,168 @@
+//! Watches for requests that crash the endpoints that run them, and keeps them from running.
+//!
+//! When a run breaks, its endpoint's address is tried: an endpoint whose process has ended refuses
+//! connections until it has started again. Of an endpoint that is known to be leaving nothing is
+//! checked: it ends as planned, and runs that it cuts off say nothing of their requests. A
+//! time-out or a silent connection is no sign of a crash. What follows is decided by
+//! `policy::request::crash_ledger`.
+
+use std::{cell::RefCell, collections::HashMap, io::ErrorKind, rc::Rc, time::Duration};
+
+use derive_more::Display;
+use tokio::{
+    net::TcpStream,
+    time::{Instant, sleep, timeout},
+};
+
+use super::admission::Admitted;
+use crate::{
+    gateway::{
+        context::GatewayContext,
+        endpoint::EndpointRecord,
+        policy::{
+            endpoint::endpoint_load::endpoint_number,
+            request::{
+                crash_ledger::{CrashLedger, RunVerdict},
+                crash_record::CrashedRun,
+                fingerprint::RequestFingerprint,
+            },
+        },
+    },
+    ids::SharedName,
+};
+
+/// Time from a broken run to the check of its endpoint.
+///
+/// Basis: chosen, not measured: a process that ends closes its connections and its listener
+/// within a few milliseconds, and endpoints take longer to start again.
+const CHECK_DELAY: Duration = Duration::from_millis(50);
+/// Longest wait for the connection of the check.
+///
+/// Basis: as for connections of requests (`connection_pool`): several round trips.
+const CHECK_LIMIT: Duration = Duration::from_millis(400);
+
+/// A run that broke without a whole response.
+#[derive(Clone, Copy, Debug)]
+pub struct BrokenRun {
+    /// The request.
+    pub request: RequestFingerprint,
+    /// When it was sent, or when the head of its response came.
+    pub begun: Instant,
+    /// When it broke.
+    pub broken: Instant,
+}
+
+/// Runs that broke at endpoints that are being checked.
+#[derive(Debug, Default)]
+pub struct CrashChecks {
+    pending: RefCell<HashMap<SharedName, Vec<BrokenRun>>>,
+}
+
+/// What the check of an endpoint has found.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+enum CheckOutcome {
+    /// Its address refuses connections.
+    #[display("ended")]
+    Ended,
+    /// It accepts connections.
+    #[display("accepts connections")]
+    Accepts,
+    /// No connection in time, or another error: nothing is known.
+    #[display("not reached")]
+    NotReached,
+}
+
+/// Whether the request may be run now.
+pub fn judge(context: &GatewayContext, admitted: &Admitted) -> RunVerdict {
+    let mut ledger = context.crashes.borrow_mut();
+    if !is_on_record(&ledger, admitted) {
+        return RunVerdict::Allowed;
+    }
+    let request = admitted.fingerprint();
+    let makes_trial = |number: u32| {
+        context.peers.borrow().is_first_for(request.head.wrapping_add(u64::from(number)))
+    };
+    let verdict = ledger.judge(request, makes_trial, Instant::now());
+    match verdict {
+        RunVerdict::Allowed => {}
+        RunVerdict::Trial => {
+            spdlog::warn!("quarantined request tried", kv: { fingerprint: = request });
+            context.metrics.count("quarantine_trials", 1);
+        }
+        RunVerdict::Refused(_) => context.metrics.count("quarantine_refusals", 1),
+    }
+    verdict
+}
+
+/// Clears a request to which an endpoint has given a whole response.
+pub fn request_served(context: &GatewayContext, admitted: &Admitted) {
+    let mut ledger = context.crashes.borrow_mut();
+    if !is_on_record(&ledger, admitted) {
+        return;
+    }
+    let request = admitted.fingerprint();
+    if ledger.clear(request, Instant::now()) {
+        spdlog::info!("quarantine ended", kv: { fingerprint: = request, reason = "served" });
+    }
+}
+
+/// Whether the ledger may hold the request. Mostly it is empty, and nothing is hashed; otherwise
+/// it holds few heads, and only few bodies are read.
+fn is_on_record(ledger: &CrashLedger, admitted: &Admitted) -> bool {
+    !ledger.is_empty() && ledger.has_head(admitted.fingerprint_head())
+}
+
+/// Notes that a run has broken: checks its endpoint, unless a check is under way that serves for
+/// this run too.
+pub fn run_broke(context: &Rc<GatewayContext>, endpoint: &Rc<EndpointRecord>, run: BrokenRun) {
+    context.metrics.count("runs_broken", 1);
+    if !context.endpoints.borrow().is_ready(&endpoint.id) {
+        return;
+    }
+    let mut pending = context.crash_checks.pending.borrow_mut();
+    let runs = pending.entry(endpoint.id.clone()).or_default();
+    runs.push(run);
+    if runs.len() == 1 {
+        tokio::task::spawn_local(check_endpoint(context.clone(), endpoint.clone()));
+    }
+}
+
+async fn check_endpoint(context: Rc<GatewayContext>, endpoint: Rc<EndpointRecord>) {
+    sleep(CHECK_DELAY).await;
+    let connecting = timeout(CHECK_LIMIT, TcpStream::connect(endpoint.address)).await;
+    let outcome = match connecting {
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => CheckOutcome::Ended,
+        Ok(Ok(_)) => CheckOutcome::Accepts,
+        // What kept the connection from coming up makes no difference.
+        Ok(Err(_)) | Err(_) => CheckOutcome::NotReached,
+    };
+    let runs = context.crash_checks.pending.borrow_mut().remove(&endpoint.id);
+    // The run that started the check is there.
+    let runs = runs.unwrap_or_default();
+    context.metrics.count_labelled("crash_checks", "outcome", &outcome.to_string());
+    spdlog::info!("endpoint checked", kv: {
+        endpoint: = endpoint.id, address: = endpoint.address, outcome: = outcome,
+        broken_runs = runs.len()
+    });
+    if outcome == CheckOutcome::Ended {
+        record_crash(&context, &endpoint.id, &runs);
+    }
+}
+
+fn record_crash(context: &GatewayContext, endpoint: &str, runs: &[BrokenRun]) {
+    let now = Instant::now();
+    let endpoint = endpoint_number(endpoint);
+    let mut ledger = context.crashes.borrow_mut();
+    for BrokenRun { request, begun, broken } in runs.iter().copied() {
+        let run = CrashedRun { endpoint, begun, crashed: broken };
+        if ledger.record_crash(request, run, now) {
+            log_quarantine(context, request, "crashed endpoints here");
+        }
+    }
+}
+
+/// Logs that a request is refused from now on, and who found that.
+pub fn log_quarantine(context: &GatewayContext, request: RequestFingerprint, reason: &str) {
+    spdlog::warn!("request quarantined", kv: { fingerprint: = request, reason });
+    context.metrics.count("requests_quarantined", 1);
+}
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -20,6 +20,7 @@
     admission::Admitted,
     attempt::{AttemptEnd, Attempts, EndpointResponse, attempt, may_try_again, run_broke},
     connection_pool::EndpointConnection,
+    crash_watch::request_served,
     event_cutter::EventCutter,
     request_log::RequestTrace,
     response_meaning::ResponseSigns,
@@ -250,6 +251,7 @@
         self.ended = true;
         self.trace.finished(self.events);
         let Some(upstream) = self.upstream.take() else { return };
+        request_served(&self.context, &self.admitted);
         upstream.guard.finish(AttemptResult::Succeeded);
         if !upstream.signs.closes {
             self.context.connections.give_back(upstream.connection, upstream.signs.keep);
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -3571,6 +3571,732 @@
     }
 }
 
+pub mod crashed_run {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_begun_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn get_crashed_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(3)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_begun_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(2)
+        }
+        #[inline]
+        pub fn set_begun_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(2, value);
+        }
+        #[inline]
+        pub fn get_crashed_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(3)
+        }
+        #[inline]
+        pub fn set_crashed_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(3, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 66] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(170, 228, 33, 253, 13, 35, 112, 155),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 210, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 67),
+            ::capnp::word(114, 97, 115, 104, 101, 100, 82, 117),
+            ::capnp::word(110, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 0, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 101, 103, 117, 110, 65, 103, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 100, 65),
+            ::capnp::word(103, 101, 77, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0];
+        pub(crate) const TYPE_ID: u64 = 0x9b70_230d_fd21_e4aa;
+    }
+}
+
+pub mod crash_report {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_head(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_content_low(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_content_high(self) -> u64 {
+            self.reader.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn get_runs(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::crashed_run::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_runs(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_quarantined(self) -> bool {
+            self.reader.get_bool_field(192)
+        }
+        #[inline]
+        pub fn get_trials(self) -> u32 {
+            self.reader.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn get_has_trial(self) -> bool {
+            self.reader.get_bool_field(193)
+        }
+        #[inline]
+        pub fn get_trial_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn get_was_cleared(self) -> bool {
+            self.reader.get_bool_field(194)
+        }
+        #[inline]
+        pub fn get_cleared_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(9)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 5, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_head(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_head(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_content_low(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_content_low(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_content_high(self) -> u64 {
+            self.builder.get_data_field::<u64>(2)
+        }
+        #[inline]
+        pub fn set_content_high(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(2, value);
+        }
+        #[inline]
+        pub fn get_runs(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::crashed_run::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_runs(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::crashed_run::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_runs(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::crashed_run::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+        }
+        #[inline]
+        pub fn has_runs(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_quarantined(self) -> bool {
+            self.builder.get_bool_field(192)
+        }
+        #[inline]
+        pub fn set_quarantined(&mut self, value: bool)  {
+            self.builder.set_bool_field(192, value);
+        }
+        #[inline]
+        pub fn get_trials(self) -> u32 {
+            self.builder.get_data_field::<u32>(7)
+        }
+        #[inline]
+        pub fn set_trials(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(7, value);
+        }
+        #[inline]
+        pub fn get_has_trial(self) -> bool {
+            self.builder.get_bool_field(193)
+        }
+        #[inline]
+        pub fn set_has_trial(&mut self, value: bool)  {
+            self.builder.set_bool_field(193, value);
+        }
+        #[inline]
+        pub fn get_trial_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(8)
+        }
+        #[inline]
+        pub fn set_trial_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(8, value);
+        }
+        #[inline]
+        pub fn get_was_cleared(self) -> bool {
+            self.builder.get_bool_field(194)
+        }
+        #[inline]
+        pub fn set_was_cleared(&mut self, value: bool)  {
+            self.builder.set_bool_field(194, value);
+        }
+        #[inline]
+        pub fn get_cleared_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(9)
+        }
+        #[inline]
+        pub fn set_cleared_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(9, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 179] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(239, 245, 251, 43, 141, 37, 94, 244),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 5, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 55, 2, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 67),
+            ::capnp::word(114, 97, 115, 104, 82, 101, 112, 111),
+            ::capnp::word(114, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(20, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(24, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 192, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(57, 1, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(52, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(6, 0, 0, 0, 193, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(61, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(60, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(7, 0, 0, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(9, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 101, 97, 100, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 101, 110, 116, 76),
+            ::capnp::word(111, 119, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 101, 110, 116, 72),
+            ::capnp::word(105, 103, 104, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 117, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(170, 228, 33, 253, 13, 35, 112, 155),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 117, 97, 114, 97, 110, 116, 105),
+            ::capnp::word(110, 101, 100, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 115, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 84, 114, 105, 97, 108),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 114, 105, 97, 108, 65, 103, 101),
+            ::capnp::word(77, 115, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(119, 97, 115, 67, 108, 101, 97, 114),
+            ::capnp::word(101, 100, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 108, 101, 97, 114, 101, 100, 65),
+            ::capnp::word(103, 101, 77, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::struct_list::Owned<crate::exchange_capnp::crashed_run::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                6 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                7 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                8 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                9 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[9,2,1,6,0,4,3,7,5,8];
+        pub(crate) const TYPE_ID: u64 = 0xf45e_258d_2bfb_f5ef;
+    }
+}
+
 pub mod gossip_message {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -3764,11 +4490,19 @@
         pub fn has_compressed_endpoints(&self) -> bool {
             !self.reader.get_pointer_field(10).is_null()
         }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::crash_report::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(11), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.reader.get_pointer_field(11).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 11 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 12 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -4082,6 +4816,22 @@
         pub fn has_compressed_endpoints(&self) -> bool {
             !self.builder.is_pointer_field_null(10)
         }
+        #[inline]
+        pub fn get_crashes(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::crash_report::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(11), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_crashes(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::crash_report::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(11), value, false)
+        }
+        #[inline]
+        pub fn init_crashes(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::crash_report::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(11), size)
+        }
+        #[inline]
+        pub fn has_crashes(&self) -> bool {
+            !self.builder.is_pointer_field_null(11)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -4108,17 +4858,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 392] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 411] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
-            ::capnp::word(11, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 215, 4, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 15, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -4126,161 +4876,168 @@
             ::capnp::word(111, 115, 115, 105, 112, 77, 101, 115),
             ::capnp::word(115, 97, 103, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(88, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(92, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(121, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 2, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(149, 2, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(161, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(169, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(161, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(189, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(213, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(221, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(225, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(233, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 67, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(237, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 68, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 2, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 69, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 2, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(1, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(240, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 70, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(9, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(17, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 71, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 3, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(37, 3, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 3, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(49, 3, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(52, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 3, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(77, 3, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(52, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(64, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(80, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(61, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(89, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(60, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 3, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(113, 3, 0, 0, 162, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(88, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(100, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(128, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(22, 0, 0, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(120, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
@@ -4501,6 +5258,18 @@
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 114, 97, 115, 104, 101, 115, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(239, 245, 251, 43, 141, 37, 94, 244),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -4526,6 +5295,7 @@
                 19 => <crate::exchange_capnp::compressed_text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 20 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 21 => <crate::exchange_capnp::compressed_text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                22 => <::capnp::struct_list::Owned<crate::exchange_capnp::crash_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -4539,9 +5309,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,19,21,2,18,3,20,6,7,11,8,12,4,1,9,5,0,16,13,14,10,15];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,19,21,2,18,3,22,20,6,7,11,8,12,4,1,9,5,0,16,13,14,10,15];
         pub(crate) const TYPE_ID: u64 = 0x8015_4fb0_3d05_b743;
     }
 }
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -64,4 +64,5 @@
     idempotent_request_that_crashes_endpoints_is_stopped: "/plain/page/", 1;
     stream_that_crashes_endpoints_is_stopped: "/stream/page/", 1;
     once_only_request_that_crashes_endpoints_is_stopped: "/once/page/", 1;
+    four_requests_by_turns_that_crash_endpoints_are_stopped: "/plain/page/", 4;
 }
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -12,12 +12,15 @@
         gossip::{
             codec::{read_message, write_message},
             messages::{
-                CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage,
-                LeaseSummary, PeerSummary, RelayedUsage, RequestedParts, SentEndpoints, SentText,
-                TextRequest,
+                CompressedText, ConfigurationSummary, CrashReport, DaemonCounters, DaemonState,
+                GossipMessage, LeaseSummary, PeerSummary, RelayedUsage, ReportedRun,
+                RequestedParts, SentEndpoints, SentText, TextRequest,
             },
         },
-        policy::{endpoint::endpoint_load::EndpointLoad, request::quota::AccountCounters},
+        policy::{
+            endpoint::endpoint_load::EndpointLoad,
+            request::{fingerprint::RequestFingerprint, quota::AccountCounters},
+        },
     },
     ids::IncarnationId,
 };
@@ -68,6 +71,18 @@
     CompressedText { base: 7, data: Bytes::from_static(b"{}") }
 }
 
+fn sample_crash() -> CrashReport {
+    let age = Duration::from_millis;
+    CrashReport {
+        request: RequestFingerprint { head: 5, content: u128::MAX - 6 },
+        runs: vec![ReportedRun { endpoint: 8, begun_age: age(900), crashed_age: age(70) }],
+        is_quarantined: true,
+        trials: 2,
+        trial_age: Some(age(11)),
+        cleared_age: Some(age(12)),
+    }
+}
+
 fn sample_message() -> GossipMessage {
     GossipMessage {
         state: DaemonState {
@@ -109,6 +124,7 @@
             incarnation: IncarnationId(5),
             windows: sample_counters().windows,
         }],
+        crashes: vec![sample_crash()],
     }
 }
 
@@ -168,6 +184,7 @@
         expect_that!(read.group, eq(&sample.group));
         expect_that!(read.wants, eq(&sample.wants));
         expect_that!(read.usage, eq(&sample.usage));
+        expect_that!(read.crashes, eq(&sample.crashes));
     }
 }
 
