Rules of the quarantine: which requests are the same, which runs count, trials, a full table

A popular request is not blamed for three fleets that end, a request beside the one to blame is not quarantined, and blame moves to the request with more crashes.

--- /dev/null
+++ b/tests/gateway/crash_rules.rs
@@ -0,0 +1,365 @@
+//! Which requests are the same, which runs count against one, and when it is refused, tried and
+//! cleared.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use googletest::prelude::*;
+use hyper::{HeaderMap, Method};
+use proptest::prelude::*;
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+use willowarch::gateway::{
+    call::{Call, CallHead},
+    policy::request::{
+        crash_ledger::{CrashLedger, MAX_RECORDS, MAX_REPORTED, RunVerdict},
+        crash_record::{CrashRecord, CrashedRun},
+        fingerprint::RequestFingerprint,
+    },
+};
+
+fn millis(count: u64) -> Duration {
+    Duration::from_millis(count)
+}
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn call() -> Call {
+    let head = CallHead {
+        id: "a".into(),
+        method: Method::POST,
+        host: "site.example".into(),
+        target: "/page/?x=1".into(),
+        path_length: 6,
+        deadline: None,
+        key: Some("key-1".into()),
+        tokens: None,
+        parts: Vec::new(),
+        expected_response: None,
+        last_event: None,
+        headers: HeaderMap::new(),
+    };
+    Call { head, body: Bytes::from_static(b"body") }
+}
+
+/// A request that differs from `call` by this change, of this account.
+fn changed(account: Option<&str>, change: impl FnOnce(&mut Call)) -> RequestFingerprint {
+    let mut call = call();
+    change(&mut call);
+    RequestFingerprint::of(account, &call)
+}
+
+macro_rules! fingerprints {
+    ($($name:ident: $same:expr, $account:expr, $change:expr;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            let usual = changed(Some("reader"), |_| {});
+            expect_that!(changed($account, $change) == usual, eq($same));
+        }
+    )*};
+}
+
+fingerprints! {
+    same_with_another_id: true, Some("reader"), |call| call.head.id = "b".into();
+    same_with_another_key: true, Some("reader"), |call| call.head.key = Some("key-2".into());
+    same_with_another_deadline: true, Some("reader"), |call| call.head.deadline = Some(millis(7));
+    same_after_another_event: true, Some("reader"), |call| call.head.last_event = Some(3);
+    same_with_another_header: true, Some("reader"), |call| {
+        call.head.headers.insert("idempotency-key", "k".parse().expect("value"));
+    };
+    differs_by_account: false, Some("kiosk"), |_| {};
+    differs_without_account: false, None, |_| {};
+    differs_by_method: false, Some("reader"), |call| call.head.method = Method::PUT;
+    differs_by_host: false, Some("reader"), |call| call.head.host = "other.example".into();
+    differs_by_query: false, Some("reader"), |call| call.head.target = "/page/?x=2".into();
+    differs_by_body: false, Some("reader"), |call| call.body = Bytes::from_static(b"bodz");
+    differs_where_query_and_body_meet: false, Some("reader"), |call| {
+        call.head.target = "/page/?x=1b".into();
+        call.body = Bytes::from_static(b"ody");
+    };
+}
+
+#[googletest::test]
+fn fingerprint_is_read_as_it_is_shown() {
+    let usual = changed(Some("reader"), |_| {});
+    expect_that!(usual.to_string().parse::<RequestFingerprint>(), ok(eq(usual)));
+    expect_that!(usual.head, eq(RequestFingerprint::head_of(Some("reader"), &call().head)));
+    for text in ["", "12", &"g".repeat(48), &"+".repeat(48), &"0".repeat(49)] {
+        expect_that!(text.parse::<RequestFingerprint>(), err(anything()));
+    }
+}
+
+fn request(number: u64) -> RequestFingerprint {
+    RequestFingerprint { head: number, content: u128::from(number) }
+}
+
+/// Times in these tests, from the start of each.
+struct TestClock(Instant);
+
+impl TestClock {
+    fn new() -> Self {
+        Self(Instant::now() + seconds(100_000))
+    }
+
+    fn at(&self, ms: u64) -> Instant {
+        self.0 + millis(ms)
+    }
+
+    fn run(&self, endpoint: u64, begun_ms: u64, crashed_ms: u64) -> CrashedRun {
+        CrashedRun { endpoint, begun: self.at(begun_ms), crashed: self.at(crashed_ms) }
+    }
+}
+
+/// Names each case: runs as (endpoint, begun, crashed) in ms, and how many count.
+macro_rules! evidence {
+    ($($name:ident: $runs:expr, $count:expr;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            let (clock, mut record) = (TestClock::new(), CrashRecord::default());
+            for (endpoint, begun, crashed) in $runs {
+                record.add(clock.run(endpoint, begun, crashed));
+            }
+            expect_that!(record.evidence(), eq($count));
+        }
+    )*};
+}
+
+evidence! {
+    runs_one_after_another_count_each: [(1, 0, 50), (2, 60, 90), (3, 100, 200)], 3;
+    runs_that_break_together_count_once: [(1, 0, 500), (2, 100, 501), (3, 200, 502)], 1;
+    runs_that_overlap_count_once: [(1, 0, 100), (2, 70, 200), (3, 40, 150)], 1;
+    runs_told_in_any_order_count_alike: [(3, 100, 200), (1, 0, 50), (2, 60, 90)], 3;
+    one_crash_seen_by_several_daemons_counts_once: [(1, 0, 50), (1, 60, 300), (1, 310, 900)], 1;
+    endpoint_that_crashes_again_counts_again: [(1, 0, 50), (1, 3_000, 3_050)], 2;
+    retry_that_began_with_the_crash_counts: [(1, 0, 50), (2, 45, 90)], 2;
+    long_run_does_not_hide_short_ones: [(1, 0, 900), (2, 10, 50), (3, 60, 100), (4, 110, 200)], 3;
+}
+
+#[googletest::test]
+fn whole_response_ends_all_older_suspicion() {
+    let (clock, mut record) = (TestClock::new(), CrashRecord::default());
+    record.add(clock.run(1, 0, 50));
+    record.add(clock.run(2, 60, 90));
+    record.clear(clock.at(70));
+    expect_that!(record.evidence(), eq(1));
+    expect_that!(record.add(clock.run(3, 0, 60)), eq(false));
+    expect_that!(record.evidence(), eq(1));
+}
+
+#[googletest::test]
+fn what_comes_back_from_others_later_changes_nothing() {
+    let (clock, mut record) = (TestClock::new(), CrashRecord::default());
+    record.clear(clock.at(0));
+    record.add(clock.run(1, 10, 50));
+    record.trials = 1;
+    record.trial_at = Some(clock.at(30));
+    let mut late = CrashRecord::default();
+    late.clear(clock.at(40));
+    late.add(clock.run(1, 50, 90));
+    late.trials = 1;
+    late.trial_at = Some(clock.at(70));
+    let mut merged = record.clone();
+    merged.merge(&late);
+    expect_that!(merged, eq(&record));
+}
+
+/// Quarantines request 1 by three runs at the endpoints from `first` on; the last crash is at
+/// 300 ms.
+fn quarantined(clock: &TestClock, first: u64) -> CrashLedger {
+    let mut ledger = CrashLedger::default();
+    for place in 0..3 {
+        let run = clock.run(first + place, place * 100, place * 100 + 100);
+        let now = clock.at(place * 100 + 100);
+        expect_that!(ledger.record_crash(request(1), run, now), eq(place == 2));
+    }
+    ledger
+}
+
+fn judge(ledger: &mut CrashLedger, now: Instant) -> RunVerdict {
+    ledger.judge(request(1), |_| true, now)
+}
+
+#[googletest::test]
+fn third_run_in_a_row_quarantines() {
+    let clock = TestClock::new();
+    let mut ledger = quarantined(&clock, 1);
+    let now = clock.at(1_300);
+    expect_that!(judge(&mut ledger, now), eq(RunVerdict::Refused(seconds(29))));
+    expect_that!(ledger.judge(request(2), |_| true, now), eq(RunVerdict::Allowed));
+}
+
+#[googletest::test]
+fn trials_come_further_and_further_apart() {
+    let clock = TestClock::new();
+    let mut ledger = quarantined(&clock, 1);
+    let mut last_crash = 300;
+    for wait_s in [30, 120, 480, 1_800, 1_800] {
+        let due = last_crash + wait_s * 1_000;
+        let early = judge(&mut ledger, clock.at(due - 5_000));
+        expect_that!(early, eq(RunVerdict::Refused(seconds(5))));
+        expect_that!(judge(&mut ledger, clock.at(due)), eq(RunVerdict::Trial));
+        expect_that!(judge(&mut ledger, clock.at(due + 1)), not(eq(RunVerdict::Trial)));
+        last_crash = due + 100;
+        ledger.record_crash(request(1), clock.run(9, due, last_crash), clock.at(last_crash));
+    }
+}
+
+#[googletest::test]
+fn only_one_daemon_makes_the_trial() {
+    let clock = TestClock::new();
+    let mut ledger = quarantined(&clock, 1);
+    let due = clock.at(60_000);
+    let refused = ledger.judge(request(1), |_| false, due);
+    expect_that!(refused, eq(RunVerdict::Refused(seconds(1))));
+    expect_that!(ledger.judge(request(1), |number| number == 0, due), eq(RunVerdict::Trial));
+}
+
+#[googletest::test]
+fn whole_response_to_a_trial_ends_the_quarantine() {
+    let clock = TestClock::new();
+    let mut ledger = quarantined(&clock, 1);
+    expect_that!(judge(&mut ledger, clock.at(60_000)), eq(RunVerdict::Trial));
+    expect_that!(ledger.clear(request(1), clock.at(60_100)), eq(true));
+    expect_that!(judge(&mut ledger, clock.at(60_101)), eq(RunVerdict::Allowed));
+}
+
+#[googletest::test]
+fn quarantine_ends_by_itself_an_hour_after_the_last_crash() {
+    let clock = TestClock::new();
+    let mut ledger = quarantined(&clock, 1);
+    ledger.forget_old(clock.at(3_590_000));
+    expect_that!(ledger.len(), eq(1));
+    ledger.forget_old(clock.at(3_610_000));
+    expect_that!(ledger.len(), eq(0));
+}
+
+#[googletest::test]
+fn popular_request_is_not_blamed_for_fleets_that_end() {
+    let clock = TestClock::new();
+    let mut ledger = CrashLedger::default();
+    // Three fleets of 20 endpoints end, ten seconds apart; some responses come in between.
+    for fleet in 0..3 {
+        let ended = fleet * 10_000 + 5_000;
+        for place in 0..20 {
+            let run = clock.run(fleet * 20 + place, ended - 100 * place, ended + place);
+            expect_that!(ledger.record_crash(request(1), run, clock.at(ended + 60)), eq(false));
+        }
+        ledger.clear(request(1), clock.at(ended + 4_000));
+    }
+    expect_that!(judge(&mut ledger, clock.at(40_000)), eq(RunVerdict::Allowed));
+}
+
+#[googletest::test]
+fn request_beside_the_one_to_blame_is_not_quarantined() {
+    let clock = TestClock::new();
+    let mut ledger = quarantined(&clock, 1);
+    for place in 0..3 {
+        let run = clock.run(1 + place, place * 100 + 20, place * 100 + 101);
+        expect_that!(ledger.record_crash(request(2), run, clock.at(400)), eq(false));
+    }
+}
+
+#[googletest::test]
+fn blame_moves_to_the_request_with_more_crashes() {
+    let clock = TestClock::new();
+    // Request 1 ran beside request 2 by chance and was recorded first.
+    let mut ledger = quarantined(&clock, 1);
+    for place in 0..4 {
+        let run = clock.run(1 + place, place * 100 + 20, place * 100 + 101);
+        let is_blamed = ledger.record_crash(request(2), run, clock.at(500));
+        expect_that!(is_blamed, eq(place == 3), "its first runs may be the other's fault");
+    }
+    expect_that!(judge(&mut ledger, clock.at(1_000)), eq(RunVerdict::Allowed));
+    let other = ledger.judge(request(2), |_| true, clock.at(1_000));
+    expect_that!(matches!(other, RunVerdict::Refused(_)), eq(true));
+}
+
+#[googletest::test]
+fn two_requests_to_blame_are_both_stopped() {
+    let clock = TestClock::new();
+    let mut ledger = quarantined(&clock, 1);
+    // One crash is common to both.
+    for (place, endpoint) in [(0, 3), (1, 11), (2, 12), (3, 13)] {
+        let run = clock.run(endpoint, 210 + place * 100, 301 + place * 100);
+        let is_blamed = ledger.record_crash(request(2), run, clock.at(700));
+        expect_that!(is_blamed, eq(place == 3));
+    }
+    expect_that!(matches!(judge(&mut ledger, clock.at(800)), RunVerdict::Refused(_)), eq(true));
+}
+
+#[googletest::test]
+fn full_table_keeps_what_is_quarantined() {
+    let clock = TestClock::new();
+    let mut ledger = quarantined(&clock, 1);
+    for number in 2..3 * MAX_RECORDS as u64 {
+        let run = clock.run(number, 1_000, 1_000 + number);
+        ledger.record_crash(request(number), run, clock.at(1_000 + number));
+    }
+    expect_that!(ledger.len(), eq(MAX_RECORDS));
+    expect_that!(ledger.quarantined().count(), eq(1));
+    let report = ledger.report(clock.at(5_000), &mut SmallRng::seed_from_u64(1));
+    expect_that!(report.len(), eq(MAX_REPORTED));
+    expect_that!(report.iter().any(|(one, _)| *one == request(1)), eq(true));
+}
+
+#[googletest::test]
+fn daemon_that_has_just_started_is_told_all_that_is_quarantined() {
+    let clock = TestClock::new();
+    let mut ledger = CrashLedger::default();
+    for number in 0..200 {
+        for place in 0..3 {
+            let run = clock.run(number * 3 + place, place * 100, place * 100 + 100);
+            ledger.record_crash(request(number), run, clock.at(place * 100 + 100));
+        }
+    }
+    let (now, mut rng) = (clock.at(20_000), SmallRng::seed_from_u64(1));
+    let mut started = CrashLedger::default();
+    for _ in 0..40 {
+        for (request, record) in ledger.report(now, &mut rng) {
+            started.receive(request, &record, now);
+        }
+    }
+    expect_that!(started.quarantined().count(), eq(200));
+}
+
+#[googletest::test]
+fn request_that_is_cleared_here_is_cleared_at_others() {
+    let clock = TestClock::new();
+    let mut there = quarantined(&clock, 1);
+    let mut here = CrashLedger::default();
+    let mut rng = SmallRng::seed_from_u64(1);
+    for (request, record) in there.report(clock.at(400), &mut rng) {
+        here.receive(request, &record, clock.at(400));
+    }
+    here.clear(request(1), clock.at(500));
+    for (request, record) in here.report(clock.at(600), &mut rng) {
+        there.receive(request, &record, clock.at(600));
+    }
+    expect_that!(judge(&mut there, clock.at(601)), eq(RunVerdict::Allowed));
+    for (request, record) in quarantined(&clock, 1).report(clock.at(700), &mut rng) {
+        here.receive(request, &record, clock.at(700));
+    }
+    expect_that!(judge(&mut here, clock.at(701)), eq(RunVerdict::Allowed));
+}
+
+proptest! {
+    /// However the runs of a request overlap, no more count than there are crashes that lie
+    /// apart, and never more than runs.
+    #[test]
+    fn evidence_is_bounded(
+        runs in proptest::collection::vec((0_u64..6, 0_u64..5_000, 0_u64..2_000), 0..40),
+    ) {
+        let (clock, mut record) = (TestClock::new(), CrashRecord::default());
+        for (endpoint, begun, length) in &runs {
+            record.add(clock.run(*endpoint, *begun, begun + length));
+        }
+        let evidence = record.evidence();
+        prop_assert!(evidence <= record.runs.len() && record.runs.len() <= runs.len());
+        prop_assert!(record.runs.is_sorted_by_key(|run| run.crashed));
+        prop_assert_eq!(record.evidence_beside(&[&record]), 0);
+        record.clear(clock.at(10_000));
+        prop_assert_eq!(record.evidence(), 0);
+    }
+}
