--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod catch_up;
 mod client_gone;
 mod crash_fleet;
+mod crash_model;
 mod crash_rules;
 mod crashing_endpoint;
 mod crashing_requests;
