Quarantine: daemons that start or stood still learn it before they run a request; operators end one

Change: no request runs until a peer has responded since the start or the standstill, for 0.6 s at most; readiness says so too. 'willowctl gateway quarantined' and 'end-quarantine'.

--- a/src/bin/willowctl.rs
+++ b/src/bin/willowctl.rs
@@ -24,6 +24,7 @@
         ///   willowctl --api 127.0.0.1:9000 apply table.json
         ///   willowctl timeline 127.0.0.1:8201 127.0.0.1:8202 --subject reader/k1
         ///   willowctl gateway state 10.1.0.14:7600 10.2.0.4:7600
+        ///   willowctl gateway quarantined 10.1.0.14:7600
         ///   willowctl gateway trace 9c41d07be2a35f68 edge-1.log edge-2.log
         ///   willowctl gateway check-configuration main.json
         cmd willowctl {
@@ -94,6 +95,18 @@
                     /// Metrics addresses of daemons.
                     repeated daemon: SocketAddr
                 }
+                /// Show the requests that daemons refuse because they crash endpoints.
+                cmd quarantined {
+                    /// Metrics addresses of daemons.
+                    repeated daemon: SocketAddr
+                }
+                /// Let a request run again at all daemons.
+                cmd end-quarantine {
+                    /// Fingerprint of the request.
+                    required fingerprint: String
+                    /// Metrics address of a daemon; it tells the others.
+                    required daemon: SocketAddr
+                }
                 /// Show the lines of logs about one request, in order.
                 cmd trace {
                     /// Id of the request.
@@ -169,6 +182,10 @@
 fn run_gateway(command: flags::GatewayCmd, format: OutputFormat) -> CommandResult {
     match command {
         flags::GatewayCmd::State(state) => gateway::show_state(&state.daemon, format),
+        flags::GatewayCmd::Quarantined(shown) => gateway::show_quarantined(&shown.daemon, format),
+        flags::GatewayCmd::EndQuarantine(ended) => {
+            gateway::end_quarantine(&ended.fingerprint, ended.daemon, format)
+        }
         flags::GatewayCmd::Trace(trace) => gateway::show_trace(&trace.id, &trace.file, format),
         flags::GatewayCmd::CheckDaemon(check) => gateway::check_daemon(&check.file, format),
         flags::GatewayCmd::CheckConfiguration(check) => {
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -90,6 +90,16 @@
         decode(step, peer, self.agent.post(format!("http://{peer}{path}")).send_empty())
     }
 
+    /// Deletes something at a daemon's operators' port.
+    pub fn delete(
+        &self,
+        step: &'static str,
+        peer: SocketAddr,
+        path: &str,
+    ) -> Result<Value, StepError> {
+        decode(step, peer, self.agent.delete(format!("http://{peer}{path}")).call())
+    }
+
     /// Reads one object.
     pub fn read(&self, api: SocketAddr, kind: &str, name: &str) -> Result<ObjectEntry, StepError> {
         self.get("read object", api, &format!("/objects/{kind}/{name}"))
--- a/src/control/commands/gateway.rs
+++ b/src/control/commands/gateway.rs
@@ -25,6 +25,28 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Shows the requests that each daemon refuses because they crash endpoints.
+pub fn show_quarantined(daemons: &[SocketAddr], format: OutputFormat) -> CommandResult {
+    let client = ControlClient::default();
+    for daemon in daemons {
+        let state = gateway::read_state(&client, *daemon)?;
+        let shown = json!({ "name": state.name, "quarantined": state.quarantined });
+        format.print(&shown, &gateway::render_quarantined(&state));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
+/// Ends the quarantine of the request `fingerprint` at a daemon, which tells the others.
+pub fn end_quarantine(
+    fingerprint: &str,
+    daemon: SocketAddr,
+    format: OutputFormat,
+) -> CommandResult {
+    gateway::end_quarantine(&ControlClient::default(), daemon, fingerprint)?;
+    format.print(&json!({ "ended": fingerprint }), &format!("{fingerprint}: quarantine ended"));
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Shows the lines about the request `id` in the log `files`, in order of time.
 pub fn show_trace(id: &str, files: &[PathBuf], format: OutputFormat) -> CommandResult {
     let logs: Result<Vec<String>, _> = files.iter().map(|file| read_file(file)).collect();
--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -9,7 +9,10 @@
 use super::calls::ControlClient;
 use crate::{
     errors::StepError,
-    gateway::{configuration_check, state::GatewayState},
+    gateway::{
+        configuration_check,
+        state::{GatewayState, QuarantinedState},
+    },
     platform,
 };
 
@@ -23,6 +26,31 @@
     client.get("read state", daemon, "/state")
 }
 
+/// Ends the quarantine of a request at a daemon, which tells the others.
+pub fn end_quarantine(
+    client: &ControlClient,
+    daemon: SocketAddr,
+    fingerprint: &str,
+) -> Result<(), StepError> {
+    let path = format!("/quarantine/{fingerprint}");
+    client.delete("end quarantine", daemon, &path).map(drop)
+}
+
+/// Lines about the requests that a daemon refuses because they crash endpoints.
+pub fn render_quarantined(state: &GatewayState) -> String {
+    let line = |one: &QuarantinedState| {
+        format!(
+            "{} {}: {} crashes, the last {} ms ago; {} trials, the next in {} ms",
+            state.name, one.fingerprint, one.crashes, one.crash_age_ms, one.trials, one.trial_in_ms
+        )
+    };
+    let lines: Vec<String> = state.quarantined.iter().map(line).collect();
+    match lines.is_empty() {
+        true => format!("{}: no request is quarantined", state.name),
+        false => lines.join("\n"),
+    }
+}
+
 /// One line about a daemon's state.
 pub fn render_state(state: &GatewayState) -> String {
     let age = |age: Option<u64>| age.map_or("never".to_owned(), |age| format!("{age} ms"));
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -22,6 +22,7 @@
         daemon::{
             catch_up::{CatchUpState, ConfigurationLag},
             daemon_count,
+            peer_contact::PeerContact,
             readiness::{MAX_CLIENT_CONNECTIONS, Readiness, ReadinessInputs},
             store_watchers::{StoreWatch, WatcherElection, is_store_failing},
         },
@@ -81,6 +82,8 @@
     pub lease: RefCell<LeaderLease>,
     /// Connections to endpoints.
     pub connections: ConnectionPool,
+    /// Whether this daemon knows what its peers know.
+    pub peer_contact: RefCell<PeerContact>,
     /// Requests whose runs have crashed endpoints.
     pub crashes: RefCell<CrashLedger>,
     /// Endpoints at which runs broke, while they are checked.
@@ -262,6 +265,7 @@
             has_endpoint_list: self.endpoint_list.borrow().revision > 0,
             has_configuration: self.configuration.borrow().current.is_some(),
             knows_daemon_count: self.knows_fleet(now),
+            has_peer_contact: self.peer_contact.borrow().is_current(now),
             accepts_connections: self.client_connections.get() < MAX_CLIENT_CONNECTIONS,
             keys: self.key_freshness(now),
         })
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -20,7 +20,9 @@
     gossip::{caller, listener, peer_table::PeerTable, text_exchange::TextExchange},
     leader::leader_tasks,
     policy::{
-        daemon::{catch_up::CatchUpState, store_watchers::WatcherElection},
+        daemon::{
+            catch_up::CatchUpState, peer_contact::PeerContact, store_watchers::WatcherElection,
+        },
         endpoint::endpoint_table::EndpointTable,
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
@@ -124,6 +126,7 @@
         endpoint_texts: RefCell::new(TextExchange::default()),
         lease: RefCell::new(LeaderLease::default()),
         connections: ConnectionPool::new(metrics.clone()),
+        peer_contact: RefCell::new(PeerContact::new(now)),
         crashes: RefCell::new(CrashLedger::default()),
         crash_checks: CrashChecks::default(),
         wall_clock: RefCell::new(SteadyWallClock::new(wall_clock_ms(), now)),
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -114,6 +114,7 @@
         ticks.tick().await;
         let now = Instant::now();
         context.wall_clock.borrow_mut().compare(wall_clock_ms(), now);
+        context.peer_contact.borrow_mut().run(now);
         context.crashes.borrow_mut().forget_old(now);
         let fetches = start_fetches(&context, now);
         for address in addresses_to_call(&context, &fetches, now) {
@@ -169,6 +170,7 @@
         Ok(Ok(response)) => {
             let sent = sent_revisions(&response);
             apply_message(context, response, Some(called_at));
+            context.peer_contact.borrow_mut().heard(called_at);
             FetchOutcomes::judge(sent, held_revisions(context))
         }
         // Counted, not logged: calls to a daemon that is gone fail twice a second.
--- /dev/null
+++ b/src/gateway/policy/daemon/peer_contact.rs
@@ -0,0 +1,58 @@
+//! Whether this daemon knows what the others know: which requests crash endpoints.
+//!
+//! A daemon that has just started, or whose process has stood still, may have missed a quarantine.
+//! Until a peer has responded to a call made since then, it runs no request. A daemon that
+//! reaches no peer goes on alone after a bounded time.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// A process whose gossip did not run for this long has stood still.
+///
+/// Basis: chosen, not measured: fifteen gossip intervals; processes that are only slow run it
+/// more often.
+const STANDSTILL: Duration = Duration::from_millis(1_500);
+/// A daemon that has heard no peer for this long goes on alone.
+///
+/// Basis: chosen, not measured: the time limit of a call (0.4 s) and two gossip intervals.
+const MAX_WAIT: Duration = Duration::from_millis(600);
+
+/// Since when this daemon runs without a standstill, and whether it has heard a peer since.
+#[derive(Clone, Copy, Debug)]
+pub struct PeerContact {
+    running_since: Instant,
+    ran_at: Instant,
+    has_heard: bool,
+}
+
+impl PeerContact {
+    /// Contact of a daemon that starts now.
+    pub fn new(now: Instant) -> Self {
+        Self { running_since: now, ran_at: now, has_heard: false }
+    }
+
+    /// The gossip runs.
+    pub fn run(&mut self, now: Instant) {
+        if self.stood_still(now) {
+            self.running_since = now;
+            self.has_heard = false;
+        }
+        self.ran_at = now;
+    }
+
+    /// A peer has responded to a call made at `called_at`.
+    pub fn heard(&mut self, called_at: Instant) {
+        self.has_heard |= called_at >= self.running_since;
+    }
+
+    /// Whether the daemon knows what the others know.
+    pub fn is_current(&self, now: Instant) -> bool {
+        let waited = now.saturating_duration_since(self.running_since);
+        !self.stood_still(now) && (self.has_heard || waited >= MAX_WAIT)
+    }
+
+    fn stood_still(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.ran_at) >= STANDSTILL
+    }
+}
--- a/src/gateway/policy/daemon/readiness.rs
+++ b/src/gateway/policy/daemon/readiness.rs
@@ -22,6 +22,8 @@
     pub has_configuration: bool,
     /// The number of daemons is known.
     pub knows_daemon_count: bool,
+    /// Peers have told which requests crash endpoints.
+    pub has_peer_contact: bool,
     /// New connections are accepted, and not left in the listen queue.
     pub accepts_connections: bool,
     /// State of the keys.
@@ -41,6 +43,8 @@
     NoConfiguration,
     /// It doesn't know yet how many daemons share the quotas.
     DaemonCountUnknown,
+    /// It doesn't know yet which requests crash endpoints.
+    NoPeerContact,
     /// Its keys may be out of date.
     KeysNotFresh,
     /// It has as many connections as it accepts.
@@ -55,6 +59,7 @@
             ReadinessInputs { has_endpoint_list: false, .. } => Self::NoEndpointList,
             ReadinessInputs { has_configuration: false, .. } => Self::NoConfiguration,
             ReadinessInputs { knows_daemon_count: false, .. } => Self::DaemonCountUnknown,
+            ReadinessInputs { has_peer_contact: false, .. } => Self::NoPeerContact,
             ReadinessInputs { keys, .. } if !keys.allows_keys() => Self::KeysNotFresh,
             ReadinessInputs { accepts_connections: false, .. } => Self::ConnectionsFull,
             _ => Self::Ready,
--- a/src/gateway/policy/request/refusal.rs
+++ b/src/gateway/policy/request/refusal.rs
@@ -31,6 +31,10 @@
     /// The number of daemons that share the quotas is not known yet.
     #[display("number of daemons not known yet")]
     FleetUnknown,
+    /// The daemon has just started, or its process stood still: which requests crash endpoints is
+    /// not known yet.
+    #[display("no contact with other daemons yet")]
+    NoPeerContact,
     /// The daemon is stopping; another one takes the request.
     #[display("daemon is leaving")]
     Leaving,
@@ -108,6 +112,7 @@
             Self::QuotaSpent(_) => StatusCode::TOO_MANY_REQUESTS,
             Self::NoConfiguration
             | Self::FleetUnknown
+            | Self::NoPeerContact
             | Self::Leaving
             | Self::NotFresh
             | Self::NotYetKnown(_)
@@ -140,6 +145,7 @@
             }
             Self::NotYetKnown(ConfigurationDoubt::NewerReported) => Some(retry_after::CATCHING_UP),
             Self::NotYetKnown(ConfigurationDoubt::NotProven) => Some(retry_after::DAEMON_STARTING),
+            Self::NoPeerContact => Some(retry_after::CONTACT_SOON),
             Self::Leaving => Some(retry_after::OTHER_DAEMON),
             Self::BadHead(_)
             | Self::BodyTooLong
--- a/src/gateway/policy/request/retries.rs
+++ b/src/gateway/policy/request/retries.rs
@@ -123,6 +123,8 @@
     AllFull,
     /// There is no endpoint that was not tried.
     NoEndpoint,
+    /// Which requests crash endpoints is not known yet.
+    NoPeerContact,
     /// Runs of the same request have crashed their endpoints; the next trial is due after this
     /// time.
     Quarantined(Duration),
@@ -133,9 +135,10 @@
     pub fn refusal(self, may_have_run: bool, target: Duration) -> Refusal {
         match (self, may_have_run) {
             (Self::DeadlineOver, true) => Refusal::OutOfTime,
-            (Self::AllFull | Self::NoEndpoint | Self::Quarantined(_), true) => Refusal::Unknown,
+            (_, true) => Refusal::Unknown,
             (Self::DeadlineOver, false) => Refusal::DeadlineOver(retry_after::NO_ENDPOINT),
             (Self::AllFull, false) => Refusal::Full(retry_after::all_full(target)),
+            (Self::NoPeerContact, false) => Refusal::NoPeerContact,
             (Self::Quarantined(wait), false) => Refusal::Quarantined(wait),
             (Self::NoEndpoint, false) => Refusal::NoEndpoint(retry_after::NO_ENDPOINT),
         }
--- a/src/gateway/policy/request/retry_after.rs
+++ b/src/gateway/policy/request/retry_after.rs
@@ -16,6 +16,9 @@
 /// Basis: it was applied 0.10 s after a peer had reported it in the median, 0.41 s at most
 /// (12,284 times, 77 real daemons, five changes a second); the daemon asked next may be later.
 pub const CATCHING_UP: Duration = Duration::from_millis(300);
+/// The daemon has not heard its peers since it started or stood still.
+/// Basis: chosen, not measured: it calls two of them every 0.1 s.
+pub const CONTACT_SOON: Duration = Duration::from_millis(200);
 /// The daemon is stopping; the balancer sends the retry to another one.
 /// Basis: chosen, not measured: brought by commit 7041d5e; the other daemon has no need of a
 /// pause.
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -247,16 +247,17 @@
     if attempts.is_trial && attempts.sent == 0 {
         return Ok(());
     }
+    let refusal = |reason: NoAttempt| reason.refusal(attempts.may_have_run, admitted.route.target);
+    if !context.peer_contact.borrow().is_current(Instant::now()) {
+        return Err(refusal(NoAttempt::NoPeerContact));
+    }
     match crash_watch::judge(context, admitted) {
         RunVerdict::Allowed => Ok(()),
+        RunVerdict::Refused(wait) => Err(refusal(NoAttempt::Quarantined(wait))),
         RunVerdict::Trial => {
             attempts.is_trial = true;
             Ok(())
         }
-        RunVerdict::Refused(wait) => {
-            let reason = NoAttempt::Quarantined(wait);
-            Err(reason.refusal(attempts.may_have_run, admitted.route.target))
-        }
     }
 }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -50,6 +50,24 @@
     pub lease_fence: u64,
     /// Age of the newest known renewal.
     pub lease_age_ms: Option<u64>,
+    /// Requests that are refused because they crash endpoints.
+    #[serde(default)]
+    pub quarantined: Vec<QuarantinedState>,
+}
+
+/// A request that is refused because it crashes endpoints.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct QuarantinedState {
+    /// Its fingerprint, as the request log shows it.
+    pub fingerprint: String,
+    /// Crashes one after another that count against it, as far as this daemon knows.
+    pub crashes: usize,
+    /// Time since the newest of them.
+    pub crash_age_ms: u64,
+    /// Trials so far.
+    pub trials: u32,
+    /// Time to the next one; 0 if it is due.
+    pub trial_in_ms: u64,
 }
 
 impl GatewayState {
@@ -88,6 +106,22 @@
             lease_holder: lease.holder.clone(),
             lease_fence: lease.fence,
             lease_age_ms: lease.renewed_at.map(age_ms),
+            quarantined: quarantined_requests(context, now),
         }
     }
 }
+
+fn quarantined_requests(context: &GatewayContext, now: Instant) -> Vec<QuarantinedState> {
+    let ledger = context.crashes.borrow();
+    let states = ledger.quarantined().filter_map(|(request, record)| {
+        let (crashed, trial) = (record.last_crash()?, record.next_trial()?);
+        Some(QuarantinedState {
+            fingerprint: request.to_string(),
+            crashes: record.evidence(),
+            crash_age_ms: now.saturating_duration_since(crashed).as_millis() as u64,
+            trials: record.trials,
+            trial_in_ms: trial.saturating_duration_since(now).as_millis() as u64,
+        })
+    });
+    states.collect()
+}
--- a/src/gateway/status_listeners.rs
+++ b/src/gateway/status_listeners.rs
@@ -1,13 +1,18 @@
 //! Two listeners: the balancer's readiness check, and metrics with the daemon's state.
 //!
-//! Whether the daemon is ready is decided in `policy::daemon::readiness`; this module only serves it.
+//! Whether the daemon is ready is decided in `policy::daemon::readiness`; this module only serves
+//! it. On the metrics address operators may also end the quarantine of a request.
 
 use std::rc::Rc;
 
-use hyper::{Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming};
 use tokio::{net::TcpListener, time::Instant};
 
-use super::{context::GatewayContext, policy::daemon::readiness::Readiness, state::GatewayState};
+use super::{
+    context::GatewayContext,
+    policy::{daemon::readiness::Readiness, request::fingerprint::BadFingerprint},
+    state::GatewayState,
+};
 use crate::{
     http::{ResponseBody, server, whole_body},
     platform::ingress,
@@ -20,6 +25,8 @@
 
 /// Path of the daemon's state on the metrics address.
 const STATE_PATH: &str = "/state";
+/// Path of the quarantined requests there; a fingerprint follows.
+const QUARANTINE_PATH: &str = "/quarantine/";
 
 fn text_response(status: StatusCode, text: String) -> Response<ResponseBody> {
     let mut response = Response::new(whole_body(text));
@@ -46,15 +53,34 @@
 pub async fn serve_metrics(listener: TcpListener, context: Rc<GatewayContext>) {
     let phase = context.kernel.phase();
     let handler = move |request: Request<Incoming>| {
-        let text = match request.uri().path() {
-            STATE_PATH => state_text(&context),
-            _ => context.metrics.render(),
+        let path = request.uri().path();
+        let (status, text) = match path.strip_prefix(QUARANTINE_PATH) {
+            Some(fingerprint) if request.method() == Method::DELETE => {
+                end_quarantine(&context, fingerprint)
+            }
+            Some(_) => (StatusCode::METHOD_NOT_ALLOWED, String::new()),
+            None if path == STATE_PATH => (StatusCode::OK, state_text(&context)),
+            None => (StatusCode::OK, context.metrics.render()),
         };
-        async move { text_response(StatusCode::OK, text) }
+        async move { text_response(status, text) }
     };
     server::serve(listener, phase, handler).await;
 }
 
+/// Ends the quarantine of a request at this daemon, which tells the others.
+fn end_quarantine(context: &GatewayContext, fingerprint: &str) -> (StatusCode, String) {
+    let request = match fingerprint.parse() {
+        Ok(request) => request,
+        Err(BadFingerprint) => return (StatusCode::BAD_REQUEST, BadFingerprint.to_string()),
+    };
+    let was_quarantined = context.crashes.borrow_mut().clear(request, Instant::now());
+    if !was_quarantined {
+        return (StatusCode::NOT_FOUND, "not quarantined".to_owned());
+    }
+    spdlog::info!("quarantine ended", kv: { fingerprint: = request, reason = "operator" });
+    (StatusCode::OK, "{}".to_owned())
+}
+
 fn state_text(context: &GatewayContext) -> String {
     serde_json::to_string(&GatewayState::of(context)).unwrap_or_else(|error| {
         // Cannot happen with the types of the state; an empty page would say nothing.
--- a/tests/gateway/crash_fleet.rs
+++ b/tests/gateway/crash_fleet.rs
@@ -5,7 +5,10 @@
     collections::BTreeMap,
     net::SocketAddr,
     ops::Range,
-    sync::{Arc, Mutex, atomic::AtomicBool},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -15,7 +18,7 @@
 
 use crate::{
     crashing_endpoint::{CRASHING, CrashNote, CrashingEndpoint},
-    gateway_site::{Gateway, RawAnswer, configuration, request_bytes, try_send_raw},
+    gateway_site::{Gateway, RawAnswer, configuration, request_bytes, try_send_raw, wait_for},
     platform_standin::PlatformStandin,
 };
 
@@ -62,7 +65,7 @@
             return;
         }
         *self.not_served.entry(answer.status).or_default() += 1;
-        self.refused_for_crashes += usize::from(answer.text().contains(REASON));
+        self.refused_for_crashes += usize::from(is_refused(&answer));
     }
 }
 
@@ -101,8 +104,9 @@
 
 /// The fleet.
 pub struct CrashFleet {
-    _daemons: Vec<Gateway>,
+    pub daemons: Vec<Gateway>,
     endpoints: Vec<CrashingEndpoint>,
+    is_mended: Arc<AtomicBool>,
     addresses: Vec<SocketAddr>,
 }
 
@@ -128,7 +132,7 @@
         }
         daemons.iter().for_each(Gateway::wait_ready);
         let addresses = daemons.iter().map(|daemon| daemon.clients).collect();
-        Self { _daemons: daemons, endpoints, addresses }
+        Self { daemons, endpoints, is_mended, addresses }
     }
 
     /// Sends the load beside so many calm clients.
@@ -149,7 +153,9 @@
                 let address = *self.addresses.choose(&mut rng).expect("a daemon");
                 let statuses = &statuses;
                 scope.spawn(move || {
-                    let status = self.send_crashing(address, load, number);
+                    let body = format!("{CRASHING}-{}", number % load.requests);
+                    let answer = send_crashing(address, load.path, &body, number);
+                    let status = answer.map_or(0, |answer| answer.status);
                     *statuses.lock().expect("lock").entry(status).or_default() += 1;
                 });
                 thread::sleep(CRASH_PAUSE);
@@ -162,12 +168,44 @@
         }
     }
 
-    /// Sends one request that crashes an endpoint; returns the status, 0 without an answer.
-    pub fn send_crashing(&self, address: SocketAddr, load: CrashLoad, number: usize) -> u16 {
-        let body = format!("{CRASHING}-{}", number % load.requests);
-        let id = format!("crashing-{number}");
-        let bytes = request_bytes(load.path, &id, "key-1", &[], body.as_bytes());
-        try_send_raw(address, &bytes).map_or(0, |answer| answer.status)
+    /// Sends one request to the daemons again and again until all refuse it; returns a refusal.
+    pub fn send_until_refused(&self, path: &str) -> RawAnswer {
+        wait_for("all daemons to refuse it", || self.all_refuse(path));
+        send_crashing(self.addresses[0], path, CRASHING, 0).expect("an answer")
+    }
+
+    /// Whether all daemons refuse the request.
+    pub fn all_refuse(&self, path: &str) -> bool {
+        let refuses = |address: &SocketAddr| {
+            send_crashing(*address, path, CRASHING, 0).is_ok_and(|answer| is_refused(&answer))
+        };
+        self.addresses.iter().all(refuses)
+    }
+
+    /// Whether all daemons serve the request.
+    pub fn all_serve(&self, path: &str) -> bool {
+        let serves = |address: &SocketAddr| {
+            send_crashing(*address, path, CRASHING, 0).is_ok_and(|answer| answer.status == 200)
+        };
+        self.addresses.iter().all(serves)
+    }
+
+    /// Kills all daemons, then starts them again.
+    pub fn restart_daemons(&mut self) {
+        self.daemons.iter_mut().for_each(Gateway::kill);
+        self.daemons.iter_mut().for_each(Gateway::start_again);
+        self.daemons.iter().for_each(Gateway::wait_ready);
+    }
+
+    /// From now on nothing crashes the endpoints.
+    pub fn mend_endpoints(&self) {
+        self.is_mended.store(true, Ordering::SeqCst);
+    }
+
+    /// How often the endpoints have ended.
+    pub fn crashes(&self) -> usize {
+        let notes = self.endpoints.iter().flat_map(CrashingEndpoint::notes);
+        notes.filter(|note| note.crashed.is_some()).count()
     }
 
     /// Asks again and again, every other time for the same as all calm clients.
@@ -190,3 +228,18 @@
         }
     }
 }
+
+/// Sends one request that crashes the endpoint that runs it.
+fn send_crashing(
+    address: SocketAddr,
+    path: &str,
+    body: &str,
+    number: usize,
+) -> std::io::Result<RawAnswer> {
+    let id = format!("crashing-{number}");
+    try_send_raw(address, &request_bytes(path, &id, "key-1", &[], body.as_bytes()))
+}
+
+fn is_refused(answer: &RawAnswer) -> bool {
+    answer.status == 503 && answer.text().contains(REASON)
+}
--- a/tests/gateway/crash_rules.rs
+++ b/tests/gateway/crash_rules.rs
@@ -11,10 +11,13 @@
 use tokio::time::Instant;
 use willowarch::gateway::{
     call::{Call, CallHead},
-    policy::request::{
-        crash_ledger::{CrashLedger, MAX_RECORDS, MAX_REPORTED, RunVerdict},
-        crash_record::{CrashRecord, CrashedRun},
-        fingerprint::RequestFingerprint,
+    policy::{
+        daemon::peer_contact::PeerContact,
+        request::{
+            crash_ledger::{CrashLedger, MAX_RECORDS, MAX_REPORTED, RunVerdict},
+            crash_record::{CrashRecord, CrashedRun},
+            fingerprint::RequestFingerprint,
+        },
     },
 };
 
@@ -344,6 +347,30 @@
     expect_that!(judge(&mut here, clock.at(701)), eq(RunVerdict::Allowed));
 }
 
+#[googletest::test]
+fn daemon_that_started_or_stood_still_waits_for_a_peer() {
+    let clock = TestClock::new();
+    let mut contact = PeerContact::new(clock.at(0));
+    expect_that!(contact.is_current(clock.at(50)), eq(false));
+    contact.heard(clock.at(60));
+    expect_that!(contact.is_current(clock.at(61)), eq(true));
+    // It stands still: a response to a call made before that proves nothing.
+    expect_that!(contact.is_current(clock.at(5_000)), eq(false));
+    contact.run(clock.at(5_000));
+    contact.heard(clock.at(100));
+    expect_that!(contact.is_current(clock.at(5_010)), eq(false));
+    contact.heard(clock.at(5_005));
+    expect_that!(contact.is_current(clock.at(5_010)), eq(true));
+}
+
+#[googletest::test]
+fn daemon_that_reaches_no_peer_goes_on_alone() {
+    let clock = TestClock::new();
+    let contact = PeerContact::new(clock.at(0));
+    expect_that!(contact.is_current(clock.at(599)), eq(false));
+    expect_that!(contact.is_current(clock.at(600)), eq(true));
+}
+
 proptest! {
     /// However the runs of a request overlap, no more count than there are crashes that lie
     /// apart, and never more than runs.
--- a/tests/gateway/gateway_site.rs
+++ b/tests/gateway/gateway_site.rs
@@ -116,8 +116,18 @@
 
     /// Kills the process and starts it again at the same addresses.
     pub fn kill_and_restart(&mut self) {
+        self.kill();
+        self.start_again();
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
         let _ = self.process.kill();
         let _ = self.process.wait();
+    }
+
+    /// Starts it again at the same addresses after it has ended.
+    pub fn start_again(&mut self) {
         self.process = spawn(&self.program, &self.settings, &self.log);
     }
 
@@ -143,8 +153,7 @@
 
 impl Drop for Gateway {
     fn drop(&mut self) {
-        let _ = self.process.kill();
-        let _ = self.process.wait();
+        self.kill();
         if std::env::var_os(KEEP_LOGS).is_some() {
             return;
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -6,6 +6,7 @@
 mod crash_fleet;
 mod crash_model;
 mod crash_rules;
+mod crash_signs;
 mod crashing_endpoint;
 mod crashing_requests;
 mod decoders;
--- a/tests/gateway/request_rules.rs
+++ b/tests/gateway/request_rules.rs
@@ -222,6 +222,7 @@
         has_endpoint_list: false,
         has_configuration: false,
         knows_daemon_count: false,
+        has_peer_contact: false,
         accepts_connections: false,
         keys: KeyFreshness::Stale,
     };
@@ -233,6 +234,8 @@
     inputs.has_configuration = true;
     expect_that!(Readiness::decide(inputs), eq(Readiness::DaemonCountUnknown));
     inputs.knows_daemon_count = true;
+    expect_that!(Readiness::decide(inputs), eq(Readiness::NoPeerContact));
+    inputs.has_peer_contact = true;
     expect_that!(Readiness::decide(inputs), eq(Readiness::KeysNotFresh));
     inputs.keys = KeyFreshness::NotRequired;
     expect_that!(Readiness::decide(inputs), eq(Readiness::ConnectionsFull));
