Soak: a request that crashes its endpoints, beside all other faults

Cause: endpoints in the soak misbehaved by plan, never by what they were asked, so the soak could not see a request that ends its endpoints. Change: eight endpoints of a service of their own, a client that sends such a request to random daemons, and one that asks the same endpoints for something else.

--- a/tests/gateway/crash_fleet.rs
+++ b/tests/gateway/crash_fleet.rs
@@ -23,7 +23,7 @@
 };
 
 /// Time in which daemons that can talk to each other have to know of the third crash.
-pub const CONTACT_TIME: Duration = Duration::from_secs(3);
+const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Crashes after which a request has to be stopped.
 const CRASHES: usize = 3;
 /// Pause between two requests that crash an endpoint.
@@ -85,21 +85,26 @@
 
     /// Arrivals of each request at endpoints when all daemons have to know of its third crash.
     pub fn late_arrivals(&self) -> BTreeMap<&str, usize> {
-        let mut crashes: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
-        for note in &self.notes {
-            crashes.entry(&note.body).or_default().extend(note.crashed);
-        }
-        let mut late = BTreeMap::new();
-        for (body, mut times) in crashes {
-            times.sort_unstable();
-            let known_from = times.get(CRASHES - 1).map(|third| *third + CONTACT_TIME);
-            let is_late = |note: &&CrashNote| {
-                note.body == body && known_from.is_some_and(|from| note.arrived > from)
-            };
-            late.insert(body, self.notes.iter().filter(is_late).count());
-        }
-        late
+        late_arrivals(&self.notes)
+    }
+}
+
+/// Arrivals of each request at endpoints when all daemons have to know of its third crash.
+pub fn late_arrivals(notes: &[CrashNote]) -> BTreeMap<&str, usize> {
+    let mut crashes: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
+    for note in notes {
+        crashes.entry(&note.body).or_default().extend(note.crashed);
+    }
+    let mut late = BTreeMap::new();
+    for (body, mut times) in crashes {
+        times.sort_unstable();
+        let known_from = times.get(CRASHES - 1).map(|third| *third + CONTACT_TIME);
+        let is_late = |note: &&CrashNote| {
+            note.body == body && known_from.is_some_and(|from| note.arrived > from)
+        };
+        late.insert(body, notes.iter().filter(is_late).count());
     }
+    late
 }
 
 /// The fleet.
@@ -117,7 +122,8 @@
         platform.put("config", "main", configuration(3, &["key-1"]));
         let is_mended = Arc::new(AtomicBool::new(false));
         let endpoints = (0..endpoint_count).map(|place| {
-            CrashingEndpoint::start(&format!("i-{place}"), place % 2 == 0, &platform, &is_mended)
+            let (name, keeps_id) = (format!("i-{place}"), place % 2 == 0);
+            CrashingEndpoint::start(&name, "pool", keeps_id, &platform, &is_mended)
         });
         let endpoints = endpoints.collect();
         let mut seeds: Vec<SocketAddr> = Vec::new();
@@ -230,7 +236,7 @@
 }
 
 /// Sends one request that crashes the endpoint that runs it.
-fn send_crashing(
+pub fn send_crashing(
     address: SocketAddr,
     path: &str,
     body: &str,
@@ -240,6 +246,6 @@
     try_send_raw(address, &request_bytes(path, &id, "key-1", &[], body.as_bytes()))
 }
 
-fn is_refused(answer: &RawAnswer) -> bool {
+pub fn is_refused(answer: &RawAnswer) -> bool {
     answer.status == 503 && answer.text().contains(REASON)
 }
--- a/tests/gateway/crashing_endpoint.rs
+++ b/tests/gateway/crashing_endpoint.rs
@@ -51,6 +51,7 @@
 
 struct Shared {
     name: String,
+    service: &'static str,
     platform: Arc<PlatformStandin>,
     address: SocketAddr,
     keeps_id: bool,
@@ -67,9 +68,11 @@
 }
 
 impl CrashingEndpoint {
-    /// Starts and registers an endpoint; `is_mended` says that nothing crashes it any more.
+    /// Starts and registers an endpoint of a service; `is_mended` says that nothing crashes it any
+    /// more.
     pub fn start(
         name: &str,
+        service: &'static str,
         keeps_id: bool,
         platform: &Arc<PlatformStandin>,
         is_mended: &Arc<AtomicBool>,
@@ -77,6 +80,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
         let shared = Arc::new(Shared {
             name: name.to_owned(),
+            service,
             platform: platform.clone(),
             address: listener.local_addr().expect("address"),
             keeps_id,
@@ -127,7 +131,7 @@
         self.process.lock().expect("lock").id = id.clone();
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").as_millis() as u64;
         let entry = json!({
-            "service": "pool", "address": self.address, "zone": "hall-a", "version": "v1",
+            "service": self.service, "address": self.address, "zone": "hall-a", "version": "v1",
             "slots": 8, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": born,
         });
         self.platform.put("servers", &id, entry);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -35,6 +35,7 @@
 mod serving;
 mod soak;
 mod soak_clients;
+mod soak_crashes;
 mod store_connections;
 mod text_model;
 mod unknown_routes;
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -1,7 +1,8 @@
 //! Soak under faults: real daemons, links through loopback proxies, signals, a platform and
 //! endpoints that misbehave; all drawn from a seed. Faults of daemons, of links, of endpoints and
-//! changes of the configuration come in series and overlap. What must always hold is checked
-//! from what clients, endpoints and the platform have seen.
+//! changes of the configuration come in series and overlap, beside a request that crashes the
+//! endpoints that run it. What must always hold is checked from what clients, endpoints and the
+//! platform have seen.
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1 cargo test --test gateway soak` plays more seeds, `SOAK_DAEMONS=40`
 //! with more daemons: above 24 they fall into several gossip groups.
@@ -11,7 +12,7 @@
     net::SocketAddr,
     ops::Range,
     sync::{
-        Mutex,
+        Arc, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     thread,
@@ -28,6 +29,7 @@
     loopback_proxy::{LinkState, LoopbackProxy},
     platform_standin::PlatformStandin,
     soak_clients::{Exchange, SoakClient},
+    soak_crashes::{CrashLane, with_fragile_service},
 };
 
 /// Seeds played where the environment names no number.
@@ -112,7 +114,8 @@
 
 /// A deployment under faults.
 struct SoakSite {
-    platform: PlatformStandin,
+    platform: Arc<PlatformStandin>,
+    crash_lane: CrashLane,
     store_links: Vec<LoopbackProxy>,
     endpoints: Vec<EndpointStandin>,
     endpoint_links: Vec<LoopbackProxy>,
@@ -127,7 +130,8 @@
 
 impl SoakSite {
     fn start(daemon_count: usize) -> Self {
-        let platform = PlatformStandin::start();
+        let platform = Arc::new(PlatformStandin::start());
+        let crash_lane = CrashLane::start(&platform);
         let endpoints: Vec<EndpointStandin> = (0..ENDPOINTS)
             .map(|place| EndpointStandin::start(&format!("i-{place}"), EndpointManner::Serve))
             .collect();
@@ -143,8 +147,15 @@
         let store_links: Vec<LoopbackProxy> =
             (0..daemon_count).map(|_| LoopbackProxy::start(platform.address)).collect();
         let version = AtomicU64::new(2);
-        let mut site =
-            Self { platform, store_links, endpoints, endpoint_links, daemons: Vec::new(), version };
+        let mut site = Self {
+            platform,
+            crash_lane,
+            store_links,
+            endpoints,
+            endpoint_links,
+            daemons: Vec::new(),
+            version,
+        };
         site.write_next_version();
         site.start_daemons();
         site
@@ -215,7 +226,7 @@
     fn write_next_version(&self) -> u64 {
         let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
         let written = configuration(version, &["key-1", &version_key(version)]);
-        self.platform.put("config", "main", written);
+        self.platform.put("config", "main", with_fragile_service(written));
         version
     }
 
@@ -265,6 +276,9 @@
             let (addresses, exchanges) = (&addresses, &exchanges);
             scope.spawn(move || SoakClient::new(number, seed).run(addresses, until, exchanges));
         }
+        let (lane, addresses) = (&site.crash_lane, &addresses);
+        scope.spawn(move || lane.crash(addresses, until, seed));
+        scope.spawn(move || lane.ask(addresses, until, seed));
         for lane in FaultLane::ALL {
             let site = &site;
             scope.spawn(move || cause_faults(site, lane, seed, until));
@@ -276,6 +290,7 @@
             try_send_raw(*address, &bytes).is_ok_and(|answer| answer.status == 200)
         });
     }
+    site.crash_lane.check();
     check_configuration(&site, &addresses);
     check(&site, &exchanges.into_inner().expect("lock"));
 }
--- /dev/null
+++ b/tests/gateway/soak_crashes.rs
@@ -0,0 +1,100 @@
+//! A request that crashes its endpoints, in the soak: endpoints of a service of their own, a client
+//! that sends it to random daemons, and one that asks the same endpoints for something else.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+use serde_json::{Value, json};
+
+use crate::{
+    crash_fleet::{is_refused, late_arrivals, send_crashing},
+    crashing_endpoint::{CRASHING, CrashNote, CrashingEndpoint},
+    gateway_site::{RawAnswer, request_bytes, try_send_raw},
+    platform_standin::PlatformStandin,
+};
+
+const SERVICE: &str = "fragile";
+const PATH: &str = "/fragile/page/";
+const ENDPOINTS: usize = 8;
+/// Pause between two requests of one client, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 50..250;
+/// Arrivals that are allowed once all daemons have to know of the third crash.
+const ALLOWED_ARRIVALS: usize = 3;
+
+/// The endpoints, and what their clients have seen.
+pub struct CrashLane {
+    endpoints: Vec<CrashingEndpoint>,
+    /// Requests that crash nothing and were refused as if they did.
+    wrongly_refused: Mutex<Vec<RawAnswer>>,
+}
+
+/// Adds the route and the service of these endpoints to a configuration.
+pub fn with_fragile_service(mut configuration: Value) -> Value {
+    let mut route = configuration["routes"][0].clone();
+    for (field, value) in [("name", SERVICE), ("service", SERVICE), ("path-prefix", "/fragile/")] {
+        route[field] = json!(value);
+    }
+    let mut service = configuration["services"][0].clone();
+    service["name"] = json!(SERVICE);
+    configuration["routes"].as_array_mut().expect("routes").push(route);
+    configuration["services"].as_array_mut().expect("services").push(service);
+    configuration
+}
+
+impl CrashLane {
+    pub fn start(platform: &Arc<PlatformStandin>) -> Self {
+        let is_mended = Arc::default();
+        let endpoint = |place: usize| {
+            let (name, keeps_id) = (format!("fragile-{place}"), place.is_multiple_of(2));
+            CrashingEndpoint::start(&name, SERVICE, keeps_id, platform, &is_mended)
+        };
+        let endpoints = (0..ENDPOINTS).map(endpoint).collect();
+        Self { endpoints, wrongly_refused: Mutex::default() }
+    }
+
+    /// Sends the request that crashes endpoints.
+    pub fn crash(&self, addresses: &[SocketAddr], until: Instant, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for number in 0.. {
+            if Instant::now() >= until {
+                return;
+            }
+            let address = addresses.choose(&mut rng).expect("a daemon");
+            // What becomes of it is seen at the endpoints.
+            let _ = send_crashing(*address, PATH, CRASHING, number);
+            thread::sleep(Duration::from_millis(rng.random_range(PAUSE_MS)));
+        }
+    }
+
+    /// Sends the same request, which crashes nothing, again and again.
+    pub fn ask(&self, addresses: &[SocketAddr], until: Instant, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        for number in 0.. {
+            if Instant::now() >= until {
+                return;
+            }
+            let address = addresses.choose(&mut rng).expect("a daemon");
+            let bytes = request_bytes(PATH, &format!("calm-{number}"), "key-1", &[], b"calm");
+            // A daemon that is down or frozen may not answer.
+            let answer = try_send_raw(*address, &bytes).ok();
+            let refused = answer.filter(is_refused);
+            self.wrongly_refused.lock().expect("lock").extend(refused);
+            thread::sleep(Duration::from_millis(rng.random_range(PAUSE_MS)));
+        }
+    }
+
+    pub fn check(&self) {
+        let wrongly_refused = self.wrongly_refused.lock().expect("lock");
+        assert!(wrongly_refused.is_empty(), "{wrongly_refused:?}");
+        let notes: Vec<CrashNote> =
+            self.endpoints.iter().flat_map(CrashingEndpoint::notes).collect();
+        let late = late_arrivals(&notes).into_values().max().unwrap_or(0);
+        println!("{} arrivals of a request that crashes endpoints, {late} late", notes.len());
+        assert!(late <= ALLOWED_ARRIVALS, "{late} late arrivals");
+    }
+}
