--- /dev/null
+++ b/tests/gateway/foreign_entries.rs
@@ -0,0 +1,93 @@
+//! Entries of endpoints that another writer has changed or made: they name no endpoint to use, and
+//! all others hold. Of 30 requests after such a change 15 to 19 still went to the endpoint, in each
+//! of eight ways; the daemon's line for each was "endpoint entry not decoded", or none.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use serde_json::{Value, json};
+
+use crate::{
+    endpoint_standin::EndpointManner,
+    gateway_site::{Site, endpoint_entry, wait_for},
+};
+
+/// Time within which a change of an entry is applied.
+const APPLY_TIME: Duration = Duration::from_millis(1_500);
+const REQUESTS: usize = 30;
+
+/// The entry with one field changed.
+fn with(site: &Site, field: &str, value: Value) -> Value {
+    let mut entry = endpoint_entry(&site.endpoints[0], "ready");
+    entry[field] = value;
+    entry
+}
+
+fn without(site: &Site, field: &str) -> Value {
+    let mut entry = endpoint_entry(&site.endpoints[0], "ready");
+    entry.as_object_mut().expect("entry").remove(field);
+    entry
+}
+
+/// Names each case: what another writer leaves in place of the first of two endpoints' entries.
+macro_rules! foreign {
+    ($($name:ident: $entry:expr;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            let site = Site::start(&[EndpointManner::Answer, EndpointManner::Answer]);
+            let entry: fn(&Site) -> Value = $entry;
+            site.platform.put("servers", &site.endpoints[0].id, entry(&site));
+            std::thread::sleep(APPLY_TIME);
+            let before = site.runs();
+            for number in 0..REQUESTS {
+                expect_that!(site.ask("/plain/", &format!("a-{number}")).status, eq(200));
+            }
+            let after = site.runs();
+            expect_that!(after[0] - before[0], eq(0), "requests at the endpoint without an entry");
+            expect_that!(after[1] - before[1], eq(REQUESTS));
+        }
+    )*};
+}
+
+foreign! {
+    service_of_another_type: |_| json!({"service": 5});
+    text_in_place_of_an_entry: |_| json!("ready");
+    nothing_in_place_of_an_entry: |_| Value::Null;
+    list_in_place_of_an_entry: |_| json!([1, 2]);
+    state_of_another_type: |site| with(site, "state", json!(7));
+    unknown_state: |site| with(site, "state", json!("retired"));
+    no_state: |site| without(site, "state");
+    slots_of_another_type: |site| with(site, "slots", json!("4"));
+    no_slots: |site| without(site, "slots");
+    slots_below_one: |site| with(site, "slots", json!(0));
+    slots_out_of_range: |site| with(site, "slots", json!(1e30));
+    no_zone: |site| without(site, "zone");
+    address_that_is_none: |site| with(site, "address", json!("nowhere"));
+    sequence_of_another_type: |site| with(site, "seq", json!([]));
+    born_of_another_type: |site| with(site, "born", json!("yesterday"));
+    born_with_a_fraction: |site| with(site, "born", json!(1.5));
+    unknown_service: |site| with(site, "service", json!("other"));
+}
+
+#[googletest::test]
+fn listing_with_a_foreign_entry_is_read() {
+    let site = Site::start(&[EndpointManner::Answer]);
+    site.platform.put("servers", "i-foreign", json!("no entry"));
+    let other = crate::endpoint_standin::EndpointStandin::start("i-9", EndpointManner::Answer);
+    site.platform.put("servers", "i-9", endpoint_entry(&other, "ready"));
+    site.platform.forget_history();
+    wait_for("a request at the endpoint behind the foreign entry", || {
+        site.ask("/plain/", "a");
+        !other.seen().is_empty()
+    });
+}
+
+#[googletest::test]
+fn entry_that_is_written_right_again_is_used() {
+    let site = Site::start(&[EndpointManner::Answer, EndpointManner::Full]);
+    let (id, entry) = (&site.endpoints[0].id, endpoint_entry(&site.endpoints[0], "ready"));
+    site.platform.put("servers", id, json!({}));
+    wait_for("no endpoint", || site.ask("/plain/", "a").status == 503);
+    site.platform.put("servers", id, entry);
+    wait_for("the endpoint", || site.ask("/plain/", "b").status == 200);
+}
