Time goes on while the VM is suspended: ages, leases and deadlines of the gateway judged by it

Cause: the runtime's clock stands still during a suspension, so a leader believed in its lease and a daemon in its keys afterwards. The log says 'suspended'.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -47,7 +47,7 @@
     kernel::{KernelHandle, LifePhase},
     logs::LineBudget,
     metrics::MetricsHandle,
-    platform,
+    platform, true_time,
 };
 
 /// State shared by all tasks of one daemon, which run on one thread.
@@ -164,7 +164,7 @@
     }
 
     fn end_configuration_lag(&self) -> ConfigurationLag {
-        let lag = self.catch_up.borrow_mut().take_configuration_lag(Instant::now());
+        let lag = self.catch_up.borrow_mut().take_configuration_lag(true_time::now());
         self.metrics.duration("configuration_lag_us", Duration::from_millis(lag.duration_ms));
         lag
     }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::{
     configuration_state::ConfigurationState,
@@ -47,7 +47,7 @@
     logs::{self, LineBudget},
     metrics::MetricsHandle,
     platform::store::StoreClient,
-    wall_clock_ms,
+    true_time, wall_clock_ms,
 };
 
 /// Name of the service that stops the daemon.
@@ -106,7 +106,7 @@
 
 fn assemble(settings: GatewaySettings, kernel: KernelHandle) -> GatewayContext {
     let metrics = MetricsHandle::default();
-    let now = Instant::now();
+    let now = true_time::now();
     let bounds = &settings.bounds;
     let tolerance = QuotaTolerance { overage: bounds.quota_overage, slack: bounds.quota_slack };
     let retry_budgets =
@@ -155,7 +155,7 @@
 /// Stops the daemon after SIGTERM, in the order that the module's head gives.
 async fn stop_on_signal(context: Rc<GatewayContext>) {
     terminated().await;
-    let begun = Instant::now();
+    let begun = true_time::now();
     context.kernel.enter(LifePhase::Draining);
     spdlog::info!("stopping", kv: { active: = context.active.get() });
     let latest = begun + context.settings.bounds.stop_grace.saturating_sub(GRACE_MARGIN);
@@ -164,7 +164,7 @@
     sleep(ACCEPT_FOR - REFUSE_AFTER).await;
     context.intake.set(Intake::Closed);
     let busy = || context.active.get() + context.client_connections.get() > 0;
-    while busy() && Instant::now() < latest {
+    while busy() && true_time::now() < latest {
         sleep(BUSY_CHECK_INTERVAL).await;
     }
     spdlog::info!("stopping", kv: { cut_off: = context.active.get() });
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -39,7 +39,7 @@
         },
     },
     rpc_transport::{TrafficCounter, rpc_system},
-    wall_clock_ms,
+    true_time, wall_clock_ms,
 };
 
 /// Name of the service.
@@ -108,11 +108,13 @@
 /// Calls other daemons until the daemon stops.
 pub async fn run(context: Rc<GatewayContext>) {
     let connections = Rc::new(PeerConnections::default());
+    let mut missed = true_time::missed();
     let mut ticks = interval(GOSSIP_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let now = Instant::now();
+        missed = log_suspension(&context, missed);
+        let now = true_time::now();
         context.wall_clock.borrow_mut().compare(wall_clock_ms(), now);
         context.peer_contact.borrow_mut().run(now);
         context.crashes.borrow_mut().forget_old(now);
@@ -131,6 +133,17 @@
     }
 }
 
+/// Logs a suspension of the VM since the last interval; returns all time that was missed so far.
+fn log_suspension(context: &GatewayContext, missed_before: Duration) -> Duration {
+    let missed = true_time::missed();
+    if missed > missed_before {
+        let gap_ms = (missed - missed_before).as_millis();
+        spdlog::warn!("suspended", kv: { gap_ms = gap_ms as u64 });
+        context.metrics.count("suspensions", 1);
+    }
+    missed
+}
+
 /// Starts to fetch newer texts, if peers have reported any.
 fn start_fetches(context: &GatewayContext, now: Instant) -> TextFetches {
     let wait = wait_for_store(context.watches_store(now), context.store_fails(now));
@@ -160,7 +173,7 @@
     address: SocketAddr,
     fetches: TextFetches,
 ) {
-    let called_at = Instant::now();
+    let called_at = true_time::now();
     let parts = parts_to_request(context, address, fetches);
     let fetches_configuration = parts.configuration.is_some();
     let fetches_text = fetches_configuration || parts.endpoints.is_some();
@@ -186,7 +199,7 @@
         context.metrics.count_labelled("configuration_fetches", "outcome", name);
     }
     let mut catch_up = context.catch_up.borrow_mut();
-    catch_up.end_fetches(address, fetches, outcomes, Instant::now());
+    catch_up.end_fetches(address, fetches, outcomes, true_time::now());
 }
 
 /// Revisions of the texts that a response holds; 0 of those that it doesn't.
@@ -226,6 +239,6 @@
         configuration: fetches_configuration
             .then(|| context.configuration_texts.borrow().request()),
         endpoints: fetches_endpoints.then(|| context.endpoint_texts.borrow().request()),
-        usage: requests_former_usage(context.age(Instant::now())),
+        usage: requests_former_usage(context.age(true_time::now())),
     }
 }
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -31,6 +31,7 @@
         leader::leader_lease::LeaseRenewal,
     },
 };
+use crate::true_time;
 
 /// A daemon that has reported fewer states than this has started a few seconds ago, so that all
 /// of its quota units were spent in the last moments.
@@ -45,7 +46,7 @@
     if message.state.incarnation == context.incarnation {
         return;
     }
-    let now = Instant::now();
+    let now = true_time::now();
     apply_relayed_usage(context, &message);
     apply_reports(context, &message.crashes, now);
     let GossipMessage { state, configuration, endpoint_revision, endpoints, lease, .. } = message;
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -18,6 +18,7 @@
         leader::usage_counts::WindowCounts,
     },
 };
+use crate::true_time;
 
 /// Other daemons that one message has summaries of.
 ///
@@ -39,7 +40,7 @@
 
 /// This daemon's message, with the parts that the other side wants.
 pub fn own_message(context: &GatewayContext, wants: RequestedParts) -> GossipMessage {
-    let now = Instant::now();
+    let now = true_time::now();
     let configuration = context.configuration.borrow();
     let list = context.endpoint_list.borrow();
     GossipMessage {
@@ -125,7 +126,7 @@
         accounts: context.quotas.borrow().group_counters().collect(),
         windows: newest_windows(context.usage.borrow().group_totals()),
         sent: endpoints.group_sent(),
-        loads: endpoints.group_loads(Instant::now()),
+        loads: endpoints.group_loads(true_time::now()),
     }
 }
 
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -32,6 +32,7 @@
         settings::LeaderTask,
     },
     platform::cloud::{CloudClient, CloudOutcome, EndpointOrder},
+    true_time,
 };
 
 /// Name of the service.
@@ -73,7 +74,7 @@
         cloud: CloudClient::new(address),
         lease: LeaseKeeper::new(context.clone()),
         is_report_sent: false,
-        next_try: Instant::now(),
+        next_try: true_time::now(),
         orders: EndpointOrders::default(),
         waves: ReclaimWaves::default(),
         watched_revision: 0,
@@ -92,7 +93,7 @@
 
 impl LeaderTasks {
     async fn tick(&mut self) {
-        let now = Instant::now();
+        let now = true_time::now();
         self.watch_reclaims(now);
         if now < self.next_try {
             return;
@@ -104,7 +105,7 @@
         if let Err(error) = result {
             spdlog::warn!("leader task", kv: { outcome = "failed", error: = error });
             let spread = rand::rng().random_range(RETRY_SPREAD);
-            self.next_try = Instant::now() + RETRY_PAUSE.mul_f64(spread);
+            self.next_try = true_time::now() + RETRY_PAUSE.mul_f64(spread);
         }
     }
 
@@ -168,7 +169,7 @@
         if record.report.is_some() && !self.is_report_sent {
             return None;
         }
-        let now = Instant::now();
+        let now = true_time::now();
         let report_age = self.context.sharing(now).report_age;
         if !has_heard_counts(self.context.age(now), report_age) {
             return None;
@@ -202,7 +203,7 @@
         if !self.context.settings.leader_tasks.contains(&LeaderTask::EndpointOrders) {
             return Ok(());
         }
-        let due = self.due_orders(Instant::now());
+        let due = self.due_orders(true_time::now());
         if due.is_empty() || !self.lease.may_act() {
             return Ok(());
         }
@@ -254,6 +255,6 @@
             Ok(CloudOutcome::Done | CloudOutcome::Fenced) => OrderResult::Accepted,
             Err(_) => OrderResult::Unknown, // Logged above.
         };
-        self.orders.finish(order, result, Instant::now());
+        self.orders.finish(order, result, true_time::now());
     }
 }
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -16,6 +16,7 @@
         AcquireDecision, LeaseOwner, ObservedLease, decide_acquire,
     },
     ids::SharedName,
+    true_time,
 };
 
 /// Revision to write at when there is no object yet.
@@ -50,7 +51,7 @@
     ///
     /// The store failed or did not respond in time.
     pub async fn try_acquire(&mut self) -> Result<AcquireResult, StepError> {
-        let now = Instant::now();
+        let now = true_time::now();
         if self.context.is_leaving() || self.context.configuration().is_none() {
             return Ok(AcquireResult::NotAcquired);
         }
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -24,6 +24,7 @@
         cloud::LeaseHolder,
         store::{StoredObject, WriteResult},
     },
+    true_time,
 };
 
 /// The lease object as last read, and since when it has not changed.
@@ -60,7 +61,7 @@
     ///
     /// The store failed or did not respond within the time limit.
     pub async fn read_at_start(&mut self) -> Result<(), StepError> {
-        let asked_at = Instant::now();
+        let asked_at = true_time::now();
         let object = self.store.read_within_limit().await?;
         self.observe(object, asked_at);
         Ok(())
@@ -73,7 +74,7 @@
 
     /// Whether this daemon may act as the leader now.
     pub fn may_act(&self) -> bool {
-        self.context.lease.borrow().may_act(self.lease(), Instant::now())
+        self.context.lease.borrow().may_act(self.lease(), true_time::now())
     }
 
     /// The record that the lease holds, if this daemon has read or written it.
@@ -138,7 +139,7 @@
         if self.is_write_unconfirmed {
             self.reconcile().await?;
         }
-        let now = Instant::now();
+        let now = true_time::now();
         let Some(seen) = self.seen.clone() else {
             self.lose(LossReason::UnknownRecord);
             return Ok(HoldDecision::Lose(LossReason::UnknownRecord));
@@ -184,7 +185,7 @@
         revision: u64,
         record: LeaseRecord,
     ) -> Result<bool, StepError> {
-        let started_at = Instant::now();
+        let started_at = true_time::now();
         self.is_write_unconfirmed = true;
         let revision = match self.store.write("write lease", revision, &record).await? {
             WriteResult::Written(revision) => revision,
@@ -205,7 +206,7 @@
     /// After a write whose outcome is not known: reads what the lease is now. If the write was
     /// done, this daemon goes on from it; it acts again only after a write that is confirmed.
     async fn reconcile(&mut self) -> Result<(), StepError> {
-        let asked_at = Instant::now();
+        let asked_at = true_time::now();
         let Ok(object) = timeout(STORE_LIMIT, self.store.read()).await else {
             return Err(self.store.timed_out("read lease"));
         };
@@ -245,10 +246,10 @@
     }
 
     pub(super) fn throttled_accounts(&self) -> Vec<SharedName> {
-        self.context.quotas.borrow().throttled(Instant::now())
+        self.context.quotas.borrow().throttled(true_time::now())
     }
 
     pub(super) fn known_daemons(&self) -> usize {
-        self.context.peers.borrow().sharing(Instant::now()).known
+        self.context.peers.borrow().sharing(true_time::now()).known
     }
 }
--- a/src/gateway/policy/leader/wall_clock.rs
+++ b/src/gateway/policy/leader/wall_clock.rs
@@ -6,6 +6,7 @@
 //! after it has lasted for `JUMP_ACCEPTED_AFTER`, so that a clock that is set wrong for a few
 //! seconds does not move requests into windows that were reported already.
 
+use crate::true_time;
 use std::time::Duration;
 
 use tokio::time::Instant;
@@ -70,7 +71,7 @@
 
     /// Number of the current window of this length.
     pub fn window(&self, length: Duration) -> u64 {
-        self.now_ms(Instant::now()) / (length.as_millis() as u64).max(1)
+        self.now_ms(true_time::now()) / (length.as_millis() as u64).max(1)
     }
 
     fn elapsed_ms(&self, now: Instant) -> i64 {
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -25,6 +25,7 @@
         retry_after, time_limits,
     },
 };
+use crate::true_time;
 
 /// A request that has been checked and admitted.
 pub struct Admitted {
@@ -90,7 +91,7 @@
     let body = read_body(body, configuration.limits.body_bytes, deadline).await?;
     let service = draw_service(&configuration, &route)
         .ok_or(Refusal::NoEndpoint(retry_after::NO_ENDPOINT))?;
-    let now = Instant::now();
+    let now = true_time::now();
     if let Some(account) = &account {
         charge_quota(context, account, &head, now)?;
     }
@@ -111,7 +112,7 @@
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::BodyTooLong);
     }
-    let collecting = timeout_at(deadline, Limited::new(body, limit).collect());
+    let collecting = timeout_at(true_time::timer_at(deadline), Limited::new(body, limit).collect());
     match collecting.await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
         Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLong),
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -44,6 +44,7 @@
     },
     ids::SharedName,
     platform::ingress,
+    true_time,
 };
 
 /// A response of an endpoint, with all that is needed to relay it.
@@ -74,7 +75,7 @@
 /// Whether a retry is possible: attempts and time are left, and the service's retry budget
 /// has one, which is withdrawn.
 pub fn may_try_again(context: &GatewayContext, admitted: &Admitted, attempts: &Attempts) -> bool {
-    let now = Instant::now();
+    let now = true_time::now();
     attempts.sent < admitted.route.attempts
         && now < admitted.deadline
         && context.try_withdraw_retry(&admitted.service.name, now)
@@ -113,7 +114,7 @@
             return Ok(AttemptEnd::Failed(AttemptFailure::NotSent));
         }
     };
-    let now = Instant::now();
+    let now = true_time::now();
     let request = endpoint_request(admitted, &endpoint.id, resume_after, now);
     let until = awaited_until(admitted, attempts, &choice, now);
     match connection.send(request, until).await {
@@ -193,7 +194,7 @@
 ) {
     let request = admitted.fingerprint();
     trace.run_broke(request);
-    let run = BrokenRun { request, begun, broken: Instant::now() };
+    let run = BrokenRun { request, begun, broken: true_time::now() };
     crash_watch::run_broke(context, endpoint, run);
 }
 
@@ -248,7 +249,7 @@
         return Ok(());
     }
     let refusal = |reason: NoAttempt| reason.refusal(attempts.may_have_run, admitted.route.target);
-    if !context.peer_contact.borrow().is_current(Instant::now()) {
+    if !context.peer_contact.borrow().is_current(true_time::now()) {
         return Err(refusal(NoAttempt::NoPeerContact));
     }
     match crash_watch::judge(context, admitted) {
@@ -268,7 +269,7 @@
     trace: &mut RequestTrace,
 ) -> Result<EndpointChoice, Refusal> {
     let refusal = |reason: NoAttempt| reason.refusal(attempts.may_have_run, admitted.route.target);
-    let now = Instant::now();
+    let now = true_time::now();
     if now >= admitted.deadline {
         return Err(refusal(NoAttempt::DeadlineOver));
     }
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -36,6 +36,7 @@
     },
     http::{BodyError, LocalBody},
     kernel::LifePhase,
+    true_time,
 };
 
 /// Name of the service.
@@ -65,7 +66,7 @@
 
 impl ConnectionUse {
     fn new() -> Self {
-        Self { is_busy: Cell::new(false), idle_since: Cell::new(Instant::now()) }
+        Self { is_busy: Cell::new(false), idle_since: Cell::new(true_time::now()) }
     }
 
     fn begin_request(&self) {
@@ -74,7 +75,7 @@
 
     fn end_request(&self) {
         self.is_busy.set(false);
-        self.idle_since.set(Instant::now());
+        self.idle_since.set(true_time::now());
     }
 }
 
@@ -224,10 +225,10 @@
             continue;
         }
         let close_at = usage.idle_since.get() + idle_timeout + IDLE_MARGIN;
-        sleep_until(close_at).await;
+        sleep_until(true_time::timer_at(close_at)).await;
         // A request may have begun meanwhile. A connection closed behind its response loses the
         // client's next request: each time in the test that sends the first one after 100 ms.
-        let has_passed = usage.idle_since.get() + idle_timeout + IDLE_MARGIN <= Instant::now();
+        let has_passed = usage.idle_since.get() + idle_timeout + IDLE_MARGIN <= true_time::now();
         if has_passed && !usage.is_busy.get() {
             return;
         }
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -29,6 +29,7 @@
     gateway::{endpoint::EndpointRecord, policy::request::retries::ConnectionReuse},
     ids::SharedName,
     metrics::MetricsHandle,
+    true_time,
 };
 
 /// Longest wait for a new connection.
@@ -134,7 +135,7 @@
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendFailure> {
         let sending = self.sender.try_send_request(request);
-        match timeout_at(deadline, sending).await {
+        match timeout_at(true_time::timer_at(deadline), sending).await {
             // Timed out.
             Err(_) => Err(SendFailure::NoResponse),
             Ok(Ok(response)) => Ok(response),
@@ -157,7 +158,7 @@
 impl ConnectionPool {
     /// Empty pool.
     pub fn new(metrics: MetricsHandle) -> Self {
-        let pruned_at = Rc::new(Cell::new(Instant::now()));
+        let pruned_at = Rc::new(Cell::new(true_time::now()));
         Self { idle: Rc::default(), pruned_at, metrics }
     }
 
@@ -185,8 +186,13 @@
         endpoint: &EndpointRecord,
         deadline: Instant,
     ) -> Result<RequestSender, SendFailure> {
-        let until = deadline.min(Instant::now() + CONNECT_LIMIT);
-        let stream = match timeout_at(until, TcpStream::connect(endpoint.address)).await {
+        let until = deadline.min(true_time::now() + CONNECT_LIMIT);
+        let stream = match timeout_at(
+            true_time::timer_at(until),
+            TcpStream::connect(endpoint.address),
+        )
+        .await
+        {
             Ok(Ok(stream)) => stream,
             Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
                 return Err(SendFailure::Refused);
@@ -208,7 +214,7 @@
 
     /// The connection that was idle for the shortest time, if it is usable.
     fn take_idle(&self, endpoint: &EndpointStart, reuse: ConnectionReuse) -> Option<RequestSender> {
-        let now = Instant::now();
+        let now = true_time::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(endpoint)?;
         list.retain(|connection| connection.is_open(now));
@@ -223,7 +229,7 @@
         if usable_for.is_zero() {
             return;
         }
-        let now = Instant::now();
+        let now = true_time::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(connection.endpoint).or_default();
         if list.len() < KEPT_LIMIT {
--- a/src/gateway/request/crash_watch.rs
+++ b/src/gateway/request/crash_watch.rs
@@ -29,6 +29,7 @@
         },
     },
     ids::SharedName,
+    true_time,
 };
 
 /// Time from a broken run to the check of its endpoint.
@@ -82,7 +83,7 @@
     let makes_trial = |number: u32| {
         context.peers.borrow().is_first_for(request.head.wrapping_add(u64::from(number)))
     };
-    let verdict = ledger.judge(request, makes_trial, Instant::now());
+    let verdict = ledger.judge(request, makes_trial, true_time::now());
     match verdict {
         RunVerdict::Allowed => {}
         RunVerdict::Trial => {
@@ -101,7 +102,7 @@
         return;
     }
     let request = admitted.fingerprint();
-    if ledger.clear(request, Instant::now()) {
+    if ledger.clear(request, true_time::now()) {
         spdlog::info!("quarantine ended", kv: { fingerprint: = request, reason = "served" });
     }
 }
@@ -150,7 +151,7 @@
 }
 
 fn record_crash(context: &GatewayContext, endpoint: &str, runs: &[BrokenRun]) {
-    let now = Instant::now();
+    let now = true_time::now();
     let endpoint = endpoint_number(endpoint);
     let mut ledger = context.crashes.borrow_mut();
     for BrokenRun { request, begun, broken } in runs.iter().copied() {
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 
 use hyper::{Request, Response, body::Incoming};
-use tokio::time::Instant;
 
 use super::{
     admission::{self, Admitted, admit},
@@ -24,6 +23,7 @@
     },
     http::LocalBody,
     platform::ingress,
+    true_time,
 };
 
 /// Error that closes the connection of a client whose request did not arrive whole.
@@ -49,7 +49,7 @@
     context: &Rc<GatewayContext>,
     request: Request<Incoming>,
 ) -> Result<Response<LocalBody>, std::io::Error> {
-    let received = Instant::now();
+    let received = true_time::now();
     let _active = context.active.enter();
     let (parts, body) = request.into_parts();
     let head = match ingress::read_head(parts) {
@@ -118,7 +118,7 @@
                     FailureStep::TryNext => {}
                     FailureStep::RetryOr(_) if may_try_again(context, admitted, attempts) => {}
                     FailureStep::RetryOr(reason) | FailureStep::GiveUp(reason) => {
-                        let is_deadline_over = Instant::now() >= admitted.deadline;
+                        let is_deadline_over = true_time::now() >= admitted.deadline;
                         return Err(reason.refusal(is_deadline_over, target));
                     }
                 }
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -36,6 +36,7 @@
     },
     http::{BodyError, LocalBody},
     platform::ingress,
+    true_time,
 };
 
 /// Why a response is broken off.
@@ -80,7 +81,7 @@
     fn of(response: EndpointResponse) -> (Response<()>, Self) {
         let EndpointResponse { response, signs, connection, guard } = response;
         let (head, body) = ingress::client_response(response);
-        (head, Self { body, signs, connection, guard, since: Instant::now() })
+        (head, Self { body, signs, connection, guard, since: true_time::now() })
     }
 }
 
@@ -174,7 +175,7 @@
         let Some(upstream) = &mut self.upstream else {
             return NextPiece::Broken(RelayError::BrokenOff);
         };
-        let frame = match timeout_at(until, upstream.body.frame()).await {
+        let frame = match timeout_at(true_time::timer_at(until), upstream.body.frame()).await {
             // The errors' details don't matter: the endpoint is left either way.
             Err(_) if until >= deadline => return NextPiece::Broken(RelayError::OutOfTime),
             // Silent for too long.
@@ -214,7 +215,7 @@
                 self.attempts.sent,
                 self.events,
                 deadline,
-                Instant::now(),
+                true_time::now(),
             ),
         }
     }
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -18,6 +18,7 @@
         },
     },
     ids::SharedName,
+    true_time,
 };
 
 /// Trace of one request; writes its line when it ends, at the latest when it is dropped.
@@ -44,7 +45,7 @@
             route: None,
             account: None,
             steps: String::new(),
-            begun: Instant::now(),
+            begun: true_time::now(),
             first_after: None,
             fingerprint: None,
             ended: false,
@@ -75,7 +76,7 @@
 
     /// An attempt failed.
     pub fn failed(&mut self, failure: &SendFailure) {
-        let after = self.begun.elapsed().as_millis();
+        let after = true_time::since(self.begun).as_millis();
         // Writing to a string cannot fail.
         let _ = write!(self.steps, " {failure} after {after};");
         self.context.metrics.count("attempts_failed", 1);
@@ -88,14 +89,14 @@
 
     /// An endpoint responded.
     pub fn responded(&mut self, status: StatusCode, meaning: ResponseMeaning) {
-        let after = self.begun.elapsed().as_millis();
+        let after = true_time::since(self.begun).as_millis();
         // Writing to a string cannot fail.
         let _ = write!(self.steps, " {} {meaning:?} after {after};", status.as_u16());
     }
 
     /// The first event of a stream was passed on.
     pub fn first_event(&mut self) {
-        let after = self.begun.elapsed();
+        let after = true_time::since(self.begun);
         self.first_after = Some(after);
         self.context.metrics.duration("first_event", after);
     }
@@ -115,7 +116,7 @@
     /// The response was passed on whole.
     pub fn finished(&mut self, events: u64) {
         self.context.metrics.count("answered", 1);
-        self.context.metrics.duration("answer", self.begun.elapsed());
+        self.context.metrics.duration("answer", true_time::since(self.begun));
         self.end("answered", events);
     }
 
@@ -128,7 +129,7 @@
     fn end(&mut self, outcome: &str, events: u64) {
         self.ended = true;
         let mut lines = self.context.request_lines.borrow_mut();
-        if !lines.allows(Instant::now()) {
+        if !lines.allows(true_time::now()) {
             self.context.metrics.count("request_lines_dropped", 1);
             return;
         }
@@ -137,7 +138,7 @@
             spdlog::warn!("request lines dropped", kv: { dropped });
         }
         drop(lines);
-        let now = Instant::now();
+        let now = true_time::now();
         let configuration = self.context.configuration();
         let version = configuration.map_or(0, |current| current.version);
         let proof_age_ms = self.context.configuration.borrow().proof_age_ms(now);
@@ -145,7 +146,7 @@
         let id = self.id.as_deref().unwrap_or("-");
         let route = self.route.as_deref().unwrap_or("-");
         let account = self.account.as_deref().unwrap_or("-");
-        let total_ms = self.begun.elapsed().as_millis() as u64;
+        let total_ms = true_time::since(self.begun).as_millis() as u64;
         let fingerprint = self.fingerprint.map_or("-".to_owned(), |one| one.to_string());
         let first_ms = self.first_after.map_or(-1, |after| after.as_millis() as i64);
         spdlog::info!("request", kv: {
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -10,6 +10,7 @@
         call::PromptPart, context::GatewayContext, endpoint::EndpointRecord,
         policy::endpoint::endpoint_load::RunLoad,
     },
+    true_time,
 };
 
 /// Counts a run at its endpoint. Dropping the guard ends the run and leaves the endpoint's
@@ -33,7 +34,7 @@
         parts: &[PromptPart],
         load: RunLoad,
     ) -> Self {
-        let begun = Instant::now();
+        let begun = true_time::now();
         let mut endpoints = context.endpoints.borrow_mut();
         let alone = endpoints.is_idle(&endpoint.id, begun);
         endpoints.begin(&endpoint.id, parts, load, begun);
@@ -51,7 +52,7 @@
     pub fn endpoint_full(&self) {
         let mut endpoints = self.context.endpoints.borrow_mut();
         if endpoints.knows_start(&self.endpoint) {
-            endpoints.mark_full(&self.endpoint.id, Instant::now());
+            endpoints.mark_full(&self.endpoint.id, true_time::now());
         }
     }
 
@@ -81,7 +82,12 @@
             if !endpoints.knows_start(&self.endpoint) {
                 return;
             }
-            endpoints.prefill_done(&self.endpoint.id, uncached, self.begun.elapsed(), self.alone);
+            endpoints.prefill_done(
+                &self.endpoint.id,
+                uncached,
+                true_time::since(self.begun),
+                self.alone,
+            );
         }
     }
 
@@ -97,6 +103,6 @@
         if !endpoints.knows_start(&self.endpoint) {
             return;
         }
-        endpoints.end(&self.endpoint.id, self.load, self.result, Instant::now());
+        endpoints.end(&self.endpoint.id, self.load, self.result, true_time::now());
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -11,6 +11,7 @@
     context::GatewayContext, endpoint::EndpointState, policy::daemon::readiness::Readiness,
 };
 use crate::ids::SharedName;
+use crate::true_time;
 
 /// State of one daemon. Ages are in milliseconds.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
@@ -73,7 +74,7 @@
 impl GatewayState {
     /// State of the daemon now.
     pub fn of(context: &GatewayContext) -> Self {
-        let now = Instant::now();
+        let now = true_time::now();
         let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as u64;
         let configuration = context.configuration.borrow();
         let lease = context.lease.borrow();
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -15,6 +15,7 @@
 
 use super::context::GatewayContext;
 use crate::errors::StepError;
+use crate::true_time;
 
 pub mod configuration_watch;
 pub mod endpoint_watch;
@@ -52,7 +53,7 @@
 impl RetryPauses {
     fn succeeded(&mut self, context: &GatewayContext) {
         if let Some(lost_at) = self.lost_at.take() {
-            let (failures, lost_ms) = (self.failures, lost_at.elapsed().as_millis() as u64);
+            let (failures, lost_ms) = (self.failures, true_time::since(lost_at).as_millis() as u64);
             spdlog::info!("store", kv: { outcome = "regained", failures, lost_ms });
         }
         self.failures = 0;
@@ -62,9 +63,9 @@
     async fn failed(&mut self, context: &GatewayContext, error: &StepError) {
         if self.failures == 0 {
             spdlog::warn!("store", kv: { outcome = "lost", error: = error });
-            self.lost_at = Some(Instant::now());
+            self.lost_at = Some(true_time::now());
         }
-        context.store_failed.set(Some(Instant::now()));
+        context.store_failed.set(Some(true_time::now()));
         context.metrics.count("store_failures", 1);
         let doublings = self.failures.min(MAX_DOUBLINGS);
         self.failures += 1;
@@ -78,7 +79,7 @@
 /// over new connections.
 async fn wait_until_watcher(context: &GatewayContext) -> bool {
     let mut has_waited = false;
-    while !context.watches_store(Instant::now()) {
+    while !context.watches_store(true_time::now()) {
         has_waited = true;
         sleep(WATCHER_CHECK_INTERVAL).await;
     }
--- a/src/gateway/store_watch/configuration_watch.rs
+++ b/src/gateway/store_watch/configuration_watch.rs
@@ -18,6 +18,7 @@
         configuration::{CONFIGURATION_KIND, CONFIGURATION_NAME},
         store::{ObjectChange, StoredObject, WatchResult},
     },
+    true_time,
 };
 
 /// Name of the service.
@@ -71,7 +72,7 @@
 
 /// Lists the configuration; returns the store's revision.
 async fn list_configuration(context: &GatewayContext) -> Result<u64, StepError> {
-    let asked_at = Instant::now();
+    let asked_at = true_time::now();
     let listing = context.store.list(CONFIGURATION_KIND).await?;
     let object = listing.objects.iter().find(|object| &*object.name == CONFIGURATION_NAME);
     if let Some(object) = object {
@@ -85,7 +86,7 @@
     context: &GatewayContext,
     revision: u64,
 ) -> Result<NextCall, StepError> {
-    let asked_at = Instant::now();
+    let asked_at = true_time::now();
     let is_single_group = context.peers.borrow().is_single_group();
     let wait = watch_wait(context.settings.bounds.apply_limit, is_single_group);
     match context.store.watch(CONFIGURATION_KIND, revision, wait).await? {
--- a/src/gateway/store_watch/endpoint_watch.rs
+++ b/src/gateway/store_watch/endpoint_watch.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use tokio::time::{Instant, sleep};
+use tokio::time::sleep;
 
 use super::{RetryPauses, foreign_entries::ForeignEntries, wait_until_watcher};
 use crate::{
@@ -22,6 +22,7 @@
         endpoints::{self, ENDPOINT_KIND},
         store::{ObjectChange, ObjectListing, StoredObject, WatchResult},
     },
+    true_time,
 };
 
 /// Name of the service.
@@ -68,7 +69,7 @@
 
 impl EndpointWatch {
     fn new(context: Rc<GatewayContext>) -> Self {
-        Self { context, known: None, foreign: ForeignEntries::new(Instant::now()) }
+        Self { context, known: None, foreign: ForeignEntries::new(true_time::now()) }
     }
 
     /// One call about endpoints.
--- a/src/gateway/store_watch/foreign_entries.rs
+++ b/src/gateway/store_watch/foreign_entries.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     gateway::context::GatewayContext, ids::SharedName, logs::LineBudget,
-    platform::store::StoredObject,
+    platform::store::StoredObject, true_time,
 };
 
 /// Log lines a second about such entries.
@@ -31,7 +31,7 @@
     /// Notes that an entry names no endpoint.
     pub fn found(&mut self, context: &GatewayContext, object: &StoredObject, reason: &str) {
         let known = self.revisions.insert(object.name.clone(), object.revision);
-        if known == Some(object.revision) || !self.lines.allows(Instant::now()) {
+        if known == Some(object.revision) || !self.lines.allows(true_time::now()) {
             return;
         }
         context.metrics.count("foreign_entries_seen", 1);
--- a/tests/gateway/gateway_site.rs
+++ b/tests/gateway/gateway_site.rs
@@ -32,7 +32,7 @@
 }
 
 /// An address of the loopback range that no other daemon of this machine uses.
-fn own_address() -> IpAddr {
+pub fn own_address() -> IpAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
     let [.., high, low] = std::process::id().to_be_bytes();
     let next = NEXT.fetch_add(1, Ordering::SeqCst) as u8;
@@ -46,6 +46,32 @@
     command.spawn().expect("daemon")
 }
 
+/// Settings of a daemon at `ip` that reaches the platform at `platform`.
+pub fn daemon_settings(
+    name: &str,
+    ip: IpAddr,
+    platform: SocketAddr,
+    seeds: &[SocketAddr],
+    bounds: &Value,
+) -> Value {
+    let at_port = |port| SocketAddr::new(ip, port);
+    let (clients, readiness, peers) = (at_port(8001), at_port(8002), at_port(8003));
+    let mut all = json!({
+        "grace-s": 3, "strict-revoke": true, "revoke-ms": 5000, "retry-ratio": 0.2,
+        "retry-window-s": 10, "retry-slack": 50, "lease-ms": 1500, "report-window-s": 1,
+    });
+    let changes = bounds.as_object().cloned().unwrap_or_default();
+    all.as_object_mut().expect("object").extend(changes);
+    json!({
+        "node": name, "zone": "hall-a", "zones": {"hall-a": "r", "hall-b": "r"},
+        "listen": {"front": clients, "readiness": readiness, "control": peers},
+        "port-range": [8004, 8010],
+        "seeds": seeds, "bounds": all, "unknown-field": [1, 2],
+        "platform": {"address": platform},
+        "cloud-api": {"address": platform, "duties": ["metering", "autoscale"]},
+    })
+}
+
 /// One daemon as a real process.
 pub struct Gateway {
     process: Child,
@@ -91,20 +117,7 @@
         let ip = own_address();
         let at_port = |port| SocketAddr::new(ip, port);
         let (clients, readiness, peers) = (at_port(8001), at_port(8002), at_port(8003));
-        let mut all = json!({
-            "grace-s": 3, "strict-revoke": true, "revoke-ms": 5000, "retry-ratio": 0.2,
-            "retry-window-s": 10, "retry-slack": 50, "lease-ms": 1500, "report-window-s": 1,
-        });
-        let changes = bounds.as_object().cloned().unwrap_or_default();
-        all.as_object_mut().expect("object").extend(changes);
-        let settings = json!({
-            "node": name, "zone": "hall-a", "zones": {"hall-a": "r", "hall-b": "r"},
-            "listen": {"front": clients, "readiness": readiness, "control": peers},
-            "port-range": [8004, 8010],
-            "seeds": seeds, "bounds": all, "unknown-field": [1, 2],
-            "platform": {"address": platform},
-            "cloud-api": {"address": platform, "duties": ["metering", "autoscale"]},
-        });
+        let settings = daemon_settings(name, ip, platform, seeds, &bounds);
         let file = format!("gateway-{name}-{ip}.json");
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
         std::fs::write(&path, settings.to_string()).expect("settings");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -39,5 +39,6 @@
 mod soak_clients;
 mod soak_crashes;
 mod store_connections;
+mod suspension;
 mod text_model;
 mod unknown_routes;
