--- a/src/gateway/request/crash_watch.rs
+++ b/src/gateway/request/crash_watch.rs
@@ -141,11 +141,11 @@
     // The run that started the check is there.
     let runs = runs.unwrap_or_default();
     context.metrics.count_labelled("crash_checks", "outcome", &outcome.to_string());
-    spdlog::info!("endpoint checked", kv: {
-        endpoint: = endpoint.id, address: = endpoint.address, outcome: = outcome,
-        broken_runs = runs.len()
-    });
+    // Endpoints that only lose connections may do so many times a second: they are counted.
     if outcome == CheckOutcome::Ended {
+        spdlog::info!("endpoint ended", kv: {
+            endpoint: = endpoint.id, address: = endpoint.address, broken_runs = runs.len()
+        });
         record_crash(&context, &endpoint.id, &runs);
     }
 }
