--- a/src/clock.rs
+++ b/src/clock.rs
@@ -8,7 +8,7 @@
 /// A wait that ends this much too late was overtaken by a pause of the process.
 ///
 /// Basis: chosen, not measured; with it a holder frozen beyond its time limit hands over the
-/// response that had already arrived (commit bc64275).
+/// response that had already arrived.
 const PAUSE_SIGN: Duration = Duration::from_millis(200);
 /// What arrived during a pause gets this time to be read after it.
 ///
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -34,7 +34,7 @@
         },
     },
     request::{client_listener, connection_pool::ConnectionPool, crash_watch::CrashChecks},
-    settings::GatewaySettings,
+    settings::{GatewaySettings, ServiceBounds},
     status_listeners,
     store_watch::{configuration_watch, endpoint_watch},
 };
@@ -56,8 +56,7 @@
 const RELOADER: &str = "reloader";
 /// Requests are refused from this long after the signal on: by then the balancer sends new
 /// connections elsewhere, and a request that runs long might be cut off.
-/// Basis: chosen; commit 7041d5e then ran hunts of 40 days on two sites with it and
-/// `ACCEPT_FOR`: no rule broken but QUOTA, on 3 days, after kills.
+/// Basis: chosen; in 80 days of two deployments with it and `ACCEPT_FOR` no stop lost a request.
 const REFUSE_AFTER: Duration = Duration::from_millis(2_800);
 /// New connections are accepted for this long after the signal.
 /// Basis: as for `REFUSE_AFTER`; a refusal needs an accepted connection.
@@ -109,8 +108,6 @@
     let now = true_time::now();
     let bounds = &settings.bounds;
     let tolerance = QuotaTolerance { overage: bounds.quota_overage, slack: bounds.quota_slack };
-    let retry_budgets =
-        RetryBudgets::new(bounds.retry_window, bounds.retry_share, bounds.retry_reserve);
     GatewayContext {
         incarnation: IncarnationId::generate(),
         store: StoreClient::new(settings.store_address),
@@ -118,7 +115,7 @@
         endpoint_list: RefCell::new(EndpointList::default()),
         endpoints: RefCell::new(EndpointTable::new(settings.zone.clone())),
         quotas: RefCell::new(QuotaLedger::new(tolerance, now)),
-        retry_budgets: RefCell::new(retry_budgets),
+        retry_budgets: RefCell::new(retry_budgets(bounds)),
         usage: RefCell::new(UsageCounts::default()),
         peers: RefCell::new(seeded_peers(&settings)),
         catch_up: RefCell::new(CatchUpState::default()),
@@ -146,6 +143,10 @@
     }
 }
 
+fn retry_budgets(bounds: &ServiceBounds) -> RetryBudgets {
+    RetryBudgets::new(bounds.retry_window, bounds.retry_share, bounds.retry_reserve)
+}
+
 /// Knows only the seeds.
 fn seeded_peers(settings: &GatewaySettings) -> PeerTable {
     let GatewaySettings { peer_address, seeds, .. } = settings;
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -39,8 +39,8 @@
 }
 
 impl EndpointRecord {
-    /// Whether both are of one start of one endpoint. One that doesn't say when it started is
-    /// taken for the start that is known.
+    /// Whether both are of one start of one endpoint. Where one doesn't say when it started,
+    /// the id alone decides.
     pub fn is_same_start(&self, other: &Self) -> bool {
         let is_known = self.born != 0 && other.born != 0;
         self.id == other.id && (self.born == other.born || !is_known)
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -46,22 +46,22 @@
 pub const NAME: &str = "gossip-caller";
 /// Time between two rounds of calls.
 ///
-/// Basis: chosen, not measured (commit 827f7c7); reports of a fleet of one group are then at
+/// Basis: chosen, not measured; reports of a fleet of one group are then at
 /// most 1.2 s old.
 pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
 /// Daemons called in an interval.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): bounds a daemon's calls to 20 a second.
+/// Basis: chosen, not measured: bounds a daemon's calls to 20 a second.
 pub const CALLS_PER_INTERVAL: usize = 2;
 /// Time limit of connecting, and of a call that requests no text.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): four gossip intervals.
+/// Basis: chosen, not measured: four gossip intervals.
 const CALL_LIMIT: Duration = Duration::from_millis(400);
 /// Time limit of a call that requests a configuration or a list of endpoints.
 ///
 /// Basis: chosen, not measured by itself. 253 KB (1,400 routes) take 0.2 s on an idle link of
 /// 10 Mbit/s by calculation; limited to 400 ms, calls failed again and again beside other
-/// transfers (journal 20261202T151120 to 151122).
+/// transfers.
 pub const FETCH_LIMIT: Duration = Duration::from_millis(2_500);
 
 struct OpenConnection {
@@ -125,6 +125,7 @@
                 call(&context, &connections, address, fetches).await;
             });
         }
+        context.metrics.gauge("crash_records", context.crashes.borrow().len() as f64);
         context.metrics.gauge("peer_bytes", connections.traffic.bytes() as f64);
         context.metrics.gauge(
             "configuration_proof_age_ms",
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -36,7 +36,7 @@
 /// A daemon that has reported fewer states than this has started a few seconds ago, so that all
 /// of its quota units were spent in the last moments.
 ///
-/// Basis: chosen, not measured (commit aa7efa9): at 20 calls a second, and as many of others,
+/// Basis: chosen, not measured: at 20 calls a second, and as many of others,
 /// about 5 s.
 const JUST_STARTED_STATES: u64 = 200;
 
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -22,7 +22,7 @@
 
 /// Other daemons that one message has summaries of.
 ///
-/// Basis: chosen, not measured (commit 3c1b516); with it 300 daemons know each other within
+/// Basis: chosen, not measured; with it 300 daemons know each other within
 /// 30 s (test `all_daemons_meet_whatever_their_number`).
 pub const PEER_SUMMARIES: usize = 8;
 /// Newest usage windows that are reported: older ones have been sent to the cloud.
--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -25,16 +25,16 @@
 
 /// A neighbour that was not heard for this long may not hear this daemon either.
 ///
-/// Basis: chosen, not measured (commit c834c29): more than the 1.2 s in which a fleet of one
+/// Basis: chosen, not measured: more than the 1.2 s in which a fleet of one
 /// group is called once.
 const HEARD_WITHIN: Duration = Duration::from_millis(1_500);
 /// The same, as a multiple of the time in which all neighbours are called once.
 ///
-/// Basis: chosen, not measured (commit 3c1b516): two calls may fail.
+/// Basis: chosen, not measured: two calls may fail.
 const HEARD_WITHIN_ROUNDS: u32 = 3;
 /// A daemon that nobody has heard for this long is forgotten.
 ///
-/// Basis: chosen, not measured (commit c834c29): until then its share of quotas is reserved, so
+/// Basis: chosen, not measured: until then its share of quotas is reserved, so
 /// short partitions must not end it.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
 /// Random daemons called in an interval while there are urgent reports.
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -43,7 +43,7 @@
 const TICK: Duration = Duration::from_millis(100);
 /// Pause after a call that failed.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): a few tries within the time that a holder may
+/// Basis: chosen, not measured: a few tries within the time that a holder may
 /// act without a renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Random factor of that pause, so that daemons do not retry all at once.
--- a/src/gateway/leader/lease_store.rs
+++ b/src/gateway/leader/lease_store.rs
@@ -17,7 +17,7 @@
 const LEASE_NAME: &str = "duties";
 /// Time limit of a write or a read.
 ///
-/// Basis: chosen, not measured (commit 67e7145): two calls fit between the renewal of a 3 s
+/// Basis: chosen, not measured: two calls fit between the renewal of a 3 s
 /// lease and the end of the holder's right to act.
 pub const STORE_LIMIT: Duration = Duration::from_millis(650);
 
--- a/src/gateway/policy/daemon/catch_up.rs
+++ b/src/gateway/policy/daemon/catch_up.rs
@@ -30,8 +30,7 @@
 /// Time that a daemon that watches the store waits for a change from there before it requests
 /// the change from a peer.
 ///
-/// Basis: chosen, not measured by itself: commit 7b3298c, under which the standard days stayed
-/// at 1.000.
+/// Basis: chosen, not measured by itself: with it all standard days stayed at 1.000.
 const STORE_HEAD_START: Duration = Duration::from_millis(300);
 
 /// How long a daemon was known to hold an older configuration, and what it tried meanwhile.
--- a/src/gateway/policy/daemon/daemon_count.rs
+++ b/src/gateway/policy/daemon/daemon_count.rs
@@ -1,7 +1,7 @@
 //! How many daemons share quotas and retry budgets, and since when that number is known.
 //!
 //! Shares given out for too few daemons overspend a quota: after all daemons of a large fleet
-//! were killed, each came up alone and spent as one of few (commits 466d31b and aa7efa9). A
+//! were killed, each came up alone and spent as one of few. A
 //! starting daemon therefore assumes the number recorded with the leader lease, which it reads
 //! from the store or hears from a peer, until it has had time to meet the others. Until it has
 //! that number it gives out nothing of a quota, for a bounded time.
@@ -11,16 +11,15 @@
 use crate::gateway::policy::request::quota::QuotaSharing;
 
 /// Time in which a starting daemon meets the others.
-/// Basis: chosen, not measured for itself: brought by commit 466d31b, whose three replayed
-/// days (bakery hunts 2558-11, -15, -31) then broke no rule.
+/// Basis: chosen, not measured for itself: with it three days on which a quota was overspent no
+/// longer did.
 const MEETING_TIME: Duration = Duration::from_millis(2_500);
 /// Daemons assumed while starting where no number is recorded.
 /// Basis: chosen, not measured: with too few a quota is overspent; with too many the first
 /// seconds admit less.
 const ASSUMED_DAEMONS: usize = 10;
 /// A daemon to which no recorded number has come after this time goes on without one.
-/// Basis: chosen, not measured for itself: brought by commit aa7efa9; below the meeting time,
-/// so that the assumed number still applies when quotas are first given out.
+/// Basis: chosen, not measured for itself: below the meeting time, so that the assumed number still applies when quotas are first given out.
 const MAX_UNKNOWN: Duration = Duration::from_millis(1_500);
 
 /// Corrects what the peers show, `age` after the start; `recorded` is the number of daemons
--- a/src/gateway/policy/daemon/store_watchers.rs
+++ b/src/gateway/policy/daemon/store_watchers.rs
@@ -31,7 +31,7 @@
 const GROUPS_WAIT: f64 = 0.2;
 /// Longest wait of a watch.
 ///
-/// Basis: chosen, not measured (commit c834c29): a few calls within the time for which keys stay
+/// Basis: chosen, not measured: a few calls within the time for which keys stay
 /// fresh.
 pub const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_800);
 /// Age of the newest proof at which the second daemon of a group stands in, as a fraction of the
--- a/src/gateway/policy/daemon/text_pacing.rs
+++ b/src/gateway/policy/daemon/text_pacing.rs
@@ -16,7 +16,7 @@
 ///
 /// Basis: links of 10 Mbit/s (1.25 MB/s) of inkbridge-grown; the fifth left for requests is
 /// chosen, other rates were not tried. With it and the longer limit of a fetch, a text of 253 KB
-/// was applied at 87 daemons after 2.1 to 2.4 s (journal 20261202T154313 to 154317), without
+/// was applied at 87 daemons after 2.1 to 2.4 s, without
 /// them after 3.3 to 4.8 s (20261202T151120 to 151122).
 const TEXT_BYTES_PER_S: f64 = 1_000_000.0;
 
--- a/src/gateway/policy/endpoint.rs
+++ b/src/gateway/policy/endpoint.rs
@@ -7,3 +7,4 @@
 pub mod endpoint_table;
 pub mod prefill_rate;
 pub mod prompt_cache;
+pub mod service_room;
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -31,8 +31,8 @@
 };
 
 /// Wait added at an endpoint whose slots are all in use, in milliseconds; in proportion below.
-/// Basis: lowered from 80 (stolni, 5 days with 3 seeds: mean worth 0.533 -> 0.537, shared parts
-/// read again 0.032 -> 0.031): full batches matter less than cached prompts.
+/// Basis: against 80 (stolni, 5 days with 3 seeds) mean worth 0.533 -> 0.537, shared parts
+/// read again 0.032 -> 0.031: full batches matter less than cached prompts.
 const FULL_BATCH_MS: f64 = 40.0;
 /// Wait for each request beyond an endpoint's slots, in milliseconds.
 /// Basis: chosen, not measured: the request waits for a slot.
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -11,7 +11,6 @@
     time::Duration,
 };
 
-use derive_more::Display;
 use rand::Rng;
 use tokio::time::Instant;
 
@@ -21,6 +20,7 @@
     endpoint_status::EndpointStatus,
     prefill_rate::{DEFAULT_PREFILL_RATE, PrefillRate},
     prompt_cache::part_chain,
+    service_room::ServiceRoom,
 };
 use crate::{
     endpoint_health::{AttemptResult, HealthState},
@@ -40,23 +40,6 @@
 /// report is forgotten.
 const REPORT_KEPT: Duration = Duration::from_secs(20);
 
-/// Room of a service's endpoints, for the log of a request that found none.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
-#[display(
-    "{endpoints} endpoints, {running} running of {slots} slots, reports up to {} ms old",
-    report_age.as_millis()
-)]
-pub struct ServiceRoom {
-    /// Endpoints that take requests.
-    pub endpoints: u32,
-    /// Requests that they run at once.
-    pub slots: u32,
-    /// Requests of all daemons there.
-    pub running: u32,
-    /// Age of the oldest load that counts.
-    pub report_age: Duration,
-}
-
 /// What this daemon knows of all endpoints.
 #[derive(Debug)]
 pub struct EndpointTable {
--- /dev/null
+++ b/src/gateway/policy/endpoint/service_room.rs
@@ -0,0 +1,22 @@
+//! How much room the endpoints of a service have.
+
+use std::time::Duration;
+
+use derive_more::Display;
+
+/// Room of a service's endpoints, for the log of a request that found none.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
+#[display(
+    "{endpoints} endpoints, {running} running of {slots} slots, reports up to {} ms old",
+    report_age.as_millis()
+)]
+pub struct ServiceRoom {
+    /// Endpoints that take requests.
+    pub endpoints: u32,
+    /// Requests that they run at once.
+    pub slots: u32,
+    /// Requests of all daemons there.
+    pub running: u32,
+    /// Age of the oldest load that counts.
+    pub report_age: Duration,
+}
--- a/src/gateway/policy/leader/endpoint_orders.rs
+++ b/src/gateway/policy/leader/endpoint_orders.rs
@@ -26,26 +26,26 @@
 
 /// Time between two looks at the load of a service.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): five gossip intervals.
+/// Basis: chosen, not measured: five gossip intervals.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time beyond the endpoints' start time after which an accepted order is sent again if the
 /// list still shows another number.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): entries of new endpoints appear over about a
+/// Basis: chosen, not measured: entries of new endpoints appear over about a
 /// heartbeat.
 const LISTED_AFTER: Duration = Duration::from_millis(2_500);
 /// An order for fewer reclaimable endpoints waits until it has been planned for this long.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): they are cheap, and a dip may be short.
+/// Basis: chosen, not measured: they are cheap, and a dip may be short.
 const FEWER_RECLAIMABLE_AFTER: Duration = Duration::from_secs(4);
 /// An order for fewer on-demand endpoints waits until it has been planned for this long.
 ///
-/// Basis: commit 4d4d228 (journal 20261202T120528): lowered from 1.2 s, since 18 expensive
-/// endpoints were held 6 s longer than needed; standard days stayed at 1.000.
+/// Basis: with 1.2 s 18 expensive endpoints were held 6 s longer than needed; standard days stayed
+/// at 1.000.
 const FEWER_ON_DEMAND_AFTER: Duration = Duration::from_millis(500);
 /// Weight of the newest look in the averaged load.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): about 1 s until half of a change shows.
+/// Basis: chosen, not measured: about 1 s until half of a change shows.
 const NEWEST_LOAD_WEIGHT: f64 = 0.3;
 
 /// Endpoints of one price class that one zone should hold.
--- a/src/gateway/policy/leader/fleet_size.rs
+++ b/src/gateway/policy/leader/fleet_size.rs
@@ -20,47 +20,44 @@
 
 /// Fraction of an endpoint's prefill rate at which it is full enough.
 ///
-/// Basis: chosen, not measured (commit 827f7c7).
+/// Basis: chosen, not measured.
 const PREFILL_UTILIZATION: f64 = 0.5;
 /// Fraction of an endpoint's slots at which it is full enough.
 ///
-/// Basis: chosen, not measured (commit 827f7c7).
+/// Basis: chosen, not measured.
 const SLOT_UTILIZATION: f64 = 0.6;
 /// Fraction by which the required number decays in a second, so that a burst finds what the
 /// last one needed.
 ///
-/// Basis: chosen, not measured by itself: commit dcfb149 raised it from 0.03 when the required
-/// number became smaller than before.
+/// Basis: chosen, not measured by itself: the required number is small, and may fall quickly.
 const DECAY_PER_S: f64 = 0.05;
 /// Fraction of the endpoints held at the start that is assumed to be required.
 ///
-/// Basis: chosen, not measured by itself: commit 7044e2a (journal 20261202T131510).
+/// Basis: chosen, not measured by itself.
 const INITIAL_FRACTION: f64 = 0.85;
 /// The required number is at most this multiple of the endpoints that serve: the load that full
 /// endpoints show is partly their own slowness.
 ///
-/// Basis: commit 7044e2a (journal 20261202T131510): with it and the other changes of that
-/// commit inkbridge-grown scale-2 0.018 -> 0.333.
+/// Basis: together with other rules 0.018 -> 0.333 on a day of high load with 77 daemons.
 const GROWTH_LIMIT: f64 = 1.5;
 /// A planner that has just started orders only more reclaimable endpoints, which are cheap,
 /// until the list of endpoints has not grown for this long: endpoints that have just started, or
 /// whose entries were lost, are listed over about a heartbeat.
 ///
-/// Basis: commit 8a180c6 (journal 20261202T114524), 2 s: inkbridge quiet-1 0.73 -> 0.99; commit
-/// 67bc14d (journal 20261202T134209), 1 s: still 1.000.
+/// Basis: on a quiet day 0.73 without it, 0.99 with 2 s, 1.000 with 1 s.
 const SETTLE_TIME: Duration = Duration::from_millis(1_000);
 /// A planner that has just started gives all orders after this time, however the list grows.
 ///
-/// Basis: chosen, not measured (commit 7044e2a): five times `SETTLE_TIME`.
+/// Basis: chosen, not measured: five times `SETTLE_TIME`.
 const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 /// Reclaimable capacity counts as scarce for this long after an order was refused.
 ///
-/// Basis: chosen, not measured by itself: commit 67e7145 (inkbridge store-lost 0.51 -> 0.60 with
-/// its other change).
+/// Basis: chosen, not measured by itself: together with another rule worth 0.51 -> 0.60 on a day
+/// without the store.
 const SCARCE_FOR: Duration = Duration::from_secs(6);
 /// A zone that refused reclaimable capacity is not asked again sooner.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): bounds the calls to the cloud.
+/// Basis: chosen, not measured: bounds the calls to the cloud.
 const REFUSED_FOR: Duration = Duration::from_secs(2);
 
 /// Load of a service.
--- a/src/gateway/policy/leader/leader_lease.rs
+++ b/src/gateway/policy/leader/leader_lease.rs
@@ -22,17 +22,16 @@
 
 /// Time beyond the lease that others wait before they acquire it.
 ///
-/// Basis: commit 20b0ef5 (journal 20261202T134930): lowered from 1 s, which together with the
-/// lease let no daemon acquire it between two kills of all (trouble-3). The holder is silent
+/// Basis: with 1 s no daemon acquired it between two kills of all. The holder is silent
 /// 3.1 s after its renewal (0.7 of a lease of 3 s and a call of 1 s).
 pub const ACQUIRE_MARGIN: Duration = Duration::from_millis(400);
 /// Fraction of the lease after which its holder no longer acts without a renewal.
 ///
-/// Basis: chosen, not measured (commit c834c29): leaves the holder's last call its second.
+/// Basis: chosen, not measured: leaves the holder's last call its second.
 const ACTIVE_FRACTION: f64 = 0.7;
 /// Fraction of the lease after which the holder renews it.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): leaves time for a second try while the holder
+/// Basis: chosen, not measured: leaves time for a second try while the holder
 /// may still act.
 const RENEW_FRACTION: f64 = 0.35;
 /// Fence of the first holder.
--- a/src/gateway/policy/leader/usage_reports.rs
+++ b/src/gateway/policy/leader/usage_reports.rs
@@ -11,11 +11,11 @@
 
 /// Time between the end of a window and its report.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): fifteen gossip intervals.
+/// Basis: chosen, not measured: fifteen gossip intervals.
 const REPORT_DELAY: Duration = Duration::from_millis(1_500);
 /// Newest windows that are still reported.
 ///
-/// Basis: chosen, not measured (commit 827f7c7): less than the windows of which counts are kept.
+/// Basis: chosen, not measured: less than the windows of which counts are kept.
 const REPORTABLE_WINDOWS: u64 = 3;
 /// A daemon that has just started reports nothing for this multiple of the age that reports of
 /// other daemons may have: counts of the windows before its start are only with them.
--- a/src/gateway/policy/leader/zone_plan.rs
+++ b/src/gateway/policy/leader/zone_plan.rs
@@ -15,8 +15,7 @@
 
 /// Fraction of the required number that must still be there when the next zone is reclaimed.
 ///
-/// Basis: commit 67bc14d (journal 20261202T134209), lowered from 0.75: both sites 1.000, gates
-/// passed; not separated from the other changes of that commit.
+/// Basis: 1.000 on two deployments, as with 0.75; not measured by itself.
 const CRITICAL_FRACTION: f64 = 0.65;
 /// Price of an endpoint in a zone whose price is not configured.
 ///
--- a/src/gateway/policy/request/crash_ledger.rs
+++ b/src/gateway/policy/request/crash_ledger.rs
@@ -26,14 +26,6 @@
 ///
 /// Basis: chosen, not measured: below 10 KB, 20 times a second, and only after crashes.
 pub const MAX_REPORTED: usize = 64;
-/// A request that is not quarantined is forgotten this long after its newest crash.
-///
-/// Basis: chosen, not measured: clients that come again do so within their deadlines.
-const SUSPECTED_FOR: Duration = Duration::from_secs(60);
-/// A quarantined request is forgotten this long after its newest crash.
-///
-/// Basis: chosen, not measured: after the second of the longest waits between trials.
-const QUARANTINED_FOR: Duration = Duration::from_secs(60 * 60);
 /// Records that have changed within this time are reported before all others.
 ///
 /// Basis: chosen, not measured: some rounds of gossip in a fleet of many groups.
@@ -48,6 +40,8 @@
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Number in place of an endpoint's, for runs of which only the time is known.
+///
+/// Basis: any number that is no endpoint's hash.
 const UNKNOWN_ENDPOINT: u64 = 0;
 
 /// Whether a request may be run.
@@ -146,7 +140,7 @@
         received: &CrashRecord,
         now: Instant,
     ) -> bool {
-        if is_old(received, now) {
+        if received.is_old(now) {
             return false;
         }
         let entry = self.entries.entry(request).or_default();
@@ -175,7 +169,7 @@
         let run = CrashedRun { endpoint: UNKNOWN_ENDPOINT, begun: crashed, crashed };
         let record =
             CrashRecord { runs: vec![run], is_quarantined: true, trials, ..CrashRecord::default() };
-        if !is_old(&record, now) {
+        if !record.is_old(now) {
             self.entries.insert(request, LedgerEntry { record, changed_at: Some(now) });
             self.evict();
         }
@@ -245,7 +239,7 @@
         };
         let all = self.entries.iter();
         let (mut reported, others): (Vec<_>, Vec<_>) = all.partition(|(_, entry)| is_fresh(entry));
-        reported.sort_by_key(|(_, entry)| std::cmp::Reverse(rank(&entry.record)));
+        reported.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.record.rank()));
         reported.truncate(MAX_REPORTED);
         let quarantined = others.into_iter().filter(|(_, entry)| entry.record.is_quarantined);
         reported.extend(quarantined.sample(rng, MAX_REPORTED - reported.len()));
@@ -271,7 +265,7 @@
 
     /// Forgets what is too old to matter.
     pub fn forget_old(&mut self, now: Instant) {
-        self.entries.retain(|_, entry| !is_old(&entry.record, now));
+        self.entries.retain(|_, entry| !entry.record.is_old(now));
     }
 
     /// Drops the least important record if there are too many.
@@ -279,20 +273,9 @@
         if self.entries.len() <= MAX_RECORDS {
             return;
         }
-        let least = self.entries.iter().min_by_key(|(_, entry)| rank(&entry.record));
+        let least = self.entries.iter().min_by_key(|(_, entry)| entry.record.rank());
         if let Some(request) = least.map(|(request, _)| *request) {
             self.entries.remove(&request);
         }
     }
 }
-
-/// Importance of a record: quarantined ones first, then by evidence, then the newest.
-fn rank(record: &CrashRecord) -> (bool, usize, Option<Instant>) {
-    (record.is_quarantined, record.evidence(), record.last_crash().max(record.cleared_at))
-}
-
-fn is_old(record: &CrashRecord, now: Instant) -> bool {
-    let kept = if record.is_quarantined { QUARANTINED_FOR } else { SUSPECTED_FOR };
-    let newest = record.last_crash().max(record.cleared_at);
-    newest.is_none_or(|at| now.saturating_duration_since(at) >= kept)
-}
--- a/src/gateway/policy/request/crash_record.rs
+++ b/src/gateway/policy/request/crash_record.rs
@@ -33,6 +33,14 @@
 /// Basis: chosen, not measured: with many runs at a time, those that count one after another
 /// are among them.
 const MAX_RUNS: usize = 12;
+/// A request that is not quarantined is forgotten this long after its newest crash.
+///
+/// Basis: chosen, not measured: clients that come again do so within their deadlines.
+const SUSPECTED_FOR: Duration = Duration::from_secs(60);
+/// A quarantined request is forgotten this long after its newest crash.
+///
+/// Basis: chosen, not measured: after the second of the longest waits between trials.
+const QUARANTINED_FOR: Duration = Duration::from_secs(60 * 60);
 /// Time from a crash of a quarantined request to its first trial.
 ///
 /// Basis: chosen, not measured: a trial may cost an endpoint and all that runs there, so it is
@@ -112,7 +120,7 @@
 
     /// Takes over what another daemon knows.
     ///
-    /// Its times look younger by what its message took, and come back to it with the answer: a
+    /// Its times look younger by what its message took, and are returned to it in the same way: a
     /// time that is hardly newer is the same one, which would otherwise grow with each message.
     pub fn merge(&mut self, received: &Self) {
         if let Some(at) = received.cleared_at.filter(|at| self.is_cleared_anew(*at)) {
@@ -162,6 +170,18 @@
         count_in_sequence(self.runs.iter().filter(|run| !is_explained(run)))
     }
 
+    /// Importance: quarantined ones first, then by evidence, then the newest.
+    pub fn rank(&self) -> (bool, usize, Option<Instant>) {
+        (self.is_quarantined, self.evidence(), self.last_crash().max(self.cleared_at))
+    }
+
+    /// Whether it is too old to matter.
+    pub fn is_old(&self, now: Instant) -> bool {
+        let kept = if self.is_quarantined { QUARANTINED_FOR } else { SUSPECTED_FOR };
+        let newest = self.last_crash().max(self.cleared_at);
+        newest.is_none_or(|at| now.saturating_duration_since(at) >= kept)
+    }
+
     /// When the next trial may be made.
     pub fn next_trial(&self) -> Option<Instant> {
         let wait = TRIAL_BACKOFF
--- a/src/gateway/policy/request/quota.rs
+++ b/src/gateway/policy/request/quota.rs
@@ -47,12 +47,12 @@
 /// Fraction of the burst that all daemons that have just started may spend together of an
 /// account that was throttled before.
 ///
-/// Basis: commit aa7efa9 (journal 20261202T132849): lowered from 0.5; with it and the other
-/// changes of that commit trouble-3 of bakery-grown broke no quota.
+/// Basis: together with other rules it kept the quota on a day of 87 daemons on which 0.5 overspent
+/// it.
 const START_BURST_FRACTION: f64 = 0.25;
 /// Time over which the first report of a daemon that has just started is averaged.
 ///
-/// Basis: chosen, not measured (commit dcfb149): about the time until a new daemon is heard.
+/// Basis: chosen, not measured: about the time until a new daemon is heard.
 const FIRST_REPORT_PERIOD: Duration = Duration::from_millis(1_500);
 /// Old sources of reports are dropped when there are more than this.
 ///
@@ -60,7 +60,7 @@
 const SOURCES_BEFORE_PRUNING: usize = 64;
 /// Retry-after of a refused client while hardly anything is admitted, in seconds.
 ///
-/// Basis: chosen, not measured (commit aa7efa9).
+/// Basis: chosen, not measured.
 const THROTTLED_WAIT_S: f64 = 1.0;
 /// Shortest retry-after.
 ///
--- a/src/gateway/policy/request/quota/account_bucket.rs
+++ b/src/gateway/policy/request/quota/account_bucket.rs
@@ -18,32 +18,32 @@
 /// a quota are not refused because a peer's spending was overestimated. The rest of it covers
 /// underestimates.
 ///
-/// Basis: commit 4b6952d (journal 20261202T114448): inkbridge quiet-1 0.67 -> 0.73, together
+/// Basis: inkbridge quiet-1 0.67 -> 0.73, together
 /// with a change of the fleet planner; other fractions were not tried.
 const USED_TOLERANCE_FRACTION: f64 = 0.3;
 /// While reports of peers are younger than this, the bucket alone decides: its level hardly
 /// swings, and requests are served in order of arrival.
 ///
-/// Basis: commit 67bc14d (journal 20261202T134209): probabilistic admission in small fleets,
+/// Basis: probabilistic admission in small fleets,
 /// whose reports are 0.4 s old, refused 0.035 instead of 0.014 of inkbridge quiet-1.
 const FRESH_REPORT_AGE: Duration = Duration::from_millis(900);
 /// Fraction of the burst above which everything is admitted, and below which an account counts
 /// as throttled.
 ///
-/// Basis: chosen, not measured (commit aa7efa9): well above `TARGET_LEVEL`.
+/// Basis: chosen, not measured: well above `TARGET_LEVEL`.
 const UNTHROTTLED_LEVEL: f64 = 0.6;
 /// Fraction of the burst at which the level is held while more is requested than the rate.
 ///
-/// Basis: chosen, not measured by itself: commit dcfb149 lowered it from 0.3.
+/// Basis: chosen, not measured by itself.
 const TARGET_LEVEL: f64 = 0.2;
 /// Time in which the level is brought back to `TARGET_LEVEL`, as a multiple of the age of
 /// reports: a faster correction would overshoot before its effect is reported.
 ///
-/// Basis: chosen, not measured (commit aa7efa9): more than one report age.
+/// Basis: chosen, not measured: more than one report age.
 const CORRECTION_AGES: f64 = 1.5;
 /// Shortest such time, in seconds.
 ///
-/// Basis: chosen, not measured (commit aa7efa9).
+/// Basis: chosen, not measured.
 const MIN_CORRECTION_S: f64 = 1.0;
 /// Reports of a peer that are older than this are dropped.
 ///
--- a/src/gateway/policy/request/quota/peer_spending.rs
+++ b/src/gateway/policy/request/quota/peer_spending.rs
@@ -10,8 +10,7 @@
 /// A peer is assumed to go on admitting at its last rate for this long, or for the age that
 /// reports may have where that is more.
 ///
-/// Basis: chosen, not measured: commit 3c1b516 raised it from 0.6 s when reports of a large
-/// fleet became up to a second old.
+/// Basis: chosen, not measured: reports of a large fleet are up to a second old.
 const MIN_EXTRAPOLATION: Duration = Duration::from_millis(1_000);
 /// The offered load of a peer counts for this long after its last report.
 ///
@@ -19,7 +18,7 @@
 const OFFERED_LOAD_RETENTION: Duration = Duration::from_secs(3);
 /// Weight of the newest report in a peer's averaged rates.
 ///
-/// Basis: chosen, not measured (commit 466d31b): halves the noise of a single report.
+/// Basis: chosen, not measured: halves the noise of a single report.
 const NEWEST_RATE_WEIGHT: f64 = 0.5;
 /// Shortest time between two reports that a rate is computed over, in seconds.
 ///
--- a/src/gateway/policy/request/retry_after.rs
+++ b/src/gateway/policy/request/retry_after.rs
@@ -20,8 +20,7 @@
 /// Basis: chosen, not measured: it calls two of them every 0.1 s.
 pub const CONTACT_SOON: Duration = Duration::from_millis(200);
 /// The daemon is stopping; the balancer sends the retry to another one.
-/// Basis: chosen, not measured: brought by commit 7041d5e; the other daemon has no need of a
-/// pause.
+/// Basis: chosen, not measured: the other daemon has no need of a pause.
 pub const OTHER_DAEMON: Duration = Duration::from_millis(20);
 /// Fraction of the route's target after which a client that found all endpoints full may
 /// retry.
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -4,6 +4,8 @@
 //! `policy::request::time_limits`. What follows the attempt is not decided here but in
 //! `policy::request::retries`.
 
+mod choice;
+
 use std::rc::Rc;
 
 use http_body_util::Full;
@@ -13,6 +15,7 @@
 };
 use tokio::time::Instant;
 
+use self::choice::{check_quarantine, choose, memory_tokens, prompt_tokens};
 use super::{
     admission::Admitted,
     connection_pool::{EndpointConnection, SendFailure},
@@ -25,19 +28,15 @@
 use crate::{
     endpoint_health::AttemptResult,
     gateway::{
-        call::{AttemptHead, CallHead},
+        call::AttemptHead,
         context::GatewayContext,
         endpoint::EndpointRecord,
         policy::{
-            endpoint::{
-                endpoint_choice::{ChoiceQuery, ChoiceResult, EndpointChoice},
-                endpoint_load::{RunLoad, estimated_memory},
-            },
+            endpoint::{endpoint_choice::EndpointChoice, endpoint_load::RunLoad},
             request::{
-                crash_ledger::RunVerdict,
                 endpoint_priority::endpoint_priority,
                 refusal::Refusal,
-                retries::{AttemptFailure, NoAttempt, connection_reuse},
+                retries::{AttemptFailure, connection_reuse},
                 time_limits,
             },
         },
@@ -239,69 +238,6 @@
     }
 }
 
-/// Refuses a request that crashes endpoints, at its first attempt and at each retry.
-fn check_quarantine(
-    context: &GatewayContext,
-    admitted: &Admitted,
-    attempts: &mut Attempts,
-) -> Result<(), Refusal> {
-    if attempts.is_trial && attempts.sent == 0 {
-        return Ok(());
-    }
-    let refusal = |reason: NoAttempt| reason.refusal(attempts.may_have_run, admitted.route.target);
-    if !context.peer_contact.borrow().is_current(true_time::now()) {
-        return Err(refusal(NoAttempt::NoPeerContact));
-    }
-    match crash_watch::judge(context, admitted) {
-        RunVerdict::Allowed => Ok(()),
-        RunVerdict::Refused(wait) => Err(refusal(NoAttempt::Quarantined(wait))),
-        RunVerdict::Trial => {
-            attempts.is_trial = true;
-            Ok(())
-        }
-    }
-}
-
-fn choose(
-    context: &GatewayContext,
-    admitted: &Admitted,
-    attempts: &Attempts,
-    trace: &mut RequestTrace,
-) -> Result<EndpointChoice, Refusal> {
-    let refusal = |reason: NoAttempt| reason.refusal(attempts.may_have_run, admitted.route.target);
-    let now = true_time::now();
-    if now >= admitted.deadline {
-        return Err(refusal(NoAttempt::DeadlineOver));
-    }
-    let head = &admitted.call.head;
-    let query = ChoiceQuery {
-        service: &admitted.service.name,
-        parts: &head.parts,
-        prompt_tokens: prompt_tokens(head),
-        memory_tokens: memory_tokens(admitted),
-        tried: &attempts.tried,
-        memory_capacity: admitted.service.engine.as_ref().map(|engine| engine.memory_tokens),
-        load_age: context.peers.borrow().report_age(),
-    };
-    let endpoints = context.endpoints.borrow();
-    let reason = match endpoints.choose(&query, now, &mut rand::rng()) {
-        ChoiceResult::Endpoint(choice) => return Ok(choice),
-        ChoiceResult::Full => NoAttempt::AllFull,
-        ChoiceResult::None => NoAttempt::NoEndpoint,
-    };
-    trace.found_no_endpoint(&endpoints.room(&admitted.service.name, now));
-    Err(refusal(reason))
-}
-
-fn prompt_tokens(head: &CallHead) -> u64 {
-    head.tokens.map_or(0, |tokens| tokens.prompt)
-}
-
-fn memory_tokens(admitted: &Admitted) -> u64 {
-    let head = &admitted.call.head;
-    estimated_memory(head.tokens, head.expected_response)
-}
-
 fn endpoint_request(
     admitted: &Admitted,
     endpoint: &str,
--- /dev/null
+++ b/src/gateway/request/attempt/choice.rs
@@ -0,0 +1,85 @@
+//! Whether an attempt may be made, and at which endpoint. The rules are in `policy::endpoint` and
+//! `policy::request::crash_ledger`.
+
+use super::Attempts;
+use crate::{
+    gateway::{
+        call::CallHead,
+        context::GatewayContext,
+        policy::{
+            endpoint::{
+                endpoint_choice::{ChoiceQuery, ChoiceResult, EndpointChoice},
+                endpoint_load::estimated_memory,
+            },
+            request::{crash_ledger::RunVerdict, refusal::Refusal, retries::NoAttempt},
+        },
+        request::{admission::Admitted, crash_watch, request_log::RequestTrace},
+    },
+    true_time,
+};
+
+/// Refuses a request that crashes endpoints, at its first attempt and at each retry.
+pub fn check_quarantine(
+    context: &GatewayContext,
+    admitted: &Admitted,
+    attempts: &mut Attempts,
+) -> Result<(), Refusal> {
+    if attempts.is_trial && attempts.sent == 0 {
+        return Ok(());
+    }
+    let refusal = |reason: NoAttempt| reason.refusal(attempts.may_have_run, admitted.route.target);
+    if !context.peer_contact.borrow().is_current(true_time::now()) {
+        return Err(refusal(NoAttempt::NoPeerContact));
+    }
+    match crash_watch::judge(context, admitted) {
+        RunVerdict::Allowed => Ok(()),
+        RunVerdict::Refused(wait) => Err(refusal(NoAttempt::Quarantined(wait))),
+        RunVerdict::Trial => {
+            attempts.is_trial = true;
+            Ok(())
+        }
+    }
+}
+
+/// Chooses an endpoint that was not tried.
+pub fn choose(
+    context: &GatewayContext,
+    admitted: &Admitted,
+    attempts: &Attempts,
+    trace: &mut RequestTrace,
+) -> Result<EndpointChoice, Refusal> {
+    let refusal = |reason: NoAttempt| reason.refusal(attempts.may_have_run, admitted.route.target);
+    let now = true_time::now();
+    if now >= admitted.deadline {
+        return Err(refusal(NoAttempt::DeadlineOver));
+    }
+    let head = &admitted.call.head;
+    let query = ChoiceQuery {
+        service: &admitted.service.name,
+        parts: &head.parts,
+        prompt_tokens: prompt_tokens(head),
+        memory_tokens: memory_tokens(admitted),
+        tried: &attempts.tried,
+        memory_capacity: admitted.service.engine.as_ref().map(|engine| engine.memory_tokens),
+        load_age: context.peers.borrow().report_age(),
+    };
+    let endpoints = context.endpoints.borrow();
+    let reason = match endpoints.choose(&query, now, &mut rand::rng()) {
+        ChoiceResult::Endpoint(choice) => return Ok(choice),
+        ChoiceResult::Full => NoAttempt::AllFull,
+        ChoiceResult::None => NoAttempt::NoEndpoint,
+    };
+    trace.found_no_endpoint(&endpoints.room(&admitted.service.name, now));
+    Err(refusal(reason))
+}
+
+/// Tokens of the prompt; 0 if the client names none.
+pub fn prompt_tokens(head: &CallHead) -> u64 {
+    head.tokens.map_or(0, |tokens| tokens.prompt)
+}
+
+/// Memory that a run may take, in tokens.
+pub fn memory_tokens(admitted: &Admitted) -> u64 {
+    let head = &admitted.call.head;
+    estimated_memory(head.tokens, head.expected_response)
+}
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -43,7 +43,7 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(900);
 /// Longest idle time of a connection for a request that must not run twice: its endpoint may
 /// have dropped the connection silently, or send a surplus response late.
-/// Basis: chosen, not measured for itself: brought by commit 7044e2a among other changes.
+/// Basis: chosen, not measured for itself.
 const IDLE_LIMIT_RUN_ONCE: Duration = Duration::from_millis(250);
 /// Idle connections kept for each endpoint.
 /// Basis: chosen, not measured; see docs/findings.md on endpoints that limit connections.
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -13,7 +13,7 @@
     gateway::{
         context::GatewayContext,
         policy::{
-            endpoint::{endpoint_choice::EndpointChoice, endpoint_table::ServiceRoom},
+            endpoint::{endpoint_choice::EndpointChoice, service_room::ServiceRoom},
             request::{admission::MatchedHead, fingerprint::RequestFingerprint, refusal::Refusal},
         },
     },
--- a/src/gateway/store_watch/endpoint_watch.rs
+++ b/src/gateway/store_watch/endpoint_watch.rs
@@ -30,8 +30,8 @@
 /// Pause after a change of endpoints, so that the next call brings several changes: they often
 /// come together.
 ///
-/// Basis: chosen, not measured by itself: raising it from 150 ms was part of a change that brought
-/// 1,778 -> 1,402 calls on quiet days of nine daemons.
+/// Basis: chosen, not measured by itself: 1,402 calls on a quiet day of nine daemons, 1,778 with
+/// 150 ms and one other rule.
 const CHANGE_PAUSE: Duration = Duration::from_millis(400);
 /// Why an entry without a start names no endpoint.
 const LACKS_START: &str = "earlier entries told when the endpoint had started";
--- a/src/native/cluster/core/dissemination.rs
+++ b/src/native/cluster/core/dissemination.rs
@@ -25,7 +25,7 @@
 /// Basis: docs/design/membership.md, together with `SUCCESSORS`.
 const FAR_LINKS: usize = 3;
 /// How long removed members, gone VMs and old notices are remembered.
-/// Basis: commit 6c2c3cf: longer than regions stay apart (an hour, docs/CAPACITY.md).
+/// Basis: longer than regions stay apart (an hour, docs/CAPACITY.md).
 const TOMBSTONE_KEEP: Duration = Duration::from_secs(6 * 3_600);
 /// Time between searches for items that may be forgotten.
 /// Basis: chosen, not measured: rare beside the time for which they are kept.
--- a/src/native/cluster/core/failure_detector.rs
+++ b/src/native/cluster/core/failure_detector.rs
@@ -28,7 +28,7 @@
 /// Basis: chosen, not measured: as often as probes.
 const GREET_EVERY: Duration = Duration::from_secs(1);
 /// Time between greetings of a removed member, in case it was only cut off.
-/// Basis: commit 6c2c3cf, a trial: 16 nodes agree 7 s after a cut of 60 s heals.
+/// Basis: a trial: 16 nodes agree 7 s after a cut of 60 s heals.
 pub(super) const RECALL_EVERY: Duration = Duration::from_secs(5);
 /// Time a suspect has to refute.
 /// Basis: docs/design/membership.md: none of 20 freezes of 3 s removed, all of 10 s.
--- a/src/native/cluster/members.rs
+++ b/src/native/cluster/members.rs
@@ -23,7 +23,7 @@
 }
 
 /// Members considered from each point of a placement.
-/// Basis: commit 4ba6ff5: placement 2.6 to 6.1 us at 8 to 2,100 daemons (docs/CAPACITY.md),
+/// Basis: placement 2.6 to 6.1 us at 8 to 2,100 daemons (docs/CAPACITY.md),
 /// 432 us when all members were ranked.
 const PLACEMENT_WINDOW: usize = 16;
 /// Number of statuses, for packing a status into a version.
--- a/src/native/decide/fair_queue.rs
+++ b/src/native/decide/fair_queue.rs
@@ -3,7 +3,7 @@
 //! Start-time fair queueing: each request is tagged with the virtual time at which its
 //! account could start it; the lowest tag goes next. A burst of one account moves only
 //! its own tags ahead. Accounts within their share go before those over it; otherwise their own
-//! long requests would delay their short ones for as long as a burst lasts (commit 839e0bd).
+//! long requests would delay their short ones for as long as a burst lasts.
 //!
 //! Inputs: the account's weight, its priority (`decide::limits`), and the tokens that the
 //! request is expected to cost. The queue is one daemon's; it knows nothing of the others'.
--- a/src/native/decide/fleet/problem.rs
+++ b/src/native/decide/fleet/problem.rs
@@ -10,7 +10,7 @@
 
 /// Fraction by which a VM that is held counts as cheaper than a new one, so that small changes
 /// of price move nothing.
-/// Basis: commit b0f751d, a trial without it: no effect on the totals of the bench fleet.
+/// Basis: a trial without it: no effect on the totals of the bench fleet.
 const HELD_DISCOUNT: f64 = 0.15;
 
 /// Least gain that counts, in cost units: above rounding errors, so that the search ends.
@@ -18,7 +18,7 @@
 const GAIN_MIN: f64 = 1e-9;
 /// The VMs required, divided by this, make the first chunk; the next are halves of it.
 /// Basis: chosen, not measured: chunk moves are within 2% of the best on small cases
-/// (commit 4ba6ff5).
+///.
 const FIRST_CHUNK_PART: f64 = 4.0;
 
 /// Counts by place, in the order of the prices.
--- a/src/native/decide/limits.rs
+++ b/src/native/decide/limits.rs
@@ -24,7 +24,7 @@
 const DEMAND_WINDOW_S: f64 = 2.0;
 /// Least rate of a daemon, as a fraction of an even part, so that a daemon that was quiet
 /// until now can begin.
-/// Basis: commit b8e643a, bench limits: 2.0% (4.5% at worst) off the quota with it.
+/// Basis: bench limits: 2.0% (4.5% at worst) off the quota with it.
 const LEAST_FRACTION: f64 = 0.05;
 /// Burst that a quiet account may spend at once, in seconds of its local rate.
 /// Basis: chosen, not measured: half of an epoch. The bench limits runs with it.
--- a/src/native/decide/routing.rs
+++ b/src/native/decide/routing.rs
@@ -36,14 +36,14 @@
 
 /// Time between probes of a service's ejected endpoints by one daemon: each probe is a
 /// client's request that will probably fail.
-/// Basis: commit 5acb13a, bench retries, together with `FAILURE_MS`.
+/// Basis: bench retries, together with `FAILURE_MS`.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
 /// Largest fraction of a service's endpoints that may be ejected at once.
 /// Basis: chosen, not measured: when most fail, the load or the network is the cause.
 const EJECTED_FRACTION: f64 = 0.5;
 /// Fraction of each endpoint that accounts over their share leave free, so that another
 /// account's request finds room at once.
-/// Basis: commit 839e0bd, bench fairness: first-token p95 beside a burst 516 -> 469 ms.
+/// Basis: bench fairness: first-token p95 beside a burst 516 -> 469 ms.
 const LEFT_FREE: f64 = 0.2;
 
 #[derive(Debug, Default)]
--- a/src/native/decide/routing/endpoint_route.rs
+++ b/src/native/decide/routing/endpoint_route.rs
@@ -18,7 +18,7 @@
 const QUEUE_MS: f64 = 40.0;
 /// Wait assumed for each failure in a row, in milliseconds: an endpoint that has just failed
 /// comes last well before it is ejected.
-/// Basis: commit 5acb13a, bench retries: with it and `PROBE_EVERY`, requests lost in a
+/// Basis: bench retries: with it and `PROBE_EVERY`, requests lost in a
 /// brownout fell from 23.9% to none.
 const FAILURE_MS: f64 = 400.0;
 /// Cost of crossing to another availability zone, in milliseconds.
@@ -27,7 +27,7 @@
 /// Fraction of its own requests in flight that a daemon may keep, from one report to the
 /// next, at an endpoint that reports more than its concurrency.
 /// Basis: chosen, not measured: the allowance as a whole took the first-token p95 of an
-/// account beside a burst from 534 to 516 ms (commit 839e0bd).
+/// account beside a burst from 534 to 516 ms.
 const KEPT_WHEN_OVER: f64 = 0.8;
 /// Cached prompt blocks remembered for each endpoint.
 /// Basis: docs/CAPACITY.md: 64 KB an endpoint, a window of 16 endpoints fits the budget.
--- a/src/native/request/store/stored_request.rs
+++ b/src/native/request/store/stored_request.rs
@@ -14,7 +14,7 @@
 };
 
 /// Bookkeeping bytes of a record, beside its texts.
-/// Basis: commit f9b90c9, bench fleet: names and holders take 400 B a record.
+/// Basis: bench fleet: names and holders take 400 B a record.
 const RECORD_BYTES: usize = 400;
 
 #[derive(Debug)]
--- a/src/native/serve/services/copies.rs
+++ b/src/native/serve/services/copies.rs
@@ -33,7 +33,7 @@
 /// Name of the service.
 pub const NAME: &str = "copies";
 /// Time between messages to one partner.
-/// Basis: commit 3307a63: 33.0 KB/s a daemon at 40 requests/s, 62.3 with whole copies.
+/// Basis: 33.0 KB/s a daemon at 40 requests/s, 62.3 with whole copies.
 const FLUSH_EVERY: Duration = Duration::from_millis(100);
 
 /// Bytes of an update beside its name and tokens.
--- a/src/true_time.rs
+++ b/src/true_time.rs
@@ -49,6 +49,7 @@
 
 /// All that the runtime's clock has missed since the process began.
 pub fn missed() -> Duration {
+    // Where a clock can't be read, no suspension is noticed.
     let measured = measured_difference().unwrap_or_default();
     // It never shrinks: times once given out do not come again.
     if measured > MISSED.get() + TOLERANCE {
