--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -22,6 +22,7 @@
 mod leader_rules;
 mod leader_state;
 mod leader_tasks;
+mod lease_numbers;
 mod long_configuration;
 mod loopback_proxy;
 mod operations;
--- a/tests/gateway/platform_standin.rs
+++ b/tests/gateway/platform_standin.rs
@@ -100,6 +100,13 @@
         revision
     }
 
+    /// Value of an object, if there is one.
+    pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
+        let state = self.state.0.lock().expect("lock");
+        let entry = state.objects.get(&(kind.to_owned(), name.to_owned()))?;
+        serde_json::from_str(&entry.spec).ok()
+    }
+
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state.0.lock().expect("lock");
         state.remove(kind, name);
