Leader lease: a holder that acquires its own lease again goes on counting its renewals

Cause: the number began at 0 under the same fence. Others know renewals by (fence, number), so that a later renewal of the old number was taken for the old one, the lease for one that had run out, and a second leader acquired it while the first was acting. Change: the number goes on under the same fence.

--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -101,6 +101,7 @@
         fence: u64,
         seen: Option<SeenLease>,
     ) -> Result<AcquireResult, StepError> {
+        let renewals = first_renewal(fence, seen.as_ref());
         let (revision, required_endpoints, report) = match seen {
             Some(seen) => (seen.revision, seen.record.required_endpoints, seen.record.report),
             None => (NO_REVISION, BTreeMap::new(), None),
@@ -110,7 +111,7 @@
             address: Some(self.context.settings.peer_address),
             incarnation: self.context.incarnation.0,
             fence,
-            renewals: 0,
+            renewals,
             released: false,
             daemons: self.known_daemons(),
             throttled: self.throttled_accounts(),
@@ -126,3 +127,11 @@
         Ok(AcquireResult::Acquired { required_endpoints })
     }
 }
+
+/// Number of the write that acquires the lease. A process that acquires its own lease again keeps the
+/// fence and goes on counting: others know a renewal by fence and number, and took a new one of
+/// an old number for the old one, so that two leaders acted 70 ms apart.
+fn first_renewal(fence: u64, seen: Option<&SeenLease>) -> u64 {
+    let own = seen.filter(|seen| seen.record.fence == fence);
+    own.map_or(0, |seen| seen.record.renewals + 1)
+}
