--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -169,7 +169,7 @@
         }
     };
     if matches!(failure, SendFailure::Broken(_)) {
-        run_broke(context, admitted, guard.record(), guard.begun(), trace);
+        note_broken_run(context, admitted, guard.record(), guard.begun(), trace);
     }
     match failure {
         // That an endpoint has closed an idle connection says nothing of its health: it may
@@ -184,7 +184,7 @@
 }
 
 /// Notes that a run has broken, and has its endpoint checked.
-pub fn run_broke(
+pub fn note_broken_run(
     context: &Rc<GatewayContext>,
     admitted: &Admitted,
     endpoint: &Rc<EndpointRecord>,
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -18,7 +18,7 @@
 
 use super::{
     admission::Admitted,
-    attempt::{AttemptEnd, Attempts, EndpointResponse, attempt, may_try_again, run_broke},
+    attempt::{AttemptEnd, Attempts, EndpointResponse, attempt, may_try_again, note_broken_run},
     connection_pool::EndpointConnection,
     crash_watch::request_served,
     event_cutter::EventCutter,
@@ -183,7 +183,7 @@
             Ok(None) => return NextPiece::End,
             Ok(Some(Err(_))) => {
                 let (endpoint, since) = (upstream.guard.record(), upstream.since);
-                run_broke(&self.context, &self.admitted, endpoint, since, &mut self.trace);
+                note_broken_run(&self.context, &self.admitted, endpoint, since, &mut self.trace);
                 return NextPiece::Broken(RelayError::BrokenOff);
             }
             Ok(Some(Ok(frame))) => frame,
