Tests of what is a crash: an endpoint that leaves with a request in progress, a daemon that was frozen

Cause: the test of an endpoint that leaves had no request in progress there, so it could not fail. Change: it has one, beside the same without leaving, which is a crash; a frozen daemon is asked as it goes on, while the others refuse the request. Metrics are read in one place.

--- a/tests/gateway/crash_fleet.rs
+++ b/tests/gateway/crash_fleet.rs
@@ -18,7 +18,9 @@
 
 use crate::{
     crashing_endpoint::{CRASHING, CrashNote, CrashingEndpoint},
-    gateway_site::{Gateway, RawAnswer, configuration, request_bytes, try_send_raw, wait_for},
+    gateway_site::{
+        Gateway, RawAnswer, configuration, read_metric, request_bytes, try_send_raw, wait_for,
+    },
     platform_standin::PlatformStandin,
 };
 
@@ -110,7 +112,7 @@
 /// The fleet.
 pub struct CrashFleet {
     pub daemons: Vec<Gateway>,
-    endpoints: Vec<CrashingEndpoint>,
+    pub endpoints: Vec<CrashingEndpoint>,
     is_mended: Arc<AtomicBool>,
     addresses: Vec<SocketAddr>,
 }
@@ -177,23 +179,29 @@
     /// Sends one request to the daemons again and again until all refuse it; returns a refusal.
     pub fn send_until_refused(&self, path: &str) -> RawAnswer {
         wait_for("all daemons to refuse it", || self.all_refuse(path));
-        send_crashing(self.addresses[0], path, CRASHING, 0).expect("an answer")
+        self.send(0, path).expect("an answer")
+    }
+
+    /// Sends the request that crashes endpoints to one daemon.
+    pub fn send(&self, place: usize, path: &str) -> std::io::Result<RawAnswer> {
+        send_crashing(self.addresses[place], path, CRASHING, 0)
+    }
+
+    /// Whether one daemon refuses the request.
+    pub fn refuses(&self, place: usize, path: &str) -> bool {
+        self.send(place, path).is_ok_and(|answer| is_refused(&answer))
     }
 
     /// Whether all daemons refuse the request.
     pub fn all_refuse(&self, path: &str) -> bool {
-        let refuses = |address: &SocketAddr| {
-            send_crashing(*address, path, CRASHING, 0).is_ok_and(|answer| is_refused(&answer))
-        };
-        self.addresses.iter().all(refuses)
+        (0..self.addresses.len()).all(|place| self.refuses(place, path))
     }
 
     /// Whether all daemons serve the request.
     pub fn all_serve(&self, path: &str) -> bool {
-        let serves = |address: &SocketAddr| {
-            send_crashing(*address, path, CRASHING, 0).is_ok_and(|answer| answer.status == 200)
-        };
-        self.addresses.iter().all(serves)
+        let serves =
+            |place| self.send(place, path).is_ok_and(|answer: RawAnswer| answer.status == 200);
+        (0..self.addresses.len()).all(serves)
     }
 
     /// Kills all daemons, then starts them again.
@@ -208,6 +216,11 @@
         self.is_mended.store(true, Ordering::SeqCst);
     }
 
+    /// A metric of one daemon, if it has it.
+    pub fn metric(&self, place: usize, name: &str) -> Option<f64> {
+        read_metric(self.daemons[place].metrics, name)
+    }
+
     /// How often the endpoints have ended.
     pub fn crashes(&self) -> usize {
         let notes = self.endpoints.iter().flat_map(CrashingEndpoint::notes);
--- a/tests/gateway/crash_signs.rs
+++ b/tests/gateway/crash_signs.rs
@@ -6,14 +6,17 @@
 use serde_json::Value;
 
 use crate::{
-    crash_fleet::CrashFleet,
+    crash_fleet::{CrashFleet, send_crashing},
+    crashing_endpoint::{CRASHING_LATE, CrashingEndpoint, LATE_TIME},
     endpoint_standin::EndpointManner,
-    gateway_site::{Site, ask, endpoint_entry, wait_for},
+    gateway_site::{Site, ask, wait_for},
 };
 
 const PATH: &str = "/plain/page/";
 /// Time in which the leader has written the lease again, a few times.
 const RENEWAL_TIME: Duration = Duration::from_secs(2);
+/// Longer than a process stands still unnoticed.
+const FREEZE_TIME: Duration = Duration::from_secs(2);
 /// Time after which a broken run has been looked into.
 const CHECK_TIME: Duration = Duration::from_millis(300);
 
@@ -32,8 +35,8 @@
             wait_for("the request to be served", || {
                 ask(site.gateway.clients, $path, "b", "key-1", &[], b"same").status == 200
             });
-            let state = std::fs::read_to_string(&site.gateway.log).expect("log");
-            expect_that!(state.contains("request quarantined"), eq(false));
+            let log = std::fs::read_to_string(&site.gateway.log).expect("log");
+            expect_that!(log.contains("request quarantined"), eq(false));
         }
     )*};
 }
@@ -47,16 +50,44 @@
     refusal_is_no_crash: PATH, EndpointManner::Full;
 }
 
+/// The daemon's log after an endpoint has ended with a request in progress; `leaves` says that all
+/// endpoints were known to be leaving by then.
+fn log_of_an_end(leaves: bool) -> String {
+    let fleet = CrashFleet::start(1, 2);
+    let clients = fleet.daemons[0].clients;
+    let request = thread::spawn(move || send_crashing(clients, "/once/page/", CRASHING_LATE, 0));
+    wait_for("the request to be sent", || fleet.metric(0, "attempts") == Some(1.0));
+    if leaves {
+        fleet.endpoints.iter().for_each(CrashingEndpoint::drain);
+    }
+    thread::sleep(LATE_TIME + CHECK_TIME);
+    let answer = request.join().expect("a client").expect("an answer");
+    expect_that!(answer.status, eq(502));
+    expect_that!(fleet.metric(0, "runs_broken"), some(eq(1.0)));
+    std::fs::read_to_string(&fleet.daemons[0].log).expect("log")
+}
+
 #[googletest::test]
 fn endpoint_that_leaves_as_planned_is_no_crash() {
-    let site = Site::start(&[EndpointManner::StallAfter(1), EndpointManner::StallAfter(1)]);
-    let clients = site.gateway.clients;
-    for endpoint in &site.endpoints {
-        site.platform.put("servers", &endpoint.id, endpoint_entry(endpoint, "draining"));
-    }
-    wait_for("no endpoint", || ask(clients, PATH, "a", "key-1", &[], b"same").status == 503);
-    let log = std::fs::read_to_string(&site.gateway.log).expect("log");
-    expect_that!(log.contains("endpoint ended"), eq(false));
+    expect_that!(log_of_an_end(true).contains("endpoint ended"), eq(false));
+}
+
+#[googletest::test]
+fn endpoint_that_ends_without_a_word_is_a_crash() {
+    expect_that!(log_of_an_end(false).contains("endpoint ended"), eq(true));
+}
+
+#[googletest::test]
+fn daemon_that_was_frozen_learns_what_is_quarantined_before_it_runs_a_request() {
+    let fleet = CrashFleet::start(3, 12);
+    fleet.daemons[2].signal("-STOP");
+    wait_for("the others to refuse it", || fleet.refuses(0, PATH) && fleet.refuses(1, PATH));
+    thread::sleep(FREEZE_TIME);
+    let crashes = fleet.crashes();
+    fleet.daemons[2].signal("-CONT");
+    expect_that!(fleet.send(2, PATH).expect("an answer").status, eq(503));
+    wait_for("its refusal", || fleet.refuses(2, PATH));
+    expect_that!(fleet.crashes(), eq(crashes));
 }
 
 #[googletest::test]
--- a/tests/gateway/crashing_endpoint.rs
+++ b/tests/gateway/crashing_endpoint.rs
@@ -22,6 +22,10 @@
 
 /// Bodies that begin so crash the endpoint.
 pub const CRASHING: &str = "crash";
+/// Body that crashes the endpoint after `LATE_TIME`.
+pub const CRASHING_LATE: &str = "crash-late";
+/// See `CRASHING_LATE`.
+pub const LATE_TIME: Duration = Duration::from_secs(2);
 /// Time from a crash until the endpoint is back.
 const RESTART_TIME: Duration = Duration::from_secs(3);
 /// Pause between two looks for new connections.
@@ -46,6 +50,7 @@
 #[derive(Default)]
 struct Process {
     id: String,
+    born: u64,
     connections: Vec<TcpStream>,
 }
 
@@ -96,6 +101,11 @@
         Self { shared }
     }
 
+    /// Says that it leaves.
+    pub fn drain(&self) {
+        self.shared.write_entry("draining");
+    }
+
     pub fn notes(&self) -> Vec<CrashNote> {
         self.shared.notes.lock().expect("lock").clone()
     }
@@ -128,13 +138,22 @@
             true => self.name.clone(),
             false => format!("{}-{start}", self.name),
         };
-        self.process.lock().expect("lock").id = id.clone();
         let born = SystemTime::now().duration_since(UNIX_EPOCH).expect("time").as_millis() as u64;
+        {
+            let mut process = self.process.lock().expect("lock");
+            process.id = id;
+            process.born = born;
+        }
+        self.write_entry("ready");
+    }
+
+    fn write_entry(&self, state: &str) {
+        let process = self.process.lock().expect("lock");
         let entry = json!({
             "service": self.service, "address": self.address, "zone": "hall-a", "version": "v1",
-            "slots": 8, "state": "ready", "cold-left-ms": 0, "seq": 1, "born": born,
+            "slots": 8, "state": state, "cold-left-ms": 0, "seq": 1, "born": process.born,
         });
-        self.platform.put("servers", &id, entry);
+        self.platform.put("servers", &process.id, entry);
     }
 
     /// Serves until the process ends.
@@ -177,7 +196,7 @@
             return false;
         }
         if !is_stream {
-            thread::sleep(WORK_TIME);
+            thread::sleep(if body == CRASHING_LATE { LATE_TIME } else { WORK_TIME });
         }
         if body.starts_with(CRASHING) {
             let crashed = crashes.then(|| self.crash());
--- a/tests/gateway/gateway_site.rs
+++ b/tests/gateway/gateway_site.rs
@@ -22,6 +22,14 @@
 /// Environment variable under which settings and logs stay in the tests' temporary folder.
 const KEEP_LOGS: &str = "SOAK_KEEP_LOGS";
 
+/// A metric at a daemon's metrics address, if it has it.
+pub fn read_metric(metrics: SocketAddr, name: &str) -> Option<f64> {
+    let mut answer = ureq::get(&format!("http://{metrics}/metrics")).call().expect("metrics");
+    let text = answer.body_mut().read_to_string().expect("text");
+    let line = text.lines().find(|line| line.starts_with(&format!("willowarch_{name} ")))?;
+    line.rsplit(' ').next()?.parse().ok()
+}
+
 /// Waits until `holds`; fails with `what` if it does not in time.
 pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
     let until = Instant::now() + PATIENCE;
--- a/tests/gateway/suspension.rs
+++ b/tests/gateway/suspension.rs
@@ -15,7 +15,9 @@
 
 use crate::{
     endpoint_standin::{EndpointManner, EndpointStandin},
-    gateway_site::{ask, configuration, daemon_settings, endpoint_entry, own_address, wait_for},
+    gateway_site::{
+        ask, configuration, daemon_settings, endpoint_entry, own_address, read_metric, wait_for,
+    },
     platform_standin::PlatformStandin,
 };
 
@@ -56,14 +58,11 @@
             });
         });
         let daemon = Self { ip, suspensions, stop: Some(stop) };
-        wait_for("readiness", || ureq::get(daemon.url(8002, "/-/readiness")).call().is_ok());
+        let readiness = format!("http://{ip}:8002/-/readiness");
+        wait_for("readiness", || ureq::get(&readiness).call().is_ok());
         daemon
     }
 
-    fn url(&self, port: u16, path: &str) -> String {
-        format!("http://{}:{port}{path}", self.ip)
-    }
-
     fn suspend(&self, duration: Duration) {
         self.suspensions.send(duration).expect("a daemon");
         thread::sleep(SHORT_WHILE);
@@ -74,10 +73,7 @@
     }
 
     fn metric(&self, name: &str) -> Option<f64> {
-        let mut answer = ureq::get(self.url(8004, "/metrics")).call().expect("metrics");
-        let text = answer.body_mut().read_to_string().expect("text");
-        let line = text.lines().find(|line| line.starts_with(&format!("willowarch_{name} ")))?;
-        line.rsplit(' ').next()?.parse().ok()
+        read_metric(SocketAddr::new(self.ip, 8004), name)
     }
 }
 
