Sight: what endpoints say of themselves stands in the line of each request

Cause looked for: no log told whether a response said that its endpoint leaves or wants a rest.

Change: the adapter reads both headers into a typed notice, for responses that are the endpoint's own; the request's line shows it beside status and meaning. Nothing acts on it.

--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -206,7 +206,7 @@
     trace: &mut RequestTrace,
 ) -> AttemptEnd {
     let signs = ingress::read_response(&admitted.call.head.id, &response);
-    trace.responded(response.status(), signs.meaning);
+    trace.responded(response.status(), &signs);
     match signs.meaning {
         ResponseMeaning::Ran => {
             let is_stream = admitted.route.kind.is_stream() && response.status().is_success();
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -8,7 +8,7 @@
 use hyper::StatusCode;
 use tokio::time::Instant;
 
-use super::{connection_pool::SendFailure, response_meaning::ResponseMeaning};
+use super::{connection_pool::SendFailure, response_meaning::ResponseSigns};
 use crate::{
     gateway::{
         context::GatewayContext,
@@ -88,10 +88,11 @@
     }
 
     /// An endpoint responded.
-    pub fn responded(&mut self, status: StatusCode, meaning: ResponseMeaning) {
+    pub fn responded(&mut self, status: StatusCode, signs: &ResponseSigns) {
         let after = true_time::since(self.begun).as_millis();
+        let (status, meaning) = (status.as_u16(), signs.meaning);
         // Writing to a string cannot fail.
-        let _ = write!(self.steps, " {} {meaning:?} after {after};", status.as_u16());
+        let _ = write!(self.steps, " {status} {meaning:?}{} after {after};", signs.notice);
     }
 
     /// The first event of a stream was passed on.
--- a/src/gateway/request/response_meaning.rs
+++ b/src/gateway/request/response_meaning.rs
@@ -1,6 +1,9 @@
 //! What an endpoint's response says about the request, as the platform's adapter decodes it.
 
-use std::time::Duration;
+use std::{
+    fmt::{self, Display, Formatter},
+    time::Duration,
+};
 
 /// What a response means for the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,11 +18,39 @@
     Foreign,
 }
 
+/// What an endpoint says of itself in a response.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EndpointNotice {
+    /// Whether it leaves and wants no more requests.
+    pub is_leaving: bool,
+    /// Time from now for which it wants no requests from this daemon.
+    pub rest: Option<Duration>,
+    /// Whether it says either in a way that can't be read, which then counts as not said.
+    pub is_unreadable: bool,
+}
+
+impl Display for EndpointNotice {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        if self.is_leaving {
+            formatter.write_str(" leaves")?;
+        }
+        if let Some(rest) = self.rest {
+            write!(formatter, " rests {} ms", rest.as_millis())?;
+        }
+        if self.is_unreadable {
+            formatter.write_str(" notice not read")?;
+        }
+        Ok(())
+    }
+}
+
 /// What the head of a response says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ResponseSigns {
     /// Meaning for the request.
     pub meaning: ResponseMeaning,
+    /// What the endpoint says of itself; nothing where another one has responded.
+    pub notice: EndpointNotice,
     /// Time for which the endpoint keeps the connection open, if it says so.
     pub keep: Option<Duration>,
     /// Whether the endpoint closes the connection after this response.
--- a/src/platform/ingress/endpoint.rs
+++ b/src/platform/ingress/endpoint.rs
@@ -7,13 +7,16 @@
     header::{self, HeaderName, HeaderValue},
 };
 
-use super::headers::{
-    DEADLINE, EXPECT_INSTANCE, KEEP_ALIVE, LAST_EVENT, NOT_EXECUTED, PRIORITY, REQUEST_ID, TENANT,
-    remove_hop_headers, text,
+use super::{
+    endpoint_notice::read_notice,
+    headers::{
+        DEADLINE, EXPECT_INSTANCE, KEEP_ALIVE, LAST_EVENT, NOT_EXECUTED, PRIORITY, REQUEST_ID,
+        TENANT, remove_hop_headers, text,
+    },
 };
 use crate::gateway::{
     call::{AttemptHead, Call},
-    request::response_meaning::{ResponseMeaning, ResponseSigns},
+    request::response_meaning::{EndpointNotice, ResponseMeaning, ResponseSigns},
 };
 
 /// Builds the request of one attempt; method, path and body stay as the client sent them.
@@ -53,7 +56,13 @@
     let closes = text(headers, &header::CONNECTION).is_some_and(|value| {
         value.split(',').any(|part| part.trim().eq_ignore_ascii_case("close"))
     });
-    ResponseSigns { meaning: read_meaning(id, response), keep: read_keep_alive(headers), closes }
+    let meaning = read_meaning(id, response);
+    let notice = match meaning {
+        ResponseMeaning::Ran | ResponseMeaning::NotRun => read_notice(response.status(), headers),
+        // Another endpoint's words, or the answer to another request.
+        ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign => EndpointNotice::default(),
+    };
+    ResponseSigns { meaning, notice, keep: read_keep_alive(headers), closes }
 }
 
 fn read_meaning<B>(id: &str, response: &Response<B>) -> ResponseMeaning {
--- /dev/null
+++ b/src/platform/ingress/endpoint_notice.rs
@@ -0,0 +1,50 @@
+//! Reads what an endpoint says of itself in its responses: that it leaves, or wants a rest.
+//!
+//! | header | read on | values | others |
+//! |---|---|---|---|
+//! | `Server-Leaving` | all responses | `1` | not said |
+//! | `Retry-After` | 503, executed or not | seconds from 0 up, with a fraction or without | not said |
+//!
+//! A header may stand there several times, or hold several values with commas between them: one `1`
+//! is enough, and the longest time counts. A date is no number of seconds: the clocks of
+//! endpoints aren't compared with the own one.
+
+use std::time::Duration;
+
+use hyper::{
+    HeaderMap, StatusCode,
+    header::{self, HeaderName},
+};
+
+use super::headers::LEAVING;
+use crate::gateway::request::response_meaning::EndpointNotice;
+
+/// Value of `Server-Leaving` by which an endpoint says that it leaves.
+const LEAVES: &str = "1";
+
+/// Reads the notice of a response that is the endpoint's own.
+pub fn read_notice(status: StatusCode, headers: &HeaderMap) -> EndpointNotice {
+    let is_leaving = values(headers, &LEAVING).any(|value| value == Some(LEAVES));
+    let rests = status == StatusCode::SERVICE_UNAVAILABLE;
+    let rest = rests.then(|| read_rest(headers)).flatten();
+    let is_leaving_unread = !is_leaving && headers.contains_key(LEAVING);
+    let is_rest_unread = rests && rest.is_none() && headers.contains_key(header::RETRY_AFTER);
+    EndpointNotice { is_leaving, rest, is_unreadable: is_leaving_unread || is_rest_unread }
+}
+
+fn read_rest(headers: &HeaderMap) -> Option<Duration> {
+    let seconds = values(headers, &header::RETRY_AFTER)
+        .filter_map(|value| value?.parse::<f64>().ok())
+        // Fails on what is negative, infinite or not a number.
+        .filter_map(|seconds| Duration::try_from_secs_f64(seconds).ok());
+    seconds.max()
+}
+
+/// Values of a header, without the spaces around them; none for one that is not ASCII.
+fn values<'a>(headers: &'a HeaderMap, name: &HeaderName) -> impl Iterator<Item = Option<&'a str>> {
+    let fields = headers.get_all(name).iter();
+    fields.flat_map(|field| match field.to_str() {
+        Ok(text) => text.split(',').map(|value| Some(value.trim())).collect(),
+        Err(_) => vec![None],
+    })
+}
--- a/src/platform/ingress/headers.rs
+++ b/src/platform/ingress/headers.rs
@@ -27,6 +27,8 @@
 pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
 /// `timeout=SECONDS`: how long the endpoint keeps an idle connection.
 pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+/// `1` on all responses of an endpoint that leaves.
+pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
 
 /// Headers that the gateway sets itself, or that only a gateway may set; those of a client
 /// are dropped.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -11,6 +11,7 @@
 mod crashing_requests;
 mod decoders;
 mod endpoint_choice;
+mod endpoint_notices;
 mod endpoint_standin;
 mod endpoint_starts;
 mod event_cutter;
