--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -92,7 +92,7 @@
         let after = true_time::since(self.begun).as_millis();
         let (status, meaning) = (status.as_u16(), signs.meaning);
         // Writing to a string cannot fail.
-        let _ = write!(self.steps, " {status} {meaning:?}{} after {after};", signs.notice);
+        let _ = write!(self.steps, " {status} {meaning:?}{} after {after};", signs.signals);
     }
 
     /// The first event of a stream was passed on.
--- a/src/gateway/request/response_meaning.rs
+++ b/src/gateway/request/response_meaning.rs
@@ -20,25 +20,25 @@
 
 /// What an endpoint says of itself in a response.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct EndpointNotice {
-    /// Whether it leaves and wants no more requests.
-    pub is_leaving: bool,
+pub struct EndpointSignals {
+    /// Whether it drains and wants no more requests.
+    pub is_draining: bool,
     /// Time from now for which it wants no requests from this daemon.
-    pub rest: Option<Duration>,
+    pub backoff: Option<Duration>,
     /// Whether it says either in a way that can't be read, which then counts as not said.
     pub is_unreadable: bool,
 }
 
-impl Display for EndpointNotice {
+impl Display for EndpointSignals {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
-        if self.is_leaving {
-            formatter.write_str(" leaves")?;
+        if self.is_draining {
+            formatter.write_str(" drains")?;
         }
-        if let Some(rest) = self.rest {
-            write!(formatter, " rests {} ms", rest.as_millis())?;
+        if let Some(backoff) = self.backoff {
+            write!(formatter, " back off {} ms", backoff.as_millis())?;
         }
         if self.is_unreadable {
-            formatter.write_str(" notice not read")?;
+            formatter.write_str(" signals not read")?;
         }
         Ok(())
     }
@@ -50,7 +50,7 @@
     /// Meaning for the request.
     pub meaning: ResponseMeaning,
     /// What the endpoint says of itself; nothing where another one has responded.
-    pub notice: EndpointNotice,
+    pub signals: EndpointSignals,
     /// Time for which the endpoint keeps the connection open, if it says so.
     pub keep: Option<Duration>,
     /// Whether the endpoint closes the connection after this response.
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -1,12 +1,12 @@
 //! Heads of requests and responses, as clients and endpoints of the platform write them.
 //!
 //! `client_head` reads a client's request; `endpoint` writes the request of one attempt and
-//! reads the response to it, with `endpoint_notice`; `own_response` writes the heads that the gateway makes itself.
+//! reads the response to it, with `endpoint_signals`; `own_response` writes the heads that the gateway makes itself.
 //! Header names stay in here: the gateway sees `gateway::{call, request::response_meaning}`.
 
 mod client_head;
 mod endpoint;
-mod endpoint_notice;
+mod endpoint_signals;
 mod headers;
 mod own_response;
 
--- a/src/platform/ingress/endpoint.rs
+++ b/src/platform/ingress/endpoint.rs
@@ -8,7 +8,7 @@
 };
 
 use super::{
-    endpoint_notice::read_notice,
+    endpoint_signals::read_signals,
     headers::{
         DEADLINE, EXPECT_INSTANCE, KEEP_ALIVE, LAST_EVENT, NOT_EXECUTED, PRIORITY, REQUEST_ID,
         TENANT, remove_hop_headers, text,
@@ -16,7 +16,7 @@
 };
 use crate::gateway::{
     call::{AttemptHead, Call},
-    request::response_meaning::{EndpointNotice, ResponseMeaning, ResponseSigns},
+    request::response_meaning::{EndpointSignals, ResponseMeaning, ResponseSigns},
 };
 
 /// Builds the request of one attempt; method, path and body stay as the client sent them.
@@ -57,12 +57,12 @@
         value.split(',').any(|part| part.trim().eq_ignore_ascii_case("close"))
     });
     let meaning = read_meaning(id, response);
-    let notice = match meaning {
-        ResponseMeaning::Ran | ResponseMeaning::NotRun => read_notice(response.status(), headers),
+    let signals = match meaning {
+        ResponseMeaning::Ran | ResponseMeaning::NotRun => read_signals(response.status(), headers),
         // Another endpoint's words, or the answer to another request.
-        ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign => EndpointNotice::default(),
+        ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign => EndpointSignals::default(),
     };
-    ResponseSigns { meaning, notice, keep: read_keep_alive(headers), closes }
+    ResponseSigns { meaning, signals, keep: read_keep_alive(headers), closes }
 }
 
 fn read_meaning<B>(id: &str, response: &Response<B>) -> ResponseMeaning {
--- a/src/platform/ingress/endpoint_notice.rs
+++ b/src/platform/ingress/endpoint_signals.rs
@@ -1,4 +1,4 @@
-//! Reads what an endpoint says of itself in its responses: that it leaves, or wants a rest.
+//! Reads what an endpoint says of itself in its responses: that it drains, or asks for a back-off.
 //!
 //! | header | read on | values | others |
 //! |---|---|---|---|
@@ -16,23 +16,24 @@
     header::{self, HeaderName},
 };
 
-use super::headers::LEAVING;
-use crate::gateway::request::response_meaning::EndpointNotice;
+use super::headers::DRAINING;
+use crate::gateway::request::response_meaning::EndpointSignals;
 
-/// Value of `Server-Leaving` by which an endpoint says that it leaves.
-const LEAVES: &str = "1";
+/// Value of `Server-Leaving` by which an endpoint says that it drains.
+const DRAINS: &str = "1";
 
-/// Reads the notice of a response that is the endpoint's own.
-pub fn read_notice(status: StatusCode, headers: &HeaderMap) -> EndpointNotice {
-    let is_leaving = values(headers, &LEAVING).any(|value| value == Some(LEAVES));
-    let rests = status == StatusCode::SERVICE_UNAVAILABLE;
-    let rest = rests.then(|| read_rest(headers)).flatten();
-    let is_leaving_unread = !is_leaving && headers.contains_key(LEAVING);
-    let is_rest_unread = rests && rest.is_none() && headers.contains_key(header::RETRY_AFTER);
-    EndpointNotice { is_leaving, rest, is_unreadable: is_leaving_unread || is_rest_unread }
+/// Reads the signals of a response that is the endpoint's own.
+pub fn read_signals(status: StatusCode, headers: &HeaderMap) -> EndpointSignals {
+    let is_draining = values(headers, &DRAINING).any(|value| value == Some(DRAINS));
+    let may_back_off = status == StatusCode::SERVICE_UNAVAILABLE;
+    let backoff = may_back_off.then(|| read_backoff(headers)).flatten();
+    let is_draining_unread = !is_draining && headers.contains_key(DRAINING);
+    let is_backoff_unread =
+        may_back_off && backoff.is_none() && headers.contains_key(header::RETRY_AFTER);
+    EndpointSignals { is_draining, backoff, is_unreadable: is_draining_unread || is_backoff_unread }
 }
 
-fn read_rest(headers: &HeaderMap) -> Option<Duration> {
+fn read_backoff(headers: &HeaderMap) -> Option<Duration> {
     let seconds = values(headers, &header::RETRY_AFTER)
         .filter_map(|value| value?.parse::<f64>().ok())
         // Fails on what is negative, infinite or not a number.
--- a/src/platform/ingress/headers.rs
+++ b/src/platform/ingress/headers.rs
@@ -28,7 +28,7 @@
 /// `timeout=SECONDS`: how long the endpoint keeps an idle connection.
 pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// `1` on all responses of an endpoint that leaves.
-pub const LEAVING: HeaderName = HeaderName::from_static("server-leaving");
+pub const DRAINING: HeaderName = HeaderName::from_static("server-leaving");
 
 /// Headers that the gateway sets itself, or that only a gateway may set; those of a client
 /// are dropped.
--- a/tests/gateway/leaving_endpoints.rs
+++ b/tests/gateway/draining_endpoints.rs
@@ -1,4 +1,4 @@
-//! An endpoint said in its responses that it leaves, and was sent requests by the same daemons all
+//! An endpoint said in its responses that it drains, and was sent requests by the same daemons all
 //! the same. The store was away, so that its list called the endpoint ready until 13 s later; two
 //! daemons had passed on responses that said it, and sent it requests 11.0 and 11.6 s afterwards
 //! (2 s are allowed). The header was read by nobody: the line of the response that said it, and
@@ -18,8 +18,8 @@
 use googletest::prelude::*;
 
 use crate::{
-    notice_fleet::{LOAD_TIME, NoticeFleet, NoticeOutcome, SAID_FROM, TELLING, sleep_until},
-    telling_endpoint::{EndpointWord, TellingEndpoint},
+    signal_fleet::{LOAD_TIME, SAID_FROM, SignalFleet, SignalOutcome, TELLING, sleep_until},
+    signalling_endpoint::{EndpointSignal, SignallingEndpoint},
 };
 
 /// When entries are taken away, or the endpoints end.
@@ -34,50 +34,50 @@
 /// Fleets of this file are played one after another.
 static ONE_FLEET: Mutex<()> = Mutex::new(());
 
-fn play(tell: impl FnOnce(&[TellingEndpoint], Instant)) -> NoticeOutcome {
+fn play(tell: impl FnOnce(&[SignallingEndpoint], Instant)) -> SignalOutcome {
     let _one = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
-    NoticeFleet::start().play(TELLING, tell)
+    SignalFleet::start().play(TELLING, tell)
 }
 
 /// No late arrivals, and under 2 in 100 of all requests not served: eight endpoints have room.
-fn check(outcome: &NoticeOutcome) {
+fn check(outcome: &SignalOutcome) {
     let (sent, not_served) = outcome.not_served();
     let (arrivals, late) = (outcome.arrivals_in(SAID_FROM..LOAD_TIME), outcome.late_arrivals());
     println!("{arrivals} arrivals, {late} late, not served {not_served:?} of {sent}");
     expect_that!(late, eq(0));
     expect_that!(not_served.values().sum::<usize>() * 50, lt(sent));
-    expect_false!(outcome.sent.values().any(|request| request.names_leaving));
+    expect_false!(outcome.sent.values().any(|request| request.names_draining));
 }
 
-fn say(endpoints: &[TellingEndpoint], began: Instant, word: EndpointWord) {
+fn say(endpoints: &[SignallingEndpoint], began: Instant, signal: EndpointSignal) {
     sleep_until(began, SAID_FROM);
-    endpoints.iter().for_each(|endpoint| endpoint.say(word));
+    endpoints.iter().for_each(|endpoint| endpoint.say(signal));
 }
 
-fn end_and_start_again(endpoints: &[TellingEndpoint], began: Instant) {
-    say(endpoints, began, EndpointWord::Leaves);
+fn end_and_start_again(endpoints: &[SignallingEndpoint], began: Instant) {
+    say(endpoints, began, EndpointSignal::Drains);
     sleep_until(began, GONE_AT);
-    endpoints.iter().for_each(TellingEndpoint::end);
+    endpoints.iter().for_each(SignallingEndpoint::end);
     sleep_until(began, BACK_AT);
-    endpoints.iter().for_each(TellingEndpoint::start_again);
+    endpoints.iter().for_each(SignallingEndpoint::start_again);
 }
 
-fn write_entries_again(endpoints: &[TellingEndpoint], began: Instant) {
-    say(endpoints, began, EndpointWord::Leaves);
+fn write_entries_again(endpoints: &[SignallingEndpoint], began: Instant) {
+    say(endpoints, began, EndpointSignal::Drains);
     let mut at = SAID_FROM;
     while at < LOAD_TIME {
-        endpoints.iter().for_each(TellingEndpoint::register);
+        endpoints.iter().for_each(SignallingEndpoint::register);
         at += WRITE_PAUSE;
         sleep_until(began, at);
     }
 }
 
-fn take_entries_away_for_a_while(endpoints: &[TellingEndpoint], began: Instant) {
-    say(endpoints, began, EndpointWord::Leaves);
+fn take_entries_away_for_a_while(endpoints: &[SignallingEndpoint], began: Instant) {
+    say(endpoints, began, EndpointSignal::Drains);
     sleep_until(began, GONE_AT);
-    endpoints.iter().for_each(TellingEndpoint::unregister);
+    endpoints.iter().for_each(SignallingEndpoint::unregister);
     sleep_until(began, BACK_AT);
-    endpoints.iter().for_each(TellingEndpoint::register);
+    endpoints.iter().for_each(SignallingEndpoint::register);
 }
 
 macro_rules! not_chosen_any_more {
@@ -90,15 +90,15 @@
 }
 
 not_chosen_any_more! {
-    leaving_in_successes: |all, began| say(all, began, EndpointWord::Leaves);
-    leaving_in_refusals: |all, began| say(all, began, EndpointWord::LeavesRefusing);
-    leaving_in_failures: |all, began| say(all, began, EndpointWord::LeavesFailing);
-    leaving_while_entries_are_written_as_ready: write_entries_again;
-    leaving_while_entries_go_and_come_back: take_entries_away_for_a_while;
+    draining_in_successes: |all, began| say(all, began, EndpointSignal::Drains);
+    draining_in_refusals: |all, began| say(all, began, EndpointSignal::DrainsRefusing);
+    draining_in_failures: |all, began| say(all, began, EndpointSignal::DrainsFailing);
+    draining_while_entries_are_written_as_ready: write_entries_again;
+    draining_while_entries_go_and_come_back: take_entries_away_for_a_while;
 }
 
 #[googletest::test]
-fn leaving_is_over_when_an_endpoint_has_started_again() {
+fn draining_is_over_when_an_endpoint_has_started_again() {
     let outcome = play(end_and_start_again);
     check(&outcome);
     let again = BACK_AT..BACK_AT + USED_AGAIN;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway: its rules without I/O, every decoder against malformed input, and the
 //! real daemon between loopback clients and stand-ins of the platform.
 
+mod backoff_endpoints;
 mod catch_up;
 mod client_gone;
 mod crash_fleet;
@@ -10,8 +11,9 @@
 mod crashing_endpoint;
 mod crashing_requests;
 mod decoders;
+mod draining_endpoints;
 mod endpoint_choice;
-mod endpoint_notices;
+mod endpoint_signals;
 mod endpoint_standin;
 mod endpoint_starts;
 mod event_cutter;
@@ -24,15 +26,12 @@
 mod leader_state;
 mod leader_tasks;
 mod lease_numbers;
-mod leaving_endpoints;
 mod long_configuration;
 mod loopback_proxy;
-mod notice_fleet;
 mod operations;
 mod platform_standin;
 mod quotas;
 mod request_rules;
-mod resting_endpoints;
 mod retry_budget;
 mod route_changes;
 mod route_fleet;
@@ -40,11 +39,12 @@
 mod routes;
 mod sent_texts;
 mod serving;
+mod signal_fleet;
+mod signalling_endpoint;
 mod soak;
 mod soak_clients;
 mod soak_crashes;
 mod store_connections;
 mod suspension;
-mod telling_endpoint;
 mod text_model;
 mod unknown_routes;
--- a/tests/gateway/notice_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -1,5 +1,5 @@
-//! A fleet of real daemons before endpoints that say in their responses that they leave or want a
-//! rest, and clients that send far less than the others of them serve.
+//! A fleet of real daemons before endpoints that say in their responses that they drain or want a
+//! back-off, and clients that send far less than the others of them serve.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -15,7 +15,7 @@
 use crate::{
     gateway_site::{Gateway, RawAnswer, configuration, request_bytes, try_send_raw},
     platform_standin::PlatformStandin,
-    telling_endpoint::{Arrival, EndpointWord, TellingEndpoint},
+    signalling_endpoint::{Arrival, EndpointSignal, SignallingEndpoint},
 };
 
 const DAEMONS: usize = 9;
@@ -29,11 +29,11 @@
 pub const SAID_FROM: Duration = Duration::from_secs(1);
 pub const SAID_UNTIL: Duration = Duration::from_millis(6_500);
 pub const LOAD_TIME: Duration = Duration::from_millis(9_500);
-/// Time after an endpoint's word within which requests may still be on their way to it.
-const LEAVING_SLACK: Duration = Duration::from_secs(2);
-const REST_SLACK: Duration = Duration::from_millis(500);
-/// Requests that may reach an endpoint within a rest after that.
-const ALLOWED_IN_REST: usize = 2;
+/// Time after an endpoint's signal within which requests may still be on their way to it.
+const DRAINING_SLACK: Duration = Duration::from_secs(2);
+const BACKOFF_SLACK: Duration = Duration::from_millis(500);
+/// Requests that may reach an endpoint within a back-off after that.
+const ALLOWED_IN_BACKOFF: usize = 2;
 /// Calls that the store answers at once for each daemon.
 const CALLS_A_DAEMON: usize = 3;
 
@@ -45,11 +45,11 @@
     pub answered: Instant,
     pub status: u16,
     pub retry_after: Option<f64>,
-    pub names_leaving: bool,
+    pub names_draining: bool,
 }
 
 /// What became of all requests.
-pub struct NoticeOutcome {
+pub struct SignalOutcome {
     pub began: Instant,
     pub sent: HashMap<String, SentRequest>,
     /// Arrivals at each endpoint that said something.
@@ -57,24 +57,24 @@
 }
 
 /// The fleet.
-pub struct NoticeFleet {
-    pub endpoints: Vec<TellingEndpoint>,
+pub struct SignalFleet {
+    pub endpoints: Vec<SignallingEndpoint>,
     _daemons: Vec<Gateway>,
     addresses: Vec<SocketAddr>,
 }
 
-impl NoticeFleet {
+impl SignalFleet {
     /// All daemons are ready, all endpoints work.
     pub fn start() -> Self {
         let platform = Arc::new(PlatformStandin::start_with(DAEMONS * CALLS_A_DAEMON));
         platform.put("config", "main", configuration(3, &["key-1"]));
         let endpoints = (0..ENDPOINTS)
-            .map(|place| TellingEndpoint::start(&format!("i-{place}"), &platform))
+            .map(|place| SignallingEndpoint::start(&format!("i-{place}"), &platform))
             .collect();
         let mut seeds: Vec<SocketAddr> = Vec::new();
         let mut daemons = Vec::new();
         for place in 0..DAEMONS {
-            let name = format!("notice-{place}");
+            let name = format!("signal-{place}");
             let daemon = Gateway::start_at(&name, platform.address, &seeds, json!({}));
             if seeds.len() < 3 {
                 seeds.push(daemon.peers);
@@ -90,8 +90,8 @@
     pub fn play(
         &self,
         telling: usize,
-        tell: impl FnOnce(&[TellingEndpoint], Instant),
-    ) -> NoticeOutcome {
+        tell: impl FnOnce(&[SignallingEndpoint], Instant),
+    ) -> SignalOutcome {
         let began = Instant::now();
         let sent = Mutex::new(HashMap::new());
         thread::scope(|scope| {
@@ -101,8 +101,8 @@
             }
             tell(&self.endpoints[..telling], began);
         });
-        let arrivals = self.endpoints[..telling].iter().map(TellingEndpoint::arrivals).collect();
-        NoticeOutcome { began, sent: sent.into_inner().expect("lock"), arrivals }
+        let arrivals = self.endpoints[..telling].iter().map(SignallingEndpoint::arrivals).collect();
+        SignalOutcome { began, sent: sent.into_inner().expect("lock"), arrivals }
     }
 
     fn ask(&self, number: u64, until: Instant, all: &Mutex<HashMap<String, SentRequest>>) {
@@ -128,11 +128,11 @@
     fn of(daemon: usize, sent: Instant, answer: Option<RawAnswer>) -> Self {
         let header = |name: &str| answer.as_ref().and_then(|answer| answer.header(name));
         let retry_after = header("retry-after").and_then(|text| text.parse().ok());
-        let names_leaving = header("server-leaving").is_some();
+        let names_draining = header("server-leaving").is_some();
         let status =
             answer.as_ref().map_or(0, |answer| if answer.whole { answer.status } else { 0 });
         let answered = Instant::now();
-        Self { daemon, sent, answered, status, retry_after, names_leaving }
+        Self { daemon, sent, answered, status, retry_after, names_draining }
     }
 
     pub fn is_served(&self) -> bool {
@@ -140,17 +140,17 @@
     }
 }
 
-impl NoticeOutcome {
+impl SignalOutcome {
     fn daemon_of(&self, arrival: &Arrival) -> usize {
         self.sent.get(&arrival.id).map_or(usize::MAX, |request| request.daemon)
     }
 
-    /// Requests that a client sent over 2 s after an endpoint had told their daemon that it leaves,
+    /// Requests that a client sent over 2 s after an endpoint had told their daemon that it drains,
     /// and that reached that start of it.
     pub fn late_arrivals(&self) -> usize {
         let late = |arrivals: &Vec<Arrival>| {
             let mut told: BTreeMap<(usize, usize), Instant> = BTreeMap::new();
-            for arrival in arrivals.iter().filter(|arrival| arrival.word.is_leaving()) {
+            for arrival in arrivals.iter().filter(|arrival| arrival.signal.is_draining()) {
                 let key = (self.daemon_of(arrival), arrival.start);
                 let at = told.entry(key).or_insert(arrival.answered);
                 *at = (*at).min(arrival.answered);
@@ -158,29 +158,29 @@
             let is_late = |arrival: &&Arrival| {
                 let told = told.get(&(self.daemon_of(arrival), arrival.start));
                 let sent = self.sent.get(&arrival.id).map_or(arrival.at, |request| request.sent);
-                told.is_some_and(|at| sent > *at + LEAVING_SLACK)
+                told.is_some_and(|at| sent > *at + DRAINING_SLACK)
             };
             arrivals.iter().filter(is_late).count()
         };
         self.arrivals.iter().map(late).sum()
     }
 
-    /// Rests that were asked for, and those in which more than two requests came from the daemon
+    /// BacksOff that were asked for, and those in which more than two requests came from the daemon
     /// from half a second on.
-    pub fn rests(&self) -> (usize, usize) {
+    pub fn backoffs(&self) -> (usize, usize) {
         let (mut asked, mut broken) = (0, 0);
         for arrivals in &self.arrivals {
             for one in arrivals {
-                let Some(rest) = one.word.rest() else { continue };
+                let Some(backoff) = one.signal.backoff() else { continue };
                 asked += 1;
                 let daemon = self.daemon_of(one);
-                let span = one.answered + REST_SLACK..one.answered + rest;
+                let span = one.answered + BACKOFF_SLACK..one.answered + backoff;
                 let within = arrivals.iter().filter(|other| {
                     span.contains(&other.at)
                         && other.start == one.start
                         && self.daemon_of(other) == daemon
                 });
-                broken += usize::from(within.count() > ALLOWED_IN_REST);
+                broken += usize::from(within.count() > ALLOWED_IN_BACKOFF);
             }
         }
         (asked, broken)
@@ -215,12 +215,12 @@
     thread::sleep((began + at).saturating_duration_since(Instant::now()));
 }
 
-/// Has the endpoints say `word`, from `SAID_FROM` to `SAID_UNTIL`.
-pub fn say_for_a_while(word: EndpointWord) -> impl FnOnce(&[TellingEndpoint], Instant) {
+/// Has the endpoints say `signal`, from `SAID_FROM` to `SAID_UNTIL`.
+pub fn say_for_a_while(signal: EndpointSignal) -> impl FnOnce(&[SignallingEndpoint], Instant) {
     move |endpoints, began| {
         sleep_until(began, SAID_FROM);
-        endpoints.iter().for_each(|endpoint| endpoint.say(word));
+        endpoints.iter().for_each(|endpoint| endpoint.say(signal));
         sleep_until(began, SAID_UNTIL);
-        endpoints.iter().for_each(|endpoint| endpoint.say(EndpointWord::Nothing));
+        endpoints.iter().for_each(|endpoint| endpoint.say(EndpointSignal::None));
     }
 }
--- a/tests/gateway/telling_endpoint.rs
+++ b/tests/gateway/signalling_endpoint.rs
@@ -1,4 +1,4 @@
-//! Stand-in of an endpoint that says in its responses that it leaves or wants a rest, while its
+//! Stand-in of an endpoint that says in its responses that it drains or wants a back-off, while its
 //! entry in the store says what the test writes there.
 
 use std::{
@@ -26,43 +26,43 @@
 /// Time that a request takes.
 pub const WORK_TIME: Duration = Duration::from_millis(60);
 /// Longest time that an endpoint means: beyond it, it would be lost by a slip of its own.
-const LONGEST_REST: Duration = Duration::from_secs(3_600);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(3_600);
 /// Pause between two looks for new connections.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
 
 /// What the endpoint says in its responses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum EndpointWord {
+pub enum EndpointSignal {
     /// Nothing: it works.
-    Nothing,
-    /// That it leaves, and works on.
-    Leaves,
-    /// That it leaves, and turns requests away.
-    LeavesRefusing,
-    /// That it leaves, and fails.
-    LeavesFailing,
-    /// That it wants a rest, in these words, and turns requests away.
-    Rests(&'static str),
+    None,
+    /// That it drains, and works on.
+    Drains,
+    /// That it drains, and turns requests away.
+    DrainsRefusing,
+    /// That it drains, and fails.
+    DrainsFailing,
+    /// That it wants a back-off, in these words, and turns requests away.
+    BacksOff(&'static str),
     /// The same, without saying that it hasn't run the request.
-    RestsUnclear(&'static str),
+    BacksOffUnclear(&'static str),
     /// Nothing, and turns requests away.
     Refuses,
 }
 
-impl EndpointWord {
-    /// The rest that it asks for; none if it is no time, or one that nobody means.
-    pub fn rest(self) -> Option<Duration> {
+impl EndpointSignal {
+    /// The back-off that it asks for; none if it is no time, or one that nobody means.
+    pub fn backoff(self) -> Option<Duration> {
         match self {
-            Self::Rests(text) | Self::RestsUnclear(text) => {
-                let rest = Duration::from_secs_f64(text.parse().ok()?);
-                (rest <= LONGEST_REST).then_some(rest)
+            Self::BacksOff(text) | Self::BacksOffUnclear(text) => {
+                let backoff = Duration::from_secs_f64(text.parse().ok()?);
+                (backoff <= LONGEST_BACKOFF).then_some(backoff)
             }
             _ => None,
         }
     }
 
-    pub fn is_leaving(self) -> bool {
-        matches!(self, Self::Leaves | Self::LeavesRefusing | Self::LeavesFailing)
+    pub fn is_draining(self) -> bool {
+        matches!(self, Self::Drains | Self::DrainsRefusing | Self::DrainsFailing)
     }
 }
 
@@ -73,7 +73,7 @@
     pub at: Instant,
     /// When it was answered, and what the answer said.
     pub answered: Instant,
-    pub word: EndpointWord,
+    pub signal: EndpointSignal,
     /// The start of the endpoint that it reached.
     pub start: usize,
 }
@@ -82,7 +82,7 @@
     name: String,
     platform: Arc<PlatformStandin>,
     address: SocketAddr,
-    word: Mutex<EndpointWord>,
+    signal: Mutex<EndpointSignal>,
     working: AtomicUsize,
     start: AtomicUsize,
     born: Mutex<u64>,
@@ -93,11 +93,11 @@
 }
 
 /// The running stand-in.
-pub struct TellingEndpoint {
+pub struct SignallingEndpoint {
     shared: Arc<Shared>,
 }
 
-impl TellingEndpoint {
+impl SignallingEndpoint {
     /// Starts and registers an endpoint of the pool.
     pub fn start(name: &str, platform: &Arc<PlatformStandin>) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
@@ -105,7 +105,7 @@
             name: name.to_owned(),
             platform: platform.clone(),
             address: listener.local_addr().expect("address"),
-            word: Mutex::new(EndpointWord::Nothing),
+            signal: Mutex::new(EndpointSignal::None),
             working: AtomicUsize::new(0),
             start: AtomicUsize::new(0),
             born: Mutex::new(now_ms()),
@@ -121,8 +121,8 @@
         endpoint
     }
 
-    pub fn say(&self, word: EndpointWord) {
-        *self.shared.word.lock().expect("lock") = word;
+    pub fn say(&self, signal: EndpointSignal) {
+        *self.shared.signal.lock().expect("lock") = signal;
     }
 
     /// Writes its entry, as ready.
@@ -150,7 +150,7 @@
 
     /// Starts it again under its id, and registers it.
     pub fn start_again(&self) {
-        self.say(EndpointWord::Nothing);
+        self.say(EndpointSignal::None);
         *self.shared.born.lock().expect("lock") = now_ms();
         self.shared.start.fetch_add(1, Ordering::SeqCst);
         self.shared.is_down.store(false, Ordering::SeqCst);
@@ -162,7 +162,7 @@
     }
 }
 
-impl Drop for TellingEndpoint {
+impl Drop for SignallingEndpoint {
     fn drop(&mut self) {
         self.shared.is_dropped.store(true, Ordering::SeqCst);
         self.end();
@@ -221,34 +221,39 @@
         if request.header("x-expect-instance") != Some(self.name.as_str()) {
             return refuse(out, "421 Misdirected Request", id, "X-Instance-Id: other");
         }
-        let word = *self.word.lock().expect("lock");
+        let signal = *self.signal.lock().expect("lock");
         let start = self.start.load(Ordering::SeqCst);
-        let goes_on = self.answer_by(out, request, word);
+        let goes_on = self.answer_by(out, request, signal);
         let id = id.to_owned();
-        let arrival = Arrival { id, at, answered: Instant::now(), word, start };
+        let arrival = Arrival { id, at, answered: Instant::now(), signal, start };
         self.arrivals.lock().expect("lock").push(arrival);
         goes_on
     }
 
-    fn answer_by(&self, out: &mut TcpStream, request: &SeenRequest, word: EndpointWord) -> bool {
+    fn answer_by(
+        &self,
+        out: &mut TcpStream,
+        request: &SeenRequest,
+        signal: EndpointSignal,
+    ) -> bool {
         let id = request.id();
         let unavailable = "503 Service Unavailable";
-        match word {
-            EndpointWord::Nothing => self.work(out, id, ""),
-            EndpointWord::Leaves => self.work(out, id, "Server-Leaving: 1\r\n"),
-            EndpointWord::LeavesRefusing => {
+        match signal {
+            EndpointSignal::None => self.work(out, id, ""),
+            EndpointSignal::Drains => self.work(out, id, "Server-Leaving: 1\r\n"),
+            EndpointSignal::DrainsRefusing => {
                 refuse(out, unavailable, id, "X-Not-Executed: 1\r\nServer-Leaving: 1")
             }
-            EndpointWord::LeavesFailing => {
+            EndpointSignal::DrainsFailing => {
                 refuse(out, "500 Internal Server Error", id, "Server-Leaving: 1")
             }
-            EndpointWord::Rests(text) => {
+            EndpointSignal::BacksOff(text) => {
                 refuse(out, unavailable, id, &format!("X-Not-Executed: 1\r\nRetry-After: {text}"))
             }
-            EndpointWord::RestsUnclear(text) => {
+            EndpointSignal::BacksOffUnclear(text) => {
                 refuse(out, unavailable, id, &format!("Retry-After: {text}"))
             }
-            EndpointWord::Refuses => refuse(out, unavailable, id, "X-Not-Executed: 1"),
+            EndpointSignal::Refuses => refuse(out, unavailable, id, "X-Not-Executed: 1"),
         }
     }
 
