--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -31,7 +31,7 @@
     platform_standin::PlatformStandin,
     soak_clients::{Exchange, SoakClient},
     soak_crashes::{CrashLane, with_fragile_service},
-    soak_signals::{SIGNAL_CLIENTS, SignalLane, with_speaking_service},
+    soak_signals::{SIGNAL_CLIENTS, SPEAKERS, SignalLane, with_speaking_service},
 };
 
 /// Seeds played where the environment names no number.
@@ -289,7 +289,9 @@
         scope.spawn(move || lane.crash(addresses, until, seed));
         scope.spawn(move || lane.ask(addresses, until, seed));
         let lane = &site.signal_lane;
-        scope.spawn(move || lane.speak(until, seed));
+        for group in 0..SPEAKERS {
+            scope.spawn(move || lane.speak(group, until, seed));
+        }
         for number in 0..SIGNAL_CLIENTS {
             scope.spawn(move || lane.ask(number, addresses, until, seed));
         }
--- a/tests/gateway/soak_signals.rs
+++ b/tests/gateway/soak_signals.rs
@@ -22,13 +22,15 @@
 };
 
 const SERVICE: &str = "speaking";
-const ENDPOINTS: usize = 6;
+/// Groups of endpoints of which one after the other says something, and the endpoints of a group.
+pub const SPEAKERS: usize = 3;
+const GROUP: usize = 2;
 /// Clients of this service.
 pub const SIGNAL_CLIENTS: u64 = 4;
 /// Pause between two requests of one client, in milliseconds.
 const PAUSE_MS: Range<u64> = 10..60;
 /// How long an endpoint says something, and the pause before the next does, in milliseconds.
-const SAID_MS: Range<u64> = 300..3_500;
+const SAID_MS: Range<u64> = 300..4_000;
 const QUIET_MS: Range<u64> = 50..600;
 /// Time for which an endpoint is down that starts again, in milliseconds.
 const DOWN_MS: Range<u64> = 1..300;
@@ -76,7 +78,7 @@
             SignallingEndpoint::start(&format!("speaking-{place}"), SERVICE, platform)
         };
         Self {
-            endpoints: (0..ENDPOINTS).map(endpoint).collect(),
+            endpoints: (0..SPEAKERS * GROUP).map(endpoint).collect(),
             sent: Mutex::default(),
             disturbances: Mutex::default(),
         }
@@ -88,11 +90,12 @@
         self.disturbances.lock().expect("lock").push(disturbance);
     }
 
-    /// Has one endpoint after the other say something, and checks what came of it.
-    pub fn speak(&self, until: Instant, seed: u64) {
-        let mut rng = SmallRng::seed_from_u64(seed * 10 + 7);
+    /// Has one endpoint of a group after the other say something, and checks what came of it.
+    pub fn speak(&self, group: usize, until: Instant, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(seed * 10 + group as u64);
+        let endpoints = &self.endpoints[group * GROUP..][..GROUP];
         while Instant::now() < until {
-            let endpoint = self.endpoints.choose(&mut rng).expect("an endpoint");
+            let endpoint = endpoints.choose(&mut rng).expect("an endpoint");
             let signal = *SIGNALS.choose(&mut rng).expect("a signal");
             endpoint.say(signal);
             self.rewrite_entry(endpoint, &mut rng);
