Failing tests: a lease record that another writer has spoilt or removed

Cause: such a record counts as none; every write of the lease is made for an object that does not exist yet and conflicts, or the fence begins at 1 again.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod exchange;
 mod fleet;
 mod foreign_entries;
+mod foreign_lease;
 mod gateway_site;
 mod groups;
 mod leader_rules;
