Leader lease: a record that another writer has spoilt or removed is replaced

Cause: an unreadable record counted as none, so that every write was made for an object that does not exist yet and conflicted; a removed one let the fence begin at 1 again.

Change: a spoilt record is waited for like one that is no longer renewed, then replaced with a fence above all former ones (the store's revision: each fence took a write of its own). A removed one goes on from the fence that gossip knows. Windows that the lost record may have held are not reported again. In the soak, odd times no longer end the check.

--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -176,7 +176,8 @@
         }
         let last_reported = record.report.as_ref().map(|report| report.window);
         let now_ms = self.context.wall_clock.borrow().now_ms(now);
-        let window = due_window(last_reported, now_ms, self.context.settings.bounds.usage_window)?;
+        let length = self.context.settings.bounds.usage_window;
+        let window = due_window(last_reported, record.first_window, now_ms, length)?;
         Some(UsageReport { window, counts: self.context.usage.borrow().total(window) })
     }
 
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -6,14 +6,14 @@
 use tokio::time::Instant;
 
 use super::{
-    lease_keeper::{LeaseKeeper, SeenLease},
+    lease_keeper::{LeaseKeeper, LeaseSight},
     lease_record::LeaseRecord,
     quarantine,
 };
 use crate::{
     errors::StepError,
     gateway::policy::leader::leader_lease::{
-        AcquireDecision, LeaseOwner, ObservedLease, decide_acquire,
+        AcquireDecision, FIRST_FENCE, LeaseOwner, ObservedLease, decide_acquire, spoilt_fence,
     },
     ids::SharedName,
     true_time,
@@ -62,15 +62,9 @@
             return Ok(AcquireResult::NotAcquired);
         }
         let object = self.store.read().await?;
-        let seen = self.observe(object, now);
-        let observed = seen.as_ref().map(|seen| ObservedLease {
-            fence: seen.record.fence,
-            owner: self.owner_of(&seen.record),
-            released: seen.record.released,
-            unchanged_for: now.saturating_duration_since(seen.since),
-        });
-        match decide_acquire(observed, self.lease()) {
-            AcquireDecision::Acquire { fence } => self.acquire(fence, seen).await,
+        let sight = self.observe(object, now);
+        match decide_acquire(self.observed(&sight, now), self.lease()) {
+            AcquireDecision::Acquire { fence } => self.acquire(fence, sight).await,
             AcquireDecision::Wait(wait) => {
                 let spread = rand::rng().random_range(0..ACQUIRE_SPREAD_MS);
                 Ok(AcquireResult::RetryAt(now + wait + Duration::from_millis(spread)))
@@ -78,6 +72,33 @@
         }
     }
 
+    /// What the object says of the lease; none if there never was one, as far as known.
+    fn observed(&self, sight: &LeaseSight, now: Instant) -> Option<ObservedLease> {
+        let unchanged_for = |since: Instant| now.saturating_duration_since(since);
+        match sight {
+            LeaseSight::Seen(seen) => Some(ObservedLease {
+                fence: seen.record.fence,
+                owner: self.owner_of(&seen.record),
+                released: seen.record.released,
+                unchanged_for: unchanged_for(seen.since),
+            }),
+            LeaseSight::Spoilt(spoilt) => {
+                let known = self.context.lease.borrow().fence;
+                let fence = spoilt_fence(known, spoilt.revision);
+                Some(ObservedLease::of_lost_record(fence, unchanged_for(spoilt.since)))
+            }
+            LeaseSight::Absent => {
+                let lease = self.context.lease.borrow();
+                let renewed_at = lease.renewed_at?;
+                Some(ObservedLease::of_lost_record(lease.fence, unchanged_for(renewed_at)))
+            }
+        }
+    }
+
+    fn current_window(&self) -> u64 {
+        self.context.wall_clock.borrow().window(self.context.settings.bounds.usage_window)
+    }
+
     fn owner_of(&self, record: &LeaseRecord) -> LeaseOwner {
         if record.incarnation == self.context.incarnation.0 {
             LeaseOwner::ThisProcess
@@ -94,18 +115,23 @@
         record.holder == settings.name && record.address == Some(settings.peer_address)
     }
 
-    /// Writes the lease as this daemon's, if the object is still as in `seen`. The former
+    /// Writes the lease as this daemon's, if the object is still as in `sight`. The former
     /// holder's requirements and report are carried over.
-    async fn acquire(
-        &mut self,
-        fence: u64,
-        seen: Option<SeenLease>,
-    ) -> Result<AcquireResult, StepError> {
-        let renewals = first_renewal(fence, seen.as_ref());
-        let (revision, required_endpoints, report) = match seen {
-            Some(seen) => (seen.revision, seen.record.required_endpoints, seen.record.report),
-            None => (NO_REVISION, BTreeMap::new(), None),
+    async fn acquire(&mut self, fence: u64, sight: LeaseSight) -> Result<AcquireResult, StepError> {
+        let (revision, former) = match sight {
+            LeaseSight::Seen(seen) => (seen.revision, Some(seen.record)),
+            LeaseSight::Spoilt(spoilt) => (spoilt.revision, None),
+            LeaseSight::Absent => (NO_REVISION, None),
+        };
+        let renewals = first_renewal(fence, former.as_ref());
+        let first_window = match &former {
+            Some(former) => former.first_window,
+            None if fence == FIRST_FENCE => 0,
+            // A window that a lost record held may have been reported.
+            None => self.current_window(),
         };
+        let (required_endpoints, report) = former
+            .map_or_else(Default::default, |former| (former.required_endpoints, former.report));
         let record = LeaseRecord {
             holder: self.context.settings.name.clone(),
             address: Some(self.context.settings.peer_address),
@@ -117,6 +143,7 @@
             throttled: self.throttled_accounts(),
             quarantined: quarantine::stored_requests(&self.context),
             required_endpoints: required_endpoints.clone(),
+            first_window,
             report,
         };
         if !self.write(revision, record).await? {
@@ -131,7 +158,7 @@
 /// Number of the write that acquires the lease. A process that acquires its own lease again keeps
 /// the fence and goes on counting: others know a renewal by fence and number. Numbered from 0
 /// again, one of six others acquired the lease within 2 s while its holder renewed it.
-fn first_renewal(fence: u64, seen: Option<&SeenLease>) -> u64 {
-    let own = seen.filter(|seen| seen.record.fence == fence);
-    own.map_or(0, |seen| seen.record.renewals + 1)
+fn first_renewal(fence: u64, former: Option<&LeaseRecord>) -> u64 {
+    let own = former.filter(|former| former.fence == fence);
+    own.map_or(0, |former| former.renewals + 1)
 }
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -39,11 +39,33 @@
     pub since: Instant,
 }
 
+/// A lease object that no daemon has written: another writer has spoilt it.
+#[derive(Clone, Copy, Debug)]
+pub struct SpoiltLease {
+    /// Revision that was read.
+    pub revision: u64,
+    /// When the store was asked that first showed this revision.
+    pub since: Instant,
+}
+
+/// The lease object as the store shows it.
+#[derive(Clone, Debug)]
+pub enum LeaseSight {
+    /// There is none.
+    Absent,
+    /// It can't be read.
+    Spoilt(SpoiltLease),
+    /// A daemon has written it.
+    Seen(Box<SeenLease>),
+}
+
 /// The lease as one daemon keeps it.
 pub struct LeaseKeeper {
     pub(super) context: Rc<GatewayContext>,
     pub(super) store: LeaseStore,
     pub(super) seen: Option<SeenLease>,
+    /// The object, if it was spoilt when it was last read.
+    spoilt: Option<SpoiltLease>,
     /// Whether the outcome of the last write is not known.
     is_write_unconfirmed: bool,
 }
@@ -52,7 +74,7 @@
     /// Keeper that has read nothing yet.
     pub fn new(context: Rc<GatewayContext>) -> Self {
         let store = LeaseStore::new(context.clone());
-        Self { context, store, seen: None, is_write_unconfirmed: false }
+        Self { context, store, seen: None, spoilt: None, is_write_unconfirmed: false }
     }
 
     /// Reads what the last holder wrote of the fleet: quotas depend on it from the start.
@@ -92,27 +114,25 @@
         self.context.settings.bounds.lease
     }
 
-    /// Applies the lease object that was requested at `asked_at`; none if there is no readable
-    /// one.
+    /// Applies the lease object that was requested at `asked_at`.
     pub(super) fn observe(
         &mut self,
         object: Option<StoredObject>,
         asked_at: Instant,
-    ) -> Option<SeenLease> {
+    ) -> LeaseSight {
         let Some(object) = object else {
-            // There never was a holder: all daemons are just starting.
-            let known = self.known_daemons();
-            self.context.fleet_size.set(self.context.fleet_size.get().or(Some(known)));
-            self.context.quotas.borrow_mut().set_throttled_before([]);
-            return None;
+            self.observe_no_record();
+            return LeaseSight::Absent;
         };
         let record: LeaseRecord = match serde_json::from_str(&object.value) {
             Ok(record) => record,
             Err(error) => {
                 spdlog::error!("lease record not decoded: {}", error);
-                return None;
+                self.observe_no_record();
+                return LeaseSight::Spoilt(self.observe_spoilt(object.revision, asked_at));
             }
         };
+        self.spoilt = None;
         self.context.fleet_size.set(Some(record.daemons.max(1)));
         quarantine::restore_requests(&self.context, &record.quarantined);
         self.context.quotas.borrow_mut().set_throttled_before(record.throttled.iter().cloned());
@@ -122,7 +142,22 @@
         };
         let seen = SeenLease { revision: object.revision, record, since };
         self.seen = Some(seen.clone());
-        Some(seen)
+        LeaseSight::Seen(Box::new(seen))
+    }
+
+    /// Nothing is known of the former holder's fleet: there never was one and all daemons are just
+    /// starting, or its record is lost.
+    fn observe_no_record(&self) {
+        let known = self.known_daemons();
+        self.context.fleet_size.set(self.context.fleet_size.get().or(Some(known)));
+        self.context.quotas.borrow_mut().set_throttled_before([]);
+    }
+
+    fn observe_spoilt(&mut self, revision: u64, asked_at: Instant) -> SpoiltLease {
+        let known = self.spoilt.filter(|known| known.revision == revision);
+        let spoilt = known.unwrap_or(SpoiltLease { revision, since: asked_at });
+        self.spoilt = Some(spoilt);
+        spoilt
     }
 
     /// When gossip says that the renewal in `record` began, if it knows of no later one.
@@ -212,10 +247,13 @@
         };
         self.is_write_unconfirmed = false;
         let seen = self.observe(object?, asked_at);
-        let is_own = seen.is_some_and(|seen| {
-            seen.record.incarnation == self.context.incarnation.0
-                && seen.record.fence == self.context.lease.borrow().fence
-        });
+        let is_own = match seen {
+            LeaseSight::Seen(seen) => {
+                seen.record.incarnation == self.context.incarnation.0
+                    && seen.record.fence == self.context.lease.borrow().fence
+            }
+            LeaseSight::Absent | LeaseSight::Spoilt(_) => false,
+        };
         if !is_own {
             self.lose(LossReason::OtherHolder);
         }
--- a/src/gateway/leader/lease_record.rs
+++ b/src/gateway/leader/lease_record.rs
@@ -29,6 +29,10 @@
     pub crash_age_ms: u64,
 }
 
+fn is_zero(number: &u64) -> bool {
+    *number == 0
+}
+
 /// The lease as stored.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct LeaseRecord {
@@ -58,6 +62,9 @@
     /// Requests that crash endpoints: daemons that start after all have ended know them from here.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub quarantined: Vec<QuarantinedRequest>,
+    /// Windows before this one are not reported: a former holder, whose record is lost, may have.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub first_window: u64,
     /// The newest report.
     pub report: Option<UsageReport>,
 }
--- a/src/gateway/policy/leader/leader_lease.rs
+++ b/src/gateway/policy/leader/leader_lease.rs
@@ -9,6 +9,9 @@
 //! to the cloud up after a second. Others acquire the lease only after they have seen the object
 //! unchanged for a whole lease and [`ACQUIRE_MARGIN`], so the two can't overlap.
 //!
+//! A record that another writer has spoilt or removed is replaced like one that is no longer
+//! renewed, with a fence above all former ones. Of a removed one the fence is known by gossip only.
+//!
 //! Renewals are also reported by gossip, so that daemons other than the holder read the store
 //! only when these reports stop. If the object then still holds the renewal that was reported
 //! last, it has been unchanged since that renewal began, and the wait counts from there.
@@ -37,7 +40,7 @@
 /// Fence of the first holder.
 ///
 /// Basis: 0 means in gossip messages that no lease is known.
-const FIRST_FENCE: u64 = 1;
+pub const FIRST_FENCE: u64 = 1;
 
 /// What this daemon knows of the lease.
 #[derive(Clone, Debug, Default)]
@@ -142,6 +145,20 @@
     pub unchanged_for: Duration,
 }
 
+impl ObservedLease {
+    /// A lease whose record is spoilt or gone. Its holder can't renew it any more, and acts until its
+    /// last renewal is too old.
+    pub fn of_lost_record(fence: u64, unchanged_for: Duration) -> Self {
+        Self { fence, owner: LeaseOwner::Other, released: false, unchanged_for }
+    }
+}
+
+/// Fence of a lease whose record is spoilt: none that was ever used is higher. Each fence took a write
+/// of its own, and each write raises the store's revision.
+pub fn spoilt_fence(known: u64, revision: u64) -> u64 {
+    known.max(revision)
+}
+
 /// What to do about a lease that this daemon does not hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AcquireDecision {
@@ -154,7 +171,7 @@
     Wait(Duration),
 }
 
-/// Whether to acquire the lease; `observed` is none if the store has no readable one.
+/// Whether to acquire the lease; `observed` is none if there never was one, as far as known.
 pub fn decide_acquire(observed: Option<ObservedLease>, lease: Duration) -> AcquireDecision {
     let Some(observed) = observed else {
         return AcquireDecision::Acquire { fence: FIRST_FENCE };
--- a/src/gateway/policy/leader/usage_reports.rs
+++ b/src/gateway/policy/leader/usage_reports.rs
@@ -5,7 +5,8 @@
 //! by gossip. A leader that has just started waits until it has heard them, and also those of
 //! daemons that have ended, which the others pass on to it. If there was no leader for longer
 //! than a few windows, the oldest ones are left out. Without an earlier report the newest
-//! complete window is the first.
+//! complete window is the first, unless a record of former reports was lost: then the first one is
+//! that in which the lease was acquired.
 
 use std::{ops::Range, time::Duration};
 
@@ -35,12 +36,18 @@
 const FORMER_USAGE_AGES: Range<Duration> = Duration::from_millis(500)..Duration::from_millis(3_500);
 
 /// Number of the window to report at `now_ms` (milliseconds since 1970), if one is due.
-pub fn due_window(last_reported: Option<u64>, now_ms: u64, length: Duration) -> Option<u64> {
+/// Windows before `first_window` are left out.
+pub fn due_window(
+    last_reported: Option<u64>,
+    first_window: u64,
+    now_ms: u64,
+    length: Duration,
+) -> Option<u64> {
     let delay_ms = REPORT_DELAY.as_millis() as u64;
     let current = now_ms.saturating_sub(delay_ms) / length.as_millis() as u64;
     let newest = current.checked_sub(1)?;
     let next = last_reported.map_or(newest, |window| window + 1);
-    let window = next.max(newest.saturating_sub(REPORTABLE_WINDOWS - 1));
+    let window = next.max(newest.saturating_sub(REPORTABLE_WINDOWS - 1)).max(first_window);
     (window <= newest).then_some(window)
 }
 
--- a/tests/gateway/leader_rules.rs
+++ b/tests/gateway/leader_rules.rs
@@ -78,7 +78,7 @@
         (Some(8), 21_500, Some(9)),
         (Some(2), 21_500, Some(7)),
     ] {
-        expect_that!(due_window(last, now_ms, length), eq(window), "{last:?} at {now_ms} ms");
+        expect_that!(due_window(last, 0, now_ms, length), eq(window), "{last:?} at {now_ms} ms");
     }
 }
 
--- a/tests/gateway/signalling_endpoint.rs
+++ b/tests/gateway/signalling_endpoint.rs
@@ -54,7 +54,7 @@
     pub fn backoff(self) -> Option<Duration> {
         match self {
             Self::BacksOff(text) | Self::BacksOffUnclear(text) => {
-                let backoff = Duration::from_secs_f64(text.parse().ok()?);
+                let backoff = Duration::try_from_secs_f64(text.parse().ok()?).ok()?;
                 (backoff <= LONGEST_BACKOFF).then_some(backoff)
             }
             _ => None,
