Reading: responses are judged in a module of their own; the circle of context and crash_watch is open

Change: attempt::judge; crash_checks holds what context owns of the checks, without rules; the choice's cost of failures and refusals is a function. No behaviour differs.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -38,7 +38,7 @@
             retry_budget::RetryBudgets,
         },
     },
-    request::{connection_pool::ConnectionPool, crash_watch::CrashChecks},
+    request::{connection_pool::ConnectionPool, crash_checks::CrashChecks},
     settings::GatewaySettings,
 };
 use crate::{
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -33,7 +33,7 @@
             retry_budget::RetryBudgets,
         },
     },
-    request::{client_listener, connection_pool::ConnectionPool, crash_watch::CrashChecks},
+    request::{client_listener, connection_pool::ConnectionPool, crash_checks::CrashChecks},
     settings::{GatewaySettings, ServiceBounds},
     status_listeners,
     store_watch::{configuration_watch, endpoint_watch},
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -166,12 +166,9 @@
         let is_affinity = affinity.as_ref() == Some(&status.record.id);
         let uncached_tokens = uncached_tokens(status, query, &chain, is_affinity);
         let estimated_wait_ms = site.estimated_wait_ms(status, &load, uncached_tokens);
-        let failure_ms = status.health.recent_failures(now) * FAILURE_MS;
         let delay_ms = site.prefill_ms(uncached_tokens) * query.delay_to_others();
-        let is_risk = status.pause.is_probing() && !query.may_retry;
-        let risk_ms = if is_risk { PROBE_RISK_MS } else { 0.0 };
         let noise_ms = rng.random_range(0.0..NOISE_MS);
-        let cost_ms = estimated_wait_ms + delay_ms + failure_ms + risk_ms + noise_ms;
+        let cost_ms = estimated_wait_ms + delay_ms + failure_ms(status, query, now) + noise_ms;
         if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
             let endpoint = status.record.clone();
             let choice = EndpointChoice { endpoint, uncached_tokens, estimated_wait_ms };
@@ -185,6 +182,13 @@
     }
 }
 
+/// Cost of what may go wrong at an endpoint, by its recent failures and refusals, in milliseconds.
+fn failure_ms(status: &EndpointStatus, query: &ChoiceQuery<'_>, now: Instant) -> f64 {
+    let is_risk = status.pause.is_probing() && !query.may_retry;
+    let risk_ms = if is_risk { PROBE_RISK_MS } else { 0.0 };
+    status.health.recent_failures(now) * FAILURE_MS + risk_ms
+}
+
 /// A choice with its cost.
 struct CostedChoice {
     choice: EndpointChoice,
--- a/src/gateway/policy/endpoint/refusal_pause.rs
+++ b/src/gateway/policy/endpoint/refusal_pause.rs
@@ -2,7 +2,7 @@
 //!
 //! | refusal | pause | afterwards |
 //! |---|---|---|
-//! | names a time | that time | requests come back slowly |
+//! | with a time | so long | requests return slowly |
 //! | of a busy endpoint | short | as before |
 //! | of an endpoint that seemed to have room | short, doubled with each further one | slowly |
 //! | of such an endpoint, reported by another daemon | none; one that has begun here for no known reason begins anew | slowly |
--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -33,7 +33,7 @@
 /// Basis: chosen, not measured: longer than the store is away, and than lists lag behind.
 const UNLISTED_KEPT: Duration = Duration::from_secs(3_600);
 /// Most warnings in one message.
-/// Basis: chosen, not measured: 1.5 KB a message; where more drain at once, lists tell of them too.
+/// Basis: chosen, not measured: 1.5 KB a message; of more at once, lists tell too.
 const MAX_TOLD: usize = 64;
 
 /// One start of an endpoint.
@@ -123,7 +123,7 @@
     pub fn of(&self, start: NumberedStart) -> HeldSignals {
         let entry = self.by_endpoint.get(&start.endpoint);
         let held = entry.filter(|entry| entry.born == 0 || start.born <= entry.born);
-        held.map(|entry| entry.signals).unwrap_or_default()
+        held.map_or_else(HeldSignals::default, |entry| entry.signals)
     }
 
     /// Drops signals of earlier starts than those of the list, and old ones of endpoints that it
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -5,6 +5,7 @@
 //! `policy::request::retries`.
 
 mod choice;
+mod judge;
 
 use std::rc::Rc;
 
@@ -16,14 +17,17 @@
 use tokio::time::Instant;
 
 pub use self::choice::wait_for_room;
-use self::choice::{check_quarantine, choose, memory_tokens, prompt_tokens};
+use self::{
+    choice::{check_quarantine, choose, memory_tokens, prompt_tokens},
+    judge::judge,
+};
 use super::{
     admission::Admitted,
     connection_pool::{EndpointConnection, SendFailure},
-    crash_watch::{self, BrokenRun},
-    drain::drain,
+    crash_checks::BrokenRun,
+    crash_watch,
     request_log::RequestTrace,
-    response_meaning::{ResponseMeaning, ResponseSigns},
+    response_meaning::ResponseSigns,
     run_guard::RunGuard,
 };
 use crate::{
@@ -36,7 +40,7 @@
             endpoint::{endpoint_choice::EndpointChoice, endpoint_load::RunLoad},
             request::{
                 endpoint_priority::endpoint_priority,
-                refusal::{self, Refusal},
+                refusal::Refusal,
                 retries::{AttemptFailure, connection_reuse},
                 time_limits,
             },
@@ -108,18 +112,11 @@
     let taking = context.connections.take(&endpoint, reuse, admitted.deadline);
     let mut connection = match taking.await {
         Ok(connection) => connection,
-        Err(failure) => {
-            trace.failed(&failure);
-            guard.finish(AttemptResult::Failed);
-            return Ok(AttemptEnd::Failed(AttemptFailure::NotSent));
-        }
+        Err(failure) => return Ok(not_connected(&failure, guard, trace)),
     };
     let now = true_time::now();
     if !context.endpoints.borrow().may_be_sent(&endpoint, now) {
-        // While the connection came up it has said that it drains or wants a back-off, or a list has.
-        trace.not_sent();
-        context.connections.give_back(connection, None);
-        return Ok(AttemptEnd::Failed(AttemptFailure::NotSent));
+        return Ok(choose_anew(context, connection, trace));
     }
     let request = endpoint_request(admitted, &endpoint.id, resume_after, now);
     let until = awaited_until(admitted, attempts, &choice, now);
@@ -136,6 +133,24 @@
     }
 }
 
+fn not_connected(failure: &SendFailure, guard: RunGuard, trace: &mut RequestTrace) -> AttemptEnd {
+    trace.failed(failure);
+    guard.finish(AttemptResult::Failed);
+    AttemptEnd::Failed(AttemptFailure::NotSent)
+}
+
+/// While the connection came up its endpoint has said that it drains or wants a back-off, or a list has
+/// said that it goes: nothing is sent.
+fn choose_anew(
+    context: &GatewayContext,
+    connection: EndpointConnection,
+    trace: &mut RequestTrace,
+) -> AttemptEnd {
+    trace.not_sent();
+    context.connections.give_back(connection, None);
+    AttemptEnd::Failed(AttemptFailure::NotSent)
+}
+
 fn begin_run(
     context: &Rc<GatewayContext>,
     admitted: &Admitted,
@@ -204,61 +219,6 @@
     crash_watch::run_broke(context, endpoint, run);
 }
 
-fn judge(
-    context: &Rc<GatewayContext>,
-    admitted: &Admitted,
-    response: Response<Incoming>,
-    connection: EndpointConnection,
-    mut guard: RunGuard,
-    trace: &mut RequestTrace,
-) -> AttemptEnd {
-    let signs = ingress::read_response(&admitted.call.head.id, &response);
-    trace.responded(response.status(), &signs);
-    if signs.signals.is_draining {
-        // Without it 470 of 676 requests reached endpoints over 2 s after their responses had said
-        // that they drain (9 real daemons, 4 of 12 endpoints, 8.5 s); with it none.
-        guard.endpoint_drains();
-    }
-    match signs.meaning {
-        ResponseMeaning::Ran if refusal::promises_no_run(response.status()) => {
-            // The client would take the status for a promise that the endpoint has not made.
-            admitted.count_run(context);
-            guard.endpoint_refused(signs.signals.backoff);
-            guard.finish(AttemptResult::Neutral);
-            drain(context, response, connection, signs);
-            AttemptEnd::Failed(AttemptFailure::MayHaveRun)
-        }
-        ResponseMeaning::Ran => {
-            let is_stream = admitted.route.kind.is_stream() && response.status().is_success();
-            if !is_stream {
-                // An error is a run too, also if it is dropped for a retry. A stream's run
-                // begins with its first event.
-                admitted.count_run(context);
-            }
-            guard.endpoint_ran();
-            let response = EndpointResponse { response, signs, connection, guard };
-            AttemptEnd::Responded(Box::new(response))
-        }
-        ResponseMeaning::NotRun => {
-            guard.endpoint_refused(signs.signals.backoff);
-            guard.finish(AttemptResult::Neutral);
-            drain(context, response, connection, signs);
-            AttemptEnd::Failed(AttemptFailure::NotRun)
-        }
-        ResponseMeaning::OtherEndpoint => {
-            guard.endpoint_ended();
-            context.connections.discard_connections(guard.endpoint());
-            guard.finish(AttemptResult::Failed);
-            AttemptEnd::Failed(AttemptFailure::NotRun)
-        }
-        ResponseMeaning::Foreign => {
-            context.connections.discard_connections(guard.endpoint());
-            guard.finish(AttemptResult::Failed);
-            AttemptEnd::Failed(AttemptFailure::MayHaveRun)
-        }
-    }
-}
-
 fn endpoint_request(
     admitted: &Admitted,
     endpoint: &str,
--- /dev/null
+++ b/src/gateway/request/attempt/judge.rs
@@ -0,0 +1,94 @@
+//! What the head of a response means for its request, and what it says of its endpoint.
+//!
+//! All responses come through here, whatever becomes of them: passed on, dropped for a retry, or
+//! given up. `docs/design/endpoint-signals.md` has a table of what endpoints say.
+
+use std::rc::Rc;
+
+use hyper::{Response, body::Incoming};
+
+use super::{AttemptEnd, EndpointResponse};
+use crate::{
+    endpoint_health::AttemptResult,
+    gateway::{
+        context::GatewayContext,
+        policy::request::{refusal::promises_no_run, retries::AttemptFailure},
+        request::{
+            admission::Admitted, connection_pool::EndpointConnection, drain::drain,
+            request_log::RequestTrace, response_meaning::ResponseMeaning, run_guard::RunGuard,
+        },
+    },
+    platform::ingress,
+};
+
+/// Judges the head of a response.
+pub fn judge(
+    context: &Rc<GatewayContext>,
+    admitted: &Admitted,
+    response: Response<Incoming>,
+    connection: EndpointConnection,
+    guard: RunGuard,
+    trace: &mut RequestTrace,
+) -> AttemptEnd {
+    let signs = ingress::read_response(&admitted.call.head.id, &response);
+    trace.responded(response.status(), &signs);
+    if signs.signals.is_draining {
+        // Without it 470 of 676 requests reached endpoints over 2 s after their responses had said
+        // that they drain (9 real daemons, 4 of 12 endpoints, 8.5 s); with it none.
+        guard.endpoint_drains();
+    }
+    let status = response.status();
+    let response = EndpointResponse { response, signs, connection, guard };
+    match signs.meaning {
+        ResponseMeaning::Ran if promises_no_run(status) => {
+            // The client would take the status for a promise that the endpoint has not made.
+            admitted.count_run(context);
+            refused(context, response, AttemptFailure::MayHaveRun)
+        }
+        ResponseMeaning::Ran => ran(context, admitted, response),
+        ResponseMeaning::NotRun => refused(context, response, AttemptFailure::NotRun),
+        ResponseMeaning::OtherEndpoint => {
+            response.guard.endpoint_ended();
+            not_its_own(context, response, AttemptFailure::NotRun)
+        }
+        ResponseMeaning::Foreign => not_its_own(context, response, AttemptFailure::MayHaveRun),
+    }
+}
+
+fn ran(
+    context: &GatewayContext,
+    admitted: &Admitted,
+    mut response: EndpointResponse,
+) -> AttemptEnd {
+    let is_success = response.response.status().is_success();
+    if !(admitted.route.kind.is_stream() && is_success) {
+        // An error is a run too, also if it is dropped for a retry. A stream's run begins with
+        // its first event.
+        admitted.count_run(context);
+    }
+    response.guard.endpoint_ran();
+    AttemptEnd::Responded(Box::new(response))
+}
+
+fn refused(
+    context: &Rc<GatewayContext>,
+    response: EndpointResponse,
+    failure: AttemptFailure,
+) -> AttemptEnd {
+    let EndpointResponse { response, signs, connection, mut guard } = response;
+    guard.endpoint_refused(signs.signals.backoff);
+    guard.finish(AttemptResult::Neutral);
+    drain(context, response, connection, signs);
+    AttemptEnd::Failed(failure)
+}
+
+/// The response is of another endpoint, or to another request.
+fn not_its_own(
+    context: &GatewayContext,
+    response: EndpointResponse,
+    failure: AttemptFailure,
+) -> AttemptEnd {
+    context.connections.discard_connections(response.guard.endpoint());
+    response.guard.finish(AttemptResult::Failed);
+    AttemptEnd::Failed(failure)
+}
--- a/src/gateway/request/crash_watch.rs
+++ b/src/gateway/request/crash_watch.rs
@@ -6,15 +6,15 @@
 //! time-out or a silent connection is no sign of a crash. What follows is decided by
 //! `policy::request::crash_ledger`.
 
-use std::{cell::RefCell, collections::HashMap, io::ErrorKind, rc::Rc, time::Duration};
+use std::{io::ErrorKind, rc::Rc, time::Duration};
 
 use derive_more::Display;
 use tokio::{
     net::TcpStream,
-    time::{Instant, sleep, timeout},
+    time::{sleep, timeout},
 };
 
-use super::admission::Admitted;
+use super::{admission::Admitted, crash_checks::BrokenRun};
 use crate::{
     gateway::{
         context::GatewayContext,
@@ -28,7 +28,6 @@
             },
         },
     },
-    ids::SharedName,
     true_time,
 };
 
@@ -42,23 +41,6 @@
 /// Basis: as for connections of requests (`connection_pool`): several round trips.
 const CHECK_LIMIT: Duration = Duration::from_millis(400);
 
-/// A run that broke without a whole response.
-#[derive(Clone, Copy, Debug)]
-pub struct BrokenRun {
-    /// The request.
-    pub request: RequestFingerprint,
-    /// When it was sent, or when the head of its response came.
-    pub begun: Instant,
-    /// When it broke.
-    pub broken: Instant,
-}
-
-/// Runs that broke at endpoints that are being checked.
-#[derive(Debug, Default)]
-pub struct CrashChecks {
-    pending: RefCell<HashMap<SharedName, Vec<BrokenRun>>>,
-}
-
 /// What the check of an endpoint has found.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 enum CheckOutcome {
@@ -120,10 +102,7 @@
     if !context.endpoints.borrow().is_ready(&endpoint.id) {
         return;
     }
-    let mut pending = context.crash_checks.pending.borrow_mut();
-    let runs = pending.entry(endpoint.id.clone()).or_default();
-    runs.push(run);
-    if runs.len() == 1 {
+    if context.crash_checks.add(&endpoint.id, run) {
         tokio::task::spawn_local(check_endpoint(context.clone(), endpoint.clone()));
     }
 }
@@ -137,9 +116,7 @@
         // What kept the connection from coming up makes no difference.
         Ok(Err(_)) | Err(_) => CheckOutcome::NotReached,
     };
-    let runs = context.crash_checks.pending.borrow_mut().remove(&endpoint.id);
-    // The run that started the check is there.
-    let runs = runs.unwrap_or_default();
+    let runs = context.crash_checks.take(&endpoint.id);
     context.metrics.count_labelled("crash_checks", "outcome", &outcome.to_string());
     // Endpoints that only lose connections may do so many times a second: they are counted.
     if outcome == CheckOutcome::Ended {
--- a/src/platform/ingress/endpoint_signals.rs
+++ b/src/platform/ingress/endpoint_signals.rs
@@ -44,8 +44,11 @@
 /// Values of a header, without the spaces around them; none for one that is not ASCII.
 fn values<'a>(headers: &'a HeaderMap, name: &HeaderName) -> impl Iterator<Item = Option<&'a str>> {
     let fields = headers.get_all(name).iter();
-    fields.flat_map(|field| match field.to_str() {
-        Ok(text) => text.split(',').map(|value| Some(value.trim())).collect(),
-        Err(_) => vec![None],
+    fields.flat_map(|field| {
+        // Text that is not ASCII is a value that cannot be read.
+        let text = field.to_str().ok();
+        let parts = text.map(|text| text.split(',').map(str::trim));
+        let is_unreadable = text.is_none();
+        parts.into_iter().flatten().map(Some).chain(is_unreadable.then_some(None))
     })
 }
