--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -32,13 +32,14 @@
         },
         request::{
             configuration_doubt::ConfigurationDoubt,
+            crash_checks::CrashChecks,
             crash_ledger::CrashLedger,
             key_freshness::KeyFreshness,
             quota::{QuotaLedger, QuotaSharing},
             retry_budget::RetryBudgets,
         },
     },
-    request::{connection_pool::ConnectionPool, crash_checks::CrashChecks},
+    request::connection_pool::ConnectionPool,
     settings::GatewaySettings,
 };
 use crate::{
--- a/src/gateway/policy/request.rs
+++ b/src/gateway/policy/request.rs
@@ -4,6 +4,7 @@
 
 pub mod admission;
 pub mod configuration_doubt;
+pub mod crash_checks;
 pub mod crash_ledger;
 pub mod crash_record;
 pub mod endpoint_priority;
--- a/src/gateway/request/crash_checks.rs
+++ b/src/gateway/policy/request/crash_checks.rs
@@ -1,10 +1,12 @@
-//! Runs that broke, while the endpoints at which they broke are checked (`crash_watch`).
+//! Runs that broke, while the endpoints at which they broke are checked (`request::crash_watch`):
+//! one check serves for all runs that broke at an endpoint since it began.
 
 use std::{cell::RefCell, collections::HashMap};
 
 use tokio::time::Instant;
 
-use crate::{gateway::policy::request::fingerprint::RequestFingerprint, ids::SharedName};
+use super::fingerprint::RequestFingerprint;
+use crate::ids::SharedName;
 
 /// A run that broke without a whole response.
 #[derive(Clone, Copy, Debug)]
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -8,7 +8,6 @@
 pub mod client_listener;
 mod client_stream;
 pub mod connection_pool;
-pub mod crash_checks;
 pub mod crash_watch;
 pub mod dispatch;
 pub mod drain;
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -24,7 +24,6 @@
 use super::{
     admission::Admitted,
     connection_pool::{EndpointConnection, SendFailure},
-    crash_checks::BrokenRun,
     crash_watch,
     request_log::RequestTrace,
     response_meaning::ResponseSigns,
@@ -39,6 +38,7 @@
         policy::{
             endpoint::{endpoint_choice::EndpointChoice, endpoint_load::RunLoad},
             request::{
+                crash_checks::BrokenRun,
                 endpoint_priority::endpoint_priority,
                 refusal::Refusal,
                 retries::{AttemptFailure, connection_reuse},
--- a/src/gateway/request/attempt/judge.rs
+++ b/src/gateway/request/attempt/judge.rs
@@ -1,7 +1,7 @@
 //! What the head of a response means for its request, and what it says of its endpoint.
 //!
 //! All responses come through here, whatever becomes of them: passed on, dropped for a retry, or
-//! given up. `docs/design/endpoint-signals.md` has a table of what endpoints say.
+//! abandoned. What endpoints may say is listed in `docs/design/endpoint-signals.md`.
 
 use std::rc::Rc;
 
--- a/src/gateway/request/crash_watch.rs
+++ b/src/gateway/request/crash_watch.rs
@@ -14,7 +14,7 @@
     time::{sleep, timeout},
 };
 
-use super::{admission::Admitted, crash_checks::BrokenRun};
+use super::admission::Admitted;
 use crate::{
     gateway::{
         context::GatewayContext,
@@ -22,6 +22,7 @@
         policy::{
             endpoint::endpoint_load::endpoint_number,
             request::{
+                crash_checks::BrokenRun,
                 crash_ledger::{CrashLedger, RunVerdict},
                 crash_record::CrashedRun,
                 fingerprint::RequestFingerprint,
