--- a/tests/gateway/backoff_endpoints.rs
+++ b/tests/gateway/backoff_endpoints.rs
@@ -95,6 +95,19 @@
     expect_that!(outcome.arrivals_in(BACK_AT..BACK_AT + USED_AGAIN), gt(0));
 }
 
+/// How requests return when the endpoints no longer refuse: arrivals and what is served, by quarters of
+/// a second.
+fn print_return(outcome: &SignalOutcome) {
+    let quarter = Duration::from_millis(250);
+    for number in 0..10 {
+        let from = SAID_UNTIL + quarter * number;
+        let sent = outcome.sent_in(from..from + quarter);
+        let served = sent.iter().filter(|request| request.is_served()).count();
+        let arrivals = outcome.arrivals_in(from..from + quarter);
+        println!("{from:?}: {arrivals} arrivals, {served} of {} served", sent.len());
+    }
+}
+
 #[googletest::test]
 fn clients_are_told_when_all_endpoints_back_off() {
     let outcome = play(ALL, say_for_a_while(EndpointSignal::BacksOff("2")));
@@ -111,6 +124,7 @@
     // What each is told is the time that is left, from 2 s to none, and a share of its own.
     expect_that!(mean, ge(0.7));
     expect_that!(different.len() * 2, gt(told.len()));
+    print_return(&outcome);
     let last = outcome.sent_in(SAID_UNTIL + LAST_BACKOFF..LOAD_TIME);
     let served = last.iter().filter(|request| request.is_served()).count();
     println!("{served} of {} served afterwards", last.len());
