Basis of two constants by measurement; comments

Change: their figures stand beside them; the table of pauses is shorter.

Result: comments and docs only.

--- a/src/gateway/policy/endpoint/refusal_pause.rs
+++ b/src/gateway/policy/endpoint/refusal_pause.rs
@@ -5,7 +5,7 @@
 //! | with a time | so long | requests return slowly |
 //! | of a busy endpoint | short | as before |
 //! | of an endpoint that seemed to have room | short, doubled with each further one | slowly |
-//! | of such an endpoint, reported by another daemon | none; one that has begun here for no known reason begins anew | slowly |
+//! | of such an endpoint, reported by another daemon | none, or one that has begun here begins anew | slowly |
 //!
 //! Slowly: one request waits for its response at first, and twice as many after each one that the
 //! endpoint has run, until they are as many as its slots. Without this an endpoint that refuses at
@@ -23,7 +23,9 @@
 /// Basis: chosen, not measured: within it a slot may come free, and reports of its load come.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest such pause.
-/// Basis: chosen, not measured: an endpoint that is back is used again within a second.
+/// Basis: nine daemons, 4 of 12 endpoints that refuse for 5.5 s, six plays each: 148 to 153 requests
+/// reach them, 173 to 186 with 0.25 s; not served 12 to 17 of about 1,240, and 10 to 16. An endpoint
+/// that is back is used again within a second.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// Most doublings; the pause has reached `LONGEST_PAUSE` before.
 /// Basis: keeps the power of two within 32 bits.
--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -28,10 +28,12 @@
 /// each); daemons that start later hear it from the endpoint.
 const TOLD_FOR: Duration = Duration::from_secs(10);
 /// Time for which other daemons are told that an endpoint has refused a request.
-/// Basis: chosen, not measured: a gossip round of 87 daemons takes 1.8 s.
+/// Basis: nine daemons, 4 of 12 endpoints that refuse: 27 to 31 of about 1,260 requests not served
+/// where each daemon finds out for itself, 14 to 21 with warnings (6 runs). A gossip round of 87
+/// daemons takes 1.8 s.
 const REFUSAL_TOLD_FOR: Duration = Duration::from_secs(2);
 /// Refusals that are less apart count as one: times of other daemons come as ages, and look younger
-/// by what their messages took. Otherwise a refusal would come back to the daemon that told of it
+/// by what their messages took. Otherwise a refusal would return to the daemon that told of it
 /// as a later one, again and again.
 /// Basis: the longest that a gossip call may take (`gossip::caller`).
 const SAME_REFUSAL: Duration = Duration::from_millis(400);
