--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -33,8 +33,8 @@
 /// daemons takes 1.8 s.
 const REFUSAL_TOLD_FOR: Duration = Duration::from_secs(2);
 /// Refusals that are less apart count as one: times of other daemons come as ages, and look younger
-/// by what their messages took. Otherwise a refusal would return to the daemon that told of it
-/// as a later one, again and again.
+/// by what their messages took. Otherwise a refusal would return to the daemon that reported it as
+/// a later one, again and again.
 /// Basis: the longest that a gossip call may take (`gossip::caller`).
 const SAME_REFUSAL: Duration = Duration::from_millis(400);
 /// Time for which the signals of an endpoint are kept that no list names any more.
