--- a/src/gateway/policy/endpoint/refusal_pause.rs
+++ b/src/gateway/policy/endpoint/refusal_pause.rs
@@ -5,7 +5,7 @@
 //! | with a time | so long | requests return slowly |
 //! | of a busy endpoint | short | as before |
 //! | of an endpoint that seemed to have room | short, doubled with each further one | slowly |
-//! | of such an endpoint, reported by another daemon | none, or one that has begun here begins anew | slowly |
+//! | the same, reported by another daemon | none, or one that has begun here begins anew | slowly |
 //!
 //! Slowly: one request waits for its response at first, and twice as many after each one that the
 //! endpoint has run, until they are as many as its slots. Without this an endpoint that refuses at
--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -3,8 +3,8 @@
 //! | signal | heard | holds | others are told |
 //! |---|---|---|---|
 //! | it drains | in any own response of it | until a later start of it is listed | for 10 s |
-//! | it asks for a back-off | in a 503 to this daemon | until that is over, or a later start is listed | that it refuses |
-//! | it refuses though it seemed to have room | in a refusal to this daemon | see `refusal_pause` | for 2 s |
+//! | it asks for a back-off | in a 503 to this daemon | until its end or a later start | it refuses |
+//! | it refuses, and seemed to have room | in a refusal to this daemon | see `refusal_pause` | for 2 s |
 //!
 //! An endpoint drains whoever asks, so that the other daemons stop too. A refusal, and the time in it,
 //! may be meant for the daemon that got it: others are only careful there (`refusal_pause`). With 87
--- a/tests/gateway/backoff_endpoints.rs
+++ b/tests/gateway/backoff_endpoints.rs
@@ -1,6 +1,6 @@
-//! Endpoints turned requests away and asked each daemon for 3 s of back-off; within it one daemon sent 8
-//! requests to one of them, another 5 to another. The time was read by nobody, and an endpoint that
-//! had refused counted as full for 60 ms. Since it had nothing to do it then looked the idlest:
+//! Endpoints turned requests away and asked each daemon for 3 s of back-off; within it one daemon sent
+//! 8 requests to one of them, another 5 to another. The time was read by nobody, and an endpoint
+//! that had refused counted as full for 60 ms. Since it had nothing to do it then looked the idlest:
 //! five of 16 endpoints drew 68 of 136 requests in one second (16, 9, 20, 8 and 15; the others 2 to
 //! 9 each), all refused; with the retry that met a second one, 18 of 118 clients were refused:
 //!
