--- a/src/gateway/policy/endpoint/refusal_pause.rs
+++ b/src/gateway/policy/endpoint/refusal_pause.rs
@@ -23,9 +23,8 @@
 /// Basis: chosen, not measured: within it a slot may come free, and reports of its load come.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 /// Longest such pause.
-/// Basis: nine daemons, 4 of 12 endpoints that refuse for 5.5 s, six plays each: 148 to 153 requests
-/// reach them, 173 to 186 with 0.25 s; not served 12 to 17 of about 1,240, and 10 to 16. An endpoint
-/// that is back is used again within a second.
+/// Basis: chosen, not measured on the present rule: an endpoint that is back is used again within a
+/// second.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
 /// Most doublings; the pause has reached `LONGEST_PAUSE` before.
 /// Basis: keeps the power of two within 32 bits.
