--- a/src/gateway/request/response_meaning.rs
+++ b/src/gateway/request/response_meaning.rs
@@ -18,14 +18,28 @@
     Foreign,
 }
 
+/// What a response says of the requests that its endpoint takes from all daemons together.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub enum LimitSignal {
+    /// It names no limit.
+    #[default]
+    NotSaid,
+    /// It names one that can't be read.
+    Unreadable,
+    /// So many requests a second, 0 or more.
+    PerSecond(f64),
+}
+
 /// What an endpoint says of itself in a response.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct EndpointSignals {
     /// Whether it drains and wants no more requests.
     pub is_draining: bool,
     /// Time from now for which it wants no requests from this daemon.
     pub backoff: Option<Duration>,
-    /// Whether it says either in a way that can't be read, which then counts as not said.
+    /// How many requests it takes.
+    pub limit: LimitSignal,
+    /// Whether it says any of this in a way that can't be read.
     pub is_unreadable: bool,
 }
 
@@ -37,6 +51,9 @@
         if let Some(backoff) = self.backoff {
             write!(formatter, " back off {} ms", backoff.as_millis())?;
         }
+        if let LimitSignal::PerSecond(limit) = self.limit {
+            write!(formatter, " limit {limit} a second")?;
+        }
         if self.is_unreadable {
             formatter.write_str(" signals not read")?;
         }
@@ -45,7 +62,7 @@
 }
 
 /// What the head of a response says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ResponseSigns {
     /// Meaning for the request.
     pub meaning: ResponseMeaning,
--- a/src/platform/ingress/headers.rs
+++ b/src/platform/ingress/headers.rs
@@ -29,6 +29,8 @@
 pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// `1` on all responses of an endpoint that leaves.
 pub const DRAINING: HeaderName = HeaderName::from_static("server-leaving");
+/// Requests a second that an endpoint takes from all daemons together, as a decimal number.
+pub const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
 /// Headers that the gateway sets itself, or that only a gateway may set; those of a client
 /// are dropped.
--- a/tests/gateway/endpoint_signals.rs
+++ b/tests/gateway/endpoint_signals.rs
@@ -6,11 +6,13 @@
 use hyper::Response;
 use proptest::prelude::*;
 use willowarch::{
-    gateway::request::response_meaning::EndpointSignals, platform::ingress::read_response,
+    gateway::request::response_meaning::{EndpointSignals, LimitSignal},
+    platform::ingress::read_response,
 };
 
 const DRAINING: &str = "server-leaving";
 const BACKOFF: &str = "retry-after";
+const LIMIT: &str = "server-limit";
 
 fn signals(status: u16, headers: &[(&str, &str)]) -> EndpointSignals {
     let mut response = Response::builder().status(status);
@@ -36,6 +38,15 @@
     EndpointSignals { backoff, ..EndpointSignals::default() }
 }
 
+fn limits(per_second: f64) -> EndpointSignals {
+    EndpointSignals { limit: LimitSignal::PerSecond(per_second), ..EndpointSignals::default() }
+}
+
+fn unreadable_limit() -> EndpointSignals {
+    let limit = LimitSignal::Unreadable;
+    EndpointSignals { limit, is_unreadable: true, ..EndpointSignals::default() }
+}
+
 fn nothing() -> EndpointSignals {
     EndpointSignals::default()
 }
@@ -75,6 +86,19 @@
     backoff_without_end: 503, [(BACKOFF, "inf")] => unreadable();
     backoff_until_a_date: 503, [(BACKOFF, "Wed, 21 Oct 2026 07:28:00 GMT")] => unreadable();
     backoff_that_is_empty: 503, [(BACKOFF, "")] => unreadable();
+    limit_on_success: 200, [(LIMIT, "1.6")] => limits(1.6);
+    limit_on_server_error: 500, [(LIMIT, "1.6")] => limits(1.6);
+    limit_on_refusal: 503, [(LIMIT, "12"), ("x-not-executed", "1")] => limits(12.0);
+    limit_of_nothing: 200, [(LIMIT, "0")] => limits(0.0);
+    limit_beyond_belief: 200, [(LIMIT, "1e12")] => limits(1e12);
+    least_of_several_limits: 200, [(LIMIT, "8, 2"), (LIMIT, "4")] => limits(2.0);
+    limit_beside_one_that_is_none: 200, [(LIMIT, "soon, 4")] => limits(4.0);
+    limit_with_a_comma_in_it: 200, [(LIMIT, "1,5")] => limits(1.0);
+    limit_that_is_negative: 200, [(LIMIT, "-1")] => unreadable_limit();
+    limit_that_is_nan: 200, [(LIMIT, "NaN")] => unreadable_limit();
+    limit_without_end: 200, [(LIMIT, "inf")] => unreadable_limit();
+    limit_that_is_empty: 200, [(LIMIT, "")] => unreadable_limit();
+    limit_in_hexadecimal: 200, [(LIMIT, "0x2")] => unreadable_limit();
     time_on_success: 200, [(BACKOFF, "3")] => nothing();
     time_on_server_error: 500, [(BACKOFF, "3")] => nothing();
     time_on_too_many_requests: 429, [(BACKOFF, "3"), ("x-not-executed", "1")] => nothing();
@@ -83,11 +107,11 @@
 
 #[googletest::test]
 fn words_of_another_endpoint_or_request_say_nothing() {
-    let both = [(DRAINING, "1"), (BACKOFF, "3")];
-    expect_that!(own_signals(421, &both), eq(nothing()));
-    let other_id: Vec<_> = [("x-request-id", "other")].into_iter().chain(both).collect();
+    let all = [(DRAINING, "1"), (BACKOFF, "3"), (LIMIT, "2")];
+    expect_that!(own_signals(421, &all), eq(nothing()));
+    let other_id: Vec<_> = [("x-request-id", "other")].into_iter().chain(all).collect();
     expect_that!(signals(503, &other_id), eq(nothing()));
-    expect_that!(signals(200, &both), eq(nothing()));
+    expect_that!(signals(200, &all), eq(nothing()));
 }
 
 proptest! {
@@ -97,6 +121,16 @@
         prop_assert!(signals.backoff.is_none() || status == 503);
     }
 
+    #[test]
+    fn any_limit_is_a_number_from_zero_up_or_unreadable(value in "[ -~]{0,40}") {
+        let signals = own_signals(200, &[(LIMIT, &value)]);
+        match signals.limit {
+            LimitSignal::PerSecond(limit) => prop_assert!(limit.is_finite() && limit >= 0.0),
+            LimitSignal::Unreadable => prop_assert!(signals.is_unreadable),
+            LimitSignal::NotSaid => prop_assert!(false, "the header is there"),
+        }
+    }
+
     #[test]
     fn any_number_of_seconds_is_read_or_not_said(seconds in any::<f64>()) {
         let signals = own_signals(503, &[(BACKOFF, &seconds.to_string())]);
