Failing tests: endpoints that name how many requests they take

Nine real daemons, twelve endpoints of which four name a limit (all twelve in two tests), in successes, refusals and failures, with changes, draining, back-offs, restarts and lists beside it. What must hold is judged by what clients and endpoints have seen: at most 1.5 times the limit and 5 requests in 4 s, from 3 s after it was first named on, from daemons that had been told.

--- /dev/null
+++ b/tests/gateway/limited_endpoints.rs
@@ -0,0 +1,229 @@
+//! Two endpoints named in their responses how many requests a second they take from all daemons
+//! together, and got more. One that takes 1.5 a second got 15 within 4 s from daemons that it had
+//! told (14 allowed), one that takes 1.1 got 13 (12 allowed). Between 11 and 18 s the two got 20 and
+//! 8 requests, the fourteen others that were there all the time 16 to 30: they were chosen like any
+//! other.
+//!
+//! With nine daemons and twelve endpoints of which four take 1.6 requests a second, each of the four
+//! got 20 a second; with 77 daemons 50.
+
+use std::{
+    ops::Range,
+    sync::{Mutex, PoisonError},
+    time::{Duration, Instant},
+};
+
+use googletest::prelude::*;
+
+use crate::{
+    signal_fleet::{ClientLoad, SignalFleet, SignalOutcome, TELLING, sleep_until},
+    signalling_endpoint::{EndpointSignal, SignallingEndpoint},
+};
+
+/// From when on the endpoints name their limits, until when, and when the clients end.
+const NAMED_FROM: Duration = Duration::from_secs(1);
+const NAMED_UNTIL: Duration = Duration::from_secs(9);
+const LOAD_TIME: Duration = Duration::from_millis(11_500);
+/// Time from the first response that names a limit to when it is kept.
+const KEPT_AFTER: Duration = Duration::from_secs(3);
+/// When something else happens meanwhile.
+const CHANGE_AT: Duration = Duration::from_millis(4_500);
+/// Pause between two writes of an entry.
+const WRITE_PAUSE: Duration = Duration::from_millis(500);
+/// Time in which endpoints that end are down.
+const DOWN_TIME: Duration = Duration::from_millis(300);
+/// Time in which endpoints are used again that no longer name a limit.
+const USED_AGAIN: Duration = Duration::from_secs(1);
+/// All endpoints of a fleet.
+const ALL: usize = 12;
+/// Share of what the limits allow that is served, where clients ask for more.
+const SERVED_SHARE: Range<f64> = 0.7..1.0;
+/// Longest time for a refusal of a request that can't be served: it is not held.
+const AT_ONCE: Duration = Duration::from_millis(500);
+
+/// Fleets of this file are played one after another.
+static ONE_FLEET: Mutex<()> = Mutex::new(());
+
+fn play(
+    load: ClientLoad,
+    telling: usize,
+    tell: impl FnOnce(&SignalFleet, &[SignallingEndpoint], Instant),
+) -> SignalOutcome {
+    let _one = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+    let fleet = SignalFleet::start();
+    fleet.play_load(load, telling, |endpoints, began| tell(&fleet, endpoints, began))
+}
+
+fn say(endpoints: &[SignallingEndpoint], signal: EndpointSignal) {
+    endpoints.iter().for_each(|endpoint| endpoint.say(signal));
+}
+
+/// Has the endpoints say `signal` for a while, and does something else meanwhile.
+fn say_while(
+    signal: EndpointSignal,
+    meanwhile: impl FnOnce(&SignalFleet, &[SignallingEndpoint], Instant),
+) -> impl FnOnce(&SignalFleet, &[SignallingEndpoint], Instant) {
+    move |fleet, endpoints, began| {
+        sleep_until(began, NAMED_FROM);
+        say(endpoints, signal);
+        sleep_until(began, CHANGE_AT);
+        meanwhile(fleet, endpoints, began);
+        sleep_until(began, NAMED_UNTIL);
+        say(endpoints, EndpointSignal::None);
+    }
+}
+
+fn nothing_else(_: &SignalFleet, _: &[SignallingEndpoint], _: Instant) {}
+
+fn write_entries_again(_: &SignalFleet, endpoints: &[SignallingEndpoint], began: Instant) {
+    let mut at = CHANGE_AT;
+    while at < NAMED_UNTIL {
+        endpoints.iter().for_each(SignallingEndpoint::register);
+        at += WRITE_PAUSE;
+        sleep_until(began, at);
+    }
+}
+
+fn take_entries_away_for_a_while(_: &SignalFleet, endpoints: &[SignallingEndpoint], _: Instant) {
+    endpoints.iter().for_each(SignallingEndpoint::unregister);
+    std::thread::sleep(WRITE_PAUSE);
+    endpoints.iter().for_each(SignallingEndpoint::register);
+}
+
+fn start_daemons_again(fleet: &SignalFleet, _: &[SignallingEndpoint], _: Instant) {
+    fleet.restart_every_other();
+}
+
+/// Requests that were sent while limits were named and kept, and how many of them were not served.
+fn not_served(outcome: &SignalOutcome) -> (usize, usize) {
+    let sent = outcome.sent_in(NAMED_FROM..NAMED_UNTIL);
+    (sent.len(), sent.iter().filter(|request| !request.is_served()).count())
+}
+
+/// No limit is exceeded, under 2 in 100 of all requests are not served (eight endpoints have room),
+/// and clients learn nothing of limits.
+fn check(outcome: &SignalOutcome) {
+    let limits = outcome.limits();
+    let (sent, not_served) = not_served(outcome);
+    let kept = outcome.arrivals_in(NAMED_FROM + KEPT_AFTER..NAMED_UNTIL);
+    let after = outcome.arrivals_in(NAMED_UNTIL + USED_AGAIN..LOAD_TIME);
+    println!("{limits:?}, {kept} arrivals, {after} after; not served {not_served} of {sent}");
+    expect_that!(limits.beyond, eq(0));
+    expect_that!(not_served * 50, lt(sent));
+    expect_false!(outcome.sent.values().any(|request| request.names_limit));
+}
+
+/// The endpoints are asked while they name limits, and used as before when they don't.
+fn check_use(outcome: &SignalOutcome) {
+    expect_that!(outcome.arrivals_in(NAMED_FROM + KEPT_AFTER..NAMED_UNTIL), gt(0));
+    let before = outcome.arrivals_in(Duration::ZERO..NAMED_FROM);
+    let again = outcome.arrivals_in(NAMED_UNTIL + USED_AGAIN..NAMED_UNTIL + USED_AGAIN * 2);
+    expect_that!(again * 2, gt(before));
+}
+
+macro_rules! limits_are_kept {
+    ($($name:ident: $signal:expr, $meanwhile:expr;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            let tell = say_while($signal, $meanwhile);
+            let outcome = play(ClientLoad::of(LOAD_TIME), TELLING, tell);
+            check(&outcome);
+            check_use(&outcome);
+        }
+    )*};
+}
+
+limits_are_kept! {
+    limit_in_successes: EndpointSignal::Limits("1.6"), nothing_else;
+    limit_in_refusals: EndpointSignal::LimitsRefusing("1.6"), nothing_else;
+    limit_in_failures: EndpointSignal::LimitsFailing("1.6"), nothing_else;
+    limit_of_nothing: EndpointSignal::Limits("0"), nothing_else;
+    limit_that_falls: EndpointSignal::Limits("6.4"), |_, endpoints, _| {
+        say(endpoints, EndpointSignal::Limits("0.4"));
+    };
+    limit_while_entries_are_written_anew: EndpointSignal::Limits("1.6"), write_entries_again;
+    limit_while_entries_go_and_come_back: EndpointSignal::Limits("1.6"), take_entries_away_for_a_while;
+    limit_while_daemons_start_again: EndpointSignal::Limits("1.6"), start_daemons_again;
+}
+
+#[googletest::test]
+fn limit_beside_a_backoff_is_kept_with_it() {
+    let tell = say_while(EndpointSignal::LimitsBackingOff("1.6"), nothing_else);
+    let outcome = play(ClientLoad::of(LOAD_TIME), TELLING, tell);
+    check(&outcome);
+    expect_that!(outcome.backoffs().1, eq(0));
+}
+
+#[googletest::test]
+fn limit_beside_draining_brings_no_requests() {
+    let tell = say_while(EndpointSignal::LimitsDraining("1.6"), nothing_else);
+    let outcome = play(ClientLoad::of(LOAD_TIME), TELLING, tell);
+    check(&outcome);
+    expect_that!(outcome.late_arrivals(), eq(0));
+}
+
+#[googletest::test]
+fn limit_is_over_when_an_endpoint_has_started_again() {
+    let outcome = play(ClientLoad::of(LOAD_TIME), TELLING, |_, endpoints, began| {
+        sleep_until(began, NAMED_FROM);
+        say(endpoints, EndpointSignal::Limits("1.6"));
+        sleep_until(began, CHANGE_AT);
+        endpoints.iter().for_each(SignallingEndpoint::end);
+        std::thread::sleep(DOWN_TIME);
+        endpoints.iter().for_each(SignallingEndpoint::start_again);
+    });
+    check(&outcome);
+    let before = outcome.arrivals_in(Duration::ZERO..NAMED_FROM);
+    let back = CHANGE_AT + DOWN_TIME + USED_AGAIN;
+    expect_that!(outcome.arrivals_in(back..back + USED_AGAIN) * 2, gt(before));
+}
+
+#[googletest::test]
+fn limits_that_mean_nothing_change_nothing() {
+    let outcome = play(ClientLoad::of(LOAD_TIME), TELLING, |_, endpoints, began| {
+        sleep_until(began, NAMED_FROM);
+        for (endpoint, text) in endpoints.iter().zip(["-1", "NaN", "1e12", ""]) {
+            endpoint.say(EndpointSignal::Limits(text));
+        }
+    });
+    check(&outcome);
+    let before = outcome.arrivals_in(Duration::ZERO..NAMED_FROM);
+    let later = outcome.arrivals_in(NAMED_UNTIL - USED_AGAIN..NAMED_UNTIL);
+    expect_that!(later * 2, gt(before));
+}
+
+/// Clients ask for more than the limits of all endpoints allow: these are used, and who can't be
+/// served is told at once when to come back.
+fn check_all_limited(outcome: &SignalOutcome, limit: f64) {
+    let limits = outcome.limits();
+    let kept = NAMED_FROM + KEPT_AFTER..NAMED_UNTIL;
+    let sent = outcome.sent_in(kept.clone());
+    let served = sent.iter().filter(|request| request.is_served()).count();
+    let allowed = limit * ALL as f64 * (kept.end - kept.start).as_secs_f64();
+    let share = served as f64 / allowed;
+    let refused: Vec<_> = sent.iter().filter(|request| !request.is_served()).collect();
+    let told: Vec<f64> = refused.iter().filter_map(|request| request.retry_after).collect();
+    let mean = told.iter().sum::<f64>() / told.len().max(1) as f64;
+    println!(
+        "{limits:?}; {served} of {} served, {share:.2} of what is allowed; told {mean:.2} s",
+        sent.len()
+    );
+    expect_that!(limits.beyond, eq(0));
+    expect_true!(SERVED_SHARE.contains(&share), "{share:.2}");
+    expect_true!(refused.iter().all(|request| request.status == 503));
+    expect_true!(refused.iter().all(|request| request.answered - request.sent < AT_ONCE));
+    expect_that!(told.len(), eq(refused.len()));
+}
+
+#[googletest::test]
+fn limits_of_all_endpoints_are_used() {
+    let tell = say_while(EndpointSignal::Limits("8"), nothing_else);
+    check_all_limited(&play(ClientLoad::of(LOAD_TIME), ALL, tell), 8.0);
+}
+
+#[googletest::test]
+fn limits_of_all_endpoints_are_used_by_one_daemon() {
+    let tell = say_while(EndpointSignal::Limits("8"), nothing_else);
+    let load = ClientLoad { time: LOAD_TIME, daemons: 1 };
+    check_all_limited(&play(load, ALL, tell), 8.0);
+}
--- a/tests/gateway/signal_checks.rs
+++ b/tests/gateway/signal_checks.rs
@@ -1,5 +1,5 @@
-//! What must hold of requests to endpoints that say that they drain or want a back-off, judged by what
-//! clients and endpoints have seen.
+//! What must hold of requests to endpoints that say that they drain, want a back-off, or take only so
+//! many requests, judged by what clients and endpoints have seen.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -11,6 +11,15 @@
 /// Time after an endpoint's signal within which requests may still be on their way to it.
 const DRAINING_SLACK: Duration = Duration::from_secs(2);
 const BACKOFF_SLACK: Duration = Duration::from_millis(500);
+/// Time from the first response that names a limit to when the limit is judged.
+const LIMIT_SLACK: Duration = Duration::from_secs(3);
+/// Time after which a daemon that has passed on such a response counts.
+const TOLD_SLACK: Duration = Duration::from_millis(500);
+/// Time over which requests are counted, the multiple of the limit that may come within it, and
+/// the requests that may come besides.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+const LIMIT_MULTIPLE: f64 = 1.5;
+const BEYOND_LIMIT: f64 = 5.0;
 /// Requests that may reach an endpoint within a back-off after that.
 const ALLOWED_IN_BACKOFF: usize = 2;
 
@@ -38,6 +47,17 @@
     pub disturbances: &'a [Disturbance],
 }
 
+/// Requests at endpoints that had named a limit.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LimitOutcome {
+    /// Those that were judged.
+    pub judged: usize,
+    /// Those at which too many had come.
+    pub beyond: usize,
+    /// The most that came, as a multiple of what was allowed.
+    pub most: f64,
+}
+
 impl SeenSignals<'_> {
     /// Requests that a client sent over 2 s after an endpoint had told their daemon that it drains,
     /// and that reached that start of it. A restart or a freeze of the daemon since then excuses.
@@ -86,6 +106,55 @@
         within.count() > ALLOWED_IN_BACKOFF && !self.is_excused(daemon, one.answered, span.end)
     }
 
+    /// Requests from daemons that had passed on responses naming a limit, by the limit.
+    pub fn limits(&self) -> LimitOutcome {
+        let mut outcome = LimitOutcome::default();
+        for arrivals in self.arrivals {
+            let mut arrivals: Vec<&Arrival> = arrivals.iter().collect();
+            arrivals.sort_by_key(|arrival| arrival.at);
+            let spans = arrivals.chunk_by(|one, next| {
+                one.start == next.start
+                    && one.signal.limit().is_some() == next.signal.limit().is_some()
+            });
+            for span in spans.filter(|span| span[0].signal.limit().is_some()) {
+                self.judge_limit(span, &mut outcome);
+            }
+        }
+        outcome
+    }
+
+    /// Judges requests of a time in which an endpoint has named limits all along.
+    fn judge_limit(&self, span: &[&Arrival], outcome: &mut LimitOutcome) {
+        let named = span.iter().map(|arrival| arrival.answered).min().expect("a request");
+        let counted: Vec<&&Arrival> = span
+            .iter()
+            .filter(|arrival| arrival.at >= named + LIMIT_SLACK && self.is_told(span, arrival))
+            .collect();
+        for (place, arrival) in counted.iter().enumerate() {
+            let within =
+                counted[..=place].iter().filter(|other| arrival.at - other.at < LIMIT_WINDOW);
+            let limits = within.clone().filter_map(|other| other.signal.limit());
+            let limit = limits.fold(0.0, f64::max);
+            let allowed = limit * LIMIT_MULTIPLE * LIMIT_WINDOW.as_secs_f64() + BEYOND_LIMIT;
+            let multiple = within.count() as f64 / allowed;
+            outcome.judged += 1;
+            outcome.beyond += usize::from(multiple > 1.0);
+            outcome.most = outcome.most.max(multiple);
+        }
+    }
+
+    /// Whether the daemon that sent a request had passed on a response naming a limit half a second
+    /// before. A restart or a freeze of the daemon since then excuses.
+    fn is_told(&self, span: &[&Arrival], request: &Arrival) -> bool {
+        let daemon_of = |arrival: &Arrival| self.sent.get(&arrival.id).map(|sent| sent.daemon);
+        let Some(daemon) = daemon_of(request) else { return false };
+        span.iter().any(|one| {
+            one.answered + TOLD_SLACK <= request.at
+                && daemon_of(one) == Some(daemon)
+                && !self.is_excused(daemon, one.answered, request.at)
+        })
+    }
+
     fn is_excused(&self, daemon: usize, since: Instant, until: Instant) -> bool {
         let mut of_daemon = self.disturbances.iter().filter(|one| one.daemon == daemon);
         of_daemon.any(|one| one.until >= since && one.from <= until)
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -1,5 +1,6 @@
-//! A fleet of real daemons before endpoints that say in their responses that they drain or want a
-//! back-off, and clients that send far less than the others of them serve.
+//! A fleet of real daemons before endpoints that say in their responses that they drain, want a
+//! back-off or take only so many requests, and clients that send far less than the others of them
+//! serve.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -16,7 +17,7 @@
 use crate::{
     gateway_site::{Gateway, RawAnswer, configuration, request_bytes, try_send_raw},
     platform_standin::PlatformStandin,
-    signal_checks::{SeenSignals, SentAt},
+    signal_checks::{Disturbance, LimitOutcome, SeenSignals, SentAt},
     signalling_endpoint::{Arrival, EndpointSignal, SignallingEndpoint},
 };
 
@@ -37,6 +38,20 @@
 /// Calls that the store answers at once for each daemon.
 const CALLS_A_DAEMON: usize = 3;
 
+/// How long clients send, and to how many of the daemons.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientLoad {
+    pub time: Duration,
+    pub daemons: usize,
+}
+
+impl ClientLoad {
+    /// To all daemons.
+    pub fn of(time: Duration) -> Self {
+        Self { time, daemons: usize::MAX }
+    }
+}
+
 /// One request of a client.
 #[derive(Clone, Debug)]
 pub struct SentRequest {
@@ -46,6 +61,7 @@
     pub status: u16,
     pub retry_after: Option<f64>,
     pub names_draining: bool,
+    pub names_limit: bool,
 }
 
 /// What became of all requests.
@@ -54,13 +70,15 @@
     pub sent: HashMap<String, SentRequest>,
     /// Arrivals at each endpoint that said something.
     pub arrivals: Vec<Vec<Arrival>>,
+    disturbances: Vec<Disturbance>,
 }
 
 /// The fleet.
 pub struct SignalFleet {
     pub endpoints: Vec<SignallingEndpoint>,
-    _daemons: Vec<Gateway>,
+    daemons: Mutex<Vec<Gateway>>,
     addresses: Vec<SocketAddr>,
+    disturbances: Mutex<Vec<Disturbance>>,
 }
 
 fn daemon_count() -> usize {
@@ -104,7 +122,20 @@
         }
         daemons.iter().for_each(Gateway::wait_ready);
         let addresses = daemons.iter().map(|daemon| daemon.clients).collect();
-        Self { endpoints, _daemons: daemons, addresses }
+        let (daemons, disturbances) = (Mutex::new(daemons), Mutex::default());
+        Self { endpoints, daemons, addresses, disturbances }
+    }
+
+    /// Kills every other daemon and starts it again.
+    pub fn restart_every_other(&self) {
+        let mut daemons = self.daemons.lock().expect("lock");
+        for (place, daemon) in daemons.iter_mut().enumerate().step_by(2) {
+            let from = Instant::now();
+            daemon.kill_and_restart();
+            daemon.wait_ready();
+            let disturbance = Disturbance { daemon: place, from, until: Instant::now() };
+            self.disturbances.lock().expect("lock").push(disturbance);
+        }
     }
 
     /// Plays a load while `tell` has the first `telling` endpoints say something.
@@ -112,28 +143,47 @@
         &self,
         telling: usize,
         tell: impl FnOnce(&[SignallingEndpoint], Instant),
+    ) -> SignalOutcome {
+        self.play_load(ClientLoad::of(LOAD_TIME), telling, tell)
+    }
+
+    /// The same with another load.
+    pub fn play_load(
+        &self,
+        load: ClientLoad,
+        telling: usize,
+        tell: impl FnOnce(&[SignallingEndpoint], Instant),
     ) -> SignalOutcome {
         let began = Instant::now();
         let sent = Mutex::new(HashMap::new());
         thread::scope(|scope| {
             for number in 0..CLIENTS {
                 let sent = &sent;
-                scope.spawn(move || self.ask(number, began + LOAD_TIME, sent));
+                scope.spawn(move || self.ask(number, load, began, sent));
             }
             tell(&self.endpoints[..telling], began);
         });
         let arrivals = self.endpoints[..telling].iter().map(SignallingEndpoint::arrivals).collect();
-        SignalOutcome { began, sent: sent.into_inner().expect("lock"), arrivals }
+        let sent = sent.into_inner().expect("lock");
+        let disturbances = self.disturbances.lock().expect("lock").clone();
+        SignalOutcome { began, sent, arrivals, disturbances }
     }
 
-    fn ask(&self, number: u64, until: Instant, all: &Mutex<HashMap<String, SentRequest>>) {
+    fn ask(
+        &self,
+        number: u64,
+        load: ClientLoad,
+        began: Instant,
+        all: &Mutex<HashMap<String, SentRequest>>,
+    ) {
+        let (until, daemons) = (began + load.time, load.daemons.min(self.addresses.len()));
         let mut rng = SmallRng::seed_from_u64(number);
         let prefix = if number.is_multiple_of(2) { "/plain/" } else { "/once/" };
         for count in 0.. {
             if Instant::now() >= until {
                 return;
             }
-            let daemon = rng.random_range(0..self.addresses.len());
+            let daemon = rng.random_range(0..daemons);
             let id = format!("{number}-{count}");
             let bytes = request_bytes(&format!("{prefix}{id}/"), &id, "key-1", &[], b"");
             let sent = Instant::now();
@@ -150,10 +200,11 @@
         let header = |name: &str| answer.as_ref().and_then(|answer| answer.header(name));
         let retry_after = header("retry-after").and_then(|text| text.parse().ok());
         let names_draining = header("server-leaving").is_some();
+        let names_limit = header("server-limit").is_some();
         let status =
             answer.as_ref().map_or(0, |answer| if answer.whole { answer.status } else { 0 });
         let answered = Instant::now();
-        Self { daemon, sent, answered, status, retry_after, names_draining }
+        Self { daemon, sent, answered, status, retry_after, names_draining, names_limit }
     }
 
     pub fn is_served(&self) -> bool {
@@ -172,6 +223,11 @@
         self.seen(&self.sent_at()).backoffs()
     }
 
+    /// Requests at endpoints that had named a limit.
+    pub fn limits(&self) -> LimitOutcome {
+        self.seen(&self.sent_at()).limits()
+    }
+
     fn sent_at(&self) -> HashMap<String, SentAt> {
         let sent_at = |request: &SentRequest| SentAt { daemon: request.daemon, at: request.sent };
         let judged = self.sent.iter().filter(|(_, request)| !is_former(request.daemon));
@@ -179,7 +235,7 @@
     }
 
     fn seen<'a>(&'a self, sent: &'a HashMap<String, SentAt>) -> SeenSignals<'a> {
-        SeenSignals { arrivals: &self.arrivals, sent, disturbances: &[] }
+        SeenSignals { arrivals: &self.arrivals, sent, disturbances: &self.disturbances }
     }
 
     /// Requests sent in a span of the play.
--- a/tests/gateway/signalling_endpoint.rs
+++ b/tests/gateway/signalling_endpoint.rs
@@ -1,5 +1,5 @@
-//! Stand-in of an endpoint that says in its responses that it drains or wants a back-off, while its
-//! entry in the store says what the test writes there.
+//! Stand-in of an endpoint that says in its responses that it drains, wants a back-off, or takes only
+//! so many requests, while its entry in the store says what the test writes there.
 
 use std::{
     io::{BufReader, Write},
@@ -27,6 +27,10 @@
 pub const WORK_TIME: Duration = Duration::from_millis(60);
 /// Longest time that an endpoint means: beyond it, it would be lost by a slip of its own.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(3_600);
+/// Greatest limit that an endpoint means, in requests a second.
+const GREATEST_LIMIT: f64 = 1e6;
+/// Time over which an endpoint that refuses what is beyond its limit counts its requests.
+const COUNTED_FOR: Duration = Duration::from_secs(1);
 /// Pause between two looks for new connections.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
 
@@ -47,6 +51,16 @@
     BacksOffUnclear(&'static str),
     /// Nothing, and turns requests away.
     Refuses,
+    /// That it takes so many requests a second, in these words, and works on.
+    Limits(&'static str),
+    /// The same, and turns away what is beyond.
+    LimitsRefusing(&'static str),
+    /// The same, and fails.
+    LimitsFailing(&'static str),
+    /// The same, turns requests away, and wants a back-off of 2 s.
+    LimitsBackingOff(&'static str),
+    /// The same, drains, and works on.
+    LimitsDraining(&'static str),
 }
 
 impl EndpointSignal {
@@ -57,12 +71,32 @@
                 let backoff = Duration::try_from_secs_f64(text.parse().ok()?).ok()?;
                 (backoff <= LONGEST_BACKOFF).then_some(backoff)
             }
+            Self::LimitsBackingOff(_) => Some(Duration::from_secs(2)),
+            _ => None,
+        }
+    }
+
+    /// The limit that it names, in requests a second; none if it is no number, or one that nobody
+    /// means.
+    pub fn limit(self) -> Option<f64> {
+        match self {
+            Self::Limits(text)
+            | Self::LimitsRefusing(text)
+            | Self::LimitsFailing(text)
+            | Self::LimitsBackingOff(text)
+            | Self::LimitsDraining(text) => {
+                let limit: f64 = text.parse().ok()?;
+                (0.0..GREATEST_LIMIT).contains(&limit).then_some(limit)
+            }
             _ => None,
         }
     }
 
     pub fn is_draining(self) -> bool {
-        matches!(self, Self::Drains | Self::DrainsRefusing | Self::DrainsFailing)
+        matches!(
+            self,
+            Self::Drains | Self::DrainsRefusing | Self::DrainsFailing | Self::LimitsDraining(_)
+        )
     }
 }
 
@@ -256,9 +290,37 @@
                 refuse(out, unavailable, id, &format!("Retry-After: {text}"))
             }
             EndpointSignal::Refuses => refuse(out, unavailable, id, "X-Not-Executed: 1"),
+            EndpointSignal::Limits(text) => {
+                self.work(out, id, &format!("Server-Limit: {text}\r\n"))
+            }
+            EndpointSignal::LimitsRefusing(text) if self.is_beyond(signal) => {
+                refuse(out, unavailable, id, &format!("X-Not-Executed: 1\r\nServer-Limit: {text}"))
+            }
+            EndpointSignal::LimitsRefusing(text) => {
+                self.work(out, id, &format!("Server-Limit: {text}\r\n"))
+            }
+            EndpointSignal::LimitsFailing(text) => {
+                refuse(out, "500 Internal Server Error", id, &format!("Server-Limit: {text}"))
+            }
+            EndpointSignal::LimitsBackingOff(text) => {
+                let header = format!("X-Not-Executed: 1\r\nRetry-After: 2\r\nServer-Limit: {text}");
+                refuse(out, unavailable, id, &header)
+            }
+            EndpointSignal::LimitsDraining(text) => {
+                self.work(out, id, &format!("Server-Leaving: 1\r\nServer-Limit: {text}\r\n"))
+            }
         }
     }
 
+    /// Whether more requests have come in the last second than the limit allows.
+    fn is_beyond(&self, signal: EndpointSignal) -> bool {
+        let now = Instant::now();
+        let arrivals = self.arrivals.lock().expect("lock");
+        let is_recent = |arrival: &&Arrival| now - arrival.at < COUNTED_FOR;
+        let recent = arrivals.iter().rev().take_while(is_recent).count();
+        signal.limit().is_some_and(|limit| recent as f64 > limit * COUNTED_FOR.as_secs_f64())
+    }
+
     fn work(&self, out: &mut TcpStream, id: &str, header: &str) -> bool {
         let others = self.working.fetch_add(1, Ordering::SeqCst);
         let goes_on = match others < SLOTS + QUEUE {
