--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -13,9 +13,10 @@
   counts @1 :List(UInt32);       # in the order of `accounts`
 }
 
-struct ServiceTokens {
+struct ServiceCounters {         # since the daemon started
   service @0 :Text;
-  tokens @1 :UInt64;             # prompt tokens sent to be read since the daemon started
+  tokens @1 :UInt64;             # prompt tokens sent to be read
+  requests @2 :UInt64;           # requests that needed an endpoint
 }
 
 struct DaemonState {
@@ -29,7 +30,7 @@
   windows @7 :List(WindowCounts);
   loads @8 :List(EndpointLoad);
   zone @9 :Text;
-  sent @10 :List(ServiceTokens);
+  services @10 :List(ServiceCounters);
   requested @11 :List(UInt64);   # quota units requested, admitted or not
 }
 
@@ -38,7 +39,7 @@
   spent @1 :List(UInt64);        # in the order of `accounts`, since that daemon started
   windows @2 :List(WindowCounts);
   loads @3 :List(EndpointLoad);
-  sent @4 :List(ServiceTokens);
+  services @4 :List(ServiceCounters);
   requested @5 :List(UInt64);    # in the order of `accounts`, since that daemon started
 }
 
@@ -108,6 +109,14 @@
   drains @3 :Bool;               # whether it drains; otherwise it has refused a request
 }
 
+struct EndpointLimit {           # what an endpoint has said of its limit to some daemon
+  endpoint @0 :UInt64;           # hash of the endpoint's id
+  born @1 :UInt64;               # the start that said so; 0: not known
+  ageMs @2 :UInt32;              # since the response
+  isLimited @3 :Bool;            # whether it names a limit; otherwise it no longer does
+  limit @4 :Float64;             # requests a second that it takes from all daemons
+}
+
 struct GossipMessage {
   state @0 :DaemonState;
   known @1 :List(PeerSummary);   # some other daemons
@@ -133,6 +142,7 @@
   compressedEndpoints @21 :CompressedText;  # in place of `endpoints`: an `EndpointListText`
   crashes @22 :List(CrashReport);
   warnings @23 :List(EndpointWarning);  # of the last seconds
+  limits @24 :List(EndpointLimit);
 }
 
 interface Exchange {
--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -59,7 +59,7 @@
         state.endpoints_ready.iter().map(|(service, count)| format!("{service} {count}")).collect();
     format!(
         "{} ({}) {ready}, {} active; configuration {} (revision {}, proven {} ago); \
-         replicas at revision {}: {}, {} draining; daemons {} of {}; lease {} fence {} ({} ago)",
+         replicas at revision {}: {}, {} draining, {} limited; daemons {} of {}; lease {} fence {} ({} ago)",
         state.name,
         state.zone,
         state.active,
@@ -69,6 +69,7 @@
         state.endpoint_revision,
         endpoints.join(", "),
         state.endpoints_draining,
+        state.endpoints_limited,
         state.daemons_heard,
         state.daemons_known,
         state.lease_holder.as_deref().unwrap_or("(none known)"),
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -103,6 +103,8 @@
     pub watcher_election: RefCell<WatcherElection>,
     /// What it decided last.
     pub store_watch: Cell<Option<StoreWatch>>,
+    /// When the limits that endpoints name were last divided among the daemons.
+    pub limits_divided_at: Cell<Option<Instant>>,
     /// Number of the newest report sent to other daemons.
     pub sequence: Cell<u64>,
     /// When this daemon started.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -135,6 +135,7 @@
         store_failed: Cell::new(None),
         watcher_election: RefCell::new(WatcherElection::new(bounds.apply_limit)),
         store_watch: Cell::new(None),
+        limits_divided_at: Cell::new(None),
         sequence: Cell::new(0),
         started_at: now,
         fleet_size: Cell::new(None),
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -10,6 +10,7 @@
 pub mod caller;
 pub mod codec;
 mod crash_reports;
+pub mod endpoint_limits;
 mod endpoint_warnings;
 pub mod groups;
 mod incoming;
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -21,6 +21,7 @@
 
 use super::{
     codec::{read_message, write_message},
+    endpoint_limits::divide_if_due,
     incoming::apply_message,
     messages::{GossipMessage, RequestedParts},
     outgoing::{held_revisions, own_message},
@@ -117,6 +118,7 @@
         context.wall_clock.borrow_mut().compare(wall_clock_ms(), now);
         context.peer_contact.borrow_mut().begin_interval(now);
         context.crashes.borrow_mut().forget_old(now);
+        divide_if_due(&context, now);
         let fetches = start_fetches(&context, now);
         for address in addresses_to_call(&context, &fetches, now) {
             let (context, connections) = (context.clone(), connections.clone());
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -5,6 +5,7 @@
 mod counters;
 mod crashes;
 pub mod endpoint_list;
+mod limits;
 mod values;
 mod warnings;
 
@@ -14,6 +15,7 @@
 use self::{
     counters::{read_counters, write_counters},
     crashes::{read_crashes, write_crashes},
+    limits::{read_limits, write_limits},
     values::{check_length, from_ms, read_address, read_text, to_ms},
     warnings::{read_warnings, write_warnings},
 };
@@ -42,6 +44,8 @@
     write_crashes(crashes, &source.crashes);
     let warnings = target.reborrow().init_warnings(source.warnings.len() as u32);
     write_warnings(warnings, &source.warnings);
+    let limits = target.reborrow().init_limits(source.limits.len() as u32);
+    write_limits(limits, &source.limits);
     if let Some(group) = &source.group {
         target.set_has_group(true);
         write_counters!(target.reborrow().init_group(), group);
@@ -174,6 +178,7 @@
         usage: read_relayed_usage(source)?,
         crashes: read_crashes(source.get_crashes()?)?,
         warnings: read_warnings(source.get_warnings()?)?,
+        limits: read_limits(source.get_limits()?)?,
     })
 }
 
--- a/src/gateway/gossip/codec/counters.rs
+++ b/src/gateway/gossip/codec/counters.rs
@@ -9,11 +9,12 @@
 
 use super::values::{check_length, read_text};
 use crate::{
-    exchange_capnp::{endpoint_load, service_tokens, window_counts},
+    exchange_capnp::{endpoint_load, service_counters, window_counts},
     gateway::{
         gossip::messages::DaemonCounters,
         policy::{
-            endpoint::endpoint_load::EndpointLoad, leader::usage_counts::WindowCounts,
+            endpoint::endpoint_load::{EndpointLoad, ServiceCounters},
+            leader::usage_counts::WindowCounts,
             request::quota::AccountCounters,
         },
     },
@@ -67,14 +68,15 @@
     }
 }
 
-pub fn write_sent(
-    mut target: struct_list::Builder<'_, service_tokens::Owned>,
-    sent: &BTreeMap<SharedName, u64>,
+pub fn write_services(
+    mut target: struct_list::Builder<'_, service_counters::Owned>,
+    services: &BTreeMap<SharedName, ServiceCounters>,
 ) {
-    for (index, (service, tokens)) in sent.iter().enumerate() {
+    for (index, (service, counters)) in services.iter().enumerate() {
         let mut entry = target.reborrow().get(index as u32);
         entry.set_service(&**service);
-        entry.set_tokens(*tokens);
+        entry.set_tokens(counters.uncached_tokens);
+        entry.set_requests(counters.requests);
     }
 }
 
@@ -118,14 +120,16 @@
     Ok(windows)
 }
 
-pub fn read_sent(
-    source: struct_list::Reader<'_, service_tokens::Owned>,
-) -> Result<BTreeMap<SharedName, u64>, Error> {
-    let mut sent = BTreeMap::new();
+pub fn read_services(
+    source: struct_list::Reader<'_, service_counters::Owned>,
+) -> Result<BTreeMap<SharedName, ServiceCounters>, Error> {
+    let mut services = BTreeMap::new();
     for entry in source {
-        sent.insert(read_text(entry.get_service()?)?, entry.get_tokens());
+        let counters =
+            ServiceCounters { uncached_tokens: entry.get_tokens(), requests: entry.get_requests() };
+        services.insert(read_text(entry.get_service()?)?, counters);
     }
-    Ok(sent)
+    Ok(services)
 }
 
 pub fn read_loads(
@@ -153,8 +157,8 @@
         counters::write_units(requested, &names, counters, |one| one.requested);
         let windows = target.reborrow().init_windows(counters.windows.len() as u32);
         counters::write_windows(windows, &names, &counters.windows);
-        let sent = target.reborrow().init_sent(counters.sent.len() as u32);
-        counters::write_sent(sent, &counters.sent);
+        let services = target.reborrow().init_services(counters.services.len() as u32);
+        counters::write_services(services, &counters.services);
         let loads = target.init_loads(counters.loads.len() as u32);
         counters::write_loads(loads, &counters.loads);
     }};
@@ -168,7 +172,7 @@
         DaemonCounters {
             windows: counters::read_windows(&names, source.get_windows()?)?,
             loads: counters::read_loads(source.get_loads()?),
-            sent: counters::read_sent(source.get_sent()?)?,
+            services: counters::read_services(source.get_services()?)?,
             accounts: counters::read_units(&names, source.get_spent()?, source.get_requested()?),
         }
     }};
--- a/src/gateway/gossip/groups.rs
+++ b/src/gateway/gossip/groups.rs
@@ -33,7 +33,8 @@
     1 << (groups.log2().round() as u32)
 }
 
-fn hash_of(address: &SocketAddr) -> u64 {
+/// Hash of a daemon's address.
+pub fn hash_of(address: &SocketAddr) -> u64 {
     hash_parts(&[address.to_string().as_bytes()])
 }
 
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -14,6 +14,7 @@
 use super::{
     codec::endpoint_list,
     crash_reports::apply_reports,
+    endpoint_limits::apply_limits,
     endpoint_warnings::apply_warnings,
     messages::{
         CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage,
@@ -51,6 +52,7 @@
     apply_relayed_usage(context, &message);
     apply_reports(context, &message.crashes, now);
     apply_warnings(context, &message.warnings, now);
+    apply_limits(context, &message.limits, now);
     let GossipMessage { state, configuration, endpoint_revision, endpoints, lease, .. } = message;
     let address = state.address;
     let is_newer = {
@@ -126,7 +128,7 @@
     for (window, counts) in counters.windows {
         usage.receive(source, window, counts);
     }
-    let loads = ReportedLoads { at: now, loads: counters.loads, sent: counters.sent };
+    let loads = ReportedLoads { at: now, loads: counters.loads, services: counters.services };
     context.endpoints.borrow_mut().apply_report(source, loads);
 }
 
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -14,7 +14,7 @@
         endpoint::EndpointList,
         policy::{
             endpoint::{
-                endpoint_load::EndpointLoad,
+                endpoint_load::{EndpointLoad, ServiceCounters},
                 signal_ledger::{NumberedStart, WarningKind},
             },
             leader::usage_counts::WindowCounts,
@@ -52,8 +52,8 @@
     pub windows: BTreeMap<u64, WindowCounts>,
     /// Loads, by the numbers of the endpoints.
     pub loads: HashMap<u64, EndpointLoad>,
-    /// Uncached prompt tokens sent to endpoints since the daemon started, by service.
-    pub sent: BTreeMap<SharedName, u64>,
+    /// Counters by service, since the daemon started.
+    pub services: BTreeMap<SharedName, ServiceCounters>,
 }
 
 /// Usage that another daemon of the group, which may have ended since, has reported.
@@ -115,6 +115,17 @@
     pub age: Duration,
 }
 
+/// What an endpoint has said of its limit in a response to some daemon.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ReportedLimit {
+    /// The start of the endpoint that said so.
+    pub start: NumberedStart,
+    /// Requests a second that it takes from all daemons; none if it takes as many as come.
+    pub limit: Option<f64>,
+    /// How long ago.
+    pub age: Duration,
+}
+
 /// What a daemon knows of the leader lease.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LeaseSummary {
@@ -230,4 +241,6 @@
     pub crashes: Vec<CrashReport>,
     /// What endpoints have said in the last seconds.
     pub warnings: Vec<ReportedWarning>,
+    /// Limits that endpoints name, and those that have ended in the last seconds.
+    pub limits: Vec<ReportedLimit>,
 }
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -6,6 +6,7 @@
 
 use super::{
     crash_reports::own_reports,
+    endpoint_limits::own_limits,
     endpoint_warnings::own_warnings,
     messages::{
         ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary,
@@ -60,6 +61,7 @@
         usage: if wants.usage { relayed_usage(context) } else { Vec::new() },
         crashes: own_reports(context, now),
         warnings: own_warnings(context, now),
+        limits: own_limits(context, now),
     }
 }
 
@@ -116,7 +118,7 @@
     DaemonCounters {
         accounts: accounts.collect(),
         windows: newest_windows(context.usage.borrow().own().clone()),
-        sent: endpoints.own_sent().clone(),
+        services: endpoints.own_services().clone(),
         loads: loads.collect(),
     }
 }
@@ -127,7 +129,7 @@
     DaemonCounters {
         accounts: context.quotas.borrow().group_counters().collect(),
         windows: newest_windows(context.usage.borrow().group_totals()),
-        sent: endpoints.group_sent(),
+        services: endpoints.group_services(),
         loads: endpoints.group_loads(true_time::now()),
     }
 }
--- a/src/gateway/gossip/peer_record.rs
+++ b/src/gateway/gossip/peer_record.rs
@@ -8,6 +8,8 @@
 /// What is known of one daemon.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PeerRecord {
+    /// Hash of its address.
+    pub address_hash: u64,
     /// This start of it.
     pub incarnation: IncarnationId,
     /// Sequence of its newest own state; 0 if only others have reported it.
--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -17,11 +17,14 @@
 
 use super::{
     call_schedule::CallSchedule,
-    groups::{Neighbours, group_of},
+    groups::{Neighbours, group_of, hash_of},
     messages::PeerSummary,
     peer_record::{PeerRecord, PeerReport},
 };
-use crate::{gateway::policy::request::quota::QuotaSharing, ids::hash_parts};
+use crate::{
+    gateway::policy::request::quota::QuotaSharing,
+    ids::{IncarnationId, hash_parts},
+};
 
 /// A neighbour that was not heard for this long may not hear this daemon either.
 ///
@@ -47,6 +50,15 @@
 /// Basis: the way of a report: to the representative, and from there to this daemon.
 const REPORT_HOPS: u32 = 2;
 
+/// Place of a daemon among the first by some order.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlaceAmongFirst {
+    /// Daemons that come before it.
+    pub rank: usize,
+    /// The others among the first.
+    pub others: Vec<IncarnationId>,
+}
+
 /// Daemons by the addresses at which they listen for peers.
 #[derive(Debug)]
 pub struct PeerTable {
@@ -99,8 +111,14 @@
                 known.heard_at = known.heard_at.max(heard_at);
             }
             _ => {
-                let record =
-                    PeerRecord { incarnation, sequence: 0, heard_at, met_at: None, leaving: false };
+                let record = PeerRecord {
+                    address_hash: hash_of(&address),
+                    incarnation,
+                    sequence: 0,
+                    heard_at,
+                    met_at: None,
+                    leaving: false,
+                };
                 self.insert(address, record);
             }
         }
@@ -123,7 +141,10 @@
             known.is_none_or(|known| (known.incarnation, known.sequence) < (incarnation, sequence));
         if is_newer {
             let met_at = Some(now);
-            let record = PeerRecord { incarnation, sequence, heard_at: now, met_at, leaving };
+            let address_hash = hash_of(&address);
+            let heard_at = now;
+            let record =
+                PeerRecord { address_hash, incarnation, sequence, heard_at, met_at, leaving };
             self.insert(address, record);
         }
         is_newer
@@ -168,6 +189,24 @@
         others.all(|(address, _)| own < rank(address))
     }
 
+    /// This daemon's place among the first `count`, by hashes with `key`, of all that are known and
+    /// not leaving; none if it is not among them. Daemons that know the same others agree.
+    pub fn place_among_first(&self, key: u64, count: usize) -> Option<PlaceAmongFirst> {
+        let rank = |hash: u64| hash_parts(&[&key.to_le_bytes(), &hash.to_le_bytes()]);
+        let own = rank(hash_of(&self.own));
+        let others = self.peers.values().filter(|peer| !peer.leaving);
+        let mut ranked: Vec<(u64, IncarnationId)> =
+            others.map(|peer| (rank(peer.address_hash), peer.incarnation)).collect();
+        let before = ranked.iter().filter(|(rank, _)| *rank < own).count();
+        if before >= count {
+            return None;
+        }
+        ranked.sort_unstable();
+        ranked.truncate(count.saturating_sub(1));
+        let others = ranked.into_iter().map(|(_, incarnation)| incarnation).collect();
+        Some(PlaceAmongFirst { rank: before, others })
+    }
+
     fn forget(&mut self, now: Instant) {
         let before = self.peers.len();
         self.peers.retain(|_, peer| now.saturating_duration_since(peer.heard_at) < FORGET_AFTER);
--- a/src/gateway/policy/endpoint.rs
+++ b/src/gateway/policy/endpoint.rs
@@ -9,6 +9,8 @@
 pub mod prefill_rate;
 pub mod prompt_cache;
 pub mod refusal_pause;
+pub mod request_limit;
 pub mod room_forecast;
+pub mod service_demand;
 pub mod service_room;
 pub mod signal_ledger;
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -3,8 +3,9 @@
 //! The wait is estimated from the prompt tokens that wait at the endpoint, the tokens of this
 //! prompt that it has probably not cached, how full it is and its zone. To it come the waits that
 //! reading this prompt causes for others at the endpoint, and a cost for its recent failures. An
-//! endpoint that wants no requests for a while is none to choose from, and one that has just
-//! refused some is left to requests that may go elsewhere if it refuses again. Loads are those of
+//! endpoint that wants no requests for a while, or of whose limit nothing is left for this daemon,
+//! is none to choose from, and one that has just refused some is left to requests that may go
+//! elsewhere if it refuses again. Loads are those of
 //! this daemon and of the others' reports, which are up to two seconds old; what they show of
 //! prompts to be read is counted down meanwhile. Missing reports make an endpoint look idle,
 //! which its own refusals then correct.
@@ -153,7 +154,7 @@
     let (backing_off, awake): (Vec<_>, Vec<_>) =
         candidates.iter().partition(|status| status.pause.backs_off_until(now).is_some());
     let healthy = by_health(&awake, now);
-    let affinity = affinity_endpoint(&healthy, query.parts);
+    let affinity = affinity_endpoint(&unlimited(&healthy), query.parts);
     let chain = part_chain(query.parts);
     let mut best: Option<CostedChoice> = None;
     let mut any_full = !backing_off.is_empty();
@@ -244,6 +245,14 @@
     candidates.iter().max_by_key(weight).map(|status| status.record.id.clone())
 }
 
+/// Candidates that have named no limit; all, if there are none of these. Requests gather at endpoints
+/// that can take them all: what finds a limit reached would be read anew wherever it goes.
+fn unlimited<'a>(candidates: &[&'a EndpointStatus]) -> Vec<&'a EndpointStatus> {
+    let unlimited: Vec<&EndpointStatus> =
+        candidates.iter().filter(|status| status.limit.is_none()).copied().collect();
+    if unlimited.is_empty() { candidates.to_vec() } else { unlimited }
+}
+
 /// Candidates that are not ejected; those whose probe is due are among them. If more than
 /// half are ejected all are taken: then failures say more about the load than the endpoints.
 fn by_health<'a>(candidates: &[&'a EndpointStatus], now: Instant) -> Vec<&'a EndpointStatus> {
--- a/src/gateway/policy/endpoint/endpoint_load.rs
+++ b/src/gateway/policy/endpoint/endpoint_load.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
+    ops::AddAssign,
     time::Duration,
 };
 
@@ -66,6 +67,22 @@
     }
 }
 
+/// What a daemon, or a gossip group, counts of a service since it started.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ServiceCounters {
+    /// Uncached prompt tokens sent to endpoints.
+    pub uncached_tokens: u64,
+    /// Requests that needed an endpoint.
+    pub requests: u64,
+}
+
+impl AddAssign for ServiceCounters {
+    fn add_assign(&mut self, other: Self) {
+        self.uncached_tokens += other.uncached_tokens;
+        self.requests += other.requests;
+    }
+}
+
 /// Loads that another daemon has reported.
 #[derive(Debug)]
 pub struct ReportedLoads {
@@ -73,6 +90,6 @@
     pub at: Instant,
     /// Its loads, by the numbers of the endpoints.
     pub loads: HashMap<u64, EndpointLoad>,
-    /// Uncached prompt tokens that it has sent since it started, by service.
-    pub sent: BTreeMap<SharedName, u64>,
+    /// Its counters by service.
+    pub services: BTreeMap<SharedName, ServiceCounters>,
 }
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -8,6 +8,7 @@
     endpoint_load::{EndpointLoad, endpoint_number},
     prompt_cache::PromptCache,
     refusal_pause::RefusalPause,
+    request_limit::LimitBucket,
     signal_ledger::{HeldSignals, NumberedStart},
 };
 use crate::{
@@ -38,6 +39,8 @@
     pub is_draining: bool,
     /// Pause after its refusals.
     pub pause: RefusalPause,
+    /// This daemon's share of the requests that the endpoint takes, if it has named a limit.
+    pub limit: Option<LimitBucket>,
 }
 
 impl EndpointStatus {
@@ -52,6 +55,7 @@
             has_ended: false,
             is_draining: held.draining_since.is_some(),
             pause: RefusalPause::with_backoff(held.backoff_until),
+            limit: held.limit.and_then(|word| Some(LimitBucket::new(word.limit?, word.at))),
         }
     }
 
@@ -70,6 +74,11 @@
         self.is_ready() && !self.pause.is_paused(now)
     }
 
+    /// Whether its limit, if it has named one, lets this daemon send a request now.
+    pub fn is_within_limit(&self, now: Instant) -> bool {
+        self.limit.is_none_or(|limit| limit.has_token(now))
+    }
+
     /// Whether a request that may take `memory_tokens` finds no room at an endpoint with this
     /// load of all daemons. `memory_capacity` is none for services without an engine.
     pub fn is_full(
@@ -79,7 +88,7 @@
         memory_capacity: Option<u64>,
         now: Instant,
     ) -> bool {
-        if !self.pause.takes_request(now) {
+        if !self.pause.takes_request(now) || !self.is_within_limit(now) {
             return true;
         }
         let slots = f64::from(self.record.slots);
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -6,6 +6,7 @@
 //! to.
 
 pub mod attempt_results;
+pub mod limits;
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -17,11 +18,12 @@
 
 use super::{
     endpoint_choice::{ChoiceQuery, ChoiceResult, ChoiceSite, choose},
-    endpoint_load::{EndpointLoad, ReportedLoads, endpoint_number},
+    endpoint_load::{EndpointLoad, ReportedLoads, ServiceCounters, endpoint_number},
     endpoint_status::EndpointStatus,
     load_reports::LoadReports,
     prefill_rate::{DEFAULT_PREFILL_RATE, PrefillRate},
     room_forecast::{EndpointRoom, RoomForecast},
+    service_demand::DemandRate,
     service_room::ServiceRoom,
     signal_ledger::{NumberedStart, SignalLedger},
 };
@@ -40,7 +42,8 @@
     endpoints: BTreeMap<SharedName, EndpointStatus>,
     reports: LoadReports,
     signals: SignalLedger,
-    sent: BTreeMap<SharedName, u64>,
+    services: BTreeMap<SharedName, ServiceCounters>,
+    demands: HashMap<SharedName, DemandRate>,
     rates: HashMap<SharedName, PrefillRate>,
 }
 
@@ -52,7 +55,8 @@
             endpoints: BTreeMap::new(),
             reports: LoadReports::default(),
             signals: SignalLedger::default(),
-            sent: BTreeMap::new(),
+            services: BTreeMap::new(),
+            demands: HashMap::new(),
             rates: HashMap::new(),
         }
     }
@@ -106,21 +110,22 @@
         loads
     }
 
-    /// Uncached prompt tokens that the own group has sent, by service.
-    pub fn group_sent(&self) -> BTreeMap<SharedName, u64> {
-        let mut sent = self.sent.clone();
-        self.reports.add_group_sent(&mut sent);
-        sent
+    /// What the own group counts, by service.
+    pub fn group_services(&self) -> BTreeMap<SharedName, ServiceCounters> {
+        let mut services = self.services.clone();
+        self.reports.add_group_services(&mut services);
+        services
     }
 
-    /// Uncached prompt tokens that this daemon has sent since it started, by service.
-    pub fn own_sent(&self) -> &BTreeMap<SharedName, u64> {
-        &self.sent
+    /// What this daemon counts, by service.
+    pub fn own_services(&self) -> &BTreeMap<SharedName, ServiceCounters> {
+        &self.services
     }
 
     /// Uncached prompt tokens that all daemons have sent; falls when one is forgotten.
     pub fn tokens_sent(&self, service: &str) -> u64 {
-        self.sent.get(service).copied().unwrap_or(0) + self.reports.sent_to(service)
+        let own = self.services.get(service).map_or(0, |counters| counters.uncached_tokens);
+        own + self.reports.sent_to(service)
     }
 
     /// Prefill rate of a service's endpoints, in tokens a millisecond.
@@ -179,6 +184,7 @@
             room.slots += status.record.slots;
             room.running += self.load_at(status, now).running;
             room.backing_off += u32::from(status.pause.backs_off_until(now).is_some());
+            room.at_limit += u32::from(!status.is_within_limit(now));
         }
         room.report_age = self.reports.oldest_age(now);
         room
@@ -186,17 +192,21 @@
 
     /// When endpoints of a service will have room for a request, as far as known.
     pub fn forecast(&self, service: &str, now: Instant) -> RoomForecast {
-        let states =
-            self.of_service(service).map(|status| match status.pause.backs_off_until(now) {
-                Some(until) => EndpointRoom::At(until),
-                None if status.pause.takes_request(now)
-                    && self.load_at(status, now).running < status.record.slots =>
-                {
-                    EndpointRoom::Now
-                }
-                None => EndpointRoom::Unknown,
-            });
-        RoomForecast::of(states)
+        RoomForecast::of(self.of_service(service).map(|status| self.room_at(status, now)))
+    }
+
+    fn room_at(&self, status: &EndpointStatus, now: Instant) -> EndpointRoom {
+        if let Some(until) = status.pause.backs_off_until(now) {
+            return EndpointRoom::At(until);
+        }
+        let has_slot = self.load_at(status, now).running < status.record.slots;
+        if !(has_slot && status.pause.takes_request(now)) {
+            return EndpointRoom::Unknown;
+        }
+        match status.limit.filter(|limit| !limit.has_token(now)) {
+            None => EndpointRoom::Now,
+            Some(limit) => limit.next_token(now).map_or(EndpointRoom::Unknown, EndpointRoom::At),
+        }
     }
 
     fn of_service<'a>(&'a self, service: &'a str) -> impl Iterator<Item = &'a EndpointStatus> {
--- a/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
@@ -24,6 +24,15 @@
 /// Basis: chosen, not measured: reported loads are up to two seconds old.
 const BUSY_FRACTION: f64 = 0.5;
 
+/// What a request needed to be sent.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RunTickets {
+    /// Place of one of the first requests after a pause.
+    pub probe: Option<ProbeTicket>,
+    /// Whether it has a token of the endpoint's limit.
+    pub has_token: bool,
+}
+
 /// Whether an endpoint has taken a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestIntake {
@@ -34,17 +43,23 @@
 }
 
 impl EndpointTable {
-    /// An attempt begins at an endpoint; a ticket if it is one of the first after a pause.
+    /// A request needs an endpoint of a service.
+    pub fn count_request(&mut self, service: &SharedName) {
+        self.services.entry(service.clone()).or_default().requests += 1;
+    }
+
+    /// An attempt begins at an endpoint.
     pub fn begin(
         &mut self,
         id: &str,
         parts: &[PromptPart],
         load: RunLoad,
         now: Instant,
-    ) -> Option<ProbeTicket> {
-        let status = self.endpoints.get_mut(id)?;
+    ) -> RunTickets {
+        let Some(status) = self.endpoints.get_mut(id) else { return RunTickets::default() };
         if load.uncached_tokens > 0 {
-            *self.sent.entry(status.record.service.clone()).or_default() += load.uncached_tokens;
+            let counters = self.services.entry(status.record.service.clone()).or_default();
+            counters.uncached_tokens += load.uncached_tokens;
         }
         status.own.running += 1;
         status.own.uncached_tokens += load.uncached_tokens;
@@ -53,7 +68,8 @@
         if status.health.state(now) == HealthState::Probing {
             status.health.begin_probe();
         }
-        status.pause.begin()
+        let has_token = status.limit.as_mut().is_some_and(|limit| limit.try_take(now));
+        RunTickets { probe: status.pause.begin(), has_token }
     }
 
     /// The prompt of an attempt has been read, `taken` after it was sent. `alone` says that
--- /dev/null
+++ b/src/gateway/policy/endpoint/endpoint_table/limits.rs
@@ -0,0 +1,143 @@
+//! Limits that endpoints name of the requests that they take from all daemons, and this daemon's
+//! shares of them.
+
+use rand::Rng;
+use tokio::time::Instant;
+
+use super::EndpointTable;
+use crate::{
+    gateway::{
+        gossip::report_source::ReportSource,
+        policy::endpoint::{
+            endpoint_status::EndpointStatus,
+            request_limit::{HolderShare, LimitBucket},
+            service_demand::DemandRate,
+            signal_ledger::{EndpointLimit, LimitWord, NumberedStart},
+        },
+    },
+    ids::SharedName,
+};
+
+/// An endpoint that has named a limit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitedEndpoint {
+    /// Id of the endpoint.
+    pub id: SharedName,
+    /// Its service.
+    pub service: SharedName,
+    /// The start that has named it.
+    pub start: NumberedStart,
+    /// Requests a second that it takes from all daemons.
+    pub limit: f64,
+}
+
+/// The limit of an endpoint has changed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct LimitChange {
+    /// Id of the endpoint.
+    pub endpoint: SharedName,
+    /// Requests a second; none if it takes as many as come.
+    pub limit: Option<f64>,
+}
+
+impl EndpointTable {
+    /// An endpoint has said something of its limit in a response, or nothing; the change, if it is
+    /// one.
+    pub fn record_limit(&mut self, id: &str, word: LimitWord, now: Instant) -> Option<LimitChange> {
+        let start = self.endpoints.get(id)?.start();
+        self.signals.record_limit(EndpointLimit { start, word }, now);
+        self.apply_limit(id, now)
+    }
+
+    /// Another daemon tells of a limit; the change, if it is one here. One that names no start
+    /// counts only where none is known here either: the endpoint may have started again since.
+    pub fn receive_limit(&mut self, limit: EndpointLimit, now: Instant) -> Option<LimitChange> {
+        let NumberedStart { endpoint, born } = limit.start;
+        let known = self.endpoints.values().find(|status| status.number == endpoint);
+        if born == 0 && known.is_some_and(|status| status.record.born != 0) {
+            return None;
+        }
+        self.signals.receive_limit(limit, now);
+        let id = known?.record.id.clone();
+        self.apply_limit(&id, now)
+    }
+
+    /// Applies the limit that holds by the ledger to the endpoint's status.
+    fn apply_limit(&mut self, id: &str, now: Instant) -> Option<LimitChange> {
+        let status = self.endpoints.get_mut(id)?;
+        let held = self.signals.of(status.start()).limit_per_second();
+        let known = status.limit.map(|bucket| bucket.limit());
+        if held == known {
+            return None;
+        }
+        match (held, &mut status.limit) {
+            (Some(limit), Some(bucket)) => bucket.set_limit(limit, now),
+            (Some(limit), None) => status.limit = Some(LimitBucket::new(limit, now)),
+            (None, _) => {
+                status.limit = None;
+                // Otherwise all daemons would send it what they have at once.
+                status.pause.resume_slowly();
+            }
+        }
+        Some(LimitChange { endpoint: status.record.id.clone(), limit: held })
+    }
+
+    /// What the other daemons are told of limits.
+    pub fn limits(&self, now: Instant, rng: &mut impl Rng) -> Vec<EndpointLimit> {
+        self.signals.limits(now, rng)
+    }
+
+    /// Endpoints that take requests and have named a limit.
+    pub fn limited(&self) -> Vec<LimitedEndpoint> {
+        let ready = self.endpoints.values().filter(|status| status.is_ready());
+        let limited = ready.filter_map(|status: &EndpointStatus| {
+            Some(LimitedEndpoint {
+                id: status.record.id.clone(),
+                service: status.record.service.clone(),
+                start: status.start(),
+                limit: status.limit?.limit(),
+            })
+        });
+        limited.collect()
+    }
+
+    /// Notes the demand of this daemon for all services up to now.
+    pub fn observe_demand(&mut self, now: Instant) {
+        for (service, counters) in &self.services {
+            self.demands.entry(service.clone()).or_default().observe(counters.requests, now);
+        }
+    }
+
+    /// Demand of this daemon for a service, in requests a second.
+    pub fn own_demand(&self, service: &str) -> f64 {
+        self.demands.get(service).map_or(0.0, DemandRate::per_second)
+    }
+
+    /// Demand of another daemon for a service, in requests a second; none if it has not reported.
+    pub fn reported_demand(&self, from: ReportSource, service: &str) -> Option<f64> {
+        self.reports.demand(from, service)
+    }
+
+    /// Sets this daemon's share of an endpoint's limit; none if it holds none.
+    pub fn set_limit_share(&mut self, id: &str, share: Option<HolderShare>, now: Instant) {
+        if let Some(bucket) = self.limit_of(id) {
+            bucket.set_share(share, now);
+        }
+    }
+
+    /// Takes a token for a request to an endpoint; false if its limit leaves none.
+    pub fn try_take_token(&mut self, id: &str, now: Instant) -> bool {
+        self.limit_of(id).is_none_or(|bucket| bucket.try_take(now))
+    }
+
+    /// Takes back the token of a request that was not sent.
+    pub fn give_back_token(&mut self, id: &str) {
+        if let Some(bucket) = self.limit_of(id) {
+            bucket.give_back();
+        }
+    }
+
+    fn limit_of(&mut self, id: &str) -> Option<&mut LimitBucket> {
+        self.endpoints.get_mut(id)?.limit.as_mut()
+    }
+}
--- a/src/gateway/policy/endpoint/load_reports.rs
+++ b/src/gateway/policy/endpoint/load_reports.rs
@@ -9,7 +9,10 @@
 
 use tokio::time::Instant;
 
-use super::endpoint_load::{EndpointLoad, ReportedLoads};
+use super::{
+    endpoint_load::{EndpointLoad, ReportedLoads, ServiceCounters},
+    service_demand::DemandRate,
+};
 use crate::{gateway::gossip::report_source::ReportSource, ids::SharedName};
 
 /// Other daemons' loads no longer count after this time.
@@ -24,6 +27,8 @@
 #[derive(Debug, Default)]
 pub struct LoadReports {
     by_source: HashMap<ReportSource, ReportedLoads>,
+    /// Requests a second, by source and service.
+    demands: HashMap<ReportSource, HashMap<SharedName, DemandRate>>,
 }
 
 impl LoadReports {
@@ -38,8 +43,19 @@
             };
             self.by_source.retain(|other, _| !is_same_group(other));
         }
+        let demands = self.demands.entry(from).or_default();
+        for (service, counters) in &report.services {
+            demands.entry(service.clone()).or_default().observe(counters.requests, now);
+        }
         self.by_source.insert(from, report);
         self.by_source.retain(|_, other| now.saturating_duration_since(other.at) < REPORT_KEPT);
+        self.demands.retain(|from, _| self.by_source.contains_key(from));
+    }
+
+    /// Demand of a source for a service, in requests a second; none if it has not reported.
+    pub fn demand(&self, from: ReportSource, service: &str) -> Option<f64> {
+        let demands = self.demands.get(&from)?;
+        Some(demands.get(service).map_or(0.0, DemandRate::per_second))
     }
 
     /// Load of an endpoint by all reports, at `prefill_rate` tokens a millisecond.
@@ -75,18 +91,19 @@
         }
     }
 
-    /// Adds the tokens that daemons of the own group have sent, by service.
-    pub fn add_group_sent(&self, sent: &mut BTreeMap<SharedName, u64>) {
+    /// Adds what daemons of the own group count, by service.
+    pub fn add_group_services(&self, services: &mut BTreeMap<SharedName, ServiceCounters>) {
         for report in self.of_own_group() {
-            for (service, tokens) in &report.sent {
-                *sent.entry(service.clone()).or_default() += tokens;
+            for (service, counters) in &report.services {
+                *services.entry(service.clone()).or_default() += *counters;
             }
         }
     }
 
     /// Tokens that all others have sent to a service.
     pub fn sent_to(&self, service: &str) -> u64 {
-        self.by_source.values().filter_map(|report| report.sent.get(service)).sum()
+        let counters = self.by_source.values().filter_map(|report| report.services.get(service));
+        counters.map(|counters| counters.uncached_tokens).sum()
     }
 
     fn of_own_group(&self) -> impl Iterator<Item = &ReportedLoads> {
--- a/src/gateway/policy/endpoint/refusal_pause.rs
+++ b/src/gateway/policy/endpoint/refusal_pause.rs
@@ -150,6 +150,13 @@
         (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE)
     }
 
+    /// Requests come slowly from now on: the endpoint has wanted few, and wants as many as before.
+    pub fn resume_slowly(&mut self) {
+        if self.probe.is_none() {
+            self.begin_probe();
+        }
+    }
+
     fn begin_probe(&mut self) {
         self.windows = self.windows.wrapping_add(1);
         self.probe = Some(ProbeWindow { allowed: 1, waiting: 0 });
--- a/src/gateway/policy/endpoint/room_forecast.rs
+++ b/src/gateway/policy/endpoint/room_forecast.rs
@@ -7,7 +7,7 @@
 pub enum EndpointRoom {
     /// It has some.
     Now,
-    /// It wants no requests until then.
+    /// It wants no requests of this daemon until then.
     At(Instant),
     /// It is full; when a request ends there isn't known.
     Unknown,
@@ -18,7 +18,8 @@
 pub enum RoomForecast {
     /// An endpoint has some.
     Now,
-    /// All endpoints want no requests: the first from `first` on, the last from `last` on.
+    /// All endpoints want no requests of this daemon, by back-offs or limits: the first from `first`
+    /// on, the last from `last` on.
     BackingOff {
         /// When the first may be asked again.
         first: Instant,
--- a/src/gateway/policy/endpoint/service_room.rs
+++ b/src/gateway/policy/endpoint/service_room.rs
@@ -8,7 +8,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Display)]
 #[display(
     "{endpoints} endpoints, {running} running of {slots} slots, {backing_off} backing off, \
-     reports up to {} ms old",
+     {at_limit} at their limits, reports up to {} ms old",
     report_age.as_millis()
 )]
 pub struct ServiceRoom {
@@ -16,6 +16,8 @@
     pub endpoints: u32,
     /// Those that want no requests for a while.
     pub backing_off: u32,
+    /// Those whose limit leaves nothing for this daemon now.
+    pub at_limit: u32,
     /// Requests that they run at once.
     pub slots: u32,
     /// Requests of all daemons there.
--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -5,11 +5,17 @@
 //! | it drains | in any own response of it | until a later start of it is listed | for 10 s |
 //! | it asks for a back-off | in a 503 to this daemon | until its end or a later start | it refuses |
 //! | it refuses, and seemed to have room | in a refusal to this daemon | see `refusal_pause` | for 2 s |
+//! | it takes so many requests | in any own response of it | until a later response names none | while it holds, for 10 s that it has ended |
 //!
 //! An endpoint drains whoever asks, so that the other daemons stop too. A refusal, and the time in it,
 //! may be meant for the daemon that got it: others are only careful there (`refusal_pause`). With 87
 //! daemons each would otherwise find out by requests that are refused.
 //!
+//! A limit binds all daemons together, so the others keep to it as soon as they hear it. A response
+//! that names none ends it if its request was sent after the last one that names a limit had come;
+//! otherwise it may have overtaken that one. Of two reports that may be of the same time the one
+//! with the smaller limit counts.
+//!
 //! Nothing else takes a signal back. A list may be older than the response, and may lack the endpoint
 //! for a while: both come when the store is away, or from a daemon that lags behind. Two responses
 //! may overtake each other, so that of two back-offs the one that ends later counts. Inputs are an
@@ -20,6 +26,7 @@
     time::Duration,
 };
 
+use rand::{Rng, seq::IteratorRandom};
 use tokio::time::Instant;
 
 /// Time for which other daemons are told that an endpoint drains.
@@ -74,8 +81,26 @@
     pub at: Instant,
 }
 
+/// What an endpoint has said of its limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitWord {
+    /// Requests a second; none if it takes as many as come.
+    pub limit: Option<f64>,
+    /// When a response came that names it, or the request was sent whose response names none.
+    pub at: Instant,
+}
+
+/// What the other daemons are told of the limit of an endpoint.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct EndpointLimit {
+    /// The endpoint.
+    pub start: NumberedStart,
+    /// What it has said.
+    pub word: LimitWord,
+}
+
 /// Signals that hold for one start of an endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct HeldSignals {
     /// Since when it drains.
     pub draining_since: Option<Instant>,
@@ -83,9 +108,38 @@
     pub backoff_until: Option<Instant>,
     /// When it last refused a request of any daemon for no known reason.
     pub refused_at: Option<Instant>,
+    /// What it said last of its limit.
+    pub limit: Option<LimitWord>,
 }
 
 impl HeldSignals {
+    /// The limit that it names, in requests a second.
+    pub fn limit_per_second(&self) -> Option<f64> {
+        self.limit?.limit
+    }
+
+    /// Takes what it has said to this daemon. That it names no limit is kept only where one was known.
+    fn record_limit(&mut self, word: LimitWord) {
+        let is_later = self.limit.map_or(word.limit.is_some(), |known| word.at > known.at);
+        if is_later {
+            self.limit = Some(word);
+        }
+    }
+
+    /// Takes what it has said to another daemon.
+    fn receive_limit(&mut self, word: LimitWord) {
+        let Some(known) = &mut self.limit else {
+            self.limit = Some(word);
+            return;
+        };
+        if word.at > known.at + SAME_REFUSAL {
+            *known = word;
+        } else if word.at + SAME_REFUSAL > known.at {
+            // Ages look smaller by what messages took: either may be the later one.
+            known.limit = least_limit(known.limit, word.limit);
+        }
+    }
+
     /// It drains since then, or longer; whether that is news.
     fn record_draining(&mut self, since: Instant) -> bool {
         let known = self.draining_since;
@@ -104,6 +158,14 @@
     }
 }
 
+/// The smaller of two limits; none is greater than any.
+fn least_limit(one: Option<f64>, other: Option<f64>) -> Option<f64> {
+    match (one, other) {
+        (Some(one), Some(other)) => Some(one.min(other)),
+        (limit, None) | (None, limit) => limit,
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct LedgerEntry {
     born: u64,
@@ -134,6 +196,36 @@
         entry.signals.backoff_until = known.max(Some(until));
     }
 
+    /// Takes what an endpoint has said of its limit to this daemon.
+    pub fn record_limit(&mut self, limit: EndpointLimit, now: Instant) {
+        let EndpointLimit { start, word } = limit;
+        if word.limit.is_none() && self.of(start).limit.is_none() {
+            return;
+        }
+        if let Some(entry) = self.entry_of(start, now) {
+            entry.signals.record_limit(word);
+        }
+    }
+
+    /// Takes what an endpoint has said of its limit to another daemon.
+    pub fn receive_limit(&mut self, limit: EndpointLimit, now: Instant) {
+        if let Some(entry) = self.entry_of(limit.start, now) {
+            entry.signals.receive_limit(limit.word);
+        }
+    }
+
+    /// What the other daemons are told of limits: those that hold, and for a while that one has
+    /// ended. Of many some are chosen at random, so that all are told in turn.
+    pub fn limits(&self, now: Instant, rng: &mut impl Rng) -> Vec<EndpointLimit> {
+        let told = self.by_endpoint.iter().filter_map(|(endpoint, entry)| {
+            let start = NumberedStart { endpoint: *endpoint, born: entry.born };
+            let word = entry.signals.limit?;
+            let is_new = now.saturating_duration_since(word.at) < TOLD_FOR;
+            (word.limit.is_some() || is_new).then_some(EndpointLimit { start, word })
+        });
+        told.sample(rng, MAX_TOLD)
+    }
+
     /// Signals that hold for a start: its own, and those of later starts, of which no list has
     /// told yet.
     pub fn of(&self, start: NumberedStart) -> HeldSignals {
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -107,17 +107,17 @@
     let endpoint = choice.endpoint.clone();
     attempts.tried.push(endpoint.id.clone());
     trace.attempt(&choice, prompt_tokens(&admitted.call.head));
-    let guard = begin_run(context, admitted, &choice);
+    let mut guard = begin_run(context, admitted, &choice);
     let reuse = connection_reuse(admitted.route.kind, attempts.sent);
     let taking = context.connections.take(&endpoint, reuse, admitted.deadline);
     let mut connection = match taking.await {
         Ok(connection) => connection,
         Err(failure) => return Ok(not_connected(&failure, guard, trace)),
     };
-    let now = true_time::now();
-    if !context.endpoints.borrow().may_be_sent(&endpoint, now) {
+    if !guard.try_send() {
         return Ok(choose_anew(context, connection, trace));
     }
+    let now = true_time::now();
     let request = endpoint_request(admitted, &endpoint.id, resume_after, now);
     let until = awaited_until(admitted, attempts, &choice, now);
     match connection.send(request, until).await {
@@ -139,8 +139,7 @@
     AttemptEnd::Failed(AttemptFailure::NotSent)
 }
 
-/// While the connection came up its endpoint has said that it drains or wants a back-off, or a list has
-/// said that it goes: nothing is sent.
+/// While the connection came up its endpoint has come to want no more requests: nothing is sent.
 fn choose_anew(
     context: &GatewayContext,
     connection: EndpointConnection,
@@ -177,11 +176,14 @@
     admitted: &Admitted,
     attempts: &mut Attempts,
     failure: &SendFailure,
-    guard: RunGuard,
+    mut guard: RunGuard,
     trace: &mut RequestTrace,
 ) -> AttemptFailure {
     let ended = match failure.is_unsent() {
-        true => AttemptFailure::NotSent,
+        true => {
+            guard.was_not_sent();
+            AttemptFailure::NotSent
+        }
         false => {
             attempts.sent += 1;
             context.connections.discard_connections(guard.endpoint());
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -74,6 +74,9 @@
         load_age: context.peers.borrow().report_age(),
         may_retry: attempts.sent + 1 < admitted.route.attempts,
     };
+    if attempts.tried.is_empty() {
+        context.endpoints.borrow_mut().count_request(&admitted.service.name);
+    }
     let endpoints = context.endpoints.borrow();
     let reason = match endpoints.choose(&query, now, &mut rand::rng()) {
         ChoiceResult::Endpoint(choice) => return Ok(choice),
--- a/src/gateway/request/attempt/judge.rs
+++ b/src/gateway/request/attempt/judge.rs
@@ -12,10 +12,17 @@
     endpoint_health::AttemptResult,
     gateway::{
         context::GatewayContext,
-        policy::request::{refusal::promises_no_run, retries::AttemptFailure},
+        policy::{
+            endpoint::request_limit::believed_limit,
+            request::{refusal::promises_no_run, retries::AttemptFailure},
+        },
         request::{
-            admission::Admitted, connection_pool::EndpointConnection, drain::drain,
-            request_log::RequestTrace, response_meaning::ResponseMeaning, run_guard::RunGuard,
+            admission::Admitted,
+            connection_pool::EndpointConnection,
+            drain::drain,
+            request_log::RequestTrace,
+            response_meaning::{LimitSignal, ResponseMeaning},
+            run_guard::RunGuard,
         },
     },
     platform::ingress,
@@ -37,6 +44,18 @@
         // that they drain (9 real daemons, 4 of 12 endpoints, 8.5 s); with it none.
         guard.endpoint_drains();
     }
+    // An endpoint names a limit when it is in need: what it gets beyond is more than it can serve.
+    match (signs.meaning, signs.signals.limit) {
+        (ResponseMeaning::Ran | ResponseMeaning::NotRun, LimitSignal::PerSecond(limit)) => {
+            guard.endpoint_limits(believed_limit(limit));
+        }
+        (ResponseMeaning::Ran | ResponseMeaning::NotRun, LimitSignal::NotSaid) => {
+            guard.endpoint_limits(None);
+        }
+        // Nothing is known of the limit.
+        (ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign, _)
+        | (_, LimitSignal::Unreadable) => {}
+    }
     let status = response.status();
     let response = EndpointResponse { response, signs, connection, guard };
     match signs.meaning {
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -10,9 +10,10 @@
         call::PromptPart,
         context::GatewayContext,
         endpoint::EndpointRecord,
+        gossip::endpoint_limits::note_response,
         policy::endpoint::{
-            endpoint_load::RunLoad, endpoint_table::attempt_results::RequestIntake,
-            refusal_pause::ProbeTicket,
+            endpoint_load::RunLoad,
+            endpoint_table::attempt_results::{RequestIntake, RunTickets},
         },
     },
     true_time,
@@ -25,8 +26,10 @@
     endpoint: Rc<EndpointRecord>,
     load: RunLoad,
     begun: Instant,
-    /// Set until the endpoint responds, where this is one of the first requests after a pause.
-    ticket: Option<ProbeTicket>,
+    /// Its probe is taken away when the endpoint responds.
+    tickets: RunTickets,
+    /// Whether the request has been sent, or may have been.
+    is_sent: bool,
     /// Whether no other prompt was known to wait at the endpoint, so that the time to the first
     /// event shows the prefill rate.
     alone: bool,
@@ -44,10 +47,38 @@
         let begun = true_time::now();
         let mut endpoints = context.endpoints.borrow_mut();
         let alone = endpoints.is_idle(&endpoint.id, begun);
-        let ticket = endpoints.begin(&endpoint.id, parts, load, begun);
+        let tickets = endpoints.begin(&endpoint.id, parts, load, begun);
         drop(endpoints);
-        let result = AttemptResult::Neutral;
-        Self { context, endpoint: endpoint.clone(), load, begun, ticket, alone, result }
+        Self {
+            context,
+            endpoint: endpoint.clone(),
+            load,
+            begun,
+            tickets,
+            is_sent: false,
+            alone,
+            result: AttemptResult::Neutral,
+        }
+    }
+
+    /// Whether the request may be sent, which it then is. Since it was chosen its endpoint may have said
+    /// that it drains, wants a back-off or takes fewer requests, or a list that it goes.
+    pub fn try_send(&mut self) -> bool {
+        let now = true_time::now();
+        let mut endpoints = self.context.endpoints.borrow_mut();
+        if !endpoints.may_be_sent(&self.endpoint, now) {
+            return false;
+        }
+        if !self.tickets.has_token {
+            self.tickets.has_token = endpoints.try_take_token(&self.endpoint.id, now);
+        }
+        self.is_sent = self.tickets.has_token;
+        self.is_sent
+    }
+
+    /// The request has not been sent after all.
+    pub fn was_not_sent(&mut self) {
+        self.is_sent = false;
     }
 
     /// Id of the endpoint.
@@ -57,7 +88,7 @@
 
     /// The endpoint has refused the request; `backoff` is the time for which it wants no others.
     pub fn endpoint_refused(&mut self, backoff: Option<Duration>) {
-        self.ticket = None;
+        self.tickets.probe = None;
         let mut endpoints = self.context.endpoints.borrow_mut();
         if endpoints.knows_start(&self.endpoint) {
             endpoints.record_refusal(&self.endpoint.id, backoff, true_time::now());
@@ -66,7 +97,7 @@
 
     /// The endpoint has run the request.
     pub fn endpoint_ran(&mut self) {
-        let ticket = self.ticket.take();
+        let ticket = self.tickets.probe.take();
         let mut endpoints = self.context.endpoints.borrow_mut();
         if endpoints.knows_start(&self.endpoint) {
             let now = true_time::now();
@@ -88,6 +119,13 @@
         }
     }
 
+    /// The endpoint has named a limit of so many requests a second, or none.
+    pub fn endpoint_limits(&self, limit: Option<f64>) {
+        if self.context.endpoints.borrow().knows_start(&self.endpoint) {
+            note_response(&self.context, &self.endpoint.id, limit, self.begun);
+        }
+    }
+
     /// Another endpoint, or another start, has responded at its address.
     pub fn endpoint_ended(&self) {
         let mut endpoints = self.context.endpoints.borrow_mut();
@@ -135,8 +173,11 @@
         if !endpoints.knows_start(&self.endpoint) {
             return;
         }
-        let ticket = self.ticket.take();
         let now = true_time::now();
+        if self.tickets.has_token && !self.is_sent {
+            endpoints.give_back_token(&self.endpoint.id);
+        }
+        let ticket = self.tickets.probe.take();
         endpoints.record_intake(&self.endpoint.id, ticket, RequestIntake::Unknown, now);
         endpoints.end(&self.endpoint.id, self.load, self.result, now);
     }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -39,6 +39,9 @@
     /// Endpoints that are draining, by the list or by what they have said in responses.
     #[serde(rename = "replicas_draining")]
     pub endpoints_draining: usize,
+    /// Endpoints that take requests and have named a limit of them.
+    #[serde(default)]
+    pub endpoints_limited: usize,
     /// Daemons that have reported recently, this one included.
     pub daemons_heard: usize,
     /// Daemons that are assumed to run, this one included.
@@ -99,6 +102,7 @@
             endpoint_revision: list.revision,
             endpoints_ready,
             endpoints_draining,
+            endpoints_limited: endpoints.limited().len(),
             daemons_heard: sharing.heard,
             daemons_known: sharing.known,
             lease_holder: lease.holder.clone(),
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -527,7 +527,7 @@
     }
 }
 
-pub mod service_tokens {
+pub mod service_counters {
     #[derive(Copy, Clone)]
     pub struct Owned(());
     impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -600,11 +600,15 @@
         pub fn get_tokens(self) -> u64 {
             self.reader.get_data_field::<u64>(0)
         }
+        #[inline]
+        pub fn get_requests(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -678,6 +682,14 @@
         pub fn set_tokens(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(0, value);
         }
+        #[inline]
+        pub fn get_requests(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_requests(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -689,39 +701,46 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 64] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-            ::capnp::word(32, 78, 11, 189, 234, 243, 0, 242),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(82, 204, 239, 77, 49, 83, 44, 191),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 2, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
             ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
-            ::capnp::word(101, 114, 118, 105, 99, 101, 84, 111),
-            ::capnp::word(107, 101, 110, 115, 0, 0, 0, 0),
+            ::capnp::word(101, 114, 118, 105, 99, 101, 67, 111),
+            ::capnp::word(117, 110, 116, 101, 114, 115, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -738,11 +757,21 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
                 0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -756,10 +785,10 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0,1];
-        pub(crate) const TYPE_ID: u64 = 0xf200_f3ea_bd0b_4e20;
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,1];
+        pub(crate) const TYPE_ID: u64 = 0xbf2c_5331_4def_cc52;
     }
 }
 
@@ -893,11 +922,11 @@
             !self.reader.get_pointer_field(6).is_null()
         }
         #[inline]
-        pub fn get_sent(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::service_tokens::Owned>> {
+        pub fn get_services(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::service_counters::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(7), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_sent(&self) -> bool {
+        pub fn has_services(&self) -> bool {
             !self.reader.get_pointer_field(7).is_null()
         }
         #[inline]
@@ -1099,19 +1128,19 @@
             !self.builder.is_pointer_field_null(6)
         }
         #[inline]
-        pub fn get_sent(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::service_tokens::Owned>> {
+        pub fn get_services(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::service_counters::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(7), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_sent(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::service_tokens::Owned>) -> ::capnp::Result<()> {
+        pub fn set_services(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::service_counters::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(7), value, false)
         }
         #[inline]
-        pub fn init_sent(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::service_tokens::Owned> {
+        pub fn init_services(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::service_counters::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(7), size)
         }
         #[inline]
-        pub fn has_sent(&self) -> bool {
+        pub fn has_services(&self) -> bool {
             !self.builder.is_pointer_field_null(7)
         }
         #[inline]
@@ -1141,7 +1170,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 226] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 227] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
@@ -1233,17 +1262,17 @@
             ::capnp::word(10, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(181, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(201, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
             ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1343,13 +1372,14 @@
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 110, 116, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 78, 11, 189, 234, 243, 0, 242),
+            ::capnp::word(82, 204, 239, 77, 49, 83, 44, 191),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -1381,7 +1411,7 @@
                 7 => <::capnp::struct_list::Owned<crate::exchange_capnp::window_counts::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 8 => <::capnp::struct_list::Owned<crate::exchange_capnp::endpoint_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 9 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                10 => <::capnp::struct_list::Owned<crate::exchange_capnp::service_tokens::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                10 => <::capnp::struct_list::Owned<crate::exchange_capnp::service_counters::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -1398,7 +1428,7 @@
         );
         pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,0,4,8,1,11,10,3,6,7,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,0,4,8,1,11,3,10,6,7,9];
         pub(crate) const TYPE_ID: u64 = 0xa7cc_19ac_f1b2_2d2c;
     }
 }
@@ -1497,11 +1527,11 @@
             !self.reader.get_pointer_field(3).is_null()
         }
         #[inline]
-        pub fn get_sent(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::service_tokens::Owned>> {
+        pub fn get_services(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::service_counters::Owned>> {
             ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
-        pub fn has_sent(&self) -> bool {
+        pub fn has_services(&self) -> bool {
             !self.reader.get_pointer_field(4).is_null()
         }
         #[inline]
@@ -1631,19 +1661,19 @@
             !self.builder.is_pointer_field_null(3)
         }
         #[inline]
-        pub fn get_sent(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::service_tokens::Owned>> {
+        pub fn get_services(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::service_counters::Owned>> {
             ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(4), ::core::option::Option::None)
         }
         #[inline]
-        pub fn set_sent(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::service_tokens::Owned>) -> ::capnp::Result<()> {
+        pub fn set_services(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::service_counters::Owned>) -> ::capnp::Result<()> {
             ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(4), value, false)
         }
         #[inline]
-        pub fn init_sent(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::service_tokens::Owned> {
+        pub fn init_services(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::service_counters::Owned> {
             ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(4), size)
         }
         #[inline]
-        pub fn has_sent(&self) -> bool {
+        pub fn has_services(&self) -> bool {
             !self.builder.is_pointer_field_null(4)
         }
         #[inline]
@@ -1673,7 +1703,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 134] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 135] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(149, 180, 67, 94, 216, 159, 210, 130),
             ::capnp::word(15, 0, 0, 0, 1, 0, 0, 0),
@@ -1723,17 +1753,17 @@
             ::capnp::word(4, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(237, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(237, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(5, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(97, 99, 99, 111, 117, 110, 116, 115),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -1783,13 +1813,14 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(115, 101, 110, 116, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 115),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(32, 78, 11, 189, 234, 243, 0, 242),
+            ::capnp::word(82, 204, 239, 77, 49, 83, 44, 191),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
@@ -1815,7 +1846,7 @@
                 1 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::struct_list::Owned<crate::exchange_capnp::window_counts::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <::capnp::struct_list::Owned<crate::exchange_capnp::endpoint_load::Owned> as ::capnp::introspect::Introspect>::introspect(),
-                4 => <::capnp::struct_list::Owned<crate::exchange_capnp::service_tokens::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::struct_list::Owned<crate::exchange_capnp::service_counters::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
@@ -4606,6 +4637,316 @@
     }
 }
 
+pub mod endpoint_limit {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_born(self) -> u64 {
+            self.reader.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn get_is_limited(self) -> bool {
+            self.reader.get_bool_field(160)
+        }
+        #[inline]
+        pub fn get_limit(self) -> f64 {
+            self.reader.get_data_field::<f64>(3)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_born(self) -> u64 {
+            self.builder.get_data_field::<u64>(1)
+        }
+        #[inline]
+        pub fn set_born(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(1, value);
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(4)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(4, value);
+        }
+        #[inline]
+        pub fn get_is_limited(self) -> bool {
+            self.builder.get_bool_field(160)
+        }
+        #[inline]
+        pub fn set_is_limited(&mut self, value: bool)  {
+            self.builder.set_bool_field(160, value);
+        }
+        #[inline]
+        pub fn get_limit(self) -> f64 {
+            self.builder.get_data_field::<f64>(3)
+        }
+        #[inline]
+        pub fn set_limit(&mut self, value: f64)  {
+            self.builder.set_data_field::<f64>(3, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 95] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(113, 154, 126, 88, 103, 74, 42, 133),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
+            ::capnp::word(110, 100, 112, 111, 105, 110, 116, 76),
+            ::capnp::word(105, 109, 105, 116, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 160, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(144, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 115, 76, 105, 109, 105, 116, 101),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3,4];
+        pub(crate) const TYPE_ID: u64 = 0x852a_4a67_587e_9a71;
+    }
+}
+
 pub mod gossip_message {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -4815,11 +5156,19 @@
         pub fn has_warnings(&self) -> bool {
             !self.reader.get_pointer_field(12).is_null()
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::endpoint_limit::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(13), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.reader.get_pointer_field(13).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 13 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 14 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -5165,6 +5514,22 @@
         pub fn has_warnings(&self) -> bool {
             !self.builder.is_pointer_field_null(12)
         }
+        #[inline]
+        pub fn get_limits(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::endpoint_limit::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(13), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_limits(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::endpoint_limit::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(13), value, false)
+        }
+        #[inline]
+        pub fn init_limits(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::endpoint_limit::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(13), size)
+        }
+        #[inline]
+        pub fn has_limits(&self) -> bool {
+            !self.builder.is_pointer_field_null(13)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5191,17 +5556,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 431] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 450] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
-            ::capnp::word(13, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 71, 5, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 127, 5, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -5209,175 +5574,182 @@
             ::capnp::word(111, 115, 115, 105, 112, 77, 101, 115),
             ::capnp::word(115, 97, 103, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(149, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(177, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(169, 2, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(197, 2, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(168, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(180, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(177, 2, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(205, 2, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(192, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(189, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(217, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(225, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(196, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 2, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(233, 2, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(245, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(13, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(12, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(21, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(25, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(33, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(12, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(28, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(40, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 67, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(37, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(20, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 68, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(17, 3, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(45, 3, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(20, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(48, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(60, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 69, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(57, 3, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(28, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(40, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 70, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(65, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(73, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(40, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(68, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 71, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 3, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(93, 3, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 3, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(105, 3, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 3, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(133, 3, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(145, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 3, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(169, 3, 0, 0, 162, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(144, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(156, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(172, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(22, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(153, 3, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(181, 3, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(23, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(201, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(200, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 0, 0, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(225, 3, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(220, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
@@ -5623,6 +5995,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 105, 109, 105, 116, 115, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 154, 126, 88, 103, 74, 42, 133),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5650,6 +6034,7 @@
                 21 => <crate::exchange_capnp::compressed_text::Owned as ::capnp::introspect::Introspect>::introspect(),
                 22 => <::capnp::struct_list::Owned<crate::exchange_capnp::crash_report::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 23 => <::capnp::struct_list::Owned<crate::exchange_capnp::endpoint_warning::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                24 => <::capnp::struct_list::Owned<crate::exchange_capnp::endpoint_limit::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5663,9 +6048,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,19,21,2,18,3,22,20,6,7,11,8,12,4,1,9,5,0,16,13,14,10,15,23];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,19,21,2,18,3,22,20,6,7,11,8,12,4,1,9,24,5,0,16,13,14,10,15,23];
         pub(crate) const TYPE_ID: u64 = 0x8015_4fb0_3d05_b743;
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -28,6 +28,7 @@
 mod leader_state;
 mod leader_tasks;
 mod lease_numbers;
+mod limit_model;
 mod limited_endpoints;
 mod long_configuration;
 mod loopback_proxy;
