Tests of limits: which word holds, shares, each kind of response, retries and resumptions; soak lane

Each kind of response that may say that an endpoint drains is also played with a limit of nothing; the soak's endpoints name limits alone, failing, refusing, with back-offs and draining, and the bound is checked while it runs.

--- a/tests/gateway/limited_endpoints.rs
+++ b/tests/gateway/limited_endpoints.rs
@@ -7,9 +7,14 @@
 //! Nobody read the header, and it could not have been kept by one daemon alone: the limit binds the sum
 //! of what all send. With nine daemons and twelve endpoints of which four take 1.6 requests a
 //! second, 322 of 378 requests came beyond the limit, 1,409 of 1,465 where the endpoints also fail.
-//! Every kind of response that names it had no effect:
+//! Every kind of response that names it had no effect. Within 1.2 s one of the two endpoints got these
+//! from four daemons, 6 s after it had first named 1.5 a second:
 //!
-//!     "steps":"i-8edf24c6a8 uncached 913 of 1366 wait 49; 200 Ran limit 1.5 a second after 77;"
+//!     14.223  d-2  "steps":"i-8edf... uncached 397 of 466 wait 12; 200 Ran after 50;"
+//!     14.713  b-2  "steps":"i-8edf... uncached 349 of 814 wait 16; 200 Ran after 51;"
+//!     14.833  c-2  "steps":"i-8edf... uncached 1279 of 1735 wait 36; 200 Ran after 64;"
+//!     14.989  b-2  "steps":"i-8edf... uncached 620 of 751 wait 19; 200 Ran after 51;"
+//!     15.251  d-1  "steps":"i-8edf... uncached 12909 of 15659 wait 250; 200 Ran after 274;"
 //!
 //! The limit is now divided among a few daemons, and every daemon is told of it.
 
--- a/tests/gateway/draining_responses.rs
+++ b/tests/gateway/signal_responses.rs
@@ -1,5 +1,5 @@
-//! Each kind of response in which an endpoint may say that it drains, over each kind of route: one
-//! daemon, two endpoints, and requests of all kinds afterwards.
+//! Each kind of response in which an endpoint may say that it drains or takes no requests, over each
+//! kind of route: one daemon, two endpoints, and requests of all kinds afterwards.
 
 use googletest::prelude::*;
 
@@ -9,6 +9,7 @@
 };
 
 const DRAINING: &str = "Server-Leaving: 1\r\n";
+const LIMIT: &str = "Server-Limit: 0\r\n";
 const PATHS: [&str; 4] = ["/plain/a/", "/once/a/", "/stream/a/", "/rigid/a/"];
 /// Requests over each path afterwards: each endpoint would get about half of them.
 const AFTERWARDS: usize = 10;
@@ -40,11 +41,13 @@
     ($($name:ident: $manner:expr, $path:expr;)*) => {$(
         #[googletest::test]
         fn $name() {
-            let (site, told) = site_told($manner, $path, DRAINING);
-            site.endpoints[0].set(EndpointManner::Serve);
-            let answers = ask_all(&site);
-            expect_that!(site.endpoints[0].seen().len(), eq(told));
-            expect_true!(answers.iter().all(|answer| answer.status == 200 && answer.whole));
+            for header in [DRAINING, LIMIT] {
+                let (site, told) = site_told($manner, $path, header);
+                site.endpoints[0].set(EndpointManner::Serve);
+                let answers = ask_all(&site);
+                expect_that!(site.endpoints[0].seen().len(), eq(told), "{header}");
+                expect_true!(answers.iter().all(|answer| answer.status == 200 && answer.whole));
+            }
         }
     )*};
 }
@@ -63,6 +66,43 @@
     response_with_a_second_one_behind_it: EndpointManner::Surplus, "/plain/a/";
 }
 
+/// Two endpoints of which the first takes no requests; also the requests that it has got.
+fn site_with_limit() -> (Site, usize) {
+    site_told(EndpointManner::Serve, "/plain/a/", LIMIT)
+}
+
+#[googletest::test]
+fn retries_keep_to_a_limit() {
+    let (site, told) = site_with_limit();
+    site.endpoints[1].set(EndpointManner::Full);
+    let answer = site.ask("/plain/a/", "refused");
+    expect_that!(answer.status, eq(503));
+    expect_that!(site.endpoints[0].seen().len(), eq(told));
+}
+
+#[googletest::test]
+fn resumptions_keep_to_a_limit() {
+    let (site, told) = site_with_limit();
+    site.endpoints[1].set(EndpointManner::BreakAfter(2));
+    let answer = site.ask("/stream/a/", "broken");
+    expect_false!(answer.whole);
+    expect_that!(site.endpoints[0].seen().len(), eq(told));
+}
+
+#[googletest::test]
+fn all_endpoints_at_their_limits_are_told_at_once() {
+    let site = Site::start(&[EndpointManner::Serve]);
+    site.endpoints[0].add_header("Server-Limit: 2\r\n");
+    expect_that!(site.ask("/plain/a/", "first").status, eq(200));
+    let refused = site.ask("/once/a/", "second");
+    expect_that!(refused.status, eq(503));
+    let told: f64 = refused.header("retry-after").and_then(|text| text.parse().ok()).expect("time");
+    // A token comes after 0.53 s, and clients are spread over half a second from then on.
+    expect_true!((0.3..=1.05).contains(&told), "{told}");
+    std::thread::sleep(std::time::Duration::from_secs_f64(told));
+    expect_that!(site.ask("/once/a/", "third").status, eq(200));
+}
+
 #[googletest::test]
 fn response_to_another_request_says_nothing() {
     let (site, told) = site_told(EndpointManner::Foreign, "/plain/a/", DRAINING);
@@ -77,13 +117,15 @@
 }
 
 #[googletest::test]
-fn clients_are_not_told_that_an_endpoint_drains() {
-    let site = Site::start(&[EndpointManner::Serve]);
-    site.endpoints[0].add_header(DRAINING);
-    let answer = site.ask("/plain/a/", "first");
-    expect_that!(answer.status, eq(200));
-    expect_that!(answer.header("server-leaving"), none());
-    let refused = site.ask("/plain/a/", "second");
-    expect_that!(refused.status, eq(503));
-    expect_that!(refused.header("retry-after"), some(anything()));
+fn clients_are_not_told_what_an_endpoint_says_of_itself() {
+    for (header, name) in [(DRAINING, "server-leaving"), (LIMIT, "server-limit")] {
+        let site = Site::start(&[EndpointManner::Serve]);
+        site.endpoints[0].add_header(header);
+        let answer = site.ask("/plain/a/", "first");
+        expect_that!(answer.status, eq(200));
+        expect_that!(answer.header(name), none());
+        let refused = site.ask("/plain/a/", "second");
+        expect_that!(refused.status, eq(503));
+        expect_that!(refused.header("retry-after"), some(anything()));
+    }
 }
--- a/tests/gateway/soak_signals.rs
+++ b/tests/gateway/soak_signals.rs
@@ -1,4 +1,5 @@
-//! Endpoints that say in their responses that they drain or want a back-off, in the soak: endpoints of a
+//! Endpoints that say in their responses that they drain, want a back-off or take only so many requests,
+//! in the soak: endpoints of a
 //! service of their own, whose entries go on calling them ready, and clients that ask them. What
 //! must hold is checked while the soak runs.
 
@@ -31,11 +32,13 @@
 const PAUSE_MS: Range<u64> = 10..60;
 /// How long an endpoint says something, and the pause before the next does, in milliseconds.
 const SAID_MS: Range<u64> = 300..4_000;
+/// The same of limits, which are judged from 3 s on.
+const LIMITED_MS: Range<u64> = 300..9_000;
 const QUIET_MS: Range<u64> = 50..600;
 /// Time for which an endpoint is down that starts again, in milliseconds.
 const DOWN_MS: Range<u64> = 1..300;
 /// What an endpoint may say.
-const SIGNALS: [EndpointSignal; 10] = [
+const SIGNALS: [EndpointSignal; 16] = [
     EndpointSignal::Drains,
     EndpointSignal::DrainsRefusing,
     EndpointSignal::DrainsFailing,
@@ -46,6 +49,12 @@
     EndpointSignal::BacksOff("1e12"),
     EndpointSignal::BacksOff("soon"),
     EndpointSignal::Refuses,
+    EndpointSignal::Limits("3"),
+    EndpointSignal::Limits("0"),
+    EndpointSignal::LimitsRefusing("1.5"),
+    EndpointSignal::LimitsFailing("2"),
+    EndpointSignal::LimitsBackingOff("1"),
+    EndpointSignal::LimitsDraining("2"),
 ];
 
 /// The endpoints, and what their clients have seen.
@@ -99,7 +108,8 @@
             let signal = *SIGNALS.choose(&mut rng).expect("a signal");
             endpoint.say(signal);
             self.rewrite_entry(endpoint, &mut rng);
-            thread::sleep(Duration::from_millis(rng.random_range(SAID_MS)));
+            let said_ms = if signal.limit().is_some() { LIMITED_MS } else { SAID_MS };
+            thread::sleep(Duration::from_millis(rng.random_range(said_ms)));
             if signal.is_draining() {
                 endpoint.end();
                 thread::sleep(Duration::from_millis(rng.random_range(DOWN_MS)));
@@ -143,7 +153,8 @@
         }
     }
 
-    /// No request over 2 s after an endpoint had said that it drains, and at most two within a back-off.
+    /// No request over 2 s after an endpoint had said that it drains, at most two within a back-off, and
+    /// no more than a limit allows.
     pub fn check(&self) {
         let arrivals: Vec<Vec<Arrival>> =
             self.endpoints.iter().map(SignallingEndpoint::arrivals).collect();
@@ -153,5 +164,7 @@
         let (late, (asked, broken)) = (seen.late_arrivals(), seen.backoffs());
         assert_eq!(late, 0, "requests to endpoints that drain");
         assert_eq!(broken, 0, "of {asked} back-offs were broken");
+        let limits = seen.limits();
+        assert_eq!(limits.beyond, 0, "requests beyond limits: {limits:?}");
     }
 }
