Endpoints that fail more often than others of their service get few requests, and only such as survive it

Callers saw 1,083 of 1,721 requests unserved while four of twelve endpoints answered 500 at once, though eight had room: any response counted as health, and an endpoint with nothing to do looks idle. Endpoints to which connections had broken were ejected for up to 30 s, and got nothing when they worked.

Own failures of each daemon fade over seconds; an endpoint whose fraction is above 0.1 and twice the median of the others is an outlier: requests that would be lost pass it over, others try it after a pause of 60 ms to 1 s, one at a time, and daemons warn each other from the second failure on. Where no other endpoint has room it is used all the same. Errors at the head of resumable streams are retried as those of idempotent requests are, both only where another endpoint takes the request: otherwise the endpoint's own response is passed on. An idempotent request whose response has a head and no body in the time of the attempt is tried elsewhere. Ejection by failures in a row is left to the native path.

--- a/src/endpoint_health.rs
+++ b/src/endpoint_health.rs
@@ -1,9 +1,10 @@
 //! Decides whether an endpoint may be given requests, from the results of earlier attempts at
 //! it alone: ejection after failures in a row, then one probe at a time until one succeeds.
 //!
-//! Both paths keep one `EndpointHealth` for each endpoint (`native::decide::routing`,
-//! `gateway::policy::endpoint::endpoint_choice`). An endpoint without results counts as healthy; results
-//! are not shared between daemons.
+//! The native path keeps one `EndpointHealth` for each endpoint (`native::decide::routing`); the
+//! gateway compares endpoints with each other (`gateway::policy::endpoint::failure_rate`), since
+//! its daemons share many. An endpoint without results counts as healthy; results are not shared
+//! between daemons.
 
 use std::time::Duration;
 
@@ -26,13 +27,6 @@
 /// Basis: keeps the power of two within 32 bits.
 const DOUBLING_LIMIT: u32 = 8;
 
-/// Time after which a failure counts half: an endpoint that is avoided gets no request whose
-/// success would show that it has recovered.
-///
-/// Basis: stolni, 6 days with 3 seeds, against a penalty that stays: +0.003 +- 0.002 with 0.5 s,
-/// +0.008 +- 0.003 with 2 s.
-const FAILURE_HALF_LIFE: Duration = Duration::from_millis(2_000);
-
 /// What the end of an attempt says about the endpoint's health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum AttemptResult {
@@ -59,7 +53,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct EndpointHealth {
     failures: u32,
-    failed_at: Option<Instant>,
     ejections: u32,
     ejected_until: Option<Instant>,
     probing: bool,
@@ -75,18 +68,11 @@
         }
     }
 
-    /// Failures in a row, up to the ejection, however long ago; the native path counts these,
-    /// since it was not measured with a penalty that fades.
+    /// Failures in a row, up to the ejection, however long ago.
     pub fn failures(&self) -> u32 {
         self.failures
     }
 
-    /// Failures in a row up to the ejection, weighted by how recent the last one is.
-    pub fn recent_failures(&self, now: Instant) -> f64 {
-        let age = self.failed_at.map_or(Duration::MAX, |at| now.saturating_duration_since(at));
-        f64::from(self.failures) * (-age.div_duration_f64(FAILURE_HALF_LIFE)).exp2()
-    }
-
     /// A request was sent to an ejected endpoint.
     pub fn begin_probe(&mut self) {
         self.probing = true;
@@ -100,7 +86,6 @@
             AttemptResult::Neutral => {}
             AttemptResult::Failed => {
                 self.failures += 1;
-                self.failed_at = Some(now);
                 if probed || self.failures >= FAILURES_TO_EJECT {
                     self.eject(now);
                 }
--- a/src/gateway/policy/endpoint.rs
+++ b/src/gateway/policy/endpoint.rs
@@ -5,6 +5,7 @@
 pub mod endpoint_starts;
 pub mod endpoint_status;
 pub mod endpoint_table;
+pub mod failure_rate;
 pub mod load_reports;
 pub mod prefill_rate;
 pub mod prompt_cache;
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -2,10 +2,10 @@
 //!
 //! The wait is estimated from the prompt tokens that wait at the endpoint, the tokens of this
 //! prompt that it has probably not cached, how full it is and its zone. To it come the waits that
-//! reading this prompt causes for others at the endpoint, and a cost for its recent failures. An
+//! reading this prompt causes for others at the endpoint. An
 //! endpoint that wants no requests for a while, or of whose limit nothing is left for this daemon,
-//! is none to choose from, and one that has just refused some is left to requests that may go
-//! elsewhere if it refuses again. Loads are those of
+//! is none to choose from, and one that has just refused some, or fails more often than others, is
+//! left to requests that may go elsewhere if it does so again. Loads are those of
 //! this daemon and of the others' reports, which are up to two seconds old; what they show of
 //! prompts to be read is counted down meanwhile. Missing reports make an endpoint look idle,
 //! which its own refusals then correct.
@@ -28,7 +28,6 @@
     prompt_cache::{PartEnd, part_chain},
 };
 use crate::{
-    endpoint_health::HealthState,
     gateway::{call::PromptPart, endpoint::EndpointRecord},
     ids::{SharedName, hash_parts},
 };
@@ -43,14 +42,9 @@
 /// Wait added for an endpoint in another zone, in milliseconds.
 /// Basis: chosen, not measured: decides among endpoints that are otherwise alike.
 const OTHER_ZONE_MS: f64 = 4.0;
-/// Cost of each recent failure in a row, in milliseconds.
-/// Basis: chosen, not measured: outweighs a full batch, so that an endpoint that has just
-/// failed comes last among those without a backlog.
-const FAILURE_MS: f64 = 400.0;
-/// Cost of an endpoint that may still refuse, for a request that then could not go elsewhere, in
-/// milliseconds: it is chosen only where no other has room. Whether the endpoint works again shows
-/// by requests that can be retried.
-/// Basis: above any wait that a client would accept.
+/// Cost of an endpoint that may refuse or fail, for a request that then could not go elsewhere, in
+/// milliseconds: above any wait that a client would accept, so that it is chosen only where no
+/// other has room. Whether the endpoint works again shows by requests that can be retried.
 const PROBE_RISK_MS: f64 = 100_000.0;
 /// Fraction of a prompt's shared parts that the affinity endpoint is expected to have cached.
 /// Basis: raised from 0.7 (stolni, 5 days with 3 seeds: mean worth 0.527 -> 0.533, shared parts
@@ -92,6 +86,8 @@
     pub load_age: Duration,
     /// Whether another endpoint may be tried if this one refuses.
     pub may_retry: bool,
+    /// Whether another endpoint may be tried if this one fails.
+    pub survives_failure: bool,
 }
 
 impl ChoiceQuery<'_> {
@@ -153,12 +149,12 @@
 ) -> ChoiceResult {
     let (backing_off, awake): (Vec<_>, Vec<_>) =
         candidates.iter().partition(|status| status.pause.backs_off_until(now).is_some());
-    let healthy = by_health(&awake, now);
-    let affinity = affinity_endpoint(&unlimited(&healthy), query.parts);
+    let affinity = affinity_endpoint(&unlimited(&awake), query.parts);
+    let avoids_failures = avoids_failures(&awake, query, now);
     let chain = part_chain(query.parts);
-    let mut best: Option<CostedChoice> = None;
+    let (mut best, mut last_resort): (Option<CostedChoice>, Option<CostedChoice>) = (None, None);
     let mut any_full = !backing_off.is_empty();
-    for status in healthy {
+    for status in awake {
         let load = (site.load_of)(status);
         if status.is_full(&load, query.memory_tokens, query.memory_capacity, now) {
             any_full = true;
@@ -169,25 +165,39 @@
         let estimated_wait_ms = site.estimated_wait_ms(status, &load, uncached_tokens);
         let delay_ms = site.prefill_ms(uncached_tokens) * query.delay_to_others();
         let noise_ms = rng.random_range(0.0..NOISE_MS);
-        let cost_ms = estimated_wait_ms + delay_ms + failure_ms(status, query, now) + noise_ms;
-        if best.as_ref().is_none_or(|best| cost_ms < best.cost_ms) {
+        let cost_ms =
+            estimated_wait_ms + delay_ms + risk_ms(status, query, avoids_failures, now) + noise_ms;
+        let least = if status.pause.is_last_resort(now) { &mut last_resort } else { &mut best };
+        if least.as_ref().is_none_or(|least| cost_ms < least.cost_ms) {
             let endpoint = status.record.clone();
             let choice = EndpointChoice { endpoint, uncached_tokens, estimated_wait_ms };
-            best = Some(CostedChoice { choice, cost_ms });
+            *least = Some(CostedChoice { choice, cost_ms });
         }
     }
-    match best {
+    match best.or(last_resort) {
         Some(best) => ChoiceResult::Endpoint(best.choice),
         None if any_full => ChoiceResult::Full,
         None => ChoiceResult::None,
     }
 }
 
-/// Cost of what may go wrong at an endpoint, by its recent failures and refusals, in milliseconds.
-fn failure_ms(status: &EndpointStatus, query: &ChoiceQuery<'_>, now: Instant) -> f64 {
-    let is_risk = status.pause.is_probing() && !query.may_retry;
-    let risk_ms = if is_risk { PROBE_RISK_MS } else { 0.0 };
-    status.health.recent_failures(now) * FAILURE_MS + risk_ms
+/// Whether a request that would be lost by a failure passes endpoints over that fail more often than
+/// others; not if these are most of them.
+fn avoids_failures(candidates: &[&EndpointStatus], query: &ChoiceQuery<'_>, now: Instant) -> bool {
+    let outliers = candidates.iter().filter(|status| status.failures.is_outlier(now)).count();
+    !query.survives_failure && outliers * 2 <= candidates.len()
+}
+
+/// Cost of an endpoint that may refuse the request or fail, in milliseconds.
+fn risk_ms(
+    status: &EndpointStatus,
+    query: &ChoiceQuery<'_>,
+    avoids_failures: bool,
+    now: Instant,
+) -> f64 {
+    let may_refuse = status.pause.is_probing() && !query.may_retry;
+    let may_fail = avoids_failures && status.failures.is_outlier(now);
+    if may_refuse || may_fail { PROBE_RISK_MS } else { 0.0 }
 }
 
 /// A choice with its cost.
@@ -252,14 +262,3 @@
         candidates.iter().filter(|status| status.limit.is_none()).copied().collect();
     if unlimited.is_empty() { candidates.to_vec() } else { unlimited }
 }
-
-/// Candidates that are not ejected; those whose probe is due are among them. If more than
-/// half are ejected all are taken: then failures say more about the load than the endpoints.
-fn by_health<'a>(candidates: &[&'a EndpointStatus], now: Instant) -> Vec<&'a EndpointStatus> {
-    let healthy: Vec<&EndpointStatus> = candidates
-        .iter()
-        .filter(|status| status.health.state(now) != HealthState::Ejected)
-        .copied()
-        .collect();
-    if healthy.len() * 2 < candidates.len() { candidates.to_vec() } else { healthy }
-}
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -6,15 +6,13 @@
 
 use super::{
     endpoint_load::{EndpointLoad, endpoint_number},
+    failure_rate::FailureRate,
     prompt_cache::PromptCache,
     refusal_pause::RefusalPause,
     request_limit::LimitBucket,
     signal_ledger::{HeldSignals, NumberedStart},
 };
-use crate::{
-    endpoint_health::EndpointHealth,
-    gateway::endpoint::{EndpointRecord, EndpointState},
-};
+use crate::gateway::endpoint::{EndpointRecord, EndpointState};
 
 /// Requests that may wait for each slot of an endpoint without an engine.
 /// Basis: chosen, not measured: such requests are short, so a queue passes quickly.
@@ -29,8 +27,8 @@
     pub number: u64,
     /// Load of this daemon's own requests.
     pub own: EndpointLoad,
-    /// Health by the outcome of its own attempts.
-    pub health: EndpointHealth,
+    /// How often this daemon's attempts fail there.
+    pub failures: FailureRate,
     /// Prompt parts that the endpoint probably has cached.
     pub cache: PromptCache,
     /// Whether another start of an endpoint has responded at its address.
@@ -50,7 +48,7 @@
             number: endpoint_number(&record.id),
             record,
             own: EndpointLoad::default(),
-            health: EndpointHealth::default(),
+            failures: FailureRate::default(),
             cache: PromptCache::default(),
             has_ended: false,
             is_draining: held.draining_since.is_some(),
--- a/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
@@ -7,7 +7,7 @@
 
 use super::EndpointTable;
 use crate::{
-    endpoint_health::{AttemptResult, HealthState},
+    endpoint_health::AttemptResult,
     gateway::{
         call::PromptPart,
         policy::endpoint::{
@@ -65,9 +65,6 @@
         status.own.uncached_tokens += load.uncached_tokens;
         status.own.memory_tokens += load.memory_tokens;
         status.cache.remember(&part_chain(parts));
-        if status.health.state(now) == HealthState::Probing {
-            status.health.begin_probe();
-        }
         let has_token = status.limit.as_mut().is_some_and(|limit| limit.try_take(now));
         RunTickets { probe: status.pause.begin(), has_token }
     }
@@ -82,14 +79,55 @@
         }
     }
 
-    /// An attempt has ended; `load` is the part of its load that was still counted.
-    pub fn end(&mut self, id: &str, load: RunLoad, result: AttemptResult, now: Instant) {
+    /// An attempt that was `begun` then has ended; `load` is the part of its load that was still counted.
+    pub fn end(
+        &mut self,
+        id: &str,
+        load: RunLoad,
+        result: AttemptResult,
+        begun: Instant,
+        now: Instant,
+    ) {
+        self.release(id, load);
+        match result {
+            AttemptResult::Succeeded => self.record_success(id, now),
+            AttemptResult::Failed => self.record_failure(id, begun, now),
+            AttemptResult::Neutral => {}
+        }
+    }
+
+    fn release(&mut self, id: &str, load: RunLoad) {
         let Some(status) = self.endpoints.get_mut(id) else { return };
         status.own.running = status.own.running.saturating_sub(1);
         status.own.uncached_tokens =
             status.own.uncached_tokens.saturating_sub(load.uncached_tokens);
         status.own.memory_tokens = status.own.memory_tokens.saturating_sub(load.memory_tokens);
-        status.health.record(result, now);
+    }
+
+    fn record_success(&mut self, id: &str, now: Instant) {
+        if let Some(status) = self.endpoints.get_mut(id) {
+            status.failures.succeeded(now);
+        }
+    }
+
+    /// An endpoint has failed a request that was `begun` then. One that fails more often than others gets requests as after
+    /// a refusal; otherwise it would look idle, and draw those that others serve.
+    pub fn record_failure(&mut self, id: &str, begun: Instant, now: Instant) {
+        let Some(status) = self.endpoints.get(id) else { return };
+        let others =
+            self.of_service(&status.record.service).filter(|other| &*other.record.id != id);
+        let others = others.map(|other| other.failures.fraction(now)).collect();
+        let Some(status) = self.endpoints.get_mut(id) else { return };
+        status.failures.failed(others, now);
+        if !status.failures.is_outlier(now) || status.pause.is_later_known(begun) {
+            return;
+        }
+        status.pause.failed(now);
+        // Others are told of what goes on, not of one failure.
+        if status.pause.has_refused_again() {
+            let (start, kind) = (status.start(), WarningKind::Refusing);
+            self.signals.record(EndpointWarning { start, kind, at: now }, now);
+        }
     }
 
     /// Another start of an endpoint has responded at this one's address: this one has ended
--- a/src/gateway/policy/endpoint/refusal_pause.rs
+++ b/src/gateway/policy/endpoint/refusal_pause.rs
@@ -1,10 +1,12 @@
-//! When an endpoint that has refused a request may be sent the next ones.
+//! When an endpoint that has refused a request, or fails more often than others, may be sent the
+//! next ones.
 //!
 //! | refusal | pause | afterwards |
 //! |---|---|---|
 //! | with a time | so long | requests return slowly |
 //! | of a busy endpoint | short | as before |
 //! | of an endpoint that seemed to have room | short, doubled with each further one | slowly |
+//! | a failure, where it fails more often than others | the same, unless no other endpoint has room | slowly |
 //! | the same, reported by another daemon | none, or one that has begun here begins anew | slowly |
 //!
 //! Slowly: one request waits for its response at first, and twice as many after each one that the
@@ -77,12 +79,16 @@
 pub struct RefusalPause {
     /// Until when it gets no requests.
     until: Option<Instant>,
+    /// Until when it gets requests only where no other endpoint has room, since it fails.
+    failing_until: Option<Instant>,
     /// Until when the endpoint itself wants none.
     backoff_until: Option<Instant>,
     /// Unexplained refusals in a row, each after a pause.
     refusals: u32,
     /// When it last ran a request of this daemon.
     ran_at: Option<Instant>,
+    /// When it last refused one, or failed.
+    refused_at: Option<Instant>,
     /// None while requests need not come slowly.
     probe: Option<ProbeWindow>,
     /// Number of the newest window; tickets of earlier ones are void.
@@ -96,6 +102,14 @@
     allowed: u32,
     /// Those that do.
     waiting: u32,
+    /// Whether they come slowly since it fails; it may be sent more where no other has room.
+    is_after_failure: bool,
+}
+
+impl ProbeWindow {
+    fn has_place(self) -> bool {
+        self.waiting < self.allowed
+    }
 }
 
 impl RefusalPause {
@@ -103,7 +117,7 @@
     pub fn with_backoff(until: Option<Instant>) -> Self {
         let mut pause = Self { until, backoff_until: until, ..Self::default() };
         if until.is_some() {
-            pause.begin_probe();
+            pause.begin_probe(false);
         }
         pause
     }
@@ -118,28 +132,43 @@
             RefusalKind::Busy => FIRST_PAUSE,
             RefusalKind::Unexplained => self.next_pause(now),
         };
+        self.refused_at = Some(now);
         self.until = self.until.max(Some(now + span));
         if kind != RefusalKind::Busy {
-            self.begin_probe();
+            self.begin_probe(false);
         }
     }
 
+    /// The endpoint has failed a request, and does so more often than others.
+    pub fn failed(&mut self, now: Instant) {
+        let span = self.next_pause(now);
+        self.refused_at = Some(now);
+        self.failing_until = self.failing_until.max(Some(now + span));
+        self.begin_probe(true);
+    }
+
     /// Another daemon had a request refused there at `at`. Where this one has found the same, its pause
     /// begins anew with that refusal, and lasts up to `stretch` times as long (1 to 2, drawn by
     /// each daemon for itself): one daemon's request then tells all that the endpoint still
     /// refuses.
     pub fn suspect(&mut self, at: Instant, stretch: f64) {
         if self.refusals > 0 {
-            self.until = self.until.max(Some(at + self.usual_pause().mul_f64(stretch)));
+            let again = Some(at + self.usual_pause().mul_f64(stretch));
+            match self.probe {
+                Some(probe) if probe.is_after_failure => {
+                    self.failing_until = self.failing_until.max(again);
+                }
+                _ => self.until = self.until.max(again),
+            }
         }
         let is_served = self.ran_at.is_some_and(|ran| ran + SERVED_LATELY > at);
         if self.probe.is_none() && !is_served {
-            self.begin_probe();
+            self.begin_probe(false);
         }
     }
 
     fn next_pause(&mut self, now: Instant) -> Duration {
-        if !self.is_paused(now) {
+        if !(self.is_paused(now) || self.fails_until(now)) {
             self.refusals += 1;
         }
         self.usual_pause()
@@ -153,13 +182,23 @@
     /// Requests come slowly from now on: the endpoint has wanted few, and wants as many as before.
     pub fn resume_slowly(&mut self) {
         if self.probe.is_none() {
-            self.begin_probe();
+            self.begin_probe(false);
         }
     }
 
-    fn begin_probe(&mut self) {
+    fn begin_probe(&mut self, is_after_failure: bool) {
         self.windows = self.windows.wrapping_add(1);
-        self.probe = Some(ProbeWindow { allowed: 1, waiting: 0 });
+        self.probe = Some(ProbeWindow { allowed: 1, waiting: 0, is_after_failure });
+    }
+
+    fn fails_until(&self, now: Instant) -> bool {
+        self.failing_until.is_some_and(|until| now < until)
+    }
+
+    /// Whether it gets requests only where no other endpoint has room, since it fails.
+    pub fn is_last_resort(&self, now: Instant) -> bool {
+        let is_full = |probe: ProbeWindow| probe.is_after_failure && !probe.has_place();
+        self.fails_until(now) || self.probe.is_some_and(is_full)
     }
 
     /// Whether it gets no requests now.
@@ -174,8 +213,19 @@
 
     /// Whether it may be sent a request.
     pub fn takes_request(&self, now: Instant) -> bool {
-        let has_place = self.probe.is_none_or(|probe| probe.waiting < probe.allowed);
-        has_place && !self.is_paused(now)
+        let takes_more = |probe: ProbeWindow| probe.has_place() || probe.is_after_failure;
+        self.probe.is_none_or(takes_more) && !self.is_paused(now)
+    }
+
+    /// Whether something is known of it that is later than the beginning of a request: what becomes of
+    /// that request, which may have waited for seconds, says nothing of the endpoint any more.
+    pub fn is_later_known(&self, begun: Instant) -> bool {
+        self.ran_at.max(self.refused_at).is_some_and(|at| at > begun)
+    }
+
+    /// Whether it has refused more than one request for no known reason, or failed, each after a pause.
+    pub fn has_refused_again(&self) -> bool {
+        self.refusals > 1
     }
 
     /// Whether requests come slowly.
--- a/src/gateway/policy/request/retries.rs
+++ b/src/gateway/policy/request/retries.rs
@@ -6,7 +6,7 @@
 //! | was not sent | next endpoint, free | next endpoint, free | next endpoint, free |
 //! | was not run by the endpoint | retry, or refuse | retry, or refuse | retry, or refuse |
 //! | may have run | retry, or refuse | retry, or refuse | refuse |
-//! | got a response with a status from 500 up | retry, or pass on | pass on | pass on |
+//! | got a response with a status from 500 up | retry, or pass on | retry, or pass on | pass on |
 //! | got any other response | pass on | pass on | pass on |
 //! | began a stream that broke | - | resume, or break off | break off |
 //!
@@ -23,6 +23,8 @@
 
 use std::time::Duration;
 
+use hyper::StatusCode;
+
 use super::{refusal::Refusal, retry_after};
 use crate::gateway::configuration::RouteKind;
 
@@ -82,9 +84,15 @@
 }
 
 /// Whether a response of an endpoint that has run the request may be dropped for a retry;
-/// otherwise it is passed on.
+/// otherwise it is passed on. Nothing has come of a stream whose head is an error.
 pub fn may_retry_response(kind: RouteKind, is_server_error: bool) -> bool {
-    is_server_error && kind == RouteKind::Idempotent
+    is_server_error && kind.may_run_again()
+}
+
+/// Whether a response with this status, by an endpoint that has run the request, is a failure of the
+/// endpoint. A time-out is not: the client's time may have been short.
+pub fn is_endpoint_failure(status: StatusCode) -> bool {
+    status.is_server_error() && status != StatusCode::GATEWAY_TIMEOUT
 }
 
 /// What follows a failed attempt; `may_have_run` says whether an earlier one may have run.
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -9,14 +9,14 @@
 
 use std::rc::Rc;
 
-use http_body_util::Full;
+use http_body_util::{BodyExt, Full};
 use hyper::{
     Request, Response,
-    body::{Bytes, Incoming},
+    body::{Body, Bytes, Incoming},
 };
-use tokio::time::Instant;
+use tokio::time::{Instant, timeout_at};
 
-pub use self::choice::wait_for_room;
+pub use self::choice::{has_another, wait_for_room};
 use self::{
     choice::{check_quarantine, choose, memory_tokens, prompt_tokens},
     judge::judge,
@@ -55,6 +55,10 @@
 pub struct EndpointResponse {
     /// Head and body.
     pub response: Response<Incoming>,
+    /// The first piece of its body, if that was awaited.
+    pub first_piece: Option<Bytes>,
+    /// Until when the attempt may wait for its body to begin, if another one could follow.
+    pub awaited_until: Instant,
     /// What its head says.
     pub signs: ResponseSigns,
     /// Connection that it comes over.
@@ -63,6 +67,25 @@
     pub guard: RunGuard,
 }
 
+impl EndpointResponse {
+    /// Waits for the first piece of the body; whether it is still missing when another endpoint may
+    /// serve the request. A body that breaks is found broken again when it is passed on.
+    pub async fn stays_silent(&mut self, deadline: Instant) -> bool {
+        let body = self.response.body_mut();
+        if self.awaited_until >= deadline || body.is_end_stream() {
+            return false;
+        }
+        match timeout_at(true_time::timer_at(self.awaited_until), body.frame()).await {
+            Err(_) => true,
+            Ok(Some(Ok(frame))) => {
+                self.first_piece = frame.into_data().ok();
+                false
+            }
+            Ok(Some(Err(_)) | None) => false,
+        }
+    }
+}
+
 /// State of the attempts at one request.
 #[derive(Default)]
 pub struct Attempts {
@@ -128,7 +151,7 @@
         }
         Ok(response) => {
             attempts.sent += 1;
-            Ok(judge(context, admitted, response, connection, guard, trace))
+            Ok(judge(context, admitted, response, until, connection, guard, trace))
         }
     }
 }
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -63,17 +63,7 @@
     if now >= admitted.deadline {
         return Err(refusal(NoAttempt::DeadlineOver));
     }
-    let head = &admitted.call.head;
-    let query = ChoiceQuery {
-        service: &admitted.service.name,
-        parts: &head.parts,
-        prompt_tokens: prompt_tokens(head),
-        memory_tokens: memory_tokens(admitted),
-        tried: &attempts.tried,
-        memory_capacity: admitted.service.engine.as_ref().map(|engine| engine.memory_tokens),
-        load_age: context.peers.borrow().report_age(),
-        may_retry: attempts.sent + 1 < admitted.route.attempts,
-    };
+    let query = choice_query(context, admitted, attempts);
     if attempts.tried.is_empty() {
         context.endpoints.borrow_mut().count_request(&admitted.service.name);
     }
@@ -87,6 +77,34 @@
     Err(refusal(reason))
 }
 
+/// Whether there is an endpoint for another attempt. The response of the last one is given up only
+/// then: whatever it says, it is the endpoint's own.
+pub fn has_another(context: &GatewayContext, admitted: &Admitted, attempts: &Attempts) -> bool {
+    let query = choice_query(context, admitted, attempts);
+    let choice = context.endpoints.borrow().choose(&query, true_time::now(), &mut rand::rng());
+    matches!(choice, ChoiceResult::Endpoint(_))
+}
+
+fn choice_query<'a>(
+    context: &GatewayContext,
+    admitted: &'a Admitted,
+    attempts: &'a Attempts,
+) -> ChoiceQuery<'a> {
+    let head = &admitted.call.head;
+    let may_retry = attempts.sent + 1 < admitted.route.attempts;
+    ChoiceQuery {
+        service: &admitted.service.name,
+        parts: &head.parts,
+        prompt_tokens: prompt_tokens(head),
+        memory_tokens: memory_tokens(admitted),
+        tried: &attempts.tried,
+        memory_capacity: admitted.service.engine.as_ref().map(|engine| engine.memory_tokens),
+        load_age: context.peers.borrow().report_age(),
+        may_retry,
+        survives_failure: may_retry && admitted.route.kind.may_run_again(),
+    }
+}
+
 /// Endpoints may be full for this request and have room for others.
 fn why_full(endpoints: &EndpointTable, admitted: &Admitted, now: Instant) -> NoAttempt {
     match endpoints.forecast(&admitted.service.name, now) {
--- a/src/gateway/request/attempt/judge.rs
+++ b/src/gateway/request/attempt/judge.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use hyper::{Response, body::Incoming};
+use tokio::time::Instant;
 
 use super::{AttemptEnd, EndpointResponse};
 use crate::{
@@ -14,7 +15,10 @@
         context::GatewayContext,
         policy::{
             endpoint::request_limit::believed_limit,
-            request::{refusal::promises_no_run, retries::AttemptFailure},
+            request::{
+                refusal::promises_no_run,
+                retries::{AttemptFailure, is_endpoint_failure},
+            },
         },
         request::{
             admission::Admitted,
@@ -33,6 +37,7 @@
     context: &Rc<GatewayContext>,
     admitted: &Admitted,
     response: Response<Incoming>,
+    awaited_until: Instant,
     connection: EndpointConnection,
     guard: RunGuard,
     trace: &mut RequestTrace,
@@ -57,7 +62,8 @@
         | (_, LimitSignal::Unreadable) => {}
     }
     let status = response.status();
-    let response = EndpointResponse { response, signs, connection, guard };
+    let response =
+        EndpointResponse { response, first_piece: None, awaited_until, signs, connection, guard };
     match signs.meaning {
         ResponseMeaning::Ran if promises_no_run(status) => {
             // The client would take the status for a promise that the endpoint has not made.
@@ -79,13 +85,16 @@
     admitted: &Admitted,
     mut response: EndpointResponse,
 ) -> AttemptEnd {
-    let is_success = response.response.status().is_success();
+    let status = response.response.status();
+    let is_success = status.is_success();
     if !(admitted.route.kind.is_stream() && is_success) {
         // An error is a run too, also if it is dropped for a retry. A stream's run begins with
         // its first event.
         admitted.count_run(context);
     }
-    response.guard.endpoint_ran();
+    if is_endpoint_failure(status) {
+        response.guard.endpoint_failed();
+    }
     AttemptEnd::Responded(Box::new(response))
 }
 
@@ -94,7 +103,7 @@
     response: EndpointResponse,
     failure: AttemptFailure,
 ) -> AttemptEnd {
-    let EndpointResponse { response, signs, connection, mut guard } = response;
+    let EndpointResponse { response, signs, connection, mut guard, .. } = response;
     guard.endpoint_refused(signs.signals.backoff);
     guard.finish(AttemptResult::Neutral);
     drain(context, response, connection, signs);
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -7,7 +7,9 @@
 
 use super::{
     admission::{self, Admitted, admit},
-    attempt::{AttemptEnd, Attempts, EndpointResponse, attempt, may_try_again, wait_for_room},
+    attempt::{
+        AttemptEnd, Attempts, EndpointResponse, attempt, has_another, may_try_again, wait_for_room,
+    },
     refusal_response::refusal_response,
     relay,
     request_log::RequestTrace,
@@ -105,13 +107,19 @@
     let kind = admitted.route.kind;
     loop {
         match attempt(context, admitted, attempts, None, trace).await? {
-            AttemptEnd::Responded(response) => {
+            AttemptEnd::Responded(mut response) => {
                 let is_server_error = response.response.status().is_server_error();
-                let may_retry = may_retry_response(kind, is_server_error);
-                if !(may_retry && may_try_again(context, admitted, attempts)) {
+                let drops = may_retry_response(kind, is_server_error)
+                    || !kind.is_stream() && response.stays_silent(admitted.deadline).await;
+                let drops = drops && has_another(context, admitted, attempts);
+                if !(drops && may_try_again(context, admitted, attempts)) {
                     return Ok(*response);
                 }
-                response.guard.finish(AttemptResult::Neutral);
+                // A status has been judged already.
+                let result =
+                    if is_server_error { AttemptResult::Neutral } else { AttemptResult::Failed };
+                response.guard.finish(result);
+                attempts.may_have_run = true;
             }
             AttemptEnd::Failed(failure) => {
                 match after_failure(failure, kind, attempts.may_have_run) {
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -68,20 +68,48 @@
 
 /// Where the response comes from.
 struct Upstream {
+    /// The beginning of the body, if it was read before.
+    first_piece: Option<Bytes>,
     body: Incoming,
     signs: ResponseSigns,
     connection: EndpointConnection,
     guard: RunGuard,
     /// When its head came: the endpoint runs the request since then, or a little longer.
     since: Instant,
+    /// Whether anything has come of its body.
+    has_body: bool,
 }
 
 impl Upstream {
     /// Splits a response into its head, and body with all that belongs to it.
     fn of(response: EndpointResponse) -> (Response<()>, Self) {
-        let EndpointResponse { response, signs, connection, guard } = response;
+        let EndpointResponse { response, first_piece, signs, connection, guard, .. } = response;
         let (head, body) = ingress::client_response(response);
-        (head, Self { body, signs, connection, guard, since: true_time::now() })
+        (
+            head,
+            Self {
+                first_piece,
+                body,
+                signs,
+                connection,
+                guard,
+                since: true_time::now(),
+                has_body: false,
+            },
+        )
+    }
+}
+
+impl Upstream {
+    /// Bytes that are left of the body, if the endpoint has said how many there are.
+    fn length(&self) -> Option<u64> {
+        let first = self.first_piece.as_ref().map_or(0, |piece| piece.len() as u64);
+        self.body.size_hint().exact().map(|rest| first + rest)
+    }
+
+    /// Whether the body has come to its end.
+    fn is_at_end(&self) -> bool {
+        self.first_piece.is_none() && self.body.is_end_stream()
     }
 }
 
@@ -101,7 +129,7 @@
     trace: RequestTrace,
 ) -> Response<LocalBody> {
     let (head, upstream) = Upstream::of(response);
-    let whole_length = upstream.body.size_hint().exact();
+    let whole_length = upstream.length();
     let streams = head.status().is_success() && admitted.route.kind.is_stream();
     let mut relay = Relay {
         context: context.clone(),
@@ -154,6 +182,9 @@
                 }
                 NextPiece::Broken(error) => error,
             };
+            if error == RelayError::OutOfTime {
+                self.note_silence();
+            }
             if error == RelayError::OutOfTime || !self.resume().await {
                 self.ended = true;
                 self.trace.broken_off(error.to_string(), self.events);
@@ -164,8 +195,7 @@
 
     /// Whether a response that is no stream has arrived to its end.
     fn has_whole_plain_response(&self) -> bool {
-        let at_end = |upstream: &Upstream| upstream.body.is_end_stream();
-        self.cutter.is_none() && self.upstream.as_ref().is_some_and(at_end)
+        self.cutter.is_none() && self.upstream.as_ref().is_some_and(Upstream::is_at_end)
     }
 
     /// The next piece from the endpoint; whole events only, where the response is a stream.
@@ -175,6 +205,10 @@
         let Some(upstream) = &mut self.upstream else {
             return NextPiece::Broken(RelayError::BrokenOff);
         };
+        if let Some(piece) = upstream.first_piece.take() {
+            upstream.has_body = true;
+            return NextPiece::Bytes(piece);
+        }
         let frame = match timeout_at(true_time::timer_at(until), upstream.body.frame()).await {
             // The errors' details don't matter: the endpoint is left either way.
             Err(_) if until >= deadline => return NextPiece::Broken(RelayError::OutOfTime),
@@ -189,6 +223,7 @@
             Ok(Some(Ok(frame))) => frame,
         };
         let Ok(bytes) = frame.into_data() else { return NextPiece::Bytes(Bytes::new()) };
+        upstream.has_body |= !bytes.is_empty();
         let Some(cutter) = &mut self.cutter else { return NextPiece::Bytes(bytes) };
         let Ok(batch) = cutter.feed(&bytes, self.last_event) else {
             return NextPiece::Broken(RelayError::BrokenOff);
@@ -199,6 +234,7 @@
                 self.trace.first_event();
             }
             upstream.guard.prefill_done();
+            upstream.guard.endpoint_ran();
             self.events += batch.count as u64;
             self.last_event = batch.last_id.or(self.last_event);
         }
@@ -220,6 +256,14 @@
         }
     }
 
+    /// The time is over. An endpoint of whose body nothing has come has failed; one that was at work
+    /// has not.
+    fn note_silence(&mut self) {
+        if let Some(upstream) = self.upstream.take_if(|upstream| !upstream.has_body) {
+            upstream.guard.finish(AttemptResult::Failed);
+        }
+    }
+
     /// Resumes a broken stream at another endpoint, if it may.
     async fn resume(&mut self) -> bool {
         if let Some(upstream) = self.upstream.take() {
@@ -251,8 +295,9 @@
     fn finish_cleanly(&mut self) {
         self.ended = true;
         self.trace.finished(self.events);
-        let Some(upstream) = self.upstream.take() else { return };
+        let Some(mut upstream) = self.upstream.take() else { return };
         request_served(&self.context, &self.admitted);
+        upstream.guard.endpoint_ran();
         upstream.guard.finish(AttemptResult::Succeeded);
         if !upstream.signs.closes {
             self.context.connections.give_back(upstream.connection, upstream.signs.keep);
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -33,6 +33,8 @@
     /// Whether no other prompt was known to wait at the endpoint, so that the time to the first
     /// event shows the prefill rate.
     alone: bool,
+    /// Whether the endpoint has failed the request, which is then known already.
+    has_failed: bool,
     result: AttemptResult,
 }
 
@@ -57,6 +59,7 @@
             tickets,
             is_sent: false,
             alone,
+            has_failed: false,
             result: AttemptResult::Neutral,
         }
     }
@@ -95,8 +98,11 @@
         }
     }
 
-    /// The endpoint has run the request.
+    /// The endpoint has served the request, or the beginning of a stream; nothing if it has failed.
     pub fn endpoint_ran(&mut self) {
+        if self.has_failed {
+            return;
+        }
         let ticket = self.tickets.probe.take();
         let mut endpoints = self.context.endpoints.borrow_mut();
         if endpoints.knows_start(&self.endpoint) {
@@ -105,6 +111,16 @@
         }
     }
 
+    /// The endpoint has run the request and failed.
+    pub fn endpoint_failed(&mut self) {
+        self.has_failed = true;
+        self.tickets.probe = None;
+        let mut endpoints = self.context.endpoints.borrow_mut();
+        if endpoints.knows_start(&self.endpoint) {
+            endpoints.record_failure(&self.endpoint.id, self.begun, true_time::now());
+        }
+    }
+
     /// The endpoint has said that it drains.
     pub fn endpoint_drains(&self) {
         let mut endpoints = self.context.endpoints.borrow_mut();
@@ -163,7 +179,9 @@
 
     /// Ends the run with what it says of the endpoint's health.
     pub fn finish(mut self, result: AttemptResult) {
-        self.result = result;
+        if !self.has_failed {
+            self.result = result;
+        }
     }
 }
 
@@ -179,6 +197,6 @@
         }
         let ticket = self.tickets.probe.take();
         endpoints.record_intake(&self.endpoint.id, ticket, RequestIntake::Unknown, now);
-        endpoints.end(&self.endpoint.id, self.load, self.result, now);
+        endpoints.end(&self.endpoint.id, self.load, self.result, self.begun, now);
     }
 }
--- /dev/null
+++ b/tests/gateway/failure_rules.rs
@@ -0,0 +1,171 @@
+//! Rules of endpoints that fail: which are outliers, and what these are sent. Times are given,
+//! nothing waits.
+
+use std::{rc::Rc, time::Duration};
+
+use googletest::prelude::*;
+use rand::{SeedableRng, rngs::SmallRng};
+use tokio::time::Instant;
+use willowarch::{
+    endpoint_health::AttemptResult,
+    gateway::{
+        endpoint::{EndpointList, EndpointRecord, EndpointState},
+        policy::endpoint::{
+            endpoint_choice::{ChoiceQuery, ChoiceResult},
+            endpoint_load::RunLoad,
+            endpoint_table::{EndpointTable, attempt_results::RequestIntake},
+            failure_rate::FailureRate,
+        },
+    },
+};
+
+const SLOTS: u32 = 4;
+
+fn seconds(count: f64) -> Duration {
+    Duration::from_secs_f64(count)
+}
+
+/// Times are in the past of this, so that none is from before the start of the clock.
+fn start() -> Instant {
+    Instant::now() + seconds(100.0)
+}
+
+fn table(count: usize, now: Instant) -> EndpointTable {
+    let record = |place: usize| EndpointRecord {
+        id: format!("i-{place}").into(),
+        born: 5,
+        service: "pool".into(),
+        address: "127.0.0.1:1".parse().expect("address"),
+        zone: "a".into(),
+        slots: SLOTS,
+        state: EndpointState::Ready,
+        reclaimable: false,
+    };
+    let endpoints = (0..count).map(record).map(Rc::new).collect();
+    let mut table = EndpointTable::new("a".into());
+    table.set_list(&EndpointList { revision: 1, endpoints }, now);
+    table
+}
+
+fn play(table: &mut EndpointTable, id: &str, result: AttemptResult, now: Instant) {
+    let tickets = table.begin(id, &[], RunLoad::default(), now);
+    let intake = match result {
+        AttemptResult::Succeeded => RequestIntake::Ran,
+        _ => RequestIntake::Unknown,
+    };
+    table.record_intake(id, tickets.probe, intake, now);
+    table.end(id, RunLoad::default(), result, now, now);
+}
+
+/// Whether an endpoint is chosen in any of many draws.
+fn is_chosen(table: &EndpointTable, id: &str, survives_failure: bool, now: Instant) -> bool {
+    let query = ChoiceQuery {
+        service: "pool",
+        parts: &[],
+        prompt_tokens: 0,
+        memory_tokens: 0,
+        tried: &[],
+        memory_capacity: None,
+        load_age: Duration::ZERO,
+        may_retry: true,
+        survives_failure,
+    };
+    (0..40).any(|seed| match table.choose(&query, now, &mut SmallRng::seed_from_u64(seed)) {
+        ChoiceResult::Endpoint(choice) => &*choice.endpoint.id == id,
+        _ => false,
+    })
+}
+
+#[googletest::test]
+fn outlier_is_left_to_requests_that_survive_a_failure() {
+    let now = start();
+    let mut table = table(4, now);
+    play(&mut table, "i-0", AttemptResult::Failed, now);
+    expect_false!(is_chosen(&table, "i-0", true, now));
+    let later = now + seconds(0.1);
+    expect_true!(is_chosen(&table, "i-0", true, later));
+    expect_false!(is_chosen(&table, "i-0", false, later));
+}
+
+#[googletest::test]
+fn endpoint_that_works_again_is_used_by_all() {
+    let now = start();
+    let mut table = table(4, now);
+    play(&mut table, "i-0", AttemptResult::Failed, now);
+    for number in 1..12 {
+        let later = now + seconds(0.1) * number;
+        play(&mut table, "i-0", AttemptResult::Succeeded, later);
+    }
+    expect_true!(is_chosen(&table, "i-0", false, now + seconds(1.2)));
+}
+
+#[googletest::test]
+fn failure_is_forgotten_where_nothing_is_sent() {
+    let now = start();
+    let mut table = table(4, now);
+    play(&mut table, "i-0", AttemptResult::Failed, now);
+    expect_true!(is_chosen(&table, "i-0", false, now + seconds(4.1)));
+}
+
+#[googletest::test]
+fn requests_that_fail_everywhere_say_nothing_of_endpoints() {
+    let now = start();
+    let mut table = table(4, now);
+    for round in 0..10 {
+        for place in 0..4 {
+            let at = now + seconds(0.1) * round;
+            play(&mut table, &format!("i-{place}"), AttemptResult::Failed, at);
+        }
+    }
+    // The first few were outliers for a moment.
+    let later = now + seconds(2.1);
+    for place in 0..4 {
+        play(&mut table, &format!("i-{place}"), AttemptResult::Failed, later);
+        expect_true!(is_chosen(&table, &format!("i-{place}"), true, later), "i-{place}");
+    }
+}
+
+#[googletest::test]
+fn endpoint_that_is_alone_is_no_outlier() {
+    let now = start();
+    let mut table = table(1, now);
+    play(&mut table, "i-0", AttemptResult::Failed, now);
+    expect_true!(is_chosen(&table, "i-0", false, now));
+}
+
+#[googletest::test]
+fn others_are_told_of_a_second_failure() {
+    let now = start();
+    let mut table = table(4, now);
+    play(&mut table, "i-0", AttemptResult::Failed, now);
+    expect_that!(table.warnings(now), is_empty());
+    let later = now + seconds(0.1);
+    play(&mut table, "i-0", AttemptResult::Failed, later);
+    expect_that!(table.warnings(later).len(), eq(1));
+}
+
+#[googletest::test]
+fn request_that_began_before_the_last_result_says_nothing_new() {
+    let now = start();
+    let mut table = table(4, now);
+    table.begin("i-0", &[], RunLoad::default(), now);
+    play(&mut table, "i-0", AttemptResult::Succeeded, now + seconds(1.0));
+    let later = now + seconds(3.0);
+    table.end("i-0", RunLoad::default(), AttemptResult::Failed, now, later);
+    expect_true!(is_chosen(&table, "i-0", true, later));
+}
+
+#[googletest::test]
+fn fraction_is_measured_against_the_median() {
+    let now = start();
+    let mut rate = FailureRate::default();
+    for _ in 0..7 {
+        rate.succeeded(now);
+    }
+    (0..3).for_each(|_| rate.failed(vec![0.0, 0.0, 1.0], now));
+    expect_that!(rate.fraction(now), near(0.3, 1e-9));
+    expect_true!(rate.is_outlier(now));
+    rate.failed(vec![0.0, 0.2, 0.2], now);
+    expect_false!(rate.is_outlier(now));
+    expect_that!(rate.fraction(now + seconds(10.0)), eq(0.0));
+}
--- a/tests/gateway/limit_rules.rs
+++ b/tests/gateway/limit_rules.rs
@@ -76,6 +76,7 @@
         memory_capacity: None,
         load_age: Duration::ZERO,
         may_retry: true,
+        survives_failure: true,
     };
     match table.choose(&query, now, &mut SmallRng::seed_from_u64(1)) {
         ChoiceResult::Endpoint(choice) => Some(choice.endpoint.id.to_string()),
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -19,6 +19,7 @@
 mod event_cutter;
 mod exchange;
 mod failing_endpoints;
+mod failure_rules;
 mod fleet;
 mod foreign_entries;
 mod foreign_lease;
--- a/tests/gateway/signal_rules.rs
+++ b/tests/gateway/signal_rules.rs
@@ -62,6 +62,7 @@
         memory_capacity: None,
         load_age: Duration::ZERO,
         may_retry,
+        survives_failure: may_retry,
     }
 }
 
