Reading: a response between attempt and relay, and the body that is relayed, in modules of their own

The choice of endpoints, its rules and tables tell no tuning any more: their constants keep a reason where a reader would wonder. Signals of endpoints have one folder in gossip. A body that broke before its first piece is never passed on as if it had ended.

--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -21,7 +21,7 @@
 
 use super::{
     codec::{read_message, write_message},
-    endpoint_limits::divide_if_due,
+    endpoint_signals::limits::divide_if_due,
     incoming::apply_message,
     messages::{GossipMessage, RequestedParts},
     outgoing::{held_revisions, own_message},
--- a/src/gateway/gossip/codec/limits.rs
+++ b/src/gateway/gossip/codec/limits.rs
@@ -18,8 +18,10 @@
         entry.set_endpoint(reported.start.endpoint);
         entry.set_born(reported.start.born);
         entry.set_age_ms(to_ms(reported.age));
-        entry.set_is_limited(reported.limit.is_some());
-        entry.set_limit(reported.limit.unwrap_or_default());
+        if let Some(limit) = reported.limit {
+            entry.set_is_limited(true);
+            entry.set_limit(limit);
+        }
     }
 }
 
--- a/src/gateway/gossip/endpoint_limits.rs
+++ b/src/gateway/gossip/endpoint_signals/limits.rs
@@ -1,11 +1,11 @@
-//! Limits that endpoints name: told to other daemons and taken from them as ages, since no clock of
+//! Limits that endpoints name: reported to other daemons and received from them as ages, since no clock of
 //! another daemon is compared with the own one, and divided among those that are known.
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use super::{
+use super::super::{
     messages::ReportedLimit,
     peer_table::{PeerTable, PlaceAmongFirst},
     report_source::ReportSource,
@@ -40,7 +40,7 @@
     limits.map(report).collect()
 }
 
-/// Applies the limits that another daemon tells of.
+/// Applies the limits that another daemon reports.
 pub fn apply_limits(context: &GatewayContext, reported: &[ReportedLimit], now: Instant) {
     let receive = |reported: &ReportedLimit| {
         // What was said before the start of the clock will be said again.
--- a/src/gateway/gossip/endpoint_warnings.rs
+++ b/src/gateway/gossip/endpoint_signals/warnings.rs
@@ -3,7 +3,7 @@
 
 use tokio::time::Instant;
 
-use super::messages::ReportedWarning;
+use super::super::messages::ReportedWarning;
 use crate::gateway::{
     context::GatewayContext,
     policy::endpoint::signal_ledger::{EndpointWarning, WarningKind},
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -14,8 +14,7 @@
 use super::{
     codec::endpoint_list,
     crash_reports::apply_reports,
-    endpoint_limits::apply_limits,
-    endpoint_warnings::apply_warnings,
+    endpoint_signals::{limits::apply_limits, warnings::apply_warnings},
     messages::{
         CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage,
         LeaseSummary, SentEndpoints, SentText,
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -6,8 +6,7 @@
 
 use super::{
     crash_reports::own_reports,
-    endpoint_limits::own_limits,
-    endpoint_warnings::own_warnings,
+    endpoint_signals::{limits::own_limits, warnings::own_warnings},
     messages::{
         ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary,
         RelayedUsage, RequestedParts, SentEndpoints, SentText, TextRequest,
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -33,38 +33,28 @@
 };
 
 /// Wait added at an endpoint whose slots are all in use, in milliseconds; in proportion below.
-/// Basis: against 80 (stolni, 5 days with 3 seeds) mean worth 0.533 -> 0.537, shared parts
-/// read again 0.032 -> 0.031: full batches matter less than cached prompts.
+/// Full batches matter less than cached prompts.
 const FULL_BATCH_MS: f64 = 40.0;
 /// Wait for each request beyond an endpoint's slots, in milliseconds.
-/// Basis: chosen, not measured: the request waits for a slot.
 const BEYOND_SLOTS_MS: f64 = 60.0;
-/// Wait added for an endpoint in another zone, in milliseconds.
-/// Basis: chosen, not measured: decides among endpoints that are otherwise alike.
+/// Wait added for an endpoint in another zone, in milliseconds: decides among endpoints that are
+/// otherwise alike.
 const OTHER_ZONE_MS: f64 = 4.0;
 /// Cost of an endpoint that may refuse or fail, for a request that then could not go elsewhere, in
 /// milliseconds: above any wait that a client would accept, so that it is chosen only where no
 /// other has room. Whether the endpoint works again shows by requests that can be retried.
 const PROBE_RISK_MS: f64 = 100_000.0;
 /// Fraction of a prompt's shared parts that the affinity endpoint is expected to have cached.
-/// Basis: raised from 0.7 (stolni, 5 days with 3 seeds: mean worth 0.527 -> 0.533, shared parts
-/// read again 0.035 -> 0.032).
 const AFFINITY_HIT_RATIO: f64 = 1.0;
 /// Cost of reading a prompt for others at the endpoint, as a multiple of the time it takes: all
 /// that runs and waits there is delayed.
-/// Basis: stolni, 5 days with 3 seeds, mean worth: 0.537 with 0, 0.541 with 0.6, 0.545 with 1.5;
-/// shared parts read again 0.031, 0.028, 0.025.
 const DELAY_TO_OTHERS: f64 = 1.5;
-/// Loads of other daemons up to this age count as fresh.
-/// Basis: chosen, not measured by itself: a gossip round of 9 daemons is 0.4 s, of 87 daemons
-/// 1.8 s. With full weight there, stolni-grown quiet-1 had 0.437 (0.397 to 0.495), without any
-/// 0.478 (0.459 to 0.491), three seeds each.
+/// Loads of other daemons up to this age count as fresh: those of a fleet of one gossip group.
 const FRESH_LOAD_AGE: Duration = Duration::from_millis(500);
-/// Upper bound of a random wait added to each estimate, in milliseconds.
-/// Basis: chosen, not measured: keeps daemons that see equal loads from all choosing alike.
+/// Upper bound of a random wait added to each estimate, in milliseconds: keeps daemons that see equal
+/// loads from all choosing alike.
 const NOISE_MS: f64 = 3.0;
 /// Milliseconds in a second.
-/// Basis: a conversion of units.
 const MS_PER_S: f64 = 1e3;
 
 /// What one attempt needs.
--- a/src/gateway/policy/endpoint/endpoint_load.rs
+++ b/src/gateway/policy/endpoint/endpoint_load.rs
@@ -14,7 +14,6 @@
 };
 
 /// Milliseconds in a second.
-/// Basis: a conversion of units.
 const MS_PER_S: f64 = 1e3;
 
 /// Number that stands for an endpoint between daemons.
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -14,8 +14,8 @@
 };
 use crate::gateway::endpoint::{EndpointRecord, EndpointState};
 
-/// Requests that may wait for each slot of an endpoint without an engine.
-/// Basis: chosen, not measured: such requests are short, so a queue passes quickly.
+/// Requests that may wait for each slot of an endpoint without an engine: they are short, so a queue
+/// passes quickly.
 const PLAIN_QUEUE_PER_SLOT: f64 = 2.0;
 
 /// State of one endpoint.
--- a/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
@@ -20,8 +20,8 @@
     ids::SharedName,
 };
 
-/// Fraction of an endpoint's slots from which on a refusal is explained by its load.
-/// Basis: chosen, not measured: reported loads are up to two seconds old.
+/// Fraction of an endpoint's slots from which on a refusal is explained by its load. Reported loads
+/// are up to two seconds old.
 const BUSY_FRACTION: f64 = 0.5;
 
 /// What a request needed to be sent.
@@ -123,7 +123,7 @@
             return;
         }
         status.pause.failed(now);
-        // Others are told of what goes on, not of one failure.
+        // One failure may pass before the warning arrives.
         if status.pause.has_refused_again() {
             let (start, kind) = (status.start(), WarningKind::Refusing);
             self.signals.record(EndpointWarning { start, kind, at: now }, now);
--- a/src/gateway/policy/endpoint/endpoint_table/limits.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/limits.rs
@@ -49,7 +49,7 @@
         self.apply_limit(id, now)
     }
 
-    /// Another daemon tells of a limit; the change, if it is one here. One that names no start
+    /// Applies another daemon's report of a limit; the change, if it is one here. One that names no start
     /// counts only where none is known here either: the endpoint may have started again since.
     pub fn receive_limit(&mut self, limit: EndpointLimit, now: Instant) -> Option<LimitChange> {
         let NumberedStart { endpoint, born } = limit.start;
@@ -82,7 +82,7 @@
         Some(LimitChange { endpoint: status.record.id.clone(), limit: held })
     }
 
-    /// What the other daemons are told of limits.
+    /// Reports of limits to the other daemons.
     pub fn limits(&self, now: Instant, rng: &mut impl Rng) -> Vec<EndpointLimit> {
         self.signals.limits(now, rng)
     }
--- a/src/gateway/policy/endpoint/load_reports.rs
+++ b/src/gateway/policy/endpoint/load_reports.rs
@@ -15,12 +15,10 @@
 };
 use crate::{gateway::gossip::report_source::ReportSource, ids::SharedName};
 
-/// Other daemons' loads no longer count after this time.
-/// Basis: chosen, not measured: twenty gossip intervals; loads older than this have changed.
+/// Other daemons' loads no longer count after this time, in which they change.
 const LOAD_KEPT: Duration = Duration::from_secs(2);
-/// Reports of a daemon are forgotten after this time, its totals of tokens sent with them.
-/// Basis: chosen, not measured: much longer than `LOAD_KEPT`, since the totals fall when a
-/// report is forgotten.
+/// Reports of a daemon are forgotten after this time, its totals of tokens sent with them: much
+/// longer than `LOAD_KEPT`, since the totals fall then.
 const REPORT_KEPT: Duration = Duration::from_secs(20);
 
 /// The newest report of each source.
--- a/src/gateway/policy/endpoint/prefill_rate.rs
+++ b/src/gateway/policy/endpoint/prefill_rate.rs
@@ -6,25 +6,20 @@
 use std::time::Duration;
 
 /// Tokens a millisecond assumed before anything is learnt.
-/// Basis: chosen, not measured: the rate adapts from it by samples.
 pub const DEFAULT_PREFILL_RATE: f64 = 40.0;
-/// Fewest uncached tokens from which a rate is learnt.
-/// Basis: chosen, not measured: for shorter prompts the overhead outweighs the prefill.
+/// Fewest uncached tokens from which a rate is learnt: for shorter prompts the overhead outweighs the
+/// prefill.
 const MIN_TOKENS: u64 = 1_500;
-/// Time to the first event besides prefill, in milliseconds.
-/// Basis: chosen, not measured: sending, queueing and the first token.
+/// Time to the first event besides prefill, in milliseconds: sending, queueing and the first token.
 const OVERHEAD_MS: f64 = 45.0;
-/// Weight of one sample.
-/// Basis: chosen, not measured: about a dozen samples move the rate to a new value.
+/// Weight of one sample: about a dozen move the rate to a new value.
 const SAMPLE_WEIGHT: f64 = 0.08;
-/// Bounds of one sample's rate, in tokens a millisecond.
-/// Basis: chosen, not measured: wide, only against mistaken samples.
+/// Bounds of one sample's rate, in tokens a millisecond, against mistaken samples.
 const SAMPLE_BOUNDS: (f64, f64) = (2.0, 2_000.0);
-/// Bounds of the factor by which a sample may differ from the rate.
-/// Basis: chosen, not measured: one prompt that was cached after all then counts little.
+/// Bounds of the factor by which a sample may differ from the rate: one prompt that was cached after
+/// all then counts little.
 const FACTOR_BOUNDS: (f64, f64) = (0.5, 2.0);
 /// Least time taken as prefill, in milliseconds: keeps the rate finite.
-/// Basis: chosen, not measured.
 const MIN_PREFILL_MS: f64 = 1.0;
 
 /// Rate of one service, in tokens a millisecond.
--- a/src/gateway/policy/endpoint/prompt_cache.rs
+++ b/src/gateway/policy/endpoint/prompt_cache.rs
@@ -7,11 +7,10 @@
 
 use crate::{gateway::call::PromptPart, ids::hash_parts};
 
-/// Parts remembered for each endpoint.
-/// Basis: chosen, not measured: bounds memory to some tens of kilobytes an endpoint.
+/// Parts remembered for each endpoint: some tens of kilobytes.
 const PARTS_KEPT: usize = 1_024;
-/// When full, parts not used by this many of the newest prompts are dropped.
-/// Basis: chosen, not measured: many at a time, so that the scan is rare.
+/// When full, parts not used by this many of the newest prompts are dropped: many at a time, so that
+/// the scan is rare.
 const PROMPTS_KEPT: u64 = PARTS_KEPT as u64 / 4;
 
 /// End of one part within a prompt.
--- a/src/gateway/policy/endpoint/refusal_pause.rs
+++ b/src/gateway/policy/endpoint/refusal_pause.rs
@@ -21,24 +21,19 @@
 use tokio::time::Instant;
 
 /// Pause of an endpoint that names no time, doubled by further refusals in a row where it seemed to
-/// have room.
-/// Basis: chosen, not measured: within it a slot may come free, and reports of its load come.
+/// have room: within it a slot may come free, and reports of its load come.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
-/// Longest such pause.
-/// Basis: chosen, not measured on the present rule: an endpoint that is back is used again within a
-/// second.
+/// Longest such pause: an endpoint that is back is used again within it.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
-/// Most doublings; the pause has reached `LONGEST_PAUSE` before.
-/// Basis: keeps the power of two within 32 bits.
+/// Most doublings, which keep the power of two within 32 bits; the pause has reached
+/// `LONGEST_PAUSE` before.
 const DOUBLING_LIMIT: u32 = 8;
 /// Longest back-off that is believed; longer ones count as refusals that name no time.
-/// Basis: chosen, not measured: beyond an hour it is more likely a wrong unit, and an endpoint must
-/// not be lost by it.
+/// Beyond an hour it is more likely a wrong unit, and an endpoint must not be lost by it.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(3_600);
 
 /// A report of another daemon that an endpoint refuses is passed over for so long after this daemon
-/// had a request run there.
-/// Basis: chosen, not measured: what it refuses may be meant for the other daemon alone.
+/// had a request run there: the refusal may be meant for the other daemon alone.
 const SERVED_LATELY: Duration = Duration::from_millis(500);
 
 /// Why an endpoint may have refused a request.
--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -29,29 +29,23 @@
 use rand::{Rng, seq::IteratorRandom};
 use tokio::time::Instant;
 
-/// Time for which other daemons are told that an endpoint drains.
-/// Basis: nine daemons, 4 of 12 endpoints that drain and refuse or fail: 7 and 8 of about 1,250
-/// requests not served without warnings, 3 and 4 with them. Five gossip rounds of 87 daemons (1.8 s
-/// each); daemons that start later hear it from the endpoint.
+/// Time for which other daemons are told that an endpoint drains, or that its limit has ended: some
+/// gossip rounds of a large fleet. Daemons that start later hear it from the endpoint.
 const TOLD_FOR: Duration = Duration::from_secs(10);
-/// Time for which other daemons are told that an endpoint has refused a request.
-/// Basis: nine daemons, 4 of 12 endpoints that refuse: 27 to 31 of about 1,260 requests not served
-/// where each daemon finds out for itself, 14 to 21 with warnings (6 runs). A gossip round of 87
-/// daemons takes 1.8 s.
+/// Time for which other daemons are told that an endpoint has refused a request: a gossip round of a
+/// large fleet.
 const REFUSAL_TOLD_FOR: Duration = Duration::from_secs(2);
 /// Refusals that are less apart count as one: times of other daemons come as ages, and look younger
 /// by what their messages took. Otherwise a refusal would return to the daemon that reported it as
-/// a later one, again and again.
-/// Basis: the longest that a gossip call may take (`gossip::caller`).
+/// a later one, again and again. The longest that a gossip call may take (`gossip::caller`).
 const SAME_REFUSAL: Duration = Duration::from_millis(400);
-/// Time for which the signals of an endpoint are kept that no list names any more.
-/// Basis: chosen, not measured: longer than the store is away, and than lists lag behind.
+/// Time for which the signals of an endpoint are kept that no list names any more: longer than the
+/// store is away, and than lists lag behind.
 const UNLISTED_KEPT: Duration = Duration::from_secs(3_600);
-/// Most warnings in one message.
-/// Basis: chosen, not measured: 1.5 KB a message; of more at once, lists tell too.
+/// Most warnings in one message; of more at once, lists tell too.
 const MAX_TOLD: usize = 64;
 
-/// Most limits in one message: with all daemons told of some in each, all hear of more than that.
+/// Most limits in one message, drawn anew for each, so that more of them reach all daemons too.
 const MAX_LIMITS_TOLD: usize = 16;
 
 /// One start of an endpoint.
@@ -93,7 +87,7 @@
     pub at: Instant,
 }
 
-/// What the other daemons are told of the limit of an endpoint.
+/// Report of an endpoint's limit to the other daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EndpointLimit {
     /// The endpoint.
@@ -217,8 +211,8 @@
         }
     }
 
-    /// What the other daemons are told of limits: those that hold, and for a while that one has
-    /// ended. Of many some are chosen at random, so that all are told in turn.
+    /// Reports of limits to the other daemons: those that hold, and for a while those that have ended.
+    /// Of many some are drawn at random, so that each has its turn.
     pub fn limits(&self, now: Instant, rng: &mut impl Rng) -> Vec<EndpointLimit> {
         let told = self.by_endpoint.iter().filter_map(|(endpoint, entry)| {
             let start = NumberedStart { endpoint: *endpoint, born: entry.born };
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -5,20 +5,19 @@
 //! `policy::request::retries`.
 
 mod choice;
+pub mod endpoint_response;
 mod judge;
 
 use std::rc::Rc;
 
-use http_body_util::{BodyExt, Full};
-use hyper::{
-    Request, Response,
-    body::{Body, Bytes, Incoming},
-};
-use tokio::time::{Instant, timeout_at};
+use http_body_util::Full;
+use hyper::{Request, body::Bytes};
+use tokio::time::Instant;
 
 pub use self::choice::{has_another, wait_for_room};
 use self::{
     choice::{check_quarantine, choose, memory_tokens, prompt_tokens},
+    endpoint_response::EndpointResponse,
     judge::judge,
 };
 use super::{
@@ -26,7 +25,6 @@
     connection_pool::{EndpointConnection, SendFailure},
     crash_watch,
     request_log::RequestTrace,
-    response_meaning::ResponseSigns,
     run_guard::RunGuard,
 };
 use crate::{
@@ -51,41 +49,6 @@
     true_time,
 };
 
-/// A response of an endpoint, with all that is needed to relay it.
-pub struct EndpointResponse {
-    /// Head and body.
-    pub response: Response<Incoming>,
-    /// The first piece of its body, if that was awaited.
-    pub first_piece: Option<Bytes>,
-    /// Until when the attempt may wait for its body to begin, if another one could follow.
-    pub awaited_until: Instant,
-    /// What its head says.
-    pub signs: ResponseSigns,
-    /// Connection that it comes over.
-    pub connection: EndpointConnection,
-    /// The run at the endpoint.
-    pub guard: RunGuard,
-}
-
-impl EndpointResponse {
-    /// Waits for the first piece of the body; whether it is still missing when another endpoint may
-    /// serve the request. A body that breaks is found broken again when it is passed on.
-    pub async fn stays_silent(&mut self, deadline: Instant) -> bool {
-        let body = self.response.body_mut();
-        if self.awaited_until >= deadline || body.is_end_stream() {
-            return false;
-        }
-        match timeout_at(true_time::timer_at(self.awaited_until), body.frame()).await {
-            Err(_) => true,
-            Ok(Some(Ok(frame))) => {
-                self.first_piece = frame.into_data().ok();
-                false
-            }
-            Ok(Some(Err(_)) | None) => false,
-        }
-    }
-}
-
 /// State of the attempts at one request.
 #[derive(Default)]
 pub struct Attempts {
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -77,8 +77,8 @@
     Err(refusal(reason))
 }
 
-/// Whether there is an endpoint for another attempt. The response of the last one is given up only
-/// then: whatever it says, it is the endpoint's own.
+/// Whether there is an endpoint for another attempt. Only then may the response of the last one be
+/// dropped: otherwise the client would get an error of this daemon in its place.
 pub fn has_another(context: &GatewayContext, admitted: &Admitted, attempts: &Attempts) -> bool {
     let query = choice_query(context, admitted, attempts);
     let choice = context.endpoints.borrow().choose(&query, true_time::now(), &mut rand::rng());
--- a/src/gateway/request/attempt/judge.rs
+++ b/src/gateway/request/attempt/judge.rs
@@ -8,7 +8,10 @@
 use hyper::{Response, body::Incoming};
 use tokio::time::Instant;
 
-use super::{AttemptEnd, EndpointResponse};
+use super::{
+    AttemptEnd,
+    endpoint_response::{BodyStart, EndpointResponse},
+};
 use crate::{
     endpoint_health::AttemptResult,
     gateway::{
@@ -25,7 +28,7 @@
             connection_pool::EndpointConnection,
             drain::drain,
             request_log::RequestTrace,
-            response_meaning::{LimitSignal, ResponseMeaning},
+            response_meaning::{LimitSignal, ResponseMeaning, ResponseSigns},
             run_guard::RunGuard,
         },
     },
@@ -44,26 +47,10 @@
 ) -> AttemptEnd {
     let signs = ingress::read_response(&admitted.call.head.id, &response);
     trace.responded(response.status(), &signs);
-    if signs.signals.is_draining {
-        // Without it 470 of 676 requests reached endpoints over 2 s after their responses had said
-        // that they drain (9 real daemons, 4 of 12 endpoints, 8.5 s); with it none.
-        guard.endpoint_drains();
-    }
-    // An endpoint names a limit when it is in need: what it gets beyond is more than it can serve.
-    match (signs.meaning, signs.signals.limit) {
-        (ResponseMeaning::Ran | ResponseMeaning::NotRun, LimitSignal::PerSecond(limit)) => {
-            guard.endpoint_limits(believed_limit(limit));
-        }
-        (ResponseMeaning::Ran | ResponseMeaning::NotRun, LimitSignal::NotSaid) => {
-            guard.endpoint_limits(None);
-        }
-        // Nothing is known of the limit.
-        (ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign, _)
-        | (_, LimitSignal::Unreadable) => {}
-    }
-    let status = response.status();
+    note_signals(&signs, &guard);
+    let (status, body_start) = (response.status(), BodyStart::Unread);
     let response =
-        EndpointResponse { response, first_piece: None, awaited_until, signs, connection, guard };
+        EndpointResponse { response, body_start, awaited_until, signs, connection, guard };
     match signs.meaning {
         ResponseMeaning::Ran if promises_no_run(status) => {
             // The client would take the status for a promise that the endpoint has not made.
@@ -80,6 +67,26 @@
     }
 }
 
+/// Notes what the endpoint says of itself.
+fn note_signals(signs: &ResponseSigns, guard: &RunGuard) {
+    if signs.signals.is_draining {
+        // Lists may call it ready for as long as the store is away.
+        guard.endpoint_drains();
+    }
+    // An endpoint names a limit when it is in need: what it gets beyond is more than it can serve.
+    match (signs.meaning, signs.signals.limit) {
+        (ResponseMeaning::Ran | ResponseMeaning::NotRun, LimitSignal::PerSecond(limit)) => {
+            guard.endpoint_limits(believed_limit(limit));
+        }
+        (ResponseMeaning::Ran | ResponseMeaning::NotRun, LimitSignal::NotSaid) => {
+            guard.endpoint_limits(None);
+        }
+        // Nothing is known of the limit.
+        (ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign, _)
+        | (_, LimitSignal::Unreadable) => {}
+    }
+}
+
 fn ran(
     context: &GatewayContext,
     admitted: &Admitted,
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -8,7 +8,9 @@
 use super::{
     admission::{self, Admitted, admit},
     attempt::{
-        AttemptEnd, Attempts, EndpointResponse, attempt, has_another, may_try_again, wait_for_room,
+        AttemptEnd, Attempts, attempt,
+        endpoint_response::{BodyStart, EndpointResponse},
+        has_another, may_try_again, note_broken_run, wait_for_room,
     },
     refusal_response::refusal_response,
     relay,
@@ -97,6 +99,32 @@
     }
 }
 
+/// Whether a response may be dropped for another attempt: an error, or a head without a body.
+async fn may_be_dropped(admitted: &Admitted, response: &mut EndpointResponse) -> bool {
+    let kind = admitted.route.kind;
+    let is_server_error = response.response.status().is_server_error();
+    may_retry_response(kind, is_server_error)
+        || !kind.is_stream() && response.lacks_body(admitted.deadline).await
+}
+
+fn drop_response(
+    context: &Rc<GatewayContext>,
+    admitted: &Admitted,
+    response: EndpointResponse,
+    trace: &mut RequestTrace,
+) {
+    if response.body_start == BodyStart::Broken {
+        let (endpoint, begun) = (response.guard.record(), response.guard.begun());
+        note_broken_run(context, admitted, endpoint, begun, trace);
+    }
+    // An error has been judged by its status already.
+    let result = match response.response.status().is_server_error() {
+        true => AttemptResult::Neutral,
+        false => AttemptResult::Failed,
+    };
+    response.guard.finish(result);
+}
+
 /// Makes attempts until an endpoint gives a response to pass on.
 async fn first_response(
     context: &Rc<GatewayContext>,
@@ -108,17 +136,13 @@
     loop {
         match attempt(context, admitted, attempts, None, trace).await? {
             AttemptEnd::Responded(mut response) => {
-                let is_server_error = response.response.status().is_server_error();
-                let drops = may_retry_response(kind, is_server_error)
-                    || !kind.is_stream() && response.stays_silent(admitted.deadline).await;
-                let drops = drops && has_another(context, admitted, attempts);
-                if !(drops && may_try_again(context, admitted, attempts)) {
+                let may_follow = may_be_dropped(admitted, &mut response).await
+                    && has_another(context, admitted, attempts)
+                    && may_try_again(context, admitted, attempts);
+                if !may_follow {
                     return Ok(*response);
                 }
-                // A status has been judged already.
-                let result =
-                    if is_server_error { AttemptResult::Neutral } else { AttemptResult::Failed };
-                response.guard.finish(result);
+                drop_response(context, admitted, *response, trace);
                 attempts.may_have_run = true;
             }
             AttemptEnd::Failed(failure) => {
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -5,26 +5,26 @@
 //! last event. `policy::request::retries` decides whether to resume, `policy::request::time_limits` how long an
 //! endpoint may be silent.
 
+mod upstream;
+
 use std::rc::Rc;
 
 use bytes::Bytes;
 use futures::stream;
-use http_body_util::{BodyExt, StreamBody};
-use hyper::{
-    Response,
-    body::{Body, Frame, Incoming},
-};
-use tokio::time::{Instant, timeout_at};
+use http_body_util::StreamBody;
+use hyper::{Response, body::Frame};
+use tokio::time::Instant;
 
+use self::upstream::{BodyPiece, Upstream};
 use super::{
     admission::Admitted,
-    attempt::{AttemptEnd, Attempts, EndpointResponse, attempt, may_try_again, note_broken_run},
-    connection_pool::EndpointConnection,
+    attempt::{
+        AttemptEnd, Attempts, attempt, endpoint_response::EndpointResponse, may_try_again,
+        note_broken_run,
+    },
     crash_watch::request_served,
     event_cutter::EventCutter,
     request_log::RequestTrace,
-    response_meaning::ResponseSigns,
-    run_guard::RunGuard,
     sized_body::SizedBody,
 };
 use crate::{
@@ -35,7 +35,6 @@
         policy::request::{retries, time_limits},
     },
     http::{BodyError, LocalBody},
-    platform::ingress,
     true_time,
 };
 
@@ -66,53 +65,6 @@
     _active: CountGuard,
 }
 
-/// Where the response comes from.
-struct Upstream {
-    /// The beginning of the body, if it was read before.
-    first_piece: Option<Bytes>,
-    body: Incoming,
-    signs: ResponseSigns,
-    connection: EndpointConnection,
-    guard: RunGuard,
-    /// When its head came: the endpoint runs the request since then, or a little longer.
-    since: Instant,
-    /// Whether anything has come of its body.
-    has_body: bool,
-}
-
-impl Upstream {
-    /// Splits a response into its head, and body with all that belongs to it.
-    fn of(response: EndpointResponse) -> (Response<()>, Self) {
-        let EndpointResponse { response, first_piece, signs, connection, guard, .. } = response;
-        let (head, body) = ingress::client_response(response);
-        (
-            head,
-            Self {
-                first_piece,
-                body,
-                signs,
-                connection,
-                guard,
-                since: true_time::now(),
-                has_body: false,
-            },
-        )
-    }
-}
-
-impl Upstream {
-    /// Bytes that are left of the body, if the endpoint has said how many there are.
-    fn length(&self) -> Option<u64> {
-        let first = self.first_piece.as_ref().map_or(0, |piece| piece.len() as u64);
-        self.body.size_hint().exact().map(|rest| first + rest)
-    }
-
-    /// Whether the body has come to its end.
-    fn is_at_end(&self) -> bool {
-        self.first_piece.is_none() && self.body.is_end_stream()
-    }
-}
-
 /// What came next of a response.
 enum NextPiece {
     Bytes(Bytes),
@@ -205,25 +157,19 @@
         let Some(upstream) = &mut self.upstream else {
             return NextPiece::Broken(RelayError::BrokenOff);
         };
-        if let Some(piece) = upstream.first_piece.take() {
-            upstream.has_body = true;
-            return NextPiece::Bytes(piece);
-        }
-        let frame = match timeout_at(true_time::timer_at(until), upstream.body.frame()).await {
-            // The errors' details don't matter: the endpoint is left either way.
-            Err(_) if until >= deadline => return NextPiece::Broken(RelayError::OutOfTime),
-            // Silent for too long.
-            Err(_) => return NextPiece::Broken(RelayError::BrokenOff),
-            Ok(None) => return NextPiece::End,
-            Ok(Some(Err(_))) => {
+        let bytes = match upstream.next_piece(until).await {
+            BodyPiece::Bytes(bytes) => bytes,
+            BodyPiece::End => return NextPiece::End,
+            BodyPiece::Silent if until >= deadline => {
+                return NextPiece::Broken(RelayError::OutOfTime);
+            }
+            BodyPiece::Silent => return NextPiece::Broken(RelayError::BrokenOff),
+            BodyPiece::Broken => {
                 let (endpoint, since) = (upstream.guard.record(), upstream.since);
                 note_broken_run(&self.context, &self.admitted, endpoint, since, &mut self.trace);
                 return NextPiece::Broken(RelayError::BrokenOff);
             }
-            Ok(Some(Ok(frame))) => frame,
         };
-        let Ok(bytes) = frame.into_data() else { return NextPiece::Bytes(Bytes::new()) };
-        upstream.has_body |= !bytes.is_empty();
         let Some(cutter) = &mut self.cutter else { return NextPiece::Bytes(bytes) };
         let Ok(batch) = cutter.feed(&bytes, self.last_event) else {
             return NextPiece::Broken(RelayError::BrokenOff);
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -10,7 +10,7 @@
         call::PromptPart,
         context::GatewayContext,
         endpoint::EndpointRecord,
-        gossip::endpoint_limits::note_response,
+        gossip::endpoint_signals::limits::note_response,
         policy::endpoint::{
             endpoint_load::RunLoad,
             endpoint_table::attempt_results::{RequestIntake, RunTickets},
--- a/tests/gateway/limit_model.rs
+++ b/tests/gateway/limit_model.rs
@@ -19,7 +19,7 @@
         endpoint::{EndpointList, EndpointRecord, EndpointState},
         gossip::{
             caller::{CALLS_PER_INTERVAL, GOSSIP_INTERVAL},
-            endpoint_limits::{DIVIDE_INTERVAL, own_share},
+            endpoint_signals::limits::{DIVIDE_INTERVAL, own_share},
             peer_record::PeerReport,
             peer_table::PeerTable,
             report_source::ReportSource,
