--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -2,13 +2,13 @@
 //!
 //! The wait is estimated from the prompt tokens that wait at the endpoint, the tokens of this
 //! prompt that it has probably not cached, how full it is and its zone. To it come the waits that
-//! reading this prompt causes for others at the endpoint. An
-//! endpoint that wants no requests for a while, or of whose limit nothing is left for this daemon,
-//! is none to choose from, and one that has just refused some, or fails more often than others, is
-//! left to requests that may go elsewhere if it does so again. Loads are those of
-//! this daemon and of the others' reports, which are up to two seconds old; what they show of
-//! prompts to be read is counted down meanwhile. Missing reports make an endpoint look idle,
-//! which its own refusals then correct.
+//! reading this prompt causes for others at the endpoint.
+//!
+//! An endpoint that wants no requests for a while, or of whose limit nothing is left for this daemon,
+//! is none to choose from. One that has just refused some, or fails more often than others, is left
+//! to requests that may go elsewhere if it does so again. Loads are those of this daemon and of the
+//! others' reports, which are up to two seconds old; what they show of prompts to be read is counted
+//! down meanwhile. Missing reports make an endpoint look idle, which its own refusals then correct.
 //!
 //! Requests that share parts of their prompts have an affinity endpoint, the same at every
 //! daemon by rendezvous hashing. It is expected to have the shared parts cached, so requests
--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -35,16 +35,15 @@
 /// Time for which other daemons are told that an endpoint has refused a request: a gossip round of a
 /// large fleet.
 const REFUSAL_TOLD_FOR: Duration = Duration::from_secs(2);
-/// Refusals that are less apart count as one: times of other daemons come as ages, and look younger
-/// by what their messages took. Otherwise a refusal would return to the daemon that reported it as
-/// a later one, again and again. The longest that a gossip call may take (`gossip::caller`).
-const SAME_REFUSAL: Duration = Duration::from_millis(400);
+/// Reports of different daemons that are less apart may be of one response: times come as ages, and
+/// look younger by what their messages took, a gossip call's time limit at most. Otherwise a refusal
+/// would return to the daemon that reported it as a later one, again and again.
+const REPORT_SKEW: Duration = Duration::from_millis(400);
 /// Time for which the signals of an endpoint are kept that no list names any more: longer than the
 /// store is away, and than lists lag behind.
 const UNLISTED_KEPT: Duration = Duration::from_secs(3_600);
 /// Most warnings in one message; of more at once, lists tell too.
 const MAX_TOLD: usize = 64;
-
 /// Most limits in one message, drawn anew for each, so that more of them reach all daemons too.
 const MAX_LIMITS_TOLD: usize = 16;
 
@@ -129,9 +128,9 @@
             self.limit = Some(word);
             return;
         };
-        if word.at > known.at + SAME_REFUSAL {
+        if word.at > known.at + REPORT_SKEW {
             *known = word;
-        } else if word.at + SAME_REFUSAL > known.at {
+        } else if word.at + REPORT_SKEW > known.at {
             // Ages look smaller by what messages took: either may be the later one.
             known.limit = least_limit(known.limit, word.limit);
         }
@@ -147,7 +146,7 @@
     /// It has refused a request; whether that is news.
     fn record_refusal(&mut self, at: Instant) -> bool {
         let known = self.refused_at;
-        let is_news = known.is_none_or(|known| at > known + SAME_REFUSAL);
+        let is_news = known.is_none_or(|known| at > known + REPORT_SKEW);
         if is_news {
             self.refused_at = Some(at);
         }
--- a/tests/gateway/failing_endpoints.rs
+++ b/tests/gateway/failing_endpoints.rs
@@ -4,16 +4,14 @@
 //! 18.0 at the others. One to which connections had broken was ejected for up to 30 s, and got
 //! nothing in the 5 s after it worked again.
 
-use std::{
-    sync::{Mutex, PoisonError},
-    time::Duration,
-};
+use std::time::Duration;
 
 use googletest::prelude::*;
 
 use crate::{
     signal_fleet::{
-        LOAD_TIME, SAID_FROM, SAID_UNTIL, SignalFleet, SignalOutcome, TELLING, say_for_a_while,
+        FleetPlaces, LOAD_TIME, SAID_FROM, SAID_UNTIL, SignalFleet, SignalOutcome, TELLING,
+        say_for_a_while,
     },
     signalling_endpoint::EndpointSignal,
 };
@@ -23,8 +21,8 @@
 /// Time in which each endpoint is used again that works.
 const USED_AGAIN: Duration = Duration::from_secs(2);
 
-/// Fleets of this file are played one after another.
-static ONE_FLEET: Mutex<()> = Mutex::new(());
+/// Fleets of this file are played two at a time.
+static PLACES: FleetPlaces = FleetPlaces::new();
 
 /// At most 2 in 100 requests are not served, and each endpoint is used again that works.
 fn check(outcome: &SignalOutcome) {
@@ -45,7 +43,7 @@
     ($($name:ident: $signal:expr;)*) => {$(
         #[googletest::test]
         fn $name() {
-            let _one = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+            let _place = PLACES.take();
             check(&SignalFleet::start().play(TELLING, say_for_a_while($signal)));
         }
     )*};
--- a/tests/gateway/limited_endpoints.rs
+++ b/tests/gateway/limited_endpoints.rs
@@ -20,14 +20,13 @@
 
 use std::{
     ops::Range,
-    sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
 
 use googletest::prelude::*;
 
 use crate::{
-    signal_fleet::{ClientLoad, SignalFleet, SignalOutcome, TELLING, sleep_until},
+    signal_fleet::{ClientLoad, FleetPlaces, SignalFleet, SignalOutcome, TELLING, sleep_until},
     signalling_endpoint::{EndpointSignal, SignallingEndpoint},
 };
 
@@ -54,15 +53,15 @@
 /// Longest time for a refusal of a request that can't be served: it is not held.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
-/// Fleets of this file are played one after another.
-static ONE_FLEET: Mutex<()> = Mutex::new(());
+/// Fleets of this file are played two at a time.
+static PLACES: FleetPlaces = FleetPlaces::new();
 
 fn play(
     load: ClientLoad,
     telling: usize,
     tell: impl FnOnce(&SignalFleet, &[SignallingEndpoint], Instant),
 ) -> SignalOutcome {
-    let _one = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+    let _place = PLACES.take();
     let fleet = SignalFleet::start();
     fleet.play_load(load, telling, |endpoints, began| tell(&fleet, endpoints, began))
 }
