--- a/tests/gateway/serving.rs
+++ b/tests/gateway/serving.rs
@@ -123,6 +123,20 @@
     expect_that!(answer.text(), not(contains_substring("surplus")));
 }
 
+#[googletest::test]
+fn error_of_an_endpoint_reaches_the_client_where_no_other_serves() {
+    // The first attempt's error is dropped for a second one, which is refused. The client was told
+    // 502 by this daemon, in place of the response that an endpoint had made.
+    let site = Site::start(&[EndpointManner::Fail, EndpointManner::Full]);
+    for path in ["/plain/one", "/stream/one"] {
+        for number in 0..6 {
+            let answer = site.ask(path, &format!("{}-{number}", path.replace('/', "")));
+            expect_that!(answer.status, eq(500), "{path}");
+            std::thread::sleep(Duration::from_millis(150));
+        }
+    }
+}
+
 #[googletest::test]
 fn repeatable_request_goes_to_another_endpoint() {
     for manner in [EndpointManner::Fail, EndpointManner::Lose, EndpointManner::Full] {
