An endpoint's error is passed on where no further attempt does better

Callers got 502 of the daemon in place of the 500 that an endpoint had given, when the attempt after it was refused or could not be made. Cause: the error was dropped before the next attempt was known to succeed. It is kept until then; its endpoint is done with it, so nothing runs on. A response without a body is still given up, so that no two endpoints work on one request; the request's line says so.

--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -99,6 +99,38 @@
     }
 }
 
+/// Makes attempts until an endpoint gives a response to pass on. Where no attempt does better, the error
+/// that an endpoint has given is passed on, and not one of this daemon.
+async fn first_response(
+    context: &Rc<GatewayContext>,
+    admitted: &Admitted,
+    attempts: &mut Attempts,
+    trace: &mut RequestTrace,
+) -> Result<EndpointResponse, Refusal> {
+    let mut error = None;
+    let refusal = loop {
+        match attempt(context, admitted, attempts, None, trace).await {
+            Err(refusal) => break refusal,
+            Ok(AttemptEnd::Responded(mut response)) => {
+                let may_follow = may_be_dropped(admitted, &mut response).await
+                    && has_another(context, admitted, attempts)
+                    && may_try_again(context, admitted, attempts);
+                if !may_follow {
+                    return Ok(*response);
+                }
+                attempts.may_have_run = true;
+                error = drop_response(context, admitted, *response, trace).or(error);
+            }
+            Ok(AttemptEnd::Failed(failure)) => {
+                if let Some(refusal) = refusal_after(context, admitted, attempts, failure) {
+                    break refusal;
+                }
+            }
+        }
+    };
+    error.ok_or(refusal)
+}
+
 /// Whether a response may be dropped for another attempt: an error, or a head without a body.
 async fn may_be_dropped(admitted: &Admitted, response: &mut EndpointResponse) -> bool {
     let kind = admitted.route.kind;
@@ -107,57 +139,40 @@
         || !kind.is_stream() && response.lacks_body(admitted.deadline).await
 }
 
+/// Drops a response for another attempt. An error is kept: its endpoint is done. One without a body ends
+/// with its connection, so that the endpoint works no more on what another one is sent.
 fn drop_response(
     context: &Rc<GatewayContext>,
     admitted: &Admitted,
     response: EndpointResponse,
     trace: &mut RequestTrace,
-) {
+) -> Option<EndpointResponse> {
+    if response.response.status().is_server_error() {
+        return Some(response);
+    }
+    trace.has_no_body();
     if response.body_start == BodyStart::Broken {
         let (endpoint, begun) = (response.guard.record(), response.guard.begun());
         note_broken_run(context, admitted, endpoint, begun, trace);
     }
-    // An error has been judged by its status already.
-    let result = match response.response.status().is_server_error() {
-        true => AttemptResult::Neutral,
-        false => AttemptResult::Failed,
-    };
-    response.guard.finish(result);
+    response.guard.finish(AttemptResult::Failed);
+    None
 }
 
-/// Makes attempts until an endpoint gives a response to pass on.
-async fn first_response(
-    context: &Rc<GatewayContext>,
+/// The refusal after a failed attempt, unless another one follows.
+fn refusal_after(
+    context: &GatewayContext,
     admitted: &Admitted,
     attempts: &mut Attempts,
-    trace: &mut RequestTrace,
-) -> Result<EndpointResponse, Refusal> {
-    let kind = admitted.route.kind;
-    loop {
-        match attempt(context, admitted, attempts, None, trace).await? {
-            AttemptEnd::Responded(mut response) => {
-                let may_follow = may_be_dropped(admitted, &mut response).await
-                    && has_another(context, admitted, attempts)
-                    && may_try_again(context, admitted, attempts);
-                if !may_follow {
-                    return Ok(*response);
-                }
-                drop_response(context, admitted, *response, trace);
-                attempts.may_have_run = true;
-            }
-            AttemptEnd::Failed(failure) => {
-                match after_failure(failure, kind, attempts.may_have_run) {
-                    FailureStep::TryNext => {}
-                    FailureStep::RetryOr(_) if may_try_again(context, admitted, attempts) => {}
-                    FailureStep::RetryOr(reason) | FailureStep::GiveUp(reason) => {
-                        let is_deadline_over = true_time::now() >= admitted.deadline;
-                        return Err(
-                            reason.refusal(is_deadline_over, wait_for_room(context, admitted))
-                        );
-                    }
-                }
-                attempts.may_have_run |= failure == AttemptFailure::MayHaveRun;
-            }
-        }
-    }
+    failure: AttemptFailure,
+) -> Option<Refusal> {
+    let step = after_failure(failure, admitted.route.kind, attempts.may_have_run);
+    let reason = match step {
+        FailureStep::TryNext => None,
+        FailureStep::RetryOr(_) if may_try_again(context, admitted, attempts) => None,
+        FailureStep::RetryOr(reason) | FailureStep::GiveUp(reason) => Some(reason),
+    };
+    attempts.may_have_run |= failure == AttemptFailure::MayHaveRun;
+    let is_deadline_over = true_time::now() >= admitted.deadline;
+    Some(reason?.refusal(is_deadline_over, wait_for_room(context, admitted)))
 }
--- a/src/gateway/request/relay/upstream.rs
+++ b/src/gateway/request/relay/upstream.rs
@@ -91,6 +91,7 @@
             Ok(None) => BodyPiece::End,
             // The error's details don't matter: the endpoint is left either way.
             Ok(Some(Err(_))) => BodyPiece::Broken,
+            // Trailers are not passed on.
             Ok(Some(Ok(frame))) => BodyPiece::Bytes(frame.into_data().unwrap_or_default()),
         }
     }
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -88,6 +88,14 @@
         self.context.metrics.count("attempts_chosen_anew", 1);
     }
 
+    /// A response has a head only, and another attempt follows.
+    pub fn has_no_body(&mut self) {
+        let after = true_time::since(self.begun).as_millis();
+        // Writing to a string cannot fail.
+        let _ = write!(self.steps, " no body after {after};");
+        self.context.metrics.count("attempts_failed", 1);
+    }
+
     /// A run of it broke. Its fingerprint shows which other requests asked for the same.
     pub fn run_broke(&mut self, request: RequestFingerprint) {
         self.fingerprint = Some(request);
