Names and lines of what holds now: pauses of endpoints, room that comes later, endpoints that fail

A newcomer who was paged could not see from the log that an endpoint is passed over since it fails: the line `endpoint fails` says it, with the fraction of failures, and the refusal says that endpoints are at their limits too. Names that had come to hold more than they said are replaced (endpoint_pause, NotServing, RoomLater). A limit that has ended was told to the other daemons for as long as responses came; it is told for 10 s.

--- a/src/gateway/gossip/codec/warnings.rs
+++ b/src/gateway/gossip/codec/warnings.rs
@@ -38,7 +38,7 @@
         start: NumberedStart { endpoint: entry.get_endpoint(), born: entry.get_born() },
         kind: match entry.get_drains() {
             true => WarningKind::Draining,
-            false => WarningKind::Refusing,
+            false => WarningKind::NotServing,
         },
         age: from_ms(entry.get_age_ms()),
     };
--- a/src/gateway/policy/endpoint.rs
+++ b/src/gateway/policy/endpoint.rs
@@ -2,6 +2,7 @@
 
 pub mod endpoint_choice;
 pub mod endpoint_load;
+pub mod endpoint_pause;
 pub mod endpoint_starts;
 pub mod endpoint_status;
 pub mod endpoint_table;
@@ -9,7 +10,6 @@
 pub mod load_reports;
 pub mod prefill_rate;
 pub mod prompt_cache;
-pub mod refusal_pause;
 pub mod request_limit;
 pub mod room_forecast;
 pub mod service_demand;
--- a/src/gateway/policy/endpoint/refusal_pause.rs
+++ b/src/gateway/policy/endpoint/endpoint_pause.rs
@@ -10,9 +10,8 @@
 //! | the same, reported by another daemon | none, or one that has begun here begins anew | slowly |
 //!
 //! Slowly: one request waits for its response at first, and twice as many after each one that the
-//! endpoint has run, until they are as many as its slots. Without this an endpoint that refuses at
-//! once looks idle, and draws the requests that others would serve: of 12 endpoints 4 refused, and
-//! 895 of 1,830 requests were not served (9 real daemons).
+//! endpoint has run, until they are as many as its slots. Without this an endpoint that refuses or
+//! fails at once looks idle, and draws the requests that others would serve.
 //!
 //! Requests that were sent before a pause say nothing of what follows it.
 
@@ -71,19 +70,19 @@
 
 /// Pause of one endpoint.
 #[derive(Clone, Copy, Debug, Default)]
-pub struct RefusalPause {
+pub struct EndpointPause {
     /// Until when it gets no requests.
     until: Option<Instant>,
     /// Until when it gets requests only where no other endpoint has room, since it fails.
     failing_until: Option<Instant>,
     /// Until when the endpoint itself wants none.
     backoff_until: Option<Instant>,
-    /// Unexplained refusals in a row, each after a pause.
-    refusals: u32,
+    /// Unexplained refusals and failures in a row, each after a pause.
+    setbacks: u32,
     /// When it last ran a request of this daemon.
     ran_at: Option<Instant>,
-    /// When it last refused one, or failed.
-    refused_at: Option<Instant>,
+    /// When it last refused or failed one.
+    set_back_at: Option<Instant>,
     /// None while requests need not come slowly.
     probe: Option<ProbeWindow>,
     /// Number of the newest window; tickets of earlier ones are void.
@@ -107,7 +106,7 @@
     }
 }
 
-impl RefusalPause {
+impl EndpointPause {
     /// Pause of an endpoint whose back-off is known.
     pub fn with_backoff(until: Option<Instant>) -> Self {
         let mut pause = Self { until, backoff_until: until, ..Self::default() };
@@ -127,7 +126,7 @@
             RefusalKind::Busy => FIRST_PAUSE,
             RefusalKind::Unexplained => self.next_pause(now),
         };
-        self.refused_at = Some(now);
+        self.set_back_at = Some(now);
         self.until = self.until.max(Some(now + span));
         if kind != RefusalKind::Busy {
             self.begin_probe(false);
@@ -137,7 +136,7 @@
     /// The endpoint has failed a request, and does so more often than others.
     pub fn failed(&mut self, now: Instant) {
         let span = self.next_pause(now);
-        self.refused_at = Some(now);
+        self.set_back_at = Some(now);
         self.failing_until = self.failing_until.max(Some(now + span));
         self.begin_probe(true);
     }
@@ -147,7 +146,7 @@
     /// each daemon for itself): one daemon's request then tells all that the endpoint still
     /// refuses.
     pub fn suspect(&mut self, at: Instant, stretch: f64) {
-        if self.refusals > 0 {
+        if self.setbacks > 0 {
             let again = Some(at + self.usual_pause().mul_f64(stretch));
             match self.probe {
                 Some(probe) if probe.is_after_failure => {
@@ -164,13 +163,13 @@
 
     fn next_pause(&mut self, now: Instant) -> Duration {
         if !(self.is_paused(now) || self.fails_until(now)) {
-            self.refusals += 1;
+            self.setbacks += 1;
         }
         self.usual_pause()
     }
 
     fn usual_pause(&self) -> Duration {
-        let doublings = self.refusals.saturating_sub(1).min(DOUBLING_LIMIT);
+        let doublings = self.setbacks.saturating_sub(1).min(DOUBLING_LIMIT);
         (FIRST_PAUSE * 2_u32.pow(doublings)).min(LONGEST_PAUSE)
     }
 
@@ -215,12 +214,12 @@
     /// Whether something is known of it that is later than the beginning of a request: what becomes of
     /// that request, which may have waited for seconds, says nothing of the endpoint any more.
     pub fn is_later_known(&self, begun: Instant) -> bool {
-        self.ran_at.max(self.refused_at).is_some_and(|at| at > begun)
+        self.ran_at.max(self.set_back_at).is_some_and(|at| at > begun)
     }
 
-    /// Whether it has refused more than one request for no known reason, or failed, each after a pause.
-    pub fn has_refused_again(&self) -> bool {
-        self.refusals > 1
+    /// Whether it has refused for no known reason, or failed, again after a pause.
+    pub fn has_recurred(&self) -> bool {
+        self.setbacks > 1
     }
 
     /// Whether requests come slowly.
@@ -242,7 +241,7 @@
         probe.waiting = probe.waiting.saturating_sub(1);
         probe.allowed = probe.allowed.saturating_mul(2);
         let is_over = probe.allowed >= slots;
-        self.refusals = 0;
+        self.setbacks = 0;
         if is_over {
             self.probe = None;
         }
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -6,9 +6,9 @@
 
 use super::{
     endpoint_load::{EndpointLoad, endpoint_number},
+    endpoint_pause::EndpointPause,
     failure_rate::FailureRate,
     prompt_cache::PromptCache,
-    refusal_pause::RefusalPause,
     request_limit::LimitBucket,
     signal_ledger::{HeldSignals, NumberedStart},
 };
@@ -35,8 +35,8 @@
     pub has_ended: bool,
     /// Whether this start of it has said in a response that it drains, whatever lists say.
     pub is_draining: bool,
-    /// Pause after its refusals.
-    pub pause: RefusalPause,
+    /// Pause after its refusals and failures.
+    pub pause: EndpointPause,
     /// This daemon's share of the requests that the endpoint takes, if it has named a limit.
     pub limit: Option<LimitBucket>,
 }
@@ -52,7 +52,7 @@
             cache: PromptCache::default(),
             has_ended: false,
             is_draining: held.draining_since.is_some(),
-            pause: RefusalPause::with_backoff(held.backoff_until),
+            pause: EndpointPause::with_backoff(held.backoff_until),
             limit: held.limit.and_then(|word| Some(LimitBucket::new(word.limit?, word.at))),
         }
     }
--- a/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
@@ -12,8 +12,8 @@
         call::PromptPart,
         policy::endpoint::{
             endpoint_load::RunLoad,
+            endpoint_pause::{ProbeTicket, RefusalKind},
             prompt_cache::part_chain,
-            refusal_pause::{ProbeTicket, RefusalKind},
             signal_ledger::{EndpointWarning, NumberedStart, WarningKind},
         },
     },
@@ -33,6 +33,13 @@
     pub has_token: bool,
 }
 
+/// An endpoint is found to fail more often than the others of its service.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FoundFailing {
+    /// Fraction of this daemon's requests of the last seconds that it failed.
+    pub fraction: f64,
+}
+
 /// Whether an endpoint has taken a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestIntake {
@@ -79,7 +86,8 @@
         }
     }
 
-    /// An attempt that was `begun` then has ended; `load` is the part of its load that was still counted.
+    /// An attempt that was `begun` then has ended, by which the endpoint may be found to fail more
+    /// often than others; `load` is the part of its load that was still counted.
     pub fn end(
         &mut self,
         id: &str,
@@ -87,13 +95,14 @@
         result: AttemptResult,
         begun: Instant,
         now: Instant,
-    ) {
+    ) -> Option<FoundFailing> {
         self.release(id, load);
         match result {
             AttemptResult::Succeeded => self.record_success(id, now),
-            AttemptResult::Failed => self.record_failure(id, begun, now),
+            AttemptResult::Failed => return self.record_failure(id, begun, now),
             AttemptResult::Neutral => {}
         }
+        None
     }
 
     fn release(&mut self, id: &str, load: RunLoad) {
@@ -112,22 +121,30 @@
 
     /// An endpoint has failed a request that was `begun` then. One that fails more often than others gets requests as after
     /// a refusal; otherwise it would look idle, and draw those that others serve.
-    pub fn record_failure(&mut self, id: &str, begun: Instant, now: Instant) {
-        let Some(status) = self.endpoints.get(id) else { return };
+    pub fn record_failure(
+        &mut self,
+        id: &str,
+        begun: Instant,
+        now: Instant,
+    ) -> Option<FoundFailing> {
+        let status = self.endpoints.get(id)?;
         let others =
             self.of_service(&status.record.service).filter(|other| &*other.record.id != id);
         let others = others.map(|other| other.failures.fraction(now)).collect();
-        let Some(status) = self.endpoints.get_mut(id) else { return };
+        let status = self.endpoints.get_mut(id)?;
+        let was_outlier = status.failures.is_outlier(now);
         status.failures.failed(others, now);
         if !status.failures.is_outlier(now) || status.pause.is_later_known(begun) {
-            return;
+            return None;
         }
         status.pause.failed(now);
         // One failure may pass before the warning arrives.
-        if status.pause.has_refused_again() {
-            let (start, kind) = (status.start(), WarningKind::Refusing);
+        if status.pause.has_recurred() {
+            let (start, kind) = (status.start(), WarningKind::NotServing);
             self.signals.record(EndpointWarning { start, kind, at: now }, now);
         }
+        let fraction = status.failures.fraction(now);
+        (!was_outlier).then_some(FoundFailing { fraction })
     }
 
     /// Another start of an endpoint has responded at this one's address: this one has ended
@@ -165,7 +182,7 @@
             self.signals.record_backoff(start, now + backoff, now);
         }
         if kind != RefusalKind::Busy {
-            let refusing = EndpointWarning { start, kind: WarningKind::Refusing, at: now };
+            let refusing = EndpointWarning { start, kind: WarningKind::NotServing, at: now };
             self.signals.record(refusing, now);
         }
         if let Some(status) = self.endpoints.get_mut(id) {
@@ -201,7 +218,7 @@
         // Nothing where this start is later than the one that is meant.
         let held = self.signals.of(status.start());
         status.is_draining = held.draining_since.is_some();
-        if warning.kind == WarningKind::Refusing && held.refused_at == Some(warning.at) {
+        if warning.kind == WarningKind::NotServing && held.not_served_at == Some(warning.at) {
             status.pause.suspect(warning.at, rng.random_range(1.0..2.0));
         }
         Some(status.record.id.clone())
--- a/src/gateway/policy/endpoint/failure_rate.rs
+++ b/src/gateway/policy/endpoint/failure_rate.rs
@@ -7,7 +7,7 @@
 //! its fraction of failures is well above the median of the others. Where most fail, none is.
 //!
 //! Inputs are this daemon's own attempts of the last seconds. An endpoint without attempts counts as
-//! one without failures. What an outlier is then sent is decided by `refusal_pause` and
+//! one without failures. What an outlier is then sent is decided by `endpoint_pause` and
 //! `endpoint_choice`. The native path ejects by failures in a row (`endpoint_health`): its daemons
 //! have few endpoints each, and the engines report their state.
 
--- a/src/gateway/policy/endpoint/room_forecast.rs
+++ b/src/gateway/policy/endpoint/room_forecast.rs
@@ -20,7 +20,7 @@
     Now,
     /// All endpoints want no requests of this daemon, by back-offs or limits: the first from `first`
     /// on, the last from `last` on.
-    BackingOff {
+    Later {
         /// When the first may be asked again.
         first: Instant,
         /// When the last may.
@@ -44,7 +44,7 @@
         }
         match (times.iter().min(), times.iter().max()) {
             (Some(first), Some(last)) if !is_any_unknown => {
-                Self::BackingOff { first: *first, last: *last }
+                Self::Later { first: *first, last: *last }
             }
             _ => Self::Unknown,
         }
--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -4,11 +4,11 @@
 //! |---|---|---|---|
 //! | it drains | in any own response of it | until a later start of it is listed | for 10 s |
 //! | it asks for a back-off | in a 503 to this daemon | until its end or a later start | it refuses |
-//! | it refuses, and seemed to have room | in a refusal to this daemon | see `refusal_pause` | for 2 s |
+//! | it refuses, and seemed to have room, or fails | in a response to this daemon, or the want of one | see `endpoint_pause` | for 2 s |
 //! | it takes so many requests | in any own response of it | until a later response names none | while it holds, for 10 s that it has ended |
 //!
 //! An endpoint drains whoever asks, so that the other daemons stop too. A refusal, and the time in it,
-//! may be meant for the daemon that got it: others are only careful there (`refusal_pause`). With 87
+//! may be meant for the daemon that got it: others are only careful there (`endpoint_pause`). With 87
 //! daemons each would otherwise find out by requests that are refused.
 //!
 //! A limit binds all daemons together, so the others keep to it as soon as they hear it. A response
@@ -32,9 +32,9 @@
 /// Time for which other daemons are told that an endpoint drains, or that its limit has ended: some
 /// gossip rounds of a large fleet. Daemons that start later hear it from the endpoint.
 const TOLD_FOR: Duration = Duration::from_secs(10);
-/// Time for which other daemons are told that an endpoint has refused a request: a gossip round of a
+/// Time for which other daemons are told that an endpoint has not served a request: a gossip round of a
 /// large fleet.
-const REFUSAL_TOLD_FOR: Duration = Duration::from_secs(2);
+const NOT_SERVED_TOLD_FOR: Duration = Duration::from_secs(2);
 /// Reports of different daemons that are less apart may be of one response: times come as ages, and
 /// look younger by what their messages took, a gossip call's time limit at most. Otherwise a refusal
 /// would return to the daemon that reported it as a later one, again and again.
@@ -61,8 +61,8 @@
 pub enum WarningKind {
     /// The endpoint drains.
     Draining,
-    /// It refuses requests though it seemed to have room, or asks for a back-off.
-    Refusing,
+    /// It asks for a back-off, refuses requests though it seemed to have room, or fails them.
+    NotServing,
 }
 
 /// Warning of an endpoint.
@@ -102,10 +102,12 @@
     pub draining_since: Option<Instant>,
     /// Until when it wants no requests from this daemon.
     pub backoff_until: Option<Instant>,
-    /// When it last refused a request of any daemon for no known reason.
-    pub refused_at: Option<Instant>,
+    /// When it last refused a request of any daemon for no known reason, or failed one.
+    pub not_served_at: Option<Instant>,
     /// What it said last of its limit.
     pub limit: Option<LimitWord>,
+    /// Since when it names none, if it has named one.
+    pub limit_ended_at: Option<Instant>,
 }
 
 impl HeldSignals {
@@ -118,21 +120,28 @@
     fn record_limit(&mut self, word: LimitWord) {
         let is_later = self.limit.map_or(word.limit.is_some(), |known| word.at > known.at);
         if is_later {
-            self.limit = Some(word);
+            self.set_limit(word);
         }
     }
 
+    fn set_limit(&mut self, word: LimitWord) {
+        self.limit_ended_at = match (self.limit_per_second(), word.limit) {
+            (_, Some(_)) => None,
+            (Some(_), None) => Some(word.at),
+            (None, None) => self.limit_ended_at.or(Some(word.at)),
+        };
+        self.limit = Some(word);
+    }
+
     /// Takes what it has said to another daemon.
     fn receive_limit(&mut self, word: LimitWord) {
-        let Some(known) = &mut self.limit else {
-            self.limit = Some(word);
-            return;
-        };
-        if word.at > known.at + REPORT_SKEW {
-            *known = word;
-        } else if word.at + REPORT_SKEW > known.at {
+        match self.limit {
+            Some(known) if word.at + REPORT_SKEW <= known.at => {}
             // Ages look smaller by what messages took: either may be the later one.
-            known.limit = least_limit(known.limit, word.limit);
+            Some(known) if word.at <= known.at + REPORT_SKEW => {
+                self.set_limit(LimitWord { limit: least_limit(known.limit, word.limit), ..known });
+            }
+            _ => self.set_limit(word),
         }
     }
 
@@ -143,12 +152,12 @@
         known.is_none()
     }
 
-    /// It has refused a request; whether that is news.
-    fn record_refusal(&mut self, at: Instant) -> bool {
-        let known = self.refused_at;
+    /// It has not served a request; whether that is news.
+    fn record_not_served(&mut self, at: Instant) -> bool {
+        let known = self.not_served_at;
         let is_news = known.is_none_or(|known| at > known + REPORT_SKEW);
         if is_news {
-            self.refused_at = Some(at);
+            self.not_served_at = Some(at);
         }
         is_news
     }
@@ -181,7 +190,7 @@
         let Some(entry) = self.entry_of(warning.start, now) else { return false };
         match warning.kind {
             WarningKind::Draining => entry.signals.record_draining(warning.at),
-            WarningKind::Refusing => entry.signals.record_refusal(warning.at),
+            WarningKind::NotServing => entry.signals.record_not_served(warning.at),
         }
     }
 
@@ -215,9 +224,10 @@
     pub fn limits(&self, now: Instant, rng: &mut impl Rng) -> Vec<EndpointLimit> {
         let told = self.by_endpoint.iter().filter_map(|(endpoint, entry)| {
             let start = NumberedStart { endpoint: *endpoint, born: entry.born };
-            let word = entry.signals.limit?;
-            let is_new = now.saturating_duration_since(word.at) < TOLD_FOR;
-            (word.limit.is_some() || is_new).then_some(EndpointLimit { start, word })
+            let HeldSignals { limit, limit_ended_at, .. } = entry.signals;
+            let is_over = |at: Instant| now.saturating_duration_since(at) >= TOLD_FOR;
+            let is_told = !limit_ended_at.is_some_and(is_over);
+            limit.filter(|_| is_told).map(|word| EndpointLimit { start, word })
         });
         told.sample(rng, MAX_LIMITS_TOLD)
     }
@@ -264,9 +274,10 @@
         let mut warnings = Vec::new();
         for (endpoint, entry) in &self.by_endpoint {
             let start = NumberedStart { endpoint: *endpoint, born: entry.born };
-            let HeldSignals { draining_since, refused_at, .. } = entry.signals;
+            let HeldSignals { draining_since, not_served_at, .. } = entry.signals;
             let draining = draining_since.map(|at| (WarningKind::Draining, at, TOLD_FOR));
-            let refusing = refused_at.map(|at| (WarningKind::Refusing, at, REFUSAL_TOLD_FOR));
+            let refusing =
+                not_served_at.map(|at| (WarningKind::NotServing, at, NOT_SERVED_TOLD_FOR));
             for (kind, at, told_for) in draining.into_iter().chain(refusing) {
                 if now.saturating_duration_since(at) < told_for {
                     warnings.push(EndpointWarning { start, kind, at });
--- a/src/gateway/policy/request/refusal.rs
+++ b/src/gateway/policy/request/refusal.rs
@@ -56,10 +56,10 @@
     /// All endpoints are full; the request has not run. Holds the time to retry after.
     #[display("all endpoints full")]
     Full(Duration),
-    /// All endpoints want no requests for a while; the request has not run. Holds the time to retry
-    /// after.
-    #[display("all endpoints back off")]
-    BackingOff(Duration),
+    /// All endpoints want no requests for a while, by back-offs or limits; the request has not run. Holds
+    /// the time to retry after.
+    #[display("all endpoints back off or are at their limits")]
+    RoomLater(Duration),
     /// An endpoint was sent the request and has not run it, and no other may be tried. Holds the
     /// time to retry after.
     #[display("no endpoint took it")]
@@ -131,7 +131,7 @@
             | Self::NotFresh
             | Self::NotYetKnown(_)
             | Self::Full(_)
-            | Self::BackingOff(_)
+            | Self::RoomLater(_)
             | Self::NotTaken(_)
             | Self::DeadlineOver(_)
             | Self::NoEndpoint(_)
@@ -151,7 +151,7 @@
         match self {
             Self::QuotaSpent(spent) => Some(spent.retry_after),
             Self::Full(wait)
-            | Self::BackingOff(wait)
+            | Self::RoomLater(wait)
             | Self::NotTaken(wait)
             | Self::DeadlineOver(wait)
             | Self::NoEndpoint(wait)
--- a/src/gateway/policy/request/retries.rs
+++ b/src/gateway/policy/request/retries.rs
@@ -129,8 +129,8 @@
     DeadlineOver,
     /// All endpoints that were not tried are full.
     AllFull,
-    /// All endpoints want no requests for a while: the client may retry after this time.
-    BackingOff(Duration),
+    /// All endpoints want no requests for a while, by back-offs or limits: the client may retry after this time.
+    RoomLater(Duration),
     /// There is no endpoint that was not tried.
     NoEndpoint,
     /// Which requests crash endpoints is not known yet.
@@ -148,7 +148,7 @@
             (_, true) => Refusal::Unknown,
             (Self::DeadlineOver, false) => Refusal::DeadlineOver(retry_after::NO_ENDPOINT),
             (Self::AllFull, false) => Refusal::Full(retry_after::all_full(target)),
-            (Self::BackingOff(wait), false) => Refusal::BackingOff(wait),
+            (Self::RoomLater(wait), false) => Refusal::RoomLater(wait),
             (Self::NoPeerContact, false) => Refusal::NoPeerContact,
             (Self::Quarantined(wait), false) => Refusal::Quarantined(wait),
             (Self::NoEndpoint, false) => Refusal::NoEndpoint(retry_after::NO_ENDPOINT),
--- a/src/gateway/policy/request/retry_after.rs
+++ b/src/gateway/policy/request/retry_after.rs
@@ -49,7 +49,7 @@
     match forecast {
         RoomForecast::Now => AT_ONCE,
         RoomForecast::Unknown => all_full(target),
-        RoomForecast::BackingOff { first, last } => {
+        RoomForecast::Later { first, last } => {
             let spread = last.saturating_duration_since(first).max(MIN_SPREAD);
             first.saturating_duration_since(now) + spread.mul_f64(rng.random_range(0.0..1.0))
         }
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -108,10 +108,10 @@
 /// Endpoints may be full for this request and have room for others.
 fn why_full(endpoints: &EndpointTable, admitted: &Admitted, now: Instant) -> NoAttempt {
     match endpoints.forecast(&admitted.service.name, now) {
-        forecast @ RoomForecast::BackingOff { .. } => {
+        forecast @ RoomForecast::Later { .. } => {
             let target = admitted.route.target;
             let wait = retry_after::by_forecast(forecast, target, now, &mut rand::rng());
-            NoAttempt::BackingOff(wait)
+            NoAttempt::RoomLater(wait)
         }
         RoomForecast::Now | RoomForecast::Unknown => NoAttempt::AllFull,
     }
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -13,7 +13,7 @@
         gossip::endpoint_signals::limits::note_response,
         policy::endpoint::{
             endpoint_load::RunLoad,
-            endpoint_table::attempt_results::{RequestIntake, RunTickets},
+            endpoint_table::attempt_results::{FoundFailing, RequestIntake, RunTickets},
         },
     },
     true_time,
@@ -117,7 +117,8 @@
         self.tickets.probe = None;
         let mut endpoints = self.context.endpoints.borrow_mut();
         if endpoints.knows_start(&self.endpoint) {
-            endpoints.record_failure(&self.endpoint.id, self.begun, true_time::now());
+            let found = endpoints.record_failure(&self.endpoint.id, self.begun, true_time::now());
+            note_failing(&self.context, &self.endpoint, found);
         }
     }
 
@@ -185,6 +186,13 @@
     }
 }
 
+/// Logs that an endpoint is found to fail more often than others.
+fn note_failing(context: &GatewayContext, endpoint: &EndpointRecord, found: Option<FoundFailing>) {
+    let Some(FoundFailing { fraction }) = found else { return };
+    context.metrics.count("endpoints_found_failing", 1);
+    spdlog::warn!("endpoint fails", kv: { endpoint: = endpoint.id, fraction });
+}
+
 impl Drop for RunGuard {
     fn drop(&mut self) {
         let mut endpoints = self.context.endpoints.borrow_mut();
@@ -197,6 +205,7 @@
         }
         let ticket = self.tickets.probe.take();
         endpoints.record_intake(&self.endpoint.id, ticket, RequestIntake::Unknown, now);
-        endpoints.end(&self.endpoint.id, self.load, self.result, self.begun, now);
+        let found = endpoints.end(&self.endpoint.id, self.load, self.result, self.begun, now);
+        note_failing(&self.context, &self.endpoint, found);
     }
 }
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -151,6 +151,19 @@
         Self { endpoints, daemons, addresses, disturbances }
     }
 
+    /// Suspends every other daemon for a while.
+    pub fn freeze_every_other(&self, time: Duration) {
+        let daemons = self.daemons.lock().expect("lock");
+        let from = Instant::now();
+        daemons.iter().step_by(2).for_each(|daemon| daemon.signal("-STOP"));
+        thread::sleep(time);
+        daemons.iter().step_by(2).for_each(|daemon| daemon.signal("-CONT"));
+        let until = Instant::now();
+        let frozen = (0..daemons.len()).step_by(2);
+        let disturbances = frozen.map(|daemon| Disturbance { daemon, from, until });
+        self.disturbances.lock().expect("lock").extend(disturbances);
+    }
+
     /// Kills every other daemon and starts it again.
     pub fn restart_every_other(&self) {
         let mut daemons = self.daemons.lock().expect("lock");
