Two checks of limits could not hold: all of a limit used, more refusals than times

Traces: 32 requests in 5 s at four endpoints that take 1.6 a second, which is all they take (32.0), and 0 of 29 judged beyond; the check wanted less than 1.00. And 499 different times for 1,862 refused clients, where one in two had to be told a time of its own: in a spread of half a second there are 500 times in whole milliseconds.

The share is now 0.7 to 1.0 with both ends, and one request more for each endpoint in the span, since requests that come evenly meet both of its ends. Of the times half as many must differ as there are clients, or 500 if these are more, and none may be told to over a tenth of the clients, which the former check allowed.

--- a/tests/gateway/backoff_endpoints.rs
+++ b/tests/gateway/backoff_endpoints.rs
@@ -10,7 +10,6 @@
 //! broken, and 2,030 of 4,059 requests were not served, though eight endpoints had room.
 
 use std::{
-    collections::HashSet,
     sync::{Mutex, PoisonError},
     time::{Duration, Instant},
 };
@@ -18,6 +17,7 @@
 use googletest::prelude::*;
 
 use crate::{
+    signal_checks::check_told_differently,
     signal_fleet::{
         LOAD_TIME, SAID_FROM, SAID_UNTIL, SignalFleet, SignalOutcome, TELLING, say_for_a_while,
         sleep_until,
@@ -114,7 +114,6 @@
     let (asked, broken) = outcome.backoffs();
     let resting = outcome.sent_in(SAID_FROM + AT_ONCE..SAID_UNTIL);
     let told: Vec<f64> = resting.iter().filter_map(|request| request.retry_after).collect();
-    let different: HashSet<u64> = told.iter().map(|seconds| seconds.to_bits()).collect();
     let mean = told.iter().sum::<f64>() / told.len() as f64;
     println!("{asked} back-offs, {broken} broken; clients told {mean:.2} s, {} times", told.len());
     expect_that!(broken, eq(0));
@@ -123,7 +122,7 @@
     expect_true!(resting.iter().all(|request| request.status == 503));
     // What each is told is the time that is left, from 2 s to none, and a share of its own.
     expect_that!(mean, ge(0.7));
-    expect_that!(different.len() * 2, gt(told.len()));
+    check_told_differently(&told);
     print_return(&outcome);
     let last = outcome.sent_in(SAID_UNTIL + LAST_BACKOFF..LOAD_TIME);
     let served = last.iter().filter(|request| request.is_served()).count();
--- a/tests/gateway/limited_endpoints.rs
+++ b/tests/gateway/limited_endpoints.rs
@@ -19,14 +19,14 @@
 //! The limit is now divided among a few daemons, and every daemon is told of it.
 
 use std::{
-    collections::HashSet,
-    ops::Range,
+    ops::RangeInclusive,
     time::{Duration, Instant},
 };
 
 use googletest::prelude::*;
 
 use crate::{
+    signal_checks::check_told_differently,
     signal_fleet::{ClientLoad, FleetPlaces, SignalFleet, SignalOutcome, TELLING, sleep_until},
     signalling_endpoint::{EndpointSignal, SignallingEndpoint},
 };
@@ -52,7 +52,7 @@
 /// All endpoints of a fleet.
 const ALL: usize = 12;
 /// Share of what the limits allow that is served, where clients ask for more.
-const SERVED_SHARE: Range<f64> = 0.7..1.0;
+const SERVED_SHARE: RangeInclusive<f64> = 0.7..=1.0;
 /// Longest time for a refusal of a request that can't be served: it is not held.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
@@ -140,13 +140,15 @@
     expect_that!(refused, eq(0));
 }
 
-/// Limits are used as far as they go.
+/// Limits are used as far as they go. Requests that come evenly at a rate are one more in a span than
+/// rate and span allow, if the first comes as the span begins.
 fn check_used(outcome: &SignalOutcome, limit: f64) {
     let kept = NAMED_FROM + KEPT_AFTER..NAMED_UNTIL;
     let allowed = limit * TELLING as f64 * (kept.end - kept.start).as_secs_f64();
-    let used = outcome.arrivals_in(kept.clone()) as f64 / allowed;
-    println!("{used:.2} of the limits used");
-    expect_true!(SERVED_SHARE.contains(&used), "{used:.2}");
+    let arrivals = outcome.arrivals_in(kept) as f64;
+    println!("{:.2} of the limits used", arrivals / allowed);
+    expect_that!(arrivals, ge(SERVED_SHARE.start() * allowed));
+    expect_that!(arrivals, le(SERVED_SHARE.end() * allowed + TELLING as f64));
 }
 
 /// The endpoints are used as before when they no longer name limits and that has been found.
@@ -292,9 +294,7 @@
     expect_true!(refused.iter().all(|request| request.status == 503));
     expect_true!(refused.iter().all(|request| request.answered - request.sent < AT_ONCE));
     expect_that!(told.len(), eq(refused.len()));
-    // They are told different times, so that they don't all come back at once.
-    let different: HashSet<u64> = told.iter().map(|seconds| seconds.to_bits()).collect();
-    expect_that!(different.len() * 2, gt(told.len()));
+    check_told_differently(&told);
 }
 
 #[googletest::test]
--- a/tests/gateway/signal_checks.rs
+++ b/tests/gateway/signal_checks.rs
@@ -6,6 +6,8 @@
     time::{Duration, Instant},
 };
 
+use googletest::prelude::*;
+
 use crate::signalling_endpoint::Arrival;
 
 /// Time after an endpoint's signal within which requests may still be on their way to it.
@@ -23,6 +25,25 @@
 /// Requests that may reach an endpoint within a back-off after that.
 const ALLOWED_IN_BACKOFF: usize = 2;
 
+/// Different times that a spread of half a second has, told in whole milliseconds.
+const DIFFERENT_TIMES: usize = 500;
+/// Clients that may be told the same time: one in so many.
+const TOLD_ALIKE: usize = 10;
+
+/// Clients that can't be served are told different times, so that they don't all come back at once.
+pub fn check_told_differently(told_s: &[f64]) {
+    let mut clients_by_ms: HashMap<u64, usize> = HashMap::new();
+    for seconds in told_s {
+        *clients_by_ms.entry((seconds * 1e3).round() as u64).or_default() += 1;
+    }
+    let (clients, times) = (told_s.len(), clients_by_ms.len());
+    let most_alike = clients_by_ms.iter().max_by_key(|(_, alike)| **alike);
+    let (most_told_ms, alike) = most_alike.map_or((0, 0), |(time, alike)| (*time, *alike));
+    println!("{clients} clients told {times} times, {alike} of them {most_told_ms} ms");
+    expect_that!(times * 2, gt(clients.min(DIFFERENT_TIMES)));
+    expect_that!(alike * TOLD_ALIKE, le(clients.max(TOLD_ALIKE)));
+}
+
 /// A request as its client has sent it.
 #[derive(Clone, Copy, Debug)]
 pub struct SentAt {
