Prompts with shared parts gather at endpoints that don't fail

Callers whose prompts share parts were sent to the same endpoint again and again while it failed, each time its pause was over: the choice prefers where the parts are expected to be cached, and the rule left out endpoints with a limit only. It leaves out those that fail more often than others too, so that the parts are cached where they can be used.

prompts_gather_at_endpoints_that_do_not_fail: failed before, passes.

--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -139,7 +139,7 @@
 ) -> ChoiceResult {
     let (backing_off, awake): (Vec<_>, Vec<_>) =
         candidates.iter().partition(|status| status.pause.backs_off_until(now).is_some());
-    let affinity = affinity_endpoint(&unlimited(&awake), query.parts);
+    let affinity = affinity_endpoint(&sound(&awake, now), query.parts);
     let avoids_failures = avoids_failures(&awake, query, now);
     let chain = part_chain(query.parts);
     let (mut best, mut last_resort): (Option<CostedChoice>, Option<CostedChoice>) = (None, None);
@@ -245,10 +245,12 @@
     candidates.iter().max_by_key(weight).map(|status| status.record.id.clone())
 }
 
-/// Candidates that have named no limit; all, if there are none of these. Requests gather at endpoints
-/// that can take them all: what finds a limit reached would be read anew wherever it goes.
-fn unlimited<'a>(candidates: &[&'a EndpointStatus]) -> Vec<&'a EndpointStatus> {
-    let unlimited: Vec<&EndpointStatus> =
-        candidates.iter().filter(|status| status.limit.is_none()).copied().collect();
-    if unlimited.is_empty() { candidates.to_vec() } else { unlimited }
+/// Candidates that have named no limit and don't fail more often than others; all, if there are none of
+/// these. Requests gather at endpoints that can take them all: what finds a limit reached, or fails,
+/// would be read anew wherever it goes.
+fn sound<'a>(candidates: &[&'a EndpointStatus], now: Instant) -> Vec<&'a EndpointStatus> {
+    let is_sound =
+        |status: &&&EndpointStatus| status.limit.is_none() && !status.failures.is_outlier(now);
+    let sound: Vec<&EndpointStatus> = candidates.iter().filter(is_sound).copied().collect();
+    if sound.is_empty() { candidates.to_vec() } else { sound }
 }
