An endpoint that has refused once is used again by requests that can't go elsewhere

Routes with one attempt passed an endpoint over for good after one unexplained refusal, as long as another had room: only a request that it served would have ended that, and none was sent. It counts as risky for 4 s after its pause or after another daemon's last report, which is how long one failure counts too.

endpoint_that_has_refused_is_tried_again_by_requests_that_cannot_go_elsewhere: failed before, passes. Rules of signals, failures, limits and choice: all pass.

--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -185,7 +185,7 @@
     avoids_failures: bool,
     now: Instant,
 ) -> f64 {
-    let may_refuse = status.pause.is_probing() && !query.may_retry;
+    let may_refuse = status.pause.is_risky(now) && !query.may_retry;
     let may_fail = avoids_failures && status.failures.is_outlier(now);
     if may_refuse || may_fail { PROBE_RISK_MS } else { 0.0 }
 }
--- a/src/gateway/policy/endpoint/endpoint_pause.rs
+++ b/src/gateway/policy/endpoint/endpoint_pause.rs
@@ -31,6 +31,9 @@
 /// Beyond an hour it is more likely a wrong unit, and an endpoint must not be lost by it.
 const LONGEST_BACKOFF: Duration = Duration::from_secs(3_600);
 
+/// Requests that can't go elsewhere pass an endpoint over for so long after its pause, or after
+/// another daemon's last report: where no request can, it must not be left out for good.
+const RISK_TIME: Duration = Duration::from_secs(4);
 /// A report of another daemon that an endpoint refuses is passed over for so long after this daemon
 /// had a request run there: the refusal may be meant for the other daemon alone.
 const SERVED_LATELY: Duration = Duration::from_millis(500);
@@ -98,6 +101,8 @@
     waiting: u32,
     /// Whether they come slowly since it fails; it may be sent more where no other has room.
     is_after_failure: bool,
+    /// Until when it is expected to refuse or fail again.
+    risky_until: Instant,
 }
 
 impl ProbeWindow {
@@ -110,8 +115,8 @@
     /// Pause of an endpoint whose back-off is known.
     pub fn with_backoff(until: Option<Instant>) -> Self {
         let mut pause = Self { until, backoff_until: until, ..Self::default() };
-        if until.is_some() {
-            pause.begin_probe(false);
+        if let Some(until) = until {
+            pause.begin_probe(false, until);
         }
         pause
     }
@@ -129,7 +134,7 @@
         self.set_back_at = Some(now);
         self.until = self.until.max(Some(now + span));
         if kind != RefusalKind::Busy {
-            self.begin_probe(false);
+            self.begin_probe(false, now);
         }
     }
 
@@ -138,7 +143,7 @@
         let span = self.next_pause(now);
         self.set_back_at = Some(now);
         self.failing_until = self.failing_until.max(Some(now + span));
-        self.begin_probe(true);
+        self.begin_probe(true, now);
     }
 
     /// Another daemon had a request refused there at `at`. Where this one has found the same, its pause
@@ -156,8 +161,10 @@
             }
         }
         let is_served = self.ran_at.is_some_and(|ran| ran + SERVED_LATELY > at);
-        if self.probe.is_none() && !is_served {
-            self.begin_probe(false);
+        match &mut self.probe {
+            Some(probe) => probe.risky_until = probe.risky_until.max(at + RISK_TIME),
+            None if is_served => {}
+            None => self.begin_probe(false, at),
         }
     }
 
@@ -174,15 +181,17 @@
     }
 
     /// Requests come slowly from now on: the endpoint has wanted few, and wants as many as before.
-    pub fn resume_slowly(&mut self) {
+    pub fn resume_slowly(&mut self, now: Instant) {
         if self.probe.is_none() {
-            self.begin_probe(false);
+            self.begin_probe(false, now);
         }
     }
 
-    fn begin_probe(&mut self, is_after_failure: bool) {
+    fn begin_probe(&mut self, is_after_failure: bool, now: Instant) {
+        let pause_end = self.until.max(self.failing_until).max(Some(now)).unwrap_or(now);
+        let risky_until = pause_end + RISK_TIME;
         self.windows = self.windows.wrapping_add(1);
-        self.probe = Some(ProbeWindow { allowed: 1, waiting: 0, is_after_failure });
+        self.probe = Some(ProbeWindow { allowed: 1, waiting: 0, is_after_failure, risky_until });
     }
 
     fn fails_until(&self, now: Instant) -> bool {
@@ -222,6 +231,11 @@
         self.setbacks > 1
     }
 
+    /// Whether it may well refuse or fail the next request.
+    pub fn is_risky(&self, now: Instant) -> bool {
+        self.probe.is_some_and(|probe| now < probe.risky_until)
+    }
+
     /// Whether requests come slowly.
     pub fn is_probing(&self) -> bool {
         self.probe.is_some()
--- a/src/gateway/policy/endpoint/endpoint_table/limits.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/limits.rs
@@ -76,7 +76,7 @@
             (None, _) => {
                 status.limit = None;
                 // Otherwise all daemons would send it what they have at once.
-                status.pause.resume_slowly();
+                status.pause.resume_slowly(now);
             }
         }
         Some(LimitChange { endpoint: status.record.id.clone(), limit: held })
