Requests that the daemon could not retry are not sent to endpoints that fail

In a large fleet callers lost a fifth of their requests while four of twelve endpoints failed at once. Cause: requests that may run again are sent to such endpoints, since another would serve them after a failure; but each of 77 daemons has a retry or two in ten seconds, and the error was passed on. A request counts as one that can go elsewhere only if the retry budget has one. The budget is looked at only while an endpoint of the service is expected to refuse or fail.

Thrown out: that daemons don't know of the failures. None of the lost requests was of a route that runs at most once, and these pass known failures over.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -245,6 +245,12 @@
         self.retry_budgets.borrow_mut().try_withdraw(service, daemons, now)
     }
 
+    /// Whether a request of the service that fails could be retried.
+    pub fn has_retry(&self, service: &SharedName, now: Instant) -> bool {
+        let daemons = self.sharing(now).known;
+        self.retry_budgets.borrow_mut().has_retry(service, daemons, now)
+    }
+
     /// Counts a run for an account, in the usage window of now.
     pub fn record_run(&self, account: &SharedName) {
         let window = self.wall_clock.borrow().window(self.settings.bounds.usage_window);
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -72,6 +72,11 @@
         self.is_ready() && !self.pause.is_paused(now)
     }
 
+    /// Whether it may well refuse or fail the next request.
+    pub fn is_risky(&self, now: Instant) -> bool {
+        self.pause.is_risky(now) || self.failures.is_outlier(now)
+    }
+
     /// Whether its limit, if it has named one, lets this daemon send a request now.
     pub fn is_within_limit(&self, now: Instant) -> bool {
         self.limit.is_none_or(|limit| limit.has_token(now))
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -190,6 +190,11 @@
         room
     }
 
+    /// Whether an endpoint of a service may well refuse or fail the next request.
+    pub fn any_risky(&self, service: &str, now: Instant) -> bool {
+        self.of_service(service).any(|status| status.is_risky(now))
+    }
+
     /// When endpoints of a service will have room for a request, as far as known.
     pub fn forecast(&self, service: &str, now: Instant) -> RoomForecast {
         RoomForecast::of(self.of_service(service).map(|status| self.room_at(status, now)))
--- a/src/gateway/policy/request/retry_budget.rs
+++ b/src/gateway/policy/request/retry_budget.rs
@@ -45,15 +45,20 @@
     /// Withdraws one retry, if there is one: `share` of the window's requests and `reserve`
     /// more, both for this daemon alone.
     pub fn try_withdraw(&mut self, share: f64, reserve: f64, now: Instant) -> bool {
-        self.forget_before_window(now);
-        let allowed = (self.requests.len() as f64 * share + reserve) * USED_FRACTION;
-        let is_allowed = (self.retries.len() as f64) + 1.0 <= allowed;
+        let is_allowed = self.has_retry(share, reserve, now);
         if is_allowed {
             self.retries.push_back(now);
         }
         is_allowed
     }
 
+    /// Whether there is one to withdraw.
+    pub fn has_retry(&mut self, share: f64, reserve: f64, now: Instant) -> bool {
+        self.forget_before_window(now);
+        let allowed = (self.requests.len() as f64 * share + reserve) * USED_FRACTION;
+        (self.retries.len() as f64) + 1.0 <= allowed
+    }
+
     fn forget_before_window(&mut self, now: Instant) {
         let is_old = |at: &Instant| now.saturating_duration_since(*at) > self.window;
         while self.requests.front().is_some_and(is_old) {
@@ -92,6 +97,12 @@
         self.budget_of(service).try_withdraw(share, reserve, now)
     }
 
+    /// Whether one of `daemons` daemons has a retry of a service to withdraw.
+    pub fn has_retry(&mut self, service: &SharedName, daemons: usize, now: Instant) -> bool {
+        let (share, reserve) = (self.share, self.total_reserve / daemons as f64);
+        self.budget_of(service).has_retry(share, reserve, now)
+    }
+
     fn budget_of(&mut self, service: &SharedName) -> &mut RetryBudget {
         let window = self.window;
         self.by_service.entry(service.clone()).or_insert_with(|| RetryBudget::new(window))
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -23,6 +23,7 @@
         },
         request::{admission::Admitted, crash_watch, request_log::RequestTrace},
     },
+    ids::SharedName,
     true_time,
 };
 
@@ -91,9 +92,11 @@
     attempts: &'a Attempts,
 ) -> ChoiceQuery<'a> {
     let head = &admitted.call.head;
-    let may_retry = attempts.sent + 1 < admitted.route.attempts;
+    let service = &admitted.service.name;
+    let may_retry =
+        attempts.sent + 1 < admitted.route.attempts && may_afford_retry(context, service);
     ChoiceQuery {
-        service: &admitted.service.name,
+        service,
         parts: &head.parts,
         prompt_tokens: prompt_tokens(head),
         memory_tokens: memory_tokens(admitted),
@@ -105,6 +108,13 @@
     }
 }
 
+/// Whether the retry budget has one for a request that an endpoint refuses or fails. Otherwise the client
+/// would get what could be foreseen. Nobody has to ask while all endpoints serve.
+fn may_afford_retry(context: &GatewayContext, service: &SharedName) -> bool {
+    let now = true_time::now();
+    !context.endpoints.borrow().any_risky(service, now) || context.has_retry(service, now)
+}
+
 /// Endpoints may be full for this request and have room for others.
 fn why_full(endpoints: &EndpointTable, admitted: &Admitted, now: Instant) -> NoAttempt {
     match endpoints.forecast(&admitted.service.name, now) {
