--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -21,6 +21,8 @@
 //! may overtake each other, so that of two back-offs the one that ends later counts. Inputs are an
 //! endpoint's number and start; of a start that isn't known (0) the number alone decides.
 
+mod held_signals;
+
 use std::{
     collections::{HashMap, HashSet},
     time::Duration,
@@ -29,16 +31,14 @@
 use rand::{Rng, seq::IteratorRandom};
 use tokio::time::Instant;
 
+pub use self::held_signals::{HeldSignals, LimitWord};
+
 /// Time for which other daemons are told that an endpoint drains, or that its limit has ended: some
 /// gossip rounds of a large fleet. Daemons that start later hear it from the endpoint.
 const TOLD_FOR: Duration = Duration::from_secs(10);
 /// Time for which other daemons are told that an endpoint has not served a request: a gossip round of a
 /// large fleet.
 const NOT_SERVED_TOLD_FOR: Duration = Duration::from_secs(2);
-/// Reports of different daemons that are less apart may be of one response: times come as ages, and
-/// look younger by what their messages took, a gossip call's time limit at most. Otherwise a refusal
-/// would return to the daemon that reported it as a later one, again and again.
-const REPORT_SKEW: Duration = Duration::from_millis(400);
 /// Time for which the signals of an endpoint are kept that no list names any more: longer than the
 /// store is away, and than lists lag behind.
 const UNLISTED_KEPT: Duration = Duration::from_secs(3_600);
@@ -77,15 +77,6 @@
     pub at: Instant,
 }
 
-/// What an endpoint has said of its limit.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct LimitWord {
-    /// Requests a second; none if it takes as many as come.
-    pub limit: Option<f64>,
-    /// When a response came that names it, or the request was sent whose response names none.
-    pub at: Instant,
-}
-
 /// Report of an endpoint's limit to the other daemons.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EndpointLimit {
@@ -95,82 +86,6 @@
     pub word: LimitWord,
 }
 
-/// Signals that hold for one start of an endpoint.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct HeldSignals {
-    /// Since when it drains.
-    pub draining_since: Option<Instant>,
-    /// Until when it wants no requests from this daemon.
-    pub backoff_until: Option<Instant>,
-    /// When it last refused a request of any daemon for no known reason, or failed one.
-    pub not_served_at: Option<Instant>,
-    /// What it said last of its limit.
-    pub limit: Option<LimitWord>,
-    /// Since when it names none, if it has named one.
-    pub limit_ended_at: Option<Instant>,
-}
-
-impl HeldSignals {
-    /// The limit that it names, in requests a second.
-    pub fn limit_per_second(&self) -> Option<f64> {
-        self.limit?.limit
-    }
-
-    /// Takes what it has said to this daemon. That it names no limit is kept only where one was known.
-    fn record_limit(&mut self, word: LimitWord) {
-        let is_later = self.limit.map_or(word.limit.is_some(), |known| word.at > known.at);
-        if is_later {
-            self.set_limit(word);
-        }
-    }
-
-    fn set_limit(&mut self, word: LimitWord) {
-        self.limit_ended_at = match (self.limit_per_second(), word.limit) {
-            (_, Some(_)) => None,
-            (Some(_), None) => Some(word.at),
-            (None, None) => self.limit_ended_at.or(Some(word.at)),
-        };
-        self.limit = Some(word);
-    }
-
-    /// Takes what it has said to another daemon.
-    fn receive_limit(&mut self, word: LimitWord) {
-        match self.limit {
-            Some(known) if word.at + REPORT_SKEW <= known.at => {}
-            // Ages look smaller by what messages took: either may be the later one.
-            Some(known) if word.at <= known.at + REPORT_SKEW => {
-                self.set_limit(LimitWord { limit: least_limit(known.limit, word.limit), ..known });
-            }
-            _ => self.set_limit(word),
-        }
-    }
-
-    /// It drains since then, or longer; whether that is news.
-    fn record_draining(&mut self, since: Instant) -> bool {
-        let known = self.draining_since;
-        self.draining_since = Some(known.map_or(since, |known| known.min(since)));
-        known.is_none()
-    }
-
-    /// It has not served a request; whether that is news.
-    fn record_not_served(&mut self, at: Instant) -> bool {
-        let known = self.not_served_at;
-        let is_news = known.is_none_or(|known| at > known + REPORT_SKEW);
-        if is_news {
-            self.not_served_at = Some(at);
-        }
-        is_news
-    }
-}
-
-/// The smaller of two limits; none is greater than any.
-fn least_limit(one: Option<f64>, other: Option<f64>) -> Option<f64> {
-    match (one, other) {
-        (Some(one), Some(other)) => Some(one.min(other)),
-        (limit, None) | (None, limit) => limit,
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct LedgerEntry {
     born: u64,
