Operators see which endpoints get fewer requests, and why: willowctl gateway endpoints

On call, one could read from logs when an endpoint was found to fail or to drain, but not what a daemon makes of it now. The state of a daemon lists each endpoint that it sends fewer requests than others, with the reasons: ended, draining, backing off, limited (with this daemon's share), refusing, failing, returning, and by whose request it was found.

endpoints_that_fail_are_shown_with_the_reason: two endpoints, one answers 500; the tool shows that one alone.

--- a/src/bin/willowctl.rs
+++ b/src/bin/willowctl.rs
@@ -24,6 +24,7 @@
         ///   willowctl --api 127.0.0.1:9000 apply table.json
         ///   willowctl timeline 127.0.0.1:8201 127.0.0.1:8202 --subject reader/k1
         ///   willowctl gateway state 10.1.0.14:7600 10.2.0.4:7600
+        ///   willowctl gateway endpoints 10.1.0.14:7600
         ///   willowctl gateway quarantined 10.1.0.14:7600
         ///   willowctl gateway trace 9c41d07be2a35f68 edge-1.log edge-2.log
         ///   willowctl gateway check-configuration main.json
@@ -95,6 +96,11 @@
                     /// Metrics addresses of daemons.
                     repeated daemon: SocketAddr
                 }
+                /// Show the endpoints that daemons send fewer requests than others, and why.
+                cmd endpoints {
+                    /// Metrics addresses of daemons.
+                    repeated daemon: SocketAddr
+                }
                 /// Show the requests that daemons refuse because they crash endpoints.
                 cmd quarantined {
                     /// Metrics addresses of daemons.
@@ -182,6 +188,7 @@
 fn run_gateway(command: flags::GatewayCmd, format: OutputFormat) -> CommandResult {
     match command {
         flags::GatewayCmd::State(state) => gateway::show_state(&state.daemon, format),
+        flags::GatewayCmd::Endpoints(shown) => gateway::show_endpoints(&shown.daemon, format),
         flags::GatewayCmd::Quarantined(shown) => gateway::show_quarantined(&shown.daemon, format),
         flags::GatewayCmd::EndQuarantine(ended) => {
             gateway::end_quarantine(&ended.fingerprint, ended.daemon, format)
--- a/src/control/commands/gateway.rs
+++ b/src/control/commands/gateway.rs
@@ -36,6 +36,17 @@
     Ok(ExitCode::SUCCESS)
 }
 
+/// Shows the endpoints that each daemon sends fewer requests than others, and why.
+pub fn show_endpoints(daemons: &[SocketAddr], format: OutputFormat) -> CommandResult {
+    let client = ControlClient::default();
+    for daemon in daemons {
+        let state = gateway::read_state(&client, *daemon)?;
+        let shown = json!({ "name": state.name, "endpoints": state.endpoints_restricted });
+        format.print(&shown, &gateway::render_endpoints(&state));
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 /// Ends the quarantine of the request `fingerprint` at a daemon, which tells the others.
 pub fn end_quarantine(
     fingerprint: &str,
--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -11,7 +11,7 @@
     errors::StepError,
     gateway::{
         configuration_check,
-        state::{GatewayState, QuarantinedState},
+        state::{GatewayState, QuarantinedState, RestrictedState},
     },
     platform,
 };
@@ -51,6 +51,18 @@
     }
 }
 
+/// Lines about the endpoints that a daemon sends fewer requests than others.
+pub fn render_endpoints(state: &GatewayState) -> String {
+    let line = |one: &RestrictedState| {
+        format!("{} {} {}: {}", state.name, one.service, one.endpoint, one.reasons.join("; "))
+    };
+    let lines: Vec<String> = state.endpoints_restricted.iter().map(line).collect();
+    match lines.is_empty() {
+        true => format!("{}: all endpoints are sent requests alike", state.name),
+        false => lines.join("\n"),
+    }
+}
+
 /// One line about a daemon's state.
 pub fn render_state(state: &GatewayState) -> String {
     let age = |age: Option<u64>| age.map_or("never".to_owned(), |age| format!("{age} ms"));
--- a/src/gateway/policy/endpoint/endpoint_pause.rs
+++ b/src/gateway/policy/endpoint/endpoint_pause.rs
@@ -19,6 +19,8 @@
 
 use tokio::time::Instant;
 
+use super::endpoint_status::restriction::SetbackSource;
+
 /// Pause of an endpoint that names no time, doubled by further refusals in a row where it seemed to
 /// have room: within it a slot may come free, and reports of its load come.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
@@ -206,7 +208,19 @@
 
     /// Whether it gets no requests now.
     pub fn is_paused(&self, now: Instant) -> bool {
-        self.until.is_some_and(|until| now < until)
+        self.paused_for(now).is_some()
+    }
+
+    /// How long it still gets no requests, if it gets none now.
+    pub fn paused_for(&self, now: Instant) -> Option<Duration> {
+        self.until.filter(|until| now < *until).map(|until| until - now)
+    }
+
+    /// Whose request it has refused or failed, while requests come slowly for that.
+    pub fn setback(&self, now: Instant) -> Option<SetbackSource> {
+        self.probe?;
+        let own = |at| SetbackSource::Own(now.saturating_duration_since(at));
+        Some(self.set_back_at.map_or(SetbackSource::Reported, own))
     }
 
     /// Until when the endpoint itself wants none, if it does now.
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -1,5 +1,7 @@
 //! What this daemon knows of one endpoint.
 
+pub mod restriction;
+
 use std::rc::Rc;
 
 use tokio::time::Instant;
--- /dev/null
+++ b/src/gateway/policy/endpoint/endpoint_status/restriction.rs
@@ -0,0 +1,75 @@
+//! Why an endpoint is sent fewer requests than others, or none, for operators.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use tokio::time::Instant;
+
+use super::EndpointStatus;
+
+/// A reason to send an endpoint fewer requests than others, or none.
+#[derive(Clone, Copy, Debug, PartialEq, Display)]
+pub enum EndpointRestriction {
+    /// Another start of an endpoint responds at its address.
+    #[display("has ended: another endpoint responds at its address")]
+    Ended,
+    /// The list or its own response says that it drains.
+    #[display("drains")]
+    Draining,
+    /// It wants no requests of this daemon for so long.
+    #[display("backs off for {} ms more", _0.as_millis())]
+    BackingOff(Duration),
+    /// It takes only so many requests a second.
+    #[display("takes {limit} requests a second, {share:.2} of them of this daemon")]
+    Limited {
+        /// Requests a second of all daemons.
+        limit: f64,
+        /// Requests a second of this daemon.
+        share: f64,
+    },
+    /// It has refused requests without a known reason.
+    #[display("has refused requests, gets none for {} ms more", _0.as_millis())]
+    Refusing(Duration),
+    /// It fails more often than the others of its service.
+    #[display("fails {:.0} in 100 requests of this daemon", _0 * 100.0)]
+    Failing(f64),
+    /// Requests return slowly, since it has refused or failed some.
+    #[display("has not yet run requests again, as found by {_0}")]
+    Returning(SetbackSource),
+}
+
+/// Whose request an endpoint has refused or failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+pub enum SetbackSource {
+    /// This daemon's, so long ago.
+    #[display("this daemon {} ms ago", _0.as_millis())]
+    Own(Duration),
+    /// That of another daemon, which has reported it.
+    #[display("another daemon")]
+    Reported,
+}
+
+impl EndpointStatus {
+    /// Why it is sent fewer requests than others, if it is.
+    pub fn restrictions(&self, now: Instant) -> Vec<EndpointRestriction> {
+        if self.has_ended {
+            return vec![EndpointRestriction::Ended];
+        }
+        if !self.is_ready() {
+            return vec![EndpointRestriction::Draining];
+        }
+        let backing_off = self.pause.backs_off_until(now).map(|until| until - now);
+        let limited = self.limit.map(|bucket| EndpointRestriction::Limited {
+            limit: bucket.limit(),
+            share: bucket.rate(),
+        });
+        let failing = self.failures.is_outlier(now).then(|| self.failures.fraction(now));
+        let pause = match backing_off {
+            Some(left) => Some(EndpointRestriction::BackingOff(left)),
+            None => self.pause.paused_for(now).map(EndpointRestriction::Refusing),
+        };
+        let returning = self.pause.setback(now).map(EndpointRestriction::Returning);
+        let failing = failing.map(EndpointRestriction::Failing);
+        pause.or(returning).into_iter().chain(failing).chain(limited).collect()
+    }
+}
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -19,7 +19,7 @@
 use super::{
     endpoint_choice::{ChoiceQuery, ChoiceResult, ChoiceSite, choose},
     endpoint_load::{EndpointLoad, ReportedLoads, ServiceCounters, endpoint_number},
-    endpoint_status::EndpointStatus,
+    endpoint_status::{EndpointStatus, restriction::EndpointRestriction},
     load_reports::LoadReports,
     prefill_rate::{DEFAULT_PREFILL_RATE, PrefillRate},
     room_forecast::{EndpointRoom, RoomForecast},
@@ -190,6 +190,13 @@
         room
     }
 
+    /// Endpoints that are sent fewer requests than others, or none, with the reasons.
+    pub fn restricted(&self, now: Instant) -> Vec<(&EndpointRecord, Vec<EndpointRestriction>)> {
+        let all = self.endpoints.values();
+        let restrictions = all.map(|status| (&*status.record, status.restrictions(now)));
+        restrictions.filter(|(_, reasons)| !reasons.is_empty()).collect()
+    }
+
     /// Whether an endpoint of a service may well refuse or fail the next request.
     pub fn any_risky(&self, service: &str, now: Instant) -> bool {
         self.of_service(service).any(|status| status.is_risky(now))
--- a/src/gateway/policy/endpoint/request_limit.rs
+++ b/src/gateway/policy/endpoint/request_limit.rs
@@ -107,6 +107,11 @@
         self.limit
     }
 
+    /// This daemon's share, in requests a second.
+    pub fn rate(&self) -> f64 {
+        self.rate
+    }
+
     /// The endpoint names another limit: the share changes with it, until it is decided anew.
     pub fn set_limit(&mut self, limit: f64, now: Instant) {
         self.level = self.level_at(now);
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -7,7 +7,16 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-use super::{context::GatewayContext, policy::daemon::readiness::Readiness};
+use super::{
+    context::GatewayContext,
+    endpoint::EndpointRecord,
+    policy::{
+        daemon::readiness::Readiness,
+        endpoint::{
+            endpoint_status::restriction::EndpointRestriction, endpoint_table::EndpointTable,
+        },
+    },
+};
 use crate::ids::SharedName;
 use crate::true_time;
 
@@ -55,6 +64,20 @@
     /// Requests that are refused because they crash endpoints.
     #[serde(default)]
     pub quarantined: Vec<QuarantinedState>,
+    /// Endpoints that this daemon sends fewer requests than others, or none.
+    #[serde(default)]
+    pub endpoints_restricted: Vec<RestrictedState>,
+}
+
+/// An endpoint that a daemon sends fewer requests than others, or none.
+#[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
+pub struct RestrictedState {
+    /// Its id.
+    pub endpoint: SharedName,
+    /// Its service.
+    pub service: SharedName,
+    /// Why, in words.
+    pub reasons: Vec<String>,
 }
 
 /// A request that is refused because it crashes endpoints.
@@ -109,10 +132,21 @@
             lease_fence: lease.fence,
             lease_age_ms: lease.renewed_at.map(age_ms),
             quarantined: quarantined_requests(context, now),
+            endpoints_restricted: restricted_endpoints(&endpoints, now),
         }
     }
 }
 
+fn restricted_endpoints(endpoints: &EndpointTable, now: Instant) -> Vec<RestrictedState> {
+    let restricted = endpoints.restricted(now).into_iter();
+    let state = |(record, reasons): (&EndpointRecord, Vec<EndpointRestriction>)| RestrictedState {
+        endpoint: record.id.clone(),
+        service: record.service.clone(),
+        reasons: reasons.iter().map(ToString::to_string).collect(),
+    };
+    restricted.map(state).collect()
+}
+
 fn quarantined_requests(context: &GatewayContext, now: Instant) -> Vec<QuarantinedState> {
     let ledger = context.crashes.borrow();
     let states = ledger.quarantined().filter_map(|(request, record)| {
--- a/tests/gateway/operations.rs
+++ b/tests/gateway/operations.rs
@@ -81,6 +81,23 @@
     expect_that!(steps, contains_substring("retry after"));
 }
 
+#[googletest::test]
+fn endpoints_that_fail_are_shown_with_the_reason() {
+    let site = Site::start(&[EndpointManner::Answer, EndpointManner::Fail]);
+    for number in 0..20 {
+        site.ask("/plain/one", &format!("plain-{number}"));
+    }
+    let tool = Command::new(env!("CARGO_BIN_EXE_willowctl"))
+        .args(["gateway", "endpoints", &site.gateway.metrics.to_string()])
+        .output()
+        .expect("willowctl");
+    let shown = String::from_utf8_lossy(&tool.stdout);
+    expect_that!(tool.status.code(), some(eq(0)));
+    expect_that!(shown, contains_substring("pool i-1: "));
+    expect_that!(shown, contains_substring("fails 100 in 100 requests of this daemon"));
+    expect_that!(shown, not(contains_substring("i-0")));
+}
+
 #[googletest::test]
 fn a_configuration_that_is_not_newer_is_not_called_applied() {
     let site = Site::start(&[EndpointManner::Answer]);
