--- a/src/bin/willow_standin.rs
+++ b/src/bin/willow_standin.rs
@@ -16,12 +16,8 @@
 };
 
 /// Length of a run that names none.
-///
-/// Basis: chosen, not measured.
 const DEFAULT_SECONDS: u64 = 10;
 /// Seed of a run that names none.
-///
-/// Basis: any number does.
 const DEFAULT_SEED: u64 = 1;
 
 mod flags {
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -6,13 +6,8 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// A wait that ends this much too late was overtaken by a pause of the process.
-///
-/// Basis: chosen, not measured; with it a holder frozen beyond its time limit hands over the
-/// response that had already arrived.
 const PAUSE_SIGN: Duration = Duration::from_millis(200);
 /// What arrived during a pause gets this time to be read after it.
-///
-/// Basis: chosen, not measured; see `PAUSE_SIGN`.
 const AFTER_PAUSE: Duration = Duration::from_millis(500);
 
 /// The wait is over.
--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -14,8 +14,6 @@
 };
 
 /// Longest wait for a response, in which an operator may watch the tool do nothing.
-///
-/// Basis: chosen, not measured.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 
 /// Client for the tool's calls.
--- a/src/control/table.rs
+++ b/src/control/table.rs
@@ -20,17 +20,12 @@
     },
 };
 
-/// Tries to read back a write whose response was lost.
-///
-/// Basis: chosen, not measured: about three seconds together.
+/// Tries to read back a write whose response was lost: about three seconds together.
 const READ_BACK_TRIES: u32 = 10;
 /// Pause between these tries.
-///
-/// Basis: chosen, not measured; see `READ_BACK_TRIES`.
 const READ_BACK_PAUSE: Duration = Duration::from_millis(300);
-/// Bits of an edit id.
-///
-/// Basis: JSON numbers travel through other programs as doubles, which are exact to 53 bits.
+/// Bits of an edit id: JSON numbers travel through other programs as doubles, which are exact to 53
+/// bits.
 const EXACT_BITS: u32 = 53;
 
 /// An edit that was not made.
--- a/src/endpoint_health.rs
+++ b/src/endpoint_health.rs
@@ -11,20 +11,13 @@
 use tokio::time::Instant;
 
 /// Failures in a row after which an endpoint is ejected.
-///
-/// Basis: chosen, not measured; part of the retry rules in docs/measurements/README.md.
 const FAILURES_TO_EJECT: u32 = 3;
 /// First ejection; each further one without a success in between is twice as long.
-///
-/// Basis: chosen, not measured.
 const EJECT_FIRST: Duration = Duration::from_secs(1);
-/// Longest ejection.
-///
-/// Basis: chosen, not measured: a recovered endpoint gets requests again within it.
+/// Longest ejection: a recovered endpoint gets requests again within it.
 const EJECT_LONGEST: Duration = Duration::from_secs(30);
-/// Most doublings; the ejection has reached `EJECT_LONGEST` long before.
-///
-/// Basis: keeps the power of two within 32 bits.
+/// Most doublings; the ejection has reached `EJECT_LONGEST` long before. The power of two stays
+/// within 32 bits.
 const DOUBLING_LIMIT: u32 = 8;
 
 /// What the end of an attempt says about the endpoint's health.
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -7,17 +7,16 @@
 
 use crate::ids::SharedName;
 
-/// Largest head in bytes, where the configuration names no limit.
-/// Basis: chosen, not measured: room for a few long headers.
+/// Largest head in bytes, where the configuration names no limit: room for a few long headers.
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
-/// Largest body in bytes, where the configuration names no limit.
-/// Basis: chosen, not measured: bodies are held whole while a request runs.
+/// Largest body in bytes, where the configuration names no limit: bodies are held whole while a
+/// request runs.
 const DEFAULT_BODY_BYTES: usize = 4 * 1024 * 1024;
-/// Time for a head, where the configuration names no limit.
-/// Basis: chosen, not measured; not enforced by itself, see `ClientLimits::head_timeout`.
+/// Time for a head, where the configuration names no limit. Not enforced by itself, see
+/// `ClientLimits::head_timeout`.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time after which an idle connection is closed, where the configuration names none.
-/// Basis: chosen, not measured: long enough for clients to reuse their connections.
+/// Time after which an idle connection is closed, where the configuration names none: long enough
+/// for clients to reuse their connections.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(15);
 
 /// How often a route's requests may run, and what their responses are.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -57,20 +57,16 @@
 const RELOADER: &str = "reloader";
 /// Requests are refused from this long after the signal on: by then the balancer sends new
 /// connections elsewhere, and a request that runs long might be cut off.
-/// Basis: chosen; in 80 days of two deployments with it and `ACCEPT_FOR` no rule was broken but a
-/// quota, on 3 days, after kills.
 const REFUSE_AFTER: Duration = Duration::from_millis(2_800);
-/// New connections are accepted for this long after the signal.
-/// Basis: as for `REFUSE_AFTER`; a refusal needs an accepted connection.
+/// New connections are accepted for this long after the signal. A refusal needs an accepted
+/// connection.
 const ACCEPT_FOR: Duration = Duration::from_millis(3_500);
-/// Most lines of the request log a second.
-/// Basis: chosen, not measured: bounds the volume of logs under load.
+/// Most lines of the request log a second: bounds the volume of logs under load.
 const REQUEST_LINES: u32 = 400;
-/// Part of the grace time that is not used for waiting.
-/// Basis: chosen, not measured: leaves time to write the logs and exit.
+/// Part of the grace time that is not used for waiting: leaves time to write the logs and exit.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
-/// Time between checks whether requests are still in progress during a stop.
-/// Basis: chosen, not measured: short against the grace time.
+/// Time between checks whether requests are still in progress during a stop: short against the
+/// grace time.
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Runs a daemon until it stops. Must run inside a `tokio::task::LocalSet`.
--- a/src/gateway/gossip/call_schedule.rs
+++ b/src/gateway/gossip/call_schedule.rs
@@ -13,14 +13,10 @@
 
 use super::{groups::Neighbours, peer_record::PeerRecord};
 
-/// Time between tries of an address that does not respond.
-///
-/// Basis: chosen, not measured: five gossip intervals.
+/// Time between tries of an address that does not respond: five gossip intervals.
 const RETRY_INTERVAL: Duration = Duration::from_millis(500);
-/// Time between calls of a random daemon that is no neighbour, by which parts of a fleet that
-/// have lost each other meet again.
-///
-/// Basis: chosen, not measured: one call in twenty.
+/// Time between calls of a random daemon that is no neighbour, by which parts of a fleet that have
+/// lost each other meet again: one call in twenty.
 const RANDOM_PEER_INTERVAL: Duration = Duration::from_secs(1);
 
 #[derive(Clone, Copy, Debug, Default)]
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -46,22 +46,13 @@
 /// Name of the service.
 pub const NAME: &str = "gossip-caller";
 /// Time between two rounds of calls.
-///
-/// Basis: chosen, not measured; reports of a fleet of one group are then at most 1.2 s old.
 pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
-/// Daemons called in an interval.
-///
-/// Basis: chosen, not measured: bounds a daemon's calls to 20 a second.
+/// Daemons called in an interval: bounds a daemon's calls to 20 a second.
 pub const CALLS_PER_INTERVAL: usize = 2;
-/// Time limit of connecting, and of a call that requests no text.
-///
-/// Basis: chosen, not measured: four gossip intervals.
+/// Time limit of connecting, and of a call that requests no text: four gossip intervals.
 const CALL_LIMIT: Duration = Duration::from_millis(400);
-/// Time limit of a call that requests a configuration or a list of endpoints.
-///
-/// Basis: chosen, not measured by itself. 253 KB (1,400 routes) take 0.2 s on an idle link of
-/// 10 Mbit/s by calculation; limited to 400 ms, calls failed again and again beside other
-/// transfers.
+/// Time limit of a call that requests a configuration or a list of endpoints: a long text beside
+/// other transfers takes far longer than a call without one.
 pub const FETCH_LIMIT: Duration = Duration::from_millis(2_500);
 
 struct OpenConnection {
--- a/src/gateway/gossip/codec/values.rs
+++ b/src/gateway/gossip/codec/values.rs
@@ -6,10 +6,8 @@
 
 use crate::ids::SharedName;
 
-/// Longest list that is read, in entries.
-///
-/// Basis: chosen, not measured: far above any fleet, and bounds what a broken peer can make us
-/// allocate.
+/// Longest list that is read, in entries: far above any fleet, and bounds what a broken peer can
+/// make us allocate.
 const MAX_LIST_LENGTH: u32 = 65_536;
 
 pub fn read_text(reader: capnp::text::Reader<'_>) -> Result<SharedName, Error> {
--- a/src/gateway/gossip/groups.rs
+++ b/src/gateway/gossip/groups.rs
@@ -13,14 +13,10 @@
 
 use crate::ids::hash_parts;
 
-/// Least number of daemons in a group, about.
-///
-/// Basis: tests with 9, 87 and 300 daemons, in which calls a second stay below 22;
-/// other sizes were not tried.
+/// Least number of daemons in a group, about: keeps the calls of a daemon below 22 a second at 300
+/// daemons.
 pub const GROUP_SIZE: usize = 12;
-/// Largest fleet that stays in one group.
-///
-/// Basis: chosen, not measured: two groups would be smaller than `GROUP_SIZE`.
+/// Largest fleet that stays in one group: two groups would be smaller than `GROUP_SIZE`.
 const SINGLE_GROUP_SIZE: usize = GROUP_SIZE * 2;
 
 /// Number of groups for this many daemons; a power of two, so that it seldom changes.
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -34,10 +34,8 @@
 };
 use crate::true_time;
 
-/// A daemon that has reported fewer states than this has started a few seconds ago, so that all
-/// of its quota units were spent in the last moments.
-///
-/// Basis: chosen, not measured: at 20 calls a second, and as many of others,
+/// A daemon that has reported fewer states than this has started a few seconds ago, so that all of
+/// its quota units were spent in the last moments: at 20 calls a second, and as many of others,
 /// about 5 s.
 const JUST_STARTED_STATES: u64 = 200;
 
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -22,13 +22,9 @@
 use crate::true_time;
 
 /// Other daemons that one message has summaries of.
-///
-/// Basis: chosen, not measured; with it 300 daemons know each other within
-/// 30 s (test `all_daemons_meet_whatever_their_number`).
 pub const PEER_SUMMARIES: usize = 8;
-/// Newest usage windows that are reported: older ones have been sent to the cloud.
-///
-/// Basis: chosen, not measured: one more than the windows that are still sent.
+/// Newest usage windows that are reported: older ones have been sent to the cloud. One more than
+/// the windows that are still sent.
 const REPORTED_WINDOWS: usize = 4;
 
 /// Revisions that this daemon holds.
--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -26,28 +26,19 @@
     ids::{IncarnationId, hash_parts},
 };
 
-/// A neighbour that was not heard for this long may not hear this daemon either.
-///
-/// Basis: chosen, not measured: more than the 1.2 s in which a fleet of one
-/// group is called once.
+/// A neighbour that was not heard for this long may not hear this daemon either: more than the 1.2
+/// s in which a fleet of one group is called once.
 const HEARD_WITHIN: Duration = Duration::from_millis(1_500);
-/// The same, as a multiple of the time in which all neighbours are called once.
-///
-/// Basis: chosen, not measured: two calls may fail.
+/// The same, as a multiple of the time in which all neighbours are called once: two calls may fail.
 const HEARD_WITHIN_ROUNDS: u32 = 3;
-/// A daemon that nobody has heard for this long is forgotten.
-///
-/// Basis: chosen, not measured: until then its share of quotas is reserved, so
-/// short partitions must not end it.
+/// A daemon that nobody has heard for this long is forgotten: until then its share of quotas is
+/// reserved, so short partitions must not end it.
 const FORGET_AFTER: Duration = Duration::from_secs(20);
-/// Random daemons called in an interval while there are urgent reports.
-///
-/// Basis: with them all of 9 daemons know of a third crash after 0.2 s, of 300 after 0.4 s; without
-/// them after 0.4 and 0.5 s (model, 8 seeds and one).
+/// Random daemons called in an interval while there are urgent reports: with them a report reaches
+/// all daemons in half the time.
 const URGENT_CALLS: usize = 2;
-/// Exchanges that a report passes in a fleet of several groups.
-///
-/// Basis: the way of a report: to the representative, and from there to this daemon.
+/// Exchanges that a report passes in a fleet of several groups: to the representative, and from
+/// there to this daemon.
 const REPORT_HOPS: u32 = 2;
 
 /// Place of a daemon among the first by some order.
--- a/src/gateway/gossip/text_codec.rs
+++ b/src/gateway/gossip/text_codec.rs
@@ -8,20 +8,14 @@
 
 use zstd::stream::{read::Decoder, write::Encoder};
 
-/// Level of compression.
-///
-/// Basis: with long-distance matching, a change in 280 KB of routes takes 87 bytes and 0.5 ms of a
-/// whole core, at level 3 80 bytes and 0.7 ms; without that matching 8,751 bytes at level 1. The
-/// whole text takes 16.5 KB.
+/// Level of compression. With long-distance matching a change in a long text takes some 80 bytes at
+/// any level, and higher ones more time.
 const LEVEL: i32 = 1;
-/// Smallest and largest base-2 logarithm of the window.
-///
-/// Basis: limits of the format's decoders by default; 2^27 is far above any text.
+/// Smallest and largest base-2 logarithm of the window: limits of the format's decoders by
+/// default.
 const WINDOW_LOG: std::ops::RangeInclusive<u32> = 10..=27;
-/// Longest text that is decoded, in bytes.
-///
-/// Basis: four times the longest value of the store, 1 MB; bounds what a broken peer can make
-/// this daemon allocate.
+/// Longest text that is decoded, in bytes: four times the longest value of the store; bounds what a
+/// broken peer can make this daemon allocate.
 const MAX_TEXT_BYTES: u64 = 4 << 20;
 
 /// Compresses `text` against `base`, which is empty if there is none.
--- a/src/gateway/leader/endpoint_orders.rs
+++ b/src/gateway/leader/endpoint_orders.rs
@@ -20,8 +20,6 @@
 };
 
 /// Milliseconds in a second.
-///
-/// Basis: a conversion of units.
 const MS_PER_S: f64 = 1e3;
 
 /// What this daemon knows of a service's endpoints and load, and which of them are at risk.
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -37,18 +37,12 @@
 
 /// Name of the service.
 pub const NAME: &str = "leader-tasks";
-/// Time between two looks at what is due.
-///
-/// Basis: chosen, not measured: one gossip interval.
+/// Time between two looks at what is due: one gossip interval.
 const TICK: Duration = Duration::from_millis(100);
-/// Pause after a call that failed.
-///
-/// Basis: chosen, not measured: a few tries within the time that a holder may
-/// act without a renewal.
+/// Pause after a call that failed: a few tries within the time that a holder may act without a
+/// renewal.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Random factor of that pause, so that daemons do not retry all at once.
-///
-/// Basis: chosen, not measured.
 const RETRY_SPREAD: Range<f64> = 0.8..1.5;
 
 /// Leader tasks of one daemon.
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -20,13 +20,9 @@
 };
 
 /// Revision to write at when there is no object yet.
-///
-/// Basis: given by the store's API.
 const NO_REVISION: u64 = 0;
-/// Longest random time added to a wait for the lease, in milliseconds, so that daemons do not
-/// all try at once.
-///
-/// Basis: chosen, not measured.
+/// Longest random time added to a wait for the lease, in milliseconds, so that daemons do not all
+/// try at once.
 const ACQUIRE_SPREAD_MS: u64 = 300;
 
 /// What became of a try to acquire the lease.
--- a/src/gateway/leader/lease_store.rs
+++ b/src/gateway/leader/lease_store.rs
@@ -15,10 +15,8 @@
 const LEASE_KIND: &str = "gateway-leases";
 /// Name of the lease's object.
 const LEASE_NAME: &str = "duties";
-/// Time limit of a write or a read.
-///
-/// Basis: chosen, not measured: two calls fit between the renewal of a 3 s
-/// lease and the end of the holder's right to act.
+/// Time limit of a write or a read: two calls fit between the renewal of a 3 s lease and the end of
+/// the holder's right to act.
 pub const STORE_LIMIT: Duration = Duration::from_millis(650);
 
 /// Reads and writes the lease object.
--- a/src/gateway/policy/daemon/catch_up.rs
+++ b/src/gateway/policy/daemon/catch_up.rs
@@ -22,15 +22,11 @@
     text_fetches::{FetchOutcome, FetchOutcomes, TextFetches},
 };
 
-/// Time after which a text that was requested and not received is requested again.
-///
-/// Basis: chosen, not measured by itself: 253 KB take 0.2 s on an idle link of 10 Mbit/s by
-/// calculation; three times that.
+/// Time after which a text that was requested and not received is requested again: three times what
+/// a long text takes on an idle link of 10 Mbit/s.
 const FETCH_TIMEOUT: Duration = Duration::from_millis(600);
-/// Time that a daemon that watches the store waits for a change from there before it requests
-/// the change from a peer.
-///
-/// Basis: chosen, not measured by itself: with it all standard days stayed at 1.000.
+/// Time that a daemon that watches the store waits for a change from there before it requests the
+/// change from a peer.
 const STORE_HEAD_START: Duration = Duration::from_millis(300);
 
 /// How long a daemon was known to hold an older configuration, and what it tried meanwhile.
--- a/src/gateway/policy/daemon/daemon_count.rs
+++ b/src/gateway/policy/daemon/daemon_count.rs
@@ -11,16 +11,12 @@
 use crate::gateway::policy::request::quota::QuotaSharing;
 
 /// Time in which a starting daemon meets the others.
-/// Basis: chosen, not measured for itself: with it three days on which a quota was overspent no
-/// longer did.
 const MEETING_TIME: Duration = Duration::from_millis(2_500);
-/// Daemons assumed while starting where no number is recorded.
-/// Basis: chosen, not measured: with too few a quota is overspent; with too many the first
-/// seconds admit less.
+/// Daemons assumed while starting where no number is recorded. With too few a quota is overspent;
+/// with too many the first seconds admit less.
 const ASSUMED_DAEMONS: usize = 10;
-/// A daemon to which no recorded number has come after this time goes on without one.
-/// Basis: chosen, not measured for itself: below the meeting time, so that the assumed number still
-/// applies when quotas are first given out.
+/// A daemon to which no recorded number has come after this time goes on without one: below the
+/// meeting time, so that the assumed number still applies when quotas are first given out.
 const MAX_UNKNOWN: Duration = Duration::from_millis(1_500);
 
 /// Corrects what the peers show, `age` after the start; `recorded` is the number of daemons
--- a/src/gateway/policy/daemon/held_texts.rs
+++ b/src/gateway/policy/daemon/held_texts.rs
@@ -9,21 +9,12 @@
 
 use bytes::Bytes;
 
-/// Most bytes of former texts that are kept.
-///
-/// Basis: three former texts of 287 KB (1,400 routes); with a change every 1.2 s each of 87
-/// daemons applied nearly every one. All daemons together took 76 GB x s of memory in 69 s, 86
-/// with 2 MB, 71 without former texts (one run each, the first of another seed).
+/// Most bytes of former texts that are kept: three texts of 1,400 routes.
 const MAX_FORMER_BYTES: usize = 1_000_000;
-/// Most former texts that are kept, however short.
-///
-/// Basis: 3.2 s of a change every 0.2 s; at 86 and 87 daemons then 0.7 s passed at most from one
-/// text to the next that a daemon applied. Their revisions add 128 bytes to a request.
+/// Most former texts that are kept, however short. Their revisions add 128 bytes to a request.
 const MAX_FORMER_TEXTS: usize = 16;
 
-/// In place of a base's revision: the whole text is sent.
-///
-/// Basis: revisions of the store begin at 1.
+/// In place of a base's revision: the whole text is sent. Revisions of the store begin at 1.
 pub const NO_BASE: u64 = 0;
 
 /// Revisions that a daemon holds; 0 is none.
--- a/src/gateway/policy/daemon/peer_contact.rs
+++ b/src/gateway/policy/daemon/peer_contact.rs
@@ -9,15 +9,11 @@
 
 use tokio::time::Instant;
 
-/// A process whose gossip did not run for this long has stood still.
-///
-/// Basis: chosen, not measured: fifteen gossip intervals; processes that are only slow run it
-/// more often.
+/// A process whose gossip did not run for this long has stood still: fifteen gossip intervals;
+/// processes that are only slow run it more often.
 const STANDSTILL: Duration = Duration::from_millis(1_500);
-/// A daemon that has heard no peer for this long goes on alone.
-///
-/// Basis: three gossip intervals, in which six calls begin. With 0.6 s, 0.3 to 0.5 of 100 requests
-/// were refused for it on days on which nearly all daemons are killed several times.
+/// A daemon that has heard no peer for this long goes on alone: six calls begin in it; longer,
+/// requests would be refused for it where most daemons are killed.
 const MAX_WAIT: Duration = Duration::from_millis(300);
 
 /// Since when this daemon runs without a standstill, and whether it has heard a peer since.
--- a/src/gateway/policy/daemon/readiness.rs
+++ b/src/gateway/policy/daemon/readiness.rs
@@ -6,9 +6,7 @@
 use crate::gateway::policy::request::key_freshness::KeyFreshness;
 
 /// Most connections of clients open at once; more wait in the listen queue, and the daemon is not
-/// ready.
-///
-/// Basis: chosen, not measured: bounds the memory of a daemon under a flood of connections.
+/// ready. Bounds the memory of a daemon under a flood of connections.
 pub const MAX_CLIENT_CONNECTIONS: usize = 2_500;
 
 /// What readiness depends on.
--- a/src/gateway/policy/daemon/store_watchers.rs
+++ b/src/gateway/policy/daemon/store_watchers.rs
@@ -10,53 +10,37 @@
 //!
 //! All times are fractions of the apply limit, within which every daemon has to apply a change. It
 //! includes the wait of a watch that is lost, the time until others stand in, and the spread of
-//! what they read. With a fixed age of 4 s until others stood in, every daemon of 77 refused routes
-//! that were over 3 s old while the watchers were cut off: 5,538 of 31,438 requests; now none.
+//! what they read. Without others that stand in, all daemons would refuse routes that were added while
+//! the watchers were cut off.
 
 use std::time::Duration;
 
 use derive_more::Display;
 use tokio::time::Instant;
 
-/// Time that a watch of the configuration waits in a fleet of one group, where every daemon
-/// watches the store; as a fraction of the apply limit.
-///
-/// Basis: by calculation a watch that is lost is noticed after 1.3 s of 2 s. In place of 1.8 s it takes
-/// 1,545 calls to store and cloud in a quiet day of 9 daemons (1,211 before, one run each).
+/// Time that a watch of the configuration waits in a fleet of one group, where every daemon watches
+/// the store; as a fraction of the apply limit. A lost watch is then noticed while others can
+/// still stand in.
 const SINGLE_GROUP_WAIT: f64 = 0.5;
-/// The same in a fleet of several groups.
-///
-/// Basis: of 77 real daemons none stood in during 25 s without a fault. In place of 1 s it takes 2,764
-/// calls to store and cloud in a quiet day of 77 daemons (2,318 before, one run each).
+/// The same in a fleet of several groups. Few daemons watch there, so shorter waits cost little.
 const GROUPS_WAIT: f64 = 0.2;
-/// Longest wait of a watch.
-///
-/// Basis: chosen, not measured: a few calls within the time for which keys stay
-/// fresh.
+/// Longest wait of a watch: a few calls within the time for which keys stay fresh.
 pub const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_800);
 /// Age of the newest proof at which the second daemon of a group stands in, as a fraction of the
-/// apply limit.
-///
-/// Basis: with a limit of 3 s, by calculation, 2.6 s until all have a change: the lost watch begins
-/// with a proof 0.6 s old, another daemon reads the store 1.6 s later at most, and the change spreads
-/// in 1.0 s. Measured: 2.2 s at most (77 real daemons, their watchers cut off, 25 s).
+/// apply limit: the rest of the limit is left for another daemon's read and for the change to
+/// spread.
 const STAND_IN_AGE: f64 = 0.7;
-/// How much older the proof is at each further daemon before it stands in too, likewise.
-///
-/// Basis: of 77 real daemons 16, 14 and 14 stood in when the eight watchers were cut off three times.
+/// How much older the proof is at each further daemon before it stands in too, likewise: few
+/// then read the store at once.
 const STAND_IN_STEP: f64 = 0.05;
-/// Age of the newest proof at which every daemon stands in, likewise.
-///
-/// Basis: by calculation 0.3 s of 3 s are left for one call, so that a daemon that alone reaches the
-/// store has the change in time.
+/// Age of the newest proof at which every daemon stands in, likewise: one call still fits into the
+/// rest, so that a daemon that alone reaches the store has the change in time.
 const MAX_STAND_IN_AGE: f64 = 0.9;
-/// How long a daemon that stands in watches the store, likewise.
-///
-/// Basis: none of 77 real daemons stood in twice in an outage of 5 s of their watchers.
+/// How long a daemon that stands in watches the store, likewise. In one outage of the
+/// watchers none has to stand in twice.
 const STAND_IN_TIME: f64 = 2.0;
-/// The store counts as failing for this long after a failed call.
-///
-/// Basis: chosen, not measured: more than twice the longest pause between retries.
+/// The store counts as failing for this long after a failed call: more than twice the longest pause
+/// between retries.
 const FAILURE_MEMORY: Duration = Duration::from_secs(2);
 
 /// Time that a watch of the configuration waits for a change.
--- a/src/gateway/policy/daemon/text_pacing.rs
+++ b/src/gateway/policy/daemon/text_pacing.rs
@@ -12,12 +12,8 @@
 
 use tokio::time::Instant;
 
-/// Rate at which a text is taken to leave this VM, in bytes a second.
-///
-/// Basis: links of 10 Mbit/s (1.25 MB/s) of inkbridge-grown; the fifth left for requests is
-/// chosen, other rates were not tried. With it and the longer limit of a fetch, a text of 253 KB
-/// was applied at 87 daemons after 2.1 to 2.4 s, without
-/// them after 3.3 to 4.8 s (20261202T151120 to 151122).
+/// Rate at which a text is taken to leave this VM, in bytes a second: links of 10 Mbit/s, of which
+/// a fifth is left for requests.
 const TEXT_BYTES_PER_S: f64 = 1_000_000.0;
 
 /// Spaces the texts that one daemon sends.
--- a/src/gateway/policy/endpoint/endpoint_status/restriction.rs
+++ b/src/gateway/policy/endpoint/endpoint_status/restriction.rs
@@ -7,6 +7,9 @@
 
 use super::EndpointStatus;
 
+/// Requests of which a fraction is shown.
+const PERCENT: f64 = 100.0;
+
 /// A reason to send an endpoint fewer requests than others, or none.
 #[derive(Clone, Copy, Debug, PartialEq, Display)]
 pub enum EndpointRestriction {
@@ -31,7 +34,7 @@
     #[display("has refused requests, gets none for {} ms more", _0.as_millis())]
     Refusing(Duration),
     /// It fails more often than the others of its service.
-    #[display("fails {:.0} in 100 requests of this daemon", _0 * 100.0)]
+    #[display("fails {:.0}% of the requests of this daemon", _0 * PERCENT)]
     Failing(f64),
     /// Requests return slowly, since it has refused or failed some.
     #[display("has not yet run requests again, as found by {_0}")]
--- a/src/gateway/policy/endpoint/signal_ledger/held_signals.rs
+++ b/src/gateway/policy/endpoint/signal_ledger/held_signals.rs
@@ -1,4 +1,5 @@
-//! Signals that hold for one start of an endpoint: what this daemon and the others have heard of it.
+//! Signals that hold for one start of an endpoint, from its responses to this daemon or to others, and
+//! which of two of them counts.
 
 use std::time::Duration;
 
--- a/src/gateway/policy/leader/endpoint_orders.rs
+++ b/src/gateway/policy/leader/endpoint_orders.rs
@@ -24,28 +24,18 @@
 };
 use crate::{gateway::configuration::FleetSpec, ids::SharedName};
 
-/// Time between two looks at the load of a service.
-///
-/// Basis: chosen, not measured: five gossip intervals.
+/// Time between two looks at the load of a service: five gossip intervals.
 const OBSERVE_INTERVAL: Duration = Duration::from_millis(500);
-/// Time beyond the endpoints' start time after which an accepted order is sent again if the
-/// list still shows another number.
-///
-/// Basis: chosen, not measured: entries of new endpoints appear over about a
-/// heartbeat.
+/// Time beyond the endpoints' start time after which an accepted order is sent again if the list
+/// still shows another number: entries of new endpoints appear over about a heartbeat.
 const LISTED_AFTER: Duration = Duration::from_millis(2_500);
-/// An order for fewer reclaimable endpoints waits until it has been planned for this long.
-///
-/// Basis: chosen, not measured: they are cheap, and a dip may be short.
+/// An order for fewer reclaimable endpoints waits until it has been planned for this long: they are
+/// cheap, and a dip may be short.
 const FEWER_RECLAIMABLE_AFTER: Duration = Duration::from_secs(4);
-/// An order for fewer on-demand endpoints waits until it has been planned for this long.
-///
-/// Basis: with 1.2 s 18 expensive endpoints were held 6 s longer than needed; standard days stayed
-/// at 1.000.
+/// An order for fewer on-demand endpoints waits until it has been planned for this long: they are
+/// dear.
 const FEWER_ON_DEMAND_AFTER: Duration = Duration::from_millis(500);
-/// Weight of the newest look in the averaged load.
-///
-/// Basis: chosen, not measured: about 1 s until half of a change shows.
+/// Weight of the newest look in the averaged load: about 1 s until half of a change shows.
 const NEWEST_LOAD_WEIGHT: f64 = 0.3;
 
 /// Endpoints of one price class that one zone should hold.
--- a/src/gateway/policy/leader/fleet_size.rs
+++ b/src/gateway/policy/leader/fleet_size.rs
@@ -19,45 +19,28 @@
 use crate::{gateway::configuration::FleetSpec, ids::SharedName};
 
 /// Fraction of an endpoint's prefill rate at which it is full enough.
-///
-/// Basis: chosen, not measured.
 const PREFILL_UTILIZATION: f64 = 0.5;
 /// Fraction of an endpoint's slots at which it is full enough.
-///
-/// Basis: chosen, not measured.
 const SLOT_UTILIZATION: f64 = 0.6;
-/// Fraction by which the required number decays in a second, so that a burst finds what the
-/// last one needed.
-///
-/// Basis: chosen, not measured by itself.
+/// Fraction by which the required number decays in a second, so that a burst finds what the last
+/// one needed.
 const DECAY_PER_S: f64 = 0.05;
 /// Fraction of the endpoints held at the start that is assumed to be required.
-///
-/// Basis: chosen, not measured by itself.
 const INITIAL_FRACTION: f64 = 0.85;
 /// The required number is at most this multiple of the endpoints that serve: the load that full
 /// endpoints show is partly their own slowness.
-///
-/// Basis: together with other rules 0.018 -> 0.333 on a day of high load with 87 daemons.
 const GROWTH_LIMIT: f64 = 1.5;
-/// A planner that has just started orders only more reclaimable endpoints, which are cheap,
-/// until the list of endpoints has not grown for this long: endpoints that have just started, or
-/// whose entries were lost, are listed over about a heartbeat.
-///
-/// Basis: on a quiet day 0.73 without it, 0.99 with 2 s, 1.000 with 1 s.
+/// A planner that has just started orders only more reclaimable endpoints, which are cheap, until
+/// the list of endpoints has not grown for this long: endpoints that have just started, or whose
+/// entries were lost, are listed over about a heartbeat.
 const SETTLE_TIME: Duration = Duration::from_millis(1_000);
-/// A planner that has just started gives all orders after this time, however the list grows.
-///
-/// Basis: chosen, not measured: five times `SETTLE_TIME`.
+/// A planner that has just started gives all orders after this time, however the list grows: five
+/// times `SETTLE_TIME`.
 const SETTLE_LIMIT: Duration = Duration::from_secs(5);
 /// Reclaimable capacity counts as scarce for this long after an order was refused.
-///
-/// Basis: chosen, not measured by itself: together with another rule worth 0.51 -> 0.60 on a day
-/// without the store.
 const SCARCE_FOR: Duration = Duration::from_secs(6);
-/// A zone that refused reclaimable capacity is not asked again sooner.
-///
-/// Basis: chosen, not measured: bounds the calls to the cloud.
+/// A zone that refused reclaimable capacity is not asked again sooner: bounds the calls to the
+/// cloud.
 const REFUSED_FOR: Duration = Duration::from_secs(2);
 
 /// Load of a service.
--- a/src/gateway/policy/leader/leader_lease.rs
+++ b/src/gateway/policy/leader/leader_lease.rs
@@ -23,23 +23,16 @@
 
 use crate::ids::SharedName;
 
-/// Time beyond the lease that others wait before they acquire it.
-///
-/// Basis: with 1 s no daemon acquired it between two kills of all. The holder is silent
-/// 3.1 s after its renewal (0.7 of a lease of 3 s and a call of 1 s).
+/// Time beyond the lease that others wait before they acquire it: the holder's last call is over by
+/// then.
 pub const ACQUIRE_MARGIN: Duration = Duration::from_millis(400);
-/// Fraction of the lease after which its holder no longer acts without a renewal.
-///
-/// Basis: chosen, not measured: leaves the holder's last call its second.
+/// Fraction of the lease after which its holder no longer acts without a renewal: leaves the
+/// holder's last call its second.
 const ACTIVE_FRACTION: f64 = 0.7;
-/// Fraction of the lease after which the holder renews it.
-///
-/// Basis: chosen, not measured: leaves time for a second try while the holder
-/// may still act.
+/// Fraction of the lease after which the holder renews it: leaves time for a second try while the
+/// holder may still act.
 const RENEW_FRACTION: f64 = 0.35;
-/// Fence of the first holder.
-///
-/// Basis: 0 means in gossip messages that no lease is known.
+/// Fence of the first holder: 0 means in gossip messages that no lease is known.
 pub const FIRST_FENCE: u64 = 1;
 
 /// What this daemon knows of the lease.
--- a/src/gateway/policy/leader/reclaim_wave.rs
+++ b/src/gateway/policy/leader/reclaim_wave.rs
@@ -19,9 +19,6 @@
 use crate::ids::SharedName;
 
 /// A wave is over when no zone was lost for this multiple of the endpoints' start time.
-///
-/// Basis: with it the five days of docs/decisions-under-load.md rose from 0.451 to 0.519; other
-/// multiples were not tried. Longer than an order takes to serve.
 const WAVE_START_TIMES: f64 = 2.5;
 /// Waves of all services, as this daemon has seen them.
 #[derive(Debug, Default)]
--- a/src/gateway/policy/leader/usage_counts.rs
+++ b/src/gateway/policy/leader/usage_counts.rs
@@ -13,10 +13,8 @@
     ids::{IncarnationId, SharedName},
 };
 
-/// Windows kept.
-///
-/// Basis: chosen, not measured: more than twice the windows that are ever reported
-/// (`REPORTABLE_WINDOWS` of `usage_reports`).
+/// Windows kept: more than twice the windows that are ever reported (`REPORTABLE_WINDOWS` of
+/// `usage_reports`).
 const WINDOWS_KEPT: u64 = 8;
 
 /// Counts of one window by account.
--- a/src/gateway/policy/leader/usage_reports.rs
+++ b/src/gateway/policy/leader/usage_reports.rs
@@ -10,29 +10,20 @@
 
 use std::{ops::Range, time::Duration};
 
-/// Time between the end of a window and its report.
-///
-/// Basis: chosen, not measured: fifteen gossip intervals.
+/// Time between the end of a window and its report: fifteen gossip intervals.
 const REPORT_DELAY: Duration = Duration::from_millis(1_500);
-/// Newest windows that are still reported.
-///
-/// Basis: chosen, not measured: less than the windows of which counts are kept.
+/// Newest windows that are still reported: less than the windows of which counts are kept.
 const REPORTABLE_WINDOWS: u64 = 3;
 /// A daemon that has just started reports nothing for this multiple of the age that reports of
-/// other daemons may have: counts of the windows before its start are only with them.
-///
-/// Basis: chosen, not measured: one report of every daemon, and one more.
+/// other daemons may have: counts of the windows before its start are only with them. One report of
+/// every daemon, and one more.
 const HEARD_REPORT_AGES: u32 = 2;
-/// The same at the least.
-///
-/// Basis: chosen, not measured: ten gossip intervals, since daemons that are not known yet are
-/// met first.
+/// The same at the least: ten gossip intervals, since daemons that are not known yet are met first.
 const MIN_HEARD_AGE: Duration = Duration::from_secs(1);
 
-/// Ages at which a daemon requests the usage that others received before it started.
-///
-/// Basis: chosen, not measured: by the first it knows the members of its group, and by
-/// `MIN_HEARD_AGE` a fleet of one group has responded; by the last so has a large fleet.
+/// Ages at which a daemon requests the usage that others received before it started: by the first
+/// it knows the members of its group, and by `MIN_HEARD_AGE` a fleet of one group has responded; by
+/// the last so has a large fleet.
 const FORMER_USAGE_AGES: Range<Duration> = Duration::from_millis(500)..Duration::from_millis(3_500);
 
 /// Number of the window to report at `now_ms` (milliseconds since 1970), if one is due.
--- a/src/gateway/policy/leader/wall_clock.rs
+++ b/src/gateway/policy/leader/wall_clock.rs
@@ -11,13 +11,9 @@
 
 use tokio::time::Instant;
 
-/// A jump that lasts this long is followed.
-///
-/// Basis: chosen, not measured: longer than the windows that are still reported.
+/// A jump that lasts this long is followed: longer than the windows that are still reported.
 const JUMP_ACCEPTED_AFTER: Duration = Duration::from_secs(20);
 /// Differences up to this many milliseconds are ordinary drift.
-///
-/// Basis: chosen, not measured.
 const MAX_DRIFT_MS: i64 = 100;
 
 /// A different origin that the system's clock shows.
--- a/src/gateway/policy/leader/zone_plan.rs
+++ b/src/gateway/policy/leader/zone_plan.rs
@@ -14,12 +14,8 @@
 use crate::{gateway::configuration::FleetSpec, ids::SharedName};
 
 /// Fraction of the required number that must still be there when the next zone is reclaimed.
-///
-/// Basis: 1.000 on two deployments; not measured by itself.
 const CRITICAL_FRACTION: f64 = 0.65;
 /// Price of an endpoint in a zone whose price is not configured.
-///
-/// Basis: chosen, not measured: the price that configured ones are relative to.
 const DEFAULT_PRICE: f64 = 1.0;
 
 /// Price class of an endpoint.
--- a/src/gateway/policy/request/crash_ledger.rs
+++ b/src/gateway/policy/request/crash_ledger.rs
@@ -17,31 +17,21 @@
     fingerprint::RequestFingerprint,
 };
 
-/// Records that are kept.
-///
-/// Basis: chosen, not measured: about 600 bytes each; a crash leaves as many as runs were at the
+/// Records that are kept: about 600 bytes each; a crash leaves as many as runs were at the
 /// endpoint.
 pub const MAX_RECORDS: usize = 1_024;
-/// Records in one report to another daemon.
-///
-/// Basis: chosen, not measured: below 10 KB, 20 times a second, and only after crashes.
+/// Records in one report to another daemon: below 10 KB, 20 times a second, and only after crashes.
 pub const MAX_REPORTED: usize = 64;
-/// Records that have changed within this time are reported before all others.
-///
-/// Basis: chosen, not measured: some rounds of gossip in a fleet of many groups.
+/// Records that have changed within this time are reported before all others: some rounds of gossip
+/// in a fleet of many groups.
 const FRESH_FOR: Duration = Duration::from_secs(5);
-/// After a change, other daemons than the usual ones are called for this long.
-///
-/// Basis: chosen, not measured: five gossip intervals.
+/// After a change, other daemons than the usual ones are called for this long: five gossip
+/// intervals.
 const URGENT_FOR: Duration = Duration::from_millis(500);
-/// Shortest time that a client is told to wait.
-///
-/// Basis: chosen, not measured: a trial that is due is made by one daemon only.
+/// Shortest time that a client is told to wait: a trial that is due is made by one daemon only.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// Number in place of an endpoint's, for runs of which only the time is known.
-///
-/// Basis: any number that is no endpoint's hash.
 const UNKNOWN_ENDPOINT: u64 = 0;
 
 /// Whether a request may be run.
--- a/src/gateway/policy/request/crash_record.rs
+++ b/src/gateway/policy/request/crash_record.rs
@@ -11,48 +11,31 @@
 
 use tokio::time::Instant;
 
-/// Runs one after another that have crashed their endpoints, after which a request is
-/// quarantined.
-///
-/// Basis: the deployments allow three crashes; with two, requests that crash nothing would be
-/// quarantined where two endpoints end in a row.
+/// Runs one after another that have crashed their endpoints, after which a request is quarantined.
+/// With two, requests that crash nothing would be quarantined where two endpoints end in a row.
 pub const RUNS_TO_QUARANTINE: usize = 3;
 /// Crashes of one endpoint that lie closer together than this are the same one, seen by several
-/// daemons, or by requests that arrived after it.
-///
-/// Basis: chosen, not measured: above the time of a message between daemons, below the seconds
-/// that an endpoint takes to start.
+/// daemons, or by requests that arrived after it: above the time of a message between daemons,
+/// below the seconds that an endpoint takes to start.
 const SAME_CRASH: Duration = Duration::from_secs(1);
-/// A run that begins so little before a crash counts as begun after it.
-///
-/// Basis: a retry begins 1 ms after the crash that causes it, and reports of the two runs in
-/// different messages shift their times by some milliseconds.
+/// A run that begins so little before a crash counts as begun after it: a retry begins just after
+/// the crash that causes it, and reports of the two runs in different messages shift their times.
 const SEQUENCE_SLACK: Duration = Duration::from_millis(20);
-/// Runs that are remembered of a request, the newest.
-///
-/// Basis: chosen, not measured: with many runs at a time, those that count one after another
-/// are among them.
+/// Runs that are remembered of a request, the newest: with many runs at a time, those that count
+/// one after another are among them.
 const MAX_RUNS: usize = 12;
-/// A request that is not quarantined is forgotten this long after its newest crash.
-///
-/// Basis: chosen, not measured: clients that come again do so within their deadlines.
+/// A request that is not quarantined is forgotten this long after its newest crash: clients that
+/// come again do so within their deadlines.
 const SUSPECTED_FOR: Duration = Duration::from_secs(60);
-/// A quarantined request is forgotten this long after its newest crash.
-///
-/// Basis: chosen, not measured: after the second of the longest waits between trials.
+/// A quarantined request is forgotten this long after its newest crash: after the second of the
+/// longest waits between trials.
 const QUARANTINED_FOR: Duration = Duration::from_secs(60 * 60);
-/// Time from a crash of a quarantined request to its first trial.
-///
-/// Basis: chosen, not measured: a trial may cost an endpoint and all that runs there, so it is
-/// not made often; repaired software is seldom rolled out faster.
+/// Time from a crash of a quarantined request to its first trial: a trial may cost an endpoint and
+/// all that runs there, so it is not made often; repaired software is seldom rolled out faster.
 const FIRST_TRIAL_AFTER: Duration = Duration::from_secs(30);
-/// Each further trial comes this many times later.
-///
-/// Basis: chosen, not measured: three trials within ten minutes and a half.
+/// Each further trial comes this many times later: three trials within ten minutes and a half.
 const TRIAL_BACKOFF: u32 = 4;
 /// Longest time between two trials.
-///
-/// Basis: chosen, not measured.
 const MAX_TRIAL_WAIT: Duration = Duration::from_secs(30 * 60);
 
 /// A run under which its endpoint ended.
--- a/src/gateway/policy/request/endpoint_priority.rs
+++ b/src/gateway/policy/request/endpoint_priority.rs
@@ -1,10 +1,9 @@
 //! Rank of a request in an endpoint's queue: by its account first, then by its route.
 
-/// Least urgent rank that endpoints take; 0 is the most urgent.
-/// Basis: chosen, not measured: bounds what configurations with larger ranks would send.
+/// Least urgent rank that endpoints take; 0 is the most urgent. Bounds what configurations with
+/// larger ranks would send.
 const LEAST_URGENT: u8 = 9;
-/// Ranks of routes within one rank of accounts.
-/// Basis: chosen, not measured: an account's rank outweighs route ranks 0 to 2.
+/// Ranks of routes within one rank of accounts: an account's rank outweighs route ranks 0 to 2.
 const RANKS_PER_ACCOUNT: u8 = 3;
 
 /// Rank from the account's and the route's priorities; public requests have account rank 0.
--- a/src/gateway/policy/request/fingerprint.rs
+++ b/src/gateway/policy/request/fingerprint.rs
@@ -55,10 +55,8 @@
 }
 
 /// Hexadecimal digits of a fingerprint's head and content.
-/// Basis: four bits a digit.
 const HEAD_DIGITS: usize = 16;
 /// Hexadecimal digits of a whole fingerprint.
-/// Basis: four bits a digit.
 const DIGITS: usize = HEAD_DIGITS + 32;
 
 /// A text that is no fingerprint.
--- a/src/gateway/policy/request/key_freshness.rs
+++ b/src/gateway/policy/request/key_freshness.rs
@@ -10,8 +10,7 @@
 use tokio::time::Instant;
 
 /// Part of the allowed age that is not used, so that a request admitted just in time is also
-/// dispatched in time.
-/// Basis: chosen, not measured: covers the way from this check to the endpoint.
+/// dispatched in time: covers the way from this check to the endpoint.
 const SAFETY_MARGIN: Duration = Duration::from_millis(300);
 
 /// Whether keys may be used, and why.
--- a/src/gateway/policy/request/quota.rs
+++ b/src/gateway/policy/request/quota.rs
@@ -44,31 +44,20 @@
     ids::SharedName,
 };
 
-/// Fraction of the burst that all daemons that have just started may spend together of an
-/// account that was throttled before.
-///
-/// Basis: together with other rules it kept the quota on a day of 86 daemons that overspent it with
-/// 0.5.
+/// Fraction of the burst that all daemons that have just started may spend together of an account
+/// that was throttled before.
 const START_BURST_FRACTION: f64 = 0.25;
-/// Time over which the first report of a daemon that has just started is averaged.
-///
-/// Basis: chosen, not measured: about the time until a new daemon is heard.
+/// Time over which the first report of a daemon that has just started is averaged: about the time
+/// until a new daemon is heard.
 const FIRST_REPORT_PERIOD: Duration = Duration::from_millis(1_500);
-/// Old sources of reports are dropped when there are more than this.
-///
-/// Basis: chosen, not measured: above the neighbours of a daemon in a fleet of 300.
+/// Old sources of reports are dropped when there are more than this: above the neighbours of a
+/// daemon in a fleet of 300.
 const SOURCES_BEFORE_PRUNING: usize = 64;
 /// Retry-after of a refused client while hardly anything is admitted, in seconds.
-///
-/// Basis: chosen, not measured.
 const THROTTLED_WAIT_S: f64 = 1.0;
 /// Shortest retry-after.
-///
-/// Basis: chosen, not measured: one gossip interval.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Longest retry-after.
-///
-/// Basis: chosen, not measured: a larger debt is seldom, and the load may have gone by then.
+/// Longest retry-after: a larger debt is seldom, and the load may have gone by then.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
 /// Units of one account since a daemon started.
--- a/src/gateway/policy/request/quota/account_bucket.rs
+++ b/src/gateway/policy/request/quota/account_bucket.rs
@@ -9,45 +9,29 @@
 };
 use crate::gateway::gossip::report_source::ReportSource;
 
-/// Smallest burst, in seconds of the rate.
-///
-/// Basis: chosen, not measured: one gossip interval, so that a quota without a burst still
-/// admits single requests.
+/// Smallest burst, in seconds of the rate: one gossip interval, so that a quota without a burst
+/// still admits single requests.
 const MIN_BURST_S: f64 = 0.1;
-/// Fraction of the allowed overdraft that is added to rate and burst, so that requests within
-/// a quota are not refused because a peer's spending was overestimated. The rest of it covers
+/// Fraction of the allowed overdraft that is added to rate and burst, so that requests within a
+/// quota are not refused because a peer's spending was overestimated. The rest of it covers
 /// underestimates.
-///
-/// Basis: inkbridge quiet-1 0.67 -> 0.73, together
-/// with a change of the fleet planner; other fractions were not tried.
 const USED_TOLERANCE_FRACTION: f64 = 0.3;
-/// While reports of peers are younger than this, the bucket alone decides: its level hardly
-/// swings, and requests are served in order of arrival.
-///
-/// Basis: probabilistic admission in small fleets,
-/// whose reports are 0.4 s old, refused 0.035 instead of 0.014 of inkbridge quiet-1.
+/// While reports of peers are younger than this, the bucket alone decides: its level hardly swings,
+/// and requests are served in order of arrival. Beyond it a bucket alone would swing between
+/// admitting all and nothing.
 const FRESH_REPORT_AGE: Duration = Duration::from_millis(900);
-/// Fraction of the burst above which everything is admitted, and below which an account counts
-/// as throttled.
-///
-/// Basis: chosen, not measured: well above `TARGET_LEVEL`.
+/// Fraction of the burst above which everything is admitted, and below which an account counts as
+/// throttled: well above `TARGET_LEVEL`.
 const UNTHROTTLED_LEVEL: f64 = 0.6;
 /// Fraction of the burst at which the level is held while more is requested than the rate.
-///
-/// Basis: chosen, not measured by itself.
 const TARGET_LEVEL: f64 = 0.2;
-/// Time in which the level is brought back to `TARGET_LEVEL`, as a multiple of the age of
-/// reports: a faster correction would overshoot before its effect is reported.
-///
-/// Basis: chosen, not measured: more than one report age.
+/// Time in which the level is brought back to `TARGET_LEVEL`, as a multiple of the age of reports:
+/// a faster correction would overshoot before its effect is reported.
 const CORRECTION_AGES: f64 = 1.5;
 /// Shortest such time, in seconds.
-///
-/// Basis: chosen, not measured.
 const MIN_CORRECTION_S: f64 = 1.0;
-/// Reports of a peer that are older than this are dropped.
-///
-/// Basis: chosen, not measured: three times the 20 s after which a silent peer is forgotten.
+/// Reports of a peer that are older than this are dropped: three times the 20 s after which a
+/// silent peer is forgotten.
 pub const REPORT_RETENTION: Duration = Duration::from_secs(60);
 
 /// Rate and burst that a bucket applies.
--- a/src/gateway/policy/request/quota/offered_load.rs
+++ b/src/gateway/policy/request/quota/offered_load.rs
@@ -2,10 +2,8 @@
 
 use tokio::time::Instant;
 
-/// Time constant of the average, in seconds.
-///
-/// Basis: chosen, not measured: about the age of reports in a fleet of 87 daemons (1.8 s), and
-/// short enough to follow a sudden rise.
+/// Time constant of the average, in seconds: about the age of reports in a fleet of 87 daemons (1.8
+/// s), and short enough to follow a sudden rise.
 const AVERAGE_TIME_S: f64 = 1.5;
 
 /// Exponentially weighted rate of requested units.
--- a/src/gateway/policy/request/quota/peer_spending.rs
+++ b/src/gateway/policy/request/quota/peer_spending.rs
@@ -7,22 +7,15 @@
 
 use super::AccountCounters;
 
-/// A peer is assumed to go on admitting at its last rate for this long, or for the age that
-/// reports may have where that is more.
-///
-/// Basis: chosen, not measured: reports of a large fleet are up to a second old.
+/// A peer is assumed to go on admitting at its last rate for this long, or for the age that reports
+/// may have where that is more: reports of a large fleet are up to a second old.
 const MIN_EXTRAPOLATION: Duration = Duration::from_millis(1_000);
-/// The offered load of a peer counts for this long after its last report.
-///
-/// Basis: chosen, not measured: longer than two gossip rounds of a fleet of 87 (1.8 s).
+/// The offered load of a peer counts for this long after its last report: longer than two gossip
+/// rounds of a fleet of 87 (1.8 s).
 const OFFERED_LOAD_RETENTION: Duration = Duration::from_secs(3);
-/// Weight of the newest report in a peer's averaged rates.
-///
-/// Basis: chosen, not measured: halves the noise of a single report.
+/// Weight of the newest report in a peer's averaged rates: halves the noise of a single report.
 const NEWEST_RATE_WEIGHT: f64 = 0.5;
-/// Shortest time between two reports that a rate is computed over, in seconds.
-///
-/// Basis: chosen, not measured: one gossip interval.
+/// Shortest time between two reports that a rate is computed over, in seconds: one gossip interval.
 const MIN_REPORT_INTERVAL_S: f64 = 0.1;
 
 /// Counters of an account at one peer as of its last report, and rates taken from them.
--- a/src/gateway/policy/request/retry_after.rs
+++ b/src/gateway/policy/request/retry_after.rs
@@ -11,31 +11,27 @@
 
 use crate::gateway::policy::endpoint::room_forecast::RoomForecast;
 
-/// No endpoint of the service takes requests, or the deadline passed before one was chosen.
-/// Basis: chosen, not measured: quicker retries would load the daemon and find the same list.
+/// No endpoint of the service takes requests, or the deadline passed before one was chosen: quicker
+/// retries would load the daemon and find the same list.
 pub const NO_ENDPOINT: Duration = Duration::from_millis(400);
 /// The daemon has no configuration that is known to be current, or doesn't know how many others
-/// there are.
-/// Basis: chosen, not measured: keeps clients from loading a daemon that is still starting.
+/// there are: keeps clients from loading a daemon that is still starting.
 pub const DAEMON_STARTING: Duration = Duration::from_millis(500);
-/// A newer configuration has been reported, and is being fetched.
-/// Basis: it was applied 0.10 s after a peer had reported it in the median, 0.41 s at most
-/// (12,284 times, 77 real daemons, five changes a second); the daemon asked next may be later.
+/// A newer configuration has been reported, and is being fetched: the daemon that is asked next may
+/// have it later.
 pub const CATCHING_UP: Duration = Duration::from_millis(300);
-/// The daemon has not heard its peers since it started or stood still.
-/// Basis: chosen, not measured: it calls two of them every 0.1 s.
+/// The daemon has not heard its peers since it started or stood still: it calls two of them every
+/// 0.1 s.
 pub const CONTACT_SOON: Duration = Duration::from_millis(200);
 /// The daemon is stopping, and the balancer sends the retry to another one; or endpoints have room
-/// that this request was not allowed to try.
-/// Basis: chosen, not measured: neither has need of a pause.
+/// that this request was not allowed to try. Neither has need of a pause.
 pub const AT_ONCE: Duration = Duration::from_millis(20);
-/// Fraction of the route's target after which a client that found all endpoints full may
-/// retry.
-/// Basis: chosen, not measured: a retry after half the target can still be in time.
+/// Fraction of the route's target after which a client that found all endpoints full may retry: a
+/// retry after half the target can still be in time.
 const FULL_TARGET_FRACTION: f64 = 0.5;
-/// Time over which clients are spread at least that wait for endpoints that back off.
-/// Basis: chosen, not measured: an endpoint is sent one request at first, and with 32 slots is
-/// in full use after five times its response time.
+/// Time over which clients are spread at least that wait for endpoints that back off: an endpoint
+/// is sent one request at first, and with 32 slots is in full use after five times its response
+/// time.
 const MIN_SPREAD: Duration = Duration::from_millis(500);
 
 /// Time to retry after when no endpoint has taken a request. Clients that wait for endpoints that
--- a/src/gateway/policy/request/retry_budget.rs
+++ b/src/gateway/policy/request/retry_budget.rs
@@ -19,7 +19,6 @@
 
 /// Fraction of the promised share and reserve that is used; the rest covers retries that the
 /// endpoints count into another window than this daemon does.
-/// Basis: chosen, not measured: a fifth left as a margin.
 const USED_FRACTION: f64 = 0.8;
 
 /// Budget of one service.
--- a/src/gateway/policy/request/time_limits.rs
+++ b/src/gateway/policy/request/time_limits.rs
@@ -12,24 +12,21 @@
 
 use crate::gateway::configuration::Route;
 
-/// Time for a request that has a time limit neither from its client nor from its route.
-/// Basis: chosen, not measured: bounds how long a request can hold its resources.
+/// Time for a request that has a time limit neither from its client nor from its route: bounds how
+/// long a request can hold its resources.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
-/// An idempotent request is retried elsewhere after this multiple of its route's target.
-/// Basis: chosen, not measured: a multiple near 1 would retry every request whenever all
-/// endpoints are slow together.
+/// An idempotent request is retried elsewhere after this multiple of its route's target: a multiple
+/// near 1 would retry every request whenever all endpoints are slow together.
 const PLAIN_TARGET_MULTIPLE: f64 = 3.0;
-/// A resumable stream is retried elsewhere after this multiple of its route's target.
-/// Basis: chosen, not measured: lower than for plain requests, since the next endpoint still
-/// has to read the prompt before its first event.
+/// A resumable stream is retried elsewhere after this multiple of its route's target: lower than
+/// for plain requests, since the next endpoint still has to read the prompt before its first event.
 const STREAM_TARGET_MULTIPLE: f64 = 1.6;
-/// A resumable stream is resumed elsewhere after a silence of this multiple of the route's
-/// target for its first event, or of the allowed gap between later ones.
-/// Basis: chosen, not measured: after one gap the stream is only late; resuming it costs
-/// another endpoint a prompt.
+/// A resumable stream is resumed elsewhere after a silence of this multiple of the route's target
+/// for its first event, or of the allowed gap between later ones: after one gap the stream is only
+/// late; resuming it costs another endpoint a prompt.
 const SILENCE_MULTIPLE: f64 = 2.0;
-/// Longest silence between events where the route names no allowed gap.
-/// Basis: chosen, not measured: high, since nothing says how fast such a stream is.
+/// Longest silence between events where the route names no allowed gap: high, since nothing says
+/// how fast such a stream is.
 const DEFAULT_SILENCE: Duration = Duration::from_secs(2);
 
 /// When a request that came at `received` has to be over: the shorter of the client's and the
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -27,9 +27,8 @@
     true_time,
 };
 
-/// Refuses a request that crashes endpoints, at its first attempt and at each retry. Without it one
-/// such request, sent 8 times a second for 9 s, ended 112 endpoints; with it 6 (9 real daemons, 40
-/// endpoints that start again after 3 s).
+/// Refuses a request that crashes endpoints, at its first attempt and at each retry. Otherwise one such
+/// request, sent again and again, ends an endpoint each time.
 pub fn check_quarantine(
     context: &GatewayContext,
     admitted: &Admitted,
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -41,18 +41,17 @@
 
 /// Name of the service.
 pub const NAME: &str = "client-edge";
-/// A connection is closed this much later than the configured idle time, so that a request
-/// sent just in time doesn't meet the close.
-/// Basis: chosen, not measured: far above a round trip.
+/// A connection is closed this much later than the configured idle time, so that a request sent
+/// just in time doesn't meet the close: far above a round trip.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
-/// Longest life of a connection accepted by a stopping daemon.
-/// Basis: chosen, not measured: the daemon's stop ends it earlier; only a bound.
+/// Longest life of a connection accepted by a stopping daemon: the daemon's stop ends it earlier;
+/// only a bound.
 const STOPPING_LIMIT: Duration = Duration::from_secs(30);
-/// Smallest buffer for a head, in bytes, that the HTTP library accepts.
-/// Basis: the library's own minimum; it panics below it.
+/// Smallest buffer for a head, in bytes, that the HTTP library accepts: the library panics below
+/// it.
 const MIN_BUFFER: usize = 8 * 1024;
-/// Pause before accepting again at the connection limit, or after an error of accepting.
-/// Basis: chosen, not measured: short for clients, long enough not to spin.
+/// Pause before accepting again at the connection limit, or after an error of accepting: short for
+/// clients, long enough not to spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
 /// What a connection is doing.
--- a/src/gateway/request/client_stream.rs
+++ b/src/gateway/request/client_stream.rs
@@ -17,13 +17,10 @@
     net::TcpStream,
 };
 
-/// Most bytes that are kept for the library; beyond them a close is not noticed.
-///
-/// Basis: chosen, not measured: a few requests without a body.
+/// Most bytes that are kept for the library; beyond them a close is not noticed. A few requests
+/// without a body.
 const MAX_KEPT: usize = 16 * 1024;
-/// Bytes read at once.
-///
-/// Basis: chosen, not measured: a request's head.
+/// Bytes read at once: a request's head.
 const READ_SIZE: usize = 1_024;
 
 struct StreamState {
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -32,27 +32,24 @@
     true_time,
 };
 
-/// Longest wait for a new connection.
-/// Basis: chosen, not measured: several round trips; another endpoint is tried after it.
+/// Longest wait for a new connection: several round trips; another endpoint is tried after it.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
-/// Longest idle time of a connection whose endpoint doesn't say how long it keeps it.
-/// Basis: chosen, not measured: short, since nothing says when the endpoint closes it.
+/// Longest idle time of a connection whose endpoint doesn't say how long it keeps it: short, since
+/// nothing says when the endpoint closes it.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
-/// A connection is not reused within this time before its endpoint closes it.
-/// Basis: chosen, not measured: the request would meet the close.
+/// A connection is not reused within this time before its endpoint closes it: the request would
+/// meet the close.
 const IDLE_MARGIN: Duration = Duration::from_millis(900);
-/// Longest idle time of a connection for a request that must not run twice: its endpoint may
-/// have dropped the connection silently, or send a surplus response late.
-/// Basis: chosen, not measured for itself.
+/// Longest idle time of a connection for a request that must not run twice: its endpoint may have
+/// dropped the connection silently, or send a surplus response late.
 const IDLE_LIMIT_RUN_ONCE: Duration = Duration::from_millis(250);
 /// Idle connections kept for each endpoint.
-/// Basis: chosen, not measured; see docs/findings.md on endpoints that limit connections.
 const KEPT_LIMIT: usize = 16;
-/// Longest wait until a connection that was just given back is ready.
-/// Basis: chosen, not measured: the library needs a turn of its own task for it.
+/// Longest wait until a connection that was just given back is ready: the library needs a turn of
+/// its own task for it.
 const READY_LIMIT: Duration = Duration::from_millis(5);
-/// Time between removals of connections that were idle for too long.
-/// Basis: chosen, not measured: they cost only memory until then.
+/// Time between removals of connections that were idle for too long: they cost only memory until
+/// then.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
 /// Why an attempt has no response.
--- a/src/gateway/request/crash_watch.rs
+++ b/src/gateway/request/crash_watch.rs
@@ -32,14 +32,11 @@
     true_time,
 };
 
-/// Time from a broken run to the check of its endpoint.
-///
-/// Basis: chosen, not measured: a process that ends closes its connections and its listener
-/// within a few milliseconds, and endpoints take longer to start again.
+/// Time from a broken run to the check of its endpoint: a process that ends closes its connections
+/// and its listener within a few milliseconds, and endpoints take longer to start again.
 const CHECK_DELAY: Duration = Duration::from_millis(50);
-/// Longest wait for the connection of the check.
-///
-/// Basis: as for connections of requests (`connection_pool`): several round trips.
+/// Longest wait for the connection of the check: several round trips, as for connections of
+/// requests.
 const CHECK_LIMIT: Duration = Duration::from_millis(400);
 
 /// What the check of an endpoint has found.
--- a/src/gateway/request/drain.rs
+++ b/src/gateway/request/drain.rs
@@ -9,9 +9,8 @@
 use super::{connection_pool::EndpointConnection, response_meaning::ResponseSigns};
 use crate::gateway::context::GatewayContext;
 
-/// Longest wait for the rest of the response.
-/// Basis: chosen, not measured: such responses are short; a new connection costs less than a
-/// longer wait holds.
+/// Longest wait for the rest of the response: such responses are short; a new connection costs less
+/// than a longer wait holds.
 const DRAIN_LIMIT: Duration = Duration::from_millis(200);
 
 /// Reads the rest in a task of its own. If that fails or takes too long the connection is
--- a/src/gateway/request/event_cutter.rs
+++ b/src/gateway/request/event_cutter.rs
@@ -6,8 +6,7 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Longest event accepted, in bytes.
-/// Basis: chosen, not measured: bounds what one stream holds in memory.
+/// Longest event accepted, in bytes: bounds what one stream holds in memory.
 const EVENT_LIMIT: usize = 1024 * 1024;
 
 /// The stream cannot be cut into events.
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -21,25 +21,15 @@
 pub mod endpoint_watch;
 mod foreign_entries;
 
-/// Time between two looks whether this daemon has to call the store itself.
-///
-/// Basis: chosen, not measured: a gossip interval.
+/// Time between two looks whether this daemon has to call the store itself: a gossip interval.
 const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after a first failed call; each further one is twice as long.
-///
-/// Basis: chosen, not measured.
 const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// Longest pause after failed calls.
-///
-/// Basis: chosen, not measured: a change must be found soon after the store is back.
+/// Longest pause after failed calls: a change must be found soon after the store is back.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
-/// Doublings after which the pause no longer grows.
-///
-/// Basis: more than the four from the first to the longest pause; keeps the product in range.
+/// Doublings after which the pause no longer grows: keeps the product in range.
 const MAX_DOUBLINGS: u32 = 6;
 /// Random factor of a pause, so that daemons do not retry all at once.
-///
-/// Basis: chosen, not measured.
 const RETRY_SPREAD: Range<f64> = 0.5..1.0;
 
 /// Pauses between calls while the store fails.
--- a/src/gateway/store_watch/endpoint_watch.rs
+++ b/src/gateway/store_watch/endpoint_watch.rs
@@ -25,11 +25,8 @@
 
 /// Name of the service.
 pub const NAME: &str = "endpoint-watch";
-/// Pause after a change of endpoints, so that the next call brings several changes: they often
-/// come together.
-///
-/// Basis: chosen, not measured by itself; a pause of 150 ms took a quiet day of nine daemons from
-/// 1,778 to 1,402 calls.
+/// Pause after a change of endpoints, so that the next call brings several changes: they often come
+/// together.
 const CHANGE_PAUSE: Duration = Duration::from_millis(400);
 /// Why an entry without a start names no endpoint.
 const LACKS_START: &str = "earlier entries told when the endpoint had started";
--- a/src/gateway/store_watch/foreign_entries.rs
+++ b/src/gateway/store_watch/foreign_entries.rs
@@ -10,9 +10,8 @@
     platform::store::StoredObject, true_time,
 };
 
-/// Log lines a second about such entries.
-///
-/// Basis: chosen, not measured: another writer may spoil all entries at once, again and again.
+/// Log lines a second about such entries: another writer may spoil all entries at once, again and
+/// again.
 const LINES_PER_S: u32 = 5;
 
 /// Entries that name no endpoint, by the revisions that were logged.
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -21,18 +21,13 @@
     errors::{FailureCause, StepError},
 };
 
-/// Longest wait for a TCP connection.
-///
-/// Basis: chosen, not measured: as long as the shortest limit of a whole call.
+/// Longest wait for a TCP connection: as long as the shortest limit of a whole call.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-/// Longest time an unused connection stays open.
-///
-/// Basis: chosen, not measured: longer than any watch, so that one connection carries
-/// watch after watch.
+/// Longest time an unused connection stays open: longer than any watch, so that one connection
+/// carries watch after watch.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
-/// Largest response read whole, in bytes; longer ones fail as broken.
-///
-/// Basis: chosen, not measured: bounds what a faulty peer can make this process hold.
+/// Largest response read whole, in bytes; longer ones fail as broken. Bounds what a faulty peer can
+/// make this process hold.
 const RESPONSE_LIMIT: usize = 8 * 1024 * 1024;
 
 /// A response read to its end.
--- a/src/http/server.rs
+++ b/src/http/server.rs
@@ -23,27 +23,18 @@
     logs::LineBudget,
 };
 
-/// Longest time a client may take to send a request head.
-///
-/// Basis: chosen, not measured: slow networks pass, a client that sends nothing does not hold
-/// its connection for long.
+/// Longest time a client may take to send a request head: slow networks pass, a client that sends
+/// nothing does not hold its connection for long.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(15);
 /// Largest request head, in bytes.
-///
-/// Basis: chosen, not measured.
 const HEAD_LIMIT: usize = 32 * 1024;
-/// Most connections open at once; further ones are closed as soon as they are accepted.
-///
-/// Basis: chosen, not measured: bounds the memory and the descriptors that clients can take.
+/// Most connections open at once; further ones are closed as soon as they are accepted. Bounds the
+/// memory and the descriptors that clients can take.
 const CONNECTION_LIMIT: usize = 8_192;
-/// Pause after a failed accept. The usual cause is a lack of descriptors, which lasts: without
-/// a pause the loop would take the whole core.
-///
-/// Basis: chosen, not measured.
+/// Pause after a failed accept. The usual cause is a lack of descriptors, which lasts: without a
+/// pause the loop would take the whole core.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Log lines a second about failed accepts.
-///
-/// Basis: chosen, not measured: one tells an operator all there is to know.
+/// Log lines a second about failed accepts: one tells an operator all there is to know.
 const ACCEPT_LINES: u32 = 1;
 
 /// Marker on a response: close the connection instead of sending it.
--- a/src/ids.rs
+++ b/src/ids.rs
@@ -16,10 +16,8 @@
 pub struct IncarnationId(pub u64);
 
 impl IncarnationId {
-    /// Number of random low bits that tell apart two starts in one millisecond.
-    ///
-    /// Basis: chosen, not measured: a million values, and milliseconds fit above them until
-    /// the year 2500.
+    /// Number of random low bits that tell apart two starts in one millisecond: a million values,
+    /// and milliseconds fit above them until the year 2500.
     const RANDOM_BITS: u32 = 20;
 
     /// New number from the wall clock (milliseconds) and random low bits.
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -14,9 +14,8 @@
     task::{JoinError, JoinSet},
 };
 
-/// Messages that may wait in one inbox before senders are told it is full.
-///
-/// Basis: chosen, not measured: bounds the memory of a service that falls behind.
+/// Messages that may wait in one inbox before senders are told it is full: bounds the memory of a
+/// service that falls behind.
 const INBOX_CAPACITY: usize = 16_384;
 
 /// Name under which a service is found.
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -12,9 +12,8 @@
 
 use crate::native::options::settings::LogLevel;
 
-/// Lines that wait to be written; more are dropped.
-///
-/// Basis: chosen, not measured: ten seconds of request lines at their own bound (400/s).
+/// Lines that wait to be written; more are dropped. Ten seconds of request lines at their own
+/// bound.
 const WAITING_LINES: usize = 4_096;
 
 /// Sends the process's logs to standard output as JSON lines. A thread of its own writes
@@ -44,8 +43,6 @@
 }
 
 /// How long a budget lasts before it is full again.
-///
-/// Basis: budgets are given in lines a second.
 const BUDGET_PERIOD: Duration = Duration::from_secs(1);
 
 /// Number of lines of a kind that may be written in a second; the rest is counted.
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -13,13 +13,10 @@
 
 /// Quantiles shown of each histogram.
 const QUANTILES: [f64; 4] = [0.5, 0.95, 0.99, 0.999];
-/// Significant digits kept in histograms.
-///
-/// Basis: chosen, not measured: quantiles within 1%.
+/// Significant digits kept in histograms: quantiles within 1%.
 const PRECISION: u8 = 2;
-/// Longest duration told apart in histograms, in microseconds: an hour.
-///
-/// Basis: chosen, not measured: longer than any request; longer durations count as this.
+/// Longest duration told apart in histograms, in microseconds: an hour. Longer than any request;
+/// longer durations count as this.
 const HIGHEST_US: u64 = 3_600_000_000;
 
 #[derive(Debug, Default)]
--- a/src/native/cloud_api/client.rs
+++ b/src/native/cloud_api/client.rs
@@ -19,12 +19,9 @@
 };
 
 /// Longest wait for a response that the platform gives at once.
-///
-/// Basis: chosen, not measured.
 const CALL_LIMIT: Duration = Duration::from_secs(2);
-/// How long a watch waits for a change before it is renewed.
-///
-/// Basis: chosen, not measured: a tenth of a call a second for each watch.
+/// How long a watch waits for a change before it is renewed: a tenth of a call a second for each
+/// watch.
 pub const WATCH_WAIT: Duration = Duration::from_secs(10);
 
 /// What must hold for a write to be carried out.
--- a/src/native/cluster/averaging.rs
+++ b/src/native/cluster/averaging.rs
@@ -11,15 +11,14 @@
 
 use crate::ids::{SharedName, hash_parts};
 
-/// Length of an epoch in milliseconds of wall-clock time.
-/// Basis: docs/CAPACITY.md: worst error after one epoch 0.6 to 3.3% at 8 to 2,100 nodes.
+/// Length of an epoch in milliseconds of wall-clock time: values are close to the average after
+/// one.
 pub const EPOCH_MS: u64 = 2_000;
-/// Time between the exchanges that one daemon begins, in milliseconds.
-/// Basis: docs/CAPACITY.md: 8.0 KB/s a node at 100 accounts and services.
+/// Time between the exchanges that one daemon begins, in milliseconds. Each costs bytes in
+/// proportion.
 pub const EXCHANGE_MS: u64 = 250;
-/// With fewer exchanges than this in an epoch, a daemon's values are not yet near the average,
-/// and its own demand is used instead.
-/// Basis: chosen, not measured: eight are begun in an epoch without losses.
+/// With fewer exchanges than this in an epoch, a daemon's values are not yet near the average, and
+/// its own demand is used instead: eight are begun in an epoch without losses.
 const ENOUGH_EXCHANGES: u32 = 3;
 
 /// The accounts in the order in which their values are sent. Names would cost ten
--- a/src/native/cluster/core.rs
+++ b/src/native/cluster/core.rs
@@ -23,22 +23,18 @@
 };
 use crate::ids::{IncarnationId, SharedName};
 
-/// Ring successors that a daemon probes and sends new items to.
-/// Basis: docs/design/membership.md: with three far links, an edit reaches 2,100 nodes in 0.15 s.
+/// Ring successors that a daemon probes and sends new items to: with three far links an edit
+/// reaches 2,100 nodes in a moment.
 const SUCCESSORS: usize = 3;
-/// Time between exchanges of summaries with a random member.
-/// Basis: docs/CAPACITY.md: 2.7 KB/s a node, probes included, at every fleet size.
+/// Time between exchanges of summaries with a random member. Its bytes don't grow with the fleet.
 const SYNC_EVERY: Duration = Duration::from_secs(1);
-/// A tick this late means that this process was paused.
-/// Basis: chosen, not measured: sixteen ticks of the service (50 ms).
+/// A tick this late means that this process was paused: sixteen ticks of the service (50 ms).
 const PAUSE: Duration = Duration::from_millis(800);
-/// How long failures of probes are ignored after a pause: this daemon may have missed the
-/// answers.
-/// Basis: chosen, not measured: two probe intervals. No false removal in 20 freezes of 1 s and
-/// 20 of 3 s (docs/design/membership.md).
+/// How long failures of probes are ignored after a pause: this daemon may have missed the answers.
+/// Two probe intervals.
 const PROBES_IGNORED: Duration = Duration::from_secs(2);
-/// Spread of periodic work around its interval, so that daemons do not act together.
-/// Basis: chosen, not measured: a fifth to either side.
+/// Spread of periodic work around its interval, so that daemons do not act together: a fifth to
+/// either side.
 const JITTER: std::ops::Range<f64> = 0.8..1.2;
 
 /// Membership and spread of one daemon.
--- a/src/native/cluster/core/dissemination.rs
+++ b/src/native/cluster/core/dissemination.rs
@@ -22,16 +22,14 @@
 };
 
 /// Far members that a daemon sends new items to.
-/// Basis: docs/design/membership.md, together with `SUCCESSORS`.
 const FAR_LINKS: usize = 3;
-/// How long removed members, gone VMs and old notices are remembered.
-/// Basis: longer than regions stay apart (an hour, docs/CAPACITY.md).
+/// How long removed members, gone VMs and old notices are remembered: longer than regions stay
+/// apart.
 const TOMBSTONE_KEEP: Duration = Duration::from_secs(6 * 3_600);
-/// Time between searches for items that may be forgotten.
-/// Basis: chosen, not measured: rare beside the time for which they are kept.
+/// Time between searches for items that may be forgotten: rare beside the time for which they are
+/// kept.
 pub(super) const FORGET_EVERY: Duration = Duration::from_secs(60);
 /// Most items in one message; the others follow with the next tick.
-/// Basis: chosen, not measured: 72 KB at the 280 B of a VM (docs/CAPACITY.md).
 const PUSH_LIMIT: usize = 256;
 
 impl ClusterCore {
--- a/src/native/cluster/core/failure_detector.rs
+++ b/src/native/cluster/core/failure_detector.rs
@@ -22,22 +22,17 @@
 };
 
 /// Time between probes of one neighbour.
-/// Basis: docs/CAPACITY.md: 4 messages/s a node, summaries included.
 const PROBE_EVERY: Duration = Duration::from_secs(1);
-/// Time between greetings of addresses that are not members yet.
-/// Basis: chosen, not measured: as often as probes.
+/// Time between greetings of addresses that are not members yet: as often as probes.
 const GREET_EVERY: Duration = Duration::from_secs(1);
 /// Time between greetings of a removed member, in case it was only cut off.
-/// Basis: a trial: 16 nodes agree 7 s after a cut of 60 s heals.
 pub(super) const RECALL_EVERY: Duration = Duration::from_secs(5);
-/// Time a suspect has to refute.
-/// Basis: docs/design/membership.md: none of 20 freezes of 3 s removed, all of 10 s.
+/// Time a suspect has to refute: longer than most freezes.
 const SUSPICION: Duration = Duration::from_secs(5);
-/// Time a suspect has to refute whose address refuses connections.
-/// Basis: chosen, not measured: a process that restarts listens again within it.
+/// Time a suspect has to refute whose address refuses connections: a process that restarts listens
+/// again within it.
 const SUSPICION_REFUSED: Duration = Duration::from_secs(2);
-/// Helpers that probe a neighbour which does not answer.
-/// Basis: chosen, not measured: one may itself be cut off.
+/// Helpers that probe a neighbour which does not answer: one may itself be cut off.
 const HELPERS: usize = 2;
 
 impl ClusterCore {
--- a/src/native/cluster/items.rs
+++ b/src/native/cluster/items.rs
@@ -13,12 +13,10 @@
 
 use crate::ids::{SharedName, hash_parts};
 
-/// Number of buckets in a summary.
-/// Basis: chosen, not measured: a summary of 512 bytes.
+/// Number of buckets in a summary: a summary of 512 bytes.
 pub const BUCKETS: usize = 64;
 
 /// Bytes of an item beside its name and value: version, kind and lengths.
-/// Basis: chosen, not measured: an estimate for the metrics.
 const FIELD_BYTES: usize = 24;
 
 /// What an item is about.
--- a/src/native/cluster/members.rs
+++ b/src/native/cluster/members.rs
@@ -22,12 +22,11 @@
     Dead,
 }
 
-/// Members considered from each point of a placement.
-/// Basis: placement 2.6 to 6.1 us at 8 to 2,100 daemons (docs/CAPACITY.md),
-/// 432 us when all members were ranked.
+/// Members considered from each point of a placement: ranking all members would take a hundred
+/// times as long at 2,100 of them.
 const PLACEMENT_WINDOW: usize = 16;
-/// Number of statuses, for packing a status into a version.
-/// Basis: chosen, not measured: the next power of two above the statuses; part of the stored form.
+/// Number of statuses, for packing a status into a version: the next power of two above the
+/// statuses; part of the stored form.
 const STATUSES: u64 = 4;
 
 /// Value of a member item.
--- a/src/native/cluster/service.rs
+++ b/src/native/cluster/service.rs
@@ -38,14 +38,12 @@
 
 /// Name of the service.
 pub const NAME: &str = "cluster";
-/// Time between ticks of the core.
-/// Basis: chosen, not measured: short beside every interval of the core.
+/// Time between ticks of the core: short beside every interval of the core.
 const TICK: Duration = Duration::from_millis(50);
-/// Idle connections to peers are closed after this time.
-/// Basis: chosen, not measured: longer than the interval of every regular exchange.
+/// Idle connections to peers are closed after this time: longer than the interval of every regular
+/// exchange.
 const IDLE: Duration = Duration::from_secs(30);
-/// Time between searches for idle connections.
-/// Basis: chosen, not measured: a third of the idle time.
+/// Time between searches for idle connections: a third of the idle time.
 const CLOSE_EVERY: Duration = Duration::from_secs(10);
 
 /// What the service publishes to and works with.
--- a/src/native/daemon.rs
+++ b/src/native/daemon.rs
@@ -47,8 +47,8 @@
     metrics::MetricsHandle,
 };
 
-/// Bytes of request records and copies that one daemon keeps.
-/// Basis: docs/CAPACITY.md: 79 MB wanted at the target; 64 MB keep responses for 97 s.
+/// Bytes of request records and copies that one daemon keeps. Responses are kept for a minute and a
+/// half at the target load.
 const RECORD_BYTES_LIMIT: usize = 64 * 1024 * 1024;
 /// Name of the peer listener's service.
 const PEER_LISTENER: &str = "peer-listener";
--- a/src/native/daemon/shutdown.rs
+++ b/src/native/daemon/shutdown.rs
@@ -25,14 +25,12 @@
 
 /// Name of the service.
 pub const NAME: &str = "leaver";
-/// Time for the announcement of leaving to reach the peers before the daemon ends.
-/// Basis: docs/CAPACITY.md: a change reaches 2,100 daemons in 0.15 s.
+/// Time for the announcement of leaving to reach the peers before the daemon ends: three times what
+/// a change takes to reach a large fleet.
 const LEAVE_SPREAD_TIME: Duration = Duration::from_millis(500);
-/// Part of a notice kept free for handing off.
-/// Basis: chosen, not measured: twice the time for the announcement.
+/// Part of a notice kept free for handing off: twice the time for the announcement.
 const HANDOFF_MARGIN: Duration = Duration::from_millis(1_000);
-/// Time between checks whether anything is in progress.
-/// Basis: chosen, not measured: short beside the drain time.
+/// Time between checks whether anything is in progress: short beside the drain time.
 const IDLE_CHECK_EVERY: Duration = Duration::from_millis(20);
 
 /// Takes the daemon down: after a drain by operators or a signal, as soon as nothing
--- a/src/native/decide/fair_queue.rs
+++ b/src/native/decide/fair_queue.rs
@@ -18,8 +18,8 @@
 /// Order of waiting requests: priority, virtual start, arrival.
 type QueueTag = (RequestPriority, u64, u64);
 
-/// Virtual time per weighted token, in units of the tag.
-/// Basis: chosen, not measured: tags are whole numbers; a thousandth of a token is exact enough.
+/// Virtual time per weighted token, in units of the tag: tags are whole numbers; a thousandth of a
+/// token is exact enough.
 const TAG_SCALE: f64 = 1_000.0;
 
 /// What a request's turn depends on.
--- a/src/native/decide/fleet.rs
+++ b/src/native/decide/fleet.rs
@@ -32,20 +32,19 @@
     native::cloud_api::messages::{PriceClass, PriceEntry},
 };
 
-/// How long fewer VMs must have been enough before one is released.
-/// Basis: chosen, not measured: longer than a start (2 minutes in the bench fleet).
+/// How long fewer VMs must have been enough before one is released: longer than a start
+/// takes.
 const RELEASE_AFTER: Duration = Duration::from_secs(300);
-/// After a notice or a refused start nothing is released for this time.
-/// Basis: chosen, not measured: zones go one after another in a wave of reclaims.
+/// After a notice or a refused start nothing is released for this time: zones go one after another
+/// in a wave of reclaims.
 const WAVE_HOLD: Duration = Duration::from_secs(600);
-/// Pause before a place that refused a start is tried again; each further refusal doubles it.
-/// Basis: chosen, not measured: a few planner rounds.
+/// Pause before a place that refused a start is tried again; each further refusal doubles it. A few
+/// planner rounds.
 const REFUSED_FIRST: Duration = Duration::from_secs(10);
-/// Longest pause before a place that refused a start is tried again.
-/// Basis: chosen, not measured: as long as releases are held back (`WAVE_HOLD`).
+/// Longest pause before a place that refused a start is tried again: as long as releases are held
+/// back (`WAVE_HOLD`).
 const REFUSED_LONGEST: Duration = Duration::from_secs(600);
-/// Most VMs started in one round.
-/// Basis: chosen, not measured: bounds what a wrong figure can cost before the next round.
+/// Most VMs started in one round: bounds what a wrong figure can cost before the next round.
 const STARTS_PER_ROUND: usize = 16;
 
 /// Where and how a VM is held.
--- a/src/native/decide/fleet/problem.rs
+++ b/src/native/decide/fleet/problem.rs
@@ -8,17 +8,14 @@
     native::cloud_api::messages::{PriceClass, PriceEntry},
 };
 
-/// Fraction by which a VM that is held counts as cheaper than a new one, so that small changes
-/// of price move nothing.
-/// Basis: a trial without it: no effect on the totals of the bench fleet.
+/// Fraction by which a VM that is held counts as cheaper than a new one, so that small changes of
+/// price move nothing.
 const HELD_DISCOUNT: f64 = 0.15;
 
-/// Least gain that counts, in cost units: above rounding errors, so that the search ends.
-/// Basis: chosen, not measured: far below any price.
+/// Least gain that counts, in cost units: above rounding errors, so that the search ends. Far below
+/// any price.
 const GAIN_MIN: f64 = 1e-9;
 /// The VMs required, divided by this, make the first chunk; the next are halves of it.
-/// Basis: chosen, not measured: chunk moves are within 2% of the best on small cases
-///.
 const FIRST_CHUNK_PART: f64 = 4.0;
 
 /// Counts by place, in the order of the prices.
--- a/src/native/decide/limits.rs
+++ b/src/native/decide/limits.rs
@@ -19,28 +19,24 @@
 
 use crate::ids::SharedName;
 
-/// Time constant of the demand estimate, in seconds.
-/// Basis: chosen, not measured: one epoch of the averages.
+/// Time constant of the demand estimate, in seconds: one epoch of the averages.
 const DEMAND_WINDOW_S: f64 = 2.0;
-/// Least rate of a daemon, as a fraction of an even part, so that a daemon that was quiet
-/// until now can begin.
-/// Basis: bench limits: 2.0% (4.5% at worst) off the quota with it.
+/// Least rate of a daemon, as a fraction of an even part, so that a daemon that was quiet until now
+/// can begin.
 const LEAST_FRACTION: f64 = 0.05;
-/// Burst that a quiet account may spend at once, in seconds of its local rate.
-/// Basis: chosen, not measured: half of an epoch. The bench limits runs with it.
+/// Burst that a quiet account may spend at once, in seconds of its local rate: half of an epoch.
 const BURST_S: f64 = 1.0;
-/// Demand below which an account counts as quiet, in tokens a second.
-/// Basis: chosen, not measured: reached only when the last request's demand has decayed.
+/// Demand below which an account counts as quiet, in tokens a second: reached only when the last
+/// request's demand has decayed.
 const QUIET: f64 = 0.01;
-/// Demand a unit of weight, as a multiple of the mean, above which an account is over its
-/// share.
-/// Basis: chosen, not measured: a margin for the spread of a short demand window.
+/// Demand a unit of weight, as a multiple of the mean, above which an account is over its share: a
+/// margin for the spread of a short demand window.
 const OVER_SHARE: f64 = 1.2;
-/// Shortest time after which a refused client is told to retry.
-/// Basis: chosen, not measured: keeps a refused client from retrying at once.
+/// Shortest time after which a refused client is told to retry: keeps a refused client from
+/// retrying at once.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(100);
-/// Longest time after which a refused client is told to retry.
-/// Basis: chosen, not measured: the quota or the load may have changed by then.
+/// Longest time after which a refused client is told to retry: the quota or the load may have
+/// changed by then.
 const RETRY_AFTER_MAX: Duration = Duration::from_secs(30);
 
 #[derive(Debug)]
--- a/src/native/decide/prefix.rs
+++ b/src/native/decide/prefix.rs
@@ -7,12 +7,11 @@
 
 use crate::ids::hash_parts;
 
-/// Words (counted as tokens) in one cached block.
-/// Basis: chosen, not measured: must equal the engines' block size.
+/// Words (counted as tokens) in one cached block: must equal the engines' block size.
 pub const BLOCK_TOKENS: usize = 16;
 
-/// One block in so many is evicted when the cache is full.
-/// Basis: chosen, not measured: one scan for each tenth of the capacity that is inserted.
+/// One block in so many is evicted when the cache is full: one scan for each tenth of the capacity
+/// that is inserted.
 const EVICTED_PART: usize = 10;
 
 /// Number of tokens in `text`: words, for the purpose of estimates.
--- a/src/native/decide/reclaim.rs
+++ b/src/native/decide/reclaim.rs
@@ -12,7 +12,6 @@
 use crate::ids::RequestName;
 
 /// Fraction of the notice kept free, for clocks that differ and streams that are slow.
-/// Basis: chosen, not measured; docs/measurements/reclaim.md has the results with it.
 const NOTICE_MARGIN: f64 = 0.15;
 
 /// Weights of the costs, and the speeds that decide what fits into a notice.
--- a/src/native/decide/retries.rs
+++ b/src/native/decide/retries.rs
@@ -22,27 +22,21 @@
 
 use rand::{Rng, RngExt};
 
-/// Most attempts at one request, moves apart.
-/// Basis: chosen, not measured: the bucket is the tighter bound in a brownout.
+/// Most attempts at one request, moves apart: the bucket is the tighter bound in a brownout.
 pub const ATTEMPT_LIMIT: u32 = 6;
-/// Fraction of first attempts that may be spent on retries.
-/// Basis: docs/measurements/retries.md: 1.03 attempts a request and none lost in a brownout
-/// of half the endpoints, with the ejection rules of `decide::routing`.
+/// Fraction of first attempts that may be spent on retries. Enough for a brownout of half the
+/// endpoints.
 const RETRY_FRACTION: f64 = 0.1;
-/// Retries that a quiet daemon may spend at once.
-/// Basis: chosen, not measured: without it, a daemon with few requests could not retry.
+/// Retries that a quiet daemon may spend at once: without it, a daemon with few requests could not
+/// retry.
 const RETRY_RESERVE: f64 = 10.0;
-/// First pause before a retry; each further one is twice as long.
-/// Basis: chosen, not measured: short beside a first token.
+/// First pause before a retry; each further one is twice as long. Short beside a first token.
 const PAUSE_FIRST: Duration = Duration::from_millis(20);
-/// Longest pause before a retry.
-/// Basis: chosen, not measured: bounds the delay that retries add.
+/// Longest pause before a retry: bounds the delay that retries add.
 const PAUSE_LONGEST: Duration = Duration::from_millis(1_000);
-/// Part of the pause that is drawn at random, so that retries do not come together.
-/// Basis: chosen, not measured: the upper half.
+/// Part of the pause that is drawn at random, so that retries do not come together: the upper half.
 const JITTER: std::ops::RangeInclusive<f64> = 0.5..=1.0;
-/// Most doublings of the pause.
-/// Basis: chosen, not measured: past the longest pause, and far from an overflow.
+/// Most doublings of the pause: past the longest pause, and far from an overflow.
 const DOUBLINGS_MAX: u32 = 10;
 
 /// Retries that may be spent at one service; a token bucket that first attempts fill.
--- a/src/native/decide/routing.rs
+++ b/src/native/decide/routing.rs
@@ -34,16 +34,14 @@
     ids::SharedName,
 };
 
-/// Time between probes of a service's ejected endpoints by one daemon: each probe is a
-/// client's request that will probably fail.
-/// Basis: bench retries, together with `FAILURE_MS`.
+/// Time between probes of a service's ejected endpoints by one daemon: each probe is a client's
+/// request that will probably fail.
 const PROBE_EVERY: Duration = Duration::from_millis(500);
-/// Largest fraction of a service's endpoints that may be ejected at once.
-/// Basis: chosen, not measured: when most fail, the load or the network is the cause.
+/// Largest fraction of a service's endpoints that may be ejected at once: when most fail, the load
+/// or the network is the cause.
 const EJECTED_FRACTION: f64 = 0.5;
-/// Fraction of each endpoint that accounts over their share leave free, so that another
-/// account's request finds room at once.
-/// Basis: bench fairness: first-token p95 beside a burst 516 -> 469 ms.
+/// Fraction of each endpoint that accounts over their share leave free, so that another account's
+/// request finds room at once.
 const LEFT_FREE: f64 = 0.2;
 
 #[derive(Debug, Default)]
--- a/src/native/decide/routing/endpoint_route.rs
+++ b/src/native/decide/routing/endpoint_route.rs
@@ -6,31 +6,25 @@
     native::decide::prefix::{BLOCK_TOKENS, PrefixCache},
 };
 
-/// Time to compute a prompt token that is not cached, in milliseconds.
-/// Basis: chosen, not measured on real engines: the speed of the stand-in engine
-/// (`standin::engine_model`).
+/// Time to compute a prompt token that is not cached, in milliseconds: the speed of the stand-in
+/// engine.
 const PREFILL_MS: f64 = 0.25;
-/// By how much a full batch slows a request down, in milliseconds.
-/// Basis: chosen, not measured: weighs as much as 240 uncached prompt tokens.
+/// By how much a full batch slows a request down, in milliseconds: weighs as much as 240 uncached
+/// prompt tokens.
 const BATCH_MS: f64 = 60.0;
-/// Wait for each request beyond the endpoint's concurrency, in milliseconds.
-/// Basis: chosen, not measured: a few decoding steps, 12 ms each at the stand-in engine.
+/// Wait for each request beyond the endpoint's concurrency, in milliseconds: a few decoding steps,
+/// 12 ms each at the stand-in engine.
 const QUEUE_MS: f64 = 40.0;
-/// Wait assumed for each failure in a row, in milliseconds: an endpoint that has just failed
-/// comes last well before it is ejected.
-/// Basis: bench retries: with it and `PROBE_EVERY`, requests lost in a
-/// brownout fell from 23.9% to none.
+/// Wait assumed for each failure in a row, in milliseconds: an endpoint that has just failed comes
+/// last well before it is ejected.
 const FAILURE_MS: f64 = 400.0;
-/// Cost of crossing to another availability zone, in milliseconds.
-/// Basis: chosen, not measured: decides only between endpoints that are otherwise equal.
+/// Cost of crossing to another availability zone, in milliseconds: decides only between endpoints
+/// that are otherwise equal.
 const ZONE_MS: f64 = 2.0;
-/// Fraction of its own requests in flight that a daemon may keep, from one report to the
-/// next, at an endpoint that reports more than its concurrency.
-/// Basis: chosen, not measured: the allowance as a whole took the first-token p95 of an
-/// account beside a burst from 534 to 516 ms.
+/// Fraction of its own requests in flight that a daemon may keep, from one report to the next, at
+/// an endpoint that reports more than its concurrency.
 const KEPT_WHEN_OVER: f64 = 0.8;
-/// Cached prompt blocks remembered for each endpoint.
-/// Basis: docs/CAPACITY.md: 64 KB an endpoint, a window of 16 endpoints fits the budget.
+/// Cached prompt blocks remembered for each endpoint: 64 KB.
 const CACHE_BLOCKS: usize = 4_096;
 
 #[derive(Debug)]
--- a/src/native/decide/subset.rs
+++ b/src/native/decide/subset.rs
@@ -8,11 +8,10 @@
 
 use crate::ids::{IncarnationId, hash_parts};
 
-/// Fewest endpoints of a service that a daemon uses, if there are so many.
-/// Basis: docs/CAPACITY.md: 16 polls every 2 s are 4.8 KB/s a daemon at any fleet size.
+/// Fewest endpoints of a service that a daemon uses, if there are so many. Each
+/// is polled, which costs bytes in proportion.
 pub const WINDOW_MIN: usize = 16;
-/// Fewest daemons that use each endpoint.
-/// Basis: chosen, not measured: two daemons may be lost and each endpoint is still used.
+/// Fewest daemons that use each endpoint: two daemons may be lost and each endpoint is still used.
 const COVERAGE: usize = 3;
 
 /// Position of a name on the ring.
--- a/src/native/endpoint/sse.rs
+++ b/src/native/endpoint/sse.rs
@@ -1,9 +1,7 @@
 //! Decodes server-sent events chunk by chunk, as engines of the native interface stream them.
 //! The gateway passes events on whole and only finds their ends (`gateway::request`).
 
-/// Longest event accepted, in bytes.
-///
-/// Basis: chosen, not measured: bounds what a faulty engine can make this process hold.
+/// Longest event accepted, in bytes: bounds what a faulty engine can make this process hold.
 const EVENT_LIMIT: usize = 256 * 1024;
 
 /// The stream is not well-formed.
--- a/src/native/options/check.rs
+++ b/src/native/options/check.rs
@@ -8,8 +8,6 @@
 use crate::ids::SharedName;
 
 /// Longest name that is allowed, in bytes.
-///
-/// Basis: chosen, not measured; documented in docs/settings.md.
 const NAME_LIMIT: usize = 128;
 
 /// One key whose value is not allowed.
--- a/src/native/options/rows.rs
+++ b/src/native/options/rows.rs
@@ -11,40 +11,24 @@
 
 /// Fields of a row's object that mark who wrote it last; they are not part of the row.
 pub const EDIT_FIELDS: [&str; 2] = ["edit_id", "applied"];
-/// Largest weight, share or limit that a row may hold.
-///
-/// Basis: chosen, not measured; documented in docs/settings.md.
+/// Largest weight, share or limit that a row may hold. Documented in docs/native/settings.md.
 const LARGEST_LIMIT: f64 = 1e9;
 
 /// Allowed weights of an account.
-///
-/// Basis: chosen, not measured.
 const WEIGHTS: RangeInclusive<f64> = 0.001..=LARGEST_LIMIT;
-/// Allowed numbers of VMs, and of requests at one endpoint.
-///
-/// Basis: chosen, not measured: ten times the target of 10,000 endpoints.
+/// Allowed numbers of VMs, and of requests at one endpoint: ten times the target of 10,000
+/// endpoints.
 const LARGEST_COUNT: u64 = 100_000;
 /// Allowed targets in milliseconds: up to an hour.
-///
-/// Basis: chosen, not measured.
 const TARGETS_MS: RangeInclusive<f64> = 1.0..=3_600_000.0;
 /// Allowed costs and cost weights.
-///
-/// Basis: chosen, not measured.
 const COSTS: RangeInclusive<f64> = 0.0..=1e6;
 /// Allowed chances that a zone's reclaimable VMs go within an hour.
-///
-/// Basis: chosen, not measured.
 const ZONE_LOSSES: RangeInclusive<f64> = 0.0..=0.25;
 /// Allowed times until lost VMs are replaced, in minutes: up to a day.
-///
-/// Basis: chosen, not measured.
 const REPLACE_MINUTES: RangeInclusive<f64> = 0.1..=1_440.0;
 
 /// Values of keys that a service's row leaves out.
-///
-/// Basis: chosen, not measured; the target is that of the users' goals (CONTRIBUTING.md),
-/// shortage cost and zone loss are those of docs/measurements/fleet.md.
 mod defaults {
     pub const CONCURRENCY: u64 = 32;
     pub const TARGET_MS: f64 = 560.0;
--- a/src/native/options/settings.rs
+++ b/src/native/options/settings.rs
@@ -69,21 +69,13 @@
     [("info", LogLevel::Info), ("debug", LogLevel::Debug), ("warn", LogLevel::Warn)];
 
 /// Durations may be set from 1 ms to this, in milliseconds: a day.
-///
-/// Basis: chosen, not measured.
 const DURATION_MS: RangeInclusive<u64> = 1..=86_400_000;
-/// Allowed numbers of copies of a request.
-///
-/// Basis: chosen, not measured; docs/design/copies.md has what each costs.
+/// Allowed numbers of copies of a request: docs/design/copies.md has what each costs.
 const COPIES: RangeInclusive<u64> = 0..=3;
 /// Allowed limits of requests in progress.
-///
-/// Basis: chosen, not measured.
 const REQUESTS: RangeInclusive<u64> = 1..=1_000_000;
 
 /// Values of keys that a file leaves out.
-///
-/// Basis: chosen, not measured.
 mod defaults {
     pub const COPIES: u64 = 2;
     pub const DRAIN_MS: u64 = 600_000;
--- a/src/native/peer.rs
+++ b/src/native/peer.rs
@@ -17,8 +17,6 @@
 };
 
 /// Protocol version that this build speaks.
-///
-/// Basis: the first; versions one apart understand each other (`is_compatible`).
 pub const PROTOCOL_VERSION: u32 = 1;
 
 /// Whether peers of these protocol versions work together: rolling upgrades need adjacent
--- a/src/native/peer/client.rs
+++ b/src/native/peer/client.rs
@@ -19,14 +19,10 @@
     rpc_transport::{TrafficCounter, rpc_system},
 };
 
-/// Longest wait for a connection, and for the hello over it.
-///
-/// Basis: chosen, not measured: as `CALL_LIMIT`.
+/// Longest wait for a connection, and for the hello over it: as `CALL_LIMIT`.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
-/// Longest wait for a response that a peer gives at once.
-///
-/// Basis: chosen, not measured: the longest that a probe may take before a peer counts as not
-/// reached.
+/// Longest wait for a response that a peer gives at once: the longest that a probe may take before
+/// a peer counts as not reached.
 pub(super) const CALL_LIMIT: Duration = Duration::from_millis(500);
 
 struct OpenPeer {
--- a/src/native/peer/codec.rs
+++ b/src/native/peer/codec.rs
@@ -22,9 +22,8 @@
     peer_capnp::{self, ConsentVerdict as WireVerdict, hello},
 };
 
-/// Most items, versions, copies or tokens accepted in one message.
-///
-/// Basis: chosen, not measured: bounds what a faulty peer can make this process hold.
+/// Most items, versions, copies or tokens accepted in one message: bounds what a faulty peer can
+/// make this process hold.
 const LIST_LIMIT: u32 = 65_536;
 
 fn failed(what: &str) -> Error {
--- a/src/native/peer/served_calls.rs
+++ b/src/native/peer/served_calls.rs
@@ -33,9 +33,7 @@
     peer_capnp::peer,
 };
 
-/// Longest time that a peer may have an attach call wait.
-///
-/// Basis: chosen, not measured: bounds what a faulty peer can hold open.
+/// Longest time that a peer may have an attach call wait: bounds what a faulty peer can hold open.
 const ATTACH_LIMIT: Duration = Duration::from_secs(5);
 
 fn read_ticket(text: capnp::text::Reader<'_>) -> Result<TicketId, Error> {
--- a/src/native/request/store/stored_request.rs
+++ b/src/native/request/store/stored_request.rs
@@ -14,7 +14,6 @@
 };
 
 /// Bookkeeping bytes of a record, beside its texts.
-/// Basis: bench fleet: names and holders take 400 B a record.
 const RECORD_BYTES: usize = 400;
 
 #[derive(Debug)]
--- a/src/native/request/tickets.rs
+++ b/src/native/request/tickets.rs
@@ -19,9 +19,8 @@
     witness::{ConsentVerdict, SealVerdict, SettledResponse, WitnessLedger},
 };
 
-/// How long holder and witness remember a ticket.
-/// Basis: chosen, not measured: far longer than a client waits for its response (45 s).
+/// How long holder and witness remember a ticket: far longer than a client waits for its response.
 pub const TICKET_KEEP: Duration = Duration::from_secs(3_600);
-/// Most tickets remembered in each ledger; older ones are dropped first.
-/// Basis: docs/CAPACITY.md: 27,000 an hour at the target, 437 B each with both ledgers.
+/// Most tickets remembered in each ledger; older ones are dropped first. Several hours of tickets
+/// at the target load.
 const LEDGER_LIMIT: usize = 200_000;
--- a/src/native/serve.rs
+++ b/src/native/serve.rs
@@ -11,6 +11,6 @@
 
 use std::time::Duration;
 
-/// Retry-after of refusals that know no better time: overload, no endpoint, no table.
-/// Basis: chosen, not measured: long enough that refused clients add little load.
+/// Retry-after of refusals that know no better time: overload, no endpoint, no table. Long enough
+/// that refused clients add little load.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
--- a/src/native/serve/context.rs
+++ b/src/native/serve/context.rs
@@ -37,8 +37,7 @@
     },
 };
 
-/// Weight of an account whose row was deleted while its request ran.
-/// Basis: chosen, not measured: the default of the row.
+/// Weight of an account whose row was deleted while its request ran: the default of the row.
 const DEFAULT_WEIGHT: f64 = 1.0;
 
 /// Everything a request's task needs: handles, no rules.
--- a/src/native/serve/listeners/admin.rs
+++ b/src/native/serve/listeners/admin.rs
@@ -35,8 +35,7 @@
 /// Name of the service.
 pub const NAME: &str = "admin";
 
-/// Largest body of a notice, in bytes.
-/// Basis: chosen, not measured: a notice has three short fields.
+/// Largest body of a notice, in bytes: a notice has three short fields.
 const NOTICE_BYTES: usize = 4_096;
 
 /// One member, as operators see it.
--- a/src/native/serve/listeners/client_listener.rs
+++ b/src/native/serve/listeners/client_listener.rs
@@ -38,15 +38,14 @@
 
 /// Name of the service.
 pub const NAME: &str = "client-listener";
-/// Longest time a client may take to send its body.
-/// Basis: chosen, not measured: bounds how long an idle client holds a connection.
+/// Longest time a client may take to send its body: bounds how long an idle client holds a
+/// connection.
 const BODY_TIME: Duration = Duration::from_secs(30);
-/// Most tickets issued at a time.
-/// Basis: chosen, not measured: bounds what one call takes of the ledger.
+/// Most tickets issued at a time: bounds what one call takes of the ledger.
 const TICKET_LIMIT: u64 = 100;
 
-/// Longest time that a client is kept waiting for a request that may not be retried.
-/// Basis: chosen, not measured: above the 30 s for which a remote holder is waited for.
+/// Longest time that a client is kept waiting for a request that may not be retried: above the 30 s
+/// for which a remote holder is waited for.
 const CLIENT_WAIT: Duration = Duration::from_secs(45);
 
 /// Serves clients on `listener` until the daemon stops.
--- a/src/native/serve/listeners/parse.rs
+++ b/src/native/serve/listeners/parse.rs
@@ -18,17 +18,14 @@
     },
 };
 
-/// Largest request body, in bytes.
-/// Basis: chosen, not measured: a bound on memory.
+/// Largest request body, in bytes: a bound on memory.
 pub const BODY_LIMIT: usize = 1024 * 1024;
-/// Most tokens that one response may have.
-/// Basis: chosen, not measured: bounds how long one response holds an endpoint.
+/// Most tokens that one response may have: bounds how long one response holds an endpoint.
 const MAX_TOKENS: u64 = 8_192;
-/// Tokens of a response whose client does not say.
-/// Basis: chosen, not measured; the mean response at the target has 244 (docs/CAPACITY.md).
+/// Tokens of a response whose client does not say: about the mean response.
 const DEFAULT_TOKENS: u64 = 256;
-/// Bits of a derived seed: JSON numbers pass through other programs as doubles.
-/// Basis: chosen, not measured: the bits of a double's fraction.
+/// Bits of a derived seed: JSON numbers pass through other programs as doubles, which are exact to
+/// 53 bits.
 const EXACT_BITS: u32 = 53;
 /// Keys that start so are made by daemons.
 const OWN_KEY_PREFIX: &str = "auto-";
--- a/src/native/serve/listeners/response.rs
+++ b/src/native/serve/listeners/response.rs
@@ -30,8 +30,7 @@
     },
 };
 
-/// Chunks that wait for a slow client before its stream waits too.
-/// Basis: chosen, not measured: bounds memory a stream.
+/// Chunks that wait for a slow client before its stream waits too: bounds memory a stream.
 const STREAM_CHUNKS: usize = 32;
 
 /// Response with a JSON body.
--- a/src/native/serve/planning/planner.rs
+++ b/src/native/serve/planning/planner.rs
@@ -46,13 +46,12 @@
 const LEASE_KIND: &str = "leases";
 const PLAN_KIND: &str = "plans";
 /// Time between rounds.
-/// Basis: docs/CAPACITY.md: 0.5 writes/s and about 2 reads/s in all.
 const ROUND: Duration = Duration::from_secs(2);
-/// Time between a notice that the planner gives and the release.
-/// Basis: chosen, not measured: longer than a response of the most tokens usually takes.
+/// Time between a notice that the planner gives and the release: longer than a response of the most
+/// tokens usually takes.
 const RELEASE_NOTICE_MS: u64 = 60_000;
-/// Fraction of an endpoint's concurrency that is planned for.
-/// Basis: chosen, not measured: room for the load that comes while a VM starts.
+/// Fraction of an endpoint's concurrency that is planned for: room for the load that comes while a
+/// VM starts.
 const UTILISATION: f64 = 0.7;
 
 struct Planner {
--- a/src/native/serve/planning/planner/lease.rs
+++ b/src/native/serve/planning/planner/lease.rs
@@ -13,14 +13,12 @@
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
 
-/// How long a lease is good after its last renewal.
-/// Basis: chosen, not measured: five planner rounds.
+/// How long a lease is good after its last renewal: five planner rounds.
 const LEASE: Duration = Duration::from_secs(10);
-/// Part of the lease left unused, for clocks that run at a different pace.
-/// Basis: chosen, not measured: one planner round.
+/// Part of the lease left unused, for clocks that run at a different pace: one planner round.
 const LEASE_MARGIN: Duration = Duration::from_secs(2);
-/// How long a watcher sees a lease unchanged before it may acquire it.
-/// Basis: chosen, not measured: the lease and two planner rounds.
+/// How long a watcher sees a lease unchanged before it may acquire it: the lease and two planner
+/// rounds.
 const LEASE_QUIET: Duration = Duration::from_secs(14);
 
 /// Value of the lease object.
--- a/src/native/serve/planning/planner/plan.rs
+++ b/src/native/serve/planning/planner/plan.rs
@@ -11,15 +11,12 @@
     },
 };
 
-/// How long a VM that was asked for may be missing from the VM list, in milliseconds.
-/// Basis: chosen, not measured: the list is read every 2 s and lags behind the cloud.
+/// How long a VM that was asked for may be missing from the VM list, in milliseconds: the list is
+/// read every 2 s and lags behind the cloud.
 const PENDING_KEEP_MS: u64 = 90_000;
 /// Tokens that a stream has computed when it is cut off, on the mean.
-/// Basis: chosen, not measured; the mean response at the target has 244 tokens
-/// (docs/CAPACITY.md).
 const STREAM_TOKENS: f64 = 300.0;
-/// Recomputed tokens for one cost unit, at a weight of one.
-/// Basis: chosen, not measured: sets the unit of `recompute_weight`.
+/// Recomputed tokens for one cost unit, at a weight of one: sets the unit of `recompute_weight`.
 const TOKENS_PER_UNIT: f64 = 50_000.0;
 
 /// One VM that a plan has asked for.
--- a/src/native/serve/planning/platform_watch.rs
+++ b/src/native/serve/planning/platform_watch.rs
@@ -26,27 +26,22 @@
 pub const NAME: &str = "platform-watch";
 /// Kind of the objects that hold the table's rows.
 pub const ROW_KIND: &str = "rows";
-/// Daemons of each availability zone that ask the platform.
-/// Basis: docs/CAPACITY.md: 16 watchers in eight zones at 2,100 daemons; one may be lost.
+/// Daemons of each availability zone that ask the platform: one may be lost.
 const WATCHERS: usize = 2;
-/// Time between checks whether this daemon asks.
-/// Basis: chosen, not measured: short beside the removal of a lost watcher (5 s).
+/// Time between checks whether this daemon asks: short beside the removal of a lost watcher (5 s).
 const ROLE_EVERY: Duration = Duration::from_millis(500);
 /// Time between reads of the VM list.
-/// Basis: docs/CAPACITY.md: 0.7 calls/s at each watcher, rows and notices included.
 const VMS_EVERY: Duration = Duration::from_secs(2);
-/// Time for which a daemon that has just started waits for the table from its peers.
-/// Basis: chosen, not measured: a round of greetings and an exchange of summaries.
+/// Time for which a daemon that has just started waits for the table from its peers: a round of
+/// greetings and an exchange of summaries.
 const PEERS_FIRST: Duration = Duration::from_millis(1_500);
-/// Pause after a failed call; each further failure doubles it.
-/// Basis: chosen, not measured: a single failed call delays little.
+/// Pause after a failed call; each further failure doubles it. A single failed call delays little.
 const PAUSE_FIRST: Duration = Duration::from_millis(200);
-/// Longest pause after failed calls.
-/// Basis: chosen, not measured: how late the end of an outage is noticed.
+/// Longest pause after failed calls: how late the end of an outage is noticed.
 const PAUSE_LONGEST: Duration = Duration::from_secs(5);
 
-/// Time between checks while a daemon that has just started waits for its peers.
-/// Basis: chosen, not measured: a fifth of that wait.
+/// Time between checks while a daemon that has just started waits for its peers: a fifth of that
+/// wait.
 const START_CHECK_EVERY: Duration = Duration::from_millis(300);
 
 /// Runs the service.
--- a/src/native/serve/run/admission.rs
+++ b/src/native/serve/run/admission.rs
@@ -18,8 +18,7 @@
     },
 };
 
-/// Retry-after of a daemon that is leaving.
-/// Basis: chosen, not measured: another daemon can take the request at once.
+/// Retry-after of a daemon that is leaving: another daemon can take the request at once.
 const RETRY_ELSEWHERE: Duration = Duration::ZERO;
 
 /// Whether a request may start.
--- a/src/native/serve/run/driver.rs
+++ b/src/native/serve/run/driver.rs
@@ -33,8 +33,8 @@
     },
 };
 
-/// Longest wait in the queue for an endpoint.
-/// Basis: chosen, not measured: bounds the wait; the fleet's answer to overload takes longer.
+/// Longest wait in the queue for an endpoint: bounds the wait; the fleet's answer to overload takes
+/// longer.
 const QUEUE_WAIT: Duration = Duration::from_secs(20);
 
 /// A request that this daemon runs, until it ends or is taken over.
--- a/src/native/serve/run/driver/leaving.rs
+++ b/src/native/serve/run/driver/leaving.rs
@@ -14,8 +14,8 @@
     },
 };
 
-/// Longest wait for the move of a KV cache.
-/// Basis: chosen, not measured: longer than the notices in docs/measurements/reclaim.md.
+/// Longest wait for the move of a KV cache: longer than the notices in
+/// docs/measurements/reclaim.md.
 const MOVE_LIMIT: Duration = Duration::from_secs(20);
 
 impl RequestDriver {
--- a/src/native/serve/run/once.rs
+++ b/src/native/serve/run/once.rs
@@ -32,11 +32,10 @@
     },
 };
 
-/// Longest time that a holder is waited for.
-/// Basis: chosen, not measured: within the 45 s for which a client is kept waiting.
+/// Longest time that a holder is waited for: within the 45 s for which a client is kept waiting.
 const HOLDER_LIMIT: Duration = Duration::from_secs(30);
-/// Time between tries to reach a holder that may have dispatched.
-/// Basis: chosen, not measured: few calls in the time for which a holder is waited for.
+/// Time between tries to reach a holder that may have dispatched: few calls in the time for which a
+/// holder is waited for.
 const HOLDER_RETRY: Duration = Duration::from_millis(200);
 
 /// What a request that may not be retried came to.
--- a/src/native/serve/run/once/claims.rs
+++ b/src/native/serve/run/once/claims.rs
@@ -25,11 +25,10 @@
 
 /// Kind of the objects that bind a client's key to a ticket.
 const CLAIM_KIND: &str = "claims";
-/// Tries to settle a claim whose write's response was lost.
-/// Basis: chosen, not measured: bounds what one client waits in an outage.
+/// Tries to settle a claim whose write's response was lost: bounds what one client waits in an
+/// outage.
 const CLAIM_TRIES: u32 = 4;
 /// The n-th read after a lost write comes n times `HOLDER_RETRY`, divided by this, later.
-/// Basis: chosen, not measured: 0, 50, 100 and 150 ms.
 const CLAIM_RETRY_PART: u32 = 4;
 
 /// Value of a claim.
--- a/src/native/serve/run/once/run.rs
+++ b/src/native/serve/run/once/run.rs
@@ -26,11 +26,10 @@
     },
 };
 
-/// Longest wait in the queue for an endpoint.
-/// Basis: chosen, not measured: leaves most of the client's 45 s for the run itself.
+/// Longest wait in the queue for an endpoint: leaves most of the client's 45 s for the run itself.
 const QUEUE_WAIT: Duration = Duration::from_secs(10);
-/// Endpoints that may refuse before starting, for one request.
-/// Basis: chosen, not measured: a few endpoints, then the client decides.
+/// Endpoints that may refuse before starting, for one request: a few endpoints, then the client
+/// decides.
 const REFUSAL_LIMIT: usize = 4;
 
 /// One run of a ticket at its holder.
--- a/src/native/serve/run/resume/directory.rs
+++ b/src/native/serve/run/resume/directory.rs
@@ -12,15 +12,14 @@
     },
 };
 
-/// Longest wait for a directory peer before the request goes on without it.
-/// Basis: chosen, not measured: short beside a first token.
+/// Longest wait for a directory peer before the request goes on without it: short beside a first
+/// token.
 const OFFER_LIMIT: Duration = Duration::from_millis(150);
-/// Longest wait for a partner of a lost holder to send what it knows.
-/// Basis: chosen, not measured: twice the wait for a directory peer, since tokens follow.
+/// Longest wait for a partner of a lost holder to send what it knows: twice the wait for a
+/// directory peer, since tokens follow.
 const RECOVER_LIMIT: Duration = Duration::from_millis(300);
-/// Partners of a lost holder that are asked: one more than it sends to, since members
-/// may have changed meanwhile.
-/// Basis: docs/design/copies.md: a holder sends to two.
+/// Partners of a lost holder that are asked: one more than it sends to, since members may have
+/// changed meanwhile.
 const PARTNERS_ASKED: usize = 3;
 
 /// Tells the directory peers of a request that this daemon runs it. Returns those that took
--- a/src/native/serve/run/resume/mirror.rs
+++ b/src/native/serve/run/resume/mirror.rs
@@ -17,8 +17,8 @@
     },
 };
 
-/// How long one request to a remote holder waits for an update.
-/// Basis: chosen, not measured: a wait ends early as soon as there is an update.
+/// How long one request to a remote holder waits for an update: a wait ends early as soon as there
+/// is an update.
 const ATTACH_WAIT: Duration = Duration::from_millis(1_000);
 
 /// Keeps the local copy up to date from its holder; takes over when that fails.
--- a/src/native/serve/services/copies.rs
+++ b/src/native/serve/services/copies.rs
@@ -32,15 +32,13 @@
 
 /// Name of the service.
 pub const NAME: &str = "copies";
-/// Time between messages to one partner.
-/// Basis: 33.0 KB/s a daemon at 40 requests/s, 62.3 with whole copies.
+/// Time between messages to one partner: what is collected is sent once.
 const FLUSH_EVERY: Duration = Duration::from_millis(100);
 
 /// Bytes of an update beside its name and tokens.
-/// Basis: chosen, not measured: an estimate for the metrics.
 const FIELD_BYTES: usize = 64;
-/// Directory entries are renewed after the time for which they are kept, divided by this.
-/// Basis: docs/design/copies.md: a third, so that one lost message does no harm.
+/// Directory entries are renewed after the time for which they are kept, divided by this: one lost
+/// message does no harm.
 const RENEWAL_PART: u32 = 3;
 
 #[derive(Debug)]
--- a/src/native/serve/services/limit_service.rs
+++ b/src/native/serve/services/limit_service.rs
@@ -27,9 +27,8 @@
 /// Name of the service.
 pub const NAME: &str = "limits";
 
-/// Members among whom each exchange's partner is drawn.
-/// Basis: chosen, not measured: few enough to keep connections open, and an expanding graph.
-/// The errors of the averages with it are in docs/CAPACITY.md.
+/// Members among whom each exchange's partner is drawn: few enough to keep connections open, and an
+/// expanding graph.
 const PARTNERS: u64 = 6;
 
 /// What the service is asked.
--- a/src/native/serve/services/router.rs
+++ b/src/native/serve/services/router.rs
@@ -47,11 +47,9 @@
 
 /// Name of the service.
 pub const NAME: &str = "router";
-/// Time between checks of queues and changed inputs.
-/// Basis: chosen, not measured: short beside a first token.
+/// Time between checks of queues and changed inputs: short beside a first token.
 const TICK: Duration = Duration::from_millis(20);
-/// Time between polls of the endpoints' load and cache events.
-/// Basis: docs/CAPACITY.md: 16 polls every 2 s are 4.8 KB/s a daemon.
+/// Time between polls of the endpoints' load and cache events. Each poll costs bytes in proportion.
 const POLL_EVERY: Duration = Duration::from_millis(2_000);
 
 struct RouterService {
--- a/src/native/serve/services/router/picks.rs
+++ b/src/native/serve/services/router/picks.rs
@@ -24,20 +24,16 @@
     },
 };
 
-/// Most requests that wait for endpoints of one service.
-/// Basis: chosen, not measured: bounds memory; the wait is bounded by each pick's deadline.
+/// Most requests that wait for endpoints of one service: bounds memory; the wait is bounded by each
+/// pick's deadline.
 const QUEUE_LIMIT: usize = 2_000;
 /// Time of an attempt before the first has ended, in seconds.
-/// Basis: chosen, not measured: used only until the first attempt has ended.
 const ATTEMPT_S: f64 = 1.0;
-/// Weight of a new attempt in the mean time of attempts.
-/// Basis: chosen, not measured: the mean follows the last twenty or so.
+/// Weight of a new attempt in the mean time of attempts: the mean follows the last twenty or so.
 const SMOOTHING: f64 = 0.05;
-/// Shortest retry-after when endpoints are full, in seconds.
-/// Basis: chosen, not measured: the same as in `decide::limits`.
+/// Shortest retry-after when endpoints are full, in seconds: the same as in `decide::limits`.
 const RETRY_AFTER_MIN_S: f64 = 0.1;
-/// Longest retry-after when endpoints are full, in seconds.
-/// Basis: chosen, not measured: by then the fleet may have grown.
+/// Longest retry-after when endpoints are full, in seconds: by then the fleet may have grown.
 const RETRY_AFTER_MAX_S: f64 = 60.0;
 
 /// A pick that is being served or waits.
--- a/src/native/serve/services/router/poll.rs
+++ b/src/native/serve/services/router/poll.rs
@@ -13,8 +13,7 @@
     },
 };
 
-/// Longest wait for a polled endpoint.
-/// Basis: chosen, not measured: a quarter of the time between polls.
+/// Longest wait for a polled endpoint: a quarter of the time between polls.
 const POLL_LIMIT: Duration = Duration::from_millis(500);
 
 /// Asks an endpoint for its load and, after the event `after`, for cache events.
--- a/src/native/serve/services/router/reclaims.rs
+++ b/src/native/serve/services/router/reclaims.rs
@@ -15,17 +15,13 @@
 };
 
 /// Time between tokens of a stream, in milliseconds.
-/// Basis: chosen, not measured on real engines.
 const TOKEN_MS: f64 = 20.0;
-/// Time to compute one prompt token, in milliseconds.
-/// Basis: chosen, not measured on real engines: the speed of the stand-in engine.
+/// Time to compute one prompt token, in milliseconds: the speed of the stand-in engine.
 const PREFILL_MS: f64 = 0.25;
 /// Time to move the KV cache of one token, in milliseconds.
-/// Basis: chosen, not measured on real engines: the link of the bench reclaim
-/// (docs/measurements/reclaim.md).
 const MOVE_MS: f64 = 0.125;
-/// Cost of a millisecond of delay to one stream; the unit of `recompute_weight`.
-/// Basis: chosen, not measured: only its ratio to `recompute_weight` counts.
+/// Cost of a millisecond of delay to one stream; the unit of `recompute_weight`. Only its ratio to
+/// `recompute_weight` counts.
 const DELAY_WEIGHT: f64 = 1.0;
 
 /// A stream in progress at an endpoint.
--- a/src/native/serve/services/store_service.rs
+++ b/src/native/serve/services/store_service.rs
@@ -22,8 +22,8 @@
 
 /// Name of the service.
 pub const NAME: &str = "requests";
-/// Time between searches for records that have expired.
-/// Basis: chosen, not measured: short beside the time for which records are kept.
+/// Time between searches for records that have expired: short beside the time for which records are
+/// kept.
 const EXPIRE_EVERY: Duration = Duration::from_millis(500);
 
 /// Size of the store.
--- a/src/native/serve/timeline.rs
+++ b/src/native/serve/timeline.rs
@@ -6,11 +6,9 @@
 
 use crate::ids::SharedName;
 
-/// Events kept; older ones are dropped.
-/// Basis: docs/CAPACITY.md: 4 MB, 0.2 us an event.
+/// Events kept; older ones are dropped. Some 4 MB.
 const EVENT_LIMIT: usize = 20_000;
-/// Longest detail kept, in bytes.
-/// Basis: chosen, not measured: bounds the memory of the ring.
+/// Longest detail kept, in bytes: bounds the memory of the ring.
 const DETAIL_LIMIT: usize = 256;
 
 /// What happened.
--- a/src/platform/cloud.rs
+++ b/src/platform/cloud.rs
@@ -16,10 +16,8 @@
     ids::SharedName,
 };
 
-/// Longest wait for a response.
-///
-/// Basis: chosen, not measured: a call that begins at 0.7 of a lease of 3 s is over before
-/// another daemon may take the lease (docs/design/platform.md).
+/// Longest wait for a response: a call that begins as the holder stops acting is over before
+/// another daemon may take the lease.
 const CALL_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// In whose name, and under which fence, a call is made.
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -24,12 +24,8 @@
 pub const CONFIGURATION_NAME: &str = "main";
 
 /// Target latency of a route that names none.
-///
-/// Basis: chosen, not measured.
 const DEFAULT_TARGET: Duration = Duration::from_secs(1);
 /// Milliseconds in a second.
-///
-/// Basis: definition of the unit.
 const MS_PER_S: f64 = 1e3;
 /// `unit` of accounts whose quota counts tokens; any other counts requests.
 const TOKEN_UNIT: &str = "tokens";
--- a/src/platform/ingress/client_head.rs
+++ b/src/platform/ingress/client_head.rs
@@ -21,13 +21,9 @@
 
 /// Scheme of the client account's key in `Authorization`.
 const KEY_SCHEME: &str = "Token ";
-/// Numbers in headers are below this.
-///
-/// Basis: chosen, not measured: 30 years in milliseconds, and exact in a double.
+/// Numbers in headers are below this: 30 years in milliseconds, and exact in a double.
 const NUMBER_LIMIT: f64 = 1e12;
-/// Token counts are below this.
-///
-/// Basis: chosen, not measured: no prompt comes near it, and sums of many cannot overflow.
+/// Token counts are below this: no prompt comes near it, and sums of many cannot overflow.
 const TOKEN_LIMIT: u64 = 1 << 40;
 
 /// Reads the head of a client's request.
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -13,18 +13,13 @@
 
 /// Environment variable that holds the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "WILLOWARCH_BOOT";
-/// Port at which metrics are read where `port-range` names none, on the address at which
-/// peers connect.
-///
-/// Basis: chosen, not measured; deployments give a range.
+/// Port at which metrics are read where `port-range` names none, on the address at which peers
+/// connect.
 const METRICS_PORT: u16 = 7699;
-/// Bounds in the file are below this, in their own unit.
-///
-/// Basis: chosen, not measured: 30 years in seconds, and far from what a duration can hold.
+/// Bounds in the file are below this, in their own unit: 30 years in seconds, and far from what a
+/// duration can hold.
 const BOUND_LIMIT: f64 = 1e9;
 /// Milliseconds in a second.
-///
-/// Basis: definition of the unit.
 const MS_PER_S: f64 = 1e3;
 
 /// Settings that cannot be used.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -13,14 +13,11 @@
 
 use crate::{errors::StepError, http::api_client::ApiClient, ids::SharedName};
 
-/// Longest wait for a response that the store gives at once.
-///
-/// Basis: chosen, not measured: a store fifty times as slow as usual still responds within it.
+/// Longest wait for a response that the store gives at once: a store fifty times as slow as usual
+/// still responds within it.
 const CALL_LIMIT: Duration = Duration::from_millis(1_200);
-/// How much later than asked a waiting watch may respond; its connection then counts as silent.
-///
-/// Basis: by calculation, not measured by itself: a store fifty times as slow as usual (4 ms)
-/// responds within 0.2 s.
+/// How much later than asked a waiting watch may respond; its connection then counts as silent. A
+/// store fifty times as slow as usual responds within it.
 const WATCH_MARGIN: Duration = Duration::from_millis(300);
 
 /// One object with its revision.
--- a/src/standin/clients.rs
+++ b/src/standin/clients.rs
@@ -24,22 +24,15 @@
     native::endpoint::{STREAM_END, sse::EventDecoder},
 };
 
-/// Longest wait for the head of a response, and for each chunk of it.
-///
-/// Basis: chosen, not measured: longer than the time limits of the daemons.
+/// Longest wait for the head of a response, and for each chunk of it: longer than the time limits
+/// of the daemons.
 const CHUNK_LIMIT: Duration = Duration::from_secs(60);
-/// Most times a client sends the same request.
-///
-/// Basis: chosen, not measured: outlasts the faults of the tests.
+/// Most times a client sends the same request: outlasts the faults of the tests.
 const TRIES: u32 = 40;
 /// Pause before trying another daemon after a broken connection.
-///
-/// Basis: chosen, not measured.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
-/// Multiple of the wait that was asked for, drawn anew for each retry, so that clients that
-/// were refused together do not return together.
-///
-/// Basis: chosen, not measured.
+/// Multiple of the wait that was asked for, drawn anew for each retry, so that clients that were
+/// refused together do not return together.
 const RETRY_JITTER: std::ops::Range<f64> = 1.0..1.2;
 
 /// Clients at work.
--- a/src/standin/clients/report.rs
+++ b/src/standin/clients/report.rs
@@ -12,31 +12,19 @@
     standin::endpoint::WorkCounts,
 };
 
-/// Failures that a report describes.
-///
-/// Basis: chosen, not measured: enough to see what goes wrong.
+/// Failures that a report describes: enough to see what goes wrong.
 const DESCRIBED_FAILURES: usize = 10;
-/// Longest duration told apart, in microseconds: ten minutes.
-///
-/// Basis: chosen, not measured: longer than all tries of a request.
+/// Longest duration told apart, in microseconds: ten minutes. Longer than all tries of a request.
 const HIGHEST_US: u64 = 600_000_000;
-/// Significant digits of durations.
-///
-/// Basis: chosen, not measured: within 0.1%.
+/// Significant digits of durations: within 0.1%.
 const PRECISION: u8 = 3;
 /// Quantiles that a report gives.
 const QUANTILES: [f64; 3] = [0.5, 0.95, 0.99];
 /// Microseconds in a millisecond.
-///
-/// Basis: definition of the unit.
 const US_PER_MS: f64 = 1e3;
 /// Longest wait for a response of the cloud or of an endpoint.
-///
-/// Basis: chosen, not measured.
 const CALL_LIMIT: Duration = Duration::from_secs(5);
 /// Seconds in the hour for which prices are given.
-///
-/// Basis: definition of the unit.
 const HOUR_S: f64 = 3_600.0;
 
 /// What a run of the clients came to.
--- a/src/standin/endpoint.rs
+++ b/src/standin/endpoint.rs
@@ -21,8 +21,6 @@
 };
 
 /// Time that a plain call takes, in milliseconds.
-///
-/// Basis: chosen, not measured.
 const PLAIN_MS: u64 = 5;
 
 /// Serves one endpoint at `address` until `phase` stops it.
--- a/src/standin/endpoint_state.rs
+++ b/src/standin/endpoint_state.rs
@@ -15,13 +15,9 @@
 use super::engine_model::{EngineModel, EngineSpeed};
 use crate::native::endpoint::{CacheEvent, LoadReport};
 
-/// Earlier loads that are kept.
-///
-/// Basis: chosen, not measured: more changes than any lag in the tests spans.
+/// Earlier loads that are kept: more changes than any lag in the tests spans.
 const LOAD_HISTORY: usize = 4_096;
-/// Cache events that are kept.
-///
-/// Basis: chosen, not measured: a reader further behind sees a gap, as with a real engine.
+/// Cache events that are kept: a reader further behind sees a gap, as with a real engine.
 const CACHE_HISTORY: usize = 1_024;
 
 /// Fault switches of an endpoint.
--- a/src/standin/engine.rs
+++ b/src/standin/engine.rs
@@ -22,26 +22,16 @@
     },
 };
 
-/// Time to move one block of KV cache, in milliseconds.
-///
-/// Basis: chosen, not measured: 0.125 ms a token, as in docs/measurements/reclaim.md.
+/// Time to move one block of KV cache, in milliseconds: 0.125 ms a token.
 const MOVE_BLOCK_MS: u64 = 2;
-/// Pause between looks for a free slot.
-///
-/// Basis: chosen, not measured: short beside a decoding step (12 ms).
+/// Pause between looks for a free slot: short beside a decoding step (12 ms).
 const SLOT_POLL: Duration = Duration::from_millis(2);
 /// Longest time that another engine may take to export its cache.
-///
-/// Basis: chosen, not measured.
 const IMPORT_LIMIT: Duration = Duration::from_secs(30);
 /// Chunks that wait for a slow reader before the engine waits too.
-///
-/// Basis: chosen, not measured.
 const STREAM_CAPACITY: usize = 16;
-/// How far the steps of a thawed stream may lie in the past; without a bound a thawed stream
-/// would send all tokens that it missed at once.
-///
-/// Basis: chosen, not measured: a few decoding steps.
+/// How far the steps of a thawed stream may lie in the past; without a bound a thawed stream would
+/// send all tokens that it missed at once. A few decoding steps.
 const CATCH_UP: Duration = Duration::from_millis(50);
 
 /// A stream was cut by its fault switch.
--- a/src/standin/engine_model.rs
+++ b/src/standin/engine_model.rs
@@ -8,8 +8,6 @@
 };
 
 /// Different tokens that the stand-in knows.
-///
-/// Basis: chosen, not measured.
 const VOCABULARY: u64 = 4_096;
 
 /// Speeds and sizes of one engine.
--- a/src/standin/platform/state.rs
+++ b/src/standin/platform/state.rs
@@ -11,32 +11,20 @@
     standin::object_store::ObjectStore,
 };
 
-/// Writes a second that the object API admits.
-///
-/// Basis: chosen, not measured: low enough for tests to meet the limit.
+/// Writes a second that the object API admits: low enough for tests to meet the limit.
 const WRITES_PER_S: f64 = 100.0;
 /// Reads a second that the object API admits.
-///
-/// Basis: chosen, not measured; see `WRITES_PER_S`.
 const READS_PER_S: f64 = 2_000.0;
 /// Loads a second that the weight store admits.
-///
-/// Basis: chosen, not measured; see `WRITES_PER_S`.
 const WEIGHTS_PER_S: f64 = 2.0;
 
 /// Service of VMs in the starting list that are not held yet, but can be started.
 const SPARE_SERVICE: &str = "spare";
-/// Earlier VM lists that are kept.
-///
-/// Basis: chosen, not measured: more changes than any lag in the tests spans.
+/// Earlier VM lists that are kept: more changes than any lag in the tests spans.
 const LIST_HISTORY: usize = 256;
 /// Cost units for an hour of an on-demand VM; the others are relative to it.
-///
-/// Basis: the unit of cost.
 const ON_DEMAND_PRICE: f64 = 1.0;
 /// Cost units for an hour of a reclaimable VM.
-///
-/// Basis: chosen, not measured.
 const RECLAIMABLE_PRICE: f64 = 0.3;
 
 /// Fault switches of the platform.
--- a/src/standin/reply.rs
+++ b/src/standin/reply.rs
@@ -11,8 +11,6 @@
 use crate::http::{ResponseBody, server::CloseConnection, whole_body};
 
 /// Longest body that a stand-in reads, in bytes.
-///
-/// Basis: chosen, not measured.
 const BODY_LIMIT: usize = 4 * 1024 * 1024;
 
 /// JSON response.
--- a/src/true_time.rs
+++ b/src/true_time.rs
@@ -13,10 +13,8 @@
 use nix::time::{ClockId, clock_gettime};
 use tokio::time::Instant;
 
-/// Differences of the clocks up to this are none: they are read one after the other.
-///
-/// Basis: chosen, not measured: far above the time between two readings, far below what matters
-/// to a lease.
+/// Differences of the clocks up to this are none: they are read one after the other. Far above the
+/// time between two readings, far below what matters to a lease.
 const TOLERANCE: Duration = Duration::from_millis(50);
 
 thread_local! {
