--- a/tests/gateway/backoff_endpoints.rs
+++ b/tests/gateway/backoff_endpoints.rs
@@ -9,14 +9,12 @@
 //! With nine daemons and twelve endpoints of which four want a back-off of 3 s, all 144 back-offs were
 //! broken, and 2,030 of 4,059 requests were not served, though eight endpoints had room.
 
-use std::{
-    sync::{Mutex, PoisonError},
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 
 use crate::{
+    fleet_places::take_place,
     signal_checks::check_told_differently,
     signal_fleet::{
         LOAD_TIME, SAID_FROM, SAID_UNTIL, SignalFleet, SignalOutcome, TELLING, say_for_a_while,
@@ -41,11 +39,8 @@
 /// Longest time for a refusal of a request that can't be served: it is not held.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
-/// Fleets of this file are played one after another.
-static ONE_FLEET: Mutex<()> = Mutex::new(());
-
 fn play(telling: usize, tell: impl FnOnce(&[SignallingEndpoint], Instant)) -> SignalOutcome {
-    let _one = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+    let _place = take_place();
     SignalFleet::start().play(telling, tell)
 }
 
--- a/tests/gateway/crashing_requests.rs
+++ b/tests/gateway/crashing_requests.rs
@@ -18,7 +18,10 @@
 
 use googletest::prelude::*;
 
-use crate::crash_fleet::{CrashFleet, CrashLoad, CrashOutcome};
+use crate::{
+    crash_fleet::{CrashFleet, CrashLoad, CrashOutcome},
+    fleet_places::take_place,
+};
 
 /// Daemons and endpoints where the environment names no number.
 const USUAL_DAEMONS: usize = 9;
@@ -37,6 +40,7 @@
 
 fn play(path: &'static str, requests: usize) -> CrashOutcome {
     let _one = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+    let _place = take_place();
     let daemons = number_from("CRASH_DAEMONS", USUAL_DAEMONS);
     let endpoints = number_from("CRASH_ENDPOINTS", USUAL_ENDPOINTS);
     let fleet = CrashFleet::start(daemons, endpoints);
--- a/tests/gateway/draining_endpoints.rs
+++ b/tests/gateway/draining_endpoints.rs
@@ -10,14 +10,12 @@
 //! With nine daemons and twelve endpoints of which four say it, 1,140 of 1,406 requests reached them
 //! over 2 s later; where they also refuse, half of all requests were not served.
 
-use std::{
-    sync::{Mutex, PoisonError},
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use googletest::prelude::*;
 
 use crate::{
+    fleet_places::take_place,
     signal_fleet::{LOAD_TIME, SAID_FROM, SignalFleet, SignalOutcome, TELLING, sleep_until},
     signalling_endpoint::{EndpointSignal, SignallingEndpoint},
 };
@@ -31,11 +29,8 @@
 /// Pause between two writes of an entry.
 const WRITE_PAUSE: Duration = Duration::from_millis(500);
 
-/// Fleets of this file are played one after another.
-static ONE_FLEET: Mutex<()> = Mutex::new(());
-
 fn play(tell: impl FnOnce(&[SignallingEndpoint], Instant)) -> SignalOutcome {
-    let _one = ONE_FLEET.lock().unwrap_or_else(PoisonError::into_inner);
+    let _place = take_place();
     SignalFleet::start().play(TELLING, tell)
 }
 
--- a/tests/gateway/failing_endpoints.rs
+++ b/tests/gateway/failing_endpoints.rs
@@ -10,9 +10,9 @@
 use serde_json::json;
 
 use crate::{
+    fleet_places::take_place,
     signal_fleet::{
-        FleetPlaces, LOAD_TIME, SAID_FROM, SAID_UNTIL, SignalFleet, SignalOutcome, TELLING,
-        say_for_a_while,
+        LOAD_TIME, SAID_FROM, SAID_UNTIL, SignalFleet, SignalOutcome, TELLING, say_for_a_while,
     },
     signalling_endpoint::EndpointSignal,
 };
@@ -22,9 +22,6 @@
 /// Time in which each endpoint is used again that works.
 const USED_AGAIN: Duration = Duration::from_secs(2);
 
-/// Fleets of this file are played two at a time.
-static PLACES: FleetPlaces = FleetPlaces::new();
-
 /// At most 2 in 100 requests are not served, and each endpoint is used again that works.
 fn check(outcome: &SignalOutcome) {
     let sent = outcome.sent_in(SAID_FROM + FOUND_OUT..SAID_UNTIL);
@@ -54,7 +51,7 @@
     ($($name:ident: $signal:expr;)*) => {$(
         #[googletest::test]
         fn $name() {
-            let _place = PLACES.take();
+            let _place = take_place();
             check(&SignalFleet::start().play(TELLING, say_for_a_while($signal)));
         }
     )*};
@@ -76,7 +73,7 @@
 /// endpoints that were known to fail, for another endpoint to serve them, and no retry was left.
 #[googletest::test]
 fn failures_at_once_where_few_retries_are_left() {
-    let _place = PLACES.take();
+    let _place = take_place();
     let fleet = SignalFleet::start_with(json!({"retry-ratio": 0.04, "retry-slack": 0}));
     check(&fleet.play(TELLING, say_for_a_while(EndpointSignal::Fails)));
 }
--- a/tests/gateway/limited_endpoints.rs
+++ b/tests/gateway/limited_endpoints.rs
@@ -26,8 +26,9 @@
 use googletest::prelude::*;
 
 use crate::{
+    fleet_places::take_place,
     signal_checks::check_told_differently,
-    signal_fleet::{ClientLoad, FleetPlaces, SignalFleet, SignalOutcome, TELLING, sleep_until},
+    signal_fleet::{ClientLoad, SignalFleet, SignalOutcome, TELLING, sleep_until},
     signalling_endpoint::{EndpointSignal, SignallingEndpoint},
 };
 
@@ -56,15 +57,12 @@
 /// Longest time for a refusal of a request that can't be served: it is not held.
 const AT_ONCE: Duration = Duration::from_millis(500);
 
-/// Fleets of this file are played two at a time.
-static PLACES: FleetPlaces = FleetPlaces::new();
-
 fn play(
     load: ClientLoad,
     telling: usize,
     tell: impl FnOnce(&SignalFleet, &[SignallingEndpoint], Instant),
 ) -> SignalOutcome {
-    let _place = PLACES.take();
+    let _place = take_place();
     let fleet = SignalFleet::start();
     fleet.play_load(load, telling, |endpoints, began| tell(&fleet, endpoints, began))
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -21,6 +21,7 @@
 mod failing_endpoints;
 mod failure_rules;
 mod fleet;
+mod fleet_places;
 mod foreign_entries;
 mod foreign_lease;
 mod gateway_site;
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -6,7 +6,7 @@
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
     path::PathBuf,
-    sync::{Arc, Mutex, MutexGuard, TryLockError},
+    sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
 };
@@ -35,34 +35,9 @@
 pub const SAID_FROM: Duration = Duration::from_secs(1);
 pub const SAID_UNTIL: Duration = Duration::from_millis(6_500);
 pub const LOAD_TIME: Duration = Duration::from_millis(9_500);
-/// Pause between two looks for a free place.
-const PLACE_PAUSE: Duration = Duration::from_millis(50);
 /// Calls that the store answers at once for each daemon.
 const CALLS_A_DAEMON: usize = 3;
 
-/// Places of fleets that play at the same time.
-pub struct FleetPlaces([Mutex<()>; 2]);
-
-impl FleetPlaces {
-    pub const fn new() -> Self {
-        Self([Mutex::new(()), Mutex::new(())])
-    }
-
-    /// Waits for a place. One is free again also after a test that failed in it.
-    pub fn take(&self) -> MutexGuard<'_, ()> {
-        loop {
-            for place in &self.0 {
-                match place.try_lock() {
-                    Ok(guard) => return guard,
-                    Err(TryLockError::Poisoned(poisoned)) => return poisoned.into_inner(),
-                    Err(TryLockError::WouldBlock) => {}
-                }
-            }
-            thread::sleep(PLACE_PAUSE);
-        }
-    }
-}
-
 /// How long clients send, and to how many of the daemons.
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLoad {
