After a limit has ended, requests that can't go elsewhere may come first too

Callers of routes that run at most once were kept away from endpoints for seconds after these had ceased to name a limit. Cause: requests return slowly, and whatever returns slowly counted as likely to refuse. Why they come slowly is a value of its own now: refused, failed, reported, limit ended; only the first three are a risk.

--- a/src/gateway/policy/endpoint/endpoint_pause.rs
+++ b/src/gateway/policy/endpoint/endpoint_pause.rs
@@ -15,11 +15,14 @@
 //!
 //! Requests that were sent before a pause say nothing of what follows it.
 
+mod probe_window;
+
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use super::endpoint_status::restriction::SetbackSource;
+pub use self::probe_window::ProbeCause;
+use self::probe_window::ProbeWindow;
 
 /// Pause of an endpoint that names no time, doubled by further refusals in a row where it seemed to
 /// have room: within it a slot may come free, and reports of its load come.
@@ -94,31 +97,12 @@
     windows: u32,
 }
 
-/// Requests that come slowly after a pause.
-#[derive(Clone, Copy, Debug)]
-struct ProbeWindow {
-    /// Requests that may wait for their responses.
-    allowed: u32,
-    /// Those that do.
-    waiting: u32,
-    /// Whether they come slowly since it fails; it may be sent more where no other has room.
-    is_after_failure: bool,
-    /// Until when it is expected to refuse or fail again.
-    risky_until: Instant,
-}
-
-impl ProbeWindow {
-    fn has_place(self) -> bool {
-        self.waiting < self.allowed
-    }
-}
-
 impl EndpointPause {
     /// Pause of an endpoint whose back-off is known.
     pub fn with_backoff(until: Option<Instant>) -> Self {
         let mut pause = Self { until, backoff_until: until, ..Self::default() };
         if let Some(until) = until {
-            pause.begin_probe(false, until);
+            pause.begin_probe(ProbeCause::Refused, until);
         }
         pause
     }
@@ -136,7 +120,7 @@
         self.set_back_at = Some(now);
         self.until = self.until.max(Some(now + span));
         if kind != RefusalKind::Busy {
-            self.begin_probe(false, now);
+            self.begin_probe(ProbeCause::Refused, now);
         }
     }
 
@@ -145,7 +129,7 @@
         let span = self.next_pause(now);
         self.set_back_at = Some(now);
         self.failing_until = self.failing_until.max(Some(now + span));
-        self.begin_probe(true, now);
+        self.begin_probe(ProbeCause::Failed, now);
     }
 
     /// Another daemon had a request refused there at `at`. Where this one has found the same, its pause
@@ -156,7 +140,7 @@
         if self.setbacks > 0 {
             let again = Some(at + self.usual_pause().mul_f64(stretch));
             match self.probe {
-                Some(probe) if probe.is_after_failure => {
+                Some(probe) if probe.is_after_failure() => {
                     self.failing_until = self.failing_until.max(again);
                 }
                 _ => self.until = self.until.max(again),
@@ -166,7 +150,7 @@
         match &mut self.probe {
             Some(probe) => probe.risky_until = probe.risky_until.max(at + RISK_TIME),
             None if is_served => {}
-            None => self.begin_probe(false, at),
+            None => self.begin_probe(ProbeCause::Reported, at),
         }
     }
 
@@ -185,15 +169,19 @@
     /// Requests come slowly from now on: the endpoint has wanted few, and wants as many as before.
     pub fn resume_slowly(&mut self, now: Instant) {
         if self.probe.is_none() {
-            self.begin_probe(false, now);
+            self.begin_probe(ProbeCause::LimitEnded, now);
         }
     }
 
-    fn begin_probe(&mut self, is_after_failure: bool, now: Instant) {
+    fn begin_probe(&mut self, cause: ProbeCause, now: Instant) {
         let pause_end = self.until.max(self.failing_until).max(Some(now)).unwrap_or(now);
-        let risky_until = pause_end + RISK_TIME;
+        let risky_until = match cause {
+            // It has refused and failed nothing: any request may be the first.
+            ProbeCause::LimitEnded => now,
+            _ => pause_end + RISK_TIME,
+        };
         self.windows = self.windows.wrapping_add(1);
-        self.probe = Some(ProbeWindow { allowed: 1, waiting: 0, is_after_failure, risky_until });
+        self.probe = Some(ProbeWindow { allowed: 1, waiting: 0, cause, since: now, risky_until });
     }
 
     fn fails_until(&self, now: Instant) -> bool {
@@ -202,7 +190,7 @@
 
     /// Whether it gets requests only where no other endpoint has room, since it fails.
     pub fn is_last_resort(&self, now: Instant) -> bool {
-        let is_full = |probe: ProbeWindow| probe.is_after_failure && !probe.has_place();
+        let is_full = |probe: ProbeWindow| probe.is_after_failure() && !probe.has_place();
         self.fails_until(now) || self.probe.is_some_and(is_full)
     }
 
@@ -216,11 +204,9 @@
         self.until.filter(|until| now < *until).map(|until| until - now)
     }
 
-    /// Whose request it has refused or failed, while requests come slowly for that.
-    pub fn setback(&self, now: Instant) -> Option<SetbackSource> {
-        self.probe?;
-        let own = |at| SetbackSource::Own(now.saturating_duration_since(at));
-        Some(self.set_back_at.map_or(SetbackSource::Reported, own))
+    /// Why requests come slowly and since when, if they do.
+    pub fn probe(&self) -> Option<(ProbeCause, Instant)> {
+        self.probe.map(|probe| (probe.cause, probe.since))
     }
 
     /// Until when the endpoint itself wants none, if it does now.
@@ -230,7 +216,7 @@
 
     /// Whether it may be sent a request.
     pub fn takes_request(&self, now: Instant) -> bool {
-        let takes_more = |probe: ProbeWindow| probe.has_place() || probe.is_after_failure;
+        let takes_more = |probe: ProbeWindow| probe.has_place() || probe.is_after_failure();
         self.probe.is_none_or(takes_more) && !self.is_paused(now)
     }
 
--- a/src/gateway/policy/endpoint/endpoint_status/restriction.rs
+++ b/src/gateway/policy/endpoint/endpoint_status/restriction.rs
@@ -5,7 +5,7 @@
 use derive_more::Display;
 use tokio::time::Instant;
 
-use super::EndpointStatus;
+use super::{super::endpoint_pause::ProbeCause, EndpointStatus};
 
 /// Requests of which a fraction is shown.
 const PERCENT: f64 = 100.0;
@@ -36,20 +36,9 @@
     /// It fails more often than the others of its service.
     #[display("fails {:.0}% of the requests of this daemon", _0 * PERCENT)]
     Failing(f64),
-    /// Requests return slowly, since it has refused or failed some.
-    #[display("has not yet run requests again, as found by {_0}")]
-    Returning(SetbackSource),
-}
-
-/// Whose request an endpoint has refused or failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
-pub enum SetbackSource {
-    /// This daemon's, so long ago.
-    #[display("this daemon {} ms ago", _0.as_millis())]
-    Own(Duration),
-    /// That of another daemon, which has reported it.
-    #[display("another daemon")]
-    Reported,
+    /// Requests come slowly, for so long.
+    #[display("gets requests slowly for {} ms: {_0}", _1.as_millis())]
+    Returning(ProbeCause, Duration),
 }
 
 impl EndpointStatus {
@@ -71,7 +60,9 @@
             Some(left) => Some(EndpointRestriction::BackingOff(left)),
             None => self.pause.paused_for(now).map(EndpointRestriction::Refusing),
         };
-        let returning = self.pause.setback(now).map(EndpointRestriction::Returning);
+        let returning = self.pause.probe().map(|(cause, since)| {
+            EndpointRestriction::Returning(cause, now.saturating_duration_since(since))
+        });
         let failing = failing.map(EndpointRestriction::Failing);
         pause.or(returning).into_iter().chain(failing).chain(limited).collect()
     }
--- a/tests/gateway/limit_rules.rs
+++ b/tests/gateway/limit_rules.rs
@@ -269,7 +269,9 @@
     names(&mut table, "i-0", Some(1.6), now);
     names(&mut table, "i-0", None, now + seconds(1.0));
     let later = now + seconds(1.1);
-    (0..SLOTS).for_each(|_| drop(table.begin("i-1", &[], RunLoad::default(), later)));
+    for _ in 0..SLOTS {
+        table.begin("i-1", &[], RunLoad::default(), later);
+    }
     expect_that!(chosen_for(&table, &query(&[], false), later), some(eq("i-0")));
 }
 
