--- a/src/gateway/policy/endpoint/endpoint_pause.rs
+++ b/src/gateway/policy/endpoint/endpoint_pause.rs
@@ -13,6 +13,9 @@
 //! endpoint has run, until they are as many as its slots. Without this an endpoint that refuses or
 //! fails at once looks idle, and draws the requests that others would serve.
 //!
+//! While requests come slowly after a refusal or failure, those that could not go elsewhere pass the endpoint
+//! over for some seconds; after a limit that has ended they need not.
+//!
 //! Requests that were sent before a pause say nothing of what follows it.
 
 mod probe_window;
@@ -236,11 +239,6 @@
         self.probe.is_some_and(|probe| now < probe.risky_until)
     }
 
-    /// Whether requests come slowly.
-    pub fn is_probing(&self) -> bool {
-        self.probe.is_some()
-    }
-
     /// A request is sent; a ticket if requests come slowly.
     pub fn begin(&mut self) -> Option<ProbeTicket> {
         let probe = self.probe.as_mut()?;
--- a/src/gateway/policy/endpoint/endpoint_pause/probe_window.rs
+++ b/src/gateway/policy/endpoint/endpoint_pause/probe_window.rs
@@ -29,6 +29,7 @@
     pub(super) waiting: u32,
     /// Why they come slowly. One that fails may be sent more where no other has room.
     pub(super) cause: ProbeCause,
+    /// Since when they do.
     pub(super) since: Instant,
     /// Until when it is expected to refuse or fail again.
     pub(super) risky_until: Instant,
--- a/tests/gateway/signal_rules.rs
+++ b/tests/gateway/signal_rules.rs
@@ -229,7 +229,7 @@
     pause.refused(RefusalKind::BackOff(seconds(1.0)), now);
     let later = now + seconds(1.1);
     let mut admitted = Vec::new();
-    while pause.is_probing() {
+    while pause.probe().is_some() {
         let mut tickets = Vec::new();
         while pause.takes_request(later) {
             tickets.push(pause.begin());
@@ -250,7 +250,7 @@
     pause.refused(RefusalKind::Unexplained, now);
     pause.ran(before, SLOTS, now);
     let later = now + seconds(0.1);
-    expect_true!(pause.is_probing());
+    expect_true!(pause.probe().is_some());
     let probe = pause.begin();
     pause.refused(RefusalKind::Unexplained, later);
     pause.ran(probe, SLOTS, later);
