--- a/tests/gateway/failure_rules.rs
+++ b/tests/gateway/failure_rules.rs
@@ -1,8 +1,6 @@
 //! Rules of endpoints that fail: which are outliers, and what these are sent. Times are given,
 //! nothing waits.
 
-use std::{rc::Rc, time::Duration};
-
 use googletest::prelude::*;
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
@@ -10,7 +8,7 @@
     endpoint_health::AttemptResult,
     gateway::{
         call::PromptPart,
-        endpoint::{EndpointList, EndpointRecord, EndpointState},
+        endpoint::EndpointRecord,
         policy::endpoint::{
             endpoint_choice::{ChoiceQuery, ChoiceResult},
             endpoint_load::RunLoad,
@@ -20,31 +18,13 @@
     },
 };
 
-const SLOTS: u32 = 4;
-
-fn seconds(count: f64) -> Duration {
-    Duration::from_secs_f64(count)
-}
-
-/// Times are in the past of this, so that none is from before the start of the clock.
-fn start() -> Instant {
-    Instant::now() + seconds(100.0)
-}
+use crate::choice_inputs::{list, query, record, seconds, start};
 
 fn table(count: usize, now: Instant) -> EndpointTable {
-    let record = |place: usize| EndpointRecord {
-        id: format!("i-{place}").into(),
-        born: 5,
-        service: "pool".into(),
-        address: "127.0.0.1:1".parse().expect("address"),
-        zone: "a".into(),
-        slots: SLOTS,
-        state: EndpointState::Ready,
-        reclaimable: false,
-    };
-    let endpoints = (0..count).map(record).map(Rc::new).collect();
+    let records: Vec<EndpointRecord> =
+        (0..count).map(|place| record(&format!("i-{place}"), 5)).collect();
     let mut table = EndpointTable::new("a".into());
-    table.set_list(&EndpointList { revision: 1, endpoints }, now);
+    table.set_list(&list(&records), now);
     table
 }
 
@@ -58,23 +38,9 @@
     table.end(id, RunLoad::default(), result, now, now);
 }
 
-fn query(parts: &[PromptPart], survives_failure: bool) -> ChoiceQuery<'_> {
-    ChoiceQuery {
-        service: "pool",
-        parts,
-        prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
-        memory_tokens: 0,
-        tried: &[],
-        memory_capacity: None,
-        load_age: Duration::ZERO,
-        may_retry: true,
-        survives_failure,
-    }
-}
-
 /// Whether an endpoint is chosen in any of many draws.
 fn is_chosen(table: &EndpointTable, id: &str, survives_failure: bool, now: Instant) -> bool {
-    let query = query(&[], survives_failure);
+    let query = ChoiceQuery { survives_failure, ..query(&[], true) };
     (0..40).any(|seed| match table.choose(&query, now, &mut SmallRng::seed_from_u64(seed)) {
         ChoiceResult::Endpoint(choice) => &*choice.endpoint.id == id,
         _ => false,
--- a/tests/gateway/limit_rules.rs
+++ b/tests/gateway/limit_rules.rs
@@ -1,14 +1,12 @@
 //! Rules of limits that endpoints name: which word holds, for which start, what a share allows, and
 //! what follows when a limit ends. Times are given, nothing waits.
 
-use std::{rc::Rc, time::Duration};
-
 use googletest::prelude::*;
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 use willowarch::gateway::{
     call::PromptPart,
-    endpoint::{EndpointList, EndpointRecord, EndpointState},
+    endpoint::EndpointRecord,
     policy::endpoint::{
         endpoint_choice::{ChoiceQuery, ChoiceResult},
         endpoint_load::{RunLoad, endpoint_number},
@@ -19,39 +17,16 @@
     },
 };
 
+use crate::choice_inputs::{SLOTS, list, query, record, seconds, start};
+
 const BORN: u64 = 5;
 /// A share that allows one request in two seconds.
 const SLOW: HolderShare = HolderShare { rate: 0.5, first_level: 0.0 };
 
-const SLOTS: u32 = 8;
-
-fn seconds(count: f64) -> Duration {
-    Duration::from_secs_f64(count)
-}
-
-/// Times are in the past of this, so that none is from before the start of the clock.
-fn start() -> Instant {
-    Instant::now() + seconds(100.0)
-}
-
-fn list(ids: &[(&str, u64)]) -> EndpointList {
-    let record = |(id, born): &(&str, u64)| EndpointRecord {
-        id: (*id).into(),
-        born: *born,
-        service: "pool".into(),
-        address: "127.0.0.1:1".parse().expect("address"),
-        zone: "a".into(),
-        slots: SLOTS,
-        state: EndpointState::Ready,
-        reclaimable: false,
-    };
-    EndpointList { revision: 1, endpoints: ids.iter().map(record).map(Rc::new).collect() }
-}
-
 fn table(ids: &[&str], now: Instant) -> EndpointTable {
     let mut table = EndpointTable::new("a".into());
-    let started: Vec<_> = ids.iter().map(|id| (*id, BORN)).collect();
-    table.set_list(&list(&started), now);
+    let records: Vec<EndpointRecord> = ids.iter().map(|id| record(id, BORN)).collect();
+    table.set_list(&list(&records), now);
     table
 }
 
@@ -68,20 +43,6 @@
     table.limited().iter().find(|endpoint| &*endpoint.id == id).map(|endpoint| endpoint.limit)
 }
 
-fn query(parts: &[PromptPart], may_retry: bool) -> ChoiceQuery<'_> {
-    ChoiceQuery {
-        service: "pool",
-        parts,
-        prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
-        memory_tokens: 0,
-        tried: &[],
-        memory_capacity: None,
-        load_age: Duration::ZERO,
-        may_retry,
-        survives_failure: may_retry,
-    }
-}
-
 fn chosen(table: &EndpointTable, parts: &[PromptPart], now: Instant) -> Option<String> {
     chosen_for(table, &query(parts, true), now)
 }
@@ -162,9 +123,9 @@
     names(&mut table, "i-0", Some(1.6), now);
     // Missing for a while, and listed again.
     table.set_list(&list(&[]), now);
-    table.set_list(&list(&[("i-0", BORN)]), now);
+    table.set_list(&list(&[record("i-0", BORN)]), now);
     expect_that!(limit_of(&table, "i-0"), some(eq(1.6)));
-    table.set_list(&list(&[("i-0", BORN + 1)]), now);
+    table.set_list(&list(&[record("i-0", BORN + 1)]), now);
     expect_that!(limit_of(&table, "i-0"), none());
     for born in [0, BORN] {
         table.receive_limit(reported("i-0", born, Some(1.6), now + seconds(1.0)), now);
@@ -177,7 +138,7 @@
     let now = start();
     let mut table = table(&["i-0"], now);
     table.receive_limit(reported("i-1", BORN, Some(1.6), now), now);
-    table.set_list(&list(&[("i-0", BORN), ("i-1", BORN)]), now);
+    table.set_list(&list(&[record("i-0", BORN), record("i-1", BORN)]), now);
     expect_that!(limit_of(&table, "i-1"), some(eq(1.6)));
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod backoff_endpoints;
 mod catch_up;
+mod choice_inputs;
 mod client_gone;
 mod crash_fleet;
 mod crash_model;
--- a/tests/gateway/signal_rules.rs
+++ b/tests/gateway/signal_rules.rs
@@ -1,16 +1,16 @@
 //! Rules of what endpoints say of themselves: what holds, for which start, how long, and how
 //! requests come back after a pause. Times are given, nothing waits.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use googletest::prelude::*;
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 use willowarch::gateway::{
-    endpoint::{EndpointList, EndpointRecord, EndpointState},
+    endpoint::EndpointRecord,
     policy::{
         endpoint::{
-            endpoint_choice::{ChoiceQuery, ChoiceResult},
+            endpoint_choice::ChoiceResult,
             endpoint_load::{RunLoad, endpoint_number},
             endpoint_pause::{EndpointPause, RefusalKind},
             endpoint_table::{EndpointTable, attempt_results::RequestIntake},
@@ -21,30 +21,9 @@
     },
 };
 
-const SLOTS: u32 = 8;
-const TARGET: Duration = Duration::from_millis(400);
-
-fn seconds(count: f64) -> Duration {
-    Duration::from_secs_f64(count)
-}
+use crate::choice_inputs::{SLOTS, list, query, record, seconds, start};
 
-fn record(id: &str, born: u64) -> EndpointRecord {
-    EndpointRecord {
-        id: id.into(),
-        born,
-        service: "pool".into(),
-        address: "127.0.0.1:1".parse().expect("address"),
-        zone: "a".into(),
-        slots: SLOTS,
-        state: EndpointState::Ready,
-        reclaimable: false,
-    }
-}
-
-fn list(records: &[EndpointRecord]) -> EndpointList {
-    let endpoints = records.iter().cloned().map(Rc::new).collect();
-    EndpointList { revision: 1, endpoints }
-}
+const TARGET: Duration = Duration::from_millis(400);
 
 fn table(records: &[EndpointRecord], now: Instant) -> EndpointTable {
     let mut table = EndpointTable::new("a".into());
@@ -52,25 +31,11 @@
     table
 }
 
-fn query(may_retry: bool) -> ChoiceQuery<'static> {
-    ChoiceQuery {
-        service: "pool",
-        parts: &[],
-        prompt_tokens: 0,
-        memory_tokens: 0,
-        tried: &[],
-        memory_capacity: None,
-        load_age: Duration::ZERO,
-        may_retry,
-        survives_failure: may_retry,
-    }
-}
-
 /// Whether an endpoint is chosen in any of many draws.
 fn is_chosen(table: &EndpointTable, id: &str, may_retry: bool, now: Instant) -> bool {
     (0..40).any(|seed| {
         let mut rng = SmallRng::seed_from_u64(seed);
-        match table.choose(&query(may_retry), now, &mut rng) {
+        match table.choose(&query(&[], may_retry), now, &mut rng) {
             ChoiceResult::Endpoint(choice) => &*choice.endpoint.id == id,
             _ => false,
         }
@@ -86,11 +51,6 @@
     table.receive_warning(warning, now, &mut SmallRng::seed_from_u64(1)).is_some()
 }
 
-/// Times are in the past of this, so that none is from before the start of the clock.
-fn start() -> Instant {
-    Instant::now() + seconds(100.0)
-}
-
 #[googletest::test]
 fn draining_endpoint_is_not_chosen_whatever_lists_say() {
     let (now, ready) = (start(), [record("i-0", 5), record("i-1", 5)]);
