Failing test: a limit that has ended is handed on from daemon to daemon

high_limit failed a second time beside load (43 requests in the second second after the end, 89 before). Quarters of a second from the end on: 18, 10, 16, 14, 17, 12, 14, 16, 12, 11 arrivals, flat for 2.5 s, where the four endpoints would get 20: about what the limit of 12 allows. So requests don't return slowly; many daemons still keep the limit.

--- a/tests/gateway/limit_rules.rs
+++ b/tests/gateway/limit_rules.rs
@@ -116,6 +116,27 @@
     expect_that!(limit_of(&table, "i-0"), some(eq(2.0)));
 }
 
+/// Daemons find out at different times that a limit has ended. One that finds it within the time that a
+/// message may take adopts the limit once more, from another's report; it then reported it with the
+/// later time, by which the next one adopted it: with nine daemons a limit of 12 a second was still kept
+/// 2.5 s after its end, 14 requests in each quarter of a second in place of 20.
+#[googletest::test]
+fn limit_that_has_ended_does_not_go_round() {
+    let now = start();
+    let mut rng = SmallRng::seed_from_u64(1);
+    let mut at = now;
+    let mut told = reported("i-0", BORN, Some(12.0), now);
+    for _ in 0..4 {
+        let mut table = table(&["i-0"], now);
+        names(&mut table, "i-0", Some(12.0), now);
+        at += seconds(0.3);
+        names(&mut table, "i-0", None, at);
+        table.receive_limit(told, at);
+        told = table.limits(at, &mut rng)[0];
+    }
+    expect_that!(told.word.limit, none());
+}
+
 #[googletest::test]
 fn limit_holds_for_one_start() {
     let now = start();
--- a/tests/gateway/limited_endpoints.rs
+++ b/tests/gateway/limited_endpoints.rs
@@ -155,6 +155,11 @@
     let from = NAMED_UNTIL + found_within + USED_AGAIN;
     let again = outcome.arrivals_in(from..from + USED_AGAIN);
     println!("{before} arrivals before, {again} afterwards");
+    let quarter = Duration::from_millis(250);
+    let quarters = (0..10).map(|count| NAMED_UNTIL + found_within + quarter * count);
+    let returned: Vec<usize> =
+        quarters.map(|from| outcome.arrivals_in(from..from + quarter)).collect();
+    println!("arrivals in each quarter of a second from the end on: {returned:?}");
     expect_that!(again * 2, gt(before));
 }
 
