A limit that has ended is not handed on from daemon to daemon

Endpoints that had ceased to name a high limit got what it had allowed for seconds more, while the others took what they would have had. Cause: ages of reports are uncertain by what a message takes (0.4 s), so that of two words so close together the smaller limit counts; the limit was then kept with the time of the later word, that it had ended, and reported with it to the next daemon, which found the end a little later and took the limit up again. The earlier of the two times is kept, so an old word grows old.

Models of limits and the other cases pass.

--- a/src/gateway/policy/endpoint/signal_ledger/held_signals.rs
+++ b/src/gateway/policy/endpoint/signal_ledger/held_signals.rs
@@ -61,9 +61,11 @@
     pub(super) fn receive_limit(&mut self, word: LimitWord) {
         match self.limit {
             Some(known) if word.at + REPORT_SKEW <= known.at => {}
-            // Ages look smaller by what messages took: either may be the later one.
+            // Ages look smaller by what messages took: either may be the later one. The earlier time is kept, or
+            // a limit that has ended would go round, each time as a later word.
             Some(known) if word.at <= known.at + REPORT_SKEW => {
-                self.set_limit(LimitWord { limit: least_limit(known.limit, word.limit), ..known });
+                let limit = least_limit(known.limit, word.limit);
+                self.set_limit(LimitWord { limit, at: known.at.min(word.at) });
             }
             _ => self.set_limit(word),
         }
