Only a limit that had ended is taken up with the earlier time

Of two words that both name a limit the known time is kept as before: a report of an end that is as close to it then still counts as possibly earlier.

--- a/src/gateway/policy/endpoint/signal_ledger/held_signals.rs
+++ b/src/gateway/policy/endpoint/signal_ledger/held_signals.rs
@@ -61,11 +61,12 @@
     pub(super) fn receive_limit(&mut self, word: LimitWord) {
         match self.limit {
             Some(known) if word.at + REPORT_SKEW <= known.at => {}
-            // Ages look smaller by what messages took: either may be the later one. The earlier time is kept, or
-            // a limit that has ended would go round, each time as a later word.
+            // Ages look smaller by what messages took: either may be the later one. One that has ended is
+            // taken up with the time of the report, or it would go round as a later and later word.
             Some(known) if word.at <= known.at + REPORT_SKEW => {
                 let limit = least_limit(known.limit, word.limit);
-                self.set_limit(LimitWord { limit, at: known.at.min(word.at) });
+                let at = if known.limit.is_none() { known.at.min(word.at) } else { known.at };
+                self.set_limit(LimitWord { limit, at });
             }
             _ => self.set_limit(word),
         }
