Checks that had been loosened without a trace are taken back

Two were not: the back-off test wanted 250 different times where half of about 3,000 had been asked for, and nothing had shown it wrong; the share of limits used was allowed a request more for each endpoint, where the trace had 32 of 32.0. The first is as it was, the second ends at the limit itself. The different times of clients at limits stay at half of 500: there are no more in half a second.

--- a/tests/gateway/backoff_endpoints.rs
+++ b/tests/gateway/backoff_endpoints.rs
@@ -9,13 +9,15 @@
 //! With nine daemons and twelve endpoints of which four want a back-off of 3 s, all 144 back-offs were
 //! broken, and 2,030 of 4,059 requests were not served, though eight endpoints had room.
 
-use std::time::{Duration, Instant};
+use std::{
+    collections::HashSet,
+    time::{Duration, Instant},
+};
 
 use googletest::prelude::*;
 
 use crate::{
     fleet_places::take_place,
-    signal_checks::check_told_differently,
     signal_fleet::{
         LOAD_TIME, SAID_FROM, SAID_UNTIL, SignalFleet, SignalOutcome, TELLING, say_for_a_while,
         sleep_until,
@@ -117,7 +119,8 @@
     expect_true!(resting.iter().all(|request| request.status == 503));
     // What each is told is the time that is left, from 2 s to none, and a share of its own.
     expect_that!(mean, ge(0.7));
-    check_told_differently(&told);
+    let different: HashSet<u64> = told.iter().map(|seconds| seconds.to_bits()).collect();
+    expect_that!(different.len() * 2, gt(told.len()));
     print_return(&outcome);
     let last = outcome.sent_in(SAID_UNTIL + LAST_BACKOFF..LOAD_TIME);
     let served = last.iter().filter(|request| request.is_served()).count();
--- a/tests/gateway/limited_endpoints.rs
+++ b/tests/gateway/limited_endpoints.rs
@@ -138,15 +138,14 @@
     expect_that!(refused, eq(0));
 }
 
-/// Limits are used as far as they go. Requests that come evenly at a rate are one more in a span than
-/// rate and span allow, if the first comes as the span begins.
+/// Limits are used as far as they go.
 fn check_used(outcome: &SignalOutcome, limit: f64) {
     let kept = NAMED_FROM + KEPT_AFTER..NAMED_UNTIL;
     let allowed = limit * TELLING as f64 * (kept.end - kept.start).as_secs_f64();
     let arrivals = outcome.arrivals_in(kept) as f64;
     println!("{:.2} of the limits used", arrivals / allowed);
     expect_that!(arrivals, ge(SERVED_SHARE.start() * allowed));
-    expect_that!(arrivals, le(SERVED_SHARE.end() * allowed + TELLING as f64));
+    expect_that!(arrivals, le(SERVED_SHARE.end() * allowed));
 }
 
 /// The endpoints are used as before when they no longer name limits and that has been found.
