Eras of the store, and what is dropped for its revision, are logged and counted

After the store had come back from a copy nothing told that its revisions had gone back, nor that daemons dropped configurations and lists of endpoints: not one line was written in 16 s of requests served by an old version. Store-Era is read from each response of the store; a new era is a log line, a metric (store_era) and part of a daemon's state and of willowctl. A configuration or list below the revision held is logged as dropped. No change of logic.

The platform's stand-in can name an era, copy its contents and come back from the copy.

--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -70,7 +70,7 @@
     let endpoints: Vec<String> =
         state.endpoints_ready.iter().map(|(service, count)| format!("{service} {count}")).collect();
     format!(
-        "{} ({}) {ready}, {} active; configuration {} (revision {}, proven {} ago); \
+        "{} ({}) {ready}, {} active; configuration {} (revision {}, proven {} ago); store era {}; \
          replicas at revision {}: {}, {} draining, {} limited; daemons {} of {}; lease {} fence {} ({} ago)",
         state.name,
         state.zone,
@@ -78,6 +78,7 @@
         state.configuration_version,
         state.configuration_revision,
         age(state.proof_age_ms),
+        state.store_era,
         state.endpoint_revision,
         endpoints.join(", "),
         state.endpoints_draining,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -48,7 +48,9 @@
     kernel::{KernelHandle, LifePhase},
     logs::LineBudget,
     metrics::MetricsHandle,
-    platform, true_time,
+    platform,
+    store_position::StoreEra,
+    true_time,
 };
 
 /// State shared by all tasks of one daemon, which run on one thread.
@@ -101,6 +103,8 @@
     pub store_failed: Cell<Option<Instant>>,
     /// Decides whether this daemon watches the store.
     pub watcher_election: RefCell<WatcherElection>,
+    /// Era of the store as last logged.
+    pub store_era: Cell<StoreEra>,
     /// What it decided last.
     pub store_watch: Cell<Option<StoreWatch>>,
     /// When the limits that endpoints name were last divided among the daemons.
@@ -141,6 +145,9 @@
     pub fn apply_configuration(&self, source: ConfigurationSource, revision: u64, text: Bytes) {
         let mut state = self.configuration.borrow_mut();
         if revision <= state.revision {
+            if revision < state.revision {
+                log_dropped("configuration", revision, state.revision, source);
+            }
             return;
         }
         let decoded = match platform::configuration::decode(&text) {
@@ -190,6 +197,20 @@
         ConfigurationDoubt::judge(proof, is_lagging, self.settings.bounds.apply_limit, now)
     }
 
+    /// Logs and counts an era of the store that has begun.
+    pub fn observe_store_era(&self) {
+        let era = self.store.era();
+        let before = self.store_era.replace(era);
+        if before == era {
+            return;
+        }
+        self.metrics.gauge("store_era", era.0 as f64);
+        match before {
+            StoreEra(0) => spdlog::info!("store era", kv: { era: = era }),
+            _ => spdlog::warn!("store era", kv: { era: = era, before: = before }),
+        }
+    }
+
     /// Whether a call to the store has failed lately.
     pub fn store_fails(&self, now: Instant) -> bool {
         is_store_failing(self.store_failed.get(), now)
@@ -217,7 +238,11 @@
 
     /// Applies a list of endpoints if it is newer than the one held; says whether it was.
     pub fn apply_endpoints(&self, list: EndpointList) -> bool {
-        if list.revision <= self.endpoint_list.borrow().revision {
+        let held = self.endpoint_list.borrow().revision;
+        if list.revision <= held {
+            if list.revision < held {
+                log_dropped("endpoints", list.revision, held, ConfigurationSource::Store);
+            }
             return false;
         }
         let list = keep_latest_starts(list, &self.endpoint_list.borrow());
@@ -286,3 +311,8 @@
         now.saturating_duration_since(self.started_at)
     }
 }
+
+/// Logs what is not applied because its revision is below the one that is held.
+fn log_dropped(what: &str, revision: u64, held: u64, source: ConfigurationSource) {
+    spdlog::warn!("dropped", kv: { what, revision, held, source: = source });
+}
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -130,6 +130,7 @@
         active: OpenCount::default(),
         store_failed: Cell::new(None),
         watcher_election: RefCell::new(WatcherElection::new(bounds.apply_limit)),
+        store_era: Cell::default(),
         store_watch: Cell::new(None),
         limits_divided_at: Cell::new(None),
         sequence: Cell::new(0),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,6 +18,7 @@
     },
 };
 use crate::ids::SharedName;
+use crate::store_position::StoreEra;
 use crate::true_time;
 
 /// State of one daemon. Ages are in milliseconds.
@@ -37,6 +38,9 @@
     pub configuration_version: u64,
     /// Its revision in the store.
     pub configuration_revision: u64,
+    /// Era of the store, as far as known.
+    #[serde(default)]
+    pub store_era: StoreEra,
     /// Age of its freshness proof; none if there never was one.
     pub proof_age_ms: Option<u64>,
     /// Revision of the list of endpoints.
@@ -121,6 +125,7 @@
             active: context.active.get(),
             configuration_version: configuration.current.as_ref().map_or(0, |one| one.version),
             configuration_revision: configuration.revision,
+            store_era: context.store.era(),
             proof_age_ms: configuration.proof.map(age_ms),
             endpoint_revision: list.revision,
             endpoints_ready,
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -47,6 +47,7 @@
             spdlog::info!("store", kv: { outcome = "regained", failures, lost_ms });
         }
         self.failures = 0;
+        context.observe_store_era();
         context.metrics.gauge("store_calls", context.store.calls() as f64);
     }
 
--- a/src/http/api_client.rs
+++ b/src/http/api_client.rs
@@ -99,6 +99,11 @@
         self.response.status
     }
 
+    /// Text of a header; none if it is missing or no text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.response.headers.get(name)?.to_str().ok()
+    }
+
     /// Error of this call.
     pub fn error(&self, cause: FailureCause) -> StepError {
         self.call.error(cause)
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{Method, Request, Response, StatusCode, Uri, body::Incoming};
+use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
 use hyper_util::{
     client::legacy::{Client, connect::HttpConnector},
     rt::TokioExecutor,
@@ -35,6 +35,8 @@
 pub struct WholeResponse {
     /// HTTP status.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
 }
@@ -189,7 +191,7 @@
             let collected =
                 collected.map_err(|error| call.error(FailureCause::Broken(error.to_string())))?;
             let body = collected.to_bytes();
-            Ok(WholeResponse { status: head.status, body })
+            Ok(WholeResponse { status: head.status, headers: head.headers, body })
         };
         let result = wait_at_most(limit, whole).await;
         result.unwrap_or_else(|WaitOver| Err(call.error(FailureCause::timed_out(limit))))
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod platform;
 pub mod rpc_transport;
 pub mod standin;
+pub mod store_position;
 pub mod true_time;
 
 /// Code generated from schema/peer.capnp by schema/generate.sh.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -5,13 +5,21 @@
 //! made conditional on it. The native interface speaks another wire (`native::cloud_api`);
 //! connections and errors are the same (`http::api_client`).
 
-use std::{borrow::Cow, net::SocketAddr, time::Duration};
+use std::{borrow::Cow, cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use hyper::{Method, StatusCode};
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use crate::{errors::StepError, http::api_client::ApiClient, ids::SharedName};
+use crate::{
+    errors::StepError,
+    http::{
+        api_client::{ApiClient, ApiResponse},
+        client::OutgoingCall,
+    },
+    ids::SharedName,
+    store_position::StoreEra,
+};
 
 /// Longest wait for a response that the store gives at once: a store fifty times as slow as usual
 /// still responds within it.
@@ -19,6 +27,8 @@
 /// How much later than asked a waiting watch may respond; its connection then counts as silent. A
 /// store fifty times as slow as usual responds within it.
 const WATCH_MARGIN: Duration = Duration::from_millis(300);
+/// Header of each response that names the store's era.
+const ERA_HEADER: &str = "store-era";
 
 /// One object with its revision.
 #[derive(Clone, Debug)]
@@ -179,12 +189,14 @@
 #[derive(Clone, Debug)]
 pub struct StoreClient {
     api: ApiClient,
+    /// Highest era that a response has named.
+    era: Rc<Cell<StoreEra>>,
 }
 
 impl StoreClient {
     /// Client of the store at `address`.
     pub fn new(address: SocketAddr) -> Self {
-        Self { api: ApiClient::new(address) }
+        Self { api: ApiClient::new(address), era: Rc::default() }
     }
 
     /// Opens new connections for further calls: those that are open may carry nothing any more.
@@ -197,6 +209,18 @@
         self.api.calls()
     }
 
+    /// Highest era of the store that a response has named.
+    pub fn era(&self) -> StoreEra {
+        self.era.get()
+    }
+
+    async fn fetch(&self, call: OutgoingCall, limit: Duration) -> Result<ApiResponse, StepError> {
+        let response = self.api.fetch(call, limit).await?;
+        let named = response.header(ERA_HEADER).and_then(|text| text.parse().ok());
+        self.era.set(self.era.get().max(StoreEra(named.unwrap_or_default())));
+        Ok(response)
+    }
+
     /// Lists all objects of a kind, page by page, as of a moment after the call was made.
     pub async fn list(&self, kind: &str) -> Result<ObjectListing, StepError> {
         let mut listing = ObjectListing::default();
@@ -226,7 +250,7 @@
             Some(name) => format!("/-/objects/{kind}?after-rev={name}"),
         };
         let call = self.api.get("list objects", path);
-        self.api.fetch(call, CALL_LIMIT).await?.decode(decode_page)
+        self.fetch(call, CALL_LIMIT).await?.decode(decode_page)
     }
 
     /// Waits at most `wait` for changes of a kind after `revision`.
@@ -238,7 +262,7 @@
     ) -> Result<WatchResult, StepError> {
         let path = format!("/-/objects/{kind}?watch={revision}&wait-ms={}", wait.as_millis());
         let call = self.api.get("watch objects", path);
-        let response = self.api.fetch(call, wait + WATCH_MARGIN).await?;
+        let response = self.fetch(call, wait + WATCH_MARGIN).await?;
         if response.status() == StatusCode::GONE {
             return Ok(WatchResult::HistoryGone);
         }
@@ -249,7 +273,7 @@
     /// Reads one object; none if it does not exist.
     pub async fn read(&self, kind: &str, name: &str) -> Result<Option<StoredObject>, StepError> {
         let call = self.api.get("read object", format!("/-/objects/{kind}/{name}"));
-        let response = self.api.fetch(call, CALL_LIMIT).await?;
+        let response = self.fetch(call, CALL_LIMIT).await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -271,7 +295,7 @@
         };
         let object = NewObject { metadata: NewMetadata { name, revision: known }, spec: value };
         let call = self.api.send("write object", method, path, &object)?;
-        let response = self.api.fetch(call, CALL_LIMIT).await?;
+        let response = self.fetch(call, CALL_LIMIT).await?;
         if matches!(response.status(), StatusCode::CONFLICT | StatusCode::NOT_FOUND) {
             return Ok(WriteResult::Conflict);
         }
--- a/tests/gateway/operations.rs
+++ b/tests/gateway/operations.rs
@@ -150,3 +150,20 @@
         expect_that!(line_of(id), some(contains_substring(r#""outcome":"answered""#)));
     }
 }
+
+#[googletest::test]
+fn eras_of_the_store_and_what_is_dropped_are_logged() {
+    let site = Site::start(&[EndpointManner::Answer]);
+    site.platform.set_era(4);
+    site.platform.put("config", "main", configuration(4, &["key-1"]));
+    site.platform.copy_contents();
+    wait_for("the line", || log(&site).contains(r#""store era","kv":{"era":"4"}"#));
+    site.platform.restore_copy();
+    wait_for("the line", || log(&site).contains(r#""kv":{"era":"5","before":"4"}"#));
+    let tool = Command::new(env!("CARGO_BIN_EXE_willowctl"))
+        .args(["gateway", "state", &site.gateway.metrics.to_string()])
+        .output()
+        .expect("willowctl");
+    expect_that!(String::from_utf8_lossy(&tool.stdout), contains_substring("store era 5"));
+    wait_for("the metric", || read(&site, "/metrics").contains("willowarch_store_era 5"));
+}
--- a/tests/gateway/platform_standin.rs
+++ b/tests/gateway/platform_standin.rs
@@ -5,13 +5,13 @@
 use std::{
     collections::BTreeMap,
     net::SocketAddr,
-    sync::{Arc, Condvar, Mutex},
+    sync::{Arc, Condvar, Mutex, MutexGuard},
     thread::JoinHandle,
     time::{Duration, Instant},
 };
 
 use serde_json::{Value, json};
-use tiny_http::{Method, Request, Response, Server};
+use tiny_http::{Header, Method, Request, Response, Server};
 
 /// Threads that answer calls, for a few daemons; waiting watches hold one each.
 const THREADS: usize = 24;
@@ -43,11 +43,20 @@
     pub body: Value,
 }
 
-#[derive(Default)]
-struct PlatformState {
+/// What a store loses when it comes back from a copy: all that was written since.
+#[derive(Clone, Default)]
+struct StoreContents {
     revision: u64,
     objects: BTreeMap<(String, String), StoredEntry>,
     events: Vec<StoredEvent>,
+}
+
+#[derive(Default)]
+struct PlatformState {
+    contents: StoreContents,
+    copy: StoreContents,
+    /// Named in all answers, if there is one.
+    era: Option<u64>,
     /// Events up to this revision are forgotten.
     forgotten: u64,
     down: bool,
@@ -95,7 +104,7 @@
     /// Writes an object as the operator or an endpoint would.
     pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
         let mut state = self.state.0.lock().expect("lock");
-        let revision = state.write(kind, name, &spec);
+        let revision = state.contents.write(kind, name, &spec);
         self.state.1.notify_all();
         revision
     }
@@ -103,13 +112,13 @@
     /// Value of an object, if there is one.
     pub fn get(&self, kind: &str, name: &str) -> Option<Value> {
         let state = self.state.0.lock().expect("lock");
-        let entry = state.objects.get(&(kind.to_owned(), name.to_owned()))?;
+        let entry = state.contents.objects.get(&(kind.to_owned(), name.to_owned()))?;
         serde_json::from_str(&entry.spec).ok()
     }
 
     pub fn remove(&self, kind: &str, name: &str) {
         let mut state = self.state.0.lock().expect("lock");
-        state.remove(kind, name);
+        state.contents.remove(kind, name);
         self.state.1.notify_all();
     }
 
@@ -122,12 +131,49 @@
         self.state.0.lock().expect("lock").lose_answers = count;
     }
 
+    /// Names the era in all answers.
+    pub fn set_era(&self, era: u64) {
+        self.lock().era = Some(era);
+    }
+
+    /// Copies the store's contents; those of before are no longer kept.
+    pub fn copy_contents(&self) {
+        let mut state = self.lock();
+        state.copy = state.contents.clone();
+    }
+
+    /// Comes back from the copy, in a new era. Returns the number of writes that are lost.
+    pub fn restore_copy(&self) -> u64 {
+        let mut state = self.lock();
+        let lost = state.contents.revision - state.copy.revision;
+        state.contents = state.copy.clone();
+        state.era = Some(state.era.unwrap_or_default() + 1);
+        self.state.1.notify_all();
+        lost
+    }
+
+    /// Revision of the newest write.
+    pub fn revision(&self) -> u64 {
+        self.lock().contents.revision
+    }
+
+    /// Raises the revision by writes of somebody else.
+    pub fn write_others(&self, count: u64) {
+        for number in 0..count {
+            self.put("others", "counter", json!(number));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.0.lock().expect("lock")
+    }
+
     /// Drops the history, so that waiting watches are told to list again.
     pub fn forget_history(&self) {
         let mut state = self.state.0.lock().expect("lock");
-        state.revision += 1;
-        state.forgotten = state.revision;
-        state.events.clear();
+        state.contents.revision += 1;
+        state.forgotten = state.contents.revision;
+        state.contents.events.clear();
         self.state.1.notify_all();
     }
 
@@ -158,7 +204,7 @@
     }
 }
 
-impl PlatformState {
+impl StoreContents {
     fn write(&mut self, kind: &str, name: &str, spec: &Value) -> u64 {
         let spec: Arc<str> = spec.to_string().into();
         self.revision += 1;
@@ -214,10 +260,20 @@
 /// Body of answers that say nothing but their status.
 const NO_BODY: &str = "null";
 
-fn respond(request: Request, status: u16, body: &str) {
-    let header = "content-type: application/json".parse::<tiny_http::Header>().expect("header");
+/// The era that answers name, if they name one.
+type NamedEra = Option<u64>;
+
+fn header(text: &str) -> Header {
+    text.parse().expect("header")
+}
+
+fn respond(request: Request, era: NamedEra, status: u16, body: &str) {
     let response = Response::from_string(body).with_status_code(status);
-    let _ = request.respond(response.with_header(header));
+    let mut response = response.with_header(header("content-type: application/json"));
+    if let Some(era) = era {
+        response.add_header(header(&format!("Store-Era: {era}")));
+    }
+    let _ = request.respond(response);
 }
 
 fn query_number(query: &str, name: &str) -> Option<u64> {
@@ -231,15 +287,19 @@
     let mut text = String::new();
     let _ = request.as_reader().read_to_string(&mut text);
     let body: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
-    if shared.0.lock().expect("lock").down {
-        return respond(request, 503, NO_BODY);
+    let (down, era) = {
+        let state = shared.0.lock().expect("lock");
+        (state.down, state.era)
+    };
+    if down {
+        return respond(request, era, 503, NO_BODY);
     }
     let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
     match parts.as_slice() {
         ["-", "objects", kind] => answer_kind(shared, request, kind, query, &body),
         ["-", "objects", kind, name] => answer_object(shared, request, kind, name, &body),
         ["reports" | "scale"] => answer_cloud(shared, request, path, body),
-        _ => respond(request, 404, NO_BODY),
+        _ => respond(request, era, 404, NO_BODY),
     }
 }
 
@@ -253,36 +313,38 @@
     let mut state = shared.0.lock().expect("lock");
     if *request.method() == Method::Post {
         let name = body["metadata"]["name"].as_str().unwrap_or_default().to_owned();
-        if let Some(object) = state.object(kind, &name) {
+        if let Some(object) = state.contents.object(kind, &name) {
+            let era = state.era;
             drop(state);
-            return respond(request, 409, &object);
+            return respond(request, era, 409, &object);
         }
-        state.write(kind, &name, &body["spec"]);
+        state.contents.write(kind, &name, &body["spec"]);
         return written(shared, state, request, kind, &name);
     }
     let Some(after) = query_number(query, "watch") else {
-        let list = state.list(kind);
+        let (list, era) = (state.contents.list(kind), state.era);
         drop(state);
-        return respond(request, 200, &list);
+        return respond(request, era, 200, &list);
     };
     let wait = Duration::from_millis(query_number(query, "wait-ms").unwrap_or(0));
     let until = Instant::now() + wait;
     loop {
+        let era = state.era;
         if state.down {
             drop(state);
-            return respond(request, 503, NO_BODY);
+            return respond(request, era, 503, NO_BODY);
         }
-        if after < state.forgotten {
+        if after < state.forgotten || after > state.contents.revision {
             drop(state);
-            return respond(request, 410, NO_BODY);
+            return respond(request, era, 410, NO_BODY);
         }
-        let events = state.events_after(kind, after);
+        let events = state.contents.events_after(kind, after);
         let left = until.saturating_duration_since(Instant::now());
         if !events.is_empty() || left.is_zero() {
-            let (events, at) = (events.join(","), state.revision);
+            let (events, at) = (events.join(","), state.contents.revision);
             let answer = format!(r#"{{"events":[{events}],"at":{at}}}"#);
             drop(state);
-            return respond(request, 200, &answer);
+            return respond(request, era, 200, &answer);
         }
         state = shared.1.wait_timeout(state, left).expect("lock").0;
     }
@@ -296,20 +358,21 @@
     body: &Value,
 ) {
     let mut state = shared.0.lock().expect("lock");
-    let Some(object) = state.object(kind, name) else {
+    let era = state.era;
+    let Some(object) = state.contents.object(kind, name) else {
         drop(state);
-        return respond(request, 404, NO_BODY);
+        return respond(request, era, 404, NO_BODY);
     };
     if *request.method() == Method::Get {
         drop(state);
-        return respond(request, 200, &object);
+        return respond(request, era, 200, &object);
     }
     let expected = body["metadata"]["revision"].as_u64();
-    if expected.is_some() && expected != state.revision_of(kind, name) {
+    if expected.is_some() && expected != state.contents.revision_of(kind, name) {
         drop(state);
-        return respond(request, 409, &object);
+        return respond(request, era, 409, &object);
     }
-    state.write(kind, name, &body["spec"]);
+    state.contents.write(kind, name, &body["spec"]);
     written(shared, state, request, kind, name);
 }
 
@@ -323,12 +386,12 @@
 ) {
     let lost = state.lose_answers > 0;
     state.lose_answers = state.lose_answers.saturating_sub(1);
-    let object = state.object(kind, name).unwrap_or_default();
+    let (object, era) = (state.contents.object(kind, name).unwrap_or_default(), state.era);
     shared.1.notify_all();
     drop(state);
     match lost {
         true => drop(request.into_writer()),
-        false => respond(request, 200, &object),
+        false => respond(request, era, 200, &object),
     }
 }
 
@@ -364,7 +427,7 @@
         state.overtaken |= state.cloud_calls[before..].iter().any(is_other);
     }
     drop(state);
-    respond(request, 200, NO_BODY);
+    respond(request, None, 200, NO_BODY);
 }
 
 fn name_of(name: &str) -> &'static str {
