Failing tests: the store comes back from a copy, and changes no longer reach the daemons

Requests were handled by configurations that had been replaced long before, and reached an endpoint that had said that it leaves. The store had come back from a copy, in which its revisions are lower and are given out again.

--- /dev/null
+++ b/tests/gateway/store_loss_fleet.rs
@@ -0,0 +1,311 @@
+//! A fleet of real daemons whose store comes back from a copy, and clients at every daemon.
+//!
+//! Meanwhile the operator moves a route, drops a key, adds a route and a key, and endpoints register
+//! and leave. What is recorded of a request is when it was sent, the status of its answer, and the
+//! endpoint that has served it.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+
+use crate::{
+    endpoint_standin::{EndpointManner, EndpointStandin},
+    gateway_site::{Gateway, ask, configuration, wait_for},
+    platform_standin::PlatformStandin,
+};
+
+/// When the store is copied, from the start of the clients.
+pub const COPIED_AT: Duration = Duration::from_millis(500);
+/// When the first changes are written: a route moves, a key is dropped, an endpoint says that it
+/// leaves, another one registers.
+pub const FIRST_CHANGES_AT: Duration = Duration::from_millis(1_000);
+/// When the store goes away.
+const AWAY_AT: Duration = Duration::from_millis(2_000);
+/// When it is back, as of the copy.
+pub const BACK_AT: Duration = Duration::from_millis(2_500);
+/// When it goes away and comes back once more, where it does.
+const AWAY_AGAIN: (Duration, Duration) =
+    (Duration::from_millis(2_900), Duration::from_millis(3_200));
+/// When operator and endpoints write theirs again.
+const WRITTEN_AGAIN_AT: Duration = Duration::from_millis(3_500);
+/// The same where they are slow.
+const WRITTEN_AGAIN_LATE_AT: Duration = Duration::from_millis(5_000);
+/// When the last changes are written: the route moves back, a route and a key are added, a further
+/// endpoint says that it leaves, another one registers.
+pub const LAST_CHANGES_AT: Duration = Duration::from_millis(5_600);
+/// When the clients end.
+const END_AT: Duration = Duration::from_millis(9_500);
+/// Pause of a client between two requests.
+const ASK_PAUSE: Duration = Duration::from_millis(30);
+/// Calls that the store answers at once for each daemon: two watches and a call of the leader.
+const CALLS_A_DAEMON: usize = 3;
+
+/// What is done to the store and to the daemons.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct StoreLoss {
+    /// Whether the store loses anything at all.
+    pub is_lost: bool,
+    /// Writes of others after the copy and before the first changes.
+    pub lost_writes: u64,
+    /// Writes of others after it has come back, before any daemon reads it.
+    pub writes_after: u64,
+    /// Whether operator and endpoints take longer to write theirs again.
+    pub is_written_late: bool,
+    /// Whether the same copy comes back a second time.
+    pub is_lost_twice: bool,
+    /// Whether every other daemon is killed when the store is back.
+    pub restarts_every_other: bool,
+}
+
+/// What a client asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum AskedThing {
+    /// A route that is moved, by a key that stays.
+    MovedRoute,
+    /// The same by a key that is dropped.
+    DroppedKey,
+    /// A route whose endpoints come and go.
+    ChangingEndpoints,
+    /// A route that is added at last, by a key that is.
+    AddedRoute,
+}
+
+/// A request and its answer.
+#[derive(Clone, Debug)]
+pub struct AnsweredRequest {
+    pub daemon: usize,
+    pub asked: AskedThing,
+    /// When it was sent, from the start of the clients.
+    pub sent_at: Duration,
+    pub status: u16,
+    /// Id of the endpoint that has served it.
+    pub endpoint: Option<String>,
+}
+
+impl AnsweredRequest {
+    /// Whether an endpoint whose id begins so has served it.
+    pub fn is_served_by(&self, prefix: &str) -> bool {
+        self.endpoint.as_ref().is_some_and(|id| id.starts_with(prefix))
+    }
+}
+
+/// The daemons, the endpoints by the beginning of their ids, and the store.
+pub struct LossFleet {
+    pub platform: PlatformStandin,
+    endpoints: Vec<EndpointStandin>,
+    daemons: Vec<Mutex<Gateway>>,
+    /// Clients at each daemon.
+    count: AtomicU64,
+}
+
+/// Endpoints by service; `leaver` and `late` belong to the service of the same route.
+const ENDPOINTS: [(&str, &str); 8] = [
+    ("former-0", "former"),
+    ("former-1", "former"),
+    ("later-0", "later"),
+    ("later-1", "later"),
+    ("stay-0", "changing"),
+    ("stay-1", "changing"),
+    ("leaver-0", "changing"),
+    ("leaver-1", "changing"),
+];
+/// Endpoints of the service `changing` that register at the first and the last changes.
+const LATE_ENDPOINTS: [&str; 2] = ["late-0", "late-1"];
+
+fn entry(endpoint: &EndpointStandin, service: &str, state: &str) -> Value {
+    json!({
+        "service": service, "address": endpoint.address, "zone": "hall-a", "version": "v1",
+        "slots": 100, "state": state, "cold-left-ms": 0, "seq": 1, "born": 1_700_000_000_000_u64,
+    })
+}
+
+/// A configuration whose moved route belongs to `service`.
+fn written_configuration(version: u64, service: &str, keys: &[&str], is_last: bool) -> Value {
+    let mut written = configuration(version, keys);
+    let plain = written["routes"][0].clone();
+    let route = |name: &str, service: &str| {
+        let mut route = plain.clone();
+        route["name"] = json!(name);
+        route["path-prefix"] = json!(format!("/{name}/"));
+        route["service"] = json!(service);
+        route
+    };
+    let mut routes = vec![route("moved", service), route("changing", "changing")];
+    if is_last {
+        routes.push(route("added", "changing"));
+    }
+    written["routes"] = json!(routes);
+    let services = ["former", "later", "changing"];
+    let service = |name: &&str| json!({"name": name, "health-path": "/health", "max-conns": 2000});
+    written["services"] = services.iter().map(service).collect();
+    written["tenants"][0]["per-s"] = json!(1e12);
+    written["tenants"][0]["burst"] = json!(1e12);
+    written
+}
+
+impl LossFleet {
+    /// So many daemons, all ready.
+    pub fn start(daemon_count: usize) -> Self {
+        let platform = PlatformStandin::start_with(daemon_count * CALLS_A_DAEMON + 8);
+        platform.set_era(1);
+        let names = ENDPOINTS.iter().map(|(id, _)| *id).chain(LATE_ENDPOINTS);
+        let start = |id| EndpointStandin::start(id, EndpointManner::Answer);
+        let endpoints: Vec<EndpointStandin> = names.map(start).collect();
+        let mut fleet =
+            Self { platform, endpoints, daemons: Vec::new(), count: AtomicU64::default() };
+        for (id, service) in ENDPOINTS {
+            fleet.write_entry(id, service, "ready");
+        }
+        let first = written_configuration(10, "former", &["key-1", "key-dropped"], false);
+        fleet.platform.put("config", "main", first);
+        fleet.start_daemons(daemon_count);
+        fleet
+    }
+
+    fn start_daemons(&mut self, count: usize) {
+        let mut seeds: Vec<SocketAddr> = Vec::new();
+        for place in 0..count {
+            let name = format!("loss-{place}");
+            let daemon = Gateway::start(&name, &self.platform, &seeds);
+            if seeds.len() < 3 {
+                seeds.push(daemon.peers);
+            }
+            self.daemons.push(Mutex::new(daemon));
+        }
+        for daemon in &self.daemons {
+            daemon.lock().expect("lock").wait_ready();
+        }
+        wait_for("a lease", || self.platform.get("gateway-leases", "duties").is_some());
+    }
+
+    fn write_entry(&self, id: &str, service: &str, state: &str) {
+        let endpoint = self.endpoints.iter().find(|one| one.id == id).expect("endpoint");
+        self.platform.put("servers", id, entry(endpoint, service, state));
+    }
+
+    fn write_first_changes(&self) {
+        let second = written_configuration(14, "later", &["key-1"], false);
+        self.platform.put("config", "main", second);
+        self.write_entry("leaver-0", "changing", "draining");
+        self.write_entry("late-0", "changing", "ready");
+    }
+
+    fn write_last_changes(&self) {
+        let last = written_configuration(19, "former", &["key-1", "key-added"], true);
+        self.platform.put("config", "main", last);
+        self.write_entry("leaver-1", "changing", "draining");
+        self.write_entry("late-1", "changing", "ready");
+    }
+
+    fn lose_writes(&self, loss: StoreLoss) {
+        if loss.is_lost {
+            let lost = self.platform.restore_copy();
+            println!("{lost} writes lost");
+        }
+        self.platform.write_others(loss.writes_after);
+        self.platform.set_down(false);
+    }
+
+    /// Plays the changes and the loss; returns what clients have asked and got.
+    pub fn play(&self, loss: StoreLoss) -> Vec<AnsweredRequest> {
+        let began = Instant::now();
+        let requests = Mutex::new(Vec::new());
+        thread::scope(|scope| {
+            scope.spawn(|| self.cause(loss, began));
+            for place in 0..self.daemons.len() {
+                let requests = &requests;
+                scope.spawn(move || {
+                    let asked = self.ask_until_end(place, began);
+                    requests.lock().expect("lock").extend(asked);
+                });
+            }
+        });
+        requests.into_inner().expect("lock")
+    }
+
+    fn cause(&self, loss: StoreLoss, began: Instant) {
+        sleep_until(began, COPIED_AT);
+        self.platform.copy_contents();
+        self.platform.write_others(loss.lost_writes);
+        sleep_until(began, FIRST_CHANGES_AT);
+        self.write_first_changes();
+        if loss.is_lost {
+            sleep_until(began, AWAY_AT);
+            self.platform.set_down(true);
+            sleep_until(began, BACK_AT);
+            self.lose_writes(loss);
+        }
+        if loss.restarts_every_other {
+            for daemon in self.daemons.iter().step_by(2) {
+                daemon.lock().expect("lock").kill_and_restart();
+            }
+        }
+        if loss.is_lost_twice {
+            sleep_until(began, AWAY_AGAIN.0);
+            self.platform.set_down(true);
+            sleep_until(began, AWAY_AGAIN.1);
+            self.lose_writes(loss);
+        }
+        if loss.is_lost {
+            let again = if loss.is_written_late { WRITTEN_AGAIN_LATE_AT } else { WRITTEN_AGAIN_AT };
+            sleep_until(began, again);
+            self.write_first_changes();
+        }
+        sleep_until(began, LAST_CHANGES_AT);
+        self.write_last_changes();
+    }
+
+    fn ask_until_end(&self, daemon: usize, began: Instant) -> Vec<AnsweredRequest> {
+        let address = self.daemons[daemon].lock().expect("lock").clients;
+        let mut requests = Vec::new();
+        let all = [
+            AskedThing::MovedRoute,
+            AskedThing::DroppedKey,
+            AskedThing::ChangingEndpoints,
+            AskedThing::AddedRoute,
+        ];
+        for asked in all.iter().cycle() {
+            let sent_at = began.elapsed();
+            if sent_at >= END_AT {
+                break;
+            }
+            requests.extend(self.ask(daemon, address, *asked, sent_at));
+            thread::sleep(ASK_PAUSE);
+        }
+        requests
+    }
+
+    /// None where the daemon takes no connection.
+    fn ask(
+        &self,
+        daemon: usize,
+        address: SocketAddr,
+        asked: AskedThing,
+        sent_at: Duration,
+    ) -> Option<AnsweredRequest> {
+        std::net::TcpStream::connect(address).ok()?;
+        let (path, key) = match asked {
+            AskedThing::MovedRoute => ("/moved/", "key-1"),
+            AskedThing::DroppedKey => ("/moved/", "key-dropped"),
+            AskedThing::ChangingEndpoints => ("/changing/", "key-1"),
+            AskedThing::AddedRoute => ("/added/", "key-added"),
+        };
+        let id = format!("loss-{}", self.count.fetch_add(1, Ordering::Relaxed));
+        let answer = ask(address, path, &id, key, &[], b"");
+        let is_served = answer.status == 200;
+        let endpoint = is_served.then(|| answer.text().split(' ').next().unwrap_or("").to_owned());
+        Some(AnsweredRequest { daemon, asked, sent_at, status: answer.status, endpoint })
+    }
+}
+
+fn sleep_until(began: Instant, at: Duration) {
+    thread::sleep(at.saturating_sub(began.elapsed()));
+}
