Bases of compressed texts are named by their hash

The store gives revisions out again after it has come back from a copy. Two daemons could hold different texts under one revision: the one sent the difference against its own, the other read it against another text, found the checksum wrong and had to ask for the whole text, a gossip round later. Texts are now named by their hash, so that only equal texts are a base for each other. No field of the wire changes; between daemons of this release and the last, no base is known to both and the text is sent whole.

different_texts_of_one_revision_are_no_base_for_each_other: by revisions the first read failed (the former test of whole texts showed just that; it now damages the data instead).

--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -71,7 +71,7 @@
 }
 
 struct CompressedText {
-  base @0 :UInt64;               # revision of the text that is the prefix; 0: none
+  base @0 :UInt64;               # hash of the text that is the prefix; 0: none
   data @1 :Data;                 # Zstandard with that prefix
 }
 
@@ -136,9 +136,9 @@
   wantsUsage @15 :Bool;          # whether it should hold the usage of other daemons
   usage @16 :List(RelayedUsage); # usage that other daemons of its group reported to the sender
   acceptsCompressed @17 :Bool;   # whether texts in the response may be compressed
-  configurationBases @18 :List(UInt64);  # revisions whose texts the sender keeps
+  configurationBases @18 :List(UInt64);  # hashes of the texts that the sender keeps
   compressedConfiguration @19 :CompressedText;  # in place of `configurationText`
-  endpointBases @20 :List(UInt64);  # revisions whose texts the sender keeps
+  endpointBases @20 :List(UInt64);  # hashes of the texts that the sender keeps
   compressedEndpoints @21 :CompressedText;  # in place of `endpoints`: an `EndpointListText`
   crashes @22 :List(CrashReport);
   warnings @23 :List(EndpointWarning);  # of the last seconds
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -170,7 +170,7 @@
         if is_newer {
             state.current = Some(Rc::new(decoded));
         }
-        self.configuration_texts.borrow_mut().push(revision, text);
+        self.configuration_texts.borrow_mut().push(text);
     }
 
     fn end_configuration_lag(&self) -> ConfigurationLag {
@@ -247,7 +247,7 @@
         }
         let list = keep_latest_starts(list, &self.endpoint_list.borrow());
         let text = endpoint_list::write_text(&list);
-        self.endpoint_texts.borrow_mut().push(list.revision, text);
+        self.endpoint_texts.borrow_mut().push(text);
         self.endpoints.borrow_mut().set_list(&list, true_time::now());
         *self.endpoint_list.borrow_mut() = list;
         true
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -27,6 +27,7 @@
     exchange_capnp::{
         compressed_text, daemon_state, gossip_message, lease_summary, peer_summary, relayed_usage,
     },
+    gateway::policy::daemon::held_texts::TextId,
     ids::IncarnationId,
 };
 
@@ -74,23 +75,23 @@
     if let Some(request) = &wants.configuration {
         target.set_wants_configuration(true);
         let bases = target.reborrow().init_configuration_bases(request.bases.len() as u32);
-        write_revisions(bases, &request.bases);
+        write_text_ids(bases, &request.bases);
     }
     if let Some(request) = &wants.endpoints {
         target.set_wants_endpoints(true);
         let bases = target.reborrow().init_endpoint_bases(request.bases.len() as u32);
-        write_revisions(bases, &request.bases);
+        write_text_ids(bases, &request.bases);
     }
 }
 
-fn write_revisions(mut target: primitive_list::Builder<'_, u64>, revisions: &[u64]) {
-    for (index, revision) in revisions.iter().enumerate() {
-        target.set(index as u32, *revision);
+fn write_text_ids(mut target: primitive_list::Builder<'_, u64>, ids: &[TextId]) {
+    for (index, id) in ids.iter().enumerate() {
+        target.set(index as u32, id.0);
     }
 }
 
 fn write_compressed(mut target: compressed_text::Builder<'_>, text: &CompressedText) {
-    target.set_base(text.base);
+    target.set_base(text.base.0);
     target.set_data(&text.data);
 }
 
@@ -217,7 +218,7 @@
     let accepts_compressed = source.get_accepts_compressed();
     let request = |bases: primitive_list::Reader<'_, u64>| -> Result<TextRequest, Error> {
         check_length(bases.len())?;
-        Ok(TextRequest { accepts_compressed, bases: bases.iter().collect() })
+        Ok(TextRequest { accepts_compressed, bases: bases.iter().map(TextId).collect() })
     };
     let configuration = match source.get_wants_configuration() {
         true => Some(request(source.get_configuration_bases()?)?),
@@ -233,7 +234,7 @@
 
 fn read_compressed(source: compressed_text::Reader<'_>) -> Result<CompressedText, Error> {
     let data = Bytes::copy_from_slice(source.get_data()?);
-    Ok(CompressedText { base: source.get_base(), data })
+    Ok(CompressedText { base: TextId(source.get_base()), data })
 }
 
 fn read_sent_text(source: gossip_message::Reader<'_>) -> Result<Option<SentText>, Error> {
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -166,7 +166,7 @@
 }
 
 fn log_unreadable(what: &str, error: &impl Display, text: &CompressedText, sender: SocketAddr) {
-    spdlog::warn!("text not read: {}", error, kv: { what, base = text.base, peer: = sender });
+    spdlog::warn!("text not read: {}", error, kv: { what, base = text.base.0, peer: = sender });
 }
 
 fn apply_endpoints(
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -13,6 +13,7 @@
     gateway::{
         endpoint::EndpointList,
         policy::{
+            daemon::held_texts::TextId,
             endpoint::{
                 endpoint_load::{EndpointLoad, ServiceCounters},
                 signal_ledger::{NumberedStart, WarningKind},
@@ -155,8 +156,8 @@
 /// A text, compressed by `text_codec`.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CompressedText {
-    /// Revision of the text that it was compressed against, or `held_texts::NO_BASE`.
-    pub base: u64,
+    /// The text that it was compressed against, or `TextId::NO_BASE`.
+    pub base: TextId,
     /// What the codec wrote.
     pub data: Bytes,
 }
@@ -199,8 +200,8 @@
 pub struct TextRequest {
     /// Whether it may be compressed; daemons of earlier releases can't read that.
     pub accepts_compressed: bool,
-    /// Revisions that the requesting daemon keeps the texts of.
-    pub bases: Vec<u64>,
+    /// Texts that the requesting daemon keeps.
+    pub bases: Vec<TextId>,
 }
 
 /// Long parts that the response should hold; they are sent on request only.
--- a/src/gateway/gossip/text_exchange.rs
+++ b/src/gateway/gossip/text_exchange.rs
@@ -12,22 +12,25 @@
     messages::{CompressedText, SentText, TextRequest},
     text_codec,
 };
-use crate::gateway::policy::daemon::{held_texts::HeldTexts, text_pacing::TextPacer};
+use crate::gateway::policy::daemon::{
+    held_texts::{HeldTexts, TextId},
+    text_pacing::TextPacer,
+};
 
 /// Texts of one thing, and the forms in which the newest was sent.
 #[derive(Debug, Default)]
 pub struct TextExchange {
     texts: HeldTexts,
-    /// Compressed forms of the newest text by the revision of their base, or `NO_BASE`.
-    compressed: BTreeMap<u64, Bytes>,
+    /// Compressed forms of the newest text by their base, or `NO_BASE`.
+    compressed: BTreeMap<TextId, Bytes>,
     pacer: TextPacer,
 }
 
 impl TextExchange {
     /// Keeps a text that is newer than all others.
-    pub fn push(&mut self, revision: u64, text: Bytes) {
+    pub fn push(&mut self, text: Bytes) {
         self.compressed.clear();
-        self.texts.push(revision, text);
+        self.texts.push(text);
     }
 
     /// Request for a newer text than those that are kept.
@@ -47,9 +50,9 @@
         self.pacer.try_send(sent.len(), now).then_some(sent)
     }
 
-    /// Compresses once for each base: all peers that lag by the same revisions are sent the
-    /// same. None if the library fails.
-    fn compress(&mut self, newest: &[u8], base: u64) -> Option<CompressedText> {
+    /// Compresses once for each base: all peers that lag by the same texts are sent the same. None
+    /// if the library fails.
+    fn compress(&mut self, newest: &[u8], base: TextId) -> Option<CompressedText> {
         if let Some(data) = self.compressed.get(&base) {
             return Some(CompressedText { base, data: data.clone() });
         }
@@ -60,7 +63,7 @@
                 Some(CompressedText { base, data })
             }
             Err(error) => {
-                spdlog::warn!("text not compressed: {}", error, kv: { base });
+                spdlog::warn!("text not compressed: {}", error, kv: { base = base.0 });
                 None
             }
         }
--- a/src/gateway/policy/daemon/held_texts.rs
+++ b/src/gateway/policy/daemon/held_texts.rs
@@ -1,21 +1,36 @@
 //! Decides which texts of one thing a daemon keeps: the newest, and former ones from which a
 //! peer that still holds one of them can be sent the difference only.
 //!
-//! Inputs are the texts in the order in which they were applied. Daemons skip revisions, each
-//! others, so a peer names all that it keeps. Without a revision in common the whole text is
-//! sent, and so it is after a difference that could not be applied.
+//! Inputs are the texts in the order in which they were applied. Daemons skip texts, each
+//! others, so a peer names all that it keeps. Without a text in common the whole one is sent, and so
+//! it is after a difference that could not be applied. A text is named by its hash: the store may
+//! give a revision out twice, for different texts. Daemons of the last release name texts by
+//! revisions, and are sent whole ones.
 
 use std::collections::VecDeque;
 
 use bytes::Bytes;
 
+use crate::ids::hash_parts;
+
 /// Most bytes of former texts that are kept: three texts of 1,400 routes.
 const MAX_FORMER_BYTES: usize = 1_000_000;
-/// Most former texts that are kept, however short. Their revisions add 128 bytes to a request.
+/// Most former texts that are kept, however short. Their names add 128 bytes to a request.
 const MAX_FORMER_TEXTS: usize = 16;
 
-/// In place of a base's revision: the whole text is sent. Revisions of the store begin at 1.
-pub const NO_BASE: u64 = 0;
+/// Name of a text: its hash, the same at all daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct TextId(pub u64);
+
+impl TextId {
+    /// In place of a base's name: the whole text is sent.
+    pub const NO_BASE: Self = Self(0);
+
+    /// Name of `text`.
+    pub fn of(text: &[u8]) -> Self {
+        Self(hash_parts(&[text]))
+    }
+}
 
 /// Revisions that a daemon holds; 0 is none.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -28,11 +43,11 @@
 
 #[derive(Clone, Debug)]
 struct HeldText {
-    revision: u64,
+    id: TextId,
     text: Bytes,
 }
 
-/// Texts of one thing by their revisions, the newest and some former ones.
+/// Texts of one thing, the newest and some former ones.
 #[derive(Clone, Debug, Default)]
 pub struct HeldTexts {
     /// The newest first.
@@ -43,9 +58,9 @@
 
 impl HeldTexts {
     /// Keeps a text that is newer than all others, and drops the oldest ones beyond the limits.
-    pub fn push(&mut self, revision: u64, text: Bytes) {
+    pub fn push(&mut self, text: Bytes) {
         self.are_rejected = false;
-        self.texts.push_front(HeldText { revision, text });
+        self.texts.push_front(HeldText { id: TextId::of(&text), text });
         while self.texts.len() > MAX_FORMER_TEXTS + 1 || self.former_bytes() > MAX_FORMER_BYTES {
             self.texts.pop_back();
         }
@@ -61,23 +76,23 @@
     }
 
     /// The text that another was compressed against: empty for `NO_BASE`, none if it is not kept.
-    pub fn base(&self, revision: u64) -> Option<Bytes> {
-        if revision == NO_BASE {
+    pub fn base(&self, id: TextId) -> Option<Bytes> {
+        if id == TextId::NO_BASE {
             return Some(Bytes::new());
         }
-        let held = self.texts.iter().find(|held| held.revision == revision)?;
+        let held = self.texts.iter().find(|held| held.id == id)?;
         Some(held.text.clone())
     }
 
-    fn revisions(&self) -> impl Iterator<Item = u64> {
-        self.texts.iter().map(|held| held.revision)
+    fn ids(&self) -> impl Iterator<Item = TextId> {
+        self.texts.iter().map(|held| held.id)
     }
 
-    /// The revisions to name in a request, the newest first.
-    pub fn bases(&self) -> Vec<u64> {
+    /// The texts to name in a request, the newest first.
+    pub fn bases(&self) -> Vec<TextId> {
         match self.are_rejected {
             true => Vec::new(),
-            false => self.revisions().collect(),
+            false => self.ids().collect(),
         }
     }
 
@@ -87,9 +102,8 @@
         self.are_rejected = true;
     }
 
-    /// The newest revision that is kept here and among the bases that a peer has named, or
-    /// `NO_BASE`.
-    pub fn newest_common(&self, bases: &[u64]) -> u64 {
-        self.revisions().find(|revision| bases.contains(revision)).unwrap_or(NO_BASE)
+    /// The newest text that is kept here and among the bases that a peer has named, or `NO_BASE`.
+    pub fn newest_common(&self, bases: &[TextId]) -> TextId {
+        self.ids().find(|id| bases.contains(id)).unwrap_or(TextId::NO_BASE)
     }
 }
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -18,6 +18,7 @@
             },
         },
         policy::{
+            daemon::held_texts::TextId,
             endpoint::{
                 endpoint_load::{EndpointLoad, ServiceCounters},
                 signal_ledger::{NumberedStart, WarningKind},
@@ -71,7 +72,7 @@
 }
 
 fn sample_text() -> CompressedText {
-    CompressedText { base: 7, data: Bytes::from_static(b"{}") }
+    CompressedText { base: TextId(7), data: Bytes::from_static(b"{}") }
 }
 
 fn sample_crash() -> CrashReport {
@@ -128,8 +129,14 @@
         }),
         wants: RequestedParts {
             group: true,
-            configuration: Some(TextRequest { accepts_compressed: true, bases: vec![8, 7] }),
-            endpoints: Some(TextRequest { accepts_compressed: true, bases: vec![3, 1] }),
+            configuration: Some(TextRequest {
+                accepts_compressed: true,
+                bases: vec![TextId(8), TextId(7)],
+            }),
+            endpoints: Some(TextRequest {
+                accepts_compressed: true,
+                bases: vec![TextId(3), TextId(1)],
+            }),
             usage: true,
         },
         group: Some(sample_counters()),
--- a/tests/gateway/platform_standin.rs
+++ b/tests/gateway/platform_standin.rs
@@ -152,11 +152,6 @@
         lost
     }
 
-    /// Revision of the newest write.
-    pub fn revision(&self) -> u64 {
-        self.lock().contents.revision
-    }
-
     /// Raises the revision by writes of somebody else.
     pub fn write_others(&self, count: u64) {
         for number in 0..count {
--- a/tests/gateway/sent_texts.rs
+++ b/tests/gateway/sent_texts.rs
@@ -14,7 +14,7 @@
         text_codec::{compress, decompress},
         text_exchange::TextExchange,
     },
-    policy::daemon::held_texts::HeldTexts,
+    policy::daemon::held_texts::{HeldTexts, TextId},
 };
 
 fn route(number: usize, timeout_ms: u32) -> String {
@@ -45,29 +45,34 @@
     EndpointList { revision: 9, endpoints: (0..count).map(endpoint).collect() }
 }
 
-fn held(texts: &[(u64, Bytes)]) -> HeldTexts {
+fn held(texts: &[Bytes]) -> HeldTexts {
     let mut held = HeldTexts::default();
-    for (revision, text) in texts {
-        held.push(*revision, text.clone());
+    for text in texts {
+        held.push(text.clone());
     }
     held
 }
 
 /// A daemon that has applied `texts`.
-fn exchange(texts: &[(u64, Bytes)]) -> TextExchange {
+fn exchange(texts: &[Bytes]) -> TextExchange {
     let mut exchange = TextExchange::default();
-    for (revision, text) in texts {
-        exchange.push(*revision, text.clone());
+    for text in texts {
+        exchange.push(text.clone());
     }
     exchange
 }
 
-fn request(bases: &[u64]) -> TextRequest {
-    TextRequest { accepts_compressed: true, bases: bases.to_vec() }
+fn ids(texts: &[&Bytes]) -> Vec<TextId> {
+    texts.iter().map(|text| TextId::of(text)).collect()
+}
+
+/// Request of a daemon that keeps `texts`.
+fn request(texts: &[&Bytes]) -> TextRequest {
+    TextRequest { accepts_compressed: true, bases: ids(texts) }
 }
 
 /// What a daemon that has applied `texts` sends for a request.
-fn sent(texts: &[(u64, Bytes)], request: &TextRequest) -> SentText {
+fn sent(texts: &[Bytes], request: &TextRequest) -> SentText {
     exchange(texts).try_send(request, Instant::now()).expect("a text")
 }
 
@@ -112,74 +117,90 @@
 
 #[googletest::test]
 fn the_newest_text_in_common_is_the_base() {
-    let texts = [(3, text(50, 600)), (5, text(50, 700)), (8, text(50, 800))];
-    let base = |bases: &[u64]| match sent(&texts, &request(bases)) {
+    let texts = [text(50, 600), text(50, 700), text(50, 800)];
+    let [first, second, _] = &texts;
+    let (other, another) = (text(51, 600), text(52, 600));
+    let base = |bases: &[&Bytes]| match sent(&texts, &request(bases)) {
         SentText::Compressed(text) => text.base,
         SentText::Plain(_) => panic!("plain"),
     };
-    expect_that!(base(&[6, 5, 3]), eq(5));
-    expect_that!(base(&[4, 3]), eq(3));
-    expect_that!(base(&[7, 4]), eq(0));
+    expect_that!(base(&[&other, second, first]), eq(TextId::of(second)));
+    expect_that!(base(&[&other, first]), eq(TextId::of(first)));
+    expect_that!(base(&[&other, &another]), eq(TextId::NO_BASE));
 }
 
 /// A daemon of an earlier release, which doesn't say that it accepts compressed texts.
 #[googletest::test]
 fn a_text_is_sent_as_it_is_to_those_that_cannot_read_another() {
-    let texts = [(3, text(50, 600)), (5, text(50, 700))];
+    let texts = [text(50, 600), text(50, 700)];
     let request = TextRequest { accepts_compressed: false, bases: Vec::new() };
     expect_that!(sent(&texts, &request), eq(&SentText::Plain(text(50, 700))));
 }
 
 #[googletest::test]
 fn changes_are_sent_to_many_at_once_and_long_texts_one_after_the_other() {
-    let texts = [(3, text(12_000, 600)), (5, text(12_000, 700))];
+    let texts = [text(12_000, 600), text(12_000, 700)];
     let (mut sender, now) = (exchange(&texts), Instant::now());
     expect_that!(sender.try_send(&request(&[]), now), some(anything()));
     expect_that!(sender.try_send(&request(&[]), now), none());
     let mut sender = exchange(&texts);
     let step = std::time::Duration::from_millis(1);
     for number in 0..20 {
-        let change = sender.try_send(&request(&[3]), now + step * number);
+        let change = sender.try_send(&request(&[&texts[0]]), now + step * number);
         expect_that!(change, some(anything()), "{number}");
     }
 }
 
 #[googletest::test]
 fn former_texts_are_kept_within_limits() {
-    let long = Bytes::from(vec![b' '; 400_000]);
-    let texts = held(&(1..=9).map(|revision| (revision, long.clone())).collect::<Vec<_>>());
-    expect_that!(texts.bases(), eq(&vec![9, 8, 7]));
-    let short = Bytes::from_static(b"{}");
-    let texts = held(&(1..=40).map(|revision| (revision, short.clone())).collect::<Vec<_>>());
-    expect_that!(texts.bases().len(), eq(17));
-    let texts = held(&[(1, Bytes::from(vec![b' '; 3_000_000]))]);
-    expect_that!(texts.bases(), eq(&vec![1]));
+    let long: Vec<Bytes> = (1..=9_u8).map(|byte| Bytes::from(vec![byte; 400_000])).collect();
+    expect_that!(held(&long).bases(), eq(&ids(&[&long[8], &long[7], &long[6]])));
+    let short: Vec<Bytes> = (1..=40_u8).map(|byte| Bytes::from(vec![byte; 2])).collect();
+    expect_that!(held(&short).bases().len(), eq(17));
+    let longest = Bytes::from(vec![b' '; 3_000_000]);
+    expect_that!(held(std::slice::from_ref(&longest)).bases(), eq(&ids(&[&longest])));
+}
+
+/// The store has come back from a copy, and has given the same revision to two texts.
+#[googletest::test]
+fn different_texts_of_one_revision_are_no_base_for_each_other() {
+    let (older, newer) = (text(50, 700), text(50, 800));
+    let mut sender = exchange(&[older, newer.clone()]);
+    let mut receiver = exchange(&[text(49, 700)]);
+    match sender.try_send(&receiver.request(), Instant::now()) {
+        Some(SentText::Compressed(text)) => expect_that!(receiver.read(&text), ok(eq(&newer))),
+        _ => panic!("nothing compressed was sent"),
+    }
 }
 
-/// Two daemons that hold different texts under the same revision.
 #[googletest::test]
 fn whole_texts_are_requested_after_one_that_could_not_be_read() {
     let (older, newer) = (text(50, 700), text(50, 800));
-    let mut sender = exchange(&[(5, older.clone()), (8, newer.clone())]);
-    let mut receiver = exchange(&[(5, text(49, 700))]);
-    let mut fetch = |receiver: &mut TextExchange, wait_s| {
+    let mut sender = exchange(&[older.clone(), newer.clone()]);
+    let mut receiver = exchange(std::slice::from_ref(&older));
+    let mut fetch = |receiver: &mut TextExchange, wait_s, damage: bool| {
         let now = Instant::now() + std::time::Duration::from_secs(wait_s);
         match sender.try_send(&receiver.request(), now) {
-            Some(SentText::Compressed(text)) => receiver.read(&text),
+            Some(SentText::Compressed(mut text)) => {
+                if damage {
+                    text.data = Bytes::from_static(b"damaged");
+                }
+                receiver.read(&text)
+            }
             _ => panic!("nothing compressed was sent"),
         }
     };
-    expect_that!(fetch(&mut receiver, 0), err(anything()));
-    expect_that!(receiver.request().bases, eq(&Vec::<u64>::new()));
-    expect_that!(fetch(&mut receiver, 1), ok(eq(&newer)));
-    receiver.push(8, newer);
-    expect_that!(receiver.request().bases, eq(&vec![8, 5]));
+    expect_that!(fetch(&mut receiver, 0, true), err(anything()));
+    expect_that!(receiver.request().bases, eq(&Vec::<TextId>::new()));
+    expect_that!(fetch(&mut receiver, 1, false), ok(eq(&newer)));
+    receiver.push(newer.clone());
+    expect_that!(receiver.request().bases, eq(&ids(&[&newer, &older])));
 }
 
 #[googletest::test]
 fn a_text_whose_base_is_not_kept_is_an_error() {
-    let mut receiver = exchange(&[(5, text(50, 700))]);
-    let sent = CompressedText { base: 4, data: Bytes::from_static(b"x") };
+    let mut receiver = exchange(&[text(50, 700)]);
+    let sent = CompressedText { base: TextId(4), data: Bytes::from_static(b"x") };
     expect_that!(receiver.read(&sent), err(anything()));
 }
 
--- a/tests/gateway/store_loss_fleet.rs
+++ b/tests/gateway/store_loss_fleet.rs
@@ -81,7 +81,6 @@
 /// A request and its answer.
 #[derive(Clone, Debug)]
 pub struct AnsweredRequest {
-    pub daemon: usize,
     pub asked: AskedThing,
     /// When it was sent, from the start of the clients.
     pub sent_at: Duration,
@@ -277,7 +276,7 @@
             if sent_at >= END_AT {
                 break;
             }
-            requests.extend(self.ask(daemon, address, *asked, sent_at));
+            requests.extend(self.ask(address, *asked, sent_at));
             thread::sleep(ASK_PAUSE);
         }
         requests
@@ -286,7 +285,6 @@
     /// None where the daemon takes no connection.
     fn ask(
         &self,
-        daemon: usize,
         address: SocketAddr,
         asked: AskedThing,
         sent_at: Duration,
@@ -302,7 +300,7 @@
         let answer = ask(address, path, &id, key, &[], b"");
         let is_served = answer.status == 200;
         let endpoint = is_served.then(|| answer.text().split(' ').next().unwrap_or("").to_owned());
-        Some(AnsweredRequest { daemon, asked, sent_at, status: answer.status, endpoint })
+        Some(AnsweredRequest { asked, sent_at, status: answer.status, endpoint })
     }
 }
 
--- a/tests/gateway/store_loss_lease.rs
+++ b/tests/gateway/store_loss_lease.rs
@@ -147,7 +147,7 @@
 /// The copy says that its holder has released the lease; its successor still acts.
 #[googletest::test]
 fn lease_that_is_held_is_not_acquired_because_a_copy_shows_it_released() {
-    let mut site = start(4);
+    let site = start(4);
     site.wait_for_reports(1);
     let (former, fence) = site.holder().expect("a holder");
     site.daemons[former].signal("-STOP");
--- a/tests/gateway/text_model.rs
+++ b/tests/gateway/text_model.rs
@@ -22,7 +22,7 @@
         },
         policy::daemon::{
             catch_up::CatchUpState,
-            held_texts::{HeldRevisions, HeldTexts, NO_BASE},
+            held_texts::{HeldRevisions, HeldTexts, TextId},
             text_fetches::{FetchOutcome, FetchOutcomes, TextFetches},
             text_pacing::TextPacer,
         },
@@ -116,7 +116,7 @@
     fn apply(&mut self, revision: u64, text: &Bytes) {
         if revision > self.held {
             self.held = revision;
-            self.texts.push(revision, text.clone());
+            self.texts.push(text.clone());
         }
     }
 }
@@ -128,8 +128,8 @@
     watchers: usize,
     changes: TextChanges,
     sent_bytes: SentBytes,
-    /// Stands for each revision's text: only its length matters here.
-    text: Bytes,
+    /// Stand for the texts, by revision: only their lengths matter here, and that they differ.
+    texts: Vec<Bytes>,
     start: Instant,
     now: Instant,
     rng: SmallRng,
@@ -172,21 +172,28 @@
     rng.random_range(0..steps)
 }
 
+fn distinct_text(revision: u64, length: usize) -> Bytes {
+    let mut text = revision.to_le_bytes().to_vec();
+    text.resize(length, 0);
+    text.into()
+}
+
 impl TextModel {
     /// So many daemons that know each other and hold revision 1; the changes have not begun.
     pub fn new(daemons: usize, changes: TextChanges, seed: u64) -> Self {
         let now = Instant::now();
         let mut rng = SmallRng::seed_from_u64(seed);
-        let text = Bytes::from(vec![0; changes.text_bytes]);
-        let mut texts = HeldTexts::default();
-        texts.push(1, text.clone());
+        let text = |revision| distinct_text(revision, changes.text_bytes);
+        let texts: Vec<Bytes> = (0..=1 + changes.count).map(text).collect();
+        let mut held = HeldTexts::default();
+        held.push(texts[1].clone());
         let mut daemon = |place: usize| ModelDaemon {
             peers: known_peers(place, daemons, now),
             sequence: 1,
             catch_up: CatchUpState::default(),
             pacer: TextPacer::default(),
             held: 1,
-            texts: texts.clone(),
+            texts: held.clone(),
             phase: draw_phase(&mut rng),
             sending: Vec::new(),
         };
@@ -195,7 +202,7 @@
         let watchers = daemons[0].peers.neighbours().groups;
         let sent_bytes = SentBytes::of(changes.text_bytes);
         let reached_all = BTreeMap::new();
-        Self { daemons, watchers, changes, sent_bytes, text, start: now, now, rng, reached_all }
+        Self { daemons, watchers, changes, sent_bytes, texts, start: now, now, rng, reached_all }
     }
 
     /// Plays all changes and `rest` after the last; returns the longest time that a revision
@@ -238,7 +245,7 @@
             .filter(|change| self.written_at(*change) + carried <= self.now);
         let revision = 1 + arrived.count() as u64;
         for watcher in &mut self.daemons[..self.watchers] {
-            watcher.apply(revision, &self.text);
+            watcher.apply(revision, &self.texts[revision as usize]);
         }
     }
 
@@ -286,10 +293,10 @@
 
     /// The holder sends the text, or withholds it.
     fn request_text(&mut self, caller: usize, holder: usize) {
-        let bases: Vec<u64> = self.daemons[caller].texts.bases();
+        let bases = self.daemons[caller].texts.bases();
         let sender = &mut self.daemons[holder];
         let bytes = match sender.texts.newest_common(&bases) {
-            NO_BASE => self.sent_bytes.whole,
+            TextId::NO_BASE => self.sent_bytes.whole,
             _ => self.sent_bytes.change,
         };
         if !sender.pacer.try_send(bytes, self.now) {
@@ -328,7 +335,8 @@
                 false => FetchOutcome::Failed,
             };
             if outcome == FetchOutcome::Received {
-                self.daemons[transfer.to].apply(transfer.revision, &self.text);
+                let text = &self.texts[transfer.revision as usize];
+                self.daemons[transfer.to].apply(transfer.revision, text);
             }
             self.end_fetch(transfer.to, transfer.from, outcome);
         }
