--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -120,10 +120,10 @@
 struct GossipMessage {
   state @0 :DaemonState;
   known @1 :List(PeerSummary);   # some other daemons
-  configuration @2 :UInt64;      # revision held; 0: none
+  configuration @2 :UInt64;      # revision of the store at which it was read; 0: none
   configurationText @3 :Data;    # where the other side's is older
   hasProof @4 :Bool;             # whether `proofAgeMs` means anything
-  proofAgeMs @5 :UInt32;         # since the store was read at this revision
+  proofAgeMs @5 :UInt32;         # since the store was read that showed no newer one
   endpointRevision @6 :UInt64;   # revision of the list of endpoints held
   endpoints @7 :List(EndpointEntry);
   hasEndpoints @8 :Bool;         # whether `endpoints` is the whole list
@@ -143,6 +143,9 @@
   crashes @22 :List(CrashReport);
   warnings @23 :List(EndpointWarning);  # of the last seconds
   limits @24 :List(EndpointLimit);
+  configurationVersion @25 :UInt64;  # the operators' number; 0: not known
+  configurationEra @26 :UInt64;  # era of `configuration`
+  endpointEra @27 :UInt64;       # era of `endpointRevision`
 }
 
 interface Exchange {
--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -70,15 +70,17 @@
     let endpoints: Vec<String> =
         state.endpoints_ready.iter().map(|(service, count)| format!("{service} {count}")).collect();
     format!(
-        "{} ({}) {ready}, {} active; configuration {} (revision {}, proven {} ago); store era {}; \
-         replicas at revision {}: {}, {} draining, {} limited; daemons {} of {}; lease {} fence {} ({} ago)",
+        "{} ({}) {ready}, {} active; configuration {} (revision {}/{}, proven {} ago); store era {}; \
+         replicas at revision {}/{}: {}, {} draining, {} limited; daemons {} of {}; lease {} fence {} ({} ago)",
         state.name,
         state.zone,
         state.active,
         state.configuration_version,
+        state.configuration_era,
         state.configuration_revision,
         age(state.proof_age_ms),
         state.store_era,
+        state.endpoint_era,
         state.endpoint_revision,
         endpoints.join(", "),
         state.endpoints_draining,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -15,7 +15,7 @@
 
 use super::{
     configuration::Configuration,
-    configuration_state::{ConfigurationSource, ConfigurationState},
+    configuration_state::{ApplyOutcome, ConfigurationSource, ConfigurationState},
     endpoint::EndpointList,
     gossip::{codec::endpoint_list, peer_table::PeerTable, text_exchange::TextExchange},
     policy::{
@@ -49,7 +49,7 @@
     logs::LineBudget,
     metrics::MetricsHandle,
     platform,
-    store_position::StoreEra,
+    store_position::{StoreEra, StorePosition},
     true_time,
 };
 
@@ -140,37 +140,44 @@
         self.configuration.borrow().current.clone()
     }
 
-    /// Applies a configuration if it is newer than the one held. Versions and revisions only
-    /// rise.
-    pub fn apply_configuration(&self, source: ConfigurationSource, revision: u64, text: Bytes) {
+    /// Applies a configuration if its version is above the one held.
+    pub fn apply_configuration(
+        &self,
+        source: ConfigurationSource,
+        position: StorePosition,
+        text: Bytes,
+    ) {
         let mut state = self.configuration.borrow_mut();
-        if revision <= state.revision {
-            if revision < state.revision {
-                log_dropped("configuration", revision, state.revision, source);
-            }
+        let is_shown = source == ConfigurationSource::Store;
+        if is_shown && state.is_shown(position) {
             return;
         }
-        let decoded = match platform::configuration::decode(&text) {
+        let decoded = platform::configuration::decode(&text);
+        if is_shown {
+            let version = decoded.as_ref().ok().map(|decoded| decoded.version);
+            state.show(position, version, true_time::now());
+        }
+        let decoded = match decoded {
             Ok(decoded) => decoded,
             Err(error) => {
-                spdlog::error!("configuration not decoded: {}", error, kv: { revision });
+                spdlog::error!("configuration not decoded: {}", error, kv: { position: = position });
                 return;
             }
         };
-        let known = state.current.as_ref().map_or(0, |current| current.version);
-        let is_newer = state.current.is_none() || decoded.version > known;
-        let outcome = if is_newer { "applied" } else { "version not newer" };
-        let lag = self.end_configuration_lag();
+        let (version, before) = (decoded.version, state.version());
+        let outcome = state.apply(decoded, position);
+        let lag = match outcome {
+            ApplyOutcome::Applied => self.end_configuration_lag(),
+            ApplyOutcome::Held | ApplyOutcome::Older => ConfigurationLag::default(),
+        };
         spdlog::info!("configuration", kv: {
-            version: = decoded.version, revision, before = known, outcome, source: = source,
-            bytes = text.len(), lag_ms = lag.duration_ms, withheld = lag.withheld,
-            failed = lag.failed
+            version: = version, era: = position.era(), revision = position.revision(), before,
+            outcome: = outcome, source: = source, bytes = text.len(), lag_ms = lag.duration_ms,
+            withheld = lag.withheld, failed = lag.failed
         });
-        state.revision = revision;
-        if is_newer {
-            state.current = Some(Rc::new(decoded));
+        if outcome == ApplyOutcome::Applied {
+            self.configuration_texts.borrow_mut().push(text);
         }
-        self.configuration_texts.borrow_mut().push(text);
     }
 
     fn end_configuration_lag(&self) -> ConfigurationLag {
@@ -179,11 +186,6 @@
         lag
     }
 
-    /// Notes that the store, asked at `proof`, held the configuration of this revision.
-    pub fn prove_configuration(&self, revision: u64, proof: Option<Instant>) {
-        self.configuration.borrow_mut().prove(revision, proof);
-    }
-
     /// Whether keys of the configuration may be used.
     pub fn key_freshness(&self, now: Instant) -> KeyFreshness {
         let proof = self.configuration.borrow().proof;
@@ -238,11 +240,7 @@
 
     /// Applies a list of endpoints if it is newer than the one held; says whether it was.
     pub fn apply_endpoints(&self, list: EndpointList) -> bool {
-        let held = self.endpoint_list.borrow().revision;
-        if list.revision <= held {
-            if list.revision < held {
-                log_dropped("endpoints", list.revision, held, ConfigurationSource::Store);
-            }
+        if list.position <= self.endpoint_list.borrow().position {
             return false;
         }
         let list = keep_latest_starts(list, &self.endpoint_list.borrow());
@@ -297,7 +295,7 @@
     pub fn readiness(&self, now: Instant) -> Readiness {
         Readiness::decide(ReadinessInputs {
             is_stopping: self.is_leaving(),
-            has_endpoint_list: self.endpoint_list.borrow().revision > 0,
+            has_endpoint_list: !self.endpoint_list.borrow().position.is_none(),
             has_configuration: self.configuration.borrow().current.is_some(),
             knows_daemon_count: self.knows_fleet(now),
             has_peer_contact: self.peer_contact.borrow().is_current(now),
@@ -311,8 +309,3 @@
         now.saturating_duration_since(self.started_at)
     }
 }
-
-/// Logs what is not applied because its revision is below the one that is held.
-fn log_dropped(what: &str, revision: u64, held: u64, source: ConfigurationSource) {
-    spdlog::warn!("dropped", kv: { what, revision, held, source: = source });
-}
--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -6,7 +6,7 @@
 
 use std::{net::SocketAddr, rc::Rc};
 
-use crate::ids::SharedName;
+use crate::{ids::SharedName, store_position::StorePosition};
 
 /// Whether an endpoint takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -47,11 +47,11 @@
     }
 }
 
-/// All endpoints at one revision of the store.
+/// All endpoints at one position of the store.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct EndpointList {
-    /// Revision of the store.
-    pub revision: u64,
+    /// Position of the store.
+    pub position: StorePosition,
     /// Endpoints in the order of their ids.
     pub endpoints: Vec<Rc<EndpointRecord>>,
 }
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -24,7 +24,7 @@
     endpoint_signals::limits::divide_if_due,
     incoming::apply_message,
     messages::{GossipMessage, RequestedParts},
-    outgoing::{held_revisions, own_message},
+    outgoing::{held_versions, own_message},
 };
 use crate::{
     exchange_capnp::exchange,
@@ -33,8 +33,7 @@
         policy::{
             daemon::{
                 catch_up::wait_for_store,
-                held_texts::HeldRevisions,
-                text_fetches::{FetchOutcomes, TextFetches},
+                text_fetches::{FetchOutcomes, SentVersions, TextFetches},
             },
             leader::usage_reports::requests_former_usage,
         },
@@ -140,7 +139,7 @@
 /// Starts to fetch newer texts, if peers have reported any.
 fn start_fetches(context: &GatewayContext, now: Instant) -> TextFetches {
     let wait = wait_for_store(context.watches_store(now), context.store_fails(now));
-    let held = held_revisions(context);
+    let held = held_versions(context);
     context.catch_up.borrow_mut().start_fetches(held, wait, now, &mut rand::rng())
 }
 
@@ -174,10 +173,10 @@
     let called = timeout(limit, swap_messages(context, connections, address, parts)).await;
     let outcomes = match called {
         Ok(Ok(response)) => {
-            let sent = sent_revisions(&response);
+            let sent = sent_versions(&response);
             apply_message(context, response, Some(called_at));
             context.peer_contact.borrow_mut().receive_response(called_at);
-            FetchOutcomes::judge(sent, held_revisions(context))
+            FetchOutcomes::judge(sent, held_versions(context))
         }
         // Counted, not logged: calls to a daemon that is gone fail twice a second.
         Ok(Err(_)) | Err(_) => {
@@ -195,12 +194,12 @@
     catch_up.end_fetches(address, fetches, outcomes, true_time::now());
 }
 
-/// Revisions of the texts that a response holds; 0 of those that it doesn't.
-fn sent_revisions(response: &GossipMessage) -> HeldRevisions {
-    let GossipMessage { configuration, endpoints, endpoint_revision, .. } = response;
-    HeldRevisions {
-        configuration: configuration.text.as_ref().map_or(0, |_| configuration.revision),
-        endpoints: endpoints.as_ref().map_or(0, |_| *endpoint_revision),
+/// Versions of the texts that a response holds.
+fn sent_versions(response: &GossipMessage) -> SentVersions {
+    let GossipMessage { configuration, endpoints, endpoint_position, .. } = response;
+    SentVersions {
+        configuration: configuration.text.as_ref().map(|_| configuration.version),
+        endpoints: endpoints.as_ref().map(|_| *endpoint_position),
     }
 }
 
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -29,6 +29,7 @@
     },
     gateway::policy::daemon::held_texts::TextId,
     ids::IncarnationId,
+    store_position::{StoreEra, StorePosition},
 };
 
 /// Writes a message.
@@ -52,7 +53,8 @@
         write_counters!(target.reborrow().init_group(), group);
     }
     write_configuration(target.reborrow(), &source.configuration);
-    target.set_endpoint_revision(source.endpoint_revision);
+    target.set_endpoint_revision(source.endpoint_position.revision());
+    target.set_endpoint_era(source.endpoint_position.era().0);
     match &source.endpoints {
         None => {}
         Some(SentEndpoints::Listed(list)) => {
@@ -132,7 +134,9 @@
 }
 
 fn write_configuration(mut target: gossip_message::Builder<'_>, source: &ConfigurationSummary) {
-    target.set_configuration(source.revision);
+    target.set_configuration(source.position.revision());
+    target.set_configuration_era(source.position.era().0);
+    target.set_configuration_version(source.version);
     match &source.text {
         None => {}
         Some(SentText::Plain(text)) => target.set_configuration_text(text),
@@ -171,7 +175,7 @@
         state: read_state(source.get_state()?)?,
         known,
         configuration: read_configuration(source)?,
-        endpoint_revision: source.get_endpoint_revision(),
+        endpoint_position: read_endpoint_position(source),
         endpoints: read_endpoints(source)?,
         lease: read_lease(source.get_lease()?)?,
         wants: read_wants(source)?,
@@ -246,6 +250,15 @@
     Ok((!text.is_empty()).then(|| SentText::Plain(Bytes::copy_from_slice(text))))
 }
 
+/// Daemons of the last release name no era.
+fn read_position(era: u64, revision: u64) -> StorePosition {
+    StorePosition::new(StoreEra(era), revision)
+}
+
+fn read_endpoint_position(source: gossip_message::Reader<'_>) -> StorePosition {
+    read_position(source.get_endpoint_era(), source.get_endpoint_revision())
+}
+
 fn read_endpoints(source: gossip_message::Reader<'_>) -> Result<Option<SentEndpoints>, Error> {
     if source.has_compressed_endpoints() {
         let text = read_compressed(source.get_compressed_endpoints()?)?;
@@ -254,14 +267,15 @@
     if !source.get_has_endpoints() {
         return Ok(None);
     }
-    let revision = source.get_endpoint_revision();
-    let list = endpoint_list::read_entries(revision, source.get_endpoints()?)?;
+    let position = read_endpoint_position(source);
+    let list = endpoint_list::read_entries(position, source.get_endpoints()?)?;
     Ok(Some(SentEndpoints::Listed(list)))
 }
 
 fn read_configuration(source: gossip_message::Reader<'_>) -> Result<ConfigurationSummary, Error> {
     Ok(ConfigurationSummary {
-        revision: source.get_configuration(),
+        version: source.get_configuration_version(),
+        position: read_position(source.get_configuration_era(), source.get_configuration()),
         text: read_sent_text(source)?,
         proof_age_ms: source.get_has_proof().then(|| source.get_proof_age_ms()),
     })
--- a/src/gateway/gossip/codec/endpoint_list.rs
+++ b/src/gateway/gossip/codec/endpoint_list.rs
@@ -10,6 +10,7 @@
 use crate::{
     exchange_capnp::{endpoint_entry, endpoint_list_text},
     gateway::endpoint::{EndpointList, EndpointRecord, EndpointState},
+    store_position::StorePosition,
 };
 
 /// The text of a list; equal lists have equal texts.
@@ -20,15 +21,15 @@
     serialize::write_message_to_words(&message).into()
 }
 
-/// Reads the list of a revision from its text.
+/// Reads the list at a position of the store from its text.
 ///
 /// # Errors
 ///
 /// The text is malformed or the list too long.
-pub fn read_list(revision: u64, mut text: &[u8]) -> Result<EndpointList, Error> {
+pub fn read_list(position: StorePosition, mut text: &[u8]) -> Result<EndpointList, Error> {
     let message = serialize::read_message(&mut text, message::ReaderOptions::new())?;
     let root = message.get_root::<endpoint_list_text::Reader<'_>>()?;
-    read_entries(revision, root.get_entries()?)
+    read_entries(position, root.get_entries()?)
 }
 
 pub(super) fn write_entries(
@@ -49,12 +50,12 @@
 }
 
 pub(super) fn read_entries(
-    revision: u64,
+    position: StorePosition,
     entries: struct_list::Reader<'_, endpoint_entry::Owned>,
 ) -> Result<EndpointList, Error> {
     check_length(entries.len())?;
     let endpoints = entries.iter().map(read_endpoint).collect::<Result<_, Error>>()?;
-    Ok(EndpointList { revision, endpoints })
+    Ok(EndpointList { position, endpoints })
 }
 
 fn read_endpoint(source: endpoint_entry::Reader<'_>) -> Result<Rc<EndpointRecord>, Error> {
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -19,7 +19,7 @@
         CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage,
         LeaseSummary, SentEndpoints, SentText,
     },
-    outgoing::{PEER_SUMMARIES, held_revisions},
+    outgoing::{PEER_SUMMARIES, held_versions},
     peer_record::PeerReport,
     report_source::ReportSource,
 };
@@ -28,11 +28,11 @@
     context::GatewayContext,
     endpoint::EndpointList,
     policy::{
-        daemon::held_texts::HeldRevisions, endpoint::endpoint_load::ReportedLoads,
+        daemon::held_texts::HeldVersions, endpoint::endpoint_load::ReportedLoads,
         leader::leader_lease::LeaseRenewal,
     },
 };
-use crate::true_time;
+use crate::{store_position::StorePosition, true_time};
 
 /// A daemon that has reported fewer states than this has started a few seconds ago, so that all of
 /// its quota units were spent in the last moments: at 20 calls a second, and as many of others,
@@ -50,7 +50,7 @@
     apply_reports(context, &message.crashes, now);
     apply_warnings(context, &message.warnings, now);
     apply_limits(context, &message.limits, now);
-    let GossipMessage { state, configuration, endpoint_revision, endpoints, lease, .. } = message;
+    let GossipMessage { state, configuration, endpoint_position, endpoints, lease, .. } = message;
     let address = state.address;
     let is_newer = {
         let mut peers = context.peers.borrow_mut();
@@ -61,12 +61,12 @@
     };
     apply_counters(context, state, message.group, is_newer, now);
     let reported =
-        HeldRevisions { configuration: configuration.revision, endpoints: endpoint_revision };
+        HeldVersions { configuration: configuration.version, endpoints: endpoint_position };
     apply_configuration(context, address, &configuration, called_at);
     if let Some(sent) = endpoints {
-        apply_endpoints(context, address, endpoint_revision, sent);
+        apply_endpoints(context, address, endpoint_position, sent);
     }
-    let held = held_revisions(context);
+    let held = held_versions(context);
     context.catch_up.borrow_mut().receive(address, reported, held, now);
     if let Some(lease) = lease {
         apply_lease(context, &lease, now);
@@ -139,9 +139,9 @@
     let proof = called_at.zip(proof_age).and_then(|(at, age)| at.checked_sub(age));
     if let Some(text) = read_text(context, sender, summary) {
         let source = ConfigurationSource::Peer(sender);
-        context.apply_configuration(source, summary.revision, text);
+        context.apply_configuration(source, summary.position, text);
     }
-    context.prove_configuration(summary.revision, proof);
+    context.configuration.borrow_mut().prove_version(summary.version, proof);
 }
 
 /// The text of a configuration as the operators wrote it; none if it was not sent, is not newer
@@ -152,7 +152,7 @@
     summary: &ConfigurationSummary,
 ) -> Option<Bytes> {
     let sent = match summary.text.as_ref()? {
-        _ if summary.revision <= context.configuration.borrow().revision => return None,
+        _ if summary.version <= context.configuration.borrow().version() => return None,
         SentText::Plain(text) => return Some(text.clone()),
         SentText::Compressed(text) => text,
     };
@@ -172,30 +172,32 @@
 fn apply_endpoints(
     context: &GatewayContext,
     sender: SocketAddr,
-    revision: u64,
+    position: StorePosition,
     sent: SentEndpoints,
 ) {
-    if revision <= context.endpoint_list.borrow().revision {
+    if position <= context.endpoint_list.borrow().position {
         return;
     }
     let list = match sent {
         SentEndpoints::Listed(list) => Some(list),
-        SentEndpoints::Compressed(text) => read_endpoints(context, sender, revision, &text),
+        SentEndpoints::Compressed(text) => read_endpoints(context, sender, position, &text),
     };
     if list.is_some_and(|list| context.apply_endpoints(list)) {
-        spdlog::info!("endpoints", kv: { revision, source = "peer" });
+        spdlog::info!("endpoints", kv: {
+            era: = position.era(), revision = position.revision(), source = "peer"
+        });
     }
 }
 
 fn read_endpoints(
     context: &GatewayContext,
     sender: SocketAddr,
-    revision: u64,
+    position: StorePosition,
     text: &CompressedText,
 ) -> Option<EndpointList> {
     let read = context.endpoint_texts.borrow_mut().read(text);
     let list = read.map_err(capnp::Error::from);
-    match list.and_then(|list| endpoint_list::read_list(revision, &list)) {
+    match list.and_then(|list| endpoint_list::read_list(position, &list)) {
         Ok(list) => Some(list),
         Err(error) => {
             log_unreadable("endpoints", &error, text, sender);
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -23,6 +23,7 @@
         },
     },
     ids::{IncarnationId, SharedName},
+    store_position::StorePosition,
 };
 
 /// State that a daemon reports of itself.
@@ -145,11 +146,13 @@
 /// The configuration that a daemon holds.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ConfigurationSummary {
-    /// Its revision; 0 if none.
-    pub revision: u64,
+    /// The operators' version; 0 if there is none, or from a daemon of the last release.
+    pub version: u64,
+    /// Where the store stood when it held it.
+    pub position: StorePosition,
     /// Its text, if the other side has requested it.
     pub text: Option<SentText>,
-    /// Milliseconds since the store was asked that responded with this revision.
+    /// Milliseconds since the store was asked that showed no newer one.
     pub proof_age_ms: Option<u32>,
 }
 
@@ -226,8 +229,8 @@
     pub known: Vec<PeerSummary>,
     /// Its configuration.
     pub configuration: ConfigurationSummary,
-    /// Revision of its list of endpoints.
-    pub endpoint_revision: u64,
+    /// Where the store stood when it held its list of endpoints.
+    pub endpoint_position: StorePosition,
     /// The list, if the other side has requested it.
     pub endpoints: Option<SentEndpoints>,
     /// The lease, if any is known.
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -15,7 +15,7 @@
 use crate::gateway::{
     context::GatewayContext,
     policy::{
-        daemon::held_texts::HeldRevisions, endpoint::endpoint_load::endpoint_number,
+        daemon::held_texts::HeldVersions, endpoint::endpoint_load::endpoint_number,
         leader::usage_counts::WindowCounts,
     },
 };
@@ -27,11 +27,11 @@
 /// the windows that are still sent.
 const REPORTED_WINDOWS: usize = 4;
 
-/// Revisions that this daemon holds.
-pub fn held_revisions(context: &GatewayContext) -> HeldRevisions {
-    HeldRevisions {
-        configuration: context.configuration.borrow().revision,
-        endpoints: context.endpoint_list.borrow().revision,
+/// What this daemon holds.
+pub fn held_versions(context: &GatewayContext) -> HeldVersions {
+    HeldVersions {
+        configuration: context.configuration.borrow().version(),
+        endpoints: context.endpoint_list.borrow().position,
     }
 }
 
@@ -44,11 +44,12 @@
         state: own_state(context),
         known: context.peers.borrow().summaries(PEER_SUMMARIES, now, &mut rand::rng()),
         configuration: ConfigurationSummary {
-            revision: configuration.revision,
+            version: configuration.version(),
+            position: configuration.position,
             text: wants.configuration.and_then(|request| sent_text(context, &request, now)),
             proof_age_ms: configuration.proof.map(|at| age_ms(at, now)),
         },
-        endpoint_revision: list.revision,
+        endpoint_position: list.position,
         endpoints: wants.endpoints.and_then(|request| sent_endpoints(context, &request, now)),
         lease: lease_summary(context, now),
         wants: RequestedParts::default(),
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -32,6 +32,7 @@
         settings::LeaderTask,
     },
     platform::cloud::{CloudClient, CloudOutcome, EndpointOrder},
+    store_position::StorePosition,
     true_time,
 };
 
@@ -55,8 +56,8 @@
     next_try: Instant,
     orders: EndpointOrders,
     waves: ReclaimWaves,
-    /// Revision of the endpoint list that `waves` has seen; 0 if none.
-    watched_revision: u64,
+    /// Position of the endpoint list that `waves` has seen.
+    watched_position: StorePosition,
 }
 
 /// Carries out the leader tasks, or waits for the lease, until the daemon stops.
@@ -71,7 +72,7 @@
         next_try: true_time::now(),
         orders: EndpointOrders::default(),
         waves: ReclaimWaves::default(),
-        watched_revision: 0,
+        watched_position: StorePosition::NONE,
         context,
     };
     let mut ticks = interval(TICK);
@@ -106,8 +107,8 @@
     /// Looks at what is held when the list of endpoints has changed, also at daemons that do not
     /// hold the lease: whoever acquires it has to know of reclaims.
     fn watch_reclaims(&mut self, now: Instant) {
-        let revision = self.context.endpoint_list.borrow().revision;
-        if revision == self.watched_revision {
+        let position = self.context.endpoint_list.borrow().position;
+        if position == self.watched_position {
             return;
         }
         let Some(configuration) = self.context.configuration() else { return };
@@ -116,7 +117,7 @@
                 self.waves.observe(&service.name, &holdings(&self.context, service), now);
             }
         }
-        self.watched_revision = revision;
+        self.watched_position = position;
     }
 
     async fn try_acquire(&mut self) -> Result<(), StepError> {
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -16,11 +16,10 @@
         AcquireDecision, FIRST_FENCE, LeaseOwner, ObservedLease, decide_acquire, spoilt_fence,
     },
     ids::SharedName,
+    platform::store::WriteCondition,
     true_time,
 };
 
-/// Revision to write at when there is no object yet.
-const NO_REVISION: u64 = 0;
 /// Longest random time added to a wait for the lease, in milliseconds, so that daemons do not all
 /// try at once.
 const ACQUIRE_SPREAD_MS: u64 = 300;
@@ -80,10 +79,10 @@
             }),
             LeaseSight::Spoilt(spoilt) => {
                 let known = self.context.lease.borrow().fence;
-                let fence = spoilt_fence(known, spoilt.revision);
+                let fence = spoilt_fence(known, spoilt.position.revision());
                 Some(ObservedLease::of_lost_record(fence, unchanged_for(spoilt.since)))
             }
-            LeaseSight::Absent => {
+            LeaseSight::Absent(_) => {
                 let lease = self.context.lease.borrow();
                 let renewed_at = lease.renewed_at?;
                 Some(ObservedLease::of_lost_record(lease.fence, unchanged_for(renewed_at)))
@@ -114,10 +113,10 @@
     /// Writes the lease as this daemon's, if the object is still as in `sight`. The former
     /// holder's requirements and report are carried over.
     async fn acquire(&mut self, fence: u64, sight: LeaseSight) -> Result<AcquireResult, StepError> {
-        let (revision, former) = match sight {
-            LeaseSight::Seen(seen) => (seen.revision, Some(seen.record)),
-            LeaseSight::Spoilt(spoilt) => (spoilt.revision, None),
-            LeaseSight::Absent => (NO_REVISION, None),
+        let (condition, former) = match sight {
+            LeaseSight::Seen(seen) => (WriteCondition::At(seen.position), Some(seen.record)),
+            LeaseSight::Spoilt(spoilt) => (WriteCondition::At(spoilt.position), None),
+            LeaseSight::Absent(era) => (WriteCondition::Absent(era), None),
         };
         let renewals = first_renewal(fence, former.as_ref());
         let first_window = match &former {
@@ -142,7 +141,7 @@
             first_window,
             report,
         };
-        if !self.write(revision, record).await? {
+        if !self.write(condition, record).await? {
             return Ok(AcquireResult::NotAcquired);
         }
         spdlog::info!("lease", kv: { outcome = "acquired", fence });
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -22,37 +22,37 @@
     ids::SharedName,
     platform::{
         cloud::LeaseHolder,
-        store::{StoredObject, WriteResult},
+        store::{StoredObject, WriteCondition, WriteResult},
     },
+    store_position::{StoreEra, StorePosition},
     true_time,
 };
 
 /// The lease object as last read, and since when it has not changed.
 #[derive(Clone, Debug)]
 pub struct SeenLease {
-    /// Revision that was read or written.
-    pub revision: u64,
+    /// Where the store stood when it was written.
+    pub position: StorePosition,
     /// What it holds.
     pub record: LeaseRecord,
-    /// When the store was asked that first showed this revision, or when gossip says that its
-    /// write began.
+    /// When the store was asked that first showed it, or when gossip says that its write began.
     pub since: Instant,
 }
 
 /// A lease object that no daemon has written: another writer has spoilt it.
 #[derive(Clone, Copy, Debug)]
 pub struct SpoiltLease {
-    /// Revision that was read.
-    pub revision: u64,
-    /// When the store was asked that first showed this revision.
+    /// Where the store stood when it was written.
+    pub position: StorePosition,
+    /// When the store was asked that first showed it.
     pub since: Instant,
 }
 
 /// The lease object as the store shows it.
 #[derive(Clone, Debug)]
 pub enum LeaseSight {
-    /// There is none.
-    Absent,
+    /// There is none in this era of the store.
+    Absent(StoreEra),
     /// It can't be read.
     Spoilt(SpoiltLease),
     /// A daemon has written it.
@@ -122,14 +122,14 @@
     ) -> LeaseSight {
         let Some(object) = object else {
             self.observe_no_record();
-            return LeaseSight::Absent;
+            return LeaseSight::Absent(self.context.store.era());
         };
         let record: LeaseRecord = match serde_json::from_str(&object.value) {
             Ok(record) => record,
             Err(error) => {
                 spdlog::error!("lease record not decoded: {}", error);
                 self.observe_no_record();
-                return LeaseSight::Spoilt(self.observe_spoilt(object.revision, asked_at));
+                return LeaseSight::Spoilt(self.observe_spoilt(object.position, asked_at));
             }
         };
         self.spoilt = None;
@@ -137,10 +137,10 @@
         quarantine::restore_requests(&self.context, &record.quarantined);
         self.context.quotas.borrow_mut().set_throttled_before(record.throttled.iter().cloned());
         let since = match &self.seen {
-            Some(seen) if seen.revision == object.revision => seen.since,
+            Some(seen) if seen.position == object.position => seen.since,
             _ => self.renewal_start(&record).unwrap_or(asked_at).min(asked_at),
         };
-        let seen = SeenLease { revision: object.revision, record, since };
+        let seen = SeenLease { position: object.position, record, since };
         self.seen = Some(seen.clone());
         LeaseSight::Seen(Box::new(seen))
     }
@@ -153,9 +153,9 @@
         self.context.quotas.borrow_mut().set_throttled_before([]);
     }
 
-    fn observe_spoilt(&mut self, revision: u64, asked_at: Instant) -> SpoiltLease {
-        let known = self.spoilt.filter(|known| known.revision == revision);
-        let spoilt = known.unwrap_or(SpoiltLease { revision, since: asked_at });
+    fn observe_spoilt(&mut self, position: StorePosition, asked_at: Instant) -> SpoiltLease {
+        let known = self.spoilt.filter(|known| known.position == position);
+        let spoilt = known.unwrap_or(SpoiltLease { position, since: asked_at });
         self.spoilt = Some(spoilt);
         spoilt
     }
@@ -211,20 +211,20 @@
             required_endpoints,
             ..seen.record
         };
-        self.write(seen.revision, record).await
+        self.write(WriteCondition::At(seen.position), record).await
     }
 
     /// Writes the lease; on success this daemon holds it from when the call was made.
     pub(super) async fn write(
         &mut self,
-        revision: u64,
+        condition: WriteCondition,
         record: LeaseRecord,
     ) -> Result<bool, StepError> {
         let started_at = true_time::now();
         self.is_write_unconfirmed = true;
-        let revision = match self.store.write("write lease", revision, &record).await? {
-            WriteResult::Written(revision) => revision,
-            WriteResult::Conflict => return Ok(false),
+        let position = match self.store.write("write lease", condition, &record).await? {
+            WriteResult::Written(position) => position,
+            WriteResult::Conflict | WriteResult::WrittenInLaterEra => return Ok(false),
         };
         self.is_write_unconfirmed = false;
         let mut lease = self.context.lease.borrow_mut();
@@ -234,7 +234,7 @@
             holder: record.holder.clone(),
             renewed_at: started_at,
         });
-        self.seen = Some(SeenLease { revision, record, since: started_at });
+        self.seen = Some(SeenLease { position, record, since: started_at });
         Ok(true)
     }
 
@@ -252,7 +252,7 @@
                 seen.record.incarnation == self.context.incarnation.0
                     && seen.record.fence == self.context.lease.borrow().fence
             }
-            LeaseSight::Absent | LeaseSight::Spoilt(_) => false,
+            LeaseSight::Absent(_) | LeaseSight::Spoilt(_) => false,
         };
         if !is_own {
             self.lose(LossReason::OtherHolder);
@@ -265,10 +265,9 @@
     async fn release(&mut self, seen: SeenLease) -> Result<(), StepError> {
         self.lose(LossReason::Leaving);
         let record = LeaseRecord { released: true, ..seen.record };
-        match self.store.write("release lease", seen.revision, &record).await? {
-            // After a conflict another daemon holds it already.
-            WriteResult::Written(_) | WriteResult::Conflict => Ok(()),
-        }
+        let condition = WriteCondition::At(seen.position);
+        // After a conflict another daemon holds it already.
+        self.store.write("release lease", condition, &record).await.map(drop)
     }
 
     /// Stops being the holder.
--- a/src/gateway/leader/lease_store.rs
+++ b/src/gateway/leader/lease_store.rs
@@ -8,7 +8,7 @@
 use crate::{
     errors::{FailureCause, StepError},
     gateway::context::GatewayContext,
-    platform::store::{StoredObject, WriteResult},
+    platform::store::{StoredObject, WriteCondition, WriteResult},
 };
 
 /// Kind of the lease's object.
@@ -48,7 +48,7 @@
         timeout(STORE_LIMIT, self.read()).await.map_err(|_| self.timed_out("read lease"))?
     }
 
-    /// Writes the object if it is still at `revision`; `step` names the write in errors.
+    /// Writes the object if `condition` holds; `step` names the write in errors.
     ///
     /// # Errors
     ///
@@ -56,10 +56,10 @@
     pub async fn write(
         &self,
         step: &'static str,
-        revision: u64,
+        condition: WriteCondition,
         record: &LeaseRecord,
     ) -> Result<WriteResult, StepError> {
-        let writing = self.context.store.write(LEASE_KIND, LEASE_NAME, revision, record);
+        let writing = self.context.store.write(LEASE_KIND, LEASE_NAME, condition, record);
         timeout(STORE_LIMIT, writing).await.map_err(|_| self.timed_out(step))?
     }
 
--- a/src/gateway/policy/daemon/catch_up.rs
+++ b/src/gateway/policy/daemon/catch_up.rs
@@ -1,7 +1,7 @@
 //! Decides when to fetch a newer configuration or endpoint list, and from which daemon.
 //!
-//! Inputs are the revisions that peers report with each gossip message, the revisions that this
-//! daemon holds, and how long it waits for the store to deliver a change first. Each text is
+//! Inputs are the versions that peers report with each gossip message, those that this daemon holds,
+//! and how long it waits for the store to deliver a change first. Each text is
 //! requested from one daemon at a time. Any daemon that holds a newer text than this one will do:
 //! the newest is asked first, but not one that has just refused while others are left. A
 //! request ends with its response; one that is not answered in `FETCH_TIMEOUT`, or with a text
@@ -18,9 +18,10 @@
 use tokio::time::Instant;
 
 use super::{
-    held_texts::HeldRevisions,
+    held_texts::HeldVersions,
     text_fetches::{FetchOutcome, FetchOutcomes, TextFetches},
 };
+use crate::store_position::StorePosition;
 
 /// Time after which a text that was requested and not received is requested again: three times what
 /// a long text takes on an idle link of 10 Mbit/s.
@@ -32,7 +33,7 @@
 /// How long a daemon was known to hold an older configuration, and what it tried meanwhile.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConfigurationLag {
-    /// Milliseconds since a newer revision was reported; 0 if none was.
+    /// Milliseconds since a newer version was reported; 0 if none was.
     pub duration_ms: u64,
     /// Requests for the text that were withheld.
     pub withheld: u32,
@@ -50,8 +51,8 @@
 
 /// A daemon that holds a newer text.
 #[derive(Clone, Copy, Debug)]
-struct TextHolder {
-    revision: u64,
+struct TextHolder<V> {
+    version: V,
     /// When a request to it was last withheld or failed.
     refused_at: Option<Instant>,
 }
@@ -65,35 +66,35 @@
 
 /// What is known of newer texts of one thing.
 #[derive(Clone, Debug, Default)]
-struct TextCatchUp {
-    held: u64,
-    /// Since when a newer revision than `held` is known.
+struct TextCatchUp<V> {
+    held: V,
+    /// Since when a newer version than `held` is known.
     lagging_since: Option<Instant>,
     /// Daemons that hold a newer one.
-    holders: BTreeMap<SocketAddr, TextHolder>,
+    holders: BTreeMap<SocketAddr, TextHolder<V>>,
     request: Option<PendingRequest>,
     withheld: u32,
     failed: u32,
 }
 
-impl TextCatchUp {
+impl<V: Copy + Ord> TextCatchUp<V> {
     /// Notes what this daemon holds now; what it has tried for an older text no longer counts.
-    fn set_held(&mut self, held: u64, now: Instant) {
+    fn set_held(&mut self, held: V, now: Instant) {
         if held == self.held {
             return;
         }
         self.held = held;
-        self.holders.retain(|_, holder| holder.revision > held);
+        self.holders.retain(|_, holder| holder.version > held);
         self.lagging_since = (!self.holders.is_empty()).then_some(now);
     }
 
-    fn receive(&mut self, address: SocketAddr, revision: u64, now: Instant) {
-        if revision <= self.held {
+    fn receive(&mut self, address: SocketAddr, version: V, now: Instant) {
+        if version <= self.held {
             self.holders.remove(&address);
             return;
         }
-        let unknown = TextHolder { revision, refused_at: None };
-        self.holders.entry(address).or_insert(unknown).revision = revision;
+        let unknown = TextHolder { version, refused_at: None };
+        self.holders.entry(address).or_insert(unknown).version = version;
         self.lagging_since = self.lagging_since.or(Some(now));
     }
 
@@ -121,7 +122,7 @@
 
     /// Least recently refused, then newest, then any: those that hold the same are asked evenly.
     fn best_holder(&self, rng: &mut impl Rng) -> Option<SocketAddr> {
-        let rank = |holder: &TextHolder| (holder.refused_at, Reverse(holder.revision));
+        let rank = |holder: &TextHolder<V>| (holder.refused_at, Reverse(holder.version));
         let best = self.holders.values().map(rank).min()?;
         let equals = self.holders.iter().filter(|(_, holder)| rank(holder) == best);
         equals.map(|(address, _)| *address).choose(rng)
@@ -148,25 +149,25 @@
     }
 }
 
-/// Newer revisions that peers have reported, and what was requested of them.
+/// Newer versions that peers have reported, and what was requested of them.
 #[derive(Clone, Debug, Default)]
 pub struct CatchUpState {
-    configuration: TextCatchUp,
-    endpoints: TextCatchUp,
+    configuration: TextCatchUp<u64>,
+    endpoints: TextCatchUp<StorePosition>,
 }
 
 impl CatchUpState {
-    fn set_held(&mut self, held: HeldRevisions, now: Instant) {
+    fn set_held(&mut self, held: HeldVersions, now: Instant) {
         self.configuration.set_held(held.configuration, now);
         self.endpoints.set_held(held.endpoints, now);
     }
 
-    /// Receives the revisions that the daemon at `holder` has reported; this one holds `held`.
+    /// Receives the versions that the daemon at `holder` has reported; this one holds `held`.
     pub fn receive(
         &mut self,
         holder: SocketAddr,
-        reported: HeldRevisions,
-        held: HeldRevisions,
+        reported: HeldVersions,
+        held: HeldVersions,
         now: Instant,
     ) {
         self.set_held(held, now);
@@ -177,7 +178,7 @@
     /// The daemons to request texts from now; the requests count as made.
     pub fn start_fetches(
         &mut self,
-        held: HeldRevisions,
+        held: HeldVersions,
         wait_for_store: Duration,
         now: Instant,
         rng: &mut impl Rng,
--- a/src/gateway/policy/daemon/held_texts.rs
+++ b/src/gateway/policy/daemon/held_texts.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 
-use crate::ids::hash_parts;
+use crate::{ids::hash_parts, store_position::StorePosition};
 
 /// Most bytes of former texts that are kept: three texts of 1,400 routes.
 const MAX_FORMER_BYTES: usize = 1_000_000;
@@ -32,13 +32,14 @@
     }
 }
 
-/// Revisions that a daemon holds; 0 is none.
+/// What a daemon holds.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct HeldRevisions {
-    /// Of the configuration.
+pub struct HeldVersions {
+    /// The operators' version of the configuration; 0 if there is none, or from a daemon of the last
+    /// release.
     pub configuration: u64,
-    /// Of the list of endpoints.
-    pub endpoints: u64,
+    /// Where the store stood when it held the list of endpoints.
+    pub endpoints: StorePosition,
 }
 
 #[derive(Clone, Debug)]
--- a/src/gateway/policy/daemon/text_fetches.rs
+++ b/src/gateway/policy/daemon/text_fetches.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 
-use super::held_texts::HeldRevisions;
+use super::held_texts::HeldVersions;
+use crate::store_position::StorePosition;
 
 /// Daemons to request texts from now.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -36,13 +37,13 @@
 }
 
 impl FetchOutcome {
-    /// Of a response that held a text of revision `sent` (0: none), after which this daemon
-    /// holds `held`.
-    fn judge(sent: u64, held: u64) -> Self {
+    /// Of a response that held a text of version `sent`, or none, after which this daemon holds
+    /// `held`.
+    fn judge<V: Ord>(sent: Option<V>, held: V) -> Self {
         match sent {
-            0 => Self::Withheld,
-            _ if sent <= held => Self::Received,
-            _ => Self::Unreadable,
+            None => Self::Withheld,
+            Some(sent) if sent <= held => Self::Received,
+            Some(_) => Self::Unreadable,
         }
     }
 
@@ -57,6 +58,15 @@
     }
 }
 
+/// Versions of the texts that a response holds.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SentVersions {
+    /// Of the configuration, if it was sent.
+    pub configuration: Option<u64>,
+    /// Of the list of endpoints, if it was sent.
+    pub endpoints: Option<StorePosition>,
+}
+
 /// How the requests in one call ended; of those that were not made it says nothing.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct FetchOutcomes {
@@ -71,9 +81,8 @@
     pub const FAILED: Self =
         Self { configuration: FetchOutcome::Failed, endpoints: FetchOutcome::Failed };
 
-    /// Of a response that held texts of the revisions `sent`, after which this daemon holds
-    /// `held`.
-    pub fn judge(sent: HeldRevisions, held: HeldRevisions) -> Self {
+    /// Of a response that held the texts `sent`, after which this daemon holds `held`.
+    pub fn judge(sent: SentVersions, held: HeldVersions) -> Self {
         Self {
             configuration: FetchOutcome::judge(sent.configuration, held.configuration),
             endpoints: FetchOutcome::judge(sent.endpoints, held.endpoints),
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -38,7 +38,10 @@
     pub configuration_version: u64,
     /// Its revision in the store.
     pub configuration_revision: u64,
-    /// Era of the store, as far as known.
+    /// Era of that revision.
+    #[serde(default)]
+    pub configuration_era: StoreEra,
+    /// Newest era of the store that this daemon has seen.
     #[serde(default)]
     pub store_era: StoreEra,
     /// Age of its freshness proof; none if there never was one.
@@ -46,6 +49,9 @@
     /// Revision of the list of endpoints.
     #[serde(rename = "replica_revision")]
     pub endpoint_revision: u64,
+    /// Era of that revision.
+    #[serde(default, rename = "replica_era")]
+    pub endpoint_era: StoreEra,
     /// Endpoints that take requests, by service.
     #[serde(rename = "replicas_ready")]
     pub endpoints_ready: BTreeMap<SharedName, usize>,
@@ -123,11 +129,13 @@
             incarnation: context.incarnation.to_string().into(),
             ready: context.readiness(now) == Readiness::Ready,
             active: context.active.get(),
-            configuration_version: configuration.current.as_ref().map_or(0, |one| one.version),
-            configuration_revision: configuration.revision,
+            configuration_version: configuration.version(),
+            configuration_revision: configuration.position.revision(),
+            configuration_era: configuration.position.era(),
             store_era: context.store.era(),
             proof_age_ms: configuration.proof.map(age_ms),
-            endpoint_revision: list.revision,
+            endpoint_revision: list.position.revision(),
+            endpoint_era: list.position.era(),
             endpoints_ready,
             endpoints_draining,
             endpoints_limited: endpoints.limited().len(),
--- a/src/gateway/store_watch/configuration_watch.rs
+++ b/src/gateway/store_watch/configuration_watch.rs
@@ -18,6 +18,7 @@
         configuration::{CONFIGURATION_KIND, CONFIGURATION_NAME},
         store::{ObjectChange, StoredObject, WatchResult},
     },
+    store_position::StorePosition,
     true_time,
 };
 
@@ -31,8 +32,8 @@
     List,
     /// Lists again and again, as long as each list brings a newer configuration.
     ListOften,
-    /// Watches from this revision.
-    Watch(u64),
+    /// Watches from this position.
+    Watch(StorePosition),
 }
 
 /// Keeps the configuration up to date until the daemon stops.
@@ -61,42 +62,42 @@
     match call {
         NextCall::List => Ok(NextCall::Watch(list_configuration(context).await?)),
         NextCall::ListOften => {
-            let held = context.configuration.borrow().revision;
+            let held = context.configuration.borrow().version();
             let listed = list_configuration(context).await?;
-            let has_newer = context.configuration.borrow().revision > held;
+            let has_newer = context.configuration.borrow().version() > held;
             Ok(if has_newer { NextCall::ListOften } else { NextCall::Watch(listed) })
         }
-        NextCall::Watch(revision) => watch_configuration(context, revision).await,
+        NextCall::Watch(position) => watch_configuration(context, position).await,
     }
 }
 
-/// Lists the configuration; returns the store's revision.
-async fn list_configuration(context: &GatewayContext) -> Result<u64, StepError> {
+/// Lists the configuration; returns the store's position.
+async fn list_configuration(context: &GatewayContext) -> Result<StorePosition, StepError> {
     let asked_at = true_time::now();
     let listing = context.store.list(CONFIGURATION_KIND).await?;
     let object = listing.objects.iter().find(|object| &*object.name == CONFIGURATION_NAME);
     if let Some(object) = object {
         apply_configuration(context, object, asked_at);
     }
-    Ok(listing.revision)
+    Ok(listing.position)
 }
 
-/// Watches the configuration from `revision`.
+/// Watches the configuration from `position`.
 async fn watch_configuration(
     context: &GatewayContext,
-    revision: u64,
+    position: StorePosition,
 ) -> Result<NextCall, StepError> {
     let asked_at = true_time::now();
     let is_single_group = context.peers.borrow().is_single_group();
     let wait = watch_wait(context.settings.bounds.apply_limit, is_single_group);
-    match context.store.watch(CONFIGURATION_KIND, revision, wait).await? {
+    match context.store.watch(CONFIGURATION_KIND, position, wait).await? {
         WatchResult::HistoryGone => Ok(NextCall::List),
         WatchResult::Changes(changes, next) => {
             let written = changes.iter().filter_map(written_configuration);
             let written: Vec<&StoredObject> = written.collect();
             match written.last() {
                 Some(object) => apply_configuration(context, object, asked_at),
-                None => prove_unchanged(context, asked_at),
+                None => context.configuration.borrow_mut().prove_shown(asked_at),
             }
             // Each change came whole. If they come faster than the link carries them, a further
             // watch would bring more each time; a list holds only the newest.
@@ -114,12 +115,6 @@
 
 fn apply_configuration(context: &GatewayContext, object: &StoredObject, asked_at: Instant) {
     let text = Bytes::copy_from_slice(object.value.as_bytes());
-    context.apply_configuration(ConfigurationSource::Store, object.revision, text);
-    context.prove_configuration(object.revision, Some(asked_at));
-}
-
-/// Notes that the store has shown no change up to a moment after `asked_at`.
-fn prove_unchanged(context: &GatewayContext, asked_at: Instant) {
-    let revision = context.configuration.borrow().revision;
-    context.prove_configuration(revision, Some(asked_at));
+    context.apply_configuration(ConfigurationSource::Store, object.position, text);
+    context.configuration.borrow_mut().prove_shown(asked_at);
 }
--- a/src/gateway/store_watch/endpoint_watch.rs
+++ b/src/gateway/store_watch/endpoint_watch.rs
@@ -20,6 +20,7 @@
         endpoints::{self, ENDPOINT_KIND},
         store::{ObjectChange, ObjectListing, StoredObject, WatchResult},
     },
+    store_position::StorePosition,
     true_time,
 };
 
@@ -51,7 +52,7 @@
 
 /// Endpoints as this daemon's own calls to the store have shown them.
 struct KnownEndpoints {
-    revision: u64,
+    position: StorePosition,
     by_id: BTreeMap<SharedName, Rc<EndpointRecord>>,
 }
 
@@ -76,10 +77,11 @@
             self.known = Some(known);
             return Ok(());
         };
-        match self.context.store.watch(ENDPOINT_KIND, known.revision, MAX_WATCH_WAIT).await? {
+        match self.context.store.watch(ENDPOINT_KIND, known.position, MAX_WATCH_WAIT).await? {
             WatchResult::HistoryGone => {}
-            WatchResult::Changes(changes, revision) => {
-                self.apply(&mut known, &changes, revision);
+            WatchResult::Changes(changes, position) => {
+                self.apply(&mut known, &changes);
+                known.position = position;
                 if !changes.is_empty() {
                     self.publish(&known);
                     sleep(CHANGE_PAUSE).await;
@@ -94,10 +96,10 @@
         self.foreign.keep_listed(&listing.objects);
         let records = listing.objects.iter().filter_map(|object| self.decode(object));
         let by_id = records.map(|record| (record.id.clone(), record)).collect();
-        KnownEndpoints { revision: listing.revision, by_id }
+        KnownEndpoints { position: listing.position, by_id }
     }
 
-    fn apply(&mut self, known: &mut KnownEndpoints, changes: &[ObjectChange], revision: u64) {
+    fn apply(&mut self, known: &mut KnownEndpoints, changes: &[ObjectChange]) {
         for change in changes {
             let (name, record) = match change {
                 ObjectChange::Written(object) => (&object.name, self.decode(object)),
@@ -111,7 +113,6 @@
                 None => known.by_id.remove(name),
             };
         }
-        known.revision = revision;
     }
 
     /// The endpoint that an entry names, if it names one.
@@ -135,9 +136,11 @@
     fn publish(&self, known: &KnownEndpoints) {
         self.context.metrics.gauge("foreign_entries", self.foreign.count() as f64);
         let endpoints: Vec<Rc<EndpointRecord>> = known.by_id.values().cloned().collect();
-        let (revision, count) = (known.revision, endpoints.len());
-        if self.context.apply_endpoints(EndpointList { revision, endpoints }) {
-            spdlog::info!("endpoints", kv: { revision, count, source = "store" });
+        let (position, count) = (known.position, endpoints.len());
+        if self.context.apply_endpoints(EndpointList { position, endpoints }) {
+            spdlog::info!("endpoints", kv: {
+                era: = position.era(), revision = position.revision(), count, source = "store"
+            });
         }
     }
 }
--- a/src/gateway/store_watch/foreign_entries.rs
+++ b/src/gateway/store_watch/foreign_entries.rs
@@ -1,4 +1,4 @@
-//! Entries in the list of endpoints that no endpoint has written: logged once for each revision, and
+//! Entries in the list of endpoints that no endpoint has written: logged once for each change, and
 //! counted.
 
 use std::collections::BTreeMap;
@@ -7,51 +7,51 @@
 
 use crate::{
     gateway::context::GatewayContext, ids::SharedName, logs::LineBudget,
-    platform::store::StoredObject, true_time,
+    platform::store::StoredObject, store_position::StorePosition, true_time,
 };
 
 /// Log lines a second about such entries: another writer may spoil all entries at once, again and
 /// again.
 const LINES_PER_S: u32 = 5;
 
-/// Entries that name no endpoint, by the revisions that were logged.
+/// Entries that name no endpoint, by the changes that were logged.
 #[derive(Debug)]
 pub struct ForeignEntries {
-    revisions: BTreeMap<SharedName, u64>,
+    positions: BTreeMap<SharedName, StorePosition>,
     lines: LineBudget,
 }
 
 impl ForeignEntries {
     /// Knows of none.
     pub fn new(now: Instant) -> Self {
-        Self { revisions: BTreeMap::new(), lines: LineBudget::new(LINES_PER_S, now) }
+        Self { positions: BTreeMap::new(), lines: LineBudget::new(LINES_PER_S, now) }
     }
 
     /// Notes that an entry names no endpoint.
     pub fn found(&mut self, context: &GatewayContext, object: &StoredObject, reason: &str) {
-        let known = self.revisions.insert(object.name.clone(), object.revision);
-        if known == Some(object.revision) || !self.lines.allows(true_time::now()) {
+        let known = self.positions.insert(object.name.clone(), object.position);
+        if known == Some(object.position) || !self.lines.allows(true_time::now()) {
             return;
         }
         context.metrics.count("foreign_entries_seen", 1);
         spdlog::warn!("endpoint entry not used", kv: {
-            endpoint: = object.name, revision: = object.revision, reason,
+            endpoint: = object.name, position: = object.position, reason,
             lines_dropped = self.lines.take_dropped()
         });
     }
 
     /// Forgets an entry that is gone, or names an endpoint again.
     pub fn forget(&mut self, name: &str) {
-        self.revisions.remove(name);
+        self.positions.remove(name);
     }
 
     /// Forgets all entries that a new listing doesn't have.
     pub fn keep_listed(&mut self, listed: &[StoredObject]) {
-        self.revisions.retain(|name, _| listed.iter().any(|object| object.name == *name));
+        self.positions.retain(|name, _| listed.iter().any(|object| object.name == *name));
     }
 
     /// Number of entries that name no endpoint.
     pub fn count(&self) -> usize {
-        self.revisions.len()
+        self.positions.len()
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,7 +2,9 @@
 //!
 //! The store keeps JSON objects by kind and name. Each change raises one revision counter of
 //! the whole store; an object carries the revision of its last change, and a write may be
-//! made conditional on it. The native interface speaks another wire (`native::cloud_api`);
+//! made conditional on it. A store that has come back from a copy gives revisions out again; the
+//! header of each response tells the era. What is read here carries both as a `StorePosition`. A
+//! response of an earlier era than the newest known came late and is an error. The native interface speaks another wire (`native::cloud_api`);
 //! connections and errors are the same (`http::api_client`).
 
 use std::{borrow::Cow, cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
@@ -12,13 +14,13 @@
 use serde_json::value::RawValue;
 
 use crate::{
-    errors::StepError,
+    errors::{FailureCause, StepError},
     http::{
         api_client::{ApiClient, ApiResponse},
         client::OutgoingCall,
     },
     ids::SharedName,
-    store_position::StoreEra,
+    store_position::{StoreEra, StorePosition},
 };
 
 /// Longest wait for a response that the store gives at once: a store fifty times as slow as usual
@@ -35,19 +37,19 @@
 pub struct StoredObject {
     /// Name within its kind.
     pub name: SharedName,
-    /// Revision of its last change.
-    pub revision: u64,
+    /// Where the store stood after its last change.
+    pub position: StorePosition,
     /// Value, as JSON text.
     pub value: Box<str>,
 }
 
-/// All objects of a kind at one revision of the store.
+/// All objects of a kind at one position of the store.
 #[derive(Clone, Debug, Default)]
 pub struct ObjectListing {
     /// Objects in the order of their names.
     pub objects: Vec<StoredObject>,
-    /// Revision of the store; a watch goes on from here.
-    pub revision: u64,
+    /// Position of the store; a watch goes on from here.
+    pub position: StorePosition,
 }
 
 /// A change that a watch has seen.
@@ -62,19 +64,48 @@
 /// What a watch has seen.
 #[derive(Clone, Debug)]
 pub enum WatchResult {
-    /// Changes, and the revision to go on from.
-    Changes(Vec<ObjectChange>, u64),
-    /// The history has been dropped: list again.
+    /// Changes, and the position to go on from.
+    Changes(Vec<ObjectChange>, StorePosition),
+    /// The history has been dropped, or is of another era: list again.
     HistoryGone,
 }
 
+/// What must hold for a write to be carried out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WriteCondition {
+    /// The object does not exist, as it did not when the store was in this era.
+    Absent(StoreEra),
+    /// The object is as it was left by the change at this position.
+    At(StorePosition),
+}
+
+impl WriteCondition {
+    fn era(self) -> StoreEra {
+        match self {
+            Self::Absent(era) => era,
+            Self::At(position) => position.era(),
+        }
+    }
+
+    /// The revision to name; none if the object is to be created.
+    fn revision(self) -> Option<u64> {
+        match self {
+            Self::Absent(_) => None,
+            Self::At(position) => Some(position.revision()),
+        }
+    }
+}
+
 /// Result of a conditional write.
 #[derive(Clone, Debug)]
 pub enum WriteResult {
-    /// Written; the object's new revision.
-    Written(u64),
+    /// Written; where the store stood then.
+    Written(StorePosition),
     /// The condition did not hold; nothing was done.
     Conflict,
+    /// Written, but in a later era than that of the condition: over anything that had the same
+    /// revision there.
+    WrittenInLaterEra,
 }
 
 #[derive(Deserialize)]
@@ -132,46 +163,50 @@
 }
 
 impl ObjectBody<'_> {
-    fn into_object(self) -> StoredObject {
+    fn into_object(self, era: StoreEra) -> StoredObject {
         let value = self.spec.map_or("null", RawValue::get);
-        let metadata = self.metadata;
-        StoredObject { name: metadata.name, revision: metadata.revision, value: value.into() }
+        let Metadata { name, revision } = self.metadata;
+        StoredObject { name, position: StorePosition::new(era, revision), value: value.into() }
     }
 }
 
-/// Decodes one object.
-pub fn decode_object(body: &[u8]) -> Result<StoredObject, serde_json::Error> {
-    Ok(serde_json::from_slice::<ObjectBody<'_>>(body)?.into_object())
+/// Decodes one object, which the store sent in `era`.
+pub fn decode_object(era: StoreEra, body: &[u8]) -> Result<StoredObject, serde_json::Error> {
+    Ok(serde_json::from_slice::<ObjectBody<'_>>(body)?.into_object(era))
 }
 
-/// Decodes one page of a list: its objects, whether there are more, and the revision. An object that
-/// can't be read is left out: the others hold.
+/// Decodes one page of a list, which the store sent in `era`: its objects, the position, and whether
+/// there are more. An object that can't be read is left out: the others hold.
 ///
 /// # Errors
 ///
 /// The page itself can't be read.
-pub fn decode_page(body: &[u8]) -> Result<(ObjectListing, bool), serde_json::Error> {
+pub fn decode_page(era: StoreEra, body: &[u8]) -> Result<(ObjectListing, bool), serde_json::Error> {
     let text = readable_text(body);
     let page: ListBody<'_> = serde_json::from_str(&text)?;
     let objects = page.items.into_iter().filter_map(read_part::<ObjectBody<'_>>);
-    let objects = objects.map(ObjectBody::into_object).collect();
-    Ok((ObjectListing { objects, revision: page.at }, page.more))
+    let objects = objects.map(|object| object.into_object(era)).collect();
+    Ok((ObjectListing { objects, position: StorePosition::new(era, page.at) }, page.more))
 }
 
-/// Decodes the response to a watch; a change that can't be read is left out.
+/// Decodes the response to a watch, which the store sent in `era`; a change that can't be read is
+/// left out.
 ///
 /// # Errors
 ///
 /// The response itself can't be read.
-pub fn decode_watch(body: &[u8]) -> Result<(Vec<ObjectChange>, u64), serde_json::Error> {
+pub fn decode_watch(
+    era: StoreEra,
+    body: &[u8],
+) -> Result<(Vec<ObjectChange>, StorePosition), serde_json::Error> {
     let text = readable_text(body);
     let response: WatchBody<'_> = serde_json::from_str(&text)?;
     let to_change = |event: EventBody<'_>| match event.gone {
         true => ObjectChange::Gone(event.object.metadata.name),
-        false => ObjectChange::Written(event.object.into_object()),
+        false => ObjectChange::Written(event.object.into_object(era)),
     };
     let events = response.events.into_iter().filter_map(read_part::<EventBody<'_>>);
-    Ok((events.map(to_change).collect(), response.at))
+    Ok((events.map(to_change).collect(), StorePosition::new(era, response.at)))
 }
 
 /// The text of a body. Bytes that are no UTF-8 can only stand within an object's texts, and spoil
@@ -185,6 +220,29 @@
     serde_json::from_str(part.get()).ok()
 }
 
+fn read_era(text: &str) -> Option<StoreEra> {
+    text.parse().ok().map(StoreEra)
+}
+
+/// A response with the era in which the store sent it.
+struct StoreResponse {
+    response: ApiResponse,
+    era: StoreEra,
+}
+
+impl StoreResponse {
+    fn status(&self) -> StatusCode {
+        self.response.status()
+    }
+
+    fn decode<T>(
+        &self,
+        decoder: impl FnOnce(StoreEra, &[u8]) -> Result<T, serde_json::Error>,
+    ) -> Result<T, StepError> {
+        self.response.decode(|body| decoder(self.era, body))
+    }
+}
+
 /// Client of the store.
 #[derive(Clone, Debug)]
 pub struct StoreClient {
@@ -214,29 +272,41 @@
         self.era.get()
     }
 
-    async fn fetch(&self, call: OutgoingCall, limit: Duration) -> Result<ApiResponse, StepError> {
+    async fn fetch(&self, call: OutgoingCall, limit: Duration) -> Result<StoreResponse, StepError> {
         let response = self.api.fetch(call, limit).await?;
-        let named = response.header(ERA_HEADER).and_then(|text| text.parse().ok());
-        self.era.set(self.era.get().max(StoreEra(named.unwrap_or_default())));
-        Ok(response)
+        let known = self.era.get();
+        let era = match response.header(ERA_HEADER) {
+            None => known,
+            Some(text) => read_era(text).ok_or_else(|| {
+                response.error(FailureCause::Malformed(format!("{ERA_HEADER}: {text}")))
+            })?,
+        };
+        if era < known {
+            return Err(response.error(FailureCause::FormerEra));
+        }
+        self.era.set(era);
+        Ok(StoreResponse { response, era })
     }
 
     /// Lists all objects of a kind, page by page, as of a moment after the call was made.
+    ///
+    /// # Errors
+    ///
+    /// A call failed, or the store came back from a copy between two pages.
     pub async fn list(&self, kind: &str) -> Result<ObjectListing, StepError> {
-        let mut listing = ObjectListing::default();
-        loop {
+        // A watch from the first page's position sees all that changed since.
+        let (mut listing, mut has_more) = self.list_page(kind, None).await?;
+        while has_more {
             let last_name = listing.objects.last().map(|object| &object.name);
             let (page, more) = self.list_page(kind, last_name).await?;
-            // A watch from the first page's revision sees all that changed since.
-            if listing.revision == 0 {
-                listing.revision = page.revision;
+            if page.position.era() != listing.position.era() {
+                let call = self.api.get("list objects", "");
+                return Err(call.error(FailureCause::FormerEra));
             }
-            let is_last = page.objects.is_empty() || !more;
+            has_more = more && !page.objects.is_empty();
             listing.objects.extend(page.objects);
-            if is_last {
-                return Ok(listing);
-            }
         }
+        Ok(listing)
     }
 
     async fn list_page(
@@ -253,21 +323,22 @@
         self.fetch(call, CALL_LIMIT).await?.decode(decode_page)
     }
 
-    /// Waits at most `wait` for changes of a kind after `revision`.
+    /// Waits at most `wait` for changes of a kind after `position`.
     pub async fn watch(
         &self,
         kind: &str,
-        revision: u64,
+        position: StorePosition,
         wait: Duration,
     ) -> Result<WatchResult, StepError> {
+        let revision = position.revision();
         let path = format!("/-/objects/{kind}?watch={revision}&wait-ms={}", wait.as_millis());
         let call = self.api.get("watch objects", path);
         let response = self.fetch(call, wait + WATCH_MARGIN).await?;
-        if response.status() == StatusCode::GONE {
+        if response.status() == StatusCode::GONE || response.era != position.era() {
             return Ok(WatchResult::HistoryGone);
         }
-        let (changes, revision) = response.decode(decode_watch)?;
-        Ok(WatchResult::Changes(changes, revision))
+        let (changes, position) = response.decode(decode_watch)?;
+        Ok(WatchResult::Changes(changes, position))
     }
 
     /// Reads one object; none if it does not exist.
@@ -280,15 +351,19 @@
         response.decode(decode_object).map(Some)
     }
 
-    /// Writes one object if it is still at `revision` (0: if it does not exist).
+    /// Writes one object if `condition` holds. A condition of an earlier era than the newest known
+    /// does not.
     pub async fn write(
         &self,
         kind: &str,
         name: &str,
-        revision: u64,
+        condition: WriteCondition,
         value: &impl Serialize,
     ) -> Result<WriteResult, StepError> {
-        let known = (revision > 0).then_some(revision);
+        if condition.era() != self.era.get() {
+            return Ok(WriteResult::Conflict);
+        }
+        let known = condition.revision();
         let (method, path) = match known {
             None => (Method::POST, format!("/-/objects/{kind}")),
             Some(_) => (Method::PUT, format!("/-/objects/{kind}/{name}")),
@@ -300,6 +375,9 @@
             return Ok(WriteResult::Conflict);
         }
         let object = response.decode(decode_object)?;
-        Ok(WriteResult::Written(object.revision))
+        Ok(match response.era == condition.era() {
+            true => WriteResult::Written(object.position),
+            false => WriteResult::WrittenInLaterEra,
+        })
     }
 }
--- a/src/store_position.rs
+++ b/src/store_position.rs
@@ -1,7 +1,8 @@
 //! How far the platform's store has come: its era, and its revision in that era.
 //!
 //! Each change raises the store's revision. A store that has come back from a copy gives revisions out
-//! again, and begins a new era with it. Revisions of different eras say nothing of each other.
+//! again, and begins a new era with it. Revisions of different eras say nothing of each other, so
+//! that a revision is only ever kept and compared together with its era.
 
 use std::fmt;
 
@@ -19,3 +20,41 @@
         self.0.fmt(formatter)
     }
 }
+
+/// A revision of the store and its era. Later eras come after earlier ones, whatever the revisions.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StorePosition {
+    era: StoreEra,
+    revision: u64,
+}
+
+impl StorePosition {
+    /// Before the first change.
+    pub const NONE: Self = Self { era: StoreEra(0), revision: 0 };
+
+    /// The position at `revision` of `era`.
+    pub fn new(era: StoreEra, revision: u64) -> Self {
+        Self { era, revision }
+    }
+
+    /// Its era.
+    pub fn era(self) -> StoreEra {
+        self.era
+    }
+
+    /// Its revision, for what is sent or shown.
+    pub fn revision(self) -> u64 {
+        self.revision
+    }
+
+    /// Whether it is before the first change.
+    pub fn is_none(self) -> bool {
+        self.revision == 0
+    }
+}
+
+impl fmt::Display for StorePosition {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}/{}", self.era, self.revision)
+    }
+}
--- a/tests/gateway/catch_up.rs
+++ b/tests/gateway/catch_up.rs
@@ -5,13 +5,16 @@
 use googletest::prelude::*;
 use rand::{SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
-use willowarch::gateway::policy::daemon::{
-    catch_up::CatchUpState,
-    held_texts::HeldRevisions,
-    text_fetches::{FetchOutcome, FetchOutcomes, TextFetches},
+use willowarch::{
+    gateway::policy::daemon::{
+        catch_up::CatchUpState,
+        held_texts::HeldVersions,
+        text_fetches::{FetchOutcome, FetchOutcomes, SentVersions, TextFetches},
+    },
+    store_position::StorePosition,
 };
 
-const OWN: HeldRevisions = HeldRevisions { configuration: 8, endpoints: 0 };
+const OWN: HeldVersions = HeldVersions { configuration: 8, endpoints: StorePosition::NONE };
 
 fn millis(count: u64) -> Duration {
     Duration::from_millis(count)
@@ -21,8 +24,8 @@
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
-fn holding(configuration: u64) -> HeldRevisions {
-    HeldRevisions { configuration, endpoints: 0 }
+fn holding(configuration: u64) -> HeldVersions {
+    HeldVersions { configuration, endpoints: StorePosition::NONE }
 }
 
 /// The daemon that is asked for the configuration now.
@@ -100,9 +103,12 @@
 
 #[googletest::test]
 fn a_response_is_judged_by_what_it_brought() {
-    let judge = |sent, held| FetchOutcomes::judge(holding(sent), holding(held)).configuration;
-    expect_that!(judge(0, 8), eq(FetchOutcome::Withheld));
-    expect_that!(judge(9, 9), eq(FetchOutcome::Received));
-    expect_that!(judge(9, 10), eq(FetchOutcome::Received));
-    expect_that!(judge(9, 8), eq(FetchOutcome::Unreadable));
+    let judge = |configuration, held| {
+        let sent = SentVersions { configuration, endpoints: None };
+        FetchOutcomes::judge(sent, holding(held)).configuration
+    };
+    expect_that!(judge(None, 8), eq(FetchOutcome::Withheld));
+    expect_that!(judge(Some(9), 9), eq(FetchOutcome::Received));
+    expect_that!(judge(Some(9), 10), eq(FetchOutcome::Received));
+    expect_that!(judge(Some(9), 8), eq(FetchOutcome::Unreadable));
 }
--- a/tests/gateway/choice_inputs.rs
+++ b/tests/gateway/choice_inputs.rs
@@ -4,10 +4,13 @@
 use std::{rc::Rc, time::Duration};
 
 use tokio::time::Instant;
-use willowarch::gateway::{
-    call::PromptPart,
-    endpoint::{EndpointList, EndpointRecord, EndpointState},
-    policy::endpoint::endpoint_choice::ChoiceQuery,
+use willowarch::{
+    gateway::{
+        call::PromptPart,
+        endpoint::{EndpointList, EndpointRecord, EndpointState},
+        policy::endpoint::endpoint_choice::ChoiceQuery,
+    },
+    store_position::{StoreEra, StorePosition},
 };
 
 /// Requests that an endpoint runs at once.
@@ -37,7 +40,7 @@
 
 pub fn list(records: &[EndpointRecord]) -> EndpointList {
     let endpoints = records.iter().cloned().map(Rc::new).collect();
-    EndpointList { revision: 1, endpoints }
+    EndpointList { position: StorePosition::new(StoreEra(0), 1), endpoints }
 }
 
 /// What an attempt needs that may be followed by another one, if the endpoint refuses or fails, or not.
--- a/tests/gateway/endpoint_choice.rs
+++ b/tests/gateway/endpoint_choice.rs
@@ -19,6 +19,7 @@
         },
     },
     ids::{IncarnationId, SharedName},
+    store_position::{StoreEra, StorePosition},
 };
 
 fn daemon(number: u64) -> ReportSource {
@@ -45,7 +46,10 @@
 fn table(records: Vec<EndpointRecord>) -> EndpointTable {
     let mut table = EndpointTable::new("a".into());
     let endpoints = records.into_iter().map(Rc::new).collect();
-    table.set_list(&EndpointList { revision: 1, endpoints }, Instant::now());
+    table.set_list(
+        &EndpointList { position: StorePosition::new(StoreEra(0), 1), endpoints },
+        Instant::now(),
+    );
     table
 }
 
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -27,6 +27,7 @@
         },
     },
     ids::IncarnationId,
+    store_position::{StoreEra, StorePosition},
 };
 
 use crate::{
@@ -114,11 +115,12 @@
             age: Duration::from_millis(30),
         }],
         configuration: ConfigurationSummary {
-            revision: 8,
+            version: 14,
+            position: StorePosition::new(StoreEra(2), 8),
             text: Some(SentText::Compressed(sample_text())),
             proof_age_ms: Some(12),
         },
-        endpoint_revision: 3,
+        endpoint_position: StorePosition::new(StoreEra(2), 3),
         endpoints: Some(SentEndpoints::Compressed(sample_text())),
         lease: Some(LeaseSummary {
             fence: 2,
@@ -158,7 +160,7 @@
     let text = Some(SentText::Plain(Bytes::from_static(b"{}")));
     let request = TextRequest { accepts_compressed: false, bases: Vec::new() };
     GossipMessage {
-        configuration: ConfigurationSummary { revision: 8, text, proof_age_ms: Some(12) },
+        configuration: ConfigurationSummary { text, ..sample_message().configuration },
         endpoints: Some(SentEndpoints::Listed(sample_list())),
         wants: RequestedParts {
             group: true,
@@ -181,7 +183,10 @@
         state: EndpointState::Draining,
         reclaimable: true,
     };
-    EndpointList { revision: 3, endpoints: vec![Rc::new(endpoint)] }
+    EndpointList {
+        position: StorePosition::new(StoreEra(2), 3),
+        endpoints: vec![Rc::new(endpoint)],
+    }
 }
 
 fn encoded(source: &GossipMessage) -> Vec<u8> {
@@ -204,7 +209,7 @@
         expect_that!(read.state, eq(&sample.state));
         expect_that!(read.known, eq(&sample.known));
         expect_that!(read.configuration, eq(&sample.configuration));
-        expect_that!(read.endpoint_revision, eq(sample.endpoint_revision));
+        expect_that!(read.endpoint_position, eq(sample.endpoint_position));
         expect_that!(read.endpoints, eq(&sample.endpoints));
         expect_that!(read.lease, eq(&sample.lease));
         expect_that!(read.group, eq(&sample.group));
--- a/tests/gateway/limit_model.rs
+++ b/tests/gateway/limit_model.rs
@@ -31,6 +31,7 @@
         },
     },
     ids::{IncarnationId, SharedName},
+    store_position::{StoreEra, StorePosition},
 };
 
 const ENDPOINT: &str = "i-0";
@@ -115,7 +116,7 @@
         state: EndpointState::Ready,
         reclaimable: false,
     };
-    EndpointList { revision: 1, endpoints: vec![Rc::new(record)] }
+    EndpointList { position: StorePosition::new(StoreEra(0), 1), endpoints: vec![Rc::new(record)] }
 }
 
 impl ModelDaemon {
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -60,6 +60,7 @@
 mod store_loss;
 mod store_loss_fleet;
 mod store_loss_lease;
+mod store_positions;
 mod suspension;
 mod text_model;
 mod unknown_routes;
--- a/tests/gateway/operations.rs
+++ b/tests/gateway/operations.rs
@@ -152,7 +152,7 @@
 }
 
 #[googletest::test]
-fn eras_of_the_store_and_what_is_dropped_are_logged() {
+fn eras_of_the_store_are_logged_counted_and_shown() {
     let site = Site::start(&[EndpointManner::Answer]);
     site.platform.set_era(4);
     site.platform.put("config", "main", configuration(4, &["key-1"]));
--- a/tests/gateway/sent_texts.rs
+++ b/tests/gateway/sent_texts.rs
@@ -6,15 +6,18 @@
 use googletest::prelude::*;
 use proptest::prelude::*;
 use tokio::time::Instant;
-use willowarch::gateway::{
-    endpoint::{EndpointList, EndpointRecord, EndpointState},
-    gossip::{
-        codec::endpoint_list::{read_list, write_text},
-        messages::{CompressedText, SentText, TextRequest},
-        text_codec::{compress, decompress},
-        text_exchange::TextExchange,
+use willowarch::{
+    gateway::{
+        endpoint::{EndpointList, EndpointRecord, EndpointState},
+        gossip::{
+            codec::endpoint_list::{read_list, write_text},
+            messages::{CompressedText, SentText, TextRequest},
+            text_codec::{compress, decompress},
+            text_exchange::TextExchange,
+        },
+        policy::daemon::held_texts::{HeldTexts, TextId},
     },
-    policy::daemon::held_texts::{HeldTexts, TextId},
+    store_position::{StoreEra, StorePosition},
 };
 
 fn route(number: usize, timeout_ms: u32) -> String {
@@ -27,6 +30,10 @@
     (0..routes).map(|number| route(number, timeout(number))).collect::<String>().into()
 }
 
+fn position() -> StorePosition {
+    StorePosition::new(StoreEra(2), 9)
+}
+
 /// A list of so many endpoints, of which one is in this state.
 fn endpoint_list(count: usize, state: EndpointState) -> EndpointList {
     let endpoint = |number: usize| {
@@ -42,7 +49,7 @@
             reclaimable: true,
         })
     };
-    EndpointList { revision: 9, endpoints: (0..count).map(endpoint).collect() }
+    EndpointList { position: position(), endpoints: (0..count).map(endpoint).collect() }
 }
 
 fn held(texts: &[Bytes]) -> HeldTexts {
@@ -94,9 +101,9 @@
     let change = compress(&write_text(&newer), &former).expect("compressed");
     expect_that!(change.len(), lt(300), "of {} bytes", former.len());
     let text = decompress(&change, &former).expect("text");
-    let list = read_list(9, &text).expect("list");
+    let list = read_list(position(), &text).expect("list");
     expect_that!(list.endpoints, eq(&newer.endpoints));
-    expect_that!(list.revision, eq(9));
+    expect_that!(list.position, eq(position()));
 }
 
 #[googletest::test]
--- /dev/null
+++ b/tests/gateway/store_positions.rs
@@ -0,0 +1,157 @@
+//! What is known of the store's position, and which configuration is held, when the store goes back.
+
+use std::time::Duration;
+
+use googletest::prelude::*;
+use proptest::prelude::*;
+use serde_json::json;
+use tokio::time::Instant;
+use willowarch::{
+    errors::FailureCause,
+    gateway::{
+        configuration::Configuration,
+        configuration_state::{ApplyOutcome, ConfigurationState},
+    },
+    platform::{
+        self,
+        store::{StoreClient, WatchResult, WriteCondition, WriteResult},
+    },
+    store_position::{StoreEra, StorePosition},
+};
+
+use crate::{gateway_site::configuration, platform_standin::PlatformStandin};
+
+const KIND: &str = "config";
+const WAIT: Duration = Duration::from_millis(50);
+
+fn at(era: u64, revision: u64) -> StorePosition {
+    StorePosition::new(StoreEra(era), revision)
+}
+
+fn seconds(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn version(number: u64) -> Configuration {
+    let text = configuration(number, &["key-1"]).to_string();
+    platform::configuration::decode(text.as_bytes()).expect("decodes")
+}
+
+/// The store shows a configuration, asked at `asked_at`.
+fn show(state: &mut ConfigurationState, place: StorePosition, number: u64, asked_at: Instant) {
+    state.show(place, Some(number), asked_at);
+    state.apply(version(number), place);
+    state.prove_shown(asked_at);
+}
+
+proptest! {
+    #[test]
+    fn highest_version_is_held_whatever_the_positions(
+        shown in prop::collection::vec((0..4_u64, 1..50_u64, 1..20_u64), 1..30),
+    ) {
+        let mut state = ConfigurationState::default();
+        for (era, revision, number) in &shown {
+            state.apply(version(*number), at(*era, *revision));
+        }
+        let highest = shown.iter().map(|(_, _, number)| *number).max();
+        prop_assert_eq!(Some(state.version()), highest);
+    }
+}
+
+#[googletest::test]
+fn later_eras_come_after_earlier_ones() {
+    expect_that!(at(1, 900), lt(at(2, 3)));
+    expect_that!(at(2, 3), lt(at(2, 4)));
+    expect_that!(StorePosition::NONE, lt(at(0, 1)));
+}
+
+#[googletest::test]
+fn older_version_of_a_copy_is_not_held_and_the_next_is() {
+    let mut state = ConfigurationState::default();
+    expect_that!(state.apply(version(14), at(1, 600)), eq(ApplyOutcome::Applied));
+    expect_that!(state.apply(version(10), at(2, 5)), eq(ApplyOutcome::Older));
+    expect_that!(state.apply(version(14), at(2, 8)), eq(ApplyOutcome::Held));
+    expect_that!(state.position, eq(at(2, 8)));
+    expect_that!(state.apply(version(19), at(2, 9)), eq(ApplyOutcome::Applied));
+}
+
+#[googletest::test]
+fn copy_proves_nothing_until_operators_had_time_to_write_again() {
+    let start = Instant::now();
+    let mut state = ConfigurationState::default();
+    show(&mut state, at(1, 600), 14, start);
+    expect_that!(state.proof, some(eq(start)));
+    show(&mut state, at(2, 5), 14, start + seconds(3));
+    state.prove_shown(start + seconds(4));
+    expect_that!(state.proof, some(eq(start)));
+    state.prove_shown(start + seconds(6));
+    expect_that!(state.proof, some(eq(start + seconds(6))));
+}
+
+#[googletest::test]
+fn configuration_that_was_written_again_is_proven_at_once() {
+    let start = Instant::now();
+    let mut state = ConfigurationState::default();
+    show(&mut state, at(1, 600), 14, start);
+    show(&mut state, at(2, 5), 10, start + seconds(3));
+    expect_that!(state.proof, some(eq(start)));
+    show(&mut state, at(2, 6), 14, start + seconds(4));
+    expect_that!(state.proof, some(eq(start + seconds(4))));
+}
+
+#[googletest::test]
+fn proof_of_a_peer_counts_for_its_version_only() {
+    let start = Instant::now();
+    let mut state = ConfigurationState::default();
+    state.prove_version(0, Some(start));
+    expect_that!(state.proof, none());
+    state.apply(version(14), at(1, 600));
+    state.prove_version(10, Some(start));
+    expect_that!(state.proof, none());
+    state.prove_version(14, Some(start));
+    expect_that!(state.proof, some(eq(start)));
+}
+
+#[tokio::test]
+async fn watch_that_goes_on_from_another_era_is_told_to_list() {
+    let platform = PlatformStandin::start();
+    platform.set_era(1);
+    platform.put(KIND, "main", json!({"version": 1}));
+    platform.copy_contents();
+    let store = StoreClient::new(platform.address);
+    let position = store.list(KIND).await.expect("listing").position;
+    assert_that!(position, eq(at(1, 1)));
+    platform.restore_copy();
+    let watched = store.watch(KIND, position, WAIT).await.expect("answer");
+    assert_that!(matches!(watched, WatchResult::HistoryGone), eq(true));
+    assert_that!(store.era(), eq(StoreEra(2)));
+}
+
+#[tokio::test]
+async fn answer_of_a_former_era_is_an_error() {
+    let platform = PlatformStandin::start();
+    platform.set_era(5);
+    let store = StoreClient::new(platform.address);
+    assert_that!(store.list(KIND).await.is_ok(), eq(true));
+    platform.set_era(4);
+    let error = store.list(KIND).await.expect_err("an answer of era 4");
+    assert_that!(error.cause, eq(&FailureCause::FormerEra));
+    assert_that!(store.era(), eq(StoreEra(5)));
+}
+
+#[tokio::test]
+async fn write_by_a_revision_of_another_era_is_a_conflict() {
+    let platform = PlatformStandin::start();
+    platform.set_era(1);
+    platform.put(KIND, "main", json!({"version": 1}));
+    platform.copy_contents();
+    let store = StoreClient::new(platform.address);
+    let known = store.read(KIND, "main").await.expect("answer").expect("object");
+    platform.restore_copy();
+    // Nothing has told of the new era yet.
+    let condition = WriteCondition::At(known.position);
+    let written = store.write(KIND, "main", condition, &json!({"version": 2})).await;
+    assert_that!(matches!(written, Ok(WriteResult::WrittenInLaterEra)), eq(true));
+    let written = store.write(KIND, "main", condition, &json!({"version": 3})).await;
+    assert_that!(matches!(written, Ok(WriteResult::Conflict)), eq(true));
+}
--- a/tests/gateway/text_model.rs
+++ b/tests/gateway/text_model.rs
@@ -22,12 +22,13 @@
         },
         policy::daemon::{
             catch_up::CatchUpState,
-            held_texts::{HeldRevisions, HeldTexts, TextId},
+            held_texts::{HeldTexts, HeldVersions, TextId},
             text_fetches::{FetchOutcome, FetchOutcomes, TextFetches},
             text_pacing::TextPacer,
         },
     },
     ids::IncarnationId,
+    store_position::StorePosition,
 };
 
 /// What a link of 10 Mbit/s carries, in bytes a second.
@@ -40,8 +41,6 @@
 const SHARED_STEPS: u32 = 4;
 /// Summaries of other daemons in one message, as in the real exchange.
 const PEER_SUMMARIES: usize = 8;
-/// Revision of the list of endpoints, which does not change here.
-const ENDPOINT_REVISION: u64 = 1;
 
 /// Texts that the operators write.
 #[derive(Clone, Copy, Debug)]
@@ -109,8 +108,8 @@
 }
 
 impl ModelDaemon {
-    fn revisions(&self) -> HeldRevisions {
-        HeldRevisions { configuration: self.held, endpoints: ENDPOINT_REVISION }
+    fn versions(&self) -> HeldVersions {
+        HeldVersions { configuration: self.held, endpoints: StorePosition::NONE }
     }
 
     fn apply(&mut self, revision: u64, text: &Bytes) {
@@ -252,7 +251,7 @@
     fn call_peers(&mut self, place: usize) {
         let daemon = &mut self.daemons[place];
         let mut calls = daemon.peers.next_calls(self.now, &mut self.rng);
-        let held = daemon.revisions();
+        let held = daemon.versions();
         let fetches = daemon.catch_up.start_fetches(held, Duration::ZERO, self.now, &mut self.rng);
         let holders = fetches.addresses().filter(|one| !calls.contains(one));
         let holders: Vec<SocketAddr> = holders.collect();
@@ -270,13 +269,13 @@
     /// Both sides of a call learn what the other holds.
     fn swap_reports(&mut self, caller: usize, callee: usize) {
         let (caller_held, callee_held) =
-            (self.daemons[caller].revisions(), self.daemons[callee].revisions());
+            (self.daemons[caller].versions(), self.daemons[callee].versions());
         self.report(caller, callee, caller_held);
         self.report(callee, caller, callee_held);
     }
 
     /// `to` receives a message of `from`.
-    fn report(&mut self, from: usize, to: usize, held: HeldRevisions) {
+    fn report(&mut self, from: usize, to: usize, held: HeldVersions) {
         let sender = &mut self.daemons[from];
         sender.sequence += 1;
         let incarnation = IncarnationId(from as u64 + 1);
@@ -287,7 +286,7 @@
         for summary in &summaries {
             receiver.peers.receive_summary(summary, self.now);
         }
-        let own = receiver.revisions();
+        let own = receiver.versions();
         receiver.catch_up.receive(address(from), held, own, self.now);
     }
 
