Endpoints that drain, and entries that a copy of the store lacks, are remembered until they are written again

Requests reached endpoints that had said that they leave, after the store had come back from a copy that lists them as ready; endpoints that had registered since the copy were no longer used. A list of a new era counts at once, though it tells an older truth.

With a new era, starts that were listed as draining, also those whose entries have gone since, are kept as such like those that say so in responses: until a later start, and told to the other daemons, also to those that start. Ready entries that the copy lacks are used on for three heartbeats, as long as an endpoint takes to write its entry again; ones that had gone and are listed again are not used for the same time, since the store drops them in it if they have ended (policy::endpoint::lost_entries).

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -26,7 +26,12 @@
             readiness::{MAX_CLIENT_CONNECTIONS, Readiness, ReadinessInputs},
             store_watchers::{StoreWatch, WatcherElection, is_store_failing},
         },
-        endpoint::{endpoint_starts::keep_latest_starts, endpoint_table::EndpointTable},
+        endpoint::{
+            endpoint_starts::keep_latest_starts,
+            endpoint_table::EndpointTable,
+            lost_entries::EntryMemory,
+            signal_ledger::{EndpointWarning, WarningKind},
+        },
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
         },
@@ -63,8 +68,10 @@
     pub store: platform::store::StoreClient,
     /// Newest configuration.
     pub configuration: RefCell<ConfigurationState>,
-    /// Endpoints as listed.
+    /// Endpoints to use: as listed, but for what a store that is back from a copy lacks.
     pub endpoint_list: RefCell<EndpointList>,
+    /// What the store has listed of endpoints, across its eras.
+    pub entry_memory: RefCell<EntryMemory>,
     /// Loads and health of the endpoints.
     pub endpoints: RefCell<EndpointTable>,
     /// Quotas of accounts.
@@ -246,11 +253,39 @@
         let list = keep_latest_starts(list, &self.endpoint_list.borrow());
         let text = endpoint_list::write_text(&list);
         self.endpoint_texts.borrow_mut().push(text);
-        self.endpoints.borrow_mut().set_list(&list, true_time::now());
-        *self.endpoint_list.borrow_mut() = list;
+        let now = true_time::now();
+        self.note_endpoint_era(list.position.era(), now);
+        self.entry_memory.borrow_mut().apply(list, now);
+        self.use_endpoints(now);
         true
     }
 
+    /// Notes an era in which endpoints are listed. In a new one those that drain are remembered: the
+    /// store may no longer say so.
+    pub fn note_endpoint_era(&self, era: StoreEra, now: Instant) {
+        let drained = self.entry_memory.borrow_mut().begin_era(era);
+        let mut endpoints = self.endpoints.borrow_mut();
+        for start in drained {
+            let warning = EndpointWarning { start, kind: WarningKind::Draining, at: now };
+            endpoints.receive_warning(warning, now, &mut rand::rng());
+        }
+    }
+
+    /// Uses other endpoints once those that a store back from a copy lacks had time to write again.
+    pub fn end_write_again(&self, now: Instant) {
+        if self.entry_memory.borrow_mut().ends_write_again(now) {
+            self.use_endpoints(now);
+            let count = self.endpoint_list.borrow().endpoints.len();
+            spdlog::info!("endpoints", kv: { count, source = "time to write again is over" });
+        }
+    }
+
+    fn use_endpoints(&self, now: Instant) {
+        let used = self.entry_memory.borrow().used();
+        self.endpoints.borrow_mut().set_list(&used, now);
+        *self.endpoint_list.borrow_mut() = used;
+    }
+
     /// How many daemons share quotas and retry budgets.
     pub fn sharing(&self, now: Instant) -> QuotaSharing {
         let met = self.peers.borrow().sharing(now);
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -23,7 +23,7 @@
         daemon::{
             catch_up::CatchUpState, peer_contact::PeerContact, store_watchers::WatcherElection,
         },
-        endpoint::endpoint_table::EndpointTable,
+        endpoint::{endpoint_table::EndpointTable, lost_entries::EntryMemory},
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
         },
@@ -111,6 +111,7 @@
         store: StoreClient::new(settings.store_address),
         configuration: RefCell::new(ConfigurationState::default()),
         endpoint_list: RefCell::new(EndpointList::default()),
+        entry_memory: RefCell::new(EntryMemory::new(settings.entry_lapse)),
         endpoints: RefCell::new(EndpointTable::new(settings.zone.clone())),
         quotas: RefCell::new(QuotaLedger::new(tolerance, now)),
         retry_budgets: RefCell::new(retry_budgets(bounds)),
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -37,6 +37,8 @@
     pub cloud_address: Option<SocketAddr>,
     /// Leader tasks of this deployment.
     pub leader_tasks: Vec<LeaderTask>,
+    /// Time after which the store drops the entry of an endpoint that no longer writes it.
+    pub entry_lapse: Duration,
     /// Bounds that the deployment promises.
     pub bounds: ServiceBounds,
 }
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -21,6 +21,10 @@
 const BOUND_LIMIT: f64 = 1e9;
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1e3;
+/// Time between two writes of an endpoint's entry where the file names none, in milliseconds.
+const DEFAULT_HEARTBEAT_MS: f64 = 1_200.0;
+/// Heartbeats of silence after which the store drops an entry.
+const HEARTBEATS_TO_LAPSE: f64 = 3.0;
 
 /// Settings that cannot be used.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
@@ -51,6 +55,9 @@
     seeds: Vec<SocketAddr>,
     #[serde(default)]
     port_range: Vec<u16>,
+    /// Time between two writes of an endpoint's entry.
+    #[serde(default = "default_heartbeat_ms")]
+    heartbeat_ms: f64,
     bounds: BoundsSection,
     /// The metadata store.
     platform: AddressSection,
@@ -58,6 +65,10 @@
     cloud_api: Option<CloudSection>,
 }
 
+fn default_heartbeat_ms() -> f64 {
+    DEFAULT_HEARTBEAT_MS
+}
+
 #[derive(Deserialize)]
 struct ListenSection {
     /// For clients.
@@ -132,6 +143,7 @@
     let file: SettingsFile =
         serde_json::from_str(text).map_err(|error| SettingsError::Malformed(error.to_string()))?;
     let bounds = check_bounds(&file.bounds)?;
+    let lapse_ms = positive("heartbeat-ms", file.heartbeat_ms)? * HEARTBEATS_TO_LAPSE;
     let metrics_port = file.port_range.first().copied().unwrap_or(METRICS_PORT);
     let mut metrics_address = file.listen.control;
     metrics_address.set_port(metrics_port);
@@ -147,6 +159,7 @@
         store_address: file.platform.address,
         cloud_address: file.cloud_api.as_ref().map(|cloud| cloud.address),
         leader_tasks: duties.filter_map(|name| leader_task(name)).collect(),
+        entry_lapse: Duration::from_secs_f64(lapse_ms / MS_PER_S),
         bounds,
     })
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -36,6 +36,7 @@
 mod limited_endpoints;
 mod long_configuration;
 mod loopback_proxy;
+mod lost_entries;
 mod operations;
 mod platform_standin;
 mod quotas;
