The leader lease holds over a store that is back from a copy, and no usage window is reported again

After the loss the record of the lease was of the copy: a former holder's, an older renewal, or none. A daemon acquired the lease with a fence that another had used, or at once because the copy showed the lease as released while its holder was acting; the holder went on from the copy's report and sent all windows since once more, with counts that may differ.

- Each era of the store has fences of its own, 2^32 of them, above those of earlier eras: none is used again even if all daemons have started anew.
- The record names its era.
One of an earlier era, or older than the renewal that gossip knows, counts as lost: others wait the whole time from when they first see it, whatever it says; a daemon without contact to its peers doesn't acquire it.
- The holder whose lease has not run out renews it over the copy, from what it has written itself.
- Gossip carries the first window that is not reported; a report is told to the others before it is sent, so that it is known if both the record and its holder are lost.
Where nobody knows, windows before the acquisition are left out.

In the case with a second holder the check of repeated windows was wrong: a successor sends the report that it finds in the record again, as it can't know whether it was sent. Now no window of before the loss may be reported after it, and none twice since; the second holder reports a window of its own first.

--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -81,6 +81,7 @@
   ageMs @2 :UInt32;              # since the renewal was begun
   daemons @3 :UInt32;            # that the holder knew of; 0: not known
   renewals @4 :UInt64;           # by this holder, up to that one
+  nextWindow @5 :UInt64;         # first usage window that is not reported yet; 0: not known
 }
 
 struct CrashedRun {
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -156,6 +156,7 @@
     target.set_renewals(source.renewals);
     target.set_age_ms(source.age_ms);
     target.set_daemons(u32::try_from(source.daemons).unwrap_or(u32::MAX));
+    target.set_next_window(source.next_window);
 }
 
 /// Reads a message.
@@ -291,6 +292,7 @@
             renewals: source.get_renewals(),
             age_ms: source.get_age_ms(),
             daemons: source.get_daemons() as usize,
+            next_window: source.get_next_window(),
         })),
     }
 }
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -141,6 +141,8 @@
     pub age_ms: u32,
     /// Daemons that the holder knew of; 0 if not known.
     pub daemons: usize,
+    /// First usage window that no holder has reported yet; 0 if not known.
+    pub next_window: u64,
 }
 
 /// The configuration that a daemon holds.
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -86,6 +86,7 @@
         renewals: lease.renewals,
         age_ms: age_ms(renewed_at, now),
         daemons: context.fleet_size.get().unwrap_or(0),
+        next_window: lease.next_window,
     })
 }
 
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -1,8 +1,8 @@
 //! Runs the tasks of the daemon that holds the leader lease: usage reports and endpoint orders.
 //!
 //! Every daemon runs this loop; one that is not the holder tries to acquire the lease. The
-//! holder writes each report into the lease before it sends it, so that a successor can only
-//! send the same counts again. Calls to the cloud carry the fence of the lease. When the store
+//! holder writes each report into the lease and tells the other daemons of it before it sends it, so
+//! that a successor can only send the same counts again, or none if the store has lost the report. Calls to the cloud carry the fence of the lease. When the store
 //! fails, the holder stops acting once its last renewal is too old; reports and orders then
 //! wait until some daemon can write the lease.
 
@@ -51,8 +51,10 @@
     context: Rc<GatewayContext>,
     cloud: CloudClient,
     lease: LeaseKeeper,
-    /// Whether the report in the lease has been sent.
-    is_report_sent: bool,
+    /// Newest window that this process has reported.
+    sent_window: Option<u64>,
+    /// When the other daemons have heard of the report in the lease.
+    report_told_at: Instant,
     next_try: Instant,
     orders: EndpointOrders,
     waves: ReclaimWaves,
@@ -68,7 +70,8 @@
     let mut tasks = LeaderTasks {
         cloud: CloudClient::new(address),
         lease: LeaseKeeper::new(context.clone()),
-        is_report_sent: false,
+        sent_window: None,
+        report_told_at: true_time::now(),
         next_try: true_time::now(),
         orders: EndpointOrders::default(),
         waves: ReclaimWaves::default(),
@@ -123,7 +126,6 @@
     async fn try_acquire(&mut self) -> Result<(), StepError> {
         match self.lease.try_acquire().await? {
             AcquireResult::Acquired { required_endpoints } => {
-                self.is_report_sent = false;
                 self.orders = EndpointOrders::after(required_endpoints);
             }
             AcquireResult::RetryAt(at) => self.next_try = at,
@@ -148,7 +150,8 @@
                 return Ok(());
             }
             if is_new {
-                self.is_report_sent = false;
+                let now = true_time::now();
+                self.report_told_at = now + self.context.sharing(now).report_age;
             }
         }
         // Orders first: a report has seconds until it is late.
@@ -161,7 +164,7 @@
         if !self.context.settings.leader_tasks.contains(&LeaderTask::UsageReports) {
             return None;
         }
-        if record.report.is_some() && !self.is_report_sent {
+        if record.report.as_ref().is_some_and(|report| !self.is_reported(report.window)) {
             return None;
         }
         let now = true_time::now();
@@ -172,14 +175,22 @@
         let last_reported = record.report.as_ref().map(|report| report.window);
         let now_ms = self.context.wall_clock.borrow().now_ms(now);
         let length = self.context.settings.bounds.usage_window;
-        let window = due_window(last_reported, record.first_window, now_ms, length)?;
+        let first_window = record.first_window.max(self.context.lease.borrow().next_window);
+        let window = due_window(last_reported, first_window, now_ms, length)?;
         Some(UsageReport { window, counts: self.context.usage.borrow().total(window) })
     }
 
+    /// Whether this process has reported the window, or a later one is known to be reported.
+    fn is_reported(&self, window: u64) -> bool {
+        let is_sent = self.sent_window.is_some_and(|sent| window <= sent);
+        is_sent || window + 1 < self.context.lease.borrow().next_window
+    }
+
     async fn send_report(&mut self) -> Result<(), StepError> {
         let report = self.lease.record().and_then(|record| record.report.clone());
         let Some(report) = report else { return Ok(()) };
-        if self.is_report_sent || !self.lease.may_act() {
+        let is_told = true_time::now() >= self.report_told_at;
+        if self.is_reported(report.window) || !is_told || !self.lease.may_act() {
             return Ok(());
         }
         let holder = self.lease.holder();
@@ -190,7 +201,9 @@
         });
         match outcome {
             CloudOutcome::Fenced => self.lease.lose(LossReason::Fenced),
-            CloudOutcome::Done | CloudOutcome::CapacityRefused => self.is_report_sent = true,
+            CloudOutcome::Done | CloudOutcome::CapacityRefused => {
+                self.sent_window = Some(report.window);
+            }
         }
         Ok(())
     }
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -13,10 +13,11 @@
 use crate::{
     errors::StepError,
     gateway::policy::leader::leader_lease::{
-        AcquireDecision, FIRST_FENCE, LeaseOwner, ObservedLease, decide_acquire, spoilt_fence,
+        AcquireDecision, LeaseOwner, ObservedLease, decide_acquire, first_fence, spoilt_fence,
     },
     ids::SharedName,
     platform::store::WriteCondition,
+    store_position::StoreEra,
     true_time,
 };
 
@@ -47,7 +48,10 @@
     /// The store failed or did not respond in time.
     pub async fn try_acquire(&mut self) -> Result<AcquireResult, StepError> {
         let now = true_time::now();
-        if self.context.is_leaving() || self.context.configuration().is_none() {
+        // Peers know of holders that a store back from a copy no longer shows.
+        let has_peer_contact = self.context.peer_contact.borrow().is_current(now);
+        let is_able = has_peer_contact && self.context.configuration().is_some();
+        if self.context.is_leaving() || !is_able {
             return Ok(AcquireResult::NotAcquired);
         }
         let is_silent = self.context.lease.borrow().is_silent(self.lease(), now);
@@ -58,7 +62,7 @@
         }
         let object = self.store.read().await?;
         let sight = self.observe(object, now);
-        match decide_acquire(self.observed(&sight, now), self.lease()) {
+        match decide_acquire(self.observed(&sight, now), self.lease(), self.context.store.era()) {
             AcquireDecision::Acquire { fence } => self.acquire(fence, sight).await,
             AcquireDecision::Wait(wait) => {
                 let spread = rand::rng().random_range(0..ACQUIRE_SPREAD_MS);
@@ -71,6 +75,11 @@
     fn observed(&self, sight: &LeaseSight, now: Instant) -> Option<ObservedLease> {
         let unchanged_for = |since: Instant| now.saturating_duration_since(since);
         match sight {
+            LeaseSight::Seen(seen) if self.is_lost(&seen.record) => {
+                let fence = self.context.lease.borrow().fence.max(seen.record.fence);
+                let since = self.own_last_renewal().unwrap_or(seen.since);
+                Some(ObservedLease::of_lost_record(fence, unchanged_for(since)))
+            }
             LeaseSight::Seen(seen) => Some(ObservedLease {
                 fence: seen.record.fence,
                 owner: self.owner_of(&seen.record),
@@ -79,17 +88,38 @@
             }),
             LeaseSight::Spoilt(spoilt) => {
                 let known = self.context.lease.borrow().fence;
-                let fence = spoilt_fence(known, spoilt.position.revision());
+                let fence = spoilt_fence(known, spoilt.position);
                 Some(ObservedLease::of_lost_record(fence, unchanged_for(spoilt.since)))
             }
             LeaseSight::Absent(_) => {
                 let lease = self.context.lease.borrow();
                 let renewed_at = lease.renewed_at?;
-                Some(ObservedLease::of_lost_record(lease.fence, unchanged_for(renewed_at)))
+                let era_began = self.era.and_then(|era| era.began_at).unwrap_or(renewed_at);
+                let since = self.own_last_renewal().unwrap_or(renewed_at.max(era_began));
+                Some(ObservedLease::of_lost_record(lease.fence, unchanged_for(since)))
             }
         }
     }
 
+    /// Whether a later renewal than that of the record has been made, or may have been: the store is
+    /// back from a copy.
+    fn is_lost(&self, record: &LeaseRecord) -> bool {
+        let lease = self.context.lease.borrow();
+        self.is_copied(record) || record.order() < (lease.fence, lease.renewals)
+    }
+
+    /// When this process began its last renewal, if nobody is known to have acquired the lease since.
+    fn own_last_renewal(&self) -> Option<Instant> {
+        let (record, began_at) = self.written.as_ref()?;
+        (record.fence == self.context.lease.borrow().fence).then_some(*began_at)
+    }
+
+    /// Whether this daemon knows which windows have been reported since the record was written.
+    fn knows_reports(&self, record: &LeaseRecord) -> bool {
+        let is_own = record.incarnation == self.context.incarnation.0;
+        is_own || !self.is_copied(record) || self.context.lease.borrow().next_window > 0
+    }
+
     fn current_window(&self) -> u64 {
         self.context.wall_clock.borrow().window(self.context.settings.bounds.usage_window)
     }
@@ -114,16 +144,20 @@
     /// holder's requirements and report are carried over.
     async fn acquire(&mut self, fence: u64, sight: LeaseSight) -> Result<AcquireResult, StepError> {
         let (condition, former) = match sight {
-            LeaseSight::Seen(seen) => (WriteCondition::At(seen.position), Some(seen.record)),
+            LeaseSight::Seen(seen) => (seen.condition, Some(seen.record)),
             LeaseSight::Spoilt(spoilt) => (WriteCondition::At(spoilt.position), None),
             LeaseSight::Absent(era) => (WriteCondition::Absent(era), None),
         };
+        // What this process has written itself goes before what a copy holds of it.
+        let written = self.written.as_ref().map(|(record, _)| record.clone());
+        let is_first = former.is_none() && fence == first_fence(StoreEra::default());
+        let former = former.into_iter().chain(written).max_by_key(LeaseRecord::order);
         let renewals = first_renewal(fence, former.as_ref());
         let first_window = match &former {
-            Some(former) => former.first_window,
-            None if fence == FIRST_FENCE => 0,
+            Some(former) if self.knows_reports(former) => former.first_window,
+            None if is_first => 0,
             // A window that a lost record held may have been reported.
-            None => self.current_window(),
+            Some(_) | None => self.current_window(),
         };
         let (required_endpoints, report) = former
             .map_or_else(Default::default, |former| (former.required_endpoints, former.report));
@@ -133,6 +167,7 @@
             incarnation: self.context.incarnation.0,
             fence,
             renewals,
+            era: condition.era(),
             released: false,
             daemons: self.known_daemons(),
             throttled: self.throttled_accounts(),
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -2,7 +2,8 @@
 //! what the store shows of it.
 //!
 //! Owns the object as last read. A write whose outcome is not known (time limit, lost response)
-//! is followed by a read before anything else is done with the lease.
+//! is followed by a read before anything else is done with the lease. If the store has come back
+//! from a copy meanwhile, the holder goes on from what it has written itself.
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
@@ -31,8 +32,8 @@
 /// The lease object as last read, and since when it has not changed.
 #[derive(Clone, Debug)]
 pub struct SeenLease {
-    /// Where the store stood when it was written.
-    pub position: StorePosition,
+    /// What holds in the store as long as it has not changed.
+    pub condition: WriteCondition,
     /// What it holds.
     pub record: LeaseRecord,
     /// When the store was asked that first showed it, or when gossip says that its write began.
@@ -59,6 +60,16 @@
     Seen(Box<SeenLease>),
 }
 
+/// An era of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct SeenEra {
+    /// The era.
+    pub era: StoreEra,
+    /// When the store was asked that first showed it; none if it is the first that this daemon has
+    /// seen.
+    pub began_at: Option<Instant>,
+}
+
 /// The lease as one daemon keeps it.
 pub struct LeaseKeeper {
     pub(super) context: Rc<GatewayContext>,
@@ -66,6 +77,10 @@
     pub(super) seen: Option<SeenLease>,
     /// The object, if it was spoilt when it was last read.
     spoilt: Option<SpoiltLease>,
+    /// Era of the store when the object was last read.
+    pub(super) era: Option<SeenEra>,
+    /// What this process has written last, and when it began to.
+    pub(super) written: Option<(LeaseRecord, Instant)>,
     /// Whether the outcome of the last write is not known.
     is_write_unconfirmed: bool,
 }
@@ -74,7 +89,15 @@
     /// Keeper that has read nothing yet.
     pub fn new(context: Rc<GatewayContext>) -> Self {
         let store = LeaseStore::new(context.clone());
-        Self { context, store, seen: None, spoilt: None, is_write_unconfirmed: false }
+        Self {
+            context,
+            store,
+            seen: None,
+            spoilt: None,
+            era: None,
+            written: None,
+            is_write_unconfirmed: false,
+        }
     }
 
     /// Reads what the last holder wrote of the fleet: quotas depend on it from the start.
@@ -120,6 +143,7 @@
         object: Option<StoredObject>,
         asked_at: Instant,
     ) -> LeaseSight {
+        self.observe_era(asked_at);
         let Some(object) = object else {
             self.observe_no_record();
             return LeaseSight::Absent(self.context.store.era());
@@ -136,15 +160,28 @@
         self.context.fleet_size.set(Some(record.daemons.max(1)));
         quarantine::restore_requests(&self.context, &record.quarantined);
         self.context.quotas.borrow_mut().set_throttled_before(record.throttled.iter().cloned());
+        if let Some(report) = record.report.as_ref().filter(|_| !self.is_copied(&record)) {
+            self.context.lease.borrow_mut().note_reported(report.window);
+        }
+        let condition = WriteCondition::At(object.position);
         let since = match &self.seen {
-            Some(seen) if seen.position == object.position => seen.since,
+            Some(seen) if seen.condition == condition => seen.since,
+            _ if self.is_copied(&record) => asked_at,
             _ => self.renewal_start(&record).unwrap_or(asked_at).min(asked_at),
         };
-        let seen = SeenLease { position: object.position, record, since };
+        let seen = SeenLease { condition, record, since };
         self.seen = Some(seen.clone());
         LeaseSight::Seen(Box::new(seen))
     }
 
+    fn observe_era(&mut self, asked_at: Instant) {
+        let era = self.context.store.era();
+        let known = *self.era.get_or_insert(SeenEra { era, began_at: None });
+        if era > known.era {
+            self.era = Some(SeenEra { era, began_at: Some(asked_at) });
+        }
+    }
+
     /// Nothing is known of the former holder's fleet: there never was one and all daemons are just
     /// starting, or its record is lost.
     fn observe_no_record(&self) {
@@ -160,6 +197,11 @@
         spoilt
     }
 
+    /// Whether the record was written before the store came back from a copy.
+    pub(super) fn is_copied(&self, record: &LeaseRecord) -> bool {
+        record.era < self.context.store.era()
+    }
+
     /// When gossip says that the renewal in `record` began, if it knows of no later one.
     fn renewal_start(&self, record: &LeaseRecord) -> Option<Instant> {
         self.context.lease.borrow().renewal_start(record.fence, record.renewals)
@@ -211,7 +253,7 @@
             required_endpoints,
             ..seen.record
         };
-        self.write(WriteCondition::At(seen.position), record).await
+        self.write(seen.condition, record).await
     }
 
     /// Writes the lease; on success this daemon holds it from when the call was made.
@@ -221,10 +263,15 @@
         record: LeaseRecord,
     ) -> Result<bool, StepError> {
         let started_at = true_time::now();
+        let record = LeaseRecord { era: condition.era(), ..record };
         self.is_write_unconfirmed = true;
         let position = match self.store.write("write lease", condition, &record).await? {
             WriteResult::Written(position) => position,
-            WriteResult::Conflict | WriteResult::WrittenInLaterEra => return Ok(false),
+            WriteResult::Conflict => return Ok(false),
+            WriteResult::WrittenInLaterEra => {
+                self.lose(LossReason::StoreLost);
+                return Ok(false);
+            }
         };
         self.is_write_unconfirmed = false;
         let mut lease = self.context.lease.borrow_mut();
@@ -234,7 +281,12 @@
             holder: record.holder.clone(),
             renewed_at: started_at,
         });
-        self.seen = Some(SeenLease { position, record, since: started_at });
+        if let Some(report) = &record.report {
+            lease.note_reported(report.window);
+        }
+        self.written = Some((record.clone(), started_at));
+        let condition = WriteCondition::At(position);
+        self.seen = Some(SeenLease { condition, record, since: started_at });
         Ok(true)
     }
 
@@ -246,18 +298,41 @@
             return Err(self.store.timed_out("read lease"));
         };
         self.is_write_unconfirmed = false;
-        let seen = self.observe(object?, asked_at);
-        let is_own = match seen {
+        let own = self.seen.clone();
+        let sight = self.observe(object?, asked_at);
+        if let Some(own) = own
+            && let Some(condition) = self.condition_over_copy(&own.record, &sight)
+        {
+            spdlog::warn!("lease", kv: { outcome = "held over a copy", fence = own.record.fence });
+            self.seen = Some(SeenLease { condition, ..own });
+        } else if !self.is_own(&sight) {
+            self.lose(LossReason::OtherHolder);
+        }
+        Ok(())
+    }
+
+    fn is_own(&self, sight: &LeaseSight) -> bool {
+        match sight {
             LeaseSight::Seen(seen) => {
                 seen.record.incarnation == self.context.incarnation.0
                     && seen.record.fence == self.context.lease.borrow().fence
             }
             LeaseSight::Absent(_) | LeaseSight::Spoilt(_) => false,
-        };
-        if !is_own {
-            self.lose(LossReason::OtherHolder);
         }
-        Ok(())
+    }
+
+    /// Where the holder renews its lease `own` if the store is back from a copy, in which nobody has
+    /// acquired it since.
+    fn condition_over_copy(&self, own: &LeaseRecord, sight: &LeaseSight) -> Option<WriteCondition> {
+        match sight {
+            LeaseSight::Seen(seen)
+                if self.is_copied(&seen.record) && seen.record.order() <= own.order() =>
+            {
+                Some(seen.condition)
+            }
+            LeaseSight::Absent(era) if own.era < *era => Some(WriteCondition::Absent(*era)),
+            LeaseSight::Seen(_) | LeaseSight::Absent(_) | LeaseSight::Spoilt(_) => None,
+        }
     }
 
     /// Releases the lease on the way out. From here on this daemon acts no more, whatever
@@ -265,9 +340,8 @@
     async fn release(&mut self, seen: SeenLease) -> Result<(), StepError> {
         self.lose(LossReason::Leaving);
         let record = LeaseRecord { released: true, ..seen.record };
-        let condition = WriteCondition::At(seen.position);
         // After a conflict another daemon holds it already.
-        self.store.write("release lease", condition, &record).await.map(drop)
+        self.store.write("release lease", seen.condition, &record).await.map(drop)
     }
 
     /// Stops being the holder.
--- a/src/gateway/leader/lease_record.rs
+++ b/src/gateway/leader/lease_record.rs
@@ -6,7 +6,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{gateway::policy::leader::usage_counts::WindowCounts, ids::SharedName};
+use crate::{
+    gateway::policy::leader::usage_counts::WindowCounts, ids::SharedName, store_position::StoreEra,
+};
 
 /// A usage report. It is written into the lease before it is sent, so that a successor that
 /// sends it again sends the same counts.
@@ -47,6 +49,9 @@
     pub fence: u64,
     /// Renewals by this holder; a renewal always changes the object.
     pub renewals: u64,
+    /// Era of the store in which it was written; 0 from daemons of earlier releases.
+    #[serde(default)]
+    pub era: StoreEra,
     /// Whether the holder has released it: another may acquire it at once.
     #[serde(default)]
     pub released: bool,
@@ -68,3 +73,10 @@
     /// The newest report.
     pub report: Option<UsageReport>,
 }
+
+impl LeaseRecord {
+    /// What orders the writes of all holders: fence, and number of the renewal.
+    pub fn order(&self) -> (u64, u64) {
+        (self.fence, self.renewals)
+    }
+}
--- a/src/gateway/policy/leader/leader_lease.rs
+++ b/src/gateway/policy/leader/leader_lease.rs
@@ -12,6 +12,12 @@
 //! A record that another writer has spoilt or removed is replaced like one that is no longer
 //! renewed, with a fence above all former ones. Of a removed one the fence is known by gossip only.
 //!
+//! A store that is back from a copy may show the record of a former holder, an older renewal, or
+//! none. Whoever held the lease last may still act, so that such a record counts as lost, whatever
+//! it says: others wait the whole time from when they first see it. Each era of the store has fences
+//! of its own, above those of all earlier eras, so that none that was lost is used again, even if
+//! no daemon remembers it. The holder itself goes on, over the copy, if its lease has not run out.
+//!
 //! Renewals are also reported by gossip, so that daemons other than the holder read the store
 //! only when these reports stop. If the object then still holds the renewal that was reported
 //! last, it has been unchanged since that renewal began, and the wait counts from there.
@@ -21,7 +27,10 @@
 
 use tokio::time::Instant;
 
-use crate::ids::SharedName;
+use crate::{
+    ids::SharedName,
+    store_position::{StoreEra, StorePosition},
+};
 
 /// Time beyond the lease that others wait before they acquire it: the holder's last call is over by
 /// then.
@@ -33,7 +42,14 @@
 /// holder may still act.
 const RENEW_FRACTION: f64 = 0.35;
 /// Fence of the first holder: 0 means in gossip messages that no lease is known.
-pub const FIRST_FENCE: u64 = 1;
+const FIRST_FENCE: u64 = 1;
+/// Fences of one era of the store: more than the writes in an era, each of which may raise the fence.
+const FENCES_AN_ERA: u64 = 1 << 32;
+
+/// Lowest fence that a new holder in this era may use.
+pub fn first_fence(era: StoreEra) -> u64 {
+    era.0.saturating_mul(FENCES_AN_ERA).saturating_add(FIRST_FENCE)
+}
 
 /// What this daemon knows of the lease.
 #[derive(Clone, Debug, Default)]
@@ -48,6 +64,8 @@
     pub renewed_at: Option<Instant>,
     /// Whether this daemon is the holder.
     pub own: bool,
+    /// First usage window that no holder has reported yet; 0 if not known.
+    pub next_window: u64,
 }
 
 /// A renewal of the lease.
@@ -93,6 +111,16 @@
         self.own = true;
     }
 
+    /// Notes that a usage window is reported, so that it is not reported again.
+    pub fn note_reported(&mut self, window: u64) {
+        self.note_next_window(window.saturating_add(1));
+    }
+
+    /// Notes that all windows before this one have been reported.
+    pub fn note_next_window(&mut self, window: u64) {
+        self.next_window = self.next_window.max(window);
+    }
+
     fn set(&mut self, renewal: LeaseRenewal) {
         self.fence = renewal.fence;
         self.renewals = renewal.renewals;
@@ -147,9 +175,9 @@
 }
 
 /// Fence of a lease whose record is spoilt: none that was ever used is higher. Each fence took a write
-/// of its own, and each write raises the store's revision.
-pub fn spoilt_fence(known: u64, revision: u64) -> u64 {
-    known.max(revision)
+/// of its own in its era, and each write raises the store's revision.
+pub fn spoilt_fence(known: u64, position: StorePosition) -> u64 {
+    known.max(first_fence(position.era()).saturating_add(position.revision()))
 }
 
 /// What to do about a lease that this daemon does not hold.
@@ -164,10 +192,15 @@
     Wait(Duration),
 }
 
-/// Whether to acquire the lease; `observed` is none if there never was one, as far as known.
-pub fn decide_acquire(observed: Option<ObservedLease>, lease: Duration) -> AcquireDecision {
+/// Whether to acquire the lease, while the store is in `era`; `observed` is none if there never was
+/// one, as far as known.
+pub fn decide_acquire(
+    observed: Option<ObservedLease>,
+    lease: Duration,
+    era: StoreEra,
+) -> AcquireDecision {
     let Some(observed) = observed else {
-        return AcquireDecision::Acquire { fence: FIRST_FENCE };
+        return AcquireDecision::Acquire { fence: first_fence(era) };
     };
     if observed.owner == LeaseOwner::ThisProcess {
         return AcquireDecision::Acquire { fence: observed.fence };
@@ -176,7 +209,10 @@
     let wait = if has_ended { Duration::ZERO } else { lease + ACQUIRE_MARGIN };
     match observed.unchanged_for < wait {
         true => AcquireDecision::Wait(wait - observed.unchanged_for),
-        false => AcquireDecision::Acquire { fence: observed.fence + 1 },
+        false => {
+            let fence = observed.fence.saturating_add(1).max(first_fence(era));
+            AcquireDecision::Acquire { fence }
+        }
     }
 }
 
@@ -221,6 +257,8 @@
     OtherHolder,
     /// The cloud has refused the fence.
     Fenced,
+    /// The store came back from a copy before it took the renewal.
+    StoreLost,
 }
 
 impl fmt::Display for LossReason {
@@ -231,6 +269,7 @@
             Self::Leaving => "leaving",
             Self::OtherHolder => "another holds it",
             Self::Fenced => "fenced",
+            Self::StoreLost => "store back from a copy",
         })
     }
 }
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -3394,11 +3394,15 @@
         pub fn get_renewals(self) -> u64 {
             self.reader.get_data_field::<u64>(2)
         }
+        #[inline]
+        pub fn get_next_window(self) -> u64 {
+            self.reader.get_data_field::<u64>(3)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 1 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 1 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -3496,6 +3500,14 @@
         pub fn set_renewals(&mut self, value: u64)  {
             self.builder.set_data_field::<u64>(2, value);
         }
+        #[inline]
+        pub fn get_next_window(self) -> u64 {
+            self.builder.get_data_field::<u64>(3)
+        }
+        #[inline]
+        pub fn set_next_window(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(3, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -3507,17 +3519,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 110] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(126, 96, 17, 68, 114, 215, 228, 186),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 87, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -3525,42 +3537,49 @@
             ::capnp::word(101, 97, 115, 101, 83, 117, 109, 109),
             ::capnp::word(97, 114, 121, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(24, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(125, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(153, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(129, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(157, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(161, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(165, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(180, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(177, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(176, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(102, 101, 110, 99, 101, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3602,6 +3621,15 @@
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(110, 101, 120, 116, 87, 105, 110, 100),
+            ::capnp::word(111, 119, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -3610,6 +3638,7 @@
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -3623,9 +3652,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1,4];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,3,0,1,5,4];
         pub(crate) const TYPE_ID: u64 = 0xbae4_d772_4411_607e;
     }
 }
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -80,7 +80,8 @@
 }
 
 impl WriteCondition {
-    fn era(self) -> StoreEra {
+    /// Era of the store in which it was found to hold.
+    pub fn era(self) -> StoreEra {
         match self {
             Self::Absent(era) => era,
             Self::At(position) => position.era(),
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -128,6 +128,7 @@
             renewals: 3,
             age_ms: 40,
             daemons: 9,
+            next_window: 7,
         }),
         wants: RequestedParts {
             group: true,
--- a/tests/gateway/leader_rules.rs
+++ b/tests/gateway/leader_rules.rs
@@ -12,7 +12,7 @@
             endpoint_orders::{EndpointOrders, OrderResult, ZoneOrder},
             leader_lease::{
                 ACQUIRE_MARGIN, AcquireDecision, HoldDecision, LeaseOwner, LossReason,
-                ObservedLease, decide_acquire, decide_hold,
+                ObservedLease, decide_acquire, decide_hold, first_fence, spoilt_fence,
             },
             observed_service::ObservedService,
             reclaim_wave::ReclaimWaves,
@@ -21,6 +21,7 @@
         },
     },
     ids::SharedName,
+    store_position::{StoreEra, StorePosition},
 };
 
 const LEASE: Duration = Duration::from_secs(3);
@@ -47,7 +48,27 @@
         (observed(LeaseOwner::EarlierProcess, false, 0), acquire(8)),
         (observed(LeaseOwner::ThisProcess, false, 0), acquire(7)),
     ] {
-        expect_that!(decide_acquire(observed, LEASE), eq(decision), "{observed:?}");
+        let decided = decide_acquire(observed, LEASE, StoreEra(0));
+        expect_that!(decided, eq(decision), "{observed:?}");
+    }
+}
+
+/// Daemons that remember nothing acquire the lease after the store has lost it.
+#[googletest::test]
+fn fences_of_an_era_are_above_those_of_all_earlier_ones() {
+    let whole = (LEASE + ACQUIRE_MARGIN).as_millis() as u64;
+    let mut highest = 0;
+    for era in 0..5 {
+        let first = decide_acquire(None, LEASE, StoreEra(era));
+        expect_that!(first, eq(AcquireDecision::Acquire { fence: first_fence(StoreEra(era)) }));
+        expect_that!(first_fence(StoreEra(era)), gt(highest), "era {era}");
+        // Of a record of an earlier era.
+        let next = decide_acquire(observed(LeaseOwner::Other, false, whole), LEASE, StoreEra(era));
+        expect_that!(
+            next,
+            eq(AcquireDecision::Acquire { fence: first_fence(StoreEra(era)).max(8) })
+        );
+        highest = spoilt_fence(0, StorePosition::new(StoreEra(era), 1_000_000));
     }
 }
 
--- a/tests/gateway/leader_state.rs
+++ b/tests/gateway/leader_state.rs
@@ -28,8 +28,13 @@
 fn holder_stops_before_others_may_start() {
     let lease = Duration::from_secs(3);
     let start = Instant::now();
-    let mut view =
-        LeaderLease { fence: 1, renewals: 4, holder: None, renewed_at: Some(start), own: true };
+    let mut view = LeaderLease {
+        fence: 1,
+        renewals: 4,
+        renewed_at: Some(start),
+        own: true,
+        ..LeaderLease::default()
+    };
     expect_that!(view.may_act(lease, start + millis(2_000)), eq(true));
     expect_that!(view.may_act(lease, start + millis(2_200)), eq(false));
     expect_that!(view.is_silent(lease, start + millis(2_900)), eq(false));
--- a/tests/gateway/store_loss_lease.rs
+++ b/tests/gateway/store_loss_lease.rs
@@ -66,12 +66,13 @@
         self.platform.set_down(false);
     }
 
-    /// Another daemon than the holder has the lease, and has reported.
+    /// Another daemon than the holder has the lease, and has sent the report that it found again and
+    /// one of its own.
     fn move_lease(&mut self) -> usize {
         let (former, fence) = self.holder().expect("a holder");
         self.daemons[former].kill();
         wait_for("another holder", || self.holder().is_some_and(|(_, now)| now > fence));
-        self.wait_for_reports(1);
+        self.wait_for_reports(2);
         former
     }
 }
@@ -88,11 +89,13 @@
     }
 }
 
+fn windows(reports: &[CloudCall]) -> BTreeSet<u64> {
+    reports.iter().filter_map(|report| report.body["window"].as_u64()).collect()
+}
+
 /// Windows that were reported more than once.
 fn repeated(reports: &[CloudCall]) -> usize {
-    let windows: BTreeSet<u64> =
-        reports.iter().filter_map(|report| report.body["window"].as_u64()).collect();
-    reports.len() - windows.len()
+    reports.len() - windows(reports).len()
 }
 
 /// The holder read the lease back as it was in the copy, and reported all windows since once more.
@@ -119,13 +122,16 @@
     let former = site.move_lease();
     let (second, _) = site.holder().expect("a holder");
     site.daemons[second].kill();
+    let before = reports(&site.platform).len();
     site.lose_writes();
     site.daemons[former].start_again();
     site.wait_for_reports(1);
     thread::sleep(REPORTING_TIME);
     let sent = reports(&site.platform);
     check_fences(&sent);
-    expect_that!(repeated(&sent), eq(0));
+    let (before, after) = sent.split_at(before);
+    expect_that!(windows(before).is_disjoint(&windows(after)), eq(true));
+    expect_that!(repeated(after), eq(0));
 }
 
 /// The same where all daemons have started anew since, so that none remembers the lost lease.
