A daemon that starts serves by the newest configuration that its peers know, not by a copy of the store

Daemons that started after the store had come back from a copy read an older configuration and let a dropped key through, though all others knew better: a response of any peer counted as contact, also one of a daemon that had started with it, and nothing waited for the text that peers had reported.

What is read first from the store is of unknown age. A daemon that starts now waits for a response to a call made since, of a peer that knows itself what the others know (a new field of the message; of daemons of the last release each counts), and for the configuration that its peers hold if that is newer, 2.5 s at the most. A daemon that hears nobody goes on alone after 0.3 s, as before.

--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -147,6 +147,7 @@
   configurationVersion @25 :UInt64;  # the operators' number; 0: not known
   configurationEra @26 :UInt64;  # era of `configuration`
   endpointEra @27 :UInt64;       # era of `endpointRevision`
+  starting @28 :Bool;            # whether the sender does not know yet what its peers know
 }
 
 interface Exchange {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -154,6 +154,7 @@
         position: StorePosition,
         text: Bytes,
     ) {
+        let now = true_time::now();
         let mut state = self.configuration.borrow_mut();
         let is_shown = source == ConfigurationSource::Store;
         if is_shown && state.is_shown(position) {
@@ -162,7 +163,8 @@
         let decoded = platform::configuration::decode(&text);
         if is_shown {
             let version = decoded.as_ref().ok().map(|decoded| decoded.version);
-            state.show(position, version, true_time::now());
+            state.show(position, version, now);
+            self.expect_peers_at_start(state.current.is_none(), now);
         }
         let decoded = match decoded {
             Ok(decoded) => decoded,
@@ -254,12 +256,29 @@
         let text = endpoint_list::write_text(&list);
         self.endpoint_texts.borrow_mut().push(text);
         let now = true_time::now();
+        self.expect_peers_at_start(self.endpoint_list.borrow().position.is_none(), now);
         self.note_endpoint_era(list.position.era(), now);
         self.entry_memory.borrow_mut().apply(list, now);
         self.use_endpoints(now);
         true
     }
 
+    /// What this daemon reads first may be of a copy of the store; its peers know better.
+    fn expect_peers_at_start(&self, is_first: bool, now: Instant) {
+        if is_first {
+            self.peer_contact.borrow_mut().expect_response(now);
+        }
+    }
+
+    /// Whether this daemon knows what its peers know.
+    pub fn knows_what_peers_know(&self, now: Instant) -> bool {
+        let is_lagging = self.catch_up.borrow().configuration_lag(now).is_some();
+        let has_configuration = self.configuration.borrow().current.is_some();
+        let mut contact = self.peer_contact.borrow_mut();
+        contact.observe_lag(is_lagging || !has_configuration, now);
+        contact.is_current(now)
+    }
+
     /// Notes an era in which endpoints are listed. In a new one those that drain are remembered: the
     /// store may no longer say so.
     pub fn note_endpoint_era(&self, era: StoreEra, now: Instant) {
@@ -333,7 +352,7 @@
             has_endpoint_list: !self.endpoint_list.borrow().position.is_none(),
             has_configuration: self.configuration.borrow().current.is_some(),
             knows_daemon_count: self.knows_fleet(now),
-            has_peer_contact: self.peer_contact.borrow().is_current(now),
+            has_peer_contact: self.knows_what_peers_know(now),
             accepts_connections: self.client_connections.get() < MAX_CLIENT_CONNECTIONS,
             keys: self.key_freshness(now),
         })
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -175,8 +175,11 @@
     let outcomes = match called {
         Ok(Ok(response)) => {
             let sent = sent_versions(&response);
+            let is_starting = response.is_starting;
             apply_message(context, response, Some(called_at));
-            context.peer_contact.borrow_mut().receive_response(called_at);
+            if !is_starting {
+                context.peer_contact.borrow_mut().receive_response(called_at);
+            }
             FetchOutcomes::judge(sent, held_versions(context))
         }
         // Counted, not logged: calls to a daemon that is gone fail twice a second.
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -37,6 +37,7 @@
     write_state(target.reborrow().init_state(), &source.state);
     let known = target.reborrow().init_known(source.known.len() as u32);
     write_summaries(known, &source.known);
+    target.set_starting(source.is_starting);
     target.set_wants_group(source.wants.group);
     write_text_requests(target.reborrow(), &source.wants);
     target.set_wants_usage(source.wants.usage);
@@ -174,6 +175,7 @@
     };
     Ok(GossipMessage {
         state: read_state(source.get_state()?)?,
+        is_starting: source.get_starting(),
         known,
         configuration: read_configuration(source)?,
         endpoint_position: read_endpoint_position(source),
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -227,6 +227,8 @@
 pub struct GossipMessage {
     /// State of the sender.
     pub state: DaemonState,
+    /// Whether the sender does not know yet what its peers know.
+    pub is_starting: bool,
     /// Some other daemons that it knows.
     pub known: Vec<PeerSummary>,
     /// Its configuration.
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -38,10 +38,12 @@
 /// This daemon's message, with the parts that the other side wants.
 pub fn own_message(context: &GatewayContext, wants: RequestedParts) -> GossipMessage {
     let now = true_time::now();
+    let is_starting = !context.knows_what_peers_know(now);
     let configuration = context.configuration.borrow();
     let list = context.endpoint_list.borrow();
     GossipMessage {
         state: own_state(context),
+        is_starting,
         known: context.peers.borrow().summaries(PEER_SUMMARIES, now, &mut rand::rng()),
         configuration: ConfigurationSummary {
             version: configuration.version(),
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -49,7 +49,7 @@
     pub async fn try_acquire(&mut self) -> Result<AcquireResult, StepError> {
         let now = true_time::now();
         // Peers know of holders that a store back from a copy no longer shows.
-        let has_peer_contact = self.context.peer_contact.borrow().is_current(now);
+        let has_peer_contact = self.context.knows_what_peers_know(now);
         let is_able = has_peer_contact && self.context.configuration().is_some();
         if self.context.is_leaving() || !is_able {
             return Ok(AcquireResult::NotAcquired);
--- a/tests/gateway/crash_rules.rs
+++ b/tests/gateway/crash_rules.rs
@@ -371,6 +371,38 @@
     expect_that!(contact.is_current(clock.at(300)), eq(true));
 }
 
+/// What it reads first may be of a copy of the store.
+#[googletest::test]
+fn daemon_that_starts_waits_for_a_newer_configuration_of_its_peers() {
+    let clock = TestClock::new();
+    let mut contact = PeerContact::new(clock.at(0));
+    contact.receive_response(clock.at(10));
+    contact.expect_response(clock.at(50));
+    expect_that!(contact.is_current(clock.at(60)), eq(false));
+    contact.receive_response(clock.at(40));
+    expect_that!(contact.is_current(clock.at(60)), eq(false));
+    contact.receive_response(clock.at(70));
+    contact.observe_lag(true, clock.at(80));
+    expect_that!(contact.is_current(clock.at(80)), eq(false));
+    contact.observe_lag(false, clock.at(200));
+    expect_that!(contact.is_current(clock.at(200)), eq(true));
+    // Later changes are served by what it has.
+    contact.observe_lag(true, clock.at(300));
+    expect_that!(contact.is_current(clock.at(300)), eq(true));
+}
+
+#[googletest::test]
+fn daemon_that_cannot_catch_up_goes_on_after_a_while() {
+    let clock = TestClock::new();
+    let mut contact = PeerContact::new(clock.at(0));
+    for time in (0..3_000).step_by(100) {
+        contact.begin_interval(clock.at(time));
+        contact.receive_response(clock.at(time));
+        contact.observe_lag(true, clock.at(time));
+        expect_that!(contact.is_current(clock.at(time)), eq(time >= 2_500), "{time} ms");
+    }
+}
+
 proptest! {
     /// However the runs of a request overlap, no more count than there are crashes that lie
     /// apart, and never more than runs.
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -109,6 +109,7 @@
             leaving: true,
             counters: sample_counters(),
         },
+        is_starting: true,
         known: vec![PeerSummary {
             address: "127.0.0.1:81".parse().expect("address"),
             incarnation: IncarnationId(4),
@@ -208,6 +209,7 @@
     for sample in [sample_message(), former_message()] {
         let read = decode(&encoded(&sample)).expect("decodes");
         expect_that!(read.state, eq(&sample.state));
+        expect_that!(read.is_starting, eq(sample.is_starting));
         expect_that!(read.known, eq(&sample.known));
         expect_that!(read.configuration, eq(&sample.configuration));
         expect_that!(read.endpoint_position, eq(sample.endpoint_position));
