Soak: the store comes back from a copy beside all other faults, and dropped keys are tried all the time

The copy is as old as the fault lasts; operator and endpoints write again what was lost 0.3 s after the return, unless they have written since. A key that was dropped over 5 s before may let no request through at any daemon, whatever happens.

--- a/tests/gateway/platform_standin.rs
+++ b/tests/gateway/platform_standin.rs
@@ -31,6 +31,15 @@
     gone: bool,
 }
 
+/// What a store has lost of the objects that the operator and the endpoints write.
+pub struct LostObjects {
+    /// As they were before the loss, and as they are in the copy; none where there was none.
+    objects: BTreeMap<(String, String), [Option<Arc<str>>; 2]>,
+}
+
+/// Kinds of the objects that the operator and the endpoints write.
+const WRITTEN_AGAIN: [&str; 2] = ["config", "servers"];
+
 /// Time for which an order of a slow zone is held: shorter than callers wait.
 const ORDER_HELD: Duration = Duration::from_millis(900);
 
@@ -152,6 +161,40 @@
         lost
     }
 
+    /// The same; returns what operator and endpoints have to write again.
+    pub fn lose_writes(&self) -> LostObjects {
+        let before = self.lock().contents.objects.clone();
+        self.restore_copy();
+        let after = self.lock().contents.objects.clone();
+        let is_theirs = |key: &&(String, String)| WRITTEN_AGAIN.contains(&key.0.as_str());
+        let spec = |of: &BTreeMap<_, StoredEntry>, key| {
+            of.get(key).map(|entry: &StoredEntry| entry.spec.clone())
+        };
+        let keys = before.keys().chain(after.keys()).filter(is_theirs);
+        let all = keys.map(|key| (key.clone(), [spec(&before, key), spec(&after, key)]));
+        LostObjects { objects: all.filter(|(_, [lost, copied])| lost != copied).collect() }
+    }
+
+    /// Writes again what was lost, unless it has changed since.
+    pub fn write_again(&self, lost: LostObjects) {
+        let mut state = self.lock();
+        for ((kind, name), [before, copied]) in lost.objects {
+            let key = (kind.clone(), name.clone());
+            let now = state.contents.objects.get(&key).map(|entry| entry.spec.clone());
+            if now != copied {
+                continue;
+            }
+            match before {
+                Some(spec) => {
+                    let spec = serde_json::from_str(&spec).expect("JSON");
+                    state.contents.write(&kind, &name, &spec);
+                }
+                None => state.contents.remove(&kind, &name),
+            }
+        }
+        self.state.1.notify_all();
+    }
+
     /// Raises the revision by writes of somebody else.
     pub fn write_others(&self, count: u64) {
         for number in 0..count {
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -9,7 +9,7 @@
 //! with more daemons: above 24 they fall into several gossip groups.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     ops::Range,
     sync::{
@@ -49,6 +49,16 @@
 /// Changes of the configuration in one series, and the pause between two, in milliseconds.
 const SERIES: Range<u64> = 1..12;
 const SERIES_PAUSE_MS: Range<u64> = 20..250;
+/// How long the store is away before it is back from a copy.
+const STORE_AWAY: Duration = Duration::from_millis(200);
+/// Time after which operator and endpoints write again what it has lost.
+const WRITE_AGAIN_TIME: Duration = Duration::from_millis(300);
+/// Time after which a key that was dropped lets no request through any more.
+const REVOKE_LIMIT: Duration = Duration::from_secs(5);
+/// Time for which dropped keys are tried after the faults.
+const KEYS_TRIED_FOR: Duration = Duration::from_secs(4);
+/// Pause between two requests with dropped keys.
+const KEY_PAUSE: Duration = Duration::from_millis(40);
 
 /// What a series of faults strikes. Each has a thread of its own, so that they overlap.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -72,6 +82,8 @@
     StoreDown,
     StoreLosesAnswers,
     StoreForgets,
+    /// The store comes back from a copy that is as old as the fault is long.
+    StoreLost,
     StoreLink(usize, LinkState),
     StoreConnectionsSilent,
     EndpointLink(usize, LinkState),
@@ -107,7 +119,7 @@
         let daemon = rng.random_range(0..daemons);
         let endpoint = rng.random_range(0..ENDPOINTS);
         let link = if rng.random_bool(0.5) { LinkState::Silent } else { LinkState::Closed };
-        match (lane, rng.random_range(0..6)) {
+        match (lane, rng.random_range(0..7)) {
             (FaultLane::Daemons, 0 | 1) => Self::Kill(daemon),
             (FaultLane::Daemons, 2 | 3) => Self::Freeze(daemon),
             (FaultLane::Daemons, _) => Self::StopAndStart(daemon),
@@ -115,6 +127,7 @@
             (FaultLane::Store, 1) => Self::StoreLosesAnswers,
             (FaultLane::Store, 2) => Self::StoreForgets,
             (FaultLane::Store, 3) => Self::StoreConnectionsSilent,
+            (FaultLane::Store, 4) => Self::StoreLost,
             (FaultLane::Store, _) => Self::StoreLink(daemon, link),
             (FaultLane::Endpoints, 0) => Self::EndpointLink(endpoint, link),
             (FaultLane::Endpoints, 1) => Self::EndpointConnectionsSilent(endpoint),
@@ -139,6 +152,8 @@
     endpoint_links: Vec<LoopbackProxy>,
     daemons: Vec<Mutex<Gateway>>,
     version: AtomicU64,
+    /// When each version was written, which drops the key of the one before.
+    written_at: Mutex<BTreeMap<u64, Instant>>,
 }
 
 /// Key that came with a version.
@@ -168,7 +183,9 @@
             endpoint_links,
             daemons: Vec::new(),
             version,
+            written_at: Mutex::default(),
         };
+        site.platform.set_era(1);
         site.write_next_version();
         (0..ENDPOINTS).for_each(|place| site.write_entry(place));
         site.start_daemons();
@@ -215,6 +232,7 @@
             }
             Fault::StoreLosesAnswers => self.platform.lose_answers(2),
             Fault::StoreForgets => self.platform.forget_history(),
+            Fault::StoreLost => self.lose_writes(time),
             Fault::StoreLink(place, state) => hold(&self.store_links[place], state, time),
             Fault::StoreConnectionsSilent => {
                 self.store_links.iter().for_each(LoopbackProxy::silence_open);
@@ -239,6 +257,17 @@
         }
     }
 
+    fn lose_writes(&self, age: Duration) {
+        self.platform.copy_contents();
+        thread::sleep(age);
+        self.platform.set_down(true);
+        thread::sleep(STORE_AWAY);
+        let lost = self.platform.lose_writes();
+        self.platform.set_down(false);
+        thread::sleep(WRITE_AGAIN_TIME);
+        self.platform.write_again(lost);
+    }
+
     /// Writes the entry of an endpoint as it does itself.
     fn write_entry(&self, place: usize) {
         let entry = json!({
@@ -260,9 +289,18 @@
         let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
         let written = configuration(version, &["key-1", &version_key(version)]);
         self.platform.put("config", "main", with_speaking_service(with_fragile_service(written)));
+        self.written_at.lock().expect("lock").insert(version, Instant::now());
         version
     }
 
+    /// The newest version whose key was dropped so long ago that it may let no request through.
+    fn newest_revoked(&self) -> Option<u64> {
+        let written_at = self.written_at.lock().expect("lock");
+        let is_old = |(_, at): &(&u64, &Instant)| at.elapsed() >= REVOKE_LIMIT;
+        let (successor, _) = written_at.iter().rev().find(is_old)?;
+        written_at.range(..successor).next_back().map(|(version, _)| *version)
+    }
+
     fn addresses(&self) -> Vec<SocketAddr> {
         self.daemons.iter().map(|daemon| daemon.lock().expect("lock").clients).collect()
     }
@@ -287,6 +325,21 @@
     runs
 }
 
+/// Tries dropped keys at all daemons in turn; none may let a request through.
+fn try_dropped_keys(site: &SoakSite, addresses: &[SocketAddr], until: Instant) {
+    for (number, address) in addresses.iter().cycle().enumerate() {
+        if Instant::now() >= until {
+            break;
+        }
+        thread::sleep(KEY_PAUSE);
+        let Some(version) = site.newest_revoked() else { continue };
+        let (id, key) = (format!("dropped-{number}"), version_key(version));
+        let bytes = request_bytes("/plain/dropped/", &id, &key, &[], b"");
+        let Ok(answer) = try_send_raw(*address, &bytes) else { continue };
+        assert_ne!(answer.status, 200, "key of version {version} at {address}");
+    }
+}
+
 /// Faults of one lane until the time is over.
 fn cause_faults(site: &SoakSite, lane: FaultLane, seed: u64, until: Instant) {
     let mut rng = SmallRng::seed_from_u64(seed * 10 + lane as u64);
@@ -319,6 +372,8 @@
         for number in 0..SIGNAL_CLIENTS {
             scope.spawn(move || lane.ask(number, addresses, until, seed));
         }
+        let site_of_keys = &site;
+        scope.spawn(move || try_dropped_keys(site_of_keys, addresses, until + KEYS_TRIED_FOR));
         for lane in FaultLane::ALL {
             let site = &site;
             scope.spawn(move || cause_faults(site, lane, seed, until));
@@ -355,7 +410,8 @@
     let runs = runs_by_id(site);
     let sent: HashSet<&str> = exchanges.iter().map(|exchange| exchange.id.as_str()).collect();
     for id in runs.keys() {
-        assert!(sent.contains(id.as_str()) || id.starts_with("after-"), "{id} was never sent");
+        let is_known = sent.contains(id.as_str()) || id.starts_with("after-");
+        assert!(is_known, "{id} was never sent");
     }
     for exchange in exchanges {
         exchange.check(runs.get(&exchange.id).copied().unwrap_or(0));
