Failing test: the native interface's daemons drop edits after the object API is back from a copy

Rows are ordered by the object API's versions. After it came back from a copy, an edit was not in force at any of four daemons in 20 s: its version was below that of the row that they held, and would have stayed so for as many writes as were lost. The stand-in can copy its objects and bring the copy back, and names the era in a header.

--- a/src/native/cloud_api.rs
+++ b/src/native/cloud_api.rs
@@ -4,3 +4,7 @@
 
 pub mod client;
 pub mod messages;
+
+/// Header of each response that names the era of the objects: how often they have come back from a
+/// copy.
+pub const ERA_HEADER: &str = "store-era";
--- a/src/standin/object_store.rs
+++ b/src/standin/object_store.rs
@@ -24,7 +24,7 @@
 type ObjectKey = (String, SharedName);
 
 /// The store itself.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct ObjectStore {
     revision: u64,
     objects: BTreeMap<ObjectKey, (u64, Value)>,
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -2,7 +2,8 @@
 //! VM list and weight store, on one address. It speaks the wire of `native::cloud_api`.
 //!
 //! `POST /faults` throws its switches, `POST /reclaim` announces that VMs go, `POST /gone/ID`
-//! takes one, `GET /stats` counts the calls.
+//! takes one, `GET /stats` counts the calls. `POST /copy` copies the objects, `POST /restore` brings
+//! the copy back, in a new era that the header of each response names.
 
 mod objects;
 mod state;
@@ -10,7 +11,7 @@
 
 use std::{cell::RefCell, net::SocketAddr, rc::Rc, time::Duration};
 
-use hyper::{Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{Method, Request, Response, StatusCode, body::Incoming, header::HeaderValue};
 use tokio::{sync::watch, time::timeout};
 
 pub use state::PlatformFaults;
@@ -21,7 +22,7 @@
     errors::StepError,
     http::{ResponseBody, server},
     kernel::LifePhase,
-    native::cloud_api::messages::VmEntry,
+    native::cloud_api::{ERA_HEADER, messages::VmEntry},
 };
 
 #[derive(Clone)]
@@ -40,7 +41,12 @@
     let platform = Platform::new(vms);
     server::serve(listener, phase, move |request| {
         let platform = platform.clone();
-        async move { platform.answer(request).await }
+        async move {
+            let mut response = platform.answer(request).await;
+            let era = HeaderValue::from(platform.state.borrow().era);
+            response.headers_mut().insert(ERA_HEADER, era);
+            response
+        }
     })
     .await;
     Ok(())
@@ -65,6 +71,8 @@
             ["stats"] => return reply::json(StatusCode::OK, &self.state.borrow().counts),
             ["reclaim"] => return self.reclaim(request).await,
             ["gone", id] => return self.gone(id),
+            ["copy"] => return self.copy_objects(),
+            ["restore"] => return self.restore_objects(),
             _ => {}
         }
         let faults = self.state.borrow().faults.clone();
@@ -91,6 +99,21 @@
         }
     }
 
+    fn copy_objects(&self) -> Response<ResponseBody> {
+        let mut state = self.state.borrow_mut();
+        state.copy = state.store.clone();
+        reply::empty(StatusCode::OK)
+    }
+
+    fn restore_objects(&self) -> Response<ResponseBody> {
+        let mut state = self.state.borrow_mut();
+        state.store = state.copy.clone();
+        state.era += 1;
+        drop(state);
+        self.notify();
+        reply::empty(StatusCode::OK)
+    }
+
     async fn set_faults(&self, request: Request<Incoming>) -> Response<ResponseBody> {
         let current = self.state.borrow().faults.clone();
         match reply::change_faults(request, &current).await {
--- a/src/standin/platform/state.rs
+++ b/src/standin/platform/state.rs
@@ -85,6 +85,10 @@
 /// Everything that the stand-in knows.
 pub(super) struct PlatformState {
     pub(super) store: ObjectStore,
+    /// What the store comes back with.
+    pub(super) copy: ObjectStore,
+    /// How often it has come back from a copy.
+    pub(super) era: u64,
     pub(super) faults: PlatformFaults,
     pub(super) counts: CallCounts,
     pub(super) writes: RateLimiter,
@@ -112,6 +116,8 @@
         }
         let mut state = Self {
             store: ObjectStore::default(),
+            copy: ObjectStore::default(),
+            era: 0,
             faults: PlatformFaults::default(),
             counts: CallCounts::default(),
             writes: RateLimiter::new(WRITES_PER_S),
--- a/tests/native/promises/edits.rs
+++ b/tests/native/promises/edits.rs
@@ -144,3 +144,27 @@
         expect_true!(in_force.is_sorted(), "{in_force:?}");
     }
 }
+
+/// Promise 7: the object API comes back from a copy, and its versions are lower than those that
+/// daemons hold. Edits made since were never in force.
+#[googletest::test]
+fn edits_are_in_force_after_the_object_api_is_back_from_a_copy() {
+    let deployment = Deployment::start(Layout { daemons: 4, ..Layout::default() });
+    let platform = deployment.platform_address();
+    let edit = |weight: u32| {
+        let weight = format!("weight={weight}");
+        let edit = deployment.control(&["--json", "table", "set", "account.reader", &weight]);
+        expect_that!(edit.0, eq(0), "{}", edit.1);
+        edited_version(&edit)
+    };
+    let in_force_everywhere = |version: u64| {
+        (0..4).all(|daemon| row_version(&deployment, daemon, "account.reader") == Some(version))
+    };
+    post(platform, "/copy", &[], "");
+    let newest = (3..12).map(edit).last().expect("a version");
+    eventually("the edits are in force", || in_force_everywhere(newest).then_some(()));
+    post(platform, "/restore", &[], "");
+    let version = edit(20);
+    expect_that!(version, lt(newest));
+    eventually("the edit is in force", || in_force_everywhere(version).then_some(()));
+}
