--- a/tests/gateway/store_loss.rs
+++ b/tests/gateway/store_loss.rs
@@ -1,6 +1,7 @@
 //! The store comes back from a copy: what it had acknowledged since is lost, and its revisions go back.
 //!
-//! `LOSS_DAEMONS=77 cargo test --test gateway store_loss` plays with a fleet of several gossip groups.
+//! `LOSS_DAEMONS=77 cargo test --test gateway store_loss` plays with a fleet of several gossip groups,
+//! `LOSS_FORMER=FILE` with the last release's program at every second place.
 
 use std::{collections::BTreeMap, ops::Range, time::Duration};
 
--- a/tests/gateway/store_loss_fleet.rs
+++ b/tests/gateway/store_loss_fleet.rs
@@ -6,6 +6,7 @@
 
 use std::{
     net::SocketAddr,
+    path::{Path, PathBuf},
     sync::{
         Mutex,
         atomic::{AtomicU64, Ordering},
@@ -45,6 +46,8 @@
 const END_AT: Duration = Duration::from_millis(9_500);
 /// Pause of a client between two requests.
 const ASK_PAUSE: Duration = Duration::from_millis(30);
+/// Executable file of the last release, run by every second daemon, which no client asks then.
+const FORMER_PROGRAM: &str = "LOSS_FORMER";
 /// Calls that the store answers at once for each daemon: two watches and a call of the leader.
 const CALLS_A_DAEMON: usize = 3;
 
@@ -126,6 +129,15 @@
     })
 }
 
+fn own_program() -> &'static Path {
+    Path::new(env!("CARGO_BIN_EXE_willowarchd"))
+}
+
+/// The last release's program, if the daemon at this place runs it.
+fn former_program(place: usize) -> Option<PathBuf> {
+    std::env::var_os(FORMER_PROGRAM).filter(|_| place % 2 == 1).map(PathBuf::from)
+}
+
 /// A configuration whose moved route belongs to `service`.
 fn written_configuration(version: u64, service: &str, keys: &[&str], is_last: bool) -> Value {
     let mut written = configuration(version, keys);
@@ -173,7 +185,9 @@
         let mut seeds: Vec<SocketAddr> = Vec::new();
         for place in 0..count {
             let name = format!("loss-{place}");
-            let daemon = Gateway::start(&name, &self.platform, &seeds);
+            let program = former_program(place).unwrap_or_else(|| own_program().into());
+            let platform = self.platform.address;
+            let daemon = Gateway::start_program(&program, &name, platform, &seeds, json!({}));
             if seeds.len() < 3 {
                 seeds.push(daemon.peers);
             }
@@ -219,7 +233,8 @@
         let requests = Mutex::new(Vec::new());
         thread::scope(|scope| {
             scope.spawn(|| self.cause(loss, began));
-            for place in 0..self.daemons.len() {
+            let asked = (0..self.daemons.len()).filter(|place| former_program(*place).is_none());
+            for place in asked {
                 let requests = &requests;
                 scope.spawn(move || {
                     let asked = self.ask_until_end(place, began);
