--- a/src/errors.rs
+++ b/src/errors.rs
@@ -25,7 +25,7 @@
     /// The peer's response could not be decoded, or the request not be encoded.
     #[display("malformed answer: {_0}")]
     Malformed(#[error(not(source))] String),
-    /// The peer responded before it came back from a copy: what it said no longer holds.
+    /// The peer responded before it was restored from a copy: what it said no longer holds.
     #[display("answer of a former era")]
     FormerEra,
     /// A conditional write lost against another.
--- a/src/gateway/configuration_state.rs
+++ b/src/gateway/configuration_state.rs
@@ -2,7 +2,7 @@
 //! the newest one.
 //!
 //! Configurations are ordered by the operators' version, which only rises. The store's revisions
-//! don't tell: after it has come back from a copy they are given out again, and it shows an older
+//! don't tell: after it was restored from a copy they are given out again, and it shows an older
 //! configuration until the operators have written theirs again. That one is neither used nor a
 //! reason to doubt the one held. But it proves nothing at first: a version that was acknowledged
 //! and lost before any daemon read it may be missing.
@@ -15,7 +15,7 @@
 use super::configuration::Configuration;
 use crate::store_position::StorePosition;
 
-/// Time in which operators write again what a store has lost that is back from a copy.
+/// Time in which operators write again what a store has lost that was restored from a copy.
 const WRITE_AGAIN_TIME: Duration = Duration::from_secs(2);
 
 /// Newest configuration held, with the proof that it is the newest one.
@@ -39,7 +39,7 @@
     version: Option<u64>,
 }
 
-/// What a store that had come back from a copy showed first.
+/// What a store that was restored from a copy showed first.
 #[derive(Clone, Copy, Debug)]
 struct ShownCopy {
     position: StorePosition,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -4,34 +4,30 @@
 //! and the daemon's counters. All tasks run on one thread, so cells suffice; no borrow is held
 //! across an await. It holds no rules: its methods pass what it holds to `policy`.
 
+mod store_contents;
+
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
     time::Duration,
 };
 
-use bytes::Bytes;
 use tokio::time::Instant;
 
 use super::{
     configuration::Configuration,
-    configuration_state::{ApplyOutcome, ConfigurationSource, ConfigurationState},
+    configuration_state::ConfigurationState,
     endpoint::EndpointList,
-    gossip::{codec::endpoint_list, peer_table::PeerTable, text_exchange::TextExchange},
+    gossip::{peer_table::PeerTable, text_exchange::TextExchange},
     policy::{
         daemon::{
-            catch_up::{CatchUpState, ConfigurationLag},
+            catch_up::CatchUpState,
             daemon_count,
             peer_contact::PeerContact,
             readiness::{MAX_CLIENT_CONNECTIONS, Readiness, ReadinessInputs},
             store_watchers::{StoreWatch, WatcherElection, is_store_failing},
         },
-        endpoint::{
-            endpoint_starts::keep_latest_starts,
-            endpoint_table::EndpointTable,
-            lost_entries::EntryMemory,
-            signal_ledger::{EndpointWarning, WarningKind},
-        },
+        endpoint::{endpoint_starts::lost_entries::EntryMemory, endpoint_table::EndpointTable},
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
         },
@@ -54,8 +50,7 @@
     logs::LineBudget,
     metrics::MetricsHandle,
     platform,
-    store_position::{StoreEra, StorePosition},
-    true_time,
+    store_position::StoreEra,
 };
 
 /// State shared by all tasks of one daemon, which run on one thread.
@@ -68,7 +63,7 @@
     pub store: platform::store::StoreClient,
     /// Newest configuration.
     pub configuration: RefCell<ConfigurationState>,
-    /// Endpoints to use: as listed, but for what a store that is back from a copy lacks.
+    /// Endpoints to use: as listed, but for what a store that was restored from a copy lacks.
     pub endpoint_list: RefCell<EndpointList>,
     /// What the store has listed of endpoints, across its eras.
     pub entry_memory: RefCell<EntryMemory>,
@@ -147,54 +142,6 @@
         self.configuration.borrow().current.clone()
     }
 
-    /// Applies a configuration if its version is above the one held.
-    pub fn apply_configuration(
-        &self,
-        source: ConfigurationSource,
-        position: StorePosition,
-        text: Bytes,
-    ) {
-        let now = true_time::now();
-        let mut state = self.configuration.borrow_mut();
-        let is_shown = source == ConfigurationSource::Store;
-        if is_shown && state.is_shown(position) {
-            return;
-        }
-        let decoded = platform::configuration::decode(&text);
-        if is_shown {
-            let version = decoded.as_ref().ok().map(|decoded| decoded.version);
-            state.show(position, version, now);
-            self.expect_peers_at_start(state.current.is_none(), now);
-        }
-        let decoded = match decoded {
-            Ok(decoded) => decoded,
-            Err(error) => {
-                spdlog::error!("configuration not decoded: {}", error, kv: { position: = position });
-                return;
-            }
-        };
-        let (version, before) = (decoded.version, state.version());
-        let outcome = state.apply(decoded, position);
-        let lag = match outcome {
-            ApplyOutcome::Applied => self.end_configuration_lag(),
-            ApplyOutcome::Held | ApplyOutcome::Older => ConfigurationLag::default(),
-        };
-        spdlog::info!("configuration", kv: {
-            version: = version, era: = position.era(), revision = position.revision(), before,
-            outcome: = outcome, source: = source, bytes = text.len(), lag_ms = lag.duration_ms,
-            withheld = lag.withheld, failed = lag.failed
-        });
-        if outcome == ApplyOutcome::Applied {
-            self.configuration_texts.borrow_mut().push(text);
-        }
-    }
-
-    fn end_configuration_lag(&self) -> ConfigurationLag {
-        let lag = self.catch_up.borrow_mut().take_configuration_lag(true_time::now());
-        self.metrics.duration("configuration_lag_us", Duration::from_millis(lag.duration_ms));
-        lag
-    }
-
     /// Whether keys of the configuration may be used.
     pub fn key_freshness(&self, now: Instant) -> KeyFreshness {
         let proof = self.configuration.borrow().proof;
@@ -208,20 +155,6 @@
         ConfigurationDoubt::judge(proof, is_lagging, self.settings.bounds.apply_limit, now)
     }
 
-    /// Logs and counts an era of the store that has begun.
-    pub fn observe_store_era(&self) {
-        let era = self.store.era();
-        let before = self.store_era.replace(era);
-        if before == era {
-            return;
-        }
-        self.metrics.gauge("store_era", era.0 as f64);
-        match before {
-            StoreEra(0) => spdlog::info!("store era", kv: { era: = era }),
-            _ => spdlog::warn!("store era", kv: { era: = era, before: = before }),
-        }
-    }
-
     /// Whether a call to the store has failed lately.
     pub fn store_fails(&self, now: Instant) -> bool {
         is_store_failing(self.store_failed.get(), now)
@@ -247,29 +180,6 @@
         lag.map_or(-1, |lag| lag.as_millis() as i64)
     }
 
-    /// Applies a list of endpoints if it is newer than the one held; says whether it was.
-    pub fn apply_endpoints(&self, list: EndpointList) -> bool {
-        if list.position <= self.endpoint_list.borrow().position {
-            return false;
-        }
-        let list = keep_latest_starts(list, &self.endpoint_list.borrow());
-        let text = endpoint_list::write_text(&list);
-        self.endpoint_texts.borrow_mut().push(text);
-        let now = true_time::now();
-        self.expect_peers_at_start(self.endpoint_list.borrow().position.is_none(), now);
-        self.note_endpoint_era(list.position.era(), now);
-        self.entry_memory.borrow_mut().apply(list, now);
-        self.use_endpoints(now);
-        true
-    }
-
-    /// What this daemon reads first may be of a copy of the store; its peers know better.
-    fn expect_peers_at_start(&self, is_first: bool, now: Instant) {
-        if is_first {
-            self.peer_contact.borrow_mut().expect_response(now);
-        }
-    }
-
     /// Whether this daemon knows what its peers know.
     pub fn knows_what_peers_know(&self, now: Instant) -> bool {
         let is_lagging = self.catch_up.borrow().configuration_lag(now).is_some();
@@ -279,32 +189,6 @@
         contact.is_current(now)
     }
 
-    /// Notes an era in which endpoints are listed. In a new one those that drain are remembered: the
-    /// store may no longer say so.
-    pub fn note_endpoint_era(&self, era: StoreEra, now: Instant) {
-        let drained = self.entry_memory.borrow_mut().begin_era(era);
-        let mut endpoints = self.endpoints.borrow_mut();
-        for start in drained {
-            let warning = EndpointWarning { start, kind: WarningKind::Draining, at: now };
-            endpoints.receive_warning(warning, now, &mut rand::rng());
-        }
-    }
-
-    /// Uses other endpoints once those that a store back from a copy lacks had time to write again.
-    pub fn end_write_again(&self, now: Instant) {
-        if self.entry_memory.borrow_mut().ends_write_again(now) {
-            self.use_endpoints(now);
-            let count = self.endpoint_list.borrow().endpoints.len();
-            spdlog::info!("endpoints", kv: { count, source = "time to write again is over" });
-        }
-    }
-
-    fn use_endpoints(&self, now: Instant) {
-        let used = self.entry_memory.borrow().used();
-        self.endpoints.borrow_mut().set_list(&used, now);
-        *self.endpoint_list.borrow_mut() = used;
-    }
-
     /// How many daemons share quotas and retry budgets.
     pub fn sharing(&self, now: Instant) -> QuotaSharing {
         let met = self.peers.borrow().sharing(now);
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::{
     configuration_state::ConfigurationState,
@@ -23,7 +23,7 @@
         daemon::{
             catch_up::CatchUpState, peer_contact::PeerContact, store_watchers::WatcherElection,
         },
-        endpoint::{endpoint_table::EndpointTable, lost_entries::EntryMemory},
+        endpoint::{endpoint_starts::lost_entries::EntryMemory, endpoint_table::EndpointTable},
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
         },
@@ -104,8 +104,6 @@
 fn assemble(settings: GatewaySettings, kernel: KernelHandle) -> GatewayContext {
     let metrics = MetricsHandle::default();
     let now = true_time::now();
-    let bounds = &settings.bounds;
-    let tolerance = QuotaTolerance { overage: bounds.quota_overage, slack: bounds.quota_slack };
     GatewayContext {
         incarnation: IncarnationId::generate(),
         store: StoreClient::new(settings.store_address),
@@ -113,8 +111,8 @@
         endpoint_list: RefCell::new(EndpointList::default()),
         entry_memory: RefCell::new(EntryMemory::new(settings.entry_lapse)),
         endpoints: RefCell::new(EndpointTable::new(settings.zone.clone())),
-        quotas: RefCell::new(QuotaLedger::new(tolerance, now)),
-        retry_budgets: RefCell::new(retry_budgets(bounds)),
+        quotas: RefCell::new(empty_quotas(&settings.bounds, now)),
+        retry_budgets: RefCell::new(retry_budgets(&settings.bounds)),
         usage: RefCell::new(UsageCounts::default()),
         peers: RefCell::new(seeded_peers(&settings)),
         catch_up: RefCell::new(CatchUpState::default()),
@@ -130,7 +128,7 @@
         kernel,
         active: OpenCount::default(),
         store_failed: Cell::new(None),
-        watcher_election: RefCell::new(WatcherElection::new(bounds.apply_limit)),
+        watcher_election: RefCell::new(WatcherElection::new(settings.bounds.apply_limit)),
         store_era: Cell::default(),
         store_watch: Cell::new(None),
         limits_divided_at: Cell::new(None),
@@ -144,6 +142,11 @@
     }
 }
 
+fn empty_quotas(bounds: &ServiceBounds, now: Instant) -> QuotaLedger {
+    let tolerance = QuotaTolerance { overage: bounds.quota_overage, slack: bounds.quota_slack };
+    QuotaLedger::new(tolerance, now)
+}
+
 fn retry_budgets(bounds: &ServiceBounds) -> RetryBudgets {
     RetryBudgets::new(bounds.retry_window, bounds.retry_share, bounds.retry_reserve)
 }
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -16,7 +16,7 @@
     counters::{read_counters, write_counters},
     crashes::{read_crashes, write_crashes},
     limits::{read_limits, write_limits},
-    values::{check_length, from_ms, read_address, read_text, to_ms},
+    values::{check_length, from_ms, read_address, read_position, read_text, to_ms},
     warnings::{read_warnings, write_warnings},
 };
 use super::messages::{
@@ -29,7 +29,7 @@
     },
     gateway::policy::daemon::held_texts::TextId,
     ids::IncarnationId,
-    store_position::{StoreEra, StorePosition},
+    store_position::StorePosition,
 };
 
 /// Writes a message.
@@ -253,11 +253,6 @@
     Ok((!text.is_empty()).then(|| SentText::Plain(Bytes::copy_from_slice(text))))
 }
 
-/// Daemons of the last release name no era.
-fn read_position(era: u64, revision: u64) -> StorePosition {
-    StorePosition::new(StoreEra(era), revision)
-}
-
 fn read_endpoint_position(source: gossip_message::Reader<'_>) -> StorePosition {
     read_position(source.get_endpoint_era(), source.get_endpoint_revision())
 }
--- a/src/gateway/gossip/codec/values.rs
+++ b/src/gateway/gossip/codec/values.rs
@@ -4,7 +4,10 @@
 
 use capnp::Error;
 
-use crate::ids::SharedName;
+use crate::{
+    ids::SharedName,
+    store_position::{StoreEra, StorePosition},
+};
 
 /// Longest list that is read, in entries: far above any fleet, and bounds what a broken peer can
 /// make us allocate.
@@ -20,6 +23,11 @@
     text.parse().map_err(|_| Error::failed("malformed address".into()))
 }
 
+/// A position of the store; daemons of the last release name no era.
+pub fn read_position(era: u64, revision: u64) -> StorePosition {
+    StorePosition::new(StoreEra(era), revision)
+}
+
 pub fn check_length(length: u32) -> Result<(), Error> {
     match length <= MAX_LIST_LENGTH {
         true => Ok(()),
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -53,7 +53,7 @@
     lease: LeaseKeeper,
     /// Newest window that this process has reported.
     sent_window: Option<u64>,
-    /// When the other daemons have heard of the report in the lease.
+    /// When the other daemons know the report in the lease.
     report_told_at: Instant,
     next_try: Instant,
     orders: EndpointOrders,
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -6,9 +6,7 @@
 use tokio::time::Instant;
 
 use super::{
-    lease_keeper::{LeaseKeeper, LeaseSight},
-    lease_record::LeaseRecord,
-    quarantine,
+    lease_keeper::LeaseKeeper, lease_record::LeaseRecord, lease_sight::LeaseSight, quarantine,
 };
 use crate::{
     errors::StepError,
@@ -48,7 +46,7 @@
     /// The store failed or did not respond in time.
     pub async fn try_acquire(&mut self) -> Result<AcquireResult, StepError> {
         let now = true_time::now();
-        // Peers know of holders that a store back from a copy no longer shows.
+        // Peers know of holders that a store restored from a copy no longer shows.
         let has_peer_contact = self.context.knows_what_peers_know(now);
         let is_able = has_peer_contact && self.context.configuration().is_some();
         if self.context.is_leaving() || !is_able {
@@ -101,8 +99,8 @@
         }
     }
 
-    /// Whether a later renewal than that of the record has been made, or may have been: the store is
-    /// back from a copy.
+    /// Whether a later renewal than that of the record has been made, or may have been: the store was
+    /// restored from a copy.
     fn is_lost(&self, record: &LeaseRecord) -> bool {
         let lease = self.context.lease.borrow();
         self.is_copied(record) || record.order() < (lease.fence, lease.renewals)
@@ -114,6 +112,12 @@
         (record.fence == self.context.lease.borrow().fence).then_some(*began_at)
     }
 
+    /// First window that is not left out. A window that a lost record held may have been reported.
+    fn first_window(&self, former: Option<&LeaseRecord>) -> u64 {
+        let known = former.filter(|former| self.knows_reports(former));
+        known.map_or_else(|| self.current_window(), |former| former.first_window)
+    }
+
     /// Whether this daemon knows which windows have been reported since the record was written.
     fn knows_reports(&self, record: &LeaseRecord) -> bool {
         let is_own = record.incarnation == self.context.incarnation.0;
@@ -154,10 +158,8 @@
         let former = former.into_iter().chain(written).max_by_key(LeaseRecord::order);
         let renewals = first_renewal(fence, former.as_ref());
         let first_window = match &former {
-            Some(former) if self.knows_reports(former) => former.first_window,
             None if is_first => 0,
-            // A window that a lost record held may have been reported.
-            Some(_) | None => self.current_window(),
+            former => self.first_window(former.as_ref()),
         };
         let (required_endpoints, report) = former
             .map_or_else(Default::default, |former| (former.required_endpoints, former.report));
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -2,16 +2,17 @@
 //! what the store shows of it.
 //!
 //! Owns the object as last read. A write whose outcome is not known (time limit, lost response)
-//! is followed by a read before anything else is done with the lease. If the store has come back
+//! is followed by a read before anything else is done with the lease. If the store was restored
 //! from a copy meanwhile, the holder goes on from what it has written itself.
 
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
-use tokio::time::{Instant, timeout};
+use tokio::time::Instant;
 
 use super::{
     lease_record::{LeaseRecord, UsageReport},
-    lease_store::{LeaseStore, STORE_LIMIT},
+    lease_sight::{LeaseSight, SeenEra, SeenLease, SpoiltLease},
+    lease_store::LeaseStore,
     quarantine,
 };
 use crate::{
@@ -25,51 +26,10 @@
         cloud::LeaseHolder,
         store::{StoredObject, WriteCondition, WriteResult},
     },
-    store_position::{StoreEra, StorePosition},
+    store_position::StorePosition,
     true_time,
 };
 
-/// The lease object as last read, and since when it has not changed.
-#[derive(Clone, Debug)]
-pub struct SeenLease {
-    /// What holds in the store as long as it has not changed.
-    pub condition: WriteCondition,
-    /// What it holds.
-    pub record: LeaseRecord,
-    /// When the store was asked that first showed it, or when gossip says that its write began.
-    pub since: Instant,
-}
-
-/// A lease object that no daemon has written: another writer has spoilt it.
-#[derive(Clone, Copy, Debug)]
-pub struct SpoiltLease {
-    /// Where the store stood when it was written.
-    pub position: StorePosition,
-    /// When the store was asked that first showed it.
-    pub since: Instant,
-}
-
-/// The lease object as the store shows it.
-#[derive(Clone, Debug)]
-pub enum LeaseSight {
-    /// There is none in this era of the store.
-    Absent(StoreEra),
-    /// It can't be read.
-    Spoilt(SpoiltLease),
-    /// A daemon has written it.
-    Seen(Box<SeenLease>),
-}
-
-/// An era of the store.
-#[derive(Clone, Copy, Debug)]
-pub struct SeenEra {
-    /// The era.
-    pub era: StoreEra,
-    /// When the store was asked that first showed it; none if it is the first that this daemon has
-    /// seen.
-    pub began_at: Option<Instant>,
-}
-
 /// The lease as one daemon keeps it.
 pub struct LeaseKeeper {
     pub(super) context: Rc<GatewayContext>,
@@ -82,7 +42,7 @@
     /// What this process has written last, and when it began to.
     pub(super) written: Option<(LeaseRecord, Instant)>,
     /// Whether the outcome of the last write is not known.
-    is_write_unconfirmed: bool,
+    pub(super) is_write_unconfirmed: bool,
 }
 
 impl LeaseKeeper {
@@ -197,7 +157,7 @@
         spoilt
     }
 
-    /// Whether the record was written before the store came back from a copy.
+    /// Whether the record was written before the store was restored from a copy.
     pub(super) fn is_copied(&self, record: &LeaseRecord) -> bool {
         record.era < self.context.store.era()
     }
@@ -290,51 +250,6 @@
         Ok(true)
     }
 
-    /// After a write whose outcome is not known: reads what the lease is now. If the write was
-    /// done, this daemon goes on from it; it acts again only after a write that is confirmed.
-    async fn reconcile(&mut self) -> Result<(), StepError> {
-        let asked_at = true_time::now();
-        let Ok(object) = timeout(STORE_LIMIT, self.store.read()).await else {
-            return Err(self.store.timed_out("read lease"));
-        };
-        self.is_write_unconfirmed = false;
-        let own = self.seen.clone();
-        let sight = self.observe(object?, asked_at);
-        if let Some(own) = own
-            && let Some(condition) = self.condition_over_copy(&own.record, &sight)
-        {
-            spdlog::warn!("lease", kv: { outcome = "held over a copy", fence = own.record.fence });
-            self.seen = Some(SeenLease { condition, ..own });
-        } else if !self.is_own(&sight) {
-            self.lose(LossReason::OtherHolder);
-        }
-        Ok(())
-    }
-
-    fn is_own(&self, sight: &LeaseSight) -> bool {
-        match sight {
-            LeaseSight::Seen(seen) => {
-                seen.record.incarnation == self.context.incarnation.0
-                    && seen.record.fence == self.context.lease.borrow().fence
-            }
-            LeaseSight::Absent(_) | LeaseSight::Spoilt(_) => false,
-        }
-    }
-
-    /// Where the holder renews its lease `own` if the store is back from a copy, in which nobody has
-    /// acquired it since.
-    fn condition_over_copy(&self, own: &LeaseRecord, sight: &LeaseSight) -> Option<WriteCondition> {
-        match sight {
-            LeaseSight::Seen(seen)
-                if self.is_copied(&seen.record) && seen.record.order() <= own.order() =>
-            {
-                Some(seen.condition)
-            }
-            LeaseSight::Absent(era) if own.era < *era => Some(WriteCondition::Absent(*era)),
-            LeaseSight::Seen(_) | LeaseSight::Absent(_) | LeaseSight::Spoilt(_) => None,
-        }
-    }
-
     /// Releases the lease on the way out. From here on this daemon acts no more, whatever
     /// becomes of the write.
     async fn release(&mut self, seen: SeenLease) -> Result<(), StepError> {
--- a/src/gateway/policy/endpoint.rs
+++ b/src/gateway/policy/endpoint.rs
@@ -8,7 +8,6 @@
 pub mod endpoint_table;
 pub mod failure_rate;
 pub mod load_reports;
-pub mod lost_entries;
 pub mod prefill_rate;
 pub mod prompt_cache;
 pub mod request_limit;
--- a/src/gateway/policy/endpoint/endpoint_starts.rs
+++ b/src/gateway/policy/endpoint/endpoint_starts.rs
@@ -5,6 +5,8 @@
 //! nothing. Daemons of the last release pass lists on without starts; their entries are taken
 //! for the start that is known.
 
+pub mod lost_entries;
+
 use std::{collections::HashMap, rc::Rc};
 
 use crate::gateway::endpoint::{EndpointList, EndpointRecord};
--- a/src/gateway/policy/endpoint/lost_entries.rs
+++ b/src/gateway/policy/endpoint/endpoint_starts/lost_entries.rs
@@ -1,4 +1,4 @@
-//! Which endpoints to use while a store that is back from a copy lacks what was written since.
+//! Which endpoints to use while a store that was restored from a copy lacks what was written since.
 //!
 //! A list of a new era tells an older truth. Until endpoints have had the time to write their entries
 //! again, what this daemon knew before goes before it:
@@ -20,9 +20,11 @@
 
 use tokio::time::Instant;
 
-use super::{endpoint_load::endpoint_number, signal_ledger::NumberedStart};
 use crate::{
-    gateway::endpoint::{EndpointList, EndpointRecord, EndpointState},
+    gateway::{
+        endpoint::{EndpointList, EndpointRecord, EndpointState},
+        policy::endpoint::{endpoint_load::endpoint_number, signal_ledger::NumberedStart},
+    },
     ids::SharedName,
     store_position::StoreEra,
 };
@@ -38,7 +40,7 @@
     gone_at: Instant,
 }
 
-/// What holds since a store that is back from a copy was first listed.
+/// What holds since a store that was restored from a copy was first listed.
 #[derive(Debug)]
 struct WriteAgainTime {
     ends_at: Instant,
@@ -103,7 +105,7 @@
     }
 
     fn begin_write_again(&mut self, former: &EndpointList, now: Instant) {
-        let was_missing = self.write_again.take().map(|time| time.missing).unwrap_or_default();
+        let was_missing = self.write_again.take().map_or_else(BTreeMap::new, |time| time.missing);
         let known = former.endpoints.iter().chain(was_missing.values());
         let ready = known.filter(|record| record.state == EndpointState::Ready);
         let missing = ready.map(|record| (record.id.clone(), record.clone())).collect();
--- a/src/gateway/policy/leader/leader_lease.rs
+++ b/src/gateway/policy/leader/leader_lease.rs
@@ -12,7 +12,7 @@
 //! A record that another writer has spoilt or removed is replaced like one that is no longer
 //! renewed, with a fence above all former ones. Of a removed one the fence is known by gossip only.
 //!
-//! A store that is back from a copy may show the record of a former holder, an older renewal, or
+//! A store that was restored from a copy may show the record of a former holder, an older renewal, or
 //! none. Whoever held the lease last may still act, so that such a record counts as lost, whatever
 //! it says: others wait the whole time from when they first see it. Each era of the store has fences
 //! of its own, above those of all earlier eras, so that none that was lost is used again, even if
@@ -257,7 +257,7 @@
     OtherHolder,
     /// The cloud has refused the fence.
     Fenced,
-    /// The store came back from a copy before it took the renewal.
+    /// The store was restored from a copy before it took the renewal.
     StoreLost,
 }
 
@@ -269,7 +269,7 @@
             Self::Leaving => "leaving",
             Self::OtherHolder => "another holds it",
             Self::Fenced => "fenced",
-            Self::StoreLost => "store back from a copy",
+            Self::StoreLost => "store restored from a copy",
         })
     }
 }
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -9,7 +9,7 @@
 
 use super::{
     context::GatewayContext,
-    endpoint::EndpointRecord,
+    endpoint::{EndpointList, EndpointRecord},
     policy::{
         daemon::readiness::Readiness,
         endpoint::{
@@ -114,15 +114,8 @@
         let lease = context.lease.borrow();
         let list = context.endpoint_list.borrow();
         let sharing = context.sharing(now);
-        let mut endpoints_ready: BTreeMap<SharedName, usize> = BTreeMap::new();
-        let mut endpoints_draining = 0;
         let endpoints = context.endpoints.borrow();
-        for record in &list.endpoints {
-            match endpoints.is_ready(&record.id) {
-                true => *endpoints_ready.entry(record.service.clone()).or_default() += 1,
-                false => endpoints_draining += 1,
-            }
-        }
+        let (endpoints_ready, endpoints_draining) = count_ready(&list, &endpoints);
         Self {
             name: context.settings.name.clone(),
             zone: context.settings.zone.clone(),
@@ -150,6 +143,22 @@
     }
 }
 
+/// Endpoints that take requests, by service, and the number of those that don't.
+fn count_ready(
+    list: &EndpointList,
+    endpoints: &EndpointTable,
+) -> (BTreeMap<SharedName, usize>, usize) {
+    let mut ready: BTreeMap<SharedName, usize> = BTreeMap::new();
+    let mut draining = 0;
+    for record in &list.endpoints {
+        match endpoints.is_ready(&record.id) {
+            true => *ready.entry(record.service.clone()).or_default() += 1,
+            false => draining += 1,
+        }
+    }
+    (ready, draining)
+}
+
 fn restricted_endpoints(endpoints: &EndpointTable, now: Instant) -> Vec<RestrictedState> {
     let restricted = endpoints.restricted(now).into_iter();
     let state = |(record, reasons): (&EndpointRecord, Vec<EndpointRestriction>)| RestrictedState {
--- a/src/native/cloud_api.rs
+++ b/src/native/cloud_api.rs
@@ -5,6 +5,6 @@
 pub mod client;
 pub mod messages;
 
-/// Header of each response that names the era of the objects: how often they have come back from a
-/// copy.
+/// Header of each response that names the era of the objects: how often they were restored from
+/// a copy.
 pub const ERA_HEADER: &str = "store-era";
--- a/src/native/cloud_api/client.rs
+++ b/src/native/cloud_api/client.rs
@@ -131,15 +131,15 @@
     }
 }
 
-/// Body of a response and the era that it names; 0 if it names none.
+/// Body of a response and the era that it names; 0 if it names none, or no number.
 async fn fetch_with_era<T: DeserializeOwned>(
     api: &ApiClient,
     call: OutgoingCall,
     limit: Duration,
 ) -> Result<(T, StoreEra), StepError> {
     let response = api.fetch(call, limit).await?;
-    let era = response.header(ERA_HEADER).and_then(|text| text.parse().ok());
-    Ok((response.json()?, StoreEra(era.unwrap_or_default())))
+    let era = response.header(ERA_HEADER).and_then(|text| text.parse().ok()).unwrap_or(0);
+    Ok((response.json()?, StoreEra(era)))
 }
 
 async fn fetch<T: DeserializeOwned>(
--- a/src/native/serve/planning/planner/lease.rs
+++ b/src/native/serve/planning/planner/lease.rs
@@ -77,7 +77,7 @@
     }
 
     /// Notes the version of the object as just read. Another version is a change, also a lower one:
-    /// the object API may be back from a copy.
+    /// the object API may be restored from a copy.
     pub fn observe(&mut self, version: u64, now: Instant) {
         if self.seen_at.is_none() || version != self.version {
             self.version = version;
--- a/src/native/serve/planning/platform_watch.rs
+++ b/src/native/serve/planning/platform_watch.rs
@@ -4,8 +4,8 @@
 //! the others learn from them. Nobody agrees on who that is: one daemon too many costs
 //! a few calls, one too few is noticed by its successor in the ranking.
 //!
-//! Rows and VMs are versioned by the platform's counter and its era. A platform that is back from a
-//! copy tells an older truth in a new era: operators have some time to write their edits again, in which
+//! Rows and VMs are versioned by the platform's counter and its era. A platform that was restored from a
+//! copy shows an older truth in a new era: operators have some time to write their edits again, in which
 //! the daemons keep what they know; then the platform's word holds.
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
@@ -37,7 +37,7 @@
 const ROLE_EVERY: Duration = Duration::from_millis(500);
 /// Time between reads of the VM list.
 const VMS_EVERY: Duration = Duration::from_secs(2);
-/// Time in which operators write again what the object API has lost that is back from a copy.
+/// Time in which operators write again what the object API has lost that was restored from a copy.
 const WRITE_AGAIN_TIME: Duration = Duration::from_secs(2);
 /// Time for which a daemon that has just started waits for the table from its peers: a round of
 /// greetings and an exchange of summaries.
@@ -155,7 +155,7 @@
     let mut list = context.platform.list_objects(ROW_KIND).await?;
     let mut known = known_versions(context, ItemKind::Row).await;
     if known_era(&known).is_some_and(|known| known < list.era) {
-        spdlog::warn!("object API back from a copy", kv: { era: = list.era });
+        spdlog::warn!("object API restored from a copy", kv: { era: = list.era });
         sleep(WRITE_AGAIN_TIME).await;
         list = context.platform.list_objects(ROW_KIND).await?;
         known = known_versions(context, ItemKind::Row).await;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -2,17 +2,19 @@
 //!
 //! The store keeps JSON objects by kind and name. Each change raises one revision counter of
 //! the whole store; an object carries the revision of its last change, and a write may be
-//! made conditional on it. A store that has come back from a copy gives revisions out again; the
+//! made conditional on it. A store that was restored from a copy gives revisions out again; the
 //! header of each response tells the era. What is read here carries both as a `StorePosition`. A
 //! response of an earlier era than the newest known came late and is an error. The native interface speaks another wire (`native::cloud_api`);
 //! connections and errors are the same (`http::api_client`).
 
-use std::{borrow::Cow, cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
+pub mod object_codec;
+
+use std::{cell::Cell, net::SocketAddr, rc::Rc, time::Duration};
 
 use hyper::{Method, StatusCode};
-use serde::{Deserialize, Serialize};
-use serde_json::value::RawValue;
+use serde::Serialize;
 
+use self::object_codec::{NewObject, decode_object, decode_page, decode_watch};
 use crate::{
     errors::{FailureCause, StepError},
     http::{
@@ -109,118 +111,6 @@
     WrittenInLaterEra,
 }
 
-#[derive(Deserialize)]
-struct ObjectBody<'a> {
-    metadata: Metadata,
-    #[serde(borrow, default)]
-    spec: Option<&'a RawValue>,
-}
-
-/// The store sends more (`made`, `finalizers`, `deleting`); the gateway needs none of it.
-#[derive(Deserialize)]
-struct Metadata {
-    name: SharedName,
-    #[serde(default)]
-    revision: u64,
-}
-
-#[derive(Deserialize)]
-struct ListBody<'a> {
-    #[serde(borrow)]
-    items: Vec<&'a RawValue>,
-    #[serde(default)]
-    more: bool,
-    /// Revision of the store.
-    at: u64,
-}
-
-#[derive(Deserialize)]
-struct WatchBody<'a> {
-    #[serde(borrow)]
-    events: Vec<&'a RawValue>,
-    /// Revision to watch from next.
-    at: u64,
-}
-
-#[derive(Deserialize)]
-struct EventBody<'a> {
-    #[serde(borrow)]
-    object: ObjectBody<'a>,
-    #[serde(default)]
-    gone: bool,
-}
-
-#[derive(Serialize)]
-struct NewObject<'a, T> {
-    metadata: NewMetadata<'a>,
-    spec: &'a T,
-}
-
-#[derive(Serialize)]
-struct NewMetadata<'a> {
-    name: &'a str,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    revision: Option<u64>,
-}
-
-impl ObjectBody<'_> {
-    fn into_object(self, era: StoreEra) -> StoredObject {
-        let value = self.spec.map_or("null", RawValue::get);
-        let Metadata { name, revision } = self.metadata;
-        StoredObject { name, position: StorePosition::new(era, revision), value: value.into() }
-    }
-}
-
-/// Decodes one object, which the store sent in `era`.
-pub fn decode_object(era: StoreEra, body: &[u8]) -> Result<StoredObject, serde_json::Error> {
-    Ok(serde_json::from_slice::<ObjectBody<'_>>(body)?.into_object(era))
-}
-
-/// Decodes one page of a list, which the store sent in `era`: its objects, the position, and whether
-/// there are more. An object that can't be read is left out: the others hold.
-///
-/// # Errors
-///
-/// The page itself can't be read.
-pub fn decode_page(era: StoreEra, body: &[u8]) -> Result<(ObjectListing, bool), serde_json::Error> {
-    let text = readable_text(body);
-    let page: ListBody<'_> = serde_json::from_str(&text)?;
-    let objects = page.items.into_iter().filter_map(read_part::<ObjectBody<'_>>);
-    let objects = objects.map(|object| object.into_object(era)).collect();
-    Ok((ObjectListing { objects, position: StorePosition::new(era, page.at) }, page.more))
-}
-
-/// Decodes the response to a watch, which the store sent in `era`; a change that can't be read is
-/// left out.
-///
-/// # Errors
-///
-/// The response itself can't be read.
-pub fn decode_watch(
-    era: StoreEra,
-    body: &[u8],
-) -> Result<(Vec<ObjectChange>, StorePosition), serde_json::Error> {
-    let text = readable_text(body);
-    let response: WatchBody<'_> = serde_json::from_str(&text)?;
-    let to_change = |event: EventBody<'_>| match event.gone {
-        true => ObjectChange::Gone(event.object.metadata.name),
-        false => ObjectChange::Written(event.object.into_object(era)),
-    };
-    let events = response.events.into_iter().filter_map(read_part::<EventBody<'_>>);
-    Ok((events.map(to_change).collect(), StorePosition::new(era, response.at)))
-}
-
-/// The text of a body. Bytes that are no UTF-8 can only stand within an object's texts, and spoil
-/// no other object.
-fn readable_text(body: &[u8]) -> Cow<'_, str> {
-    String::from_utf8_lossy(body)
-}
-
-/// A part of a body; none if another writer has made it and it can't be read.
-fn read_part<'a, T: Deserialize<'a>>(part: &'a RawValue) -> Option<T> {
-    serde_json::from_str(part.get()).ok()
-}
-
 fn read_era(text: &str) -> Option<StoreEra> {
     text.parse().ok().map(StoreEra)
 }
@@ -293,7 +183,7 @@
     ///
     /// # Errors
     ///
-    /// A call failed, or the store came back from a copy between two pages.
+    /// A call failed, or the store was restored from a copy between two pages.
     pub async fn list(&self, kind: &str) -> Result<ObjectListing, StepError> {
         // A watch from the first page's position sees all that changed since.
         let (mut listing, mut has_more) = self.list_page(kind, None).await?;
@@ -369,7 +259,7 @@
             None => (Method::POST, format!("/-/objects/{kind}")),
             Some(_) => (Method::PUT, format!("/-/objects/{kind}/{name}")),
         };
-        let object = NewObject { metadata: NewMetadata { name, revision: known }, spec: value };
+        let object = NewObject::new(name, known, value);
         let call = self.api.send("write object", method, path, &object)?;
         let response = self.fetch(call, CALL_LIMIT).await?;
         if matches!(response.status(), StatusCode::CONFLICT | StatusCode::NOT_FOUND) {
--- /dev/null
+++ b/src/platform/store/object_codec.rs
@@ -0,0 +1,132 @@
+//! Bodies of the store's calls: objects, pages of lists, changes.
+
+use std::borrow::Cow;
+
+use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
+
+use super::{ObjectChange, ObjectListing, StoredObject};
+use crate::{
+    ids::SharedName,
+    store_position::{StoreEra, StorePosition},
+};
+
+#[derive(Deserialize)]
+struct ObjectBody<'a> {
+    metadata: Metadata,
+    #[serde(borrow, default)]
+    spec: Option<&'a RawValue>,
+}
+
+/// The store sends more (`made`, `finalizers`, `deleting`); the gateway needs none of it.
+#[derive(Deserialize)]
+struct Metadata {
+    name: SharedName,
+    #[serde(default)]
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct ListBody<'a> {
+    #[serde(borrow)]
+    items: Vec<&'a RawValue>,
+    #[serde(default)]
+    more: bool,
+    /// Revision of the store.
+    at: u64,
+}
+
+#[derive(Deserialize)]
+struct WatchBody<'a> {
+    #[serde(borrow)]
+    events: Vec<&'a RawValue>,
+    /// Revision to watch from next.
+    at: u64,
+}
+
+#[derive(Deserialize)]
+struct EventBody<'a> {
+    #[serde(borrow)]
+    object: ObjectBody<'a>,
+    #[serde(default)]
+    gone: bool,
+}
+
+/// An object to be written.
+#[derive(Serialize)]
+pub struct NewObject<'a, T> {
+    metadata: NewMetadata<'a>,
+    spec: &'a T,
+}
+
+#[derive(Serialize)]
+struct NewMetadata<'a> {
+    name: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    revision: Option<u64>,
+}
+
+impl<'a, T> NewObject<'a, T> {
+    /// Object `name` with its value, to replace the one of `revision`, if that is named.
+    pub fn new(name: &'a str, revision: Option<u64>, value: &'a T) -> Self {
+        Self { metadata: NewMetadata { name, revision }, spec: value }
+    }
+}
+
+impl ObjectBody<'_> {
+    fn into_object(self, era: StoreEra) -> StoredObject {
+        let value = self.spec.map_or("null", RawValue::get);
+        let Metadata { name, revision } = self.metadata;
+        StoredObject { name, position: StorePosition::new(era, revision), value: value.into() }
+    }
+}
+
+/// Decodes one object, which the store sent in `era`.
+pub fn decode_object(era: StoreEra, body: &[u8]) -> Result<StoredObject, serde_json::Error> {
+    Ok(serde_json::from_slice::<ObjectBody<'_>>(body)?.into_object(era))
+}
+
+/// Decodes one page of a list, which the store sent in `era`: its objects, the position, and whether
+/// there are more. An object that can't be read is left out: the others hold.
+///
+/// # Errors
+///
+/// The page itself can't be read.
+pub fn decode_page(era: StoreEra, body: &[u8]) -> Result<(ObjectListing, bool), serde_json::Error> {
+    let text = readable_text(body);
+    let page: ListBody<'_> = serde_json::from_str(&text)?;
+    let objects = page.items.into_iter().filter_map(read_part::<ObjectBody<'_>>);
+    let objects = objects.map(|object| object.into_object(era)).collect();
+    Ok((ObjectListing { objects, position: StorePosition::new(era, page.at) }, page.more))
+}
+
+/// Decodes the response to a watch, which the store sent in `era`; a change that can't be read is
+/// left out.
+///
+/// # Errors
+///
+/// The response itself can't be read.
+pub fn decode_watch(
+    era: StoreEra,
+    body: &[u8],
+) -> Result<(Vec<ObjectChange>, StorePosition), serde_json::Error> {
+    let text = readable_text(body);
+    let response: WatchBody<'_> = serde_json::from_str(&text)?;
+    let to_change = |event: EventBody<'_>| match event.gone {
+        true => ObjectChange::Gone(event.object.metadata.name),
+        false => ObjectChange::Written(event.object.into_object(era)),
+    };
+    let events = response.events.into_iter().filter_map(read_part::<EventBody<'_>>);
+    Ok((events.map(to_change).collect(), StorePosition::new(era, response.at)))
+}
+
+/// The text of a body. Bytes that are no UTF-8 can only stand within an object's texts, and spoil
+/// no other object.
+fn readable_text(body: &[u8]) -> Cow<'_, str> {
+    String::from_utf8_lossy(body)
+}
+
+/// A part of a body; none if another writer has made it and it can't be read.
+fn read_part<'a, T: Deserialize<'a>>(part: &'a RawValue) -> Option<T> {
+    serde_json::from_str(part.get()).ok()
+}
--- a/src/standin/platform/state.rs
+++ b/src/standin/platform/state.rs
@@ -86,9 +86,9 @@
 /// Everything that the stand-in knows.
 pub(super) struct PlatformState {
     pub(super) store: ObjectStore,
-    /// What the store comes back with.
+    /// What the store is restored from.
     pub(super) copy: ObjectStore,
-    /// How often it has come back from a copy.
+    /// How often it was restored from the copy.
     pub(super) era: u64,
     pub(super) faults: PlatformFaults,
     pub(super) counts: CallCounts,
--- a/src/store_position.rs
+++ b/src/store_position.rs
@@ -1,6 +1,6 @@
 //! How far the platform's store has come: its era, and its revision in that era.
 //!
-//! Each change raises the store's revision. A store that has come back from a copy gives revisions out
+//! Each change raises the store's revision. A store that was restored from a copy gives revisions out
 //! again, and begins a new era with it. Revisions of different eras say nothing of each other, so
 //! that a revision is only ever kept and compared together with its era.
 
@@ -8,7 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
-/// How often the store has come back from a copy; 0 where it doesn't say.
+/// How often the store was restored from a copy; 0 where it doesn't say.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
 )]
@@ -23,6 +23,7 @@
 
 /// Bits of a revision in a packed position: a thousand changes a second for 30 years.
 const REVISION_BITS: u32 = 40;
+/// Those bits.
 const REVISION_MASK: u64 = (1 << REVISION_BITS) - 1;
 
 /// A revision of the store and its era. Later eras come after earlier ones, whatever the revisions.
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -12,7 +12,8 @@
     platform::{
         configuration, endpoints,
         ingress::{read_head, read_response},
-        settings, store,
+        settings,
+        store::object_codec,
     },
     store_position::{StoreEra, StorePosition},
 };
@@ -77,14 +78,14 @@
     let object = json!({"metadata": {"name": "n", "revision": 4}, "spec": {"a": 1}});
     let page = json!({"items": [object], "more": true, "at": 9});
     let (listing, more) =
-        store::decode_page(StoreEra(2), page.to_string().as_bytes()).expect("decodes");
+        object_codec::decode_page(StoreEra(2), page.to_string().as_bytes()).expect("decodes");
     expect_that!(listing.position, eq(StorePosition::new(StoreEra(2), 9)));
     expect_that!(&*listing.objects[0].value, eq("{\"a\":1}"));
     expect_that!(more, eq(true));
     let events = json!({"events": [{"gone": true, "object": {"metadata": {"name": "n"}}},
         {"gone": false, "object": object}], "at": 12});
     let (changes, at) =
-        store::decode_watch(StoreEra(2), events.to_string().as_bytes()).expect("decodes");
+        object_codec::decode_watch(StoreEra(2), events.to_string().as_bytes()).expect("decodes");
     expect_that!(changes.len(), eq(2));
     expect_that!(at, eq(StorePosition::new(StoreEra(2), 12)));
 }
@@ -100,14 +101,16 @@
     let bad = [r#"5"#, r#"null"#, r#"{"metadata": {"name": 7}}"#, r#"{"metadata": []}"#, &nested];
     for bad in bad {
         let page = format!(r#"{{"items": [{bad}, {good}], "more": false, "at": 9}}"#);
-        let (listing, _) = store::decode_page(StoreEra(2), page.as_bytes()).expect("decodes");
+        let (listing, _) =
+            object_codec::decode_page(StoreEra(2), page.as_bytes()).expect("decodes");
         let names: Vec<&str> = listing.objects.iter().map(|object| &*object.name).collect();
         expect_that!(names.contains(&"n"), eq(true), "{bad}");
         let watch = format!(
             r#"{{"events": [{{"gone": false, "object": {bad}}},
                 {{"gone": false, "object": {good}}}], "at": 9}}"#
         );
-        let (changes, _) = store::decode_watch(StoreEra(2), watch.as_bytes()).expect("decodes");
+        let (changes, _) =
+            object_codec::decode_watch(StoreEra(2), watch.as_bytes()).expect("decodes");
         expect_that!(changes.is_empty(), eq(false), "{bad}");
     }
 }
@@ -117,7 +120,7 @@
     let mut page = br#"{"items": [{"metadata": {"name": "b"}, "spec": "#.to_vec();
     page.extend(b"\"\xff\xfe\"}, ");
     page.extend(br#"{"metadata": {"name": "n"}, "spec": {}}], "more": false, "at": 9}"#);
-    let (listing, _) = store::decode_page(StoreEra(2), &page).expect("decodes");
+    let (listing, _) = object_codec::decode_page(StoreEra(2), &page).expect("decodes");
     expect_that!(listing.objects.len(), eq(2));
 }
 
@@ -238,9 +241,9 @@
     fn bytes_do_no_harm(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
         let _ = configuration::decode(&bytes);
         let _ = endpoints::decode("i".into(), &bytes);
-        let _ = store::decode_object(StoreEra(2), &bytes);
-        let _ = store::decode_page(StoreEra(2), &bytes);
-        let _ = store::decode_watch(StoreEra(2), &bytes);
+        let _ = object_codec::decode_object(StoreEra(2), &bytes);
+        let _ = object_codec::decode_page(StoreEra(2), &bytes);
+        let _ = object_codec::decode_watch(StoreEra(2), &bytes);
         let _ = settings::parse(&String::from_utf8_lossy(&bytes));
     }
 
--- a/tests/gateway/lost_entries.rs
+++ b/tests/gateway/lost_entries.rs
@@ -1,4 +1,4 @@
-//! Which endpoints are used while a store that is back from a copy lacks what was written since.
+//! Which endpoints are used while a store that was restored from a copy lacks what was written since.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
@@ -7,7 +7,9 @@
 use willowarch::{
     gateway::{
         endpoint::{EndpointList, EndpointRecord, EndpointState},
-        policy::endpoint::{endpoint_load::endpoint_number, lost_entries::EntryMemory},
+        policy::endpoint::{
+            endpoint_load::endpoint_number, endpoint_starts::lost_entries::EntryMemory,
+        },
     },
     store_position::{StoreEra, StorePosition},
 };
--- a/tests/gateway/platform_standin.rs
+++ b/tests/gateway/platform_standin.rs
@@ -52,7 +52,7 @@
     pub body: Value,
 }
 
-/// What a store loses when it comes back from a copy: all that was written since.
+/// What a store loses when it is restored from a copy: all that was written since.
 #[derive(Clone, Default)]
 struct StoreContents {
     revision: u64,
--- a/tests/gateway/sent_texts.rs
+++ b/tests/gateway/sent_texts.rs
@@ -168,7 +168,7 @@
     expect_that!(held(std::slice::from_ref(&longest)).bases(), eq(&ids(&[&longest])));
 }
 
-/// The store has come back from a copy, and has given the same revision to two texts.
+/// The store was restored from a copy, and has given the same revision to two texts.
 #[googletest::test]
 fn different_texts_of_one_revision_are_no_base_for_each_other() {
     let (older, newer) = (text(50, 700), text(50, 800));
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -49,7 +49,7 @@
 /// Changes of the configuration in one series, and the pause between two, in milliseconds.
 const SERIES: Range<u64> = 1..12;
 const SERIES_PAUSE_MS: Range<u64> = 20..250;
-/// How long the store is away before it is back from a copy.
+/// How long the store is away before it is restored from a copy.
 const STORE_AWAY: Duration = Duration::from_millis(200);
 /// Time after which operator and endpoints write again what it has lost.
 const WRITE_AGAIN_TIME: Duration = Duration::from_millis(300);
@@ -82,7 +82,7 @@
     StoreDown,
     StoreLosesAnswers,
     StoreForgets,
-    /// The store comes back from a copy that is as old as the fault is long.
+    /// The store is restored from a copy that is as old as the fault is long.
     StoreLost,
     StoreLink(usize, LinkState),
     StoreConnectionsSilent,
--- a/tests/gateway/store_loss.rs
+++ b/tests/gateway/store_loss.rs
@@ -1,4 +1,4 @@
-//! The store comes back from a copy: what it had acknowledged since is lost, and its revisions go back.
+//! The store is restored from a copy: what it had acknowledged since is lost, and its revisions go back.
 //!
 //! `LOSS_DAEMONS=77 cargo test --test gateway store_loss` plays with a fleet of several gossip groups,
 //! `LOSS_FORMER=FILE` with the last release's program at every second place.
--- a/tests/gateway/store_loss_fleet.rs
+++ b/tests/gateway/store_loss_fleet.rs
@@ -1,4 +1,4 @@
-//! A fleet of real daemons whose store comes back from a copy, and clients at every daemon.
+//! A fleet of real daemons whose store is restored from a copy, and clients at every daemon.
 //!
 //! Meanwhile the operator moves a route, drops a key, adds a route and a key, and endpoints register
 //! and leave. What is recorded of a request is when it was sent, the status of its answer, and the
--- a/tests/gateway/store_loss_lease.rs
+++ b/tests/gateway/store_loss_lease.rs
@@ -1,4 +1,4 @@
-//! The leader lease and what its holder does, after the store has come back from a copy.
+//! The leader lease and what its holder does, after the store was restored from a copy.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/tests/native/promises/edits.rs
+++ b/tests/native/promises/edits.rs
@@ -145,7 +145,7 @@
     }
 }
 
-/// Promise 7: the object API comes back from a copy, and its versions are lower than those that
+/// Promise 7: the object API is restored from a copy, and its versions are lower than those that
 /// daemons hold. Edits made since were never in force.
 #[googletest::test]
 fn edits_are_in_force_after_the_object_api_is_back_from_a_copy() {
