--- a/tests/native/promises/edits.rs
+++ b/tests/native/promises/edits.rs
@@ -161,7 +161,8 @@
         (0..4).all(|daemon| row_version(&deployment, daemon, "account.reader") == Some(version))
     };
     post(platform, "/copy", &[], "");
-    let newest = (3..12).map(edit).last().expect("a version");
+    let versions: Vec<u64> = (3..12).map(edit).collect();
+    let newest = *versions.last().expect("a version");
     eventually("the edits are in force", || in_force_everywhere(newest).then_some(()));
     post(platform, "/restore", &[], "");
     let version = edit(20);
