The configuration is listed as soon as a copy of the store counts as a proof again

A watch proves what it shows from when it was asked, and only when it ends: one that was asked just before the end of the 2 s in which a copy proves nothing added its own wait and that of the next, 2 s in a fleet of one group, in which keys were refused where the store had been away for long. Watches end with that time now, and a list follows.

--- a/src/gateway/configuration_state.rs
+++ b/src/gateway/configuration_state.rs
@@ -107,14 +107,19 @@
     /// Notes that what the store showed last was still all when it was asked at `asked_at`.
     pub fn prove_shown(&mut self, asked_at: Instant) {
         let is_newest = self.shown.version.is_some_and(|shown| shown <= self.version());
-        let is_doubtful = self.copy.is_some_and(|copy| {
-            copy.position == self.shown.position && asked_at < copy.seen_at + WRITE_AGAIN_TIME
-        });
-        if is_newest && !is_doubtful {
+        if is_newest && self.doubt_left(asked_at).is_none() {
             self.proof = self.proof.max(Some(asked_at));
         }
     }
 
+    /// Time from `now` on in which what the store shows proves nothing, if there is any left: it shows
+    /// what it was restored from.
+    pub fn doubt_left(&self, now: Instant) -> Option<Duration> {
+        let copy = self.copy.filter(|copy| copy.position == self.shown.position)?;
+        let left = (copy.seen_at + WRITE_AGAIN_TIME).saturating_duration_since(now);
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Notes that a peer knows of a proof for a version.
     pub fn prove_version(&mut self, version: u64, proof: Option<Instant>) {
         if version > 0 && version == self.version() {
--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -1,8 +1,9 @@
 //! Runs the tasks of the daemon that holds the leader lease: usage reports and endpoint orders.
 //!
 //! Every daemon runs this loop; one that is not the holder tries to acquire the lease. The
-//! holder writes each report into the lease and tells the other daemons of it before it sends it, so
-//! that a successor can only send the same counts again, or none if the store has lost the report. Calls to the cloud carry the fence of the lease. When the store
+//! holder writes each report into the lease and lets the other daemons know before it sends it, so
+//! that a successor can only send the same counts again, or none if the store has lost the report.
+//! Calls to the cloud carry the fence of the lease. When the store
 //! fails, the holder stops acting once its last renewal is too old; reports and orders then
 //! wait until some daemon can write the lease.
 
--- a/src/gateway/store_watch/configuration_watch.rs
+++ b/src/gateway/store_watch/configuration_watch.rs
@@ -90,6 +90,8 @@
     let asked_at = true_time::now();
     let is_single_group = context.peers.borrow().is_single_group();
     let wait = watch_wait(context.settings.bounds.apply_limit, is_single_group);
+    let doubt_left = context.configuration.borrow().doubt_left(asked_at);
+    let wait = doubt_left.map_or(wait, |left| left.min(wait));
     match context.store.watch(CONFIGURATION_KIND, position, wait).await? {
         WatchResult::HistoryGone => Ok(NextCall::List),
         WatchResult::Changes(changes, next) => {
@@ -101,7 +103,12 @@
             }
             // Each change came whole. If they come faster than the link carries them, a further
             // watch would bring more each time; a list holds only the newest.
-            Ok(if written.len() > 1 { NextCall::ListOften } else { NextCall::Watch(next) })
+            Ok(match written.len() {
+                // A list proves at once what a watch proves after its wait.
+                0 | 1 if doubt_left.is_some() => NextCall::List,
+                0 | 1 => NextCall::Watch(next),
+                _ => NextCall::ListOften,
+            })
         }
     }
 }
--- a/tests/gateway/store_positions.rs
+++ b/tests/gateway/store_positions.rs
@@ -94,6 +94,8 @@
     show(&mut state, at(1, 600), 14, start);
     expect_that!(state.proof, some(eq(start)));
     show(&mut state, at(2, 5), 14, start + seconds(3));
+    expect_that!(state.doubt_left(start + seconds(4)), some(eq(seconds(1))));
+    expect_that!(state.doubt_left(start + seconds(5)), none());
     state.prove_shown(start + seconds(4));
     expect_that!(state.proof, some(eq(start)));
     state.prove_shown(start + seconds(6));
