--- a/tests/gateway/signalling_endpoint.rs
+++ b/tests/gateway/signalling_endpoint.rs
@@ -40,6 +40,8 @@
 const SILENT_FOR: Duration = Duration::from_secs(5);
 /// Requests for the first so many daemons fail at one that fails for some of them.
 const FAILED_DAEMONS: usize = 3;
+/// Time in which an endpoint that starts again has its address back.
+const REBIND_TIME: Duration = Duration::from_secs(5);
 /// Pause between two looks for new connections.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
 
@@ -246,7 +248,19 @@
                 }
                 thread::sleep(ACCEPT_PAUSE);
             }
-            listener = TcpListener::bind(self.address).expect("the same address");
+            listener = self.listen_again();
+        }
+    }
+
+    /// A client of another process may hold the port for a moment.
+    fn listen_again(&self) -> TcpListener {
+        let until = Instant::now() + REBIND_TIME;
+        loop {
+            match TcpListener::bind(self.address) {
+                Ok(listener) => return listener,
+                Err(error) => assert!(Instant::now() < until, "{}: {error}", self.address),
+            }
+            thread::sleep(ACCEPT_PAUSE);
         }
     }
 
