Store calls: few at the start of a fleet and in an outage

And a daemon that knows no peer yet takes itself for the watcher of its group. Change: pauses after failed calls grow with the fleet, except at watchers. For a second after its start a daemon with a proof doesn't watch.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -132,7 +132,9 @@
         kernel,
         active: OpenCount::default(),
         store_failed_at: Cell::new(None),
-        watcher_election: RefCell::new(WatcherElection::new(settings.bounds.apply_limit)),
+        watcher_election: RefCell::new(
+            WatcherElection::new(settings.bounds.apply_limit).starting_at(now),
+        ),
         store_era: Cell::default(),
         store_watch: Cell::new(None),
         token_borrower: RefCell::new(TokenBorrower::default()),
--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -238,6 +238,11 @@
         chosen.into_iter().map(summary).collect()
     }
 
+    /// Number of known daemons, including this one.
+    pub fn count(&self) -> usize {
+        self.peers.len() + 1
+    }
+
     /// Whether all daemons are in one group.
     pub fn is_single_group(&self) -> bool {
         self.neighbours.groups <= 1
--- a/src/gateway/policy/daemon/store_watchers.rs
+++ b/src/gateway/policy/daemon/store_watchers.rs
@@ -4,14 +4,17 @@
 //! The first daemon of each gossip group (by a hash of its address) watches the store and passes on
 //! what it reads, together with freshness proofs: the times at which the store showed no newer
 //! configuration. In a fleet of one group the first two do. This way the number of calls doesn't
-//! grow with the daemons of a group, and the pauses between reads of the endpoint list grow with
-//! the number of watchers. Every other daemon of the group stands in for the first one when the
+//! grow with the daemons of a group. Every other daemon of the group stands in for the first one when the
 //! newest proof that it has received is too old. The daemons stand in one after the other at short intervals, so
 //! that few call the store where one suffices. A daemon that stands in keeps watching for a while,
 //! because whatever cuts the others off from the store may last. It stops early if its own calls
 //! fail too, because the first daemons suffice once the store is back for all. A daemon that has
 //! received no proof watches the store itself.
 //!
+//! Answers two load patterns on the store. A fleet that starts at once: no daemon knows its peers,
+//! so none watches before it had time to hear of them. An outage: all daemons stand in and fail, so
+//! the pauses between their calls grow with the fleet; those of the watchers don't.
+//!
 //! All times are fractions of the apply limit, within which every daemon has to apply a change. The
 //! limit covers the wait of a watch that is lost, the time until other daemons stand in, and the
 //! spread of what they read. If none stood in, all daemons would refuse routes that were added
@@ -27,12 +30,25 @@
 /// How long a watch of the configuration waits, as a fraction of the apply limit. Short enough that
 /// a lost watch is detected while others can still stand in.
 const WATCH_WAIT: f64 = 0.2;
-/// Pause after a change of endpoints, for each watcher of the fleet. Watchers read at different
-/// times and pass on what they read, so the fleet as a whole reads this often.
-const ENDPOINT_PAUSE_PER_WATCHER: Duration = Duration::from_millis(200);
-/// Longest pause after a change of endpoints, which bounds the delay where the other watchers are
-/// cut off.
-const MAX_ENDPOINT_PAUSE: Duration = Duration::from_millis(1_200);
+/// Time after its start in which a daemon with a proof doesn't watch: until it has received
+/// messages from its peers, every daemon would take itself for the first one of its group.
+const SETTLING_TIME: Duration = Duration::from_millis(1_000);
+/// Pause of a watcher after its first failed call; it doubles with each further failure.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(50);
+/// Longest pause of a watcher after failed calls: changes must be found soon after the store is
+/// back.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
+/// First and longest pause of other daemons for each known daemon, so that in an outage of the store
+/// they all together retry about as often as those of a small fleet.
+const FIRST_RETRY_PAUSE_PER_DAEMON: Duration = Duration::from_millis(4);
+const MAX_RETRY_PAUSE_PER_DAEMON: Duration = Duration::from_millis(40);
+/// Bounds of these two pauses: a daemon that is the only one to reach the store has to find that
+/// out.
+const LARGE_FLEET_FIRST_PAUSE: Duration = Duration::from_millis(400);
+const LARGE_FLEET_MAX_PAUSE: Duration = Duration::from_millis(3_200);
+/// Number of failures after which the pause is no longer doubled, so that the product can't
+/// overflow.
+const MAX_DOUBLINGS: u32 = 6;
 /// Maximum wait of a watch: allows a few calls within the time for which keys stay fresh.
 pub const MAX_WATCH_WAIT: Duration = Duration::from_millis(1_800);
 /// Age of the newest proof at which the second daemon of a group stands in, as a fraction of the
@@ -63,11 +79,21 @@
     apply_limit.mul_f64(WATCH_WAIT).min(MAX_WATCH_WAIT)
 }
 
-/// Pause of a watcher after a change of endpoints, in a fleet of `groups` groups. Changes often come
-/// in bursts; the next call then returns several of them.
-pub fn endpoint_pause(groups: usize) -> Duration {
-    let watchers = groups.max(1) * watchers_per_group(groups);
-    (ENDPOINT_PAUSE_PER_WATCHER * watchers as u32).min(MAX_ENDPOINT_PAUSE)
+/// Pause of a daemon after `failures` failed calls in a row, one at least, in a fleet of `daemons`
+/// daemons.
+pub fn retry_pause(failures: u32, watch: StoreWatch, daemons: usize) -> Duration {
+    let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
+    let (first, max) = match watch {
+        StoreWatch::Elected => (FIRST_RETRY_PAUSE, MAX_RETRY_PAUSE),
+        StoreWatch::NotInformed | StoreWatch::StandsIn | StoreWatch::Informed => (
+            (FIRST_RETRY_PAUSE_PER_DAEMON.saturating_mul(daemons))
+                .clamp(FIRST_RETRY_PAUSE, LARGE_FLEET_FIRST_PAUSE),
+            (MAX_RETRY_PAUSE_PER_DAEMON.saturating_mul(daemons))
+                .clamp(MAX_RETRY_PAUSE, LARGE_FLEET_MAX_PAUSE),
+        ),
+    };
+    let doublings = failures.saturating_sub(1).min(MAX_DOUBLINGS);
+    (first * 2_u32.pow(doublings)).min(max)
 }
 
 /// Whether a daemon watches the store itself, and why.
@@ -98,13 +124,19 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WatcherElection {
     apply_limit: Duration,
+    settled_at: Option<Instant>,
     stands_in_until: Option<Instant>,
 }
 
 impl WatcherElection {
     /// Creates the election for a fleet whose daemons have to apply a change within `apply_limit`.
     pub fn new(apply_limit: Duration) -> Self {
-        Self { apply_limit, stands_in_until: None }
+        Self { apply_limit, settled_at: None, stands_in_until: None }
+    }
+
+    /// The election of a daemon that has started at `started_at` and doesn't know its peers yet.
+    pub fn starting_at(self, started_at: Instant) -> Self {
+        Self { settled_at: Some(started_at + SETTLING_TIME), ..self }
     }
 
     /// Decides from the newest proof and whether this daemon's own calls to the store fail. `rank`
@@ -118,6 +150,9 @@
         now: Instant,
     ) -> StoreWatch {
         let Some(proof) = proof else { return StoreWatch::NotInformed };
+        if self.settled_at.is_some_and(|at| now < at) {
+            return StoreWatch::Informed;
+        }
         let Some(stand_in_age) = self.stand_in_age(rank()) else { return StoreWatch::Elected };
         if now.saturating_duration_since(proof) >= stand_in_age {
             let end = now + self.apply_limit.mul_f64(STAND_IN_TIME);
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -13,7 +13,10 @@
 use rand::RngExt;
 use tokio::time::{Instant, sleep};
 
-use super::context::GatewayContext;
+use super::{
+    context::GatewayContext,
+    policy::daemon::store_watchers::{StoreWatch, retry_pause},
+};
 use crate::boot_clock;
 use crate::errors::StepError;
 
@@ -23,12 +26,6 @@
 
 /// Interval between checks whether this daemon has to call the store itself: one gossip interval.
 const WATCHER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
-/// Pause after the first failed call; it doubles with each further failure.
-const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(50);
-/// Longest pause after failed calls: changes must be found soon after the store is back.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
-/// Number of failures after which the pause is no longer doubled, so that the product cannot overflow.
-const MAX_DOUBLINGS: u32 = 6;
 /// Random factor of a pause, so that daemons do not retry all at once.
 const RETRY_JITTER: Range<f64> = 0.5..1.0;
 
@@ -59,9 +56,9 @@
         }
         context.store_failed_at.set(Some(boot_clock::now()));
         context.metrics.count("store_failures", 1);
-        let doublings = self.failures.min(MAX_DOUBLINGS);
         self.failures += 1;
-        let pause = (FIRST_RETRY_PAUSE * 2_u32.pow(doublings)).min(MAX_RETRY_PAUSE);
+        let watch = context.store_watch.get().unwrap_or(StoreWatch::NotInformed);
+        let pause = retry_pause(self.failures, watch, context.peers.borrow().count());
         let jitter = rand::rng().random_range(RETRY_JITTER);
         sleep(pause.mul_f64(jitter)).await;
     }
--- a/src/gateway/store_watch/endpoint_watch.rs
+++ b/src/gateway/store_watch/endpoint_watch.rs
@@ -3,7 +3,7 @@
 //! An entry that was not written by an endpoint is not used: that endpoint gets no new requests, and
 //! those that run there finish. The other entries stay in use.
 
-use std::{collections::BTreeMap, rc::Rc};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 use tokio::time::sleep;
 
@@ -14,7 +14,7 @@
     gateway::{
         context::GatewayContext,
         endpoint::{EndpointList, EndpointRecord},
-        policy::daemon::store_watchers::{MAX_WATCH_WAIT, endpoint_pause},
+        policy::daemon::store_watchers::MAX_WATCH_WAIT,
     },
     ids::SharedName,
     platform::{
@@ -26,6 +26,10 @@
 
 /// Name of the service.
 pub const NAME: &str = "endpoint-watch";
+/// Pause after a change of endpoints. Changes often come in bursts; the next call then returns several
+/// of them. Well below the time for which the leader waits until the list has stopped growing
+/// (`policy::leader::fleet_size`).
+const CHANGE_PAUSE: Duration = Duration::from_millis(400);
 /// Why an entry without a start time is not used.
 const MISSING_START_TIME: &str =
     "start time missing, although an earlier entry of this endpoint had one";
@@ -82,8 +86,7 @@
                 known.position = position;
                 if !changes.is_empty() {
                     self.publish(&known);
-                    let groups = self.context.peers.borrow().neighbours().groups;
-                    sleep(endpoint_pause(groups)).await;
+                    sleep(CHANGE_PAUSE).await;
                 }
                 self.known = Some(known);
             }
