Endpoint orders: zones that can't go within a start time still count

Change: on-demand endpoints replace those of as many zones as may go until they serve, one a second. For four zones and a start time of 4 s that is the rule as before. Result: model of zones lost two seconds apart: what serves is never below the required number once orders had time to start, with 4, 5, 7 and 8 zones.

--- a/src/gateway/policy/leader/zone_plan.rs
+++ b/src/gateway/policy/leader/zone_plan.rs
@@ -7,13 +7,24 @@
 //! once, and new ones may then not be available for a while. They are spread evenly over the zones,
 //! so many that the required number remains when the largest zone is reclaimed. On-demand endpoints
 //! are held only if reclaimable ones are not available and too few would remain.
+//!
+//! Answers the load pattern in which the cloud reclaims one zone after another while new endpoints
+//! take seconds to start. What is ordered when a zone goes serves only a start time later, so
+//! on-demand endpoints replace those of as many zones as may go until then. In a deployment of few
+//! zones these are all of them; in one of many zones the others still serve, and each further zone
+//! that goes brings further orders.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use crate::{gateway::configuration::FleetSpec, ids::SharedName};
 
 /// Fraction of the required number that must remain when the next zone is reclaimed.
 const CRITICAL_FRACTION: f64 = 0.65;
+/// Shortest time expected between the losses of two zones while all are at risk.
+const ZONE_LOSS_INTERVAL: Duration = Duration::from_secs(1);
 /// Relative price of an endpoint in a zone without a configured price.
 const DEFAULT_PRICE: f64 = 1.0;
 
@@ -135,14 +146,15 @@
     /// On-demand endpoints that are required because reclaimable ones are missing: enough for the
     /// whole load now, and for its critical part (the whole load while reclaimable capacity is
     /// scarce) when the zone with the most reclaimable ones is reclaimed next. While all zones are
-    /// at risk, enough for the whole load without any reclaimable ones.
+    /// at risk, enough for the whole load when those zones are reclaimed that may be until new
+    /// endpoints serve.
     fn missing(&self) -> u32 {
         if self.risk == ReclaimRisk::AllZones {
-            return self.required.ceil() as u32;
+            let remaining = f64::from(self.remaining_without_largest(self.zones_at_risk()));
+            return (self.required - remaining).max(0.0).ceil() as u32;
         }
         let reclaimable: u32 = self.held.values().map(|holding| holding.reclaimable).sum();
-        let largest = self.held.values().map(|holding| holding.reclaimable).max().unwrap_or(0);
-        let remaining = f64::from(reclaimable - largest);
+        let remaining = f64::from(self.remaining_without_largest(1));
         // While capacity is scarce, reclaimed endpoints can't be replaced by reclaimable ones.
         let critical = if self.scarce.is_empty() { CRITICAL_FRACTION } else { 1.0 };
         let short_of_critical = self.required * critical - remaining;
@@ -150,6 +162,18 @@
         short_of_critical.max(short_of_all).max(0.0).ceil() as u32
     }
 
+    /// Number of zones that may be lost within the start time of an endpoint.
+    fn zones_at_risk(&self) -> usize {
+        self.spec.start_time.div_duration_f64(ZONE_LOSS_INTERVAL).ceil() as usize
+    }
+
+    /// Reclaimable endpoints that remain when the zones with the most of them are lost.
+    fn remaining_without_largest(&self, lost_zones: usize) -> u32 {
+        let mut by_zone: Vec<u32> = self.held.values().map(|holding| holding.reclaimable).collect();
+        by_zone.sort_unstable_by(|one, other| other.cmp(one));
+        by_zone.iter().skip(lost_zones).sum()
+    }
+
     fn on_demand_targets(&self) -> EndpointTargets {
         let zones = self.held.len().max(1) as f64;
         let per_zone = (self.required / zones).ceil() as u32;
--- a/tests/gateway/fleet.rs
+++ b/tests/gateway/fleet.rs
@@ -181,3 +181,79 @@
     expect_that!(risk(&wave, 10_900), eq(ReclaimRisk::AllZones));
     expect_that!(risk(&wave, 11_000), eq(ReclaimRisk::OneZone));
 }
+
+/// Endpoints of a fleet while zone after zone is reclaimed. On-demand ones serve `START` after they
+/// were planned.
+struct ReclaimedFleet {
+    planner: EndpointPlanner,
+    held: BTreeMap<SharedName, ZoneHolding>,
+    /// Time in ms from which so many on-demand endpoints serve.
+    ordered: Vec<(u64, u32)>,
+}
+
+impl ReclaimedFleet {
+    const START_MS: u64 = 4_000;
+
+    /// A fleet of this many zones that holds what is planned without a risk.
+    fn new(zones: usize, running: f64) -> Self {
+        let planner = planner(running);
+        let none: BTreeMap<SharedName, ZoneHolding> = (0..zones)
+            .map(|zone| (format!("zone-{zone}").into(), ZoneHolding::default()))
+            .collect();
+        let targets = planner.plan(&spec(), &none, ReclaimRisk::OneZone);
+        let held = none.into_keys().map(|zone| {
+            let reclaimable = targets[&(zone.clone(), PriceClass::Reclaimable)];
+            (zone, ZoneHolding { reclaimable, on_demand: 0 })
+        });
+        Self { held: held.collect(), planner, ordered: Vec::new() }
+    }
+
+    fn lose_zone(&mut self, index: usize, at_ms: u64) {
+        let zone = self.held.values_mut().nth(index).expect("zone");
+        zone.reclaimable = 0;
+        let spec = FleetSpec { start_time: Duration::from_millis(Self::START_MS), ..spec() };
+        let targets = self.planner.plan(&spec, &self.held, ReclaimRisk::AllZones);
+        let on_demand = targets.iter().filter(|((_, class), _)| *class == PriceClass::OnDemand);
+        let on_demand = on_demand.map(|(_, count)| count).sum();
+        self.ordered.push((at_ms + Self::START_MS, on_demand));
+    }
+
+    fn serving(&self, at_ms: u64) -> u32 {
+        let served = self.ordered.iter().filter(|(from_ms, _)| *from_ms <= at_ms);
+        let on_demand = served.map(|(_, count)| *count).max().unwrap_or(0);
+        on_demand + self.held.values().map(|holding| holding.reclaimable).sum::<u32>()
+    }
+
+    fn last_ordered(&self) -> u32 {
+        self.ordered.last().map_or(0, |(_, count)| *count)
+    }
+}
+
+/// What was ordered when a zone went must be there when as many more have gone as can meanwhile.
+#[googletest::test]
+fn capacity_suffices_while_all_zones_are_reclaimed_two_seconds_apart() {
+    for zones in [4, 5, 7, 8] {
+        let mut fleet = ReclaimedFleet::new(zones, 90.0);
+        let required = fleet.planner.required();
+        for lost in 0..zones {
+            let at_ms = lost as u64 * 2_000;
+            fleet.lose_zone(lost, at_ms);
+            if at_ms >= ReclaimedFleet::START_MS {
+                let serving = f64::from(fleet.serving(at_ms));
+                expect_that!(serving, ge(required), "{zones} zones, {lost} lost before");
+            }
+        }
+    }
+}
+
+/// One zone of seven was lost: on-demand endpoints for all of the load were held for 17 s beside the
+/// reclaimable ones of six zones.
+#[googletest::test]
+fn zones_that_cannot_go_within_a_start_time_still_count() {
+    let mut few = ReclaimedFleet::new(4, 90.0);
+    few.lose_zone(0, 0);
+    expect_that!(f64::from(few.last_ordered()), ge(few.planner.required()));
+    let mut many = ReclaimedFleet::new(7, 90.0);
+    many.lose_zone(0, 0);
+    expect_that!(f64::from(many.last_ordered()), le(many.planner.required() * 0.7));
+}
