Gossip codec: requested parts in a module; restrictions of an endpoint as one cost

Change: codec/requested_parts, apply_response and restriction_ms are split off; the period of lent tokens begins where the one before ended. Comments are wrapped.

--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -177,16 +177,10 @@
     let called = timeout(limit, swap_messages(context, connections, address, parts)).await;
     let outcomes = match called {
         Ok(Ok(response)) => {
-            let sent = sent_versions(&response);
-            let is_starting = response.is_starting;
             if asks_for_tokens {
                 apply_lent(context, address, &response.lent, boot_clock::now());
             }
-            apply_message(context, response, Some(called_at));
-            if !is_starting {
-                context.peer_contact.borrow_mut().receive_response(called_at);
-            }
-            FetchOutcomes::of_response(sent, held_versions(context))
+            apply_response(context, response, called_at)
         }
         // Counted but not logged: calls to a daemon that has ended fail twice a second.
         Ok(Err(_)) | Err(_) => {
@@ -204,6 +198,21 @@
     catch_up.end_fetches(address, fetches, outcomes, boot_clock::now());
 }
 
+/// Applies the response to a call made at `called_at`. Returns the results of its fetches.
+fn apply_response(
+    context: &GatewayContext,
+    response: GossipMessage,
+    called_at: Instant,
+) -> FetchOutcomes {
+    let sent = sent_versions(&response);
+    let is_starting = response.is_starting;
+    apply_message(context, response, Some(called_at));
+    if !is_starting {
+        context.peer_contact.borrow_mut().receive_response(called_at);
+    }
+    FetchOutcomes::of_response(sent, held_versions(context))
+}
+
 /// Versions of the texts in a response.
 fn sent_versions(response: &GossipMessage) -> SentVersions {
     let GossipMessage { configuration, endpoints, endpoint_position, .. } = response;
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -6,22 +6,24 @@
 mod crashes;
 pub mod endpoint_list;
 mod limits;
+mod requested_parts;
 mod values;
 mod warnings;
 
 use bytes::Bytes;
-use capnp::{Error, primitive_list, struct_list};
+use capnp::{Error, struct_list};
 
 use self::{
     counters::{read_counters, write_counters},
     crashes::{read_crashes, write_crashes},
     limits::{read_lent, read_limits, write_lent, write_limits},
+    requested_parts::{read_wants, write_wants},
     values::{check_length, from_ms, read_address, read_position, read_text, to_ms},
     warnings::{read_warnings, write_warnings},
 };
 use super::messages::{
     CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage, LeaseSummary,
-    PeerSummary, RelayedUsage, RequestedParts, SentEndpoints, SentText, TextRequest,
+    PeerSummary, RelayedUsage, SentEndpoints, SentText,
 };
 use crate::{
     exchange_capnp::{
@@ -38,10 +40,7 @@
     let known = target.reborrow().init_known(source.known.len() as u32);
     write_summaries(known, &source.known);
     target.set_starting(source.is_starting);
-    target.set_wants_group(source.wants.group);
-    write_text_requests(target.reborrow(), &source.wants);
-    target.set_wants_usage(source.wants.usage);
-    target.set_wants_tokens(source.wants.tokens);
+    write_wants(target.reborrow(), &source.wants);
     let usage = target.reborrow().init_usage(source.usage.len() as u32);
     write_relayed_usage(usage, &source.usage);
     let crashes = target.reborrow().init_crashes(source.crashes.len() as u32);
@@ -75,27 +74,6 @@
     }
 }
 
-fn write_text_requests(mut target: gossip_message::Builder<'_>, wants: &RequestedParts) {
-    let requests = wants.configuration.iter().chain(&wants.endpoints);
-    target.set_accepts_compressed(requests.clone().any(|request| request.accepts_compressed));
-    if let Some(request) = &wants.configuration {
-        target.set_wants_configuration(true);
-        let bases = target.reborrow().init_configuration_bases(request.bases.len() as u32);
-        write_text_ids(bases, &request.bases);
-    }
-    if let Some(request) = &wants.endpoints {
-        target.set_wants_endpoints(true);
-        let bases = target.reborrow().init_endpoint_bases(request.bases.len() as u32);
-        write_text_ids(bases, &request.bases);
-    }
-}
-
-fn write_text_ids(mut target: primitive_list::Builder<'_, u64>, ids: &[TextId]) {
-    for (index, id) in ids.iter().enumerate() {
-        target.set(index as u32, id.0);
-    }
-}
-
 fn write_compressed(mut target: compressed_text::Builder<'_>, text: &CompressedText) {
     target.set_base(text.base.0);
     target.set_data(&text.data);
@@ -225,29 +203,6 @@
     usage.iter().map(read).collect()
 }
 
-fn read_wants(source: gossip_message::Reader<'_>) -> Result<RequestedParts, Error> {
-    let accepts_compressed = source.get_accepts_compressed();
-    let request = |bases: primitive_list::Reader<'_, u64>| -> Result<TextRequest, Error> {
-        check_length(bases.len())?;
-        Ok(TextRequest { accepts_compressed, bases: bases.iter().map(TextId).collect() })
-    };
-    let configuration = match source.get_wants_configuration() {
-        true => Some(request(source.get_configuration_bases()?)?),
-        false => None,
-    };
-    let endpoints = match source.get_wants_endpoints() {
-        true => Some(request(source.get_endpoint_bases()?)?),
-        false => None,
-    };
-    Ok(RequestedParts {
-        group: source.get_wants_group(),
-        configuration,
-        endpoints,
-        usage: source.get_wants_usage(),
-        tokens: source.get_wants_tokens(),
-    })
-}
-
 fn read_compressed(source: compressed_text::Reader<'_>) -> Result<CompressedText, Error> {
     let data = Bytes::copy_from_slice(source.get_data()?);
     Ok(CompressedText { base: TextId(source.get_base()), data })
--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -1,5 +1,5 @@
 //! The other daemons that this one knows, and what follows from them: its neighbours, which daemons
-//! watch the store, and how many daemons share quotas and retry budgets.
+//! watch the store, and how many share quotas and retry budgets.
 //!
 //! A daemon is known from its own messages or from summaries that others pass on; the highest
 //! incarnation and sequence number win. It is removed when no daemon has received a message from
@@ -214,8 +214,8 @@
             others.map(|(address, peer)| (rank(peer.address_hash), *address)).collect();
         ranked.push((rank(hash_address(&self.own)), self.own));
         ranked.sort_unstable();
-        ranked.truncate(count);
-        ranked.into_iter().map(|(_, address)| address).filter(|one| *one != self.own).collect()
+        let first = ranked.into_iter().take(count).map(|(_, address)| address);
+        first.filter(|address| *address != self.own).collect()
     }
 
     fn remove_expired(&mut self, now: Instant) {
@@ -238,11 +238,6 @@
         chosen.into_iter().map(summary).collect()
     }
 
-    /// Number of known daemons, including this one.
-    pub fn count(&self) -> usize {
-        self.peers.len() + 1
-    }
-
     /// Whether all daemons are in one group.
     pub fn is_single_group(&self) -> bool {
         self.neighbours.groups <= 1
--- a/src/gateway/policy/daemon/store_watchers.rs
+++ b/src/gateway/policy/daemon/store_watchers.rs
@@ -4,12 +4,12 @@
 //! The first daemon of each gossip group (by a hash of its address) watches the store and passes on
 //! what it reads, together with freshness proofs: the times at which the store showed no newer
 //! configuration. In a fleet of one group the first two do. This way the number of calls doesn't
-//! grow with the daemons of a group. Every other daemon of the group stands in for the first one when the
-//! newest proof that it has received is too old. The daemons stand in one after the other at short intervals, so
-//! that few call the store where one suffices. A daemon that stands in keeps watching for a while,
-//! because whatever cuts the others off from the store may last. It stops early if its own calls
-//! fail too, because the first daemons suffice once the store is back for all. A daemon that has
-//! received no proof watches the store itself.
+//! grow with the daemons of a group. Every other daemon of the group stands in for the first one
+//! when the newest proof that it has received is too old. The daemons stand in one after the other
+//! at short intervals, so that few call the store where one suffices. A daemon that stands in keeps
+//! watching for a while, because whatever cuts the others off from the store may last. It stops
+//! early if its own calls fail too, because the first daemons suffice once the store is back for
+//! all. A daemon that has received no proof watches the store itself.
 //!
 //! Answers two load patterns on the store. A fleet that starts at once: no daemon knows its peers,
 //! so none watches before it had time to hear of them. An outage: all daemons stand in and fail, so
@@ -38,13 +38,15 @@
 /// Longest pause of a watcher after failed calls: changes must be found soon after the store is
 /// back.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
-/// First and longest pause of other daemons for each known daemon, so that in an outage of the store
-/// they all together retry about as often as those of a small fleet.
+/// First pause of other daemons for each known daemon, so that in an outage of the store they all
+/// together retry about as often as those of a small fleet.
 const FIRST_RETRY_PAUSE_PER_DAEMON: Duration = Duration::from_millis(4);
+/// Longest pause of other daemons for each known daemon.
 const MAX_RETRY_PAUSE_PER_DAEMON: Duration = Duration::from_millis(40);
-/// Bounds of these two pauses: a daemon that is the only one to reach the store has to find that
+/// Upper bound of the first pause: a daemon that is the only one to reach the store has to find that
 /// out.
 const LARGE_FLEET_FIRST_PAUSE: Duration = Duration::from_millis(400);
+/// Upper bound of the longest pause.
 const LARGE_FLEET_MAX_PAUSE: Duration = Duration::from_millis(3_200);
 /// Number of failures after which the pause is no longer doubled, so that the product can't
 /// overflow.
@@ -85,12 +87,12 @@
     let daemons = u32::try_from(daemons).unwrap_or(u32::MAX);
     let (first, max) = match watch {
         StoreWatch::Elected => (FIRST_RETRY_PAUSE, MAX_RETRY_PAUSE),
-        StoreWatch::NotInformed | StoreWatch::StandsIn | StoreWatch::Informed => (
-            (FIRST_RETRY_PAUSE_PER_DAEMON.saturating_mul(daemons))
-                .clamp(FIRST_RETRY_PAUSE, LARGE_FLEET_FIRST_PAUSE),
-            (MAX_RETRY_PAUSE_PER_DAEMON.saturating_mul(daemons))
-                .clamp(MAX_RETRY_PAUSE, LARGE_FLEET_MAX_PAUSE),
-        ),
+        StoreWatch::NotInformed | StoreWatch::StandsIn | StoreWatch::Informed => {
+            let first = FIRST_RETRY_PAUSE_PER_DAEMON.saturating_mul(daemons);
+            let max = MAX_RETRY_PAUSE_PER_DAEMON.saturating_mul(daemons);
+            let first = first.clamp(FIRST_RETRY_PAUSE, LARGE_FLEET_FIRST_PAUSE);
+            (first, max.clamp(MAX_RETRY_PAUSE, LARGE_FLEET_MAX_PAUSE))
+        }
     };
     let doublings = failures.saturating_sub(1).min(MAX_DOUBLINGS);
     (first * 2_u32.pow(doublings)).min(max)
@@ -124,6 +126,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct WatcherElection {
     apply_limit: Duration,
+    /// When the daemon may take itself for a watcher; none: at any time.
     settled_at: Option<Instant>,
     stands_in_until: Option<Instant>,
 }
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -5,11 +5,11 @@
 //! prefilling this prompt causes to other requests at the endpoint.
 //!
 //! An endpoint that asked for a back-off, or whose limit leaves no request for this daemon now, is
-//! not a candidate. One whose limit leaves a request is preferred, since few daemons may use it. One that refused requests recently, or fails more often than others, is avoided
-//! by requests that could not be retried elsewhere. Loads are this daemon's own and those that
-//! others reported up to two seconds ago; reported uncached tokens are reduced by what the endpoint
-//! should have read since. If reports are missing, an endpoint looks idle until it refuses
-//! requests.
+//! not a candidate. One whose limit leaves a request is preferred, since few daemons may use it.
+//! One that refused requests recently, or fails more often than others, is avoided by requests that
+//! could not be retried elsewhere. Loads are this daemon's own and those that others reported up to
+//! two seconds ago; reported uncached tokens are reduced by what the endpoint should have read
+//! since. If reports are missing, an endpoint looks idle until it refuses requests.
 //!
 //! Requests that share parts of their prompts have an affinity endpoint, which all daemons derive
 //! by rendezvous hashing. It is expected to have cached the shared parts, so these requests go
@@ -161,9 +161,8 @@
         let estimated_wait_ms = context.estimated_wait_ms(status, &load, uncached_tokens);
         let delay_ms = context.prefill_ms(uncached_tokens) * query.delay_to_others();
         let noise_ms = rng.random_range(0.0..NOISE_MS);
-        let risk_ms = risk_ms(status, query, avoids_failures, now);
-        let advantage_ms = if status.limit.is_some() { TOKEN_ADVANTAGE_MS } else { 0.0 };
-        let cost_ms = estimated_wait_ms + delay_ms + risk_ms + noise_ms - advantage_ms;
+        let restriction_ms = restriction_ms(status, query, avoids_failures, now);
+        let cost_ms = estimated_wait_ms + delay_ms + restriction_ms + noise_ms;
         let cheapest = if status.pause.is_last_resort(now) { &mut last_resort } else { &mut best };
         if cheapest.as_ref().is_none_or(|cheapest| cost_ms < cheapest.cost_ms) {
             let endpoint = status.record.clone();
@@ -185,8 +184,9 @@
     !query.may_retry_after_failure && outliers * 2 <= candidates.len()
 }
 
-/// Cost of an endpoint that may refuse the request or fail, in milliseconds.
-fn risk_ms(
+/// Cost of what restricts an endpoint, in milliseconds: the risk that it refuses the request or
+/// fails, less the advantage of a limit that leaves a request.
+fn restriction_ms(
     status: &EndpointStatus,
     query: &ChoiceQuery<'_>,
     avoids_failures: bool,
@@ -194,7 +194,9 @@
 ) -> f64 {
     let may_refuse = status.pause.is_risky(now) && !query.may_retry;
     let may_fail = avoids_failures && status.failures.is_outlier(now);
-    if may_refuse || may_fail { PROBE_RISK_MS } else { 0.0 }
+    let risk_ms = if may_refuse || may_fail { PROBE_RISK_MS } else { 0.0 };
+    let advantage_ms = if status.limit.is_some() { TOKEN_ADVANTAGE_MS } else { 0.0 };
+    risk_ms - advantage_ms
 }
 
 /// A chosen endpoint with its cost.
--- a/src/gateway/policy/endpoint/token_lending.rs
+++ b/src/gateway/policy/endpoint/token_lending.rs
@@ -9,9 +9,9 @@
 //! A daemon that has found no room because of limits asks the holders, a few in each gossip
 //! interval. A holder lends the part of its tokens that its own demand leaves. A lent token is taken
 //! out of the lender's bucket before it is sent and expires soon, so lending never raises the sum of
-//! all tokens; a response that is lost only loses tokens. A holder that has nothing to lend has clients of
-//! its own and is left alone for a while, so that a fleet that is short of tokens everywhere doesn't
-//! spend its time on asking.
+//! all tokens; a response that is lost only loses tokens. A holder that has nothing to lend has
+//! clients of its own and is left alone for a while, so that a fleet that is short of tokens
+//! everywhere doesn't spend its time on asking.
 //!
 //! Inputs are this daemon's own shortages, the holders among the known daemons, and the demand of
 //! the last seconds at the lender. Nothing is assumed about daemons that don't respond.
@@ -32,8 +32,8 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a holder that has nothing to lend is not asked.
 const DECLINED_PAUSE: Duration = Duration::from_secs(5);
-/// Least number of tokens in a bucket from which tokens are lent. Small parts of a token, lent by several
-/// holders, would expire before they add up to one.
+/// Least number of tokens in a bucket from which tokens are lent. Small parts of a token, lent by
+/// several holders, would expire before they add up to one.
 const MIN_LENDER_LEVEL: f64 = 0.5;
 /// Lent tokens expire between one and two of these periods after their arrival. Without an expiry,
 /// every daemon that ever was short would save tokens, and all could use them at once.
@@ -53,8 +53,9 @@
 /// Tokens that other daemons have lent and that have not expired.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct LentTokens {
-    /// Those of the period that began at `began_at`, and of the one before.
+    /// Those of the period that began at `began_at`.
     newest: f64,
+    /// Those of the period before.
     former: f64,
     began_at: Option<Instant>,
 }
@@ -88,7 +89,8 @@
         match elapsed {
             Some(elapsed) if elapsed < LENT_PERIOD => *self,
             Some(elapsed) if elapsed < LENT_PERIOD * 2 => {
-                Self { newest: 0.0, former: self.newest, began_at: Some(now) }
+                let began_at = self.began_at.map(|at| at + LENT_PERIOD);
+                Self { newest: 0.0, former: self.newest, began_at }
             }
             _ => Self { newest: 0.0, former: 0.0, began_at: Some(now) },
         }
--- a/src/gateway/store_watch.rs
+++ b/src/gateway/store_watch.rs
@@ -58,7 +58,8 @@
         context.metrics.count("store_failures", 1);
         self.failures += 1;
         let watch = context.store_watch.get().unwrap_or(StoreWatch::NotInformed);
-        let pause = retry_pause(self.failures, watch, context.peers.borrow().count());
+        let daemons = context.sharing(boot_clock::now()).known;
+        let pause = retry_pause(self.failures, watch, daemons);
         let jitter = rand::rng().random_range(RETRY_JITTER);
         sleep(pause.mul_f64(jitter)).await;
     }
