--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -29,7 +29,7 @@
         },
         endpoint::{
             endpoint_starts::lost_entries::EntryHistory, endpoint_table::EndpointTable,
-            token_lending::TokenBorrower,
+            request_limit::token_lending::TokenBorrower,
         },
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -25,7 +25,7 @@
         },
         endpoint::{
             endpoint_starts::lost_entries::EntryHistory, endpoint_table::EndpointTable,
-            token_lending::TokenBorrower,
+            request_limit::token_lending::TokenBorrower,
         },
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
@@ -80,7 +80,7 @@
     let metrics = server::bind(settings.metrics_address).await?;
     let peer_listener = server::bind(settings.peer_address).await?;
     let mut kernel = ServiceKernel::new();
-    let context = Rc::new(assemble(settings, kernel.handle()));
+    let context = Rc::new(assemble(settings, kernel.handle(), boot_clock::now()));
     let (name, zone) = (&context.settings.name, &context.settings.zone);
     spdlog::info!("started", kv: { name:, zone:, incarnation: = context.incarnation });
     kernel.start(
@@ -105,9 +105,8 @@
     Ok(exit)
 }
 
-fn assemble(settings: GatewaySettings, kernel: KernelHandle) -> GatewayContext {
+fn assemble(settings: GatewaySettings, kernel: KernelHandle, now: Instant) -> GatewayContext {
     let metrics = MetricsHandle::default();
-    let now = boot_clock::now();
     GatewayContext {
         incarnation: IncarnationId::generate(),
         store: StoreClient::new(settings.store_address),
@@ -132,11 +131,9 @@
         kernel,
         active: OpenCount::default(),
         store_failed_at: Cell::new(None),
-        watcher_election: RefCell::new(
-            WatcherElection::new(settings.bounds.apply_limit).starting_at(now),
-        ),
+        watcher_election: RefCell::new(starting_election(&settings.bounds, now)),
         store_era: Cell::default(),
-        store_watch: Cell::new(None),
+        store_watch: Cell::default(),
         token_borrower: RefCell::new(TokenBorrower::default()),
         limits_divided_at: Cell::new(None),
         sequence: Cell::new(0),
@@ -149,6 +146,10 @@
     }
 }
 
+fn starting_election(bounds: &ServiceBounds, now: Instant) -> WatcherElection {
+    WatcherElection::new(bounds.apply_limit).starting_at(now)
+}
+
 fn empty_quotas(bounds: &ServiceBounds, now: Instant) -> QuotaLedger {
     let tolerance = QuotaTolerance { overage: bounds.quota_overage, slack: bounds.quota_slack };
     QuotaLedger::new(tolerance, now)
--- a/src/gateway/gossip/endpoint_signals/limits.rs
+++ b/src/gateway/gossip/endpoint_signals/limits.rs
@@ -8,7 +8,7 @@
 
 use super::super::{
     messages::{ReportedLimit, SentTokens},
-    peer_table::{PeerTable, RendezvousRank},
+    peer_table::{PeerTable, rendezvous::RendezvousRank},
     report_source::ReportSource,
 };
 use crate::{
@@ -93,7 +93,7 @@
 
 /// Applies the response of the daemon at `lender` to a call that asked it for tokens.
 pub fn apply_lent(context: &GatewayContext, lender: SocketAddr, lent: &[SentTokens], now: Instant) {
-    context.token_borrower.borrow_mut().receive_response(lender, !lent.is_empty());
+    context.token_borrower.borrow_mut().receive_response(lender, !lent.is_empty(), now);
     let mut endpoints = context.endpoints.borrow_mut();
     for SentTokens { start, tokens } in lent {
         endpoints.receive_lent(*start, *tokens, now);
--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -6,6 +6,8 @@
 //! it for `PEER_EXPIRY`. The native path detects failed members by probes and suspicions
 //! (`native::cluster`); here, the gossip calls themselves show which daemons are alive.
 
+pub mod rendezvous;
+
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
@@ -23,7 +25,7 @@
 };
 use crate::{
     gateway::policy::{daemon::store_watchers::watchers_per_group, request::quota::QuotaSharing},
-    ids::{IncarnationId, hash_parts},
+    ids::hash_parts,
 };
 
 /// A neighbour from which no message has arrived for this long may not receive this daemon's
@@ -42,15 +44,6 @@
 /// there to this daemon.
 const REPORT_HOPS: u32 = 2;
 
-/// Rank of a daemon among the first ones by rendezvous hashing.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct RendezvousRank {
-    /// Number of daemons that come before it.
-    pub rank: usize,
-    /// The other daemons among the first ones.
-    pub others: Vec<IncarnationId>,
-}
-
 /// Daemons by the addresses at which they listen for peers.
 #[derive(Debug)]
 pub struct PeerTable {
@@ -176,48 +169,6 @@
         self.peers.keys().copied().sample(rng, URGENT_CALLS)
     }
 
-    /// Whether this daemon is the first of all known daemons that are not leaving, by rendezvous
-    /// hashing with `key`. Daemons that know the same others agree on the first one.
-    pub fn is_first_for(&self, key: u64) -> bool {
-        let rank = |address: &SocketAddr| {
-            (hash_parts(&[&key.to_le_bytes(), address.to_string().as_bytes()]), *address)
-        };
-        let own = rank(&self.own);
-        let mut others = self.peers.iter().filter(|(_, peer)| !peer.leaving);
-        others.all(|(address, _)| own < rank(address))
-    }
-
-    /// This daemon's rank among the first `count` of all known daemons that are not leaving, by
-    /// rendezvous hashing with `key`; `None` if it is not among them. Daemons that know the same
-    /// others agree on the ranks.
-    pub fn rendezvous_rank(&self, key: u64, count: usize) -> Option<RendezvousRank> {
-        let rank = |hash: u64| hash_parts(&[&key.to_le_bytes(), &hash.to_le_bytes()]);
-        let own = rank(hash_address(&self.own));
-        let others = self.peers.values().filter(|peer| !peer.leaving);
-        let mut ranked: Vec<(u64, IncarnationId)> =
-            others.map(|peer| (rank(peer.address_hash), peer.incarnation)).collect();
-        let before = ranked.iter().filter(|(rank, _)| *rank < own).count();
-        if before >= count {
-            return None;
-        }
-        ranked.sort_unstable();
-        ranked.truncate(count.saturating_sub(1));
-        let others = ranked.into_iter().map(|(_, incarnation)| incarnation).collect();
-        Some(RendezvousRank { rank: before, others })
-    }
-
-    /// Addresses of the other daemons among the first `count` in the order of `rendezvous_rank`.
-    pub fn rendezvous_first(&self, key: u64, count: usize) -> Vec<SocketAddr> {
-        let rank = |hash: u64| hash_parts(&[&key.to_le_bytes(), &hash.to_le_bytes()]);
-        let others = self.peers.iter().filter(|(_, peer)| !peer.leaving);
-        let mut ranked: Vec<(u64, SocketAddr)> =
-            others.map(|(address, peer)| (rank(peer.address_hash), *address)).collect();
-        ranked.push((rank(hash_address(&self.own)), self.own));
-        ranked.sort_unstable();
-        let first = ranked.into_iter().take(count).map(|(_, address)| address);
-        first.filter(|address| *address != self.own).collect()
-    }
-
     fn remove_expired(&mut self, now: Instant) {
         let before = self.peers.len();
         self.peers.retain(|_, peer| now.saturating_duration_since(peer.heard_at) < PEER_EXPIRY);
--- a/src/gateway/policy/endpoint/endpoint_table/limits.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/limits.rs
@@ -12,10 +12,9 @@
         gossip::report_source::ReportSource,
         policy::endpoint::{
             endpoint_status::EndpointStatus,
-            request_limit::{HolderShare, LimitBucket},
+            request_limit::{HolderShare, LimitBucket, token_lending::spare_tokens},
             service_demand::DemandRate,
             signal_ledger::{EndpointLimit, LimitObservation, NumberedStart},
-            token_lending::spare_tokens,
         },
     },
     ids::SharedName,
--- a/src/gateway/policy/endpoint/request_limit.rs
+++ b/src/gateway/policy/endpoint/request_limit.rs
@@ -18,11 +18,13 @@
 //! load. Quotas of accounts (`policy::request::quota`) are much larger than one request, so there
 //! every daemon may spend from the whole until the others' reports arrive.
 
+pub mod token_lending;
+
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-use super::token_lending::LentTokens;
+use self::token_lending::LentTokens;
 
 /// Holders in addition to one per request per second of the limit. With fewer holders, fewer
 /// requests arrive at once; with more, more daemons can use the endpoint.
--- a/src/gateway/policy/endpoint/token_lending.rs
+++ b/src/gateway/policy/endpoint/request_limit/token_lending.rs
@@ -3,15 +3,14 @@
 //! Answers the load pattern in which the clients of a service are at a few daemons of a large fleet
 //! while its endpoints are at their limits. Limits are divided among few daemons by hash
 //! (`request_limit`), so the daemons with the clients hold hardly any tokens and those that hold
-//! them have no clients. With 77 daemons, twelve limited endpoints and all clients at one daemon,
-//! 0.01 of what the limits allow was used.
+//! them have no clients.
 //!
 //! A daemon that has found no room because of limits asks the holders, a few in each gossip
 //! interval. A holder lends the part of its tokens that its own demand leaves. A lent token is taken
 //! out of the lender's bucket before it is sent and expires soon, so lending never raises the sum of
 //! all tokens; a response that is lost only loses tokens. A holder that has nothing to lend has
-//! clients of its own and is left alone for a while, so that a fleet that is short of tokens
-//! everywhere doesn't spend its time on asking.
+//! clients of its own and is left alone for a while. If holder after holder has nothing to lend, the
+//! whole fleet is short of tokens, and the daemon asks them one by one, at growing intervals.
 //!
 //! Inputs are this daemon's own shortages, the holders among the known daemons, and the demand of
 //! the last seconds at the lender. Nothing is assumed about daemons that don't respond.
@@ -32,6 +31,10 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(500);
 /// Time for which a holder that has nothing to lend is not asked.
 const DECLINED_PAUSE: Duration = Duration::from_secs(5);
+/// Pause of all requests after a holder had nothing to lend; it doubles with each further one.
+const FIRST_DECLINE_PAUSE: Duration = Duration::from_millis(50);
+/// Most doublings of that pause, which bounds it to 6.4 s.
+const MAX_DECLINE_DOUBLINGS: u32 = 7;
 /// Least number of tokens in a bucket from which tokens are lent. Small parts of a token, lent by
 /// several holders, would expire before they add up to one.
 const MIN_LENDER_LEVEL: f64 = 0.5;
@@ -115,6 +118,10 @@
 pub struct TokenBorrower {
     short_at: Option<Instant>,
     asked: BTreeMap<SocketAddr, AskedHolder>,
+    /// Responses of holders without tokens since the last one with tokens.
+    declines: u32,
+    /// When holders may be asked again.
+    paused_until: Option<Instant>,
 }
 
 impl TokenBorrower {
@@ -129,13 +136,13 @@
     }
 
     /// The holders to ask in this gossip interval, those first that were never asked or whose last
-    /// request is the longest ago.
+    /// request is the longest ago. Only one is asked after a holder had nothing to lend.
     pub fn next_asked(
         &mut self,
         holders: &BTreeSet<SocketAddr>,
         now: Instant,
     ) -> BTreeSet<SocketAddr> {
-        if !self.is_short(now) {
+        if !self.is_short(now) || self.paused_until.is_some_and(|until| now < until) {
             return BTreeSet::new();
         }
         self.asked.retain(|address, _| holders.contains(address));
@@ -145,7 +152,7 @@
         };
         let mut due: Vec<SocketAddr> = holders.iter().filter(may_be_asked).copied().collect();
         due.sort_by_key(asked_at);
-        due.truncate(ASKED_PER_INTERVAL);
+        due.truncate(if self.declines == 0 { ASKED_PER_INTERVAL } else { 1 });
         for address in &due {
             let asked = AskedHolder { asked_at: now, has_declined: false };
             self.asked.insert(*address, asked);
@@ -153,10 +160,16 @@
         due.into_iter().collect()
     }
 
-    /// Records the response of a holder that was asked: whether it has tokens to lend, now or later.
-    pub fn receive_response(&mut self, holder: SocketAddr, is_lender: bool) {
-        if let Some(asked) = self.asked.get_mut(&holder) {
-            asked.has_declined = !is_lender;
+    /// Records the response of a daemon that was asked: whether it has tokens to lend, now or later.
+    pub fn receive_response(&mut self, from: SocketAddr, is_lender: bool, now: Instant) {
+        let Some(asked) = self.asked.get_mut(&from) else { return };
+        asked.has_declined = !is_lender;
+        if is_lender {
+            (self.declines, self.paused_until) = (0, None);
+            return;
         }
+        let doublings = self.declines.min(MAX_DECLINE_DOUBLINGS);
+        self.declines += 1;
+        self.paused_until = Some(now + FIRST_DECLINE_PAUSE * 2_u32.pow(doublings));
     }
 }
