--- a/src/gateway/store_watch/rollout_watch.rs
+++ b/src/gateway/store_watch/rollout_watch.rs
@@ -1,17 +1,21 @@
 //! Keeps the operators' orders of roll-outs up to date.
 //!
-//! Runs only in deployments whose settings bound the exposure to a bad version. An order that can't
-//! be decoded is logged; the version that the former one named is not used any longer.
+//! Runs only in deployments whose settings bound the exposure to a bad version, and only at the elected
+//! watchers: daemons that stand in for them read the orders when endpoints of a new version appear. An
+//! order that can't be decoded is logged; the version that the former one named is not used any longer.
 
 use std::{rc::Rc, time::Duration};
 
 use tokio::time::sleep;
 
-use super::{RetryPauses, wait_until_watcher};
+use super::WATCHER_CHECK_INTERVAL;
 use crate::{
     boot_clock,
     errors::StepError,
-    gateway::{context::GatewayContext, gossip::rollouts::log_order},
+    gateway::{
+        context::GatewayContext, gossip::rollouts::log_order,
+        policy::daemon::store_watchers::StoreWatch,
+    },
     ids::SharedName,
     platform::{
         rollouts::{ROLLOUT_KIND, decode_order, decode_state},
@@ -24,7 +28,10 @@
 pub const NAME: &str = "rollout-watch";
 /// How long a watch waits for a change. Orders are rare, and endpoints of an unknown version cause a
 /// read at once (`endpoint_watch`).
-const WATCH_WAIT: Duration = Duration::from_secs(5);
+const WATCH_WAIT: Duration = Duration::from_secs(10);
+/// Pause after a failed call. The watches of the configuration and the endpoints find out when the store
+/// is back.
+const FAILURE_PAUSE: Duration = Duration::from_secs(1);
 /// Time after its start in which a daemon doesn't list the orders: until it has heard of its peers, every
 /// daemon takes itself for a watcher.
 const SETTLING_TIME: Duration = Duration::from_millis(1_200);
@@ -35,25 +42,34 @@
         return std::future::pending().await;
     }
     sleep(SETTLING_TIME).await;
-    let mut pauses = RetryPauses::default();
     let mut position = None;
     loop {
-        if wait_until_watcher(&context).await {
+        if wait_until_elected(&context).await {
             position = None;
         }
         match make_call(&context, position).await {
-            Ok(next) => {
-                pauses.succeeded(&context);
-                position = next;
-            }
+            Ok(next) => position = next,
             Err(error) => {
+                spdlog::warn!("roll-outs not read: {}", error);
                 position = None;
-                pauses.failed(&context, &error).await;
+                sleep(FAILURE_PAUSE).await;
             }
         }
     }
 }
 
+/// Waits until this daemon is an elected watcher of a store that responds. Returns whether it had to wait.
+async fn wait_until_elected(context: &GatewayContext) -> bool {
+    let mut has_waited = false;
+    while context.store_watch.get() != Some(StoreWatch::Elected)
+        || context.store_fails(boot_clock::now())
+    {
+        has_waited = true;
+        sleep(WATCHER_CHECK_INTERVAL).await;
+    }
+    has_waited
+}
+
 /// Watches from `position`, or lists all orders. Returns the position to watch from next.
 async fn make_call(
     context: &GatewayContext,
