--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -198,6 +198,15 @@
         contact.is_current(now)
     }
 
+    /// How long a request that has `time_left` waits until this daemon is up to date with its peers; none
+    /// if it doesn't wait.
+    pub fn wait_for_peers(&self, time_left: Duration, now: Instant) -> Option<Duration> {
+        if self.is_up_to_date_with_peers(now) {
+            return None;
+        }
+        self.peer_contact.borrow().request_wait(time_left, now)
+    }
+
     /// Numbers of daemons among which quotas and retry budgets are shared.
     pub fn sharing(&self, now: Instant) -> QuotaSharing {
         let observed = self.peers.borrow().sharing(now);
--- a/src/gateway/policy/daemon/peer_contact.rs
+++ b/src/gateway/policy/daemon/peer_contact.rs
@@ -8,6 +8,10 @@
 //! reading, and for the configuration of its peers if that is newer. Without this wait, three
 //! daemons that were restarted one after the other crashed two more endpoints with a request that
 //! all daemons had been refusing.
+//!
+//! Answers the load pattern in which all daemons are killed at once and clients are back before the
+//! daemons have heard of each other. The wait ends soon and at a known time, so requests wait for it
+//! here if it leaves them enough of their own time, rather than come back over a new connection.
 
 use std::time::Duration;
 
@@ -19,6 +23,8 @@
 /// A daemon that gets no response from a peer for this long continues alone. It starts six calls
 /// in that time; with a longer wait, requests would be refused where most daemons were killed.
 const MAX_WAIT: Duration = Duration::from_millis(300);
+/// Part of a request's time that it may spend waiting for peers.
+const MAX_WAIT_FRACTION: f64 = 0.5;
 /// Time after its start for which a daemon waits for a newer configuration that peers have
 /// reported: the time limit of a call that requests one.
 const MAX_CATCH_UP: Duration = Duration::from_millis(2_500);
@@ -84,6 +90,16 @@
         self.peer_wait_is_over(now) && (!self.is_lagging || age >= MAX_CATCH_UP)
     }
 
+    /// How long a request that has `time_left` waits for peers; none if it doesn't: the daemon is up to
+    /// date, it isn't known when it will be, or too little of the request's time would be left.
+    pub fn request_wait(&self, time_left: Duration, now: Instant) -> Option<Duration> {
+        if self.is_lagging || self.was_suspended(now) || self.peer_wait_is_over(now) {
+            return None;
+        }
+        let wait = MAX_WAIT.saturating_sub(now.saturating_duration_since(self.running_since));
+        (wait <= time_left.mul_f64(MAX_WAIT_FRACTION)).then_some(wait)
+    }
+
     fn peer_wait_is_over(&self, now: Instant) -> bool {
         let waited = now.saturating_duration_since(self.running_since);
         !self.was_suspended(now) && (self.response_received || waited >= MAX_WAIT)
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -4,13 +4,14 @@
 use std::{
     cell::{Cell, OnceCell},
     rc::Rc,
+    time::Duration,
 };
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use rand::RngExt;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 
 use super::request_log::RequestTrace;
 use crate::boot_clock;
@@ -27,6 +28,11 @@
     },
 };
 
+/// Time that a request has if its client names none, for the decision to wait for peers.
+const DEFAULT_TIME: Duration = Duration::from_secs(1);
+/// Interval between checks whether peers have responded: short beside the responses of fast routes.
+const CONTACT_CHECK_INTERVAL: Duration = Duration::from_millis(10);
+
 /// A request that has been checked and admitted.
 pub struct Admitted {
     /// The request.
@@ -81,9 +87,11 @@
     if context.intake.get() != Intake::Open {
         return Err(Refusal::Leaving);
     }
+    wait_for_peers(context, head.deadline, received).await;
     let configuration = context.configuration().ok_or(Refusal::NoConfiguration)?;
-    let keys = context.key_freshness(received);
-    let doubt = context.configuration_doubt(received);
+    let now = boot_clock::now();
+    let keys = context.key_freshness(now);
+    let doubt = context.configuration_doubt(now);
     let matched = match_head(&configuration, &head, keys, doubt)?;
     trace.matched(&matched);
     let MatchedHead { route, account } = matched;
@@ -108,6 +116,17 @@
     })
 }
 
+/// Waits until this daemon is up to date with its peers, if that will be soon.
+async fn wait_for_peers(context: &GatewayContext, limit: Option<Duration>, received: Instant) {
+    let limit = limit.unwrap_or(DEFAULT_TIME);
+    loop {
+        let now = boot_clock::now();
+        let time_left = limit.saturating_sub(now.saturating_duration_since(received));
+        let Some(wait) = context.wait_for_peers(time_left, now) else { return };
+        sleep(wait.min(CONTACT_CHECK_INTERVAL)).await;
+    }
+}
+
 async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
     if body.size_hint().lower() > limit as u64 {
         return Err(Refusal::BodyTooLong);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -38,6 +38,7 @@
 mod loopback_proxy;
 mod lost_entries;
 mod operations;
+mod peer_wait;
 mod platform_standin;
 mod quotas;
 mod request_rules;
