--- a/src/gateway/leader/rollout_tasks.rs
+++ b/src/gateway/leader/rollout_tasks.rs
@@ -121,6 +121,7 @@
             spdlog::info!("roll-out", kv: { outcome = "recorded", service:, target:, state: });
             Ok(())
         }
+        // An error is returned, and logged, after the object has been read.
         Ok(WriteResult::Conflict | WriteResult::WrittenInLaterEra) | Err(_) => {
             read_again(context, service).await?;
             written.map(drop)
--- a/src/gateway/policy/daemon/peer_contact.rs
+++ b/src/gateway/policy/daemon/peer_contact.rs
@@ -9,9 +9,9 @@
 //! daemons that were restarted one after the other crashed two more endpoints with a request that
 //! all daemons had been refusing.
 //!
-//! Answers the load pattern in which all daemons are killed at once and clients are back before the
-//! daemons have heard of each other. The wait ends soon and at a known time, so requests wait for it
-//! here if it leaves them enough of their own time, rather than come back over a new connection.
+//! Answers the load pattern in which all daemons are killed at once and clients retry before the
+//! daemons have exchanged messages. The wait ends soon and at a known time, so requests wait for it
+//! here if it leaves them enough of their own time, rather than be sent again over a new connection.
 
 use std::time::Duration;
 
--- a/src/gateway/policy/rollout/rollout_order.rs
+++ b/src/gateway/policy/rollout/rollout_order.rs
@@ -128,7 +128,7 @@
     /// The order.
     pub order: RolloutOrder,
     /// Newest position of the store at which the order was read; of two orders for a service the one
-    /// with the higher position is in force.
+    /// with the higher position counts.
     pub position: StorePosition,
     /// When the order was written, or when it was first read if that is not known.
     pub begun_at: Instant,
--- a/src/gateway/policy/rollout/rollout_table/evidence.rs
+++ b/src/gateway/policy/rollout/rollout_table/evidence.rs
@@ -127,7 +127,7 @@
         sum
     }
 
-    /// Answers to the requests of a service's roll-out since the last change of its plan, on all routes.
+    /// Responses to the requests of a service's roll-out since the last change of its plan, on all routes.
     pub fn responses(&self, service: &str, now: Instant) -> RouteCounts {
         let tracked = self.rollouts.get(service);
         let sums = self.sums(now);
@@ -138,8 +138,8 @@
         all
     }
 
-    /// Counts runs that have become slow, compares all target versions with the former ones, and stops those that are bad.
-    /// Returns those that were not stopped before.
+    /// Counts runs that have become slow, compares all target versions with the former ones, and stops
+    /// those that are bad. Returns those that were not stopped before.
     pub fn evaluate(&mut self, now: Instant) -> Vec<BadVersion> {
         for run in self.pending.take_slow(now) {
             self.count(&run, ResponseQuality::Bad);
@@ -157,13 +157,14 @@
 }
 
 impl TrackedRollout {
-    /// Answers since the last change of the plan, by route.
+    /// Responses since the last change of the plan, by route.
     fn since_plan<'a>(
         &'a self,
         sums: &'a RolloutCounts,
     ) -> impl Iterator<Item = (&'a SharedName, RouteCounts)> {
         let order = self.known.order.id;
         sums.iter().filter(move |(route, _)| route.order == order).map(|(route, counts)| {
+            // A route without responses before the change counts from zero.
             let before = self.counted_before.get(route).copied().unwrap_or_default();
             (&route.route, counts.since(&before))
         })
--- a/src/gateway/policy/rollout/traffic_plan.rs
+++ b/src/gateway/policy/rollout/traffic_plan.rs
@@ -21,7 +21,7 @@
 const SHIFT_SPENDING: f64 = 0.5;
 /// Largest second share, for services with few requests.
 const MAX_SHIFT_SHARE: f64 = 0.5;
-/// Answers of the target version, at the present share, without which the share is not enlarged,
+/// Responses of the target version, at the present share, without which the share is not enlarged,
 /// unless the service has few requests.
 const MIN_RESPONSES: u64 = 20;
 /// Fraction of a service's responses that suffices if it has few.
@@ -69,9 +69,9 @@
     pub spread_time: Duration,
     /// Requests for the service, per second.
     pub demand: f64,
-    /// Answers of the target version since the last change of the plan.
+    /// Responses of the target version since the last change of the plan.
     pub target_responses: u64,
-    /// Answers of all versions since then.
+    /// Responses of all versions since then.
     pub all_responses: u64,
     /// Whether the target version may be worse than the others.
     pub looks_worse: bool,
@@ -106,9 +106,11 @@
         self.target_endpoints > 0 && has_responses && !self.looks_worse
     }
 
-    /// Whether the former endpoints have nothing left to do.
-    fn is_drained(&self) -> bool {
-        self.former_running == 0 && self.step_age >= self.spread_time
+    /// Whether the former endpoints may end: nothing runs there any more, or there is no time left.
+    fn may_complete(&self) -> bool {
+        let is_drained = self.former_running == 0 && self.step_age >= self.spread_time;
+        let is_last_moment = self.is_within(self.scaled(COMPLETION_MARGIN));
+        self.target_endpoints > 0 && (is_drained || is_last_moment)
     }
 }
 
@@ -153,15 +155,7 @@
     }
     let drain_time = inputs.scaled(DRAIN_TIME);
     match phase {
-        // All endpoints have this version already.
-        RolloutPhase::Ordered if inputs.target_endpoints > 0 && inputs.former_endpoints == 0 => {
-            Some((RolloutPhase::Completed, 1.0))
-        }
-        RolloutPhase::Ordered if inputs.is_overdue() => Some((RolloutPhase::Reverted, 0.0)),
-        RolloutPhase::Ordered if inputs.target_endpoints > 0 => {
-            let share = canary_share(bounds, inputs.demand, inputs.duration);
-            Some((RolloutPhase::Canary, share))
-        }
+        RolloutPhase::Ordered => begin(bounds, inputs),
         RolloutPhase::Canary | RolloutPhase::Shift if !inputs.has_served_well() => {
             inputs.is_overdue().then_some((RolloutPhase::Reverted, 0.0))
         }
@@ -173,14 +167,8 @@
         {
             Some((RolloutPhase::Drain, 1.0))
         }
-        RolloutPhase::Drain if inputs.target_endpoints == 0 => None,
-        RolloutPhase::Drain
-            if inputs.is_drained() || inputs.is_within(inputs.scaled(COMPLETION_MARGIN)) =>
-        {
-            Some((RolloutPhase::Completed, 1.0))
-        }
-        RolloutPhase::Ordered
-        | RolloutPhase::Canary
+        RolloutPhase::Drain if inputs.may_complete() => Some((RolloutPhase::Completed, 1.0)),
+        RolloutPhase::Canary
         | RolloutPhase::Shift
         | RolloutPhase::Drain
         | RolloutPhase::Completed
@@ -188,3 +176,16 @@
         | RolloutPhase::Withdrawn => None,
     }
 }
+
+/// What follows an order that has not begun.
+fn begin(bounds: ExposureBounds, inputs: &PlanInputs) -> Option<(RolloutPhase, f64)> {
+    if inputs.target_endpoints > 0 && inputs.former_endpoints == 0 {
+        // All endpoints have this version already.
+        return Some((RolloutPhase::Completed, 1.0));
+    }
+    if inputs.is_overdue() {
+        return Some((RolloutPhase::Reverted, 0.0));
+    }
+    let share = canary_share(bounds, inputs.demand, inputs.duration);
+    (inputs.target_endpoints > 0).then_some((RolloutPhase::Canary, share))
+}
--- a/src/gateway/policy/rollout/version_comparison.rs
+++ b/src/gateway/policy/rollout/version_comparison.rs
@@ -1,4 +1,4 @@
-//! Judges from good and bad responses whether a version serves worse than the others.
+//! Decides from good and bad responses whether a version serves worse than the others.
 //!
 //! Answers the load pattern of a roll-out: few requests reach the new version, faults may strike
 //! both versions alike, and the verdict is asked for again with each new response. Fixed thresholds
@@ -6,13 +6,13 @@
 //! in ten. The test used here is a sequential one: the ratio of the likelihoods that the two
 //! versions have different fractions of bad responses and that they have the same, with the fractions
 //! integrated over a Beta prior. It may be evaluated at any time. A version that only looks worse is
-//! not stopped, and gets no larger share either. The idea is that of mixture
-//! sequential tests (R. Johari et al., "Peeking at A/B Tests", KDD 2017); the two-sided ratio is
-//! used only if the new version is the worse one, by more than [`MIN_EXCESS`].
+//! not stopped, and gets no larger share either. The idea is that of mixture sequential tests (R.
+//! Johari et al., "Peeking at A/B Tests", KDD 2017); the two-sided ratio is used only if the new
+//! version is the worse one, by more than [`MIN_EXCESS`].
 //!
 //! Inputs are the sums of all known daemons since the last change of the traffic plan, so that both
 //! versions are compared in the same seconds. Reports are as old as gossip makes them. Without
-//! reports a daemon judges by its own responses, and stops on less evidence than there is.
+//! reports a daemon decides by its own responses, of which there may be too few.
 
 use super::version_counts::{RouteCounts, VersionCounts};
 
@@ -62,6 +62,9 @@
 /// Smallest argument at which Stirling's series is used; smaller ones are shifted up to it.
 const STIRLING_FROM: f64 = 8.0;
 
+/// Coefficients of Stirling's series, for the inverse of the argument and its third and fifth power.
+const STIRLING_SERIES: [f64; 3] = [1.0 / 12.0, -1.0 / 360.0, 1.0 / 1260.0];
+
 /// Logarithm of the gamma function for positive arguments, by Stirling's series; its error is below
 /// 1e-8.
 fn ln_gamma(mut argument: f64) -> f64 {
@@ -72,7 +75,8 @@
     }
     let inverse = 1.0 / argument;
     let square = inverse * inverse;
-    let series = inverse * (1.0 / 12.0 - square * (1.0 / 360.0 - square / 1260.0));
+    let [first, third, fifth] = STIRLING_SERIES;
+    let series = inverse * (first + square * (third + square * fifth));
     let half_ln_tau = 0.5 * std::f64::consts::TAU.ln();
     (argument - 0.5) * argument.ln() - argument + half_ln_tau + series - shift
 }
--- a/src/gateway/policy/rollout/version_split.rs
+++ b/src/gateway/policy/rollout/version_split.rs
@@ -4,7 +4,7 @@
 //! the requests, and a request that fails there is retried at a version known to serve.
 //!
 //! Inputs are the plan as this daemon last heard it and the endpoints of its list. A daemon that
-//! has not heard of a plan sends nothing to the target version.
+//! has not received a plan sends nothing to the target version.
 
 use std::time::Duration;
 
--- a/src/gateway/store_watch/rollout_watch.rs
+++ b/src/gateway/store_watch/rollout_watch.rs
@@ -32,16 +32,12 @@
 /// Pause after a failed call. The watches of the configuration and the endpoints find out when the store
 /// is back.
 const FAILURE_PAUSE: Duration = Duration::from_secs(1);
-/// Time after its start in which a daemon doesn't list the orders: until it has heard of its peers, every
-/// daemon takes itself for a watcher.
-const SETTLING_TIME: Duration = Duration::from_millis(1_200);
 
 /// Keeps the orders up to date until the daemon stops.
 pub async fn run(context: Rc<GatewayContext>) {
     if context.settings.bounds.exposure.is_none() {
         return std::future::pending().await;
     }
-    sleep(SETTLING_TIME).await;
     let mut position = None;
     loop {
         if wait_until_elected(&context).await {
