--- a/src/rpc_transport.rs
+++ b/src/rpc_transport.rs
@@ -13,6 +13,10 @@
 use tokio::net::TcpStream;
 use tokio_util::compat::{TokioAsyncReadCompatExt, TokioAsyncWriteCompatExt};
 
+/// Size of the read and the write buffer of a connection, in bytes. Longer parts of messages are read and
+/// written without a copy; a daemon has a connection to and from each of its many peers.
+const BUFFER_SIZE: usize = 1_024;
+
 /// Counts the bytes sent and received over all connections that share it.
 #[derive(Clone, Debug, Default)]
 pub struct TrafficCounter {
@@ -82,7 +86,8 @@
     let (reader, writer) = stream.into_split();
     let reader = CountedHalf { inner: reader.compat(), counter: counter.clone() };
     let writer = CountedHalf { inner: writer.compat_write(), counter: counter.clone() };
-    let (reader, writer) = (BufReader::new(reader), BufWriter::new(writer));
+    let reader = BufReader::with_capacity(BUFFER_SIZE, reader);
+    let writer = BufWriter::with_capacity(BUFFER_SIZE, writer);
     let network = twoparty::VatNetwork::new(reader, writer, side, Default::default());
     RpcSystem::new(Box::new(network), bootstrap)
 }
