--- a/src/gateway/leader/rollout_tasks.rs
+++ b/src/gateway/leader/rollout_tasks.rs
@@ -11,6 +11,7 @@
 
 use super::lease_store::STORE_TIMEOUT;
 use crate::{
+    boot_clock,
     errors::{FailureCause, StepError},
     gateway::{
         context::GatewayContext,
@@ -123,18 +124,27 @@
         }
         // An error is returned, and logged, after the object has been read.
         Ok(WriteResult::Conflict | WriteResult::WrittenInLaterEra) | Err(_) => {
-            read_again(context, service).await?;
+            read_again(context, service, position).await?;
             written.map(drop)
         }
     }
 }
 
-/// Reads an order after a write whose outcome is not known, or that met another one.
-async fn read_again(context: &GatewayContext, service: &SharedName) -> Result<(), StepError> {
+/// Reads an order, known at `position`, after a write whose outcome is not known or that met another one.
+async fn read_again(
+    context: &GatewayContext,
+    service: &SharedName,
+    position: StorePosition,
+) -> Result<(), StepError> {
     let reading = context.store.read(ROLLOUT_KIND, service);
-    // If it is missing, the watch tells when it was removed, and whether it was made again.
-    if let Some(object) = within_limit(context, "read roll-out", reading).await? {
-        rollout_watch::observe_order(context, &object);
+    match within_limit(context, "read roll-out", reading).await? {
+        Some(object) => rollout_watch::observe_order(context, &object),
+        None => {
+            // An order that is written after the removal has a higher position than the next one.
+            let removed_at = StorePosition::new(position.era(), position.revision() + 1);
+            let now = boot_clock::now();
+            context.rollouts.borrow_mut().withdraw(service, removed_at, now);
+        }
     }
     Ok(())
 }
