Observability: whether a daemon reaches endpoints over its own links, and its readiness

In the incident on daemons that were partitioned from all endpoints, nothing told without the log of a second daemon whether endpoints had failed or the daemon's own links, nor whether the balancer was told to keep its clients.

Each daemon now judges by its own new connections whether it is partitioned (policy::daemon::endpoint_access), logs the change with the number of endpoints that it failed to reach, counts it, and shows it in its state. Changes of the readiness are logged. Nothing else depends on the verdict yet.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -4,6 +4,7 @@
 //! daemon's counters. All tasks run on one thread, so cells suffice; no borrow is held across an
 //! await. It contains no rules: its methods pass the state to functions of `policy`.
 
+mod endpoint_contact;
 mod store_contents;
 
 use std::{
@@ -23,6 +24,7 @@
         daemon::{
             catch_up::CatchUpState,
             daemon_count,
+            endpoint_access::EndpointAccess,
             peer_contact::PeerContact,
             readiness::{MAX_CLIENT_CONNECTIONS, Readiness, ReadinessInputs},
             store_watchers::{StoreWatch, WatcherElection, is_store_failing},
@@ -71,6 +73,8 @@
     pub endpoint_list: RefCell<EndpointList>,
     /// Endpoint entries as the store has listed them, across its eras.
     pub entry_history: RefCell<EntryHistory>,
+    /// Whether this daemon reaches the endpoints over its own links.
+    pub endpoint_access: RefCell<EndpointAccess>,
     /// Loads and health of the endpoints.
     pub endpoints: RefCell<EndpointTable>,
     /// Roll-outs of new versions.
@@ -113,6 +117,8 @@
     pub watcher_election: RefCell<WatcherElection>,
     /// Era of the store as last logged.
     pub store_era: Cell<StoreEra>,
+    /// Readiness at the last check of the load balancer, as logged.
+    pub logged_readiness: Cell<Option<Readiness>>,
     /// Last decision of `watcher_election`, as logged.
     pub store_watch: Cell<Option<StoreWatch>>,
     /// Decides which daemons are asked for tokens of endpoints' request limits.
--- a/src/gateway/policy/daemon.rs
+++ b/src/gateway/policy/daemon.rs
@@ -1,8 +1,9 @@
-//! Decisions of a daemon that do not concern single requests: its readiness, whether it watches
-//! the store, and which texts it fetches from peers.
+//! Decisions of a daemon that do not concern single requests: its readiness, whether it
+//! reaches the endpoints, whether it watches the store, and which texts it fetches from peers.
 
 pub mod catch_up;
 pub mod daemon_count;
+pub mod endpoint_access;
 pub mod held_texts;
 pub mod peer_contact;
 pub mod readiness;
--- a/src/gateway/policy/daemon/readiness.rs
+++ b/src/gateway/policy/daemon/readiness.rs
@@ -3,6 +3,8 @@
 //! Evaluated on each readiness check of the load balancer from the daemon's state at that moment. A
 //! daemon that lacks an input is not ready, because it would only refuse requests.
 
+use derive_more::Display;
+
 use crate::gateway::policy::request::key_freshness::KeyFreshness;
 
 /// Maximum number of open client connections. Further ones wait in the listen queue, and the daemon
@@ -29,23 +31,31 @@
 }
 
 /// Whether a daemon is ready for new connections, or the first reason why it isn't.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum Readiness {
     /// The daemon is ready.
+    #[display("ready")]
     Ready,
     /// It is stopping.
+    #[display("stopping")]
     Stopping,
     /// It has no list of endpoints yet.
+    #[display("no endpoint list")]
     NoEndpointList,
     /// It has no configuration yet.
+    #[display("no configuration")]
     NoConfiguration,
     /// It doesn't know yet how many daemons share the quotas.
+    #[display("number of daemons not known")]
     DaemonCountUnknown,
     /// It is not up to date with its peers yet, and may lack quarantined requests.
+    #[display("not up to date with peers")]
     NoPeerContact,
     /// Its API keys may be out of date.
+    #[display("keys may be out of date")]
     KeysNotFresh,
     /// It has reached `MAX_CLIENT_CONNECTIONS`.
+    #[display("connections full")]
     ConnectionsFull,
 }
 
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -98,7 +98,10 @@
     let taking = context.connections.take(&endpoint, reuse, admitted.deadline);
     let mut connection = match taking.await {
         Ok(connection) => connection,
-        Err(failure) => return Ok(not_connected(&failure, guard, trace)),
+        Err(failure) => {
+            context.endpoint_unreached(&endpoint.id, guard.begun());
+            return Ok(not_connected(&failure, guard, trace));
+        }
     };
     if !guard.try_mark_sent() {
         return Ok(return_unsent(context, connection, trace));
@@ -108,11 +111,17 @@
     let until = response_deadline(admitted, attempts, &choice, now);
     match connection.send(request, until).await {
         Err(failure) => {
+            if let Some(opened_at) = connection.opened_at() {
+                context.endpoint_unreached(&endpoint.id, opened_at);
+            }
             trace.failed(&failure);
             let ended = after_send_failure(context, admitted, attempts, &failure, guard, trace);
             Ok(AttemptEnd::Failed(ended))
         }
         Ok(response) => {
+            if connection.opened_at().is_some() {
+                context.endpoint_reached();
+            }
             attempts.sent += 1;
             Ok(evaluate_response(context, admitted, response, until, connection, guard, trace))
         }
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -122,9 +122,16 @@
 pub struct EndpointConnection {
     endpoint: EndpointStart,
     sender: RequestSender,
+    /// When it was opened, if the attempt that uses it has opened it.
+    opened_at: Option<Instant>,
 }
 
 impl EndpointConnection {
+    /// When it was opened, if the attempt that uses it has opened it.
+    pub fn opened_at(&self) -> Option<Instant> {
+        self.opened_at
+    }
+
     /// Sends a request and waits for the head of the response until `deadline`.
     pub async fn send(
         &mut self,
@@ -170,11 +177,12 @@
         while let Some(mut sender) = self.take_idle(&start, reuse) {
             let ready = timeout(READY_LIMIT, sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                return Ok(EndpointConnection { endpoint: start, sender });
+                return Ok(EndpointConnection { endpoint: start, sender, opened_at: None });
             }
         }
+        let opened_at = Some(boot_clock::now());
         let sender = self.connect(endpoint, deadline).await?;
-        Ok(EndpointConnection { endpoint: start, sender })
+        Ok(EndpointConnection { endpoint: start, sender, opened_at })
     }
 
     async fn connect(
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -35,6 +35,9 @@
     pub incarnation: SharedName,
     /// Whether it is ready for new connections.
     pub ready: bool,
+    /// Whether it is partitioned from all endpoints.
+    #[serde(default)]
+    pub partitioned: bool,
     /// Requests in progress.
     pub active: usize,
     /// Version of the configuration; 0 if there is none.
@@ -127,6 +130,7 @@
             zone: context.settings.zone.clone(),
             incarnation: context.incarnation.to_string().into(),
             ready: context.readiness(now) == Readiness::Ready,
+            partitioned: context.is_partitioned(),
             active: context.active.get(),
             configuration_version: configuration.version(),
             configuration_revision: configuration.position.revision(),
--- a/src/gateway/status_listeners.rs
+++ b/src/gateway/status_listeners.rs
@@ -39,7 +39,7 @@
 pub async fn serve_readiness(listener: TcpListener, context: Rc<GatewayContext>) {
     let phase = context.kernel.phase();
     let handler = move |request: Request<Incoming>| {
-        let ready = context.readiness(boot_clock::now()) == Readiness::Ready;
+        let ready = check_readiness(&context) == Readiness::Ready;
         let status = match (ingress::is_readiness(request.uri().path()), ready) {
             (false, _) => StatusCode::NOT_FOUND,
             (true, true) => StatusCode::OK,
@@ -50,6 +50,15 @@
     server::serve(listener, phase, handler).await;
 }
 
+/// Evaluates the readiness, and logs it when it has changed.
+fn check_readiness(context: &GatewayContext) -> Readiness {
+    let readiness = context.readiness(boot_clock::now());
+    if context.logged_readiness.replace(Some(readiness)) != Some(readiness) {
+        spdlog::info!("readiness", kv: { outcome: = readiness });
+    }
+    readiness
+}
+
 /// Serves the metrics and, at `/state`, the daemon's state, until the daemon stops.
 pub async fn serve_metrics(listener: TcpListener, context: Rc<GatewayContext>) {
     let phase = context.kernel.phase();
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod crashing_requests;
 mod decoders;
 mod draining_endpoints;
+mod endpoint_access;
 mod endpoint_choice;
 mod endpoint_signals;
 mod endpoint_standin;
