Tests: daemons that are partitioned from all endpoints (fails)

Nine real daemons, twelve endpoints, 24 clients at all of them; one, five or eight daemons are partitioned for 7 s, by connections that are closed, that are silent, or of which only new ones are closed. From 3 s on at most 10 + 1 in 50 first attempts may fail at these daemons, and at least two thirds as many be served as at the others.

--- a/tests/gateway/gateway_site.rs
+++ b/tests/gateway/gateway_site.rs
@@ -156,6 +156,10 @@
         self.process = spawn(&self.program, &self.settings, &self.log);
     }
 
+    pub fn process_id(&self) -> u32 {
+        self.process.id()
+    }
+
     pub fn is_ready(&self) -> bool {
         let url = format!("http://{}/-/readiness", self.readiness);
         ureq::get(&url).call().is_ok()
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     gateway_site::{Gateway, RawAnswer, configuration, request_bytes, try_send_raw},
+    link_faults::{LinkFaults, PartitionManner},
     platform_standin::PlatformStandin,
     signal_checks::{Disturbance, LimitOutcome, SeenSignals, SentAt},
     signalling_endpoint::{Arrival, EndpointSignal, SignallingEndpoint},
@@ -78,6 +79,7 @@
 /// The endpoints and daemons, and the times in which daemons were disturbed.
 pub struct SignalFleet {
     pub endpoints: Vec<SignallingEndpoint>,
+    faults: Arc<LinkFaults>,
     daemons: Mutex<Vec<Gateway>>,
     addresses: Vec<SocketAddr>,
     disturbances: Mutex<Vec<Disturbance>>,
@@ -108,9 +110,11 @@
     pub fn start_with(bounds: Value) -> Self {
         let platform = Arc::new(PlatformStandin::start_with(daemon_count() * CALLS_PER_DAEMON));
         platform.put("config", "main", configuration(3, &["key-1"]));
-        let endpoints = (0..ENDPOINTS)
-            .map(|place| SignallingEndpoint::start(&format!("i-{place}"), "pool", &platform))
-            .collect();
+        let faults: Arc<LinkFaults> = Arc::default();
+        let start = |place| {
+            SignallingEndpoint::start_behind(&format!("i-{place}"), "pool", &platform, &faults)
+        };
+        let endpoints = (0..ENDPOINTS).map(start).collect();
         let mut seeds: Vec<SocketAddr> = Vec::new();
         let mut daemons = Vec::new();
         for place in 0..daemon_count() {
@@ -127,10 +131,30 @@
             }
             daemons.push(daemon);
         }
+        faults.set_daemons(daemons.iter().map(Gateway::process_id).collect());
         daemons.iter().for_each(Gateway::wait_ready);
         let addresses = daemons.iter().map(|daemon| daemon.clients).collect();
         let (daemons, disturbances) = (Mutex::new(daemons), Mutex::default());
-        Self { endpoints, daemons, addresses, disturbances }
+        Self { endpoints, faults, daemons, addresses, disturbances }
+    }
+
+    /// Number of daemons.
+    pub fn daemon_count(&self) -> usize {
+        self.addresses.len()
+    }
+
+    /// Partitions these daemons from all endpoints.
+    pub fn partition(&self, daemons: &[usize], manner: PartitionManner) {
+        let processes: Vec<u32> =
+            self.daemons.lock().expect("lock").iter().map(Gateway::process_id).collect();
+        let cut: Vec<u32> = daemons.iter().map(|daemon| processes[*daemon]).collect();
+        self.faults.partition(&cut, manner);
+        self.endpoints.iter().for_each(SignallingEndpoint::close_cut_connections);
+    }
+
+    /// Ends the partition.
+    pub fn heal(&self) {
+        self.faults.heal();
     }
 
     /// Suspends every other daemon for a while.
--- a/tests/gateway/signalling_endpoint.rs
+++ b/tests/gateway/signalling_endpoint.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     endpoint_standin::{SeenRequest, read_request, refuse},
+    link_faults::{LinkFaults, PartitionManner},
     platform_standin::PlatformStandin,
 };
 
@@ -43,6 +44,8 @@
 const FAILED_DAEMONS: usize = 3;
 /// Time within which an endpoint that starts again must be able to bind its address.
 const REBIND_TIME: Duration = Duration::from_secs(5);
+/// Interval at which a silent link is checked.
+const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause between two polls for new connections.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
 
@@ -144,6 +147,7 @@
     name: String,
     service: &'static str,
     platform: Arc<PlatformStandin>,
+    faults: Arc<LinkFaults>,
     address: SocketAddr,
     signal: Mutex<EndpointSignal>,
     working: AtomicUsize,
@@ -151,7 +155,8 @@
     born: Mutex<u64>,
     is_down: AtomicBool,
     is_dropped: AtomicBool,
-    connections: Mutex<Vec<TcpStream>>,
+    /// Connections, with the process ids of the daemons that have opened them.
+    connections: Mutex<Vec<(Option<u32>, TcpStream)>>,
     arrivals: Mutex<Vec<Arrival>>,
 }
 
@@ -163,11 +168,22 @@
 impl SignallingEndpoint {
     /// Starts and registers an endpoint of a service.
     pub fn start(name: &str, service: &'static str, platform: &Arc<PlatformStandin>) -> Self {
+        Self::start_behind(name, service, platform, &Arc::default())
+    }
+
+    /// The same, with links to daemons that can fail.
+    pub fn start_behind(
+        name: &str,
+        service: &'static str,
+        platform: &Arc<PlatformStandin>,
+        faults: &Arc<LinkFaults>,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
         let shared = Arc::new(Shared {
             name: name.to_owned(),
             service,
             platform: platform.clone(),
+            faults: faults.clone(),
             address: listener.local_addr().expect("address"),
             signal: Mutex::new(EndpointSignal::None),
             working: AtomicUsize::new(0),
@@ -207,11 +223,20 @@
     /// Stops serving, as if its process had ended; its entry stays.
     pub fn end(&self) {
         self.shared.is_down.store(true, Ordering::SeqCst);
-        for connection in self.shared.connections.lock().expect("lock").drain(..) {
+        for (_, connection) in self.shared.connections.lock().expect("lock").drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
     }
 
+    /// Closes the connections of daemons whose links are cut in a way that closes them.
+    pub fn close_cut_connections(&self) {
+        for (daemon, connection) in self.shared.connections.lock().expect("lock").iter() {
+            if self.shared.faults.manner(*daemon) == Some(PartitionManner::Closed) {
+                let _ = connection.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
     /// Starts it again under the same id, and registers it.
     pub fn start_again(&self) {
         self.set_signal(EndpointSignal::None);
@@ -275,15 +300,30 @@
             };
             stream.set_nonblocking(false).expect("a blocking connection");
             let kept = stream.try_clone().expect("handle");
-            self.connections.lock().expect("lock").push(kept);
+            let daemon = self.faults.daemon_of(&stream);
+            if !matches!(self.faults.manner(daemon), None | Some(PartitionManner::Silent)) {
+                let _ = stream.shutdown(Shutdown::Both);
+                continue;
+            }
+            self.connections.lock().expect("lock").push((daemon, kept));
             let shared = self.clone();
-            thread::spawn(move || shared.serve_connection(stream));
+            thread::spawn(move || shared.serve_connection(stream, daemon));
+        }
+    }
+
+    /// Waits while the link to a daemon carries nothing.
+    fn wait_while_silent(&self, daemon: Option<u32>) {
+        while self.faults.manner(daemon) == Some(PartitionManner::Silent)
+            && !self.is_down.load(Ordering::SeqCst)
+        {
+            thread::sleep(LINK_CHECK_INTERVAL);
         }
     }
 
-    fn serve_connection(&self, stream: TcpStream) {
+    fn serve_connection(&self, stream: TcpStream, daemon: Option<u32>) {
         let mut reader = BufReader::new(stream);
         while let Some(request) = read_request(&mut reader) {
+            self.wait_while_silent(daemon);
             if !self.answer(reader.get_mut(), &request) {
                 let _ = reader.get_mut().shutdown(Shutdown::Both);
                 return;
