--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -42,6 +42,11 @@
   services @10 :List(ServiceCounters);
   requested @11 :List(UInt64);   # quota units requested, admitted or not
   rollouts @12 :List(RolloutCounts);
+  tunnelPort @13 :UInt16;        # port for tunnels to endpoints, at the IP of `address`; 0: none
+  partitioned @14 :Bool;         # whether it reaches no endpoint over its own links
+  tunnels @15 :UInt32;           # tunnels that it carries for other daemons
+  hasContact @16 :Bool;          # whether `contactAgeMs` is set
+  contactAgeMs @17 :UInt32;      # since an endpoint last responded over its own links
 }
 
 struct GroupCounters {           # sums over the gossip group of the responding daemon
@@ -185,6 +190,17 @@
   rollouts @31 :List(Rollout);
 }
 
+struct TunnelRequest {           # first message on a connection to the port for tunnels
+  endpoint @0 :Text;             # id of the endpoint to connect to
+  born @1 :UInt64;               # start time of the endpoint, see `EndpointEntry`; 0: unknown
+  daemon @2 :Text;               # name of the daemon that opens the tunnel
+  request @3 :Text;              # id of the request for which it is opened
+}
+
+struct TunnelResponse {
+  outcome @0 :UInt8;             # index of the outcome, from `connected` to `notCarried`
+}
+
 interface Exchange {
   swap @0 (message :GossipMessage) -> (message :GossipMessage);
 }
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -109,6 +109,8 @@
 pub struct Service {
     /// Name.
     pub name: SharedName,
+    /// Path of an endpoint's health checks.
+    pub health_path: SharedName,
     /// Engine, if the service generates tokens.
     pub engine: Option<EngineSpec>,
     /// Limits and prices of the fleet, if the gateway orders the service's endpoints.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -13,7 +13,7 @@
     time::Duration,
 };
 
-use tokio::time::Instant;
+use tokio::{sync::Notify, time::Instant};
 
 use super::{
     configuration::Configuration,
@@ -25,6 +25,7 @@
             catch_up::CatchUpState,
             daemon_count,
             endpoint_access::EndpointAccess,
+            forwarder_choice::ForwarderTable,
             peer_contact::PeerContact,
             readiness::{MAX_CLIENT_CONNECTIONS, Readiness, ReadinessInputs},
             store_watchers::{StoreWatch, WatcherElection, is_store_failing},
@@ -73,6 +74,14 @@
     pub endpoint_list: RefCell<EndpointList>,
     /// Endpoint entries as the store has listed them, across its eras.
     pub entry_history: RefCell<EntryHistory>,
+    /// Daemons that carry tunnels to endpoints for this one.
+    pub forwarders: RefCell<ForwarderTable>,
+    /// Tunnels that this daemon carries for others.
+    pub carried_tunnels: OpenCount,
+    /// Rate limit of the log lines about these.
+    pub tunnel_lines: RefCell<LineBudget>,
+    /// Notified when a connection over this daemon's own links has failed.
+    pub access_doubted: Notify,
     /// Whether this daemon reaches the endpoints over its own links.
     pub endpoint_access: RefCell<EndpointAccess>,
     /// Loads and health of the endpoints.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -11,12 +11,16 @@
     time::Duration,
 };
 
-use tokio::time::{Instant, sleep};
+use tokio::{
+    sync::Notify,
+    time::{Instant, sleep},
+};
 
 use super::{
     configuration_state::ConfigurationState,
     context::{GatewayContext, Intake},
     endpoint::EndpointList,
+    forwarding::{access_probe, tunnel_server},
     gossip::{caller, listener, peer_table::PeerTable, text_exchange::TextExchange},
     leader::leader_tasks,
     policy::{
@@ -67,6 +71,8 @@
 const ACCEPT_FOR: Duration = Duration::from_millis(3_500);
 /// Most lines of the request log a second; limits the volume of logs under load.
 const REQUEST_LINES: u32 = 400;
+/// Most log lines a second about tunnels.
+const TUNNEL_LINES: u32 = 20;
 /// Part of the grace time that is reserved for writing the logs and exiting.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Interval between checks whether requests are still in progress during a stop: short compared to the
@@ -79,6 +85,7 @@
     let readiness = server::bind(settings.readiness_address).await?;
     let metrics = server::bind(settings.metrics_address).await?;
     let peer_listener = server::bind(settings.peer_address).await?;
+    let tunnel_listener = server::bind(settings.tunnel_address).await?;
     let mut kernel = ServiceKernel::new();
     let context = Rc::new(assemble(settings, kernel.handle(), boot_clock::now()));
     let (name, zone) = (&context.settings.name, &context.settings.zone);
@@ -96,6 +103,8 @@
     kernel.start(endpoint_watch::NAME, endpoint_watch::run(context.clone()));
     kernel.start(listener::NAME, listener::run(peer_listener, context.clone()));
     kernel.start(caller::NAME, caller::run(context.clone()));
+    kernel.start(tunnel_server::NAME, tunnel_server::run(tunnel_listener, context.clone()));
+    kernel.start(access_probe::NAME, access_probe::run(context.clone()));
     kernel.start(leader_tasks::NAME, leader_tasks::run(context.clone()));
     kernel.start(client_listener::NAME, client_listener::run(clients, context.clone()));
     kernel.start(RELOADER, log_reloads(context.clone()));
@@ -114,6 +123,10 @@
         configuration: RefCell::new(ConfigurationState::default()),
         endpoint_list: RefCell::new(EndpointList::default()),
         entry_history: RefCell::new(EntryHistory::new(settings.entry_ttl)),
+        forwarders: RefCell::default(),
+        carried_tunnels: OpenCount::default(),
+        tunnel_lines: RefCell::new(LineBudget::new(TUNNEL_LINES, now)),
+        access_doubted: Notify::new(),
         endpoint_access: RefCell::default(),
         endpoints: RefCell::new(EndpointTable::new(settings.zone.clone())),
         rollouts: RefCell::default(),
@@ -180,7 +193,10 @@
     context.intake.set(Intake::Refusing);
     sleep(ACCEPT_FOR - REFUSE_AFTER).await;
     context.intake.set(Intake::Closed);
-    let is_busy = || context.active.get() + context.client_connections.get() > 0;
+    let is_busy = || {
+        let used = [&context.active, &context.client_connections, &context.carried_tunnels];
+        used.iter().any(|count| count.get() > 0)
+    };
     while is_busy() && boot_clock::now() < stop_deadline {
         sleep(BUSY_CHECK_INTERVAL).await;
     }
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -5,6 +5,7 @@
 mod counters;
 mod crashes;
 pub mod endpoint_list;
+mod forwarder;
 mod limits;
 mod requested_parts;
 mod rollouts;
@@ -17,6 +18,7 @@
 use self::{
     counters::{read_counters, write_counters},
     crashes::{read_crashes, write_crashes},
+    forwarder::{read_forwarder, write_forwarder},
     limits::{read_lent, read_limits, write_lent, write_limits},
     requested_parts::{read_wants, write_wants},
     rollouts::{read_rollouts, write_rollouts},
@@ -90,6 +92,9 @@
     target.set_address(source.address.to_string());
     target.set_sequence(source.sequence);
     target.set_leaving(source.leaving);
+    if let Some(forwarder) = &source.forwarder {
+        write_forwarder(&mut target, forwarder);
+    }
     write_counters!(target, &source.counters);
 }
 
@@ -178,13 +183,15 @@
 }
 
 fn read_state(source: daemon_state::Reader<'_>) -> Result<DaemonState, Error> {
+    let address = read_address(source.get_address()?)?;
     Ok(DaemonState {
         incarnation: IncarnationId(source.get_incarnation()),
         name: read_text(source.get_name()?)?,
         zone: read_text(source.get_zone()?)?,
-        address: read_address(source.get_address()?)?,
+        address,
         sequence: source.get_sequence(),
         leaving: source.get_leaving(),
+        forwarder: read_forwarder(source, address),
         counters: read_counters!(source),
     })
 }
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -13,7 +13,7 @@
     gateway::{
         endpoint::EndpointList,
         policy::{
-            daemon::held_texts::TextId,
+            daemon::{forwarder_choice::ForwarderReport, held_texts::TextId},
             endpoint::{
                 endpoint_load::{EndpointLoad, ServiceCounters},
                 signal_ledger::{NumberedStart, WarningKind},
@@ -45,6 +45,8 @@
     pub sequence: u64,
     /// Whether it is shutting down.
     pub leaving: bool,
+    /// How it carries tunnels to endpoints; none if it carries none.
+    pub forwarder: Option<ForwarderReport>,
     /// Its counters.
     pub counters: DaemonCounters,
 }
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -21,7 +21,8 @@
 use crate::gateway::{
     context::GatewayContext,
     policy::{
-        daemon::held_texts::HeldVersions, endpoint::endpoint_load::endpoint_number,
+        daemon::{forwarder_choice::ForwarderReport, held_texts::HeldVersions},
+        endpoint::endpoint_load::endpoint_number,
         leader::usage_counts::WindowCounts,
     },
 };
@@ -112,6 +113,12 @@
         address: settings.peer_address,
         sequence: context.next_sequence(),
         leaving: context.is_leaving(),
+        forwarder: Some(ForwarderReport {
+            address: settings.tunnel_address,
+            is_partitioned: context.is_partitioned(),
+            contact_age: context.endpoint_access.borrow().contact_age(boot_clock::now()),
+            tunnels: u32::try_from(context.carried_tunnels.get()).unwrap_or(u32::MAX),
+        }),
         counters: own_counters(context),
     }
 }
--- a/src/gateway/policy/daemon.rs
+++ b/src/gateway/policy/daemon.rs
@@ -4,6 +4,7 @@
 pub mod catch_up;
 pub mod daemon_count;
 pub mod endpoint_access;
+pub mod forwarder_choice;
 pub mod held_texts;
 pub mod peer_contact;
 pub mod readiness;
--- a/src/gateway/policy/endpoint/endpoint_pause.rs
+++ b/src/gateway/policy/endpoint/endpoint_pause.rs
@@ -158,6 +158,13 @@
         }
     }
 
+    /// Forgets that the endpoint has failed requests.
+    pub fn forget_failures(&mut self) {
+        self.failing_until = None;
+        self.probe = self.probe.filter(|probe| !probe.is_after_failure());
+        self.consecutive_failures = 0;
+    }
+
     fn next_pause(&mut self, now: Instant) -> Duration {
         if !(self.is_paused(now) || self.fails_until(now)) {
             self.consecutive_failures += 1;
--- a/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
@@ -13,6 +13,7 @@
         policy::endpoint::{
             endpoint_load::RunLoad,
             endpoint_pause::{ProbePermit, RefusalKind},
+            failure_rate::FailureRate,
             prompt_cache::part_chain,
             signal_ledger::{EndpointWarning, NumberedStart, WarningKind},
         },
@@ -149,6 +150,14 @@
         (!was_outlier).then_some(FoundFailing { fraction })
     }
 
+    /// Forgets the failures of all endpoints, because this daemon's own links have failed.
+    pub fn forget_failures(&mut self) {
+        for status in self.endpoints.values_mut() {
+            status.failures = FailureRate::default();
+            status.pause.forget_failures();
+        }
+    }
+
     /// Records that another start, of this or another endpoint, has responded at this one's
     /// address: this one has ended and is never chosen again.
     pub fn mark_ended(&mut self, id: &str) {
--- a/src/gateway/policy/request/refusal.rs
+++ b/src/gateway/policy/request/refusal.rs
@@ -70,6 +70,10 @@
     /// There is no endpoint to send the request to; it has not run. Holds the retry-after.
     #[display("no endpoint")]
     NoEndpoint(Duration),
+    /// This daemon reaches no endpoint, not through others either; the request has not run. Holds the
+    /// retry-after.
+    #[display("no path to any endpoint")]
+    NoPath(Duration),
     /// Previous runs of the same request have crashed their endpoints; this one has not run. Holds
     /// the time until the next trial.
     #[display("the same request has crashed endpoints")]
@@ -134,6 +138,7 @@
             | Self::NotTaken(_)
             | Self::DeadlineOver(_)
             | Self::NoEndpoint(_)
+            | Self::NoPath(_)
             | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
@@ -154,6 +159,7 @@
             | Self::NotTaken(wait)
             | Self::DeadlineOver(wait)
             | Self::NoEndpoint(wait)
+            | Self::NoPath(wait)
             | Self::Quarantined(wait) => Some(*wait),
             Self::NoConfiguration | Self::FleetUnknown | Self::NotFresh => {
                 Some(retry_after::DAEMON_STARTING)
--- a/src/gateway/policy/request/retries.rs
+++ b/src/gateway/policy/request/retries.rs
@@ -135,6 +135,8 @@
     RoomLater(Duration),
     /// All endpoints have been tried, or there are none.
     NoEndpoint,
+    /// This daemon reaches no endpoint, and no other daemon carries connections to them.
+    NoPath,
     /// The daemon doesn't know yet which requests crash endpoints.
     NoPeerContact,
     /// Previous runs of the same request have crashed their endpoints; the next trial is due after
@@ -153,6 +155,7 @@
             (Self::RoomLater(wait), false) => Refusal::RoomLater(wait),
             (Self::NoPeerContact, false) => Refusal::NoPeerContact,
             (Self::Quarantined(wait), false) => Refusal::Quarantined(wait),
+            (Self::NoPath, false) => Refusal::NoPath(retry_after::NO_ENDPOINT),
             (Self::NoEndpoint, false) => Refusal::NoEndpoint(retry_after::NO_ENDPOINT),
         }
     }
--- a/src/gateway/policy/request/retry_after.rs
+++ b/src/gateway/policy/request/retry_after.rs
@@ -11,7 +11,7 @@
 
 use crate::gateway::policy::endpoint::room_forecast::RoomForecast;
 
-/// No endpoint of the service accepts requests, or the deadline passed before one was chosen.
+/// No endpoint of the service accepts requests or is reached, or the deadline passed before one was chosen.
 /// Earlier retries would load the daemon and find the list of endpoints unchanged.
 pub const NO_ENDPOINT: Duration = Duration::from_millis(400);
 /// The daemon has no configuration that is known to be current, or doesn't know how many daemons
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -8,6 +8,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     io::ErrorKind,
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -21,19 +22,26 @@
 };
 use hyper_util::rt::TokioIo;
 use tokio::{
+    io::{AsyncRead, AsyncWrite},
     net::TcpStream,
     time::{Instant, timeout, timeout_at},
 };
 
 use crate::{
     boot_clock,
-    gateway::{endpoint::EndpointRecord, policy::request::retries::ConnectionReuse},
+    counting::CountGuard,
+    gateway::{
+        endpoint::EndpointRecord,
+        forwarding::{
+            endpoint_path::{EndpointPath, OpenPath},
+            tunnel_opener::OpenTunnel,
+        },
+        policy::request::retries::ConnectionReuse,
+    },
     ids::SharedName,
     metrics::MetricsHandle,
 };
 
-/// Longest wait for a new connection: several round trips. After it another endpoint is tried.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Longest idle time of a connection whose endpoint doesn't announce how long it keeps it open:
 /// short, since the endpoint may close it at any time.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
@@ -58,6 +66,10 @@
     /// The endpoint's address refuses connections.
     #[display("connection refused")]
     Refused,
+    /// This daemon doesn't reach the endpoint, and no other daemon carries a connection to it; nothing
+    /// was sent.
+    #[display("no path")]
+    NoPath,
     /// No connection could be opened in time; nothing was sent.
     #[display("no connection in time")]
     NoConnection,
@@ -75,7 +87,12 @@
 impl SendFailure {
     /// Whether the request has certainly not been sent.
     pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Refused | Self::NoConnection | Self::ClosedBefore)
+        matches!(self, Self::Refused | Self::NoPath | Self::NoConnection | Self::ClosedBefore)
+    }
+
+    /// Whether the endpoint's address refuses connections.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Refused)
     }
 }
 
@@ -97,6 +114,7 @@
 #[derive(Debug)]
 struct IdleConnection {
     sender: RequestSender,
+    path: EndpointPath,
     since: Instant,
     until: Instant,
 }
@@ -106,7 +124,10 @@
         self.until > now && !self.sender.is_closed()
     }
 
-    fn is_usable(&self, reuse: ConnectionReuse, now: Instant) -> bool {
+    fn is_usable(&self, reuse: ConnectionReuse, uses_tunnels: bool, now: Instant) -> bool {
+        if (self.path == EndpointPath::Direct) == uses_tunnels {
+            return false;
+        }
         match reuse {
             ConnectionReuse::Any => true,
             ConnectionReuse::Recent => {
@@ -122,14 +143,25 @@
 pub struct EndpointConnection {
     endpoint: EndpointStart,
     sender: RequestSender,
-    /// When it was opened, if the attempt that uses it has opened it.
-    opened_at: Option<Instant>,
+    path: EndpointPath,
+    is_new: bool,
 }
 
 impl EndpointConnection {
-    /// When it was opened, if the attempt that uses it has opened it.
-    pub fn opened_at(&self) -> Option<Instant> {
-        self.opened_at
+    /// The way of the connection.
+    pub fn path(&self) -> EndpointPath {
+        self.path
+    }
+
+    /// Whether it was opened for the attempt that uses it.
+    pub fn is_new(&self) -> bool {
+        self.is_new
+    }
+
+    /// Whether it was opened over this daemon's own links for the attempt that uses it, so that the
+    /// attempt shows whether these links work.
+    pub fn tests_links(&self) -> bool {
+        self.is_new && self.path == EndpointPath::Direct
     }
 
     /// Sends a request and waits for the head of the response until `deadline`.
@@ -166,62 +198,54 @@
         Self { idle: Rc::default(), pruned_at, metrics }
     }
 
-    /// Returns a connection to the endpoint: an idle one that `reuse` allows, or a new one.
+    /// Returns an idle connection to the endpoint that `reuse` allows, if there is one: a tunnel or
+    /// a direct one.
     pub async fn take(
         &self,
         endpoint: &EndpointRecord,
         reuse: ConnectionReuse,
-        deadline: Instant,
-    ) -> Result<EndpointConnection, SendFailure> {
+        uses_tunnels: bool,
+    ) -> Option<EndpointConnection> {
         let start = EndpointStart::of(endpoint);
-        while let Some(mut sender) = self.take_idle(&start, reuse) {
+        while let Some(idle) = self.take_idle(&start, reuse, uses_tunnels) {
+            let IdleConnection { mut sender, path, .. } = idle;
             let ready = timeout(READY_LIMIT, sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                return Ok(EndpointConnection { endpoint: start, sender, opened_at: None });
+                return Some(EndpointConnection { endpoint: start, sender, path, is_new: false });
             }
         }
-        let opened_at = Some(boot_clock::now());
-        let sender = self.connect(endpoint, deadline).await?;
-        Ok(EndpointConnection { endpoint: start, sender, opened_at })
+        None
     }
 
-    async fn connect(
+    /// Wraps a new connection to the endpoint.
+    pub async fn add_new(
         &self,
         endpoint: &EndpointRecord,
-        deadline: Instant,
-    ) -> Result<RequestSender, SendFailure> {
-        let until = deadline.min(boot_clock::now() + CONNECT_LIMIT);
-        let stream =
-            match timeout_at(boot_clock::timer_at(until), TcpStream::connect(endpoint.address))
-                .await
-            {
-                Ok(Ok(stream)) => stream,
-                Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-                    return Err(SendFailure::Refused);
-                }
-                // Unreachable or not connected in time: this makes no difference to the request.
-                Ok(Err(_)) | Err(_) => return Err(SendFailure::NoConnection),
-            };
-        // Fails only on a socket that is already broken, which sending will report.
-        let _ = stream.set_nodelay(true);
+        open: OpenPath,
+    ) -> Result<EndpointConnection, SendFailure> {
         self.metrics.count("replica_connections", 1);
-        let (sender, connection) =
-            http1::handshake(TokioIo::new(stream)).await.map_err(|_| SendFailure::ClosedBefore)?;
-        tokio::task::spawn_local(async move {
-            // Errors are returned to the request that uses the connection.
-            let _ = connection.await;
-        });
-        Ok(sender)
+        let (path, sender) = match open {
+            OpenPath::Direct(stream) => (EndpointPath::Direct, start_http(stream, None).await?),
+            OpenPath::Tunnel(OpenTunnel { stream, forwarder, guard }) => {
+                self.metrics.count("tunnels_opened", 1);
+                (EndpointPath::Forwarded(forwarder), start_http(stream, Some(guard)).await?)
+            }
+        };
+        Ok(EndpointConnection { endpoint: EndpointStart::of(endpoint), sender, path, is_new: true })
     }
 
     /// Takes the most recently used idle connection, if `reuse` allows it.
-    fn take_idle(&self, endpoint: &EndpointStart, reuse: ConnectionReuse) -> Option<RequestSender> {
+    fn take_idle(
+        &self,
+        endpoint: &EndpointStart,
+        reuse: ConnectionReuse,
+        uses_tunnels: bool,
+    ) -> Option<IdleConnection> {
         let now = boot_clock::now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(endpoint)?;
         list.retain(|connection| connection.is_open(now));
-        let newest = list.pop_if(|connection| connection.is_usable(reuse, now));
-        newest.map(|connection| connection.sender)
+        list.pop_if(|connection| connection.is_usable(reuse, uses_tunnels, now))
     }
 
     /// Returns a connection to the pool after a clean exchange; `keep` is the time for which its
@@ -235,8 +259,8 @@
         let mut idle = self.idle.borrow_mut();
         let list = idle.entry(connection.endpoint).or_default();
         if list.len() < MAX_IDLE_PER_ENDPOINT {
-            let sender = connection.sender;
-            list.push(IdleConnection { sender, since: now, until: now + usable_for });
+            let EndpointConnection { sender, path, .. } = connection;
+            list.push(IdleConnection { sender, path, since: now, until: now + usable_for });
         }
         if now.saturating_duration_since(self.pruned_at.get()) > PRUNE_INTERVAL {
             self.pruned_at.set(now);
@@ -251,4 +275,45 @@
     pub fn discard_connections(&self, endpoint: &str) {
         self.idle.borrow_mut().retain(|start, _| &*start.id != endpoint);
     }
+
+    /// Closes all idle connections that were opened directly, or all tunnels.
+    pub fn discard_paths(&self, are_direct: bool) {
+        for list in self.idle.borrow_mut().values_mut() {
+            list.retain(|connection| (connection.path == EndpointPath::Direct) != are_direct);
+        }
+    }
+}
+
+/// Opens a connection over this daemon's own links.
+///
+/// # Errors
+///
+/// `Refused`, or `NoConnection` if there is none in time.
+pub async fn connect_direct(address: SocketAddr, until: Instant) -> Result<TcpStream, SendFailure> {
+    let connecting = timeout_at(boot_clock::timer_at(until), TcpStream::connect(address));
+    match connecting.await {
+        Ok(Ok(stream)) => {
+            // Fails only on a socket that is already broken, which sending will report.
+            let _ = stream.set_nodelay(true);
+            Ok(stream)
+        }
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Err(SendFailure::Refused),
+        // Unreachable or not connected in time: this makes no difference to the request.
+        Ok(Err(_)) | Err(_) => Err(SendFailure::NoConnection),
+    }
+}
+
+/// Starts HTTP on a new connection. `guard` is kept until the connection has ended.
+async fn start_http<S>(stream: S, guard: Option<CountGuard>) -> Result<RequestSender, SendFailure>
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|_| SendFailure::ClosedBefore)?;
+    tokio::task::spawn_local(async move {
+        let _guard = guard;
+        // Errors are returned to the request that uses the connection.
+        let _ = connection.await;
+    });
+    Ok(sender)
 }
--- a/src/gateway/request/crash_watch.rs
+++ b/src/gateway/request/crash_watch.rs
@@ -6,20 +6,21 @@
 //! requests. A time-out or a silent connection is no evidence of a crash either.
 //! `policy::request::crash_ledger` decides what follows from a crash.
 
-use std::{io::ErrorKind, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use derive_more::Display;
-use tokio::{
-    net::TcpStream,
-    time::{sleep, timeout},
-};
+use tokio::time::sleep;
 
-use super::admission::Admitted;
+use super::{
+    admission::Admitted,
+    connection_pool::{SendFailure, connect_direct},
+};
 use crate::{
     boot_clock,
     gateway::{
         context::GatewayContext,
         endpoint::EndpointRecord,
+        forwarding::tunnel_opener::open_tunnel,
         policy::{
             endpoint::endpoint_load::endpoint_number,
             request::{
@@ -40,6 +41,9 @@
 /// requests.
 const CHECK_LIMIT: Duration = Duration::from_millis(400);
 
+/// Stands for the request's id in the log lines of tunnels that are opened for a check.
+const CHECK_ID: &str = "crash check";
+
 /// Result of the check of an endpoint.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 enum CheckOutcome {
@@ -54,6 +58,16 @@
     NotReached,
 }
 
+impl CheckOutcome {
+    fn of<T>(connecting: Result<T, SendFailure>) -> Self {
+        match connecting {
+            Ok(_) => Self::Accepts,
+            Err(failure) if failure.is_refused() => Self::Ended,
+            Err(_) => Self::NotReached,
+        }
+    }
+}
+
 /// Decides whether the request may be run now.
 pub fn decide_run(context: &GatewayContext, admitted: &Admitted) -> RunVerdict {
     let mut ledger = context.crashes.borrow_mut();
@@ -108,13 +122,7 @@
 
 async fn check_endpoint(context: Rc<GatewayContext>, endpoint: Rc<EndpointRecord>) {
     sleep(CHECK_DELAY).await;
-    let connecting = timeout(CHECK_LIMIT, TcpStream::connect(endpoint.address)).await;
-    let outcome = match connecting {
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => CheckOutcome::Ended,
-        Ok(Ok(_)) => CheckOutcome::Accepts,
-        // The cause of the failure makes no difference.
-        Ok(Err(_)) | Err(_) => CheckOutcome::NotReached,
-    };
+    let outcome = find_outcome(&context, &endpoint).await;
     let runs = context.crash_checks.take(&endpoint.id);
     context.metrics.count_labelled("crash_checks", "outcome", &outcome.to_string());
     // Endpoints that only lose connections may do so many times a second, so that is only counted.
@@ -126,6 +134,25 @@
     }
 }
 
+/// Finds out whether the endpoint accepts connections. A daemon whose own links have failed may be refused
+/// by endpoints that work, so another daemon has to confirm a refusal, if one can.
+async fn find_outcome(context: &GatewayContext, endpoint: &EndpointRecord) -> CheckOutcome {
+    let until = boot_clock::now() + CHECK_LIMIT;
+    let uses_tunnels = context.uses_tunnels(boot_clock::now());
+    let own = match uses_tunnels {
+        true => CheckOutcome::NotReached,
+        false => CheckOutcome::of(connect_direct(endpoint.address, until).await),
+    };
+    if own == CheckOutcome::Ended || uses_tunnels {
+        match open_tunnel(context, endpoint, CHECK_ID, until).await {
+            Err(SendFailure::NoPath) => own,
+            through_forwarder => CheckOutcome::of(through_forwarder),
+        }
+    } else {
+        own
+    }
+}
+
 fn record_crash(context: &GatewayContext, endpoint: &str, runs: &[BrokenRun]) {
     let now = boot_clock::now();
     let endpoint = endpoint_number(endpoint);
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -13,6 +13,7 @@
     boot_clock,
     gateway::{
         context::GatewayContext,
+        forwarding::endpoint_path::EndpointPath,
         policy::{
             endpoint::{endpoint_choice::EndpointChoice, service_room::ServiceRoom},
             request::{admission::MatchedHead, fingerprint::RequestFingerprint, refusal::Refusal},
@@ -82,6 +83,15 @@
         self.context.metrics.count("attempts_failed", 1);
     }
 
+    /// Records the way of the connection that an attempt uses.
+    pub fn path(&mut self, path: EndpointPath) {
+        if let EndpointPath::Forwarded(forwarder) = path {
+            // Writing to a string cannot fail.
+            let _ = write!(self.steps, " via {forwarder}");
+            self.context.metrics.count("attempts_forwarded", 1);
+        }
+    }
+
     /// Records that nothing was sent: the endpoint stopped accepting requests while its connection
     /// was being opened.
     pub fn not_sent(&mut self) {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -27,6 +27,8 @@
     pub readiness_address: SocketAddr,
     /// Address for other daemons.
     pub peer_address: SocketAddr,
+    /// Address for tunnels of other daemons.
+    pub tunnel_address: SocketAddr,
     /// Address for metrics and the daemon's state.
     pub metrics_address: SocketAddr,
     /// Addresses of daemons to contact first; some may no longer exist.
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -1297,11 +1297,31 @@
         pub fn has_rollouts(&self) -> bool {
             !self.reader.get_pointer_field(9).is_null()
         }
+        #[inline]
+        pub fn get_tunnel_port(self) -> u16 {
+            self.reader.get_data_field::<u16>(9)
+        }
+        #[inline]
+        pub fn get_partitioned(self) -> bool {
+            self.reader.get_bool_field(129)
+        }
+        #[inline]
+        pub fn get_tunnels(self) -> u32 {
+            self.reader.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn get_has_contact(self) -> bool {
+            self.reader.get_bool_field(130)
+        }
+        #[inline]
+        pub fn get_contact_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(6)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 10 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 10 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1535,6 +1555,46 @@
         pub fn has_rollouts(&self) -> bool {
             !self.builder.is_pointer_field_null(9)
         }
+        #[inline]
+        pub fn get_tunnel_port(self) -> u16 {
+            self.builder.get_data_field::<u16>(9)
+        }
+        #[inline]
+        pub fn set_tunnel_port(&mut self, value: u16)  {
+            self.builder.set_data_field::<u16>(9, value);
+        }
+        #[inline]
+        pub fn get_partitioned(self) -> bool {
+            self.builder.get_bool_field(129)
+        }
+        #[inline]
+        pub fn set_partitioned(&mut self, value: bool)  {
+            self.builder.set_bool_field(129, value);
+        }
+        #[inline]
+        pub fn get_tunnels(self) -> u32 {
+            self.builder.get_data_field::<u32>(5)
+        }
+        #[inline]
+        pub fn set_tunnels(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(5, value);
+        }
+        #[inline]
+        pub fn get_has_contact(self) -> bool {
+            self.builder.get_bool_field(130)
+        }
+        #[inline]
+        pub fn set_has_contact(&mut self, value: bool)  {
+            self.builder.set_bool_field(130, value);
+        }
+        #[inline]
+        pub fn get_contact_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(6)
+        }
+        #[inline]
+        pub fn set_contact_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(6, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -1546,17 +1606,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 247] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 326] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 223, 2, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 247, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -1564,98 +1624,133 @@
             ::capnp::word(97, 101, 109, 111, 110, 83, 116, 97),
             ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(52, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(101, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(241, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(245, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(249, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(5, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(29, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(49, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(69, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(180, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(208, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(205, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(93, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(117, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(141, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(165, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(14, 0, 0, 0, 129, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(173, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(181, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(28, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(185, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(17, 0, 0, 0, 6, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(193, 2, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
             ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1794,6 +1889,50 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 117, 110, 110, 101, 108, 80, 111),
+            ::capnp::word(114, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(7, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(112, 97, 114, 116, 105, 116, 105, 111),
+            ::capnp::word(110, 101, 100, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 117, 110, 110, 101, 108, 115, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 67, 111, 110, 116, 97),
+            ::capnp::word(99, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(99, 111, 110, 116, 97, 99, 116, 65),
+            ::capnp::word(103, 101, 77, 115, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1810,6 +1949,11 @@
                 10 => <::capnp::struct_list::Owned<crate::exchange_capnp::service_counters::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 11 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 12 => <::capnp::struct_list::Owned<crate::exchange_capnp::rollout_counts::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                13 => <u16 as ::capnp::introspect::Introspect>::introspect(),
+                14 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                16 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                17 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1823,9 +1967,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,0,4,8,1,11,12,3,10,6,7,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,17,16,0,4,8,1,14,11,12,3,10,6,13,15,7,9];
         pub(crate) const TYPE_ID: u64 = 0xa7cc_19ac_f1b2_2d2c;
     }
 }
@@ -7556,6 +7700,519 @@
     }
 }
 
+pub mod tunnel_request {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_born(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_daemon(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_daemon(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_request(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_request(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_endpoint(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_born(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_born(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_daemon(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_daemon(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_daemon(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_daemon(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_request(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_request(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_request(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(2).init_text(size)
+        }
+        #[inline]
+        pub fn has_request(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(166, 63, 59, 155, 227, 209, 53, 153),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 84),
+            ::capnp::word(117, 110, 110, 101, 108, 82, 101, 113),
+            ::capnp::word(117, 101, 115, 116, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(109, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(113, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(100, 97, 101, 109, 111, 110, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(114, 101, 113, 117, 101, 115, 116, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,2,0,3];
+        pub(crate) const TYPE_ID: u64 = 0x9935_d1e3_9b3b_3fa6;
+    }
+}
+
+pub mod tunnel_response {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <> Reader<'_,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_outcome(self) -> u8 {
+            self.reader.get_data_field::<u8>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 0 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_outcome(self) -> u8 {
+            self.builder.get_data_field::<u8>(0)
+        }
+        #[inline]
+        pub fn set_outcome(&mut self, value: u8)  {
+            self.builder.set_data_field::<u8>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(250, 57, 234, 47, 145, 222, 23, 217),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 84),
+            ::capnp::word(117, 110, 110, 101, 108, 82, 101, 115),
+            ::capnp::word(112, 111, 110, 115, 101, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(111, 117, 116, 99, 111, 109, 101, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(6, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u8 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+        pub(crate) const TYPE_ID: u64 = 0xd917_de91_2fea_39fa;
+    }
+}
+
 
 pub mod exchange {
     #![allow(unused_variables)]
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -91,10 +91,16 @@
 #[serde(rename_all = "kebab-case")]
 struct ServiceSpec {
     name: SharedName,
+    #[serde(default = "default_health_path")]
+    health_path: SharedName,
     engine: Option<EngineSection>,
     autoscale: Option<AutoscaleSection>,
 }
 
+fn default_health_path() -> SharedName {
+    "/".into()
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct EngineSection {
@@ -244,7 +250,7 @@
         reclaimable_price: fleet.spot_price,
         zone_prices: fleet.zone_prices.into_iter().collect(),
     });
-    Service { name: spec.name, engine, fleet }
+    Service { name: spec.name, health_path: spec.health_path, engine, fleet }
 }
 
 fn to_account(spec: TenantSpec) -> Account {
--- a/src/platform/ingress/endpoint.rs
+++ b/src/platform/ingress/endpoint.rs
@@ -1,6 +1,6 @@
 //! Builds the request of one attempt at an endpoint, and decodes the response to it.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use hyper::{
     HeaderMap, Request, Response, StatusCode,
@@ -50,6 +50,18 @@
     request
 }
 
+/// Builds a health check of an endpoint.
+pub fn health_check<B: Default>(endpoint: SocketAddr, path: &str) -> Request<B> {
+    let mut request = Request::new(B::default());
+    // A path that can't be parsed becomes `/`: any response of the endpoint will do.
+    *request.uri_mut() = path.parse().unwrap_or_default();
+    // Cannot fail: an address consists of visible ASCII characters.
+    if let Ok(host) = HeaderValue::from_str(&endpoint.to_string()) {
+        request.headers_mut().insert(header::HOST, host);
+    }
+    request
+}
+
 /// Decodes the head of a response to the request `id`.
 pub fn read_response<B>(id: &str, response: &Response<B>) -> ResponseMetadata {
     let headers = response.headers();
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -16,7 +16,8 @@
 
 /// Environment variable that holds the path of the settings file.
 pub const SETTINGS_VARIABLE: &str = "WILLOWARCH_BOOT";
-/// Default port for metrics if `port-range` is empty. The IP address is that of the peer listener.
+/// Default port for metrics if `port-range` is empty; tunnels use the next one. The IP address is that of
+/// the peer listener.
 const METRICS_PORT: u16 = 7699;
 /// Bounds in the file must be below this number, in their own unit. In seconds it is 30 years, far below
 /// the largest `Duration`.
@@ -156,6 +157,8 @@
     let metrics_port = file.port_range.first().copied().unwrap_or(METRICS_PORT);
     let mut metrics_address = file.listen.control;
     metrics_address.set_port(metrics_port);
+    let mut tunnel_address = file.listen.control;
+    tunnel_address.set_port(metrics_port.saturating_add(1));
     let duties = file.cloud_api.iter().flat_map(|cloud| &cloud.duties);
     Ok(GatewaySettings {
         name: file.node,
@@ -164,6 +167,7 @@
         readiness_address: file.listen.readiness,
         peer_address: file.listen.control,
         metrics_address,
+        tunnel_address,
         seeds: file.seeds,
         store_address: file.platform.address,
         cloud_address: file.cloud_api.as_ref().map(|cloud| cloud.address),
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -20,7 +20,7 @@
             },
         },
         policy::{
-            daemon::held_texts::TextId,
+            daemon::{forwarder_choice::ForwarderReport, held_texts::TextId},
             endpoint::{
                 endpoint_load::{EndpointLoad, ServiceCounters},
                 signal_ledger::{NumberedStart, WarningKind},
@@ -136,6 +136,12 @@
             address: "127.0.0.1:80".parse().expect("address"),
             sequence: 4,
             leaving: true,
+            forwarder: Some(ForwarderReport {
+                address: "127.0.0.1:82".parse().expect("address"),
+                is_partitioned: true,
+                tunnels: 5,
+                contact_age: Some(Duration::from_millis(60)),
+            }),
             counters: sample_counters(),
         },
         is_starting: true,
--- a/tests/gateway/link_faults.rs
+++ b/tests/gateway/link_faults.rs
@@ -10,9 +10,10 @@
     sync::Mutex,
 };
 
-/// Column of `/proc/net/tcp` with the local address of a socket, and the one with its inode.
-const ADDRESS_COLUMN: usize = 1;
-const INODE_COLUMN: usize = 9;
+/// Number of columns in `/proc/net/tcp` from the local address of a socket to its inode.
+const COLUMNS_TO_INODE: usize = 8;
+/// The table may lack a socket while others open and close: how often it is read.
+const LOOKUPS: usize = 5;
 
 /// What happens to the connections of a partitioned daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -69,20 +70,28 @@
         if daemons.is_empty() {
             return None;
         }
-        let link = format!("socket:[{}]", inode_of(accepted.peer_addr().ok()?)?);
-        daemons.into_iter().find(|daemon| has_open(*daemon, &link))
+        (0..LOOKUPS).find_map(|_| {
+            let link = format!("socket:[{}]", inode_at_other_end(accepted)?);
+            daemons.iter().copied().find(|daemon| has_open(*daemon, &link))
+        })
     }
 }
 
-/// Inode of the socket with this local address.
-fn inode_of(address: SocketAddr) -> Option<String> {
+/// Inode of the socket at the other end of an accepted connection.
+fn inode_at_other_end(accepted: &TcpStream) -> Option<String> {
+    let local = table_address(accepted.peer_addr().ok()?)?;
+    let remote = table_address(accepted.local_addr().ok()?)?;
+    let table = fs::read_to_string("/proc/net/tcp").ok()?;
+    let from = table.find(&format!("{local} {remote} "))?;
+    let inode = table[from..].split_whitespace().nth(COLUMNS_TO_INODE);
+    inode.map(str::to_owned)
+}
+
+/// An address as it stands in `/proc/net/tcp`.
+fn table_address(address: SocketAddr) -> Option<String> {
     let SocketAddr::V4(address) = address else { return None };
     let ip = u32::from_le_bytes(address.ip().octets());
-    let hex = format!("{ip:08X}:{:04X}", address.port());
-    let table = fs::read_to_string("/proc/net/tcp").ok()?;
-    let sockets = table.lines().map(|line| line.split_whitespace().collect::<Vec<_>>());
-    let mut own = sockets.filter(|columns| columns.get(ADDRESS_COLUMN) == Some(&hex.as_str()));
-    own.find_map(|columns| columns.get(INODE_COLUMN).map(|inode| (*inode).to_owned()))
+    Some(format!("{ip:08X}:{:04X}", address.port()))
 }
 
 /// Whether a process has a file open to which `/proc` links by this text.
--- a/tests/gateway/partitioned_daemons.rs
+++ b/tests/gateway/partitioned_daemons.rs
@@ -68,6 +68,7 @@
 fn play(tenths: usize, manner: PartitionManner) {
     let _place = acquire_fleet_slot();
     let fleet = SignalFleet::start();
+    fleet.prepare_partition();
     let partitioned: Vec<usize> = (0..fleet.daemon_count() * tenths / 10).collect();
     let outcome = fleet.play_load(ClientLoad::of(LOAD_TIME), 0, |_, began| {
         sleep_until(began, PARTITION_FROM);
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -131,7 +131,6 @@
             }
             daemons.push(daemon);
         }
-        faults.set_daemons(daemons.iter().map(Gateway::process_id).collect());
         daemons.iter().for_each(Gateway::wait_ready);
         let addresses = daemons.iter().map(|daemon| daemon.clients).collect();
         let (daemons, disturbances) = (Mutex::new(daemons), Mutex::default());
@@ -143,6 +142,13 @@
         self.addresses.len()
     }
 
+    /// Lets the endpoints find out which daemon has opened a connection, which takes time at each. To be
+    /// called before `partition`, when no connection is open yet.
+    pub fn prepare_partition(&self) {
+        let daemons = self.daemons.lock().expect("lock");
+        self.faults.set_daemons(daemons.iter().map(Gateway::process_id).collect());
+    }
+
     /// Partitions these daemons from all endpoints.
     pub fn partition(&self, daemons: &[usize], manner: PartitionManner) {
         let processes: Vec<u32> =
--- a/tests/gateway/signalling_endpoint.rs
+++ b/tests/gateway/signalling_endpoint.rs
@@ -223,9 +223,7 @@
     /// Stops serving, as if its process had ended; its entry stays.
     pub fn end(&self) {
         self.shared.is_down.store(true, Ordering::SeqCst);
-        for (_, connection) in self.shared.connections.lock().expect("lock").drain(..) {
-            let _ = connection.shutdown(Shutdown::Both);
-        }
+        self.shared.close_connections();
     }
 
     /// Closes the connections of daemons whose links are cut in a way that closes them.
@@ -299,15 +297,29 @@
                 continue;
             };
             stream.set_nonblocking(false).expect("a blocking connection");
-            let kept = stream.try_clone().expect("handle");
-            let daemon = self.faults.daemon_of(&stream);
-            if !matches!(self.faults.manner(daemon), None | Some(PartitionManner::Silent)) {
-                let _ = stream.shutdown(Shutdown::Both);
-                continue;
-            }
-            self.connections.lock().expect("lock").push((daemon, kept));
             let shared = self.clone();
-            thread::spawn(move || shared.serve_connection(stream, daemon));
+            thread::spawn(move || shared.serve_linked(stream));
+        }
+    }
+
+    /// Serves a connection unless the link to its daemon is cut in a way that closes new ones.
+    fn serve_linked(&self, stream: TcpStream) {
+        let daemon = self.faults.daemon_of(&stream);
+        if !matches!(self.faults.manner(daemon), None | Some(PartitionManner::Silent)) {
+            let _ = stream.shutdown(Shutdown::Both);
+            return;
+        }
+        let kept = stream.try_clone().expect("handle");
+        self.connections.lock().expect("lock").push((daemon, kept));
+        if self.is_down.load(Ordering::SeqCst) {
+            self.close_connections();
+        }
+        self.serve_connection(stream, daemon);
+    }
+
+    fn close_connections(&self) {
+        for (_, connection) in self.connections.lock().expect("lock").drain(..) {
+            let _ = connection.shutdown(Shutdown::Both);
         }
     }
 
