Tunnels: a random forwarder, since reports of tunnels are too old to choose by

A partitioned daemon compared two candidates by the tunnels that they had reported. A model of the choice (half of the daemons partitioned, tunnels of a second, reports 0.4, 1.0 and 1.4 s old) shows that any use of these reports makes the busiest forwarder busier than chance does. So the choice is random now, and the reports, counts and zones that served it are gone. Also tests of the handshake and the frames of a tunnel.

--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -44,9 +44,8 @@
   rollouts @12 :List(RolloutCounts);
   tunnelPort @13 :UInt16;        # port for tunnels to endpoints, at the IP of `address`; 0: none
   partitioned @14 :Bool;         # whether it reaches no endpoint over its own links
-  tunnels @15 :UInt32;           # tunnels that it carries for other daemons
-  hasContact @16 :Bool;          # whether `contactAgeMs` is set
-  contactAgeMs @17 :UInt32;      # since an endpoint last responded over its own links
+  hasContact @15 :Bool;          # whether `contactAgeMs` is set
+  contactAgeMs @16 :UInt32;      # since an endpoint last responded over its own links
 }
 
 struct GroupCounters {           # sums over the gossip group of the responding daemon
--- a/src/gateway/context/endpoint_contact.rs
+++ b/src/gateway/context/endpoint_contact.rs
@@ -66,7 +66,7 @@
 
     /// Daemons that may carry tunnels for this one.
     pub fn forwarder_candidates(&self, now: Instant) -> Vec<ForwarderCandidate> {
-        self.peers.borrow().forwarder_candidates(&self.settings.zone, now)
+        self.peers.borrow().forwarder_candidates(now)
     }
 
     fn apply_access_change(&self, change: Option<AccessChange>) {
--- a/src/gateway/forwarding/tunnel_opener.rs
+++ b/src/gateway/forwarding/tunnel_opener.rs
@@ -13,7 +13,6 @@
 };
 use crate::{
     boot_clock,
-    counting::CountGuard,
     gateway::{
         context::GatewayContext, endpoint::EndpointRecord, request::connection_pool::SendFailure,
     },
@@ -31,8 +30,6 @@
     pub stream: TunnelStream,
     /// The daemon that carries it.
     pub forwarder: SocketAddr,
-    /// Counts it among this daemon's tunnels through the forwarder.
-    pub guard: CountGuard,
 }
 
 /// Opens a tunnel to an endpoint for the request `id`.
@@ -52,9 +49,8 @@
     while tried.len() < MAX_FORWARDERS && boot_clock::now() < until {
         let Some(forwarder) = choose_forwarder(context, &tried) else { break };
         tried.push(forwarder);
-        let guard = context.forwarders.borrow_mut().count_tunnel(forwarder);
         match open_through(context, forwarder, endpoint, id, until).await {
-            Ok(stream) => return Ok(OpenTunnel { stream, forwarder, guard }),
+            Ok(stream) => return Ok(OpenTunnel { stream, forwarder }),
             Err(SendFailure::Refused) => return Err(SendFailure::Refused),
             Err(other) => {
                 // It carries no tunnel now, or may be partitioned itself without having noticed.
--- a/src/gateway/gossip/codec/forwarder.rs
+++ b/src/gateway/gossip/codec/forwarder.rs
@@ -11,7 +11,6 @@
 pub fn write_forwarder(target: &mut daemon_state::Builder<'_>, source: &ForwarderReport) {
     target.set_tunnel_port(source.address.port());
     target.set_partitioned(source.is_partitioned);
-    target.set_tunnels(source.tunnels);
     if let Some(age) = source.contact_age {
         target.set_has_contact(true);
         target.set_contact_age_ms(to_ms(age));
@@ -28,7 +27,6 @@
     (port != 0).then(|| ForwarderReport {
         address: SocketAddr::new(address.ip(), port),
         is_partitioned: source.get_partitioned(),
-        tunnels: source.get_tunnels(),
         contact_age: source.get_has_contact().then(|| from_ms(source.get_contact_age_ms())),
     })
 }
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -117,7 +117,6 @@
             address: settings.tunnel_address,
             is_partitioned: context.is_partitioned(),
             contact_age: context.endpoint_access.borrow().contact_age(boot_clock::now()),
-            tunnels: u32::try_from(context.carried_tunnels.get()).unwrap_or(u32::MAX),
         }),
         counters: own_counters(context),
     }
--- a/src/gateway/gossip/peer_record.rs
+++ b/src/gateway/gossip/peer_record.rs
@@ -3,10 +3,7 @@
 use tokio::time::Instant;
 
 use super::messages::DaemonState;
-use crate::{
-    gateway::policy::daemon::forwarder_choice::ForwarderReport,
-    ids::{IncarnationId, hash_parts},
-};
+use crate::{gateway::policy::daemon::forwarder_choice::ForwarderReport, ids::IncarnationId};
 
 /// What is known about one daemon.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -24,8 +21,6 @@
     pub heard_directly_at: Option<Instant>,
     /// Whether it is shutting down.
     pub leaving: bool,
-    /// Hash of its availability zone; 0 if it is only known from summaries of others.
-    pub zone_hash: u64,
     /// How it carries tunnels to endpoints, if it does.
     pub forwarder: Option<ForwarderReport>,
 }
@@ -39,8 +34,6 @@
     pub sequence: u64,
     /// Whether it is shutting down.
     pub leaving: bool,
-    /// Hash of its availability zone.
-    pub zone_hash: u64,
     /// How it carries tunnels to endpoints, if it does.
     pub forwarder: Option<ForwarderReport>,
 }
@@ -49,11 +42,6 @@
     /// Extracts the report from a state.
     pub fn of(state: &DaemonState) -> Self {
         let DaemonState { incarnation, sequence, leaving, forwarder, .. } = *state;
-        Self { incarnation, sequence, leaving, zone_hash: hash_zone(&state.zone), forwarder }
+        Self { incarnation, sequence, leaving, forwarder }
     }
 }
-
-/// Hash of an availability zone's name.
-pub fn hash_zone(zone: &str) -> u64 {
-    hash_parts(&[b"zone", zone.as_bytes()])
-}
--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -21,7 +21,7 @@
     call_schedule::CallSchedule,
     groups::{Neighbours, group_of, hash_address},
     messages::PeerSummary,
-    peer_record::{PeerRecord, PeerReport, hash_zone},
+    peer_record::{PeerRecord, PeerReport},
 };
 use crate::{
     gateway::policy::{
@@ -106,7 +106,6 @@
                     heard_at,
                     heard_directly_at: None,
                     leaving: false,
-                    zone_hash: 0,
                     forwarder: None,
                 };
                 self.insert(address, record);
@@ -125,7 +124,7 @@
             return false;
         }
         self.schedule.succeeded(address);
-        let PeerReport { incarnation, sequence, leaving, zone_hash, forwarder } = report;
+        let PeerReport { incarnation, sequence, leaving, forwarder } = report;
         let known = self.peers.get(&address);
         let is_newer =
             known.is_none_or(|known| (known.incarnation, known.sequence) < (incarnation, sequence));
@@ -140,7 +139,6 @@
                 heard_at,
                 heard_directly_at,
                 leaving,
-                zone_hash,
                 forwarder,
             };
             self.insert(address, record);
@@ -232,20 +230,15 @@
         QuotaSharing { known, heard, report_age: self.report_age() }
     }
 
-    /// Daemons that may carry tunnels to endpoints for a daemon of `zone`.
-    pub fn forwarder_candidates(&self, zone: &str, now: Instant) -> Vec<ForwarderCandidate> {
-        let zone_hash = hash_zone(zone);
+    /// Daemons that may carry tunnels to endpoints.
+    pub fn forwarder_candidates(&self, now: Instant) -> Vec<ForwarderCandidate> {
         let heard = self.peers.iter().filter(|(address, _)| self.hears(address, now));
         let running = heard.filter(|(_, peer)| !peer.leaving);
         let candidate = |(_, peer): (_, &PeerRecord)| {
             let report = peer.forwarder.filter(|report| !report.is_partitioned)?;
             let report_age = now.saturating_duration_since(peer.heard_at);
-            Some(ForwarderCandidate {
-                address: report.address,
-                reported_tunnels: report.tunnels as usize,
-                contact_age: report.contact_age.map(|age| age + report_age),
-                is_same_zone: peer.zone_hash == zone_hash,
-            })
+            let contact_age = report.contact_age.map(|age| age + report_age);
+            Some(ForwarderCandidate { address: report.address, contact_age })
         };
         running.filter_map(candidate).collect()
     }
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -29,7 +29,6 @@
 
 use crate::{
     boot_clock,
-    counting::CountGuard,
     gateway::{
         endpoint::EndpointRecord,
         forwarding::{
@@ -225,10 +224,10 @@
     ) -> Result<EndpointConnection, SendFailure> {
         self.metrics.count("replica_connections", 1);
         let (path, sender) = match open {
-            OpenPath::Direct(stream) => (EndpointPath::Direct, start_http(stream, None).await?),
-            OpenPath::Tunnel(OpenTunnel { stream, forwarder, guard }) => {
+            OpenPath::Direct(stream) => (EndpointPath::Direct, start_http(stream).await?),
+            OpenPath::Tunnel(OpenTunnel { stream, forwarder }) => {
                 self.metrics.count("tunnels_opened", 1);
-                (EndpointPath::Forwarded(forwarder), start_http(stream, Some(guard)).await?)
+                (EndpointPath::Forwarded(forwarder), start_http(stream).await?)
             }
         };
         Ok(EndpointConnection { endpoint: EndpointStart::of(endpoint), sender, path, is_new: true })
@@ -303,15 +302,14 @@
     }
 }
 
-/// Starts HTTP on a new connection. `guard` is kept until the connection has ended.
-async fn start_http<S>(stream: S, guard: Option<CountGuard>) -> Result<RequestSender, SendFailure>
+/// Starts HTTP on a new connection.
+async fn start_http<S>(stream: S) -> Result<RequestSender, SendFailure>
 where
     S: AsyncRead + AsyncWrite + Unpin + 'static,
 {
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_| SendFailure::ClosedBefore)?;
     tokio::task::spawn_local(async move {
-        let _guard = guard;
         // Errors are returned to the request that uses the connection.
         let _ = connection.await;
     });
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -1306,22 +1306,18 @@
             self.reader.get_bool_field(129)
         }
         #[inline]
-        pub fn get_tunnels(self) -> u32 {
-            self.reader.get_data_field::<u32>(5)
-        }
-        #[inline]
         pub fn get_has_contact(self) -> bool {
             self.reader.get_bool_field(130)
         }
         #[inline]
         pub fn get_contact_age_ms(self) -> u32 {
-            self.reader.get_data_field::<u32>(6)
+            self.reader.get_data_field::<u32>(5)
         }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 4, pointers: 10 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 3, pointers: 10 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -1572,14 +1568,6 @@
             self.builder.set_bool_field(129, value);
         }
         #[inline]
-        pub fn get_tunnels(self) -> u32 {
-            self.builder.get_data_field::<u32>(5)
-        }
-        #[inline]
-        pub fn set_tunnels(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(5, value);
-        }
-        #[inline]
         pub fn get_has_contact(self) -> bool {
             self.builder.get_bool_field(130)
         }
@@ -1589,11 +1577,11 @@
         }
         #[inline]
         pub fn get_contact_age_ms(self) -> u32 {
-            self.builder.get_data_field::<u32>(6)
+            self.builder.get_data_field::<u32>(5)
         }
         #[inline]
         pub fn set_contact_age_ms(&mut self, value: u32)  {
-            self.builder.set_data_field::<u32>(6, value);
+            self.builder.set_data_field::<u32>(5, value);
         }
     }
 
@@ -1606,17 +1594,17 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 326] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 311] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
-            ::capnp::word(15, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
             ::capnp::word(10, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 247, 3, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 191, 3, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -1624,133 +1612,126 @@
             ::capnp::word(97, 101, 109, 111, 110, 83, 116, 97),
             ::capnp::word(116, 101, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(72, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(205, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(213, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(236, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(248, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(245, 1, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(217, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(240, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(252, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(249, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(221, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(248, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(220, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 128, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(1, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(229, 1, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(224, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(236, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(233, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(32, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(232, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(1, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(24, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(52, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(24, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(49, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(21, 2, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(72, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(69, 2, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 2, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(89, 2, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(61, 2, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(96, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(56, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(68, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(93, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(65, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(92, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(92, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 2, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(89, 2, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(88, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 2, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(113, 2, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 2, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(137, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 129, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 2, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(145, 2, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(172, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(184, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(15, 0, 0, 0, 5, 0, 0, 0),
+            ::capnp::word(144, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(156, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(15, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(181, 2, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(153, 2, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 130, 0, 0, 0),
+            ::capnp::word(152, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(164, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 2, 0, 0, 90, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(196, 2, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(17, 0, 0, 0, 6, 0, 0, 0),
-            ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
+            ::capnp::word(161, 2, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(193, 2, 0, 0, 106, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 2, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 2, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(160, 2, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 2, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 99, 97, 114, 110, 97, 116),
             ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -1907,14 +1888,6 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 117, 110, 110, 101, 108, 115, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(104, 97, 115, 67, 111, 110, 116, 97),
             ::capnp::word(99, 116, 0, 0, 0, 0, 0, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
@@ -1951,9 +1924,8 @@
                 12 => <::capnp::struct_list::Owned<crate::exchange_capnp::rollout_counts::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 13 => <u16 as ::capnp::introspect::Introspect>::introspect(),
                 14 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                15 => <u32 as ::capnp::introspect::Introspect>::introspect(),
-                16 => <bool as ::capnp::introspect::Introspect>::introspect(),
-                17 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                15 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                16 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1967,9 +1939,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,17,16,0,4,8,1,14,11,12,3,10,6,13,15,7,9];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[5,2,16,15,0,4,8,1,14,11,12,3,10,6,13,7,9];
         pub(crate) const TYPE_ID: u64 = 0xa7cc_19ac_f1b2_2d2c;
     }
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -71,4 +71,5 @@
 mod store_positions;
 mod suspension;
 mod text_model;
+mod tunnels;
 mod unknown_routes;
