--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -134,6 +134,11 @@
   limit @4 :Float64;             # requests per second accepted from all daemons together
 }
 
+struct BrittleService {          # a service whose endpoints have said that they are brittle
+  service @0 :Text;
+  ageMs @1 :UInt32;              # since the newest such response
+}
+
 struct LentTokens {              # tokens of an endpoint's limit that the sender lends
   endpoint @0 :UInt64;           # hash of the endpoint's id
   born @1 :UInt64;               # start time of the endpoint, see `EndpointEntry`; 0: unknown
@@ -187,6 +192,7 @@
   wantsTokens @29 :Bool;         # whether the response should lend tokens that are not needed
   lent @30 :List(LentTokens);
   rollouts @31 :List(Rollout);
+  brittle @32 :List(BrittleService);
 }
 
 struct TunnelRequest {           # first message on a connection to the port for tunnels
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -134,6 +134,8 @@
     pub token_borrower: RefCell<TokenBorrower>,
     /// When the request limits of endpoints were last divided among the daemons.
     pub limits_divided_at: Cell<Option<Instant>>,
+    /// When the slots of brittle endpoints were last divided among the daemons.
+    pub slots_divided_at: Cell<Option<Instant>>,
     /// Number of the newest report sent to other daemons.
     pub sequence: Cell<u64>,
     /// When this daemon started.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -153,6 +153,7 @@
         store_watch: Cell::default(),
         token_borrower: RefCell::new(TokenBorrower::default()),
         limits_divided_at: Cell::new(None),
+        slots_divided_at: Cell::new(None),
         sequence: Cell::new(0),
         started_at: now,
         fleet_size: Cell::new(None),
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -21,7 +21,10 @@
 
 use super::{
     codec::{read_message, write_message},
-    endpoint_signals::limits::{apply_lent, divide_if_due, lenders_to_ask},
+    endpoint_signals::{
+        brittle::divide_slots_if_due,
+        limits::{apply_lent, divide_if_due, lenders_to_ask},
+    },
     incoming::apply_message,
     messages::{GossipMessage, RequestedParts},
     outgoing::{held_versions, own_message},
@@ -112,6 +115,7 @@
         context.crashes.borrow_mut().forget_old(now);
         context.end_rewrite_period(now);
         divide_if_due(&context, now);
+        divide_slots_if_due(&context, now);
         evaluate_versions(&context, now);
         let fetches = start_fetches(&context, now);
         for address in addresses_to_call(&context, &fetches, now) {
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -2,6 +2,7 @@
 //!
 //! Malformed messages and messages with overlong lists are rejected.
 
+mod brittle;
 mod counters;
 mod crashes;
 pub mod endpoint_list;
@@ -16,6 +17,7 @@
 use capnp::{Error, struct_list};
 
 use self::{
+    brittle::{read_brittle, write_brittle},
     counters::{read_counters, write_counters},
     crashes::{read_crashes, write_crashes},
     forwarder::{read_forwarder, write_forwarder},
@@ -57,6 +59,8 @@
     write_lent(lent, &source.lent);
     let rollouts = target.reborrow().init_rollouts(source.rollouts.len() as u32);
     write_rollouts(rollouts, &source.rollouts);
+    let brittle = target.reborrow().init_brittle(source.brittle.len() as u32);
+    write_brittle(brittle, &source.brittle);
     if let Some(group) = &source.group {
         target.set_has_group(true);
         write_counters!(target.reborrow().init_group(), group);
@@ -179,6 +183,7 @@
         limits: read_limits(source.get_limits()?)?,
         lent: read_lent(source.get_lent()?)?,
         rollouts: read_rollouts(source.get_rollouts()?)?,
+        brittle: read_brittle(source.get_brittle()?)?,
     })
 }
 
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -15,7 +15,7 @@
 use super::{
     codec::endpoint_list,
     crash_reports::apply_reports,
-    endpoint_signals::{limits::apply_limits, warnings::apply_warnings},
+    endpoint_signals::{brittle::apply_brittle, limits::apply_limits, warnings::apply_warnings},
     messages::{
         CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage,
         LeaseSummary, SentEndpoints, SentText,
@@ -52,6 +52,7 @@
     apply_reports(context, &message.crashes, now);
     apply_warnings(context, &message.warnings, now);
     apply_limits(context, &message.limits, now);
+    apply_brittle(context, &message.brittle, now);
     // Before the endpoints: a list may name those of a version that is being rolled out.
     apply_rollouts(context, message.rollouts, now);
     let GossipMessage { state, configuration, endpoint_position, endpoints, lease, .. } = message;
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -136,6 +136,15 @@
     pub age: Duration,
 }
 
+/// A service whose endpoints have said in responses to some daemon that they are brittle.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReportedBrittle {
+    /// The service.
+    pub service: SharedName,
+    /// Time since the newest such response.
+    pub age: Duration,
+}
+
 /// Tokens of an endpoint's request limit that the sender lends to the receiver.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SentTokens {
@@ -296,4 +305,6 @@
     pub lent: Vec<SentTokens>,
     /// Roll-outs.
     pub rollouts: Vec<RolloutSummary>,
+    /// Brittle services.
+    pub brittle: Vec<ReportedBrittle>,
 }
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -8,6 +8,7 @@
 use super::{
     crash_reports::own_reports,
     endpoint_signals::{
+        brittle::own_brittle,
         limits::{lend_tokens, own_limits},
         warnings::own_warnings,
     },
@@ -68,6 +69,7 @@
         limits: own_limits(context, now),
         lent: if wants.tokens { lend_tokens(context, now) } else { Vec::new() },
         rollouts: own_rollouts(context, now),
+        brittle: own_brittle(context, now),
     }
 }
 
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -41,6 +41,8 @@
     pub pause: EndpointPause,
     /// This daemon's share of the endpoint's limit, if it has reported one.
     pub limit: Option<LimitBucket>,
+    /// This daemon's share of the endpoint's slots, if it is brittle.
+    pub slot_share: Option<u32>,
 }
 
 impl EndpointStatus {
@@ -58,6 +60,7 @@
             limit: signals
                 .limit
                 .and_then(|observation| Some(LimitBucket::new(observation.limit?, observation.at))),
+            slot_share: None,
         }
     }
 
@@ -95,7 +98,8 @@
         memory_capacity: Option<u64>,
         now: Instant,
     ) -> bool {
-        if !self.pause.takes_request(now) || !self.is_within_limit(now) {
+        let is_share_used = self.slot_share.is_some_and(|share| self.own.running >= share);
+        if is_share_used || !self.pause.takes_request(now) || !self.is_within_limit(now) {
             return true;
         }
         let slots = f64::from(self.record.slots);
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -6,6 +6,7 @@
 //! restart, and doesn't.
 
 pub mod attempt_results;
+pub mod brittle;
 pub mod limits;
 mod versions;
 
@@ -17,6 +18,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
+use self::brittle::BrittleState;
 use super::{
     endpoint_choice::{ChoiceContext, ChoiceQuery, ChoiceResult, choose},
     endpoint_load::{EndpointLoad, ReportedLoads, ServiceCounters, endpoint_number},
@@ -45,6 +47,8 @@
     reports: LoadReports,
     signals: SignalLedger,
     services: BTreeMap<SharedName, ServiceCounters>,
+    /// What endpoints say of being brittle, by service.
+    brittle: HashMap<SharedName, BrittleState>,
     demands: HashMap<SharedName, DemandRate>,
     rates: HashMap<SharedName, PrefillRate>,
 }
@@ -58,6 +62,7 @@
             reports: LoadReports::default(),
             signals: SignalLedger::default(),
             services: BTreeMap::new(),
+            brittle: HashMap::new(),
             demands: HashMap::new(),
             rates: HashMap::new(),
         }
--- a/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
@@ -186,7 +186,10 @@
         let Some(status) = self.endpoints.get(id) else { return };
         // The refused request is still counted.
         let others = self.load_at(status, now).running.saturating_sub(1);
-        let is_busy = f64::from(others) >= f64::from(status.record.slots) * BUSY_FRACTION;
+        // A brittle endpoint should have refused none: it gets a longer pause.
+        let is_brittle = self.is_brittle(&status.record.service, now);
+        let is_busy =
+            !is_brittle && f64::from(others) >= f64::from(status.record.slots) * BUSY_FRACTION;
         let kind = RefusalKind::of(backoff, is_busy);
         let start = status.start();
         if let RefusalKind::BackOff(backoff) = kind {
--- /dev/null
+++ b/src/gateway/policy/endpoint/endpoint_table/brittle.rs
@@ -0,0 +1,142 @@
+//! Services whose endpoints are brittle: such an endpoint falls over when it has to refuse more than a
+//! few requests in a second for want of room.
+//!
+//! The bound is on the refusals of all daemons together, and no daemon learns in time what the others
+//! send. While a service is brittle, the slots of each of its endpoints are therefore divided among the
+//! daemons that are known to run: evenly, and those that are left over, or all if there are more daemons
+//! than slots, by rendezvous hashing. A daemon keeps no more requests at an endpoint than its share, and
+//! refuses others itself. Nothing waits at the endpoint, since it may take fewer requests that wait.
+//!
+//! Inputs are the responses of all endpoints of the service, at this daemon and, by gossip, at others. A
+//! service counts as brittle as a whole, so that a daemon that has used only some of its endpoints keeps
+//! to the shares of all.
+
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use super::EndpointTable;
+use crate::{gateway::policy::endpoint::signal_ledger::NumberedStart, ids::SharedName};
+
+/// Time after the last response that said so for which a service counts as brittle: endpoints without
+/// requests can't say that they still are.
+const BRITTLE_FOR: Duration = Duration::from_secs(30);
+/// The same if endpoints have since responded without saying so: only some may be brittle.
+const BRITTLE_FOR_OTHERWISE: Duration = Duration::from_secs(5);
+
+/// What the responses of a service's endpoints say of its being brittle.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BrittleState {
+    /// When one last said so.
+    said_at: Option<Instant>,
+    /// When one last did not say so.
+    other_at: Option<Instant>,
+}
+
+impl BrittleState {
+    /// Whether the service is brittle.
+    pub fn is_brittle(&self, now: Instant) -> bool {
+        let Some(said_at) = self.said_at else { return false };
+        let has_ended = self.other_at.is_some_and(|at| at > said_at + BRITTLE_FOR_OTHERWISE);
+        !has_ended && now.saturating_duration_since(said_at) < BRITTLE_FOR
+    }
+
+    /// Records a response that says so, or doesn't.
+    pub fn record(&mut self, is_brittle: bool, at: Instant) {
+        let known = if is_brittle { &mut self.said_at } else { &mut self.other_at };
+        *known = (*known).max(Some(at));
+    }
+}
+
+/// An endpoint of a brittle service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BrittleEndpoint {
+    /// Id.
+    pub id: SharedName,
+    /// The start that is listed.
+    pub start: NumberedStart,
+    /// Requests that it processes concurrently.
+    pub slots: u32,
+}
+
+/// Share of an endpoint's slots for the daemon of this `rank` among `daemons`; `rank` is none if others
+/// come before it for all slots that are left over.
+pub fn slot_share(slots: u32, daemons: usize, rank: Option<usize>) -> u32 {
+    let daemons = u32::try_from(daemons).unwrap_or(u32::MAX).max(1);
+    let left_over = slots % daemons;
+    let has_left_over = rank.is_some_and(|rank| rank < left_over as usize);
+    slots / daemons + u32::from(has_left_over)
+}
+
+impl EndpointTable {
+    /// Records whether an endpoint has said in a response that it is brittle. Returns the service if it
+    /// has become brittle.
+    pub fn record_brittle(
+        &mut self,
+        id: &str,
+        is_brittle: bool,
+        now: Instant,
+    ) -> Option<SharedName> {
+        let service = self.endpoints.get(id)?.record.service.clone();
+        if !is_brittle && !self.brittle.contains_key(&service) {
+            return None;
+        }
+        let became_brittle = self.record_service(&service, is_brittle, now, now);
+        became_brittle.then_some(service)
+    }
+
+    /// Applies another daemon's report that a service was brittle at `at`. Returns whether it has become
+    /// brittle.
+    pub fn receive_brittle(&mut self, service: &SharedName, at: Instant, now: Instant) -> bool {
+        let is_known = self.endpoints.values().any(|status| status.record.service == *service);
+        is_known && self.record_service(service, true, at, now)
+    }
+
+    fn record_service(
+        &mut self,
+        service: &SharedName,
+        is_brittle: bool,
+        at: Instant,
+        now: Instant,
+    ) -> bool {
+        let state = self.brittle.entry(service.clone()).or_default();
+        let was_brittle = state.is_brittle(now);
+        state.record(is_brittle, at);
+        !was_brittle && state.is_brittle(now)
+    }
+
+    /// Brittle services, and when an endpoint of each last said so.
+    pub fn brittle_services(&self, now: Instant) -> Vec<(SharedName, Instant)> {
+        let brittle = self.brittle.iter().filter(|(_, state)| state.is_brittle(now));
+        brittle.filter_map(|(service, state)| Some((service.clone(), state.said_at?))).collect()
+    }
+
+    /// Whether a service is brittle.
+    pub fn is_brittle(&self, service: &str, now: Instant) -> bool {
+        self.brittle.get(service).is_some_and(|state| state.is_brittle(now))
+    }
+
+    /// Endpoints of brittle services.
+    pub fn brittle_endpoints(&self, now: Instant) -> Vec<BrittleEndpoint> {
+        let all = self.endpoints.values().filter(|status| status.is_ready());
+        let brittle = all.filter(|status| self.is_brittle(&status.record.service, now));
+        let endpoint = brittle.map(|status| BrittleEndpoint {
+            id: status.record.id.clone(),
+            start: status.start(),
+            slots: status.record.slots,
+        });
+        endpoint.collect()
+    }
+
+    /// Sets this daemon's shares of the slots of brittle endpoints; all others have none.
+    pub fn set_slot_shares(&mut self, shares: &[(SharedName, u32)]) {
+        for status in self.endpoints.values_mut() {
+            status.slot_share = None;
+        }
+        for (id, share) in shares {
+            if let Some(status) = self.endpoints.get_mut(id) {
+                status.slot_share = Some(*share);
+            }
+        }
+    }
+}
--- a/src/gateway/request/attempt/response_evaluation.rs
+++ b/src/gateway/request/attempt/response_evaluation.rs
@@ -75,6 +75,9 @@
         // While the store is unreachable, endpoint lists may still contain it as ready.
         guard.endpoint_drains();
     }
+    if matches!(metadata.meaning, ResponseMeaning::Ran | ResponseMeaning::NotRun) {
+        guard.endpoint_brittle(metadata.signals.is_brittle);
+    }
     // An endpoint announces a limit when it is overloaded and can't serve more requests than that.
     match (metadata.meaning, metadata.signals.limit) {
         (ResponseMeaning::Ran | ResponseMeaning::NotRun, LimitSignal::PerSecond(limit)) => {
--- a/src/gateway/request/response_meaning.rs
+++ b/src/gateway/request/response_meaning.rs
@@ -37,6 +37,8 @@
     pub is_draining: bool,
     /// Time from now during which it wants no requests from this daemon.
     pub backoff: Option<Duration>,
+    /// Whether it falls over when it has to refuse many requests.
+    pub is_brittle: bool,
     /// How many requests it accepts.
     pub limit: LimitSignal,
     /// Whether any of these signals can't be parsed.
@@ -54,6 +56,9 @@
         if let LimitSignal::PerSecond(limit) = self.limit {
             write!(formatter, " limit {limit} a second")?;
         }
+        if self.is_brittle {
+            formatter.write_str(" brittle")?;
+        }
         if self.is_unreadable {
             formatter.write_str(" signals unreadable")?;
         }
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -12,7 +12,7 @@
         configuration::Route,
         context::GatewayContext,
         endpoint::EndpointRecord,
-        gossip::endpoint_signals::limits::apply_response_limit,
+        gossip::endpoint_signals::{brittle::apply_response_brittle, limits::apply_response_limit},
         policy::{
             endpoint::{
                 endpoint_load::RunLoad,
@@ -163,6 +163,13 @@
         }
     }
 
+    /// Records whether the endpoint has said that it is brittle.
+    pub fn endpoint_brittle(&self, is_brittle: bool) {
+        if self.context.endpoints.borrow().knows_start(&self.endpoint) {
+            apply_response_brittle(&self.context, &self.endpoint.id, is_brittle);
+        }
+    }
+
     /// Records that the endpoint has ended: another one, or a later start of it, responded at its
     /// address.
     pub fn endpoint_ended(&self) {
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -5574,6 +5574,242 @@
     }
 }
 
+pub mod brittle_service {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(0)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(0)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(0, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 48] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(70, 72, 76, 92, 148, 251, 59, 228),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 242, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 66),
+            ::capnp::word(114, 105, 116, 116, 108, 101, 83, 101),
+            ::capnp::word(114, 118, 105, 99, 101, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(41, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(45, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                1 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+        pub(crate) const TYPE_ID: u64 = 0xe43b_fb94_5c4c_4846;
+    }
+}
+
 pub mod lent_tokens {
     #[derive(Copy, Clone)]
     pub struct Owned(());
@@ -6581,11 +6817,19 @@
         pub fn has_rollouts(&self) -> bool {
             !self.reader.get_pointer_field(15).is_null()
         }
+        #[inline]
+        pub fn get_brittle(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::brittle_service::Owned>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(16), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_brittle(&self) -> bool {
+            !self.reader.get_pointer_field(16).is_null()
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
     impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 16 };
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 6, pointers: 17 };
     }
     impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
         const TYPE_ID: u64 = _private::TYPE_ID;
@@ -7019,6 +7263,22 @@
         pub fn has_rollouts(&self) -> bool {
             !self.builder.is_pointer_field_null(15)
         }
+        #[inline]
+        pub fn get_brittle(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::brittle_service::Owned>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(16), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_brittle(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::brittle_service::Owned>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(16), value, false)
+        }
+        #[inline]
+        pub fn init_brittle(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::brittle_service::Owned> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(16), size)
+        }
+        #[inline]
+        pub fn has_brittle(&self) -> bool {
+            !self.builder.is_pointer_field_null(16)
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -7045,17 +7305,17 @@
         }
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 571] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 590] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
             ::capnp::word(15, 0, 0, 0, 1, 0, 6, 0),
             ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
-            ::capnp::word(16, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(17, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 234, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 7, 7, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 63, 7, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -7063,231 +7323,238 @@
             ::capnp::word(111, 115, 115, 105, 112, 77, 101, 115),
             ::capnp::word(115, 97, 103, 101, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(128, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(141, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(117, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(145, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(140, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(137, 3, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(165, 3, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(136, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(148, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(164, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(176, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(145, 3, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(173, 3, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(148, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(160, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(176, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(188, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 64, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(157, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(185, 3, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(156, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(184, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(193, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(164, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(176, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(192, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(204, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(173, 3, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(201, 3, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(176, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(204, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 3, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(213, 3, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(184, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(212, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 65, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 3, 0, 0, 106, 0, 0, 0),
+            ::capnp::word(237, 3, 0, 0, 106, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(245, 3, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(212, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(224, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(240, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(252, 3, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(221, 3, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(249, 3, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(220, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(232, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(248, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(4, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(11, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(229, 3, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(1, 4, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 3, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(12, 0, 0, 0, 67, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 3, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(5, 4, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(232, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(244, 3, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(13, 0, 0, 0, 68, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(241, 3, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(13, 4, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(244, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(16, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(14, 0, 0, 0, 69, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 3, 0, 0, 122, 0, 0, 0),
+            ::capnp::word(25, 4, 0, 0, 122, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 3, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(8, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(36, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(15, 0, 0, 0, 70, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(5, 4, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(33, 4, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(4, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(16, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(44, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(16, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 16, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(13, 4, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(41, 4, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(8, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(36, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(36, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(64, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(17, 0, 0, 0, 71, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 17, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(33, 4, 0, 0, 146, 0, 0, 0),
+            ::capnp::word(61, 4, 0, 0, 146, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(18, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 18, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 4, 0, 0, 154, 0, 0, 0),
+            ::capnp::word(73, 4, 0, 0, 154, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(19, 0, 0, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 19, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 4, 0, 0, 194, 0, 0, 0),
+            ::capnp::word(101, 4, 0, 0, 194, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(20, 0, 0, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 20, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 4, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(113, 4, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(84, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(112, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(21, 0, 0, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 21, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 4, 0, 0, 162, 0, 0, 0),
+            ::capnp::word(137, 4, 0, 0, 162, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(22, 0, 0, 0, 11, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 22, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 4, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(149, 4, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(116, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(144, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(144, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(172, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(23, 0, 0, 0, 12, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 23, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(141, 4, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(169, 4, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(140, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(168, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(168, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(196, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(24, 0, 0, 0, 13, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 24, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(165, 4, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(193, 4, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(160, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(188, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(188, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(216, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(25, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 25, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(185, 4, 0, 0, 170, 0, 0, 0),
+            ::capnp::word(213, 4, 0, 0, 170, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(188, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(216, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(228, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(26, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 26, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 4, 0, 0, 138, 0, 0, 0),
+            ::capnp::word(225, 4, 0, 0, 138, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(200, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(212, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(228, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(240, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(27, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 27, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(209, 4, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(237, 4, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(208, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(220, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(236, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(248, 4, 0, 0, 2, 0, 1, 0),
             ::capnp::word(28, 0, 0, 0, 72, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 28, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(217, 4, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(245, 4, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(216, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(228, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(244, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(0, 5, 0, 0, 2, 0, 1, 0),
             ::capnp::word(29, 0, 0, 0, 73, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 29, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(225, 4, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(253, 4, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(224, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(236, 4, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(252, 4, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(8, 5, 0, 0, 2, 0, 1, 0),
             ::capnp::word(30, 0, 0, 0, 14, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 30, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(233, 4, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(5, 5, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(228, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(0, 5, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(0, 5, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(28, 5, 0, 0, 2, 0, 1, 0),
             ::capnp::word(31, 0, 0, 0, 15, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 31, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(253, 4, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(25, 5, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(252, 4, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(24, 5, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(24, 5, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(52, 5, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(32, 0, 0, 0, 16, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 32, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(49, 5, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 5, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(72, 5, 0, 0, 2, 0, 1, 0),
             ::capnp::word(115, 116, 97, 116, 101, 0, 0, 0),
             ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(44, 45, 178, 241, 172, 25, 204, 167),
@@ -7617,6 +7884,18 @@
             ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(98, 114, 105, 116, 116, 108, 101, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(70, 72, 76, 92, 148, 251, 59, 228),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -7652,6 +7931,7 @@
                 29 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 30 => <::capnp::struct_list::Owned<crate::exchange_capnp::lent_tokens::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 31 => <::capnp::struct_list::Owned<crate::exchange_capnp::rollout::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                32 => <::capnp::struct_list::Owned<crate::exchange_capnp::brittle_service::Owned> as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -7665,9 +7945,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4,5,6,7,8,9,10,11,12,13,14,15,16,17,18,19,20,21,22,23,24,25,26,27,28,29,30,31,32];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,19,21,2,18,26,3,25,22,20,27,6,7,11,8,12,4,1,9,30,24,5,31,28,0,16,13,14,10,29,15,23];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[17,32,19,21,2,18,26,3,25,22,20,27,6,7,11,8,12,4,1,9,30,24,5,31,28,0,16,13,14,10,29,15,23];
         pub(crate) const TYPE_ID: u64 = 0x8015_4fb0_3d05_b743;
     }
 }
--- a/src/platform/ingress/endpoint.rs
+++ b/src/platform/ingress/endpoint.rs
@@ -10,8 +10,8 @@
 use super::{
     endpoint_signals::read_signals,
     headers::{
-        DEADLINE, DRAINING, EXPECT_INSTANCE, KEEP_ALIVE, LAST_EVENT, LIMIT, NOT_EXECUTED, PRIORITY,
-        REQUEST_ID, TENANT, remove_hop_headers, text,
+        BRITTLE, DEADLINE, DRAINING, EXPECT_INSTANCE, KEEP_ALIVE, LAST_EVENT, LIMIT, NOT_EXECUTED,
+        PRIORITY, REQUEST_ID, TENANT, remove_hop_headers, text,
     },
 };
 use crate::gateway::{
@@ -96,12 +96,13 @@
 }
 
 /// Splits an endpoint's response into the head to send to the client and the body. The endpoint's
-/// draining and limit headers are removed, since the client might take them as being about this daemon.
+/// draining, limit and brittle headers are removed, since the client might take them as being about this daemon.
 pub fn client_response<B>(response: Response<B>) -> (Response<()>, B) {
     let (mut parts, body) = response.into_parts();
     remove_hop_headers(&mut parts.headers);
     parts.headers.remove(DRAINING);
     parts.headers.remove(LIMIT);
+    parts.headers.remove(BRITTLE);
     let mut head = Response::new(());
     *head.status_mut() = parts.status;
     *head.headers_mut() = parts.headers;
--- a/src/platform/ingress/endpoint_signals.rs
+++ b/src/platform/ingress/endpoint_signals.rs
@@ -1,11 +1,12 @@
-//! Decodes the signals in an endpoint's responses: that it drains, asks for a back-off, or limits the
-//! rate of its requests.
+//! Decodes the signals in an endpoint's responses: that it drains, asks for a back-off, limits the rate of
+//! its requests, or is brittle.
 //!
 //! | header | read on | valid values | other values |
 //! |---|---|---|---|
 //! | `Server-Leaving` | all responses | `1` | treated as absent |
 //! | `Retry-After` | 503, executed or not | seconds, 0 or more, may have a fraction | treated as absent |
 //! | `Server-Limit` | all responses | requests a second, 0 or more, may have a fraction | unreadable |
+//! | `Server-Brittle` | all responses | any | |
 //!
 //! A header may be repeated or have several values separated by commas: one `1` is enough, the longest
 //! back-off and the lowest limit apply. Dates in `Retry-After` are not supported, since clocks of
@@ -18,7 +19,7 @@
     header::{self, HeaderName},
 };
 
-use super::headers::{DRAINING, LIMIT};
+use super::headers::{BRITTLE, DRAINING, LIMIT};
 use crate::gateway::request::response_meaning::{EndpointSignals, LimitSignal};
 
 /// Value of `Server-Leaving` that means that the endpoint drains.
@@ -35,7 +36,8 @@
         may_back_off && backoff.is_none() && headers.contains_key(header::RETRY_AFTER);
     let is_limit_unread = limit == LimitSignal::Unreadable;
     let is_unreadable = is_draining_unread || is_backoff_unread || is_limit_unread;
-    EndpointSignals { is_draining, backoff, limit, is_unreadable }
+    let is_brittle = headers.contains_key(BRITTLE);
+    EndpointSignals { is_draining, backoff, limit, is_brittle, is_unreadable }
 }
 
 fn read_limit(headers: &HeaderMap) -> LimitSignal {
--- a/src/platform/ingress/headers.rs
+++ b/src/platform/ingress/headers.rs
@@ -33,6 +33,10 @@
 /// Requests a second that an endpoint accepts from all daemons together, as a decimal number.
 pub const LIMIT: HeaderName = HeaderName::from_static("server-limit");
 
+/// On all responses of a brittle endpoint: the number of requests a second that it may refuse for want of
+/// room without falling over.
+pub const BRITTLE: HeaderName = HeaderName::from_static("server-brittle");
+
 /// Headers that only a gateway may set; they are removed from clients' requests.
 const GATEWAY_HEADERS: [HeaderName; 8] = [
     TENANT,
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -14,7 +14,8 @@
             codec::{read_message, write_message},
             messages::{
                 CompressedText, ConfigurationSummary, CrashReport, DaemonCounters, DaemonState,
-                GossipMessage, LeaseSummary, PeerSummary, RelayedUsage, ReportedLimit, ReportedRun, ReportedWarning, RequestedParts, RolloutSummary,
+                GossipMessage, LeaseSummary, PeerSummary, RelayedUsage, ReportedBrittle,
+                ReportedLimit, ReportedRun, ReportedWarning, RequestedParts, RolloutSummary,
                 SentEndpoints, SentText, SentTokens, TextRequest,
             },
         },
@@ -190,6 +191,7 @@
         limits: vec![sample_limit(Some(1.6)), sample_limit(None)],
         lent: vec![SentTokens { start: NumberedStart { endpoint: 9, born: 8 }, tokens: 0.7 }],
         rollouts: vec![sample_rollout()],
+        brittle: vec![ReportedBrittle { service: "pool".into(), age: Duration::from_millis(50) }],
     }
 }
 
--- a/tests/gateway/limited_endpoints.rs
+++ b/tests/gateway/limited_endpoints.rs
@@ -317,6 +317,6 @@
 #[googletest::test]
 fn limits_of_all_endpoints_are_used_by_one_daemon() {
     let scenario = set_signal_while(EndpointSignal::Limits("8"), no_change);
-    let load = ClientLoad { time: LOAD_TIME, daemons: 1 };
+    let load = ClientLoad { daemons: 1, ..ClientLoad::of(LOAD_TIME) };
     check_all_limited(&play(load, ALL_ENDPOINTS, scenario), 8.0);
 }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -2,6 +2,7 @@
 //! real daemon between loopback clients and stand-ins of the platform.
 
 mod backoff_endpoints;
+mod brittle_endpoints;
 mod catch_up;
 mod choice_inputs;
 mod client_gone;
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -29,7 +29,7 @@
 const ENDPOINTS: usize = 12;
 /// Number of endpoints that signal, in tests where not all do.
 pub const SIGNALLING: usize = 4;
-const CLIENTS: u64 = 24;
+pub const CLIENTS: u64 = 24;
 /// Pause between two requests of a client, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 30..50;
 /// When the endpoints begin to signal, when they stop, and when the clients end.
@@ -44,12 +44,15 @@
 pub struct ClientLoad {
     pub time: Duration,
     pub daemons: usize,
+    /// Number of clients, and when those beyond `CLIENTS` begin.
+    pub clients: u64,
+    pub wave_at: Duration,
 }
 
 impl ClientLoad {
     /// Requests to all daemons.
     pub fn of(time: Duration) -> Self {
-        Self { time, daemons: usize::MAX }
+        Self { time, daemons: usize::MAX, clients: CLIENTS, wave_at: Duration::ZERO }
     }
 }
 
@@ -207,7 +210,7 @@
         let began = Instant::now();
         let sent = Mutex::new(HashMap::new());
         thread::scope(|scope| {
-            for number in 0..CLIENTS {
+            for number in 0..load.clients {
                 let sent = &sent;
                 scope.spawn(move || self.run_client(number, load, began, sent));
             }
@@ -230,6 +233,9 @@
         let (until, daemons) = (began + load.time, load.daemons.min(self.addresses.len()));
         let mut rng = SmallRng::seed_from_u64(number);
         let is_once = !number.is_multiple_of(2);
+        if number >= CLIENTS {
+            sleep_until(began, load.wave_at);
+        }
         let prefix = if is_once { "/once/" } else { "/plain/" };
         for count in 0.. {
             if Instant::now() >= until {
--- a/tests/gateway/signalling_endpoint.rs
+++ b/tests/gateway/signalling_endpoint.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     endpoint_standin::{SeenRequest, read_request, refuse},
-    link_faults::{LinkFaults, PartitionManner},
+    link_faults::{LinkFaults, PartitionManner, bind_listener},
     platform_standin::PlatformStandin,
 };
 
@@ -44,6 +44,11 @@
 const FAILED_DAEMONS: usize = 3;
 /// Time within which an endpoint that starts again must be able to bind its address.
 const REBIND_TIME: Duration = Duration::from_secs(5);
+/// Requests that may wait for a slot at an endpoint that has been brittle for `CONTACT_TIME`.
+const BRITTLE_QUEUE: usize = 1;
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Time for which an endpoint that has fallen over serves nothing.
+const FALL_TIME: Duration = Duration::from_secs(3);
 /// Interval at which a silent link is checked.
 const LINK_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 /// Pause between two polls for new connections.
@@ -76,6 +81,9 @@
     LimitsBackingOff(&'static str),
     /// Signals a limit and that it drains, and serves requests.
     LimitsDraining(&'static str),
+    /// Signals that it is brittle, with this text, and lets fewer requests wait later; falls over when it
+    /// has refused more than that many within a second.
+    Brittle(&'static str),
     /// No signal; responds with an error.
     Fails,
     /// No signal; responds with an error to 2 in 5 requests.
@@ -157,6 +165,11 @@
     is_dropped: AtomicBool,
     /// Connections, with the process ids of the daemons that have opened them.
     connections: Mutex<Vec<(Option<u32>, TcpStream)>>,
+    brittle_since: Mutex<Option<Instant>>,
+    /// When it has refused requests in the last second.
+    refusals: Mutex<Vec<Instant>>,
+    falls: AtomicUsize,
+    fallen_until: Mutex<Option<Instant>>,
     arrivals: Mutex<Vec<Arrival>>,
 }
 
@@ -168,7 +181,8 @@
 impl SignallingEndpoint {
     /// Starts and registers an endpoint of a service.
     pub fn start(name: &str, service: &'static str, platform: &Arc<PlatformStandin>) -> Self {
-        Self::start_behind(name, service, platform, &Arc::default())
+        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+        Self::start_at(listener, name, service, platform, &Arc::default())
     }
 
     /// The same, with links to daemons that can fail.
@@ -178,7 +192,16 @@
         platform: &Arc<PlatformStandin>,
         faults: &Arc<LinkFaults>,
     ) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+        Self::start_at(bind_listener(), name, service, platform, faults)
+    }
+
+    fn start_at(
+        listener: TcpListener,
+        name: &str,
+        service: &'static str,
+        platform: &Arc<PlatformStandin>,
+        faults: &Arc<LinkFaults>,
+    ) -> Self {
         let shared = Arc::new(Shared {
             name: name.to_owned(),
             service,
@@ -192,6 +215,10 @@
             is_down: AtomicBool::new(false),
             is_dropped: AtomicBool::new(false),
             connections: Mutex::default(),
+            brittle_since: Mutex::default(),
+            refusals: Mutex::default(),
+            falls: AtomicUsize::new(0),
+            fallen_until: Mutex::default(),
             arrivals: Mutex::default(),
         });
         let serving = shared.clone();
@@ -226,6 +253,11 @@
         self.shared.close_connections();
     }
 
+    /// How often it has fallen over.
+    pub fn falls(&self) -> usize {
+        self.shared.falls.load(Ordering::SeqCst)
+    }
+
     /// Closes the connections of daemons whose links are cut in a way that closes them.
     pub fn close_cut_connections(&self) {
         for (daemon, connection) in self.shared.connections.lock().expect("lock").iter() {
@@ -305,7 +337,9 @@
     /// Serves a connection unless the link to its daemon is cut in a way that closes new ones.
     fn serve_linked(&self, stream: TcpStream) {
         let daemon = self.faults.daemon_of(&stream);
-        if !matches!(self.faults.manner(daemon), None | Some(PartitionManner::Silent)) {
+        if self.is_fallen()
+            || !matches!(self.faults.manner(daemon), None | Some(PartitionManner::Silent))
+        {
             let _ = stream.shutdown(Shutdown::Both);
             return;
         }
@@ -401,6 +435,7 @@
             EndpointSignal::LimitsDraining(text) => {
                 self.work(out, id, &format!("Server-Leaving: 1\r\nServer-Limit: {text}\r\n"))
             }
+            EndpointSignal::Brittle(text) => self.work_brittle(out, id, text),
             EndpointSignal::Fails => fail(out, id),
             EndpointSignal::FailsSometimes => match rand::random_bool(FAILED_FRACTION) {
                 true => fail(out, id),
@@ -440,6 +475,42 @@
         signal.limit().is_some_and(|limit| recent as f64 > limit * LIMIT_WINDOW.as_secs_f64())
     }
 
+    /// Serves a request as a brittle endpoint, or refuses it, and may fall over.
+    fn work_brittle(&self, out: &mut TcpStream, id: &str, text: &str) -> bool {
+        if self.is_fallen() {
+            return false;
+        }
+        let header = format!("Server-Brittle: {text}\r\n");
+        let now = Instant::now();
+        let brittle_since = *self.brittle_since.lock().expect("lock").get_or_insert(now);
+        let queue = if now - brittle_since < CONTACT_TIME { QUEUE } else { BRITTLE_QUEUE };
+        let others = self.working.load(Ordering::SeqCst);
+        if others < SLOTS + queue {
+            return self.work(out, id, &header);
+        }
+        let mut refusals = self.refusals.lock().expect("lock");
+        refusals.retain(|at| now - *at < Duration::from_secs(1));
+        refusals.push(now);
+        let allowed = text.parse().unwrap_or(0);
+        if now - brittle_since >= CONTACT_TIME && refusals.len() > allowed {
+            self.falls.fetch_add(1, Ordering::SeqCst);
+            *self.fallen_until.lock().expect("lock") = Some(now + FALL_TIME);
+            drop(refusals);
+            self.close_connections();
+            return false;
+        }
+        refuse(
+            out,
+            "503 Service Unavailable",
+            id,
+            &format!("X-Not-Executed: 1\r\n{}", header.trim_end()),
+        )
+    }
+
+    fn is_fallen(&self) -> bool {
+        self.fallen_until.lock().expect("lock").is_some_and(|until| Instant::now() < until)
+    }
+
     fn work(&self, out: &mut TcpStream, id: &str, header: &str) -> bool {
         let others = self.working.fetch_add(1, Ordering::SeqCst);
         let stays_open = match others < SLOTS + QUEUE {
