One daemon's failure keeps the requests of all that can't be retried from an endpoint

Cause: each daemon needed a failure of its own at each of the four endpoints, and has three requests a second; others were told of repeated failures only, after up to 2 s. Evidence: of 312 requests not served 311 were the first that their daemon sent to that endpoint (one attempt, no retry left), 159 of them of the route that runs at most once. Ruled out: the choice among known failures, since no daemon sent a second one there while it had others.

Change: a first failure at an endpoint that fails more often than others is told at once (two more gossip calls an interval for 0.3 s, as for crashing requests). At all daemons requests that can't be retried then avoid the endpoint, until it has run one of the daemon or for 4 s. As nobody can afford to find out whether it works again, one daemon by rendezvous hashing sends it a request each 1.5 s. Nothing pauses by a single failure elsewhere.

--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -124,6 +124,7 @@
   born @1 :UInt64;               # start time of the endpoint, see `EndpointEntry`; 0: unknown
   ageMs @2 :UInt32;              # since the response
   drains @3 :Bool;               # whether it drains; otherwise it backs off, refuses or fails
+  failed @4 :Bool;               # whether it has failed a request, and nothing more is known
 }
 
 struct EndpointLimit {           # the limit in an endpoint's response to some daemon
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -24,6 +24,7 @@
     endpoint_signals::{
         brittle::divide_slots_if_due,
         limits::{apply_lent, divide_if_due, lenders_to_ask},
+        warnings::begin_trials,
     },
     incoming::apply_message,
     messages::{GossipMessage, RequestedParts},
@@ -116,6 +117,7 @@
         context.end_rewrite_period(now);
         divide_if_due(&context, now);
         divide_slots_if_due(&context, now);
+        begin_trials(&context, now);
         evaluate_versions(&context, now);
         let fetches = start_fetches(&context, now);
         for address in addresses_to_call(&context, &fetches, now) {
@@ -160,7 +162,9 @@
     let rng = &mut rand::rng();
     let mut addresses: BTreeSet<SocketAddr> =
         context.peers.borrow_mut().next_calls(now, rng).into_iter().collect();
-    if context.crashes.borrow().is_urgent(now) {
+    let is_urgent = context.crashes.borrow().is_urgent(now)
+        || context.endpoints.borrow().has_urgent_warning(now);
+    if is_urgent {
         addresses.extend(context.peers.borrow().urgent_calls(rng));
     }
     addresses.extend(lenders_to_ask(context, now));
--- a/src/gateway/gossip/codec/warnings.rs
+++ b/src/gateway/gossip/codec/warnings.rs
@@ -22,6 +22,7 @@
         entry.set_born(warning.start.born);
         entry.set_age_ms(to_ms(warning.age));
         entry.set_drains(warning.kind == WarningKind::Draining);
+        entry.set_failed(warning.kind == WarningKind::Failed);
     }
 }
 
@@ -36,9 +37,10 @@
     check_length(source.len())?;
     let read = |entry: endpoint_warning::Reader<'_>| ReportedWarning {
         start: NumberedStart { endpoint: entry.get_endpoint(), born: entry.get_born() },
-        kind: match entry.get_drains() {
-            true => WarningKind::Draining,
-            false => WarningKind::NotServing,
+        kind: match (entry.get_drains(), entry.get_failed()) {
+            (true, _) => WarningKind::Draining,
+            (false, true) => WarningKind::Failed,
+            (false, false) => WarningKind::NotServing,
         },
         age: from_ms(entry.get_age_ms()),
     };
--- a/src/gateway/gossip/endpoint_signals/warnings.rs
+++ b/src/gateway/gossip/endpoint_signals/warnings.rs
@@ -4,9 +4,12 @@
 use tokio::time::Instant;
 
 use super::super::messages::ReportedWarning;
-use crate::gateway::{
-    context::GatewayContext,
-    policy::endpoint::signal_ledger::{EndpointWarning, WarningKind},
+use crate::{
+    gateway::{
+        context::GatewayContext,
+        policy::endpoint::signal_ledger::{EndpointWarning, NumberedStart, WarningKind},
+    },
+    ids::hash_parts,
 };
 
 /// Warnings to send to another daemon.
@@ -19,6 +22,19 @@
     warnings.map(report).collect()
 }
 
+/// Begins the trials of endpoints that have failed requests, where this daemon is the first one by
+/// rendezvous hashing.
+pub fn begin_trials(context: &GatewayContext, now: Instant) {
+    let peers = context.peers.borrow();
+    let is_first = |start: NumberedStart, period: u32| {
+        let NumberedStart { endpoint, born } = start;
+        let key =
+            hash_parts(&[&endpoint.to_le_bytes(), &born.to_le_bytes(), &period.to_le_bytes()]);
+        peers.is_first_for(key)
+    };
+    context.endpoints.borrow_mut().begin_trials(is_first, now);
+}
+
 /// Applies the warnings that another daemon reports.
 pub fn apply_warnings(context: &GatewayContext, reported: &[ReportedWarning], now: Instant) {
     let mut endpoints = context.endpoints.borrow_mut();
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -7,7 +7,7 @@
 //! An endpoint that asked for a back-off, or whose limit leaves no request for this daemon now, is
 //! not a candidate. One whose limit leaves a request is preferred, since few daemons may use it.
 //! One that refused requests recently, or fails more often than others, is avoided by requests that
-//! could not be retried elsewhere. Loads are this daemon's own and those that others reported up to
+//! could not be retried elsewhere, unless this daemon is to find out whether it works again. Loads are this daemon's own and those that others reported up to
 //! two seconds ago; reported uncached tokens are reduced by what the endpoint should have read
 //! since. If reports are missing, an endpoint looks idle until it refuses requests.
 //!
@@ -194,7 +194,11 @@
 ) -> f64 {
     let may_refuse = status.pause.is_risky(now) && !query.may_retry;
     let may_fail = avoids_failures && status.failures.is_outlier(now);
-    let risk_ms = if may_refuse || may_fail { PROBE_RISK_MS } else { 0.0 };
+    let risk_ms = match status.pause.is_trial_due() {
+        true => -PROBE_RISK_MS,
+        false if may_refuse || may_fail => PROBE_RISK_MS,
+        false => 0.0,
+    };
     let advantage_ms = if status.limit.is_some() { TOKEN_ADVANTAGE_MS } else { 0.0 };
     risk_ms - advantage_ms
 }
--- a/src/gateway/policy/endpoint/endpoint_pause.rs
+++ b/src/gateway/policy/endpoint/endpoint_pause.rs
@@ -7,7 +7,8 @@
 //! | refusal by a busy endpoint | short | as before |
 //! | refusal by an endpoint that seemed to have room | short, doubled each time | slow start |
 //! | failure, if it fails more often than others | the same, unless no other endpoint has room | slow start |
-//! | refusal or failure reported by another daemon | none, but a pause of this daemon starts again | slow start |
+//! | refusal or repeated failure reported by another daemon | none, but a pause of this daemon starts again | slow start |
+//! | single failure reported by another daemon | none | as before |
 //!
 //! Slow start: at first one request at a time is sent; the number doubles with each one that the
 //! endpoint has run, until it reaches the endpoint's slots. Without this, an endpoint that refuses
@@ -16,6 +17,11 @@
 //! During the slow start after a refusal or failure, requests that could not be retried elsewhere
 //! avoid the endpoint for some seconds. They don't after the end of a limit.
 //!
+//! After a failure at any daemon, requests that could not be retried elsewhere avoid the endpoint at all
+//! daemons, until it has run a request of the daemon or for some seconds. Meanwhile one daemon at a time
+//! sends it a request, whatever the request, to find out whether it works again: in a large fleet each
+//! daemon has few requests that may be retried, or none.
+//!
 //! Results of requests that were sent before a pause don't affect the slow start after it.
 
 mod probe_window;
@@ -43,6 +49,8 @@
 /// retried elsewhere avoid the endpoint. It is bounded because an endpoint must not be avoided
 /// forever if no request can be retried.
 const AVOIDED_FOR: Duration = Duration::from_secs(4);
+/// Time between requests that find out whether an endpoint that has failed works again.
+const TRIAL_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Time after a request of this daemon has run at an endpoint in which reports that the endpoint
 /// refuses requests are ignored: the refusal may be meant for the reporting daemon alone.
 const SERVED_RECENTLY: Duration = Duration::from_millis(500);
@@ -95,6 +103,12 @@
     ran_at: Option<Instant>,
     /// When it last refused or failed one.
     not_served_at: Option<Instant>,
+    /// When it last failed a request of any daemon, as far as known.
+    failed_at: Option<Instant>,
+    /// Number of the last period after `failed_at` in which it was decided who sends it a request.
+    trial_period: u32,
+    /// Whether this daemon is to send it a request now.
+    is_trial_due: bool,
     /// The slow start; none if requests are not restricted.
     probe: Option<ProbeWindow>,
     /// Number of the newest probe window; permits of earlier ones are void.
@@ -131,11 +145,49 @@
     /// Records that the endpoint, which fails more often than others, has failed a request.
     pub fn failed(&mut self, now: Instant) {
         let span = self.next_pause(now);
+        self.failed_elsewhere(now);
         self.not_served_at = Some(now);
         self.failing_until = self.failing_until.max(Some(now + span));
         self.begin_probe(ProbeCause::Failed, now);
     }
 
+    /// Records that the endpoint has failed a request of any daemon at `at`.
+    pub fn failed_elsewhere(&mut self, at: Instant) {
+        self.failed_at = self.failed_at.max(Some(at));
+        self.trial_period = 0;
+        self.is_trial_due = false;
+    }
+
+    /// Number of the current period after its last failure, once for each period: one daemon is to find
+    /// out then whether it works again.
+    pub fn next_trial_period(&mut self, now: Instant) -> Option<u32> {
+        let since = now.saturating_duration_since(self.failed_at?);
+        if !self.has_failed_lately(now) {
+            return None;
+        }
+        let period = since.div_duration_f64(TRIAL_INTERVAL) as u32;
+        let is_new = period > self.trial_period;
+        self.trial_period = period;
+        is_new.then_some(period)
+    }
+
+    /// Lets this daemon send it the next request.
+    pub fn begin_trial(&mut self) {
+        self.is_trial_due = true;
+    }
+
+    /// Whether this daemon is to send it the next request.
+    pub fn is_trial_due(&self) -> bool {
+        self.is_trial_due
+    }
+
+    /// Whether it has lately failed a request of any daemon, and run none of this daemon since.
+    fn has_failed_lately(&self, now: Instant) -> bool {
+        let Some(failed_at) = self.failed_at else { return false };
+        let has_run_since = self.ran_at.is_some_and(|ran| ran > failed_at);
+        !has_run_since && now.saturating_duration_since(failed_at) < AVOIDED_FOR
+    }
+
     /// Applies another daemon's report that the endpoint refused or failed a request at `at`. If it
     /// also refused requests of this daemon without a known reason, or failed them, the pause here
     /// starts again at `at` and lasts longer by `stretch`, a random factor of each daemon that at
@@ -161,6 +213,8 @@
     /// Forgets that the endpoint has failed requests.
     pub fn forget_failures(&mut self) {
         self.failing_until = None;
+        self.failed_at = None;
+        self.is_trial_due = false;
         self.probe = self.probe.filter(|probe| !probe.is_after_failure());
         self.consecutive_failures = 0;
     }
@@ -202,7 +256,7 @@
     /// Whether it gets requests only if no other endpoint has room, because it fails.
     pub fn is_last_resort(&self, now: Instant) -> bool {
         let is_full = |probe: ProbeWindow| probe.is_after_failure() && !probe.has_room();
-        self.fails_until(now) || self.probe.is_some_and(is_full)
+        !self.is_trial_due && (self.fails_until(now) || self.probe.is_some_and(is_full))
     }
 
     /// Whether it gets no requests now.
@@ -244,11 +298,12 @@
 
     /// Whether it is likely to refuse or fail the next request.
     pub fn is_risky(&self, now: Instant) -> bool {
-        self.probe.is_some_and(|probe| now < probe.risky_until)
+        self.probe.is_some_and(|probe| now < probe.risky_until) || self.has_failed_lately(now)
     }
 
     /// Counts a request that is sent. Returns a permit during a slow start.
     pub fn begin(&mut self) -> Option<ProbePermit> {
+        self.is_trial_due = false;
         let probe = self.probe.as_mut()?;
         probe.waiting += 1;
         Some(ProbePermit { window: self.newest_window })
--- a/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
@@ -141,9 +141,11 @@
             return None;
         }
         status.pause.failed(now);
-        // Only repeated failures are reported: a single one may be over before the warning arrives.
+        let start = status.start();
+        self.signals.record(EndpointWarning { start, kind: WarningKind::Failed, at: now }, now);
+        // Only repeated failures make others pause: a single one may be over before the warning arrives.
         if status.pause.has_failed_repeatedly() {
-            let (start, kind) = (status.start(), WarningKind::NotServing);
+            let kind = WarningKind::NotServing;
             self.signals.record(EndpointWarning { start, kind, at: now }, now);
         }
         let fraction = status.failures.fraction(now);
@@ -236,9 +238,28 @@
         if warning.kind == WarningKind::NotServing && held.not_served_at == Some(warning.at) {
             status.pause.not_served_elsewhere(warning.at, rng.random_range(1.0..2.0));
         }
+        if warning.kind == WarningKind::Failed && held.failed_at == Some(warning.at) {
+            status.pause.failed_elsewhere(warning.at);
+        }
         Some(status.record.id.clone())
     }
 
+    /// Begins the trials of endpoints that have failed requests of any daemon, where `is_first` says
+    /// that this daemon is the one to send them a request.
+    pub fn begin_trials(&mut self, is_first: impl Fn(NumberedStart, u32) -> bool, now: Instant) {
+        for status in self.endpoints.values_mut() {
+            let Some(period) = status.pause.next_trial_period(now) else { continue };
+            if is_first(status.start(), period) {
+                status.pause.begin_trial();
+            }
+        }
+    }
+
+    /// Whether other daemons should be told of a failure without delay.
+    pub fn has_urgent_warning(&self, now: Instant) -> bool {
+        self.signals.is_urgent(now)
+    }
+
     /// Warnings for the other daemons.
     pub fn warnings(&self, now: Instant) -> Vec<EndpointWarning> {
         self.signals.warnings(now)
--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -4,7 +4,8 @@
 //! |---|---|---|---|
 //! | draining | any response of the endpoint itself | until a later start is listed | for 10 s |
 //! | back-off | a 503 to this daemon | until its end or a later start | as a refusal |
-//! | refusal despite apparent room, or failure | a response to this daemon, or a missing one | see `endpoint_pause` | for 2 s |
+//! | refusal despite apparent room, or repeated failure | a response to this daemon, or a missing one | see `endpoint_pause` | for 2 s |
+//! | single failure | the same | the same | for 2 s, the first one urgently |
 //! | limit | any response of the endpoint itself | until a later response has none | while valid; its end for 10 s |
 //!
 //! Draining applies to all daemons, so the others stop sending requests too. A refusal and its
@@ -41,6 +42,9 @@
 /// Time for which other daemons are sent the report that an endpoint has not served a request: a
 /// gossip round of a large fleet.
 const NOT_SERVED_REPORTED_FOR: Duration = Duration::from_secs(2);
+/// Time for which other daemons are told of a failure without delay: some gossip intervals, in which the
+/// report reaches all daemons of a large fleet.
+const URGENT_FOR: Duration = Duration::from_millis(300);
 /// Time for which signals of an unlisted endpoint are kept: longer than store outages and than the
 /// delay of lists.
 const UNLISTED_KEPT: Duration = Duration::from_secs(3_600);
@@ -65,8 +69,10 @@
     /// The endpoint drains.
     Draining,
     /// The endpoint asks for a back-off, refuses requests although it seemed to have room, or fails
-    /// them.
+    /// them repeatedly.
     NotServing,
+    /// The endpoint, which fails more often than others, has failed a request.
+    Failed,
 }
 
 /// Warning about an endpoint.
@@ -101,6 +107,8 @@
 #[derive(Debug, Default)]
 pub struct SignalLedger {
     by_endpoint: HashMap<u64, LedgerEntry>,
+    /// Until when other daemons are told of a failure without delay.
+    urgent_until: Option<Instant>,
 }
 
 impl SignalLedger {
@@ -108,10 +116,20 @@
     /// is new.
     pub fn record(&mut self, warning: EndpointWarning, now: Instant) -> bool {
         let Some(entry) = self.entry_of(warning.start, now) else { return false };
-        match warning.kind {
-            WarningKind::Draining => entry.signals.record_draining(warning.at),
-            WarningKind::NotServing => entry.signals.record_not_served(warning.at),
+        let (is_new, is_first_failure) = match warning.kind {
+            WarningKind::Draining => (entry.signals.record_draining(warning.at), false),
+            WarningKind::NotServing => (entry.signals.record_not_served(warning.at), false),
+            WarningKind::Failed => entry.signals.record_failed(warning.at),
+        };
+        if is_first_failure {
+            self.urgent_until = Some(now + URGENT_FOR);
         }
+        is_new
+    }
+
+    /// Whether other daemons should be told of a failure without delay.
+    pub fn is_urgent(&self, now: Instant) -> bool {
+        self.urgent_until.is_some_and(|until| now < until)
     }
 
     /// Records a back-off for this daemon.
@@ -194,11 +212,12 @@
         let mut warnings = Vec::new();
         for (endpoint, entry) in &self.by_endpoint {
             let start = NumberedStart { endpoint: *endpoint, born: entry.born };
-            let ActiveSignals { draining_since, not_served_at, .. } = entry.signals;
+            let ActiveSignals { draining_since, not_served_at, failed_at, .. } = entry.signals;
             let draining = draining_since.map(|at| (WarningKind::Draining, at, REPORTED_FOR));
             let refusing =
                 not_served_at.map(|at| (WarningKind::NotServing, at, NOT_SERVED_REPORTED_FOR));
-            for (kind, at, reported_for) in draining.into_iter().chain(refusing) {
+            let failed = failed_at.map(|at| (WarningKind::Failed, at, NOT_SERVED_REPORTED_FOR));
+            for (kind, at, reported_for) in draining.into_iter().chain(refusing).chain(failed) {
                 if now.saturating_duration_since(at) < reported_for {
                     warnings.push(EndpointWarning { start, kind, at });
                 }
--- a/src/gateway/policy/endpoint/signal_ledger/active_signals.rs
+++ b/src/gateway/policy/endpoint/signal_ledger/active_signals.rs
@@ -11,6 +11,10 @@
 /// would treat it as a later refusal and report it again, without end.
 const REPORT_SKEW: Duration = Duration::from_millis(400);
 
+/// Time after a failure from which another one is the first of a new series: daemons avoid the endpoint
+/// until then.
+const FAILURES_APART: Duration = Duration::from_secs(4);
+
 /// Limit in a response of an endpoint, or its absence.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitObservation {
@@ -29,6 +33,8 @@
     pub backoff_until: Option<Instant>,
     /// When it last refused a request of any daemon without a known reason, or failed one.
     pub not_served_at: Option<Instant>,
+    /// When it last failed a request of any daemon.
+    pub failed_at: Option<Instant>,
     /// Newest known limit, or the absence of one.
     pub limit: Option<LimitObservation>,
     /// When its limit ended.
@@ -83,6 +89,18 @@
         known.is_none()
     }
 
+    /// Records that it has failed a request. Returns whether the report is new, and whether it is the
+    /// first one for a while.
+    pub(super) fn record_failed(&mut self, at: Instant) -> (bool, bool) {
+        let known = self.failed_at;
+        let is_new = known.is_none_or(|known| at > known + REPORT_SKEW);
+        let is_first = known.is_none_or(|known| at > known + FAILURES_APART);
+        if is_new {
+            self.failed_at = Some(at);
+        }
+        (is_new, is_first)
+    }
+
     /// Records that it has not served a request. Returns whether the report is new.
     pub(super) fn record_not_served(&mut self, at: Instant) -> bool {
         let known = self.not_served_at;
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -5060,6 +5060,10 @@
         pub fn get_drains(self) -> bool {
             self.reader.get_bool_field(160)
         }
+        #[inline]
+        pub fn get_failed(self) -> bool {
+            self.reader.get_bool_field(161)
+        }
     }
 
     pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
@@ -5146,6 +5150,14 @@
         pub fn set_drains(&mut self, value: bool)  {
             self.builder.set_bool_field(160, value);
         }
+        #[inline]
+        pub fn get_failed(self) -> bool {
+            self.builder.get_bool_field(161)
+        }
+        #[inline]
+        pub fn set_failed(&mut self, value: bool)  {
+            self.builder.set_bool_field(161, value);
+        }
     }
 
     pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
@@ -5157,7 +5169,7 @@
     impl Pipeline  {
     }
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 79] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 94] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(232, 50, 158, 209, 148, 78, 60, 180),
             ::capnp::word(15, 0, 0, 0, 1, 0, 3, 0),
@@ -5167,7 +5179,7 @@
             ::capnp::word(21, 0, 0, 0, 250, 0, 0, 0),
             ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(29, 0, 0, 0, 231, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -5175,35 +5187,42 @@
             ::capnp::word(110, 100, 112, 111, 105, 110, 116, 87),
             ::capnp::word(97, 114, 110, 105, 110, 103, 0, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(97, 0, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 0, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(109, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 160, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 58, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(148, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 161, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(145, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
@@ -5237,6 +5256,14 @@
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(102, 97, 105, 108, 101, 100, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -5244,6 +5271,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
                 3 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -5257,9 +5285,9 @@
             MEMBERS_BY_DISCRIMINANT,
             MEMBERS_BY_NAME
         );
-        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
         pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,0];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,3,0,4];
         pub(crate) const TYPE_ID: u64 = 0xb43c_4e94_d19e_32e8;
     }
 }
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -187,6 +187,7 @@
         warnings: vec![
             sample_warning(WarningKind::Draining),
             sample_warning(WarningKind::NotServing),
+            sample_warning(WarningKind::Failed),
         ],
         limits: vec![sample_limit(Some(1.6)), sample_limit(None)],
         lent: vec![SentTokens { start: NumberedStart { endpoint: 9, born: 8 }, tokens: 0.7 }],
