Tests: silent endpoints, shares of brittle endpoints at 9, 78 and 195 daemons

Endpoints that are silent for a second, three times: 0 of 1,650, 1,828 and 1,192 requests not served (four, one and all twelve silent), none that may run once run twice, each used again within 0.8 s. This held before; it had no test.

--- a/tests/gateway/endpoint_signals.rs
+++ b/tests/gateway/endpoint_signals.rs
@@ -14,6 +14,7 @@
 const DRAINING: &str = "server-leaving";
 const BACKOFF: &str = "retry-after";
 const LIMIT: &str = "server-limit";
+const BRITTLE: &str = "server-brittle";
 
 fn signals(status: u16, headers: &[(&str, &str)]) -> EndpointSignals {
     let mut response = Response::builder().status(status);
@@ -48,6 +49,10 @@
     EndpointSignals { limit, is_unreadable: true, ..EndpointSignals::default() }
 }
 
+fn brittle() -> EndpointSignals {
+    EndpointSignals { is_brittle: true, ..EndpointSignals::default() }
+}
+
 fn no_signals() -> EndpointSignals {
     EndpointSignals::default()
 }
@@ -103,12 +108,15 @@
     backoff_header_on_success: 200, [(BACKOFF, "3")] => no_signals();
     backoff_header_on_server_error: 500, [(BACKOFF, "3")] => no_signals();
     backoff_header_on_429: 429, [(BACKOFF, "3"), ("x-not-executed", "1")] => no_signals();
+    brittle_on_success: 200, [(BRITTLE, "2")] => brittle();
+    brittle_on_refusal: 503, [(BRITTLE, "0"), ("x-not-executed", "1")] => brittle();
+    brittle_of_an_unreadable_bound: 500, [(BRITTLE, "few")] => brittle();
     refusal_without_signals: 503, [("x-not-executed", "1")] => no_signals();
 }
 
 #[googletest::test]
 fn signals_of_another_endpoint_or_request_are_ignored() {
-    let all = [(DRAINING, "1"), (BACKOFF, "3"), (LIMIT, "2")];
+    let all = [(DRAINING, "1"), (BACKOFF, "3"), (LIMIT, "2"), (BRITTLE, "2")];
     expect_that!(own_signals(421, &all), eq(no_signals()));
     let other_id: Vec<_> = [("x-request-id", "other")].into_iter().chain(all).collect();
     expect_that!(signals(503, &other_id), eq(no_signals()));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -3,6 +3,7 @@
 
 mod backoff_endpoints;
 mod brittle_endpoints;
+mod brittle_rules;
 mod catch_up;
 mod choice_inputs;
 mod client_gone;
@@ -61,6 +62,7 @@
 mod signal_responses;
 mod signal_rules;
 mod signalling_endpoint;
+mod silent_endpoints;
 mod soak;
 mod soak_clients;
 mod soak_crashes;
--- a/tests/gateway/signalling_endpoint.rs
+++ b/tests/gateway/signalling_endpoint.rs
@@ -100,6 +100,8 @@
     HangsAfterHead,
     /// No signal; takes 8 times as long.
     Slow,
+    /// No signal; begins no request until the signal changes.
+    Pauses,
 }
 
 impl EndpointSignal {
@@ -442,6 +444,12 @@
                 thread::sleep(SILENT_TIME);
                 false
             }
+            EndpointSignal::Pauses => {
+                while *self.signal.lock().expect("lock") == EndpointSignal::Pauses {
+                    thread::sleep(LINK_CHECK_INTERVAL);
+                }
+                self.work(out, id, "")
+            }
             EndpointSignal::Slow => {
                 thread::sleep(WORK_TIME * (SLOW_FACTOR - 1));
                 self.work(out, id, "")
