--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -10,7 +10,7 @@
 use crate::{
     errors::StepError,
     gateway::{
-        configuration_check,
+        configuration::configuration_check,
         state::{GatewayState, QuarantinedState, RestrictedState, rollout_view::RolloutView},
     },
     platform,
--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -8,7 +8,6 @@
 
 pub mod call;
 pub mod configuration;
-pub mod configuration_check;
 pub mod configuration_state;
 pub mod context;
 pub mod daemon;
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -3,6 +3,8 @@
 //! `platform::configuration` decodes a configuration from the text in the store; it is then shared and
 //! never changed. `context` holds the newest one; a request uses the one with which it was admitted.
 
+pub mod configuration_check;
+
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
 use crate::ids::SharedName;
--- a/src/gateway/configuration_check.rs
+++ b/src/gateway/configuration/configuration_check.rs
@@ -3,7 +3,7 @@
 
 use derive_more::Display;
 
-use super::configuration::{Configuration, Route, RouteKind};
+use super::{Configuration, Route, RouteKind};
 use crate::ids::SharedName;
 
 /// A probable mistake in a configuration.
--- a/src/gateway/forwarding/access_probe.rs
+++ b/src/gateway/forwarding/access_probe.rs
@@ -57,6 +57,7 @@
     let (begun, path) = (boot_clock::now(), health_path(context, endpoint));
     context.metrics.count("access_probes", 1);
     let failure = match connect_direct(endpoint.address, begun + PROBE_LIMIT).await {
+        // Refused or not in time: neither is a connection.
         Err(_) => LinkFailure::NotConnected,
         Ok(stream) => {
             context.endpoint_connected();
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -68,20 +68,25 @@
     write_configuration(target.reborrow(), &source.configuration);
     target.set_endpoint_revision(source.endpoint_position.revision());
     target.set_endpoint_era(source.endpoint_position.era().0);
-    match &source.endpoints {
-        None => {}
-        Some(SentEndpoints::Listed(list)) => {
+    if let Some(endpoints) = &source.endpoints {
+        write_endpoints(target.reborrow(), endpoints);
+    }
+    if let Some(lease) = &source.lease {
+        write_lease(target.init_lease(), lease);
+    }
+}
+
+fn write_endpoints(mut target: gossip_message::Builder<'_>, source: &SentEndpoints) {
+    match source {
+        SentEndpoints::Listed(list) => {
             target.set_has_endpoints(true);
-            let entries = target.reborrow().init_endpoints(list.endpoints.len() as u32);
+            let entries = target.init_endpoints(list.endpoints.len() as u32);
             endpoint_list::write_entries(entries, list);
         }
-        Some(SentEndpoints::Compressed(text)) => {
-            write_compressed(target.reborrow().init_compressed_endpoints(), text);
+        SentEndpoints::Compressed(text) => {
+            write_compressed(target.init_compressed_endpoints(), text);
         }
     }
-    if let Some(lease) = &source.lease {
-        write_lease(target.init_lease(), lease);
-    }
 }
 
 fn write_compressed(mut target: compressed_text::Builder<'_>, text: &CompressedText) {
--- a/src/gateway/gossip/endpoint_signals/warnings.rs
+++ b/src/gateway/gossip/endpoint_signals/warnings.rs
@@ -26,10 +26,9 @@
 /// rendezvous hashing.
 pub fn begin_trials(context: &GatewayContext, now: Instant) {
     let peers = context.peers.borrow();
-    let is_first = |start: NumberedStart, period: u32| {
+    let is_first = |start: NumberedStart, trial: u32| {
         let NumberedStart { endpoint, born } = start;
-        let key =
-            hash_parts(&[&endpoint.to_le_bytes(), &born.to_le_bytes(), &period.to_le_bytes()]);
+        let key = hash_parts(&[&endpoint.to_le_bytes(), &born.to_le_bytes(), &trial.to_le_bytes()]);
         peers.is_first_for(key)
     };
     context.endpoints.borrow_mut().begin_trials(is_first, now);
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -1,6 +1,8 @@
 //! Messages of a gossip exchange. They hold ages instead of times, so that clocks of different
 //! daemons are never compared.
 
+mod endpoint_signals;
+
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
@@ -9,15 +11,13 @@
 
 use bytes::Bytes;
 
+pub use self::endpoint_signals::{ReportedBrittle, ReportedLimit, ReportedWarning, SentTokens};
 use crate::{
     gateway::{
         endpoint::EndpointList,
         policy::{
             daemon::{forwarder_choice::ForwarderReport, held_texts::TextId},
-            endpoint::{
-                endpoint_load::{EndpointLoad, ServiceCounters},
-                signal_ledger::{NumberedStart, WarningKind},
-            },
+            endpoint::endpoint_load::{EndpointLoad, ServiceCounters},
             leader::usage_counts::WindowCounts,
             request::{fingerprint::RequestFingerprint, quota::AccountCounters},
             rollout::{
@@ -114,46 +114,6 @@
     pub cleared_age: Option<Duration>,
 }
 
-/// A warning that an endpoint has sent in a response to some daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct ReportedWarning {
-    /// The start of the endpoint that sent it.
-    pub start: NumberedStart,
-    /// What it warns of.
-    pub kind: WarningKind,
-    /// Time since the response.
-    pub age: Duration,
-}
-
-/// The request limit that an endpoint has named in a response to some daemon.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct ReportedLimit {
-    /// The start of the endpoint that named it.
-    pub start: NumberedStart,
-    /// Requests per second that it accepts from all daemons together; `None` if it has no limit.
-    pub limit: Option<f64>,
-    /// Time since the response.
-    pub age: Duration,
-}
-
-/// A service whose endpoints have said in responses to some daemon that they are brittle.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ReportedBrittle {
-    /// The service.
-    pub service: SharedName,
-    /// Time since the newest such response.
-    pub age: Duration,
-}
-
-/// Tokens of an endpoint's request limit that the sender lends to the receiver.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct SentTokens {
-    /// The start of the endpoint that has reported the limit.
-    pub start: NumberedStart,
-    /// Number of tokens; each allows one request.
-    pub tokens: f64,
-}
-
 /// What a daemon knows about a roll-out.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutSummary {
--- a/src/gateway/policy/endpoint/endpoint_pause.rs
+++ b/src/gateway/policy/endpoint/endpoint_pause.rs
@@ -25,13 +25,15 @@
 //! Results of requests that were sent before a pause don't affect the slow start after it.
 
 mod probe_window;
+mod refusal_kind;
+mod reported_failure;
 
 use std::time::Duration;
 
 use tokio::time::Instant;
 
-pub use self::probe_window::ProbeCause;
-use self::probe_window::ProbeWindow;
+pub use self::{probe_window::ProbeCause, refusal_kind::RefusalKind};
+use self::{probe_window::ProbeWindow, reported_failure::ReportedFailure};
 
 /// Pause after a refusal without a time, doubled by each consecutive refusal of an endpoint that
 /// seemed to have room: a slot may become free and load reports arrive within it.
@@ -41,47 +43,14 @@
 /// Most doublings: keeps the power of two within 32 bits. The pause reaches `LONGEST_PAUSE`
 /// earlier.
 const DOUBLING_LIMIT: u32 = 8;
-/// Longest back-off that is accepted; a longer one counts as a refusal without a time. Above an
-/// hour the unit is more likely wrong, and the endpoint must not be lost because of it.
-const LONGEST_BACKOFF: Duration = Duration::from_secs(3_600);
-
 /// Time after a pause, or after another daemon's last report, in which requests that can't be
 /// retried elsewhere avoid the endpoint. It is bounded because an endpoint must not be avoided
 /// forever if no request can be retried.
 const AVOIDED_FOR: Duration = Duration::from_secs(4);
-/// Time between requests that find out whether an endpoint that has failed works again.
-const TRIAL_INTERVAL: Duration = Duration::from_millis(1_500);
 /// Time after a request of this daemon has run at an endpoint in which reports that the endpoint
 /// refuses requests are ignored: the refusal may be meant for the reporting daemon alone.
 const SERVED_RECENTLY: Duration = Duration::from_millis(500);
 
-/// Why an endpoint may have refused a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RefusalKind {
-    /// It asks for a back-off of this length.
-    BackOff(Duration),
-    /// It is busy according to the known loads.
-    Busy,
-    /// It has room according to the known loads.
-    Unexplained,
-}
-
-impl RefusalKind {
-    /// Kind of a refusal with the back-off that it asks for, if any.
-    pub fn of(asked: Option<Duration>, is_busy: bool) -> Self {
-        match (plausible_backoff(asked), is_busy) {
-            (Some(backoff), _) => Self::BackOff(backoff),
-            (None, true) => Self::Busy,
-            (None, false) => Self::Unexplained,
-        }
-    }
-}
-
-/// The back-off that an endpoint asks for, unless it is implausibly long.
-fn plausible_backoff(asked: Option<Duration>) -> Option<Duration> {
-    asked.filter(|backoff| *backoff <= LONGEST_BACKOFF)
-}
-
 /// Permit for one request of a slow start.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProbePermit {
@@ -103,12 +72,8 @@
     ran_at: Option<Instant>,
     /// When it last refused or failed one.
     not_served_at: Option<Instant>,
-    /// When it last failed a request of any daemon, as far as known.
-    failed_at: Option<Instant>,
-    /// Number of the last period after `failed_at` in which it was decided who sends it a request.
-    trial_period: u32,
-    /// Whether this daemon is to send it a request now.
-    is_trial_due: bool,
+    /// Its last failure at any daemon.
+    reported: ReportedFailure,
     /// The slow start; none if requests are not restricted.
     probe: Option<ProbeWindow>,
     /// Number of the newest probe window; permits of earlier ones are void.
@@ -153,39 +118,22 @@
 
     /// Records that the endpoint has failed a request of any daemon at `at`.
     pub fn failed_elsewhere(&mut self, at: Instant) {
-        self.failed_at = self.failed_at.max(Some(at));
-        self.trial_period = 0;
-        self.is_trial_due = false;
+        self.reported.failed(at);
     }
 
-    /// Number of the current period after its last failure, once for each period: one daemon is to find
-    /// out then whether it works again.
-    pub fn next_trial_period(&mut self, now: Instant) -> Option<u32> {
-        let since = now.saturating_duration_since(self.failed_at?);
-        if !self.has_failed_lately(now) {
-            return None;
-        }
-        let period = since.div_duration_f64(TRIAL_INTERVAL) as u32;
-        let is_new = period > self.trial_period;
-        self.trial_period = period;
-        is_new.then_some(period)
+    /// Number of the trial that is due at one of the daemons, once for each trial.
+    pub fn next_trial(&mut self, now: Instant) -> Option<u32> {
+        self.reported.next_trial(self.ran_at, now)
     }
 
-    /// Lets this daemon send it the next request.
+    /// Lets this daemon make the trial: it sends the endpoint its next request.
     pub fn begin_trial(&mut self) {
-        self.is_trial_due = true;
+        self.reported.is_trial_due = true;
     }
 
     /// Whether this daemon is to send it the next request.
     pub fn is_trial_due(&self) -> bool {
-        self.is_trial_due
-    }
-
-    /// Whether it has lately failed a request of any daemon, and run none of this daemon since.
-    fn has_failed_lately(&self, now: Instant) -> bool {
-        let Some(failed_at) = self.failed_at else { return false };
-        let has_run_since = self.ran_at.is_some_and(|ran| ran > failed_at);
-        !has_run_since && now.saturating_duration_since(failed_at) < AVOIDED_FOR
+        self.reported.is_trial_due
     }
 
     /// Applies another daemon's report that the endpoint refused or failed a request at `at`. If it
@@ -213,8 +161,7 @@
     /// Forgets that the endpoint has failed requests.
     pub fn forget_failures(&mut self) {
         self.failing_until = None;
-        self.failed_at = None;
-        self.is_trial_due = false;
+        self.reported = ReportedFailure::default();
         self.probe = self.probe.filter(|probe| !probe.is_after_failure());
         self.consecutive_failures = 0;
     }
@@ -256,7 +203,7 @@
     /// Whether it gets requests only if no other endpoint has room, because it fails.
     pub fn is_last_resort(&self, now: Instant) -> bool {
         let is_full = |probe: ProbeWindow| probe.is_after_failure() && !probe.has_room();
-        !self.is_trial_due && (self.fails_until(now) || self.probe.is_some_and(is_full))
+        !self.is_trial_due() && (self.fails_until(now) || self.probe.is_some_and(is_full))
     }
 
     /// Whether it gets no requests now.
@@ -298,12 +245,13 @@
 
     /// Whether it is likely to refuse or fail the next request.
     pub fn is_risky(&self, now: Instant) -> bool {
-        self.probe.is_some_and(|probe| now < probe.risky_until) || self.has_failed_lately(now)
+        self.probe.is_some_and(|probe| now < probe.risky_until)
+            || self.reported.is_recent(self.ran_at, now)
     }
 
     /// Counts a request that is sent. Returns a permit during a slow start.
     pub fn begin(&mut self) -> Option<ProbePermit> {
-        self.is_trial_due = false;
+        self.reported.is_trial_due = false;
         let probe = self.probe.as_mut()?;
         probe.waiting += 1;
         Some(ProbePermit { window: self.newest_window })
--- a/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
@@ -248,14 +248,14 @@
     /// that this daemon is the one to send them a request.
     pub fn begin_trials(&mut self, is_first: impl Fn(NumberedStart, u32) -> bool, now: Instant) {
         for status in self.endpoints.values_mut() {
-            let Some(period) = status.pause.next_trial_period(now) else { continue };
-            if is_first(status.start(), period) {
+            let Some(trial) = status.pause.next_trial(now) else { continue };
+            if is_first(status.start(), trial) {
                 status.pause.begin_trial();
             }
         }
     }
 
-    /// Whether other daemons should be told of a failure without delay.
+    /// Whether other daemons should be informed of a failure without delay.
     pub fn has_urgent_warning(&self, now: Instant) -> bool {
         self.signals.is_urgent(now)
     }
--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -42,7 +42,7 @@
 /// Time for which other daemons are sent the report that an endpoint has not served a request: a
 /// gossip round of a large fleet.
 const NOT_SERVED_REPORTED_FOR: Duration = Duration::from_secs(2);
-/// Time for which other daemons are told of a failure without delay: some gossip intervals, in which the
+/// Time for which other daemons are informed of a failure without delay: some gossip intervals, in which the
 /// report reaches all daemons of a large fleet.
 const URGENT_FOR: Duration = Duration::from_millis(300);
 /// Time for which signals of an unlisted endpoint are kept: longer than store outages and than the
@@ -107,7 +107,7 @@
 #[derive(Debug, Default)]
 pub struct SignalLedger {
     by_endpoint: HashMap<u64, LedgerEntry>,
-    /// Until when other daemons are told of a failure without delay.
+    /// Until when other daemons are informed of a failure without delay.
     urgent_until: Option<Instant>,
 }
 
@@ -127,7 +127,7 @@
         is_new
     }
 
-    /// Whether other daemons should be told of a failure without delay.
+    /// Whether other daemons should be informed of a failure without delay.
     pub fn is_urgent(&self, now: Instant) -> bool {
         self.urgent_until.is_some_and(|until| now < until)
     }
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -4,21 +4,20 @@
 //! the wait for a response, and `policy::request::retries` decides what follows the attempt.
 
 mod choice;
+mod connection;
 pub mod endpoint_response;
 mod response_evaluation;
 
-use std::{mem, rc::Rc, time::Duration};
+use std::rc::Rc;
 
 use http_body_util::Full;
-use hyper::{
-    Request, Response,
-    body::{Bytes, Incoming},
-};
-use tokio::time::{Instant, sleep};
+use hyper::{Request, body::Bytes};
+use tokio::time::Instant;
 
 pub use self::choice::{has_another, wait_for_room};
 use self::{
     choice::{check_quarantine, choose, memory_tokens, prompt_tokens},
+    connection::{connect, not_connected, send},
     endpoint_response::EndpointResponse,
     response_evaluation::evaluate_response,
 };
@@ -36,16 +35,11 @@
         call::AttemptHead,
         context::GatewayContext,
         endpoint::EndpointRecord,
-        forwarding::endpoint_path::{EndpointPath, open_path},
         policy::{
-            daemon::endpoint_access::LinkFailure,
             endpoint::{endpoint_choice::EndpointChoice, endpoint_load::RunLoad},
             request::{
-                crash_checks::BrokenRun,
-                endpoint_priority::endpoint_priority,
-                refusal::Refusal,
-                retries::{AttemptFailure, ConnectionReuse, NoAttempt, connection_reuse},
-                time_limits,
+                crash_checks::BrokenRun, endpoint_priority::endpoint_priority, refusal::Refusal,
+                retries::AttemptFailure, time_limits,
             },
         },
     },
@@ -53,10 +47,6 @@
     platform::ingress,
 };
 
-/// Time without a response after which a new connection counts as silent: longer than endpoints that work
-/// are silent.
-const SILENCE_SIGN: Duration = Duration::from_millis(1_500);
-
 /// State of the attempts at one request.
 #[derive(Default)]
 pub struct Attempts {
@@ -66,8 +56,10 @@
     pub sent: u32,
     /// Whether the request may have run in one of them.
     pub may_have_run: bool,
-    /// Endpoints of these to which no connection over this daemon's own links could be opened.
+    /// Endpoints of these to which no connection could be opened.
     unreached: Vec<SharedName>,
+    /// Whether this daemon has been found to be partitioned since the first attempt.
+    knows_partition: bool,
     /// Whether this is the trial of a quarantined request; only one attempt may reach an endpoint.
     is_trial: bool,
 }
@@ -100,23 +92,15 @@
     trace: &mut RequestTrace,
 ) -> Result<AttemptEnd, Refusal> {
     check_quarantine(context, admitted, attempts)?;
+    attempts.knows_partition |= context.is_partitioned();
     let choice = choose(context, admitted, attempts, trace)?;
     let endpoint = choice.endpoint.clone();
     attempts.tried.push(endpoint.id.clone());
     trace.attempt(&choice, prompt_tokens(&admitted.call.head));
     let mut guard = begin_run(context, admitted, &choice);
-    let uses_own_links = !context.uses_tunnels(boot_clock::now());
-    let reuse = connection_reuse(admitted.route.kind, attempts.sent);
-    let mut connection = match connect(context, &endpoint, reuse, admitted).await {
+    let mut connection = match connect(context, &choice, admitted, attempts.sent).await {
         Ok(connection) => connection,
-        Err(SendFailure::NoPath) => {
-            trace.failed(&SendFailure::NoPath);
-            return Err(no_path(admitted, attempts));
-        }
-        Err(failure) => {
-            trace.failed(&failure);
-            return Ok(not_connected(context, attempts, uses_own_links, guard));
-        }
+        Err(failure) => return not_connected(context, admitted, attempts, &failure, guard, trace),
     };
     trace.path(connection.path());
     if !guard.try_mark_sent() {
@@ -127,98 +111,17 @@
     let until = response_deadline(admitted, attempts, &choice, now);
     match send(context, &mut connection, request, until, &guard).await {
         Err(failure) => {
-            record_link_failure(context, &connection, &failure, &guard);
             trace.failed(&failure);
             let ended = after_send_failure(context, admitted, attempts, &failure, guard, trace);
             Ok(AttemptEnd::Failed(ended))
         }
         Ok(response) => {
-            if connection.path() == EndpointPath::Direct {
-                context.endpoint_responded(connection.is_new());
-            }
             attempts.sent += 1;
             Ok(evaluate_response(context, admitted, response, until, connection, guard, trace))
         }
     }
 }
 
-/// Takes an idle connection to the endpoint, or opens one.
-async fn connect(
-    context: &GatewayContext,
-    endpoint: &EndpointRecord,
-    reuse: ConnectionReuse,
-    admitted: &Admitted,
-) -> Result<EndpointConnection, SendFailure> {
-    let uses_tunnels = context.uses_tunnels(boot_clock::now());
-    if let Some(idle) = context.connections.take(endpoint, reuse, uses_tunnels).await {
-        return Ok(idle);
-    }
-    let open = open_path(context, endpoint, &admitted.call.head.id, admitted.deadline).await?;
-    context.connections.add_new(endpoint, open).await
-}
-
-/// The refusal of a request for which neither this daemon nor another one reaches endpoints.
-fn no_path(admitted: &Admitted, attempts: &Attempts) -> Refusal {
-    NoAttempt::NoPath.refusal(attempts.may_have_run, admitted.route.target)
-}
-
-/// Sends the request. If no response arrives over a new connection for a while, that is recorded, and
-/// the response is awaited further.
-async fn send(
-    context: &GatewayContext,
-    connection: &mut EndpointConnection,
-    request: Request<Full<Bytes>>,
-    until: Instant,
-    guard: &RunGuard,
-) -> Result<Response<Incoming>, SendFailure> {
-    let tests_links = connection.tests_links();
-    let sending = connection.send(request, until);
-    tokio::pin!(sending);
-    if tests_links {
-        tokio::select! {
-            biased;
-            sent = sending.as_mut() => return sent,
-            () = sleep(SILENCE_SIGN) => {}
-        }
-        let endpoint = &guard.record().id;
-        context.endpoint_unreached(endpoint, LinkFailure::Silent, guard.begun());
-    }
-    sending.await
-}
-
-/// Records that a new connection over this daemon's own links was closed without a response.
-fn record_link_failure(
-    context: &GatewayContext,
-    connection: &EndpointConnection,
-    failure: &SendFailure,
-    guard: &RunGuard,
-) {
-    if connection.tests_links() && matches!(failure, SendFailure::Broken(_)) {
-        context.endpoint_unreached(&guard.record().id, LinkFailure::Closed, guard.begun());
-    }
-}
-
-/// Handles an attempt without a connection. If it has shown that this daemon's own links have failed,
-/// the endpoints that it did not reach may be tried again over others.
-fn not_connected(
-    context: &GatewayContext,
-    attempts: &mut Attempts,
-    uses_own_links: bool,
-    guard: RunGuard,
-) -> AttemptEnd {
-    if uses_own_links {
-        attempts.unreached.push(guard.record().id.clone());
-    }
-    let have_links_failed = uses_own_links && context.is_partitioned();
-    if have_links_failed {
-        let unreached = mem::take(&mut attempts.unreached);
-        attempts.tried.retain(|tried| !unreached.contains(tried));
-    }
-    let result = if have_links_failed { AttemptResult::Neutral } else { AttemptResult::Failed };
-    guard.finish(result);
-    AttemptEnd::Failed(AttemptFailure::NotSent)
-}
-
 /// Returns the connection unused: its endpoint stopped accepting requests while it was being
 /// opened.
 fn return_unsent(
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -4,29 +4,22 @@
 //! exchange that was not clean, all idle connections of the endpoint are closed, since a late
 //! response on one of them could be read as the response to the next request.
 
+pub mod connecting;
+
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
-    io::ErrorKind,
-    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{
-    Request, Response,
-    body::Incoming,
-    client::conn::http1::{self, SendRequest},
-};
-use hyper_util::rt::TokioIo;
-use tokio::{
-    io::{AsyncRead, AsyncWrite},
-    net::TcpStream,
-    time::{Instant, timeout, timeout_at},
-};
+use hyper::{Request, Response, body::Incoming};
+use tokio::time::{Instant, timeout, timeout_at};
 
+use self::connecting::{RequestSender, start_http};
+pub use self::connecting::{SendFailure, connect_direct};
 use crate::{
     boot_clock,
     gateway::{
@@ -59,44 +52,6 @@
 /// memory.
 const PRUNE_INTERVAL: Duration = Duration::from_secs(2);
 
-/// Why an attempt has no response.
-#[derive(Clone, Debug, derive_more::Display)]
-pub enum SendFailure {
-    /// The endpoint's address refuses connections.
-    #[display("connection refused")]
-    Refused,
-    /// This daemon doesn't reach the endpoint, and no other daemon carries a connection to it; nothing
-    /// was sent.
-    #[display("no path")]
-    NoPath,
-    /// No connection could be opened in time; nothing was sent.
-    #[display("no connection in time")]
-    NoConnection,
-    /// The connection was closed before anything was sent.
-    #[display("connection closed before sending")]
-    ClosedBefore,
-    /// The connection broke after sending had begun: the request may have run.
-    #[display("connection broke: {_0}")]
-    Broken(String),
-    /// No response arrived in time: the request may have run.
-    #[display("no response in time")]
-    NoResponse,
-}
-
-impl SendFailure {
-    /// Whether the request has certainly not been sent.
-    pub fn is_unsent(&self) -> bool {
-        matches!(self, Self::Refused | Self::NoPath | Self::NoConnection | Self::ClosedBefore)
-    }
-
-    /// Whether the endpoint's address refuses connections.
-    pub fn is_refused(&self) -> bool {
-        matches!(self, Self::Refused)
-    }
-}
-
-type RequestSender = SendRequest<Full<Bytes>>;
-
 /// One start of an endpoint's process; a later start at the same address gets its own connections.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct EndpointStart {
@@ -157,12 +112,6 @@
         self.is_new
     }
 
-    /// Whether it was opened over this daemon's own links for the attempt that uses it, so that the
-    /// attempt shows whether these links work.
-    pub fn tests_links(&self) -> bool {
-        self.is_new && self.path == EndpointPath::Direct
-    }
-
     /// Sends a request and waits for the head of the response until `deadline`.
     pub async fn send(
         &mut self,
@@ -282,36 +231,3 @@
         }
     }
 }
-
-/// Opens a connection over this daemon's own links.
-///
-/// # Errors
-///
-/// `Refused`, or `NoConnection` if there is none in time.
-pub async fn connect_direct(address: SocketAddr, until: Instant) -> Result<TcpStream, SendFailure> {
-    let connecting = timeout_at(boot_clock::timer_at(until), TcpStream::connect(address));
-    match connecting.await {
-        Ok(Ok(stream)) => {
-            // Fails only on a socket that is already broken, which sending will report.
-            let _ = stream.set_nodelay(true);
-            Ok(stream)
-        }
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Err(SendFailure::Refused),
-        // Unreachable or not connected in time: this makes no difference to the request.
-        Ok(Err(_)) | Err(_) => Err(SendFailure::NoConnection),
-    }
-}
-
-/// Starts HTTP on a new connection.
-async fn start_http<S>(stream: S) -> Result<RequestSender, SendFailure>
-where
-    S: AsyncRead + AsyncWrite + Unpin + 'static,
-{
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
-    let (sender, connection) = handshake.map_err(|_| SendFailure::ClosedBefore)?;
-    tokio::task::spawn_local(async move {
-        // Errors are returned to the request that uses the connection.
-        let _ = connection.await;
-    });
-    Ok(sender)
-}
--- /dev/null
+++ b/src/gateway/request/connection_pool/connecting.rs
@@ -0,0 +1,87 @@
+//! Opens connections to endpoints, and the ways in which an attempt may fail without a response.
+
+use std::{io::ErrorKind, net::SocketAddr};
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::{
+    io::{AsyncRead, AsyncWrite},
+    net::TcpStream,
+    time::{Instant, timeout_at},
+};
+
+use crate::boot_clock;
+
+/// Sends requests over one connection.
+pub(super) type RequestSender = SendRequest<Full<Bytes>>;
+
+/// Why an attempt has no response.
+#[derive(Clone, Debug, derive_more::Display)]
+pub enum SendFailure {
+    /// The endpoint's address refuses connections.
+    #[display("connection refused")]
+    Refused,
+    /// This daemon doesn't reach the endpoint, and no other daemon carries a connection to it; nothing
+    /// was sent.
+    #[display("no path")]
+    NoPath,
+    /// No connection could be opened in time; nothing was sent.
+    #[display("no connection in time")]
+    NoConnection,
+    /// The connection was closed before anything was sent.
+    #[display("connection closed before sending")]
+    ClosedBefore,
+    /// The connection broke after sending had begun: the request may have run.
+    #[display("connection broke: {_0}")]
+    Broken(String),
+    /// No response arrived in time: the request may have run.
+    #[display("no response in time")]
+    NoResponse,
+}
+
+impl SendFailure {
+    /// Whether the request has certainly not been sent.
+    pub fn is_unsent(&self) -> bool {
+        matches!(self, Self::Refused | Self::NoPath | Self::NoConnection | Self::ClosedBefore)
+    }
+
+    /// Whether the endpoint's address refuses connections.
+    pub fn is_refused(&self) -> bool {
+        matches!(self, Self::Refused)
+    }
+}
+
+/// Opens a connection over this daemon's own links.
+///
+/// # Errors
+///
+/// `Refused`, or `NoConnection` if there is none in time.
+pub async fn connect_direct(address: SocketAddr, until: Instant) -> Result<TcpStream, SendFailure> {
+    let connecting = timeout_at(boot_clock::timer_at(until), TcpStream::connect(address));
+    match connecting.await {
+        Ok(Ok(stream)) => {
+            // Fails only on a socket that is already broken, which sending will report.
+            let _ = stream.set_nodelay(true);
+            Ok(stream)
+        }
+        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => Err(SendFailure::Refused),
+        // Unreachable or not connected in time: this makes no difference to the request.
+        Ok(Err(_)) | Err(_) => Err(SendFailure::NoConnection),
+    }
+}
+
+/// Starts HTTP on a new connection.
+pub(super) async fn start_http<S>(stream: S) -> Result<RequestSender, SendFailure>
+where
+    S: AsyncRead + AsyncWrite + Unpin + 'static,
+{
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = handshake.map_err(|_| SendFailure::ClosedBefore)?;
+    tokio::task::spawn_local(async move {
+        // Errors are returned to the request that uses the connection.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
--- a/src/gateway/request/crash_watch.rs
+++ b/src/gateway/request/crash_watch.rs
@@ -63,6 +63,7 @@
         match connecting {
             Ok(_) => Self::Accepts,
             Err(failure) if failure.is_refused() => Self::Ended,
+            // The cause of the failure makes no difference.
             Err(_) => Self::NotReached,
         }
     }
--- a/tests/gateway/failure_rules.rs
+++ b/tests/gateway/failure_rules.rs
@@ -175,7 +175,7 @@
     first.begin_trials(|_, _| true, now + seconds(1.4));
     expect_true!(is_chosen(&first, "i-1", false, now + seconds(1.4)));
     let due = now + seconds(1.6);
-    first.begin_trials(|_, period| period == 1, due);
+    first.begin_trials(|_, trial| trial == 1, due);
     other.begin_trials(|_, _| false, due);
     // The next request goes there whatever it is, and only that one.
     expect_false!(is_chosen(&first, "i-1", false, due));
