--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -2,7 +2,8 @@
 //! operators' configuration, and performs the leader tasks of its deployment.
 //!
 //! `request` handles requests, `policy` contains the decision rules (no I/O), `forwarding` opens connections
-//! to endpoints through other daemons, `gossip` exchanges reports between daemons, and `leader` performs the tasks of the leader lease's holder. `call`, `configuration`
+//! to endpoints through other daemons, `gossip` exchanges reports between daemons, and `leader` performs
+//! the tasks of the leader lease's holder. `call`, `configuration`
 //! and `endpoint` define the data that these share; `context` is the state of one daemon.
 //! docs/architecture.md shows how they work together.
 
--- a/src/gateway/forwarding/endpoint_path.rs
+++ b/src/gateway/forwarding/endpoint_path.rs
@@ -1,8 +1,8 @@
 //! Opens a connection to an endpoint: over this daemon's own links, or through another daemon.
 //!
-//! A daemon that is partitioned from all endpoints uses tunnels, if others carry them. Any other one starts with its own
-//! connection; if that takes longer than usual, it opens a tunnel in addition and uses whichever is
-//! open first. A partition thus delays few requests before the daemon has noticed it. Opening a
+//! A daemon that is partitioned from all endpoints uses tunnels, if others carry them. Any other one
+//! starts with its own connection; if that takes longer than usual, it opens a tunnel in addition and
+//! uses whichever is open first. A partition thus delays few requests before the daemon has noticed it. Opening a
 //! connection has no effect at the endpoint, so nothing runs twice.
 
 use std::{net::SocketAddr, time::Duration};
