A forwarder notices by its tunnels that it is partitioned itself

Cause: a forwarder opened the endpoint's connection, reported it as connected, and the endpoint's side closed it without a byte. It recorded nothing, so it stayed a candidate and took one tunnel after the other; it had no failures of its own, since it got no requests or since its older connections lived on.

Change: what happens to the connections of tunnels counts as for this daemon's own: the first bytes from the endpoint show that it is reached, an end without a byte that a new connection was closed. Metric tunnels_unanswered.

--- a/src/gateway/forwarding/tunnel_server.rs
+++ b/src/gateway/forwarding/tunnel_server.rs
@@ -4,6 +4,9 @@
 //! Only endpoints in this daemon's list are connected to, at the address in it. The number of tunnels is
 //! bounded, so that they leave this daemon's own clients enough of its VM; further ones are refused at
 //! once. A tunnel ends with either of its connections.
+//!
+//! Connections to endpoints are opened over this daemon's own links, so what happens to them shows, as for its
+//! own requests, whether it is partitioned itself.
 
 use std::{cell::Cell, rc::Rc, time::Duration};
 
@@ -28,6 +31,7 @@
         policy::daemon::endpoint_access::LinkFailure, request::connection_pool::connect_direct,
     },
     http::server,
+    ids::SharedName,
     kernel::LifePhase,
 };
 
@@ -62,17 +66,25 @@
     // Without a valid request the connection is closed; the other daemon counts that as a failure.
     let Ok(Ok(request)) = timeout(HANDSHAKE_LIMIT, read_request(&mut daemon)).await else { return };
     let guard = context.carried_tunnels.enter();
-    let (outcome, endpoint) = open(&context, &request).await;
+    let (outcome, link) = open(&context, &request).await;
     log_tunnel(&context, &request, outcome);
     let sending = timeout(HANDSHAKE_LIMIT, send_outcome(&mut daemon, outcome));
-    let (Ok(Ok(())), Some(endpoint)) = (sending.await, endpoint) else { return };
-    carry(daemon, endpoint, &context, guard).await;
+    let (Ok(Ok(())), Some(link)) = (sending.await, link) else { return };
+    carry(daemon, link, &context, guard).await;
+}
+
+/// Connection of this daemon to an endpoint.
+struct EndpointLink {
+    stream: TcpStream,
+    endpoint: SharedName,
+    /// When it began to be opened.
+    begun: Instant,
 }
 
 async fn open(
     context: &GatewayContext,
     request: &TunnelRequest,
-) -> (TunnelOutcome, Option<TcpStream>) {
+) -> (TunnelOutcome, Option<EndpointLink>) {
     let is_full = context.carried_tunnels.get() > MAX_TUNNELS;
     if is_full || context.is_leaving() || context.is_partitioned() {
         return (TunnelOutcome::NotCarried, None);
@@ -84,7 +96,8 @@
     match connect_direct(endpoint.address, begun + CONNECT_LIMIT).await {
         Ok(stream) => {
             context.endpoint_connected();
-            (TunnelOutcome::Connected, Some(stream))
+            let link = EndpointLink { stream, endpoint: endpoint.id.clone(), begun };
+            (TunnelOutcome::Connected, Some(link))
         }
         Err(failure) => {
             context.endpoint_unreached(&endpoint.id, LinkFailure::NotConnected, begun);
@@ -114,15 +127,36 @@
     });
 }
 
+/// What has ended a tunnel.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TunnelEnd {
+    /// The other daemon has closed it.
+    Daemon,
+    /// The endpoint has closed its connection, or this has failed.
+    Endpoint,
+    /// This daemon stops, and it is not in use.
+    Unused,
+}
+
 /// Use of one tunnel.
 struct TunnelUse {
     /// Whether the endpoint has sent nothing since the daemon last sent a request.
     awaits_response: Cell<bool>,
+    /// Whether the endpoint has ever sent anything.
+    has_response: Cell<bool>,
     /// When bytes were last passed on.
     active_at: Cell<Instant>,
 }
 
 impl TunnelUse {
+    fn new() -> Self {
+        Self {
+            awaits_response: Cell::new(true),
+            has_response: Cell::new(false),
+            active_at: Cell::new(boot_clock::now()),
+        }
+    }
+
     fn passed_on(&self, is_request: bool) {
         self.awaits_response.set(is_request);
         self.active_at.set(boot_clock::now());
@@ -137,44 +171,67 @@
 /// the tunnel is not in use.
 async fn carry(
     daemon: TcpStream,
-    endpoint: TcpStream,
+    link: EndpointLink,
     context: &GatewayContext,
     _tunnel: CountGuard,
 ) {
     let (from_daemon, to_daemon) = daemon.into_split();
-    let (from_endpoint, to_endpoint) = endpoint.into_split();
-    let usage =
-        TunnelUse { awaits_response: Cell::new(true), active_at: Cell::new(boot_clock::now()) };
-    tokio::select! {
-        () = pass_requests(from_daemon, to_endpoint, &usage) => {}
-        () = pass_responses(from_endpoint, to_daemon, &usage) => {}
-        () = until_unused(context, &usage) => {}
+    let (from_endpoint, to_endpoint) = link.stream.into_split();
+    let usage = TunnelUse::new();
+    let end = tokio::select! {
+        end = pass_requests(from_daemon, to_endpoint, &usage) => end,
+        end = pass_responses(from_endpoint, to_daemon, context, &usage) => end,
+        () = until_unused(context, &usage) => TunnelEnd::Unused,
+    };
+    if end == TunnelEnd::Endpoint && !usage.has_response.get() {
+        context.metrics.count("tunnels_unanswered", 1);
+        context.endpoint_unreached(&link.endpoint, LinkFailure::Closed, link.begun);
     }
 }
 
-/// Passes requests on. Returns when the daemon closes the tunnel or the endpoint breaks off.
-async fn pass_requests(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, usage: &TunnelUse) {
+/// Passes requests on until either connection ends.
+async fn pass_requests(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    usage: &TunnelUse,
+) -> TunnelEnd {
     let mut buffer = vec![0; BUFFER_SIZE];
     loop {
         // An error ends the tunnel like a close.
         let length = from.read(&mut buffer).await.unwrap_or(0);
         usage.passed_on(true);
-        if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
-            return;
+        if length == 0 {
+            return TunnelEnd::Daemon;
+        }
+        if to.write_all(&buffer[..length]).await.is_err() {
+            return TunnelEnd::Endpoint;
         }
     }
 }
 
-/// Passes responses on in frames. Returns when the endpoint or the daemon breaks off; only a regular
-/// end of the endpoint's connection is passed on as such.
-async fn pass_responses(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, usage: &TunnelUse) {
+/// Passes responses on in frames until either connection ends; only a regular end of the endpoint's
+/// connection is passed on as such.
+async fn pass_responses(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    context: &GatewayContext,
+    usage: &TunnelUse,
+) -> TunnelEnd {
     let mut buffer = vec![0; BUFFER_SIZE];
     loop {
-        let Ok(length) = from.read(&mut buffer[HEADER_LENGTH..]).await else { return };
+        let read = from.read(&mut buffer[HEADER_LENGTH..]).await;
+        let Ok(length) = read else { return TunnelEnd::Endpoint };
         usage.passed_on(false);
+        if length > 0 && !usage.has_response.replace(true) {
+            context.endpoint_responded(true);
+        }
         buffer[..HEADER_LENGTH].copy_from_slice(&(length as u32).to_be_bytes());
-        if to.write_all(&buffer[..HEADER_LENGTH + length]).await.is_err() || length == 0 {
-            return;
+        let sent = to.write_all(&buffer[..HEADER_LENGTH + length]).await;
+        if length == 0 {
+            return TunnelEnd::Endpoint;
+        }
+        if sent.is_err() {
+            return TunnelEnd::Daemon;
         }
     }
 }
