Partitions of the stand-ins take effect at once; tests of all daemons partitioned and of forwarders that are killed

Cause: the stand-ins found out for each of some hundred open connections by itself, through the kernel's tables, whether to close it. With nine daemons partitioned that took 29 s (printed by the test): the partition was never ended while clients ran, and daemons lost their links one after the other over seconds.

New tests: all daemons partitioned (refused at once, served after the partition), two forwarders killed while they carry tunnels.

--- a/tests/gateway/link_faults.rs
+++ b/tests/gateway/link_faults.rs
@@ -6,6 +6,7 @@
 //! longer and takes long to read.
 
 use std::{
+    collections::HashSet,
     fs,
     net::{IpAddr, SocketAddr, TcpListener, TcpStream},
     sync::Mutex,
@@ -13,8 +14,9 @@
     time::Duration,
 };
 
-/// Number of columns in `/proc/net/tcp6` from the local address of a socket to its inode.
-const COLUMNS_TO_INODE: usize = 8;
+/// Columns of `/proc/net/tcp6`: the local address of a socket, and its inode.
+const COLUMN_OF_LOCAL: usize = 1;
+const COLUMN_OF_INODE: usize = 9;
 /// Time after which a connection over a silent link is closed.
 const SILENT_TIME: Duration = Duration::from_millis(500);
 /// The table may lack a socket while others open and close: how often it is read.
@@ -73,6 +75,16 @@
         is_cut.then_some(manner)
     }
 
+    /// The daemons' ends of connections that the partition closes and that are open now, as they stand in the
+    /// tables of sockets. Found at once for all connections: looking up each takes seconds.
+    pub fn cut_ends(&self) -> HashSet<String> {
+        let partition = self.partition.lock().expect("lock").clone();
+        match partition {
+            Some(Partition { daemons, manner: PartitionManner::Closed }) => ends_of(&daemons),
+            _ => HashSet::new(),
+        }
+    }
+
     /// Whether there is a partition that silences links.
     pub fn is_silent(&self) -> bool {
         let partition = self.partition.lock().expect("lock");
@@ -96,12 +108,26 @@
     let path = if local.is_ipv6() { "/proc/net/tcp6" } else { "/proc/net/tcp" };
     let table = fs::read_to_string(path).ok()?;
     let from = table.find(&format!("{} {} ", table_address(local), table_address(remote)))?;
-    let inode = table[from..].split_whitespace().nth(COLUMNS_TO_INODE);
+    let inode = table[from..].split_whitespace().nth(COLUMN_OF_INODE - COLUMN_OF_LOCAL);
     inode.map(str::to_owned)
 }
 
+/// Local addresses of all sockets that these processes have open.
+fn ends_of(processes: &[u32]) -> HashSet<String> {
+    let links: HashSet<String> =
+        processes.iter().flat_map(|process| open_files(*process)).collect();
+    let tables = ["/proc/net/tcp", "/proc/net/tcp6"].map(fs::read_to_string);
+    let tables = tables.into_iter().flatten().collect::<Vec<_>>().join("\n");
+    let local_address = |line: &str| {
+        let columns: Vec<&str> = line.split_whitespace().collect();
+        let link = format!("socket:[{}]", columns.get(COLUMN_OF_INODE)?);
+        links.contains(&link).then(|| columns[COLUMN_OF_LOCAL].to_owned())
+    };
+    tables.lines().filter_map(local_address).collect()
+}
+
 /// An address as it stands in the tables of sockets.
-fn table_address(address: SocketAddr) -> String {
+pub fn table_address(address: SocketAddr) -> String {
     let octets = match address.ip() {
         IpAddr::V4(ip) => ip.octets().to_vec(),
         IpAddr::V6(ip) => ip.octets().to_vec(),
@@ -114,7 +140,12 @@
 
 /// Whether a process has a file open to which `/proc` links by this text.
 fn has_open(process: u32, link: &str) -> bool {
-    let Ok(files) = fs::read_dir(format!("/proc/{process}/fd")) else { return false };
-    let mut targets = files.flatten().filter_map(|file| fs::read_link(file.path()).ok());
-    targets.any(|target| target.as_os_str() == link)
+    open_files(process).any(|target| target == link)
+}
+
+/// What `/proc` links to for each file that a process has open.
+fn open_files(process: u32) -> impl Iterator<Item = String> {
+    let files = fs::read_dir(format!("/proc/{process}/fd")).into_iter().flatten().flatten();
+    let targets = files.filter_map(|file| fs::read_link(file.path()).ok());
+    targets.map(|target| target.to_string_lossy().into_owned())
 }
--- a/tests/gateway/partitioned_daemons.rs
+++ b/tests/gateway/partitioned_daemons.rs
@@ -4,7 +4,7 @@
 //! Without a path over other daemons, 5 of 9 partitioned daemons tried one endpoint after the other
 //! until the deadlines of their requests, and served almost none.
 
-use std::time::Duration;
+use std::{thread::sleep, time::Duration};
 
 use googletest::prelude::*;
 
@@ -19,6 +19,10 @@
 const PARTITION_UNTIL: Duration = Duration::from_secs(8);
 /// Time after the beginning of the partition from which clients must be served.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Pause between two kills of forwarders, and after the last one.
+const KILL_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time until a request that can't be served is refused: it must not be queued.
+const MAX_REFUSAL_TIME: Duration = Duration::from_millis(500);
 /// Time after the partition from which clients must be served as before.
 const RETURN_TIME: Duration = Duration::from_secs(2);
 const LOAD_TIME: Duration = Duration::from_secs(11);
@@ -33,8 +37,10 @@
     (served, requests.len())
 }
 
-fn check(outcome: &SignalOutcome, partitioned: &[usize]) {
-    let during = outcome.sent_in(PARTITION_FROM + CONTACT_TIME..PARTITION_UNTIL);
+/// Checks the requests of clients, except those at daemons that were killed.
+fn check(outcome: &SignalOutcome, partitioned: &[usize], killed: &[usize]) {
+    let mut during = outcome.sent_in(PARTITION_FROM + CONTACT_TIME..PARTITION_UNTIL);
+    during.retain(|request| !killed.contains(&request.daemon));
     let is_partitioned = |request: &&&SentRequest| partitioned.contains(&request.daemon);
     let at_partitioned = during.iter().filter(is_partitioned).copied();
     let (served, sent) = count(at_partitioned.clone());
@@ -80,7 +86,7 @@
         sleep_until(began, PARTITION_UNTIL);
         fleet.heal();
     });
-    check(&outcome, &partitioned);
+    check(&outcome, &partitioned, &[]);
 }
 
 macro_rules! partitioned_daemons_serve_their_clients {
@@ -108,3 +114,52 @@
     let load = ClientLoad { daemons: 1, ..ClientLoad::of(LOAD_TIME) };
     play_load(load, 9, PartitionManner::Closed);
 }
+
+#[googletest::test]
+fn partition_while_forwarders_are_killed() {
+    let _places = acquire_all_fleet_slots();
+    let fleet = SignalFleet::start();
+    let partitioned: Vec<usize> = (0..fleet.daemon_count() / 2).collect();
+    let killed = [fleet.daemon_count() - 2, fleet.daemon_count() - 1];
+    let outcome = fleet.play_load(ClientLoad::of(LOAD_TIME), 0, |_, began| {
+        sleep_until(began, PARTITION_FROM);
+        fleet.partition(&partitioned, PartitionManner::Closed);
+        sleep_until(began, PARTITION_FROM + CONTACT_TIME);
+        for daemon in killed {
+            sleep(KILL_PAUSE);
+            fleet.restart(daemon);
+        }
+        sleep_until(began, PARTITION_UNTIL);
+        fleet.heal();
+    });
+    check(&outcome, &partitioned, &killed);
+}
+
+/// No daemon can carry a connection: clients must learn that at once, and be served soon after.
+#[googletest::test]
+fn partition_of_all_daemons() {
+    let _places = acquire_all_fleet_slots();
+    let fleet = SignalFleet::start();
+    let partitioned: Vec<usize> = (0..fleet.daemon_count()).collect();
+    let outcome = fleet.play_load(ClientLoad::of(LOAD_TIME), 0, |_, began| {
+        sleep_until(began, PARTITION_FROM);
+        fleet.partition(&partitioned, PartitionManner::Closed);
+        sleep_until(began, PARTITION_UNTIL);
+        fleet.heal();
+    });
+    let during = outcome.sent_in(PARTITION_FROM + CONTACT_TIME..PARTITION_UNTIL);
+    let is_late = |request: &&&SentRequest| request.answered - request.sent > MAX_REFUSAL_TIME;
+    let late = during.iter().filter(is_late).count();
+    let (served_later, sent_later) =
+        count(outcome.sent_in(PARTITION_UNTIL + RETURN_TIME..LOAD_TIME).into_iter());
+    println!(
+        "{late} of {} refused late, {served_later} of {sent_later} served later",
+        during.len()
+    );
+    expect_that!(during.len(), gt(0));
+    expect_that!(late, le(ALLOWED_FAILURES + during.len() / REQUESTS_PER_FAILURE));
+    expect_that!(
+        sent_later - served_later,
+        le(ALLOWED_FAILURES + sent_later / REQUESTS_PER_FAILURE)
+    );
+}
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -150,7 +150,8 @@
             self.daemons.lock().expect("lock").iter().map(Gateway::process_id).collect();
         let cut: Vec<u32> = daemons.iter().map(|daemon| processes[*daemon]).collect();
         self.faults.partition(&cut, manner);
-        self.endpoints.iter().for_each(SignallingEndpoint::close_cut_connections);
+        let ends = self.faults.cut_ends();
+        self.endpoints.iter().for_each(|endpoint| endpoint.close_connections_to(&ends));
     }
 
     /// Ends the partition.
@@ -173,14 +174,17 @@
 
     /// Kills every other daemon and starts it again.
     pub fn restart_every_other(&self) {
+        (0..self.daemon_count()).step_by(2).for_each(|daemon| self.restart(daemon));
+    }
+
+    /// Kills a daemon, starts it again and waits until it is ready.
+    pub fn restart(&self, daemon: usize) {
         let mut daemons = self.daemons.lock().expect("lock");
-        for (place, daemon) in daemons.iter_mut().enumerate().step_by(2) {
-            let from = Instant::now();
-            daemon.kill_and_restart();
-            daemon.wait_ready();
-            let disturbance = Disturbance { daemon: place, from, until: Instant::now() };
-            self.disturbances.lock().expect("lock").push(disturbance);
-        }
+        let from = Instant::now();
+        daemons[daemon].kill_and_restart();
+        daemons[daemon].wait_ready();
+        let disturbance = Disturbance { daemon, from, until: Instant::now() };
+        self.disturbances.lock().expect("lock").push(disturbance);
     }
 
     /// Runs the clients while `signal_with` controls the first `signalling` endpoints.
--- a/tests/gateway/signalling_endpoint.rs
+++ b/tests/gateway/signalling_endpoint.rs
@@ -3,6 +3,7 @@
 //! contains what the test writes.
 
 use std::{
+    collections::HashSet,
     io::{BufReader, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
@@ -17,7 +18,7 @@
 
 use crate::{
     endpoint_standin::{SeenRequest, read_request, refuse},
-    link_faults::{LinkFaults, PartitionManner, bind_listener},
+    link_faults::{LinkFaults, PartitionManner, bind_listener, table_address},
     platform_standin::PlatformStandin,
 };
 
@@ -244,10 +245,10 @@
         self.shared.falls.load(Ordering::SeqCst)
     }
 
-    /// Closes the connections of daemons whose links are cut in a way that closes them.
-    pub fn close_cut_connections(&self) {
+    /// Closes the connections whose other ends are these.
+    pub fn close_connections_to(&self, ends: &HashSet<String>) {
         for connection in self.shared.connections.lock().expect("lock").iter() {
-            if self.shared.faults.manner(connection) == Some(PartitionManner::Closed) {
+            if connection.peer_addr().is_ok_and(|end| ends.contains(&table_address(end))) {
                 let _ = connection.shutdown(Shutdown::Both);
             }
         }
