Tests of roll-outs print what the daemons have logged about them

good_version_whose_leader_is_killed_at_first was reverted once, and its logs were lost. No check is changed.

Seen in one play: completed 5.1 s after an order of 6 s, on a busy machine; a missed deadline would be the other explanation.

--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -143,9 +143,19 @@
         let result =
             RolloutResult { sent: sent.into_inner(), not_served: not_served.into_inner(), status };
         println!("{} sent, {} not served, {}", result.sent, result.not_served, result.status);
+        self.print_rollout_lines();
         (self, result)
     }
 
+    /// Prints what the daemons have logged about roll-outs, with the counts that decided.
+    fn print_rollout_lines(&self) {
+        for daemon in &self.daemons {
+            let log = std::fs::read_to_string(&daemon.log).unwrap_or_default();
+            let lines = log.lines().filter(|line| line.contains(r#""payload":"roll-out""#));
+            lines.for_each(|line| println!("{}: {line}", daemon.peers));
+        }
+    }
+
     /// Orders the target version and lists its endpoints.
     fn begin(&self) {
         self.order("v2");
