Request log: how the body of a response ended

The log of an answer that was framed as complete and wasn't said "answered", as for any other: it couldn't tell an endpoint that marks the end of its body by nothing but its connection from one that ends a stream inside an event. The steps of such requests now hold both: the framing, if it is neither a length nor chunks, and the number of bytes after the last event. No change of behaviour.

--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -128,8 +128,9 @@
                     return Some(Ok(bytes));
                 }
                 NextPiece::End => {
-                    self.finish_cleanly();
                     let rest = self.cutter.as_mut().map(EventCutter::rest);
+                    self.log_end(rest.as_ref().map_or(0, Bytes::len));
+                    self.finish_cleanly();
                     return rest.filter(|rest| !rest.is_empty()).map(Ok);
                 }
                 NextPiece::Broken(error) => error,
@@ -239,6 +240,12 @@
         false
     }
 
+    fn log_end(&mut self, rest: usize) {
+        if let Some(upstream) = &self.upstream {
+            self.trace.body_ended(upstream.metadata.framing, rest);
+        }
+    }
+
     fn finish_cleanly(&mut self) {
         self.ended = true;
         self.trace.finished(self.events);
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -8,7 +8,10 @@
 use hyper::StatusCode;
 use tokio::time::Instant;
 
-use super::{connection_pool::SendFailure, response_meaning::ResponseMetadata};
+use super::{
+    connection_pool::SendFailure,
+    response_meaning::{BodyFraming, ResponseMetadata},
+};
 use crate::{
     boot_clock,
     gateway::{
@@ -120,6 +123,14 @@
         let _ = write!(self.steps, " {status} {meaning:?}{} after {after};", metadata.signals);
     }
 
+    /// Records how the body of a response ended, and the length of what followed its last event.
+    pub fn body_ended(&mut self, framing: BodyFraming, rest: usize) {
+        if framing == BodyFraming::Close || rest > 0 {
+            // Writing to a string cannot fail.
+            let _ = write!(self.steps, " ended by {framing}, {rest} bytes after the last event;");
+        }
+    }
+
     /// Records that the first event of a stream was passed on.
     pub fn first_event(&mut self) {
         let after = boot_clock::since(self.begun);
--- a/src/gateway/request/response_meaning.rs
+++ b/src/gateway/request/response_meaning.rs
@@ -1,10 +1,26 @@
 //! Meaning of an endpoint's response for the request, as decoded by the platform's adapter.
 
 use std::{
-    fmt::{self, Display, Formatter},
+    fmt::{self, Formatter},
     time::Duration,
 };
 
+use derive_more::Display;
+
+/// How the end of a body is marked.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum BodyFraming {
+    /// By its length, which is known in advance.
+    #[display("length")]
+    Length,
+    /// By its last chunk.
+    #[display("chunks")]
+    Chunks,
+    /// By nothing but the end of the connection, which follows a whole body as well as a part of it.
+    #[display("close")]
+    Close,
+}
+
 /// What a response means for the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ResponseMeaning {
@@ -45,7 +61,7 @@
     pub is_unreadable: bool,
 }
 
-impl Display for EndpointSignals {
+impl fmt::Display for EndpointSignals {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         if self.is_draining {
             formatter.write_str(" drains")?;
@@ -71,6 +87,8 @@
 pub struct ResponseMetadata {
     /// Meaning for the request.
     pub meaning: ResponseMeaning,
+    /// How the end of its body is marked.
+    pub framing: BodyFraming,
     /// Signals of the endpoint; the default if another endpoint has responded.
     pub signals: EndpointSignals,
     /// Time for which the endpoint keeps the idle connection open, if the response contains it.
--- a/src/platform/ingress/endpoint.rs
+++ b/src/platform/ingress/endpoint.rs
@@ -16,7 +16,7 @@
 };
 use crate::gateway::{
     call::{AttemptHead, Call},
-    request::response_meaning::{EndpointSignals, ResponseMeaning, ResponseMetadata},
+    request::response_meaning::{BodyFraming, EndpointSignals, ResponseMeaning, ResponseMetadata},
 };
 
 /// Builds the request of one attempt; method, path and body are those that the client sent.
@@ -74,7 +74,19 @@
         // Sent by another endpoint, or in response to another request.
         ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign => EndpointSignals::default(),
     };
-    ResponseMetadata { meaning, signals, keep: read_keep_alive(headers), closes }
+    let (framing, keep) = (read_framing(headers), read_keep_alive(headers));
+    ResponseMetadata { meaning, framing, signals, keep, closes }
+}
+
+/// How the end of a body is marked, as the HTTP library reads it.
+fn read_framing(headers: &HeaderMap) -> BodyFraming {
+    let last_coding = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    let last_coding = last_coding.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+    match last_coding {
+        Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => BodyFraming::Chunks,
+        None if headers.contains_key(header::CONTENT_LENGTH) => BodyFraming::Length,
+        _ => BodyFraming::Close,
+    }
 }
 
 fn read_meaning<B>(id: &str, response: &Response<B>) -> ResponseMeaning {
