Request log: version of each endpoint that a request was sent to

The log of a stream that goes on elsewhere named the endpoints but not their versions, so that it couldn't tell whether one answer, or the tries of a client, held events of two. No change of behaviour.

--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -70,10 +70,12 @@
     /// Records that an endpoint was chosen.
     pub fn attempt(&mut self, choice: &EndpointChoice, prompt_tokens: u64) {
         let (endpoint, uncached) = (&choice.endpoint.id, choice.uncached_tokens);
-        let wait = choice.estimated_wait_ms;
+        let (version, wait) = (&choice.endpoint.version, choice.estimated_wait_ms);
         // Writing to a string cannot fail.
-        let _ =
-            write!(self.steps, "{endpoint} uncached {uncached} of {prompt_tokens} wait {wait:.0};");
+        let _ = write!(
+            self.steps,
+            "{endpoint} {version} uncached {uncached} of {prompt_tokens} wait {wait:.0};"
+        );
         self.context.metrics.count("attempts", 1);
     }
 
