--- /dev/null
+++ b/tests/gateway/stream_versions.rs
@@ -0,0 +1,89 @@
+//! What two software versions of a service write does not fit together: a stream may go on only at
+//! the version that began it, within one answer and when its client takes it up at another daemon.
+//!
+//! Of 216 streams at nine daemons with six endpoints each of two versions, 33 held events of both within one
+//! answer, and 9 more over their clients' tries.
+
+use std::{thread::sleep, time::Duration};
+
+use googletest::prelude::*;
+
+use crate::{
+    fleet_places::acquire_fleet_slot,
+    version_fleet::{VersionFleet, VersionOutcome},
+};
+
+const DEFAULT_DAEMONS: usize = 9;
+const CLIENTS: u64 = 36;
+const LOAD_TIME: Duration = Duration::from_secs(8);
+const KILL_AT: Duration = Duration::from_secs(3);
+const RESTART_AFTER: Duration = Duration::from_millis(500);
+/// Time after which a daemon that was started again has to serve.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Most streams that may hold events of two versions.
+const ALLOWED_MIXED: usize = 2;
+/// Least number of streams taken up for which the share that goes on counts.
+const MIN_TAKE_UPS: usize = 12;
+
+fn daemon_count() -> usize {
+    let count = std::env::var("VERSION_DAEMONS").ok().and_then(|text| text.parse().ok());
+    count.unwrap_or(DEFAULT_DAEMONS)
+}
+
+/// Checks that no stream holds two versions, and that those taken up from a time on go on.
+fn check(outcome: &VersionOutcome, from: Duration) {
+    let (taken_up, gone_on) = outcome.taken_up(from);
+    let whole = outcome.streams.iter().filter(|stream| stream.is_whole).count();
+    println!(
+        "{} streams, {whole} whole; {} hold two versions, {} of them in one answer; {gone_on} of {taken_up} \
+         taken up go on",
+        outcome.streams.len(),
+        outcome.mixed(),
+        outcome.mixed_in_answer(),
+    );
+    expect_that!(outcome.mixed(), le(ALLOWED_MIXED));
+    if taken_up >= MIN_TAKE_UPS {
+        let share = gone_on as f64 / taken_up as f64;
+        expect_that!(share, ge(outcome.begun_share() / 2.0));
+    }
+    for stream in outcome.streams.iter().filter(|stream| stream.is_whole) {
+        expect_that!(stream.ids(), eq(&(1..=10).collect::<Vec<u64>>()));
+    }
+}
+
+macro_rules! streams_of_versions {
+    ($($name:ident: [$($version:literal * $count:literal),+], $from:expr, $faults:expr;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            let _slot = acquire_fleet_slot();
+            let versions = [$(vec![$version; $count]),+].concat();
+            let fleet = VersionFleet::start(daemon_count(), &versions);
+            check(&fleet.run(CLIENTS, LOAD_TIME, $faults), $from);
+        }
+    )*};
+}
+
+streams_of_versions! {
+    streams_of_two_versions: ["v1" * 6, "v2" * 6], Duration::ZERO, |_, _| {};
+    streams_of_a_version_with_few_endpoints: ["v1" * 8, "v2" * 2], Duration::ZERO, |_, _| {};
+    streams_of_two_versions_at_daemons_that_are_killed: ["v1" * 6, "v2" * 6], KILL_AT + CONTACT_TIME, |fleet, _| {
+        sleep(KILL_AT);
+        fleet.kill(&[1, 3, 5, 7]);
+        sleep(RESTART_AFTER);
+        fleet.start_again(&[1, 3, 5, 7]);
+    };
+    streams_of_two_versions_at_daemons_that_are_all_killed: ["v1" * 6, "v2" * 6], KILL_AT + CONTACT_TIME, |fleet, _| {
+        let all: Vec<usize> = (0..fleet.addresses.len()).collect();
+        sleep(KILL_AT);
+        fleet.kill(&all);
+        sleep(RESTART_AFTER);
+        fleet.start_again(&all);
+    };
+    streams_of_one_version: ["v1" * 12], Duration::ZERO, |_, _| {};
+    streams_of_one_version_at_daemons_that_are_killed: ["v1" * 12], Duration::ZERO, |fleet, _| {
+        sleep(KILL_AT);
+        fleet.kill(&[1, 3, 5, 7]);
+        sleep(RESTART_AFTER);
+        fleet.start_again(&[1, 3, 5, 7]);
+    };
+}
