--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -207,6 +207,22 @@
   outcome @0 :UInt8;             # index of the outcome, from `connected` to `notCarried`
 }
 
+struct StreamStart {             # where a stream was begun
+  stream @0 :UInt64;             # hash of the account and of the id of the attempt
+  service @1 :Text;
+  version @2 :Text;              # of the endpoint's software
+}
+
+struct StreamReport {            # what a daemon knows of a stream
+  hasRecord @0 :Bool;            # whether `start` and `ageMs` are set
+  start @1 :StreamStart;
+  ageMs @2 :UInt32;              # since it was recorded
+  onlyVersion @3 :Text;          # the only version that has served while streams may live; empty: unknown
+  hasSeveral @4 :Bool;           # whether several versions have served in that time
+}
+
 interface Exchange {
   swap @0 (message :GossipMessage) -> (message :GossipMessage);
+  recordStreams @1 (streams :List(StreamStart)) -> ();
+  findStream @2 (stream :UInt64, service :Text) -> (report :StreamReport);  # of this service, if it is known
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -61,11 +61,19 @@
     pub expected_response: Option<u64>,
     /// Last event that the client has already received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of that stream, if the client names it.
+    pub resumes: Option<SharedName>,
     /// Headers passed on unchanged.
     pub headers: HeaderMap,
 }
 
 impl CallHead {
+    /// Id of the attempt that began the stream: that of the attempt that the client takes up, or its own.
+    pub fn stream_id(&self) -> &str {
+        let resumed = self.resumes.as_deref().filter(|_| self.last_event.is_some());
+        resumed.unwrap_or(&self.id)
+    }
+
     /// The path without its query.
     pub fn path(&self) -> &str {
         &self.target[..self.path_length]
--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -72,6 +72,16 @@
     pub public: bool,
 }
 
+impl Route {
+    /// The service to which all its requests go; none if there are several.
+    pub fn sole_service(&self) -> Option<&SharedName> {
+        match &self.services[..] {
+            [sole] => Some(&sole.service),
+            _ => None,
+        }
+    }
+}
+
 /// A service's share of a route's requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ServiceWeight {
@@ -189,6 +199,12 @@
         Self { version, limits, ..Self::default() }
     }
 
+    /// Longest time limit of the routes whose responses are streams, if they have any.
+    pub fn longest_stream_timeout(&self) -> Option<Duration> {
+        let streams = self.routes.values().flatten().filter(|route| route.kind.is_stream());
+        streams.filter_map(|route| route.timeout).max()
+    }
+
     /// Adds a route.
     pub fn add_route(&mut self, route: Route) {
         let routes = self.routes.entry(route.host.to_ascii_lowercase().into()).or_default();
--- a/src/gateway/context/store_contents.rs
+++ b/src/gateway/context/store_contents.rs
@@ -125,6 +125,7 @@
     fn use_endpoints(&self, now: Instant) {
         let used = self.entry_history.borrow().used();
         self.endpoints.borrow_mut().set_list(&used, now);
+        self.versions.borrow_mut().apply(&used, now);
         *self.endpoint_list.borrow_mut() = used;
     }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -21,7 +21,10 @@
     context::{GatewayContext, Intake},
     endpoint::EndpointList,
     forwarding::{access_probe, tunnel_server},
-    gossip::{caller, listener, peer_table::PeerTable, text_exchange::TextExchange},
+    gossip::{
+        caller, listener, peer_connections::PeerConnections, peer_table::PeerTable,
+        text_exchange::TextExchange,
+    },
     leader::leader_tasks,
     policy::{
         daemon::{
@@ -129,6 +132,11 @@
         access_doubted: Notify::new(),
         endpoint_access: RefCell::default(),
         endpoints: RefCell::new(EndpointTable::new(settings.zone.clone())),
+        versions: RefCell::default(),
+        streams: RefCell::default(),
+        active_streams: RefCell::default(),
+        unsent_streams: RefCell::default(),
+        peer_connections: PeerConnections::default(),
         rollouts: RefCell::default(),
         quotas: RefCell::new(empty_quotas(&settings.bounds, now)),
         retry_budgets: RefCell::new(retry_budgets(&settings.bounds)),
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -1,23 +1,13 @@
 //! Calls a few other daemons in every gossip interval, and applies their responses.
 //!
-//! Owns the connections that it has opened. If a call fails or takes too long, its connection is
+//! If a call fails or takes too long, its connection is
 //! closed and the failure is counted (`exchange_failures`). The peer table decides when the address
 //! is called again.
 
-use std::{
-    cell::RefCell,
-    collections::{BTreeSet, HashMap},
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use capnp::Error;
-use capnp_rpc::rpc_twoparty_capnp::Side;
-use tokio::{
-    net::TcpStream,
-    time::{Instant, MissedTickBehavior, interval, timeout},
-};
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
 use super::{
     codec::{read_message, write_message},
@@ -29,11 +19,12 @@
     incoming::apply_message,
     messages::{GossipMessage, RequestedParts},
     outgoing::{held_versions, own_message},
+    peer_connections::CALL_LIMIT,
     rollouts::evaluate_versions,
+    streams::tell_active_streams,
 };
 use crate::{
     boot_clock,
-    exchange_capnp::exchange,
     gateway::{
         context::GatewayContext,
         policy::{
@@ -44,7 +35,6 @@
             leader::usage_reports::requests_former_usage,
         },
     },
-    rpc_transport::{TrafficCounter, rpc_system},
     wall_clock_ms,
 };
 
@@ -54,56 +44,12 @@
 pub const GOSSIP_INTERVAL: Duration = Duration::from_millis(100);
 /// Number of regular calls in an interval: 20 per second.
 pub const CALLS_PER_INTERVAL: usize = 2;
-/// Time limit for connecting, and for a call that requests no text: four gossip intervals.
-const CALL_LIMIT: Duration = Duration::from_millis(400);
 /// Time limit for a call that requests a configuration or a list of endpoints. A long text takes
 /// far longer beside other transfers than a call without a text.
 pub const FETCH_LIMIT: Duration = Duration::from_millis(2_500);
 
-struct OpenConnection {
-    client: exchange::Client,
-    task: tokio::task::AbortHandle,
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.task.abort();
-    }
-}
-
-/// Connections that this daemon has opened to others.
-#[derive(Default)]
-struct PeerConnections {
-    open: RefCell<HashMap<SocketAddr, Rc<OpenConnection>>>,
-    traffic: TrafficCounter,
-}
-
-impl PeerConnections {
-    async fn connect(&self, address: SocketAddr) -> Result<Rc<OpenConnection>, Error> {
-        if let Some(open) = self.open.borrow().get(&address) {
-            return Ok(open.clone());
-        }
-        let connecting = timeout(CALL_LIMIT, TcpStream::connect(address)).await;
-        let stream = connecting.map_err(|_| Error::failed("no connection in time".into()))??;
-        let mut rpc = rpc_system(stream, Side::Client, None, &self.traffic);
-        let client = rpc.bootstrap(Side::Server);
-        let task = tokio::task::spawn_local(async move {
-            // An error also fails the call on this connection, which is counted.
-            let _ = rpc.await;
-        });
-        let open = Rc::new(OpenConnection { client, task: task.abort_handle() });
-        self.open.borrow_mut().insert(address, open.clone());
-        Ok(open)
-    }
-
-    fn close(&self, address: SocketAddr) {
-        self.open.borrow_mut().remove(&address);
-    }
-}
-
 /// Calls other daemons until the daemon stops.
 pub async fn run(context: Rc<GatewayContext>) {
-    let connections = Rc::new(PeerConnections::default());
     let mut missed = boot_clock::suspended_time();
     let mut ticks = interval(GOSSIP_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -119,15 +65,17 @@
         divide_slots_if_due(&context, now);
         begin_trials(&context, now);
         evaluate_versions(&context, now);
+        context.confirm_versions(now);
+        tell_active_streams(&context);
         let fetches = start_fetches(&context, now);
         for address in addresses_to_call(&context, &fetches, now) {
-            let (context, connections) = (context.clone(), connections.clone());
+            let context = context.clone();
             tokio::task::spawn_local(async move {
-                call(&context, &connections, address, fetches).await;
+                call(&context, address, fetches).await;
             });
         }
         context.metrics.gauge("crash_records", context.crashes.borrow().len() as f64);
-        context.metrics.gauge("peer_bytes", connections.traffic.bytes() as f64);
+        context.metrics.gauge("peer_bytes", context.peer_connections.traffic.bytes() as f64);
         context.metrics.gauge(
             "configuration_proof_age_ms",
             context.configuration.borrow().proof_age_ms(now) as f64,
@@ -172,19 +120,14 @@
     addresses
 }
 
-async fn call(
-    context: &GatewayContext,
-    connections: &PeerConnections,
-    address: SocketAddr,
-    fetches: TextFetches,
-) {
+async fn call(context: &GatewayContext, address: SocketAddr, fetches: TextFetches) {
     let called_at = boot_clock::now();
     let parts = parts_to_request(context, address, fetches);
     let fetches_configuration = parts.configuration.is_some();
     let fetches_text = fetches_configuration || parts.endpoints.is_some();
     let asks_for_tokens = parts.tokens;
     let limit = if fetches_text { FETCH_LIMIT } else { CALL_LIMIT };
-    let called = timeout(limit, swap_messages(context, connections, address, parts)).await;
+    let called = timeout(limit, swap_messages(context, address, parts)).await;
     let outcomes = match called {
         Ok(Ok(response)) => {
             if asks_for_tokens {
@@ -194,7 +137,7 @@
         }
         // Counted but not logged: calls to a daemon that has ended fail twice a second.
         Ok(Err(_)) | Err(_) => {
-            connections.close(address);
+            context.peer_connections.close(address);
             context.peers.borrow_mut().call_failed(address);
             context.metrics.count("exchange_failures", 1);
             FetchOutcomes::FAILED
@@ -234,11 +177,10 @@
 
 async fn swap_messages(
     context: &GatewayContext,
-    connections: &PeerConnections,
     address: SocketAddr,
     parts: RequestedParts,
 ) -> Result<GossipMessage, Error> {
-    let connection = connections.connect(address).await?;
+    let connection = context.peer_connections.connect(address).await?;
     let mut request = connection.client.swap_request();
     let mut message = own_message(context, RequestedParts::default());
     message.wants = parts;
--- a/src/gateway/gossip/listener.rs
+++ b/src/gateway/gossip/listener.rs
@@ -10,10 +10,11 @@
     codec::{read_message, write_message},
     incoming::apply_message,
     outgoing::own_message,
+    streams::{own_report, receive_records, write_report},
 };
 use crate::{
     exchange_capnp::exchange,
-    gateway::context::GatewayContext,
+    gateway::{context::GatewayContext, policy::request::stream_origin::StreamKey},
     http::server,
     rpc_transport::{TrafficCounter, rpc_system},
 };
@@ -56,4 +57,24 @@
         write_message(results.get().init_message(), &own);
         Ok(())
     }
+
+    async fn record_streams(
+        self: Rc<Self>,
+        params: exchange::RecordStreamsParams,
+        _results: exchange::RecordStreamsResults,
+    ) -> Result<(), Error> {
+        receive_records(&self.context, params.get()?.get_streams()?)
+    }
+
+    async fn find_stream(
+        self: Rc<Self>,
+        params: exchange::FindStreamParams,
+        mut results: exchange::FindStreamResults,
+    ) -> Result<(), Error> {
+        let params = params.get()?;
+        let (key, service) = (StreamKey(params.get_stream()), params.get_service()?.to_str()?);
+        let report = own_report(&self.context, key, Some(service));
+        write_report(results.get().init_report(), key, &report);
+        Ok(())
+    }
 }
--- a/src/gateway/gossip/peer_table/rendezvous.rs
+++ b/src/gateway/gossip/peer_table/rendezvous.rs
@@ -56,8 +56,12 @@
         let all = others.chain([(hash_address(&self.own), self.own)]);
         let mut ranked: Vec<(u64, SocketAddr)> =
             all.map(|(hash, address)| (rendezvous_hash(key, hash), address)).collect();
+        if count < ranked.len() {
+            ranked.select_nth_unstable(count);
+            ranked.truncate(count);
+        }
         ranked.sort_unstable();
-        let first = ranked.into_iter().take(count).map(|(_, address)| address);
+        let first = ranked.into_iter().map(|(_, address)| address);
         first.filter(|address| *address != self.own).collect()
     }
 }
--- /dev/null
+++ b/src/gateway/gossip/streams.rs
@@ -0,0 +1,276 @@
+//! Tells other daemons at which versions this one has begun streams, and asks them about a stream that is
+//! taken up here. `policy::request::stream_origin` decides who is told and what follows from the answers.
+
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+
+use capnp::Error;
+use futures::{StreamExt, stream::FuturesUnordered};
+use tokio::time::{sleep, timeout};
+
+use super::peer_connections::CALL_LIMIT;
+use crate::{
+    boot_clock,
+    exchange_capnp::{stream_report, stream_start},
+    gateway::{
+        context::GatewayContext,
+        policy::{
+            endpoint::version_history::ServedVersions,
+            request::stream_origin::{
+                HOLDERS, OriginReport, StreamKey, StreamOrigin, StreamStart, decide, stream_life,
+            },
+        },
+    },
+    ids::SharedName,
+};
+
+/// Time in which records for the same daemon are collected for one call: short beside the time from the head
+/// of a stream to its first event.
+const COLLECT_TIME: Duration = Duration::from_millis(10);
+/// Longest wait for the answer of a holder: several round trips, and the work of a busy daemon.
+const ANSWER_LIMIT: Duration = Duration::from_millis(150);
+/// Pause before the holders are asked again: a record may still be on its way.
+const SECOND_ASK_DELAY: Duration = Duration::from_millis(50);
+/// Most records in one message.
+const MAX_STREAMS: u32 = 10_000;
+/// Holders asked beyond those that are told, since the order of the daemons may have changed.
+const EXTRA_HOLDERS: usize = 1;
+
+/// Records to be sent, by daemon.
+pub type UnsentRecords = HashMap<SocketAddr, Vec<(StreamKey, StreamStart)>>;
+
+/// A stream that this daemon is passing on; forgotten when dropped.
+pub struct ActiveStream {
+    context: Rc<GatewayContext>,
+    key: StreamKey,
+}
+
+impl Drop for ActiveStream {
+    fn drop(&mut self) {
+        self.context.active_streams.borrow_mut().remove(&self.key);
+    }
+}
+
+/// Records that a stream is begun, or goes on. Others are told unless no other version can serve it.
+/// `is_ambiguous`: its route leads to several services.
+pub fn record_stream(
+    context: &Rc<GatewayContext>,
+    key: StreamKey,
+    start: StreamStart,
+    is_ambiguous: bool,
+) -> ActiveStream {
+    context.active_streams.borrow_mut().insert(key, start.clone());
+    if is_ambiguous || needs_record(context, &start.service) {
+        tell_holders(context, key, start);
+    }
+    ActiveStream { context: context.clone(), key }
+}
+
+/// Tells others of the streams that this daemon is passing on, after a second version of their service
+/// has been listed.
+pub fn tell_active_streams(context: &Rc<GatewayContext>) {
+    let active = context.active_streams.borrow().clone();
+    let is_unknown = |key: &StreamKey| context.streams.borrow().find(*key).is_none();
+    for (key, start) in active.into_iter().filter(|(key, _)| is_unknown(key)) {
+        if needs_record(context, &start.service) {
+            tell_holders(context, key, start);
+        }
+    }
+}
+
+fn needs_record(context: &GatewayContext, service: &str) -> bool {
+    !matches!(served_versions(context, service), ServedVersions::Only(_))
+}
+
+fn served_versions(context: &GatewayContext, service: &str) -> ServedVersions {
+    let now = boot_clock::now();
+    let life = stream_life(context.configuration().as_deref());
+    context.versions.borrow_mut().served(service, life, now)
+}
+
+fn tell_holders(context: &Rc<GatewayContext>, key: StreamKey, start: StreamStart) {
+    let life = stream_life(context.configuration().as_deref());
+    context.streams.borrow_mut().record(key, start.clone(), life, boot_clock::now());
+    context.metrics.count("streams_recorded", 1);
+    let holders = context.peers.borrow().rendezvous_first(key.0, HOLDERS + 1);
+    let mut unsent = context.unsent_streams.borrow_mut();
+    let is_first = unsent.is_empty();
+    for holder in holders {
+        unsent.entry(holder).or_default().push((key, start.clone()));
+    }
+    if is_first && !unsent.is_empty() {
+        tokio::task::spawn_local(send_records(context.clone()));
+    }
+}
+
+async fn send_records(context: Rc<GatewayContext>) {
+    sleep(COLLECT_TIME).await;
+    let unsent = context.unsent_streams.take();
+    for (holder, records) in unsent {
+        let context = context.clone();
+        tokio::task::spawn_local(async move {
+            let sent = timeout(CALL_LIMIT, send_to(&context, holder, &records)).await;
+            if !matches!(sent, Ok(Ok(()))) {
+                // Other holders have the records too.
+                context.metrics.count("stream_records_failed", records.len() as u64);
+            }
+        });
+    }
+}
+
+async fn send_to(
+    context: &GatewayContext,
+    holder: SocketAddr,
+    records: &[(StreamKey, StreamStart)],
+) -> Result<(), Error> {
+    let connection = context.peer_connections.connect(holder).await?;
+    let mut request = connection.client.record_streams_request();
+    let mut streams = request.get().init_streams(records.len() as u32);
+    for (index, (key, start)) in records.iter().enumerate() {
+        write_start(streams.reborrow().get(index as u32), *key, start);
+    }
+    request.send().promise.await?;
+    Ok(())
+}
+
+/// Records the streams that another daemon has begun.
+///
+/// # Errors
+///
+/// The message is malformed or too long.
+pub fn receive_records(
+    context: &GatewayContext,
+    streams: capnp::struct_list::Reader<'_, stream_start::Owned>,
+) -> Result<(), Error> {
+    if streams.len() > MAX_STREAMS {
+        return Err(Error::failed("too many streams".into()));
+    }
+    let life = stream_life(context.configuration().as_deref());
+    let now = boot_clock::now();
+    let mut ledger = context.streams.borrow_mut();
+    for stream in streams {
+        let key = StreamKey(stream.get_stream());
+        ledger.record(key, read_start(stream)?, life, now);
+    }
+    Ok(())
+}
+
+/// What this daemon knows of a stream, and of its service if that is known.
+pub fn own_report(context: &GatewayContext, key: StreamKey, service: Option<&str>) -> OriginReport {
+    let now = boot_clock::now();
+    let served =
+        service.map_or(ServedVersions::Unknown, |service| served_versions(context, service));
+    let ledger = context.streams.borrow();
+    let recorded =
+        ledger.find(key).map(|(start, at)| (start.clone(), now.saturating_duration_since(at)));
+    OriginReport {
+        recorded,
+        has_several: served == ServedVersions::Several,
+        only_version: match served {
+            ServedVersions::Only(version) => Some(version),
+            ServedVersions::Several | ServedVersions::Unknown => None,
+        },
+    }
+}
+
+/// Finds out where a stream was begun; none if it isn't known. `service` is that of its route if there is
+/// only one.
+pub async fn find_origin(
+    context: &GatewayContext,
+    key: StreamKey,
+    service: Option<&SharedName>,
+) -> Option<StreamOrigin> {
+    let found = find_once(context, key, service).await;
+    if found.is_some() {
+        return found;
+    }
+    sleep(SECOND_ASK_DELAY).await;
+    find_once(context, key, service).await
+}
+
+async fn find_once(
+    context: &GatewayContext,
+    key: StreamKey,
+    service: Option<&SharedName>,
+) -> Option<StreamOrigin> {
+    let own = own_report(context, key, service.map(|service| &**service));
+    let reports = match own.recorded {
+        Some(_) => Vec::new(),
+        None => ask_holders(context, key, service.map_or("", |service| service)).await,
+    };
+    decide(&own, &reports, service)
+}
+
+/// Asks the holders of a stream until one has a record, or all have answered or taken too long.
+async fn ask_holders(context: &GatewayContext, key: StreamKey, service: &str) -> Vec<OriginReport> {
+    let holders = context.peers.borrow().rendezvous_first(key.0, HOLDERS + 1 + EXTRA_HOLDERS);
+    let asked =
+        holders.into_iter().map(|holder| timeout(ANSWER_LIMIT, ask(context, holder, key, service)));
+    let mut answers: FuturesUnordered<_> = asked.collect();
+    let mut reports = Vec::new();
+    while let Some(answer) = answers.next().await {
+        // A daemon that doesn't answer, or is of an earlier release, knows nothing.
+        let Ok(Ok(report)) = answer else { continue };
+        let is_recorded = report.recorded.is_some();
+        reports.push(report);
+        if is_recorded {
+            break;
+        }
+    }
+    reports
+}
+
+async fn ask(
+    context: &GatewayContext,
+    holder: SocketAddr,
+    key: StreamKey,
+    service: &str,
+) -> Result<OriginReport, Error> {
+    let connection = context.peer_connections.connect(holder).await?;
+    let mut request = connection.client.find_stream_request();
+    request.get().set_stream(key.0);
+    request.get().set_service(service);
+    let response = request.send().promise.await?;
+    read_report(response.get()?.get_report()?)
+}
+
+/// Writes a report into the answer to another daemon.
+pub fn write_report(mut target: stream_report::Builder<'_>, key: StreamKey, report: &OriginReport) {
+    if let Some((start, age)) = &report.recorded {
+        target.set_has_record(true);
+        write_start(target.reborrow().init_start(), key, start);
+        target.set_age_ms(u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
+    }
+    if let Some(version) = &report.only_version {
+        target.set_only_version(&**version);
+    }
+    target.set_has_several(report.has_several);
+}
+
+fn read_report(source: stream_report::Reader<'_>) -> Result<OriginReport, Error> {
+    let recorded = match source.get_has_record() {
+        true => {
+            let age = Duration::from_millis(u64::from(source.get_age_ms()));
+            Some((read_start(source.get_start()?)?, age))
+        }
+        false => None,
+    };
+    let only_version = source.get_only_version()?.to_str()?;
+    Ok(OriginReport {
+        recorded,
+        only_version: (!only_version.is_empty()).then(|| only_version.into()),
+        has_several: source.get_has_several(),
+    })
+}
+
+fn write_start(mut target: stream_start::Builder<'_>, key: StreamKey, start: &StreamStart) {
+    target.set_stream(key.0);
+    target.set_service(&*start.service);
+    target.set_version(&*start.version);
+}
+
+fn read_start(source: stream_start::Reader<'_>) -> Result<StreamStart, Error> {
+    Ok(StreamStart {
+        service: source.get_service()?.to_str()?.into(),
+        version: source.get_version()?.to_str()?.into(),
+    })
+}
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -68,6 +68,8 @@
 pub struct ChoiceQuery<'a> {
     /// Service.
     pub service: &'a str,
+    /// The version at which a stream goes on; none if any may run the request.
+    pub version: Option<&'a str>,
     /// Parts of the prompt.
     pub parts: &'a [PromptPart],
     /// Tokens of the prompt.
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -267,6 +267,7 @@
         let mut candidates: Vec<&EndpointStatus> = self
             .of_service(query.service)
             .filter(|status| !query.tried.contains(&status.record.id))
+            .filter(|status| query.version.is_none_or(|version| *version == *status.record.version))
             .collect();
         self.retain_versions(&mut candidates, query.service, filter);
         let context = ChoiceContext {
--- /dev/null
+++ b/src/gateway/policy/endpoint/version_history.rs
@@ -0,0 +1,95 @@
+//! Software versions of a service's endpoints that this daemon has seen in its lists, and for how long it
+//! has seen them without a gap.
+//!
+//! Tells whether one version alone can have begun a stream. A daemon that has just started, or whose lists
+//! may be old, can't tell.
+
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap},
+    time::Duration,
+};
+
+use tokio::time::Instant;
+
+use crate::{gateway::endpoint::EndpointList, ids::SharedName};
+
+/// A list that was confirmed longer ago than this may lack endpoints that serve: several reads of the
+/// store or exchanges with peers.
+const MAX_LIST_AGE: Duration = Duration::from_secs(4);
+
+/// Versions that have served a service.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ServedVersions {
+    /// One alone.
+    Only(SharedName),
+    /// Several.
+    Several,
+    /// Not known: the lists don't reach back far enough, or no endpoint was listed.
+    Unknown,
+}
+
+/// Versions by service, with the time at which each was last listed.
+#[derive(Debug, Default)]
+pub struct VersionHistory {
+    services: HashMap<SharedName, BTreeMap<SharedName, Instant>>,
+    /// Versions in the newest list.
+    listed: HashMap<SharedName, BTreeSet<SharedName>>,
+    /// Since when the lists have been confirmed without a gap.
+    covered_since: Option<Instant>,
+    confirmed_at: Option<Instant>,
+}
+
+impl VersionHistory {
+    /// Applies a new list.
+    pub fn apply(&mut self, list: &EndpointList, now: Instant) {
+        self.mark_listed(now);
+        self.listed.clear();
+        for endpoint in &list.endpoints {
+            let versions = self.listed.entry(endpoint.service.clone()).or_default();
+            versions.insert(endpoint.version.clone());
+        }
+        self.mark_listed(now);
+    }
+
+    /// Records that the newest list was found to be current at `confirmed`.
+    pub fn confirm(&mut self, confirmed: Option<Instant>, now: Instant) {
+        let Some(confirmed) = confirmed else { return };
+        let has_gap = self
+            .confirmed_at
+            .is_none_or(|before| confirmed.saturating_duration_since(before) > MAX_LIST_AGE);
+        if has_gap {
+            self.covered_since = Some(now);
+        }
+        self.confirmed_at = self.confirmed_at.max(Some(confirmed));
+    }
+
+    fn mark_listed(&mut self, now: Instant) {
+        for (service, versions) in &self.listed {
+            let seen = self.services.entry(service.clone()).or_default();
+            for version in versions {
+                seen.insert(version.clone(), now);
+            }
+        }
+    }
+
+    /// Versions that have served a service within the last `span`.
+    pub fn served(&mut self, service: &str, span: Duration, now: Instant) -> ServedVersions {
+        self.mark_listed(now);
+        let Some(seen) = self.services.get_mut(service) else { return ServedVersions::Unknown };
+        seen.retain(|_, at| now.saturating_duration_since(*at) <= span);
+        if seen.len() > 1 {
+            return ServedVersions::Several;
+        }
+        let is_current =
+            self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_LIST_AGE);
+        let is_covered =
+            self.covered_since.is_some_and(|since| now.saturating_duration_since(since) >= span);
+        match seen.keys().next() {
+            // An empty version is one that isn't known.
+            Some(version) if is_current && is_covered && !version.is_empty() => {
+                ServedVersions::Only(version.clone())
+            }
+            _ => ServedVersions::Unknown,
+        }
+    }
+}
--- a/src/gateway/policy/request.rs
+++ b/src/gateway/policy/request.rs
@@ -1,7 +1,7 @@
 //! Rules for a single request, applied in this order: `admission`, `key_freshness`, `quota`,
 //! `time_limits`, `endpoint_priority`, `retries` and `retry_budget`. `refusal` lists the reasons
 //! for which a request may be refused, and `retry_after` sets the time after which the client may
-//! retry.
+//! retry. `stream_origin` decides where a stream goes on that its client takes up again.
 
 pub mod admission;
 pub mod configuration_doubt;
@@ -17,4 +17,5 @@
 pub mod retries;
 pub mod retry_after;
 pub mod retry_budget;
+pub mod stream_origin;
 pub mod time_limits;
--- a/src/gateway/policy/request/refusal.rs
+++ b/src/gateway/policy/request/refusal.rs
@@ -70,6 +70,13 @@
     /// There is no endpoint to send the request to; it has not run. Holds the retry-after.
     #[display("no endpoint")]
     NoEndpoint(Duration),
+    /// The stream goes on only at the version that began it, and no endpoint of that takes requests; this
+    /// attempt has not run. Holds the retry-after.
+    #[display("no endpoint of the stream's version")]
+    NoVersion(Duration),
+    /// It isn't known which version began the stream; this attempt has not run. Holds the retry-after.
+    #[display("version of the stream not known")]
+    UnknownStream(Duration),
     /// This daemon reaches no endpoint, not through others either; the request has not run. Holds the
     /// retry-after.
     #[display("no path to any endpoint")]
@@ -138,6 +145,8 @@
             | Self::NotTaken(_)
             | Self::DeadlineOver(_)
             | Self::NoEndpoint(_)
+            | Self::NoVersion(_)
+            | Self::UnknownStream(_)
             | Self::NoPath(_)
             | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -159,6 +168,8 @@
             | Self::NotTaken(wait)
             | Self::DeadlineOver(wait)
             | Self::NoEndpoint(wait)
+            | Self::NoVersion(wait)
+            | Self::UnknownStream(wait)
             | Self::NoPath(wait)
             | Self::Quarantined(wait) => Some(*wait),
             Self::NoConfiguration | Self::FleetUnknown | Self::NotFresh => {
--- a/src/gateway/policy/request/retries.rs
+++ b/src/gateway/policy/request/retries.rs
@@ -135,6 +135,8 @@
     RoomLater(Duration),
     /// All endpoints have been tried, or there are none.
     NoEndpoint,
+    /// No endpoint of the version that began the stream takes requests, or all of them have been tried.
+    NoVersion,
     /// This daemon reaches no endpoint, and no other daemon carries connections to them.
     NoPath,
     /// The daemon doesn't know yet which requests crash endpoints.
@@ -155,6 +157,7 @@
             (Self::RoomLater(wait), false) => Refusal::RoomLater(wait),
             (Self::NoPeerContact, false) => Refusal::NoPeerContact,
             (Self::Quarantined(wait), false) => Refusal::Quarantined(wait),
+            (Self::NoVersion, false) => Refusal::NoVersion(retry_after::NO_ENDPOINT),
             (Self::NoPath, false) => Refusal::NoPath(retry_after::NO_ENDPOINT),
             (Self::NoEndpoint, false) => Refusal::NoEndpoint(retry_after::NO_ENDPOINT),
         }
--- a/src/gateway/policy/request/retry_after.rs
+++ b/src/gateway/policy/request/retry_after.rs
@@ -23,6 +23,9 @@
 /// The daemon has not had contact with its peers since it started or its process was suspended. It
 /// calls two of them every 0.1 s.
 pub const AWAITING_PEERS: Duration = Duration::from_millis(200);
+/// It isn't known which version began a stream that is taken up. Another daemon may know, and records of
+/// other daemons may arrive.
+pub const UNKNOWN_STREAM: Duration = Duration::from_millis(200);
 /// The daemon is stopping, and the load balancer sends the retry to another one; or some endpoints
 /// have capacity but this request was not allowed to try them. Neither case needs a pause.
 pub const AT_ONCE: Duration = Duration::from_millis(20);
--- a/src/gateway/policy/rollout/version_split.rs
+++ b/src/gateway/policy/rollout/version_split.rs
@@ -44,6 +44,22 @@
     pub plan_age: Duration,
 }
 
+/// Whether a stream that a version has begun may go on there. Endpoints of a former version end as soon as
+/// the roll-out is completed, and a version that was found to be bad runs nothing more.
+pub fn may_go_on(rollout: &KnownRollout, version: &str, inputs: &SplitInputs) -> bool {
+    let is_target = *rollout.order.target == *version;
+    match rollout.plan.phase {
+        RolloutPhase::Completed => {
+            is_target || !inputs.has_target || inputs.plan_age >= COMPLETION_TIME
+        }
+        RolloutPhase::Reverted | RolloutPhase::Withdrawn => !is_target || !inputs.has_former,
+        RolloutPhase::Ordered
+        | RolloutPhase::Canary
+        | RolloutPhase::Shift
+        | RolloutPhase::Drain => !(is_target && rollout.is_stopped),
+    }
+}
+
 /// The endpoints that may run a request, those first that are tried first.
 pub fn filters(rollout: &KnownRollout, inputs: &SplitInputs) -> Vec<VersionFilter> {
     let SplitInputs { has_former, has_target, .. } = *inputs;
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -19,12 +19,15 @@
     call::{Call, CallHead},
     configuration::{Account, Configuration, Route, Service},
     context::{GatewayContext, Intake},
+    gossip::streams::find_origin,
     policy::request::{
         admission::{MatchedHead, match_head, quota_units, service_at, total_weight},
         fingerprint::RequestFingerprint,
         quota::QuotaVerdict,
         refusal::{Refusal, SpentQuota},
-        retry_after, time_limits,
+        retry_after,
+        stream_origin::{StreamKey, StreamOrigin},
+        time_limits,
     },
 };
 
@@ -41,6 +44,8 @@
     pub route: Rc<Route>,
     /// Service, chosen at random by the route's weights.
     pub service: Rc<Service>,
+    /// Version at which a stream that the client takes up goes on.
+    pub origin: Option<StreamOrigin>,
     /// Account; `None` for public routes, and if the configuration has no accounts.
     pub account: Option<Rc<Account>>,
     /// Deadline of the request.
@@ -97,8 +102,12 @@
     let MatchedHead { route, account } = matched;
     let deadline = time_limits::request_deadline(received, head.deadline, &route);
     let body = read_body(body, configuration.limits.body_bytes, deadline).await?;
-    let service = draw_service(&configuration, &route)
-        .ok_or(Refusal::NoEndpoint(retry_after::NO_ENDPOINT))?;
+    let origin = find_origin_of(context, &head, &route, account.as_deref(), trace).await?;
+    let service = match &origin {
+        Some(origin) => service_of(&configuration, &route, origin),
+        None => draw_service(&configuration, &route),
+    };
+    let service = service.ok_or(Refusal::NoEndpoint(retry_after::NO_ENDPOINT))?;
     let now = boot_clock::now();
     if let Some(account) = &account {
         charge_quota(context, account, &head, now)?;
@@ -109,6 +118,7 @@
         call,
         route,
         service,
+        origin,
         account,
         deadline,
         counted: Cell::new(false),
@@ -147,6 +157,37 @@
     configuration.services.get(&drawn.service).cloned()
 }
 
+/// Finds out where a stream was begun that the client takes up; none for other requests.
+async fn find_origin_of(
+    context: &GatewayContext,
+    head: &CallHead,
+    route: &Route,
+    account: Option<&Account>,
+    trace: &mut RequestTrace,
+) -> Result<Option<StreamOrigin>, Refusal> {
+    if !route.kind.is_stream() || head.last_event.is_none() {
+        return Ok(None);
+    }
+    let key = StreamKey::of(account.map(|account| &*account.name), head.stream_id());
+    let origin = find_origin(context, key, route.sole_service()).await;
+    trace.taken_up(head.stream_id(), origin.as_ref());
+    match origin {
+        Some(origin) => Ok(Some(origin)),
+        None => Err(Refusal::UnknownStream(retry_after::UNKNOWN_STREAM)),
+    }
+}
+
+/// The service at which a stream was begun, if its route still leads there.
+fn service_of(
+    configuration: &Configuration,
+    route: &Route,
+    origin: &StreamOrigin,
+) -> Option<Rc<Service>> {
+    let name = &origin.start.service;
+    let is_of_route = route.services.iter().any(|service| service.service == *name);
+    is_of_route.then(|| configuration.services.get(name).cloned()).flatten()
+}
+
 fn charge_quota(
     context: &GatewayContext,
     account: &Account,
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -60,6 +60,8 @@
     unreached: Vec<SharedName>,
     /// Whether this daemon has been found to be partitioned since the first attempt.
     knows_partition: bool,
+    /// Version at which a stream goes on, once it has begun.
+    pub version: Option<SharedName>,
     /// Whether this is the trial of a quarantined request; only one attempt may reach an endpoint.
     is_trial: bool,
 }
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -22,7 +22,7 @@
             request::{
                 crash_ledger::RunVerdict, refusal::Refusal, retries::NoAttempt, retry_after,
             },
-            rollout::version_split::{SplitInputs, filters},
+            rollout::version_split::{SplitInputs, filters, may_go_on},
         },
         request::{admission::Admitted, crash_watch, request_log::RequestTrace},
     },
@@ -78,6 +78,7 @@
             }
             why_full(&endpoints, admitted, now)
         }
+        ChoiceResult::None if attempts.version.is_some() => NoAttempt::NoVersion,
         ChoiceResult::None => NoAttempt::NoEndpoint,
     };
     trace.found_no_endpoint(&endpoints.room(&admitted.service.name, now));
@@ -113,6 +114,12 @@
         has_former: former > 0,
         plan_age: rollouts.plan_age(query.service, now),
     };
+    if let Some(version) = query.version {
+        return match may_go_on(rollout, version, &inputs) {
+            true => endpoints.choose(query, now, rng),
+            false => ChoiceResult::None,
+        };
+    }
     let mut result = ChoiceResult::None;
     for filter in &filters(rollout, &inputs) {
         result = endpoints.choose_version(query, filter, now, rng);
@@ -134,6 +141,7 @@
         attempts.sent + 1 < admitted.route.attempts && may_afford_retry(context, service);
     ChoiceQuery {
         service,
+        version: attempts.version.as_deref(),
         parts: &head.parts,
         prompt_tokens: prompt_tokens(head),
         memory_tokens: memory_tokens(admitted),
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -88,6 +88,7 @@
 ) -> Response<LocalBody> {
     let admitted = Rc::new(admitted);
     let mut attempts = Attempts::default();
+    attempts.version = admitted.origin.as_ref().map(|origin| origin.start.version.clone());
     match first_response(context, &admitted, &mut attempts, &mut trace).await {
         Ok(response) => relay::pass_on(context, admitted, attempts, response, trace),
         Err(refusal) => {
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -39,9 +39,12 @@
     endpoint_health::AttemptResult,
     gateway::{
         context::GatewayContext,
+        gossip::streams::{ActiveStream, record_stream},
         policy::request::{
             response_end::{EndInputs, EndpointSurvival, ResponseEnd},
-            retries, time_limits,
+            retries,
+            stream_origin::{StreamKey, StreamStart},
+            time_limits,
         },
     },
     http::{BodyError, LocalBody},
@@ -77,6 +80,8 @@
     last_event: Option<u64>,
     /// Events passed on.
     events: u64,
+    /// Where the stream was begun, if that is known; kept for clients that take it up again.
+    start: Option<ActiveStream>,
     ended: bool,
     /// Whether the client gets the body in chunks, unless it speaks HTTP/1.0.
     is_chunked: bool,
@@ -118,10 +123,12 @@
         upstream: Some(upstream),
         cutter: streams.then(EventCutter::default),
         events: 0,
+        start: None,
         ended: false,
         is_chunked: !ends_with_connection,
         _active: context.active.enter(),
     };
+    relay.record_start();
     if relay.has_whole_plain_response() {
         relay.finish(ResponseEnd::Complete, None);
     }
@@ -210,6 +217,8 @@
             if self.events == 0 {
                 self.admitted.count_run(&self.context);
                 self.trace.first_event();
+                let record = upstream.guard.record();
+                self.attempts.version.get_or_insert_with(|| record.version.clone());
             }
             upstream.guard.prefill_done();
             upstream.guard.endpoint_ran();
@@ -249,7 +258,9 @@
             self.context.connections.discard_connections(upstream.guard.endpoint());
             upstream.guard.finish(AttemptResult::Failed);
         }
-        if !retries::may_resume(self.admitted.route.kind, self.cutter.is_some()) {
+        if !retries::may_resume(self.admitted.route.kind, self.cutter.is_some())
+            || !self.knows_version()
+        {
             return false;
         }
         while may_try_again(&self.context, &self.admitted, &self.attempts) {
@@ -266,11 +277,39 @@
             };
             self.cutter = Some(EventCutter::default());
             self.upstream = Some(Upstream::of(*resumed).1);
+            self.record_start();
             return true;
         }
         false
     }
 
+    /// Records where a stream is begun or goes on, before its first event is passed on. An endpoint that has
+    /// started again may have another version than the list says, so nothing is recorded of it.
+    fn record_start(&mut self) {
+        self.start = None;
+        let Some(upstream) = self.upstream.as_ref().filter(|_| self.cutter.is_some()) else {
+            return;
+        };
+        let record = upstream.guard.record();
+        if !self.context.endpoints.borrow().knows_start(record) {
+            return;
+        }
+        let start =
+            StreamStart { service: record.service.clone(), version: record.version.clone() };
+        let account = self.admitted.account.as_ref().map(|account| &*account.name);
+        let key = StreamKey::of(account, self.admitted.call.head.stream_id());
+        let is_ambiguous = self.admitted.route.sole_service().is_none();
+        self.start = Some(record_stream(&self.context, key, start, is_ambiguous));
+    }
+
+    /// Whether it is known which version has written the events that were passed on.
+    fn knows_version(&self) -> bool {
+        match &self.attempts.version {
+            Some(version) => !version.is_empty() && self.start.is_some(),
+            None => true,
+        }
+    }
+
     /// Evaluates the end of the endpoint's response.
     async fn evaluate_end(&mut self) -> (ResponseEnd, Option<EndpointSurvival>) {
         let Some(upstream) = &self.upstream else { return (ResponseEnd::Broken, None) };
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -24,6 +24,7 @@
                 fingerprint::RequestFingerprint,
                 refusal::Refusal,
                 response_end::{EndpointSurvival, ResponseEnd},
+                stream_origin::StreamOrigin,
             },
         },
     },
@@ -85,6 +86,24 @@
         let _ = write!(self.steps, " {room};");
     }
 
+    /// Records that the client takes a stream up, and where that goes on.
+    pub fn taken_up(&mut self, stream: &str, origin: Option<&StreamOrigin>) {
+        let source = origin.map_or("unknown".to_owned(), |origin| origin.source.to_string());
+        self.context.metrics.count_labelled("streams_taken_up", "source", &source);
+        // Writing to a string cannot fail.
+        let _ = match origin {
+            Some(StreamOrigin { start, age, .. }) => {
+                let age_ms = age.as_millis();
+                write!(
+                    self.steps,
+                    "takes up {stream} at {} by {source} of {age_ms} ms; ",
+                    start.version
+                )
+            }
+            None => write!(self.steps, "takes up {stream} of unknown version; "),
+        };
+    }
+
     /// Records that an attempt failed.
     pub fn failed(&mut self, failure: &SendFailure) {
         let after = boot_clock::since(self.begun).as_millis();
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -8493,105 +8493,1534 @@
     }
 }
 
+pub mod stream_start {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_stream(self) -> u64 {
+            self.reader.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_version(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_stream(self) -> u64 {
+            self.builder.get_data_field::<u64>(0)
+        }
+        #[inline]
+        pub fn set_stream(&mut self, value: u64)  {
+            self.builder.set_data_field::<u64>(0, value);
+        }
+        #[inline]
+        pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(0).init_text(size)
+        }
+        #[inline]
+        pub fn has_service(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_version(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 63] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(44, 202, 178, 115, 69, 1, 255, 191),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 218, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
+            ::capnp::word(116, 114, 101, 97, 109, 83, 116, 97),
+            ::capnp::word(114, 116, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(73, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(68, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(80, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(77, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
+        pub(crate) const TYPE_ID: u64 = 0xbfff_0145_73b2_ca2c;
+    }
+}
+
+pub mod stream_report {
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+    pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+    impl <> ::core::marker::Copy for Reader<'_,>  {}
+    impl <> ::core::clone::Clone for Reader<'_,>  {
+        fn clone(&self) -> Self { *self }
+    }
+
+    impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+        fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+            Self { reader,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+        fn from(reader: Reader<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <> ::core::fmt::Debug for Reader<'_,>  {
+        fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+            core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(reader.get_struct(default)?.into())
+        }
+    }
+
+    impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+        fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+            self.reader
+        }
+    }
+
+    impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+        fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+            self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> Reader<'a,>  {
+        pub fn reborrow(&self) -> Reader<'_,> {
+            Self { .. *self }
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.reader.total_size()
+        }
+        #[inline]
+        pub fn get_has_record(self) -> bool {
+            self.reader.get_bool_field(0)
+        }
+        #[inline]
+        pub fn get_start(self) -> ::capnp::Result<crate::exchange_capnp::stream_start::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_start(&self) -> bool {
+            !self.reader.get_pointer_field(0).is_null()
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.reader.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn get_only_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn has_only_version(&self) -> bool {
+            !self.reader.get_pointer_field(1).is_null()
+        }
+        #[inline]
+        pub fn get_has_several(self) -> bool {
+            self.reader.get_bool_field(1)
+        }
+    }
+
+    pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+    impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+        const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
+    }
+    impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+        fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+            Self { builder,  }
+        }
+    }
+
+    impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+        fn from(builder: Builder<'a,>) -> Self {
+            Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+        fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+            self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+        }
+    }
+
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+        fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+    }
+
+    impl <'a,> Builder<'a,>  {
+        pub fn into_reader(self) -> Reader<'a,> {
+            self.builder.into_reader().into()
+        }
+        pub fn reborrow(&mut self) -> Builder<'_,> {
+            Builder { builder: self.builder.reborrow() }
+        }
+        pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+            self.builder.as_reader().into()
+        }
+
+        pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+            self.builder.as_reader().total_size()
+        }
+        #[inline]
+        pub fn get_has_record(self) -> bool {
+            self.builder.get_bool_field(0)
+        }
+        #[inline]
+        pub fn set_has_record(&mut self, value: bool)  {
+            self.builder.set_bool_field(0, value);
+        }
+        #[inline]
+        pub fn get_start(self) -> ::capnp::Result<crate::exchange_capnp::stream_start::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_start(&mut self, value: crate::exchange_capnp::stream_start::Reader<'_>) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+        }
+        #[inline]
+        pub fn init_start(self, ) -> crate::exchange_capnp::stream_start::Builder<'a> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+        }
+        #[inline]
+        pub fn has_start(&self) -> bool {
+            !self.builder.is_pointer_field_null(0)
+        }
+        #[inline]
+        pub fn get_age_ms(self) -> u32 {
+            self.builder.get_data_field::<u32>(1)
+        }
+        #[inline]
+        pub fn set_age_ms(&mut self, value: u32)  {
+            self.builder.set_data_field::<u32>(1, value);
+        }
+        #[inline]
+        pub fn get_only_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+        }
+        #[inline]
+        pub fn set_only_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+            ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+        }
+        #[inline]
+        pub fn init_only_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+            self.builder.get_pointer_field(1).init_text(size)
+        }
+        #[inline]
+        pub fn has_only_version(&self) -> bool {
+            !self.builder.is_pointer_field_null(1)
+        }
+        #[inline]
+        pub fn get_has_several(self) -> bool {
+            self.builder.get_bool_field(1)
+        }
+        #[inline]
+        pub fn set_has_several(&mut self, value: bool)  {
+            self.builder.set_bool_field(1, value);
+        }
+    }
+
+    pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+    impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+        fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+            Self { _typeless: typeless,  }
+        }
+    }
+    impl Pipeline  {
+        pub fn get_start(&self) -> crate::exchange_capnp::stream_start::Pipeline {
+            ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+        }
+    }
+    mod _private {
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 96] = [
+            ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+            ::capnp::word(134, 137, 128, 37, 96, 64, 122, 178),
+            ::capnp::word(15, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(53, 233, 200, 178, 96, 122, 31, 212),
+            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 226, 0, 0, 0),
+            ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(29, 0, 0, 0, 31, 1, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+            ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
+            ::capnp::word(116, 114, 101, 97, 109, 82, 101, 112),
+            ::capnp::word(111, 114, 116, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
+            ::capnp::word(20, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(125, 0, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(124, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(133, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(128, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(140, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(137, 0, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(132, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(141, 0, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(140, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(4, 0, 0, 0, 1, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(149, 0, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 97, 115, 82, 101, 99, 111, 114),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(115, 116, 97, 114, 116, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(44, 202, 178, 115, 69, 1, 255, 191),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(97, 103, 101, 77, 115, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(111, 110, 108, 121, 86, 101, 114, 115),
+            ::capnp::word(105, 111, 110, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(104, 97, 115, 83, 101, 118, 101, 114),
+            ::capnp::word(97, 108, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+        ];
+        pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+            match index {
+                0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                1 => <crate::exchange_capnp::stream_start::Owned as ::capnp::introspect::Introspect>::introspect(),
+                2 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                3 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                4 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                _ => ::capnp::introspect::panic_invalid_field_index(index),
+            }
+        }
+        pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+            ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+        }
+        pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+        pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+            &ARENA,
+            NONUNION_MEMBERS,
+            MEMBERS_BY_DISCRIMINANT,
+            MEMBERS_BY_NAME
+        );
+        pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3,4];
+        pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+        pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,0,4,3,1];
+        pub(crate) const TYPE_ID: u64 = 0xb27a_4060_2580_8986;
+    }
+}
+
+
+pub mod exchange {
+    #![allow(unused_variables)]
+    pub type SwapParams<> = ::capnp::capability::Params<crate::exchange_capnp::exchange::swap_params::Owned>;
+    pub type SwapResults<> = ::capnp::capability::Results<crate::exchange_capnp::exchange::swap_results::Owned>;
+    pub type RecordStreamsParams<> = ::capnp::capability::Params<crate::exchange_capnp::exchange::record_streams_params::Owned>;
+    pub type RecordStreamsResults<> = ::capnp::capability::Results<crate::exchange_capnp::exchange::record_streams_results::Owned>;
+    pub type FindStreamParams<> = ::capnp::capability::Params<crate::exchange_capnp::exchange::find_stream_params::Owned>;
+    pub type FindStreamResults<> = ::capnp::capability::Results<crate::exchange_capnp::exchange::find_stream_results::Owned>;
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+        pub fn swap_request(&self) -> ::capnp::capability::Request<crate::exchange_capnp::exchange::swap_params::Owned,crate::exchange_capnp::exchange::swap_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
+        pub fn record_streams_request(&self) -> ::capnp::capability::Request<crate::exchange_capnp::exchange::record_streams_params::Owned,crate::exchange_capnp::exchange::record_streams_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 1, ::core::option::Option::None)
+        }
+        pub fn find_stream_request(&self) -> ::capnp::capability::Request<crate::exchange_capnp::exchange::find_stream_params::Owned,crate::exchange_capnp::exchange::find_stream_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
+        }
+    }
+    pub trait Server<> : 'static  {
+        fn swap(self: ::capnp::capability::Rc<Self>, _: SwapParams<>, _: SwapResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method exchange::Server::swap not implemented".to_string()))) }
+        fn record_streams(self: ::capnp::capability::Rc<Self>, _: RecordStreamsParams<>, _: RecordStreamsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method exchange::Server::record_streams not implemented".to_string()))) }
+        fn find_stream(self: ::capnp::capability::Rc<Self>, _: FindStreamParams<>, _: FindStreamResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method exchange::Server::find_stream not implemented".to_string()))) }
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::swap(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::record_streams(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::find_stream(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xcb22_3899_2caf_ef1f;
+    }
+
+    pub mod swap_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_message(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_message(&mut self, value: crate::exchange_capnp::gossip_message::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_message(self, ) -> crate::exchange_capnp::gossip_message::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_message(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_message(&self) -> crate::exchange_capnp::gossip_message::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(27, 52, 88, 121, 41, 51, 15, 193),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+                ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
+                ::capnp::word(120, 99, 104, 97, 110, 103, 101, 46),
+                ::capnp::word(115, 119, 97, 112, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::exchange_capnp::gossip_message::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xc10f_3329_7958_341b;
+        }
+    }
+
+    pub mod swap_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_message(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_message(&mut self, value: crate::exchange_capnp::gossip_message::Reader<'_>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_message(self, ) -> crate::exchange_capnp::gossip_message::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            }
+            #[inline]
+            pub fn has_message(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_message(&self) -> crate::exchange_capnp::gossip_message::Pipeline {
+                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(79, 162, 228, 152, 243, 232, 123, 172),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+                ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
+                ::capnp::word(120, 99, 104, 97, 110, 103, 101, 46),
+                ::capnp::word(115, 119, 97, 112, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <crate::exchange_capnp::gossip_message::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xac7b_e8f3_98e4_a24f;
+        }
+    }
+
+    pub mod record_streams_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_streams(self) -> ::capnp::Result<::capnp::struct_list::Reader<'a,crate::exchange_capnp::stream_start::Owned>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_streams(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_streams(self) -> ::capnp::Result<::capnp::struct_list::Builder<'a,crate::exchange_capnp::stream_start::Owned>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_streams(&mut self, value: ::capnp::struct_list::Reader<'_,crate::exchange_capnp::stream_start::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            }
+            #[inline]
+            pub fn init_streams(self, size: u32) -> ::capnp::struct_list::Builder<'a,crate::exchange_capnp::stream_start::Owned> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), size)
+            }
+            #[inline]
+            pub fn has_streams(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 38] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(93, 111, 233, 233, 131, 56, 202, 184),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 106, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+                ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
+                ::capnp::word(120, 99, 104, 97, 110, 103, 101, 46),
+                ::capnp::word(114, 101, 99, 111, 114, 100, 83, 116),
+                ::capnp::word(114, 101, 97, 109, 115, 36, 80, 97),
+                ::capnp::word(114, 97, 109, 115, 0, 0, 0, 0),
+                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(36, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 114, 101, 97, 109, 115, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 202, 178, 115, 69, 1, 255, 191),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::struct_list::Owned<crate::exchange_capnp::stream_start::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
+            pub(crate) const TYPE_ID: u64 = 0xb8ca_3883_e9e9_6f5d;
+        }
+    }
+
+    pub mod record_streams_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
 
-pub mod exchange {
-    #![allow(unused_variables)]
-    pub type SwapParams<> = ::capnp::capability::Params<crate::exchange_capnp::exchange::swap_params::Owned>;
-    pub type SwapResults<> = ::capnp::capability::Results<crate::exchange_capnp::exchange::swap_results::Owned>;
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
 
-    pub struct Client {
-        pub client: ::capnp::capability::Client,
-    }
-    impl  ::capnp::capability::FromClientHook for Client {
-        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
-            Self { client: ::capnp::capability::Client::new(hook),  }
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
         }
-        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
-            self.client.hook
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
         }
-        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
-            &*self.client.hook
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
         }
-    }
-    #[derive(Copy, Clone)]
-    pub struct Owned(());
-    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
-    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
-    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
-    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
-        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
         }
-    }
-    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
-        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
-            unimplemented!()
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
         }
-        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
-            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
         }
-    }
 
-    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
-        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
-            pointer.set_capability(from.client.hook);
-            ::core::result::Result::Ok(())
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
         }
-    }
-    impl  ::capnp::traits::HasTypeId for Client {
-        const TYPE_ID: u64 = _private::TYPE_ID;
-    }
-    impl  Clone for Client {
-        fn clone(&self) -> Self {
-            Self { client: self.client.clone(),  }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
         }
-    }
-    impl  Client {
-        pub fn swap_request(&self) -> ::capnp::capability::Request<crate::exchange_capnp::exchange::swap_params::Owned,crate::exchange_capnp::exchange::swap_results::Owned> {
-            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
         }
-    }
-    pub trait Server<> : 'static  {
-        fn swap(self: ::capnp::capability::Rc<Self>, _: SwapParams<>, _: SwapResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method exchange::Server::swap not implemented".to_string()))) }
-    }
-    pub struct ServerDispatch<_T,> {
-        pub server: ::capnp::capability::Rc<_T>,
-    }
-    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
-        type Dispatch = ServerDispatch<_S, >;
-        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
-            ServerDispatch { server: s,  }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
         }
-    }
-    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
-        type Target = _T;
-        fn deref(&self) -> &_T { &self.server}
-    }
-    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
-        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
-    }
-    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
-        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
-            match interface_id {
-                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
-                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
             }
         }
-        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
-    }
-    impl <_T :Server> ServerDispatch<_T> {
-        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
-            match method_id {
-                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::swap(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
-                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
             }
         }
-    }
-    pub(crate) mod _private {
-        pub(crate) const TYPE_ID: u64 = 0xcb22_3899_2caf_ef1f;
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(27, 241, 227, 190, 60, 107, 43, 211),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 114, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+                ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
+                ::capnp::word(120, 99, 104, 97, 110, 103, 101, 46),
+                ::capnp::word(114, 101, 99, 111, 114, 100, 83, 116),
+                ::capnp::word(114, 101, 97, 109, 115, 36, 82, 101),
+                ::capnp::word(115, 117, 108, 116, 115, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xd32b_6b3c_bee3_f11b;
+        }
     }
 
-    pub mod swap_params {
+    pub mod find_stream_params {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8653,18 +10082,22 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Reader<'a>> {
+            pub fn get_stream(self) -> u64 {
+                self.reader.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_message(&self) -> bool {
+            pub fn has_service(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 1 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 1 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -8715,19 +10148,27 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Builder<'a>> {
+            pub fn get_stream(self) -> u64 {
+                self.builder.get_data_field::<u64>(0)
+            }
+            #[inline]
+            pub fn set_stream(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(0, value);
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_message(&mut self, value: crate::exchange_capnp::gossip_message::Reader<'_>) -> ::capnp::Result<()> {
-                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
+            pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
             }
             #[inline]
-            pub fn init_message(self, ) -> crate::exchange_capnp::gossip_message::Builder<'a> {
-                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
+            pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
             }
             #[inline]
-            pub fn has_message(&self) -> bool {
+            pub fn has_service(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -8739,49 +10180,63 @@
             }
         }
         impl Pipeline  {
-            pub fn get_message(&self) -> crate::exchange_capnp::gossip_message::Pipeline {
-                ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
-            }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(27, 52, 88, 121, 41, 51, 15, 193),
-                ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(93, 96, 193, 163, 170, 45, 68, 177),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 119, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
                 ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
                 ::capnp::word(120, 99, 104, 97, 110, 103, 101, 46),
-                ::capnp::word(115, 119, 97, 112, 36, 80, 97, 114),
-                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
-                ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(102, 105, 110, 100, 83, 116, 114, 101),
+                ::capnp::word(97, 109, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(40, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(52, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 116, 114, 101, 97, 109, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::exchange_capnp::gossip_message::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -8795,14 +10250,14 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xc10f_3329_7958_341b;
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0];
+            pub(crate) const TYPE_ID: u64 = 0xb144_2daa_a3c1_605d;
         }
     }
 
-    pub mod swap_results {
+    pub mod find_stream_results {
         #[derive(Copy, Clone)]
         pub struct Owned(());
         impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
@@ -8864,11 +10319,11 @@
                 self.reader.total_size()
             }
             #[inline]
-            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Reader<'a>> {
+            pub fn get_report(self) -> ::capnp::Result<crate::exchange_capnp::stream_report::Reader<'a>> {
                 ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn has_message(&self) -> bool {
+            pub fn has_report(&self) -> bool {
                 !self.reader.get_pointer_field(0).is_null()
             }
         }
@@ -8926,19 +10381,19 @@
                 self.builder.as_reader().total_size()
             }
             #[inline]
-            pub fn get_message(self) -> ::capnp::Result<crate::exchange_capnp::gossip_message::Builder<'a>> {
+            pub fn get_report(self) -> ::capnp::Result<crate::exchange_capnp::stream_report::Builder<'a>> {
                 ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
             }
             #[inline]
-            pub fn set_message(&mut self, value: crate::exchange_capnp::gossip_message::Reader<'_>) -> ::capnp::Result<()> {
+            pub fn set_report(&mut self, value: crate::exchange_capnp::stream_report::Reader<'_>) -> ::capnp::Result<()> {
                 ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false)
             }
             #[inline]
-            pub fn init_message(self, ) -> crate::exchange_capnp::gossip_message::Builder<'a> {
+            pub fn init_report(self, ) -> crate::exchange_capnp::stream_report::Builder<'a> {
                 ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(0), 0)
             }
             #[inline]
-            pub fn has_message(&self) -> bool {
+            pub fn has_report(&self) -> bool {
                 !self.builder.is_pointer_field_null(0)
             }
         }
@@ -8950,40 +10405,41 @@
             }
         }
         impl Pipeline  {
-            pub fn get_message(&self) -> crate::exchange_capnp::gossip_message::Pipeline {
+            pub fn get_report(&self) -> crate::exchange_capnp::stream_report::Pipeline {
                 ::capnp::capability::FromTypelessPipeline::new(self._typeless.get_pointer_field(0))
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 33] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 34] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
-                ::capnp::word(79, 162, 228, 152, 243, 232, 123, 172),
+                ::capnp::word(191, 167, 127, 105, 0, 141, 18, 209),
                 ::capnp::word(24, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 63, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 63, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
                 ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
                 ::capnp::word(120, 99, 104, 97, 110, 103, 101, 46),
-                ::capnp::word(115, 119, 97, 112, 36, 82, 101, 115),
-                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(102, 105, 110, 100, 83, 116, 114, 101),
+                ::capnp::word(97, 109, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(4, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(13, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(8, 0, 0, 0, 3, 0, 1, 0),
                 ::capnp::word(20, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(109, 101, 115, 115, 97, 103, 101, 0),
+                ::capnp::word(114, 101, 112, 111, 114, 116, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(67, 183, 5, 61, 176, 79, 21, 128),
+                ::capnp::word(134, 137, 128, 37, 96, 64, 122, 178),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
@@ -8992,7 +10448,7 @@
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
-                    0 => <crate::exchange_capnp::gossip_message::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    0 => <crate::exchange_capnp::stream_report::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -9009,7 +10465,7 @@
             pub(crate) static NONUNION_MEMBERS : &[u16] = &[0];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
             pub(crate) static MEMBERS_BY_NAME : &[u16] = &[0];
-            pub(crate) const TYPE_ID: u64 = 0xac7b_e8f3_98e4_a24f;
+            pub(crate) const TYPE_ID: u64 = 0xd112_8d00_697f_a7bf;
         }
     }
 }
--- a/src/platform/ingress/client_head.rs
+++ b/src/platform/ingress/client_head.rs
@@ -12,7 +12,7 @@
 };
 
 use super::headers::{
-    DEADLINE, LAST_EVENT, LENGTH_HINT, PREFIX, REQUEST_ID, TOKENS, end_to_end, text,
+    DEADLINE, LAST_EVENT, LENGTH_HINT, PREFIX, REQUEST_ID, RESUMES, TOKENS, end_to_end, text,
 };
 use crate::{
     gateway::call::{CallHead, HeadError, PromptPart, TokenCounts},
@@ -49,6 +49,7 @@
         parts: read_prefix(headers),
         expected_response: read_length_hint(headers),
         last_event: read_last_event(headers),
+        resumes: read_resumes(headers),
         method: parts.method,
         headers: end_to_end(parts.headers),
     })
@@ -142,6 +143,13 @@
     text(headers, &LAST_EVENT)?.parse().ok()
 }
 
+/// Parses the id of the attempt that began a stream. An empty one, or several, name no attempt.
+fn read_resumes(headers: &HeaderMap) -> Option<SharedName> {
+    let is_single = headers.get_all(&RESUMES).iter().count() == 1;
+    let id = text(headers, &RESUMES).filter(|id| is_single && !id.is_empty());
+    id.map(SharedName::from)
+}
+
 fn read_key(headers: &HeaderMap) -> Option<SharedName> {
     let value = text(headers, &header::AUTHORIZATION)?;
     let (scheme, key) = value.split_at_checked(KEY_SCHEME.len())?;
--- a/src/platform/ingress/headers.rs
+++ b/src/platform/ingress/headers.rs
@@ -18,6 +18,8 @@
 pub const LENGTH_HINT: HeaderName = HeaderName::from_static("x-length-hint");
 /// Last event that the client has already received.
 pub const LAST_EVENT: HeaderName = HeaderName::from_static("last-event-id");
+/// Id of the attempt that brought the first event of a stream that the client takes up again.
+pub const RESUMES: HeaderName = HeaderName::from_static("resumes");
 /// Client account.
 pub const TENANT: HeaderName = HeaderName::from_static("x-tenant");
 /// Id of the intended endpoint; any other endpoint at the address responds with 421.
--- a/tests/gateway/choice_inputs.rs
+++ b/tests/gateway/choice_inputs.rs
@@ -49,6 +49,7 @@
 pub fn query(parts: &[PromptPart], may_retry: bool) -> ChoiceQuery<'_> {
     ChoiceQuery {
         service: "pool",
+        version: None,
         parts,
         prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
         memory_tokens: 0,
--- a/tests/gateway/crash_rules.rs
+++ b/tests/gateway/crash_rules.rs
@@ -43,6 +43,7 @@
         parts: Vec::new(),
         expected_response: None,
         last_event: None,
+        resumes: None,
         headers: HeaderMap::new(),
     };
     Call { head, body: Bytes::from_static(b"body") }
--- a/tests/gateway/endpoint_choice.rs
+++ b/tests/gateway/endpoint_choice.rs
@@ -63,6 +63,7 @@
 fn query<'a>(parts: &'a [PromptPart], tried: &'a [SharedName]) -> ChoiceQuery<'a> {
     ChoiceQuery {
         service: "pool",
+        version: None,
         parts,
         prompt_tokens: parts.iter().map(|part| part.tokens).sum(),
         memory_tokens: 5_000,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -75,6 +75,8 @@
 mod store_loss_fleet;
 mod store_loss_lease;
 mod store_positions;
+mod stream_origin_rules;
+mod stream_take_ups;
 mod stream_versions;
 mod suspension;
 mod text_model;
--- a/tests/gateway/rollout_rules.rs
+++ b/tests/gateway/rollout_rules.rs
@@ -14,7 +14,7 @@
         },
         rollout_table::RolloutTable,
         traffic_plan::{ExposureBounds, PlanInputs, canary_share, next_plan, shift_share},
-        version_split::{SplitInputs, VersionFilter, filters},
+        version_split::{SplitInputs, VersionFilter, filters, may_go_on},
     },
     ids::SharedName,
     store_position::{StoreEra, StorePosition},
@@ -312,3 +312,28 @@
     times.record(&route, Duration::from_millis(20));
     expect_that!(times.limit("plain", target), eq(Duration::from_millis(70)));
 }
+
+/// Whether a stream of a version goes on there, by the state of a roll-out of v2.
+macro_rules! stream_goes_on {
+    ($($name:ident: $rollout:expr, $inputs:expr, $version:literal => $goes_on:literal;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            expect_that!(may_go_on(&$rollout, $version, &$inputs), eq($goes_on));
+        }
+    )*};
+}
+
+stream_goes_on! {
+    stream_of_the_former_version_goes_on_while_traffic_moves: rollout(RolloutPhase::Shift, 0.5), INPUTS, "v1" => true;
+    stream_of_the_target_version_goes_on_while_traffic_moves: rollout(RolloutPhase::Shift, 0.5), INPUTS, "v2" => true;
+    stream_of_the_former_version_goes_on_until_it_ends: rollout(RolloutPhase::Drain, 1.0), INPUTS, "v1" => true;
+    stream_of_the_former_version_ends_with_it: rollout(RolloutPhase::Completed, 1.0), INPUTS, "v1" => false;
+    stream_of_a_later_version_goes_on_long_after_a_roll_out:
+        rollout(RolloutPhase::Completed, 1.0),
+        SplitInputs { plan_age: Duration::from_secs(60), ..INPUTS }, "v3" => true;
+    stream_of_a_version_that_was_stopped_ends:
+        KnownRollout { is_stopped: true, ..rollout(RolloutPhase::Canary, 0.1) }, INPUTS, "v2" => false;
+    stream_of_the_former_version_goes_on_when_the_target_was_stopped:
+        KnownRollout { is_stopped: true, ..rollout(RolloutPhase::Canary, 0.1) }, INPUTS, "v1" => true;
+    stream_of_a_reverted_version_ends: rollout(RolloutPhase::Reverted, 0.0), INPUTS, "v2" => false;
+}
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -95,11 +95,11 @@
 
 /// The last release's program, if the environment names one. Every other daemon runs it, and the
 /// requests of these are not checked.
-fn former_program() -> Option<PathBuf> {
+pub fn former_program() -> Option<PathBuf> {
     std::env::var_os(FORMER_PROGRAM).map(PathBuf::from)
 }
 
-fn is_former(place: usize) -> bool {
+pub fn is_former(place: usize) -> bool {
     former_program().is_some() && place % 2 == 1
 }
 
--- a/tests/gateway/version_fleet.rs
+++ b/tests/gateway/version_fleet.rs
@@ -22,6 +22,7 @@
     endpoint_standin::{SeenRequest, read_request, write_chunk},
     gateway_site::{Gateway, RawAnswer, configuration, kept_request_bytes, parse_answer},
     platform_standin::PlatformStandin,
+    signal_fleet::{former_program, is_former},
 };
 
 /// Events of a whole stream, and the pause before each.
@@ -229,7 +230,13 @@
         let mut gateways: Vec<Gateway> = Vec::new();
         for place in 0..daemon_count {
             let seeds: Vec<SocketAddr> = gateways.iter().take(3).map(|one| one.peers).collect();
-            gateways.push(Gateway::start(&format!("edge-{place}"), &platform, &seeds));
+            let (name, address) = (format!("edge-{place}"), platform.address);
+            gateways.push(match former_program().filter(|_| is_former(place)) {
+                Some(program) => {
+                    Gateway::start_program(&program, &name, address, &seeds, json!({}))
+                }
+                None => Gateway::start_at(&name, address, &seeds, json!({})),
+            });
         }
         gateways.iter().for_each(Gateway::wait_ready);
         let addresses = gateways.iter().map(|gateway| gateway.clients).collect();
