Relay, client listener and streams: shorter files and functions

Moved: the end of a response and the version of a stream out of `relay`, the body and the use of a connection out of `client_listener`, the history of versions to the roll-outs' folder, the state of streams into one field.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -9,7 +9,6 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
     rc::Rc,
     time::Duration,
 };
@@ -21,7 +20,7 @@
     configuration_state::ConfigurationState,
     endpoint::EndpointList,
     gossip::{
-        peer_connections::PeerConnections, peer_table::PeerTable, streams::UnsentRecords,
+        peer_connections::PeerConnections, peer_table::PeerTable, streams::StreamState,
         text_exchange::TextExchange,
     },
     policy::{
@@ -36,7 +35,7 @@
         },
         endpoint::{
             endpoint_starts::lost_entries::EntryHistory, endpoint_table::EndpointTable,
-            request_limit::token_lending::TokenBorrower, version_history::VersionHistory,
+            request_limit::token_lending::TokenBorrower,
         },
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
@@ -48,9 +47,8 @@
             key_freshness::KeyFreshness,
             quota::{QuotaLedger, QuotaSharing},
             retry_budget::RetryBudgets,
-            stream_origin::{StreamKey, StreamLedger, StreamStart},
         },
-        rollout::rollout_table::RolloutTable,
+        rollout::{rollout_table::RolloutTable, version_history::VersionHistory},
     },
     request::connection_pool::ConnectionPool,
     settings::GatewaySettings,
@@ -93,12 +91,8 @@
     pub endpoints: RefCell<EndpointTable>,
     /// Versions of the endpoints of the last minutes.
     pub versions: RefCell<VersionHistory>,
-    /// Where streams were begun that clients may take up again.
-    pub streams: RefCell<StreamLedger>,
-    /// Where the streams were begun that this daemon is passing on.
-    pub active_streams: RefCell<HashMap<StreamKey, StreamStart>>,
-    /// Records of streams that are to be sent to other daemons.
-    pub unsent_streams: RefCell<UnsentRecords>,
+    /// Streams that clients may take up again.
+    pub streams: StreamState,
     /// Connections to other daemons for calls.
     pub peer_connections: PeerConnections,
     /// Roll-outs of new versions.
@@ -262,13 +256,6 @@
         self.retry_budgets.borrow_mut().has_retry(service, daemons, now)
     }
 
-    /// Records how current the list of endpoints is known to be, by the proof of the configuration, which
-    /// is read from the same store and passed on by the same calls.
-    pub fn confirm_versions(&self, now: Instant) {
-        let proof = self.configuration.borrow().proof;
-        self.versions.borrow_mut().confirm(proof, now);
-    }
-
     /// Counts a run for an account in the current usage window.
     pub fn record_run(&self, account: &SharedName) {
         let window = self.wall_clock.borrow().window(self.settings.bounds.usage_window);
--- a/src/gateway/context/store_contents.rs
+++ b/src/gateway/context/store_contents.rs
@@ -129,6 +129,13 @@
         *self.endpoint_list.borrow_mut() = used;
     }
 
+    /// Records how current the list of endpoints is known to be, by the proof of the configuration, which
+    /// is read from the same store and passed on by the same calls.
+    pub fn confirm_versions(&self, now: Instant) {
+        let proof = self.configuration.borrow().proof;
+        self.versions.borrow_mut().confirm(proof, now);
+    }
+
     /// Logs a new era of the store and updates its metric.
     pub fn observe_store_era(&self) {
         let era = self.store.era();
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -23,7 +23,7 @@
     forwarding::{access_probe, tunnel_server},
     gossip::{
         caller, listener, peer_connections::PeerConnections, peer_table::PeerTable,
-        text_exchange::TextExchange,
+        streams::StreamState, text_exchange::TextExchange,
     },
     leader::leader_tasks,
     policy::{
@@ -133,9 +133,7 @@
         endpoint_access: RefCell::default(),
         endpoints: RefCell::new(EndpointTable::new(settings.zone.clone())),
         versions: RefCell::default(),
-        streams: RefCell::default(),
-        active_streams: RefCell::default(),
-        unsent_streams: RefCell::default(),
+        streams: StreamState::default(),
         peer_connections: PeerConnections::default(),
         rollouts: RefCell::default(),
         quotas: RefCell::new(empty_quotas(&settings.bounds, now)),
--- a/src/gateway/gossip/streams.rs
+++ b/src/gateway/gossip/streams.rs
@@ -1,7 +1,7 @@
 //! Tells other daemons at which versions this one has begun streams, and asks them about a stream that is
 //! taken up here. `policy::request::stream_origin` decides who is told and what follows from the answers.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 
 use capnp::Error;
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -14,10 +14,11 @@
     gateway::{
         context::GatewayContext,
         policy::{
-            endpoint::version_history::ServedVersions,
             request::stream_origin::{
-                HOLDERS, OriginReport, StreamKey, StreamOrigin, StreamStart, decide, stream_life,
+                HOLDERS, OriginReport, StreamKey, StreamLedger, StreamOrigin, StreamStart, decide,
+                stream_life,
             },
+            rollout::version_history::ServedVersions,
         },
     },
     ids::SharedName,
@@ -35,8 +36,16 @@
 /// Holders asked beyond those that are told, since the order of the daemons may have changed.
 const EXTRA_HOLDERS: usize = 1;
 
-/// Records to be sent, by daemon.
-pub type UnsentRecords = HashMap<SocketAddr, Vec<(StreamKey, StreamStart)>>;
+/// What a daemon knows of streams that clients may take up again.
+#[derive(Debug, Default)]
+pub struct StreamState {
+    /// Where streams were begun, here or at daemons that have told this one.
+    ledger: RefCell<StreamLedger>,
+    /// Where the streams were begun that this daemon is passing on.
+    active: RefCell<HashMap<StreamKey, StreamStart>>,
+    /// Records to be sent, by daemon.
+    unsent: RefCell<HashMap<SocketAddr, Vec<(StreamKey, StreamStart)>>>,
+}
 
 /// A stream that this daemon is passing on; forgotten when dropped.
 pub struct ActiveStream {
@@ -46,7 +55,7 @@
 
 impl Drop for ActiveStream {
     fn drop(&mut self) {
-        self.context.active_streams.borrow_mut().remove(&self.key);
+        self.context.streams.active.borrow_mut().remove(&self.key);
     }
 }
 
@@ -58,7 +67,7 @@
     start: StreamStart,
     is_ambiguous: bool,
 ) -> ActiveStream {
-    context.active_streams.borrow_mut().insert(key, start.clone());
+    context.streams.active.borrow_mut().insert(key, start.clone());
     if is_ambiguous || needs_record(context, &start.service) {
         tell_holders(context, key, start);
     }
@@ -68,8 +77,8 @@
 /// Tells others of the streams that this daemon is passing on, after a second version of their service
 /// has been listed.
 pub fn tell_active_streams(context: &Rc<GatewayContext>) {
-    let active = context.active_streams.borrow().clone();
-    let is_unknown = |key: &StreamKey| context.streams.borrow().find(*key).is_none();
+    let active = context.streams.active.borrow().clone();
+    let is_unknown = |key: &StreamKey| context.streams.ledger.borrow().find(*key).is_none();
     for (key, start) in active.into_iter().filter(|(key, _)| is_unknown(key)) {
         if needs_record(context, &start.service) {
             tell_holders(context, key, start);
@@ -89,10 +98,10 @@
 
 fn tell_holders(context: &Rc<GatewayContext>, key: StreamKey, start: StreamStart) {
     let life = stream_life(context.configuration().as_deref());
-    context.streams.borrow_mut().record(key, start.clone(), life, boot_clock::now());
+    context.streams.ledger.borrow_mut().record(key, start.clone(), life, boot_clock::now());
     context.metrics.count("streams_recorded", 1);
     let holders = context.peers.borrow().rendezvous_first(key.0, HOLDERS + 1);
-    let mut unsent = context.unsent_streams.borrow_mut();
+    let mut unsent = context.streams.unsent.borrow_mut();
     let is_first = unsent.is_empty();
     for holder in holders {
         unsent.entry(holder).or_default().push((key, start.clone()));
@@ -104,7 +113,7 @@
 
 async fn send_records(context: Rc<GatewayContext>) {
     sleep(COLLECT_TIME).await;
-    let unsent = context.unsent_streams.take();
+    let unsent = context.streams.unsent.take();
     for (holder, records) in unsent {
         let context = context.clone();
         tokio::task::spawn_local(async move {
@@ -146,7 +155,7 @@
     }
     let life = stream_life(context.configuration().as_deref());
     let now = boot_clock::now();
-    let mut ledger = context.streams.borrow_mut();
+    let mut ledger = context.streams.ledger.borrow_mut();
     for stream in streams {
         let key = StreamKey(stream.get_stream());
         ledger.record(key, read_start(stream)?, life, now);
@@ -159,7 +168,7 @@
     let now = boot_clock::now();
     let served =
         service.map_or(ServedVersions::Unknown, |service| served_versions(context, service));
-    let ledger = context.streams.borrow();
+    let ledger = context.streams.ledger.borrow();
     let recorded =
         ledger.find(key).map(|(start, at)| (start.clone(), now.saturating_duration_since(at)));
     OriginReport {
--- a/src/gateway/policy/request/stream_origin.rs
+++ b/src/gateway/policy/request/stream_origin.rs
@@ -7,7 +7,7 @@
 //! has served since it can have begun.
 //!
 //! Inputs are the records of this daemon, the answers of the holders, and the versions that each has
-//! seen in its lists of endpoints (`endpoint::version_history`). Without a record, and with
+//! seen in its lists of endpoints (`rollout::version_history`). Without a record, and with
 //! histories that are too short or name several versions, the stream is refused.
 
 use std::{
--- a/src/gateway/policy/rollout.rs
+++ b/src/gateway/policy/rollout.rs
@@ -14,4 +14,5 @@
 pub mod traffic_plan;
 pub mod version_comparison;
 pub mod version_counts;
+pub mod version_history;
 pub mod version_split;
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -103,11 +103,7 @@
     let deadline = time_limits::request_deadline(received, head.deadline, &route);
     let body = read_body(body, configuration.limits.body_bytes, deadline).await?;
     let origin = find_origin_of(context, &head, &route, account.as_deref(), trace).await?;
-    let service = match &origin {
-        Some(origin) => service_of(&configuration, &route, origin),
-        None => draw_service(&configuration, &route),
-    };
-    let service = service.ok_or(Refusal::NoEndpoint(retry_after::NO_ENDPOINT))?;
+    let service = choose_service(&configuration, &route, origin.as_ref())?;
     let now = boot_clock::now();
     if let Some(account) = &account {
         charge_quota(context, account, &head, now)?;
@@ -177,6 +173,19 @@
     }
 }
 
+/// The service that began a stream which is taken up, and one by the route's weights for other requests.
+fn choose_service(
+    configuration: &Configuration,
+    route: &Route,
+    origin: Option<&StreamOrigin>,
+) -> Result<Rc<Service>, Refusal> {
+    let service = match origin {
+        Some(origin) => service_of(configuration, route, origin),
+        None => draw_service(configuration, route),
+    };
+    service.ok_or(Refusal::NoEndpoint(retry_after::NO_ENDPOINT))
+}
+
 /// The service at which a stream was begun, if its route still leads there.
 fn service_of(
     configuration: &Configuration,
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -4,30 +4,29 @@
 //! A stopping daemon serves one request on each new connection; `daemon` describes the steps of a
 //! stop.
 
-use std::{
-    cell::{Cell, RefCell},
-    future::poll_fn,
-    io,
-    pin::Pin,
-    rc::Rc,
-    task::{Context, Poll, ready},
-    time::Duration,
-};
+mod client_stream;
+mod request_body;
+mod unframed_response;
+
+use std::{cell::RefCell, future::poll_fn, io, rc::Rc, task::Poll, time::Duration};
 
-use bytes::Bytes;
 use hyper::{
     Request, Response, Version,
-    body::{Body, Frame, Incoming, SizeHint},
+    body::{Body, Incoming},
     server::conn::http1,
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::{Instant, sleep, sleep_until, timeout},
+    time::{sleep, sleep_until, timeout},
 };
 
-use super::{client_stream::ClientStream, dispatch, relay::EndsWithConnection, unframed_response};
+use self::{
+    client_stream::ClientStream,
+    request_body::{ConnectionUse, RequestBody},
+};
+use super::{dispatch, relay::EndsWithConnection};
 use crate::{
     boot_clock,
     gateway::{
@@ -35,7 +34,7 @@
         context::{GatewayContext, Intake},
         policy::daemon::readiness::MAX_CLIENT_CONNECTIONS,
     },
-    http::{BodyError, LocalBody},
+    http::LocalBody,
     kernel::LifePhase,
 };
 
@@ -55,81 +54,9 @@
 /// Error that ends the HTTP library's part in a connection.
 const HANDED_OVER: &str = "the response ends with the connection";
 
-/// Whether a connection is in use, and since when it is idle.
-#[derive(Debug)]
-struct ConnectionUse {
-    /// Whether a request is being handled or its response is being passed on.
-    is_busy: Cell<bool>,
-    /// When the last response ended, or the connection began.
-    idle_since: Cell<Instant>,
-}
-
-impl ConnectionUse {
-    fn new() -> Self {
-        Self { is_busy: Cell::new(false), idle_since: Cell::new(boot_clock::now()) }
-    }
-
-    fn begin_request(&self) {
-        self.is_busy.set(true);
-    }
-
-    fn end_request(&self) {
-        self.is_busy.set(false);
-        self.idle_since.set(boot_clock::now());
-    }
-}
-
-/// When dropped, marks the connection as idle: with the response's body, or before there is one.
-struct RequestEnd(Rc<ConnectionUse>);
-
-impl Drop for RequestEnd {
-    fn drop(&mut self) {
-        self.0.end_request();
-    }
-}
-
-/// Body of a response that marks its connection as idle after it has been passed on.
-struct RequestBody {
-    body: LocalBody,
-    stream: ClientStream,
-    /// Why the body is broken off, as soon as what has come before is sent.
-    break_reason: Option<BodyError>,
-    _end: RequestEnd,
-}
-
 /// A response that has to end with the connection, which the HTTP library leaves to it.
 type Handover = Rc<RefCell<Option<Response<RequestBody>>>>;
 
-impl Body for RequestBody {
-    type Data = Bytes;
-    type Error = BodyError;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        task: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.break_reason.is_some() {
-            ready!(self.stream.poll_flushed(task));
-            return Poll::Ready(self.break_reason.take().map(Err));
-        }
-        let polled = ready!(self.body.as_mut().poll_frame(task));
-        let Some(Err(error)) = polled else { return Poll::Ready(polled) };
-        // The library drops what it has buffered when it gets an error, and sends it while the body isn't
-        // ready.
-        self.break_reason = Some(error);
-        task.waker().wake_by_ref();
-        Poll::Pending
-    }
-
-    fn is_end_stream(&self) -> bool {
-        self.body.is_end_stream()
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        self.body.size_hint()
-    }
-}
-
 /// Serves clients until the daemon stops.
 pub async fn run(listener: TcpListener, context: Rc<GatewayContext>) {
     let mut phase = context.kernel.phase();
@@ -245,15 +172,11 @@
     handover: Handover,
     request: Request<Incoming>,
 ) -> Result<Response<RequestBody>, io::Error> {
-    usage.begin_request();
-    let end = RequestEnd(usage);
+    let end = usage.begin_request();
     let version = request.version();
     let response = dispatch::respond(&context, request).await?;
     let ends_connection = ends_with_connection(&response, version);
-    let mut response = response.map(|body| {
-        let stream = stream.clone();
-        RequestBody { body, stream, break_reason: None, _end: end }
-    });
+    let mut response = response.map(|body| RequestBody::new(body, stream.clone(), end));
     if !ends_connection {
         return Ok(response);
     }
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -6,6 +6,8 @@
 //! long an endpoint may be silent. `policy::request::response_end` decides what the end of an
 //! endpoint's response means.
 
+mod response_ending;
+mod stream_start;
 mod survival_check;
 mod upstream;
 
@@ -17,17 +19,10 @@
 use hyper::{Response, body::Frame};
 use tokio::time::Instant;
 
-use self::{
-    survival_check::check_survival,
-    upstream::{BodyPiece, Upstream},
-};
+use self::upstream::{BodyPiece, Upstream};
 use super::{
     admission::Admitted,
-    attempt::{
-        AttemptEnd, Attempts, attempt, endpoint_response::EndpointResponse, may_try_again,
-        record_broken_run,
-    },
-    crash_watch::request_served,
+    attempt::{AttemptEnd, Attempts, attempt, endpoint_response::EndpointResponse, may_try_again},
     event_cutter::EventCutter,
     request_log::RequestTrace,
     response_meaning::BodyFraming,
@@ -39,13 +34,8 @@
     endpoint_health::AttemptResult,
     gateway::{
         context::GatewayContext,
-        gossip::streams::{ActiveStream, record_stream},
-        policy::request::{
-            response_end::{EndInputs, EndpointSurvival, ResponseEnd},
-            retries,
-            stream_origin::{StreamKey, StreamStart},
-            time_limits,
-        },
+        gossip::streams::ActiveStream,
+        policy::request::{response_end::ResponseEnd, retries, time_limits},
     },
     http::{BodyError, LocalBody},
     platform::ingress,
@@ -107,13 +97,7 @@
     let whole_length = upstream.length();
     let streams = head.status().is_success() && admitted.route.kind.is_stream();
     let ends_with_connection = upstream.framing == BodyFraming::Close;
-    if ends_with_connection {
-        head.extensions_mut().insert(EndsWithConnection);
-    }
-    if streams {
-        // A stream that is resumed elsewhere gets another length.
-        ingress::remove_length(head.headers_mut());
-    }
+    adapt_head(&mut head, ends_with_connection, streams);
     let mut relay = Relay {
         context: context.clone(),
         last_event: admitted.call.head.last_event,
@@ -143,6 +127,16 @@
     })
 }
 
+fn adapt_head(head: &mut Response<()>, ends_with_connection: bool, streams: bool) {
+    if ends_with_connection {
+        head.extensions_mut().insert(EndsWithConnection);
+    }
+    if streams {
+        // A stream that is resumed elsewhere gets another length.
+        ingress::remove_length(head.headers_mut());
+    }
+}
+
 impl Relay {
     async fn next(&mut self) -> Option<Result<Bytes, BodyError>> {
         if self.ended {
@@ -282,98 +276,4 @@
         }
         false
     }
-
-    /// Records where a stream is begun or goes on, before its first event is passed on. An endpoint that has
-    /// started again may have another version than the list says, so nothing is recorded of it.
-    fn record_start(&mut self) {
-        self.start = None;
-        let Some(upstream) = self.upstream.as_ref().filter(|_| self.cutter.is_some()) else {
-            return;
-        };
-        let record = upstream.guard.record();
-        if !self.context.endpoints.borrow().knows_start(record) {
-            return;
-        }
-        let start =
-            StreamStart { service: record.service.clone(), version: record.version.clone() };
-        let account = self.admitted.account.as_ref().map(|account| &*account.name);
-        let key = StreamKey::of(account, self.admitted.call.head.stream_id());
-        let is_ambiguous = self.admitted.route.sole_service().is_none();
-        self.start = Some(record_stream(&self.context, key, start, is_ambiguous));
-    }
-
-    /// Whether it is known which version has written the events that were passed on.
-    fn knows_version(&self) -> bool {
-        match &self.attempts.version {
-            Some(version) => !version.is_empty() && self.start.is_some(),
-            None => true,
-        }
-    }
-
-    /// Evaluates the end of the endpoint's response.
-    async fn evaluate_end(&mut self) -> (ResponseEnd, Option<EndpointSurvival>) {
-        let Some(upstream) = &self.upstream else { return (ResponseEnd::Broken, None) };
-        let framing = upstream.framing;
-        let is_inside_event = self.cutter.as_ref().is_some_and(EventCutter::is_inside_event);
-        let survival = match EndInputs::needs_survival(framing, is_inside_event) {
-            true => {
-                let (endpoint, id) = (upstream.guard.record(), &self.admitted.call.head.id);
-                Some(check_survival(&self.context, endpoint, id).await)
-            }
-            false => None,
-        };
-        let may_resume = retries::may_resume(self.admitted.route.kind, self.cutter.is_some());
-        let inputs = EndInputs {
-            framing,
-            is_inside_event,
-            may_begin_again: may_resume && self.events == 0,
-            is_chunked_for_client: self.is_chunked,
-            survival: survival.unwrap_or(EndpointSurvival::Unknown),
-        };
-        let end = inputs.decide();
-        let rest = self.cutter.as_ref().map_or(0, EventCutter::rest_length);
-        self.trace.body_ended(framing, rest, survival, end);
-        (end, survival)
-    }
-
-    /// The error with which an end that is no end for the client is handled; none for the others.
-    fn end_error(&mut self, end: ResponseEnd) -> Option<RelayError> {
-        match end {
-            ResponseEnd::Complete | ResponseEnd::Unproven => None,
-            ResponseEnd::Broken => {
-                self.record_break();
-                Some(RelayError::BrokenOff)
-            }
-            ResponseEnd::Untold => {
-                // It is no failure of the endpoint.
-                self.upstream = None;
-                Some(RelayError::EndUnknown)
-            }
-        }
-    }
-
-    /// Records that the endpoint has broken off its run.
-    fn record_break(&mut self) {
-        if let Some(upstream) = &self.upstream {
-            let (endpoint, begun) = (upstream.guard.record(), upstream.head_received);
-            record_broken_run(&self.context, &self.admitted, endpoint, begun, &mut self.trace);
-        }
-    }
-
-    /// Ends the response. An end that proves nothing counts neither for nor against the endpoint and
-    /// the request, unless the endpoint is known to go on.
-    fn finish(&mut self, end: ResponseEnd, survival: Option<EndpointSurvival>) {
-        self.ended = true;
-        self.trace.finished(self.events);
-        let Some(mut upstream) = self.upstream.take() else { return };
-        if end != ResponseEnd::Complete && survival != Some(EndpointSurvival::Alive) {
-            return;
-        }
-        request_served(&self.context, &self.admitted);
-        upstream.guard.endpoint_ran();
-        upstream.guard.finish(AttemptResult::Succeeded);
-        if !upstream.metadata.closes && upstream.framing != BodyFraming::Close {
-            self.context.connections.give_back(upstream.connection, upstream.metadata.keep);
-        }
-    }
 }
--- a/tests/gateway/stream_origin_rules.rs
+++ b/tests/gateway/stream_origin_rules.rs
@@ -11,10 +11,10 @@
         endpoint::{EndpointList, EndpointRecord, EndpointState},
         gossip::{messages::PeerSummary, peer_table::PeerTable},
         policy::{
-            endpoint::version_history::{ServedVersions, VersionHistory},
             request::stream_origin::{
                 HOLDERS, OriginReport, OriginSource, StreamKey, StreamLedger, StreamStart, decide,
             },
+            rollout::version_history::{ServedVersions, VersionHistory},
         },
     },
     ids::{IncarnationId, SharedName},
