The lease record names services that one software version alone has served

Cause: who has served is known from the lists that a daemon has seen, and no daemon had seen any for as long as a stream may live. Class: knowledge that all daemons have and none keeps.

Change: the leader writes such services into the lease record, with the time of day. A daemon that has just started takes it over if it isn't older than the time for which the store lists an endpoint after its last word, and forgets it after a gap in its lists.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -15,3 +15,4 @@
 mod quarantine;
 mod rollout_starts;
 pub mod rollout_tasks;
+mod sole_versions;
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -7,7 +7,7 @@
 
 use super::{
     lease_keeper::LeaseKeeper, lease_object::LeaseObject, lease_record::LeaseRecord, quarantine,
-    rollout_starts,
+    rollout_starts, sole_versions,
 };
 use crate::{
     boot_clock,
@@ -187,6 +187,7 @@
             throttled: self.throttled_accounts(),
             quarantined: quarantine::stored_requests(&self.context),
             rollouts: rollout_starts::stored_starts(&self.context),
+            sole_versions: sole_versions::stored_versions(&self.context),
             required_endpoints: required_endpoints.clone(),
             first_window,
             report,
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -13,7 +13,7 @@
     lease_object::{CorruptLease, LeaseObject, ObservedEra, StoredLease},
     lease_record::{LeaseRecord, UsageReport},
     lease_store::LeaseStore,
-    quarantine, rollout_starts,
+    quarantine, rollout_starts, sole_versions,
 };
 use crate::{
     boot_clock,
@@ -121,6 +121,7 @@
         self.context.fleet_size.set(Some(record.daemons.max(1)));
         quarantine::restore_requests(&self.context, &record.quarantined);
         rollout_starts::restore_starts(&self.context, &record.rollouts);
+        sole_versions::restore_versions(&self.context, &record.sole_versions);
         self.context.quotas.borrow_mut().set_throttled_before(record.throttled.iter().cloned());
         if let Some(report) = record.report.as_ref().filter(|_| !self.is_from_earlier_era(&record))
         {
@@ -214,6 +215,7 @@
             throttled: self.throttled_accounts(),
             quarantined: quarantine::stored_requests(&self.context),
             rollouts: rollout_starts::stored_starts(&self.context),
+            sole_versions: sole_versions::stored_versions(&self.context),
             required_endpoints,
             ..seen.record
         };
--- a/src/gateway/leader/lease_record.rs
+++ b/src/gateway/leader/lease_record.rs
@@ -42,6 +42,17 @@
     pub begun_ms: u64,
 }
 
+/// A service that one version alone has served, for daemons that start after all others have ended.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SoleVersion {
+    /// Service.
+    pub service: SharedName,
+    /// Version of its endpoints' software.
+    pub version: SharedName,
+    /// Until when no other version had served, in milliseconds since 1970.
+    pub seen_ms: u64,
+}
+
 fn is_zero(number: &u64) -> bool {
     *number == 0
 }
@@ -81,6 +92,9 @@
     /// Roll-outs in progress.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<RolloutStart>,
+    /// Services that one version alone has served for as long as a stream may live.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub sole_versions: Vec<SoleVersion>,
     /// Earlier windows are not reported, since a former holder whose record is lost may have reported
     /// them.
     #[serde(default, skip_serializing_if = "is_zero")]
--- a/src/gateway/policy/rollout/version_history.rs
+++ b/src/gateway/policy/rollout/version_history.rs
@@ -36,6 +36,8 @@
     listed: HashMap<SharedName, BTreeSet<SharedName>>,
     /// Since when the lists have been confirmed without a gap.
     covered_since: Option<Instant>,
+    /// Services whose versions before that are known from the leader.
+    restored: BTreeSet<SharedName>,
     confirmed_at: Option<Instant>,
 }
 
@@ -60,9 +62,38 @@
         if has_gap {
             self.covered_since = Some(now);
         }
+        if has_gap && self.confirmed_at.is_some() {
+            self.restored.clear();
+        }
         self.confirmed_at = self.confirmed_at.max(Some(confirmed));
     }
 
+    /// Restores that one version alone had served a service until `age` ago, for as long as a stream may live.
+    pub fn restore(
+        &mut self,
+        service: &SharedName,
+        version: &SharedName,
+        age: Duration,
+        now: Instant,
+    ) {
+        let seen_at = now.checked_sub(age).unwrap_or(now);
+        let seen = self.services.entry(service.clone()).or_default();
+        let at = seen.entry(version.clone()).or_insert(seen_at);
+        *at = (*at).max(seen_at);
+        self.restored.insert(service.clone());
+    }
+
+    /// Services that one version alone has served within the last `span`, with that version.
+    pub fn sole_versions(&mut self, span: Duration, now: Instant) -> Vec<(SharedName, SharedName)> {
+        let services: Vec<SharedName> = self.services.keys().cloned().collect();
+        let sole =
+            services.into_iter().filter_map(|service| match self.served(&service, span, now) {
+                ServedVersions::Only(version) => Some((service, version)),
+                ServedVersions::Several | ServedVersions::Unknown => None,
+            });
+        sole.collect()
+    }
+
     fn mark_listed(&mut self, now: Instant) {
         for (service, versions) in &self.listed {
             let seen = self.services.entry(service.clone()).or_default();
@@ -82,8 +113,8 @@
         }
         let is_current =
             self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_LIST_AGE);
-        let is_covered =
-            self.covered_since.is_some_and(|since| now.saturating_duration_since(since) >= span);
+        let is_covered = self.restored.contains(service)
+            || self.covered_since.is_some_and(|since| now.saturating_duration_since(since) >= span);
         match seen.keys().next() {
             // An empty version is one that isn't known.
             Some(version) if is_current && is_covered && !version.is_empty() => {
--- a/tests/gateway/stream_origin_rules.rs
+++ b/tests/gateway/stream_origin_rules.rs
@@ -174,6 +174,26 @@
     expect_that!(history.served("pool", LIFE, back), eq(&ServedVersions::Unknown));
 }
 
+#[googletest::test]
+fn daemon_that_has_just_started_knows_the_only_version_from_the_leader() {
+    let begun = Instant::now();
+    let restored = |versions: &[&str]| {
+        let mut history = VersionHistory::default();
+        history.restore(&"pool".into(), &"v1".into(), Duration::from_secs(2), begun);
+        history.apply(&list(versions), begun);
+        history.confirm(Some(begun), begun);
+        history
+    };
+    let only = ServedVersions::Only("v1".into());
+    expect_that!(restored(&["v1"]).served("pool", LIFE, begun), eq(&only));
+    expect_that!(restored(&["v1", "v2"]).served("pool", LIFE, begun), eq(&ServedVersions::Several));
+    expect_that!(restored(&["v2"]).served("pool", LIFE, begun), eq(&ServedVersions::Several));
+    let mut history = restored(&["v1"]);
+    let back = begun + Duration::from_secs(20);
+    history.confirm(Some(back), back);
+    expect_that!(history.served("pool", LIFE, back), eq(&ServedVersions::Unknown));
+}
+
 /// Ways to know the version of a stream after a part of the daemons was killed, that which began it among
 /// them.
 #[derive(Clone, Copy, Debug)]
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -20,6 +20,8 @@
 const RESTART_AFTER: Duration = Duration::from_millis(500);
 /// Time after which a daemon that was started again has to serve.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
+/// Twice the time limit of the fleet's routes, and what the leader takes to record it.
+const STREAM_LIFE: Duration = Duration::from_secs(10);
 /// Most streams that may hold events of two versions.
 const ALLOWED_MIXED: usize = 2;
 /// Least number of streams taken up for which the share that goes on counts.
@@ -63,6 +65,21 @@
     )*};
 }
 
+/// The daemons have seen one version alone for as long as a stream may live, and the leader has recorded it.
+#[googletest::test]
+fn streams_of_one_version_go_on_after_all_daemons_were_killed() {
+    let _slot = acquire_fleet_slot();
+    let fleet = VersionFleet::start(daemon_count(), &["v1"; 12]);
+    sleep(STREAM_LIFE);
+    let outcome = fleet.run(CLIENTS, LOAD_TIME, |fleet, _| {
+        let all: Vec<usize> = (0..fleet.addresses.len()).collect();
+        sleep(KILL_AT);
+        fleet.kill(&all);
+        fleet.start_again(&all);
+    });
+    check(&outcome, KILL_AT);
+}
+
 streams_of_versions! {
     streams_of_two_versions: ["v1" * 6, "v2" * 6], Duration::ZERO, |_, _| {};
     streams_of_a_version_with_few_endpoints: ["v1" * 8, "v2" * 2], Duration::ZERO, |_, _| {};
