Streams of services with one version cost no look through routes or streams

Each tenth of a second every daemon looked through all routes once for each stream that it was passing on, and copied the list of these streams, to find none to tell of. It asks once for each service now; the longest time limit of streams is kept with the configuration. Found by reading; not measured.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -189,6 +189,8 @@
     pub accounts: HashMap<SharedName, Rc<Account>>,
     /// Limits for clients.
     pub limits: ClientLimits,
+    /// Longest time limit of the routes whose responses are streams, if they have any.
+    pub longest_stream: Option<Duration>,
     routes: HashMap<SharedName, Vec<Rc<Route>>>,
     keys: HashMap<SharedName, Rc<Account>>,
 }
@@ -199,14 +201,11 @@
         Self { version, limits, ..Self::default() }
     }
 
-    /// Longest time limit of the routes whose responses are streams, if they have any.
-    pub fn longest_stream_timeout(&self) -> Option<Duration> {
-        let streams = self.routes.values().flatten().filter(|route| route.kind.is_stream());
-        streams.filter_map(|route| route.timeout).max()
-    }
-
     /// Adds a route.
     pub fn add_route(&mut self, route: Route) {
+        if route.kind.is_stream() {
+            self.longest_stream = self.longest_stream.max(route.timeout);
+        }
         let routes = self.routes.entry(route.host.to_ascii_lowercase().into()).or_default();
         let index = routes.partition_point(|other| other.prefix.len() >= route.prefix.len());
         routes.insert(index, Rc::new(route));
--- a/src/gateway/gossip/streams.rs
+++ b/src/gateway/gossip/streams.rs
@@ -1,7 +1,13 @@
 //! Tells other daemons at which versions this one has begun streams, and asks them about a stream that is
 //! taken up here. `policy::request::stream_origin` decides who is told and what follows from the answers.
 
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
 
 use capnp::Error;
 use futures::{StreamExt, stream::FuturesUnordered};
@@ -77,13 +83,26 @@
 /// Tells others of the streams that this daemon is passing on, after a second version of their service
 /// has been listed.
 pub fn tell_active_streams(context: &Rc<GatewayContext>) {
-    let active = context.streams.active.borrow().clone();
-    let is_unknown = |key: &StreamKey| context.streams.ledger.borrow().find(*key).is_none();
-    for (key, start) in active.into_iter().filter(|(key, _)| is_unknown(key)) {
-        if needs_record(context, &start.service) {
-            tell_holders(context, key, start);
-        }
+    for (key, start) in untold_streams(context) {
+        tell_holders(context, key, start);
+    }
+}
+
+/// Streams of services with several versions that have begun while there was one.
+fn untold_streams(context: &GatewayContext) -> Vec<(StreamKey, StreamStart)> {
+    let active = context.streams.active.borrow();
+    let services: BTreeSet<&SharedName> = active.values().map(|start| &start.service).collect();
+    let needing: BTreeSet<&SharedName> =
+        services.into_iter().filter(|service| needs_record(context, service)).collect();
+    if needing.is_empty() {
+        return Vec::new();
     }
+    let ledger = context.streams.ledger.borrow();
+    let is_untold = |(key, start): &(&StreamKey, &StreamStart)| {
+        needing.contains(&start.service) && ledger.find(**key).is_none()
+    };
+    let untold = active.iter().filter(is_untold);
+    untold.map(|(key, start)| (*key, start.clone())).collect()
 }
 
 fn needs_record(context: &GatewayContext, service: &str) -> bool {
--- a/src/gateway/policy/request/stream_origin.rs
+++ b/src/gateway/policy/request/stream_origin.rs
@@ -35,7 +35,7 @@
 
 /// How long a stream may live, from its begin until it is taken up for the last time.
 pub fn stream_life(configuration: Option<&Configuration>) -> Duration {
-    let longest = configuration.and_then(Configuration::longest_stream_timeout);
+    let longest = configuration.and_then(|current| current.longest_stream);
     longest.unwrap_or(DEFAULT_TIMEOUT) * LIFE_ATTEMPTS
 }
 
