Request log: retries taken from a budget, and those denied

Nothing told which attempts were charged to the retry budget, so that arrivals at endpoints could not be compared with what daemons had withdrawn. steps of the request line have 'retry, N in the budget' or 'no retry, N in the budget'; metrics retries and retries_denied by service. No change of what is decided; the property test of the budget passes as before.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -46,7 +46,7 @@
             crash_ledger::CrashLedger,
             key_freshness::KeyFreshness,
             quota::{QuotaLedger, QuotaSharing},
-            retry_budget::RetryBudgets,
+            retry_budget::{RetryBudgets, RetryWithdrawal},
         },
         rollout::{rollout_table::RolloutTable, version_history::VersionHistory},
     },
@@ -244,8 +244,8 @@
         daemon_count::is_known(self.fleet_size.get(), self.age(now))
     }
 
-    /// Takes one retry from a service's budget. Returns whether one was left.
-    pub fn try_withdraw_retry(&self, service: &SharedName, now: Instant) -> bool {
+    /// Takes one retry from a service's budget if one is left.
+    pub fn try_withdraw_retry(&self, service: &SharedName, now: Instant) -> RetryWithdrawal {
         let daemons = self.sharing(now).known;
         self.retry_budgets.borrow_mut().try_withdraw(service, daemons, now)
     }
--- a/src/gateway/policy/request/retry_budget.rs
+++ b/src/gateway/policy/request/retry_budget.rs
@@ -13,6 +13,7 @@
     time::Duration,
 };
 
+use derive_more::Display;
 use tokio::time::Instant;
 
 use crate::ids::SharedName;
@@ -21,6 +22,24 @@
 /// count in a different window than this daemon does.
 const USED_FRACTION: f64 = 0.8;
 
+/// Result of a withdrawal from a budget, with the retries that were left before it.
+#[derive(Clone, Copy, Debug, Display, PartialEq)]
+pub enum RetryWithdrawal {
+    /// The request may be retried.
+    #[display("retry, {_0:.1} in the budget")]
+    Granted(f64),
+    /// The budget has no retry left.
+    #[display("no retry, {_0:.1} in the budget")]
+    Denied(f64),
+}
+
+impl RetryWithdrawal {
+    /// Whether the request may be retried.
+    pub fn is_granted(self) -> bool {
+        matches!(self, Self::Granted(_))
+    }
+}
+
 /// Retry budget of one service.
 #[derive(Debug)]
 pub struct RetryBudget {
@@ -43,19 +62,24 @@
 
     /// Withdraws one retry if the budget allows it: `share` times the requests in the window, plus
     /// `reserve`, both for this daemon alone.
-    pub fn try_withdraw(&mut self, share: f64, reserve: f64, now: Instant) -> bool {
-        let is_allowed = self.has_retry(share, reserve, now);
-        if is_allowed {
-            self.retries.push_back(now);
+    pub fn try_withdraw(&mut self, share: f64, reserve: f64, now: Instant) -> RetryWithdrawal {
+        let left = self.left(share, reserve, now);
+        if left < 1.0 {
+            return RetryWithdrawal::Denied(left);
         }
-        is_allowed
+        self.retries.push_back(now);
+        RetryWithdrawal::Granted(left)
     }
 
     /// Whether the budget allows a retry.
     pub fn has_retry(&mut self, share: f64, reserve: f64, now: Instant) -> bool {
+        self.left(share, reserve, now) >= 1.0
+    }
+
+    fn left(&mut self, share: f64, reserve: f64, now: Instant) -> f64 {
         self.drop_expired(now);
         let allowed = (self.requests.len() as f64 * share + reserve) * USED_FRACTION;
-        (self.retries.len() as f64) + 1.0 <= allowed
+        allowed - self.retries.len() as f64
     }
 
     fn drop_expired(&mut self, now: Instant) {
@@ -91,7 +115,12 @@
     }
 
     /// Withdraws one retry of a service if the budget of one of `daemons` daemons allows it.
-    pub fn try_withdraw(&mut self, service: &SharedName, daemons: usize, now: Instant) -> bool {
+    pub fn try_withdraw(
+        &mut self,
+        service: &SharedName,
+        daemons: usize,
+        now: Instant,
+    ) -> RetryWithdrawal {
         let (share, reserve) = (self.share, self.total_reserve / daemons as f64);
         self.budget_of(service).try_withdraw(share, reserve, now)
     }
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -68,11 +68,19 @@
 
 /// Whether the request may be retried: attempts and time are left, and the service's retry budget
 /// allows it. Withdraws the retry from the budget if so.
-pub fn may_try_again(context: &GatewayContext, admitted: &Admitted, attempts: &Attempts) -> bool {
+pub fn may_try_again(
+    context: &GatewayContext,
+    admitted: &Admitted,
+    attempts: &Attempts,
+    trace: &mut RequestTrace,
+) -> bool {
     let now = boot_clock::now();
-    attempts.sent < admitted.route.attempts
-        && now < admitted.deadline
-        && context.try_withdraw_retry(&admitted.service.name, now)
+    if attempts.sent >= admitted.route.attempts || now >= admitted.deadline {
+        return false;
+    }
+    let withdrawal = context.try_withdraw_retry(&admitted.service.name, now);
+    trace.retry_withdrawal(&admitted.service.name, withdrawal);
+    withdrawal.is_granted()
 }
 
 /// How one attempt ended.
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -116,7 +116,7 @@
             Ok(AttemptEnd::Responded(mut response)) => {
                 let will_retry = may_be_dropped(admitted, &mut response).await
                     && has_another(context, admitted, attempts)
-                    && may_try_again(context, admitted, attempts);
+                    && may_try_again(context, admitted, attempts, trace);
                 if !will_retry {
                     return Ok(*response);
                 }
@@ -124,7 +124,7 @@
                 error = drop_response(context, admitted, *response, trace).or(error);
             }
             Ok(AttemptEnd::Failed(failure)) => {
-                if let Some(refusal) = refusal_after(context, admitted, attempts, failure) {
+                if let Some(refusal) = refusal_after(context, admitted, attempts, failure, trace) {
                     break refusal;
                 }
             }
@@ -169,11 +169,12 @@
     admitted: &Admitted,
     attempts: &mut Attempts,
     failure: AttemptFailure,
+    trace: &mut RequestTrace,
 ) -> Option<Refusal> {
     let step = after_failure(failure, admitted.route.kind, attempts.may_have_run);
     let reason = match step {
         FailureStep::TryNext => None,
-        FailureStep::RetryOr(_) if may_try_again(context, admitted, attempts) => None,
+        FailureStep::RetryOr(_) if may_try_again(context, admitted, attempts, trace) => None,
         FailureStep::RetryOr(reason) | FailureStep::GiveUp(reason) => Some(reason),
     };
     attempts.may_have_run |= failure == AttemptFailure::MayHaveRun;
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -257,7 +257,7 @@
         {
             return false;
         }
-        while may_try_again(&self.context, &self.admitted, &self.attempts) {
+        while may_try_again(&self.context, &self.admitted, &self.attempts, &mut self.trace) {
             let (last, trace) = (self.last_event, &mut self.trace);
             let attempt = attempt(&self.context, &self.admitted, &mut self.attempts, last, trace);
             let resumed = match attempt.await {
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -24,6 +24,7 @@
                 fingerprint::RequestFingerprint,
                 refusal::Refusal,
                 response_end::{EndpointSurvival, ResponseEnd},
+                retry_budget::RetryWithdrawal,
                 stream_origin::StreamOrigin,
             },
         },
@@ -112,6 +113,17 @@
         self.context.metrics.count("attempts_failed", 1);
     }
 
+    /// Records that a retry was taken from the budget of the service, or that none was left.
+    pub fn retry_withdrawal(&mut self, service: &str, withdrawal: RetryWithdrawal) {
+        let name = match withdrawal {
+            RetryWithdrawal::Granted(_) => "retries",
+            RetryWithdrawal::Denied(_) => "retries_denied",
+        };
+        self.context.metrics.count_labelled(name, "service", service);
+        // Writing to a string cannot fail.
+        let _ = write!(self.steps, " {withdrawal};");
+    }
+
     /// Records the way of the connection that an attempt uses.
     pub fn path(&mut self, path: EndpointPath) {
         if let EndpointPath::Forwarded(forwarder) = path {
--- a/tests/gateway/retry_budget.rs
+++ b/tests/gateway/retry_budget.rs
@@ -25,7 +25,7 @@
             if is_request {
                 budget.record_request(now);
                 requests.push(now);
-            } else if budget.try_withdraw(share, reserve, now) {
+            } else if budget.try_withdraw(share, reserve, now).is_granted() {
                 retries.push(now);
             }
             let recent = |all: &[Instant]| all.iter().filter(|at| now - **at <= window).count() as f64;
