Failing tests: retries of a service exceed the fleet's budget when daemons are killed

Real daemons before endpoints that fail most requests; arrivals beyond the first of each request are counted at the endpoints, in windows as the rule has them.

--- a/tests/gateway/endpoint_standin.rs
+++ b/tests/gateway/endpoint_standin.rs
@@ -11,6 +11,8 @@
     time::{Duration, Instant},
 };
 
+use willowarch::ids::hash_parts;
+
 /// Delay of a late surplus response: longer than a client on loopback takes to send its next
 /// request.
 const SURPLUS_DELAY: Duration = Duration::from_millis(20);
@@ -44,6 +46,9 @@
     NotFound,
     /// Reads it and closes the connection without a response.
     Lose,
+    /// Responds to this percentage of the requests in another manner, and as `Answer` to the rest. A
+    /// request always meets the same manner at one endpoint.
+    Sometimes(u64, &'static EndpointManner),
     /// Responds with the id of another request.
     Foreign,
     /// Never responds and keeps the connection open.
@@ -66,12 +71,21 @@
     pub body: Vec<u8>,
     /// Whether the endpoint has executed it.
     pub ran: bool,
+    /// When it had been read.
+    pub arrived: Instant,
 }
 
 impl EndpointManner {
     fn runs(self) -> bool {
         !matches!(self, Self::Full | Self::Other)
     }
+
+    /// The manner in which the endpoint responds to one request.
+    fn for_request(self, endpoint: &str, request: &SeenRequest) -> Self {
+        let Self::Sometimes(percent, manner) = self else { return self };
+        let drawn = hash_parts(&[endpoint.as_bytes(), request.id().as_bytes()]) % 100;
+        if drawn < percent { *manner } else { Self::Answer }
+    }
 }
 
 impl SeenRequest {
@@ -182,7 +196,7 @@
         let mut reader = BufReader::new(stream);
         let mut previous: Option<String> = None;
         while let Some(request) = read_request(&mut reader) {
-            let manner = *self.manner.lock().expect("lock");
+            let manner = self.manner.lock().expect("lock").for_request(&self.id, &request);
             let previous = previous.replace(request.id().to_owned());
             if let (EndpointManner::SurplusBeforeNext, Some(id)) = (manner, previous) {
                 self.write_whole(reader.get_mut(), "200 OK", &id, "surplus");
@@ -242,6 +256,7 @@
             }
             EndpointManner::NotFound => self.write_whole(out, "404 Not Found", id, "none"),
             EndpointManner::Lose => false,
+            EndpointManner::Sometimes(..) => unreachable!("resolved for each request"),
             EndpointManner::Silent => self.wait_for_close(out),
             EndpointManner::StallAfter(count) => {
                 self.begin_stream(out, request, count) && self.wait_for_close(out)
@@ -411,7 +426,8 @@
         headers.push((name.to_owned(), value.trim().to_owned()));
     }
     let line = line.trim_end().to_owned();
-    let mut request = SeenRequest { line, headers, body: Vec::new(), ran: false };
+    let mut request =
+        SeenRequest { line, headers, body: Vec::new(), ran: false, arrived: Instant::now() };
     let length = request.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
     request.body = vec![0; length];
     reader.read_exact(&mut request.body).ok()?;
