Retry budgets hold over all processes of a daemon

Cause: each process counted its own window. A kill ended the count and not the window, so that a successor spent the share and its whole part of the reserve again.

Change: a token bucket that begins with nothing. Half of the budget is earned, by requests and by time, half bounds what may be saved. A process that begins with nothing never has more than one that had gone on, so the bound holds over any number of processes, without anything that peers or the store have to know. The reserve is divided by the most daemons known in the last minutes, since those that are no longer heard may run on.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -233,7 +233,12 @@
         self.peer_contact.borrow().request_wait(time_left, now)
     }
 
-    /// Numbers of daemons among which quotas and retry budgets are shared.
+    /// Number of daemons among which the reserve of retries is shared.
+    fn retrying_daemons(&self, now: Instant) -> usize {
+        self.sharing(now).known.max(self.peers.borrow().recent_peak())
+    }
+
+    /// Numbers of daemons among which quotas are shared.
     pub fn sharing(&self, now: Instant) -> QuotaSharing {
         let observed = self.peers.borrow().sharing(now);
         daemon_count::sharing_at_start(observed, self.fleet_size.get(), self.age(now))
@@ -246,13 +251,13 @@
 
     /// Takes one retry from a service's budget if one is left.
     pub fn try_withdraw_retry(&self, service: &SharedName, now: Instant) -> RetryWithdrawal {
-        let daemons = self.sharing(now).known;
+        let daemons = self.retrying_daemons(now);
         self.retry_budgets.borrow_mut().try_withdraw(service, daemons, now)
     }
 
     /// Whether a service's budget has a retry left.
     pub fn has_retry(&self, service: &SharedName, now: Instant) -> bool {
-        let daemons = self.sharing(now).known;
+        let daemons = self.retrying_daemons(now);
         self.retry_budgets.borrow_mut().has_retry(service, daemons, now)
     }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -41,7 +41,7 @@
             crash_checks::CrashChecks,
             crash_ledger::CrashLedger,
             quota::{QuotaLedger, QuotaTolerance},
-            retry_budget::RetryBudgets,
+            retry_budget::{BudgetTerms, RetryBudgets},
         },
     },
     request::{client_listener, connection_pool::ConnectionPool},
@@ -137,7 +137,7 @@
         peer_connections: PeerConnections::default(),
         rollouts: RefCell::default(),
         quotas: RefCell::new(empty_quotas(&settings.bounds, now)),
-        retry_budgets: RefCell::new(retry_budgets(&settings.bounds)),
+        retry_budgets: RefCell::new(retry_budgets(&settings.bounds, now)),
         usage: RefCell::new(UsageCounts::default()),
         peers: RefCell::new(seeded_peers(&settings)),
         catch_up: RefCell::new(CatchUpState::default()),
@@ -179,8 +179,13 @@
     QuotaLedger::new(tolerance, now)
 }
 
-fn retry_budgets(bounds: &ServiceBounds) -> RetryBudgets {
-    RetryBudgets::new(bounds.retry_window, bounds.retry_share, bounds.retry_reserve)
+fn retry_budgets(bounds: &ServiceBounds, now: Instant) -> RetryBudgets {
+    let total = BudgetTerms {
+        window: bounds.retry_window,
+        share: bounds.retry_share,
+        reserve: bounds.retry_reserve,
+    };
+    RetryBudgets::new(total, now)
 }
 
 /// Peer table that contains only the seeds.
--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -25,7 +25,10 @@
 };
 use crate::{
     gateway::policy::{
-        daemon::{forwarder_choice::ForwarderCandidate, store_watchers::watchers_per_group},
+        daemon::{
+            daemon_count::RecentPeak, forwarder_choice::ForwarderCandidate,
+            store_watchers::watchers_per_group,
+        },
         request::quota::QuotaSharing,
     },
     ids::hash_parts,
@@ -55,6 +58,7 @@
     peers: BTreeMap<SocketAddr, PeerRecord>,
     schedule: CallSchedule,
     neighbours: Neighbours,
+    peak: RecentPeak,
     gossip_interval: Duration,
     calls_per_interval: usize,
 }
@@ -75,6 +79,7 @@
             peers: BTreeMap::new(),
             schedule: CallSchedule::new(seeds, calls_per_interval),
             neighbours: Neighbours::of(&own, &[]),
+            peak: RecentPeak::default(),
             gossip_interval,
             calls_per_interval,
         }
@@ -166,6 +171,7 @@
     /// The addresses to call in this interval.
     pub fn next_calls(&mut self, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
         self.remove_expired(now);
+        self.peak.observe(self.peers.len() + 1, now);
         self.schedule.next(&self.neighbours, &self.peers, now, rng)
     }
 
@@ -210,7 +216,7 @@
         (before + 1).saturating_sub(watchers_per_group(self.neighbours.groups))
     }
 
-    /// How many daemons share quotas and retry budgets. Daemons of another group count as heard
+    /// How many daemons share quotas. Daemons of another group count as heard
     /// while this daemon hears their representative.
     pub fn sharing(&self, now: Instant) -> QuotaSharing {
         let mut groups_heard = vec![false; self.neighbours.groups.max(1)];
@@ -230,6 +236,11 @@
         QuotaSharing { known, heard, report_age: self.report_age() }
     }
 
+    /// Largest number of daemons known in the last minutes, including this one.
+    pub fn recent_peak(&self) -> usize {
+        self.peak.get()
+    }
+
     /// Daemons that may carry tunnels to endpoints.
     pub fn forwarder_candidates(&self, now: Instant) -> Vec<ForwarderCandidate> {
         let heard = self.peers.iter().filter(|(address, _)| self.hears(address, now));
--- a/src/gateway/policy/daemon/daemon_count.rs
+++ b/src/gateway/policy/daemon/daemon_count.rs
@@ -5,9 +5,14 @@
 //! there were few. Until a starting daemon has had time to discover its peers, it therefore uses
 //! the number recorded with the leader lease, which it gets from the store or from a peer. Until
 //! it has that number, it admits no requests against quotas, for a limited time.
+//!
+//! The reserve of retries is divided by the largest number of the last minutes. Daemons that no longer
+//! hear each other may all run on, and each would take a larger part of the reserve.
 
 use std::time::Duration;
 
+use tokio::time::Instant;
+
 use crate::gateway::policy::request::quota::QuotaSharing;
 
 /// Time in which a starting daemon discovers the others.
@@ -36,3 +41,34 @@
 pub fn is_known(recorded: Option<usize>, age: Duration) -> bool {
     recorded.is_some() || age >= MAX_COUNT_WAIT
 }
+
+/// Time over which the largest number of daemons is remembered, at least: longer than links between zones
+/// usually fail. At most twice that.
+const PEAK_PERIOD: Duration = Duration::from_secs(5 * 60);
+
+/// Largest number of daemons of the last minutes.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct RecentPeak {
+    /// Largest number of the current period.
+    current: usize,
+    /// Largest number of the period before.
+    previous: usize,
+    since: Option<Instant>,
+}
+
+impl RecentPeak {
+    /// Records the number of daemons known now.
+    pub fn observe(&mut self, known: usize, now: Instant) {
+        let since = *self.since.get_or_insert(now);
+        if now.saturating_duration_since(since) >= PEAK_PERIOD {
+            self.previous = std::mem::take(&mut self.current);
+            self.since = Some(now);
+        }
+        self.current = self.current.max(known);
+    }
+
+    /// The largest number recorded.
+    pub fn get(&self) -> usize {
+        self.current.max(self.previous)
+    }
+}
--- a/src/native/decide/retries.rs
+++ b/src/native/decide/retries.rs
@@ -10,9 +10,9 @@
 //!
 //! After [`ATTEMPT_LIMIT`] attempts, the request ends in each of these cases. Retries are limited
 //! to a fraction of first attempts, so that a brownout does not cause a retry storm. The limit is
-//! a token bucket without a clock; the gateway's `gateway::policy::request::retry_budget` counts
-//! requests and retries in a sliding window, with a reserve that all daemons share. The two give
-//! different results, so they do not share code.
+//! a token bucket without a clock; the gateway's `gateway::policy::request::retry_budget` also earns
+//! retries by time, and begins with none, since its deployments promise a bound over all daemons. The
+//! two give different results, so they do not share code.
 //!
 //! Inputs: only this daemon's own attempts at one service. Requests that the daemon itself refuses
 //! neither fill the bucket nor draw from it; requests that endpoints refuse before starting them
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -53,6 +53,7 @@
 mod retries_over_lives;
 mod retry_budget;
 mod retry_fleet;
+mod retry_model;
 mod rollout_model;
 mod rollout_rules;
 mod rollouts;
