Request log: parts of the prompt of requests whose runs broke

The log couldn't tell what the different requests that crash endpoints one after the other have in common. Request lines that have a fingerprint name the shared parts of the prompt, too: all but the last.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -20,6 +20,11 @@
     pub tokens: u64,
 }
 
+/// Identifies a part of a prompt; the same in all requests that have the part.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[display("{_0:016x}")]
+pub struct PartId(pub u64);
+
 /// Size of a request in tokens, as stated by the client.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TokenCounts {
@@ -74,6 +79,12 @@
         resumed.unwrap_or(&self.id)
     }
 
+    /// Parts of the prompt that other requests may have too: all but the last.
+    pub fn shared_parts(&self) -> impl Iterator<Item = PartId> {
+        let parts = self.parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        parts.iter().map(|part| PartId(part.id))
+    }
+
     /// The path without its query.
     pub fn path(&self) -> &str {
         &self.target[..self.path_length]
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -211,7 +211,7 @@
     trace: &mut RequestTrace,
 ) {
     let request = admitted.fingerprint();
-    trace.run_broke(request);
+    trace.run_broke(request, admitted.call.head.shared_parts());
     let run = BrokenRun { request, begun, broken: boot_clock::now() };
     crash_watch::run_broke(context, endpoint, run);
 }
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -15,6 +15,7 @@
 use crate::{
     boot_clock,
     gateway::{
+        call::PartId,
         context::GatewayContext,
         forwarding::endpoint_path::EndpointPath,
         policy::{
@@ -44,6 +45,8 @@
     first_after: Option<Duration>,
     /// Set only for requests with a broken run.
     fingerprint: Option<RequestFingerprint>,
+    /// Parts of the prompt that other requests may have too, separated by commas; set with `fingerprint`.
+    shared_parts: String,
     ended: bool,
 }
 
@@ -59,6 +62,7 @@
             begun: boot_clock::now(),
             first_after: None,
             fingerprint: None,
+            shared_parts: String::new(),
             ended: false,
         }
     }
@@ -148,9 +152,16 @@
         self.context.metrics.count("attempts_failed", 1);
     }
 
-    /// Records that a run broke. The fingerprint identifies repetitions of the same request.
-    pub fn run_broke(&mut self, request: RequestFingerprint) {
+    /// Records that a run broke. The fingerprint identifies repetitions of the same request, the parts
+    /// of its prompt what it shares with others.
+    pub fn run_broke(
+        &mut self,
+        request: RequestFingerprint,
+        shared_parts: impl Iterator<Item = PartId>,
+    ) {
         self.fingerprint = Some(request);
+        let names: Vec<String> = shared_parts.map(|part| part.to_string()).collect();
+        self.shared_parts = names.join(",");
     }
 
     /// Records the head of an endpoint's response.
@@ -239,7 +250,7 @@
         let first_ms = self.first_after.map_or(-1, |after| after.as_millis() as i64);
         spdlog::info!("request", kv: {
             id, outcome, route, account, steps: = self.steps, events, first_ms, total_ms,
-            version, proof_age_ms, lag_ms, fingerprint
+            version, proof_age_ms, lag_ms, fingerprint, shared_parts: = self.shared_parts
         });
     }
 }
