--- a/tests/gateway/crash_fleet.rs
+++ b/tests/gateway/crash_fleet.rs
@@ -96,16 +96,16 @@
 pub fn late_arrivals(runs: &[CrashingRun]) -> BTreeMap<&str, usize> {
     let mut crashes: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
     for run in runs {
-        crashes.entry(&run.body).or_default().extend(run.crashed);
+        crashes.entry(&run.cause).or_default().extend(run.crashed);
     }
     let mut late = BTreeMap::new();
-    for (body, mut times) in crashes {
+    for (cause, mut times) in crashes {
         times.sort_unstable();
         let late_from = times.get(QUARANTINE_CRASHES - 1).map(|third| *third + PROPAGATION_TIME);
         let is_late = |run: &&CrashingRun| {
-            run.body == body && late_from.is_some_and(|from| run.arrived > from)
+            run.cause == cause && late_from.is_some_and(|from| run.arrived > from)
         };
-        late.insert(body, runs.iter().filter(is_late).count());
+        late.insert(cause, runs.iter().filter(is_late).count());
     }
     late
 }
@@ -115,7 +115,7 @@
     pub daemons: Vec<Gateway>,
     pub endpoints: Vec<CrashingEndpoint>,
     is_mended: Arc<AtomicBool>,
-    addresses: Vec<SocketAddr>,
+    pub addresses: Vec<SocketAddr>,
 }
 
 impl CrashFleet {
--- a/tests/gateway/crashing_endpoint.rs
+++ b/tests/gateway/crashing_endpoint.rs
@@ -1,6 +1,6 @@
-//! Stand-in for an endpoint that crashes when it runs a request with a certain body: all its
-//! connections close, its port refuses connections, and it restarts after some seconds with its
-//! old id or a new one.
+//! Stand-in for an endpoint that crashes when it runs a request with a certain body or with a certain
+//! part of its prompt: all its connections close, its port refuses connections, and it restarts after
+//! some seconds with its old id or a new one.
 
 use std::{
     io::{BufReader, Write},
@@ -23,6 +23,8 @@
 
 /// Start of the bodies that crash the endpoint.
 pub const CRASHING: &str = "crash";
+/// Start of the ids of parts that crash the endpoint, unless they are the last one of the prompt.
+pub const CRASHING_PART: &str = "bad";
 /// Body that crashes the endpoint after `LATE_CRASH_DELAY` if the response is not a stream.
 pub const CRASHING_LATE: &str = "crash-late";
 /// Time that the endpoint runs a request with the body `CRASHING_LATE` before it crashes.
@@ -39,10 +41,11 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(10);
 const EVENTS: u64 = 5;
 
-/// One run of a request whose body starts with `CRASHING`.
+/// One run of a request that crashes endpoints.
 #[derive(Clone, Debug)]
 pub struct CrashingRun {
-    pub body: String,
+    /// The body that starts with `CRASHING`, or the id of the part that starts with `CRASHING_PART`.
+    pub cause: String,
     /// When the request arrived.
     pub arrived: Instant,
     /// When this run crashed the endpoint, if it did.
@@ -123,6 +126,11 @@
         self.shared.write_entry("draining");
     }
 
+    /// Crashes the process, whatever it runs.
+    pub fn crash(&self) {
+        self.shared.crash();
+    }
+
     pub fn runs(&self) -> Vec<CrashingRun> {
         self.shared.runs.lock().expect("lock").clone()
     }
@@ -211,7 +219,8 @@
         }
         let body = String::from_utf8_lossy(&request.body).into_owned();
         let arrived = Instant::now();
-        let crashes = body.starts_with(CRASHING) && !self.is_mended.load(Ordering::SeqCst);
+        let cause = crash_cause(request, &body);
+        let crashes = cause.is_some() && !self.is_mended.load(Ordering::SeqCst);
         let is_stream = request.line.contains(" /stream/");
         if is_stream && !begin_stream(out, request) {
             return false;
@@ -219,9 +228,9 @@
         if !is_stream {
             thread::sleep(if body == CRASHING_LATE { LATE_CRASH_DELAY } else { PROCESSING_TIME });
         }
-        if body.starts_with(CRASHING) {
+        if let Some(cause) = cause {
             let crashed = crashes.then(|| self.crash());
-            self.runs.lock().expect("lock").push(CrashingRun { body, arrived, crashed });
+            self.runs.lock().expect("lock").push(CrashingRun { cause, arrived, crashed });
         }
         if self.is_down.load(Ordering::SeqCst) {
             return false;
@@ -243,6 +252,16 @@
     }
 }
 
+/// What crashes the endpoint, if the request does.
+fn crash_cause(request: &SeenRequest, body: &str) -> Option<String> {
+    if body.starts_with(CRASHING) {
+        return Some(body.to_owned());
+    }
+    let (shared, _last) = request.header("x-prompt-prefix")?.rsplit_once(',')?;
+    let ids = shared.split(',').filter_map(|part| part.split(':').next());
+    ids.map(str::to_lowercase).find(|id| id.starts_with(CRASHING_PART))
+}
+
 fn write_complete_response(out: &mut TcpStream, request: &SeenRequest) -> bool {
     let id = request.id();
     let head = format!(
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -13,6 +13,7 @@
 mod crash_rules;
 mod crash_signs;
 mod crashing_endpoint;
+mod crashing_parts;
 mod crashing_requests;
 mod decoders;
 mod draining_endpoints;
