--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -106,8 +106,8 @@
   crashedAgeMs @2 :UInt32;
 }
 
-struct CrashReport {             # a request whose runs have crashed endpoints
-  head @0 :UInt64;               # fingerprint: hash of everything except the body
+struct CrashReport {             # a request, or a part of prompts, whose runs have crashed endpoints
+  head @0 :UInt64;               # fingerprint: hash of everything except the body; id of a part
   contentLow @1 :UInt64;         # fingerprint: hash of the whole request, lower 64 of 128 bits
   contentHigh @2 :UInt64;        # fingerprint: the upper 64 bits
   runs @3 :List(CrashedRun);
@@ -194,6 +194,7 @@
   lent @30 :List(LentTokens);
   rollouts @31 :List(Rollout);
   brittle @32 :List(BrittleService);
+  partCrashes @33 :List(CrashReport);  # of parts of prompts; only `head` names them
 }
 
 struct TunnelRequest {           # first message on a connection to the port for tunnels
--- a/src/bin/willowctl.rs
+++ b/src/bin/willowctl.rs
@@ -107,14 +107,14 @@
                     /// Metrics addresses of daemons.
                     repeated daemon: SocketAddr
                 }
-                /// Show the requests that daemons refuse because they crash endpoints.
+                /// Show the requests and parts of prompts that daemons refuse because they crash endpoints.
                 cmd quarantined {
                     /// Metrics addresses of daemons.
                     repeated daemon: SocketAddr
                 }
-                /// End the quarantine of a request at all daemons.
+                /// End the quarantine of a request or a part of prompts at all daemons.
                 cmd end-quarantine {
-                    /// Fingerprint of the request.
+                    /// Fingerprint of the request, or part- and the id of a part.
                     required fingerprint: String
                     /// Metrics address of a daemon, which informs the others.
                     required daemon: SocketAddr
--- a/src/control/gateway.rs
+++ b/src/control/gateway.rs
@@ -36,7 +36,7 @@
     client.delete("end quarantine", daemon, &path).map(drop)
 }
 
-/// Renders the requests that a daemon refuses because they crash endpoints, one a line.
+/// Renders the requests and parts of prompts that a daemon refuses because they crash endpoints, one a line.
 pub fn render_quarantined(state: &GatewayState) -> String {
     let line = |one: &QuarantinedState| {
         format!(
@@ -46,7 +46,7 @@
     };
     let lines: Vec<String> = state.quarantined.iter().map(line).collect();
     match lines.is_empty() {
-        true => format!("{}: no request is quarantined", state.name),
+        true => format!("{}: nothing is quarantined", state.name),
         false => lines.join("\n"),
     }
 }
--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -3,7 +3,7 @@
 //! `platform::ingress` decodes a request's headers into these types and encodes them again for an
 //! endpoint; header names are known only there.
 
-use std::time::Duration;
+use std::{str::FromStr, time::Duration};
 
 use bytes::Bytes;
 use derive_more::{Display, Error};
@@ -25,6 +25,20 @@
 #[display("{_0:016x}")]
 pub struct PartId(pub u64);
 
+/// The text is not the id of a part.
+#[derive(Clone, Copy, Debug, Display, Error, PartialEq, Eq)]
+#[display("not a part's id in hexadecimal digits")]
+pub struct BadPartId;
+
+impl FromStr for PartId {
+    type Err = BadPartId;
+
+    fn from_str(text: &str) -> Result<Self, BadPartId> {
+        // The reason makes no difference.
+        u64::from_str_radix(text, 16).map(Self).map_err(|_| BadPartId)
+    }
+}
+
 /// Size of a request in tokens, as stated by the client.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct TokenCounts {
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -43,7 +43,7 @@
         request::{
             configuration_doubt::ConfigurationDoubt,
             crash_checks::CrashChecks,
-            crash_ledger::CrashLedger,
+            crash_ledger::{CrashLedger, part_ledger::PartLedger},
             key_freshness::KeyFreshness,
             quota::{QuotaLedger, QuotaSharing},
             retry_budget::{RetryBudgets, RetryWithdrawal},
@@ -119,6 +119,8 @@
     pub peer_contact: RefCell<PeerContact>,
     /// Requests that have crashed endpoints.
     pub crashes: RefCell<CrashLedger>,
+    /// Parts of prompts whose requests have crashed endpoints.
+    pub part_crashes: RefCell<PartLedger>,
     /// Endpoints being checked for a crash because a request at them broke off.
     pub crash_checks: CrashChecks,
     /// Wall clock for usage windows.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -39,7 +39,6 @@
         },
         request::{
             crash_checks::CrashChecks,
-            crash_ledger::CrashLedger,
             quota::{QuotaLedger, QuotaTolerance},
             retry_budget::{BudgetTerms, RetryBudgets},
         },
@@ -146,7 +145,8 @@
         lease: RefCell::new(LeaderLease::default()),
         connections: ConnectionPool::new(metrics.clone()),
         peer_contact: RefCell::new(PeerContact::new(now)),
-        crashes: RefCell::new(CrashLedger::default()),
+        crashes: RefCell::default(),
+        part_crashes: RefCell::default(),
         crash_checks: CrashChecks::default(),
         wall_clock: RefCell::new(SteadyWallClock::new(wall_clock_ms(), now)),
         metrics,
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -34,6 +34,7 @@
             },
             leader::usage_reports::requests_former_usage,
         },
+        request::crash_watch::find_crashing_parts,
     },
     wall_clock_ms,
 };
@@ -60,6 +61,8 @@
         context.wall_clock.borrow_mut().compare(wall_clock_ms(), now);
         context.peer_contact.borrow_mut().begin_interval(now);
         context.crashes.borrow_mut().forget_old(now);
+        context.part_crashes.borrow_mut().forget_old(now);
+        find_crashing_parts(&context, now);
         context.end_rewrite_period(now);
         divide_if_due(&context, now);
         divide_slots_if_due(&context, now);
@@ -74,7 +77,8 @@
                 call(&context, address, fetches).await;
             });
         }
-        context.metrics.gauge("crash_records", context.crashes.borrow().len() as f64);
+        let records = context.crashes.borrow().len() + context.part_crashes.borrow().table().len();
+        context.metrics.gauge("crash_records", records as f64);
         context.metrics.gauge("peer_bytes", context.peer_connections.traffic.bytes() as f64);
         context.metrics.gauge(
             "configuration_proof_age_ms",
@@ -111,6 +115,7 @@
     let mut addresses: BTreeSet<SocketAddr> =
         context.peers.borrow_mut().next_calls(now, rng).into_iter().collect();
     let is_urgent = context.crashes.borrow().is_urgent(now)
+        || context.part_crashes.borrow().table().is_urgent(now)
         || context.endpoints.borrow().has_urgent_warning(now);
     if is_urgent {
         addresses.extend(context.peers.borrow().urgent_calls(rng));
--- a/src/gateway/gossip/codec.rs
+++ b/src/gateway/gossip/codec.rs
@@ -51,6 +51,8 @@
     write_relayed_usage(usage, &source.usage);
     let crashes = target.reborrow().init_crashes(source.crashes.len() as u32);
     write_crashes(crashes, &source.crashes);
+    let part_crashes = target.reborrow().init_part_crashes(source.part_crashes.len() as u32);
+    write_crashes(part_crashes, &source.part_crashes);
     let warnings = target.reborrow().init_warnings(source.warnings.len() as u32);
     write_warnings(warnings, &source.warnings);
     let limits = target.reborrow().init_limits(source.limits.len() as u32);
@@ -184,6 +186,7 @@
         group,
         usage: read_relayed_usage(source)?,
         crashes: read_crashes(source.get_crashes()?)?,
+        part_crashes: read_crashes(source.get_part_crashes()?)?,
         warnings: read_warnings(source.get_warnings()?)?,
         limits: read_limits(source.get_limits()?)?,
         lent: read_lent(source.get_lent()?)?,
--- a/src/gateway/gossip/codec/crashes.rs
+++ b/src/gateway/gossip/codec/crashes.rs
@@ -1,4 +1,4 @@
-//! Encodes and decodes reports of requests that crash endpoints.
+//! Encodes and decodes reports of requests and parts of prompts that crash endpoints.
 
 use capnp::{Error, struct_list};
 
@@ -6,26 +6,55 @@
 use crate::{
     exchange_capnp::{crash_report, crashed_run},
     gateway::{
+        call::PartId,
         gossip::messages::{CrashReport, ReportedRun},
         policy::request::fingerprint::RequestFingerprint,
     },
 };
 
+/// What a report is about, in its encoded form.
+pub trait ReportedSuspect: Sized {
+    /// Writes what identifies it.
+    fn write(&self, target: crash_report::Builder<'_>);
+    /// Reads what identifies it.
+    fn read(source: crash_report::Reader<'_>) -> Self;
+}
+
+impl ReportedSuspect for RequestFingerprint {
+    fn write(&self, mut target: crash_report::Builder<'_>) {
+        target.set_head(self.head);
+        target.set_content_low(self.content as u64);
+        target.set_content_high((self.content >> u64::BITS) as u64);
+    }
+
+    fn read(source: crash_report::Reader<'_>) -> Self {
+        let high = u128::from(source.get_content_high()) << u64::BITS;
+        Self { head: source.get_head(), content: high | u128::from(source.get_content_low()) }
+    }
+}
+
+impl ReportedSuspect for PartId {
+    fn write(&self, mut target: crash_report::Builder<'_>) {
+        target.set_head(self.0);
+    }
+
+    fn read(source: crash_report::Reader<'_>) -> Self {
+        Self(source.get_head())
+    }
+}
+
 /// Encodes reports into a list of the same length.
-pub fn write_crashes(
+pub fn write_crashes<K: ReportedSuspect>(
     mut target: struct_list::Builder<'_, crash_report::Owned>,
-    crashes: &[CrashReport],
+    crashes: &[CrashReport<K>],
 ) {
     for (index, report) in crashes.iter().enumerate() {
         write_crash(target.reborrow().get(index as u32), report);
     }
 }
 
-fn write_crash(mut target: crash_report::Builder<'_>, report: &CrashReport) {
-    let RequestFingerprint { head, content } = report.request;
-    target.set_head(head);
-    target.set_content_low(content as u64);
-    target.set_content_high((content >> u64::BITS) as u64);
+fn write_crash<K: ReportedSuspect>(mut target: crash_report::Builder<'_>, report: &CrashReport<K>) {
+    report.suspect.write(target.reborrow());
     target.set_quarantined(report.is_quarantined);
     target.set_trials(report.trials);
     if let Some(age) = report.trial_age {
@@ -50,20 +79,20 @@
 /// # Errors
 ///
 /// Fails if a list is malformed or too long.
-pub fn read_crashes(
+pub fn read_crashes<K: ReportedSuspect>(
     source: struct_list::Reader<'_, crash_report::Owned>,
-) -> Result<Vec<CrashReport>, Error> {
+) -> Result<Vec<CrashReport<K>>, Error> {
     check_length(source.len())?;
     source.iter().map(read_crash).collect()
 }
 
-fn read_crash(source: crash_report::Reader<'_>) -> Result<CrashReport, Error> {
+fn read_crash<K: ReportedSuspect>(
+    source: crash_report::Reader<'_>,
+) -> Result<CrashReport<K>, Error> {
     let runs = source.get_runs()?;
     check_length(runs.len())?;
-    let content =
-        u128::from(source.get_content_high()) << u64::BITS | u128::from(source.get_content_low());
     Ok(CrashReport {
-        request: RequestFingerprint { head: source.get_head(), content },
+        suspect: K::read(source),
         runs: runs.iter().map(read_run).collect(),
         is_quarantined: source.get_quarantined(),
         trials: source.get_trials(),
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -14,7 +14,7 @@
 
 use super::{
     codec::endpoint_list,
-    crash_reports::apply_reports,
+    crash_reports::{apply_part_reports, apply_reports},
     endpoint_signals::{brittle::apply_brittle, limits::apply_limits, warnings::apply_warnings},
     messages::{
         CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage,
@@ -50,6 +50,7 @@
     let now = boot_clock::now();
     apply_relayed_usage(context, &message);
     apply_reports(context, &message.crashes, now);
+    apply_part_reports(context, &message.part_crashes, now);
     apply_warnings(context, &message.warnings, now);
     apply_limits(context, &message.limits, now);
     apply_brittle(context, &message.brittle, now);
--- a/src/gateway/gossip/messages.rs
+++ b/src/gateway/gossip/messages.rs
@@ -14,6 +14,7 @@
 pub use self::endpoint_signals::{ReportedBrittle, ReportedLimit, ReportedWarning, SentTokens};
 use crate::{
     gateway::{
+        call::PartId,
         endpoint::EndpointList,
         policy::{
             daemon::{forwarder_choice::ForwarderReport, held_texts::TextId},
@@ -97,11 +98,11 @@
     pub crashed_age: Duration,
 }
 
-/// What a daemon knows about a request whose runs have crashed endpoints.
+/// What a daemon knows about a request, or a part of prompts, whose runs have crashed endpoints.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct CrashReport {
-    /// The request.
-    pub request: RequestFingerprint,
+pub struct CrashReport<K> {
+    /// The request or the part.
+    pub suspect: K,
     /// Runs that count towards its quarantine.
     pub runs: Vec<ReportedRun>,
     /// Whether it is quarantined, that is, refused.
@@ -256,7 +257,9 @@
     /// Usage that others have reported to the sender, if the other side has requested it.
     pub usage: Vec<RelayedUsage>,
     /// Requests whose runs have crashed endpoints.
-    pub crashes: Vec<CrashReport>,
+    pub crashes: Vec<CrashReport<RequestFingerprint>>,
+    /// Parts of prompts whose requests have crashed endpoints.
+    pub part_crashes: Vec<CrashReport<PartId>>,
     /// Warnings of endpoints in the last seconds.
     pub warnings: Vec<ReportedWarning>,
     /// Request limits of endpoints, including those that have ended in the last seconds.
--- a/src/gateway/gossip/outgoing.rs
+++ b/src/gateway/gossip/outgoing.rs
@@ -6,7 +6,7 @@
 use tokio::time::Instant;
 
 use super::{
-    crash_reports::own_reports,
+    crash_reports::{own_part_reports, own_reports},
     endpoint_signals::{
         brittle::own_brittle,
         limits::{lend_tokens, own_limits},
@@ -65,6 +65,7 @@
         group: wants.group.then(|| group_sums(context)),
         usage: if wants.usage { relayed_usage(context) } else { Vec::new() },
         crashes: own_reports(context, now),
+        part_crashes: own_part_reports(context, now),
         warnings: own_warnings(context, now),
         limits: own_limits(context, now),
         lent: if wants.tokens { lend_tokens(context, now) } else { Vec::new() },
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -186,6 +186,7 @@
             daemons: self.known_daemons(),
             throttled: self.throttled_accounts(),
             quarantined: quarantine::stored_requests(&self.context),
+            quarantined_parts: quarantine::stored_parts(&self.context),
             rollouts: rollout_starts::stored_starts(&self.context),
             sole_versions: sole_versions::stored_versions(&self.context),
             required_endpoints: required_endpoints.clone(),
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -120,6 +120,7 @@
         self.corrupt = None;
         self.context.fleet_size.set(Some(record.daemons.max(1)));
         quarantine::restore_requests(&self.context, &record.quarantined);
+        quarantine::restore_parts(&self.context, &record.quarantined_parts);
         rollout_starts::restore_starts(&self.context, &record.rollouts);
         sole_versions::restore_versions(&self.context, &record.sole_versions);
         self.context.quotas.borrow_mut().set_throttled_before(record.throttled.iter().cloned());
@@ -214,6 +215,7 @@
             daemons: self.known_daemons(),
             throttled: self.throttled_accounts(),
             quarantined: quarantine::stored_requests(&self.context),
+            quarantined_parts: quarantine::stored_parts(&self.context),
             rollouts: rollout_starts::stored_starts(&self.context),
             sole_versions: sole_versions::stored_versions(&self.context),
             required_endpoints,
--- a/src/gateway/leader/lease_record.rs
+++ b/src/gateway/leader/lease_record.rs
@@ -31,6 +31,17 @@
     pub crash_age_ms: u64,
 }
 
+/// A part of prompts whose requests crash endpoints.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuarantinedPart {
+    /// Id of the part, as text.
+    pub part: String,
+    /// Trials since it was quarantined.
+    pub trials: u32,
+    /// Age of the newest crash when this record was written.
+    pub crash_age_ms: u64,
+}
+
 /// Start of a roll-out, for daemons that start after all others have ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RolloutStart {
@@ -89,6 +100,9 @@
     /// Quarantined requests, for daemons that start after all others have ended.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub quarantined: Vec<QuarantinedRequest>,
+    /// Quarantined parts of prompts, for the same daemons.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub quarantined_parts: Vec<QuarantinedPart>,
     /// Roll-outs in progress.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub rollouts: Vec<RolloutStart>,
--- a/src/gateway/policy/request/crash_checks.rs
+++ b/src/gateway/policy/request/crash_checks.rs
@@ -1,18 +1,20 @@
 //! Broken runs that wait for the check of their endpoint (`request::crash_watch`). One check covers
 //! all runs that break at an endpoint until the check has finished.
 
-use std::{cell::RefCell, collections::HashMap};
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
 
 use tokio::time::Instant;
 
 use super::fingerprint::RequestFingerprint;
-use crate::ids::SharedName;
+use crate::{gateway::call::PartId, ids::SharedName};
 
 /// A run whose connection broke before the response was complete.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct BrokenRun {
     /// The request.
     pub request: RequestFingerprint,
+    /// Parts of its prompt that other requests may have too.
+    pub shared_parts: Rc<[PartId]>,
     /// When the attempt began, or when the head of its response arrived.
     pub begun: Instant,
     /// When it broke.
--- a/src/gateway/policy/request/crash_record.rs
+++ b/src/gateway/policy/request/crash_record.rs
@@ -1,4 +1,4 @@
-//! The crashes recorded for one request, and whether they are enough evidence that it causes them.
+//! The crashes recorded for one suspect, a request or a part of prompts.
 //!
 //! A crash breaks all other runs at the endpoint too, and a popular request is running everywhere
 //! when a zone or a fleet fails. So only consecutive runs count as evidence: each has to begin
@@ -21,12 +21,11 @@
 /// after the crash that causes it, and the two runs' times may be shifted against each other when
 /// they are reported in different messages.
 const SEQUENCE_SLACK: Duration = Duration::from_millis(20);
-/// Number of newest runs that are kept for a request: enough to contain the consecutive ones even
-/// when many runs break at a time.
-const MAX_RUNS: usize = 12;
-/// The record of a request that is not quarantined is removed this long after its newest crash:
-/// clients retry within their deadlines.
-const SUSPECT_RETENTION: Duration = Duration::from_secs(60);
+/// Number of newest runs that are kept for a suspect: enough to contain the consecutive ones even when many runs
+/// break at a time, and those of the last seconds of a part that crashes dozens of endpoints a second.
+const MAX_RUNS: usize = 64;
+/// Number of newest runs in a report: more than are added between two reports.
+pub const REPORTED_RUNS: usize = 16;
 /// The record of a quarantined request is removed this long after its newest crash, that is after
 /// the second of the longest waits between trials.
 const QUARANTINE_RETENTION: Duration = Duration::from_secs(60 * 60);
@@ -51,7 +50,7 @@
 
 impl CrashedRun {
     /// Whether both runs broke in the same crash of the same endpoint.
-    fn is_same_crash(&self, other: &Self) -> bool {
+    pub fn is_same_crash(&self, other: &Self) -> bool {
         let apart = self.crashed.max(other.crashed) - self.crashed.min(other.crashed);
         self.endpoint == other.endpoint && apart < SAME_CRASH
     }
@@ -142,16 +141,13 @@
 
     /// Number of consecutive crashed runs.
     pub fn evidence(&self) -> usize {
-        count_in_sequence(self.runs.iter())
+        sequence_length(self.runs.iter())
     }
 
     /// Like `evidence`, without the runs that broke in the same crash as a run of `others`.
     pub fn unexplained_evidence(&self, others: &[&Self]) -> usize {
-        let is_explained = |run: &CrashedRun| {
-            let mut runs = others.iter().flat_map(|other| &other.runs);
-            runs.any(|other| other.is_same_crash(run))
-        };
-        count_in_sequence(self.runs.iter().filter(|run| !is_explained(run)))
+        let is_explained = |run: &CrashedRun| others.iter().any(|other| other.has_crash(run));
+        sequence_length(self.runs.iter().filter(|run| !is_explained(run)))
     }
 
     /// Sort key for importance: whether it is quarantined, then the evidence, then the newest
@@ -160,9 +156,22 @@
         (self.is_quarantined, self.evidence(), self.last_crash().max(self.cleared_at))
     }
 
-    /// Whether the record may be removed.
-    pub fn is_expired(&self, now: Instant) -> bool {
-        let retention = if self.is_quarantined { QUARANTINE_RETENTION } else { SUSPECT_RETENTION };
+    /// Whether one of its runs broke in the same crash as this one.
+    pub fn has_crash(&self, run: &CrashedRun) -> bool {
+        self.runs.iter().any(|own| own.is_same_crash(run))
+    }
+
+    /// Whether it may have been the cause of this run's crash: that is one of its own, or may have been before
+    /// older ones were dropped.
+    pub fn may_explain(&self, run: &CrashedRun) -> bool {
+        let is_older = |oldest: &CrashedRun| run.crashed < oldest.crashed;
+        let dropped = self.runs.len() >= MAX_RUNS && self.runs.first().is_some_and(is_older);
+        dropped || self.has_crash(run)
+    }
+
+    /// Whether the record may be removed; one without a quarantine is kept for `suspect_retention`.
+    pub fn is_expired(&self, suspect_retention: Duration, now: Instant) -> bool {
+        let retention = if self.is_quarantined { QUARANTINE_RETENTION } else { suspect_retention };
         let newest = self.last_crash().max(self.cleared_at);
         newest.is_none_or(|at| now.saturating_duration_since(at) >= retention)
     }
@@ -179,7 +188,7 @@
 
 /// Length of the longest chain of runs in which each begins after the previous one has crashed.
 /// `runs` are in the order of their crashes.
-fn count_in_sequence<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> usize {
+pub fn sequence_length<'a>(runs: impl Iterator<Item = &'a CrashedRun>) -> usize {
     let mut count = 0;
     let mut last_crash = None;
     for run in runs {
--- a/src/gateway/policy/request/refusal.rs
+++ b/src/gateway/policy/request/refusal.rs
@@ -85,6 +85,10 @@
     /// the time until the next trial.
     #[display("the same request has crashed endpoints")]
     Quarantined(Duration),
+    /// Previous runs of requests with a part of its prompt have crashed their endpoints; this one has not run.
+    /// Holds the time until the next trial.
+    #[display("requests with a part of this prompt have crashed endpoints")]
+    PartQuarantined(Duration),
     /// The request may have run and must not be retried, or all attempts have failed.
     #[display("outcome unknown")]
     Unknown,
@@ -148,7 +152,8 @@
             | Self::NoVersion(_)
             | Self::UnknownStream(_)
             | Self::NoPath(_)
-            | Self::Quarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Quarantined(_)
+            | Self::PartQuarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
             Self::OutOfTime => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -171,7 +176,8 @@
             | Self::NoVersion(wait)
             | Self::UnknownStream(wait)
             | Self::NoPath(wait)
-            | Self::Quarantined(wait) => Some(*wait),
+            | Self::Quarantined(wait)
+            | Self::PartQuarantined(wait) => Some(*wait),
             Self::NoConfiguration | Self::FleetUnknown | Self::NotFresh => {
                 Some(retry_after::DAEMON_STARTING)
             }
--- a/src/gateway/policy/request/retries.rs
+++ b/src/gateway/policy/request/retries.rs
@@ -144,6 +144,9 @@
     /// Previous runs of the same request have crashed their endpoints; the next trial is due after
     /// this time.
     Quarantined(Duration),
+    /// Previous runs of requests with a part of its prompt have crashed their endpoints; the next trial is due
+    /// after this time.
+    PartQuarantined(Duration),
 }
 
 impl NoAttempt {
@@ -157,6 +160,7 @@
             (Self::RoomLater(wait), false) => Refusal::RoomLater(wait),
             (Self::NoPeerContact, false) => Refusal::NoPeerContact,
             (Self::Quarantined(wait), false) => Refusal::Quarantined(wait),
+            (Self::PartQuarantined(wait), false) => Refusal::PartQuarantined(wait),
             (Self::NoVersion, false) => Refusal::NoVersion(retry_after::NO_ENDPOINT),
             (Self::NoPath, false) => Refusal::NoPath(retry_after::NO_ENDPOINT),
             (Self::NoEndpoint, false) => Refusal::NoEndpoint(retry_after::NO_ENDPOINT),
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -32,7 +32,7 @@
     boot_clock,
     endpoint_health::AttemptResult,
     gateway::{
-        call::AttemptHead,
+        call::{AttemptHead, PartId},
         context::GatewayContext,
         endpoint::EndpointRecord,
         policy::{
@@ -113,7 +113,9 @@
         Err(failure) => return not_connected(context, admitted, attempts, &failure, guard, trace),
     };
     trace.path(connection.path());
-    if !guard.try_mark_sent() {
+    // Other daemons may have told of crashes while the connection was being opened.
+    let is_refused = !attempts.is_trial && crash_watch::is_quarantined(context, admitted);
+    if is_refused || !guard.try_mark_sent() {
         return Ok(return_unsent(context, connection, trace));
     }
     let now = boot_clock::now();
@@ -211,8 +213,9 @@
     trace: &mut RequestTrace,
 ) {
     let request = admitted.fingerprint();
-    trace.run_broke(request, admitted.call.head.shared_parts());
-    let run = BrokenRun { request, begun, broken: boot_clock::now() };
+    let shared_parts: Rc<[PartId]> = admitted.call.head.shared_parts().collect();
+    trace.run_broke(request, &shared_parts);
+    let run = BrokenRun { request, shared_parts, begun, broken: boot_clock::now() };
     crash_watch::run_broke(context, endpoint, run);
 }
 
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -19,9 +19,7 @@
                 endpoint_table::EndpointTable,
                 room_forecast::RoomForecast,
             },
-            request::{
-                crash_ledger::RunVerdict, refusal::Refusal, retries::NoAttempt, retry_after,
-            },
+            request::{refusal::Refusal, retries::NoAttempt, retry_after},
             rollout::version_split::{SplitInputs, filters, may_go_on},
         },
         request::{admission::Admitted, crash_watch, request_log::RequestTrace},
@@ -43,14 +41,8 @@
     if !context.is_up_to_date_with_peers(boot_clock::now()) {
         return Err(refusal(NoAttempt::NoPeerContact));
     }
-    match crash_watch::decide_run(context, admitted) {
-        RunVerdict::Allowed => Ok(()),
-        RunVerdict::Refused(wait) => Err(refusal(NoAttempt::Quarantined(wait))),
-        RunVerdict::Trial => {
-            attempts.is_trial = true;
-            Ok(())
-        }
-    }
+    attempts.is_trial = crash_watch::decide_run(context, admitted).map_err(refusal)?;
+    Ok(())
 }
 
 /// Chooses an endpoint that has not been tried.
--- a/src/gateway/request/crash_watch.rs
+++ b/src/gateway/request/crash_watch.rs
@@ -1,4 +1,4 @@
-//! Detects requests that crash the endpoints that run them, and stops running them.
+//! Detects requests, and parts of prompts, that crash the endpoints that run them, and stops running them.
 //!
 //! When a run breaks, the daemon tries to connect to its endpoint: an endpoint whose process has
 //! ended refuses connections until it has restarted. Endpoints that are known to be leaving are not
@@ -9,7 +9,7 @@
 use std::{rc::Rc, time::Duration};
 
 use derive_more::Display;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 use super::{
     admission::Admitted,
@@ -18,6 +18,7 @@
 use crate::{
     boot_clock,
     gateway::{
+        call::PartId,
         context::GatewayContext,
         endpoint::EndpointRecord,
         forwarding::tunnel_opener::open_tunnel,
@@ -25,11 +26,13 @@
             endpoint::endpoint_load::endpoint_number,
             request::{
                 crash_checks::BrokenRun,
-                crash_ledger::{CrashLedger, RunVerdict},
-                crash_record::CrashedRun,
+                crash_ledger::{CrashLedger, RunVerdict, part_ledger::PartEvidence},
+                crash_record::{CrashRecord, CrashedRun},
                 fingerprint::RequestFingerprint,
+                retries::NoAttempt,
             },
         },
+        state::QUARANTINED_PART,
     },
 };
 
@@ -69,36 +72,109 @@
     }
 }
 
-/// Decides whether the request may be run now.
-pub fn decide_run(context: &GatewayContext, admitted: &Admitted) -> RunVerdict {
-    let mut ledger = context.crashes.borrow_mut();
+/// Decides whether the request may be run now. Returns whether it runs as the trial of a quarantined request
+/// or part.
+///
+/// # Errors
+///
+/// Why it may not be run.
+pub fn decide_run(context: &GatewayContext, admitted: &Admitted) -> Result<bool, NoAttempt> {
+    let now = boot_clock::now();
+    let (request, parts) = (request_verdict(context, admitted), part_verdict(context, admitted));
+    let refusal = match (request, parts) {
+        (RunVerdict::Refused(wait), _) => NoAttempt::Quarantined(wait),
+        (_, RunVerdict::Refused(wait)) => NoAttempt::PartQuarantined(wait),
+        (RunVerdict::Allowed, RunVerdict::Allowed) => return Ok(false),
+        _ => {
+            begin_trial(context, admitted, now);
+            return Ok(true);
+        }
+    };
+    context.metrics.count("quarantine_refusals", 1);
+    Err(refusal)
+}
+
+/// Whether the request or a part of its prompt is quarantined.
+pub fn is_quarantined(context: &GatewayContext, admitted: &Admitted) -> bool {
+    request_verdict(context, admitted) != RunVerdict::Allowed
+        || part_verdict(context, admitted) != RunVerdict::Allowed
+}
+
+fn request_verdict(context: &GatewayContext, admitted: &Admitted) -> RunVerdict {
+    let ledger = context.crashes.borrow();
     if !may_be_recorded(&ledger, admitted) {
         return RunVerdict::Allowed;
     }
     let request = admitted.fingerprint();
-    let makes_trial = |number: u32| {
-        context.peers.borrow().is_first_for(request.head.wrapping_add(u64::from(number)))
-    };
-    let verdict = ledger.decide_run(request, makes_trial, boot_clock::now());
-    match verdict {
-        RunVerdict::Allowed => {}
-        RunVerdict::Trial => {
-            spdlog::warn!("quarantined request tried", kv: { fingerprint: = request });
-            context.metrics.count("quarantine_trials", 1);
-        }
-        RunVerdict::Refused(_) => context.metrics.count("quarantine_refusals", 1),
+    let makes_trial = |number| is_tester(context, request.head, number);
+    ledger.verdict(request, makes_trial, boot_clock::now())
+}
+
+fn part_verdict(context: &GatewayContext, admitted: &Admitted) -> RunVerdict {
+    let ledger = context.part_crashes.borrow();
+    if ledger.table().is_empty() {
+        return RunVerdict::Allowed;
+    }
+    let makes_trial = |part: PartId, number| is_tester(context, part.0, number);
+    ledger.verdict(admitted.call.head.shared_parts(), makes_trial, boot_clock::now())
+}
+
+/// Whether this daemon is the one that makes the trial of this number.
+fn is_tester(context: &GatewayContext, suspect: u64, number: u32) -> bool {
+    context.peers.borrow().is_first_for(suspect.wrapping_add(u64::from(number)))
+}
+
+fn begin_trial(context: &GatewayContext, admitted: &Admitted, now: Instant) {
+    let request = admitted.fingerprint();
+    let mut requests = context.crashes.borrow_mut();
+    if requests.table().get(request).is_some_and(|record| record.is_quarantined) {
+        requests.begin_trial(request, now);
+    }
+    let parts = || admitted.call.head.shared_parts();
+    context.part_crashes.borrow_mut().begin_trial(parts(), now);
+    let parts: Vec<String> = parts().map(|part| part.to_string()).collect();
+    spdlog::warn!("quarantined request tried", kv: {
+        fingerprint: = request, shared_parts: = parts.join(",")
+    });
+    context.metrics.count("quarantine_trials", 1);
+}
+
+/// Quarantines parts of prompts that have enough evidence by now.
+pub fn find_crashing_parts(context: &GatewayContext, now: Instant) {
+    let mut parts = context.part_crashes.borrow_mut();
+    if parts.table().is_empty() {
+        return;
+    }
+    let mut requests = context.crashes.borrow_mut();
+    let quarantined: Vec<&CrashRecord> = requests.quarantined().map(|(_, record)| record).collect();
+    for (part, evidence) in parts.evaluate(&quarantined, now) {
+        let PartEvidence { crashes, runs_in_row, fraction, was_served, span: _ } = evidence;
+        spdlog::warn!("prompt part quarantined", kv: {
+            part: = part, reason = "crashes", crashes, runs_in_row, fraction, was_served
+        });
+        context.metrics.count("parts_quarantined", 1);
+    }
+    for (_, record) in parts.table().quarantined() {
+        requests.clear_explained_by_part(record, now);
     }
-    verdict
 }
 
-/// Clears a request that got a complete response from an endpoint.
+/// Clears a request that got a complete response from an endpoint, and the parts of its prompt.
 pub fn request_served(context: &GatewayContext, admitted: &Admitted) {
+    let now = boot_clock::now();
+    let mut parts = context.part_crashes.borrow_mut();
+    for part in admitted.call.head.shared_parts() {
+        if parts.record_served(part, now) {
+            let name = format!("{QUARANTINED_PART}{part}");
+            spdlog::info!("quarantine ended", kv: { fingerprint: = name, reason = "served" });
+        }
+    }
     let mut ledger = context.crashes.borrow_mut();
     if !may_be_recorded(&ledger, admitted) {
         return;
     }
     let request = admitted.fingerprint();
-    if ledger.clear(request, boot_clock::now()) {
+    if ledger.clear(request, now) {
         spdlog::info!("quarantine ended", kv: { fingerprint: = request, reason = "served" });
     }
 }
@@ -158,10 +234,14 @@
     let now = boot_clock::now();
     let endpoint = endpoint_number(endpoint);
     let mut ledger = context.crashes.borrow_mut();
-    for BrokenRun { request, begun, broken } in runs.iter().copied() {
-        let run = CrashedRun { endpoint, begun, crashed: broken };
-        if ledger.record_crash(request, run, now) {
-            log_quarantine(context, request, "endpoints crashed during runs of this daemon");
+    let mut parts = context.part_crashes.borrow_mut();
+    for BrokenRun { request, shared_parts, begun, broken } in runs {
+        let run = CrashedRun { endpoint, begun: *begun, crashed: *broken };
+        if ledger.record_crash(*request, run, now) {
+            log_quarantine(context, *request, "endpoints crashed during runs of this daemon");
+        }
+        for part in shared_parts.iter() {
+            parts.record_crash(*part, run, now);
         }
     }
 }
@@ -171,3 +251,9 @@
     spdlog::warn!("request quarantined", kv: { fingerprint: = request, reason });
     context.metrics.count("requests_quarantined", 1);
 }
+
+/// Logs and counts that another daemon has quarantined a part of prompts.
+pub fn log_part_quarantine(context: &GatewayContext, part: PartId) {
+    spdlog::warn!("prompt part quarantined", kv: { part: = part, reason = "reported" });
+    context.metrics.count("parts_quarantined", 1);
+}
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -154,13 +154,9 @@
 
     /// Records that a run broke. The fingerprint identifies repetitions of the same request, the parts
     /// of its prompt what it shares with others.
-    pub fn run_broke(
-        &mut self,
-        request: RequestFingerprint,
-        shared_parts: impl Iterator<Item = PartId>,
-    ) {
+    pub fn run_broke(&mut self, request: RequestFingerprint, shared_parts: &[PartId]) {
         self.fingerprint = Some(request);
-        let names: Vec<String> = shared_parts.map(|part| part.to_string()).collect();
+        let names: Vec<String> = shared_parts.iter().map(PartId::to_string).collect();
         self.shared_parts = names.join(",");
     }
 
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -18,6 +18,7 @@
         endpoint::{
             endpoint_status::restriction::EndpointRestriction, endpoint_table::EndpointTable,
         },
+        request::crash_record::CrashRecord,
     },
 };
 use crate::boot_clock;
@@ -77,7 +78,7 @@
     pub lease_fence: u64,
     /// Age of the newest known renewal of the lease.
     pub lease_age_ms: Option<u64>,
-    /// Requests that are quarantined because they crash endpoints.
+    /// Requests and parts of prompts that are quarantined because they crash endpoints.
     #[serde(default)]
     pub quarantined: Vec<QuarantinedState>,
     /// Endpoints to which this daemon sends fewer requests than to others, or none.
@@ -88,6 +89,9 @@
     pub rollouts: Vec<RolloutView>,
 }
 
+/// Start of the names of quarantined parts of prompts, followed by their ids.
+pub const QUARANTINED_PART: &str = "part-";
+
 /// An endpoint to which a daemon sends fewer requests than to others, or none.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct RestrictedState {
@@ -99,12 +103,12 @@
     pub reasons: Vec<String>,
 }
 
-/// A request that is refused because it crashes endpoints.
+/// A request, or a part of prompts, that is refused because it crashes endpoints.
 #[derive(Clone, Debug, Serialize, Deserialize, PartialEq)]
 pub struct QuarantinedState {
-    /// Fingerprint of the request, as in the request log.
+    /// Fingerprint of the request, as in the request log; `part-` and the id if it is a part of prompts.
     pub fingerprint: String,
-    /// Consecutive crashes attributed to the request, as far as this daemon knows.
+    /// Consecutive crashes attributed to it, as far as this daemon knows.
     pub crashes: usize,
     /// Time since the newest crash.
     pub crash_age_ms: u64,
@@ -147,7 +151,7 @@
             lease_holder: lease.holder.clone(),
             lease_fence: lease.fence,
             lease_age_ms: lease.renewed_at.map(age_ms),
-            quarantined: quarantined_requests(context, now),
+            quarantined: quarantined_states(context, now),
             endpoints_restricted: restricted_endpoints(&endpoints, now),
             rollouts: rollout_view::views(context, now),
         }
@@ -180,17 +184,21 @@
     restricted.map(state).collect()
 }
 
-fn quarantined_requests(context: &GatewayContext, now: Instant) -> Vec<QuarantinedState> {
-    let ledger = context.crashes.borrow();
-    let states = ledger.quarantined().filter_map(|(request, record)| {
-        let (crashed, trial) = (record.last_crash()?, record.next_trial()?);
-        Some(QuarantinedState {
-            fingerprint: request.to_string(),
-            crashes: record.evidence(),
-            crash_age_ms: now.saturating_duration_since(crashed).as_millis() as u64,
-            trials: record.trials,
-            trial_in_ms: trial.saturating_duration_since(now).as_millis() as u64,
-        })
-    });
-    states.collect()
+fn quarantined_states(context: &GatewayContext, now: Instant) -> Vec<QuarantinedState> {
+    let (requests, parts) = (context.crashes.borrow(), context.part_crashes.borrow());
+    let requests = requests.quarantined().map(|(request, record)| (request.to_string(), record));
+    let parts = parts.table().quarantined();
+    let parts = parts.map(|(part, record)| (format!("{QUARANTINED_PART}{part}"), record));
+    requests.chain(parts).filter_map(|(name, record)| state_of(name, record, now)).collect()
+}
+
+fn state_of(name: String, record: &CrashRecord, now: Instant) -> Option<QuarantinedState> {
+    let (crashed, trial) = (record.last_crash()?, record.next_trial()?);
+    Some(QuarantinedState {
+        fingerprint: name,
+        crashes: record.evidence(),
+        crash_age_ms: now.saturating_duration_since(crashed).as_millis() as u64,
+        trials: record.trials,
+        trial_in_ms: trial.saturating_duration_since(now).as_millis() as u64,
+    })
 }
--- a/src/gateway/status_listeners.rs
+++ b/src/gateway/status_listeners.rs
@@ -9,9 +9,10 @@
 use tokio::net::TcpListener;
 
 use super::{
+    call::BadPartId,
     context::GatewayContext,
     policy::{daemon::readiness::Readiness, request::fingerprint::BadFingerprint},
-    state::GatewayState,
+    state::{GatewayState, QUARANTINED_PART},
 };
 use crate::{
     boot_clock,
@@ -26,7 +27,7 @@
 
 /// Path of the daemon's state on the metrics address.
 const STATE_PATH: &str = "/state";
-/// Path of the quarantined requests on the metrics address, followed by a fingerprint.
+/// Path of what is quarantined on the metrics address, followed by its name.
 const QUARANTINE_PATH: &str = "/quarantine/";
 
 fn text_response(status: StatusCode, text: String) -> Response<ResponseBody> {
@@ -77,17 +78,23 @@
     server::serve(listener, phase, handler).await;
 }
 
-/// Ends the quarantine of a request at this daemon, which informs the others by gossip.
-fn end_quarantine(context: &GatewayContext, fingerprint: &str) -> (StatusCode, String) {
-    let request = match fingerprint.parse() {
-        Ok(request) => request,
-        Err(BadFingerprint) => return (StatusCode::BAD_REQUEST, BadFingerprint.to_string()),
+/// Ends the quarantine of a request, or of a part of prompts, at this daemon, which informs the others by gossip.
+fn end_quarantine(context: &GatewayContext, name: &str) -> (StatusCode, String) {
+    let now = boot_clock::now();
+    let was_quarantined = match name.strip_prefix(QUARANTINED_PART) {
+        Some(id) => match id.parse() {
+            Ok(part) => context.part_crashes.borrow_mut().clear(part, now),
+            Err(BadPartId) => return (StatusCode::BAD_REQUEST, BadPartId.to_string()),
+        },
+        None => match name.parse() {
+            Ok(request) => context.crashes.borrow_mut().clear(request, now),
+            Err(BadFingerprint) => return (StatusCode::BAD_REQUEST, BadFingerprint.to_string()),
+        },
     };
-    let was_quarantined = context.crashes.borrow_mut().clear(request, boot_clock::now());
     if !was_quarantined {
         return (StatusCode::NOT_FOUND, "not quarantined".to_owned());
     }
-    spdlog::info!("quarantine ended", kv: { fingerprint: = request, reason = "operator" });
+    spdlog::info!("quarantine ended", kv: { fingerprint: = name, reason = "operator" });
     (StatusCode::OK, "{}".to_owned())
 }
 
--- a/tests/gateway/crash_model.rs
+++ b/tests/gateway/crash_model.rs
@@ -1,4 +1,4 @@
-//! Simulates how fast all daemons of a fleet learn of a request that crashes endpoints. The peer
+//! Simulates how fast all daemons of a fleet learn of a request, or a part of prompts, that crashes endpoints. The peer
 //! tables and crash ledgers are the real ones and exchange reports as the daemons do; time is
 //! simulated.
 //!
@@ -12,13 +12,14 @@
 use tokio::time::Instant;
 use willowarch::{
     gateway::{
+        call::PartId,
         gossip::{
             caller::{CALLS_PER_INTERVAL, GOSSIP_INTERVAL},
             peer_record::PeerReport,
             peer_table::PeerTable,
         },
         policy::request::{
-            crash_ledger::{CrashLedger, RunVerdict},
+            crash_ledger::{CrashLedger, RunVerdict, part_ledger::PartLedger},
             crash_record::{CrashRecord, CrashedRun},
             fingerprint::RequestFingerprint,
         },
@@ -33,14 +34,25 @@
 /// The request that crashes endpoints.
 const CRASHING: RequestFingerprint = RequestFingerprint { head: u64::MAX, content: 0 };
 
+/// The part that crashes endpoints, and one that runs beside it at each.
+const CRASHING_PART: PartId = PartId(1);
+const POPULAR_PART: PartId = PartId(2);
+/// Crashes after which a part has to be known.
+const PART_CRASHES: u64 = 5;
+
 struct ModelDaemon {
     address: SocketAddr,
     peers: PeerTable,
     ledger: CrashLedger,
+    parts: PartLedger,
 }
 
 /// Records of one message.
-type Report = Vec<(RequestFingerprint, CrashRecord)>;
+#[derive(Debug, Default)]
+struct Report {
+    requests: Vec<(RequestFingerprint, CrashRecord)>,
+    parts: Vec<(PartId, CrashRecord)>,
+}
 
 struct CrashModel {
     daemons: Vec<ModelDaemon>,
@@ -66,7 +78,12 @@
                     PeerReport { incarnation, sequence: 1, leaving: false, forwarder: None };
                 peers.receive_report(address(other), report, now);
             }
-            ModelDaemon { address: own, peers, ledger: CrashLedger::default() }
+            ModelDaemon {
+                address: own,
+                peers,
+                ledger: CrashLedger::default(),
+                parts: PartLedger::default(),
+            }
         };
         Self {
             daemons: (0..count).map(daemon).collect(),
@@ -89,10 +106,30 @@
         }
     }
 
+    /// An endpoint ends while it runs requests with the crashing part, a popular one and others. Another daemon
+    /// gets a complete response to one with the popular part.
+    fn crash_by_part(&mut self, endpoint: u64) {
+        let index = self.rng.random_range(0..self.daemons.len());
+        let (crashed, begun) = (self.now, self.now - Duration::from_millis(90));
+        let run = CrashedRun { endpoint, begun, crashed };
+        let parts = &mut self.daemons[index].parts;
+        parts.record_crash(CRASHING_PART, run, self.now);
+        parts.record_crash(POPULAR_PART, run, self.now);
+        for number in 0..BYSTANDERS {
+            parts.record_crash(PartId(1_000 + endpoint * BYSTANDERS + number), run, self.now);
+        }
+        let other = self.rng.random_range(0..self.daemons.len());
+        let served = self.now + Duration::from_millis(1);
+        self.daemons[other].parts.record_served(POPULAR_PART, served);
+    }
+
     /// Runs one gossip interval of every daemon. Records received in it are passed on in the next
     /// one.
     fn run_interval(&mut self) {
         self.now += GOSSIP_INTERVAL;
+        for daemon in &mut self.daemons {
+            daemon.parts.evaluate(&[], self.now);
+        }
         let reports: Vec<Report> = (0..self.daemons.len()).map(|one| self.report(one)).collect();
         for index in 0..self.daemons.len() {
             for peer in self.calls_by(index) {
@@ -104,23 +141,30 @@
     }
 
     fn report(&mut self, index: usize) -> Report {
-        self.daemons[index].ledger.report(self.now, &mut self.rng)
+        let ModelDaemon { ledger, parts, .. } = &self.daemons[index];
+        Report {
+            requests: ledger.report(self.now, &mut self.rng),
+            parts: parts.report(self.now, &mut self.rng),
+        }
     }
 
     fn calls_by(&mut self, index: usize) -> Vec<SocketAddr> {
         let (now, rng) = (self.now, &mut self.rng);
-        let ModelDaemon { peers, ledger, .. } = &mut self.daemons[index];
+        let ModelDaemon { peers, ledger, parts, .. } = &mut self.daemons[index];
         let mut calls = peers.next_calls(now, rng);
-        if ledger.is_urgent(now) {
+        if ledger.is_urgent(now) || parts.table().is_urgent(now) {
             calls.extend(peers.urgent_calls(rng));
         }
         calls
     }
 
     fn receive(&mut self, to: usize, from: usize, report: &Report) {
-        for (request, record) in report {
+        for (request, record) in &report.requests {
             self.daemons[to].ledger.receive(*request, record, self.now);
         }
+        for (part, record) in &report.parts {
+            self.daemons[to].parts.receive(*part, record, self.now);
+        }
         // A daemon that sends reports stays known as running.
         let incarnation = IncarnationId(from as u64 + 1);
         let report = PeerReport { incarnation, sequence: 2, leaving: false, forwarder: None };
@@ -133,7 +177,7 @@
         let now = self.now;
         let mut daemons = self.daemons.iter_mut();
         let runs = |daemon: &mut ModelDaemon| {
-            daemon.ledger.decide_run(CRASHING, |_| false, now) == RunVerdict::Allowed
+            daemon.ledger.verdict(CRASHING, |_| false, now) == RunVerdict::Allowed
         };
         daemons.by_ref().map(runs).filter(|runs| *runs).count()
     }
@@ -154,6 +198,51 @@
     }
 }
 
+impl CrashModel {
+    /// Number of daemons that refuse a part.
+    fn refusing(&self, part: PartId) -> usize {
+        let is_refused = |daemon: &&ModelDaemon| {
+            let parts = daemon.parts.table();
+            parts.get(part).is_some_and(|record| record.is_quarantined)
+        };
+        self.daemons.iter().filter(is_refused).count()
+    }
+
+    /// Time from the fifth of many crashes, 100 ms apart at random daemons, until all daemons refuse the part.
+    fn time_to_refuse_part(&mut self) -> Duration {
+        let mut fifth_crash_at = None;
+        for endpoint in 1.. {
+            if self.refusing(CRASHING_PART) == self.daemons.len() {
+                break;
+            }
+            self.crash_by_part(endpoint);
+            if endpoint == PART_CRASHES {
+                fifth_crash_at = Some(self.now);
+            }
+            if fifth_crash_at.is_some_and(|at| self.now > at + MAX_PROPAGATION_TIME) {
+                break;
+            }
+            self.run_interval();
+        }
+        self.now - fifth_crash_at.unwrap_or(self.now)
+    }
+}
+
+#[googletest::test]
+fn all_daemons_refuse_a_crashing_part_in_time_in_fleets_of_any_size() {
+    for count in [9, 30, 78, 195, 300] {
+        let seeds = if count > 100 { 1..=1 } else { 1..=8 };
+        for seed in seeds {
+            let mut model = CrashModel::new(count, seed);
+            let time = model.time_to_refuse_part();
+            let popular = model.refusing(POPULAR_PART);
+            println!("{count} daemons: {time:?}, {popular} refuse the popular part");
+            expect_that!(time, lt(MAX_PROPAGATION_TIME), "{count} daemons");
+            expect_that!(popular, eq(0));
+        }
+    }
+}
+
 #[googletest::test]
 fn all_daemons_refuse_a_crashing_request_in_time_in_fleets_of_any_size() {
     let extra_size = std::env::var("CRASH_MODEL").ok().and_then(|text| text.parse().ok());
--- a/tests/gateway/crash_rules.rs
+++ b/tests/gateway/crash_rules.rs
@@ -183,8 +183,22 @@
     ledger
 }
 
+/// Decides on a run of a request, and records the trial if it is one.
+fn decide_run(
+    ledger: &mut CrashLedger,
+    request: RequestFingerprint,
+    makes_trial: impl FnOnce(u32) -> bool,
+    now: Instant,
+) -> RunVerdict {
+    let verdict = ledger.verdict(request, makes_trial, now);
+    if verdict == RunVerdict::Trial {
+        ledger.begin_trial(request, now);
+    }
+    verdict
+}
+
 fn decide(ledger: &mut CrashLedger, now: Instant) -> RunVerdict {
-    ledger.decide_run(request(1), |_| true, now)
+    decide_run(ledger, request(1), |_| true, now)
 }
 
 #[googletest::test]
@@ -193,7 +207,7 @@
     let mut ledger = quarantined(&clock, 1);
     let now = clock.at(1_300);
     expect_that!(decide(&mut ledger, now), eq(RunVerdict::Refused(seconds(29))));
-    expect_that!(ledger.decide_run(request(2), |_| true, now), eq(RunVerdict::Allowed));
+    expect_that!(decide_run(&mut ledger, request(2), |_| true, now), eq(RunVerdict::Allowed));
 }
 
 #[googletest::test]
@@ -217,9 +231,12 @@
     let clock = TestClock::new();
     let mut ledger = quarantined(&clock, 1);
     let due = clock.at(60_000);
-    let refused = ledger.decide_run(request(1), |_| false, due);
+    let refused = decide_run(&mut ledger, request(1), |_| false, due);
     expect_that!(refused, eq(RunVerdict::Refused(seconds(1))));
-    expect_that!(ledger.decide_run(request(1), |number| number == 0, due), eq(RunVerdict::Trial));
+    expect_that!(
+        decide_run(&mut ledger, request(1), |number| number == 0, due),
+        eq(RunVerdict::Trial)
+    );
 }
 
 #[googletest::test]
@@ -282,7 +299,7 @@
         );
     }
     expect_that!(decide(&mut ledger, clock.at(1_000)), eq(RunVerdict::Allowed));
-    let other = ledger.decide_run(request(2), |_| true, clock.at(1_000));
+    let other = decide_run(&mut ledger, request(2), |_| true, clock.at(1_000));
     expect_that!(matches!(other, RunVerdict::Refused(_)), eq(true));
 }
 
--- a/tests/gateway/crash_signs.rs
+++ b/tests/gateway/crash_signs.rs
@@ -132,7 +132,8 @@
     expect_that!(fleet.crashes(), eq(crashes));
 }
 
-fn willowctl(arguments: &[&str]) -> Value {
+/// Output of a command of the operators' tool.
+pub fn willowctl(arguments: &[&str]) -> Value {
     let mut command = Command::new(env!("CARGO_BIN_EXE_willowctl"));
     let output = command.args(["--json", "gateway"]).args(arguments).output().expect("willowctl");
     serde_json::from_slice(&output.stdout).expect("JSON")
--- a/tests/gateway/crashing_parts.rs
+++ b/tests/gateway/crashing_parts.rs
@@ -8,7 +8,11 @@
 //! `CRASH_DAEMONS=78 CRASH_ENDPOINTS=60 cargo test --test gateway crashing_parts` runs a larger fleet.
 
 use std::{
-    sync::Mutex,
+    net::SocketAddr,
+    sync::{
+        Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -18,9 +22,10 @@
 
 use crate::{
     crash_fleet::{CrashFleet, is_refused},
+    crash_signs::willowctl,
     crashing_endpoint::{CrashingEndpoint, CrashingRun},
     fleet_places::acquire_fleet_slot,
-    gateway_site::{request_bytes, try_send_raw},
+    gateway_site::{RawAnswer, request_bytes, try_send_raw, wait_for},
 };
 
 /// Numbers of daemons and endpoints if the environment variables are not set.
@@ -43,6 +48,10 @@
 const ALLOWED_ARRIVALS: usize = 3;
 /// Parts that many sound requests have in common.
 const FIRST_PART: &str = "f1:60";
+/// Parts of which the first one crashes endpoints.
+const BAD_START: &str = "bad:60,50:40";
+/// Time in which the leader writes what is quarantined into the lease record.
+const LEASE_RENEWAL_TIME: Duration = Duration::from_secs(2);
 const SECOND_PARTS: [&str; 4] = ["50:40", "51:40", "52:40", "53:40"];
 
 /// What crashes endpoints.
@@ -119,14 +128,9 @@
                 CrashCause::Parts(path, starts) => {
                     let address = *fleet.addresses.choose(&mut rng).expect("a daemon");
                     scope.spawn(move || {
-                        let id = format!("crashing-{number}");
-                        let start = starts[number % starts.len()];
-                        let parts = format!("X-Prompt-Prefix: {start},{number:x}:9");
-                        let path = format!("{path}{id}/");
-                        let body = id.as_bytes();
-                        let request = request_bytes(&path, &id, "key-1", &[&parts], body);
                         // What comes back is not checked: such a request is served by nobody.
-                        let _ = try_send_raw(address, &request);
+                        let _ =
+                            send_with_parts(address, path, starts[number % starts.len()], number);
                     });
                     thread::sleep(CRASHING_PAUSE);
                 }
@@ -137,6 +141,19 @@
     PartOutcome { begun, sound: sound.into_inner().expect("lock"), runs }
 }
 
+/// Sends a request whose prompt begins with these parts, and that is like no other one.
+fn send_with_parts(
+    address: SocketAddr,
+    path: &str,
+    start: &str,
+    number: usize,
+) -> std::io::Result<RawAnswer> {
+    let id = format!("crashing-{number}");
+    let parts = format!("X-Prompt-Prefix: {start},{number:x}:9");
+    let path = format!("{path}{id}/");
+    try_send_raw(address, &request_bytes(&path, &id, "key-1", &[&parts], id.as_bytes()))
+}
+
 /// Sends requests whose prompts have popular parts, and sometimes a rare one, until `until`.
 fn run_sound_client(
     fleet: &CrashFleet,
@@ -217,3 +234,62 @@
 fn parts_of_requests_that_run_at_crashing_endpoints_are_not_blamed() {
     check(CrashCause::Chance);
 }
+
+/// Sends requests with a part that crashes endpoints until all daemons refuse it. Returns a refusal.
+fn send_until_refused(fleet: &CrashFleet) -> RawAnswer {
+    wait_for("all daemons to refuse the part", || {
+        thread::sleep(CRASHING_PAUSE);
+        all_answers(fleet).iter().all(is_refused)
+    });
+    all_answers(fleet).swap_remove(0)
+}
+
+/// Answers of all daemons to different requests with the part; those without an answer are left out.
+fn all_answers(fleet: &CrashFleet) -> Vec<RawAnswer> {
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let send = |address: &SocketAddr| {
+        let number = NEXT.fetch_add(1, Ordering::SeqCst);
+        send_with_parts(*address, "/stream/", BAD_START, number).ok()
+    };
+    fleet.addresses.iter().filter_map(send).collect()
+}
+
+#[googletest::test]
+fn refusal_of_a_part_says_that_the_request_has_not_run_and_when_to_retry() {
+    let fleet = CrashFleet::start(2, 16);
+    let refusal = send_until_refused(&fleet);
+    let crashes = fleet.crashes();
+    expect_that!(refusal.status, eq(503));
+    expect_that!(refusal.text(), eq("requests with a part of this prompt have crashed endpoints"));
+    expect_that!(refusal.header("x-response-seal"), none());
+    let wait = refusal.header("retry-after").and_then(|text| text.parse::<f64>().ok());
+    expect_that!(wait, some(all!(gt(20.0), le(30.0))));
+    expect_that!(fleet.crashes(), eq(crashes), "a refused request must not run");
+}
+
+#[googletest::test]
+fn daemons_that_start_after_all_have_ended_know_which_parts_are_quarantined() {
+    let mut fleet = CrashFleet::start(3, 16);
+    send_until_refused(&fleet);
+    thread::sleep(LEASE_RENEWAL_TIME);
+    let crashes = fleet.crashes();
+    fleet.restart_daemons();
+    expect_that!(all_answers(&fleet).iter().filter(|answer| is_refused(answer)).count(), eq(3));
+    expect_that!(fleet.crashes(), eq(crashes));
+}
+
+#[googletest::test]
+fn operator_ends_the_quarantine_of_a_part() {
+    let fleet = CrashFleet::start(3, 16);
+    send_until_refused(&fleet);
+    let [first, .., last] = fleet.daemons.as_slice() else { panic!("fewer than two daemons") };
+    let listed = willowctl(&["quarantined", &first.metrics.to_string()]);
+    let name = listed["quarantined"][0]["fingerprint"].as_str().expect("a name");
+    expect_that!(name, eq("part-0000000000000bad"));
+    fleet.mend_endpoints();
+    let ended = willowctl(&["end-quarantine", name, &last.metrics.to_string()]);
+    expect_that!(ended["ended"].as_str(), some(eq(name)));
+    wait_for("all daemons to serve the part", || {
+        all_answers(&fleet).iter().filter(|answer| answer.status == 200).count() == 3
+    });
+}
--- a/tests/gateway/exchange.rs
+++ b/tests/gateway/exchange.rs
@@ -9,6 +9,7 @@
 use willowarch::{
     exchange_capnp::gossip_message,
     gateway::{
+        call::PartId,
         endpoint::{EndpointList, EndpointRecord, EndpointState},
         gossip::{
             codec::{read_message, write_message},
@@ -105,10 +106,10 @@
     CompressedText { base: TextId(7), data: Bytes::from_static(b"{}") }
 }
 
-fn sample_crash() -> CrashReport {
+fn sample_crash<K>(suspect: K) -> CrashReport<K> {
     let age = Duration::from_millis;
     CrashReport {
-        request: RequestFingerprint { head: 5, content: u128::MAX - 6 },
+        suspect,
         runs: vec![ReportedRun { endpoint: 8, begun_age: age(900), crashed_age: age(70) }],
         is_quarantined: true,
         trials: 2,
@@ -183,7 +184,8 @@
             incarnation: IncarnationId(5),
             windows: sample_counters().windows,
         }],
-        crashes: vec![sample_crash()],
+        crashes: vec![sample_crash(RequestFingerprint { head: 5, content: u128::MAX - 6 })],
+        part_crashes: vec![sample_crash(PartId(u64::MAX - 7))],
         warnings: vec![
             sample_warning(WarningKind::Draining),
             sample_warning(WarningKind::NotServing),
@@ -261,6 +263,7 @@
         expect_that!(read.wants, eq(&sample.wants));
         expect_that!(read.usage, eq(&sample.usage));
         expect_that!(read.crashes, eq(&sample.crashes));
+        expect_that!(read.part_crashes, eq(&sample.part_crashes));
         expect_that!(read.limits, eq(&sample.limits));
         expect_that!(read.lent, eq(&sample.lent));
         expect_that!(read.warnings, eq(&sample.warnings));
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -46,6 +46,8 @@
 mod loopback_proxy;
 mod lost_entries;
 mod operations;
+mod part_model;
+mod part_rules;
 mod partitioned_daemons;
 mod peer_wait;
 mod platform_standin;
