Tests: connections that gather at one daemon, and parts of prompts in the soak

The soak's client of crashing requests sends every other one with a part that crashes endpoints, no two alike; harmless ones share the first part.

--- a/tests/gateway/crash_fleet.rs
+++ b/tests/gateway/crash_fleet.rs
@@ -17,7 +17,7 @@
 use serde_json::json;
 
 use crate::{
-    crashing_endpoint::{CRASHING, CrashingEndpoint, CrashingRun},
+    crashing_endpoint::{CRASHING, CRASHING_PART, CrashingEndpoint, CrashingRun},
     gateway_site::{
         Gateway, RawAnswer, configuration, read_metric, request_bytes, try_send_raw, wait_for,
     },
@@ -28,6 +28,8 @@
 const PROPAGATION_TIME: Duration = Duration::from_secs(3);
 /// Number of crashes after which a request must be stopped.
 const QUARANTINE_CRASHES: usize = 3;
+/// The same for a part of prompts.
+const PART_QUARANTINE_CRASHES: usize = 5;
 /// Pause between two requests of the client whose requests crash endpoints.
 const CRASHING_REQUEST_PAUSE: Duration = Duration::from_millis(125);
 /// Pause between two requests of a background client, in milliseconds.
@@ -92,7 +94,8 @@
     }
 }
 
-/// Arrivals of each request at endpoints after all daemons must know of its third crash.
+/// Arrivals of each request, or of requests with each part, at endpoints after all daemons must know that it
+/// crashes them.
 pub fn late_arrivals(runs: &[CrashingRun]) -> BTreeMap<&str, usize> {
     let mut crashes: BTreeMap<&str, Vec<Instant>> = BTreeMap::new();
     for run in runs {
@@ -101,7 +104,11 @@
     let mut late = BTreeMap::new();
     for (cause, mut times) in crashes {
         times.sort_unstable();
-        let late_from = times.get(QUARANTINE_CRASHES - 1).map(|third| *third + PROPAGATION_TIME);
+        let needed = match cause.starts_with(CRASHING_PART) {
+            true => PART_QUARANTINE_CRASHES,
+            false => QUARANTINE_CRASHES,
+        };
+        let late_from = times.get(needed - 1).map(|last| *last + PROPAGATION_TIME);
         let is_late = |run: &&CrashingRun| {
             run.cause == cause && late_from.is_some_and(|from| run.arrived > from)
         };
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -33,6 +33,7 @@
 mod foreign_entries;
 mod foreign_lease;
 mod gateway_site;
+mod gathered_connections;
 mod groups;
 mod leader_rules;
 mod leader_state;
--- a/tests/gateway/retry_fleet.rs
+++ b/tests/gateway/retry_fleet.rs
@@ -41,6 +41,9 @@
 /// Interval at which it is checked whether the clients have ended.
 const END_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Version of the first configuration.
+const CONFIGURATION_VERSION: u64 = 3;
+
 /// What happens to the daemons while the endpoints fail.
 #[derive(Clone, Copy, Debug)]
 pub enum DaemonEnds {
@@ -97,7 +100,7 @@
 
 /// Running daemons and endpoints.
 pub struct RetryFleet {
-    _platform: PlatformStandin,
+    platform: PlatformStandin,
     endpoints: Vec<EndpointStandin>,
     daemons: Mutex<Vec<Gateway>>,
     addresses: Vec<SocketAddr>,
@@ -108,7 +111,7 @@
     /// Starts daemons and endpoints that work, and waits until all daemons are ready.
     pub fn start(daemon_count: usize) -> Self {
         let platform = PlatformStandin::start_with(daemon_count * CALLS_PER_DAEMON);
-        let mut stored = configuration(3, &["key-1"]);
+        let mut stored = configuration(CONFIGURATION_VERSION, &["key-1"]);
         for route in stored["routes"].as_array_mut().expect("routes") {
             if route["attempts"] != 1 {
                 route["attempts"] = json!(ATTEMPTS);
@@ -137,7 +140,31 @@
         daemons.iter().for_each(Gateway::wait_ready);
         let addresses = daemons.iter().map(|daemon| daemon.clients).collect();
         let (daemons, is_over) = (Mutex::new(daemons), AtomicBool::new(false));
-        Self { _platform: platform, endpoints, daemons, addresses, is_over }
+        Self { platform, endpoints, daemons, addresses, is_over }
+    }
+
+    /// Addresses of the daemons for clients.
+    pub fn addresses(&self) -> &[SocketAddr] {
+        &self.addresses
+    }
+
+    /// From now on all endpoints respond in this manner.
+    pub fn set_manner(&self, manner: EndpointManner) {
+        self.endpoints.iter().for_each(|endpoint| endpoint.set(manner));
+    }
+
+    /// Gives the only account this quota, in units per second and beyond that; a request has 100 units.
+    pub fn limit_account(&self, per_s: u64, burst: u64) {
+        let mut stored = self.platform.get("config", "main").expect("a configuration");
+        stored["version"] = json!(CONFIGURATION_VERSION + 1);
+        stored["tenants"][0]["per-s"] = json!(per_s);
+        stored["tenants"][0]["burst"] = json!(burst);
+        self.platform.put("config", "main", stored);
+    }
+
+    /// Stops a daemon in order, without waiting for its end.
+    pub fn stop(&self, place: usize) {
+        self.daemons.lock().expect("lock")[place].signal("-TERM");
     }
 
     /// Sends requests while the endpoints respond in `manner` and daemons end.
@@ -150,7 +177,7 @@
                 scope.spawn(move || self.run_client(number, until, outcome));
             }
             thread::sleep(LOAD_TIME / 3);
-            self.endpoints.iter().for_each(|endpoint| endpoint.set(manner));
+            self.set_manner(manner);
             scope.spawn(move || self.end_daemons(ends));
             thread::sleep(until.saturating_duration_since(Instant::now()));
             self.is_over.store(true, Ordering::SeqCst);
--- a/tests/gateway/soak_crashes.rs
+++ b/tests/gateway/soak_crashes.rs
@@ -1,6 +1,6 @@
-//! Part of the soak test with a request that crashes the endpoints that run it. These endpoints have
-//! their own service; one client sends the crashing request to random daemons, another one sends a
-//! harmless request to the same endpoints.
+//! Part of the soak test with a request, and a part of prompts, that crash the endpoints that run them. These
+//! endpoints have their own service; one client sends the crashing request and different ones with the part
+//! to random daemons, another one sends harmless requests with other parts to the same endpoints.
 
 use std::{
     net::SocketAddr,
@@ -14,7 +14,7 @@
 
 use crate::{
     crash_fleet::{is_refused, late_arrivals, send_crashing},
-    crashing_endpoint::{CRASHING, CrashingEndpoint, CrashingRun},
+    crashing_endpoint::{CRASHING, CRASHING_PART, CrashingEndpoint, CrashingRun},
     gateway_site::{RawAnswer, request_bytes, try_send_raw},
     link_faults::LinkFaults,
     platform_standin::PlatformStandin,
@@ -23,6 +23,8 @@
 const SERVICE: &str = "fragile";
 const PATH: &str = "/fragile/page/";
 const ENDPOINTS: usize = 8;
+/// Parts of harmless prompts; crashing ones have the first one, too.
+const HARMLESS_PARTS: &str = "X-Prompt-Prefix: f1:60,50:40,a1:9";
 /// Pause between two requests of one client, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 50..250;
 /// Arrivals allowed after the time by which all daemons must know of the third crash.
@@ -48,6 +50,14 @@
     configuration
 }
 
+/// Sends a request that has only a part of its prompt in common with others.
+fn send_with_bad_part(address: SocketAddr, number: usize) -> std::io::Result<RawAnswer> {
+    let id = format!("part-{number}");
+    let parts = format!("X-Prompt-Prefix: f1:60,{CRASHING_PART}:30,{number:x}:9");
+    let path = format!("{PATH}{id}/");
+    try_send_raw(address, &request_bytes(&path, &id, "key-1", &[&parts], id.as_bytes()))
+}
+
 impl CrashTraffic {
     pub fn start(platform: &Arc<PlatformStandin>, faults: &Arc<LinkFaults>) -> Self {
         let is_mended = Arc::default();
@@ -60,7 +70,7 @@
         Self { endpoints, wrongly_refused: Mutex::default() }
     }
 
-    /// Sends the crashing request to random daemons until then.
+    /// Sends the crashing request, and requests with the crashing part, to random daemons until then.
     pub fn run_crashing_client(&self, addresses: &[SocketAddr], until: Instant, seed: u64) {
         let mut rng = SmallRng::seed_from_u64(seed);
         for number in 0.. {
@@ -69,7 +79,10 @@
             }
             let address = addresses.choose(&mut rng).expect("a daemon");
             // The outcome is checked at the endpoints.
-            let _ = send_crashing(*address, PATH, CRASHING, number);
+            let _ = match number % 2 {
+                0 => send_crashing(*address, PATH, CRASHING, number),
+                _ => send_with_bad_part(*address, number),
+            };
             thread::sleep(Duration::from_millis(rng.random_range(PAUSE_MS)));
         }
     }
@@ -82,7 +95,8 @@
                 return;
             }
             let address = addresses.choose(&mut rng).expect("a daemon");
-            let bytes = request_bytes(PATH, &format!("calm-{number}"), "key-1", &[], b"calm");
+            let id = format!("calm-{number}");
+            let bytes = request_bytes(PATH, &id, "key-1", &[HARMLESS_PARTS], b"calm");
             // A daemon that is down or frozen may not answer.
             let answer = try_send_raw(*address, &bytes).ok();
             let refused = answer.filter(is_refused);
@@ -100,7 +114,7 @@
         let runs: Vec<CrashingRun> =
             self.endpoints.iter().flat_map(CrashingEndpoint::runs).collect();
         let late = late_arrivals(&runs).into_values().max().unwrap_or(0);
-        println!("{} arrivals of a request that crashes endpoints, {late} late", runs.len());
+        println!("{} arrivals of requests that crash endpoints, {late} late", runs.len());
         assert!(
             late <= ALLOWED_ARRIVALS,
             "{late} late arrivals of a request that crashes endpoints"
