--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -226,8 +226,7 @@
         contact.is_current(now)
     }
 
-    /// How long a request that has `time_left` waits until this daemon is up to date with its peers; none
-    /// if it doesn't wait.
+    /// How long a request with `time_left` waits until this daemon is up to date with its peers, if it does.
     pub fn wait_for_peers(&self, time_left: Duration, now: Instant) -> Option<Duration> {
         if self.is_up_to_date_with_peers(now) {
             return None;
--- a/src/gateway/policy/request/crash_ledger.rs
+++ b/src/gateway/policy/request/crash_ledger.rs
@@ -29,11 +29,13 @@
 /// Most records in one report to another daemon: less than 10 KB, 20 times a second, and only after
 /// crashes.
 pub const MAX_REPORTED: usize = 64;
-/// Bounds of the table. Clients retry within their deadlines, so suspicions are short-lived.
+/// A suspicion is kept this long after its newest crash: clients retry within their deadlines.
+const SUSPECT_RETENTION: Duration = Duration::from_secs(60);
+/// Bounds of the table.
 const LIMITS: TableLimits = TableLimits {
     records: MAX_RECORDS,
     reported: MAX_REPORTED,
-    suspect_retention: Duration::from_secs(60),
+    suspect_retention: SUSPECT_RETENTION,
 };
 
 /// Whether a request may be run.
--- a/src/gateway/policy/request/crash_ledger/part_ledger.rs
+++ b/src/gateway/policy/request/crash_ledger/part_ledger.rs
@@ -33,10 +33,12 @@
     policy::request::crash_record::{CrashRecord, CrashedRun, sequence_length},
 };
 
-/// Bounds of the table. A rare part that crashes endpoints may come again after minutes.
+/// A suspicion is kept this long after its newest crash: a rare part may come again after minutes.
+const SUSPECT_RETENTION: Duration = Duration::from_secs(10 * 60);
+/// Bounds of the table.
 const LIMITS: TableLimits =
-    TableLimits { records: 512, reported: 32, suspect_retention: Duration::from_secs(10 * 60) };
-/// Time for which a crash must have been known: in it, complete responses are heard of from all daemons.
+    TableLimits { records: 512, reported: 32, suspect_retention: SUSPECT_RETENTION };
+/// Time for which a crash must have been known: reports of complete responses at any daemon arrive within it.
 const SETTLING_TIME: Duration = Duration::from_millis(700);
 /// A part that was served within this time before its first crash is probably sound.
 const SERVED_RECENTLY: Duration = Duration::from_secs(60);
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -113,7 +113,7 @@
         Err(failure) => return not_connected(context, admitted, attempts, &failure, guard, trace),
     };
     trace.path(connection.path());
-    // Other daemons may have told of crashes while the connection was being opened.
+    // Crashes may have been reported while the connection was being opened.
     let is_refused = !attempts.is_trial && crash_watch::is_quarantined(context, admitted);
     if is_refused || !guard.try_mark_sent() {
         return Ok(return_unsent(context, connection, trace));
