Part ledger: far less work while endpoints crash in numbers

By reading, the part ledger does much work there: ten times a second each daemon compared all runs of up to 512 records with all crashes, gossip sorted its reports by a key that walks the runs at every comparison, and each crash and each complete response of a popular part made two more calls a round.

Parts whose whole record isn't enough are left out before crashes are counted; these are looked up by endpoint; the key is calculated once a record; only the begin and the end of a quarantine are urgent.

--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -115,7 +115,7 @@
     let mut addresses: BTreeSet<SocketAddr> =
         context.peers.borrow_mut().next_calls(now, rng).into_iter().collect();
     let is_urgent = context.crashes.borrow().is_urgent(now)
-        || context.part_crashes.borrow().table().is_urgent(now)
+        || context.part_crashes.borrow().is_urgent(now)
         || context.endpoints.borrow().has_urgent_warning(now);
     if is_urgent {
         addresses.extend(context.peers.borrow().urgent_calls(rng));
--- a/src/gateway/policy/request/crash_ledger/crash_table.rs
+++ b/src/gateway/policy/request/crash_ledger/crash_table.rs
@@ -14,7 +14,7 @@
 const FRESH_FOR: Duration = Duration::from_secs(5);
 /// After a change, gossip also calls daemons that it doesn't usually call for this long: five
 /// gossip intervals.
-const URGENT_FOR: Duration = Duration::from_millis(500);
+pub const URGENT_FOR: Duration = Duration::from_millis(500);
 /// Shortest retry-after of a refused client. Needed when a trial is due already: only one daemon
 /// makes it, and the others go on refusing.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -222,7 +222,7 @@
         };
         let all = self.entries.iter();
         let (mut reported, others): (Vec<_>, Vec<_>) = all.partition(|(_, entry)| is_fresh(entry));
-        reported.sort_by_key(|(_, entry)| std::cmp::Reverse(entry.record.rank()));
+        reported.sort_by_cached_key(|(_, entry)| std::cmp::Reverse(entry.record.rank()));
         reported.truncate(self.limits.reported);
         let quarantined = others.into_iter().filter(|(_, entry)| entry.record.is_quarantined);
         reported.extend(quarantined.sample(rng, self.limits.reported - reported.len()));
--- a/src/gateway/policy/request/crash_ledger/part_ledger.rs
+++ b/src/gateway/policy/request/crash_ledger/part_ledger.rs
@@ -18,14 +18,14 @@
 //! Inputs are this daemon's broken runs and complete responses, and the records of other daemons, which arrive by
 //! gossip within about a second. Without them a daemon decides by its own runs alone.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use rand::Rng;
 use tokio::time::Instant;
 
 use super::{
     RunVerdict,
-    crash_table::{CrashTable, TableLimits},
+    crash_table::{CrashTable, TableLimits, URGENT_FOR},
     served_parts::ServedParts,
 };
 use crate::gateway::{
@@ -95,11 +95,13 @@
 pub struct PartLedger {
     table: CrashTable<PartId>,
     served: ServedParts,
+    /// When a quarantine last began or ended.
+    decided_at: Option<Instant>,
 }
 
 impl Default for PartLedger {
     fn default() -> Self {
-        Self { table: CrashTable::new(LIMITS), served: ServedParts::default() }
+        Self { table: CrashTable::new(LIMITS), served: ServedParts::default(), decided_at: None }
     }
 }
 
@@ -145,7 +147,10 @@
     pub fn clear(&mut self, part: PartId, now: Instant) -> bool {
         let before = self.quarantined_record(part);
         let was_quarantined = self.table.clear(part, now, now);
-        self.clear_companions(part, before, now);
+        if was_quarantined {
+            self.decided_at = Some(now);
+            self.clear_companions(part, before, now);
+        }
         was_quarantined
     }
 
@@ -153,6 +158,9 @@
     pub fn receive(&mut self, part: PartId, received: &CrashRecord, now: Instant) -> bool {
         let before = self.quarantined_record(part);
         let is_adopted = self.table.merge(part, received, self.served.last(part), now).is_adopted;
+        if is_adopted {
+            self.decided_at = Some(now);
+        }
         self.clear_companions(part, before, now);
         is_adopted
     }
@@ -187,6 +195,11 @@
         self.table.report(now, rng)
     }
 
+    /// Whether a quarantine has just begun or ended, so that all other daemons should know soon.
+    pub fn is_urgent(&self, now: Instant) -> bool {
+        self.decided_at.is_some_and(|at| now.saturating_duration_since(at) < URGENT_FOR)
+    }
+
     /// Removes expired records.
     pub fn forget_old(&mut self, now: Instant) {
         self.table.forget_old(now);
@@ -206,6 +219,7 @@
         while let Some((part, evidence)) = self.strongest(requests, now) {
             self.table.quarantine(part, now);
             self.clear_explained_by(part, now);
+            self.decided_at = Some(now);
             found.push((part, evidence));
         }
         found
@@ -213,8 +227,10 @@
 
     /// The part that is to be quarantined first, if any.
     fn strongest(&self, requests: &[&CrashRecord], now: Instant) -> Option<(PartId, PartEvidence)> {
-        let may_be_enough =
-            |record: &CrashRecord| !record.is_quarantined && record.runs.len() >= ENOUGH_CRASHES;
+        // Most records are those of parts that are served all the time.
+        let may_be_enough = |record: &CrashRecord| {
+            !record.is_quarantined && most_evidence(record).is_some_and(PartEvidence::is_enough)
+        };
         let mut suspects = self.table.records().filter(|(_, one)| may_be_enough(one)).peekable();
         suspects.peek()?;
         let all = self.unexplained_crashes(now);
@@ -229,18 +245,15 @@
     }
 
     /// All crashes that have been known for long enough and that no quarantined part explains.
-    fn unexplained_crashes(&self, now: Instant) -> Vec<CrashedRun> {
+    fn unexplained_crashes(&self, now: Instant) -> CrashSet {
         let quarantined: Vec<&CrashRecord> = self.table.quarantined().map(|(_, one)| one).collect();
         let counts = |run: &&CrashedRun| {
             let is_settled = now.saturating_duration_since(run.crashed) >= SETTLING_TIME;
             is_settled && !quarantined.iter().any(|part| part.may_explain(run))
         };
-        let mut crashes: Vec<CrashedRun> = Vec::new();
-        for run in self.table.records().flat_map(|(_, record)| &record.runs).filter(counts) {
-            if !crashes.iter().any(|known| known.is_same_crash(run)) {
-                crashes.push(*run);
-            }
-        }
+        let mut crashes = CrashSet::default();
+        let runs = self.table.records().flat_map(|(_, record)| &record.runs);
+        runs.filter(counts).for_each(|run| crashes.insert(run));
         crashes
     }
 
@@ -260,26 +273,65 @@
     }
 }
 
+/// Different crashes, by endpoint.
+#[derive(Debug, Default)]
+struct CrashSet {
+    by_endpoint: HashMap<u64, Vec<CrashedRun>>,
+}
+
+impl CrashSet {
+    fn insert(&mut self, run: &CrashedRun) {
+        let crashes = self.by_endpoint.entry(run.endpoint).or_default();
+        if !crashes.iter().any(|known| known.is_same_crash(run)) {
+            crashes.push(*run);
+        }
+    }
+
+    fn contains(&self, run: &CrashedRun) -> bool {
+        let mut crashes = self.by_endpoint.get(&run.endpoint).into_iter().flatten();
+        crashes.any(|known| known.is_same_crash(run))
+    }
+
+    /// Number of crashes since that of `first`, including it.
+    fn count_since(&self, first: &CrashedRun) -> usize {
+        let since =
+            |crash: &&CrashedRun| crash.crashed >= first.crashed || crash.is_same_crash(first);
+        self.by_endpoint.values().flatten().filter(since).count()
+    }
+}
+
 /// Evidence against a part; none without crashes that count. `all`: all crashes that no quarantined part explains.
 fn evidence_of(
     record: &CrashRecord,
-    all: &[CrashedRun],
+    all: &CrashSet,
     requests: &[&CrashRecord],
 ) -> Option<PartEvidence> {
     let with_as_many = |request: &&&CrashRecord| request.runs.len() >= record.runs.len();
     let explaining: Vec<&&CrashRecord> = requests.iter().filter(with_as_many).collect();
     let counts = |run: &&CrashedRun| {
-        all.iter().any(|crash| crash.is_same_crash(run))
-            && !explaining.iter().any(|request| request.has_crash(run))
+        all.contains(run) && !explaining.iter().any(|request| request.has_crash(run))
     };
     let runs: Vec<&CrashedRun> = record.runs.iter().filter(counts).collect();
+    let fraction = runs.len() as f64 / all.count_since(runs.first()?).max(1) as f64;
+    evidence_by(record, &runs, fraction)
+}
+
+/// Upper bound of the evidence against a part: as if nothing else explained its crashes and there were no others.
+fn most_evidence(record: &CrashRecord) -> Option<PartEvidence> {
+    let runs: Vec<&CrashedRun> = record.runs.iter().collect();
+    let last = record.last_crash()?;
+    let served_recently = |at: Instant| last.saturating_duration_since(at) < SERVED_RECENTLY;
+    let was_served = record.cleared_at.is_some_and(served_recently);
+    Some(PartEvidence { was_served, ..evidence_by(record, &runs, 1.0)? })
+}
+
+fn evidence_by(record: &CrashRecord, runs: &[&CrashedRun], fraction: f64) -> Option<PartEvidence> {
     let (first, last) = (runs.first()?.crashed, runs.last()?.crashed);
-    let since_first = |crash: &&CrashedRun| crash.crashed >= first || crash.is_same_crash(runs[0]);
     let served_recently = |at: Instant| first.saturating_duration_since(at) < SERVED_RECENTLY;
     Some(PartEvidence {
         crashes: runs.len(),
         runs_in_row: sequence_length(runs.iter().copied()),
-        fraction: runs.len() as f64 / all.iter().filter(since_first).count().max(1) as f64,
+        fraction,
         was_served: record.cleared_at.is_some_and(served_recently),
         span: last - first,
     })
--- a/tests/gateway/crash_model.rs
+++ b/tests/gateway/crash_model.rs
@@ -152,7 +152,7 @@
         let (now, rng) = (self.now, &mut self.rng);
         let ModelDaemon { peers, ledger, parts, .. } = &mut self.daemons[index];
         let mut calls = peers.next_calls(now, rng);
-        if ledger.is_urgent(now) || parts.table().is_urgent(now) {
+        if ledger.is_urgent(now) || parts.is_urgent(now) {
             calls.extend(peers.urgent_calls(rng));
         }
         calls
