Request log: how long an endpoint was silent, and why a request isn't sent to another one

Callers saw streams that end in a closed connection. "endpoint broke off" stood for an endpoint that broke off, one that was silent, and one that sent too long an event; and a retry that attempts, time, version or room forbade left no word. Each has its own now: "silent for 401 ms after 2 events", "not retried: no attempts left". No change of what is decided.

--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -75,7 +75,12 @@
     trace: &mut RequestTrace,
 ) -> bool {
     let now = boot_clock::now();
-    if attempts.sent >= admitted.route.attempts || now >= admitted.deadline {
+    if attempts.sent >= admitted.route.attempts {
+        trace.not_retried(&"no attempts left");
+        return false;
+    }
+    if now >= admitted.deadline {
+        trace.not_retried(&"no time left");
         return false;
     }
     let withdrawal = context.try_withdraw_retry(&admitted.service.name, now);
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -23,7 +23,7 @@
 use super::{
     admission::Admitted,
     attempt::{AttemptEnd, Attempts, attempt, endpoint_response::EndpointResponse, may_try_again},
-    event_cutter::EventCutter,
+    event_cutter::{EventCutter, EventTooLong},
     request_log::RequestTrace,
     response_meaning::BodyFraming,
     sized_body::SizedBody,
@@ -46,6 +46,10 @@
 enum RelayError {
     #[display("endpoint broke off")]
     BrokenOff,
+    #[display("endpoint silent")]
+    Silent,
+    #[display("{_0}")]
+    Unreadable(EventTooLong),
     #[display("out of time")]
     OutOfTime,
     #[display("not known whether the endpoint has finished")]
@@ -197,15 +201,19 @@
             BodyPiece::Silent if until >= deadline => {
                 return NextPiece::Broken(RelayError::OutOfTime);
             }
-            BodyPiece::Silent => return NextPiece::Broken(RelayError::BrokenOff),
+            BodyPiece::Silent => {
+                self.trace.silent(upstream.silence(), self.events);
+                return NextPiece::Broken(RelayError::Silent);
+            }
             BodyPiece::Broken => {
                 self.record_break();
                 return NextPiece::Broken(RelayError::BrokenOff);
             }
         };
         let Some(cutter) = &mut self.cutter else { return NextPiece::Bytes(bytes) };
-        let Ok(batch) = cutter.feed(&bytes, self.last_event) else {
-            return NextPiece::Broken(RelayError::BrokenOff);
+        let batch = match cutter.feed(&bytes, self.last_event) {
+            Ok(batch) => batch,
+            Err(error) => return NextPiece::Broken(RelayError::Unreadable(error)),
         };
         if batch.count > 0 {
             if self.events == 0 {
@@ -252,9 +260,11 @@
             self.context.connections.discard_connections(upstream.guard.endpoint());
             upstream.guard.finish(AttemptResult::Failed);
         }
-        if !retries::may_resume(self.admitted.route.kind, self.cutter.is_some())
-            || !self.knows_version()
-        {
+        if !retries::may_resume(self.admitted.route.kind, self.cutter.is_some()) {
+            return false;
+        }
+        if !self.knows_version() {
+            self.trace.not_retried(&"version not known");
             return false;
         }
         while may_try_again(&self.context, &self.admitted, &self.attempts, &mut self.trace) {
@@ -263,7 +273,10 @@
             let resumed = match attempt.await {
                 // No endpoint or no time is left. The response has begun, so the refusal cannot be
                 // sent; the request log reports the response as broken off.
-                Err(_) => return false,
+                Err(refusal) => {
+                    trace.not_retried(&refusal);
+                    return false;
+                }
                 Ok(AttemptEnd::Responded(resumed)) if resumed.response.status().is_success() => {
                     resumed
                 }
--- a/src/gateway/request/relay/upstream.rs
+++ b/src/gateway/request/relay/upstream.rs
@@ -1,6 +1,6 @@
 //! The endpoint's side of a response that is being relayed.
 
-use std::mem;
+use std::{mem, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::BodyExt;
@@ -37,6 +37,8 @@
     pub head_received: Instant,
     /// Whether any part of the body has arrived.
     pub has_body: bool,
+    /// When the head or the last piece of the body arrived.
+    last_received: Instant,
 }
 
 /// Next piece of a body.
@@ -70,6 +72,7 @@
                 guard,
                 head_received,
                 has_body: false,
+                last_received: head_received,
             },
         )
     }
@@ -83,6 +86,11 @@
         self.body.size_hint().exact().map(|rest| read + rest)
     }
 
+    /// Time since the head or the last piece of the body arrived.
+    pub fn silence(&self) -> Duration {
+        boot_clock::since(self.last_received)
+    }
+
     /// Whether the whole body has been read.
     pub fn is_at_end(&self) -> bool {
         self.body_start == BodyStart::Unread && self.body.is_end_stream()
@@ -97,6 +105,7 @@
         };
         if let BodyPiece::Bytes(bytes) = &piece {
             self.has_body |= !bytes.is_empty();
+            self.last_received = boot_clock::now();
         }
         piece
     }
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -3,7 +3,11 @@
 //!
 //! The number of lines per second is limited; dropped lines are counted and logged.
 
-use std::{fmt::Write, rc::Rc, time::Duration};
+use std::{
+    fmt::{Display, Write},
+    rc::Rc,
+    time::Duration,
+};
 
 use hyper::StatusCode;
 use tokio::time::Instant;
@@ -160,6 +164,21 @@
         self.shared_parts = names.join(",");
     }
 
+    /// Records that nothing has arrived of a stream for a while, after `events`.
+    pub fn silent(&mut self, silence: Duration, events: u64) {
+        self.context.metrics.count("streams_silent", 1);
+        let after = boot_clock::since(self.begun).as_millis();
+        let silence = silence.as_millis();
+        // Writing to a string cannot fail.
+        let _ = write!(self.steps, " silent for {silence} ms after {events} events, at {after};");
+    }
+
+    /// Records why a request is not sent to another endpoint.
+    pub fn not_retried(&mut self, reason: &dyn Display) {
+        // Writing to a string cannot fail.
+        let _ = write!(self.steps, " not retried: {reason};");
+    }
+
     /// Records the head of an endpoint's response.
     pub fn responded(&mut self, status: StatusCode, metadata: &ResponseMetadata) {
         let after = boot_clock::since(self.begun).as_millis();
