--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -50,6 +50,8 @@
 mod part_model;
 mod part_rules;
 mod partitioned_daemons;
+mod pausing_endpoint;
+mod pausing_runs;
 mod peer_wait;
 mod platform_standin;
 mod quotas;
