A silent run is kept until another one serves the client

What callers saw: streams that end in a closed connection while their endpoint is at work, and plain requests refused with 502, most with several slow endpoints and with a budget that failing ones have used up.

Cause: a run without a head, a first or a next event in time was ended first; only then was it asked whether attempts, time, retry budget, version and room allow another one. If not, the stream was broken off or the request refused, though its endpoint would have served it: a request that may be repeated fared worse than one that may not. Class: giving something up before what is to replace it is certain.

Evidence: the request lines of the failing tests ("silent for 401 ms after 2 events; no retry, 0.6 in the budget").

Now a silent run goes on. Another one is begun beside it if the route, the time, the budget, the stream's version and another endpoint with room allow it (the budget is asked last), and the first to respond, or to have the next event, is passed on; the other ends then. Attempts are counted when they begin, so that several at a time don't exceed the route's. A silent run counts as a failure of its endpoint only if another one was faster, its client has gone or its time is over.

--- a/src/gateway/policy/request/time_limits.rs
+++ b/src/gateway/policy/request/time_limits.rs
@@ -1,9 +1,10 @@
-//! Time limits for a whole request, for the head of an attempt's response, and for the next event
-//! of a stream.
+//! Time limit of a whole request, and the times after which an attempt without a response, or a stream
+//! without a next event, counts as silent.
 //!
 //! Inputs are the route in the newest configuration and the client's time limit; the defaults below
-//! apply if neither is set. An attempt ends before the request's deadline only if another endpoint
-//! may be tried afterwards: ending the last attempt early would turn a late response into none.
+//! apply if neither is set. A silent run goes on until the request's deadline. If the route, the retry
+//! budget and the other endpoints allow it, another endpoint runs the request beside it, and the first of
+//! both that sends something is passed on: to end the silent run earlier would turn a late response into none.
 
 use std::time::Duration;
 
@@ -14,16 +15,18 @@
 /// Time limit of a request if neither its client nor its route sets one: bounds how long a request
 /// can hold resources.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
-/// An idempotent request is retried elsewhere after this multiple of its route's target: a multiple
+/// An idempotent request may be sent to another endpoint after this multiple of its route's target: a multiple
 /// near 1 would retry every request whenever all endpoints are slow together.
 const PLAIN_TARGET_MULTIPLE: f64 = 3.0;
-/// A resumable stream is retried elsewhere after this multiple of its route's target: lower than
+/// A resumable stream may be sent to another endpoint after this multiple of its route's target: lower than
 /// for other requests, since the next endpoint has to process the prompt before its first event.
 const STREAM_TARGET_MULTIPLE: f64 = 1.6;
-/// A resumable stream is resumed elsewhere if nothing arrives for this multiple of the route's
+/// A resumable stream may go on elsewhere if nothing arrives for this multiple of the route's
 /// target (first event) or of the allowed gap (later events). After a single gap the stream is only
 /// late, and to resume it another endpoint has to process the prompt.
 const SILENCE_MULTIPLE: f64 = 2.0;
+/// Shortest pause between two questions whether another endpoint may run a silent request.
+const SHORTEST_ASK_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time between events if the route sets no allowed gap: high, since the usual speed of
 /// such a stream is not known.
 const DEFAULT_SILENCE: Duration = Duration::from_secs(2);
@@ -35,17 +38,17 @@
     received + shortest.unwrap_or(DEFAULT_TIMEOUT)
 }
 
-/// Until when to wait for the head of a response, for an attempt sent at `now` after `sent_before`
-/// others. Includes the `expected_wait`, since another endpoint would have to process a long prompt
-/// from the beginning.
-pub fn attempt_deadline(
+/// When an attempt that begins at `now`, after `begun_before` others, counts as silent if the head of
+/// its response has not arrived; the deadline if no other endpoint may be tried. Includes the
+/// `expected_wait`, since another endpoint would have to process a long prompt from the beginning.
+pub fn head_silence(
     route: &Route,
-    sent_before: u32,
+    begun_before: u32,
     expected_wait: Duration,
     deadline: Instant,
     now: Instant,
 ) -> Instant {
-    let is_last = sent_before + 1 >= route.attempts;
+    let is_last = begun_before + 1 >= route.attempts;
     if is_last || !route.kind.may_run_again() {
         return deadline;
     }
@@ -55,17 +58,17 @@
     now.checked_add(timeout).map_or(deadline, |until| until.min(deadline))
 }
 
-/// Until when to wait for the next piece of a stream, after `sent` attempts and `events` passed on
-/// to the client.
-pub fn event_deadline(
+/// When a stream counts as silent if its next event does not arrive after `now`; the deadline if no
+/// other endpoint may be tried after `begun` attempts. `events` have been passed on to the client.
+pub fn event_silence(
     route: &Route,
-    sent: u32,
+    begun: u32,
     events: u64,
     deadline: Instant,
     now: Instant,
 ) -> Instant {
     let is_resumable = route.kind.is_stream() && route.kind.may_run_again();
-    if !is_resumable || sent >= route.attempts {
+    if !is_resumable || begun >= route.attempts {
         return deadline;
     }
     let silence = match events {
@@ -74,3 +77,22 @@
     };
     deadline.min(now + silence)
 }
+
+/// Times at which it is asked again whether another endpoint may run a silent request: with pauses that
+/// grow with the silence, so that few questions are asked however long it lasts.
+#[derive(Clone, Copy, Debug)]
+pub struct AskPause {
+    begun: Instant,
+}
+
+impl AskPause {
+    /// For a silence, or a wait, that began then.
+    pub fn new(begun: Instant) -> Self {
+        Self { begun }
+    }
+
+    /// When to ask again after a question at `now`.
+    pub fn next(self, now: Instant) -> Instant {
+        now + now.saturating_duration_since(self.begun).max(SHORTEST_ASK_PAUSE)
+    }
+}
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -1,18 +1,19 @@
 //! One attempt at a request: chooses an endpoint, connects to it and sends it the request.
 //!
-//! `policy::endpoint::endpoint_choice` chooses the endpoint, `policy::request::time_limits` limits
-//! the wait for a response, and `policy::request::retries` decides what follows the attempt.
+//! `policy::endpoint::endpoint_choice` chooses the endpoint, and `policy::request::retries` decides what
+//! follows the attempt. An attempt waits for its response until the request's deadline;
+//! `policy::request::time_limits` says from when on it is silent, so that another one may run beside it.
 
 mod choice;
 mod connection;
 pub mod endpoint_response;
 mod response_evaluation;
 
-use std::rc::Rc;
+use std::{cell::RefCell, rc::Rc};
 
 use http_body_util::Full;
 use hyper::{Request, body::Bytes};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 pub use self::choice::{has_another, wait_for_room};
 use self::{
@@ -52,10 +53,12 @@
 pub struct Attempts {
     /// Endpoints that have been tried.
     pub tried: Vec<SharedName>,
-    /// Number of attempts that reached an endpoint.
-    pub sent: u32,
-    /// Whether the request may have run in one of them.
+    /// Number of attempts that have reached an endpoint or may still reach it.
+    pub begun: u32,
+    /// Whether the request may have run in an attempt that has ended.
     pub may_have_run: bool,
+    /// When the last attempt counts as silent if it has not responded until then.
+    pub silent_at: Option<Instant>,
     /// Endpoints of these to which no connection could be opened.
     unreached: Vec<SharedName>,
     /// Whether this daemon has been found to be partitioned since the first attempt.
@@ -66,26 +69,55 @@
     is_trial: bool,
 }
 
-/// Whether the request may be retried: attempts and time are left, and the service's retry budget
-/// allows it. Withdraws the retry from the budget if so.
-pub fn may_try_again(
-    context: &GatewayContext,
-    admitted: &Admitted,
-    attempts: &Attempts,
-    trace: &mut RequestTrace,
-) -> bool {
-    let now = boot_clock::now();
-    if attempts.sent >= admitted.route.attempts {
-        trace.not_retried(&"no attempts left");
-        return false;
+/// An admitted request and its attempts, several of which may be in progress at the same time.
+#[derive(Clone, Copy)]
+pub struct OpenRequest<'a> {
+    /// State of the daemon.
+    pub context: &'a Rc<GatewayContext>,
+    /// The request.
+    pub admitted: &'a Admitted,
+    /// State of its attempts.
+    pub attempts: &'a RefCell<Attempts>,
+    /// Its trace.
+    pub trace: &'a RefCell<RequestTrace>,
+}
+
+impl OpenRequest<'_> {
+    /// Whether the request may be retried: attempts and time are left, and the service's retry budget
+    /// allows it. Withdraws the retry from the budget if so.
+    pub fn may_try_again(self) -> bool {
+        let Self { context, admitted, .. } = self;
+        let now = boot_clock::now();
+        let mut trace = self.trace.borrow_mut();
+        if self.attempts.borrow().begun >= admitted.route.attempts {
+            trace.not_retried(&"no attempts left");
+            return false;
+        }
+        if now >= admitted.deadline {
+            trace.not_retried(&"no time left");
+            return false;
+        }
+        let withdrawal = context.try_withdraw_retry(&admitted.service.name, now);
+        trace.retry_withdrawal(&admitted.service.name, withdrawal);
+        withdrawal.is_granted()
     }
-    if now >= admitted.deadline {
-        trace.not_retried(&"no time left");
-        return false;
+
+    /// The same while a run of the request is in progress: another endpoint also has to have room, and the
+    /// request must not be quarantined.
+    pub fn may_run_elsewhere(self) -> bool {
+        if !self.admitted.route.kind.may_run_again() {
+            return false;
+        }
+        if crash_watch::is_quarantined(self.context, self.admitted) {
+            self.trace.borrow_mut().not_retried(&"quarantined");
+            return false;
+        }
+        if !has_another(self) {
+            self.trace.borrow_mut().not_retried(&"no other endpoint has room");
+            return false;
+        }
+        self.may_try_again()
     }
-    let withdrawal = context.try_withdraw_retry(&admitted.service.name, now);
-    trace.retry_withdrawal(&admitted.service.name, withdrawal);
-    withdrawal.is_granted()
 }
 
 /// How one attempt ended.
@@ -100,54 +132,77 @@
 /// response. `resume_after` is the id of the last event that the client received of a broken
 /// stream.
 pub async fn attempt(
-    context: &Rc<GatewayContext>,
-    admitted: &Admitted,
-    attempts: &mut Attempts,
+    request: OpenRequest<'_>,
     resume_after: Option<u64>,
-    trace: &mut RequestTrace,
 ) -> Result<AttemptEnd, Refusal> {
-    check_quarantine(context, admitted, attempts)?;
-    attempts.knows_partition |= context.is_partitioned();
-    let choice = choose(context, admitted, attempts, trace)?;
+    let OpenRequest { context, admitted, attempts, trace } = request;
+    check_quarantine(request)?;
+    attempts.borrow_mut().knows_partition |= context.is_partitioned();
+    let choice = choose(request)?;
     let endpoint = choice.endpoint.clone();
-    attempts.tried.push(endpoint.id.clone());
-    trace.attempt(&choice, prompt_tokens(&admitted.call.head));
+    trace.borrow_mut().attempt(&choice, prompt_tokens(&admitted.call.head));
+    let (begun_before, silent_at) = begin_attempt(request, &choice);
     let mut guard = begin_run(context, admitted, &choice);
-    let mut connection = match connect(context, &choice, admitted, attempts.sent).await {
+    let mut connection = match connect(context, &choice, admitted, begun_before).await {
         Ok(connection) => connection,
-        Err(failure) => return not_connected(context, admitted, attempts, &failure, guard, trace),
+        Err(failure) => return not_connected(request, &failure, guard),
     };
-    trace.path(connection.path());
+    trace.borrow_mut().path(connection.path());
     // Crashes may have been reported while the connection was being opened.
-    let is_refused = !attempts.is_trial && crash_watch::is_quarantined(context, admitted);
+    let is_trial = attempts.borrow().is_trial;
+    let is_refused = !is_trial && crash_watch::is_quarantined(context, admitted);
     if is_refused || !guard.try_mark_sent() {
-        return Ok(return_unsent(context, connection, trace));
+        return Ok(return_unsent(request, connection));
     }
-    let now = boot_clock::now();
-    let request = endpoint_request(admitted, &endpoint.id, resume_after, now);
-    let until = response_deadline(admitted, attempts, &choice, now);
-    match send(context, &mut connection, request, until, &guard).await {
+    let head = endpoint_request(admitted, &endpoint.id, resume_after, boot_clock::now());
+    let sending = send(context, &mut connection, head, admitted.deadline, &guard);
+    match flag_silence(sending, silent_at, &guard).await {
         Err(failure) => {
-            trace.failed(&failure);
-            let ended = after_send_failure(context, admitted, attempts, &failure, guard, trace);
-            Ok(AttemptEnd::Failed(ended))
-        }
-        Ok(response) => {
-            attempts.sent += 1;
-            Ok(evaluate_response(context, admitted, response, until, connection, guard, trace))
+            trace.borrow_mut().failed(&failure);
+            Ok(AttemptEnd::Failed(after_send_failure(request, &failure, guard)))
         }
+        Ok(response) => Ok(evaluate_response(request, response, silent_at, connection, guard)),
     }
 }
 
+/// Counts an attempt as begun. Returns the number of those before it, and when it counts as silent.
+fn begin_attempt(request: OpenRequest<'_>, choice: &EndpointChoice) -> (u32, Instant) {
+    let OpenRequest { admitted, attempts, .. } = request;
+    let Admitted { route, deadline, .. } = admitted;
+    let mut attempts = attempts.borrow_mut();
+    let begun_before = attempts.begun;
+    let wait = choice.estimated_wait();
+    let now = boot_clock::now();
+    let silent_at = time_limits::head_silence(route, begun_before, wait, *deadline, now);
+    attempts.tried.push(choice.endpoint.id.clone());
+    attempts.begun += 1;
+    attempts.silent_at = Some(silent_at);
+    (begun_before, silent_at)
+}
+
+/// Marks the run as silent while it has not responded although `silent_at` has passed.
+async fn flag_silence<T>(
+    responding: impl Future<Output = T>,
+    silent_at: Instant,
+    guard: &RunGuard,
+) -> T {
+    tokio::pin!(responding);
+    tokio::select! {
+        biased;
+        response = responding.as_mut() => return response,
+        () = sleep_until(boot_clock::timer_at(silent_at)) => guard.set_silent(true),
+    }
+    let response = responding.await;
+    guard.set_silent(false);
+    response
+}
+
 /// Returns the connection unused: its endpoint stopped accepting requests while it was being
 /// opened.
-fn return_unsent(
-    context: &GatewayContext,
-    connection: EndpointConnection,
-    trace: &mut RequestTrace,
-) -> AttemptEnd {
-    trace.not_sent();
-    context.connections.give_back(connection, None);
+fn return_unsent(request: OpenRequest<'_>, connection: EndpointConnection) -> AttemptEnd {
+    request.trace.borrow_mut().not_sent();
+    request.attempts.borrow_mut().begun -= 1;
+    request.context.connections.give_back(connection, None);
     AttemptEnd::Failed(AttemptFailure::NotSent)
 }
 
@@ -162,31 +217,19 @@
     RunGuard::begin(context.clone(), &choice.endpoint, &admitted.route, parts, load)
 }
 
-fn response_deadline(
-    admitted: &Admitted,
-    attempts: &Attempts,
-    choice: &EndpointChoice,
-    now: Instant,
-) -> Instant {
-    let Admitted { route, deadline, .. } = admitted;
-    time_limits::attempt_deadline(route, attempts.sent, choice.estimated_wait(), *deadline, now)
-}
-
 fn after_send_failure(
-    context: &Rc<GatewayContext>,
-    admitted: &Admitted,
-    attempts: &mut Attempts,
+    request: OpenRequest<'_>,
     failure: &SendFailure,
     mut guard: RunGuard,
-    trace: &mut RequestTrace,
 ) -> AttemptFailure {
+    let OpenRequest { context, admitted, attempts, .. } = request;
     let ended = match failure.is_unsent() {
         true => {
             guard.was_not_sent();
+            attempts.borrow_mut().begun -= 1;
             AttemptFailure::NotSent
         }
         false => {
-            attempts.sent += 1;
             context.connections.discard_connections(guard.endpoint());
             // Endpoints report requests that they do not run, so most requests without a response
             // have run.
@@ -195,14 +238,14 @@
         }
     };
     if matches!(failure, SendFailure::Broken(_)) {
-        record_broken_run(context, admitted, guard.record(), guard.begun(), trace);
+        record_broken_run(request, guard.record(), guard.begun());
     }
     match failure {
         // A closed idle connection says nothing about the endpoint's health, so the endpoint may be
         // chosen again.
         SendFailure::ClosedBefore => {
+            attempts.borrow_mut().tried.retain(|tried| **tried != *guard.endpoint());
             guard.finish(AttemptResult::Neutral);
-            attempts.tried.pop();
         }
         _ => guard.finish(AttemptResult::Failed),
     }
@@ -210,16 +253,11 @@
 }
 
 /// Records that a run broke, and starts a check of its endpoint.
-pub fn record_broken_run(
-    context: &Rc<GatewayContext>,
-    admitted: &Admitted,
-    endpoint: &Rc<EndpointRecord>,
-    begun: Instant,
-    trace: &mut RequestTrace,
-) {
+pub fn record_broken_run(request: OpenRequest<'_>, endpoint: &Rc<EndpointRecord>, begun: Instant) {
+    let OpenRequest { context, admitted, trace, .. } = request;
     let request = admitted.fingerprint();
     let shared_parts: Rc<[PartId]> = admitted.call.head.shared_parts().collect();
-    trace.run_broke(request, &shared_parts);
+    trace.borrow_mut().run_broke(request, &shared_parts);
     let run = BrokenRun { request, shared_parts, begun, broken: boot_clock::now() };
     crash_watch::run_broke(context, endpoint, run);
 }
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -6,7 +6,7 @@
 use rand::RngExt;
 use tokio::time::Instant;
 
-use super::Attempts;
+use super::{Attempts, OpenRequest};
 use crate::{
     boot_clock,
     gateway::{
@@ -22,22 +22,21 @@
             request::{refusal::Refusal, retries::NoAttempt, retry_after},
             rollout::version_split::{SplitInputs, filters, may_go_on},
         },
-        request::{admission::Admitted, crash_watch, request_log::RequestTrace},
+        request::{admission::Admitted, crash_watch},
     },
     ids::SharedName,
 };
 
 /// Refuses a request that crashes endpoints, at its first attempt and at each retry. Otherwise a
 /// single such request would end another endpoint with each retry.
-pub fn check_quarantine(
-    context: &GatewayContext,
-    admitted: &Admitted,
-    attempts: &mut Attempts,
-) -> Result<(), Refusal> {
-    if attempts.is_trial && attempts.sent == 0 {
+pub fn check_quarantine(request: OpenRequest<'_>) -> Result<(), Refusal> {
+    let OpenRequest { context, admitted, attempts, .. } = request;
+    let mut attempts = attempts.borrow_mut();
+    if attempts.is_trial && attempts.begun == 0 {
         return Ok(());
     }
-    let refusal = |reason: NoAttempt| reason.refusal(attempts.may_have_run, admitted.route.target);
+    let may_have_run = attempts.may_have_run;
+    let refusal = |reason: NoAttempt| reason.refusal(may_have_run, admitted.route.target);
     if !context.is_up_to_date_with_peers(boot_clock::now()) {
         return Err(refusal(NoAttempt::NoPeerContact));
     }
@@ -46,12 +45,9 @@
 }
 
 /// Chooses an endpoint that has not been tried.
-pub fn choose(
-    context: &GatewayContext,
-    admitted: &Admitted,
-    attempts: &Attempts,
-    trace: &mut RequestTrace,
-) -> Result<EndpointChoice, Refusal> {
+pub fn choose(request: OpenRequest<'_>) -> Result<EndpointChoice, Refusal> {
+    let OpenRequest { context, admitted, attempts, trace } = request;
+    let attempts = &*attempts.borrow();
     let refusal = |reason: NoAttempt| reason.refusal(attempts.may_have_run, admitted.route.target);
     let now = boot_clock::now();
     if now >= admitted.deadline {
@@ -73,14 +69,16 @@
         ChoiceResult::None if attempts.version.is_some() => NoAttempt::NoVersion,
         ChoiceResult::None => NoAttempt::NoEndpoint,
     };
-    trace.found_no_endpoint(&endpoints.room(&admitted.service.name, now));
+    trace.borrow_mut().found_no_endpoint(&endpoints.room(&admitted.service.name, now));
     Err(refusal(reason))
 }
 
 /// Whether there is an endpoint for another attempt. Only then may the last response be dropped:
 /// otherwise the client would get an error of this daemon instead of it.
-pub fn has_another(context: &GatewayContext, admitted: &Admitted, attempts: &Attempts) -> bool {
-    let query = choice_query(context, admitted, attempts);
+pub fn has_another(request: OpenRequest<'_>) -> bool {
+    let OpenRequest { context, admitted, attempts, .. } = request;
+    let attempts = attempts.borrow();
+    let query = choice_query(context, admitted, &attempts);
     let endpoints = context.endpoints.borrow();
     let choice = choose_by_version(context, &endpoints, &query, boot_clock::now());
     matches!(choice, ChoiceResult::Endpoint(_))
@@ -130,7 +128,7 @@
     let head = &admitted.call.head;
     let service = &admitted.service.name;
     let may_retry =
-        attempts.sent + 1 < admitted.route.attempts && may_afford_retry(context, service);
+        attempts.begun + 1 < admitted.route.attempts && may_afford_retry(context, service);
     ChoiceQuery {
         service,
         version: attempts.version.as_deref(),
--- a/src/gateway/request/attempt/connection.rs
+++ b/src/gateway/request/attempt/connection.rs
@@ -10,7 +10,7 @@
 };
 use tokio::time::{Instant, sleep};
 
-use super::{AttemptEnd, Attempts};
+use super::{AttemptEnd, OpenRequest};
 use crate::{
     boot_clock,
     endpoint_health::AttemptResult,
@@ -28,7 +28,6 @@
         request::{
             admission::Admitted,
             connection_pool::{EndpointConnection, SendFailure},
-            request_log::RequestTrace,
             run_guard::RunGuard,
         },
     },
@@ -38,16 +37,15 @@
 /// are silent.
 const SILENCE_SIGN: Duration = Duration::from_millis(1_500);
 
-/// Takes an idle connection to the chosen endpoint, or opens one, after `sent_before` attempts that
-/// reached an endpoint.
+/// Takes an idle connection to the chosen endpoint, or opens one, after `begun_before` others.
 pub async fn connect(
     context: &GatewayContext,
     choice: &EndpointChoice,
     admitted: &Admitted,
-    sent_before: u32,
+    begun_before: u32,
 ) -> Result<EndpointConnection, SendFailure> {
     let endpoint = &choice.endpoint;
-    let reuse = connection_reuse(admitted.route.kind, sent_before);
+    let reuse = connection_reuse(admitted.route.kind, begun_before);
     let uses_tunnels = context.uses_tunnels(boot_clock::now());
     if let Some(idle) = context.connections.take(endpoint, reuse, uses_tunnels).await {
         return Ok(idle);
@@ -63,14 +61,14 @@
 ///
 /// The refusal of a request for which neither this daemon nor another one reaches endpoints.
 pub fn not_connected(
-    context: &GatewayContext,
-    admitted: &Admitted,
-    attempts: &mut Attempts,
+    request: OpenRequest<'_>,
     failure: &SendFailure,
     guard: RunGuard,
-    trace: &mut RequestTrace,
 ) -> Result<AttemptEnd, Refusal> {
-    trace.failed(failure);
+    let OpenRequest { context, admitted, attempts, trace } = request;
+    let attempts = &mut *attempts.borrow_mut();
+    attempts.begun -= 1;
+    trace.borrow_mut().failed(failure);
     if matches!(failure, SendFailure::NoPath) {
         return Err(NoAttempt::NoPath.refusal(attempts.may_have_run, admitted.route.target));
     }
--- a/src/gateway/request/attempt/endpoint_response.rs
+++ b/src/gateway/request/attempt/endpoint_response.rs
@@ -7,6 +7,7 @@
 };
 use tokio::time::{Instant, timeout_at};
 
+use super::flag_silence;
 use crate::{
     boot_clock,
     gateway::request::{
@@ -21,8 +22,8 @@
     pub response: Response<Incoming>,
     /// The part of the body that has been read already.
     pub body_start: BodyStart,
-    /// Until when to wait for the body if another attempt could follow.
-    pub response_deadline: Instant,
+    /// When the run counts as silent if nothing of the body has arrived until then.
+    pub silent_at: Instant,
     /// Decoded head of the response.
     pub metadata: ResponseMetadata,
     /// Connection on which it arrives.
@@ -44,26 +45,20 @@
 }
 
 impl EndpointResponse {
-    /// Reads the first piece of the body. Returns whether there is none although another endpoint
-    /// could still serve the request before its `deadline`.
-    pub async fn lacks_body(&mut self, deadline: Instant) -> bool {
+    /// Reads the first piece of the body until the request's `deadline`, after which the body counts as
+    /// unread. The run is marked as silent while it sends nothing.
+    pub async fn read_body_start(&mut self, deadline: Instant) {
         let body = self.response.body_mut();
-        if self.response_deadline >= deadline || body.is_end_stream() {
-            return false;
-        }
-        match timeout_at(boot_clock::timer_at(self.response_deadline), body.frame()).await {
-            // Out of time.
-            Err(_) => true,
-            Ok(Some(Ok(frame))) => {
-                // Trailers end a body without data; they are not passed on.
-                self.body_start = frame.into_data().map_or(BodyStart::Unread, BodyStart::Piece);
-                false
-            }
-            Ok(Some(Err(_))) => {
-                self.body_start = BodyStart::Broken;
-                true
-            }
-            Ok(None) => false,
+        if body.is_end_stream() {
+            return;
         }
+        let reading = flag_silence(body.frame(), self.silent_at, &self.guard);
+        self.body_start = match timeout_at(boot_clock::timer_at(deadline), reading).await {
+            // Trailers end a body without data; they are not passed on.
+            Ok(Some(Ok(frame))) => frame.into_data().map_or(BodyStart::Unread, BodyStart::Piece),
+            Ok(Some(Err(_))) => BodyStart::Broken,
+            // Out of time, or at the end.
+            Err(_) | Ok(None) => BodyStart::Unread,
+        };
     }
 }
--- a/src/gateway/request/attempt/response_evaluation.rs
+++ b/src/gateway/request/attempt/response_evaluation.rs
@@ -9,7 +9,7 @@
 use tokio::time::Instant;
 
 use super::{
-    AttemptEnd,
+    AttemptEnd, OpenRequest,
     endpoint_response::{BodyStart, EndpointResponse},
 };
 use crate::{
@@ -27,7 +27,6 @@
             admission::Admitted,
             body_drain::drain_body,
             connection_pool::EndpointConnection,
-            request_log::RequestTrace,
             response_meaning::{LimitSignal, ResponseMeaning, ResponseMetadata},
             run_guard::RunGuard,
         },
@@ -37,20 +36,19 @@
 
 /// Evaluates the head of a response.
 pub fn evaluate_response(
-    context: &Rc<GatewayContext>,
-    admitted: &Admitted,
+    request: OpenRequest<'_>,
     response: Response<Incoming>,
-    response_deadline: Instant,
+    silent_at: Instant,
     connection: EndpointConnection,
     guard: RunGuard,
-    trace: &mut RequestTrace,
 ) -> AttemptEnd {
+    let OpenRequest { context, admitted, trace, .. } = request;
     let metadata = ingress::read_response(&admitted.call.head.id, &response);
-    trace.responded(response.status(), &metadata);
+    trace.borrow_mut().responded(response.status(), &metadata);
     record_signals(&metadata, &guard);
     let (status, body_start) = (response.status(), BodyStart::Unread);
     let response =
-        EndpointResponse { response, body_start, response_deadline, metadata, connection, guard };
+        EndpointResponse { response, body_start, silent_at, metadata, connection, guard };
     match metadata.meaning {
         ResponseMeaning::Ran if status_promises_not_run(status) => {
             // Clients would understand the status as a promise that the endpoint did not make.
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -1,5 +1,5 @@
-//! Passes an endpoint's response on to the client as it arrives. If the route allows it, a broken
-//! stream is resumed at another endpoint within the same response.
+//! Passes an endpoint's response on to the client as it arrives. If the route allows it, a stream whose
+//! run has broken or is silent goes on at another endpoint within the same response.
 //!
 //! Streams are passed on in complete events, so that a resumed stream continues after the last one.
 //! `policy::request::retries` decides whether to resume, and `policy::request::time_limits` how
@@ -7,11 +7,12 @@
 //! endpoint's response means.
 
 mod response_ending;
+mod run_race;
 mod stream_start;
 mod survival_check;
 mod upstream;
 
-use std::rc::Rc;
+use std::{cell::RefCell, rc::Rc};
 
 use bytes::Bytes;
 use futures::stream;
@@ -22,8 +23,8 @@
 use self::upstream::{BodyPiece, Upstream};
 use super::{
     admission::Admitted,
-    attempt::{AttemptEnd, Attempts, attempt, endpoint_response::EndpointResponse, may_try_again},
-    event_cutter::{EventCutter, EventTooLong},
+    attempt::{Attempts, OpenRequest, endpoint_response::EndpointResponse},
+    event_cutter::{EventBatch, EventCutter, EventTooLong},
     request_log::RequestTrace,
     response_meaning::BodyFraming,
     sized_body::SizedBody,
@@ -35,7 +36,7 @@
     gateway::{
         context::GatewayContext,
         gossip::streams::ActiveStream,
-        policy::request::{response_end::ResponseEnd, retries, time_limits},
+        policy::request::{response_end::ResponseEnd, time_limits},
     },
     http::{BodyError, LocalBody},
     platform::ingress,
@@ -46,8 +47,6 @@
 enum RelayError {
     #[display("endpoint broke off")]
     BrokenOff,
-    #[display("endpoint silent")]
-    Silent,
     #[display("{_0}")]
     Unreadable(EventTooLong),
     #[display("out of time")]
@@ -62,11 +61,9 @@
 
 /// A response that is being passed on to the client.
 struct Relay {
-    context: Rc<GatewayContext>,
-    admitted: Rc<Admitted>,
-    attempts: Attempts,
-    trace: RequestTrace,
-    /// `None` after the end of the response, and while it is being resumed.
+    request: HeldRequest,
+    /// The run that is being passed on; `None` after the end of the response, and while another one is
+    /// awaited.
     upstream: Option<Upstream>,
     /// Only for streams of events.
     cutter: Option<EventCutter>,
@@ -82,20 +79,36 @@
     _active: CountGuard,
 }
 
+/// The request of a response.
+struct HeldRequest {
+    context: Rc<GatewayContext>,
+    admitted: Rc<Admitted>,
+    attempts: RefCell<Attempts>,
+    trace: RefCell<RequestTrace>,
+}
+
+impl HeldRequest {
+    fn open(&self) -> OpenRequest<'_> {
+        let Self { context, admitted, attempts, trace } = self;
+        OpenRequest { context, admitted, attempts, trace }
+    }
+}
+
 /// Next piece of a response.
 enum NextPiece {
     Bytes(Bytes),
     End,
-    Broken(RelayError),
+    /// The response is broken off.
+    Lost(RelayError),
 }
 
 /// Passes `response` on; the body is relayed as the client reads it.
 pub fn pass_on(
     context: &Rc<GatewayContext>,
     admitted: Rc<Admitted>,
-    attempts: Attempts,
+    attempts: RefCell<Attempts>,
     response: EndpointResponse,
-    trace: RequestTrace,
+    trace: RefCell<RequestTrace>,
 ) -> Response<LocalBody> {
     let (mut head, upstream) = Upstream::of(response);
     let whole_length = upstream.length();
@@ -103,11 +116,8 @@
     let ends_with_connection = upstream.framing == BodyFraming::Close;
     adapt_head(&mut head, ends_with_connection, streams);
     let mut relay = Relay {
-        context: context.clone(),
         last_event: admitted.call.head.last_event,
-        admitted,
-        attempts,
-        trace,
+        request: HeldRequest { context: context.clone(), admitted, attempts, trace },
         upstream: Some(upstream),
         cutter: streams.then(EventCutter::default),
         events: 0,
@@ -147,8 +157,7 @@
             return None;
         }
         loop {
-            let piece = self.next_piece().await;
-            let error = match piece {
+            match self.next_piece().await {
                 NextPiece::Bytes(bytes) => {
                     if self.has_whole_plain_response() {
                         // The HTTP library doesn't poll the body again once its length is reached.
@@ -160,25 +169,14 @@
                     return Some(Ok(bytes));
                 }
                 NextPiece::End => {
-                    let (end, survival) = self.evaluate_end().await;
-                    match self.end_error(end) {
-                        Some(error) => error,
-                        None => {
-                            self.finish(end, survival);
-                            let rest = self.cutter.as_mut().map(EventCutter::take_rest);
-                            return rest.filter(|rest| !rest.is_empty()).map(Ok);
-                        }
-                    }
+                    let rest = self.cutter.as_mut().map(EventCutter::take_rest);
+                    return rest.filter(|rest| !rest.is_empty()).map(Ok);
+                }
+                NextPiece::Lost(error) => {
+                    self.ended = true;
+                    self.request.trace.borrow_mut().broken_off(error.to_string(), self.events);
+                    return Some(Err(error.into()));
                 }
-                NextPiece::Broken(error) => error,
-            };
-            if error == RelayError::OutOfTime {
-                self.handle_timeout();
-            }
-            if error == RelayError::OutOfTime || !self.resume().await {
-                self.ended = true;
-                self.trace.broken_off(error.to_string(), self.events);
-                return Some(Err(error.into()));
             }
         }
     }
@@ -188,60 +186,73 @@
         self.cutter.is_none() && self.upstream.as_ref().is_some_and(Upstream::is_at_end)
     }
 
-    /// The next piece from the endpoint; only complete events if the response is a stream.
+    /// The next piece from the endpoint, or from another one that goes on with the stream; only complete
+    /// events if the response is a stream.
     async fn next_piece(&mut self) -> NextPiece {
+        match self.read_piece().await {
+            Ok(piece) => piece,
+            Err(error) => self.replace_run(error).await,
+        }
+    }
+
+    /// The next piece of the run that is being passed on, or of another one if that has it first.
+    ///
+    /// # Errors
+    ///
+    /// The run has failed.
+    async fn read_piece(&mut self) -> Result<NextPiece, RelayError> {
         let until = self.wait_until();
-        let deadline = self.admitted.deadline;
-        let Some(upstream) = &mut self.upstream else {
-            return NextPiece::Broken(RelayError::BrokenOff);
-        };
-        let bytes = match upstream.next_piece(until).await {
-            BodyPiece::Bytes(bytes) => bytes,
-            BodyPiece::End => return NextPiece::End,
-            BodyPiece::Silent if until >= deadline => {
-                return NextPiece::Broken(RelayError::OutOfTime);
-            }
-            BodyPiece::Silent => {
-                self.trace.silent(upstream.silence(), self.events);
-                return NextPiece::Broken(RelayError::Silent);
+        let Some(upstream) = &mut self.upstream else { return Err(RelayError::BrokenOff) };
+        match upstream.next_piece(until).await {
+            BodyPiece::Bytes(bytes) => self.pass_piece(&bytes),
+            BodyPiece::End => self.end_run().await,
+            BodyPiece::Silent if until >= self.request.admitted.deadline => {
+                self.handle_timeout();
+                Ok(NextPiece::Lost(RelayError::OutOfTime))
             }
+            BodyPiece::Silent => self.race_silent_run().await,
             BodyPiece::Broken => {
                 self.record_break();
-                return NextPiece::Broken(RelayError::BrokenOff);
+                Err(RelayError::BrokenOff)
             }
+        }
+    }
+
+    /// Takes what is complete of the next bytes.
+    fn pass_piece(&mut self, bytes: &Bytes) -> Result<NextPiece, RelayError> {
+        let Some(cutter) = &mut self.cutter else { return Ok(NextPiece::Bytes(bytes.clone())) };
+        let batch = cutter.feed(bytes, self.last_event).map_err(RelayError::Unreadable)?;
+        Ok(NextPiece::Bytes(self.pass_events(batch)))
+    }
+
+    /// Records events that are passed on next, and returns their bytes.
+    fn pass_events(&mut self, batch: EventBatch) -> Bytes {
+        let Some(upstream) = self.upstream.as_mut().filter(|_| batch.count > 0) else {
+            return batch.bytes;
         };
-        let Some(cutter) = &mut self.cutter else { return NextPiece::Bytes(bytes) };
-        let batch = match cutter.feed(&bytes, self.last_event) {
-            Ok(batch) => batch,
-            Err(error) => return NextPiece::Broken(RelayError::Unreadable(error)),
-        };
-        if batch.count > 0 {
-            if self.events == 0 {
-                self.admitted.count_run(&self.context);
-                self.trace.first_event();
-                let record = upstream.guard.record();
-                self.attempts.version.get_or_insert_with(|| record.version.clone());
-            }
-            upstream.guard.prefill_done();
-            upstream.guard.endpoint_ran();
-            self.events += batch.count as u64;
-            self.last_event = batch.last_id.or(self.last_event);
+        if self.events == 0 {
+            let HeldRequest { context, admitted, attempts, trace } = &self.request;
+            admitted.count_run(context);
+            trace.borrow_mut().first_event();
+            let record = upstream.guard.record();
+            attempts.borrow_mut().version.get_or_insert_with(|| record.version.clone());
         }
-        NextPiece::Bytes(batch.bytes)
+        upstream.guard.prefill_done();
+        upstream.guard.endpoint_ran();
+        self.events += batch.count as u64;
+        self.last_event = batch.last_id.or(self.last_event);
+        batch.bytes
     }
 
-    /// Until when to wait for the next piece.
+    /// When the run that is being passed on is silent for too long.
     fn wait_until(&self) -> Instant {
-        let (route, deadline) = (&self.admitted.route, self.admitted.deadline);
+        let Admitted { route, deadline, .. } = &*self.request.admitted;
+        let begun = self.request.attempts.borrow().begun;
         match self.cutter {
-            None => deadline,
-            Some(_) => time_limits::event_deadline(
-                route,
-                self.attempts.sent,
-                self.events,
-                deadline,
-                boot_clock::now(),
-            ),
+            None => *deadline,
+            Some(_) => {
+                time_limits::event_silence(route, begun, self.events, *deadline, boot_clock::now())
+            }
         }
     }
 
@@ -252,41 +263,12 @@
             upstream.guard.finish(AttemptResult::Failed);
         }
     }
+}
 
-    /// Resumes a broken stream at another endpoint if that is allowed; returns whether it was
-    /// resumed.
-    async fn resume(&mut self) -> bool {
-        if let Some(upstream) = self.upstream.take() {
-            self.context.connections.discard_connections(upstream.guard.endpoint());
-            upstream.guard.finish(AttemptResult::Failed);
-        }
-        if !retries::may_resume(self.admitted.route.kind, self.cutter.is_some()) {
-            return false;
-        }
-        if !self.knows_version() {
-            self.trace.not_retried(&"version not known");
-            return false;
-        }
-        while may_try_again(&self.context, &self.admitted, &self.attempts, &mut self.trace) {
-            let (last, trace) = (self.last_event, &mut self.trace);
-            let attempt = attempt(&self.context, &self.admitted, &mut self.attempts, last, trace);
-            let resumed = match attempt.await {
-                // No endpoint or no time is left. The response has begun, so the refusal cannot be
-                // sent; the request log reports the response as broken off.
-                Err(refusal) => {
-                    trace.not_retried(&refusal);
-                    return false;
-                }
-                Ok(AttemptEnd::Responded(resumed)) if resumed.response.status().is_success() => {
-                    resumed
-                }
-                Ok(_) => continue,
-            };
-            self.cutter = Some(EventCutter::default());
-            self.upstream = Some(Upstream::of(*resumed).1);
-            self.record_start();
-            return true;
-        }
-        false
+/// Ends a run that has failed. Its endpoint's idle connections are not used again.
+fn fail_run(request: OpenRequest<'_>, run: &mut Option<Upstream>) {
+    if let Some(upstream) = run.take() {
+        request.context.connections.discard_connections(upstream.guard.endpoint());
+        upstream.guard.finish(AttemptResult::Failed);
     }
 }
--- a/src/gateway/request/relay/stream_start.rs
+++ b/src/gateway/request/relay/stream_start.rs
@@ -14,23 +14,24 @@
     /// started again may have another version than the list says, so nothing is recorded of it.
     pub(super) fn record_start(&mut self) {
         self.start = None;
-        let may_resume = retries::may_resume(self.admitted.route.kind, self.cutter.is_some());
+        let may_resume =
+            retries::may_resume(self.request.admitted.route.kind, self.cutter.is_some());
         let Some(upstream) = self.upstream.as_ref().filter(|_| may_resume) else { return };
         let record = upstream.guard.record();
-        if !self.context.endpoints.borrow().knows_start(record) {
+        if !self.request.context.endpoints.borrow().knows_start(record) {
             return;
         }
         let start =
             StreamStart { service: record.service.clone(), version: record.version.clone() };
-        let account = self.admitted.account.as_ref().map(|account| &*account.name);
-        let key = StreamKey::of(account, self.admitted.call.head.stream_id());
-        let is_ambiguous = self.admitted.route.sole_service().is_none();
-        self.start = Some(record_stream(&self.context, key, start, is_ambiguous));
+        let account = self.request.admitted.account.as_ref().map(|account| &*account.name);
+        let key = StreamKey::of(account, self.request.admitted.call.head.stream_id());
+        let is_ambiguous = self.request.admitted.route.sole_service().is_none();
+        self.start = Some(record_stream(&self.request.context, key, start, is_ambiguous));
     }
 
     /// Whether it is known which version has written the events that were passed on.
     pub(super) fn knows_version(&self) -> bool {
-        match &self.attempts.version {
+        match &self.request.attempts.borrow().version {
             Some(version) => !version.is_empty() && self.start.is_some(),
             None => true,
         }
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -164,8 +164,16 @@
         self.shared_parts = names.join(",");
     }
 
+    /// Records that an attempt has had no response for a while.
+    pub fn attempt_silent(&mut self) {
+        let after = boot_clock::since(self.begun).as_millis();
+        // Writing to a string cannot fail.
+        let _ = write!(self.steps, " silent after {after};");
+        self.context.metrics.count("attempts_silent", 1);
+    }
+
     /// Records that nothing has arrived of a stream for a while, after `events`.
-    pub fn silent(&mut self, silence: Duration, events: u64) {
+    pub fn stream_silent(&mut self, silence: Duration, events: u64) {
         self.context.metrics.count("streams_silent", 1);
         let after = boot_clock::since(self.begun).as_millis();
         let silence = silence.as_millis();
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -1,6 +1,6 @@
 //! A run of one request at one endpoint, counted in this daemon's loads until it ends.
 
-use std::{rc::Rc, time::Duration};
+use std::{cell::Cell, rc::Rc, time::Duration};
 
 use tokio::time::Instant;
 
@@ -24,7 +24,8 @@
 };
 
 /// Counts a run at its endpoint. Dropping the guard ends the run without affecting the endpoint's
-/// health, since then the daemon or the client has broken it off.
+/// health, since then the daemon or the client has broken it off, unless the endpoint was silent for too
+/// long.
 pub struct RunGuard {
     context: Rc<GatewayContext>,
     endpoint: Rc<EndpointRecord>,
@@ -41,6 +42,8 @@
     /// result.
     has_failed: bool,
     result: AttemptResult,
+    /// Whether the endpoint has been silent for too long. If the run ends then, it has failed.
+    is_silent: Cell<bool>,
     /// Identifies the run in the counts of roll-outs.
     ticket: RunTicket,
 }
@@ -76,6 +79,7 @@
             was_idle,
             has_failed: false,
             result: AttemptResult::Neutral,
+            is_silent: Cell::new(false),
             ticket,
         }
     }
@@ -96,6 +100,11 @@
         self.is_sent
     }
 
+    /// Sets whether the endpoint has been silent for too long.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.set(is_silent);
+    }
+
     /// Reverts `try_mark_sent`: sending has failed.
     pub fn was_not_sent(&mut self) {
         self.is_sent = false;
@@ -238,6 +247,11 @@
 
 impl Drop for RunGuard {
     fn drop(&mut self) {
+        if self.is_silent.get() && self.result == AttemptResult::Neutral && !self.has_failed {
+            self.result = AttemptResult::Failed;
+            // Its link may be silent for good, and so are its other connections then.
+            self.context.connections.discard_connections(&self.endpoint.id);
+        }
         self.count_version();
         let mut endpoints = self.context.endpoints.borrow_mut();
         if !endpoints.knows_start(&self.endpoint) {
--- a/tests/gateway/request_rules.rs
+++ b/tests/gateway/request_rules.rs
@@ -179,11 +179,11 @@
 }
 
 #[googletest::test]
-fn attempt_deadline_is_shorter_than_the_request_deadline_only_if_a_retry_may_follow() {
+fn attempt_counts_as_silent_before_the_deadline_only_if_a_retry_may_follow() {
     let start = Instant::now();
     let deadline = start + millis(9_000);
     let limit_with = |kind, sent, wait| {
-        let until = time_limits::attempt_deadline(&route(kind, 2), sent, wait, deadline, start);
+        let until = time_limits::head_silence(&route(kind, 2), sent, wait, deadline, start);
         until.duration_since(start)
     };
     let limit = |kind, sent| limit_with(kind, sent, Duration::ZERO);
@@ -197,11 +197,11 @@
 }
 
 #[googletest::test]
-fn event_deadline_is_shorter_than_the_request_deadline_only_if_a_stream_may_be_resumed() {
+fn stream_counts_as_silent_before_the_deadline_only_if_it_may_be_resumed() {
     let start = Instant::now();
     let deadline = start + millis(9_000);
     let limit = |route: &Route, sent, events| {
-        time_limits::event_deadline(route, sent, events, deadline, start).duration_since(start)
+        time_limits::event_silence(route, sent, events, deadline, start).duration_since(start)
     };
     let mut resumable = route(RESUMABLE, 2);
     expect_that!(limit(&resumable, 1, 0), eq(millis(800)));
