Failing tests: a request that a stop cuts is logged as one whose client left

A daemon with one request in progress is stopped; the request outlasts the grace time (4.5 s). Run of four cases with the real daemon: each has its line in the log, but it says "client left" though the client waits. In the two cases of a request on a connection accepted during the stop it stands after "stopped".

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,8 @@
 mod crashing_endpoint;
 mod crashing_parts;
 mod crashing_requests;
+mod cut_requests;
+mod cut_site;
 mod decoders;
 mod draining_endpoints;
 mod end_rules;
