Failing tests: a stop takes longer than a short grace time

With a grace time of 2 s the daemon cut its request 3.508 s after SIGTERM and ended after 3.528 s; with 3.5 s after 3.504 s and 3.524 s. The platform sends SIGKILL at the end of the grace time, which leaves no line.

--- a/tests/gateway/cut_requests.rs
+++ b/tests/gateway/cut_requests.rs
@@ -1,7 +1,7 @@
 //! Requests that a stop of their daemon cuts, or that their client leaves: each has a line in the log that says so,
 //! and none is cut earlier than necessary.
 
-use std::thread;
+use std::{io::Read, net::TcpStream, thread, time::Instant};
 
 use googletest::prelude::*;
 use serde_json::json;
@@ -9,7 +9,7 @@
 use crate::{
     cut_site::{CutSite, GRACE_S, STOP_PAUSE, patient_request, send},
     endpoint_standin::EndpointManner,
-    gateway_site::wait_for,
+    gateway_site::{RawAnswer, parse_answer, wait_for},
 };
 
 /// Outcome of a request that a stop cuts.
@@ -57,3 +57,41 @@
     stream_begun_and_cut_by_a_stop: EndpointManner::StallAfter(2), "/rigid/", CutBegin::AfterSignal;
     awaited_response_begun_and_cut_by_a_stop: EndpointManner::Silent, "/once/", CutBegin::AfterSignal;
 }
+
+/// Reads the rest of a response until its connection ends.
+fn read_answer(mut client: TcpStream) -> RawAnswer {
+    let mut all = Vec::new();
+    let closed = client.read_to_end(&mut all).is_ok();
+    RawAnswer { closed, ..parse_answer(&all) }
+}
+
+/// Requests are cut in the last sixth of the grace time, and the process ends within it.
+fn stop_takes_the_grace_time(grace_s: f64) {
+    let mut site = CutSite::start(EndpointManner::StallAfter(2), grace_s);
+    let client = send(site.gateway.clients, &patient_request("/rigid/", "cut", b""));
+    wait_for("the request at the endpoint", || !site.endpoint.seen().is_empty());
+    let signalled = Instant::now();
+    site.gateway.signal("-TERM");
+    read_answer(client);
+    let cut_after = signalled.elapsed().as_secs_f64();
+    wait_for("the end of the daemon", || site.gateway.has_ended());
+    let ended_after = signalled.elapsed().as_secs_f64();
+    println!("grace {grace_s} s: cut after {cut_after:.3} s, ended after {ended_after:.3} s");
+    expect_that!(cut_after, ge(grace_s * 5.0 / 6.0));
+    expect_that!(ended_after, le(grace_s));
+}
+
+macro_rules! stop_lasts_as_long_as_it_may {
+    ($($name:ident: $grace_s:expr;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            stop_takes_the_grace_time($grace_s);
+        }
+    )*};
+}
+
+stop_lasts_as_long_as_it_may! {
+    stop_with_a_short_grace_time: 2.0;
+    stop_with_a_grace_time_as_long_as_connections_are_accepted: 3.5;
+    stop_with_a_long_grace_time: 6.0;
+}
