Failing test: a stream begun during a stop is cut after 30 s

With a grace time of 45 s a stream of 33 s on a connection that was accepted after SIGTERM ended without its end, and its line said "client left".

--- a/tests/gateway/cut_requests.rs
+++ b/tests/gateway/cut_requests.rs
@@ -7,7 +7,10 @@
 use serde_json::json;
 
 use crate::{
-    cut_site::{CutSite, GRACE_S, STOP_PAUSE, patient_request, send},
+    cut_site::{
+        CutSite, GRACE_S, ROUTE_LIMIT_MS, STOP_PAUSE, patient_request, send, slow_configuration,
+        text_of,
+    },
     endpoint_standin::EndpointManner,
     gateway_site::{RawAnswer, parse_answer, wait_for},
 };
@@ -95,3 +98,29 @@
     stop_with_a_grace_time_as_long_as_connections_are_accepted: 3.5;
     stop_with_a_long_grace_time: 6.0;
 }
+
+/// Events of a stream of more than 30 seconds.
+const LONG_STREAM_EVENTS: u64 = 3_300;
+
+#[googletest::test]
+fn long_stream_begun_during_a_stop_is_not_cut_before_its_grace_time() {
+    let mut site = CutSite::start(EndpointManner::Stream(LONG_STREAM_EVENTS), 45.0);
+    let mut slow = slow_configuration(4);
+    for route in slow["routes"].as_array_mut().expect("routes") {
+        route["timeout-ms"] = json!(44_000);
+    }
+    site.platform.put("config", "main", slow);
+    wait_for("the configuration", || {
+        site.log().iter().any(|line| {
+            line["payload"] == "configuration" && text_of(&line["kv"]["version"]) == "4"
+        })
+    });
+    site.gateway.signal("-TERM");
+    thread::sleep(STOP_PAUSE);
+    let request = String::from_utf8(patient_request("/rigid/", "long", b"")).expect("text");
+    let request = request.replace(&ROUTE_LIMIT_MS.to_string(), "44000");
+    let answer = read_answer(send(site.gateway.clients, request.as_bytes()));
+    expect_that!(answer.whole, eq(true));
+    wait_for("the end of the daemon", || site.gateway.has_ended());
+    expect_that!(site.outcomes("long"), elements_are![eq("answered")]);
+}
