--- a/tests/gateway/cut_requests.rs
+++ b/tests/gateway/cut_requests.rs
@@ -1,7 +1,12 @@
 //! Requests that a stop of their daemon cuts, or that their client leaves: each has a line in the log that says so,
 //! and none is cut earlier than necessary.
 
-use std::{io::Read, net::TcpStream, thread, time::Instant};
+use std::{
+    io::Read,
+    net::{SocketAddr, TcpStream},
+    thread,
+    time::{Duration, Instant},
+};
 
 use googletest::prelude::*;
 use serde_json::json;
@@ -12,7 +17,7 @@
         text_of,
     },
     endpoint_standin::EndpointManner,
-    gateway_site::{RawAnswer, parse_answer, wait_for},
+    gateway_site::{KeptConnection, RawAnswer, parse_answer, read_metric, wait_for},
 };
 
 /// Outcome of a request that a stop cuts.
@@ -124,3 +129,65 @@
     wait_for("the end of the daemon", || site.gateway.has_ended());
     expect_that!(site.outcomes("long"), elements_are![eq("answered")]);
 }
+
+/// Begins a request whose body hasn't arrived completely.
+fn send_part(address: SocketAddr, id: &str) -> TcpStream {
+    let whole = patient_request("/once/", id, &[b'x'; 1_000]);
+    send(address, &whole[..whole.len() - 500])
+}
+
+/// More than the request lines that are written a second.
+const MANY: usize = 600;
+
+#[googletest::test]
+fn stop_with_many_requests_names_each() {
+    let mut site = CutSite::start(EndpointManner::Answer, GRACE_S);
+    let address = site.gateway.clients;
+    let clients: Vec<_> = (0..MANY).map(|one| send_part(address, &format!("cut-{one}"))).collect();
+    thread::sleep(STOP_PAUSE);
+    site.stop();
+    drop(clients);
+    let outcomes = site.outcomes("cut-");
+    expect_that!(outcomes.iter().filter(|outcome| *outcome == STOPPED).count(), eq(MANY));
+    expect_that!(site.cut_off(), elements_are![eq(&MANY.to_string())]);
+}
+
+/// Number of clients that send requests one after the other.
+const QUICK_CLIENTS: usize = 4;
+/// Time for which they do so.
+const QUICK_TIME: Duration = Duration::from_millis(2_500);
+/// Clients that leave meanwhile.
+const LEAVERS: usize = 20;
+
+#[googletest::test]
+fn lines_of_cut_requests_are_not_dropped_for_those_of_answered_ones() {
+    let site = CutSite::start(EndpointManner::Answer, GRACE_S);
+    let address = site.gateway.clients;
+    let quick: Vec<_> = (0..QUICK_CLIENTS)
+        .map(|client| thread::spawn(move || ask_quickly(address, client)))
+        .collect();
+    thread::sleep(QUICK_TIME / 2);
+    for leaver in 0..LEAVERS {
+        let client = send_part(address, &format!("left-{leaver}"));
+        thread::sleep(QUICK_TIME / 4 / LEAVERS as u32);
+        drop(client);
+    }
+    let asked: usize = quick.into_iter().map(|client| client.join().expect("client")).sum();
+    let dropped = read_metric(site.gateway.metrics, "request_lines_dropped");
+    println!("{asked} requests answered, {dropped:?} lines dropped");
+    expect_that!(dropped, some(gt(0.0)));
+    wait_for("lines of the clients that left", || site.outcomes("left-").len() == LEAVERS);
+}
+
+/// Number of requests asked on one connection in the time.
+fn ask_quickly(address: SocketAddr, client: usize) -> usize {
+    let until = Instant::now() + QUICK_TIME;
+    let mut connection = KeptConnection::open(address).expect("connection");
+    let mut asked = 0;
+    while Instant::now() < until {
+        let id = format!("quick-{client}-{asked}");
+        connection.ask(&patient_request("/plain/", &id, b"")).expect("answer");
+        asked += 1;
+    }
+    asked
+}
