Failing test: a daemon whose output nobody reads doesn't end

After 1,000 requests whose lines nobody read the daemon had not ended 15 s after SIGTERM with a grace time of 4.5 s: the log's exit handler waits for the thread that writes.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -93,4 +93,5 @@
 mod text_model;
 mod tunnels;
 mod unknown_routes;
+mod unread_output;
 mod version_fleet;
