--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -92,6 +92,7 @@
 mod suspension;
 mod text_model;
 mod tunnels;
+mod undisturbed_streams;
 mod unknown_routes;
 mod unread_output;
 mod version_fleet;
