A request that a stop cuts says so in its line

What callers saw: nothing new; their requests were cut at the end of a grace time, and the daemon's log said that they had left. Cause: the outcome of a request whose task is dropped was always "client left", and requests on connections that were accepted during the stop were dropped only with the runtime, after the line "stopped".

Now the phase of the daemon's life decides between "client left" and "daemon stopped", and a panic of the request's own task is "request panicked". Connections accepted during a stop end with it, and when their client leaves; the daemon waits for all of them (at most 100 ms) before its last line.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -13,7 +13,7 @@
 
 use tokio::{
     sync::Notify,
-    time::{Instant, sleep},
+    time::{Instant, sleep, timeout},
 };
 
 use super::{
@@ -77,6 +77,10 @@
 const TUNNEL_LINES: u32 = 20;
 /// Part of the grace time that is reserved for writing the logs and exiting.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Longest time for which connections of clients are ended: their tasks have nothing to wait for.
+const END_LIMIT: Duration = Duration::from_millis(100);
+/// Interval between checks whether all of them have ended.
+const END_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// Interval between checks whether requests are still in progress during a stop: short compared to the
 /// grace time.
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
@@ -112,11 +116,25 @@
     kernel.start(RELOADER, log_reloads(context.clone()));
     kernel.start(STOPPER, stop_on_signal(context.clone()));
     let exit = kernel.run().await;
+    end_connections(&context).await;
     spdlog::info!("stopped", kv: { outcome: = exit });
     logs::flush();
     Ok(exit)
 }
 
+/// Ends the connections of clients, so that their requests have their log lines before the daemon's last one.
+async fn end_connections(context: &GatewayContext) {
+    // Also after a service has failed.
+    context.kernel.enter(LifePhase::Stopping);
+    let ended = async {
+        while context.client_connections.get() > 0 {
+            sleep(END_CHECK_INTERVAL).await;
+        }
+    };
+    // Connections that are left end with the process.
+    let _ = timeout(END_LIMIT, ended).await;
+}
+
 fn assemble(settings: GatewaySettings, kernel: KernelHandle, now: Instant) -> GatewayContext {
     let metrics = MetricsHandle::default();
     GatewayContext {
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -19,7 +19,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
     net::{TcpListener, TcpStream},
-    time::{sleep, sleep_until, timeout},
+    time::{sleep, sleep_until},
 };
 
 use self::{
@@ -97,12 +97,10 @@
     let handover = Handover::default();
     serve_http(&stream, &context, &usage, &handover).await;
     let Some(response) = handover.take() else { return };
-    let mut phase = context.kernel.phase();
     // An error is the client's, or the response's own, which has its log line.
     tokio::select! {
         _ = unframed_response::send(stream.clone(), response) => {}
-        () = until_client_left(&stream, &usage) => {}
-        _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => {}
+        () = until_cut(&stream, &context, &usage) => {}
     }
 }
 
@@ -126,8 +124,13 @@
     tokio::pin!(connection);
     if context.is_leaving() {
         // The connection ends after one response; closing it now would lose its request.
-        // Errors are caused by the client; requests have their own log lines.
-        let _ = timeout(STOPPING_LIMIT, connection).await;
+        tokio::select! {
+            biased;
+            // Errors are caused by the client; requests have their own log lines.
+            _ = connection.as_mut() => {}
+            () = until_cut(stream, context, usage) => {}
+            () = sleep(STOPPING_LIMIT) => {}
+        }
         return;
     }
     let mut phase = context.kernel.phase();
@@ -143,6 +146,14 @@
     tokio::select! {
         biased;
         _ = connection.as_mut() => {}
+        () = until_cut(stream, context, usage) => {}
+    }
+}
+
+/// Waits until a connection ends even under a request: its client has left, or the daemon ends.
+async fn until_cut(stream: &ClientStream, context: &GatewayContext, usage: &ConnectionUse) {
+    let mut phase = context.kernel.phase();
+    tokio::select! {
         () = until_client_left(stream, usage) => {}
         _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => {}
     }
--- /dev/null
+++ b/src/gateway/request/cut_cause.rs
@@ -0,0 +1,39 @@
+//! Why a request ends before its response has been passed on completely or it has been refused.
+
+use derive_more::Display;
+
+use crate::kernel::LifePhase;
+
+/// What has ended a request that was in progress.
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
+pub enum CutCause {
+    /// The client has closed its connection, or its sending side.
+    #[display("client left")]
+    ClientLeft,
+    /// The daemon ends, after its grace time or because a service has failed.
+    #[display("daemon stopped")]
+    DaemonStopped,
+    /// The request's own task has panicked; the daemon goes on.
+    #[display("request panicked")]
+    RequestPanicked,
+}
+
+impl CutCause {
+    /// Finds the cause of a request that ends in this phase of the daemon.
+    pub fn find(phase: LifePhase, is_panicking: bool) -> Self {
+        match phase {
+            _ if is_panicking => Self::RequestPanicked,
+            LifePhase::Stopping => Self::DaemonStopped,
+            LifePhase::Running | LifePhase::Draining => Self::ClientLeft,
+        }
+    }
+
+    /// Metric that counts such requests.
+    pub fn metric(self) -> &'static str {
+        match self {
+            Self::ClientLeft => "client_left",
+            Self::DaemonStopped => "cut_by_stop",
+            Self::RequestPanicked => "request_panics",
+        }
+    }
+}
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -6,6 +6,7 @@
 use std::{
     fmt::{Display, Write},
     rc::Rc,
+    thread,
     time::Duration,
 };
 
@@ -14,6 +15,7 @@
 
 use super::{
     connection_pool::SendFailure,
+    cut_cause::CutCause,
     response_meaning::{BodyFraming, ResponseMetadata},
 };
 use crate::{
@@ -280,9 +282,12 @@
 
 impl Drop for RequestTrace {
     fn drop(&mut self) {
-        if !self.ended {
-            self.context.metrics.count("client_left", 1);
-            self.end("client left", 0);
+        if self.ended {
+            return;
         }
+        let phase = *self.context.kernel.phase().borrow();
+        let cause = CutCause::find(phase, thread::panicking());
+        self.context.metrics.count(cause.metric(), 1);
+        self.end(&cause.to_string(), 0);
     }
 }
