A stream that begins during a stop isn't cut after 30 s

What callers saw: with a grace time above 30 s, a response on a connection that was accepted after SIGTERM broke off 30 s later. Cause: the lifetime of such connections was bounded, whether or not a request was in progress on them. Now the bound is for connections that have had no request; what else ends one is its client or the end of the daemon.

Run: a stream of 33 s with a grace time of 45 s is whole and logged as answered.

--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -43,9 +43,9 @@
 /// A connection is closed this much later than the configured idle time, so that a request sent at
 /// the last moment still arrives before the close: far longer than a round trip.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
-/// Upper bound for the lifetime of a connection accepted by a stopping daemon; normally the process
-/// exits earlier.
-const STOPPING_LIMIT: Duration = Duration::from_secs(30);
+/// Longest time for which a connection accepted by a stopping daemon may have had no request; normally the
+/// process exits earlier.
+const UNUSED_LIMIT: Duration = Duration::from_secs(30);
 /// Smallest buffer for a head that the HTTP library accepts, in bytes: the library panics below it.
 const MIN_BUFFER: usize = 8 * 1024;
 /// Pause before accepting again at the connection limit or after a failed accept: short for
@@ -122,31 +122,34 @@
     let io = TokioIo::new(stream.clone());
     let connection = http1_builder(context).serve_connection(io, service);
     tokio::pin!(connection);
-    if context.is_leaving() {
-        // The connection ends after one response; closing it now would lose its request.
+    let is_leaving = context.is_leaving();
+    if !is_leaving {
+        let mut phase = context.kernel.phase();
+        // The connection is polled first: bytes that it reads itself don't have to be buffered for it.
         tokio::select! {
             biased;
-            // Errors are caused by the client; requests have their own log lines.
-            _ = connection.as_mut() => {}
-            () = until_cut(stream, context, usage) => {}
-            () = sleep(STOPPING_LIMIT) => {}
+            _ = connection.as_mut() => return,
+            () = until_client_left(stream, usage) => return,
+            () = until_idle_too_long(context, usage) => {}
+            _ = phase.wait_for(|phase| *phase >= LifePhase::Draining) => {}
         }
-        return;
+        connection.as_mut().graceful_shutdown();
     }
-    let mut phase = context.kernel.phase();
-    // The connection is polled first: bytes that it reads itself don't have to be buffered for it.
-    tokio::select! {
-        biased;
-        _ = connection.as_mut() => return,
-        () = until_client_left(stream, usage) => return,
-        () = until_idle_too_long(context, usage) => {}
-        _ = phase.wait_for(|phase| *phase >= LifePhase::Draining) => {}
-    }
-    connection.as_mut().graceful_shutdown();
+    // A connection accepted by a stopping daemon ends after one response by itself.
+    // Errors are caused by the client; requests have their own log lines.
     tokio::select! {
         biased;
         _ = connection.as_mut() => {}
         () = until_cut(stream, context, usage) => {}
+        () = until_unused(usage), if is_leaving => {}
+    }
+}
+
+/// Waits for as long as a connection that a stopping daemon accepts may have had no request.
+async fn until_unused(usage: &ConnectionUse) {
+    sleep(UNUSED_LIMIT).await;
+    if usage.had_request.get() {
+        std::future::pending().await
     }
 }
 
--- a/src/gateway/request/client_listener/request_body.rs
+++ b/src/gateway/request/client_listener/request_body.rs
@@ -22,6 +22,8 @@
 pub struct ConnectionUse {
     /// Whether a request is being handled or its response is being passed on.
     pub is_busy: Cell<bool>,
+    /// Whether a request has begun.
+    pub had_request: Cell<bool>,
     /// When the last response ended, or the connection began.
     pub idle_since: Cell<Instant>,
 }
@@ -29,12 +31,17 @@
 impl ConnectionUse {
     /// Use of a connection that has just begun.
     pub fn new() -> Self {
-        Self { is_busy: Cell::new(false), idle_since: Cell::new(boot_clock::now()) }
+        Self {
+            is_busy: Cell::new(false),
+            had_request: Cell::new(false),
+            idle_since: Cell::new(boot_clock::now()),
+        }
     }
 
     /// Marks the connection as busy until the returned guard is dropped.
     pub fn begin_request(self: &Rc<Self>) -> RequestEnd {
         self.is_busy.set(true);
+        self.had_request.set(true);
         RequestEnd(self.clone())
     }
 
