A stop ends within a short grace time

What callers saw: with a grace time below 4 s the daemon was still up when the platform kills it; requests ended without a line. Cause: the times after which requests and connections are refused were waited for, whatever the grace time.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -13,7 +13,7 @@
 
 use tokio::{
     sync::Notify,
-    time::{Instant, sleep, timeout},
+    time::{Instant, sleep, sleep_until, timeout},
 };
 
 use super::{
@@ -28,7 +28,8 @@
     leader::leader_tasks,
     policy::{
         daemon::{
-            catch_up::CatchUpState, peer_contact::PeerContact, store_watchers::WatcherElection,
+            catch_up::CatchUpState, peer_contact::PeerContact, stop_times::StopTimes,
+            store_watchers::WatcherElection,
         },
         endpoint::{
             endpoint_starts::lost_entries::EntryHistory, endpoint_table::EndpointTable,
@@ -65,18 +66,10 @@
 const STOPPER: &str = "leaver";
 /// Name of the service that handles SIGHUP.
 const RELOADER: &str = "reloader";
-/// Time after the signal from which requests are refused: by then the load balancer sends new
-/// connections elsewhere, and a long request might be cut off.
-const REFUSE_AFTER: Duration = Duration::from_millis(2_800);
-/// Time after the signal until which connections are accepted. Longer than [`REFUSE_AFTER`], since a
-/// request can only be refused on an accepted connection.
-const ACCEPT_FOR: Duration = Duration::from_millis(3_500);
 /// Most lines of the request log a second; limits the volume of logs under load.
 const REQUEST_LINES: u32 = 400;
 /// Most log lines a second about tunnels.
 const TUNNEL_LINES: u32 = 20;
-/// Part of the grace time that is reserved for writing the logs and exiting.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Longest time for which connections of clients are ended: their tasks have nothing to wait for.
 const END_LIMIT: Duration = Duration::from_millis(100);
 /// Interval between checks whether all of them have ended.
@@ -218,16 +211,16 @@
     let begun = boot_clock::now();
     context.kernel.enter(LifePhase::Draining);
     spdlog::info!("stopping", kv: { active: = context.active.get() });
-    let stop_deadline = begun + context.settings.bounds.stop_grace.saturating_sub(GRACE_MARGIN);
-    sleep(REFUSE_AFTER).await;
+    let times = StopTimes::new(begun, context.settings.bounds.stop_grace);
+    sleep_until(boot_clock::timer_at(times.refuse_at)).await;
     context.intake.set(Intake::Refusing);
-    sleep(ACCEPT_FOR - REFUSE_AFTER).await;
+    sleep_until(boot_clock::timer_at(times.close_at)).await;
     context.intake.set(Intake::Closed);
     let is_busy = || {
         let used = [&context.active, &context.client_connections, &context.carried_tunnels];
         used.iter().any(|count| count.get() > 0)
     };
-    while is_busy() && boot_clock::now() < stop_deadline {
+    while is_busy() && boot_clock::now() < times.cut_at {
         sleep(BUSY_CHECK_INTERVAL).await;
     }
     spdlog::info!("stopping", kv: { cut_off: = context.active.get() });
--- a/src/gateway/policy/daemon.rs
+++ b/src/gateway/policy/daemon.rs
@@ -1,5 +1,5 @@
 //! Decisions of a daemon that do not concern single requests: its readiness, whether it
-//! reaches the endpoints, whether it watches the store, and which texts it fetches from peers.
+//! reaches the endpoints, whether it watches the store, which texts it fetches from peers, and the steps of a stop.
 
 pub mod catch_up;
 pub mod daemon_count;
@@ -8,6 +8,7 @@
 pub mod held_texts;
 pub mod peer_contact;
 pub mod readiness;
+pub mod stop_times;
 pub mod store_watchers;
 pub mod text_fetches;
 pub mod text_pacing;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -81,6 +81,7 @@
 mod soak_clients;
 mod soak_crashes;
 mod soak_signals;
+mod stop_times;
 mod store_connections;
 mod store_loss;
 mod store_loss_fleet;
