Test of dropped lines: answered and refused requests apart, in numbers that the quota allows

The former test asked faster than its account's quota, so most of its many requests were refused, and it didn't look at their status.

--- a/tests/gateway/cut_requests.rs
+++ b/tests/gateway/cut_requests.rs
@@ -156,38 +156,71 @@
 const QUICK_CLIENTS: usize = 4;
 /// Time for which they do so.
 const QUICK_TIME: Duration = Duration::from_millis(2_500);
+/// Pause after each of these requests: all together they are more than the lines of a second, and less than their
+/// account's quota.
+const QUICK_PAUSE: Duration = Duration::from_millis(2);
 /// Clients that leave meanwhile.
 const LEAVERS: usize = 20;
 
-#[googletest::test]
-fn lines_of_cut_requests_are_not_dropped_for_those_of_answered_ones() {
-    let site = CutSite::start(EndpointManner::Answer, GRACE_S);
+/// What the many requests get that are logged beside those of clients that leave.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum QuickResponse {
+    Answer,
+    Refusal,
+}
+
+fn lines_appear_beside(response: QuickResponse) {
+    let (manner, path, status) = match response {
+        QuickResponse::Answer => (EndpointManner::Answer, "/plain/", 200),
+        QuickResponse::Refusal => (EndpointManner::Silent, "/none/", 404),
+    };
+    let site = CutSite::start(manner, GRACE_S);
     let address = site.gateway.clients;
     let quick: Vec<_> = (0..QUICK_CLIENTS)
-        .map(|client| thread::spawn(move || ask_quickly(address, client)))
+        .map(|client| thread::spawn(move || ask_quickly(address, client, path, status)))
         .collect();
     thread::sleep(QUICK_TIME / 2);
     for leaver in 0..LEAVERS {
-        let client = send_part(address, &format!("left-{leaver}"));
+        let id = format!("left-{leaver}");
+        let client = match response {
+            QuickResponse::Answer => send_part(address, &id),
+            QuickResponse::Refusal => send(address, &patient_request("/once/", &id, b"")),
+        };
         thread::sleep(QUICK_TIME / 4 / LEAVERS as u32);
         drop(client);
     }
     let asked: usize = quick.into_iter().map(|client| client.join().expect("client")).sum();
     let dropped = read_metric(site.gateway.metrics, "request_lines_dropped");
-    println!("{asked} requests answered, {dropped:?} lines dropped");
+    println!("{asked} requests, {dropped:?} lines dropped");
     expect_that!(dropped, some(gt(0.0)));
-    wait_for("lines of the clients that left", || site.outcomes("left-").len() == LEAVERS);
+    thread::sleep(STOP_PAUSE);
+    expect_that!(site.outcomes("left-"), len(eq(LEAVERS)));
 }
 
-/// Number of requests asked on one connection in the time.
-fn ask_quickly(address: SocketAddr, client: usize) -> usize {
+/// Number of requests asked on one connection in the time, all with this status.
+fn ask_quickly(address: SocketAddr, client: usize, path: &str, status: u16) -> usize {
     let until = Instant::now() + QUICK_TIME;
     let mut connection = KeptConnection::open(address).expect("connection");
     let mut asked = 0;
     while Instant::now() < until {
-        let id = format!("quick-{client}-{asked}");
-        connection.ask(&patient_request("/plain/", &id, b"")).expect("answer");
+        let request = patient_request(path, &format!("quick-{client}-{asked}"), b"");
+        assert_eq!(connection.ask(&request).expect("answer").status, status);
         asked += 1;
+        thread::sleep(QUICK_PAUSE);
     }
     asked
 }
+
+macro_rules! lines_of_clients_that_leave_appear {
+    ($($name:ident: $response:expr;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            lines_appear_beside($response);
+        }
+    )*};
+}
+
+lines_of_clients_that_leave_appear! {
+    lines_of_cut_requests_are_not_dropped_for_those_of_answered_ones: QuickResponse::Answer;
+    lines_of_cut_requests_are_not_dropped_for_those_of_refused_ones: QuickResponse::Refusal;
+}
