Lines of cut requests aren't dropped for those of answered or refused ones

What callers saw: nothing; a request that was cut beside much traffic had no line. Cause: all request lines shared 400 a second. Now answered requests, those refused or broken off, and those whose client left have 400 each, and the requests that the daemon cuts when it stops all have theirs: they are at most as many as connections (2,500), once. The queue of the log holds 8,192 lines instead of 4,096.

Weighed: a part of one budget kept for these lines, which halves those of answered requests at all times; and a budget of their own, which adds lines only while requests fail.

Not told apart yet: a response that broke off has the rank of a refusal.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -66,7 +66,7 @@
 const STOPPER: &str = "leaver";
 /// Name of the service that handles SIGHUP.
 const RELOADER: &str = "reloader";
-/// Most lines of the request log a second; limits the volume of logs under load.
+/// Most lines of the request log a second, of each rank; limits the volume of logs under load.
 const REQUEST_LINES: u32 = 400;
 /// Most log lines a second about tunnels.
 const TUNNEL_LINES: u32 = 20;
--- a/src/gateway/request.rs
+++ b/src/gateway/request.rs
@@ -9,7 +9,6 @@
 pub mod client_listener;
 pub mod connection_pool;
 pub mod crash_watch;
-pub mod cut_cause;
 pub mod dispatch;
 pub mod event_cutter;
 pub mod first_response;
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -1,12 +1,14 @@
 //! The request log: one structured line per request with its outcome and the steps that led to it.
 //! Also updates the metrics of the same events.
 //!
-//! The number of lines per second is limited; dropped lines are counted and logged.
+//! The number of lines per second is limited, separately for requests that were served, that were refused
+//! or broke, and whose client left; dropped lines are counted and logged.
+
+pub mod cut_cause;
 
 use std::{
     fmt::{Display, Write},
     rc::Rc,
-    thread,
     time::Duration,
 };
 
@@ -15,7 +17,6 @@
 
 use super::{
     connection_pool::SendFailure,
-    cut_cause::CutCause,
     response_meaning::{BodyFraming, ResponseMetadata},
 };
 use crate::{
@@ -37,8 +38,12 @@
         },
     },
     ids::SharedName,
+    logs::LineRank,
 };
 
+/// Outcome of a request whose response was passed on completely.
+const SERVED: &str = "answered";
+
 /// Trace of one request. Writes the log line when the request ends, or when the trace is dropped.
 pub struct RequestTrace {
     context: Rc<GatewayContext>,
@@ -251,17 +256,24 @@
     }
 
     fn end(&mut self, outcome: &str, events: u64) {
+        let rank = if outcome == SERVED { LineRank::Usual } else { LineRank::Refusal };
+        self.end_as(rank, outcome, events);
+    }
+
+    fn end_as(&mut self, rank: LineRank, outcome: &str, events: u64) {
         self.ended = true;
-        let mut lines = self.context.request_lines.borrow_mut();
-        if !lines.allows(boot_clock::now()) {
+        if self.context.request_lines.borrow_mut().allows_rank(rank, boot_clock::now()) {
+            self.write_line(outcome, events);
+        } else {
             self.context.metrics.count("request_lines_dropped", 1);
-            return;
         }
-        let dropped = lines.take_dropped();
+    }
+
+    fn write_line(&self, outcome: &str, events: u64) {
+        let dropped = self.context.request_lines.borrow_mut().take_dropped();
         if dropped > 0 {
             spdlog::warn!("request lines dropped", kv: { dropped });
         }
-        drop(lines);
         let now = boot_clock::now();
         let configuration = self.context.configuration();
         let version = configuration.map_or(0, |current| current.version);
@@ -279,15 +291,3 @@
         });
     }
 }
-
-impl Drop for RequestTrace {
-    fn drop(&mut self) {
-        if self.ended {
-            return;
-        }
-        let phase = *self.context.kernel.phase().borrow();
-        let cause = CutCause::find(phase, thread::panicking());
-        self.context.metrics.count(cause.metric(), 1);
-        self.end(&cause.to_string(), 0);
-    }
-}
--- a/src/gateway/request/cut_cause.rs
+++ b/src/gateway/request/request_log/cut_cause.rs
@@ -1,8 +1,12 @@
-//! Why a request ends before its response has been passed on completely or it has been refused.
+//! Why a request ends before its response has been passed on completely or it has been refused: its trace is
+//! dropped without an outcome.
+
+use std::thread;
 
 use derive_more::Display;
 
-use crate::kernel::LifePhase;
+use super::RequestTrace;
+use crate::{kernel::LifePhase, logs::LineRank};
 
 /// What has ended a request that was in progress.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -37,3 +41,20 @@
         }
     }
 }
+
+impl Drop for RequestTrace {
+    fn drop(&mut self) {
+        if self.ended {
+            return;
+        }
+        let phase = *self.context.kernel.phase().borrow();
+        let cause = CutCause::find(phase, thread::panicking());
+        self.context.metrics.count(cause.metric(), 1);
+        let outcome = cause.to_string();
+        match cause {
+            // As many as there are connections, at most, and once.
+            CutCause::DaemonStopped => self.write_line(&outcome, 0),
+            _ => self.end_as(LineRank::Loss, &outcome, 0),
+        }
+    }
+}
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -12,9 +12,9 @@
 
 use crate::native::options::settings::LogLevel;
 
-/// Lines that may wait to be written; more are dropped. Enough for the request lines of ten seconds
-/// at their rate limit.
-const WAITING_LINES: usize = 4_096;
+/// Lines that may wait to be written; more are dropped. Enough for the request lines of six seconds
+/// at their rate limits.
+const WAITING_LINES: usize = 8_192;
 
 /// Sends the process's logs to standard output as JSON lines. A separate thread writes them, so
 /// that the daemon is not blocked if nothing reads its output; lines beyond `WAITING_LINES` are
@@ -45,30 +45,52 @@
 /// Interval after which a budget is reset.
 const BUDGET_PERIOD: Duration = Duration::from_secs(1);
 
-/// Limits the log lines of one kind that are written per second, and counts those dropped.
+/// What a log line says; lines of each rank have a limit of their own.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LineRank {
+    /// All went well.
+    Usual,
+    /// Something was refused.
+    Refusal,
+    /// Something that had begun was lost.
+    Loss,
+}
+
+/// Number of ranks.
+const RANKS: usize = 3;
+
+/// Limits the log lines of one kind that are written per second, and counts those dropped. Frequent lines of one rank
+/// don't displace those of another.
 #[derive(Debug)]
 pub struct LineBudget {
     lines_per_s: u32,
     period_start: Instant,
-    written: u32,
+    /// Lines written in the period, by rank.
+    written: [u32; RANKS],
     dropped: u64,
 }
 
 impl LineBudget {
-    /// Creates a budget of `lines_per_s`.
+    /// Creates a budget of `lines_per_s` for the lines of each rank.
     pub fn new(lines_per_s: u32, now: Instant) -> Self {
-        Self { lines_per_s, period_start: now, written: 0, dropped: 0 }
+        Self { lines_per_s, period_start: now, written: [0; RANKS], dropped: 0 }
     }
 
-    /// Whether a line may be written now; counts it as written or dropped.
+    /// Whether a usual line may be written now; counts it as written or dropped.
     pub fn allows(&mut self, now: Instant) -> bool {
+        self.allows_rank(LineRank::Usual, now)
+    }
+
+    /// Whether a line of this rank may be written now; counts it as written or dropped.
+    pub fn allows_rank(&mut self, rank: LineRank, now: Instant) -> bool {
         if now.saturating_duration_since(self.period_start) >= BUDGET_PERIOD {
             self.period_start = now;
-            self.written = 0;
+            self.written = [0; RANKS];
         }
-        let allowed = self.written < self.lines_per_s;
+        let written = &mut self.written[rank as usize];
+        let allowed = *written < self.lines_per_s;
         match allowed {
-            true => self.written += 1,
+            true => *written += 1,
             false => self.dropped += 1,
         }
         allowed
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -15,6 +15,7 @@
 mod crashing_endpoint;
 mod crashing_parts;
 mod crashing_requests;
+mod cut_causes;
 mod cut_requests;
 mod cut_site;
 mod decoders;
--- a/tests/gateway/operations.rs
+++ b/tests/gateway/operations.rs
@@ -5,7 +5,10 @@
 use googletest::prelude::*;
 use serde_json::{Value, json};
 use tokio::time::Instant;
-use willowarch::{control::gateway, logs::LineBudget};
+use willowarch::{
+    control::gateway,
+    logs::{LineBudget, LineRank},
+};
 
 use crate::{
     endpoint_standin::EndpointManner,
@@ -117,6 +120,18 @@
     expect_that!(budget.allows(start + Duration::from_secs(1)), eq(true));
 }
 
+#[googletest::test]
+fn log_lines_of_each_rank_have_their_own_limit() {
+    let start = Instant::now();
+    let mut budget = LineBudget::new(10, start);
+    let mut written = |rank| (0..100).filter(|_| budget.allows_rank(rank, start)).count();
+    expect_that!(written(LineRank::Usual), eq(10));
+    expect_that!(written(LineRank::Refusal), eq(10));
+    expect_that!(written(LineRank::Loss), eq(10));
+    expect_that!(budget.take_dropped(), eq(270));
+    expect_that!(budget.allows_rank(LineRank::Loss, start + Duration::from_secs(1)), eq(true));
+}
+
 #[googletest::test]
 fn configuration_check_reports_each_problem() {
     let sound = configuration(3, &["key-1"]);
