A daemon whose output nobody reads ends all the same

What callers saw: nothing; the process stayed until SIGKILL. Cause: at exit the log waits for its thread, which waits for a reader. Now the end of the process gives it 200 ms, then leaves it; lines that nobody reads are lost. It does so as its last step, after the tasks of all connections have been dropped.

The tests of stops, whose lines are read, pass with it.

--- a/src/bin/willowarchd.rs
+++ b/src/bin/willowarchd.rs
@@ -47,6 +47,13 @@
             return ExitCode::from(EXIT_USAGE);
         }
     };
+    let code = log_result(result);
+    logs::finish();
+    code
+}
+
+/// Logs a result other than a planned stop, and returns its exit code.
+fn log_result(result: Option<RunResult>) -> ExitCode {
     match result {
         None => ExitCode::from(EXIT_USAGE),
         Some(Ok(KernelExit::Stopped)) => ExitCode::SUCCESS,
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -56,7 +56,7 @@
     http::server,
     ids::IncarnationId,
     kernel::{KernelExit, KernelHandle, LifePhase, ServiceKernel},
-    logs::{self, LineBudget},
+    logs::LineBudget,
     metrics::MetricsHandle,
     platform::store::StoreClient,
     wall_clock_ms,
@@ -111,7 +111,6 @@
     let exit = kernel.run().await;
     end_connections(&context).await;
     spdlog::info!("stopped", kv: { outcome: = exit });
-    logs::flush();
     Ok(exit)
 }
 
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -1,7 +1,11 @@
 //! Structured logs, one JSON object per line: the gateway logs to standard output, the native
 //! interface to standard error. `LineBudget` limits log lines whose number depends on clients.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, mpsc},
+    thread,
+    time::Duration,
+};
 
 use spdlog::{
     Level, LevelFilter, Logger, ThreadPool,
@@ -16,6 +20,10 @@
 /// at their rate limits.
 const WAITING_LINES: usize = 8_192;
 
+/// Longest time for which the end of the process waits for its lines to be written: less than is left of a grace
+/// time.
+const FINISH_LIMIT: Duration = Duration::from_millis(200);
+
 /// Sends the process's logs to standard output as JSON lines. A separate thread writes them, so
 /// that the daemon is not blocked if nothing reads its output; lines beyond `WAITING_LINES` are
 /// then dropped.
@@ -37,9 +45,19 @@
     Ok(())
 }
 
-/// Writes the waiting lines; call before the process ends.
-pub fn flush() {
-    spdlog::default_logger().flush();
+/// Writes the waiting lines, as long as somebody reads them; the last call before the process ends, since later
+/// lines are lost.
+pub fn finish() {
+    let Ok(silent) = Logger::builder().build() else { return };
+    let logger = spdlog::swap_default_logger(Arc::new(silent));
+    let (done, is_done) = mpsc::channel::<()>();
+    thread::spawn(move || {
+        // Waits for the thread that writes.
+        drop(logger);
+        drop(done);
+    });
+    // The thread has ended if this fails without a timeout.
+    let _ = is_done.recv_timeout(FINISH_LIMIT);
 }
 
 /// Interval after which a budget is reset.
