--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -77,6 +77,7 @@
 mod signal_responses;
 mod signal_rules;
 mod signalling_endpoint;
+mod silence_rules;
 mod silent_endpoints;
 mod soak;
 mod soak_clients;
