--- a/src/gateway/policy/request/usual_silence.rs
+++ b/src/gateway/policy/request/usual_silence.rs
@@ -30,7 +30,7 @@
 /// they are few.
 const USUAL_FRACTION: f64 = 0.75;
 /// A further run is worth beginning after this multiple of the usual silence.
-const USUAL_MULTIPLE: f64 = 3.0;
+const USUAL_MULTIPLE: f64 = 1.5;
 /// Lengths are counted in two classes for each power of two microseconds, from the shortest power to the longest.
 const SHORTEST_POWER: u32 = 10;
 const LONGEST_POWER: u32 = 26;
