--- a/src/gateway/policy/request.rs
+++ b/src/gateway/policy/request.rs
@@ -2,7 +2,6 @@
 //! `time_limits`, `endpoint_priority`, `retries` and `retry_budget`. `refusal` lists the reasons
 //! for which a request may be refused, and `retry_after` sets the time after which the client may
 //! retry. `stream_origin` decides where a stream goes on that its client takes up again.
-//! `usual_silence` says after which silence a further run is worth beginning.
 
 pub mod admission;
 pub mod configuration_doubt;
@@ -20,4 +19,3 @@
 pub mod retry_budget;
 pub mod stream_origin;
 pub mod time_limits;
-pub mod usual_silence;
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -102,4 +102,5 @@
 mod undisturbed_streams;
 mod unknown_routes;
 mod unread_output;
+mod usual_silence;
 mod version_fleet;
--- a/tests/gateway/silence_endpoints.rs
+++ b/tests/gateway/silence_endpoints.rs
@@ -4,7 +4,8 @@
 
 use rand::{RngExt, rngs::SmallRng};
 use tokio::time::Instant;
-use willowarch::gateway::policy::request::usual_silence::SilenceStage;
+
+use crate::usual_silence::SilenceStage;
 
 /// Events of a stream.
 pub const EVENTS: u32 = 10;
--- a/tests/gateway/silence_fleet.rs
+++ b/tests/gateway/silence_fleet.rs
@@ -6,9 +6,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 use willowarch::{
-    gateway::policy::request::{
-        retry_budget::BudgetTerms, time_limits::AskPause, usual_silence::SilenceStage,
-    },
+    gateway::policy::request::{retry_budget::BudgetTerms, time_limits::AskPause},
     ids::{SharedName, hash_parts},
 };
 
@@ -17,6 +15,7 @@
         EVENTS, EndpointPool, ModelRun, RunStep, TROUBLE_FROM, TROUBLE_UNTIL, Trouble,
     },
     silence_requests::{Figures, Fleet, ModelDaemon, ModelRequest, Way},
+    usual_silence::SilenceStage,
 };
 
 const WINDOW: Duration = Duration::from_secs(10);
--- a/tests/gateway/silence_requests.rs
+++ b/tests/gateway/silence_requests.rs
@@ -3,13 +3,13 @@
 use std::{ops::AddAssign, time::Duration};
 
 use tokio::time::Instant;
-use willowarch::gateway::policy::request::{
-    retry_budget::{BudgetTerms, RetryBudget},
+use willowarch::gateway::policy::request::retry_budget::{BudgetTerms, RetryBudget};
+
+use crate::{
+    silence_endpoints::EVENTS,
     usual_silence::{SilenceStage, SilenceTable},
 };
 
-use crate::silence_endpoints::EVENTS;
-
 const STREAM_TARGET: Duration = Duration::from_millis(300);
 const GAP_TARGET: Duration = Duration::from_millis(100);
 const PLAIN_TARGET: Duration = Duration::from_millis(800);
--- a/tests/gateway/silence_rules.rs
+++ b/tests/gateway/silence_rules.rs
@@ -4,10 +4,9 @@
 
 use googletest::prelude::*;
 use tokio::time::{Instant, advance};
-use willowarch::{
-    gateway::policy::request::usual_silence::{SilenceStage, SilenceTable},
-    ids::SharedName,
-};
+use willowarch::ids::SharedName;
+
+use crate::usual_silence::{SilenceStage, SilenceTable};
 
 const FIXED: Duration = Duration::from_millis(400);
 /// Time between two silences that end.
--- a/src/gateway/policy/request/usual_silence.rs
+++ b/tests/gateway/usual_silence.rs
@@ -18,7 +18,7 @@
 
 use tokio::time::Instant;
 
-use crate::ids::SharedName;
+use willowarch::ids::SharedName;
 
 /// Silences that are kept of each stage of a route.
 const KEPT_SILENCES: usize = 64;
