Native interface: a silent run is kept until another one serves the client

Callers saw: a stream that ended without [DONE], or 502 for a plain call, though its endpoint was at work. With limits of 200 ms and a pause of 5 s, four streams were broken off after 0 or 10 of 60 tokens; plain calls of 2 s were answered 502.

Cause: the attempt ended itself at first_token_timeout or token_timeout, and only then was asked whether attempts, the bucket and other endpoints allow another one. A call that may not be repeated, for which no other attempt is ever allowed, was given up after 10 s although its client is kept waiting for 45 s.

Now an attempt only reports that it is silent. The driver asks for another endpoint (attempts left, a retry in the bucket, an endpoint with room and without a run of this request), begins a run there beside the silent one, and the first that has the next token or the whole response goes on; the others are dropped. The retry is drawn only once there is an endpoint. Without any, the run is waited for, at most for the 45 s for which clients are kept waiting; then the former rule follows. A silent run still counts as a failure of its endpoint if it is dropped. "Not run" is reported only if none of the runs may have run.

What becomes slower: a service with a single endpoint whose connection has died without a sign is asked again after 45 s, not after 2 s or 10 s.

--- a/src/native/decide/retries.rs
+++ b/src/native/decide/retries.rs
@@ -8,6 +8,9 @@
 //! | failed and may have run | another endpoint after a pause, if the bucket allows |
 //! | found every endpoint tried | all endpoints again, after a pause |
 //!
+//! An attempt that is silent is kept. Beside it, another endpoint gets an attempt if there is one and
+//! the bucket allows.
+//!
 //! After [`ATTEMPT_LIMIT`] attempts, the request ends in each of these cases. Retries are limited
 //! to a fraction of first attempts, so that a brownout does not cause a retry storm. The limit is
 //! a token bucket without a clock; the gateway's `gateway::policy::request::retry_budget` also earns
@@ -58,9 +61,14 @@
         self.level = (self.level + RETRY_FRACTION).min(RETRY_RESERVE);
     }
 
+    /// Whether a retry is left.
+    pub fn has_retry(&self) -> bool {
+        self.level >= 1.0
+    }
+
     /// Withdraws one retry; returns `false` if none is left.
     pub fn try_withdraw(&mut self) -> bool {
-        let allowed = self.level >= 1.0;
+        let allowed = self.has_retry();
         if allowed {
             self.level -= 1.0;
         }
@@ -94,6 +102,12 @@
     RetryVerdict::After(retry_pause(attempts - 1, rng))
 }
 
+/// Decides whether a further attempt may be begun beside a silent one, after `attempts` attempts. The
+/// bucket is drawn from when there is an endpoint for it.
+pub fn may_run_beside(attempts: u32, bucket: &RetryBucket) -> bool {
+    attempts < ATTEMPT_LIMIT && bucket.has_retry()
+}
+
 /// Decides after `attempts` attempts, when every endpoint has been tried.
 pub fn after_all_tried(attempts: u32, rng: &mut impl Rng) -> RetryVerdict {
     if attempts >= ATTEMPT_LIMIT {
--- a/src/native/options/settings.rs
+++ b/src/native/options/settings.rs
@@ -50,9 +50,10 @@
     pub answer_keep: Duration,
     /// How long a request continues after its client's connection broke.
     pub resume_grace: Duration,
-    /// Longest wait for the first token or the response of one attempt.
+    /// Silence of an attempt before its first token or its response after which another endpoint is
+    /// asked as well.
     pub first_token_timeout: Duration,
-    /// Longest wait for the next token before a stream is moved to another endpoint.
+    /// Silence between tokens after which another endpoint is asked as well.
     pub token_timeout: Duration,
     /// Most requests in progress at once.
     pub request_limit: usize,
--- a/src/native/serve/listeners/client_listener.rs
+++ b/src/native/serve/listeners/client_listener.rs
@@ -25,6 +25,7 @@
         headers,
         request::outcome::FinalResponse,
         serve::{
+            CLIENT_WAIT,
             context::ServeContext,
             run::{
                 once::{self, OnceOutcome},
@@ -44,10 +45,6 @@
 /// Most tickets that one call may request: bounds the call's share of the ledger.
 const TICKET_LIMIT: u64 = 100;
 
-/// Longest time that a client is kept waiting for a request that may not be retried: more than the
-/// 30 s wait for a remote holder.
-const CLIENT_WAIT: Duration = Duration::from_secs(45);
-
 /// Serves clients on `listener` until the daemon stops.
 pub async fn run(listener: TcpListener, context: Rc<ServeContext>) {
     let phase = context.kernel.phase();
--- a/src/native/serve/run.rs
+++ b/src/native/serve/run.rs
@@ -5,4 +5,5 @@
 pub mod attempt;
 pub mod driver;
 pub mod once;
+pub mod response_lead;
 pub mod resume;
--- a/src/native/serve/run/attempt.rs
+++ b/src/native/serve/run/attempt.rs
@@ -1,8 +1,11 @@
 //! One attempt to run a request at an endpoint on the native path: sends the call, reads the tokens
 //! or the response, and leaves the endpoint when a reclaim notice requires it.
 //!
-//! It only reports how the attempt ended; `run::driver` and `run::once` decide what follows. The
-//! gateway's attempts (`gateway::request::attempt`) speak the platform's protocol instead.
+//! It only reports that the endpoint is silent, and how the attempt ended; `run::driver` and
+//! `run::once` decide what follows. A silent attempt goes on until it is dropped, or for
+//! `CLIENT_WAIT`. The gateway's attempts (`gateway::request::attempt`) speak the platform's protocol instead.
+
+mod stream_reading;
 
 use std::{rc::Rc, sync::Arc};
 
@@ -18,16 +21,15 @@
     ids::{AttemptId, RequestName},
     native::{
         decide::{limits::RequestPriority, reclaim::ReclaimWay},
-        endpoint::{EngineRequest, EngineToken, STREAM_END, sse::EventDecoder},
+        endpoint::EngineRequest,
         headers,
         request::{
             call::{ClientCall, CompletionCall, PlainCall},
-            copy::ResponseToken,
             outcome::{FinalResponse, NotStartedEvidence, PlainResponse},
         },
         serve::{
-            context::ServeContext,
-            services::{router::messages::EndpointSlot, store_service::RequestMessage},
+            CLIENT_WAIT, context::ServeContext, run::response_lead::ResponseLead,
+            services::router::messages::EndpointSlot,
         },
     },
     timeouts::{Elapsed, wait_at_most},
@@ -64,28 +66,26 @@
     pub attempt: AttemptId,
     /// Endpoint that the router assigned.
     pub slot: &'a EndpointSlot,
+    /// Tokens of the response, and which run the client gets.
+    pub lead: &'a ResponseLead,
 }
 
 impl AttemptTask<'_> {
-    /// Runs a streamed completion that continues after `tokens`, and appends new tokens to them.
-    pub async fn stream(
-        &self,
-        completion: &CompletionCall,
-        tokens: &mut Vec<ResponseToken>,
-    ) -> AttemptEnd {
+    /// Runs a streamed completion that continues after the tokens so far.
+    pub async fn stream(&self, completion: &CompletionCall) -> AttemptEnd {
         let order = EngineRequest {
             prompt: completion.prompt.to_string(),
             max_tokens: completion.max_tokens as usize,
             seed: completion.seed,
             priority: self.priority.number(),
-            resume_tokens: tokens.iter().map(ToString::to_string).collect(),
+            resume_tokens: self.lead.tokens().iter().map(ToString::to_string).collect(),
         };
         // This type always serializes.
         let body = serde_json::to_vec(&order).unwrap_or_default();
         let call =
             self.build_call("stream completion", "/v1/completions", "application/json", body);
         let end = match self.open(&call).await {
-            Ok(response) => self.read_stream(response, tokens).await,
+            Ok(response) => self.read_stream(response).await,
             Err(end) => end,
         };
         self.slot.result.set(result_for_health(&end));
@@ -125,11 +125,14 @@
 
     async fn open(&self, call: &OutgoingCall) -> Result<Response<Incoming>, AttemptEnd> {
         let limit = self.context.settings.first_token_timeout;
-        let response = self.context.http.open(call, limit).await.map_err(|error| {
-            match NotStartedEvidence::from_error(&error) {
-                Some(evidence) => AttemptEnd::NotStarted(evidence, error),
-                None => AttemptEnd::Failed(error),
-            }
+        let opening = self.context.http.open(call, limit.max(CLIENT_WAIT));
+        let opened = match self.wait_beyond_silence(limit, opening).await {
+            Ok(opened) => opened,
+            Err(cause) => Err(self.error(call.step, cause)),
+        };
+        let response = opened.map_err(|error| match NotStartedEvidence::from_error(&error) {
+            Some(evidence) => AttemptEnd::NotStarted(evidence, error),
+            None => AttemptEnd::Failed(error),
         })?;
         if let Some(evidence) = NotStartedEvidence::from_headers(response.headers()) {
             let cause = FailureCause::Status(response.status().as_u16());
@@ -143,6 +146,25 @@
         Ok(response)
     }
 
+    /// Waits for something from the endpoint. After `limit` it is reported as silent.
+    async fn wait_beyond_silence<F: Future>(
+        &self,
+        limit: Duration,
+        awaited: F,
+    ) -> Result<F::Output, FailureCause> {
+        tokio::pin!(awaited);
+        if let Ok(output) = wait_at_most(limit, awaited.as_mut()).await {
+            return Ok(output);
+        }
+        // Holds if the attempt is dropped before anything arrives.
+        self.slot.result.set(AttemptResult::Failed);
+        self.lead.set_silent(self.attempt);
+        let rest = CLIENT_WAIT.saturating_sub(limit);
+        wait_at_most(rest, awaited)
+            .await
+            .map_err(|Elapsed| FailureCause::timed_out(limit.max(CLIENT_WAIT)))
+    }
+
     fn is_from_this_attempt(&self, response: &HeaderMap) -> bool {
         let echoed = response.get(headers::ATTEMPT_ID).and_then(|value| value.to_str().ok());
         echoed == Some(&self.attempt.to_string())
@@ -156,17 +178,13 @@
         let step = "read answer";
         let (head, body) = response.into_parts();
         let limit = self.context.settings.first_token_timeout;
-        let collected = match wait_at_most(limit, body.collect()).await {
+        let collected = match self.wait_beyond_silence(limit, body.collect()).await {
             Ok(Ok(collected)) => collected,
             Ok(Err(error)) => {
                 let cause = FailureCause::Broken(error.to_string());
                 return AttemptEnd::Failed(self.error(step, cause));
             }
-            // The only error of the wait is the timeout.
-            Err(_) => {
-                let cause = FailureCause::TimedOut(limit.as_millis() as u64);
-                return AttemptEnd::Failed(self.error(step, cause));
-            }
+            Err(cause) => return AttemptEnd::Failed(self.error(step, cause)),
         };
         let status = head.status.as_u16();
         if head.status.is_server_error() && self.call.repeatable {
@@ -180,106 +198,6 @@
             body: collected.to_bytes().to_vec(),
         }))
     }
-
-    async fn read_stream(
-        &self,
-        response: Response<Incoming>,
-        tokens: &mut Vec<ResponseToken>,
-    ) -> AttemptEnd {
-        let step = "read stream";
-        if !response.status().is_success() {
-            let cause = FailureCause::Status(response.status().as_u16());
-            return AttemptEnd::Failed(self.error(step, cause));
-        }
-        let mut body = response.into_body();
-        let mut decoder = EventDecoder::default();
-        let mut way = self.slot.way.clone();
-        let mut limit = self.context.settings.first_token_timeout;
-        loop {
-            let frame = tokio::select! {
-                frame = wait_at_most(limit, body.frame()) => frame,
-                way = wait_for_leave_order(&mut way) => return AttemptEnd::Leaving(way),
-            };
-            let bytes = match self.frame_bytes(frame, limit) {
-                Ok(bytes) => bytes,
-                Err(error) => return AttemptEnd::Failed(error),
-            };
-            let events = match decoder.feed(&bytes) {
-                Ok(events) => events,
-                Err(error) => {
-                    let cause = FailureCause::Malformed(error.to_string());
-                    return AttemptEnd::Failed(self.error(step, cause));
-                }
-            };
-            for event in events {
-                if let Some(end) = self.on_event(&event, tokens).await {
-                    return end;
-                }
-            }
-            if !tokens.is_empty() {
-                limit = self.context.settings.token_timeout;
-            }
-        }
-    }
-
-    fn frame_bytes(
-        &self,
-        frame: Result<Option<Result<hyper::body::Frame<Bytes>, hyper::Error>>, Elapsed>,
-        limit: Duration,
-    ) -> Result<Bytes, StepError> {
-        let step = "read stream";
-        match frame {
-            // The only error of the wait is the timeout.
-            Err(_) => Err(self.error(step, FailureCause::TimedOut(limit.as_millis() as u64))),
-            Ok(None) => Err(self.error(step, FailureCause::Broken("stream ended early".into()))),
-            Ok(Some(Err(error))) => Err(self.error(step, FailureCause::Broken(error.to_string()))),
-            // A frame without data carries trailers, which are ignored.
-            Ok(Some(Ok(frame))) => Ok(frame.into_data().unwrap_or_default()),
-        }
-    }
-
-    /// Handles one event of the stream; `Some` if it ends the attempt.
-    async fn on_event(&self, event: &str, tokens: &mut Vec<ResponseToken>) -> Option<AttemptEnd> {
-        let step = "read stream";
-        if event == STREAM_END {
-            return Some(AttemptEnd::Answered(FinalResponse::Streamed));
-        }
-        let Ok(token) = serde_json::from_str::<EngineToken>(event) else {
-            let cause = FailureCause::Malformed("not a token".into());
-            return Some(AttemptEnd::Failed(self.error(step, cause)));
-        };
-        if token.index != tokens.len() {
-            let cause = FailureCause::Malformed(format!("token {} out of order", token.index));
-            return Some(AttemptEnd::Failed(self.error(step, cause)));
-        }
-        let text: ResponseToken = token.text.into();
-        tokens.push(text.clone());
-        self.slot.produced.set(tokens.len());
-        let append = RequestMessage::Append {
-            name: self.name.clone(),
-            takeovers: self.takeovers,
-            token: text,
-        };
-        match self.context.requests.deliver(append).await {
-            Ok(()) => None,
-            // The store has stopped because the daemon is stopping.
-            Err(_) => Some(AttemptEnd::Superseded),
-        }
-    }
-}
-
-/// Waits until the router orders the stream to leave the endpoint; ignores the order to finish
-/// there.
-async fn wait_for_leave_order(
-    way: &mut tokio::sync::watch::Receiver<Option<ReclaimWay>>,
-) -> ReclaimWay {
-    let leaves =
-        |way: &Option<ReclaimWay>| matches!(way, Some(ReclaimWay::Move | ReclaimWay::Resume));
-    match way.wait_for(leaves).await {
-        Ok(found) => found.unwrap_or(ReclaimWay::Resume),
-        // The router has stopped, so no order will come.
-        Err(_) => std::future::pending().await,
-    }
 }
 
 fn result_for_health(end: &AttemptEnd) -> AttemptResult {
--- a/src/native/serve/run/driver.rs
+++ b/src/native/serve/run/driver.rs
@@ -2,12 +2,13 @@
 //! ended.
 
 mod leaving;
+mod run_race;
 
 use std::{rc::Rc, sync::Arc, time::Duration};
 
 use tokio::time::{Instant, sleep};
 
-use super::attempt::{AttemptEnd, AttemptTask};
+use super::{attempt::AttemptEnd, driver::run_race::RaceEnd, response_lead::ResponseLead};
 use crate::{
     ids::{RequestName, SharedName},
     native::{
@@ -18,7 +19,7 @@
             retries::{RetryVerdict, after_all_tried, after_failure, after_not_started},
         },
         request::{
-            call::{CallContent, ClientCall},
+            call::ClientCall,
             copy::ResponseToken,
             outcome::{CallStage, DispatchedCall, FinalResponse, NotRunReason, UnknownReason},
         },
@@ -46,7 +47,7 @@
     name: RequestName,
     takeovers: u32,
     call: Arc<ClientCall>,
-    tokens: Vec<ResponseToken>,
+    lead: Rc<ResponseLead>,
     weight: f64,
     exclude: Vec<SharedName>,
     attempts: u32,
@@ -78,7 +79,7 @@
             name,
             takeovers,
             call,
-            tokens,
+            lead: Rc::new(ResponseLead::new(tokens)),
             exclude: Vec::new(),
             attempts: 0,
             moves: 0,
@@ -119,7 +120,7 @@
             "{label}; {} attempts, {} moves, {} tokens, {took} ms",
             self.attempts,
             self.moves,
-            self.tokens.len()
+            self.lead.tokens().len()
         );
         self.context.record_event(EventKind::Ended, &self.name, detail);
         let message = RequestMessage::End {
@@ -153,9 +154,11 @@
                     continue;
                 }
             };
-            self.count_attempt();
-            let dispatched = stage.begin();
-            let end = self.attempt(&slot).await;
+            let mut dispatched = stage.begin();
+            let RaceEnd { end, slot, others_may_have_run } = self.race(slot).await;
+            if others_may_have_run {
+                dispatched = dispatched.begin_again();
+            }
             match self.next_step(end, dispatched, slot).await {
                 NextStep::End(response) => return Some(response),
                 NextStep::Again(next) => stage = next,
@@ -178,7 +181,8 @@
 
     async fn pick(&self) -> PickReply {
         let completion = self.call.completion();
-        let text = completion.map(|call| format!("{} {}", call.prompt, self.tokens.concat()));
+        let text =
+            completion.map(|call| format!("{} {}", call.prompt, self.lead.tokens().concat()));
         let order = PickOrder {
             service: self.call.service.clone(),
             turn: QueueTurn {
@@ -201,25 +205,6 @@
         self.context.pick(order).await
     }
 
-    async fn attempt(&mut self, slot: &EndpointSlot) -> AttemptEnd {
-        let detail = format!("attempt {} at VM {}", self.attempts, slot.pick.id);
-        self.context.record_event(EventKind::Dispatched, &self.name, detail);
-        let call = self.call.clone();
-        let task = AttemptTask {
-            context: &self.context,
-            name: &self.name,
-            takeovers: self.takeovers,
-            call: &call,
-            priority: self.priority,
-            attempt: slot.attempt(),
-            slot,
-        };
-        match &call.content {
-            CallContent::Completion(completion) => task.stream(completion, &mut self.tokens).await,
-            CallContent::Plain(plain) => task.plain(plain).await,
-        }
-    }
-
     async fn next_step(
         &mut self,
         end: AttemptEnd,
--- a/src/native/serve/run/driver/leaving.rs
+++ b/src/native/serve/run/driver/leaving.rs
@@ -31,7 +31,7 @@
         }
         let PickReply::Slot(next) = self.pick().await else { return };
         let Some(completion) = self.call.completion() else { return };
-        let text = format!("{} {}", completion.prompt, self.tokens.concat());
+        let text = format!("{} {}", completion.prompt, self.lead.tokens().concat());
         let order = CacheImportRequest { from: from.to_string(), text };
         // This type always serializes.
         let body = serde_json::to_vec(&order).unwrap_or_default();
--- a/src/native/serve/run/once/run.rs
+++ b/src/native/serve/run/once/run.rs
@@ -20,6 +20,7 @@
             run::{
                 admission::{AdmissionVerdict, admit},
                 attempt::{AttemptEnd, AttemptTask},
+                response_lead::ResponseLead,
             },
             services::router::messages::{EndpointSlot, PickOrder, PickReply},
             timeline::EventKind,
@@ -159,6 +160,8 @@
         self.context.record_event(EventKind::Dispatched, &self.name, format!("VM {}", to.pick.id));
         let call = self.call.clone();
         let dispatched = stage.begin();
+        // No other run may be begun, so a silent one is waited for.
+        let lead = ResponseLead::new(Vec::new());
         let task = AttemptTask {
             context: &self.context,
             name: &self.name,
@@ -167,6 +170,7 @@
             priority: self.priority,
             attempt: to.attempt(),
             slot: to,
+            lead: &lead,
         };
         let end = match &call.content {
             CallContent::Plain(plain) => task.plain(plain).await,
--- a/tests/native/decisions/retries.rs
+++ b/tests/native/decisions/retries.rs
@@ -1,7 +1,10 @@
 //! Budget that limits retries to a share of first attempts.
 
+use googletest::prelude::*;
 use proptest::{collection::vec, prelude::*};
-use willowarch::native::decide::retries::RetryBucket;
+use willowarch::native::decide::retries::{ATTEMPT_LIMIT, RetryBucket, may_run_beside};
+
+use crate::cases;
 
 proptest! {
     /// Guards against retry storms: retries are at most a tenth of first attempts plus the
@@ -21,3 +24,23 @@
         }
     }
 }
+
+fn bucket_after(withdrawn: u32) -> RetryBucket {
+    let mut bucket = RetryBucket::default();
+    for _ in 0..withdrawn {
+        bucket.try_withdraw();
+    }
+    bucket
+}
+
+fn run_beside_a_silent_one(attempts: u32, withdrawn: u32, allowed: bool) {
+    expect_that!(may_run_beside(attempts, &bucket_after(withdrawn)), eq(allowed));
+}
+
+cases!(run_beside_a_silent_one:
+    run_beside_the_first_one(1, 0, true),
+    run_beside_the_last_attempt_but_one(ATTEMPT_LIMIT - 1, 0, true),
+    no_run_beside_the_last_attempt(ATTEMPT_LIMIT, 0, false),
+    run_beside_with_the_last_retry(1, 9, true),
+    no_run_beside_without_retries(1, 10, false),
+);
--- a/tests/native/main.rs
+++ b/tests/native/main.rs
@@ -16,6 +16,7 @@
 mod promises;
 mod refusing_engines;
 mod request_store;
+mod response_lead;
 mod settings_checks;
 mod whole_path;
 
--- a/tests/native/pausing_engines.rs
+++ b/tests/native/pausing_engines.rs
@@ -138,6 +138,31 @@
     long_plain_call_that_may_not_be_repeated_is_served(false, 1),
 );
 
+/// Guards against "not run" for a call that is silent and refused at one endpoint, and ran at the
+/// other one meanwhile.
+#[googletest::test]
+fn call_that_ran_beside_a_refusal_is_not_reported_as_not_run() {
+    let deployment = start(1);
+    let (failing, refusing) = (deployment.endpoint(1), deployment.endpoint(2));
+    apply_row(&deployment, &repeatable_row());
+    deployment.set_faults(failing, json!({ "frozen": true, "fail": true }));
+    deployment.set_faults(refusing, json!({ "frozen": true, "refuse": true }));
+    let daemon = deployment.caller(0);
+    let client =
+        std::thread::spawn(move || post(daemon, "/services/tagging/tags", &[READER], "{}"));
+    sleep(Duration::from_secs(1));
+    deployment.set_faults(failing, json!({ "frozen": false }));
+    sleep(Duration::from_secs(2));
+    deployment.set_faults(refusing, json!({ "frozen": false }));
+    let answer = client.join().expect("the client thread panicked");
+    expect_that!(deployment.max_runs_per_request(), ge(1));
+    expect_that!(answer.body["outcome"], eq(&json!("unknown")), "{}", answer.text);
+}
+
+fn repeatable_row() -> serde_json::Value {
+    json!({ "kind": "service", "name": "tagging", "service_type": "plain", "repeatable": true })
+}
+
 /// Applies a row and waits until all daemons have it.
 fn apply_row(deployment: &Deployment, row: &serde_json::Value) {
     let file = deployment.folder.join("row.json");
