--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -98,6 +98,7 @@
 mod stream_versions;
 mod suspension;
 mod text_model;
+mod tunnel_stops;
 mod tunnels;
 mod undisturbed_streams;
 mod unknown_routes;
