Forwarder that stops: a tunnel whose endpoint pauses is kept for longer

Callers saw a tunnelled stream break off in the planned stop of a daemon that isn't theirs, when its endpoint paused for more than 2 s between two events.

Cause: a stopping forwarder ended tunnels on which nothing had been passed on for 2 s, unless no byte of the response had come yet. It reads none of the bytes, so it can't tell a pause from the end of a response. Now it waits for 5 s, longer than the 4 s for which a daemon keeps a connection for its next request, if the endpoint announces no time for it.

What remains: a pause of more than 5 s in a stop with a longer grace time, and responses that are in progress when the grace time ends.

--- a/src/gateway/forwarding/tunnel_server.rs
+++ b/src/gateway/forwarding/tunnel_server.rs
@@ -43,9 +43,10 @@
 const HANDSHAKE_LIMIT: Duration = Duration::from_millis(400);
 /// Longest wait for a connection to an endpoint: shorter than that of the daemon that waits for it.
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
-/// A tunnel on which nothing has been passed on for this long is not in use, unless a response is awaited:
-/// longer than the pauses between the events of a stream.
-const UNUSED_AFTER: Duration = Duration::from_secs(2);
+/// A tunnel on which nothing has been passed on for this long is not in use, unless a response is awaited.
+/// The forwarder can't tell an endpoint that pauses from one that has finished, so this is longer than a daemon
+/// keeps a connection for its next request, if the endpoint announces no time for it.
+const UNUSED_AFTER: Duration = Duration::from_secs(5);
 /// Interval at which a stopping daemon checks whether a tunnel is in use.
 const USE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Bytes read at a time, with the header of their frame.
