Forwarder that stops: a tunnel whose reader is slow is kept

Callers saw a long tunnelled response break off in the planned stop of another daemon, when it was read slowly.

Cause: bytes that wait for the daemon to take them counted as no use of the tunnel, so it was ended after UNUSED_AFTER while the endpoint was at work. Now a tunnel whose bytes wait is in use, until the grace time ends.

--- a/src/gateway/forwarding/tunnel_server.rs
+++ b/src/gateway/forwarding/tunnel_server.rs
@@ -145,6 +145,8 @@
     awaits_response: Cell<bool>,
     /// Whether the endpoint has ever sent anything.
     has_response: Cell<bool>,
+    /// Whether bytes of the endpoint wait for the daemon to take them.
+    is_blocked: Cell<bool>,
     /// When bytes were last passed on.
     active_at: Cell<Instant>,
 }
@@ -154,6 +156,7 @@
         Self {
             awaits_response: Cell::new(true),
             has_response: Cell::new(false),
+            is_blocked: Cell::new(false),
             active_at: Cell::new(boot_clock::now()),
         }
     }
@@ -164,7 +167,8 @@
     }
 
     fn is_unused(&self) -> bool {
-        !self.awaits_response.get() && boot_clock::since(self.active_at.get()) > UNUSED_AFTER
+        let awaits_nothing = !self.awaits_response.get() && !self.is_blocked.get();
+        awaits_nothing && boot_clock::since(self.active_at.get()) > UNUSED_AFTER
     }
 }
 
@@ -227,7 +231,10 @@
             context.endpoint_responded(true);
         }
         buffer[..HEADER_LENGTH].copy_from_slice(&(length as u32).to_be_bytes());
+        usage.is_blocked.set(true);
         let sent = to.write_all(&buffer[..HEADER_LENGTH + length]).await;
+        usage.is_blocked.set(false);
+        usage.active_at.set(boot_clock::now());
         if length == 0 {
             return TunnelEnd::Endpoint;
         }
