Request log: events and silence of every request, also of those that are cut

A line of a request that was cut said 0 events and nothing of its endpoint. The trace counts events itself, and each line says for how long nothing had come from an endpoint (silent_ms). Answers that were broken off share the limit of lines of cut requests, no longer that of refused ones.

--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -174,7 +174,7 @@
                 }
                 NextPiece::Lost(error) => {
                     self.ended = true;
-                    self.request.trace.borrow_mut().broken_off(error.to_string(), self.events);
+                    self.request.trace.borrow_mut().broken_off(&error.to_string());
                     return Some(Err(error.into()));
                 }
             }
@@ -231,15 +231,15 @@
             return batch.bytes;
         };
         if self.events == 0 {
-            let HeldRequest { context, admitted, attempts, trace } = &self.request;
+            let HeldRequest { context, admitted, attempts, .. } = &self.request;
             admitted.count_run(context);
-            trace.borrow_mut().first_event();
             let record = upstream.guard.record();
             attempts.borrow_mut().version.get_or_insert_with(|| record.version.clone());
         }
         upstream.guard.prefill_done();
         upstream.guard.endpoint_ran();
         self.events += batch.count as u64;
+        self.request.trace.borrow_mut().passed_events(batch.count as u64);
         self.last_event = batch.last_id.or(self.last_event);
         batch.bytes
     }
--- a/src/gateway/request/relay/response_ending.rs
+++ b/src/gateway/request/relay/response_ending.rs
@@ -88,7 +88,7 @@
     /// the request, unless the endpoint is known to go on.
     pub(super) fn finish(&mut self, end: ResponseEnd, survival: Option<EndpointSurvival>) {
         self.ended = true;
-        self.request.trace.borrow_mut().finished(self.events);
+        self.request.trace.borrow_mut().finished();
         let Some(mut upstream) = self.upstream.take() else { return };
         if end != ResponseEnd::Complete && survival != Some(EndpointSurvival::Alive) {
             return;
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -54,6 +54,10 @@
     steps: String,
     begun: Instant,
     first_after: Option<Duration>,
+    /// Events passed on.
+    events: u64,
+    /// When something last arrived from an endpoint, or the request itself.
+    heard_at: Instant,
     /// Set only for requests with a broken run.
     fingerprint: Option<RequestFingerprint>,
     /// Parts of the prompt that other requests may have too, separated by commas; set with `fingerprint`.
@@ -72,6 +76,8 @@
             steps: String::new(),
             begun: boot_clock::now(),
             first_after: None,
+            events: 0,
+            heard_at: boot_clock::now(),
             fingerprint: None,
             shared_parts: String::new(),
             ended: false,
@@ -197,6 +203,7 @@
     /// Records the head of an endpoint's response.
     pub fn responded(&mut self, status: StatusCode, metadata: &ResponseMetadata) {
         let after = boot_clock::since(self.begun).as_millis();
+        self.heard_at = boot_clock::now();
         let (status, meaning) = (status.as_u16(), metadata.meaning);
         // Writing to a string cannot fail.
         let _ = write!(self.steps, " {status} {meaning:?}{} after {after};", metadata.signals);
@@ -223,11 +230,15 @@
         let _ = write!(self.steps, ": {end};");
     }
 
-    /// Records that the first event of a stream was passed on.
-    pub fn first_event(&mut self) {
-        let after = boot_clock::since(self.begun);
-        self.first_after = Some(after);
-        self.context.metrics.duration("first_event", after);
+    /// Records that events of a stream were passed on.
+    pub fn passed_events(&mut self, count: u64) {
+        self.events += count;
+        self.heard_at = boot_clock::now();
+        if self.first_after.is_none() {
+            let after = boot_clock::since(self.begun);
+            self.first_after = Some(after);
+            self.context.metrics.duration("first_event", after);
+        }
     }
 
     /// Ends the trace of a refused request.
@@ -239,37 +250,37 @@
             // Writing to a string cannot fail.
             let _ = write!(self.steps, " retry after {} ms", wait.as_millis());
         }
-        self.end(&refusal.to_string(), 0);
+        self.end(&refusal.to_string());
     }
 
     /// Ends the trace of a request whose response was passed on completely.
-    pub fn finished(&mut self, events: u64) {
+    pub fn finished(&mut self) {
         self.context.metrics.count("answered", 1);
         self.context.metrics.duration("answer", boot_clock::since(self.begun));
-        self.end("answered", events);
+        self.end(SERVED);
     }
 
     /// Ends the trace of a request whose response was broken off.
-    pub fn broken_off(&mut self, reason: String, events: u64) {
+    pub fn broken_off(&mut self, reason: &str) {
         self.context.metrics.count("broken_off", 1);
-        self.end(&reason, events);
+        self.end_as(LineRank::Loss, reason);
     }
 
-    fn end(&mut self, outcome: &str, events: u64) {
+    fn end(&mut self, outcome: &str) {
         let rank = if outcome == SERVED { LineRank::Usual } else { LineRank::Refusal };
-        self.end_as(rank, outcome, events);
+        self.end_as(rank, outcome);
     }
 
-    fn end_as(&mut self, rank: LineRank, outcome: &str, events: u64) {
+    fn end_as(&mut self, rank: LineRank, outcome: &str) {
         self.ended = true;
         if self.context.request_lines.borrow_mut().allows_rank(rank, boot_clock::now()) {
-            self.write_line(outcome, events);
+            self.write_line(outcome);
         } else {
             self.context.metrics.count("request_lines_dropped", 1);
         }
     }
 
-    fn write_line(&self, outcome: &str, events: u64) {
+    fn write_line(&self, outcome: &str) {
         let dropped = self.context.request_lines.borrow_mut().take_dropped();
         if dropped > 0 {
             spdlog::warn!("request lines dropped", kv: { dropped });
@@ -284,9 +295,11 @@
         let account = self.account.as_deref().unwrap_or("-");
         let total_ms = boot_clock::since(self.begun).as_millis() as u64;
         let fingerprint = self.fingerprint.map_or("-".to_owned(), |one| one.to_string());
+        let silent_ms = boot_clock::since(self.heard_at).as_millis() as u64;
         let first_ms = self.first_after.map_or(-1, |after| after.as_millis() as i64);
         spdlog::info!("request", kv: {
-            id, outcome, route, account, steps: = self.steps, events, first_ms, total_ms,
+            id, outcome, route, account, steps: = self.steps, events = self.events, first_ms,
+            silent_ms, total_ms,
             version, proof_age_ms, lag_ms, fingerprint, shared_parts: = self.shared_parts
         });
     }
--- a/src/gateway/request/request_log/cut_cause.rs
+++ b/src/gateway/request/request_log/cut_cause.rs
@@ -53,8 +53,8 @@
         let outcome = cause.to_string();
         match cause {
             // As many as there are connections, at most, and once.
-            CutCause::DaemonStopped => self.write_line(&outcome, 0),
-            _ => self.end_as(LineRank::Loss, &outcome, 0),
+            CutCause::DaemonStopped => self.write_line(&outcome),
+            _ => self.end_as(LineRank::Loss, &outcome),
         }
     }
 }
