Whole answers of an endpoint whose next start is listed are passed on

Callers saw a whole answer that ends with its connection reset, and a stream ran a second time, when its endpoint ended as planned right after it and the list had the id's next start, at another address, by then. Cause: the check after the end asked whether the id is listed as ready, and the next start is. It asks for this start now; the rule (`EndpointSurvival::after_refusal`) stands in policy.

A start that crashes is listed until its heartbeats are missing, and its next start can't be listed 10 ms after the crash, so crashes are found as before.

--- a/src/gateway/policy/request/response_end.rs
+++ b/src/gateway/policy/request/response_end.rs
@@ -5,8 +5,9 @@
 //! known. An end of which more is known is a break: inside an event, or followed by the end of the
 //! endpoint's process.
 //!
-//! Inputs are the framing, the bytes after the last event, and a connection to the endpoint that is
-//! opened after the end. If the endpoint isn't reached in time, the end proves nothing about it.
+//! Inputs are the framing, the bytes after the last event, a connection to the endpoint that is opened after
+//! the end, and the newest endpoint list. If the endpoint isn't reached in time, or has announced that it
+//! ends, the end proves nothing about it.
 
 use derive_more::Display;
 
@@ -18,14 +19,26 @@
     /// It accepts connections.
     #[display("endpoint accepts connections")]
     Alive,
-    /// Its address refuses connections.
+    /// Its address refuses connections, and it had not announced its end.
     #[display("endpoint has ended")]
     Ended,
-    /// No connection in time.
+    /// No connection in time, or it had announced its end.
     #[display("endpoint not reached")]
     Unknown,
 }
 
+impl EndpointSurvival {
+    /// Survival of an endpoint whose address refuses connections; `is_listed` is whether the newest list has
+    /// this start of it as ready, and it hasn't said that it drains. One that has announced its end may end
+    /// right after its last response.
+    pub fn after_refusal(is_listed: bool) -> Self {
+        match is_listed {
+            true => Self::Ended,
+            false => Self::Unknown,
+        }
+    }
+}
+
 /// Inputs of the decision.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EndInputs {
--- a/src/gateway/request/relay/survival_check.rs
+++ b/src/gateway/request/relay/survival_check.rs
@@ -37,12 +37,15 @@
             }
             EndpointSurvival::Alive
         }
-        // An endpoint that is leaving may end right after its last response.
-        Err(failure)
-            if failure.is_refused() && context.endpoints.borrow().is_ready(&endpoint.id) =>
-        {
-            EndpointSurvival::Ended
+        Err(failure) if failure.is_refused() => {
+            EndpointSurvival::after_refusal(is_listed(context, endpoint))
         }
         Err(_) => EndpointSurvival::Unknown,
     }
 }
+
+/// Whether the newest list has this start of the endpoint, and the endpoint takes requests.
+fn is_listed(context: &GatewayContext, endpoint: &EndpointRecord) -> bool {
+    let endpoints = context.endpoints.borrow();
+    endpoints.knows_start(endpoint) && endpoints.is_ready(&endpoint.id)
+}
--- a/tests/gateway/end_rules.rs
+++ b/tests/gateway/end_rules.rs
@@ -49,3 +49,9 @@
         expect_that!(is_broken, eq(has_crashed || inputs.is_inside_event), "{inputs:?}");
     }
 }
+
+#[googletest::test]
+fn refused_connections_show_an_end_only_if_it_was_not_announced() {
+    expect_that!(EndpointSurvival::after_refusal(true), eq(EndpointSurvival::Ended));
+    expect_that!(EndpointSurvival::after_refusal(false), eq(EndpointSurvival::Unknown));
+}
