Tests of partitions, back-offs and roll-outs print why requests weren't served

A test that failed once beside load couldn't be traced: it said how many requests weren't served, and the logs of its daemons were gone. No check is changed.

--- a/tests/gateway/backoff_endpoints.rs
+++ b/tests/gateway/backoff_endpoints.rs
@@ -50,7 +50,10 @@
     scenario: impl FnOnce(&[SignallingEndpoint], Instant),
 ) -> SignalOutcome {
     let _place = acquire_fleet_slot();
-    SignalFleet::start().play(signalling_count, scenario)
+    let fleet = SignalFleet::start();
+    let outcome = fleet.play(signalling_count, scenario);
+    fleet.print_request_lines(&outcome, SIGNALS_FROM..SIGNALS_UNTIL);
+    outcome
 }
 
 /// Checks that no back-off is broken and that fewer than 2 in 100 requests are not served, because
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -59,6 +59,7 @@
 mod peer_wait;
 mod platform_standin;
 mod quotas;
+mod request_lines;
 mod request_rules;
 mod retries_over_lives;
 mod retry_budget;
--- a/tests/gateway/partitioned_daemons.rs
+++ b/tests/gateway/partitioned_daemons.rs
@@ -38,7 +38,8 @@
 }
 
 /// Checks the requests of clients, except those at daemons that were killed.
-fn check(outcome: &SignalOutcome, partitioned: &[usize], killed: &[usize]) {
+fn check(fleet: &SignalFleet, outcome: &SignalOutcome, partitioned: &[usize], killed: &[usize]) {
+    fleet.print_request_lines(outcome, PARTITION_FROM + CONTACT_TIME..LOAD_TIME);
     let mut during = outcome.sent_in(PARTITION_FROM + CONTACT_TIME..PARTITION_UNTIL);
     during.retain(|request| !killed.contains(&request.daemon));
     let is_partitioned = |request: &&&SentRequest| partitioned.contains(&request.daemon);
@@ -86,7 +87,7 @@
         sleep_until(began, PARTITION_UNTIL);
         fleet.heal();
     });
-    check(&outcome, &partitioned, &[]);
+    check(&fleet, &outcome, &partitioned, &[]);
 }
 
 macro_rules! partitioned_daemons_serve_their_clients {
@@ -131,7 +132,7 @@
         sleep_until(began, PARTITION_UNTIL);
         fleet.heal();
     });
-    check(&outcome, &partitioned, &killed);
+    check(&fleet, &outcome, &partitioned, &killed);
 }
 
 /// No daemon can carry a connection: clients must learn that before their deadlines, and be served soon after
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -5,7 +5,12 @@
 //! operators count it.
 
 use std::{
-    sync::atomic::{AtomicBool, AtomicU64, Ordering},
+    collections::HashSet,
+    path::Path,
+    sync::{
+        Mutex,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -16,6 +21,7 @@
     endpoint_standin::{EndpointManner, EndpointStandin},
     gateway_site::{Gateway, configuration, endpoint_entry, request_bytes, try_send_raw, wait_for},
     platform_standin::PlatformStandin,
+    request_lines::print_request_lines,
 };
 
 /// Time from an order to its deadline. The steps of so short a roll-out take half of their time.
@@ -115,7 +121,7 @@
     /// Sends requests until `act` has ended; `act` gets the site with its clients running.
     fn play(mut self, act: impl FnOnce(&mut Self)) -> (Self, RolloutResult) {
         let stop = AtomicBool::new(false);
-        let (sent, not_served) = (AtomicU64::new(0), AtomicU64::new(0));
+        let (sent, not_served) = (AtomicU64::new(0), Mutex::new(HashSet::new()));
         let clients: Vec<_> = self.daemons.iter().map(|daemon| daemon.clients).collect();
         std::thread::scope(|scope| {
             for client in 0..CLIENTS {
@@ -131,7 +137,9 @@
                         let response = try_send_raw(daemon, &request);
                         let is_served = response.is_ok_and(|one| one.status == 200 && one.whole);
                         sent.fetch_add(1, Ordering::Relaxed);
-                        not_served.fetch_add(u64::from(!is_served), Ordering::Relaxed);
+                        if !is_served {
+                            not_served.lock().expect("lock").insert(id);
+                        }
                         std::thread::sleep(CLIENT_PAUSE);
                     }
                 });
@@ -140,10 +148,13 @@
             stop.store(true, Ordering::Relaxed);
         });
         let status = self.status();
+        let not_served: HashSet<String> = not_served.into_inner().expect("lock");
         let result =
-            RolloutResult { sent: sent.into_inner(), not_served: not_served.into_inner(), status };
+            RolloutResult { sent: sent.into_inner(), not_served: not_served.len() as u64, status };
         println!("{} sent, {} not served, {}", result.sent, result.not_served, result.status);
         self.print_rollout_lines();
+        let ids = not_served.iter().map(String::as_str).collect();
+        print_request_lines(self.daemons.iter().map(|daemon| Path::new(&daemon.log)), &ids);
         (self, result)
     }
 
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -3,9 +3,9 @@
 //! can serve.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
-    path::PathBuf,
+    path::{Path, PathBuf},
     sync::{Arc, Mutex},
     thread,
     time::{Duration, Instant},
@@ -18,6 +18,7 @@
     gateway_site::{Gateway, RawAnswer, configuration, request_bytes, try_send_raw},
     link_faults::{LinkFaults, PartitionManner},
     platform_standin::PlatformStandin,
+    request_lines::print_request_lines,
     signal_checks::{Disturbance, LimitOutcome, SeenSignals, SentAt},
     signalling_endpoint::{Arrival, EndpointSignal, SignallingEndpoint},
 };
@@ -88,7 +89,8 @@
     disturbances: Mutex<Vec<Disturbance>>,
 }
 
-fn daemon_count() -> usize {
+/// Number of daemons of a fleet.
+pub fn daemon_count() -> usize {
     let named = std::env::var("SIGNAL_DAEMONS").ok().and_then(|text| text.parse().ok());
     named.unwrap_or(DEFAULT_DAEMONS)
 }
@@ -187,6 +189,17 @@
         self.disturbances.lock().expect("lock").push(disturbance);
     }
 
+    /// Prints what the daemons have logged of the requests that were not served and were sent in this span.
+    pub fn print_request_lines(&self, outcome: &SignalOutcome, span: std::ops::Range<Duration>) {
+        let span = outcome.began + span.start..outcome.began + span.end;
+        let is_printed =
+            |request: &SentRequest| !request.is_served() && span.contains(&request.sent);
+        let requests = outcome.sent.iter().filter(|(_, request)| is_printed(request));
+        let ids: HashSet<&str> = requests.map(|(id, _)| id.as_str()).collect();
+        let daemons = self.daemons.lock().expect("lock");
+        print_request_lines(daemons.iter().map(|daemon| Path::new(&daemon.log)), &ids);
+    }
+
     /// Runs the clients while `signal_with` controls the first `signalling` endpoints.
     pub fn play(
         &self,
