--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -56,6 +56,7 @@
 mod partitioned_daemons;
 mod paused_responses;
 mod pausing_endpoint;
+mod pausing_fleet;
 mod pausing_runs;
 mod peer_wait;
 mod platform_standin;
