Roll-out line: how many responses counted as bad, and whether the version looked worse

The leader's kill had no part in it: the new leader went on with the plan (canary at 0.6 s, shift at 4.8 s). Of the responses at the second share 5 of 29 of the new version and 2 of 101 of the former one counted as bad, so the version looked worse, its share wasn't enlarged, and the roll-out was reverted at its deadline. The test prints late responses: those of the new version took 30, 55, 65, 119 and 141 ms where a response counts as bad from twice the mean and 30 ms. The line with the step `reverted` said nothing of it; it names both counts and the verdict now.

--- a/src/gateway/leader/rollout_tasks.rs
+++ b/src/gateway/leader/rollout_tasks.rs
@@ -55,6 +55,8 @@
     let inputs = plan_inputs(context, rollout, now);
     let Some(plan) = next_plan(rollout.plan, bounds, &inputs) else { return };
     let service = &rollout.order.service;
+    // A new plan begins new sums.
+    let responses = context.rollouts.borrow().responses(service, now);
     context.rollouts.borrow_mut().apply_plan(service, plan, now);
     context.metrics.count_labelled("rollout_steps", "phase", &plan.phase.to_string());
     spdlog::info!("roll-out", kv: {
@@ -62,7 +64,9 @@
         share = plan.share, elapsed_ms = inputs.elapsed.as_millis() as u64,
         target_endpoints = inputs.target_endpoints, former_endpoints = inputs.former_endpoints,
         former_running = inputs.former_running, target_responses = inputs.target_responses,
-        all_responses = inputs.all_responses, is_stopped = inputs.is_stopped
+        target_bad = responses.target.bad, all_responses = inputs.all_responses,
+        former_bad = responses.former.bad, looks_worse = inputs.looks_worse,
+        is_stopped = inputs.is_stopped
     });
 }
 
--- a/tests/gateway/rollouts.rs
+++ b/tests/gateway/rollouts.rs
@@ -32,6 +32,8 @@
 const EXPOSURE_SLACK: f64 = 50.0;
 /// Time after the fiftieth bad response from which a bad version may get none.
 const ROLLBACK_LIMIT: Duration = Duration::from_secs(5);
+/// Least time of a response that may count as bad for being late.
+const SLOW_MS: u64 = 30;
 /// Pause of each client after a response.
 const CLIENT_PAUSE: Duration = Duration::from_millis(20);
 const CLIENTS: usize = 6;
@@ -45,6 +47,25 @@
     daemons: Vec<Gateway>,
 }
 
+/// A request line of a daemon's log.
+struct RequestLine {
+    is_stream: bool,
+    steps: String,
+    total_ms: u64,
+}
+
+impl RequestLine {
+    fn parse(line: &str) -> Option<Self> {
+        let line: Value = serde_json::from_str(line).ok()?;
+        let fields = line.get("kv").filter(|_| line["payload"] == "request")?;
+        Some(Self {
+            is_stream: fields["route"] == "stream",
+            steps: fields["steps"].as_str()?.to_owned(),
+            total_ms: fields["total_ms"].as_u64()?,
+        })
+    }
+}
+
 /// What the clients and the endpoints have seen.
 struct RolloutResult {
     sent: u64,
@@ -153,6 +174,7 @@
             RolloutResult { sent: sent.into_inner(), not_served: not_served.len() as u64, status };
         println!("{} sent, {} not served, {}", result.sent, result.not_served, result.status);
         self.print_rollout_lines();
+        self.print_slow_lines();
         let ids = not_served.iter().map(String::as_str).collect();
         print_request_lines(self.daemons.iter().map(|daemon| Path::new(&daemon.log)), &ids);
         (self, result)
@@ -167,6 +189,16 @@
         }
     }
 
+    /// Prints the request lines of responses that came late enough to count as bad.
+    fn print_slow_lines(&self) {
+        for daemon in &self.daemons {
+            let log = std::fs::read_to_string(&daemon.log).unwrap_or_default();
+            let requests = log.lines().filter_map(RequestLine::parse);
+            let slow = requests.filter(|one| one.total_ms >= SLOW_MS && !one.is_stream);
+            slow.for_each(|one| println!("{} ms: {}", one.total_ms, one.steps));
+        }
+    }
+
     /// Orders the target version and lists its endpoints.
     fn begin(&self) {
         self.order("v2");
