--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -47,6 +47,8 @@
 /// Most streams that may hold events of two versions.
 const ALLOWED_MIXED: usize = 2;
 const CLIENTS: u64 = 6;
+/// Part of the requests that may be sent again. There is no reserve beyond it, so that few are.
+const RETRY_RATIO: f64 = 0.05;
 /// Time during which faults are caused.
 const FAULT_TIME: Duration = Duration::from_secs(6);
 /// How long one fault lasts, in milliseconds.
@@ -238,7 +240,8 @@
         let mut seeds: Vec<SocketAddr> = Vec::new();
         for (place, link) in self.store_links.iter().enumerate() {
             let name = format!("soak-{place}");
-            let daemon = Gateway::start_at(&name, link.address, &seeds, json!({}));
+            let bounds = json!({"retry-ratio": RETRY_RATIO, "retry-slack": 0});
+            let daemon = Gateway::start_at(&name, link.address, &seeds, bounds);
             if seeds.len() < 3 {
                 seeds.push(daemon.peers);
             }
