--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -47,8 +47,9 @@
 /// Most streams that may hold events of two versions.
 const ALLOWED_MIXED: usize = 2;
 const CLIENTS: u64 = 6;
-/// Part of the requests that may be sent again. There is no reserve beyond it, so that few are.
-const RETRY_RATIO: f64 = 0.05;
+/// Bounds of the retries: the usual ones, and in every other seed few and no reserve, so that few runs are begun beside
+/// silent ones.
+const RETRY_BOUNDS: [(f64, u32); 2] = [(0.2, 50), (0.05, 0)];
 /// Time during which faults are caused.
 const FAULT_TIME: Duration = Duration::from_secs(6);
 /// How long one fault lasts, in milliseconds.
@@ -198,7 +199,7 @@
 }
 
 impl SoakSite {
-    fn start(daemon_count: usize) -> Self {
+    fn start(daemon_count: usize, retries: (f64, u32)) -> Self {
         let platform = Arc::new(PlatformStandin::start());
         let faults: Arc<LinkFaults> = Arc::default();
         let crash_traffic = CrashTraffic::start(&platform, &faults);
@@ -231,16 +232,16 @@
         site.platform.set_era(1);
         site.write_next_version();
         (0..ENDPOINTS).for_each(|place| site.write_entry(place));
-        site.start_daemons();
+        site.start_daemons(retries);
         site
     }
 
     /// Starts one daemon behind each link to the store; the first three are the seeds of all.
-    fn start_daemons(&mut self) {
+    fn start_daemons(&mut self, (ratio, slack): (f64, u32)) {
         let mut seeds: Vec<SocketAddr> = Vec::new();
         for (place, link) in self.store_links.iter().enumerate() {
             let name = format!("soak-{place}");
-            let bounds = json!({"retry-ratio": RETRY_RATIO, "retry-slack": 0});
+            let bounds = json!({"retry-ratio": ratio, "retry-slack": slack});
             let daemon = Gateway::start_at(&name, link.address, &seeds, bounds);
             if seeds.len() < 3 {
                 seeds.push(daemon.peers);
@@ -418,7 +419,7 @@
 }
 
 fn play(seed: u64, daemon_count: usize) {
-    let site = SoakSite::start(daemon_count);
+    let site = SoakSite::start(daemon_count, RETRY_BOUNDS[(seed % 2) as usize]);
     let exchanges = Mutex::new(Vec::new());
     let until = Instant::now() + FAULT_TIME;
     let addresses = site.addresses();
