Relay, attempts and request log: shorter files, plainer names; steps name their endpoint

Read as a newcomer: what is asked is checked, the first run of a race is the current one, a response that is broken off is called so. When a request has had several attempts, the steps of its log line say which endpoint they are of: two may be in progress.

--- a/src/gateway/policy/request/retries.rs
+++ b/src/gateway/policy/request/retries.rs
@@ -11,7 +11,7 @@
 //! | began a stream that broke | - | resume, or break off | break off |
 //!
 //! An attempt that is silent has not ended: where the table allows a retry after "may have run", another
-//! attempt may run beside it (`time_limits`), under the same conditions.
+//! attempt may run at the same time (`time_limits`), under the same conditions.
 //!
 //! A retry requires that the route allows another attempt, that the deadline has not passed, and
 //! one unit of the service's retry budget. The budget is charged last, and only where the table
--- a/src/gateway/policy/request/time_limits.rs
+++ b/src/gateway/policy/request/time_limits.rs
@@ -3,7 +3,7 @@
 //!
 //! Inputs are the route in the newest configuration and the client's time limit; the defaults below
 //! apply if neither is set. A silent run goes on until the request's deadline. If the route, the retry
-//! budget and the other endpoints allow it, another endpoint runs the request beside it, and the first of
+//! budget and the other endpoints allow it, another endpoint runs the request too, and the first of
 //! both that sends something is passed on: to end the silent run earlier would turn a late response into none.
 
 use std::time::Duration;
@@ -25,8 +25,8 @@
 /// target (first event) or of the allowed gap (later events). After a single gap the stream is only
 /// late, and to resume it another endpoint has to process the prompt.
 const SILENCE_MULTIPLE: f64 = 2.0;
-/// Shortest pause between two questions whether another endpoint may run a silent request.
-const SHORTEST_ASK_PAUSE: Duration = Duration::from_millis(50);
+/// Shortest pause between two checks whether another endpoint may run a silent request.
+const SHORTEST_CHECK_PAUSE: Duration = Duration::from_millis(50);
 /// Longest time between events if the route sets no allowed gap: high, since the usual speed of
 /// such a stream is not known.
 const DEFAULT_SILENCE: Duration = Duration::from_secs(2);
@@ -78,21 +78,21 @@
     deadline.min(now + silence)
 }
 
-/// Times at which it is asked again whether another endpoint may run a silent request: with pauses that
-/// grow with the silence, so that few questions are asked however long it lasts.
+/// Pause between two checks whether another endpoint may run a silent request. It grows with the silence, so
+/// that there are few checks however long that lasts.
 #[derive(Clone, Copy, Debug)]
-pub struct AskPause {
+pub struct CheckPause {
     begun: Instant,
 }
 
-impl AskPause {
+impl CheckPause {
     /// For a silence, or a wait, that began then.
     pub fn new(begun: Instant) -> Self {
         Self { begun }
     }
 
-    /// When to ask again after a question at `now`.
+    /// When to check again after a check at `now`.
     pub fn next(self, now: Instant) -> Instant {
-        now + now.saturating_duration_since(self.begun).max(SHORTEST_ASK_PAUSE)
+        now + now.saturating_duration_since(self.begun).max(SHORTEST_CHECK_PAUSE)
     }
 }
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -2,31 +2,34 @@
 //!
 //! `policy::endpoint::endpoint_choice` chooses the endpoint, and `policy::request::retries` decides what
 //! follows the attempt. An attempt waits for its response until the request's deadline;
-//! `policy::request::time_limits` says from when on it is silent, so that another one may run beside it.
+//! `policy::request::time_limits` says from when on it is silent, so that another one may run too.
 
 mod choice;
 mod connection;
 pub mod endpoint_response;
+mod open_request;
 mod response_evaluation;
 
-use std::{cell::RefCell, rc::Rc};
+use std::rc::Rc;
 
 use http_body_util::Full;
 use hyper::{Request, body::Bytes};
 use tokio::time::{Instant, sleep_until};
 
-pub use self::choice::{has_another, wait_for_room};
 use self::{
     choice::{check_quarantine, choose, memory_tokens, prompt_tokens},
     connection::{connect, not_connected, send},
     endpoint_response::EndpointResponse,
     response_evaluation::evaluate_response,
 };
+pub use self::{
+    choice::{has_another, wait_for_room},
+    open_request::{Attempts, OpenRequest},
+};
 use super::{
     admission::Admitted,
     connection_pool::{EndpointConnection, SendFailure},
     crash_watch,
-    request_log::RequestTrace,
     run_guard::RunGuard,
 };
 use crate::{
@@ -44,100 +47,9 @@
             },
         },
     },
-    ids::SharedName,
     platform::ingress,
 };
 
-/// State of the attempts at one request.
-#[derive(Default)]
-pub struct Attempts {
-    /// Endpoints that have been tried.
-    pub tried: Vec<SharedName>,
-    /// Number of attempts that have reached an endpoint or may still reach it.
-    pub begun: u32,
-    /// Number of attempts that are to begin.
-    reserved: u32,
-    /// Whether the request may have run in an attempt that has ended.
-    pub may_have_run: bool,
-    /// When the last attempt counts as silent if it has not responded until then.
-    pub silent_at: Option<Instant>,
-    /// Endpoints of these to which no connection could be opened.
-    unreached: Vec<SharedName>,
-    /// Whether this daemon has been found to be partitioned since the first attempt.
-    knows_partition: bool,
-    /// Version at which a stream goes on, once it has begun.
-    pub version: Option<SharedName>,
-    /// Whether this is the trial of a quarantined request; only one attempt may reach an endpoint.
-    is_trial: bool,
-}
-
-impl Attempts {
-    /// Counts an attempt that begins when its future is polled.
-    pub fn reserve(&mut self) {
-        self.reserved += 1;
-    }
-
-    /// Whether another attempt may be made of the number that a route allows.
-    fn is_any_left(&self, allowed: u32) -> bool {
-        self.begun + self.reserved < allowed
-    }
-}
-
-/// An admitted request and its attempts, several of which may be in progress at the same time.
-#[derive(Clone, Copy)]
-pub struct OpenRequest<'a> {
-    /// State of the daemon.
-    pub context: &'a Rc<GatewayContext>,
-    /// The request.
-    pub admitted: &'a Admitted,
-    /// State of its attempts.
-    pub attempts: &'a RefCell<Attempts>,
-    /// Its trace.
-    pub trace: &'a RefCell<RequestTrace>,
-}
-
-impl OpenRequest<'_> {
-    /// Whether the request may be retried: attempts and time are left, and the service's retry budget
-    /// allows it. Withdraws the retry from the budget if so.
-    pub fn may_try_again(self) -> bool {
-        let Self { context, admitted, .. } = self;
-        let now = boot_clock::now();
-        let mut trace = self.trace.borrow_mut();
-        if !self.attempts.borrow().is_any_left(admitted.route.attempts) {
-            trace.not_retried(&"no attempts left");
-            return false;
-        }
-        if now >= admitted.deadline {
-            trace.not_retried(&"no time left");
-            return false;
-        }
-        let withdrawal = context.try_withdraw_retry(&admitted.service.name, now);
-        trace.retry_withdrawal(&admitted.service.name, withdrawal);
-        withdrawal.is_granted()
-    }
-
-    /// The same while a run of the request is in progress: another endpoint also has to have room, and the
-    /// request must not be quarantined.
-    pub fn may_run_elsewhere(self) -> bool {
-        if !self.admitted.route.kind.may_run_again() {
-            return false;
-        }
-        if crash_watch::is_quarantined(self.context, self.admitted) {
-            self.trace.borrow_mut().not_retried(&"quarantined");
-            return false;
-        }
-        if !self.context.is_up_to_date_with_peers(boot_clock::now()) {
-            self.trace.borrow_mut().not_retried(&"no contact with other daemons yet");
-            return false;
-        }
-        if !has_another(self) {
-            self.trace.borrow_mut().not_retried(&"no other endpoint has room");
-            return false;
-        }
-        self.may_try_again()
-    }
-}
-
 /// How one attempt ended.
 pub enum AttemptEnd {
     /// An endpoint has run the request and responded.
@@ -178,7 +90,7 @@
     let sending = send(context, &mut connection, head, admitted.deadline, &guard);
     match flag_silence(sending, silent_at, &guard).await {
         Err(failure) => {
-            trace.borrow_mut().failed(&failure);
+            trace.borrow_mut().failed(&failure, &endpoint.id);
             Ok(AttemptEnd::Failed(after_send_failure(request, &failure, guard)))
         }
         Ok(response) => Ok(evaluate_response(request, response, silent_at, connection, guard)),
--- a/src/gateway/request/attempt/connection.rs
+++ b/src/gateway/request/attempt/connection.rs
@@ -68,7 +68,7 @@
     let OpenRequest { context, admitted, attempts, trace } = request;
     let attempts = &mut *attempts.borrow_mut();
     attempts.begun -= 1;
-    trace.borrow_mut().failed(failure);
+    trace.borrow_mut().failed(failure, guard.endpoint());
     if matches!(failure, SendFailure::NoPath) {
         return Err(NoAttempt::NoPath.refusal(attempts.may_have_run, admitted.route.target));
     }
--- a/src/gateway/request/attempt/response_evaluation.rs
+++ b/src/gateway/request/attempt/response_evaluation.rs
@@ -44,7 +44,7 @@
 ) -> AttemptEnd {
     let OpenRequest { context, admitted, trace, .. } = request;
     let metadata = ingress::read_response(&admitted.call.head.id, &response);
-    trace.borrow_mut().responded(response.status(), &metadata);
+    trace.borrow_mut().responded(response.status(), &metadata, guard.endpoint());
     record_signals(&metadata, &guard);
     let (status, body_start) = (response.status(), BodyStart::Unread);
     let response =
--- a/src/gateway/request/first_response.rs
+++ b/src/gateway/request/first_response.rs
@@ -1,8 +1,8 @@
 //! Makes attempts at a request until one has a response to pass on.
 //!
-//! An attempt that is silent for too long goes on while another one runs beside it, if that may have a
-//! response sooner; the first response is passed on, and the other attempts end. An attempt is thus never
-//! given up for nothing. `policy::request::time_limits` says when an attempt is silent,
+//! An attempt that is silent for too long goes on while another one is made, if that may have a response
+//! sooner; the first response is passed on, and the other attempts end. An attempt is thus ended only once
+//! there is a response. `policy::request::time_limits` says when an attempt is silent,
 //! `policy::request::retries` what follows one that has failed.
 
 use std::{future::Future, pin::Pin, time::Duration};
@@ -24,7 +24,7 @@
     gateway::policy::request::{
         refusal::Refusal,
         retries::{AttemptFailure, FailureStep, after_failure, may_retry_response},
-        time_limits::{self, AskPause},
+        time_limits::{self, CheckPause},
     },
 };
 
@@ -45,9 +45,9 @@
 struct AttemptRace<'a> {
     request: OpenRequest<'a>,
     running: FuturesUnordered<Pin<Box<dyn Future<Output = AttemptOutcome> + 'a>>>,
-    /// When to ask whether another attempt may be made beside those in progress.
-    ask_at: Instant,
-    pause: AskPause,
+    /// When to check whether another attempt may be made while others are in progress.
+    check_at: Instant,
+    pause: CheckPause,
     /// An endpoint's error response, passed on rather than a refusal if no attempt succeeds.
     error: Option<Box<EndpointResponse>>,
 }
@@ -62,8 +62,8 @@
     let mut race = AttemptRace {
         request,
         running: FuturesUnordered::new(),
-        ask_at: now,
-        pause: AskPause::new(now),
+        check_at: now,
+        pause: CheckPause::new(now),
         error: None,
     };
     race.begin();
@@ -80,7 +80,7 @@
         if race.running.is_empty() {
             return race.error.map(|error| *error).ok_or(refusal);
         }
-        race.ask_later();
+        race.check_later();
     }
 }
 
@@ -90,28 +90,28 @@
         self.request.attempts.borrow_mut().reserve();
         let begun = self.request.attempts.borrow().begun;
         let now = boot_clock::now();
-        self.ask_at = time_limits::head_silence(route, begun, Duration::ZERO, *deadline, now);
+        self.check_at = time_limits::head_silence(route, begun, Duration::ZERO, *deadline, now);
         self.running.push(Box::pin(run_attempt(self.request)));
     }
 
     /// Waits for the end of an attempt. Returns none if the last one was silent first; another one is then
-    /// begun beside it, if that is allowed.
+    /// begun too, if that is allowed.
     async fn next_outcome(&mut self) -> Option<AttemptOutcome> {
-        let may_ask = self.ask_at < self.request.admitted.deadline;
+        let may_check = self.check_at < self.request.admitted.deadline;
         tokio::select! {
             biased;
             outcome = self.running.next() => outcome,
-            () = sleep_until(boot_clock::timer_at(self.ask_at)), if may_ask => {
+            () = sleep_until(boot_clock::timer_at(self.check_at)), if may_check => {
                 self.handle_silence();
                 None
             }
         }
     }
 
-    /// Asks again after a pause whether another attempt may be made: the last one has ended without a response.
-    fn ask_later(&mut self) {
+    /// Sets the next check after an attempt that has ended without a response.
+    fn check_later(&mut self) {
         self.request.attempts.borrow_mut().silent_at = None;
-        self.ask_at = self.pause.next(boot_clock::now());
+        self.check_at = self.pause.next(boot_clock::now());
     }
 
     fn handle_silence(&mut self) {
@@ -119,11 +119,11 @@
         // Later than for any other attempt if its endpoint has other prompts to process first.
         let silent_at = request.attempts.borrow().silent_at;
         if let Some(silent_at) = silent_at.filter(|silent_at| *silent_at > now) {
-            self.ask_at = silent_at;
+            self.check_at = silent_at;
             return;
         }
         request.trace.borrow_mut().attempt_silent();
-        self.ask_at = self.pause.next(now);
+        self.check_at = self.pause.next(now);
         if request.may_run_elsewhere() {
             self.begin();
         }
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -6,6 +6,7 @@
 //! long an endpoint may be silent. `policy::request::response_end` decides what the end of an
 //! endpoint's response means.
 
+mod further_run;
 mod response_ending;
 mod run_race;
 mod stream_start;
@@ -99,8 +100,7 @@
 enum NextPiece {
     Bytes(Bytes),
     End,
-    /// The response is broken off.
-    Lost(RelayError),
+    BrokenOff(RelayError),
 }
 
 /// Passes `response` on; the body is relayed as the client reads it.
@@ -173,7 +173,7 @@
                     let rest = self.cutter.as_mut().map(EventCutter::take_rest);
                     return rest.filter(|rest| !rest.is_empty()).map(Ok);
                 }
-                NextPiece::Lost(error) => {
+                NextPiece::BrokenOff(error) => {
                     self.ended = true;
                     self.request.trace.borrow_mut().broken_off(&error.to_string());
                     return Some(Err(error.into()));
@@ -209,7 +209,7 @@
             BodyPiece::End => self.end_run().await,
             BodyPiece::Silent if until >= self.request.admitted.deadline => {
                 self.handle_timeout();
-                Ok(NextPiece::Lost(RelayError::OutOfTime))
+                Ok(NextPiece::BrokenOff(RelayError::OutOfTime))
             }
             BodyPiece::Silent => Ok(self.race_silent_run().await),
             BodyPiece::Broken => {
--- a/src/gateway/request/relay/run_race.rs
+++ b/src/gateway/request/relay/run_race.rs
@@ -1,8 +1,8 @@
 //! Lets another endpoint go on with a stream whose run is silent or has failed.
 //!
 //! A silent run is kept until another one has the next event. Whichever has it first is passed on, and the
-//! others end, so that the client gets the events of one run at a time and a run at work is given up only for
-//! one that serves the client. `policy::request::retries` and the retry budget decide whether another run may
+//! others end, so that the client gets the events of one run at a time and a run at work ends only for one
+//! that serves the client. `policy::request::retries` and the retry budget decide whether another run may
 //! be begun.
 
 use std::{future::Future, mem, pin::Pin};
@@ -13,6 +13,7 @@
 
 use super::{
     NextPiece, Relay, RelayError, fail_run,
+    further_run::{FurtherRun, RunFailure, StreamRun, begin_run},
     response_ending::{ReceivedPart, RunEnd, record_break},
     upstream::{BodyPiece, Upstream},
 };
@@ -21,72 +22,53 @@
     gateway::{
         policy::request::{
             retries,
-            time_limits::{self, AskPause},
+            time_limits::{self, CheckPause},
         },
         request::{
-            attempt::{AttemptEnd, OpenRequest, attempt},
+            attempt::OpenRequest,
             event_cutter::{EventBatch, EventCutter},
-            response_meaning::BodyFraming,
         },
     },
 };
 
-/// A further run of a stream, with the next events or the end.
-struct StreamRun {
-    upstream: Upstream,
-    cutter: EventCutter,
-    batch: EventBatch,
-}
-
-/// Why a further run doesn't go on with the stream.
-enum RunFailure {
-    /// No endpoint was asked.
-    Refused,
-    /// The endpoint has not run it, or has failed.
-    Failed,
-}
-
-/// The next events of a further run, or why there are none.
-type FurtherRun = Result<Box<StreamRun>, RunFailure>;
-
 /// Further runs in progress.
 type FurtherRuns<'a> = FuturesUnordered<Pin<Box<dyn Future<Output = FurtherRun> + 'a>>>;
 
 /// How a race ends.
 enum RaceResult {
-    /// The first run has sent these events, or comments.
+    /// The current run has sent these events, or comments.
     Events(EventBatch),
-    /// The first run has ended, and the response with it.
+    /// The current run has ended, and the response with it.
     Ended(RunEnd),
     /// A further run goes on with the stream.
     Replaced(Box<StreamRun>),
     /// No run is left, or no time.
-    Lost(RelayError),
+    NoneLeft(RelayError),
 }
 
 /// What happens first in a race.
 enum RaceEvent {
-    FirstRun(BodyPiece),
+    CurrentRun(BodyPiece),
     FurtherRun(FurtherRun),
-    /// It is time to ask whether a further run may be begun.
-    Ask,
+    /// It is time to check whether a further run may be begun.
+    Check,
 }
 
-/// A stream's first run, unless that has failed, and further ones.
+/// The current run of a stream, unless that has failed, and further ones.
 struct RunRace<'a> {
     request: OpenRequest<'a>,
-    first: &'a mut Option<Upstream>,
+    current: &'a mut Option<Upstream>,
     cutter: &'a mut Option<EventCutter>,
     /// Id of the last event that the client has received.
     last_event: Option<u64>,
     received: ReceivedPart,
-    /// Comments that the first run has sent meanwhile.
+    /// Comments that the current run has sent meanwhile.
     comments: BytesMut,
     further: FurtherRuns<'a>,
     /// Whether the route and the stream's version allow further runs.
     is_allowed: bool,
-    pause: AskPause,
-    ask_at: Instant,
+    pause: CheckPause,
+    check_at: Instant,
 }
 
 impl Relay {
@@ -112,15 +94,15 @@
         let now = boot_clock::now();
         let race = RunRace {
             request: self.request.open(),
-            first: &mut self.upstream,
+            current: &mut self.upstream,
             cutter: &mut self.cutter,
             last_event: self.last_event,
             received,
             comments: BytesMut::new(),
             further: FuturesUnordered::new(),
             is_allowed,
-            pause: AskPause::new(now),
-            ask_at: now,
+            pause: CheckPause::new(now),
+            check_at: now,
         };
         race.run(error).await
     }
@@ -138,7 +120,7 @@
                 NextPiece::End
             }
             RaceResult::Replaced(run) => self.go_on_at(*run),
-            RaceResult::Lost(error) => NextPiece::Lost(error),
+            RaceResult::NoneLeft(error) => NextPiece::BrokenOff(error),
         }
     }
 
@@ -153,7 +135,7 @@
         knows_version
     }
 
-    /// Goes on with a further run; the first one ends.
+    /// Goes on with a further run; the current one ends.
     fn go_on_at(&mut self, run: StreamRun) -> NextPiece {
         self.upstream = Some(run.upstream);
         self.cutter = Some(run.cutter);
@@ -164,27 +146,27 @@
 
 impl RunRace<'_> {
     /// Waits until a run has the next events. Without one that may have them, the race is lost with `error`,
-    /// or with the failure of the first run.
+    /// or with the failure of the current run.
     async fn run(mut self, mut error: RelayError) -> RaceResult {
         loop {
-            self.ask();
-            if self.first.is_none() && self.further.is_empty() {
-                return RaceResult::Lost(error);
+            self.check();
+            if self.current.is_none() && self.further.is_empty() {
+                return RaceResult::NoneLeft(error);
             }
             match self.next_event().await {
-                RaceEvent::Ask => {}
+                RaceEvent::Check => {}
                 RaceEvent::FurtherRun(Ok(run)) => return RaceResult::Replaced(run),
-                RaceEvent::FurtherRun(Err(RunFailure::Failed)) => self.ask_at = boot_clock::now(),
+                RaceEvent::FurtherRun(Err(RunFailure::Failed)) => self.check_at = boot_clock::now(),
                 RaceEvent::FurtherRun(Err(RunFailure::Refused)) => {
-                    self.ask_at = self.pause.next(boot_clock::now());
+                    self.check_at = self.pause.next(boot_clock::now());
                 }
-                RaceEvent::FirstRun(piece) => match self.take_piece(piece).await {
+                RaceEvent::CurrentRun(piece) => match self.take_piece(piece).await {
                     Ok(Some(result)) => return result,
                     Ok(None) => {}
                     Err(failure) => {
                         error = failure;
-                        fail_run(self.request, self.first);
-                        self.ask_at = boot_clock::now();
+                        fail_run(self.request, self.current);
+                        self.check_at = boot_clock::now();
                     }
                 },
             }
@@ -192,52 +174,53 @@
     }
 
     /// Begins a further run if it is time to and that is allowed.
-    fn ask(&mut self) {
+    fn check(&mut self) {
         let now = boot_clock::now();
-        if now < self.ask_at || !self.is_allowed {
+        if now < self.check_at || !self.is_allowed {
             return;
         }
         if !self.request.may_run_elsewhere() {
-            self.ask_at = self.pause.next(now);
+            self.check_at = self.pause.next(now);
             return;
         }
         self.request.attempts.borrow_mut().reserve();
         self.further.push(Box::pin(begin_run(self.request, self.last_event)));
         let OpenRequest { admitted, attempts, .. } = self.request;
         let begun = attempts.borrow().begun + 1;
-        self.ask_at = time_limits::event_silence(&admitted.route, begun, 0, admitted.deadline, now);
+        self.check_at =
+            time_limits::event_silence(&admitted.route, begun, 0, admitted.deadline, now);
     }
 
     async fn next_event(&mut self) -> RaceEvent {
         let deadline = self.request.admitted.deadline;
-        let first = async {
-            match self.first.as_mut() {
-                Some(first) => first.next_piece(deadline).await,
+        let current = async {
+            match self.current.as_mut() {
+                Some(current) => current.next_piece(deadline).await,
                 None => std::future::pending().await,
             }
         };
-        let may_ask = self.is_allowed && self.ask_at < deadline;
+        let may_check = self.is_allowed && self.check_at < deadline;
         tokio::select! {
             biased;
-            piece = first => RaceEvent::FirstRun(piece),
+            piece = current => RaceEvent::CurrentRun(piece),
             Some(run) = self.further.next() => RaceEvent::FurtherRun(run),
-            () = sleep_until(boot_clock::timer_at(self.ask_at)), if may_ask => RaceEvent::Ask,
+            () = sleep_until(boot_clock::timer_at(self.check_at)), if may_check => RaceEvent::Check,
         }
     }
 
-    /// Takes a piece of the first run. Returns none if it completes no event.
+    /// Takes a piece of the current run. Returns none if it completes no event.
     ///
     /// # Errors
     ///
-    /// The first run has failed.
+    /// The current run has failed.
     async fn take_piece(&mut self, piece: BodyPiece) -> Result<Option<RaceResult>, RelayError> {
         match piece {
             BodyPiece::Bytes(bytes) => self.take_bytes(&bytes),
-            BodyPiece::End => self.end_first().await,
-            BodyPiece::Silent => Ok(Some(RaceResult::Lost(RelayError::OutOfTime))),
+            BodyPiece::End => self.end_current().await,
+            BodyPiece::Silent => Ok(Some(RaceResult::NoneLeft(RelayError::OutOfTime))),
             BodyPiece::Broken => {
-                if let Some(first) = self.first {
-                    record_break(self.request, first);
+                if let Some(current) = self.current {
+                    record_break(self.request, current);
                 }
                 Err(RelayError::BrokenOff)
             }
@@ -256,80 +239,20 @@
         Ok(Some(RaceResult::Events(batch)))
     }
 
-    /// Ends the first run, and the response with it if it is whole.
-    async fn end_first(&mut self) -> Result<Option<RaceResult>, RelayError> {
+    /// Ends the current run, and the response with it if it is whole.
+    async fn end_current(&mut self) -> Result<Option<RaceResult>, RelayError> {
         if !self.comments.is_empty() {
             // The end follows again.
             let bytes = mem::take(&mut self.comments).freeze();
             return Ok(Some(RaceResult::Events(EventBatch { bytes, ..EventBatch::default() })));
         }
-        let Some(first) = self.first else { return Ok(None) };
-        first.guard.set_silent(false);
+        let Some(current) = self.current else { return Ok(None) };
+        current.guard.set_silent(false);
         let cutter = self.cutter.as_ref();
-        let end = RunEnd::evaluate(self.request, first, cutter, self.received).await;
-        match end.error(self.request, self.first) {
+        let end = RunEnd::evaluate(self.request, current, cutter, self.received).await;
+        match end.error(self.request, self.current) {
             Some(error) => Err(error),
             None => Ok(Some(RaceResult::Ended(end))),
         }
     }
 }
-
-/// Begins a further run, which has been reserved, and waits for its next event or its end.
-async fn begin_run(request: OpenRequest<'_>, last_event: Option<u64>) -> FurtherRun {
-    let response = match attempt(request, last_event).await {
-        Ok(AttemptEnd::Responded(response)) if response.response.status().is_success() => response,
-        // The response to the client has begun, so a refusal or an error can't be passed on.
-        Ok(_) => return Err(RunFailure::Failed),
-        Err(refusal) => {
-            request.trace.borrow_mut().not_retried(&refusal);
-            return Err(RunFailure::Refused);
-        }
-    };
-    let mut upstream = Upstream::of(*response).1;
-    let mut cutter = EventCutter::default();
-    loop {
-        match next_piece_or_silence(request, &mut upstream).await {
-            BodyPiece::Bytes(bytes) => {
-                let batch = cutter.feed(&bytes, last_event).map_err(|_| RunFailure::Failed)?;
-                if batch.count > 0 {
-                    return Ok(Box::new(StreamRun { upstream, cutter, batch }));
-                }
-            }
-            // The client has received all events already.
-            BodyPiece::End if is_whole(&upstream, &cutter) => {
-                let batch = EventBatch::default();
-                return Ok(Box::new(StreamRun { upstream, cutter, batch }));
-            }
-            // Nobody knows whether it is whole.
-            BodyPiece::End if !cutter.is_inside_event() => return Err(RunFailure::Failed),
-            BodyPiece::End | BodyPiece::Broken => {
-                record_break(request, &upstream);
-                fail_run(request, &mut Some(upstream));
-                return Err(RunFailure::Failed);
-            }
-            BodyPiece::Silent => return Err(RunFailure::Failed),
-        }
-    }
-}
-
-/// Whether the end of a run is certainly that of its response.
-fn is_whole(run: &Upstream, cutter: &EventCutter) -> bool {
-    run.framing != BodyFraming::Close && !cutter.is_inside_event()
-}
-
-/// Waits for the next piece until the request's deadline. The run is marked as silent while nothing arrives for too
-/// long.
-async fn next_piece_or_silence(request: OpenRequest<'_>, run: &mut Upstream) -> BodyPiece {
-    let OpenRequest { admitted, attempts, .. } = request;
-    let begun = attempts.borrow().begun;
-    let now = boot_clock::now();
-    let until = time_limits::event_silence(&admitted.route, begun, 0, admitted.deadline, now);
-    let piece = run.next_piece(until).await;
-    if !matches!(piece, BodyPiece::Silent) || until >= admitted.deadline {
-        return piece;
-    }
-    run.guard.set_silent(true);
-    let piece = run.next_piece(admitted.deadline).await;
-    run.guard.set_silent(matches!(piece, BodyPiece::Silent));
-    piece
-}
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -4,21 +4,14 @@
 //! The number of lines per second is limited, separately for requests that were served, that were refused
 //! or broke, and whose client left; dropped lines are counted and logged.
 
+mod attempt_steps;
 pub mod cut_cause;
 
-use std::{
-    fmt::{Display, Write},
-    rc::Rc,
-    time::Duration,
-};
+use std::{fmt::Write, rc::Rc, time::Duration};
 
-use hyper::StatusCode;
 use tokio::time::Instant;
 
-use super::{
-    connection_pool::SendFailure,
-    response_meaning::{BodyFraming, ResponseMetadata},
-};
+use super::response_meaning::BodyFraming;
 use crate::{
     boot_clock,
     gateway::{
@@ -52,6 +45,8 @@
     account: Option<SharedName>,
     /// Description of all attempts, in order.
     steps: String,
+    /// Number of attempts.
+    attempts: u32,
     begun: Instant,
     first_after: Option<Duration>,
     /// Events passed on.
@@ -74,6 +69,7 @@
             route: None,
             account: None,
             steps: String::new(),
+            attempts: 0,
             begun: boot_clock::now(),
             first_after: None,
             events: 0,
@@ -99,6 +95,7 @@
             self.steps,
             "{endpoint} {version} uncached {uncached} of {prompt_tokens} wait {wait:.0};"
         );
+        self.attempts += 1;
         self.context.metrics.count("attempts", 1);
     }
 
@@ -126,14 +123,6 @@
         };
     }
 
-    /// Records that an attempt failed.
-    pub fn failed(&mut self, failure: &SendFailure) {
-        let after = boot_clock::since(self.begun).as_millis();
-        // Writing to a string cannot fail.
-        let _ = write!(self.steps, " {failure} after {after};");
-        self.context.metrics.count("attempts_failed", 1);
-    }
-
     /// Records that a retry was taken from the budget of the service, or that none was left.
     pub fn retry_withdrawal(&mut self, service: &str, withdrawal: RetryWithdrawal) {
         let name = match withdrawal {
@@ -154,21 +143,6 @@
         }
     }
 
-    /// Records that nothing was sent: the endpoint stopped accepting requests while its connection
-    /// was being opened.
-    pub fn not_sent(&mut self) {
-        self.steps.push_str(" not sent, choosing again;");
-        self.context.metrics.count("attempts_chosen_anew", 1);
-    }
-
-    /// Records that no body followed a response's head, and that another attempt follows.
-    pub fn missing_body(&mut self) {
-        let after = boot_clock::since(self.begun).as_millis();
-        // Writing to a string cannot fail.
-        let _ = write!(self.steps, " no body after {after};");
-        self.context.metrics.count("attempts_failed", 1);
-    }
-
     /// Records that a run broke. The fingerprint identifies repetitions of the same request, the parts
     /// of its prompt what it shares with others.
     pub fn run_broke(&mut self, request: RequestFingerprint, shared_parts: &[PartId]) {
@@ -177,38 +151,6 @@
         self.shared_parts = names.join(",");
     }
 
-    /// Records that an attempt has had no response for a while.
-    pub fn attempt_silent(&mut self) {
-        let after = boot_clock::since(self.begun).as_millis();
-        // Writing to a string cannot fail.
-        let _ = write!(self.steps, " silent after {after};");
-        self.context.metrics.count("attempts_silent", 1);
-    }
-
-    /// Records that nothing has arrived of a stream for a while, after `events`.
-    pub fn stream_silent(&mut self, silence: Duration, events: u64) {
-        self.context.metrics.count("streams_silent", 1);
-        let after = boot_clock::since(self.begun).as_millis();
-        let silence = silence.as_millis();
-        // Writing to a string cannot fail.
-        let _ = write!(self.steps, " silent for {silence} ms after {events} events, at {after};");
-    }
-
-    /// Records why a request is not sent to another endpoint.
-    pub fn not_retried(&mut self, reason: &dyn Display) {
-        // Writing to a string cannot fail.
-        let _ = write!(self.steps, " not retried: {reason};");
-    }
-
-    /// Records the head of an endpoint's response.
-    pub fn responded(&mut self, status: StatusCode, metadata: &ResponseMetadata) {
-        let after = boot_clock::since(self.begun).as_millis();
-        self.heard_at = boot_clock::now();
-        let (status, meaning) = (status.as_u16(), metadata.meaning);
-        // Writing to a string cannot fail.
-        let _ = write!(self.steps, " {status} {meaning:?}{} after {after};", metadata.signals);
-    }
-
     /// Records how the body of a response ended, the number of bytes after its last event, and what
     /// follows.
     pub fn body_ended(
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -23,9 +23,8 @@
     },
 };
 
-/// Counts a run at its endpoint. Dropping the guard ends the run without affecting the endpoint's
-/// health, since then the daemon or the client has broken it off, unless the endpoint was silent for too
-/// long.
+/// Counts a run at its endpoint. Dropping the guard ends the run: as a failure if the endpoint was silent
+/// for too long, and otherwise without affecting its health, since the daemon or the client has broken it off.
 pub struct RunGuard {
     context: Rc<GatewayContext>,
     endpoint: Rc<EndpointRecord>,
--- a/src/native/decide/retries.rs
+++ b/src/native/decide/retries.rs
@@ -8,7 +8,7 @@
 //! | failed and may have run | another endpoint after a pause, if the bucket allows |
 //! | found every endpoint tried | all endpoints again, after a pause |
 //!
-//! An attempt that is silent is kept. Beside it, another endpoint gets an attempt if there is one and
+//! An attempt that is silent is kept, and another endpoint gets an attempt too if there is one and
 //! the bucket allows.
 //!
 //! After [`ATTEMPT_LIMIT`] attempts, the request ends in each of these cases. Retries are limited
--- a/src/native/serve/run/driver/run_race.rs
+++ b/src/native/serve/run/driver/run_race.rs
@@ -1,7 +1,7 @@
-//! Runs a request at an endpoint, and beside it at others while the newest run is silent.
+//! Runs a request at an endpoint, and at others too while the newest run is silent.
 //!
 //! A silent run is kept until another one has the next token or the whole response, so that a run at
-//! work is given up only for one that serves the client. `decide::retries` decides whether another
+//! work ends only for one that serves the client. `decide::retries` decides whether another
 //! run may be begun; it is begun only at an endpoint that has none of this request in progress.
 
 use std::pin::Pin;
@@ -56,7 +56,7 @@
 }
 
 impl RequestDriver {
-    /// Runs the request at the endpoint of `slot`, and beside it at others if that is silent.
+    /// Runs the request at the endpoint of `slot`, and at others too if that is silent.
     pub(super) async fn race(&mut self, slot: EndpointSlot) -> RaceEnd {
         let mut runs = vec![self.begin_run(slot)];
         let mut others_may_have_run = false;
--- a/src/native/serve/run/once/run.rs
+++ b/src/native/serve/run/once/run.rs
@@ -158,23 +158,9 @@
         to: &EndpointSlot,
     ) -> Result<FinalResponse, UndispatchedCall> {
         self.context.record_event(EventKind::Dispatched, &self.name, format!("VM {}", to.pick.id));
-        let call = self.call.clone();
         let dispatched = stage.begin();
-        // No other run may be begun, so a silent one is waited for.
-        let lead = ResponseLead::new(Vec::new());
-        let task = AttemptTask {
-            context: &self.context,
-            name: &self.name,
-            takeovers: 0,
-            call: &call,
-            priority: self.priority,
-            attempt: to.attempt(),
-            slot: to,
-            lead: &lead,
-        };
-        let end = match &call.content {
-            CallContent::Plain(plain) => task.plain(plain).await,
-            CallContent::Completion(_) => return Ok(dispatched.give_up(UnknownReason::AnswerLost)),
+        let Some(end) = self.attempt(to).await else {
+            return Ok(dispatched.give_up(UnknownReason::AnswerLost));
         };
         match end {
             AttemptEnd::Answered(response) => Ok(response),
@@ -195,4 +181,24 @@
             }
         }
     }
+
+    /// Runs the call at an endpoint; none if it isn't one that may run once. No other run may be begun, so a
+    /// silent one is waited for.
+    async fn attempt(&self, to: &EndpointSlot) -> Option<AttemptEnd> {
+        let lead = ResponseLead::new(Vec::new());
+        let task = AttemptTask {
+            context: &self.context,
+            name: &self.name,
+            takeovers: 0,
+            call: &self.call,
+            priority: self.priority,
+            attempt: to.attempt(),
+            slot: to,
+            lead: &lead,
+        };
+        match &self.call.content {
+            CallContent::Plain(plain) => Some(task.plain(plain).await),
+            CallContent::Completion(_) => None,
+        }
+    }
 }
--- a/tests/gateway/silence_fleet.rs
+++ b/tests/gateway/silence_fleet.rs
@@ -6,7 +6,7 @@
 use rand::{RngExt, SeedableRng, rngs::SmallRng};
 use tokio::time::Instant;
 use willowarch::{
-    gateway::policy::request::{retry_budget::BudgetTerms, time_limits::AskPause},
+    gateway::policy::request::{retry_budget::BudgetTerms, time_limits::CheckPause},
     ids::{SharedName, hash_parts},
 };
 
@@ -234,7 +234,7 @@
             return;
         }
         let mut open = request.open.clone();
-        let pause = AskPause::new(request.heard_at);
+        let pause = CheckPause::new(request.heard_at);
         if self.way == Way::EndThenAsk {
             open.drain(..).for_each(|run| self.close(run));
         }
