--- a/review/standins/platform_store.py
+++ b/review/standins/platform_store.py
@@ -8,6 +8,8 @@
 from urllib.parse import parse_qs, unquote, urlparse
 
 MAX_WAIT_MS = 30_000
+# The running servers, by port.
+SERVERS = {}
 
 
 class Store:
@@ -94,6 +96,12 @@
     def log_message(self, *_):
         pass
 
+    def parse_request(self):
+        if self.server.is_gone:
+            # Kept connections end with the address.
+            raise ConnectionAbortedError
+        return super().parse_request()
+
     def reply(self, status, body):
         data = json.dumps(body).encode()
         self.send_response(status)
@@ -151,6 +159,7 @@
 class Server(ThreadingHTTPServer):
     daemon_threads = True
     request_queue_size = 128
+    is_gone = False
 
     def handle_error(self, request, client_address):
         """A caller that has gone is no fault of the store."""
@@ -161,4 +170,14 @@
     handler = type("BoundHandler", (Handler,), {"store": store})
     server = Server(("127.0.0.1", 0), handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
-    return server.server_address[1]
+    port = server.server_address[1]
+    SERVERS[port] = server
+    return port
+
+
+def stop(port):
+    """Ends the address: connections to it are refused from then on."""
+    server = SERVERS.pop(port)
+    server.is_gone = True
+    server.shutdown()
+    server.server_close()
