Streams: a run that can mark the end is kept for the client's response

Cause: RunRace let any further run with the next event take over and dropped the run at work. The end of the further run proves nothing, chunks can't say that, and both attempts were used up, so the response was broken off.

Change: policy::request::run_takeover decides whether a further run takes over. Towards a client that gets chunks, a run whose end is marked is not given up for one whose end isn't. The further run is held with its events, goes on if the run at work fails, and another one may begin meanwhile. New step of the request line ("held ...: its end isn't marked") and metric runs_held.

--- a/src/gateway/request/relay/run_race.rs
+++ b/src/gateway/request/relay/run_race.rs
@@ -2,8 +2,8 @@
 //!
 //! A silent run is kept until another one has the next event. Whichever has it first is passed on, and the
 //! others end, so that the client gets the events of one run at a time and a run at work ends only for one
-//! that serves the client. `policy::request::retries` and the retry budget decide whether another run may
-//! be begun.
+//! that serves the client. `policy::request::run_takeover` decides whether a further run may take over;
+//! `policy::request::retries` and the retry budget decide whether one may be begun.
 
 use std::{future::Future, mem, pin::Pin};
 
@@ -22,6 +22,7 @@
     gateway::{
         policy::request::{
             retries,
+            run_takeover::{RunTakeover, TakeoverInputs},
             time_limits::{self, CheckPause},
         },
         request::{
@@ -65,6 +66,8 @@
     /// Comments that the current run has sent meanwhile.
     comments: BytesMut,
     further: FurtherRuns<'a>,
+    /// A further run that has the next events and goes on with them if the current run fails.
+    held: Option<Box<StreamRun>>,
     /// Whether the route and the stream's version allow further runs.
     is_allowed: bool,
     pause: CheckPause,
@@ -100,6 +103,7 @@
             received,
             comments: BytesMut::new(),
             further: FuturesUnordered::new(),
+            held: None,
             is_allowed,
             pause: CheckPause::new(now),
             check_at: now,
@@ -149,13 +153,21 @@
     /// or with the failure of the current run.
     async fn run(mut self, mut error: RelayError) -> RaceResult {
         loop {
+            if self.current.is_none()
+                && let Some(run) = self.held.take()
+            {
+                return RaceResult::Replaced(run);
+            }
             self.check();
             if self.current.is_none() && self.further.is_empty() {
                 return RaceResult::NoneLeft(error);
             }
             match self.next_event().await {
                 RaceEvent::Check => {}
-                RaceEvent::FurtherRun(Ok(run)) => return RaceResult::Replaced(run),
+                RaceEvent::FurtherRun(Ok(run)) => match self.takeover(&run) {
+                    RunTakeover::TakesOver => return RaceResult::Replaced(run),
+                    RunTakeover::Held => self.hold(run),
+                },
                 RaceEvent::FurtherRun(Err(RunFailure::Failed)) => self.check_at = boot_clock::now(),
                 RaceEvent::FurtherRun(Err(RunFailure::Refused)) => {
                     self.check_at = self.pause.next(boot_clock::now());
@@ -173,6 +185,22 @@
         }
     }
 
+    fn takeover(&self, run: &StreamRun) -> RunTakeover {
+        let inputs = TakeoverInputs {
+            is_chunked_for_client: self.received.is_chunked,
+            current: self.current.as_ref().map(|current| current.framing),
+            further: run.upstream.framing,
+        };
+        inputs.decide()
+    }
+
+    /// Holds a further run, unless another one is held already, and lets one more begin.
+    fn hold(&mut self, run: Box<StreamRun>) {
+        self.request.trace.borrow_mut().run_held(run.upstream.guard.endpoint());
+        self.held.get_or_insert(run);
+        self.check_at = boot_clock::now();
+    }
+
     /// Begins a further run if it is time to and that is allowed.
     fn check(&mut self) {
         let now = boot_clock::now();
--- a/src/gateway/request/request_log/attempt_steps.rs
+++ b/src/gateway/request/request_log/attempt_steps.rs
@@ -74,6 +74,15 @@
         let _ = write!(self.steps, " silent for {silence} ms after {events} events, at {after};");
     }
 
+    /// Records that a further run of a stream has the next events, but is only held: it can't mark the end of
+    /// the client's response, and the run at work can.
+    pub fn run_held(&mut self, endpoint: &str) {
+        self.context.metrics.count("runs_held", 1);
+        let after = boot_clock::since(self.begun).as_millis();
+        // Writing to a string cannot fail.
+        let _ = write!(self.steps, " {endpoint} held at {after}: its end isn't marked;");
+    }
+
     /// Records why a request is not sent to another endpoint.
     pub fn not_retried(&mut self, reason: &dyn Display) {
         // Writing to a string cannot fail.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -103,6 +103,7 @@
 mod stream_take_ups;
 mod stream_versions;
 mod suspension;
+mod takeover_rules;
 mod text_model;
 mod tunnel_stops;
 mod tunnels;
--- a/tests/gateway/pausing_endpoint.rs
+++ b/tests/gateway/pausing_endpoint.rs
@@ -53,6 +53,8 @@
     pub event_pause: Duration,
     /// What follows the pause.
     pub then: AfterPause,
+    /// Whether all its responses have neither a length nor chunks, and end with their connections.
+    pub ends_with_connection: bool,
 }
 
 /// What a run does after its pause.
@@ -61,6 +63,8 @@
     GoOn,
     /// Its response, which has neither a length nor chunks, ends with its connection.
     Close,
+    /// Its response, which has chunks, breaks off.
+    BreakOff,
     /// Comments come during the pause, more rarely than a run may be silent; then it goes on.
     Comments,
 }
@@ -171,6 +175,9 @@
                 self.counts.given_up.fetch_add(1, Ordering::SeqCst);
                 return;
             }
+            if self.plan.ends_with_connection {
+                return;
+            }
         }
     }
 
@@ -187,10 +194,13 @@
             _ => Ok(()),
         };
         let then = plan.map_or(AfterPause::GoOn, |plan| plan.then);
-        let framing = match then {
-            AfterPause::Close => "",
-            AfterPause::GoOn | AfterPause::Comments => "Transfer-Encoding: chunked\r\n",
+        let is_chunked = then != AfterPause::Close && !self.plan.ends_with_connection;
+        let framing = if is_chunked { "Transfer-Encoding: chunked\r\n" } else { "" };
+        let write_piece = |out: &mut TcpStream, text: &str| match is_chunked {
+            true => write_chunk(out, text),
+            false => out.write_all(text.as_bytes()),
         };
+        let end = if is_chunked { "0\r\n\r\n" } else { "" };
         pause_at(out, PausePlace::BeforeHead)?;
         let kind = if first.is_some() { "text/event-stream" } else { "text/plain" };
         let head = format!(
@@ -201,31 +211,31 @@
         out.write_all(head.as_bytes())?;
         pause_at(out, PausePlace::AfterHead)?;
         let Some(first) = first else {
-            write_chunk(out, PLAIN_BODY)?;
-            return out.write_all(b"0\r\n\r\n");
+            write_piece(out, PLAIN_BODY)?;
+            return out.write_all(end.as_bytes());
         };
         for number in first..=EVENTS {
             self.pause(out, Some(self.plan.event_pause))?;
             let text = event(number);
-            let (begin, end) = text.split_at(text.len() / 2);
+            let (begin, rest) = text.split_at(text.len() / 2);
             let is_paused = number == PAUSED_EVENT;
             if is_paused {
                 pause_at(out, PausePlace::BetweenEvents)?;
             }
-            write_chunk(out, begin)?;
+            write_piece(out, begin)?;
             if is_paused {
                 pause_at(out, PausePlace::InsideEvent)?;
             }
-            write_chunk(out, end)?;
+            write_piece(out, rest)?;
         }
-        out.write_all(b"0\r\n\r\n")
+        out.write_all(end.as_bytes())
     }
 
     /// Pauses a run, and ends it if that is to follow.
     fn pause_as(&self, out: &mut TcpStream, plan: PausePlan) -> std::io::Result<()> {
         match plan.then {
             AfterPause::GoOn => self.pause(out, plan.time),
-            AfterPause::Close => {
+            AfterPause::Close | AfterPause::BreakOff => {
                 self.pause(out, plan.time)?;
                 Err(ErrorKind::ConnectionAborted.into())
             }
--- a/tests/gateway/pausing_fleet.rs
+++ b/tests/gateway/pausing_fleet.rs
@@ -58,6 +58,7 @@
         pauses_again: false,
         event_pause: EVENT_PAUSE,
         then: AfterPause::GoOn,
+        ends_with_connection: false,
     }
 }
 
--- a/tests/gateway/pausing_runs.rs
+++ b/tests/gateway/pausing_runs.rs
@@ -69,6 +69,7 @@
         pauses_again: false,
         event_pause: EVENT_PAUSE,
         then: AfterPause::GoOn,
+        ends_with_connection: false,
     },
     retries: USUAL_RETRIES,
     route: "stream",
--- a/tests/gateway/run_races.rs
+++ b/tests/gateway/run_races.rs
@@ -27,8 +27,12 @@
     pauses_again: true,
     event_pause: EVENT_PAUSE,
     then: AfterPause::GoOn,
+    ends_with_connection: false,
 };
 
+/// Whole responses that end with their connections.
+const QUICK_UNMARKED: PausePlan = PausePlan { ends_with_connection: true, ..QUICK };
+
 const fn pauses(place: PausePlace, time: Duration, then: AfterPause) -> PausePlan {
     PausePlan { place, time: Some(time), then, ..QUICK }
 }
@@ -102,4 +106,26 @@
     head_of_the_second_run_is_no_reason_to_end_the_first:
         pauses(PausePlace::BeforeHead, PAUSE, AfterPause::GoOn),
         pauses(PausePlace::AfterHead, Duration::from_secs(2), AfterPause::GoOn) => 0;
+    // Guards against a stream that loses its end since the run that could mark it was given up.
+    run_that_can_mark_the_end_is_kept_for_the_client:
+        pauses(PausePlace::BetweenEvents, PAUSE, AfterPause::GoOn), QUICK_UNMARKED => 0;
+    run_that_can_mark_the_end_is_kept_inside_an_event:
+        pauses(PausePlace::InsideEvent, PAUSE, AfterPause::GoOn), QUICK_UNMARKED => 0;
+    run_with_a_marked_end_replaces_one_without:
+        PausePlan { ends_with_connection: true, ..pauses(PausePlace::BetweenEvents, PAUSE, AfterPause::GoOn) },
+        QUICK => 1;
+    run_without_a_marked_end_replaces_another_one:
+        PausePlan { ends_with_connection: true, ..pauses(PausePlace::BetweenEvents, PAUSE, AfterPause::GoOn) },
+        QUICK_UNMARKED => 1;
+}
+
+/// Guards against events that a held run has being lost with the run at work.
+#[googletest::test]
+fn events_of_a_held_run_are_passed_on_once_the_run_at_work_has_failed() {
+    let first = pauses(PausePlace::BetweenEvents, PAUSE, AfterPause::BreakOff);
+    let (answer, counts) = play(first, QUICK_UNMARKED);
+    let whole: String = (1..=EVENTS).map(event).collect();
+    expect_that!(answer.text(), eq(&whole));
+    expect_that!(answer.whole, eq(false));
+    expect_that!(counts[1].count(), eq(1));
 }
