Membership: daemons whose seeds have been replaced find the fleet by the lease record

Cause: gossip had no way to a first peer but the seeds, and all of these had ended.

Change: the holder of the leader lease writes the addresses of up to eight daemons that it hears into the record (`members`), beside its own. Each daemon reads the record when it starts, and again every lease duration while gossip reports no renewal; it calls the addresses in it. No further calls to the store. Records without the field stay readable, and daemons of the former release ignore it.

--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -6,6 +6,7 @@
 //! it for `PEER_EXPIRY`. The native path detects failed members by probes and suspicions
 //! (`native::cluster`); here, the gossip calls themselves show which daemons are alive.
 
+mod addresses;
 pub mod rendezvous;
 
 use std::{
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -5,6 +5,7 @@
 //! `policy::leader::{leader_lease, usage_reports, endpoint_orders, fleet_size}`.
 
 pub mod endpoint_orders;
+mod fleet_members;
 pub mod leader_tasks;
 pub mod lease_acquire;
 pub mod lease_keeper;
--- /dev/null
+++ b/src/gateway/leader/fleet_members.rs
@@ -0,0 +1,23 @@
+//! Daemons that the lease record names, so that a daemon whose seeds have all been replaced finds the fleet.
+//!
+//! Every daemon reads the record as it starts, and again while gossip doesn't report renewals of the lease.
+
+use std::net::SocketAddr;
+
+use super::lease_record::LeaseRecord;
+use crate::{boot_clock, gateway::context::GatewayContext};
+
+/// Number of addresses in a record: some of these daemons may have ended when it is read.
+const MAX_MEMBERS: usize = 8;
+
+/// Addresses of random daemons that this one hears.
+pub fn stored_members(context: &GatewayContext) -> Vec<SocketAddr> {
+    let now = boot_clock::now();
+    context.peers.borrow().sample_heard(MAX_MEMBERS, now, &mut rand::rng())
+}
+
+/// Calls the holder and the members that the record names, unless they are known already.
+pub fn call_members(context: &GatewayContext, record: &LeaseRecord) {
+    let members = record.members.iter().take(MAX_MEMBERS).copied();
+    context.peers.borrow_mut().add_addresses(record.address.into_iter().chain(members));
+}
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use super::{
-    lease_keeper::LeaseKeeper, lease_object::LeaseObject, lease_record::LeaseRecord, quarantine,
-    rollout_starts, sole_versions,
+    fleet_members, lease_keeper::LeaseKeeper, lease_object::LeaseObject, lease_record::LeaseRecord,
+    quarantine, rollout_starts, sole_versions,
 };
 use crate::{
     boot_clock,
@@ -184,6 +184,7 @@
             era: condition.era(),
             released: false,
             daemons: self.known_daemons(),
+            members: fleet_members::stored_members(&self.context),
             throttled: self.throttled_accounts(),
             quarantined: quarantine::stored_requests(&self.context),
             quarantined_parts: quarantine::stored_parts(&self.context),
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::{
+    fleet_members,
     lease_object::{CorruptLease, LeaseObject, ObservedEra, StoredLease},
     lease_record::{LeaseRecord, UsageReport},
     lease_store::LeaseStore,
@@ -119,6 +120,7 @@
         };
         self.corrupt = None;
         self.context.fleet_size.set(Some(record.daemons.max(1)));
+        fleet_members::call_members(&self.context, &record);
         quarantine::restore_requests(&self.context, &record.quarantined);
         quarantine::restore_parts(&self.context, &record.quarantined_parts);
         rollout_starts::restore_starts(&self.context, &record.rollouts);
@@ -213,6 +215,7 @@
             renewals: seen.record.renewals + 1,
             report,
             daemons: self.known_daemons(),
+            members: fleet_members::stored_members(&self.context),
             throttled: self.throttled_accounts(),
             quarantined: quarantine::stored_requests(&self.context),
             quarantined_parts: quarantine::stored_parts(&self.context),
--- a/src/gateway/leader/lease_record.rs
+++ b/src/gateway/leader/lease_record.rs
@@ -91,6 +91,9 @@
     /// Number of daemons that the holder knew of.
     #[serde(default)]
     pub daemons: usize,
+    /// Addresses at which some of them listen for peers, for daemons that know no peer.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub members: Vec<SocketAddr>,
     /// Accounts that were throttled at the last renewal.
     #[serde(default, rename = "crowded")]
     pub throttled: Vec<SharedName>,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -61,6 +61,7 @@
 mod peer_wait;
 mod platform_standin;
 mod quotas;
+mod replaced_seeds;
 mod request_lines;
 mod request_rules;
 mod retries_over_lives;
