Quotas: a daemon that has found nobody doesn't take itself for the whole fleet

Finding the others by the lease record ends it once they can be reached; a daemon that reaches the store but no other daemon still spent the whole quota from 2.5 s after its start on.

Cause: sharing_at_start dropped the recorded number of daemons after 2.5 s, and took the peers that were found for all there are. With none found, that is one.

Change: policy::daemon::fleet_contact tells from the leader lease whether a daemon is in contact with the fleet: gossip passes on the renewals of its holder. The number that the holder records is now a lower bound at any age, and follows the renewals instead of staying what it was at the start. A daemon that reads newer renewals in the store than gossip reports is separated and adds its own peers to that number, since they aren't in it. Only the holder goes below the number, two lease durations after it has acquired the lease, when the others have read its address. Everything that divides by the daemons (quotas, reserve of retries, limits and slots of endpoints) uses the same number. Log line `fleet`, gauges daemons_known and daemons_heard, and `fleet_contact` in /state show it to operators.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -5,6 +5,7 @@
 //! await. It contains no rules: its methods pass the state to functions of `policy`.
 
 mod endpoint_contact;
+mod fleet_view;
 mod store_contents;
 
 use std::{
@@ -26,8 +27,8 @@
     policy::{
         daemon::{
             catch_up::CatchUpState,
-            daemon_count,
             endpoint_access::EndpointAccess,
+            fleet_contact::{ContactMonitor, FleetContact},
             forwarder_choice::ForwarderTable,
             peer_contact::PeerContact,
             readiness::{MAX_CLIENT_CONNECTIONS, Readiness, ReadinessInputs},
@@ -45,7 +46,7 @@
             crash_checks::CrashChecks,
             crash_ledger::{CrashLedger, part_ledger::PartLedger},
             key_freshness::KeyFreshness,
-            quota::{QuotaLedger, QuotaSharing},
+            quota::QuotaLedger,
             retry_budget::{RetryBudgets, RetryWithdrawal},
         },
         rollout::{rollout_table::RolloutTable, version_history::VersionHistory},
@@ -154,6 +155,10 @@
     /// Number of daemons that the leader wrote into the lease, or the number known by gossip if there is no
     /// valid record; none until the lease has been read.
     pub fleet_size: Cell<Option<usize>>,
+    /// What was seen of the holder of the lease.
+    pub contact_monitor: RefCell<ContactMonitor>,
+    /// Contact with the rest of the fleet in the last gossip interval.
+    pub fleet_contact: Cell<FleetContact>,
     /// Rate limit of the request log.
     pub request_lines: RefCell<LineBudget>,
     /// Whether requests and connections are accepted.
@@ -234,22 +239,6 @@
         self.peer_contact.borrow().request_wait(time_left, now)
     }
 
-    /// Number of daemons among which the reserve of retries is shared.
-    fn retrying_daemons(&self, now: Instant) -> usize {
-        self.sharing(now).known.max(self.peers.borrow().recent_peak())
-    }
-
-    /// Numbers of daemons among which quotas are shared.
-    pub fn sharing(&self, now: Instant) -> QuotaSharing {
-        let observed = self.peers.borrow().sharing(now);
-        daemon_count::sharing_at_start(observed, self.fleet_size.get(), self.age(now))
-    }
-
-    /// Whether the number of daemons is known well enough to calculate shares of quotas.
-    pub fn knows_fleet_size(&self, now: Instant) -> bool {
-        daemon_count::is_known(self.fleet_size.get(), self.age(now))
-    }
-
     /// Takes one retry from a service's budget if one is left.
     pub fn try_withdraw_retry(&self, service: &SharedName, now: Instant) -> RetryWithdrawal {
         let daemons = self.retrying_daemons(now);
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -28,8 +28,8 @@
     leader::leader_tasks,
     policy::{
         daemon::{
-            catch_up::CatchUpState, peer_contact::PeerContact, stop_times::StopTimes,
-            store_watchers::WatcherElection,
+            catch_up::CatchUpState, fleet_contact::FleetContact, peer_contact::PeerContact,
+            stop_times::StopTimes, store_watchers::WatcherElection,
         },
         endpoint::{
             endpoint_starts::lost_entries::EntryHistory, endpoint_table::EndpointTable,
@@ -173,6 +173,8 @@
         sequence: Cell::new(0),
         started_at: now,
         fleet_size: Cell::new(None),
+        contact_monitor: RefCell::default(),
+        fleet_contact: Cell::new(FleetContact::NoHolder),
         request_lines: RefCell::new(LineBudget::new(REQUEST_LINES, now)),
         intake: Cell::new(Intake::Open),
         client_connections: OpenCount::default(),
--- a/src/gateway/gossip/caller.rs
+++ b/src/gateway/gossip/caller.rs
@@ -60,6 +60,7 @@
         let now = boot_clock::now();
         context.wall_clock.borrow_mut().compare(wall_clock_ms(), now);
         context.peer_contact.borrow_mut().begin_interval(now);
+        context.observe_fleet(now);
         context.crashes.borrow_mut().forget_old(now);
         context.part_crashes.borrow_mut().forget_old(now);
         find_crashing_parts(&context, now);
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -218,7 +218,11 @@
 /// A renewal is at least as old as reported. If the message was late, the renewal looks younger
 /// than it is, and a successor only waits longer for the lease.
 fn apply_lease(context: &GatewayContext, lease: &LeaseSummary, now: Instant) {
-    if context.fleet_size.get().is_none() && lease.daemons > 0 {
+    let is_newer = {
+        let known = context.lease.borrow();
+        !known.own && (lease.fence, lease.renewals) > (known.fence, known.renewals)
+    };
+    if lease.daemons > 0 && (is_newer || context.fleet_size.get().is_none()) {
         context.fleet_size.set(Some(lease.daemons));
     }
     context.lease.borrow_mut().advance_next_window(lease.next_window);
--- a/src/gateway/leader/fleet_members.rs
+++ b/src/gateway/leader/fleet_members.rs
@@ -4,8 +4,13 @@
 
 use std::net::SocketAddr;
 
+use tokio::time::Instant;
+
 use super::lease_record::LeaseRecord;
-use crate::{boot_clock, gateway::context::GatewayContext};
+use crate::{
+    boot_clock,
+    gateway::{context::GatewayContext, policy::daemon::fleet_contact::RenewalNumber},
+};
 
 /// Number of addresses in a record: some of these daemons may have ended when it is read.
 const MAX_MEMBERS: usize = 8;
@@ -16,8 +21,13 @@
     context.peers.borrow().sample_heard(MAX_MEMBERS, now, &mut rand::rng())
 }
 
-/// Calls the holder and the members that the record names, unless they are known already.
-pub fn call_members(context: &GatewayContext, record: &LeaseRecord) {
+/// Applies a record that was requested at `asked_at`: calls the holder and the members that it names, unless they
+/// are known already, and notes the renewal.
+pub fn apply_record(context: &GatewayContext, record: &LeaseRecord, asked_at: Instant) {
     let members = record.members.iter().take(MAX_MEMBERS).copied();
     context.peers.borrow_mut().add_addresses(record.address.into_iter().chain(members));
+    if record.incarnation != context.incarnation.0 && !record.released {
+        let LeaseRecord { fence, renewals, .. } = *record;
+        context.read_renewal(RenewalNumber { fence, renewals }, asked_at);
+    }
 }
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -120,7 +120,7 @@
         };
         self.corrupt = None;
         self.context.fleet_size.set(Some(record.daemons.max(1)));
-        fleet_members::call_members(&self.context, &record);
+        fleet_members::apply_record(&self.context, &record, asked_at);
         quarantine::restore_requests(&self.context, &record.quarantined);
         quarantine::restore_parts(&self.context, &record.quarantined_parts);
         rollout_starts::restore_starts(&self.context, &record.rollouts);
@@ -152,7 +152,7 @@
     /// Falls back to the daemons known by gossip: either there has been no holder yet and all daemons are
     /// just starting, or the former holder's record is lost.
     fn observe_no_record(&self) {
-        let known = self.known_daemons();
+        let known = self.context.peers.borrow().sharing(boot_clock::now()).known;
         self.context.fleet_size.set(self.context.fleet_size.get().or(Some(known)));
         self.context.quotas.borrow_mut().set_throttled_before([]);
     }
@@ -246,6 +246,7 @@
             }
         };
         self.is_write_unconfirmed = false;
+        self.context.fleet_size.set(Some(record.daemons.max(1)));
         let mut lease = self.context.lease.borrow_mut();
         lease.acquire_or_renew(LeaseRenewal {
             fence: record.fence,
@@ -290,6 +291,6 @@
     }
 
     pub(super) fn known_daemons(&self) -> usize {
-        self.context.peers.borrow().sharing(boot_clock::now()).known
+        self.context.sharing(boot_clock::now()).known
     }
 }
--- a/src/gateway/policy/daemon/daemon_count.rs
+++ b/src/gateway/policy/daemon/daemon_count.rs
@@ -1,10 +1,13 @@
-//! How many daemons share quotas and retry budgets, as a starting daemon estimates it.
+//! How many daemons share quotas and retry budgets.
 //!
 //! If a daemon assumes too few others, its share is too large and the quota is overspent. This
 //! happened when all daemons of a large fleet were killed: each restarted alone and spent as if
-//! there were few. Until a starting daemon has had time to discover its peers, it therefore uses
-//! the number recorded with the leader lease, which it gets from the store or from a peer. Until
-//! it has that number, it admits no requests against quotas, for a limited time.
+//! there were few. It happened again when new daemons found no peer, since their seeds had been replaced.
+//! That a daemon has found no others doesn't show that there are none. The number recorded with the leader
+//! lease, which it gets from the store or from a peer, is therefore a lower bound; only the holder itself goes
+//! below it. Daemons that are separated from the holder (`fleet_contact`) aren't in that number, so they add
+//! their own. Until a starting daemon has the recorded number, it admits no requests against quotas, for a limited
+//! time, and then assumes a number.
 //!
 //! The reserve of retries is divided by the largest number of the last minutes. Daemons that no longer
 //! hear each other may all run on, and each would take a larger part of the reserve.
@@ -13,6 +16,7 @@
 
 use tokio::time::Instant;
 
+use super::fleet_contact::FleetContact;
 use crate::gateway::policy::request::quota::QuotaSharing;
 
 /// Time in which a starting daemon discovers the others.
@@ -24,17 +28,38 @@
 /// that `ASSUMED_DAEMONS` still applies when it begins to admit requests against quotas.
 const MAX_COUNT_WAIT: Duration = Duration::from_millis(1_500);
 
-/// Corrects the sharing that follows from the discovered peers, `age` after the start. `recorded`
-/// is the number of daemons recorded with the leader lease.
-pub fn sharing_at_start(
+/// Number of daemons that the holder of the lease has recorded, if any.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RecordedCount {
+    /// This many.
+    Known(usize),
+    /// No record has been read or reported yet.
+    Unknown,
+    /// The deployment has no leader tasks, and no lease.
+    NoLease,
+}
+
+/// Corrects the sharing that follows from the discovered peers, `age` after the start.
+pub fn assumed_sharing(
     discovered: QuotaSharing,
-    recorded: Option<usize>,
+    recorded: RecordedCount,
+    contact: FleetContact,
     age: Duration,
 ) -> QuotaSharing {
-    if age >= DISCOVERY_TIME {
-        return discovered;
-    }
-    QuotaSharing { known: discovered.known.max(recorded.unwrap_or(ASSUMED_DAEMONS)), ..discovered }
+    let is_alone = discovered.known <= 1;
+    let known = match (contact, recorded) {
+        (FleetContact::Leads, _) => discovered.known,
+        (FleetContact::Separated, RecordedCount::Known(recorded)) => discovered.known + recorded,
+        (_, RecordedCount::Known(recorded)) => discovered.known.max(recorded),
+        (_, RecordedCount::Unknown) if is_alone || age < DISCOVERY_TIME => {
+            discovered.known.max(ASSUMED_DAEMONS)
+        }
+        (_, RecordedCount::NoLease) if age < DISCOVERY_TIME => {
+            discovered.known.max(ASSUMED_DAEMONS)
+        }
+        (_, RecordedCount::Unknown | RecordedCount::NoLease) => discovered.known,
+    };
+    QuotaSharing { known, ..discovered }
 }
 
 /// Whether the number of daemons is known well enough to admit requests against quotas.
--- a/src/gateway/state.rs
+++ b/src/gateway/state.rs
@@ -72,6 +72,9 @@
     pub daemons_heard: usize,
     /// Daemons that are assumed to be running, this one included.
     pub daemons_known: usize,
+    /// Contact with the rest of the fleet: `leads`, `joined`, `no holder known` or `separated`.
+    #[serde(default)]
+    pub fleet_contact: String,
     /// Holder of the leader lease, as far as known.
     pub lease_holder: Option<SharedName>,
     /// Fence of the lease.
@@ -148,6 +151,7 @@
             endpoints_limited: endpoints.limited().len(),
             daemons_heard: sharing.heard,
             daemons_known: sharing.known,
+            fleet_contact: context.fleet_contact.get().to_string(),
             lease_holder: lease.holder.clone(),
             lease_fence: lease.fence,
             lease_age_ms: lease.renewed_at.map(age_ms),
