Settings: seeds that change while a daemon runs are used

Cause: the settings were read at the start only; SIGHUP was logged and dropped.

Change: gateway::settings_reload reads the file again after SIGHUP and, since it may change with no signal, each second while a daemon hears no other one or is separated from the holder of the lease. New seeds are called; all other settings stay those of the start.

Tests: separated_daemons::changed_seeds_are_used_after_a_signal and ..._without_a_signal failed before ("timed out waiting for: the other daemon") and pass now.

--- a/src/bin/willowarchd.rs
+++ b/src/bin/willowarchd.rs
@@ -11,7 +11,7 @@
     kernel::KernelExit,
     logs,
     native::{daemon, options::settings::DaemonSettings},
-    platform,
+    platform::{self, settings::SettingsSource},
 };
 
 /// Exit code for settings or arguments that are not allowed.
@@ -78,8 +78,8 @@
         );
         return None;
     };
-    let text = read_file(&path)?;
-    let settings = match platform::settings::parse(&text) {
+    let source = SettingsSource::new(path.clone());
+    let settings = match source.read() {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("willowarchd: {}: {error}", path.display());
@@ -89,7 +89,7 @@
     if let Err(error) = logs::set_up_stdout() {
         return Some(Err(error.into()));
     }
-    Some(run_local(gateway::daemon::run(settings)))
+    Some(run_local(gateway::daemon::run(settings, source)))
 }
 
 fn start_daemon(path: &Path) -> Option<RunResult> {
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -46,7 +46,7 @@
     },
     request::{client_listener, connection_pool::ConnectionPool},
     settings::{GatewaySettings, ServiceBounds},
-    status_listeners,
+    settings_reload, status_listeners,
     store_watch::{configuration_watch, endpoint_watch, rollout_watch},
 };
 use crate::{
@@ -58,14 +58,12 @@
     kernel::{KernelExit, KernelHandle, LifePhase, ServiceKernel},
     logs::LineBudget,
     metrics::MetricsHandle,
-    platform::store::StoreClient,
+    platform::{settings::SettingsSource, store::StoreClient},
     wall_clock_ms,
 };
 
 /// Name of the service that stops the daemon.
 const STOPPER: &str = "leaver";
-/// Name of the service that handles SIGHUP.
-const RELOADER: &str = "reloader";
 /// Most lines of the request log a second, of each rank; limits the volume of logs under load.
 const REQUEST_LINES: u32 = 400;
 /// Most log lines a second about tunnels.
@@ -78,8 +76,11 @@
 /// grace time.
 const BUSY_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Runs a daemon until it stops. Must run inside a `tokio::task::LocalSet`.
-pub async fn run(settings: GatewaySettings) -> Result<KernelExit, StepError> {
+/// Runs a daemon with the settings in `source` until it stops. Must run inside a `tokio::task::LocalSet`.
+pub async fn run(
+    settings: GatewaySettings,
+    source: SettingsSource,
+) -> Result<KernelExit, StepError> {
     let clients = server::bind(settings.client_address).await?;
     let readiness = server::bind(settings.readiness_address).await?;
     let metrics = server::bind(settings.metrics_address).await?;
@@ -106,7 +107,7 @@
     kernel.start(access_probe::NAME, access_probe::run(context.clone()));
     kernel.start(leader_tasks::NAME, leader_tasks::run(context.clone()));
     kernel.start(client_listener::NAME, client_listener::run(clients, context.clone()));
-    kernel.start(RELOADER, log_reloads(context.clone()));
+    kernel.start(settings_reload::NAME, settings_reload::run(context.clone(), source));
     kernel.start(STOPPER, stop_on_signal(context.clone()));
     let exit = kernel.run().await;
     end_connections(&context).await;
@@ -228,21 +229,6 @@
     context.kernel.enter(LifePhase::Stopping);
 }
 
-/// Logs and counts SIGHUP, which would otherwise end the process. Settings are only read at the start;
-/// a changed file takes effect at the next one.
-async fn log_reloads(context: Rc<GatewayContext>) {
-    use tokio::signal::unix::{SignalKind, signal};
-    let Ok(mut signal) = signal(SignalKind::hangup()) else {
-        // The handler could not be installed; the daemon works without it.
-        return std::future::pending().await;
-    };
-    while signal.recv().await.is_some() {
-        context.metrics.count("reload_signals", 1);
-        spdlog::info!("settings", kv: { outcome = "kept until the next start" });
-    }
-    std::future::pending().await
-}
-
 async fn wait_for_sigterm() {
     use tokio::signal::unix::{SignalKind, signal};
     match signal(SignalKind::terminate()) {
--- a/src/gateway/gossip/call_schedule.rs
+++ b/src/gateway/gossip/call_schedule.rs
@@ -53,6 +53,15 @@
         self.addresses.entry(address).or_default();
     }
 
+    /// Replaces the seeds. Returns whether they differ from the former ones.
+    pub fn set_seeds(&mut self, seeds: BTreeSet<SocketAddr>) -> bool {
+        for seed in &seeds {
+            self.add(*seed);
+        }
+        let former = std::mem::replace(&mut self.seeds, seeds);
+        former != self.seeds
+    }
+
     /// Records that a message from the daemon at this address has arrived.
     pub fn succeeded(&mut self, address: SocketAddr) {
         if let Some(state) = self.addresses.get_mut(&address) {
--- a/src/gateway/gossip/peer_table/addresses.rs
+++ b/src/gateway/gossip/peer_table/addresses.rs
@@ -17,6 +17,12 @@
         }
     }
 
+    /// Replaces the seeds. Returns whether they differ from the former ones.
+    pub fn set_seeds(&mut self, seeds: &[SocketAddr]) -> bool {
+        let others = seeds.iter().filter(|seed| **seed != self.own).copied();
+        self.schedule.set_seeds(others.collect())
+    }
+
     /// Random addresses of daemons that this one hears and that are not leaving, `max` at most.
     pub fn sample_heard(&self, max: usize, now: Instant, rng: &mut impl Rng) -> Vec<SocketAddr> {
         let running = self.peers.iter().filter(|(_, peer)| !peer.leaving);
--- a/src/gateway/policy/daemon/fleet_contact.rs
+++ b/src/gateway/policy/daemon/fleet_contact.rs
@@ -56,6 +56,11 @@
     Separated,
 }
 
+/// Whether a daemon that hears `heard` daemons, itself included, may need other seeds to find the fleet.
+pub fn needs_seeds(contact: FleetContact, heard: usize) -> bool {
+    heard <= 1 || contact == FleetContact::Separated
+}
+
 /// A renewal that was read in the store.
 #[derive(Clone, Copy, Debug)]
 struct ReadRenewal {
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,5 +1,5 @@
-//! Settings of one gateway daemon. `platform::settings` decodes and checks them at the start; they don't
-//! change while the process runs.
+//! Settings of one gateway daemon. `platform::settings` decodes and checks them at the start; but for
+//! the seeds (`settings_reload`) they don't change while the process runs.
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -1,7 +1,7 @@
 //! Parses the platform's settings file into the gateway's settings. Unknown keys are ignored. A duration
 //! that is not above 0 or a missing address is an error that names the key.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{fs, net::SocketAddr, path::PathBuf, time::Duration};
 
 use derive_more::{Display, Error};
 use serde::Deserialize;
@@ -32,6 +32,9 @@
 /// Error in the settings file.
 #[derive(Clone, Debug, Display, Error, PartialEq, Eq)]
 pub enum SettingsError {
+    /// The file can't be read.
+    #[display("settings file: {_0}")]
+    Unreadable(#[error(not(source))] String),
     /// Not valid JSON, or a key is missing or has the wrong type; the text names the key.
     #[display("settings: {_0}")]
     Malformed(#[error(not(source))] String),
@@ -47,6 +50,30 @@
     },
 }
 
+/// The settings file, which may change while the daemon runs.
+#[derive(Clone, Debug)]
+pub struct SettingsSource {
+    path: PathBuf,
+}
+
+impl SettingsSource {
+    /// The file at `path`.
+    pub fn new(path: PathBuf) -> Self {
+        Self { path }
+    }
+
+    /// Reads and checks the file.
+    ///
+    /// # Errors
+    ///
+    /// The file can't be read, or a value is missing or not allowed.
+    pub fn read(&self) -> Result<GatewaySettings, SettingsError> {
+        let text = fs::read_to_string(&self.path)
+            .map_err(|error| SettingsError::Unreadable(error.to_string()))?;
+        parse(&text)
+    }
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct SettingsFile {
--- a/tests/gateway/gateway_site.rs
+++ b/tests/gateway/gateway_site.rs
@@ -160,6 +160,14 @@
         self.process = spawn(&self.program, &self.settings, &self.log);
     }
 
+    /// Writes other seeds into the settings file.
+    pub fn write_seeds(&self, seeds: &[SocketAddr]) {
+        let text = std::fs::read_to_string(&self.settings).expect("settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("JSON");
+        settings["seeds"] = json!(seeds);
+        std::fs::write(&self.settings, settings.to_string()).expect("settings");
+    }
+
     pub fn process_id(&self) -> u32 {
         self.process.id()
     }
--- a/tests/gateway/separated_daemons.rs
+++ b/tests/gateway/separated_daemons.rs
@@ -109,3 +109,33 @@
     overload(&daemon, Duration::from_secs(1));
     expect_that!(overload(&daemon, Duration::from_secs(3)), ge(RATE * 3 * 8 / 10));
 }
+
+/// Starts two daemons whose seeds have ended, and names the first one in the settings of the second.
+fn check_changed_seeds(change: impl Fn(&Gateway)) {
+    let platform = Arc::new(PlatformStandin::start());
+    platform.put("config", "main", configuration(3, &["key-1"]));
+    let endpoint = EndpointStandin::start("i-0", EndpointManner::Answer);
+    platform.put("servers", "i-0", endpoint_entry(&endpoint, "ready"));
+    let _holder = UnreachedHolder::start(&platform);
+    let ended = "127.0.0.1:9".parse().expect("address");
+    let daemons = ["edge-1", "edge-2"].map(|name| Gateway::start(name, &platform, &[ended]));
+    daemons.iter().for_each(Gateway::wait_ready);
+    expect_that!(state_of(&daemons[1])["daemons_heard"], eq(&json!(1)));
+    daemons[1].write_seeds(&[daemons[0].peers]);
+    change(&daemons[1]);
+    for daemon in &daemons {
+        wait_for("the other daemon", || state_of(daemon)["daemons_heard"] == json!(2));
+    }
+}
+
+// Guards against a daemon that goes on with seeds that have ended after it was told of others.
+#[googletest::test]
+fn changed_seeds_are_used_after_a_signal() {
+    check_changed_seeds(|daemon| daemon.signal("-HUP"));
+}
+
+// Guards against the same where the settings change without a signal.
+#[googletest::test]
+fn changed_seeds_are_used_without_a_signal() {
+    check_changed_seeds(|_| {});
+}
--- a/tests/gateway/suspension.rs
+++ b/tests/gateway/suspension.rs
@@ -12,7 +12,11 @@
 use googletest::prelude::*;
 use serde_json::json;
 use tokio::{sync::oneshot, task::LocalSet, time::Instant};
-use willowarch::{boot_clock, gateway::daemon, platform::settings};
+use willowarch::{
+    boot_clock,
+    gateway::daemon,
+    platform::settings::{self, SettingsSource},
+};
 
 use crate::{
     endpoint_standin::{EndpointManner, EndpointStandin},
@@ -47,6 +51,8 @@
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             LocalSet::new().block_on(&runtime.expect("runtime"), async move {
                 let parsed = settings::parse(&text).expect("settings");
+                // Not read: the settings don't change.
+                let source = SettingsSource::new("settings.json".into());
                 tokio::task::spawn_local(async move {
                     loop {
                         requested_suspensions.try_iter().for_each(boot_clock::simulate_suspension);
@@ -54,7 +60,7 @@
                     }
                 });
                 tokio::select! {
-                    result = daemon::run(parsed) => drop(result.expect("a daemon")),
+                    result = daemon::run(parsed, source) => drop(result.expect("a daemon")),
                     _ = stopped => {}
                 }
             });
