--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -23,6 +23,8 @@
 mod draining_endpoints;
 mod end_rules;
 mod ending_endpoint;
+mod endless_endpoint;
+mod endless_responses;
 mod endpoint_access;
 mod endpoint_choice;
 mod endpoint_signals;
