Connections: informational heads without end don't stop a daemon

What callers would see: no requests served at all while one endpoint in trouble sends informational heads (1xx) without end.

Cause: the HTTP library bounds the length of one head, not the number of informational ones before it, and parses everything that it has read before other tasks run: up to 400 KB for each of 128 reads.

Change: connection_pool::bounded_stream fails the read after 64 KB without the head of the response; the library buffers 64 KB at most. The same for the probe of a daemon's own links.

Tests: endless_responses::informational_heads and ..._of_a_stream failed before and pass: all served, the slowest after 12 and 69 ms; 20 to 22 MB sent, most of it into buffers of the kernel.

--- a/src/gateway/forwarding/access_probe.rs
+++ b/src/gateway/forwarding/access_probe.rs
@@ -17,8 +17,10 @@
 use crate::{
     boot_clock,
     gateway::{
-        context::GatewayContext, endpoint::EndpointRecord,
-        policy::daemon::endpoint_access::LinkFailure, request::connection_pool::connect_direct,
+        context::GatewayContext,
+        endpoint::EndpointRecord,
+        policy::daemon::endpoint_access::LinkFailure,
+        request::connection_pool::{bounded_stream::BoundedStream, connect_direct},
     },
     platform::ingress,
 };
@@ -79,7 +81,7 @@
 }
 
 async fn exchange(stream: TcpStream, endpoint: &EndpointRecord, path: &str) -> io::Result<()> {
-    let handshake = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(stream));
+    let handshake = http1::handshake::<_, Empty<Bytes>>(TokioIo::new(BoundedStream::new(stream)));
     let (mut sender, connection) = handshake.await.map_err(io::Error::other)?;
     tokio::task::spawn_local(async move {
         // Errors are returned to the request on the connection.
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -4,6 +4,7 @@
 //! exchange that was not clean, all idle connections of the endpoint are closed, since a late
 //! response on one of them could be read as the response to the next request.
 
+pub mod bounded_stream;
 pub mod connecting;
 
 use std::{
@@ -118,7 +119,7 @@
         request: Request<Full<Bytes>>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendFailure> {
-        let sending = self.sender.try_send_request(request);
+        let sending = self.sender.send(request);
         match timeout_at(boot_clock::timer_at(deadline), sending).await {
             // Timed out.
             Err(_) => Err(SendFailure::NoResponse),
--- a/src/gateway/request/connection_pool/connecting.rs
+++ b/src/gateway/request/connection_pool/connecting.rs
@@ -4,7 +4,14 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, SendRequest};
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
+};
 use hyper_util::rt::TokioIo;
 use tokio::{
     io::{AsyncRead, AsyncWrite},
@@ -12,10 +19,41 @@
     time::{Instant, timeout_at},
 };
 
+use super::bounded_stream::{BoundedStream, HeadAllowance};
 use crate::boot_clock;
 
+/// Most bytes that the HTTP library buffers of what an endpoint sends.
+const READ_BUFFER_LIMIT: usize = 64 * 1024;
+
 /// Sends requests over one connection.
-pub(super) type RequestSender = SendRequest<Full<Bytes>>;
+#[derive(Debug)]
+pub(super) struct RequestSender {
+    sender: SendRequest<Full<Bytes>>,
+    head: HeadAllowance,
+}
+
+impl RequestSender {
+    /// Sends a request and waits for the head of the response.
+    pub async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.head.limit();
+        let response = self.sender.try_send_request(request).await?;
+        self.head.lift();
+        Ok(response)
+    }
+
+    /// Waits until the connection takes a request.
+    pub async fn ready(&mut self) -> hyper::Result<()> {
+        self.sender.ready().await
+    }
+
+    /// Whether the connection has been closed.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+}
 
 /// Why an attempt has no response.
 #[derive(Clone, Debug, derive_more::Display)]
@@ -77,11 +115,14 @@
 where
     S: AsyncRead + AsyncWrite + Unpin + 'static,
 {
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let stream = BoundedStream::new(stream);
+    let head = stream.allowance();
+    let mut builder = http1::Builder::new();
+    let handshake = builder.max_buf_size(READ_BUFFER_LIMIT).handshake(TokioIo::new(stream)).await;
     let (sender, connection) = handshake.map_err(|_| SendFailure::ClosedBefore)?;
     tokio::task::spawn_local(async move {
         // Errors are returned to the request that uses the connection.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(RequestSender { sender, head })
 }
--- a/tests/gateway/endless_responses.rs
+++ b/tests/gateway/endless_responses.rs
@@ -157,6 +157,8 @@
     slow_head: "stream", Head, Slow => Served;
     head_lines: "plain", HeadLines, Full => Served;
     slow_head_lines: "stream", HeadLines, Slow => Served;
+    informational_heads: "plain", InformationalHeads, Full => Served;
+    informational_heads_of_a_stream: "stream", InformationalHeads, Full => Served;
     slow_informational_heads: "stream", InformationalHeads, Slow => Served;
     chunks_of_a_plain_response: "plain", Chunks, Full => Ended;
     slow_chunks_of_a_plain_response: "plain", Chunks, Slow => Ended;
