Streams: bytes that complete no event don't put silence off

Cause: each piece, also of an event that never ends or of comments, began the wait for silence anew. In a race of runs comments didn't count already.

Change: silence counts from the last event, without the time that the client takes to read; a further run's from its head.

--- a/src/gateway/policy/request/time_limits.rs
+++ b/src/gateway/policy/request/time_limits.rs
@@ -58,14 +58,14 @@
     now.checked_add(timeout).map_or(deadline, |until| until.min(deadline))
 }
 
-/// When a stream counts as silent if its next event does not arrive after `now`; the deadline if no
+/// When a stream counts as silent if its next event, awaited since `since`, does not arrive; the deadline if no
 /// other endpoint may be tried after `begun` attempts. `events` have been passed on to the client.
 pub fn event_silence(
     route: &Route,
     begun: u32,
     events: u64,
     deadline: Instant,
-    now: Instant,
+    since: Instant,
 ) -> Instant {
     let is_resumable = route.kind.is_stream() && route.kind.may_run_again();
     if !is_resumable || begun >= route.attempts {
@@ -75,7 +75,7 @@
         0 => route.target.mul_f64(SILENCE_MULTIPLE),
         _ => route.gap_target.map_or(DEFAULT_SILENCE, |gap| gap.mul_f64(SILENCE_MULTIPLE)),
     };
-    deadline.min(now + silence)
+    deadline.min(since + silence)
 }
 
 /// Pause between two checks whether another endpoint may run a silent request. It grows with the silence, so
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -13,7 +13,7 @@
 mod survival_check;
 mod upstream;
 
-use std::{cell::RefCell, rc::Rc};
+use std::{cell::RefCell, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use futures::stream;
@@ -73,6 +73,11 @@
     last_event: Option<u64>,
     /// Events passed on.
     events: u64,
+    /// Since when an event is awaited. Bytes that complete no event don't change it, and time that the client
+    /// takes to read isn't counted.
+    awaited_since: Instant,
+    /// When the client was given the last piece.
+    given_at: Option<Instant>,
     /// Where the stream was begun, if that is known; kept for clients that take it up again.
     start: Option<ActiveStream>,
     ended: bool,
@@ -122,6 +127,8 @@
         upstream: Some(upstream),
         cutter: streams.then(EventCutter::default),
         events: 0,
+        awaited_since: boot_clock::now(),
+        given_at: None,
         start: None,
         ended: false,
         is_chunked: !ends_with_connection,
@@ -157,6 +164,8 @@
         if self.ended {
             return None;
         }
+        let given_at = self.given_at.take();
+        self.awaited_since += given_at.map_or(Duration::ZERO, boot_clock::since);
         loop {
             match self.next_piece().await {
                 NextPiece::Bytes(bytes) => {
@@ -167,6 +176,7 @@
                     if bytes.is_empty() && !self.ended {
                         continue;
                     }
+                    self.given_at = Some(boot_clock::now());
                     return Some(Ok(bytes));
                 }
                 NextPiece::End => {
@@ -240,6 +250,7 @@
         upstream.guard.prefill_done();
         upstream.guard.endpoint_ran();
         self.events += batch.count as u64;
+        self.awaited_since = boot_clock::now();
         self.request.trace.borrow_mut().passed_events(batch.count as u64);
         self.last_event = batch.last_id.or(self.last_event);
         batch.bytes
@@ -252,7 +263,7 @@
         match self.cutter {
             None => *deadline,
             Some(_) => {
-                time_limits::event_silence(route, begun, self.events, *deadline, boot_clock::now())
+                time_limits::event_silence(route, begun, self.events, *deadline, self.awaited_since)
             }
         }
     }
--- a/src/gateway/request/relay/further_run.rs
+++ b/src/gateway/request/relay/further_run.rs
@@ -1,5 +1,7 @@
 //! A further run of a stream, until its next event.
 
+use tokio::time::Instant;
+
 use super::{
     fail_run,
     response_ending::record_break,
@@ -48,8 +50,9 @@
     };
     let mut upstream = Upstream::of(*response).1;
     let mut cutter = EventCutter::default();
+    let silent_at = first_event_silence(request);
     loop {
-        match next_piece_flagging_silence(request, &mut upstream).await {
+        match next_piece_flagging_silence(request, &mut upstream, silent_at).await {
             BodyPiece::Bytes(bytes) => {
                 let batch = cutter.feed(&bytes, last_event).map_err(|_| RunFailure::Failed)?;
                 if batch.count > 0 {
@@ -78,19 +81,27 @@
     run.framing != BodyFraming::Close && !cutter.is_inside_event()
 }
 
-/// Waits for the next piece until the request's deadline. The run is marked as silent while nothing arrives for too
-/// long.
-async fn next_piece_flagging_silence(request: OpenRequest<'_>, run: &mut Upstream) -> BodyPiece {
+/// When a run that begins now counts as silent if it has no event until then.
+fn first_event_silence(request: OpenRequest<'_>) -> Instant {
     let OpenRequest { admitted, attempts, .. } = request;
     let begun = attempts.borrow().begun;
-    let now = boot_clock::now();
-    let until = time_limits::event_silence(&admitted.route, begun, 0, admitted.deadline, now);
-    let piece = run.next_piece(until).await;
-    if !matches!(piece, BodyPiece::Silent) || until >= admitted.deadline {
+    time_limits::event_silence(&admitted.route, begun, 0, admitted.deadline, boot_clock::now())
+}
+
+/// Waits for the next piece until the request's deadline. The run is marked as silent while nothing arrives after
+/// `silent_at`.
+async fn next_piece_flagging_silence(
+    request: OpenRequest<'_>,
+    run: &mut Upstream,
+    silent_at: Instant,
+) -> BodyPiece {
+    let deadline = request.admitted.deadline;
+    let piece = run.next_piece(silent_at).await;
+    if !matches!(piece, BodyPiece::Silent) || silent_at >= deadline {
         return piece;
     }
     run.guard.set_silent(true);
-    let piece = run.next_piece(admitted.deadline).await;
+    let piece = run.next_piece(deadline).await;
     run.guard.set_silent(matches!(piece, BodyPiece::Silent));
     piece
 }
--- a/tests/gateway/endless_responses.rs
+++ b/tests/gateway/endless_responses.rs
@@ -164,8 +164,11 @@
     slow_chunks_of_a_plain_response: "plain", Chunks, Slow => Ended;
     unframed_plain_response: "plain", Unframed, Full => Ended;
     chunks_of_a_stream: "stream", Chunks, Full => Served;
+    slow_chunks_of_a_stream: "stream", Chunks, Slow => Served;
     single_event: "stream", Event, Full => Served;
+    slow_single_event: "stream", Event, Slow => Served;
     comments: "stream", Comments, Full => Served;
+    slow_comments: "stream", Comments, Slow => Served;
     body_of_a_refusal: "plain", Refusal, Full => Served;
     body_of_a_refused_stream: "stream", Refusal, Full => Served;
     slow_body_of_a_refusal: "stream", Refusal, Slow => Served;
