Model of quotas after replaced seeds, at 7, 78 and 195 daemons

An account asks for 7.5 times the smallest quota of the large deployment, 30 s after the fleet's start.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -9,6 +9,8 @@
 mod catch_up;
 mod choice_inputs;
 mod client_gone;
+mod contact_fleet;
+mod contact_model;
 mod crash_fleet;
 mod crash_model;
 mod crash_rules;
