Silent requests: a new endpoint is used as soon as it is listed

What callers saw: a request whose endpoint is silent waits for up to as long again before it uses an endpoint that has just been listed.

Cause: the pause between checks doubles, and nothing but time led to a check.

Change: a list of endpoints that is applied notifies the requests whose last check found that no further run may be begun; they check at once.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -86,6 +86,8 @@
     pub tunnel_lines: RefCell<LineBudget>,
     /// Notified when a connection over this daemon's own links has failed.
     pub access_doubted: Notify,
+    /// Notified when another list of endpoints is in use.
+    pub endpoints_changed: Notify,
     /// Whether this daemon reaches the endpoints over its own links.
     pub endpoint_access: RefCell<EndpointAccess>,
     /// Loads and health of the endpoints.
--- a/src/gateway/context/store_contents.rs
+++ b/src/gateway/context/store_contents.rs
@@ -90,6 +90,7 @@
         self.observe_endpoint_era(list.position.era(), now);
         self.entry_history.borrow_mut().apply(list, now);
         self.use_endpoints(now);
+        self.endpoints_changed.notify_waiters();
         true
     }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -140,6 +140,7 @@
         carried_tunnels: OpenCount::default(),
         tunnel_lines: RefCell::new(LineBudget::new(TUNNEL_LINES, now)),
         access_doubted: Notify::new(),
+        endpoints_changed: Notify::new(),
         endpoint_access: RefCell::default(),
         endpoints: RefCell::new(EndpointTable::new(settings.zone.clone())),
         versions: RefCell::default(),
--- a/src/gateway/request/first_response.rs
+++ b/src/gateway/request/first_response.rs
@@ -48,6 +48,8 @@
     /// When to check whether another attempt may be made while others are in progress.
     check_at: Instant,
     pause: CheckPause,
+    /// Whether the last check found that none may be made: another list of endpoints may change that.
+    awaits_endpoints: bool,
     /// An endpoint's error response, passed on rather than a refusal if no attempt succeeds.
     error: Option<Box<EndpointResponse>>,
 }
@@ -64,6 +66,7 @@
         running: FuturesUnordered::new(),
         check_at: now,
         pause: CheckPause::new(now),
+        awaits_endpoints: false,
         error: None,
     };
     race.begin();
@@ -105,6 +108,10 @@
                 self.handle_silence();
                 None
             }
+            () = self.request.context.endpoints_changed.notified(), if self.awaits_endpoints => {
+                self.handle_silence();
+                None
+            }
         }
     }
 
@@ -124,7 +131,8 @@
         }
         request.trace.borrow_mut().attempt_silent();
         self.check_at = self.pause.next(now);
-        if request.may_run_elsewhere() {
+        self.awaits_endpoints = !request.may_run_elsewhere();
+        if !self.awaits_endpoints {
             self.begin();
         }
     }
--- a/src/gateway/request/relay/run_race.rs
+++ b/src/gateway/request/relay/run_race.rs
@@ -53,6 +53,8 @@
     FurtherRun(FurtherRun),
     /// It is time to check whether a further run may be begun.
     Check,
+    /// Another list of endpoints is in use.
+    NewEndpoints,
 }
 
 /// The current run of a stream, unless that has failed, and further ones.
@@ -72,6 +74,8 @@
     is_allowed: bool,
     pause: CheckPause,
     check_at: Instant,
+    /// Whether the last check found that none may be begun: another list of endpoints may change that.
+    awaits_endpoints: bool,
 }
 
 impl Relay {
@@ -107,6 +111,7 @@
             is_allowed,
             pause: CheckPause::new(now),
             check_at: now,
+            awaits_endpoints: false,
         };
         race.run(error).await
     }
@@ -164,6 +169,7 @@
             }
             match self.next_event().await {
                 RaceEvent::Check => {}
+                RaceEvent::NewEndpoints => self.check_at = boot_clock::now(),
                 RaceEvent::FurtherRun(Ok(run)) => match self.takeover(&run) {
                     RunTakeover::TakesOver => return RaceResult::Replaced(run),
                     RunTakeover::Held => self.hold(run),
@@ -207,7 +213,8 @@
         if now < self.check_at || !self.is_allowed {
             return;
         }
-        if !self.request.may_run_elsewhere() {
+        self.awaits_endpoints = !self.request.may_run_elsewhere();
+        if self.awaits_endpoints {
             self.check_at = self.pause.next(now);
             return;
         }
@@ -233,6 +240,9 @@
             piece = current => RaceEvent::CurrentRun(piece),
             Some(run) = self.further.next() => RaceEvent::FurtherRun(run),
             () = sleep_until(boot_clock::timer_at(self.check_at)), if may_check => RaceEvent::Check,
+            () = self.request.context.endpoints_changed.notified(), if self.awaits_endpoints => {
+                RaceEvent::NewEndpoints
+            }
         }
     }
 
