Soak: replaced daemons with stale seeds, unmarked ends beside pauses, bytes without end

Two further groups of faults, with random numbers of their own, so that the draws of the others stay: daemons are replaced by ones at another address for daemons while the seeds of all stay those of the start, and endpoints send informational heads, lines of a head or the body of a refusal without end. Beside pauses alone, one endpoint of each version marks no ends in every other seed. New check: after the faults all daemons hear each other.

--- a/tests/gateway/endless_endpoint.rs
+++ b/tests/gateway/endless_endpoint.rs
@@ -137,8 +137,24 @@
     }
 
     fn answer(&self, out: &mut TcpStream, id: &str) -> std::io::Result<()> {
+        out.write_all(self.endless.begin(&self.id, id).as_bytes())?;
+        let piece = self.endless.piece(self.pace);
+        while !self.is_over.load(Ordering::SeqCst) {
+            out.write_all(&piece)?;
+            self.sent.fetch_add(piece.len(), Ordering::SeqCst);
+            if self.pace == Pace::Slow {
+                thread::sleep(SLOW_PAUSE);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Endless {
+    /// What comes before the bytes without end, in the response of the endpoint `own` to the request `id`.
+    fn begin(self, own: &str, id: &str) -> String {
         let head = |status: &str, fields: &str| {
-            let (kind, own) = ("text/event-stream", &self.id);
+            let kind = "text/event-stream";
             format!(
                 "HTTP/1.1 {status}\r\nX-Request-Id: {id}\r\nX-Response-Seal: seal\r\n\
                  X-Instance-Id: {own}\r\nContent-Type: {kind}\r\n{fields}\r\n"
@@ -146,52 +162,49 @@
         };
         let chunked = "Transfer-Encoding: chunked\r\n";
         let events = event(1) + &event(2);
-        let begin = match self.endless {
-            Endless::Head | Endless::InformationalHeads => String::new(),
-            Endless::HeadLines => "HTTP/1.1 200 OK\r\n".to_owned(),
-            Endless::Chunks => head("200 OK", chunked),
-            Endless::Unframed => head("200 OK", ""),
-            Endless::Event => head("200 OK", "") + &events + "data: ",
-            Endless::Comments => head("200 OK", "") + &events,
-            Endless::Refusal => head(
+        match self {
+            Self::Head | Self::InformationalHeads => String::new(),
+            Self::HeadLines => "HTTP/1.1 200 OK\r\n".to_owned(),
+            Self::Chunks => head("200 OK", chunked),
+            Self::Unframed => head("200 OK", ""),
+            Self::Event => head("200 OK", "") + &events + "data: ",
+            Self::Comments => head("200 OK", "") + &events,
+            Self::Refusal => head(
                 "503 Service Unavailable",
                 "X-Not-Executed: 1\r\nContent-Length: 1000000000000\r\n",
             ),
-            Endless::Misdirected => head(
+            Self::Misdirected => head(
                 "421 Misdirected Request",
                 "X-Not-Executed: 1\r\nTransfer-Encoding: chunked\r\n",
             ),
-            Endless::Failure => head("500 Internal Server Error", chunked),
-            Endless::Behind => head("200 OK", "Content-Length: 2\r\n") + "ok",
-        };
-        out.write_all(begin.as_bytes())?;
-        let piece = self.piece();
-        while !self.is_over.load(Ordering::SeqCst) {
-            out.write_all(&piece)?;
-            self.sent.fetch_add(piece.len(), Ordering::SeqCst);
-            if self.pace == Pace::Slow {
-                thread::sleep(SLOW_PAUSE);
-            }
+            Self::Failure => head("500 Internal Server Error", chunked),
+            Self::Behind => head("200 OK", "Content-Length: 2\r\n") + "ok",
         }
-        Ok(())
     }
 
     /// The bytes that are repeated.
-    fn piece(&self) -> Vec<u8> {
-        let unit = match self.endless {
-            Endless::Head
-            | Endless::Unframed
-            | Endless::Event
-            | Endless::Refusal
-            | Endless::Behind => "x".to_owned(),
-            Endless::HeadLines => "X-Field: value\r\n".to_owned(),
-            Endless::InformationalHeads => "HTTP/1.1 103 Early Hints\r\n\r\n".to_owned(),
-            Endless::Comments => ": at work\n".to_owned(),
-            Endless::Chunks | Endless::Misdirected | Endless::Failure => {
+    fn piece(self, pace: Pace) -> Vec<u8> {
+        let unit = match self {
+            Self::Head | Self::Unframed | Self::Event | Self::Refusal | Self::Behind => {
+                "x".to_owned()
+            }
+            Self::HeadLines => "X-Field: value\r\n".to_owned(),
+            Self::InformationalHeads => "HTTP/1.1 103 Early Hints\r\n\r\n".to_owned(),
+            Self::Comments => ": at work\n".to_owned(),
+            Self::Chunks | Self::Misdirected | Self::Failure => {
                 format!("{SLOW_PIECE:x}\r\n{}\r\n", "x".repeat(SLOW_PIECE))
             }
         };
-        let length = if self.pace == Pace::Slow { SLOW_PIECE } else { PIECE };
+        let length = if pace == Pace::Slow { SLOW_PIECE } else { PIECE };
         unit.repeat(length.div_ceil(unit.len())).into_bytes()
     }
 }
+
+/// Sends bytes without end at full speed until the other side closes the connection.
+pub fn send_without_end(out: &mut TcpStream, own: &str, id: &str, endless: Endless) {
+    let piece = endless.piece(Pace::Full);
+    let mut is_open = out.write_all(endless.begin(own, id).as_bytes()).is_ok();
+    while is_open {
+        is_open = out.write_all(&piece).is_ok();
+    }
+}
--- a/tests/gateway/endpoint_standin.rs
+++ b/tests/gateway/endpoint_standin.rs
@@ -13,7 +13,10 @@
 
 use willowarch::ids::hash_parts;
 
-use crate::paused_responses::ResponsePause;
+use crate::{
+    endless_endpoint::{Endless, send_without_end},
+    paused_responses::ResponsePause,
+};
 
 /// Delay of a late surplus response: longer than a client on loopback takes to send its next
 /// request.
@@ -32,6 +35,8 @@
     BreakAfter(u64),
     /// Responds as `Serve`, with neither a length nor chunks: the response ends with the connection.
     Unframed,
+    /// Bytes without end.
+    Endless(Endless),
     /// The same, but closes the connection in the middle of an event, after this number of them.
     UnframedBreakAfter(u64),
     /// Streams this number of events in chunks, then writes the last chunk in the middle of the next.
@@ -79,7 +84,7 @@
 
 impl EndpointManner {
     fn runs(self) -> bool {
-        !matches!(self, Self::Full | Self::Other)
+        !matches!(self, Self::Full | Self::Other | Self::Endless(Endless::Refusal))
     }
 
     /// The manner in which the endpoint responds to one request.
@@ -279,6 +284,10 @@
             }
             EndpointManner::NotFound => self.write_whole(out, "404 Not Found", id, "none"),
             EndpointManner::Lose => false,
+            EndpointManner::Endless(endless) => {
+                send_without_end(out, &self.id, id, endless);
+                false
+            }
             EndpointManner::Sometimes(..) => unreachable!("resolved for each request"),
             EndpointManner::Silent => self.wait_for_close(out),
             EndpointManner::StallAfter(count) => {
--- a/tests/gateway/gateway_site.rs
+++ b/tests/gateway/gateway_site.rs
@@ -160,6 +160,19 @@
         self.process = spawn(&self.program, &self.settings, &self.log);
     }
 
+    /// Ends the process for good and starts one at another address for daemons. Clients reach it at the same one.
+    pub fn replace(&mut self) {
+        self.kill();
+        let ip = unused_loopback_address();
+        self.peers.set_ip(ip);
+        self.metrics.set_ip(ip);
+        let text = std::fs::read_to_string(&self.settings).expect("settings");
+        let mut settings: Value = serde_json::from_str(&text).expect("JSON");
+        settings["listen"]["control"] = json!(self.peers);
+        std::fs::write(&self.settings, settings.to_string()).expect("settings");
+        self.start_again();
+    }
+
     /// Writes other seeds into the settings file.
     pub fn write_seeds(&self, seeds: &[SocketAddr]) {
         let text = std::fs::read_to_string(&self.settings).expect("settings");
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -3,7 +3,8 @@
 //! of endpoints overlap with each other and with series of configuration changes. At the same time a
 //! client sends a request that crashes the endpoints that run it, responses pause, and some endpoints signal only in
 //! their responses that they drain, want a back-off or have a limit. Endpoints of two software versions
-//! serve side by side, and clients take streams that have broken off up again at other daemons. The
+//! serve side by side, and clients take streams that have broken off up again at other daemons. Daemons are replaced
+//! at other addresses while the seeds of all stay, and endpoints send bytes without end. The
 //! guarantees are checked against what clients, endpoints and the platform have recorded.
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1 cargo test --test gateway soak` runs more seeds, `SOAK_DAEMONS=40`
@@ -25,12 +26,14 @@
 use serde_json::json;
 
 use crate::{
+    endless_endpoint::Endless,
     endpoint_standin::{EndpointManner, EndpointStandin},
     gateway_site::{Gateway, ask, configuration, request_bytes, try_send_raw, wait_for},
     leader_tasks::{check_reports, reports},
     link_faults::{LinkFaults, PartitionManner},
     loopback_proxy::{LinkState, LoopbackProxy},
     platform_standin::PlatformStandin,
+    replaced_seeds::state_of,
     soak_clients::{Exchange, SoakClient},
     soak_crashes::{CrashTraffic, with_fragile_service},
     soak_pauses::{PauseKinds, check_paused, pause_responses},
@@ -84,10 +87,19 @@
     Store,
     Endpoints,
     Configuration,
+    Seeds,
+    Endless,
 }
 
 impl FaultGroup {
-    const ALL: [Self; 4] = [Self::Daemons, Self::Store, Self::Endpoints, Self::Configuration];
+    const ALL: [Self; 6] = [
+        Self::Daemons,
+        Self::Store,
+        Self::Endpoints,
+        Self::Configuration,
+        Self::Seeds,
+        Self::Endless,
+    ];
 }
 
 /// A fault; the numbers are indices of daemons, endpoints and foreign entries, and a count of changes.
@@ -96,6 +108,8 @@
     Kill(usize),
     Freeze(usize),
     StopAndStart(usize),
+    /// The daemon is replaced by one at another address; the seeds of all stay those of the start.
+    Replace(usize),
     StoreDown,
     StoreLosesAnswers,
     StoreForgets,
@@ -142,7 +156,14 @@
         let daemon = rng.random_range(0..daemons);
         let endpoint = rng.random_range(0..ENDPOINTS);
         let link = if rng.random_bool(0.5) { LinkState::Silent } else { LinkState::Closed };
+        const ENDLESS: [Endless; 3] =
+            [Endless::InformationalHeads, Endless::HeadLines, Endless::Refusal];
         match (group, rng.random_range(0..7)) {
+            (FaultGroup::Seeds, _) => Self::Replace(daemon),
+            (FaultGroup::Endless, _) => {
+                let endless = ENDLESS[rng.random_range(0..ENDLESS.len())];
+                Self::Manner(endpoint, EndpointManner::Endless(endless))
+            }
             (FaultGroup::Daemons, 0 | 1) => Self::Kill(daemon),
             (FaultGroup::Daemons, 2 | 3) => Self::Freeze(daemon),
             (FaultGroup::Daemons, _) => Self::StopAndStart(daemon),
@@ -259,6 +280,10 @@
         let from = Instant::now();
         match fault {
             Fault::Kill(place) => daemon(place).kill_and_restart(),
+            Fault::Replace(place) => {
+                daemon(place).replace();
+                thread::sleep(time);
+            }
             Fault::Freeze(place) => {
                 daemon(place).signal("-STOP");
                 thread::sleep(time);
@@ -303,7 +328,11 @@
             }
             Fault::NewConfigurations(count) => self.write_versions(count, rng),
         }
-        if let Fault::Kill(place) | Fault::Freeze(place) | Fault::StopAndStart(place) = fault {
+        if let Fault::Kill(place)
+        | Fault::Replace(place)
+        | Fault::Freeze(place)
+        | Fault::StopAndStart(place) = fault
+        {
             self.signal_traffic.record_disturbance(place, from);
         }
     }
@@ -453,6 +482,7 @@
             try_send_raw(*address, &bytes).is_ok_and(|answer| answer.status == 200)
         });
     }
+    check_contact(&site);
     site.crash_traffic.check();
     site.signal_traffic.check();
     check_configuration(&site, &addresses);
@@ -463,8 +493,20 @@
     check(&site, &exchanges);
 }
 
-/// Lets responses pause beside configuration changes only; returns what the clients got.
+/// Checks that all daemons find each other again, although their seeds may have been replaced.
+fn check_contact(site: &SoakSite) {
+    for daemon in &site.daemons {
+        wait_for("reports of all daemons", || {
+            state_of(&daemon.lock().expect("lock"))["daemons_heard"] == json!(site.daemons.len())
+        });
+    }
+}
+
+/// Lets responses pause beside configuration changes only; returns what the clients got. In every other seed, one
+/// endpoint of each version marks no ends.
 fn play_pauses(site: &SoakSite, addresses: &[SocketAddr], seed: u64) -> Vec<Exchange> {
+    let unframed = if seed.is_multiple_of(2) { &site.endpoints[VERSIONS.len()..] } else { &[] };
+    unframed.iter().for_each(|endpoint| endpoint.set(EndpointManner::Unframed));
     let set_links = |state| site.endpoint_links.iter().for_each(|link| link.set(state));
     set_links(LinkState::Closed);
     thread::sleep(RECONNECT_TIME);
@@ -480,6 +522,7 @@
         scope.spawn(move || pause_responses(&site.endpoints, PauseKinds::Ending, seed, until));
         scope.spawn(move || cause_faults(site, FaultGroup::Configuration, seed, until));
     });
+    unframed.iter().for_each(|endpoint| endpoint.set(EndpointManner::Serve));
     exchanges.into_inner().expect("lock")
 }
 
