--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -19,7 +19,6 @@
 pub mod policy;
 pub mod request;
 pub mod settings;
-mod settings_reload;
 pub mod state;
 pub mod status_listeners;
 pub mod store_watch;
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -45,8 +45,8 @@
         },
     },
     request::{client_listener, connection_pool::ConnectionPool},
-    settings::{GatewaySettings, ServiceBounds},
-    settings_reload, status_listeners,
+    settings::{GatewaySettings, ServiceBounds, reload},
+    status_listeners,
     store_watch::{configuration_watch, endpoint_watch, rollout_watch},
 };
 use crate::{
@@ -107,7 +107,7 @@
     kernel.start(access_probe::NAME, access_probe::run(context.clone()));
     kernel.start(leader_tasks::NAME, leader_tasks::run(context.clone()));
     kernel.start(client_listener::NAME, client_listener::run(clients, context.clone()));
-    kernel.start(settings_reload::NAME, settings_reload::run(context.clone(), source));
+    kernel.start(reload::NAME, reload::run(context.clone(), source));
     kernel.start(STOPPER, stop_on_signal(context.clone()));
     let exit = kernel.run().await;
     end_connections(&context).await;
--- a/src/gateway/policy/request/response_end.rs
+++ b/src/gateway/policy/request/response_end.rs
@@ -9,6 +9,8 @@
 //! the end, and the newest endpoint list. If the endpoint isn't reached in time, or has announced that it
 //! ends, the end proves nothing about it.
 
+pub mod run_takeover;
+
 use derive_more::Display;
 
 use crate::gateway::request::response_meaning::BodyFraming;
--- a/src/gateway/request/relay/run_race.rs
+++ b/src/gateway/request/relay/run_race.rs
@@ -2,7 +2,7 @@
 //!
 //! A silent run is kept until another one has the next event. Whichever has it first is passed on, and the
 //! others end, so that the client gets the events of one run at a time and a run at work ends only for one
-//! that serves the client. `policy::request::run_takeover` decides whether a further run may take over;
+//! that serves the client. `policy::request::response_end::run_takeover` decides whether a further run may take over;
 //! `policy::request::retries` and the retry budget decide whether one may be begun.
 
 use std::{future::Future, mem, pin::Pin};
@@ -21,8 +21,8 @@
     boot_clock,
     gateway::{
         policy::request::{
+            response_end::run_takeover::{RunTakeover, TakeoverInputs},
             retries,
-            run_takeover::{RunTakeover, TakeoverInputs},
             time_limits::{self, CheckPause},
         },
         request::{
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -1,5 +1,7 @@
 //! Settings of one gateway daemon. `platform::settings` decodes and checks them at the start; but for
-//! the seeds (`settings_reload`) they don't change while the process runs.
+//! the seeds (`reload`) they don't change while the process runs.
+
+pub mod reload;
 
 use std::{net::SocketAddr, time::Duration};
 
--- a/src/gateway/settings_reload.rs
+++ b/src/gateway/settings/reload.rs
@@ -11,8 +11,11 @@
     time::sleep,
 };
 
-use super::{context::GatewayContext, policy::daemon::fleet_contact::needs_seeds};
-use crate::{boot_clock, platform::settings::SettingsSource};
+use crate::{
+    boot_clock,
+    gateway::{context::GatewayContext, policy::daemon::fleet_contact::needs_seeds},
+    platform::settings::SettingsSource,
+};
 
 /// Name of the service.
 pub const NAME: &str = "settings-reload";
--- a/tests/gateway/takeover_rules.rs
+++ b/tests/gateway/takeover_rules.rs
@@ -2,7 +2,7 @@
 
 use googletest::prelude::*;
 use willowarch::gateway::{
-    policy::request::run_takeover::{RunTakeover, TakeoverInputs},
+    policy::request::response_end::run_takeover::{RunTakeover, TakeoverInputs},
     request::response_meaning::BodyFraming,
 };
 
