Endpoints: a 421 for other weights doesn't take an endpoint out of use

Hypotheses, and what told them apart: the 421 is that of another endpoint at the address (it has the endpoint's own X-Instance-Id); a stale list (all are listed as ready); pauses after refusals (they end; the refusals say "no endpoint").

Cause: read_meaning took every 421 for "another endpoint is at the address", and mark_ended is taken back by nothing but another start of the endpoint.

Change: a 421 with the endpoint's own id, or without an id where the client asks for weights, is ResponseMeaning::OtherWeights: not run, another endpoint is tried within attempts and budget, and nothing follows for the endpoint.

--- a/src/gateway/request/attempt/response_evaluation.rs
+++ b/src/gateway/request/attempt/response_evaluation.rs
@@ -31,7 +31,7 @@
             run_guard::RunGuard,
         },
     },
-    platform::ingress,
+    platform::ingress::{self, SentRequest},
 };
 
 /// Evaluates the head of a response.
@@ -43,7 +43,8 @@
     guard: RunGuard,
 ) -> AttemptEnd {
     let OpenRequest { context, admitted, trace, .. } = request;
-    let metadata = ingress::read_response(&admitted.call.head.id, &response);
+    let sent = SentRequest::new(&admitted.call.head, guard.endpoint());
+    let metadata = ingress::read_response(sent, &response);
     trace.borrow_mut().responded(response.status(), &metadata, guard.endpoint());
     record_signals(&metadata, &guard);
     let (status, body_start) = (response.status(), BodyStart::Unread);
@@ -57,6 +58,13 @@
         }
         ResponseMeaning::Ran => handle_run(context, admitted, response),
         ResponseMeaning::NotRun => handle_refusal(context, response, AttemptFailure::NotRun),
+        ResponseMeaning::OtherWeights => {
+            // It says nothing about how the endpoint serves others.
+            let EndpointResponse { response, connection, guard, .. } = response;
+            guard.finish(AttemptResult::Neutral);
+            drain_body(context, response, connection, metadata);
+            AttemptEnd::Failed(AttemptFailure::NotRun)
+        }
         ResponseMeaning::OtherEndpoint => {
             response.guard.endpoint_ended();
             discard_mismatched(context, response, AttemptFailure::NotRun)
@@ -73,20 +81,19 @@
         // While the store is unreachable, endpoint lists may still contain it as ready.
         guard.endpoint_drains();
     }
-    if matches!(metadata.meaning, ResponseMeaning::Ran | ResponseMeaning::NotRun) {
+    let is_own = matches!(
+        metadata.meaning,
+        ResponseMeaning::Ran | ResponseMeaning::NotRun | ResponseMeaning::OtherWeights
+    );
+    if is_own {
         guard.endpoint_brittle(metadata.signals.is_brittle);
     }
     // An endpoint announces a limit when it is overloaded and can't serve more requests than that.
-    match (metadata.meaning, metadata.signals.limit) {
-        (ResponseMeaning::Ran | ResponseMeaning::NotRun, LimitSignal::PerSecond(limit)) => {
-            guard.endpoint_limits(plausible_limit(limit));
-        }
-        (ResponseMeaning::Ran | ResponseMeaning::NotRun, LimitSignal::Absent) => {
-            guard.endpoint_limits(None);
-        }
+    match metadata.signals.limit {
+        LimitSignal::PerSecond(limit) if is_own => guard.endpoint_limits(plausible_limit(limit)),
+        LimitSignal::Absent if is_own => guard.endpoint_limits(None),
         // The endpoint's limit is unknown.
-        (ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign, _)
-        | (_, LimitSignal::Unreadable) => {}
+        LimitSignal::PerSecond(_) | LimitSignal::Absent | LimitSignal::Unreadable => {}
     }
 }
 
--- a/src/gateway/request/response_meaning.rs
+++ b/src/gateway/request/response_meaning.rs
@@ -28,6 +28,8 @@
     Ran,
     /// The endpoint has not run the request and never will.
     NotRun,
+    /// The endpoint has other weights than the client asks for, and has not run the request.
+    OtherWeights,
     /// Another endpoint has this address now; the request has not run.
     OtherEndpoint,
     /// The response belongs to another request; this one may have run.
--- a/src/platform/ingress.rs
+++ b/src/platform/ingress.rs
@@ -13,5 +13,5 @@
 mod own_response;
 
 pub use client_head::{is_chunked, read_head};
-pub use endpoint::{client_response, endpoint_request, health_check, read_response};
+pub use endpoint::{SentRequest, client_response, endpoint_request, health_check, read_response};
 pub use own_response::{close_after, is_readiness, own_response, remove_length};
--- a/src/platform/ingress/endpoint.rs
+++ b/src/platform/ingress/endpoint.rs
@@ -10,12 +10,12 @@
 use super::{
     endpoint_signals::read_signals,
     headers::{
-        BRITTLE, DEADLINE, DRAINING, EXPECT_INSTANCE, KEEP_ALIVE, LAST_EVENT, LIMIT, NOT_EXECUTED,
-        PRIORITY, REQUEST_ID, TENANT, remove_hop_headers, text,
+        BRITTLE, DEADLINE, DRAINING, EXPECT_INSTANCE, EXPECT_VERSION, INSTANCE, KEEP_ALIVE,
+        LAST_EVENT, LIMIT, NOT_EXECUTED, PRIORITY, REQUEST_ID, TENANT, remove_hop_headers, text,
     },
 };
 use crate::gateway::{
-    call::{AttemptHead, Call},
+    call::{AttemptHead, Call, CallHead},
     request::response_meaning::{BodyFraming, EndpointSignals, ResponseMeaning, ResponseMetadata},
 };
 
@@ -62,15 +62,36 @@
     request
 }
 
-/// Decodes the head of a response to the request `id`.
-pub fn read_response<B>(id: &str, response: &Response<B>) -> ResponseMetadata {
+/// What a response is decoded for.
+#[derive(Clone, Copy, Debug)]
+pub struct SentRequest<'a> {
+    /// Id of the request.
+    pub id: &'a str,
+    /// Id of the endpoint to which it was sent.
+    pub endpoint: &'a str,
+    /// Whether the client asks for one version of the weights.
+    pub asks_for_weights: bool,
+}
+
+impl<'a> SentRequest<'a> {
+    /// The request of a client that was sent to `endpoint`.
+    pub fn new(head: &'a CallHead, endpoint: &'a str) -> Self {
+        let asks_for_weights = head.headers.contains_key(&EXPECT_VERSION);
+        Self { id: &head.id, endpoint, asks_for_weights }
+    }
+}
+
+/// Decodes the head of a response.
+pub fn read_response<B>(request: SentRequest<'_>, response: &Response<B>) -> ResponseMetadata {
     let headers = response.headers();
     let closes = text(headers, &header::CONNECTION).is_some_and(|value| {
         value.split(',').any(|part| part.trim().eq_ignore_ascii_case("close"))
     });
-    let meaning = read_meaning(id, response);
+    let meaning = read_meaning(request, response);
     let signals = match meaning {
-        ResponseMeaning::Ran | ResponseMeaning::NotRun => read_signals(response.status(), headers),
+        ResponseMeaning::Ran | ResponseMeaning::NotRun | ResponseMeaning::OtherWeights => {
+            read_signals(response.status(), headers)
+        }
         // Sent by another endpoint, or in response to another request.
         ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign => EndpointSignals::default(),
     };
@@ -89,18 +110,31 @@
     }
 }
 
-fn read_meaning<B>(id: &str, response: &Response<B>) -> ResponseMeaning {
+fn read_meaning<B>(request: SentRequest<'_>, response: &Response<B>) -> ResponseMeaning {
     let headers = response.headers();
     match text(headers, &REQUEST_ID) {
-        Some(other) if other != id => ResponseMeaning::Foreign,
+        Some(other) if other != request.id => ResponseMeaning::Foreign,
         // An endpoint repeats the id in each successful response; failures may lack it.
         None if response.status().is_success() => ResponseMeaning::Foreign,
-        _ if response.status() == StatusCode::MISDIRECTED_REQUEST => ResponseMeaning::OtherEndpoint,
+        _ if response.status() == StatusCode::MISDIRECTED_REQUEST => {
+            read_misdirected(request, headers)
+        }
         _ if headers.contains_key(&NOT_EXECUTED) => ResponseMeaning::NotRun,
         _ => ResponseMeaning::Ran,
     }
 }
 
+/// A 421 has two reasons: another endpoint is at the address, or the client asks for other weights. Without the
+/// responder's id, a request that asks for weights tells nothing of the address.
+fn read_misdirected(request: SentRequest<'_>, headers: &HeaderMap) -> ResponseMeaning {
+    match text(headers, &INSTANCE) {
+        Some(responder) if responder != request.endpoint => ResponseMeaning::OtherEndpoint,
+        Some(_) => ResponseMeaning::OtherWeights,
+        None if request.asks_for_weights => ResponseMeaning::OtherWeights,
+        None => ResponseMeaning::OtherEndpoint,
+    }
+}
+
 fn read_keep_alive(headers: &HeaderMap) -> Option<Duration> {
     let value = text(headers, &KEEP_ALIVE)?;
     let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
--- a/src/platform/ingress/headers.rs
+++ b/src/platform/ingress/headers.rs
@@ -24,6 +24,10 @@
 pub const TENANT: HeaderName = HeaderName::from_static("x-tenant");
 /// Id of the intended endpoint; any other endpoint at the address responds with 421.
 pub const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("x-expect-instance");
+/// Id of the endpoint that responds; in its health checks, and where it turns a request away.
+pub const INSTANCE: HeaderName = HeaderName::from_static("x-instance-id");
+/// Version of the weights that the client asks for; an endpoint with another one responds with 421.
+pub const EXPECT_VERSION: HeaderName = HeaderName::from_static("x-expect-version");
 /// Priority in the endpoint's queue; 0 is the most urgent.
 pub const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 /// Set by an endpoint on a response to a request that it has not run and will never run.
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -11,7 +11,7 @@
     },
     platform::{
         configuration, endpoints,
-        ingress::{read_head, read_response},
+        ingress::{SentRequest, read_head, read_response},
         settings,
         store::object_codec,
     },
@@ -176,11 +176,17 @@
 }
 
 fn meaning_of(status: u16, headers: &[(&str, &str)]) -> ResponseMeaning {
+    meaning_for(false, status, headers)
+}
+
+/// Meaning of a response of the endpoint `i-0` to a request that asks for weights, or doesn't.
+fn meaning_for(asks_for_weights: bool, status: u16, headers: &[(&str, &str)]) -> ResponseMeaning {
     let mut answer = Response::builder().status(status);
     for (name, value) in headers {
         answer = answer.header(*name, *value);
     }
-    read_response("mine", &answer.body(()).expect("answer")).meaning
+    let request = SentRequest { id: "mine", endpoint: "i-0", asks_for_weights };
+    read_response(request, &answer.body(()).expect("answer")).meaning
 }
 
 #[googletest::test]
@@ -195,6 +201,17 @@
     expect_that!(meaning_of(504, &[mine]), eq(ResponseMeaning::Ran));
 }
 
+// Guards against endpoints that are never used again since a client has asked for other weights.
+#[googletest::test]
+fn misdirected_request_is_told_from_one_for_other_weights() {
+    let (mine, other) = (("x-instance-id", "i-0"), ("x-instance-id", "i-1"));
+    expect_that!(meaning_for(true, 421, &[mine]), eq(ResponseMeaning::OtherWeights));
+    expect_that!(meaning_for(false, 421, &[mine]), eq(ResponseMeaning::OtherWeights));
+    expect_that!(meaning_for(true, 421, &[other]), eq(ResponseMeaning::OtherEndpoint));
+    expect_that!(meaning_for(true, 421, &[]), eq(ResponseMeaning::OtherWeights));
+    expect_that!(meaning_for(false, 421, &[]), eq(ResponseMeaning::OtherEndpoint));
+}
+
 /// Returns `value` as JSON text with the value at `place`, counted depth first, replaced by `with`.
 fn with_replaced_value(value: &Value, place: usize, with: &Value) -> String {
     fn replace(value: &mut Value, place: &mut usize, with: &Value) {
--- a/tests/gateway/endpoint_signals.rs
+++ b/tests/gateway/endpoint_signals.rs
@@ -8,7 +8,7 @@
 use proptest::prelude::*;
 use willowarch::{
     gateway::request::response_meaning::{EndpointSignals, LimitSignal},
-    platform::ingress::read_response,
+    platform::ingress::{SentRequest, read_response},
 };
 
 const DRAINING: &str = "server-leaving";
@@ -21,7 +21,8 @@
     for (name, value) in headers {
         response = response.header(*name, *value);
     }
-    read_response("mine", &response.body(()).expect("response")).signals
+    let request = SentRequest { id: "mine", endpoint: "i-0", asks_for_weights: false };
+    read_response(request, &response.body(()).expect("response")).signals
 }
 
 /// Signals of a response to this request (with the same request id).
--- a/tests/gateway/endpoint_standin.rs
+++ b/tests/gateway/endpoint_standin.rs
@@ -35,6 +35,8 @@
     BreakAfter(u64),
     /// Responds as `Serve`, with neither a length nor chunks: the response ends with the connection.
     Unframed,
+    /// Serves with weights of this version, and turns requests for another one away.
+    Weights(u64),
     /// Bytes without end.
     Endless(Endless),
     /// The same, but closes the connection in the middle of an event, after this number of them.
@@ -283,6 +285,15 @@
                 refuse(out, "421 Misdirected Request", id, &headers)
             }
             EndpointManner::NotFound => self.write_whole(out, "404 Not Found", id, "none"),
+            EndpointManner::Weights(version) => {
+                let version = version.to_string();
+                if request.header("x-expect-version").is_none_or(|asked| asked == version) {
+                    return self.write_whole(out, "200 OK", id, &body);
+                }
+                let headers =
+                    format!("{}X-Instance-Id: {}\r\nX-Not-Executed: 1", self.header(), self.id);
+                refuse(out, "421 Misdirected Request", id, &headers)
+            }
             EndpointManner::Lose => false,
             EndpointManner::Endless(endless) => {
                 send_without_end(out, &self.id, id, endless);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -34,6 +34,7 @@
 mod endpoint_starts;
 mod event_cutter;
 mod exchange;
+mod expected_weights;
 mod failing_endpoints;
 mod failure_rules;
 mod fleet;
