--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -25,7 +25,7 @@
 
 use super::{
     endpoint_load::EndpointLoad,
-    endpoint_status::EndpointStatus,
+    endpoint_status::{EndpointStatus, SlotUse},
     prompt_cache::{PartEnd, part_chain},
 };
 use crate::{
@@ -116,6 +116,8 @@
     pub uncached_tokens: u64,
     /// Expected wait for the first token, in milliseconds.
     pub estimated_wait_ms: f64,
+    /// This daemon's use of its share of the slots; none if the endpoint's slots aren't divided.
+    pub slot_use: Option<SlotUse>,
 }
 
 impl EndpointChoice {
@@ -168,7 +170,8 @@
         let cheapest = if status.pause.is_last_resort(now) { &mut last_resort } else { &mut best };
         if cheapest.as_ref().is_none_or(|cheapest| cost_ms < cheapest.cost_ms) {
             let endpoint = status.record.clone();
-            let choice = EndpointChoice { endpoint, uncached_tokens, estimated_wait_ms };
+            let slot_use = status.slot_use();
+            let choice = EndpointChoice { endpoint, uncached_tokens, estimated_wait_ms, slot_use };
             *cheapest = Some(CostedChoice { choice, cost_ms });
         }
     }
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -4,6 +4,7 @@
 
 use std::rc::Rc;
 
+use derive_more::Display;
 use tokio::time::Instant;
 
 use super::{
@@ -20,6 +21,16 @@
 /// queue empties quickly.
 const PLAIN_QUEUE_PER_SLOT: f64 = 2.0;
 
+/// A daemon's use of its share of a brittle endpoint's slots.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
+#[display("{running} of {share} slots used")]
+pub struct SlotUse {
+    /// Requests of the daemon that run there.
+    pub running: u32,
+    /// Requests of the daemon that may run there.
+    pub share: u32,
+}
+
 /// State of one endpoint.
 #[derive(Debug)]
 pub struct EndpointStatus {
@@ -84,6 +95,11 @@
         self.pause.is_risky(now) || self.failures.is_outlier(now)
     }
 
+    /// This daemon's use of its share of the slots; none if they aren't divided.
+    pub fn slot_use(&self) -> Option<SlotUse> {
+        self.slot_share.map(|share| SlotUse { running: self.own.running, share })
+    }
+
     /// Whether its limit, if any, lets this daemon send a request now.
     pub fn is_within_limit(&self, now: Instant) -> bool {
         self.limit.is_none_or(|limit| limit.has_token(now))
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -95,6 +95,9 @@
             self.steps,
             "{endpoint} {version} uncached {uncached} of {prompt_tokens} wait {wait:.0};"
         );
+        if let Some(slot_use) = choice.slot_use {
+            let _ = write!(self.steps, " {slot_use};");
+        }
         self.attempts += 1;
         self.context.metrics.count("attempts", 1);
     }
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -20,14 +20,13 @@
     platform_standin::PlatformStandin,
     request_lines::print_request_lines,
     signal_checks::{Disturbance, LimitOutcome, SeenSignals, SentAt},
-    signalling_endpoint::{Arrival, EndpointSignal, SignallingEndpoint},
+    signalling_endpoint::{Arrival, EndpointSignal, Fall, SLOTS, SignallingEndpoint},
 };
 
 /// Environment variable with the last release's executable file.
 const FORMER_PROGRAM: &str = "SOAK_FORMER";
 /// Number of daemons if `SIGNAL_DAEMONS` is not set.
 const DEFAULT_DAEMONS: usize = 9;
-const ENDPOINTS: usize = 12;
 /// Number of endpoints that signal, in tests where not all do.
 pub const SIGNALLING: usize = 4;
 pub const CLIENTS: u64 = 24;
@@ -39,6 +38,21 @@
 pub const LOAD_TIME: Duration = Duration::from_millis(9_500);
 /// Concurrent calls that the store serves for each daemon.
 const CALLS_PER_DAEMON: usize = 3;
+/// Time after a disturbance of a daemon for which its requests don't count.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Size of a fleet.
+#[derive(Clone, Copy, Debug)]
+pub struct FleetShape {
+    pub endpoints: usize,
+    /// Slots of each endpoint.
+    pub slots: usize,
+}
+
+impl FleetShape {
+    /// The usual size.
+    pub const USUAL: Self = Self { endpoints: 12, slots: SLOTS };
+}
 
 /// How long clients send requests, and to how many of the daemons.
 #[derive(Clone, Copy, Debug)]
@@ -113,12 +127,19 @@
 
     /// The same with these bounds in the daemons' settings.
     pub fn start_with(bounds: Value) -> Self {
+        Self::start_shape(FleetShape::USUAL, bounds)
+    }
+
+    /// The same with these endpoints.
+    pub fn start_shape(shape: FleetShape, bounds: Value) -> Self {
         let platform = Arc::new(PlatformStandin::start_with(daemon_count() * CALLS_PER_DAEMON));
         platform.put("config", "main", configuration(3, &["key-1"]));
         let faults: Arc<LinkFaults> = Arc::default();
-        let start =
-            |place| SignallingEndpoint::start(&format!("i-{place}"), "pool", &platform, &faults);
-        let endpoints = (0..ENDPOINTS).map(start).collect();
+        let start = |place| {
+            let name = format!("i-{place}");
+            SignallingEndpoint::start_with_slots(&name, "pool", shape.slots, &platform, &faults)
+        };
+        let endpoints = (0..shape.endpoints).map(start).collect();
         let mut seeds: Vec<SocketAddr> = Vec::new();
         let mut daemons = Vec::new();
         for place in 0..daemon_count() {
@@ -189,6 +210,35 @@
         self.disturbances.lock().expect("lock").push(disturbance);
     }
 
+    /// Ends these daemons for good and starts others, which clients reach at the same addresses.
+    pub fn replace(&self, replaced: &[usize]) {
+        let mut daemons = self.daemons.lock().expect("lock");
+        let from = Instant::now();
+        replaced.iter().for_each(|daemon| daemons[*daemon].replace());
+        replaced.iter().for_each(|daemon| daemons[*daemon].wait_ready());
+        let until = Instant::now();
+        let disturbances =
+            replaced.iter().map(|daemon| Disturbance { daemon: *daemon, from, until });
+        self.disturbances.lock().expect("lock").extend(disturbances);
+    }
+
+    /// Falls of all endpoints, and the number of those in which most of what was refused came from daemons
+    /// that had not been disturbed for `CONTACT_TIME`.
+    pub fn falls(&self) -> (usize, usize) {
+        let falls: Vec<Fall> = self.endpoints.iter().flat_map(SignallingEndpoint::falls).collect();
+        let disturbances = self.disturbances.lock().expect("lock");
+        let is_disturbed = |daemon: usize, at: Instant| {
+            let lately = |one: &Disturbance| one.from <= at && at < one.until + CONTACT_TIME;
+            disturbances.iter().any(|one| one.daemon == daemon && lately(one))
+        };
+        let counts = |fall: &&Fall| {
+            let refused = fall.refused.iter();
+            let undisturbed = refused.filter(|daemon| !is_disturbed(**daemon, fall.at)).count();
+            undisturbed * 2 > fall.refused.len()
+        };
+        (falls.iter().filter(counts).count(), falls.len())
+    }
+
     /// Prints what the daemons have logged of the requests that were not served and were sent in this span.
     pub fn print_request_lines(&self, outcome: &SignalOutcome, span: std::ops::Range<Duration>) {
         let span = outcome.began + span.start..outcome.began + span.end;
--- a/tests/gateway/signalling_endpoint.rs
+++ b/tests/gateway/signalling_endpoint.rs
@@ -22,10 +22,10 @@
     platform_standin::PlatformStandin,
 };
 
-/// Requests that an endpoint works on at once.
+/// Requests that an endpoint works on at once, if a test names no other number.
 pub const SLOTS: usize = 4;
-/// Requests that may wait for a slot; further ones are refused.
-const QUEUE: usize = 8;
+/// Requests that may wait for each slot; further ones are refused.
+const QUEUE_PER_SLOT: usize = 2;
 /// Time that a request takes.
 pub const WORK_TIME: Duration = Duration::from_millis(60);
 /// Longest back-off that is taken as meant. A longer one is a mistake of the endpoint, which would
@@ -154,8 +154,24 @@
     pub start: usize,
 }
 
+/// A brittle endpoint has fallen over.
+#[derive(Clone, Debug)]
+pub struct Fall {
+    pub at: Instant,
+    /// Daemons whose requests it refused within the last second.
+    pub refused: Vec<usize>,
+}
+
+/// A request that a brittle endpoint has refused.
+#[derive(Clone, Copy, Debug)]
+struct RefusedRequest {
+    at: Instant,
+    daemon: usize,
+}
+
 struct Shared {
     name: String,
+    slots: usize,
     service: &'static str,
     platform: Arc<PlatformStandin>,
     faults: Arc<LinkFaults>,
@@ -169,8 +185,8 @@
     connections: Mutex<Vec<TcpStream>>,
     brittle_since: Mutex<Option<Instant>>,
     /// When it has refused requests in the last second.
-    refusals: Mutex<Vec<Instant>>,
-    falls: AtomicUsize,
+    refusals: Mutex<Vec<RefusedRequest>>,
+    falls: Mutex<Vec<Fall>>,
     fallen_until: Mutex<Option<Instant>>,
     arrivals: Mutex<Vec<Arrival>>,
 }
@@ -187,10 +203,22 @@
         service: &'static str,
         platform: &Arc<PlatformStandin>,
         faults: &Arc<LinkFaults>,
+    ) -> Self {
+        Self::start_with_slots(name, service, SLOTS, platform, faults)
+    }
+
+    /// The same with this number of slots.
+    pub fn start_with_slots(
+        name: &str,
+        service: &'static str,
+        slots: usize,
+        platform: &Arc<PlatformStandin>,
+        faults: &Arc<LinkFaults>,
     ) -> Self {
         let listener = bind_listener();
         let shared = Arc::new(Shared {
             name: name.to_owned(),
+            slots,
             service,
             platform: platform.clone(),
             faults: faults.clone(),
@@ -204,7 +232,7 @@
             connections: Mutex::default(),
             brittle_since: Mutex::default(),
             refusals: Mutex::default(),
-            falls: AtomicUsize::new(0),
+            falls: Mutex::default(),
             fallen_until: Mutex::default(),
             arrivals: Mutex::default(),
         });
@@ -221,12 +249,7 @@
 
     /// Writes its entry, as ready.
     pub fn register(&self) {
-        let entry = json!({
-            "service": self.shared.service, "address": self.shared.address, "zone": "hall-a", "version": "v1",
-            "slots": SLOTS, "state": "ready", "cold-left-ms": 0, "seq": 1,
-            "born": *self.shared.born.lock().expect("lock"),
-        });
-        self.shared.platform.put("servers", &self.shared.name, entry);
+        self.shared.register();
     }
 
     /// Removes its entry; it continues to serve.
@@ -240,9 +263,9 @@
         self.shared.close_connections();
     }
 
-    /// How often it has fallen over.
-    pub fn falls(&self) -> usize {
-        self.shared.falls.load(Ordering::SeqCst)
+    /// The times that it has fallen over.
+    pub fn falls(&self) -> Vec<Fall> {
+        self.shared.falls.lock().expect("lock").clone()
     }
 
     /// Closes the connections whose other ends are these.
@@ -254,13 +277,16 @@
         }
     }
 
-    /// Starts it again under the same id, and registers it.
+    /// Starts it again under the same id without a signal, and registers it.
     pub fn start_again(&self) {
         self.set_signal(EndpointSignal::None);
-        *self.shared.born.lock().expect("lock") = now_ms();
-        self.shared.start.fetch_add(1, Ordering::SeqCst);
+        self.start_signalling_again();
+    }
+
+    /// The same with the signal that it had before.
+    pub fn start_signalling_again(&self) {
+        self.shared.begin_next_start();
         self.shared.is_down.store(false, Ordering::SeqCst);
-        self.register();
     }
 
     pub fn arrivals(&self) -> Vec<Arrival> {
@@ -280,6 +306,21 @@
 }
 
 impl Shared {
+    fn register(&self) {
+        let entry = json!({
+            "service": self.service, "address": self.address, "zone": "hall-a", "version": "v1",
+            "slots": self.slots, "state": "ready", "cold-left-ms": 0, "seq": 1,
+            "born": *self.born.lock().expect("lock"),
+        });
+        self.platform.put("servers", &self.name, entry);
+    }
+
+    fn begin_next_start(&self) {
+        *self.born.lock().expect("lock") = now_ms();
+        self.start.fetch_add(1, Ordering::SeqCst);
+        self.register();
+    }
+
     /// Serves until the stand-in is dropped, with a new listener after each restart.
     fn run(self: Arc<Self>, mut listener: TcpListener) {
         loop {
@@ -311,6 +352,7 @@
     fn serve(self: &Arc<Self>, listener: &TcpListener) {
         listener.set_nonblocking(true).expect("a non-blocking listener");
         while !self.is_down.load(Ordering::SeqCst) {
+            self.recover_if_due();
             let Ok((stream, _)) = listener.accept() else {
                 thread::sleep(ACCEPT_PAUSE);
                 continue;
@@ -475,20 +517,14 @@
         let header = format!("Server-Brittle: {text}\r\n");
         let now = Instant::now();
         let brittle_since = *self.brittle_since.lock().expect("lock").get_or_insert(now);
-        let queue = if now - brittle_since < CONTACT_TIME { QUEUE } else { BRITTLE_QUEUE };
+        let queue = if now - brittle_since < CONTACT_TIME { self.queue() } else { BRITTLE_QUEUE };
         let others = self.working.load(Ordering::SeqCst);
-        if others < SLOTS + queue {
+        if others < self.slots + queue {
             return self.work(out, id, &header);
         }
-        let mut refusals = self.refusals.lock().expect("lock");
-        refusals.retain(|at| now - *at < Duration::from_secs(1));
-        refusals.push(now);
         let allowed = text.parse().unwrap_or(0);
-        if now - brittle_since >= CONTACT_TIME && refusals.len() > allowed {
-            self.falls.fetch_add(1, Ordering::SeqCst);
-            *self.fallen_until.lock().expect("lock") = Some(now + FALL_TIME);
-            drop(refusals);
-            self.close_connections();
+        if self.count_refusal(id, now) > allowed && now - brittle_since >= CONTACT_TIME {
+            self.fall(now);
             return false;
         }
         refuse(
@@ -499,16 +535,46 @@
         )
     }
 
+    /// Records that a request is refused. Returns the number of those refused in the last second.
+    fn count_refusal(&self, id: &str, now: Instant) -> usize {
+        let mut refusals = self.refusals.lock().expect("lock");
+        refusals.retain(|refused| now - refused.at < Duration::from_secs(1));
+        refusals.push(RefusedRequest { at: now, daemon: daemon_of(id) });
+        refusals.len()
+    }
+
+    fn fall(&self, now: Instant) {
+        let refusals = std::mem::take(&mut *self.refusals.lock().expect("lock"));
+        let refused = refusals.into_iter().map(|refused| refused.daemon).collect();
+        self.falls.lock().expect("lock").push(Fall { at: now, refused });
+        *self.fallen_until.lock().expect("lock") = Some(now + FALL_TIME);
+        self.close_connections();
+    }
+
     fn is_fallen(&self) -> bool {
-        self.fallen_until.lock().expect("lock").is_some_and(|until| Instant::now() < until)
+        self.fallen_until.lock().expect("lock").is_some()
+    }
+
+    /// Starts again, with a later start time, when the time after a fall is over.
+    fn recover_if_due(&self) {
+        let mut fallen_until = self.fallen_until.lock().expect("lock");
+        if fallen_until.is_some_and(|until| Instant::now() >= until) {
+            *fallen_until = None;
+            drop(fallen_until);
+            self.begin_next_start();
+        }
+    }
+
+    fn queue(&self) -> usize {
+        self.slots * QUEUE_PER_SLOT
     }
 
     fn work(&self, out: &mut TcpStream, id: &str, header: &str) -> bool {
         let others = self.working.fetch_add(1, Ordering::SeqCst);
-        let stays_open = match others < SLOTS + QUEUE {
+        let stays_open = match others < self.slots + self.queue() {
             true => {
                 // Requests that wait for a slot take longer accordingly.
-                thread::sleep(WORK_TIME * (1 + others / SLOTS) as u32);
+                thread::sleep(WORK_TIME * (1 + others / self.slots) as u32);
                 write_whole(out, id, header)
             }
             false => refuse(out, "503 Service Unavailable", id, "X-Not-Executed: 1"),
