Brittle endpoints: a new start gets nothing before its slots are divided

Callers saw brittle endpoints fall over again as soon as they were back. The share of a new start was set when the slots were next divided, up to 0.5 s later, and no share counted as no bound: every daemon sent it what it thought it had room for, just when it was empty and drew most.

Whether the slots are divided is now a type of its own (SlotBound), and a new start of a brittle service begins with a share of 0. The slots are divided whenever a list of endpoints is applied, so that the new start is used without delay.

The rule is tested without I/O.

--- a/src/gateway/context/store_contents.rs
+++ b/src/gateway/context/store_contents.rs
@@ -15,7 +15,7 @@
     gateway::{
         configuration_state::{ApplyOutcome, ConfigurationSource},
         endpoint::EndpointList,
-        gossip::codec::endpoint_list,
+        gossip::{codec::endpoint_list, endpoint_signals::brittle::divide_slots},
         policy::{
             daemon::catch_up::ConfigurationLag,
             endpoint::{
@@ -126,6 +126,7 @@
     fn use_endpoints(&self, now: Instant) {
         let used = self.entry_history.borrow().used();
         self.endpoints.borrow_mut().set_list(&used, now);
+        divide_slots(self, now);
         self.versions.borrow_mut().apply(&used, now);
         *self.endpoint_list.borrow_mut() = used;
     }
--- a/src/gateway/gossip/endpoint_signals/brittle.rs
+++ b/src/gateway/gossip/endpoint_signals/brittle.rs
@@ -66,7 +66,8 @@
     }
 }
 
-fn divide_slots(context: &GatewayContext, now: Instant) {
+/// Divides the slots of brittle endpoints among the known daemons.
+pub fn divide_slots(context: &GatewayContext, now: Instant) {
     context.slots_divided_at.set(Some(now));
     let brittle = context.endpoints.borrow().brittle_endpoints(now);
     let daemons = if brittle.is_empty() { 1 } else { context.sharing(now).known };
@@ -75,7 +76,7 @@
         (endpoint.id, slot_share(endpoint.slots, daemons, rank.map(|rank| rank.rank)))
     };
     let shares: Vec<(SharedName, u32)> = brittle.into_iter().map(share).collect();
-    context.endpoints.borrow_mut().set_slot_shares(&shares);
+    context.endpoints.borrow_mut().set_slot_shares(&shares, now);
 }
 
 fn rendezvous_key(endpoint: &BrittleEndpoint) -> u64 {
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -21,6 +21,22 @@
 /// queue empties quickly.
 const PLAIN_QUEUE_PER_SLOT: f64 = 2.0;
 
+/// How many of an endpoint's slots a daemon may use.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotBound {
+    /// The slots aren't divided: reported loads alone decide.
+    Undivided,
+    /// This many.
+    Share(u32),
+}
+
+impl SlotBound {
+    /// Bound at an endpoint whose slots have not been divided yet.
+    pub fn before_division(is_brittle: bool) -> Self {
+        if is_brittle { Self::Share(0) } else { Self::Undivided }
+    }
+}
+
 /// A daemon's use of its share of a brittle endpoint's slots.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Display)]
 #[display("{running} of {share} slots used")]
@@ -52,13 +68,13 @@
     pub pause: EndpointPause,
     /// This daemon's share of the endpoint's limit, if it has reported one.
     pub limit: Option<LimitBucket>,
-    /// This daemon's share of the endpoint's slots, if it is brittle.
-    pub slot_share: Option<u32>,
+    /// How many of the endpoint's slots this daemon may use.
+    pub slot_bound: SlotBound,
 }
 
 impl EndpointStatus {
     /// State of an endpoint that is new in the list, with the signals that it sent earlier.
-    pub fn new(record: Rc<EndpointRecord>, signals: ActiveSignals) -> Self {
+    pub fn new(record: Rc<EndpointRecord>, signals: ActiveSignals, slot_bound: SlotBound) -> Self {
         Self {
             number: endpoint_number(&record.id),
             record,
@@ -71,7 +87,7 @@
             limit: signals
                 .limit
                 .and_then(|observation| Some(LimitBucket::new(observation.limit?, observation.at))),
-            slot_share: None,
+            slot_bound,
         }
     }
 
@@ -97,7 +113,10 @@
 
     /// This daemon's use of its share of the slots; none if they aren't divided.
     pub fn slot_use(&self) -> Option<SlotUse> {
-        self.slot_share.map(|share| SlotUse { running: self.own.running, share })
+        match self.slot_bound {
+            SlotBound::Undivided => None,
+            SlotBound::Share(share) => Some(SlotUse { running: self.own.running, share }),
+        }
     }
 
     /// Whether its limit, if any, lets this daemon send a request now.
@@ -114,7 +133,7 @@
         memory_capacity: Option<u64>,
         now: Instant,
     ) -> bool {
-        let is_share_used = self.slot_share.is_some_and(|share| self.own.running >= share);
+        let is_share_used = self.slot_use().is_some_and(|slots| slots.running >= slots.share);
         if is_share_used || !self.pause.takes_request(now) || !self.is_within_limit(now) {
             return true;
         }
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -22,7 +22,7 @@
 use super::{
     endpoint_choice::{ChoiceContext, ChoiceQuery, ChoiceResult, choose},
     endpoint_load::{EndpointLoad, ReportedLoads, ServiceCounters, endpoint_number},
-    endpoint_status::{EndpointStatus, restriction::EndpointRestriction},
+    endpoint_status::{EndpointStatus, SlotBound, restriction::EndpointRestriction},
     load_reports::LoadReports,
     prefill_rate::{DEFAULT_PREFILL_RATE, PrefillRate},
     room_forecast::{EndpointRoom, RoomForecast},
@@ -84,7 +84,7 @@
             });
             let status = match known {
                 Some(known) => EndpointStatus { record: record.clone(), ..known },
-                None => self.new_status(record),
+                None => self.new_status(record, now),
             };
             self.endpoints.insert(record.id.clone(), status);
         }
@@ -99,9 +99,10 @@
         }
     }
 
-    fn new_status(&self, record: &Rc<EndpointRecord>) -> EndpointStatus {
+    fn new_status(&self, record: &Rc<EndpointRecord>, now: Instant) -> EndpointStatus {
         let start = NumberedStart { endpoint: endpoint_number(&record.id), born: record.born };
-        EndpointStatus::new(record.clone(), self.signals.of(start))
+        let slot_bound = SlotBound::before_division(self.is_brittle(&record.service, now));
+        EndpointStatus::new(record.clone(), self.signals.of(start), slot_bound)
     }
 
     /// Applies another daemon's report.
--- a/src/gateway/policy/endpoint/endpoint_table/brittle.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/brittle.rs
@@ -7,6 +7,9 @@
 //! than slots, by rendezvous hashing. A daemon keeps no more requests at an endpoint than its share, and
 //! refuses others itself. Nothing waits at the endpoint, since it may take fewer requests that wait.
 //!
+//! An endpoint of a brittle service that has just started gets nothing until its slots have been divided. All
+//! daemons use it first since it is empty, so that without a bound it gets far more than it has room for.
+//!
 //! Inputs are the responses of all endpoints of the service, at this daemon and, by gossip, at others. A
 //! service counts as brittle as a whole, so that a daemon that has used only some of its endpoints keeps
 //! to the shares of all.
@@ -16,7 +19,10 @@
 use tokio::time::Instant;
 
 use super::EndpointTable;
-use crate::{gateway::policy::endpoint::signal_ledger::NumberedStart, ids::SharedName};
+use crate::{
+    gateway::policy::endpoint::{endpoint_status::SlotBound, signal_ledger::NumberedStart},
+    ids::SharedName,
+};
 
 /// Time after the last response that said so for which a service counts as brittle: endpoints without
 /// requests can't say that they still are.
@@ -128,14 +134,17 @@
         endpoint.collect()
     }
 
-    /// Sets this daemon's shares of the slots of brittle endpoints; all others have none.
-    pub fn set_slot_shares(&mut self, shares: &[(SharedName, u32)]) {
+    /// Sets this daemon's shares of the slots of brittle endpoints. It has none at other endpoints of
+    /// brittle services.
+    pub fn set_slot_shares(&mut self, shares: &[(SharedName, u32)], now: Instant) {
         for status in self.endpoints.values_mut() {
-            status.slot_share = None;
+            let state = self.brittle.get(&status.record.service);
+            let is_brittle = state.is_some_and(|state| state.is_brittle(now));
+            status.slot_bound = SlotBound::before_division(is_brittle);
         }
         for (id, share) in shares {
             if let Some(status) = self.endpoints.get_mut(id) {
-                status.slot_share = Some(*share);
+                status.slot_bound = SlotBound::Share(*share);
             }
         }
     }
--- a/tests/gateway/brittle_rules.rs
+++ b/tests/gateway/brittle_rules.rs
@@ -6,7 +6,15 @@
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use tokio::time::Instant;
-use willowarch::gateway::policy::endpoint::endpoint_table::brittle::{BrittleState, slot_share};
+use willowarch::gateway::policy::endpoint::{
+    endpoint_choice::ChoiceResult,
+    endpoint_table::{
+        EndpointTable,
+        brittle::{BrittleState, slot_share},
+    },
+};
+
+use crate::choice_inputs::{list, query, record, start};
 
 const SLOTS: u32 = 12;
 /// Time that a request takes, and time played, in milliseconds.
@@ -145,3 +153,23 @@
     expect_true!(state.is_brittle(at(37)));
     expect_false!(state.is_brittle(at(39)));
 }
+
+fn may_be_used(table: &EndpointTable, now: Instant) -> bool {
+    let choice = table.choose(&query(&[], false), now, &mut SmallRng::seed_from_u64(1));
+    matches!(choice, ChoiceResult::Endpoint(_))
+}
+
+#[googletest::test]
+fn new_start_of_a_brittle_endpoint_has_no_slots_before_they_are_divided() {
+    let now = start();
+    let mut table = EndpointTable::new("a".into());
+    table.set_list(&list(&[record("i-0", 1)]), now);
+    expect_true!(may_be_used(&table, now));
+    table.record_brittle("i-0", true, now);
+    table.set_slot_shares(&[("i-0".into(), 1)], now);
+    expect_true!(may_be_used(&table, now));
+    table.set_list(&list(&[record("i-0", 2)]), now);
+    expect_false!(may_be_used(&table, now));
+    table.set_slot_shares(&[("i-0".into(), 1)], now);
+    expect_true!(may_be_used(&table, now));
+}
