--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -222,8 +222,14 @@
   hasSeveral @4 :Bool;           # whether several versions have served in that time
 }
 
+interface SlotLease {}           # a slot of a brittle endpoint, lent until this is released
+
 interface Exchange {
   swap @0 (message :GossipMessage) -> (message :GossipMessage);
   recordStreams @1 (streams :List(StreamStart)) -> ();
   findStream @2 (stream :UInt64, service :Text) -> (report :StreamReport);  # of this service, if it is known
+  borrowSlot @3 (service :Text, version :Text, tried :List(Text), holdMs :UInt32)
+      -> (granted :Bool, endpoint :Text, born :UInt64, lease :SlotLease);
+  # `version`: empty if any may run the request. `tried`: ids of endpoints that are not wanted.
+  # `holdMs`: the slot is needed no longer.
 }
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -36,7 +36,8 @@
         },
         endpoint::{
             endpoint_starts::lost_entries::EntryHistory, endpoint_table::EndpointTable,
-            request_limit::token_lending::TokenBorrower,
+            request_limit::token_lending::TokenBorrower, slot_borrower::SlotBorrower,
+            slot_ring::SlotRing,
         },
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
@@ -150,6 +151,10 @@
     pub limits_divided_at: Cell<Option<Instant>>,
     /// When the slots of brittle endpoints were last divided among the daemons.
     pub slots_divided_at: Cell<Option<Instant>>,
+    /// Daemons among which they are divided.
+    pub slot_ring: RefCell<SlotRing>,
+    /// Decides which daemons are asked for slots.
+    pub slot_borrower: RefCell<SlotBorrower>,
     /// Number of the newest report sent to other daemons.
     pub sequence: Cell<u64>,
     /// When this daemon started.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -172,6 +172,8 @@
         token_borrower: RefCell::new(TokenBorrower::default()),
         limits_divided_at: Cell::new(None),
         slots_divided_at: Cell::new(None),
+        slot_ring: RefCell::default(),
+        slot_borrower: RefCell::default(),
         sequence: Cell::new(0),
         started_at: now,
         fleet_size: Cell::new(None),
--- a/src/gateway/gossip/endpoint_signals/brittle.rs
+++ b/src/gateway/gossip/endpoint_signals/brittle.rs
@@ -11,16 +11,16 @@
     boot_clock,
     gateway::{
         context::GatewayContext,
-        policy::endpoint::{
-            endpoint_table::brittle::{BrittleEndpoint, slot_share},
-            signal_ledger::NumberedStart,
-        },
+        policy::endpoint::{endpoint_table::brittle::BrittleEndpoint, slot_ring::SlotRing},
     },
-    ids::{SharedName, hash_parts},
+    ids::SharedName,
 };
 
 /// How often the slots are divided.
 const DIVIDE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after its start, or after a suspension, in which a daemon uses no share of its own: it knows few
+/// others and takes their shares for its own, and they don't know it yet.
+const SHARE_DELAY: Duration = Duration::from_secs(1);
 
 /// Brittle services to report to another daemon.
 pub fn own_brittle(context: &GatewayContext, now: Instant) -> Vec<ReportedBrittle> {
@@ -69,17 +69,20 @@
 /// Divides the slots of brittle endpoints among the known daemons.
 pub fn divide_slots(context: &GatewayContext, now: Instant) {
     context.slots_divided_at.set(Some(now));
+    let lent = context.endpoints.borrow_mut().expire_loans(now);
+    context.metrics.gauge("slots_lent_now", lent as f64);
     let brittle = context.endpoints.borrow().brittle_endpoints(now);
-    let daemons = if brittle.is_empty() { 1 } else { context.sharing(now).known };
-    let share = |endpoint: BrittleEndpoint| {
-        let rank = context.peers.borrow().rendezvous_rank(rendezvous_key(&endpoint), daemons);
-        (endpoint.id, slot_share(endpoint.slots, daemons, rank.map(|rank| rank.rank)))
+    let ring = match brittle.is_empty() {
+        true => SlotRing::default(),
+        false => SlotRing::new(context.peers.borrow().ring_members(), context.sharing(now).known),
     };
-    let shares: Vec<(SharedName, u32)> = brittle.into_iter().map(share).collect();
+    let knows_shares = context.peer_contact.borrow().running_for(now) >= SHARE_DELAY;
+    let share = |endpoint: &BrittleEndpoint| match knows_shares {
+        true => ring.share(context.settings.peer_address, endpoint.number, endpoint.slots),
+        false => 0,
+    };
+    let shares: Vec<(SharedName, u32)> =
+        brittle.iter().map(|endpoint| (endpoint.id.clone(), share(endpoint))).collect();
     context.endpoints.borrow_mut().set_slot_shares(&shares, now);
-}
-
-fn rendezvous_key(endpoint: &BrittleEndpoint) -> u64 {
-    let NumberedStart { endpoint: number, born } = endpoint.start;
-    hash_parts(&[b"slots", &number.to_le_bytes(), &born.to_le_bytes()])
+    *context.slot_ring.borrow_mut() = ring;
 }
--- a/src/gateway/gossip/listener.rs
+++ b/src/gateway/gossip/listener.rs
@@ -10,6 +10,7 @@
     codec::{read_message, write_message},
     incoming::apply_message,
     outgoing::own_message,
+    slot_loans::lend_slot,
     streams::{own_report, receive_records, write_report},
 };
 use crate::{
@@ -77,4 +78,12 @@
         write_report(results.get().init_report(), key, &report);
         Ok(())
     }
+
+    async fn borrow_slot(
+        self: Rc<Self>,
+        params: exchange::BorrowSlotParams,
+        mut results: exchange::BorrowSlotResults,
+    ) -> Result<(), Error> {
+        lend_slot(&self.context, params.get()?, results.get())
+    }
 }
--- a/src/gateway/gossip/peer_table/rendezvous.rs
+++ b/src/gateway/gossip/peer_table/rendezvous.rs
@@ -49,6 +49,12 @@
         Some(RendezvousRank { rank: before, others })
     }
 
+    /// All known daemons, also those that are leaving, and this one, with the hashes of their addresses.
+    pub fn ring_members(&self) -> Vec<(u64, SocketAddr)> {
+        let others = self.peers.iter().map(|(address, peer)| (peer.address_hash, *address));
+        others.chain([(hash_address(&self.own), self.own)]).collect()
+    }
+
     /// Addresses of the other daemons among the first `count` in the order of `rendezvous_rank`.
     pub fn rendezvous_first(&self, key: u64, count: usize) -> Vec<SocketAddr> {
         let others = self.peers.iter().filter(|(_, peer)| !peer.leaving);
--- a/src/gateway/policy/daemon/peer_contact.rs
+++ b/src/gateway/policy/daemon/peer_contact.rs
@@ -56,6 +56,11 @@
         }
     }
 
+    /// Time since this daemon started or was last suspended.
+    pub fn running_for(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.running_since)
+    }
+
     /// Called when a gossip interval begins.
     pub fn begin_interval(&mut self, now: Instant) {
         if self.was_suspended(now) {
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -88,7 +88,23 @@
     pub may_retry_after_failure: bool,
 }
 
-impl ChoiceQuery<'_> {
+impl<'a> ChoiceQuery<'a> {
+    /// Query of a request of which nothing else is known.
+    pub fn of_any_request(service: &'a str) -> Self {
+        Self {
+            service,
+            version: None,
+            parts: &[],
+            prompt_tokens: 0,
+            memory_tokens: 0,
+            tried: &[],
+            memory_capacity: None,
+            load_age: Duration::ZERO,
+            may_retry: false,
+            may_retry_after_failure: false,
+        }
+    }
+
     /// Delay caused to other requests, as a multiple of the prefill time. This cost concentrates
     /// requests on a few endpoints, so it weighs less if loads are old and queues are noticed late.
     fn delay_to_others(&self) -> f64 {
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -26,14 +26,41 @@
 pub enum SlotBound {
     /// The slots aren't divided: reported loads alone decide.
     Undivided,
-    /// This many.
-    Share(u32),
+    /// This daemon's share of them.
+    Divided(SlotShare),
 }
 
 impl SlotBound {
     /// Bound at an endpoint whose slots have not been divided yet.
     pub fn before_division(is_brittle: bool) -> Self {
-        if is_brittle { Self::Share(0) } else { Self::Undivided }
+        if is_brittle { Self::Divided(SlotShare::default()) } else { Self::Undivided }
+    }
+
+    /// Sets this daemon's share; what it has lent and borrowed stays.
+    pub fn set_share(&mut self, held: u32) {
+        let known = match self {
+            Self::Divided(share) => *share,
+            Self::Undivided => SlotShare::default(),
+        };
+        *self = Self::Divided(SlotShare { held, ..known });
+    }
+}
+
+/// A daemon's slots at a brittle endpoint.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SlotShare {
+    /// Its share.
+    pub held: u32,
+    /// Those of its share that other daemons use.
+    pub lent: u32,
+    /// Those of other daemons' shares that it uses.
+    pub borrowed: u32,
+}
+
+impl SlotShare {
+    /// Requests of the daemon that may run at the endpoint.
+    pub fn usable(self) -> u32 {
+        self.held.saturating_sub(self.lent) + self.borrowed
     }
 }
 
@@ -115,7 +142,9 @@
     pub fn slot_use(&self) -> Option<SlotUse> {
         match self.slot_bound {
             SlotBound::Undivided => None,
-            SlotBound::Share(share) => Some(SlotUse { running: self.own.running, share }),
+            SlotBound::Divided(share) => {
+                Some(SlotUse { running: self.own.running, share: share.usable() })
+            }
         }
     }
 
@@ -133,16 +162,26 @@
         memory_capacity: Option<u64>,
         now: Instant,
     ) -> bool {
-        let is_share_used = self.slot_use().is_some_and(|slots| slots.running >= slots.share);
-        if is_share_used || !self.pause.takes_request(now) || !self.is_within_limit(now) {
+        if !self.pause.takes_request(now) || !self.is_within_limit(now) {
             return true;
         }
-        let slots = f64::from(self.record.slots);
-        match memory_capacity {
-            None => f64::from(load.running) >= slots * (1.0 + PLAIN_QUEUE_PER_SLOT),
-            Some(capacity) => {
-                load.running >= self.record.slots
-                    || (load.running > 0 && load.memory_tokens + memory_tokens > capacity)
+        let needs = load.memory_tokens + memory_tokens;
+        let lacks_memory =
+            memory_capacity.is_some_and(|capacity| load.running > 0 && needs > capacity);
+        lacks_memory || self.are_slots_used(load, memory_capacity.is_some())
+    }
+
+    /// Whether this daemon may use no further slot. Where the slots are divided its share decides alone:
+    /// reported loads are older than many requests.
+    fn are_slots_used(&self, load: &EndpointLoad, has_engine: bool) -> bool {
+        if let Some(slots) = self.slot_use() {
+            return slots.running >= slots.share;
+        }
+        match has_engine {
+            true => load.running >= self.record.slots,
+            false => {
+                let slots = f64::from(self.record.slots);
+                f64::from(load.running) >= slots * (1.0 + PLAIN_QUEUE_PER_SLOT)
             }
         }
     }
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -8,6 +8,7 @@
 pub mod attempt_results;
 pub mod brittle;
 pub mod limits;
+pub mod slot_loans;
 mod versions;
 
 use std::{
@@ -18,7 +19,7 @@
 use rand::Rng;
 use tokio::time::Instant;
 
-use self::brittle::BrittleState;
+use self::{brittle::BrittleState, slot_loans::SlotLoans};
 use super::{
     endpoint_choice::{ChoiceContext, ChoiceQuery, ChoiceResult, choose},
     endpoint_load::{EndpointLoad, ReportedLoads, ServiceCounters, endpoint_number},
@@ -49,6 +50,8 @@
     services: BTreeMap<SharedName, ServiceCounters>,
     /// What endpoints say of being brittle, by service.
     brittle: HashMap<SharedName, BrittleState>,
+    /// Slots of brittle endpoints that this daemon has lent.
+    loans: SlotLoans,
     demands: HashMap<SharedName, DemandRate>,
     rates: HashMap<SharedName, PrefillRate>,
 }
@@ -63,6 +66,7 @@
             signals: SignalLedger::default(),
             services: BTreeMap::new(),
             brittle: HashMap::new(),
+            loans: SlotLoans::default(),
             demands: HashMap::new(),
             rates: HashMap::new(),
         }
--- a/src/gateway/policy/endpoint/endpoint_table/brittle.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/brittle.rs
@@ -3,9 +3,9 @@
 //!
 //! The bound is on the refusals of all daemons together, and no daemon learns in time what the others
 //! send. While a service is brittle, the slots of each of its endpoints are therefore divided among the
-//! daemons that are known to run: evenly, and those that are left over, or all if there are more daemons
-//! than slots, by rendezvous hashing. A daemon keeps no more requests at an endpoint than its share, and
-//! refuses others itself. Nothing waits at the endpoint, since it may take fewer requests that wait.
+//! daemons that are known to run (`slot_ring`). A daemon keeps no more requests at an endpoint than its share
+//! and the slots that others lend it (`slot_loans`), and refuses others itself. Nothing waits at the endpoint,
+//! since it may take fewer requests that wait.
 //!
 //! An endpoint of a brittle service that has just started gets nothing until its slots have been divided. All
 //! daemons use it first since it is empty, so that without a bound it gets far more than it has room for.
@@ -14,15 +14,12 @@
 //! service counts as brittle as a whole, so that a daemon that has used only some of its endpoints keeps
 //! to the shares of all.
 
-use std::time::Duration;
+use std::{collections::HashMap, time::Duration};
 
 use tokio::time::Instant;
 
 use super::EndpointTable;
-use crate::{
-    gateway::policy::endpoint::{endpoint_status::SlotBound, signal_ledger::NumberedStart},
-    ids::SharedName,
-};
+use crate::{gateway::policy::endpoint::endpoint_status::SlotBound, ids::SharedName};
 
 /// Time after the last response that said so for which a service counts as brittle: endpoints without
 /// requests can't say that they still are.
@@ -59,21 +56,12 @@
 pub struct BrittleEndpoint {
     /// Id.
     pub id: SharedName,
-    /// The start that is listed.
-    pub start: NumberedStart,
+    /// Its number, which decides who holds its slots.
+    pub number: u64,
     /// Requests that it processes concurrently.
     pub slots: u32,
 }
 
-/// Share of an endpoint's slots for the daemon of this `rank` among `daemons`; `rank` is none if others
-/// come before it for all slots that are left over.
-pub fn slot_share(slots: u32, daemons: usize, rank: Option<usize>) -> u32 {
-    let daemons = u32::try_from(daemons).unwrap_or(u32::MAX).max(1);
-    let left_over = slots % daemons;
-    let has_left_over = rank.is_some_and(|rank| rank < left_over as usize);
-    slots / daemons + u32::from(has_left_over)
-}
-
 impl EndpointTable {
     /// Records whether an endpoint has said in a response that it is brittle. Returns the service if it
     /// has become brittle.
@@ -128,7 +116,7 @@
         let brittle = all.filter(|status| self.is_brittle(&status.record.service, now));
         let endpoint = brittle.map(|status| BrittleEndpoint {
             id: status.record.id.clone(),
-            start: status.start(),
+            number: status.number,
             slots: status.record.slots,
         });
         endpoint.collect()
@@ -137,14 +125,13 @@
     /// Sets this daemon's shares of the slots of brittle endpoints. It has none at other endpoints of
     /// brittle services.
     pub fn set_slot_shares(&mut self, shares: &[(SharedName, u32)], now: Instant) {
-        for status in self.endpoints.values_mut() {
+        let shares: HashMap<&SharedName, u32> =
+            shares.iter().map(|(id, share)| (id, *share)).collect();
+        for (id, status) in &mut self.endpoints {
             let state = self.brittle.get(&status.record.service);
-            let is_brittle = state.is_some_and(|state| state.is_brittle(now));
-            status.slot_bound = SlotBound::before_division(is_brittle);
-        }
-        for (id, share) in shares {
-            if let Some(status) = self.endpoints.get_mut(id) {
-                status.slot_bound = SlotBound::Share(*share);
+            match state.is_some_and(|state| state.is_brittle(now)) {
+                true => status.slot_bound.set_share(shares.get(id).copied().unwrap_or(0)),
+                false => status.slot_bound = SlotBound::Undivided,
             }
         }
     }
--- /dev/null
+++ b/src/gateway/policy/endpoint/slot_ring.rs
@@ -0,0 +1,70 @@
+//! Divides the slots of brittle endpoints among the daemons of a fleet.
+//!
+//! The daemons form a ring, ordered by the hashes of their addresses. The slots of an endpoint go in blocks
+//! to the daemons that follow the endpoint's hash in the ring. Blocks are small enough that a daemon which
+//! is wrong about who is there can't exceed an endpoint's room by much, and large enough that a daemon
+//! without a share finds a free slot at one of the first holders that it asks (`slot_borrower`).
+//!
+//! Inputs are the daemons known by gossip, up to 20 s after the last word of them: a daemon that has ended or
+//! is suspended keeps its share that long, since its requests may still run. The ring doesn't depend on
+//! the starts of endpoints, so daemons that haven't learnt of a new start yet divide it alike. Daemons that
+//! know fewer others than there are divide only their part of the slots, so that the parts of a fleet that don't
+//! hear each other never use more than all of them.
+
+use std::net::SocketAddr;
+
+/// Slots of one endpoint in a block.
+pub const SLOTS_PER_BLOCK: u32 = 4;
+
+/// Daemons among which slots are divided.
+#[derive(Clone, Debug, Default)]
+pub struct SlotRing {
+    /// Hashes of their addresses and the addresses, in order.
+    members: Vec<(u64, SocketAddr)>,
+    /// Number of daemons in the fleet, which may be more than the members.
+    daemons: usize,
+}
+
+impl SlotRing {
+    /// Ring of these members, with the hashes of their addresses, in a fleet of `daemons`.
+    pub fn new(members: impl IntoIterator<Item = (u64, SocketAddr)>, daemons: usize) -> Self {
+        let mut members: Vec<(u64, SocketAddr)> = members.into_iter().collect();
+        members.sort_unstable();
+        Self { members, daemons }
+    }
+
+    /// Slots that `member` holds at the endpoint with this hash.
+    pub fn share(&self, member: SocketAddr, endpoint: u64, slots: u32) -> u32 {
+        let divided = self.divided(slots);
+        let first = self.first_holder(endpoint);
+        let is_held = |slot: &u32| self.holder_after(first, *slot) == Some(member);
+        (0..divided).filter(is_held).count() as u32
+    }
+
+    /// Holder of a slot of the endpoint with this hash; none if the slot isn't divided.
+    pub fn holder(&self, endpoint: u64, slots: u32, slot: u32) -> Option<SocketAddr> {
+        if slot >= self.divided(slots) {
+            return None;
+        }
+        self.holder_after(self.first_holder(endpoint), slot)
+    }
+
+    /// The members' part of an endpoint's slots.
+    fn divided(&self, slots: u32) -> u32 {
+        let (members, daemons) = (self.members.len() as u64, self.daemons as u64);
+        if members >= daemons {
+            return slots;
+        }
+        (u64::from(slots) * members / daemons) as u32
+    }
+
+    fn first_holder(&self, endpoint: u64) -> usize {
+        self.members.partition_point(|(hash, _)| *hash < endpoint)
+    }
+
+    fn holder_after(&self, first: usize, slot: u32) -> Option<SocketAddr> {
+        let place = first + (slot / SLOTS_PER_BLOCK) as usize;
+        let index = place.checked_rem(self.members.len())?;
+        self.members.get(index).map(|(_, address)| *address)
+    }
+}
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -17,7 +17,7 @@
 use tokio::time::{Instant, sleep_until};
 
 use self::{
-    choice::{check_quarantine, choose, memory_tokens, prompt_tokens},
+    choice::{borrow_missing_slot, check_quarantine, choose, memory_tokens, prompt_tokens},
     connection::{connect, not_connected, send},
     endpoint_response::EndpointResponse,
     response_evaluation::evaluate_response,
@@ -66,6 +66,7 @@
     resume_after: Option<u64>,
 ) -> Result<AttemptEnd, Refusal> {
     let OpenRequest { context, admitted, attempts, trace } = request;
+    let borrowed = borrow_missing_slot(request).await;
     // From here until it is counted as begun, or refused, nothing is awaited.
     attempts.borrow_mut().reserved -= 1;
     check_quarantine(request)?;
@@ -75,6 +76,10 @@
     trace.borrow_mut().attempt(&choice, prompt_tokens(&admitted.call.head));
     let (begun_before, silent_at) = begin_attempt(request, &choice);
     let mut guard = begin_run(context, admitted, &choice);
+    if let Some(slot) = borrowed.filter(|slot| *slot.endpoint() == endpoint.id) {
+        trace.borrow_mut().slot_borrowed(slot.lender());
+        guard.keep_slot(slot);
+    }
     let mut connection = match connect(context, &choice, admitted, begun_before).await {
         Ok(connection) => connection,
         Err(failure) => return not_connected(request, &failure, guard),
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -12,6 +12,7 @@
     gateway::{
         call::CallHead,
         context::GatewayContext,
+        gossip::slot_loans::{BorrowedSlot, WantedSlot, borrow_slot},
         policy::{
             endpoint::{
                 endpoint_choice::{ChoiceQuery, ChoiceResult, EndpointChoice},
@@ -27,6 +28,10 @@
     ids::SharedName,
 };
 
+/// Part of the route's target for which a request waits for a slot of another daemon, and the least time.
+const BORROW_FRACTION: f64 = 0.125;
+const MIN_BORROW_TIME: Duration = Duration::from_millis(20);
+
 /// Refuses a request that crashes endpoints, at its first attempt and at each retry. Otherwise a
 /// single such request would end another endpoint with each retry.
 pub fn check_quarantine(request: OpenRequest<'_>) -> Result<(), Refusal> {
@@ -73,6 +78,43 @@
     Err(refusal(reason))
 }
 
+/// Borrows a slot from another daemon for a request for which only slots are missing here.
+pub async fn borrow_missing_slot(request: OpenRequest<'_>) -> Option<BorrowedSlot> {
+    let OpenRequest { context, admitted, attempts, .. } = request;
+    let service = &admitted.service.name;
+    let now = boot_clock::now();
+    let is_brittle = context.endpoints.borrow().is_brittle(service, now);
+    if now >= admitted.deadline || !is_brittle || !is_full(request) {
+        return None;
+    }
+    // Other attempts may change theirs while holders are asked.
+    let (tried, version) = {
+        let attempts = attempts.borrow();
+        (attempts.tried.clone(), attempts.version.clone())
+    };
+    let wanted = WantedSlot {
+        query: ChoiceQuery {
+            version: version.as_deref(),
+            tried: &tried,
+            ..ChoiceQuery::of_any_request(service)
+        },
+        service,
+        until: admitted.deadline,
+    };
+    let limit = admitted.route.target.mul_f64(BORROW_FRACTION).max(MIN_BORROW_TIME);
+    borrow_slot(context, &wanted, limit).await
+}
+
+/// Whether all endpoints that may serve the request are full.
+fn is_full(request: OpenRequest<'_>) -> bool {
+    let OpenRequest { context, admitted, attempts, .. } = request;
+    let attempts = attempts.borrow();
+    let query = choice_query(context, admitted, &attempts);
+    let endpoints = context.endpoints.borrow();
+    let choice = choose_by_version(context, &endpoints, &query, boot_clock::now());
+    matches!(choice, ChoiceResult::Full)
+}
+
 /// Whether there is an endpoint for another attempt. Only then may the last response be dropped:
 /// otherwise the client would get an error of this daemon instead of it.
 pub fn has_another(request: OpenRequest<'_>) -> bool {
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -7,7 +7,7 @@
 mod attempt_steps;
 pub mod cut_cause;
 
-use std::{fmt::Write, rc::Rc, time::Duration};
+use std::{fmt::Write, net::SocketAddr, rc::Rc, time::Duration};
 
 use tokio::time::Instant;
 
@@ -102,6 +102,12 @@
         self.context.metrics.count("attempts", 1);
     }
 
+    /// Records that another daemon has lent a slot for the attempt.
+    pub fn slot_borrowed(&mut self, lender: SocketAddr) {
+        // Writing to a string cannot fail.
+        let _ = write!(self.steps, " slot lent by {lender};");
+    }
+
     /// Records that no endpoint could be chosen.
     pub fn found_no_endpoint(&mut self, room: &ServiceRoom) {
         // Writing to a string cannot fail.
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -12,7 +12,10 @@
         configuration::Route,
         context::GatewayContext,
         endpoint::EndpointRecord,
-        gossip::endpoint_signals::{brittle::apply_response_brittle, limits::apply_response_limit},
+        gossip::{
+            endpoint_signals::{brittle::apply_response_brittle, limits::apply_response_limit},
+            slot_loans::BorrowedSlot,
+        },
         policy::{
             endpoint::{
                 endpoint_load::RunLoad,
@@ -45,6 +48,8 @@
     is_silent: Cell<bool>,
     /// Identifies the run in the counts of roll-outs.
     ticket: RunTicket,
+    /// The slot that another daemon has lent for the run.
+    borrowed: Option<BorrowedSlot>,
 }
 
 impl RunGuard {
@@ -80,9 +85,15 @@
             result: AttemptResult::Neutral,
             is_silent: Cell::new(false),
             ticket,
+            borrowed: None,
         }
     }
 
+    /// Keeps a slot that another daemon has lent until the run ends.
+    pub fn keep_slot(&mut self, slot: BorrowedSlot) {
+        self.borrowed = Some(slot);
+    }
+
     /// Marks the request as sent if it may still be sent; returns whether it may. Since the
     /// endpoint was chosen, it may have announced a drain, a back-off or a lower limit, or a list
     /// may have marked it as leaving.
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -9153,6 +9153,98 @@
 }
 
 
+pub mod slot_lease {
+    #![allow(unused_variables)]
+
+    pub struct Client {
+        pub client: ::capnp::capability::Client,
+    }
+    impl  ::capnp::capability::FromClientHook for Client {
+        fn new(hook: Box<::capnp::capability::DynClientHook>) -> Self {
+            Self { client: ::capnp::capability::Client::new(hook),  }
+        }
+        fn into_client_hook(self) -> Box<::capnp::capability::DynClientHook> {
+            self.client.hook
+        }
+        fn as_client_hook(&self) -> &::capnp::capability::DynClientHook {
+            &*self.client.hook
+        }
+    }
+    #[derive(Copy, Clone)]
+    pub struct Owned(());
+    impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Capability.into() } }
+    impl ::capnp::traits::Owned for Owned { type Reader<'a> = Client; type Builder<'a> = Client; }
+    impl ::capnp::traits::Pipelined for Owned { type Pipeline = Client; }
+    impl <'a,> ::capnp::traits::FromPointerReader<'a> for Client<>  {
+        fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(reader.get_capability()?))
+        }
+    }
+    impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Client<>  {
+        fn init_pointer(_builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+            unimplemented!()
+        }
+        fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+            ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(builder.get_capability()?))
+        }
+    }
+
+    impl <> ::capnp::traits::SetterInput<Owned<>> for Client<>  {
+        fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, from: Self, _canonicalize: bool) -> ::capnp::Result<()> {
+            pointer.set_capability(from.client.hook);
+            ::core::result::Result::Ok(())
+        }
+    }
+    impl  ::capnp::traits::HasTypeId for Client {
+        const TYPE_ID: u64 = _private::TYPE_ID;
+    }
+    impl  Clone for Client {
+        fn clone(&self) -> Self {
+            Self { client: self.client.clone(),  }
+        }
+    }
+    impl  Client {
+    }
+    pub trait Server<> : 'static  {
+    }
+    pub struct ServerDispatch<_T,> {
+        pub server: ::capnp::capability::Rc<_T>,
+    }
+    impl <_S: Server + 'static, > ::capnp::capability::FromServer<_S> for Client   {
+        type Dispatch = ServerDispatch<_S, >;
+        fn from_server(s: ::capnp::capability::Rc<_S>) -> ServerDispatch<_S, > {
+            ServerDispatch { server: s,  }
+        }
+    }
+    impl <_T: Server> ::core::ops::Deref for ServerDispatch<_T> {
+        type Target = _T;
+        fn deref(&self) -> &_T { &self.server}
+    }
+    impl <_T: Server> ::core::clone::Clone for ServerDispatch<_T> {
+        fn clone(&self) -> Self { Self { server: self.server.clone(),  } }
+    }
+    impl <_T: Server> ::capnp::capability::Server for ServerDispatch<_T> {
+        fn dispatch_call(self, interface_id: u64, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match interface_id {
+                _private::TYPE_ID => Self::dispatch_call_internal(self.server, method_id, params, results),
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+        fn as_ptr(&self) -> usize { ::capnp::capability::Rc::as_ptr(&self.server) as usize }
+    }
+    impl <_T :Server> ServerDispatch<_T> {
+        pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
+            match method_id {
+                _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
+            }
+        }
+    }
+    pub(crate) mod _private {
+        pub(crate) const TYPE_ID: u64 = 0xb161_e4f4_5918_d7d3;
+    }
+}
+
+
 pub mod exchange {
     #![allow(unused_variables)]
     pub type SwapParams<> = ::capnp::capability::Params<crate::exchange_capnp::exchange::swap_params::Owned>;
@@ -9161,6 +9253,8 @@
     pub type RecordStreamsResults<> = ::capnp::capability::Results<crate::exchange_capnp::exchange::record_streams_results::Owned>;
     pub type FindStreamParams<> = ::capnp::capability::Params<crate::exchange_capnp::exchange::find_stream_params::Owned>;
     pub type FindStreamResults<> = ::capnp::capability::Results<crate::exchange_capnp::exchange::find_stream_results::Owned>;
+    pub type BorrowSlotParams<> = ::capnp::capability::Params<crate::exchange_capnp::exchange::borrow_slot_params::Owned>;
+    pub type BorrowSlotResults<> = ::capnp::capability::Results<crate::exchange_capnp::exchange::borrow_slot_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -9219,11 +9313,15 @@
         pub fn find_stream_request(&self) -> ::capnp::capability::Request<crate::exchange_capnp::exchange::find_stream_params::Owned,crate::exchange_capnp::exchange::find_stream_results::Owned> {
             self.client.new_call(_private::TYPE_ID, 2, ::core::option::Option::None)
         }
+        pub fn borrow_slot_request(&self) -> ::capnp::capability::Request<crate::exchange_capnp::exchange::borrow_slot_params::Owned,crate::exchange_capnp::exchange::borrow_slot_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 3, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
         fn swap(self: ::capnp::capability::Rc<Self>, _: SwapParams<>, _: SwapResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method exchange::Server::swap not implemented".to_string()))) }
         fn record_streams(self: ::capnp::capability::Rc<Self>, _: RecordStreamsParams<>, _: RecordStreamsResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method exchange::Server::record_streams not implemented".to_string()))) }
         fn find_stream(self: ::capnp::capability::Rc<Self>, _: FindStreamParams<>, _: FindStreamResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method exchange::Server::find_stream not implemented".to_string()))) }
+        fn borrow_slot(self: ::capnp::capability::Rc<Self>, _: BorrowSlotParams<>, _: BorrowSlotResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method exchange::Server::borrow_slot not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -9256,6 +9354,7 @@
                 0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::swap(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 1 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::record_streams(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 2 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::find_stream(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
+                3 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::borrow_slot(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -10513,4 +10612,630 @@
             pub(crate) const TYPE_ID: u64 = 0xd112_8d00_697f_a7bf;
         }
     }
+
+    pub mod borrow_slot_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_service(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_version(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_version(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+            #[inline]
+            pub fn get_tried(self) -> ::capnp::Result<::capnp::text_list::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_tried(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
+            #[inline]
+            pub fn get_hold_ms(self) -> u32 {
+                self.reader.get_data_field::<u32>(0)
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 3 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_service(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_service(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_service(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_service(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_version(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(1), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_version(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(1), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_version(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(1).init_text(size)
+            }
+            #[inline]
+            pub fn has_version(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+            #[inline]
+            pub fn get_tried(self) -> ::capnp::Result<::capnp::text_list::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(2), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_tried(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text_list::Owned>) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(2), value, false)
+            }
+            #[inline]
+            pub fn init_tried(self, size: u32) -> ::capnp::text_list::Builder<'a> {
+                ::capnp::traits::FromPointerBuilder::init_pointer(self.builder.get_pointer_field(2), size)
+            }
+            #[inline]
+            pub fn has_tried(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
+            #[inline]
+            pub fn get_hold_ms(self) -> u32 {
+                self.builder.get_data_field::<u32>(0)
+            }
+            #[inline]
+            pub fn set_hold_ms(&mut self, value: u32)  {
+                self.builder.set_data_field::<u32>(0, value);
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 83] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(59, 166, 233, 90, 183, 189, 144, 143),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 82, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+                ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
+                ::capnp::word(120, 99, 104, 97, 110, 103, 101, 46),
+                ::capnp::word(98, 111, 114, 114, 111, 119, 83, 108),
+                ::capnp::word(111, 116, 36, 80, 97, 114, 97, 109),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(96, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(108, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(105, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(128, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(125, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(120, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(132, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(115, 101, 114, 118, 105, 99, 101, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(118, 101, 114, 115, 105, 111, 110, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(116, 114, 105, 101, 100, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 111, 108, 100, 77, 115, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::text_list::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <u32 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[3,0,2,1];
+            pub(crate) const TYPE_ID: u64 = 0x8f90_bdb7_5ae9_a63b;
+        }
+    }
+
+    pub mod borrow_slot_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> Reader<'a,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_granted(self) -> bool {
+                self.reader.get_bool_field(0)
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(&self.reader.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_born(self) -> u64 {
+                self.reader.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn get_lease(self) -> ::capnp::Result<crate::exchange_capnp::slot_lease::Client> {
+                match self.reader.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            }
+            #[inline]
+            pub fn has_lease(&self) -> bool {
+                !self.reader.get_pointer_field(1).is_null()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_granted(self) -> bool {
+                self.builder.get_bool_field(0)
+            }
+            #[inline]
+            pub fn set_granted(&mut self, value: bool)  {
+                self.builder.set_bool_field(0, value);
+            }
+            #[inline]
+            pub fn get_endpoint(self) -> ::capnp::Result<::capnp::text::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(self.builder.get_pointer_field(0), ::core::option::Option::None)
+            }
+            #[inline]
+            pub fn set_endpoint(&mut self, value: impl ::capnp::traits::SetterInput<::capnp::text::Owned>)  {
+                ::capnp::traits::SetterInput::set_pointer_builder(self.builder.reborrow().get_pointer_field(0), value, false).unwrap()
+            }
+            #[inline]
+            pub fn init_endpoint(self, size: u32) -> ::capnp::text::Builder<'a> {
+                self.builder.get_pointer_field(0).init_text(size)
+            }
+            #[inline]
+            pub fn has_endpoint(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_born(self) -> u64 {
+                self.builder.get_data_field::<u64>(1)
+            }
+            #[inline]
+            pub fn set_born(&mut self, value: u64)  {
+                self.builder.set_data_field::<u64>(1, value);
+            }
+            #[inline]
+            pub fn get_lease(self) -> ::capnp::Result<crate::exchange_capnp::slot_lease::Client> {
+                match self.builder.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
+            }
+            #[inline]
+            pub fn set_lease(&mut self, value: crate::exchange_capnp::slot_lease::Client)  {
+                self.builder.reborrow().get_pointer_field(1).set_capability(value.client.hook);
+            }
+            #[inline]
+            pub fn has_lease(&self) -> bool {
+                !self.builder.is_pointer_field_null(1)
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+            pub fn get_lease(&self) -> crate::exchange_capnp::slot_lease::Client {
+                ::capnp::capability::FromClientHook::new(self._typeless.get_pointer_field(1).as_cap())
+            }
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(180, 91, 252, 109, 81, 71, 4, 200),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+                ::capnp::word(46, 99, 97, 112, 110, 112, 58, 69),
+                ::capnp::word(120, 99, 104, 97, 110, 103, 101, 46),
+                ::capnp::word(98, 111, 114, 114, 111, 119, 83, 108),
+                ::capnp::word(111, 116, 36, 82, 101, 115, 117, 108),
+                ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 110, 100, 112, 111, 105, 110, 116),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 101, 97, 115, 101, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(211, 215, 24, 89, 244, 228, 97, 177),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <bool as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                    3 => <crate::exchange_capnp::slot_lease::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
+            pub(crate) const TYPE_ID: u64 = 0xc804_4751_6dfc_5bb4;
+        }
+    }
 }
--- a/tests/gateway/brittle_rules.rs
+++ b/tests/gateway/brittle_rules.rs
@@ -1,16 +1,18 @@
 //! The shares of a brittle endpoint's slots, against sending by reported loads; and how long a service
 //! counts as brittle.
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use googletest::prelude::*;
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use tokio::time::Instant;
-use willowarch::gateway::policy::endpoint::{
-    endpoint_choice::ChoiceResult,
-    endpoint_table::{
-        EndpointTable,
-        brittle::{BrittleState, slot_share},
+use willowarch::gateway::{
+    gossip::groups::hash_address,
+    policy::endpoint::{
+        endpoint_choice::ChoiceResult,
+        endpoint_load::endpoint_number,
+        endpoint_table::{EndpointTable, brittle::BrittleState},
+        slot_ring::SlotRing,
     },
 };
 
@@ -20,8 +22,6 @@
 /// Time that a request takes, and time played, in milliseconds.
 const WORK_MS: u64 = 200;
 const PLAYED_MS: u64 = 4_000;
-/// Distance of the ranks of a daemon at two successive endpoints.
-const RANK_STEP: usize = 7;
 
 /// How a daemon decides whether an endpoint has room.
 #[derive(Clone, Copy, Debug)]
@@ -32,9 +32,24 @@
     ReportedLoads,
 }
 
+fn address(daemon: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (daemon / 250) as u8, (daemon % 250) as u8 + 1], 8229))
+}
+
+fn endpoint_key(endpoint: usize) -> u64 {
+    endpoint_number(&format!("i-{endpoint}"))
+}
+
+/// Ring of the first `members` daemons of a fleet of `daemons`.
+fn ring(members: usize, daemons: usize) -> SlotRing {
+    let members = (0..members).map(address);
+    SlotRing::new(members.map(|address| (hash_address(&address), address)), daemons)
+}
+
 /// A service whose daemons together want twice what its endpoints can serve.
 struct BrittleModel {
     daemons: usize,
+    ring: SlotRing,
     /// When the requests of each daemon at each endpoint end.
     ends: Vec<Vec<Vec<u64>>>,
     /// Requests of all daemons at each endpoint, as last reported, and those of each daemon among them.
@@ -46,7 +61,7 @@
     fn new(daemons: usize, endpoints: usize) -> Self {
         let ends = vec![vec![Vec::new(); endpoints]; daemons];
         let (reported, reported_own) = (vec![0; endpoints], vec![vec![0; endpoints]; daemons]);
-        Self { daemons, ends, reported, reported_own }
+        Self { daemons, ring: ring(daemons, daemons), ends, reported, reported_own }
     }
 
     fn running(&self, endpoint: usize) -> usize {
@@ -63,8 +78,8 @@
         let own = self.ends[daemon][endpoint].len();
         match rule {
             RoomRule::Shares => {
-                let rank = (daemon + endpoint * RANK_STEP) % self.daemons;
-                own < slot_share(SLOTS, self.daemons, Some(rank)) as usize
+                let share = self.ring.share(address(daemon), endpoint_key(endpoint), SLOTS);
+                own < share as usize
             }
             RoomRule::ReportedLoads => {
                 let others = self.reported[endpoint] - self.reported_own[daemon][endpoint];
@@ -130,8 +145,12 @@
     for (slots, daemons) in
         [(4, 9), (6, 9), (32, 9), (12, 78), (128, 78), (12, 195), (1, 300), (3, 1)]
     {
-        let shares = (0..daemons).map(|rank| slot_share(slots, daemons, Some(rank)));
-        expect_that!(shares.sum::<u32>(), eq(slots), "{slots} slots, {daemons} daemons");
+        for endpoint in 0..20 {
+            let ring = ring(daemons, daemons);
+            let shares = (0..daemons)
+                .map(|daemon| ring.share(address(daemon), endpoint_key(endpoint), slots));
+            expect_that!(shares.sum::<u32>(), eq(slots), "{slots} slots, {daemons} daemons");
+        }
     }
 }
 
@@ -173,3 +192,70 @@
     table.set_slot_shares(&[("i-0".into(), 1)], now);
     expect_true!(may_be_used(&table, now));
 }
+
+/// Both parts of a divided fleet know fewer daemons than there are. Each divided all slots among its own.
+#[googletest::test]
+fn parts_of_a_divided_fleet_use_no_more_than_all_slots() {
+    for (daemons, slots) in [(7, 6), (78, 6), (78, 12), (195, 12), (195, 24)] {
+        for known in [1, daemons / 3, daemons / 2] {
+            let part = |known: usize| {
+                let ring = ring(known, daemons);
+                (0..known).map(|daemon| ring.share(address(daemon), 7, slots)).sum::<u32>()
+            };
+            expect_that!(part(known) + part(daemons - known), le(slots), "{known} of {daemons}");
+        }
+    }
+}
+
+#[googletest::test]
+fn lent_slots_are_used_once_and_return() {
+    let now = start();
+    let mut lender = EndpointTable::new("a".into());
+    let mut borrower = EndpointTable::new("a".into());
+    for table in [&mut lender, &mut borrower] {
+        table.set_list(&list(&[record("i-0", 1)]), now);
+        table.record_brittle("i-0", true, now);
+    }
+    lender.set_slot_shares(&[("i-0".into(), 1)], now);
+    borrower.set_slot_shares(&[], now);
+    expect_false!(may_be_used(&borrower, now));
+
+    let rng = &mut SmallRng::seed_from_u64(1);
+    let hold = Duration::from_secs(2);
+    let (loan, slot) = lender.lend_slot(&query(&[], false), hold, now, rng).expect("a slot");
+    expect_that!(lender.lend_slot(&query(&[], false), hold, now, rng), none());
+    expect_false!(may_be_used(&lender, now));
+    expect_true!(borrower.receive_slot(&slot));
+    expect_true!(may_be_used(&borrower, now));
+
+    // Dividing the slots again must not lose the loan.
+    lender.set_slot_shares(&[("i-0".into(), 1)], now);
+    borrower.set_slot_shares(&[], now);
+    expect_false!(may_be_used(&lender, now));
+    expect_true!(may_be_used(&borrower, now));
+
+    borrower.release_slot(&slot);
+    expect_false!(may_be_used(&borrower, now));
+    lender.return_slot(loan);
+    expect_true!(may_be_used(&lender, now));
+}
+
+#[googletest::test]
+fn lent_slot_returns_when_its_time_is_over() {
+    let now = start();
+    let mut lender = EndpointTable::new("a".into());
+    lender.set_list(&list(&[record("i-0", 1)]), now);
+    lender.record_brittle("i-0", true, now);
+    lender.set_slot_shares(&[("i-0".into(), 1)], now);
+    let rng = &mut SmallRng::seed_from_u64(1);
+    let hold = Duration::from_secs(2);
+    let (loan, _) = lender.lend_slot(&query(&[], false), hold, now, rng).expect("a slot");
+    expect_that!(lender.expire_loans(now + Duration::from_secs(1)), eq(1));
+    expect_false!(may_be_used(&lender, now));
+    expect_that!(lender.expire_loans(now + hold), eq(0));
+    expect_true!(may_be_used(&lender, now));
+    // The borrower releases it later: it must not return twice.
+    lender.return_slot(loan);
+    let lent = (0..3).filter(|_| lender.lend_slot(&query(&[], false), hold, now, rng).is_some());
+    expect_that!(lent.count(), eq(1));
+}
