Brittle endpoints: runs that began before a new start was listed use its slots

Callers saw brittle endpoints fall over after they had started again. A daemon whose list is older sends requests to the new start already, since the address and the id are the same. When it then got the list, the new start's state began without these runs, and the daemon used its share a second time; so did a lender with slots that it had lent.

Runs of a daemon are counted over all starts of an endpoint until they end, loans are for an endpoint's id, and an endpoint that is missing from a list for a while keeps both.

The rule tests fail without it.

--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -229,7 +229,7 @@
   recordStreams @1 (streams :List(StreamStart)) -> ();
   findStream @2 (stream :UInt64, service :Text) -> (report :StreamReport);  # of this service, if it is known
   borrowSlot @3 (service :Text, version :Text, tried :List(Text), holdMs :UInt32)
-      -> (granted :Bool, endpoint :Text, born :UInt64, lease :SlotLease);
+      -> (granted :Bool, endpoint :Text, lease :SlotLease);
   # `version`: empty if any may run the request. `tried`: ids of endpoints that are not wanted.
   # `holdMs`: the slot is needed no longer.
 }
--- a/src/gateway/gossip/slot_loans.rs
+++ b/src/gateway/gossip/slot_loans.rs
@@ -15,10 +15,7 @@
     exchange_capnp::{exchange, slot_lease},
     gateway::{
         context::GatewayContext,
-        policy::endpoint::{
-            endpoint_choice::ChoiceQuery,
-            endpoint_table::slot_loans::{LoanId, LoanedSlot},
-        },
+        policy::endpoint::{endpoint_choice::ChoiceQuery, endpoint_table::slot_loans::LoanId},
     },
     ids::SharedName,
 };
@@ -31,7 +28,7 @@
 /// A slot that another daemon has lent; it is released when dropped.
 pub struct BorrowedSlot {
     context: Rc<GatewayContext>,
-    slot: LoanedSlot,
+    endpoint: SharedName,
     lender: SocketAddr,
     _lease: slot_lease::Client,
     /// The lease ends with the connection.
@@ -41,7 +38,7 @@
 impl BorrowedSlot {
     /// Id of the endpoint.
     pub fn endpoint(&self) -> &SharedName {
-        &self.slot.endpoint
+        &self.endpoint
     }
 
     /// The daemon that has lent it.
@@ -52,7 +49,7 @@
 
 impl Drop for BorrowedSlot {
     fn drop(&mut self) {
-        self.context.endpoints.borrow_mut().release_slot(&self.slot);
+        self.context.endpoints.borrow_mut().release_slot(&self.endpoint);
     }
 }
 
@@ -143,14 +140,13 @@
     if !answer.get_granted() {
         return Ok(None);
     }
-    let endpoint = answer.get_endpoint()?.to_str()?.into();
-    let slot = LoanedSlot { endpoint, born: answer.get_born() };
+    let endpoint: SharedName = answer.get_endpoint()?.to_str()?.into();
     let lease = answer.get_lease()?;
-    if !context.endpoints.borrow_mut().receive_slot(&slot) {
+    if !context.endpoints.borrow_mut().receive_slot(&endpoint) {
         return Ok(None);
     }
     let context = context.clone();
-    Ok(Some(BorrowedSlot { context, slot, lender, _lease: lease, _connection: connection }))
+    Ok(Some(BorrowedSlot { context, endpoint, lender, _lease: lease, _connection: connection }))
 }
 
 fn write_wanted(mut target: exchange::borrow_slot_params::Builder<'_>, wanted: &WantedSlot<'_>) {
@@ -205,11 +201,10 @@
     let hold = Duration::from_millis(u64::from(params.get_hold_ms()));
     let now = boot_clock::now();
     let lent = context.endpoints.borrow_mut().lend_slot(&query, hold, now, &mut rand::rng());
-    let Some((id, slot)) = lent else { return Ok(()) };
+    let Some((id, endpoint)) = lent else { return Ok(()) };
     context.metrics.count("slots_lent", 1);
     answer.set_granted(true);
-    answer.set_endpoint(&*slot.endpoint);
-    answer.set_born(slot.born);
+    answer.set_endpoint(&*endpoint);
     answer.set_lease(capnp_rpc::new_client(LentSlot { context: context.clone(), id }));
     Ok(())
 }
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -15,7 +15,10 @@
     request_limit::LimitBucket,
     signal_ledger::{ActiveSignals, NumberedStart},
 };
-use crate::gateway::endpoint::{EndpointRecord, EndpointState};
+use crate::{
+    counting::OpenCount,
+    gateway::endpoint::{EndpointRecord, EndpointState},
+};
 
 /// Requests that may queue for each slot of an endpoint without an engine: they are short, so a
 /// queue empties quickly.
@@ -36,6 +39,17 @@
         if is_brittle { Self::Divided(SlotShare::default()) } else { Self::Undivided }
     }
 
+    /// The bound without this daemon's share, until the slots are divided again.
+    pub fn without_share(mut self, is_brittle: bool) -> Self {
+        match is_brittle {
+            true => {
+                self.set_share(0);
+                self
+            }
+            false => Self::Undivided,
+        }
+    }
+
     /// Sets this daemon's share; what it has lent and borrowed stays.
     pub fn set_share(&mut self, held: u32) {
         let known = match self {
@@ -97,11 +111,18 @@
     pub limit: Option<LimitBucket>,
     /// How many of the endpoint's slots this daemon may use.
     pub slot_bound: SlotBound,
+    /// Runs of this daemon there, also those that began before this start was listed.
+    pub runs: OpenCount,
 }
 
 impl EndpointStatus {
     /// State of an endpoint that is new in the list, with the signals that it sent earlier.
-    pub fn new(record: Rc<EndpointRecord>, signals: ActiveSignals, slot_bound: SlotBound) -> Self {
+    pub fn new(
+        record: Rc<EndpointRecord>,
+        signals: ActiveSignals,
+        slot_bound: SlotBound,
+        runs: OpenCount,
+    ) -> Self {
         Self {
             number: endpoint_number(&record.id),
             record,
@@ -115,6 +136,7 @@
                 .limit
                 .and_then(|observation| Some(LimitBucket::new(observation.limit?, observation.at))),
             slot_bound,
+            runs,
         }
     }
 
@@ -123,6 +145,12 @@
         NumberedStart { endpoint: self.number, born: self.record.born }
     }
 
+    /// Whether requests of this daemon may run there, or of others in slots that it has lent.
+    pub fn is_in_use(&self) -> bool {
+        let is_lent = matches!(self.slot_bound, SlotBound::Divided(share) if share.lent > 0);
+        self.own.running > 0 || self.runs.get() > 0 || is_lent
+    }
+
     /// Whether it takes new requests, now or after a pause.
     pub fn is_ready(&self) -> bool {
         self.record.state == EndpointState::Ready && !self.has_ended && !self.is_draining
@@ -143,7 +171,8 @@
         match self.slot_bound {
             SlotBound::Undivided => None,
             SlotBound::Divided(share) => {
-                Some(SlotUse { running: self.own.running, share: share.usable() })
+                let running = u32::try_from(self.runs.get()).unwrap_or(u32::MAX);
+                Some(SlotUse { running, share: share.usable() })
             }
         }
     }
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -32,6 +32,7 @@
     signal_ledger::{NumberedStart, SignalLedger},
 };
 use crate::{
+    counting::OpenCount,
     gateway::{
         endpoint::{EndpointList, EndpointRecord, EndpointState},
         gossip::report_source::ReportSource,
@@ -82,19 +83,20 @@
         });
         let restarted = self.signals.apply_list(starts, now);
         for record in &list.endpoints {
-            let known = previous.remove(&record.id);
-            let known = known.filter(|known| {
+            let is_same_start = |known: &EndpointStatus| {
                 known.record.is_same_start(record) && !restarted.contains(&known.number)
-            });
-            let status = match known {
-                Some(known) => EndpointStatus { record: record.clone(), ..known },
-                None => self.new_status(record, now),
+            };
+            let status = match previous.remove(&record.id) {
+                Some(known) if is_same_start(&known) => {
+                    EndpointStatus { record: record.clone(), ..known }
+                }
+                earlier => self.new_status(record, earlier, now),
             };
             self.endpoints.insert(record.id.clone(), status);
         }
         // Requests may still run at endpoints that have left the list.
         for (id, mut status) in previous {
-            if status.own.running > 0 {
+            if status.is_in_use() {
                 let gone =
                     EndpointRecord { state: EndpointState::Draining, ..(*status.record).clone() };
                 status.record = Rc::new(gone);
@@ -103,10 +105,21 @@
         }
     }
 
-    fn new_status(&self, record: &Rc<EndpointRecord>, now: Instant) -> EndpointStatus {
+    /// State of a start that is new in the list. Runs that began while an `earlier` start was listed, and slots
+    /// that were lent, may be at the new one: the endpoint may have started long before.
+    fn new_status(
+        &self,
+        record: &Rc<EndpointRecord>,
+        earlier: Option<EndpointStatus>,
+        now: Instant,
+    ) -> EndpointStatus {
         let start = NumberedStart { endpoint: endpoint_number(&record.id), born: record.born };
-        let slot_bound = SlotBound::before_division(self.is_brittle(&record.service, now));
-        EndpointStatus::new(record.clone(), self.signals.of(start), slot_bound)
+        let is_brittle = self.is_brittle(&record.service, now);
+        let (slot_bound, runs) = match earlier {
+            Some(earlier) => (earlier.slot_bound.without_share(is_brittle), earlier.runs),
+            None => (SlotBound::before_division(is_brittle), OpenCount::default()),
+        };
+        EndpointStatus::new(record.clone(), self.signals.of(start), slot_bound, runs)
     }
 
     /// Applies another daemon's report.
--- a/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/attempt_results.rs
@@ -7,6 +7,7 @@
 
 use super::EndpointTable;
 use crate::{
+    counting::CountGuard,
     endpoint_health::AttemptResult,
     gateway::{
         call::PromptPart,
@@ -26,12 +27,14 @@
 const BUSY_FRACTION: f64 = 0.5;
 
 /// Permits that a request holds to be sent.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Debug, Default)]
 pub struct RunPermits {
     /// Permit of a slow start.
     pub probe: Option<ProbePermit>,
     /// Whether it holds a token of the endpoint's limit.
     pub has_token: bool,
+    /// Counts the run at the endpoint until it is dropped.
+    pub run: Option<CountGuard>,
 }
 
 /// An endpoint has begun to fail more often than the others of its service.
@@ -74,7 +77,7 @@
         status.own.memory_tokens += load.memory_tokens;
         status.cache.remember(&part_chain(parts));
         let has_token = status.limit.as_mut().is_some_and(|limit| limit.try_take(now));
-        RunPermits { probe: status.pause.begin(), has_token }
+        RunPermits { probe: status.pause.begin(), has_token, run: Some(status.runs.enter()) }
     }
 
     /// Records that the prompt of an attempt has been prefilled, `taken` after it was sent. `alone`
--- a/src/gateway/policy/endpoint/endpoint_table/slot_loans.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/slot_loans.rs
@@ -2,7 +2,8 @@
 //!
 //! A lent slot is taken out of the lender's share before the borrower learns of it, and returns when the
 //! borrower releases it, is gone, or the time is over for which it wanted the slot. So lending never raises the
-//! sum of what all daemons may use.
+//! sum of what all daemons may use. Loans are for an endpoint's id: they stay when a new start of it is listed,
+//! since the run of a daemon whose list is older may be at that start already.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -22,15 +23,6 @@
 /// Longest time for which a slot is lent.
 const MAX_LOAN: Duration = Duration::from_secs(300);
 
-/// A slot of an endpoint that one daemon lends to another.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct LoanedSlot {
-    /// Id of the endpoint.
-    pub endpoint: SharedName,
-    /// Its start in ms since 1970, by its own clock; 0: unknown.
-    pub born: u64,
-}
-
 /// Identifies a loan of this daemon.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct LoanId(u64);
@@ -39,7 +31,8 @@
 #[derive(Debug, Default)]
 pub(super) struct SlotLoans {
     newest: u64,
-    open: BTreeMap<LoanId, (LoanedSlot, Instant)>,
+    /// Ids of the endpoints, and when the slots are taken back.
+    open: BTreeMap<LoanId, (SharedName, Instant)>,
 }
 
 impl EndpointTable {
@@ -51,20 +44,20 @@
         hold: Duration,
         now: Instant,
         rng: &mut impl Rng,
-    ) -> Option<(LoanId, LoanedSlot)> {
+    ) -> Option<(LoanId, SharedName)> {
         let ChoiceResult::Endpoint(choice) = self.choose(query, now, rng) else { return None };
-        let slot = LoanedSlot { endpoint: choice.endpoint.id.clone(), born: choice.endpoint.born };
-        self.share_at(&slot)?.lent += 1;
+        let endpoint = choice.endpoint.id.clone();
+        self.share_at(&endpoint)?.lent += 1;
         self.loans.newest += 1;
         let id = LoanId(self.loans.newest);
-        self.loans.open.insert(id, (slot.clone(), now + hold.min(MAX_LOAN)));
-        Some((id, slot))
+        self.loans.open.insert(id, (endpoint.clone(), now + hold.min(MAX_LOAN)));
+        Some((id, endpoint))
     }
 
     /// Takes a lent slot back. Does nothing if its time was over before.
     pub fn return_slot(&mut self, id: LoanId) {
-        let Some((slot, _)) = self.loans.open.remove(&id) else { return };
-        if let Some(share) = self.share_at(&slot) {
+        let Some((endpoint, _)) = self.loans.open.remove(&id) else { return };
+        if let Some(share) = self.share_at(&endpoint) {
             share.lent = share.lent.saturating_sub(1);
         }
     }
@@ -79,26 +72,25 @@
     }
 
     /// Adds a slot that another daemon has lent. Returns whether it can be used.
-    pub fn receive_slot(&mut self, slot: &LoanedSlot) -> bool {
-        let share = self.share_at(slot);
+    pub fn receive_slot(&mut self, endpoint: &str) -> bool {
+        let share = self.share_at(endpoint);
         let is_usable = share.is_some();
         share.into_iter().for_each(|share| share.borrowed += 1);
         is_usable
     }
 
     /// Removes a borrowed slot.
-    pub fn release_slot(&mut self, slot: &LoanedSlot) {
-        if let Some(share) = self.share_at(slot) {
+    pub fn release_slot(&mut self, endpoint: &str) {
+        if let Some(share) = self.share_at(endpoint) {
             share.borrowed = share.borrowed.saturating_sub(1);
         }
     }
 
-    /// This daemon's share at an endpoint whose slots are divided, if that start of it is known.
-    fn share_at(&mut self, slot: &LoanedSlot) -> Option<&mut SlotShare> {
-        let status = self.endpoints.get_mut(&slot.endpoint)?;
-        match &mut status.slot_bound {
-            SlotBound::Divided(share) if status.record.born == slot.born => Some(share),
-            SlotBound::Divided(_) | SlotBound::Undivided => None,
+    /// This daemon's share at an endpoint whose slots are divided.
+    fn share_at(&mut self, endpoint: &str) -> Option<&mut SlotShare> {
+        match &mut self.endpoints.get_mut(endpoint)?.slot_bound {
+            SlotBound::Divided(share) => Some(share),
+            SlotBound::Undivided => None,
         }
     }
 
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -11008,10 +11008,6 @@
                 !self.reader.get_pointer_field(0).is_null()
             }
             #[inline]
-            pub fn get_born(self) -> u64 {
-                self.reader.get_data_field::<u64>(1)
-            }
-            #[inline]
             pub fn get_lease(self) -> ::capnp::Result<crate::exchange_capnp::slot_lease::Client> {
                 match self.reader.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
             }
@@ -11023,7 +11019,7 @@
 
         pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
         impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
-            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 2, pointers: 2 };
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 1, pointers: 2 };
         }
         impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
             const TYPE_ID: u64 = _private::TYPE_ID;
@@ -11098,14 +11094,6 @@
                 !self.builder.is_pointer_field_null(0)
             }
             #[inline]
-            pub fn get_born(self) -> u64 {
-                self.builder.get_data_field::<u64>(1)
-            }
-            #[inline]
-            pub fn set_born(&mut self, value: u64)  {
-                self.builder.set_data_field::<u64>(1, value);
-            }
-            #[inline]
             pub fn get_lease(self) -> ::capnp::Result<crate::exchange_capnp::slot_lease::Client> {
                 match self.builder.get_pointer_field(1).get_capability() { ::core::result::Result::Ok(c) => ::core::result::Result::Ok(::capnp::capability::FromClientHook::new(c)), ::core::result::Result::Err(e) => ::core::result::Result::Err(e)}
             }
@@ -11131,17 +11119,17 @@
             }
         }
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 80] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 65] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(180, 91, 252, 109, 81, 71, 4, 200),
-                ::capnp::word(24, 0, 0, 0, 1, 0, 2, 0),
+                ::capnp::word(24, 0, 0, 0, 1, 0, 1, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 90, 1, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(33, 0, 0, 0, 231, 0, 0, 0),
+                ::capnp::word(33, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
@@ -11150,35 +11138,28 @@
                 ::capnp::word(98, 111, 114, 114, 111, 119, 83, 108),
                 ::capnp::word(111, 116, 36, 82, 101, 115, 117, 108),
                 ::capnp::word(116, 115, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(16, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(97, 0, 0, 0, 66, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 66, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(92, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(104, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(101, 0, 0, 0, 74, 0, 0, 0),
+                ::capnp::word(73, 0, 0, 0, 74, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(100, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(72, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(109, 0, 0, 0, 42, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(104, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(116, 0, 0, 0, 2, 0, 1, 0),
-                ::capnp::word(3, 0, 0, 0, 1, 0, 0, 0),
-                ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(113, 0, 0, 0, 50, 0, 0, 0),
+                ::capnp::word(81, 0, 0, 0, 50, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(120, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(76, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(88, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(103, 114, 97, 110, 116, 101, 100, 0),
                 ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -11196,14 +11177,6 @@
                 ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(98, 111, 114, 110, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(108, 101, 97, 115, 101, 0, 0, 0),
                 ::capnp::word(17, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(211, 215, 24, 89, 244, 228, 97, 177),
@@ -11217,8 +11190,7 @@
                 match index {
                     0 => <bool as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::text::Owned as ::capnp::introspect::Introspect>::introspect(),
-                    2 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                    3 => <crate::exchange_capnp::slot_lease::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <crate::exchange_capnp::slot_lease::Owned as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -11232,9 +11204,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME
             );
-            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2,3];
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[0,1,2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[2,1,0,3];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[1,0,2];
             pub(crate) const TYPE_ID: u64 = 0xc804_4751_6dfc_5bb4;
         }
     }
--- a/tests/gateway/brittle_rules.rs
+++ b/tests/gateway/brittle_rules.rs
@@ -10,7 +10,7 @@
     gossip::groups::hash_address,
     policy::endpoint::{
         endpoint_choice::ChoiceResult,
-        endpoint_load::endpoint_number,
+        endpoint_load::{RunLoad, endpoint_number},
         endpoint_table::{EndpointTable, brittle::BrittleState},
         slot_ring::SlotRing,
     },
@@ -259,3 +259,43 @@
     let lent = (0..3).filter(|_| lender.lend_slot(&query(&[], false), hold, now, rng).is_some());
     expect_that!(lent.count(), eq(1));
 }
+
+/// Runs that began while an earlier start was listed were no longer counted, although they may be at the new
+/// start: the daemon used its share twice.
+#[googletest::test]
+fn runs_begun_before_a_new_start_is_listed_use_its_slots() {
+    let now = start();
+    let mut table = EndpointTable::new("a".into());
+    let list_start = |table: &mut EndpointTable, born| {
+        table.set_list(&list(&[record("i-0", born)]), now);
+        table.set_slot_shares(&[("i-0".into(), 1)], now);
+    };
+    list_start(&mut table, 1);
+    table.record_brittle("i-0", true, now);
+    list_start(&mut table, 1);
+    let run = table.begin("i-0", &[], RunLoad::default(), now);
+    list_start(&mut table, 2);
+    expect_false!(may_be_used(&table, now));
+    drop(run);
+    expect_true!(may_be_used(&table, now));
+}
+
+#[googletest::test]
+fn lent_slots_of_an_earlier_start_are_lent_at_the_new_one() {
+    let now = start();
+    let mut lender = EndpointTable::new("a".into());
+    lender.set_list(&list(&[record("i-0", 1)]), now);
+    lender.record_brittle("i-0", true, now);
+    lender.set_slot_shares(&[("i-0".into(), 1)], now);
+    let rng = &mut SmallRng::seed_from_u64(1);
+    let hold = Duration::from_secs(2);
+    let (loan, _) = lender.lend_slot(&query(&[], false), hold, now, rng).expect("a slot");
+    // The endpoint is missing for a while, and listed as a later start.
+    for records in [&[][..], &[record("i-0", 2)]] {
+        lender.set_list(&list(records), now);
+        lender.set_slot_shares(&[("i-0".into(), 1)], now);
+        expect_false!(may_be_used(&lender, now));
+    }
+    lender.return_slot(loan);
+    expect_true!(may_be_used(&lender, now));
+}
