Brittle endpoints: a report that comes before the list of endpoints counts

A daemon that has just started may hear from its peers that a service is brittle before it has a list of endpoints. It passed the report over, since no endpoint of the service was known, and sent without a bound until the next one. Such reports are kept now, for a bounded number of services.

--- a/src/gateway/policy/endpoint/endpoint_table/brittle.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/brittle.rs
@@ -27,6 +27,9 @@
 /// The same if endpoints have since responded without saying so: only some may be brittle.
 const BRITTLE_FOR_OTHERWISE: Duration = Duration::from_secs(5);
 
+/// Most services of which it is remembered that they were brittle.
+const MAX_SERVICES: usize = 10_000;
+
 /// What the responses of a service's endpoints say of its being brittle.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct BrittleState {
@@ -80,10 +83,12 @@
     }
 
     /// Applies another daemon's report that a service was brittle at `at`. Returns whether it has become
-    /// brittle.
+    /// brittle. A daemon that has just started may hear it before it has a list of endpoints.
     pub fn receive_brittle(&mut self, service: &SharedName, at: Instant, now: Instant) -> bool {
-        let is_known = self.endpoints.values().any(|status| status.record.service == *service);
-        is_known && self.record_service(service, true, at, now)
+        if !self.brittle.contains_key(service) && self.brittle.len() >= MAX_SERVICES {
+            return false;
+        }
+        self.record_service(service, true, at, now)
     }
 
     fn record_service(
--- a/tests/gateway/brittle_rules.rs
+++ b/tests/gateway/brittle_rules.rs
@@ -299,3 +299,13 @@
     lender.return_slot(loan);
     expect_true!(may_be_used(&lender, now));
 }
+
+/// A daemon that had just started passed over what its peers said, since it had no list of endpoints yet.
+#[googletest::test]
+fn report_that_comes_before_the_endpoints_counts() {
+    let now = start();
+    let mut table = EndpointTable::new("a".into());
+    expect_true!(table.receive_brittle(&"pool".into(), now, now));
+    table.set_list(&list(&[record("i-0", 1)]), now);
+    expect_false!(may_be_used(&table, now));
+}
