Brittle endpoints: slots lent to a daemon that fails stay lent while its runs may go on

A borrower now releases a slot by a call; without it the slot stays lent until the request's deadline.

--- a/schema/exchange.capnp
+++ b/schema/exchange.capnp
@@ -222,7 +222,9 @@
   hasSeveral @4 :Bool;           # whether several versions have served in that time
 }
 
-interface SlotLease {}           # a slot of a brittle endpoint, lent until this is released
+interface SlotLease {             # a slot of a brittle endpoint
+  release @0 () -> ();           # its run has ended; without it the slot is lent until `holdMs` is over
+}
 
 interface Exchange {
   swap @0 (message :GossipMessage) -> (message :GossipMessage);
--- a/src/gateway/gossip/slot_loans.rs
+++ b/src/gateway/gossip/slot_loans.rs
@@ -1,15 +1,18 @@
 //! Borrows slots of brittle endpoints from the daemons that hold them, and lends this daemon's.
 //!
-//! A loan is an object of the lender (`SlotLease`). It ends when the borrower releases the object or its
-//! connection to the lender ends. `policy::endpoint::slot_borrower` decides who is asked, and
+//! A loan is an object of the lender (`SlotLease`), which the borrower releases when its run ends. If the borrower
+//! or the connection to it fails, the loan lasts as long as the run may: the endpoint may go on with it. `policy::endpoint::slot_borrower` decides who is asked, and
 //! `policy::endpoint::endpoint_table::slot_loans` keeps the accounts.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
 
 use capnp::{Error, ErrorKind};
-use tokio::time::{Instant, timeout};
+use tokio::{
+    sync::oneshot,
+    time::{Instant, error::Elapsed, timeout},
+};
 
-use super::peer_connections::OpenConnection;
+use super::peer_connections::{CALL_LIMIT, OpenConnection};
 use crate::{
     boot_clock,
     exchange_capnp::{exchange, slot_lease},
@@ -25,52 +28,89 @@
 /// Most endpoints that a borrower may name as tried.
 const MAX_TRIED: u32 = 1_000;
 
-/// A slot that another daemon has lent; it is released when dropped.
-pub struct BorrowedSlot {
-    context: Rc<GatewayContext>,
+/// A slot that another daemon has offered; it is released when dropped.
+struct OfferedSlot {
     endpoint: SharedName,
     lender: SocketAddr,
-    _lease: slot_lease::Client,
-    /// The lease ends with the connection.
-    _connection: Rc<OpenConnection>,
+    lease: slot_lease::Client,
+    connection: Rc<OpenConnection>,
+}
+
+impl Drop for OfferedSlot {
+    fn drop(&mut self) {
+        let released = self.lease.release_request().send().promise;
+        let connection = self.connection.clone();
+        tokio::task::spawn_local(async move {
+            // If the lender isn't reached, it takes the slot back later.
+            let _ = timeout(CALL_LIMIT, released).await;
+            drop(connection);
+        });
+    }
+}
+
+/// An offered slot that counts among those that this daemon may use, until it is dropped.
+pub struct BorrowedSlot {
+    context: Rc<GatewayContext>,
+    offer: OfferedSlot,
 }
 
 impl BorrowedSlot {
+    /// Counts an offered slot; none if the slots of its endpoint aren't divided here. The request for which it
+    /// was offered has to use it before anything is awaited, or another one may.
+    fn accept(context: &Rc<GatewayContext>, offer: OfferedSlot) -> Option<Self> {
+        let is_usable = context.endpoints.borrow_mut().receive_slot(&offer.endpoint);
+        is_usable.then(|| Self { context: context.clone(), offer })
+    }
+
     /// Id of the endpoint.
     pub fn endpoint(&self) -> &SharedName {
-        &self.endpoint
+        &self.offer.endpoint
     }
 
     /// The daemon that has lent it.
     pub fn lender(&self) -> SocketAddr {
-        self.lender
+        self.offer.lender
     }
 }
 
 impl Drop for BorrowedSlot {
     fn drop(&mut self) {
-        self.context.endpoints.borrow_mut().release_slot(&self.endpoint);
+        self.context.endpoints.borrow_mut().release_slot(&self.offer.endpoint);
     }
 }
 
 /// What a daemon wants to borrow.
-pub struct WantedSlot<'a> {
-    /// The request's query, which finds no endpoint with room.
-    pub query: ChoiceQuery<'a>,
+#[derive(Clone)]
+pub struct WantedSlot {
     /// The service.
-    pub service: &'a SharedName,
+    pub service: SharedName,
+    /// The version that its endpoint has to have; none if any may run the request.
+    pub version: Option<SharedName>,
+    /// Endpoints that the request has tried.
+    pub tried: Vec<SharedName>,
     /// When the slot is needed no longer.
     pub until: Instant,
 }
 
+impl WantedSlot {
+    fn query(&self, load_age: Duration) -> ChoiceQuery<'_> {
+        ChoiceQuery {
+            version: self.version.as_deref(),
+            tried: &self.tried,
+            load_age,
+            ..ChoiceQuery::of_any_request(&self.service)
+        }
+    }
+}
+
 /// Asks holders of slots until one lends one that this daemon can use, or `limit` is over.
 pub async fn borrow_slot(
     context: &Rc<GatewayContext>,
-    wanted: &WantedSlot<'_>,
+    wanted: &WantedSlot,
     limit: Duration,
 ) -> Option<BorrowedSlot> {
     let begun = boot_clock::now();
-    let max_asked = context.slot_borrower.borrow().max_asked(wanted.service, begun);
+    let max_asked = context.slot_borrower.borrow().max_asked(&wanted.service, begun);
     let mut asked = Vec::new();
     while asked.len() < max_asked {
         let left = limit.saturating_sub(boot_clock::since(begun));
@@ -78,46 +118,47 @@
             break;
         };
         asked.push(holder);
-        let lent = ask_in_time(context, holder, wanted, left.min(ANSWER_LIMIT)).await;
-        if lent.is_some() {
+        let offer = ask_in_time(context, holder, wanted, left.min(ANSWER_LIMIT)).await;
+        if let Some(slot) = offer.and_then(|offer| BorrowedSlot::accept(context, offer)) {
             context.metrics.count("slots_borrowed", 1);
-            return lent;
+            return Some(slot);
         }
     }
     context.metrics.count("slots_denied", 1);
-    context.slot_borrower.borrow_mut().record_denial(wanted.service, boot_clock::now());
+    context.slot_borrower.borrow_mut().record_denial(&wanted.service, boot_clock::now());
     None
 }
 
 fn next_holder(
     context: &GatewayContext,
-    wanted: &WantedSlot<'_>,
+    wanted: &WantedSlot,
     asked: &[SocketAddr],
 ) -> Option<SocketAddr> {
-    let endpoints = context.endpoints.borrow().wanted_endpoints(&wanted.query);
+    let endpoints = context.endpoints.borrow().wanted_endpoints(&wanted.query(Duration::ZERO));
     let (ring, own) = (context.slot_ring.borrow(), context.settings.peer_address);
     let now = boot_clock::now();
     let borrower = context.slot_borrower.borrow();
     borrower.next_holder(&ring, &endpoints, own, asked, now, &mut rand::rng())
 }
 
-/// The slot that a holder lends; none if it has none, or doesn't answer in time.
+/// The slot that a holder offers; none if it has none, or doesn't answer within `limit`.
 async fn ask_in_time(
     context: &Rc<GatewayContext>,
     holder: SocketAddr,
-    wanted: &WantedSlot<'_>,
+    wanted: &WantedSlot,
     limit: Duration,
-) -> Option<BorrowedSlot> {
-    match timeout(limit, ask(context, holder, wanted)).await {
-        Ok(Ok(lent)) => lent,
-        // A daemon of the last release lends no slots.
-        Ok(Err(error)) => {
-            if error.kind != ErrorKind::Unimplemented {
-                context.peer_connections.close(holder);
-            }
-            context.slot_borrower.borrow_mut().record_silence(holder, boot_clock::now());
-            None
-        }
+) -> Option<OfferedSlot> {
+    let (sender, receiver) = oneshot::channel();
+    let (asking, wanted) = (context.clone(), wanted.clone());
+    // Goes on if nobody waits for it any more: a slot that is lent late has to be released.
+    tokio::task::spawn_local(async move {
+        let answer = timeout(CALL_LIMIT, ask(&asking, holder, &wanted)).await;
+        // Dropping the offer releases the slot.
+        let _ = sender.send(apply_answer(&asking, holder, answer));
+    });
+    match timeout(limit, receiver).await {
+        Ok(Ok(offer)) => offer,
+        Ok(Err(_)) => None,
         Err(_) => {
             if limit >= ANSWER_LIMIT {
                 context.slot_borrower.borrow_mut().record_silence(holder, boot_clock::now());
@@ -127,11 +168,29 @@
     }
 }
 
+fn apply_answer(
+    context: &GatewayContext,
+    holder: SocketAddr,
+    answer: Result<Result<Option<OfferedSlot>, Error>, Elapsed>,
+) -> Option<OfferedSlot> {
+    // A daemon of the last release lends no slots, but its connection is sound.
+    let is_sound = match answer {
+        Ok(Ok(offer)) => return offer,
+        Ok(Err(error)) => error.kind == ErrorKind::Unimplemented,
+        Err(_) => false,
+    };
+    if !is_sound {
+        context.peer_connections.close(holder);
+    }
+    context.slot_borrower.borrow_mut().record_silence(holder, boot_clock::now());
+    None
+}
+
 async fn ask(
     context: &Rc<GatewayContext>,
     lender: SocketAddr,
-    wanted: &WantedSlot<'_>,
-) -> Result<Option<BorrowedSlot>, Error> {
+    wanted: &WantedSlot,
+) -> Result<Option<OfferedSlot>, Error> {
     let connection = context.peer_connections.connect(lender).await?;
     let mut request = connection.client.borrow_slot_request();
     write_wanted(request.get(), wanted);
@@ -140,38 +199,51 @@
     if !answer.get_granted() {
         return Ok(None);
     }
-    let endpoint: SharedName = answer.get_endpoint()?.to_str()?.into();
+    let endpoint = answer.get_endpoint()?.to_str()?.into();
     let lease = answer.get_lease()?;
-    if !context.endpoints.borrow_mut().receive_slot(&endpoint) {
-        return Ok(None);
-    }
-    let context = context.clone();
-    Ok(Some(BorrowedSlot { context, endpoint, lender, _lease: lease, _connection: connection }))
+    Ok(Some(OfferedSlot { endpoint, lender, lease, connection }))
 }
 
-fn write_wanted(mut target: exchange::borrow_slot_params::Builder<'_>, wanted: &WantedSlot<'_>) {
-    let WantedSlot { query, until, .. } = wanted;
-    target.set_service(query.service);
-    target.set_version(query.version.unwrap_or_default());
-    let mut tried = target.reborrow().init_tried(query.tried.len() as u32);
-    for (index, endpoint) in query.tried.iter().enumerate() {
+fn write_wanted(mut target: exchange::borrow_slot_params::Builder<'_>, wanted: &WantedSlot) {
+    target.set_service(&*wanted.service);
+    target.set_version(wanted.version.as_deref().unwrap_or_default());
+    let mut tried = target.reborrow().init_tried(wanted.tried.len() as u32);
+    for (index, endpoint) in wanted.tried.iter().enumerate() {
         tried.set(index as u32, &**endpoint);
     }
-    let hold = until.saturating_duration_since(boot_clock::now());
+    let hold = wanted.until.saturating_duration_since(boot_clock::now());
     target.set_hold_ms(u32::try_from(hold.as_millis()).unwrap_or(u32::MAX));
 }
 
-/// A slot that this daemon has lent; it is taken back when dropped.
+fn read_wanted(params: exchange::borrow_slot_params::Reader<'_>) -> Result<WantedSlot, Error> {
+    let tried = params.get_tried()?;
+    if tried.len() > MAX_TRIED {
+        return Err(Error::failed("too many endpoints".into()));
+    }
+    let version = params.get_version()?.to_str()?;
+    let tried = tried.iter().map(|id| Ok(id?.to_str()?.into()));
+    Ok(WantedSlot {
+        service: params.get_service()?.to_str()?.into(),
+        version: (!version.is_empty()).then(|| version.into()),
+        tried: tried.collect::<Result<Vec<SharedName>, Error>>()?,
+        until: boot_clock::now() + Duration::from_millis(u64::from(params.get_hold_ms())),
+    })
+}
+
+/// A slot that this daemon has lent.
 struct LentSlot {
     context: Rc<GatewayContext>,
     id: LoanId,
 }
 
-impl slot_lease::Server for LentSlot {}
-
-impl Drop for LentSlot {
-    fn drop(&mut self) {
+impl slot_lease::Server for LentSlot {
+    async fn release(
+        self: Rc<Self>,
+        _params: slot_lease::ReleaseParams,
+        _results: slot_lease::ReleaseResults,
+    ) -> Result<(), Error> {
         self.context.endpoints.borrow_mut().return_slot(self.id);
+        Ok(())
     }
 }
 
@@ -185,22 +257,11 @@
     params: exchange::borrow_slot_params::Reader<'_>,
     mut answer: exchange::borrow_slot_results::Builder<'_>,
 ) -> Result<(), Error> {
-    let (service, version) = (params.get_service()?.to_str()?, params.get_version()?.to_str()?);
-    let tried = params.get_tried()?;
-    if tried.len() > MAX_TRIED {
-        return Err(Error::failed("too many endpoints".into()));
-    }
-    let tried = tried.iter().map(|id| Ok(id?.to_str()?.into()));
-    let tried = tried.collect::<Result<Vec<SharedName>, Error>>()?;
-    let query = ChoiceQuery {
-        version: Some(version).filter(|version| !version.is_empty()),
-        tried: &tried,
-        load_age: context.peers.borrow().report_age(),
-        ..ChoiceQuery::of_any_request(service)
-    };
-    let hold = Duration::from_millis(u64::from(params.get_hold_ms()));
+    let wanted = read_wanted(params)?;
+    let query = wanted.query(context.peers.borrow().report_age());
     let now = boot_clock::now();
-    let lent = context.endpoints.borrow_mut().lend_slot(&query, hold, now, &mut rand::rng());
+    let lent =
+        context.endpoints.borrow_mut().lend_slot(&query, wanted.until, now, &mut rand::rng());
     let Some((id, endpoint)) = lent else { return Ok(()) };
     context.metrics.count("slots_lent", 1);
     answer.set_granted(true);
--- a/src/gateway/policy/endpoint/endpoint_table/slot_loans.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/slot_loans.rs
@@ -1,7 +1,7 @@
 //! Slots of brittle endpoints that this daemon has lent to others or borrowed from them.
 //!
 //! A lent slot is taken out of the lender's share before the borrower learns of it, and returns when the
-//! borrower releases it, is gone, or the time is over for which it wanted the slot. So lending never raises the
+//! borrower releases it, or the time is over for which it wanted the slot. So lending never raises the
 //! sum of what all daemons may use. Loans are for an endpoint's id: they stay when a new start of it is listed,
 //! since the run of a daemon whose list is older may be at that start already.
 
@@ -36,12 +36,12 @@
 }
 
 impl EndpointTable {
-    /// Lends a free slot of this daemon's shares for up to `hold`; none if it has none at an endpoint that
+    /// Lends a free slot of this daemon's shares until `until`; none if it has none at an endpoint that
     /// fits the query.
     pub fn lend_slot(
         &mut self,
         query: &ChoiceQuery<'_>,
-        hold: Duration,
+        until: Instant,
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<(LoanId, SharedName)> {
@@ -50,7 +50,7 @@
         self.share_at(&endpoint)?.lent += 1;
         self.loans.newest += 1;
         let id = LoanId(self.loans.newest);
-        self.loans.open.insert(id, (endpoint.clone(), now + hold.min(MAX_LOAN)));
+        self.loans.open.insert(id, (endpoint.clone(), until.min(now + MAX_LOAN)));
         Some((id, endpoint))
     }
 
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -87,19 +87,14 @@
     if now >= admitted.deadline || !is_brittle || !is_full(request) {
         return None;
     }
-    // Other attempts may change theirs while holders are asked.
-    let (tried, version) = {
+    let wanted = {
         let attempts = attempts.borrow();
-        (attempts.tried.clone(), attempts.version.clone())
-    };
-    let wanted = WantedSlot {
-        query: ChoiceQuery {
-            version: version.as_deref(),
-            tried: &tried,
-            ..ChoiceQuery::of_any_request(service)
-        },
-        service,
-        until: admitted.deadline,
+        WantedSlot {
+            service: service.clone(),
+            version: attempts.version.clone(),
+            tried: attempts.tried.clone(),
+            until: admitted.deadline,
+        }
     };
     let limit = admitted.route.target.mul_f64(BORROW_FRACTION).max(MIN_BORROW_TIME);
     borrow_slot(context, &wanted, limit).await
--- a/src/peer/exchange_capnp.rs
+++ b/src/peer/exchange_capnp.rs
@@ -9155,6 +9155,8 @@
 
 pub mod slot_lease {
     #![allow(unused_variables)]
+    pub type ReleaseParams<> = ::capnp::capability::Params<crate::exchange_capnp::slot_lease::release_params::Owned>;
+    pub type ReleaseResults<> = ::capnp::capability::Results<crate::exchange_capnp::slot_lease::release_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -9204,8 +9206,12 @@
         }
     }
     impl  Client {
+        pub fn release_request(&self) -> ::capnp::capability::Request<crate::exchange_capnp::slot_lease::release_params::Owned,crate::exchange_capnp::slot_lease::release_results::Owned> {
+            self.client.new_call(_private::TYPE_ID, 0, ::core::option::Option::None)
+        }
     }
     pub trait Server<> : 'static  {
+        fn release(self: ::capnp::capability::Rc<Self>, _: ReleaseParams<>, _: ReleaseResults<>) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static { ::core::future::ready(Err(::capnp::Error::unimplemented("method slot_lease::Server::release not implemented".to_string()))) }
     }
     pub struct ServerDispatch<_T,> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -9235,6 +9241,7 @@
     impl <_T :Server> ServerDispatch<_T> {
         pub fn dispatch_call_internal(this: ::capnp::capability::Rc<_T>, method_id: u16, params: ::capnp::capability::Params<::capnp::any_pointer::Owned>, results: ::capnp::capability::Results<::capnp::any_pointer::Owned>) -> ::capnp::capability::DispatchCallResult {
             match method_id {
+                0 => ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::from_future(<_T as Server>::release(this, ::capnp::private::capability::internal_get_typed_params(params), ::capnp::private::capability::internal_get_typed_results(results))), false),
                 _ => { ::capnp::capability::DispatchCallResult::new(::capnp::capability::Promise::err(::capnp::Error::unimplemented("Method not implemented.".to_string())), false) }
             }
         }
@@ -9242,6 +9249,337 @@
     pub(crate) mod _private {
         pub(crate) const TYPE_ID: u64 = 0xb161_e4f4_5918_d7d3;
     }
+
+    pub mod release_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(222, 56, 126, 3, 207, 174, 182, 231),
+                ::capnp::word(25, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 66, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+                ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
+                ::capnp::word(108, 111, 116, 76, 101, 97, 115, 101),
+                ::capnp::word(46, 114, 101, 108, 101, 97, 115, 101),
+                ::capnp::word(36, 80, 97, 114, 97, 109, 115, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xe7b6_aecf_037e_38de;
+        }
+    }
+
+    pub mod release_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned { fn introspect() -> ::capnp::introspect::Type { ::capnp::introspect::TypeVariant::Struct(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types, annotation_types: _private::get_annotation_types, type_id: ::core::any::TypeId::of::<Owned>() }).into() } }
+        impl ::capnp::traits::Owned for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::OwnedStruct for Owned { type Reader<'a> = Reader<'a>; type Builder<'a> = Builder<'a>; }
+        impl ::capnp::traits::Pipelined for Owned { type Pipeline = Pipeline; }
+
+        pub struct Reader<'a> { reader: ::capnp::private::layout::StructReader<'a> }
+        impl <> ::core::marker::Copy for Reader<'_,>  {}
+        impl <> ::core::clone::Clone for Reader<'_,>  {
+            fn clone(&self) -> Self { *self }
+        }
+
+        impl <> ::capnp::traits::HasTypeId for Reader<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a,>  {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Reader<'a,>> for ::capnp::dynamic_value::Reader<'a>  {
+            fn from(reader: Reader<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(reader.reader, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <> ::core::fmt::Debug for Reader<'_,>  {
+            fn fmt(&self, f: &mut ::core::fmt::Formatter<'_>) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(&::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self), f)
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerReader<'a> for Reader<'a,>  {
+            fn get_from_pointer(reader: &::capnp::private::layout::PointerReader<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl <'a,> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a,>  {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl <'a,> ::capnp::traits::Imbue<'a> for Reader<'a,>  {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader.imbue(::capnp::private::layout::CapTableReader::from_ref(cap_table))
+            }
+        }
+
+        impl <> Reader<'_,>  {
+            pub fn reborrow(&self) -> Reader<'_,> {
+                Self { .. *self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> { builder: ::capnp::private::layout::StructBuilder<'a> }
+        impl <> ::capnp::traits::HasStructSize for Builder<'_,>  {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize = ::capnp::private::layout::StructSize { data: 0, pointers: 0 };
+        }
+        impl <> ::capnp::traits::HasTypeId for Builder<'_,>  {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl <'a,> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a,>  {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder,  }
+            }
+        }
+
+        impl <'a,> ::core::convert::From<Builder<'a,>> for ::capnp::dynamic_value::Builder<'a>  {
+            fn from(builder: Builder<'a,>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(builder.builder, ::capnp::schema::StructSchema::new(::capnp::introspect::RawBrandedStructSchema { generic: &_private::RAW_SCHEMA, field_types: _private::get_field_types::<>, annotation_types: _private::get_annotation_types::<>, type_id: ::core::any::TypeId::of::<Owned<>>()})))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::ImbueMut<'a> for Builder<'a,>  {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder.imbue(::capnp::private::layout::CapTableBuilder::from_ref(cap_table))
+            }
+        }
+
+        impl <'a,> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a,>  {
+            fn init_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, _size: u32) -> Self {
+                builder.init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE).into()
+            }
+            fn get_from_pointer(builder: ::capnp::private::layout::PointerBuilder<'a>, default: ::core::option::Option<&'a [::capnp::Word]>) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(builder.get_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE, default)?.into())
+            }
+        }
+
+        impl <> ::capnp::traits::SetterInput<Owned<>> for Reader<'_,>  {
+            fn set_pointer_builder(mut pointer: ::capnp::private::layout::PointerBuilder<'_>, value: Self, canonicalize: bool) -> ::capnp::Result<()> { pointer.set_struct(&value.reader, canonicalize) }
+        }
+
+        impl <'a,> Builder<'a,>  {
+            pub fn into_reader(self) -> Reader<'a,> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_,> {
+                Builder { builder: self.builder.reborrow() }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_,> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline { _typeless: ::capnp::any_pointer::Pipeline }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self { _typeless: typeless,  }
+            }
+        }
+        impl Pipeline  {
+        }
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 18] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(188, 92, 161, 140, 46, 110, 116, 227),
+                ::capnp::word(25, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 74, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(101, 120, 99, 104, 97, 110, 103, 101),
+                ::capnp::word(46, 99, 97, 112, 110, 112, 58, 83),
+                ::capnp::word(108, 111, 116, 76, 101, 97, 115, 101),
+                ::capnp::word(46, 114, 101, 108, 101, 97, 115, 101),
+                ::capnp::word(36, 82, 101, 115, 117, 108, 116, 115),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(child_index: Option<u16>, index: u32) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena = ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema = ::capnp::introspect::RawStructSchema::new(
+                &ARENA,
+                NONUNION_MEMBERS,
+                MEMBERS_BY_DISCRIMINANT,
+                MEMBERS_BY_NAME
+            );
+            pub(crate) static NONUNION_MEMBERS : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT : &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME : &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0xe374_6e2e_8ca1_5cbc;
+        }
+    }
 }
 
 
--- a/tests/gateway/brittle_rules.rs
+++ b/tests/gateway/brittle_rules.rs
@@ -221,9 +221,9 @@
     expect_false!(may_be_used(&borrower, now));
 
     let rng = &mut SmallRng::seed_from_u64(1);
-    let hold = Duration::from_secs(2);
-    let (loan, slot) = lender.lend_slot(&query(&[], false), hold, now, rng).expect("a slot");
-    expect_that!(lender.lend_slot(&query(&[], false), hold, now, rng), none());
+    let until = now + Duration::from_secs(2);
+    let (loan, slot) = lender.lend_slot(&query(&[], false), until, now, rng).expect("a slot");
+    expect_that!(lender.lend_slot(&query(&[], false), until, now, rng), none());
     expect_false!(may_be_used(&lender, now));
     expect_true!(borrower.receive_slot(&slot));
     expect_true!(may_be_used(&borrower, now));
@@ -248,15 +248,15 @@
     lender.record_brittle("i-0", true, now);
     lender.set_slot_shares(&[("i-0".into(), 1)], now);
     let rng = &mut SmallRng::seed_from_u64(1);
-    let hold = Duration::from_secs(2);
-    let (loan, _) = lender.lend_slot(&query(&[], false), hold, now, rng).expect("a slot");
+    let until = now + Duration::from_secs(2);
+    let (loan, _) = lender.lend_slot(&query(&[], false), until, now, rng).expect("a slot");
     expect_that!(lender.expire_loans(now + Duration::from_secs(1)), eq(1));
     expect_false!(may_be_used(&lender, now));
-    expect_that!(lender.expire_loans(now + hold), eq(0));
+    expect_that!(lender.expire_loans(until), eq(0));
     expect_true!(may_be_used(&lender, now));
     // The borrower releases it later: it must not return twice.
     lender.return_slot(loan);
-    let lent = (0..3).filter(|_| lender.lend_slot(&query(&[], false), hold, now, rng).is_some());
+    let lent = (0..3).filter(|_| lender.lend_slot(&query(&[], false), until, now, rng).is_some());
     expect_that!(lent.count(), eq(1));
 }
 
@@ -288,8 +288,8 @@
     lender.record_brittle("i-0", true, now);
     lender.set_slot_shares(&[("i-0".into(), 1)], now);
     let rng = &mut SmallRng::seed_from_u64(1);
-    let hold = Duration::from_secs(2);
-    let (loan, _) = lender.lend_slot(&query(&[], false), hold, now, rng).expect("a slot");
+    let until = now + Duration::from_secs(2);
+    let (loan, _) = lender.lend_slot(&query(&[], false), until, now, rng).expect("a slot");
     // The endpoint is missing for a while, and listed as a later start.
     for records in [&[][..], &[record("i-0", 2)]] {
         lender.set_list(&list(records), now);
