Brittle endpoints: the lease record names brittle services

With 78 daemons of which one in eight is replaced each second, eleven of the requests that made endpoints fall over had been sent without a bound, by daemons that had started 0.3 s before: their seeds had been replaced too, so they had heard from no peer, and went on alone.

The lease record, which a daemon reads as it starts, now names the brittle services. What it says is assumed for 5 s or until an endpoint responds otherwise; it is not passed on, since the word of a daemon that has ended would be renewed by each one that starts.

--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -4,7 +4,8 @@
 //! through `lease_store`; `endpoint_orders` collects the inputs for ordering endpoints. The rules are in
 //! `policy::leader::{leader_lease, usage_reports, endpoint_orders, fleet_size}`.
 
-pub mod endpoint_orders;
+pub mod brittle_services;
+mod endpoint_orders;
 mod fleet_members;
 pub mod leader_tasks;
 pub mod lease_acquire;
--- a/src/gateway/leader/lease_acquire.rs
+++ b/src/gateway/leader/lease_acquire.rs
@@ -6,8 +6,8 @@
 use tokio::time::Instant;
 
 use super::{
-    fleet_members, lease_keeper::LeaseKeeper, lease_object::LeaseObject, lease_record::LeaseRecord,
-    quarantine, rollout_starts, sole_versions,
+    brittle_services, fleet_members, lease_keeper::LeaseKeeper, lease_object::LeaseObject,
+    lease_record::LeaseRecord, quarantine, rollout_starts, sole_versions,
 };
 use crate::{
     boot_clock,
@@ -190,6 +190,7 @@
             quarantined_parts: quarantine::stored_parts(&self.context),
             rollouts: rollout_starts::stored_starts(&self.context),
             sole_versions: sole_versions::stored_versions(&self.context),
+            brittle_services: brittle_services::stored_services(&self.context),
             required_endpoints: required_endpoints.clone(),
             first_window,
             report,
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use super::{
-    fleet_members,
+    brittle_services, fleet_members,
     lease_object::{CorruptLease, LeaseObject, ObservedEra, StoredLease},
     lease_record::{LeaseRecord, UsageReport},
     lease_store::LeaseStore,
@@ -125,6 +125,7 @@
         quarantine::restore_parts(&self.context, &record.quarantined_parts);
         rollout_starts::restore_starts(&self.context, &record.rollouts);
         sole_versions::restore_versions(&self.context, &record.sole_versions);
+        brittle_services::restore_services(&self.context, &record.brittle_services, asked_at);
         self.context.quotas.borrow_mut().set_throttled_before(record.throttled.iter().cloned());
         if let Some(report) = record.report.as_ref().filter(|_| !self.is_from_earlier_era(&record))
         {
@@ -221,6 +222,7 @@
             quarantined_parts: quarantine::stored_parts(&self.context),
             rollouts: rollout_starts::stored_starts(&self.context),
             sole_versions: sole_versions::stored_versions(&self.context),
+            brittle_services: brittle_services::stored_services(&self.context),
             required_endpoints,
             ..seen.record
         };
--- a/src/gateway/leader/lease_record.rs
+++ b/src/gateway/leader/lease_record.rs
@@ -112,6 +112,9 @@
     /// Services that one version alone has served for as long as a stream may live.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub sole_versions: Vec<SoleVersion>,
+    /// Services whose endpoints are brittle.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub brittle_services: Vec<SharedName>,
     /// Earlier windows are not reported, since a former holder whose record is lost may have reported
     /// them.
     #[serde(default, skip_serializing_if = "is_zero")]
--- a/src/gateway/policy/endpoint/endpoint_table/brittle.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/brittle.rs
@@ -27,6 +27,9 @@
 /// The same if endpoints have since responded without saying so: only some may be brittle.
 const BRITTLE_FOR_OTHERWISE: Duration = Duration::from_secs(5);
 
+/// Time for which a service counts as brittle that was so to a daemon before this one started. It isn't passed
+/// on, so that the word of a daemon that has ended isn't renewed by those that start.
+const ASSUMED_FOR: Duration = Duration::from_secs(5);
 /// Most services of which it is remembered that they were brittle.
 const MAX_SERVICES: usize = 10_000;
 
@@ -37,11 +40,18 @@
     said_at: Option<Instant>,
     /// When one last did not say so.
     other_at: Option<Instant>,
+    /// Until when it is assumed, by an earlier daemon's word.
+    assumed_until: Option<Instant>,
 }
 
 impl BrittleState {
     /// Whether the service is brittle.
     pub fn is_brittle(&self, now: Instant) -> bool {
+        self.assumed_until.is_some_and(|until| now < until) || self.is_said(now)
+    }
+
+    /// Whether its endpoints have said so to a running daemon.
+    fn is_said(&self, now: Instant) -> bool {
         let Some(said_at) = self.said_at else { return false };
         let has_ended = self.other_at.is_some_and(|at| at > said_at + BRITTLE_FOR_OTHERWISE);
         !has_ended && now.saturating_duration_since(said_at) < BRITTLE_FOR
@@ -51,6 +61,16 @@
     pub fn record(&mut self, is_brittle: bool, at: Instant) {
         let known = if is_brittle { &mut self.said_at } else { &mut self.other_at };
         *known = (*known).max(Some(at));
+        if !is_brittle {
+            self.assumed_until = None;
+        }
+    }
+
+    /// Assumes that the service is brittle, unless its endpoints have said something before.
+    fn assume(&mut self, now: Instant) {
+        if self.said_at.is_none() && self.other_at.is_none() && self.assumed_until.is_none() {
+            self.assumed_until = Some(now + ASSUMED_FOR);
+        }
     }
 }
 
@@ -91,6 +111,13 @@
         self.record_service(service, true, at, now)
     }
 
+    /// Assumes for a while that a service is brittle, as an earlier daemon has said.
+    pub fn assume_brittle(&mut self, service: &SharedName, now: Instant) {
+        if self.brittle.len() < MAX_SERVICES {
+            self.brittle.entry(service.clone()).or_default().assume(now);
+        }
+    }
+
     fn record_service(
         &mut self,
         service: &SharedName,
@@ -106,7 +133,7 @@
 
     /// Brittle services, and when an endpoint of each last said so.
     pub fn brittle_services(&self, now: Instant) -> Vec<(SharedName, Instant)> {
-        let brittle = self.brittle.iter().filter(|(_, state)| state.is_brittle(now));
+        let brittle = self.brittle.iter().filter(|(_, state)| state.is_said(now));
         brittle.filter_map(|(service, state)| Some((service.clone(), state.said_at?))).collect()
     }
 
--- a/tests/gateway/brittle_endpoints.rs
+++ b/tests/gateway/brittle_endpoints.rs
@@ -68,6 +68,8 @@
 /// Groups of daemons that are replaced one after the other, and how often.
 const REPLACED_GROUPS: usize = 8;
 const REPLACE_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which all daemons are down.
+const ALL_DOWN_TIME: Duration = Duration::from_secs(1);
 /// Fraction of the capacity that has to be used by more clients than it suffices for.
 const USED_FRACTION: f64 = 0.8;
 
@@ -161,6 +163,14 @@
     expect_that!(outcome.falls.0, le(fleet.allowed_falls()));
 }
 
+/// Daemons that start after all others have ended know nothing of the endpoints.
+#[googletest::test]
+fn brittle_endpoints_get_too_many_requests_after_all_daemons_are_killed() {
+    let fleet = BrittleFleet { shape: FleetShape::USUAL, clients: 80, daemons: usize::MAX };
+    let outcome = fleet.play(|fleet| fleet.restart_all(ALL_DOWN_TIME));
+    expect_that!(outcome.falls.1, le(fleet.allowed_falls()));
+}
+
 /// The slots were divided evenly, so that the shares of daemons without clients were not used.
 #[googletest::test]
 fn brittle_endpoints_are_not_used_by_clients_at_few_daemons() {
--- a/tests/gateway/brittle_rules.rs
+++ b/tests/gateway/brittle_rules.rs
@@ -309,3 +309,21 @@
     table.set_list(&list(&[record("i-0", 1)]), now);
     expect_false!(may_be_used(&table, now));
 }
+
+#[googletest::test]
+fn service_that_was_brittle_before_the_start_counts_as_such_until_its_endpoints_respond() {
+    let now = start();
+    let later = now + Duration::from_secs(1);
+    let mut table = EndpointTable::new("a".into());
+    table.assume_brittle(&"pool".into(), now);
+    table.set_list(&list(&[record("i-0", 1)]), now);
+    expect_false!(may_be_used(&table, now));
+    // Other daemons must not hear it from this one.
+    expect_that!(table.brittle_services(now).len(), eq(0));
+    table.record_brittle("i-0", false, later);
+    table.set_slot_shares(&[], later);
+    expect_true!(may_be_used(&table, later));
+    // A record that is read again doesn't renew it.
+    table.assume_brittle(&"pool".into(), later);
+    expect_false!(table.is_brittle("pool", later));
+}
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -210,6 +210,20 @@
         self.disturbances.lock().expect("lock").push(disturbance);
     }
 
+    /// Kills all daemons at once, and starts them again after a while.
+    pub fn restart_all(&self, down_time: Duration) {
+        let mut daemons = self.daemons.lock().expect("lock");
+        let from = Instant::now();
+        daemons.iter_mut().for_each(Gateway::kill);
+        thread::sleep(down_time);
+        daemons.iter_mut().for_each(Gateway::start_again);
+        daemons.iter().for_each(Gateway::wait_ready);
+        let until = Instant::now();
+        let all = 0..daemons.len();
+        let disturbances = all.map(|daemon| Disturbance { daemon, from, until });
+        self.disturbances.lock().expect("lock").extend(disturbances);
+    }
+
     /// Ends these daemons for good and starts others, which clients reach at the same addresses.
     pub fn replace(&self, replaced: &[usize]) {
         let mut daemons = self.daemons.lock().expect("lock");
