Streams: what began them outlives all daemons while several versions serve

Callers whose streams had broken off when all daemons were killed were refused until their last try if two versions of the service were in use: no daemon was left that knew at which one a stream had begun. Text joined from two versions wasn't seen, since what isn't known is refused.

While several versions serve, one daemon of each gossip group now writes the streams that its group begins into the store, each half second, as segments of two seconds that are used again after 128 s. A daemon at which a stream is taken up that no other knows reads the logs, at most once a second. A record names the stream by account and id, so an old one is never wrong; a stream that was begun less than half a second before the kill has none, and is refused as before.

--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -48,6 +48,7 @@
     settings::{GatewaySettings, ServiceBounds, reload},
     status_listeners,
     store_watch::{configuration_watch, endpoint_watch, rollout_watch},
+    stream_log,
 };
 use crate::{
     boot_clock,
@@ -105,6 +106,7 @@
     kernel.start(caller::NAME, caller::run(context.clone()));
     kernel.start(tunnel_server::NAME, tunnel_server::run(tunnel_listener, context.clone()));
     kernel.start(access_probe::NAME, access_probe::run(context.clone()));
+    kernel.start(stream_log::NAME, stream_log::run(context.clone()));
     kernel.start(leader_tasks::NAME, leader_tasks::run(context.clone()));
     kernel.start(client_listener::NAME, client_listener::run(clients, context.clone()));
     kernel.start(reload::NAME, reload::run(context.clone(), source));
--- a/src/gateway/gossip/peer_table.rs
+++ b/src/gateway/gossip/peer_table.rs
@@ -237,6 +237,16 @@
         QuotaSharing { known, heard, report_age: self.report_age() }
     }
 
+    /// The daemon that writes the log of streams for this daemon's group; none if it is this one.
+    pub fn stream_recorder(&self, now: Instant) -> Option<SocketAddr> {
+        let is_running = |address: &&SocketAddr| {
+            self.hears(address, now) && self.peers.get(*address).is_some_and(|peer| !peer.leaving)
+        };
+        let running = self.neighbours.group.iter().filter(is_running);
+        let first = running.min_by_key(|address| hash_address(address))?;
+        (hash_address(first) < hash_address(&self.own)).then_some(*first)
+    }
+
     /// Largest number of daemons known in the last minutes, including this one.
     pub fn recent_peak(&self) -> usize {
         self.peak.get()
--- a/src/gateway/gossip/streams.rs
+++ b/src/gateway/gossip/streams.rs
@@ -2,7 +2,7 @@
 //! taken up here. `policy::request::stream_origin` decides who is told and what follows from the answers.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
     rc::Rc,
@@ -11,7 +11,10 @@
 
 use capnp::Error;
 use futures::{StreamExt, stream::FuturesUnordered};
-use tokio::time::{sleep, timeout};
+use tokio::{
+    sync::Mutex,
+    time::{Instant, sleep, timeout},
+};
 
 use super::peer_connections::CALL_LIMIT;
 use crate::{
@@ -26,6 +29,7 @@
             },
             rollout::version_history::ServedVersions,
         },
+        stream_log::restore_streams,
     },
     ids::SharedName,
 };
@@ -51,6 +55,36 @@
     active: RefCell<HashMap<StreamKey, StreamStart>>,
     /// Records to be sent, by daemon.
     unsent: RefCell<HashMap<SocketAddr, Vec<(StreamKey, StreamStart)>>>,
+    /// Records that have not been offered to the log in the store.
+    unlogged: RefCell<Vec<(StreamKey, StreamStart)>>,
+    /// When the log was last read.
+    pub log_read_at: Mutex<Option<Instant>>,
+    /// Whether the log has named streams.
+    has_restored: Cell<bool>,
+}
+
+impl StreamState {
+    /// Takes out the records that have not been offered to the log.
+    pub fn take_unlogged(&self) -> Vec<(StreamKey, StreamStart)> {
+        self.unlogged.take()
+    }
+
+    /// Records the streams that were read in the log. They are kept for `life`.
+    pub fn restore(&self, streams: Vec<(StreamKey, StreamStart)>, life: Duration, now: Instant) {
+        self.has_restored.set(self.has_restored.get() || !streams.is_empty());
+        let mut ledger = self.ledger.borrow_mut();
+        for (key, start) in streams {
+            ledger.record(key, start, life, now);
+        }
+    }
+
+    fn record(&self, key: StreamKey, start: StreamStart, life: Duration, now: Instant) {
+        let mut unlogged = self.unlogged.borrow_mut();
+        if unlogged.len() < MAX_STREAMS as usize {
+            unlogged.push((key, start.clone()));
+        }
+        self.ledger.borrow_mut().record(key, start, life, now);
+    }
 }
 
 /// A stream that this daemon is passing on; forgotten when dropped.
@@ -117,9 +151,9 @@
 
 fn tell_holders(context: &Rc<GatewayContext>, key: StreamKey, start: StreamStart) {
     let life = stream_life(context.configuration().as_deref());
-    context.streams.ledger.borrow_mut().record(key, start.clone(), life, boot_clock::now());
+    context.streams.record(key, start.clone(), life, boot_clock::now());
     context.metrics.count("streams_recorded", 1);
-    let holders = context.peers.borrow().rendezvous_first(key.0, HOLDERS + 1);
+    let holders = holders_and_recorder(context, key);
     let mut unsent = context.streams.unsent.borrow_mut();
     let is_first = unsent.is_empty();
     for holder in holders {
@@ -130,6 +164,23 @@
     }
 }
 
+/// The daemons that are told of a stream.
+fn holders_and_recorder(context: &GatewayContext, key: StreamKey) -> BTreeSet<SocketAddr> {
+    let peers = context.peers.borrow();
+    let holders = peers.rendezvous_first(key.0, HOLDERS + 1).into_iter();
+    holders.chain(peers.stream_recorder(boot_clock::now())).collect()
+}
+
+/// Whether streams of a service are written into the log: several versions serve it, or did before all
+/// daemons ended.
+pub fn serves_several_versions(context: &GatewayContext, service: &str) -> bool {
+    match served_versions(context, service) {
+        ServedVersions::Several => true,
+        ServedVersions::Unknown => context.streams.has_restored.get(),
+        ServedVersions::Only(_) => false,
+    }
+}
+
 async fn send_records(context: Rc<GatewayContext>) {
     sleep(COLLECT_TIME).await;
     let unsent = context.streams.unsent.take();
@@ -175,10 +226,9 @@
     }
     let life = stream_life(context.configuration().as_deref());
     let now = boot_clock::now();
-    let mut ledger = context.streams.ledger.borrow_mut();
     for stream in streams {
         let key = StreamKey(stream.get_stream());
-        ledger.record(key, read_start(stream)?, life, now);
+        context.streams.record(key, read_start(stream)?, life, now);
     }
     Ok(())
 }
@@ -213,7 +263,13 @@
         return found;
     }
     sleep(SECOND_ASK_DELAY).await;
-    find_once(context, key, service).await
+    let found = find_once(context, key, service).await;
+    if found.is_some() {
+        return found;
+    }
+    restore_streams(context).await;
+    let own = own_report(context, key, service.map(|service| &**service));
+    own.recorded.is_some().then(|| decide(&own, &[], service)).flatten()
 }
 
 async fn find_once(
--- /dev/null
+++ b/src/gateway/stream_log.rs
@@ -0,0 +1,145 @@
+//! Writes the log of streams while several versions serve, if this daemon records for its gossip group, and
+//! reads the logs of all groups for a stream that no daemon knows. `policy::request::stream_log` says what the log
+//! is for.
+
+use std::{rc::Rc, time::Duration};
+
+use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+
+use super::{
+    context::GatewayContext,
+    gossip::streams::serves_several_versions,
+    policy::request::{
+        stream_log::StreamSegment,
+        stream_origin::{StreamKey, StreamStart, stream_life},
+    },
+};
+use crate::{
+    boot_clock,
+    errors::{FailureCause, StepError},
+    platform::store::{WriteCondition, WriteResult},
+};
+
+/// Name of the service.
+pub const NAME: &str = "stream-log";
+/// Kind of the log's objects.
+const LOG_KIND: &str = "gateway-streams";
+/// Interval between two writes: streams that were begun less than this before all daemons end are not recorded.
+const WRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// Longest time for reading the log: a request waits for it.
+const READ_LIMIT: Duration = Duration::from_millis(300);
+/// Shortest time between two reads.
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Writes the log until the daemon stops.
+pub async fn run(context: Rc<GatewayContext>) {
+    let mut writer = LogWriter::new(context.clone());
+    let mut ticks = interval(WRITE_INTERVAL);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let streams = context.streams.take_unlogged();
+        let needs_record = |start: &StreamStart| serves_several_versions(&context, &start.service);
+        let is_recorder = context.peers.borrow().stream_recorder(boot_clock::now()).is_none();
+        let streams = streams.into_iter().filter(|(_, start)| is_recorder && needs_record(start));
+        if let Err(error) = writer.write(streams.collect()).await {
+            spdlog::warn!("streams not logged: {}", error);
+        }
+    }
+}
+
+/// Writes the segments of this daemon's group.
+struct LogWriter {
+    context: Rc<GatewayContext>,
+    segment: StreamSegment,
+    /// Condition for the next write of the segment; none until its object has been read.
+    condition: Option<WriteCondition>,
+    /// Whether the segment holds streams that are not in the store.
+    has_unwritten: bool,
+}
+
+impl LogWriter {
+    fn new(context: Rc<GatewayContext>) -> Self {
+        Self { context, segment: StreamSegment::default(), condition: None, has_unwritten: false }
+    }
+
+    /// Adds streams to the log.
+    ///
+    /// # Errors
+    ///
+    /// The store failed. The streams are written with the next ones, unless the segment's time is over.
+    async fn write(&mut self, streams: Vec<(StreamKey, StreamStart)>) -> Result<(), StepError> {
+        if streams.is_empty() && !self.has_unwritten {
+            return Ok(());
+        }
+        let now_ms = self.context.wall_clock.borrow().now_ms(boot_clock::now());
+        let current = StreamSegment::at(now_ms);
+        if current.begin_ms != self.segment.begin_ms {
+            (self.segment, self.condition) = (current, None);
+        }
+        streams.iter().for_each(|(key, start)| self.segment.add(*key, start));
+        self.has_unwritten = true;
+        let group = self.context.peers.borrow().neighbours().own_group;
+        let name = self.segment.object_name(group);
+        let condition = match self.condition.take() {
+            Some(condition) => condition,
+            None => self.read_condition(&name).await?,
+        };
+        let written = self.context.store.write(LOG_KIND, &name, condition, &self.segment).await?;
+        if let WriteResult::Written(position) = written {
+            self.condition = Some(WriteCondition::At(position));
+            self.has_unwritten = false;
+            self.context.metrics.count("streams_logged", streams.len() as u64);
+        }
+        Ok(())
+    }
+
+    /// Reads the segment's object. Streams of the same time, by an earlier recorder, are kept.
+    async fn read_condition(&mut self, name: &str) -> Result<WriteCondition, StepError> {
+        let Some(object) = self.context.store.read(LOG_KIND, name).await? else {
+            return Ok(WriteCondition::Absent(self.context.store.era()));
+        };
+        // What can't be decoded is replaced.
+        let stored: Option<StreamSegment> = serde_json::from_str(&object.value).ok();
+        if let Some(stored) = stored.filter(|one| one.begin_ms == self.segment.begin_ms) {
+            self.segment.merge(&stored);
+        }
+        Ok(WriteCondition::At(object.position))
+    }
+}
+
+/// Adds the streams of all logs to the known ones, unless that was done a moment ago.
+pub async fn restore_streams(context: &GatewayContext) {
+    // Requests that come meanwhile wait for the same read.
+    let mut read_at = context.streams.log_read_at.lock().await;
+    let now = boot_clock::now();
+    let is_fresh = |at: Instant| now.saturating_duration_since(at) < READ_INTERVAL;
+    if read_at.is_some_and(is_fresh) {
+        return;
+    }
+    *read_at = Some(now);
+    match read_streams(context).await {
+        Ok(streams) => {
+            context.metrics.count("streams_restored", streams.len() as u64);
+            let life = stream_life(context.configuration().as_deref());
+            context.streams.restore(streams, life, boot_clock::now());
+        }
+        Err(error) => spdlog::warn!("stream log not read: {}", error),
+    }
+}
+
+async fn read_streams(
+    context: &GatewayContext,
+) -> Result<Vec<(StreamKey, StreamStart)>, StepError> {
+    let listing = timeout(READ_LIMIT, context.store.list(LOG_KIND)).await;
+    let listing = listing.map_err(|_| {
+        let cause = FailureCause::TimedOut(READ_LIMIT.as_millis() as u64);
+        StepError::new("read stream log", context.settings.store_address.to_string(), cause)
+    })??;
+    let segments = listing.objects.iter();
+    let decoded = segments.filter_map(|object| {
+        // An object that can't be decoded isn't a log.
+        serde_json::from_str::<StreamSegment>(&object.value).ok()
+    });
+    Ok(decoded.flat_map(|segment| segment.starts()).collect())
+}
--- a/tests/gateway/stream_origin_rules.rs
+++ b/tests/gateway/stream_origin_rules.rs
@@ -11,8 +11,12 @@
         endpoint::{EndpointList, EndpointRecord, EndpointState},
         gossip::{messages::PeerSummary, peer_table::PeerTable},
         policy::{
-            request::stream_origin::{
-                HOLDERS, OriginReport, OriginSource, StreamKey, StreamLedger, StreamStart, decide,
+            request::{
+                stream_log::StreamSegment,
+                stream_origin::{
+                    HOLDERS, OriginReport, OriginSource, StreamKey, StreamLedger, StreamStart,
+                    decide,
+                },
             },
             rollout::version_history::{ServedVersions, VersionHistory},
         },
@@ -287,3 +291,47 @@
         expect_that!(outcome.found, ge(streams * 19 / 20));
     }
 }
+
+#[googletest::test]
+fn logged_streams_are_read_as_they_were_written() {
+    let start = |version: &str| StreamStart { service: "pool".into(), version: version.into() };
+    let mut segment = StreamSegment::at(10_500);
+    expect_that!(segment.begin_ms, eq(10_000));
+    segment.add(StreamKey(u64::MAX), &start("v1"));
+    segment.add(StreamKey(7), &start("v2"));
+    segment.add(StreamKey(8), &start("v1"));
+    let text = serde_json::to_string(&segment).expect("JSON");
+    let read: StreamSegment = serde_json::from_str(&text).expect("a segment");
+    expect_that!(read.streams(), eq(3));
+    let mut starts = read.starts();
+    starts.sort_by_key(|(key, _)| key.0);
+    let expected = vec![
+        (StreamKey(7), start("v2")),
+        (StreamKey(8), start("v1")),
+        (StreamKey(u64::MAX), start("v1")),
+    ];
+    expect_that!(starts, eq(&expected));
+    let mut merged = StreamSegment::at(10_900);
+    merged.merge(&read);
+    expect_that!(merged.streams(), eq(3));
+}
+
+/// A recorder that has just started must not replace what may still be taken up.
+#[googletest::test]
+fn log_keeps_streams_for_longer_than_they_live() {
+    let first = StreamSegment::at(1_000_000);
+    for later_s in (2..120).step_by(2) {
+        let later = StreamSegment::at(1_000_000 + later_s * 1_000);
+        expect_that!(later.object_name(3), not(eq(&first.object_name(3))), "{later_s} s later");
+    }
+    expect_that!(StreamSegment::at(1_001_999).object_name(3), eq(&first.object_name(3)));
+    expect_that!(first.object_name(4), not(eq(&first.object_name(3))));
+}
+
+#[googletest::test]
+fn spoilt_log_names_no_stream_that_is_none() {
+    let text = r#"{"begin_ms":0,"versions":[{"service":"pool","version":"v1","keys":"zzzzzzzzzzzzzzzz00000000000000070"}]}"#;
+    let read: StreamSegment = serde_json::from_str(text).expect("a segment");
+    let keys: Vec<StreamKey> = read.starts().into_iter().map(|(key, _)| key).collect();
+    expect_that!(keys, eq(&vec![StreamKey(7)]));
+}
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -80,6 +80,26 @@
     check(&outcome, KILL_AT);
 }
 
+/// No daemon was left that knew at which of two versions a stream had begun: 0 of 732 streams that clients took up
+/// again went on.
+#[googletest::test]
+fn streams_of_two_versions_go_on_after_all_daemons_were_killed() {
+    let _slot = acquire_fleet_slot();
+    let fleet = VersionFleet::start(daemon_count(), &[["v1"; 6], ["v2"; 6]].concat());
+    let outcome = fleet.run(CLIENTS, LOAD_TIME, |fleet, _| {
+        let all: Vec<usize> = (0..fleet.addresses.len()).collect();
+        sleep(KILL_AT);
+        fleet.kill(&all);
+        fleet.start_again(&all);
+    });
+    check(&outcome, KILL_AT);
+    let (taken_up, gone_on) = outcome.taken_up_since(KILL_AT);
+    println!("{gone_on} of {taken_up} streams from before the kill go on");
+    expect_that!(taken_up, ge(MIN_TAKE_UPS));
+    let share = gone_on as f64 / taken_up as f64;
+    expect_that!(share, ge(outcome.begun_share() / 2.0));
+}
+
 streams_of_versions! {
     streams_of_two_versions: ["v1" * 6, "v2" * 6], Duration::ZERO, |_, _| {};
     streams_of_a_version_with_few_endpoints: ["v1" * 8, "v2" * 2], Duration::ZERO, |_, _| {};
--- a/tests/gateway/version_fleet.rs
+++ b/tests/gateway/version_fleet.rs
@@ -192,6 +192,16 @@
         begun as f64 / self.streams.len().max(1) as f64
     }
 
+    /// The same of streams that were begun before that time.
+    pub fn taken_up_since(&self, from: Duration) -> (usize, usize) {
+        let is_earlier = |stream: &&StreamRecord| {
+            let begun = stream.tries.iter().find(|one| !one.events.is_empty());
+            begun.is_some_and(|one| one.at < from)
+        };
+        let streams = self.streams.iter().filter(is_earlier).cloned().collect();
+        Self { streams }.taken_up(from)
+    }
+
     /// Numbers of streams taken up and of those that went on, from a time on.
     pub fn taken_up(&self, from: Duration) -> (usize, usize) {
         let tries: Vec<&StreamTry> = self
