--- a/tests/gateway/answer_ends.rs
+++ b/tests/gateway/answer_ends.rs
@@ -76,7 +76,12 @@
 
 /// Sends a request whose first line is of this HTTP version.
 pub fn ask(address: SocketAddr, route: &str, http: &str) -> (RawAnswer, ClientEnd) {
-    let bytes = kept_request_bytes(&format!("/{route}/one"), "request-1", "key-1", &[], b"");
+    ask_path(address, &format!("/{route}/one"), "request-1", http)
+}
+
+/// The same with another path and id.
+pub fn ask_path(address: SocketAddr, path: &str, id: &str, http: &str) -> (RawAnswer, ClientEnd) {
+    let bytes = kept_request_bytes(path, id, "key-1", &[], b"");
     let text = String::from_utf8(bytes).expect("text").replace("HTTP/1.1", http);
     let mut stream = TcpStream::connect(address).expect("connect");
     stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("time-out");
