Brittle endpoints: model of the ways to divide slots, and a part of the soak

The soak has a service whose endpoints are brittle all the time, get more than they can serve and start again.

--- a/src/gateway/policy/endpoint/slot_ring.rs
+++ b/src/gateway/policy/endpoint/slot_ring.rs
@@ -23,14 +23,25 @@
     members: Vec<(u64, SocketAddr)>,
     /// Number of daemons in the fleet, which may be more than the members.
     daemons: usize,
+    /// Slots of one endpoint in a block.
+    block: u32,
 }
 
 impl SlotRing {
     /// Ring of these members, with the hashes of their addresses, in a fleet of `daemons`.
     pub fn new(members: impl IntoIterator<Item = (u64, SocketAddr)>, daemons: usize) -> Self {
+        Self::with_blocks(members, daemons, SLOTS_PER_BLOCK)
+    }
+
+    /// The same with blocks of this many slots, at least one.
+    pub fn with_blocks(
+        members: impl IntoIterator<Item = (u64, SocketAddr)>,
+        daemons: usize,
+        block: u32,
+    ) -> Self {
         let mut members: Vec<(u64, SocketAddr)> = members.into_iter().collect();
         members.sort_unstable();
-        Self { members, daemons }
+        Self { members, daemons, block }
     }
 
     /// Slots that `member` holds at the endpoint with this hash.
@@ -63,7 +74,7 @@
     }
 
     fn holder_after(&self, first: usize, slot: u32) -> Option<SocketAddr> {
-        let place = first + (slot / SLOTS_PER_BLOCK) as usize;
+        let place = first + (slot / self.block.max(1)) as usize;
         let index = place.checked_rem(self.members.len())?;
         self.members.get(index).map(|(_, address)| *address)
     }
--- a/tests/gateway/signal_checks.rs
+++ b/tests/gateway/signal_checks.rs
@@ -8,7 +8,7 @@
 
 use googletest::prelude::*;
 
-use crate::signalling_endpoint::Arrival;
+use crate::signalling_endpoint::{Arrival, Fall, SignallingEndpoint};
 
 /// Time after a draining signal during which requests may still be on their way to the endpoint.
 const DRAINING_SLACK: Duration = Duration::from_secs(2);
@@ -25,6 +25,8 @@
 const BEYOND_LIMIT: f64 = 5.0;
 /// Requests that may reach an endpoint during a back-off, after `BACKOFF_SLACK`.
 const ALLOWED_IN_BACKOFF: usize = 2;
+/// Time after a disturbance of a daemon for which falls of endpoints because of it don't count.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
 
 /// Number of distinct times in a spread of half a second, in whole milliseconds.
 const DISTINCT_TIMES: usize = 500;
@@ -64,6 +66,25 @@
     pub until: Instant,
 }
 
+/// Number of falls in which most of what was refused came from daemons that had not been disturbed for
+/// `CONTACT_TIME`, and of all.
+pub fn counted_falls(
+    endpoints: &[SignallingEndpoint],
+    disturbances: &[Disturbance],
+) -> (usize, usize) {
+    let falls: Vec<Fall> = endpoints.iter().flat_map(SignallingEndpoint::falls).collect();
+    let is_disturbed = |daemon: usize, at: Instant| {
+        let lately = |one: &Disturbance| one.from <= at && at < one.until + CONTACT_TIME;
+        disturbances.iter().any(|one| one.daemon == daemon && lately(one))
+    };
+    let counts = |fall: &&Fall| {
+        let refused = fall.refused.iter();
+        let undisturbed = refused.filter(|daemon| !is_disturbed(**daemon, fall.at)).count();
+        undisturbed * 2 > fall.refused.len()
+    };
+    (falls.iter().filter(counts).count(), falls.len())
+}
+
 /// What clients have sent and what has arrived at the endpoints.
 pub struct SeenSignals<'a> {
     /// Arrivals at each endpoint.
--- a/tests/gateway/signal_fleet.rs
+++ b/tests/gateway/signal_fleet.rs
@@ -19,8 +19,8 @@
     link_faults::{LinkFaults, PartitionManner},
     platform_standin::PlatformStandin,
     request_lines::print_request_lines,
-    signal_checks::{Disturbance, LimitOutcome, SeenSignals, SentAt},
-    signalling_endpoint::{Arrival, EndpointSignal, Fall, SLOTS, SignallingEndpoint},
+    signal_checks::{Disturbance, LimitOutcome, SeenSignals, SentAt, counted_falls},
+    signalling_endpoint::{Arrival, EndpointSignal, SLOTS, SignallingEndpoint},
 };
 
 /// Environment variable with the last release's executable file.
@@ -38,8 +38,6 @@
 pub const LOAD_TIME: Duration = Duration::from_millis(9_500);
 /// Concurrent calls that the store serves for each daemon.
 const CALLS_PER_DAEMON: usize = 3;
-/// Time after a disturbance of a daemon for which its requests don't count.
-const CONTACT_TIME: Duration = Duration::from_secs(3);
 
 /// Size of a fleet.
 #[derive(Clone, Copy, Debug)]
@@ -236,21 +234,9 @@
         self.disturbances.lock().expect("lock").extend(disturbances);
     }
 
-    /// Falls of all endpoints, and the number of those in which most of what was refused came from daemons
-    /// that had not been disturbed for `CONTACT_TIME`.
+    /// Falls of the endpoints that count, and all.
     pub fn falls(&self) -> (usize, usize) {
-        let falls: Vec<Fall> = self.endpoints.iter().flat_map(SignallingEndpoint::falls).collect();
-        let disturbances = self.disturbances.lock().expect("lock");
-        let is_disturbed = |daemon: usize, at: Instant| {
-            let lately = |one: &Disturbance| one.from <= at && at < one.until + CONTACT_TIME;
-            disturbances.iter().any(|one| one.daemon == daemon && lately(one))
-        };
-        let counts = |fall: &&Fall| {
-            let refused = fall.refused.iter();
-            let undisturbed = refused.filter(|daemon| !is_disturbed(**daemon, fall.at)).count();
-            undisturbed * 2 > fall.refused.len()
-        };
-        (falls.iter().filter(counts).count(), falls.len())
+        counted_falls(&self.endpoints, &self.disturbances.lock().expect("lock"))
     }
 
     /// Prints what the daemons have logged of the requests that were not served and were sent in this span.
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -5,6 +5,7 @@
 //! their responses that they drain, want a back-off or have a limit. Endpoints of two software versions
 //! serve side by side, and clients take streams that have broken off up again at other daemons. Daemons are replaced
 //! at other addresses while the seeds of all stay, and endpoints send bytes without end. The
+//! Brittle endpoints get more requests than they can serve, and start again. The
 //! guarantees are checked against what clients, endpoints and the platform have recorded.
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1 cargo test --test gateway soak` runs more seeds, `SOAK_DAEMONS=40`
@@ -34,6 +35,7 @@
     loopback_proxy::{LinkState, LoopbackProxy},
     platform_standin::PlatformStandin,
     replaced_seeds::state_of,
+    soak_brittle::{BRITTLE_CLIENTS, BrittleTraffic, with_brittle_service},
     soak_clients::{Exchange, SoakClient},
     soak_crashes::{CrashTraffic, with_fragile_service},
     soak_pauses::{PauseKinds, check_paused, pause_responses},
@@ -200,6 +202,7 @@
     faults: Arc<LinkFaults>,
     crash_traffic: CrashTraffic,
     signal_traffic: SignalTraffic,
+    brittle_traffic: BrittleTraffic,
     store_links: Vec<LoopbackProxy>,
     endpoints: Vec<EndpointStandin>,
     endpoint_links: Vec<LoopbackProxy>,
@@ -225,6 +228,7 @@
         let faults: Arc<LinkFaults> = Arc::default();
         let crash_traffic = CrashTraffic::start(&platform, &faults);
         let signal_traffic = SignalTraffic::start(&platform, &faults);
+        let brittle_traffic = BrittleTraffic::start(&platform, &faults);
         let endpoints: Vec<EndpointStandin> = (0..ENDPOINTS)
             .map(|place| EndpointStandin::start(&format!("i-{place}"), EndpointManner::Serve))
             .collect();
@@ -243,6 +247,7 @@
             faults,
             crash_traffic,
             signal_traffic,
+            brittle_traffic,
             store_links,
             endpoints,
             endpoint_links,
@@ -334,6 +339,7 @@
         | Fault::StopAndStart(place) = fault
         {
             self.signal_traffic.record_disturbance(place, from);
+            self.brittle_traffic.record_disturbance(place, from);
         }
     }
 
@@ -368,7 +374,11 @@
     fn write_next_version(&self) -> u64 {
         let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
         let written = configuration(version, &["key-1", &version_key(version)]);
-        self.platform.put("config", "main", with_signalling_service(with_fragile_service(written)));
+        self.platform.put(
+            "config",
+            "main",
+            with_brittle_service(with_signalling_service(with_fragile_service(written))),
+        );
         self.written_at.lock().expect("lock").insert(version, Instant::now());
         version
     }
@@ -467,6 +477,11 @@
         for number in 0..SIGNAL_CLIENTS {
             scope.spawn(move || signals.run_client(number, addresses, until, seed));
         }
+        let brittle = &site.brittle_traffic;
+        for number in 0..BRITTLE_CLIENTS {
+            scope.spawn(move || brittle.run_client(number, addresses, until, seed));
+        }
+        scope.spawn(move || brittle.start_endpoints_again(until, seed));
         let key_site = &site;
         scope.spawn(move || check_dropped_keys(key_site, addresses, until + KEY_CHECK_TIME));
         for group in FaultGroup::ALL {
@@ -485,6 +500,7 @@
     check_contact(&site);
     site.crash_traffic.check();
     site.signal_traffic.check();
+    site.brittle_traffic.check();
     check_configuration(&site, &addresses);
     let paused = play_pauses(&site, &addresses, seed);
     check_paused(&paused);
--- a/tests/gateway/soak_signals.rs
+++ b/tests/gateway/soak_signals.rs
@@ -72,17 +72,25 @@
 
 /// Adds the service of these endpoints to a configuration, with a route for requests that may be
 /// retried and one for requests that may run only once.
-pub fn with_signalling_service(mut configuration: Value) -> Value {
-    for (place, prefix) in [(0, "/speaking/plain/"), (1, "/speaking/once/")] {
+pub fn with_signalling_service(configuration: Value) -> Value {
+    with_service(configuration, SERVICE)
+}
+
+/// The same for a service of this name.
+pub fn with_service(mut configuration: Value, service_name: &str) -> Value {
+    for (place, kind) in ["plain", "once"].into_iter().enumerate() {
         let mut route = configuration["routes"][place].clone();
-        let name = format!("{SERVICE}-{place}");
-        for (field, value) in [("name", &*name), ("service", SERVICE), ("path-prefix", prefix)] {
+        let (name, prefix) =
+            (format!("{service_name}-{place}"), format!("/{service_name}/{kind}/"));
+        for (field, value) in
+            [("name", &*name), ("service", service_name), ("path-prefix", &*prefix)]
+        {
             route[field] = json!(value);
         }
         configuration["routes"].as_array_mut().expect("routes").push(route);
     }
     let mut service = configuration["services"][0].clone();
-    service["name"] = json!(SERVICE);
+    service["name"] = json!(service_name);
     configuration["services"].as_array_mut().expect("services").push(service);
     configuration
 }
