--- a/src/gateway/gossip/slot_loans.rs
+++ b/src/gateway/gossip/slot_loans.rs
@@ -1,7 +1,8 @@
 //! Borrows slots of brittle endpoints from the daemons that hold them, and lends this daemon's.
 //!
 //! A loan is an object of the lender (`SlotLease`), which the borrower releases when its run ends. If the borrower
-//! or the connection to it fails, the loan lasts as long as the run may: the endpoint may go on with it. `policy::endpoint::slot_borrower` decides who is asked, and
+//! or the connection to it fails, the loan lasts as long as the run may: the endpoint may go on with it.
+//! `policy::endpoint::slot_borrower` decides who is asked, and
 //! `policy::endpoint::endpoint_table::slot_loans` keeps the accounts.
 
 use std::{net::SocketAddr, rc::Rc, time::Duration};
--- a/src/gateway/policy/endpoint/endpoint_table/brittle.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/brittle.rs
@@ -26,7 +26,6 @@
 const BRITTLE_FOR: Duration = Duration::from_secs(30);
 /// The same if endpoints have since responded without saying so: only some may be brittle.
 const BRITTLE_FOR_OTHERWISE: Duration = Duration::from_secs(5);
-
 /// Time for which a service counts as brittle that was so to a daemon before this one started. It isn't passed
 /// on, so that the word of a daemon that has ended isn't renewed by those that start.
 const ASSUMED_FOR: Duration = Duration::from_secs(5);
--- a/src/gateway/policy/endpoint/endpoint_table/slot_loans.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/slot_loans.rs
@@ -20,7 +20,7 @@
 };
 use crate::ids::SharedName;
 
-/// Longest time for which a slot is lent.
+/// Longest time for which a slot is lent: the borrower names its request's deadline, which may be far off.
 const MAX_LOAN: Duration = Duration::from_secs(300);
 
 /// Identifies a loan of this daemon.
--- a/src/gateway/policy/request/stream_log.rs
+++ b/src/gateway/policy/request/stream_log.rs
@@ -18,7 +18,8 @@
 
 /// Time covered by a segment.
 const SEGMENT_TIME: Duration = Duration::from_secs(2);
-/// Segments of a group: together they cover more than streams usually live.
+/// Segments of a group. Together they cover two minutes, which is longer than streams live unless a route allows
+/// them over a minute.
 const SEGMENTS: u64 = 64;
 /// Hexadecimal digits of a key.
 const KEY_DIGITS: usize = 16;
