Streams: one that isn't known is not of a version that was alone for less than its age

By reading, no caller was seen harmed: a stream that its client takes up and that no daemon knows went on at the version that alone had served for two time limits. A client that has more tries may have begun it before, at a version that has gone since; its text would then be joined from two versions.

A daemon that doesn't know a stream now tells the stream's holders that it has heard of it, and 'the only version' has to have been alone since two time limits before the first word of it. Versions are remembered for ten minutes, whatever time is asked about. A take-up of a known stream refreshes its record, so that it isn't forgotten while its client goes on trying.

--- a/src/gateway/gossip/streams.rs
+++ b/src/gateway/gossip/streams.rs
@@ -24,8 +24,8 @@
         context::GatewayContext,
         policy::{
             request::stream_origin::{
-                HOLDERS, OriginReport, StreamKey, StreamLedger, StreamOrigin, StreamStart, decide,
-                stream_life,
+                HOLDERS, OriginReport, OriginSource, StreamKey, StreamLedger, StreamOrigin,
+                StreamStart, decide, stream_life,
             },
             rollout::version_history::ServedVersions,
         },
@@ -41,6 +41,8 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(150);
 /// Pause before the holders are asked again: a record may still be on its way.
 const SECOND_ASK_DELAY: Duration = Duration::from_millis(50);
+/// Time for which it is kept that another daemon has heard of a stream.
+const HEARD_KEPT: Duration = Duration::from_secs(600);
 /// Most records in one message.
 const MAX_STREAMS: u32 = 10_000;
 /// Holders asked beyond those that are told, since the order of the daemons may have changed.
@@ -78,6 +80,15 @@
         }
     }
 
+    /// Records that another daemon first heard `age` ago of a stream that it doesn't know.
+    fn record_heard(&self, key: StreamKey, start: &StreamStart, age: Duration, now: Instant) {
+        if start.is_known() {
+            return;
+        }
+        let since = now.checked_sub(age).unwrap_or(now);
+        self.ledger.borrow_mut().record_since(key, start.clone(), since, HEARD_KEPT, now);
+    }
+
     fn record(&self, key: StreamKey, start: StreamStart, life: Duration, now: Instant) {
         let mut unlogged = self.unlogged.borrow_mut();
         if unlogged.len() < MAX_STREAMS as usize {
@@ -144,9 +155,14 @@
 }
 
 fn served_versions(context: &GatewayContext, service: &str) -> ServedVersions {
+    served_versions_since(context, service, Duration::ZERO)
+}
+
+/// Versions that have served while a stream may have lived that was first heard of `age` ago.
+fn served_versions_since(context: &GatewayContext, service: &str, age: Duration) -> ServedVersions {
     let now = boot_clock::now();
     let life = stream_life(context.configuration().as_deref());
-    context.versions.borrow_mut().served(service, life, now)
+    context.versions.borrow_mut().served(service, life + age, now)
 }
 
 fn tell_holders(context: &Rc<GatewayContext>, key: StreamKey, start: StreamStart) {
@@ -164,6 +180,15 @@
     }
 }
 
+/// Records that a client has taken up a stream, so that it isn't forgotten while its client goes on trying.
+pub fn record_take_up(context: &Rc<GatewayContext>, key: StreamKey, origin: Option<&StreamOrigin>) {
+    match origin {
+        Some(origin) if origin.source == OriginSource::OnlyVersion => {}
+        Some(origin) => tell_holders(context, key, origin.start.clone()),
+        None => tell_holders(context, key, StreamStart::unknown()),
+    }
+}
+
 /// The daemons that are told of a stream.
 fn holders_and_recorder(context: &GatewayContext, key: StreamKey) -> BTreeSet<SocketAddr> {
     let peers = context.peers.borrow();
@@ -236,11 +261,12 @@
 /// What this daemon knows of a stream, and of its service if that is known.
 pub fn own_report(context: &GatewayContext, key: StreamKey, service: Option<&str>) -> OriginReport {
     let now = boot_clock::now();
-    let served =
-        service.map_or(ServedVersions::Unknown, |service| served_versions(context, service));
     let ledger = context.streams.ledger.borrow();
     let recorded =
         ledger.find(key).map(|(start, at)| (start.clone(), now.saturating_duration_since(at)));
+    let age = recorded.as_ref().map_or(Duration::ZERO, |(_, age)| *age);
+    let served = service
+        .map_or(ServedVersions::Unknown, |service| served_versions_since(context, service, age));
     OriginReport {
         recorded,
         has_several: served == ServedVersions::Several,
@@ -277,12 +303,17 @@
     key: StreamKey,
     service: Option<&SharedName>,
 ) -> Option<StreamOrigin> {
-    let own = own_report(context, key, service.map(|service| &**service));
-    let reports = match own.recorded {
-        Some(_) => Vec::new(),
-        None => ask_holders(context, key, service.map_or("", |service| service)).await,
-    };
-    decide(&own, &reports, service)
+    let name = service.map(|service| &**service);
+    let own = own_report(context, key, name);
+    if own.has_origin() {
+        return decide(&own, &[], service);
+    }
+    let reports = ask_holders(context, key, name.unwrap_or_default()).await;
+    for (start, age) in reports.iter().filter_map(|report| report.recorded.as_ref()) {
+        context.streams.record_heard(key, start, *age, boot_clock::now());
+    }
+    // Covers the time since other daemons first heard of the stream, too.
+    decide(&own_report(context, key, name), &reports, service)
 }
 
 /// Asks the holders of a stream until one has a record, or all have answered or taken too long.
@@ -293,7 +324,7 @@
     let mut reports = Vec::new();
     while let Some(answer) = answers.next().await {
         let Some(report) = answer else { continue };
-        let is_recorded = report.recorded.is_some();
+        let is_recorded = report.has_origin();
         reports.push(report);
         if is_recorded {
             break;
--- a/src/gateway/policy/request/stream_origin.rs
+++ b/src/gateway/policy/request/stream_origin.rs
@@ -30,10 +30,11 @@
 
 /// Time limit of a stream whose route sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
-/// Attempts of a client, one after the other, in which a stream may live.
+/// Attempts of a client, one after the other, in which a stream may live before a daemon hears of it: the one that
+/// began it, and the next. Whatever daemons hear of it later is recorded.
 const LIFE_ATTEMPTS: u32 = 2;
 
-/// How long a stream may live, from its begin until it is taken up for the last time.
+/// How long a stream may live without a daemon hearing of it.
 pub fn stream_life(configuration: Option<&Configuration>) -> Duration {
     let longest = configuration.and_then(|current| current.longest_stream);
     longest.unwrap_or(DEFAULT_TIMEOUT) * LIFE_ATTEMPTS
@@ -55,14 +56,29 @@
 pub struct StreamStart {
     /// Service.
     pub service: SharedName,
-    /// Version of the endpoint's software.
+    /// Version of the endpoint's software; empty if it isn't known.
     pub version: SharedName,
 }
 
+impl StreamStart {
+    /// Start of a stream that was taken up at a daemon and isn't known.
+    pub fn unknown() -> Self {
+        Self { service: "".into(), version: "".into() }
+    }
+
+    /// Whether the version is known.
+    pub fn is_known(&self) -> bool {
+        !self.version.is_empty()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct StreamRecord {
     start: StreamStart,
+    /// When it was recorded; of a stream that isn't known, first.
     recorded_at: Instant,
+    /// When it was last recorded.
+    refreshed_at: Instant,
 }
 
 /// Records of streams, by key; the oldest go first.
@@ -75,8 +91,28 @@
 
 impl StreamLedger {
     /// Records a stream, and forgets those that were recorded more than `kept` ago.
+    /// That a stream isn't known replaces no record.
     pub fn record(&mut self, key: StreamKey, start: StreamStart, kept: Duration, now: Instant) {
-        self.records.insert(key, StreamRecord { start, recorded_at: now });
+        self.record_since(key, start, now, kept, now);
+    }
+
+    /// The same for a record that another daemon made at `since`.
+    pub fn record_since(
+        &mut self,
+        key: StreamKey,
+        start: StreamStart,
+        since: Instant,
+        kept: Duration,
+        now: Instant,
+    ) {
+        let (start, recorded_at) = match self.records.get(&key) {
+            Some(known) if !start.is_known() && known.start.is_known() => {
+                (known.start.clone(), now)
+            }
+            Some(known) if !start.is_known() => (start, known.recorded_at.min(since)),
+            _ => (start, since),
+        };
+        self.records.insert(key, StreamRecord { start, recorded_at, refreshed_at: now });
         self.order.push_back((now, key));
         while let Some((at, oldest)) = self.order.front().copied() {
             let is_old = now.saturating_duration_since(at) > kept;
@@ -85,7 +121,7 @@
             }
             self.order.pop_front();
             // Recorded again since.
-            if self.records.get(&oldest).is_some_and(|record| record.recorded_at > at) {
+            if self.records.get(&oldest).is_some_and(|record| record.refreshed_at > at) {
                 continue;
             }
             self.records.remove(&oldest);
@@ -119,6 +155,13 @@
     pub has_several: bool,
 }
 
+impl OriginReport {
+    /// Whether it names the version that began the stream.
+    pub fn has_origin(&self) -> bool {
+        self.recorded.as_ref().is_some_and(|(start, _)| start.is_known())
+    }
+}
+
 /// Where the version of a stream is known from.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 pub enum OriginSource {
@@ -155,10 +198,15 @@
     let held = others.iter().filter_map(|report| report.recorded.as_ref());
     let records: Vec<_> =
         own_record.chain(held.map(|record| (record, OriginSource::Holder))).collect();
-    if let Some(((start, age), source)) = records.first() {
-        let agree = records.iter().all(|((other, _), _)| other == start);
-        let is_known = agree && !start.version.is_empty();
-        return is_known.then(|| StreamOrigin { start: start.clone(), source: *source, age: *age });
+    let known = || records.iter().filter(|((start, _), _)| start.is_known());
+    if let Some(((start, age), source)) = known().next() {
+        let agree = known().all(|((other, _), _)| other == start);
+        return agree.then(|| StreamOrigin { start: start.clone(), source: *source, age: *age });
+    }
+    // It was unknown before, so it may have been begun long ago. The only version of this daemon's report is that since
+    // then if this daemon has the record, too.
+    if !records.is_empty() && (own.recorded.is_none() || own.only_version.is_none()) {
+        return None;
     }
     let start = StreamStart { version: only_version(own, others)?, service: service?.clone() };
     Some(StreamOrigin { start, source: OriginSource::OnlyVersion, age: Duration::ZERO })
--- a/src/gateway/policy/rollout/version_history.rs
+++ b/src/gateway/policy/rollout/version_history.rs
@@ -17,6 +17,9 @@
 /// store or exchanges with peers.
 const MAX_LIST_AGE: Duration = Duration::from_secs(4);
 
+/// Time for which a version is remembered, at least: a stream that clients keep taking up may be old.
+const MIN_KEPT: Duration = Duration::from_secs(600);
+
 /// Versions that have served a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ServedVersions {
@@ -107,15 +110,18 @@
     pub fn served(&mut self, service: &str, span: Duration, now: Instant) -> ServedVersions {
         self.mark_listed(now);
         let Some(seen) = self.services.get_mut(service) else { return ServedVersions::Unknown };
-        seen.retain(|_, at| now.saturating_duration_since(*at) <= span);
-        if seen.len() > 1 {
+        let is_within = |at: &Instant, time: Duration| now.saturating_duration_since(*at) <= time;
+        seen.retain(|_, at| is_within(at, span.max(MIN_KEPT)));
+        let mut within = seen.iter().filter(|(_, at)| is_within(at, span));
+        let (first, second) = (within.next(), within.next());
+        if second.is_some() {
             return ServedVersions::Several;
         }
         let is_current =
             self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_LIST_AGE);
         let is_covered = self.restored.contains(service)
             || self.covered_since.is_some_and(|since| now.saturating_duration_since(since) >= span);
-        match seen.keys().next() {
+        match first.map(|(version, _)| version) {
             // An empty version is one that isn't known.
             Some(version) if is_current && is_covered && !version.is_empty() => {
                 ServedVersions::Only(version.clone())
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -19,7 +19,7 @@
     call::{Call, CallHead},
     configuration::{Account, Configuration, Route, Service},
     context::{GatewayContext, Intake},
-    gossip::streams::find_origin,
+    gossip::streams::{find_origin, record_take_up},
     policy::request::{
         admission::{MatchedHead, match_head, quota_units, service_at, total_weight},
         fingerprint::RequestFingerprint,
@@ -155,7 +155,7 @@
 
 /// Finds out where a stream was begun that the client takes up; none for other requests.
 async fn find_origin_of(
-    context: &GatewayContext,
+    context: &Rc<GatewayContext>,
     head: &CallHead,
     route: &Route,
     account: Option<&Account>,
@@ -167,6 +167,7 @@
     let key = StreamKey::of(account.map(|account| &*account.name), head.stream_id());
     let origin = find_origin(context, key, route.sole_service()).await;
     trace.taken_up(head.stream_id(), origin.as_ref());
+    record_take_up(context, key, origin.as_ref());
     match origin {
         Some(origin) => Ok(Some(origin)),
         None => Err(Refusal::UnknownStream(retry_after::UNKNOWN_STREAM)),
--- a/tests/gateway/stream_origin_rules.rs
+++ b/tests/gateway/stream_origin_rules.rs
@@ -66,6 +66,8 @@
     record_goes_before_the_only_version: only("v1"), [recorded("v2")] => Some("v2"), OriginSource::Holder;
     records_that_disagree: nothing(), [recorded("v1"), recorded("v2")] => None, OriginSource::Own;
     record_without_a_version: recorded(""), [] => None, OriginSource::Own;
+    stream_that_another_daemon_did_not_know_is_not_of_the_only_version: only("v2"), [recorded("")] => None, OriginSource::Own;
+    record_goes_before_what_another_daemon_did_not_know: recorded(""), [recorded("v1")] => Some("v1"), OriginSource::Holder;
     only_version_of_this_daemon: only("v1"), [nothing()] => Some("v1"), OriginSource::OnlyVersion;
     only_version_of_another_daemon: nothing(), [nothing(), only("v1")] => Some("v1"), OriginSource::OnlyVersion;
     only_version_where_another_daemon_knows_several: only("v1"), [several()] => None, OriginSource::Own;
@@ -335,3 +337,34 @@
     let keys: Vec<StreamKey> = read.starts().into_iter().map(|(key, _)| key).collect();
     expect_that!(keys, eq(&vec![StreamKey(7)]));
 }
+
+#[googletest::test]
+fn unknown_stream_replaces_no_record_and_keeps_its_first_time() {
+    let (now, key, kept) = (Instant::now(), StreamKey(1), Duration::from_secs(60));
+    let later = now + Duration::from_secs(40);
+    let mut ledger = StreamLedger::default();
+    ledger.record(key, StreamStart::unknown(), kept, now);
+    ledger.record(key, StreamStart::unknown(), kept, later);
+    expect_that!(ledger.find(key).map(|(_, at)| at), some(eq(now)));
+    ledger.record(StreamKey(2), start("v1"), kept, now + Duration::from_secs(90));
+    expect_that!(ledger.find(key).is_some(), eq(true));
+    ledger.record(key, start("v1"), kept, later);
+    ledger.record(key, StreamStart::unknown(), kept, later);
+    expect_that!(ledger.find(key).map(|(found, _)| found.clone()), some(eq(&start("v1"))));
+}
+
+/// A stream was begun at v1, which went; its client goes on trying for longer than the daemons looked back.
+#[googletest::test]
+fn old_stream_is_not_of_a_version_that_was_alone_for_less_than_its_age() {
+    let (begun, life) = (Instant::now(), Duration::from_secs(30));
+    let at = |s: u64| begun + Duration::from_secs(s);
+    let mut history = VersionHistory::default();
+    for second in 0..200 {
+        let version = if second < 50 { "v1" } else { "v2" };
+        history.apply(&list(&[version]), at(second));
+        history.confirm(Some(at(second)), at(second));
+    }
+    expect_that!(history.served("pool", life, at(199)), eq(&ServedVersions::Only("v2".into())));
+    let old = life + Duration::from_secs(130);
+    expect_that!(history.served("pool", old, at(199)), eq(&ServedVersions::Several));
+}
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -17,6 +17,11 @@
 const CLIENTS: u64 = 36;
 const LOAD_TIME: Duration = Duration::from_secs(8);
 const KILL_AT: Duration = Duration::from_secs(3);
+/// When all daemons are killed, and how long before a version goes.
+const KILLS_AT: [Duration; 3] =
+    [Duration::from_secs(3), Duration::from_millis(5_500), Duration::from_secs(8)];
+const KILL_LEAD: Duration = Duration::from_millis(200);
+const KILLS_TIME: Duration = Duration::from_secs(11);
 const RESTART_AFTER: Duration = Duration::from_millis(500);
 /// Time after which a daemon that was started again has to serve.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -100,6 +105,42 @@
     expect_that!(share, ge(outcome.begun_share() / 2.0));
 }
 
+/// Kills all daemons and starts them again at these times. One version goes just before a kill, if `end_at` names it.
+fn play_kills(end_at: Option<Duration>) {
+    let _slot = acquire_fleet_slot();
+    let fleet = VersionFleet::start(daemon_count(), &[["v1"; 6], ["v2"; 6]].concat());
+    let outcome = fleet.run(CLIENTS, KILLS_TIME, |fleet, begun| {
+        let all: Vec<usize> = (0..fleet.addresses.len()).collect();
+        for at in KILLS_AT {
+            sleep((at - KILL_LEAD).saturating_sub(begun.elapsed()));
+            if end_at == Some(at) {
+                fleet.end_version("v1");
+            }
+            sleep(at.saturating_sub(begun.elapsed()));
+            fleet.kill(&all);
+            fleet.start_again(&all);
+        }
+    });
+    let (taken_up, gone_on) = outcome.taken_up(Duration::ZERO);
+    println!("{gone_on} of {taken_up} taken up go on");
+    check(&outcome, KILLS_TIME);
+}
+
+#[googletest::test]
+fn streams_of_two_versions_are_joined_over_three_kills() {
+    play_kills(None);
+}
+
+#[googletest::test]
+fn streams_of_a_version_that_has_just_gone_are_joined_over_three_kills() {
+    play_kills(Some(KILLS_AT[0]));
+}
+
+#[googletest::test]
+fn streams_of_a_version_that_goes_before_a_second_kill_are_joined() {
+    play_kills(Some(KILLS_AT[1]));
+}
+
 streams_of_versions! {
     streams_of_two_versions: ["v1" * 6, "v2" * 6], Duration::ZERO, |_, _| {};
     streams_of_a_version_with_few_endpoints: ["v1" * 8, "v2" * 2], Duration::ZERO, |_, _| {};
--- a/tests/gateway/version_fleet.rs
+++ b/tests/gateway/version_fleet.rs
@@ -62,7 +62,9 @@
                     return;
                 }
                 let (version, seed) = (text.clone(), rng.random());
-                thread::spawn(move || serve(stream, &version, StdRng::seed_from_u64(seed)));
+                let is_ended = is_ended.clone();
+                let rng = StdRng::seed_from_u64(seed);
+                thread::spawn(move || serve(stream, &version, &is_ended, rng));
             }
         });
         Self { id: id.to_owned(), version: version.to_owned(), address, is_dropped }
@@ -84,10 +86,10 @@
     }
 }
 
-fn serve(stream: TcpStream, version: &str, mut rng: StdRng) {
+fn serve(stream: TcpStream, version: &str, is_ended: &AtomicBool, mut rng: StdRng) {
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
-        if write_stream(reader.get_mut(), &request, version, &mut rng).is_err() {
+        if write_stream(reader.get_mut(), &request, version, is_ended, &mut rng).is_err() {
             // Reset when the connection is dropped.
             let _ = SockRef::from(reader.get_ref()).set_linger(Some(Duration::ZERO));
             return;
@@ -100,6 +102,7 @@
     out: &mut TcpStream,
     request: &SeenRequest,
     version: &str,
+    is_ended: &AtomicBool,
     rng: &mut StdRng,
 ) -> std::io::Result<()> {
     let head = format!(
@@ -112,7 +115,7 @@
     for id in last + 1..=EVENTS {
         thread::sleep(EVENT_PAUSE);
         write_chunk(out, &format!("id: {id}\ndata: {version}\n\n"))?;
-        if rng.random_bool(BREAK_FRACTION) {
+        if rng.random_bool(BREAK_FRACTION) || is_ended.load(Ordering::SeqCst) {
             // Time for the event to arrive before the reset.
             thread::sleep(EVENT_PAUSE / 5);
             return Err(std::io::ErrorKind::ConnectionReset.into());
@@ -217,8 +220,8 @@
 
 /// The fleet.
 pub struct VersionFleet {
-    _platform: PlatformStandin,
-    _endpoints: Vec<VersionEndpoint>,
+    platform: PlatformStandin,
+    endpoints: Vec<VersionEndpoint>,
     gateways: Mutex<Vec<Gateway>>,
     pub addresses: Vec<SocketAddr>,
 }
@@ -250,11 +253,14 @@
         }
         gateways.iter().for_each(Gateway::wait_ready);
         let addresses = gateways.iter().map(|gateway| gateway.clients).collect();
-        Self {
-            _platform: platform,
-            _endpoints: endpoints,
-            gateways: Mutex::new(gateways),
-            addresses,
+        Self { platform, endpoints, gateways: Mutex::new(gateways), addresses }
+    }
+
+    /// Ends all endpoints of a version: their entries go, and they break off what they run.
+    pub fn end_version(&self, version: &str) {
+        for endpoint in self.endpoints.iter().filter(|endpoint| endpoint.version == version) {
+            self.platform.remove("servers", &endpoint.id);
+            endpoint.is_dropped.store(true, Ordering::SeqCst);
         }
     }
 
