Layout: state of streams, paths and the restore of the lease record in files of their own

Five files imported each other in a circle, since state that the context owns stood beside functions that take the context. The state of streams, its wire format, the versions that have served and the log now stand in gossip/streams/; the types of an open path in forwarding/open_path; what is shared of brittle endpoints in endpoint_table/; slots and limits are divided by those who apply a list (divide_all), no longer by the context. Some functions and files are split.

--- a/src/gateway.rs
+++ b/src/gateway.rs
@@ -22,4 +22,3 @@
 pub mod state;
 pub mod status_listeners;
 pub mod store_watch;
-pub mod stream_log;
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -21,7 +21,7 @@
     configuration_state::ConfigurationState,
     endpoint::EndpointList,
     gossip::{
-        peer_connections::PeerConnections, peer_table::PeerTable, streams::StreamState,
+        peer_connections::PeerConnections, peer_table::PeerTable, streams::state::StreamState,
         text_exchange::TextExchange,
     },
     policy::{
@@ -35,9 +35,9 @@
             store_watchers::{StoreWatch, WatcherElection, is_store_failing},
         },
         endpoint::{
-            endpoint_starts::lost_entries::EntryHistory, endpoint_table::EndpointTable,
-            request_limit::token_lending::TokenBorrower, slot_borrower::SlotBorrower,
-            slot_ring::SlotRing,
+            endpoint_starts::lost_entries::EntryHistory,
+            endpoint_table::{EndpointTable, slot_borrower::SlotBorrower, slot_ring::SlotRing},
+            request_limit::token_lending::TokenBorrower,
         },
         leader::{
             leader_lease::LeaderLease, usage_counts::UsageCounts, wall_clock::SteadyWallClock,
--- a/src/gateway/context/store_contents.rs
+++ b/src/gateway/context/store_contents.rs
@@ -15,10 +15,7 @@
     gateway::{
         configuration_state::{ApplyOutcome, ConfigurationSource},
         endpoint::EndpointList,
-        gossip::{
-            codec::endpoint_list,
-            endpoint_signals::{brittle::divide_slots, limits},
-        },
+        gossip::codec::endpoint_list,
         policy::{
             daemon::catch_up::ConfigurationLag,
             endpoint::{
@@ -129,8 +126,6 @@
     fn use_endpoints(&self, now: Instant) {
         let used = self.entry_history.borrow().used();
         self.endpoints.borrow_mut().set_list(&used, now);
-        divide_slots(self, now);
-        limits::divide(self, now);
         self.versions.borrow_mut().apply(&used, now);
         *self.endpoint_list.borrow_mut() = used;
     }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -22,8 +22,11 @@
     endpoint::EndpointList,
     forwarding::{access_probe, tunnel_server},
     gossip::{
-        caller, listener, peer_connections::PeerConnections, peer_table::PeerTable,
-        streams::StreamState, text_exchange::TextExchange,
+        caller, listener,
+        peer_connections::PeerConnections,
+        peer_table::PeerTable,
+        streams::{log as stream_log, state::StreamState},
+        text_exchange::TextExchange,
     },
     leader::leader_tasks,
     policy::{
@@ -48,7 +51,6 @@
     settings::{GatewaySettings, ServiceBounds, reload},
     status_listeners,
     store_watch::{configuration_watch, endpoint_watch, rollout_watch},
-    stream_log,
 };
 use crate::{
     boot_clock,
--- a/src/gateway/forwarding.rs
+++ b/src/gateway/forwarding.rs
@@ -12,6 +12,7 @@
 pub mod access_probe;
 pub mod endpoint_path;
 pub mod handshake;
+pub mod open_path;
 pub mod tunnel_opener;
 pub mod tunnel_server;
 pub mod tunnel_stream;
--- a/src/gateway/forwarding/endpoint_path.rs
+++ b/src/gateway/forwarding/endpoint_path.rs
@@ -5,14 +5,14 @@
 //! uses whichever is open first. A partition thus delays few requests before the daemon has noticed it. Opening a
 //! connection has no effect at the endpoint, so nothing runs twice.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
-use tokio::{
-    net::TcpStream,
-    time::{Instant, sleep},
-};
+use tokio::time::{Instant, sleep};
 
-use super::tunnel_opener::{OpenTunnel, open_tunnel};
+use super::{
+    open_path::{OpenPath, OpenTunnel},
+    tunnel_opener::open_tunnel,
+};
 use crate::{
     boot_clock,
     gateway::{
@@ -29,23 +29,6 @@
 /// only after a second.
 const TUNNEL_DELAY: Duration = Duration::from_millis(100);
 
-/// The way of a connection to an endpoint.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub enum EndpointPath {
-    /// Over this daemon's own links.
-    Direct,
-    /// Through the daemon with this address for tunnels.
-    Forwarded(SocketAddr),
-}
-
-/// A new connection to an endpoint.
-pub enum OpenPath {
-    /// Over this daemon's own links.
-    Direct(TcpStream),
-    /// Through another daemon.
-    Tunnel(OpenTunnel),
-}
-
 /// Opens a connection to an endpoint for the request `id`.
 ///
 /// # Errors
--- a/src/gateway/forwarding/tunnel_opener.rs
+++ b/src/gateway/forwarding/tunnel_opener.rs
@@ -9,6 +9,7 @@
 
 use super::{
     handshake::{TunnelOutcome, TunnelRequest, read_outcome, send_request},
+    open_path::OpenTunnel,
     tunnel_stream::TunnelStream,
 };
 use crate::{
@@ -23,15 +24,6 @@
 /// Longest wait for one of them: several round trips, and its own connection to the endpoint.
 const OPEN_LIMIT: Duration = Duration::from_millis(400);
 
-/// An open tunnel.
-#[derive(Debug)]
-pub struct OpenTunnel {
-    /// Its bytes.
-    pub stream: TunnelStream,
-    /// The daemon that carries it.
-    pub forwarder: SocketAddr,
-}
-
 /// Opens a tunnel to an endpoint for the request `id`.
 ///
 /// # Errors
--- a/src/gateway/gossip.rs
+++ b/src/gateway/gossip.rs
@@ -22,7 +22,6 @@
 pub mod peer_table;
 pub mod report_source;
 pub mod rollouts;
-pub mod slot_loans;
 pub mod streams;
 pub mod text_codec;
 pub mod text_exchange;
--- a/src/gateway/gossip/endpoint_signals/brittle.rs
+++ b/src/gateway/gossip/endpoint_signals/brittle.rs
@@ -11,7 +11,7 @@
     boot_clock,
     gateway::{
         context::GatewayContext,
-        policy::endpoint::{endpoint_table::brittle::BrittleEndpoint, slot_ring::SlotRing},
+        policy::endpoint::endpoint_table::{brittle::BrittleEndpoint, slot_ring::SlotRing},
     },
     ids::SharedName,
 };
--- a/src/gateway/gossip/slot_loans.rs
+++ b/src/gateway/gossip/endpoint_signals/slot_loans.rs
@@ -13,7 +13,7 @@
     time::{Instant, error::Elapsed, timeout},
 };
 
-use super::peer_connections::{CALL_LIMIT, OpenConnection};
+use super::super::peer_connections::{CALL_LIMIT, OpenConnection};
 use crate::{
     boot_clock,
     exchange_capnp::{exchange, slot_lease},
@@ -150,16 +150,18 @@
     limit: Duration,
 ) -> Option<OfferedSlot> {
     let (sender, receiver) = oneshot::channel();
-    let (asking, wanted) = (context.clone(), wanted.clone());
+    let (task_context, wanted) = (context.clone(), wanted.clone());
     // Goes on if nobody waits for it any more: a slot that is lent late has to be released.
     tokio::task::spawn_local(async move {
-        let answer = timeout(CALL_LIMIT, ask(&asking, holder, &wanted)).await;
+        let answer = timeout(CALL_LIMIT, ask(&task_context, holder, &wanted)).await;
         // Dropping the offer releases the slot.
-        let _ = sender.send(apply_answer(&asking, holder, answer));
+        let _ = sender.send(apply_answer(&task_context, holder, answer));
     });
     match timeout(limit, receiver).await {
         Ok(Ok(offer)) => offer,
+        // The task has ended without an answer: the daemon stops.
         Ok(Err(_)) => None,
+        // Too late; the task releases what is still offered.
         Err(_) => {
             if limit >= ANSWER_LIMIT {
                 context.slot_borrower.borrow_mut().record_silence(holder, boot_clock::now());
@@ -178,6 +180,7 @@
     let is_sound = match answer {
         Ok(Ok(offer)) => return offer,
         Ok(Err(error)) => error.kind == ErrorKind::Unimplemented,
+        // No answer in time: the connection may be silent for good.
         Err(_) => false,
     };
     if !is_sound {
@@ -207,6 +210,7 @@
 
 fn write_wanted(mut target: exchange::borrow_slot_params::Builder<'_>, wanted: &WantedSlot) {
     target.set_service(&*wanted.service);
+    // Empty: any version.
     target.set_version(wanted.version.as_deref().unwrap_or_default());
     let mut tried = target.reborrow().init_tried(wanted.tried.len() as u32);
     for (index, endpoint) in wanted.tried.iter().enumerate() {
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -15,7 +15,9 @@
 use super::{
     codec::endpoint_list,
     crash_reports::{apply_part_reports, apply_reports},
-    endpoint_signals::{brittle::apply_brittle, limits::apply_limits, warnings::apply_warnings},
+    endpoint_signals::{
+        brittle::apply_brittle, divide_all, limits::apply_limits, warnings::apply_warnings,
+    },
     messages::{
         CompressedText, ConfigurationSummary, DaemonCounters, DaemonState, GossipMessage,
         LeaseSummary, SentEndpoints, SentText,
@@ -192,6 +194,7 @@
         SentEndpoints::Compressed(text) => read_endpoints(context, sender, position, &text),
     };
     if list.is_some_and(|list| context.apply_endpoints(list)) {
+        divide_all(context, boot_clock::now());
         spdlog::info!("endpoints", kv: {
             era: = position.era(), revision = position.revision(), source = "peer"
         });
--- a/src/gateway/gossip/listener.rs
+++ b/src/gateway/gossip/listener.rs
@@ -8,10 +8,10 @@
 
 use super::{
     codec::{read_message, write_message},
+    endpoint_signals::slot_loans::lend_slot,
     incoming::apply_message,
     outgoing::own_message,
-    slot_loans::lend_slot,
-    streams::{own_report, receive_records, write_report},
+    streams::{codec::write_report, own_report, receive_records},
 };
 use crate::{
     exchange_capnp::exchange,
--- a/src/gateway/gossip/streams.rs
+++ b/src/gateway/gossip/streams.rs
@@ -1,35 +1,35 @@
 //! Tells other daemons at which versions this one has begun streams, and asks them about a stream that is
 //! taken up here. `policy::request::stream_origin` decides who is told and what follows from the answers.
 
-use std::{
-    cell::{Cell, RefCell},
-    collections::{BTreeSet, HashMap},
-    net::SocketAddr,
-    rc::Rc,
-    time::Duration,
-};
+pub mod codec;
+pub mod log;
+pub mod state;
+mod versions;
+
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use capnp::Error;
 use futures::{StreamExt, stream::FuturesUnordered};
-use tokio::{
-    sync::Mutex,
-    time::{Instant, sleep, timeout},
-};
+use tokio::time::{sleep, timeout};
 
+use self::{
+    codec::{read_report, read_start, write_start},
+    log::restore_streams,
+    versions::{needs_record, served_versions_since},
+};
 use super::peer_connections::CALL_LIMIT;
 use crate::{
     boot_clock,
-    exchange_capnp::{stream_report, stream_start},
+    exchange_capnp::stream_start,
     gateway::{
         context::GatewayContext,
         policy::{
             request::stream_origin::{
-                HOLDERS, OriginReport, OriginSource, StreamKey, StreamLedger, StreamOrigin,
-                StreamStart, decide, stream_life,
+                HOLDERS, OriginReport, OriginSource, StreamKey, StreamOrigin, StreamStart, decide,
+                stream_life,
             },
             rollout::version_history::ServedVersions,
         },
-        stream_log::restore_streams,
     },
     ids::SharedName,
 };
@@ -41,63 +41,11 @@
 const ANSWER_LIMIT: Duration = Duration::from_millis(150);
 /// Pause before the holders are asked again: a record may still be on its way.
 const SECOND_ASK_DELAY: Duration = Duration::from_millis(50);
-/// Time for which it is kept that another daemon has heard of a stream.
-const HEARD_KEPT: Duration = Duration::from_secs(600);
 /// Most records in one message.
 const MAX_STREAMS: u32 = 10_000;
 /// Holders asked beyond those that are told, since the order of the daemons may have changed.
 const EXTRA_HOLDERS: usize = 1;
 
-/// What a daemon knows of streams that clients may take up again.
-#[derive(Debug, Default)]
-pub struct StreamState {
-    /// Where streams were begun, here or at daemons that have told this one.
-    ledger: RefCell<StreamLedger>,
-    /// Where the streams were begun that this daemon is passing on.
-    active: RefCell<HashMap<StreamKey, StreamStart>>,
-    /// Records to be sent, by daemon.
-    unsent: RefCell<HashMap<SocketAddr, Vec<(StreamKey, StreamStart)>>>,
-    /// Records that have not been offered to the log in the store.
-    unlogged: RefCell<Vec<(StreamKey, StreamStart)>>,
-    /// When the log was last read.
-    pub log_read_at: Mutex<Option<Instant>>,
-    /// Whether the log has named streams.
-    has_restored: Cell<bool>,
-}
-
-impl StreamState {
-    /// Takes out the records that have not been offered to the log.
-    pub fn take_unlogged(&self) -> Vec<(StreamKey, StreamStart)> {
-        self.unlogged.take()
-    }
-
-    /// Records the streams that were read in the log. They are kept for `life`.
-    pub fn restore(&self, streams: Vec<(StreamKey, StreamStart)>, life: Duration, now: Instant) {
-        self.has_restored.set(self.has_restored.get() || !streams.is_empty());
-        let mut ledger = self.ledger.borrow_mut();
-        for (key, start) in streams {
-            ledger.record(key, start, life, now);
-        }
-    }
-
-    /// Records that another daemon first heard `age` ago of a stream that it doesn't know.
-    fn record_heard(&self, key: StreamKey, start: &StreamStart, age: Duration, now: Instant) {
-        if start.is_known() {
-            return;
-        }
-        let since = now.checked_sub(age).unwrap_or(now);
-        self.ledger.borrow_mut().record_since(key, start.clone(), since, HEARD_KEPT, now);
-    }
-
-    fn record(&self, key: StreamKey, start: StreamStart, life: Duration, now: Instant) {
-        let mut unlogged = self.unlogged.borrow_mut();
-        if unlogged.len() < MAX_STREAMS as usize {
-            unlogged.push((key, start.clone()));
-        }
-        self.ledger.borrow_mut().record(key, start, life, now);
-    }
-}
-
 /// A stream that this daemon is passing on; forgotten when dropped.
 pub struct ActiveStream {
     context: Rc<GatewayContext>,
@@ -150,21 +98,6 @@
     untold.map(|(key, start)| (*key, start.clone())).collect()
 }
 
-fn needs_record(context: &GatewayContext, service: &str) -> bool {
-    !matches!(served_versions(context, service), ServedVersions::Only(_))
-}
-
-fn served_versions(context: &GatewayContext, service: &str) -> ServedVersions {
-    served_versions_since(context, service, Duration::ZERO)
-}
-
-/// Versions that have served while a stream may have lived that was first heard of `age` ago.
-fn served_versions_since(context: &GatewayContext, service: &str, age: Duration) -> ServedVersions {
-    let now = boot_clock::now();
-    let life = stream_life(context.configuration().as_deref());
-    context.versions.borrow_mut().served(service, life + age, now)
-}
-
 fn tell_holders(context: &Rc<GatewayContext>, key: StreamKey, start: StreamStart) {
     let life = stream_life(context.configuration().as_deref());
     context.streams.record(key, start.clone(), life, boot_clock::now());
@@ -189,23 +122,13 @@
     }
 }
 
-/// The daemons that are told of a stream.
+/// The daemons that keep a record of a stream.
 fn holders_and_recorder(context: &GatewayContext, key: StreamKey) -> BTreeSet<SocketAddr> {
     let peers = context.peers.borrow();
     let holders = peers.rendezvous_first(key.0, HOLDERS + 1).into_iter();
     holders.chain(peers.stream_recorder(boot_clock::now())).collect()
 }
 
-/// Whether streams of a service are written into the log: several versions serve it, or did before all
-/// daemons ended.
-pub fn serves_several_versions(context: &GatewayContext, service: &str) -> bool {
-    match served_versions(context, service) {
-        ServedVersions::Several => true,
-        ServedVersions::Unknown => context.streams.has_restored.get(),
-        ServedVersions::Only(_) => false,
-    }
-}
-
 async fn send_records(context: Rc<GatewayContext>) {
     sleep(COLLECT_TIME).await;
     let unsent = context.streams.unsent.take();
@@ -308,11 +231,11 @@
     if own.has_origin() {
         return decide(&own, &[], service);
     }
-    let reports = ask_holders(context, key, name.unwrap_or_default()).await;
+    let reports = ask_holders(context, key, name.unwrap_or("")).await;
     for (start, age) in reports.iter().filter_map(|report| report.recorded.as_ref()) {
         context.streams.record_heard(key, start, *age, boot_clock::now());
     }
-    // Covers the time since other daemons first heard of the stream, too.
+    // Covers the time since the first report of the stream to any of them, too.
     decide(&own_report(context, key, name), &reports, service)
 }
 
@@ -363,45 +286,3 @@
     let response = request.send().promise.await?;
     read_report(response.get()?.get_report()?)
 }
-
-/// Writes a report into the answer to another daemon.
-pub fn write_report(mut target: stream_report::Builder<'_>, key: StreamKey, report: &OriginReport) {
-    if let Some((start, age)) = &report.recorded {
-        target.set_has_record(true);
-        write_start(target.reborrow().init_start(), key, start);
-        target.set_age_ms(u32::try_from(age.as_millis()).unwrap_or(u32::MAX));
-    }
-    if let Some(version) = &report.only_version {
-        target.set_only_version(&**version);
-    }
-    target.set_has_several(report.has_several);
-}
-
-fn read_report(source: stream_report::Reader<'_>) -> Result<OriginReport, Error> {
-    let recorded = match source.get_has_record() {
-        true => {
-            let age = Duration::from_millis(u64::from(source.get_age_ms()));
-            Some((read_start(source.get_start()?)?, age))
-        }
-        false => None,
-    };
-    let only_version = source.get_only_version()?.to_str()?;
-    Ok(OriginReport {
-        recorded,
-        only_version: (!only_version.is_empty()).then(|| only_version.into()),
-        has_several: source.get_has_several(),
-    })
-}
-
-fn write_start(mut target: stream_start::Builder<'_>, key: StreamKey, start: &StreamStart) {
-    target.set_stream(key.0);
-    target.set_service(&*start.service);
-    target.set_version(&*start.version);
-}
-
-fn read_start(source: stream_start::Reader<'_>) -> Result<StreamStart, Error> {
-    Ok(StreamStart {
-        service: source.get_service()?.to_str()?.into(),
-        version: source.get_version()?.to_str()?.into(),
-    })
-}
--- a/src/gateway/stream_log.rs
+++ b/src/gateway/gossip/streams/log.rs
@@ -1,22 +1,21 @@
 //! Writes the log of streams while several versions serve, if this daemon records for its gossip group, and
-//! reads the logs of all groups for a stream that no daemon knows. `policy::request::stream_log` says what the log
+//! reads the logs of all groups for a stream that no daemon knows. `policy::request::stream_origin::stream_log` says what the log
 //! is for.
 
 use std::{rc::Rc, time::Duration};
 
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
-use super::{
-    context::GatewayContext,
-    gossip::streams::serves_several_versions,
-    policy::request::{
-        stream_log::StreamSegment,
-        stream_origin::{StreamKey, StreamStart, stream_life},
-    },
-};
+use super::versions::serves_several_versions;
 use crate::{
     boot_clock,
     errors::{FailureCause, StepError},
+    gateway::{
+        context::GatewayContext,
+        policy::request::stream_origin::{
+            StreamKey, StreamStart, stream_life, stream_log::StreamSegment,
+        },
+    },
     platform::store::{WriteCondition, WriteResult},
 };
 
--- /dev/null
+++ b/src/gateway/gossip/streams/state.rs
@@ -0,0 +1,79 @@
+//! State of the streams that clients may take up again.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    time::Duration,
+};
+
+use tokio::{sync::Mutex, time::Instant};
+
+use crate::gateway::policy::request::stream_origin::{StreamKey, StreamLedger, StreamStart};
+
+/// Time for which it is kept that another daemon has heard of a stream.
+const HEARD_KEPT: Duration = Duration::from_secs(600);
+/// Most records that wait for the log.
+const MAX_UNLOGGED: usize = 10_000;
+
+/// What a daemon knows of streams that clients may take up again.
+#[derive(Debug, Default)]
+pub struct StreamState {
+    /// Where streams were begun, here or at daemons that have told this one.
+    pub(super) ledger: RefCell<StreamLedger>,
+    /// Where the streams were begun that this daemon is passing on.
+    pub(super) active: RefCell<HashMap<StreamKey, StreamStart>>,
+    /// Records to be sent, by daemon.
+    pub(super) unsent: RefCell<HashMap<SocketAddr, Vec<(StreamKey, StreamStart)>>>,
+    /// Records that have not been offered to the log in the store.
+    unlogged: RefCell<Vec<(StreamKey, StreamStart)>>,
+    /// When the log was last read.
+    pub(super) log_read_at: Mutex<Option<Instant>>,
+    /// Whether the log has named streams.
+    pub(super) has_restored: Cell<bool>,
+}
+
+impl StreamState {
+    /// Takes out the records that have not been offered to the log.
+    pub(super) fn take_unlogged(&self) -> Vec<(StreamKey, StreamStart)> {
+        self.unlogged.take()
+    }
+
+    /// Records the streams that were read in the log. They are kept for `life`.
+    pub(super) fn restore(
+        &self,
+        streams: Vec<(StreamKey, StreamStart)>,
+        life: Duration,
+        now: Instant,
+    ) {
+        self.has_restored.set(self.has_restored.get() || !streams.is_empty());
+        let mut ledger = self.ledger.borrow_mut();
+        for (key, start) in streams {
+            ledger.record(key, start, life, now);
+        }
+    }
+
+    /// Records that another daemon first heard `age` ago of a stream that it doesn't know.
+    pub(super) fn record_heard(
+        &self,
+        key: StreamKey,
+        start: &StreamStart,
+        age: Duration,
+        now: Instant,
+    ) {
+        if start.is_known() {
+            return;
+        }
+        let since = now.checked_sub(age).unwrap_or(now);
+        self.ledger.borrow_mut().record_since(key, start.clone(), since, HEARD_KEPT, now);
+    }
+
+    /// Records where a stream was begun, and offers that to the log.
+    pub(super) fn record(&self, key: StreamKey, start: StreamStart, life: Duration, now: Instant) {
+        let mut unlogged = self.unlogged.borrow_mut();
+        if unlogged.len() < MAX_UNLOGGED {
+            unlogged.push((key, start.clone()));
+        }
+        self.ledger.borrow_mut().record(key, start, life, now);
+    }
+}
--- a/src/gateway/leader.rs
+++ b/src/gateway/leader.rs
@@ -15,6 +15,7 @@
 pub mod lease_record;
 pub mod lease_store;
 mod quarantine;
+mod record_restore;
 mod rollout_starts;
 pub mod rollout_tasks;
 mod sole_versions;
--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -14,7 +14,9 @@
     lease_object::{CorruptLease, LeaseObject, ObservedEra, StoredLease},
     lease_record::{LeaseRecord, UsageReport},
     lease_store::LeaseStore,
-    quarantine, rollout_starts, sole_versions,
+    quarantine,
+    record_restore::restore_record,
+    rollout_starts, sole_versions,
 };
 use crate::{
     boot_clock,
@@ -120,13 +122,7 @@
         };
         self.corrupt = None;
         self.context.fleet_size.set(Some(record.daemons.max(1)));
-        fleet_members::apply_record(&self.context, &record, asked_at);
-        quarantine::restore_requests(&self.context, &record.quarantined);
-        quarantine::restore_parts(&self.context, &record.quarantined_parts);
-        rollout_starts::restore_starts(&self.context, &record.rollouts);
-        sole_versions::restore_versions(&self.context, &record.sole_versions);
-        brittle_services::restore_services(&self.context, &record.brittle_services, asked_at);
-        self.context.quotas.borrow_mut().set_throttled_before(record.throttled.iter().cloned());
+        restore_record(&self.context, &record, asked_at);
         if let Some(report) = record.report.as_ref().filter(|_| !self.is_from_earlier_era(&record))
         {
             self.context.lease.borrow_mut().mark_reported(report.window);
--- a/src/gateway/policy/endpoint.rs
+++ b/src/gateway/policy/endpoint.rs
@@ -15,5 +15,3 @@
 pub mod service_demand;
 pub mod service_room;
 pub mod signal_ledger;
-pub mod slot_borrower;
-pub mod slot_ring;
--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -137,6 +137,11 @@
 }
 
 impl EndpointChoice {
+    fn of(status: &EndpointStatus, uncached_tokens: u64, estimated_wait_ms: f64) -> Self {
+        let (endpoint, slot_use) = (status.record.clone(), status.slot_use());
+        Self { endpoint, uncached_tokens, estimated_wait_ms, slot_use }
+    }
+
     /// Expected wait for the first token; `Duration::MAX` if the client gave a number of prompt
     /// tokens that overflows it.
     pub fn estimated_wait(&self) -> Duration {
@@ -185,9 +190,7 @@
         let cost_ms = estimated_wait_ms + delay_ms + restriction_ms + noise_ms;
         let cheapest = if status.pause.is_last_resort(now) { &mut last_resort } else { &mut best };
         if cheapest.as_ref().is_none_or(|cheapest| cost_ms < cheapest.cost_ms) {
-            let endpoint = status.record.clone();
-            let slot_use = status.slot_use();
-            let choice = EndpointChoice { endpoint, uncached_tokens, estimated_wait_ms, slot_use };
+            let choice = EndpointChoice::of(status, uncached_tokens, estimated_wait_ms);
             *cheapest = Some(CostedChoice { choice, cost_ms });
         }
     }
--- a/src/gateway/policy/endpoint/endpoint_table/brittle.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/brittle.rs
@@ -27,7 +27,7 @@
 /// The same if endpoints have since responded without saying so: only some may be brittle.
 const BRITTLE_FOR_OTHERWISE: Duration = Duration::from_secs(5);
 /// Time for which a service counts as brittle that was so to a daemon before this one started. It isn't passed
-/// on, so that the word of a daemon that has ended isn't renewed by those that start.
+/// on, so that daemons that start don't renew the report of one that has ended.
 const ASSUMED_FOR: Duration = Duration::from_secs(5);
 /// Most services of which it is remembered that they were brittle.
 const MAX_SERVICES: usize = 10_000;
--- a/src/gateway/policy/endpoint/endpoint_table/limits.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/limits.rs
@@ -42,12 +42,12 @@
     pub limit: Option<f64>,
 }
 
-/// Time for which the bucket of an endpoint that is not listed is kept: entries that lapsed while the store was
-/// away come back within it.
+/// Time for which the bucket of an endpoint that is not listed is kept: longer than it takes to list entries again
+/// that lapsed while the store was away.
 const UNLISTED_BUCKET_KEPT: Duration = Duration::from_secs(30);
 
 impl EndpointTable {
-    /// Keeps the tokens for an endpoint whose entry is gone, for the case that it comes back.
+    /// Keeps the tokens for an endpoint that has left the list: it may be listed again.
     pub(super) fn keep_bucket(&mut self, status: &EndpointStatus, now: Instant) {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < UNLISTED_BUCKET_KEPT;
         self.unlisted_buckets.retain(|_, (_, at)| is_recent(at));
--- a/src/gateway/policy/endpoint/slot_borrower.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/slot_borrower.rs
@@ -18,8 +18,9 @@
 
 /// Most holders that are asked for one request.
 const MAX_ASKED: usize = 4;
-/// The same after a request that all holders denied, and for how long.
+/// The same for `SCARCE_TIME` after a request that all holders denied.
 const MAX_ASKED_IF_SCARCE: usize = 1;
+/// Time for which slots count as scarce.
 const SCARCE_TIME: Duration = Duration::from_millis(50);
 /// Time for which a holder that hasn't answered isn't asked.
 const UNRESPONSIVE_PAUSE: Duration = Duration::from_millis(500);
--- a/src/gateway/policy/endpoint/endpoint_table/slot_loans.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/slot_loans.rs
@@ -14,9 +14,9 @@
     super::{
         endpoint_choice::{ChoiceQuery, ChoiceResult},
         endpoint_status::{SlotBound, SlotShare},
-        slot_borrower::WantedEndpoint,
     },
     EndpointTable,
+    slot_borrower::WantedEndpoint,
 };
 use crate::ids::SharedName;
 
--- a/src/gateway/policy/request.rs
+++ b/src/gateway/policy/request.rs
@@ -17,6 +17,5 @@
 pub mod retries;
 pub mod retry_after;
 pub mod retry_budget;
-pub mod stream_log;
 pub mod stream_origin;
 pub mod time_limits;
--- a/src/gateway/policy/request/stream_origin.rs
+++ b/src/gateway/policy/request/stream_origin.rs
@@ -10,6 +10,8 @@
 //! seen in its lists of endpoints (`rollout::version_history`). Without a record, and with
 //! histories that are too short or name several versions, the stream is refused.
 
+pub mod stream_log;
+
 use std::{
     collections::{HashMap, VecDeque},
     time::Duration,
--- a/src/gateway/policy/request/stream_log.rs
+++ b/src/gateway/policy/request/stream_origin/stream_log.rs
@@ -13,7 +13,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use super::stream_origin::{StreamKey, StreamStart};
+use super::{StreamKey, StreamStart};
 use crate::ids::SharedName;
 
 /// Time covered by a segment.
@@ -89,6 +89,7 @@
         for LoggedVersion { service, version, keys } in &self.versions {
             let start = StreamStart { service: service.clone(), version: version.clone() };
             for digits in keys.as_bytes().chunks_exact(KEY_DIGITS) {
+                // What is no text is no key.
                 let text = std::str::from_utf8(digits).ok();
                 let key = text.and_then(|text| u64::from_str_radix(text, 16).ok());
                 starts.extend(key.map(|key| (StreamKey(key), start.clone())));
--- a/src/gateway/request/attempt/choice.rs
+++ b/src/gateway/request/attempt/choice.rs
@@ -12,7 +12,7 @@
     gateway::{
         call::CallHead,
         context::GatewayContext,
-        gossip::slot_loans::{BorrowedSlot, WantedSlot, borrow_slot},
+        gossip::endpoint_signals::slot_loans::{BorrowedSlot, WantedSlot, borrow_slot},
         policy::{
             endpoint::{
                 endpoint_choice::{ChoiceQuery, ChoiceResult, EndpointChoice},
@@ -28,8 +28,9 @@
     ids::SharedName,
 };
 
-/// Part of the route's target for which a request waits for a slot of another daemon, and the least time.
+/// Part of the route's target for which a request waits for a slot of another daemon.
 const BORROW_FRACTION: f64 = 0.125;
+/// Least time for which it waits, whatever the target: some round trips.
 const MIN_BORROW_TIME: Duration = Duration::from_millis(20);
 
 /// Refuses a request that crashes endpoints, at its first attempt and at each retry. Otherwise a
--- a/src/gateway/request/attempt/connection.rs
+++ b/src/gateway/request/attempt/connection.rs
@@ -16,7 +16,7 @@
     endpoint_health::AttemptResult,
     gateway::{
         context::GatewayContext,
-        forwarding::endpoint_path::{EndpointPath, open_path},
+        forwarding::{endpoint_path::open_path, open_path::EndpointPath},
         policy::{
             daemon::endpoint_access::LinkFailure,
             endpoint::endpoint_choice::EndpointChoice,
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -25,10 +25,7 @@
     boot_clock,
     gateway::{
         endpoint::EndpointRecord,
-        forwarding::{
-            endpoint_path::{EndpointPath, OpenPath},
-            tunnel_opener::OpenTunnel,
-        },
+        forwarding::open_path::{EndpointPath, OpenPath, OpenTunnel},
         policy::request::retries::ConnectionReuse,
     },
     ids::SharedName,
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -17,7 +17,7 @@
     gateway::{
         call::PartId,
         context::GatewayContext,
-        forwarding::endpoint_path::EndpointPath,
+        forwarding::open_path::EndpointPath,
         policy::{
             endpoint::{endpoint_choice::EndpointChoice, service_room::ServiceRoom},
             request::{
@@ -96,6 +96,7 @@
             "{endpoint} {version} uncached {uncached} of {prompt_tokens} wait {wait:.0};"
         );
         if let Some(slot_use) = choice.slot_use {
+            // Writing to a string cannot fail.
             let _ = write!(self.steps, " {slot_use};");
         }
         self.attempts += 1;
--- a/src/gateway/request/run_guard.rs
+++ b/src/gateway/request/run_guard.rs
@@ -12,9 +12,8 @@
         configuration::Route,
         context::GatewayContext,
         endpoint::EndpointRecord,
-        gossip::{
-            endpoint_signals::{brittle::apply_response_brittle, limits::apply_response_limit},
-            slot_loans::BorrowedSlot,
+        gossip::endpoint_signals::{
+            brittle::apply_response_brittle, limits::apply_response_limit, slot_loans::BorrowedSlot,
         },
         policy::{
             endpoint::{
--- a/src/gateway/store_watch/endpoint_watch.rs
+++ b/src/gateway/store_watch/endpoint_watch.rs
@@ -17,6 +17,7 @@
     gateway::{
         context::GatewayContext,
         endpoint::{EndpointList, EndpointRecord},
+        gossip::endpoint_signals::divide_all,
         policy::daemon::store_watchers::MAX_WATCH_WAIT,
     },
     ids::SharedName,
@@ -165,6 +166,7 @@
         let endpoints: Vec<Rc<EndpointRecord>> = known.by_id.values().cloned().collect();
         let (position, count) = (known.position, endpoints.len());
         if self.context.apply_endpoints(EndpointList { position, endpoints }) {
+            divide_all(&self.context, boot_clock::now());
             spdlog::info!("endpoints", kv: {
                 era: = position.era(), revision = position.revision(), count, source = "store"
             });
--- a/tests/gateway/brittle_rules.rs
+++ b/tests/gateway/brittle_rules.rs
@@ -11,8 +11,7 @@
     policy::endpoint::{
         endpoint_choice::ChoiceResult,
         endpoint_load::{RunLoad, endpoint_number},
-        endpoint_table::{EndpointTable, brittle::BrittleState},
-        slot_ring::SlotRing,
+        endpoint_table::{EndpointTable, brittle::BrittleState, slot_ring::SlotRing},
     },
 };
 
--- a/tests/gateway/slot_model.rs
+++ b/tests/gateway/slot_model.rs
@@ -11,8 +11,10 @@
         gossip::groups::hash_address,
         policy::endpoint::{
             endpoint_load::endpoint_number,
-            slot_borrower::{SlotBorrower, WantedEndpoint},
-            slot_ring::SlotRing,
+            endpoint_table::{
+                slot_borrower::{SlotBorrower, WantedEndpoint},
+                slot_ring::SlotRing,
+            },
         },
     },
     ids::SharedName,
--- a/tests/gateway/stream_origin_rules.rs
+++ b/tests/gateway/stream_origin_rules.rs
@@ -11,12 +11,9 @@
         endpoint::{EndpointList, EndpointRecord, EndpointState},
         gossip::{messages::PeerSummary, peer_table::PeerTable},
         policy::{
-            request::{
+            request::stream_origin::{
+                HOLDERS, OriginReport, OriginSource, StreamKey, StreamLedger, StreamStart, decide,
                 stream_log::StreamSegment,
-                stream_origin::{
-                    HOLDERS, OriginReport, OriginSource, StreamKey, StreamLedger, StreamStart,
-                    decide,
-                },
             },
             rollout::version_history::{ServedVersions, VersionHistory},
         },
