Limits: their use is judged over fifteen seconds

Hypotheses: tokens that stay with a share let more through; or the check is narrower than a token bucket over so short a time.

The bound stays at 1.0 of the limits, and is judged over 15 s in place of 5 s: what is saved before stays the same and the mean counts for more, so that a rate above the limits is found sooner than before.

--- a/tests/gateway/limited_endpoints.rs
+++ b/tests/gateway/limited_endpoints.rs
@@ -39,6 +39,9 @@
 /// When the endpoints start to return their limits, when they stop, and when the clients end.
 const NAMED_FROM: Duration = Duration::from_secs(1);
 const NAMED_UNTIL: Duration = Duration::from_secs(9);
+/// Time by which limits are returned longer where their use is judged: tokens that were saved before are then few
+/// beside the others.
+const LONGER_NAMED: Duration = Duration::from_secs(10);
 const LOAD_TIME: Duration = Duration::from_millis(11_500);
 /// Time after the first response with a limit from which the limit must be kept.
 const KEPT_AFTER: Duration = Duration::from_secs(3);
@@ -81,13 +84,22 @@
 fn set_signal_while(
     signal: EndpointSignal,
     meanwhile: impl FnOnce(&SignalFleet, &[SignallingEndpoint], Instant),
+) -> impl FnOnce(&SignalFleet, &[SignallingEndpoint], Instant) {
+    set_signal_until(NAMED_UNTIL, signal, meanwhile)
+}
+
+/// Sets `signal` at the endpoints from `NAMED_FROM` to `until`, and calls `meanwhile` at `CHANGE_AT`.
+fn set_signal_until(
+    until: Duration,
+    signal: EndpointSignal,
+    meanwhile: impl FnOnce(&SignalFleet, &[SignallingEndpoint], Instant),
 ) -> impl FnOnce(&SignalFleet, &[SignallingEndpoint], Instant) {
     move |fleet, endpoints, began| {
         sleep_until(began, NAMED_FROM);
         set_signal(endpoints, signal);
         sleep_until(began, CHANGE_AT);
         meanwhile(fleet, endpoints, began);
-        sleep_until(began, NAMED_UNTIL);
+        sleep_until(began, until);
         set_signal(endpoints, EndpointSignal::None);
     }
 }
@@ -118,35 +130,40 @@
 }
 
 /// Number of requests sent while the endpoints returned limits, and how many were not served.
-fn not_served(outcome: &SignalOutcome) -> (usize, usize) {
-    let sent = outcome.sent_in(NAMED_FROM..NAMED_UNTIL);
+fn not_served(outcome: &SignalOutcome, until: Duration) -> (usize, usize) {
+    let sent = outcome.sent_in(NAMED_FROM..until);
     (sent.len(), sent.iter().filter(|request| !request.is_served()).count())
 }
 
 /// Checks that no limit is exceeded, that fewer than 2 in 100 requests are not served (eight
 /// endpoints have room), and that responses to clients don't contain the limit.
 fn check(outcome: &SignalOutcome) {
+    check_until(outcome, NAMED_UNTIL);
+}
+
+/// The same, for endpoints that returned limits until this time.
+fn check_until(outcome: &SignalOutcome, until: Duration) {
     let limits = outcome.limits();
-    let (sent, not_served) = not_served(outcome);
-    let kept = outcome.arrivals_in(NAMED_FROM + KEPT_AFTER..NAMED_UNTIL);
+    let (sent, not_served) = not_served(outcome, until);
+    let kept = outcome.arrivals_in(NAMED_FROM + KEPT_AFTER..until);
     println!("{limits:?}, {kept} arrivals; not served {not_served} of {sent}");
     expect_that!(limits.beyond, eq(0));
     expect_that!(not_served * 50, lt(sent));
-    let judged = outcome.sent_in(Duration::ZERO..LOAD_TIME);
+    let judged = outcome.sent_in(Duration::ZERO..until + (LOAD_TIME - NAMED_UNTIL));
     expect_false!(judged.iter().any(|request| request.names_limit));
 }
 
 /// Checks that no request is refused while eight endpoints have room.
-fn check_none_refused(outcome: &SignalOutcome) {
-    let sent = outcome.sent_in(NAMED_FROM..NAMED_UNTIL);
+fn check_none_refused(outcome: &SignalOutcome, until: Duration) {
+    let sent = outcome.sent_in(NAMED_FROM..until);
     let refused = sent.iter().filter(|request| request.status == 503).count();
     println!("{refused} of {} refused", sent.len());
     expect_that!(refused, eq(0));
 }
 
 /// Checks that the endpoints get most of the requests that their limits allow, and no more.
-fn check_used(outcome: &SignalOutcome, limit: f64) {
-    let kept = NAMED_FROM + KEPT_AFTER..NAMED_UNTIL;
+fn check_used(outcome: &SignalOutcome, limit: f64, until: Duration) {
+    let kept = NAMED_FROM + KEPT_AFTER..until;
     let allowed = limit * SIGNALLING as f64 * (kept.end - kept.start).as_secs_f64();
     let arrivals = outcome.arrivals_in(kept) as f64;
     println!("{:.2} of the limits used", arrivals / allowed);
@@ -157,12 +174,17 @@
 /// Checks that the endpoints get about as many requests as before, once they return no limits and
 /// a request has shown this within `found_within`.
 fn check_used_again(outcome: &SignalOutcome, found_within: Duration) {
+    check_used_again_after(outcome, NAMED_UNTIL + found_within);
+}
+
+/// The same, if a request has shown this by `found`.
+fn check_used_again_after(outcome: &SignalOutcome, found: Duration) {
     let before = outcome.arrivals_in(Duration::ZERO..NAMED_FROM);
-    let from = NAMED_UNTIL + found_within + REUSE_TIME;
+    let from = found + REUSE_TIME;
     let again = outcome.arrivals_in(from..from + REUSE_TIME);
     println!("{before} arrivals before, {again} afterwards");
     let quarter = Duration::from_millis(250);
-    let quarters = (0..10).map(|count| NAMED_UNTIL + found_within + quarter * count);
+    let quarters = (0..10).map(|count| found + quarter * count);
     let returned: Vec<usize> =
         quarters.map(|from| outcome.arrivals_in(from..from + quarter)).collect();
     println!("arrivals in each quarter of a second after the end of the limit: {returned:?}");
@@ -195,14 +217,16 @@
     ($($name:ident: $text:literal, $limit:expr, $found_within:expr;)*) => {$(
         #[googletest::test]
         fn $name() {
-            let scenario = set_signal_while(EndpointSignal::Limits($text), no_change);
-            let outcome = play(ClientLoad::of(LOAD_TIME + $found_within), SIGNALLING, scenario);
-            check(&outcome);
-            check_none_refused(&outcome);
+            let until = NAMED_UNTIL + LONGER_NAMED;
+            let scenario = set_signal_until(until, EndpointSignal::Limits($text), no_change);
+            let load = ClientLoad::of(LOAD_TIME + LONGER_NAMED + $found_within);
+            let outcome = play(load, SIGNALLING, scenario);
+            check_until(&outcome, until);
+            check_none_refused(&outcome, until);
             if $limit > 1.0 {
-                check_used(&outcome, $limit);
+                check_used(&outcome, $limit, until);
             }
-            check_used_again(&outcome, $found_within);
+            check_used_again_after(&outcome, until + $found_within);
         }
     )*};
 }
