Heads that are cut: also behind a tunnel

Not tried before: whether a response that ends in its head reaches a client as whole through a forwarder. A daemon is partitioned from all endpoints, serves by tunnels of another, and heads are cut after every fifth byte, closed or reset, with a length, chunks or neither, for clients of HTTP/1.1 and 1.0.

--- a/tests/gateway/head_cutting_endpoint.rs
+++ b/tests/gateway/head_cutting_endpoint.rs
@@ -14,7 +14,10 @@
 
 use socket2::SockRef;
 
-use crate::endpoint_standin::{SeenRequest, event, read_request};
+use crate::{
+    endpoint_standin::{SeenRequest, event, read_request},
+    link_faults::LinkFaults,
+};
 
 /// Number of events of a whole stream.
 const EVENTS: u64 = 3;
@@ -52,6 +55,7 @@
 
 struct Shared {
     cut: Mutex<HeadCut>,
+    faults: LinkFaults,
     /// Requests whose response has been cut.
     seen: Mutex<HashSet<String>>,
     cut_count: AtomicUsize,
@@ -68,6 +72,7 @@
     pub fn start(count: usize) -> Self {
         let shared = Arc::new(Shared {
             cut: Mutex::new(HeadCut { bytes: 0, kind: HeadKind::Length, is_reset: false }),
+            faults: LinkFaults::default(),
             seen: Mutex::default(),
             cut_count: AtomicUsize::new(0),
             is_dropped: AtomicBool::new(false),
@@ -87,6 +92,11 @@
         *self.shared.cut.lock().expect("lock") = cut;
     }
 
+    /// Failures of the links to these endpoints.
+    pub fn faults(&self) -> &LinkFaults {
+        &self.shared.faults
+    }
+
     /// Number of responses that were cut.
     pub fn cut_count(&self) -> usize {
         self.shared.cut_count.load(Ordering::SeqCst)
@@ -109,7 +119,11 @@
             };
             stream.set_nonblocking(false).expect("a blocking connection");
             let shared = self.clone();
-            thread::spawn(move || shared.serve(stream));
+            thread::spawn(move || {
+                if !shared.faults.closes(&stream) {
+                    shared.serve(stream);
+                }
+            });
         }
     }
 
