Streams: an only version counts after a kill of all once the log of streams has been read

Clients got a 200 whose text was joined from two versions, with nothing in it to show that. Two versions serve, one goes, the clients of its streams go on trying and are refused; after two time limits the leader records that the other one alone serves; all daemons are killed and come back. Only the killed ones knew of the tries. The new ones trust the record and go on at the version that is left, though the log of streams in the store names the right one.

Hypotheses: the record is taken for a longer time than it covers, and the log isn't asked where the record decides; or a stream's record in the log is missing. Request lines tell: 's-4-0-0 at v2 by only version' in 11 streams of v1, which the log named at other daemons ('at v1 by own record').

Now a daemon uses the record only after it has read the log, once at its start; the log also names streams that were taken up and aren't known; and the record says for how long the version was alone (alone_ms), so that it says nothing of streams that were heard of before that.

--- a/src/gateway/gossip/streams/log.rs
+++ b/src/gateway/gossip/streams/log.rs
@@ -6,7 +6,7 @@
 
 use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
 
-use super::versions::serves_several_versions;
+use super::{state::LoggedStream, versions::serves_several_versions};
 use crate::{
     boot_clock,
     errors::{FailureCause, StepError},
@@ -38,7 +38,10 @@
     loop {
         ticks.tick().await;
         let streams = context.streams.take_unlogged();
-        let needs_record = |start: &StreamStart| serves_several_versions(&context, &start.service);
+        // That a stream isn't known has to outlive all daemons, too.
+        let needs_record = |start: &StreamStart| {
+            !start.is_known() || serves_several_versions(&context, &start.service)
+        };
         let is_recorder = context.peers.borrow().stream_recorder(boot_clock::now()).is_none();
         let streams = streams.into_iter().filter(|(_, start)| is_recorder && needs_record(start));
         if let Err(error) = writer.write(streams.collect()).await {
@@ -117,28 +120,38 @@
         return;
     }
     *read_at = Some(now);
-    match read_streams(context).await {
-        Ok(streams) => {
-            context.metrics.count("streams_restored", streams.len() as u64);
-            let life = stream_life(context.configuration().as_deref());
-            context.streams.restore(streams, life, boot_clock::now());
-        }
-        Err(error) => spdlog::warn!("stream log not read: {}", error),
+    let read = timeout(READ_LIMIT, read_log(context)).await.unwrap_or_else(|_| {
+        let cause = FailureCause::TimedOut(READ_LIMIT.as_millis() as u64);
+        Err(StepError::new("read stream log", context.settings.store_address.to_string(), cause))
+    });
+    if let Err(error) = read {
+        spdlog::warn!("stream log not read: {}", error);
     }
 }
 
-async fn read_streams(
-    context: &GatewayContext,
-) -> Result<Vec<(StreamKey, StreamStart)>, StepError> {
-    let listing = timeout(READ_LIMIT, context.store.list(LOG_KIND)).await;
-    let listing = listing.map_err(|_| {
-        let cause = FailureCause::TimedOut(READ_LIMIT.as_millis() as u64);
-        StepError::new("read stream log", context.settings.store_address.to_string(), cause)
-    })??;
-    let segments = listing.objects.iter();
-    let decoded = segments.filter_map(|object| {
+/// Adds the streams of all logs to the known ones.
+///
+/// # Errors
+///
+/// The store failed or did not respond in time.
+pub async fn read_log(context: &GatewayContext) -> Result<(), StepError> {
+    let listing = context.store.list(LOG_KIND).await?;
+    let now = boot_clock::now();
+    let now_ms = context.wall_clock.borrow().now_ms(now);
+    let decoded = listing.objects.iter().filter_map(|object| {
         // An object that can't be decoded isn't a log.
         serde_json::from_str::<StreamSegment>(&object.value).ok()
     });
-    Ok(decoded.flat_map(|segment| segment.starts()).collect())
+    let streams: Vec<LoggedStream> =
+        decoded.flat_map(|segment| streams_of(&segment, now_ms)).collect();
+    context.metrics.count("streams_restored", streams.len() as u64);
+    let life = stream_life(context.configuration().as_deref());
+    context.streams.restore(streams, life, now);
+    Ok(())
+}
+
+fn streams_of(segment: &StreamSegment, now_ms: u64) -> Vec<LoggedStream> {
+    let age = Duration::from_millis(now_ms.saturating_sub(segment.begin_ms));
+    let starts = segment.starts().into_iter();
+    starts.map(|(key, start)| LoggedStream { key, start, age }).collect()
 }
--- a/src/gateway/gossip/streams/state.rs
+++ b/src/gateway/gossip/streams/state.rs
@@ -16,6 +16,15 @@
 /// Most records that wait for the log.
 const MAX_UNLOGGED: usize = 10_000;
 
+/// A stream as it stands in the log.
+#[derive(Clone, Debug)]
+pub(super) struct LoggedStream {
+    pub key: StreamKey,
+    pub start: StreamStart,
+    /// Time since the segment began that names it.
+    pub age: Duration,
+}
+
 /// What a daemon knows of streams that clients may take up again.
 #[derive(Debug, Default)]
 pub struct StreamState {
@@ -31,6 +40,8 @@
     pub(super) log_read_at: Mutex<Option<Instant>>,
     /// Whether the log has named streams.
     pub(super) has_restored: Cell<bool>,
+    /// Whether the log has been read since the start.
+    is_log_read: Cell<bool>,
 }
 
 impl StreamState {
@@ -39,17 +50,21 @@
         self.unlogged.take()
     }
 
+    /// Whether the log has been read since the start.
+    pub fn is_log_read(&self) -> bool {
+        self.is_log_read.get()
+    }
+
     /// Records the streams that were read in the log. They are kept for `life`.
-    pub(super) fn restore(
-        &self,
-        streams: Vec<(StreamKey, StreamStart)>,
-        life: Duration,
-        now: Instant,
-    ) {
+    pub(super) fn restore(&self, streams: Vec<LoggedStream>, life: Duration, now: Instant) {
+        self.is_log_read.set(true);
         self.has_restored.set(self.has_restored.get() || !streams.is_empty());
-        let mut ledger = self.ledger.borrow_mut();
-        for (key, start) in streams {
-            ledger.record(key, start, life, now);
+        for LoggedStream { key, start, age } in streams {
+            if start.is_known() {
+                self.ledger.borrow_mut().record(key, start, life, now);
+            } else {
+                self.record_heard(key, &start, age, now);
+            }
         }
     }
 
--- a/src/gateway/leader/lease_record.rs
+++ b/src/gateway/leader/lease_record.rs
@@ -62,6 +62,9 @@
     pub version: SharedName,
     /// Until when no other version had served, in milliseconds since 1970.
     pub seen_ms: u64,
+    /// For how long no other one had served by then, in milliseconds; 0 in records of earlier releases.
+    #[serde(default)]
+    pub alone_ms: u64,
 }
 
 fn is_zero(number: &u64) -> bool {
--- a/src/gateway/leader/record_restore.rs
+++ b/src/gateway/leader/record_restore.rs
@@ -1,5 +1,7 @@
 //! Applies what the holder of the lease has recorded for daemons that start.
 
+use std::rc::Rc;
+
 use tokio::time::Instant;
 
 use super::{
@@ -9,7 +11,7 @@
 use crate::gateway::context::GatewayContext;
 
 /// Applies a record that was requested at `asked_at`.
-pub fn restore_record(context: &GatewayContext, record: &LeaseRecord, asked_at: Instant) {
+pub fn restore_record(context: &Rc<GatewayContext>, record: &LeaseRecord, asked_at: Instant) {
     fleet_members::apply_record(context, record, asked_at);
     quarantine::restore_requests(context, &record.quarantined);
     quarantine::restore_parts(context, &record.quarantined_parts);
--- a/src/gateway/policy/rollout/version_history.rs
+++ b/src/gateway/policy/rollout/version_history.rs
@@ -31,6 +31,15 @@
     Unknown,
 }
 
+/// Time for which the leader knew that one version alone had served a service.
+#[derive(Clone, Copy, Debug)]
+struct RestoredSpan {
+    /// When this daemon learnt of it.
+    restored_at: Instant,
+    /// How long before that the span begins.
+    reach: Duration,
+}
+
 /// Versions by service, with the time at which each was last listed.
 #[derive(Debug, Default)]
 pub struct VersionHistory {
@@ -39,8 +48,8 @@
     listed: HashMap<SharedName, BTreeSet<SharedName>>,
     /// Since when the lists have been confirmed without a gap.
     covered_since: Option<Instant>,
-    /// Services whose versions before that are known from the leader.
-    restored: BTreeSet<SharedName>,
+    /// Services whose versions before that are known from the leader, and how far back.
+    restored: HashMap<SharedName, RestoredSpan>,
     confirmed_at: Option<Instant>,
 }
 
@@ -71,11 +80,12 @@
         self.confirmed_at = self.confirmed_at.max(Some(confirmed));
     }
 
-    /// Restores that one version alone had served a service until `age` ago, for as long as a stream may live.
+    /// Restores that one version alone had served a service for `alone`, until `age` ago.
     pub fn restore(
         &mut self,
         service: &SharedName,
         version: &SharedName,
+        alone: Duration,
         age: Duration,
         now: Instant,
     ) {
@@ -83,7 +93,8 @@
         let seen = self.services.entry(service.clone()).or_default();
         let at = seen.entry(version.clone()).or_insert(seen_at);
         *at = (*at).max(seen_at);
-        self.restored.insert(service.clone());
+        let span = RestoredSpan { restored_at: now, reach: alone + age };
+        self.restored.insert(service.clone(), span);
     }
 
     /// Services that one version alone has served within the last `span`, with that version.
@@ -119,8 +130,12 @@
         }
         let is_current =
             self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_LIST_AGE);
-        let is_covered = self.restored.contains(service)
-            || self.covered_since.is_some_and(|since| now.saturating_duration_since(since) >= span);
+        let restored = self
+            .restored
+            .get(service)
+            .map(|restored| now.saturating_duration_since(restored.restored_at) + restored.reach);
+        let confirmed = self.covered_since.map(|since| now.saturating_duration_since(since));
+        let is_covered = restored.max(confirmed).is_some_and(|covered| covered >= span);
         match first.map(|(version, _)| version) {
             // An empty version is one that isn't known.
             Some(version) if is_current && is_covered && !version.is_empty() => {
--- a/tests/gateway/stream_origin_rules.rs
+++ b/tests/gateway/stream_origin_rules.rs
@@ -182,7 +182,7 @@
     let begun = Instant::now();
     let restored = |versions: &[&str]| {
         let mut history = VersionHistory::default();
-        history.restore(&"pool".into(), &"v1".into(), Duration::from_secs(2), begun);
+        history.restore(&"pool".into(), &"v1".into(), LIFE, Duration::from_secs(2), begun);
         history.apply(&list(versions), begun);
         history.confirm(Some(begun), begun);
         history
@@ -365,3 +365,34 @@
     let old = life + Duration::from_secs(130);
     expect_that!(history.served("pool", old, at(199)), eq(&ServedVersions::Several));
 }
+
+/// All daemons were killed. The record of the leader says less of a stream that was heard of before it.
+#[googletest::test]
+fn restored_version_covers_no_longer_than_the_leader_knew_it_alone() {
+    let begun = Instant::now();
+    let age = Duration::from_secs(2);
+    let mut history = VersionHistory::default();
+    history.restore(&"pool".into(), &"v2".into(), LIFE, age, begun);
+    for second in 0..=5 {
+        let now = begun + Duration::from_secs(second);
+        history.apply(&list(&["v2"]), now);
+        history.confirm(Some(now), now);
+    }
+    let now = begun + Duration::from_secs(5);
+    let only = ServedVersions::Only("v2".into());
+    expect_that!(history.served("pool", LIFE, now), eq(&only));
+    expect_that!(history.served("pool", LIFE + Duration::from_secs(7), now), eq(&only));
+    expect_that!(
+        history.served("pool", LIFE + Duration::from_secs(8), now),
+        eq(&ServedVersions::Unknown)
+    );
+}
+
+#[googletest::test]
+fn log_keeps_that_a_stream_is_not_known() {
+    let mut segment = StreamSegment::at(10_500);
+    segment.add(StreamKey(7), &StreamStart::unknown());
+    let text = serde_json::to_string(&segment).expect("JSON");
+    let read: StreamSegment = serde_json::from_str(&text).expect("a segment");
+    expect_that!(read.starts(), eq(&vec![(StreamKey(7), StreamStart::unknown())]));
+}
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     fleet_places::acquire_fleet_slot,
-    version_fleet::{VersionFleet, VersionOutcome},
+    version_fleet::{ClientTries, VersionFleet, VersionOutcome},
 };
 
 const DEFAULT_DAEMONS: usize = 9;
@@ -27,6 +27,12 @@
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Twice the time limit of the fleet's routes, and what the leader takes to record it.
 const STREAM_LIFE: Duration = Duration::from_secs(10);
+/// When a version goes for good, and how long after the other one counts as the only one all daemons are killed.
+const END_AT: Duration = Duration::from_millis(500);
+const KILL_DELAY: Duration = Duration::from_secs(2);
+/// Tries of clients that go on until daemons serve again.
+const MANY_TRIES: ClientTries =
+    ClientTries { max: 14, refused_pause: Duration::from_millis(1_200) };
 /// Most streams that may hold events of two versions.
 const ALLOWED_MIXED: usize = 2;
 /// Least number of streams taken up for which the share that goes on counts.
@@ -141,6 +147,28 @@
     play_kills(Some(KILLS_AT[1]));
 }
 
+/// A version went, and clients tried to take up its streams for longer than the daemons looked back. Only the killed
+/// daemons knew of these tries: the others took the streams for those of the version that was left.
+#[googletest::test]
+fn streams_that_clients_try_for_long_are_joined_after_all_daemons_were_killed() {
+    let _slot = acquire_fleet_slot();
+    let fleet = VersionFleet::start(daemon_count(), &[["v1"; 6], ["v2"; 6]].concat());
+    let kill_at = END_AT + STREAM_LIFE + KILL_DELAY;
+    let outcome = fleet.run_tries(CLIENTS, kill_at + CONTACT_TIME, MANY_TRIES, |fleet, begun| {
+        let all: Vec<usize> = (0..fleet.addresses.len()).collect();
+        sleep(END_AT.saturating_sub(begun.elapsed()));
+        fleet.end_version("v1");
+        sleep(kill_at.saturating_sub(begun.elapsed()));
+        fleet.kill(&all);
+        fleet.start_again(&all);
+    });
+    let (taken_up, gone_on) = outcome.taken_up_since(END_AT);
+    println!("{taken_up} tries at streams from before the end of the version, {gone_on} go on");
+    println!("{} hold two versions", outcome.mixed());
+    expect_that!(taken_up, ge(MIN_TAKE_UPS));
+    expect_that!(outcome.mixed(), eq(0));
+}
+
 streams_of_versions! {
     streams_of_two_versions: ["v1" * 6, "v2" * 6], Duration::ZERO, |_, _| {};
     streams_of_a_version_with_few_endpoints: ["v1" * 8, "v2" * 2], Duration::ZERO, |_, _| {};
--- a/tests/gateway/version_fleet.rs
+++ b/tests/gateway/version_fleet.rs
@@ -34,10 +34,20 @@
 const SLOTS: u32 = 12;
 /// Calls that the store answers at the same time for each daemon.
 const STORE_CALLS_PER_DAEMON: usize = 3;
-/// Most tries of a client at one stream.
-const MAX_TRIES: usize = 4;
-/// Pause of a client after a refusal.
-const REFUSED_PAUSE: Duration = Duration::from_millis(100);
+/// How often a client tries a stream.
+#[derive(Clone, Copy, Debug)]
+pub struct ClientTries {
+    /// Most tries.
+    pub max: usize,
+    /// Pause after a refusal.
+    pub refused_pause: Duration,
+}
+
+impl ClientTries {
+    /// Those of most tests.
+    pub const USUAL: Self = Self { max: 4, refused_pause: Duration::from_millis(100) };
+}
+
 /// Longest time in which a client expects the next bytes.
 const READ_LIMIT: Duration = Duration::from_secs(4);
 
@@ -286,6 +296,17 @@
         clients: u64,
         time: Duration,
         faults: impl FnOnce(&Self, Instant),
+    ) -> VersionOutcome {
+        self.run_tries(clients, time, ClientTries::USUAL, faults)
+    }
+
+    /// The same for clients that try as often as `tries` says.
+    pub fn run_tries(
+        &self,
+        clients: u64,
+        time: Duration,
+        tries: ClientTries,
+        faults: impl FnOnce(&Self, Instant),
     ) -> VersionOutcome {
         let (begun, outcome) = (Instant::now(), Mutex::new(VersionOutcome::default()));
         thread::scope(|scope| {
@@ -298,7 +319,7 @@
                             return;
                         }
                         let name = format!("s-{client}-{number}");
-                        let record = get_stream(addresses, &name, begun, &mut rng);
+                        let record = get_stream(addresses, &name, begun, tries, &mut rng);
                         outcome.lock().expect("lock").streams.push(record);
                     }
                 });
@@ -314,12 +335,13 @@
     addresses: &[SocketAddr],
     name: &str,
     begun: Instant,
+    tries: ClientTries,
     rng: &mut StdRng,
 ) -> StreamRecord {
     let mut record = StreamRecord::default();
     // The first try that brought an event.
     let (mut first, mut last) = (None, 0);
-    for number in 0..MAX_TRIES {
+    for number in 0..tries.max {
         let id = format!("{name}-{number}");
         let mut headers = Vec::new();
         if let Some(first) = &first {
@@ -340,7 +362,7 @@
             break;
         }
         if status != 200 {
-            thread::sleep(REFUSED_PAUSE);
+            thread::sleep(tries.refused_pause);
         }
     }
     record
