--- a/src/gateway/gossip/streams.rs
+++ b/src/gateway/gossip/streams.rs
@@ -233,7 +233,7 @@
     }
     let reports = ask_holders(context, key, name.unwrap_or("")).await;
     for (start, age) in reports.iter().filter_map(|report| report.recorded.as_ref()) {
-        context.streams.record_heard(key, start, *age, boot_clock::now());
+        context.streams.record_unknown(key, start, *age, boot_clock::now());
     }
     // Covers the time since the first report of the stream to any of them, too.
     decide(&own_report(context, key, name), &reports, service)
--- a/src/gateway/gossip/streams/state.rs
+++ b/src/gateway/gossip/streams/state.rs
@@ -11,8 +11,8 @@
 
 use crate::gateway::policy::request::stream_origin::{StreamKey, StreamLedger, StreamStart};
 
-/// Time for which it is kept that another daemon has heard of a stream.
-const HEARD_KEPT: Duration = Duration::from_secs(600);
+/// Time for which take-ups of unknown streams are remembered.
+const UNKNOWN_KEPT: Duration = Duration::from_secs(600);
 /// Most records that wait for the log.
 const MAX_UNLOGGED: usize = 10_000;
 
@@ -63,13 +63,13 @@
             if start.is_known() {
                 self.ledger.borrow_mut().record(key, start, life, now);
             } else {
-                self.record_heard(key, &start, age, now);
+                self.record_unknown(key, &start, age, now);
             }
         }
     }
 
-    /// Records that another daemon first heard `age` ago of a stream that it doesn't know.
-    pub(super) fn record_heard(
+    /// Records that an unknown stream was first taken up `age` ago, as another daemon or the log says.
+    pub(super) fn record_unknown(
         &self,
         key: StreamKey,
         start: &StreamStart,
@@ -80,7 +80,7 @@
             return;
         }
         let since = now.checked_sub(age).unwrap_or(now);
-        self.ledger.borrow_mut().record_since(key, start.clone(), since, HEARD_KEPT, now);
+        self.ledger.borrow_mut().record_since(key, start.clone(), since, UNKNOWN_KEPT, now);
     }
 
     /// Records where a stream was begun, and offers that to the log.
--- a/src/gateway/gossip/streams/versions.rs
+++ b/src/gateway/gossip/streams/versions.rs
@@ -10,7 +10,7 @@
     },
 };
 
-/// Whether other daemons are told of streams of a service.
+/// Whether streams of a service are recorded at other daemons.
 pub fn needs_record(context: &GatewayContext, service: &str) -> bool {
     !matches!(served_versions(context, service), ServedVersions::Only(_))
 }
@@ -20,7 +20,7 @@
     served_versions_since(context, service, Duration::ZERO)
 }
 
-/// Versions that have served while a stream may have lived that was first heard of `age` ago.
+/// Versions that have served while a stream may have lived that was first taken up `age` ago.
 pub fn served_versions_since(
     context: &GatewayContext,
     service: &str,
--- a/src/gateway/policy/request/stream_origin.rs
+++ b/src/gateway/policy/request/stream_origin.rs
@@ -25,18 +25,18 @@
     ids::{SharedName, hash_parts},
 };
 
-/// Daemons that are told of a stream, besides the one that begins it.
+/// Daemons that record a stream, besides the one that begins it.
 pub const HOLDERS: usize = 3;
 /// Most records of a daemon: bounds the memory that clients can use.
 const MAX_RECORDS: usize = 50_000;
 
 /// Time limit of a stream whose route sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
-/// Attempts of a client, one after the other, in which a stream may live before a daemon hears of it: the one that
-/// began it, and the next. Whatever daemons hear of it later is recorded.
+/// Attempts of a client, one after the other, in which a stream may live before an attempt reaches a daemon: the one that
+/// began it, and the next. Later attempts are recorded.
 const LIFE_ATTEMPTS: u32 = 2;
 
-/// How long a stream may live without a daemon hearing of it.
+/// How long a stream may live without an attempt that reaches a daemon.
 pub fn stream_life(configuration: Option<&Configuration>) -> Duration {
     let longest = configuration.and_then(|current| current.longest_stream);
     longest.unwrap_or(DEFAULT_TIMEOUT) * LIFE_ATTEMPTS
