Tests: daemons of two tests don't share an address

Cause: a daemon's address holds eight bits of a counter, which starts over after 256 daemons; a run of all tests starts more, and two fleets that live then have an address in common. A daemon that can't bind, or that is asked as a seed, joins the other fleet. That some entries of KNOWN-RED come from this is suspected, not shown. Now twelve bits number the daemons and the rest is of the process id. The endpoints that cut heads listen at an IPv6 address, whose table of sockets is short, as others that can be partitioned.

--- a/tests/gateway/gateway_site.rs
+++ b/tests/gateway/gateway_site.rs
@@ -44,13 +44,17 @@
     }
 }
 
-/// Returns a loopback address that no other test daemon on this machine uses: it contains the
-/// process id and a counter.
+/// Bits of a loopback address that number the daemons of a test process. A run of all tests starts many hundreds: two
+/// fleets with an address in common find each other, and serve each other's clients.
+const DAEMON_BITS: u32 = 12;
+
+/// Returns a loopback address that no other test daemon on this machine uses: it contains bits of the
+/// process id, and a counter.
 pub fn unused_loopback_address() -> IpAddr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
-    let [.., high, low] = std::process::id().to_be_bytes();
-    let next = NEXT.fetch_add(1, Ordering::SeqCst) as u8;
-    IpAddr::from([127, high.max(1), low, next])
+    let next = NEXT.fetch_add(1, Ordering::SeqCst) % (1 << DAEMON_BITS);
+    let [_, high, middle, low] = (std::process::id() << DAEMON_BITS | next).to_be_bytes();
+    IpAddr::from([127, high.max(1), middle, low])
 }
 
 fn spawn(program: &Path, settings: &Path, log: &Path) -> Child {
--- a/tests/gateway/head_cutting_endpoint.rs
+++ b/tests/gateway/head_cutting_endpoint.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     endpoint_standin::{SeenRequest, event, read_request},
-    link_faults::LinkFaults,
+    link_faults::{LinkFaults, bind_listener},
 };
 
 /// Number of events of a whole stream.
@@ -78,7 +78,7 @@
             is_dropped: AtomicBool::new(false),
         });
         let start = |_| {
-            let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
+            let listener = bind_listener();
             let address = listener.local_addr().expect("address");
             let serving = shared.clone();
             thread::spawn(move || serving.run(&listener));
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -4,9 +4,9 @@
 //! client sends a request that crashes the endpoints that run it, responses pause, and some endpoints signal only in
 //! their responses that they drain, want a back-off or have a limit. Endpoints of two software versions
 //! serve side by side, and clients take streams that have broken off up again at other daemons. Daemons are replaced
-//! at other addresses while the seeds of all stay, and endpoints send bytes without end. The
-//! Brittle endpoints get more requests than they can serve, and start again. The
-//! guarantees are checked against what clients, endpoints and the platform have recorded.
+//! at other addresses while the seeds of all stay, and endpoints send bytes without end. Brittle
+//! endpoints get more requests than they can serve, and start again. The guarantees are checked
+//! against what clients, endpoints and the platform have recorded.
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1 cargo test --test gateway soak` runs more seeds, `SOAK_DAEMONS=40`
 //! more daemons: above 24 they form several gossip groups.
