Bodies: all together are bounded by the VM's memory

Callers: a daemon that got many large bodies at once, most of them unfinished, ran out of memory, and all of its requests were lost.

Cause: each body was bounded, their sum by nothing. A body was kept as the HTTP library's frames until its end, so that a chunk of one byte cost its handle and pinned the read buffer it is a slice of; then all frames were copied once more.

Change: bytes are copied into segments of 64 KiB at most as they arrive, and go to the endpoints from these, without another copy. The memory allocated is accounted for from the first byte until the last run of the request has ended. Small bodies (128 KiB) and large ones may hold an eighth of the VM's memory each (`limits.memory-mb` in the settings, 160 MB where it is missing); one body of the largest size is always allowed. Where there is no memory left, the body that has not arrived completely and has held the most for the longest time is refused at once with 503 and Retry-After; nothing of it has run. A body that is not complete at its deadline gets 408 with Retry-After; its connection was closed without an answer before.

Why it works: a crowd that stalls or is slow holds more for longer than any ordinary request, so it gives way. Bodies that are held by runs can't give way; these leave the memory for small bodies alone.

--- a/src/gateway/call.rs
+++ b/src/gateway/call.rs
@@ -5,10 +5,10 @@
 
 use std::{str::FromStr, time::Duration};
 
-use bytes::Bytes;
 use derive_more::{Display, Error};
 use hyper::{HeaderMap, Method};
 
+use super::call_body::CallBody;
 use crate::ids::SharedName;
 
 /// A part of a prompt that other requests may share.
@@ -111,7 +111,7 @@
     /// Head of the request.
     pub head: CallHead,
     /// Complete body.
-    pub body: Bytes,
+    pub body: CallBody,
 }
 
 /// Data that the gateway adds to the request for one attempt.
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -52,7 +52,7 @@
         },
         rollout::{rollout_table::RolloutTable, version_history::VersionHistory},
     },
-    request::connection_pool::ConnectionPool,
+    request::{body_store::BodyStore, connection_pool::ConnectionPool},
     settings::GatewaySettings,
 };
 use crate::{
@@ -133,6 +133,8 @@
     pub metrics: MetricsHandle,
     /// Handle of the kernel that runs the daemon's services.
     pub kernel: KernelHandle,
+    /// Memory of the bodies of requests.
+    pub bodies: Rc<BodyStore>,
     /// Requests in progress.
     pub active: OpenCount,
     /// When a call to the store last failed.
--- a/src/gateway/policy/request.rs
+++ b/src/gateway/policy/request.rs
@@ -1,9 +1,10 @@
-//! Rules for a single request, applied in this order: `admission`, `key_freshness`, `quota`,
+//! Rules for a single request, applied in this order: `admission`, `key_freshness`, `body_memory`, `quota`,
 //! `time_limits`, `endpoint_priority`, `retries` and `retry_budget`. `refusal` lists the reasons
 //! for which a request may be refused, and `retry_after` sets the time after which the client may
 //! retry. `stream_origin` decides where a stream goes on that its client takes up again.
 
 pub mod admission;
+pub mod body_memory;
 pub mod configuration_doubt;
 pub mod crash_checks;
 pub mod crash_ledger;
--- a/src/gateway/policy/request/fingerprint.rs
+++ b/src/gateway/policy/request/fingerprint.rs
@@ -34,10 +34,14 @@
     pub fn of(account: Option<&str>, call: &Call) -> Self {
         let parts = head_parts(account, &call.head);
         let mut hasher = Sha256::new();
-        for part in parts.iter().chain([&&*call.body]) {
+        for part in parts {
             hasher.update((part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
+        hasher.update(call.body.length().to_le_bytes());
+        for segment in call.body.segments() {
+            hasher.update(segment);
+        }
         let mut content = [0; size_of::<u128>()];
         let whole = hasher.finalize();
         content.copy_from_slice(&whole[..size_of::<u128>()]);
--- a/src/gateway/policy/request/refusal.rs
+++ b/src/gateway/policy/request/refusal.rs
@@ -1,7 +1,7 @@
 //! Reasons for which the gateway refuses a request, with the status and the `Retry-After` of the
 //! response. The reason's text is the response's body.
 //!
-//! Statuses 429 and 503 promise that the request has not run and never will. A request that may
+//! Statuses 408, 429 and 503 promise that the request has not run and never will. A request that may
 //! have run gets 502 or 504, whatever else went wrong.
 
 use std::time::Duration;
@@ -24,6 +24,12 @@
     /// The body did not arrive completely.
     #[display("body not whole")]
     BodyBroken,
+    /// The body was not complete at the deadline; the request has not run. Holds the retry-after.
+    #[display("body not whole in time")]
+    BodyLate(Duration),
+    /// There is no memory for the body; the request has not run. Holds the retry-after.
+    #[display("no memory for the body")]
+    NoBodyMemory(Duration),
     /// No configuration is known yet.
     #[display("no configuration")]
     NoConfiguration,
@@ -135,6 +141,7 @@
         match self {
             Self::BadHead(_) | Self::BodyBroken => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::BodyLate(_) => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::QuotaSpent(_) => StatusCode::TOO_MANY_REQUESTS,
@@ -152,6 +159,7 @@
             | Self::NoVersion(_)
             | Self::UnknownStream(_)
             | Self::NoPath(_)
+            | Self::NoBodyMemory(_)
             | Self::Quarantined(_)
             | Self::PartQuarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -176,6 +184,8 @@
             | Self::NoVersion(wait)
             | Self::UnknownStream(wait)
             | Self::NoPath(wait)
+            | Self::BodyLate(wait)
+            | Self::NoBodyMemory(wait)
             | Self::Quarantined(wait)
             | Self::PartQuarantined(wait) => Some(*wait),
             Self::NoConfiguration | Self::FleetUnknown | Self::NotFresh => {
@@ -197,6 +207,11 @@
         }
     }
 
+    /// Whether the rest of the request's body is not read, so that its connection can't be used further.
+    pub fn ends_body(&self) -> bool {
+        matches!(self, Self::BodyTooLong | Self::BodyLate(_) | Self::NoBodyMemory(_))
+    }
+
     /// Inputs of the decision, for the request log.
     pub fn inputs(&self) -> String {
         match self {
--- a/src/gateway/policy/request/retry_after.rs
+++ b/src/gateway/policy/request/retry_after.rs
@@ -29,6 +29,9 @@
 /// The daemon is stopping, and the load balancer sends the retry to another one; or some endpoints
 /// have capacity but this request was not allowed to try them. Neither case needs a pause.
 pub const AT_ONCE: Duration = Duration::from_millis(20);
+/// There was no memory for the request's body. Another daemon may have some, and bodies that arrive or whose
+/// requests run are gone after about a second.
+pub const NO_BODY_MEMORY: Duration = Duration::from_millis(500);
 /// Fraction of the route's target after which a client may retry if all endpoints were full: a
 /// retry after half the target can still meet it.
 const FULL_TARGET_FRACTION: f64 = 0.5;
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -7,13 +7,14 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use rand::RngExt;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep};
 
-use super::request_log::RequestTrace;
+use super::{
+    body_reader::{BodyTerms, read_body},
+    request_log::RequestTrace,
+};
 use crate::boot_clock;
 use crate::gateway::{
     call::{Call, CallHead},
@@ -101,7 +102,9 @@
     trace.matched(&matched);
     let MatchedHead { route, account } = matched;
     let deadline = time_limits::request_deadline(received, head.deadline, &route);
-    let body = read_body(body, configuration.limits.body_bytes, deadline).await?;
+    let largest = configuration.limits.body_bytes;
+    let terms = BodyTerms { largest, begun: received, deadline };
+    let body = read_body(&context.bodies, body, terms).await?;
     let origin = find_origin_of(context, &head, &route, account.as_deref(), trace).await?;
     let service = choose_service(&configuration, &route, origin.as_ref())?;
     let now = boot_clock::now();
@@ -133,20 +136,6 @@
     }
 }
 
-async fn read_body(body: Incoming, limit: usize, deadline: Instant) -> Result<Bytes, Refusal> {
-    if body.size_hint().lower() > limit as u64 {
-        return Err(Refusal::BodyTooLong);
-    }
-    let collecting =
-        timeout_at(boot_clock::timer_at(deadline), Limited::new(body, limit).collect());
-    match collecting.await {
-        Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Refusal::BodyTooLong),
-        // The client disconnected or was too slow; the refusal is logged with the request.
-        Ok(Err(_)) | Err(_) => Err(Refusal::BodyBroken),
-    }
-}
-
 fn draw_service(configuration: &Configuration, route: &Route) -> Option<Rc<Service>> {
     let point = rand::rng().random_range(0..total_weight(&route.services).max(1));
     let drawn = service_at(&route.services, point)?;
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -12,8 +12,7 @@
 
 use std::rc::Rc;
 
-use http_body_util::Full;
-use hyper::{Request, body::Bytes};
+use hyper::Request;
 use tokio::time::{Instant, sleep_until};
 
 use self::{
@@ -37,6 +36,7 @@
     endpoint_health::AttemptResult,
     gateway::{
         call::{AttemptHead, PartId},
+        call_body::BodyFrames,
         context::GatewayContext,
         endpoint::EndpointRecord,
         policy::{
@@ -204,7 +204,7 @@
     endpoint: &str,
     resume_after: Option<u64>,
     now: Instant,
-) -> Request<Full<Bytes>> {
+) -> Request<BodyFrames> {
     let account = admitted.account.as_ref();
     let priority =
         endpoint_priority(account.map(|account| account.priority), admitted.route.priority);
@@ -215,5 +215,5 @@
         priority: admitted.service.engine.is_some().then_some(priority),
         last_event: resume_after,
     };
-    ingress::endpoint_request(&admitted.call, &attempt, Full::new(admitted.call.body.clone()))
+    ingress::endpoint_request(&admitted.call, &attempt, admitted.call.body.frames())
 }
--- a/src/gateway/request/attempt/connection.rs
+++ b/src/gateway/request/attempt/connection.rs
@@ -3,11 +3,7 @@
 
 use std::{mem, time::Duration};
 
-use http_body_util::Full;
-use hyper::{
-    Request, Response,
-    body::{Bytes, Incoming},
-};
+use hyper::{Request, Response, body::Incoming};
 use tokio::time::{Instant, sleep};
 
 use super::{AttemptEnd, OpenRequest};
@@ -15,6 +11,7 @@
     boot_clock,
     endpoint_health::AttemptResult,
     gateway::{
+        call_body::BodyFrames,
         context::GatewayContext,
         forwarding::{endpoint_path::open_path, open_path::EndpointPath},
         policy::{
@@ -91,7 +88,7 @@
 pub async fn send(
     context: &GatewayContext,
     connection: &mut EndpointConnection,
-    request: Request<Full<Bytes>>,
+    request: Request<BodyFrames>,
     until: Instant,
     guard: &RunGuard,
 ) -> Result<Response<Incoming>, SendFailure> {
--- /dev/null
+++ b/src/gateway/request/body_reader.rs
@@ -0,0 +1,84 @@
+//! Reads the body of a client's request into the daemon's memory for bodies.
+
+use std::{pin::pin, rc::Rc};
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use tokio::time::{Instant, timeout_at};
+
+use super::body_store::{BodyStore, BodyWriter, NoBodyMemory};
+use crate::{
+    boot_clock,
+    gateway::{
+        call_body::CallBody,
+        policy::request::{refusal::Refusal, retry_after},
+    },
+};
+
+/// What a body may use.
+#[derive(Clone, Copy, Debug)]
+pub struct BodyTerms {
+    /// Largest body, in bytes.
+    pub largest: usize,
+    /// When the request arrived.
+    pub begun: Instant,
+    /// When it has to be complete.
+    pub deadline: Instant,
+}
+
+impl From<NoBodyMemory> for Refusal {
+    fn from(NoBodyMemory: NoBodyMemory) -> Self {
+        Self::NoBodyMemory(retry_after::NO_BODY_MEMORY)
+    }
+}
+
+/// Reads a body to its end.
+///
+/// # Errors
+///
+/// The body is too long, breaks off, is not complete in time, or there is no memory for it.
+pub async fn read_body<B>(
+    store: &Rc<BodyStore>,
+    body: B,
+    terms: BodyTerms,
+) -> Result<CallBody, Refusal>
+where
+    B: Body<Data = Bytes>,
+{
+    if body.size_hint().lower() > terms.largest as u64 {
+        return Err(Refusal::BodyTooLong);
+    }
+    if body.is_end_stream() {
+        return Ok(CallBody::default());
+    }
+    let writer = store.begin(terms.largest, terms.begun);
+    let copying = timeout_at(boot_clock::timer_at(terms.deadline), copy_to(&writer, body, terms));
+    let copied = tokio::select! {
+        biased;
+        () = writer.gave_way() => return Err(NoBodyMemory.into()),
+        copied = copying => copied,
+    };
+    match copied {
+        Ok(copied) => copied?,
+        Err(_) => return Err(Refusal::BodyLate(retry_after::AT_ONCE)),
+    }
+    Ok(writer.finish()?)
+}
+
+async fn copy_to<B>(writer: &BodyWriter, body: B, terms: BodyTerms) -> Result<(), Refusal>
+where
+    B: Body<Data = Bytes>,
+{
+    let mut body = pin!(body);
+    let mut left = terms.largest;
+    while let Some(frame) = body.frame().await {
+        // The client has disconnected or sends no valid chunks; the refusal is logged with the request.
+        let Ok(frame) = frame else { return Err(Refusal::BodyBroken) };
+        // Trailers are not passed on.
+        let Ok(bytes) = frame.into_data() else { continue };
+        left = left.checked_sub(bytes.len()).ok_or(Refusal::BodyTooLong)?;
+        writer.append(&bytes, boot_clock::now())?;
+    }
+    Ok(())
+}
--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -14,8 +14,6 @@
     time::Duration,
 };
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
 use tokio::time::{Instant, timeout, timeout_at};
 
@@ -24,6 +22,7 @@
 use crate::{
     boot_clock,
     gateway::{
+        call_body::BodyFrames,
         endpoint::EndpointRecord,
         forwarding::open_path::{EndpointPath, OpenPath, OpenTunnel},
         policy::request::retries::ConnectionReuse,
@@ -113,7 +112,7 @@
     /// Sends a request and waits for the head of the response until `deadline`.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
+        request: Request<BodyFrames>,
         deadline: Instant,
     ) -> Result<Response<Incoming>, SendFailure> {
         let sending = self.sender.send(request);
--- a/src/gateway/request/connection_pool/connecting.rs
+++ b/src/gateway/request/connection_pool/connecting.rs
@@ -2,8 +2,6 @@
 
 use std::{io::ErrorKind, net::SocketAddr};
 
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -20,7 +18,7 @@
 };
 
 use super::bounded_stream::{BoundedStream, HeadAllowance};
-use crate::boot_clock;
+use crate::{boot_clock, gateway::call_body::BodyFrames};
 
 /// Most bytes that the HTTP library buffers of what an endpoint sends.
 const READ_BUFFER_LIMIT: usize = 64 * 1024;
@@ -28,7 +26,7 @@
 /// Sends requests over one connection.
 #[derive(Debug)]
 pub(super) struct RequestSender {
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<BodyFrames>,
     head: HeadAllowance,
 }
 
@@ -36,8 +34,8 @@
     /// Sends a request and waits for the head of the response.
     pub async fn send(
         &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        request: Request<BodyFrames>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<BodyFrames>>> {
         self.head.limit();
         let response = self.sender.try_send_request(request).await?;
         self.head.lift();
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -45,6 +45,15 @@
     pub entry_ttl: Duration,
     /// Time limits and tolerances of the deployment.
     pub bounds: ServiceBounds,
+    /// Size of the daemon's VM.
+    pub vm: VmSize,
+}
+
+/// Size of a VM; the daemon's limits for clients follow from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct VmSize {
+    /// Memory that the process may use, in bytes.
+    pub memory_bytes: u64,
 }
 
 /// Time limits and tolerances that the deployment guarantees.
--- a/src/gateway/status_listeners.rs
+++ b/src/gateway/status_listeners.rs
@@ -11,7 +11,10 @@
 use super::{
     call::BadPartId,
     context::GatewayContext,
-    policy::{daemon::readiness::Readiness, request::fingerprint::BadFingerprint},
+    policy::{
+        daemon::readiness::Readiness,
+        request::{body_memory::BodySize, fingerprint::BadFingerprint},
+    },
     state::{GatewayState, QUARANTINED_PART},
 };
 use crate::{
@@ -71,13 +74,21 @@
             }
             Some(_) => (StatusCode::METHOD_NOT_ALLOWED, String::new()),
             None if path == STATE_PATH => (StatusCode::OK, state_text(&context)),
-            None => (StatusCode::OK, context.metrics.render()),
+            None => (StatusCode::OK, render_metrics(&context)),
         };
         async move { text_response(status, text) }
     };
     server::serve(listener, phase, handler).await;
 }
 
+fn render_metrics(context: &GatewayContext) -> String {
+    let GatewayContext { metrics, bodies, .. } = context;
+    metrics.gauge("small_body_bytes", bodies.held(BodySize::Small) as f64);
+    metrics.gauge("large_body_bytes", bodies.held(BodySize::Large) as f64);
+    metrics.gauge("bodies_given_way", bodies.given_way() as f64);
+    metrics.render()
+}
+
 /// Ends the quarantine of a request, or of a part of prompts, at this daemon, which informs the others by gossip.
 fn end_quarantine(context: &GatewayContext, name: &str) -> (StatusCode, String) {
     let now = boot_clock::now();
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -9,7 +9,7 @@
 use crate::{
     gateway::{
         policy::rollout::traffic_plan::ExposureBounds,
-        settings::{GatewaySettings, LeaderTask, ServiceBounds},
+        settings::{GatewaySettings, LeaderTask, ServiceBounds, VmSize},
     },
     ids::SharedName,
 };
@@ -22,6 +22,8 @@
 /// Bounds in the file must be below this number, in their own unit. In seconds it is 30 years, far below
 /// the largest `Duration`.
 const BOUND_LIMIT: f64 = 1e9;
+/// Bytes in a MB.
+const BYTES_PER_MB: f64 = 1e6;
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1e3;
 /// Default interval between writes of an endpoint's entry, in milliseconds.
@@ -89,6 +91,8 @@
     #[serde(default = "default_heartbeat_ms")]
     heartbeat_ms: f64,
     bounds: BoundsSection,
+    #[serde(default)]
+    limits: LimitsSection,
     /// The metadata store.
     platform: AddressSection,
     #[serde(default)]
@@ -109,6 +113,21 @@
     control: SocketAddr,
 }
 
+/// Size of the VM.
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case", default)]
+struct LimitsSection {
+    /// Memory of the process, in MB.
+    memory_mb: f64,
+}
+
+/// Values for keys that are missing in the file: those of the smallest VMs.
+impl Default for LimitsSection {
+    fn default() -> Self {
+        Self { memory_mb: 160.0 }
+    }
+}
+
 #[derive(Deserialize)]
 struct AddressSection {
     address: SocketAddr,
@@ -201,9 +220,15 @@
         leader_tasks: duties.filter_map(|name| leader_task(name)).collect(),
         entry_ttl: Duration::from_secs_f64(entry_ttl_ms / MS_PER_S),
         bounds,
+        vm: check_vm(&file.limits)?,
     })
 }
 
+fn check_vm(section: &LimitsSection) -> Result<VmSize, SettingsError> {
+    let memory = positive("limits.memory-mb", section.memory_mb)?;
+    Ok(VmSize { memory_bytes: (memory * BYTES_PER_MB) as u64 })
+}
+
 /// Converts the name of a leader task. Unknown names are ignored, since later versions may add tasks.
 fn leader_task(name: &str) -> Option<LeaderTask> {
     match name {
--- a/tests/gateway/crash_rules.rs
+++ b/tests/gateway/crash_rules.rs
@@ -46,7 +46,7 @@
         resumes: None,
         headers: HeaderMap::new(),
     };
-    Call { head, body: Bytes::from_static(b"body") }
+    Call { head, body: Bytes::from_static(b"body").into() }
 }
 
 /// Fingerprint of `call` with this change, for this account.
@@ -79,10 +79,10 @@
     differs_by_method: false, Some("reader"), |call| call.head.method = Method::PUT;
     differs_by_host: false, Some("reader"), |call| call.head.host = "other.example".into();
     differs_by_query: false, Some("reader"), |call| call.head.target = "/page/?x=2".into();
-    differs_by_body: false, Some("reader"), |call| call.body = Bytes::from_static(b"bodz");
+    differs_by_body: false, Some("reader"), |call| call.body = Bytes::from_static(b"bodz").into();
     differs_if_bytes_move_from_the_body_to_the_query: false, Some("reader"), |call| {
         call.head.target = "/page/?x=1b".into();
-        call.body = Bytes::from_static(b"ody");
+        call.body = Bytes::from_static(b"ody").into();
     };
 }
 
--- a/tests/gateway/gateway_site.rs
+++ b/tests/gateway/gateway_site.rs
@@ -133,11 +133,21 @@
         platform: SocketAddr,
         seeds: &[SocketAddr],
         bounds: Value,
+    ) -> Self {
+        let settings = |ip| daemon_settings(name, ip, platform, seeds, &bounds);
+        Self::start_settings(program, name, settings)
+    }
+
+    /// Starts a daemon from `program` with the settings that belong to its address.
+    pub fn start_settings(
+        program: &Path,
+        name: &str,
+        settings: impl FnOnce(IpAddr) -> Value,
     ) -> Self {
         let ip = unused_loopback_address();
+        let settings = settings(ip);
         let at_port = |port| SocketAddr::new(ip, port);
         let (clients, readiness, peers) = (at_port(8001), at_port(8002), at_port(8003));
-        let settings = daemon_settings(name, ip, platform, seeds, &bounds);
         let file = format!("gateway-{name}-{ip}.json");
         let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(file);
         std::fs::write(&path, settings.to_string()).expect("settings");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -4,6 +4,7 @@
 mod announced_ends;
 mod answer_ends;
 mod backoff_endpoints;
+mod body_memory_rules;
 mod brittle_endpoints;
 mod brittle_rules;
 mod catch_up;
