Client connections: a refusal reaches clients that are still sending

Callers: a client whose body was too long, or whose route or key doesn't exist, got a reset connection instead of the 413, 404 or 401, if it sent all of its body before it looked for an answer. A promise that a request has not run (503, 408) would be lost the same way.

Cause: the connection was closed while bytes of the body were unread, and the kernel resets it then.

Change: `ClientBody` tells the connection whether its body was read to the end.

Memory: 16 KiB on the stack.

--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -7,7 +7,8 @@
     time::Duration,
 };
 
-use hyper::body::Incoming;
+use bytes::Bytes;
+use hyper::body::Body;
 use rand::RngExt;
 use tokio::time::{Instant, sleep};
 
@@ -83,13 +84,16 @@
 }
 
 /// Checks a request and admits it.
-pub async fn admit(
+pub async fn admit<B>(
     context: &Rc<GatewayContext>,
     head: CallHead,
-    body: Incoming,
+    body: B,
     received: Instant,
     trace: &mut RequestTrace,
-) -> Result<Admitted, Refusal> {
+) -> Result<Admitted, Refusal>
+where
+    B: Body<Data = Bytes>,
+{
     if context.intake.get() != Intake::Open {
         return Err(Refusal::Leaving);
     }
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -4,7 +4,9 @@
 //! A stopping daemon serves one request on each new connection; `daemon` describes the steps of a
 //! stop.
 
+mod client_body;
 mod client_stream;
+mod lingering_close;
 mod request_body;
 mod unframed_response;
 
@@ -23,6 +25,7 @@
 };
 
 use self::{
+    client_body::ClientBody,
     client_stream::ClientStream,
     request_body::{ConnectionUse, RequestBody},
 };
@@ -96,11 +99,19 @@
     let stream = ClientStream::new(stream);
     let handover = Handover::default();
     serve_http(&stream, &context, &usage, &handover).await;
-    let Some(response) = handover.take() else { return };
-    // An error is the client's, or the response's own, which has its log line.
-    tokio::select! {
-        _ = unframed_response::send(stream.clone(), response) => {}
-        () = until_cut(&stream, &context, &usage) => {}
+    if let Some(response) = handover.take() {
+        // An error is the client's, or the response's own, which has its log line.
+        tokio::select! {
+            _ = unframed_response::send(stream.clone(), response) => {}
+            () = until_cut(&stream, &context, &usage) => {}
+        }
+    }
+    if usage.has_unread_body.get() {
+        let mut phase = context.kernel.phase();
+        tokio::select! {
+            () = lingering_close::discard_rest(&stream) => {}
+            _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => {}
+        }
     }
 }
 
@@ -188,6 +199,7 @@
 ) -> Result<Response<RequestBody>, io::Error> {
     let end = usage.begin_request();
     let version = request.version();
+    let request = request.map(|body| ClientBody::new(body, usage));
     let response = dispatch::respond(&context, request).await?;
     let ends_connection = ends_with_connection(&response, version);
     let mut response = response.map(|body| RequestBody::new(body, stream.clone(), end));
--- /dev/null
+++ b/src/gateway/request/client_listener/client_body.rs
@@ -0,0 +1,58 @@
+//! Body of a client's request, which tells its connection whether it was read to its end.
+
+use std::{
+    pin::Pin,
+    rc::Rc,
+    task::{Context, Poll},
+};
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
+
+use super::request_body::ConnectionUse;
+
+/// Body of a request on a client's connection.
+#[derive(Debug)]
+pub struct ClientBody {
+    body: Incoming,
+    usage: Rc<ConnectionUse>,
+    is_whole: bool,
+}
+
+impl ClientBody {
+    /// Wraps the body of a request that begins on the connection.
+    pub fn new(body: Incoming, usage: Rc<ConnectionUse>) -> Self {
+        let is_whole = body.is_end_stream();
+        Self { body, usage, is_whole }
+    }
+}
+
+impl Body for ClientBody {
+    type Data = Bytes;
+    type Error = hyper::Error;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        task: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        let polled = Pin::new(&mut self.body).poll_frame(task);
+        if let Poll::Ready(None) = polled {
+            self.is_whole = true;
+        }
+        polled
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+impl Drop for ClientBody {
+    fn drop(&mut self) {
+        self.usage.has_unread_body.set(!self.is_whole);
+    }
+}
--- a/src/gateway/request/client_listener/client_stream.rs
+++ b/src/gateway/request/client_listener/client_stream.rs
@@ -7,6 +7,7 @@
 use std::{
     cell::RefCell,
     io,
+    mem::MaybeUninit,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, Waker, ready},
@@ -25,6 +26,8 @@
 const MAX_BUFFERED: usize = 16 * 1024;
 /// Size of a single read: the head of a request.
 const READ_SIZE: usize = 1_024;
+/// Size of a single read of bytes that are discarded.
+const DISCARD_SIZE: usize = 16 * 1024;
 
 struct StreamState {
     stream: TcpStream,
@@ -75,6 +78,19 @@
         SockRef::from(&self.state.borrow().stream).set_linger(linger)
     }
 
+    /// Discards bytes that have arrived; ready with whether the client's side is still open.
+    pub fn poll_discard(&self, task: &mut Context<'_>) -> Poll<bool> {
+        let mut state = self.state.borrow_mut();
+        state.buffered.clear();
+        if state.is_closed {
+            return Poll::Ready(false);
+        }
+        let mut bytes = [MaybeUninit::uninit(); DISCARD_SIZE];
+        let mut buffer = ReadBuf::uninit(&mut bytes);
+        let read = ready!(Pin::new(&mut state.stream).poll_read(task, &mut buffer));
+        Poll::Ready(read.is_ok() && !buffer.filled().is_empty())
+    }
+
     /// Ready once the client has closed its side of the connection.
     pub fn poll_closed(&self, task: &mut Context<'_>) -> Poll<()> {
         let mut state = self.state.borrow_mut();
--- a/src/gateway/request/client_listener/request_body.rs
+++ b/src/gateway/request/client_listener/request_body.rs
@@ -24,6 +24,8 @@
     pub is_busy: Cell<bool>,
     /// Whether a request has begun.
     pub had_request: Cell<bool>,
+    /// Whether a request's body has not been read to its end.
+    pub has_unread_body: Cell<bool>,
     /// When the last response ended, or the connection began.
     pub idle_since: Cell<Instant>,
 }
@@ -34,6 +36,7 @@
         Self {
             is_busy: Cell::new(false),
             had_request: Cell::new(false),
+            has_unread_body: Cell::new(false),
             idle_since: Cell::new(boot_clock::now()),
         }
     }
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -3,7 +3,8 @@
 
 use std::{cell::RefCell, rc::Rc};
 
-use hyper::{Request, Response, body::Incoming};
+use bytes::Bytes;
+use hyper::{Request, Response, body::Body};
 
 use super::{
     admission::{self, Admitted, admit},
@@ -24,10 +25,13 @@
 const INCOMPLETE_BODY: &str = "request body incomplete";
 
 /// Responds to a client's request; an error closes the connection without a response.
-pub async fn respond(
+pub async fn respond<B>(
     context: &Rc<GatewayContext>,
-    request: Request<Incoming>,
-) -> Result<Response<LocalBody>, std::io::Error> {
+    request: Request<B>,
+) -> Result<Response<LocalBody>, std::io::Error>
+where
+    B: Body<Data = Bytes>,
+{
     // The HTTP library ignores a Content-Length sent with a chunked body, so the client may have
     // meant the body to end elsewhere. Closing the connection after the response prevents the bytes
     // that follow from being read as another request.
@@ -39,10 +43,13 @@
     responded
 }
 
-async fn respond_to(
+async fn respond_to<B>(
     context: &Rc<GatewayContext>,
-    request: Request<Incoming>,
-) -> Result<Response<LocalBody>, std::io::Error> {
+    request: Request<B>,
+) -> Result<Response<LocalBody>, std::io::Error>
+where
+    B: Body<Data = Bytes>,
+{
     let received = boot_clock::now();
     let _active = context.active.enter();
     let (parts, body) = request.into_parts();
--- a/tests/crowds/crowd_client.rs
+++ b/tests/crowds/crowd_client.rs
@@ -24,8 +24,27 @@
     WholeChunks { length: usize, chunk: usize },
     /// The same, over a connection whose sending side is closed afterwards.
     HalfClosed { length: usize },
+    /// A body of which `length` is announced and sent.
+    Announced { length: usize },
     /// Chunks until there is an answer.
     EndlessChunks { length: usize, chunk: usize },
+    /// A body of which `length` is announced, to a route that doesn't exist.
+    UnknownRoute { length: usize },
+    /// The same, with a key that nobody has.
+    UnknownKey { length: usize },
+}
+
+impl Manner {
+    /// Whether the client stops sending once there is an answer.
+    fn watches(self) -> bool {
+        !matches!(
+            self,
+            Self::Announced { .. }
+                | Self::UnknownRoute { .. }
+                | Self::UnknownKey { .. }
+                | Self::WholeChunks { .. }
+        )
+    }
 }
 
 /// A client that has sent what it wanted, or as much as the daemon took.
@@ -35,6 +54,10 @@
     pub id: String,
     stream: TcpStream,
     received: Vec<u8>,
+    /// Whether the client looks for an answer before it has sent everything.
+    watches: bool,
+    /// Whether the connection broke while the client was sending.
+    is_cut: bool,
 }
 
 /// Clients whose connections stay open until they are dropped.
@@ -79,7 +102,8 @@
     fn send(address: SocketAddr, id: String, manner: Manner) -> Option<Self> {
         let stream = TcpStream::connect(address).ok()?;
         stream.set_write_timeout(Some(WAIT_TIMEOUT)).expect("timeout");
-        let mut client = Self { id, stream, received: Vec::new() };
+        let watches = manner.watches();
+        let mut client = Self { id, stream, received: Vec::new(), watches, is_cut: false };
         client.send_all(manner);
         Some(client)
     }
@@ -102,9 +126,18 @@
                 self.send_with_length("/once/", "key-1", length, length - 1, WRITE_BYTES);
                 let _ = self.stream.shutdown(Shutdown::Write);
             }
+            Manner::Announced { length } => {
+                self.send_with_length("/once/", "key-1", length, length, WRITE_BYTES);
+            }
             Manner::EndlessChunks { length, chunk } => {
                 self.send_chunks(length, chunk);
             }
+            Manner::UnknownRoute { length } => {
+                self.send_with_length("/none/", "key-1", length, length, WRITE_BYTES);
+            }
+            Manner::UnknownKey { length } => {
+                self.send_with_length("/once/", "key-none", length, length, WRITE_BYTES);
+            }
         }
     }
 
@@ -163,6 +196,7 @@
             Err(error) => {
                 let has_hung = error.kind() == std::io::ErrorKind::WouldBlock;
                 assert!(!has_hung, "the daemon reads nothing from {}", self.id);
+                self.is_cut = true;
                 false
             }
         }
@@ -170,6 +204,9 @@
 
     /// Whether an answer has begun to arrive.
     fn is_answered(&mut self) -> bool {
+        if !self.watches {
+            return false;
+        }
         self.read_arrived();
         !self.received.is_empty()
     }
@@ -188,7 +225,11 @@
         (!self.received.is_empty()).then(|| parse_answer(&self.received))
     }
 
+    /// `None` also if the client was cut off while it was sending: an ordinary one doesn't look for an answer then.
     fn await_answer(&mut self) -> Option<RawAnswer> {
+        if self.is_cut {
+            return None;
+        }
         self.stream.set_read_timeout(Some(WAIT_TIMEOUT)).expect("timeout");
         let mut buffer = [0; 4_096];
         while !self.answer().is_some_and(|answer| answer.whole) {
