Client connections: those without a request make room for others

Callers: 3,000 connections that sent nothing, one byte, or a head that never ended kept all ordinary clients out for 15 s at a time, and a crowd of connections could use more memory and descriptors than the VM has.

Cause: up to 2,500 connections were accepted on any VM; beyond that nobody was, whatever the open ones were used for. `header-timeout-ms` was read and not enforced.

Change: the limit follows from `limits.memory-mb` (3/8 of it, at 48 KiB each) and `limits.max-fds` (5/8 of those that are not reserved; 4,100 where it is missing), 2,500 at most. At the limit one connection is closed for each new one: first one that is ending, then one that never had a whole head, an idle one, one whose body is incomplete; the longest so first. Connections whose requests run are never closed; when there are only such, new ones wait as before and the daemon is not ready. A head that isn't complete half a second after its time ends its connection. The kernel keeps 32 KiB of a connection unread, as far as it follows SO_RCVBUF, since such bytes count as memory.

Why it works: an ordinary request has its head within a round trip, so its connection is not the oldest of any stage that is closed before.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -13,7 +13,7 @@
 const DEFAULT_HEAD_BYTES: usize = 16 * 1024;
 /// Default limit of a body, in bytes. A body is kept in memory while its request runs.
 const DEFAULT_BODY_BYTES: usize = 4 * 1024 * 1024;
-/// Default timeout of a head. Not enforced by itself, see [`ClientLimits::head_timeout`].
+/// Default timeout of a head.
 const DEFAULT_HEAD_TIMEOUT: Duration = Duration::from_secs(3);
 /// Default time after which an idle connection is closed: long enough for clients to reuse their
 /// connections.
@@ -160,8 +160,7 @@
     pub head_bytes: usize,
     /// Largest body, in bytes.
     pub body_bytes: usize,
-    /// Timeout of a head. Not enforced by itself: a head that never ends is cut off when its connection
-    /// counts as idle.
+    /// Longest time from the first byte of a head to its last.
     pub head_timeout: Duration,
     /// Time after which an idle connection is closed.
     pub idle_timeout: Duration,
--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -31,7 +31,7 @@
             fleet_contact::{ContactMonitor, FleetContact},
             forwarder_choice::ForwarderTable,
             peer_contact::PeerContact,
-            readiness::{MAX_CLIENT_CONNECTIONS, Readiness, ReadinessInputs},
+            readiness::{Readiness, ReadinessInputs},
             store_watchers::{StoreWatch, WatcherElection, is_store_failing},
         },
         endpoint::{
@@ -52,7 +52,10 @@
         },
         rollout::{rollout_table::RolloutTable, version_history::VersionHistory},
     },
-    request::{body_store::BodyStore, connection_pool::ConnectionPool},
+    request::{
+        body_store::BodyStore, client_connections::ClientConnections,
+        connection_pool::ConnectionPool,
+    },
     settings::GatewaySettings,
 };
 use crate::{
@@ -173,7 +176,7 @@
     /// Whether requests and connections are accepted.
     pub intake: Cell<Intake>,
     /// Open client connections.
-    pub client_connections: OpenCount,
+    pub client_connections: ClientConnections,
 }
 
 /// Whether a daemon accepts requests and connections.
@@ -285,7 +288,7 @@
             has_configuration: self.configuration.borrow().current.is_some(),
             knows_daemon_count: self.knows_fleet_size(now),
             has_peer_contact: self.is_up_to_date_with_peers(now),
-            accepts_connections: self.client_connections.get() < MAX_CLIENT_CONNECTIONS,
+            accepts_connections: self.client_connections.accepts(),
             keys: self.key_freshness(now),
         })
     }
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -31,8 +31,9 @@
     leader::leader_tasks,
     policy::{
         daemon::{
-            catch_up::CatchUpState, fleet_contact::FleetContact, peer_contact::PeerContact,
-            stop_times::StopTimes, store_watchers::WatcherElection,
+            catch_up::CatchUpState, client_connections::connection_limit,
+            fleet_contact::FleetContact, peer_contact::PeerContact, stop_times::StopTimes,
+            store_watchers::WatcherElection,
         },
         endpoint::{
             endpoint_starts::lost_entries::EntryHistory, endpoint_table::EndpointTable,
@@ -48,7 +49,10 @@
             retry_budget::{BudgetTerms, RetryBudgets},
         },
     },
-    request::{body_store::BodyStore, client_listener, connection_pool::ConnectionPool},
+    request::{
+        body_store::BodyStore, client_connections::ClientConnections, client_listener,
+        connection_pool::ConnectionPool,
+    },
     settings::{GatewaySettings, ServiceBounds, reload},
     status_listeners,
     store_watch::{configuration_watch, endpoint_watch, rollout_watch},
@@ -125,7 +129,7 @@
     // Also after a service has failed.
     context.kernel.enter(LifePhase::Stopping);
     let ended = async {
-        while context.client_connections.get() > 0 {
+        while context.client_connections.count() > 0 {
             sleep(END_CHECK_INTERVAL).await;
         }
     };
@@ -187,7 +191,7 @@
         fleet_contact: Cell::new(FleetContact::NoHolder),
         request_lines: RefCell::new(LineBudget::new(REQUEST_LINES, now)),
         intake: Cell::new(Intake::Open),
-        client_connections: OpenCount::default(),
+        client_connections: ClientConnections::new(connection_limit(settings.vm)),
         settings,
     }
 }
@@ -228,8 +232,8 @@
     sleep_until(boot_clock::timer_at(times.close_at)).await;
     context.intake.set(Intake::Closed);
     let is_busy = || {
-        let used = [&context.active, &context.client_connections, &context.carried_tunnels];
-        used.iter().any(|count| count.get() > 0)
+        let used = [&context.active, &context.carried_tunnels];
+        context.client_connections.count() > 0 || used.iter().any(|count| count.get() > 0)
     };
     while is_busy() && boot_clock::now() < times.cut_at {
         sleep(BUSY_CHECK_INTERVAL).await;
--- a/src/gateway/policy/daemon.rs
+++ b/src/gateway/policy/daemon.rs
@@ -2,6 +2,7 @@
 //! reaches the endpoints and the other daemons, whether it watches the store, which texts it fetches from peers, and the steps of a stop.
 
 pub mod catch_up;
+pub mod client_connections;
 pub mod daemon_count;
 pub mod endpoint_access;
 pub mod fleet_contact;
--- a/src/gateway/policy/daemon/readiness.rs
+++ b/src/gateway/policy/daemon/readiness.rs
@@ -7,10 +7,6 @@
 
 use crate::gateway::policy::request::key_freshness::KeyFreshness;
 
-/// Maximum number of open client connections. Further ones wait in the listen queue, and the daemon
-/// is not ready. Bounds the daemon's memory under a flood of connections.
-pub const MAX_CLIENT_CONNECTIONS: usize = 2_500;
-
 /// What readiness depends on.
 #[derive(Clone, Copy, Debug)]
 pub struct ReadinessInputs {
@@ -24,7 +20,7 @@
     pub knows_daemon_count: bool,
     /// The daemon is up to date with its peers (see `peer_contact`).
     pub has_peer_contact: bool,
-    /// New connections are accepted rather than left in the listen queue.
+    /// New connections are accepted (see `client_connections`) rather than left in the listen queue.
     pub accepts_connections: bool,
     /// Freshness of the API keys.
     pub keys: KeyFreshness,
@@ -54,7 +50,7 @@
     /// Its API keys may be out of date.
     #[display("keys may be out of date")]
     KeysNotFresh,
-    /// It has reached `MAX_CLIENT_CONNECTIONS`.
+    /// It has as many connections as it may, and none can be closed for another.
     #[display("connections full")]
     ConnectionsFull,
 }
--- /dev/null
+++ b/src/gateway/request/client_connections.rs
@@ -0,0 +1,221 @@
+//! Open connections of clients. At the limit one is closed for each new one;
+//! `policy::daemon::client_connections` says which.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeMap,
+    rc::Rc,
+};
+
+use tokio::{sync::Notify, time::Instant};
+
+use crate::{
+    boot_clock,
+    gateway::policy::daemon::client_connections::{
+        ConnectionStage, OpenConnection, first_to_close,
+    },
+};
+
+/// What a connection is used for.
+#[derive(Debug)]
+pub struct ConnectionUse {
+    /// Whether a request is being handled or its response is being passed on.
+    is_busy: Cell<bool>,
+    /// Whether a request has begun.
+    had_request: Cell<bool>,
+    /// Whether a request's body has not been read to its end.
+    has_unread_body: Cell<bool>,
+    /// Whether it has had its last response.
+    is_ending: Cell<bool>,
+    /// When the last response ended, or the connection began.
+    idle_since: Cell<Instant>,
+    /// When the first byte of a head arrived that is not complete.
+    head_since: Cell<Option<Instant>>,
+    /// When a request began whose body is not complete.
+    body_since: Cell<Option<Instant>>,
+    /// Whether it has to be closed for another one.
+    is_closing: Cell<bool>,
+    close_asked: Notify,
+}
+
+impl ConnectionUse {
+    /// Use of a connection that begins.
+    pub fn starting_at(now: Instant) -> Self {
+        Self {
+            is_busy: Cell::default(),
+            had_request: Cell::default(),
+            has_unread_body: Cell::default(),
+            is_ending: Cell::default(),
+            idle_since: Cell::new(now),
+            head_since: Cell::default(),
+            body_since: Cell::default(),
+            is_closing: Cell::default(),
+            close_asked: Notify::new(),
+        }
+    }
+
+    /// Marks the connection as busy until the returned guard is dropped.
+    pub fn begin_request(self: &Rc<Self>) -> RequestEnd {
+        self.is_busy.set(true);
+        self.had_request.set(true);
+        self.head_since.set(None);
+        RequestEnd(self.clone())
+    }
+
+    fn end_request(&self) {
+        self.is_busy.set(false);
+        self.idle_since.set(boot_clock::now());
+    }
+
+    /// Bytes have arrived.
+    pub fn bytes_arrived(&self) {
+        if !self.is_busy.get() && self.head_since.get().is_none() {
+            self.head_since.set(Some(boot_clock::now()));
+        }
+    }
+
+    /// The body of a request begins to be read.
+    pub fn begin_body(&self) {
+        self.body_since.set(Some(boot_clock::now()));
+    }
+
+    /// The body of a request is complete, or is read no further.
+    pub fn end_body(&self, is_whole: bool) {
+        self.body_since.set(None);
+        self.has_unread_body.set(!is_whole);
+    }
+
+    /// The connection has had its last response.
+    pub fn end(&self) {
+        self.is_ending.set(true);
+        self.idle_since.set(boot_clock::now());
+    }
+
+    /// Whether a request is being handled or its response is being passed on.
+    pub fn is_busy(&self) -> bool {
+        self.is_busy.get()
+    }
+
+    /// Whether a request has begun.
+    pub fn had_request(&self) -> bool {
+        self.had_request.get()
+    }
+
+    /// Whether a request's body has not been read to its end.
+    pub fn has_unread_body(&self) -> bool {
+        self.has_unread_body.get()
+    }
+
+    /// When the last response ended, or the connection began.
+    pub fn idle_since(&self) -> Instant {
+        self.idle_since.get()
+    }
+
+    /// When the first byte of a head arrived that is not complete.
+    pub fn head_since(&self) -> Option<Instant> {
+        self.head_since.get()
+    }
+
+    /// Waits until the connection has to be closed for another one.
+    pub async fn close_asked(&self) {
+        self.close_asked.notified().await;
+    }
+
+    /// What the connection is used for, and since when.
+    fn stage(&self) -> (ConnectionStage, Instant) {
+        let idle_since = self.idle_since.get();
+        match (self.body_since.get(), self.is_busy.get(), self.had_request.get()) {
+            _ if self.is_ending.get() => (ConnectionStage::Ending, idle_since),
+            (Some(since), _, _) => (ConnectionStage::Body, since),
+            (None, true, _) => (ConnectionStage::Running, idle_since),
+            (None, false, true) => (ConnectionStage::Idle, idle_since),
+            (None, false, false) => (ConnectionStage::New, idle_since),
+        }
+    }
+}
+
+/// When dropped, marks the connection as idle: with the response's body, or before there is one.
+pub struct RequestEnd(Rc<ConnectionUse>);
+
+impl Drop for RequestEnd {
+    fn drop(&mut self) {
+        self.0.end_request();
+    }
+}
+
+/// The open connections; clones share them.
+#[derive(Clone, Debug)]
+pub struct ClientConnections {
+    limit: usize,
+    open: Rc<RefCell<BTreeMap<u64, Rc<ConnectionUse>>>>,
+    next_number: Rc<Cell<u64>>,
+    closed: Rc<Cell<u64>>,
+}
+
+impl ClientConnections {
+    /// No connections yet, of at most `limit`.
+    pub fn new(limit: usize) -> Self {
+        Self { limit, open: Rc::default(), next_number: Rc::default(), closed: Rc::default() }
+    }
+
+    /// Number of open connections.
+    pub fn count(&self) -> usize {
+        self.open.borrow().len()
+    }
+
+    /// Number of connections that have been closed for new ones.
+    pub fn closed_for_others(&self) -> u64 {
+        self.closed.get()
+    }
+
+    /// Whether there is room for a new connection.
+    pub fn has_room(&self) -> bool {
+        self.count() < self.limit
+    }
+
+    /// Whether a new connection is accepted, if need be in place of another.
+    pub fn accepts(&self) -> bool {
+        self.has_room() || self.first_to_close().is_some()
+    }
+
+    /// Has a connection closed for a new one; false if none may be. There is room once its task has run.
+    pub fn make_room(&self) -> bool {
+        let Some(number) = self.first_to_close() else { return false };
+        if let Some(usage) = self.open.borrow().get(&number)
+            && !usage.is_closing.replace(true)
+        {
+            usage.close_asked.notify_one();
+            self.closed.set(self.closed.get() + 1);
+        }
+        true
+    }
+
+    /// Adds a connection until the returned guard is dropped.
+    pub fn enter(&self, usage: Rc<ConnectionUse>) -> ConnectionGuard {
+        let number = self.next_number.get();
+        self.next_number.set(number + 1);
+        self.open.borrow_mut().insert(number, usage);
+        ConnectionGuard { connections: self.clone(), number }
+    }
+
+    fn first_to_close(&self) -> Option<u64> {
+        let open = self.open.borrow();
+        first_to_close(open.iter().map(|(&id, usage)| {
+            let (stage, since) = usage.stage();
+            OpenConnection { id, stage, since }
+        }))
+    }
+}
+
+/// Removes a connection when dropped.
+#[derive(Debug)]
+pub struct ConnectionGuard {
+    connections: ClientConnections,
+    number: u64,
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.connections.open.borrow_mut().remove(&self.number);
+    }
+}
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -1,5 +1,5 @@
 //! Listener for clients: accepts connections, serves the requests of each one after the other, and
-//! closes connections that have been idle for too long.
+//! closes connections that have been idle, or whose heads have been incomplete, for too long.
 //!
 //! A stopping daemon serves one request on each new connection; `daemon` describes the steps of a
 //! stop.
@@ -10,7 +10,9 @@
 mod request_body;
 mod unframed_response;
 
-use std::{cell::RefCell, future::poll_fn, io, rc::Rc, task::Poll, time::Duration};
+use std::{
+    cell::RefCell, future::poll_fn, io, net::SocketAddr, rc::Rc, task::Poll, time::Duration,
+};
 
 use hyper::{
     Request, Response, Version,
@@ -19,23 +21,24 @@
     service::service_fn,
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::{
     net::{TcpListener, TcpStream},
+    task::yield_now,
     time::{sleep, sleep_until},
 };
 
-use self::{
-    client_body::ClientBody,
-    client_stream::ClientStream,
-    request_body::{ConnectionUse, RequestBody},
+use self::{client_body::ClientBody, client_stream::ClientStream, request_body::RequestBody};
+use super::{
+    client_connections::{ClientConnections, ConnectionUse},
+    dispatch,
+    relay::EndsWithConnection,
 };
-use super::{dispatch, relay::EndsWithConnection};
 use crate::{
     boot_clock,
     gateway::{
         configuration::ClientLimits,
         context::{GatewayContext, Intake},
-        policy::daemon::readiness::MAX_CLIENT_CONNECTIONS,
     },
     http::LocalBody,
     kernel::LifePhase,
@@ -46,6 +49,13 @@
 /// A connection is closed this much later than the configured idle time, so that a request sent at
 /// the last moment still arrives before the close: far longer than a round trip.
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// A head may be incomplete for this much longer than the configuration says: far longer than a round trip.
+const HEAD_MARGIN: Duration = Duration::from_millis(500);
+/// Shortest interval between checks for heads that are late.
+const MIN_HEAD_CHECK: Duration = Duration::from_millis(100);
+/// Bytes of a client's connection that the kernel keeps unread, as far as it follows this: enough for an ordinary
+/// request in a few round trips.
+const RECEIVE_BUFFER: usize = 32 * 1024;
 /// Longest time for which a connection accepted by a stopping daemon may have had no request; normally the
 /// process exits earlier.
 const UNUSED_LIMIT: Duration = Duration::from_secs(30);
@@ -62,12 +72,13 @@
 
 /// Serves clients until the daemon stops.
 pub async fn run(listener: TcpListener, context: Rc<GatewayContext>) {
+    // Without it the daemon holds more unread bytes of clients than it counts with.
+    let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER);
     let mut phase = context.kernel.phase();
     let open = context.client_connections.clone();
     loop {
         let accepted = tokio::select! {
-            accepted = listener.accept(), if open.get() < MAX_CLIENT_CONNECTIONS => accepted,
-            () = sleep(ACCEPT_PAUSE), if open.get() >= MAX_CLIENT_CONNECTIONS => continue,
+            accepted = accept(&listener, &open) => accepted,
             _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
         };
         if context.intake.get() == Intake::Closed {
@@ -78,25 +89,48 @@
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let guard = open.enter();
-        let connection = serve_connection(stream, context.clone());
+        let usage = Rc::new(ConnectionUse::starting_at(boot_clock::now()));
+        let guard = open.enter(usage.clone());
+        let connection = serve_connection(stream, context.clone(), usage.clone());
         tokio::task::spawn_local(async move {
             let _guard = guard;
-            connection.await;
+            tokio::select! {
+                () = connection => {}
+                () = usage.close_asked() => {}
+            }
         });
     }
 }
 
+/// Accepts a connection, and makes room for it.
+async fn accept(
+    listener: &TcpListener,
+    open: &ClientConnections,
+) -> io::Result<(TcpStream, SocketAddr)> {
+    while !open.accepts() {
+        sleep(ACCEPT_PAUSE).await;
+    }
+    let accepted = listener.accept().await?;
+    while !open.has_room() && open.make_room() {
+        // The task of the connection that is closed has to run.
+        yield_now().await;
+    }
+    Ok(accepted)
+}
+
 /// Client limits of the newest configuration; the defaults until there is one.
 fn client_limits(context: &GatewayContext) -> ClientLimits {
     context.configuration().map_or_else(ClientLimits::default, |current| current.limits)
 }
 
-async fn serve_connection(stream: TcpStream, context: Rc<GatewayContext>) {
+async fn serve_connection(
+    stream: TcpStream,
+    context: Rc<GatewayContext>,
+    usage: Rc<ConnectionUse>,
+) {
     // Fails only on a socket that is already broken, which the first read will report.
     let _ = stream.set_nodelay(true);
-    let usage = Rc::new(ConnectionUse::new());
-    let stream = ClientStream::new(stream);
+    let stream = ClientStream::new(stream, usage.clone());
     let handover = Handover::default();
     serve_http(&stream, &context, &usage, &handover).await;
     if let Some(response) = handover.take() {
@@ -106,7 +140,8 @@
             () = until_cut(&stream, &context, &usage) => {}
         }
     }
-    if usage.has_unread_body.get() {
+    usage.end();
+    if usage.has_unread_body() {
         let mut phase = context.kernel.phase();
         tokio::select! {
             () = lingering_close::discard_rest(&stream) => {}
@@ -141,7 +176,9 @@
             biased;
             _ = connection.as_mut() => return,
             () = until_client_left(stream, usage) => return,
-            () = until_idle_too_long(context, usage) => {}
+            expiry = until_expired(context, usage) => if expiry == ConnectionExpiry::Head {
+                return;
+            },
             _ = phase.wait_for(|phase| *phase >= LifePhase::Draining) => {}
         }
         connection.as_mut().graceful_shutdown();
@@ -159,7 +196,7 @@
 /// Waits for as long as a connection that a stopping daemon accepts may have had no request.
 async fn until_unused(usage: &ConnectionUse) {
     sleep(UNUSED_LIMIT).await;
-    if usage.had_request.get() {
+    if usage.had_request() {
         std::future::pending().await
     }
 }
@@ -178,7 +215,7 @@
 /// that was still unread, endpoints worked on until the deadline (2.95 s of 3 s, test
 /// `client_gone`).
 async fn until_client_left(stream: &ClientStream, usage: &ConnectionUse) {
-    poll_fn(|task| match usage.is_busy.get() {
+    poll_fn(|task| match usage.is_busy() {
         true => stream.poll_closed(task),
         false => Poll::Pending,
     })
@@ -232,22 +269,32 @@
     builder
 }
 
-/// Waits until the connection has been idle for longer than the configuration allows.
-async fn until_idle_too_long(context: &GatewayContext, usage: &ConnectionUse) {
+/// Why a connection is closed although its client keeps it open.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionExpiry {
+    /// It has been idle for too long.
+    Idle,
+    /// A head has not been complete in time.
+    Head,
+}
+
+/// Waits until the connection has been idle, or a head incomplete, for longer than the configuration allows.
+async fn until_expired(context: &GatewayContext, usage: &ConnectionUse) -> ConnectionExpiry {
     loop {
-        let idle_timeout = client_limits(context).idle_timeout;
-        if usage.is_busy.get() {
-            sleep(idle_timeout).await;
-            continue;
+        let ClientLimits { head_timeout, idle_timeout, .. } = client_limits(context);
+        let now = boot_clock::now();
+        if usage.head_since().is_some_and(|since| since + head_timeout + HEAD_MARGIN <= now) {
+            return ConnectionExpiry::Head;
         }
-        let close_at = usage.idle_since.get() + idle_timeout + IDLE_MARGIN;
-        sleep_until(boot_clock::timer_at(close_at)).await;
         // A request may have begun in the meantime. If the connection were closed after its
         // response, the client's next request would be lost: each time in the test whose first
         // request comes after 100 ms.
-        let has_passed = usage.idle_since.get() + idle_timeout + IDLE_MARGIN <= boot_clock::now();
-        if has_passed && !usage.is_busy.get() {
-            return;
+        let idle_end = usage.idle_since() + idle_timeout + IDLE_MARGIN;
+        if idle_end <= now && !usage.is_busy() {
+            return ConnectionExpiry::Idle;
         }
+        let head_check = now + head_timeout.max(MIN_HEAD_CHECK);
+        let next_check = if usage.is_busy() { head_check } else { idle_end.min(head_check) };
+        sleep_until(boot_clock::timer_at(next_check)).await;
     }
 }
--- a/src/gateway/request/client_listener/client_body.rs
+++ b/src/gateway/request/client_listener/client_body.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use super::request_body::ConnectionUse;
+use crate::gateway::request::client_connections::ConnectionUse;
 
 /// Body of a request on a client's connection.
 #[derive(Debug)]
@@ -23,6 +23,9 @@
     /// Wraps the body of a request that begins on the connection.
     pub fn new(body: Incoming, usage: Rc<ConnectionUse>) -> Self {
         let is_whole = body.is_end_stream();
+        if !is_whole {
+            usage.begin_body();
+        }
         Self { body, usage, is_whole }
     }
 }
@@ -38,6 +41,7 @@
         let polled = Pin::new(&mut self.body).poll_frame(task);
         if let Poll::Ready(None) = polled {
             self.is_whole = true;
+            self.usage.end_body(true);
         }
         polled
     }
@@ -53,6 +57,6 @@
 
 impl Drop for ClientBody {
     fn drop(&mut self) {
-        self.usage.has_unread_body.set(!self.is_whole);
+        self.usage.end_body(self.is_whole);
     }
 }
--- a/src/gateway/request/client_listener/client_stream.rs
+++ b/src/gateway/request/client_listener/client_stream.rs
@@ -21,6 +21,8 @@
     net::TcpStream,
 };
 
+use crate::gateway::request::client_connections::ConnectionUse;
+
 /// Most bytes that are buffered for the library; a close after more than these is not detected.
 /// Enough for a few requests without a body.
 const MAX_BUFFERED: usize = 16 * 1024;
@@ -31,6 +33,7 @@
 
 struct StreamState {
     stream: TcpStream,
+    usage: Rc<ConnectionUse>,
     buffered: BytesMut,
     is_closed: bool,
     /// Whether the library has begun to write and not flushed since.
@@ -46,10 +49,11 @@
 }
 
 impl ClientStream {
-    /// Wraps an accepted connection.
-    pub fn new(stream: TcpStream) -> Self {
+    /// Wraps an accepted connection, and tells `usage` when bytes arrive.
+    pub fn new(stream: TcpStream, usage: Rc<ConnectionUse>) -> Self {
         let state = StreamState {
             stream,
+            usage,
             buffered: BytesMut::new(),
             is_closed: false,
             has_unsent: false,
@@ -127,7 +131,12 @@
         if state.is_closed {
             return Poll::Ready(Ok(()));
         }
-        Pin::new(&mut state.stream).poll_read(task, buffer)
+        let before = buffer.filled().len();
+        let read = ready!(Pin::new(&mut state.stream).poll_read(task, buffer));
+        if buffer.filled().len() > before {
+            state.usage.bytes_arrived();
+        }
+        Poll::Ready(read)
     }
 }
 
--- a/src/gateway/settings.rs
+++ b/src/gateway/settings.rs
@@ -54,6 +54,8 @@
 pub struct VmSize {
     /// Memory that the process may use, in bytes.
     pub memory_bytes: u64,
+    /// Files and sockets that the process may have open.
+    pub descriptors: u64,
 }
 
 /// Time limits and tolerances that the deployment guarantees.
--- a/src/gateway/status_listeners.rs
+++ b/src/gateway/status_listeners.rs
@@ -82,10 +82,12 @@
 }
 
 fn render_metrics(context: &GatewayContext) -> String {
-    let GatewayContext { metrics, bodies, .. } = context;
+    let GatewayContext { metrics, bodies, client_connections, .. } = context;
     metrics.gauge("small_body_bytes", bodies.held(BodySize::Small) as f64);
     metrics.gauge("large_body_bytes", bodies.held(BodySize::Large) as f64);
     metrics.gauge("bodies_given_way", bodies.given_way() as f64);
+    metrics.gauge("client_connections", client_connections.count() as f64);
+    metrics.gauge("client_connections_closed", client_connections.closed_for_others() as f64);
     metrics.render()
 }
 
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -119,12 +119,14 @@
 struct LimitsSection {
     /// Memory of the process, in MB.
     memory_mb: f64,
+    /// Descriptors of the process.
+    max_fds: f64,
 }
 
 /// Values for keys that are missing in the file: those of the smallest VMs.
 impl Default for LimitsSection {
     fn default() -> Self {
-        Self { memory_mb: 160.0 }
+        Self { memory_mb: 160.0, max_fds: 4_100.0 }
     }
 }
 
@@ -226,7 +228,8 @@
 
 fn check_vm(section: &LimitsSection) -> Result<VmSize, SettingsError> {
     let memory = positive("limits.memory-mb", section.memory_mb)?;
-    Ok(VmSize { memory_bytes: (memory * BYTES_PER_MB) as u64 })
+    let descriptors = positive("limits.max-fds", section.max_fds)?;
+    Ok(VmSize { memory_bytes: (memory * BYTES_PER_MB) as u64, descriptors: descriptors as u64 })
 }
 
 /// Converts the name of a leader task. Unknown names are ignored, since later versions may add tasks.
--- a/tests/crowds/crowd_client.rs
+++ b/tests/crowds/crowd_client.rs
@@ -10,6 +10,8 @@
 
 /// Bytes that a client writes at a time, if its pieces are smaller.
 const WRITE_BYTES: usize = 16 * 1024;
+/// Longest head or trailer of a client that sends one without end, in bytes: far beyond every limit.
+const ENDLESS_BYTES: usize = 4 * 1024 * 1024;
 
 /// What a client sends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -32,6 +34,14 @@
     UnknownRoute { length: usize },
     /// The same, with a key that nobody has.
     UnknownKey { length: usize },
+    /// A head of this length that doesn't end.
+    UnfinishedHead { length: usize },
+    /// Nothing.
+    Silent,
+    /// Trailers without end.
+    EndlessTrailers,
+    /// This many requests without reading a response.
+    Unread { requests: usize },
 }
 
 impl Manner {
@@ -138,6 +148,32 @@
             Manner::UnknownKey { length } => {
                 self.send_with_length("/once/", "key-none", length, length, WRITE_BYTES);
             }
+            Manner::UnfinishedHead { length } => {
+                let mut head = self.head("/once/", "key-1", "");
+                head.truncate(head.len() - 2);
+                head.push_str("X-Filler: ");
+                let filler = length.saturating_sub(head.len());
+                head.push_str(&"f".repeat(filler));
+                self.write(&head.as_bytes()[..length]);
+            }
+            Manner::Silent => {}
+            Manner::EndlessTrailers => {
+                let _ = self.send_chunks(1, 1) && self.write(b"0\r\n");
+                let line = format!("X-Trailer: {}\r\n", "t".repeat(100));
+                for _ in 0..ENDLESS_BYTES / line.len() {
+                    if !self.write(line.as_bytes()) {
+                        return;
+                    }
+                }
+            }
+            Manner::Unread { requests } => {
+                let request = self.head("/plain/", "key-1", "");
+                for _ in 0..requests {
+                    if !self.write(request.as_bytes()) {
+                        return;
+                    }
+                }
+            }
         }
     }
 
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -5,6 +5,7 @@
 mod crowd_site;
 
 mod body_crowds;
+mod connection_crowds;
 mod refused_bodies;
 mod whole_bodies;
 
