--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -6,6 +6,7 @@
 
 mod body_crowds;
 mod connection_crowds;
+mod crowd_soak;
 mod refused_bodies;
 mod whole_bodies;
 
