--- a/tests/crowds/crowd_client.rs
+++ b/tests/crowds/crowd_client.rs
@@ -24,7 +24,7 @@
     Whole { length: usize },
     /// A whole body in chunks of this size.
     WholeChunks { length: usize, chunk: usize },
-    /// The same, over a connection whose sending side is closed afterwards.
+    /// A body with its length, whose client closes its sending side before the last byte.
     HalfClosed { length: usize },
     /// A body of which `length` is announced and sent.
     Announced { length: usize },
