Streams: an only version is proved, since silence of the others is no answer

Cause: without an answer of a holder the daemon's own history decided, and its list counts as current for 4 s after its last confirmation. Holders that don't answer counted like holders without a record.

Change: "one version alone has served" holds if most of the holders asked have answered and the own list was confirmed within 2 s; else the store's list of endpoints is read, by a call begun after the request arrived and shared by those that wait, and has to name no other version. Otherwise the request is refused at once as not run (503, Retry-After). The request line names how many daemons were asked and have answered, what the store's list said and when the log of streams was read.

Evidence: stream_of_a_version_that_joined_while_the_daemon_was_cut_off_goes_on_at_no_other, real processes: on the code before 200 with events of the first version; now 503 and no arrival.

--- a/src/gateway/gossip/streams.rs
+++ b/src/gateway/gossip/streams.rs
@@ -2,6 +2,7 @@
 //! taken up here. `policy::request::stream_origin` decides who is told and what follows from the answers.
 
 pub mod codec;
+pub mod list_check;
 pub mod log;
 pub mod state;
 mod versions;
@@ -10,12 +11,13 @@
 
 use capnp::Error;
 use futures::{StreamExt, stream::FuturesUnordered};
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 use self::{
     codec::{read_report, read_start, write_start},
+    list_check::{ListCheck, check_only_version},
     log::restore_streams,
-    versions::{needs_record, served_versions_since},
+    versions::{list_age, needs_record, served_versions_since},
 };
 use super::peer_connections::CALL_LIMIT;
 use crate::{
@@ -25,8 +27,8 @@
         context::GatewayContext,
         policy::{
             request::stream_origin::{
-                HOLDERS, OriginReport, OriginSource, StreamKey, StreamOrigin, StreamStart, decide,
-                stream_life,
+                HOLDERS, HolderAnswers, OriginReport, OriginSource, StreamKey, StreamOrigin,
+                StreamStart, decide, needs_confirmation, stream_life,
             },
             rollout::version_history::ServedVersions,
         },
@@ -200,50 +202,108 @@
     }
 }
 
-/// Finds out where a stream was begun; none if it isn't known. `service` is that of its route if there is
-/// only one.
+/// Where a stream that is taken up goes on, and what that is known from.
+#[derive(Clone, Debug)]
+pub struct OriginSearch {
+    /// Where it goes on; none if that isn't known.
+    pub origin: Option<StreamOrigin>,
+    /// Holders asked last, and how many of them have answered.
+    pub asked: usize,
+    /// Number of answers.
+    pub answered: usize,
+    /// What the store's list of endpoints says of the only version.
+    pub list_check: ListCheck,
+    /// Time since the log of streams was last read; none if it wasn't.
+    pub log_age: Option<Duration>,
+}
+
+/// Search for the origin of a stream that a request takes up.
+struct OriginSearcher<'a> {
+    context: &'a Rc<GatewayContext>,
+    key: StreamKey,
+    /// Service of the stream's route if there is only one.
+    service: Option<&'a SharedName>,
+    arrived_at: Instant,
+    answers: HolderAnswers,
+    list_check: ListCheck,
+}
+
+/// Finds out where a stream was begun. `service` is that of its route if there is only one.
 pub async fn find_origin(
-    context: &GatewayContext,
+    context: &Rc<GatewayContext>,
     key: StreamKey,
     service: Option<&SharedName>,
-) -> Option<StreamOrigin> {
-    let found = find_once(context, key, service).await;
-    if found.is_some() {
-        return found;
+) -> OriginSearch {
+    let mut searcher = OriginSearcher {
+        context,
+        key,
+        service,
+        arrived_at: boot_clock::now(),
+        answers: HolderAnswers::default(),
+        list_check: ListCheck::NotRead,
+    };
+    let origin = searcher.find().await;
+    let HolderAnswers { asked, reports } = searcher.answers;
+    let (answered, log_age) = (reports.len(), context.streams.log_age(boot_clock::now()));
+    OriginSearch { origin, asked, answered, list_check: searcher.list_check, log_age }
+}
+
+impl OriginSearcher<'_> {
+    async fn find(&mut self) -> Option<StreamOrigin> {
+        let found = self.find_once().await;
+        if found.is_some() {
+            return found;
+        }
+        sleep(SECOND_ASK_DELAY).await;
+        let found = self.find_once().await;
+        if found.is_some() {
+            return found;
+        }
+        restore_streams(self.context).await;
+        let own = self.own_report();
+        let found = own.recorded.is_some().then(|| decide(&own, &[], self.service)).flatten();
+        self.confirm(found).await
     }
-    sleep(SECOND_ASK_DELAY).await;
-    let found = find_once(context, key, service).await;
-    if found.is_some() {
-        return found;
+
+    async fn find_once(&mut self) -> Option<StreamOrigin> {
+        let own = self.own_report();
+        if own.has_origin() {
+            return decide(&own, &[], self.service);
+        }
+        let service = self.service.map_or("", |service| &**service);
+        self.answers = ask_holders(self.context, self.key, service).await;
+        let held = self.answers.reports.iter().filter_map(|report| report.recorded.as_ref());
+        for (start, age) in held {
+            self.context.streams.record_unknown(self.key, start, *age, boot_clock::now());
+        }
+        // Covers the time since the first report of the stream to any of them, too.
+        let found = decide(&self.own_report(), &self.answers.reports, self.service);
+        self.confirm(found).await
     }
-    restore_streams(context).await;
-    let own = own_report(context, key, service.map(|service| &**service));
-    own.recorded.is_some().then(|| decide(&own, &[], service)).flatten()
-}
 
-async fn find_once(
-    context: &GatewayContext,
-    key: StreamKey,
-    service: Option<&SharedName>,
-) -> Option<StreamOrigin> {
-    let name = service.map(|service| &**service);
-    let own = own_report(context, key, name);
-    if own.has_origin() {
-        return decide(&own, &[], service);
+    fn own_report(&self) -> OriginReport {
+        own_report(self.context, self.key, self.service.map(|service| &**service))
     }
-    let reports = ask_holders(context, key, name.unwrap_or("")).await;
-    for (start, age) in reports.iter().filter_map(|report| report.recorded.as_ref()) {
-        context.streams.record_unknown(key, start, *age, boot_clock::now());
+
+    /// The same origin, unless it is an only version that is not proved.
+    async fn confirm(&mut self, found: Option<StreamOrigin>) -> Option<StreamOrigin> {
+        let origin = found?;
+        if !needs_confirmation(&origin, &self.answers, list_age(self.context)) {
+            return Some(origin);
+        }
+        let StreamStart { service, version } = &origin.start;
+        let since = self.arrived_at;
+        self.list_check = check_only_version(self.context, service, version, since).await;
+        (self.list_check == ListCheck::Confirmed).then_some(origin)
     }
-    // Covers the time since the first report of the stream to any of them, too.
-    decide(&own_report(context, key, name), &reports, service)
 }
 
 /// Asks the holders of a stream until one has a record, or all have answered or taken too long.
-async fn ask_holders(context: &GatewayContext, key: StreamKey, service: &str) -> Vec<OriginReport> {
+async fn ask_holders(context: &GatewayContext, key: StreamKey, service: &str) -> HolderAnswers {
     let holders = context.peers.borrow().rendezvous_first(key.0, HOLDERS + 1 + EXTRA_HOLDERS);
-    let asked = holders.into_iter().map(|holder| ask_in_time(context, holder, key, service));
-    let mut answers: FuturesUnordered<_> = asked.collect();
+    let asked = holders.len();
+    let asking = holders.into_iter().map(|holder| ask_in_time(context, holder, key, service));
+    let mut answers: FuturesUnordered<_> = asking.collect();
     let mut reports = Vec::new();
     while let Some(answer) = answers.next().await {
         let Some(report) = answer else { continue };
@@ -253,7 +313,7 @@
             break;
         }
     }
-    reports
+    HolderAnswers { asked, reports }
 }
 
 /// The answer of a holder; none if it doesn't answer in time, or is of an earlier release.
--- a/src/gateway/gossip/streams/log.rs
+++ b/src/gateway/gossip/streams/log.rs
@@ -113,7 +113,7 @@
 /// Adds the streams of all logs to the known ones, unless that was done a moment ago.
 pub async fn restore_streams(context: &GatewayContext) {
     // Requests that come meanwhile wait for the same read.
-    let mut read_at = context.streams.log_read_at.lock().await;
+    let mut read_at = context.streams.log_read_begun.lock().await;
     let now = boot_clock::now();
     let is_fresh = |at: Instant| now.saturating_duration_since(at) < READ_INTERVAL;
     if read_at.is_some_and(is_fresh) {
--- a/src/gateway/gossip/streams/state.rs
+++ b/src/gateway/gossip/streams/state.rs
@@ -9,6 +9,7 @@
 
 use tokio::{sync::Mutex, time::Instant};
 
+use super::list_check::ListRead;
 use crate::gateway::policy::request::stream_origin::{StreamKey, StreamLedger, StreamStart};
 
 /// Time for which take-ups of unknown streams are remembered.
@@ -36,12 +37,14 @@
     pub(super) unsent: RefCell<HashMap<SocketAddr, Vec<(StreamKey, StreamStart)>>>,
     /// Records that have not been offered to the log in the store.
     unlogged: RefCell<Vec<(StreamKey, StreamStart)>>,
-    /// When the log was last read.
-    pub(super) log_read_at: Mutex<Option<Instant>>,
+    /// Last read of the list of endpoints that confirms an only version.
+    pub(super) list_read: Mutex<Option<ListRead>>,
+    /// When a read of the log was last begun.
+    pub(super) log_read_begun: Mutex<Option<Instant>>,
     /// Whether the log has named streams.
     pub(super) has_restored: Cell<bool>,
-    /// Whether the log has been read since the start.
-    is_log_read: Cell<bool>,
+    /// When the log was last read to its end.
+    log_read_at: Cell<Option<Instant>>,
 }
 
 impl StreamState {
@@ -52,12 +55,17 @@
 
     /// Whether the log has been read since the start.
     pub fn is_log_read(&self) -> bool {
-        self.is_log_read.get()
+        self.log_read_at.get().is_some()
+    }
+
+    /// Time since the log was last read to its end; none if it never was.
+    pub(super) fn log_age(&self, now: Instant) -> Option<Duration> {
+        self.log_read_at.get().map(|at| now.saturating_duration_since(at))
     }
 
     /// Records the streams that were read in the log. They are kept for `life`.
     pub(super) fn restore(&self, streams: Vec<LoggedStream>, life: Duration, now: Instant) {
-        self.is_log_read.set(true);
+        self.log_read_at.set(Some(now));
         self.has_restored.set(self.has_restored.get() || !streams.is_empty());
         for LoggedStream { key, start, age } in streams {
             if start.is_known() {
--- a/src/gateway/gossip/streams/versions.rs
+++ b/src/gateway/gossip/streams/versions.rs
@@ -31,6 +31,11 @@
     context.versions.borrow_mut().served(service, life + age, now)
 }
 
+/// Time since this daemon's list of endpoints was confirmed; none if it never was.
+pub fn list_age(context: &GatewayContext) -> Option<Duration> {
+    context.versions.borrow().list_age(boot_clock::now())
+}
+
 /// Whether streams of a service are written into the log: several versions serve it, or did before all
 /// daemons ended.
 pub fn serves_several_versions(context: &GatewayContext, service: &str) -> bool {
--- a/src/gateway/policy/request/stream_origin.rs
+++ b/src/gateway/policy/request/stream_origin.rs
@@ -9,6 +9,11 @@
 //! Inputs are the records of this daemon, the answers of the holders, and the versions that each has
 //! seen in its lists of endpoints (`rollout::version_history`). Without a record, and with
 //! histories that are too short or name several versions, the stream is refused.
+//!
+//! A daemon that is cut off from the others, or was suspended, may lack an endpoint of another version at which others
+//! have begun streams. A holder that doesn't answer says nothing. So an only version needs proof: most
+//! holders have answered and the list of endpoints was confirmed a moment ago, or the store lists no other version
+//! now.
 
 pub mod stream_log;
 
@@ -30,6 +35,9 @@
 /// Most records of a daemon: bounds the memory that clients can use.
 const MAX_RECORDS: usize = 50_000;
 
+/// Age of a list of endpoints up to which it needs no confirmation by the store, if most holders have answered: longer
+/// than the store's watches and the exchange with peers take.
+const MAX_UNCONFIRMED_AGE: Duration = Duration::from_secs(2);
 /// Time limit of a stream whose route sets none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(60);
 /// Attempts of a client, one after the other, in which a stream may live before an attempt reaches a daemon: the one that
@@ -189,6 +197,33 @@
     pub age: Duration,
 }
 
+/// What the holders of a stream have answered.
+#[derive(Clone, Debug, Default)]
+pub struct HolderAnswers {
+    /// Number of holders asked.
+    pub asked: usize,
+    /// Reports of those that have answered.
+    pub reports: Vec<OriginReport>,
+}
+
+impl HolderAnswers {
+    /// Whether most holders have answered, so that one of them has the record if there is one.
+    fn is_from_most(&self) -> bool {
+        self.reports.len() * 2 > self.asked
+    }
+}
+
+/// Whether an origin has to be confirmed by the store's list of endpoints. `list_age`: time since this daemon's
+/// own list was confirmed.
+pub fn needs_confirmation(
+    origin: &StreamOrigin,
+    answers: &HolderAnswers,
+    list_age: Option<Duration>,
+) -> bool {
+    let is_list_recent = list_age.is_some_and(|age| age <= MAX_UNCONFIRMED_AGE);
+    origin.source == OriginSource::OnlyVersion && !(answers.is_from_most() && is_list_recent)
+}
+
 /// Decides where a stream goes on, from this daemon's report and those of others; none if it isn't known.
 /// `service` is that of the stream if there is only one. Records that disagree prove nothing.
 pub fn decide(
--- a/src/gateway/policy/rollout/version_history.rs
+++ b/src/gateway/policy/rollout/version_history.rs
@@ -80,6 +80,11 @@
         self.confirmed_at = self.confirmed_at.max(Some(confirmed));
     }
 
+    /// Time since the newest list was confirmed; none if none was.
+    pub fn list_age(&self, now: Instant) -> Option<Duration> {
+        self.confirmed_at.map(|at| now.saturating_duration_since(at))
+    }
+
     /// Restores that one version alone had served a service for `alone`, until `age` ago.
     pub fn restore(
         &mut self,
@@ -128,8 +133,7 @@
         if second.is_some() {
             return ServedVersions::Several;
         }
-        let is_current =
-            self.confirmed_at.is_some_and(|at| now.saturating_duration_since(at) <= MAX_LIST_AGE);
+        let is_current = self.confirmed_at.is_some_and(|at| is_within(&at, MAX_LIST_AGE));
         let restored = self
             .restored
             .get(service)
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -155,10 +155,10 @@
         return Ok(None);
     }
     let key = StreamKey::of(account.map(|account| &*account.name), head.stream_id());
-    let origin = find_origin(context, key, route.sole_service()).await;
-    trace.taken_up(head.stream_id(), origin.as_ref());
-    record_take_up(context, key, origin.as_ref());
-    match origin {
+    let search = find_origin(context, key, route.sole_service()).await;
+    trace.taken_up(head.stream_id(), &search);
+    record_take_up(context, key, search.origin.as_ref());
+    match search.origin {
         Some(origin) => Ok(Some(origin)),
         None => Err(Refusal::UnknownStream(retry_after::UNKNOWN_STREAM)),
     }
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -18,6 +18,7 @@
         call::PartId,
         context::GatewayContext,
         forwarding::open_path::EndpointPath,
+        gossip::streams::OriginSearch,
         policy::{
             endpoint::{endpoint_choice::EndpointChoice, service_room::ServiceRoom},
             request::{
@@ -26,7 +27,7 @@
                 refusal::Refusal,
                 response_end::{EndpointSurvival, ResponseEnd},
                 retry_budget::RetryWithdrawal,
-                stream_origin::StreamOrigin,
+                stream_origin::{OriginSource, StreamOrigin},
             },
         },
     },
@@ -115,8 +116,9 @@
         let _ = write!(self.steps, " {room};");
     }
 
-    /// Records that the client takes a stream up, and where that goes on.
-    pub fn taken_up(&mut self, stream: &str, origin: Option<&StreamOrigin>) {
+    /// Records that the client takes a stream up, where that goes on, and what that is known from.
+    pub fn taken_up(&mut self, stream: &str, search: &OriginSearch) {
+        let origin = search.origin.as_ref();
         let source = origin.map_or("unknown".to_owned(), |origin| origin.source.to_string());
         self.context.metrics.count_labelled("streams_taken_up", "source", &source);
         // Writing to a string cannot fail.
@@ -131,6 +133,15 @@
             }
             None => write!(self.steps, "takes up {stream} of unknown version; "),
         };
+        if origin.is_none_or(|origin| origin.source == OriginSource::OnlyVersion) {
+            let OriginSearch { asked, answered, list_check, log_age, .. } = search;
+            let log_ms = log_age.map_or(-1, |age| age.as_millis() as i64);
+            // Writing to a string cannot fail.
+            let _ = write!(
+                self.steps,
+                "{answered} of {asked} daemons answered, store's list {list_check}, log read {log_ms} ms ago; "
+            );
+        }
     }
 
     /// Records that a retry was taken from the budget of the service, or that none was left.
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -62,6 +62,7 @@
 mod loopback_proxy;
 mod lost_entries;
 mod operations;
+mod out_of_step_daemon;
 mod part_model;
 mod part_rules;
 mod partitioned_daemons;
--- a/tests/gateway/stream_origin_rules.rs
+++ b/tests/gateway/stream_origin_rules.rs
@@ -12,8 +12,8 @@
         gossip::{messages::PeerSummary, peer_table::PeerTable},
         policy::{
             request::stream_origin::{
-                HOLDERS, OriginReport, OriginSource, StreamKey, StreamLedger, StreamStart, decide,
-                stream_log::StreamSegment,
+                HOLDERS, HolderAnswers, OriginReport, OriginSource, StreamKey, StreamLedger,
+                StreamOrigin, StreamStart, decide, needs_confirmation, stream_log::StreamSegment,
             },
             rollout::version_history::{ServedVersions, VersionHistory},
         },
@@ -73,6 +73,34 @@
     nobody_answers: nothing(), [] => None, OriginSource::Own;
 }
 
+/// Whether an origin has to be confirmed by the store, by its source, the answers of holders and the age of this
+/// daemon's list in seconds.
+macro_rules! confirmation {
+    ($($name:ident: $source:expr, $answered:literal of $asked:literal, $age:expr => $needed:literal;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            let origin =
+                StreamOrigin { start: start("v1"), source: $source, age: Duration::ZERO };
+            let answers = HolderAnswers { asked: $asked, reports: vec![nothing(); $answered] };
+            let age: Option<f64> = $age;
+            let age = age.map(Duration::from_secs_f64);
+            expect_that!(needs_confirmation(&origin, &answers, age), eq($needed));
+        }
+    )*};
+}
+
+confirmation! {
+    record_needs_none: OriginSource::Holder, 0 of 5, None => false;
+    own_record_needs_none: OriginSource::Own, 0 of 5, None => false;
+    only_version_where_all_answer: OriginSource::OnlyVersion, 5 of 5, Some(0.5) => false;
+    only_version_where_most_answer: OriginSource::OnlyVersion, 3 of 5, Some(0.5) => false;
+    only_version_where_half_are_silent: OriginSource::OnlyVersion, 2 of 4, Some(0.5) => true;
+    only_version_where_all_are_silent: OriginSource::OnlyVersion, 0 of 5, Some(0.0) => true;
+    only_version_of_a_daemon_that_knows_no_other: OriginSource::OnlyVersion, 0 of 0, Some(0.0) => true;
+    only_version_of_a_list_of_some_seconds: OriginSource::OnlyVersion, 5 of 5, Some(2.5) => true;
+    only_version_without_a_confirmed_list: OriginSource::OnlyVersion, 5 of 5, None => true;
+}
+
 #[googletest::test]
 fn only_version_is_no_origin_where_the_service_is_not_known() {
     expect_that!(decide(&only("v1"), &[], None), none());
