Log of streams: a read goes on although the request that waits for it is refused

Cause: the log was read within a request, which waits 0.3 s, and the end of the wait ended the read. Where all daemons read it at once over small links none came to its end, and each retry began anew. A daemon also took itself for one without streams of several versions until it had read it.

Change: each daemon begins to read the log when it starts; a read is a task of its own, one at a time, and requests wait for it for 0.3 s at most. Waits that were too short are counted (stream_log_late).

--- a/src/gateway/gossip/streams/log.rs
+++ b/src/gateway/gossip/streams/log.rs
@@ -9,7 +9,7 @@
 use super::{state::LoggedStream, versions::serves_several_versions};
 use crate::{
     boot_clock,
-    errors::{FailureCause, StepError},
+    errors::StepError,
     gateway::{
         context::GatewayContext,
         policy::request::stream_origin::{
@@ -25,13 +25,14 @@
 const LOG_KIND: &str = "gateway-streams";
 /// Interval between two writes: streams that were begun less than this before all daemons end are not recorded.
 const WRITE_INTERVAL: Duration = Duration::from_millis(500);
-/// Longest time for reading the log: a request waits for it.
-const READ_LIMIT: Duration = Duration::from_millis(300);
+/// Longest time for which a request waits until the log is read.
+const READ_WAIT: Duration = Duration::from_millis(300);
 /// Shortest time between two reads.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Writes the log until the daemon stops.
 pub async fn run(context: Rc<GatewayContext>) {
+    begin_read(&context);
     let mut writer = LogWriter::new(context.clone());
     let mut ticks = interval(WRITE_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -110,22 +111,36 @@
     }
 }
 
-/// Adds the streams of all logs to the known ones, unless that was done a moment ago.
-pub async fn restore_streams(context: &GatewayContext) {
-    // Requests that come meanwhile wait for the same read.
-    let mut read_at = context.streams.log_read_begun.lock().await;
+/// Begins to read the log, unless that was begun a moment ago or is in progress. The read goes on whether or not a
+/// request waits for it.
+pub fn begin_read(context: &Rc<GatewayContext>) {
+    let reads = &context.streams.log_reads;
     let now = boot_clock::now();
-    let is_fresh = |at: Instant| now.saturating_duration_since(at) < READ_INTERVAL;
-    if read_at.is_some_and(is_fresh) {
+    let is_recent = |at: Instant| now.saturating_duration_since(at) < READ_INTERVAL;
+    if reads.is_reading.get() || reads.begun_at.get().is_some_and(is_recent) {
         return;
     }
-    *read_at = Some(now);
-    let read = timeout(READ_LIMIT, read_log(context)).await.unwrap_or_else(|_| {
-        let cause = FailureCause::TimedOut(READ_LIMIT.as_millis() as u64);
-        Err(StepError::new("read stream log", context.settings.store_address.to_string(), cause))
+    reads.begun_at.set(Some(now));
+    reads.is_reading.set(true);
+    let context = context.clone();
+    tokio::task::spawn_local(async move {
+        if let Err(error) = read_log(&context).await {
+            spdlog::warn!("stream log not read: {}", error);
+        }
+        context.streams.log_reads.is_reading.set(false);
+        context.streams.log_reads.ended.notify_waiters();
     });
-    if let Err(error) = read {
-        spdlog::warn!("stream log not read: {}", error);
+}
+
+/// Adds the streams of all logs to the known ones, unless that was done a moment ago. Waits for the read for a while.
+pub async fn restore_streams(context: &Rc<GatewayContext>) {
+    begin_read(context);
+    let reads = &context.streams.log_reads;
+    if !reads.is_reading.get() {
+        return;
+    }
+    if timeout(READ_WAIT, reads.ended.notified()).await.is_err() {
+        context.metrics.count("stream_log_late", 1);
     }
 }
 
@@ -134,7 +149,7 @@
 /// # Errors
 ///
 /// The store failed or did not respond in time.
-pub async fn read_log(context: &GatewayContext) -> Result<(), StepError> {
+async fn read_log(context: &GatewayContext) -> Result<(), StepError> {
     let listing = context.store.list(LOG_KIND).await?;
     let now = boot_clock::now();
     let now_ms = context.wall_clock.borrow().now_ms(now);
--- a/src/gateway/gossip/streams/state.rs
+++ b/src/gateway/gossip/streams/state.rs
@@ -7,7 +7,10 @@
     time::Duration,
 };
 
-use tokio::{sync::Mutex, time::Instant};
+use tokio::{
+    sync::{Mutex, Notify},
+    time::Instant,
+};
 
 use super::list_check::ListRead;
 use crate::gateway::policy::request::stream_origin::{StreamKey, StreamLedger, StreamStart};
@@ -17,6 +20,17 @@
 /// Most records that wait for the log.
 const MAX_UNLOGGED: usize = 10_000;
 
+/// Reads of the log: one at a time, which requests share.
+#[derive(Debug, Default)]
+pub(super) struct LogReads {
+    /// When the last one began.
+    pub begun_at: Cell<Option<Instant>>,
+    /// Whether it is in progress.
+    pub is_reading: Cell<bool>,
+    /// Notified when a read has ended.
+    pub ended: Notify,
+}
+
 /// A stream as it stands in the log.
 #[derive(Clone, Debug)]
 pub(super) struct LoggedStream {
@@ -39,8 +53,8 @@
     unlogged: RefCell<Vec<(StreamKey, StreamStart)>>,
     /// Last read of the list of endpoints that confirms an only version.
     pub(super) list_read: Mutex<Option<ListRead>>,
-    /// When a read of the log was last begun.
-    pub(super) log_read_begun: Mutex<Option<Instant>>,
+    /// Reads of the log.
+    pub(super) log_reads: LogReads,
     /// Whether the log has named streams.
     pub(super) has_restored: Cell<bool>,
     /// When the log was last read to its end.
--- a/src/gateway/leader/sole_versions.rs
+++ b/src/gateway/leader/sole_versions.rs
@@ -13,13 +13,13 @@
 use crate::{
     boot_clock,
     gateway::{
-        context::GatewayContext, gossip::streams::log::read_log,
+        context::GatewayContext, gossip::streams::log::begin_read,
         policy::request::stream_origin::stream_life,
     },
 };
 
-/// Pause after the log could not be read.
-const READ_PAUSE: Duration = Duration::from_millis(500);
+/// Interval between checks whether the log has been read: short beside the time in which a daemon becomes ready.
+const CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
 /// Services that one version alone has served for as long as a stream may live, as this daemon knows.
 pub fn stored_versions(context: &GatewayContext) -> Vec<SoleVersion> {
@@ -47,10 +47,8 @@
             if !is_any_fresh {
                 return;
             }
-            if let Err(error) = read_log(&context).await {
-                spdlog::warn!("stream log not read: {}", error);
-                sleep(READ_PAUSE).await;
-            }
+            begin_read(&context);
+            sleep(CHECK_INTERVAL).await;
         }
         stored.iter().for_each(|version| restore_version(&context, version));
     });
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -115,6 +115,7 @@
 mod store_loss_fleet;
 mod store_loss_lease;
 mod store_positions;
+mod stream_log;
 mod stream_origin_rules;
 mod stream_take_ups;
 mod stream_versions;
