Log of streams: written each 0.1 s, and records wait until they belong into it

Causes: the log was up to 0.5 s behind, while streams live for 1 to 2 s; and a recorder that had not heard of the second version yet, or that it was the recorder, dropped what it was told.

Change: written each 0.1 s while there is something to write, which is only while several versions serve: at most 10 writes a second and gossip group, 2 before. Records wait for 2 s until they belong into the log.

--- a/src/gateway/gossip/streams/log.rs
+++ b/src/gateway/gossip/streams/log.rs
@@ -24,7 +24,7 @@
 /// Kind of the log's objects.
 const LOG_KIND: &str = "gateway-streams";
 /// Interval between two writes: streams that were begun less than this before all daemons end are not recorded.
-const WRITE_INTERVAL: Duration = Duration::from_millis(500);
+const WRITE_INTERVAL: Duration = Duration::from_millis(100);
 /// Longest time for which a request waits until the log is read.
 const READ_WAIT: Duration = Duration::from_millis(300);
 /// Shortest time between two reads.
@@ -38,14 +38,14 @@
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
         ticks.tick().await;
-        let streams = context.streams.take_unlogged();
+        let now = boot_clock::now();
+        let is_recorder = context.peers.borrow().stream_recorder(now).is_none();
         // That a stream isn't known has to outlive all daemons, too.
-        let needs_record = |start: &StreamStart| {
-            !start.is_known() || serves_several_versions(&context, &start.service)
+        let belongs = |start: &StreamStart| {
+            is_recorder && (!start.is_known() || serves_several_versions(&context, &start.service))
         };
-        let is_recorder = context.peers.borrow().stream_recorder(boot_clock::now()).is_none();
-        let streams = streams.into_iter().filter(|(_, start)| is_recorder && needs_record(start));
-        if let Err(error) = writer.write(streams.collect()).await {
+        let streams = context.streams.take_unlogged(belongs, now);
+        if let Err(error) = writer.write(streams).await {
             spdlog::warn!("streams not logged: {}", error);
         }
     }
--- a/src/gateway/gossip/streams/state.rs
+++ b/src/gateway/gossip/streams/state.rs
@@ -20,6 +20,18 @@
 /// Most records that wait for the log.
 const MAX_UNLOGGED: usize = 10_000;
 
+/// Time for which a record waits until it belongs into the log: longer than a new endpoint list and the word of
+/// another daemon's end take.
+const UNLOGGED_KEPT: Duration = Duration::from_secs(2);
+
+/// A record that is not in the log.
+#[derive(Clone, Debug)]
+struct UnloggedStream {
+    key: StreamKey,
+    start: StreamStart,
+    recorded_at: Instant,
+}
+
 /// Reads of the log: one at a time, which requests share.
 #[derive(Debug, Default)]
 pub(super) struct LogReads {
@@ -49,8 +61,8 @@
     pub(super) active: RefCell<HashMap<StreamKey, StreamStart>>,
     /// Records to be sent, by daemon.
     pub(super) unsent: RefCell<HashMap<SocketAddr, Vec<(StreamKey, StreamStart)>>>,
-    /// Records that have not been offered to the log in the store.
-    unlogged: RefCell<Vec<(StreamKey, StreamStart)>>,
+    /// Records that are not in the log in the store.
+    unlogged: RefCell<Vec<UnloggedStream>>,
     /// Last read of the list of endpoints that confirms an only version.
     pub(super) list_read: Mutex<Option<ListRead>>,
     /// Reads of the log.
@@ -62,9 +74,19 @@
 }
 
 impl StreamState {
-    /// Takes out the records that have not been offered to the log.
-    pub(super) fn take_unlogged(&self) -> Vec<(StreamKey, StreamStart)> {
-        self.unlogged.take()
+    /// Takes out the records that belong into the log. The others wait, since this daemon may be about to learn
+    /// that several versions serve, or that it is the recorder.
+    pub(super) fn take_unlogged(
+        &self,
+        belongs: impl Fn(&StreamStart) -> bool,
+        now: Instant,
+    ) -> Vec<(StreamKey, StreamStart)> {
+        let unlogged = self.unlogged.take().into_iter();
+        let (logged, waiting): (Vec<_>, Vec<_>) = unlogged.partition(|one| belongs(&one.start));
+        let is_recent =
+            |one: &UnloggedStream| now.saturating_duration_since(one.recorded_at) <= UNLOGGED_KEPT;
+        *self.unlogged.borrow_mut() = waiting.into_iter().filter(is_recent).collect();
+        logged.into_iter().map(|one| (one.key, one.start)).collect()
     }
 
     /// Whether the log has been read since the start.
@@ -109,7 +131,7 @@
     pub(super) fn record(&self, key: StreamKey, start: StreamStart, life: Duration, now: Instant) {
         let mut unlogged = self.unlogged.borrow_mut();
         if unlogged.len() < MAX_UNLOGGED {
-            unlogged.push((key, start.clone()));
+            unlogged.push(UnloggedStream { key, start: start.clone(), recorded_at: now });
         }
         self.ledger.borrow_mut().record(key, start, life, now);
     }
--- a/tests/gateway/stream_log.rs
+++ b/tests/gateway/stream_log.rs
@@ -22,6 +22,11 @@
 const BYTES_PER_S: u32 = 400_000;
 /// Time in which a client takes a stream up again and again.
 const TAKE_UP_TIME: Duration = Duration::from_secs(6);
+/// Streams that are begun one after the other, and the time after which each has to be in the log: an event of a
+/// stream that the client can lose comes later.
+const STREAMS: usize = 8;
+const LOG_LIMIT: Duration = Duration::from_millis(350);
+
 /// A daemon before endpoints of two versions.
 struct LogSite {
     platform: PlatformStandin,
@@ -94,3 +99,17 @@
     }
     expect_that!(statuses, contains(eq(&200)));
 }
+
+// Guards against streams that a kill of all daemons makes unknown although they began some time before it.
+#[googletest::test]
+fn stream_is_in_the_log_soon_after_it_has_begun() {
+    let site = LogSite::start();
+    for number in 1..=STREAMS {
+        expect_that!(site.ask(&format!("first-{number}"), &[]).status, eq(200));
+        let begun = Instant::now();
+        wait_for("the stream to be in the log", || site.logged_streams() >= number);
+        expect_that!(begun.elapsed(), le(LOG_LIMIT));
+        // Streams are begun at any time between two writes.
+        std::thread::sleep(Duration::from_millis(70));
+    }
+}
