Streams: the first event waits until the log names its stream, while several versions serve

Cause: a client may have an event of a stream whose record was in no place that outlives the daemons.

Change: the recorder of a group answers a record once it is written, and writes at once when there was nothing to write for 80 ms. The daemon that begins a stream passes its first event on after that answer, or 90 ms later at most (streams_logged_late). Only while several versions serve.

--- a/src/gateway/gossip/listener.rs
+++ b/src/gateway/gossip/listener.rs
@@ -64,7 +64,7 @@
         params: exchange::RecordStreamsParams,
         _results: exchange::RecordStreamsResults,
     ) -> Result<(), Error> {
-        receive_records(&self.context, params.get()?.get_streams()?)
+        receive_records(&self.context, params.get()?.get_streams()?).await
     }
 
     async fn find_stream(
--- a/src/gateway/gossip/streams.rs
+++ b/src/gateway/gossip/streams.rs
@@ -10,14 +10,15 @@
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use capnp::Error;
-use futures::{StreamExt, stream::FuturesUnordered};
+use futures::{StreamExt, future::join_all, stream::FuturesUnordered};
 use tokio::time::{Instant, sleep, timeout};
 
 use self::{
     codec::{read_report, read_start, write_start},
     list_check::{ListCheck, check_only_version},
     log::restore_streams,
-    versions::{list_age, needs_record, served_versions_since},
+    state::{LogTicket, UnsentRecords},
+    versions::{list_age, needs_record, served_versions_since, serves_several_versions},
 };
 use super::peer_connections::CALL_LIMIT;
 use crate::{
@@ -41,6 +42,9 @@
 const COLLECT_TIME: Duration = Duration::from_millis(10);
 /// Longest wait for the answer of a holder: several round trips, and the work of a busy daemon.
 const ANSWER_LIMIT: Duration = Duration::from_millis(150);
+/// Longest time for which the first event of a stream waits until the log names it: below the delay of an event that
+/// callers notice.
+const LOG_WAIT: Duration = Duration::from_millis(90);
 /// Pause before the holders are asked again: a record may still be on its way.
 const SECOND_ASK_DELAY: Duration = Duration::from_millis(50);
 /// Most records in one message.
@@ -52,6 +56,19 @@
 pub struct ActiveStream {
     context: Rc<GatewayContext>,
     key: StreamKey,
+    /// Its record for the log, while several versions serve.
+    ticket: Option<Rc<LogTicket>>,
+}
+
+impl ActiveStream {
+    /// Waits until the log names the stream, so that it can go on after all daemons have ended; not for long, and only
+    /// while several versions serve.
+    pub async fn until_logged(&mut self) {
+        let Some(ticket) = self.ticket.take() else { return };
+        if timeout(LOG_WAIT, ticket.logged()).await.is_err() {
+            self.context.metrics.count("streams_logged_late", 1);
+        }
+    }
 }
 
 impl Drop for ActiveStream {
@@ -69,10 +86,13 @@
     is_ambiguous: bool,
 ) -> ActiveStream {
     context.streams.active.borrow_mut().insert(key, start.clone());
+    let is_logged = serves_several_versions(context, &start.service);
+    let mut ticket = None;
     if is_ambiguous || needs_record(context, &start.service) {
-        tell_holders(context, key, start);
+        let told = tell_holders(context, key, start);
+        ticket = is_logged.then_some(told);
     }
-    ActiveStream { context: context.clone(), key }
+    ActiveStream { context: context.clone(), key, ticket }
 }
 
 /// Tells others of the streams that this daemon is passing on, after a second version of their service
@@ -100,49 +120,55 @@
     untold.map(|(key, start)| (*key, start.clone())).collect()
 }
 
-fn tell_holders(context: &Rc<GatewayContext>, key: StreamKey, start: StreamStart) {
+/// Tells others of a stream. The ticket is that of the daemon that writes it into the log.
+fn tell_holders(context: &Rc<GatewayContext>, key: StreamKey, start: StreamStart) -> Rc<LogTicket> {
     let life = stream_life(context.configuration().as_deref());
-    context.streams.record(key, start.clone(), life, boot_clock::now());
+    let now = boot_clock::now();
+    let ticket = context.streams.record(key, start.clone(), life, now);
     context.metrics.count("streams_recorded", 1);
-    let holders = holders_and_recorder(context, key);
+    let recorder = context.peers.borrow().stream_recorder(now);
+    let holders = context.peers.borrow().rendezvous_first(key.0, HOLDERS + 1);
+    let told: BTreeSet<SocketAddr> = holders.into_iter().chain(recorder).collect();
     let mut unsent = context.streams.unsent.borrow_mut();
     let is_first = unsent.is_empty();
-    for holder in holders {
-        unsent.entry(holder).or_default().push((key, start.clone()));
+    for address in told {
+        let batch = unsent.entry(address).or_default();
+        batch.records.push((key, start.clone()));
+        if Some(address) == recorder {
+            batch.tickets.push(ticket.clone());
+        }
     }
     if is_first && !unsent.is_empty() {
         tokio::task::spawn_local(send_records(context.clone()));
     }
+    ticket
 }
 
 /// Records that a client has taken up a stream, so that it isn't forgotten while its client goes on trying.
 pub fn record_take_up(context: &Rc<GatewayContext>, key: StreamKey, origin: Option<&StreamOrigin>) {
-    match origin {
-        Some(origin) if origin.source == OriginSource::OnlyVersion => {}
-        Some(origin) => tell_holders(context, key, origin.start.clone()),
-        None => tell_holders(context, key, StreamStart::unknown()),
-    }
-}
-
-/// The daemons that keep a record of a stream.
-fn holders_and_recorder(context: &GatewayContext, key: StreamKey) -> BTreeSet<SocketAddr> {
-    let peers = context.peers.borrow();
-    let holders = peers.rendezvous_first(key.0, HOLDERS + 1).into_iter();
-    holders.chain(peers.stream_recorder(boot_clock::now())).collect()
+    let start = match origin {
+        Some(origin) if origin.source == OriginSource::OnlyVersion => return,
+        Some(origin) => origin.start.clone(),
+        None => StreamStart::unknown(),
+    };
+    tell_holders(context, key, start);
 }
 
 async fn send_records(context: Rc<GatewayContext>) {
     sleep(COLLECT_TIME).await;
     let unsent = context.streams.unsent.take();
-    for (holder, records) in unsent {
+    for (holder, batch) in unsent {
         let context = context.clone();
         tokio::task::spawn_local(async move {
+            let UnsentRecords { records, tickets } = batch;
             let sent = timeout(CALL_LIMIT, send_to(&context, holder, &records)).await;
-            if !matches!(sent, Ok(Ok(()))) {
-                // The connection may be silent for good; other holders have the records too.
-                context.peer_connections.close(holder);
-                context.metrics.count("stream_records_failed", records.len() as u64);
+            if matches!(sent, Ok(Ok(()))) {
+                tickets.iter().for_each(|ticket| ticket.set_logged());
+                return;
             }
+            // The connection may be silent for good; other holders have the records too.
+            context.peer_connections.close(holder);
+            context.metrics.count("stream_records_failed", records.len() as u64);
         });
     }
 }
@@ -162,12 +188,13 @@
     Ok(())
 }
 
-/// Records the streams that another daemon has begun.
+/// Records the streams that another daemon has begun. If this daemon writes them into the log, the answer waits until
+/// that is done, or fails to be done in time.
 ///
 /// # Errors
 ///
 /// The message is malformed or too long.
-pub fn receive_records(
+pub async fn receive_records(
     context: &GatewayContext,
     streams: capnp::struct_list::Reader<'_, stream_start::Owned>,
 ) -> Result<(), Error> {
@@ -176,10 +203,16 @@
     }
     let life = stream_life(context.configuration().as_deref());
     let now = boot_clock::now();
+    let mut tickets = Vec::new();
     for stream in streams {
-        let key = StreamKey(stream.get_stream());
-        context.streams.record(key, read_start(stream)?, life, now);
+        let (key, start) = (StreamKey(stream.get_stream()), read_start(stream)?);
+        let is_logged = log::belongs(context, &start);
+        let ticket = context.streams.record(key, start, life, now);
+        tickets.extend(is_logged.then_some(ticket));
     }
+    let logged = join_all(tickets.iter().map(|ticket| ticket.logged()));
+    // The records stand here all the same.
+    let _ = timeout(LOG_WAIT, logged).await;
     Ok(())
 }
 
--- a/src/gateway/gossip/streams/log.rs
+++ b/src/gateway/gossip/streams/log.rs
@@ -4,17 +4,18 @@
 
 use std::{rc::Rc, time::Duration};
 
-use tokio::time::{Instant, MissedTickBehavior, interval, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
-use super::{state::LoggedStream, versions::serves_several_versions};
+use super::{
+    state::{LogTicket, LoggedStream, UnloggedStream},
+    versions::serves_several_versions,
+};
 use crate::{
     boot_clock,
     errors::StepError,
     gateway::{
         context::GatewayContext,
-        policy::request::stream_origin::{
-            StreamKey, StreamStart, stream_life, stream_log::StreamSegment,
-        },
+        policy::request::stream_origin::{StreamStart, stream_life, stream_log::StreamSegment},
     },
     platform::store::{WriteCondition, WriteResult},
 };
@@ -23,8 +24,10 @@
 pub const NAME: &str = "stream-log";
 /// Kind of the log's objects.
 const LOG_KIND: &str = "gateway-streams";
-/// Interval between two writes: streams that were begun less than this before all daemons end are not recorded.
-const WRITE_INTERVAL: Duration = Duration::from_millis(100);
+/// Pause after a write, in which the next records are collected.
+const WRITE_PAUSE: Duration = Duration::from_millis(80);
+/// Longest time without a new record after which those that wait are looked at again.
+const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time for which a request waits until the log is read.
 const READ_WAIT: Duration = Duration::from_millis(300);
 /// Shortest time between two reads.
@@ -34,23 +37,25 @@
 pub async fn run(context: Rc<GatewayContext>) {
     begin_read(&context);
     let mut writer = LogWriter::new(context.clone());
-    let mut ticks = interval(WRITE_INTERVAL);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        // Without a new record, one that waits may belong into the log by now.
+        let _ = timeout(CHECK_INTERVAL, context.streams.recorded.notified()).await;
         let now = boot_clock::now();
-        let is_recorder = context.peers.borrow().stream_recorder(now).is_none();
-        // That a stream isn't known has to outlive all daemons, too.
-        let belongs = |start: &StreamStart| {
-            is_recorder && (!start.is_known() || serves_several_versions(&context, &start.service))
-        };
-        let streams = context.streams.take_unlogged(belongs, now);
+        let streams = context.streams.take_unlogged(|start| belongs(&context, start), now);
         if let Err(error) = writer.write(streams).await {
             spdlog::warn!("streams not logged: {}", error);
         }
+        sleep(WRITE_PAUSE).await;
     }
 }
 
+/// Whether this daemon writes a record into the log now.
+pub(super) fn belongs(context: &GatewayContext, start: &StreamStart) -> bool {
+    let is_recorder = context.peers.borrow().stream_recorder(boot_clock::now()).is_none();
+    // That a stream isn't known has to outlive all daemons, too.
+    is_recorder && (!start.is_known() || serves_several_versions(context, &start.service))
+}
+
 /// Writes the segments of this daemon's group.
 struct LogWriter {
     context: Rc<GatewayContext>,
@@ -59,11 +64,19 @@
     condition: Option<WriteCondition>,
     /// Whether the segment holds streams that are not in the store.
     has_unwritten: bool,
+    /// Tickets of these.
+    tickets: Vec<Rc<LogTicket>>,
 }
 
 impl LogWriter {
     fn new(context: Rc<GatewayContext>) -> Self {
-        Self { context, segment: StreamSegment::default(), condition: None, has_unwritten: false }
+        Self {
+            context,
+            segment: StreamSegment::default(),
+            condition: None,
+            has_unwritten: false,
+            tickets: Vec::new(),
+        }
     }
 
     /// Adds streams to the log.
@@ -71,7 +84,7 @@
     /// # Errors
     ///
     /// The store failed. The streams are written with the next ones, unless the segment's time is over.
-    async fn write(&mut self, streams: Vec<(StreamKey, StreamStart)>) -> Result<(), StepError> {
+    async fn write(&mut self, streams: Vec<UnloggedStream>) -> Result<(), StepError> {
         if streams.is_empty() && !self.has_unwritten {
             return Ok(());
         }
@@ -79,8 +92,10 @@
         let current = StreamSegment::at(now_ms);
         if current.begin_ms != self.segment.begin_ms {
             (self.segment, self.condition) = (current, None);
+            self.tickets.clear();
         }
-        streams.iter().for_each(|(key, start)| self.segment.add(*key, start));
+        streams.iter().for_each(|one| self.segment.add(one.key, &one.start));
+        self.tickets.extend(streams.iter().map(|one| one.ticket.clone()));
         self.has_unwritten = true;
         let group = self.context.peers.borrow().neighbours().own_group;
         let name = self.segment.object_name(group);
@@ -92,6 +107,7 @@
         if let WriteResult::Written(position) = written {
             self.condition = Some(WriteCondition::At(position));
             self.has_unwritten = false;
+            self.tickets.drain(..).for_each(|ticket| ticket.set_logged());
             self.context.metrics.count("streams_logged", streams.len() as u64);
         }
         Ok(())
--- a/src/gateway/gossip/streams/state.rs
+++ b/src/gateway/gossip/streams/state.rs
@@ -4,6 +4,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
+    rc::Rc,
     time::Duration,
 };
 
@@ -24,14 +25,45 @@
 /// another daemon's end take.
 const UNLOGGED_KEPT: Duration = Duration::from_secs(2);
 
+/// Tells when a record is in the log.
+#[derive(Debug, Default)]
+pub(super) struct LogTicket {
+    is_logged: Cell<bool>,
+    logged: Notify,
+}
+
+impl LogTicket {
+    /// The record is in the log.
+    pub fn set_logged(&self) {
+        self.is_logged.set(true);
+        self.logged.notify_waiters();
+    }
+
+    /// Waits until the record is in the log.
+    pub async fn logged(&self) {
+        while !self.is_logged.get() {
+            self.logged.notified().await;
+        }
+    }
+}
+
 /// A record that is not in the log.
 #[derive(Clone, Debug)]
-struct UnloggedStream {
-    key: StreamKey,
-    start: StreamStart,
+pub(super) struct UnloggedStream {
+    pub key: StreamKey,
+    pub start: StreamStart,
+    pub ticket: Rc<LogTicket>,
     recorded_at: Instant,
 }
 
+/// Records for one daemon.
+#[derive(Debug, Default)]
+pub(super) struct UnsentRecords {
+    pub records: Vec<(StreamKey, StreamStart)>,
+    /// Those that wait until this daemon has logged them.
+    pub tickets: Vec<Rc<LogTicket>>,
+}
+
 /// Reads of the log: one at a time, which requests share.
 #[derive(Debug, Default)]
 pub(super) struct LogReads {
@@ -60,9 +92,11 @@
     /// Where the streams were begun that this daemon is passing on.
     pub(super) active: RefCell<HashMap<StreamKey, StreamStart>>,
     /// Records to be sent, by daemon.
-    pub(super) unsent: RefCell<HashMap<SocketAddr, Vec<(StreamKey, StreamStart)>>>,
+    pub(super) unsent: RefCell<HashMap<SocketAddr, UnsentRecords>>,
     /// Records that are not in the log in the store.
     unlogged: RefCell<Vec<UnloggedStream>>,
+    /// Notified when there is another one.
+    pub(super) recorded: Notify,
     /// Last read of the list of endpoints that confirms an only version.
     pub(super) list_read: Mutex<Option<ListRead>>,
     /// Reads of the log.
@@ -80,13 +114,13 @@
         &self,
         belongs: impl Fn(&StreamStart) -> bool,
         now: Instant,
-    ) -> Vec<(StreamKey, StreamStart)> {
+    ) -> Vec<UnloggedStream> {
         let unlogged = self.unlogged.take().into_iter();
         let (logged, waiting): (Vec<_>, Vec<_>) = unlogged.partition(|one| belongs(&one.start));
         let is_recent =
             |one: &UnloggedStream| now.saturating_duration_since(one.recorded_at) <= UNLOGGED_KEPT;
         *self.unlogged.borrow_mut() = waiting.into_iter().filter(is_recent).collect();
-        logged.into_iter().map(|one| (one.key, one.start)).collect()
+        logged
     }
 
     /// Whether the log has been read since the start.
@@ -128,11 +162,21 @@
     }
 
     /// Records where a stream was begun, and offers that to the log.
-    pub(super) fn record(&self, key: StreamKey, start: StreamStart, life: Duration, now: Instant) {
+    pub(super) fn record(
+        &self,
+        key: StreamKey,
+        start: StreamStart,
+        life: Duration,
+        now: Instant,
+    ) -> Rc<LogTicket> {
+        let ticket = Rc::<LogTicket>::default();
         let mut unlogged = self.unlogged.borrow_mut();
         if unlogged.len() < MAX_UNLOGGED {
-            unlogged.push(UnloggedStream { key, start: start.clone(), recorded_at: now });
+            let (start, ticket) = (start.clone(), ticket.clone());
+            unlogged.push(UnloggedStream { key, start, ticket, recorded_at: now });
+            self.recorded.notify_one();
         }
         self.ledger.borrow_mut().record(key, start, life, now);
+        ticket
     }
 }
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -78,6 +78,8 @@
     awaited_since: Instant,
     /// When the client was given the last piece.
     given_at: Option<Instant>,
+    /// Whether the client was given any piece.
+    has_given: bool,
     /// Where the stream was begun, if that is known; kept for clients that take it up again.
     start: Option<ActiveStream>,
     ended: bool,
@@ -129,6 +131,7 @@
         events: 0,
         awaited_since: boot_clock::now(),
         given_at: None,
+        has_given: false,
         start: None,
         ended: false,
         is_chunked: !ends_with_connection,
@@ -176,6 +179,10 @@
                     if bytes.is_empty() && !self.ended {
                         continue;
                     }
+                    if !self.has_given {
+                        self.until_recorded().await;
+                        self.has_given = true;
+                    }
                     self.given_at = Some(boot_clock::now());
                     return Some(Ok(bytes));
                 }
--- a/src/gateway/request/relay/stream_start.rs
+++ b/src/gateway/request/relay/stream_start.rs
@@ -29,6 +29,14 @@
         self.start = Some(record_stream(&self.request.context, key, start, is_ambiguous));
     }
 
+    /// Waits before the first event of a new stream until its record outlives this daemon and those that it has told.
+    pub(super) async fn until_recorded(&mut self) {
+        let is_new = self.request.admitted.call.head.last_event.is_none();
+        if let Some(start) = self.start.as_mut().filter(|_| is_new) {
+            start.until_logged().await;
+        }
+    }
+
     /// Whether it is known which version has written the events that were passed on.
     pub(super) fn knows_version(&self) -> bool {
         match &self.request.attempts.borrow().version {
--- a/tests/gateway/stream_log.rs
+++ b/tests/gateway/stream_log.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     ending_endpoint::{EndCause, EndManner, EndPlace, EndScript, EndingEndpoint, Framing},
-    gateway_site::{AMPLE_RETRIES, Gateway, RawAnswer, ask, configuration, wait_for},
+    gateway_site::{AMPLE_RETRIES, Gateway, RawAnswer, ask, configuration, read_metric, wait_for},
     loopback_proxy::{LinkState, LoopbackProxy},
     platform_standin::PlatformStandin,
 };
@@ -27,6 +27,9 @@
 const STREAMS: usize = 8;
 const LOG_LIMIT: Duration = Duration::from_millis(350);
 
+/// Streams that may be passed on before they are in the log, since the store answered late.
+const ALLOWED_LATE: usize = STREAMS / 2;
+
 /// A daemon before endpoints of two versions.
 struct LogSite {
     platform: PlatformStandin,
@@ -113,3 +116,18 @@
         std::thread::sleep(Duration::from_millis(70));
     }
 }
+
+// Guards against a client that takes up a stream which nothing outlives: it had an event before any record was written.
+#[googletest::test]
+fn stream_of_which_a_client_has_an_event_is_in_the_log() {
+    let site = LogSite::start();
+    let mut late = 0;
+    for number in 1..=STREAMS {
+        expect_that!(site.ask(&format!("first-{number}"), &[]).status, eq(200));
+        late += usize::from(site.logged_streams() < number);
+        wait_for("the stream to be in the log", || site.logged_streams() >= number);
+        std::thread::sleep(Duration::from_millis(70));
+    }
+    let known_late = read_metric(site.daemon.metrics, "streams_logged_late").unwrap_or(0.0);
+    expect_that!(late, all!(le(known_late as usize), le(ALLOWED_LATE)));
+}
