Streams: what a review of the proof and of the log found

Callers could still see a stream that goes on at another version (ORDER): a daemon out of step that had refused it once asked again, and the third look, after the log, left out the answers of the holders, of which one knew several versions. A service without an entry in the store's list, or a list read while entries are missing after a restore from a copy, counted as a list without another version. And take-ups that are refused for want of a record (LOST): the list was read within the request that waits 0.3 s, so that no read ended over a small link; conflicts of two recorders doubled the streams of a segment until new ones had no room; what a write had failed to store was dropped with the segment's time.

Change: the third look counts the answers; a list confirms only what it names, in the era of the daemon's own list and outside the rewrite period; it is read by a task of its own, which later tries of the same stream share; a segment doesn't take a stream twice; unwritten streams go over into the next segment; while writes fail nobody waits for them and the pause is 0.5 s; the time that an event waits isn't the endpoint's silence.

Evidence: the rule test stream_that_was_refused_before_where_another_daemon_knows_several and streams_that_a_segment_has_are_not_added_again; stream_that_was_refused_while_the_daemon_was_cut_off_is_refused_again.

--- a/src/gateway/gossip/streams.rs
+++ b/src/gateway/gossip/streams.rs
@@ -65,6 +65,9 @@
     /// while several versions serve.
     pub async fn until_logged(&mut self) {
         let Some(ticket) = self.ticket.take() else { return };
+        if self.context.streams.is_log_failing.get() {
+            return;
+        }
         if timeout(LOG_WAIT, ticket.logged()).await.is_err() {
             self.context.metrics.count("streams_logged_late", 1);
         }
@@ -114,7 +117,8 @@
     }
     let ledger = context.streams.ledger.borrow();
     let is_untold = |(key, start): &(&StreamKey, &StreamStart)| {
-        needing.contains(&start.service) && ledger.find(**key).is_none()
+        let is_known = ledger.find(**key).is_some_and(|(known, _)| known.is_known());
+        needing.contains(&start.service) && !is_known
     };
     let untold = active.iter().filter(is_untold);
     untold.map(|(key, start)| (*key, start.clone())).collect()
@@ -203,13 +207,17 @@
     }
     let life = stream_life(context.configuration().as_deref());
     let now = boot_clock::now();
+    let belongs = log::belonging(context);
     let mut tickets = Vec::new();
     for stream in streams {
         let (key, start) = (StreamKey(stream.get_stream()), read_start(stream)?);
-        let is_logged = log::belongs(context, &start);
+        let is_logged = belongs(&start);
         let ticket = context.streams.record(key, start, life, now);
         tickets.extend(is_logged.then_some(ticket));
     }
+    if context.streams.is_log_failing.get() {
+        return Ok(());
+    }
     let logged = join_all(tickets.iter().map(|ticket| ticket.logged()));
     // The records stand here all the same.
     let _ = timeout(LOG_WAIT, logged).await;
@@ -240,9 +248,9 @@
 pub struct OriginSearch {
     /// Where it goes on; none if that isn't known.
     pub origin: Option<StreamOrigin>,
-    /// Holders asked last, and how many of them have answered.
+    /// Number of holders asked last.
     pub asked: usize,
-    /// Number of answers.
+    /// Number of these that have answered.
     pub answered: usize,
     /// What the store's list of endpoints says of the only version.
     pub list_check: ListCheck,
@@ -294,7 +302,10 @@
         }
         restore_streams(self.context).await;
         let own = self.own_report();
-        let found = own.recorded.is_some().then(|| decide(&own, &[], self.service)).flatten();
+        if own.recorded.is_none() {
+            return None;
+        }
+        let found = decide(&own, &self.answers.reports, self.service);
         self.confirm(found).await
     }
 
@@ -318,6 +329,13 @@
         own_report(self.context, self.key, self.service.map(|service| &**service))
     }
 
+    /// When the stream had certainly begun: when the request arrived, or an earlier one that took it up in vain.
+    fn last_begin(&self) -> Instant {
+        let unknown_for = self.own_report().recorded.map_or(Duration::ZERO, |(_, age)| age);
+        let first_take_up = boot_clock::now().checked_sub(unknown_for);
+        first_take_up.map_or(self.arrived_at, |at| at.min(self.arrived_at))
+    }
+
     /// The same origin, unless it is an only version that is not proved.
     async fn confirm(&mut self, found: Option<StreamOrigin>) -> Option<StreamOrigin> {
         let origin = found?;
@@ -325,7 +343,7 @@
             return Some(origin);
         }
         let StreamStart { service, version } = &origin.start;
-        let since = self.arrived_at;
+        let since = self.last_begin();
         self.list_check = check_only_version(self.context, service, version, since).await;
         (self.list_check == ListCheck::Confirmed).then_some(origin)
     }
--- a/src/gateway/gossip/streams/log.rs
+++ b/src/gateway/gossip/streams/log.rs
@@ -1,13 +1,13 @@
 //! Writes the log of streams while several versions serve, if this daemon records for its gossip group, and
-//! reads the logs of all groups for a stream that no daemon knows. `policy::request::stream_origin::stream_log` says what the log
-//! is for.
+//! reads the logs of all groups for a stream that no daemon knows. `policy::request::stream_origin::stream_log` says
+//! what the log is for.
 
-use std::{rc::Rc, time::Duration};
+use std::{mem, rc::Rc, time::Duration};
 
 use tokio::time::{Instant, sleep, timeout};
 
 use super::{
-    state::{LogTicket, LoggedStream, UnloggedStream},
+    state::{LoggedStream, UnloggedStream},
     versions::serves_several_versions,
 };
 use crate::{
@@ -30,6 +30,8 @@
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest time for which a request waits until the log is read.
 const READ_WAIT: Duration = Duration::from_millis(300);
+/// Pause after a read that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(300);
 /// Shortest time between two reads.
 const READ_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -39,21 +41,30 @@
     let mut writer = LogWriter::new(context.clone());
     loop {
         // Without a new record, one that waits may belong into the log by now.
-        let _ = timeout(CHECK_INTERVAL, context.streams.recorded.notified()).await;
-        let now = boot_clock::now();
-        let streams = context.streams.take_unlogged(|start| belongs(&context, start), now);
-        if let Err(error) = writer.write(streams).await {
-            spdlog::warn!("streams not logged: {}", error);
+        if writer.unwritten.is_empty() {
+            let _ = timeout(CHECK_INTERVAL, context.streams.recorded.notified()).await;
         }
-        sleep(WRITE_PAUSE).await;
+        let streams = context.streams.take_unlogged(belonging(&context), boot_clock::now());
+        let written = writer.write(streams).await;
+        context.streams.is_log_failing.set(written.is_err());
+        let pause = match written {
+            Ok(()) => WRITE_PAUSE,
+            Err(error) => {
+                spdlog::warn!("streams not logged: {}", error);
+                CHECK_INTERVAL
+            }
+        };
+        sleep(pause).await;
     }
 }
 
 /// Whether this daemon writes a record into the log now.
-pub(super) fn belongs(context: &GatewayContext, start: &StreamStart) -> bool {
+pub(super) fn belonging(context: &GatewayContext) -> impl Fn(&StreamStart) -> bool {
     let is_recorder = context.peers.borrow().stream_recorder(boot_clock::now()).is_none();
     // That a stream isn't known has to outlive all daemons, too.
-    is_recorder && (!start.is_known() || serves_several_versions(context, &start.service))
+    move |start| {
+        is_recorder && (!start.is_known() || serves_several_versions(context, &start.service))
+    }
 }
 
 /// Writes the segments of this daemon's group.
@@ -62,41 +73,34 @@
     segment: StreamSegment,
     /// Condition for the next write of the segment; none until its object has been read.
     condition: Option<WriteCondition>,
-    /// Whether the segment holds streams that are not in the store.
-    has_unwritten: bool,
-    /// Tickets of these.
-    tickets: Vec<Rc<LogTicket>>,
+    /// Streams that are not in the store.
+    unwritten: Vec<UnloggedStream>,
 }
 
 impl LogWriter {
     fn new(context: Rc<GatewayContext>) -> Self {
-        Self {
-            context,
-            segment: StreamSegment::default(),
-            condition: None,
-            has_unwritten: false,
-            tickets: Vec::new(),
-        }
+        Self { context, segment: StreamSegment::default(), condition: None, unwritten: Vec::new() }
     }
 
     /// Adds streams to the log.
     ///
     /// # Errors
     ///
-    /// The store failed. The streams are written with the next ones, unless the segment's time is over.
+    /// The store failed. The streams are written with the next ones.
     async fn write(&mut self, streams: Vec<UnloggedStream>) -> Result<(), StepError> {
-        if streams.is_empty() && !self.has_unwritten {
+        if streams.is_empty() && self.unwritten.is_empty() {
             return Ok(());
         }
         let now_ms = self.context.wall_clock.borrow().now_ms(boot_clock::now());
         let current = StreamSegment::at(now_ms);
+        let mut added = streams;
         if current.begin_ms != self.segment.begin_ms {
             (self.segment, self.condition) = (current, None);
-            self.tickets.clear();
+            added.extend(mem::take(&mut self.unwritten));
         }
-        streams.iter().for_each(|one| self.segment.add(one.key, &one.start));
-        self.tickets.extend(streams.iter().map(|one| one.ticket.clone()));
-        self.has_unwritten = true;
+        // What doesn't fit has no ticket, and is not waited for any longer.
+        added.retain(|one| self.segment.add(one.key, &one.start));
+        self.unwritten.extend(added);
         let group = self.context.peers.borrow().neighbours().own_group;
         let name = self.segment.object_name(group);
         let condition = match self.condition.take() {
@@ -106,9 +110,8 @@
         let written = self.context.store.write(LOG_KIND, &name, condition, &self.segment).await?;
         if let WriteResult::Written(position) = written {
             self.condition = Some(WriteCondition::At(position));
-            self.has_unwritten = false;
-            self.tickets.drain(..).for_each(|ticket| ticket.set_logged());
-            self.context.metrics.count("streams_logged", streams.len() as u64);
+            self.context.metrics.count("streams_logged", self.unwritten.len() as u64);
+            self.unwritten.drain(..).for_each(|one| one.ticket.set_logged());
         }
         Ok(())
     }
@@ -140,11 +143,15 @@
     reads.is_reading.set(true);
     let context = context.clone();
     tokio::task::spawn_local(async move {
-        if let Err(error) = read_log(&context).await {
+        let read = read_log(&context).await;
+        let reads = &context.streams.log_reads;
+        reads.is_reading.set(false);
+        reads.ended.notify_waiters();
+        if let Err(error) = read {
             spdlog::warn!("stream log not read: {}", error);
+            sleep(RETRY_PAUSE).await;
+            reads.begun_at.set(None);
         }
-        context.streams.log_reads.is_reading.set(false);
-        context.streams.log_reads.ended.notify_waiters();
     });
 }
 
--- a/src/gateway/gossip/streams/state.rs
+++ b/src/gateway/gossip/streams/state.rs
@@ -8,12 +8,9 @@
     time::Duration,
 };
 
-use tokio::{
-    sync::{Mutex, Notify},
-    time::Instant,
-};
+use tokio::{sync::Notify, time::Instant};
 
-use super::list_check::ListRead;
+use super::list_check::ListReads;
 use crate::gateway::policy::request::stream_origin::{StreamKey, StreamLedger, StreamStart};
 
 /// Time for which take-ups of unknown streams are remembered.
@@ -97,8 +94,10 @@
     unlogged: RefCell<Vec<UnloggedStream>>,
     /// Notified when there is another one.
     pub(super) recorded: Notify,
-    /// Last read of the list of endpoints that confirms an only version.
-    pub(super) list_read: Mutex<Option<ListRead>>,
+    /// Reads of the list of endpoints that confirms an only version.
+    pub(super) list_reads: ListReads,
+    /// Whether the last write of the log has failed.
+    pub(super) is_log_failing: Cell<bool>,
     /// Reads of the log.
     pub(super) log_reads: LogReads,
     /// Whether the log has named streams.
@@ -138,9 +137,14 @@
         self.log_read_at.set(Some(now));
         self.has_restored.set(self.has_restored.get() || !streams.is_empty());
         for LoggedStream { key, start, age } in streams {
+            let mut ledger = self.ledger.borrow_mut();
+            if ledger.find(key).is_some_and(|(known, _)| *known == start) {
+                continue;
+            }
             if start.is_known() {
-                self.ledger.borrow_mut().record(key, start, life, now);
+                ledger.record(key, start, life, now);
             } else {
+                drop(ledger);
                 self.record_unknown(key, &start, age, now);
             }
         }
--- a/src/gateway/policy/endpoint/endpoint_starts/lost_entries.rs
+++ b/src/gateway/policy/endpoint/endpoint_starts/lost_entries.rs
@@ -148,6 +148,11 @@
         }
     }
 
+    /// Whether entries may be missing that the store lost when it was restored from a copy.
+    pub fn is_rewriting(&self) -> bool {
+        self.rewrite_period.is_some()
+    }
+
     /// Ends the rewrite period if its time is over. Returns whether the endpoints to use change.
     pub fn end_rewrite_period(&mut self, now: Instant) -> bool {
         let ended = self.rewrite_period.take_if(|period| now >= period.ends_at);
--- a/src/gateway/policy/request/stream_origin.rs
+++ b/src/gateway/policy/request/stream_origin.rs
@@ -62,7 +62,7 @@
 }
 
 /// Where a stream was begun.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct StreamStart {
     /// Service.
     pub service: SharedName,
--- a/src/gateway/policy/request/stream_origin/stream_log.rs
+++ b/src/gateway/policy/request/stream_origin/stream_log.rs
@@ -9,7 +9,7 @@
 //! recorder ended before it was written, leaves the version unknown. No record is ever wrong: its key names
 //! the stream.
 
-use std::time::Duration;
+use std::{collections::HashSet, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
@@ -56,10 +56,10 @@
         format!("{group}-{number}")
     }
 
-    /// Adds a stream, unless the segment is full.
-    pub fn add(&mut self, key: StreamKey, start: &StreamStart) {
+    /// Adds a stream. Returns whether it fits.
+    pub fn add(&mut self, key: StreamKey, start: &StreamStart) -> bool {
         if self.streams() >= MAX_STREAMS {
-            return;
+            return false;
         }
         let is_of_version =
             |one: &LoggedVersion| one.service == start.service && one.version == start.version;
@@ -69,12 +69,16 @@
             self.versions.len() - 1
         });
         self.versions[index].keys.push_str(&format!("{:016x}", key.0));
+        true
     }
 
-    /// Adds the streams of another segment.
+    /// Adds the streams of another segment that this one lacks.
     pub fn merge(&mut self, other: &Self) {
+        let mut own: HashSet<(StreamKey, StreamStart)> = self.starts().into_iter().collect();
         for (key, start) in other.starts() {
-            self.add(key, &start);
+            if own.insert((key, start.clone())) {
+                self.add(key, &start);
+            }
         }
     }
 
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -180,7 +180,8 @@
                         continue;
                     }
                     if !self.has_given {
-                        self.until_recorded().await;
+                        self.until_logged().await;
+                        self.awaited_since = boot_clock::now();
                         self.has_given = true;
                     }
                     self.given_at = Some(boot_clock::now());
--- a/src/gateway/request/relay/stream_start.rs
+++ b/src/gateway/request/relay/stream_start.rs
@@ -30,7 +30,7 @@
     }
 
     /// Waits before the first event of a new stream until its record outlives this daemon and those that it has told.
-    pub(super) async fn until_recorded(&mut self) {
+    pub(super) async fn until_logged(&mut self) {
         let is_new = self.request.admitted.call.head.last_event.is_none();
         if let Some(start) = self.start.as_mut().filter(|_| is_new) {
             start.until_logged().await;
--- a/tests/gateway/out_of_step_daemon.rs
+++ b/tests/gateway/out_of_step_daemon.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     ending_endpoint::{EndCause, EndManner, EndPlace, EndScript, EndingEndpoint, Framing},
-    gateway_site::{AMPLE_RETRIES, Gateway, RawAnswer, ask, configuration, wait_for},
+    gateway_site::{AMPLE_RETRIES, Gateway, RawAnswer, ask, configuration, read_metric, wait_for},
     loopback_proxy::{LinkState, LoopbackProxy},
     platform_standin::PlatformStandin,
 };
@@ -108,9 +108,23 @@
     let site = OutOfStepSite::start();
     site.other.signal("-STOP");
     expect_that!(site.take_up("begun-elsewhere").status, eq(200));
+    expect_that!(read_metric(site.daemon.metrics, "endpoint_list_checks"), some(ge(1.0)));
     site.other.signal("-CONT");
 }
 
+// Guards against a stream that is refused at first, and goes on at the wrong version when its client tries again.
+#[googletest::test]
+fn stream_that_was_refused_while_the_daemon_was_cut_off_is_refused_again() {
+    let mut site = OutOfStepSite::start();
+    site.other.signal("-STOP");
+    site.store_link.set(LinkState::Silent);
+    site.add_endpoint("v2");
+    site.expect_unknown("begun-at-v2");
+    site.expect_unknown("begun-at-v2");
+    site.other.signal("-CONT");
+    site.store_link.set(LinkState::Open);
+}
+
 #[googletest::test]
 fn stream_goes_on_while_the_store_is_away_and_the_others_know_one_version() {
     let site = OutOfStepSite::start();
--- a/tests/gateway/stream_origin_rules.rs
+++ b/tests/gateway/stream_origin_rules.rs
@@ -68,6 +68,7 @@
     only_version_of_this_daemon: only("v1"), [nothing()] => Some("v1"), OriginSource::OnlyVersion;
     only_version_of_another_daemon: nothing(), [nothing(), only("v1")] => Some("v1"), OriginSource::OnlyVersion;
     only_version_where_another_daemon_knows_several: only("v1"), [several()] => None, OriginSource::Own;
+    stream_that_was_refused_before_where_another_daemon_knows_several: OriginReport { recorded: recorded("").recorded, ..only("v1") }, [several()] => None, OriginSource::Own;
     only_versions_that_disagree: only("v1"), [only("v2")] => None, OriginSource::Own;
     nothing_known: nothing(), [nothing(), nothing()] => None, OriginSource::Own;
     nobody_answers: nothing(), [] => None, OriginSource::Own;
@@ -343,6 +344,19 @@
     expect_that!(merged.streams(), eq(3));
 }
 
+// Guards against a log that grows with each conflict of two recorders until it has no room for new streams.
+#[googletest::test]
+fn streams_that_a_segment_has_are_not_added_again() {
+    let mut segment = StreamSegment::at(10_500);
+    expect_that!(segment.add(StreamKey(7), &start("v1")), eq(true));
+    let mut stored = segment.clone();
+    expect_that!(stored.add(StreamKey(8), &start("v1")), eq(true));
+    for _ in 0..3 {
+        segment.merge(&stored);
+    }
+    expect_that!(segment.streams(), eq(2));
+}
+
 /// A recorder that has just started must not replace what may still be taken up.
 #[googletest::test]
 fn log_keeps_streams_for_longer_than_they_live() {
