--- a/tests/gateway/stream_origin_rules.rs
+++ b/tests/gateway/stream_origin_rules.rs
@@ -82,7 +82,8 @@
         fn $name() {
             let origin =
                 StreamOrigin { start: start("v1"), source: $source, age: Duration::ZERO };
-            let answers = HolderAnswers { asked: $asked, reports: vec![nothing(); $answered] };
+            let reports = std::iter::repeat_with(nothing).take($answered).collect();
+            let answers = HolderAnswers { asked: $asked, reports };
             let age: Option<f64> = $age;
             let age = age.map(Duration::from_secs_f64);
             expect_that!(needs_confirmation(&origin, &answers, age), eq($needed));
