Plays of streams while daemons are suspended and a version is replaced

A daemon that runs again after a suspension has an old list and requests that clients sent meanwhile. Until an out-of-step daemon took up streams of a version that had joined meanwhile at the one it knew; only single daemons were tested.

Nine daemons that have seen one version alone for as long as a stream may live; 36 clients get streams at all of them while endpoints of a second version join and those of the first go. A third of the daemons is suspended for 3 s each, at times that overlap; or together, and the others as these run again; or this while the store is away for 2 s. VersionFleet adds and ends single endpoints, and signals daemons.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -119,6 +119,7 @@
 mod stream_origin_rules;
 mod stream_take_ups;
 mod stream_versions;
+mod suspended_fleets;
 mod suspension;
 mod takeover_rules;
 mod text_model;
--- a/tests/gateway/stream_versions.rs
+++ b/tests/gateway/stream_versions.rs
@@ -14,7 +14,7 @@
 };
 
 const DEFAULT_DAEMONS: usize = 9;
-const CLIENTS: u64 = 36;
+pub const CLIENTS: u64 = 36;
 const LOAD_TIME: Duration = Duration::from_secs(8);
 const KILL_AT: Duration = Duration::from_secs(3);
 /// When all daemons are killed, and how long before a version goes.
@@ -26,7 +26,7 @@
 /// Time after which a daemon that was started again has to serve.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 /// Twice the time limit of the fleet's routes, and what the leader takes to record it.
-const STREAM_LIFE: Duration = Duration::from_secs(10);
+pub const STREAM_LIFE: Duration = Duration::from_secs(10);
 /// When a version goes for good, and how long after the other one counts as the only one all daemons are killed.
 const END_AT: Duration = Duration::from_millis(500);
 const KILL_DELAY: Duration = Duration::from_secs(2);
@@ -38,13 +38,13 @@
 /// Least number of streams taken up for which the share that goes on counts.
 const MIN_TAKE_UPS: usize = 12;
 
-fn daemon_count() -> usize {
+pub fn daemon_count() -> usize {
     let count = std::env::var("VERSION_DAEMONS").ok().and_then(|text| text.parse().ok());
     count.unwrap_or(DEFAULT_DAEMONS)
 }
 
 /// Checks that no stream holds two versions, and that those taken up from a time on go on.
-fn check(outcome: &VersionOutcome, from: Duration) {
+pub fn check(outcome: &VersionOutcome, from: Duration) {
     let (taken_up, gone_on) = outcome.taken_up(from);
     let whole = outcome.streams.iter().filter(|stream| stream.is_whole).count();
     println!(
@@ -54,6 +54,7 @@
         outcome.mixed(),
         outcome.mixed_in_answer(),
     );
+    outcome.print_mixed();
     expect_that!(outcome.mixed(), le(ALLOWED_MIXED));
     if taken_up >= MIN_TAKE_UPS {
         let share = gone_on as f64 / taken_up as f64;
--- a/tests/gateway/version_fleet.rs
+++ b/tests/gateway/version_fleet.rs
@@ -52,15 +52,15 @@
 const READ_LIMIT: Duration = Duration::from_secs(4);
 
 /// An endpoint of one version.
-struct VersionEndpoint {
-    id: String,
-    version: String,
+pub struct VersionEndpoint {
+    pub id: String,
+    pub version: String,
     address: SocketAddr,
     is_dropped: Arc<AtomicBool>,
 }
 
 impl VersionEndpoint {
-    fn start(id: &str, version: &str, seed: u64) -> Self {
+    pub fn start(id: &str, version: &str, seed: u64) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("bind");
         let address = listener.local_addr().expect("address");
         let is_dropped = Arc::new(AtomicBool::new(false));
@@ -80,17 +80,27 @@
         Self { id: id.to_owned(), version: version.to_owned(), address, is_dropped }
     }
 
-    fn entry(&self) -> Value {
+    /// Its entry as an endpoint of a service.
+    pub fn entry(&self, service: &str, state: &str) -> Value {
         json!({
-            "service": "pool", "address": self.address, "zone": "hall-a", "version": self.version,
-            "slots": SLOTS, "state": "ready", "cold-left-ms": 0, "seq": 1,
+            "service": service, "address": self.address, "zone": "hall-a",
+            "version": self.version, "slots": SLOTS, "state": state, "cold-left-ms": 0, "seq": 1,
         })
     }
+
+    /// Breaks off what it runs.
+    pub fn end(&self) {
+        self.is_dropped.store(true, Ordering::SeqCst);
+    }
+
+    fn is_ended(&self) -> bool {
+        self.is_dropped.load(Ordering::SeqCst)
+    }
 }
 
 impl Drop for VersionEndpoint {
     fn drop(&mut self) {
-        self.is_dropped.store(true, Ordering::SeqCst);
+        self.end();
         // Wakes the thread that accepts connections.
         let _ = TcpStream::connect(self.address);
     }
@@ -146,8 +156,9 @@
 pub struct StreamTry {
     pub status: u16,
     pub events: Vec<VersionEvent>,
-    /// When it was sent.
+    /// When it was sent, and the place of the daemon.
     pub at: Duration,
+    pub daemon: usize,
 }
 
 /// One stream with all its tries.
@@ -199,6 +210,22 @@
         self.streams.iter().filter(|stream| stream.is_mixed()).count()
     }
 
+    /// Number of streams with events of this version.
+    pub fn streams_of(&self, version: &str) -> usize {
+        let has_event = |one: &StreamTry| one.events.iter().any(|event| event.version == version);
+        self.streams.iter().filter(|stream| stream.tries.iter().any(has_event)).count()
+    }
+
+    /// Prints the streams that hold two versions, with all tries.
+    pub fn print_mixed(&self) {
+        for stream in self.streams.iter().filter(|stream| stream.is_mixed()) {
+            println!("stream of two versions:");
+            for StreamTry { status, events, at, daemon } in &stream.tries {
+                println!("  {at:?} at daemon {daemon}: {status} {events:?}");
+            }
+        }
+    }
+
     /// Share of first tries that were begun.
     pub fn begun_share(&self) -> f64 {
         let begun = self.streams.iter().filter(|one| one.tries[0].status == 200).count();
@@ -231,7 +258,7 @@
 /// The fleet.
 pub struct VersionFleet {
     platform: PlatformStandin,
-    endpoints: Vec<VersionEndpoint>,
+    endpoints: Mutex<Vec<VersionEndpoint>>,
     gateways: Mutex<Vec<Gateway>>,
     pub addresses: Vec<SocketAddr>,
 }
@@ -241,14 +268,9 @@
     pub fn start(daemon_count: usize, versions: &[&str]) -> Self {
         let platform = PlatformStandin::start_with(daemon_count * STORE_CALLS_PER_DAEMON);
         platform.put("config", "main", configuration(3, &["key-1"]));
-        let numbered = versions.iter().enumerate();
-        let endpoints: Vec<VersionEndpoint> = numbered
-            .map(|(index, version)| {
-                VersionEndpoint::start(&format!("i-{index}"), version, index as u64)
-            })
-            .collect();
-        for endpoint in &endpoints {
-            platform.put("servers", &endpoint.id, endpoint.entry());
+        let mut endpoints = Vec::new();
+        for version in versions {
+            add_endpoint(&platform, &mut endpoints, version);
         }
         let mut gateways: Vec<Gateway> = Vec::new();
         for place in 0..daemon_count {
@@ -263,14 +285,44 @@
         }
         gateways.iter().for_each(Gateway::wait_ready);
         let addresses = gateways.iter().map(|gateway| gateway.clients).collect();
+        let endpoints = Mutex::new(endpoints);
         Self { platform, endpoints, gateways: Mutex::new(gateways), addresses }
     }
 
+    /// Starts another endpoint of a version.
+    pub fn add_endpoint(&self, version: &str) {
+        let mut endpoints = self.endpoints.lock().expect("lock");
+        add_endpoint(&self.platform, &mut endpoints, version);
+    }
+
+    /// Ends one endpoint of a version: its entry goes, and it breaks off what it runs.
+    pub fn end_endpoint(&self, version: &str) {
+        let endpoints = self.endpoints.lock().expect("lock");
+        let mut serving = endpoints.iter().filter(|one| one.version == version && !one.is_ended());
+        let endpoint = serving.next().expect("an endpoint of this version");
+        self.platform.remove("servers", &endpoint.id);
+        endpoint.end();
+    }
+
     /// Ends all endpoints of a version: their entries go, and they break off what they run.
     pub fn end_version(&self, version: &str) {
-        for endpoint in self.endpoints.iter().filter(|endpoint| endpoint.version == version) {
+        let endpoints = self.endpoints.lock().expect("lock");
+        for endpoint in endpoints.iter().filter(|endpoint| endpoint.version == version) {
             self.platform.remove("servers", &endpoint.id);
-            endpoint.is_dropped.store(true, Ordering::SeqCst);
+            endpoint.end();
+        }
+    }
+
+    /// Makes the store refuse all calls, or answer again.
+    pub fn set_store_down(&self, is_down: bool) {
+        self.platform.set_down(is_down);
+    }
+
+    /// Sends a signal to daemons.
+    pub fn signal(&self, places: &[usize], name: &str) {
+        let gateways = self.gateways.lock().expect("lock");
+        for place in places {
+            gateways[*place].signal(name);
         }
     }
 
@@ -311,7 +363,9 @@
         let (begun, outcome) = (Instant::now(), Mutex::new(VersionOutcome::default()));
         thread::scope(|scope| {
             for client in 0..clients {
-                let (outcome, addresses) = (&outcome, &self.addresses);
+                let addresses = &self.addresses;
+                let streams = StreamClient { addresses, path: "/stream/one", begun, tries };
+                let outcome = &outcome;
                 scope.spawn(move || {
                     let mut rng = StdRng::seed_from_u64(client);
                     for number in 0.. {
@@ -319,7 +373,7 @@
                             return;
                         }
                         let name = format!("s-{client}-{number}");
-                        let record = get_stream(addresses, &name, begun, tries, &mut rng);
+                        let record = streams.get(&name, &mut rng);
                         outcome.lock().expect("lock").streams.push(record);
                     }
                 });
@@ -330,50 +384,66 @@
     }
 }
 
-/// Gets one stream, and takes it up at another daemon when it breaks off.
-fn get_stream(
-    addresses: &[SocketAddr],
-    name: &str,
-    begun: Instant,
-    tries: ClientTries,
-    rng: &mut StdRng,
-) -> StreamRecord {
-    let mut record = StreamRecord::default();
-    // The first try that brought an event.
-    let (mut first, mut last) = (None, 0);
-    for number in 0..tries.max {
-        let id = format!("{name}-{number}");
-        let mut headers = Vec::new();
-        if let Some(first) = &first {
-            headers.push(format!("Last-Event-Id: {last}"));
-            headers.push(format!("Resumes: {first}"));
-        }
-        let address = addresses[rng.random_range(0..addresses.len())];
-        let (at, answer) = (begun.elapsed(), ask(address, &id, &headers));
-        let (status, events) =
-            answer.as_ref().map_or((0, Vec::new()), |one| (one.status, read_events(&one.text())));
-        if let Some(event) = events.last() {
-            last = event.id;
-            first.get_or_insert(id);
-        }
-        record.is_whole = answer.is_some_and(|one| one.whole && one.status == 200);
-        record.tries.push(StreamTry { status, events, at });
-        if record.is_whole {
-            break;
-        }
-        if status != 200 {
-            thread::sleep(tries.refused_pause);
+/// Starts an endpoint of a version, and writes its entry.
+fn add_endpoint(platform: &PlatformStandin, endpoints: &mut Vec<VersionEndpoint>, version: &str) {
+    let number = endpoints.len();
+    let endpoint = VersionEndpoint::start(&format!("i-{number}"), version, number as u64);
+    platform.put("servers", &endpoint.id, endpoint.entry("pool", "ready"));
+    endpoints.push(endpoint);
+}
+
+/// A client of streams.
+#[derive(Clone, Copy, Debug)]
+pub struct StreamClient<'a> {
+    pub addresses: &'a [SocketAddr],
+    pub path: &'a str,
+    /// Time from which the times of the tries are counted.
+    pub begun: Instant,
+    pub tries: ClientTries,
+}
+
+impl StreamClient<'_> {
+    /// Gets one stream, and takes it up at another daemon when it breaks off.
+    pub fn get(&self, name: &str, rng: &mut StdRng) -> StreamRecord {
+        let mut record = StreamRecord::default();
+        // The first try that brought an event.
+        let (mut first, mut last) = (None, 0);
+        for number in 0..self.tries.max {
+            let id = format!("{name}-{number}");
+            let mut headers = Vec::new();
+            if let Some(first) = &first {
+                headers.push(format!("Last-Event-Id: {last}"));
+                headers.push(format!("Resumes: {first}"));
+            }
+            let daemon = rng.random_range(0..self.addresses.len());
+            let at = self.begun.elapsed();
+            let answer = ask(self.addresses[daemon], self.path, &id, &headers);
+            let (status, events) = answer
+                .as_ref()
+                .map_or((0, Vec::new()), |one| (one.status, read_events(&one.text())));
+            if let Some(event) = events.last() {
+                last = event.id;
+                first.get_or_insert(id);
+            }
+            record.is_whole = answer.is_some_and(|one| one.whole && one.status == 200);
+            record.tries.push(StreamTry { status, events, at, daemon });
+            if record.is_whole {
+                break;
+            }
+            if status != 200 {
+                thread::sleep(self.tries.refused_pause);
+            }
         }
+        record
     }
-    record
 }
 
 /// Sends one try and reads until the answer's end; none if the daemon was not reached or has not answered.
-fn ask(address: SocketAddr, id: &str, headers: &[String]) -> Option<RawAnswer> {
+fn ask(address: SocketAddr, path: &str, id: &str, headers: &[String]) -> Option<RawAnswer> {
     let headers: Vec<&str> = headers.iter().map(String::as_str).collect();
     let mut stream = TcpStream::connect(address).ok()?;
     stream.set_read_timeout(Some(READ_LIMIT)).ok()?;
-    stream.write_all(&kept_request_bytes("/stream/one", id, "key-1", &headers, b"")).ok()?;
+    stream.write_all(&kept_request_bytes(path, id, "key-1", &headers, b"")).ok()?;
     let (mut all, mut buffer) = (Vec::new(), [0; 4_096]);
     loop {
         // An error ends the answer like a close.
