Soak: odd entries, a release with suspended daemons, and changes of idle and header times

The soak did not have entries with numbers or nesting beyond what readers hold, daemons that are suspended for seconds while a version is replaced, or changes of the times that end client connections.

Three groups of faults, each with its own random numbers, so that the draws of former seeds stay: entries of another writer that are removed again (slots of, 0 and -3, ports 70000 and -1, born of, some thousand levels of nesting, 1e999, 400 digits); endpoints of a newer version that join one by one while older ones drain and daemons are suspended for 1 to 3.5 s, with streams that hold one version; idle and header times lowered and raised each 50 to 200 ms beside kept connections at rest, long bodies and SIGHUPs, where each whole request gets a response or a refusal unless its daemon ended. The platform's stand-in stores entries as text.

--- a/tests/gateway/platform_standin.rs
+++ b/tests/gateway/platform_standin.rs
@@ -116,8 +116,13 @@
 
     /// Writes an object as the operator or an endpoint would.
     pub fn put(&self, kind: &str, name: &str, spec: Value) -> u64 {
+        self.put_text(kind, name, &spec.to_string())
+    }
+
+    /// The same with JSON text, whose numbers and nesting may be beyond what `Value` holds.
+    pub fn put_text(&self, kind: &str, name: &str, spec: &str) -> u64 {
         let mut state = self.state.0.lock().expect("lock");
-        let revision = state.contents.write(kind, name, &spec);
+        let revision = state.contents.write_text(kind, name, spec.into());
         self.state.1.notify_all();
         revision
     }
@@ -199,8 +204,7 @@
             }
             match before {
                 Some(spec) => {
-                    let spec = serde_json::from_str(&spec).expect("JSON");
-                    state.contents.write(&kind, &name, &spec);
+                    state.contents.write_text(&kind, &name, spec);
                 }
                 None => state.contents.remove(&kind, &name),
             }
@@ -257,7 +261,10 @@
 
 impl StoreContents {
     fn write(&mut self, kind: &str, name: &str, spec: &Value) -> u64 {
-        let spec: Arc<str> = spec.to_string().into();
+        self.write_text(kind, name, spec.to_string().into())
+    }
+
+    fn write_text(&mut self, kind: &str, name: &str, spec: Arc<str>) -> u64 {
         self.revision += 1;
         let revision = self.revision;
         let key = (kind.to_owned(), name.to_owned());
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -5,8 +5,9 @@
 //! their responses that they drain, want a back-off or have a limit. Endpoints of two software versions
 //! serve side by side, and clients take streams that have broken off up again at other daemons. Daemons are replaced
 //! at other addresses while the seeds of all stay, and endpoints send bytes without end. Brittle
-//! endpoints get more requests than they can serve, and start again. The guarantees are checked
-//! against what clients, endpoints and the platform have recorded.
+//! endpoints get more requests than they can serve, and start again. Another writer creates odd entries, daemons are
+//! suspended during a release, and the times of the configuration that end connections rise and fall. The guarantees
+//! are checked against what clients, endpoints and the platform have recorded.
 //!
 //! `SOAK_SEEDS=50 SOAK_FIRST=1 cargo test --test gateway soak` runs more seeds, `SOAK_DAEMONS=40`
 //! more daemons: above 24 they form several gossip groups.
@@ -15,11 +16,8 @@
     collections::{BTreeMap, BTreeSet, HashMap, HashSet},
     net::SocketAddr,
     ops::Range,
-    sync::{
-        Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
-    },
-    thread,
+    sync::{Arc, Mutex},
+    thread::{self, Scope},
     time::{Duration, Instant},
 };
 
@@ -38,8 +36,11 @@
     soak_brittle::{BRITTLE_CLIENTS, BrittleTraffic, with_brittle_service},
     soak_clients::{Exchange, SoakClient},
     soak_crashes::{CrashTraffic, with_fragile_service},
+    soak_entries::OddEntries,
     soak_pauses::{PauseKinds, check_paused, pause_responses},
+    soak_releases::{self, RELEASE_CLIENTS, ReleaseTraffic, with_released_service},
     soak_signals::{SIGNAL_CLIENTS, SIGNALLING_GROUPS, SignalTraffic, with_signalling_service},
+    soak_times::{self, BODY_CLIENTS, ClientTimes, KEPT_CLIENTS, TimesTraffic, with_timed_service},
 };
 
 /// Number of seeds if `SOAK_SEEDS` is not set.
@@ -203,15 +204,27 @@
     crash_traffic: CrashTraffic,
     signal_traffic: SignalTraffic,
     brittle_traffic: BrittleTraffic,
+    odd_entries: OddEntries,
+    release_traffic: ReleaseTraffic,
+    times_traffic: TimesTraffic,
     store_links: Vec<LoopbackProxy>,
     endpoints: Vec<EndpointStandin>,
     endpoint_links: Vec<LoopbackProxy>,
     daemons: Vec<Mutex<Gateway>>,
-    version: AtomicU64,
-    /// When each version was written; each one drops the key of the version before.
+    newest: Mutex<NewestConfiguration>,
+    /// When each version with another key was written; each one drops the key of the one before.
     written_at: Mutex<BTreeMap<u64, Instant>>,
 }
 
+/// The configuration that was written last.
+#[derive(Clone, Copy, Debug)]
+struct NewestConfiguration {
+    version: u64,
+    /// The version whose key it contains.
+    key_version: u64,
+    times: ClientTimes,
+}
+
 /// Software version of an endpoint, which stands in its events.
 fn version_of(place: usize) -> &'static str {
     VERSIONS[place % VERSIONS.len()]
@@ -229,6 +242,9 @@
         let crash_traffic = CrashTraffic::start(&platform, &faults);
         let signal_traffic = SignalTraffic::start(&platform, &faults);
         let brittle_traffic = BrittleTraffic::start(&platform, &faults);
+        let odd_entries = OddEntries::start(&platform);
+        let release_traffic = ReleaseTraffic::start(&platform);
+        let times_traffic = TimesTraffic::start(&platform);
         let endpoints: Vec<EndpointStandin> = (0..ENDPOINTS)
             .map(|place| EndpointStandin::start(&format!("i-{place}"), EndpointManner::Serve))
             .collect();
@@ -241,18 +257,21 @@
         let endpoint_links: Vec<LoopbackProxy> = endpoints.iter().map(link).collect();
         let store_links: Vec<LoopbackProxy> =
             (0..daemon_count).map(|_| LoopbackProxy::start(platform.address)).collect();
-        let version = AtomicU64::new(2);
+        let newest = NewestConfiguration { version: 2, key_version: 2, times: ClientTimes::USUAL };
         let mut site = Self {
             platform,
             faults,
             crash_traffic,
             signal_traffic,
             brittle_traffic,
+            odd_entries,
+            release_traffic,
+            times_traffic,
             store_links,
             endpoints,
             endpoint_links,
             daemons: Vec::new(),
-            version,
+            newest: Mutex::new(newest),
             written_at: Mutex::default(),
         };
         site.platform.set_era(1);
@@ -338,11 +357,65 @@
         | Fault::Freeze(place)
         | Fault::StopAndStart(place) = fault
         {
-            self.signal_traffic.record_disturbance(place, from);
-            self.brittle_traffic.record_disturbance(place, from);
+            self.record_disturbance(place, from);
+        }
+        if let Fault::Kill(place) | Fault::Replace(place) | Fault::StopAndStart(place) = fault {
+            self.times_traffic.record_end(place, from);
+        }
+    }
+
+    fn record_disturbance(&self, place: usize, from: Instant) {
+        self.signal_traffic.record_disturbance(place, from);
+        self.brittle_traffic.record_disturbance(place, from);
+    }
+
+    /// Suspends random daemons until then.
+    fn suspend_daemons(&self, until: Instant, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(soak_releases::SEED_OFFSET + seed * 10);
+        while Instant::now() < until {
+            let place = rng.random_range(0..self.daemons.len());
+            let time = Duration::from_millis(rng.random_range(soak_releases::SUSPENDED_MS));
+            println!("seed {seed}: daemon {place} is suspended for {time:?}");
+            self.suspend(place, time);
+            thread::sleep(Duration::from_millis(rng.random_range(soak_releases::RUNNING_MS)));
         }
     }
 
+    fn suspend(&self, place: usize, time: Duration) {
+        // Kept for this time: a daemon that is to stop has to run.
+        let daemon = self.daemons[place].lock().expect("lock");
+        let from = Instant::now();
+        daemon.signal("-STOP");
+        thread::sleep(time);
+        daemon.signal("-CONT");
+        drop(daemon);
+        self.record_disturbance(place, from);
+    }
+
+    /// Sends signals to read the settings again to random daemons until then.
+    fn reload_daemons(&self, until: Instant, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(soak_times::SEED_OFFSET + seed * 10);
+        while Instant::now() < until {
+            let place = rng.random_range(0..self.daemons.len());
+            let daemon = self.daemons[place].lock().expect("lock");
+            if handles_reload_signal(daemon.process_id()) {
+                daemon.signal("-HUP");
+            }
+            drop(daemon);
+            thread::sleep(Duration::from_millis(rng.random_range(soak_times::RELOAD_MS)));
+        }
+    }
+
+    /// Changes the times of the configuration that end connections until then, and restores them.
+    fn change_times(&self, until: Instant, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(soak_times::SEED_OFFSET + seed * 10 + 1);
+        while Instant::now() < until {
+            self.write_times(ClientTimes::random(&mut rng));
+            thread::sleep(Duration::from_millis(rng.random_range(soak_times::CHANGE_MS)));
+        }
+        self.write_times(ClientTimes::USUAL);
+    }
+
     fn lose_writes(&self, age: Duration) {
         self.platform.copy_contents();
         thread::sleep(age);
@@ -372,15 +445,28 @@
 
     /// Writes the next version, which has its own key; returns its number.
     fn write_next_version(&self) -> u64 {
-        let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
-        let written = configuration(version, &["key-1", &version_key(version)]);
-        self.platform.put(
-            "config",
-            "main",
-            with_brittle_service(with_signalling_service(with_fragile_service(written))),
-        );
-        self.written_at.lock().expect("lock").insert(version, Instant::now());
-        version
+        let mut newest = self.newest.lock().expect("lock");
+        newest.version += 1;
+        newest.key_version = newest.version;
+        self.put_configuration(*newest);
+        self.written_at.lock().expect("lock").insert(newest.version, Instant::now());
+        newest.version
+    }
+
+    /// Writes the next version, which has other times than the newest one and the same keys.
+    fn write_times(&self, times: ClientTimes) {
+        let mut newest = self.newest.lock().expect("lock");
+        newest.version += 1;
+        newest.times = times;
+        self.put_configuration(*newest);
+    }
+
+    fn put_configuration(&self, newest: NewestConfiguration) {
+        let keys = ["key-1", &version_key(newest.key_version)];
+        let written = with_fragile_service(configuration(newest.version, &keys));
+        let written = with_brittle_service(with_signalling_service(written));
+        let written = with_timed_service(with_released_service(written));
+        self.platform.put("config", "main", newest.times.set_in(written));
     }
 
     /// The newest version whose key was dropped at least `REVOKE_LIMIT` ago.
@@ -396,6 +482,15 @@
     }
 }
 
+/// Whether a process handles SIGHUP, which ends it otherwise: one that has just started may not yet.
+fn handles_reload_signal(process: u32) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let handled = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+    let mask = handled.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+    // The lowest bit is that of signal 1, SIGHUP.
+    mask.is_some_and(|mask| mask & 1 == 1)
+}
+
 fn set_for(link: &LoopbackProxy, state: LinkState, time: Duration) {
     link.set(state);
     thread::sleep(time);
@@ -405,7 +500,8 @@
 /// How often endpoints have run each request, by its id.
 fn runs_by_id(site: &SoakSite) -> HashMap<String, usize> {
     let mut runs = HashMap::new();
-    let requests = site.endpoints.iter().flat_map(|endpoint| endpoint.seen());
+    let endpoints = site.endpoints.iter().chain([site.odd_entries.pool_endpoint()]);
+    let requests = endpoints.flat_map(|endpoint| endpoint.seen());
     // Health checks come from daemons that reach no endpoint, and belong to no account.
     for request in requests.filter(|request| request.line != "GET /health HTTP/1.1") {
         assert_eq!(
@@ -490,6 +586,9 @@
         }
         let endpoints = &site.endpoints;
         scope.spawn(move || pause_responses(endpoints, PauseKinds::All, seed, until));
+        scope.spawn(|| site.odd_entries.write_entries(until, seed));
+        play_release(scope, &site, addresses, until, seed);
+        play_times(scope, &site, addresses, until, seed);
     });
     for (place, address) in addresses.iter().enumerate() {
         let bytes = request_bytes("/plain/after/", &format!("after-{place}"), "key-1", &[], b"");
@@ -501,6 +600,8 @@
     site.crash_traffic.check();
     site.signal_traffic.check();
     site.brittle_traffic.check();
+    site.release_traffic.check();
+    site.times_traffic.check();
     check_configuration(&site, &addresses);
     let paused = play_pauses(&site, &addresses, seed);
     check_paused(&paused);
@@ -509,6 +610,41 @@
     check(&site, &exchanges);
 }
 
+/// Replaces a version while daemons are suspended and clients get streams.
+fn play_release<'scope>(
+    scope: &'scope Scope<'scope, '_>,
+    site: &'scope SoakSite,
+    addresses: &'scope [SocketAddr],
+    until: Instant,
+    seed: u64,
+) {
+    let release = &site.release_traffic;
+    scope.spawn(move || site.suspend_daemons(until, seed));
+    scope.spawn(move || release.run_release(seed));
+    for number in 0..RELEASE_CLIENTS {
+        scope.spawn(move || release.run_client(number, addresses, until, seed));
+    }
+}
+
+/// Changes the times that end connections while clients have connections at rest or send long bodies.
+fn play_times<'scope>(
+    scope: &'scope Scope<'scope, '_>,
+    site: &'scope SoakSite,
+    addresses: &'scope [SocketAddr],
+    until: Instant,
+    seed: u64,
+) {
+    let times = &site.times_traffic;
+    scope.spawn(move || site.change_times(until, seed));
+    scope.spawn(move || site.reload_daemons(until, seed));
+    for number in 0..KEPT_CLIENTS {
+        scope.spawn(move || times.run_kept_client(number, addresses, until, seed));
+    }
+    for number in 0..BODY_CLIENTS {
+        scope.spawn(move || times.run_body_client(number, addresses, until, seed));
+    }
+}
+
 /// Checks that all daemons find each other again, although their seeds may have been replaced.
 fn check_contact(site: &SoakSite) {
     for daemon in &site.daemons {
--- a/tests/gateway/soak_brittle.rs
+++ b/tests/gateway/soak_brittle.rs
@@ -21,7 +21,7 @@
     soak_signals::with_service,
 };
 
-const SERVICE: &str = "brittle";
+pub const SERVICE: &str = "brittle";
 const ENDPOINTS: usize = 3;
 /// Number of clients: somewhat more than the endpoints can serve.
 pub const BRITTLE_CLIENTS: u64 = 24;
--- a/tests/gateway/soak_signals.rs
+++ b/tests/gateway/soak_signals.rs
@@ -22,7 +22,7 @@
     signalling_endpoint::{Arrival, EndpointSignal, SignallingEndpoint},
 };
 
-const SERVICE: &str = "speaking";
+pub const SERVICE: &str = "speaking";
 /// Number of endpoint groups, in each of which one endpoint at a time signals, and the size of a group.
 pub const SIGNALLING_GROUPS: usize = 3;
 const GROUP_SIZE: usize = 2;
