--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -122,6 +122,7 @@
 mod stream_origin_rules;
 mod stream_take_ups;
 mod stream_versions;
+mod suspended_connections;
 mod suspended_fleets;
 mod suspension;
 mod takeover_rules;
