Request log: what ended the connection of a request that was cut

Callers saw nothing; operators read `client left` for each request whose connection ended in a running daemon, whoever had ended it. Cause: the trace only looked at the daemon's phase. Now each end of a client's connection has a typed cause (ConnectionEnd), counted by client_connections_ended{cause}; a request that is cut by a connection that this daemon closed is logged as `connection closed: CAUSE` and counted by cut_by_close.

--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -7,6 +7,7 @@
 mod client_body;
 pub mod client_connections;
 mod client_stream;
+pub mod connection_end;
 mod connection_expiry;
 mod lingering_close;
 mod request_body;
@@ -34,6 +35,7 @@
     client_body::ClientBody,
     client_connections::{ClientConnections, ConnectionUse},
     client_stream::ClientStream,
+    connection_end::ConnectionEnd,
     connection_expiry::{client_limits, until_head_late, until_idle_too_long},
     request_body::RequestBody,
 };
@@ -86,12 +88,11 @@
         let usage = Rc::new(ConnectionUse::starting_at(boot_clock::now()));
         let guard = open.enter(usage.clone());
         let connection = serve_connection(stream, context.clone(), usage.clone());
+        let context = context.clone();
         tokio::task::spawn_local(async move {
             let _guard = guard;
-            tokio::select! {
-                () = connection => {}
-                () = usage.close_asked() => {}
-            }
+            serve_until_closed(connection, &usage).await;
+            count_end(&context, &usage);
         });
     }
 }
@@ -112,6 +113,21 @@
     Ok(accepted)
 }
 
+/// Serves a connection until it ends, or has to be closed for another one.
+async fn serve_until_closed(connection: impl Future<Output = ()>, usage: &ConnectionUse) {
+    tokio::pin!(connection);
+    tokio::select! {
+        () = connection.as_mut() => {}
+        () = usage.close_asked() => usage.set_end(ConnectionEnd::ClosedForAnother),
+    }
+}
+
+/// Counts the end of a connection by its cause.
+fn count_end(context: &GatewayContext, usage: &ConnectionUse) {
+    let end = usage.end_cause().unwrap_or(ConnectionEnd::Finished);
+    context.metrics.count_labelled("client_connections_ended", "cause", &end.to_string());
+}
+
 async fn serve_connection(
     stream: TcpStream,
     context: Rc<GatewayContext>,
@@ -123,11 +139,14 @@
     let handover = Handover::default();
     serve_http(&stream, &context, &usage, &handover).await;
     if let Some(response) = handover.take() {
-        // An error is the client's, or the response's own, which has its log line.
-        tokio::select! {
-            _ = unframed_response::send(stream.clone(), response) => {}
-            () = until_cut(&stream, &context, &usage) => {}
-        }
+        let sending = unframed_response::send(stream.clone(), response);
+        tokio::pin!(sending);
+        let end = tokio::select! {
+            // An error is the client's, or the response's own, which has its log line.
+            sent = sending.as_mut() => sent.map_or(ConnectionEnd::BrokenOff, |()| ConnectionEnd::Finished),
+            end = until_cut(&stream, &context, &usage) => end,
+        };
+        usage.set_end(end);
     }
     usage.end();
     if usage.has_unread_body() {
@@ -158,27 +177,47 @@
     let connection = http1_builder(context).serve_connection(io, service);
     tokio::pin!(connection);
     let is_leaving = context.is_leaving();
+    let mut finished = ConnectionEnd::Finished;
+    // A connection that is handed over hasn't ended.
+    let set_end = |end| {
+        if handover.borrow().is_none() {
+            usage.set_end(end);
+        }
+    };
     if !is_leaving {
-        let mut phase = context.kernel.phase();
         // The connection is polled first: bytes that it reads itself don't have to be buffered for it.
-        tokio::select! {
+        finished = tokio::select! {
             biased;
-            _ = connection.as_mut() => return,
-            () = until_client_left(stream, usage) => return,
-            () = until_head_late(context, usage) => return,
-            () = until_idle_too_long(context, usage) => {}
-            _ = phase.wait_for(|phase| *phase >= LifePhase::Draining) => {}
+            result = connection.as_mut() => return set_end(ConnectionEnd::of_library(result)),
+            () = until_client_left(stream, usage) => return set_end(ConnectionEnd::ClientLeft),
+            () = until_head_late(context, usage) => return set_end(ConnectionEnd::HeadLate),
+            () = until_idle_too_long(context, usage) => ConnectionEnd::Idle,
+            () = until_draining(context) => ConnectionEnd::IdleAtStop,
+        };
+        if usage.is_busy() {
+            finished = ConnectionEnd::Finished;
         }
         connection.as_mut().graceful_shutdown();
     }
     // A connection accepted by a stopping daemon ends after one response by itself.
-    // Errors are caused by the client; requests have their own log lines.
-    tokio::select! {
+    let end = tokio::select! {
         biased;
-        _ = connection.as_mut() => {}
-        () = until_cut(stream, context, usage) => {}
-        () = until_unused(usage), if is_leaving => {}
-    }
+        result = connection.as_mut() => match result {
+            Ok(()) => finished,
+            Err(error) => ConnectionEnd::of_library(Err(error)),
+        },
+        end = until_cut(stream, context, usage) => end,
+        () = until_unused(usage), if is_leaving => ConnectionEnd::Unused,
+    };
+    // Before the library's part is dropped, and with it a request that is cut.
+    set_end(end);
+}
+
+/// Waits until the daemon begins to stop.
+async fn until_draining(context: &GatewayContext) {
+    let mut phase = context.kernel.phase();
+    // Fails only once the kernel has gone, and the daemon with it.
+    let _ = phase.wait_for(|phase| *phase >= LifePhase::Draining).await;
 }
 
 /// Waits for as long as a connection that a stopping daemon accepts may have had no request.
@@ -190,11 +229,15 @@
 }
 
 /// Waits until a connection ends even under a request: its client has left, or the daemon ends.
-async fn until_cut(stream: &ClientStream, context: &GatewayContext, usage: &ConnectionUse) {
+async fn until_cut(
+    stream: &ClientStream,
+    context: &GatewayContext,
+    usage: &ConnectionUse,
+) -> ConnectionEnd {
     let mut phase = context.kernel.phase();
     tokio::select! {
-        () = until_client_left(stream, usage) => {}
-        _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => {}
+        () = until_client_left(stream, usage) => ConnectionEnd::ClientLeft,
+        _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => ConnectionEnd::DaemonStopped,
     }
 }
 
@@ -224,8 +267,8 @@
 ) -> Result<Response<RequestBody>, io::Error> {
     let end = usage.begin_request();
     let version = request.version();
-    let request = request.map(|body| ClientBody::new(body, usage));
-    let response = dispatch::respond(&context, request).await?;
+    let request = request.map(|body| ClientBody::new(body, usage.clone()));
+    let response = dispatch::respond(&context, &usage, request).await?;
     let ends_connection = ends_with_connection(&response, version);
     let mut response = response.map(|body| RequestBody::new(body, stream.clone(), end));
     if !ends_connection {
--- a/src/gateway/request/client_listener/client_connections.rs
+++ b/src/gateway/request/client_listener/client_connections.rs
@@ -9,6 +9,7 @@
 
 use tokio::{sync::Notify, time::Instant};
 
+use super::connection_end::ConnectionEnd;
 use crate::{
     boot_clock,
     gateway::policy::daemon::client_connections::{
@@ -36,6 +37,8 @@
     /// Whether it has to be closed for another one.
     is_closing: Cell<bool>,
     close_asked: Notify,
+    /// Why it ends, as soon as that is known.
+    end_cause: Cell<Option<ConnectionEnd>>,
 }
 
 impl ConnectionUse {
@@ -51,6 +54,7 @@
             body_since: Cell::default(),
             is_closing: Cell::default(),
             close_asked: Notify::new(),
+            end_cause: Cell::default(),
         }
     }
 
@@ -91,6 +95,17 @@
         self.idle_since.set(boot_clock::now());
     }
 
+    /// Records why the connection ends; the first cause counts, others follow from it.
+    pub fn set_end(&self, cause: ConnectionEnd) {
+        let first = self.end_cause.get().unwrap_or(cause);
+        self.end_cause.set(Some(first));
+    }
+
+    /// Why the connection ends, if it does.
+    pub fn end_cause(&self) -> Option<ConnectionEnd> {
+        self.end_cause.get()
+    }
+
     /// Whether a request is being handled or its response is being passed on.
     pub fn is_busy(&self) -> bool {
         self.is_busy.get()
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -9,6 +9,7 @@
 use super::{
     admission::{self, Admitted, admit},
     attempt::{Attempts, OpenRequest},
+    client_listener::client_connections::ConnectionUse,
     first_response::first_response,
     refusal_response::refusal_response,
     relay,
@@ -27,13 +28,14 @@
 /// Responds to a client's request; an error closes the connection without a response.
 pub async fn respond(
     context: &Rc<GatewayContext>,
+    connection: &Rc<ConnectionUse>,
     request: Request<impl Body<Data = Bytes>>,
 ) -> Result<Response<LocalBody>, std::io::Error> {
     // The HTTP library ignores a Content-Length sent with a chunked body, so the client may have
     // meant the body to end elsewhere. Closing the connection after the response prevents the bytes
     // that follow from being read as another request.
     let close = ingress::is_chunked(request.headers());
-    let mut responded = respond_to(context, request).await;
+    let mut responded = respond_to(context, connection, request).await;
     if let (true, Ok(response)) = (close, &mut responded) {
         ingress::close_after(response.headers_mut());
     }
@@ -42,6 +44,7 @@
 
 async fn respond_to(
     context: &Rc<GatewayContext>,
+    connection: &Rc<ConnectionUse>,
     request: Request<impl Body<Data = Bytes>>,
 ) -> Result<Response<LocalBody>, std::io::Error> {
     let received = boot_clock::now();
@@ -51,12 +54,12 @@
         Ok(head) => head,
         Err(error) => {
             let refusal = Refusal::BadHead(error);
-            RequestTrace::new(context, None).refused(&refusal);
+            RequestTrace::new(context, connection, None).refused(&refusal);
             return Ok(refusal_response(&refusal, None));
         }
     };
     let id = head.id.clone();
-    let mut trace = RequestTrace::new(context, Some(id.clone()));
+    let mut trace = RequestTrace::new(context, connection, Some(id.clone()));
     match admit(context, head, body, received, &mut trace).await {
         Err(Refusal::BodyBroken) => {
             trace.refused(&Refusal::BodyBroken);
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -11,7 +11,7 @@
 
 use tokio::time::Instant;
 
-use super::response_meaning::BodyFraming;
+use super::{client_listener::client_connections::ConnectionUse, response_meaning::BodyFraming};
 use crate::{
     boot_clock,
     gateway::{
@@ -41,6 +41,8 @@
 /// Trace of one request. Writes the log line when the request ends, or when the trace is dropped.
 pub struct RequestTrace {
     context: Rc<GatewayContext>,
+    /// The connection on which the request arrived.
+    connection: Rc<ConnectionUse>,
     id: Option<SharedName>,
     route: Option<SharedName>,
     account: Option<SharedName>,
@@ -63,9 +65,14 @@
 
 impl RequestTrace {
     /// Trace of a request that has just been read.
-    pub fn new(context: &Rc<GatewayContext>, id: Option<SharedName>) -> Self {
+    pub fn new(
+        context: &Rc<GatewayContext>,
+        connection: &Rc<ConnectionUse>,
+        id: Option<SharedName>,
+    ) -> Self {
         Self {
             context: context.clone(),
+            connection: connection.clone(),
             id,
             route: None,
             account: None,
--- a/src/gateway/request/request_log/cut_cause.rs
+++ b/src/gateway/request/request_log/cut_cause.rs
@@ -6,7 +6,10 @@
 use derive_more::Display;
 
 use super::RequestTrace;
-use crate::{kernel::LifePhase, logs::LineRank};
+use crate::{
+    gateway::request::client_listener::connection_end::ConnectionEnd, kernel::LifePhase,
+    logs::LineRank,
+};
 
 /// What has ended a request that was in progress.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
@@ -17,18 +20,24 @@
     /// The daemon ends, after its grace time or because a service has failed.
     #[display("daemon stopped")]
     DaemonStopped,
+    /// This daemon has closed the connection, for another reason.
+    #[display("connection closed: {_0}")]
+    ConnectionClosed(ConnectionEnd),
     /// The request's own task has panicked; the daemon goes on.
     #[display("request panicked")]
     RequestPanicked,
 }
 
 impl CutCause {
-    /// Finds the cause of a request that ends in this phase of the daemon.
-    pub fn find(phase: LifePhase, is_panicking: bool) -> Self {
-        match phase {
+    /// Finds the cause of a request that ends in this phase of the daemon, and with its connection if that ends.
+    pub fn find(phase: LifePhase, is_panicking: bool, end: Option<ConnectionEnd>) -> Self {
+        match (phase, end) {
             _ if is_panicking => Self::RequestPanicked,
-            LifePhase::Stopping => Self::DaemonStopped,
-            LifePhase::Running | LifePhase::Draining => Self::ClientLeft,
+            (_, Some(ConnectionEnd::ClientLeft)) => Self::ClientLeft,
+            (_, Some(ConnectionEnd::DaemonStopped)) => Self::DaemonStopped,
+            (LifePhase::Stopping, None | Some(ConnectionEnd::Finished)) => Self::DaemonStopped,
+            (_, None | Some(ConnectionEnd::Finished)) => Self::ClientLeft,
+            (_, Some(end)) => Self::ConnectionClosed(end),
         }
     }
 
@@ -37,6 +46,7 @@
         match self {
             Self::ClientLeft => "client_left",
             Self::DaemonStopped => "cut_by_stop",
+            Self::ConnectionClosed(_) => "cut_by_close",
             Self::RequestPanicked => "request_panics",
         }
     }
@@ -48,7 +58,7 @@
             return;
         }
         let phase = *self.context.kernel.phase().borrow();
-        let cause = CutCause::find(phase, thread::panicking());
+        let cause = CutCause::find(phase, thread::panicking(), self.connection.end_cause());
         self.context.metrics.count(cause.metric(), 1);
         let outcome = cause.to_string();
         match cause {
