Client connections: one that has to make room looks again before it closes

Callers saw: a request on a connection at rest got nothing where another client came in the same moment to a daemon at its connection limit. Cause: make_room chose by the stage at that moment, and the connection's task polled the connection and the wish to close in random order, without another look. Now the connection is polled first, its stage and its socket (the kernel is asked: the runtime learns of bytes later) are looked at in the same poll as the close, and a connection with a request stays; the listener then asks another one. client_connections_closed counts closes, not wishes.

--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -87,11 +87,13 @@
         };
         let usage = Rc::new(ConnectionUse::starting_at(boot_clock::now()));
         let guard = open.enter(usage.clone());
-        let connection = serve_connection(stream, context.clone(), usage.clone());
+        // Fails only on a socket that is already broken, which the first read will report.
+        let _ = stream.set_nodelay(true);
+        let stream = ClientStream::new(stream, usage.clone());
         let context = context.clone();
         tokio::task::spawn_local(async move {
             let _guard = guard;
-            serve_until_closed(connection, &usage).await;
+            serve_until_closed(&stream, &context, &usage).await;
             count_end(&context, &usage);
         });
     }
@@ -113,12 +115,27 @@
     Ok(accepted)
 }
 
-/// Serves a connection until it ends, or has to be closed for another one.
-async fn serve_until_closed(connection: impl Future<Output = ()>, usage: &ConnectionUse) {
+/// Serves a connection until it ends, or is closed for another one.
+async fn serve_until_closed(
+    stream: &ClientStream,
+    context: &Rc<GatewayContext>,
+    usage: &Rc<ConnectionUse>,
+) {
+    let connection = serve_connection(stream.clone(), context.clone(), usage.clone());
     tokio::pin!(connection);
-    tokio::select! {
-        () = connection.as_mut() => {}
-        () = usage.close_asked() => usage.set_end(ConnectionEnd::ClosedForAnother),
+    loop {
+        // The connection is polled first: a request that has arrived begins before the wish to close is looked at.
+        tokio::select! {
+            biased;
+            () = connection.as_mut() => return,
+            () = usage.close_asked() => {}
+        }
+        if usage.may_close() && !stream.has_unread() {
+            usage.set_end(ConnectionEnd::ClosedForAnother);
+            context.client_connections.count_closed_for_other();
+            return;
+        }
+        usage.refuse_to_close();
     }
 }
 
@@ -129,13 +146,10 @@
 }
 
 async fn serve_connection(
-    stream: TcpStream,
+    stream: ClientStream,
     context: Rc<GatewayContext>,
     usage: Rc<ConnectionUse>,
 ) {
-    // Fails only on a socket that is already broken, which the first read will report.
-    let _ = stream.set_nodelay(true);
-    let stream = ClientStream::new(stream, usage.clone());
     let handover = Handover::default();
     serve_http(&stream, &context, &usage, &handover).await;
     if let Some(response) = handover.take() {
--- a/src/gateway/request/client_listener/client_connections.rs
+++ b/src/gateway/request/client_listener/client_connections.rs
@@ -136,6 +136,16 @@
         self.close_asked.notified().await;
     }
 
+    /// Whether the connection may be closed for another one at this moment.
+    pub fn may_close(&self) -> bool {
+        self.stage().0 != ConnectionStage::Running
+    }
+
+    /// Keeps the connection open, although it was asked to close.
+    pub fn refuse_to_close(&self) {
+        self.is_closing.set(false);
+    }
+
     /// What the connection is used for, and since when.
     fn stage(&self) -> (ConnectionStage, Instant) {
         let idle_since = self.idle_since.get();
@@ -193,18 +203,22 @@
         self.has_room() || self.first_to_close().is_some()
     }
 
-    /// Has a connection closed for a new one; false if none may be. There is room once its task has run.
+    /// Asks a connection to close for a new one; false if none may be. Its task decides, by its stage when it runs.
     pub fn make_room(&self) -> bool {
         let Some(number) = self.first_to_close() else { return false };
         if let Some(usage) = self.open.borrow().get(&number)
             && !usage.is_closing.replace(true)
         {
             usage.close_asked.notify_one();
-            self.closed.set(self.closed.get() + 1);
         }
         true
     }
 
+    /// Counts a connection that has been closed for a new one.
+    pub fn count_closed_for_other(&self) {
+        self.closed.set(self.closed.get() + 1);
+    }
+
     /// Adds a connection until the returned guard is dropped.
     pub fn enter(&self, usage: Rc<ConnectionUse>) -> ConnectionGuard {
         let number = self.next_number.get();
--- a/src/gateway/request/client_listener/client_stream.rs
+++ b/src/gateway/request/client_listener/client_stream.rs
@@ -72,6 +72,16 @@
         Poll::Pending
     }
 
+    /// Whether bytes have arrived that nobody has read. Asks the kernel: the runtime learns of them later.
+    pub fn has_unread(&self) -> bool {
+        let state = self.state.borrow();
+        if state.is_closed || !state.buffered.is_empty() {
+            return !state.buffered.is_empty();
+        }
+        let mut byte = [MaybeUninit::uninit()];
+        SockRef::from(&state.stream).peek(&mut byte).is_ok_and(|length| length > 0)
+    }
+
     /// Sets whether the connection is reset, instead of closed, when it is dropped or the process ends.
     ///
     /// # Errors
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -1,5 +1,6 @@
-//! Crowds of clients that don't behave, at a daemon on a VM with little memory. The tests run one at a time, so
-//! that nothing else loads the daemon, and check nothing that depends on the machine's speed.
+//! Crowds of clients that don't behave, at a daemon on a VM with little memory. These tests run one at a time, so
+//! that nothing else loads the daemon, and check nothing that depends on the machine's speed. `ended_connections` has
+//! daemons with room for few connections.
 
 mod crowd_client;
 mod crowd_site;
@@ -7,6 +8,7 @@
 mod body_crowds;
 mod connection_crowds;
 mod crowd_soak;
+mod ended_connections;
 mod refused_bodies;
 mod whole_bodies;
 
