Client connections: limits of the newest configuration, and none ends under a head

Callers saw: requests on kept connections got nothing (a) where a configuration had raised the idle or the head time while the connection waited, (b) where a head had arrived in part when the idle time ended or the daemon began to stop, (c) where the request was sent while the daemon stood still and the idle time ended or SIGTERM came meanwhile, (d) where it was sent behind another that ran when the daemon began to stop. Cause: the end was decided by limits read when the wait began, and by a look at requests only, not at bytes that were read or wait in the socket. Now a change of the configuration wakes the waits, limits are read where they are applied, and a connection on which a head has begun to arrive, in memory or in the socket, is not idle: its head's time limit holds.

Evidence: eight tests of ended_connections. Before: all eight failed (no bytes of an answer; the lowered idle time was not applied within 15 s). Now: all pass. Not covered: a request in the same packet as the one that runs at a stop.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -94,6 +94,8 @@
     pub access_doubted: Notify,
     /// Notified when another list of endpoints is in use.
     pub endpoints_changed: Notify,
+    /// Notified when another configuration has been applied.
+    pub configuration_changed: Notify,
     /// Whether this daemon reaches the endpoints over its own links.
     pub endpoint_access: RefCell<EndpointAccess>,
     /// Loads and health of the endpoints.
--- a/src/gateway/context/store_contents.rs
+++ b/src/gateway/context/store_contents.rs
@@ -68,6 +68,7 @@
         });
         if outcome == ApplyOutcome::Applied {
             self.configuration_texts.borrow_mut().push(text);
+            self.configuration_changed.notify_waiters();
         }
     }
 
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -151,6 +151,7 @@
         tunnel_lines: RefCell::new(LineBudget::new(TUNNEL_LINES, now)),
         access_doubted: Notify::new(),
         endpoints_changed: Notify::new(),
+        configuration_changed: Notify::new(),
         endpoint_access: RefCell::default(),
         endpoints: RefCell::new(EndpointTable::new(settings.zone.clone())),
         versions: RefCell::default(),
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -36,7 +36,7 @@
     client_connections::{ClientConnections, ConnectionUse},
     client_stream::ClientStream,
     connection_end::ConnectionEnd,
-    connection_expiry::{client_limits, until_head_late, until_idle_too_long},
+    connection_expiry::{client_limits, until_head_late, until_idle_at_stop, until_idle_too_long},
     request_body::RequestBody,
 };
 use super::{dispatch, relay::EndsWithConnection};
@@ -204,9 +204,9 @@
             biased;
             result = connection.as_mut() => return set_end(ConnectionEnd::of_library(result)),
             () = until_client_left(stream, usage) => return set_end(ConnectionEnd::ClientLeft),
-            () = until_head_late(context, usage) => return set_end(ConnectionEnd::HeadLate),
-            () = until_idle_too_long(context, usage) => ConnectionEnd::Idle,
-            () = until_draining(context) => ConnectionEnd::IdleAtStop,
+            () = until_head_late(context, usage, stream) => return set_end(ConnectionEnd::HeadLate),
+            () = until_idle_too_long(context, usage, stream) => ConnectionEnd::Idle,
+            () = until_idle_at_stop(context, usage, stream) => ConnectionEnd::IdleAtStop,
         };
         if usage.is_busy() {
             finished = ConnectionEnd::Finished;
@@ -230,13 +230,6 @@
     set_end(end);
 }
 
-/// Waits until the daemon begins to stop.
-async fn until_draining(context: &GatewayContext) {
-    let mut phase = context.kernel.phase();
-    // Fails only once the kernel has gone, and the daemon with it.
-    let _ = phase.wait_for(|phase| *phase >= LifePhase::Draining).await;
-}
-
 /// Waits for as long as a connection that a stopping daemon accepts may have had no request.
 async fn until_unused(usage: &ConnectionUse) {
     sleep(UNUSED_LIMIT).await;
--- a/src/gateway/request/client_listener/client_connections.rs
+++ b/src/gateway/request/client_listener/client_connections.rs
@@ -34,6 +34,8 @@
     idle_since: Cell<Instant>,
     /// When the first byte of a head arrived that is not complete.
     head_since: Cell<Option<Instant>>,
+    /// Whether bytes of a further request have arrived behind the one that runs.
+    has_next: Cell<bool>,
     /// When a request began whose body is not complete.
     body_since: Cell<Option<Instant>>,
     /// Whether it has to be closed for another one.
@@ -54,6 +56,7 @@
             is_ending: Cell::default(),
             idle_since: Cell::new(now),
             head_since: Cell::default(),
+            has_next: Cell::default(),
             body_since: Cell::default(),
             is_closing: Cell::default(),
             close_asked: Notify::new(),
@@ -66,21 +69,34 @@
         self.is_busy.set(true);
         self.had_request.set(true);
         self.head_since.set(None);
+        self.has_next.set(false);
         RequestEnd(self.clone())
     }
 
     fn end_request(&self) {
+        let now = boot_clock::now();
         self.is_busy.set(false);
-        self.idle_since.set(boot_clock::now());
+        self.idle_since.set(now);
+        if self.has_next.get() {
+            self.head_since.set(Some(now));
+        }
     }
 
     /// Bytes have arrived.
     pub fn bytes_arrived(&self) {
-        if !self.is_busy.get() && self.head_since.get().is_none() {
+        if self.is_busy.get() {
+            let is_behind = self.body_since.get().is_none() && !self.has_unread_body.get();
+            self.has_next.set(self.has_next.get() || is_behind);
+        } else if self.head_since.get().is_none() {
             self.head_since.set(Some(boot_clock::now()));
         }
     }
 
+    /// Whether bytes of a further request have arrived behind the one that runs.
+    pub fn has_next(&self) -> bool {
+        self.has_next.get()
+    }
+
     /// The body of a request begins to be read.
     pub fn begin_body(&self) {
         self.body_since.set(Some(boot_clock::now()));
--- a/src/gateway/request/client_listener/client_stream.rs
+++ b/src/gateway/request/client_listener/client_stream.rs
@@ -112,6 +112,9 @@
             // An error counts as a close; the library will get it when it reads or writes.
             state.is_closed = read.is_err() || buffer.filled().is_empty();
             state.buffered.extend_from_slice(buffer.filled());
+            if !buffer.filled().is_empty() {
+                state.usage.bytes_arrived();
+            }
             // The library may be waiting for the bytes that were read here.
             task.waker().wake_by_ref();
         }
--- a/tests/crowds/ended_connections.rs
+++ b/tests/crowds/ended_connections.rs
@@ -21,7 +21,7 @@
     endpoint_standin::{EndpointManner, EndpointStandin},
     gateway_site::{
         Gateway, RawAnswer, Site, WAIT_TIMEOUT, configuration, daemon_settings, endpoint_entry,
-        kept_request_bytes, parse_answer,
+        kept_request_bytes, parse_answer, read_metric, wait_for,
     },
     platform_standin::PlatformStandin,
 };
@@ -105,6 +105,13 @@
         }
     }
 
+    /// Reads until the connection ends.
+    fn read_all(&mut self) -> String {
+        let mut all = Vec::new();
+        let _ = self.stream.read_to_end(&mut all);
+        String::from_utf8_lossy(&all).into_owned()
+    }
+
     fn ask(&mut self, id: &str) -> RawAnswer {
         self.send(&request(id));
         self.read()
@@ -115,6 +122,13 @@
     kept_request_bytes("/plain/", id, "key-1", &[], b"")
 }
 
+/// Both halves of a request, cut inside its head.
+fn halves(id: &str) -> (Vec<u8>, Vec<u8>) {
+    let mut first = request(id);
+    let second = first.split_off(30);
+    (first, second)
+}
+
 /// A connection at rest sends its next request while the daemon stands still and another client comes, so that the
 /// daemon learns of both at once and has room for one.
 #[googletest::test]
@@ -220,3 +234,122 @@
     }
     expect_that!(cut, is_empty(), "length of the response, and of what arrived");
 }
+
+#[googletest::test]
+fn connection_lives_as_long_as_a_configuration_allows_that_came_while_it_was_idle() {
+    let site = start(EndpointManner::Answer, 100, &[("idle-timeout-ms", 1_000)]);
+    let mut kept = Kept::open(site.gateway.clients);
+    // The daemon begins another wait half a second later.
+    thread::sleep(Duration::from_millis(1_000));
+    expect_that!(kept.ask("first").status, eq(200));
+    thread::sleep(Duration::from_millis(1_000));
+    site.platform.put("config", "main", limited(4, &[("idle-timeout-ms", 60_000)]));
+    thread::sleep(Duration::from_millis(2_000));
+    expect_that!(kept.ask("second").status, eq(200));
+}
+
+#[googletest::test]
+fn idle_connection_ends_in_the_time_of_a_configuration_that_came_while_it_was_idle() {
+    let site = start(EndpointManner::Answer, 100, &[("idle-timeout-ms", 60_000)]);
+    let mut kept = Kept::open(site.gateway.clients);
+    expect_that!(kept.ask("first").status, eq(200));
+    site.platform.put("config", "main", limited(4, &[("idle-timeout-ms", 500)]));
+    let mut end = [0];
+    expect_that!(kept.stream.read(&mut end), ok(eq(&0)));
+    let metric = "client_connections_ended{cause=\"idle\"}";
+    wait_for("the end in the metrics", || read_metric(site.gateway.metrics, metric) == Some(1.0));
+}
+
+#[googletest::test]
+fn head_has_the_time_of_a_configuration_that_came_while_it_arrived() {
+    let site = start(EndpointManner::Answer, 100, &[("header-timeout-ms", 2_000)]);
+    let mut kept = Kept::open(site.gateway.clients);
+    let (first, second) = halves("slow");
+    kept.send(&first);
+    // The daemon looks for late heads each two seconds.
+    thread::sleep(Duration::from_millis(3_000));
+    site.platform.put("config", "main", limited(4, &[("header-timeout-ms", 60_000)]));
+    thread::sleep(Duration::from_millis(2_500));
+    kept.send(&second);
+    expect_that!(kept.read().status, eq(200));
+}
+
+#[googletest::test]
+fn connection_whose_next_head_arrives_is_not_idle() {
+    let site = start(EndpointManner::Answer, 100, &[("idle-timeout-ms", 500)]);
+    let mut kept = Kept::open(site.gateway.clients);
+    expect_that!(kept.ask("first").status, eq(200));
+    let (first, second) = halves("second");
+    thread::sleep(Duration::from_millis(700));
+    kept.send(&first);
+    thread::sleep(Duration::from_millis(800));
+    kept.send(&second);
+    expect_that!(kept.read().status, eq(200));
+}
+
+#[googletest::test]
+fn request_whose_head_arrives_as_the_daemon_begins_to_stop_is_answered() {
+    let site = start(EndpointManner::Answer, 100, &[]);
+    let mut kept = Kept::open(site.gateway.clients);
+    expect_that!(kept.ask("first").status, eq(200));
+    let (first, second) = halves("second");
+    kept.send(&first);
+    thread::sleep(SENT_LONG_AGO);
+    site.gateway.signal("-TERM");
+    thread::sleep(SENT_LONG_AGO);
+    kept.send(&second);
+    expect_that!(kept.read().status, eq(200));
+}
+
+/// What becomes due while a daemon stands still.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Due {
+    IdleTime,
+    Stop,
+}
+
+/// A request that came while the daemon stood still, and so did the end of its connection, is answered.
+fn answered_after_a_pause(due: Due) {
+    let site = start(EndpointManner::Answer, 100, &[("idle-timeout-ms", 500)]);
+    let mut kept = Kept::open(site.gateway.clients);
+    expect_that!(kept.ask("first").status, eq(200));
+    site.gateway.signal("-STOP");
+    if due == Due::Stop {
+        site.gateway.signal("-TERM");
+    }
+    kept.send(&request("second"));
+    thread::sleep(Duration::from_millis(1_500));
+    site.gateway.signal("-CONT");
+    expect_that!(kept.read().status, eq(200));
+}
+
+macro_rules! request_behind_a_pause {
+    ($($name:ident: $due:ident;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            answered_after_a_pause(Due::$due);
+        }
+    )*};
+}
+
+request_behind_a_pause! {
+    request_that_came_during_a_pause_longer_than_the_idle_time: IdleTime;
+    request_that_came_during_a_pause_with_a_stop: Stop;
+}
+
+#[googletest::test]
+fn request_sent_behind_one_that_runs_when_the_daemon_begins_to_stop_is_answered() {
+    let site = start(EndpointManner::Delayed(1_000), 100, &[]);
+    let mut client = Kept::open(site.gateway.clients);
+    client.send(&request("first"));
+    wait_for("the request at the endpoint", || site.runs() == [1]);
+    client.send(&request("second"));
+    thread::sleep(SENT_LONG_AGO);
+    site.gateway.signal("-TERM");
+    let text = client.read_all();
+    expect_that!(
+        text.matches("X-Request-Id: ").count() + text.matches("x-request-id: ").count(),
+        eq(2),
+        "{text}"
+    );
+}
