Bodies: a body that the HTTP library doesn't take is refused, not cut

Callers saw: a whole request with long chunk extensions or trailers, or a chunk length that is no number, got nothing. Cause: every error of the library while it reads a body counted as a client that has left. Now these get 400 ("body not valid") and the connection ends after it; a client that has left still gets nothing.

--- a/src/gateway/policy/request/refusal.rs
+++ b/src/gateway/policy/request/refusal.rs
@@ -24,6 +24,9 @@
     /// The body did not arrive completely.
     #[display("body not whole")]
     BodyBroken,
+    /// The body's chunks or trailers aren't valid, or longer than they may be.
+    #[display("body not valid")]
+    BodyNotValid,
     /// The body was not complete at the deadline; the request has not run. Holds the retry-after.
     #[display("body not whole in time")]
     BodyLate(Duration),
@@ -139,7 +142,7 @@
     /// Status of the response.
     pub fn status(&self) -> StatusCode {
         match self {
-            Self::BadHead(_) | Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::BadHead(_) | Self::BodyBroken | Self::BodyNotValid => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyLate(_) => StatusCode::REQUEST_TIMEOUT,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -200,6 +203,7 @@
             Self::BadHead(_)
             | Self::BodyTooLong
             | Self::BodyBroken
+            | Self::BodyNotValid
             | Self::NoRoute
             | Self::UnknownKey
             | Self::Unknown
@@ -209,7 +213,10 @@
 
     /// Whether the rest of the request's body is not read, so that its connection can't be used further.
     pub fn ends_body(&self) -> bool {
-        matches!(self, Self::BodyTooLong | Self::BodyLate(_) | Self::NoBodyMemory(_))
+        matches!(
+            self,
+            Self::BodyTooLong | Self::BodyNotValid | Self::BodyLate(_) | Self::NoBodyMemory(_)
+        )
     }
 
     /// Inputs of the decision, for the request log.
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -16,7 +16,7 @@
 use tokio::time::{Instant, sleep};
 
 use self::body_reader::{BodyTerms, read_body};
-use super::request_log::RequestTrace;
+use super::{client_listener::client_body::BodyFault, request_log::RequestTrace};
 use crate::boot_clock;
 use crate::gateway::{
     call::{Call, CallHead},
@@ -88,7 +88,7 @@
 pub async fn admit(
     context: &Rc<GatewayContext>,
     head: CallHead,
-    body: impl Body<Data = Bytes>,
+    body: impl Body<Data = Bytes, Error = BodyFault>,
     received: Instant,
     trace: &mut RequestTrace,
 ) -> Result<Admitted, Refusal> {
--- a/src/gateway/request/admission/body_reader.rs
+++ b/src/gateway/request/admission/body_reader.rs
@@ -13,6 +13,7 @@
     gateway::{
         call::call_body::CallBody,
         policy::request::{refusal::Refusal, retry_after},
+        request::client_listener::client_body::BodyFault,
     },
 };
 
@@ -33,6 +34,15 @@
     }
 }
 
+impl From<BodyFault> for Refusal {
+    fn from(fault: BodyFault) -> Self {
+        match fault {
+            BodyFault::BrokenOff => Self::BodyBroken,
+            BodyFault::NotValid => Self::BodyNotValid,
+        }
+    }
+}
+
 /// Reads a body to its end.
 ///
 /// # Errors
@@ -40,7 +50,7 @@
 /// The body is too long, breaks off, is not complete in time, or there is no memory for it.
 pub async fn read_body(
     store: &Rc<BodyStore>,
-    body: impl Body<Data = Bytes>,
+    body: impl Body<Data = Bytes, Error = BodyFault>,
     terms: BodyTerms,
 ) -> Result<CallBody, Refusal> {
     if body.size_hint().lower() > terms.largest as u64 {
@@ -66,14 +76,13 @@
 
 async fn copy_to(
     writer: &BodyWriter,
-    body: impl Body<Data = Bytes>,
+    body: impl Body<Data = Bytes, Error = BodyFault>,
     terms: BodyTerms,
 ) -> Result<(), Refusal> {
     let mut body = pin!(body);
     let mut left = terms.largest;
     while let Some(frame) = body.frame().await {
-        // The client has disconnected or sends no valid chunks; the refusal is logged with the request.
-        let Ok(frame) = frame else { return Err(Refusal::BodyBroken) };
+        let frame = frame?;
         // Trailers are not passed on.
         let Ok(bytes) = frame.into_data() else { continue };
         left = left.checked_sub(bytes.len()).ok_or(Refusal::BodyTooLong)?;
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -4,7 +4,7 @@
 //! A stopping daemon serves one request on each new connection; `daemon` describes the steps of a
 //! stop.
 
-mod client_body;
+pub mod client_body;
 pub mod client_connections;
 mod client_stream;
 pub mod connection_end;
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -9,7 +9,7 @@
 use super::{
     admission::{self, Admitted, admit},
     attempt::{Attempts, OpenRequest},
-    client_listener::client_connections::ConnectionUse,
+    client_listener::{client_body::BodyFault, client_connections::ConnectionUse},
     first_response::first_response,
     refusal_response::refusal_response,
     relay,
@@ -29,7 +29,7 @@
 pub async fn respond(
     context: &Rc<GatewayContext>,
     connection: &Rc<ConnectionUse>,
-    request: Request<impl Body<Data = Bytes>>,
+    request: Request<impl Body<Data = Bytes, Error = BodyFault>>,
 ) -> Result<Response<LocalBody>, std::io::Error> {
     // The HTTP library ignores a Content-Length sent with a chunked body, so the client may have
     // meant the body to end elsewhere. Closing the connection after the response prevents the bytes
@@ -45,7 +45,7 @@
 async fn respond_to(
     context: &Rc<GatewayContext>,
     connection: &Rc<ConnectionUse>,
-    request: Request<impl Body<Data = Bytes>>,
+    request: Request<impl Body<Data = Bytes, Error = BodyFault>>,
 ) -> Result<Response<LocalBody>, std::io::Error> {
     let received = boot_clock::now();
     let _active = context.active.enter();
--- a/tests/crowds/ended_connections.rs
+++ b/tests/crowds/ended_connections.rs
@@ -353,3 +353,41 @@
         "{text}"
     );
 }
+
+/// Bytes of a chunk's extension: more than the HTTP library reads.
+const LONG_EXTENSION: usize = 20 * 1024;
+
+/// A whole request with this body in chunks.
+fn chunked(id: &str, body: &str) -> Vec<u8> {
+    let chunked = ["Transfer-Encoding: chunked"];
+    let head = kept_request_bytes("/once/", id, "key-1", &chunked, b"");
+    let head = String::from_utf8(head).expect("text").replace("GET ", "POST ");
+    [head.as_bytes(), body.as_bytes()].concat()
+}
+
+fn refused_as_not_valid(body: &str) {
+    let site = start(EndpointManner::Answer, 100, &[]);
+    let mut client = Kept::open(site.gateway.clients);
+    client.send(&chunked("odd", body));
+    let answer = client.read();
+    expect_that!(answer.status, eq(400), "{}", answer.head);
+    expect_that!(answer.header("connection"), some(eq("close")));
+    expect_that!(site.runs(), elements_are![eq(&0)]);
+}
+
+macro_rules! chunks_that_are_not_read {
+    ($($name:ident: $body:expr;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            refused_as_not_valid($body);
+        }
+    )*};
+}
+
+chunks_that_are_not_read! {
+    request_with_a_long_chunk_extension_gets_a_refusal:
+        &format!("1;e={}\r\nb\r\n0\r\n\r\n", "x".repeat(LONG_EXTENSION));
+    request_with_long_trailers_gets_a_refusal:
+        &format!("1\r\nb\r\n0\r\nX-Trailer: {}\r\n\r\n", "x".repeat(LONG_EXTENSION));
+    request_with_a_chunk_length_that_is_no_number_gets_a_refusal: "1\r\nb\r\nzz\r\n\r\n";
+}
