Client connections: a request whose body arrives is refused before its connection makes room

Callers saw: a connection closed in the middle of a body, or with all of a body sent while the daemon waited for its peers, got nothing. Cause: the connection was dropped for another one without the refusal that a body gets which gives way to others. Now the request is refused with 503 and Retry-After (not run), and the connection ends after that.

Evidence: client_whose_body_has_to_make_room_gets_a_refusal: before, no answer; now 503 for the oldest, 200 for the others once they are complete.

--- a/src/gateway/policy/daemon/client_connections.rs
+++ b/src/gateway/policy/daemon/client_connections.rs
@@ -3,7 +3,8 @@
 //! The number follows from the VM's memory and descriptors, which connections to endpoints, other daemons and the
 //! store share. At the limit a connection is closed that serves nobody: first one that is ending, then one that
 //! has never had a whole head, an idle one, and one whose request's body has not arrived completely; of each,
-//! the one that has been so for the longest. A connection whose request runs, or may run, is never closed.
+//! the one that has been so for the longest. A connection whose request runs, or may run, or whose response is not
+//! sent completely, is never closed; a request whose body arrives is refused first.
 //!
 //! Inputs: the VM's size, from the settings; the stage of each connection at this moment.
 
--- a/src/gateway/policy/request/refusal.rs
+++ b/src/gateway/policy/request/refusal.rs
@@ -33,6 +33,10 @@
     /// There is no memory for the body; the request has not run. Holds the retry-after.
     #[display("no memory for the body")]
     NoBodyMemory(Duration),
+    /// The connection makes room for another one while the body arrives; the request has not run. Holds the
+    /// retry-after.
+    #[display("connection needed for another client")]
+    ConnectionNeeded(Duration),
     /// No configuration is known yet.
     #[display("no configuration")]
     NoConfiguration,
@@ -163,6 +167,7 @@
             | Self::UnknownStream(_)
             | Self::NoPath(_)
             | Self::NoBodyMemory(_)
+            | Self::ConnectionNeeded(_)
             | Self::Quarantined(_)
             | Self::PartQuarantined(_) => StatusCode::SERVICE_UNAVAILABLE,
             Self::Unknown => StatusCode::BAD_GATEWAY,
@@ -189,6 +194,7 @@
             | Self::NoPath(wait)
             | Self::BodyLate(wait)
             | Self::NoBodyMemory(wait)
+            | Self::ConnectionNeeded(wait)
             | Self::Quarantined(wait)
             | Self::PartQuarantined(wait) => Some(*wait),
             Self::NoConfiguration | Self::FleetUnknown | Self::NotFresh => {
@@ -215,7 +221,11 @@
     pub fn ends_body(&self) -> bool {
         matches!(
             self,
-            Self::BodyTooLong | Self::BodyNotValid | Self::BodyLate(_) | Self::NoBodyMemory(_)
+            Self::BodyTooLong
+                | Self::BodyNotValid
+                | Self::BodyLate(_)
+                | Self::NoBodyMemory(_)
+                | Self::ConnectionNeeded(_)
         )
     }
 
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -33,7 +33,7 @@
 
 use self::{
     client_body::ClientBody,
-    client_connections::{ClientConnections, ConnectionUse},
+    client_connections::{ClientConnections, ConnectionUse, RoomAnswer},
     client_stream::ClientStream,
     connection_end::ConnectionEnd,
     connection_expiry::{client_limits, until_head_late, until_idle_at_stop, until_idle_too_long},
@@ -130,12 +130,11 @@
             () = connection.as_mut() => return,
             () = usage.close_asked() => {}
         }
-        if usage.may_close() && !stream.has_unread() {
+        if usage.make_room(stream.has_unread()) == RoomAnswer::Close {
             usage.set_end(ConnectionEnd::ClosedForAnother);
             context.client_connections.count_closed_for_other();
             return;
         }
-        usage.refuse_to_close();
     }
 }
 
--- a/src/gateway/request/client_listener/client_connections.rs
+++ b/src/gateway/request/client_listener/client_connections.rs
@@ -41,6 +41,9 @@
     /// Whether it has to be closed for another one.
     is_closing: Cell<bool>,
     close_asked: Notify,
+    /// Whether the request whose body arrives has to be refused.
+    gives_way: Cell<bool>,
+    gave_way: Notify,
     /// Why it ends, as soon as that is known.
     end_cause: Cell<Option<ConnectionEnd>>,
 }
@@ -60,6 +63,8 @@
             body_since: Cell::default(),
             is_closing: Cell::default(),
             close_asked: Notify::new(),
+            gives_way: Cell::default(),
+            gave_way: Notify::new(),
             end_cause: Cell::default(),
         }
     }
@@ -68,6 +73,7 @@
     pub fn begin_request(self: &Rc<Self>) -> RequestEnd {
         self.is_busy.set(true);
         self.had_request.set(true);
+        self.gives_way.set(false);
         self.head_since.set(None);
         self.has_next.set(false);
         RequestEnd(self.clone())
@@ -76,6 +82,7 @@
     fn end_request(&self) {
         let now = boot_clock::now();
         self.is_busy.set(false);
+        self.gives_way.set(false);
         self.idle_since.set(now);
         if self.has_next.get() {
             self.head_since.set(Some(now));
@@ -172,14 +179,29 @@
         self.close_asked.notified().await;
     }
 
-    /// Whether the connection may be closed for another one at this moment.
-    pub fn may_close(&self) -> bool {
-        self.stage().0 != ConnectionStage::Running
+    /// What a connection does that is asked to close for another one; `has_unread` says whether bytes wait in its
+    /// socket.
+    pub fn make_room(&self, has_unread: bool) -> RoomAnswer {
+        self.is_closing.set(false);
+        match self.stage().0 {
+            ConnectionStage::Ending => RoomAnswer::Close,
+            ConnectionStage::New | ConnectionStage::Idle if !has_unread => RoomAnswer::Close,
+            ConnectionStage::Body => {
+                self.gives_way.set(true);
+                self.gave_way.notify_one();
+                RoomAnswer::Stay
+            }
+            ConnectionStage::New | ConnectionStage::Idle | ConnectionStage::Running => {
+                RoomAnswer::Stay
+            }
+        }
     }
 
-    /// Keeps the connection open, although it was asked to close.
-    pub fn refuse_to_close(&self) {
-        self.is_closing.set(false);
+    /// Waits until the request whose body arrives has to be refused.
+    pub async fn gave_way(&self) {
+        while !self.gives_way.get() {
+            self.gave_way.notified().await;
+        }
     }
 
     /// What the connection is used for, and since when.
@@ -188,6 +210,7 @@
         match (self.body_since.get(), self.is_busy.get(), self.had_request.get()) {
             _ if self.is_ending.get() => (ConnectionStage::Ending, idle_since),
             _ if self.has_unsent.get() => (ConnectionStage::Running, idle_since),
+            _ if self.gives_way.get() => (ConnectionStage::Running, idle_since),
             (Some(since), _, _) => (ConnectionStage::Body, since),
             (None, true, _) => (ConnectionStage::Running, idle_since),
             (None, false, true) => (ConnectionStage::Idle, idle_since),
@@ -196,6 +219,15 @@
     }
 }
 
+/// What a connection does that is asked to close for another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RoomAnswer {
+    /// It closes.
+    Close,
+    /// It stays open, since a request has begun on it. One whose body arrives is refused first.
+    Stay,
+}
+
 /// When dropped, marks the connection as idle: with the response's body, or before there is one.
 pub struct RequestEnd(Rc<ConnectionUse>);
 
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -17,7 +17,10 @@
 };
 use crate::{
     boot_clock,
-    gateway::{context::GatewayContext, policy::request::refusal::Refusal},
+    gateway::{
+        context::GatewayContext,
+        policy::request::{refusal::Refusal, retry_after},
+    },
     http::LocalBody,
     platform::ingress,
 };
@@ -60,7 +63,12 @@
     };
     let id = head.id.clone();
     let mut trace = RequestTrace::new(context, connection, Some(id.clone()));
-    match admit(context, head, body, received, &mut trace).await {
+    let admitted = tokio::select! {
+        biased;
+        admitted = admit(context, head, body, received, &mut trace) => admitted,
+        () = connection.gave_way() => Err(Refusal::ConnectionNeeded(retry_after::AT_ONCE)),
+    };
+    match admitted {
         Err(Refusal::BodyBroken) => {
             trace.refused(&Refusal::BodyBroken);
             Err(std::io::Error::other(INCOMPLETE_BODY))
--- a/tests/crowds/ended_connections.rs
+++ b/tests/crowds/ended_connections.rs
@@ -391,3 +391,31 @@
         &format!("1\r\nb\r\n0\r\nX-Trailer: {}\r\n\r\n", "x".repeat(LONG_EXTENSION));
     request_with_a_chunk_length_that_is_no_number_gets_a_refusal: "1\r\nb\r\nzz\r\n\r\n";
 }
+
+/// Clients with bodies that don't end, as many as there is room for.
+const STALLED: usize = 4;
+
+#[googletest::test]
+fn client_whose_body_has_to_make_room_gets_a_refusal() {
+    let site = start(EndpointManner::Answer, STALLED, &[]);
+    let whole = kept_request_bytes("/once/", "stalled", "key-1", &[], &[b'b'; 1_000]);
+    let mut stalled: Vec<Kept> = (0..STALLED)
+        .map(|_| {
+            let mut client = Kept::open(site.gateway.clients);
+            client.send(&whole[..whole.len() - 1]);
+            client
+        })
+        .collect();
+    thread::sleep(SENT_LONG_AGO);
+    let mut newcomer = Kept::open(site.gateway.clients);
+    expect_that!(newcomer.ask("new").status, eq(200));
+    // The one that began first.
+    let answer = stalled[0].read();
+    expect_that!(answer.status, eq(503), "{}", answer.head);
+    expect_that!(answer.header("retry-after"), some(anything()));
+    // The others go on.
+    for client in &mut stalled[1..] {
+        client.send(b"b");
+        expect_that!(client.read().status, eq(200));
+    }
+}
