Test of requests on connections at rest beside configurations in series

60 configurations with other idle and head times, 0.15 s apart, each with SIGHUP; 16 clients that rest up to 1.3 s between requests, some of whose heads arrive in two parts.

--- a/tests/crowds/ended_connections.rs
+++ b/tests/crowds/ended_connections.rs
@@ -419,3 +419,70 @@
         expect_that!(client.read().status, eq(200));
     }
 }
+
+/// Clients whose connections rest between their requests.
+const RESTING: usize = 16;
+/// Requests of each.
+const RESTING_REQUESTS: u64 = 12;
+/// Configurations in series, and the pause after each.
+const SERIES: u64 = 60;
+const SERIES_PAUSE: Duration = Duration::from_millis(150);
+/// A request may be lost in its connection's end if that comes within this time, and no endpoint has seen it.
+const LOAD_BALANCER_TIME: Duration = Duration::from_millis(200);
+
+/// A request that got nothing.
+#[derive(Debug)]
+struct Unanswered {
+    id: String,
+    ended_after: Duration,
+}
+
+/// Asks on one connection after pauses of various lengths, and opens another one where it has ended.
+fn rest_and_ask(address: SocketAddr, client: u64) -> Vec<Unanswered> {
+    let mut unanswered = Vec::new();
+    let mut kept = Kept::open(address);
+    for number in 0..RESTING_REQUESTS {
+        let pause_ms = (client * 131 + number * 277) % 1_300;
+        thread::sleep(Duration::from_millis(pause_ms));
+        let id = format!("rest-{client}-{number}");
+        let (first, second) = halves(&id);
+        // Some heads arrive in two parts.
+        let parts = if number % 3 == 0 { vec![first, second] } else { vec![request(&id)] };
+        for part in parts {
+            kept.send(&part);
+            thread::sleep(Duration::from_millis(20));
+        }
+        let sent_at = Instant::now();
+        if kept.read().status == 0 {
+            unanswered.push(Unanswered { id, ended_after: sent_at.elapsed() });
+            kept = Kept::open(address);
+        }
+    }
+    unanswered
+}
+
+#[googletest::test]
+fn requests_on_connections_at_rest_are_answered_beside_configurations_in_series() {
+    let site = start(EndpointManner::Answer, 100, &[("idle-timeout-ms", 200)]);
+    let address = site.gateway.clients;
+    let clients: Vec<_> = (0..RESTING as u64)
+        .map(|client| thread::spawn(move || rest_and_ask(address, client)))
+        .collect();
+    for number in 0..SERIES {
+        let idle_ms = [200, 5_000, 700][number as usize % 3];
+        let limits = [("idle-timeout-ms", idle_ms), ("header-timeout-ms", 3_000 - idle_ms / 2)];
+        site.platform.put("config", "main", limited(4 + number, &limits));
+        site.gateway.signal("-HUP");
+        thread::sleep(SERIES_PAUSE);
+    }
+    let unanswered = clients.into_iter().flat_map(|client| client.join().expect("client"));
+    let seen = site.endpoints[0].seen();
+    let lost: Vec<Unanswered> = unanswered
+        .filter(|one| {
+            let was_seen = seen.iter().any(|request| request.id() == one.id);
+            was_seen || one.ended_after > LOAD_BALANCER_TIME
+        })
+        .collect();
+    println!("{} requests seen", seen.len());
+    expect_that!(lost, is_empty());
+}
