Endpoints: a number of slots that no endpoint has is rejected

Callers saw no answer of any daemon any more, from one entry of another writer on: `slots` beside good endpoints of a service that is brittle, or turns brittle later.

Cause: an entry's slots were accepted if their type fitted, and the share of a brittle endpoint was counted slot by slot, at each division, in the thread that serves. The slots of several such entries were added as 32 bits.

Change: an entry is used if it has 1 to 65,536 slots (`VALID_SLOTS`); others count as entries of another writer, as those of other types do. Lists of peers, which may not check, lose these records alone. Shares are calculated by blocks and rounds; sums of slots have 64 bits.

On the code before: no answer to any request in the four cases of a brittle service (as a change, several, before the service turned brittle, at the start) and at a daemon whose list came from a peer; with three such entries at full endpoints requests ended without a response after the third (a debug build, the sum overflows; in a release build it wraps). Now all are answered, the daemons live and follow later changes. Shares equal those counted slot by slot in 2,000 random rings (brittle_rules).

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -4,10 +4,14 @@
 //! identify one start. Endpoints that don't state their start time use a new id for each start. An
 //! address may later be used by another endpoint.
 
-use std::{net::SocketAddr, rc::Rc};
+use std::{net::SocketAddr, ops::RangeInclusive, rc::Rc};
 
 use crate::{ids::SharedName, store_position::StorePosition};
 
+/// Numbers of requests that an endpoint can process concurrently: up to far more than any real one does. A
+/// number outside of this range was written by another writer.
+pub const VALID_SLOTS: RangeInclusive<u32> = 1..=65_536;
+
 /// Whether an endpoint takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointState {
@@ -32,7 +36,7 @@
     pub zone: SharedName,
     /// Version of its software; empty if not known.
     pub version: SharedName,
-    /// Number of requests that it processes concurrently.
+    /// Number of requests that it processes concurrently, one of [`VALID_SLOTS`].
     pub slots: u32,
     /// Whether it takes new requests.
     pub state: EndpointState,
@@ -57,3 +61,11 @@
     /// Endpoints, sorted by id.
     pub endpoints: Vec<Rc<EndpointRecord>>,
 }
+
+impl EndpointList {
+    /// Removes the records with values that no endpoint can have, and returns them. A peer of the last
+    /// release may pass them on.
+    pub fn remove_invalid(&mut self) -> Vec<Rc<EndpointRecord>> {
+        self.endpoints.extract_if(.., |record| !VALID_SLOTS.contains(&record.slots)).collect()
+    }
+}
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -7,7 +7,7 @@
 //! the call was made. A message in a call of another daemon may have been delayed for any time and
 //! proves nothing.
 
-use std::{fmt::Display, net::SocketAddr, time::Duration};
+use std::{fmt::Display, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use tokio::time::Instant;
@@ -30,7 +30,7 @@
 use crate::gateway::{
     configuration_state::ConfigurationSource,
     context::GatewayContext,
-    endpoint::EndpointList,
+    endpoint::{EndpointList, EndpointRecord},
     policy::{
         daemon::held_texts::HeldVersions, endpoint::endpoint_load::ReportedLoads,
         leader::leader_lease::LeaseRenewal,
@@ -193,7 +193,12 @@
         SentEndpoints::Listed(list) => Some(list),
         SentEndpoints::Compressed(text) => read_endpoints(context, sender, position, &text),
     };
-    if list.is_some_and(|list| context.apply_endpoints(list)) {
+    let Some(mut list) = list else { return };
+    let invalid = list.remove_invalid();
+    if !invalid.is_empty() {
+        log_invalid(context, &invalid, sender);
+    }
+    if context.apply_endpoints(list) {
         divide_all(context, boot_clock::now());
         spdlog::info!("endpoints", kv: {
             era: = position.era(), revision = position.revision(), source = "peer"
@@ -201,6 +206,15 @@
     }
 }
 
+/// Entries that are not used, as `store_watch::foreign_entries` does for those read from the store.
+fn log_invalid(context: &GatewayContext, invalid: &[Rc<EndpointRecord>], sender: SocketAddr) {
+    context.metrics.count("foreign_entries_seen", invalid.len() as u64);
+    let first = &invalid[0].id;
+    spdlog::warn!("endpoint entries not used", kv: {
+        peer: = sender, first:, count = invalid.len(), reason = "number of slots"
+    });
+}
+
 fn read_endpoints(
     context: &GatewayContext,
     sender: SocketAddr,
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -163,8 +163,8 @@
         let mut room = ServiceRoom::default();
         for status in self.of_service(service) {
             room.endpoints += 1;
-            room.slots += status.record.slots;
-            room.running += self.load_at(status, now).running;
+            room.slots += u64::from(status.record.slots);
+            room.running += u64::from(self.load_at(status, now).running);
             room.backing_off += u32::from(status.pause.backs_off_until(now).is_some());
             room.at_limit += u32::from(!status.is_within_limit(now));
         }
--- a/src/gateway/policy/endpoint/endpoint_table/slot_borrower.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/slot_borrower.rs
@@ -63,7 +63,7 @@
         now: Instant,
         rng: &mut impl Rng,
     ) -> Option<SocketAddr> {
-        let slots: u32 = endpoints.iter().map(|endpoint| endpoint.slots).sum();
+        let slots: u64 = endpoints.iter().map(|endpoint| u64::from(endpoint.slots)).sum();
         if slots == 0 {
             return None;
         }
@@ -93,13 +93,14 @@
 }
 
 /// The endpoint of the slot with this index among the slots of all, and the slot's index there.
-fn slot_at(endpoints: &[WantedEndpoint], index: u32) -> Option<(WantedEndpoint, u32)> {
+fn slot_at(endpoints: &[WantedEndpoint], index: u64) -> Option<(WantedEndpoint, u32)> {
     let mut index = index;
     for endpoint in endpoints {
-        if index < endpoint.slots {
-            return Some((*endpoint, index));
+        let slots = u64::from(endpoint.slots);
+        if index < slots {
+            return Some((*endpoint, index as u32));
         }
-        index -= endpoint.slots;
+        index -= slots;
     }
     None
 }
--- a/src/gateway/policy/endpoint/endpoint_table/slot_ring.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/slot_ring.rs
@@ -46,10 +46,25 @@
 
     /// Slots that `member` holds at the endpoint with this hash.
     pub fn share(&self, member: SocketAddr, endpoint: u64, slots: u32) -> u32 {
+        let places = self.members.iter().enumerate();
+        let own = places.filter(|(_, (_, address))| *address == member);
+        own.map(|(place, _)| self.share_at(place, endpoint, slots)).sum()
+    }
+
+    /// Slots that the member at this place of the ring holds: whole blocks, one in each round, and those of
+    /// an incomplete last block.
+    fn share_at(&self, place: usize, endpoint: u64, slots: u32) -> u32 {
         let divided = self.divided(slots);
-        let first = self.first_holder(endpoint);
-        let is_held = |slot: &u32| self.holder_after(first, *slot) == Some(member);
-        (0..divided).filter(is_held).count() as u32
+        let (block, members) = (u64::from(self.block.max(1)), self.members.len() as u64);
+        // The first holder may be the place after the last one, which is the first one.
+        let first = self.first_holder(endpoint) as u64;
+        let steps_after_first = (place as u64 + members - first) % members;
+        let (whole_blocks, rest) = (u64::from(divided) / block, u64::from(divided) % block);
+        let whole_rounds = whole_blocks / members;
+        let blocks_of_last_round = whole_blocks % members;
+        let own_blocks = whole_rounds + u64::from(steps_after_first < blocks_of_last_round);
+        let own_rest = if steps_after_first == blocks_of_last_round { rest } else { 0 };
+        (own_blocks * block + own_rest) as u32
     }
 
     /// Holder of a slot of the endpoint with this hash; none if the slot isn't divided.
--- a/src/gateway/policy/endpoint/service_room.rs
+++ b/src/gateway/policy/endpoint/service_room.rs
@@ -19,9 +19,9 @@
     /// Those whose limit leaves no request for this daemon now.
     pub at_limit: u32,
     /// Requests that they can run at once.
-    pub slots: u32,
+    pub slots: u64,
     /// Requests of all daemons that run there.
-    pub running: u32,
+    pub running: u64,
     /// Age of the oldest load report in use.
     pub report_age: Duration,
 }
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -1,11 +1,14 @@
 //! Decodes the entries that endpoints write about themselves into the store.
 
-use std::{net::SocketAddr, num::NonZeroU32};
+use std::net::SocketAddr;
 
-use serde::Deserialize;
+use serde::{
+    Deserialize, Deserializer,
+    de::{Error, Unexpected},
+};
 
 use crate::{
-    gateway::endpoint::{EndpointRecord, EndpointState},
+    gateway::endpoint::{EndpointRecord, EndpointState, VALID_SLOTS},
     ids::SharedName,
 };
 
@@ -18,7 +21,8 @@
     service: SharedName,
     address: SocketAddr,
     zone: SharedName,
-    slots: NonZeroU32,
+    #[serde(deserialize_with = "read_slots")]
+    slots: u32,
     state: EndpointPhase,
     /// Start time in milliseconds since 1970; endpoints of earlier releases don't state it.
     #[serde(default)]
@@ -35,6 +39,18 @@
     version: SharedName,
 }
 
+fn read_slots<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u32, D::Error> {
+    let slots = u32::deserialize(deserializer)?;
+    match VALID_SLOTS.contains(&slots) {
+        true => Ok(slots),
+        false => {
+            let unexpected = Unexpected::Unsigned(u64::from(slots));
+            let expected = format!("slots from {} to {}", VALID_SLOTS.start(), VALID_SLOTS.end());
+            Err(D::Error::invalid_value(unexpected, &&*expected))
+        }
+    }
+}
+
 /// State of an endpoint in its entry.
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
@@ -47,8 +63,8 @@
 ///
 /// # Errors
 ///
-/// The entry lacks a field that every endpoint writes, or has one of another type: it was written or
-/// changed by another writer.
+/// The entry lacks a field that every endpoint writes, or has one of another type, or a number of slots that no
+/// endpoint can have: it was written or changed by another writer.
 pub fn decode(id: SharedName, text: &[u8]) -> Result<EndpointRecord, serde_json::Error> {
     let spec: EndpointSpec = serde_json::from_slice(text)?;
     let state = match spec.state {
@@ -62,7 +78,7 @@
         address: spec.address,
         zone: spec.zone,
         version: spec.version,
-        slots: spec.slots.get(),
+        slots: spec.slots,
         state,
         reclaimable: spec.use_spot,
     })
--- a/tests/gateway/brittle_rules.rs
+++ b/tests/gateway/brittle_rules.rs
@@ -4,6 +4,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 use googletest::prelude::*;
+use proptest::prelude::{ProptestConfig, any, proptest};
 use rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use tokio::time::Instant;
 use willowarch::gateway::{
@@ -326,3 +327,29 @@
     table.assume_brittle(&"pool".into(), later);
     expect_false!(table.is_brittle("pool", later));
 }
+
+/// The slots of `member`, counted one by one.
+fn counted_share(ring: &SlotRing, member: SocketAddr, endpoint: u64, slots: u32) -> u32 {
+    (0..slots).filter(|slot| ring.holder(endpoint, slots, *slot) == Some(member)).count() as u32
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+    #[test]
+    fn shares_are_the_slots_whose_holder_the_member_is(
+        members in 0_usize..12,
+        missing in 0_usize..5,
+        block in 0_u32..9,
+        endpoint in any::<u64>(),
+        slots in 0_u32..150,
+    ) {
+        let hashed = |address: SocketAddr| (hash_address(&address), address);
+        let all = (0..members).map(address).map(hashed);
+        let ring = SlotRing::with_blocks(all, members + missing, block);
+        // The last one is no member.
+        for member in (0..=members).map(address) {
+            let share = ring.share(member, endpoint, slots);
+            assert_eq!(share, counted_share(&ring, member, endpoint, slots));
+        }
+    }
+}
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -6,7 +6,9 @@
 use serde_json::{Value, json};
 use willowarch::{
     gateway::{
-        call::HeadError, configuration::RouteKind, endpoint::EndpointState,
+        call::HeadError,
+        configuration::RouteKind,
+        endpoint::{EndpointState, VALID_SLOTS},
         request::response_meaning::ResponseMeaning,
     },
     platform::{
@@ -73,6 +75,21 @@
     expect_that!(endpoints::decode("i".into(), nameless.to_string().as_bytes()).is_err(), eq(true));
 }
 
+#[googletest::test]
+fn endpoint_entries_with_slots_that_no_endpoint_has_are_rejected() {
+    let decode = |slots: u64| {
+        let entry = json!({"service": "s", "address": "10.0.0.1:80", "zone": "a", "slots": slots,
+            "state": "ready"});
+        endpoints::decode("i-1".into(), entry.to_string().as_bytes())
+    };
+    let most = u64::from(*VALID_SLOTS.end());
+    expect_that!(decode(1).expect("decodes").slots, eq(1));
+    expect_that!(decode(most).expect("decodes").slots, eq(*VALID_SLOTS.end()));
+    for slots in [0, most + 1, u64::from(u32::MAX), u64::MAX] {
+        expect_that!(decode(slots).is_err(), eq(true), "{slots} slots");
+    }
+}
+
 #[googletest::test]
 fn store_pages_and_watch_events_are_decoded() {
     let object = json!({"metadata": {"name": "n", "revision": 4}, "spec": {"a": 1}});
--- a/tests/gateway/foreign_entries.rs
+++ b/tests/gateway/foreign_entries.rs
@@ -7,6 +7,7 @@
 
 use googletest::prelude::*;
 use serde_json::{Value, json};
+use willowarch::gateway::endpoint::VALID_SLOTS;
 
 use crate::{
     endpoint_standin::EndpointManner,
@@ -64,6 +65,7 @@
     no_slots: |site| without(site, "slots");
     slots_below_one: |site| with(site, "slots", json!(0));
     slots_out_of_range: |site| with(site, "slots", json!(1e30));
+    slots_beyond_any_endpoint: |site| with(site, "slots", json!(VALID_SLOTS.end() + 1));
     no_zone: |site| without(site, "zone");
     malformed_address: |site| with(site, "address", json!("nowhere"));
     sequence_of_another_type: |site| with(site, "seq", json!([]));
