Configuration: times that are too long to add end no daemon

Callers saw daemons end, or requests end without a response, from a configuration on with a time limit, a target or a start time of 10^19 s.

Cause: a duration was accepted if `Duration` holds it; multiples of it, and points in time after it, overflow and panic. A panic in a leader task ends the daemon, and the next holder of the lease after it. Longer ones still were read as 0, so that each request was out of time at once.

Change: a duration above 30 years is read as 30 years, and counted in the log line as before. Negative ones stay 0.

Evidence: odd_configurations, a real daemon. On the code before: the daemon refuses connections (ended) with `timeout-ms` and `boot-s`, no response with `target-latency-ms`, 503 to all with a `timeout-ms` beyond all durations. Now 200, and later configurations are applied. The other cases of the file passed before and guard what holds.

--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -3,8 +3,8 @@
 //! The fields of the spec types have the names of the JSON keys, which include the units (`_ms`, `_s`,
 //! `per_s`). Unknown keys are ignored, since later versions of the platform add some. If a value has the
 //! wrong type, the whole configuration is rejected and the current one stays in use. A duration that is
-//! negative or too long to represent is read as zero; one log line for each decoded configuration
-//! reports the number of these.
+//! negative is read as zero, and one above `MAX_DURATION` as that; one log line for each decoded
+//! configuration reports the number of these.
 
 use std::{cell::Cell, collections::BTreeMap, time::Duration};
 
@@ -25,6 +25,8 @@
 
 /// Default target latency of a route.
 const DEFAULT_TARGET: Duration = Duration::from_secs(1);
+/// Longest duration, 30 years: multiples of it can be represented, and added to a point in time.
+const MAX_DURATION: Duration = Duration::from_secs(1_000_000_000);
 /// Milliseconds in a second.
 const MS_PER_S: f64 = 1e3;
 /// Value of `unit` for accounts whose quota is in tokens; with any other value it is in requests.
@@ -154,25 +156,26 @@
 /// Converts durations and counts those that are negative or too long.
 #[derive(Default)]
 struct DurationReader {
-    rejected: Cell<u32>,
+    changed: Cell<u32>,
 }
 
 impl DurationReader {
     fn seconds(&self, value: f64) -> Duration {
-        Duration::try_from_secs_f64(value).unwrap_or_else(|_| {
-            self.rejected.set(self.rejected.get() + 1);
-            Duration::ZERO
-        })
+        let longest = MAX_DURATION.as_secs_f64();
+        if !(0.0..=longest).contains(&value) {
+            self.changed.set(self.changed.get() + 1);
+        }
+        Duration::from_secs_f64(value.clamp(0.0, longest))
     }
 
     fn millis(&self, value: f64) -> Duration {
         self.seconds(value / MS_PER_S)
     }
 
-    fn log_rejected(&self, version: u64) {
-        let durations = self.rejected.get();
+    fn log_changed(&self, version: u64) {
+        let durations = self.changed.get();
         if durations > 0 {
-            spdlog::warn!("configuration: negative or too long durations read as 0", kv: { version, durations });
+            spdlog::warn!("configuration: negative durations read as 0, too long ones as the longest", kv: { version, durations });
         }
     }
 }
@@ -193,7 +196,7 @@
         let keys = tenant.api_keys.clone();
         configuration.add_account(to_account(tenant), keys);
     }
-    durations.log_rejected(spec.version);
+    durations.log_changed(spec.version);
     Ok(configuration)
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -61,6 +61,7 @@
 mod long_configuration;
 mod loopback_proxy;
 mod lost_entries;
+mod odd_configurations;
 mod odd_entries;
 mod operations;
 mod out_of_step_daemon;
