Fleets: a service without endpoints ends no leader

Callers saw daemons end, one holder of the lease after the other, from a configuration on with `autoscale` `min` 0 and `max` 0 and a price for reclaimable endpoints.

Cause: the plan holds at least one endpoint in each zone and at most `max`; a clamp between 1 and 0 panics.

Change: none is held where none is allowed.

Evidence: fleet_without_endpoints_ends_the_leader, a real daemon: ended on the code before, now it serves and applies later configurations.

--- a/src/gateway/policy/leader/zone_plan.rs
+++ b/src/gateway/policy/leader/zone_plan.rs
@@ -114,7 +114,7 @@
             let share = missing.div_ceil(zones_left).max(half.min(missing));
             let on_demand = self.on_demand_in_zone(zone, share, per_zone);
             missing = missing.saturating_sub(on_demand);
-            let room = self.spec.max.saturating_sub(on_demand).max(self.spec.min.max(1));
+            let room = self.spec.max.saturating_sub(on_demand).max(self.least_per_zone());
             let zone = (*zone).clone();
             targets.insert((zone.clone(), PriceClass::OnDemand), on_demand);
             targets.insert((zone, PriceClass::Reclaimable), per_zone.min(room));
@@ -122,11 +122,16 @@
         targets
     }
 
+    /// Endpoints that each zone holds without any load: at least one, unless none is allowed.
+    fn least_per_zone(&self) -> u32 {
+        self.spec.min.max(1).min(self.spec.max)
+    }
+
     /// Reclaimable endpoints for each zone, so that the other zones suffice when one is reclaimed.
     fn reclaimable_per_zone(&self) -> u32 {
         let remaining_zones = (self.held.len().max(1) - 1).max(1) as f64;
         let wanted = (self.required / remaining_zones).ceil() as u32;
-        wanted.clamp(self.spec.min.max(1), self.spec.max)
+        wanted.clamp(self.least_per_zone(), self.spec.max)
     }
 
     /// On-demand endpoints for a zone that should hold `share` of the missing ones, such that both
@@ -139,7 +144,7 @@
             false => holding.reclaimable.max(reclaimable_per_zone),
         };
         let room = self.spec.max.saturating_sub(reserved);
-        let floor = self.spec.min.max(1).saturating_sub(holding.reclaimable);
+        let floor = self.least_per_zone().saturating_sub(holding.reclaimable);
         share.max(floor).min(room.max(floor))
     }
 
--- a/tests/gateway/odd_configurations.rs
+++ b/tests/gateway/odd_configurations.rs
@@ -71,6 +71,9 @@
     too_long_start_time_ends_the_leader: |all| all["services"][0]["autoscale"] = json!({
         "min": 1, "max": 6, "boot-s": FAR_S, "spot-price": 0.2, "zone-prices": {"hall-a": 1.0},
     });
+    fleet_without_endpoints_ends_the_leader: |all| all["services"][0]["autoscale"] = json!({
+        "min": 0, "max": 0, "boot-s": 0.5, "spot-price": 0.2, "zone-prices": {"hall-a": 1.0},
+    });
     largest_fleet_ends_the_leader: |all| all["services"][0]["autoscale"] = json!({
         "min": 0, "max": u32::MAX, "boot-s": 0.5, "spot-price": 0.2, "zone-prices": {"hall-a": 1.0},
     });
