Routes: weights whose sum exceeds 32 bits

Callers saw requests end without a response on a route whose weights add up to 2^32 or more (a debug build; in a release build the sum wraps, and services get other parts than the weights say).

Cause: the weights were added as 32 bits.

Change: 64 bits.

Evidence: weights_with_an_overflowing_sum_end_requests, a real daemon: no response on the code before, now 200.

--- a/src/gateway/policy/request/admission.rs
+++ b/src/gateway/policy/request/admission.rs
@@ -61,17 +61,18 @@
 }
 
 /// Sum of a route's weights: the upper bound of the random points for `service_at`.
-pub fn total_weight(services: &[ServiceWeight]) -> u32 {
-    services.iter().map(|entry| entry.weight).sum()
+pub fn total_weight(services: &[ServiceWeight]) -> u64 {
+    services.iter().map(|entry| u64::from(entry.weight)).sum()
 }
 
 /// The service whose range of the summed weights contains `point`; `None` if all weights are 0.
-pub fn service_at(services: &[ServiceWeight], mut point: u32) -> Option<&ServiceWeight> {
+pub fn service_at(services: &[ServiceWeight], mut point: u64) -> Option<&ServiceWeight> {
     for entry in services {
-        if point < entry.weight {
+        let weight = u64::from(entry.weight);
+        if point < weight {
             return Some(entry);
         }
-        point -= entry.weight;
+        point -= weight;
     }
     None
 }
--- a/tests/gateway/odd_configurations.rs
+++ b/tests/gateway/odd_configurations.rs
@@ -77,6 +77,11 @@
     largest_fleet_ends_the_leader: |all| all["services"][0]["autoscale"] = json!({
         "min": 0, "max": u32::MAX, "boot-s": 0.5, "spot-price": 0.2, "zone-prices": {"hall-a": 1.0},
     });
+    weights_with_an_overflowing_sum_end_requests: |all| {
+        set_of_routes(all, "service", Value::Null);
+        let part = json!({"service": "pool", "weight": u32::MAX});
+        set_of_routes(all, "traffic-split", json!([part, part]));
+    };
     largest_limits_end_connections: |all| {
         all["limits"]["max-header-bytes"] = json!(u64::MAX);
         all["limits"]["max-body-bytes"] = json!(u64::MAX);
