Connections: an endless keep-alive of an endpoint ends no request

Callers saw requests end without a whole response at an endpoint that sends `Keep-Alive: timeout=`.

Cause: the time was added to the present one, which panics in the request's task.

Change: an idle connection is kept for an hour at most, whatever its endpoint announces.

Evidence: longest_keep_alive_ends_requests, a real daemon: none of 5 requests answered on the code before, now all.

--- a/src/gateway/request/connection_pool.rs
+++ b/src/gateway/request/connection_pool.rs
@@ -34,6 +34,8 @@
 /// Longest idle time of a connection whose endpoint doesn't announce how long it keeps it open:
 /// short, since the endpoint may close it at any time.
 const IDLE_LIMIT: Duration = Duration::from_secs(4);
+/// Longest idle time of a connection, whatever its endpoint announces.
+const MAX_IDLE: Duration = Duration::from_secs(3_600);
 /// A connection is not reused within this time before its endpoint closes it: the request might
 /// arrive after the close.
 const IDLE_MARGIN: Duration = Duration::from_millis(900);
@@ -204,7 +206,8 @@
     /// Returns a connection to the pool after a clean exchange; `keep` is the time for which its
     /// endpoint keeps it open.
     pub fn give_back(&self, connection: EndpointConnection, keep: Option<Duration>) {
-        let usable_for = keep.map_or(IDLE_LIMIT, |keep| keep.saturating_sub(IDLE_MARGIN));
+        let usable_for =
+            keep.map_or(IDLE_LIMIT, |keep| keep.saturating_sub(IDLE_MARGIN).min(MAX_IDLE));
         if usable_for.is_zero() {
             return;
         }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -63,6 +63,7 @@
 mod lost_entries;
 mod odd_configurations;
 mod odd_entries;
+mod odd_responses;
 mod operations;
 mod out_of_step_daemon;
 mod part_model;
