Prompts: parts whose tokens overflow end no request

Callers saw a request end without a response if the tokens of its `X-Prompt-Prefix` add up to 2^64 or more (a debug build; a release build wraps).

Cause: the tokens of a part had no bound, unlike those of `X-Token-Counts`.

Change: the same bound; a part beyond it ends the list, like a malformed one.

Evidence: parts_with_an_overflowing_sum_end_requests, a real daemon: none of 5 answered on the code before, now all.

--- a/src/platform/ingress/client_head.rs
+++ b/src/platform/ingress/client_head.rs
@@ -124,7 +124,8 @@
 fn read_prefix(headers: &HeaderMap) -> Vec<PromptPart> {
     let read = |part: &str| {
         let (id, tokens) = part.trim().split_once(':')?;
-        Some(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens: tokens.parse().ok()? })
+        let tokens = tokens.parse().ok().filter(|tokens| *tokens < TOKEN_LIMIT)?;
+        Some(PromptPart { id: u64::from_str_radix(id, 16).ok()?, tokens })
     };
     let value = headers.get(&PREFIX).and_then(|value| value.to_str().ok());
     value.map_or_else(Vec::new, |value| value.split(',').map_while(read).collect())
--- a/tests/gateway/odd_responses.rs
+++ b/tests/gateway/odd_responses.rs
@@ -5,7 +5,10 @@
 
 use googletest::prelude::*;
 
-use crate::{endpoint_standin::EndpointManner, gateway_site::Site};
+use crate::{
+    endpoint_standin::EndpointManner,
+    gateway_site::{Site, ask},
+};
 
 const REQUESTS: usize = 5;
 /// Time from the start of a daemon after which it uses brittle endpoints, and more.
@@ -42,3 +45,15 @@
     longest_brittle_bound_ends_requests:
         EndpointManner::Answer, "Server-Brittle: 18446744073709551616\r\n", 200;
 }
+
+#[googletest::test]
+fn parts_with_an_overflowing_sum_end_requests() {
+    let site = Site::start(&[EndpointManner::Answer]);
+    let parts = "X-Prompt-Prefix: 1:18446744073709551615,2:18446744073709551615,3:7";
+    for number in 0..REQUESTS {
+        let headers = [parts, "X-Token-Counts: 100,10"];
+        let id = format!("a-{number}");
+        let answer = ask(site.gateway.clients, "/plain/", &id, "key-1", &headers, b"");
+        expect_that!((answer.status, answer.whole), eq((200, true)));
+    }
+}
