Endpoints: a start time of another writer that is too late is given up

Callers saw an endpoint unused for good (503 from all daemons) after another writer had written an entry under its id with another address and a later start time, although the endpoint went on writing its own entry.

Cause: entries of an earlier start than the known one are ignored, since they may have been delayed. Lists were passed on with the later start in them, so that daemons also kept each other from the correction.

Change: if the lists show an earlier start for as long as the store keeps an entry that isn't written (3 heartbeats), and never the later one, the earlier start runs and is used, and the signals of the later one are dropped. No clock is compared. Lists are passed on as the store has them; each daemon decides for itself.

--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -37,7 +37,7 @@
             store_watchers::{StoreWatch, WatcherElection, is_store_failing},
         },
         endpoint::{
-            endpoint_starts::lost_entries::EntryHistory,
+            endpoint_starts::{StartOrder, lost_entries::EntryHistory},
             endpoint_table::{EndpointTable, slot_borrower::SlotBorrower, slot_ring::SlotRing},
             request_limit::token_lending::TokenBorrower,
         },
@@ -84,6 +84,8 @@
     pub endpoint_list: RefCell<EndpointList>,
     /// Endpoint entries as the store has listed them, across its eras.
     pub entry_history: RefCell<EntryHistory>,
+    /// Which start of each endpoint is used.
+    pub start_order: RefCell<StartOrder>,
     /// Daemons that carry tunnels to endpoints for this one.
     pub forwarders: RefCell<ForwarderTable>,
     /// Tunnels that this daemon carries for others.
--- a/src/gateway/context/store_contents.rs
+++ b/src/gateway/context/store_contents.rs
@@ -18,10 +18,7 @@
         gossip::codec::endpoint_list,
         policy::{
             daemon::catch_up::ConfigurationLag,
-            endpoint::{
-                endpoint_starts::keep_latest_starts,
-                signal_ledger::{EndpointWarning, WarningKind},
-            },
+            endpoint::signal_ledger::{EndpointWarning, WarningKind},
         },
     },
     platform,
@@ -83,10 +80,18 @@
         if list.position <= self.endpoint_list.borrow().position {
             return false;
         }
-        let list = keep_latest_starts(list, &self.endpoint_list.borrow());
+        // As listed: each daemon decides for itself which starts are used.
         let text = endpoint_list::write_text(&list);
         self.endpoint_texts.borrow_mut().push(text);
         let now = boot_clock::now();
+        let ordered = self.start_order.borrow_mut().apply(list, &self.endpoint_list.borrow(), now);
+        for start in &ordered.dropped {
+            self.endpoints.borrow_mut().forget_start(*start);
+            spdlog::warn!("later start of an endpoint given up", kv: {
+                endpoint = start.endpoint, born = start.born
+            });
+        }
+        let list = ordered.list;
         self.expect_peers_at_start(self.endpoint_list.borrow().position.is_none(), now);
         self.observe_endpoint_era(list.position.era(), now);
         self.entry_history.borrow_mut().apply(list, now);
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -36,7 +36,8 @@
             store_watchers::WatcherElection,
         },
         endpoint::{
-            endpoint_starts::lost_entries::EntryHistory, endpoint_table::EndpointTable,
+            endpoint_starts::{StartOrder, lost_entries::EntryHistory},
+            endpoint_table::EndpointTable,
             request_limit::token_lending::TokenBorrower,
         },
         leader::{
@@ -146,6 +147,7 @@
         configuration: RefCell::new(ConfigurationState::default()),
         endpoint_list: RefCell::new(EndpointList::default()),
         entry_history: RefCell::new(EntryHistory::new(settings.entry_ttl)),
+        start_order: RefCell::new(StartOrder::new(settings.entry_ttl)),
         forwarders: RefCell::default(),
         carried_tunnels: OpenCount::default(),
         tunnel_lines: RefCell::new(LineBudget::new(TUNNEL_LINES, now)),
--- a/src/gateway/policy/endpoint/endpoint_table/list_changes.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/list_changes.rs
@@ -52,6 +52,11 @@
         }
     }
 
+    /// Drops the signals of a start that no endpoint has had.
+    pub fn forget_start(&mut self, start: NumberedStart) {
+        self.signals.forget(start);
+    }
+
     /// State of a start that is new in the list. Runs that began while an `earlier` start was listed, and slots
     /// that were lent, may be at the new one: the endpoint may have started long before.
     fn new_status(
--- a/src/gateway/policy/endpoint/signal_ledger.rs
+++ b/src/gateway/policy/endpoint/signal_ledger.rs
@@ -207,6 +207,14 @@
         restarted
     }
 
+    /// Drops the signals of a start that no endpoint has had.
+    pub fn forget(&mut self, start: NumberedStart) {
+        let entry = self.by_endpoint.get(&start.endpoint);
+        if entry.is_some_and(|entry| entry.born == start.born) {
+            self.by_endpoint.remove(&start.endpoint);
+        }
+    }
+
     /// Warnings to report to the other daemons, newest first.
     pub fn warnings(&self, now: Instant) -> Vec<EndpointWarning> {
         let mut warnings = Vec::new();
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -236,3 +236,55 @@
     expect_that!(ids(&removed), elements_are![eq("i-0"), eq("i-3"), eq("i-4")]);
     expect_that!(ids(&received.endpoints), elements_are![eq("i-1"), eq("i-2")]);
 }
+
+/// Interval at which an endpoint writes its entry.
+const HEARTBEAT: Duration = Duration::from_millis(1_200);
+/// Heartbeats after which an endpoint whose entry another writer had replaced is used again: those after which the store
+/// drops an entry that isn't written, twice.
+const HEARTBEATS_UNTIL_USED: usize = 6;
+const BORN: u64 = 1_700_000_000_000;
+
+/// Writes an endpoint's own entry, as with each heartbeat.
+fn put_own(site: &OddSite, sequence: usize) {
+    let mut own = endpoint_entry(&site.endpoints[0], "ready");
+    own["born"] = json!(BORN);
+    own["seq"] = json!(sequence);
+    site.platform.put("servers", &site.endpoints[0].id, own);
+}
+
+/// The only endpoint's entry is replaced by one that names another address and a start that is later than all
+/// real ones. Each daemon has to use the endpoint again after it has gone on writing its own entry.
+fn play_late_start(born: u64) {
+    let _place = acquire_fleet_slot();
+    let mut site = OddSite::without_daemons(EndpointManner::Answer);
+    for endpoint in &site.endpoints[1..] {
+        site.platform.remove("servers", &endpoint.id);
+    }
+    site.odd.set(EndpointManner::Other);
+    put_own(&site, 1);
+    site.start_daemons();
+    site.expect_statuses("before", 200);
+    let mut late = endpoint_entry(&site.odd, "ready");
+    late["born"] = json!(born);
+    site.platform.put("servers", &site.endpoints[0].id, late);
+    thread::sleep(APPLY_LIMIT);
+    for sequence in 0..HEARTBEATS_UNTIL_USED {
+        put_own(&site, 2 + sequence);
+        thread::sleep(HEARTBEAT);
+    }
+    site.expect_statuses("after its own entry", 200);
+}
+
+macro_rules! late_starts_leave_the_endpoint_unused {
+    ($($name:ident: $born:expr;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            play_late_start($born);
+        }
+    )*};
+}
+
+late_starts_leave_the_endpoint_unused! {
+    latest_start_of_another_writer_leaves_the_endpoint_unused: u64::MAX;
+    start_of_another_writer_in_a_year_leaves_the_endpoint_unused: BORN + 31_536_000_000;
+}
