Counters: sums of what other daemons report don't overflow

Sums of loads, tokens, usage, quotas and roll-out counts that daemons report, and of an account's charge, panicked in a debug build and wrapped in a release build if one of them was near the greatest number. Callers saw requests end without a response with a `plain-tokens` of 2^64 - 1.

Change: these sums stay at the greatest number.

Evidence: odd_counters, and largest_charge_ends_requests with a real daemon: all failed on the code before (the case of a request and reported loads together was not run on it), now passed.

--- a/src/gateway/policy/endpoint/endpoint_choice.rs
+++ b/src/gateway/policy/endpoint/endpoint_choice.rs
@@ -247,7 +247,7 @@
     ) -> f64 {
         let slots = f64::from(status.record.slots);
         let running = f64::from(load.running);
-        let prefill = self.prefill_ms(load.uncached_tokens + uncached);
+        let prefill = self.prefill_ms(load.uncached_tokens.saturating_add(uncached));
         let batch = running / slots * FULL_BATCH_MS;
         let queue = (running + 1.0 - slots).max(0.0) * QUEUED_REQUEST_MS;
         let zone = if &*status.record.zone == self.zone { 0.0 } else { OTHER_ZONE_MS };
--- a/src/gateway/policy/endpoint/endpoint_load.rs
+++ b/src/gateway/policy/endpoint/endpoint_load.rs
@@ -53,9 +53,9 @@
 impl EndpointLoad {
     /// Adds another load.
     pub fn add(&mut self, other: &Self) {
-        self.running += other.running;
-        self.uncached_tokens += other.uncached_tokens;
-        self.memory_tokens += other.memory_tokens;
+        self.running = self.running.saturating_add(other.running);
+        self.uncached_tokens = self.uncached_tokens.saturating_add(other.uncached_tokens);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
     }
 
     /// Estimates what a load reported `age` ago is now, at an endpoint that prefills `prefill_rate`
@@ -78,8 +78,8 @@
 
 impl AddAssign for ServiceCounters {
     fn add_assign(&mut self, other: Self) {
-        self.uncached_tokens += other.uncached_tokens;
-        self.requests += other.requests;
+        self.uncached_tokens = self.uncached_tokens.saturating_add(other.uncached_tokens);
+        self.requests = self.requests.saturating_add(other.requests);
     }
 }
 
--- a/src/gateway/policy/endpoint/endpoint_status.rs
+++ b/src/gateway/policy/endpoint/endpoint_status.rs
@@ -194,7 +194,7 @@
         if !self.pause.takes_request(now) || !self.is_within_limit(now) {
             return true;
         }
-        let needs = load.memory_tokens + memory_tokens;
+        let needs = load.memory_tokens.saturating_add(memory_tokens);
         let lacks_memory =
             memory_capacity.is_some_and(|capacity| load.running > 0 && needs > capacity);
         lacks_memory || self.are_slots_used(load, memory_capacity.is_some())
--- a/src/gateway/policy/endpoint/endpoint_table.rs
+++ b/src/gateway/policy/endpoint/endpoint_table.rs
@@ -107,7 +107,7 @@
     /// dropped.
     pub fn tokens_sent(&self, service: &str) -> u64 {
         let own = self.services.get(service).map_or(0, |counters| counters.uncached_tokens);
-        own + self.reports.sent_to(service)
+        own.saturating_add(self.reports.sent_to(service))
     }
 
     /// Prefill rate of a service's endpoints, in tokens per millisecond.
--- a/src/gateway/policy/endpoint/endpoint_table/versions.rs
+++ b/src/gateway/policy/endpoint/endpoint_table/versions.rs
@@ -23,7 +23,7 @@
         let others = self.endpoints.values().filter(|status| {
             &*status.record.service == service && &*status.record.version != version
         });
-        others.map(|status| self.load_at(status, now).running).sum()
+        others.map(|status| self.load_at(status, now).running).fold(0, u32::saturating_add)
     }
 
     /// Requests of all daemons for a service, per second.
--- a/src/gateway/policy/endpoint/load_reports.rs
+++ b/src/gateway/policy/endpoint/load_reports.rs
@@ -109,7 +109,7 @@
     /// Tokens that all other daemons have sent to a service.
     pub fn sent_to(&self, service: &str) -> u64 {
         let counters = self.by_source.values().filter_map(|report| report.services.get(service));
-        counters.map(|counters| counters.uncached_tokens).sum()
+        counters.map(|counters| counters.uncached_tokens).fold(0, u64::saturating_add)
     }
 
     fn of_own_group(&self) -> impl Iterator<Item = &ReportedLoads> {
--- a/src/gateway/policy/leader/usage_counts.rs
+++ b/src/gateway/policy/leader/usage_counts.rs
@@ -123,6 +123,7 @@
 
 fn add_counts(total: &mut WindowCounts, counts: &WindowCounts) {
     for (account, count) in counts {
-        *total.entry(account.clone()).or_default() += count;
+        let sum = total.entry(account.clone()).or_default();
+        *sum = sum.saturating_add(*count);
     }
 }
--- a/src/gateway/policy/request/quota.rs
+++ b/src/gateway/policy/request/quota.rs
@@ -78,8 +78,8 @@
 
 impl AddAssign for AccountCounters {
     fn add_assign(&mut self, other: Self) {
-        self.spent += other.spent;
-        self.requested += other.requested;
+        self.spent = self.spent.saturating_add(other.spent);
+        self.requested = self.requested.saturating_add(other.requested);
     }
 }
 
--- a/src/gateway/policy/request/quota/account_bucket.rs
+++ b/src/gateway/policy/request/quota/account_bucket.rs
@@ -96,14 +96,14 @@
 
     /// Counts requested units, whether they are admitted or not.
     pub fn count_requested(&mut self, units: u64, now: Instant) {
-        self.own.requested += units;
+        self.own.requested = self.own.requested.saturating_add(units);
         self.own_load.add(units, now);
     }
 
     /// Takes admitted units out of the bucket.
     pub fn spend(&mut self, units: u64) {
         self.level -= units as f64;
-        self.own.spent += units;
+        self.own.spent = self.own.spent.saturating_add(units);
     }
 
     /// Returns units that were admitted for a request that never ran.
--- a/src/gateway/policy/rollout/version_counts.rs
+++ b/src/gateway/policy/rollout/version_counts.rs
@@ -17,7 +17,7 @@
 impl VersionCounts {
     /// All responses.
     pub fn total(&self) -> u64 {
-        self.good + self.bad
+        self.good.saturating_add(self.bad)
     }
 
     /// Fraction of bad responses; 0 without any responses.
@@ -36,8 +36,8 @@
 
 impl AddAssign for VersionCounts {
     fn add_assign(&mut self, other: Self) {
-        self.good += other.good;
-        self.bad += other.bad;
+        self.good = self.good.saturating_add(other.good);
+        self.bad = self.bad.saturating_add(other.bad);
     }
 }
 
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -62,6 +62,7 @@
 mod loopback_proxy;
 mod lost_entries;
 mod odd_configurations;
+mod odd_counters;
 mod odd_entries;
 mod odd_responses;
 mod operations;
--- a/tests/gateway/odd_configurations.rs
+++ b/tests/gateway/odd_configurations.rs
@@ -95,3 +95,18 @@
         all["services"][0]["engine"] = json!({"slots": u32::MAX, "kv-capacity": u64::MAX});
     };
 }
+
+/// The counters of the account overflowed.
+#[googletest::test]
+fn largest_charge_ends_requests() {
+    let mut site = Site::start(&[EndpointManner::Serve]);
+    let change: fn(&mut Value) = |all| all["tenants"][0]["plain-tokens"] = json!(u64::MAX);
+    site.platform.put("config", "main", changed(4, change));
+    thread::sleep(APPLY_TIME);
+    for number in 0..5 {
+        let answer = site.ask("/plain/", &format!("a-{number}"));
+        expect_that!(answer.status, any![eq(200), eq(429)]);
+        expect_that!(answer.whole, eq(true));
+    }
+    expect_that!(site.gateway.has_ended(), eq(false));
+}
