Lease: numbers of renewals and windows that can't be meant

Daemons ended (a debug build; a release build wraps) when another writer had written the lease record with 2^64 - 1 renewals, or a report of the window 2^64 - 1.

Cause: the next number overflows.

Change: a record with a renewal or window of 2^48 or more counts as one that can't be decoded: the lease is acquired again with a higher fence.

Evidence: odd_lease_records, real daemons: both cases panicked on the code before and the daemons ended, now they live, renew and report usage again. The other fields, cases of the same file, did no harm before.

--- a/src/gateway/leader/lease_record.rs
+++ b/src/gateway/leader/lease_record.rs
@@ -4,7 +4,10 @@
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
-use serde::{Deserialize, Serialize};
+use serde::{
+    Deserialize, Deserializer, Serialize,
+    de::{Error, Unexpected},
+};
 
 use crate::{
     gateway::policy::leader::usage_counts::WindowCounts, ids::SharedName, store_position::StoreEra,
@@ -15,6 +18,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageReport {
     /// Number of the usage window.
+    #[serde(deserialize_with = "read_number")]
     pub window: u64,
     /// Requests by account.
     pub counts: WindowCounts,
@@ -67,6 +71,22 @@
     pub alone_ms: u64,
 }
 
+/// Renewals and usage windows have numbers below this: windows of a millisecond, counted from 1970, reach it in
+/// 8,900 years. Another writer has written a greater one.
+const NUMBER_LIMIT: u64 = 1 << 48;
+
+/// Reads the number of a renewal or of a usage window, to which others can be added.
+fn read_number<'de, D: Deserializer<'de>>(deserializer: D) -> Result<u64, D::Error> {
+    let number = u64::deserialize(deserializer)?;
+    match number < NUMBER_LIMIT {
+        true => Ok(number),
+        false => {
+            let expected = format!("a number below {NUMBER_LIMIT}");
+            Err(D::Error::invalid_value(Unexpected::Unsigned(number), &&*expected))
+        }
+    }
+}
+
 fn is_zero(number: &u64) -> bool {
     *number == 0
 }
@@ -84,6 +104,7 @@
     /// Fencing number; rises with every new holder.
     pub fence: u64,
     /// Renewals by this holder. Counting them makes each renewal change the object.
+    #[serde(deserialize_with = "read_number")]
     pub renewals: u64,
     /// Era of the store in which the record was written; 0 from daemons of earlier releases.
     #[serde(default)]
@@ -120,7 +141,7 @@
     pub brittle_services: Vec<SharedName>,
     /// Earlier windows are not reported, since a former holder whose record is lost may have reported
     /// them.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    #[serde(default, deserialize_with = "read_number", skip_serializing_if = "is_zero")]
     pub first_window: u64,
     /// The newest report.
     pub report: Option<UsageReport>,
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -64,6 +64,7 @@
 mod odd_configurations;
 mod odd_counters;
 mod odd_entries;
+mod odd_lease_records;
 mod odd_responses;
 mod operations;
 mod out_of_step_daemon;
