Usage reports: a window shorter than a millisecond ends no leader

The daemon that holds the lease ended with `report-window-s` 0.0001 in the settings, and the next holder after it.

Cause: the window's length in whole milliseconds is 0, by which the time is divided.

Change: at least 1, as the numbers of windows are calculated elsewhere.

Evidence: odd_settings, a real daemon: ended on the code before, now it serves. The other cases of the file passed before.

--- a/src/gateway/policy/leader/usage_reports.rs
+++ b/src/gateway/policy/leader/usage_reports.rs
@@ -36,7 +36,8 @@
     length: Duration,
 ) -> Option<u64> {
     let delay_ms = REPORT_DELAY.as_millis() as u64;
-    let current = now_ms.saturating_sub(delay_ms) / length.as_millis() as u64;
+    let length_ms = (length.as_millis() as u64).max(1);
+    let current = now_ms.saturating_sub(delay_ms) / length_ms;
     let newest = current.checked_sub(1)?;
     let next = last_reported.map_or(newest, |window| window + 1);
     let window = next.max(newest.saturating_sub(REPORTABLE_WINDOWS - 1)).max(first_window);
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -66,6 +66,7 @@
 mod odd_entries;
 mod odd_lease_records;
 mod odd_responses;
+mod odd_settings;
 mod operations;
 mod out_of_step_daemon;
 mod part_model;
