--- a/src/gateway/context/store_contents.rs
+++ b/src/gateway/context/store_contents.rs
@@ -64,11 +64,16 @@
             withheld = lag.withheld, failed = lag.failed
         });
         if outcome == ApplyOutcome::Applied {
-            self.configuration_texts.borrow_mut().push(text);
-            self.configuration_changed.notify_waiters();
+            self.publish_configuration(text);
         }
     }
 
+    /// Offers the text of the new configuration to peers, and wakes those that wait for a change.
+    fn publish_configuration(&self, text: Bytes) {
+        self.configuration_texts.borrow_mut().push(text);
+        self.configuration_changed.notify_waiters();
+    }
+
     fn end_configuration_lag(&self) -> ConfigurationLag {
         let lag = self.catch_up.borrow_mut().take_configuration_lag(boot_clock::now());
         self.metrics.duration("configuration_lag_us", Duration::from_millis(lag.duration_ms));
@@ -87,7 +92,7 @@
         let ordered = self.start_order.borrow_mut().apply(list, &self.endpoint_list.borrow(), now);
         for start in &ordered.dropped {
             self.endpoints.borrow_mut().forget_start(*start);
-            spdlog::warn!("later start of an endpoint given up", kv: {
+            spdlog::warn!("later start of an endpoint dropped", kv: {
                 endpoint = start.endpoint, born = start.born
             });
         }
--- a/src/gateway/gossip/streams/log.rs
+++ b/src/gateway/gossip/streams/log.rs
@@ -40,8 +40,8 @@
     begin_read(&context);
     let mut writer = LogWriter::new(context.clone());
     loop {
-        // Without a new record, one that waits may belong into the log by now.
         if writer.unwritten.is_empty() {
+            // Without a new record, one that waits may belong into the log by now.
             let _ = timeout(CHECK_INTERVAL, context.streams.recorded.notified()).await;
         }
         let streams = context.streams.take_unlogged(belonging(&context), boot_clock::now());
--- a/src/gateway/policy/endpoint/endpoint_starts.rs
+++ b/src/gateway/policy/endpoint/endpoint_starts.rs
@@ -44,7 +44,7 @@
 pub struct OrderedList {
     /// The list.
     pub list: EndpointList,
-    /// Starts that are no longer taken for the latest ones of their endpoints.
+    /// Later starts that no longer count.
     pub dropped: Vec<NumberedStart>,
 }
 
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -22,7 +22,7 @@
     call::{Call, CallHead},
     configuration::{Account, Configuration, Route, Service},
     context::{GatewayContext, Intake},
-    gossip::streams::{find_origin, record_take_up},
+    gossip::streams::{origin_search::find_origin, record_take_up},
     policy::request::{
         admission::{MatchedHead, match_head, quota_units, service_at, total_weight},
         fingerprint::RequestFingerprint,
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -9,20 +9,15 @@
 mod client_stream;
 pub mod connection_end;
 mod connection_expiry;
+pub mod connection_use;
 mod lingering_close;
 mod request_body;
+mod request_service;
 mod unframed_response;
 
-use std::{
-    cell::RefCell, future::poll_fn, io, net::SocketAddr, rc::Rc, task::Poll, time::Duration,
-};
+use std::{future::poll_fn, io, net::SocketAddr, rc::Rc, task::Poll, time::Duration};
 
-use hyper::{
-    Request, Response, Version,
-    body::{Body, Incoming},
-    server::conn::http1,
-    service::service_fn,
-};
+use hyper::{server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use socket2::SockRef;
 use tokio::{
@@ -32,18 +27,16 @@
 };
 
 use self::{
-    client_body::ClientBody,
-    client_connections::{ClientConnections, ConnectionUse, RoomAnswer},
+    client_connections::ClientConnections,
     client_stream::ClientStream,
     connection_end::ConnectionEnd,
     connection_expiry::{client_limits, until_head_late, until_idle_at_stop, until_idle_too_long},
-    request_body::RequestBody,
+    connection_use::{ConnectionUse, RoomAnswer},
+    request_service::{Handover, respond},
 };
-use super::{dispatch, relay::EndsWithConnection};
 use crate::{
     boot_clock,
     gateway::context::{GatewayContext, Intake},
-    http::LocalBody,
     kernel::LifePhase,
 };
 
@@ -60,11 +53,6 @@
 /// Pause before accepting again at the connection limit or after a failed accept: short for
 /// clients, long enough to avoid a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Error that ends the HTTP library's part in a connection.
-const HANDED_OVER: &str = "the response ends with the connection";
-
-/// A response that has to end with the connection, which the HTTP library leaves to it.
-type Handover = Rc<RefCell<Option<Response<RequestBody>>>>;
 
 /// Serves clients until the daemon stops.
 pub async fn run(listener: TcpListener, context: Rc<GatewayContext>) {
@@ -178,13 +166,8 @@
     usage: &Rc<ConnectionUse>,
     handover: &Handover,
 ) {
-    let service = service_fn({
-        let (context, usage) = (context.clone(), usage.clone());
-        let (stream, handover) = (stream.clone(), handover.clone());
-        move |request| {
-            let (stream, handover) = (stream.clone(), handover.clone());
-            respond(context.clone(), usage.clone(), stream, handover, request)
-        }
+    let service = service_fn(|request| {
+        respond(context.clone(), usage.clone(), stream.clone(), handover.clone(), request)
     });
     let io = TokioIo::new(stream.clone());
     let connection = http1_builder(context).serve_connection(io, service);
@@ -215,13 +198,9 @@
         }
         connection.as_mut().graceful_shutdown();
     }
-    // A connection accepted by a stopping daemon ends after one response by itself.
     let end = tokio::select! {
         biased;
-        result = connection.as_mut() => match result {
-            Ok(()) => finished,
-            Err(error) => ConnectionEnd::of_library(Err(error)),
-        },
+        end = until_last_response(connection.as_mut(), finished) => end,
         end = until_cut(stream, context, usage) => end,
         () = until_unused(usage), if is_leaving => ConnectionEnd::Unused,
     };
@@ -229,6 +208,17 @@
     set_end(end);
 }
 
+/// Waits for the end of a connection that takes no further requests; `finished` is why it takes none.
+async fn until_last_response(
+    connection: impl Future<Output = hyper::Result<()>>,
+    finished: ConnectionEnd,
+) -> ConnectionEnd {
+    match connection.await {
+        Ok(()) => finished,
+        Err(error) => ConnectionEnd::of_library(Err(error)),
+    }
+}
+
 /// Waits for as long as a connection that a stopping daemon accepts may have had no request.
 async fn until_unused(usage: &ConnectionUse) {
     sleep(UNUSED_LIMIT).await;
@@ -262,42 +252,6 @@
     .await;
 }
 
-/// Responds to one request. The connection counts as busy until the response's body is dropped.
-///
-/// # Errors
-///
-/// Ends the library's part in the connection: the response has been handed over, or there is none.
-async fn respond(
-    context: Rc<GatewayContext>,
-    usage: Rc<ConnectionUse>,
-    stream: ClientStream,
-    handover: Handover,
-    request: Request<Incoming>,
-) -> Result<Response<RequestBody>, io::Error> {
-    let end = usage.begin_request();
-    let version = request.version();
-    let request = request.map(|body| ClientBody::new(body, usage.clone()));
-    let response = dispatch::respond(&context, &usage, request).await?;
-    let ends_connection = ends_with_connection(&response, version);
-    let mut response = response.map(|body| RequestBody::new(body, stream.clone(), end));
-    if !ends_connection {
-        return Ok(response);
-    }
-    // Former responses on the connection come first.
-    poll_fn(|task| stream.poll_flushed(task)).await;
-    *response.version_mut() = version;
-    *handover.borrow_mut() = Some(response);
-    Err(io::Error::other(HANDED_OVER))
-}
-
-/// Whether the end of a response can be marked by nothing but that of the connection.
-fn ends_with_connection(response: &Response<LocalBody>, version: Version) -> bool {
-    let body = response.body();
-    let has_length = body.is_end_stream() || body.size_hint().exact().is_some();
-    let has_chunks = version != Version::HTTP_10;
-    !has_length && (!has_chunks || response.extensions().get::<EndsWithConnection>().is_some())
-}
-
 fn http1_builder(context: &GatewayContext) -> http1::Builder {
     let mut builder = http1::Builder::new();
     builder
--- a/src/gateway/request/client_listener/client_body.rs
+++ b/src/gateway/request/client_listener/client_body.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use hyper::body::{Body, Frame, Incoming, SizeHint};
 
-use crate::gateway::request::client_listener::client_connections::ConnectionUse;
+use crate::gateway::request::client_listener::connection_use::ConnectionUse;
 
 /// Why the rest of a body can't be read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/gateway/request/client_listener/client_stream.rs
+++ b/src/gateway/request/client_listener/client_stream.rs
@@ -21,7 +21,7 @@
     net::TcpStream,
 };
 
-use crate::gateway::request::client_listener::client_connections::ConnectionUse;
+use crate::gateway::request::client_listener::connection_use::ConnectionUse;
 
 /// Most bytes that are buffered for the library; a close after more than these is not detected.
 /// Enough for a few requests without a body.
--- a/src/gateway/request/client_listener/connection_end.rs
+++ b/src/gateway/request/client_listener/connection_end.rs
@@ -44,6 +44,7 @@
             Ok(()) => Self::Finished,
             Err(error) if error.is_user() => Self::BrokenOff,
             Err(error) if error.is_parse() => Self::BadHead,
+            // Whatever the socket's error says, the client can't be reached.
             Err(_) => Self::ClientLeft,
         }
     }
--- a/src/gateway/request/client_listener/connection_expiry.rs
+++ b/src/gateway/request/client_listener/connection_expiry.rs
@@ -4,7 +4,7 @@
 
 use tokio::time::{Instant, sleep, sleep_until};
 
-use super::{client_connections::ConnectionUse, client_stream::ClientStream};
+use super::{client_stream::ClientStream, connection_use::ConnectionUse};
 use crate::{
     boot_clock,
     gateway::{configuration::ClientLimits, context::GatewayContext},
--- a/src/gateway/request/client_listener/request_body.rs
+++ b/src/gateway/request/client_listener/request_body.rs
@@ -10,7 +10,7 @@
 
 use super::client_stream::ClientStream;
 use crate::{
-    gateway::request::client_listener::client_connections::RequestEnd,
+    gateway::request::client_listener::connection_use::RequestEnd,
     http::{BodyError, LocalBody},
 };
 
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -9,7 +9,7 @@
 use super::{
     admission::{self, Admitted, admit},
     attempt::{Attempts, OpenRequest},
-    client_listener::{client_body::BodyFault, client_connections::ConnectionUse},
+    client_listener::{client_body::BodyFault, connection_use::ConnectionUse},
     first_response::first_response,
     refusal_response::refusal_response,
     relay,
--- a/src/gateway/request/request_log.rs
+++ b/src/gateway/request/request_log.rs
@@ -11,14 +11,14 @@
 
 use tokio::time::Instant;
 
-use super::{client_listener::client_connections::ConnectionUse, response_meaning::BodyFraming};
+use super::{client_listener::connection_use::ConnectionUse, response_meaning::BodyFraming};
 use crate::{
     boot_clock,
     gateway::{
         call::PartId,
         context::GatewayContext,
         forwarding::open_path::EndpointPath,
-        gossip::streams::OriginSearch,
+        gossip::streams::origin_search::OriginSearch,
         policy::{
             endpoint::{endpoint_choice::EndpointChoice, service_room::ServiceRoom},
             request::{
