Refusals: one whose request's body was not read says that the connection ends

Cause: a request that is refused before its body has arrived (503 "configuration not known to be current", 404) got a response without Connection: close. The HTTP library then ends the connection, since it can't read the body at once. The rest is read and discarded for a while, so that the client gets its refusal, until 1 s without bytes; and the next request that the client sent on the connection was discarded, too: no request line, the connection closed 1.01 s after it was sent. Configurations in series cause these refusals.

Change: the response to a request whose body was not read to its end says that the connection ends.

Evidence: request_behind_a_refusal_that_has_not_read_its_body_is_answered, a real daemon: no answer to the request on the code before, now the refusal says close.

--- a/src/gateway/request/client_listener/request_service.rs
+++ b/src/gateway/request/client_listener/request_service.rs
@@ -17,6 +17,7 @@
         request::{dispatch, relay::EndsWithConnection},
     },
     http::LocalBody,
+    platform::ingress,
 };
 
 /// Error that ends the HTTP library's part in a connection.
@@ -43,6 +44,10 @@
     let response = dispatch::respond(&context, &usage, request).await?;
     let ends_connection = ends_with_connection(&response, version);
     let mut response = response.map(|body| RequestBody::new(body, stream.clone(), end));
+    if usage.has_unread_body() {
+        // The connection ends, and bytes that follow are discarded: the client must not send another request.
+        ingress::close_after(response.headers_mut());
+    }
     if !ends_connection {
         return Ok(response);
     }
--- a/tests/crowds/ended_connections.rs
+++ b/tests/crowds/ended_connections.rs
@@ -486,3 +486,20 @@
     println!("{} requests seen", seen.len());
     expect_that!(lost, is_empty());
 }
+
+// Guards against a request that is read and discarded behind a refusal which did not say that the connection ends.
+#[googletest::test]
+fn request_behind_a_refusal_that_has_not_read_its_body_is_answered() {
+    let site = start(EndpointManner::Answer, 100, &[]);
+    let mut kept = Kept::open(site.gateway.clients);
+    let mut head = kept_request_bytes("/nowhere/", "refused", "key-1", &[], &[b'x'; 2_000]);
+    let rest = head.split_off(head.len() - 1_000);
+    kept.send(&head);
+    let refusal = kept.read();
+    expect_that!(refusal.status, eq(404));
+    kept.send(&rest);
+    // A client that is told of the end sends its next request elsewhere.
+    if refusal.header("connection") != Some("close") {
+        expect_that!(kept.ask("next").status, eq(200));
+    }
+}
