--- a/src/gateway/request/attempt/response_evaluation.rs
+++ b/src/gateway/request/attempt/response_evaluation.rs
@@ -31,6 +31,7 @@
             run_guard::RunGuard,
         },
     },
+    http::response_framing::FramingError,
     platform::ingress::{self, SentRequest},
 };
 
@@ -44,7 +45,10 @@
 ) -> AttemptEnd {
     let OpenRequest { context, admitted, trace, .. } = request;
     let sent = SentRequest::new(&admitted.call.head, guard.endpoint());
-    let metadata = ingress::read_response(sent, &response);
+    let metadata = match ingress::read_response(sent, &response) {
+        Ok(metadata) => metadata,
+        Err(error) => return reject_malformed(request, error, guard),
+    };
     trace.borrow_mut().responded(response.status(), &metadata, guard.endpoint());
     record_signals(&metadata, &guard);
     let (status, body_start) = (response.status(), BodyStart::Unread);
@@ -75,6 +79,17 @@
     }
 }
 
+/// Rejects a response whose head can't be read with certainty. Its connection ends.
+fn reject_malformed(request: OpenRequest<'_>, error: FramingError, guard: RunGuard) -> AttemptEnd {
+    let OpenRequest { context, admitted, trace, .. } = request;
+    trace.borrow_mut().malformed(&error, guard.endpoint());
+    // Endpoints report requests that they do not run, but nothing in this head is certain.
+    admitted.count_run(context);
+    context.connections.discard_connections(guard.endpoint());
+    guard.finish(AttemptResult::Failed);
+    AttemptEnd::Failed(AttemptFailure::MayHaveRun)
+}
+
 /// Records the signals of the endpoint in the response.
 fn record_signals(metadata: &ResponseMetadata, guard: &RunGuard) {
     if metadata.signals.is_draining {
--- a/src/gateway/request/request_log/attempt_steps.rs
+++ b/src/gateway/request/request_log/attempt_steps.rs
@@ -11,6 +11,7 @@
 use crate::{
     boot_clock,
     gateway::request::{connection_pool::SendFailure, response_meaning::ResponseMetadata},
+    http::response_framing::FramingError,
 };
 
 impl RequestTrace {
@@ -42,6 +43,17 @@
             write!(self.steps, " {status} {meaning:?}{}{source} after {after};", metadata.signals);
     }
 
+    /// Records that the head of an endpoint's response can't be read with certainty.
+    pub fn malformed(&mut self, error: &FramingError, endpoint: &str) {
+        let after = boot_clock::since(self.begun).as_millis();
+        self.heard_at = boot_clock::now();
+        let source = self.source(endpoint);
+        // Writing to a string cannot fail.
+        let _ = write!(self.steps, " malformed head: {error}{source} after {after};");
+        self.context.metrics.count("responses_malformed", 1);
+        self.context.metrics.count("attempts_failed", 1);
+    }
+
     /// Records that nothing was sent: the endpoint stopped accepting requests while its connection
     /// was being opened.
     pub fn not_sent(&mut self) {
--- a/src/gateway/request/response_meaning.rs
+++ b/src/gateway/request/response_meaning.rs
@@ -5,21 +5,7 @@
     time::Duration,
 };
 
-use derive_more::Display;
-
-/// How the end of a body is marked.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
-pub enum BodyFraming {
-    /// By its length, which is known in advance.
-    #[display("length")]
-    Length,
-    /// By its last chunk.
-    #[display("chunks")]
-    Chunks,
-    /// By nothing but the end of the connection, which follows a whole body as well as a part of it.
-    #[display("close")]
-    Close,
-}
+pub use crate::http::response_framing::BodyFraming;
 
 /// What a response means for the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/src/http.rs
+++ b/src/http.rs
@@ -6,6 +6,7 @@
 
 pub mod api_client;
 pub mod client;
+pub mod response_framing;
 pub mod server;
 
 use bytes::Bytes;
--- a/src/platform/ingress/endpoint.rs
+++ b/src/platform/ingress/endpoint.rs
@@ -14,9 +14,12 @@
         LAST_EVENT, LIMIT, NOT_EXECUTED, PRIORITY, REQUEST_ID, TENANT, remove_hop_headers, text,
     },
 };
-use crate::gateway::{
-    call::{AttemptHead, Call, CallHead},
-    request::response_meaning::{BodyFraming, EndpointSignals, ResponseMeaning, ResponseMetadata},
+use crate::{
+    gateway::{
+        call::{AttemptHead, Call, CallHead},
+        request::response_meaning::{EndpointSignals, ResponseMeaning, ResponseMetadata},
+    },
+    http::response_framing::{FramingError, read_framing, unify_length},
 };
 
 /// Builds the request of one attempt; method, path and body are those that the client sent.
@@ -82,7 +85,15 @@
 }
 
 /// Decodes the head of a response.
-pub fn read_response<B>(request: SentRequest<'_>, response: &Response<B>) -> ResponseMetadata {
+///
+/// # Errors
+///
+/// The end of the body can't be read with certainty; then nothing else in the head is certain either.
+pub fn read_response<B>(
+    request: SentRequest<'_>,
+    response: &Response<B>,
+) -> Result<ResponseMetadata, FramingError> {
+    let framing = read_framing(response)?;
     let headers = response.headers();
     let closes = text(headers, &header::CONNECTION).is_some_and(|value| {
         value.split(',').any(|part| part.trim().eq_ignore_ascii_case("close"))
@@ -95,19 +106,8 @@
         // Sent by another endpoint, or in response to another request.
         ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign => EndpointSignals::default(),
     };
-    let (framing, keep) = (read_framing(headers), read_keep_alive(headers));
-    ResponseMetadata { meaning, framing, signals, keep, closes }
-}
-
-/// How the end of a body is marked, as the HTTP library reads it.
-fn read_framing(headers: &HeaderMap) -> BodyFraming {
-    let last_coding = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
-    let last_coding = last_coding.and_then(|value| value.to_str().ok()?.rsplit(',').next());
-    match last_coding {
-        Some(coding) if coding.trim().eq_ignore_ascii_case("chunked") => BodyFraming::Chunks,
-        None if headers.contains_key(header::CONTENT_LENGTH) => BodyFraming::Length,
-        _ => BodyFraming::Close,
-    }
+    let keep = read_keep_alive(headers);
+    Ok(ResponseMetadata { meaning, framing, signals, keep, closes })
 }
 
 fn read_meaning<B>(request: SentRequest<'_>, response: &Response<B>) -> ResponseMeaning {
@@ -145,6 +145,7 @@
 /// draining, limit and brittle headers are removed, since the client might take them as being about this daemon.
 pub fn client_response<B>(response: Response<B>) -> (Response<()>, B) {
     let (mut parts, body) = response.into_parts();
+    unify_length(&mut parts.headers);
     remove_hop_headers(&mut parts.headers);
     parts.headers.remove(DRAINING);
     parts.headers.remove(LIMIT);
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -203,7 +203,7 @@
         answer = answer.header(*name, *value);
     }
     let request = SentRequest { id: "mine", endpoint: "i-0", asks_for_weights };
-    read_response(request, &answer.body(()).expect("answer")).meaning
+    read_response(request, &answer.body(()).expect("answer")).expect("a head").meaning
 }
 
 #[googletest::test]
--- a/tests/gateway/endpoint_signals.rs
+++ b/tests/gateway/endpoint_signals.rs
@@ -22,7 +22,7 @@
         response = response.header(*name, *value);
     }
     let request = SentRequest { id: "mine", endpoint: "i-0", asks_for_weights: false };
-    read_response(request, &response.body(()).expect("response")).signals
+    read_response(request, &response.body(()).expect("response")).expect("a head").signals
 }
 
 /// Signals of a response to this request (with the same request id).
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -61,6 +61,8 @@
 mod long_configuration;
 mod loopback_proxy;
 mod lost_entries;
+mod malformed_endpoint;
+mod malformed_responses;
 mod odd_configurations;
 mod odd_counters;
 mod odd_entries;
