--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     errors::{FailureCause, StepError},
+    http::response_framing::read_framing,
     timeouts::{Elapsed, wait_at_most},
 };
 
@@ -160,6 +161,10 @@
     }
 
     /// Sends `call` and waits at most `limit` for the head of the response.
+    ///
+    /// # Errors
+    ///
+    /// `Malformed` if the end of the response's body can't be read with certainty.
     pub async fn open(
         &self,
         call: &OutgoingCall,
@@ -173,7 +178,10 @@
                 Err(call.error(FailureCause::Unreachable(error.to_string())))
             }
             Ok(Err(error)) => Err(call.error(FailureCause::Broken(error.to_string()))),
-            Ok(Ok(response)) => Ok(response),
+            Ok(Ok(response)) => match read_framing(&response) {
+                Ok(_) => Ok(response),
+                Err(error) => Err(call.error(FailureCause::Malformed(error.to_string()))),
+            },
         }
     }
 
--- a/tests/native/main.rs
+++ b/tests/native/main.rs
@@ -11,6 +11,7 @@
 mod decoders;
 mod fleet_planning;
 mod kernel_lifecycle;
+mod malformed_responses;
 mod pausing_engines;
 mod peer_admission;
 mod promises;
