--- a/src/gateway/context/intake.rs
+++ b/src/gateway/context/intake.rs
@@ -63,8 +63,10 @@
         sleep_until(boot_clock::timer_at(times.bounded_from)).await;
     }
 
-    /// Whether no connections are accepted.
-    pub fn is_closed(&self) -> bool {
-        matches!(*self.0.borrow(), Intake::Closed(_))
+    /// Waits until no connections are accepted.
+    pub async fn until_closed(&self) {
+        let is_closed = |intake: &Intake| matches!(intake, Intake::Closed(_));
+        // Can't fail: the sender lives as long as `self`.
+        let _ = self.0.subscribe().wait_for(is_closed).await;
     }
 }
--- a/src/gateway/request/client_listener.rs
+++ b/src/gateway/request/client_listener.rs
@@ -55,32 +55,37 @@
     // Fails only on a kernel that sets the buffers itself; clients can then have it hold more unread bytes.
     let _ = SockRef::from(&listener).set_recv_buffer_size(RECEIVE_BUFFER);
     let mut phase = context.kernel.phase();
-    let open = context.client_connections.clone();
     loop {
         let accepted = tokio::select! {
-            accepted = accept(&listener, &open) => accepted,
+            biased;
+            accepted = accept(&listener, &context.client_connections) => accepted,
+            () = context.intake.until_closed() => break,
             _ = phase.wait_for(|phase| *phase == LifePhase::Stopping) => return,
         };
-        if context.intake.is_closed() {
-            return std::future::pending().await;
-        }
-        let Ok((stream, _)) = accepted else {
+        match accepted {
+            Ok((stream, _)) => spawn_connection(stream, &context),
             // Usually out of file descriptors; accepting again at once would be a busy loop.
-            sleep(ACCEPT_PAUSE).await;
-            continue;
-        };
-        let usage = Rc::new(ConnectionUse::starting_at(boot_clock::now()));
-        let guard = open.enter(usage.clone());
-        // Fails only on a socket that is already broken, which the first read will report.
-        let _ = stream.set_nodelay(true);
-        let stream = ClientStream::new(stream, usage.clone());
-        let context = context.clone();
-        tokio::task::spawn_local(async move {
-            let _guard = guard;
-            serve_until_closed(&stream, &context, &usage).await;
-            count_end(&context, &usage);
-        });
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
     }
+    // The port closes, so that further clients go to another daemon at once instead of waiting for nothing.
+    drop(listener);
+    std::future::pending().await
+}
+
+/// Serves a connection in a task of its own.
+fn spawn_connection(stream: TcpStream, context: &Rc<GatewayContext>) {
+    let usage = Rc::new(ConnectionUse::starting_at(boot_clock::now()));
+    let guard = context.client_connections.enter(usage.clone());
+    // Fails only on a socket that is already broken, which the first read will report.
+    let _ = stream.set_nodelay(true);
+    let stream = ClientStream::new(stream, usage.clone());
+    let context = context.clone();
+    tokio::task::spawn_local(async move {
+        let _guard = guard;
+        serve_until_closed(&stream, &context, &usage).await;
+        count_end(&context, &usage);
+    });
 }
 
 /// Accepts a connection, and makes room for it.
--- a/tests/gateway/late_requests.rs
+++ b/tests/gateway/late_requests.rs
@@ -176,3 +176,16 @@
 fn late_retry_of_a_stream_without_events_is_not_sent() {
     late_retry_is_not_sent("/stream/");
 }
+
+#[googletest::test]
+fn port_is_closed_while_a_stop_awaits_its_last_requests() {
+    let mut site = CutSite::start(EndpointManner::StallAfter(2), GRACE_S);
+    let _running = send(site.gateway.clients, &patient_request("/rigid/", "running", b""));
+    wait_for("the request at the endpoint", || !site.endpoint.seen().is_empty());
+    site.gateway.signal("-TERM");
+    thread::sleep(CLOSED);
+    let connected = TcpStream::connect(site.gateway.clients);
+    expect_that!(site.gateway.has_ended(), eq(false));
+    expect_that!(connected.map(drop).is_err(), eq(true), "a connection that nobody reads");
+    expect_end(&mut site);
+}
