--- a/src/gateway/context.rs
+++ b/src/gateway/context.rs
@@ -67,6 +67,7 @@
     logs::LineBudget,
     metrics::MetricsHandle,
     platform,
+    response_memory::ResponseMemory,
     store_position::StoreEra,
 };
 
@@ -144,6 +145,8 @@
     pub kernel: KernelHandle,
     /// Memory of the bodies of requests.
     pub bodies: Rc<BodyStore>,
+    /// Memory of what endpoints have sent and what isn't passed on yet.
+    pub response_memory: ResponseMemory,
     /// Requests in progress.
     pub active: OpenCount,
     /// When a call to the store last failed.
--- a/src/gateway/daemon.rs
+++ b/src/gateway/daemon.rs
@@ -70,6 +70,7 @@
     logs::LineBudget,
     metrics::MetricsHandle,
     platform::{settings::SettingsSource, store::StoreClient},
+    response_memory::ResponseMemory,
     wall_clock_ms,
 };
 
@@ -178,6 +179,7 @@
         metrics,
         kernel,
         bodies: Rc::new(BodyStore::new(BodyBounds::of_vm(settings.vm.memory_bytes))),
+        response_memory: ResponseMemory::of_vm(settings.vm.memory_bytes),
         active: OpenCount::default(),
         store_failed_at: Cell::new(None),
         watcher_election: RefCell::new(starting_election(&settings.bounds, now)),
--- a/src/gateway/request/event_cutter.rs
+++ b/src/gateway/request/event_cutter.rs
@@ -3,19 +3,37 @@
 //!
 //! Lines end with LF, CR LF or CR, and events with a blank line; their bytes are passed on unchanged.
 //! Comments between events are passed on too, but are no events. Only numeric ids are recognized.
+//!
+//! `response_memory` bounds what the incomplete events of all streams hold.
 
 use bytes::{Bytes, BytesMut};
 
-/// Longest accepted event, in bytes: bounds the memory of one stream.
-const EVENT_LIMIT: usize = 1024 * 1024;
+use crate::response_memory::{HeldBytes, NoResponseMemory, ResponseMemory, charge_sent};
+
+/// Longest accepted event, in bytes, and most comments between two events: bounds the memory of one stream.
+pub const EVENT_LIMIT: usize = 1024 * 1024;
+/// Bytes that are searched for the ends of events at a time, so that no more are held beside an incomplete event.
+const PIECE_BYTES: usize = 4 * 1024;
 
 /// May stand before the first event.
 const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
 
 /// The stream cannot be split into events.
 #[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error, PartialEq, Eq)]
-#[display("event longer than {EVENT_LIMIT} bytes")]
-pub struct EventTooLong;
+pub enum EventError {
+    /// An event is too long.
+    #[display("event longer than {EVENT_LIMIT} bytes")]
+    TooLong,
+    /// There is no memory for an incomplete event.
+    #[display("{_0}")]
+    NoMemory(NoResponseMemory),
+}
+
+impl From<NoResponseMemory> for EventError {
+    fn from(error: NoResponseMemory) -> Self {
+        Self::NoMemory(error)
+    }
+}
 
 /// Complete events that are passed on together.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -29,22 +47,49 @@
 }
 
 /// Splits a stream into events, and buffers the incomplete next event.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct EventCutter {
-    pending: BytesMut,
+    pending: HeldBytes,
     /// Number of bytes of `pending` that have been searched without finding the end of an event.
     searched: usize,
 }
 
 impl EventCutter {
+    /// Splits a stream that begins.
+    pub fn new(memory: &ResponseMemory) -> Self {
+        Self { pending: HeldBytes::new(memory), searched: 0 }
+    }
+
     /// Adds the next bytes and returns the events that they complete. Omits events with ids up to
     /// `skip_to`, which the client has received already.
-    pub fn feed(&mut self, bytes: &[u8], skip_to: Option<u64>) -> Result<EventBatch, EventTooLong> {
-        self.pending.extend_from_slice(bytes);
+    ///
+    /// # Errors
+    ///
+    /// An event is too long, or there is no memory for it.
+    pub fn feed(&mut self, bytes: &[u8], skip_to: Option<u64>) -> Result<EventBatch, EventError> {
         let mut batch = EventBatch::default();
+        let mut parts = Vec::new();
+        for piece in bytes.chunks(PIECE_BYTES) {
+            self.pending.append(piece)?;
+            let events = self.take_events(skip_to, &mut batch);
+            if !events.is_empty() {
+                parts.push(events);
+            }
+            if self.pending.bytes().len() > EVENT_LIMIT {
+                return Err(EventError::TooLong);
+            }
+        }
+        batch.bytes = charge_sent(join(parts), self.pending.memory());
+        Ok(batch)
+    }
+
+    /// Takes the complete events, and adds their number and the last id to `batch`.
+    fn take_events(&mut self, skip_to: Option<u64>, batch: &mut EventBatch) -> BytesMut {
         let mut kept = BytesMut::new();
+        let mut has_split = false;
         while let Some(length) = self.first_event_length() {
             let event = self.pending.split_to(length);
+            has_split = true;
             self.searched = 0;
             let id = event_id(&event);
             if id.is_some() && id <= skip_to {
@@ -54,34 +99,34 @@
             batch.last_id = id.or(batch.last_id);
             kept.unsplit(event);
         }
-        batch.bytes = kept.freeze();
-        match self.pending.len() > EVENT_LIMIT {
-            true => Err(EventTooLong),
-            false => Ok(batch),
+        if has_split {
+            self.pending.settle();
         }
+        kept
     }
 
     /// Whether the stream is inside an event: more than blank lines and whole comments has come after
     /// the last one.
     pub fn is_inside_event(&self) -> bool {
-        let is_line_whole = matches!(self.pending.last(), None | Some(b'\n' | b'\r'));
-        !is_line_whole || has_field(&self.pending)
+        let pending = self.pending.bytes();
+        let is_line_whole = matches!(pending.last(), None | Some(b'\n' | b'\r'));
+        !is_line_whole || has_field(pending)
     }
 
     /// Number of bytes after the last event.
     pub fn rest_length(&self) -> usize {
-        self.pending.len()
+        self.pending.bytes().len()
     }
 
     /// Returns what has come after the last event.
     pub fn take_rest(&mut self) -> Bytes {
         self.searched = 0;
-        self.pending.split().freeze()
+        self.pending.take()
     }
 
     /// Length of the first event, including the blank line that ends it.
     fn first_event_length(&mut self) -> Option<usize> {
-        let bytes = &self.pending[..];
+        let bytes = self.pending.bytes();
         let mut position = self.searched;
         while let Some(offset) = bytes[position..].iter().position(is_line_end) {
             let line_end = position + offset;
@@ -102,6 +147,14 @@
     }
 }
 
+/// The parts as one, which is copied only if there are several.
+fn join(mut parts: Vec<BytesMut>) -> Bytes {
+    if parts.len() <= 1 {
+        return parts.pop().unwrap_or_default().freeze();
+    }
+    parts.concat().into()
+}
+
 fn is_line_end(byte: &u8) -> bool {
     matches!(byte, b'\n' | b'\r')
 }
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -28,7 +28,7 @@
 use super::{
     admission::Admitted,
     attempt::{Attempts, OpenRequest, endpoint_response::EndpointResponse},
-    event_cutter::{EventBatch, EventCutter, EventTooLong},
+    event_cutter::{EventBatch, EventCutter, EventError},
     request_log::RequestTrace,
     response_meaning::BodyFraming,
     sized_body::SizedBody,
@@ -50,7 +50,7 @@
     #[display("endpoint broke off")]
     BrokenOff,
     #[display("{_0}")]
-    Unreadable(EventTooLong),
+    Unreadable(EventError),
     #[display("out of time")]
     OutOfTime,
     #[display("not known whether the endpoint has finished")]
@@ -128,7 +128,7 @@
         last_event: admitted.call.head.last_event,
         request: HeldRequest { context: context.clone(), admitted, attempts, trace },
         upstream: Some(upstream),
-        cutter: streams.then(EventCutter::default),
+        cutter: streams.then(|| EventCutter::new(&context.response_memory)),
         events: 0,
         awaited_since: boot_clock::now(),
         given_at: None,
--- a/src/gateway/request/relay/further_run.rs
+++ b/src/gateway/request/relay/further_run.rs
@@ -49,12 +49,15 @@
         }
     };
     let mut upstream = Upstream::of(*response).1;
-    let mut cutter = EventCutter::default();
+    let mut cutter = EventCutter::new(&request.context.response_memory);
     let silent_at = first_event_silence(request);
     loop {
         match next_piece_flagging_silence(request, &mut upstream, silent_at).await {
             BodyPiece::Bytes(bytes) => {
-                let batch = cutter.feed(&bytes, last_event).map_err(|_| RunFailure::Failed)?;
+                let Ok(batch) = cutter.feed(&bytes, last_event) else {
+                    fail_run(request, &mut Some(upstream));
+                    return Err(RunFailure::Failed);
+                };
                 if batch.count > 0 {
                     return Ok(Box::new(StreamRun { upstream, cutter, batch }));
                 }
--- a/src/gateway/status_listeners.rs
+++ b/src/gateway/status_listeners.rs
@@ -86,6 +86,7 @@
     metrics.gauge("small_body_bytes", bodies.held(BodySize::Small) as f64);
     metrics.gauge("large_body_bytes", bodies.held(BodySize::Large) as f64);
     metrics.gauge("bodies_given_way", bodies.given_way() as f64);
+    metrics.gauge("response_bytes", context.response_memory.held() as f64);
     metrics.gauge("client_connections", client_connections.count() as f64);
     metrics.gauge("client_connections_closed", client_connections.closed_for_others() as f64);
     metrics.render()
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod metrics;
 pub mod native;
 pub mod platform;
+pub mod response_memory;
 pub mod rpc_transport;
 pub mod standin;
 pub mod store_position;
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -9,6 +9,7 @@
 mod connection_crowds;
 mod crowd_soak;
 mod ended_connections;
+mod event_crowds;
 mod refused_bodies;
 mod whole_bodies;
 
--- a/tests/gateway/event_cutter.rs
+++ b/tests/gateway/event_cutter.rs
@@ -2,7 +2,14 @@
 
 use googletest::prelude::*;
 use proptest::prelude::*;
-use willowarch::gateway::request::event_cutter::EventCutter;
+use willowarch::{gateway::request::event_cutter::EventCutter, response_memory::ResponseMemory};
+
+/// Memory of a VM, in bytes.
+const VM_BYTES: u64 = 160_000_000;
+
+fn new_cutter() -> EventCutter {
+    EventCutter::new(&ResponseMemory::of_vm(VM_BYTES))
+}
 
 /// Naive version: splits the whole text at blank lines, and drops incomplete events and those with
 /// ids up to `skip_to`.
@@ -28,7 +35,7 @@
     ) {
         let mut text: String = ids.iter().map(|id| format!("id: {id}\ndata: x{id}\n\n")).collect();
         text.push_str(&tail);
-        let mut cutter = EventCutter::default();
+        let mut cutter = new_cutter();
         let mut passed = Vec::new();
         let mut rest = text.as_bytes();
         for cut in cuts {
@@ -48,7 +55,7 @@
         fn $name() {
             // The whole text at once and byte by byte.
             for piece in [$text.len().max(1), 1] {
-                let mut cutter = EventCutter::default();
+                let mut cutter = new_cutter();
                 let (mut count, mut last, mut passed) = (0, None, Vec::new());
                 for bytes in $text.as_bytes().chunks(piece) {
                     let batch = cutter.feed(bytes, None).expect("events");
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -85,6 +85,7 @@
 mod replaced_seeds;
 mod request_lines;
 mod request_rules;
+mod response_memory_rules;
 mod retries_over_lives;
 mod retry_budget;
 mod retry_fleet;
