--- a/src/gateway/request/relay/run_race.rs
+++ b/src/gateway/request/relay/run_race.rs
@@ -5,9 +5,9 @@
 //! that serves the client. `policy::request::response_end::run_takeover` decides whether a further run may take over;
 //! `policy::request::retries` and the retry budget decide whether one may be begun.
 
-use std::{future::Future, mem, pin::Pin};
+use std::{future::Future, pin::Pin};
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures::{StreamExt, stream::FuturesUnordered};
 use tokio::time::{Instant, sleep_until};
 
@@ -27,9 +27,10 @@
         },
         request::{
             attempt::OpenRequest,
-            event_cutter::{EventBatch, EventCutter},
+            event_cutter::{EVENT_LIMIT, EventBatch, EventCutter, EventError},
         },
     },
+    response_memory::HeldBytes,
 };
 
 /// Further runs in progress.
@@ -66,7 +67,7 @@
     last_event: Option<u64>,
     received: ReceivedPart,
     /// Comments that the current run has sent meanwhile.
-    comments: BytesMut,
+    comments: HeldBytes,
     further: FurtherRuns<'a>,
     /// A further run that has the next events and goes on with them if the current run fails.
     held: Option<Box<StreamRun>>,
@@ -105,7 +106,7 @@
             cutter: &mut self.cutter,
             last_event: self.last_event,
             received,
-            comments: BytesMut::new(),
+            comments: HeldBytes::new(&self.request.context.response_memory),
             further: FuturesUnordered::new(),
             held: None,
             is_allowed,
@@ -269,19 +270,23 @@
     fn take_bytes(&mut self, bytes: &Bytes) -> Result<Option<RaceResult>, RelayError> {
         let Some(cutter) = self.cutter else { return Ok(None) };
         let mut batch = cutter.feed(bytes, self.last_event).map_err(RelayError::Unreadable)?;
-        self.comments.extend_from_slice(&batch.bytes);
-        if batch.count == 0 {
-            return Ok(None);
+        let appended = self.comments.append(&batch.bytes);
+        appended.map_err(|error| RelayError::Unreadable(error.into()))?;
+        if batch.count > 0 {
+            batch.bytes = self.comments.take();
+            return Ok(Some(RaceResult::Events(batch)));
+        }
+        match self.comments.bytes().len() > EVENT_LIMIT {
+            true => Err(RelayError::Unreadable(EventError::TooLong)),
+            false => Ok(None),
         }
-        batch.bytes = mem::take(&mut self.comments).freeze();
-        Ok(Some(RaceResult::Events(batch)))
     }
 
     /// Ends the current run, and the response with it if it is whole.
     async fn end_current(&mut self) -> Result<Option<RaceResult>, RelayError> {
-        if !self.comments.is_empty() {
+        if !self.comments.bytes().is_empty() {
             // The end follows again.
-            let bytes = mem::take(&mut self.comments).freeze();
+            let bytes = self.comments.take();
             return Ok(Some(RaceResult::Events(EventBatch { bytes, ..EventBatch::default() })));
         }
         let Some(current) = self.current else { return Ok(None) };
--- a/tests/crowds/event_crowds.rs
+++ b/tests/crowds/event_crowds.rs
@@ -43,6 +43,8 @@
     EndlessChunks,
     /// The same in a single chunk.
     EndlessChunk,
+    /// Comments that don't end, without an event.
+    EndlessComments,
     /// So many bytes of an event, and then nothing.
     Stalled(usize),
     /// Whole events of this length without end.
@@ -129,6 +131,7 @@
     let (fields, piece) = match manner {
         EventManner::EndlessChunks => (chunked, "8\r\ndata: xx\r\n".repeat(1_000)),
         EventManner::EndlessChunk => (chunked, "x".repeat(16 * 1024)),
+        EventManner::EndlessComments => ("", ": at work\n\n".repeat(1_000)),
         EventManner::Endless | EventManner::Stalled(_) => ("", "x".repeat(16 * 1024)),
         EventManner::Whole(length) => ("", long_event(1, length)),
     };
@@ -267,6 +270,7 @@
     events_without_end_of_streams_that_run_once: "rigid", EventManner::Endless, All;
     events_without_end_in_small_chunks: "stream", EventManner::EndlessChunks, All;
     events_without_end_in_a_single_chunk: "rigid", EventManner::EndlessChunk, All;
+    comments_without_end: "stream", EventManner::EndlessComments, All;
     events_that_stall: "rigid", EventManner::Stalled(LONG_EVENT), All;
     events_that_stall_halfway: "stream", EventManner::Stalled(LONG_EVENT / 2), Nothing;
     long_events_that_nobody_reads: "rigid", EventManner::Whole(LONG_EVENT), Nothing;
