--- a/src/native/daemon.rs
+++ b/src/native/daemon.rs
@@ -44,11 +44,14 @@
     ids::{IncarnationId, SharedName},
     kernel::{KernelExit, KernelHandle, ServiceInbox, ServiceKernel},
     metrics::MetricsHandle,
+    response_memory::ResponseMemory,
 };
 
 /// Limit of the memory for request records and copies, in bytes. At the target load it holds the
 /// responses of 90 seconds.
 const RECORD_BYTES_LIMIT: usize = 64 * 1024 * 1024;
+/// Memory of the smallest VMs, in bytes.
+const VM_MEMORY_BYTES: u64 = 160_000_000;
 /// Name of the peer listener's service.
 const PEER_LISTENER: &str = "peer-listener";
 
@@ -141,6 +144,7 @@
         platform: PlatformClient::new(settings.object_api, settings.cloud_api),
         pool: PeerPool::new((*identity).clone()),
         http: HttpClient::new(),
+        response_memory: ResponseMemory::of_vm(VM_MEMORY_BYTES),
         table: views.table.subscribe(),
         members: views.members.subscribe(),
         metrics: MetricsHandle::default(),
--- a/src/native/endpoint/sse.rs
+++ b/src/native/endpoint/sse.rs
@@ -24,6 +24,11 @@
 }
 
 impl EventDecoder {
+    /// Bytes that are held of incomplete events.
+    pub fn held(&self) -> usize {
+        self.buffer.capacity() + self.data.capacity()
+    }
+
     /// Decodes the next bytes; returns the data of each event that they complete.
     pub fn feed(&mut self, bytes: &[u8]) -> Result<Vec<String>, EventError> {
         self.buffer.extend_from_slice(bytes);
--- a/src/native/serve/context.rs
+++ b/src/native/serve/context.rs
@@ -35,6 +35,7 @@
         peer::{LocalIdentity, client::PeerPool},
         request::copy::RequestHolder,
     },
+    response_memory::ResponseMemory,
 };
 
 /// Weight of an account whose row was deleted while its request ran: the same as a row's default.
@@ -52,6 +53,8 @@
     pub pool: PeerPool,
     /// Connections to endpoints.
     pub http: HttpClient,
+    /// Memory of what endpoints have sent and what isn't stored yet.
+    pub response_memory: ResponseMemory,
     /// Client of the platform.
     pub platform: PlatformClient,
     /// Cluster service.
--- a/src/native/serve/run/attempt.rs
+++ b/src/native/serve/run/attempt.rs
@@ -32,6 +32,7 @@
             services::router::messages::EndpointSlot,
         },
     },
+    response_memory::{HeldBytes, ResponseMemory},
     timeouts::{Elapsed, wait_at_most},
 };
 
@@ -178,13 +179,10 @@
         let step = "read answer";
         let (head, body) = response.into_parts();
         let limit = self.context.settings.first_token_timeout;
-        let collected = match self.wait_beyond_silence(limit, body.collect()).await {
-            Ok(Ok(collected)) => collected,
-            Ok(Err(error)) => {
-                let cause = FailureCause::Broken(error.to_string());
-                return AttemptEnd::Failed(self.error(step, cause));
-            }
-            Err(cause) => return AttemptEnd::Failed(self.error(step, cause)),
+        let reading = read_body(body, &self.context.response_memory);
+        let body = match self.wait_beyond_silence(limit, reading).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(cause)) | Err(cause) => return AttemptEnd::Failed(self.error(step, cause)),
         };
         let status = head.status.as_u16();
         if head.status.is_server_error() && self.call.repeatable {
@@ -195,11 +193,27 @@
         AttemptEnd::Answered(FinalResponse::Plain(PlainResponse {
             status,
             content_type: content_type.unwrap_or("application/octet-stream").into(),
-            body: collected.to_bytes().to_vec(),
+            body: body.to_vec(),
         }))
     }
 }
 
+/// Reads a whole body.
+///
+/// # Errors
+///
+/// It broke off, or there is no memory for it.
+async fn read_body(mut body: Incoming, memory: &ResponseMemory) -> Result<Bytes, FailureCause> {
+    let mut held = HeldBytes::new(memory);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| FailureCause::Broken(error.to_string()))?;
+        // Trailers are not used.
+        let Ok(piece) = frame.into_data() else { continue };
+        held.append(&piece).map_err(|error| FailureCause::Broken(error.to_string()))?;
+    }
+    Ok(held.take())
+}
+
 fn result_for_health(end: &AttemptEnd) -> AttemptResult {
     match end {
         AttemptEnd::Answered(_) => AttemptResult::Succeeded,
--- a/src/native/serve/run/attempt/stream_reading.rs
+++ b/src/native/serve/run/attempt/stream_reading.rs
@@ -25,6 +25,7 @@
         }
         let mut body = response.into_body();
         let mut decoder = EventDecoder::default();
+        let mut charge = self.context.response_memory.begin();
         let mut way = self.slot.way.clone();
         let mut limit = self.context.settings.first_token_timeout;
         loop {
@@ -43,6 +44,10 @@
                     return AttemptEnd::Failed(self.error(step, cause));
                 }
             };
+            if let Err(error) = charge.grow_to(decoder.held()) {
+                let cause = FailureCause::Broken(error.to_string());
+                return AttemptEnd::Failed(self.error(step, cause));
+            }
             for event in events {
                 if let Some(end) = self.on_event(&event).await {
                     return end;
--- a/tests/native/main.rs
+++ b/tests/native/main.rs
@@ -9,6 +9,7 @@
 mod bad_input;
 mod decisions;
 mod decoders;
+mod endless_responses;
 mod fleet_planning;
 mod kernel_lifecycle;
 mod malformed_responses;
