--- a/src/gateway/request/attempt/response_evaluation.rs
+++ b/src/gateway/request/attempt/response_evaluation.rs
@@ -76,6 +76,10 @@
         ResponseMeaning::Foreign => {
             discard_mismatched(context, response, AttemptFailure::MayHaveRun)
         }
+        ResponseMeaning::Unacceptable => {
+            admitted.count_run(context);
+            discard_mismatched(context, response, AttemptFailure::MayHaveRun)
+        }
     }
 }
 
@@ -142,7 +146,7 @@
     AttemptEnd::Failed(failure)
 }
 
-/// Handles a response from another endpoint, or to another request.
+/// Handles a response from another endpoint, to another request, or that no client accepts.
 fn discard_mismatched(
     context: &GatewayContext,
     response: EndpointResponse,
--- a/src/gateway/request/response_meaning.rs
+++ b/src/gateway/request/response_meaning.rs
@@ -20,6 +20,8 @@
     OtherEndpoint,
     /// The response belongs to another request; this one may have run.
     Foreign,
+    /// A success that no client accepts; the request has run.
+    Unacceptable,
 }
 
 /// Limit in a response for the requests that its endpoint accepts from all daemons together.
--- a/src/platform/ingress/endpoint.rs
+++ b/src/platform/ingress/endpoint.rs
@@ -11,7 +11,8 @@
     endpoint_signals::read_signals,
     headers::{
         BRITTLE, DEADLINE, DRAINING, EXPECT_INSTANCE, EXPECT_VERSION, INSTANCE, KEEP_ALIVE,
-        LAST_EVENT, LIMIT, NOT_EXECUTED, PRIORITY, REQUEST_ID, TENANT, remove_hop_headers, text,
+        LAST_EVENT, LIMIT, NOT_EXECUTED, PRIORITY, REQUEST_ID, SIGNATURE, TENANT,
+        remove_hop_headers, text,
     },
 };
 use crate::{
@@ -22,6 +23,9 @@
     http::response_framing::{FramingError, read_framing, unify_length},
 };
 
+/// Encoding of a body that is not encoded.
+const IDENTITY: &[u8] = b"identity";
+
 /// Builds the request of one attempt; method, path and body are those that the client sent.
 pub fn endpoint_request<B>(call: &Call, attempt: &AttemptHead<'_>, body: B) -> Request<B> {
     let mut request = Request::new(body);
@@ -103,8 +107,10 @@
         ResponseMeaning::Ran | ResponseMeaning::NotRun | ResponseMeaning::OtherWeights => {
             read_signals(response.status(), headers)
         }
-        // Sent by another endpoint, or in response to another request.
-        ResponseMeaning::OtherEndpoint | ResponseMeaning::Foreign => EndpointSignals::default(),
+        // Sent by another endpoint, in response to another request, or by an endpoint in trouble.
+        ResponseMeaning::OtherEndpoint
+        | ResponseMeaning::Foreign
+        | ResponseMeaning::Unacceptable => EndpointSignals::default(),
     };
     let keep = read_keep_alive(headers);
     Ok(ResponseMetadata { meaning, framing, signals, keep, closes })
@@ -120,10 +126,21 @@
             read_misdirected(request, headers)
         }
         _ if headers.contains_key(&NOT_EXECUTED) => ResponseMeaning::NotRun,
+        _ if response.status().is_success() && !is_acceptable(headers) => {
+            ResponseMeaning::Unacceptable
+        }
         _ => ResponseMeaning::Ran,
     }
 }
 
+/// Whether clients accept a success: it has the endpoint's signature, and its body is not encoded, since they ask for
+/// bodies without encoding.
+fn is_acceptable(headers: &HeaderMap) -> bool {
+    let mut encodings = headers.get_all(header::CONTENT_ENCODING).iter();
+    let is_plain = |value: &HeaderValue| value.as_bytes().trim_ascii() == IDENTITY;
+    headers.contains_key(&SIGNATURE) && encodings.all(is_plain)
+}
+
 /// A 421 has two reasons: another endpoint is at the address, or the client asks for other weights. Without the
 /// responder's id, a request that asks for weights tells nothing of the address.
 fn read_misdirected(request: SentRequest<'_>, headers: &HeaderMap) -> ResponseMeaning {
--- a/src/platform/ingress/headers.rs
+++ b/src/platform/ingress/headers.rs
@@ -32,6 +32,8 @@
 pub const PRIORITY: HeaderName = HeaderName::from_static("x-request-priority");
 /// Set by an endpoint on a response to a request that it has not run and will never run.
 pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("x-not-executed");
+/// Signature of an endpoint on its response; clients accept no success without it.
+pub const SIGNATURE: HeaderName = HeaderName::from_static("x-response-seal");
 /// `timeout=SECONDS`: how long the endpoint keeps an idle connection.
 pub const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// `1` on all responses of an endpoint that drains.
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -208,8 +208,11 @@
 
 #[googletest::test]
 fn responses_are_classified_by_status_and_headers() {
-    let mine = ("x-request-id", "mine");
-    expect_that!(meaning_of(200, &[mine]), eq(ResponseMeaning::Ran));
+    let (mine, signed) = (("x-request-id", "mine"), ("x-response-seal", "s"));
+    expect_that!(meaning_of(200, &[mine, signed]), eq(ResponseMeaning::Ran));
+    expect_that!(meaning_of(200, &[mine]), eq(ResponseMeaning::Unacceptable));
+    let encoded = ("content-encoding", "gzip");
+    expect_that!(meaning_of(200, &[mine, signed, encoded]), eq(ResponseMeaning::Unacceptable));
     expect_that!(meaning_of(200, &[]), eq(ResponseMeaning::Foreign));
     expect_that!(meaning_of(503, &[("x-request-id", "other")]), eq(ResponseMeaning::Foreign));
     expect_that!(meaning_of(503, &[mine, ("x-not-executed", "1")]), eq(ResponseMeaning::NotRun));
--- a/tests/gateway/endpoint_signals.rs
+++ b/tests/gateway/endpoint_signals.rs
@@ -17,7 +17,7 @@
 const BRITTLE: &str = "server-brittle";
 
 fn signals(status: u16, headers: &[(&str, &str)]) -> EndpointSignals {
-    let mut response = Response::builder().status(status);
+    let mut response = Response::builder().status(status).header("x-response-seal", "s");
     for (name, value) in headers {
         response = response.header(*name, *value);
     }
--- a/tests/gateway/malformed_endpoint.rs
+++ b/tests/gateway/malformed_endpoint.rs
@@ -25,6 +25,8 @@
 pub const TEST_MARK: &str = "test-";
 /// Replaced by the length of the whole body in the head's fields.
 const LENGTH_MARK: &str = "LENGTH";
+/// Line with the signature of a response.
+const SIGNATURE: &str = "X-Response-Seal: s\r\n";
 /// Interval at which new connections are polled for.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(1);
 
@@ -50,6 +52,8 @@
     /// Lines of the head in addition to the usual ones.
     pub fields: &'static [&'static [u8]],
     pub body: BodyForm,
+    /// Whether the head has the endpoint's signature.
+    pub is_signed: bool,
     /// Whether the endpoint keeps the connection open behind it.
     pub is_kept: bool,
 }
@@ -187,20 +191,23 @@
 
 fn usual_fields(request: &SeenRequest) -> String {
     let content = if is_stream(request) { "text/event-stream" } else { "text/plain" };
-    format!("X-Request-Id: {}\r\nX-Response-Seal: s\r\nContent-Type: {content}\r\n", request.id())
+    format!("X-Request-Id: {}\r\nContent-Type: {content}\r\n", request.id())
 }
 
 fn whole_bytes(request: &SeenRequest) -> Vec<u8> {
     let body = whole_body(is_stream(request));
-    let length = body.len();
-    let fields = usual_fields(request);
-    format!("HTTP/1.1 200 OK\r\n{fields}Content-Length: {length}\r\n\r\n{body}").into_bytes()
+    let (length, fields) = (body.len(), usual_fields(request));
+    let head = format!("HTTP/1.1 200 OK\r\n{fields}{SIGNATURE}Content-Length: {length}\r\n\r\n");
+    (head + &body).into_bytes()
 }
 
 fn tested_bytes(request: &SeenRequest, response: TestResponse) -> Vec<u8> {
     let pieces = pieces(is_stream(request));
     let length = pieces.concat().len();
     let mut bytes = format!("{}\r\n{}", response.status_line, usual_fields(request)).into_bytes();
+    if response.is_signed {
+        bytes.extend_from_slice(SIGNATURE.as_bytes());
+    }
     for field in response.fields {
         match std::str::from_utf8(field) {
             Ok(text) => bytes.extend(text.replace(LENGTH_MARK, &length.to_string()).into_bytes()),
--- a/tests/gateway/malformed_responses.rs
+++ b/tests/gateway/malformed_responses.rs
@@ -156,7 +156,7 @@
         #[googletest::test]
         fn $name() {
             let response = TestResponse {
-                status_line: $status, fields: &[$($field),*], body: $body, is_kept: false,
+                status_line: $status, fields: &[$($field),*], body: $body, is_kept: false, is_signed: true,
             };
             check_rejected($daemons, response);
         }
@@ -168,7 +168,7 @@
         #[googletest::test]
         fn $name() {
             let response = TestResponse {
-                status_line: $line, fields: &[$($field),*], body: $body, is_kept: false,
+                status_line: $line, fields: &[$($field),*], body: $body, is_kept: false, is_signed: true,
             };
             MalformedSite::start(1).expect_passed(response, $status, $text);
         }
@@ -283,6 +283,44 @@
     unchanged_response: "HTTP/1.1 304 Not Modified", [b"Content-Length: LENGTH"], ABSENT => 304, Some("");
 }
 
+const WHOLE: TestResponse = TestResponse {
+    status_line: "HTTP/1.1 200 OK",
+    fields: &[b"Content-Length: LENGTH"],
+    body: PLAIN,
+    is_signed: true,
+    is_kept: false,
+};
+
+#[googletest::test]
+fn success_without_a_signature_is_not_passed_on() {
+    check_rejected(1, TestResponse { is_signed: false, ..WHOLE });
+}
+
+#[googletest::test]
+fn success_with_a_misspelt_signature_is_not_passed_on() {
+    let fields: &[&[u8]] = &[b"X-Response-Sea1: s", b"Content-Length: LENGTH"];
+    check_rejected(1, TestResponse { is_signed: false, fields, ..WHOLE });
+}
+
+#[googletest::test]
+fn success_with_an_encoded_body_is_not_passed_on() {
+    let fields: &[&[u8]] = &[b"Content-Encoding: gzip", b"Content-Length: LENGTH"];
+    check_rejected(1, TestResponse { fields, ..WHOLE });
+}
+
+#[googletest::test]
+fn error_without_a_signature_is_passed_on() {
+    let status_line = "HTTP/1.1 404 Not Found";
+    let response = TestResponse { status_line, is_signed: false, ..WHOLE };
+    MalformedSite::start(1).expect_passed(response, 404, None);
+}
+
+#[googletest::test]
+fn success_that_names_the_identity_as_its_encoding_is_passed_on() {
+    let fields: &[&[u8]] = &[b"Content-Encoding: identity", b"Content-Length: LENGTH"];
+    MalformedSite::start(1).expect_passed(TestResponse { fields, ..WHOLE }, 200, None);
+}
+
 /// Checks that a body whose chunks are malformed is no complete one for the client.
 fn check_chunks(body: &'static [u8]) {
     let site = MalformedSite::start(1);
@@ -290,7 +328,13 @@
     for is_kept in [false, true] {
         let status_line = "HTTP/1.1 200 OK";
         let body = BodyForm::Bytes(body);
-        site.endpoints.set_response(TestResponse { status_line, fields, body, is_kept });
+        site.endpoints.set_response(TestResponse {
+            status_line,
+            fields,
+            body,
+            is_signed: true,
+            is_kept,
+        });
         for route in ["plain", "once"] {
             let outcome = site.ask(route, TEST_MARK);
             let is_whole = outcome.answer.text() == PLAIN_BODY;
@@ -330,7 +374,13 @@
     let site = MalformedSite::start_with(1, 2);
     let fields: &[&[u8]] = &[b"Transfer-Encoding: chunke"];
     let (status_line, body) = ("HTTP/1.1 200 OK", CHUNKS);
-    site.endpoints.set_response(TestResponse { status_line, fields, body, is_kept: false });
+    site.endpoints.set_response(TestResponse {
+        status_line,
+        fields,
+        body,
+        is_kept: false,
+        is_signed: true,
+    });
     site.endpoints.make_first_faulty();
     for _ in 0..REQUESTS {
         site.ask("plain", "whole-").expect_whole("plain", whole_body(false));
