--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -19,7 +19,7 @@
 use super::{client_listener::client_body::BodyFault, request_log::RequestTrace};
 use crate::boot_clock;
 use crate::gateway::{
-    call::{Call, CallHead},
+    call::{Call, CallHead, call_body::CallBody},
     configuration::{Account, Configuration, Route, Service},
     context::GatewayContext,
     gossip::streams::{origin_search::find_origin, record_take_up},
@@ -105,11 +105,7 @@
     let MatchedHead { route, account } = matched;
     let deadline = time_limits::request_deadline(received, head.deadline, &route);
     let terms = BodyTerms { largest: configuration.limits.body_bytes, received, deadline };
-    let body = tokio::select! {
-        biased;
-        body = read_body(&context.bodies, body, terms) => body?,
-        () = context.intake.until_too_late(deadline) => return Err(Refusal::Leaving),
-    };
+    let body = read_body_before_stop(context, body, terms).await?;
     let origin = find_origin_of(context, &head, &route, account.as_deref(), trace).await?;
     let service = choose_service(&configuration, &route, origin.as_ref())?;
     let now = boot_clock::now();
@@ -130,6 +126,19 @@
     })
 }
 
+/// Reads a body, unless its request can no longer be passed on since this daemon stops.
+async fn read_body_before_stop(
+    context: &GatewayContext,
+    body: impl Body<Data = Bytes, Error = BodyFault>,
+    terms: BodyTerms,
+) -> Result<CallBody, Refusal> {
+    tokio::select! {
+        biased;
+        body = read_body(&context.bodies, body, terms) => body,
+        () = context.intake.until_too_late(terms.deadline) => Err(Refusal::Leaving),
+    }
+}
+
 /// Waits until this daemon is up to date with its peers, if that will be soon.
 async fn wait_for_peers(context: &GatewayContext, limit: Option<Duration>, received: Instant) {
     let limit = limit.unwrap_or(DEFAULT_TIME);
--- a/src/gateway/request/attempt.rs
+++ b/src/gateway/request/attempt.rs
@@ -88,10 +88,7 @@
         Err(failure) => return not_connected(request, &failure, guard),
     };
     trace.borrow_mut().path(connection.path());
-    // Crashes may have been reported, or a stop may have begun, while the connection was being opened.
-    let is_trial = attempts.borrow().is_trial;
-    let is_quarantined = !is_trial && crash_watch::is_quarantined(context, admitted);
-    if is_quarantined || !request.ends_before_stop() || !guard.try_mark_sent() {
+    if !may_still_be_sent(request) || !guard.try_mark_sent() {
         return Ok(return_unsent(request, connection));
     }
     let head = endpoint_request(admitted, &endpoint.id, resume_after, boot_clock::now());
@@ -105,6 +102,15 @@
     }
 }
 
+/// Whether a request may be sent over the connection that was opened for it: meanwhile crashes may have been reported,
+/// or a stop may have begun.
+fn may_still_be_sent(request: OpenRequest<'_>) -> bool {
+    let OpenRequest { context, admitted, attempts, .. } = request;
+    let is_trial = attempts.borrow().is_trial;
+    let is_quarantined = !is_trial && crash_watch::is_quarantined(context, admitted);
+    !is_quarantined && request.ends_before_stop()
+}
+
 /// Counts an attempt as begun. Returns the number of those before it, and when it counts as silent.
 fn begin_attempt(request: OpenRequest<'_>, choice: &EndpointChoice) -> (u32, Instant) {
     let OpenRequest { admitted, attempts, .. } = request;
--- a/src/gateway/request/attempt/response_evaluation.rs
+++ b/src/gateway/request/attempt/response_evaluation.rs
@@ -5,7 +5,7 @@
 
 use std::rc::Rc;
 
-use hyper::{Response, body::Incoming};
+use hyper::{Response, StatusCode, body::Incoming};
 use tokio::time::Instant;
 
 use super::{
@@ -54,7 +54,17 @@
     let (status, body_start) = (response.status(), BodyStart::Unread);
     let response =
         EndpointResponse { response, body_start, silent_at, metadata, connection, guard };
-    match metadata.meaning {
+    handle_meaning(context, admitted, response, status)
+}
+
+/// Handles a response according to its meaning.
+fn handle_meaning(
+    context: &Rc<GatewayContext>,
+    admitted: &Admitted,
+    response: EndpointResponse,
+    status: StatusCode,
+) -> AttemptEnd {
+    match response.metadata.meaning {
         ResponseMeaning::Ran if status_promises_not_run(status) => {
             // Clients would understand the status as a promise that the endpoint did not make.
             admitted.count_run(context);
@@ -64,7 +74,7 @@
         ResponseMeaning::NotRun => handle_refusal(context, response, AttemptFailure::NotRun),
         ResponseMeaning::OtherWeights => {
             // It says nothing about how the endpoint serves others.
-            let EndpointResponse { response, connection, guard, .. } = response;
+            let EndpointResponse { response, metadata, connection, guard, .. } = response;
             guard.finish(AttemptResult::Neutral);
             drain_body(context, response, connection, metadata);
             AttemptEnd::Failed(AttemptFailure::NotRun)
--- a/src/gateway/request/dispatch.rs
+++ b/src/gateway/request/dispatch.rs
@@ -93,7 +93,10 @@
     let (attempts, trace) = (RefCell::new(attempts), RefCell::new(trace));
     let request = OpenRequest { context, admitted: &admitted, attempts: &attempts, trace: &trace };
     match first_response(request).await {
-        Ok(response) => relay::pass_on(context, admitted, attempts, response, trace),
+        Ok(response) => {
+            attempts.borrow_mut().has_response = true;
+            relay::pass_on(context, admitted, attempts, response, trace)
+        }
         Err(refusal) => {
             if refusal.promises_not_run() {
                 admission::refund_quota(context, &admitted);
--- a/src/gateway/request/event_cutter.rs
+++ b/src/gateway/request/event_cutter.rs
@@ -6,6 +6,8 @@
 //!
 //! `response_memory` bounds what the incomplete events of all streams hold.
 
+use std::mem;
+
 use bytes::{Bytes, BytesMut};
 
 use crate::response_memory::{HeldBytes, NoResponseMemory, ResponseMemory, charge_sent};
@@ -149,10 +151,10 @@
 
 /// The parts as one, which is copied only if there are several.
 fn join(mut parts: Vec<BytesMut>) -> Bytes {
-    if parts.len() <= 1 {
-        return parts.pop().unwrap_or_default().freeze();
+    match &mut parts[..] {
+        [only] => mem::take(only).freeze(),
+        several => several.concat().into(),
     }
-    parts.concat().into()
 }
 
 fn is_line_end(byte: &u8) -> bool {
--- a/src/gateway/request/relay.rs
+++ b/src/gateway/request/relay.rs
@@ -45,11 +45,14 @@
 };
 
 /// Why a response is broken off.
-#[derive(Clone, Copy, Debug, derive_more::Display, derive_more::Error, PartialEq, Eq)]
+#[derive(
+    Clone, Copy, Debug, derive_more::Display, derive_more::Error, derive_more::From, PartialEq, Eq,
+)]
 enum RelayError {
     #[display("endpoint broke off")]
     BrokenOff,
     #[display("{_0}")]
+    #[from]
     Unreadable(EventError),
     #[display("out of time")]
     OutOfTime,
@@ -118,7 +121,6 @@
     response: EndpointResponse,
     trace: RefCell<RequestTrace>,
 ) -> Response<LocalBody> {
-    attempts.borrow_mut().has_response = true;
     let (mut head, upstream) = Upstream::of(response);
     let whole_length = upstream.length();
     let streams = head.status().is_success() && admitted.route.kind.is_stream();
@@ -241,7 +243,7 @@
     /// Takes what is complete of the next bytes.
     fn pass_piece(&mut self, bytes: &Bytes) -> Result<NextPiece, RelayError> {
         let Some(cutter) = &mut self.cutter else { return Ok(NextPiece::Bytes(bytes.clone())) };
-        let batch = cutter.feed(bytes, self.last_event).map_err(RelayError::Unreadable)?;
+        let batch = cutter.feed(bytes, self.last_event)?;
         Ok(NextPiece::Bytes(self.pass_events(batch)))
     }
 
--- a/src/gateway/request/relay/run_race.rs
+++ b/src/gateway/request/relay/run_race.rs
@@ -269,17 +269,14 @@
     /// An endpoint that sends nothing but comments is as silent as one that sends nothing.
     fn take_bytes(&mut self, bytes: &Bytes) -> Result<Option<RaceResult>, RelayError> {
         let Some(cutter) = self.cutter else { return Ok(None) };
-        let mut batch = cutter.feed(bytes, self.last_event).map_err(RelayError::Unreadable)?;
-        let appended = self.comments.append(&batch.bytes);
-        appended.map_err(|error| RelayError::Unreadable(error.into()))?;
+        let mut batch = cutter.feed(bytes, self.last_event)?;
+        self.comments.append(&batch.bytes).map_err(EventError::from)?;
         if batch.count > 0 {
             batch.bytes = self.comments.take();
             return Ok(Some(RaceResult::Events(batch)));
         }
-        match self.comments.bytes().len() > EVENT_LIMIT {
-            true => Err(RelayError::Unreadable(EventError::TooLong)),
-            false => Ok(None),
-        }
+        let is_too_long = self.comments.bytes().len() > EVENT_LIMIT;
+        if is_too_long { Err(EventError::TooLong.into()) } else { Ok(None) }
     }
 
     /// Ends the current run, and the response with it if it is whole.
--- a/src/native/serve/run/attempt/stream_reading.rs
+++ b/src/native/serve/run/attempt/stream_reading.rs
@@ -14,6 +14,7 @@
         request::{copy::ResponseToken, outcome::FinalResponse},
         serve::services::store_service::RequestMessage,
     },
+    response_memory::MemoryCharge,
 };
 
 impl AttemptTask<'_> {
@@ -37,17 +38,10 @@
                 Ok(bytes) => bytes,
                 Err(error) => return AttemptEnd::Failed(error),
             };
-            let events = match decoder.feed(&bytes) {
+            let events = match decode(&mut decoder, &mut charge, &bytes) {
                 Ok(events) => events,
-                Err(error) => {
-                    let cause = FailureCause::Malformed(error.to_string());
-                    return AttemptEnd::Failed(self.error(step, cause));
-                }
+                Err(cause) => return AttemptEnd::Failed(self.error(step, cause)),
             };
-            if let Err(error) = charge.grow_to(decoder.held()) {
-                let cause = FailureCause::Broken(error.to_string());
-                return AttemptEnd::Failed(self.error(step, cause));
-            }
             for event in events {
                 if let Some(end) = self.on_event(&event).await {
                     return end;
@@ -109,6 +103,18 @@
     }
 }
 
+/// Decodes the next bytes of a stream, and accounts for what is held of incomplete events.
+fn decode(
+    decoder: &mut EventDecoder,
+    charge: &mut MemoryCharge,
+    bytes: &[u8],
+) -> Result<Vec<String>, FailureCause> {
+    let events = decoder.feed(bytes).map_err(|error| FailureCause::Malformed(error.to_string()))?;
+    let charged = charge.grow_to(decoder.held());
+    charged.map_err(|error| FailureCause::Broken(error.to_string()))?;
+    Ok(events)
+}
+
 /// Waits until the router orders the stream to leave the endpoint; ignores the order to finish
 /// there.
 async fn wait_for_leave_order(
--- a/src/response_memory.rs
+++ b/src/response_memory.rs
@@ -136,11 +136,11 @@
 
     /// Moves the bytes to a larger block, which has spare room if that is allowed.
     fn enlarge(&mut self, needed: usize) -> Result<(), NoResponseMemory> {
-        let with_spare = needed + self.bytes.len() / 2;
-        let capacity = match self.charge.grow_to(with_spare) {
-            Ok(()) => with_spare,
-            Err(_) => self.charge.grow_to(needed).map(|()| needed)?,
-        };
+        let mut capacity = needed + self.bytes.len() / 2;
+        if self.charge.grow_to(capacity).is_err() {
+            capacity = needed;
+            self.charge.grow_to(capacity)?;
+        }
         let mut larger = BytesMut::with_capacity(capacity);
         larger.extend_from_slice(&self.bytes);
         self.bytes = larger;
