--- a/src/platform/ingress/headers.rs
+++ b/src/platform/ingress/headers.rs
@@ -97,7 +97,7 @@
         .flat_map(|value| value.split(','))
         .filter_map(|name| name.trim().parse().ok())
         // Never remove the headers that identify a message, even if `Connection` lists them.
-        .filter(|name| *name != REQUEST_ID && *name != header::HOST)
+        .filter(|name| ![REQUEST_ID, SIGNATURE, header::HOST].contains(name))
         .collect();
     for name in HOP_HEADERS.iter().chain(&named) {
         headers.remove(name);
--- a/tests/gateway/malformed_responses.rs
+++ b/tests/gateway/malformed_responses.rs
@@ -321,6 +321,18 @@
     MalformedSite::start(1).expect_passed(TestResponse { fields, ..WHOLE }, 200, None);
 }
 
+#[googletest::test]
+fn signature_stays_though_its_endpoint_calls_it_one_of_the_connection() {
+    let site = MalformedSite::start(1);
+    let fields: &[&[u8]] = &[b"Connection: close, X-Response-Seal", b"Content-Length: LENGTH"];
+    site.endpoints.set_response(TestResponse { fields, ..WHOLE });
+    for route in REPEATABLE.into_iter().chain(RUN_ONCE) {
+        let outcome = site.ask(route, TEST_MARK);
+        outcome.expect_whole(route, whole_body(is_stream(route)));
+        expect_that!(outcome.answer.header("x-response-seal"), some(eq("s")), "{route}");
+    }
+}
+
 /// Checks that a body whose chunks are malformed is no complete one for the client.
 fn check_chunks(body: &'static [u8]) {
     let site = MalformedSite::start(1);
