--- a/src/gateway/context/intake.rs
+++ b/src/gateway/context/intake.rs
@@ -13,7 +13,7 @@
     /// Accepts both.
     #[default]
     Open,
-    /// The same, but passes requests on only as long as these times allow.
+    /// Accepts both, and passes requests on as long as these times allow.
     Stopping(StopTimes),
     /// Accepts connections and refuses requests.
     Refusing(StopTimes),
--- a/src/gateway/policy/daemon/stop_times.rs
+++ b/src/gateway/policy/daemon/stop_times.rs
@@ -14,8 +14,8 @@
 /// Time after the signal from which requests are refused: by then the load balancer sends new
 /// connections elsewhere, and a long request might be cut off.
 const REFUSE_AFTER: Duration = Duration::from_millis(2_800);
-/// Part of the time until the cut during which requests are passed on whatever their deadlines are, if that is
-/// shorter than [`REFUSE_AFTER`]: as usual for a grace time of some seconds.
+/// Part of the time until the cut during which requests are passed on whatever their deadlines are, where that is
+/// shorter than [`REFUSE_AFTER`].
 const ANY_DEADLINE_PART: f64 = 0.4;
 /// Time after the signal until which connections are accepted. Longer than [`REFUSE_AFTER`], since a
 /// request can only be refused on an accepted connection.
--- a/tests/gateway/endpoint_standin.rs
+++ b/tests/gateway/endpoint_standin.rs
@@ -60,6 +60,8 @@
     Sometimes(u64, &'static EndpointManner),
     /// Responds with the id of another request.
     Foreign,
+    /// Responds with a success whose transfer coding is misspelt, and closes the connection.
+    Malformed,
     /// Never responds and keeps the connection open.
     Silent,
     /// Streams this number of events, then sends nothing more and keeps the connection open.
@@ -295,6 +297,13 @@
                 refuse(out, "421 Misdirected Request", id, &headers)
             }
             EndpointManner::Lose => false,
+            EndpointManner::Malformed => {
+                let head = self.chunked_head(request, "text/plain").replace("chunked", "chunke");
+                // An error means that the daemon has closed the connection.
+                let _ = out.write_all(head.as_bytes());
+                let _ = write_chunk(out, "malformed");
+                false
+            }
             EndpointManner::Endless(endless) => {
                 send_without_end(out, &self.id, id, endless);
                 false
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -159,13 +159,16 @@
         let daemon = rng.random_range(0..daemons);
         let endpoint = rng.random_range(0..ENDPOINTS);
         let link = if rng.random_bool(0.5) { LinkState::Silent } else { LinkState::Closed };
-        const ENDLESS: [Endless; 3] =
-            [Endless::InformationalHeads, Endless::HeadLines, Endless::Refusal];
+        const TROUBLE: [EndpointManner; 4] = [
+            EndpointManner::Endless(Endless::InformationalHeads),
+            EndpointManner::Endless(Endless::HeadLines),
+            EndpointManner::Endless(Endless::Refusal),
+            EndpointManner::Malformed,
+        ];
         match (group, rng.random_range(0..7)) {
             (FaultGroup::Seeds, _) => Self::Replace(daemon),
             (FaultGroup::Endless, _) => {
-                let endless = ENDLESS[rng.random_range(0..ENDLESS.len())];
-                Self::Manner(endpoint, EndpointManner::Endless(endless))
+                Self::Manner(endpoint, TROUBLE[rng.random_range(0..TROUBLE.len())])
             }
             (FaultGroup::Daemons, 0 | 1) => Self::Kill(daemon),
             (FaultGroup::Daemons, 2 | 3) => Self::Freeze(daemon),
