--- a/src/gateway/policy/daemon/peer_contact.rs
+++ b/src/gateway/policy/daemon/peer_contact.rs
@@ -98,10 +98,12 @@
     /// How long a request that has `time_left` waits for peers; none if it doesn't: the daemon is up to
     /// date, it isn't known when it will be, or too little of the request's time would be left.
     pub fn request_wait(&self, time_left: Duration, now: Instant) -> Option<Duration> {
-        if self.is_lagging || self.was_suspended(now) || self.peer_wait_is_over(now) {
+        if self.is_lagging || self.peer_wait_is_over(now) {
             return None;
         }
-        let wait = MAX_WAIT.saturating_sub(now.saturating_duration_since(self.running_since));
+        // After a suspension the wait begins with the interval that is due now.
+        let begun = if self.was_suspended(now) { now } else { self.running_since };
+        let wait = MAX_WAIT.saturating_sub(now.saturating_duration_since(begun));
         (wait <= time_left.mul_f64(MAX_WAIT_FRACTION)).then_some(wait)
     }
 
--- a/tests/crowds/ended_connections.rs
+++ b/tests/crowds/ended_connections.rs
@@ -320,7 +320,8 @@
     kept.send(&request("second"));
     thread::sleep(Duration::from_millis(1_500));
     site.gateway.signal("-CONT");
-    expect_that!(kept.read().status, eq(200));
+    let answer = kept.read();
+    expect_that!(answer.status, eq(200), "{:?}", answer.text());
 }
 
 macro_rules! request_behind_a_pause {
--- a/tests/gateway/peer_wait.rs
+++ b/tests/gateway/peer_wait.rs
@@ -64,6 +64,18 @@
     expect_that!(contact.request_wait(second, start + millis(10)), none());
 }
 
+/// The first gossip interval after a suspension may begin later than the request.
+#[googletest::test]
+fn request_waits_at_a_daemon_that_was_suspended_until_now() {
+    let start = tokio::time::Instant::now();
+    let mut contact = PeerContact::new(start);
+    contact.begin_interval(start);
+    contact.receive_response(start);
+    let resumed = start + millis(1_500);
+    expect_that!(contact.request_wait(Duration::from_secs(1), resumed), some(eq(MAX_WAIT)));
+    expect_that!(contact.request_wait(millis(500), resumed), none());
+}
+
 /// What can't be served in time is refused at once.
 #[googletest::test]
 fn request_with_little_time_left_does_not_wait() {
