Store: names are encoded in paths and queries

Cause: the name of a page's last object was put into `after-rev` as it is. `&` and `#` end the value, `+` is a blank, `%41` another character, and the list starts over, goes back or passes objects over; with a blank or a control character the path is no URI, and the listing fails for ever. The same in the paths of reads and writes of single objects: `/`, `?`, `#` and `..` name another object.

Change: `http::url_path` builds paths from segments and query parameters and encodes all but the unreserved characters; the store's client uses it for all calls. Names of letters, digits and hyphens are sent as before.

Evidence: the stand-in lists in pages and decodes paths and queries.

--- a/src/http.rs
+++ b/src/http.rs
@@ -1,4 +1,4 @@
-//! HTTP/1.1 over `hyper`: server loop, client, and a client of JSON APIs; used by the gateway, the
+//! HTTP/1.1 over `hyper`: server loop, client, paths of URLs, and a client of JSON APIs; used by the gateway, the
 //! native interface and the stand-ins.
 //!
 //! `hyper` is used instead of the blocking `tiny_http` and `ureq` because responses are streamed:
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod response_framing;
 pub mod server;
+pub mod url_path;
 
 use bytes::Bytes;
 use futures::StreamExt;
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -22,6 +22,7 @@
     http::{
         api_client::{ApiClient, ApiResponse},
         client::OutgoingCall,
+        url_path::UrlPath,
     },
     ids::SharedName,
     store_position::{StoreEra, StorePosition},
@@ -33,6 +34,8 @@
 /// Time beyond its requested wait after which a watch times out, since its connection may be dead. A
 /// store that is fifty times slower than usual responds within it.
 const WATCH_MARGIN: Duration = Duration::from_millis(300);
+/// Path of all objects.
+const OBJECTS_PATH: &str = "/-/objects";
 /// Response header with the store's era.
 const ERA_HEADER: &str = "store-era";
 
@@ -118,6 +121,16 @@
     WrittenInLaterEra,
 }
 
+/// Path of the objects of a kind.
+fn kind_path(kind: &str) -> UrlPath {
+    UrlPath::new(OBJECTS_PATH).segment(kind)
+}
+
+/// Path of an object.
+fn object_path(kind: &str, name: &str) -> UrlPath {
+    kind_path(kind).segment(name)
+}
+
 fn read_era(text: &str) -> Option<StoreEra> {
     text.parse().ok().map(StoreEra)
 }
@@ -214,8 +227,8 @@
     ) -> Result<(ObjectListing, bool), StepError> {
         // Despite its name, `after-rev` takes the name of the last object on the previous page.
         let path = match last_name {
-            None => format!("/-/objects/{kind}"),
-            Some(name) => format!("/-/objects/{kind}?after-rev={name}"),
+            None => kind_path(kind),
+            Some(name) => kind_path(kind).query("after-rev", name),
         };
         let call = self.api.get("list objects", path);
         self.fetch(call, CALL_TIMEOUT).await?.decode(decode_page)
@@ -228,8 +241,8 @@
         position: StorePosition,
         wait: Duration,
     ) -> Result<WatchResult, StepError> {
-        let revision = position.revision();
-        let path = format!("/-/objects/{kind}?watch={revision}&wait-ms={}", wait.as_millis());
+        let path =
+            kind_path(kind).query("watch", position.revision()).query("wait-ms", wait.as_millis());
         let call = self.api.get("watch objects", path);
         let response = self.fetch(call, wait + WATCH_MARGIN).await?;
         if response.status() == StatusCode::GONE || response.era != position.era() {
@@ -241,7 +254,7 @@
 
     /// Reads an object; none if it does not exist.
     pub async fn read(&self, kind: &str, name: &str) -> Result<Option<StoredObject>, StepError> {
-        let call = self.api.get("read object", format!("/-/objects/{kind}/{name}"));
+        let call = self.api.get("read object", object_path(kind, name));
         let response = self.fetch(call, CALL_TIMEOUT).await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
--- a/src/platform/store/writes.rs
+++ b/src/platform/store/writes.rs
@@ -4,8 +4,9 @@
 use serde::Serialize;
 
 use super::{
-    CALL_TIMEOUT, StoreClient, WriteCondition, WriteResult,
+    CALL_TIMEOUT, StoreClient, WriteCondition, WriteResult, kind_path,
     object_codec::{NewObject, NewStatus, decode_object},
+    object_path,
 };
 use crate::{errors::StepError, http::client::OutgoingCall, store_position::StorePosition};
 
@@ -24,8 +25,8 @@
         }
         let known = condition.revision();
         let (method, path) = match known {
-            None => (Method::POST, format!("/-/objects/{kind}")),
-            Some(_) => (Method::PUT, format!("/-/objects/{kind}/{name}")),
+            None => (Method::POST, kind_path(kind)),
+            Some(_) => (Method::PUT, object_path(kind, name)),
         };
         let object = NewObject::new(name, known, value);
         let call = self.api.send("write object", method, path, &object)?;
@@ -47,7 +48,7 @@
         if position.era() != self.era.get() {
             return Ok(WriteResult::Conflict);
         }
-        let path = format!("/-/objects/{kind}/{name}/status");
+        let path = object_path(kind, name).segment("status");
         let body = NewStatus::new(name, position.revision(), status);
         let call = self.api.send("write status", Method::PUT, path, &body)?;
         self.make_write(call, WriteCondition::At(position)).await
--- a/tests/gateway/platform_standin.rs
+++ b/tests/gateway/platform_standin.rs
@@ -10,6 +10,7 @@
     time::{Duration, Instant},
 };
 
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use tiny_http::{Header, Method, Request, Response, Server};
 
@@ -56,6 +57,14 @@
     pub body: Value,
 }
 
+/// A call for one page of a list.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ListCall {
+    pub kind: String,
+    /// Name after which the page was to begin.
+    pub after: Option<String>,
+}
+
 /// Contents of the store. A store that is restored from a copy of them loses all later writes.
 #[derive(Clone, Default)]
 struct StoreContents {
@@ -81,6 +90,9 @@
     overtaken: bool,
     /// Number of next writes that are carried out but not answered.
     lose_answers: usize,
+    /// Most objects on a page of a list; all are on one if there is no limit.
+    page_size: Option<usize>,
+    list_calls: Vec<ListCall>,
 }
 
 /// The running stand-in.
@@ -156,6 +168,16 @@
         self.state.0.lock().expect("lock").lose_answers = count;
     }
 
+    /// Lists objects in pages of at most `size` from now on.
+    pub fn set_page_size(&self, size: usize) {
+        self.lock().page_size = Some(size);
+    }
+
+    /// Calls for pages of lists so far.
+    pub fn list_calls(&self) -> Vec<ListCall> {
+        self.lock().list_calls.clone()
+    }
+
     /// Sends this era in the header of all answers.
     pub fn set_era(&self, era: u64) {
         self.lock().era = Some(era);
@@ -314,11 +336,14 @@
         Some(format!(r#"{{"metadata":{metadata},"spec":{spec},"status":{status}}}"#))
     }
 
-    fn list(&self, kind: &str) -> String {
-        let names = self.objects.keys().filter(|(of, _)| of == kind);
-        let items: Vec<String> = names.filter_map(|(_, name)| self.object(kind, name)).collect();
-        let (items, at) = (items.join(","), self.revision);
-        format!(r#"{{"items":[{items}],"more":false,"at":{at}}}"#)
+    /// A page of the objects whose names come behind `after`.
+    fn list(&self, kind: &str, after: Option<&str>, page_size: Option<usize>) -> String {
+        let names = self.objects.keys().filter(|(of, _)| of == kind).map(|(_, name)| name);
+        let mut rest = names.filter(|name| after.is_none_or(|after| name.as_str() > after));
+        let page = rest.by_ref().take(page_size.unwrap_or(usize::MAX));
+        let items: Vec<String> = page.filter_map(|name| self.object(kind, name)).collect();
+        let (items, more, at) = (items.join(","), rest.next().is_some(), self.revision);
+        format!(r#"{{"items":[{items}],"more":{more},"at":{at}}}"#)
     }
 
     fn events_after(&self, kind: &str, revision: u64) -> Vec<String> {
@@ -351,9 +376,20 @@
     let _ = request.respond(response);
 }
 
+/// Text of a path segment, decoded.
+fn segment_text(segment: &str) -> String {
+    percent_decode_str(segment).decode_utf8_lossy().into_owned()
+}
+
+/// Value of a query parameter, decoded as that of a form.
+fn query_text(query: &str, name: &str) -> Option<String> {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let (_, value) = pairs.find(|(key, _)| *key == name)?;
+    Some(segment_text(&value.replace('+', " ")))
+}
+
 fn query_number(query: &str, name: &str) -> Option<u64> {
-    let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-    pairs.into_iter().find(|(key, _)| *key == name).and_then(|(_, value)| value.parse().ok())
+    query_text(query, name)?.parse().ok()
 }
 
 fn answer(shared: &(Mutex<PlatformState>, Condvar), mut request: Request) {
@@ -369,7 +405,9 @@
     if down {
         return respond(request, era, 503, NO_BODY);
     }
-    let parts: Vec<&str> = path.trim_start_matches('/').split('/').collect();
+    let segments = path.trim_start_matches('/').split('/');
+    let segments: Vec<String> = segments.map(segment_text).collect();
+    let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
     match parts.as_slice() {
         ["-", "objects", kind] => answer_kind(shared, request, kind, query, &body),
         ["-", "objects", kind, name] => {
@@ -402,7 +440,10 @@
         return answer_write(shared, state, request, kind, &name);
     }
     let Some(after) = query_number(query, "watch") else {
-        let (list, era) = (state.contents.list(kind), state.era);
+        let after = query_text(query, "after-rev");
+        state.list_calls.push(ListCall { kind: kind.to_owned(), after: after.clone() });
+        let list = state.contents.list(kind, after.as_deref(), state.page_size);
+        let era = state.era;
         drop(state);
         return respond(request, era, 200, &list);
     };
