--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -9,6 +9,7 @@
 //! The native interface uses another protocol (`native::cloud_api`) over the same connections and with
 //! the same errors (`http::api_client`).
 
+mod listing;
 pub mod object_codec;
 mod writes;
 
@@ -16,7 +17,7 @@
 
 use hyper::StatusCode;
 
-use self::object_codec::{decode_object, decode_page, decode_watch};
+use self::object_codec::{decode_object, decode_watch};
 use crate::{
     errors::{FailureCause, StepError},
     http::{
@@ -199,41 +200,6 @@
         Ok(StoreResponse { response, era })
     }
 
-    /// Lists all objects of a kind, page by page. Changes made before the call are included.
-    ///
-    /// # Errors
-    ///
-    /// A call failed, or the store was restored from a copy between two pages.
-    pub async fn list(&self, kind: &str) -> Result<ObjectListing, StepError> {
-        // The listing has the position of the first page: a watch from there returns all later changes.
-        let (mut listing, mut has_more) = self.list_page(kind, None).await?;
-        while has_more {
-            let last_name = listing.objects.last().map(|object| &object.name);
-            let (page, more) = self.list_page(kind, last_name).await?;
-            if page.position.era() != listing.position.era() {
-                let call = self.api.get("list objects", "");
-                return Err(call.error(FailureCause::FormerEra));
-            }
-            has_more = more && !page.objects.is_empty();
-            listing.objects.extend(page.objects);
-        }
-        Ok(listing)
-    }
-
-    async fn list_page(
-        &self,
-        kind: &str,
-        last_name: Option<&SharedName>,
-    ) -> Result<(ObjectListing, bool), StepError> {
-        // Despite its name, `after-rev` takes the name of the last object on the previous page.
-        let path = match last_name {
-            None => kind_path(kind),
-            Some(name) => kind_path(kind).query("after-rev", name),
-        };
-        let call = self.api.get("list objects", path);
-        self.fetch(call, CALL_TIMEOUT).await?.decode(decode_page)
-    }
-
     /// Waits up to `wait` for changes of objects of a kind after `position`.
     pub async fn watch(
         &self,
--- a/src/platform/store/object_codec.rs
+++ b/src/platform/store/object_codec.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::value::RawValue;
 
-use super::{ObjectChange, ObjectListing, StoredObject};
+use super::{ObjectChange, StoredObject};
 use crate::{
     ids::SharedName,
     store_position::{StoreEra, StorePosition},
@@ -41,6 +41,20 @@
     at: u64,
 }
 
+/// An object of which only the name is needed.
+#[derive(Deserialize)]
+struct NamedItem<'a> {
+    #[serde(borrow)]
+    metadata: NameField<'a>,
+}
+
+#[derive(Deserialize)]
+struct NameField<'a> {
+    /// Bytes, since JSON may escape half of a surrogate pair, which is no text.
+    #[serde(borrow)]
+    name: Cow<'a, [u8]>,
+}
+
 #[derive(Deserialize)]
 struct WatchBody<'a> {
     #[serde(borrow)]
@@ -112,18 +126,43 @@
     Ok(serde_json::from_slice::<ObjectBody<'_>>(body)?.into_object(era))
 }
 
-/// Decodes one page of a list, which the store sent in `era`. Returns its objects, the position, and
-/// whether there are more pages. Objects that can't be decoded are left out; the others are returned.
+/// One page of a list.
+#[derive(Clone, Debug)]
+pub struct ObjectPage {
+    /// Objects that could be decoded.
+    pub objects: Vec<StoredObject>,
+    /// Position of the store.
+    pub position: StorePosition,
+    /// Whether there are more pages.
+    pub has_more: bool,
+    /// Name of the last object that has one, also if the object could not be decoded. UTF-8, but for halves of
+    /// surrogate pairs.
+    pub last_name: Option<Box<[u8]>>,
+}
+
+/// Decodes one page of a list, which the store sent in `era`. Objects that can't be decoded are left out; the others
+/// are returned.
 ///
 /// # Errors
 ///
 /// The page itself can't be decoded.
-pub fn decode_page(era: StoreEra, body: &[u8]) -> Result<(ObjectListing, bool), serde_json::Error> {
+pub fn decode_page(era: StoreEra, body: &[u8]) -> Result<ObjectPage, serde_json::Error> {
     let text = readable_text(body);
     let page: ListBody<'_> = serde_json::from_str(&text)?;
+    let last_name = page.items.iter().rev().find_map(|item| read_name(item));
     let objects = page.items.into_iter().filter_map(read_part::<ObjectBody<'_>>);
-    let objects = objects.map(|object| object.into_object(era)).collect();
-    Ok((ObjectListing { objects, position: StorePosition::new(era, page.at) }, page.more))
+    Ok(ObjectPage {
+        objects: objects.map(|object| object.into_object(era)).collect(),
+        position: StorePosition::new(era, page.at),
+        has_more: page.more,
+        last_name,
+    })
+}
+
+/// Name of an item; none if it has no name.
+fn read_name(item: &RawValue) -> Option<Box<[u8]>> {
+    let item: NamedItem<'_> = read_part(item)?;
+    Some(item.metadata.name.into())
 }
 
 /// Decodes the response to a watch, which the store sent in `era`. Changes that can't be decoded are left
--- a/tests/gateway/decoders.rs
+++ b/tests/gateway/decoders.rs
@@ -94,11 +94,12 @@
 fn store_pages_and_watch_events_are_decoded() {
     let object = json!({"metadata": {"name": "n", "revision": 4}, "spec": {"a": 1}});
     let page = json!({"items": [object], "more": true, "at": 9});
-    let (listing, more) =
+    let page =
         object_codec::decode_page(StoreEra(2), page.to_string().as_bytes()).expect("decodes");
-    expect_that!(listing.position, eq(StorePosition::new(StoreEra(2), 9)));
-    expect_that!(&*listing.objects[0].value, eq("{\"a\":1}"));
-    expect_that!(more, eq(true));
+    expect_that!(page.position, eq(StorePosition::new(StoreEra(2), 9)));
+    expect_that!(&*page.objects[0].value, eq("{\"a\":1}"));
+    expect_that!(page.has_more, eq(true));
+    expect_that!(page.last_name.as_deref(), some(eq(b"n")));
     let events = json!({"events": [{"gone": true, "object": {"metadata": {"name": "n"}}},
         {"gone": false, "object": object}], "at": 12});
     let (changes, at) =
@@ -120,9 +121,8 @@
     let bad = [r#"5"#, r#"null"#, r#"{"metadata": {"name": 7}}"#, r#"{"metadata": []}"#, &nested];
     for bad in bad {
         let page = format!(r#"{{"items": [{bad}, {good}], "more": false, "at": 9}}"#);
-        let (listing, _) =
-            object_codec::decode_page(StoreEra(2), page.as_bytes()).expect("decodes");
-        let names: Vec<&str> = listing.objects.iter().map(|object| &*object.name).collect();
+        let page = object_codec::decode_page(StoreEra(2), page.as_bytes()).expect("decodes");
+        let names: Vec<&str> = page.objects.iter().map(|object| &*object.name).collect();
         expect_that!(names.contains(&"n"), eq(true), "beside the unreadable object {bad}");
         let watch = format!(
             r#"{{"events": [{{"gone": false, "object": {bad}}},
@@ -139,8 +139,8 @@
     let mut page = br#"{"items": [{"metadata": {"name": "b"}, "spec": "#.to_vec();
     page.extend(b"\"\xff\xfe\"}, ");
     page.extend(br#"{"metadata": {"name": "n"}, "spec": {}}], "more": false, "at": 9}"#);
-    let (listing, _) = object_codec::decode_page(StoreEra(2), &page).expect("decodes");
-    expect_that!(listing.objects.len(), eq(2));
+    let page = object_codec::decode_page(StoreEra(2), &page).expect("decodes");
+    expect_that!(page.objects.len(), eq(2));
 }
 
 #[googletest::test]
--- a/tests/gateway/odd_names.rs
+++ b/tests/gateway/odd_names.rs
@@ -84,6 +84,7 @@
         [" ", "&", "+", "#", "%", "?", "/", ".", "..", "../config/main"].map(str::to_owned),
     );
     names.push("i".repeat(LONG_NAME));
+    names.push("\u{1f35e}".repeat(LONG_NAME));
     names
 }
 
