Endpoints: an entry under a name that no endpoint can have is not used

What callers saw: requests went to what another writer's entry named, if it had an endpoint's fields, whatever its name; the report says that such an entry names no replica to use. `X-Expect-Instance` was left out where the name can't stand in a header, so that any endpoint at that address would have run the request.

Cause: an entry's name was taken for an id without a check.

Change: `gateway::endpoint::is_valid_id` says which ids there are: the unreserved characters of URLs, up to 253 bytes, not `.` or `..`. The decoder of entries and lists of peers of the last release use it. Such entries are logged and counted like other invalid ones (foreign_entries).

--- a/src/gateway/endpoint.rs
+++ b/src/gateway/endpoint.rs
@@ -12,6 +12,19 @@
 /// number outside of this range was written by another writer.
 pub const VALID_SLOTS: RangeInclusive<u32> = 1..=65_536;
 
+/// Longest id of an endpoint, in bytes: that of a host name.
+pub const MAX_ID_LENGTH: usize = 253;
+
+/// Whether an endpoint can have this id. It is sent in a header of requests and in URLs of the store, and consists
+/// only of characters that stand for themselves there (RFC 3986, section 2.3). Other names are those of entries of
+/// another writer.
+pub fn is_valid_id(id: &str) -> bool {
+    let is_unreserved =
+        |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'-' | b'.' | b'_' | b'~');
+    let names_folder = matches!(id, "" | "." | "..");
+    !names_folder && id.len() <= MAX_ID_LENGTH && id.bytes().all(is_unreserved)
+}
+
 /// Whether an endpoint takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EndpointState {
@@ -24,7 +37,7 @@
 /// One start of an endpoint.
 #[derive(Clone, Debug, PartialEq)]
 pub struct EndpointRecord {
-    /// Id; a later start may have the same id.
+    /// Id, valid by [`is_valid_id`]; a later start may have the same one.
     pub id: SharedName,
     /// Start time in milliseconds since 1970 by the endpoint's own clock; 0 if not stated.
     pub born: u64,
@@ -66,6 +79,9 @@
     /// Removes the records with values that no endpoint can have, and returns them. A peer of the last
     /// release may pass them on.
     pub fn remove_invalid(&mut self) -> Vec<Rc<EndpointRecord>> {
-        self.endpoints.extract_if(.., |record| !VALID_SLOTS.contains(&record.slots)).collect()
+        let is_invalid = |record: &mut Rc<EndpointRecord>| {
+            !VALID_SLOTS.contains(&record.slots) || !is_valid_id(&record.id)
+        };
+        self.endpoints.extract_if(.., is_invalid).collect()
     }
 }
--- a/src/gateway/gossip/incoming.rs
+++ b/src/gateway/gossip/incoming.rs
@@ -211,7 +211,7 @@
     context.metrics.count("foreign_entries_seen", invalid.len() as u64);
     let first = &invalid[0].id;
     spdlog::warn!("endpoint entries not used", kv: {
-        peer: = sender, first:, count = invalid.len(), reason = "number of slots"
+        peer: = sender, first:, count = invalid.len(), reason = "id or number of slots"
     });
 }
 
--- a/src/platform/endpoints.rs
+++ b/src/platform/endpoints.rs
@@ -2,19 +2,31 @@
 
 use std::net::SocketAddr;
 
+use derive_more::{Display, Error, From};
 use serde::{
     Deserialize, Deserializer,
-    de::{Error, Unexpected},
+    de::{Error as _, Unexpected},
 };
 
 use crate::{
-    gateway::endpoint::{EndpointRecord, EndpointState, VALID_SLOTS},
+    gateway::endpoint::{EndpointRecord, EndpointState, VALID_SLOTS, is_valid_id},
     ids::SharedName,
 };
 
 /// Kind of the endpoints' entries.
 pub const ENDPOINT_KIND: &str = "servers";
 
+/// Why an entry names no endpoint: another writer has written or changed it.
+#[derive(Debug, Display, Error, From)]
+pub enum EntryError {
+    /// Its name can't be the id of an endpoint.
+    #[display("its name is no id of an endpoint")]
+    InvalidId,
+    /// It lacks a field that every endpoint writes, or has one of another type, or a number of slots that no
+    /// endpoint can have.
+    Malformed(serde_json::Error),
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct EndpointSpec {
@@ -63,9 +75,11 @@
 ///
 /// # Errors
 ///
-/// The entry lacks a field that every endpoint writes, or has one of another type, or a number of slots that no
-/// endpoint can have: it was written or changed by another writer.
-pub fn decode(id: SharedName, text: &[u8]) -> Result<EndpointRecord, serde_json::Error> {
+/// The entry was written or changed by another writer.
+pub fn decode(id: SharedName, text: &[u8]) -> Result<EndpointRecord, EntryError> {
+    if !is_valid_id(&id) {
+        return Err(EntryError::InvalidId);
+    }
     let spec: EndpointSpec = serde_json::from_slice(text)?;
     let state = match spec.state {
         EndpointPhase::Ready => EndpointState::Ready,
--- a/src/platform/ingress/endpoint.rs
+++ b/src/platform/ingress/endpoint.rs
@@ -35,7 +35,7 @@
     let headers = request.headers_mut();
     *headers = call.head.headers.clone();
     let mut set = |name: HeaderName, value: String| {
-        // Names from the store that contain control characters cannot be sent; the endpoint then handles
+        // An account's name that contains control characters cannot be sent; the endpoint then handles
         // the request without that header.
         if let Ok(value) = HeaderValue::from_str(&value) {
             headers.insert(name, value);
--- a/tests/gateway/odd_entries.rs
+++ b/tests/gateway/odd_entries.rs
@@ -237,6 +237,19 @@
     expect_that!(ids(&received.endpoints), elements_are![eq("i-1"), eq("i-2")]);
 }
 
+/// Lists of peers that don't check the ids.
+#[googletest::test]
+fn odd_ids_in_a_list_of_a_peer_are_removed_alone() {
+    let odd = ["", "..", "i 0", "i&0", "i\n0", "i/0", "i%410", "\u{e9}"];
+    let records: Vec<EndpointRecord> =
+        odd.into_iter().chain(["i-1", "i-2"]).map(|id| record(id, 5)).collect();
+    let mut received = list(&records);
+    let removed = received.remove_invalid();
+    expect_that!(removed.len(), eq(odd.len()));
+    let left: Vec<&str> = received.endpoints.iter().map(|record| &*record.id).collect();
+    expect_that!(left, elements_are![eq(&"i-1"), eq(&"i-2")]);
+}
+
 /// Interval at which an endpoint writes its entry.
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
 /// Heartbeats after which an endpoint whose entry another writer had replaced is used again: those after which the store
--- a/tests/gateway/odd_names.rs
+++ b/tests/gateway/odd_names.rs
@@ -6,13 +6,14 @@
 
 use googletest::prelude::*;
 use serde_json::json;
+use willowarch::platform::endpoints;
 
 use crate::{
     endpoint_standin::{EndpointManner, EndpointStandin},
     fleet_places::acquire_fleet_slot,
     gateway_site::{
-        AMPLE_RETRIES, Gateway, configuration, endpoint_entry, request_bytes, try_send_raw,
-        wait_for,
+        AMPLE_RETRIES, Gateway, configuration, endpoint_entry, read_metric, request_bytes,
+        try_send_raw, wait_for,
     },
     platform_standin::PlatformStandin,
 };
@@ -218,6 +219,41 @@
     }
 }
 
+/// Entries that an endpoint could have written, but for their names.
+#[googletest::test]
+fn entries_under_odd_names_get_requests() {
+    let _place = acquire_fleet_slot();
+    let mut site = OddNameSite::start();
+    let odd = EndpointStandin::start("odd", EndpointManner::Answer);
+    for name in odd_names() {
+        site.platform.put("servers", &name, endpoint_entry(&odd, "ready"));
+    }
+    site.play(Event::Restart);
+    site.expect_served();
+    expect_that!(odd.seen().len(), eq(0), "requests at the endpoint that the entries name");
+    for daemon in &site.daemons {
+        let foreign = read_metric(daemon.metrics, "foreign_entries");
+        expect_that!(foreign, some(eq(odd_names().len() as f64)));
+    }
+}
+
+#[googletest::test]
+fn odd_names_are_no_ids_of_endpoints() {
+    let entry = json!({"service": "pool", "address": "10.0.0.1:80", "zone": "a", "slots": 4,
+        "state": "ready"});
+    let is_used = |name: &str| endpoints::decode(name.into(), entry.to_string().as_bytes()).is_ok();
+    for name in odd_names() {
+        let shown: String = name.chars().take(40).collect();
+        expect_that!(is_used(&name), eq(false), "{shown:?}");
+    }
+    expect_that!(is_used(""), eq(false));
+    expect_that!(is_used(&"i".repeat(254)), eq(false));
+    let usual = "i".repeat(253);
+    for name in ["i-7f3a91c2", "i-0", "0", "edge_1.hall-a~2", "...", &usual] {
+        expect_that!(is_used(name), eq(true), "{name}");
+    }
+}
+
 macro_rules! daemons_stop_serving_beside_odd_names {
     ($($name:ident: $kind:expr, $event:expr;)*) => {$(
         #[googletest::test]
