Leader: an order whose state cannot be recorded stops no other leader task

If the store takes neither reads nor writes of one order of a roll-out (another writer's, under a name that it refuses), no state of the orders behind it is recorded, and no usage report is sent, for as long as the order stands.

Cause: `record_states` ended at the first error, and `lead` sent the report only after it.

Change: states are written at the same time, as endpoint orders are, so that one that isn't answered doesn't use up the lease's time either; each failure is logged with its service. The report is sent before the error is returned.

Evidence: order_that_cannot_be_recorded_stops_other_leader_tasks failed on (state of the other order; without that check, the report) and passes.

--- a/src/gateway/leader/leader_tasks.rs
+++ b/src/gateway/leader/leader_tasks.rs
@@ -135,7 +135,7 @@
         Ok(())
     }
 
-    /// Renews the lease if necessary, orders endpoints and sends the usage report.
+    /// Renews the lease if necessary, orders endpoints, advances roll-outs and sends the usage report.
     async fn lead(&mut self) -> Result<(), StepError> {
         let is_renewal_due = match self.lease.check_hold().await? {
             HoldDecision::Lose(_) | HoldDecision::Release => return Ok(()),
@@ -157,8 +157,9 @@
         }
         // Orders go first: a report may be sent seconds later without being late.
         self.order_endpoints().await?;
-        self.advance_rollouts().await?;
-        self.send_report().await
+        let advanced = self.advance_rollouts().await;
+        // Sent although a state can't be recorded.
+        self.send_report().await.and(advanced)
     }
 
     /// Advances roll-outs and records their states.
--- a/src/gateway/leader/rollout_tasks.rs
+++ b/src/gateway/leader/rollout_tasks.rs
@@ -7,6 +7,7 @@
 
 use std::time::Duration;
 
+use futures::future::join_all;
 use tokio::time::{Instant, timeout};
 
 use super::lease_store::STORE_TIMEOUT;
@@ -101,13 +102,17 @@
 ///
 /// # Errors
 ///
-/// The store failed or did not respond in time; the states stay due.
+/// The store failed or did not respond in time; the states that it did not take stay due.
 pub async fn record_states(context: &GatewayContext) -> Result<(), StepError> {
     let due = context.rollouts.borrow().unrecorded();
-    for (service, recorded, position) in due {
-        record_state(context, &service, recorded, position).await?;
-    }
-    Ok(())
+    // Sent concurrently: one that fails must delay neither the others nor the renewal of the lease.
+    let writes = due.into_iter().map(async |(service, recorded, position)| {
+        let written = record_state(context, &service, recorded, position).await;
+        written.inspect_err(|error| {
+            spdlog::warn!("roll-out", kv: { outcome = "not recorded", service:, error: });
+        })
+    });
+    join_all(writes).await.into_iter().collect()
 }
 
 async fn record_state(
--- a/tests/gateway/leader_tasks.rs
+++ b/tests/gateway/leader_tasks.rs
@@ -211,3 +211,23 @@
     });
     check_reports(&reports(&platform));
 }
+
+/// The store accepts neither reads nor writes of one order, whose name comes before that of the other.
+#[googletest::test]
+fn order_that_cannot_be_recorded_stops_other_leader_tasks() {
+    let (platform, _endpoint) = start_platform();
+    platform.refuse_object("rollouts", "a");
+    for service in ["a", "pool"] {
+        let order = json!({"service": service, "target-version": "v2", "duration-s": 60});
+        platform.put("rollouts", service, order);
+    }
+    let bounds = json!({"exposure-share": 0.1, "exposure-slack": 50});
+    let gateway = Gateway::start_with("edge-1", &platform, &[], bounds);
+    gateway.wait_ready();
+    wait_for("the state of the other order", || {
+        platform.status("rollouts", "pool").is_some_and(|status| status["state"] == "active")
+    });
+    expect_that!(ask(gateway.clients, "/plain/", "r-0", "key-1", &[], b"").status, eq(200));
+    wait_for("a report of the request", || reported_total(&platform) == 1);
+    check_reports(&reports(&platform));
+}
--- a/tests/gateway/platform_standin.rs
+++ b/tests/gateway/platform_standin.rs
@@ -93,6 +93,8 @@
     /// Most objects on a page of a list; all are on one if there is no limit.
     page_size: Option<usize>,
     list_calls: Vec<ListCall>,
+    /// Kind and name of the object that no call may read or write.
+    refused_object: Option<(String, String)>,
 }
 
 /// The running stand-in.
@@ -173,6 +175,11 @@
         self.lock().page_size = Some(size);
     }
 
+    /// Answers all calls for this object with 400 from now on.
+    pub fn refuse_object(&self, kind: &str, name: &str) {
+        self.lock().refused_object = Some((kind.to_owned(), name.to_owned()));
+    }
+
     /// Calls for pages of lists so far.
     pub fn list_calls(&self) -> Vec<ListCall> {
         self.lock().list_calls.clone()
@@ -488,6 +495,11 @@
 ) {
     let mut state = shared.0.lock().expect("lock");
     let era = state.era;
+    let is_refused = |(of, object): &(String, String)| (&**of, &**object) == (kind, name);
+    if state.refused_object.as_ref().is_some_and(is_refused) {
+        drop(state);
+        return respond(request, era, 400, NO_BODY);
+    }
     let Some(object) = state.contents.object(kind, name) else {
         drop(state);
         return respond(request, era, 404, NO_BODY);
