Native interface: names are encoded in paths

A service's row may be named `a#b` or `a?b` (printable, no blanks or slashes); its plan was then read from and written to the object `a`.

Cause: names of objects and VMs were put into paths as they are.

Change: the client of the platform's services and the tool's calls use `http::url_path`; the stand-in decodes segments.

--- a/src/control/calls.rs
+++ b/src/control/calls.rs
@@ -10,7 +10,10 @@
 
 use crate::{
     errors::{FailureCause, StepError},
-    native::cloud_api::messages::{ObjectEntry, ObjectList, WriteReceipt},
+    native::cloud_api::{
+        client::{kind_path, object_path},
+        messages::{ObjectEntry, ObjectList, WriteReceipt},
+    },
 };
 
 /// Longest wait for a response; an operator waits this long without any output.
@@ -100,12 +103,12 @@
 
     /// Reads one object.
     pub fn read(&self, api: SocketAddr, kind: &str, name: &str) -> Result<ObjectEntry, StepError> {
-        self.get("read object", api, &format!("/objects/{kind}/{name}"))
+        self.get("read object", api, &object_path(kind, name).to_string())
     }
 
     /// Lists the objects of a kind.
     pub fn list(&self, api: SocketAddr, kind: &str) -> Result<ObjectList, StepError> {
-        self.get("list objects", api, &format!("/objects/{kind}"))
+        self.get("list objects", api, &kind_path(kind).to_string())
     }
 
     /// Writes (`Some`) or deletes (`None`) an object, on condition that its version is `version`; 0
@@ -118,7 +121,7 @@
         value: Option<&Value>,
         version: u64,
     ) -> Result<WriteReceipt, StepError> {
-        let url = format!("http://{api}/objects/{kind}/{name}");
+        let url = format!("http://{api}{}", object_path(kind, name));
         let result = match value {
             None => self.agent.delete(url).header("if-match", version.to_string()).call(),
             Some(value) => {
--- a/src/http/url_path.rs
+++ b/src/http/url_path.rs
@@ -1,7 +1,6 @@
 //! Builds paths and queries of URLs from text that may contain any characters.
 
-use std::fmt::Display;
-
+use derive_more::Display;
 use percent_encoding::{AsciiSet, NON_ALPHANUMERIC, utf8_percent_encode};
 
 /// All ASCII characters but those that stand for themselves everywhere in a URL (RFC 3986, section 2.3).
@@ -9,7 +8,8 @@
 
 /// Path and query of a URL. Text that is added to it is encoded, so that it never ends the segment or the value
 /// that it belongs to.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Display)]
+#[display("{text}")]
 pub struct UrlPath {
     text: String,
     /// Character before the next query parameter.
@@ -35,7 +35,7 @@
     }
 
     /// Adds a query parameter.
-    pub fn query(mut self, name: &'static str, value: impl Display) -> Self {
+    pub fn query(mut self, name: &'static str, value: impl ToString) -> Self {
         self.text.push(self.separator);
         self.separator = '&';
         self.text.push_str(name);
--- a/src/native/cloud_api/client.rs
+++ b/src/native/cloud_api/client.rs
@@ -19,7 +19,7 @@
 };
 use crate::{
     errors::{FailureCause, StepError},
-    http::{api_client::ApiClient, client::OutgoingCall},
+    http::{api_client::ApiClient, client::OutgoingCall, url_path::UrlPath},
     store_position::StoreEra,
 };
 
@@ -29,6 +29,16 @@
 /// makes 0.1 calls a second.
 pub const WATCH_WAIT: Duration = Duration::from_secs(10);
 
+/// Path of the objects of a kind.
+pub fn kind_path(kind: &str) -> UrlPath {
+    UrlPath::new("/objects").segment(kind)
+}
+
+/// Path of an object.
+pub fn object_path(kind: &str, name: &str) -> UrlPath {
+    kind_path(kind).segment(name)
+}
+
 /// Condition for a write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WriteCondition {
@@ -61,21 +71,23 @@
 
     /// Reads one object; the value is `None` if the object does not exist.
     pub async fn read_object(&self, kind: &str, name: &str) -> Result<ObjectEntry, StepError> {
-        let call = self.object_api.get("read object", format!("/objects/{kind}/{name}"));
+        let call = self.object_api.get("read object", object_path(kind, name));
         fetch(&self.object_api, call, CALL_LIMIT).await
     }
 
     /// Lists all objects of a kind.
     pub async fn list_objects(&self, kind: &str) -> Result<ObjectList, StepError> {
-        let call = self.object_api.get("list objects", format!("/objects/{kind}"));
+        let call = self.object_api.get("list objects", kind_path(kind));
         let (list, era) = fetch_with_era(&self.object_api, call, CALL_LIMIT).await?;
         Ok(ObjectList { era, ..list })
     }
 
     /// Waits for changes of a kind after `revision`.
     pub async fn watch_objects(&self, kind: &str, revision: u64) -> Result<ObjectList, StepError> {
-        let wait = WATCH_WAIT.as_millis();
-        let path = format!("/watch/{kind}?after={revision}&wait_ms={wait}");
+        let path = UrlPath::new("/watch")
+            .segment(kind)
+            .query("after", revision)
+            .query("wait_ms", WATCH_WAIT.as_millis());
         let call = self.object_api.get("watch objects", path);
         let (list, era) = fetch_with_era(&self.object_api, call, WATCH_WAIT + CALL_LIMIT).await?;
         Ok(ObjectList { era, ..list })
@@ -89,7 +101,7 @@
         value: &Value,
         condition: WriteCondition,
     ) -> Result<WriteReceipt, StepError> {
-        let path = format!("/objects/{kind}/{name}");
+        let path = object_path(kind, name);
         let call = self.object_api.send("write object", Method::PUT, path, value)?;
         let call = match condition {
             WriteCondition::Absent => call.with_header("if-none-match", "*"),
@@ -107,7 +119,9 @@
 
     /// Waits for reclaim notices after `sequence`.
     pub async fn watch_notices(&self, sequence: u64) -> Result<NoticeList, StepError> {
-        let path = format!("/notices?after={sequence}&wait_ms={}", WATCH_WAIT.as_millis());
+        let path = UrlPath::new("/notices")
+            .query("after", sequence)
+            .query("wait_ms", WATCH_WAIT.as_millis());
         let call = self.cloud_api.get("watch notices", path);
         let (list, era) = fetch_with_era(&self.cloud_api, call, WATCH_WAIT + CALL_LIMIT).await?;
         Ok(NoticeList { era, ..list })
@@ -121,7 +135,7 @@
 
     /// Releases the VM with this identity.
     pub async fn release_vm(&self, id: &str) -> Result<Value, StepError> {
-        let mut call = self.cloud_api.get("release VM", format!("/vms/{id}"));
+        let mut call = self.cloud_api.get("release VM", UrlPath::new("/vms").segment(id));
         call.method = Method::DELETE;
         fetch(&self.cloud_api, call, CALL_LIMIT).await
     }
--- a/src/standin/platform.rs
+++ b/src/standin/platform.rs
@@ -65,8 +65,8 @@
     }
 
     async fn handle(&self, request: Request<Incoming>) -> Response<ResponseBody> {
-        let path = request.uri().path().to_owned();
-        let parts: Vec<&str> = path.trim_matches('/').split('/').collect();
+        let segments = reply::path_segments(&request);
+        let parts: Vec<&str> = segments.iter().map(String::as_str).collect();
         let method = request.method().clone();
         match parts.as_slice() {
             ["faults"] => return self.set_faults(request).await,
--- a/src/standin/reply.rs
+++ b/src/standin/reply.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::{Request, Response, StatusCode, body::Incoming};
+use percent_encoding::percent_decode_str;
 use serde::{Serialize, de::DeserializeOwned};
 use serde_json::Value;
 
@@ -70,6 +71,13 @@
     serde_json::from_value(merged).ok()
 }
 
+/// Decoded segments of the path of `request`.
+pub fn path_segments(request: &Request<Incoming>) -> Vec<String> {
+    let segments = request.uri().path().trim_matches('/').split('/');
+    let decode = |segment| percent_decode_str(segment).decode_utf8_lossy().into_owned();
+    segments.map(decode).collect()
+}
+
 /// Numeric parameters in the query of `request`; others are left out.
 pub fn query(request: &Request<Incoming>) -> HashMap<String, u64> {
     let pairs = request.uri().query().unwrap_or("").split('&');
--- a/tests/native/main.rs
+++ b/tests/native/main.rs
@@ -13,6 +13,7 @@
 mod fleet_planning;
 mod kernel_lifecycle;
 mod malformed_responses;
+mod object_paths;
 mod pausing_engines;
 mod peer_admission;
 mod promises;
