Store: a list is handed on page by page

Large objects of another writer among the endpoints, the configurations or the logs of streams count towards the daemon's memory all at once when it lists them: 80 objects of 1 MB let a daemon on a VM of 64 MB grow to 101 MB, where the VM's limit ends the process, again after each restart.

Cause: `list` collected all objects of a kind before the caller took what it needs.

Change: `list` calls a function with each object of a page, so that a page at most is held. The watch of endpoints counts entries that name none as they come, in place of a look-up of each known one in the whole list. The configuration of a page is in force although a later page fails.

--- a/src/gateway/gossip/streams/list_check.rs
+++ b/src/gateway/gossip/streams/list_check.rs
@@ -19,7 +19,10 @@
     errors::{FailureCause, StepError},
     gateway::context::GatewayContext,
     ids::SharedName,
-    platform::endpoints::{self, ENDPOINT_KIND},
+    platform::{
+        endpoints::{self, ENDPOINT_KIND},
+        store::StoredObject,
+    },
 };
 
 /// Longest time for which a request waits until the list is read.
@@ -118,19 +121,19 @@
 ///
 /// The store failed, or was restored from a copy since this daemon's list: entries may be missing.
 async fn read_versions(context: &GatewayContext) -> Result<ListedVersions, StepError> {
-    let listing = context.store.list(ENDPOINT_KIND).await?;
-    let is_complete = listing.position.era() == context.endpoint_list.borrow().position.era()
-        && !context.entry_history.borrow().is_rewriting();
-    if !is_complete {
-        let store = context.settings.store_address.to_string();
-        return Err(StepError::new("check endpoint versions", store, FailureCause::FormerEra));
-    }
     let mut versions = ListedVersions::new();
-    for object in listing.objects {
+    let add_version = |object: StoredObject| {
         // An entry that can't be decoded names no endpoint.
         if let Ok(record) = endpoints::decode(object.name, object.value.as_bytes()) {
             versions.entry(record.service).or_default().insert(record.version);
         }
+    };
+    let position = context.store.list(ENDPOINT_KIND, add_version).await?;
+    let is_complete = position.era() == context.endpoint_list.borrow().position.era()
+        && !context.entry_history.borrow().is_rewriting();
+    if !is_complete {
+        let store = context.settings.store_address.to_string();
+        return Err(StepError::new("check endpoint versions", store, FailureCause::FormerEra));
     }
     Ok(versions)
 }
--- a/src/gateway/gossip/streams/log.rs
+++ b/src/gateway/gossip/streams/log.rs
@@ -17,7 +17,7 @@
         context::GatewayContext,
         policy::request::stream_origin::{StreamStart, stream_life, stream_log::StreamSegment},
     },
-    platform::store::{WriteCondition, WriteResult},
+    platform::store::{StoredObject, WriteCondition, WriteResult},
 };
 
 /// Name of the service.
@@ -173,15 +173,15 @@
 ///
 /// The store failed or did not respond in time.
 async fn read_log(context: &GatewayContext) -> Result<(), StepError> {
-    let listing = context.store.list(LOG_KIND).await?;
+    let mut segments: Vec<StreamSegment> = Vec::new();
+    // An object that can't be decoded isn't a log.
+    let add_segment =
+        |object: StoredObject| segments.extend(serde_json::from_str(&object.value).ok());
+    context.store.list(LOG_KIND, add_segment).await?;
     let now = boot_clock::now();
     let now_ms = context.wall_clock.borrow().now_ms(now);
-    let decoded = listing.objects.iter().filter_map(|object| {
-        // An object that can't be decoded isn't a log.
-        serde_json::from_str::<StreamSegment>(&object.value).ok()
-    });
     let streams: Vec<LoggedStream> =
-        decoded.flat_map(|segment| streams_of(&segment, now_ms)).collect();
+        segments.iter().flat_map(|segment| streams_of(segment, now_ms)).collect();
     context.metrics.count("streams_restored", streams.len() as u64);
     let life = stream_life(context.configuration().as_deref());
     context.streams.restore(streams, life, now);
--- a/src/gateway/store_watch/configuration_watch.rs
+++ b/src/gateway/store_watch/configuration_watch.rs
@@ -74,12 +74,12 @@
 /// Lists the configuration; returns the store's position.
 async fn list_configuration(context: &GatewayContext) -> Result<StorePosition, StepError> {
     let asked_at = boot_clock::now();
-    let listing = context.store.list(CONFIGURATION_KIND).await?;
-    let object = listing.objects.iter().find(|object| &*object.name == CONFIGURATION_NAME);
-    if let Some(object) = object {
-        apply_configuration(context, object, asked_at);
-    }
-    Ok(listing.position)
+    let apply = |object: StoredObject| {
+        if &*object.name == CONFIGURATION_NAME {
+            apply_configuration(context, &object, asked_at);
+        }
+    };
+    context.store.list(CONFIGURATION_KIND, apply).await
 }
 
 /// Watches the configuration from `position`.
--- a/src/gateway/store_watch/endpoint_watch.rs
+++ b/src/gateway/store_watch/endpoint_watch.rs
@@ -23,7 +23,7 @@
     ids::SharedName,
     platform::{
         endpoints::{self, ENDPOINT_KIND},
-        store::{ObjectChange, ObjectListing, StoredObject, WatchResult},
+        store::{ObjectChange, StoredObject, WatchResult},
     },
     store_position::StorePosition,
 };
@@ -83,8 +83,7 @@
     /// Makes one call to the store and applies the result.
     async fn step(&mut self) -> Result<(), StepError> {
         let Some(mut known) = self.known.take() else {
-            let listing = self.context.store.list(ENDPOINT_KIND).await?;
-            let known = self.read_listing(&listing);
+            let known = self.read_all().await?;
             self.read_orders_of_new_versions(&known).await?;
             self.publish(&known);
             self.known = Some(known);
@@ -106,11 +105,16 @@
         Ok(())
     }
 
-    fn read_listing(&mut self, listing: &ObjectListing) -> KnownEndpoints {
-        self.foreign.retain_listed(&listing.objects);
-        let records = listing.objects.iter().filter_map(|object| self.decode(object));
-        let by_id = records.map(|record| (record.id.clone(), record)).collect();
-        KnownEndpoints { position: listing.position, by_id }
+    async fn read_all(&mut self) -> Result<KnownEndpoints, StepError> {
+        self.foreign.begin_listing();
+        let mut by_id = BTreeMap::new();
+        let context = self.context.clone();
+        let add_record = |object: StoredObject| {
+            by_id.extend(self.decode(&object).map(|record| (record.id.clone(), record)));
+        };
+        let position = context.store.list(ENDPOINT_KIND, add_record).await?;
+        self.foreign.end_listing();
+        Ok(KnownEndpoints { position, by_id })
     }
 
     fn apply(&mut self, known: &mut KnownEndpoints, changes: &[ObjectChange]) {
--- a/src/gateway/store_watch/foreign_entries.rs
+++ b/src/gateway/store_watch/foreign_entries.rs
@@ -18,18 +18,22 @@
 #[derive(Debug)]
 pub struct ForeignEntries {
     positions: BTreeMap<SharedName, StorePosition>,
+    /// Those known before a listing that is in progress.
+    former: BTreeMap<SharedName, StorePosition>,
     lines: LineBudget,
 }
 
 impl ForeignEntries {
     /// Creates an empty set.
     pub fn new(now: Instant) -> Self {
-        Self { positions: BTreeMap::new(), lines: LineBudget::new(LINES_PER_S, now) }
+        let lines = LineBudget::new(LINES_PER_S, now);
+        Self { positions: BTreeMap::new(), former: BTreeMap::new(), lines }
     }
 
     /// Records an entry that was not written by an endpoint, and logs it unless this change is known.
     pub fn observe(&mut self, context: &GatewayContext, object: &StoredObject, reason: &str) {
         let known = self.positions.insert(object.name.clone(), object.position);
+        let known = known.or_else(|| self.former.get(&object.name).copied());
         if known == Some(object.position) || !self.lines.allows(boot_clock::now()) {
             return;
         }
@@ -45,9 +49,15 @@
         self.positions.remove(name);
     }
 
-    /// Removes all entries that are missing from a new listing.
-    pub fn retain_listed(&mut self, listed: &[StoredObject]) {
-        self.positions.retain(|name, _| listed.iter().any(|object| object.name == *name));
+    /// Begins a listing of all entries, in which those that are still there are observed again.
+    pub fn begin_listing(&mut self) {
+        // A listing may have failed before.
+        self.former.append(&mut self.positions);
+    }
+
+    /// Forgets the entries that the listing does not contain.
+    pub fn end_listing(&mut self) {
+        self.former.clear();
     }
 
     /// Number of entries that were not written by an endpoint.
--- a/src/gateway/store_watch/rollout_watch.rs
+++ b/src/gateway/store_watch/rollout_watch.rs
@@ -92,15 +92,15 @@
 ///
 /// A call failed.
 pub async fn read_all(context: &GatewayContext) -> Result<StorePosition, StepError> {
-    let listing = context.store.list(ROLLOUT_KIND).await?;
-    for object in &listing.objects {
-        observe_order(context, object);
-    }
-    let listed: Vec<SharedName> =
-        listing.objects.iter().map(|object| object.name.clone()).collect();
+    let mut listed: Vec<SharedName> = Vec::new();
+    let observe = |object: StoredObject| {
+        observe_order(context, &object);
+        listed.push(object.name);
+    };
+    let position = context.store.list(ROLLOUT_KIND, observe).await?;
     let now = boot_clock::now();
-    context.rollouts.borrow_mut().retain_listed(&listed, listing.position, now);
-    Ok(listing.position)
+    context.rollouts.borrow_mut().retain_listed(&listed, position, now);
+    Ok(position)
 }
 
 /// Applies an order as the store holds it.
--- a/src/platform/store.rs
+++ b/src/platform/store.rs
@@ -55,15 +55,6 @@
     pub status: Box<str>,
 }
 
-/// All objects of a kind at one position of the store.
-#[derive(Clone, Debug, Default)]
-pub struct ObjectListing {
-    /// Objects, sorted by name.
-    pub objects: Vec<StoredObject>,
-    /// Position of the store, from which a watch can continue.
-    pub position: StorePosition,
-}
-
 /// A change that a watch has returned.
 #[derive(Clone, Debug)]
 pub enum ObjectChange {
--- a/src/platform/store/listing.rs
+++ b/src/platform/store/listing.rs
@@ -2,15 +2,18 @@
 //!
 //! Other writers may have created any of the objects. Names that can't be sent are replaced by text that sorts
 //! right behind them, so that the objects after them are listed. An incomplete list is an error: what it lacks would
-//! count as deleted.
+//! count as deleted. Objects are handed on page by page, since all of them together may be larger than the memory.
 
 use std::collections::HashSet;
 
 use super::{
-    CALL_TIMEOUT, ObjectListing, StoreClient, kind_path,
+    CALL_TIMEOUT, StoreClient, StoredObject, kind_path,
     object_codec::{ObjectPage, decode_page},
 };
-use crate::errors::{FailureCause, StepError};
+use crate::{
+    errors::{FailureCause, StepError},
+    store_position::StorePosition,
+};
 
 /// Name of the call, for errors.
 const STEP: &str = "list objects";
@@ -21,24 +24,29 @@
 const BEHIND_SURROGATES: char = '\u{e000}';
 
 impl StoreClient {
-    /// Lists all objects of a kind, page by page. Changes made before the call are included.
+    /// Lists all objects of a kind, page by page, and calls `visit` with each. Changes made before the call are
+    /// included. Returns the position of the store from which a watch can continue.
     ///
     /// # Errors
     ///
     /// A call failed, the store was restored from a copy between two pages, or a page doesn't come behind those
-    /// before it.
-    pub async fn list(&self, kind: &str) -> Result<ObjectListing, StepError> {
-        // The listing has the position of the first page: a watch from there returns all later changes.
+    /// before it. Some objects may have been visited.
+    pub async fn list(
+        &self,
+        kind: &str,
+        mut visit: impl FnMut(StoredObject),
+    ) -> Result<StorePosition, StepError> {
         let mut page = self.list_page(kind, None).await?;
-        let mut listing = ObjectListing { position: page.position, ..ObjectListing::default() };
+        // A watch from the position of the first page returns all later changes.
+        let position = page.position;
         let mut starts = HashSet::new();
         loop {
-            if page.position.era() != listing.position.era() {
+            if page.position.era() != position.era() {
                 return Err(self.api.get(STEP, "").error(FailureCause::FormerEra));
             }
-            listing.objects.append(&mut page.objects);
+            page.objects.into_iter().for_each(&mut visit);
             if !page.has_more {
-                return Ok(listing);
+                return Ok(position);
             }
             let start = page.last_name.as_deref().map(start_behind);
             let Some(start) = start.filter(|start| starts.insert(start.clone())) else {
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -10,6 +10,7 @@
 mod crowd_soak;
 mod ended_connections;
 mod event_crowds;
+mod large_entries;
 mod refused_bodies;
 mod whole_bodies;
 
--- a/tests/gateway/object_lists.rs
+++ b/tests/gateway/object_lists.rs
@@ -25,9 +25,10 @@
 /// Names that a store lists, or the cause of the error.
 async fn listed_names(standin: &ListStandin) -> std::result::Result<Vec<String>, FailureCause> {
     let store = StoreClient::new(standin.address);
-    let listed = timeout(WAIT_TIMEOUT, store.list(KIND)).await.expect("an end of the list");
-    let listing = listed.map_err(|error| error.cause)?;
-    Ok(listing.objects.iter().map(|object| object.name.to_string()).collect())
+    let mut names = Vec::new();
+    let listing = store.list(KIND, |object| names.push(object.name.to_string()));
+    let listed = timeout(WAIT_TIMEOUT, listing).await.expect("an end of the list");
+    listed.map(|_| names).map_err(|error| error.cause)
 }
 
 /// Lists a store with this name, a JSON string, between two usual ones. Each object is on a page of its own.
--- a/tests/gateway/store_connections.rs
+++ b/tests/gateway/store_connections.rs
@@ -18,9 +18,9 @@
     let proxy = LoopbackProxy::start(platform.address);
     let store = StoreClient::new(proxy.address);
     // Two calls at once leave two connections in the pool.
-    let (first, second) = tokio::join!(store.list(KIND), store.list(KIND));
+    let (first, second) = tokio::join!(store.list(KIND, drop), store.list(KIND, drop));
     assert_that!((first.is_ok(), second.is_ok()), eq((true, true)));
     proxy.silence_open();
-    assert_that!(store.list(KIND).await.is_ok(), eq(false));
-    assert_that!(store.list(KIND).await.is_ok(), eq(true));
+    assert_that!(store.list(KIND, drop).await.is_ok(), eq(false));
+    assert_that!(store.list(KIND, drop).await.is_ok(), eq(true));
 }
--- a/tests/gateway/store_positions.rs
+++ b/tests/gateway/store_positions.rs
@@ -141,7 +141,7 @@
     platform.put(KIND, "main", json!({"version": 1}));
     platform.copy_contents();
     let store = StoreClient::new(platform.address);
-    let position = store.list(KIND).await.expect("listing").position;
+    let position = store.list(KIND, drop).await.expect("listing");
     assert_that!(position, eq(at(1, 1)));
     platform.restore_copy();
     let watched = store.watch(KIND, position, WAIT).await.expect("answer");
@@ -154,9 +154,9 @@
     let platform = PlatformStandin::start();
     platform.set_era(5);
     let store = StoreClient::new(platform.address);
-    assert_that!(store.list(KIND).await.is_ok(), eq(true));
+    assert_that!(store.list(KIND, drop).await.is_ok(), eq(true));
     platform.set_era(4);
-    let error = store.list(KIND).await.expect_err("an answer of era 4");
+    let error = store.list(KIND, drop).await.expect_err("an answer of era 4");
     assert_that!(error.cause, eq(&FailureCause::FormerEra));
     assert_that!(store.era(), eq(StoreEra(5)));
 }
