Test: accounts with names beyond ASCII are named to endpoints

Already handled, the test is kept: X-Tenant holds the name as it is, also beyond ASCII and with `&`, `+`, `#`, `%` and blanks. Passes without a change of the product.

--- a/tests/gateway/odd_configurations.rs
+++ b/tests/gateway/odd_configurations.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     endpoint_standin::EndpointManner,
-    gateway_site::{Gateway, Site, configuration, wait_for},
+    gateway_site::{Gateway, Site, ask, configuration, wait_for},
 };
 
 /// Time in which a daemon applies a configuration and its leader tasks have run with it.
@@ -110,3 +110,21 @@
     }
     expect_that!(site.gateway.has_ended(), eq(false));
 }
+
+/// Accounts' names are text of the operators; endpoints are told them as they are.
+#[googletest::test]
+fn accounts_with_names_beyond_ascii_are_named_to_endpoints() {
+    let site = Site::start(&[EndpointManner::Answer]);
+    for (number, name) in ["l\u{e6}ser", "\u{8aad}\u{8005}", "a&b+c#d%41 e"].into_iter().enumerate()
+    {
+        let key = format!("key-of-{number}");
+        let mut named = configuration(4 + number as u64, &[&key]);
+        named["tenants"][0]["name"] = json!(name);
+        site.platform.put("config", "main", named);
+        wait_for("a response to the account", || {
+            ask(site.gateway.clients, "/plain/", "named", &key, &[], b"").status == 200
+        });
+        let seen = site.endpoints[0].seen();
+        expect_that!(seen.last().expect("a request").header("x-tenant"), some(eq(name)));
+    }
+}
