Soak: entries under odd names, in lists of one object a page

Another writer's entries stand under odd names among the objects of each kind all the time, also in the checks after the faults; the endpoint that they name must get no requests. The lane has random numbers of its own; the draws of the others are as before.

--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -5,7 +5,8 @@
 //! their responses that they drain, want a back-off or have a limit. Endpoints of two software versions
 //! serve side by side, and clients take streams that have broken off up again at other daemons. Daemons are replaced
 //! at other addresses while the seeds of all stay, and endpoints send bytes without end. Brittle
-//! endpoints get more requests than they can serve, and start again. Another writer creates odd entries, daemons are
+//! endpoints get more requests than they can serve, and start again. Another writer creates odd entries and entries
+//! under odd names, in lists of several pages, daemons are
 //! suspended during a release, and the times of the configuration that end connections rise and fall. The guarantees
 //! are checked against what clients, endpoints and the platform have recorded.
 //!
@@ -43,6 +44,8 @@
     soak_times::{self, BODY_CLIENTS, ClientTimes, KEPT_CLIENTS, TimesTraffic, with_timed_service},
 };
 
+/// Most objects on a page of the store's lists.
+const PAGE_SIZE: usize = 1;
 /// Number of seeds if `SOAK_SEEDS` is not set.
 const DEFAULT_SEEDS: u64 = 7;
 /// Number of daemons if `SOAK_DAEMONS` is not set.
@@ -241,6 +244,7 @@
 impl SoakSite {
     fn start(daemon_count: usize, retries: (f64, u32)) -> Self {
         let platform = Arc::new(PlatformStandin::start());
+        platform.set_page_size(PAGE_SIZE);
         let faults: Arc<LinkFaults> = Arc::default();
         let crash_traffic = CrashTraffic::start(&platform, &faults);
         let signal_traffic = SignalTraffic::start(&platform, &faults);
@@ -590,6 +594,7 @@
         let endpoints = &site.endpoints;
         scope.spawn(move || pause_responses(endpoints, PauseKinds::All, seed, until));
         scope.spawn(|| site.odd_entries.write_entries(until, seed));
+        scope.spawn(|| site.odd_entries.write_odd_names(until, seed));
         play_release(scope, &site, addresses, until, seed);
         play_times(scope, &site, addresses, until, seed);
     });
@@ -605,6 +610,7 @@
     site.brittle_traffic.check();
     site.release_traffic.check();
     site.times_traffic.check();
+    site.odd_entries.check_odd_names();
     check_configuration(&site, &addresses);
     let paused = play_pauses(&site, &addresses, seed);
     check_paused(&paused);
--- a/tests/gateway/soak_entries.rs
+++ b/tests/gateway/soak_entries.rs
@@ -1,8 +1,10 @@
 //! Part of the soak test with odd entries that another writer creates among those of the endpoints and removes
 //! after a while: numbers and nesting beyond what readers hold, and addresses that are none. Whatever a daemon takes
-//! an entry for, the endpoint it names serves, and all guarantees have to hold.
+//! an entry for, the endpoint it names serves, and all guarantees have to hold. Further entries have names that no
+//! endpoint can have, and stand among the objects of all kinds; the endpoint that they name gets no requests.
 
 use std::{
+    collections::BTreeMap,
     ops::Range,
     sync::Arc,
     thread,
@@ -13,6 +15,8 @@
 
 use crate::{
     endpoint_standin::{EndpointManner, EndpointStandin},
+    gateway_site::endpoint_entry,
+    odd_names::odd_names,
     platform_standin::PlatformStandin,
     soak_brittle, soak_signals,
 };
@@ -28,8 +32,13 @@
 const LONG_NUMBER_DIGITS: usize = 400;
 /// Fields that may hold a number beyond what readers hold.
 const NUMBER_FIELDS: [&str; 5] = ["slots", "cold-left-ms", "seq", "born", "unknown"];
+/// Kinds of objects among which entries under odd names stand.
+const KINDS: [&str; 4] = ["servers", "config", "rollouts", "gateway-streams"];
 /// Distinguishes the random numbers of this part from those of the other faults.
 const SEED_OFFSET: u64 = 11_000_000;
+const NAME_SEED_OFFSET: u64 = 12_000_000;
+/// Characters of a name that are printed.
+const MAX_SHOWN: usize = 20;
 
 /// What is odd about an entry.
 #[derive(Clone, Copy, Debug)]
@@ -77,6 +86,8 @@
 pub struct OddEntries {
     platform: Arc<PlatformStandin>,
     endpoints: Vec<EndpointStandin>,
+    /// The one that entries under odd names name.
+    unused: EndpointStandin,
 }
 
 impl OddEntries {
@@ -86,7 +97,9 @@
             endpoint.set_label(VERSION);
             endpoint
         };
-        Self { platform: platform.clone(), endpoints: SERVICES.iter().map(start).collect() }
+        let endpoints = SERVICES.iter().map(start).collect();
+        let unused = EndpointStandin::start("odd-name", EndpointManner::Serve);
+        Self { platform: platform.clone(), endpoints, unused }
     }
 
     /// The endpoint that may run requests for the service of most requests.
@@ -129,4 +142,30 @@
             thread::sleep(Duration::from_millis(rng.random_range(PAUSE_MS)));
         }
     }
+
+    /// Writes entries under odd names among the objects of each kind until then, one after the other; the last ones
+    /// stay.
+    pub fn write_odd_names(&self, until: Instant, seed: u64) {
+        let mut rng = SmallRng::seed_from_u64(NAME_SEED_OFFSET + seed);
+        let names = odd_names();
+        let mut written: BTreeMap<&str, &str> = BTreeMap::new();
+        while Instant::now() < until {
+            let kind = *KINDS.choose(&mut rng).expect("a kind");
+            let name = names.choose(&mut rng).expect("a name").as_str();
+            let shown: String = name.chars().take(MAX_SHOWN).collect();
+            println!("seed {seed}: an entry of {kind} named {shown:?}");
+            self.platform.put(kind, name, endpoint_entry(&self.unused, "ready"));
+            let former = written.insert(kind, name);
+            if let Some(former) = former.filter(|former| *former != name) {
+                self.platform.remove(kind, former);
+            }
+            thread::sleep(Duration::from_millis(rng.random_range(ENTRY_MS)));
+        }
+    }
+
+    /// Checks that no entry under an odd name was used.
+    pub fn check_odd_names(&self) {
+        let seen = self.unused.seen().len();
+        assert_eq!(seen, 0, "requests at the endpoint of entries under odd names");
+    }
 }
