--- a/src/platform/store/listing.rs
+++ b/src/platform/store/listing.rs
@@ -84,5 +84,6 @@
 
 /// The text of a name up to the first half of a surrogate pair.
 fn leading_text(name: &[u8]) -> &str {
+    // An empty name has no parts.
     name.utf8_chunks().next().map(|chunk| chunk.valid()).unwrap_or_default()
 }
