Platform calls: a call that was given up no longer arrives when the lease is another daemon's

Cause: the connection of a call that was given up was closed in order, so the kernel went on sending. The same happened when the leader stopped in order, was killed, or was restarted at its address, and when the caller's task ended; a frozen process neither timed out nor closed. A call that waited for its connection while the VM was suspended was written after its limit.

Change: connections to the platform are reset whoever ends them (linger time 0, no shutdown before it), TCP_USER_TIMEOUT of one second, and a call with a fence is not written after its limit, nor lasts longer than the lease.

--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -91,10 +91,11 @@
         self.seen.as_ref().map(|seen| &seen.record)
     }
 
-    /// Name and fence that calls to the cloud carry.
+    /// Name and fence that calls to the cloud carry, and when these calls have to end.
     pub fn holder(&self) -> LeaseHolder {
-        let fence = self.context.lease.borrow().fence;
-        LeaseHolder { name: self.context.settings.name.clone(), fence }
+        let lease = self.context.lease.borrow();
+        let ends_at = lease.ends_at(self.lease_duration()).unwrap_or_else(boot_clock::now);
+        LeaseHolder { name: self.context.settings.name.clone(), fence: lease.fence, ends_at }
     }
 
     pub(super) fn lease_duration(&self) -> Duration {
--- a/src/gateway/policy/leader/leader_lease.rs
+++ b/src/gateway/policy/leader/leader_lease.rs
@@ -7,7 +7,7 @@
 //! (fencing token) rises with every new holder. Clocks of daemons are never compared: each daemon
 //! measures with its own monotonic clock from the start of its call to the store, which is before
 //! the store's response. The holder acts for `ACTIVE_FRACTION` of the lease duration after a
-//! renewal, and its calls to the cloud time out after a second. Others acquire the lease only after
+//! renewal, and its calls to the cloud time out after a second, at the latest when the lease ends. Others acquire the lease only after
 //! they have seen the object unchanged for the lease duration and [`ACQUIRE_MARGIN`], so two
 //! holders can't act at the same time.
 //!
@@ -37,7 +37,8 @@
 };
 
 /// Time that others wait in addition to the lease duration before they acquire it: the holder's
-/// last call has ended by then.
+/// last call has ended by then, and its connection was reset if it had no response
+/// (`http::connector`).
 pub const ACQUIRE_MARGIN: Duration = Duration::from_millis(400);
 /// Fraction of the lease duration after which its holder no longer acts without a renewal: leaves a
 /// second for the holder's last call.
@@ -113,6 +114,11 @@
         self.own && self.renewed_at.is_some_and(is_active)
     }
 
+    /// When the lease ends unless it is renewed; none if no renewal is known.
+    pub fn ends_at(&self, lease_duration: Duration) -> Option<Instant> {
+        self.renewed_at.map(|at| at + lease_duration)
+    }
+
     /// Applies a peer's report of a renewal. Delayed messages make a renewal look newer than it is,
     /// so of two reports of the same renewal the earlier start is kept.
     pub fn observe(&mut self, renewal: LeaseRenewal) {
--- a/src/http/api_client.rs
+++ b/src/http/api_client.rs
@@ -1,7 +1,8 @@
 //! Client of a JSON API: counts calls, limits the time of each, and converts failures into
 //! [`StepError`].
 //!
-//! After a call that timed out, further calls use new connections, because the other open
+//! A call that was given up does not arrive later: its connection is reset, so that the kernel does not go on
+//! sending. After a call that timed out, further calls use new connections, because the other open
 //! connections may have stopped responding too.
 //!
 //! The gateway (`platform::{store, cloud}`) and the native interface (`native::cloud_api`) both use
@@ -31,7 +32,8 @@
 impl ApiClient {
     /// Creates a client of the API at `address`.
     pub fn new(address: impl ToString) -> Self {
-        Self { http: Rc::default(), address: address.to_string().into(), calls: Rc::default() }
+        let http = Rc::new(RefCell::new(HttpClient::without_late_calls()));
+        Self { http, address: address.to_string().into(), calls: Rc::default() }
     }
 
     /// Creates a client of another address that shares connections and the count of calls.
@@ -82,7 +84,7 @@
 
     /// Makes further calls use new connections; those that are open may no longer respond.
     pub fn discard_connections(&self) {
-        *self.http.borrow_mut() = HttpClient::new();
+        *self.http.borrow_mut() = HttpClient::without_late_calls();
     }
 }
 
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -7,22 +7,22 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, Uri, body::Incoming};
-use hyper_util::{
-    client::legacy::{Client, connect::HttpConnector},
-    rt::TokioExecutor,
-};
+use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use serde::de::DeserializeOwned;
+use tokio::time::Instant;
 
 use crate::{
     errors::{FailureCause, StepError},
-    http::response_framing::read_framing,
+    http::{
+        call_body::CallBody,
+        connector::{TcpConnector, UnacknowledgedBytes},
+        response_framing::read_framing,
+    },
     timeouts::{Elapsed, wait_at_most},
 };
 
-/// Longest wait for a TCP connection: the same as the shortest limit of a whole call.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Longest time an unused connection stays open: longer than any watch, so that successive watches
 /// use the same connection.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
@@ -87,6 +87,8 @@
     pub headers: Vec<(&'static str, String)>,
     /// Body.
     pub body: Bytes,
+    /// Time of `boot_clock` after which the call, if it has a body, is not written.
+    pub write_by: Option<Instant>,
 }
 
 impl OutgoingCall {
@@ -99,6 +101,7 @@
             path: path.into(),
             headers: Vec::new(),
             body: Bytes::new(),
+            write_by: None,
         }
     }
 
@@ -116,12 +119,18 @@
         self
     }
 
+    /// Sets the time of `boot_clock` after which the call, which must have a body, is not written.
+    pub fn write_by(mut self, time: Instant) -> Self {
+        self.write_by = Some(time);
+        self
+    }
+
     /// Creates an error of this call.
     pub fn error(&self, cause: FailureCause) -> StepError {
         StepError::new(self.step, self.peer.as_str(), cause)
     }
 
-    fn build(&self) -> Result<Request<Full<Bytes>>, StepError> {
+    fn build(&self) -> Result<Request<CallBody>, StepError> {
         let malformed = |error: String| self.error(FailureCause::Malformed(error));
         let uri: Uri = format!("http://{}{}", self.peer, self.path)
             .parse()
@@ -130,14 +139,15 @@
         for (name, value) in &self.headers {
             builder = builder.header(*name, value);
         }
-        builder.body(Full::new(self.body.clone())).map_err(|error| malformed(error.to_string()))
+        let body = CallBody::new(self.body.clone(), self.write_by);
+        builder.body(body).map_err(|error| malformed(error.to_string()))
     }
 }
 
 /// Pooling HTTP client.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<TcpConnector, CallBody>,
 }
 
 impl Default for HttpClient {
@@ -149,9 +159,15 @@
 impl HttpClient {
     /// Creates a client with the limits above that never retries a request.
     pub fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_nodelay(true);
+        Self::with_connector(TcpConnector::new(UnacknowledgedBytes::Delivered))
+    }
+
+    /// Creates a client whose calls don't arrive after they were given up: its connections are reset.
+    pub fn without_late_calls() -> Self {
+        Self::with_connector(TcpConnector::new(UnacknowledgedBytes::Discarded))
+    }
+
+    fn with_connector(connector: TcpConnector) -> Self {
         let client = Client::builder(TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
             .pool_timer(hyper_util::rt::TokioTimer::new())
--- a/src/platform/cloud.rs
+++ b/src/platform/cloud.rs
@@ -1,15 +1,18 @@
 //! Calls to the cloud's API by the leader: usage reports and orders of endpoints.
 //!
 //! Each call carries the leader's name and fence, so that the cloud can refuse a leader that has been
-//! replaced. A call that times out may have been carried out; both kinds of calls can be retried, since
+//! replaced. A call is neither written nor left on its way once the lease may be another daemon's. A call
+//! that times out may have been carried out; both kinds of calls can be retried, since
 //! they state totals, not changes.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
 use hyper::{Method, StatusCode};
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::{
+    boot_clock,
     errors::StepError,
     http::api_client::{ApiClient, ApiResponse},
     ids::SharedName,
@@ -26,6 +29,8 @@
     pub name: SharedName,
     /// Fencing number; rises whenever the holder changes.
     pub fence: u64,
+    /// When the lease ends unless it is renewed, a time of `boot_clock`.
+    pub ends_at: Instant,
 }
 
 /// Outcome of a call to the cloud.
@@ -119,12 +124,15 @@
         holder: &LeaseHolder,
         body: &impl Serialize,
     ) -> Result<ApiResponse, StepError> {
+        let now = boot_clock::now();
+        let limit = holder.ends_at.saturating_duration_since(now).min(CALL_TIMEOUT);
         let call = self
             .api
             .send(step, Method::POST, path, body)?
             .with_header("x-duty-holder", &holder.name)
-            .with_header("x-fencing-token", holder.fence);
-        self.api.fetch(call, CALL_TIMEOUT).await
+            .with_header("x-fencing-token", holder.fence)
+            .write_by(now + limit);
+        self.api.fetch(call, limit).await
     }
 }
 
