Configuration: an empty list of accounts knows no key, in place of asking for none

Cause: whether there are accounts and how many was one value, so the removal of the last account opened all routes.

Change: Configuration::requires_keys is set by the presence of the list. The line `configuration` shows `requires_keys` and `accounts`, a warning says when a version no longer asks for keys, and the operators' tool reports an empty list.

--- a/src/gateway/configuration.rs
+++ b/src/gateway/configuration.rs
@@ -186,6 +186,8 @@
     pub services: HashMap<SharedName, Rc<Service>>,
     /// Accounts by name.
     pub accounts: HashMap<SharedName, Rc<Account>>,
+    /// Whether requests need an API key, except on public routes. Without any account every key is unknown.
+    pub requires_keys: bool,
     /// Limits for clients.
     pub limits: ClientLimits,
     /// Longest time limit of the routes whose responses are streams, if they have any.
@@ -215,8 +217,9 @@
         self.services.insert(service.name.clone(), Rc::new(service));
     }
 
-    /// Adds an account and its API keys.
+    /// Adds an account and its API keys, which requests need from now on.
     pub fn add_account(&mut self, account: Account, keys: impl IntoIterator<Item = SharedName>) {
+        self.requires_keys = true;
         let account = Rc::new(account);
         self.accounts.insert(account.name.clone(), account.clone());
         for key in keys {
--- a/src/gateway/configuration/configuration_check.rs
+++ b/src/gateway/configuration/configuration_check.rs
@@ -32,6 +32,9 @@
     /// A service for which no endpoint may be ordered.
     #[display("service {_0}: autoscale.max is 0")]
     EmptyFleet(SharedName),
+    /// No request can have a known key.
+    #[display("tenants is empty: all keys are refused")]
+    NoAccounts,
 }
 
 /// Finds all problems of a configuration.
@@ -53,6 +56,9 @@
             found.push(ConfigurationProblem::EmptyFleet(service.name.clone()));
         }
     }
+    if configuration.requires_keys && configuration.accounts.is_empty() {
+        found.push(ConfigurationProblem::NoAccounts);
+    }
     found
 }
 
--- a/src/gateway/context/store_contents.rs
+++ b/src/gateway/context/store_contents.rs
@@ -53,6 +53,8 @@
             }
         };
         let (version, before) = (decoded.version, state.version());
+        let (requires_keys, accounts) = (decoded.requires_keys, decoded.accounts.len());
+        let required_before = state.current.as_ref().is_some_and(|current| current.requires_keys);
         let outcome = state.apply(decoded, position);
         let lag = match outcome {
             ApplyOutcome::Applied => self.end_configuration_lag(),
@@ -61,9 +63,10 @@
         spdlog::info!("configuration", kv: {
             version: = version, era: = position.era(), revision = position.revision(), before,
             outcome: = outcome, source: = source, bytes = text.len(), lag_ms = lag.duration_ms,
-            withheld = lag.withheld, failed = lag.failed
+            withheld = lag.withheld, failed = lag.failed, requires_keys, accounts
         });
         if outcome == ApplyOutcome::Applied {
+            log_key_change(version, required_before, requires_keys);
             self.publish_configuration(text);
         }
     }
@@ -162,3 +165,10 @@
         }
     }
 }
+
+/// Logs that requests no longer need a key: a slip of an operator would open all routes.
+fn log_key_change(version: u64, required_before: bool, requires_keys: bool) {
+    if required_before && !requires_keys {
+        spdlog::warn!("configuration: names no accounts, requests need no key any more", kv: { version });
+    }
+}
--- a/src/gateway/policy/request/admission.rs
+++ b/src/gateway/policy/request/admission.rs
@@ -21,7 +21,7 @@
 pub struct MatchedHead {
     /// Route.
     pub route: Rc<Route>,
-    /// Account; `None` for public routes, and if the configuration has no accounts.
+    /// Account; `None` for public routes, and if the configuration requires no keys.
     pub account: Option<Rc<Account>>,
 }
 
@@ -34,7 +34,7 @@
 ) -> Result<MatchedHead, Refusal> {
     let route = configuration.route(&head.host, head.path());
     let route = route.ok_or_else(|| refuse_unknown(Refusal::NoRoute, doubt))?.clone();
-    let account = match route.public || configuration.accounts.is_empty() {
+    let account = match route.public || !configuration.requires_keys {
         true => None,
         false => Some(account_of(configuration, head, keys, doubt)?),
     };
--- a/src/gateway/request/admission.rs
+++ b/src/gateway/request/admission.rs
@@ -49,7 +49,7 @@
     pub service: Rc<Service>,
     /// Version at which a stream that the client takes up goes on.
     pub origin: Option<StreamOrigin>,
-    /// Account; `None` for public routes, and if the configuration has no accounts.
+    /// Account; `None` for public routes, and if the configuration requires no keys.
     pub account: Option<Rc<Account>>,
     /// Deadline of the request.
     pub deadline: Instant,
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -2,13 +2,14 @@
 //!
 //! The fields of the spec types have the names of the JSON keys, which include the units (`_ms`, `_s`,
 //! `per_s`). Unknown keys are ignored, since later versions of the platform add some. If a value has the
-//! wrong type, the whole configuration is rejected and the current one stays in use. A duration that is
+//! wrong type, the whole configuration is rejected and the current one stays in use. A list of accounts that is
+//! empty knows no key; only where it is missing do requests need none. A duration that is
 //! negative is read as zero, and one above `MAX_DURATION` as that; one log line for each decoded
 //! configuration reports the number of these.
 
 use std::{cell::Cell, collections::BTreeMap, time::Duration};
 
-use serde::Deserialize;
+use serde::{Deserialize, Deserializer};
 
 use crate::{
     gateway::configuration::{
@@ -39,12 +40,18 @@
     routes: Vec<RouteSpec>,
     #[serde(default)]
     services: Vec<ServiceSpec>,
-    #[serde(default)]
-    tenants: Vec<TenantSpec>,
+    /// Requests need keys if it is there, also if it is empty.
+    #[serde(default, deserialize_with = "some_list")]
+    tenants: Option<Vec<TenantSpec>>,
     #[serde(default)]
     limits: Option<LimitsSpec>,
 }
 
+/// Reads a list that may be missing, but not null.
+fn some_list<'de, D: Deserializer<'de>>(source: D) -> Result<Option<Vec<TenantSpec>>, D::Error> {
+    Vec::deserialize(source).map(Some)
+}
+
 #[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 struct RouteSpec {
@@ -192,7 +199,8 @@
     for service in spec.services {
         configuration.add_service(to_service(service, &durations));
     }
-    for tenant in spec.tenants {
+    configuration.requires_keys = spec.tenants.is_some();
+    for tenant in spec.tenants.unwrap_or_default() {
         let keys = tenant.api_keys.clone();
         configuration.add_account(to_account(tenant), keys);
     }
--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -87,6 +87,7 @@
 mod peer_wait;
 mod platform_standin;
 mod quotas;
+mod removed_accounts;
 mod replaced_seeds;
 mod request_lines;
 mod request_rules;
--- a/tests/gateway/operations.rs
+++ b/tests/gateway/operations.rs
@@ -132,6 +132,12 @@
     expect_that!(budget.allows_rank(LineRank::Loss, start + Duration::from_secs(1)), eq(true));
 }
 
+fn configuration_without_accounts() -> Value {
+    let mut without = configuration(3, &[]);
+    without["tenants"] = json!([]);
+    without
+}
+
 #[googletest::test]
 fn configuration_check_reports_each_problem() {
     let sound = configuration(3, &["key-1"]);
@@ -146,6 +152,9 @@
     expect_that!(problems, contains_substring("attempts above 1"));
     expect_that!(problems, contains_substring("must begin and end with a slash"));
     expect_that!(problems, contains_substring("same host and path-prefix"));
+    let without_accounts = configuration_without_accounts().to_string();
+    let problems = gateway::check_configuration(&without_accounts).expect("decodes").join("\n");
+    expect_that!(problems, contains_substring("all keys are refused"));
     expect_that!(gateway::check_configuration("{}").is_err(), eq(true));
 }
 
