Tests: responses of status 000 at further runs of a request, and of the platform

New, and not failing before: the second and last run of a stream, a stream that goes on behind it, a further run beside a silent one, all runs of a request (502), the client of the store, of the cloud and of the native interface's endpoints (outcome unknown), and an endpoint that sends nothing else: it gets few requests, and the request log names the cause (`invalid HTTP status-code parsed`). No change of the product.

--- a/tests/gateway/main.rs
+++ b/tests/gateway/main.rs
@@ -50,6 +50,7 @@
 mod groups;
 mod head_cutting_endpoint;
 mod held_link;
+mod invalid_statuses;
 mod late_heads;
 mod late_platform_calls;
 mod late_requests;
--- a/tests/gateway/malformed_responses.rs
+++ b/tests/gateway/malformed_responses.rs
@@ -381,15 +381,13 @@
     no_last_chunk: b"a\r\n0123456789\r\n";
 }
 
-#[googletest::test]
-fn endpoint_whose_heads_are_malformed_is_left_alone_and_named_in_the_log() {
+/// Checks that an endpoint whose responses all have this head gets few requests, and that the log names the cause.
+fn check_left_alone(status_line: &'static str, fields: &'static [&'static [u8]], cause: &str) {
     let site = MalformedSite::start_with(1, 2);
-    let fields: &[&[u8]] = &[b"Transfer-Encoding: chunke"];
-    let (status_line, body) = ("HTTP/1.1 200 OK", CHUNKS);
     site.endpoints.set_response(TestResponse {
         status_line,
         fields,
-        body,
+        body: CHUNKS,
         is_kept: false,
         is_signed: true,
     });
@@ -402,5 +400,17 @@
     // Half of its share.
     expect_that!(faulty, all![gt(0), le(REQUESTS / 4)]);
     let log = std::fs::read_to_string(&site.gateways[0].log).expect("log");
-    expect_that!(log, contains_substring("malformed head: transfer coding other than chunked"));
+    expect_that!(log, contains_substring(cause));
+}
+
+#[googletest::test]
+fn endpoint_whose_heads_are_malformed_is_left_alone_and_named_in_the_log() {
+    let cause = "malformed head: transfer coding other than chunked";
+    check_left_alone("HTTP/1.1 200 OK", &[b"Transfer-Encoding: chunke"], cause);
+}
+
+#[googletest::test]
+fn endpoint_whose_responses_have_status_000_is_left_alone_and_named_in_the_log() {
+    let cause = "invalid HTTP status-code";
+    check_left_alone("HTTP/1.1 000 None", &[b"Transfer-Encoding: chunked"], cause);
 }
--- a/tests/native/malformed_responses.rs
+++ b/tests/native/malformed_responses.rs
@@ -54,6 +54,25 @@
     status_beyond_those_of_responses: b"HTTP/1.1 999 Odd\r\nContent-Length: 2\r\n\r\n{}";
 }
 
+/// Whether the call was carried out is not known.
+macro_rules! unreadable_responses_are_unknown {
+    ($($name:ident: $bytes:literal;)*) => {$(
+        #[googletest::test]
+        fn $name() {
+            expect_that!(fetch($bytes), err(matches_pattern!(FailureCause::Broken(_))));
+        }
+    )*};
+}
+
+unreadable_responses_are_unknown! {
+    status_000: b"HTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}";
+    status_000_without_a_reason: b"HTTP/1.1 000\r\nContent-Length: 2\r\n\r\n{}";
+    status_000_in_chunks: b"HTTP/1.1 000\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\n\r\n";
+    status_000_behind_an_informational_head:
+        b"HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 000 None\r\nContent-Length: 2\r\n\r\n{}";
+    status_of_two_digits: b"HTTP/1.1 20 OK\r\nContent-Length: 2\r\n\r\n{}";
+}
+
 macro_rules! sound_responses_are_read {
     ($($name:ident: $bytes:literal;)*) => {$(
         #[googletest::test]
