--- a/tests/gateway/late_platform_calls.rs
+++ b/tests/gateway/late_platform_calls.rs
@@ -6,7 +6,6 @@
     future::poll_fn,
     io::Read,
     net::{Ipv4Addr, SocketAddr},
-    path::Path,
     pin::pin,
     task::Poll,
     thread,
@@ -14,7 +13,6 @@
 };
 
 use googletest::prelude::*;
-use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use tokio::{runtime::Builder, task::LocalSet, time::timeout};
 use willowarch::{
@@ -24,9 +22,10 @@
 
 use crate::{
     endpoint_standin::{EndpointManner, EndpointStandin},
-    gateway_site::{Gateway, configuration, daemon_settings, endpoint_entry, wait_for},
+    gateway_site::{configuration, endpoint_entry, wait_for},
     held_link::HeldLink,
     leader_tasks::{check_reports, reports},
+    linked_daemon::LinkedDaemon,
     platform_standin::PlatformStandin,
 };
 
@@ -41,27 +40,6 @@
 /// Receive buffer of a machine behind a link that loses packets, in bytes: far smaller than the call.
 const SMALL_BUFFER: usize = 2_048;
 
-/// A daemon behind links of its own to the store and to the cloud API.
-struct LinkedDaemon {
-    name: String,
-    gateway: Gateway,
-    store: HeldLink,
-    cloud: HeldLink,
-}
-
-impl LinkedDaemon {
-    fn start(name: &str, platform: &PlatformStandin, seeds: &[SocketAddr]) -> Self {
-        let (store, cloud) = (HeldLink::start(platform.address), HeldLink::start(platform.address));
-        let program = Path::new(env!("CARGO_BIN_EXE_willowarchd"));
-        let gateway = Gateway::start_settings(program, name, |ip| {
-            let mut settings = daemon_settings(name, ip, store.address, seeds, &json!({}));
-            settings["cloud-api"]["address"] = json!(cloud.address);
-            settings
-        });
-        Self { name: name.into(), gateway, store, cloud }
-    }
-}
-
 /// What happens to the leader while its report is on the way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum LeaderEnd {
--- a/tests/gateway/leader_tasks.rs
+++ b/tests/gateway/leader_tasks.rs
@@ -57,7 +57,7 @@
 }
 
 /// Writes a configuration that makes the gateway order endpoints in two zones.
-fn put_fleet(platform: &PlatformStandin) {
+pub fn put_fleet(platform: &PlatformStandin) {
     let mut with_fleet = configuration(4, &["key-1"]);
     with_fleet["services"][0]["autoscale"] = json!({
         "min": 1, "max": 6, "boot-s": 0.5, "spot-price": 0.2,
--- a/tests/gateway/soak.rs
+++ b/tests/gateway/soak.rs
@@ -736,7 +736,7 @@
     assert!(mixed.len() <= ALLOWED_MIXED, "streams of two versions: {mixed:?}");
 }
 
-fn number_from(name: &str, default: u64) -> u64 {
+pub fn number_from(name: &str, default: u64) -> u64 {
     std::env::var(name).ok().and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
