API client: a connection that the kernel gives up counts as a call that timed out

TCP_USER_TIMEOUT ends a connection whose bytes aren't acknowledged before the call's own limit. The client took that for a broken connection, and would have gone on using its other open connections, which may be silent as well; after a time-out it uses new ones.

Evidence: the new test in late_platform_calls failed without the change (nine tests, one failed), and passes with it.

--- a/src/gateway/policy/leader/leader_lease.rs
+++ b/src/gateway/policy/leader/leader_lease.rs
@@ -7,9 +7,9 @@
 //! (fencing token) rises with every new holder. Clocks of daemons are never compared: each daemon
 //! measures with its own monotonic clock from the start of its call to the store, which is before
 //! the store's response. The holder acts for `ACTIVE_FRACTION` of the lease duration after a
-//! renewal, and its calls to the cloud time out after a second, at the latest when the lease ends. Others acquire the lease only after
-//! they have seen the object unchanged for the lease duration and [`ACQUIRE_MARGIN`], so two
-//! holders can't act at the same time.
+//! renewal, and its calls to the cloud time out after a second, at the latest when the lease ends.
+//! Others acquire the lease only after they have seen the object unchanged for the lease duration
+//! and [`ACQUIRE_MARGIN`], so two holders can't act at the same time.
 //!
 //! A record that another writer has corrupted or removed is replaced like one that is no longer
 //! renewed, with a fence above all former ones. The fence of a removed record is known by gossip
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -4,7 +4,7 @@
 //! only (its calls to endpoints need control over single connections, see `gateway::request`). The
 //! [`FailureCause`] of a failed call shows whether the other side may have acted on it.
 
-use std::time::Duration;
+use std::{error::Error, io, iter, time::Duration};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
@@ -17,7 +17,7 @@
     errors::{FailureCause, StepError},
     http::{
         call_body::CallBody,
-        connector::{TcpConnector, UnacknowledgedBytes},
+        connector::{TcpConnector, UNACKNOWLEDGED_LIMIT, UnacknowledgedBytes},
         response_framing::read_framing,
     },
     timeouts::{Elapsed, wait_at_most},
@@ -120,7 +120,7 @@
     }
 
     /// Sets the time of `boot_clock` after which the call, which must have a body, is not written.
-    pub fn write_by(mut self, time: Instant) -> Self {
+    pub fn with_write_by(mut self, time: Instant) -> Self {
         self.write_by = Some(time);
         self
     }
@@ -193,6 +193,9 @@
             Ok(Err(error)) if error.is_connect() => {
                 Err(call.error(FailureCause::Unreachable(error.to_string())))
             }
+            Ok(Err(error)) if is_unacknowledged(&error) => {
+                Err(call.error(FailureCause::timed_out(UNACKNOWLEDGED_LIMIT)))
+            }
             Ok(Err(error)) => Err(call.error(FailureCause::Broken(error.to_string()))),
             Ok(Ok(response)) => match read_framing(&response) {
                 Ok(_) => Ok(response),
@@ -220,3 +223,12 @@
         result.unwrap_or_else(|Elapsed| Err(call.error(FailureCause::timed_out(limit))))
     }
 }
+
+/// Whether the kernel has given the connection up, because the peer didn't acknowledge what was sent.
+fn is_unacknowledged(error: &(dyn Error + 'static)) -> bool {
+    let mut causes = iter::successors(Some(error), |cause| (*cause).source());
+    causes.any(|cause| {
+        let failure = cause.downcast_ref::<io::Error>();
+        failure.is_some_and(|failure| failure.kind() == io::ErrorKind::TimedOut)
+    })
+}
--- a/src/http/connector.rs
+++ b/src/http/connector.rs
@@ -27,7 +27,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time after which the kernel discards bytes that the peer has not acknowledged: no longer than a call
 /// of the lease holder may take (`platform::cloud`).
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_000);
+pub const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Error that prevents a connection.
 type ConnectError = Box<dyn std::error::Error + Send + Sync>;
@@ -122,7 +122,7 @@
         Pin::new(&mut self.stream).poll_flush(task)
     }
 
-    /// Does nothing on a connection that is to be reset: an end in order would confirm the bytes before it.
+    /// Does nothing on a connection that is to be reset: an end in order would follow the bytes on their way.
     fn poll_shutdown(mut self: Pin<&mut Self>, task: &mut Context<'_>) -> Poll<io::Result<()>> {
         match self.unacknowledged {
             UnacknowledgedBytes::Delivered => Pin::new(&mut self.stream).poll_shutdown(task),
--- a/src/platform/cloud.rs
+++ b/src/platform/cloud.rs
@@ -2,8 +2,8 @@
 //!
 //! Each call carries the leader's name and fence, so that the cloud can refuse a leader that has been
 //! replaced. A call is neither written nor left on its way once the lease may be another daemon's. A call
-//! that times out may have been carried out; both kinds of calls can be retried, since
-//! they state totals, not changes.
+//! that times out may have been carried out; both kinds of calls can be retried, since they state totals,
+//! not changes.
 
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
 
@@ -131,7 +131,7 @@
             .send(step, Method::POST, path, body)?
             .with_header("x-duty-holder", &holder.name)
             .with_header("x-fencing-token", holder.fence)
-            .write_by(now + limit);
+            .with_write_by(now + limit);
         self.api.fetch(call, limit).await
     }
 }
--- a/src/platform/configuration.rs
+++ b/src/platform/configuration.rs
@@ -2,8 +2,8 @@
 //!
 //! The fields of the spec types have the names of the JSON keys, which include the units (`_ms`, `_s`,
 //! `per_s`). Unknown keys are ignored, since later versions of the platform add some. If a value has the
-//! wrong type, the whole configuration is rejected and the current one stays in use. A list of accounts that is
-//! empty knows no key; only where it is missing do requests need none. A duration that is
+//! wrong type, the whole configuration is rejected and the current one stays in use. A list of accounts
+//! that is empty knows no key; only where it is missing do requests need none. A duration that is
 //! negative is read as zero, and one above `MAX_DURATION` as that; one log line for each decoded
 //! configuration reports the number of these.
 
--- a/tests/gateway/late_platform_calls.rs
+++ b/tests/gateway/late_platform_calls.rs
@@ -13,10 +13,12 @@
 };
 
 use googletest::prelude::*;
+use hyper::Method;
 use socket2::{Domain, Socket, Type};
 use tokio::{runtime::Builder, task::LocalSet, time::timeout};
 use willowarch::{
     boot_clock,
+    http::api_client::ApiClient,
     platform::cloud::{CloudClient, EndpointOrder, LeaseHolder},
 };
 
@@ -233,3 +235,18 @@
         expect_that!(begun.elapsed(), lt(CALL_LIMIT / 2));
     });
 }
+
+/// The kernel gives such a connection up before the call times out; the client took it for a broken one, and went on
+/// using others that were silent, too.
+#[googletest::test]
+fn call_that_is_not_acknowledged_is_taken_for_one_on_a_broken_connection() {
+    let listener = bind_narrow_listener();
+    let address = listener.local_addr().expect("address");
+    run_local(async {
+        let api = ApiClient::new(address);
+        let body = "b".repeat(4 * SMALL_BUFFER);
+        let call = api.send("write", Method::POST, "/", &body).expect("a call");
+        let error = api.fetch(call, 5 * CALL_LIMIT).await.expect_err("no response");
+        expect_that!(error.is_time_out(), eq(true), "{error}");
+    });
+}
