--- a/src/http.rs
+++ b/src/http.rs
@@ -5,9 +5,9 @@
 //! docs/design/http.md has the measurement.
 
 pub mod api_client;
-pub mod call_body;
 pub mod client;
 pub mod connector;
+pub mod deadline_body;
 pub mod response_framing;
 pub mod server;
 pub mod url_path;
--- a/src/http/client.rs
+++ b/src/http/client.rs
@@ -16,8 +16,8 @@
 use crate::{
     errors::{FailureCause, StepError},
     http::{
-        call_body::CallBody,
         connector::{TcpConnector, UNACKNOWLEDGED_LIMIT, UnacknowledgedBytes},
+        deadline_body::DeadlineBody,
         response_framing::read_framing,
     },
     timeouts::{Elapsed, wait_at_most},
@@ -130,7 +130,7 @@
         StepError::new(self.step, self.peer.as_str(), cause)
     }
 
-    fn build(&self) -> Result<Request<CallBody>, StepError> {
+    fn build(&self) -> Result<Request<DeadlineBody>, StepError> {
         let malformed = |error: String| self.error(FailureCause::Malformed(error));
         let uri: Uri = format!("http://{}{}", self.peer, self.path)
             .parse()
@@ -139,7 +139,7 @@
         for (name, value) in &self.headers {
             builder = builder.header(*name, value);
         }
-        let body = CallBody::new(self.body.clone(), self.write_by);
+        let body = DeadlineBody::new(self.body.clone(), self.write_by);
         builder.body(body).map_err(|error| malformed(error.to_string()))
     }
 }
@@ -147,7 +147,7 @@
 /// Pooling HTTP client.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<TcpConnector, CallBody>,
+    client: Client<TcpConnector, DeadlineBody>,
 }
 
 impl Default for HttpClient {
--- a/src/http/call_body.rs
+++ b/src/http/deadline_body.rs
@@ -23,19 +23,19 @@
 
 /// Body of a call.
 #[derive(Debug)]
-pub struct CallBody {
+pub struct DeadlineBody {
     bytes: Full<Bytes>,
     write_by: Option<Instant>,
 }
 
-impl CallBody {
+impl DeadlineBody {
     /// Creates a body with these bytes. It is not written after `write_by`, a time of `boot_clock`.
     pub fn new(bytes: Bytes, write_by: Option<Instant>) -> Self {
         Self { bytes: Full::new(bytes), write_by }
     }
 }
 
-impl Body for CallBody {
+impl Body for DeadlineBody {
     type Data = Bytes;
     type Error = OverdueCall;
 
