--- a/src/gateway/leader/lease_keeper.rs
+++ b/src/gateway/leader/lease_keeper.rs
@@ -94,7 +94,8 @@
     /// Name and fence that calls to the cloud carry, and when these calls have to end.
     pub fn holder(&self) -> LeaseHolder {
         let lease = self.context.lease.borrow();
-        let ends_at = lease.ends_at(self.lease_duration()).unwrap_or_else(boot_clock::now);
+        let renewed_at = lease.renewed_at;
+        let ends_at = renewed_at.map_or_else(boot_clock::now, |at| at + self.lease_duration());
         LeaseHolder { name: self.context.settings.name.clone(), fence: lease.fence, ends_at }
     }
 
--- a/src/gateway/policy/leader/leader_lease.rs
+++ b/src/gateway/policy/leader/leader_lease.rs
@@ -37,8 +37,7 @@
 };
 
 /// Time that others wait in addition to the lease duration before they acquire it: the holder's
-/// last call has ended by then, and its connection was reset if it had no response
-/// (`http::connector`).
+/// last call has ended by then, by a reset if it had no response (`http::connector`).
 pub const ACQUIRE_MARGIN: Duration = Duration::from_millis(400);
 /// Fraction of the lease duration after which its holder no longer acts without a renewal: leaves a
 /// second for the holder's last call.
@@ -114,11 +113,6 @@
         self.own && self.renewed_at.is_some_and(is_active)
     }
 
-    /// When the lease ends unless it is renewed; none if no renewal is known.
-    pub fn ends_at(&self, lease_duration: Duration) -> Option<Instant> {
-        self.renewed_at.map(|at| at + lease_duration)
-    }
-
     /// Applies a peer's report of a renewal. Delayed messages make a renewal look newer than it is,
     /// so of two reports of the same renewal the earlier start is kept.
     pub fn observe(&mut self, renewal: LeaseRenewal) {
